--- /dev/null
+++ b/cli/main.ts
@@ -0,0 +1,54 @@
+#!/usr/bin/env node
+/** The command line. */
+import cac from 'cac'
+import { InvalidError } from '../core/config/index.ts'
+import { runDemo } from '../demo/demo.ts'
+import { Daemon } from '../daemon/daemon.ts'
+import { loadSettings } from '../daemon/settings.ts'
+
+const EXIT_FAILED = 1
+const EXIT_INVALID = 2
+const print = (line: string) => { process.stdout.write(`${line}\n`) }
+
+const cli = cac('verbenatiller')
+
+cli.command('serve', 'Run one daemon until SIGTERM, which drains it')
+  .option('--settings <file>', 'Settings of the daemon, JSON with comments')
+  .action(async (options: { settings?: string }) => {
+    if (!options.settings) throw new InvalidError('command line', ['--settings: expected a file, found nothing'])
+    const daemon = await Daemon.start({ settings: loadSettings(options.settings) })
+    print(JSON.stringify({ daemon: daemon.id, ...daemon.addresses }))
+    const drain = () => { daemon.drain().then(() => process.exit(0)) }
+    process.on('SIGTERM', drain)
+    process.on('SIGINT', drain)
+  })
+
+cli.command('demo', 'Run both deployments in small against the stand-in platform')
+  .option('--seed <number>', 'Seed of all random choices', { default: 1 })
+  .option('--requests <number>', 'Requests for each deployment', { default: 200 })
+  .action(async (options: { seed: number, requests: number }) => {
+    const totals = await runDemo({ ...options, print })
+    print(JSON.stringify(totals))
+    const broken = totals.lost + totals.doubled + totals.crossed + totals.falselyNotRun
+    process.exit(broken === 0 ? 0 : EXIT_FAILED)
+  })
+
+cli.help()
+
+async function main (): Promise<void> {
+  try {
+    cli.parse(process.argv, { run: false })
+    if (!cli.matchedCommand && !cli.options.help) throw new InvalidError('command line', [`expected a command, found "${cli.args[0] ?? ''}"; see --help`])
+    await cli.runMatchedCommand()
+  } catch (err) {
+    if (err instanceof InvalidError) {
+      for (const problem of err.problems) process.stderr.write(`${problem}\n`)
+      process.exitCode = EXIT_INVALID
+    } else {
+      process.stderr.write(`${(err as Error).message}\n`)
+      process.exitCode = EXIT_FAILED
+    }
+  }
+}
+
+await main()
--- /dev/null
+++ b/core/admission/index.ts
@@ -0,0 +1,1 @@
+export * from './fair_queue.ts'
--- /dev/null
+++ b/core/answer/index.ts
@@ -0,0 +1,1 @@
+export * from './answer_buffer.ts'
--- /dev/null
+++ b/core/config/config_test.ts
@@ -0,0 +1,64 @@
+import { readFileSync } from 'node:fs'
+import { expect, test } from 'vitest'
+import { settingsSchema } from '../../daemon/settings.ts'
+import { configSchema, diff, InvalidError, newest, nextAccepted, parseJsonc, type Config } from './index.ts'
+
+const EXAMPLES = ['adunni_levy', 'kingston_parish']
+const example = (name: string, kind: string) => readFileSync(new URL(`../../examples/${name}.${kind}.jsonc`, import.meta.url), 'utf8')
+const config = (): Config => parseJsonc(configSchema, example('adunni_levy', 'config'))
+
+test.each(EXAMPLES)('the examples of %s are valid', (name) => {
+  expect(parseJsonc(configSchema, example(name, 'config')).classes).toHaveLength(3)
+  expect(parseJsonc(settingsSchema, example(name, 'settings')).drainMs).toBe(25_000)
+})
+
+test('every wrong field is named with its path, what was expected and what was found', () => {
+  const wrong = JSON.stringify({ ...config(), deployment: 'Has Spaces', classes: [{ ...config().classes[0], pool: 'nowhere', delivery: 2 }], weights: {} })
+  const problems = problemsOf(() => parseJsonc(configSchema, wrong))
+  expect(problems).toEqual([
+    expect.stringMatching(/^deployment: .*lower-case.*found "Has Spaces"$/),
+    expect.stringMatching(/^classes\.0\.delivery: .*<=1, found 2$/),
+    expect.stringMatching(/weights/)
+  ])
+})
+
+test('references between parts are checked', () => {
+  const cfg = config()
+  const wrong = { ...cfg, accounts: [{ ...cfg.accounts[0]!, classes: ['no-such-class'] }, cfg.accounts[0]!] }
+  expect(problemsOf(() => parseJsonc(configSchema, JSON.stringify(wrong)))).toEqual([
+    'accounts.1.name: expected a unique name, found "ikeja-council" again',
+    'accounts.0.classes.0: expected a class of this configuration, found "no-such-class"'
+  ])
+})
+
+test('text that does not parse is refused with its line', () => {
+  expect(problemsOf(() => parseJsonc(configSchema, '{\n "deployment": \n}'))[0]).toMatch(/^line 3: /)
+})
+
+test('an older revision never replaces a newer one', () => {
+  // A user sees a change revert. The watch event of revision 1 arrives after revision 2 came from a peer; the cause would be taking
+  // the last arrival for the newest.
+  const first = nextAccepted(undefined, config(), { id: 'a', operator: 'ada', atMs: 5 })
+  const second = nextAccepted(first, { ...config(), wantsLeast: 'recomputed-work' }, { id: 'b', operator: 'bo', atMs: 1 })
+  expect(newest(second, first)).toBe(second)
+  expect(newest(first, second)).toBe(second)
+  expect(second.changes.at(-1)!.diff).toEqual([{ path: 'wantsLeast', from: 'cost', to: 'recomputed-work' }])
+})
+
+test('a diff names added, changed and removed fields', () => {
+  expect(diff({ a: 1, b: { c: 2 } }, { b: { c: 3 }, d: 4 })).toEqual([
+    { path: 'a', from: 1, to: undefined },
+    { path: 'b.c', from: 2, to: 3 },
+    { path: 'd', from: undefined, to: 4 }
+  ])
+})
+
+function problemsOf (act: () => unknown): readonly string[] {
+  try {
+    act()
+  } catch (err) {
+    if (err instanceof InvalidError) return err.problems
+    throw err
+  }
+  throw new Error('expected an InvalidError')
+}
--- /dev/null
+++ b/core/config/index.ts
@@ -0,0 +1,3 @@
+export * from './revision.ts'
+export * from './schema.ts'
+export * from './validate.ts'
--- /dev/null
+++ b/core/ids/ids.ts
@@ -0,0 +1,49 @@
+/** Branded identifiers, so that one kind of id cannot stand in for another. */
+
+declare const brand: unique symbol
+
+/** A value of type `T` that only code naming the brand can make. */
+export type Branded<T, Name extends string> = T & { readonly [brand]: Name }
+
+/** One request, in the whole fleet; names the daemon that holds its answer. */
+export type RequestId = Branded<string, 'RequestId'>
+/** One run of a daemon process. A restarted daemon has another id. */
+export type DaemonId = Branded<string, 'DaemonId'>
+/** One model engine or plain service process. */
+export type EndpointId = Branded<string, 'EndpointId'>
+/** One host of the cloud. */
+export type HostId = Branded<string, 'HostId'>
+/** A set of hosts that fail or are reclaimed together. */
+export type FailureDomain = Branded<string, 'FailureDomain'>
+/** A client account, known by its credential. */
+export type AccountId = Branded<string, 'AccountId'>
+/** A class of work. */
+export type ClassName = Branded<string, 'ClassName'>
+/** A group of endpoints that serve the same work. */
+export type PoolName = Branded<string, 'PoolName'>
+
+const SEPARATOR = '~'
+
+/** Marks a plain value as an id; the caller vouches for it. */
+export function as<Id extends Branded<string, string>> (value: string): Id {
+  return value as Id
+}
+
+/**
+ * Builds a request id that names its daemon.
+ * @param daemon The daemon that holds the answer.
+ * @param suffix Text unique within that daemon.
+ * @example `requestId(as<DaemonId>('ikeja-1'), 'x7')` gives `ikeja-1~x7`.
+ */
+export function requestId (daemon: DaemonId, suffix: string): RequestId {
+  return as(`${daemon}${SEPARATOR}${suffix}`)
+}
+
+/**
+ * Reads the daemon out of a request id.
+ * @returns The daemon, or undefined when the text is no request id.
+ */
+export function daemonOf (id: string): DaemonId | undefined {
+  const at = id.indexOf(SEPARATOR)
+  return at > 0 ? as<DaemonId>(id.slice(0, at)) : undefined
+}
--- /dev/null
+++ b/core/ids/index.ts
@@ -0,0 +1,1 @@
+export * from './ids.ts'
--- /dev/null
+++ b/core/once/index.ts
@@ -0,0 +1,2 @@
+export * from './claim.ts'
+export * from './shard_head.ts'
--- /dev/null
+++ b/core/outcome/index.ts
@@ -0,0 +1,1 @@
+export * from './outcome.ts'
--- /dev/null
+++ b/core/request/index.ts
@@ -0,0 +1,1 @@
+export * from './lifecycle.ts'
--- /dev/null
+++ b/core/retry/index.ts
@@ -0,0 +1,2 @@
+export * from './ejection.ts'
+export * from './retry_budget.ts'
--- /dev/null
+++ b/core/routing/router.ts
@@ -0,0 +1,128 @@
+/** Choice of an endpoint for one request. */
+import type { EndpointId, FailureDomain } from '../ids/index.ts'
+import { predictBetweenTokensMs, predictFirstTokenMs, runningNow, type EndpointView } from './endpoint_view.ts'
+
+/** What a router needs to know of a request. */
+export interface RouteQuery {
+  promptTokens: number
+  expectedTokens: number
+  firstTokenMs: number
+  betweenTokensMs: number | undefined
+  avoid: readonly EndpointId[]
+  failureDomain: FailureDomain
+  /** Prompt tokens that an endpoint's prefix cache is believed to hold. */
+  cachedTokens (endpoint: EndpointId): number
+}
+
+/** A choice and the prediction that led to it. */
+export interface Route { view: EndpointView, firstTokenMs: number, meetsTarget: boolean }
+
+/** Chooses an endpoint, or none when every candidate is leaving, full or ejected. */
+export interface Router {
+  pick (query: RouteQuery, candidates: readonly EndpointView[], now: number): Route | undefined
+}
+
+/** Source of random numbers in [0, 1). */
+export type Random = () => number
+
+/** Options of {@linkcode TargetRouter}. */
+export interface TargetRouterOptions {
+  /** Seeded random source. */
+  random: Random
+  /** Candidates looked at for one request. Default 4. */
+  choices?: number
+  /** What a recomputed token costs in money, from the deployment's wish. Default 0. */
+  recomputePrice?: number
+}
+
+const DEFAULT_CHOICES = 4
+const MS_PER_HOUR = 3_600_000
+
+/**
+ * Meets the latency target first, then takes the cheapest endpoint that does.
+ *
+ * Looks at a few random candidates and the one with the longest cached prefix, not at the best of all: load reports lag, and when
+ * every daemon sends to the same best endpoint it is overrun before the next report.
+ */
+export class TargetRouter implements Router {
+  readonly #random: Random
+  readonly #choices: number
+  readonly #recomputePrice: number
+
+  constructor (options: TargetRouterOptions) {
+    this.#random = options.random
+    this.#choices = options.choices ?? DEFAULT_CHOICES
+    this.#recomputePrice = options.recomputePrice ?? 0
+  }
+
+  pick (query: RouteQuery, candidates: readonly EndpointView[], now: number): Route | undefined {
+    let best: Route | undefined
+    let bestScore = Infinity
+    for (const view of this.#sample(query, candidates, now)) {
+      const route = predict(query, view)
+      const score = this.#score(query, route)
+      if (best && (best.meetsTarget && !route.meetsTarget)) continue
+      if (!best || (route.meetsTarget && !best.meetsTarget) || score < bestScore) {
+        best = route
+        bestScore = score
+      }
+    }
+    return best
+  }
+
+  #sample (query: RouteQuery, candidates: readonly EndpointView[], now: number): EndpointView[] {
+    const open = candidates.filter((view) => isOpen(view, query, now))
+    if (open.length <= this.#choices) return open
+    const sample: EndpointView[] = []
+    let longest: EndpointView | undefined
+    let longestTokens = 0
+    for (const view of open) {
+      const cached = query.cachedTokens(view.id)
+      if (cached > longestTokens) {
+        longest = view
+        longestTokens = cached
+      }
+    }
+    if (longest) sample.push(longest)
+    while (sample.length < this.#choices) sample.push(open[Math.floor(this.#random() * open.length)]!)
+    return sample
+  }
+
+  /** Money for the request on this endpoint, or the predicted wait when the target is missed anyway. */
+  #score (query: RouteQuery, route: Route): number {
+    const { view } = route
+    if (!route.meetsTarget) return route.firstTokenMs
+    const runMs = route.firstTokenMs + query.expectedTokens * predictBetweenTokensMs(view)
+    const share = 1 / Math.min(view.speed.batchSlots, runningNow(view) + 1)
+    const holding = view.pricePerHour * (runMs / MS_PER_HOUR) * share
+    const lossChance = Math.min(1, view.reclaimsPerHour * runMs / MS_PER_HOUR)
+    const redone = lossChance * (query.promptTokens + query.expectedTokens / 2) * this.#recomputePrice
+    return holding + redone + route.firstTokenMs * TIE_BREAK
+  }
+}
+
+/** Money per millisecond of predicted wait: orders endpoints of one price by load. */
+const TIE_BREAK = 1e-7
+
+/** Baseline: the endpoint with the fewest running requests, by the last report and own work. */
+export class LeastLoadedRouter implements Router {
+  pick (query: RouteQuery, candidates: readonly EndpointView[], now: number): Route | undefined {
+    let best: EndpointView | undefined
+    for (const view of candidates) {
+      if (!isOpen(view, query, now)) continue
+      if (!best || runningNow(view) < runningNow(best)) best = view
+    }
+    return best && predict(query, best)
+  }
+}
+
+function isOpen (view: EndpointView, query: RouteQuery, now: number): boolean {
+  return view.leavingAtMs === undefined && view.ejectedUntilMs <= now && !query.avoid.includes(view.id)
+}
+
+function predict (query: RouteQuery, view: EndpointView): Route {
+  const firstTokenMs = predictFirstTokenMs(view, Math.max(0, query.promptTokens - query.cachedTokens(view.id)))
+  const betweenOk = query.betweenTokensMs === undefined || predictBetweenTokensMs(view) <= query.betweenTokensMs
+  const roomLeft = runningNow(view) < view.speed.batchSlots
+  return { view, firstTokenMs, meetsTarget: roomLeft && betweenOk && firstTokenMs <= query.firstTokenMs }
+}
--- /dev/null
+++ b/daemon/answer_writer.ts
@@ -0,0 +1,82 @@
+/** Writes a growing answer to a caller, as server-sent events or as one document. */
+import type { ServerResponse } from 'node:http'
+import type { LiveAnswer } from './live_answer.ts'
+import { problemBody, problemOf, sendProblem } from './problem.ts'
+
+/** Milliseconds after which a caller whose stream moved should connect again. */
+const RECONNECT_MS = 100
+
+/**
+ * Streams an answer from an offset.
+ *
+ * The writer reads from the answer at the caller's pace and never queues behind a full socket: a slow reader costs the answer's own
+ * memory, which is bounded, and nothing more. Tokens that arrive together are written together.
+ */
+export function streamAnswer (res: ServerResponse, answer: LiveAnswer, from: number): void {
+  let cursor = from
+  let scheduled = false
+  let writable = true
+  const flush = () => {
+    scheduled = false
+    if (res.closed || !writable || !begin(res, answer)) return
+    if (answer.tokens.length > cursor) {
+      const tokens = answer.tokens.slice(cursor)
+      cursor = answer.tokens.length
+      writable = res.write(`id: ${cursor}\ndata: ${JSON.stringify({ tokens })}\n\n`)
+    }
+    if (answer.final && writable) finishStream(res, answer)
+    else if (answer.movedAway && writable) moveStream(res)
+  }
+  const schedule = () => {
+    if (scheduled) return
+    scheduled = true
+    setImmediate(flush)
+  }
+  const stop = answer.subscribe(schedule)
+  res.on('drain', () => {
+    writable = true
+    schedule()
+  })
+  res.on('close', stop)
+  schedule()
+}
+
+/** Waits for the whole answer and writes it as one document. */
+export function sendAnswer (res: ServerResponse, answer: LiveAnswer): void {
+  const check = () => {
+    if (res.headersSent) return
+    if (answer.movedAway) {
+      res.writeHead(303, { location: `/v1/requests/${encodeURIComponent(answer.id)}/answer`, 'request-id': answer.id }).end()
+    } else if (answer.final?.outcome === 'answered') {
+      const body = JSON.stringify({ request: answer.id, outcome: 'answered', answer: answer.tokens.join(''), tokens: answer.tokens.length })
+      res.writeHead(200, { 'content-type': 'application/json', 'request-id': answer.id }).end(body)
+    } else if (answer.final) {
+      sendProblem(res, problemOf(answer.id, answer.final))
+    }
+  }
+  const stop = answer.subscribe(check)
+  res.on('close', stop)
+  check()
+}
+
+/** Holds the headers back until an endpoint works on the request, so that a refusal still has its own status. */
+function begin (res: ServerResponse, answer: LiveAnswer): boolean {
+  if (res.headersSent) return true
+  if (answer.final && answer.final.outcome !== 'answered' && answer.tokens.length === 0) {
+    sendProblem(res, problemOf(answer.id, answer.final))
+    return false
+  }
+  if (!answer.started && !answer.final && !answer.movedAway) return false
+  res.writeHead(200, { 'content-type': 'text/event-stream', 'cache-control': 'no-store', 'request-id': answer.id })
+  return true
+}
+
+function finishStream (res: ServerResponse, answer: LiveAnswer): void {
+  const final = answer.final!
+  if (final.outcome === 'answered') res.end(`event: end\ndata: ${JSON.stringify({ outcome: 'answered', tokens: answer.tokens.length })}\n\n`)
+  else res.end(`event: problem\ndata: ${problemBody(problemOf(answer.id, final))}\n\n`)
+}
+
+function moveStream (res: ServerResponse): void {
+  res.end(`event: moved\nretry: ${RECONNECT_MS}\ndata: {}\n\n`)
+}
--- /dev/null
+++ b/daemon/claims.ts
@@ -0,0 +1,95 @@
+/** Claims idempotency keys through the daemon that writes the key's shard at the moment. */
+import { createHash } from 'node:crypto'
+import { as, type AccountId, type DaemonId, type RequestId } from '../core/ids/index.ts'
+import type { Member } from '../core/membership/index.ts'
+import type { Claim, ClaimResult, KeyHash } from '../core/once/index.ts'
+import type { Hash32 } from '../core/routing/index.ts'
+import type { ObjectStore } from '../store/index.ts'
+import type { MembershipTask } from './membership_task.ts'
+import { ClaimError, ShardLog } from './shard_log.ts'
+
+/** Options of {@linkcode Claims}. */
+export interface ClaimsOptions {
+  self: DaemonId
+  store: ObjectStore
+  hash: Hash32
+  membership: MembershipTask
+}
+
+/** Shards of the claim log. Writes a second depend on this and the commit interval, not on the number of requests. */
+export const SHARDS = 8
+const HASH_LENGTH = 22
+
+interface ClaimArgs { claim: Claim, inMs: number }
+
+/** Claims keys. */
+export class Claims {
+  readonly #options: ClaimsOptions
+  readonly #shards = new Map<number, ShardLog>()
+
+  constructor (options: ClaimsOptions) {
+    this.#options = options
+    options.membership.links.handle('claim', ({ claim, inMs }: ClaimArgs) => this.#claimHere(claim, inMs))
+  }
+
+  /**
+   * Claims a key for a request.
+   * @param inMs Milliseconds that the claim may take.
+   * @throws {ClaimError} When it could not be written in time. Nothing ran.
+   */
+  async claim (claim: Claim, inMs: number): Promise<ClaimResult> {
+    const expiresAtMs = Date.now() + inMs
+    const owner = this.#ownerOf(shardOf(claim.key, this.#options.hash))
+    if (owner && owner.id !== this.#options.self) {
+      const result = await this.#ask(owner, { claim, inMs })
+      if (result) return result
+    }
+    return await this.#claimHere(claim, expiresAtMs - Date.now())
+  }
+
+  /**
+   * A lost or failed call may have claimed the key all the same. Claiming again here is safe: the log then shows the same request id,
+   * and whoever writes a shard is fenced by the head's version, not by being its owner.
+   */
+  async #ask (owner: Member, args: ClaimArgs): Promise<ClaimResult | undefined> {
+    const { links } = this.#options.membership
+    return await links.call(owner, 'claim', args, { timeoutMs: args.inMs / 2 }).catch(() => undefined) as ClaimResult | undefined
+  }
+
+  async #claimHere (claim: Claim, inMs: number): Promise<ClaimResult> {
+    if (inMs <= 0) throw new ClaimError('Cannot claim key: no time left')
+    const number = shardOf(claim.key, this.#options.hash)
+    let shard = this.#shards.get(number)
+    if (!shard) {
+      shard = new ShardLog({ store: this.#options.store, shard: number })
+      this.#shards.set(number, shard)
+    }
+    return await shard.claim(claim, Date.now() + inMs)
+  }
+
+  /** Highest rank by rendezvous hashing: most keys keep their owner when a daemon comes or goes. */
+  #ownerOf (shard: number): Member | undefined {
+    let owner: Member | undefined
+    let highest = -1
+    for (const member of this.#options.membership.working) {
+      const rank = this.#options.hash(`once/${shard}/${member.id}`)
+      if (rank <= highest) continue
+      highest = rank
+      owner = member
+    }
+    return owner
+  }
+}
+
+/** Builds the claim of a request. */
+export function claimOf (request: RequestId, options: { account: AccountId, key: string, body: string }): Claim {
+  return { key: as<KeyHash>(sha256(`${options.account}/${options.key}`)), body: sha256(options.body), request, atMs: Date.now() }
+}
+
+function shardOf (key: KeyHash, hash: Hash32): number {
+  return hash(key) % SHARDS
+}
+
+function sha256 (text: string): string {
+  return createHash('sha256').update(text).digest('base64url').slice(0, HASH_LENGTH)
+}
--- /dev/null
+++ b/daemon/daemon.ts
@@ -0,0 +1,296 @@
+/** One daemon: the composition root, start, drain and stop. */
+import { randomUUID } from 'node:crypto'
+import { createServer, type Server } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { asFunction, asValue, createContainer, InjectionMode } from 'awilix'
+import type Koa from 'koa'
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+import xxhash from 'xxhash-wasm'
+import { as, type DaemonId, type EndpointId } from '../core/ids/index.ts'
+import { mayAnswer, type Member } from '../core/membership/index.ts'
+import { PrefixIndex, TargetRouter, type EndpointView, type Hash32, type Random } from '../core/routing/index.ts'
+import { HttpCloud, HttpEngine, HttpService, type Cloud, type ModelEngine, type PlainService } from '../endpoints/index.ts'
+import { BudgetedStore, HttpStore, type ObjectStore, type StoreBudget, type StoreUse } from '../store/index.ts'
+import { AuditTrail } from './audit.ts'
+import { Broker } from './broker.ts'
+import { callersApi } from './callers_api.ts'
+import { Claims } from './claims.ts'
+import { ConfigTask } from './config_task.ts'
+import { Dispatcher } from './dispatcher.ts'
+import { EndpointTable } from './endpoint_table.ts'
+import { HostWatch } from './host_watch.ts'
+import { logOf } from './log.ts'
+import { MembershipTask } from './membership_task.ts'
+import { createMetrics, type Metrics } from './metrics.ts'
+import { operatorsApi } from './operators_api.ts'
+import { Reclaimer } from './reclaimer.ts'
+import type { Settings } from './settings.ts'
+import { classStatuses, statusOf, type ClassStatus, type StatusReport } from './status.ts'
+
+/** Addresses that a daemon listens on. */
+export interface DaemonAddresses { callers: string, operators: string, peers: string }
+
+/** Options of {@linkcode Daemon.start}. */
+export interface DaemonOptions {
+  settings: Settings
+  /** Seed of the daemon's random choices. Default: chosen by the system. */
+  seed?: number
+  /** Platform of its own, for tests and demos. Default: HTTP clients of the addresses in the settings. */
+  store?: ObjectStore
+  cloud?: Cloud
+}
+
+/** What one daemon may spend on the store; see docs/CAPACITY.md for the fleet's sum. */
+const BUDGETS: Record<StoreUse, StoreBudget> = {
+  config: { perS: 2, burst: 10 },
+  once: { perS: 100, burst: 100 },
+  audit: { perS: 2, burst: 20 },
+  members: { perS: 0.5, burst: 4 },
+  lease: { perS: 1, burst: 4 },
+  fleet: { perS: 1, burst: 4 }
+}
+
+/** Time for the balancer to see that the daemon is not ready, in milliseconds. */
+const BALANCER_MS = 1500
+/** Kept back at the end of the drain for handing over and for the callers to be told. */
+const HAND_OVER_MS = 3000
+const DRAIN_POLL_MS = 50
+const STATUS_EVERY_MS = 2000
+const log = logOf('daemon')
+
+/** Parts of one daemon, by name, as the container holds them. */
+interface Parts {
+  settings: Settings
+  self: DaemonId
+  hash: Hash32
+  random: Random
+  metrics: Metrics
+  store: ObjectStore
+  cloud: Cloud
+  storeFor: (use: StoreUse) => ObjectStore
+  membership: MembershipTask
+  audit: AuditTrail
+  config: ConfigTask
+  claims: Claims
+  table: EndpointTable
+  prefixes: PrefixIndex
+  dispatcher: Dispatcher
+  engine: (view: EndpointView) => ModelEngine
+  service: (view: EndpointView) => PlainService
+  broker: Broker
+  reclaimer: Reclaimer
+  hosts: HostWatch
+}
+
+/** A running daemon. */
+export class Daemon {
+  readonly #parts: Parts
+  readonly #servers: Server[] = []
+  #addresses: DaemonAddresses | undefined
+  #draining: Promise<void> | undefined
+  #classes: ClassStatus[] = []
+  #statusTimer: NodeJS.Timeout | undefined
+
+  private constructor (parts: Parts) {
+    this.#parts = parts
+  }
+
+  /**
+   * Starts a daemon and waits until it listens.
+   * @throws {Error} When a port is taken.
+   */
+  static async start (options: DaemonOptions): Promise<Daemon> {
+    const { h32 } = await xxhash()
+    const daemon = new Daemon(compose(options, (text) => h32(text)))
+    await daemon.#start()
+    return daemon
+  }
+
+  get id (): DaemonId { return this.#parts.self }
+  get addresses (): DaemonAddresses { return this.#addresses! }
+  get metrics (): Metrics { return this.#parts.metrics }
+  get broker (): Broker { return this.#parts.broker }
+  get config (): ConfigTask { return this.#parts.config }
+  get table (): EndpointTable { return this.#parts.table }
+  get membership (): MembershipTask { return this.#parts.membership }
+  get audit (): AuditTrail { return this.#parts.audit }
+  /** True while the balancer should send work. */
+  get ready (): boolean { return this.#draining === undefined && this.#parts.config.inForce !== undefined && this.#parts.table.all.length > 0 }
+
+  /** Drains and stops; a second call waits for the first. */
+  drain (who = 'signal'): Promise<void> {
+    this.#draining ??= this.#drain(who)
+    return this.#draining
+  }
+
+  /** Stops at once, as a crash would. */
+  async kill (): Promise<void> {
+    clearInterval(this.#statusTimer)
+    this.#parts.config.stop()
+    this.#parts.hosts.stop()
+    for (const server of this.#servers) server.closeAllConnections()
+    await Promise.all([...this.#servers.map(close), this.#parts.membership.stop()])
+  }
+
+  async #start (): Promise<void> {
+    const { settings, membership, config, hosts, table } = this.#parts
+    await membership.start()
+    config.start()
+    await hosts.start()
+    const callers = await this.#listen(callersApi(this.#parts), settings.ports.callers)
+    const operators = await this.#listen(operatorsApi({
+      ...this.#parts,
+      bootstrapSecret: settings.peerSecret,
+      ready: () => this.ready,
+      drain: (who) => { this.drain(who) },
+      status: () => this.status()
+    }), settings.ports.operators)
+    this.#addresses = { callers, operators, peers: `${membership.core.self.address}` }
+    this.#statusTimer = setInterval(() => this.#refreshStatus(), STATUS_EVERY_MS).unref()
+    log('started', { id: this.id, ...this.#addresses, endpoints: table.all.length })
+  }
+
+  /** What an operator sees. */
+  status (): StatusReport {
+    return statusOf(this.#parts, this.#classes)
+  }
+
+  async #refreshStatus (): Promise<void> {
+    this.#parts.metrics.queued.set(this.#parts.dispatcher.queued)
+    this.#classes = await classStatuses(this.#parts)
+  }
+
+  async #listen (app: Koa, port: number): Promise<string> {
+    const { address } = this.#parts.settings
+    const server = createServer({ keepAliveTimeout: 30_000 }, app.callback())
+    this.#servers.push(server)
+    await new Promise<void>((resolve, reject) => server.once('error', reject).listen(port, address, resolve))
+    return `http://${address}:${(server.address() as AddressInfo).port}`
+  }
+
+  /**
+   * Leaves without cutting anything: not ready first, since the balancer keeps sending for a while; then no new connections; then what
+   * can finish finishes; then the rest moves to a peer, and the callers are told to resume.
+   */
+  async #drain (who: string): Promise<void> {
+    const { membership, broker, settings, audit } = this.#parts
+    const endsAtMs = Date.now() + settings.drainMs
+    log('draining', { who })
+    membership.setSelf({ state: 'draining' })
+    audit.write({ kind: 'drain', id: randomUUID(), who, atMs: Date.now(), what: { daemon: this.id } })
+    await pause(Math.min(BALANCER_MS, settings.drainMs / 4))
+    for (const server of this.#servers) server.closeIdleConnections()
+    await this.#waitForOpen(endsAtMs - Math.min(HAND_OVER_MS, settings.drainMs / 2))
+    const heir = this.#heir()
+    while (heir && broker.openCount > 0 && Date.now() < endsAtMs) {
+      await broker.handOver(heir)
+      await pause(DRAIN_POLL_MS)
+    }
+    if (heir) await broker.handOverFinished(heir)
+    await this.#leave(heir)
+  }
+
+  async #leave (heir: Member | undefined): Promise<void> {
+    const { membership, config, hosts } = this.#parts
+    clearInterval(this.#statusTimer)
+    const closing = this.#servers.map(close)
+    for (const server of this.#servers) server.closeIdleConnections()
+    await Promise.race([Promise.all(closing), pause(BALANCER_MS)])
+    for (const server of this.#servers) server.closeAllConnections()
+    config.stop()
+    hosts.stop()
+    await membership.leave(heir?.id)
+    log('left', { heir: heir?.id })
+  }
+
+  async #waitForOpen (untilMs: number): Promise<void> {
+    while (this.#parts.broker.openCount > 0 && Date.now() < untilMs) await pause(DRAIN_POLL_MS)
+  }
+
+  /** A daemon that works, in this failure domain if there is one. */
+  #heir (): Member | undefined {
+    const { membership, self, hash } = this.#parts
+    const others = membership.working.filter((member) => member.id !== self && mayAnswer(member))
+    const near = others.filter((member) => member.failureDomain === membership.core.self.failureDomain)
+    const pick = near.length > 0 ? near : others
+    return pick.sort((a, b) => hash(`${self}/${b.id}`) - hash(`${self}/${a.id}`))[0]
+  }
+}
+
+function compose (options: DaemonOptions, hash: Hash32): Parts {
+  const { settings } = options
+  const container = createContainer<Parts>({ injectionMode: InjectionMode.PROXY })
+  container.register({
+    settings: asValue(settings),
+    self: asValue(as<DaemonId>(`${settings.name}-${randomUUID().slice(0, 8)}`)),
+    hash: asValue(hash),
+    random: asValue(seededRandom(options.seed ?? Date.now())),
+    metrics: asFunction(createMetrics).singleton(),
+    store: asFunction(() => options.store ?? new HttpStore({ url: settings.platform.objectApi })).singleton(),
+    cloud: asFunction(() => options.cloud ?? new HttpCloud({ url: settings.platform.cloudApi })).singleton(),
+    storeFor: asFunction(storeFor).singleton(),
+    membership: asFunction((parts: Parts) => new MembershipTask(withStore(parts, 'members'))).singleton(),
+    audit: asFunction(({ storeFor }: Parts) => new AuditTrail(storeFor('audit'))).singleton(),
+    config: asFunction((parts: Parts) => new ConfigTask(withStore(parts, 'config'))).singleton(),
+    claims: asFunction((parts: Parts) => new Claims(withStore(parts, 'once'))).singleton(),
+    table: asFunction(({ self, hash }: Parts) => new EndpointTable({ self, hash })).singleton(),
+    prefixes: asFunction(({ hash }: Parts) => new PrefixIndex({ hash })).singleton(),
+    dispatcher: asFunction(({ table, prefixes, random, settings }: Parts) => new Dispatcher({
+      table, prefixes, router: new TargetRouter({ random }), failureDomain: as(settings.failureDomain)
+    })).singleton(),
+    engine: asFunction(() => perEndpoint((view) => new HttpEngine({ url: view.address }))).singleton(),
+    service: asFunction(() => perEndpoint((view) => new HttpService({ url: view.address }))).singleton(),
+    broker: asFunction(({ self, settings, config, membership, claims, metrics, table, dispatcher, engine, service }: Parts) => new Broker({
+      self, settings, config, membership, claims, metrics, ports: { table, dispatcher, engine, service }
+    })).singleton(),
+    reclaimer: asFunction(({ table, prefixes, metrics, engine, broker, config }: Parts) => new Reclaimer({
+      table, prefixes, metrics, engine, open: () => broker.open, wantsLeast: () => config.inForce?.config.wantsLeast ?? 'cost'
+    })).singleton(),
+    hosts: asFunction(({ cloud, table, membership, random, dispatcher }: Parts) => new HostWatch({
+      cloud, table, membership, random, onListed: () => dispatcher.pump()
+    })).singleton()
+  })
+  container.resolve('reclaimer')
+  return container.cradle
+}
+
+function withStore (parts: Parts, use: StoreUse) {
+  const { self, settings, hash, metrics, random, storeFor } = parts
+  return { self, settings, hash, metrics, random, store: storeFor(use), get audit () { return parts.audit }, get membership () { return parts.membership } }
+}
+
+function storeFor ({ store, metrics, random }: Parts): (use: StoreUse) => ObjectStore {
+  return (use) => new BudgetedStore(store, {
+    use,
+    budget: BUDGETS[use],
+    random,
+    onCall: (what, kind, failed) => metrics.storeCalls.inc({ use: what, kind, failed: String(failed) })
+  })
+}
+
+/** One client for each endpoint, made when it is first used. */
+function perEndpoint<T> (make: (view: EndpointView) => T): (view: EndpointView) => T {
+  const clients = new Map<EndpointId, T>()
+  return (view) => {
+    let client = clients.get(view.id)
+    if (!client) {
+      client = make(view)
+      clients.set(view.id, client)
+    }
+    return client
+  }
+}
+
+/** Random numbers in [0, 1) from a seed. */
+export function seededRandom (seed: number): Random {
+  const generator = xoroshiro128plus(seed)
+  return () => (generator.next() >>> 0) / 2 ** 32
+}
+
+function close (server: Server): Promise<void> {
+  return new Promise((resolve) => { server.close(() => resolve()) })
+}
+
+function pause (ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms))
+}
--- /dev/null
+++ b/daemon/dispatcher.ts
@@ -0,0 +1,162 @@
+/** Finds an endpoint for each request that asks for one, or lets it wait its turn. */
+import { FairQueue, type Waiting, type WorkQueue } from '../core/admission/index.ts'
+import type { WorkClass } from '../core/config/index.ts'
+import type { AccountId, EndpointId, FailureDomain, PoolName } from '../core/ids/index.ts'
+import { estimateTokens, runningNow, type EndpointView, type PrefixIndex, type Route, type Router } from '../core/routing/index.ts'
+import type { EndpointTable } from './endpoint_table.ts'
+
+/** A request that needs an endpoint. */
+export interface Placement {
+  account: AccountId
+  cls: WorkClass
+  prompt: string
+  /** Tokens that the endpoint must prefill beside the prompt: those of earlier attempts. */
+  doneTokens: number
+  expectedTokens: number
+  deadlineAtMs: number
+  avoid: readonly EndpointId[]
+  placed (view: EndpointView, route: Route): void
+  refused (reason: string, retryAfterMs: number): void
+}
+
+/** Options of {@linkcode Dispatcher}. */
+export interface DispatcherOptions {
+  table: EndpointTable
+  router: Router
+  prefixes: PrefixIndex
+  failureDomain: FailureDomain
+  /** Makes the queue of one pool. Default: {@linkcode FairQueue}. */
+  queue?: () => WorkQueue<Placement>
+}
+
+/** Classes with at most this deadline are urgent: they wait before long ones and may use the reserve. */
+export const URGENT_DEADLINE_MS = 5000
+/** Part of an endpoint's batch slots that only urgent work may use. */
+const URGENT_RESERVE = 0.1
+const RATE_SMOOTHING = 0.2
+const LEAST_RETRY_AFTER_MS = 500
+const SWEEP_MS = 250
+
+interface PoolState { queue: WorkQueue<Placement>, msPerStart: number, lastStartMs: number }
+
+/** Routes or queues placements, one queue for each pool. */
+export class Dispatcher {
+  readonly #options: DispatcherOptions
+  readonly #pools = new Map<PoolName, PoolState>()
+  #sweepTimer: NodeJS.Timeout | undefined
+
+  constructor (options: DispatcherOptions) {
+    this.#options = options
+  }
+
+  /** Requests that wait. */
+  get queued (): number {
+    return [...this.#pools.values()].reduce((sum, pool) => sum + pool.queue.length, 0)
+  }
+
+  /** Places a request now, queues it, or refuses it at once when it could not start in time. */
+  place (placement: Placement): void {
+    const pool = this.#pool(placement.cls.pool as PoolName)
+    if (pool.queue.length === 0 && this.#start(placement, pool)) return
+    const waitMs = (pool.queue.length + 1) * pool.msPerStart
+    const startByMs = latestStart(placement)
+    if (Date.now() + waitMs > startByMs) {
+      placement.refused('no room before the deadline', Math.max(LEAST_RETRY_AFTER_MS, waitMs))
+      return
+    }
+    const urgent = isUrgent(placement.cls)
+    pool.queue.push({ account: placement.account, tokens: workOf(placement), startByMs, urgent, item: placement })
+    this.#sweepLater()
+  }
+
+  /** Starts what can start; called whenever room may have appeared. */
+  pump (): void {
+    const now = Date.now()
+    for (const pool of this.#pools.values()) {
+      for (const late of pool.queue.expire(now)) late.item.refused('no room before the deadline', Math.max(LEAST_RETRY_AFTER_MS, pool.msPerStart))
+      this.#drain(pool)
+    }
+  }
+
+  /** Removes a request that gave up. */
+  forget (placement: Placement): void {
+    for (const pool of this.#pools.values()) {
+      const entry = findEntry(pool.queue, placement)
+      if (entry) pool.queue.remove(entry)
+    }
+  }
+
+  #drain (pool: PoolState): void {
+    for (let next = pool.queue.peek(); next && this.#start(next.item, pool); next = pool.queue.peek()) pool.queue.remove(next)
+  }
+
+  #start (placement: Placement, pool: PoolState): boolean {
+    const now = Date.now()
+    const cached = this.#options.prefixes.lookup(placement.prompt, now)
+    const candidates = this.#options.table.candidates(placement.cls.pool as PoolName)
+    const withRoom = candidates.filter((view) => hasRoom(view, isUrgent(placement.cls)))
+    // Once every endpoint has failed the request, the least bad is tried again; the retry budget bounds how often.
+    const avoid = withRoom.some((view) => !placement.avoid.includes(view.id)) ? placement.avoid : []
+    const route = this.#options.router.pick({
+      promptTokens: estimateTokens(placement.prompt) + placement.doneTokens,
+      expectedTokens: placement.expectedTokens,
+      firstTokenMs: placement.cls.latency.firstTokenMs,
+      betweenTokensMs: placement.cls.latency.betweenTokensMs,
+      avoid,
+      failureDomain: this.#options.failureDomain,
+      cachedTokens: (id) => cached.get(id) ?? 0
+    }, withRoom, now)
+    if (!route) return false
+    measureRate(pool, now)
+    this.#options.prefixes.record(placement.prompt, route.view.id, now)
+    placement.placed(route.view, route)
+    return true
+  }
+
+  #pool (name: PoolName): PoolState {
+    let pool = this.#pools.get(name)
+    if (!pool) {
+      pool = { queue: this.#options.queue?.() ?? new FairQueue(), msPerStart: 0, lastStartMs: Date.now() }
+      this.#pools.set(name, pool)
+    }
+    return pool
+  }
+
+  /** Nothing signals that a deadline passed or an ejection ended, so waiting work is looked at now and then. */
+  #sweepLater (): void {
+    if (this.#sweepTimer !== undefined) return
+    this.#sweepTimer = setTimeout(() => {
+      this.#sweepTimer = undefined
+      this.pump()
+      if (this.queued > 0) this.#sweepLater()
+    }, SWEEP_MS)
+  }
+}
+
+/** True for a class whose work is short enough to go first. */
+export function isUrgent (cls: WorkClass): boolean {
+  return cls.latency.deadlineMs <= URGENT_DEADLINE_MS
+}
+
+function hasRoom (view: EndpointView, urgent: boolean): boolean {
+  const slots = view.speed.batchSlots * (urgent ? 1 : 1 - URGENT_RESERVE)
+  return runningNow(view) < Math.max(1, slots)
+}
+
+function latestStart (placement: Placement): number {
+  const runMs = placement.cls.latency.betweenTokensMs === undefined ? 0 : placement.expectedTokens * placement.cls.latency.betweenTokensMs / 2
+  return placement.deadlineAtMs - Math.min(runMs, placement.cls.latency.deadlineMs / 2)
+}
+
+function workOf (placement: Placement): number {
+  return estimateTokens(placement.prompt) + placement.doneTokens + placement.expectedTokens
+}
+
+function measureRate (pool: PoolState, now: number): void {
+  if (pool.queue.length > 0) pool.msPerStart += RATE_SMOOTHING * (now - pool.lastStartMs - pool.msPerStart)
+  pool.lastStartMs = now
+}
+
+function findEntry (queue: WorkQueue<Placement>, placement: Placement): Waiting<Placement> | undefined {
+  return queue.find((entry) => entry.item === placement)
+}
--- /dev/null
+++ b/daemon/endpoint_table.ts
@@ -0,0 +1,196 @@
+/** The endpoints as one daemon sees them, out of every signal that tells of them. */
+import type { DaemonId, EndpointId, HostId, PoolName } from '../core/ids/index.ts'
+import { subset, type EndpointLoad, type EndpointView, type Hash32 } from '../core/routing/index.ts'
+import { countFailure, NO_FAILURES, type FailureCount } from '../core/retry/index.ts'
+import type { ListedHost } from '../endpoints/index.ts'
+
+/** Which signal told that an endpoint is leaving. Any one is enough. */
+export type LeavingSignal = 'notice' | 'list' | 'refusal' | 'peer'
+
+/** Called when an endpoint is first known to leave, and again when the time left becomes shorter. */
+export type LeavingListener = (leaving: { view: EndpointView, goneAtMs: number, signal: LeavingSignal }[]) => void
+
+/** Options of {@linkcode EndpointTable}. */
+export interface EndpointTableOptions {
+  self: DaemonId
+  hash: Hash32
+  /** Endpoints of one pool that this daemon connects to. Default 24. */
+  subsetSize?: number
+}
+
+/** Time left that is assumed when a signal does not tell it, in milliseconds: the shortest notice seen. */
+export const ASSUMED_NOTICE_MS = 2000
+
+/** Longer than the list lags, in milliseconds. */
+const TAKE_BACK_MS = 30_000
+
+/** Holds a view of each endpoint. Owned by the broker; everybody else sends it signals. */
+export class EndpointTable {
+  readonly #options: EndpointTableOptions
+  readonly #views = new Map<EndpointId, EndpointView>()
+  readonly #byHost = new Map<HostId, EndpointId>()
+  readonly #failures = new Map<EndpointId, FailureCount>()
+  readonly #subsets = new Map<PoolName, EndpointView[]>()
+  readonly #goneAt = new Map<EndpointId, number>()
+  /** Notices for hosts that the lagging list does not show yet. */
+  readonly #early = new Map<HostId, number>()
+  #listeners: LeavingListener[] = []
+
+  constructor (options: EndpointTableOptions) {
+    this.#options = options
+  }
+
+  /** Every endpoint known. */
+  get all (): EndpointView[] { return [...this.#views.values()] }
+
+  /** Looks up an endpoint. */
+  get (id: EndpointId): EndpointView | undefined { return this.#views.get(id) }
+
+  /** The endpoints of a pool that this daemon uses. */
+  candidates (pool: PoolName): readonly EndpointView[] {
+    let chosen = this.#subsets.get(pool)
+    if (!chosen) {
+      const usable = this.all.filter((view) => view.pool === pool && view.leavingAtMs === undefined)
+      chosen = subset(this.#options.self, usable, { hash: this.#options.hash, size: this.#options.subsetSize })
+      this.#subsets.set(pool, chosen)
+    }
+    return chosen
+  }
+
+  /** Registers a listener. */
+  onLeaving (listener: LeavingListener): void {
+    this.#listeners.push(listener)
+  }
+
+  /** When a leaving endpoint will be gone, in milliseconds since the epoch. */
+  goneAtMs (id: EndpointId): number | undefined { return this.#goneAt.get(id) }
+
+  /**
+   * Takes in the platform's host list.
+   *
+   * The list lags: an endpoint that any other signal called leaving stays leaving although the list still shows it live, or it
+   * would get new work again.
+   */
+  listed (hosts: readonly ListedHost[]): void {
+    const seen = new Set(hosts.map((host) => host.endpoint.id))
+    for (const host of hosts) if (!this.#views.has(host.endpoint.id)) this.#add(host)
+    for (const view of this.all) if (!seen.has(view.id) && view.ownRunning === 0) this.#drop(view)
+    this.#subsets.clear()
+    for (const host of hosts) if (host.state === 'live') this.#takeBack(host.endpoint.id)
+    const leaving = hosts.filter((host) => host.state === 'leaving' && !this.#goneAt.has(host.endpoint.id))
+    this.leaving(leaving.map((host) => host.hostId), Date.now() + ASSUMED_NOTICE_MS, 'list')
+  }
+
+  /** Takes in a signal that hosts are leaving. */
+  leaving (hosts: readonly HostId[], goneAtMs: number, signal: LeavingSignal): void {
+    const news: Parameters<LeavingListener>[0] = []
+    for (const host of hosts) {
+      const id = this.#byHost.get(host)
+      if (id === undefined) this.#early.set(host, goneAtMs)
+      else if (this.#isNews(id, goneAtMs, signal)) news.push({ view: this.#markLeaving(id, goneAtMs), goneAtMs, signal })
+    }
+    if (news.length === 0) return
+    this.#subsets.clear()
+    for (const listener of this.#listeners) listener(news)
+  }
+
+  /** A notice or a peer that passes one on knows the time; a guess never replaces it. */
+  #isNews (id: EndpointId, goneAtMs: number, signal: LeavingSignal): boolean {
+    const known = this.#goneAt.get(id)
+    if (known === undefined) return true
+    return (signal === 'notice' || signal === 'peer') && goneAtMs !== known
+  }
+
+  #markLeaving (id: EndpointId, goneAtMs: number): EndpointView {
+    const view = this.#views.get(id)!
+    view.leavingAtMs ??= Date.now()
+    this.#goneAt.set(id, goneAtMs)
+    return view
+  }
+
+  /** Takes in a load report that came with a response. */
+  loaded (id: EndpointId, load: EndpointLoad): void {
+    const view = this.#views.get(id)
+    if (!view) return
+    view.load = load
+    view.ownSince = { running: 0, tokens: 0 }
+  }
+
+  /** Counts own work at once, before any report shows it. */
+  started (id: EndpointId, tokens: number): void {
+    const view = this.#views.get(id)
+    if (!view) return
+    view.ownRunning++
+    view.ownSince.running++
+    view.ownSince.tokens += tokens
+  }
+
+  /** Own work ended. `reported` when a load report without it came just before. */
+  ended (id: EndpointId, reported: boolean): void {
+    const view = this.#views.get(id)
+    if (!view) return
+    view.ownRunning = Math.max(0, view.ownRunning - 1)
+    if (reported) return
+    if (view.ownSince.running > 0) view.ownSince.running--
+    else view.load = { ...view.load, running: Math.max(0, view.load.running - 1) }
+  }
+
+  /** An attempt failed for a reason of the endpoint's. */
+  failed (id: EndpointId): void {
+    const view = this.#views.get(id)
+    if (!view) return
+    const count = countFailure(this.#failures.get(id) ?? NO_FAILURES, Date.now())
+    this.#failures.set(id, count)
+    view.ejectedUntilMs = count.untilMs
+  }
+
+  /** An attempt succeeded. */
+  succeeded (id: EndpointId): void {
+    this.#failures.delete(id)
+  }
+
+  /** True when failures there say nothing about the rest: retries away from it are no storm. */
+  isGone (id: EndpointId): boolean {
+    const view = this.#views.get(id)
+    return !view || view.leavingAtMs !== undefined
+  }
+
+  /** A reclaim that was called off, or a refusal that had another cause: the host is still listed live long after its time. */
+  #takeBack (id: EndpointId): void {
+    const goneAtMs = this.#goneAt.get(id)
+    if (goneAtMs === undefined || Date.now() < goneAtMs + TAKE_BACK_MS) return
+    this.#goneAt.delete(id)
+    this.#views.get(id)!.leavingAtMs = undefined
+  }
+
+  #add (host: ListedHost): void {
+    const { endpoint } = host
+    this.#views.set(endpoint.id, {
+      id: endpoint.id,
+      hostId: host.hostId,
+      pool: endpoint.pool,
+      failureDomain: host.failureDomain,
+      address: endpoint.address,
+      pricePerHour: host.pricePerHour,
+      reclaimable: host.reclaimable,
+      speed: endpoint.speed,
+      load: { running: 0, queuedTokens: 0, atMs: 0 },
+      ownSince: { running: 0, tokens: 0 },
+      ownRunning: 0,
+      leavingAtMs: undefined,
+      ejectedUntilMs: 0,
+      reclaimsPerHour: 0
+    })
+    this.#byHost.set(host.hostId, endpoint.id)
+    const goneAtMs = this.#early.get(host.hostId)
+    if (goneAtMs !== undefined) this.#markLeaving(endpoint.id, goneAtMs)
+  }
+
+  #drop (view: EndpointView): void {
+    this.#views.delete(view.id)
+    this.#byHost.delete(view.hostId)
+    this.#failures.delete(view.id)
+    this.#goneAt.delete(view.id)
+    this.#early.delete(view.hostId)
+  }
+}
--- /dev/null
+++ b/daemon/membership_task.ts
@@ -0,0 +1,178 @@
+/** Runs the core's membership over the links between daemons. */
+import type { DaemonId } from '../core/ids/index.ts'
+import { HEARTBEAT_MS, Membership, mayAnswer, takesWork, type Fact, type Member, type MembershipEffect } from '../core/membership/index.ts'
+import type { Hash32 } from '../core/routing/index.ts'
+import { isStoreFailure, StoreError, type ObjectStore } from '../store/index.ts'
+import { logOf } from './log.ts'
+import type { Metrics } from './metrics.ts'
+import { PeerLinks } from './peer_links.ts'
+import type { Settings } from './settings.ts'
+
+/** Options of {@linkcode MembershipTask}. */
+export interface MembershipTaskOptions {
+  self: DaemonId
+  settings: Settings
+  store: ObjectStore
+  hash: Hash32
+  metrics: Metrics
+  random: () => number
+}
+
+/** Called with each new fact and the daemon that told it. */
+export type FactListener = (fact: Fact, from: DaemonId) => void
+
+const REGISTER_EVERY_MS = 300_000
+/** A registration this old belongs to a daemon that is gone. */
+const REGISTRATION_KEPT_MS = 3 * REGISTER_EVERY_MS
+const JOIN_RETRY_MS = 2000
+const log = logOf('membership')
+
+/** Where a daemon can be found, as it wrote to the store. */
+interface Registration { id: DaemonId, address: string, atMs: number }
+
+/** Owns this daemon's view of the others. */
+export class MembershipTask {
+  readonly links: PeerLinks
+  readonly #options: MembershipTaskOptions
+  readonly #factListeners: FactListener[] = []
+  #core: Membership | undefined
+  #timers: NodeJS.Timeout[] = []
+  #registeredVersion = 0
+  #joined = false
+
+  constructor (options: MembershipTaskOptions) {
+    this.#options = options
+    this.links = new PeerLinks({
+      self: options.self,
+      secret: options.settings.peerSecret,
+      metrics: options.metrics,
+      onGossip: (from, gossip) => {
+        this.#joined = true
+        this.#run(this.core.receive(from, gossip, Date.now()))
+      },
+      onLink: (to) => this.#run(this.core.linked(to))
+    })
+  }
+
+  /** The view; present once started. */
+  get core (): Membership {
+    if (!this.#core) throw new Error('Cannot read members: task is not started')
+    return this.#core
+  }
+
+  /** Daemons that take new work, this one included unless it drains. */
+  get working (): Member[] { return this.core.members.filter(takesWork) }
+
+  /** Listens, joins and begins to tick. */
+  async start (): Promise<void> {
+    const { settings, self, hash } = this.#options
+    const address = await this.links.listen(settings.address, settings.ports.peers)
+    this.#core = new Membership({ self: { id: self, address, failureDomain: settings.failureDomain as Member['failureDomain'] }, hash, now: Date.now() })
+    this.#timers.push(setInterval(() => this.#tick(), HEARTBEAT_MS), setInterval(() => this.#register(), REGISTER_EVERY_MS))
+    this.#register()
+    this.#join()
+  }
+
+  /** Registers a listener for facts. */
+  onFact (listener: FactListener): void {
+    this.#factListeners.push(listener)
+  }
+
+  /** Tells all daemons a fact. */
+  tell (fact: Fact): void {
+    this.#run(this.core.setFact(fact, Date.now()))
+  }
+
+  /** Changes this daemon's own record. */
+  setSelf (change: Partial<Pick<Member, 'state' | 'revision' | 'heir'>>): void {
+    this.#run(this.core.setSelf(change, Date.now()))
+  }
+
+  /** Follows heirs until a daemon that can be asked. */
+  holderOf (id: DaemonId): Member | undefined {
+    let member = this.core.member(id)
+    for (let hops = 0; member && !mayAnswer(member) && member.heir !== undefined && hops < 8; hops++) member = this.core.member(member.heir)
+    return member && mayAnswer(member) ? member : undefined
+  }
+
+  /** Says that this daemon left and who holds its answers, then closes. */
+  async leave (heir: DaemonId | undefined): Promise<void> {
+    this.setSelf({ state: 'left', heir })
+    await this.#unregister()
+    await this.stop()
+  }
+
+  /** Closes without a word. */
+  async stop (): Promise<void> {
+    this.#timers.forEach(clearInterval)
+    this.#timers = []
+    await this.links.close()
+  }
+
+  #tick (): void {
+    this.#run(this.core.tick(Date.now()))
+    this.links.tend(Date.now())
+    const counts = new Map<string, number>()
+    for (const member of this.core.members) counts.set(member.state, (counts.get(member.state) ?? 0) + 1)
+    this.#options.metrics.members.reset()
+    for (const [state, count] of counts) this.#options.metrics.members.set({ state }, count)
+  }
+
+  #run (effects: readonly MembershipEffect[]): void {
+    for (const effect of effects) {
+      if (effect.type === 'send') this.links.gossip(effect.to, effect.gossip)
+      else if (effect.type === 'links') this.links.keep(effect.dial.map((member) => member.address))
+      else if (effect.type === 'fact') this.#factListeners.forEach((listener) => listener(effect.fact, effect.from))
+      else if (effect.member.id !== this.#options.self) log('member', { id: effect.member.id, state: effect.member.state })
+    }
+  }
+
+  /** Finds the others through settings and the store; during an outage of the store the settings alone must do. */
+  async #join (): Promise<void> {
+    const addresses = [...this.#options.settings.seeds, ...await this.#registered()]
+    const own = this.core.self.address
+    const others = addresses.filter((address) => address !== own)
+    shuffle(others, this.#options.random)
+    this.links.keep(others.slice(0, 3))
+    setTimeout(() => { if (!this.#joined && this.#timers.length > 0) this.#join() }, JOIN_RETRY_MS)
+  }
+
+  async #registered (): Promise<string[]> {
+    try {
+      const found = await this.#options.store.list('members/')
+      const fresh = Date.now() - REGISTRATION_KEPT_MS
+      return found.map((object) => JSON.parse(object.value) as Registration).filter((entry) => entry.atMs > fresh).map((entry) => entry.address)
+    } catch (err) {
+      if (!(err instanceof StoreError)) throw err
+      return []
+    }
+  }
+
+  async #register (): Promise<void> {
+    const { self, store } = this.#options
+    const value = JSON.stringify({ id: self, address: this.core.self.address, atMs: Date.now() } satisfies Registration)
+    const key = `members/${self}`
+    try {
+      this.#registeredVersion = this.#registeredVersion === 0 ? await store.create(key, value) : await store.update(key, value, this.#registeredVersion)
+    } catch (err) {
+      if (!(err instanceof StoreError)) throw err
+      // The key is this daemon's alone, so a conflict can only be its own lost answer.
+      if (isStoreFailure(err, 'conflict')) await this.#refreshVersion(key)
+    }
+  }
+
+  async #refreshVersion (key: string): Promise<void> {
+    this.#registeredVersion = (await this.#options.store.get(key).catch(() => undefined))?.version ?? 0
+  }
+
+  async #unregister (): Promise<void> {
+    await this.#options.store.remove(`members/${this.#options.self}`, this.#registeredVersion).catch(() => {})
+  }
+}
+
+function shuffle<T> (items: T[], random: () => number): void {
+  for (let i = items.length - 1; i > 0; i--) {
+    const j = Math.floor(random() * (i + 1))
+    ;[items[i], items[j]] = [items[j]!, items[i]!]
+  }
+}
--- /dev/null
+++ b/daemon/operators_api.ts
@@ -0,0 +1,141 @@
+/** Operators' and monitoring interface, on a port of its own. */
+import { createHash } from 'node:crypto'
+import Router from '@koa/router'
+import Koa, { type Context } from 'koa'
+import { InvalidError } from '../core/config/index.ts'
+import { as, type DaemonId } from '../core/ids/index.ts'
+import { StoreError } from '../store/index.ts'
+import type { AuditFilter, AuditTrail } from './audit.ts'
+import type { Broker } from './broker.ts'
+import { ConfigConflictError, ConfigUnsureError, type ConfigTask } from './config_task.ts'
+import type { MembershipTask } from './membership_task.ts'
+import type { Metrics } from './metrics.ts'
+import type { StatusReport } from './status.ts'
+
+/** Options of {@linkcode operatorsApi}. */
+export interface OperatorsApiOptions {
+  self: DaemonId
+  broker: Broker
+  config: ConfigTask
+  audit: AuditTrail
+  membership: MembershipTask
+  metrics: Metrics
+  /** Present while no configuration names an operator: lets the first one be applied. */
+  bootstrapSecret: string
+  ready (): boolean
+  drain (who: string): void
+  status (): StatusReport
+}
+
+const MAX_BODY_BYTES = 1 << 20
+
+/** Builds the application that answers operators, the balancer and the monitoring. */
+export function operatorsApi (options: OperatorsApiOptions): Koa {
+  const router = new Router()
+  router.get('/livez', (ctx) => { ctx.body = 'alive' })
+  router.get('/readyz', (ctx) => {
+    ctx.status = options.ready() ? 200 : 503
+    ctx.body = options.ready() ? 'ready' : 'not ready'
+  })
+  router.get('/metrics', async (ctx) => {
+    ctx.type = options.metrics.registry.contentType
+    ctx.body = await options.metrics.registry.metrics()
+  })
+  router.get('/status', (ctx) => {
+    operatorOf(ctx, options)
+    ctx.body = options.status()
+  })
+  router.get('/explain/:id', async (ctx) => {
+    operatorOf(ctx, options)
+    const decisions = await options.broker.explain(as(ctx.params.id!))
+    if (decisions) ctx.body = { request: ctx.params.id, decisions }
+    else fail(ctx, 404, 'no daemon holds this request')
+  })
+  router.get('/config', (ctx) => {
+    operatorOf(ctx, options)
+    const accepted = options.config.inForce
+    if (accepted) ctx.body = { ...accepted, sure: options.config.sure, reach: options.config.reach(accepted.revision) }
+    else fail(ctx, 404, 'no configuration is in force yet')
+  })
+  router.get('/config/reach/:revision', (ctx) => {
+    operatorOf(ctx, options)
+    ctx.body = options.config.reach(Number(ctx.params.revision))
+  })
+  router.put('/config', async (ctx) => {
+    const operator = operatorOf(ctx, options)
+    const base = ctx.get('if-match')
+    const accepted = await options.config.apply(await readJson(ctx), { operator, ...(base !== '' && { base: Number(base.replaceAll('"', '')) }) })
+    ctx.body = { revision: accepted.revision, diff: accepted.changes.at(-1)!.diff }
+  })
+  router.get('/audit', async (ctx) => {
+    operatorOf(ctx, options)
+    ctx.body = await options.audit.read(filterOf(ctx))
+  })
+  router.post('/drain', (ctx) => {
+    options.drain(operatorOf(ctx, options))
+    ctx.body = { draining: options.self }
+  })
+  const app = new Koa()
+  app.use(refusals)
+  app.use(router.routes())
+  return app
+}
+
+/** An operator's call without its credential. */
+class ForbiddenError extends Error {
+  override name = 'ForbiddenError'
+}
+
+function operatorOf (ctx: Context, options: OperatorsApiOptions): string {
+  const credential = /^Bearer (.+)$/.exec(ctx.get('authorization'))?.[1]
+  const accepted = options.config.inForce
+  if (!accepted && credential === options.bootstrapSecret) return 'bootstrap'
+  const hash = credential && createHash('sha256').update(credential).digest('hex')
+  const operator = accepted?.config.operators.find((candidate) => candidate.credentialSha256 === hash)
+  if (!operator) throw new ForbiddenError('expected the credential of an operator as a bearer token')
+  return operator.name
+}
+
+async function refusals (ctx: Context, next: () => Promise<unknown>): Promise<void> {
+  try {
+    await next()
+  } catch (err) {
+    if (err instanceof ForbiddenError) return fail(ctx, 401, err.message)
+    if (err instanceof InvalidError) return fail(ctx, 400, err.message, { problems: err.problems })
+    if (err instanceof ConfigConflictError) return fail(ctx, 409, err.message, { revision: err.revision, difference: err.difference })
+    if (err instanceof ConfigUnsureError) return fail(ctx, 504, err.message, { outcome: 'unknown' })
+    if (err instanceof StoreError) return fail(ctx, 503, err.message, { outcome: 'not-run' })
+    fail(ctx, 500, (err as Error).message)
+  }
+}
+
+function fail (ctx: Context, status: number, detail: string, more: object = {}): void {
+  ctx.status = status
+  ctx.body = { status, detail, ...more }
+  ctx.type = 'application/problem+json'
+}
+
+async function readJson (ctx: Context): Promise<unknown> {
+  const parts: Buffer[] = []
+  let length = 0
+  for await (const part of ctx.req) {
+    length += (part as Buffer).length
+    if (length > MAX_BODY_BYTES) throw new InvalidError('body', [`expected at most ${MAX_BODY_BYTES} bytes`])
+    parts.push(part as Buffer)
+  }
+  try {
+    return JSON.parse(Buffer.concat(parts).toString('utf8'))
+  } catch (err) {
+    throw new InvalidError('body', [(err as Error).message])
+  }
+}
+
+function filterOf (ctx: Context): AuditFilter {
+  const { kind, who, from, to } = ctx.query as Record<string, string | undefined>
+  return {
+    ...(kind !== undefined && { kind: kind as AuditFilter['kind'] }),
+    ...(who !== undefined && { who }),
+    ...(from !== undefined && { fromMs: Date.parse(from) }),
+    ...(to !== undefined && { toMs: Date.parse(to) })
+  } as AuditFilter
+}
--- /dev/null
+++ b/daemon/peer_links.ts
@@ -0,0 +1,227 @@
+/** Connections between daemons: gossip to neighbours, calls to any daemon, answers in parts. */
+import { Packr } from 'msgpackr'
+import { WebSocket, WebSocketServer } from 'ws'
+import type { AddressInfo } from 'node:net'
+import type { DaemonId } from '../core/ids/index.ts'
+import type { Gossip } from '../core/membership/index.ts'
+import { logOf } from './log.ts'
+import type { Metrics } from './metrics.ts'
+
+/** What daemons send each other. A kind that this version does not know is counted and ignored. */
+type PeerMessage =
+  | { kind: 'hello', id: DaemonId, secret: string }
+  | { kind: 'gossip', gossip: Gossip }
+  | { kind: 'call', call: number, method: string, args: unknown }
+  | { kind: 'part', call: number, value: unknown }
+  | { kind: 'reply', call: number, value: unknown }
+  | { kind: 'fail', call: number, error: string }
+
+/** Answers a call; may send parts before it returns. `signal` aborts when the asking daemon is gone. */
+export type PeerMethod = (args: never, context: { from: DaemonId, part: (value: unknown) => void, signal: AbortSignal }) => Promise<unknown>
+
+/** Options of {@linkcode PeerLinks}. */
+export interface PeerLinksOptions {
+  self: DaemonId
+  secret: string
+  metrics: Metrics
+  onGossip (from: DaemonId, gossip: Gossip): void
+  onLink (to: DaemonId): void
+}
+
+/** A daemon could not be asked or did not answer. */
+export class PeerError extends Error {
+  override name = 'PeerError'
+  /** True when the call never left this daemon. */
+  readonly notSent: boolean
+
+  constructor (what: string, options: { notSent: boolean, cause?: unknown }) {
+    super(what, { cause: options.cause })
+    this.notSent = options.notSent
+  }
+}
+
+interface Link { socket: WebSocket, peer: DaemonId | undefined, address: string | undefined, usedAtMs: number, abort: AbortController }
+interface Waiting { resolve (value: unknown): void, reject (err: Error): void, part: ((value: unknown) => void) | undefined, link: Link }
+
+const CONNECT_TIMEOUT_MS = 1500
+const IDLE_CLOSE_MS = 60_000
+const CALL_TIMEOUT_MS = 3000
+const log = logOf('peers')
+
+/** Owns the sockets to and from other daemons. */
+export class PeerLinks {
+  readonly #options: PeerLinksOptions
+  readonly #packr = new Packr({ useRecords: false })
+  readonly #links = new Map<DaemonId, Link>()
+  readonly #dialing = new Map<string, Promise<Link>>()
+  readonly #waiting = new Map<number, Waiting>()
+  readonly #methods = new Map<string, PeerMethod>()
+  #server: WebSocketServer | undefined
+  #keep = new Set<string>()
+  #calls = 0
+  #closed = false
+
+  constructor (options: PeerLinksOptions) {
+    this.#options = options
+  }
+
+  /** Registers the answer to a method. */
+  handle (method: string, answer: PeerMethod): void {
+    this.#methods.set(method, answer)
+  }
+
+  /** Listens; returns the address that other daemons dial. */
+  async listen (host: string, port: number): Promise<string> {
+    const server = new WebSocketServer({ host, port, perMessageDeflate: false })
+    this.#server = server
+    server.on('connection', (socket) => this.#adopt(socket, undefined))
+    await new Promise<void>((resolve, reject) => server.once('listening', resolve).once('error', reject))
+    return `${host}:${(server.address() as AddressInfo).port}`
+  }
+
+  /** Keeps links to these addresses; others are closed when idle. */
+  keep (addresses: readonly string[]): void {
+    this.#keep = new Set(addresses)
+    for (const address of addresses) this.#dial(address).catch(() => {})
+  }
+
+  /** Dials the kept links that broke and closes the idle ones. */
+  tend (now: number): void {
+    for (const address of this.#keep) this.#dial(address).catch(() => {})
+    for (const link of this.#links.values()) {
+      const kept = link.address === undefined || this.#keep.has(link.address)
+      if (!kept && now - link.usedAtMs > IDLE_CLOSE_MS) link.socket.close()
+    }
+  }
+
+  /** Sends gossip if there is a link. */
+  gossip (to: DaemonId, gossip: Gossip): void {
+    const link = this.#links.get(to)
+    if (link) this.#send(link, { kind: 'gossip', gossip })
+  }
+
+  /**
+   * Asks another daemon.
+   * @throws {PeerError} When it cannot be reached, fails, or does not answer in time.
+   */
+  async call (to: { id: DaemonId, address: string }, method: string, args: unknown, options: { timeoutMs?: number, part?: (value: unknown) => void } = {}): Promise<unknown> {
+    const link = this.#links.get(to.id) ?? await this.#dial(to.address)
+    link.usedAtMs = Date.now()
+    const call = ++this.#calls
+    return await new Promise((resolve, reject) => {
+      const timer = setTimeout(() => this.#settle(call, (waiting) => waiting.reject(new PeerError(`Cannot ask ${to.id}: no answer`, { notSent: false }))), options.timeoutMs ?? CALL_TIMEOUT_MS)
+      const done = () => clearTimeout(timer)
+      this.#waiting.set(call, {
+        resolve: (value) => { done(); resolve(value) },
+        reject: (err) => { done(); reject(err) },
+        part: options.part,
+        link
+      })
+      this.#send(link, { kind: 'call', call, method, args })
+    })
+  }
+
+  /** Closes everything. */
+  async close (): Promise<void> {
+    this.#closed = true
+    for (const link of this.#links.values()) link.socket.terminate()
+    for (const socket of this.#server?.clients ?? []) socket.terminate()
+    await new Promise<void>((resolve) => (this.#server ? this.#server.close(() => resolve()) : resolve()))
+  }
+
+  #dial (address: string): Promise<Link> {
+    for (const link of this.#links.values()) if (link.address === address) return Promise.resolve(link)
+    let dialing = this.#dialing.get(address)
+    if (!dialing) {
+      dialing = this.#connect(address).finally(() => this.#dialing.delete(address))
+      this.#dialing.set(address, dialing)
+    }
+    return dialing
+  }
+
+  #connect (address: string): Promise<Link> {
+    if (this.#closed) return Promise.reject(new PeerError('Cannot connect: closed', { notSent: true }))
+    return new Promise((resolve, reject) => {
+      const socket = new WebSocket(`ws://${address}`, { handshakeTimeout: CONNECT_TIMEOUT_MS, perMessageDeflate: false })
+      const refuse = (err: unknown) => reject(new PeerError(`Cannot connect to ${address}`, { notSent: true, cause: err }))
+      const timer = setTimeout(() => {
+        refuse(new Error('no hello'))
+        socket.terminate()
+      }, CONNECT_TIMEOUT_MS)
+      socket.once('error', refuse)
+      socket.once('close', () => { clearTimeout(timer); refuse(new Error('closed')) })
+      socket.once('open', () => this.#adopt(socket, address, (link) => { clearTimeout(timer); resolve(link) }))
+    })
+  }
+
+  #adopt (socket: WebSocket, address: string | undefined, ready?: (link: Link) => void): void {
+    const link: Link = { socket, peer: undefined, address, usedAtMs: Date.now(), abort: new AbortController() }
+    socket.on('error', () => socket.terminate())
+    socket.on('close', () => this.#drop(link))
+    socket.on('message', (data: Buffer) => {
+      this.#options.metrics.peerBytes.inc({ direction: 'in' }, data.length)
+      const msg = this.#packr.unpack(data) as PeerMessage
+      if (msg.kind === 'hello') this.#greeted(link, msg, ready)
+      else if (link.peer !== undefined) this.#receive(link, link.peer, msg)
+    })
+    this.#send(link, { kind: 'hello', id: this.#options.self, secret: this.#options.secret })
+  }
+
+  #greeted (link: Link, msg: Extract<PeerMessage, { kind: 'hello' }>, ready?: (link: Link) => void): void {
+    if (msg.secret !== this.#options.secret || msg.id === this.#options.self) {
+      link.socket.terminate()
+      return
+    }
+    link.peer = msg.id
+    this.#links.set(msg.id, link)
+    ready?.(link)
+    this.#options.onLink(msg.id)
+  }
+
+  #drop (link: Link): void {
+    link.abort.abort()
+    if (link.peer !== undefined && this.#links.get(link.peer) === link) this.#links.delete(link.peer)
+    for (const [call, waiting] of this.#waiting) {
+      if (waiting.link === link) this.#settle(call, () => waiting.reject(new PeerError('Cannot ask daemon: connection lost', { notSent: false })))
+    }
+  }
+
+  #receive (link: Link, from: DaemonId, msg: PeerMessage): void {
+    link.usedAtMs = Date.now()
+    switch (msg.kind) {
+      case 'gossip': return this.#options.onGossip(from, msg.gossip)
+      case 'call': { this.#answer(link, from, msg); return }
+      case 'part': return this.#waiting.get(msg.call)?.part?.(msg.value)
+      case 'reply': return this.#settle(msg.call, (waiting) => waiting.resolve(msg.value))
+      case 'fail': return this.#settle(msg.call, (waiting) => waiting.reject(new PeerError(msg.error, { notSent: false })))
+      default: this.#options.metrics.peerUnknown.inc()
+    }
+  }
+
+  async #answer (link: Link, from: DaemonId, msg: Extract<PeerMessage, { kind: 'call' }>): Promise<void> {
+    const { call } = msg
+    const method = this.#methods.get(msg.method)
+    if (!method) return this.#send(link, { kind: 'fail', call, error: `Cannot answer: no method ${msg.method}` })
+    try {
+      const part = (value: unknown) => this.#send(link, { kind: 'part', call, value })
+      const value = await method(msg.args as never, { from, part, signal: link.abort.signal })
+      this.#send(link, { kind: 'reply', call, value })
+    } catch (err) {
+      this.#send(link, { kind: 'fail', call, error: (err as Error).message })
+    }
+  }
+
+  #settle (call: number, act: (waiting: Waiting) => void): void {
+    const waiting = this.#waiting.get(call)
+    if (!waiting) return
+    this.#waiting.delete(call)
+    act(waiting)
+  }
+
+  #send (link: Link, msg: PeerMessage): void {
+    if (link.socket.readyState !== WebSocket.OPEN) return
+    const data = this.#packr.pack(msg)
+    this.#options.metrics.peerBytes.inc({ direction: 'out' }, data.length)
+    link.socket.send(data, (err) => { if (err) log('send failed', { peer: link.peer, error: err.message }) })
+  }
+}
--- /dev/null
+++ b/daemon/problem.ts
@@ -0,0 +1,42 @@
+/** Refusals as problem details (RFC 9457) that carry the request's outcome. */
+import type { ServerResponse } from 'node:http'
+import type { Outcome } from '../core/outcome/index.ts'
+import type { RequestId } from '../core/ids/index.ts'
+import type { FinalWord } from './live_answer.ts'
+
+/** One refusal. */
+export interface Problem {
+  status: number
+  title: string
+  detail: string
+  outcome: Exclude<Outcome, 'answered'>
+  request?: RequestId
+  retryAfterMs?: number | undefined
+}
+
+/** A caller's mistake: nothing ran. */
+export function badRequest (status: number, detail: string): Problem {
+  return { status, title: 'Request refused', detail, outcome: 'not-run' }
+}
+
+/** Turns the final word on a request into a problem. */
+export function problemOf (request: RequestId, final: FinalWord): Problem {
+  if (final.otherBody) return { status: 422, title: 'Idempotency key used before', detail: final.reason, outcome: 'not-run', request }
+  const outcome = final.outcome === 'not-run' ? 'not-run' : 'unknown'
+  const title = outcome === 'not-run' ? 'Request was not run' : 'Request may have been run'
+  return { status: outcome === 'not-run' ? 503 : 502, title, detail: final.reason, outcome, request, retryAfterMs: final.retryAfterMs }
+}
+
+/** Body of a problem document. */
+export function problemBody (problem: Problem): string {
+  const { retryAfterMs, ...rest } = problem
+  return JSON.stringify({ type: 'about:blank', ...rest, ...(retryAfterMs !== undefined && { retryAfterMs: Math.ceil(retryAfterMs) }) })
+}
+
+/** Writes a problem as a whole response. */
+export function sendProblem (res: ServerResponse, problem: Problem): void {
+  const headers: Record<string, string> = { 'content-type': 'application/problem+json' }
+  if (problem.request !== undefined) headers['request-id'] = problem.request
+  if (problem.retryAfterMs !== undefined) headers['retry-after'] = String(Math.max(1, Math.ceil(problem.retryAfterMs / 1000)))
+  res.writeHead(problem.status, headers).end(problemBody(problem))
+}
--- /dev/null
+++ b/endpoints/cloud.ts
@@ -0,0 +1,46 @@
+/** The platform's cloud API as the daemons use it: hosts, reclaim notices, starts and stops. */
+import type { EndpointId, FailureDomain, HostId, PoolName } from '../core/ids/index.ts'
+import type { EndpointSpeed } from '../core/routing/index.ts'
+
+/** A host and the endpoint on it, as the lagging host list shows them. */
+export interface ListedHost {
+  hostId: HostId
+  hostClass: string
+  failureDomain: FailureDomain
+  reclaimable: boolean
+  pricePerHour: number
+  state: 'live' | 'leaving'
+  endpoint: { id: EndpointId, pool: PoolName, address: string, speed: EndpointSpeed }
+}
+
+/** Hosts that will be gone at a time. */
+export interface ReclaimNotice {
+  /** Grows with each notice. */
+  serial: number
+  hosts: HostId[]
+  /** Milliseconds since the epoch. */
+  goneAtMs: number
+}
+
+/** A host to start. */
+export interface HostWanted { hostClass: string, failureDomain: FailureDomain, pool: PoolName, reclaimable: boolean }
+
+/** The cloud API. Methods throw {@linkcode CloudError}. */
+export interface Cloud {
+  hosts (): Promise<ListedHost[]>
+  /** Waits up to `waitMs` for notices after a serial. */
+  notices (after: number, waitMs: number): Promise<ReclaimNotice[]>
+  start (wanted: HostWanted): Promise<HostId>
+  stop (host: HostId): Promise<void>
+}
+
+/** A call to the cloud API failed; `refused` when the cloud has no such host to give. */
+export class CloudError extends Error {
+  override name = 'CloudError'
+  readonly refused: boolean
+
+  constructor (what: string, options: { refused: boolean, cause?: unknown }) {
+    super(what, { cause: options.cause })
+    this.refused = options.refused
+  }
+}
--- /dev/null
+++ b/endpoints/index.ts
@@ -0,0 +1,6 @@
+export * from './cloud.ts'
+export * from './http_cloud.ts'
+export * from './http_engine.ts'
+export * from './http_service.ts'
+export * from './model_engine.ts'
+export * from './plain_service.ts'
--- /dev/null
+++ b/endpoints/model_engine.ts
@@ -0,0 +1,58 @@
+/** What the daemons ask of a model engine, whatever its wire protocol. */
+import type { AttemptError } from '../core/outcome/index.ts'
+import type { EndpointLoad } from '../core/routing/index.ts'
+
+/** One stream to run. */
+export interface StreamSpec {
+  /** Unique to one attempt. */
+  streamId: string
+  prompt: string
+  /** Tokens that earlier attempts produced; the engine continues after them. */
+  done: readonly string[]
+  maxTokens: number
+  /** Higher goes first. */
+  priority: number
+  /** Imported KV cache to continue from. */
+  kvHandle?: string
+}
+
+/** Receives one stream. Exactly one of `onEnd` and `onError` comes last. */
+export interface StreamSink {
+  onChunk (offset: number, tokens: readonly string[]): void
+  onEnd (total: number): void
+  onError (err: AttemptError): void
+  onLoad (load: EndpointLoad): void
+}
+
+/** What a cancelled stream had produced. */
+export interface StopReport {
+  /** True when the engine confirms that the stream runs no more. */
+  stopped: boolean
+  /** Tokens from the asked offset on that were produced before the stop. */
+  tokens: readonly string[]
+}
+
+/** An order states the wanted state, never a step, so that repeating it or giving it twice does no harm. */
+export interface EngineOrder {
+  /** Fencing number of the lease under which it is given. */
+  fencing: number
+  models: readonly string[]
+  role: 'both' | 'prefill' | 'decode'
+}
+
+/** Stops receiving a stream; the engine keeps it for a while so that it can be resumed. */
+export interface Attachment { detach (): void }
+
+/** One model engine. Methods throw {@linkcode AttemptError}. */
+export interface ModelEngine {
+  start (spec: StreamSpec, sink: StreamSink): Attachment
+  /** Receives a running stream again, from an offset. */
+  resume (streamId: string, from: number, sink: StreamSink): Attachment
+  cancel (streamId: string, from: number): Promise<StopReport>
+  /** Moves the stream's KV cache to another engine and stops it here; returns a handle that the target takes. */
+  exportKv (streamId: string, toAddress: string): Promise<string>
+  load (): Promise<EndpointLoad>
+  order (order: EngineOrder): Promise<void>
+  /** The state that the engine is in, to be compared with the wanted one. */
+  orders (): Promise<EngineOrder | undefined>
+}
--- /dev/null
+++ b/standins/_serve.ts
@@ -0,0 +1,34 @@
+/** Listens with a Koa application on a free loopback port. */
+import { createServer, type IncomingMessage, type Server } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import type Koa from 'koa'
+
+/** A server that listens. */
+export interface Listening { url: string, close (): Promise<void> }
+
+/** Starts the application; the caller closes it. */
+export async function serve (app: Koa): Promise<Listening> {
+  const server: Server = createServer(app.callback())
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+  const { port } = server.address() as AddressInfo
+  return {
+    url: `http://127.0.0.1:${port}`,
+    close: () => new Promise((resolve) => {
+      server.closeAllConnections()
+      server.close(() => resolve())
+    })
+  }
+}
+
+/** Reads a whole body as text. */
+export async function readText (req: IncomingMessage): Promise<string> {
+  req.setEncoding('utf8')
+  let text = ''
+  for await (const part of req) text += part as string
+  return text
+}
+
+/** Reads a JSON body. */
+export async function readJson (req: IncomingMessage): Promise<unknown> {
+  return JSON.parse(await readText(req))
+}
--- /dev/null
+++ b/standins/cloud_api.ts
@@ -0,0 +1,29 @@
+/** The stand-in cloud behind the platform's HTTP interface. */
+import Router from '@koa/router'
+import Koa from 'koa'
+import { CloudError, type Cloud, type HostWanted } from '../endpoints/index.ts'
+import type { HostId } from '../core/ids/index.ts'
+import { readJson, serve, type Listening } from './_serve.ts'
+
+/** Serves a cloud over HTTP. */
+export async function serveCloudApi (cloud: Cloud): Promise<Listening> {
+  const router = new Router()
+  router.get('/hosts', async (ctx) => { ctx.body = await cloud.hosts() })
+  router.get('/notices', async (ctx) => { ctx.body = await cloud.notices(Number(ctx.query.after), Number(ctx.query.waitMs)) })
+  router.post('/hosts', async (ctx) => { ctx.body = { hostId: await cloud.start(await readJson(ctx.req) as HostWanted) } })
+  router.delete('/hosts/:id', async (ctx) => {
+    await cloud.stop(ctx.params.id as HostId)
+    ctx.body = {}
+  })
+  const app = new Koa()
+  app.use(async (ctx, next) => {
+    try {
+      await next()
+    } catch (err) {
+      ctx.status = err instanceof CloudError && err.refused ? 409 : 500
+      ctx.body = { error: (err as Error).message }
+    }
+  })
+  app.use(router.routes())
+  return await serve(app)
+}
--- /dev/null
+++ b/standins/object_api.ts
@@ -0,0 +1,47 @@
+/** The stand-in store behind the platform's HTTP interface. */
+import Router from '@koa/router'
+import Koa from 'koa'
+import { isStoreFailure, type ObjectStore } from '../store/index.ts'
+import { readText, serve, type Listening } from './_serve.ts'
+
+const STATUS = { conflict: 412, 'not-applied': 503, unsure: 500 } as const
+
+/** Serves a store over HTTP. */
+export async function serveObjectApi (store: ObjectStore): Promise<Listening> {
+  const router = new Router()
+  router.get('/objects', async (ctx) => {
+    const { prefix, after, limit } = ctx.query as Record<string, string>
+    ctx.body = await store.list(prefix ?? '', { after, limit: Number(limit ?? 1000) })
+  })
+  router.get('/objects/:key', async (ctx) => {
+    const object = await store.get(ctx.params.key!)
+    if (object) ctx.body = object
+  })
+  router.put('/objects/:key', async (ctx) => {
+    const value = await readText(ctx.req)
+    const key = ctx.params.key!
+    const match = ctx.get('if-match')
+    ctx.body = { version: match ? await store.update(key, value, Number(match.replaceAll('"', ''))) : await store.create(key, value) }
+  })
+  router.delete('/objects/:key', async (ctx) => {
+    const version = Number(ctx.get('if-match').replaceAll('"', ''))
+    await store.remove(ctx.params.key!, version)
+    ctx.body = { version }
+  })
+  router.get('/changes', async (ctx) => {
+    const { prefix, after, waitMs } = ctx.query as Record<string, string>
+    ctx.body = await store.changes(prefix ?? '', { after: Number(after), waitMs: Number(waitMs) })
+  })
+  const app = new Koa()
+  app.use(async (ctx, next) => {
+    try {
+      await next()
+    } catch (err) {
+      const failure = (['conflict', 'not-applied', 'unsure'] as const).find((kind) => isStoreFailure(err, kind))
+      ctx.status = failure ? STATUS[failure] : 400
+      ctx.body = { error: (err as Error).message }
+    }
+  })
+  app.use(router.routes())
+  return await serve(app)
+}
--- /dev/null
+++ b/standins/object_store.ts
@@ -0,0 +1,118 @@
+/** Stand-in for the platform's object API, in memory, with fault switches. */
+import { setTimeout as sleep } from 'node:timers/promises'
+import { StoreError, type Changes, type ObjectStore, type StoredObject } from '../store/index.ts'
+
+/** Faults, all off at first. */
+export interface StoreFaults {
+  /** Every call is refused. */
+  down: boolean
+  /** Milliseconds added to every call. */
+  slowMs: number
+  /** Writes that will be applied without an answer. */
+  loseAnswers: number
+  /** Watches that will miss the changes they waited for. */
+  loseWatches: number
+}
+
+/** Calls counted since the start. */
+export interface StoreCalls { reads: number, writes: number, watches: number, refused: number }
+
+const MAX_VALUE_BYTES = 1 << 20
+
+/** One store, shared by all daemons of a test or demo. */
+export class StandInStore implements ObjectStore {
+  readonly faults: StoreFaults = { down: false, slowMs: 0, loseAnswers: 0, loseWatches: 0 }
+  readonly calls: StoreCalls = { reads: 0, writes: 0, watches: 0, refused: 0 }
+  readonly #objects = new Map<string, StoredObject>()
+  readonly #waiting = new Set<() => void>()
+  #version = 0
+
+  async get (key: string): Promise<StoredObject | undefined> {
+    await this.#enter('reads')
+    return this.#objects.get(key)
+  }
+
+  async list (prefix: string, options: { after?: string, limit?: number } = {}): Promise<StoredObject[]> {
+    await this.#enter('reads')
+    const matches = [...this.#objects.values()].filter(({ key }) => key.startsWith(prefix) && key > (options.after ?? ''))
+    return matches.sort((a, b) => (a.key < b.key ? -1 : 1)).slice(0, options.limit ?? 1000)
+  }
+
+  async create (key: string, value: string): Promise<number> {
+    await this.#enter('writes')
+    if (this.#objects.has(key)) throw conflict(key)
+    return this.#put(key, value)
+  }
+
+  async update (key: string, value: string, version: number): Promise<number> {
+    await this.#enter('writes')
+    if (this.#objects.get(key)?.version !== version) throw conflict(key)
+    return this.#put(key, value)
+  }
+
+  async remove (key: string, version: number): Promise<void> {
+    await this.#enter('writes')
+    if (this.#objects.get(key)?.version !== version) throw conflict(key)
+    this.#objects.delete(key)
+  }
+
+  async changes (prefix: string, options: { after: number, waitMs: number }): Promise<Changes> {
+    await this.#enter('watches')
+    const found = this.#changed(prefix, options.after)
+    if (found.length > 0 || options.waitMs === 0) return { objects: found, version: this.#version }
+    await this.#waitForChange(prefix, options)
+    if (this.faults.down) throw new StoreError('Cannot watch: store is down', { failure: 'not-applied' })
+    if (this.faults.loseWatches > 0 && this.#changed(prefix, options.after).length > 0) {
+      this.faults.loseWatches--
+      return { objects: [], version: this.#version }
+    }
+    return { objects: this.#changed(prefix, options.after), version: this.#version }
+  }
+
+  /** Every key, for the checks of tests. */
+  keys (): string[] {
+    return [...this.#objects.keys()].sort()
+  }
+
+  async #enter (kind: 'reads' | 'writes' | 'watches'): Promise<void> {
+    this.calls[kind]++
+    if (this.faults.slowMs > 0) await sleep(this.faults.slowMs)
+    if (!this.faults.down) return
+    this.calls.refused++
+    throw new StoreError('Cannot reach store: it is down', { failure: 'not-applied' })
+  }
+
+  #put (key: string, value: string): number {
+    if (Buffer.byteLength(value) > MAX_VALUE_BYTES) throw new StoreError(`Cannot write ${key}: value is over 1 MB`, { failure: 'not-applied' })
+    this.#version++
+    this.#objects.set(key, { key, version: this.#version, value })
+    for (const wake of [...this.#waiting]) wake()
+    if (this.faults.loseAnswers > 0) {
+      this.faults.loseAnswers--
+      throw new StoreError(`Cannot tell whether ${key} was written: no answer`, { failure: 'unsure' })
+    }
+    return this.#version
+  }
+
+  #changed (prefix: string, after: number): StoredObject[] {
+    const matches = [...this.#objects.values()].filter((object) => object.version > after && object.key.startsWith(prefix))
+    return matches.sort((a, b) => a.version - b.version)
+  }
+
+  #waitForChange (prefix: string, options: { after: number, waitMs: number }): Promise<void> {
+    return new Promise((resolve) => {
+      const done = () => {
+        clearTimeout(timer)
+        this.#waiting.delete(wake)
+        resolve()
+      }
+      const wake = () => { if (this.#changed(prefix, options.after).length > 0) done() }
+      const timer = setTimeout(done, options.waitMs)
+      this.#waiting.add(wake)
+    })
+  }
+}
+
+function conflict (key: string): StoreError {
+  return new StoreError(`Cannot write ${key}: version moved`, { failure: 'conflict' })
+}
--- /dev/null
+++ b/store/http_store.ts
@@ -0,0 +1,86 @@
+/** Client of the platform's object API over HTTP. */
+import { request, type Dispatcher } from 'undici'
+import { StoreError, type Changes, type ObjectStore, type StoredObject } from './object_store.ts'
+
+/** Options of {@linkcode HttpStore}. */
+export interface HttpStoreOptions {
+  /** Base address, such as `http://10.0.0.1:7000`. */
+  url: string
+  /** Milliseconds for one call, beside a watch's own wait. Default 3,000. */
+  timeoutMs?: number
+}
+
+/** Object API over HTTP: `If-Match` and `If-None-Match` carry the conditions. */
+export class HttpStore implements ObjectStore {
+  readonly #url: string
+  readonly #timeoutMs: number
+
+  constructor (options: HttpStoreOptions) {
+    this.#url = options.url
+    this.#timeoutMs = options.timeoutMs ?? 3000
+  }
+
+  async get (key: string): Promise<StoredObject | undefined> {
+    const res = await this.#send('GET', `/objects/${encodeURIComponent(key)}`)
+    if (res.statusCode === 404) {
+      await res.body.dump()
+      return undefined
+    }
+    return await this.#json(res) as StoredObject
+  }
+
+  async list (prefix: string, options: { after?: string, limit?: number } = {}): Promise<StoredObject[]> {
+    const query = new URLSearchParams({ prefix, after: options.after ?? '', limit: String(options.limit ?? 1000) })
+    return await this.#json(await this.#send('GET', `/objects?${query}`)) as StoredObject[]
+  }
+
+  async create (key: string, value: string): Promise<number> {
+    return await this.#write('PUT', key, { 'if-none-match': '*' }, value)
+  }
+
+  async update (key: string, value: string, version: number): Promise<number> {
+    return await this.#write('PUT', key, { 'if-match': `"${version}"` }, value)
+  }
+
+  async remove (key: string, version: number): Promise<void> {
+    await this.#write('DELETE', key, { 'if-match': `"${version}"` })
+  }
+
+  async changes (prefix: string, options: { after: number, waitMs: number }): Promise<Changes> {
+    const query = new URLSearchParams({ prefix, after: String(options.after), waitMs: String(options.waitMs) })
+    return await this.#json(await this.#send('GET', `/changes?${query}`, { waitMs: options.waitMs })) as Changes
+  }
+
+  async #write (method: 'PUT' | 'DELETE', key: string, headers: Record<string, string>, value?: string): Promise<number> {
+    const res = await this.#send(method, `/objects/${encodeURIComponent(key)}`, { headers, body: value })
+    if (res.statusCode === 412) {
+      await res.body.dump()
+      throw new StoreError(`Cannot write ${key}: version moved`, { failure: 'conflict' })
+    }
+    return (await this.#json(res) as { version: number }).version
+  }
+
+  async #send (method: 'GET' | 'PUT' | 'DELETE', path: string, options: { headers?: Record<string, string>, body?: string, waitMs?: number } = {}) {
+    const timeoutMs = this.#timeoutMs + (options.waitMs ?? 0)
+    try {
+      const res = await request(this.#url + path, { method, headers: options.headers, body: options.body ?? null, headersTimeout: timeoutMs, bodyTimeout: timeoutMs })
+      if (res.statusCode !== 429 && res.statusCode < 500) return res
+      await res.body.dump()
+      // Only 429 and 503 promise that nothing was applied.
+      const refused = res.statusCode === 429 || res.statusCode === 503
+      throw new StoreError(`Cannot ${method} ${path}: status ${res.statusCode}`, { failure: refused ? 'not-applied' : 'unsure' })
+    } catch (err) {
+      if (err instanceof StoreError) throw err
+      const refused = (err as NodeJS.ErrnoException).code === 'ECONNREFUSED'
+      throw new StoreError(`Cannot ${method} ${path}: ${(err as Error).message}`, { failure: refused ? 'not-applied' : 'unsure', cause: err })
+    }
+  }
+
+  async #json (res: Dispatcher.ResponseData): Promise<unknown> {
+    try {
+      return await res.body.json()
+    } catch (err) {
+      throw new StoreError('Cannot read the answer: it was cut', { failure: 'unsure', cause: err })
+    }
+  }
+}
--- /dev/null
+++ b/store/object_store.ts
@@ -0,0 +1,46 @@
+/** The platform's object API as the daemons use it: versions, conditional updates, long-polled changes. */
+
+/** One object. */
+export interface StoredObject {
+  key: string
+  /** Grows with every change anywhere in the store; 0 is before the first. */
+  version: number
+  value: string
+}
+
+/** Changes after a version, and the version up to which they were looked at. */
+export interface Changes { objects: StoredObject[], version: number }
+
+/** Storage that lasts when daemons do not. Every method can throw {@linkcode StoreError}. */
+export interface ObjectStore {
+  get (key: string): Promise<StoredObject | undefined>
+  /** Lists objects in key order, from after `after`, up to `limit` (1,000 when not given). */
+  list (prefix: string, options?: { after?: string, limit?: number }): Promise<StoredObject[]>
+  /** Creates an object only if it is absent; returns its version. */
+  create (key: string, value: string): Promise<number>
+  /** Replaces an object only if it is still at `version`; returns the new version. */
+  update (key: string, value: string, version: number): Promise<number>
+  /** Deletes an object only if it is still at `version`. */
+  remove (key: string, version: number): Promise<void>
+  /** Waits up to `waitMs` for changes after a version. */
+  changes (prefix: string, options: { after: number, waitMs: number }): Promise<Changes>
+}
+
+/** What is certain about a call that failed. */
+export type StoreFailure = 'conflict' | 'not-applied' | 'unsure'
+
+/** A call to the store failed. `conflict`: another version is there; `not-applied`: refused; `unsure`: it may have been applied. */
+export class StoreError extends Error {
+  override name = 'StoreError'
+  readonly failure: StoreFailure
+
+  constructor (what: string, options: { failure: StoreFailure, cause?: unknown }) {
+    super(what, { cause: options.cause })
+    this.failure = options.failure
+  }
+}
+
+/** True for a {@linkcode StoreError} with the given certainty. */
+export function isStoreFailure (err: unknown, failure: StoreFailure): boolean {
+  return err instanceof StoreError && err.failure === failure
+}
