--- a/core/config/validate.ts
+++ b/core/config/validate.ts
@@ -40,6 +40,7 @@
 function describe (issue: z.core.$ZodIssue, root: unknown): string {
   const path = issue.path.map(String).join('.') || '(top)'
   if (issue.code === 'custom') return `${path}: ${issue.message}`
+  if (issue.code === 'unrecognized_keys') return issue.keys.map((key) => `${[...issue.path, key].join('.')}: expected no such field`).join('; ')
   const found = JSON.stringify(issue.path.reduce<unknown>((at, key) => (at as Record<PropertyKey, unknown> | undefined)?.[key], root))
   return `${path}: ${issue.message}, found ${found ?? 'nothing'}`
 }
--- a/daemon/callers_api.ts
+++ b/daemon/callers_api.ts
@@ -61,6 +61,7 @@
     ctx.body = { request: ctx.params.id, state: 'cancelled' }
   })
   const app = new Koa()
+  app.silent = true
   app.use(refusals)
   app.use(router.routes())
   app.use((ctx) => { throw new ProblemError(badRequest(404, `no such resource: ${ctx.method} ${ctx.path}`)) })
--- a/daemon/daemon.ts
+++ b/daemon/daemon.ts
@@ -182,12 +182,18 @@
     for (const server of this.#servers) server.closeIdleConnections()
     await this.#waitForOpen(endsAtMs - Math.min(HAND_OVER_MS, settings.drainMs / 2))
     const heir = this.#heir()
-    while (heir && broker.openCount > 0 && Date.now() < endsAtMs) {
+    if (heir) await this.#handOverTo(heir, endsAtMs)
+    await this.#leave(heir)
+  }
+
+  /** Again and again: a stream that cannot move now, since its KV cache is on its way, may move a moment later. */
+  async #handOverTo (heir: Member, endsAtMs: number): Promise<void> {
+    const { broker } = this.#parts
+    while (broker.openCount > 0 && Date.now() < endsAtMs) {
       await broker.handOver(heir)
       await pause(DRAIN_POLL_MS)
     }
-    if (heir) await broker.handOverFinished(heir)
-    await this.#leave(heir)
+    await broker.handOverFinished(heir)
   }
 
   async #leave (heir: Member | undefined): Promise<void> {
--- a/daemon/operators_api.ts
+++ b/daemon/operators_api.ts
@@ -76,6 +76,7 @@
     ctx.body = { draining: options.self }
   })
   const app = new Koa()
+  app.silent = true
   app.use(refusals)
   app.use(router.routes())
   return app
--- a/standins/cloud_api.ts
+++ b/standins/cloud_api.ts
@@ -16,6 +16,7 @@
     ctx.body = {}
   })
   const app = new Koa()
+  app.silent = true
   app.use(async (ctx, next) => {
     try {
       await next()
--- a/standins/endpoint_api.ts
+++ b/standins/endpoint_api.ts
@@ -44,6 +44,7 @@
 
 function application (router: Router): Koa {
   const app = new Koa()
+  app.silent = true
   app.use(async (ctx, next) => {
     try {
       await next()
--- a/standins/object_api.ts
+++ b/standins/object_api.ts
@@ -33,6 +33,7 @@
     ctx.body = await store.changes(prefix ?? '', { after: Number(after), waitMs: Number(waitMs) })
   })
   const app = new Koa()
+  app.silent = true
   app.use(async (ctx, next) => {
     try {
       await next()
