--- /dev/null
+++ b/bench/index.ts
@@ -0,0 +1,2 @@
+export * from './bench.ts'
+export * from './registry.ts'
--- a/cli/main.ts
+++ b/cli/main.ts
@@ -33,6 +33,20 @@
     process.exit(broken === 0 ? 0 : EXIT_FAILED)
   })
 
+cli.command('bench [name]', 'Measure one part; ends with one line of JSON')
+  .option('--list', 'List the benches')
+  .option('--seed <number>', 'Seed of all random choices', { default: 1 })
+  .option('--count <number>', 'Size of the run, where the bench has one')
+  .action(async (name: string | undefined, options: { list?: boolean, seed: number, count?: number }) => {
+    const { BENCHES } = await import('../bench/index.ts')
+    if (options.list) return BENCHES.forEach((bench) => print(`${bench.name.padEnd(14)}${bench.about}`))
+    const bench = BENCHES.find((candidate) => candidate.name === name)
+    if (!bench) throw new InvalidError('command line', [`bench: expected one of ${BENCHES.map((each) => each.name).join(', ')}, found "${name ?? ''}"`])
+    const figures = await bench.run({ seed: options.seed, count: options.count, print })
+    print(JSON.stringify({ bench: bench.name, seed: options.seed, ...figures }))
+    process.exit(0)
+  })
+
 cli.help()
 
 async function main (): Promise<void> {
--- a/core/reclaim/problem.ts
+++ b/core/reclaim/problem.ts
@@ -22,8 +22,12 @@
   id: EndpointId
   /** Milliseconds until the host is gone. */
   noticeMs: number
-  /** This daemon's share of the endpoint's KV export bandwidth, in tokens a second. */
+  /** The endpoint's whole KV export bandwidth, in tokens a second. */
   exportTokensPerS: number
+  /** Part of that bandwidth this daemon plans with, by its part of the streams there; 1 when it plans for all. */
+  share: number
+  /** A random number in [0, 1), drawn once for each plan: rounds a share that no stream fits into. */
+  luck: number
   betweenTokensMs: number
 }
 
@@ -33,6 +37,8 @@
   freeSlots: number
   freeKvTokens: number
   importTokensPerS: number
+  /** Part of that bandwidth this daemon plans with; unless it is 0, one import always fits. 1 when it plans for all. */
+  importShare: number
   prefillTokensPerS: number
   betweenTokensMs: number
   batchSlots: number
@@ -84,6 +90,11 @@
   return !stream.movable || stream.remainingTokens * source.betweenTokensMs <= usableMs(source)
 }
 
+/** Milliseconds of the source's export bandwidth that this daemon plans with. */
+export function exportBudgetMs (source: Source): number {
+  return usableMs(source) * source.share
+}
+
 /** Milliseconds of the source's export bandwidth that moving the stream's KV cache takes. */
 export function exportMs (stream: ThreatenedStream, source: Source): number {
   return stream.kvTokens * 1000 / source.exportTokensPerS
@@ -103,30 +114,61 @@
 /** Money for one way of carrying a stream on, all of it. */
 export function directivePrice (stream: ThreatenedStream, directive: Directive, problem: ReclaimProblem): number {
   if (directive.action === 'finish') return 0
-  if (directive.action === 'hold') return stream.kvTokens * problem.weights.recomputedToken + latePrice(stream, HOLD_MS, problem)
+  if (directive.action === 'hold') return holdPrice(stream, problem)
   const target = problem.targets.get(directive.target)!
   const redone = directive.action === 'prefill' ? prefillTokens(stream, target) : 0
   const delayMs = redone * 1000 / target.prefillTokensPerS + stream.remainingTokens * target.betweenTokensMs
   return redone * problem.weights.recomputedToken + runPrice(stream, target) + latePrice(stream, delayMs, problem)
 }
 
+/** Holding is a later prefill elsewhere, on the worst target: room is scarce by then. */
+function holdPrice (stream: ThreatenedStream, problem: ReclaimProblem): number {
+  const worst = worstTarget(problem.targets)
+  const delayMs = HOLD_MS + stream.kvTokens * worst.prefillMsPerToken + stream.remainingTokens * worst.betweenTokensMs
+  return stream.kvTokens * problem.weights.recomputedToken + stream.remainingTokens * worst.pricePerToken + latePrice(stream, delayMs, problem)
+}
+
+interface WorstTarget { pricePerToken: number, prefillMsPerToken: number, betweenTokensMs: number }
+
+/** Asked for once for each alternative of a search, so it is worked out once for each set of targets. */
+const worstTargets = new WeakMap<ReclaimProblem['targets'], WorstTarget>()
+
+function worstTarget (targets: ReclaimProblem['targets']): WorstTarget {
+  let worst = worstTargets.get(targets)
+  if (!worst) {
+    const all = [...targets.values()]
+    worst = {
+      pricePerToken: Math.max(0, ...all.map((target) => target.pricePerHour * target.betweenTokensMs / MS_PER_HOUR / target.batchSlots)),
+      prefillMsPerToken: Math.max(0, ...all.map((target) => 1000 / target.prefillTokensPerS)),
+      betweenTokensMs: Math.max(0, ...all.map((target) => target.betweenTokensMs))
+    }
+    worstTargets.set(targets, worst)
+  }
+  return worst
+}
+
 function latePrice (stream: ThreatenedStream, delayMs: number, problem: ReclaimProblem): number {
   return delayMs > stream.deadlineInMs ? problem.weights.late : 0
 }
 
 /** Totals of a plan. */
-export interface PlanTotals { price: number, recomputedTokens: number, held: number, feasible: boolean }
+export interface PlanTotals { price: number, recomputedTokens: number, held: number, late: number, feasible: boolean }
 
 /** Adds up a plan and checks it against export, import, slot and memory limits, apart from any planner. */
 export function evaluate (plan: readonly Directive[], problem: ReclaimProblem): PlanTotals {
   const streams = new Map(problem.streams.map((stream) => [stream.id, stream]))
   const used = new Map<EndpointId, { slots: number, kv: number, exportMs: number, importMs: number }>()
   const use = (id: EndpointId) => used.get(id) ?? used.set(id, { slots: 0, kv: 0, exportMs: 0, importMs: 0 }).get(id)!
-  const totals: PlanTotals = { price: 0, recomputedTokens: 0, held: 0, feasible: plan.length === problem.streams.length }
-  for (const directive of plan) {
+  const totals: PlanTotals = { price: 0, recomputedTokens: 0, held: 0, late: 0, feasible: plan.length === problem.streams.length }
+  // Imports of one target run one after another, those of the shortest notice first.
+  const notice = (directive: Directive) => usableMs(problem.sources.get(streams.get(directive.stream)!.source)!)
+  const ordered = [...plan].sort((a, b) => notice(a) - notice(b))
+  for (const directive of ordered) {
     const stream = streams.get(directive.stream)!
     const source = problem.sources.get(stream.source)!
-    totals.price += directivePrice(stream, directive, problem)
+    const price = directivePrice(stream, directive, problem)
+    totals.price += price
+    if (price >= problem.weights.late) totals.late++
     if (directive.action === 'finish') {
       totals.feasible &&= canFinish(stream, source)
       continue
--- a/daemon/daemon.ts
+++ b/daemon/daemon.ts
@@ -17,7 +17,7 @@
 import { Claims } from './claims.ts'
 import { ConfigTask } from './config_task.ts'
 import { Dispatcher } from './dispatcher.ts'
-import { EndpointTable } from './endpoint_table.ts'
+import { EndpointTable, SUBSET_SIZE } from './endpoint_table.ts'
 import { HostWatch } from './host_watch.ts'
 import { logOf } from './log.ts'
 import { MembershipTask } from './membership_task.ts'
@@ -173,7 +173,7 @@
    * can finish finishes; then the rest moves to a peer, and the callers are told to resume.
    */
   async #drain (who: string): Promise<void> {
-    const { membership, broker, settings, audit } = this.#parts
+    const { membership, settings, audit } = this.#parts
     const endsAtMs = Date.now() + settings.drainMs
     log('draining', { who })
     membership.setSelf({ state: 'draining' })
@@ -249,8 +249,15 @@
     broker: asFunction(({ self, settings, config, membership, claims, metrics, table, dispatcher, engine, service }: Parts) => new Broker({
       self, settings, config, membership, claims, metrics, ports: { table, dispatcher, engine, service }
     })).singleton(),
-    reclaimer: asFunction(({ table, prefixes, metrics, engine, broker, config }: Parts) => new Reclaimer({
-      table, prefixes, metrics, engine, open: () => broker.open, wantsLeast: () => config.inForce?.config.wantsLeast ?? 'cost'
+    reclaimer: asFunction(({ table, prefixes, metrics, engine, broker, config, random, membership }: Parts) => new Reclaimer({
+      table,
+      prefixes,
+      metrics,
+      engine,
+      random,
+      open: () => broker.open,
+      wantsLeast: () => config.inForce?.config.wantsLeast ?? 'cost',
+      sharers: () => Math.max(1, membership.working.length * Math.min(1, SUBSET_SIZE / Math.max(1, table.all.length)))
     })).singleton(),
     hosts: asFunction(({ cloud, table, membership, random, dispatcher }: Parts) => new HostWatch({
       cloud, table, membership, random, onListed: () => dispatcher.pump()
--- a/daemon/endpoint_table.ts
+++ b/daemon/endpoint_table.ts
@@ -14,10 +14,12 @@
 export interface EndpointTableOptions {
   self: DaemonId
   hash: Hash32
-  /** Endpoints of one pool that this daemon connects to. Default 24. */
+  /** Endpoints of one pool that this daemon connects to. Default {@linkcode SUBSET_SIZE}. */
   subsetSize?: number
 }
 
+/** Endpoints of one pool that a daemon connects to. */
+export const SUBSET_SIZE = 24
 /** Time left that is assumed when a signal does not tell it, in milliseconds: the shortest notice seen. */
 export const ASSUMED_NOTICE_MS = 2000
 
@@ -51,7 +53,7 @@
     let chosen = this.#subsets.get(pool)
     if (!chosen) {
       const usable = this.all.filter((view) => view.pool === pool && view.leavingAtMs === undefined)
-      chosen = subset(this.#options.self, usable, { hash: this.#options.hash, size: this.#options.subsetSize })
+      chosen = subset(this.#options.self, usable, { hash: this.#options.hash, size: this.#options.subsetSize ?? SUBSET_SIZE })
       this.#subsets.set(pool, chosen)
     }
     return chosen
--- a/daemon/reclaimer.ts
+++ b/daemon/reclaimer.ts
@@ -1,7 +1,7 @@
 /** Carries out the reclaim planner's decisions for the streams of this daemon. */
 import type { EndpointId } from '../core/ids/index.ts'
 import {
-  JointPlanner, NOTICE_MARGIN_MS, reclaimWeights,
+  JointPlanner, NOTICE_MARGIN_MS, reclaimWeights, shareImports,
   type Directive, type ReclaimPlanner, type ReclaimProblem, type Source, type Target, type ThreatenedStream
 } from '../core/reclaim/index.ts'
 import type { Config } from '../core/config/index.ts'
@@ -20,6 +20,9 @@
   /** Requests that are open on this daemon. */
   open (): Iterable<RequestTask>
   wantsLeast (): Config['wantsLeast']
+  random: () => number
+  /** Daemons that use one endpoint, on average. */
+  sharers (): number
   /** Default: {@linkcode JointPlanner}. */
   planner?: ReclaimPlanner
 }
@@ -112,12 +115,8 @@
   #problem (tasks: readonly RequestTask[]): ReclaimProblem {
     const now = Date.now()
     const pools = new Set(tasks.map((task) => task.work.cls.pool))
-    const targets = new Map<EndpointId, Target>()
-    for (const pool of pools) {
-      for (const view of this.#options.table.candidates(pool as EndpointView['pool'])) {
-        if (view.ejectedUntilMs <= now) targets.set(view.id, targetOf(view))
-      }
-    }
+    const usable = [...pools].flatMap((pool) => this.#options.table.candidates(pool as EndpointView['pool'])).filter((view) => view.ejectedUntilMs <= now)
+    const targets = shareImports(usable.map(targetOf), { sharers: this.#options.sharers(), random: this.#options.random })
     const sources = new Map<EndpointId, Source>()
     for (const task of tasks) sources.set(task.runningAt!, this.#sourceOf(task.runningAt!, now))
     const streams = tasks.map((task): ThreatenedStream => ({
@@ -140,7 +139,9 @@
     return {
       id,
       noticeMs: this.#options.table.goneAtMs(id)! - now,
-      exportTokensPerS: speed.exportTokensPerS * share,
+      exportTokensPerS: speed.exportTokensPerS,
+      share,
+      luck: this.#options.random(),
       betweenTokensMs: speed.betweenTokensMs + speed.betweenTokensPerStreamMs * runningNow(view)
     }
   }
@@ -154,6 +155,7 @@
     freeSlots,
     freeKvTokens: freeSlots * KV_TOKENS_PER_SLOT,
     importTokensPerS: speed.importTokensPerS,
+    importShare: 1,
     prefillTokensPerS: speed.prefillTokensPerS,
     betweenTokensMs: speed.betweenTokensMs + speed.betweenTokensPerStreamMs * (runningNow(view) + 1),
     batchSlots: speed.batchSlots,
