--- /dev/null
+++ b/bench/_schedule.ts
@@ -0,0 +1,165 @@
+/** Seeded schedules of faults over a whole session, and their run. */
+import fc from 'fast-check'
+import type { DaemonId } from '../core/ids/index.ts'
+import { StandInEngine } from '../standins/index.ts'
+import { KINDS, Session, type Kind } from './_session.ts'
+
+/** One thing that happens. Numbers pick one of what is there at the time. */
+export type SessionEvent =
+  | { type: 'submit', kind: Kind, daemon: number, size: number }
+  | { type: 'repeat', of: number, daemon: number }
+  | { type: 'reclaim-host', host: number, noticeMs: number }
+  | { type: 'reclaim-domain', domain: number, noticeMs: number }
+  | { type: 'shorten', noticeMs: number }
+  | { type: 'drain', daemon: number }
+  | { type: 'wait', ms: number }
+  | { type: 'double-chunks' | 'fail-export', host: number }
+  | { type: 'lag-list' | 'silence-notices' | 'store-down' | 'store-up' | 'store-slow' | 'lose-answer' | 'heal' }
+  | { type: 'kill-host' | 'ignore-cancel', host: number }
+  | { type: 'kill-daemon', daemon: number }
+  | { type: 'part', a: number, b: number }
+
+const pick = fc.nat(11)
+const submit = fc.record({ type: fc.constant('submit' as const), kind: fc.constantFrom(...KINDS), daemon: pick, size: fc.integer({ min: 1, max: 150 }) })
+const wait = fc.record({ type: fc.constant('wait' as const), ms: fc.integer({ min: 0, max: 2500 }) })
+const notice = fc.constantFrom(2000, 4000, 10_000)
+
+/** Faults that the platform announces, and harmless ones: nothing may be lost by these. */
+const announced: Array<{ weight: number, arbitrary: fc.Arbitrary<SessionEvent> }> = [
+  { weight: 8, arbitrary: submit },
+  { weight: 4, arbitrary: wait },
+  { weight: 1, arbitrary: fc.record({ type: fc.constant('repeat' as const), of: pick, daemon: pick }) },
+  { weight: 1, arbitrary: fc.record({ type: fc.constant('reclaim-host' as const), host: pick, noticeMs: notice }) },
+  { weight: 1, arbitrary: fc.record({ type: fc.constant('reclaim-domain' as const), domain: pick, noticeMs: notice }) },
+  { weight: 1, arbitrary: fc.record({ type: fc.constant('drain' as const), daemon: pick }) },
+  { weight: 1, arbitrary: fc.record({ type: fc.constantFrom('double-chunks' as const, 'fail-export' as const), host: pick }) },
+  { weight: 1, arbitrary: fc.record({ type: fc.constant('lag-list' as const) }) }
+]
+
+const unannounced: Array<{ weight: number, arbitrary: fc.Arbitrary<SessionEvent> }> = [
+  { weight: 1, arbitrary: fc.record({ type: fc.constantFrom('kill-host' as const, 'ignore-cancel' as const), host: pick }) },
+  { weight: 1, arbitrary: fc.record({ type: fc.constant('kill-daemon' as const), daemon: pick }) },
+  { weight: 1, arbitrary: fc.record({ type: fc.constant('part' as const), a: pick, b: pick }) },
+  { weight: 1, arbitrary: fc.record({ type: fc.constant('shorten' as const), noticeMs: fc.constantFrom(500, 1000) }) },
+  { weight: 2, arbitrary: fc.record({ type: fc.constantFrom('silence-notices' as const, 'store-down' as const, 'store-up' as const, 'store-slow' as const, 'lose-answer' as const, 'heal' as const) }) }
+]
+
+/** Schedules of announced faults only. */
+export const announcedSchedule = fc.array(fc.oneof(...announced), { minLength: 5, maxLength: 35 })
+/** Schedules of every fault. */
+export const anySchedule = fc.array(fc.oneof(...announced, ...unannounced), { minLength: 5, maxLength: 40 })
+
+/** What a schedule came to. */
+export interface ScheduleResult { violations: string[], outcomes: Record<string, number>, unanswered: string[] }
+
+const SETTLE_MS = 100_000
+
+/** Runs a schedule to its end: then every fault is mended and every caller must have its final word. */
+export async function runSchedule (events: readonly SessionEvent[], seed = 1): Promise<ScheduleResult> {
+  const session = await Session.start(seed)
+  try {
+    for (const [i, event] of events.entries()) await apply(session, event, i)
+    mend(session)
+    await session.advance(SETTLE_MS)
+    return resultOf(session)
+  } finally {
+    await Promise.all(session.daemons.map((daemon) => daemon.kill()))
+    session.stop()
+  }
+}
+
+function resultOf (session: Session): ScheduleResult {
+  const outcomes: Record<string, number> = {}
+  for (const { outcome } of session.callers) outcomes[outcome ?? 'none'] = (outcomes[outcome ?? 'none'] ?? 0) + 1
+  const unanswered = session.callers.filter(({ outcome }) => outcome !== 'answered').map(({ kind, key, outcome, reason }) => `${kind} ${key}: ${outcome}, ${reason}`)
+  return { violations: session.violations(), outcomes, unanswered }
+}
+
+async function apply (session: Session, event: SessionEvent, i: number): Promise<void> {
+  switch (event.type) {
+    case 'submit': return submitOne(session, event, i)
+    case 'repeat': return repeatOne(session, event)
+    case 'wait': return await session.advance(event.ms)
+    case 'reclaim-host': return reclaim(session, [hostAt(session, event.host)], event.noticeMs)
+    case 'reclaim-domain': return reclaim(session, session.cloud.hostsIn('abc'[event.domain % 3]!), event.noticeMs)
+    case 'shorten': return session.reclaim([...session.leavingSince.keys()].filter((host) => session.cloud.endpoint(host).alive), event.noticeMs)
+    case 'drain': return await drainOne(session, event.daemon)
+    case 'kill-daemon': return await killOne(session, event.daemon)
+    case 'kill-host': return await session.cloud.stop(hostAt(session, event.host))
+    case 'part': return partTwo(session, event)
+    default: applySwitch(session, event)
+  }
+}
+
+function applySwitch (session: Session, event: Exclude<SessionEvent, { type: 'submit' | 'repeat' | 'wait' | 'reclaim-host' | 'reclaim-domain' | 'shorten' | 'drain' | 'kill-daemon' | 'kill-host' | 'part' }>): void {
+  const { store, cloud, network } = session
+  const engine = 'host' in event ? cloud.endpoint(hostAt(session, event.host)) : undefined
+  if (event.type === 'store-down' || event.type === 'store-up') store.faults.down = event.type === 'store-down'
+  else if (event.type === 'store-slow') store.faults.slowMs = 400
+  else if (event.type === 'lose-answer') store.faults.loseAnswers++
+  else if (event.type === 'lag-list') cloud.faults.listLagMs = 5000
+  else if (event.type === 'silence-notices') cloud.faults.silentNotices = true
+  else if (event.type === 'heal') network.heal()
+  else if (engine instanceof StandInEngine) applyToEngine(engine, event.type)
+}
+
+function applyToEngine (engine: StandInEngine, fault: string): void {
+  if (fault === 'double-chunks') engine.faults.doubleChunks += 3
+  else if (fault === 'fail-export') engine.faults.failExports++
+  else engine.faults.ignoreCancel = true
+}
+
+function submitOne (session: Session, event: Extract<SessionEvent, { type: 'submit' }>, i: number): void {
+  const model = event.kind === 'review' || event.kind === 'letter'
+  const input = `${event.kind} ${i} `.padEnd(model ? event.size * 60 : 20, 'text of the case ')
+  session.submit(daemonAt(session, event.daemon), { kind: event.kind, key: `key-${i}`, input, maxTokens: model ? event.size : 1 })
+}
+
+function repeatOne (session: Session, event: Extract<SessionEvent, { type: 'repeat' }>): void {
+  const repeatable = session.callers.filter((caller) => (caller.kind === 'letter' || caller.kind === 'confirm') && !caller.repeats)
+  const caller = repeatable[event.of % Math.max(1, repeatable.length)]
+  if (!caller) return
+  const { kind, key, input, maxTokens } = caller
+  session.submit(daemonAt(session, event.daemon), { kind, key, input, maxTokens, repeats: true })
+}
+
+/** At most a domain at a time: with nothing left anywhere no system could keep its word. */
+function reclaim (session: Session, hosts: ReturnType<Session['cloud']['hostsIn']>, noticeMs: number): void {
+  const leaving = session.cloud.live().filter((host) => host.state === 'leaving').length
+  if (leaving === 0) session.reclaim(hosts, noticeMs)
+}
+
+/** A replacement starts first, as the platform does it, so that one daemon always stays. */
+async function drainOne (session: Session, which: number): Promise<void> {
+  const daemon = daemonAt(session, which)
+  await session.startDaemon('abc'[which % 3]!)
+  session.drain(daemon)
+}
+
+async function killOne (session: Session, which: number): Promise<void> {
+  const daemon = daemonAt(session, which)
+  await session.startDaemon('abc'[which % 3]!)
+  await session.kill(daemon)
+}
+
+function partTwo (session: Session, { a, b }: { a: number, b: number }): void {
+  const ids = [a, b].map((which) => daemonAt(session, which).id) as [DaemonId, DaemonId]
+  if (ids[0] !== ids[1]) session.network.part(...ids, true)
+}
+
+function daemonAt (session: Session, which: number) {
+  return session.daemons[which % session.daemons.length]!
+}
+
+function hostAt (session: Session, which: number) {
+  const live = session.cloud.live()
+  return live[which % live.length]!.hostId
+}
+
+function mend ({ store, cloud, network }: Session): void {
+  store.faults.down = false
+  store.faults.slowMs = 0
+  store.faults.loseAnswers = 0
+  cloud.faults.silentNotices = false
+  network.heal()
+}
--- a/bench/once.ts
+++ b/bench/once.ts
@@ -5,6 +5,7 @@
 import { COMMIT_INTERVAL_MS, ShardLog } from '../daemon/shard_log.ts'
 import { StandInStore } from '../standins/index.ts'
 import { quantile, round, slope, type Bench, type Figures } from './bench.ts'
+import { delay } from '../core/time/index.ts'
 
 const CLAIMS_PER_S = [3, 28, 140, 280, 560]
 const RUN_MS = 5000
@@ -37,7 +38,7 @@
   const from = Date.now()
   for (let i = 0; Date.now() - from < RUN_MS; i++) {
     claims.push(claimOne(shards[Math.floor(random() * SHARDS)]!, i, latencies))
-    await pause(-Math.log(1 - random()) * 1000 / perS)
+    await delay(-Math.log(1 - random()) * 1000 / perS)
   }
   await Promise.all(claims)
   const seconds = (Date.now() - from) / 1000
@@ -58,7 +59,3 @@
   await shard.claim(claim, Date.now() + 10_000)
   latencies.push(performance.now() - from)
 }
-
-function pause (ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms))
-}
--- a/bench/registry.ts
+++ b/bench/registry.ts
@@ -2,6 +2,7 @@
 import type { Bench } from './bench.ts'
 import { onceBench } from './once.ts'
 import { reclaimBench } from './reclaim.ts'
+import { schedulesBench } from './schedules.ts'
 
 /** All benches. */
-export const BENCHES: readonly Bench[] = [onceBench, reclaimBench]
+export const BENCHES: readonly Bench[] = [onceBench, reclaimBench, schedulesBench]
--- /dev/null
+++ b/core/time/index.ts
@@ -0,0 +1,1 @@
+export * from './delay.ts'
--- a/daemon/broker.ts
+++ b/daemon/broker.ts
@@ -1,7 +1,9 @@
 /** Accepts requests, finds the answers of earlier ones wherever they are held, and hands them over when this daemon leaves. */
 import { randomUUID } from 'node:crypto'
 import { as, daemonOf, requestId, type AccountId, type DaemonId, type RequestId } from '../core/ids/index.ts'
+import { delay } from '../core/time/index.ts'
 import { RetryBudget } from '../core/retry/index.ts'
+import type { Hash32 } from '../core/routing/index.ts'
 import type { Config, WorkClass } from '../core/config/index.ts'
 import { claimOf, type Claims } from './claims.ts'
 import type { ConfigTask } from './config_task.ts'
@@ -11,6 +13,7 @@
 import type { Metrics } from './metrics.ts'
 import { RequestTask, type Decision, type HandOver, type RequestPorts } from './request_task.ts'
 import type { Settings } from './settings.ts'
+import { Standby } from './standby.ts'
 
 /** What a caller sent, once it is known who the caller is. */
 export interface Submission {
@@ -42,6 +45,7 @@
   membership: MembershipTask
   claims: Claims
   metrics: Metrics
+  hash: Hash32
   ports: Omit<RequestPorts, 'budget' | 'metrics'>
 }
 
@@ -52,6 +56,8 @@
 
 const FOLLOW_TIMEOUT_MS = 600_000
 const HAND_OVER_TIMEOUT_MS = 2000
+const RUMOUR_MS = 2000
+const RUMOUR_POLL_MS = 100
 const FINISHED_PER_CALL = 100
 const RETRY_AFTER_FULL_MS = 1000
 const DEFAULT_MAX_TOKENS = 256
@@ -63,12 +69,20 @@
   readonly #open = new Map<RequestId, RequestTask>()
   readonly #kept = new Map<RequestId, KeptAnswer>()
   readonly #budgets = new Map<string, RetryBudget>()
+  readonly #standby: Standby
 
   constructor (options: BrokerOptions) {
     this.#options = options
     const { links } = options.membership
     links.handle('follow', (args: FollowArgs, { part, signal }) => this.#serveFollow(args, part, signal))
-    links.handle('hand-over', async (handed: HandOver[]) => this.#takeOver(handed))
+    links.handle('hand-over', async (handed: HandOver[]) => handed.filter((entry) => this.#takeOver(entry, true)).map((entry) => entry.id))
+    this.#standby = new Standby({
+      self: options.self,
+      hash: options.hash,
+      membership: options.membership,
+      running: () => [...this.#open.values()].flatMap((task) => task.describe() ?? []),
+      adopt: (handed) => { this.#takeOver(handed, false) }
+    })
     links.handle('keep', async (finished: Finished[]) => finished.forEach((entry) => this.#keepFinished(entry)))
     links.handle('explain', async (id: RequestId) => this.explainHere(id))
     links.handle('cancel', async ({ id, account }: FollowArgs) => this.#cancelHere(id, account))
@@ -105,6 +119,9 @@
     return task
   }
 
+  /** The daemon that would carry this one's streams on. */
+  get heir () { return this.#standby.heir() }
+
   /** Finds the answer of a request, here or at the daemon that holds it now. */
   find (id: RequestId, account: AccountId): LiveAnswer | undefined {
     const kept = this.#kept.get(id)
@@ -137,19 +154,25 @@
   /** Hands open streams and kept answers to another daemon; returns how many streams moved. */
   async handOver (heir: { id: DaemonId, address: string }): Promise<number> {
     const candidates = [...this.#open.values()].flatMap((task) => {
-      const handed = task.handOver()
+      const handed = task.offer()
       return handed ? [{ task, handed }] : []
     })
     const taken = await this.#offer(heir, candidates.map(({ handed }) => handed))
-    for (const { task } of candidates.filter(({ handed }) => taken.has(handed.id))) {
-      task.letGo()
-      this.#open.delete(task.id)
-      this.#kept.delete(task.id)
+    for (const { task, handed } of candidates) {
+      if (taken.has(handed.id)) this.#letGo(task)
+      else task.keep()
     }
     this.#options.metrics.handedOver.inc(taken.size)
     return taken.size
   }
 
+  #letGo (task: RequestTask): void {
+    task.letGo()
+    this.#open.delete(task.id)
+    this.#kept.delete(task.id)
+    this.#standby.ended(task.id)
+  }
+
   /** Hands finished answers to the heir, so that their callers can still resume and repeat. */
   async handOverFinished (heir: { id: DaemonId, address: string }): Promise<void> {
     const finished: Finished[] = []
@@ -201,8 +224,13 @@
     this.#open.set(task.id, task)
     this.#keep(task.id, { account: task.work.account, answer: task })
     this.#options.metrics.open.set(this.#open.size)
+    task.onAttempt = () => {
+      const handed = task.describe()
+      if (handed) this.#standby.started(handed)
+    }
     task.onFinish = () => {
       this.#open.delete(task.id)
+      if (task.work.model) this.#standby.ended(task.id)
       this.#options.metrics.open.set(this.#open.size)
     }
   }
@@ -237,15 +265,27 @@
   }
 
   #followAway (id: RequestId, account: AccountId): LiveAnswer | undefined {
-    const holder = this.#holderOf(id)
-    if (!holder) return undefined
+    const daemon = daemonOf(id)
+    if (daemon === undefined || daemon === this.#options.self) return undefined
     const answer = new RemoteAnswer(id)
-    const part = (value: unknown) => answer.take(value as AnswerPart)
-    this.#options.membership.links.call(holder, 'follow', { id, account }, { timeoutMs: FOLLOW_TIMEOUT_MS, part })
-      .then((found) => { if (!found) answer.lose('the answer is no longer kept') }, () => answer.lose('the daemon that holds the answer is gone'))
+    this.#mirror(answer, { id, account }, daemon)
     return answer
   }
 
+  /** A daemon that just started may be named by a request before the rumour of it is here, so an unknown one is waited for a little. */
+  async #mirror (answer: RemoteAnswer, args: FollowArgs, daemon: DaemonId): Promise<void> {
+    const { membership } = this.#options
+    for (let waitedMs = 0; membership.core.member(daemon) === undefined && waitedMs < RUMOUR_MS; waitedMs += RUMOUR_POLL_MS) await delay(RUMOUR_POLL_MS)
+    const holder = this.#holderOf(args.id)
+    if (!holder) return answer.lose('nobody holds the answer')
+    try {
+      const found = await membership.links.call(holder, 'follow', args, { timeoutMs: FOLLOW_TIMEOUT_MS, part: (value) => answer.take(value as AnswerPart) })
+      if (!found) answer.lose('the answer is no longer kept')
+    } catch {
+      answer.cut()
+    }
+  }
+
   #serveFollow ({ id, account }: FollowArgs, part: (value: unknown) => void, signal: AbortSignal): Promise<boolean> {
     const kept = this.#kept.get(id)
     if (!kept || kept.account !== account) return Promise.resolve(false)
@@ -274,18 +314,14 @@
     return new Set(taken as RequestId[])
   }
 
-  #takeOver (handed: readonly HandOver[]): RequestId[] {
-    return handed.filter((entry) => this.#takeOne(entry)).map((entry) => entry.id)
-  }
-
-  #takeOne (handed: HandOver): boolean {
+  #takeOver (handed: HandOver, sure: boolean): boolean {
     const cls = this.#options.config.inForce?.config.classes.find(({ name }) => name === handed.className)
     const view = this.#options.ports.table.get(handed.endpoint)
-    if (!cls || !view) return false
+    if (!cls || !view || this.#open.has(handed.id)) return false
     const { id, account, prompt, maxTokens } = handed
     const task = new RequestTask({ id, account, cls, prompt, maxTokens, model: true, claim: undefined }, this.#portsOf(cls), { deadlineInMs: handed.deadlineInMs })
     this.#adopt(task)
-    task.takeOver(handed, view)
+    task.takeOver(handed, view, sure)
     return true
   }
 
--- a/daemon/config_task.ts
+++ b/daemon/config_task.ts
@@ -5,6 +5,7 @@
   type Accepted, type Config, type FieldChange
 } from '../core/config/index.ts'
 import type { DaemonId } from '../core/ids/index.ts'
+import { delay } from '../core/time/index.ts'
 import type { Hash32 } from '../core/routing/index.ts'
 import { isStoreFailure, StoreError, writeSurely, type Marked, type ObjectStore, type StoredObject } from '../store/index.ts'
 import type { AuditTrail } from './audit.ts'
@@ -175,12 +176,12 @@
         if (version === 0 || !this.#watches) version = await this.#read()
         else version = await this.#watch(version)
         this.#options.metrics.revisionSure.set(1)
-        if (!this.#watches) await this.#pause(POLL_MS * (0.75 + this.#options.random() / 2))
+        if (!this.#watches) await delay(POLL_MS * (0.75 + this.#options.random() / 2))
       } catch (err) {
         ignoreStoreErrors(err)
         version = 0
         this.#options.metrics.revisionSure.set(this.sure ? 1 : 0)
-        await this.#pause(RETRY_MS * (1 + this.#options.random()))
+        await delay(RETRY_MS * (1 + this.#options.random()))
       }
     }
   }
@@ -217,10 +218,6 @@
     this.#auditedTo = changes.at(-1)!.toRevision
     this.#options.audit.repair(changes)
   }
-
-  #pause (ms: number): Promise<void> {
-    return new Promise((resolve) => setTimeout(resolve, ms).unref())
-  }
 }
 
 function dataOf (object: StoredObject): Accepted {
--- a/daemon/daemon.ts
+++ b/daemon/daemon.ts
@@ -7,7 +7,7 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
 import xxhash from 'xxhash-wasm'
 import { as, type DaemonId, type EndpointId } from '../core/ids/index.ts'
-import { mayAnswer, type Member } from '../core/membership/index.ts'
+import type { Member } from '../core/membership/index.ts'
 import { PrefixIndex, TargetRouter, type EndpointView, type Hash32, type Random } from '../core/routing/index.ts'
 import { HttpCloud, HttpEngine, HttpService, type Cloud, type ModelEngine, type PlainService } from '../endpoints/index.ts'
 import { BudgetedStore, HttpStore, type ObjectStore, type StoreBudget, type StoreUse } from '../store/index.ts'
@@ -19,13 +19,16 @@
 import { Dispatcher } from './dispatcher.ts'
 import { EndpointTable, SUBSET_SIZE } from './endpoint_table.ts'
 import { HostWatch } from './host_watch.ts'
+import type { Links } from './links.ts'
 import { logOf } from './log.ts'
 import { MembershipTask } from './membership_task.ts'
 import { createMetrics, type Metrics } from './metrics.ts'
 import { operatorsApi } from './operators_api.ts'
+import { PeerLinks } from './peer_links.ts'
 import { Reclaimer } from './reclaimer.ts'
 import type { Settings } from './settings.ts'
 import { classStatuses, statusOf, type ClassStatus, type StatusReport } from './status.ts'
+import { delay } from '../core/time/index.ts'
 
 /** Addresses that a daemon listens on. */
 export interface DaemonAddresses { callers: string, operators: string, peers: string }
@@ -38,6 +41,14 @@
   /** Platform of its own, for tests and demos. Default: HTTP clients of the addresses in the settings. */
   store?: ObjectStore
   cloud?: Cloud
+  /** Connections to other daemons, to endpoints. Default: over the network. */
+  links?: Links
+  engine?: (view: EndpointView) => ModelEngine
+  service?: (view: EndpointView) => PlainService
+  /** Serve callers and operators over HTTP. Default true. */
+  http?: boolean
+  /** Part of the daemon's id that tells its runs apart. Default: random. */
+  run?: string
 }
 
 /** What one daemon may spend on the store; see docs/CAPACITY.md for the fleet's sum. */
@@ -68,6 +79,7 @@
   store: ObjectStore
   cloud: Cloud
   storeFor: (use: StoreUse) => ObjectStore
+  links: Links
   membership: MembershipTask
   audit: AuditTrail
   config: ConfigTask
@@ -91,8 +103,11 @@
   #classes: ClassStatus[] = []
   #statusTimer: NodeJS.Timeout | undefined
 
-  private constructor (parts: Parts) {
+  readonly #http: boolean
+
+  private constructor (parts: Parts, http: boolean) {
     this.#parts = parts
+    this.#http = http
   }
 
   /**
@@ -101,7 +116,7 @@
    */
   static async start (options: DaemonOptions): Promise<Daemon> {
     const { h32 } = await xxhash()
-    const daemon = new Daemon(compose(options, (text) => h32(text)))
+    const daemon = new Daemon(compose(options, (text) => h32(text)), options.http ?? true)
     await daemon.#start()
     return daemon
   }
@@ -115,7 +130,7 @@
   get membership (): MembershipTask { return this.#parts.membership }
   get audit (): AuditTrail { return this.#parts.audit }
   /** True while the balancer should send work. */
-  get ready (): boolean { return this.#draining === undefined && this.#parts.config.inForce !== undefined && this.#parts.table.all.length > 0 }
+  get ready (): boolean { return this.#draining === undefined && this.#parts.membership.joined && this.#parts.config.inForce !== undefined && this.#parts.table.all.length > 0 }
 
   /** Drains and stops; a second call waits for the first. */
   drain (who = 'signal'): Promise<void> {
@@ -133,10 +148,17 @@
   }
 
   async #start (): Promise<void> {
-    const { settings, membership, config, hosts, table } = this.#parts
+    const { membership, config, hosts, table } = this.#parts
     await membership.start()
     config.start()
     await hosts.start()
+    if (this.#http) await this.#serve()
+    this.#statusTimer = setInterval(() => this.#refreshStatus(), STATUS_EVERY_MS).unref()
+    log('started', { id: this.id, ...this.#addresses, endpoints: table.all.length })
+  }
+
+  async #serve (): Promise<void> {
+    const { settings, membership } = this.#parts
     const callers = await this.#listen(callersApi(this.#parts), settings.ports.callers)
     const operators = await this.#listen(operatorsApi({
       ...this.#parts,
@@ -146,8 +168,6 @@
       status: () => this.status()
     }), settings.ports.operators)
     this.#addresses = { callers, operators, peers: `${membership.core.self.address}` }
-    this.#statusTimer = setInterval(() => this.#refreshStatus(), STATUS_EVERY_MS).unref()
-    log('started', { id: this.id, ...this.#addresses, endpoints: table.all.length })
   }
 
   /** What an operator sees. */
@@ -173,15 +193,15 @@
    * can finish finishes; then the rest moves to a peer, and the callers are told to resume.
    */
   async #drain (who: string): Promise<void> {
-    const { membership, settings, audit } = this.#parts
+    const { membership, broker, settings, audit } = this.#parts
     const endsAtMs = Date.now() + settings.drainMs
     log('draining', { who })
     membership.setSelf({ state: 'draining' })
     audit.write({ kind: 'drain', id: randomUUID(), who, atMs: Date.now(), what: { daemon: this.id } })
-    await pause(Math.min(BALANCER_MS, settings.drainMs / 4))
+    await delay(Math.min(BALANCER_MS, settings.drainMs / 4))
     for (const server of this.#servers) server.closeIdleConnections()
     await this.#waitForOpen(endsAtMs - Math.min(HAND_OVER_MS, settings.drainMs / 2))
-    const heir = this.#heir()
+    const { heir } = broker
     if (heir) await this.#handOverTo(heir, endsAtMs)
     await this.#leave(heir)
   }
@@ -191,7 +211,7 @@
     const { broker } = this.#parts
     while (broker.openCount > 0 && Date.now() < endsAtMs) {
       await broker.handOver(heir)
-      await pause(DRAIN_POLL_MS)
+      await delay(DRAIN_POLL_MS)
     }
     await broker.handOverFinished(heir)
   }
@@ -201,7 +221,7 @@
     clearInterval(this.#statusTimer)
     const closing = this.#servers.map(close)
     for (const server of this.#servers) server.closeIdleConnections()
-    await Promise.race([Promise.all(closing), pause(BALANCER_MS)])
+    await Promise.race([Promise.all(closing), delay(BALANCER_MS)])
     for (const server of this.#servers) server.closeAllConnections()
     config.stop()
     hosts.stop()
@@ -210,16 +230,7 @@
   }
 
   async #waitForOpen (untilMs: number): Promise<void> {
-    while (this.#parts.broker.openCount > 0 && Date.now() < untilMs) await pause(DRAIN_POLL_MS)
-  }
-
-  /** A daemon that works, in this failure domain if there is one. */
-  #heir (): Member | undefined {
-    const { membership, self, hash } = this.#parts
-    const others = membership.working.filter((member) => member.id !== self && mayAnswer(member))
-    const near = others.filter((member) => member.failureDomain === membership.core.self.failureDomain)
-    const pick = near.length > 0 ? near : others
-    return pick.sort((a, b) => hash(`${self}/${b.id}`) - hash(`${self}/${a.id}`))[0]
+    while (this.#parts.broker.openCount > 0 && Date.now() < untilMs) await delay(DRAIN_POLL_MS)
   }
 }
 
@@ -228,13 +239,14 @@
   const container = createContainer<Parts>({ injectionMode: InjectionMode.PROXY })
   container.register({
     settings: asValue(settings),
-    self: asValue(as<DaemonId>(`${settings.name}-${randomUUID().slice(0, 8)}`)),
+    self: asValue(as<DaemonId>(`${settings.name}-${options.run ?? randomUUID().slice(0, 8)}`)),
     hash: asValue(hash),
     random: asValue(seededRandom(options.seed ?? Date.now())),
     metrics: asFunction(createMetrics).singleton(),
     store: asFunction(() => options.store ?? new HttpStore({ url: settings.platform.objectApi })).singleton(),
     cloud: asFunction(() => options.cloud ?? new HttpCloud({ url: settings.platform.cloudApi })).singleton(),
     storeFor: asFunction(storeFor).singleton(),
+    links: asFunction(({ self, settings, metrics }: Parts) => options.links ?? new PeerLinks({ self, secret: settings.peerSecret, metrics })).singleton(),
     membership: asFunction((parts: Parts) => new MembershipTask(withStore(parts, 'members'))).singleton(),
     audit: asFunction(({ storeFor }: Parts) => new AuditTrail(storeFor('audit'))).singleton(),
     config: asFunction((parts: Parts) => new ConfigTask(withStore(parts, 'config'))).singleton(),
@@ -244,10 +256,10 @@
     dispatcher: asFunction(({ table, prefixes, random, settings }: Parts) => new Dispatcher({
       table, prefixes, router: new TargetRouter({ random }), failureDomain: as(settings.failureDomain)
     })).singleton(),
-    engine: asFunction(() => perEndpoint((view) => new HttpEngine({ url: view.address }))).singleton(),
-    service: asFunction(() => perEndpoint((view) => new HttpService({ url: view.address }))).singleton(),
-    broker: asFunction(({ self, settings, config, membership, claims, metrics, table, dispatcher, engine, service }: Parts) => new Broker({
-      self, settings, config, membership, claims, metrics, ports: { table, dispatcher, engine, service }
+    engine: asFunction(() => options.engine ?? perEndpoint((view) => new HttpEngine({ url: view.address }))).singleton(),
+    service: asFunction(() => options.service ?? perEndpoint((view) => new HttpService({ url: view.address }))).singleton(),
+    broker: asFunction(({ self, hash, settings, config, membership, claims, metrics, table, dispatcher, engine, service }: Parts) => new Broker({
+      self, hash, settings, config, membership, claims, metrics, ports: { table, dispatcher, engine, service }
     })).singleton(),
     reclaimer: asFunction(({ table, prefixes, metrics, engine, broker, config, random, membership }: Parts) => new Reclaimer({
       table,
@@ -268,8 +280,8 @@
 }
 
 function withStore (parts: Parts, use: StoreUse) {
-  const { self, settings, hash, metrics, random, storeFor } = parts
-  return { self, settings, hash, metrics, random, store: storeFor(use), get audit () { return parts.audit }, get membership () { return parts.membership } }
+  const { self, settings, hash, metrics, random, links, storeFor } = parts
+  return { self, settings, hash, metrics, random, links, store: storeFor(use), get audit () { return parts.audit }, get membership () { return parts.membership } }
 }
 
 function storeFor ({ store, metrics, random }: Parts): (use: StoreUse) => ObjectStore {
@@ -303,7 +315,3 @@
 function close (server: Server): Promise<void> {
   return new Promise((resolve) => { server.close(() => resolve()) })
 }
-
-function pause (ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms))
-}
--- a/daemon/endpoint_table.ts
+++ b/daemon/endpoint_table.ts
@@ -26,6 +26,9 @@
 /** Longer than the list lags, in milliseconds. */
 const TAKE_BACK_MS = 30_000
 
+/** How long a host that is gone is remembered, in milliseconds. */
+const HOST_FORGOTTEN_MS = 600_000
+
 /** Holds a view of each endpoint. Owned by the broker; everybody else sends it signals. */
 export class EndpointTable {
   readonly #options: EndpointTableOptions
@@ -34,8 +37,11 @@
   readonly #failures = new Map<EndpointId, FailureCount>()
   readonly #subsets = new Map<PoolName, EndpointView[]>()
   readonly #goneAt = new Map<EndpointId, number>()
-  /** Notices for hosts that the lagging list does not show yet. */
-  readonly #early = new Map<HostId, number>()
+  /**
+   * When leaving hosts are gone, kept whether the list shows them or not: a list that lags shows a host again after it was missing, and
+   * as a new one it would get work.
+   */
+  readonly #hostGoneAt = new Map<HostId, number>()
   #listeners: LeavingListener[] = []
 
   constructor (options: EndpointTableOptions) {
@@ -74,10 +80,13 @@
    * would get new work again.
    */
   listed (hosts: readonly ListedHost[]): void {
+    // No fleet loses all of its hosts between two lists; a list that was not filled yet would drop every endpoint.
+    if (hosts.length === 0) return
     const seen = new Set(hosts.map((host) => host.endpoint.id))
     for (const host of hosts) if (!this.#views.has(host.endpoint.id)) this.#add(host)
     for (const view of this.all) if (!seen.has(view.id) && view.ownRunning === 0) this.#drop(view)
     this.#subsets.clear()
+    this.#forgetGone()
     for (const host of hosts) if (host.state === 'live') this.#takeBack(host.endpoint.id)
     const leaving = hosts.filter((host) => host.state === 'leaving' && !this.#goneAt.has(host.endpoint.id))
     this.leaving(leaving.map((host) => host.hostId), Date.now() + ASSUMED_NOTICE_MS, 'list')
@@ -88,7 +97,7 @@
     const news: Parameters<LeavingListener>[0] = []
     for (const host of hosts) {
       const id = this.#byHost.get(host)
-      if (id === undefined) this.#early.set(host, goneAtMs)
+      if (id === undefined) this.#hostGoneAt.set(host, goneAtMs)
       else if (this.#isNews(id, goneAtMs, signal)) news.push({ view: this.#markLeaving(id, goneAtMs), goneAtMs, signal })
     }
     if (news.length === 0) return
@@ -107,6 +116,7 @@
     const view = this.#views.get(id)!
     view.leavingAtMs ??= Date.now()
     this.#goneAt.set(id, goneAtMs)
+    this.#hostGoneAt.set(view.hostId, goneAtMs)
     return view
   }
 
@@ -161,8 +171,17 @@
   #takeBack (id: EndpointId): void {
     const goneAtMs = this.#goneAt.get(id)
     if (goneAtMs === undefined || Date.now() < goneAtMs + TAKE_BACK_MS) return
+    const view = this.#views.get(id)!
     this.#goneAt.delete(id)
-    this.#views.get(id)!.leavingAtMs = undefined
+    this.#hostGoneAt.delete(view.hostId)
+    view.leavingAtMs = undefined
+  }
+
+  #forgetGone (): void {
+    const now = Date.now()
+    for (const [host, goneAtMs] of this.#hostGoneAt) {
+      if (now > goneAtMs + HOST_FORGOTTEN_MS && !this.#byHost.has(host)) this.#hostGoneAt.delete(host)
+    }
   }
 
   #add (host: ListedHost): void {
@@ -184,7 +203,7 @@
       reclaimsPerHour: 0
     })
     this.#byHost.set(host.hostId, endpoint.id)
-    const goneAtMs = this.#early.get(host.hostId)
+    const goneAtMs = this.#hostGoneAt.get(host.hostId)
     if (goneAtMs !== undefined) this.#markLeaving(endpoint.id, goneAtMs)
   }
 
@@ -193,6 +212,5 @@
     this.#byHost.delete(view.hostId)
     this.#failures.delete(view.id)
     this.#goneAt.delete(view.id)
-    this.#early.delete(view.hostId)
   }
 }
--- a/daemon/host_watch.ts
+++ b/daemon/host_watch.ts
@@ -4,6 +4,7 @@
 import type { EndpointTable } from './endpoint_table.ts'
 import { logOf } from './log.ts'
 import type { MembershipTask } from './membership_task.ts'
+import { delay } from '../core/time/index.ts'
 
 /** Options of {@linkcode HostWatch}. */
 export interface HostWatchOptions {
@@ -56,7 +57,7 @@
   async #followList (): Promise<void> {
     const everyMs = this.#options.listEveryMs ?? LIST_EVERY_MS
     while (!this.#stopped) {
-      await pause(everyMs * (0.75 + this.#options.random() / 2))
+      await delay(everyMs * (0.75 + this.#options.random() / 2))
       await this.#list()
     }
   }
@@ -80,7 +81,7 @@
         }
       } catch (err) {
         if (!(err instanceof CloudError)) throw err
-        await pause(RETRY_MS * (1 + this.#options.random()))
+        await delay(RETRY_MS * (1 + this.#options.random()))
       }
     }
   }
@@ -93,7 +94,3 @@
 
 /** Later than any time that a notice names. */
 const LATEST_MS = 2 ** 43
-
-function pause (ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms).unref())
-}
--- /dev/null
+++ b/daemon/links.ts
@@ -0,0 +1,52 @@
+/** What daemons need of the connections between them, whatever carries them. */
+import type { DaemonId } from '../core/ids/index.ts'
+import type { Gossip } from '../core/membership/index.ts'
+
+/** Answers a call; may send parts before it returns. `signal` aborts when the asking daemon is gone. */
+export type PeerMethod = (args: never, context: { from: DaemonId, part: (value: unknown) => void, signal: AbortSignal }) => Promise<unknown>
+
+/** Options of a call. */
+export interface CallOptions {
+  /** Default 3,000. */
+  timeoutMs?: number
+  /** Receives the parts of an answer that comes in parts. */
+  part?: (value: unknown) => void
+}
+
+/** What happens on the links; set by their owner before it listens. */
+export interface LinkEvents {
+  onGossip (from: DaemonId, gossip: Gossip): void
+  onLink (to: DaemonId): void
+}
+
+/** Connections of one daemon to others. */
+export interface Links {
+  /** Says who takes gossip and new links. */
+  bind (events: LinkEvents): void
+  /** Registers the answer to a method. */
+  handle (method: string, answer: PeerMethod): void
+  /** Listens; returns the address that other daemons dial. */
+  listen (host: string, port: number): Promise<string>
+  /** Keeps links to these addresses; others are closed when idle. */
+  keep (addresses: readonly string[]): void
+  /** Dials the kept links that broke and closes the idle ones. */
+  tend (now: number): void
+  /** Sends gossip if there is a link. */
+  gossip (to: DaemonId, gossip: Gossip): void
+  /** Asks another daemon. Throws {@linkcode PeerError}. */
+  call (to: { id: DaemonId, address: string }, method: string, args: unknown, options?: CallOptions): Promise<unknown>
+  /** Closes everything. */
+  close (): Promise<void>
+}
+
+/** A daemon could not be asked or did not answer. */
+export class PeerError extends Error {
+  override name = 'PeerError'
+  /** True when the call never left this daemon. */
+  readonly notSent: boolean
+
+  constructor (what: string, options: { notSent: boolean, cause?: unknown }) {
+    super(what, { cause: options.cause })
+    this.notSent = options.notSent
+  }
+}
--- a/daemon/live_answer.ts
+++ b/daemon/live_answer.ts
@@ -70,6 +70,13 @@
     this.#listeners.notify()
   }
 
+  /** The holder cannot be reached: the caller asks again, and by then its heir may hold the answer. */
+  cut (): void {
+    if (this.final) return
+    this.movedAway = true
+    this.#listeners.notify()
+  }
+
   /** The holder is gone and nobody carries the answer on. */
   lose (reason: string): void {
     this.final ??= { outcome: 'unknown', reason, retryAfterMs: undefined }
--- a/daemon/membership_task.ts
+++ b/daemon/membership_task.ts
@@ -2,10 +2,11 @@
 import type { DaemonId } from '../core/ids/index.ts'
 import { HEARTBEAT_MS, Membership, mayAnswer, takesWork, type Fact, type Member, type MembershipEffect } from '../core/membership/index.ts'
 import type { Hash32 } from '../core/routing/index.ts'
+import { delay } from '../core/time/index.ts'
 import { isStoreFailure, StoreError, type ObjectStore } from '../store/index.ts'
+import type { Links } from './links.ts'
 import { logOf } from './log.ts'
 import type { Metrics } from './metrics.ts'
-import { PeerLinks } from './peer_links.ts'
 import type { Settings } from './settings.ts'
 
 /** Options of {@linkcode MembershipTask}. */
@@ -13,6 +14,7 @@
   self: DaemonId
   settings: Settings
   store: ObjectStore
+  links: Links
   hash: Hash32
   metrics: Metrics
   random: () => number
@@ -25,6 +27,7 @@
 /** A registration this old belongs to a daemon that is gone. */
 const REGISTRATION_KEPT_MS = 3 * REGISTER_EVERY_MS
 const JOIN_RETRY_MS = 2000
+const FAREWELL_MS = 300
 const log = logOf('membership')
 
 /** Where a daemon can be found, as it wrote to the store. */
@@ -32,20 +35,20 @@
 
 /** Owns this daemon's view of the others. */
 export class MembershipTask {
-  readonly links: PeerLinks
+  readonly links: Links
   readonly #options: MembershipTaskOptions
   readonly #factListeners: FactListener[] = []
+  readonly #memberListeners: Array<(member: Member) => void> = []
   #core: Membership | undefined
   #timers: NodeJS.Timeout[] = []
   #registeredVersion = 0
   #joined = false
+  #alone = false
 
   constructor (options: MembershipTaskOptions) {
     this.#options = options
-    this.links = new PeerLinks({
-      self: options.self,
-      secret: options.settings.peerSecret,
-      metrics: options.metrics,
+    this.links = options.links
+    this.links.bind({
       onGossip: (from, gossip) => {
         this.#joined = true
         this.#run(this.core.receive(from, gossip, Date.now()))
@@ -60,6 +63,9 @@
     return this.#core
   }
 
+  /** True once another daemon was heard, or none was found: before that the others cannot find this one's answers. */
+  get joined (): boolean { return this.#joined || this.#alone }
+
   /** Daemons that take new work, this one included unless it drains. */
   get working (): Member[] { return this.core.members.filter(takesWork) }
 
@@ -78,6 +84,11 @@
     this.#factListeners.push(listener)
   }
 
+  /** Registers a listener for each change of another daemon's record. */
+  onMember (listener: (member: Member) => void): void {
+    this.#memberListeners.push(listener)
+  }
+
   /** Tells all daemons a fact. */
   tell (fact: Fact): void {
     this.#run(this.core.setFact(fact, Date.now()))
@@ -95,10 +106,15 @@
     return member && mayAnswer(member) ? member : undefined
   }
 
-  /** Says that this daemon left and who holds its answers, then closes. */
+  /**
+   * Says that this daemon left and who holds its answers, then closes.
+   *
+   * Closing at once would cut the links with the word still in them: the others would take the daemon for crashed, and callers would wait
+   * for seconds until its heir is asked.
+   */
   async leave (heir: DaemonId | undefined): Promise<void> {
     this.setSelf({ state: 'left', heir })
-    await this.#unregister()
+    await Promise.all([this.#unregister(), delay(FAREWELL_MS)])
     await this.stop()
   }
 
@@ -123,15 +139,21 @@
       if (effect.type === 'send') this.links.gossip(effect.to, effect.gossip)
       else if (effect.type === 'links') this.links.keep(effect.dial.map((member) => member.address))
       else if (effect.type === 'fact') this.#factListeners.forEach((listener) => listener(effect.fact, effect.from))
-      else if (effect.member.id !== this.#options.self) log('member', { id: effect.member.id, state: effect.member.state })
+      else if (effect.member.id !== this.#options.self) this.#memberChanged(effect.member)
     }
   }
 
+  #memberChanged (member: Member): void {
+    log('member', { id: member.id, state: member.state })
+    for (const listener of this.#memberListeners) listener(member)
+  }
+
   /** Finds the others through settings and the store; during an outage of the store the settings alone must do. */
   async #join (): Promise<void> {
     const addresses = [...this.#options.settings.seeds, ...await this.#registered()]
     const own = this.core.self.address
     const others = addresses.filter((address) => address !== own)
+    this.#alone = others.length === 0
     shuffle(others, this.#options.random)
     this.links.keep(others.slice(0, 3))
     setTimeout(() => { if (!this.#joined && this.#timers.length > 0) this.#join() }, JOIN_RETRY_MS)
--- a/daemon/peer_links.ts
+++ b/daemon/peer_links.ts
@@ -1,9 +1,11 @@
 /** Connections between daemons: gossip to neighbours, calls to any daemon, answers in parts. */
+import { setMaxListeners } from 'node:events'
 import { Packr } from 'msgpackr'
 import { WebSocket, WebSocketServer } from 'ws'
 import type { AddressInfo } from 'node:net'
 import type { DaemonId } from '../core/ids/index.ts'
 import type { Gossip } from '../core/membership/index.ts'
+import { PeerError, type CallOptions, type LinkEvents, type Links, type PeerMethod } from './links.ts'
 import { logOf } from './log.ts'
 import type { Metrics } from './metrics.ts'
 
@@ -16,40 +18,24 @@
   | { kind: 'reply', call: number, value: unknown }
   | { kind: 'fail', call: number, error: string }
 
-/** Answers a call; may send parts before it returns. `signal` aborts when the asking daemon is gone. */
-export type PeerMethod = (args: never, context: { from: DaemonId, part: (value: unknown) => void, signal: AbortSignal }) => Promise<unknown>
-
 /** Options of {@linkcode PeerLinks}. */
 export interface PeerLinksOptions {
   self: DaemonId
   secret: string
   metrics: Metrics
-  onGossip (from: DaemonId, gossip: Gossip): void
-  onLink (to: DaemonId): void
 }
 
-/** A daemon could not be asked or did not answer. */
-export class PeerError extends Error {
-  override name = 'PeerError'
-  /** True when the call never left this daemon. */
-  readonly notSent: boolean
-
-  constructor (what: string, options: { notSent: boolean, cause?: unknown }) {
-    super(what, { cause: options.cause })
-    this.notSent = options.notSent
-  }
-}
-
-interface Link { socket: WebSocket, peer: DaemonId | undefined, address: string | undefined, usedAtMs: number, abort: AbortController }
+interface Link { socket: WebSocket, peer: DaemonId | undefined, address: string | undefined, usedAtMs: number, heardAtMs: number, abort: AbortController }
 interface Waiting { resolve (value: unknown): void, reject (err: Error): void, part: ((value: unknown) => void) | undefined, link: Link }
 
 const CONNECT_TIMEOUT_MS = 1500
 const IDLE_CLOSE_MS = 60_000
 const CALL_TIMEOUT_MS = 3000
+const SILENCE_MS = 5000
 const log = logOf('peers')
 
 /** Owns the sockets to and from other daemons. */
-export class PeerLinks {
+export class PeerLinks implements Links {
   readonly #options: PeerLinksOptions
   readonly #packr = new Packr({ useRecords: false })
   readonly #links = new Map<DaemonId, Link>()
@@ -60,17 +46,20 @@
   #keep = new Set<string>()
   #calls = 0
   #closed = false
+  #events: LinkEvents = { onGossip () {}, onLink () {} }
 
   constructor (options: PeerLinksOptions) {
     this.#options = options
   }
 
-  /** Registers the answer to a method. */
+  bind (events: LinkEvents): void {
+    this.#events = events
+  }
+
   handle (method: string, answer: PeerMethod): void {
     this.#methods.set(method, answer)
   }
 
-  /** Listens; returns the address that other daemons dial. */
   async listen (host: string, port: number): Promise<string> {
     const server = new WebSocketServer({ host, port, perMessageDeflate: false })
     this.#server = server
@@ -79,34 +68,41 @@
     return `${host}:${(server.address() as AddressInfo).port}`
   }
 
-  /** Keeps links to these addresses; others are closed when idle. */
   keep (addresses: readonly string[]): void {
     this.#keep = new Set(addresses)
     for (const address of addresses) this.#dial(address).catch(() => {})
   }
 
-  /** Dials the kept links that broke and closes the idle ones. */
   tend (now: number): void {
     for (const address of this.#keep) this.#dial(address).catch(() => {})
     for (const link of this.#links.values()) {
+      this.#checkSilence(link, now)
       const kept = link.address === undefined || this.#keep.has(link.address)
       if (!kept && now - link.usedAtMs > IDLE_CLOSE_MS) link.socket.close()
     }
   }
 
-  /** Sends gossip if there is a link. */
+  /**
+   * A parted network closes no connection: a call over it would wait for its whole timeout, minutes for a followed answer, and its caller
+   * with it. Pings on links with open calls make the silence show within seconds.
+   */
+  #checkSilence (link: Link, now: number): void {
+    const waitedFor = [...this.#waiting.values()].some((waiting) => waiting.link === link)
+    if (!waitedFor) return
+    if (now - link.heardAtMs > SILENCE_MS) link.socket.terminate()
+    else link.socket.ping()
+  }
+
   gossip (to: DaemonId, gossip: Gossip): void {
     const link = this.#links.get(to)
     if (link) this.#send(link, { kind: 'gossip', gossip })
   }
 
-  /**
-   * Asks another daemon.
-   * @throws {PeerError} When it cannot be reached, fails, or does not answer in time.
-   */
-  async call (to: { id: DaemonId, address: string }, method: string, args: unknown, options: { timeoutMs?: number, part?: (value: unknown) => void } = {}): Promise<unknown> {
+  async call (to: { id: DaemonId, address: string }, method: string, args: unknown, options: CallOptions = {}): Promise<unknown> {
     const link = this.#links.get(to.id) ?? await this.#dial(to.address)
     link.usedAtMs = Date.now()
+    // The silence counts from now: a link that nobody used has every right to be silent.
+    link.heardAtMs = Date.now()
     const call = ++this.#calls
     return await new Promise((resolve, reject) => {
       const timer = setTimeout(() => this.#settle(call, (waiting) => waiting.reject(new PeerError(`Cannot ask ${to.id}: no answer`, { notSent: false }))), options.timeoutMs ?? CALL_TIMEOUT_MS)
@@ -121,7 +117,6 @@
     })
   }
 
-  /** Closes everything. */
   async close (): Promise<void> {
     this.#closed = true
     for (const link of this.#links.values()) link.socket.terminate()
@@ -155,10 +150,14 @@
   }
 
   #adopt (socket: WebSocket, address: string | undefined, ready?: (link: Link) => void): void {
-    const link: Link = { socket, peer: undefined, address, usedAtMs: Date.now(), abort: new AbortController() }
+    const abort = new AbortController()
+    setMaxListeners(0, abort.signal)
+    const link: Link = { socket, peer: undefined, address, usedAtMs: Date.now(), heardAtMs: Date.now(), abort }
     socket.on('error', () => socket.terminate())
     socket.on('close', () => this.#drop(link))
+    socket.on('pong', () => { link.heardAtMs = Date.now() })
     socket.on('message', (data: Buffer) => {
+      link.heardAtMs = Date.now()
       this.#options.metrics.peerBytes.inc({ direction: 'in' }, data.length)
       const msg = this.#packr.unpack(data) as PeerMessage
       if (msg.kind === 'hello') this.#greeted(link, msg, ready)
@@ -175,7 +174,7 @@
     link.peer = msg.id
     this.#links.set(msg.id, link)
     ready?.(link)
-    this.#options.onLink(msg.id)
+    this.#events.onLink(msg.id)
   }
 
   #drop (link: Link): void {
@@ -189,7 +188,7 @@
   #receive (link: Link, from: DaemonId, msg: PeerMessage): void {
     link.usedAtMs = Date.now()
     switch (msg.kind) {
-      case 'gossip': return this.#options.onGossip(from, msg.gossip)
+      case 'gossip': return this.#events.onGossip(from, msg.gossip)
       case 'call': { this.#answer(link, from, msg); return }
       case 'part': return this.#waiting.get(msg.call)?.part?.(msg.value)
       case 'reply': return this.#settle(msg.call, (waiting) => waiting.resolve(msg.value))
--- /dev/null
+++ b/daemon/peer_links_test.ts
@@ -0,0 +1,67 @@
+import { afterEach, expect, test } from 'vitest'
+import { Packr } from 'msgpackr'
+import { WebSocket, WebSocketServer } from 'ws'
+import type { AddressInfo } from 'node:net'
+import { as, type DaemonId } from '../core/ids/index.ts'
+import { createMetrics } from './metrics.ts'
+import { PeerLinks } from './peer_links.ts'
+
+const SECRET = 'shared-secret'
+const open: Array<{ close (): Promise<void> | void }> = []
+
+afterEach(async () => { for (const each of open.splice(0)) await each.close() })
+
+async function start (name: string, secret = SECRET) {
+  const metrics = createMetrics()
+  const id = as<DaemonId>(name)
+  const links = new PeerLinks({ self: id, secret, metrics })
+  open.push(links)
+  return { id, links, metrics, address: await links.listen('127.0.0.1', 0) }
+}
+
+test('a call is answered in parts and then whole', async () => {
+  const [a, b] = [await start('a'), await start('b')]
+  b.links.handle('count', async (to: number, { part }) => {
+    for (let i = 1; i <= to; i++) part(i)
+    return 'done'
+  })
+  const parts: unknown[] = []
+  expect(await a.links.call(b, 'count', 3, { part: (value) => parts.push(value) })).toBe('done')
+  expect(parts).toEqual([1, 2, 3])
+})
+
+test('a daemon with another secret is not answered', async () => {
+  const [a, b] = [await start('a'), await start('b', 'another-secret')]
+  b.links.handle('anything', async () => 'secret')
+  await expect(a.links.call(b, 'anything', null)).rejects.toThrow('Cannot connect')
+})
+
+test('a message of a kind that this version does not know is counted and ignored', async () => {
+  // During a replacement of daemons, newer ones send what older ones have never heard of; an older one that broke on it would leave.
+  const a = await start('a')
+  const packr = new Packr({ useRecords: false })
+  const newer = new WebSocket(`ws://${a.address}`)
+  await new Promise((resolve) => newer.once('open', resolve))
+  for (const msg of [{ kind: 'hello', id: 'newer', secret: SECRET }, { kind: 'from-the-future' }]) newer.send(packr.pack(msg))
+  newer.send(packr.pack({ kind: 'call', call: 1, method: 'none', args: null }))
+  const answer = await new Promise<Buffer>((resolve) => newer.on('message', (data: Buffer) => { if ((packr.unpack(data) as { kind: string }).kind === 'fail') resolve(data) }))
+  expect(packr.unpack(answer)).toMatchObject({ kind: 'fail', call: 1 })
+  expect((await a.metrics.peerUnknown.get()).values[0]!.value).toBe(1)
+  newer.terminate()
+})
+
+test('an open call over a link gone silent is given up within seconds', async () => {
+  // A caller follows its answer through another daemon and waits for ever: the network parted, and no connection was closed.
+  const a = await start('a')
+  const silent = new WebSocketServer({ host: '127.0.0.1', port: 0, autoPong: false })
+  await new Promise((resolve) => silent.once('listening', resolve))
+  open.push({ close: () => { silent.clients.forEach((socket) => socket.terminate()); silent.close() } })
+  silent.on('connection', (socket) => socket.send(new Packr({ useRecords: false }).pack({ kind: 'hello', id: 'b', secret: SECRET })))
+  const address = `127.0.0.1:${(silent.address() as AddressInfo).port}`
+  const call = a.links.call({ id: as<DaemonId>('b'), address }, 'follow', null, { timeoutMs: 600_000 })
+  call.catch(() => {})
+  let heard = 0
+  await new Promise<void>((resolve) => silent.once('connection', (socket) => socket.on('message', () => { if (++heard === 2) resolve() })))
+  a.links.tend(Date.now() + 6000)
+  await expect(call).rejects.toThrow('connection lost')
+})
--- a/daemon/request_task.ts
+++ b/daemon/request_task.ts
@@ -55,6 +55,8 @@
 export interface Decision { atMs: number, text: string }
 
 const CALL_CUT_MS = 250
+/** Longer than it takes to be sure that a daemon is gone, in milliseconds. */
+const STREAM_KEPT_MS = 30_000
 const PRIORITY_URGENT = 10
 const PRIORITY_OTHER = 1
 
@@ -70,6 +72,8 @@
   kvHandle: string | undefined
   /** Called once, when the final word is known. */
   onFinish: () => void = () => {}
+  /** Called after each attempt of a stream began. */
+  onAttempt: () => void = () => {}
   /** True while its KV cache is on its way; a new plan leaves it alone. */
   exporting = false
   readonly #ports: RequestPorts
@@ -82,6 +86,8 @@
   #placement: Placement | undefined
   #loadReported = false
   #firstTokenAtMs: number | undefined
+  /** True until the engine gave a word of a stream whose daemon is gone: then it may not be computed again. */
+  #onlyResume = false
 
   constructor (work: Work, ports: RequestPorts, options: { deadlineInMs?: number } = {}) {
     this.work = work
@@ -129,8 +135,8 @@
     this.decisions.push({ atMs: Date.now(), text })
   }
 
-  /** Describes the running stream for another daemon; undefined when it cannot be handed over. */
-  handOver (): HandOver | undefined {
+  /** Describes the running stream for another daemon; undefined when there is none that could be carried on. */
+  describe (): HandOver | undefined {
     const { work } = this
     const { phase, endpoint, attempt, traits } = this.#state
     if (phase !== 'running' || endpoint === undefined || !work.model || this.exporting) return undefined
@@ -140,16 +146,35 @@
       className: work.cls.name,
       prompt: work.prompt,
       maxTokens: work.maxTokens,
-      tokens: this.answer.tokens,
+      tokens: [...this.answer.tokens],
       attempt,
       endpoint,
       deadlineInMs: traits.deadlineAtMs - Date.now()
     }
   }
 
+  /**
+   * Stops reading the stream and describes it, for another daemon to carry on.
+   *
+   * Nothing more may reach the callers from here: if the other daemon had to compute the answer again from a point that callers are
+   * already past, they would be given a torn one.
+   */
+  offer (): HandOver | undefined {
+    const handed = this.describe()
+    if (handed) this.#attachment?.detach()
+    return handed
+  }
+
+  /** The other daemon did not take the stream: reads it again here. */
+  keep (): void {
+    const { endpoint, attempt } = this.#state
+    const view = endpoint === undefined ? undefined : this.#ports.table.get(endpoint)
+    if (this.#state.phase !== 'running' || !view) return
+    this.#attachment = this.#ports.engine(view).resume(this.#streamId(attempt), this.answer.length, this.#sink(view.id, attempt))
+  }
+
   /** Another daemon took the stream over: let go of it here, without stopping it. */
   letGo (): void {
-    this.#attachment?.detach()
     clearTimeout(this.#deadlineTimer)
     this.#ports.table.ended(this.#state.endpoint!, false)
     this.movedAway = true
@@ -157,8 +182,12 @@
     this.#listeners.notify()
   }
 
-  /** Carries on a stream that another daemon handed over. */
-  takeOver (handed: HandOver, view: EndpointView): void {
+  /**
+   * Carries on another daemon's stream. `sure` when it handed the stream over and let go; false when it is gone, and its callers may have
+   * read further than its last word here.
+   */
+  takeOver (handed: HandOver, view: EndpointView, sure: boolean): void {
+    this.#onlyResume = !sure
     this.#state = { ...this.#state, phase: 'running', attempt: handed.attempt, endpoint: handed.endpoint, mayHaveRun: true }
     this.answer.replaceAttempt(handed.attempt)
     this.answer.add({ attempt: handed.attempt, offset: 0, tokens: handed.tokens })
@@ -225,6 +254,7 @@
     this.note(`attempt ${attempt} on ${endpoint}: ${mode} from token ${this.answer.length}`)
     if (this.work.model) this.#startStream(view, attempt, mode)
     else this.#startCall(view, attempt)
+    this.onAttempt()
     this.#listeners.notify()
   }
 
@@ -236,6 +266,7 @@
       prompt: this.work.prompt,
       done: [...this.answer.tokens],
       maxTokens: this.work.maxTokens,
+      keepMs: STREAM_KEPT_MS,
       priority: isUrgent(this.work.cls) ? PRIORITY_URGENT : PRIORITY_OTHER,
       ...(kvHandle !== undefined && { kvHandle })
     }, this.#sink(view.id, attempt))
@@ -253,6 +284,7 @@
   #sink (endpoint: EndpointId, attempt: number): StreamSink {
     return {
       onChunk: (offset, tokens) => {
+        this.#onlyResume = false
         this.#ports.metrics.chunks.inc({ verdict: this.answer.add({ attempt, offset, tokens }) })
         this.#firstToken()
         this.#listeners.notify()
@@ -286,7 +318,7 @@
     const view = table.get(endpoint)
     if (err.point === 'endpoint-leaving' && view) table.leaving([view.hostId], Date.now() + ASSUMED_NOTICE_MS, 'refusal')
     // Leaving an endpoint that is gone is no storm; everything else is paid for out of the class's retry budget.
-    const retryGranted = table.isGone(endpoint) || budget.spend()
+    const retryGranted = !this.#onlyResume && (table.isGone(endpoint) || budget.spend())
     if (!retryGranted) metrics.retriesDenied.inc({ class: this.work.cls.name })
     table.failed(endpoint)
     table.ended(endpoint, false)
--- a/daemon/shard_log.ts
+++ b/daemon/shard_log.ts
@@ -5,6 +5,7 @@
   type Claim, type ClaimResult, type KeyHash, type Segment, type ShardHead
 } from '../core/once/index.ts'
 import { isStoreFailure, StoreError, writeSurely, type Marked, type ObjectStore } from '../store/index.ts'
+import { delay } from '../core/time/index.ts'
 
 /** Options of {@linkcode ShardLog}. */
 export interface ShardLogOptions {
@@ -241,7 +242,3 @@
   }
   return [...first.values()]
 }
-
-function delay (ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms))
-}
--- a/demo/demo.ts
+++ b/demo/demo.ts
@@ -5,6 +5,7 @@
 import { call, type Balancer, type CallerRequest, type CallerResult } from './caller.ts'
 import { adunniLevy, kingstonParish, type Deployment, type WorkKind } from './deployments.ts'
 import { demoCredential, startPlatform, type Platform } from './platform.ts'
+import { delay } from '../core/time/index.ts'
 
 /** Totals of a session. */
 export interface DemoTotals {
@@ -55,7 +56,7 @@
   const progress = setInterval(() => print(`  ${done} of ${count} requests finished`), 2000)
   await Promise.all(Array.from({ length: count }, async (_, i) => {
     const { req, kind } = makeRequest(deployment, random, i)
-    await pause(i * ARRIVAL_MS / count)
+    await delay(i * ARRIVAL_MS / count)
     const result = await call(req, balancer.pick, platform.ledger)
     results.set(kind.className, [...results.get(kind.className) ?? [], result])
     done++
@@ -72,12 +73,12 @@
 /** Half way, a whole failure domain gets its notice, and a daemon is drained while the wave runs. */
 async function injectFaults ({ cloud, daemons, deployment }: Platform, options: DemoOptions): Promise<void> {
   const noticeMs = options.noticeMs ?? 2000
-  await pause(ARRIVAL_MS / 2)
+  await delay(ARRIVAL_MS / 2)
   const domain = deployment.domains[0]!
   const hosts = cloud.hostsIn(domain)
   options.print(`  ${domain}: all ${hosts.length} hosts reclaimed with ${noticeMs / 1000} s of notice`)
   cloud.reclaim(hosts, noticeMs)
-  await pause(1000)
+  await delay(1000)
   options.print(`  ${daemons[1]!.id}: draining`)
   await daemons[1]!.drain('demo')
   options.print(`  ${daemons[1]!.id}: left`)
@@ -154,7 +155,3 @@
   const sorted = [...values].sort((a, b) => a - b)
   return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * q))] ?? 0
 }
-
-function pause (ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms))
-}
--- a/endpoints/model_engine.ts
+++ b/endpoints/model_engine.ts
@@ -12,6 +12,8 @@
   maxTokens: number
   /** Higher goes first. */
   priority: number
+  /** Milliseconds that the engine keeps the stream when nobody reads it, so that another daemon can resume it. */
+  keepMs: number
   /** Imported KV cache to continue from. */
   kvHandle?: string
 }
--- a/standins/engine.ts
+++ b/standins/engine.ts
@@ -41,8 +41,6 @@
 /** KV cache of a stream while it is moved. */
 interface Import { work: string, kvTokens: number }
 
-const DETACHED_KEPT_MS = 10_000
-
 /** One engine. */
 export class StandInEngine implements ModelEngine {
   readonly faults: EngineFaults = { refuse: false, ignoreCancel: false, failExports: 0, doubleChunks: 0, ignoreFencing: false }
@@ -56,6 +54,7 @@
   #stepTimer: NodeJS.Timeout | undefined
   #dead = false
   #order: EngineOrder | undefined
+  #refusedAtMs: number[] = []
 
   constructor (options: StandInEngineOptions) {
     this.#options = options
@@ -64,6 +63,8 @@
 
   /** Streams the engine holds. */
   get running (): number { return this.#streams.size }
+  /** When new streams were refused because the host is leaving, in milliseconds since the epoch. */
+  get refusedAtMs (): readonly number[] { return this.#refusedAtMs }
   /** False once the host is gone. */
   get alive (): boolean { return !this.#dead }
 
@@ -87,6 +88,7 @@
       queueMicrotask(() => sink.onError(new AttemptError('Cannot resume stream: it is not here', { point })))
       return { detach () {} }
     }
+    stream.sink?.onError(new AttemptError('Cannot read stream: another reader resumed it', { point: 'reset-after-send' }))
     stream.sink = sink
     stream.sent = from
     this.#send(stream)
@@ -140,7 +142,10 @@
 
   #refusal (spec: StreamSpec): AttemptError | undefined {
     if (this.#dead) return new AttemptError('Cannot start stream: connection refused', { point: 'connect-refused' })
-    if (this.faults.refuse) return new AttemptError('Cannot start stream: host is leaving', { point: 'endpoint-leaving' })
+    if (this.faults.refuse) {
+      this.#refusedAtMs.push(Date.now())
+      return new AttemptError('Cannot start stream: host is leaving', { point: 'endpoint-leaving' })
+    }
     if (spec.kvHandle !== undefined && !this.#imports.has(spec.kvHandle)) {
       return new AttemptError('Cannot start stream: no such KV cache', { point: 'endpoint-said-not-run' })
     }
@@ -244,7 +249,7 @@
       detach: () => {
         if (stream.sink !== sink) return
         stream.sink = undefined
-        setTimeout(() => { if (!stream.sink) this.#streams.delete(stream.spec.streamId) }, DETACHED_KEPT_MS).unref?.()
+        setTimeout(() => { if (!stream.sink) this.#streams.delete(stream.spec.streamId) }, stream.spec.keepMs).unref?.()
       }
     }
   }
--- a/standins/object_store.ts
+++ b/standins/object_store.ts
@@ -1,5 +1,5 @@
 /** Stand-in for the platform's object API, in memory, with fault switches. */
-import { setTimeout as sleep } from 'node:timers/promises'
+import { delay } from '../core/time/index.ts'
 import { StoreError, type Changes, type ObjectStore, type StoredObject } from '../store/index.ts'
 
 /** Faults, all off at first. */
@@ -76,7 +76,7 @@
 
   async #enter (kind: 'reads' | 'writes' | 'watches'): Promise<void> {
     this.calls[kind]++
-    if (this.faults.slowMs > 0) await sleep(this.faults.slowMs)
+    if (this.faults.slowMs > 0) await delay(this.faults.slowMs)
     if (!this.faults.down) return
     this.calls.refused++
     throw new StoreError('Cannot reach store: it is down', { failure: 'not-applied' })
--- a/store/budgeted_store.ts
+++ b/store/budgeted_store.ts
@@ -1,5 +1,5 @@
 /** Keeps every use of the store within its own rate, and counts what it spends. */
-import { setTimeout as sleep } from 'node:timers/promises'
+import { delay } from '../core/time/index.ts'
 import { StoreError, type Changes, type ObjectStore, type StoredObject } from './object_store.ts'
 
 /** What a call to the store is for. */
@@ -102,6 +102,6 @@
     this.#filledAtMs = now
     const budgetWaitMs = this.#tokens < 0 ? -this.#tokens * 1000 / perS : 0
     const waitMs = Math.max(budgetWaitMs, this.#notBeforeMs - now)
-    if (waitMs > 0) await sleep(waitMs)
+    if (waitMs > 0) await delay(waitMs)
   }
 }
