--- a/core/membership/membership.ts
+++ b/core/membership/membership.ts
@@ -67,6 +67,8 @@
   #successors: DaemonId[] = []
   #predecessors: DaemonId[] = []
   #ticks = 0
+  /** Grows whenever a daemon comes or goes: only then can the neighbours change. */
+  #alive = 0
   /** What this daemon says of itself, whatever others say. */
   #ownState: MemberState = 'up'
 
@@ -125,12 +127,13 @@
   receive (from: DaemonId, gossip: Gossip, now: number): MembershipEffect[] {
     this.#detectors.get(from)?.heard(now)
     const effects: MembershipEffect[] = []
+    const before = this.#alive
     const members = gossip.members.filter((member) => this.#learn(member, now))
     const facts = gossip.facts.filter((fact) => this.#learnFact(fact, now))
     for (const fact of facts) effects.push({ type: 'fact', fact, from })
     for (const member of members) effects.push({ type: 'member', member })
     const refuted = this.#refute(now)
-    if (members.length > 0) effects.push(...this.#relink(now))
+    if (this.#alive !== before) effects.push(...this.#relink(now))
     if (members.length + facts.length > 0) effects.push(...this.#tell({ members, facts }, from))
     effects.push(...refuted)
     if (gossip.digest !== undefined && gossip.digest !== this.digest()) effects.push({ type: 'send', to: from, gossip: this.table() })
@@ -154,6 +157,7 @@
     const known = this.#members.get(member.id)
     if (!replaces(member, known?.member)) return false
     if (!known && (member.state === 'left' || member.state === 'gone') && member.heir === undefined) return false
+    if (mayAnswer(member) !== (known !== undefined && mayAnswer(known.member))) this.#alive++
     this.#members.set(member.id, { member, sinceMs: now })
     return true
   }
--- a/daemon/config_task.ts
+++ b/daemon/config_task.ts
@@ -170,16 +170,16 @@
   }
 
   async #follow (): Promise<void> {
-    let version = 0
+    let seen: number | undefined
     while (!this.#stopped) {
       try {
-        if (version === 0 || !this.#watches) version = await this.#read()
-        else version = await this.#watch(version)
+        // Before the first configuration there is nothing to read: a loop that only read would spend the budget on nothing.
+        seen = seen !== undefined && this.#watches ? await this.#watch(seen) : await this.#read()
         this.#options.metrics.revisionSure.set(1)
         if (!this.#watches) await delay(POLL_MS * (0.75 + this.#options.random() / 2))
       } catch (err) {
         ignoreStoreErrors(err)
-        version = 0
+        seen = undefined
         this.#options.metrics.revisionSure.set(this.sure ? 1 : 0)
         await delay(RETRY_MS * (1 + this.#options.random()))
       }
--- a/daemon/membership_task.ts
+++ b/daemon/membership_task.ts
@@ -1,6 +1,6 @@
 /** Runs the core's membership over the links between daemons. */
 import type { DaemonId } from '../core/ids/index.ts'
-import { HEARTBEAT_MS, Membership, mayAnswer, takesWork, type Fact, type Member, type MembershipEffect } from '../core/membership/index.ts'
+import { HEARTBEAT_MS, Membership, mayAnswer, takesWork, type Fact, type Gossip, type Member, type MembershipEffect } from '../core/membership/index.ts'
 import type { Hash32 } from '../core/routing/index.ts'
 import { delay } from '../core/time/index.ts'
 import { isStoreFailure, StoreError, type ObjectStore } from '../store/index.ts'
@@ -28,6 +28,8 @@
 const REGISTRATION_KEPT_MS = 3 * REGISTER_EVERY_MS
 const JOIN_RETRY_MS = 2000
 const FAREWELL_MS = 300
+/** How long a rumour waits for others to the same neighbour. */
+const RUMOUR_WAIT_MS = 20
 const log = logOf('membership')
 
 /** Where a daemon can be found, as it wrote to the store. */
@@ -39,6 +41,7 @@
   readonly #options: MembershipTaskOptions
   readonly #factListeners: FactListener[] = []
   readonly #memberListeners: Array<(member: Member) => void> = []
+  readonly #rumours = new Map<DaemonId, Gossip>()
   #core: Membership | undefined
   #timers: NodeJS.Timeout[] = []
   #registeredVersion = 0
@@ -136,13 +139,34 @@
 
   #run (effects: readonly MembershipEffect[]): void {
     for (const effect of effects) {
-      if (effect.type === 'send') this.links.gossip(effect.to, effect.gossip)
+      if (effect.type === 'send') this.#send(effect.to, effect.gossip)
       else if (effect.type === 'links') this.links.keep(effect.dial.map((member) => member.address))
       else if (effect.type === 'fact') this.#factListeners.forEach((listener) => listener(effect.fact, effect.from))
       else if (effect.member.id !== this.#options.self) this.#memberChanged(effect.member)
     }
   }
 
+  /**
+   * Sends a heartbeat at once and lets rumours wait for others.
+   *
+   * A new configuration makes every daemon's record change at the same time; each record in a message of its own would cost a daemon
+   * thousands of messages in a moment.
+   */
+  #send (to: DaemonId, gossip: Gossip): void {
+    if (gossip.members.length + gossip.facts.length === 0 || gossip.whole !== undefined) return this.links.gossip(to, gossip)
+    const waiting = this.#rumours.get(to)
+    if (waiting) {
+      waiting.members.push(...gossip.members)
+      waiting.facts.push(...gossip.facts)
+      return
+    }
+    this.#rumours.set(to, { members: [...gossip.members], facts: [...gossip.facts] })
+    setTimeout(() => {
+      this.links.gossip(to, newestOfEach(this.#rumours.get(to)!))
+      this.#rumours.delete(to)
+    }, RUMOUR_WAIT_MS)
+  }
+
   #memberChanged (member: Member): void {
     log('member', { id: member.id, state: member.state })
     for (const listener of this.#memberListeners) listener(member)
@@ -192,6 +216,11 @@
   }
 }
 
+/** A record that changed twice while it waited is sent once. */
+function newestOfEach (gossip: Gossip): Gossip {
+  return { ...gossip, members: [...new Map(gossip.members.map((member) => [member.id, member])).values()] }
+}
+
 function shuffle<T> (items: T[], random: () => number): void {
   for (let i = items.length - 1; i > 0; i--) {
     const j = Math.floor(random() * (i + 1))
--- a/daemon/metrics.ts
+++ b/daemon/metrics.ts
@@ -17,6 +17,7 @@
     claims: counter('claims_total', 'Claims on idempotency keys by result', ['result']),
     storeCalls: counter('store_calls_total', 'Calls to the object API', ['use', 'kind', 'failed']),
     peerBytes: counter('peer_bytes_total', 'Bytes between daemons', ['direction']),
+    peerMessages: counter('peer_messages_total', 'Messages between daemons', ['direction']),
     peerUnknown: counter('peer_unknown_messages_total', 'Messages of a kind this version does not know'),
     handedOver: counter('handed_over_total', 'Streams handed to another daemon while draining'),
     open: gauge('open_requests', 'Requests accepted and not finished'),
--- a/daemon/peer_links.ts
+++ b/daemon/peer_links.ts
@@ -39,6 +39,8 @@
   readonly #options: PeerLinksOptions
   readonly #packr = new Packr({ useRecords: false })
   readonly #links = new Map<DaemonId, Link>()
+  /** Who answered at an address, however the link to it came about. */
+  readonly #peerAt = new Map<string, DaemonId>()
   readonly #dialing = new Map<string, Promise<Link>>()
   readonly #waiting = new Map<number, Waiting>()
   readonly #methods = new Map<string, PeerMethod>()
@@ -125,7 +127,8 @@
   }
 
   #dial (address: string): Promise<Link> {
-    for (const link of this.#links.values()) if (link.address === address) return Promise.resolve(link)
+    const linked = this.#links.get(this.#peerAt.get(address)!)
+    if (linked) return Promise.resolve(linked)
     let dialing = this.#dialing.get(address)
     if (!dialing) {
       dialing = this.#connect(address).finally(() => this.#dialing.delete(address))
@@ -159,6 +162,7 @@
     socket.on('message', (data: Buffer) => {
       link.heardAtMs = Date.now()
       this.#options.metrics.peerBytes.inc({ direction: 'in' }, data.length)
+      this.#options.metrics.peerMessages.inc({ direction: 'in' })
       const msg = this.#packr.unpack(data) as PeerMessage
       if (msg.kind === 'hello') this.#greeted(link, msg, ready)
       else if (link.peer !== undefined) this.#receive(link, link.peer, msg)
@@ -172,11 +176,30 @@
       return
     }
     link.peer = msg.id
+    if (link.address !== undefined) this.#peerAt.set(link.address, msg.id)
+    const other = this.#links.get(msg.id)
+    if (other && !this.#isPreferred(link)) {
+      link.socket.terminate()
+      ready?.(other)
+      return
+    }
     this.#links.set(msg.id, link)
+    other?.socket.terminate()
     ready?.(link)
     this.#events.onLink(msg.id)
   }
 
+  /**
+   * Of two links to one daemon, the one that the lower id dialled stays, at both ends.
+   *
+   * Neighbours that dial each other at once would otherwise each keep their own, not find the other's, and dial again every second; each
+   * new link then carries the whole table.
+   */
+  #isPreferred (link: Link): boolean {
+    const dialler = link.address === undefined ? link.peer! : this.#options.self
+    return dialler < (link.address === undefined ? this.#options.self : link.peer!)
+  }
+
   #drop (link: Link): void {
     link.abort.abort()
     if (link.peer !== undefined && this.#links.get(link.peer) === link) this.#links.delete(link.peer)
@@ -221,6 +244,7 @@
     if (link.socket.readyState !== WebSocket.OPEN) return
     const data = this.#packr.pack(msg)
     this.#options.metrics.peerBytes.inc({ direction: 'out' }, data.length)
+    this.#options.metrics.peerMessages.inc({ direction: 'out' })
     link.socket.send(data, (err) => { if (err) log('send failed', { peer: link.peer, error: err.message }) })
   }
 }
--- a/daemon/peer_links_test.ts
+++ b/daemon/peer_links_test.ts
@@ -50,6 +50,23 @@
   newer.terminate()
 })
 
+test('neighbours that dial each other at once end with one link', async () => {
+  // Operators see each pair of daemons exchange their whole tables every second. Both dialled at once, each kept the link it had not
+  // dialled, found none at the other's address, and dialled again.
+  const [a, b] = [await start('a'), await start('b')]
+  const links: string[] = []
+  a.links.bind({ onGossip () {}, onLink: (to) => links.push(to) })
+  b.links.bind({ onGossip () {}, onLink: (to) => links.push(to) })
+  for (let round = 0; round < 5; round++) {
+    a.links.keep([b.address])
+    b.links.keep([a.address])
+    await new Promise((resolve) => setTimeout(resolve, 20))
+  }
+  b.links.handle('ping', async () => 'pong')
+  expect(await a.links.call(b, 'ping', null)).toBe('pong')
+  expect(links.length).toBeLessThanOrEqual(4)
+})
+
 test('an open call over a link gone silent is given up within seconds', async () => {
   // A caller follows its answer through another daemon and waits for ever: the network parted, and no connection was closed.
   const a = await start('a')
