Price a stream by its batch slot, and bench routing and overhead

Cause: the bench of routing on lagged reports showed streams beyond the batch: a stream's cost was shared by what ran already, so that busy endpoints looked cheap and drew still more.

--- a/bench/registry.ts
+++ b/bench/registry.ts
@@ -2,8 +2,10 @@
 import type { Bench } from './bench.ts'
 import { membershipBench } from './membership.ts'
 import { onceBench } from './once.ts'
+import { overheadBench } from './overhead.ts'
 import { reclaimBench } from './reclaim.ts'
+import { routeBench } from './route.ts'
 import { schedulesBench } from './schedules.ts'
 
 /** All benches. */
-export const BENCHES: readonly Bench[] = [membershipBench, onceBench, reclaimBench, schedulesBench]
+export const BENCHES: readonly Bench[] = [membershipBench, onceBench, overheadBench, reclaimBench, routeBench, schedulesBench]
--- a/core/routing/router.ts
+++ b/core/routing/router.ts
@@ -93,8 +93,7 @@
     const { view } = route
     if (!route.meetsTarget) return route.firstTokenMs
     const runMs = route.firstTokenMs + query.expectedTokens * predictBetweenTokensMs(view)
-    const share = 1 / Math.min(view.speed.batchSlots, runningNow(view) + 1)
-    const holding = view.pricePerHour * (runMs / MS_PER_HOUR) * share
+    const holding = view.pricePerHour * (runMs / MS_PER_HOUR) / view.speed.batchSlots
     const lossChance = Math.min(1, view.reclaimsPerHour * runMs / MS_PER_HOUR)
     const redone = lossChance * (query.promptTokens + query.expectedTokens / 2) * this.#recomputePrice
     return holding + redone + route.firstTokenMs * TIE_BREAK
