Refuse by an account's own turn and by the latency target

The schedules then found a daemon that started while the host list was empty and knew no endpoint.

Conclusion: a request's own predicted turn decides, within the first-token target; work that ran already only has its deadline. A daemon without a list asks its neighbours.

--- a/bench/registry.ts
+++ b/bench/registry.ts
@@ -1,5 +1,6 @@
 /** Every bench by name. */
 import type { Bench } from './bench.ts'
+import { limitsBench } from './limits.ts'
 import { membershipBench } from './membership.ts'
 import { onceBench } from './once.ts'
 import { overheadBench } from './overhead.ts'
@@ -8,4 +9,4 @@
 import { schedulesBench } from './schedules.ts'
 
 /** All benches. */
-export const BENCHES: readonly Bench[] = [membershipBench, onceBench, overheadBench, reclaimBench, routeBench, schedulesBench]
+export const BENCHES: readonly Bench[] = [limitsBench, membershipBench, onceBench, overheadBench, reclaimBench, routeBench, schedulesBench]
--- a/core/admission/fair_queue.ts
+++ b/core/admission/fair_queue.ts
@@ -17,6 +17,8 @@
 export interface WorkQueue<T> {
   readonly length: number
   push (entry: Waiting<T>): void
+  /** How many of those that wait would start before one more request of this account. */
+  ahead (account: AccountId, urgent: boolean): number
   /** The request to start next, without removing it. */
   peek (): Waiting<T> | undefined
   remove (entry: Waiting<T>): void
@@ -49,6 +51,16 @@
     this.#length++
   }
 
+  /** Lanes take turns, so a long one counts for no more than the new request's own place in its lane. */
+  ahead (account: AccountId, urgent: boolean): number {
+    const before = (lane: Lane<T>) => (urgent ? lane.entries.filter((entry) => entry.urgent).length : lane.entries.length)
+    const own = this.#lanes.get(account)
+    const place = (own ? before(own) : 0) + 1
+    let ahead = place - 1
+    for (const [other, lane] of this.#lanes) if (other !== account) ahead += Math.min(before(lane), place)
+    return ahead
+  }
+
   peek (): Waiting<T> | undefined {
     let best: Lane<T> | undefined
     for (const lane of this.#lanes.values()) {
@@ -115,6 +127,7 @@
 
   get length (): number { return this.#entries.length }
   push (entry: Waiting<T>): void { this.#entries.push(entry) }
+  ahead (): number { return this.#entries.length }
   peek (): Waiting<T> | undefined { return this.#entries[0] }
   find (matches: (entry: Waiting<T>) => boolean): Waiting<T> | undefined { return this.#entries.find(matches) }
   remove (entry: Waiting<T>): void { this.#entries = this.#entries.filter((other) => other !== entry) }
--- a/daemon/dispatcher.ts
+++ b/daemon/dispatcher.ts
@@ -13,7 +13,11 @@
   /** Tokens that the endpoint must prefill beside the prompt: those of earlier attempts. */
   doneTokens: number
   expectedTokens: number
+  /** When the request was accepted, in milliseconds since the epoch. */
+  acceptedAtMs: number
   deadlineAtMs: number
+  /** True when the request ran already: it is never refused for the latency target, which it met or missed before. */
+  resumed: boolean
   avoid: readonly EndpointId[]
   placed (view: EndpointView, route: Route): void
   refused (reason: string, retryAfterMs: number): void
@@ -34,6 +38,8 @@
 /** Part of an endpoint's batch slots that only urgent work may use. */
 const URGENT_RESERVE = 0.1
 const RATE_SMOOTHING = 0.2
+/** Longest wait of fresh work, in first-token targets; see docs/design/limits.md. */
+const QUEUE_TARGETS = 1
 const LEAST_RETRY_AFTER_MS = 500
 const SWEEP_MS = 250
 
@@ -58,13 +64,13 @@
   place (placement: Placement): void {
     const pool = this.#pool(placement.cls.pool as PoolName)
     if (pool.queue.length === 0 && this.#start(placement, pool)) return
-    const waitMs = (pool.queue.length + 1) * pool.msPerStart
+    const urgent = isUrgent(placement.cls)
+    const waitMs = (pool.queue.ahead(placement.account, urgent) + 1) * pool.msPerStart
     const startByMs = latestStart(placement)
     if (Date.now() + waitMs > startByMs) {
-      placement.refused('no room before the deadline', Math.max(LEAST_RETRY_AFTER_MS, waitMs))
+      placement.refused('no room in time', Math.max(LEAST_RETRY_AFTER_MS, waitMs))
       return
     }
-    const urgent = isUrgent(placement.cls)
     pool.queue.push({ account: placement.account, tokens: workOf(placement), startByMs, urgent, item: placement })
     this.#sweepLater()
   }
@@ -73,7 +79,7 @@
   pump (): void {
     const now = Date.now()
     for (const pool of this.#pools.values()) {
-      for (const late of pool.queue.expire(now)) late.item.refused('no room before the deadline', Math.max(LEAST_RETRY_AFTER_MS, pool.msPerStart))
+      for (const late of pool.queue.expire(now)) late.item.refused('no room in time', Math.max(LEAST_RETRY_AFTER_MS, pool.msPerStart))
       this.#drain(pool)
     }
   }
@@ -143,9 +149,16 @@
   return runningNow(view) < Math.max(1, slots)
 }
 
+/**
+ * Fresh work waits for as long as its first token would still come within the target, and no longer: a queue as long as the
+ * deadline answers no more requests, and all of them late.
+ */
 function latestStart (placement: Placement): number {
-  const runMs = placement.cls.latency.betweenTokensMs === undefined ? 0 : placement.expectedTokens * placement.cls.latency.betweenTokensMs / 2
-  return placement.deadlineAtMs - Math.min(runMs, placement.cls.latency.deadlineMs / 2)
+  const { latency } = placement.cls
+  const runMs = latency.betweenTokensMs === undefined ? 0 : placement.expectedTokens * latency.betweenTokensMs / 2
+  const byDeadline = placement.deadlineAtMs - Math.min(runMs, latency.deadlineMs / 2)
+  if (placement.resumed) return byDeadline
+  return Math.min(byDeadline, placement.acceptedAtMs + latency.firstTokenMs * QUEUE_TARGETS)
 }
 
 function workOf (placement: Placement): number {
--- a/daemon/host_watch.ts
+++ b/daemon/host_watch.ts
@@ -1,6 +1,6 @@
 /** Follows the platform's host list and reclaim notices. */
 import { as, type HostId } from '../core/ids/index.ts'
-import { CloudError, type Cloud } from '../endpoints/index.ts'
+import { CloudError, type Cloud, type ListedHost } from '../endpoints/index.ts'
 import type { EndpointTable } from './endpoint_table.ts'
 import { logOf } from './log.ts'
 import type { MembershipTask } from './membership_task.ts'
@@ -28,12 +28,15 @@
 export class HostWatch {
   readonly #options: HostWatchOptions
   #stopped = false
+  #lastList: ListedHost[] = []
 
   constructor (options: HostWatchOptions) {
     this.#options = options
+    options.membership.links.handle('hosts', async () => this.#lastList)
     options.membership.onFact((fact) => {
       if (fact.key.startsWith(FACT_PREFIX)) options.table.leaving([as<HostId>(fact.key.slice(FACT_PREFIX.length))], fact.value as number, 'peer')
     })
+    options.membership.onMember(() => { if (options.table.all.length === 0) this.#listOfPeers() })
     options.table.onLeaving((leaving) => {
       for (const { view, goneAtMs, signal } of leaving) {
         log('leaving', { endpoint: view.id, signal, inMs: goneAtMs - Date.now() })
@@ -63,14 +66,36 @@
   }
 
   async #list (): Promise<void> {
+    const hosts = await this.#listOfCloud()
+    if (hosts.length === 0) return await this.#listOfPeers()
+    this.#take(hosts)
+  }
+
+  async #listOfCloud (): Promise<ListedHost[]> {
     try {
-      this.#options.table.listed(await this.#options.cloud.hosts())
-      this.#options.onListed?.()
+      return await this.#options.cloud.hosts()
     } catch (err) {
       if (!(err instanceof CloudError)) throw err
+      return []
     }
   }
 
+  /** A daemon that starts while the cloud gives no list would know no endpoint; any other daemon's last list will do. */
+  async #listOfPeers (): Promise<void> {
+    const { membership, table } = this.#options
+    for (const id of membership.core.neighbours) {
+      if (table.all.length > 0) return
+      const hosts = await membership.links.call(membership.core.member(id)!, 'hosts', null).catch(() => []) as ListedHost[]
+      if (hosts.length > 0) this.#take(hosts)
+    }
+  }
+
+  #take (hosts: ListedHost[]): void {
+    this.#lastList = hosts
+    this.#options.table.listed(hosts)
+    this.#options.onListed?.()
+  }
+
   async #followNotices (): Promise<void> {
     let serial = 0
     while (!this.#stopped) {
--- a/daemon/request_task.ts
+++ b/daemon/request_task.ts
@@ -233,7 +233,9 @@
       prompt: this.work.prompt,
       doneTokens: this.answer.length,
       expectedTokens: this.work.maxTokens - this.answer.length,
+      acceptedAtMs: this.acceptedAtMs,
       deadlineAtMs: this.#state.traits.deadlineAtMs,
+      resumed: this.#state.mayHaveRun,
       avoid,
       placed: (view, route) => {
         this.note(`placed on ${view.id}: first token in ${Math.round(route.firstTokenMs)} ms, ${route.meetsTarget ? 'within' : 'over'} target`)
