Lease control work with fencing numbers, and test configuration under faults

Cause: control work shared over all daemons needs a holder, and the promise of configuration had no proof under faults.

After: 6 stories of leases and orders and 8 of configuration pass (paused holder, lost answers, outages, racing operators, parted daemons, a daemon that starts during an outage, audit gaps). Conclusion: the lease only says who works; engines' fencing checks, or reading back where an engine ignores the number, decide.

--- /dev/null
+++ b/core/lease/index.ts
@@ -0,0 +1,1 @@
+export * from './lease.ts'
--- /dev/null
+++ b/daemon/config_task_test.ts
@@ -0,0 +1,100 @@
+import { afterEach, beforeEach, expect, test } from 'vitest'
+import { Session, sessionConfig } from '../bench/_session.ts'
+import { InvalidError } from '../core/config/index.ts'
+import { ConfigConflictError } from './config_task.ts'
+
+let session: Session
+
+beforeEach(async () => { session = await Session.start(3) })
+afterEach(async () => {
+  await Promise.all(session.daemons.map((daemon) => daemon.kill()))
+  session.stop()
+})
+
+const revisions = () => session.daemons.map((daemon) => daemon.config.inForce?.revision)
+const changed = () => ({ ...sessionConfig(), wantsLeast: 'cost' as const })
+
+/** Lets an apply run to its end under the paused clock. */
+async function apply (which: number, value: unknown, base?: number): Promise<unknown> {
+  const result = session.daemons[which]!.config.apply(value, { operator: `op-${which}`, ...(base !== undefined && { base }) }).catch((err: unknown) => err)
+  await session.advance(1500)
+  return await result
+}
+
+test('a change is in force on every daemon within two seconds, and the accepting daemon knows it', async () => {
+  await apply(0, changed())
+  expect(revisions()).toEqual([2, 2, 2])
+  expect(session.daemons[0]!.config.reach(2)).toEqual({ revision: 2, daemons: 3, of: 3 })
+})
+
+test('operators who race: one change is accepted, the other is shown it', async () => {
+  // Two operators edit revision 1 at once. Without the conditional update the later write would silently undo the earlier one.
+  const both = [session.daemons[0]!, session.daemons[1]!].map((daemon, i) => daemon.config.apply({ ...changed(), deployment: `by-${i}` }, { operator: `op-${i}`, base: 1 }).catch((err: unknown) => err))
+  await session.advance(1500)
+  const results = await Promise.all(both)
+  const refused = results.filter((result) => result instanceof ConfigConflictError)
+  expect(refused).toHaveLength(1)
+  expect(refused[0]).toMatchObject({ revision: 2, difference: [expect.objectContaining({ path: 'deployment' })] })
+  expect(revisions()).toEqual([2, 2, 2])
+})
+
+test('an accepted change reaches all although the store goes down right after', async () => {
+  // The operator is told "accepted"; the store is gone a moment later, and the watches with it. The accepting daemon tells the others.
+  const applying = session.daemons[2]!.config.apply(changed(), { operator: 'op' })
+  await session.advance(5)
+  session.store.faults.down = true
+  await session.advance(2000)
+  await applying
+  expect(revisions()).toEqual([2, 2, 2])
+})
+
+test('a daemon that starts during an outage has the newest configuration from the others, and says that it is not sure', async () => {
+  await apply(0, changed())
+  session.store.faults.down = true
+  // Its registration cannot be read either: it finds the others as it would by its settings.
+  await session.startDaemon('a')
+  const started = session.daemons.at(-1)!
+  started.membership.links.keep([session.daemons[0]!.membership.core.self.address])
+  await session.advance(2000)
+  expect(started.config.inForce?.revision).toBe(2)
+  expect(started.config.sure).toBe(false)
+  expect(started.status().revisionSure).toBe(false)
+})
+
+test('a change whose answer was lost is found again and reported as accepted, once', async () => {
+  session.store.faults.loseAnswers = 1
+  expect(await apply(0, changed())).toMatchObject({ revision: 2 })
+  expect(revisions()).toEqual([2, 2, 2])
+})
+
+test('a parted daemon takes the change when it can, and never goes back', async () => {
+  const [a, b, c] = session.daemons.map((daemon) => daemon.id) as [never, never, never]
+  session.network.part(a, c, true)
+  session.network.part(b, c, true)
+  session.store.faults.loseWatches = 5
+  await apply(0, changed())
+  session.network.heal()
+  await session.advance(30_000)
+  expect(revisions()).toEqual([2, 2, 2])
+})
+
+test('the audit trail has accepted and refused changes, and one that its daemon did not live to record', async () => {
+  await apply(0, { ...changed(), classes: [] })
+  await apply(1, changed(), 7)
+  await apply(1, changed())
+  const accepted = session.store.keys().filter((key) => key.startsWith('audit/config/'))
+  for (const key of accepted) await session.store.remove(key, (await session.store.get(key))!.version)
+  await apply(2, sessionConfig())
+  await session.startDaemon('b')
+  await session.advance(3000)
+  const reading = session.daemons[0]!.audit.read()
+  await session.advance(3000)
+  expect((await reading).map(({ kind, who }) => `${kind} ${who}`).sort()).toEqual([
+    'config op', 'config op-1', 'config op-2', 'config-refused op-0', 'config-refused op-1'
+  ])
+})
+
+test('a configuration with any wrong field is refused whole', async () => {
+  expect(await apply(0, { ...changed(), classes: [] })).toBeInstanceOf(InvalidError)
+  expect(revisions()).toEqual([1, 1, 1])
+})
--- /dev/null
+++ b/daemon/lease_task_test.ts
@@ -0,0 +1,91 @@
+import { afterEach, beforeEach, expect, test, vi } from 'vitest'
+import { as, type DaemonId, type EndpointId } from '../core/ids/index.ts'
+import { Ledger, StandInEngine, StandInStore } from '../standins/index.ts'
+import { LeaseTask } from './lease_task.ts'
+import { OrderKeeper, type WantedState } from './order_keeper.ts'
+
+const TTL_MS = 10_000
+const tasks: LeaseTask[] = []
+
+beforeEach(() => { vi.useFakeTimers() })
+afterEach(() => {
+  tasks.splice(0).forEach((task) => task.stop())
+  vi.useRealTimers()
+})
+
+function lease (store: StandInStore, name: string): LeaseTask {
+  const task = new LeaseTask({ self: as<DaemonId>(name), store, name: 'fleet', ttlMs: TTL_MS })
+  tasks.push(task)
+  task.start()
+  return task
+}
+
+function engine (): StandInEngine {
+  const speed = { batchSlots: 1, prefillTokensPerS: 1, betweenTokensMs: 1, betweenTokensPerStreamMs: 0, exportTokensPerS: 1, importTokensPerS: 1 }
+  return new StandInEngine({ address: 'e', speed, ledger: new Ledger(), peers: () => undefined })
+}
+
+const pass = (ms: number) => vi.advanceTimersByTimeAsync(ms)
+const E = as<EndpointId>('e')
+const WANTED: WantedState = { models: ['rankings-v2'], role: 'both' }
+
+test('one daemon holds the lease, renews it, and another takes over when it stops', async () => {
+  const store = new StandInStore()
+  const a = lease(store, 'a')
+  await pass(100)
+  const b = lease(store, 'b')
+  await pass(60_000)
+  expect([a.fencing, b.fencing]).toEqual([1, undefined])
+  a.stop()
+  await pass(40_000)
+  expect([a.fencing, b.fencing]).toEqual([undefined, 2])
+})
+
+test('a renewal that was applied without an answer keeps the lease and its number', async () => {
+  const store = new StandInStore()
+  const a = lease(store, 'a')
+  await pass(100)
+  store.faults.loseAnswers = 3
+  await pass(30_000)
+  expect(a.fencing).toBe(1)
+})
+
+test('an outage longer than the lease stops all orders, and afterwards one daemon holds it', async () => {
+  const store = new StandInStore()
+  const [a, b] = [lease(store, 'a'), lease(store, 'b')]
+  await pass(1000)
+  store.faults.down = true
+  await pass(TTL_MS * 3)
+  expect([a.fencing, b.fencing]).toEqual([undefined, undefined])
+  store.faults.down = false
+  await pass(TTL_MS * 3)
+  expect([a.fencing, b.fencing].filter((fencing) => fencing !== undefined)).toHaveLength(1)
+})
+
+test('an engine that checks refuses the order of a holder that was paused and woke', async () => {
+  // Selectors get answers of last season's model. The holder is paused, its lease runs out, another daemon loads the new model; the first
+  // wakes and gives the order it had in hand. Its number is older than the one the engine has seen.
+  const target = engine()
+  await target.order({ ...WANTED, fencing: 2 })
+  await expect(target.order({ models: ['rankings-v1'], role: 'both', fencing: 1 })).rejects.toThrow('fencing number is old')
+  expect(await target.orders()).toMatchObject(WANTED)
+})
+
+test('an engine that ignores the number is put right by the holder that reads back', async () => {
+  // The same, on an engine that does not check: the old order is taken. The next round of the present holder finds it and repeats its own.
+  const target = engine()
+  target.faults.ignoreFencing = true
+  const keeper = new OrderKeeper({ engine: () => target, fencing: () => 2 })
+  expect(await keeper.reconcile(new Map([[E, WANTED]]))).toBe(1)
+  await target.order({ models: ['rankings-v1'], role: 'both', fencing: 1 })
+  expect(await keeper.reconcile(new Map([[E, WANTED]]))).toBe(1)
+  expect(await target.orders()).toEqual({ ...WANTED, fencing: 2 })
+  expect(await keeper.reconcile(new Map([[E, WANTED]]))).toBe(0)
+})
+
+test('without the lease no order is given', async () => {
+  const target = engine()
+  const keeper = new OrderKeeper({ engine: () => target, fencing: () => undefined })
+  expect(await keeper.reconcile(new Map([[E, WANTED]]))).toBe(0)
+  expect(await target.orders()).toBeUndefined()
+})
