Carry on streams of a suspected daemon whose endpoints leave, with golden sessions

Conclusion: a suspicion is acted on only where waiting loses the stream for certain. A random source is mixed with the daemon's id.

--- a/daemon/broker.ts
+++ b/daemon/broker.ts
@@ -70,6 +70,8 @@
   readonly #kept = new Map<RequestId, KeptAnswer>()
   readonly #budgets = new Map<string, RetryBudget>()
   readonly #standby: Standby
+  /** Called after a stream of another daemon was taken over: its endpoint may be leaving. */
+  onTookOver: () => void = () => {}
 
   constructor (options: BrokerOptions) {
     this.#options = options
@@ -81,7 +83,8 @@
       hash: options.hash,
       membership: options.membership,
       running: () => [...this.#open.values()].flatMap((task) => task.describe() ?? []),
-      adopt: (handed) => { this.#takeOver(handed, false) }
+      adopt: (handed) => { this.#takeOver(handed, false) },
+      goneAtMs: (endpoint) => options.ports.table.goneAtMs(endpoint)
     })
     links.handle('keep', async (finished: Finished[]) => finished.forEach((entry) => this.#keepFinished(entry)))
     links.handle('explain', async (id: RequestId) => this.explainHere(id))
@@ -166,6 +169,11 @@
     return taken.size
   }
 
+  /** Stops reading every stream, as the end of the process would. */
+  abandon (): void {
+    for (const task of this.#open.values()) task.abandon()
+  }
+
   #letGo (task: RequestTask): void {
     task.letGo()
     this.#open.delete(task.id)
@@ -322,6 +330,7 @@
     const task = new RequestTask({ id, account, cls, prompt, maxTokens, model: true, claim: undefined }, this.#portsOf(cls), { deadlineInMs: handed.deadlineInMs })
     this.#adopt(task)
     task.takeOver(handed, view, sure)
+    this.onTookOver()
     return true
   }
 
--- a/daemon/daemon.ts
+++ b/daemon/daemon.ts
@@ -143,6 +143,7 @@
     clearInterval(this.#statusTimer)
     this.#parts.config.stop()
     this.#parts.hosts.stop()
+    this.#parts.broker.abandon()
     for (const server of this.#servers) server.closeAllConnections()
     await Promise.all([...this.#servers.map(close), this.#parts.membership.stop()])
   }
@@ -241,7 +242,8 @@
     settings: asValue(settings),
     self: asValue(as<DaemonId>(`${settings.name}-${options.run ?? randomUUID().slice(0, 8)}`)),
     hash: asValue(hash),
-    random: asValue(seededRandom(options.seed ?? Date.now())),
+    // Daemons that start with neighbouring seeds would make the same first choices.
+    random: asFunction(({ self, hash }: Parts) => seededRandom((options.seed ?? Date.now()) ^ hash(self))).singleton(),
     metrics: asFunction(createMetrics).singleton(),
     store: asFunction(() => options.store ?? new HttpStore({ url: settings.platform.objectApi })).singleton(),
     cloud: asFunction(() => options.cloud ?? new HttpCloud({ url: settings.platform.cloudApi })).singleton(),
@@ -275,7 +277,8 @@
       cloud, table, membership, random, onListed: () => dispatcher.pump()
     })).singleton()
   })
-  container.resolve('reclaimer')
+  const reclaimer = container.resolve('reclaimer')
+  container.resolve('broker').onTookOver = () => reclaimer.replan()
   return container.cradle
 }
 
--- a/daemon/request_task.ts
+++ b/daemon/request_task.ts
@@ -173,6 +173,13 @@
     this.#attachment = this.#ports.engine(view).resume(this.#streamId(attempt), this.answer.length, this.#sink(view.id, attempt))
   }
 
+  /** Stops at once without a word to anybody. */
+  abandon (): void {
+    this.#attachment?.detach()
+    clearTimeout(this.#deadlineTimer)
+    this.#state = { ...this.#state, phase: 'done' }
+  }
+
   /** Another daemon took the stream over: let go of it here, without stopping it. */
   letGo (): void {
     clearTimeout(this.#deadlineTimer)
--- a/daemon/standby.ts
+++ b/daemon/standby.ts
@@ -1,6 +1,6 @@
 /** Keeps a record of each running stream at another daemon, which carries it on if this daemon is gone. */
-import type { DaemonId, RequestId } from '../core/ids/index.ts'
-import type { Member } from '../core/membership/index.ts'
+import type { DaemonId, EndpointId, RequestId } from '../core/ids/index.ts'
+import { GONE_AFTER_MS, type Member } from '../core/membership/index.ts'
 import type { Hash32 } from '../core/routing/index.ts'
 import { logOf } from './log.ts'
 import type { MembershipTask } from './membership_task.ts'
@@ -15,6 +15,8 @@
   running (): HandOver[]
   /** Carries on a stream of a daemon that is gone. */
   adopt (handed: HandOver): void
+  /** When a leaving endpoint is gone, in milliseconds since the epoch. */
+  goneAtMs (endpoint: EndpointId): number | undefined
 }
 
 /** What a daemon tells its heir. */
@@ -71,7 +73,7 @@
 
   #memberChanged (member: Member): void {
     // Only the last heir named: an earlier one would find the stream ended, and tell its callers so in place of the answer.
-    if (member.state === 'gone' && member.heir === this.#options.self) this.#carryOn(member.id)
+    if (member.heir === this.#options.self) this.#perhapsCarryOn(member)
     if (member.state === 'left' || member.state === 'gone') this.#records.delete(member.id)
     if (member.id === this.#options.self) return
     const heir = this.heir()
@@ -82,12 +84,22 @@
     this.#send(heir, { up: this.#options.running(), down: [], whole: true })
   }
 
-  #carryOn (id: DaemonId): void {
-    const records = this.#records.get(id)
-    if (!records) return
-    this.#records.delete(id)
-    log('carrying on', { daemon: id, streams: records.size })
-    for (const handed of records.values()) this.#options.adopt(handed)
+  /**
+   * A daemon that is gone is stood in for; one that is only suspected, for the streams whose endpoints leave before it could be known.
+   *
+   * Waiting would lose those for certain. If the daemon was merely paused, it finds its reading of them taken over, which for a letter
+   * means `unknown`: the price of acting on a suspicion, paid only where waiting costs as much.
+   */
+  #perhapsCarryOn ({ id, state }: Member): void {
+    if (state !== 'gone' && state !== 'suspect') return
+    const knownAtMs = Date.now() + GONE_AFTER_MS
+    for (const handed of [...this.#records.get(id)?.values() ?? []]) {
+      const urgent = (this.#options.goneAtMs(handed.endpoint) ?? Infinity) < knownAtMs
+      if (state !== 'gone' && !urgent) continue
+      this.#records.get(id)!.delete(handed.id)
+      log('carrying on', { daemon: id, request: handed.id })
+      this.#options.adopt(handed)
+    }
   }
 
   #take (from: DaemonId, news: StandbyNews): void {
