--- a/bench/reclaim.ts
+++ b/bench/reclaim.ts
@@ -8,7 +8,8 @@
 import { seededRandom } from '../daemon/daemon.ts'
 import { quantile, round, type Bench, type Figures } from './bench.ts'
 
-interface Shape { name: string, endpoints: number, domains: number, wantsLeast: 'cost' | 'recomputed-work' }
+/** Size and wish of a deployment. */
+export interface Shape { name: string, endpoints: number, domains: number, wantsLeast: 'cost' | 'recomputed-work' }
 interface Stream extends ThreatenedStream { promptTokens: number }
 interface Problem extends ReclaimProblem { streams: readonly Stream[] }
 
@@ -20,7 +21,7 @@
 const WAVES = ['one', 'domain', '40%'] as const
 const NOTICES_MS = [2000, 10_000, 30_000]
 /** Assumed of one server of four accelerators; stated in docs/MEASUREMENTS.md. */
-const ENGINE = { batchSlots: 64, prefillTokensPerS: 12_000, exportTokensPerS: 14_000, importTokensPerS: 14_000, betweenTokensMs: 28, pricePerHour: 4.2 }
+export const ENGINE = { batchSlots: 64, prefillTokensPerS: 12_000, exportTokensPerS: 14_000, importTokensPerS: 14_000, betweenTokensMs: 28, pricePerHour: 4.2 }
 /** A fast link and one of a quarter of it. */
 const EXPORT_TOKENS_PER_S = [14_000, 3500]
 const OCCUPIED = 0.5
@@ -97,7 +98,8 @@
   return { tokens: moved.reduce((sum, stream) => sum + stream.kvTokens, 0), late: late.length }
 }
 
-function makeProblem (shape: Shape, options: { leaving: number, noticeMs: number, random: Random, streams?: number, slots?: number, exportTokensPerS?: number }): Problem {
+/** A reclaim of `leaving` endpoints of a shape, with streams at any point of their run. */
+export function makeProblem (shape: Shape, options: { leaving: number, noticeMs: number, random: Random, streams?: number, slots?: number, exportTokensPerS?: number }): Problem {
   const { random } = options
   const id = (i: number) => as<EndpointId>(`e${i}`)
   const sources = new Map<EndpointId, Source>()
--- a/bench/registry.ts
+++ b/bench/registry.ts
@@ -1,5 +1,6 @@
 /** Every bench by name. */
 import type { Bench } from './bench.ts'
+import { costBench } from './cost.ts'
 import { limitsBench } from './limits.ts'
 import { membershipBench } from './membership.ts'
 import { onceBench } from './once.ts'
@@ -10,4 +11,4 @@
 import { storeBench } from './store.ts'
 
 /** All benches. */
-export const BENCHES: readonly Bench[] = [limitsBench, membershipBench, onceBench, overheadBench, reclaimBench, routeBench, schedulesBench, storeBench]
+export const BENCHES: readonly Bench[] = [costBench, limitsBench, membershipBench, onceBench, overheadBench, reclaimBench, routeBench, schedulesBench, storeBench]
--- /dev/null
+++ b/core/fleet/index.ts
@@ -0,0 +1,3 @@
+export * from './hysteresis.ts'
+export * from './plan_fleet.ts'
+export * from './reclaim_risk.ts'
