Spread records along the rings only, wait for a configuration where it is accepted, stand-in platform to try

Running real daemons by hand showed that the first config apply was refused its second call: the bootstrap secret ends with the change itself.

A price of likely reclaims in routing is taken out: worked out, it never decided anything.

Conclusion: records only go to the successors, digests mend the rest; messages share the names of their fields. config apply now waits at the daemon. The audit trail shows that a credential changed and not its hash.

--- a/bench/limits.ts
+++ b/bench/limits.ts
@@ -82,7 +82,7 @@
   const table = new EndpointTable({ self: as<DaemonId>('d'), hash })
   table.listed(Array.from({ length: ENDPOINTS }, (_, i) => listed(i)))
   const queue = (): WorkQueue<Placement> => (kind === 'fair' ? new FairQueue() : new FifoQueue())
-  const dispatcher = new Dispatcher({ table, router: new TargetRouter({ random: seededRandom(seed) }), prefixes: new PrefixIndex({ hash }), failureDomain: as('a'), queue })
+  const dispatcher = new Dispatcher({ table, router: new TargetRouter({ random: seededRandom(seed) }), prefixes: new PrefixIndex({ hash }), queue })
   const cls = { ...sessionConfig().classes[0]!, latency: { firstTokenMs: 1800, betweenTokensMs: 60, deadlineMs: DEADLINE_MS } }
   const outcomes: Outcome[] = []
   for (const { atMs, account } of arrivals) {
--- a/bench/membership.ts
+++ b/bench/membership.ts
@@ -1,7 +1,7 @@
 /** Cost and speed of membership and configuration over many small nodes in one process, on loopback. */
 import xxhash from 'xxhash-wasm'
 import { as, type DaemonId } from '../core/ids/index.ts'
-import { AccrualDetector, HEARTBEAT_MS, SUSPECT_AFTER_MS, TimeoutDetector, type Detector } from '../core/membership/index.ts'
+import { HEARTBEAT_MS, SUSPECT_AFTER_MS, TimeoutDetector, type Detector } from '../core/membership/index.ts'
 import type { Hash32, Random } from '../core/routing/index.ts'
 import { delay } from '../core/time/index.ts'
 import { AuditTrail } from '../daemon/audit.ts'
@@ -13,6 +13,7 @@
 import { settingsSchema } from '../daemon/settings.ts'
 import { StandInStore } from '../standins/index.ts'
 import { sessionConfig } from './_session.ts'
+import { AccrualDetector } from './_accrual.ts'
 import { quantile, round, slope, type Bench, type BenchOptions, type Figures } from './bench.ts'
 
 interface Node { id: DaemonId, membership: MembershipTask, config: ConfigTask, metrics: Metrics }
@@ -57,7 +58,10 @@
   await delay(3000)
   const steady = await measureSteady(nodes)
   const fact = await spread(nodes, () => nodes[0]!.membership.tell({ key: 'leaving/host', version: 1, value: 1 }), (node) => node.membership.core.fact('leaving/host') !== undefined)
+  const beforeChange = await totals(nodes)
   const config = await spread(nodes, () => { nodes[1]!.config.apply({ ...sessionConfig(), wantsLeast: 'cost' }, { operator: 'bench' }) }, (node) => node.config.inForce?.revision === 2)
+  await delay(1000)
+  const changeBytes = (await totals(nodes)).bytes - beforeChange.bytes
   const crashed = nodes.pop()!
   crashed.config.stop()
   const gone = await spread(nodes, () => { crashed.membership.stop() }, (node) => node.membership.core.member(crashed.id)?.state === 'gone')
@@ -71,6 +75,7 @@
     factMaxMs: fact.max,
     configP50Ms: config.p50,
     configMaxMs: config.max,
+    configBytesPerNode: Math.round(changeBytes / count),
     crashKnownMaxMs: gone.max
   }
   await Promise.all(nodes.map((node) => node.membership.stop()))
--- a/bench/route.ts
+++ b/bench/route.ts
@@ -38,12 +38,11 @@
     ownSince: { running: 0, tokens: 0 },
     ownRunning: 0,
     leavingAtMs: undefined,
-    ejectedUntilMs: 0,
-    reclaimsPerHour: random() / 10
+    ejectedUntilMs: 0
   }))
 }
 
-const query = (): RouteQuery => ({ promptTokens: 2000, expectedTokens: 400, firstTokenMs: 1800, betweenTokensMs: 32, avoid: [], failureDomain: as('d0'), cachedTokens: () => 0 })
+const query = (): RouteQuery => ({ promptTokens: 2000, expectedTokens: 400, firstTokenMs: 1800, betweenTokensMs: 32, avoid: [], cachedTokens: () => 0 })
 
 /** Microseconds for one decision. */
 function timeOf (router: Router, size: number, random: Random): number {
--- a/cli/main.ts
+++ b/cli/main.ts
@@ -35,6 +35,15 @@
     process.exit(broken === 0 ? 0 : EXIT_FAILED)
   })
 
+cli.command('platform', 'Run the stand-in platform of a deployment on the ports of the example settings, to try daemons against')
+  .option('--deployment <name>', 'adunni-levy or kingston-parish', { default: 'adunni-levy' })
+  .action(async (options: { deployment: string }) => {
+    const { adunniLevy, kingstonParish } = await import('../demo/deployments.ts')
+    const { servePlatform } = await import('../demo/platform.ts')
+    const served = await servePlatform(options.deployment === 'kingston-parish' ? kingstonParish() : adunniLevy(), { objectApi: 7000, cloudApi: 7001 })
+    print(JSON.stringify({ objectApi: served.objectApi.url, cloudApi: served.cloudApi.url, hosts: served.cloud.live().length }))
+  })
+
 cli.command('bench [name]', 'Measure one part; ends with one line of JSON')
   .option('--list', 'List the benches')
   .option('--seed <number>', 'Seed of all random choices', { default: 1 })
--- a/cli/operator_commands.ts
+++ b/cli/operator_commands.ts
@@ -10,9 +10,6 @@
 type Print = (line: string) => void
 interface TargetOptions { daemon?: string, credential?: string }
 
-const REACH_TIMEOUT_MS = 10_000
-const REACH_POLL_MS = 100
-
 /** Adds the commands. */
 export function addOperatorCommands (cli: CAC, print: Print): void {
   const targeted = (name: string, about: string) => cli.command(name, about)
@@ -82,21 +79,11 @@
 async function applyConfig (target: OperatorTarget, file: string | undefined, base: number | undefined, print: Print): Promise<void> {
   const config = readConfig(file)
   const headers: Record<string, string> = base === undefined ? {} : { 'if-match': `"${base}"` }
-  const { revision, diff } = await operatorCall(target, 'PUT', '/config', { body: config, headers }) as { revision: number, diff: FieldChange[] }
+  const { revision, diff, reach } = await operatorCall(target, 'PUT', '/config', { body: config, headers }) as { revision: number, diff: FieldChange[], reach: InForce }
   for (const change of diff) print(`  ${change.path}: ${JSON.stringify(change.from)} -> ${JSON.stringify(change.to)}`)
-  const reach = await waitForReach(target, revision)
   print(`revision ${revision} in force on ${reach.daemons} of ${reach.of} daemons`)
 }
 
-async function waitForReach (target: OperatorTarget, revision: number): Promise<InForce> {
-  const endsAtMs = Date.now() + REACH_TIMEOUT_MS
-  for (;;) {
-    const reach = await operatorCall(target, 'GET', `/config/reach/${revision}`) as InForce
-    if (reach.daemons >= reach.of || Date.now() > endsAtMs) return reach
-    await new Promise((resolve) => setTimeout(resolve, REACH_POLL_MS))
-  }
-}
-
 async function explain (target: OperatorTarget, id: string, print: Print): Promise<void> {
   const { decisions } = await operatorCall(target, 'GET', `/explain/${encodeURIComponent(id)}`) as { decisions: Array<{ atMs: number, text: string }> }
   for (const { atMs, text } of decisions) print(`${new Date(atMs).toISOString()}  ${text}`)
--- a/core/config/config_test.ts
+++ b/core/config/config_test.ts
@@ -46,6 +46,13 @@
   expect(second.changes.at(-1)!.diff).toEqual([{ path: 'wantsLeast', from: 'cost', to: 'recomputed-work' }])
 })
 
+test('the trail shows that a credential changed, and not its hash', () => {
+  const first = nextAccepted(undefined, config(), { id: 'a', operator: 'ada', atMs: 1 })
+  const [account, ...others] = config().accounts
+  const second = nextAccepted(first, { ...config(), accounts: [{ ...account!, credentialSha256: 'f'.repeat(64) }, ...others] }, { id: 'b', operator: 'ada', atMs: 2 })
+  expect(second.changes.at(-1)!.diff).toEqual([{ path: 'accounts.ikeja-council.credential', from: `sha256 ${account!.credentialSha256.slice(0, 8)}`, to: 'sha256 ffffffff' }])
+})
+
 test('a diff names added, changed and removed fields', () => {
   expect(diff({ a: 1, b: { c: 2 } }, { b: { c: 3 }, d: 4 })).toEqual([
     { path: 'a', from: 1, to: undefined },
--- a/core/config/revision.ts
+++ b/core/config/revision.ts
@@ -61,13 +61,21 @@
   return arrived.revision > inForce.revision ? arrived : inForce
 }
 
-/** Keys lists by name, so that a diff does not depend on their order. */
+/** Keys lists by name, so that a diff does not depend on their order; of a credential's hash it shows enough to see that it changed. */
 function byName (config: Config | undefined): unknown {
   if (!config) return {}
-  const entries = Object.entries(config).map(([key, value]) => [key, Array.isArray(value) ? Object.fromEntries(value.map((item) => [item.name, item])) : value])
+  const entries = Object.entries(config).map(([key, value]) => [key, Array.isArray(value) ? Object.fromEntries(value.map((item) => [item.name, withoutCredential(item)])) : value])
   return Object.fromEntries(entries)
 }
 
+function withoutCredential (item: object): object {
+  if (!('credentialSha256' in item)) return item
+  const { credentialSha256, ...rest } = item as { credentialSha256: string }
+  return { ...rest, credential: `sha256 ${credentialSha256.slice(0, FINGERPRINT_LENGTH)}` }
+}
+
+const FINGERPRINT_LENGTH = 8
+
 function isObject (value: unknown): value is Record<string, unknown> {
   return typeof value === 'object' && value !== null
 }
--- a/core/membership/membership.ts
+++ b/core/membership/membership.ts
@@ -229,7 +229,15 @@
       [...this.#facts.values()].some(({ fact }) => fact.version > (facts.get(fact.key) ?? 0))
   }
 
+  /**
+   * Facts go to all neighbours. Records only go to the successors: each new configuration changes every record, and over all links
+   * each would cross each link twice. A record that is missed on the way comes with the next digest.
+   */
   #tell (gossip: Gossip, except?: DaemonId): MembershipEffect[] {
-    return this.neighbours.filter((id) => id !== except).map((to) => ({ type: 'send', to, gossip }))
+    const { facts, members } = gossip
+    return this.neighbours.filter((id) => id !== except).flatMap((to): MembershipEffect[] => {
+      const share = this.#successors.includes(to) ? members : []
+      return facts.length + share.length === 0 ? [] : [{ type: 'send', to, gossip: { members: share, facts } }]
+    })
   }
 }
--- a/core/routing/endpoint_view.ts
+++ b/core/routing/endpoint_view.ts
@@ -39,8 +39,6 @@
   leavingAtMs: number | undefined
   /** Not picked before this time, after failures. */
   ejectedUntilMs: number
-  /** Expected reclaims an hour, learnt per failure domain and host class. */
-  reclaimsPerHour: number
 }
 
 /** Streams the endpoint runs now: the report plus what this daemon added since. */
--- a/core/routing/prefix_index.ts
+++ b/core/routing/prefix_index.ts
@@ -59,13 +59,6 @@
     return held
   }
 
-  /** Forgets one endpoint, when it left or its cache events show a gap. */
-  forget (endpoint: EndpointId): void {
-    for (const [key, sighting] of [...this.#blocks.entries()]) {
-      if (sighting.endpoint === endpoint) this.#blocks.set(key, { endpoint, atMs: -Infinity })
-    }
-  }
-
   * #keys (prompt: string): Generator<number> {
     for (let end = this.#blockLength; end <= prompt.length; end += this.#blockLength) {
       yield this.#hash(prompt.slice(0, end))
--- a/core/routing/router.ts
+++ b/core/routing/router.ts
@@ -1,5 +1,5 @@
 /** Choice of an endpoint for one request. */
-import type { EndpointId, FailureDomain } from '../ids/index.ts'
+import type { EndpointId } from '../ids/index.ts'
 import { predictBetweenTokensMs, predictFirstTokenMs, runningNow, type EndpointView } from './endpoint_view.ts'
 
 /** What a router needs to know of a request. */
@@ -9,7 +9,6 @@
   firstTokenMs: number
   betweenTokensMs: number | undefined
   avoid: readonly EndpointId[]
-  failureDomain: FailureDomain
   /** Prompt tokens that an endpoint's prefix cache is believed to hold. */
   cachedTokens (endpoint: EndpointId): number
 }
@@ -31,8 +30,6 @@
   random: Random
   /** Candidates looked at for one request. Default 4. */
   choices?: number
-  /** What a recomputed token costs in money, from the deployment's wish. Default 0. */
-  recomputePrice?: number
 }
 
 const DEFAULT_CHOICES = 4
@@ -47,12 +44,10 @@
 export class TargetRouter implements Router {
   readonly #random: Random
   readonly #choices: number
-  readonly #recomputePrice: number
 
   constructor (options: TargetRouterOptions) {
     this.#random = options.random
     this.#choices = options.choices ?? DEFAULT_CHOICES
-    this.#recomputePrice = options.recomputePrice ?? 0
   }
 
   pick (query: RouteQuery, candidates: readonly EndpointView[], now: number): Route | undefined {
@@ -94,9 +89,7 @@
     if (!route.meetsTarget) return route.firstTokenMs
     const runMs = route.firstTokenMs + query.expectedTokens * predictBetweenTokensMs(view)
     const holding = view.pricePerHour * (runMs / MS_PER_HOUR) / view.speed.batchSlots
-    const lossChance = Math.min(1, view.reclaimsPerHour * runMs / MS_PER_HOUR)
-    const redone = lossChance * (query.promptTokens + query.expectedTokens / 2) * this.#recomputePrice
-    return holding + redone + route.firstTokenMs * TIE_BREAK
+    return holding + route.firstTokenMs * TIE_BREAK
   }
 }
 
--- a/daemon/daemon.ts
+++ b/daemon/daemon.ts
@@ -255,8 +255,8 @@
     claims: asFunction((parts: Parts) => new Claims(withStore(parts, 'once'))).singleton(),
     table: asFunction(({ self, hash }: Parts) => new EndpointTable({ self, hash })).singleton(),
     prefixes: asFunction(({ hash }: Parts) => new PrefixIndex({ hash })).singleton(),
-    dispatcher: asFunction(({ table, prefixes, random, settings }: Parts) => new Dispatcher({
-      table, prefixes, router: new TargetRouter({ random }), failureDomain: as(settings.failureDomain)
+    dispatcher: asFunction(({ table, prefixes, random }: Parts) => new Dispatcher({
+      table, prefixes, router: new TargetRouter({ random })
     })).singleton(),
     engine: asFunction(() => options.engine ?? perEndpoint((view) => new HttpEngine({ url: view.address }))).singleton(),
     service: asFunction(() => options.service ?? perEndpoint((view) => new HttpService({ url: view.address }))).singleton(),
--- a/daemon/dispatcher.ts
+++ b/daemon/dispatcher.ts
@@ -1,7 +1,7 @@
 /** Finds an endpoint for each request that asks for one, or lets it wait its turn. */
 import { FairQueue, type Waiting, type WorkQueue } from '../core/admission/index.ts'
 import type { WorkClass } from '../core/config/index.ts'
-import type { AccountId, EndpointId, FailureDomain, PoolName } from '../core/ids/index.ts'
+import type { AccountId, EndpointId, PoolName } from '../core/ids/index.ts'
 import { estimateTokens, runningNow, type EndpointView, type PrefixIndex, type Route, type Router } from '../core/routing/index.ts'
 import type { EndpointTable } from './endpoint_table.ts'
 
@@ -28,7 +28,6 @@
   table: EndpointTable
   router: Router
   prefixes: PrefixIndex
-  failureDomain: FailureDomain
   /** Makes the queue of one pool. Default: {@linkcode FairQueue}. */
   queue?: () => WorkQueue<Placement>
 }
@@ -109,7 +108,6 @@
       firstTokenMs: placement.cls.latency.firstTokenMs,
       betweenTokensMs: placement.cls.latency.betweenTokensMs,
       avoid,
-      failureDomain: this.#options.failureDomain,
       cachedTokens: (id) => cached.get(id) ?? 0
     }, withRoom, now)
     if (!route) return false
--- a/daemon/endpoint_table.ts
+++ b/daemon/endpoint_table.ts
@@ -199,8 +199,7 @@
       ownSince: { running: 0, tokens: 0 },
       ownRunning: 0,
       leavingAtMs: undefined,
-      ejectedUntilMs: 0,
-      reclaimsPerHour: 0
+      ejectedUntilMs: 0
     })
     this.#byHost.set(host.hostId, endpoint.id)
     const goneAtMs = this.#hostGoneAt.get(host.hostId)
--- a/daemon/operators_api.ts
+++ b/daemon/operators_api.ts
@@ -4,10 +4,11 @@
 import Koa, { type Context } from 'koa'
 import { InvalidError } from '../core/config/index.ts'
 import { as, type DaemonId } from '../core/ids/index.ts'
+import { delay } from '../core/time/index.ts'
 import { StoreError } from '../store/index.ts'
 import type { AuditFilter, AuditTrail } from './audit.ts'
 import type { Broker } from './broker.ts'
-import { ConfigConflictError, ConfigUnsureError, type ConfigTask } from './config_task.ts'
+import { ConfigConflictError, ConfigUnsureError, type ConfigTask, type InForce } from './config_task.ts'
 import type { MembershipTask } from './membership_task.ts'
 import type { Metrics } from './metrics.ts'
 import type { StatusReport } from './status.ts'
@@ -28,6 +29,8 @@
 }
 
 const MAX_BODY_BYTES = 1 << 20
+const REACH_TIMEOUT_MS = 7000
+const REACH_POLL_MS = 50
 
 /** Builds the application that answers operators, the balancer and the monitoring. */
 export function operatorsApi (options: OperatorsApiOptions): Koa {
@@ -57,15 +60,11 @@
     if (accepted) ctx.body = { ...accepted, sure: options.config.sure, reach: options.config.reach(accepted.revision) }
     else fail(ctx, 404, 'no configuration is in force yet')
   })
-  router.get('/config/reach/:revision', (ctx) => {
-    operatorOf(ctx, options)
-    ctx.body = options.config.reach(Number(ctx.params.revision))
-  })
   router.put('/config', async (ctx) => {
     const operator = operatorOf(ctx, options)
     const base = ctx.get('if-match')
     const accepted = await options.config.apply(await readJson(ctx), { operator, ...(base !== '' && { base: Number(base.replaceAll('"', '')) }) })
-    ctx.body = { revision: accepted.revision, diff: accepted.changes.at(-1)!.diff }
+    ctx.body = { revision: accepted.revision, diff: accepted.changes.at(-1)!.diff, reach: await inForce(options.config, accepted.revision) }
   })
   router.get('/audit', async (ctx) => {
     operatorOf(ctx, options)
@@ -82,6 +81,16 @@
   return app
 }
 
+/** Waits until all daemons tell that the revision is in force, or as long as that may take. */
+async function inForce (config: ConfigTask, revision: number): Promise<InForce> {
+  const endsAtMs = Date.now() + REACH_TIMEOUT_MS
+  for (;;) {
+    const reach = config.reach(revision)
+    if (reach.daemons >= reach.of || Date.now() > endsAtMs) return reach
+    await delay(REACH_POLL_MS)
+  }
+}
+
 /** An operator's call without its credential. */
 class ForbiddenError extends Error {
   override name = 'ForbiddenError'
--- a/daemon/peer_links.ts
+++ b/daemon/peer_links.ts
@@ -37,7 +37,7 @@
 /** Owns the sockets to and from other daemons. */
 export class PeerLinks implements Links {
   readonly #options: PeerLinksOptions
-  readonly #packr = new Packr({ useRecords: false })
+  readonly #packr = new Packr({ useRecords: true })
   readonly #links = new Map<DaemonId, Link>()
   /** Who answered at an address, however the link to it came about. */
   readonly #peerAt = new Map<string, DaemonId>()
--- a/daemon/peer_links_test.ts
+++ b/daemon/peer_links_test.ts
@@ -39,7 +39,7 @@
 test('a message of a kind that this version does not know is counted and ignored', async () => {
   // During a replacement of daemons, newer ones send what older ones have never heard of; an older one that broke on it would leave.
   const a = await start('a')
-  const packr = new Packr({ useRecords: false })
+  const packr = new Packr({ useRecords: true })
   const newer = new WebSocket(`ws://${a.address}`)
   await new Promise((resolve) => newer.once('open', resolve))
   for (const msg of [{ kind: 'hello', id: 'newer', secret: SECRET }, { kind: 'from-the-future' }]) newer.send(packr.pack(msg))
@@ -73,7 +73,7 @@
   const silent = new WebSocketServer({ host: '127.0.0.1', port: 0, autoPong: false })
   await new Promise((resolve) => silent.once('listening', resolve))
   open.push({ close: () => { silent.clients.forEach((socket) => socket.terminate()); silent.close() } })
-  silent.on('connection', (socket) => socket.send(new Packr({ useRecords: false }).pack({ kind: 'hello', id: 'b', secret: SECRET })))
+  silent.on('connection', (socket) => socket.send(new Packr({ useRecords: true }).pack({ kind: 'hello', id: 'b', secret: SECRET })))
   const address = `127.0.0.1:${(silent.address() as AddressInfo).port}`
   const call = a.links.call({ id: as<DaemonId>('b'), address }, 'follow', null, { timeoutMs: 600_000 })
   call.catch(() => {})
--- a/demo/platform.ts
+++ b/demo/platform.ts
@@ -2,7 +2,7 @@
 import { as, type FailureDomain, type PoolName } from '../core/ids/index.ts'
 import { Daemon } from '../daemon/daemon.ts'
 import { settingsSchema, type Settings } from '../daemon/settings.ts'
-import { Ledger, serveCloudApi, serveEngine, serveObjectApi, serveService, StandInCloud, StandInEngine, StandInStore } from '../standins/index.ts'
+import { Ledger, serveCloudApi, serveEngine, serveObjectApi, serveService, StandInCloud, StandInEngine, StandInStore, type Listening } from '../standins/index.ts'
 import type { Deployment } from './deployments.ts'
 
 /** Everything a session needs. */
@@ -31,8 +31,11 @@
   return `${name}-demo-credential`
 }
 
-/** Starts the stand-ins, boots the hosts, starts the daemons and applies the deployment's configuration. */
-export async function startPlatform (deployment: Deployment, options: PlatformOptions): Promise<Platform> {
+/** Stand-ins of one deployment that listen. */
+export interface ServedPlatform { ledger: Ledger, store: StandInStore, cloud: StandInCloud, objectApi: Listening, cloudApi: Listening, stop (): Promise<void> }
+
+/** Starts the stand-in platform and boots the deployment's hosts. */
+export async function servePlatform (deployment: Deployment, ports = { objectApi: 0, cloudApi: 0 }): Promise<ServedPlatform> {
   const ledger = new Ledger()
   const store = new StandInStore()
   const cloud = new StandInCloud({
@@ -42,8 +45,18 @@
     publish: (endpoint) => (endpoint instanceof StandInEngine ? serveEngine(endpoint) : serveService(endpoint))
   })
   await bootHosts(deployment, cloud)
-  const objectApi = await serveObjectApi(store)
-  const cloudApi = await serveCloudApi(cloud)
+  const objectApi = await serveObjectApi(store, ports.objectApi)
+  const cloudApi = await serveCloudApi(cloud, ports.cloudApi)
+  const stop = async () => {
+    await Promise.all(cloud.live().map((host) => cloud.stop(host.hostId)))
+    await Promise.all([objectApi.close(), cloudApi.close()])
+  }
+  return { ledger, store, cloud, objectApi, cloudApi, stop }
+}
+
+/** Starts the stand-in platform and daemons before it, and applies the deployment's configuration. */
+export async function startPlatform (deployment: Deployment, options: PlatformOptions): Promise<Platform> {
+  const { ledger, store, cloud, objectApi, cloudApi, stop } = await servePlatform(deployment)
   const daemons: Daemon[] = []
   for (let i = 0; i < (options.daemons ?? 3); i++) {
     const settings = daemonSettings(deployment, i, { objectApi: objectApi.url, cloudApi: cloudApi.url, drainMs: options.drainMs ?? 8000, seeds: seedsOf(daemons) })
@@ -51,12 +64,11 @@
   }
   await daemons[0]!.config.apply(deployment.config, { operator: 'bootstrap' })
   await until(() => daemons.every((daemon) => daemon.ready))
-  const stop = async () => {
+  const stopAll = async () => {
     await Promise.all(daemons.map((daemon) => daemon.kill()))
-    await Promise.all(cloud.live().map((host) => cloud.stop(host.hostId)))
-    await Promise.all([objectApi.close(), cloudApi.close()])
+    await stop()
   }
-  return { deployment, ledger, store, cloud, daemons, stop }
+  return { deployment, ledger, store, cloud, daemons, stop: stopAll }
 }
 
 async function bootHosts (deployment: Deployment, cloud: StandInCloud): Promise<void> {
--- a/standins/_serve.ts
+++ b/standins/_serve.ts
@@ -6,13 +6,13 @@
 /** A server that listens. */
 export interface Listening { url: string, close (): Promise<void> }
 
-/** Starts the application; the caller closes it. */
-export async function serve (app: Koa): Promise<Listening> {
+/** Starts the application on a port, 0 for a free one; the caller closes it. */
+export async function serve (app: Koa, port = 0): Promise<Listening> {
   const server: Server = createServer(app.callback())
-  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
-  const { port } = server.address() as AddressInfo
+  await new Promise<void>((resolve) => server.listen(port, '127.0.0.1', resolve))
+  const address = server.address() as AddressInfo
   return {
-    url: `http://127.0.0.1:${port}`,
+    url: `http://127.0.0.1:${address.port}`,
     close: () => new Promise((resolve) => {
       server.closeAllConnections()
       server.close(() => resolve())
--- a/standins/cloud_api.ts
+++ b/standins/cloud_api.ts
@@ -6,7 +6,7 @@
 import { readJson, serve, type Listening } from './_serve.ts'
 
 /** Serves a cloud over HTTP. */
-export async function serveCloudApi (cloud: Cloud): Promise<Listening> {
+export async function serveCloudApi (cloud: Cloud, port = 0): Promise<Listening> {
   const router = new Router()
   router.get('/hosts', async (ctx) => { ctx.body = await cloud.hosts() })
   router.get('/notices', async (ctx) => { ctx.body = await cloud.notices(Number(ctx.query.after), Number(ctx.query.waitMs)) })
@@ -26,5 +26,5 @@
     }
   })
   app.use(router.routes())
-  return await serve(app)
+  return await serve(app, port)
 }
--- a/standins/object_api.ts
+++ b/standins/object_api.ts
@@ -7,7 +7,7 @@
 const STATUS = { conflict: 412, 'not-applied': 503, unsure: 500 } as const
 
 /** Serves a store over HTTP. */
-export async function serveObjectApi (store: ObjectStore): Promise<Listening> {
+export async function serveObjectApi (store: ObjectStore, port = 0): Promise<Listening> {
   const router = new Router()
   router.get('/objects', async (ctx) => {
     const { prefix, after, limit } = ctx.query as Record<string, string>
@@ -44,5 +44,5 @@
     }
   })
   app.use(router.routes())
-  return await serve(app)
+  return await serve(app, port)
 }
