Cut a followed answer that misses a part

Before: the story fails (1 of 2 tokens). After: it passes; a mirror that misses a part is cut and its caller resumes from what it has. Ruled out: the answer buffer, which refuses gaps; the mirror had its own simpler logic.

--- a/daemon/live_answer.ts
+++ b/daemon/live_answer.ts
@@ -61,8 +61,15 @@
     return this.#listeners.add(listener)
   }
 
-  /** Takes in what the holder sent; offsets make a doubled part harmless. */
+  /**
+   * Takes in what the holder sent; offsets make a doubled part harmless.
+   *
+   * A part that is missing would leave the caller with a torn answer that ends as if it were whole: the mirror is cut instead, and the
+   * caller resumes from what it has.
+   */
   take (part: AnswerPart): void {
+    if (this.movedAway) return
+    if (part.offset > this.tokens.length) return this.cut()
     if (part.offset + part.tokens.length > this.tokens.length) this.tokens.push(...part.tokens.slice(this.tokens.length - part.offset))
     this.started ||= part.started
     this.movedAway ||= part.movedAway
--- a/daemon/schedules_test.ts
+++ b/daemon/schedules_test.ts
@@ -56,6 +56,16 @@
       { type: 'submit', kind: 'review', daemon: 0, size: 1 }, { type: 'submit', kind: 'review', daemon: 0, size: 1 },
       { type: 'part', a: 0, b: 10 }, { type: 'submit', kind: 'review', daemon: 0, size: 1 }, { type: 'double-chunks', host: 0 }, { type: 'wait', ms: 1 }
     ]
+  ],
+  [
+    // A household's letter arrives without its first half, and ends as if it were whole. It is followed through another daemon, the network
+    // between the two parts for a moment, a part of the answer is lost, and what comes after it was taken for it.
+    'a part of a followed answer that is missing is not passed over',
+    [
+      { type: 'submit', kind: 'letter', daemon: 0, size: 2 }, { type: 'repeat', of: 0, daemon: 4 }, { type: 'wait', ms: 3 }, { type: 'part', a: 4, b: 0 },
+      { type: 'wait', ms: 46 }, { type: 'repeat', of: 0, daemon: 0 }, { type: 'double-chunks', host: 0 }, { type: 'lag-list' },
+      { type: 'repeat', of: 0, daemon: 0 }, { type: 'reclaim-domain', domain: 0, noticeMs: 2000 }
+    ]
   ]
 ]
 
