--- a/standins/_serve.ts
+++ b/standins/_serve.ts
@@ -1,11 +1,30 @@
 /** Listens with a Koa application on a free loopback port. */
 import { createServer, type IncomingMessage, type Server } from 'node:http'
 import type { AddressInfo } from 'node:net'
-import type Koa from 'koa'
+import type Router from '@koa/router'
+import Koa, { type Context } from 'koa'
 
 /** A server that listens. */
 export interface Listening { url: string, close (): Promise<void> }
 
+/** What an interface answers when its stand-in throws. */
+export type OnFailure = (ctx: Context, err: unknown) => void
+
+/** Builds an application of routes whose failures are answered in one place. */
+export function application (router: Router, onFailure: OnFailure): Koa {
+  const app = new Koa()
+  app.silent = true
+  app.use(async (ctx, next) => {
+    try {
+      await next()
+    } catch (err) {
+      onFailure(ctx, err)
+    }
+  })
+  app.use(router.routes())
+  return app
+}
+
 /** Starts the application on a port, 0 for a free one; the caller closes it. */
 export async function serve (app: Koa, port = 0): Promise<Listening> {
   const server: Server = createServer(app.callback())
--- a/standins/cloud_api.ts
+++ b/standins/cloud_api.ts
@@ -1,9 +1,8 @@
 /** The stand-in cloud behind the platform's HTTP interface. */
 import Router from '@koa/router'
-import Koa from 'koa'
 import { CloudError, type Cloud, type HostWanted } from '../endpoints/index.ts'
 import type { HostId } from '../core/ids/index.ts'
-import { readJson, serve, type Listening } from './_serve.ts'
+import { application, readJson, serve, type Listening } from './_serve.ts'
 
 /** Serves a cloud over HTTP. */
 export async function serveCloudApi (cloud: Cloud, port = 0): Promise<Listening> {
@@ -15,16 +14,9 @@
     await cloud.stop(ctx.params.id as HostId)
     ctx.body = {}
   })
-  const app = new Koa()
-  app.silent = true
-  app.use(async (ctx, next) => {
-    try {
-      await next()
-    } catch (err) {
-      ctx.status = err instanceof CloudError && err.refused ? 409 : 500
-      ctx.body = { error: (err as Error).message }
-    }
+  const app = application(router, (ctx, err) => {
+    ctx.status = err instanceof CloudError && err.refused ? 409 : 500
+    ctx.body = { error: (err as Error).message }
   })
-  app.use(router.routes())
   return await serve(app, port)
 }
--- a/standins/endpoint_api.ts
+++ b/standins/endpoint_api.ts
@@ -1,10 +1,10 @@
 /** The stand-in engine and service behind their HTTP interfaces. */
 import type { ServerResponse } from 'node:http'
 import Router from '@koa/router'
-import Koa, { type Context } from 'koa'
+import type { Context } from 'koa'
 import { AttemptError } from '../core/outcome/index.ts'
 import type { EngineOrder, StreamSink, StreamSpec } from '../endpoints/index.ts'
-import { readJson, serve, type Listening } from './_serve.ts'
+import { application, readJson, serve, type Listening } from './_serve.ts'
 import type { StandInEngine } from './engine.ts'
 import type { StandInService } from './service.ts'
 
@@ -29,7 +29,7 @@
     await engine.order(await readJson(ctx.req) as EngineOrder)
     ctx.body = {}
   })
-  return await serve(application(router))
+  return await serve(application(router, onFailure))
 }
 
 /** Serves one plain service over HTTP. */
@@ -39,22 +39,12 @@
     const { input } = await readJson(ctx.req) as { input: string }
     ctx.body = { answer: await service.call({ requestId: ctx.get('x-request-id'), input, timeoutMs: 0 }) }
   })
-  return await serve(application(router))
+  return await serve(application(router, onFailure))
 }
 
-function application (router: Router): Koa {
-  const app = new Koa()
-  app.silent = true
-  app.use(async (ctx, next) => {
-    try {
-      await next()
-    } catch (err) {
-      refuse(ctx.res, err)
-      ctx.respond = false
-    }
-  })
-  app.use(router.routes())
-  return app
+function onFailure (ctx: Context, err: unknown): void {
+  ctx.respond = false
+  refuse(ctx.res, err)
 }
 
 function stream (ctx: Context, open: (sink: StreamSink) => { detach (): void }): void {
--- a/standins/object_api.ts
+++ b/standins/object_api.ts
@@ -1,8 +1,7 @@
 /** The stand-in store behind the platform's HTTP interface. */
 import Router from '@koa/router'
-import Koa from 'koa'
 import { isStoreFailure, type ObjectStore } from '../store/index.ts'
-import { readText, serve, type Listening } from './_serve.ts'
+import { application, readText, serve, type Listening } from './_serve.ts'
 
 const STATUS = { conflict: 412, 'not-applied': 503, unsure: 500 } as const
 
@@ -32,17 +31,10 @@
     const { prefix, after, waitMs } = ctx.query as Record<string, string>
     ctx.body = await store.changes(prefix ?? '', { after: Number(after), waitMs: Number(waitMs) })
   })
-  const app = new Koa()
-  app.silent = true
-  app.use(async (ctx, next) => {
-    try {
-      await next()
-    } catch (err) {
-      const failure = (['conflict', 'not-applied', 'unsure'] as const).find((kind) => isStoreFailure(err, kind))
-      ctx.status = failure ? STATUS[failure] : 400
-      ctx.body = { error: (err as Error).message }
-    }
+  const app = application(router, (ctx, err) => {
+    const failure = (['conflict', 'not-applied', 'unsure'] as const).find((kind) => isStoreFailure(err, kind))
+    ctx.status = failure ? STATUS[failure] : 400
+    ctx.body = { error: (err as Error).message }
   })
-  app.use(router.routes())
   return await serve(app, port)
 }
