Buy, drain and stop hosts by lease, as the targets ask

Cause: the fleet was planned and nobody acted on the plan. A first loop moved all hosts into one domain, since at equal prices the planner took the fewest domains, and drained the others: 4 needless starts at 9 hosts.

Before: no host bought. After: 5 stories pass, among them three daemons with real leases that buy a wave's hosts once.

Conclusion: off by default (manageFleet) until it has run against a real cloud.

--- a/bench/_session.ts
+++ b/bench/_session.ts
@@ -65,9 +65,13 @@
     this.cloud = new StandInCloud({ ledger: this.ledger, classes: [{ name: 'quad', reclaimablePrice: 4, onDemandPrice: 11, speed: SPEED }], serviceLatencyMs: new Map([['service', 30]]) })
   }
 
+  /** Whether daemons buy hosts. */
+  #manageFleet = false
+
   /** Starts three daemons, six model hosts and three service hosts. */
-  static async start (seed: number): Promise<Session> {
+  static async start (seed: number, options: { manageFleet?: boolean } = {}): Promise<Session> {
     const session = new Session(seed)
+    session.#manageFleet = options.manageFleet ?? false
     for (const domain of DOMAINS) {
       await session.startHost('models', domain)
       await session.startHost('models', domain)
@@ -111,6 +115,7 @@
       ports: { callers: 0, operators: 0, peers: 0 },
       platform: { objectApi: 'http://127.0.0.1:1', cloudApi: 'http://127.0.0.1:1' },
       peerSecret: 'session-secret',
+      manageFleet: this.#manageFleet,
       drainMs: 8000
     })
     this.daemons.push(await Daemon.start({
--- a/core/fleet/plan_fleet.ts
+++ b/core/fleet/plan_fleet.ts
@@ -39,6 +39,7 @@
 const MS_PER_DAY = 86_400_000
 /** Part of what may be missed that reclaims may use up; the rest is for everything else. */
 const MISS_BUDGET = 0.5
+const SAME_PRICE = 1e-9
 
 /**
  * Tries every number of domains to spread reclaimable hosts over and every number of spare and of on-demand hosts, and takes the cheapest mix
@@ -112,5 +113,8 @@
   const allowed = (1 - demand.delivery) * MISS_BUDGET
   const [ok, bestOk] = [plan.expectedMissed <= allowed, best.expectedMissed <= allowed]
   if (ok !== bestOk) return ok
-  return ok ? plan.pricePerHour < best.pricePerHour : plan.expectedMissed < best.expectedMissed
+  if (!ok) return plan.expectedMissed < best.expectedMissed
+  // At the same price, more domains: nothing is won by holding all in one.
+  if (Math.abs(plan.pricePerHour - best.pricePerHour) <= SAME_PRICE) return plan.expectedMissed < best.expectedMissed
+  return plan.pricePerHour < best.pricePerHour
 }
--- a/daemon/daemon.ts
+++ b/daemon/daemon.ts
@@ -18,6 +18,7 @@
 import { ConfigTask } from './config_task.ts'
 import { Dispatcher } from './dispatcher.ts'
 import { EndpointTable, SUBSET_SIZE } from './endpoint_table.ts'
+import { FleetLoop } from './fleet_loop.ts'
 import { HostWatch } from './host_watch.ts'
 import type { Links } from './links.ts'
 import { logOf } from './log.ts'
@@ -92,6 +93,7 @@
   broker: Broker
   reclaimer: Reclaimer
   hosts: HostWatch
+  fleet: FleetLoop
 }
 
 /** A running daemon. */
@@ -143,16 +145,18 @@
     clearInterval(this.#statusTimer)
     this.#parts.config.stop()
     this.#parts.hosts.stop()
+    this.#parts.fleet.stop()
     this.#parts.broker.abandon()
     for (const server of this.#servers) server.closeAllConnections()
     await Promise.all([...this.#servers.map(close), this.#parts.membership.stop()])
   }
 
   async #start (): Promise<void> {
-    const { membership, config, hosts, table } = this.#parts
+    const { settings, membership, config, hosts, table, fleet } = this.#parts
     await membership.start()
     config.start()
     await hosts.start()
+    if (settings.manageFleet) fleet.start()
     if (this.#http) await this.#serve()
     this.#statusTimer = setInterval(() => this.#refreshStatus(), STATUS_EVERY_MS).unref()
     log('started', { id: this.id, ...this.#addresses, endpoints: table.all.length })
@@ -218,7 +222,7 @@
   }
 
   async #leave (heir: Member | undefined): Promise<void> {
-    const { membership, config, hosts } = this.#parts
+    const { membership, config, hosts, fleet } = this.#parts
     clearInterval(this.#statusTimer)
     const closing = this.#servers.map(close)
     for (const server of this.#servers) server.closeIdleConnections()
@@ -226,6 +230,7 @@
     for (const server of this.#servers) server.closeAllConnections()
     config.stop()
     hosts.stop()
+    fleet.stop()
     await membership.leave(heir?.id)
     log('left', { heir: heir?.id })
   }
@@ -275,6 +280,19 @@
     })).singleton(),
     hosts: asFunction(({ cloud, table, membership, random, dispatcher }: Parts) => new HostWatch({
       cloud, table, membership, random, onListed: () => dispatcher.pump()
+    })).singleton(),
+    fleet: asFunction(({ self, hash, storeFor, cloud, audit, config, table, membership, engine }: Parts) => new FleetLoop({
+      self,
+      hash,
+      cloud,
+      audit,
+      config,
+      table,
+      membership,
+      store: storeFor('lease'),
+      // The engine's client only needs where it is.
+      engine: (view) => engine(view as EndpointView),
+      announceLeaving: (host, goneAtMs) => table.leaving([host], goneAtMs, 'notice')
     })).singleton()
   })
   const reclaimer = container.resolve('reclaimer')
--- /dev/null
+++ b/daemon/fleet_task_test.ts
@@ -0,0 +1,103 @@
+import { afterEach, beforeEach, expect, test, vi } from 'vitest'
+import { Session, sessionConfig } from '../bench/_session.ts'
+import { as, type DaemonId, type FailureDomain, type HostId, type PoolName } from '../core/ids/index.ts'
+import { Ledger, StandInCloud, type StandInEngine } from '../standins/index.ts'
+import type { AuditRecord } from './audit.ts'
+import { FleetTask } from './fleet_task.ts'
+
+const POOL = as<PoolName>('models')
+const SPEED = { batchSlots: 8, prefillTokensPerS: 1e6, betweenTokensMs: 20, betweenTokensPerStreamMs: 5, exportTokensPerS: 1, importTokensPerS: 1 }
+
+beforeEach(() => { vi.useFakeTimers() })
+afterEach(() => { vi.useRealTimers() })
+
+async function fleet (hosts: number) {
+  const cloud = new StandInCloud({ ledger: new Ledger(), classes: [{ name: 'quad', reclaimablePrice: 4, onDemandPrice: 11, speed: SPEED }], serviceLatencyMs: new Map() })
+  for (let i = 0; i < hosts; i++) await cloud.start({ hostClass: 'quad', failureDomain: as<FailureDomain>('abc'[i % 3]!), pool: POOL, reclaimable: true })
+  const records: AuditRecord[] = []
+  const leaving: HostId[] = []
+  const state = { holds: true }
+  const task = new FleetTask({
+    self: as<DaemonId>('d'),
+    pool: POOL,
+    cloud,
+    audit: { write: async (record) => { records.push(record) } },
+    config: sessionConfig,
+    engine: ({ address }) => cloud.at(address) as StandInEngine,
+    holds: () => state.holds,
+    announceLeaving: (host) => { leaving.push(host) }
+  })
+  return { cloud, task, records, leaving, state }
+}
+
+/** Keeps streams running on the fleet: two hosts' worth each 8. */
+function load (cloud: StandInCloud, streams: number): void {
+  const engines = cloud.live().map((host) => cloud.endpoint(host.hostId) as StandInEngine)
+  for (let i = 0; i < streams; i++) {
+    engines[i % engines.length]!.start({ streamId: `s${i}`, prompt: 'x', done: [], maxTokens: 100_000, priority: 1, keepMs: 0 }, { onChunk () {}, onEnd () {}, onError () {}, onLoad () {} })
+  }
+}
+
+test('a fleet too small for its latency target grows, spread over domains', async () => {
+  const { cloud, task } = await fleet(3)
+  load(cloud, 40)
+  const round = await task.reconcile()
+  expect(round.needed).toBeCloseTo(40 * 1.25 / 8)
+  expect(round.started).toBe(4)
+  await task.reconcile()
+  expect(cloud.live().length).toBeGreaterThanOrEqual(7)
+  expect(new Set(cloud.live().map((host) => host.failureDomain)).size).toBe(3)
+})
+
+test('starts that are refused go to another domain, and on-demand last', async () => {
+  const { cloud, task, records } = await fleet(3)
+  load(cloud, 40)
+  for (const domain of 'abc') cloud.faults.refuseIn.add(as<FailureDomain>(domain))
+  for (let i = 0; i < 5; i++) await task.reconcile()
+  expect(cloud.live().filter((host) => !host.reclaimable).length).toBeGreaterThanOrEqual(4)
+  expect(records.map(({ what }) => (what as { action: string }).action)).toContain('refused')
+})
+
+test('a fleet too large shrinks after ten minutes, drains first, and keeps what is needed', async () => {
+  const { cloud, task, leaving } = await fleet(9)
+  load(cloud, 56)
+  expect(await task.reconcile()).toMatchObject({ needed: 8.75, started: 0, draining: 0 })
+  for (const host of cloud.live()) for (let i = 0; i < 40; i++) await (cloud.endpoint(host.hostId) as StandInEngine).cancel(`s${i}`, 0)
+  expect(await task.reconcile()).toMatchObject({ needed: 8.75, draining: 0 })
+  await vi.advanceTimersByTimeAsync(700_000)
+  await task.reconcile()
+  expect(leaving).toHaveLength(6)
+  await task.reconcile()
+  await vi.advanceTimersByTimeAsync(130_000)
+  await task.reconcile()
+  expect(cloud.live()).toHaveLength(3)
+})
+
+test('without the lease nothing is bought', async () => {
+  // Two daemons each buy the hosts that the wave took, and the firm pays twice until somebody looks at the bill.
+  const { cloud, task, state, records } = await fleet(3)
+  load(cloud, 40)
+  state.holds = false
+  await task.reconcile()
+  expect(cloud.live()).toHaveLength(3)
+  expect(records).toHaveLength(0)
+})
+
+test('three daemons that manage the fleet buy what a wave took once, not three times', async () => {
+  // The same with real leases: all three contend, a domain is reclaimed, and its replacements must be bought by one of them.
+  vi.useRealTimers()
+  const session = await Session.start(6, { manageFleet: true })
+  try {
+    for (let i = 0; i < 24; i++) session.submit(session.daemons[i % 3]!, { kind: 'review', key: `r${i}`, input: `review ${i}`, maxTokens: 900 })
+    await session.advance(15_000)
+    session.cloud.reclaim(session.cloud.hostsIn('a'), 2000)
+    await session.advance(45_000)
+    const models = session.cloud.live().filter((host) => host.endpoint.pool === 'models')
+    expect(models.length).toBeGreaterThanOrEqual(4)
+    expect(models.length).toBeLessThanOrEqual(9)
+    expect(session.violations()).toEqual([])
+  } finally {
+    await Promise.all(session.daemons.map((daemon) => daemon.kill()))
+    session.stop()
+  }
+})
--- a/daemon/settings.ts
+++ b/daemon/settings.ts
@@ -17,6 +17,7 @@
   seeds: z.array(z.string().regex(/^(\d{1,3}\.){3}\d{1,3}:\d+$/, 'IP number and port')).default([]),
   peerSecret: z.string().min(8).describe('shared by all daemons'),
   drainMs: z.number().int().positive().default(25_000).describe('time that the platform gives between SIGTERM and the end'),
+  manageFleet: z.boolean().default(false).describe('buy, drain and stop hosts of model pools as the targets ask'),
   limits: z.strictObject({
     openRequests: z.number().int().positive().default(4000),
     bodyBytes: z.number().int().positive().default(1 << 20),
--- a/endpoints/cloud.ts
+++ b/endpoints/cloud.ts
@@ -25,9 +25,13 @@
 /** A host to start. */
 export interface HostWanted { hostClass: string, failureDomain: FailureDomain, pool: PoolName, reclaimable: boolean }
 
+/** A kind of host that the cloud offers, and its price now. */
+export interface CloudOffer { hostClass: string, failureDomain: FailureDomain, reclaimable: boolean, pricePerHour: number, speed: EndpointSpeed }
+
 /** The cloud API. Methods throw {@linkcode CloudError}. */
 export interface Cloud {
   hosts (): Promise<ListedHost[]>
+  offers (): Promise<CloudOffer[]>
   /** Waits up to `waitMs` for notices after a serial. */
   notices (after: number, waitMs: number): Promise<ReclaimNotice[]>
   start (wanted: HostWanted): Promise<HostId>
--- a/endpoints/http_cloud.ts
+++ b/endpoints/http_cloud.ts
@@ -1,7 +1,7 @@
 /** Client of the platform's cloud API over HTTP. */
 import { request } from 'undici'
 import type { HostId } from '../core/ids/index.ts'
-import { CloudError, type Cloud, type HostWanted, type ListedHost, type ReclaimNotice } from './cloud.ts'
+import { CloudError, type Cloud, type CloudOffer, type HostWanted, type ListedHost, type ReclaimNotice } from './cloud.ts'
 
 const TIMEOUT_MS = 3000
 
@@ -17,6 +17,10 @@
     return await this.#call('GET', '/hosts') as ListedHost[]
   }
 
+  async offers (): Promise<CloudOffer[]> {
+    return await this.#call('GET', '/offers') as CloudOffer[]
+  }
+
   async notices (after: number, waitMs: number): Promise<ReclaimNotice[]> {
     return await this.#call('GET', `/notices?after=${after}&waitMs=${waitMs}`, { waitMs }) as ReclaimNotice[]
   }
--- a/standins/cloud.ts
+++ b/standins/cloud.ts
@@ -1,7 +1,7 @@
 /** Stand-in for the platform's cloud: hosts with prices, refusals, reclaim notices and a lagging host list. */
 import { as, type FailureDomain, type HostId, type PoolName } from '../core/ids/index.ts'
 import type { EndpointSpeed } from '../core/routing/index.ts'
-import { CloudError, type Cloud, type HostWanted, type ListedHost, type ReclaimNotice } from '../endpoints/index.ts'
+import { CloudError, type Cloud, type CloudOffer, type HostWanted, type ListedHost, type ReclaimNotice } from '../endpoints/index.ts'
 import { StandInEngine } from './engine.ts'
 import type { Ledger } from './ledger.ts'
 import { StandInService } from './service.ts'
@@ -53,6 +53,14 @@
     return seen?.hosts ?? []
   }
 
+  async offers (): Promise<CloudOffer[]> {
+    const domains = [...new Set([...this.#hosts.values()].map((host) => host.listed.failureDomain))].sort()
+    return domains.flatMap((failureDomain) => this.#options.classes.flatMap(({ name, reclaimablePrice, onDemandPrice, speed }) => [
+      { hostClass: name, failureDomain, reclaimable: true, pricePerHour: reclaimablePrice, speed },
+      { hostClass: name, failureDomain, reclaimable: false, pricePerHour: onDemandPrice, speed }
+    ]))
+  }
+
   async notices (after: number, waitMs: number): Promise<ReclaimNotice[]> {
     const ready = () => this.#notices.filter((notice) => notice.serial > after)
     if (this.faults.silentNotices || (ready().length === 0 && waitMs > 0)) await this.#wait(waitMs)
--- a/standins/cloud_api.ts
+++ b/standins/cloud_api.ts
@@ -8,6 +8,7 @@
 export async function serveCloudApi (cloud: Cloud, port = 0): Promise<Listening> {
   const router = new Router()
   router.get('/hosts', async (ctx) => { ctx.body = await cloud.hosts() })
+  router.get('/offers', async (ctx) => { ctx.body = await cloud.offers() })
   router.get('/notices', async (ctx) => { ctx.body = await cloud.notices(Number(ctx.query.after), Number(ctx.query.waitMs)) })
   router.post('/hosts', async (ctx) => { ctx.body = { hostId: await cloud.start(await readJson(ctx.req) as HostWanted) } })
   router.delete('/hosts/:id', async (ctx) => {
