Hand over streams that wait for room, and refuse new work while leaving

Cause: reading the drain again: only running streams were handed over, so one held without room was cut with its daemon; and requests were accepted until the last moment, when they could be cut too.

Conclusion: a hand-over may have no endpoint.

--- a/daemon/broker.ts
+++ b/daemon/broker.ts
@@ -70,6 +70,7 @@
   readonly #kept = new Map<RequestId, KeptAnswer>()
   readonly #budgets = new Map<string, RetryBudget>()
   readonly #standby: Standby
+  #refusing = false
   /** Called after a stream of another daemon was taken over: its endpoint may be leaving. */
   onTookOver: () => void = () => {}
 
@@ -102,6 +103,7 @@
    */
   submit (submission: Submission): RequestTask {
     const { limits } = this.#options.settings
+    if (this.#refusing) throw new RefusedError('Cannot accept request: this daemon is leaving', { status: 503, retryAfterMs: RETRY_AFTER_FULL_MS })
     if (this.#open.size >= limits.openRequests) throw new RefusedError('Cannot accept request: too many are open', { status: 503, retryAfterMs: RETRY_AFTER_FULL_MS })
     const { cls, model } = this.#classOf(submission)
     const maxTokens = submission.maxTokens ?? DEFAULT_MAX_TOKENS
@@ -154,6 +156,11 @@
     return answer instanceof RequestTask ? answer.decisions : undefined
   }
 
+  /** Takes nothing new: a request accepted in the last moment could be cut by the end. */
+  refuseNew (): void {
+    this.#refusing = true
+  }
+
   /** Hands open streams and kept answers to another daemon; returns how many streams moved. */
   async handOver (heir: { id: DaemonId, address: string }): Promise<number> {
     const candidates = [...this.#open.values()].flatMap((task) => {
@@ -324,8 +331,8 @@
 
   #takeOver (handed: HandOver, sure: boolean): boolean {
     const cls = this.#options.config.inForce?.config.classes.find(({ name }) => name === handed.className)
-    const view = this.#options.ports.table.get(handed.endpoint)
-    if (!cls || !view || this.#open.has(handed.id)) return false
+    const view = handed.endpoint === undefined ? undefined : this.#options.ports.table.get(handed.endpoint)
+    if (!cls || (handed.endpoint !== undefined && !view) || this.#open.has(handed.id)) return false
     const { id, account, prompt, maxTokens } = handed
     const task = new RequestTask({ id, account, cls, prompt, maxTokens, model: true, claim: undefined }, this.#portsOf(cls), { deadlineInMs: handed.deadlineInMs })
     this.#adopt(task)
--- a/daemon/daemon.ts
+++ b/daemon/daemon.ts
@@ -204,6 +204,7 @@
     membership.setSelf({ state: 'draining' })
     audit.write({ kind: 'drain', id: randomUUID(), who, atMs: Date.now(), what: { daemon: this.id } })
     await delay(Math.min(BALANCER_MS, settings.drainMs / 4))
+    broker.refuseNew()
     for (const server of this.#servers) server.closeIdleConnections()
     await this.#waitForOpen(endsAtMs - Math.min(HAND_OVER_MS, settings.drainMs / 2))
     const { heir } = broker
--- a/daemon/request_task.ts
+++ b/daemon/request_task.ts
@@ -46,7 +46,8 @@
   maxTokens: number
   tokens: readonly string[]
   attempt: number
-  endpoint: EndpointId
+  /** Undefined while it waits for room. */
+  endpoint: EndpointId | undefined
   /** Milliseconds until the deadline. */
   deadlineInMs: number
 }
@@ -139,7 +140,9 @@
   describe (): HandOver | undefined {
     const { work } = this
     const { phase, endpoint, attempt, traits } = this.#state
-    if (phase !== 'running' || endpoint === undefined || !work.model || this.exporting) return undefined
+    const running = phase === 'running' && endpoint !== undefined && !this.exporting
+    const waiting = phase === 'placing' && attempt > 0
+    if (!work.model || (!running && !waiting)) return undefined
     return {
       id: work.id,
       account: work.account,
@@ -183,7 +186,8 @@
   /** Another daemon took the stream over: let go of it here, without stopping it. */
   letGo (): void {
     clearTimeout(this.#deadlineTimer)
-    this.#ports.table.ended(this.#state.endpoint!, false)
+    if (this.#placement) this.#ports.dispatcher.forget(this.#placement)
+    if (this.#state.endpoint !== undefined) this.#ports.table.ended(this.#state.endpoint, false)
     this.movedAway = true
     this.#state = { ...this.#state, phase: 'done' }
     this.#listeners.notify()
@@ -193,11 +197,15 @@
    * Carries on another daemon's stream. `sure` when it handed the stream over and let go; false when it is gone, and its callers may have
    * read further than its last word here.
    */
-  takeOver (handed: HandOver, view: EndpointView, sure: boolean): void {
+  takeOver (handed: HandOver, view: EndpointView | undefined, sure: boolean): void {
     this.#onlyResume = !sure
-    this.#state = { ...this.#state, phase: 'running', attempt: handed.attempt, endpoint: handed.endpoint, mayHaveRun: true }
+    this.#state = { ...this.#state, phase: view ? 'running' : 'placing', attempt: handed.attempt, endpoint: handed.endpoint, mayHaveRun: true }
     this.answer.replaceAttempt(handed.attempt)
     this.answer.add({ attempt: handed.attempt, offset: 0, tokens: handed.tokens })
+    if (!view) {
+      this.note(`taken over at token ${handed.tokens.length}, waiting for room`)
+      return this.#place([])
+    }
     this.#ports.table.started(view.id, 0)
     this.note(`taken over at token ${handed.tokens.length} on ${view.id}`)
     this.#attachment = this.#ports.engine(view).resume(this.#streamId(handed.attempt), handed.tokens.length, this.#sink(view.id, handed.attempt))
--- a/daemon/standby.ts
+++ b/daemon/standby.ts
@@ -94,7 +94,7 @@
     if (state !== 'gone' && state !== 'suspect') return
     const knownAtMs = Date.now() + GONE_AFTER_MS
     for (const handed of [...this.#records.get(id)?.values() ?? []]) {
-      const urgent = (this.#options.goneAtMs(handed.endpoint) ?? Infinity) < knownAtMs
+      const urgent = handed.endpoint !== undefined && (this.#options.goneAtMs(handed.endpoint) ?? Infinity) < knownAtMs
       if (state !== 'gone' && !urgent) continue
       this.#records.get(id)!.delete(handed.id)
       log('carrying on', { daemon: id, request: handed.id })
