Hash a prompt's prefix once, and let ties be ties

Cause: reading the code again. The prefix index hashed a prompt once for each of its blocks, about 1 MB for a prompt of 32 KB; the router's tie-break of 1e-7 a millisecond weighed as much as money at waits of seconds, found by a first test of routing; repeated idempotency keys were counted as not run and made a class look as if it missed its target.

--- a/core/routing/prefix_index.ts
+++ b/core/routing/prefix_index.ts
@@ -59,9 +59,12 @@
     return held
   }
 
+  /** Each key stands for its block and all before it, so that a long prompt is hashed once and not once for each block. */
   * #keys (prompt: string): Generator<number> {
+    let key = 0
     for (let end = this.#blockLength; end <= prompt.length; end += this.#blockLength) {
-      yield this.#hash(prompt.slice(0, end))
+      key = this.#hash(`${key}/${prompt.slice(end - this.#blockLength, end)}`)
+      yield key
     }
   }
 }
--- a/core/routing/router.ts
+++ b/core/routing/router.ts
@@ -94,7 +94,7 @@
 }
 
 /** Money per millisecond of predicted wait: orders endpoints of one price by load. */
-const TIE_BREAK = 1e-7
+const TIE_BREAK = 1e-9
 
 /** Baseline: the endpoint with the fewest running requests, by the last report and own work. */
 export class LeastLoadedRouter implements Router {
--- /dev/null
+++ b/core/routing/routing_test.ts
@@ -0,0 +1,75 @@
+import xxhash from 'xxhash-wasm'
+import { expect, test } from 'vitest'
+import { as, type EndpointId } from '../ids/index.ts'
+import { LeastLoadedRouter, PrefixIndex, subset, TargetRouter, type EndpointView, type RouteQuery } from './index.ts'
+
+const { h32 } = await xxhash()
+const hash = (text: string) => h32(text)
+const id = (name: string) => as<EndpointId>(name)
+
+function view (name: string, change: Partial<EndpointView> = {}): EndpointView {
+  return {
+    id: id(name),
+    hostId: as(`host-${name}`),
+    pool: as('p'),
+    failureDomain: as('d'),
+    address: name,
+    pricePerHour: 4,
+    reclaimable: true,
+    speed: { batchSlots: 8, prefillTokensPerS: 1000, betweenTokensMs: 20, betweenTokensPerStreamMs: 1, exportTokensPerS: 1, importTokensPerS: 1 },
+    load: { running: 0, queuedTokens: 0, atMs: 0 },
+    ownSince: { running: 0, tokens: 0 },
+    ownRunning: 0,
+    leavingAtMs: undefined,
+    ejectedUntilMs: 0,
+    ...change
+  }
+}
+
+const query = (change: Partial<RouteQuery> = {}): RouteQuery => ({ promptTokens: 1000, expectedTokens: 100, firstTokenMs: 1800, betweenTokensMs: 32, avoid: [], cachedTokens: () => 0, ...change })
+const router = () => new TargetRouter({ random: () => 0.5 })
+
+test('the cheapest endpoint that meets the target is taken, not the cheapest', () => {
+  const busy = view('cheap', { pricePerHour: 2, load: { running: 1, queuedTokens: 5000, atMs: 0 } })
+  const free = view('dear', { pricePerHour: 6 })
+  expect(router().pick(query(), [busy, free], 0)).toMatchObject({ view: { id: 'dear' }, meetsTarget: true })
+  expect(router().pick(query({ firstTokenMs: 10_000 }), [busy, free], 0)).toMatchObject({ view: { id: 'cheap' } })
+})
+
+test('leaving, ejected and avoided endpoints get nothing', () => {
+  const views = [view('leaving', { leavingAtMs: 1 }), view('ejected', { ejectedUntilMs: 100 }), view('avoided')]
+  for (const each of [router(), new LeastLoadedRouter()]) expect(each.pick(query({ avoid: [id('avoided')] }), views, 50)).toBeUndefined()
+})
+
+test('a cached prefix counts for the first token', () => {
+  const views = [view('a', { load: { running: 0, queuedTokens: 900, atMs: 0 } }), view('b')]
+  expect(router().pick(query({ firstTokenMs: 950, cachedTokens: (endpoint) => (endpoint === 'a' ? 950 : 0) }), views, 0)).toMatchObject({ view: { id: 'a' } })
+})
+
+test('own work counts before any report shows it', () => {
+  // Tokens come too slowly in bursts: until the next report every request goes to the endpoint that was idle in the last one.
+  const views = [view('a'), view('b')]
+  const picked = Array.from({ length: 8 }, () => {
+    const { view: chosen } = router().pick(query(), views, 0)!
+    chosen.ownSince.running++
+    chosen.ownSince.tokens += 1000
+    return chosen.id
+  })
+  expect(picked.filter((each) => each === 'a')).toHaveLength(4)
+})
+
+test('a prompt is found where its beginning ran, until nothing confirms it any more', () => {
+  const index = new PrefixIndex({ hash, blockLength: 8, expiresMs: 1000 })
+  index.record('shared--beginning-of-a', id('a'), 0)
+  expect(index.lookup('shared--beginning-of-b', 500).get(id('a'))).toBe(4)
+  expect(index.lookup('another-beginning-of-b', 500).size).toBe(0)
+  expect(index.lookup('shared--beginning-of-b', 2000).size).toBe(0)
+})
+
+test('an endpoint that leaves changes one place of a subset, and subsets differ between daemons', () => {
+  const all = Array.from({ length: 100 }, (_, i) => ({ id: `e${i}` }))
+  const before = subset(as('daemon'), all, { hash, size: 10 })
+  const after = subset(as('daemon'), all.filter((each) => each !== before[0]), { hash, size: 10 })
+  expect(after.filter((each) => !before.includes(each))).toHaveLength(1)
+  expect(subset(as('other'), all, { hash, size: 10 })).not.toEqual(before)
+})
--- a/daemon/callers_api_test.ts
+++ b/daemon/callers_api_test.ts
@@ -48,6 +48,8 @@
   expect(again.json).toMatchObject({ request: first.json.request, answer: first.json.answer })
   expect(await letter(1, 'dear other household')).toMatchObject({ status: 422, json: { outcome: 'not-run' } })
   expect(platform.ledger.executions('dear household')).toBe(1)
+  const counts = (await platform.daemons[1]!.metrics.requests.get()).values.map(({ labels, value }) => ({ ...labels, value }))
+  expect(counts).toContainEqual({ class: 'letter-draft', outcome: 'repeated', value: 2 })
 })
 
 const REFUSED: Array<[string, number, Parameters<typeof send>]> = [
--- a/daemon/request_task.ts
+++ b/daemon/request_task.ts
@@ -365,7 +365,9 @@
     if (final.outcome === 'answered') this.#ports.table.ended(this.#state.endpoint!, this.#loadReported)
     this.#state = { ...this.#state, phase: 'done', outcome: final.outcome }
     this.note(`${final.outcome}: ${final.reason}`)
-    this.#ports.metrics.requests.inc({ class: this.work.cls.name, outcome: final.outcome })
+    // A repeated key is answered by the request that it repeats: counted as not run, it would look like a missed target.
+    const repeated = final.repeats !== undefined || final.otherBody === true
+    this.#ports.metrics.requests.inc({ class: this.work.cls.name, outcome: repeated ? 'repeated' : final.outcome })
     this.#ports.metrics.wholeAnswer.observe({ class: this.work.cls.name }, Date.now() - this.acceptedAtMs)
     this.onFinish()
     this.#ports.dispatcher.pump()
--- a/daemon/status.ts
+++ b/daemon/status.ts
@@ -67,7 +67,7 @@
 
 async function classStatus (cls: WorkClass, sources: StatusSources): Promise<ClassStatus> {
   const target = `first token within ${cls.latency.firstTokenMs} ms for 95 in 100, ${cls.delivery * 100} in 100 answered within ${cls.latency.deadlineMs} ms`
-  const counts = (await sources.metrics.requests.get()).values.filter(({ labels }) => labels.class === cls.name)
+  const counts = (await sources.metrics.requests.get()).values.filter(({ labels }) => labels.class === cls.name && labels.outcome !== 'repeated')
   const total = counts.reduce((sum, { value }) => sum + value, 0)
   if (total === 0) return { name: cls.name, target, met: undefined, why: 'no request has finished here' }
   const answered = counts.find(({ labels }) => labels.outcome === 'answered')?.value ?? 0
