--- a/daemon/shard_log.ts
+++ b/daemon/shard_log.ts
@@ -11,7 +11,7 @@
 export interface ShardLogOptions {
   store: ObjectStore
   shard: number
-  /** Shortest time between two writes in milliseconds. Default 80. */
+  /** Shortest time between two writes in milliseconds. Default 85. */
   intervalMs?: number
   /** How long a claim is kept, in milliseconds. Default one hour. */
   keptMs?: number
@@ -22,7 +22,7 @@
 interface Pending { claim: Claim, expiresAtMs: number, resolve (result: ClaimResult): void, reject (err: Error): void }
 
 /** Default shortest time between two writes of one shard: 8 shards then write at most 100 times a second. */
-export const COMMIT_INTERVAL_MS = 80
+export const COMMIT_INTERVAL_MS = 85
 /** How long a claim holds its key. */
 export const CLAIM_KEPT_MS = 3_600_000
 const RETRY_MS = 100
