Let parted daemons meet again

Cause: a story of regions that lose each other for three minutes showed that they stay apart for good: each side takes the other for gone and closes its links, and nobody dials a daemon that is gone. Ruled out: the store's polling, which kept one configuration on both sides.

Before: 60 s after the link was back the two sides still called each other gone. After: all up, one configuration, every request of both sides answered, a key sent to both sides run once.

Conclusion: every five seconds a daemon says how things stand to one that it thinks gone; with nobody there it costs a refused connection.

--- a/daemon/membership_task.ts
+++ b/daemon/membership_task.ts
@@ -28,6 +28,8 @@
 const REGISTRATION_KEPT_MS = 3 * REGISTER_EVERY_MS
 const JOIN_RETRY_MS = 2000
 const FAREWELL_MS = 300
+/** Ticks between words to a daemon that is thought gone. */
+const PROBE_EVERY = 5
 /** How long a rumour waits for others to the same neighbour. */
 const RUMOUR_WAIT_MS = 20
 const log = logOf('membership')
@@ -46,6 +48,8 @@
   #timers: NodeJS.Timeout[] = []
   #registeredVersion = 0
   #joined = false
+  #ticks = 0
+  #successors: readonly Member[] = []
   #alone = false
 
   constructor (options: MembershipTaskOptions) {
@@ -130,6 +134,7 @@
 
   #tick (): void {
     this.#run(this.core.tick(Date.now()))
+    if (++this.#ticks % PROBE_EVERY === 0) this.#probeGone()
     this.links.tend(Date.now())
     const counts = new Map<string, number>()
     for (const member of this.core.members) counts.set(member.state, (counts.get(member.state) ?? 0) + 1)
@@ -140,7 +145,7 @@
   #run (effects: readonly MembershipEffect[]): void {
     for (const effect of effects) {
       if (effect.type === 'send') this.#send(effect.to, effect.gossip)
-      else if (effect.type === 'links') this.links.keep(effect.dial.map((member) => member.address))
+      else if (effect.type === 'links') this.#keep(effect.dial)
       else if (effect.type === 'fact') this.#factListeners.forEach((listener) => listener(effect.fact, effect.from))
       else if (effect.member.id !== this.#options.self) this.#memberChanged(effect.member)
     }
@@ -167,6 +172,25 @@
     }, RUMOUR_WAIT_MS)
   }
 
+  #keep (successors: readonly Member[], probed?: Member): void {
+    this.#successors = successors
+    this.links.keep([...successors, ...(probed ? [probed] : [])].map((member) => member.address))
+  }
+
+  /**
+   * Says now and then to a daemon that is thought gone how things stand.
+   *
+   * When regions lose each other, each takes all of the other for gone and closes its links; nobody would ever speak to the other side again,
+   * and the fleet would stay in two parts. A daemon that hears it is thought gone refutes it.
+   */
+  #probeGone (): void {
+    const gone = this.core.members.filter((member) => member.state === 'gone')
+    const probed = gone[Math.floor(this.#options.random() * gone.length)]
+    if (!probed) return
+    this.#keep(this.#successors, probed)
+    this.#run(this.core.linked(probed.id))
+  }
+
   #memberChanged (member: Member): void {
     log('member', { id: member.id, state: member.state })
     for (const listener of this.#memberListeners) listener(member)
--- a/standins/network.ts
+++ b/standins/network.ts
@@ -89,6 +89,7 @@
 
   keep (addresses: readonly string[]): void {
     this.#keep = addresses
+    for (const address of this.#linked) if (!addresses.includes(address)) this.#linked.delete(address)
     this.tend()
   }
 
