--- /dev/null
+++ b/store/http_store_test.ts
@@ -0,0 +1,51 @@
+import { afterEach, beforeEach, expect, test } from 'vitest'
+import { serveObjectApi, StandInStore, type Listening } from '../standins/index.ts'
+import { HttpStore, writeSurely, type StoreFailure } from './index.ts'
+
+let inner: StandInStore
+let served: Listening
+let store: HttpStore
+
+beforeEach(async () => {
+  inner = new StandInStore()
+  served = await serveObjectApi(inner)
+  store = new HttpStore({ url: served.url, timeoutMs: 500 })
+})
+afterEach(async () => { await served.close() })
+
+const failureOf = (call: Promise<unknown>) => call.then(() => 'none', (err: { failure: StoreFailure }) => err.failure)
+
+test('objects are created once, replaced under their version, listed in pages and watched', async () => {
+  const version = await store.create('a/1', 'one')
+  expect(await failureOf(store.create('a/1', 'again'))).toBe('conflict')
+  const next = await store.update('a/1', 'two', version)
+  expect(await failureOf(store.update('a/1', 'three', version))).toBe('conflict')
+  expect(await store.get('a/1')).toEqual({ key: 'a/1', version: next, value: 'two' })
+  expect(await store.get('none')).toBeUndefined()
+  await store.create('a/2', 'x')
+  expect((await store.list('a/', { limit: 1 })).map(({ key }) => key)).toEqual(['a/1'])
+  expect((await store.list('a/', { after: 'a/1' })).map(({ key }) => key)).toEqual(['a/2'])
+  const watching = store.changes('a/', { after: next, waitMs: 1000 })
+  await store.update('a/1', 'four', next)
+  expect((await watching).objects.map(({ value }) => value)).toContain('x')
+  await store.remove('a/2', (await store.get('a/2'))!.version)
+  expect(await store.get('a/2')).toBeUndefined()
+})
+
+test('a refusal is certain, a lost answer is not, and reading back settles it', async () => {
+  inner.faults.down = true
+  expect(await failureOf(store.create('k', 'v'))).toBe('not-applied')
+  inner.faults.down = false
+  inner.faults.loseAnswers = 1
+  expect(await failureOf(store.create('k', 'v'))).toBe('unsure')
+  inner.faults.loseAnswers = 1
+  expect(await writeSurely(store, 'sure', { writeId: 'w', data: 1, version: 0 })).toMatchObject({ applied: true })
+  expect(await writeSurely(store, 'sure', { writeId: 'other', data: 2, version: 0 })).toMatchObject({ applied: false, data: 1 })
+})
+
+test('a store that is slower than the time-out is unsure, one that is not there is certain', async () => {
+  inner.faults.slowMs = 2000
+  expect(await failureOf(store.create('k', 'v'))).toBe('unsure')
+  await served.close()
+  expect(await failureOf(store.create('k', 'v'))).toBe('not-applied')
+})
