Drain without cutting followers, and use the whole time without an heir

A caller that followed another daemon's answer through a leaving one was cut without a word; a daemon with nobody to hand over to left three seconds before its time was up, and cut what it was serving.

Before: both stories fail. After: the follower is told moved and resumes elsewhere; the review of a daemon without an heir is answered within its time. Conclusion: mirrors are released before the connections close.

--- a/daemon/broker.ts
+++ b/daemon/broker.ts
@@ -69,6 +69,7 @@
   readonly #open = new Map<RequestId, RequestTask>()
   readonly #kept = new Map<RequestId, KeptAnswer>()
   readonly #budgets = new Map<string, RetryBudget>()
+  readonly #mirrors = new Set<RemoteAnswer>()
   readonly #standby: Standby
   #refusing = false
   /** Called after a stream of another daemon was taken over: its endpoint may be leaving. */
@@ -181,6 +182,11 @@
     for (const task of this.#open.values()) task.abandon()
   }
 
+  /** Tells the callers that follow other daemons' answers through this one to go on elsewhere. */
+  releaseFollowers (): void {
+    for (const mirror of this.#mirrors) mirror.cut()
+  }
+
   #letGo (task: RequestTask): void {
     task.letGo()
     this.#open.delete(task.id)
@@ -283,7 +289,8 @@
     const daemon = daemonOf(id)
     if (daemon === undefined || daemon === this.#options.self) return undefined
     const answer = new RemoteAnswer(id)
-    this.#mirror(answer, { id, account }, daemon)
+    this.#mirrors.add(answer)
+    this.#mirror(answer, { id, account }, daemon).finally(() => this.#mirrors.delete(answer))
     return answer
   }
 
--- a/daemon/daemon.ts
+++ b/daemon/daemon.ts
@@ -209,6 +209,7 @@
     await this.#waitForOpen(endsAtMs - Math.min(HAND_OVER_MS, settings.drainMs / 2))
     const { heir } = broker
     if (heir) await this.#handOverTo(heir, endsAtMs)
+    else await this.#waitForOpen(endsAtMs)
     await this.#leave(heir)
   }
 
@@ -223,8 +224,9 @@
   }
 
   async #leave (heir: Member | undefined): Promise<void> {
-    const { membership, config, hosts, fleet } = this.#parts
+    const { membership, broker, config, hosts, fleet } = this.#parts
     clearInterval(this.#statusTimer)
+    broker.releaseFollowers()
     const closing = this.#servers.map(close)
     for (const server of this.#servers) server.closeIdleConnections()
     await Promise.race([Promise.all(closing), delay(BALANCER_MS)])
--- a/daemon/drain_test.ts
+++ b/daemon/drain_test.ts
@@ -27,6 +27,30 @@
   expect(session.violations()).toEqual([])
 })
 
+test('a caller that follows another daemon\'s answer is told to go elsewhere, not cut', async () => {
+  // A portal's connection breaks in the middle of a letter: it follows the letter through a daemon that does not run it, and that one drains.
+  const letter = session.submit(session.daemons[1]!, { kind: 'letter', key: 'k', input: 'letter', maxTokens: 400 })
+  await session.advance(500)
+  const [running] = [...session.daemons[1]!.broker.open]
+  const followed = session.daemons[0]!.broker.find(running!.id, running!.work.account)!
+  await session.advance(500)
+  expect(followed.started).toBe(true)
+  session.drain(session.daemons[0]!)
+  await session.advance(9000)
+  expect(followed.movedAway).toBe(true)
+  expect(letter.outcome).toBeUndefined()
+})
+
+test('a daemon without an heir serves its streams until its time is up', async () => {
+  const [last, ...others] = session.daemons
+  for (const daemon of others) await session.kill(daemon)
+  await session.advance(15_000)
+  const review = session.submit(last!, { kind: 'review', key: 'r', input: 'review', maxTokens: 150 })
+  session.drain(last!)
+  await session.advance(8000)
+  expect(review.outcome).toBe('answered')
+})
+
 test('a draining daemon refuses new work truthfully, once the balancer had time to see it', async () => {
   const draining = session.daemons[0]!
   session.drain(draining)
