Say what an imported KV cache holds beyond the tokens given

Cause: the engine's interface did not say what becomes of tokens that the source computed and nobody received. Before: unsaid. After: they are dropped; the stand-in does so. Conclusion: words only.

--- a/endpoints/model_engine.ts
+++ b/endpoints/model_engine.ts
@@ -14,7 +14,7 @@
   priority: number
   /** Milliseconds that the engine keeps the stream when nobody reads it, so that another daemon can resume it. */
   keepMs: number
-  /** Imported KV cache to continue from. */
+  /** Imported KV cache to continue from; what it holds beyond `done` is dropped, since nobody was given it. */
   kvHandle?: string
 }
 
