Read the host list more rarely in a large fleet

Cause: the capacity page had the fleet read the host list 210 times a second at 420 daemons, for news that any one daemon passes on.

Before: each daemon every 2 s, 210 calls/s (worked out). Conclusion: today's nine daemons read as often as they did.

--- a/daemon/host_watch.ts
+++ b/daemon/host_watch.ts
@@ -12,7 +12,7 @@
   table: EndpointTable
   membership: MembershipTask
   random: () => number
-  /** Milliseconds between readings of the list. Default 2,000. */
+  /** Milliseconds between readings of the list, up to 40 daemons; in proportion to their number above. Default 2,000. */
   listEveryMs?: number
   /** Called after each reading of the list. */
   onListed?: () => void
@@ -20,6 +20,8 @@
 
 const LIST_EVERY_MS = 2000
 const NOTICE_WAIT_MS = 20_000
+/** Daemons that together read the list once each in its period; with more, all read it more rarely. */
+const READERS = 40
 const RETRY_MS = 500
 const FACT_PREFIX = 'leaving/'
 const log = logOf('hosts')
@@ -60,7 +62,9 @@
   async #followList (): Promise<void> {
     const everyMs = this.#options.listEveryMs ?? LIST_EVERY_MS
     while (!this.#stopped) {
-      await delay(everyMs * (0.75 + this.#options.random() / 2))
+      // What one daemon reads of hosts that leave, all hear: the more daemons there are, the more rarely each needs to look.
+      const turns = Math.max(1, this.#options.membership.working.length / READERS)
+      await delay(everyMs * turns * (0.75 + this.#options.random() / 2))
       await this.#list()
     }
   }
--- a/scripts/pages.ts
+++ b/scripts/pages.ts
@@ -108,8 +108,8 @@
 
 1. **Bytes of control** grow with the number of daemons by heartbeats' table exchanges and by each change of configuration being acknowledged in every
    daemon's record: ${fixed(changeBytes.value / 1000, 0)} kB a change. Counting by sample, or along a tree, comes next.
-2. **The cloud API**: each daemon reads the host list every 2 s and waits for notices, ${fixed(size.daemons / 2)} and ${fixed(size.daemons / 20)} calls/s. The letter names no limit for it; few readers that tell the others
-   would do, as for the configuration.
+2. **The cloud API**: the fleet reads the host list 20 times a second (each daemon each ${fixed(2 * size.daemons / 40)} s, worked out), and each daemon waits for notices, ${fixed(size.daemons / 20)} calls/s. The letter
+   names no limit for it; few daemons that wait and tell the others would do, as for the configuration.
 3. **Claims** write at most ${fixed(8000 / (read('once').commitIntervalMs as number), 0)} times a second whatever the load, and their sealing grows with it; a head grows with the claims of a commit interval, and the latency with the interval.
 4. **A lease** is read by every contender each 5 s; three contend for each pool's, 0.4 reads and 0.2 writes a second for each pool (worked out).
 5. **A wave of a domain** planned by daemons that do not know of each other: ${fixed((uncoordinated.recomputed! / uncoordinated.onePlanner! - 1) * 100, 0)}% more recomputed tokens at 2 s of notice (docs/design/reclaim.md).
