Count hosts that boot, so that the fleet does not buy them again

A host is listed some time after its order; each round until then found it missing and ordered another. The count of hosts that stay while others drain subtracted those of earlier rounds twice, so that draining stalled.

Before: with a list 60 s late, five rounds started 20 hosts where 4 were missing (the story fails). After: 4, and nothing is drained while hosts boot. Conclusion: what was ordered counts as there for twice the time to boot.

--- a/daemon/fleet_task.ts
+++ b/daemon/fleet_task.ts
@@ -51,6 +51,8 @@
   readonly #scale = new ScaleDown()
   readonly #refusedUntil = new Map<FailureDomain, number>()
   readonly #drainedAt = new Map<HostId, number>()
+  /** Hosts that were ordered and are not listed yet. */
+  readonly #booting = new Map<HostId, { offer: Offer, sinceMs: number }>()
 
   constructor (options: FleetTaskOptions) {
     this.#options = options
@@ -70,6 +72,7 @@
       const offers = await this.#options.cloud.offers()
       const hosts = (await this.#options.cloud.hosts()).filter((host) => host.endpoint.pool === this.#options.pool)
       const live = hosts.filter((host) => host.state === 'live' && !this.#drainedAt.has(host.hostId))
+      this.#forgetBooted(hosts)
       const wanted = await this.#plan(live, offers, round)
       await this.#startMissing(wanted, live, offers, round)
       await this.#drainSurplus(wanted, live, round)
@@ -106,25 +109,37 @@
     return loads.reduce((sum, running) => sum + running, 0)
   }
 
+  /** A host that is never listed did not come up: it stops counting after twice the time that a host takes. */
+  #forgetBooted (hosts: readonly ListedHost[]): void {
+    const listed = new Set(hosts.map((host) => host.hostId))
+    for (const [hostId, { sinceMs }] of this.#booting) {
+      if (listed.has(hostId) || Date.now() > sinceMs + BOOT_MS * 2) this.#booting.delete(hostId)
+    }
+  }
+
   #offerOf ({ failureDomain, reclaimable, pricePerHour }: Pick<CloudOffer, 'failureDomain' | 'reclaimable' | 'pricePerHour'>, now: number): Offer {
     const available = !reclaimable || (this.#refusedUntil.get(failureDomain) ?? 0) <= now
     return { failureDomain, reclaimable, pricePerHour, wavesPerDay: reclaimable ? this.#risk.perDay(failureDomain, now) : 0, available }
   }
 
+  /** What was ordered counts as there: the list shows a host minutes after its order, and each round until then would order another. */
   async #startMissing (wanted: readonly Holding[], live: readonly ListedHost[], offers: readonly CloudOffer[], round: FleetRound): Promise<void> {
     for (const { offer, count } of wanted) {
-      const missing = count - live.filter((host) => isOf(host, offer)).length
+      const booting = [...this.#booting.values()].filter((each) => isOf(each.offer, offer)).length
+      const missing = count - booting - live.filter((host) => isOf(host, offer)).length
       for (let i = 0; i < missing && round.started < STARTS_AT_ONCE; i++) {
         if (!await this.#start(offer, offers, round)) break
       }
     }
   }
 
-  async #start ({ failureDomain, reclaimable }: Offer, offers: readonly CloudOffer[], round: FleetRound): Promise<boolean> {
+  async #start (offer: Offer, offers: readonly CloudOffer[], round: FleetRound): Promise<boolean> {
+    const { failureDomain, reclaimable } = offer
     const { hostClass } = offers.find((each) => each.failureDomain === failureDomain && each.reclaimable === reclaimable)!
     try {
       const hostId = await this.#options.cloud.start({ hostClass, failureDomain, pool: this.#options.pool, reclaimable })
       round.started++
+      this.#booting.set(hostId, { offer, sinceMs: Date.now() })
       this.#record('start', { hostId, failureDomain, reclaimable })
       return true
     } catch (err) {
@@ -138,11 +153,13 @@
 
   /** Nothing is drained while something is still to boot: a wave would otherwise be met with fewer hosts than before. */
   async #drainSurplus (wanted: readonly Holding[], live: readonly ListedHost[], round: FleetRound): Promise<void> {
-    if (round.started + round.refused > 0) return
+    if (this.#booting.size + round.refused > 0) return
+    const staying = [...live]
     for (const host of live) {
-      const holding = wanted.find(({ offer }) => isOf(host, offer))
-      const same = live.filter((other) => isOf(other, host) && !this.#drainedAt.has(other.hostId))
-      if (same.length <= (holding?.count ?? 0) || live.length - this.#drainedAt.size <= round.needed) continue
+      const wantedThere = wanted.find(({ offer }) => isOf(host, offer))?.count ?? 0
+      const there = staying.filter((other) => isOf(other, host)).length
+      if (there <= wantedThere || staying.length <= round.needed) continue
+      staying.splice(staying.indexOf(host), 1)
       this.#drainedAt.set(host.hostId, Date.now())
       this.#options.announceLeaving(host.hostId, Date.now() + DRAIN_MS)
       round.draining++
@@ -167,6 +184,6 @@
   }
 }
 
-function isOf (host: Pick<ListedHost, 'failureDomain' | 'reclaimable'>, offer: Pick<Offer, 'failureDomain' | 'reclaimable'>): boolean {
+function isOf (host: Pick<Offer, 'failureDomain' | 'reclaimable'>, offer: Pick<Offer, 'failureDomain' | 'reclaimable'>): boolean {
   return host.failureDomain === offer.failureDomain && host.reclaimable === offer.reclaimable
 }
--- a/daemon/fleet_task_test.ts
+++ b/daemon/fleet_task_test.ts
@@ -73,6 +73,23 @@
   expect(cloud.live()).toHaveLength(3)
 })
 
+test('hosts that boot are not bought again while the list does not show them', async () => {
+  // The firm pays for dozens of hosts it does not need: a host is listed only minutes after its order, and each round until then finds it
+  // missing and orders another.
+  const { cloud, task } = await fleet(3)
+  load(cloud, 40)
+  await vi.advanceTimersByTimeAsync(61_000)
+  cloud.faults.listLagMs = 60_000
+  const rounds = []
+  for (let i = 0; i < 5; i++) {
+    rounds.push(await task.reconcile())
+    await vi.advanceTimersByTimeAsync(5000)
+  }
+  // 40 streams need 6.25 hosts, so seven; three are there.
+  expect(rounds.reduce((sum, round) => sum + round.started, 0)).toBe(4)
+  expect(rounds.every((round) => round.draining === 0)).toBe(true)
+})
+
 test('without the lease nothing is bought', async () => {
   // Two daemons each buy the hosts that the wave took, and the firm pays twice until somebody looks at the bill.
   const { cloud, task, state, records } = await fleet(3)
