--- a/bench/_session.ts
+++ b/bench/_session.ts
@@ -3,7 +3,7 @@
 import { configSchema, type Config } from '../core/config/index.ts'
 import { as, type AccountId, type DaemonId, type FailureDomain, type HostId, type PoolName } from '../core/ids/index.ts'
 import { Daemon } from '../daemon/daemon.ts'
-import type { LiveAnswer } from '../daemon/live_answer.ts'
+import type { LiveAnswer } from '../daemon/request/live_answer.ts'
 import { settingsSchema } from '../daemon/settings.ts'
 import { Ledger, serviceAnswer, StandInCloud, StandInEngine, StandInNetwork, StandInService, StandInStore, wholeAnswer } from '../standins/index.ts'
 
--- a/bench/once.ts
+++ b/bench/once.ts
@@ -2,7 +2,7 @@
 import { as, type RequestId } from '../core/ids/index.ts'
 import type { Claim, KeyHash } from '../core/once/index.ts'
 import { seededRandom } from '../daemon/daemon.ts'
-import { COMMIT_INTERVAL_MS, ShardLog } from '../daemon/shard_log.ts'
+import { COMMIT_INTERVAL_MS, ShardLog } from '../daemon/once/shard_log.ts'
 import { StandInStore } from '../standins/index.ts'
 import { quantile, round, slope, type Bench, type Figures } from './bench.ts'
 import { delay } from '../core/time/index.ts'
--- a/cli/operator_commands.ts
+++ b/cli/operator_commands.ts
@@ -2,8 +2,8 @@
 import type { CAC } from 'cac'
 import { configSchema, InvalidError, parseJsonc, type FieldChange } from '../core/config/index.ts'
 import { settingsSchema, readText } from '../daemon/settings.ts'
-import type { AuditRecord } from '../daemon/audit.ts'
-import type { InForce } from '../daemon/config_task.ts'
+import type { AuditRecord } from '../daemon/config/audit.ts'
+import type { InForce } from '../daemon/config/config_task.ts'
 import type { StatusReport } from '../daemon/status.ts'
 import { operatorCall, type OperatorTarget } from './operator_client.ts'
 
--- a/daemon/answer_writer.ts
+++ b/daemon/api/answer_writer.ts
@@ -1,6 +1,6 @@
 /** Writes a growing answer to a caller, as server-sent events or as one document. */
 import type { ServerResponse } from 'node:http'
-import type { LiveAnswer } from './live_answer.ts'
+import type { LiveAnswer } from '../request/live_answer.ts'
 import { problemBody, problemOf, sendProblem } from './problem.ts'
 
 /** Milliseconds after which a caller whose stream moved should connect again. */
--- a/daemon/answer_writer_test.ts
+++ b/daemon/api/answer_writer_test.ts
@@ -1,9 +1,9 @@
 import { EventEmitter } from 'node:events'
 import type { ServerResponse } from 'node:http'
 import { expect, test } from 'vitest'
-import { as, type RequestId } from '../core/ids/index.ts'
+import { as, type RequestId } from '../../core/ids/index.ts'
 import { streamAnswer } from './answer_writer.ts'
-import { RemoteAnswer } from './live_answer.ts'
+import { RemoteAnswer } from '../request/live_answer.ts'
 
 /** A caller's connection whose socket takes one write and is then full until it drains. */
 class SlowResponse extends EventEmitter {
--- a/daemon/callers_api_test.ts
+++ b/daemon/api/callers_api_test.ts
@@ -1,8 +1,8 @@
 import { afterAll, beforeAll, expect, test } from 'vitest'
 import { request } from 'undici'
-import { adunniLevy } from '../demo/deployments.ts'
-import { demoCredential, startPlatform, type Platform } from '../demo/platform.ts'
-import { serviceAnswer, wholeAnswer } from '../standins/index.ts'
+import { adunniLevy } from '../../demo/deployments.ts'
+import { demoCredential, startPlatform, type Platform } from '../../demo/platform.ts'
+import { serviceAnswer, wholeAnswer } from '../../standins/index.ts'
 
 let platform: Platform
 
--- a/daemon/problem.ts
+++ b/daemon/api/problem.ts
@@ -1,8 +1,8 @@
 /** Refusals as problem details (RFC 9457) that carry the request's outcome. */
 import type { ServerResponse } from 'node:http'
-import type { Outcome } from '../core/outcome/index.ts'
-import type { RequestId } from '../core/ids/index.ts'
-import type { FinalWord } from './live_answer.ts'
+import type { Outcome } from '../../core/outcome/index.ts'
+import type { RequestId } from '../../core/ids/index.ts'
+import type { FinalWord } from '../request/live_answer.ts'
 
 /** One refusal. */
 export interface Problem {
--- a/daemon/audit.ts
+++ b/daemon/config/audit.ts
@@ -1,6 +1,6 @@
 /** Audit trail of changes, kept in the store. */
-import type { Change } from '../core/config/index.ts'
-import { isStoreFailure, StoreError, type ObjectStore } from '../store/index.ts'
+import type { Change } from '../../core/config/index.ts'
+import { isStoreFailure, StoreError, type ObjectStore } from '../../store/index.ts'
 
 /** What kind of change a record tells of. */
 export type AuditKind = 'config' | 'config-refused' | 'config-unsure' | 'order' | 'cloud' | 'drain'
--- a/daemon/config_task.ts
+++ b/daemon/config/config_task.ts
@@ -3,15 +3,15 @@
 import {
   configSchema, diff, InvalidError, newest, nextAccepted, validate,
   type Accepted, type Config, type FieldChange
-} from '../core/config/index.ts'
-import type { DaemonId } from '../core/ids/index.ts'
-import { delay } from '../core/time/index.ts'
-import type { Hash32 } from '../core/routing/index.ts'
-import { isStoreFailure, StoreError, writeSurely, type Marked, type ObjectStore, type StoredObject } from '../store/index.ts'
+} from '../../core/config/index.ts'
+import type { DaemonId } from '../../core/ids/index.ts'
+import { delay } from '../../core/time/index.ts'
+import type { Hash32 } from '../../core/routing/index.ts'
+import { isStoreFailure, StoreError, writeSurely, type Marked, type ObjectStore, type StoredObject } from '../../store/index.ts'
 import type { AuditTrail } from './audit.ts'
-import { logOf } from './log.ts'
-import type { MembershipTask } from './membership_task.ts'
-import type { Metrics } from './metrics.ts'
+import { logOf } from '../log.ts'
+import type { MembershipTask } from '../peers/membership_task.ts'
+import type { Metrics } from '../metrics.ts'
 
 /** Options of {@linkcode ConfigTask}. */
 export interface ConfigTaskOptions {
--- a/daemon/config_task_test.ts
+++ b/daemon/config/config_task_test.ts
@@ -1,6 +1,6 @@
 import { afterEach, beforeEach, expect, test } from 'vitest'
-import { Session, sessionConfig } from '../bench/_session.ts'
-import { InvalidError } from '../core/config/index.ts'
+import { Session, sessionConfig } from '../../bench/_session.ts'
+import { InvalidError } from '../../core/config/index.ts'
 import { ConfigConflictError } from './config_task.ts'
 
 let session: Session
--- a/daemon/endpoint_table.ts
+++ b/daemon/endpoints/endpoint_table.ts
@@ -1,8 +1,8 @@
 /** The endpoints as one daemon sees them, out of every signal that tells of them. */
-import type { DaemonId, EndpointId, HostId, PoolName } from '../core/ids/index.ts'
-import { subset, type EndpointLoad, type EndpointView, type Hash32 } from '../core/routing/index.ts'
-import { countFailure, NO_FAILURES, type FailureCount } from '../core/retry/index.ts'
-import type { ListedHost } from '../endpoints/index.ts'
+import type { DaemonId, EndpointId, HostId, PoolName } from '../../core/ids/index.ts'
+import { subset, type EndpointLoad, type EndpointView, type Hash32 } from '../../core/routing/index.ts'
+import { countFailure, NO_FAILURES, type FailureCount } from '../../core/retry/index.ts'
+import type { ListedHost } from '../../endpoints/index.ts'
 
 /** Which signal told that an endpoint is leaving. Any one is enough. */
 export type LeavingSignal = 'notice' | 'list' | 'refusal' | 'peer'
--- a/daemon/host_watch.ts
+++ b/daemon/endpoints/host_watch.ts
@@ -1,10 +1,10 @@
 /** Follows the platform's host list and reclaim notices. */
-import { as, type HostId } from '../core/ids/index.ts'
-import { CloudError, type Cloud, type ListedHost } from '../endpoints/index.ts'
+import { as, type HostId } from '../../core/ids/index.ts'
+import { CloudError, type Cloud, type ListedHost } from '../../endpoints/index.ts'
 import type { EndpointTable } from './endpoint_table.ts'
-import { logOf } from './log.ts'
-import type { MembershipTask } from './membership_task.ts'
-import { delay } from '../core/time/index.ts'
+import { logOf } from '../log.ts'
+import type { MembershipTask } from '../peers/membership_task.ts'
+import { delay } from '../../core/time/index.ts'
 
 /** Options of {@linkcode HostWatch}. */
 export interface HostWatchOptions {
--- a/daemon/reclaimer.ts
+++ b/daemon/endpoints/reclaimer.ts
@@ -1,15 +1,15 @@
 /** Carries out the reclaim planner's decisions for the streams of this daemon. */
-import type { EndpointId } from '../core/ids/index.ts'
+import type { EndpointId } from '../../core/ids/index.ts'
 import {
   JointPlanner, NOTICE_MARGIN_MS, reclaimWeights, shareImports,
   type Directive, type ReclaimPlanner, type ReclaimProblem, type Source, type Target, type ThreatenedStream
-} from '../core/reclaim/index.ts'
-import type { Config } from '../core/config/index.ts'
-import { runningNow, type EndpointView, type PrefixIndex } from '../core/routing/index.ts'
-import type { ModelEngine } from '../endpoints/index.ts'
+} from '../../core/reclaim/index.ts'
+import type { Config } from '../../core/config/index.ts'
+import { runningNow, type EndpointView, type PrefixIndex } from '../../core/routing/index.ts'
+import type { ModelEngine } from '../../endpoints/index.ts'
 import type { EndpointTable } from './endpoint_table.ts'
-import type { Metrics } from './metrics.ts'
-import type { RequestTask } from './request_task.ts'
+import type { Metrics } from '../metrics.ts'
+import type { RequestTask } from '../request/request_task.ts'
 
 /** Options of {@linkcode Reclaimer}. */
 export interface ReclaimerOptions {
--- a/daemon/fleet_loop.ts
+++ b/daemon/fleet/fleet_loop.ts
@@ -1,15 +1,15 @@
 /** Runs the fleet task of each pool of model engines on whichever daemon holds its lease. */
-import type { Config } from '../core/config/index.ts'
-import { as, type DaemonId, type HostId, type PoolName } from '../core/ids/index.ts'
-import type { EndpointView, Hash32 } from '../core/routing/index.ts'
-import type { Cloud, ModelEngine } from '../endpoints/index.ts'
-import type { ObjectStore } from '../store/index.ts'
-import type { AuditTrail } from './audit.ts'
-import type { ConfigTask } from './config_task.ts'
-import type { EndpointTable } from './endpoint_table.ts'
+import type { Config } from '../../core/config/index.ts'
+import { as, type DaemonId, type HostId, type PoolName } from '../../core/ids/index.ts'
+import type { EndpointView, Hash32 } from '../../core/routing/index.ts'
+import type { Cloud, ModelEngine } from '../../endpoints/index.ts'
+import type { ObjectStore } from '../../store/index.ts'
+import type { AuditTrail } from '../config/audit.ts'
+import type { ConfigTask } from '../config/config_task.ts'
+import type { EndpointTable } from '../endpoints/endpoint_table.ts'
 import { FleetTask } from './fleet_task.ts'
 import { LeaseTask } from './lease_task.ts'
-import type { MembershipTask } from './membership_task.ts'
+import type { MembershipTask } from '../peers/membership_task.ts'
 
 /** Options of {@linkcode FleetLoop}. */
 export interface FleetLoopOptions {
--- a/daemon/fleet_task.ts
+++ b/daemon/fleet/fleet_task.ts
@@ -1,13 +1,13 @@
 /** Holds the hosts of one pool that its work needs: plans, starts, drains and stops, while it has the pool's lease. */
 import { randomUUID } from 'node:crypto'
-import type { Config } from '../core/config/index.ts'
-import { hostsNeeded, MixPlanner, ReclaimRisk, ScaleDown, type FleetPlanner, type Holding, type Offer } from '../core/fleet/index.ts'
-import type { DaemonId, FailureDomain, HostId, PoolName } from '../core/ids/index.ts'
-import { AttemptError } from '../core/outcome/index.ts'
-import type { EndpointView } from '../core/routing/index.ts'
-import { CloudError, type Cloud, type CloudOffer, type ListedHost, type ModelEngine } from '../endpoints/index.ts'
-import type { AuditTrail } from './audit.ts'
-import { logOf } from './log.ts'
+import type { Config } from '../../core/config/index.ts'
+import { hostsNeeded, MixPlanner, ReclaimRisk, ScaleDown, type FleetPlanner, type Holding, type Offer } from '../../core/fleet/index.ts'
+import type { DaemonId, FailureDomain, HostId, PoolName } from '../../core/ids/index.ts'
+import { AttemptError } from '../../core/outcome/index.ts'
+import type { EndpointView } from '../../core/routing/index.ts'
+import { CloudError, type Cloud, type CloudOffer, type ListedHost, type ModelEngine } from '../../endpoints/index.ts'
+import type { AuditTrail } from '../config/audit.ts'
+import { logOf } from '../log.ts'
 
 /** Options of {@linkcode FleetTask}. */
 export interface FleetTaskOptions {
--- a/daemon/fleet_task_test.ts
+++ b/daemon/fleet/fleet_task_test.ts
@@ -1,8 +1,8 @@
 import { afterEach, beforeEach, expect, test, vi } from 'vitest'
-import { Session, sessionConfig } from '../bench/_session.ts'
-import { as, type DaemonId, type FailureDomain, type HostId, type PoolName } from '../core/ids/index.ts'
-import { Ledger, StandInCloud, type StandInEngine } from '../standins/index.ts'
-import type { AuditRecord } from './audit.ts'
+import { Session, sessionConfig } from '../../bench/_session.ts'
+import { as, type DaemonId, type FailureDomain, type HostId, type PoolName } from '../../core/ids/index.ts'
+import { Ledger, StandInCloud, type StandInEngine } from '../../standins/index.ts'
+import type { AuditRecord } from '../config/audit.ts'
 import { FleetTask } from './fleet_task.ts'
 
 const POOL = as<PoolName>('models')
--- a/daemon/lease_task.ts
+++ b/daemon/fleet/lease_task.ts
@@ -1,10 +1,10 @@
 /** Takes and renews one lease through the store. */
 import { randomUUID } from 'node:crypto'
-import type { DaemonId } from '../core/ids/index.ts'
-import { fencingNow, nextLeaseAction, NO_LEASE, seen, type LeaseRecord, type LeaseState } from '../core/lease/index.ts'
-import { delay } from '../core/time/index.ts'
-import { StoreError, writeSurely, type Marked, type ObjectStore } from '../store/index.ts'
-import { logOf } from './log.ts'
+import type { DaemonId } from '../../core/ids/index.ts'
+import { fencingNow, nextLeaseAction, NO_LEASE, seen, type LeaseRecord, type LeaseState } from '../../core/lease/index.ts'
+import { delay } from '../../core/time/index.ts'
+import { StoreError, writeSurely, type Marked, type ObjectStore } from '../../store/index.ts'
+import { logOf } from '../log.ts'
 
 /** Options of {@linkcode LeaseTask}. */
 export interface LeaseTaskOptions {
--- a/daemon/lease_task_test.ts
+++ b/daemon/fleet/lease_task_test.ts
@@ -1,6 +1,6 @@
 import { afterEach, beforeEach, expect, test, vi } from 'vitest'
-import { as, type DaemonId, type EndpointId } from '../core/ids/index.ts'
-import { Ledger, StandInEngine, StandInStore } from '../standins/index.ts'
+import { as, type DaemonId, type EndpointId } from '../../core/ids/index.ts'
+import { Ledger, StandInEngine, StandInStore } from '../../standins/index.ts'
 import { LeaseTask } from './lease_task.ts'
 import { OrderKeeper, type WantedState } from './order_keeper.ts'
 
--- a/daemon/order_keeper.ts
+++ b/daemon/fleet/order_keeper.ts
@@ -1,7 +1,7 @@
 /** Keeps engines in the state that is wanted of them, by orders that state it whole. */
-import type { EndpointId } from '../core/ids/index.ts'
-import { AttemptError } from '../core/outcome/index.ts'
-import type { EngineOrder, ModelEngine } from '../endpoints/index.ts'
+import type { EndpointId } from '../../core/ids/index.ts'
+import { AttemptError } from '../../core/outcome/index.ts'
+import type { EngineOrder, ModelEngine } from '../../endpoints/index.ts'
 
 /** What an engine should hold, without the number of the order. */
 export type WantedState = Omit<EngineOrder, 'fencing'>
--- a/daemon/claims.ts
+++ b/daemon/once/claims.ts
@@ -1,11 +1,11 @@
 /** Claims idempotency keys through the daemon that writes the key's shard at the moment. */
 import { createHash } from 'node:crypto'
-import { as, type AccountId, type DaemonId, type RequestId } from '../core/ids/index.ts'
-import type { Member } from '../core/membership/index.ts'
-import type { Claim, ClaimResult, KeyHash } from '../core/once/index.ts'
-import type { Hash32 } from '../core/routing/index.ts'
-import type { ObjectStore } from '../store/index.ts'
-import type { MembershipTask } from './membership_task.ts'
+import { as, type AccountId, type DaemonId, type RequestId } from '../../core/ids/index.ts'
+import type { Member } from '../../core/membership/index.ts'
+import type { Claim, ClaimResult, KeyHash } from '../../core/once/index.ts'
+import type { Hash32 } from '../../core/routing/index.ts'
+import type { ObjectStore } from '../../store/index.ts'
+import type { MembershipTask } from '../peers/membership_task.ts'
 import { ClaimError, ShardLog } from './shard_log.ts'
 
 /** Options of {@linkcode Claims}. */
--- a/daemon/shard_log.ts
+++ b/daemon/once/shard_log.ts
@@ -3,9 +3,9 @@
 import {
   EMPTY_HEAD, MERGE_AT, SEAL_AT, append, dropOld, judge, merge, mergeable, newestMs, seal,
   type Claim, type ClaimResult, type KeyHash, type Segment, type ShardHead
-} from '../core/once/index.ts'
-import { isStoreFailure, StoreError, writeSurely, type Marked, type ObjectStore } from '../store/index.ts'
-import { delay } from '../core/time/index.ts'
+} from '../../core/once/index.ts'
+import { isStoreFailure, StoreError, writeSurely, type Marked, type ObjectStore } from '../../store/index.ts'
+import { delay } from '../../core/time/index.ts'
 
 /** Options of {@linkcode ShardLog}. */
 export interface ShardLogOptions {
--- a/daemon/shard_log_test.ts
+++ b/daemon/once/shard_log_test.ts
@@ -1,8 +1,8 @@
 import fc from 'fast-check'
 import { afterEach, beforeEach, expect, test, vi } from 'vitest'
-import { as, type RequestId } from '../core/ids/index.ts'
-import { SEAL_AT, type Claim, type ClaimResult, type KeyHash } from '../core/once/index.ts'
-import { StandInStore } from '../standins/index.ts'
+import { as, type RequestId } from '../../core/ids/index.ts'
+import { SEAL_AT, type Claim, type ClaimResult, type KeyHash } from '../../core/once/index.ts'
+import { StandInStore } from '../../standins/index.ts'
 import { ClaimError, ShardLog } from './shard_log.ts'
 
 const SEED = 11
--- a/daemon/links.ts
+++ b/daemon/peers/links.ts
@@ -1,6 +1,6 @@
 /** What daemons need of the connections between them, whatever carries them. */
-import type { DaemonId } from '../core/ids/index.ts'
-import type { Gossip } from '../core/membership/index.ts'
+import type { DaemonId } from '../../core/ids/index.ts'
+import type { Gossip } from '../../core/membership/index.ts'
 
 /** Answers a call; may send parts before it returns. `signal` aborts when the asking daemon is gone. */
 export type PeerMethod = (args: never, context: { from: DaemonId, part: (value: unknown) => void, signal: AbortSignal }) => Promise<unknown>
--- a/daemon/membership_task.ts
+++ b/daemon/peers/membership_task.ts
@@ -1,13 +1,13 @@
 /** Runs the core's membership over the links between daemons. */
-import type { DaemonId } from '../core/ids/index.ts'
-import { HEARTBEAT_MS, Membership, mayAnswer, takesWork, type Fact, type Gossip, type Member, type MembershipEffect } from '../core/membership/index.ts'
-import type { Hash32 } from '../core/routing/index.ts'
-import { delay } from '../core/time/index.ts'
-import { isStoreFailure, StoreError, type ObjectStore } from '../store/index.ts'
+import type { DaemonId } from '../../core/ids/index.ts'
+import { HEARTBEAT_MS, Membership, mayAnswer, takesWork, type Fact, type Gossip, type Member, type MembershipEffect } from '../../core/membership/index.ts'
+import type { Hash32 } from '../../core/routing/index.ts'
+import { delay } from '../../core/time/index.ts'
+import { isStoreFailure, StoreError, type ObjectStore } from '../../store/index.ts'
 import type { Links } from './links.ts'
-import { logOf } from './log.ts'
-import type { Metrics } from './metrics.ts'
-import type { Settings } from './settings.ts'
+import { logOf } from '../log.ts'
+import type { Metrics } from '../metrics.ts'
+import type { Settings } from '../settings.ts'
 
 /** Options of {@linkcode MembershipTask}. */
 export interface MembershipTaskOptions {
--- a/daemon/peer_links.ts
+++ b/daemon/peers/peer_links.ts
@@ -3,11 +3,11 @@
 import { Packr } from 'msgpackr'
 import { WebSocket, WebSocketServer } from 'ws'
 import type { AddressInfo } from 'node:net'
-import type { DaemonId } from '../core/ids/index.ts'
-import type { Gossip } from '../core/membership/index.ts'
+import type { DaemonId } from '../../core/ids/index.ts'
+import type { Gossip } from '../../core/membership/index.ts'
 import { PeerError, type CallOptions, type LinkEvents, type Links, type PeerMethod } from './links.ts'
-import { logOf } from './log.ts'
-import type { Metrics } from './metrics.ts'
+import { logOf } from '../log.ts'
+import type { Metrics } from '../metrics.ts'
 
 /** What daemons send each other. A kind that this version does not know is counted and ignored. */
 type PeerMessage =
--- a/daemon/dispatcher.ts
+++ b/daemon/request/dispatcher.ts
@@ -1,9 +1,9 @@
 /** Finds an endpoint for each request that asks for one, or lets it wait its turn. */
-import { FairQueue, type Waiting, type WorkQueue } from '../core/admission/index.ts'
-import type { WorkClass } from '../core/config/index.ts'
-import type { AccountId, EndpointId, PoolName } from '../core/ids/index.ts'
-import { estimateTokens, runningNow, type EndpointView, type PrefixIndex, type Route, type Router } from '../core/routing/index.ts'
-import type { EndpointTable } from './endpoint_table.ts'
+import { FairQueue, type Waiting, type WorkQueue } from '../../core/admission/index.ts'
+import type { WorkClass } from '../../core/config/index.ts'
+import type { AccountId, EndpointId, PoolName } from '../../core/ids/index.ts'
+import { estimateTokens, runningNow, type EndpointView, type PrefixIndex, type Route, type Router } from '../../core/routing/index.ts'
+import type { EndpointTable } from '../endpoints/endpoint_table.ts'
 
 /** A request that needs an endpoint. */
 export interface Placement {
--- a/daemon/live_answer.ts
+++ b/daemon/request/live_answer.ts
@@ -1,6 +1,6 @@
 /** An answer that is still growing, held here or at another daemon. */
-import type { RequestId } from '../core/ids/index.ts'
-import type { Outcome } from '../core/outcome/index.ts'
+import type { RequestId } from '../../core/ids/index.ts'
+import type { Outcome } from '../../core/outcome/index.ts'
 
 /** The last word on a request. */
 export interface FinalWord {
--- a/daemon/standby.ts
+++ b/daemon/request/standby.ts
@@ -1,9 +1,9 @@
 /** Keeps a record of each running stream at another daemon, which carries it on if this daemon is gone. */
-import type { DaemonId, EndpointId, RequestId } from '../core/ids/index.ts'
-import { GONE_AFTER_MS, type Member } from '../core/membership/index.ts'
-import type { Hash32 } from '../core/routing/index.ts'
-import { logOf } from './log.ts'
-import type { MembershipTask } from './membership_task.ts'
+import type { DaemonId, EndpointId, RequestId } from '../../core/ids/index.ts'
+import { GONE_AFTER_MS, type Member } from '../../core/membership/index.ts'
+import type { Hash32 } from '../../core/routing/index.ts'
+import { logOf } from '../log.ts'
+import type { MembershipTask } from '../peers/membership_task.ts'
 import type { HandOver } from './request_task.ts'
 
 /** Options of {@linkcode Standby}. */
--- a/daemon/drain_test.ts
+++ b/daemon/sessions/drain_test.ts
@@ -1,6 +1,6 @@
 import { afterEach, beforeEach, expect, test } from 'vitest'
-import { Session } from '../bench/_session.ts'
-import { RefusedError } from './broker.ts'
+import { Session } from '../../bench/_session.ts'
+import { RefusedError } from '../request/broker.ts'
 
 let session: Session
 
--- a/daemon/golden_test.ts
+++ b/daemon/sessions/golden_test.ts
@@ -1,6 +1,6 @@
 import { expect, test } from 'vitest'
-import { Session, type Caller } from '../bench/_session.ts'
-import { RequestTask, type Decision } from './request_task.ts'
+import { Session, type Caller } from '../../bench/_session.ts'
+import { RequestTask, type Decision } from '../request/request_task.ts'
 
 interface Story { name: string, run (session: Session): Promise<void> }
 
--- a/daemon/parted_test.ts
+++ b/daemon/sessions/parted_test.ts
@@ -1,5 +1,5 @@
 import { afterEach, beforeEach, expect, test } from 'vitest'
-import { Session, sessionConfig, type Kind } from '../bench/_session.ts'
+import { Session, sessionConfig, type Kind } from '../../bench/_session.ts'
 
 let session: Session
 
--- a/daemon/schedules_test.ts
+++ b/daemon/sessions/schedules_test.ts
@@ -1,6 +1,6 @@
 import fc from 'fast-check'
 import { expect, test } from 'vitest'
-import { announcedSchedule, anySchedule, runSchedule, type SessionEvent } from '../bench/_schedule.ts'
+import { announcedSchedule, anySchedule, runSchedule, type SessionEvent } from '../../bench/_schedule.ts'
 
 const SEED = 21
 
--- a/daemon/status.ts
+++ b/daemon/status.ts
@@ -1,11 +1,11 @@
 /** What an operator sees of one daemon. */
 import type { WorkClass } from '../core/config/index.ts'
 import type { DaemonId } from '../core/ids/index.ts'
-import type { Broker } from './broker.ts'
-import type { ConfigTask } from './config_task.ts'
-import type { Dispatcher } from './dispatcher.ts'
-import type { EndpointTable } from './endpoint_table.ts'
-import type { MembershipTask } from './membership_task.ts'
+import type { Broker } from './request/broker.ts'
+import type { ConfigTask } from './config/config_task.ts'
+import type { Dispatcher } from './request/dispatcher.ts'
+import type { EndpointTable } from './endpoints/endpoint_table.ts'
+import type { MembershipTask } from './peers/membership_task.ts'
 import type { Metrics } from './metrics.ts'
 
 /** One class of work, in words. */
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,6 +1,6 @@
 import neostandard from 'neostandard'
 
-const IO_MODULES = ['node:*', 'ws', 'koa', '@koa/*', 'undici', 'prom-client', 'debug', '**/daemon/*', '**/store/*', '**/endpoints/*', '**/standins/*']
+const IO_MODULES = ['node:*', 'ws', 'koa', '@koa/*', 'undici', 'prom-client', 'debug', '**/daemon/**', '**/store/**', '**/endpoints/**', '**/standins/**']
 
 export default [
   ...neostandard({ ts: true, noJsx: true, ignores: ['dist/**', 'node_modules/**'] }),
--- a/standins/network.ts
+++ b/standins/network.ts
@@ -2,7 +2,7 @@
 import { setMaxListeners } from 'node:events'
 import type { DaemonId } from '../core/ids/index.ts'
 import type { Gossip } from '../core/membership/index.ts'
-import { PeerError, type CallOptions, type LinkEvents, type Links, type PeerMethod } from '../daemon/links.ts'
+import { PeerError, type CallOptions, type LinkEvents, type Links, type PeerMethod } from '../daemon/peers/links.ts'
 
 const CALL_TIMEOUT_MS = 3000
 /** Silence after which a link counts as broken. */
