Let one request life cycle carry any kind of answer

Cause: the request task was bound to tokens and to the product's own engines and services. An attempt is now an interface (AttemptRunner with a sink for head, pieces and explicit end); RequestTask runs the life cycle over it, TokenTask adds what only kept answers need (resume, hand-over). The class of work, the demand in tokens and the parts of a prompt are types of core/work, so that another configuration can fill them. The prefix index holds several endpoints a part, and the life cycle counts the endpoints that a request was sent to.

Ruled out: a second task beside the first for proxied requests; it would have doubled placing, retries and moves.

--- a/bench/limits.ts
+++ b/bench/limits.ts
@@ -1,7 +1,8 @@
 /** Admission under load: small accounts beside a large one, and goodput beyond capacity. */
 import FakeTimers, { type Clock } from '@sinonjs/fake-timers'
 import { FairQueue, FifoQueue, type WorkQueue } from '../core/admission/index.ts'
-import { as, type AccountId, type DaemonId } from '../core/ids/index.ts'
+import { classOf } from '../core/config/index.ts'
+import { as, type AccountId, type DaemonId, type PoolName } from '../core/ids/index.ts'
 import { PrefixIndex, TargetRouter, type Random } from '../core/routing/index.ts'
 import { Dispatcher, type Placement } from '../daemon/request/dispatcher.ts'
 import { EndpointTable } from '../daemon/endpoints/endpoint_table.ts'
@@ -82,8 +83,8 @@
   const table = new EndpointTable({ self: as<DaemonId>('d'), hash })
   table.listed(Array.from({ length: ENDPOINTS }, (_, i) => listed(i)))
   const queue = (): WorkQueue<Placement> => (kind === 'fair' ? new FairQueue() : new FifoQueue())
-  const dispatcher = new Dispatcher({ table, router: new TargetRouter({ random: seededRandom(seed) }), prefixes: new PrefixIndex({ hash }), queue })
-  const cls = { ...sessionConfig().classes[0]!, latency: { firstTokenMs: 1800, betweenTokensMs: 60, deadlineMs: DEADLINE_MS } }
+  const dispatcher = new Dispatcher({ table, router: new TargetRouter({ random: seededRandom(seed) }), prefixes: new PrefixIndex(), queue })
+  const cls = { ...classOf(sessionConfig().classes[0]!, true), latency: { firstTokenMs: 1800, betweenTokensMs: 60, deadlineMs: DEADLINE_MS } }
   const outcomes: Outcome[] = []
   for (const { atMs, account } of arrivals) {
     setTimeout(() => {
@@ -91,9 +92,9 @@
       dispatcher.place({
         account,
         cls,
-        prompt: 'x',
+        pool: as<PoolName>('models'),
+        demand: { promptTokens: 1, maxTokens: 40, expectedTokens: 40, parts: [] },
         doneTokens: 0,
-        expectedTokens: 40,
         acceptedAtMs: atMs,
         resumed: false,
         deadlineAtMs: atMs + DEADLINE_MS,
--- a/core/config/schema.ts
+++ b/core/config/schema.ts
@@ -41,8 +41,8 @@
 
 /** A validated configuration. */
 export type Config = z.infer<typeof configSchema>
-/** A class of work within a configuration. */
-export type WorkClass = Config['classes'][number]
+/** A class of work as an operator wrote it. */
+export type ClassConfig = Config['classes'][number]
 /** A pool of endpoints within a configuration. */
 export type Pool = Config['pools'][number]
 
--- a/core/outcome/outcome.ts
+++ b/core/outcome/outcome.ts
@@ -1,3 +1,5 @@
+import type { WholeAnswer } from '../answer/index.ts'
+
 /** What a caller is told about a request; the three are never mixed. */
 export type Outcome = 'answered' | 'not-run' | 'unknown'
 
@@ -40,17 +42,25 @@
   return OUTCOME_AT[point]
 }
 
+/** True when bytes of the request reached an endpoint, or may have. */
+export function reachedEndpoint (point: FailurePoint): boolean {
+  return point !== 'before-send' && point !== 'connect-refused' && point !== 'connect-timeout'
+}
+
 /** An attempt at an endpoint failed at a known point. Raised by the endpoint adapters. */
 export class AttemptError extends Error {
   override name = 'AttemptError'
   readonly point: FailurePoint
   /** Milliseconds after which the endpoint asked to be tried again, when it said so. */
   readonly retryAfterMs: number | undefined
+  /** The endpoint's own failure answer, which its caller is given when nothing better comes. */
+  readonly answer: WholeAnswer | undefined
 
-  constructor (what: string, options: { point: FailurePoint, retryAfterMs?: number, cause?: unknown }) {
+  constructor (what: string, options: { point: FailurePoint, retryAfterMs?: number, answer?: WholeAnswer, cause?: unknown }) {
     super(what, { cause: options.cause })
     this.point = options.point
     this.retryAfterMs = options.retryAfterMs
+    this.answer = options.answer
   }
 
   /** What is certain about the attempt. */
--- a/core/request/lifecycle.ts
+++ b/core/request/lifecycle.ts
@@ -1,6 +1,6 @@
 /** Life of one request as a pure state machine: (state, message, now) to (state, effects). */
 import type { EndpointId, RequestId } from '../ids/index.ts'
-import { outcomeAt, type FailurePoint, type Outcome } from '../outcome/index.ts'
+import { outcomeAt, reachedEndpoint, type FailurePoint, type Outcome } from '../outcome/index.ts'
 
 /** How an attempt begins at an endpoint. */
 export type StartMode = 'fresh' | 'prefill' | 'import'
@@ -14,6 +14,8 @@
   cancelOnLeave: boolean
   /** True when a claim must be written before the first attempt. */
   claims: boolean
+  /** Endpoints that the request may be sent to, the first included. */
+  maxAttempts: number
   /** Milliseconds on the daemon's clock. */
   deadlineAtMs: number
 }
@@ -25,6 +27,8 @@
   readonly traits: RequestTraits
   readonly phase: Phase
   readonly attempt: number
+  /** Attempts that reached an endpoint, or may have. */
+  readonly sent: number
   readonly endpoint: EndpointId | undefined
   /** True once an attempt may have run; from then on the request is never told `not-run`. */
   readonly mayHaveRun: boolean
@@ -61,7 +65,7 @@
 
 /** Builds the state of a request that was just accepted. */
 export function newRequest (traits: RequestTraits): RequestState {
-  return { traits, phase: 'placing', attempt: 0, endpoint: undefined, mayHaveRun: false, avoid: [], next: undefined, outcome: undefined }
+  return { traits, phase: 'placing', attempt: 0, sent: 0, endpoint: undefined, mayHaveRun: false, avoid: [], next: undefined, outcome: undefined }
 }
 
 /**
@@ -111,19 +115,28 @@
   const certainlyNotRun = outcomeAt(msg.point) === 'not-run'
   const after: RequestState = {
     ...state,
+    sent: state.sent + (reachedEndpoint(msg.point) ? 1 : 0),
     mayHaveRun: state.mayHaveRun || !certainlyNotRun,
     avoid: state.endpoint === undefined ? state.avoid : [...state.avoid, state.endpoint]
   }
-  // Running a non-idempotent request again after an unsure attempt could send a letter twice; certainty is the only licence.
-  const mayRepeat = certainlyNotRun || state.traits.idempotent
-  if (mayRepeat && msg.retryGranted) return place(after, now)
+  if (mayRepeat(state, msg.point) && msg.retryGranted) return place(after, now)
   return finish(after, notRunOrUnknown(after), `endpoint failed: ${msg.point}`)
 }
 
+/**
+ * Tells whether a request whose running attempt failed may be sent to another endpoint, if the retry budget grants it.
+ *
+ * Running a non-idempotent request again after an unsure attempt could send a letter twice; certainty is the only licence.
+ */
+export function mayRepeat (state: RequestState, point: FailurePoint): boolean {
+  const sent = state.sent + (reachedEndpoint(point) ? 1 : 0)
+  return sent < state.traits.maxAttempts && (outcomeAt(point) === 'not-run' || state.traits.idempotent)
+}
+
 function move (state: RequestState, msg: Extract<RequestMessage, { type: 'move' }>): Step {
   if (state.phase !== 'running' || !state.traits.movable || state.endpoint === undefined) return same(state)
   const stop: RequestEffect = { type: 'stop', endpoint: state.endpoint, attempt: state.attempt }
-  const moved: RequestState = { ...state, mayHaveRun: true, avoid: [...state.avoid, state.endpoint] }
+  const moved: RequestState = { ...state, sent: state.sent + 1, mayHaveRun: true, avoid: [...state.avoid, state.endpoint] }
   if (state.traits.idempotent || msg.mode === 'import') {
     const started = start({ ...moved, phase: 'placing' }, msg.endpoint, msg.mode)
     return { state: started.state, effects: [stop, ...started.effects] }
@@ -135,7 +148,7 @@
 function hold (state: RequestState): Step {
   if (state.phase !== 'running' || !state.traits.movable || state.endpoint === undefined) return same(state)
   const stop: RequestEffect = { type: 'stop', endpoint: state.endpoint, attempt: state.attempt }
-  return { state: { ...state, phase: 'stopping', mayHaveRun: true, avoid: [...state.avoid, state.endpoint], next: undefined }, effects: [stop] }
+  return { state: { ...state, phase: 'stopping', sent: state.sent + 1, mayHaveRun: true, avoid: [...state.avoid, state.endpoint], next: undefined }, effects: [stop] }
 }
 
 function stopped (state: RequestState, msg: Extract<RequestMessage, { type: 'stopped' }>, now: number): Step {
--- a/core/request/lifecycle_test.ts
+++ b/core/request/lifecycle_test.ts
@@ -5,7 +5,7 @@
 
 const A = as<EndpointId>('a')
 const B = as<EndpointId>('b')
-const TRAITS: RequestTraits = { id: as<RequestId>('d~1'), idempotent: false, movable: true, cancelOnLeave: false, claims: false, deadlineAtMs: 1000 }
+const TRAITS: RequestTraits = { id: as<RequestId>('d~1'), idempotent: false, movable: true, cancelOnLeave: false, claims: false, maxAttempts: Infinity, deadlineAtMs: 1000 }
 
 function run (traits: Partial<RequestTraits>, msgs: readonly RequestMessage[], now = 0): { state: RequestState, effects: RequestEffect[] } {
   let state = newRequest({ ...TRAITS, ...traits })
--- a/core/retry/retry_budget.ts
+++ b/core/retry/retry_budget.ts
@@ -8,13 +8,21 @@
   burst?: number
 }
 
+/** Grants or denies the sending of a request to another endpoint. */
+export interface RepeatBudget {
+  /** Counts a fresh request. */
+  earn (): void
+  /** Takes one repeat when the budget allows it. `endpointGone`: the endpoint before is leaving or gone. */
+  spend (endpointGone: boolean): boolean
+}
+
 /**
  * Grants retries out of a budget that fresh requests fill.
  *
  * Guards against a retry storm: when a domain goes, each failure would otherwise double the load on what is left. With the budget
  * spent, retries stop at a tenth of fresh work however many attempts fail.
  */
-export class RetryBudget {
+export class RetryBudget implements RepeatBudget {
   readonly #fraction: number
   readonly #burst: number
   #saved: number
@@ -30,8 +38,9 @@
     this.#saved = Math.min(this.#burst, this.#saved + this.#fraction)
   }
 
-  /** Takes one retry when the budget allows it. */
-  spend (): boolean {
+  /** Takes one retry when the budget allows it. Leaving an endpoint that is gone is no storm, and free. */
+  spend (endpointGone = false): boolean {
+    if (endpointGone) return true
     if (this.#saved < 1) return false
     this.#saved -= 1
     return true
--- a/core/routing/routing_test.ts
+++ b/core/routing/routing_test.ts
@@ -1,6 +1,7 @@
 import xxhash from 'xxhash-wasm'
 import { expect, test } from 'vitest'
 import { as, type EndpointId } from '../ids/index.ts'
+import { partsOf } from '../work/index.ts'
 import { LeastLoadedRouter, PrefixIndex, subset, TargetRouter, type EndpointView, type RouteQuery } from './index.ts'
 
 const { h32 } = await xxhash()
@@ -59,11 +60,12 @@
 })
 
 test('a prompt is found where its beginning ran, until nothing confirms it any more', () => {
-  const index = new PrefixIndex({ hash, blockLength: 8, expiresMs: 1000 })
-  index.record('shared--beginning-of-a', id('a'), 0)
-  expect(index.lookup('shared--beginning-of-b', 500).get(id('a'))).toBe(4)
-  expect(index.lookup('another-beginning-of-b', 500).size).toBe(0)
-  expect(index.lookup('shared--beginning-of-b', 2000).size).toBe(0)
+  const index = new PrefixIndex({ expiresMs: 1000 })
+  const parts = (prompt: string) => partsOf(prompt, { hash, blockLength: 8 })
+  index.record(parts('shared--beginning-of-a'), id('a'), 0)
+  expect(index.lookup(parts('shared--beginning-of-b'), 500).get(id('a'))).toBe(4)
+  expect(index.lookup(parts('another-beginning-of-b'), 500).size).toBe(0)
+  expect(index.lookup(parts('shared--beginning-of-b'), 2000).size).toBe(0)
 })
 
 test('an endpoint that leaves changes one place of a subset, and subsets differ between daemons', () => {
--- /dev/null
+++ b/core/work/index.ts
@@ -0,0 +1,2 @@
+export * from './demand.ts'
+export * from './work_class.ts'
--- a/daemon/daemon.ts
+++ b/daemon/daemon.ts
@@ -266,14 +266,14 @@
     config: asFunction((parts: Parts) => new ConfigTask(withStore(parts, 'config'))).singleton(),
     claims: asFunction((parts: Parts) => new Claims(withStore(parts, 'once'))).singleton(),
     table: asFunction(({ self, hash }: Parts) => new EndpointTable({ self, hash })).singleton(),
-    prefixes: asFunction(({ hash }: Parts) => new PrefixIndex({ hash })).singleton(),
+    prefixes: asFunction(() => new PrefixIndex()).singleton(),
     dispatcher: asFunction(({ table, prefixes, random }: Parts) => new Dispatcher({
       table, prefixes, router: new TargetRouter({ random })
     })).singleton(),
     engine: asFunction(() => options.engine ?? perEndpoint((view) => new HttpEngine({ url: view.address }))).singleton(),
     service: asFunction(() => options.service ?? perEndpoint((view) => new HttpService({ url: view.address }))).singleton(),
     broker: asFunction(({ self, hash, settings, config, membership, claims, metrics, table, dispatcher, engine, service }: Parts) => new Broker({
-      self, hash, settings, config, membership, claims, metrics, ports: { table, dispatcher, engine, service }
+      self, hash, settings, config, membership, claims, metrics, ports: { table, dispatcher }, engine, service
     })).singleton(),
     reclaimer: asFunction(({ table, prefixes, metrics, engine, broker, config, random, membership }: Parts) => new Reclaimer({
       table,
--- a/daemon/endpoints/reclaimer.ts
+++ b/daemon/endpoints/reclaimer.ts
@@ -18,7 +18,7 @@
   metrics: Metrics
   engine (view: EndpointView): ModelEngine
   /** Requests that are open on this daemon. */
-  open (): Iterable<RequestTask>
+  open (): Iterable<RequestTask<unknown>>
   wantsLeast (): Config['wantsLeast']
   random: () => number
   /** Daemons that use one endpoint, on average. */
@@ -68,9 +68,9 @@
     }
   }
 
-  #threatenedTasks (): RequestTask[] {
+  #threatenedTasks (): RequestTask<unknown>[] {
     const { table } = this.#options
-    return [...this.#options.open()].filter((task) => task.work.model && task.runningAt !== undefined && table.goneAtMs(task.runningAt) !== undefined)
+    return [...this.#options.open()].filter((task) => task.state.traits.movable && task.runningAt !== undefined && table.goneAtMs(task.runningAt) !== undefined)
   }
 
   #plan (): void {
@@ -84,14 +84,14 @@
     }
   }
 
-  #move (task: RequestTask, directive: Directive): void {
+  #move (task: RequestTask<unknown>, directive: Directive): void {
     task.note(`reclaim of ${task.runningAt}: ${directive.action}${'target' in directive ? ` at ${directive.target}` : ''}`)
     if (directive.action === 'prefill') task.post({ type: 'move', endpoint: directive.target, mode: 'prefill' })
     if (directive.action === 'hold') task.post({ type: 'hold' })
     if (directive.action === 'import') this.#export(task, directive.target)
   }
 
-  async #export (task: RequestTask, targetId: EndpointId): Promise<void> {
+  async #export (task: RequestTask<unknown>, targetId: EndpointId): Promise<void> {
     const { table, engine, metrics } = this.#options
     const source = table.get(task.runningAt!)
     const target = table.get(targetId)
@@ -112,10 +112,10 @@
     }
   }
 
-  #problem (tasks: readonly RequestTask[]): ReclaimProblem {
+  #problem (tasks: readonly RequestTask<unknown>[]): ReclaimProblem {
     const now = Date.now()
-    const pools = new Set(tasks.map((task) => task.work.cls.pool))
-    const usable = [...pools].flatMap((pool) => this.#options.table.candidates(pool as EndpointView['pool'])).filter((view) => view.ejectedUntilMs <= now)
+    const pools = new Set(tasks.map((task) => task.work.pool))
+    const usable = [...pools].flatMap((pool) => this.#options.table.candidates(pool)).filter((view) => view.ejectedUntilMs <= now)
     const targets = shareImports(usable.map(targetOf), { sharers: this.#options.sharers(), random: this.#options.random })
     const sources = new Map<EndpointId, Source>()
     for (const task of tasks) sources.set(task.runningAt!, this.#sourceOf(task.runningAt!, now))
@@ -123,10 +123,10 @@
       id: task.id,
       source: task.runningAt!,
       kvTokens: task.kvTokens,
-      remainingTokens: Math.max(0, task.work.maxTokens - task.answer.length),
+      remainingTokens: Math.max(0, task.work.demand.maxTokens - task.answer.length),
       deadlineInMs: task.state.traits.deadlineAtMs - now,
       movable: true,
-      cachedTokens: this.#options.prefixes.lookup(task.work.prompt, now)
+      cachedTokens: this.#options.prefixes.lookup(task.work.demand.parts, now)
     }))
     return { streams, sources, targets, weights: reclaimWeights(this.#options.wantsLeast(), targets.values()) }
   }
--- a/daemon/request/broker.ts
+++ b/daemon/request/broker.ts
@@ -1,19 +1,24 @@
 /** Accepts requests, finds the answers of earlier ones wherever they are held, and hands them over when this daemon leaves. */
 import { randomUUID } from 'node:crypto'
-import { as, daemonOf, requestId, type AccountId, type DaemonId, type RequestId } from '../../core/ids/index.ts'
+import { as, daemonOf, requestId, type AccountId, type DaemonId, type PoolName, type RequestId } from '../../core/ids/index.ts'
+import type { ClaimResult } from '../../core/once/index.ts'
 import { delay } from '../../core/time/index.ts'
 import { RetryBudget } from '../../core/retry/index.ts'
-import type { Hash32 } from '../../core/routing/index.ts'
-import type { Config, WorkClass } from '../../core/config/index.ts'
+import type { EndpointView, Hash32 } from '../../core/routing/index.ts'
+import { classOf, type ClassConfig, type Config } from '../../core/config/index.ts'
+import { estimateTokens, isUrgent, NO_TOKENS, partsOf, type Demand } from '../../core/work/index.ts'
+import type { ModelEngine, PlainService } from '../../endpoints/index.ts'
 import { claimOf, type Claims } from '../once/claims.ts'
 import type { ConfigTask } from '../config/config_task.ts'
 import { RemoteAnswer, type AnswerPart, type LiveAnswer } from './live_answer.ts'
 import { logOf } from '../log.ts'
 import type { MembershipTask } from '../peers/membership_task.ts'
 import type { Metrics } from '../metrics.ts'
-import { RequestTask, type Decision, type HandOver, type RequestPorts } from './request_task.ts'
+import type { Decision, RequestPorts } from './request_task.ts'
 import type { Settings } from '../settings.ts'
 import { Standby } from './standby.ts'
+import { EngineRunner, ServiceRunner } from './token_runner.ts'
+import { TokenTask, type HandOver } from './token_task.ts'
 
 /** What a caller sent, once it is known who the caller is. */
 export interface Submission {
@@ -47,10 +52,24 @@
   metrics: Metrics
   hash: Hash32
   ports: Omit<RequestPorts, 'budget' | 'metrics'>
+  engine (view: EndpointView): ModelEngine
+  service (view: EndpointView): PlainService
 }
 
 /** A finished answer on its way to the heir. */
 interface Finished { id: RequestId, account: AccountId, tokens: readonly string[], final: NonNullable<LiveAnswer['final']> }
+/** What a task is made from. */
+interface TaskOrder {
+  id: RequestId
+  account: AccountId
+  cls: ClassConfig
+  model: boolean
+  input: string
+  maxTokens: number
+  claim: (() => Promise<ClaimResult>) | undefined
+  deadlineInMs?: number
+}
+
 interface FollowArgs { id: RequestId, account: AccountId }
 interface KeptAnswer { account: AccountId, answer: LiveAnswer }
 
@@ -66,7 +85,7 @@
 /** Owns all requests of one daemon. */
 export class Broker {
   readonly #options: BrokerOptions
-  readonly #open = new Map<RequestId, RequestTask>()
+  readonly #open = new Map<RequestId, TokenTask>()
   readonly #kept = new Map<RequestId, KeptAnswer>()
   readonly #budgets = new Map<string, RetryBudget>()
   readonly #mirrors = new Set<RemoteAnswer>()
@@ -94,7 +113,7 @@
   }
 
   /** Requests that are not finished. */
-  get open (): IterableIterator<RequestTask> { return this.#open.values() }
+  get open (): IterableIterator<TokenTask> { return this.#open.values() }
   /** How many. */
   get openCount (): number { return this.#open.size }
 
@@ -102,7 +121,7 @@
    * Accepts a request and starts on it.
    * @throws {RefusedError} When it is refused; nothing ran.
    */
-  submit (submission: Submission): RequestTask {
+  submit (submission: Submission): TokenTask {
     const { limits } = this.#options.settings
     if (this.#refusing) throw new RefusedError('Cannot accept request: this daemon is leaving', { status: 503, retryAfterMs: RETRY_AFTER_FULL_MS })
     if (this.#open.size >= limits.openRequests) throw new RefusedError('Cannot accept request: too many are open', { status: 503, retryAfterMs: RETRY_AFTER_FULL_MS })
@@ -110,15 +129,7 @@
     const maxTokens = submission.maxTokens ?? DEFAULT_MAX_TOKENS
     if (maxTokens > limits.answerTokens) throw new RefusedError(`Cannot accept request: maxTokens is over ${limits.answerTokens}`, { status: 400 })
     const id = requestId(this.#options.self, randomUUID())
-    const task = new RequestTask({
-      id,
-      account: submission.account,
-      cls,
-      prompt: submission.input,
-      maxTokens: model ? maxTokens : 1,
-      model,
-      claim: this.#claimFor(id, submission, cls)
-    }, this.#portsOf(cls))
+    const task = this.#taskFor({ id, account: submission.account, cls, model, input: submission.input, maxTokens: model ? maxTokens : 1, claim: this.#claimFor(id, submission, cls) })
     this.#budgetOf(cls.name).earn()
     this.#adopt(task)
     task.post({ type: 'begin' })
@@ -154,7 +165,7 @@
   /** The decisions about a request that is held here. */
   explainHere (id: RequestId): Decision[] | undefined {
     const answer = this.#kept.get(id)?.answer
-    return answer instanceof RequestTask ? answer.decisions : undefined
+    return answer instanceof TokenTask ? answer.decisions : undefined
   }
 
   /** Takes nothing new: a request accepted in the last moment could be cut by the end. */
@@ -187,7 +198,7 @@
     for (const mirror of this.#mirrors) mirror.cut()
   }
 
-  #letGo (task: RequestTask): void {
+  #letGo (task: TokenTask): void {
     task.letGo()
     this.#open.delete(task.id)
     this.#kept.delete(task.id)
@@ -205,7 +216,19 @@
     }
   }
 
-  #classOf (submission: Submission): { cls: WorkClass, model: boolean } {
+  #taskFor (order: TaskOrder): TokenTask {
+    const { id, account, cls, model, input, maxTokens } = order
+    const work = { id, account, cls: classOf(cls, model), pool: as<PoolName>(cls.pool), demand: model ? this.#demandOf(input, maxTokens) : NO_TOKENS, claim: order.claim }
+    const runnerOptions = { id, input, maxTokens, urgent: isUrgent(cls) }
+    const runner = model ? new EngineRunner(runnerOptions, this.#options.engine) : new ServiceRunner(runnerOptions, this.#options.service)
+    return new TokenTask({ work, runner, ports: this.#portsOf(cls), ...(order.deadlineInMs !== undefined && { deadlineInMs: order.deadlineInMs }) })
+  }
+
+  #demandOf (input: string, maxTokens: number): Demand {
+    return { promptTokens: estimateTokens(input), maxTokens, expectedTokens: maxTokens, parts: partsOf(input, { hash: this.#options.hash }) }
+  }
+
+  #classOf (submission: Submission): { cls: ClassConfig, model: boolean } {
     const config = this.#config()
     const cls = config.classes.find(({ name }) => name === submission.className)
     if (!cls) throw new RefusedError(`Cannot accept request: no class ${submission.className}`, { status: 404 })
@@ -221,14 +244,14 @@
     return accepted.config
   }
 
-  #claimFor (id: RequestId, submission: Submission, cls: WorkClass) {
+  #claimFor (id: RequestId, submission: Submission, cls: ClassConfig) {
     const { account, idempotencyKey: key, className, input, maxTokens } = submission
     if (cls.idempotent || key === undefined) return undefined
     const claim = claimOf(id, { account, key, body: JSON.stringify([className, input, maxTokens]) })
     return () => this.#options.claims.claim(claim, cls.latency.deadlineMs)
   }
 
-  #portsOf (cls: WorkClass): RequestPorts {
+  #portsOf (cls: ClassConfig): RequestPorts {
     return { ...this.#options.ports, metrics: this.#options.metrics, budget: this.#budgetOf(cls.name) }
   }
 
@@ -241,7 +264,7 @@
     return budget
   }
 
-  #adopt (task: RequestTask): void {
+  #adopt (task: TokenTask): void {
     this.#open.set(task.id, task)
     this.#keep(task.id, { account: task.work.account, answer: task })
     this.#options.metrics.open.set(this.#open.size)
@@ -251,7 +274,7 @@
     }
     task.onFinish = () => {
       this.#open.delete(task.id)
-      if (task.work.model) this.#standby.ended(task.id)
+      if (task.work.cls.streaming) this.#standby.ended(task.id)
       this.#options.metrics.open.set(this.#open.size)
     }
   }
@@ -341,7 +364,7 @@
     const view = handed.endpoint === undefined ? undefined : this.#options.ports.table.get(handed.endpoint)
     if (!cls || (handed.endpoint !== undefined && !view) || this.#open.has(handed.id)) return false
     const { id, account, prompt, maxTokens } = handed
-    const task = new RequestTask({ id, account, cls, prompt, maxTokens, model: true, claim: undefined }, this.#portsOf(cls), { deadlineInMs: handed.deadlineInMs })
+    const task = this.#taskFor({ id, account, cls, model: true, input: prompt, maxTokens, claim: undefined, deadlineInMs: handed.deadlineInMs })
     this.#adopt(task)
     task.takeOver(handed, view, sure)
     this.onTookOver()
@@ -357,5 +380,5 @@
 
 /** An answer is kept from its end, which is at the latest its deadline. */
 function runTimeMs ({ answer }: KeptAnswer): number {
-  return answer instanceof RequestTask ? answer.work.cls.latency.deadlineMs : 0
+  return answer instanceof TokenTask ? answer.work.cls.latency.deadlineMs : 0
 }
--- a/daemon/request/dispatcher.ts
+++ b/daemon/request/dispatcher.ts
@@ -1,18 +1,18 @@
 /** Finds an endpoint for each request that asks for one, or lets it wait its turn. */
 import { FairQueue, type Waiting, type WorkQueue } from '../../core/admission/index.ts'
-import type { WorkClass } from '../../core/config/index.ts'
 import type { AccountId, EndpointId, PoolName } from '../../core/ids/index.ts'
-import { estimateTokens, runningNow, type EndpointView, type PrefixIndex, type Route, type Router } from '../../core/routing/index.ts'
+import { runningNow, type EndpointView, type PrefixIndex, type Route, type Router } from '../../core/routing/index.ts'
+import { isUrgent, type Demand, type WorkClass } from '../../core/work/index.ts'
 import type { EndpointTable } from '../endpoints/endpoint_table.ts'
 
 /** A request that needs an endpoint. */
 export interface Placement {
   account: AccountId
   cls: WorkClass
-  prompt: string
+  pool: PoolName
+  demand: Demand
   /** Tokens that the endpoint must prefill beside the prompt: those of earlier attempts. */
   doneTokens: number
-  expectedTokens: number
   /** When the request was accepted, in milliseconds since the epoch. */
   acceptedAtMs: number
   deadlineAtMs: number
@@ -32,8 +32,6 @@
   queue?: () => WorkQueue<Placement>
 }
 
-/** Classes with at most this deadline are urgent: they wait before long ones and may use the reserve. */
-export const URGENT_DEADLINE_MS = 5000
 /** Part of an endpoint's batch slots that only urgent work may use. */
 const URGENT_RESERVE = 0.1
 const RATE_SMOOTHING = 0.2
@@ -61,7 +59,7 @@
 
   /** Places a request now, queues it, or refuses it at once when it could not start in time. */
   place (placement: Placement): void {
-    const pool = this.#pool(placement.cls.pool as PoolName)
+    const pool = this.#pool(placement.pool)
     if (pool.queue.length === 0 && this.#start(placement, pool)) return
     const urgent = isUrgent(placement.cls)
     const waitMs = (pool.queue.ahead(placement.account, urgent) + 1) * pool.msPerStart
@@ -97,14 +95,14 @@
 
   #start (placement: Placement, pool: PoolState): boolean {
     const now = Date.now()
-    const cached = this.#options.prefixes.lookup(placement.prompt, now)
-    const candidates = this.#options.table.candidates(placement.cls.pool as PoolName)
+    const cached = this.#options.prefixes.lookup(placement.demand.parts, now)
+    const candidates = this.#options.table.candidates(placement.pool)
     const withRoom = candidates.filter((view) => hasRoom(view, isUrgent(placement.cls)))
     // Once every endpoint has failed the request, the least bad is tried again; the retry budget bounds how often.
     const avoid = withRoom.some((view) => !placement.avoid.includes(view.id)) ? placement.avoid : []
     const route = this.#options.router.pick({
-      promptTokens: estimateTokens(placement.prompt) + placement.doneTokens,
-      expectedTokens: placement.expectedTokens,
+      promptTokens: placement.demand.promptTokens + placement.doneTokens,
+      expectedTokens: remainingTokens(placement),
       firstTokenMs: placement.cls.latency.firstTokenMs,
       betweenTokensMs: placement.cls.latency.betweenTokensMs,
       avoid,
@@ -112,7 +110,7 @@
     }, withRoom, now)
     if (!route) return false
     measureRate(pool, now)
-    this.#options.prefixes.record(placement.prompt, route.view.id, now)
+    this.#options.prefixes.record(placement.demand.parts, route.view.id, now)
     placement.placed(route.view, route)
     return true
   }
@@ -137,11 +135,6 @@
   }
 }
 
-/** True for a class whose work is short enough to go first. */
-export function isUrgent (cls: WorkClass): boolean {
-  return cls.latency.deadlineMs <= URGENT_DEADLINE_MS
-}
-
 function hasRoom (view: EndpointView, urgent: boolean): boolean {
   const slots = view.speed.batchSlots * (urgent ? 1 : 1 - URGENT_RESERVE)
   return runningNow(view) < Math.max(1, slots)
@@ -153,14 +146,18 @@
  */
 function latestStart (placement: Placement): number {
   const { latency } = placement.cls
-  const runMs = latency.betweenTokensMs === undefined ? 0 : placement.expectedTokens * latency.betweenTokensMs / 2
+  const runMs = latency.betweenTokensMs === undefined ? 0 : remainingTokens(placement) * latency.betweenTokensMs / 2
   const byDeadline = placement.deadlineAtMs - Math.min(runMs, latency.deadlineMs / 2)
   if (placement.resumed) return byDeadline
   return Math.min(byDeadline, placement.acceptedAtMs + latency.firstTokenMs * QUEUE_TARGETS)
 }
 
 function workOf (placement: Placement): number {
-  return estimateTokens(placement.prompt) + placement.doneTokens + placement.expectedTokens
+  return placement.demand.promptTokens + placement.doneTokens + remainingTokens(placement)
+}
+
+function remainingTokens ({ demand, doneTokens }: Placement): number {
+  return Math.max(0, demand.expectedTokens - doneTokens)
 }
 
 function measureRate (pool: PoolState, now: number): void {
--- a/daemon/request/standby.ts
+++ b/daemon/request/standby.ts
@@ -4,7 +4,7 @@
 import type { Hash32 } from '../../core/routing/index.ts'
 import { logOf } from '../log.ts'
 import type { MembershipTask } from '../peers/membership_task.ts'
-import type { HandOver } from './request_task.ts'
+import type { HandOver } from './token_task.ts'
 
 /** Options of {@linkcode Standby}. */
 export interface StandbyOptions {
--- a/daemon/sessions/golden_test.ts
+++ b/daemon/sessions/golden_test.ts
@@ -1,6 +1,7 @@
 import { expect, test } from 'vitest'
 import { Session, type Caller } from '../../bench/_session.ts'
-import { RequestTask, type Decision } from '../request/request_task.ts'
+import type { Decision } from '../request/request_task.ts'
+import { TokenTask } from '../request/token_task.ts'
 
 interface Story { name: string, run (session: Session): Promise<void> }
 
@@ -63,14 +64,14 @@
 
 /** Collects the decisions of every request on every daemon, in the order of time. */
 function watchTasks () {
-  const seen: Array<{ task: RequestTask, decision: Decision }> = []
-  const note = RequestTask.prototype.note
-  RequestTask.prototype.note = function (this: RequestTask, text: string) {
+  const seen: Array<{ task: TokenTask, decision: Decision }> = []
+  const note = TokenTask.prototype.note
+  TokenTask.prototype.note = function (this: TokenTask, text: string) {
     seen.push({ task: this, decision: { atMs: Date.now(), text } })
     note.call(this, text)
   }
   return {
-    stop: () => { RequestTask.prototype.note = note },
-    lines: (from: number) => seen.map(({ task, decision }) => `${String(decision.atMs - from).padStart(6)} ms  ${task.work.prompt.split(' ')[0]!.padEnd(10)} ${decision.text}`)
+    stop: () => { TokenTask.prototype.note = note },
+    lines: (from: number) => seen.map(({ task, decision }) => `${String(decision.atMs - from).padStart(6)} ms  ${task.prompt.split(' ')[0]!.padEnd(10)} ${decision.text}`)
   }
 }
--- a/daemon/status.ts
+++ b/daemon/status.ts
@@ -1,5 +1,5 @@
 /** What an operator sees of one daemon. */
-import type { WorkClass } from '../core/config/index.ts'
+import type { ClassConfig } from '../core/config/index.ts'
 import type { DaemonId } from '../core/ids/index.ts'
 import type { Broker } from './request/broker.ts'
 import type { ConfigTask } from './config/config_task.ts'
@@ -65,7 +65,7 @@
   }
 }
 
-async function classStatus (cls: WorkClass, sources: StatusSources): Promise<ClassStatus> {
+async function classStatus (cls: ClassConfig, sources: StatusSources): Promise<ClassStatus> {
   const target = `first token within ${cls.latency.firstTokenMs} ms for 95 in 100, ${cls.delivery * 100} in 100 answered within ${cls.latency.deadlineMs} ms`
   const counts = (await sources.metrics.requests.get()).values.filter(({ labels }) => labels.class === cls.name && labels.outcome !== 'repeated')
   const total = counts.reduce((sum, { value }) => sum + value, 0)
--- a/endpoints/http_engine.ts
+++ b/endpoints/http_engine.ts
@@ -4,7 +4,8 @@
 import { AttemptError } from '../core/outcome/index.ts'
 import type { EndpointLoad } from '../core/routing/index.ts'
 import { attemptError, refusalError } from './_attempt_errors.ts'
-import type { Attachment, EngineOrder, ModelEngine, StopReport, StreamSink, StreamSpec } from './model_engine.ts'
+import type { Attachment, StopReport } from './attempt.ts'
+import type { EngineOrder, ModelEngine, StreamSink, StreamSpec } from './model_engine.ts'
 
 /** Options of {@linkcode HttpEngine}. */
 export interface HttpEngineOptions {
--- a/endpoints/index.ts
+++ b/endpoints/index.ts
@@ -1,3 +1,4 @@
+export * from './attempt.ts'
 export * from './cloud.ts'
 export * from './http_cloud.ts'
 export * from './http_engine.ts'
--- a/endpoints/model_engine.ts
+++ b/endpoints/model_engine.ts
@@ -1,6 +1,6 @@
 /** What the daemons ask of a model engine, whatever its wire protocol. */
-import type { AttemptError } from '../core/outcome/index.ts'
 import type { EndpointLoad } from '../core/routing/index.ts'
+import type { Attachment, AttemptSink, StopReport } from './attempt.ts'
 
 /** One stream to run. */
 export interface StreamSpec {
@@ -18,21 +18,8 @@
   kvHandle?: string
 }
 
-/** Receives one stream. Exactly one of `onEnd` and `onError` comes last. */
-export interface StreamSink {
-  onChunk (offset: number, tokens: readonly string[]): void
-  onEnd (total: number): void
-  onError (err: AttemptError): void
-  onLoad (load: EndpointLoad): void
-}
-
-/** What a cancelled stream had produced. */
-export interface StopReport {
-  /** True when the engine confirms that the stream runs no more. */
-  stopped: boolean
-  /** Tokens from the asked offset on that were produced before the stop. */
-  tokens: readonly string[]
-}
+/** Receives one stream of tokens. */
+export type StreamSink = AttemptSink<string>
 
 /** An order states the wanted state, never a step, so that repeating it or giving it twice does no harm. */
 export interface EngineOrder {
@@ -42,9 +29,6 @@
   role: 'both' | 'prefill' | 'decode'
 }
 
-/** Stops receiving a stream; the engine keeps it for a while so that it can be resumed. */
-export interface Attachment { detach (): void }
-
 /** One model engine. Methods throw {@linkcode AttemptError}. */
 export interface ModelEngine {
   start (spec: StreamSpec, sink: StreamSink): Attachment
--- a/standins/engine.ts
+++ b/standins/engine.ts
@@ -1,6 +1,7 @@
 /** Stand-in for a model engine: continuous batching, prefix cache, KV export and import, on the runtime's clock. */
 import { AttemptError } from '../core/outcome/index.ts'
-import { estimateTokens, type EndpointLoad, type EndpointSpeed } from '../core/routing/index.ts'
+import type { EndpointLoad, EndpointSpeed } from '../core/routing/index.ts'
+import { estimateTokens } from '../core/work/index.ts'
 import type { Attachment, EngineOrder, ModelEngine, StopReport, StreamSink, StreamSpec } from '../endpoints/index.ts'
 import { answerToken } from './answers.ts'
 import type { Ledger } from './ledger.ts'
@@ -102,9 +103,9 @@
   async cancel (streamId: string, from: number): Promise<StopReport> {
     if (this.#dead || this.faults.ignoreCancel) throw new AttemptError('Cannot cancel stream: no answer', { point: 'timeout-after-send' })
     const stream = this.#streams.get(streamId)
-    if (!stream) return { stopped: true, tokens: [] }
+    if (!stream) return { stopped: true, pieces: [] }
     this.#streams.delete(streamId)
-    return { stopped: true, tokens: tokensOf(stream, from, stream.produced) }
+    return { stopped: true, pieces: tokensOf(stream, from, stream.produced) }
   }
 
   async exportKv (streamId: string, toAddress: string): Promise<string> {
