Load the daemon's code compiled ahead

Cause: a restarted daemon is charged in full for its start; compiling 3.7 MB of bundle was most of it.

--- a/cli/main.ts
+++ b/cli/main.ts
@@ -71,6 +71,11 @@
     process.exit(0)
   })
 
+cli.command('compile-ahead', 'Load what a daemon needs and end; the build writes its compiled code')
+  .action(async () => {
+    await import('../platform/index.ts')
+  })
+
 addOperatorCommands(cli, print)
 
 cli.help()
@@ -92,4 +97,5 @@
   }
 }
 
-await main()
+/** Settles when the command has returned; a daemon's command returns once it serves. */
+export const loaded = main()
