--- a/bench/membership.ts
+++ b/bench/membership.ts
@@ -10,7 +10,6 @@
 import { MembershipTask } from '../daemon/peers/membership_task.ts'
 import { createMetrics, type Metrics } from '../daemon/metrics.ts'
 import { PeerLinks } from '../daemon/peers/peer_links.ts'
-import { settingsSchema } from '../daemon/settings.ts'
 import { StandInStore } from '../standins/index.ts'
 import { sessionConfig } from './_session.ts'
 import { AccrualDetector } from './_accrual.ts'
@@ -85,18 +84,19 @@
 async function startNode (i: number, options: { store: StandInStore, hash: Hash32, random: Random, seeds: string[] }): Promise<Node> {
   const id = as<DaemonId>(`node-${i}-${Math.floor(options.random() * 1e8)}`)
   const metrics = createMetrics()
-  const settings = settingsSchema.parse({
-    name: `node-${i}`,
-    failureDomain: `domain-${i % DOMAINS}`,
-    address: '127.0.0.1',
-    ports: { callers: 0, operators: 0, peers: 0 },
-    platform: { objectApi: 'http://127.0.0.1:1', cloudApi: 'http://127.0.0.1:1' },
+  const links = new PeerLinks({ self: id, secret: 'bench-secret', metrics })
+  const { store, hash, random } = options
+  const membership = new MembershipTask({
+    self: id,
+    listen: { host: '127.0.0.1', port: 0 },
+    failureDomain: as(`domain-${i % DOMAINS}`),
     seeds: options.seeds,
-    peerSecret: 'bench-secret'
+    store,
+    links,
+    hash,
+    metrics,
+    random
   })
-  const links = new PeerLinks({ self: id, secret: settings.peerSecret, metrics })
-  const { store, hash, random } = options
-  const membership = new MembershipTask({ self: id, settings, store, links, hash, metrics, random })
   const config = new ConfigTask({ self: id, store, audit: new AuditTrail(store), membership, metrics, hash, random })
   await membership.start()
   config.start()
--- a/core/config/revision.ts
+++ b/core/config/revision.ts
@@ -56,7 +56,7 @@
  * Watch events and peers' copies come late, doubled and out of order; an older revision that replaced a newer one would
  * show as a change that reverts. The revision is set by a conditional update, so it orders all copies without a clock.
  */
-export function newest (inForce: Accepted | undefined, arrived: Accepted | undefined): Accepted | undefined {
+export function newest<T extends { readonly revision: number }> (inForce: T | undefined, arrived: T | undefined): T | undefined {
   if (!inForce || !arrived) return inForce ?? arrived
   return arrived.revision > inForce.revision ? arrived : inForce
 }
--- /dev/null
+++ b/core/tally/index.ts
@@ -0,0 +1,1 @@
+export * from './tally.ts'
--- /dev/null
+++ b/core/tally/tally.ts
@@ -0,0 +1,91 @@
+/** Running totals that all daemons add to: each writes only its own, everybody hears of them. */
+import type { DaemonId } from '../ids/index.ts'
+
+/** One daemon's total of one key. */
+export type TallyEntry = readonly [key: string, total: number]
+
+/** Totals of one daemon, as another passes them on. */
+export interface TallySheet { daemon: DaemonId, entries: TallyEntry[] }
+
+/** How much a key grew by what was just heard. */
+export interface TallyGrowth { key: string, amount: number, daemon: DaemonId }
+
+/**
+ * Totals by daemon and key.
+ *
+ * Totals only grow, so a message that is doubled, late or passed on by a third daemon changes nothing, and one that is lost is made up for by
+ * the next. What a daemon that died had told is still counted.
+ */
+export class Tally {
+  readonly #self: DaemonId
+  readonly #totals = new Map<DaemonId, Map<string, number>>()
+  readonly #changed = new Set<string>()
+
+  constructor (self: DaemonId) {
+    this.#self = self
+    this.#totals.set(self, new Map())
+  }
+
+  /** Adds to this daemon's own total. */
+  add (key: string, amount: number): void {
+    const own = this.#totals.get(this.#self)!
+    own.set(key, (own.get(key) ?? 0) + amount)
+    this.#changed.add(key)
+  }
+
+  /** This daemon's own total. */
+  own (key: string): number {
+    return this.#totals.get(this.#self)!.get(key) ?? 0
+  }
+
+  /** The total over all daemons, as far as it was told. */
+  sum (key: string): number {
+    let sum = 0
+    for (const totals of this.#totals.values()) sum += totals.get(key) ?? 0
+    return sum
+  }
+
+  /** Own totals that changed since this was last asked. */
+  takeChanges (): TallyEntry[] {
+    const own = this.#totals.get(this.#self)!
+    const entries = [...this.#changed].filter((key) => own.has(key)).map((key): TallyEntry => [key, own.get(key)!])
+    this.#changed.clear()
+    return entries
+  }
+
+  /** Everything known, for a daemon that joins. */
+  sheets (): TallySheet[] {
+    return [...this.#totals].map(([daemon, totals]) => ({ daemon, entries: [...totals] }))
+  }
+
+  /**
+   * Takes in what was told of one daemon.
+   * @returns What grew, but for a daemon heard of for the first time: that lies in the past.
+   */
+  receive (sheet: TallySheet): TallyGrowth[] {
+    if (sheet.daemon === this.#self) return []
+    const known = this.#totals.get(sheet.daemon)
+    const totals = known ?? new Map<string, number>()
+    this.#totals.set(sheet.daemon, totals)
+    const growth: TallyGrowth[] = []
+    for (const [key, total] of sheet.entries) {
+      const amount = total - (totals.get(key) ?? 0)
+      if (amount <= 0) continue
+      totals.set(key, total)
+      if (known) growth.push({ key, amount, daemon: sheet.daemon })
+    }
+    return growth
+  }
+
+  /** Forgets the keys that match, on all daemons. */
+  forget (matches: (key: string) => boolean): void {
+    for (const totals of this.#totals.values()) {
+      for (const key of totals.keys()) if (matches(key)) totals.delete(key)
+    }
+  }
+
+  /** Forgets a daemon that is long gone. */
+  forgetDaemon (daemon: DaemonId): void {
+    if (daemon !== this.#self) this.#totals.delete(daemon)
+  }
+}
--- a/core/time/index.ts
+++ b/core/time/index.ts
@@ -1,1 +1,2 @@
 export * from './delay.ts'
+export * from './steady_now.ts'
--- a/daemon/api/operators_api.ts
+++ b/daemon/api/operators_api.ts
@@ -4,7 +4,7 @@
 import Koa, { type Context } from 'koa'
 import { InvalidError } from '../../core/config/index.ts'
 import { as, type DaemonId } from '../../core/ids/index.ts'
-import { delay } from '../../core/time/index.ts'
+import { delay, steadyNow } from '../../core/time/index.ts'
 import { StoreError } from '../../store/index.ts'
 import type { AuditFilter, AuditTrail } from '../config/audit.ts'
 import type { Broker } from '../request/broker.ts'
@@ -83,10 +83,10 @@
 
 /** Waits until all daemons tell that the revision is in force, or as long as that may take. */
 async function inForce (config: ConfigTask, revision: number): Promise<InForce> {
-  const endsAtMs = Date.now() + REACH_TIMEOUT_MS
+  const endsAtMs = steadyNow() + REACH_TIMEOUT_MS
   for (;;) {
     const reach = config.reach(revision)
-    if (reach.daemons >= reach.of || Date.now() > endsAtMs) return reach
+    if (reach.daemons >= reach.of || steadyNow() > endsAtMs) return reach
     await delay(REACH_POLL_MS)
   }
 }
--- /dev/null
+++ b/daemon/config/config_follower.ts
@@ -0,0 +1,139 @@
+/** Keeps the newest configuration in force on this daemon, from the store and from the other daemons. */
+import { InvalidError, newest } from '../../core/config/index.ts'
+import type { DaemonId } from '../../core/ids/index.ts'
+import type { Hash32 } from '../../core/routing/index.ts'
+import { steadyNow } from '../../core/time/index.ts'
+import { StoreFollower, type ObjectStore } from '../../store/index.ts'
+import { logOf } from '../log.ts'
+import type { Metrics } from '../metrics.ts'
+import type { MembershipTask } from '../peers/membership_task.ts'
+
+/** A configuration; its revision orders it among all others, without a clock. */
+export interface Revised { readonly revision: number }
+
+/** Options of {@linkcode ConfigFollower}. */
+export interface ConfigFollowerOptions<C extends Revised> {
+  self: DaemonId
+  store: ObjectStore
+  /** Key of the one object that holds the configuration, such as `config/current`. */
+  key: string
+  /** Reads the object's value. Throws {@linkcode InvalidError} when it is not a configuration. */
+  decode (value: string): C
+  membership: MembershipTask
+  metrics: Metrics
+  hash: Hash32
+  random: () => number
+  /** Daemons of one failure domain that watch the store; the others poll it and hear of changes from them. Default 2. */
+  watchersPerDomain?: number
+}
+
+const FACT = 'config'
+const DEFAULT_WATCHERS_PER_DOMAIN = 2
+const POLL_MS = 60_000
+const WATCH_MS = 10_000
+/** How long the store's last answer counts as knowledge that no newer revision exists, in milliseconds. */
+const SURE_FOR_MS = 150_000
+const log = logOf('config')
+
+/**
+ * Owns the configuration in force.
+ *
+ * Watch events and peers' copies come late, doubled and out of order; only a higher revision replaces the one in force, or a change would be
+ * seen to revert. A store that is down takes nothing away, and a daemon that it turns away hears of a new revision from the others.
+ */
+export class ConfigFollower<C extends Revised> {
+  readonly #options: ConfigFollowerOptions<C>
+  readonly #follower: StoreFollower
+  readonly #listeners: Array<(config: C) => void> = []
+  #inForce: C | undefined
+  /** The configuration in force as it was written, for other daemons. */
+  #text: string | undefined
+
+  constructor (options: ConfigFollowerOptions<C>) {
+    this.#options = options
+    const { membership, metrics } = options
+    membership.onFact((fact, from) => { if (fact.key === FACT) this.#heard(fact.version, from) })
+    membership.links.handle('config', async () => this.#text)
+    this.#follower = new StoreFollower({
+      store: options.store,
+      prefix: options.key,
+      random: options.random,
+      waitMs: WATCH_MS,
+      pauseMs: () => (this.watches ? 0 : POLL_MS * (0.75 + options.random() / 2)),
+      onChange: (objects) => this.#read(objects.get(options.key)?.value),
+      onReach: (reached, why) => {
+        metrics.revisionSure.set(reached ? 1 : 0)
+        log(reached ? 'store reached' : 'store lost', { why, revision: this.#inForce?.revision ?? 0 })
+      }
+    })
+  }
+
+  /** The configuration in force, once one is known. */
+  get inForce (): C | undefined { return this.#inForce }
+
+  /** True while the store confirmed lately that no newer revision exists. */
+  get sure (): boolean { return steadyNow() - this.#follower.confirmedAtMs < SURE_FOR_MS }
+
+  /** True for the few daemons that watch the store. */
+  get watches (): boolean {
+    const { self, hash, membership } = this.#options
+    const domain = membership.core.self.failureDomain
+    const peers = membership.working.filter((member) => member.failureDomain === domain)
+    const ahead = peers.filter((member) => hash(`watch/${member.id}`) > hash(`watch/${self}`))
+    return ahead.length < (this.#options.watchersPerDomain ?? DEFAULT_WATCHERS_PER_DOMAIN)
+  }
+
+  /** Registers a listener for each new configuration. */
+  onChange (listener: (config: C) => void): void {
+    this.#listeners.push(listener)
+  }
+
+  /** Reads the configuration and keeps following it. */
+  start (): void {
+    this.#follower.start()
+  }
+
+  /** Stops following. */
+  stop (): void {
+    this.#follower.stop()
+  }
+
+  /**
+   * Puts a configuration in force if it is newer than the one that is.
+   * @param text The configuration as it was written.
+   */
+  adopt (text: string): void {
+    const config = this.#options.decode(text)
+    if (newest(this.#inForce, config) !== config) return
+    this.#inForce = config
+    this.#text = text
+    log('in force', { revision: config.revision })
+    this.#options.metrics.revision.set(config.revision)
+    for (const listener of this.#listeners) listener(config)
+    this.#options.membership.tell({ key: FACT, version: config.revision, value: null })
+    this.#options.membership.setSelf({ revision: config.revision })
+  }
+
+  #read (text: string | undefined): void {
+    if (text === undefined) return
+    try {
+      this.adopt(text)
+    } catch (err) {
+      if (!(err instanceof InvalidError)) throw err
+      log('refused', { problems: err.problems, inForce: this.#inForce?.revision ?? 0 })
+    }
+  }
+
+  /** A daemon told of a newer revision: it has it, so ask it and spare the store. */
+  async #heard (revision: number, from: DaemonId): Promise<void> {
+    if (revision <= (this.#inForce?.revision ?? 0)) return
+    const { membership } = this.#options
+    const teller = membership.core.member(from)
+    if (!teller) return
+    try {
+      this.#read(await membership.links.call(teller, 'config', null) as string | undefined)
+    } catch (err) {
+      log('not told', { revision, from, why: (err as Error).message })
+    }
+  }
+}
--- a/daemon/daemon.ts
+++ b/daemon/daemon.ts
@@ -6,7 +6,7 @@
 import type Koa from 'koa'
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
 import xxhash from 'xxhash-wasm'
-import { as, type DaemonId, type EndpointId } from '../core/ids/index.ts'
+import { as, type DaemonId, type EndpointId, type FailureDomain } from '../core/ids/index.ts'
 import type { Member } from '../core/membership/index.ts'
 import { PrefixIndex, TargetRouter, type EndpointView, type Hash32, type Random } from '../core/routing/index.ts'
 import { HttpCloud, HttpEngine, HttpService, type Cloud, type ModelEngine, type PlainService } from '../endpoints/index.ts'
@@ -29,7 +29,7 @@
 import { Reclaimer } from './endpoints/reclaimer.ts'
 import type { Settings } from './settings.ts'
 import { classStatuses, statusOf, type ClassStatus, type StatusReport } from './status.ts'
-import { delay } from '../core/time/index.ts'
+import { delay, steadyNow } from '../core/time/index.ts'
 
 /** Addresses that a daemon listens on. */
 export interface DaemonAddresses { callers: string, operators: string, peers: string }
@@ -202,7 +202,7 @@
    */
   async #drain (who: string): Promise<void> {
     const { membership, broker, settings, audit } = this.#parts
-    const endsAtMs = Date.now() + settings.drainMs
+    const endsAtMs = steadyNow() + settings.drainMs
     log('draining', { who })
     membership.setSelf({ state: 'draining' })
     audit.write({ kind: 'drain', id: randomUUID(), who, atMs: Date.now(), what: { daemon: this.id } })
@@ -219,7 +219,7 @@
   /** Again and again: a stream that cannot move now, since its KV cache is on its way, may move a moment later. */
   async #handOverTo (heir: Member, endsAtMs: number): Promise<void> {
     const { broker } = this.#parts
-    while (broker.openCount > 0 && Date.now() < endsAtMs) {
+    while (broker.openCount > 0 && steadyNow() < endsAtMs) {
       await broker.handOver(heir)
       await delay(DRAIN_POLL_MS)
     }
@@ -243,7 +243,7 @@
   }
 
   async #waitForOpen (untilMs: number): Promise<void> {
-    while (this.#parts.broker.openCount > 0 && Date.now() < untilMs) await delay(DRAIN_POLL_MS)
+    while (this.#parts.broker.openCount > 0 && steadyNow() < untilMs) await delay(DRAIN_POLL_MS)
   }
 }
 
@@ -261,7 +261,17 @@
     cloud: asFunction(() => options.cloud ?? new HttpCloud({ url: settings.platform.cloudApi })).singleton(),
     storeFor: asFunction(storeFor).singleton(),
     links: asFunction(({ self, settings, metrics }: Parts) => options.links ?? new PeerLinks({ self, secret: settings.peerSecret, metrics })).singleton(),
-    membership: asFunction((parts: Parts) => new MembershipTask(withStore(parts, 'members'))).singleton(),
+    membership: asFunction(({ self, settings, storeFor, links, hash, metrics, random }: Parts) => new MembershipTask({
+      self,
+      listen: { host: settings.address, port: settings.ports.peers },
+      failureDomain: as<FailureDomain>(settings.failureDomain),
+      seeds: settings.seeds,
+      store: storeFor('members'),
+      links,
+      hash,
+      metrics,
+      random
+    })).singleton(),
     audit: asFunction(({ storeFor }: Parts) => new AuditTrail(storeFor('audit'))).singleton(),
     config: asFunction((parts: Parts) => new ConfigTask(withStore(parts, 'config'))).singleton(),
     claims: asFunction((parts: Parts) => new Claims(withStore(parts, 'once'))).singleton(),
--- a/daemon/endpoints/endpoint_follower.ts
+++ b/daemon/endpoints/endpoint_follower.ts
@@ -3,6 +3,7 @@
 import { InvalidError } from '../../core/config/index.ts'
 import { as, type HostId, type PoolName } from '../../core/ids/index.ts'
 import type { Random } from '../../core/routing/index.ts'
+import { steadyNow } from '../../core/time/index.ts'
 import type { ListedHost } from '../../endpoints/index.ts'
 import { StoreFollower, type FollowerNews, type ObjectStore, type StoredObject } from '../../store/index.ts'
 import { logOf } from '../log.ts'
@@ -57,10 +58,10 @@
     const listed = [...objects.values()].flatMap((object) => this.#decode(object))
     table.listed(listed.map((endpoint) => this.#hostOf(endpoint)))
     for (const { id, leaving } of listed) {
-      if (leaving) table.leaving([as<HostId>(id)], Date.now() + (leaving.inMs ?? ASSUMED_NOTICE_MS), leaving.inMs === undefined ? 'list' : 'notice')
+      if (leaving) table.leaving([as<HostId>(id)], steadyNow() + (leaving.inMs ?? ASSUMED_NOTICE_MS), leaving.inMs === undefined ? 'list' : 'notice')
     }
     const gone = news.removed.map((key) => as<HostId>(key.slice(this.#options.prefix.length)))
-    table.leaving(gone, Date.now() + ASSUMED_NOTICE_MS, 'list')
+    table.leaving(gone, steadyNow() + ASSUMED_NOTICE_MS, 'list')
     this.#options.onChange()
   }
 
--- a/daemon/endpoints/endpoint_table.ts
+++ b/daemon/endpoints/endpoint_table.ts
@@ -2,6 +2,7 @@
 import type { DaemonId, EndpointId, HostId, PoolName } from '../../core/ids/index.ts'
 import { subset, type EndpointLoad, type EndpointView, type Hash32 } from '../../core/routing/index.ts'
 import { countFailure, NO_FAILURES, type FailureCount } from '../../core/retry/index.ts'
+import { steadyNow } from '../../core/time/index.ts'
 import type { ListedHost } from '../../endpoints/index.ts'
 
 /** Which signal told that an endpoint is leaving. Any one is enough. */
@@ -89,7 +90,7 @@
     this.#forgetGone()
     for (const host of hosts) if (host.state === 'live') this.#takeBack(host.endpoint.id)
     const leaving = hosts.filter((host) => host.state === 'leaving' && !this.#goneAt.has(host.endpoint.id))
-    this.leaving(leaving.map((host) => host.hostId), Date.now() + ASSUMED_NOTICE_MS, 'list')
+    this.leaving(leaving.map((host) => host.hostId), steadyNow() + ASSUMED_NOTICE_MS, 'list')
   }
 
   /** Takes in a signal that hosts are leaving. */
@@ -114,7 +115,7 @@
 
   #markLeaving (id: EndpointId, goneAtMs: number): EndpointView {
     const view = this.#views.get(id)!
-    view.leavingAtMs ??= Date.now()
+    view.leavingAtMs ??= steadyNow()
     this.#goneAt.set(id, goneAtMs)
     this.#hostGoneAt.set(view.hostId, goneAtMs)
     return view
@@ -151,7 +152,7 @@
   failed (id: EndpointId): void {
     const view = this.#views.get(id)
     if (!view) return
-    const count = countFailure(this.#failures.get(id) ?? NO_FAILURES, Date.now())
+    const count = countFailure(this.#failures.get(id) ?? NO_FAILURES, steadyNow())
     this.#failures.set(id, count)
     view.ejectedUntilMs = count.untilMs
   }
@@ -170,7 +171,7 @@
   /** A reclaim that was called off, or a refusal that had another cause: the host is still listed live long after its time. */
   #takeBack (id: EndpointId): void {
     const goneAtMs = this.#goneAt.get(id)
-    if (goneAtMs === undefined || Date.now() < goneAtMs + TAKE_BACK_MS) return
+    if (goneAtMs === undefined || steadyNow() < goneAtMs + TAKE_BACK_MS) return
     const view = this.#views.get(id)!
     this.#goneAt.delete(id)
     this.#hostGoneAt.delete(view.hostId)
@@ -178,7 +179,7 @@
   }
 
   #forgetGone (): void {
-    const now = Date.now()
+    const now = steadyNow()
     for (const [host, goneAtMs] of this.#hostGoneAt) {
       if (now > goneAtMs + HOST_FORGOTTEN_MS && !this.#byHost.has(host)) this.#hostGoneAt.delete(host)
     }
--- a/daemon/endpoints/host_watch.ts
+++ b/daemon/endpoints/host_watch.ts
@@ -1,10 +1,9 @@
 /** Follows the platform's host list and reclaim notices. */
-import { as, type HostId } from '../../core/ids/index.ts'
 import { CloudError, type Cloud, type ListedHost } from '../../endpoints/index.ts'
 import type { EndpointTable } from './endpoint_table.ts'
-import { logOf } from '../log.ts'
+import { shareLeavingNews } from './leaving_news.ts'
 import type { MembershipTask } from '../peers/membership_task.ts'
-import { delay } from '../../core/time/index.ts'
+import { delay, steadyNow } from '../../core/time/index.ts'
 
 /** Options of {@linkcode HostWatch}. */
 export interface HostWatchOptions {
@@ -23,8 +22,6 @@
 /** Daemons that together read the list once each in its period; with more, all read it more rarely. */
 const READERS = 40
 const RETRY_MS = 500
-const FACT_PREFIX = 'leaving/'
-const log = logOf('hosts')
 
 /** Reads the list now and then, waits for notices, and passes leaving hosts on to the other daemons. */
 export class HostWatch {
@@ -35,16 +32,8 @@
   constructor (options: HostWatchOptions) {
     this.#options = options
     options.membership.links.handle('hosts', async () => this.#lastList)
-    options.membership.onFact((fact) => {
-      if (fact.key.startsWith(FACT_PREFIX)) options.table.leaving([as<HostId>(fact.key.slice(FACT_PREFIX.length))], fact.value as number, 'peer')
-    })
+    shareLeavingNews(options.table, options.membership)
     options.membership.onMember(() => { if (options.table.all.length === 0) this.#listOfPeers() })
-    options.table.onLeaving((leaving) => {
-      for (const { view, goneAtMs, signal } of leaving) {
-        log('leaving', { endpoint: view.id, signal, inMs: goneAtMs - Date.now() })
-        if (signal !== 'peer') options.membership.tell({ key: `${FACT_PREFIX}${view.hostId}`, version: versionOf(signal, goneAtMs), value: goneAtMs })
-      }
-    })
   }
 
   /** Reads the list once, then goes on by itself. */
@@ -106,7 +95,7 @@
       try {
         for (const notice of await this.#options.cloud.notices(serial, NOTICE_WAIT_MS)) {
           serial = Math.max(serial, notice.serial)
-          this.#options.table.leaving(notice.hosts, notice.goneAtMs, 'notice')
+          this.#options.table.leaving(notice.hosts, steadyNow() + notice.goneAtMs - Date.now(), 'notice')
         }
       } catch (err) {
         if (!(err instanceof CloudError)) throw err
@@ -115,11 +104,3 @@
     }
   }
 }
-
-/** A notice knows the time and outranks a guess; among notices the one that is gone sooner holds. */
-function versionOf (signal: string, goneAtMs: number): number {
-  return signal === 'notice' ? LATEST_MS * 2 - goneAtMs : LATEST_MS - goneAtMs
-}
-
-/** Later than any time that a notice names. */
-const LATEST_MS = 2 ** 43
--- a/daemon/endpoints/reclaimer.ts
+++ b/daemon/endpoints/reclaimer.ts
@@ -6,6 +6,7 @@
 } from '../../core/reclaim/index.ts'
 import type { Config } from '../../core/config/index.ts'
 import { runningNow, type EndpointView, type PrefixIndex } from '../../core/routing/index.ts'
+import { steadyNow } from '../../core/time/index.ts'
 import type { ModelEngine } from '../../endpoints/index.ts'
 import type { EndpointTable } from './endpoint_table.ts'
 import type { Metrics } from '../metrics.ts'
@@ -55,7 +56,7 @@
 
   #threatened (endpoint: EndpointId, goneAtMs: number): void {
     clearTimeout(this.#sweeps.get(endpoint))
-    const sweepInMs = Math.max(0, goneAtMs - Date.now() - NOTICE_MARGIN_MS)
+    const sweepInMs = Math.max(0, goneAtMs - steadyNow() - NOTICE_MARGIN_MS)
     this.#sweeps.set(endpoint, setTimeout(() => this.#sweep(endpoint), sweepInMs))
     this.replan()
   }
@@ -113,7 +114,7 @@
   }
 
   #problem (tasks: readonly RequestTask<unknown>[]): ReclaimProblem {
-    const now = Date.now()
+    const now = steadyNow()
     const pools = new Set(tasks.map((task) => task.work.pool))
     const usable = [...pools].flatMap((pool) => this.#options.table.candidates(pool)).filter((view) => view.ejectedUntilMs <= now)
     const targets = shareImports(usable.map(targetOf), { sharers: this.#options.sharers(), random: this.#options.random })
--- a/daemon/fleet/fleet_task.ts
+++ b/daemon/fleet/fleet_task.ts
@@ -5,6 +5,7 @@
 import type { DaemonId, FailureDomain, HostId, PoolName } from '../../core/ids/index.ts'
 import { AttemptError } from '../../core/outcome/index.ts'
 import type { EndpointView } from '../../core/routing/index.ts'
+import { steadyNow } from '../../core/time/index.ts'
 import { CloudError, type Cloud, type CloudOffer, type ListedHost, type ModelEngine } from '../../endpoints/index.ts'
 import type { AuditTrail } from '../config/audit.ts'
 import { logOf } from '../log.ts'
@@ -47,7 +48,7 @@
 export class FleetTask {
   readonly #options: FleetTaskOptions
   readonly #planner: FleetPlanner
-  readonly #risk = new ReclaimRisk(Date.now())
+  readonly #risk = new ReclaimRisk(steadyNow())
   readonly #scale = new ScaleDown()
   readonly #refusedUntil = new Map<FailureDomain, number>()
   readonly #drainedAt = new Map<HostId, number>()
@@ -85,7 +86,7 @@
   }
 
   async #plan (live: readonly ListedHost[], offers: readonly CloudOffer[], round: FleetRound): Promise<Holding[]> {
-    const now = Date.now()
+    const now = steadyNow()
     const classes = this.#options.config()?.classes.filter((cls) => cls.pool === this.#options.pool) ?? []
     if (classes.length === 0 || offers.length === 0) return live.map((host) => ({ offer: this.#offerOf(host, now), count: 1 }))
     const betweenTokensMs = Math.min(...classes.map((cls) => cls.latency.betweenTokensMs ?? Infinity))
@@ -113,7 +114,7 @@
   #forgetBooted (hosts: readonly ListedHost[]): void {
     const listed = new Set(hosts.map((host) => host.hostId))
     for (const [hostId, { sinceMs }] of this.#booting) {
-      if (listed.has(hostId) || Date.now() > sinceMs + BOOT_MS * 2) this.#booting.delete(hostId)
+      if (listed.has(hostId) || steadyNow() > sinceMs + BOOT_MS * 2) this.#booting.delete(hostId)
     }
   }
 
@@ -139,12 +140,12 @@
     try {
       const hostId = await this.#options.cloud.start({ hostClass, failureDomain, pool: this.#options.pool, reclaimable })
       round.started++
-      this.#booting.set(hostId, { offer, sinceMs: Date.now() })
+      this.#booting.set(hostId, { offer, sinceMs: steadyNow() })
       this.#record('start', { hostId, failureDomain, reclaimable })
       return true
     } catch (err) {
       if (!(err instanceof CloudError) || !err.refused) throw err
-      this.#refusedUntil.set(failureDomain, Date.now() + REFUSED_FOR_MS)
+      this.#refusedUntil.set(failureDomain, steadyNow() + REFUSED_FOR_MS)
       round.refused++
       this.#record('refused', { failureDomain, reclaimable })
       return false
@@ -160,8 +161,8 @@
       const there = staying.filter((other) => isOf(other, host)).length
       if (there <= wantedThere || staying.length <= round.needed) continue
       staying.splice(staying.indexOf(host), 1)
-      this.#drainedAt.set(host.hostId, Date.now())
-      this.#options.announceLeaving(host.hostId, Date.now() + DRAIN_MS)
+      this.#drainedAt.set(host.hostId, steadyNow())
+      this.#options.announceLeaving(host.hostId, steadyNow() + DRAIN_MS)
       round.draining++
       this.#record('drain', { hostId: host.hostId })
     }
@@ -170,7 +171,7 @@
   async #stopDrained (hosts: readonly ListedHost[], round: FleetRound): Promise<void> {
     for (const [hostId, sinceMs] of this.#drainedAt) {
       const host = hosts.find((each) => each.hostId === hostId)
-      if (host && await this.#streams([host]) > 0 && Date.now() < sinceMs + DRAIN_MS) continue
+      if (host && await this.#streams([host]) > 0 && steadyNow() < sinceMs + DRAIN_MS) continue
       if (host) await this.#options.cloud.stop(hostId)
       this.#drainedAt.delete(hostId)
       round.stopped++
--- a/daemon/fleet/lease_task.ts
+++ b/daemon/fleet/lease_task.ts
@@ -2,7 +2,7 @@
 import { randomUUID } from 'node:crypto'
 import type { DaemonId } from '../../core/ids/index.ts'
 import { fencingNow, nextLeaseAction, NO_LEASE, seen, type LeaseRecord, type LeaseState } from '../../core/lease/index.ts'
-import { delay } from '../../core/time/index.ts'
+import { delay, steadyNow } from '../../core/time/index.ts'
 import { StoreError, writeSurely, type Marked, type ObjectStore } from '../../store/index.ts'
 import { logOf } from '../log.ts'
 
@@ -35,7 +35,7 @@
 
   /** The fencing number for an order given now; undefined while another daemon holds the lease. */
   get fencing (): number | undefined {
-    return fencingNow(this.#state, this.#options.self, Date.now())
+    return fencingNow(this.#state, this.#options.self, steadyNow())
   }
 
   /** Begins to take and renew the lease. */
@@ -52,7 +52,7 @@
     await this.#orRetry(() => this.#read())
     while (!this.#stopped) {
       const writeId = randomUUID()
-      const action = nextLeaseAction(this.#state, { self: this.#options.self, now: Date.now(), ttlMs: this.#options.ttlMs ?? DEFAULT_TTL_MS, writeId })
+      const action = nextLeaseAction(this.#state, { self: this.#options.self, now: steadyNow(), ttlMs: this.#options.ttlMs ?? DEFAULT_TTL_MS, writeId })
       if (action.type === 'write') await this.#orRetry(() => this.#write(action.record, action.version))
       else await this.#waitAndRead(action.ms)
     }
@@ -79,7 +79,7 @@
 
   #learn (found: { record: LeaseRecord, version: number } | undefined): void {
     const before = this.#state.record?.fencing
-    this.#state = seen(this.#state, found, Date.now())
+    this.#state = seen(this.#state, found, steadyNow())
     const { record } = this.#state
     if (record && record.fencing !== before) log('held', { name: this.#options.name, holder: record.holder, fencing: record.fencing })
   }
--- a/daemon/once/claims.ts
+++ b/daemon/once/claims.ts
@@ -4,6 +4,7 @@
 import type { Member } from '../../core/membership/index.ts'
 import type { Claim, ClaimResult, KeyHash } from '../../core/once/index.ts'
 import type { Hash32 } from '../../core/routing/index.ts'
+import { steadyNow } from '../../core/time/index.ts'
 import type { ObjectStore } from '../../store/index.ts'
 import type { MembershipTask } from '../peers/membership_task.ts'
 import { ClaimError, ShardLog } from './shard_log.ts'
@@ -38,13 +39,13 @@
    * @throws {ClaimError} When it could not be written in time. Nothing ran.
    */
   async claim (claim: Claim, inMs: number): Promise<ClaimResult> {
-    const expiresAtMs = Date.now() + inMs
+    const expiresAtMs = steadyNow() + inMs
     const owner = this.#ownerOf(shardOf(claim.key, this.#options.hash))
     if (owner && owner.id !== this.#options.self) {
       const result = await this.#ask(owner, { claim, inMs })
       if (result) return result
     }
-    return await this.#claimHere(claim, expiresAtMs - Date.now())
+    return await this.#claimHere(claim, expiresAtMs - steadyNow())
   }
 
   /**
@@ -64,7 +65,7 @@
       shard = new ShardLog({ store: this.#options.store, shard: number })
       this.#shards.set(number, shard)
     }
-    return await shard.claim(claim, Date.now() + inMs)
+    return await shard.claim(claim, steadyNow() + inMs)
   }
 
   /** Highest rank by rendezvous hashing: most keys keep their owner when a daemon comes or goes. */
--- a/daemon/once/shard_log.ts
+++ b/daemon/once/shard_log.ts
@@ -5,7 +5,7 @@
   type Claim, type ClaimResult, type KeyHash, type Segment, type ShardHead
 } from '../../core/once/index.ts'
 import { isStoreFailure, StoreError, writeSurely, type Marked, type ObjectStore } from '../../store/index.ts'
-import { delay } from '../../core/time/index.ts'
+import { delay, steadyNow } from '../../core/time/index.ts'
 
 /** Options of {@linkcode ShardLog}. */
 export interface ShardLogOptions {
@@ -74,7 +74,7 @@
   async #writeLoop (): Promise<void> {
     this.#writing = true
     while (this.#settleKnown()) {
-      const waitMs = this.#notBeforeMs - Date.now()
+      const waitMs = this.#notBeforeMs - steadyNow()
       if (waitMs > 0) {
         await delay(Math.min(waitMs, this.#firstExpiryMs()))
         continue
@@ -86,7 +86,7 @@
 
   /** Answers what the table answers and fails what is too late; true while claims remain. */
   #settleKnown (): boolean {
-    const now = Date.now()
+    const now = steadyNow()
     this.#pending = this.#pending.filter((pending) => {
       const holder = this.#version === undefined ? undefined : this.#table.get(pending.claim.key)
       if (holder) pending.resolve(judge(pending.claim, holder))
@@ -99,7 +99,7 @@
 
   #firstExpiryMs (): number {
     const first = Math.min(...this.#pending.map((pending) => pending.expiresAtMs))
-    return Math.max(1, first - Date.now())
+    return Math.max(1, first - steadyNow())
   }
 
   async #attempt (): Promise<void> {
@@ -108,7 +108,7 @@
       else await this.#writeBatch()
     } catch (err) {
       if (!(err instanceof StoreError)) this.#fail(err as Error)
-      this.#notBeforeMs = Date.now() + RETRY_MS
+      this.#notBeforeMs = steadyNow() + RETRY_MS
     }
   }
 
@@ -142,7 +142,7 @@
   }
 
   async #writeBatch (): Promise<void> {
-    this.#notBeforeMs = Date.now() + (this.#options.intervalMs ?? COMMIT_INTERVAL_MS)
+    this.#notBeforeMs = steadyNow() + (this.#options.intervalMs ?? COMMIT_INTERVAL_MS)
     await this.#makeRoom()
     // Claims that came while this one waited may repeat a key of the table: writing them would claim the key a second time.
     if (!this.#settleKnown()) return
--- a/daemon/once/shard_log_test.ts
+++ b/daemon/once/shard_log_test.ts
@@ -2,6 +2,7 @@
 import { afterEach, beforeEach, expect, test, vi } from 'vitest'
 import { as, type RequestId } from '../../core/ids/index.ts'
 import { SEAL_AT, type Claim, type ClaimResult, type KeyHash } from '../../core/once/index.ts'
+import { steadyNow } from '../../core/time/index.ts'
 import { StandInStore } from '../../standins/index.ts'
 import { ClaimError, ShardLog } from './shard_log.ts'
 
@@ -31,7 +32,7 @@
   // claim the key and the household would get two letters.
   const store = new StandInStore()
   const logs = [new ShardLog({ store, shard: 0 }), new ShardLog({ store, shard: 0 })]
-  const results = await settle(...logs.map((log, i) => log.claim(claimOf('k', `${i}~1`), Date.now() + LONG_MS)))
+  const results = await settle(...logs.map((log, i) => log.claim(claimOf('k', `${i}~1`), steadyNow() + LONG_MS)))
   expect(results.map((result) => result.status === 'fulfilled' && result.value)).toEqual([{ type: 'claimed' }, { type: 'repeated', request: '0~1' }])
 })
 
@@ -40,10 +41,10 @@
   // claimed the key and sealed the log. The version the sleeper knew is gone, so it must read before it can claim.
   const store = new StandInStore()
   const sleeper = new ShardLog({ store, shard: 0 })
-  await valueOf(sleeper.claim(claimOf('first', 'a~1'), Date.now() + LONG_MS))
+  await valueOf(sleeper.claim(claimOf('first', 'a~1'), steadyNow() + LONG_MS))
   const other = new ShardLog({ store, shard: 0, intervalMs: 1 })
-  for (let i = 0; i <= SEAL_AT; i++) await valueOf(other.claim(claimOf(`k${i}`, `b~${i}`), Date.now() + LONG_MS))
-  expect(await valueOf(sleeper.claim(claimOf('k7', 'a~2'), Date.now() + LONG_MS))).toEqual({ type: 'repeated', request: 'b~7' })
+  for (let i = 0; i <= SEAL_AT; i++) await valueOf(other.claim(claimOf(`k${i}`, `b~${i}`), steadyNow() + LONG_MS))
+  expect(await valueOf(sleeper.claim(claimOf('k7', 'a~2'), steadyNow() + LONG_MS))).toEqual({ type: 'repeated', request: 'b~7' })
 })
 
 test('a write that was applied without an answer counts as claimed', async () => {
@@ -51,15 +52,15 @@
   // letter would never be written. Reading back finds the daemon's own write.
   const store = new StandInStore()
   store.faults.loseAnswers = 1
-  expect(await valueOf(new ShardLog({ store, shard: 0 }).claim(claimOf('k', 'a~1'), Date.now() + LONG_MS))).toEqual({ type: 'claimed' })
+  expect(await valueOf(new ShardLog({ store, shard: 0 }).claim(claimOf('k', 'a~1'), steadyNow() + LONG_MS))).toEqual({ type: 'claimed' })
 })
 
 test('with the store down a claim waits until its deadline, then fails with nothing run', async () => {
   const store = new StandInStore()
   store.faults.down = true
   const log = new ShardLog({ store, shard: 0 })
-  const late = log.claim(claimOf('late', 'a~1'), Date.now() + 1000)
-  const patient = log.claim(claimOf('patient', 'a~2'), Date.now() + 10_000)
+  const late = log.claim(claimOf('late', 'a~1'), steadyNow() + 1000)
+  const patient = log.claim(claimOf('patient', 'a~2'), steadyNow() + 10_000)
   const both = Promise.allSettled([late, patient])
   await vi.advanceTimersByTimeAsync(3000)
   store.faults.down = false
@@ -74,29 +75,29 @@
   // waited through the interval and went into the next batch without being held against the claims made meanwhile.
   const store = new StandInStore()
   const log = new ShardLog({ store, shard: 0 })
-  const first = log.claim(claimOf('k', 'a~1'), Date.now() + LONG_MS)
+  const first = log.claim(claimOf('k', 'a~1'), steadyNow() + LONG_MS)
   await vi.advanceTimersByTimeAsync(1)
-  const other = log.claim(claimOf('other', 'a~2'), Date.now() + LONG_MS)
-  const repeated = log.claim(claimOf('k', 'a~3'), Date.now() + LONG_MS)
+  const other = log.claim(claimOf('other', 'a~2'), steadyNow() + LONG_MS)
+  const repeated = log.claim(claimOf('k', 'a~3'), steadyNow() + LONG_MS)
   const results = await settle(first, other, repeated)
   expect(results.map((result) => result.status === 'fulfilled' && result.value.type)).toEqual(['claimed', 'claimed', 'repeated'])
 })
 
 test('a repeated key with another body is refused', async () => {
   const log = new ShardLog({ store: new StandInStore(), shard: 0 })
-  await valueOf(log.claim(claimOf('k', 'a~1'), Date.now() + LONG_MS))
-  expect(await valueOf(log.claim(claimOf('k', 'a~2', 'other'), Date.now() + LONG_MS))).toEqual({ type: 'other-body' })
+  await valueOf(log.claim(claimOf('k', 'a~1'), steadyNow() + LONG_MS))
+  expect(await valueOf(log.claim(claimOf('k', 'a~2', 'other'), steadyNow() + LONG_MS))).toEqual({ type: 'other-body' })
 })
 
 test('claims outlive sealing, merging and the daemon, until they are too old', async () => {
   const store = new StandInStore()
   const log = new ShardLog({ store, shard: 0, intervalMs: 0, keptMs: 24 * 3_600_000 })
   for (let batch = 0; batch < 20; batch++) {
-    await settle(...Array.from({ length: SEAL_AT }, (_, i) => log.claim(claimOf(`k${batch}.${i}`, `a~${batch}.${i}`), Date.now() + LONG_MS)))
+    await settle(...Array.from({ length: SEAL_AT }, (_, i) => log.claim(claimOf(`k${batch}.${i}`, `a~${batch}.${i}`), steadyNow() + LONG_MS)))
   }
   const next = new ShardLog({ store, shard: 0, keptMs: 24 * 3_600_000 })
   for (const key of ['0.0', '10.99', '19.255']) {
-    expect(await valueOf(next.claim(claimOf(`k${key}`, 'b~1'), Date.now() + LONG_MS))).toEqual({ type: 'repeated', request: `a~${key}` })
+    expect(await valueOf(next.claim(claimOf(`k${key}`, 'b~1'), steadyNow() + LONG_MS))).toEqual({ type: 'repeated', request: `a~${key}` })
   }
   expect(store.keys().length).toBeLessThan(10)
 })
@@ -137,7 +138,7 @@
   for (const each of events) {
     if (each.type === 'claim') {
       const claim = claimOf(`k${each.key}`, `d${each.daemon}~${serial++}`)
-      open.push(daemons[each.daemon]!.claim(claim, Date.now() + 2000).then((result) => { if (result.type === 'claimed') claimed[each.key]!++ }, () => {}))
+      open.push(daemons[each.daemon]!.claim(claim, steadyNow() + 2000).then((result) => { if (result.type === 'claimed') claimed[each.key]!++ }, () => {}))
     } else if (each.type === 'restart') daemons[each.daemon] = make(store)
     else if (each.type === 'wait') await vi.advanceTimersByTimeAsync(each.ms)
     else applyFault(store, each.type)
--- a/daemon/peers/links.ts
+++ b/daemon/peers/links.ts
@@ -5,6 +5,9 @@
 /** Answers a call; may send parts before it returns. `signal` aborts when the asking daemon is gone. */
 export type PeerMethod = (args: never, context: { from: DaemonId, part: (value: unknown) => void, signal: AbortSignal }) => Promise<unknown>
 
+/** Takes a message that wants no answer. */
+export type PostHandler = (value: never, from: DaemonId) => void
+
 /** Options of a call. */
 export interface CallOptions {
   /** Default 3,000. */
@@ -33,6 +36,12 @@
   tend (now: number): void
   /** Sends gossip if there is a link. */
   gossip (to: DaemonId, gossip: Gossip): void
+  /** Sends a message without an answer; false when there is no link. */
+  post (to: DaemonId, topic: string, value: unknown): boolean
+  /** Registers who takes the messages of a topic. */
+  onPost (topic: string, take: PostHandler): void
+  /** Gives a link up that is silent; it is dialled again when it is kept. */
+  reset (to: DaemonId): void
   /** Asks another daemon. Throws {@linkcode PeerError}. */
   call (to: { id: DaemonId, address: string }, method: string, args: unknown, options?: CallOptions): Promise<unknown>
   /** Closes everything. */
--- a/daemon/peers/membership_task.ts
+++ b/daemon/peers/membership_task.ts
@@ -1,32 +1,45 @@
 /** Runs the core's membership over the links between daemons. */
-import type { DaemonId } from '../../core/ids/index.ts'
+import type { DaemonId, FailureDomain } from '../../core/ids/index.ts'
 import { HEARTBEAT_MS, Membership, mayAnswer, takesWork, type Fact, type Gossip, type Member, type MembershipEffect } from '../../core/membership/index.ts'
 import type { Hash32 } from '../../core/routing/index.ts'
-import { delay } from '../../core/time/index.ts'
+import { delay, steadyNow } from '../../core/time/index.ts'
 import { isStoreFailure, StoreError, type ObjectStore } from '../../store/index.ts'
 import type { Links } from './links.ts'
 import { logOf } from '../log.ts'
 import type { Metrics } from '../metrics.ts'
-import type { Settings } from '../settings.ts'
 
 /** Options of {@linkcode MembershipTask}. */
 export interface MembershipTaskOptions {
   self: DaemonId
-  settings: Settings
+  /** Where other daemons connect. */
+  listen: { host: string, port: number }
+  failureDomain: FailureDomain
+  /** Addresses of a few other daemons, some of which may be gone. */
+  seeds: readonly string[]
   store: ObjectStore
   links: Links
   hash: Hash32
   metrics: Metrics
   random: () => number
+  /** Name under which the daemon registers in the store; one that outlives its process leaves no dead entries. Default: its id. */
+  registeredAs?: string
+  /** Keep a link to every other daemon, up to {@linkcode MESH_LIMIT}, not only to the neighbours. Default false. */
+  mesh?: boolean
 }
 
 /** Called with each new fact and the daemon that told it. */
 export type FactListener = (fact: Fact, from: DaemonId) => void
 
 const REGISTER_EVERY_MS = 300_000
+const REGISTER_RETRY_MS = 3000
 /** A registration this old belongs to a daemon that is gone. */
 const REGISTRATION_KEPT_MS = 3 * REGISTER_EVERY_MS
 const JOIN_RETRY_MS = 2000
+/** Addresses tried at once to find the others: a few of them may belong to hosts that are gone. */
+const JOIN_DIALS = 3
+const MESH_JOIN_DIALS = 16
+/** Daemons up to which each keeps a link to every other: a link costs descriptors and its share of messages. */
+export const MESH_LIMIT = 128
 const FAREWELL_MS = 300
 /** Ticks between words to a daemon that is thought gone. */
 const PROBE_EVERY = 5
@@ -43,6 +56,7 @@
   readonly #options: MembershipTaskOptions
   readonly #factListeners: FactListener[] = []
   readonly #memberListeners: Array<(member: Member) => void> = []
+  readonly #linkListeners: Array<(to: DaemonId) => void> = []
   readonly #rumours = new Map<DaemonId, Gossip>()
   #core: Membership | undefined
   #timers: NodeJS.Timeout[] = []
@@ -58,9 +72,12 @@
     this.links.bind({
       onGossip: (from, gossip) => {
         this.#joined = true
-        this.#run(this.core.receive(from, gossip, Date.now()))
+        this.#run(this.core.receive(from, gossip, steadyNow()))
       },
-      onLink: (to) => this.#run(this.core.linked(to))
+      onLink: (to) => {
+        this.#run(this.core.linked(to))
+        for (const listener of this.#linkListeners) listener(to)
+      }
     })
   }
 
@@ -78,9 +95,9 @@
 
   /** Listens, joins and begins to tick. */
   async start (): Promise<void> {
-    const { settings, self, hash } = this.#options
-    const address = await this.links.listen(settings.address, settings.ports.peers)
-    this.#core = new Membership({ self: { id: self, address, failureDomain: settings.failureDomain as Member['failureDomain'] }, hash, now: Date.now() })
+    const { listen, failureDomain, self, hash } = this.#options
+    const address = await this.links.listen(listen.host, listen.port)
+    this.#core = new Membership({ self: { id: self, address, failureDomain }, hash, now: steadyNow() })
     this.#timers.push(setInterval(() => this.#tick(), HEARTBEAT_MS), setInterval(() => this.#register(), REGISTER_EVERY_MS))
     this.#register()
     this.#join()
@@ -96,14 +113,19 @@
     this.#memberListeners.push(listener)
   }
 
+  /** Registers a listener for each link that comes up. */
+  onLink (listener: (to: DaemonId) => void): void {
+    this.#linkListeners.push(listener)
+  }
+
   /** Tells all daemons a fact. */
   tell (fact: Fact): void {
-    this.#run(this.core.setFact(fact, Date.now()))
+    this.#run(this.core.setFact(fact, steadyNow()))
   }
 
   /** Changes this daemon's own record. */
   setSelf (change: Partial<Pick<Member, 'state' | 'revision' | 'heir'>>): void {
-    this.#run(this.core.setSelf(change, Date.now()))
+    this.#run(this.core.setSelf(change, steadyNow()))
   }
 
   /** Follows heirs until a daemon that can be asked. */
@@ -133,9 +155,9 @@
   }
 
   #tick (): void {
-    this.#run(this.core.tick(Date.now()))
+    this.#run(this.core.tick(steadyNow()))
     if (++this.#ticks % PROBE_EVERY === 0) this.#probeGone()
-    this.links.tend(Date.now())
+    this.links.tend(steadyNow())
     const counts = new Map<string, number>()
     for (const member of this.core.members) counts.set(member.state, (counts.get(member.state) ?? 0) + 1)
     this.#options.metrics.members.reset()
@@ -174,7 +196,14 @@
 
   #keep (successors: readonly Member[], probed?: Member): void {
     this.#successors = successors
-    this.links.keep([...successors, ...(probed ? [probed] : [])].map((member) => member.address))
+    const linked = this.#meshed() ?? successors
+    this.links.keep([...linked, ...(probed ? [probed] : [])].map((member) => member.address))
+  }
+
+  /** Every other daemon, where all are linked to all. */
+  #meshed (): Member[] | undefined {
+    const others = this.core.members.filter((member) => mayAnswer(member) && member.id !== this.#options.self)
+    return this.#options.mesh && others.length < MESH_LIMIT ? others : undefined
   }
 
   /**
@@ -193,17 +222,18 @@
 
   #memberChanged (member: Member): void {
     log('member', { id: member.id, state: member.state })
+    if (this.#options.mesh) this.#keep(this.#successors)
     for (const listener of this.#memberListeners) listener(member)
   }
 
   /** Finds the others through settings and the store; during an outage of the store the settings alone must do. */
   async #join (): Promise<void> {
-    const addresses = [...this.#options.settings.seeds, ...await this.#registered()]
+    const addresses = [...this.#options.seeds, ...await this.#registered()]
     const own = this.core.self.address
     const others = addresses.filter((address) => address !== own)
     this.#alone = others.length === 0
     shuffle(others, this.#options.random)
-    this.links.keep(others.slice(0, 3))
+    this.links.keep(others.slice(0, this.#options.mesh ? MESH_JOIN_DIALS : JOIN_DIALS))
     setTimeout(() => { if (!this.#joined && this.#timers.length > 0) this.#join() }, JOIN_RETRY_MS)
   }
 
@@ -221,22 +251,40 @@
   async #register (): Promise<void> {
     const { self, store } = this.#options
     const value = JSON.stringify({ id: self, address: this.core.self.address, atMs: Date.now() } satisfies Registration)
-    const key = `members/${self}`
     try {
-      this.#registeredVersion = this.#registeredVersion === 0 ? await store.create(key, value) : await store.update(key, value, this.#registeredVersion)
+      this.#registeredVersion = this.#registeredVersion === 0 ? await store.create(this.#key, value) : await store.update(this.#key, value, this.#registeredVersion)
+    } catch (err) {
+      if (!(err instanceof StoreError)) throw err
+      // The key is this daemon's alone: a conflict is its own lost answer, or the entry of a process before it.
+      if (isStoreFailure(err, 'conflict')) await this.#registerAgain(value)
+      else this.#registerLater(err)
+    }
+  }
+
+  async #registerAgain (value: string): Promise<void> {
+    const { store } = this.#options
+    try {
+      const found = await store.get(this.#key)
+      this.#registeredVersion = found ? await store.update(this.#key, value, found.version) : await store.create(this.#key, value)
     } catch (err) {
       if (!(err instanceof StoreError)) throw err
-      // The key is this daemon's alone, so a conflict can only be its own lost answer.
-      if (isStoreFailure(err, 'conflict')) await this.#refreshVersion(key)
+      this.#registeredVersion = 0
+      this.#registerLater(err)
     }
   }
 
-  async #refreshVersion (key: string): Promise<void> {
-    this.#registeredVersion = (await this.#options.store.get(key).catch(() => undefined))?.version ?? 0
+  /** Until it is registered, a daemon is found by those only that it finds itself. */
+  #registerLater (err: StoreError): void {
+    log('not registered', { why: err.message })
+    setTimeout(() => { if (this.#timers.length > 0) this.#register() }, REGISTER_RETRY_MS * (0.5 + this.#options.random()))
+  }
+
+  get #key (): string {
+    return `members/${this.#options.registeredAs ?? this.#options.self}`
   }
 
   async #unregister (): Promise<void> {
-    await this.#options.store.remove(`members/${this.#options.self}`, this.#registeredVersion).catch(() => {})
+    await this.#options.store.remove(this.#key, this.#registeredVersion).catch((err: Error) => log('not unregistered', { why: err.message }))
   }
 }
 
--- a/daemon/peers/peer_links.ts
+++ b/daemon/peers/peer_links.ts
@@ -5,7 +5,8 @@
 import type { AddressInfo } from 'node:net'
 import type { DaemonId } from '../../core/ids/index.ts'
 import type { Gossip } from '../../core/membership/index.ts'
-import { PeerError, type CallOptions, type LinkEvents, type Links, type PeerMethod } from './links.ts'
+import { steadyNow } from '../../core/time/index.ts'
+import { PeerError, type CallOptions, type LinkEvents, type Links, type PeerMethod, type PostHandler } from './links.ts'
 import { logOf } from '../log.ts'
 import type { Metrics } from '../metrics.ts'
 
@@ -17,6 +18,7 @@
   | { kind: 'part', call: number, value: unknown }
   | { kind: 'reply', call: number, value: unknown }
   | { kind: 'fail', call: number, error: string }
+  | { kind: 'post', topic: string, value: unknown }
 
 /** Options of {@linkcode PeerLinks}. */
 export interface PeerLinksOptions {
@@ -44,6 +46,7 @@
   readonly #dialing = new Map<string, Promise<Link>>()
   readonly #waiting = new Map<number, Waiting>()
   readonly #methods = new Map<string, PeerMethod>()
+  readonly #posts = new Map<string, PostHandler>()
   #server: WebSocketServer | undefined
   #keep = new Set<string>()
   #calls = 0
@@ -100,11 +103,26 @@
     if (link) this.#send(link, { kind: 'gossip', gossip })
   }
 
+  post (to: DaemonId, topic: string, value: unknown): boolean {
+    const link = this.#links.get(to)
+    if (!link) return false
+    this.#send(link, { kind: 'post', topic, value })
+    return true
+  }
+
+  onPost (topic: string, take: PostHandler): void {
+    this.#posts.set(topic, take)
+  }
+
+  reset (to: DaemonId): void {
+    this.#links.get(to)?.socket.terminate()
+  }
+
   async call (to: { id: DaemonId, address: string }, method: string, args: unknown, options: CallOptions = {}): Promise<unknown> {
     const link = this.#links.get(to.id) ?? await this.#dial(to.address)
-    link.usedAtMs = Date.now()
+    link.usedAtMs = steadyNow()
     // The silence counts from now: a link that nobody used has every right to be silent.
-    link.heardAtMs = Date.now()
+    link.heardAtMs = steadyNow()
     const call = ++this.#calls
     return await new Promise((resolve, reject) => {
       const timer = setTimeout(() => this.#settle(call, (waiting) => waiting.reject(new PeerError(`Cannot ask ${to.id}: no answer`, { notSent: false }))), options.timeoutMs ?? CALL_TIMEOUT_MS)
@@ -155,12 +173,12 @@
   #adopt (socket: WebSocket, address: string | undefined, ready?: (link: Link) => void): void {
     const abort = new AbortController()
     setMaxListeners(0, abort.signal)
-    const link: Link = { socket, peer: undefined, address, usedAtMs: Date.now(), heardAtMs: Date.now(), abort }
+    const link: Link = { socket, peer: undefined, address, usedAtMs: steadyNow(), heardAtMs: steadyNow(), abort }
     socket.on('error', () => socket.terminate())
     socket.on('close', () => this.#drop(link))
-    socket.on('pong', () => { link.heardAtMs = Date.now() })
+    socket.on('pong', () => { link.heardAtMs = steadyNow() })
     socket.on('message', (data: Buffer) => {
-      link.heardAtMs = Date.now()
+      link.heardAtMs = steadyNow()
       this.#options.metrics.peerBytes.inc({ direction: 'in' }, data.length)
       this.#options.metrics.peerMessages.inc({ direction: 'in' })
       const msg = this.#packr.unpack(data) as PeerMessage
@@ -209,10 +227,11 @@
   }
 
   #receive (link: Link, from: DaemonId, msg: PeerMessage): void {
-    link.usedAtMs = Date.now()
+    link.usedAtMs = steadyNow()
     switch (msg.kind) {
       case 'gossip': return this.#events.onGossip(from, msg.gossip)
       case 'call': { this.#answer(link, from, msg); return }
+      case 'post': return this.#posts.get(msg.topic)?.(msg.value as never, from)
       case 'part': return this.#waiting.get(msg.call)?.part?.(msg.value)
       case 'reply': return this.#settle(msg.call, (waiting) => waiting.resolve(msg.value))
       case 'fail': return this.#settle(msg.call, (waiting) => waiting.reject(new PeerError(msg.error, { notSent: false })))
--- a/daemon/peers/peer_links_test.ts
+++ b/daemon/peers/peer_links_test.ts
@@ -3,6 +3,7 @@
 import { WebSocket, WebSocketServer } from 'ws'
 import type { AddressInfo } from 'node:net'
 import { as, type DaemonId } from '../../core/ids/index.ts'
+import { steadyNow } from '../../core/time/index.ts'
 import { createMetrics } from '../metrics.ts'
 import { PeerLinks } from './peer_links.ts'
 
@@ -79,6 +80,6 @@
   call.catch(() => {})
   let heard = 0
   await new Promise<void>((resolve) => silent.once('connection', (socket) => socket.on('message', () => { if (++heard === 2) resolve() })))
-  a.links.tend(Date.now() + 6000)
+  a.links.tend(steadyNow() + 6000)
   await expect(call).rejects.toThrow('connection lost')
 })
--- a/daemon/request/dispatcher.ts
+++ b/daemon/request/dispatcher.ts
@@ -3,6 +3,7 @@
 import type { AccountId, EndpointId, PoolName } from '../../core/ids/index.ts'
 import { runningNow, type EndpointView, type PrefixIndex, type Route, type Router } from '../../core/routing/index.ts'
 import { isUrgent, type Demand, type WorkClass } from '../../core/work/index.ts'
+import { steadyNow } from '../../core/time/index.ts'
 import type { EndpointTable } from '../endpoints/endpoint_table.ts'
 
 /** A request that needs an endpoint. */
@@ -64,7 +65,7 @@
     const urgent = isUrgent(placement.cls)
     const waitMs = (pool.queue.ahead(placement.account, urgent) + 1) * pool.msPerStart
     const startByMs = latestStart(placement)
-    if (Date.now() + waitMs > startByMs) {
+    if (steadyNow() + waitMs > startByMs) {
       placement.refused('no room in time', Math.max(LEAST_RETRY_AFTER_MS, waitMs))
       return
     }
@@ -74,7 +75,7 @@
 
   /** Starts what can start; called whenever room may have appeared. */
   pump (): void {
-    const now = Date.now()
+    const now = steadyNow()
     for (const pool of this.#pools.values()) {
       for (const late of pool.queue.expire(now)) late.item.refused('no room in time', Math.max(LEAST_RETRY_AFTER_MS, pool.msPerStart))
       this.#drain(pool)
@@ -94,7 +95,7 @@
   }
 
   #start (placement: Placement, pool: PoolState): boolean {
-    const now = Date.now()
+    const now = steadyNow()
     const cached = this.#options.prefixes.lookup(placement.demand.parts, now)
     const candidates = this.#options.table.candidates(placement.pool)
     const withRoom = candidates.filter((view) => hasRoom(view, isUrgent(placement.cls)))
@@ -118,7 +119,7 @@
   #pool (name: PoolName): PoolState {
     let pool = this.#pools.get(name)
     if (!pool) {
-      pool = { queue: this.#options.queue?.() ?? new FairQueue(), msPerStart: 0, lastStartMs: Date.now() }
+      pool = { queue: this.#options.queue?.() ?? new FairQueue(), msPerStart: 0, lastStartMs: steadyNow() }
       this.#pools.set(name, pool)
     }
     return pool
--- a/daemon/request/request_task.ts
+++ b/daemon/request/request_task.ts
@@ -6,6 +6,7 @@
 import { mayRepeat, newRequest, step, type RequestEffect, type RequestMessage, type RequestState, type StartMode } from '../../core/request/index.ts'
 import type { RepeatBudget } from '../../core/retry/index.ts'
 import type { Demand, WorkClass } from '../../core/work/index.ts'
+import { steadyNow } from '../../core/time/index.ts'
 import type { Attachment, AttemptRunner, AttemptSink } from '../../endpoints/index.ts'
 import { ASSUMED_NOTICE_MS, type EndpointTable } from '../endpoints/endpoint_table.ts'
 import type { Metrics } from '../metrics.ts'
@@ -48,7 +49,7 @@
 export class RequestTask<P = string> {
   readonly work: Work
   readonly answer: AnswerBuffer<P>
-  readonly acceptedAtMs = Date.now()
+  readonly acceptedAtMs = steadyNow()
   readonly decisions: Decision[] = []
   /** Status and headers of the attempt whose piece was the first, where the protocol has them. */
   head: AnswerHead | undefined
@@ -146,7 +147,7 @@
   protected onPiece (): void {}
 
   #handle (msg: RequestMessage): void {
-    const { state, effects } = step(this.lifecycle, msg, Date.now())
+    const { state, effects } = step(this.lifecycle, msg, steadyNow())
     this.lifecycle = state
     for (const effect of effects) this.#run(effect)
   }
@@ -212,7 +213,7 @@
       mode,
       done: this.answer.pieces,
       from: this.answer.length,
-      deadlineInMs: this.lifecycle.traits.deadlineAtMs - Date.now(),
+      deadlineInMs: this.lifecycle.traits.deadlineAtMs - steadyNow(),
       kvHandle
     }, this.sink(view.id, attempt))
     this.onAttempt()
@@ -243,7 +244,7 @@
 
   #firstPiece (): void {
     if (this.#firstPieceAtMs !== undefined) return
-    this.#firstPieceAtMs = Date.now()
+    this.#firstPieceAtMs = steadyNow()
     this.ports.metrics.firstToken.observe({ class: this.work.cls.name }, this.#firstPieceAtMs - this.acceptedAtMs)
   }
 
@@ -261,7 +262,7 @@
     const { table, metrics } = this.ports
     const view = table.get(endpoint)
     this.failureAnswer = err.answer
-    if (err.point === 'endpoint-leaving' && view) table.leaving([view.hostId], Date.now() + ASSUMED_NOTICE_MS, 'refusal')
+    if (err.point === 'endpoint-leaving' && view) table.leaving([view.hostId], steadyNow() + ASSUMED_NOTICE_MS, 'refusal')
     // The budget is only asked where the request could use what it grants.
     const retryGranted = this.mayMoveOn && mayRepeat(this.lifecycle, err.point) && this.ports.budget.spend(table.isGone(endpoint))
     if (!retryGranted) metrics.retriesDenied.inc({ class: this.work.cls.name })
@@ -296,7 +297,7 @@
     // A repeated key is answered by the request that it repeats: counted as not run, it would look like a missed target.
     const repeated = final.repeats !== undefined || final.otherBody === true
     this.ports.metrics.requests.inc({ class: this.work.cls.name, outcome: repeated ? 'repeated' : final.outcome })
-    this.ports.metrics.wholeAnswer.observe({ class: this.work.cls.name }, Date.now() - this.acceptedAtMs)
+    this.ports.metrics.wholeAnswer.observe({ class: this.work.cls.name }, steadyNow() - this.acceptedAtMs)
     this.onFinish()
     this.ports.dispatcher.pump()
     this.listeners.notify()
--- a/daemon/request/standby.ts
+++ b/daemon/request/standby.ts
@@ -2,6 +2,7 @@
 import type { DaemonId, EndpointId, RequestId } from '../../core/ids/index.ts'
 import { GONE_AFTER_MS, type Member } from '../../core/membership/index.ts'
 import type { Hash32 } from '../../core/routing/index.ts'
+import { steadyNow } from '../../core/time/index.ts'
 import { logOf } from '../log.ts'
 import type { MembershipTask } from '../peers/membership_task.ts'
 import type { HandOver } from './token_task.ts'
@@ -92,7 +93,7 @@
    */
   #perhapsCarryOn ({ id, state }: Member): void {
     if (state !== 'gone' && state !== 'suspect') return
-    const knownAtMs = Date.now() + GONE_AFTER_MS
+    const knownAtMs = steadyNow() + GONE_AFTER_MS
     for (const handed of [...this.#records.get(id)?.values() ?? []]) {
       const urgent = handed.endpoint !== undefined && (this.#options.goneAtMs(handed.endpoint) ?? Infinity) < knownAtMs
       if (state !== 'gone' && !urgent) continue
--- a/daemon/request/token_task.ts
+++ b/daemon/request/token_task.ts
@@ -1,6 +1,7 @@
 /** A request whose answer is a stream of tokens or one text, kept here for callers to resume and handed over when this daemon leaves. */
 import type { EndpointId, RequestId, AccountId } from '../../core/ids/index.ts'
 import type { EndpointView } from '../../core/routing/index.ts'
+import { steadyNow } from '../../core/time/index.ts'
 import type { AttemptSink } from '../../endpoints/index.ts'
 import type { LiveAnswer } from './live_answer.ts'
 import { RequestTask, type RequestTaskOptions } from './request_task.ts'
@@ -57,7 +58,7 @@
       tokens: [...this.tokens],
       attempt,
       endpoint,
-      deadlineInMs: traits.deadlineAtMs - Date.now()
+      deadlineInMs: traits.deadlineAtMs - steadyNow()
     }
   }
 
--- a/daemon/status.ts
+++ b/daemon/status.ts
@@ -1,6 +1,7 @@
 /** What an operator sees of one daemon. */
 import type { ClassConfig } from '../core/config/index.ts'
 import type { DaemonId } from '../core/ids/index.ts'
+import { steadyNow } from '../core/time/index.ts'
 import type { Broker } from './request/broker.ts'
 import type { ConfigTask } from './config/config_task.ts'
 import type { Dispatcher } from './request/dispatcher.ts'
@@ -46,7 +47,7 @@
 
 /** Builds the report of one daemon, but for its classes. */
 export function statusOf (sources: StatusSources, classes: ClassStatus[]): StatusReport {
-  const now = Date.now()
+  const now = steadyNow()
   const views = sources.table.all
   return {
     daemon: sources.self,
--- a/standins/network.ts
+++ b/standins/network.ts
@@ -2,7 +2,7 @@
 import { setMaxListeners } from 'node:events'
 import type { DaemonId } from '../core/ids/index.ts'
 import type { Gossip } from '../core/membership/index.ts'
-import { PeerError, type CallOptions, type LinkEvents, type Links, type PeerMethod } from '../daemon/peers/links.ts'
+import { PeerError, type CallOptions, type LinkEvents, type Links, type PeerMethod, type PostHandler } from '../daemon/peers/links.ts'
 
 const CALL_TIMEOUT_MS = 3000
 /** Silence after which a link counts as broken. */
@@ -64,6 +64,7 @@
   readonly id: DaemonId
   readonly #network: StandInNetwork
   readonly #methods = new Map<string, PeerMethod>()
+  readonly #posts = new Map<string, PostHandler>()
   readonly #addresses = new Map<DaemonId, string>()
   #events: LinkEvents = { onGossip () {}, onLink () {} }
   #address = ''
@@ -112,6 +113,24 @@
     })
   }
 
+  post (to: DaemonId, topic: string, value: unknown): boolean {
+    const address = this.#addresses.get(to)
+    if (address === undefined || !this.#network.reach(this.id, address)) return false
+    const copy = structuredClone(value)
+    this.#later(() => {
+      const peer = this.#network.reach(this.id, address)
+      if (peer && !this.#closed && !peer.#closed) peer.#posts.get(topic)?.(copy as never, this.id)
+    })
+    return true
+  }
+
+  onPost (topic: string, take: PostHandler): void { this.#posts.set(topic, take) }
+
+  reset (to: DaemonId): void {
+    const address = this.#addresses.get(to)
+    if (address !== undefined) this.#linked.delete(address)
+  }
+
   async call (to: { id: DaemonId, address: string }, method: string, args: unknown, options: CallOptions = {}): Promise<unknown> {
     const peer = this.#network.reach(this.id, to.address)
     if (!peer || this.#closed) throw new PeerError(`Cannot connect to ${to.address}`, { notSent: true })
--- a/store/budgeted_store.ts
+++ b/store/budgeted_store.ts
@@ -1,5 +1,5 @@
 /** Keeps every use of the store within its own rate, and counts what it spends. */
-import { delay } from '../core/time/index.ts'
+import { delay, steadyNow } from '../core/time/index.ts'
 import { StoreError, type Changes, type ObjectStore, type Snapshot, type StoredObject } from './object_store.ts'
 
 /** What a call to the store is for. */
@@ -37,7 +37,7 @@
   readonly #options: BudgetedStoreOptions
   readonly #reads = new Map<string, Promise<StoredObject | undefined>>()
   #tokens: number
-  #filledAtMs = Date.now()
+  #filledAtMs = steadyNow()
   #failuresInRow = 0
   #notBeforeMs = 0
 
@@ -96,12 +96,12 @@
   #backOff (): void {
     const longest = Math.min(LONGEST_BACKOFF_MS, FIRST_BACKOFF_MS * 2 ** this.#failuresInRow)
     this.#failuresInRow++
-    this.#notBeforeMs = Date.now() + longest * (0.5 + this.#options.random() / 2)
+    this.#notBeforeMs = steadyNow() + longest * (0.5 + this.#options.random() / 2)
   }
 
   async #pace (): Promise<void> {
     const { perS, burst } = this.#options.budget
-    const now = Date.now()
+    const now = steadyNow()
     this.#tokens = Math.min(burst, this.#tokens + (now - this.#filledAtMs) * perS / 1000) - 1
     this.#filledAtMs = now
     const budgetWaitMs = this.#tokens < 0 ? -this.#tokens * 1000 / perS : 0
--- a/store/store_follower.ts
+++ b/store/store_follower.ts
@@ -1,5 +1,5 @@
 /** Keeps a copy of all objects of one prefix, from a listing and the changes behind it. */
-import { delay } from '../core/time/index.ts'
+import { delay, steadyNow } from '../core/time/index.ts'
 import { isStoreFailure, StoreError, type ObjectStore, type StoredObject } from './object_store.ts'
 
 /** Options of {@linkcode StoreFollower}. */
@@ -10,8 +10,13 @@
   onChange (objects: ReadonlyMap<string, StoredObject>, news: FollowerNews): void
   /** Called when the store stops answering, and when it answers again. */
   onReach? (reached: boolean, why: string): void
-  /** Longest wait of one watch in milliseconds, asked before each. Default 10,000. */
-  waitMs? (): number
+  /** Longest wait of one watch in milliseconds. Default 10,000. */
+  waitMs?: number
+  /**
+   * Milliseconds to pause before listing again in place of watching; 0 to watch. Each waiting watch counts as a call, so that of many
+   * daemons few should watch. Default: always 0.
+   */
+  pauseMs? (): number
   /** Seeded random source in [0, 1) for jitter. */
   random: () => number
 }
@@ -40,15 +45,15 @@
   #stopped = false
   #reached = true
   #failures = 0
-  /** When the store last answered, in milliseconds since the epoch; 0 before the first answer. */
-  confirmedAtMs = 0
+  /** When the store last answered, on the steady clock. */
+  confirmedAtMs = -Infinity
 
   constructor (options: StoreFollowerOptions) {
     this.#options = options
   }
 
   /** True once the objects were listed. */
-  get listed (): boolean { return this.#version !== undefined || this.#objects.size > 0 }
+  get listed (): boolean { return this.confirmedAtMs > -Infinity }
 
   /** Begins to follow. */
   start (): void {
@@ -63,8 +68,10 @@
   async #follow (): Promise<void> {
     while (!this.#stopped) {
       try {
-        await (this.#version === undefined ? this.#list() : this.#watch(this.#version))
+        const pauseMs = this.#options.pauseMs?.() ?? 0
+        await (this.#version === undefined || pauseMs > 0 ? this.#list() : this.#watch(this.#version))
         this.#answered()
+        if (pauseMs > 0) await delay(pauseMs)
       } catch (err) {
         if (!(err instanceof StoreError)) throw err
         if (isStoreFailure(err, 'history-gone')) this.#version = undefined
@@ -85,7 +92,7 @@
   }
 
   async #watch (after: number): Promise<void> {
-    const waitMs = this.#options.waitMs?.() ?? DEFAULT_WAIT_MS
+    const waitMs = this.#options.waitMs ?? DEFAULT_WAIT_MS
     const { objects, removed, version } = await this.#options.store.changes(this.#options.prefix, { after, waitMs })
     if (this.#stopped) return
     // An event that the store replays is older than the copy, and would undo what came after it.
@@ -93,6 +100,8 @@
     for (const key of removed) this.#objects.delete(key)
     for (const object of objects) this.#take(object)
     if (objects.length + removed.length > 0) this.#options.onChange(this.#objects, { listed: false, removed })
+    // A change that the watch lost would be missed for ever: an empty answer is checked by a listing.
+    else this.#version = undefined
   }
 
   #take (object: StoredObject): void {
@@ -101,7 +110,7 @@
   }
 
   #answered (): void {
-    this.confirmedAtMs = Date.now()
+    this.confirmedAtMs = steadyNow()
     this.#failures = 0
     if (this.#reached) return
     this.#reached = true
