Run the whole daemon on the platform: peers, quotas, repeats, lease, usage and orders

ProxyDaemon composes the parts: membership over links to all, tallies ten times a second, quotas as buckets that all draw from, repeats out of each daemon's share, one lease for both duties, usage reports that are written before they are sent, orders of wanted counts.

Orders are a fixed mix so far.

--- a/bench/cost.ts
+++ b/bench/cost.ts
@@ -3,7 +3,7 @@
 import { as, type FailureDomain } from '../core/ids/index.ts'
 import { canFinish, evaluate, JointPlanner } from '../core/reclaim/index.ts'
 import type { Random } from '../core/routing/index.ts'
-import { seededRandom } from '../daemon/daemon.ts'
+import { seededRandom } from '../daemon/seeded_random.ts'
 import { round, type Bench, type Figures } from './bench.ts'
 import { makeProblem, type Shape } from './reclaim.ts'
 
--- a/bench/limits.ts
+++ b/bench/limits.ts
@@ -6,7 +6,7 @@
 import { PrefixIndex, TargetRouter, type Random } from '../core/routing/index.ts'
 import { Dispatcher, type Placement } from '../daemon/request/dispatcher.ts'
 import { EndpointTable } from '../daemon/endpoints/endpoint_table.ts'
-import { seededRandom } from '../daemon/daemon.ts'
+import { seededRandom } from '../daemon/seeded_random.ts'
 import { sessionConfig } from './_session.ts'
 import { quantile, round, type Bench, type Figures } from './bench.ts'
 
--- a/bench/once.ts
+++ b/bench/once.ts
@@ -1,7 +1,7 @@
 /** Cost of claims: store writes and added latency against load. */
 import { as, type RequestId } from '../core/ids/index.ts'
 import type { Claim, KeyHash } from '../core/once/index.ts'
-import { seededRandom } from '../daemon/daemon.ts'
+import { seededRandom } from '../daemon/seeded_random.ts'
 import { COMMIT_INTERVAL_MS, ShardLog } from '../daemon/once/shard_log.ts'
 import { StandInStore } from '../standins/index.ts'
 import { quantile, round, slope, type Bench, type Figures } from './bench.ts'
--- a/bench/reclaim.ts
+++ b/bench/reclaim.ts
@@ -5,7 +5,7 @@
   type Directive, type ReclaimPlanner, type ReclaimProblem, type Source, type Target, type ThreatenedStream
 } from '../core/reclaim/index.ts'
 import type { Random } from '../core/routing/index.ts'
-import { seededRandom } from '../daemon/daemon.ts'
+import { seededRandom } from '../daemon/seeded_random.ts'
 import { quantile, round, type Bench, type Figures } from './bench.ts'
 
 /** Size and wish of a deployment. */
--- a/bench/route.ts
+++ b/bench/route.ts
@@ -2,7 +2,7 @@
 import xxhash from 'xxhash-wasm'
 import { as, type DaemonId, type EndpointId } from '../core/ids/index.ts'
 import { LeastLoadedRouter, subset, TargetRouter, type EndpointView, type Random, type Router, type RouteQuery } from '../core/routing/index.ts'
-import { seededRandom } from '../daemon/daemon.ts'
+import { seededRandom } from '../daemon/seeded_random.ts'
 import { quantile, round, slope, type Bench, type Figures } from './bench.ts'
 
 const SIZES = [24, 100, 300, 600]
--- a/bench/store.ts
+++ b/bench/store.ts
@@ -1,6 +1,6 @@
 /** Calls on the store when it returns after an outage: with back-off and without. */
 import { delay } from '../core/time/index.ts'
-import { seededRandom } from '../daemon/daemon.ts'
+import { seededRandom } from '../daemon/seeded_random.ts'
 import { StandInStore } from '../standins/index.ts'
 import { BudgetedStore, StoreError, type ObjectStore } from '../store/index.ts'
 import { round, type Bench, type Figures } from './bench.ts'
--- a/bench/wave.ts
+++ b/bench/wave.ts
@@ -1,6 +1,6 @@
 /** Attempts for each request through a reclaimed and a lost failure domain and an outage of the store. */
 import type { HostId } from '../core/ids/index.ts'
-import { seededRandom } from '../daemon/daemon.ts'
+import { seededRandom } from '../daemon/seeded_random.ts'
 import { KINDS, Session } from './_session.ts'
 import { round, type Bench, type Figures } from './bench.ts'
 
--- a/cli/main.ts
+++ b/cli/main.ts
@@ -2,6 +2,7 @@
 /** The command line. */
 import cac from 'cac'
 import { InvalidError } from '../core/config/index.ts'
+import { flushLog, startLog } from '../daemon/log.ts'
 import { OperatorCallError } from './operator_client.ts'
 import { addOperatorCommands } from './operator_commands.ts'
 
@@ -23,17 +24,26 @@
 
 async function servePlatformDaemon (path: string): Promise<void> {
   const { loadPlatformSettings, servePlatform } = await import('../platform/index.ts')
-  await servePlatform(loadPlatformSettings(path))
+  const settings = loadPlatformSettings(path)
+  startLog({ daemon: settings.name })
+  await drainOnSignal(await servePlatform(settings))
 }
 
 async function serveDaemon (path: string): Promise<void> {
   const { Daemon, loadSettings } = await import('../daemon/index.ts')
-  const daemon = await Daemon.start({ settings: loadSettings(path) })
+  const settings = loadSettings(path)
+  startLog({ daemon: settings.name })
+  const daemon = await Daemon.start({ settings })
   print(JSON.stringify({ daemon: daemon.id, ...daemon.addresses }))
+  await drainOnSignal(daemon)
+}
+
+async function drainOnSignal (daemon: { drain (): Promise<void>, readonly left: Promise<void> }): Promise<void> {
   const drain = () => { daemon.drain() }
   process.on('SIGTERM', drain)
   process.on('SIGINT', drain)
   await daemon.left
+  flushLog()
   process.exit(0)
 }
 
@@ -97,5 +107,5 @@
   }
 }
 
-/** Settles when the command has returned; a daemon's command returns once it serves. */
+/** Settles when the command has returned; that of a daemon returns when the daemon has left. */
 export const loaded = main()
--- a/core/lease/lease.ts
+++ b/core/lease/lease.ts
@@ -34,6 +34,8 @@
   ttlMs: number
   /** Unique text for a write. */
   writeId: string
+  /** The holder gives itself a higher fencing number, so that its own earlier orders that are still under way are refused. Default false. */
+  raise?: boolean
 }
 
 const RENEW_AFTER = 1 / 3
@@ -61,12 +63,18 @@
   const { record, version, seenAtMs } = state
   if (!record) return { type: 'write', record: { holder: self, fencing: 1, ttlMs, renewal: writeId }, version }
   const mine = record.holder === self
+  const raise = mine && options.raise === true
   const dueAtMs = seenAtMs + record.ttlMs * (mine ? RENEW_AFTER : TAKE_OVER_AFTER)
-  if (now < dueAtMs) return { type: 'wait', ms: dueAtMs - now }
-  const fencing = mine ? record.fencing : record.fencing + 1
+  if (now < dueAtMs && !raise) return { type: 'wait', ms: dueAtMs - now }
+  const fencing = mine && !raise ? record.fencing : record.fencing + 1
   return { type: 'write', record: { holder: self, fencing, ttlMs, renewal: writeId }, version }
 }
 
+/** The record by which a holder gives the lease up: the next to see it need not wait. */
+export function released (record: LeaseRecord, writeId: string): LeaseRecord {
+  return { ...record, ttlMs: 0, renewal: writeId }
+}
+
 /** The fencing number to put on an order now, or undefined when this daemon should give none. A hint: engines that check it decide. */
 export function fencingNow (state: LeaseState, self: DaemonId, now: number): number | undefined {
   const { record, seenAtMs } = state
--- /dev/null
+++ b/core/quota/index.ts
@@ -0,0 +1,2 @@
+export * from './quota.ts'
+export * from './shared_bucket.ts'
--- a/core/retry/retry_budget.ts
+++ b/core/retry/retry_budget.ts
@@ -4,8 +4,12 @@
 export interface RetryBudgetOptions {
   /** Retries earned by one fresh request. Default 0.1. */
   fraction?: number
-  /** Retries that may be saved up. Default 10. */
-  burst?: number
+  /** Retries that may be saved up, asked each time where it changes. Default 10. */
+  burst?: number | (() => number)
+  /** Part of the burst that is saved up at first. Default 1. */
+  startFull?: number
+  /** Count retries away from endpoints that are gone, too. Default false: leaving those is no storm, and free. */
+  countsGone?: boolean
 }
 
 /** Grants or denies the sending of a request to another endpoint. */
@@ -16,6 +20,9 @@
   spend (endpointGone: boolean): boolean
 }
 
+const DEFAULT_FRACTION = 0.1
+const DEFAULT_BURST = 10
+
 /**
  * Grants retries out of a budget that fresh requests fill.
  *
@@ -23,26 +30,29 @@
  * spent, retries stop at a tenth of fresh work however many attempts fail.
  */
 export class RetryBudget implements RepeatBudget {
-  readonly #fraction: number
-  readonly #burst: number
+  readonly #options: RetryBudgetOptions
   #saved: number
 
   constructor (options: RetryBudgetOptions = {}) {
-    this.#fraction = options.fraction ?? 0.1
-    this.#burst = options.burst ?? 10
-    this.#saved = this.#burst
+    this.#options = options
+    this.#saved = this.#burst * (options.startFull ?? 1)
   }
 
   /** Counts a fresh request. */
   earn (): void {
-    this.#saved = Math.min(this.#burst, this.#saved + this.#fraction)
+    this.#saved = Math.min(this.#burst, this.#saved + (this.#options.fraction ?? DEFAULT_FRACTION))
   }
 
-  /** Takes one retry when the budget allows it. Leaving an endpoint that is gone is no storm, and free. */
+  /** Takes one retry when the budget allows it. */
   spend (endpointGone = false): boolean {
-    if (endpointGone) return true
+    if (endpointGone && !this.#options.countsGone) return true
     if (this.#saved < 1) return false
     this.#saved -= 1
     return true
   }
+
+  get #burst (): number {
+    const { burst } = this.#options
+    return typeof burst === 'function' ? burst() : burst ?? DEFAULT_BURST
+  }
 }
--- a/core/tally/tally.ts
+++ b/core/tally/tally.ts
@@ -45,6 +45,15 @@
     return sum
   }
 
+  /** Every key that begins with a prefix, on any daemon. */
+  keys (prefix: string): Set<string> {
+    const keys = new Set<string>()
+    for (const totals of this.#totals.values()) {
+      for (const key of totals.keys()) if (key.startsWith(prefix)) keys.add(key)
+    }
+    return keys
+  }
+
   /** Own totals that changed since this was last asked. */
   takeChanges (): TallyEntry[] {
     const own = this.#totals.get(this.#self)!
--- a/core/time/index.ts
+++ b/core/time/index.ts
@@ -1,2 +1,3 @@
 export * from './delay.ts'
 export * from './steady_now.ts'
+export * from './shared_clock.ts'
--- /dev/null
+++ b/core/usage/index.ts
@@ -0,0 +1,1 @@
+export * from './usage_ledger.ts'
--- a/daemon/daemon.ts
+++ b/daemon/daemon.ts
@@ -4,7 +4,6 @@
 import type { AddressInfo } from 'node:net'
 import { asFunction, asValue, createContainer, InjectionMode } from 'awilix'
 import type Koa from 'koa'
-import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
 import xxhash from 'xxhash-wasm'
 import { as, type DaemonId, type EndpointId, type FailureDomain } from '../core/ids/index.ts'
 import type { Member } from '../core/membership/index.ts'
@@ -27,6 +26,7 @@
 import { operatorsApi } from './api/operators_api.ts'
 import { PeerLinks } from './peers/peer_links.ts'
 import { Reclaimer } from './endpoints/reclaimer.ts'
+import { seededRandom } from './seeded_random.ts'
 import type { Settings } from './settings.ts'
 import { classStatuses, statusOf, type ClassStatus, type StatusReport } from './status.ts'
 import { delay, steadyNow } from '../core/time/index.ts'
@@ -344,12 +344,6 @@
   }
 }
 
-/** Random numbers in [0, 1) from a seed. */
-export function seededRandom (seed: number): Random {
-  const generator = xoroshiro128plus(seed)
-  return () => (generator.next() >>> 0) / 2 ** 32
-}
-
 function close (server: Server): Promise<void> {
   return new Promise((resolve) => { server.close(() => resolve()) })
 }
--- a/daemon/exchange/intake.ts
+++ b/daemon/exchange/intake.ts
@@ -9,6 +9,8 @@
 import { RequestTask } from '../request/request_task.ts'
 import type { EndpointTable } from '../endpoints/endpoint_table.ts'
 import type { Metrics } from '../metrics.ts'
+import type { UsageTask } from '../duties/usage_task.ts'
+import type { AccountLimits, Charge } from '../limits/account_limits.ts'
 import { Refusal } from './refusal.ts'
 
 /** The catalog in force, ready for look-up. */
@@ -29,6 +31,8 @@
   /** Undefined while no configuration is known. */
   catalog (): CatalogInForce | undefined
   budgetOf (pool: PoolName): RepeatBudget
+  limits: AccountLimits
+  usage: UsageTask
 }
 
 /** A caller that is refused because nothing is known yet comes back after this, in milliseconds. */
@@ -49,8 +53,8 @@
    */
   take (req: ProxiedRequest): RequestTask<Buffer> {
     const { route, account } = this.admit(req)
+    const charge = this.#charge(account, req)
     const { cls } = route
-    const deadlineInMs = Math.min(req.deadlineInMs ?? Infinity, cls.latency.deadlineMs)
     const pool = chooseShare(route.pools, this.#options.random).pool
     const { client, dialect, table, dispatcher, metrics } = this.#options
     const budget = this.#options.budgetOf(pool)
@@ -60,11 +64,25 @@
       runner: new ExchangeRunner({ req: { ...req, account: account?.id }, client, dialect }),
       ports: { table, dispatcher, metrics, budget },
       from: req.resumeFrom,
-      deadlineInMs
+      deadlineInMs: Math.min(req.deadlineInMs ?? Infinity, cls.latency.deadlineMs)
     })
+    task.onFinish = () => { if (!task.state.mayHaveRun && task.final?.outcome !== 'answered') charge?.giveBack() }
+    if (account) this.#countUse(task, account.id)
     return task
   }
 
+  #charge (account: Account | undefined, req: ProxiedRequest): Charge | undefined {
+    if (!account) return undefined
+    const charge = this.#options.limits.charge(account.id, req.demand)
+    if ('giveBack' in charge) return charge
+    throw new Refusal('the account is over its quota', { status: 429, retryAfterMs: charge.retryAfterMs })
+  }
+
+  /** A stream begins with its first piece; a plain call began when an endpoint took it, of which its answer is the first word. */
+  #countUse (task: RequestTask<Buffer>, account: AccountId): void {
+    task.onBegun = () => this.#options.usage.began(account)
+  }
+
   /** Finds the route and the account of a request. */
   admit (req: Pick<ProxiedRequest, 'host' | 'target' | 'credential'>): { route: Route, account: Account | undefined } {
     const catalog = this.#options.catalog()
--- /dev/null
+++ b/daemon/exchange/proxy_daemon.ts
@@ -0,0 +1,281 @@
+/** A daemon that hands callers' requests on to endpoints: the composition root, start, drain and stop. */
+import { randomUUID } from 'node:crypto'
+import { asFunction, asValue, createContainer, InjectionMode } from 'awilix'
+import xxhash from 'xxhash-wasm'
+import { RouteTable, type Catalog } from '../../core/catalog/index.ts'
+import { as, type DaemonId, type EndpointId, type PoolName } from '../../core/ids/index.ts'
+import { RetryBudget, type RepeatBudget } from '../../core/retry/index.ts'
+import { PrefixIndex, TargetRouter, type EndpointView, type Hash32, type Random } from '../../core/routing/index.ts'
+import { delay, steadyNow } from '../../core/time/index.ts'
+import { ExchangeClient } from '../../endpoints/index.ts'
+import { ConfigFollower } from '../config/config_follower.ts'
+import { OrderTask } from '../duties/order_task.ts'
+import { UsageTask } from '../duties/usage_task.ts'
+import { EndpointFollower } from '../endpoints/endpoint_follower.ts'
+import { EndpointTable } from '../endpoints/endpoint_table.ts'
+import { shareLeavingNews } from '../endpoints/leaving_news.ts'
+import { LeaseTask } from '../fleet/lease_task.ts'
+import { AccountLimits } from '../limits/account_limits.ts'
+import { logOf } from '../log.ts'
+import { createMetrics, type Metrics } from '../metrics.ts'
+import { MembershipTask } from '../peers/membership_task.ts'
+import { PeerLinks } from '../peers/peer_links.ts'
+import { TallyTask } from '../peers/tally_task.ts'
+import { Dispatcher } from '../request/dispatcher.ts'
+import { seededRandom } from '../seeded_random.ts'
+import { ExchangeServer } from './exchange_server.ts'
+import { Intake, type CatalogInForce } from './intake.ts'
+import type { PlatformAdapter } from './platform_adapter.ts'
+import type { ProxySettings } from './proxy_settings.ts'
+import { ReadinessServer } from './readiness.ts'
+
+/** Options of {@linkcode ProxyDaemon.start}. */
+export interface ProxyDaemonOptions {
+  settings: ProxySettings
+  platform: PlatformAdapter
+}
+
+/** Parts of one daemon, by name, as the container holds them. */
+interface Parts {
+  settings: ProxySettings
+  platform: PlatformAdapter
+  self: DaemonId
+  hash: Hash32
+  random: Random
+  metrics: Metrics
+  links: PeerLinks
+  membership: MembershipTask
+  tallies: TallyTask
+  config: ConfigFollower<Catalog>
+  limits: AccountLimits
+  table: EndpointTable
+  registry: EndpointFollower
+  client: ExchangeClient
+  dispatcher: Dispatcher
+  budgetOf: (pool: PoolName) => RepeatBudget
+  intake: Intake
+  server: ExchangeServer
+  readiness: ReadinessServer
+  lease: LeaseTask
+  usage: UsageTask
+  orders: OrderTask
+}
+
+/**
+ * Time for the balancer to see that the daemon is not ready, in milliseconds: it asks once a second, takes a daemon out after two answers,
+ * and a connection that it gave out just before may bring its request a moment later.
+ */
+const BALANCER_MS = 2600
+/** Kept back at the end of the grace period for leaving in good order, in milliseconds. */
+const LAST_WORDS_MS = 500
+const DRAIN_POLL_MS = 20
+/** A lease runs out after this part of the time within which holders may not act by turns; a successor waits half as long again. */
+const LEASE_PART = 2 / 3
+/** Time between two looks at another daemon's lease, and before a call that failed is tried again, in milliseconds. */
+const LEASE_LOOK_MS = 500
+/** Part of the repeats allowed that daemons use: word of a restart comes too late to share what it forgot. */
+const REPEATS_PART = 0.8
+/** Part of its share of the repeats that a daemon starts with; it may have used the rest before it was restarted. */
+const REPEATS_AT_START = 0.25
+/** Part of an endpoint's connections that the daemons use together, so that one who has just restarted finds some. */
+const CONNECTIONS_PART = 0.8
+const log = logOf('daemon')
+
+/** A running daemon. */
+export class ProxyDaemon {
+  readonly #parts: Parts
+  #draining: Promise<void> | undefined
+  #hasLeft: () => void = () => {}
+  /** Settles once the daemon has drained and left. */
+  readonly left = new Promise<void>((resolve) => { this.#hasLeft = resolve })
+
+  private constructor (parts: Parts) {
+    this.#parts = parts
+  }
+
+  /**
+   * Starts a daemon and waits until it listens.
+   * @throws {Error} When a port is taken.
+   */
+  static async start (options: ProxyDaemonOptions): Promise<ProxyDaemon> {
+    const { h32 } = await xxhash()
+    const daemon = new ProxyDaemon(compose(options, (text) => h32(text)))
+    await daemon.#start()
+    return daemon
+  }
+
+  get id (): DaemonId { return this.#parts.self }
+  /** True while the balancer should send callers here. */
+  get ready (): boolean { return this.#draining === undefined && this.#parts.config.inForce !== undefined && this.#parts.table.all.length > 0 }
+
+  /** Drains and stops; a second call waits for the first. */
+  drain (): Promise<void> {
+    this.#draining ??= this.#drain()
+    return this.#draining
+  }
+
+  async #start (): Promise<void> {
+    const { settings, membership, tallies, config, registry, server, readiness, lease, usage, orders } = this.#parts
+    const { callers, readiness: check } = settings.listen
+    await readiness.listen(check, () => this.ready)
+    await server.listen(callers.host, callers.port)
+    await membership.start()
+    config.start()
+    registry.start()
+    tallies.start()
+    lease.start()
+    usage.start()
+    orders.start()
+    log('started', { id: this.id })
+  }
+
+  /**
+   * Leaves without cutting anything: not ready first, since the balancer keeps sending for a while and each answer closes its connection; then
+   * no new connections; then what is under way finishes.
+   */
+  async #drain (): Promise<void> {
+    const { settings, server, readiness, lease, usage, orders, membership } = this.#parts
+    const endsAtMs = steadyNow() + settings.graceMs - LAST_WORDS_MS
+    log('draining', { open: server.open })
+    membership.setSelf({ state: 'draining' })
+    server.leave()
+    usage.stop()
+    orders.stop()
+    const released = lease.release()
+    await delay(BALANCER_MS)
+    server.close()
+    while (server.open > 0 && steadyNow() < endsAtMs) await delay(DRAIN_POLL_MS)
+    await released
+    await this.#leave()
+    readiness.close()
+    this.#hasLeft()
+  }
+
+  async #leave (): Promise<void> {
+    const { config, registry, tallies, membership, server } = this.#parts
+    config.stop()
+    registry.stop()
+    tallies.stop()
+    await membership.leave(undefined)
+    log('left', { cut: server.open })
+  }
+}
+
+function compose (options: ProxyDaemonOptions, hash: Hash32): Parts {
+  const { settings, platform } = options
+  const container = createContainer<Parts>({ injectionMode: InjectionMode.PROXY })
+  container.register({
+    settings: asValue(settings),
+    platform: asValue(platform),
+    self: asValue(as<DaemonId>(`${settings.name}-${randomUUID().slice(0, 8)}`)),
+    hash: asValue(hash),
+    random: asFunction(({ self }: Parts) => seededRandom(hash(self))).singleton(),
+    metrics: asFunction(createMetrics).singleton(),
+    links: asFunction(({ self, metrics }: Parts) => new PeerLinks({ self, secret: settings.peerSecret, metrics })).singleton(),
+    membership: asFunction(({ self, links, metrics, random }: Parts) => new MembershipTask({
+      self,
+      listen: settings.listen.peers,
+      failureDomain: settings.failureDomain,
+      seeds: settings.seeds,
+      store: platform.store,
+      links,
+      hash,
+      metrics,
+      random,
+      registeredAs: settings.name,
+      mesh: true
+    })).singleton(),
+    tallies: asFunction(({ self, membership }: Parts) => new TallyTask({ self, membership })).singleton(),
+    config: asFunction(configFollower).singleton(),
+    limits: asFunction(({ tallies, membership }: Parts) => new AccountLimits({ tolerance: settings.quota, tallies, membership })).singleton(),
+    table: asFunction(({ self }: Parts) => new EndpointTable({ self, hash })).singleton(),
+    registry: asFunction(endpointFollower).singleton(),
+    client: asFunction(({ config, tallies }: Parts) => new ExchangeClient({ connectionsTo: (view) => connectionsTo(view, config, tallies) })).singleton(),
+    dispatcher: asFunction(({ table, random }: Parts) => new Dispatcher({ table, prefixes: new PrefixIndex(), router: new TargetRouter({ random }) })).singleton(),
+    budgetOf: asFunction(repeatBudgets).singleton(),
+    intake: asFunction(({ table, dispatcher, metrics, client, random, limits, usage, budgetOf, config }: Parts) => new Intake({
+      table, dispatcher, metrics, client, random, limits, usage, budgetOf, dialect: platform.dialect, catalog: catalogInForce(config)
+    })).singleton(),
+    server: asFunction(({ intake }: Parts) => new ExchangeServer({ intake, dialect: platform.dialect })).singleton(),
+    readiness: asFunction(() => new ReadinessServer()).singleton(),
+    lease: asFunction(({ self }: Parts) => new LeaseTask({
+      self, store: platform.store, name: 'duties', ttlMs: settings.leaseMs * LEASE_PART, lookEveryMs: LEASE_LOOK_MS, retryMs: LEASE_LOOK_MS
+    })).singleton(),
+    usage: asFunction(({ lease, tallies }: Parts) => new UsageTask({
+      name: settings.name, store: platform.store, duties: platform.duties, lease, tallies, ...settings.usage
+    })).singleton(),
+    orders: asFunction(({ lease, table, config }: Parts) => new OrderTask({
+      name: settings.name, duties: platform.duties, lease, table, pools: () => config.inForce?.pools.values() ?? []
+    })).singleton()
+  })
+  const parts = container.cradle
+  shareLeavingNews(parts.table, parts.membership)
+  parts.config.onChange((catalog) => {
+    parts.limits.apply(catalog.accounts.values())
+    parts.server.limit(catalog.limits)
+  })
+  return parts
+}
+
+function configFollower ({ self, platform, membership, metrics, hash, random }: Parts): ConfigFollower<Catalog> {
+  return new ConfigFollower({
+    self,
+    store: platform.store,
+    key: platform.configKey,
+    decode: (value) => platform.decodeCatalog(JSON.parse(value)),
+    membership,
+    metrics,
+    hash,
+    random,
+    watchersPerDomain: WATCHERS_PER_DOMAIN
+  })
+}
+
+/** All daemons of a small fleet watch; of a large one these many in each failure domain, and the others hear it from them. */
+const WATCHERS_PER_DOMAIN = 40
+
+function endpointFollower ({ platform, table, random, config, client, dispatcher }: Parts): EndpointFollower {
+  return new EndpointFollower({
+    store: platform.store,
+    prefix: platform.registryPrefix,
+    decode: (name, value) => platform.decodeEndpoint(name, value),
+    table,
+    random,
+    pool: (name) => config.inForce?.pools.get(name),
+    onChange: () => {
+      client.keepOnly(new Set<EndpointId>(table.all.map((view) => view.id)))
+      dispatcher.pump()
+    }
+  })
+}
+
+/** Each daemon uses its share of the connections that an endpoint accepts, so that together they stay below. */
+function connectionsTo (view: EndpointView, config: ConfigFollower<Catalog>, tallies: TallyTask): number {
+  const accepted = config.inForce?.pools.get(view.pool)?.maxConnections ?? 0
+  return Math.max(1, Math.floor(accepted * CONNECTIONS_PART / tallies.hearing().all))
+}
+
+/** Each daemon repeats out of its own share, which no restart and no partition can double by much. */
+function repeatBudgets ({ settings, tallies }: Parts): (pool: PoolName) => RepeatBudget {
+  const budgets = new Map<PoolName, RepeatBudget>()
+  const { ratio, beside } = settings.repeats
+  return (pool) => {
+    let budget = budgets.get(pool)
+    if (!budget) {
+      budget = new RetryBudget({
+        fraction: ratio * REPEATS_PART,
+        burst: () => beside * REPEATS_PART / tallies.hearing().all,
+        startFull: REPEATS_AT_START,
+        countsGone: true
+      })
+      budgets.set(pool, budget)
+    }
+    return budget
+  }
+}
+
+function catalogInForce (config: ConfigFollower<Catalog>): () => CatalogInForce | undefined {
+  let inForce: CatalogInForce | undefined
+  config.onChange(({ routes, accounts, pools }) => { inForce = { routes: new RouteTable(routes), accounts, pools } })
+  return () => inForce
+}
--- /dev/null
+++ b/daemon/exchange/proxy_settings.ts
@@ -0,0 +1,26 @@
+/** What a daemon that hands requests on is told when it starts. */
+import type { FailureDomain } from '../../core/ids/index.ts'
+import type { QuotaTolerance } from '../../core/quota/index.ts'
+
+/** Host and port. */
+export interface SocketAddress { host: string, port: number }
+
+/** Settings of one daemon. */
+export interface ProxySettings {
+  /** Unique among the daemons; the same after a restart. */
+  name: string
+  failureDomain: FailureDomain
+  listen: { callers: SocketAddress, readiness: SocketAddress, peers: SocketAddress }
+  /** Addresses of a few other daemons, some of which may be gone. */
+  seeds: readonly string[]
+  /** Shared by all daemons of one deployment. */
+  peerSecret: string
+  /** Between SIGTERM and SIGKILL, in milliseconds. */
+  graceMs: number
+  /** Repeats allowed in a window, over all daemons: a part of the requests, and so many beside. */
+  repeats: { ratio: number, beside: number, windowMs: number }
+  quota: QuotaTolerance
+  /** Two holders of a lease do not act by turns within this time, in milliseconds. */
+  leaseMs: number
+  usage: { windowMs: number, dueMs: number }
+}
--- a/daemon/exchange/readiness.ts
+++ b/daemon/exchange/readiness.ts
@@ -1,10 +1,6 @@
 /** Tells the balancer whether it should send callers here. */
 import { createServer, type Server } from 'node:http'
-
-/** Options of {@linkcode ReadinessServer}. */
-export interface ReadinessServerOptions {
-  ready (): boolean
-}
+import type { SocketAddress } from './proxy_settings.ts'
 
 const READY = 200
 const NOT_READY = 503
@@ -13,14 +9,17 @@
 export class ReadinessServer {
   readonly #server: Server
 
-  constructor (options: ReadinessServerOptions) {
+  #ready: () => boolean = () => false
+
+  constructor () {
     this.#server = createServer((_req, res) => {
-      res.writeHead(options.ready() ? READY : NOT_READY).end()
+      res.writeHead(this.#ready() ? READY : NOT_READY).end()
     })
   }
 
-  /** Listens. */
-  async listen (host: string, port: number): Promise<void> {
+  /** Listens; `ready` is asked for each answer. */
+  async listen ({ host, port }: SocketAddress, ready: () => boolean): Promise<void> {
+    this.#ready = ready
     await new Promise<void>((resolve, reject) => this.#server.once('error', reject).listen(port, host, resolve))
   }
 
--- a/daemon/fleet/lease_task.ts
+++ b/daemon/fleet/lease_task.ts
@@ -1,7 +1,7 @@
 /** Takes and renews one lease through the store. */
 import { randomUUID } from 'node:crypto'
 import type { DaemonId } from '../../core/ids/index.ts'
-import { fencingNow, nextLeaseAction, NO_LEASE, seen, type LeaseRecord, type LeaseState } from '../../core/lease/index.ts'
+import { fencingNow, nextLeaseAction, NO_LEASE, released, seen, type LeaseRecord, type LeaseState } from '../../core/lease/index.ts'
 import { delay, steadyNow } from '../../core/time/index.ts'
 import { StoreError, writeSurely, type Marked, type ObjectStore } from '../../store/index.ts'
 import { logOf } from '../log.ts'
@@ -14,11 +14,17 @@
   name: string
   /** Milliseconds that the holder may work after a renewal. Default 15,000. */
   ttlMs?: number
+  /** Longest time between two looks at another daemon's lease, in milliseconds. Default 5,000. */
+  lookEveryMs?: number
+  /** Time before a call that failed is tried again, in milliseconds. Default 1,000. */
+  retryMs?: number
 }
 
 const DEFAULT_TTL_MS = 15_000
-const RETRY_MS = 1000
-const LONGEST_WAIT_MS = 5000
+const DEFAULT_LOOK_MS = 5000
+const DEFAULT_RETRY_MS = 1000
+/** The time of day and the steady clock part by less than this in a few seconds, in milliseconds; more means that the host was suspended. */
+const LARGEST_DRIFT_MS = 300
 const log = logOf('lease')
 
 /** One lease. */
@@ -26,15 +32,26 @@
   readonly #options: LeaseTaskOptions
   readonly #key: string
   #state: LeaseState = NO_LEASE
+  #driftMs = 0
+  #raise = false
+  #wake: () => void = () => {}
   #stopped = false
+  /** Called when this daemon becomes the holder, with its fencing number, and when it is the holder no more. */
+  onChange: (fencing: number | undefined) => void = () => {}
 
   constructor (options: LeaseTaskOptions) {
     this.#options = options
     this.#key = `lease/${options.name}`
   }
 
-  /** The fencing number for an order given now; undefined while another daemon holds the lease. */
+  /**
+   * The fencing number for an order given now; undefined while another daemon holds the lease.
+   *
+   * A host that was suspended wakes with a steady clock that did not count the time: its lease looks fresh while a successor acts. The time of
+   * day did count, so a lease is not trusted once the two clocks have parted.
+   */
   get fencing (): number | undefined {
+    if (Math.abs(drift() - this.#driftMs) > LARGEST_DRIFT_MS) return undefined
     return fencingNow(this.#state, this.#options.self, steadyNow())
   }
 
@@ -46,13 +63,35 @@
   /** Stops; the lease runs out by itself. */
   stop (): void {
     this.#stopped = true
+    this.#wake()
+  }
+
+  /** Stops and gives the lease up, so that a successor need not wait until it runs out. */
+  async release (): Promise<void> {
+    const { record, version } = this.#state
+    const held = this.fencing !== undefined
+    this.stop()
+    if (!held || !record) return
+    try {
+      await this.#write(released(record, randomUUID()), version)
+    } catch (err) {
+      if (!(err instanceof StoreError)) throw err
+      log('not released', { name: this.#options.name, why: err.message })
+    }
+  }
+
+  /** Takes a higher fencing number, so that orders under way that were given with the present one are refused. */
+  raise (): void {
+    this.#raise = true
+    this.#wake()
   }
 
   async #follow (): Promise<void> {
     await this.#orRetry(() => this.#read())
     while (!this.#stopped) {
-      const writeId = randomUUID()
-      const action = nextLeaseAction(this.#state, { self: this.#options.self, now: steadyNow(), ttlMs: this.#options.ttlMs ?? DEFAULT_TTL_MS, writeId })
+      const { self } = this.#options
+      const ttlMs = this.#options.ttlMs ?? DEFAULT_TTL_MS
+      const action = nextLeaseAction(this.#state, { self, now: steadyNow(), ttlMs, writeId: randomUUID(), raise: this.#raise })
       if (action.type === 'write') await this.#orRetry(() => this.#write(action.record, action.version))
       else await this.#waitAndRead(action.ms)
     }
@@ -60,7 +99,8 @@
 
   /** The holder knows its own record; the others look at it now and then, to see whether it stands still. */
   async #waitAndRead (ms: number): Promise<void> {
-    await delay(Math.min(ms, LONGEST_WAIT_MS))
+    const woken = new Promise<void>((resolve) => { this.#wake = resolve })
+    await Promise.race([delay(Math.min(ms, this.#options.lookEveryMs ?? DEFAULT_LOOK_MS)), woken])
     const mine = this.#state.record?.holder === this.#options.self
     if (!mine && !this.#stopped) await this.#orRetry(() => this.#read())
   }
@@ -68,20 +108,29 @@
   async #read (): Promise<void> {
     const found = await this.#options.store.get(this.#key)
     const record = found && (JSON.parse(found.value) as Marked<LeaseRecord>).data
-    this.#learn(found && record ? { record, version: found.version } : undefined)
+    this.#learn(found && record ? { record, version: found.version } : undefined, steadyNow())
   }
 
+  /** A renewal counts from when it was sent: the others may have seen it long before its answer came. */
   async #write (record: LeaseRecord, version: number): Promise<void> {
+    const sentAtMs = steadyNow()
+    const driftMs = drift()
     const result = await writeSurely(this.#options.store, this.#key, { writeId: record.renewal, data: record, version })
-    if (result.applied) this.#learn({ record, version: result.version })
-    else this.#learn(result.found && result.data ? { record: result.data, version: result.found.version } : undefined)
+    if (!result.applied) return this.#learn(result.found && result.data ? { record: result.data, version: result.found.version } : undefined, steadyNow())
+    if (record.fencing !== this.#state.record?.fencing) this.#raise = false
+    this.#driftMs = driftMs
+    this.#learn({ record, version: result.version }, sentAtMs)
   }
 
-  #learn (found: { record: LeaseRecord, version: number } | undefined): void {
-    const before = this.#state.record?.fencing
-    this.#state = seen(this.#state, found, steadyNow())
+  #learn (found: { record: LeaseRecord, version: number } | undefined, atMs: number): void {
+    const before = this.#state.record
+    this.#state = seen(this.#state, found, atMs)
     const { record } = this.#state
-    if (record && record.fencing !== before) log('held', { name: this.#options.name, holder: record.holder, fencing: record.fencing })
+    if (!record || record.fencing === before?.fencing) return
+    log('held', { name: this.#options.name, holder: record.holder, fencing: record.fencing })
+    const { self } = this.#options
+    if (record.holder === self) this.onChange(record.fencing)
+    else if (before?.holder === self) this.onChange(undefined)
   }
 
   /** After an unsure renewal the record is read again before anything is believed. */
@@ -90,8 +139,14 @@
       await act()
     } catch (err) {
       if (!(err instanceof StoreError)) throw err
-      await delay(RETRY_MS)
+      log('store failed', { name: this.#options.name, why: err.message })
+      await delay(this.#options.retryMs ?? DEFAULT_RETRY_MS)
       await this.#read().catch((again) => { if (!(again instanceof StoreError)) throw again })
     }
   }
 }
+
+/** How far the time of day is ahead of the steady clock. */
+function drift (): number {
+  return Date.now() - steadyNow()
+}
--- a/daemon/peers/tally_task.ts
+++ b/daemon/peers/tally_task.ts
@@ -2,7 +2,7 @@
 import type { DaemonId } from '../../core/ids/index.ts'
 import { mayAnswer, type Member } from '../../core/membership/index.ts'
 import { Tally, type TallyEntry, type TallyGrowth, type TallySheet } from '../../core/tally/index.ts'
-import { steadyNow } from '../../core/time/index.ts'
+import { SharedClock, steadyNow } from '../../core/time/index.ts'
 import type { MembershipTask } from './membership_task.ts'
 
 /** Options of {@linkcode TallyTask}. */
@@ -12,7 +12,7 @@
 }
 
 /** What daemons send each other. */
-interface Beat { entries: TallyEntry[] }
+interface Beat { entries: TallyEntry[], wallMs: number }
 interface Introduction { sheets: TallySheet[] }
 
 /** Part of the daemons that this one hears. */
@@ -31,14 +31,21 @@
 const MISSED_BEATS = 3.5
 /** Beats that may be missed before its link is given up: an open connection may have gone silent for good. */
 const SILENT_BEATS = 10
+/** How long a daemon that is not heard may still be there, in milliseconds: longer than any partition that was announced. */
+const COUNTED_MS = 120_000
 const TOPIC = 'tally'
 const INTRODUCTION = 'tally-all'
 
 /** Owns the totals and their spreading. */
 export class TallyTask {
   readonly tally: Tally
+  /** The time of day that the daemons agree on. */
+  readonly clock = new SharedClock({ wallMs: Date.now(), steadyMs: steadyNow() })
   readonly #options: TallyTaskOptions
   readonly #heardAtMs = new Map<DaemonId, number>()
+  /** When daemons that were never heard were first heard of. */
+  readonly #knownAtMs = new Map<DaemonId, number>()
+  readonly #resetAtMs = new Map<DaemonId, number>()
   readonly #listeners: Array<(growth: readonly TallyGrowth[]) => void> = []
   #timer: NodeJS.Timeout | undefined
 
@@ -46,7 +53,10 @@
     this.#options = options
     this.tally = new Tally(options.self)
     const { membership } = options
-    membership.links.onPost(TOPIC, ({ entries }: Beat, from) => this.#heard(from, [{ daemon: from, entries }]))
+    membership.links.onPost(TOPIC, ({ entries, wallMs }: Beat, from) => {
+      this.clock.told(from, wallMs, steadyNow())
+      this.#heard(from, [{ daemon: from, entries }])
+    })
     membership.links.onPost(INTRODUCTION, ({ sheets }: Introduction, from) => this.#heard(from, sheets))
     membership.onLink((to) => membership.links.post(to, INTRODUCTION, { sheets: this.tally.sheets() } satisfies Introduction))
   }
@@ -75,19 +85,31 @@
   /**
    * How many daemons are heard, out of those that may still act.
    *
-   * A daemon that is not heard may be parted from this one and use what both share. Two processes at one address are one host: the earlier
-   * one is dead.
+   * A daemon that is not heard may be parted from this one and use what both share, even when the others call it gone; only one that said
+   * that it leaves certainly does not. Two processes at one address are one host: the earlier one is dead.
    */
   hearing (): Hearing {
-    const oldest = steadyNow() - this.beatMs * MISSED_BEATS
+    const now = steadyNow()
+    const oldestBeat = now - this.beatMs * MISSED_BEATS
     const heardAt = new Map<string, boolean>()
-    for (const member of this.#options.membership.core.members.filter(mayAnswer)) {
-      const heard = member.id === this.#options.self || (this.#heardAtMs.get(member.id) ?? 0) >= oldest
-      heardAt.set(member.address, heard || (heardAt.get(member.address) ?? false))
+    for (const { id, address, state } of this.#options.membership.core.members) {
+      const heardAtMs = this.#knownAt(id, now)
+      const heard = id === this.#options.self || (this.#heardAtMs.has(id) && heardAtMs >= oldestBeat)
+      if (state === 'left' || (!heard && now - heardAtMs > COUNTED_MS)) continue
+      heardAt.set(address, heard || (heardAt.get(address) ?? false))
     }
     return { heard: [...heardAt.values()].filter(Boolean).length, all: heardAt.size }
   }
 
+  /** When a daemon was last heard, or first heard of. */
+  #knownAt (id: DaemonId, now: number): number {
+    const heardAtMs = this.#heardAtMs.get(id)
+    if (heardAtMs !== undefined) return heardAtMs
+    const knownAtMs = this.#knownAtMs.get(id) ?? now
+    this.#knownAtMs.set(id, knownAtMs)
+    return knownAtMs
+  }
+
   #beatLater (): void {
     this.#timer = setTimeout(() => {
       this.#tell()
@@ -98,7 +120,7 @@
 
   #tell (): void {
     const { links } = this.#options.membership
-    const beat: Beat = { entries: this.tally.takeChanges() }
+    const beat: Beat = { entries: this.tally.takeChanges(), wallMs: this.clock.now(steadyNow()) }
     for (const member of this.#others()) links.post(member.id, TOPIC, beat)
     links.tend(steadyNow())
   }
@@ -107,8 +129,9 @@
     const oldest = steadyNow() - this.beatMs * SILENT_BEATS
     for (const { id } of this.#others()) {
       const heardAtMs = this.#heardAtMs.get(id)
-      if (heardAtMs === undefined || heardAtMs >= oldest) continue
-      this.#heardAtMs.delete(id)
+      if (heardAtMs === undefined || heardAtMs >= oldest || (this.#resetAtMs.get(id) ?? -Infinity) >= oldest) continue
+      this.#resetAtMs.set(id, steadyNow())
+      this.clock.forget(id)
       this.#options.membership.links.reset(id)
     }
   }
--- a/daemon/request/request_task.ts
+++ b/daemon/request/request_task.ts
@@ -2,7 +2,7 @@
 import { AnswerBuffer, type AnswerBufferOptions, type AnswerHead, type WholeAnswer } from '../../core/answer/index.ts'
 import type { AccountId, EndpointId, PoolName, RequestId } from '../../core/ids/index.ts'
 import type { ClaimResult } from '../../core/once/index.ts'
-import { AttemptError } from '../../core/outcome/index.ts'
+import { AttemptError, outcomeAt } from '../../core/outcome/index.ts'
 import { mayRepeat, newRequest, step, type RequestEffect, type RequestMessage, type RequestState, type StartMode } from '../../core/request/index.ts'
 import type { RepeatBudget } from '../../core/retry/index.ts'
 import type { Demand, WorkClass } from '../../core/work/index.ts'
@@ -61,8 +61,10 @@
   kvHandle: string | undefined
   /** Called once, when the final word is known. */
   onFinish: () => void = () => {}
-  /** Called after each attempt began. */
+  /** Called after each attempt was sent. */
   onAttempt: () => void = () => {}
+  /** Called once, with the first word of an endpoint that shows that it began to work on the request. */
+  onBegun: () => void = () => {}
   /** True while its KV cache is on its way; a new plan leaves it alone. */
   exporting = false
   protected readonly ports: RequestPorts
@@ -76,6 +78,7 @@
   #placement: Placement | undefined
   #loadReported = false
   #firstPieceAtMs: number | undefined
+  #hasBegun = false
 
   constructor (options: RequestTaskOptions<P>) {
     const { work, runner, ports } = options
@@ -230,6 +233,7 @@
         this.ports.metrics.chunks.inc({ verdict })
         if (verdict === 'taken') this.head ??= head
         this.onPiece()
+        this.#begun()
         this.#firstPiece()
         this.listeners.notify()
       },
@@ -242,6 +246,12 @@
     }
   }
 
+  #begun (): void {
+    if (this.#hasBegun) return
+    this.#hasBegun = true
+    this.onBegun()
+  }
+
   #firstPiece (): void {
     if (this.#firstPieceAtMs !== undefined) return
     this.#firstPieceAtMs = steadyNow()
@@ -252,6 +262,7 @@
     if (attempt !== this.lifecycle.attempt) return
     this.answer.end(attempt, end.total)
     if (!this.answer.whole) return this.#failed(attempt, endpoint, new AttemptError('Cannot use answer: it is not whole', { point: 'torn-answer' }))
+    this.#begun()
     this.head ??= end.head
     this.ports.table.succeeded(endpoint)
     this.post({ type: 'ended', attempt })
@@ -262,6 +273,7 @@
     const { table, metrics } = this.ports
     const view = table.get(endpoint)
     this.failureAnswer = err.answer
+    if (outcomeAt(err.point) === 'unknown') this.#begun()
     if (err.point === 'endpoint-leaving' && view) table.leaving([view.hostId], steadyNow() + ASSUMED_NOTICE_MS, 'refusal')
     // The budget is only asked where the request could use what it grants.
     const retryGranted = this.mayMoveOn && mayRepeat(this.lifecycle, err.point) && this.ports.budget.spend(table.isGone(endpoint))
--- a/demo/demo.ts
+++ b/demo/demo.ts
@@ -1,6 +1,6 @@
 /** The main job on an embedded default: mixed work, a failure domain reclaimed half way, one daemon drained. */
 import { randomUUID } from 'node:crypto'
-import { seededRandom } from '../daemon/daemon.ts'
+import { seededRandom } from '../daemon/seeded_random.ts'
 import type { Random } from '../core/routing/index.ts'
 import { call, type Balancer, type CallerRequest, type CallerResult } from './caller.ts'
 import { adunniLevy, kingstonParish, type Deployment, type WorkKind } from './deployments.ts'
--- a/endpoints/index.ts
+++ b/endpoints/index.ts
@@ -1,3 +1,4 @@
+export * from './duties.ts'
 export * from './exchange/index.ts'
 export * from './attempt.ts'
 export * from './cloud.ts'
