Count quotas at one keeper that the daemons choose, and keep totals at three

Cause: the mesh sent 72 messages a beat at nine daemons and 6,806 at 83, 0.3 ms of processor time each; it does not carry the fleet. Daemons now rank the members alike; the first that answers counts quotas for all that chose it, for their part of the fleet, so that two sides of a partition never grant more than one would. Counts of use go to the first three, who also are the ones that contend for the lease.

Ruled out: relays by failure domain (each message grows with the fleet), sums by domain (what the dead had told is lost at each failover).

--- a/core/quota/index.ts
+++ b/core/quota/index.ts
@@ -1,2 +1,3 @@
 export * from './quota.ts'
 export * from './shared_bucket.ts'
+export * from './quota_keeper.ts'
--- /dev/null
+++ b/core/quota/quota_keeper.ts
@@ -0,0 +1,97 @@
+/** Grants client accounts what their quotas allow, for the daemons that have chosen this one to count. */
+import type { Quota } from '../catalog/index.ts'
+import type { AccountId, DaemonId } from '../ids/index.ts'
+import { bucketOf, type QuotaTolerance } from './quota.ts'
+import { SharedBucket } from './shared_bucket.ts'
+
+/** Level of an account's bucket, as a daemon was told it. */
+export type AccountLevel = readonly [account: AccountId, level: number]
+
+/** What a request is told. */
+export type Grant = { granted: true } | { granted: false, retryAfterMs: number }
+
+/**
+ * How long a daemon's choice counts, in milliseconds.
+ *
+ * Longer than three of its votes are apart, so that a lost one costs nothing; and as long as a daemon that chose another may be counted by both.
+ */
+export const VOTE_KEPT_MS = 1000
+
+/**
+ * Counts what all of its voters use.
+ *
+ * Each daemon chooses one keeper at a time, so that of keepers on two sides of a partition each has the votes of its own side only, and draws
+ * on that part of every quota: together they never grant more than one keeper would. A keeper that was paused wakes with no votes.
+ */
+export class QuotaKeeper {
+  readonly #tolerance: QuotaTolerance
+  readonly #quotas = new Map<AccountId, Quota>()
+  readonly #buckets = new Map<AccountId, SharedBucket>()
+  readonly #votes = new Map<DaemonId, number>()
+
+  constructor (options: { tolerance: QuotaTolerance }) {
+    this.#tolerance = options.tolerance
+  }
+
+  /** Puts the quotas of a configuration in force; a lower one binds at once. */
+  apply (quotas: ReadonlyMap<AccountId, Quota>, now: number): void {
+    for (const id of this.#quotas.keys()) {
+      if (quotas.has(id)) continue
+      this.#quotas.delete(id)
+      this.#buckets.delete(id)
+    }
+    for (const [id, quota] of quotas) {
+      this.#quotas.set(id, quota)
+      const limits = bucketOf(quota, this.#tolerance)
+      const bucket = this.#buckets.get(id)
+      if (bucket) bucket.resize(limits)
+      else this.#buckets.set(id, new SharedBucket({ ...limits, now }))
+    }
+  }
+
+  /**
+   * A daemon has chosen this keeper.
+   * @param told Levels that its keeper before told it; nobody else knows what was used there.
+   */
+  vote (daemon: DaemonId, now: number, told: readonly AccountLevel[] = []): void {
+    this.#votes.set(daemon, now)
+    for (const [account, level] of told) this.#buckets.get(account)?.lower(level)
+  }
+
+  /** A daemon has chosen another. */
+  withdraw (daemon: DaemonId): void {
+    this.#votes.delete(daemon)
+  }
+
+  /**
+   * Grants or denies one request.
+   * @param all Daemons that may act, whether they are heard or not.
+   */
+  ask (account: AccountId, cost: number, at: { now: number, all: number }): Grant {
+    const bucket = this.#buckets.get(account)
+    if (!bucket) return { granted: true }
+    if (bucket.room(at.now, this.part(at.now, at.all)) < cost) return { granted: false, retryAfterMs: bucket.waitMs(cost) }
+    bucket.take(cost)
+    return { granted: true }
+  }
+
+  /** Gives back what a request was granted that was not sent to any endpoint. */
+  giveBack (account: AccountId, cost: number): void {
+    this.#buckets.get(account)?.take(-cost)
+  }
+
+  /** Levels for the voters to keep, in case another must count after this one. */
+  levels (at: { now: number, all: number }): AccountLevel[] {
+    const part = this.part(at.now, at.all)
+    return [...this.#buckets].map(([account, bucket]) => {
+      bucket.room(at.now, part)
+      return [account, bucket.level]
+    })
+  }
+
+  /** Part of all daemons that have chosen this keeper. */
+  part (now: number, all: number): number {
+    for (const [daemon, atMs] of this.#votes) if (now - atMs > VOTE_KEPT_MS) this.#votes.delete(daemon)
+    return Math.max(1, Math.min(this.#votes.size, all)) / Math.max(1, all)
+  }
+}
--- a/core/quota/shared_bucket.ts
+++ b/core/quota/shared_bucket.ts
@@ -1,4 +1,4 @@
-/** A token bucket that all daemons draw from, each by what it was told of the others. */
+/** A token bucket that several may count, each for a part of the daemons. */
 
 /** Options of {@linkcode SharedBucket}. */
 export interface SharedBucketOptions {
@@ -6,7 +6,7 @@
   perS: number
   /** Most tokens that the bucket holds. */
   capacity: number
-  /** Tokens at first: what was used before this daemon started is not known to it. */
+  /** Tokens at first: what was used before is not known. */
   initial: number
   /** Milliseconds on the steady clock. */
   now: number
@@ -15,18 +15,17 @@
 const MS_PER_S = 1000
 
 /**
- * Never lets more through, over all daemons, than one bucket would, but for what is used while word of it is under way.
+ * Never lets more through, over all who count, than one bucket would.
  *
- * Each daemon counts the use of all. One that does not hear some of the others may be parted from them, and both sides would use the same
- * tokens: it then draws only on its own side's part, of what is in the bucket and of what flows in, and sets the rest aside. What was set
- * aside comes back when the others are heard, together with word of what they used. Parts are numbers of daemons, so those of two sides
- * never sum to more than one.
+ * Who counts for a part of the daemons only draws on that part, of what is in the bucket and of what flows in, and sets the rest aside for
+ * whoever counts for the others. What was set aside comes back with their votes. Parts are numbers of daemons, so those of two sides never
+ * sum to more than one.
  */
 export class SharedBucket {
   #perS: number
   #capacity: number
   #level: number
-  /** Set aside for daemons that are not heard. */
+  /** Set aside for daemons that are not counted for. */
   #aside = 0
   #part = 1
   #atMs: number
@@ -38,7 +37,7 @@
     this.#atMs = options.now
   }
 
-  /** Tokens as this daemon counts them, below 0 after more was used than there was. */
+  /** Tokens over all parts, below 0 after more was used than there was. */
   get level (): number { return this.#level + this.#aside }
 
   /** Puts other limits in force; a lower one takes effect at once. */
@@ -50,8 +49,8 @@
   }
 
   /**
-   * Tells how many tokens this daemon may use now.
-   * @param part Part of the daemons that this one hears, itself included, in (0, 1].
+   * Tells how many tokens may be used now.
+   * @param part Part of the daemons that are counted for, in (0, 1].
    */
   room (now: number, part: number): number {
     this.#hear(part)
@@ -67,15 +66,17 @@
     return Math.max(0, tokens - this.#level) * MS_PER_S / (this.#perS * this.#part)
   }
 
-  /** Counts tokens as used, by this daemon or another; a negative number gives them back. */
+  /** Counts tokens as used; a negative number gives them back. */
   take (tokens: number): void {
     this.#level -= tokens
   }
 
-  /** Takes over what a daemon that has counted for longer knows. */
-  adopt (level: number): void {
-    this.#level = Math.min(level, this.#capacity) * this.#part
-    this.#aside = Math.max(0, Math.min(level, this.#capacity)) * (1 - this.#part)
+  /** Takes in the level that somebody else was told; what is lower knows of more use. */
+  lower (level: number): void {
+    const over = this.level - level
+    if (over <= 0) return
+    this.#level -= over * this.#part
+    this.#aside -= over * (1 - this.#part)
   }
 
   #hear (part: number): void {
--- a/core/tally/tally.ts
+++ b/core/tally/tally.ts
@@ -1,4 +1,4 @@
-/** Running totals that all daemons add to: each writes only its own, everybody hears of them. */
+/** Running totals that all daemons add to: each writes only its own, and tells others. */
 import type { DaemonId } from '../ids/index.ts'
 
 /** One daemon's total of one key. */
@@ -7,9 +7,6 @@
 /** Totals of one daemon, as another passes them on. */
 export interface TallySheet { daemon: DaemonId, entries: TallyEntry[] }
 
-/** How much a key grew by what was just heard. */
-export interface TallyGrowth { key: string, amount: number, daemon: DaemonId }
-
 /**
  * Totals by daemon and key.
  *
@@ -62,28 +59,22 @@
     return entries
   }
 
+  /** Everything known of one daemon. */
+  sheetOf (daemon: DaemonId): TallyEntry[] {
+    return [...this.#totals.get(daemon) ?? []]
+  }
+
   /** Everything known, for a daemon that joins. */
   sheets (): TallySheet[] {
-    return [...this.#totals].map(([daemon, totals]) => ({ daemon, entries: [...totals] }))
+    return [...this.#totals.keys()].map((daemon) => ({ daemon, entries: this.sheetOf(daemon) }))
   }
 
-  /**
-   * Takes in what was told of one daemon.
-   * @returns What grew, but for a daemon heard of for the first time: that lies in the past.
-   */
-  receive (sheet: TallySheet): TallyGrowth[] {
-    if (sheet.daemon === this.#self) return []
-    const known = this.#totals.get(sheet.daemon)
-    const totals = known ?? new Map<string, number>()
+  /** Takes in what was told of one daemon, by itself or by another. */
+  receive (sheet: TallySheet): void {
+    if (sheet.daemon === this.#self) return
+    const totals = this.#totals.get(sheet.daemon) ?? new Map<string, number>()
     this.#totals.set(sheet.daemon, totals)
-    const growth: TallyGrowth[] = []
-    for (const [key, total] of sheet.entries) {
-      const amount = total - (totals.get(key) ?? 0)
-      if (amount <= 0) continue
-      totals.set(key, total)
-      if (known) growth.push({ key, amount, daemon: sheet.daemon })
-    }
-    return growth
+    for (const [key, total] of sheet.entries) totals.set(key, Math.max(total, totals.get(key) ?? 0))
   }
 
   /** Forgets the keys that match, on all daemons. */
--- a/daemon/exchange/exchange_server.ts
+++ b/daemon/exchange/exchange_server.ts
@@ -62,11 +62,13 @@
   async #serve (req: IncomingMessage, res: ServerResponse): Promise<void> {
     this.open++
     res.on('close', () => { this.open-- })
+    // An answer that began before the daemon was told to leave did not say that it is the last on its connection.
+    res.on('finish', () => { if (this.#leaving) req.socket.end() })
     try {
       const facts = this.#options.dialect.readRequest(req)
       const body = await readBody(req, this.#limits.bodyBytes)
       if (res.destroyed) return
-      const task = this.#options.intake.take({ ...facts, body })
+      const task = await this.#options.intake.take({ ...facts, body })
       writeExchange(res, task, { lastOnConnection: () => this.#leaving })
       task.post({ type: 'begin' })
     } catch (err) {
--- a/daemon/exchange/exchange_writer.ts
+++ b/daemon/exchange/exchange_writer.ts
@@ -32,7 +32,9 @@
   }
   const stop = task.subscribe(follow)
   res.on('close', stop)
-  follow()
+  // The caller may have left while its request was looked at; nothing tells of it again.
+  if (res.destroyed) stop()
+  else follow()
 }
 
 function begin (res: ServerResponse, head: AnswerHead, options: { whole: number | undefined, last: boolean }): void {
--- a/daemon/exchange/intake.ts
+++ b/daemon/exchange/intake.ts
@@ -51,9 +51,9 @@
    * Takes a request and starts on it.
    * @throws {Refusal} When it is refused; nothing ran.
    */
-  take (req: ProxiedRequest): RequestTask<Buffer> {
+  async take (req: ProxiedRequest): Promise<RequestTask<Buffer>> {
     const { route, account } = this.admit(req)
-    const charge = this.#charge(account, req)
+    const charge = await this.#charge(account, req)
     const { cls } = route
     const pool = chooseShare(route.pools, this.#options.random).pool
     const { client, dialect, table, dispatcher, metrics } = this.#options
@@ -66,14 +66,14 @@
       from: req.resumeFrom,
       deadlineInMs: Math.min(req.deadlineInMs ?? Infinity, cls.latency.deadlineMs)
     })
-    task.onFinish = () => { if (!task.state.mayHaveRun && task.final?.outcome !== 'answered') charge?.giveBack() }
+    task.onFinish = () => { if (task.final?.outcome === 'not-run') charge?.giveBack() }
     if (account) this.#countUse(task, account.id)
     return task
   }
 
-  #charge (account: Account | undefined, req: ProxiedRequest): Charge | undefined {
+  async #charge (account: Account | undefined, req: ProxiedRequest): Promise<Charge | undefined> {
     if (!account) return undefined
-    const charge = this.#options.limits.charge(account.id, req.demand)
+    const charge = await this.#options.limits.charge(account.id, req.demand)
     if ('giveBack' in charge) return charge
     throw new Refusal('the account is over its quota', { status: 429, retryAfterMs: charge.retryAfterMs })
   }
--- a/daemon/exchange/proxy_daemon.ts
+++ b/daemon/exchange/proxy_daemon.ts
@@ -20,6 +20,7 @@
 import { createMetrics, type Metrics } from '../metrics.ts'
 import { MembershipTask } from '../peers/membership_task.ts'
 import { PeerLinks } from '../peers/peer_links.ts'
+import { FleetSize } from '../peers/fleet_size.ts'
 import { TallyTask } from '../peers/tally_task.ts'
 import { Dispatcher } from '../request/dispatcher.ts'
 import { seededRandom } from '../seeded_random.ts'
@@ -45,6 +46,7 @@
   metrics: Metrics
   links: PeerLinks
   membership: MembershipTask
+  fleet: FleetSize
   tallies: TallyTask
   config: ConfigFollower<Catalog>
   limits: AccountLimits
@@ -115,7 +117,7 @@
   }
 
   async #start (): Promise<void> {
-    const { settings, membership, tallies, config, registry, server, readiness, lease, usage, orders } = this.#parts
+    const { settings, membership, tallies, config, registry, server, readiness, lease, limits, usage, orders } = this.#parts
     const { callers, readiness: check } = settings.listen
     await readiness.listen(check, () => this.ready)
     await server.listen(callers.host, callers.port)
@@ -123,6 +125,7 @@
     config.start()
     registry.start()
     tallies.start()
+    limits.start()
     lease.start()
     usage.start()
     orders.start()
@@ -152,8 +155,9 @@
   }
 
   async #leave (): Promise<void> {
-    const { config, registry, tallies, membership, server } = this.#parts
+    const { config, registry, tallies, limits, membership, server } = this.#parts
     config.stop()
+    limits.stop()
     registry.stop()
     tallies.stop()
     await membership.leave(undefined)
@@ -182,15 +186,15 @@
       hash,
       metrics,
       random,
-      registeredAs: settings.name,
-      mesh: true
+      registeredAs: settings.name
     })).singleton(),
-    tallies: asFunction(({ self, membership }: Parts) => new TallyTask({ self, membership })).singleton(),
+    fleet: asFunction(({ membership }: Parts) => new FleetSize(membership)).singleton(),
+    tallies: asFunction(({ self, membership }: Parts) => new TallyTask({ self, hash, membership })).singleton(),
     config: asFunction(configFollower).singleton(),
-    limits: asFunction(({ tallies, membership }: Parts) => new AccountLimits({ tolerance: settings.quota, tallies, membership })).singleton(),
+    limits: asFunction(({ self, membership, fleet }: Parts) => new AccountLimits({ self, hash, tolerance: settings.quota, membership, fleet })).singleton(),
     table: asFunction(({ self }: Parts) => new EndpointTable({ self, hash })).singleton(),
     registry: asFunction(endpointFollower).singleton(),
-    client: asFunction(({ config, tallies }: Parts) => new ExchangeClient({ connectionsTo: (view) => connectionsTo(view, config, tallies) })).singleton(),
+    client: asFunction(({ config, fleet }: Parts) => new ExchangeClient({ connectionsTo: (view) => connectionsTo(view, config, fleet) })).singleton(),
     dispatcher: asFunction(({ table, random }: Parts) => new Dispatcher({ table, prefixes: new PrefixIndex(), router: new TargetRouter({ random }) })).singleton(),
     budgetOf: asFunction(repeatBudgets).singleton(),
     intake: asFunction(({ table, dispatcher, metrics, client, random, limits, usage, budgetOf, config }: Parts) => new Intake({
@@ -198,8 +202,14 @@
     })).singleton(),
     server: asFunction(({ intake }: Parts) => new ExchangeServer({ intake, dialect: platform.dialect })).singleton(),
     readiness: asFunction(() => new ReadinessServer()).singleton(),
-    lease: asFunction(({ self }: Parts) => new LeaseTask({
-      self, store: platform.store, name: 'duties', ttlMs: settings.leaseMs * LEASE_PART, lookEveryMs: LEASE_LOOK_MS, retryMs: LEASE_LOOK_MS
+    lease: asFunction(({ self, tallies, membership }: Parts) => new LeaseTask({
+      self,
+      store: platform.store,
+      name: 'duties',
+      ttlMs: settings.leaseMs * LEASE_PART,
+      lookEveryMs: LEASE_LOOK_MS,
+      retryMs: LEASE_LOOK_MS,
+      contends: () => membership.joined && tallies.keepsBooks
     })).singleton(),
     usage: asFunction(({ lease, tallies }: Parts) => new UsageTask({
       name: settings.name, store: platform.store, duties: platform.duties, lease, tallies, ...settings.usage
@@ -250,13 +260,13 @@
 }
 
 /** Each daemon uses its share of the connections that an endpoint accepts, so that together they stay below. */
-function connectionsTo (view: EndpointView, config: ConfigFollower<Catalog>, tallies: TallyTask): number {
+function connectionsTo (view: EndpointView, config: ConfigFollower<Catalog>, fleet: FleetSize): number {
   const accepted = config.inForce?.pools.get(view.pool)?.maxConnections ?? 0
-  return Math.max(1, Math.floor(accepted * CONNECTIONS_PART / tallies.hearing().all))
+  return Math.max(1, Math.floor(accepted * CONNECTIONS_PART / fleet.all))
 }
 
 /** Each daemon repeats out of its own share, which no restart and no partition can double by much. */
-function repeatBudgets ({ settings, tallies }: Parts): (pool: PoolName) => RepeatBudget {
+function repeatBudgets ({ settings, fleet }: Parts): (pool: PoolName) => RepeatBudget {
   const budgets = new Map<PoolName, RepeatBudget>()
   const { ratio, beside } = settings.repeats
   return (pool) => {
@@ -264,7 +274,7 @@
     if (!budget) {
       budget = new RetryBudget({
         fraction: ratio * REPEATS_PART,
-        burst: () => beside * REPEATS_PART / tallies.hearing().all,
+        burst: () => beside * REPEATS_PART / fleet.all,
         startFull: REPEATS_AT_START,
         countsGone: true
       })
--- a/daemon/fleet/lease_task.ts
+++ b/daemon/fleet/lease_task.ts
@@ -16,6 +16,8 @@
   ttlMs?: number
   /** Longest time between two looks at another daemon's lease, in milliseconds. Default 5,000. */
   lookEveryMs?: number
+  /** False for a daemon that leaves the lease to others unless it holds it: each that contends reads it. Default: always true. */
+  contends? (): boolean
   /** Time before a call that failed is tried again, in milliseconds. Default 1,000. */
   retryMs?: number
 }
@@ -25,6 +27,8 @@
 const DEFAULT_RETRY_MS = 1000
 /** The time of day and the steady clock part by less than this in a few seconds, in milliseconds; more means that the host was suspended. */
 const LARGEST_DRIFT_MS = 300
+/** How long a holder goes on that should be none any more, in milliseconds: what daemons know of each other changes for moments. */
+const STAND_BACK_MS = 2000
 const log = logOf('lease')
 
 /** One lease. */
@@ -34,6 +38,8 @@
   #state: LeaseState = NO_LEASE
   #driftMs = 0
   #raise = false
+  #fresh = false
+  #contendedAtMs = -Infinity
   #wake: () => void = () => {}
   #stopped = false
   /** Called when this daemon becomes the holder, with its fencing number, and when it is the holder no more. */
@@ -87,9 +93,15 @@
   }
 
   async #follow (): Promise<void> {
-    await this.#orRetry(() => this.#read())
     while (!this.#stopped) {
       const { self } = this.#options
+      if (!this.#contends()) {
+        await this.#standBack()
+        continue
+      }
+      // What was read before it contended, or never, is too old to act on.
+      if (!this.#fresh) await this.#orRetry(() => this.#read())
+      this.#fresh = true
       const ttlMs = this.#options.ttlMs ?? DEFAULT_TTL_MS
       const action = nextLeaseAction(this.#state, { self, now: steadyNow(), ttlMs, writeId: randomUUID(), raise: this.#raise })
       if (action.type === 'write') await this.#orRetry(() => this.#write(action.record, action.version))
@@ -97,12 +109,29 @@
     }
   }
 
+  #contends (): boolean {
+    const contends = this.#options.contends?.() ?? true
+    if (contends) this.#contendedAtMs = steadyNow()
+    return contends || (this.#holds && steadyNow() - this.#contendedAtMs < STAND_BACK_MS)
+  }
+
+  get #holds (): boolean {
+    return this.#state.record?.holder === this.#options.self
+  }
+
+  /** A holder that should be none any more, because other daemons know more of the work, hands the lease on. */
+  async #standBack (): Promise<void> {
+    const { record, version } = this.#state
+    if (this.fencing !== undefined && record) await this.#orRetry(() => this.#write(released(record, randomUUID()), version))
+    this.#fresh = false
+    await delay(this.#options.lookEveryMs ?? DEFAULT_LOOK_MS)
+  }
+
   /** The holder knows its own record; the others look at it now and then, to see whether it stands still. */
   async #waitAndRead (ms: number): Promise<void> {
     const woken = new Promise<void>((resolve) => { this.#wake = resolve })
     await Promise.race([delay(Math.min(ms, this.#options.lookEveryMs ?? DEFAULT_LOOK_MS)), woken])
-    const mine = this.#state.record?.holder === this.#options.self
-    if (!mine && !this.#stopped) await this.#orRetry(() => this.#read())
+    if (!this.#holds && !this.#stopped) await this.#orRetry(() => this.#read())
   }
 
   async #read (): Promise<void> {
--- a/daemon/limits/account_limits.ts
+++ b/daemon/limits/account_limits.ts
@@ -1,104 +1,202 @@
 /** Holds client accounts to their quotas, over all daemons. */
 import type { Account, Quota } from '../../core/catalog/index.ts'
-import type { AccountId } from '../../core/ids/index.ts'
-import { bucketOf, costOf, SharedBucket, type QuotaTolerance } from '../../core/quota/index.ts'
-import type { TallyGrowth } from '../../core/tally/index.ts'
+import type { AccountId, DaemonId } from '../../core/ids/index.ts'
+import { mayAnswer, rankedFor, type Member } from '../../core/membership/index.ts'
+import { costOf, QuotaKeeper, type AccountLevel, type Grant, type QuotaTolerance } from '../../core/quota/index.ts'
+import type { Hash32 } from '../../core/routing/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import type { Demand } from '../../core/work/index.ts'
+import { logOf } from '../log.ts'
+import type { FleetSize } from '../peers/fleet_size.ts'
 import type { MembershipTask } from '../peers/membership_task.ts'
-import type { TallyTask } from '../peers/tally_task.ts'
 
 /** Options of {@linkcode AccountLimits}. */
 export interface AccountLimitsOptions {
+  self: DaemonId
+  hash: Hash32
   tolerance: QuotaTolerance
-  tallies: TallyTask
   membership: MembershipTask
+  fleet: FleetSize
 }
 
-/** What an account asked for and was granted; given back when nothing came of it. */
-export interface Charge {
-  /** The request was not sent to any endpoint. */
-  giveBack (): void
-}
+/** What was granted; given back when the request was not sent to any endpoint. */
+export interface Charge { giveBack (): void }
 
 /** A quota has no room for a request now. */
 export interface OverQuota { retryAfterMs: number }
 
-interface AccountBucket { bucket: SharedBucket, quota: Quota, sinceMs: number }
-/** Levels as an older daemon knows them. */
-interface Levels { levels: Array<[account: AccountId, level: number, ageMs: number]> }
+type Ask = readonly [account: AccountId, cost: number]
+interface Vote { told: AccountLevel[] }
+interface Heard { levels: AccountLevel[] }
 
-const USED = 'used/'
-const GIVEN_BACK = 'given-back/'
-const TOPIC = 'quota-levels'
+/** Between two votes for a keeper, in milliseconds; three of them fit into the time that one counts. */
+const VOTE_MS = 300
+/** Silence after which another keeper is chosen, in milliseconds. */
+const SILENT_MS = 750
+/** Longest wait for a keeper's word on a request, in milliseconds: several times the way there and back. */
+const ASK_TIMEOUT_MS = 120
+/** Rounds of votes between two attempts to go back to the keeper that all would choose first. */
+const PROBE_EVERY = 4
+const VOTE = 'quota-vote'
+const PROBE = 'quota-probe'
+const HEARD = 'quota-heard'
+const WITHDRAWN = 'quota-withdrawn'
+const GIVEN_BACK = 'quota-given-back'
+const ASK = 'quota-ask'
 const NO_CHARGE: Charge = { giveBack: () => {} }
+const log = logOf('quotas')
 
-/** Owns a bucket for each account with a quota. */
+/**
+ * Asks one daemon, the keeper, for each request of an account with a quota.
+ *
+ * All daemons rank the members alike and choose the first that answers. One that reaches nobody counts for itself, for its own part of every
+ * quota.
+ */
 export class AccountLimits {
   readonly #options: AccountLimitsOptions
-  readonly #buckets = new Map<AccountId, AccountBucket>()
+  /** What this daemon counts: for those that chose it, or only for itself. */
+  readonly #keeper: QuotaKeeper
+  readonly #quotas = new Map<AccountId, Quota>()
+  readonly #heardAtMs = new Map<DaemonId, number>()
+  #chosen: DaemonId | undefined
+  /** Levels as the chosen keeper last told them. */
+  #levels: AccountLevel[] = []
+  /** Levels that the keeper before told, until the chosen one knows them. */
+  #told: AccountLevel[] = []
+  #rounds = 0
+  #asks: Array<{ ask: Ask, decide: (grant: Grant, from: DaemonId | undefined) => void }> = []
+  #timer: NodeJS.Timeout | undefined
 
   constructor (options: AccountLimitsOptions) {
     this.#options = options
-    const { tallies, membership } = options
-    tallies.onGrowth((growth) => growth.forEach((each) => this.#used(each)))
-    membership.links.onPost(TOPIC, ({ levels }: Levels) => levels.forEach((each) => this.#adopt(...each)))
-    membership.onLink((to) => membership.links.post(to, TOPIC, { levels: this.#levels() } satisfies Levels))
+    this.#keeper = new QuotaKeeper({ tolerance: options.tolerance })
+    const { links } = options.membership
+    links.onPost(VOTE, ({ told }: Vote, from) => this.#voted(from, told))
+    links.onPost(PROBE, (_nothing: null, from) => links.post(from, HEARD, { levels: [] } satisfies Heard))
+    links.onPost(HEARD, ({ levels }: Heard, from) => this.#heard(from, levels))
+    links.onPost(WITHDRAWN, (_nothing: null, from) => this.#keeper.withdraw(from))
+    links.onPost(GIVEN_BACK, ([account, cost]: Ask) => this.#keeper.giveBack(account, cost))
+    links.handle(ASK, async (asks: Ask[], { from }) => {
+      this.#keeper.vote(from, steadyNow())
+      return asks.map((ask) => this.#askHere(ask))
+    })
   }
 
   /** Puts the quotas of a configuration in force. */
   apply (accounts: Iterable<Account>): void {
-    const known = new Set<AccountId>()
-    for (const { id, quota } of accounts) {
-      if (!quota) continue
-      known.add(id)
-      const entry = this.#buckets.get(id)
-      const limits = bucketOf(quota, this.#options.tolerance)
-      if (entry) {
-        entry.quota = quota
-        entry.bucket.resize(limits)
-      } else {
-        const now = steadyNow()
-        this.#buckets.set(id, { quota, bucket: new SharedBucket({ ...limits, now }), sinceMs: now })
-      }
-    }
-    for (const id of this.#buckets.keys()) if (!known.has(id)) this.#buckets.delete(id)
+    this.#quotas.clear()
+    for (const { id, quota } of accounts) if (quota) this.#quotas.set(id, quota)
+    this.#keeper.apply(this.#quotas, steadyNow())
+  }
+
+  /** Begins to vote. */
+  start (): void {
+    this.#timer = setInterval(() => this.#vote(), VOTE_MS)
+    this.#vote()
+  }
+
+  /** Stops; the keeper counts for one daemon less. */
+  stop (): void {
+    clearInterval(this.#timer)
+    if (this.#chosen !== undefined) this.#options.membership.links.post(this.#chosen, WITHDRAWN, null)
   }
 
   /** Charges a request to its account, or tells when there will be room. */
-  charge (account: AccountId, demand: Demand | undefined): Charge | OverQuota {
-    const entry = this.#buckets.get(account)
-    if (!entry) return NO_CHARGE
-    const { bucket, quota } = entry
+  async charge (account: AccountId, demand: Demand | undefined): Promise<Charge | OverQuota> {
+    const quota = this.#quotas.get(account)
+    if (!quota) return NO_CHARGE
     const cost = costOf(quota, demand)
-    const { heard, all } = this.#options.tallies.hearing()
-    if (bucket.room(steadyNow(), heard / all) < cost) return { retryAfterMs: bucket.waitMs(cost) }
-    const { tally } = this.#options.tallies
-    bucket.take(cost)
-    tally.add(USED + account, cost)
-    return {
-      giveBack: () => {
-        bucket.take(-cost)
-        tally.add(GIVEN_BACK + account, cost)
-      }
+    const { grant, from } = await this.#ask([account, cost])
+    if (!grant.granted) return { retryAfterMs: grant.retryAfterMs }
+    return { giveBack: () => this.#giveBack([account, cost], from) }
+  }
+
+  /** Asks of one turn of the event loop travel together. */
+  #ask (ask: Ask): Promise<{ grant: Grant, from: DaemonId | undefined }> {
+    if (this.#chosen === undefined) return Promise.resolve({ grant: this.#askHere(ask), from: undefined })
+    if (this.#asks.length === 0) setImmediate(() => this.#send())
+    return new Promise((resolve) => this.#asks.push({ ask, decide: (grant, from) => resolve({ grant, from }) }))
+  }
+
+  async #send (): Promise<void> {
+    const asks = this.#asks
+    this.#asks = []
+    const keeper = this.#chosen === undefined ? undefined : this.#options.membership.core.member(this.#chosen)
+    const grants = keeper && await this.#callKeeper(keeper, asks.map(({ ask }) => ask))
+    asks.forEach(({ ask, decide }, i) => (grants ? decide(grants[i]!, keeper!.id) : decide(this.#askHere(ask), undefined)))
+  }
+
+  /** A keeper that does not answer in time may have granted: that is lost, and this daemon's own part decides. */
+  async #callKeeper (keeper: Member, asks: Ask[]): Promise<Grant[] | undefined> {
+    try {
+      return await this.#options.membership.links.call(keeper, ASK, asks, { timeoutMs: ASK_TIMEOUT_MS }) as Grant[]
+    } catch (err) {
+      log('keeper did not answer', { keeper: keeper.id, requests: asks.length, why: (err as Error).message })
+      return undefined
     }
   }
 
-  #used ({ key, amount }: TallyGrowth): void {
-    if (key.startsWith(USED)) this.#buckets.get(key.slice(USED.length) as AccountId)?.bucket.take(amount)
-    if (key.startsWith(GIVEN_BACK)) this.#buckets.get(key.slice(GIVEN_BACK.length) as AccountId)?.bucket.take(-amount)
+  #askHere ([account, cost]: Ask): Grant {
+    return this.#keeper.ask(account, cost, this.#at())
   }
 
-  #levels (): Levels['levels'] {
-    const now = steadyNow()
-    return [...this.#buckets].map(([account, { bucket, sinceMs }]) => [account, bucket.level, now - sinceMs])
+  #giveBack (ask: Ask, from: DaemonId | undefined): void {
+    if (from === undefined) this.#keeper.giveBack(...ask)
+    else this.#options.membership.links.post(from, GIVEN_BACK, ask)
   }
 
-  #adopt (account: AccountId, level: number, ageMs: number): void {
-    const entry = this.#buckets.get(account)
+  #at (): { now: number, all: number } {
+    return { now: steadyNow(), all: this.#options.fleet.all }
+  }
+
+  #vote (): void {
+    const { self, membership } = this.#options
+    this.#choose()
+    const ranked = this.#ranked()
+    const chosen = this.#chosen ?? self
+    if (this.#rounds++ % PROBE_EVERY === 0) {
+      for (const better of ranked.slice(0, ranked.findIndex(({ id }) => id === chosen))) this.#post(better, PROBE, null)
+    }
+    const keeper = chosen === self ? undefined : membership.core.member(chosen)
+    if (keeper) this.#post(keeper, VOTE, { told: this.#told } satisfies Vote)
+    else this.#keeper.vote(self, steadyNow(), this.#told)
+  }
+
+  /** The first in rank that was heard lately; one that was never heard is tried. */
+  #choose (): void {
+    const { self } = this.#options
     const now = steadyNow()
-    if (!entry || now - entry.sinceMs >= ageMs) return
-    entry.sinceMs = now - ageMs
-    entry.bucket.adopt(level)
+    const first = this.#ranked().find(({ id }) => id === self || now - (this.#heardAtMs.get(id) ?? now) <= SILENT_MS)
+    const next = first === undefined || first.id === self ? undefined : first.id
+    if (next !== undefined && !this.#heardAtMs.has(next)) this.#heardAtMs.set(next, now)
+    if (next === this.#chosen) return
+    if (this.#chosen === undefined) this.#keeper.withdraw(self)
+    else this.#options.membership.links.post(this.#chosen, WITHDRAWN, null)
+    log('keeper chosen', { keeper: next ?? self, before: this.#chosen ?? self })
+    this.#chosen = next
+    this.#told = this.#levels
+  }
+
+  #ranked (): Member[] {
+    const { membership, hash } = this.#options
+    return rankedFor('quotas', membership.core.members.filter((member) => mayAnswer(member) && member.state !== 'draining'), hash)
+  }
+
+  #voted (from: DaemonId, told: AccountLevel[]): void {
+    this.#keeper.vote(from, steadyNow(), told)
+    this.#options.membership.links.post(from, HEARD, { levels: this.#keeper.levels(this.#at()) } satisfies Heard)
+  }
+
+  #heard (from: DaemonId, levels: AccountLevel[]): void {
+    this.#heardAtMs.set(from, steadyNow())
+    if (from !== this.#chosen || levels.length === 0) return
+    this.#levels = levels
+    this.#told = []
+  }
+
+  /** A link is dialled when there is none; its first message may come too late, and the next does not. */
+  #post (to: Member, topic: string, value: unknown): void {
+    const { links } = this.#options.membership
+    if (!links.post(to.id, topic, value)) links.connect(to)
   }
 }
--- a/daemon/peers/links.ts
+++ b/daemon/peers/links.ts
@@ -36,6 +36,8 @@
   tend (now: number): void
   /** Sends gossip if there is a link. */
   gossip (to: DaemonId, gossip: Gossip): void
+  /** Dials a daemon that there is no link to, for the messages that follow. */
+  connect (to: { id: DaemonId, address: string }): void
   /** Sends a message without an answer; false when there is no link. */
   post (to: DaemonId, topic: string, value: unknown): boolean
   /** Registers who takes the messages of a topic. */
--- a/daemon/peers/membership_task.ts
+++ b/daemon/peers/membership_task.ts
@@ -23,8 +23,6 @@
   random: () => number
   /** Name under which the daemon registers in the store; one that outlives its process leaves no dead entries. Default: its id. */
   registeredAs?: string
-  /** Keep a link to every other daemon, up to {@linkcode MESH_LIMIT}, not only to the neighbours. Default false. */
-  mesh?: boolean
 }
 
 /** Called with each new fact and the daemon that told it. */
@@ -36,10 +34,7 @@
 const REGISTRATION_KEPT_MS = 3 * REGISTER_EVERY_MS
 const JOIN_RETRY_MS = 2000
 /** Addresses tried at once to find the others: a few of them may belong to hosts that are gone. */
-const JOIN_DIALS = 3
-const MESH_JOIN_DIALS = 16
-/** Daemons up to which each keeps a link to every other: a link costs descriptors and its share of messages. */
-export const MESH_LIMIT = 128
+const JOIN_DIALS = 6
 const FAREWELL_MS = 300
 /** Ticks between words to a daemon that is thought gone. */
 const PROBE_EVERY = 5
@@ -196,14 +191,7 @@
 
   #keep (successors: readonly Member[], probed?: Member): void {
     this.#successors = successors
-    const linked = this.#meshed() ?? successors
-    this.links.keep([...linked, ...(probed ? [probed] : [])].map((member) => member.address))
-  }
-
-  /** Every other daemon, where all are linked to all. */
-  #meshed (): Member[] | undefined {
-    const others = this.core.members.filter((member) => mayAnswer(member) && member.id !== this.#options.self)
-    return this.#options.mesh && others.length < MESH_LIMIT ? others : undefined
+    this.links.keep([...successors, ...(probed ? [probed] : [])].map((member) => member.address))
   }
 
   /**
@@ -222,7 +210,6 @@
 
   #memberChanged (member: Member): void {
     log('member', { id: member.id, state: member.state })
-    if (this.#options.mesh) this.#keep(this.#successors)
     for (const listener of this.#memberListeners) listener(member)
   }
 
@@ -233,7 +220,7 @@
     const others = addresses.filter((address) => address !== own)
     this.#alone = others.length === 0
     shuffle(others, this.#options.random)
-    this.links.keep(others.slice(0, this.#options.mesh ? MESH_JOIN_DIALS : JOIN_DIALS))
+    this.links.keep(others.slice(0, JOIN_DIALS))
     setTimeout(() => { if (!this.#joined && this.#timers.length > 0) this.#join() }, JOIN_RETRY_MS)
   }
 
--- a/daemon/peers/peer_links.ts
+++ b/daemon/peers/peer_links.ts
@@ -103,9 +103,14 @@
     if (link) this.#send(link, { kind: 'gossip', gossip })
   }
 
+  connect (to: { id: DaemonId, address: string }): void {
+    if (!this.#links.has(to.id)) this.#dial(to.address).catch((err: Error) => log('not linked', { peer: to.id, why: err.message }))
+  }
+
   post (to: DaemonId, topic: string, value: unknown): boolean {
     const link = this.#links.get(to)
     if (!link) return false
+    link.usedAtMs = steadyNow()
     this.#send(link, { kind: 'post', topic, value })
     return true
   }
--- a/standins/network.ts
+++ b/standins/network.ts
@@ -113,6 +113,11 @@
     })
   }
 
+  connect (to: { id: DaemonId, address: string }): void {
+    const peer = this.#network.reach(this.id, to.address)
+    if (peer && !this.#closed && !this.#linked.has(to.address)) this.#link(to.address, peer)
+  }
+
   post (to: DaemonId, topic: string, value: unknown): boolean {
     const address = this.#addresses.get(to)
     if (address === undefined || !this.#network.reach(this.id, address)) return false
