Plan endpoints by demand: reclaimable ones with comfort, on-demand ones only as needed

So the plan holds reclaimable endpoints for 35% utilization, spread evenly, and fills up on demand to 60% only with what cannot be had of them.

--- /dev/null
+++ b/core/fleet/endpoint_demand.ts
@@ -0,0 +1,40 @@
+/** How much work a pool has, in model engines. */
+
+/** Options of {@linkcode EndpointDemand}. */
+export interface EndpointDemandOptions {
+  /** Tokens that one engine prefills in a second. */
+  prefillTokensPerS: number
+}
+
+interface Sample { atMs: number, tokens: number }
+
+/** Work is averaged over this long, in milliseconds. */
+const WINDOW_MS = 6000
+/** Less work must have come for this long before endpoints are given up, in milliseconds: booting costs more than keeping. */
+const HOLD_MS = 15_000
+
+/** Turns a running total of tokens asked for into engines that would be busy with nothing else. */
+export class EndpointDemand {
+  readonly #options: EndpointDemandOptions
+  #samples: Sample[] = []
+  #levels: Array<{ atMs: number, engines: number }> = []
+
+  constructor (options: EndpointDemandOptions) {
+    this.#options = options
+  }
+
+  /**
+   * Notes the total and tells the highest demand of the last while, in engines, a fraction included.
+   * @param tokens Tokens asked for since the start, over all daemons.
+   */
+  engines (tokens: number, now: number): number {
+    this.#samples = this.#samples.filter((sample) => sample.atMs > now - WINDOW_MS)
+    this.#samples.push({ atMs: now, tokens })
+    const first = this.#samples[0]!
+    const seconds = Math.max(1, (now - first.atMs) / 1000)
+    const engines = (tokens - first.tokens) / seconds / this.#options.prefillTokensPerS
+    this.#levels = this.#levels.filter((level) => level.atMs > now - HOLD_MS)
+    this.#levels.push({ atMs: now, engines })
+    return Math.max(...this.#levels.map((level) => level.engines))
+  }
+}
--- a/daemon/duties/order_task.ts
+++ b/daemon/duties/order_task.ts
@@ -1,11 +1,13 @@
-/** Orders endpoints so that each pool has the mix that its work needs, on whichever daemon holds the lease. */
-import type { Pool } from '../../core/catalog/index.ts'
-import { fixedMix, type DomainMix } from '../../core/fleet/index.ts'
+/** Orders endpoints so that each pool has what its work needs, on whichever daemon holds the lease. */
+import type { Pool, Scaling } from '../../core/catalog/index.ts'
+import { EndpointDemand, spreadPlan, type DomainFleet, type DomainMix, type EndpointsWanted } from '../../core/fleet/index.ts'
+import type { FailureDomain, PoolName } from '../../core/ids/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import { DutyError, type Duties, type EndpointOrder } from '../../endpoints/index.ts'
 import type { EndpointTable } from '../endpoints/endpoint_table.ts'
 import type { LeaseTask } from '../fleet/lease_task.ts'
 import { logOf } from '../log.ts'
+import type { TallyTask } from '../peers/tally_task.ts'
 
 /** Options of {@linkcode OrderTask}. */
 export interface OrderTaskOptions {
@@ -13,22 +15,38 @@
   duties: Duties
   lease: LeaseTask
   table: EndpointTable
+  tallies: TallyTask
   pools (): Iterable<Pool>
 }
 
 const ROUND_MS = 250
-/** An order that was refused is not given again for this long, in milliseconds. */
-const REFUSED_MS = 1000
-/** An order that stands is given again after this long, in case it was lost, in milliseconds. */
-const REPEAT_MS = 5000
+/** An order that was refused is not given again for this long, in milliseconds: each call has its price. */
+const REFUSED_MS = 2000
+/** Time beyond that of booting after which an order that shows no effect is given again, in milliseconds. */
+const OVERDUE_MS = 3000
+/** Reclaimable engines wanted before anything is known of the work, in each failure domain. */
+const FIRST_PER_DOMAIN = 2
+/** Prompt tokens that an engine reads in a second beside generating, as a first estimate. */
+const PREFILL_TOKENS_PER_S = 100_000
+/** Part of an engine's time that work may take before it comes late: arrivals come in bursts of a second. */
+const MOST_UTILIZATION = 0.6
+/** Part that it takes with comfort: what is left bears the loss of one failure domain of three, or bursts of half as much again. */
+const COMFORTABLE_UTILIZATION = 0.35
+const DEMAND = 'demand/'
 const log = logOf('orders')
 
 interface Given { count: number, fencing: number, atMs: number, refused: boolean }
 
-/** Gives orders of wanted counts; repeating one does no harm. */
+/**
+ * Gives orders of wanted counts.
+ *
+ * Each round compares what the registry lists with what the plan wants, so that a new holder of the lease goes on from what is there. An order
+ * states a count and not a step, so that repeating it does no harm.
+ */
 export class OrderTask {
   readonly #options: OrderTaskOptions
   readonly #given = new Map<string, Given>()
+  readonly #demand = new Map<PoolName, EndpointDemand>()
   #timer: NodeJS.Timeout | undefined
   #running = false
 
@@ -36,6 +54,11 @@
     this.#options = options
   }
 
+  /** Counts work that was asked for. */
+  asked (pool: PoolName, tokens: number): void {
+    this.#options.tallies.tally.add(DEMAND + pool, tokens)
+  }
+
   /** Begins to order whenever this daemon holds the lease. */
   start (): void {
     this.#timer = setInterval(() => this.#round(), ROUND_MS)
@@ -50,44 +73,84 @@
     if (this.#running || this.#options.lease.fencing === undefined) return
     this.#running = true
     try {
-      for (const pool of this.#options.pools()) {
-        if (pool.scaling) for (const mix of fixedMix(pool.scaling, { onDemand: 1, reclaimable: 1 })) await this.#orderMix(pool, mix)
-      }
+      for (const pool of this.#options.pools()) if (pool.scaling) await this.#orderPool(pool, pool.scaling)
     } finally {
       this.#running = false
     }
   }
 
-  async #orderMix (pool: Pool, mix: DomainMix): Promise<void> {
-    const order = { pool: pool.name, failureDomain: mix.failureDomain }
-    await this.#order({ ...order, reclaimable: true, count: mix.reclaimable })
-    await this.#order({ ...order, reclaimable: false, count: mix.onDemand })
+  async #orderPool (pool: Pool, scaling: Scaling): Promise<void> {
+    const domains = [...scaling.pricePerS.keys()]
+    const wanted = this.#wanted(pool.name, domains.length)
+    await this.#askAgain(pool, scaling, { domains, perDomain: Math.ceil(wanted.comfortably / domains.length) })
+    for (const mix of spreadPlan(wanted, scaling, domains.map((domain) => this.#fleetOf(pool.name, domain)))) await this.#orderMix(pool, scaling, mix)
+  }
+
+  #wanted (pool: PoolName, domains: number): EndpointsWanted {
+    const demand = this.#demand.get(pool) ?? new EndpointDemand({ prefillTokensPerS: PREFILL_TOKENS_PER_S })
+    this.#demand.set(pool, demand)
+    const engines = demand.engines(this.#options.tallies.tally.sum(DEMAND + pool), steadyNow())
+    return {
+      atLeast: Math.max(domains, Math.ceil(engines / MOST_UTILIZATION)),
+      comfortably: Math.max(FIRST_PER_DOMAIN * domains, Math.ceil(engines / COMFORTABLE_UTILIZATION))
+    }
+  }
+
+  #fleetOf (pool: PoolName, failureDomain: FailureDomain): DomainFleet {
+    const staying = this.#options.table.all.filter((view) => view.pool === pool && view.failureDomain === failureDomain && view.leavingAtMs === undefined)
+    return {
+      failureDomain,
+      onDemand: staying.filter((view) => !view.reclaimable).length,
+      reclaimable: staying.filter((view) => view.reclaimable).length,
+      reclaimableToBeHad: this.#given.get(keyOf({ pool, failureDomain, reclaimable: true }))?.refused !== true
+    }
+  }
+
+  /** Asks for reclaimable endpoints where there were none to be had, in all such domains before the next plan. */
+  async #askAgain (pool: Pool, scaling: Scaling, hoped: { domains: readonly FailureDomain[], perDomain: number }): Promise<void> {
+    for (const failureDomain of hoped.domains) {
+      const fleet = this.#fleetOf(pool.name, failureDomain)
+      const count = Math.min(scaling.max, hoped.perDomain)
+      if (!fleet.reclaimableToBeHad) await this.#order({ pool: pool.name, failureDomain, reclaimable: true, count }, { has: fleet.reclaimable, bootMs: scaling.bootMs })
+    }
+  }
+
+  async #orderMix (pool: Pool, scaling: Scaling, mix: DomainMix): Promise<void> {
+    const { failureDomain } = mix
+    const fleet = this.#fleetOf(pool.name, failureDomain)
+    const order = { pool: pool.name, failureDomain }
+    if (fleet.reclaimableToBeHad) await this.#order({ ...order, reclaimable: true, count: mix.reclaimable }, { has: fleet.reclaimable, bootMs: scaling.bootMs })
+    await this.#order({ ...order, reclaimable: false, count: mix.onDemand }, { has: fleet.onDemand, bootMs: scaling.bootMs })
   }
 
-  async #order (order: EndpointOrder): Promise<void> {
+  async #order (order: EndpointOrder, now: { has: number, bootMs: number }): Promise<void> {
     const { fencing } = this.#options.lease
-    if (fencing === undefined || !this.#isDue(order, fencing)) return
+    if (fencing === undefined || !this.#isDue(order, { ...now, fencing })) return
     const key = keyOf(order)
     try {
       await this.#options.duties.order(order, { name: this.#options.name, fencing })
       this.#given.set(key, { count: order.count, fencing, atMs: steadyNow(), refused: false })
-      log('ordered', { ...order, fencing })
+      log('ordered', { ...order, fencing, has: now.has })
     } catch (err) {
       if (!(err instanceof DutyError)) throw err
       this.#given.set(key, { count: order.count, fencing, atMs: steadyNow(), refused: true })
-      log('not ordered', { ...order, fencing, failure: err.failure, why: err.message })
+      log('not ordered', { ...order, fencing, has: now.has, failure: err.failure, why: err.message })
       // It may be carried out yet, after newer orders: a higher fencing number makes the platform refuse it.
       if (err.failure === 'unsure') this.#options.lease.raise()
     }
   }
 
-  #isDue (order: EndpointOrder, fencing: number): boolean {
+  /** A count that was ordered stands; it is ordered again when it shows no effect, because it was lost or what it brought was reclaimed. */
+  #isDue (order: EndpointOrder, now: { has: number, bootMs: number, fencing: number }): boolean {
     const given = this.#given.get(keyOf(order))
-    if (!given || given.fencing !== fencing || given.count !== order.count) return given?.refused !== true || steadyNow() - given.atMs > REFUSED_MS
-    return steadyNow() - given.atMs > (given.refused ? REFUSED_MS : REPEAT_MS)
+    if (!given) return order.count !== now.has
+    const sinceMs = steadyNow() - given.atMs
+    if (given.refused) return order.count !== now.has && sinceMs > REFUSED_MS
+    if (given.count !== order.count) return true
+    return order.count !== now.has && sinceMs > now.bootMs + OVERDUE_MS
   }
 }
 
-function keyOf ({ pool, failureDomain, reclaimable }: EndpointOrder): string {
+function keyOf ({ pool, failureDomain, reclaimable }: Omit<EndpointOrder, 'count'>): string {
   return `${pool}/${failureDomain}/${reclaimable ? 'reclaimable' : 'on-demand'}`
 }
--- a/daemon/exchange/intake.ts
+++ b/daemon/exchange/intake.ts
@@ -9,6 +9,7 @@
 import { RequestTask } from '../request/request_task.ts'
 import type { EndpointTable } from '../endpoints/endpoint_table.ts'
 import type { Metrics } from '../metrics.ts'
+import type { OrderTask } from '../duties/order_task.ts'
 import type { UsageTask } from '../duties/usage_task.ts'
 import type { AccountLimits, Charge } from '../limits/account_limits.ts'
 import { Refusal } from './refusal.ts'
@@ -33,6 +34,7 @@
   budgetOf (pool: PoolName): RepeatBudget
   limits: AccountLimits
   usage: UsageTask
+  orders: OrderTask
 }
 
 /** A caller that is refused because nothing is known yet comes back after this, in milliseconds. */
@@ -59,6 +61,7 @@
     const { client, dialect, table, dispatcher, metrics } = this.#options
     const budget = this.#options.budgetOf(pool)
     budget.earn()
+    if (req.demand) this.#options.orders.asked(pool, req.demand.promptTokens)
     const task = new RequestTask<Buffer>({
       work: { id: req.id, account: account?.id ?? ANONYMOUS, cls, pool, demand: req.demand ?? NO_TOKENS, claim: undefined },
       runner: new ExchangeRunner({ req: { ...req, account: account?.id }, client, dialect }),
--- a/daemon/exchange/proxy_daemon.ts
+++ b/daemon/exchange/proxy_daemon.ts
@@ -197,8 +197,8 @@
     client: asFunction(({ config, fleet }: Parts) => new ExchangeClient({ connectionsTo: (view) => connectionsTo(view, config, fleet) })).singleton(),
     dispatcher: asFunction(({ table, random }: Parts) => new Dispatcher({ table, prefixes: new PrefixIndex(), router: new TargetRouter({ random }) })).singleton(),
     budgetOf: asFunction(repeatBudgets).singleton(),
-    intake: asFunction(({ table, dispatcher, metrics, client, random, limits, usage, budgetOf, config }: Parts) => new Intake({
-      table, dispatcher, metrics, client, random, limits, usage, budgetOf, dialect: platform.dialect, catalog: catalogInForce(config)
+    intake: asFunction(({ table, dispatcher, metrics, client, random, limits, usage, orders, budgetOf, config }: Parts) => new Intake({
+      table, dispatcher, metrics, client, random, limits, usage, orders, budgetOf, dialect: platform.dialect, catalog: catalogInForce(config)
     })).singleton(),
     server: asFunction(({ intake }: Parts) => new ExchangeServer({ intake, dialect: platform.dialect })).singleton(),
     readiness: asFunction(() => new ReadinessServer()).singleton(),
@@ -214,8 +214,8 @@
     usage: asFunction(({ lease, tallies }: Parts) => new UsageTask({
       name: settings.name, store: platform.store, duties: platform.duties, lease, tallies, ...settings.usage
     })).singleton(),
-    orders: asFunction(({ lease, table, config }: Parts) => new OrderTask({
-      name: settings.name, duties: platform.duties, lease, table, pools: () => config.inForce?.pools.values() ?? []
+    orders: asFunction(({ lease, table, tallies, config }: Parts) => new OrderTask({
+      name: settings.name, duties: platform.duties, lease, table, tallies, pools: () => config.inForce?.pools.values() ?? []
     })).singleton()
   })
   const parts = container.cradle
