Place by what all daemons run, in lanes, and keep shared parts at one home

Cause: each daemon knew only its own requests, so that engines were read into by nine at once while others stood idle, and letters waited behind long prompts. Daemons now report what they run to the keeper ten times a second and hear of the others; a request names its lane (urgent, normal, late) and the engine reads lower lanes first; a request that cannot meet its target any more goes behind those that can; shared parts of prompts have a home that all daemons compute alike.

--- a/bench/limits.ts
+++ b/bench/limits.ts
@@ -101,8 +101,8 @@
         avoid: [],
         placed: ({ id }) => {
           done(true)
-          table.started(id, 0)
-          setTimeout(() => { table.ended(id, false); dispatcher.pump() }, RUN_MS)
+          table.started(id, { lane: 'normal', tokens: 0 })
+          setTimeout(() => { table.ended(id); dispatcher.pump() }, RUN_MS)
         },
         refused: () => done(false)
       })
--- a/bench/route.ts
+++ b/bench/route.ts
@@ -1,7 +1,7 @@
 /** Time of a routing decision, spread of subsets, and herding on lagged load. */
 import xxhash from 'xxhash-wasm'
 import { as, type DaemonId, type EndpointId } from '../core/ids/index.ts'
-import { LeastLoadedRouter, subset, TargetRouter, type EndpointView, type Random, type Router, type RouteQuery } from '../core/routing/index.ts'
+import { LeastLoadedRouter, noWork, subset, TargetRouter, type EndpointView, type Random, type Router, type RouteQuery } from '../core/routing/index.ts'
 import { seededRandom } from '../daemon/seeded_random.ts'
 import { quantile, round, slope, type Bench, type Figures } from './bench.ts'
 
@@ -34,9 +34,10 @@
     pricePerHour: 3 + random() * 3,
     reclaimable: true,
     speed: { batchSlots: 64, prefillTokensPerS: 12_000, betweenTokensMs: 20, betweenTokensPerStreamMs: 0.3, exportTokensPerS: 1, importTokensPerS: 1 },
-    load: { running: Math.floor(random() * 40), queuedTokens: Math.floor(random() * 4000), atMs: 0 },
-    ownSince: { running: 0, tokens: 0 },
-    ownRunning: 0,
+    others: { running: Math.floor(random() * 40), unread: { urgent: 0, normal: Math.floor(random() * 4000), late: 0 } },
+    firstMs: 0,
+    slowness: 1,
+    own: noWork(),
     leavingAtMs: undefined,
     ejectedUntilMs: 0
   }))
@@ -85,7 +86,7 @@
       const route = router.pick(query(), views, now)
       if (!route) continue
       const endpoint = Number(route.view.id.slice(1))
-      route.view.ownSince.running++
+      route.view.own.running++
       truth[endpoint]!++
       started++
       peak = Math.max(peak, truth[endpoint]!)
@@ -98,7 +99,7 @@
 
 function report (views: readonly EndpointView[], truth: readonly number[]): void {
   views.forEach((view, i) => {
-    view.load = { running: truth[i]!, queuedTokens: 0, atMs: 0 }
-    view.ownSince = { running: 0, tokens: 0 }
+    view.others = { running: truth[i]!, unread: noWork().unread }
+    view.own = noWork()
   })
 }
--- a/core/routing/endpoint_view.ts
+++ b/core/routing/endpoint_view.ts
@@ -1,9 +1,10 @@
-/** What a daemon believes of an endpoint, from the host list, in-band load and its own work in flight. */
+/** What a daemon believes of an endpoint, from the host list, its own work in flight and what others tell of theirs. */
 import type { EndpointId, FailureDomain, HostId, PoolName } from '../ids/index.ts'
+import { unreadBefore, type Lane, type WorkLoad } from './work_load.ts'
 
-/** Speeds and room of an endpoint, as its engine publishes them. */
+/** Speeds and room of an endpoint, as its engine publishes them or as they were learnt. */
 export interface EndpointSpeed {
-  /** Requests decoded together. */
+  /** Requests worked on together. */
   batchSlots: number
   prefillTokensPerS: number
   /** Milliseconds between tokens with an empty batch. */
@@ -16,7 +17,7 @@
   importTokensPerS: number
 }
 
-/** Load as an endpoint last reported it. */
+/** Load as an endpoint reports it, the reader's own work included. */
 export interface EndpointLoad { running: number, queuedTokens: number, atMs: number }
 
 /** One endpoint as the daemon sees it. */
@@ -30,31 +31,35 @@
   pricePerHour: number
   reclaimable: boolean
   speed: EndpointSpeed
-  load: EndpointLoad
-  /** Streams this daemon started since the load was reported, and their uncached prompt tokens. */
-  ownSince: { running: number, tokens: number }
-  /** Own streams in flight, reported or not. */
-  ownRunning: number
+  /** Milliseconds to the first token or the whole plain answer beside all waiting and reading, as learnt. */
+  firstMs: number
+  /** How many times longer than predicted first tokens come, as learnt. */
+  slowness: number
+  /** Work of the other daemons, as last told. */
+  others: WorkLoad
+  /** This daemon's own work, counted at once. */
+  own: WorkLoad
   /** Set from the first signal that the endpoint is going: notice, list, or its own refusal. */
   leavingAtMs: number | undefined
   /** Not picked before this time, after failures. */
   ejectedUntilMs: number
 }
 
-/** Streams the endpoint runs now: the report plus what this daemon added since. */
+/** Requests the endpoint runs now, as far as is known. */
 export function runningNow (view: EndpointView): number {
-  return view.load.running + view.ownSince.running
+  return view.others.running + view.own.running
 }
 
 /**
- * Predicts the time to the first token in milliseconds.
+ * Predicts the time to the first token, or to the answer of a plain call, in milliseconds.
  * @param uncachedTokens Prompt tokens that the endpoint's prefix cache does not hold.
  */
-export function predictFirstTokenMs (view: EndpointView, uncachedTokens: number): number {
-  const queued = view.load.queuedTokens + view.ownSince.tokens + uncachedTokens
-  const prefillMs = queued * 1000 / view.speed.prefillTokensPerS
+export function predictFirstTokenMs (view: EndpointView, uncachedTokens: number, lane: Lane = 'late'): number {
+  const unread = unreadBefore(view.others, lane) + unreadBefore(view.own, lane) + uncachedTokens
+  const prefillMs = unread * 1000 / view.speed.prefillTokensPerS
   const over = runningNow(view) + 1 - view.speed.batchSlots
-  return prefillMs + (over > 0 ? over * SLOT_WAIT_MS : 0)
+  const slotMs = over > 0 ? Math.max(SLOT_WAIT_MS, view.firstMs) * over / view.speed.batchSlots : 0
+  return (view.firstMs + prefillMs + slotMs) * view.slowness
 }
 
 /** Predicts the time between tokens in milliseconds with one more stream in the batch. */
@@ -63,5 +68,5 @@
   return view.speed.betweenTokensMs + view.speed.betweenTokensPerStreamMs * batch
 }
 
-/** Wait for one batch slot to come free, used only to order full endpoints. */
-const SLOT_WAIT_MS = 500
+/** Shortest wait for one batch slot to come free, used to order full endpoints, in milliseconds. */
+const SLOT_WAIT_MS = 20
--- a/core/routing/router.ts
+++ b/core/routing/router.ts
@@ -1,6 +1,7 @@
 /** Choice of an endpoint for one request. */
 import type { EndpointId } from '../ids/index.ts'
 import { predictBetweenTokensMs, predictFirstTokenMs, runningNow, type EndpointView } from './endpoint_view.ts'
+import type { Lane } from './work_load.ts'
 
 /** What a router needs to know of a request. */
 export interface RouteQuery {
@@ -9,12 +10,22 @@
   firstTokenMs: number
   betweenTokensMs: number | undefined
   avoid: readonly EndpointId[]
+  /** Order in which endpoints read prompts. Default: behind everything else. */
+  lane?: Lane
   /** Prompt tokens that an endpoint's prefix cache is believed to hold. */
   cachedTokens (endpoint: EndpointId): number
 }
 
 /** A choice and the prediction that led to it. */
-export interface Route { view: EndpointView, firstTokenMs: number, meetsTarget: boolean }
+export interface Route {
+  view: EndpointView
+  firstTokenMs: number
+  meetsTarget: boolean
+  /** Where the request stands among others at the endpoint. */
+  lane: Lane
+  /** Prompt tokens that the endpoint has to read. */
+  uncachedTokens: number
+}
 
 /** Chooses an endpoint, or none when every candidate is leaving, full or ejected. */
 export interface Router {
@@ -30,6 +41,8 @@
   random: Random
   /** Candidates looked at for one request. Default 4. */
   choices?: number
+  /** Time that a request to an endpoint takes on the way, both ways, in milliseconds. Default: none. */
+  wayMs? (view: EndpointView): number
 }
 
 const DEFAULT_CHOICES = 4
@@ -44,8 +57,10 @@
 export class TargetRouter implements Router {
   readonly #random: Random
   readonly #choices: number
+  readonly #options: TargetRouterOptions
 
   constructor (options: TargetRouterOptions) {
+    this.#options = options
     this.#random = options.random
     this.#choices = options.choices ?? DEFAULT_CHOICES
   }
@@ -86,13 +101,17 @@
   /** Money for the request on this endpoint, or the predicted wait when the target is missed anyway. */
   #score (query: RouteQuery, route: Route): number {
     const { view } = route
-    if (!route.meetsTarget) return route.firstTokenMs
+    const waitMs = route.firstTokenMs + (this.#options.wayMs?.(view) ?? 0) + FULLNESS_MS * runningNow(view) / view.speed.batchSlots
+    if (!route.meetsTarget) return waitMs
     const runMs = route.firstTokenMs + query.expectedTokens * predictBetweenTokensMs(view)
     const holding = view.pricePerHour * (runMs / MS_PER_HOUR) / view.speed.batchSlots
-    return holding + route.firstTokenMs * TIE_BREAK
+    return holding + waitMs * TIE_BREAK
   }
 }
 
+/** What a full batch counts for beside the predicted wait, in milliseconds: endpoints that are equal otherwise share the work. */
+const FULLNESS_MS = 5
+
 /** Money per millisecond of predicted wait: orders endpoints of one price by load. */
 const TIE_BREAK = 1e-9
 
@@ -112,9 +131,14 @@
   return view.leavingAtMs === undefined && view.ejectedUntilMs <= now && !query.avoid.includes(view.id)
 }
 
+/** A request that cannot meet its target any more goes behind those that still can. */
 function predict (query: RouteQuery, view: EndpointView): Route {
-  const firstTokenMs = predictFirstTokenMs(view, Math.max(0, query.promptTokens - query.cachedTokens(view.id)))
+  const lane = query.lane ?? 'late'
+  const uncachedTokens = Math.max(0, query.promptTokens - query.cachedTokens(view.id))
+  const firstTokenMs = predictFirstTokenMs(view, uncachedTokens, lane)
   const betweenOk = query.betweenTokensMs === undefined || predictBetweenTokensMs(view) <= query.betweenTokensMs
   const roomLeft = runningNow(view) < view.speed.batchSlots
-  return { view, firstTokenMs, meetsTarget: roomLeft && betweenOk && firstTokenMs <= query.firstTokenMs }
+  const meetsTarget = roomLeft && betweenOk && firstTokenMs <= query.firstTokenMs
+  if (meetsTarget || lane === 'late' || firstTokenMs <= query.firstTokenMs) return { view, firstTokenMs, meetsTarget, lane, uncachedTokens }
+  return { view, firstTokenMs: predictFirstTokenMs(view, uncachedTokens, 'late'), meetsTarget, lane: 'late', uncachedTokens }
 }
--- a/core/routing/routing_test.ts
+++ b/core/routing/routing_test.ts
@@ -2,7 +2,7 @@
 import { expect, test } from 'vitest'
 import { as, type EndpointId } from '../ids/index.ts'
 import { partsOf } from '../work/index.ts'
-import { LeastLoadedRouter, PrefixIndex, subset, TargetRouter, type EndpointView, type RouteQuery } from './index.ts'
+import { LeastLoadedRouter, noWork, PrefixIndex, subset, TargetRouter, type EndpointView, type RouteQuery } from './index.ts'
 
 const { h32 } = await xxhash()
 const hash = (text: string) => h32(text)
@@ -18,9 +18,10 @@
     pricePerHour: 4,
     reclaimable: true,
     speed: { batchSlots: 8, prefillTokensPerS: 1000, betweenTokensMs: 20, betweenTokensPerStreamMs: 1, exportTokensPerS: 1, importTokensPerS: 1 },
-    load: { running: 0, queuedTokens: 0, atMs: 0 },
-    ownSince: { running: 0, tokens: 0 },
-    ownRunning: 0,
+    others: { running: 0, unread: { urgent: 0, normal: 0, late: 0 } },
+    firstMs: 0,
+    slowness: 1,
+    own: noWork(),
     leavingAtMs: undefined,
     ejectedUntilMs: 0,
     ...change
@@ -31,7 +32,7 @@
 const router = () => new TargetRouter({ random: () => 0.5 })
 
 test('the cheapest endpoint that meets the target is taken, not the cheapest', () => {
-  const busy = view('cheap', { pricePerHour: 2, load: { running: 1, queuedTokens: 5000, atMs: 0 } })
+  const busy = view('cheap', { pricePerHour: 2, others: { running: 1, unread: { urgent: 0, normal: 5000, late: 0 } } })
   const free = view('dear', { pricePerHour: 6 })
   expect(router().pick(query(), [busy, free], 0)).toMatchObject({ view: { id: 'dear' }, meetsTarget: true })
   expect(router().pick(query({ firstTokenMs: 10_000 }), [busy, free], 0)).toMatchObject({ view: { id: 'cheap' } })
@@ -43,7 +44,7 @@
 })
 
 test('a cached prefix counts for the first token', () => {
-  const views = [view('a', { load: { running: 0, queuedTokens: 900, atMs: 0 } }), view('b')]
+  const views = [view('a', { others: { running: 0, unread: { urgent: 0, normal: 900, late: 0 } } }), view('b')]
   expect(router().pick(query({ firstTokenMs: 950, cachedTokens: (endpoint) => (endpoint === 'a' ? 950 : 0) }), views, 0)).toMatchObject({ view: { id: 'a' } })
 })
 
@@ -52,8 +53,8 @@
   const views = [view('a'), view('b')]
   const picked = Array.from({ length: 8 }, () => {
     const { view: chosen } = router().pick(query(), views, 0)!
-    chosen.ownSince.running++
-    chosen.ownSince.tokens += 1000
+    chosen.own.running++
+    chosen.own.unread.normal += 1000
     return chosen.id
   })
   expect(picked.filter((each) => each === 'a')).toHaveLength(4)
--- a/daemon/endpoints/endpoint_follower.ts
+++ b/daemon/endpoints/endpoint_follower.ts
@@ -23,8 +23,11 @@
   onChange (): void
 }
 
-/** Speeds until the endpoint's own answers tell better; those of a mid-sized engine. */
-const FIRST_SPEED = { prefillTokensPerS: 100_000, betweenTokensMs: 4, betweenTokensPerStreamMs: 0.1, exportTokensPerS: 0, importTokensPerS: 0 }
+/** Speeds until the endpoint's own answers tell better; those of a large engine on eight accelerators. */
+const FIRST_SPEED = { prefillTokensPerS: 110_000, betweenTokensMs: 4, betweenTokensPerStreamMs: 0.1, exportTokensPerS: 0, importTokensPerS: 0 }
+/** Time to a first token beside waiting and reading, and to a plain answer, until answers tell better, in milliseconds. */
+const FIRST_TOKEN_MS = 65
+const FIRST_ANSWER_MS = 20
 const log = logOf('endpoints')
 
 /** Follows the registry. */
@@ -85,7 +88,13 @@
       reclaimable: endpoint.reclaimable,
       pricePerHour: 0,
       state: endpoint.leaving ? 'leaving' : 'live',
-      endpoint: { id: endpoint.id, pool: endpoint.pool, address: endpoint.address, speed: { ...FIRST_SPEED, batchSlots: engine?.batchSlots ?? endpoint.batchSlots } }
+      endpoint: {
+        id: endpoint.id,
+        pool: endpoint.pool,
+        address: endpoint.address,
+        speed: { ...FIRST_SPEED, batchSlots: engine?.batchSlots ?? endpoint.batchSlots },
+        firstMs: engine ? FIRST_TOKEN_MS : FIRST_ANSWER_MS
+      }
     }
   }
 }
--- a/daemon/endpoints/endpoint_table.ts
+++ b/daemon/endpoints/endpoint_table.ts
@@ -1,6 +1,9 @@
 /** The endpoints as one daemon sees them, out of every signal that tells of them. */
 import type { DaemonId, EndpointId, HostId, PoolName } from '../../core/ids/index.ts'
-import { subset, type EndpointLoad, type EndpointView, type Hash32 } from '../../core/routing/index.ts'
+import {
+  learnSlowness, noWork, subset, unreadBefore,
+  type EndpointLoad, type EndpointView, type EndpointWork, type FirstTokenSample, type Hash32, type Lane
+} from '../../core/routing/index.ts'
 import { countFailure, NO_FAILURES, type FailureCount } from '../../core/retry/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import type { ListedHost } from '../../endpoints/index.ts'
@@ -11,6 +14,9 @@
 /** Called when an endpoint is first known to leave, and again when the time left becomes shorter. */
 export type LeavingListener = (leaving: { view: EndpointView, goneAtMs: number, signal: LeavingSignal }[]) => void
 
+/** Prompt tokens of one request that an endpoint has to read, and in which lane. */
+export interface SentWork { lane: Lane, tokens: number }
+
 /** Options of {@linkcode EndpointTable}. */
 export interface EndpointTableOptions {
   self: DaemonId
@@ -85,7 +91,7 @@
     if (hosts.length === 0) return
     const seen = new Set(hosts.map((host) => host.endpoint.id))
     for (const host of hosts) if (!this.#views.has(host.endpoint.id)) this.#add(host)
-    for (const view of this.all) if (!seen.has(view.id) && view.ownRunning === 0) this.#drop(view)
+    for (const view of this.all) if (!seen.has(view.id) && view.own.running === 0) this.#drop(view)
     this.#subsets.clear()
     this.#forgetGone()
     for (const host of hosts) if (host.state === 'live') this.#takeBack(host.endpoint.id)
@@ -121,31 +127,51 @@
     return view
   }
 
-  /** Takes in a load report that came with a response. */
+  /** Takes in a load report that came with a response, this daemon's own work included. */
   loaded (id: EndpointId, load: EndpointLoad): void {
     const view = this.#views.get(id)
     if (!view) return
-    view.load = load
-    view.ownSince = { running: 0, tokens: 0 }
+    view.others = {
+      running: Math.max(0, load.running - view.own.running),
+      unread: { urgent: 0, normal: Math.max(0, load.queuedTokens - unreadBefore(view.own, 'late')), late: 0 }
+    }
+  }
+
+  /** Takes in what the other daemons run; where nothing is said of an endpoint, they run nothing. */
+  othersWork (loads: readonly EndpointWork[]): void {
+    const told = new Map(loads)
+    for (const view of this.#views.values()) view.others = told.get(view.id) ?? noWork()
   }
 
-  /** Counts own work at once, before any report shows it. */
-  started (id: EndpointId, tokens: number): void {
+  /** What this daemon runs, where it runs anything. */
+  get ownWork (): EndpointWork[] {
+    return this.all.filter((view) => view.own.running > 0).map((view) => [view.id, view.own])
+  }
+
+  /** Counts own work at once, before anybody tells of it. */
+  started (id: EndpointId, work: SentWork): void {
     const view = this.#views.get(id)
     if (!view) return
-    view.ownRunning++
-    view.ownSince.running++
-    view.ownSince.tokens += tokens
+    view.own.running++
+    view.own.unread[work.lane] += work.tokens
   }
 
-  /** Own work ended. `reported` when a load report without it came just before. */
-  ended (id: EndpointId, reported: boolean): void {
+  /** An endpoint has read the prompt of own work. */
+  read (id: EndpointId, work: SentWork): void {
     const view = this.#views.get(id)
-    if (!view) return
-    view.ownRunning = Math.max(0, view.ownRunning - 1)
-    if (reported) return
-    if (view.ownSince.running > 0) view.ownSince.running--
-    else view.load = { ...view.load, running: Math.max(0, view.load.running - 1) }
+    if (view) view.own.unread[work.lane] = Math.max(0, view.own.unread[work.lane] - work.tokens)
+  }
+
+  /** Own work ended. */
+  ended (id: EndpointId): void {
+    const view = this.#views.get(id)
+    if (view) view.own.running = Math.max(0, view.own.running - 1)
+  }
+
+  /** Learns from a first token how fast an endpoint is. */
+  learnt (id: EndpointId, sample: FirstTokenSample): void {
+    const view = this.#views.get(id)
+    if (view) view.slowness = learnSlowness(view.slowness, sample)
   }
 
   /** An attempt failed for a reason of the endpoint's. */
@@ -196,9 +222,10 @@
       pricePerHour: host.pricePerHour,
       reclaimable: host.reclaimable,
       speed: endpoint.speed,
-      load: { running: 0, queuedTokens: 0, atMs: 0 },
-      ownSince: { running: 0, tokens: 0 },
-      ownRunning: 0,
+      firstMs: endpoint.firstMs ?? 0,
+      slowness: 1,
+      others: noWork(),
+      own: noWork(),
       leavingAtMs: undefined,
       ejectedUntilMs: 0
     })
--- a/daemon/endpoints/reclaimer.ts
+++ b/daemon/endpoints/reclaimer.ts
@@ -135,7 +135,7 @@
   /** Other daemons plan for the same endpoint and do not know of this plan: each uses the share of its own streams. */
   #sourceOf (id: EndpointId, now: number): Source {
     const view = this.#options.table.get(id)!
-    const share = Math.min(1, view.ownRunning / Math.max(1, runningNow(view)))
+    const share = Math.min(1, view.own.running / Math.max(1, runningNow(view)))
     const { speed } = view
     return {
       id,
--- a/daemon/exchange/proxy_daemon.ts
+++ b/daemon/exchange/proxy_daemon.ts
@@ -5,19 +5,20 @@
 import { RouteTable, type Catalog } from '../../core/catalog/index.ts'
 import { as, type DaemonId, type EndpointId, type PoolName } from '../../core/ids/index.ts'
 import { RetryBudget, type RepeatBudget } from '../../core/retry/index.ts'
-import { PrefixIndex, TargetRouter, type EndpointView, type Hash32, type Random } from '../../core/routing/index.ts'
+import { homeEndpoint, PrefixIndex, TargetRouter, type EndpointView, type Hash32, type Random } from '../../core/routing/index.ts'
 import { delay, steadyNow } from '../../core/time/index.ts'
 import { ExchangeClient } from '../../endpoints/index.ts'
 import { ConfigFollower } from '../config/config_follower.ts'
 import { OrderTask } from '../duties/order_task.ts'
 import { UsageTask } from '../duties/usage_task.ts'
 import { EndpointFollower } from '../endpoints/endpoint_follower.ts'
-import { EndpointTable } from '../endpoints/endpoint_table.ts'
+import { EndpointTable, SUBSET_SIZE } from '../endpoints/endpoint_table.ts'
 import { shareLeavingNews } from '../endpoints/leaving_news.ts'
 import { LeaseTask } from '../fleet/lease_task.ts'
 import { AccountLimits } from '../limits/account_limits.ts'
 import { logOf } from '../log.ts'
 import { createMetrics, type Metrics } from '../metrics.ts'
+import { LoadTask } from '../peers/load_task.ts'
 import { MembershipTask } from '../peers/membership_task.ts'
 import { PeerLinks } from '../peers/peer_links.ts'
 import { FleetSize } from '../peers/fleet_size.ts'
@@ -53,6 +54,7 @@
   table: EndpointTable
   registry: EndpointFollower
   client: ExchangeClient
+  loads: LoadTask
   dispatcher: Dispatcher
   budgetOf: (pool: PoolName) => RepeatBudget
   intake: Intake
@@ -81,6 +83,10 @@
 const REPEATS_AT_START = 0.25
 /** Part of an endpoint's connections that the daemons use together, so that one who has just restarted finds some. */
 const CONNECTIONS_PART = 0.8
+/** Time there and back between two failure domains of one region, in milliseconds, to weigh against waiting. */
+const FAR_MS = 3
+/** A prompt's part that nobody used for this long has probably yielded to others, in milliseconds. */
+const PREFIX_KEPT_MS = 15_000
 const log = logOf('daemon')
 
 /** A running daemon. */
@@ -117,7 +123,7 @@
   }
 
   async #start (): Promise<void> {
-    const { settings, membership, tallies, config, registry, server, readiness, lease, limits, usage, orders } = this.#parts
+    const { settings, membership, tallies, config, registry, server, readiness, lease, limits, loads, usage, orders } = this.#parts
     const { callers, readiness: check } = settings.listen
     await readiness.listen(check, () => this.ready)
     await server.listen(callers.host, callers.port)
@@ -126,6 +132,7 @@
     registry.start()
     tallies.start()
     limits.start()
+    loads.start()
     lease.start()
     usage.start()
     orders.start()
@@ -155,7 +162,8 @@
   }
 
   async #leave (): Promise<void> {
-    const { config, registry, tallies, limits, membership, server } = this.#parts
+    const { config, registry, tallies, limits, loads, membership, server } = this.#parts
+    loads.stop()
     config.stop()
     limits.stop()
     registry.stop()
@@ -195,7 +203,13 @@
     table: asFunction(({ self }: Parts) => new EndpointTable({ self, hash })).singleton(),
     registry: asFunction(endpointFollower).singleton(),
     client: asFunction(({ config, fleet }: Parts) => new ExchangeClient({ connectionsTo: (view) => connectionsTo(view, config, fleet) })).singleton(),
-    dispatcher: asFunction(({ table, random }: Parts) => new Dispatcher({ table, prefixes: new PrefixIndex(), router: new TargetRouter({ random }) })).singleton(),
+    loads: asFunction(({ self, membership, table, limits }: Parts) => new LoadTask({ self, membership, table, keeper: () => limits.keeper })).singleton(),
+    dispatcher: asFunction(({ table, random }: Parts) => new Dispatcher({
+      table,
+      prefixes: new PrefixIndex({ expiresMs: PREFIX_KEPT_MS }),
+      home: (parts, candidates) => homeEndpoint(parts, candidates, hash),
+      router: new TargetRouter({ random, choices: SUBSET_SIZE, wayMs: (view) => (view.failureDomain === settings.failureDomain ? 0 : FAR_MS) })
+    })).singleton(),
     budgetOf: asFunction(repeatBudgets).singleton(),
     intake: asFunction(({ table, dispatcher, metrics, client, random, limits, usage, orders, budgetOf, config }: Parts) => new Intake({
       table, dispatcher, metrics, client, random, limits, usage, orders, budgetOf, dialect: platform.dialect, catalog: catalogInForce(config)
--- a/daemon/limits/account_limits.ts
+++ b/daemon/limits/account_limits.ts
@@ -82,6 +82,9 @@
     })
   }
 
+  /** The daemon that this one has chosen to count; undefined for itself. */
+  get keeper (): DaemonId | undefined { return this.#chosen }
+
   /** Puts the quotas of a configuration in force. */
   apply (accounts: Iterable<Account>): void {
     this.#quotas.clear()
--- /dev/null
+++ b/daemon/peers/load_task.ts
@@ -0,0 +1,86 @@
+/** Tells one daemon what this one runs at each endpoint, and hears from it what the others run. */
+import type { DaemonId } from '../../core/ids/index.ts'
+import { mayAnswer } from '../../core/membership/index.ts'
+import { LoadBoard, type EndpointWork } from '../../core/routing/index.ts'
+import { steadyNow } from '../../core/time/index.ts'
+import type { EndpointTable } from '../endpoints/endpoint_table.ts'
+import type { MembershipTask } from './membership_task.ts'
+
+/** Options of {@linkcode LoadTask}. */
+export interface LoadTaskOptions {
+  self: DaemonId
+  membership: MembershipTask
+  table: EndpointTable
+  /** The daemon that sums up; undefined for this one. */
+  keeper (): DaemonId | undefined
+}
+
+/** Between two reports of a small fleet, in milliseconds: a fraction of the time that an engine takes for a long prompt. */
+const REPORT_MS = 100
+/** Reports grow rarer with the fleet, so that the daemon that sums up hears at most 200 a second. */
+const REPORT_MS_PER_DAEMON = 5
+/** Reports of a daemon that runs nothing, in milliseconds. */
+const IDLE_REPORT_MS = 600
+/** What was told of others is not believed any longer than this, in milliseconds. */
+const BELIEVED_MS = 1500
+const REPORT = 'load-report'
+const OTHERS = 'load-others'
+
+/** Owns the exchange of loads. */
+export class LoadTask {
+  readonly #options: LoadTaskOptions
+  readonly #board = new LoadBoard()
+  #timer: NodeJS.Timeout | undefined
+  #reportedAtMs = -Infinity
+  #reportedWork = false
+  #toldAtMs = -Infinity
+
+  constructor (options: LoadTaskOptions) {
+    this.#options = options
+    const { links } = options.membership
+    links.onPost(REPORT, (loads: EndpointWork[], from) => {
+      this.#board.report(from, loads, steadyNow())
+      links.post(from, OTHERS, this.#board.othersOf(from, steadyNow()))
+    })
+    links.onPost(OTHERS, (loads: EndpointWork[]) => this.#told(loads))
+  }
+
+  /** Begins to report. */
+  start (): void {
+    this.#reportLater()
+  }
+
+  /** Stops. */
+  stop (): void {
+    clearTimeout(this.#timer)
+  }
+
+  #reportLater (): void {
+    const everyMs = Math.max(REPORT_MS, this.#options.membership.core.members.filter(mayAnswer).length * REPORT_MS_PER_DAEMON)
+    this.#timer = setTimeout(() => {
+      this.#report()
+      this.#reportLater()
+    }, everyMs)
+  }
+
+  #report (): void {
+    const { self, membership, table, keeper } = this.#options
+    const now = steadyNow()
+    const work = table.ownWork
+    const chosen = keeper()
+    if (chosen === undefined) {
+      this.#board.report(self, work, now)
+      return this.#told(this.#board.othersOf(self, now))
+    }
+    if (now - this.#toldAtMs > BELIEVED_MS) table.othersWork([])
+    if (work.length === 0 && !this.#reportedWork && now - this.#reportedAtMs < IDLE_REPORT_MS) return
+    this.#reportedAtMs = now
+    this.#reportedWork = work.length > 0
+    membership.links.post(chosen, REPORT, work)
+  }
+
+  #told (loads: readonly EndpointWork[]): void {
+    this.#toldAtMs = steadyNow()
+    this.#options.table.othersWork(loads)
+  }
+}
--- a/daemon/request/dispatcher.ts
+++ b/daemon/request/dispatcher.ts
@@ -2,7 +2,7 @@
 import { FairQueue, type Waiting, type WorkQueue } from '../../core/admission/index.ts'
 import type { AccountId, EndpointId, PoolName } from '../../core/ids/index.ts'
 import { runningNow, type EndpointView, type PrefixIndex, type Route, type Router } from '../../core/routing/index.ts'
-import { isUrgent, type Demand, type WorkClass } from '../../core/work/index.ts'
+import { isUrgent, type Demand, type PromptPart, type WorkClass } from '../../core/work/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import type { EndpointTable } from '../endpoints/endpoint_table.ts'
 
@@ -29,6 +29,8 @@
   table: EndpointTable
   router: Router
   prefixes: PrefixIndex
+  /** Finds the endpoint that a prompt's shared part is kept at, whoever sent it there. Default: none is known. */
+  home? (parts: readonly PromptPart[], candidates: readonly EndpointView[]): EndpointView | undefined
   /** Makes the queue of one pool. Default: {@linkcode FairQueue}. */
   queue?: () => WorkQueue<Placement>
 }
@@ -96,15 +98,16 @@
 
   #start (placement: Placement, pool: PoolState): boolean {
     const now = steadyNow()
-    const cached = this.#options.prefixes.lookup(placement.demand.parts, now)
     const candidates = this.#options.table.candidates(placement.pool)
+    const cached = this.#cached(placement, candidates, now)
     const withRoom = candidates.filter((view) => hasRoom(view, isUrgent(placement.cls)))
     // Once every endpoint has failed the request, the least bad is tried again; the retry budget bounds how often.
     const avoid = withRoom.some((view) => !placement.avoid.includes(view.id)) ? placement.avoid : []
     const route = this.#options.router.pick({
       promptTokens: placement.demand.promptTokens + placement.doneTokens,
       expectedTokens: remainingTokens(placement),
-      firstTokenMs: placement.cls.latency.firstTokenMs,
+      firstTokenMs: firstTokenWithin(placement, now),
+      lane: isUrgent(placement.cls) ? 'urgent' : 'normal',
       betweenTokensMs: placement.cls.latency.betweenTokensMs,
       avoid,
       cachedTokens: (id) => cached.get(id) ?? 0
@@ -116,6 +119,15 @@
     return true
   }
 
+  /** Prompt tokens that endpoints are believed to hold: what this daemon sent there, and at its home what the others did. */
+  #cached ({ demand }: Placement, candidates: readonly EndpointView[], now: number): Map<EndpointId, number> {
+    const cached = this.#options.prefixes.lookup(demand.parts, now)
+    const home = this.#options.home?.(demand.parts, candidates)
+    if (!home) return cached
+    const shared = demand.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0)
+    return cached.set(home.id, Math.max(shared, cached.get(home.id) ?? 0))
+  }
+
   #pool (name: PoolName): PoolState {
     let pool = this.#pools.get(name)
     if (!pool) {
@@ -153,6 +165,11 @@
   return Math.min(byDeadline, placement.acceptedAtMs + latency.firstTokenMs * QUEUE_TARGETS)
 }
 
+/** What is left of the target; a stream that goes on elsewhere gets the whole of it again. */
+function firstTokenWithin ({ cls, acceptedAtMs, resumed }: Placement, now: number): number {
+  return cls.latency.firstTokenMs - (resumed ? 0 : now - acceptedAtMs)
+}
+
 function workOf (placement: Placement): number {
   return placement.demand.promptTokens + placement.doneTokens + remainingTokens(placement)
 }
--- a/daemon/request/request_task.ts
+++ b/daemon/request/request_task.ts
@@ -5,10 +5,11 @@
 import { AttemptError, outcomeAt } from '../../core/outcome/index.ts'
 import { mayRepeat, newRequest, step, type RequestEffect, type RequestMessage, type RequestState, type StartMode } from '../../core/request/index.ts'
 import type { RepeatBudget } from '../../core/retry/index.ts'
-import type { Demand, WorkClass } from '../../core/work/index.ts'
+import type { EndpointView, Route } from '../../core/routing/index.ts'
+import { isUrgent, type Demand, type WorkClass } from '../../core/work/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import type { Attachment, AttemptRunner, AttemptSink } from '../../endpoints/index.ts'
-import { ASSUMED_NOTICE_MS, type EndpointTable } from '../endpoints/endpoint_table.ts'
+import { ASSUMED_NOTICE_MS, type EndpointTable, type SentWork } from '../endpoints/endpoint_table.ts'
 import type { Metrics } from '../metrics.ts'
 import { ClaimError } from '../once/shard_log.ts'
 import type { Dispatcher, Placement } from './dispatcher.ts'
@@ -33,6 +34,15 @@
   metrics: Metrics
 }
 
+/** The attempt under way, as its endpoint is charged for it. */
+interface Sent extends SentWork {
+  endpoint: EndpointId
+  atMs: number
+  /** Undefined where nobody predicted anything. */
+  predictedMs: number | undefined
+  read: boolean
+}
+
 /** Options of {@linkcode RequestTask}. */
 export interface RequestTaskOptions<P> extends AnswerBufferOptions<P> {
   work: Work
@@ -76,7 +86,8 @@
   #handling = false
   readonly #deadlineTimer: NodeJS.Timeout
   #placement: Placement | undefined
-  #loadReported = false
+  #sent: Sent | undefined
+  #route: Route | undefined
   #firstPieceAtMs: number | undefined
   #hasBegun = false
 
@@ -136,8 +147,14 @@
     this.retire()
   }
 
+  /** Counts an attempt that another daemon began. */
+  protected adopt (view: EndpointView): void {
+    this.#send(view, { lane: 'normal', tokens: 0 })
+  }
+
   /** Takes no more messages, because somebody else answers for the request. */
   protected retire (): void {
+    this.#unsend()
     clearTimeout(this.#deadlineTimer)
     if (this.#placement) this.ports.dispatcher.forget(this.#placement)
     this.lifecycle = { ...this.lifecycle, phase: 'done' }
@@ -194,6 +211,7 @@
       avoid,
       placed: (view, route) => {
         this.note(`placed on ${view.id}: first token in ${Math.round(route.firstTokenMs)} ms, ${route.meetsTarget ? 'within' : 'over'} target`)
+        this.#route = route
         this.post({ type: 'placed', endpoint: view.id })
       },
       refused: (reason, retryAfterMs) => this.post({ type: 'refused', reason, retryAfterMs })
@@ -206,14 +224,15 @@
     this.answer.replaceAttempt(attempt)
     if (!view) return this.#failed(attempt, endpoint, new AttemptError('Cannot start: endpoint is not listed', { point: 'before-send' }))
     this.ports.metrics.attempts.inc({ mode })
-    this.#loadReported = false
-    this.ports.table.started(endpoint, mode === 'import' ? 0 : this.kvTokens)
+    const lane = this.#route?.lane ?? (isUrgent(this.work.cls) ? 'urgent' : 'normal')
+    this.#send(view, { lane, tokens: mode === 'import' ? 0 : this.#route?.uncachedTokens ?? this.kvTokens })
     this.note(`attempt ${attempt} on ${endpoint}: ${mode} from piece ${this.answer.length}`)
     const kvHandle = mode === 'import' ? this.kvHandle : undefined
     this.kvHandle = undefined
     this.attachment = this.#runner.start(view, {
       attempt,
       mode,
+      lane,
       done: this.answer.pieces,
       from: this.answer.length,
       deadlineInMs: this.lifecycle.traits.deadlineAtMs - steadyNow(),
@@ -223,6 +242,30 @@
     this.listeners.notify()
   }
 
+  #send (view: EndpointView, work: SentWork): void {
+    this.ports.table.started(view.id, work)
+    this.#sent = { ...work, endpoint: view.id, atMs: steadyNow(), predictedMs: this.#route?.firstTokenMs, read: false }
+    this.#route = undefined
+  }
+
+  /** The endpoint has read the prompt: what it read no longer waits there. */
+  #read (): void {
+    const sent = this.#sent
+    if (!sent || sent.read) return
+    sent.read = true
+    this.ports.table.read(sent.endpoint, sent)
+    if (sent.predictedMs !== undefined) this.ports.table.learnt(sent.endpoint, { predictedMs: sent.predictedMs, actualMs: steadyNow() - sent.atMs })
+  }
+
+  /** The endpoint works on the request no more. */
+  #unsend (): void {
+    const sent = this.#sent
+    if (!sent) return
+    this.#sent = undefined
+    if (!sent.read) this.ports.table.read(sent.endpoint, sent)
+    this.ports.table.ended(sent.endpoint)
+  }
+
   /** Takes in what an attempt produces. */
   protected sink (endpoint: EndpointId, attempt: number): AttemptSink<P> {
     let head: AnswerHead | undefined
@@ -232,6 +275,7 @@
         const verdict = this.answer.add({ attempt, offset, pieces })
         this.ports.metrics.chunks.inc({ verdict })
         if (verdict === 'taken') this.head ??= head
+        if (attempt === this.lifecycle.attempt) this.#read()
         this.onPiece()
         this.#begun()
         this.#firstPiece()
@@ -239,10 +283,7 @@
       },
       onEnd: (total) => this.#ended(endpoint, attempt, { total, head }),
       onError: (err) => this.#failed(attempt, endpoint, err),
-      onLoad: (load) => {
-        this.ports.table.loaded(endpoint, load)
-        this.#loadReported = true
-      }
+      onLoad: (load) => this.ports.table.loaded(endpoint, load)
     }
   }
 
@@ -279,7 +320,7 @@
     const retryGranted = this.mayMoveOn && mayRepeat(this.lifecycle, err.point) && this.ports.budget.spend(table.isGone(endpoint))
     if (!retryGranted) metrics.retriesDenied.inc({ class: this.work.cls.name })
     table.failed(endpoint)
-    table.ended(endpoint, false)
+    this.#unsend()
     this.note(`attempt ${attempt} failed: ${err.point}`)
     this.post({ type: 'failed', attempt, point: err.point, retryGranted })
   }
@@ -287,7 +328,7 @@
   #stop (endpoint: EndpointId, attempt: number): void {
     this.attachment?.detach()
     this.attachment = undefined
-    this.ports.table.ended(endpoint, this.#loadReported)
+    this.#unsend()
     const view = this.ports.table.get(endpoint)
     if (!view || !this.lifecycle.traits.movable) return this.post({ type: 'stopped', attempt, confirmed: false })
     const from = this.answer.length
@@ -303,7 +344,8 @@
     this.final = final
     this.attachment = undefined
     if (this.#placement) this.ports.dispatcher.forget(this.#placement)
-    if (final.outcome === 'answered') this.ports.table.ended(this.lifecycle.endpoint!, this.#loadReported)
+    if (final.outcome === 'answered') this.#read()
+    this.#unsend()
     this.lifecycle = { ...this.lifecycle, phase: 'done', outcome: final.outcome }
     this.note(`${final.outcome}: ${final.reason}`)
     // A repeated key is answered by the request that it repeats: counted as not run, it would look like a missed target.
--- a/daemon/request/token_task.ts
+++ b/daemon/request/token_task.ts
@@ -84,7 +84,6 @@
 
   /** Another daemon took the stream over: let go of it here, without stopping it. */
   letGo (): void {
-    if (this.lifecycle.endpoint !== undefined) this.ports.table.ended(this.lifecycle.endpoint, false)
     this.movedAway = true
     this.retire()
     this.listeners.notify()
@@ -103,7 +102,7 @@
       this.note(`taken over at token ${handed.tokens.length}, waiting for room`)
       return this.place([])
     }
-    this.ports.table.started(view.id, 0)
+    this.adopt(view)
     this.note(`taken over at token ${handed.tokens.length} on ${view.id}`)
     this.#resume(view, handed.attempt, handed.tokens.length)
   }
--- a/endpoints/attempt.ts
+++ b/endpoints/attempt.ts
@@ -2,7 +2,7 @@
 import type { AnswerHead } from '../core/answer/index.ts'
 import type { AttemptError } from '../core/outcome/index.ts'
 import type { StartMode } from '../core/request/index.ts'
-import type { EndpointLoad, EndpointView } from '../core/routing/index.ts'
+import type { EndpointLoad, EndpointView, Lane } from '../core/routing/index.ts'
 
 /** Receives one attempt's answer. Exactly one of `onEnd` and `onError` comes last. */
 export interface AttemptSink<P> {
@@ -30,6 +30,8 @@
 export interface AttemptSpec<P> {
   attempt: number
   mode: StartMode
+  /** Where the request stands among others at the endpoint. */
+  lane: Lane
   /** Pieces that earlier attempts delivered; the attempt goes on behind them. */
   done: readonly P[]
   /** Place behind the last piece that the caller has. */
--- a/endpoints/cloud.ts
+++ b/endpoints/cloud.ts
@@ -10,7 +10,14 @@
   reclaimable: boolean
   pricePerHour: number
   state: 'live' | 'leaving'
-  endpoint: { id: EndpointId, pool: PoolName, address: string, speed: EndpointSpeed }
+  endpoint: {
+    id: EndpointId
+    pool: PoolName
+    address: string
+    speed: EndpointSpeed
+    /** Milliseconds to a first token or plain answer beside waiting and reading, as a first estimate. Default 0. */
+    firstMs?: number
+  }
 }
 
 /** Hosts that will be gone at a time. */
--- a/endpoints/exchange/exchange_dialect.ts
+++ b/endpoints/exchange/exchange_dialect.ts
@@ -1,7 +1,7 @@
 /** What of an HTTP exchange depends on the header names of a platform. */
 import type { IncomingMessage } from 'node:http'
 import type { AnswerHead, Header } from '../../core/answer/index.ts'
-import type { EndpointView } from '../../core/routing/index.ts'
+import type { EndpointView, Lane } from '../../core/routing/index.ts'
 import type { AdmittedRequest, ProxiedRequest } from './proxied_request.ts'
 
 /** What one attempt adds to the caller's request. */
@@ -11,8 +11,8 @@
   deadlineInMs: number
   /** Events that the caller already has; the stream goes on behind them. */
   resumeFrom: number
-  /** Rank that the endpoint admits by; 0 goes first. */
-  rank: number | undefined
+  /** Where the request stands among others at the endpoint; undefined for a plain call. */
+  lane: Lane | undefined
 }
 
 /** What an endpoint's answer says of its attempt. */
--- a/endpoints/exchange/exchange_runner.ts
+++ b/endpoints/exchange/exchange_runner.ts
@@ -12,8 +12,6 @@
   req: AdmittedRequest
   client: ExchangeClient
   dialect: ExchangeDialect
-  /** Rank that endpoints admit by; 0 goes first. */
-  rank?: number
 }
 
 const NO_ATTACHMENT: Attachment = { detach: () => {} }
@@ -27,14 +25,14 @@
   }
 
   start (view: EndpointView, spec: AttemptSpec<Buffer>, sink: AttemptSink<Buffer>): Attachment {
-    const { req, client, dialect, rank } = this.#options
+    const { req, client, dialect } = this.#options
     const connection = client.take(view)
     if (!connection) {
       // Told later, as every other failure is: the task has not noted the attempt yet.
       queueMicrotask(() => sink.onError(new AttemptError('Cannot send: no connection is free', { point: 'before-send' })))
       return NO_ATTACHMENT
     }
-    const headers = dialect.attemptHeaders(req, { view, deadlineInMs: spec.deadlineInMs, resumeFrom: spec.from, rank })
+    const headers = dialect.attemptHeaders(req, { view, deadlineInMs: spec.deadlineInMs, resumeFrom: spec.from, lane: req.demand && spec.lane })
     const exchange = new Exchange({ req, dialect, sink, connection, from: spec.from, release: () => client.give(view, connection) })
     exchange.send(headers)
     return exchange
