Tell a reset from an end where both come with the last bytes

The runtime's event library, told of readable bytes and a hang-up in one event, reads the bytes and reports the end of the connection without reading its error. Ruled out: the order of the listeners, a clean end by the endpoint (the same bytes and a plain close are told apart). A connection that was reset has no peer address any more; that is asked where the end is reported.

--- a/endpoints/exchange/connection.ts
+++ b/endpoints/exchange/connection.ts
@@ -56,9 +56,14 @@
     this.onClose()
   }
 
-  /** The client counts a reset as the end of an answer without a length; only the socket tells the two apart. */
+  /**
+   * The client counts a reset as the end of an answer without a length; only the socket tells the two apart.
+   *
+   * Even the socket reports the end where bytes and a reset arrive together: the runtime reads the bytes, and takes the hang-up behind them for
+   * the end. A connection that was reset has no peer any more; one that ended in good order has.
+   */
   #watch (socket: Socket): void {
-    socket.prependListener('end', () => { this.endedCleanly = true })
+    socket.prependListener('end', () => { this.endedCleanly = socket.remoteAddress !== undefined })
     socket.prependListener('error', () => { this.endedCleanly = false })
   }
 }
