--- a/core/fleet/endpoint_demand.ts
+++ b/core/fleet/endpoint_demand.ts
@@ -4,6 +4,10 @@
 export interface EndpointDemandOptions {
   /** Tokens that one engine prefills in a second. */
   prefillTokensPerS: number
+  /** Engines assumed busy at first: whoever begins to count knows nothing of the work, but sees what serves it. */
+  first: number
+  /** Milliseconds on the steady clock. */
+  now: number
 }
 
 interface Sample { atMs: number, tokens: number }
@@ -17,10 +21,11 @@
 export class EndpointDemand {
   readonly #options: EndpointDemandOptions
   #samples: Sample[] = []
-  #levels: Array<{ atMs: number, engines: number }> = []
+  #levels: Array<{ atMs: number, engines: number }>
 
   constructor (options: EndpointDemandOptions) {
     this.#options = options
+    this.#levels = [{ atMs: options.now, engines: options.first }]
   }
 
   /**
--- a/daemon/duties/order_task.ts
+++ b/daemon/duties/order_task.ts
@@ -22,10 +22,12 @@
 const ROUND_MS = 250
 /** An order that was refused is not given again for this long, in milliseconds: each call has its price. */
 const REFUSED_MS = 2000
+/** An order whose fate is not known, or that was turned away, is given again after this long, in milliseconds. */
+const FAILED_MS = 500
 /** Time beyond that of booting after which an order that shows no effect is given again, in milliseconds. */
 const OVERDUE_MS = 3000
-/** Reclaimable engines wanted before anything is known of the work, in each failure domain. */
-const FIRST_PER_DOMAIN = 2
+/** Fewest reclaimable engines in each failure domain: work comes in bursts, and another takes seconds to boot. */
+const LEAST_PER_DOMAIN = 2
 /** Prompt tokens that an engine reads in a second beside generating, as a first estimate. */
 const PREFILL_TOKENS_PER_S = 100_000
 /** Part of an engine's time that work may take before it comes late: arrivals come in bursts of a second. */
@@ -35,7 +37,8 @@
 const DEMAND = 'demand/'
 const log = logOf('orders')
 
-interface Given { count: number, fencing: number, atMs: number, refused: boolean }
+/** An order as it was last given, and what came of it. */
+interface Given { count: number, atMs: number, result: 'given' | 'refused' | 'failed' }
 
 /**
  * Gives orders of wanted counts.
@@ -48,7 +51,6 @@
   readonly #given = new Map<string, Given>()
   readonly #demand = new Map<PoolName, EndpointDemand>()
   #timer: NodeJS.Timeout | undefined
-  #running = false
 
   constructor (options: OrderTaskOptions) {
     this.#options = options
@@ -69,30 +71,33 @@
     clearInterval(this.#timer)
   }
 
-  async #round (): Promise<void> {
-    if (this.#running || this.#options.lease.fencing === undefined) return
-    this.#running = true
-    try {
-      for (const pool of this.#options.pools()) if (pool.scaling) await this.#orderPool(pool, pool.scaling)
-    } finally {
-      this.#running = false
+  #round (): void {
+    // Whoever takes the lease begins anew: what it gave before, and the work that it counted, are of another time.
+    if (this.#options.lease.fencing === undefined) {
+      this.#given.clear()
+      this.#demand.clear()
+      return
     }
+    for (const pool of this.#options.pools()) if (pool.scaling) this.#orderPool(pool, pool.scaling)
   }
 
-  async #orderPool (pool: Pool, scaling: Scaling): Promise<void> {
+  #orderPool (pool: Pool, scaling: Scaling): void {
     const domains = [...scaling.pricePerS.keys()]
-    const wanted = this.#wanted(pool.name, domains.length)
-    await this.#askAgain(pool, scaling, { domains, perDomain: Math.ceil(wanted.comfortably / domains.length) })
-    for (const mix of spreadPlan(wanted, scaling, domains.map((domain) => this.#fleetOf(pool.name, domain)))) await this.#orderMix(pool, scaling, mix)
+    const fleet = domains.map((domain) => this.#fleetOf(pool.name, domain))
+    const wanted = this.#wanted(pool.name, fleet)
+    this.#askAgain(pool, scaling, { fleet, perDomain: Math.ceil(wanted.comfortably / domains.length) })
+    for (const mix of spreadPlan(wanted, scaling, fleet)) this.#orderMix(pool, scaling, mix)
   }
 
-  #wanted (pool: PoolName, domains: number): EndpointsWanted {
-    const demand = this.#demand.get(pool) ?? new EndpointDemand({ prefillTokensPerS: PREFILL_TOKENS_PER_S })
+  #wanted (pool: PoolName, fleet: readonly DomainFleet[]): EndpointsWanted {
+    const tokens = this.#options.tallies.tally.sum(DEMAND + pool)
+    const serving = fleet.reduce((sum, domain) => sum + domain.onDemand + domain.reclaimable, 0)
+    const demand = this.#demand.get(pool) ?? new EndpointDemand({ prefillTokensPerS: PREFILL_TOKENS_PER_S, first: serving * COMFORTABLE_UTILIZATION, now: steadyNow() })
     this.#demand.set(pool, demand)
-    const engines = demand.engines(this.#options.tallies.tally.sum(DEMAND + pool), steadyNow())
+    const engines = demand.engines(tokens, steadyNow())
     return {
-      atLeast: Math.max(domains, Math.ceil(engines / MOST_UTILIZATION)),
-      comfortably: Math.max(FIRST_PER_DOMAIN * domains, Math.ceil(engines / COMFORTABLE_UTILIZATION))
+      atLeast: Math.max(fleet.length, Math.ceil(engines / MOST_UTILIZATION)),
+      comfortably: Math.max(LEAST_PER_DOMAIN * fleet.length, Math.ceil(engines / COMFORTABLE_UTILIZATION))
     }
   }
 
@@ -102,50 +107,60 @@
       failureDomain,
       onDemand: staying.filter((view) => !view.reclaimable).length,
       reclaimable: staying.filter((view) => view.reclaimable).length,
-      reclaimableToBeHad: this.#given.get(keyOf({ pool, failureDomain, reclaimable: true }))?.refused !== true
+      reclaimableToBeHad: this.#given.get(keyOf({ pool, failureDomain, reclaimable: true }))?.result !== 'refused'
     }
   }
 
-  /** Asks for reclaimable endpoints where there were none to be had, in all such domains before the next plan. */
-  async #askAgain (pool: Pool, scaling: Scaling, hoped: { domains: readonly FailureDomain[], perDomain: number }): Promise<void> {
-    for (const failureDomain of hoped.domains) {
-      const fleet = this.#fleetOf(pool.name, failureDomain)
-      const count = Math.min(scaling.max, hoped.perDomain)
-      if (!fleet.reclaimableToBeHad) await this.#order({ pool: pool.name, failureDomain, reclaimable: true, count }, { has: fleet.reclaimable, bootMs: scaling.bootMs })
-    }
+  /** Asks for reclaimable endpoints where there were none to be had, in all such domains at once, so that they come back together. */
+  #askAgain (pool: Pool, scaling: Scaling, hoped: { fleet: readonly DomainFleet[], perDomain: number }): void {
+    const without = hoped.fleet.filter((domain) => !domain.reclaimableToBeHad)
+    const due = without.some((domain) => this.#refusedSinceMs(pool.name, domain.failureDomain) > REFUSED_MS)
+    if (!due) return
+    for (const { failureDomain } of without) this.#give({ pool: pool.name, failureDomain, reclaimable: true, count: Math.min(scaling.max, hoped.perDomain) })
+  }
+
+  #refusedSinceMs (pool: PoolName, failureDomain: FailureDomain): number {
+    const given = this.#given.get(keyOf({ pool, failureDomain, reclaimable: true }))
+    return given ? steadyNow() - given.atMs : Infinity
   }
 
-  async #orderMix (pool: Pool, scaling: Scaling, mix: DomainMix): Promise<void> {
+  #orderMix (pool: Pool, scaling: Scaling, mix: DomainMix): void {
     const { failureDomain } = mix
     const fleet = this.#fleetOf(pool.name, failureDomain)
     const order = { pool: pool.name, failureDomain }
-    if (fleet.reclaimableToBeHad) await this.#order({ ...order, reclaimable: true, count: mix.reclaimable }, { has: fleet.reclaimable, bootMs: scaling.bootMs })
-    await this.#order({ ...order, reclaimable: false, count: mix.onDemand }, { has: fleet.onDemand, bootMs: scaling.bootMs })
+    if (fleet.reclaimableToBeHad) this.#order({ ...order, reclaimable: true, count: mix.reclaimable }, { has: fleet.reclaimable, bootMs: scaling.bootMs })
+    this.#order({ ...order, reclaimable: false, count: mix.onDemand }, { has: fleet.onDemand, bootMs: scaling.bootMs })
+  }
+
+  #order (order: EndpointOrder, now: { has: number, bootMs: number }): void {
+    if (this.#isDue(order, now)) this.#give(order)
   }
 
-  async #order (order: EndpointOrder, now: { has: number, bootMs: number }): Promise<void> {
+  async #give (order: EndpointOrder): Promise<void> {
     const { fencing } = this.#options.lease
-    if (fencing === undefined || !this.#isDue(order, { ...now, fencing })) return
-    const key = keyOf(order)
+    if (fencing === undefined) return
+    const given: Given = { count: order.count, atMs: steadyNow(), result: this.#given.get(keyOf(order))?.result ?? 'given' }
+    this.#given.set(keyOf(order), given)
     try {
       await this.#options.duties.order(order, { name: this.#options.name, fencing })
-      this.#given.set(key, { count: order.count, fencing, atMs: steadyNow(), refused: false })
-      log('ordered', { ...order, fencing, has: now.has })
+      given.result = 'given'
+      log('ordered', { ...order, fencing })
     } catch (err) {
       if (!(err instanceof DutyError)) throw err
-      this.#given.set(key, { count: order.count, fencing, atMs: steadyNow(), refused: true })
-      log('not ordered', { ...order, fencing, has: now.has, failure: err.failure, why: err.message })
+      given.result = err.failure === 'refused' ? 'refused' : 'failed'
+      log('not ordered', { ...order, fencing, failure: err.failure, why: err.message })
       // It may be carried out yet, after newer orders: a higher fencing number makes the platform refuse it.
       if (err.failure === 'unsure') this.#options.lease.raise()
     }
   }
 
   /** A count that was ordered stands; it is ordered again when it shows no effect, because it was lost or what it brought was reclaimed. */
-  #isDue (order: EndpointOrder, now: { has: number, bootMs: number, fencing: number }): boolean {
+  #isDue (order: EndpointOrder, now: { has: number, bootMs: number }): boolean {
     const given = this.#given.get(keyOf(order))
     if (!given) return order.count !== now.has
     const sinceMs = steadyNow() - given.atMs
-    if (given.refused) return order.count !== now.has && sinceMs > REFUSED_MS
+    if (given.result === 'refused') return order.count !== now.has && sinceMs > REFUSED_MS
+    if (given.result === 'failed') return sinceMs > FAILED_MS
     if (given.count !== order.count) return true
     return order.count !== now.has && sinceMs > now.bootMs + OVERDUE_MS
   }
