Count a vote once the one before has run out, and an own lease from when it was sent

Cause: two searches found two faults. (1) Random partitions, pauses and deaths: a daemon that went from one keeper to another was counted by both for up to a second; with sides that change twice a window was 1.1% over its hard limit (1,142,600 of 1,130,000 tokens). A vote now says in how many milliseconds the one before runs out. (2) Every state of two daemons and a lease to depth 13: a holder whose renewal's answer was lost read its own record back later and counted from then, while the other took over: both believed. Its own record now counts from when it was sent.

--- a/core/lease/lease.ts
+++ b/core/lease/lease.ts
@@ -17,8 +17,10 @@
   /** Version of the record that was last seen, 0 when there is none. */
   version: number
   record: LeaseRecord | undefined
-  /** When this daemon first saw the record as it is, on its own clock. */
+  /** When this daemon first saw the record as it is, on its own clock; for its own record, when it sent it. */
   seenAtMs: number
+  /** The last record that this daemon sent, and when. */
+  sent: { renewal: string, atMs: number } | undefined
 }
 
 /** What to do about the lease now. */
@@ -43,13 +45,25 @@
 const TAKE_OVER_AFTER = 1.5
 
 /** The state before anything was read. */
-export const NO_LEASE: LeaseState = { version: 0, record: undefined, seenAtMs: 0 }
+export const NO_LEASE: LeaseState = { version: 0, record: undefined, seenAtMs: 0, sent: undefined }
 
-/** Notes what was read from the store; a record that changed was renewed. */
-export function seen (state: LeaseState, found: { record: LeaseRecord, version: number } | undefined, now: number): LeaseState {
-  if (!found) return { version: 0, record: undefined, seenAtMs: now }
+/** Notes that a record is on its way to the store. */
+export function sending (state: LeaseState, record: LeaseRecord, now: number): LeaseState {
+  return { ...state, sent: { renewal: record.renewal, atMs: now } }
+}
+
+/**
+ * Notes what was read from the store; a record that changed was renewed.
+ *
+ * This daemon's own record counts from when it was sent, however late it learns that it is there: the others may have seen it long before, and
+ * count its time from then. One that it does not remember sending gives it no right to act.
+ */
+export function seen (state: LeaseState, found: { record: LeaseRecord, version: number } | undefined, at: { self: DaemonId, now: number }): LeaseState {
+  if (!found) return { ...state, version: 0, record: undefined, seenAtMs: at.now }
   if (found.version === state.version) return state
-  return { version: found.version, record: found.record, seenAtMs: now }
+  const { record, version } = found
+  const own = record.renewal === state.sent?.renewal ? state.sent.atMs : -Infinity
+  return { ...state, version, record, seenAtMs: record.holder === at.self ? own : at.now }
 }
 
 /**
--- a/core/quota/quota_keeper.ts
+++ b/core/quota/quota_keeper.ts
@@ -17,17 +17,26 @@
  */
 export const VOTE_KEPT_MS = 1000
 
+/** A daemon's choice of a keeper. */
+export interface Vote {
+  /** Levels that its keeper before told it; nobody else knows what was used there. */
+  told: readonly AccountLevel[]
+  /** Milliseconds until its last vote for another keeper counts no more. */
+  freeInMs: number
+}
+
 /**
  * Counts what all of its voters use.
  *
- * Each daemon chooses one keeper at a time, so that of keepers on two sides of a partition each has the votes of its own side only, and draws
- * on that part of every quota: together they never grant more than one keeper would. A keeper that was paused wakes with no votes.
+ * Each daemon chooses one keeper at a time, and a vote counts only once the one before has run out. So of keepers on two sides of a partition
+ * each has the votes of its own side only, and draws on that part of every quota: together they never grant more than one keeper would. A keeper
+ * that was paused wakes with no votes.
  */
 export class QuotaKeeper {
   readonly #tolerance: QuotaTolerance
   readonly #quotas = new Map<AccountId, Quota>()
   readonly #buckets = new Map<AccountId, SharedBucket>()
-  readonly #votes = new Map<DaemonId, number>()
+  readonly #votes = new Map<DaemonId, { atMs: number, countsFromMs: number }>()
 
   constructor (options: { tolerance: QuotaTolerance }) {
     this.#tolerance = options.tolerance
@@ -49,15 +58,19 @@
     }
   }
 
-  /**
-   * A daemon has chosen this keeper.
-   * @param told Levels that its keeper before told it; nobody else knows what was used there.
-   */
-  vote (daemon: DaemonId, now: number, told: readonly AccountLevel[] = []): void {
-    this.#votes.set(daemon, now)
+  /** A daemon has chosen this keeper, or says so again. */
+  vote (daemon: DaemonId, now: number, { told, freeInMs }: Vote): void {
+    const known = this.#votes.get(daemon)
+    this.#votes.set(daemon, { atMs: now, countsFromMs: known?.countsFromMs ?? now + freeInMs })
     for (const [account, level] of told) this.#buckets.get(account)?.lower(level)
   }
 
+  /** A daemon that has chosen this keeper was heard. */
+  heard (daemon: DaemonId, now: number): void {
+    const known = this.#votes.get(daemon)
+    if (known) known.atMs = now
+  }
+
   /** A daemon has chosen another. */
   withdraw (daemon: DaemonId): void {
     this.#votes.delete(daemon)
@@ -91,7 +104,11 @@
 
   /** Part of all daemons that have chosen this keeper. */
   part (now: number, all: number): number {
-    for (const [daemon, atMs] of this.#votes) if (now - atMs > VOTE_KEPT_MS) this.#votes.delete(daemon)
-    return Math.max(1, Math.min(this.#votes.size, all)) / Math.max(1, all)
+    let counted = 0
+    for (const [daemon, { atMs, countsFromMs }] of this.#votes) {
+      if (now - atMs > VOTE_KEPT_MS) this.#votes.delete(daemon)
+      else if (countsFromMs <= now) counted++
+    }
+    return Math.min(counted, all) / Math.max(1, all)
   }
 }
--- a/core/quota/shared_bucket.ts
+++ b/core/quota/shared_bucket.ts
@@ -13,6 +13,8 @@
 }
 
 const MS_PER_S = 1000
+/** Part by which waits are reckoned at least: one that counts for nobody yet will soon. */
+const LEAST_PART = 0.1
 
 /**
  * Never lets more through, over all who count, than one bucket would.
@@ -50,7 +52,7 @@
 
   /**
    * Tells how many tokens may be used now.
-   * @param part Part of the daemons that are counted for, in (0, 1].
+   * @param part Part of the daemons that are counted for, in [0, 1].
    */
   room (now: number, part: number): number {
     this.#hear(part)
@@ -63,7 +65,7 @@
 
   /** Milliseconds until so many tokens are there, if nobody else uses any. */
   waitMs (tokens: number): number {
-    return Math.max(0, tokens - this.#level) * MS_PER_S / (this.#perS * this.#part)
+    return Math.max(0, tokens - this.#level) * MS_PER_S / (this.#perS * Math.max(this.#part, LEAST_PART))
   }
 
   /** Counts tokens as used; a negative number gives them back. */
--- a/daemon/duties/usage_task.ts
+++ b/daemon/duties/usage_task.ts
@@ -15,8 +15,8 @@
   name: string
   store: ObjectStore
   duties: Duties
-  lease: LeaseTask
-  tallies: TallyTask
+  lease: Pick<LeaseTask, 'fencing'>
+  tallies: Pick<TallyTask, 'tally' | 'clock'>
   /** Length of a window in milliseconds. */
   windowMs: number
   /** A report is due this long after the end of its window, in milliseconds. */
@@ -57,7 +57,7 @@
 
   /** Begins to report whenever this daemon holds the lease. */
   start (): void {
-    this.#timer = setInterval(() => this.#round(), ROUND_MS)
+    this.#timer = setInterval(() => this.round(), ROUND_MS)
   }
 
   /** Stops. */
@@ -65,12 +65,8 @@
     clearInterval(this.#timer)
   }
 
-  #wallMs (): number {
-    const { clock } = this.#options.tallies
-    return clock.now(steadyNow())
-  }
-
-  async #round (): Promise<void> {
+  /** Reports what is due, if this daemon holds the lease and no round is under way. */
+  async round (): Promise<void> {
     this.#ledger.forgetBefore(Math.floor(this.#wallMs() / this.#options.windowMs) - KEPT_WINDOWS - this.#options.dueMs / this.#options.windowMs)
     if (this.#running || this.#options.lease.fencing === undefined) return
     this.#running = true
@@ -84,6 +80,11 @@
     }
   }
 
+  #wallMs (): number {
+    const { clock } = this.#options.tallies
+    return clock.now(steadyNow())
+  }
+
   async #report (): Promise<void> {
     const { windowMs, dueMs } = this.#options
     const last = Math.floor((this.#wallMs() - dueMs * SETTLE_PART) / windowMs) - 1
--- a/daemon/fleet/lease_task.ts
+++ b/daemon/fleet/lease_task.ts
@@ -1,7 +1,7 @@
 /** Takes and renews one lease through the store. */
 import { randomUUID } from 'node:crypto'
 import type { DaemonId } from '../../core/ids/index.ts'
-import { fencingNow, nextLeaseAction, NO_LEASE, released, seen, type LeaseRecord, type LeaseState } from '../../core/lease/index.ts'
+import { fencingNow, nextLeaseAction, NO_LEASE, released, seen, sending, type LeaseRecord, type LeaseState } from '../../core/lease/index.ts'
 import { delay, steadyNow } from '../../core/time/index.ts'
 import { StoreError, writeSurely, type Marked, type ObjectStore } from '../../store/index.ts'
 import { logOf } from '../log.ts'
@@ -137,27 +137,26 @@
   async #read (): Promise<void> {
     const found = await this.#options.store.get(this.#key)
     const record = found && (JSON.parse(found.value) as Marked<LeaseRecord>).data
-    this.#learn(found && record ? { record, version: found.version } : undefined, steadyNow())
+    this.#learn(found && record ? { record, version: found.version } : undefined)
   }
 
-  /** A renewal counts from when it was sent: the others may have seen it long before its answer came. */
   async #write (record: LeaseRecord, version: number): Promise<void> {
-    const sentAtMs = steadyNow()
+    this.#state = sending(this.#state, record, steadyNow())
     const driftMs = drift()
     const result = await writeSurely(this.#options.store, this.#key, { writeId: record.renewal, data: record, version })
-    if (!result.applied) return this.#learn(result.found && result.data ? { record: result.data, version: result.found.version } : undefined, steadyNow())
+    if (!result.applied) return this.#learn(result.found && result.data ? { record: result.data, version: result.found.version } : undefined)
     if (record.fencing !== this.#state.record?.fencing) this.#raise = false
     this.#driftMs = driftMs
-    this.#learn({ record, version: result.version }, sentAtMs)
+    this.#learn({ record, version: result.version })
   }
 
-  #learn (found: { record: LeaseRecord, version: number } | undefined, atMs: number): void {
+  #learn (found: { record: LeaseRecord, version: number } | undefined): void {
+    const { self } = this.#options
     const before = this.#state.record
-    this.#state = seen(this.#state, found, atMs)
+    this.#state = seen(this.#state, found, { self, now: steadyNow() })
     const { record } = this.#state
     if (!record || record.fencing === before?.fencing) return
     log('held', { name: this.#options.name, holder: record.holder, fencing: record.fencing })
-    const { self } = this.#options
     if (record.holder === self) this.onChange(record.fencing)
     else if (before?.holder === self) this.onChange(undefined)
   }
--- a/daemon/limits/account_limits.ts
+++ b/daemon/limits/account_limits.ts
@@ -2,7 +2,7 @@
 import type { Account, Quota } from '../../core/catalog/index.ts'
 import type { AccountId, DaemonId } from '../../core/ids/index.ts'
 import { mayAnswer, rankedFor, type Member } from '../../core/membership/index.ts'
-import { costOf, QuotaKeeper, type AccountLevel, type Grant, type QuotaTolerance } from '../../core/quota/index.ts'
+import { costOf, QuotaKeeper, VOTE_KEPT_MS, type AccountLevel, type Grant, type QuotaTolerance, type Vote } from '../../core/quota/index.ts'
 import type { Hash32 } from '../../core/routing/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import type { Demand } from '../../core/work/index.ts'
@@ -26,7 +26,6 @@
 export interface OverQuota { retryAfterMs: number }
 
 type Ask = readonly [account: AccountId, cost: number]
-interface Vote { told: AccountLevel[] }
 interface Heard { levels: AccountLevel[] }
 
 /** Between two votes for a keeper, in milliseconds; three of them fit into the time that one counts. */
@@ -64,6 +63,9 @@
   /** Levels that the keeper before told, until the chosen one knows them. */
   #told: AccountLevel[] = []
   #rounds = 0
+  #votedAtMs = -Infinity
+  /** The vote of a process that ran here before may count for as long as one of this one's. */
+  #freeAtMs = steadyNow() + VOTE_KEPT_MS
   #asks: Array<{ ask: Ask, decide: (grant: Grant, from: DaemonId | undefined) => void }> = []
   #timer: NodeJS.Timeout | undefined
 
@@ -71,13 +73,13 @@
     this.#options = options
     this.#keeper = new QuotaKeeper({ tolerance: options.tolerance })
     const { links } = options.membership
-    links.onPost(VOTE, ({ told }: Vote, from) => this.#voted(from, told))
+    links.onPost(VOTE, (vote: Vote, from) => this.#voted(from, vote))
     links.onPost(PROBE, (_nothing: null, from) => links.post(from, HEARD, { levels: [] } satisfies Heard))
     links.onPost(HEARD, ({ levels }: Heard, from) => this.#heard(from, levels))
     links.onPost(WITHDRAWN, (_nothing: null, from) => this.#keeper.withdraw(from))
     links.onPost(GIVEN_BACK, ([account, cost]: Ask) => this.#keeper.giveBack(account, cost))
     links.handle(ASK, async (asks: Ask[], { from }) => {
-      this.#keeper.vote(from, steadyNow())
+      this.#keeper.heard(from, steadyNow())
       return asks.map((ask) => this.#askHere(ask))
     })
   }
@@ -160,9 +162,12 @@
     if (this.#rounds++ % PROBE_EVERY === 0) {
       for (const better of ranked.slice(0, ranked.findIndex(({ id }) => id === chosen))) this.#post(better, PROBE, null)
     }
+    const now = steadyNow()
+    const vote: Vote = { told: this.#told, freeInMs: Math.max(0, this.#freeAtMs - now) }
+    this.#votedAtMs = now
     const keeper = chosen === self ? undefined : membership.core.member(chosen)
-    if (keeper) this.#post(keeper, VOTE, { told: this.#told } satisfies Vote)
-    else this.#keeper.vote(self, steadyNow(), this.#told)
+    if (keeper) this.#post(keeper, VOTE, vote)
+    else this.#keeper.vote(self, now, vote)
   }
 
   /** The first in rank that was heard lately; one that was never heard is tried. */
@@ -178,6 +183,7 @@
     log('keeper chosen', { keeper: next ?? self, before: this.#chosen ?? self })
     this.#chosen = next
     this.#told = this.#levels
+    this.#freeAtMs = this.#votedAtMs + VOTE_KEPT_MS
   }
 
   #ranked (): Member[] {
@@ -185,8 +191,8 @@
     return rankedFor('quotas', membership.core.members.filter((member) => mayAnswer(member) && member.state !== 'draining'), hash)
   }
 
-  #voted (from: DaemonId, told: AccountLevel[]): void {
-    this.#keeper.vote(from, steadyNow(), told)
+  #voted (from: DaemonId, vote: Vote): void {
+    this.#keeper.vote(from, steadyNow(), vote)
     this.#options.membership.links.post(from, HEARD, { levels: this.#keeper.levels(this.#at()) } satisfies Heard)
   }
 
