Serve callers within their quotas while the keeper of quotas changes

(1) When the daemon that counts quotas dies, no other may grant until the votes for it have run out; all requests of accounts with a quota were told 429 meanwhile, 1.0 to 1.3 s. (2) A planned leave cost the same second, and so did a first start. (3) A 503 for work that no endpoint took said nothing of when to come back; headers over their limit and callers that stall in their headers were told nothing for up to 30 s.

Ruled out: a part of the tolerance for daemons without a keeper (it would be granted again by each of them in each change); shorter votes (at 420 daemons the keeper already hears 1,400 votes a second).

Change: a request waits for the next keeper, at most 1.47 s, in place of a 429; a keeper confirms a withdrawal and tells its levels, so that the vote counts elsewhere at once, and votes bear numbers so that none undoes its withdrawal; a process counts its own start as the end of the one before. Refusals of the last endpoint come with a Retry-After, headers are measured (431), stalled headers are looked for every 250 ms (408), a stalled body is told 408.

--- a/core/quota/quota_keeper.ts
+++ b/core/quota/quota_keeper.ts
@@ -7,8 +7,8 @@
 /** Level of an account's bucket, as a daemon was told it. */
 export type AccountLevel = readonly [account: AccountId, level: number]
 
-/** What a request is told. */
-export type Grant = { granted: true } | { granted: false, retryAfterMs: number }
+/** What a request is told; `unknown` when nobody has chosen the keeper, so that it cannot know whether there is room. */
+export type Grant = { granted: true } | { granted: false, retryAfterMs: number, unknown?: true }
 
 /**
  * How long a daemon's choice counts, in milliseconds.
@@ -19,6 +19,8 @@
 
 /** A daemon's choice of a keeper. */
 export interface Vote {
+  /** Grows with each vote and each withdrawal of a daemon, so that one that comes late undoes nothing. */
+  number: number
   /** Levels that its keeper before told it; nobody else knows what was used there. */
   told: readonly AccountLevel[]
   /** Milliseconds until its last vote for another keeper counts no more. */
@@ -36,7 +38,7 @@
   readonly #tolerance: QuotaTolerance
   readonly #quotas = new Map<AccountId, Quota>()
   readonly #buckets = new Map<AccountId, SharedBucket>()
-  readonly #votes = new Map<DaemonId, { atMs: number, countsFromMs: number }>()
+  readonly #votes = new Map<DaemonId, { number: number, atMs: number, countsFromMs: number }>()
 
   constructor (options: { tolerance: QuotaTolerance }) {
     this.#tolerance = options.tolerance
@@ -59,9 +61,10 @@
   }
 
   /** A daemon has chosen this keeper, or says so again. */
-  vote (daemon: DaemonId, now: number, { told, freeInMs }: Vote): void {
+  vote (daemon: DaemonId, now: number, { number, told, freeInMs }: Vote): void {
     const known = this.#votes.get(daemon)
-    this.#votes.set(daemon, { atMs: now, countsFromMs: known?.countsFromMs ?? now + freeInMs })
+    if (known && known.number >= number) return
+    this.#votes.set(daemon, { number, atMs: now, countsFromMs: Math.min(known?.countsFromMs ?? Infinity, now + freeInMs) })
     for (const [account, level] of told) this.#buckets.get(account)?.lower(level)
   }
 
@@ -71,9 +74,9 @@
     if (known) known.atMs = now
   }
 
-  /** A daemon has chosen another. */
-  withdraw (daemon: DaemonId): void {
-    this.#votes.delete(daemon)
+  /** A daemon has chosen another; no vote of before counts any more. */
+  withdraw (daemon: DaemonId, now: number, number: number): void {
+    this.#votes.set(daemon, { number, atMs: now, countsFromMs: Infinity })
   }
 
   /**
@@ -83,7 +86,8 @@
   ask (account: AccountId, cost: number, at: { now: number, all: number }): Grant {
     const bucket = this.#buckets.get(account)
     if (!bucket) return { granted: true }
-    if (bucket.room(at.now, this.part(at.now, at.all)) < cost) return { granted: false, retryAfterMs: bucket.waitMs(cost) }
+    const part = this.part(at.now, at.all)
+    if (bucket.room(at.now, part) < cost) return { granted: false, retryAfterMs: bucket.waitMs(cost), ...(part === 0 && { unknown: true }) }
     bucket.take(cost)
     return { granted: true }
   }
--- a/core/quota/quota_test.ts
+++ b/core/quota/quota_test.ts
@@ -8,7 +8,7 @@
 const QUOTA: Quota = { unit: 'tokens', perS: 100_000, burst: 100_000, plainTokens: 200 }
 const TOLERANCE: QuotaTolerance = { windowMs: 8000, overshoot: 0.1, slack: 140_000 }
 const HARD_LIMIT = (QUOTA.perS * 8 + QUOTA.burst) * (1 + TOLERANCE.overshoot) + TOLERANCE.slack
-const FREE: Vote = { told: [], freeInMs: 0 }
+const FREE: Vote = { number: 1, told: [], freeInMs: 0 }
 const daemon = (i: number) => as<DaemonId>(`d${i}`)
 
 test('a request costs its tokens, a plain one what the quota says, and one where requests are counted', () => {
@@ -55,11 +55,31 @@
 
 test('a vote counts once the one before has run out', () => {
   const keeper = new QuotaKeeper({ tolerance: TOLERANCE })
-  keeper.vote(daemon(0), 0, { told: [], freeInMs: 600 })
-  keeper.vote(daemon(0), 300, FREE)
+  keeper.vote(daemon(0), 0, { number: 1, told: [], freeInMs: 600 })
+  keeper.vote(daemon(0), 300, { number: 2, told: [], freeInMs: 300 })
   expect([keeper.part(599, 2), keeper.part(600, 2)]).toEqual([0, 0.5])
 })
 
+test('a vote that its last keeper frees counts at once', () => {
+  // Each planned restart of the keeper holds up every caller for a second: nobody may grant until all votes for it have run out.
+  const keeper = new QuotaKeeper({ tolerance: TOLERANCE })
+  keeper.vote(daemon(0), 0, { number: 1, told: [], freeInMs: 1000 })
+  keeper.vote(daemon(0), 20, { number: 2, told: [], freeInMs: 0 })
+  expect(keeper.part(20, 2)).toBe(0.5)
+})
+
+test('a vote that comes after its withdrawal counts nowhere', () => {
+  // Two links cross: the vote overtaken by its withdrawal would count here while the daemon is counted elsewhere.
+  const keeper = new QuotaKeeper({ tolerance: TOLERANCE })
+  keeper.vote(daemon(0), 0, { number: 1, told: [], freeInMs: 0 })
+  keeper.withdraw(daemon(0), 10, 3)
+  keeper.vote(daemon(0), 20, { number: 2, told: [], freeInMs: 0 })
+  keeper.heard(daemon(0), 30)
+  expect(keeper.part(40, 2)).toBe(0)
+  keeper.vote(daemon(0), 50, { number: 4, told: [], freeInMs: 0 })
+  expect(keeper.part(50, 2)).toBe(0.5)
+})
+
 test('a keeper that was paused wakes without votes', () => {
   // A frozen host wakes and grants for daemons that have chosen another long ago.
   const keeper = new QuotaKeeper({ tolerance: TOLERANCE })
@@ -92,6 +112,7 @@
   const reaches = (a: Node, b: Node, now: number) => a === b || (a.group === b.group && lives(b, now))
   let costAt = 0
   let owed = 0
+  let number = 0
   for (let now = 0; now < SPAN_MS; now += STEP_MS) {
     for (const event of events.filter(({ atMs }) => atMs === now)) apply(event, now)
     for (const node of nodes) if (lives(node, now)) tend(node, now)
@@ -123,23 +144,24 @@
     const first = nodes.findIndex((other) => reaches(node, other, now))
     const move = now - node.silentSinceMs > NOTICE_MS || (first < node.chosen && reaches(node, current, now))
     if (move && first !== node.chosen) {
-      if (reaches(node, current, now)) current.keeper.withdraw(node.id)
+      const confirmed = reaches(node, current, now)
+      if (confirmed) current.keeper.withdraw(node.id, now, ++number)
+      else node.freeAtMs = Math.max(node.freeAtMs, node.votedAtMs + VOTE_KEPT_MS)
+      node.told = confirmed ? current.keeper.levels({ now, all: options.nodes }) : node.levels
       node.chosen = first
-      node.freeAtMs = node.votedAtMs + VOTE_KEPT_MS
-      node.told = node.levels
       node.silentSinceMs = now
     }
     const keeper = nodes[node.chosen]!
-    node.votedAtMs = now
     if (!reaches(node, keeper, now)) return
-    keeper.keeper.vote(node.id, now, { told: node.told, freeInMs: Math.max(0, node.freeAtMs - now) })
+    node.votedAtMs = now
+    keeper.keeper.vote(node.id, now, { number: ++number, told: node.told, freeInMs: Math.max(0, node.freeAtMs - now) })
     node.told = []
     node.levels = keeper.keeper.levels({ now, all: options.nodes })
   }
 
   function ask (node: Node, cost: number, now: number): void {
     const chosen = options.shared && reaches(node, nodes[node.chosen]!, now) ? nodes[node.chosen]! : node
-    if (!options.shared) node.keeper.vote(node.id, now, FREE)
+    if (!options.shared) node.keeper.vote(node.id, now, { ...FREE, number: ++number })
     const { granted: yes } = chosen.keeper.ask(ACCOUNT, cost, { now, all: options.shared ? options.nodes : 1 })
     if (yes) granted.push({ atMs: now, cost })
   }
--- a/daemon/exchange/exchange_server.ts
+++ b/daemon/exchange/exchange_server.ts
@@ -15,6 +15,10 @@
 
 /** Limits until the configuration names others. */
 const FIRST_LIMITS: CallerLimits = { headerBytes: 16_384, bodyBytes: 4_194_304, headerMs: 3000, idleMs: 15_000 }
+/** Colon and space, or the end of a line. */
+const HEADER_SEPARATOR_BYTES = 2
+/** Between two looks for callers that take too long over their headers, in milliseconds. */
+const STALL_CHECK_MS = 250
 /** Most that Node.js is allowed for the headers of one request, in bytes; the configuration's own limit is lower. */
 const MOST_HEADER_BYTES = 65_536
 
@@ -27,7 +31,7 @@
 
   constructor (options: ExchangeServerOptions) {
     this.#options = options
-    this.#server = createServer({ maxHeaderSize: MOST_HEADER_BYTES, keepAliveTimeout: FIRST_LIMITS.idleMs }, (req, res) => { this.#serve(req, res) })
+    this.#server = createServer({ maxHeaderSize: MOST_HEADER_BYTES, connectionsCheckingInterval: STALL_CHECK_MS }, (req, res) => { this.#serve(req, res) })
     this.limit(FIRST_LIMITS)
   }
 
@@ -59,14 +63,21 @@
     this.#server.closeIdleConnections()
   }
 
+  /** Cuts everything. */
+  kill (): void {
+    this.#server.close()
+    this.#server.closeAllConnections()
+  }
+
   async #serve (req: IncomingMessage, res: ServerResponse): Promise<void> {
     this.open++
     res.on('close', () => { this.open-- })
     // An answer that began before the daemon was told to leave did not say that it is the last on its connection.
     res.on('finish', () => { if (this.#leaving) req.socket.end() })
     try {
+      checkHeaders(req, this.#limits.headerBytes)
       const facts = this.#options.dialect.readRequest(req)
-      const body = await readBody(req, this.#limits.bodyBytes)
+      const body = await readBody(req, this.#limits)
       if (res.destroyed) return
       const task = await this.#options.intake.take({ ...facts, body })
       writeExchange(res, task, { lastOnConnection: () => this.#leaving })
@@ -77,7 +88,8 @@
   }
 
   #refuse (req: IncomingMessage, res: ServerResponse, err: unknown): void {
-    if (res.destroyed || res.headersSent) return
+    // A caller that left in the middle of its body hears nothing any more.
+    if (res.destroyed || res.headersSent || req.errored) return
     const refusal = err instanceof Refusal ? err : new Refusal((err as Error).message, { status: 400 })
     if (!(err instanceof Refusal) && !(err instanceof BadRequestError)) throw err
     // A body that was not read to its end cannot be told from the next request.
@@ -85,13 +97,25 @@
   }
 }
 
-async function readBody (req: IncomingMessage, limit: number): Promise<Buffer> {
+function checkHeaders (req: IncomingMessage, limit: number): void {
+  const bytes = req.rawHeaders.reduce((sum, part) => sum + part.length + HEADER_SEPARATOR_BYTES, 0)
+  if (bytes > limit) throw new Refusal(`the headers are over ${limit} bytes`, { status: 431 })
+}
+
+/** A caller that is silent in the middle of its body would hold its connection and what came of the body for ever. */
+async function readBody (req: IncomingMessage, limits: CallerLimits): Promise<Buffer> {
   const parts: Buffer[] = []
   let length = 0
-  for await (const part of req) {
-    length += (part as Buffer).length
-    if (length > limit) throw new Refusal(`the body is over ${limit} bytes`, { status: 413 })
-    parts.push(part as Buffer)
-  }
-  return Buffer.concat(parts)
+  return await new Promise((resolve, reject) => {
+    const silent = setTimeout(() => reject(new Refusal('the body did not come', { status: 408 })), limits.idleMs)
+    req.on('data', (part: Buffer) => {
+      silent.refresh()
+      length += part.length
+      if (length <= limits.bodyBytes) parts.push(part)
+      else reject(new Refusal(`the body is over ${limits.bodyBytes} bytes`, { status: 413 }))
+    })
+    req.on('end', () => resolve(Buffer.concat(parts)))
+    req.on('error', reject)
+    req.on('close', () => clearTimeout(silent))
+  })
 }
--- a/daemon/exchange/exchange_writer.ts
+++ b/daemon/exchange/exchange_writer.ts
@@ -7,6 +7,8 @@
 const BAD_GATEWAY = 502
 const UNAVAILABLE = 503
 const GATEWAY_TIMEOUT = 504
+/** When to come back after every endpoint that was tried turned a request away, in milliseconds: what they have under way takes so long. */
+const RETRY_NOT_RUN_MS = 250
 /** Headers that concern one connection only; the answer is framed anew for its caller. */
 const HOP_BY_HOP = new Set(['connection', 'keep-alive', 'proxy-authenticate', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade'])
 
@@ -53,7 +55,8 @@
     begin(res, task.failureAnswer.head, { whole: task.failureAnswer.body.length, last: options.last })
     res.end(task.failureAnswer.body)
   } else {
-    refuse(res, { status: statusOf(options.final), retryAfterMs: options.final.retryAfterMs, why: options.final.reason, last: options.last })
+    const notRun = options.final.outcome === 'not-run'
+    refuse(res, { status: statusOf(options.final), retryAfterMs: options.final.retryAfterMs ?? (notRun ? RETRY_NOT_RUN_MS : undefined), why: options.final.reason, last: options.last })
   }
 }
 
--- a/daemon/exchange/proxy_daemon.ts
+++ b/daemon/exchange/proxy_daemon.ts
@@ -115,6 +115,10 @@
   get id (): DaemonId { return this.#parts.self }
   /** True while the balancer should send callers here. */
   get ready (): boolean { return this.#draining === undefined && this.#parts.config.inForce !== undefined && this.#parts.table.all.length > 0 }
+  /** How many endpoints may get new work. */
+  get endpoints (): number { return this.#parts.table.all.filter((view) => view.leavingAtMs === undefined).length }
+  /** The daemon that counts quotas for this one. */
+  get quotaKeeper (): DaemonId { return this.#parts.limits.keeper ?? this.id }
 
   /** Drains and stops; a second call waits for the first. */
   drain (): Promise<void> {
@@ -122,6 +126,18 @@
     return this.#draining
   }
 
+  /** Stops at once, as a crash would. */
+  async kill (): Promise<void> {
+    const { server, readiness, lease, usage, orders, membership } = this.#parts
+    lease.stop()
+    usage.stop()
+    orders.stop()
+    this.#stopFollowing()
+    server.kill()
+    readiness.close()
+    await membership.stop()
+  }
+
   async #start (): Promise<void> {
     const { settings, membership, tallies, config, registry, server, readiness, lease, limits, loads, usage, orders } = this.#parts
     const { callers, readiness: check } = settings.listen
@@ -162,14 +178,19 @@
   }
 
   async #leave (): Promise<void> {
-    const { config, registry, tallies, limits, loads, membership, server } = this.#parts
-    loads.stop()
+    const { membership, server } = this.#parts
+    this.#stopFollowing()
+    await membership.leave(undefined)
+    log('left', { cut: server.open })
+  }
+
+  #stopFollowing (): void {
+    const { config, registry, limits, loads, tallies } = this.#parts
     config.stop()
-    limits.stop()
     registry.stop()
+    limits.stop()
+    loads.stop()
     tallies.stop()
-    await membership.leave(undefined)
-    log('left', { cut: server.open })
   }
 }
 
--- a/daemon/exchange/refusal.ts
+++ b/daemon/exchange/refusal.ts
@@ -2,7 +2,7 @@
 
 /** Options of {@linkcode Refusal}. */
 export interface RefusalOptions {
-  status: 400 | 401 | 404 | 408 | 413 | 429 | 503
+  status: 400 | 401 | 404 | 408 | 413 | 429 | 431 | 503
   /** When the caller should come back, in milliseconds; undefined when it should not. */
   retryAfterMs?: number
 }
--- a/daemon/limits/account_limits.ts
+++ b/daemon/limits/account_limits.ts
@@ -4,7 +4,7 @@
 import { mayAnswer, rankedFor, type Member } from '../../core/membership/index.ts'
 import { costOf, QuotaKeeper, VOTE_KEPT_MS, type AccountLevel, type Grant, type QuotaTolerance, type Vote } from '../../core/quota/index.ts'
 import type { Hash32 } from '../../core/routing/index.ts'
-import { steadyNow } from '../../core/time/index.ts'
+import { delay, steadyNow } from '../../core/time/index.ts'
 import type { Demand } from '../../core/work/index.ts'
 import { logOf } from '../log.ts'
 import type { FleetSize } from '../peers/fleet_size.ts'
@@ -27,6 +27,8 @@
 
 type Ask = readonly [account: AccountId, cost: number]
 interface Heard { levels: AccountLevel[] }
+/** A keeper's last word to a daemon that has chosen another. */
+interface Freed { number: number, levels: AccountLevel[] }
 
 /** Between two votes for a keeper, in milliseconds; three of them fit into the time that one counts. */
 const VOTE_MS = 300
@@ -34,12 +36,20 @@
 const SILENT_MS = 750
 /** Longest wait for a keeper's word on a request, in milliseconds: several times the way there and back. */
 const ASK_TIMEOUT_MS = 120
+/**
+ * Longest wait of a request while no keeper may grant, in milliseconds: the silence after which the next is chosen, the votes that are then due,
+ * and the rest of the time that the last vote for the one before counts.
+ */
+const HOLD_MS = SILENT_MS + 2 * VOTE_MS + ASK_TIMEOUT_MS
+/** Between two questions while nobody may grant, in milliseconds. */
+const ASK_AGAIN_MS = 50
 /** Rounds of votes between two attempts to go back to the keeper that all would choose first. */
 const PROBE_EVERY = 4
 const VOTE = 'quota-vote'
 const PROBE = 'quota-probe'
 const HEARD = 'quota-heard'
 const WITHDRAWN = 'quota-withdrawn'
+const FREED = 'quota-freed'
 const GIVEN_BACK = 'quota-given-back'
 const ASK = 'quota-ask'
 const NO_CHARGE: Charge = { giveBack: () => {} }
@@ -64,8 +74,14 @@
   #told: AccountLevel[] = []
   #rounds = 0
   #votedAtMs = -Infinity
-  /** The vote of a process that ran here before may count for as long as one of this one's. */
-  #freeAtMs = steadyNow() + VOTE_KEPT_MS
+  /** On the steady clock, which begins with the process: a vote of one that ran here before may count until then. */
+  #freeAtMs = VOTE_KEPT_MS
+  /** What that was before the last change of keeper. */
+  #freeBeforeMs = VOTE_KEPT_MS
+  /** Votes and withdrawals so far. */
+  #number = 0
+  /** The withdrawal that its keeper has not confirmed. */
+  #withdrawal: number | undefined
   #asks: Array<{ ask: Ask, decide: (grant: Grant, from: DaemonId | undefined) => void }> = []
   #timer: NodeJS.Timeout | undefined
 
@@ -76,7 +92,8 @@
     links.onPost(VOTE, (vote: Vote, from) => this.#voted(from, vote))
     links.onPost(PROBE, (_nothing: null, from) => links.post(from, HEARD, { levels: [] } satisfies Heard))
     links.onPost(HEARD, ({ levels }: Heard, from) => this.#heard(from, levels))
-    links.onPost(WITHDRAWN, (_nothing: null, from) => this.#keeper.withdraw(from))
+    links.onPost(WITHDRAWN, (number: number, from) => this.#withdrawn(from, number))
+    links.onPost(FREED, (freed: Freed) => this.#freed(freed))
     links.onPost(GIVEN_BACK, ([account, cost]: Ask) => this.#keeper.giveBack(account, cost))
     links.handle(ASK, async (asks: Ask[], { from }) => {
       this.#keeper.heard(from, steadyNow())
@@ -103,17 +120,26 @@
   /** Stops; the keeper counts for one daemon less. */
   stop (): void {
     clearInterval(this.#timer)
-    if (this.#chosen !== undefined) this.#options.membership.links.post(this.#chosen, WITHDRAWN, null)
+    if (this.#chosen !== undefined) this.#options.membership.links.post(this.#chosen, WITHDRAWN, ++this.#number)
   }
 
-  /** Charges a request to its account, or tells when there will be room. */
+  /**
+   * Charges a request to its account, or tells when there will be room.
+   *
+   * While the daemons change from a keeper that died to the next, none may grant, and callers well within their quotas would be refused all at
+   * once: their requests wait for the next keeper instead.
+   */
   async charge (account: AccountId, demand: Demand | undefined): Promise<Charge | OverQuota> {
     const quota = this.#quotas.get(account)
     if (!quota) return NO_CHARGE
     const cost = costOf(quota, demand)
-    const { grant, from } = await this.#ask([account, cost])
-    if (!grant.granted) return { retryAfterMs: grant.retryAfterMs }
-    return { giveBack: () => this.#giveBack([account, cost], from) }
+    const untilMs = steadyNow() + HOLD_MS
+    for (;;) {
+      const { grant, from } = await this.#ask([account, cost])
+      if (grant.granted) return { giveBack: () => this.#giveBack([account, cost], from) }
+      if (!grant.unknown || steadyNow() >= untilMs) return { retryAfterMs: grant.retryAfterMs }
+      await delay(ASK_AGAIN_MS)
+    }
   }
 
   /** Asks of one turn of the event loop travel together. */
@@ -155,19 +181,25 @@
   }
 
   #vote (): void {
-    const { self, membership } = this.#options
+    const { self } = this.#options
     this.#choose()
     const ranked = this.#ranked()
     const chosen = this.#chosen ?? self
     if (this.#rounds++ % PROBE_EVERY === 0) {
       for (const better of ranked.slice(0, ranked.findIndex(({ id }) => id === chosen))) this.#post(better, PROBE, null)
     }
+    this.#castVote()
+  }
+
+  #castVote (): void {
+    const { self, membership } = this.#options
     const now = steadyNow()
-    const vote: Vote = { told: this.#told, freeInMs: Math.max(0, this.#freeAtMs - now) }
+    const vote: Vote = { number: ++this.#number, told: this.#told, freeInMs: Math.max(0, this.#freeAtMs - now) }
+    const keeper = this.#chosen === undefined ? undefined : membership.core.member(this.#chosen)
+    if (this.#chosen === undefined) this.#keeper.vote(self, now, vote)
+    // One that could not be sent counts nowhere, and delays no later one.
+    else if (!keeper || !this.#post(keeper, VOTE, vote)) return
     this.#votedAtMs = now
-    const keeper = chosen === self ? undefined : membership.core.member(chosen)
-    if (keeper) this.#post(keeper, VOTE, vote)
-    else this.#keeper.vote(self, now, vote)
   }
 
   /** The first in rank that was heard lately; one that was never heard is tried. */
@@ -178,12 +210,33 @@
     const next = first === undefined || first.id === self ? undefined : first.id
     if (next !== undefined && !this.#heardAtMs.has(next)) this.#heardAtMs.set(next, now)
     if (next === this.#chosen) return
-    if (this.#chosen === undefined) this.#keeper.withdraw(self)
-    else this.#options.membership.links.post(this.#chosen, WITHDRAWN, null)
     log('keeper chosen', { keeper: next ?? self, before: this.#chosen ?? self })
+    this.#withdrawFrom(this.#chosen)
     this.#chosen = next
     this.#told = this.#levels
-    this.#freeAtMs = this.#votedAtMs + VOTE_KEPT_MS
+  }
+
+  /** A keeper that confirms frees the vote at once; with any other it must run out. */
+  #withdrawFrom (keeper: DaemonId | undefined): void {
+    const number = ++this.#number
+    if (keeper === undefined) return this.#keeper.withdraw(this.#options.self, steadyNow(), number)
+    this.#options.membership.links.post(keeper, WITHDRAWN, number)
+    this.#withdrawal = number
+    this.#freeBeforeMs = this.#freeAtMs
+    this.#freeAtMs = Math.max(this.#freeAtMs, this.#votedAtMs + VOTE_KEPT_MS)
+  }
+
+  #withdrawn (from: DaemonId, number: number): void {
+    this.#keeper.withdraw(from, steadyNow(), number)
+    this.#options.membership.links.post(from, FREED, { number, levels: this.#keeper.levels(this.#at()) } satisfies Freed)
+  }
+
+  #freed ({ number, levels }: Freed): void {
+    if (number !== this.#withdrawal) return
+    this.#withdrawal = undefined
+    this.#freeAtMs = this.#freeBeforeMs
+    this.#told = levels
+    this.#castVote()
   }
 
   #ranked (): Member[] {
@@ -204,8 +257,10 @@
   }
 
   /** A link is dialled when there is none; its first message may come too late, and the next does not. */
-  #post (to: Member, topic: string, value: unknown): void {
+  #post (to: Member, topic: string, value: unknown): boolean {
     const { links } = this.#options.membership
-    if (!links.post(to.id, topic, value)) links.connect(to)
+    if (links.post(to.id, topic, value)) return true
+    links.connect(to)
+    return false
   }
 }
