Keep endpoints until those that follow serve, plan for the next reclaim, and count work on all bookkeepers

Beside it: (1) an order for a count that is there already was taken for news that there are some to be had, and orders went to and fro every two seconds; (2) the successor of a lease went by what served just after a reclaim and stopped endpoints in a burst; (3) at the first start nine on-demand endpoints were paid until the registry showed them.

Change: on-demand endpoints stay while they are needed, reclaimable ones get the room they leave; while none are to be had, what the next reclaim would leave must carry the work without its piling up; asking again is always for one more than there are; each bookkeeper counts the work all the time, so that a successor is settled; at the first start spare endpoints are stopped at once, but for one a domain.

Also: when every host has chosen the same keeper of quotas, all votes count at once. After the loss of all hosts a quarter of the requests of the first three seconds waited 200 to 720 ms for votes that had died with their keepers.

--- a/core/fleet/endpoint_demand.ts
+++ b/core/fleet/endpoint_demand.ts
@@ -6,10 +6,15 @@
   prefillTokensPerS: number
   /** Engines assumed busy at first: whoever begins to count knows nothing of the work, but sees what serves it. */
   first: number
+  /** True when there is no work yet for certain. Default false. */
+  idle?: boolean
   /** Milliseconds on the steady clock. */
   now: number
 }
 
+/** A running total of what was asked for, and of how many daemons it is the sum. */
+export interface AskedTotal { tokens: number, tellers: number }
+
 interface Sample { atMs: number, tokens: number }
 
 /** Work is averaged over this long, in milliseconds. */
@@ -21,6 +26,7 @@
 export class EndpointDemand {
   readonly #options: EndpointDemandOptions
   #samples: Sample[] = []
+  #tellers = 0
   #levels: Array<{ atMs: number, engines: number }>
 
   constructor (options: EndpointDemandOptions) {
@@ -28,11 +34,23 @@
     this.#levels = [{ atMs: options.now, engines: options.first }]
   }
 
+  /** True when it began without any work for certain. */
+  get idle (): boolean { return this.#options.idle === true }
+
+  /** False until work was counted for long enough to tell how much there is. */
+  settled (now: number): boolean {
+    return this.idle || now - this.#options.now > WINDOW_MS
+  }
+
   /**
    * Notes the total and tells the highest demand of the last while, in engines, a fraction included.
-   * @param tokens Tokens asked for since the start, over all daemons.
+   *
+   * A daemon that is heard of for the first time brings all that it counted since its start, which is no work of this moment.
+   * @param asked Tokens asked for since the start, over all daemons.
    */
-  engines (tokens: number, now: number): number {
+  engines ({ tokens, tellers }: AskedTotal, now: number): number {
+    if (tellers !== this.#tellers) this.#samples = []
+    this.#tellers = tellers
     this.#samples = this.#samples.filter((sample) => sample.atMs > now - WINDOW_MS)
     this.#samples.push({ atMs: now, tokens })
     const first = this.#samples[0]!
--- a/core/quota/quota_keeper.ts
+++ b/core/quota/quota_keeper.ts
@@ -19,6 +19,8 @@
 
 /** A daemon's choice of a keeper. */
 export interface Vote {
+  /** Names the place of the daemon, which has one process at a time; the same after a restart. */
+  host: string
   /** Grows with each vote and each withdrawal of a daemon, so that one that comes late undoes nothing. */
   number: number
   /** Levels that its keeper before told it; nobody else knows what was used there. */
@@ -38,7 +40,7 @@
   #tolerance: QuotaTolerance
   readonly #quotas = new Map<AccountId, Quota>()
   readonly #buckets = new Map<AccountId, SharedBucket>()
-  readonly #votes = new Map<DaemonId, { number: number, atMs: number, countsFromMs: number }>()
+  readonly #votes = new Map<DaemonId, { host: string, number: number, atMs: number, countsFromMs: number }>()
 
   constructor (options: { tolerance: QuotaTolerance }) {
     this.#tolerance = options.tolerance
@@ -67,10 +69,10 @@
   }
 
   /** A daemon has chosen this keeper, or says so again. */
-  vote (daemon: DaemonId, now: number, { number, told, freeInMs }: Vote): void {
+  vote (daemon: DaemonId, now: number, { host, number, told, freeInMs }: Vote): void {
     const known = this.#votes.get(daemon)
     if (known && known.number >= number) return
-    this.#votes.set(daemon, { number, atMs: now, countsFromMs: Math.min(known?.countsFromMs ?? Infinity, now + freeInMs) })
+    this.#votes.set(daemon, { host, number, atMs: now, countsFromMs: Math.min(known?.countsFromMs ?? Infinity, now + freeInMs) })
     for (const [account, level] of told) this.#buckets.get(account)?.lower(level)
   }
 
@@ -82,7 +84,7 @@
 
   /** A daemon has chosen another; no vote of before counts any more. */
   withdraw (daemon: DaemonId, now: number, number: number): void {
-    this.#votes.set(daemon, { number, atMs: now, countsFromMs: Infinity })
+    this.#votes.set(daemon, { host: '', number, atMs: now, countsFromMs: Infinity })
   }
 
   /**
@@ -112,13 +114,23 @@
     })
   }
 
-  /** Part of all daemons that have chosen this keeper. */
+  /**
+   * Part of all daemons that have chosen this keeper.
+   *
+   * Once every host's daemon has chosen it, nobody is left to ask another: then all count at once. Else all callers would wait a second after each
+   * loss of all daemons, for votes that died with their keepers to run out.
+   */
   part (now: number, all: number): number {
+    const hosts = new Set<string>()
     let counted = 0
-    for (const [daemon, { atMs, countsFromMs }] of this.#votes) {
-      if (now - atMs > VOTE_KEPT_MS) this.#votes.delete(daemon)
-      else if (countsFromMs <= now) counted++
+    for (const [daemon, { host, atMs, countsFromMs }] of this.#votes) {
+      if (now - atMs > VOTE_KEPT_MS) {
+        this.#votes.delete(daemon)
+        continue
+      }
+      if (countsFromMs < Infinity) hosts.add(host)
+      if (countsFromMs <= now) counted++
     }
-    return Math.min(counted, all) / Math.max(1, all)
+    return hosts.size >= all ? 1 : Math.min(counted, all) / Math.max(1, all)
   }
 }
--- a/core/quota/quota_test.ts
+++ b/core/quota/quota_test.ts
@@ -8,7 +8,7 @@
 const QUOTA: Quota = { unit: 'tokens', perS: 100_000, burst: 100_000, plainTokens: 200 }
 const TOLERANCE: QuotaTolerance = { windowMs: 8000, overshoot: 0.1, slack: 140_000 }
 const HARD_LIMIT = (QUOTA.perS * 8 + QUOTA.burst) * (1 + TOLERANCE.overshoot) + TOLERANCE.slack
-const FREE: Vote = { number: 1, told: [], freeInMs: 0 }
+const FREE: Vote = { host: 'h', number: 1, told: [], freeInMs: 0 }
 const daemon = (i: number) => as<DaemonId>(`d${i}`)
 
 test('a request costs its tokens, a plain one what the quota says, and one where requests are counted', () => {
@@ -55,28 +55,44 @@
 
 test('a vote counts once the one before has run out', () => {
   const keeper = new QuotaKeeper({ tolerance: TOLERANCE })
-  keeper.vote(daemon(0), 0, { number: 1, told: [], freeInMs: 600 })
-  keeper.vote(daemon(0), 300, { number: 2, told: [], freeInMs: 300 })
+  keeper.vote(daemon(0), 0, { ...FREE, freeInMs: 600 })
+  keeper.vote(daemon(0), 300, { ...FREE, number: 2, freeInMs: 300 })
   expect([keeper.part(599, 2), keeper.part(600, 2)]).toEqual([0, 0.5])
 })
 
+test('when every host has chosen the same keeper, all votes count at once', () => {
+  // After a power loss of all hosts every caller waits a second longer than the daemons take to start: each of them waits for the votes of the
+  // process before it to run out, though no keeper is left that counts them.
+  const keeper = new QuotaKeeper({ tolerance: TOLERANCE })
+  const young = (i: number): Vote => ({ ...FREE, host: `host-${i}`, freeInMs: 800 })
+  keeper.vote(daemon(0), 0, young(0))
+  keeper.vote(daemon(1), 0, young(1))
+  expect(keeper.part(10, 3)).toBe(0)
+  keeper.vote(daemon(9), 10, young(1))
+  expect(keeper.part(10, 3)).toBe(0)
+  keeper.vote(daemon(2), 10, young(2))
+  expect(keeper.part(10, 3)).toBe(1)
+  keeper.withdraw(daemon(2), 20, 2)
+  expect(keeper.part(20, 3)).toBe(0)
+})
+
 test('a vote that its last keeper frees counts at once', () => {
   // Each planned restart of the keeper holds up every caller for a second: nobody may grant until all votes for it have run out.
   const keeper = new QuotaKeeper({ tolerance: TOLERANCE })
-  keeper.vote(daemon(0), 0, { number: 1, told: [], freeInMs: 1000 })
-  keeper.vote(daemon(0), 20, { number: 2, told: [], freeInMs: 0 })
+  keeper.vote(daemon(0), 0, { ...FREE, freeInMs: 1000 })
+  keeper.vote(daemon(0), 20, { ...FREE, number: 2 })
   expect(keeper.part(20, 2)).toBe(0.5)
 })
 
 test('a vote that comes after its withdrawal counts nowhere', () => {
   // Two links cross: the vote overtaken by its withdrawal would count here while the daemon is counted elsewhere.
   const keeper = new QuotaKeeper({ tolerance: TOLERANCE })
-  keeper.vote(daemon(0), 0, { number: 1, told: [], freeInMs: 0 })
+  keeper.vote(daemon(0), 0, FREE)
   keeper.withdraw(daemon(0), 10, 3)
-  keeper.vote(daemon(0), 20, { number: 2, told: [], freeInMs: 0 })
+  keeper.vote(daemon(0), 20, { ...FREE, number: 2 })
   keeper.heard(daemon(0), 30)
   expect(keeper.part(40, 2)).toBe(0)
-  keeper.vote(daemon(0), 50, { number: 4, told: [], freeInMs: 0 })
+  keeper.vote(daemon(0), 50, { ...FREE, number: 4 })
   expect(keeper.part(50, 2)).toBe(0.5)
 })
 
@@ -154,7 +170,7 @@
     const keeper = nodes[node.chosen]!
     if (!reaches(node, keeper, now)) return
     node.votedAtMs = now
-    keeper.keeper.vote(node.id, now, { number: ++number, told: node.told, freeInMs: Math.max(0, node.freeAtMs - now) })
+    keeper.keeper.vote(node.id, now, { host: node.id, number: ++number, told: node.told, freeInMs: Math.max(0, node.freeAtMs - now) })
     node.told = []
     node.levels = keeper.keeper.levels({ now, all: options.nodes })
   }
--- a/core/tally/tally.ts
+++ b/core/tally/tally.ts
@@ -42,6 +42,13 @@
     return sum
   }
 
+  /** How many daemons have told a total of the key. */
+  tellers (key: string): number {
+    let count = 0
+    for (const totals of this.#totals.values()) if (totals.has(key)) count++
+    return count
+  }
+
   /** Every key that begins with a prefix, on any daemon. */
   keys (prefix: string): Set<string> {
     const keys = new Set<string>()
--- a/daemon/duties/order_task.ts
+++ b/daemon/duties/order_task.ts
@@ -19,6 +19,8 @@
   tallies: TallyTask
   metrics: Metrics
   pools (): Iterable<Pool>
+  /** The whole system starts for the first time: there is no work yet, and none is assumed. Default false. */
+  firstStart?: boolean
 }
 
 const ROUND_MS = 250
@@ -73,33 +75,60 @@
   }
 
   #round (): void {
-    // Whoever takes the lease begins anew: what it gave before, and the work that it counted, are of another time.
-    if (this.#options.lease.fencing === undefined) {
-      this.#given.clear()
-      this.#demand.clear()
-      return
+    const { lease, pools } = this.#options
+    // Whoever takes the lease begins anew: what it gave before is of another time.
+    if (lease.fencing === undefined) this.#given.clear()
+    for (const pool of pools()) {
+      if (!pool.scaling) continue
+      const engines = this.#countDemand(pool.name)
+      if (engines !== undefined && lease.fencing !== undefined) this.#orderPool(pool, pool.scaling, engines)
     }
-    for (const pool of this.#options.pools()) if (pool.scaling) this.#orderPool(pool, pool.scaling)
   }
 
-  #orderPool (pool: Pool, scaling: Scaling): void {
+  /**
+   * Counts the work in engines, on each daemon that keeps everybody's totals.
+   *
+   * Any of them may take the lease over. One that began to count only then would keep every endpoint until it knows, and in a roll of restarts the next
+   * would begin again.
+   */
+  #countDemand (pool: PoolName): number | undefined {
+    const { lease, tallies } = this.#options
+    if (!tallies.keepsBooks && lease.fencing === undefined) {
+      this.#demand.delete(pool)
+      return undefined
+    }
+    const key = DEMAND + pool
+    const asked = { tokens: tallies.tally.sum(key), tellers: tallies.tally.tellers(key) }
+    const demand = this.#demand.get(pool) ?? this.#firstDemand(pool, asked.tokens)
+    this.#demand.set(pool, demand)
+    return demand.engines(asked, steadyNow())
+  }
+
+  #orderPool (pool: Pool, scaling: Scaling, engines: number): void {
     const domains = [...scaling.pricePerS.keys()]
     const fleet = domains.map((domain) => this.#fleetOf(pool.name, domain))
-    const wanted = this.#wanted(pool.name, fleet)
+    const wanted = wantedFor(engines, fleet)
     this.#askAgain(pool, scaling, { fleet, perDomain: Math.ceil(wanted.comfortably / domains.length) })
-    for (const mix of spreadPlan(wanted, scaling, fleet)) this.#orderMix(pool, scaling, mix)
+    for (const mix of spreadPlan(wanted, scaling, fleet)) this.#orderMix(pool, scaling, this.#sure(pool.name, mix))
   }
 
-  #wanted (pool: PoolName, fleet: readonly DomainFleet[]): EndpointsWanted {
-    const tokens = this.#options.tallies.tally.sum(DEMAND + pool)
-    const serving = fleet.reduce((sum, domain) => sum + domain.onDemand + domain.reclaimable, 0)
-    const demand = this.#demand.get(pool) ?? new EndpointDemand({ prefillTokensPerS: PREFILL_TOKENS_PER_S, first: serving * COMFORTABLE_UTILIZATION, now: steadyNow() })
-    this.#demand.set(pool, demand)
-    const engines = demand.engines(tokens, steadyNow())
-    return {
-      atLeast: Math.max(fleet.length, Math.ceil(engines / MOST_UTILIZATION)),
-      comfortably: Math.max(LEAST_PER_DOMAIN * fleet.length, Math.ceil(engines / COMFORTABLE_UTILIZATION))
-    }
+  /**
+   * Gives up no endpoint before the work is known.
+   *
+   * A daemon that takes the lease over in the middle of a burst has not counted yet; going by what serves just after a reclaim, it would stop
+   * endpoints that the work needs, and order them again a moment later.
+   */
+  #sure (pool: PoolName, mix: DomainMix): DomainMix {
+    if (this.#demand.get(pool)!.settled(steadyNow())) return mix
+    const now = this.#fleetOf(pool, mix.failureDomain)
+    return { ...mix, onDemand: Math.max(mix.onDemand, now.onDemand), reclaimable: Math.max(mix.reclaimable, now.reclaimable) }
+  }
+
+  /** What is there was ordered for the work that there is; leaving endpoints were, too. */
+  #firstDemand (pool: PoolName, tokens: number): EndpointDemand {
+    const idle = this.#options.firstStart === true && tokens === 0
+    const there = this.#options.table.all.filter((view) => view.pool === pool).length
+    return new EndpointDemand({ prefillTokensPerS: PREFILL_TOKENS_PER_S, first: idle ? 0 : there * COMFORTABLE_UTILIZATION, idle, now: steadyNow() })
   }
 
   #fleetOf (pool: PoolName, failureDomain: FailureDomain): DomainFleet {
@@ -112,12 +141,20 @@
     }
   }
 
-  /** Asks for reclaimable endpoints where there were none to be had, in all such domains at once, so that they come back together. */
+  /**
+   * Asks for reclaimable endpoints where there were none to be had, in all such domains at once, so that they come back together.
+   *
+   * Always for one more than there are: a count that is there already is taken also while there are none to be had, and so is one that a full domain
+   * has no room for.
+   */
   #askAgain (pool: Pool, scaling: Scaling, hoped: { fleet: readonly DomainFleet[], perDomain: number }): void {
     const without = hoped.fleet.filter((domain) => !domain.reclaimableToBeHad)
     const due = without.some((domain) => this.#refusedSinceMs(pool.name, domain.failureDomain) > REFUSED_MS)
     if (!due) return
-    for (const { failureDomain } of without) this.#give({ pool: pool.name, failureDomain, reclaimable: true, count: Math.min(scaling.max, hoped.perDomain) })
+    for (const { failureDomain, onDemand, reclaimable } of without) {
+      const count = Math.min(scaling.max - onDemand, Math.max(hoped.perDomain, reclaimable + 1))
+      if (count > reclaimable) this.#give({ pool: pool.name, failureDomain, reclaimable: true, count })
+    }
   }
 
   #refusedSinceMs (pool: PoolName, failureDomain: FailureDomain): number {
@@ -160,7 +197,8 @@
   /** A count that was ordered stands; it is ordered again when it shows no effect, because it was lost or what it brought was reclaimed. */
   #isDue (order: EndpointOrder, now: { has: number, bootMs: number }): boolean {
     const given = this.#given.get(keyOf(order))
-    if (!given) return order.count !== now.has
+    // The registry fills over seconds while everything starts; endpoints that it does not show yet are paid for all the same.
+    if (!given) return order.count !== now.has || this.#demand.get(order.pool)?.idle === true
     const sinceMs = steadyNow() - given.atMs
     if (given.result === 'refused') return order.count !== now.has && sinceMs > REFUSED_MS
     if (given.result === 'failed') return sinceMs > FAILED_MS
@@ -169,6 +207,14 @@
   }
 }
 
+function wantedFor (engines: number, fleet: readonly DomainFleet[]): EndpointsWanted {
+  return {
+    justEnough: Math.ceil(engines),
+    atLeast: Math.max(fleet.length, Math.ceil(engines / MOST_UTILIZATION)),
+    comfortably: Math.max(LEAST_PER_DOMAIN * fleet.length, Math.ceil(engines / COMFORTABLE_UTILIZATION))
+  }
+}
+
 function keyOf ({ pool, failureDomain, reclaimable }: Omit<EndpointOrder, 'count'>): string {
   return `${pool}/${failureDomain}/${reclaimable ? 'reclaimable' : 'on-demand'}`
 }
--- /dev/null
+++ b/daemon/duties/order_task_test.ts
@@ -0,0 +1,206 @@
+import { afterEach, beforeEach, expect, test, vi } from 'vitest'
+import type { Pool } from '../../core/catalog/index.ts'
+import { as, type DaemonId, type EndpointId, type FailureDomain, type HostId, type PoolName } from '../../core/ids/index.ts'
+import { Tally } from '../../core/tally/index.ts'
+import { DutyError, type EndpointOrder, type ListedHost } from '../../endpoints/index.ts'
+import { EndpointTable } from '../endpoints/endpoint_table.ts'
+import type { LeaseTask } from '../fleet/lease_task.ts'
+import { createMetrics } from '../metrics.ts'
+import type { TallyTask } from '../peers/tally_task.ts'
+import { OrderTask } from './order_task.ts'
+
+const POOL = as<PoolName>('llm')
+const DOMAINS = ['a', 'b', 'c'].map((name) => as<FailureDomain>(name))
+const BOOT_MS = 4000
+const SELF = as<DaemonId>('d')
+
+beforeEach(() => { vi.useFakeTimers() })
+afterEach(() => {
+  task?.stop()
+  vi.useRealTimers()
+})
+
+let task: OrderTask | undefined
+
+/** A cloud that carries orders out: endpoints boot, serve, and are taken away. */
+class Fleet {
+  readonly table = new EndpointTable({ self: SELF, hash: (text) => text.length })
+  readonly tally = new Tally(SELF)
+  readonly orders: EndpointOrder[] = []
+  readonly lease = { fencing: 1 as number | undefined, raise: () => {} }
+  /** Failure domains that have no reclaimable endpoints to give. */
+  readonly dry = new Set<FailureDomain>()
+  readonly #wanted = new Map<string, number>()
+  #hosts: ListedHost[] = []
+  #number = 0
+
+  constructor (onDemandEach: number, most = 4) {
+    for (const domain of DOMAINS) this.#set({ pool: POOL, failureDomain: domain, reclaimable: false, count: onDemandEach }, 0)
+    const pool: Pool = {
+      name: POOL,
+      healthPath: '/',
+      maxConnections: 100,
+      engine: undefined,
+      scaling: { min: 1, max: most, bootMs: BOOT_MS, reclaimableShare: 0.18, pricePerS: new Map(DOMAINS.map((domain, i) => [domain, 1 + i / 10])) }
+    }
+    this.pools = () => [pool]
+  }
+
+  readonly pools: () => Pool[]
+
+  /** Endpoints that serve now. */
+  serving (reclaimable: boolean): number {
+    return this.table.all.filter((view) => view.leavingAtMs === undefined && view.reclaimable === reclaimable).length
+  }
+
+  /** Endpoints that are paid for, boot or serve. */
+  get wanted (): number { return [...this.#wanted.values()].reduce((sum, count) => sum + count, 0) }
+
+  start (options: { firstStart?: boolean } = {}): void {
+    task = new OrderTask({
+      name: 'd',
+      duties: { order: async (order) => this.#order(order), report: async () => {} },
+      lease: this.lease as unknown as LeaseTask,
+      table: this.table,
+      tallies: { tally: this.tally, keepsBooks: true } as unknown as TallyTask,
+      metrics: createMetrics(),
+      pools: this.pools,
+      ...options
+    })
+    task.start()
+  }
+
+  /** Takes a domain's reclaimable endpoints away; there are none to be had anywhere for a while. */
+  reclaim (domain: FailureDomain): void {
+    for (const each of DOMAINS) this.dry.add(each)
+    const gone = this.#hosts.filter((host) => host.reclaimable && host.failureDomain === domain)
+    this.table.leaving(gone.map(({ hostId }) => hostId), Date.now() + 2000, 'notice')
+    this.#hosts = this.#hosts.filter((host) => !gone.includes(host))
+    this.#wanted.set(`${domain}/true`, 0)
+  }
+
+  /** Lets time pass while work of so many engines comes. */
+  async pass (ms: number, engines: number): Promise<void> {
+    for (let i = 0; i < ms / 250; i++) {
+      this.tally.add(`demand/${POOL}`, engines * 100_000 / 4)
+      await vi.advanceTimersByTimeAsync(250)
+    }
+  }
+
+  #order (order: EndpointOrder): void {
+    const has = this.#wanted.get(`${order.failureDomain}/${order.reclaimable}`) ?? 0
+    if (order.reclaimable && order.count > has && this.dry.has(order.failureDomain)) throw new DutyError('Cannot order: none to be had', { failure: 'refused' })
+    this.orders.push(order)
+    this.#set(order, BOOT_MS)
+  }
+
+  #set (order: EndpointOrder, bootMs: number): void {
+    const key = `${order.failureDomain}/${order.reclaimable}`
+    this.#wanted.set(key, order.count)
+    const there = this.#hosts.filter((host) => `${host.failureDomain}/${host.reclaimable}` === key)
+    const stopped = there.slice(order.count)
+    this.#hosts = this.#hosts.filter((host) => !stopped.includes(host))
+    this.table.leaving(stopped.map(({ hostId }) => hostId), Date.now() + 2000, 'list')
+    if (bootMs === 0) this.#boot(order)
+    else setTimeout(() => this.#boot(order), bootMs)
+  }
+
+  #boot ({ failureDomain, reclaimable }: EndpointOrder): void {
+    const key = `${failureDomain}/${reclaimable}`
+    const missing = (this.#wanted.get(key) ?? 0) - this.#hosts.filter((host) => `${host.failureDomain}/${host.reclaimable}` === key).length
+    for (let i = 0; i < missing; i++) {
+      const id = `e${this.#number++}`
+      this.#hosts.push({
+        hostId: as<HostId>(id),
+        hostClass: POOL,
+        failureDomain,
+        reclaimable,
+        pricePerHour: 0,
+        state: 'live',
+        endpoint: { id: as<EndpointId>(id), pool: POOL, address: `10.0.0.1:${this.#number}`, speed: { batchSlots: 64, prefillTokensPerS: 1, betweenTokensMs: 1, betweenTokensPerStreamMs: 1, exportTokensPerS: 0, importTokensPerS: 0 } }
+      })
+    }
+    this.table.listed(this.#hosts)
+  }
+}
+
+test('a fleet that starts for the first time stops the endpoints it does not need at once', async () => {
+  // Operators pay on-demand endpoints for as long as it takes to list them, though nobody can have called yet.
+  const fleet = new Fleet(3)
+  fleet.start({ firstStart: true })
+  await vi.advanceTimersByTimeAsync(300)
+  expect(fleet.wanted).toBe(3 + 6)
+  expect(fleet.serving(false)).toBe(3)
+  await vi.advanceTimersByTimeAsync(BOOT_MS + 500)
+  expect([fleet.serving(false), fleet.serving(true)]).toEqual([0, 6])
+})
+
+test('whoever takes the lease over stops nothing until it has counted the work', async () => {
+  // The holder of the lease dies in a burst just after a reclaim. Its successor goes by the endpoints that are left, and stops one that just came,
+  // while callers wait for room.
+  const fleet = new Fleet(3)
+  fleet.start()
+  await fleet.pass(3000, 3)
+  expect(fleet.serving(false)).toBe(9)
+  await fleet.pass(20_000, 3)
+  expect(fleet.serving(false)).toBe(0)
+})
+
+test('a successor that kept the totals goes on where the one before ended', async () => {
+  // Operators pay on-demand endpoints for half a minute after they are needed: daemons are restarted one after the other, and each that takes the lease
+  // over begins to count the work anew.
+  const fleet = new Fleet(3)
+  fleet.lease.fencing = undefined
+  fleet.start()
+  await fleet.pass(25_000, 2)
+  expect(fleet.orders).toEqual([])
+  fleet.lease.fencing = 2
+  await fleet.pass(BOOT_MS + 1000, 2)
+  expect([fleet.serving(false), fleet.serving(true)]).toEqual([0, 6])
+})
+
+test('what a daemon counted before it was heard of is no work of this moment', async () => {
+  const fleet = new Fleet(1)
+  fleet.start()
+  await fleet.pass(25_000, 1)
+  fleet.tally.receive({ daemon: as<DaemonId>('other'), entries: [[`demand/${POOL}`, 50_000_000]] })
+  await fleet.pass(3000, 1)
+  expect(fleet.wanted).toBe(6)
+})
+
+test('through waves of reclaims enough endpoints serve, from the first notice to the last', async () => {
+  // Seconds of late answers after each reclaim, and once more when reclaimable endpoints are to be had again: on-demand ones were ordered too late,
+  // and stopped while those that followed them still booted.
+  const fleet = new Fleet(1)
+  fleet.start()
+  await fleet.pass(30_000, 2.4)
+  const least: number[] = []
+  const watch = async (ms: number) => {
+    for (let i = 0; i < ms / 250; i++) {
+      await fleet.pass(250, 2.4)
+      least.push(fleet.serving(true) + fleet.serving(false))
+    }
+  }
+  for (const domain of DOMAINS) {
+    fleet.reclaim(domain)
+    await watch(6000)
+  }
+  await watch(8000)
+  fleet.dry.clear()
+  await watch(20_000)
+  // Work of 2.4 engines piles up with fewer than three.
+  expect(Math.min(...least)).toBeGreaterThanOrEqual(3)
+  expect([fleet.serving(false), fleet.serving(true)]).toEqual([0, 7])
+})
+
+test('an order that tells nothing of what is to be had is not taken for news', async () => {
+  // Orders go to and fro every two seconds: a count that is there already is taken, so that more are ordered elsewhere, and refused.
+  const fleet = new Fleet(1)
+  fleet.start()
+  await fleet.pass(30_000, 1)
+  fleet.reclaim(DOMAINS[0]!)
+  await fleet.pass(2000, 1)
+  const before = fleet.orders.length
+  await fleet.pass(10_000, 1)
+  expect(fleet.orders.slice(before)).toEqual([])
+})
--- a/daemon/exchange/proxy_daemon.ts
+++ b/daemon/exchange/proxy_daemon.ts
@@ -242,7 +242,7 @@
     fleet: asFunction(({ membership }: Parts) => new FleetSize(membership)).singleton(),
     tallies: asFunction(({ self, membership }: Parts) => new TallyTask({ self, hash, membership })).singleton(),
     config: asFunction(configFollower).singleton(),
-    limits: asFunction(({ self, membership, fleet }: Parts) => new AccountLimits({ self, hash, tolerance: settings.quota, membership, fleet })).singleton(),
+    limits: asFunction(({ self, membership, fleet }: Parts) => new AccountLimits({ self, host: settings.name, hash, tolerance: settings.quota, membership, fleet })).singleton(),
     table: asFunction(({ self }: Parts) => new EndpointTable({ self, hash })).singleton(),
     registry: asFunction(endpointFollower).singleton(),
     client: asFunction(({ config, fleet }: Parts) => new ExchangeClient({ connectionsTo: (view) => connectionsTo(view, config, fleet) })).singleton(),
@@ -285,7 +285,7 @@
       name: settings.name, store: platform.store, duties: platform.duties, lease, tallies, ...settings.usage
     })).singleton(),
     orders: asFunction(({ lease, table, tallies, metrics, config }: Parts) => new OrderTask({
-      name: settings.name, duties: platform.duties, lease, table, tallies, metrics, pools: () => config.inForce?.pools.values() ?? []
+      name: settings.name, duties: platform.duties, lease, table, tallies, metrics, firstStart: settings.firstStart, pools: () => config.inForce?.pools.values() ?? []
     })).singleton()
   })
   const parts = container.cradle
--- a/daemon/exchange/proxy_settings.ts
+++ b/daemon/exchange/proxy_settings.ts
@@ -10,6 +10,8 @@
   /** Unique among the daemons; the same after a restart. */
   name: string
   failureDomain: FailureDomain
+  /** True while the whole system starts for the first time, when nobody can have called yet. */
+  firstStart: boolean
   listen: { callers: SocketAddress, readiness: SocketAddress, peers: SocketAddress }
   /** Where monitoring and operators read; undefined for nowhere. */
   monitor?: SocketAddress | undefined
--- a/daemon/limits/account_limits.ts
+++ b/daemon/limits/account_limits.ts
@@ -13,6 +13,8 @@
 /** Options of {@linkcode AccountLimits}. */
 export interface AccountLimitsOptions {
   self: DaemonId
+  /** Name of this daemon's host; the same after a restart. */
+  host: string
   hash: Hash32
   tolerance: QuotaTolerance
   membership: MembershipTask
@@ -32,6 +34,8 @@
 
 /** Between two votes for a keeper, in milliseconds; three of them fit into the time that one counts. */
 const VOTE_MS = 300
+/** From a new link to the votes that it leads to, in milliseconds; several links come up together. */
+const SOON_MS = 30
 /** Silence after which another keeper is chosen, in milliseconds. */
 const SILENT_MS = 750
 /** Longest wait for a keeper's word on a request, in milliseconds: several times the way there and back. */
@@ -83,6 +87,7 @@
   #withdrawal: number | undefined
   #asks: Array<{ ask: Ask, decide: (grant: Grant, from: DaemonId | undefined) => void }> = []
   #timer: NodeJS.Timeout | undefined
+  #soon: NodeJS.Timeout | undefined
 
   constructor (options: AccountLimitsOptions) {
     this.#options = options
@@ -94,12 +99,21 @@
     links.onPost(WITHDRAWN, (number: number, from) => this.#withdrawn(from, number))
     links.onPost(FREED, (freed: Freed) => this.#freed(freed))
     links.onPost(GIVEN_BACK, ([account, cost]: Ask) => this.#keeper.giveBack(account, cost))
+    options.membership.onLink(() => { if (this.#timer) this.#voteSoon() })
     links.handle(ASK, async (asks: Ask[], { from }) => {
       this.#keeper.heard(from, steadyNow())
       return asks.map((ask) => this.#askHere(ask))
     })
   }
 
+  /** While daemons find each other, all of them wait for the votes that follow. */
+  #voteSoon (): void {
+    this.#soon ??= setTimeout(() => {
+      this.#soon = undefined
+      this.#vote()
+    }, SOON_MS)
+  }
+
   /** The daemon that this one has chosen to count; undefined for itself. */
   get keeper (): DaemonId | undefined { return this.#chosen }
 
@@ -124,6 +138,8 @@
   /** Stops; the keeper counts for one daemon less. */
   stop (): void {
     clearInterval(this.#timer)
+    clearTimeout(this.#soon)
+    this.#timer = undefined
     if (this.#chosen !== undefined) this.#options.membership.links.post(this.#chosen, WITHDRAWN, ++this.#number)
   }
 
@@ -196,9 +212,9 @@
   }
 
   #castVote (): void {
-    const { self, membership } = this.#options
+    const { host, membership, self } = this.#options
     const now = steadyNow()
-    const vote: Vote = { number: ++this.#number, told: this.#told, freeInMs: Math.max(0, this.#freeAtMs - now) }
+    const vote: Vote = { host, number: ++this.#number, told: this.#told, freeInMs: Math.max(0, this.#freeAtMs - now) }
     const keeper = this.#chosen === undefined ? undefined : membership.core.member(this.#chosen)
     if (this.#chosen === undefined) this.#keeper.vote(self, now, vote)
     // One that could not be sent counts nowhere, and delays no later one.
