--- a/cli/main.ts
+++ b/cli/main.ts
@@ -85,6 +85,14 @@
     process.exit(0)
   })
 
+cli.command('explain <request> [...files]', 'The story of one request from daemons\' logs, and its likely cause; reads standard input without files')
+  .option('--json', 'Write the story as JSON')
+  .action(async (request: string, files: string[], options: { json?: boolean }) => {
+    const { runExplain } = await import('./explain.ts')
+    const found = await runExplain(request, { files, json: options.json, print })
+    if (!found) process.exitCode = EXIT_FAILED
+  })
+
 cli.command('compile-ahead', 'Load what a daemon needs and end; the build writes its compiled code')
   .action(async () => {
     await import('../platform/index.ts')
--- /dev/null
+++ b/daemon/explain/explain_request_test.ts
@@ -0,0 +1,43 @@
+import { readFileSync } from 'node:fs'
+import { expect, test } from 'vitest'
+import { explainRequest, readLog } from './index.ts'
+
+/** Lines as daemons wrote them on days with trouble; the causes were checked against what endpoints and callers saw there. */
+const RECORDED = readFileSync(new URL('testdata/failing_days.jsonl', import.meta.url), 'utf8')
+const lines = readLog(RECORDED)
+const causeOf = (request: string) => explainRequest(lines, request).cause
+
+test.each([
+  ['the account asked for more than its quota', '6abee8a3675869dc', 'over quota: account lera921 had used up what it may'],
+  ['the daemon that counts quotas was being replaced', 'f10d15ea44aa1ab2', 'over quota: account lera921 had no room while the daemon that counts quotas changed'],
+  ['the daemon was killed before it passed the answer on', 'cbd3c1eed65e5723', 'daemon killed: edge-yaba-3 ended in the middle of it, and started again 4417 ms later'],
+  ['both endpoints that it may be sent to failed by themselves', '3dd993a8bbf6dd77', 'endpoint: i-f01f256a90 answered 500; it may not be repeated'],
+  ['an endpoint crashed in a call that may not be repeated', 'cc846a31cb505eda', 'crash: i-61a2ed1443 broke off after 0 pieces; it may not be repeated'],
+  ['an endpoint was too slow for the deadline', 'd2c3cfb34dff902f', 'caller left after 2999 ms of 3000: i-e5469dc1df was still writing after 2998 ms (12 pieces, longest pause 292 ms)'],
+  ['its credential came with a revision that the daemon got later', '31ea9625f46f67d4', 'configuration: revision 7 (confirmed 3722 ms before) does not have its credential; revision 11 came 75 ms later'],
+  ['its route came with a revision that the daemon got later', '53fdfc359cd380f7', 'configuration: revision 4 (confirmed 3014 ms before) does not have a route for it; revision 7 came 357 ms later'],
+  ['a reclaim, and the stream went on elsewhere', 'd7ffbc5fd0198a47', 'answered after a repeat: reclaim: i-7ab06e5fd4 left after 1 pieces'],
+  ['a second reclaim, after the last attempt that its route allows', 'aef027ea6e6963c8', 'reclaim: i-eb79e94eee left after 79 pieces; it may not be repeated'],
+  ['nobody has ever seen it', 'ffffffffffffffff', 'no line names it: it reached none of these daemons, or not its whole head did']
+])('%s', (_what, request, cause) => {
+  expect(causeOf(request)).toBe(cause)
+})
+
+test('the steps are told in order, with what the daemon believed and for how long', () => {
+  const { steps } = explainRequest(lines, '31ea9625f46f67d4')
+  expect(steps.find(({ afterMs }) => afterMs === 0)!.text).toMatch(/^refused with 401: .* \(configuration 7, confirmed 3722 ms before\)$/)
+  const repeated = explainRequest(lines, 'd7ffbc5fd0198a47').steps.map(({ text }) => text.replace(/ .*/, ''))
+  expect(repeated.filter((word) => word === 'attempt').length).toBeGreaterThanOrEqual(3)
+  expect([...steps].sort((a, b) => a.afterMs - b.afterMs)).toEqual(steps)
+})
+
+test('what collectors put before a line, lines that are cut and other texts are passed over', () => {
+  const mixed = RECORDED.trim().split('\n').map((line) => `2026-05-23 host-7 | ${line}`).join('\n')
+  const cut = RECORDED.slice(0, RECORDED.indexOf('\n') - 20)
+  expect(readLog(`${mixed}\nnot a line\n${cut}`)).toEqual(lines)
+})
+
+test('a log of several daemons is read in order of time, whichever comes first', () => {
+  const turned = RECORDED.trim().split('\n').reverse().join('\n')
+  expect(readLog(turned).map(({ atMs }) => atMs)).toEqual(lines.map(({ atMs }) => atMs))
+})
--- /dev/null
+++ b/daemon/explain/index.ts
@@ -0,0 +1,2 @@
+export * from './log_lines.ts'
+export * from './explain_request.ts'
