Order in the store's outage, know jumps of work in two seconds, rank work as operators say, and spread those over quota

The last holder goes on giving on-demand orders with its number while the store does not answer it, at most 20 s; a successor's higher number makes them refused, and a refusal ends it.

--- a/core/catalog/catalog.ts
+++ b/core/catalog/catalog.ts
@@ -31,8 +31,8 @@
 /** A client account. */
 export interface Account {
   id: AccountId
-  /** Rank among accounts; 0 goes first. */
-  priority: number
+  /** Rank of all its work, 0 goes first; undefined where that of its classes counts. */
+  priority: number | undefined
   /** Undefined for no limit. */
   quota: Quota | undefined
 }
--- a/core/catalog/index.ts
+++ b/core/catalog/index.ts
@@ -1,2 +1,3 @@
 export * from './catalog.ts'
 export * from './route_table.ts'
+export * from './urgency.ts'
--- /dev/null
+++ b/core/catalog/urgency_test.ts
@@ -0,0 +1,30 @@
+import { expect, test } from 'vitest'
+import { as, type PoolName } from '../ids/index.ts'
+import type { WorkClass } from '../work/index.ts'
+import { Urgency, type Account, type Route } from './index.ts'
+
+const POOL = as<PoolName>('llm')
+const cls = (name: string, priority: number, change: Partial<WorkClass> = {}): WorkClass => ({
+  name: as(name), idempotent: true, streaming: true, resumable: true, cancelOnLeave: true, maxAttempts: 2, priority, urgent: false, latency: { firstTokenMs: 800, betweenTokensMs: 500, deadlineMs: 15_000 }, delivery: 0.999, ...change
+})
+const route = (of: WorkClass): Route => ({ host: 'a.example', pathPrefix: '/', cls: of, pools: [{ pool: POOL, weight: 1 }], anonymous: false })
+const account = (priority: number | undefined): Account => ({ id: as('council'), priority, quota: undefined })
+
+test('work of the first rank goes first, however long it takes', () => {
+  // Reviews that the operator ranks first wait behind letters, because letters have the shorter deadline.
+  const [review, letter] = [route(cls('review', 0)), route(cls('letter', 1, { urgent: true }))]
+  const urgency = new Urgency([review, letter])
+  expect([urgency.classOf(review, undefined).urgent, urgency.classOf(letter, undefined).urgent]).toEqual([true, false])
+})
+
+test('an account\'s rank goes before that of its classes', () => {
+  const [review, letter] = [route(cls('review', 1)), route(cls('letter', 0))]
+  const urgency = new Urgency([review, letter])
+  expect([urgency.classOf(review, account(0)).urgent, urgency.classOf(letter, account(3)).urgent]).toEqual([true, false])
+  expect(urgency.classOf(review, account(undefined)).urgent).toBe(false)
+})
+
+test('plain calls stay as they are', () => {
+  const plain = route(cls('check', 2, { streaming: false, urgent: true }))
+  expect(new Urgency([plain]).classOf(plain, account(9))).toBe(plain.cls)
+})
--- a/core/config/class_of.ts
+++ b/core/config/class_of.ts
@@ -1,6 +1,6 @@
 /** From a class as an operator wrote it to the class that the request path works with. */
 import { as } from '../ids/index.ts'
-import type { WorkClass } from '../work/index.ts'
+import { isShort, type WorkClass } from '../work/index.ts'
 import type { ClassConfig } from './schema.ts'
 
 /**
@@ -16,6 +16,7 @@
     cancelOnLeave: cls.cancelOnLeave,
     maxAttempts: Infinity,
     priority: 0,
+    urgent: isShort(cls.latency),
     latency: { ...cls.latency, betweenTokensMs: cls.latency.betweenTokensMs },
     delivery: cls.delivery
   }
--- a/core/fleet/endpoint_demand.ts
+++ b/core/fleet/endpoint_demand.ts
@@ -19,6 +19,10 @@
 
 /** Work is averaged over this long, in milliseconds. */
 const WINDOW_MS = 6000
+/** And over this long, in milliseconds, so that a jump is known before its callers have waited for a boot twice. */
+const JUMP_WINDOW_MS = 2000
+/** Part of that which counts: in so short a time a few long prompts look like a jump. */
+const JUMP_PART = 0.8
 /** Less work must have come for this long before endpoints are given up, in milliseconds: booting costs more than keeping. */
 const HOLD_MS = 15_000
 
@@ -34,12 +38,14 @@
     this.#levels = [{ atMs: options.now, engines: options.first }]
   }
 
-  /** True when it began without any work for certain. */
-  get idle (): boolean { return this.#options.idle === true }
+  /** True for a while after it began without any work for certain. */
+  idle (now: number): boolean {
+    return this.#options.idle === true && now - this.#options.now < HOLD_MS
+  }
 
   /** False until work was counted for long enough to tell how much there is. */
   settled (now: number): boolean {
-    return this.idle || now - this.#options.now > WINDOW_MS
+    return this.#options.idle === true || now - this.#options.now > WINDOW_MS
   }
 
   /**
@@ -53,11 +59,16 @@
     this.#tellers = tellers
     this.#samples = this.#samples.filter((sample) => sample.atMs > now - WINDOW_MS)
     this.#samples.push({ atMs: now, tokens })
-    const first = this.#samples[0]!
-    const seconds = Math.max(1, (now - first.atMs) / 1000)
-    const engines = (tokens - first.tokens) / seconds / this.#options.prefillTokensPerS
+    const engines = Math.max(this.#rate(WINDOW_MS), this.#rate(JUMP_WINDOW_MS) * JUMP_PART) / this.#options.prefillTokensPerS
     this.#levels = this.#levels.filter((level) => level.atMs > now - HOLD_MS)
     this.#levels.push({ atMs: now, engines })
     return Math.max(...this.#levels.map((level) => level.engines))
   }
+
+  /** Tokens a second over the last while. */
+  #rate (windowMs: number): number {
+    const last = this.#samples.at(-1)!
+    const first = this.#samples.find((sample) => sample.atMs > last.atMs - windowMs)!
+    return (last.tokens - first.tokens) / Math.max(1, (last.atMs - first.atMs) / 1000)
+  }
 }
--- a/core/fleet/fleet_test.ts
+++ b/core/fleet/fleet_test.ts
@@ -1,7 +1,7 @@
 import fc from 'fast-check'
 import { expect, test } from 'vitest'
 import { as, type FailureDomain } from '../ids/index.ts'
-import { CheapestPlanner, MixPlanner, OnDemandPlanner, ReclaimRisk, ScaleDown, type FleetDemand, type Offer } from './index.ts'
+import { CheapestPlanner, EndpointDemand, MixPlanner, OnDemandPlanner, ReclaimRisk, ScaleDown, type FleetDemand, type Offer } from './index.ts'
 
 const offer = (domain: string, pricePerHour: number, change: Partial<Offer> = {}): Offer => ({ failureDomain: as<FailureDomain>(domain), reclaimable: true, pricePerHour, wavesPerDay: 1, available: true, ...change })
 const ON_DEMAND = offer('a', 11, { reclaimable: false, wavesPerDay: 0 })
@@ -49,3 +49,22 @@
     expect(plan!.expectedMissed).toBeLessThanOrEqual(Math.max(cheap!.expectedMissed, (1 - delivery) / 2) + 1e-9)
   }), { seed: 3, numRuns: 100 })
 })
+
+test('a jump of work is known within two seconds, and not forgotten at once', () => {
+  // Callers who come all at once wait for as long as two boots: the work was averaged over longer than an endpoint takes to boot.
+  const demand = new EndpointDemand({ prefillTokensPerS: 100_000, first: 0, now: 0 })
+  let tokens = 0
+  const pass = (from: number, to: number, engines: number) => {
+    let found = 0
+    for (let now = from; now < to; now += 250) {
+      tokens += engines * 25_000
+      found = demand.engines({ tokens, tellers: 9 }, now)
+    }
+    return found
+  }
+  expect(pass(0, 6000, 0)).toBe(0)
+  expect(pass(6000, 8250, 5)).toBeGreaterThan(3.5)
+  expect(pass(8250, 20_000, 5)).toBeCloseTo(5, 0)
+  expect(pass(20_000, 30_000, 1)).toBeCloseTo(5, 0)
+  expect(pass(30_000, 45_000, 1)).toBeCloseTo(1, 0)
+})
--- a/core/quota/quota_keeper.ts
+++ b/core/quota/quota_keeper.ts
@@ -95,7 +95,7 @@
     const bucket = this.#buckets.get(account)
     if (!bucket) return { granted: true }
     const part = this.part(at.now, at.all)
-    if (bucket.room(at.now, part) < cost) return { granted: false, retryAfterMs: bucket.waitMs(cost), ...(part === 0 && { unknown: true }) }
+    if (bucket.room(at.now, part) < cost) return { granted: false, retryAfterMs: bucket.turnAway(cost), ...(part === 0 && { unknown: true }) }
     bucket.take(cost)
     return { granted: true }
   }
--- a/core/quota/quota_test.ts
+++ b/core/quota/quota_test.ts
@@ -21,11 +21,21 @@
   expect(bucket.room(0, 1)).toBe(50)
   bucket.take(50)
   expect(bucket.room(0, 1)).toBe(0)
-  expect(bucket.waitMs(10)).toBe(100)
+  expect(bucket.turnAway(10)).toBe(100)
   expect(bucket.room(100, 1)).toBe(10)
   expect(bucket.room(10_000, 1)).toBe(50)
 })
 
+test('those that are turned away are told to come back one after the other', () => {
+  // An account at six times its quota: each of its callers is told to come back in a few milliseconds, and is refused again with all the others.
+  const bucket = new SharedBucket({ perS: 100, capacity: 50, initial: 0, now: 0 })
+  expect([bucket.turnAway(10), bucket.turnAway(10), bucket.turnAway(10)]).toEqual([100, 200, 300])
+  bucket.room(200, 1)
+  expect(bucket.turnAway(30)).toBe(200)
+  for (let i = 0; i < 1000; i++) bucket.turnAway(10)
+  expect(bucket.turnAway(10)).toBe(8000)
+})
+
 test('what is set aside for the other side comes back with its votes, and no sooner', () => {
   const bucket = new SharedBucket({ perS: 100, capacity: 90, initial: 90, now: 0 })
   expect(bucket.room(0, 1 / 3)).toBeCloseTo(30)
--- a/core/quota/shared_bucket.ts
+++ b/core/quota/shared_bucket.ts
@@ -15,6 +15,8 @@
 const MS_PER_S = 1000
 /** Part by which waits are reckoned at least: one that counts for nobody yet will soon. */
 const LEAST_PART = 0.1
+/** An account that asks for many times its quota would be told to come back ever later, in milliseconds. */
+const LONGEST_WAIT_MS = 8000
 
 /**
  * Never lets more through, over all who count, than one bucket would.
@@ -30,6 +32,8 @@
   /** Set aside for daemons that are not counted for. */
   #aside = 0
   #part = 1
+  /** Tokens of those that were turned away, and will come back before this one. */
+  #comeBack = 0
   #atMs: number
 
   constructor (options: SharedBucketOptions) {
@@ -59,13 +63,22 @@
     const inflow = this.#perS * Math.max(0, now - this.#atMs) / MS_PER_S
     this.#atMs = Math.max(this.#atMs, now)
     this.#level = Math.min(this.#capacity * part, this.#level + inflow * part)
+    this.#comeBack = Math.max(0, this.#comeBack - inflow * part)
     this.#aside = Math.min(this.#capacity * (1 - part), this.#aside + inflow * (1 - part))
     return this.#level
   }
 
-  /** Milliseconds until so many tokens are there, if nobody else uses any. */
-  waitMs (tokens: number): number {
-    return Math.max(0, tokens - this.#level) * MS_PER_S / (this.#perS * Math.max(this.#part, LEAST_PART))
+  /**
+   * Turns a request away and tells in how many milliseconds there will be room for it.
+   *
+   * Behind those that were turned away before: told only of what is missing now, all of them would come back within milliseconds of each other, and be
+   * turned away again.
+   */
+  turnAway (tokens: number): number {
+    const flowPerS = this.#perS * Math.max(this.#part, LEAST_PART)
+    const waitMs = (Math.max(0, tokens - this.#level) + this.#comeBack) * MS_PER_S / flowPerS
+    this.#comeBack += tokens
+    return Math.min(waitMs, LONGEST_WAIT_MS)
   }
 
   /** Counts tokens as used; a negative number gives them back. */
--- a/core/work/work_class.ts
+++ b/core/work/work_class.ts
@@ -16,6 +16,8 @@
   maxAttempts: number
   /** Rank among classes; 0 goes first. */
   priority: number
+  /** Waits before others, may use the reserve of batch slots, and its prompts are read first. */
+  urgent: boolean
   latency: {
     /** Time to the first token, or to the whole answer of a plain call, in milliseconds. */
     firstTokenMs: number
@@ -28,10 +30,10 @@
   delivery: number
 }
 
-/** Classes with at most this deadline are urgent: they wait before long ones and may use the reserve. */
-export const URGENT_DEADLINE_MS = 5000
+/** Longest deadline of a class that goes first where no rank says otherwise: its work is short. In milliseconds. */
+const URGENT_DEADLINE_MS = 5000
 
 /** True for a class whose work is short enough to go first. */
-export function isUrgent (cls: { latency: { deadlineMs: number } }): boolean {
-  return cls.latency.deadlineMs <= URGENT_DEADLINE_MS
+export function isShort (latency: { deadlineMs: number }): boolean {
+  return latency.deadlineMs <= URGENT_DEADLINE_MS
 }
--- a/daemon/duties/order_task.ts
+++ b/daemon/duties/order_task.ts
@@ -77,11 +77,13 @@
   #round (): void {
     const { lease, pools } = this.#options
     // Whoever takes the lease begins anew: what it gave before is of another time.
-    if (lease.fencing === undefined) this.#given.clear()
+    if (lease.fencing === undefined && lease.fencingInOutage === undefined) this.#given.clear()
     for (const pool of pools()) {
       if (!pool.scaling) continue
       const engines = this.#countDemand(pool.name)
-      if (engines !== undefined && lease.fencing !== undefined) this.#orderPool(pool, pool.scaling, engines)
+      if (engines === undefined) continue
+      if (lease.fencing !== undefined) this.#orderPool(pool, pool.scaling, engines)
+      else if (lease.fencingInOutage !== undefined) this.#orderMissing(pool, pool.scaling, engines)
     }
   }
 
@@ -112,6 +114,19 @@
     for (const mix of spreadPlan(wanted, scaling, fleet)) this.#orderMix(pool, scaling, this.#sure(pool.name, mix))
   }
 
+  /**
+   * In the store's outage nothing is given up, and nothing is asked for that may be refused for want of it: a refusal there means that somebody else
+   * holds the lease.
+   */
+  #orderMissing (pool: Pool, scaling: Scaling, engines: number): void {
+    const fleet = [...scaling.pricePerS.keys()].map((domain) => this.#fleetOf(pool.name, domain)).map((domain) => ({ ...domain, reclaimableToBeHad: false }))
+    for (const mix of spreadPlan(wantedFor(engines, fleet), scaling, fleet)) {
+      const has = fleet.find((domain) => domain.failureDomain === mix.failureDomain)!.onDemand
+      const order = { pool: pool.name, failureDomain: mix.failureDomain, reclaimable: false, count: mix.onDemand }
+      if (mix.onDemand > has) this.#order(order, { has, bootMs: scaling.bootMs })
+    }
+  }
+
   /**
    * Gives up no endpoint before the work is known.
    *
@@ -148,12 +163,12 @@
    * has no room for.
    */
   #askAgain (pool: Pool, scaling: Scaling, hoped: { fleet: readonly DomainFleet[], perDomain: number }): void {
-    const without = hoped.fleet.filter((domain) => !domain.reclaimableToBeHad)
+    const without = hoped.fleet.filter(({ reclaimableToBeHad, onDemand, reclaimable }) => !reclaimableToBeHad && onDemand + reclaimable < scaling.max)
     const due = without.some((domain) => this.#refusedSinceMs(pool.name, domain.failureDomain) > REFUSED_MS)
     if (!due) return
     for (const { failureDomain, onDemand, reclaimable } of without) {
       const count = Math.min(scaling.max - onDemand, Math.max(hoped.perDomain, reclaimable + 1))
-      if (count > reclaimable) this.#give({ pool: pool.name, failureDomain, reclaimable: true, count })
+      this.#give({ pool: pool.name, failureDomain, reclaimable: true, count })
     }
   }
 
@@ -175,7 +190,9 @@
   }
 
   async #give (order: EndpointOrder): Promise<void> {
-    const { fencing } = this.#options.lease
+    const { lease } = this.#options
+    const outage = lease.fencing === undefined
+    const fencing = lease.fencing ?? lease.fencingInOutage
     if (fencing === undefined) return
     const given: Given = { count: order.count, atMs: steadyNow(), result: this.#given.get(keyOf(order))?.result ?? 'given' }
     this.#given.set(keyOf(order), given)
@@ -189,8 +206,9 @@
       given.result = err.failure === 'refused' ? 'refused' : 'failed'
       this.#options.metrics.orders.inc({ result: err.failure })
       log('order-refused', { ...order, fencing, failure: err.failure, why: err.message })
+      if (outage && err.failure === 'refused') lease.giveUpOutage()
       // It may be carried out yet, after newer orders: a higher fencing number makes the platform refuse it.
-      if (err.failure === 'unsure') this.#options.lease.raise()
+      if (err.failure === 'unsure') lease.raise()
     }
   }
 
@@ -198,7 +216,7 @@
   #isDue (order: EndpointOrder, now: { has: number, bootMs: number }): boolean {
     const given = this.#given.get(keyOf(order))
     // The registry fills over seconds while everything starts; endpoints that it does not show yet are paid for all the same.
-    if (!given) return order.count !== now.has || this.#demand.get(order.pool)?.idle === true
+    if (!given) return order.count !== now.has || this.#demand.get(order.pool)?.idle(steadyNow()) === true
     const sinceMs = steadyNow() - given.atMs
     if (given.result === 'refused') return order.count !== now.has && sinceMs > REFUSED_MS
     if (given.result === 'failed') return sinceMs > FAILED_MS
--- a/daemon/duties/order_task_test.ts
+++ b/daemon/duties/order_task_test.ts
@@ -27,7 +27,7 @@
   readonly table = new EndpointTable({ self: SELF, hash: (text) => text.length })
   readonly tally = new Tally(SELF)
   readonly orders: EndpointOrder[] = []
-  readonly lease = { fencing: 1 as number | undefined, raise: () => {} }
+  readonly lease = { fencing: 1 as number | undefined, fencingInOutage: undefined as number | undefined, raise: () => {}, giveUpOutage: () => { this.lease.fencingInOutage = undefined } }
   /** Failure domains that have no reclaimable endpoints to give. */
   readonly dry = new Set<FailureDomain>()
   readonly #wanted = new Map<string, number>()
@@ -193,6 +193,27 @@
   expect([fleet.serving(false), fleet.serving(true)]).toEqual([0, 7])
 })
 
+test('in an outage of the store the last holder still orders what a wave of reclaims takes away', async () => {
+  // Nobody answers callers for seconds: the store is down while one domain after the other is reclaimed, the lease cannot be renewed, and nothing is ordered
+  // until the store is back.
+  const fleet = new Fleet(1)
+  fleet.start()
+  await fleet.pass(30_000, 2.4)
+  fleet.lease.fencing = undefined
+  fleet.lease.fencingInOutage = 1
+  for (const domain of DOMAINS.slice(0, 2)) {
+    fleet.reclaim(domain)
+    await fleet.pass(6000, 2.4)
+  }
+  expect(fleet.serving(false)).toBeGreaterThanOrEqual(3)
+  expect(fleet.serving(true)).toBe(2)
+  const before = fleet.orders.length
+  fleet.lease.giveUpOutage()
+  fleet.reclaim(DOMAINS[2]!)
+  await fleet.pass(3000, 2.4)
+  expect(fleet.orders.slice(before)).toEqual([])
+})
+
 test('an order that tells nothing of what is to be had is not taken for news', async () => {
   // Orders go to and fro every two seconds: a count that is there already is taken, so that more are ordered elsewhere, and refused.
   const fleet = new Fleet(1)
--- a/daemon/exchange/intake.ts
+++ b/daemon/exchange/intake.ts
@@ -1,5 +1,5 @@
 /** Decides whether a proxied request is taken, and makes its task. */
-import type { Account, Pool, PoolShare, Route, RouteTable } from '../../core/catalog/index.ts'
+import type { Account, Pool, PoolShare, Route, RouteTable, Urgency } from '../../core/catalog/index.ts'
 import { as, type AccountId, type PoolName } from '../../core/ids/index.ts'
 import type { RepeatBudget } from '../../core/retry/index.ts'
 import type { Random } from '../../core/routing/index.ts'
@@ -19,6 +19,7 @@
 /** The catalog in force, ready for look-up. */
 export interface CatalogInForce {
   routes: RouteTable
+  urgency: Urgency
   accounts: ReadonlyMap<string, Account>
   pools: ReadonlyMap<PoolName, Pool>
 }
@@ -71,7 +72,7 @@
     const askedAtMs = steadyNow()
     const charge = await this.#charge(account, req)
     if (account) this.#options.metrics.quotaWait.observe(steadyNow() - askedAtMs)
-    const { cls } = route
+    const cls = this.#options.catalog()!.urgency.classOf(route, account)
     const pool = chooseShare(route.pools, this.#options.random).pool
     const { client, dialect, table, dispatcher, metrics } = this.#options
     const budget = this.#options.budgetOf(pool)
--- a/daemon/exchange/proxy_daemon.ts
+++ b/daemon/exchange/proxy_daemon.ts
@@ -3,7 +3,7 @@
 import { isDeepStrictEqual } from 'node:util'
 import { asFunction, asValue, createContainer, InjectionMode } from 'awilix'
 import xxhash from 'xxhash-wasm'
-import { RouteTable, type Catalog } from '../../core/catalog/index.ts'
+import { RouteTable, Urgency, type Catalog } from '../../core/catalog/index.ts'
 import { as, type DaemonId, type EndpointId, type PoolName } from '../../core/ids/index.ts'
 import { RetryBudget, type RepeatBudget } from '../../core/retry/index.ts'
 import { homeEndpoint, PrefixIndex, TargetRouter, type EndpointView, type Hash32, type Random } from '../../core/routing/index.ts'
@@ -279,6 +279,7 @@
       ttlMs: settings.leaseMs * LEASE_PART,
       lookEveryMs: LEASE_LOOK_MS,
       retryMs: LEASE_LOOK_MS,
+      fenced: settings.ordersFenced,
       contends: () => membership.joined && tallies.keepsBooks
     })).singleton(),
     usage: asFunction(({ lease, tallies }: Parts) => new UsageTask({
@@ -361,6 +362,6 @@
 
 function catalogInForce (config: ConfigFollower<Catalog>): () => CatalogInForce | undefined {
   let inForce: CatalogInForce | undefined
-  config.onChange(({ routes, accounts, pools }) => { inForce = { routes: new RouteTable(routes), accounts, pools } })
+  config.onChange(({ routes, accounts, pools }) => { inForce = { routes: new RouteTable(routes), urgency: new Urgency(routes), accounts, pools } })
   return () => inForce
 }
--- a/daemon/exchange/proxy_settings.ts
+++ b/daemon/exchange/proxy_settings.ts
@@ -26,5 +26,7 @@
   quota: QuotaTolerance
   /** Two holders of a lease do not act by turns within this time, in milliseconds. */
   leaseMs: number
+  /** Orders with a lower fencing number than was seen are refused. */
+  ordersFenced: boolean
   usage: { windowMs: number, dueMs: number }
 }
--- a/daemon/fleet/lease_task.ts
+++ b/daemon/fleet/lease_task.ts
@@ -20,6 +20,8 @@
   contends? (): boolean
   /** Time before a call that failed is tried again, in milliseconds. Default 1,000. */
   retryMs?: number
+  /** Whoever takes orders refuses those with a lower fencing number than it has seen. Default false. */
+  fenced?: boolean
 }
 
 const DEFAULT_TTL_MS = 15_000
@@ -30,6 +32,14 @@
 /** How long a holder goes on that should be none any more, in milliseconds: what daemons know of each other changes for moments. */
 const STAND_BACK_MS = 2000
 
+/**
+ * How long the last holder goes on while the store does not answer it, in milliseconds.
+ *
+ * Nobody can take the lease over in the store's outage, so that without the last holder nothing is ordered for as long as it lasts, and a wave of
+ * reclaims in that time leaves no endpoint. Where only this daemon is turned away, its successor's higher number makes its orders refused.
+ */
+const OUTAGE_KEPT_MS = 20_000
+
 /** One lease. */
 export class LeaseTask {
   readonly #options: LeaseTaskOptions
@@ -41,6 +51,8 @@
   #contendedAtMs = -Infinity
   #wake: () => void = () => {}
   #stopped = false
+  /** The store has not answered since. */
+  #unansweredSinceMs: number | undefined
   /** Called when this daemon becomes the holder, with its fencing number, and when it is the holder no more. */
   onChange: (fencing: number | undefined) => void = () => {}
 
@@ -60,6 +72,24 @@
     return fencingNow(this.#state, this.#options.self, steadyNow())
   }
 
+  /**
+   * The fencing number for an order that cannot wait until the store answers again; undefined when the lease was lost in any other way.
+   *
+   * Only for orders that are harmless when repeated, and refused where a successor gave others.
+   */
+  get fencingInOutage (): number | undefined {
+    const { record, seenAtMs } = this.#state
+    if (this.#options.fenced !== true || this.#unansweredSinceMs === undefined || this.#stopped || !record || !this.#holds) return undefined
+    if (Math.abs(drift() - this.#driftMs) > LARGEST_DRIFT_MS) return undefined
+    const heldTillMs = seenAtMs + record.ttlMs
+    return this.#unansweredSinceMs <= heldTillMs && steadyNow() < heldTillMs + OUTAGE_KEPT_MS ? record.fencing : undefined
+  }
+
+  /** A successor was seen to act: the outage is this daemon's alone. */
+  giveUpOutage (): void {
+    this.#unansweredSinceMs = undefined
+  }
+
   /** Begins to take and renew the lease. */
   start (): void {
     this.#follow()
@@ -164,8 +194,10 @@
   async #orRetry (act: () => Promise<void>): Promise<void> {
     try {
       await act()
+      this.#unansweredSinceMs = undefined
     } catch (err) {
       if (!(err instanceof StoreError)) throw err
+      this.#unansweredSinceMs ??= steadyNow()
       log('lease-call-failed', { name: this.#options.name, why: err.message })
       await delay(this.#options.retryMs ?? DEFAULT_RETRY_MS)
       await this.#read().catch((again) => { if (!(again instanceof StoreError)) throw again })
--- a/daemon/fleet/lease_task_test.ts
+++ b/daemon/fleet/lease_task_test.ts
@@ -13,8 +13,8 @@
   vi.useRealTimers()
 })
 
-function lease (store: StandInStore, name: string): LeaseTask {
-  const task = new LeaseTask({ self: as<DaemonId>(name), store, name: 'fleet', ttlMs: TTL_MS })
+function lease (store: StandInStore, name: string, options: { fenced?: boolean } = {}): LeaseTask {
+  const task = new LeaseTask({ self: as<DaemonId>(name), store, name: 'fleet', ttlMs: TTL_MS, ...options })
   tasks.push(task)
   task.start()
   return task
@@ -62,6 +62,39 @@
   expect([a.fencing, b.fencing].filter((fencing) => fencing !== undefined)).toHaveLength(1)
 })
 
+test('in an outage the last holder keeps its number for orders that cannot wait, until it is over or another has the lease', async () => {
+  // A wave of reclaims while the store is down leaves no endpoint: the holder's lease runs out, and nobody can take it.
+  const store = new StandInStore()
+  const [a, b] = [lease(store, 'a', { fenced: true }), lease(store, 'b', { fenced: true })]
+  await pass(1000)
+  expect(a.fencingInOutage).toBeUndefined()
+  store.faults.down = true
+  await pass(TTL_MS + 5000)
+  expect([a.fencing, a.fencingInOutage, b.fencingInOutage]).toEqual([undefined, 1, undefined])
+  store.faults.down = false
+  await pass(TTL_MS * 2)
+  expect([a.fencingInOutage, b.fencingInOutage]).toEqual([undefined, undefined])
+  store.faults.down = true
+  await pass(TTL_MS + 25_000)
+  expect([a.fencingInOutage, b.fencingInOutage]).toEqual([undefined, undefined])
+})
+
+test('where orders are not fenced, or a successor was seen, the last holder keeps nothing', async () => {
+  const store = new StandInStore()
+  const a = lease(store, 'a')
+  await pass(1000)
+  store.faults.down = true
+  await pass(TTL_MS + 5000)
+  expect(a.fencingInOutage).toBeUndefined()
+  const other = new StandInStore()
+  const c = lease(other, 'c', { fenced: true })
+  await pass(1000)
+  other.faults.down = true
+  await pass(TTL_MS + 1000)
+  c.giveUpOutage()
+  expect(c.fencingInOutage).toBeUndefined()
+})
+
 test('an engine that checks refuses the order of a holder that was paused and woke', async () => {
   // Selectors get answers of last season's model. The holder is paused, its lease runs out, another daemon loads the new model; the first
   // wakes and gives the order it had in hand. Its number is older than the one the engine has seen.
--- a/daemon/request/broker.ts
+++ b/daemon/request/broker.ts
@@ -6,7 +6,7 @@
 import { RetryBudget } from '../../core/retry/index.ts'
 import type { EndpointView, Hash32 } from '../../core/routing/index.ts'
 import { classOf, type ClassConfig, type Config } from '../../core/config/index.ts'
-import { estimateTokens, isUrgent, NO_TOKENS, partsOf, type Demand } from '../../core/work/index.ts'
+import { estimateTokens, NO_TOKENS, partsOf, type Demand } from '../../core/work/index.ts'
 import type { ModelEngine, PlainService } from '../../endpoints/index.ts'
 import { claimOf, type Claims } from '../once/claims.ts'
 import type { ConfigTask } from '../config/config_task.ts'
@@ -218,7 +218,7 @@
   #taskFor (order: TaskOrder): TokenTask {
     const { id, account, cls, model, input, maxTokens } = order
     const work = { id, account, cls: classOf(cls, model), pool: as<PoolName>(cls.pool), demand: model ? this.#demandOf(input, maxTokens) : NO_TOKENS, claim: order.claim }
-    const runnerOptions = { id, input, maxTokens, urgent: isUrgent(cls) }
+    const runnerOptions = { id, input, maxTokens, urgent: work.cls.urgent }
     const runner = model ? new EngineRunner(runnerOptions, this.#options.engine) : new ServiceRunner(runnerOptions, this.#options.service)
     return new TokenTask({ work, runner, ports: this.#portsOf(cls), ...(order.deadlineInMs !== undefined && { deadlineInMs: order.deadlineInMs }) })
   }
--- a/daemon/request/dispatcher.ts
+++ b/daemon/request/dispatcher.ts
@@ -2,7 +2,7 @@
 import { FairQueue, type Waiting, type WorkQueue } from '../../core/admission/index.ts'
 import type { AccountId, EndpointId, PoolName } from '../../core/ids/index.ts'
 import { runningNow, type EndpointView, type PrefixIndex, type Route, type Router } from '../../core/routing/index.ts'
-import { isUrgent, type Demand, type PromptPart, type WorkClass } from '../../core/work/index.ts'
+import type { Demand, PromptPart, WorkClass } from '../../core/work/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import type { EndpointTable } from '../endpoints/endpoint_table.ts'
 
@@ -74,7 +74,7 @@
   place (placement: Placement): void {
     const pool = this.#pool(placement.pool)
     if (pool.queue.length === 0 && this.#start(placement, pool)) return
-    const urgent = isUrgent(placement.cls)
+    const { urgent } = placement.cls
     const ahead = pool.queue.ahead(placement.account, urgent)
     const waitMs = (ahead + 1) * pool.msPerStart
     const startByMs = latestStart(placement)
@@ -112,14 +112,14 @@
     const now = steadyNow()
     const candidates = this.#options.table.candidates(placement.pool)
     const cached = this.#cached(placement, candidates, now)
-    const withRoom = candidates.filter((view) => hasRoom(view, isUrgent(placement.cls)))
+    const withRoom = candidates.filter((view) => hasRoom(view, placement.cls.urgent))
     // Once every endpoint has failed the request, the least bad is tried again; the retry budget bounds how often.
     const avoid = withRoom.some((view) => !placement.avoid.includes(view.id)) ? placement.avoid : []
     const route = this.#options.router.pick({
       promptTokens: placement.demand.promptTokens + placement.doneTokens,
       expectedTokens: remainingTokens(placement),
       firstTokenMs: firstTokenWithin(placement, now),
-      lane: isUrgent(placement.cls) ? 'urgent' : 'normal',
+      lane: placement.cls.urgent ? 'urgent' : 'normal',
       betweenTokensMs: placement.cls.latency.betweenTokensMs,
       avoid,
       cachedTokens: (id) => cached.get(id) ?? 0
--- a/daemon/request/request_task.ts
+++ b/daemon/request/request_task.ts
@@ -6,7 +6,7 @@
 import { mayRepeat, newRequest, step, type RequestEffect, type RequestMessage, type RequestState, type StartMode } from '../../core/request/index.ts'
 import type { RepeatBudget } from '../../core/retry/index.ts'
 import { runningNow, type EndpointView, type Lane, type Route } from '../../core/routing/index.ts'
-import { isUrgent, type Demand, type WorkClass } from '../../core/work/index.ts'
+import type { Demand, WorkClass } from '../../core/work/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import type { Attachment, AttemptRunner, AttemptSink } from '../../endpoints/index.ts'
 import { ASSUMED_NOTICE_MS, type EndpointTable, type SentWork } from '../endpoints/endpoint_table.ts'
@@ -231,7 +231,7 @@
     this.answer.replaceAttempt(attempt)
     if (!view) return this.#failed(attempt, endpoint, new AttemptError('Cannot start: endpoint is not listed', { point: 'before-send' }))
     this.ports.metrics.attempts.inc({ mode })
-    const lane = this.#route?.lane ?? (isUrgent(this.work.cls) ? 'urgent' : 'normal')
+    const lane = this.#route?.lane ?? (this.work.cls.urgent ? 'urgent' : 'normal')
     this.decide('attempt-started', this.#startOf(view, { attempt, mode, lane }))
     this.#send(view, { lane, tokens: mode === 'import' ? 0 : this.#route?.uncachedTokens ?? this.kvTokens })
     const kvHandle = mode === 'import' ? this.kvHandle : undefined
