--- a/core/fleet/endpoint_demand.ts
+++ b/core/fleet/endpoint_demand.ts
@@ -22,7 +22,7 @@
 /** And over this long, in milliseconds, so that a jump is known before its callers have waited for a boot twice. */
 const JUMP_WINDOW_MS = 2000
 /** Part of that which counts: in so short a time a few long prompts look like a jump. */
-const JUMP_PART = 0.8
+const JUMP_PART = 0.65
 /** Less work must have come for this long before endpoints are given up, in milliseconds: booting costs more than keeping. */
 const HOLD_MS = 15_000
 
