--- a/scripts/pages.ts
+++ b/scripts/pages.ts
@@ -138,7 +138,7 @@
   ['store', 'Calls on the store around an outage of 8 s.', [store]]
 ]
 
-const note = readFileSync(new URL('../docs/figures/schedules.md', import.meta.url), 'utf8')
+const note = ['platform', 'schedules'].map((name) => readFileSync(new URL(`../docs/figures/${name}.md`, import.meta.url), 'utf8')).join('\n')
 const measurements = `# Measurements
 
 Written by \`node --import tsx scripts/pages.ts\` from docs/figures; each file there is the last line of \`npm run -s bench -- NAME\` at seed 1. Run on ${DATE}, one machine of 8
