--- /dev/null
+++ b/daemon/request/endpoint_charge.ts
@@ -0,0 +1,50 @@
+/** What one request counts for at the endpoint that works on it. */
+import type { EndpointId } from '../../core/ids/index.ts'
+import { steadyNow } from '../../core/time/index.ts'
+import type { EndpointTable, SentWork } from '../endpoints/endpoint_table.ts'
+
+/** The attempt under way, as its endpoint is charged for it. */
+interface Sent extends SentWork {
+  endpoint: EndpointId
+  atMs: number
+  /** Undefined where nobody predicted anything. */
+  predictedMs: number | undefined
+  read: boolean
+}
+
+/** Keeps the endpoint table's counts of one request true, whatever becomes of its attempts. */
+export class EndpointCharge {
+  readonly #table: EndpointTable
+  #sent: Sent | undefined
+
+  constructor (table: EndpointTable) {
+    this.#table = table
+  }
+
+  /** When the attempt under way was sent, in milliseconds on the steady clock; undefined while there is none. */
+  get sentAtMs (): number | undefined { return this.#sent?.atMs }
+
+  /** An attempt was sent. */
+  send (endpoint: EndpointId, work: SentWork, predictedMs: number | undefined): void {
+    this.#table.started(endpoint, work)
+    this.#sent = { ...work, endpoint, atMs: steadyNow(), predictedMs, read: false }
+  }
+
+  /** The endpoint has read the prompt: what it read no longer waits there. */
+  read (): void {
+    const sent = this.#sent
+    if (!sent || sent.read) return
+    sent.read = true
+    this.#table.read(sent.endpoint, sent)
+    if (sent.predictedMs !== undefined) this.#table.learnt(sent.endpoint, { predictedMs: sent.predictedMs, actualMs: steadyNow() - sent.atMs })
+  }
+
+  /** The endpoint works on the request no more. */
+  end (): void {
+    const sent = this.#sent
+    if (!sent) return
+    this.#sent = undefined
+    if (!sent.read) this.#table.read(sent.endpoint, sent)
+    this.#table.ended(sent.endpoint)
+  }
+}
--- a/daemon/request/request_task.ts
+++ b/daemon/request/request_task.ts
@@ -14,6 +14,7 @@
 import type { Metrics } from '../metrics.ts'
 import { ClaimError } from '../once/shard_log.ts'
 import type { Dispatcher, Placement } from './dispatcher.ts'
+import { EndpointCharge } from './endpoint_charge.ts'
 import { Listeners, type FinalWord } from './live_answer.ts'
 
 /** What a caller asked for. */
@@ -35,15 +36,6 @@
   metrics: Metrics
 }
 
-/** The attempt under way, as its endpoint is charged for it. */
-interface Sent extends SentWork {
-  endpoint: EndpointId
-  atMs: number
-  /** Undefined where nobody predicted anything. */
-  predictedMs: number | undefined
-  read: boolean
-}
-
 /** Options of {@linkcode RequestTask}. */
 export interface RequestTaskOptions<P> extends AnswerBufferOptions<P> {
   work: Work
@@ -87,7 +79,7 @@
   #handling = false
   readonly #deadlineTimer: NodeJS.Timeout
   #placement: Placement | undefined
-  #sent: Sent | undefined
+  readonly #charge: EndpointCharge
   #route: Route | undefined
   #firstPieceAtMs: number | undefined
   #pieceAtMs: number | undefined
@@ -98,6 +90,7 @@
     const { work, runner, ports } = options
     this.work = work
     this.ports = ports
+    this.#charge = new EndpointCharge(ports.table)
     this.#runner = runner
     this.answer = new AnswerBuffer<P>(options)
     const deadlineInMs = options.deadlineInMs ?? work.cls.latency.deadlineMs
@@ -161,7 +154,7 @@
 
   /** Takes no more messages, because somebody else answers for the request. */
   protected retire (): void {
-    this.#unsend()
+    this.#charge.end()
     clearTimeout(this.#deadlineTimer)
     if (this.#placement) this.ports.dispatcher.forget(this.#placement)
     this.lifecycle = { ...this.lifecycle, phase: 'done' }
@@ -268,29 +261,10 @@
   }
 
   #send (view: EndpointView, work: SentWork): void {
-    this.ports.table.started(view.id, work)
-    this.#sent = { ...work, endpoint: view.id, atMs: steadyNow(), predictedMs: this.#route?.firstTokenMs, read: false }
+    this.#charge.send(view.id, work, this.#route?.firstTokenMs)
     this.#route = undefined
   }
 
-  /** The endpoint has read the prompt: what it read no longer waits there. */
-  #read (): void {
-    const sent = this.#sent
-    if (!sent || sent.read) return
-    sent.read = true
-    this.ports.table.read(sent.endpoint, sent)
-    if (sent.predictedMs !== undefined) this.ports.table.learnt(sent.endpoint, { predictedMs: sent.predictedMs, actualMs: steadyNow() - sent.atMs })
-  }
-
-  /** The endpoint works on the request no more. */
-  #unsend (): void {
-    const sent = this.#sent
-    if (!sent) return
-    this.#sent = undefined
-    if (!sent.read) this.ports.table.read(sent.endpoint, sent)
-    this.ports.table.ended(sent.endpoint)
-  }
-
   /** Takes in what an attempt produces. */
   protected sink (endpoint: EndpointId, attempt: number): AttemptSink<P> {
     let head: AnswerHead | undefined
@@ -300,7 +274,7 @@
         const verdict = this.answer.add({ attempt, offset, pieces })
         this.ports.metrics.chunks.inc({ verdict })
         if (verdict === 'taken') this.head ??= head
-        if (attempt === this.lifecycle.attempt) this.#read()
+        if (attempt === this.lifecycle.attempt) this.#charge.read()
         this.onPiece()
         this.#begun()
         this.#pieceCame()
@@ -373,7 +347,7 @@
       point: err.point,
       why: err.message,
       status: err.answer?.head.status,
-      afterMs: steadyNow() - (this.#sent?.atMs ?? this.acceptedAtMs),
+      afterMs: steadyNow() - (this.#charge.sentAtMs ?? this.acceptedAtMs),
       pieces: this.answer.length,
       endpointLeaving: table.isGone(endpoint),
       repeat: retryGranted ? 'allowed' : repeatable ? 'over-budget' : 'not-allowed'
@@ -381,14 +355,14 @@
     if (!retryGranted) metrics.retriesDenied.inc({ class: metrics.labelOf(this.work.cls.name) })
     metrics.attemptsFailed.inc({ point: err.point })
     table.failed(endpoint)
-    this.#unsend()
+    this.#charge.end()
     this.post({ type: 'failed', attempt, point: err.point, retryGranted })
   }
 
   #stop (endpoint: EndpointId, attempt: number): void {
     this.attachment?.detach()
     this.attachment = undefined
-    this.#unsend()
+    this.#charge.end()
     const view = this.ports.table.get(endpoint)
     if (!view || !this.lifecycle.traits.movable) return this.post({ type: 'stopped', attempt, confirmed: false })
     const from = this.answer.length
@@ -404,8 +378,8 @@
     this.final = final
     this.attachment = undefined
     if (this.#placement) this.ports.dispatcher.forget(this.#placement)
-    if (final.outcome === 'answered') this.#read()
-    this.#unsend()
+    if (final.outcome === 'answered') this.#charge.read()
+    this.#charge.end()
     this.lifecycle = { ...this.lifecycle, phase: 'done', outcome: final.outcome }
     this.decide('request-ended', this.#endOf(final))
     // A repeated key is answered by the request that it repeats: counted as not run, it would look like a missed target.
