Start with as many endpoints as the operators provided, and take no silence for news

Ruled out: counting sooner (two seconds are the least that tell a jump from a few long prompts). Change: until there is work the fleet keeps the size that operators provided, in the cheap kind as soon as it serves; given up once counted, or after 60 s without work. What is to be had is known by answered orders only.

--- a/daemon/duties/order_task.ts
+++ b/daemon/duties/order_task.ts
@@ -39,7 +39,13 @@
 const DEMAND = 'demand/'
 
 /** An order as it was last given, and what came of it. */
-interface Given { count: number, atMs: number, result: 'given' | 'refused' | 'failed' }
+interface Given {
+  count: number
+  atMs: number
+  result: 'given' | 'refused' | 'failed'
+  /** There were none to be had, by the last order that was answered: one without an answer says nothing of that. */
+  noneToBeHad: boolean
+}
 
 /**
  * Gives orders of wanted counts.
@@ -103,9 +109,19 @@
     const asked = { tokens: tallies.tally.sum(key), tellers: tallies.tally.tellers(key), msPerToken }
     const demand = this.#demand.get(pool) ?? this.#firstDemand(pool, asked.tokens)
     this.#demand.set(pool, demand)
+    if (demand.idle(steadyNow())) demand.assume(this.#provisioned(pool) * COMFORTABLE_UTILIZATION)
     return demand.engines(asked, steadyNow())
   }
 
+  /**
+   * Endpoints that the operators had ready for the first callers: on demand, since nobody has ordered any yet.
+   *
+   * Load pattern: traffic comes at once, seconds before it can be counted. Nobody knows better than they how much it will be.
+   */
+  #provisioned (pool: PoolName): number {
+    return this.#options.table.all.filter((view) => view.pool === pool && !view.reclaimable).length
+  }
+
   #orderPool (pool: Pool, scaling: Scaling, engines: number): void {
     const domains = [...scaling.pricePerS.keys()]
     const fleet = domains.map((domain) => this.#fleetOf(pool.name, domain))
@@ -152,7 +168,7 @@
       failureDomain,
       onDemand: staying.filter((view) => !view.reclaimable).length,
       reclaimable: staying.filter((view) => view.reclaimable).length,
-      reclaimableToBeHad: this.#given.get(keyOf({ pool, failureDomain, reclaimable: true }))?.result !== 'refused'
+      reclaimableToBeHad: this.#given.get(keyOf({ pool, failureDomain, reclaimable: true }))?.noneToBeHad !== true
     }
   }
 
@@ -194,16 +210,19 @@
     const outage = lease.fencing === undefined
     const fencing = lease.fencing ?? lease.fencingInOutage
     if (fencing === undefined) return
-    const given: Given = { count: order.count, atMs: steadyNow(), result: this.#given.get(keyOf(order))?.result ?? 'given' }
+    const before = this.#given.get(keyOf(order))
+    const given: Given = { count: order.count, atMs: steadyNow(), result: before?.result ?? 'given', noneToBeHad: before?.noneToBeHad ?? false }
     this.#given.set(keyOf(order), given)
     try {
       await this.#options.duties.order(order, { name: this.#options.name, fencing })
       given.result = 'given'
+      given.noneToBeHad = false
       this.#options.metrics.orders.inc({ result: 'given' })
       log('order-given', { ...order, fencing })
     } catch (err) {
       if (!(err instanceof DutyError)) throw err
       given.result = err.failure === 'refused' ? 'refused' : 'failed'
+      if (err.failure === 'refused') given.noneToBeHad = true
       this.#options.metrics.orders.inc({ result: err.failure })
       log('order-refused', { ...order, fencing, failure: err.failure, why: err.message })
       if (outage && err.failure === 'refused') lease.giveUpOutage()
