Notice silence and slowness by the rhythm of streams, count retries by window, and weigh what reading costs others

Change: pauses between pieces tell a slow endpoint within a second; an attempt is overdue after six of its longest pauses or three predictions, an endpoint that is silent to all gets no work for a second, and what may run twice goes on elsewhere. A process that stood still blames nobody. A new endpoint counts others' work as this daemon's own until reports come. Retries are counted in a window; tries that reached no endpoint are free three times. Reading counts once more for those who come next, which keeps shared parts where they are read. Errors of the pace pull no harder than a fifth of the prediction. Ruled out: ending what may not run twice on silence (it may still come).

--- a/core/request/index.ts
+++ b/core/request/index.ts
@@ -1,1 +1,2 @@
 export * from './lifecycle.ts'
+export * from './overdue.ts'
--- a/core/retry/index.ts
+++ b/core/retry/index.ts
@@ -1,2 +1,3 @@
 export * from './ejection.ts'
 export * from './retry_budget.ts'
+export * from './window_budget.ts'
--- /dev/null
+++ b/core/retry/window_budget_test.ts
@@ -0,0 +1,47 @@
+import fc from 'fast-check'
+import { afterEach, beforeEach, expect, test, vi } from 'vitest'
+import { WindowBudget } from './index.ts'
+
+const WINDOW_MS = 10_000
+const budgetOf = (besideAtStart = 1) => new WindowBudget({ windowMs: WINDOW_MS, fraction: () => 0.2, beside: () => 5, besideAtStart })
+
+beforeEach(() => { vi.useFakeTimers() })
+afterEach(() => { vi.useRealTimers() })
+
+test('the streams of an endpoint that crashed go on elsewhere, if few retries were sent before', () => {
+  // Callers lose answers that could have gone on: an endpoint crashes with forty streams, and the budget holds five retries though a window's worth
+  // of them was never used.
+  const budget = budgetOf()
+  for (let i = 0; i < 200; i++) {
+    budget.earn()
+    vi.advanceTimersByTime(45)
+  }
+  expect(Array.from({ length: 60 }, () => budget.spend()).filter(Boolean)).toHaveLength(45)
+})
+
+test('whoever starts again has less in its first window', () => {
+  const granted = () => Array.from({ length: 9 }, () => budget.spend()).filter(Boolean).length
+  const budget = budgetOf(0.4)
+  expect(granted()).toBe(2)
+  vi.advanceTimersByTime(2 * WINDOW_MS)
+  expect(granted()).toBe(5)
+})
+
+test('in no window more retries are granted than its fresh work and that of the window before allow', () => {
+  const step = fc.record({ gapMs: fc.integer({ min: 0, max: 900 }), fresh: fc.integer({ min: 0, max: 20 }), tries: fc.integer({ min: 0, max: 20 }) })
+  fc.assert(fc.property(fc.array(step, { minLength: 20, maxLength: 80 }), (steps) => {
+    const budget = budgetOf()
+    const fresh: number[] = []
+    const granted: number[] = []
+    for (const { gapMs, fresh: requests, tries } of steps) {
+      vi.advanceTimersByTime(gapMs)
+      for (let i = 0; i < requests; i++) { budget.earn(); fresh.push(performance.now()) }
+      for (let i = 0; i < tries; i++) if (budget.spend()) granted.push(performance.now())
+    }
+    for (const from of granted) {
+      const within = granted.filter((at) => at >= from && at < from + WINDOW_MS * 0.95).length
+      const before = fresh.filter((at) => at >= from - WINDOW_MS && at < from + WINDOW_MS).length
+      expect(within).toBeLessThanOrEqual(before * 0.2 + 5)
+    }
+  }), { seed: 17, numRuns: 200 })
+})
--- a/core/routing/reading_pace.ts
+++ b/core/routing/reading_pace.ts
@@ -26,8 +26,13 @@
 const FIRST_WEIGHT = 1
 /** Prompt that the first belief is taken at, beside an empty one, in tokens. */
 const FIRST_PROMPT_TOKENS = 4000
-/** A first token that took so many times what was predicted counts as this much: it waited for something else than reading. */
-const MOST_SURPRISE = 2
+/**
+ * Errors beyond this part of what was predicted pull no harder than this does: first tokens that waited for something else are late by any factor, none is
+ * early by as much, and their mean is far above what reading takes.
+ */
+const USUAL_ERROR = 0.2
+/** Errors below this tell nothing, in milliseconds: a step of an engine. */
+const LEAST_ERROR_MS = 5
 /** Prompt that is read in about the time that a first token takes beside reading, in tokens; shorter ones count alike. */
 const SHORT_PROMPT_TOKENS = 2000
 /** Least time of a token: a line through few points may slope downwards. */
@@ -63,7 +68,9 @@
   learn ({ unreadTokens, firstMs }: PaceSample): void {
     const predictedMs = this.firstMs + unreadTokens * this.msPerToken
     this.#fade()
-    this.#add({ unreadTokens, firstMs: Math.min(firstMs, predictedMs * MOST_SURPRISE) }, 1)
+    const usualErrorMs = Math.max(LEAST_ERROR_MS, predictedMs * USUAL_ERROR)
+    const weight = Math.min(1, usualErrorMs / Math.abs(firstMs - predictedMs))
+    this.#add({ unreadTokens, firstMs }, weight)
     this.samples++
     this.#solve()
   }
--- a/core/routing/router.ts
+++ b/core/routing/router.ts
@@ -1,6 +1,6 @@
 /** Choice of an endpoint for one request. */
 import type { EndpointId } from '../ids/index.ts'
-import { predictBetweenTokensMs, predictFirstTokenMs, runningNow, unreadNow, type EndpointView } from './endpoint_view.ts'
+import { keepsPace, paceOf, predictBetweenTokensMs, predictFirstTokenMs, runningNow, unreadNow, type EndpointView, type Sight } from './endpoint_view.ts'
 import type { Lane } from './work_load.ts'
 
 /** What a router needs to know of a request. */
@@ -43,6 +43,8 @@
   random: Random
   /** Candidates looked at for one request. Default 4. */
   choices?: number
+  /** Daemons that use one endpoint. Default: only this one. */
+  sharers? (): number
   /** Time that a request to an endpoint takes on the way, both ways, in milliseconds. Default: none. */
   wayMs? (view: EndpointView): number
 }
@@ -68,10 +70,11 @@
   }
 
   pick (query: RouteQuery, candidates: readonly EndpointView[], now: number): Route | undefined {
+    const sharers = this.#options.sharers?.() ?? 1
     let best: Route | undefined
     let bestScore = Infinity
     for (const view of this.#sample(query, candidates, now)) {
-      const route = predict(query, view)
+      const route = predict(query, view, { now, sharers })
       const score = this.#score(query, route)
       if (best && (best.meetsTarget && !route.meetsTarget)) continue
       if (!best || (route.meetsTarget && !best.meetsTarget) || score < bestScore) {
@@ -103,7 +106,8 @@
   /** Money for the request on this endpoint, or the predicted wait when the target is missed anyway. */
   #score (query: RouteQuery, route: Route): number {
     const { view } = route
-    const waitMs = route.firstTokenMs + (this.#options.wayMs?.(view) ?? 0) + FULLNESS_MS * runningNow(view) / view.speed.batchSlots
+    const othersMs = OTHERS_PART * route.uncachedTokens * paceOf(view).msPerToken
+    const waitMs = route.firstTokenMs + othersMs + (this.#options.wayMs?.(view) ?? 0) + FULLNESS_MS * runningNow(view) / view.speed.batchSlots
     if (!route.meetsTarget) return waitMs
     const runMs = route.firstTokenMs + query.expectedTokens * predictBetweenTokensMs(view)
     const holding = view.pricePerHour * (runMs / MS_PER_HOUR) / view.speed.batchSlots
@@ -111,6 +115,13 @@
   }
 }
 
+/**
+ * What a request's reading delays others by, as a part of the time that it takes: whoever comes next waits for it, too.
+ *
+ * It keeps shared parts of prompts where they are read already, as long as the first token is in time there.
+ */
+const OTHERS_PART = 1
+
 /** What a full batch counts for beside the predicted wait, in milliseconds: endpoints that are equal otherwise share the work. */
 const FULLNESS_MS = 5
 
@@ -125,7 +136,7 @@
       if (!isOpen(view, query, now)) continue
       if (!best || runningNow(view) < runningNow(best)) best = view
     }
-    return best && predict(query, best)
+    return best && predict(query, best, { now, sharers: 1 })
   }
 }
 
@@ -134,14 +145,14 @@
 }
 
 /** A request that cannot meet its target any more goes behind those that still can. */
-function predict (query: RouteQuery, view: EndpointView): Route {
+function predict (query: RouteQuery, view: EndpointView, sight: Sight): Route {
   const lane = query.lane ?? 'late'
   const uncachedTokens = Math.max(0, query.promptTokens - query.cachedTokens(view.id))
-  const firstTokenMs = predictFirstTokenMs(view, uncachedTokens, lane)
-  const betweenOk = query.betweenTokensMs === undefined || predictBetweenTokensMs(view) <= query.betweenTokensMs
+  const firstTokenMs = predictFirstTokenMs(view, uncachedTokens, lane, sight)
+  const betweenOk = query.betweenTokensMs === undefined || (predictBetweenTokensMs(view) <= query.betweenTokensMs && keepsPace(view, query.betweenTokensMs, sight.now))
   const roomLeft = runningNow(view) < view.speed.batchSlots
   const meetsTarget = roomLeft && betweenOk && firstTokenMs <= query.firstTokenMs
   const unreadIn = (of: Lane) => (roomLeft ? unreadNow(view, of) + uncachedTokens : undefined)
   if (meetsTarget || lane === 'late' || firstTokenMs <= query.firstTokenMs) return { view, firstTokenMs, meetsTarget, lane, uncachedTokens, unreadTokens: unreadIn(lane) }
-  return { view, firstTokenMs: predictFirstTokenMs(view, uncachedTokens, 'late'), meetsTarget, lane: 'late', uncachedTokens, unreadTokens: unreadIn('late') }
+  return { view, firstTokenMs: predictFirstTokenMs(view, uncachedTokens, 'late', sight), meetsTarget, lane: 'late', uncachedTokens, unreadTokens: unreadIn('late') }
 }
--- a/core/routing/routing_test.ts
+++ b/core/routing/routing_test.ts
@@ -76,3 +76,21 @@
   expect(after.filter((each) => !before.includes(each))).toHaveLength(1)
   expect(subset(as('other'), all, { hash, size: 10 })).not.toEqual(before)
 })
+
+test('an endpoint that just came is not overrun by all daemons at once', () => {
+  // Callers wait for seconds though endpoints are enough: after a reclaim eight daemons have work that waits, a new endpoint is listed, and before
+  // the first report tells of it each has sent it all it has.
+  const sent = [0, 0]
+  for (let daemon = 0; daemon < 8; daemon++) {
+    const views = [view('new', { speed: { ...view('x').speed, batchSlots: 48 }, listedAtMs: 1000 }), view('old', { speed: { ...view('x').speed, batchSlots: 48 } })]
+    const daemonsRouter = new TargetRouter({ random: () => 0.5, sharers: () => 8 })
+    for (let i = 0; i < 8; i++) {
+      const { view: chosen } = daemonsRouter.pick(query({ firstTokenMs: 20_000 }), views, 1050)!
+      chosen.own.running++
+      chosen.own.unread.normal += 1000
+      sent[chosen.id === id('new') ? 0 : 1]!++
+    }
+  }
+  expect(sent[0]).toBeLessThanOrEqual(16)
+  expect(sent[0]).toBeGreaterThan(0)
+})
--- a/daemon/endpoints/endpoint_table.ts
+++ b/daemon/endpoints/endpoint_table.ts
@@ -1,7 +1,7 @@
 /** The endpoints as one daemon sees them, out of every signal that tells of them. */
 import type { DaemonId, EndpointId, HostId, PoolName } from '../../core/ids/index.ts'
 import {
-  learnSlowness, noWork, paceOf, ReadingPace, subset, unreadBefore,
+  learnSlowness, noWork, paceOf, POOL_SMOOTHING, ReadingPace, StreamRhythm, subset, unreadBefore,
   type EndpointLoad, type EndpointView, type EndpointWork, type FirstTokenSample, type Hash32, type Lane, type Pace
 } from '../../core/routing/index.ts'
 import { countFailure, NO_FAILURES, type FailureCount } from '../../core/retry/index.ts'
@@ -32,6 +32,8 @@
 export const ASSUMED_NOTICE_MS = 2000
 
 const MS_PER_S = 1000
+/** An endpoint that went silent gets no work for this long, in milliseconds; the registry names those that are gone within four times as long. */
+const SILENT_MS = 1000
 /** Longer than the list lags, in milliseconds. */
 const TAKE_BACK_MS = 30_000
 
@@ -47,6 +49,7 @@
   readonly #views = new Map<EndpointId, EndpointView>()
   readonly #byHost = new Map<HostId, EndpointId>()
   readonly #paces = new Map<PoolName, ReadingPace>()
+  readonly #rhythms = new Map<PoolName, StreamRhythm>()
   readonly #failures = new Map<EndpointId, FailureCount>()
   readonly #subsets = new Map<PoolName, EndpointView[]>()
   readonly #goneAt = new Map<EndpointId, number>()
@@ -234,6 +237,14 @@
     if (sample.unreadTokens !== undefined) this.#paces.get(view.pool)?.learn({ unreadTokens: sample.unreadTokens, firstMs: sample.actualMs })
   }
 
+  /** Learns from two pieces of one stream how far apart they came. */
+  paused (id: EndpointId, pauseMs: number): void {
+    const view = this.#views.get(id)
+    const now = steadyNow()
+    view?.rhythm?.learn(pauseMs, now)
+    view?.poolRhythm?.learn(pauseMs, now)
+  }
+
   /** How long first tokens take at a pool's endpoints; undefined while none is known. */
   pace (pool: PoolName): Pace | undefined {
     const learnt = this.#paces.get(pool)
@@ -242,6 +253,31 @@
     return view && paceOf(view)
   }
 
+  /** An endpoint gave a word of any kind. */
+  heard (id: EndpointId): void {
+    const view = this.#views.get(id)
+    if (view) view.heardAtMs = steadyNow()
+  }
+
+  /** When an endpoint gave its last word, in milliseconds on the steady clock; never for one that gave none. */
+  lastWordAtMs (id: EndpointId): number {
+    return this.#views.get(id)?.heardAtMs ?? -Infinity
+  }
+
+  /** How far apart pieces of an endpoint's pool come; undefined where none came lately. */
+  usualPauseMs (id: EndpointId): number | undefined {
+    return this.#views.get(id)?.poolRhythm?.pauseMs(steadyNow())
+  }
+
+  /** An endpoint that has work gives no word: it gets no more for a while, unless nobody else does. */
+  silent (id: EndpointId): void {
+    const view = this.#views.get(id)
+    const now = steadyNow()
+    if (!view || view.ejectedUntilMs > now) return
+    view.ejectedUntilMs = now + SILENT_MS
+    log('endpoint-silent', { endpoint: id, wordAgeMs: Math.round(now - (view.heardAtMs ?? now)), forMs: SILENT_MS })
+  }
+
   /** An attempt failed for a reason of the endpoint's. */
   failed (id: EndpointId): void {
     const view = this.#views.get(id)
@@ -295,12 +331,14 @@
       reclaimable: host.reclaimable,
       speed: endpoint.speed,
       firstMs: endpoint.firstMs ?? 0,
-      ...(endpoint.learnsPace === true && { pace: this.#paceOf(endpoint) }),
+      ...(endpoint.learnsPace === true && { pace: this.#paceOf(endpoint), rhythm: new StreamRhythm(), poolRhythm: this.#rhythmOf(endpoint.pool) }),
       slowness: 1,
       others: noWork(),
       own: noWork(),
       leavingAtMs: undefined,
-      ejectedUntilMs: 0
+      ejectedUntilMs: 0,
+      heardAtMs: steadyNow(),
+      listedAtMs: steadyNow()
     })
     this.#byHost.set(host.hostId, endpoint.id)
     log('endpoint-listed', { endpoint: endpoint.id, pool: endpoint.pool, failureDomain: host.failureDomain, reclaimable: host.reclaimable, slots: endpoint.speed.batchSlots })
@@ -317,6 +355,12 @@
     return pace
   }
 
+  #rhythmOf (pool: PoolName): StreamRhythm {
+    const rhythm = this.#rhythms.get(pool) ?? new StreamRhythm({ smoothing: POOL_SMOOTHING })
+    this.#rhythms.set(pool, rhythm)
+    return rhythm
+  }
+
   #drop (view: EndpointView): void {
     this.#views.delete(view.id)
     log('endpoint-gone', { endpoint: view.id })
--- a/daemon/exchange/intake.ts
+++ b/daemon/exchange/intake.ts
@@ -57,11 +57,15 @@
 /** Takes proxied requests. */
 export class Intake {
   readonly #options: IntakeOptions
+  readonly #open = new Set<RequestTask<Buffer>>()
 
   constructor (options: IntakeOptions) {
     this.#options = options
   }
 
+  /** Requests that are not finished. */
+  get open (): Iterable<RequestTask<Buffer>> { return this.#open }
+
   /**
    * Takes a request and starts on it.
    * @throws {Refusal} When it is refused; nothing ran.
@@ -96,7 +100,11 @@
       fromPiece: req.resumeFrom,
       quotaWaitMs: task.acceptedAtMs - askedAtMs
     })
-    task.onFinish = () => { if (task.final?.outcome === 'not-run') charge?.giveBack() }
+    this.#open.add(task)
+    task.onFinish = () => {
+      this.#open.delete(task)
+      if (task.final?.outcome === 'not-run') charge?.giveBack()
+    }
     if (account) this.#countUse(task, account.id)
     return task
   }
--- a/daemon/exchange/proxy_daemon.ts
+++ b/daemon/exchange/proxy_daemon.ts
@@ -5,7 +5,7 @@
 import xxhash from 'xxhash-wasm'
 import { RouteTable, Urgency, type Catalog } from '../../core/catalog/index.ts'
 import { as, type DaemonId, type EndpointId, type PoolName } from '../../core/ids/index.ts'
-import { RetryBudget, type RepeatBudget } from '../../core/retry/index.ts'
+import { WindowBudget, type RepeatBudget } from '../../core/retry/index.ts'
 import { homeEndpoint, PrefixIndex, TargetRouter, type EndpointView, type Hash32, type Random } from '../../core/routing/index.ts'
 import { delay, steadyNow } from '../../core/time/index.ts'
 import { ExchangeClient } from '../../endpoints/index.ts'
@@ -25,6 +25,7 @@
 import { FleetSize } from '../peers/fleet_size.ts'
 import { TallyTask } from '../peers/tally_task.ts'
 import { Dispatcher } from '../request/dispatcher.ts'
+import { StallWatch } from '../request/stall_watch.ts'
 import { seededRandom } from '../seeded_random.ts'
 import { statusOf, type StatusReport } from '../status.ts'
 import { ExchangeServer } from './exchange_server.ts'
@@ -61,6 +62,7 @@
   dispatcher: Dispatcher
   budgetOf: (pool: PoolName) => RepeatBudget
   intake: Intake
+  stalls: StallWatch
   server: ExchangeServer
   readiness: ReadinessServer
   monitor: MonitorServer
@@ -159,7 +161,7 @@
   }
 
   async #start (): Promise<void> {
-    const { settings, membership, tallies, config, registry, server, readiness, monitor, lease, limits, loads, usage, orders } = this.#parts
+    const { settings, membership, tallies, config, registry, server, readiness, monitor, lease, limits, loads, usage, orders, stalls } = this.#parts
     const { callers, readiness: check } = settings.listen
     await readiness.listen(check, () => this.ready)
     await server.listen(callers.host, callers.port)
@@ -172,6 +174,7 @@
     lease.start()
     usage.start()
     orders.start()
+    stalls.start()
     if (settings.monitor) await monitor.listen(settings.monitor)
     log('daemon-started', { id: this.id, settings: settings.name, startMs: steadyNow() })
   }
@@ -207,7 +210,8 @@
   }
 
   #stopFollowing (): void {
-    const { config, registry, limits, loads, tallies } = this.#parts
+    const { config, registry, limits, loads, tallies, stalls } = this.#parts
+    stalls.stop()
     config.stop()
     registry.stop()
     limits.stop()
@@ -247,11 +251,11 @@
     registry: asFunction(endpointFollower).singleton(),
     client: asFunction(({ config, fleet }: Parts) => new ExchangeClient({ connectionsTo: (view) => connectionsTo(view, config, fleet) })).singleton(),
     loads: asFunction(({ self, membership, table, limits }: Parts) => new LoadTask({ self, membership, table, keeper: () => limits.keeper })).singleton(),
-    dispatcher: asFunction(({ table, random }: Parts) => new Dispatcher({
+    dispatcher: asFunction(({ table, random, fleet }: Parts) => new Dispatcher({
       table,
       prefixes: new PrefixIndex({ expiresMs: PREFIX_KEPT_MS }),
       home: (parts, candidates) => homeEndpoint(parts, candidates, hash),
-      router: new TargetRouter({ random, choices: SUBSET_SIZE, wayMs: (view) => (view.failureDomain === settings.failureDomain ? 0 : FAR_MS) })
+      router: new TargetRouter({ random, choices: SUBSET_SIZE, sharers: () => fleet.all, wayMs: (view) => (view.failureDomain === settings.failureDomain ? 0 : FAR_MS) })
     })).singleton(),
     budgetOf: asFunction(repeatBudgets).singleton(),
     intake: asFunction(({ table, dispatcher, metrics, client, random, limits, usage, orders, budgetOf, config }: Parts) => new Intake({
@@ -269,6 +273,7 @@
       known: config.known,
       belief: () => ({ revision: config.inForce?.revision ?? 0, revisionAgeMs: config.confirmedAgeMs })
     })).singleton(),
+    stalls: asFunction(({ table, intake }: Parts) => new StallWatch({ table, open: () => intake.open })).singleton(),
     server: asFunction(({ intake, metrics }: Parts) => new ExchangeServer({ intake, metrics, dialect: platform.dialect })).singleton(),
     readiness: asFunction(() => new ReadinessServer()).singleton(),
     monitor: asFunction((parts: Parts) => new MonitorServer({ metrics: parts.metrics, status: () => statusOfProxy(parts) })).singleton(),
@@ -349,11 +354,11 @@
   return (pool) => {
     let budget = budgets.get(pool)
     if (!budget) {
-      budget = new RetryBudget({
+      budget = new WindowBudget({
+        windowMs: settings.repeats.windowMs,
         fraction: () => settings.repeats.ratio * REPEATS_PART,
-        burst: () => settings.repeats.beside * REPEATS_PART / fleet.all,
-        startFull: REPEATS_AT_START,
-        countsGone: true
+        beside: () => settings.repeats.beside * REPEATS_PART / fleet.all,
+        besideAtStart: REPEATS_AT_START
       })
       budgets.set(pool, budget)
     }
--- a/daemon/log/events.ts
+++ b/daemon/log/events.ts
@@ -64,6 +64,8 @@
   'endpoint-refused': { endpoint: string, problems: readonly string[] }
   /** Left alone after failures in a row. */
   'endpoint-avoided': { endpoint: string, failures: number, forMs: number }
+  /** Has work and gave no word for several times its rhythm: left alone for a while. */
+  'endpoint-silent': { endpoint: string, wordAgeMs: number, forMs: number }
   'keeper-chosen': { keeper: string, before: string }
   'keeper-silent': { keeper: string, requests: number, why: string }
   'lease-changed': { name: string, holder: string, fencing: number }
@@ -86,6 +88,6 @@
 /** Events that tell of trouble: written as warnings, and the last to be left out under load. */
 export const TROUBLE: ReadonlySet<LogEvent> = new Set<LogEvent>([
   'request-refused', 'attempt-failed', 'export-failed', 'settings-refused', 'config-refused', 'config-not-told', 'store-lost',
-  'peer-not-linked', 'peer-send-failed', 'peer-message-refused', 'not-registered', 'endpoint-refused', 'endpoint-avoided', 'keeper-silent', 'lease-call-failed',
+  'peer-not-linked', 'peer-send-failed', 'peer-message-refused', 'not-registered', 'endpoint-refused', 'endpoint-avoided', 'endpoint-silent', 'keeper-silent', 'lease-call-failed',
   'usage-not-reported', 'order-refused', 'fleet-round-cut', 'answers-lost', 'lines-left-out'
 ])
--- a/daemon/request/endpoint_charge.ts
+++ b/daemon/request/endpoint_charge.ts
@@ -1,5 +1,6 @@
 /** What one request counts for at the endpoint that works on it. */
 import type { EndpointId } from '../../core/ids/index.ts'
+import type { AttemptPulse } from '../../core/request/index.ts'
 import type { Route } from '../../core/routing/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import type { EndpointTable, SentWork } from '../endpoints/endpoint_table.ts'
@@ -14,6 +15,9 @@
   /** Undefined where nobody predicted anything. */
   predicted: Prediction | undefined
   read: boolean
+  /** When its last piece came, in milliseconds on the steady clock. */
+  pieceAtMs: number | undefined
+  longestPauseMs: number | undefined
 }
 
 /** Keeps the endpoint table's counts of one request true, whatever becomes of its attempts. */
@@ -28,10 +32,16 @@
   /** When the attempt under way was sent, in milliseconds on the steady clock; undefined while there is none. */
   get sentAtMs (): number | undefined { return this.#sent?.atMs }
 
+  /** How the attempt under way has shown itself; undefined while there is none. */
+  get pulse (): AttemptPulse | undefined {
+    const sent = this.#sent
+    return sent && { sentAtMs: sent.atMs, predictedMs: sent.predicted?.firstTokenMs, pieceAtMs: sent.pieceAtMs, longestPauseMs: sent.longestPauseMs }
+  }
+
   /** An attempt was sent. */
   send (endpoint: EndpointId, work: SentWork, predicted: Prediction | undefined): void {
     this.#table.started(endpoint, work)
-    this.#sent = { ...work, endpoint, atMs: steadyNow(), predicted, read: false }
+    this.#sent = { ...work, endpoint, atMs: steadyNow(), predicted, read: false, pieceAtMs: undefined, longestPauseMs: undefined }
   }
 
   /** The endpoint has read the prompt: what it read no longer waits there. */
@@ -45,6 +55,21 @@
     this.#table.learnt(sent.endpoint, { predictedMs, actualMs: steadyNow() - sent.atMs, unreadTokens })
   }
 
+  /** A piece of its stream came. */
+  piece (): void {
+    this.read()
+    const sent = this.#sent
+    if (!sent) return
+    const now = steadyNow()
+    this.#table.heard(sent.endpoint)
+    if (sent.pieceAtMs !== undefined) {
+      const pauseMs = now - sent.pieceAtMs
+      this.#table.paused(sent.endpoint, pauseMs)
+      sent.longestPauseMs = Math.max(sent.longestPauseMs ?? 0, pauseMs)
+    }
+    sent.pieceAtMs = now
+  }
+
   /** The endpoint works on the request no more. */
   end (): void {
     const sent = this.#sent
--- a/daemon/request/request_task.ts
+++ b/daemon/request/request_task.ts
@@ -2,8 +2,8 @@
 import { AnswerBuffer, type AnswerBufferOptions, type AnswerHead, type WholeAnswer } from '../../core/answer/index.ts'
 import type { AccountId, EndpointId, PoolName, RequestId } from '../../core/ids/index.ts'
 import type { ClaimResult } from '../../core/once/index.ts'
-import { AttemptError, outcomeAt } from '../../core/outcome/index.ts'
-import { mayRepeat, newRequest, step, type RequestEffect, type RequestMessage, type RequestState, type StartMode } from '../../core/request/index.ts'
+import { AttemptError, outcomeAt, reachedEndpoint, type FailurePoint } from '../../core/outcome/index.ts'
+import { mayRepeat, newRequest, step, type AttemptPulse, type RequestEffect, type RequestMessage, type RequestState, type StartMode } from '../../core/request/index.ts'
 import type { RepeatBudget } from '../../core/retry/index.ts'
 import { runningNow, type EndpointView, type Lane, type Route } from '../../core/routing/index.ts'
 import type { Demand, WorkClass } from '../../core/work/index.ts'
@@ -45,6 +45,12 @@
   deadlineInMs?: number
 }
 
+/** Failures that are an endpoint's own answer. */
+const ANSWERED: ReadonlySet<FailurePoint> = new Set<FailurePoint>(['endpoint-said-not-run', 'endpoint-leaving', 'endpoint-error'])
+
+/** Endpoints that a request may find unreachable before tries elsewhere count as retries. */
+const FREE_TRIES = 3
+
 /** One decision, for `status --explain`, in words. */
 export interface Decision { atMs: number, text: string }
 
@@ -114,6 +120,25 @@
   /** The endpoint that runs it now. */
   get runningAt (): EndpointId | undefined { return this.lifecycle.phase === 'running' ? this.lifecycle.endpoint : undefined }
 
+  /** How the running attempt has shown itself. */
+  get pulse (): AttemptPulse | undefined { return this.lifecycle.phase === 'running' ? this.#charge.pulse : undefined }
+
+  /**
+   * The running attempt went silent: repeats it elsewhere, or leaves it, where that is not allowed or nowhere else is.
+   *
+   * What may not run twice waits on: silence is no proof that it does not run, and its answer may still come.
+   */
+  stalled (): void {
+    const { attempt, endpoint } = this.lifecycle
+    const { table, budget } = this.ports
+    if (endpoint === undefined || !this.mayMoveOn || !mayRepeat(this.lifecycle, 'timeout-after-send')) return
+    const now = steadyNow()
+    const elsewhere = table.candidates(this.work.pool).some((view) => view.id !== endpoint && view.ejectedUntilMs <= now)
+    if (!elsewhere || !budget.spend(table.isGone(endpoint))) return
+    this.attachment?.detach()
+    this.#fail(endpoint, new AttemptError('Cannot wait: the attempt went silent', { point: 'timeout-after-send' }), { attempt, repeat: 'allowed' })
+  }
+
   /** Calls the listener after each change; the request's caller has left once nobody listens. */
   subscribe (listener: () => void): () => void {
     const stop = this.listeners.add(listener)
@@ -274,7 +299,7 @@
         const verdict = this.answer.add({ attempt, offset, pieces })
         this.ports.metrics.chunks.inc({ verdict })
         if (verdict === 'taken') this.head ??= head
-        if (attempt === this.lifecycle.attempt) this.#charge.read()
+        if (attempt === this.lifecycle.attempt) this.#charge.piece()
         this.onPiece()
         this.#begun()
         this.#pieceCame()
@@ -333,14 +358,27 @@
 
   #failed (attempt: number, endpoint: EndpointId, err: AttemptError): void {
     if (attempt !== this.lifecycle.attempt || this.lifecycle.phase !== 'running') return
-    const { table, metrics } = this.ports
+    const { table } = this.ports
     const view = table.get(endpoint)
-    this.failureAnswer = err.answer
-    if (outcomeAt(err.point) === 'unknown') this.#begun()
+    if (ANSWERED.has(err.point)) table.heard(endpoint)
     if (err.point === 'endpoint-leaving' && view) table.leaving([view.hostId], steadyNow() + ASSUMED_NOTICE_MS, 'refusal')
     // The budget is only asked where the request could use what it grants.
     const repeatable = this.mayMoveOn && mayRepeat(this.lifecycle, err.point)
-    const retryGranted = repeatable && this.ports.budget.spend(table.isGone(endpoint))
+    const retryGranted = repeatable && (this.#isFree(err.point) || this.ports.budget.spend(table.isGone(endpoint)))
+    table.failed(endpoint)
+    this.#fail(endpoint, err, { attempt, repeat: retryGranted ? 'allowed' : repeatable ? 'over-budget' : 'not-allowed' })
+  }
+
+  /** What reached no endpoint costs none anything; a few such tries, or one that refuses all connections would be asked for ever. */
+  #isFree (point: FailurePoint): boolean {
+    return !reachedEndpoint(point) && this.lifecycle.avoid.length < FREE_TRIES
+  }
+
+  #fail (endpoint: EndpointId, err: AttemptError, { attempt, repeat }: Pick<RequestEvents['attempt-failed'], 'attempt' | 'repeat'>): void {
+    const { table, metrics } = this.ports
+    const retryGranted = repeat === 'allowed'
+    this.failureAnswer = err.answer
+    if (outcomeAt(err.point) === 'unknown') this.#begun()
     this.decide('attempt-failed', {
       attempt,
       endpoint,
@@ -350,11 +388,10 @@
       afterMs: steadyNow() - (this.#charge.sentAtMs ?? this.acceptedAtMs),
       pieces: this.answer.length,
       endpointLeaving: table.isGone(endpoint),
-      repeat: retryGranted ? 'allowed' : repeatable ? 'over-budget' : 'not-allowed'
+      repeat
     })
     if (!retryGranted) metrics.retriesDenied.inc({ class: metrics.labelOf(this.work.cls.name) })
     metrics.attemptsFailed.inc({ point: err.point })
-    table.failed(endpoint)
     this.#charge.end()
     this.post({ type: 'failed', attempt, point: err.point, retryGranted })
   }
--- /dev/null
+++ b/daemon/request/stall_watch_test.ts
@@ -0,0 +1,110 @@
+import { afterEach, beforeEach, expect, test, vi } from 'vitest'
+import { as, type DaemonId, type EndpointId, type HostId, type PoolName } from '../../core/ids/index.ts'
+import type { AttemptPulse } from '../../core/request/index.ts'
+import { steadyNow } from '../../core/time/index.ts'
+import { EndpointTable } from '../endpoints/endpoint_table.ts'
+import { StallWatch, type Watched } from './stall_watch.ts'
+
+const POOL = as<PoolName>('llm')
+const [DARK, OTHER] = ['dark', 'other'].map((name) => as<EndpointId>(name)) as [EndpointId, EndpointId]
+
+beforeEach(() => { vi.useFakeTimers() })
+afterEach(() => { vi.useRealTimers() })
+
+class Stream implements Watched {
+  runningAt: EndpointId | undefined
+  readonly pulse: AttemptPulse = { sentAtMs: steadyNow(), predictedMs: 100, pieceAtMs: undefined, longestPauseMs: undefined }
+  moves = 0
+
+  constructor (at: EndpointId) { this.runningAt = at }
+
+  stalled (): void { this.moves++ }
+}
+
+function start (...streams: Stream[]) {
+  const table = new EndpointTable({ self: as<DaemonId>('d'), hash: (text) => text.length })
+  const speed = { batchSlots: 8, prefillTokensPerS: 1000, betweenTokensMs: 1, betweenTokensPerStreamMs: 0, exportTokensPerS: 0, importTokensPerS: 0 }
+  table.listed([DARK, OTHER].map((id) => ({ hostId: as<HostId>(id), hostClass: 'llm', failureDomain: as('a'), reclaimable: true, pricePerHour: 0, state: 'live', endpoint: { id, pool: POOL, address: id, speed, learnsPace: true } })))
+  const watch = new StallWatch({ table, open: () => streams })
+  watch.start()
+  const piece = (stream: Stream) => {
+    const now = steadyNow()
+    if (stream.pulse.pieceAtMs !== undefined) {
+      table.paused(stream.runningAt!, now - stream.pulse.pieceAtMs)
+      stream.pulse.longestPauseMs = now - stream.pulse.pieceAtMs
+    }
+    stream.pulse.pieceAtMs = now
+    table.heard(stream.runningAt!)
+  }
+  const usable = () => table.candidates(POOL).filter((view) => view.ejectedUntilMs <= steadyNow()).map(({ id }) => id)
+  return { table, watch, piece, usable }
+}
+
+test('an endpoint that goes dark gets no new work, and its streams go on elsewhere, within a second', () => {
+  // Callers wait until they give up: an endpoint went dark with open connections, its streams stand still, and new work goes there since nobody waits
+  // for it.
+  const [stuck, fine] = [new Stream(DARK), new Stream(OTHER)]
+  const { watch, piece, usable } = start(stuck, fine)
+  for (let i = 0; i < 10; i++) {
+    piece(stuck)
+    piece(fine)
+    vi.advanceTimersByTime(100)
+  }
+  for (let i = 0; i < 9; i++) {
+    piece(fine)
+    vi.advanceTimersByTime(100)
+  }
+  expect([stuck.moves > 0, fine.moves]).toEqual([true, 0])
+  expect(usable()).toEqual([OTHER])
+  watch.stop()
+})
+
+test('a silent endpoint is tried again later, and one word makes it heard', () => {
+  const stuck = new Stream(DARK)
+  const { table, watch, usable } = start(stuck)
+  vi.advanceTimersByTime(1000)
+  expect(usable()).toEqual([OTHER])
+  stuck.runningAt = undefined
+  vi.advanceTimersByTime(1100)
+  expect(usable()).toEqual([DARK, OTHER])
+  table.heard(DARK)
+  expect(table.lastWordAtMs(DARK)).toBe(steadyNow())
+  watch.stop()
+})
+
+test('one attempt that is put behind others at a busy endpoint is given more time, and the endpoint is not blamed', () => {
+  const [behind, fine] = [new Stream(DARK), new Stream(DARK)]
+  const { watch, piece, usable } = start(behind, fine)
+  for (let i = 0; i < 12; i++) {
+    piece(fine)
+    vi.advanceTimersByTime(100)
+  }
+  expect([behind.moves, usable()]).toEqual([0, [DARK, OTHER]])
+  for (let i = 0; i < 6; i++) {
+    piece(fine)
+    vi.advanceTimersByTime(100)
+  }
+  expect([behind.moves > 0, usable()]).toEqual([true, [DARK, OTHER]])
+  watch.stop()
+})
+
+test('a process that stood still blames nobody for what it did not read', () => {
+  // Callers of one daemon are turned away for a second: its host froze, and when it went on, every endpoint seemed to have been silent for as long.
+  const [one, two] = [new Stream(DARK), new Stream(OTHER)]
+  const { watch, piece, usable } = start(one, two)
+  for (let i = 0; i < 5; i++) {
+    piece(one)
+    piece(two)
+    vi.advanceTimersByTime(100)
+  }
+  watch.stop()
+  vi.advanceTimersByTime(7000)
+  watch.start()
+  vi.advanceTimersByTime(300)
+  expect([one.moves, two.moves, usable()]).toEqual([0, 0, [DARK, OTHER]])
+  piece(one)
+  piece(two)
+  vi.advanceTimersByTime(300)
+  expect([one.moves, two.moves]).toEqual([0, 0])
+  watch.stop()
+})
