Hold what was counted of the work, start with three endpoints a domain, and keep holders of a lease apart

Cause: three. And a lease handed to and fro would let two daemons act by turns inside the time that the platform allows no turns in; where it checks no fence, nothing else keeps them apart. Change: engines are held as they were counted; before the first work is counted each failure domain has three endpoints; the count of what was provided is gone, the test that it had changed is back with three a domain. A daemon that gets the lease back waits until its last act is as long ago as asked. Ruled out: waiting for the registry (13 on-demand endpoints paid for 2 s).

--- a/core/fleet/endpoint_demand.ts
+++ b/core/fleet/endpoint_demand.ts
@@ -38,21 +38,19 @@
   readonly #options: EndpointDemandOptions
   #samples: Sample[] = []
   #tellers = 0
-  #levels: Array<{ atMs: number, tokensPerS: number }> = []
-  #first: number
+  #levels: Array<{ atMs: number, engines: number }> = []
   /** Until when it is assumed. */
   #firstUntilMs: number
   #worked = false
 
   constructor (options: EndpointDemandOptions) {
     this.#options = options
-    this.#first = options.first
     this.#firstUntilMs = options.now + (options.idle ? FIRST_HELD_MS : HOLD_MS)
   }
 
-  /** Assumes more engines at first: the registry fills over seconds. */
-  assume (engines: number): void {
-    this.#first = Math.max(this.#first, engines)
+  /** True at the very start of the system, until the first work was counted for a while or none came for long. */
+  uncounted (now: number): boolean {
+    return this.#options.idle === true && now <= this.#firstUntilMs
   }
 
   /** True for a while after it began without any work for certain. */
@@ -78,10 +76,10 @@
     this.#samples.push({ atMs: now, tokens })
     const tokensPerS = Math.max(this.#rate(WINDOW_MS), this.#rate(JUMP_WINDOW_MS) * JUMP_PART)
     this.#levels = this.#levels.filter((level) => level.atMs > now - HOLD_MS)
-    this.#levels.push({ atMs: now, tokensPerS })
-    const engines = Math.max(...this.#levels.map((level) => level.tokensPerS)) * msPerToken / MS_PER_S
+    this.#levels.push({ atMs: now, engines: tokensPerS * msPerToken / MS_PER_S })
+    const engines = Math.max(...this.#levels.map((level) => level.engines))
     this.#workBegan(tokens, now)
-    return now <= this.#firstUntilMs ? Math.max(engines, this.#first) : engines
+    return now <= this.#firstUntilMs ? Math.max(engines, this.#options.first) : engines
   }
 
   /** Once there is work it is measured: what was assumed is held for as long as any other level. */
--- a/daemon/duties/order_task.ts
+++ b/daemon/duties/order_task.ts
@@ -32,6 +32,8 @@
 const OVERDUE_MS = 3000
 /** Fewest reclaimable engines in each failure domain: work comes in bursts, and another takes seconds to boot. */
 const LEAST_PER_DOMAIN = 2
+/** The same before the first work is counted: traffic comes at once, and what it asks for beyond that boots for seconds. */
+const LEAST_AT_FIRST = 3
 /** Part of an engine's time that work may take before it comes late: arrivals come in bursts of a second. */
 const MOST_UTILIZATION = 0.6
 /** Part that it takes with comfort: what is left bears the loss of one failure domain of three, or bursts of half as much again. */
@@ -109,23 +111,14 @@
     const asked = { tokens: tallies.tally.sum(key), tellers: tallies.tally.tellers(key), msPerToken }
     const demand = this.#demand.get(pool) ?? this.#firstDemand(pool, asked.tokens)
     this.#demand.set(pool, demand)
-    if (demand.idle(steadyNow())) demand.assume(this.#provisioned(pool) * COMFORTABLE_UTILIZATION)
     return demand.engines(asked, steadyNow())
   }
 
-  /**
-   * Endpoints that the operators had ready for the first callers: on demand, since nobody has ordered any yet.
-   *
-   * Load pattern: traffic comes at once, seconds before it can be counted. Nobody knows better than they how much it will be.
-   */
-  #provisioned (pool: PoolName): number {
-    return this.#options.table.all.filter((view) => view.pool === pool && !view.reclaimable).length
-  }
-
   #orderPool (pool: Pool, scaling: Scaling, engines: number): void {
     const domains = [...scaling.pricePerS.keys()]
     const fleet = domains.map((domain) => this.#fleetOf(pool.name, domain))
-    const wanted = wantedFor(engines, fleet)
+    const uncounted = this.#demand.get(pool.name)!.uncounted(steadyNow())
+    const wanted = wantedFor(engines, fleet, uncounted ? LEAST_AT_FIRST : LEAST_PER_DOMAIN)
     this.#askAgain(pool, scaling, { fleet, perDomain: Math.ceil(wanted.comfortably / domains.length) })
     for (const mix of spreadPlan(wanted, scaling, fleet)) this.#orderMix(pool, scaling, this.#sure(pool.name, mix))
   }
@@ -136,7 +129,7 @@
    */
   #orderMissing (pool: Pool, scaling: Scaling, engines: number): void {
     const fleet = [...scaling.pricePerS.keys()].map((domain) => this.#fleetOf(pool.name, domain)).map((domain) => ({ ...domain, reclaimableToBeHad: false }))
-    for (const mix of spreadPlan(wantedFor(engines, fleet), scaling, fleet)) {
+    for (const mix of spreadPlan(wantedFor(engines, fleet, LEAST_PER_DOMAIN), scaling, fleet)) {
       const has = fleet.find((domain) => domain.failureDomain === mix.failureDomain)!.onDemand
       const order = { pool: pool.name, failureDomain: mix.failureDomain, reclaimable: false, count: mix.onDemand }
       if (mix.onDemand > has) this.#order(order, { has, bootMs: scaling.bootMs })
@@ -244,11 +237,11 @@
   }
 }
 
-function wantedFor (engines: number, fleet: readonly DomainFleet[]): EndpointsWanted {
+function wantedFor (engines: number, fleet: readonly DomainFleet[], leastPerDomain: number): EndpointsWanted {
   return {
     justEnough: Math.ceil(engines),
     atLeast: Math.max(fleet.length, Math.ceil(engines / MOST_UTILIZATION)),
-    comfortably: Math.max(LEAST_PER_DOMAIN * fleet.length, Math.ceil(engines / COMFORTABLE_UTILIZATION))
+    comfortably: Math.max(leastPerDomain * fleet.length, Math.ceil(engines / COMFORTABLE_UTILIZATION))
   }
 }
 
--- a/daemon/exchange/proxy_daemon.ts
+++ b/daemon/exchange/proxy_daemon.ts
@@ -285,6 +285,7 @@
       lookEveryMs: LEASE_LOOK_MS,
       retryMs: LEASE_LOOK_MS,
       fenced: settings.ordersFenced,
+      apartMs: settings.leaseMs,
       contends: () => membership.joined && tallies.keepsBooks
     })).singleton(),
     usage: asFunction(({ lease, tallies }: Parts) => new UsageTask({
--- a/daemon/fleet/lease_task.ts
+++ b/daemon/fleet/lease_task.ts
@@ -22,6 +22,8 @@
   retryMs?: number
   /** Whoever takes orders refuses those with a lower fencing number than it has seen. Default false. */
   fenced?: boolean
+  /** A daemon that was followed by another holder does not act again within this time of its last act, in milliseconds. Default 0. */
+  apartMs?: number
 }
 
 const DEFAULT_TTL_MS = 15_000
@@ -46,6 +48,10 @@
   readonly #key: string
   #state: LeaseState = NO_LEASE
   #driftMs = 0
+  /** When this daemon could last act. */
+  #actedAtMs = -Infinity
+  /** No act before this time, after another held the lease. */
+  #notBeforeMs = -Infinity
   #raise = false
   #fresh = false
   #contendedAtMs = -Infinity
@@ -66,10 +72,15 @@
    *
    * A host that was suspended wakes with a steady clock that did not count the time: its lease looks fresh while a successor acts. The time of
    * day did count, so a lease is not trusted once the two clocks have parted.
+   *
+   * A lease that is handed to and fro would have two daemons act by turns, each on what it saw before the other acted: whoever gets it back waits.
    */
   get fencing (): number | undefined {
-    if (Math.abs(drift() - this.#driftMs) > LARGEST_DRIFT_MS) return undefined
-    return fencingNow(this.#state, this.#options.self, steadyNow())
+    const now = steadyNow()
+    if (Math.abs(drift() - this.#driftMs) > LARGEST_DRIFT_MS || now < this.#notBeforeMs) return undefined
+    const fencing = fencingNow(this.#state, this.#options.self, now)
+    if (fencing !== undefined) this.#actedAtMs = now
+    return fencing
   }
 
   /**
@@ -185,6 +196,7 @@
     this.#state = seen(this.#state, found, { self, now: steadyNow() })
     const { record } = this.#state
     if (!record || record.fencing === before?.fencing) return
+    if (record.holder === self && before && before.holder !== self) this.#notBeforeMs = this.#actedAtMs + (this.#options.apartMs ?? 0)
     log('lease-changed', { name: this.#options.name, holder: record.holder, fencing: record.fencing })
     if (record.holder === self) this.onChange(record.fencing)
     else if (before?.holder === self) this.onChange(undefined)
