Give work again to an endpoint that writes its entry anew

Cause: an endpoint that could not reach the registry for a while lapses and comes back; its leaving mark stayed for 30 s, and a peer's late word of the lapse would set it again. Ruled out: trusting any new listing; only an entry of a higher version than the registry had when it was missing was written since, and only the endpoint writes it. Change: such an entry ends the mark; peers' word of the host counts no more for 5 s. Two tests: written anew, and an old entry shown again.

--- a/daemon/endpoints/endpoint_follower.ts
+++ b/daemon/endpoints/endpoint_follower.ts
@@ -41,6 +41,10 @@
   /** Endpoints believed in, by name. */
   #known: ReadonlyMap<string, ListedEndpoint> = new Map()
   readonly #lapses = new Lapses()
+  /** Version of the registry that is believed in. */
+  #version = 0
+  /** Version of the registry at which endpoints that are gone were missing first, by name. */
+  readonly #goneAtVersion = new Map<string, number>()
   #settleTimer: NodeJS.Timeout | undefined
   /** The last version of each entry that named no endpoint. */
   readonly #refused = new Map<string, number>()
@@ -51,7 +55,7 @@
       store: options.store,
       prefix: options.prefix,
       random: options.random,
-      onChange: (objects) => this.#take(objects),
+      onChange: (objects, news) => this.#take(objects, news.version),
       onReach: (reached, why) => {
         if (reached) log('store-back', { what: 'endpoints' })
         else log('store-lost', { what: 'endpoints', why, lastAnswerAgeMs: this.#follower.listed ? steadyNow() - this.#follower.confirmedAtMs : undefined })
@@ -70,12 +74,16 @@
     this.#follower.stop()
   }
 
-  #take (objects: ReadonlyMap<string, StoredObject>): void {
+  #take (objects: ReadonlyMap<string, StoredObject>, version: number): void {
     for (const name of this.#refused.keys()) if (!objects.has(this.#options.prefix + name)) this.#refused.delete(name)
     const listed = [...objects.values()].flatMap((object) => this.#decode(object))
     const missing = [...this.#known.values()].filter(({ name }) => !objects.has(this.#options.prefix + name))
     const lapsed = this.#lapses.missing(missing, { known: [...this.#known.values()], storeWasAway: !this.#follower.reached, now: steadyNow() })
-    this.#believe([...listed, ...lapsed], missing.filter((endpoint) => !lapsed.includes(endpoint)))
+    const gone = missing.filter((endpoint) => !lapsed.includes(endpoint))
+    this.#believe([...listed, ...lapsed], gone)
+    this.#takeBack(objects)
+    for (const { name } of gone) this.#goneAtVersion.set(name, version)
+    this.#version = version
     if (lapsed.length > 0) this.#settleLater()
   }
 
@@ -90,6 +98,22 @@
     this.#options.onChange()
   }
 
+  /**
+   * An endpoint whose entry was written after it had been removed lives: only the endpoint itself writes it.
+   *
+   * Guards against an endpoint that could not reach the registry for a while: its entry lapses and comes back, and without this it gets no work for
+   * half a minute.
+   */
+  #takeBack (objects: ReadonlyMap<string, StoredObject>): void {
+    for (const [name, version] of this.#goneAtVersion) {
+      const object = objects.get(this.#options.prefix + name)
+      if (!object || object.version <= version) continue
+      this.#goneAtVersion.delete(name)
+      const endpoint = this.#known.get(name)
+      if (endpoint && !endpoint.leaving) this.#options.table.returned(as<HostId>(endpoint.id))
+    }
+  }
+
   /** Entries that did not come back in time are gone. */
   #settleLater (): void {
     this.#settleTimer ??= setTimeout(() => {
@@ -100,6 +124,7 @@
       log('endpoints-not-back', { endpoints: gone.map(({ id }) => id) })
       const names = new Set(gone.map(({ name }) => name))
       this.#believe([...this.#known.values()].filter(({ name }) => !names.has(name)), gone)
+      for (const name of names) this.#goneAtVersion.set(name, this.#version)
     }, LAPSE_MS + SETTLE_MS)
   }
 
--- a/daemon/endpoints/endpoint_follower_test.ts
+++ b/daemon/endpoints/endpoint_follower_test.ts
@@ -1,7 +1,7 @@
 import fc from 'fast-check'
 import { afterEach, beforeEach, expect, test, vi } from 'vitest'
 import { as, type DaemonId, type PoolName } from '../../core/ids/index.ts'
-import { delay } from '../../core/time/index.ts'
+import { delay, steadyNow } from '../../core/time/index.ts'
 import { decodeEndpoint } from '../../platform/endpoint_decoder.ts'
 import { StoreError, type Changes, type ObjectStore, type Snapshot, type StoredObject } from '../../store/index.ts'
 import { EndpointFollower } from './endpoint_follower.ts'
@@ -16,24 +16,24 @@
 
 /** A registry whose entries a test sets; a watch brings what changed. */
 class Registry implements Pick<ObjectStore, 'snapshot' | 'changes'> {
-  #objects: StoredObject[] = []
+  objects: StoredObject[] = []
   #version = 0
   away = false
 
   set (entries: Iterable<[string, string]>): void {
     this.#version++
-    this.#objects = [...entries].map(([name, value]) => ({ key: `servers/${name}`, version: this.#version, value }))
+    this.objects = [...entries].map(([name, value]) => ({ key: `servers/${name}`, version: this.#version, value }))
   }
 
   async snapshot (): Promise<Snapshot> {
     if (this.away) throw new StoreError('Cannot list: no answer', { failure: 'unsure' })
-    return { objects: this.#objects, version: this.#version }
+    return { objects: this.objects, version: this.#version }
   }
 
   async changes (_prefix: string, { after }: { after: number }): Promise<Changes> {
     await delay(100)
     if (this.away) throw new StoreError('Cannot watch: no answer', { failure: 'unsure' })
-    const objects = this.#objects.filter(({ version }) => version > after)
+    const objects = this.objects.filter(({ version }) => version > after)
     return { objects, removed: [], version: this.#version }
   }
 }
@@ -128,3 +128,38 @@
   expect(usable(table)).toEqual(['good-1', 'good-2', 'good-3'])
   follower.stop()
 })
+
+test('an endpoint whose entry is written anew after it was gone gets work again at once', async () => {
+  // Half of the endpoints stand idle for half a minute while callers are turned away: they could not reach the registry for a while, their entries
+  // lapsed one by one, and when they were back a peer's late word that they had left still counted.
+  const registry = new Registry()
+  registry.set([good(1), good(2), good(3), good(4)])
+  const { table, follower } = follow(registry)
+  await vi.advanceTimersByTimeAsync(10)
+  registry.set([good(2), good(3), good(4)])
+  await vi.advanceTimersByTimeAsync(500)
+  expect(usable(table)).toEqual(['good-2', 'good-3', 'good-4'])
+  registry.set([good(1), good(2), good(3), good(4)])
+  await vi.advanceTimersByTimeAsync(500)
+  expect(usable(table)).toHaveLength(4)
+  table.leaving([table.startsOf('good-1')[0]!.hostId], steadyNow() + 2000, 'peer')
+  expect(usable(table)).toHaveLength(4)
+  await vi.advanceTimersByTimeAsync(6000)
+  table.leaving([table.startsOf('good-1')[0]!.hostId], steadyNow() + 2000, 'peer')
+  expect(usable(table)).toEqual(['good-2', 'good-3', 'good-4'])
+  follower.stop()
+})
+
+test('an old entry that a list shows again brings nothing back', async () => {
+  const registry = new Registry()
+  registry.set([good(1), good(2), good(3), good(4)])
+  const { table, follower } = follow(registry)
+  await vi.advanceTimersByTimeAsync(10)
+  const before = registry.objects
+  registry.set([good(2), good(3), good(4)])
+  await vi.advanceTimersByTimeAsync(500)
+  registry.objects = before
+  await vi.advanceTimersByTimeAsync(1000)
+  expect(usable(table)).toEqual(['good-2', 'good-3', 'good-4'])
+  follower.stop()
+})
--- a/daemon/endpoints/endpoint_table.ts
+++ b/daemon/endpoints/endpoint_table.ts
@@ -34,6 +34,8 @@
 const MS_PER_S = 1000
 /** An endpoint that went silent gets no work for this long, in milliseconds; the registry names those that are gone within four times as long. */
 const SILENT_MS = 1000
+/** Longer than news takes from one daemon to all others, in milliseconds. */
+const RUMOUR_MS = 5000
 /** Longer than the list lags, in milliseconds. */
 const TAKE_BACK_MS = 30_000
 
@@ -58,6 +60,8 @@
    * as a new one it would get work.
    */
   readonly #hostGoneAt = new Map<HostId, number>()
+  /** When hosts that were said to be gone showed that they live. */
+  readonly #returnedAtMs = new Map<HostId, number>()
   /** The newest start known of each endpoint, by its name; kept as long as hosts that are gone, since lists and peers may tell of an older one. */
   readonly #newestStart = new Map<string, Start>()
   #listeners: LeavingListener[] = []
@@ -162,6 +166,7 @@
   leaving (hosts: readonly HostId[], goneAtMs: number, signal: LeavingSignal): void {
     const news: Parameters<LeavingListener>[0] = []
     for (const host of hosts) {
+      if (signal === 'peer' && steadyNow() - (this.#returnedAtMs.get(host) ?? -Infinity) < RUMOUR_MS) continue
       const id = this.#byHost.get(host)
       if (id === undefined) this.#hostGoneAt.set(host, goneAtMs)
       else if (this.#isNews(id, goneAtMs, signal)) news.push({ view: this.#markLeaving(id, goneAtMs), goneAtMs, signal })
@@ -299,6 +304,18 @@
     return !view || view.leavingAtMs !== undefined
   }
 
+  /** A host that was said to be gone shows that it lives; what peers still tell of the time before counts no more. */
+  returned (host: HostId): void {
+    this.#returnedAtMs.set(host, steadyNow())
+    this.#hostGoneAt.delete(host)
+    const view = this.#views.get(this.#byHost.get(host)!)
+    if (!view || view.leavingAtMs === undefined) return
+    this.#goneAt.delete(view.id)
+    view.leavingAtMs = undefined
+    this.#subsets.clear()
+    log('endpoint-taken-back', { endpoint: view.id })
+  }
+
   /** A reclaim that was called off, or a refusal that had another cause: the host is still listed live long after its time. */
   #takeBack (id: EndpointId): void {
     const goneAtMs = this.#goneAt.get(id)
@@ -315,6 +332,7 @@
     for (const [host, goneAtMs] of this.#hostGoneAt) {
       if (now > goneAtMs + HOST_FORGOTTEN_MS && !this.#byHost.has(host)) this.#hostGoneAt.delete(host)
     }
+    for (const [host, atMs] of this.#returnedAtMs) if (now > atMs + RUMOUR_MS) this.#returnedAtMs.delete(host)
     for (const [name, { listedAtMs }] of this.#newestStart) if (now > listedAtMs + HOST_FORGOTTEN_MS) this.#newestStart.delete(name)
   }
 
--- a/store/store_follower.ts
+++ b/store/store_follower.ts
@@ -26,6 +26,8 @@
   /** True after a listing, which may lack objects that the copy had. */
   listed: boolean
   removed: readonly string[]
+  /** Version of the store that the copy is of: whatever is written later has a higher one. */
+  version: number
 }
 
 const DEFAULT_WAIT_MS = 10_000
@@ -91,7 +93,7 @@
     for (const key of removed) this.#objects.delete(key)
     for (const object of objects) this.#take(object)
     this.#version = version
-    this.#options.onChange(this.#objects, { listed: true, removed })
+    this.#options.onChange(this.#objects, { listed: true, removed, version })
   }
 
   async #watch (after: number): Promise<void> {
@@ -102,7 +104,7 @@
     this.#version = Math.max(after, version)
     for (const key of removed) this.#objects.delete(key)
     for (const object of objects) this.#take(object)
-    if (objects.length + removed.length > 0) this.#options.onChange(this.#objects, { listed: false, removed })
+    if (objects.length + removed.length > 0) this.#options.onChange(this.#objects, { listed: false, removed, version: this.#version })
     // A change that the watch lost would be missed for ever: an empty answer is checked by a listing.
     else this.#version = undefined
   }
