Learn of every pool's endpoints, whichever is known first, the configuration or they

Cause: which pools have engines comes with the configuration. Ruled out: waiting for the configuration before listing (callers of a restarted daemon wait). Change: pace and rhythm are learnt of every pool; names of endpoints that are gone are remembered up to a thousand.

--- a/daemon/endpoints/endpoint_follower.ts
+++ b/daemon/endpoints/endpoint_follower.ts
@@ -28,6 +28,8 @@
 const FIRST_READING_TOKENS_PER_S = 50_000
 /** Time between tokens, and what each further stream adds, in milliseconds; no platform publishes it, and no target of today is near it. */
 const FIRST_SPEED = { prefillTokensPerS: FIRST_READING_TOKENS_PER_S, betweenTokensMs: 4, betweenTokensPerStreamMs: 0.1, exportTokensPerS: 0, importTokensPerS: 0 }
+/** Endpoints that are gone and remembered; more than are replaced in a day. */
+const MOST_GONE = 1000
 /** Timers may fire a little early by the clock that ages are measured by, in milliseconds. */
 const SETTLE_MS = 20
 /** Time to a first token beside waiting and reading, and to a plain answer, until answers tell better, in milliseconds. */
@@ -82,7 +84,7 @@
     const gone = missing.filter((endpoint) => !lapsed.includes(endpoint))
     this.#believe([...listed, ...lapsed], gone)
     this.#takeBack(objects)
-    for (const { name } of gone) this.#goneAtVersion.set(name, version)
+    this.#remember(gone, version)
     this.#version = version
     if (lapsed.length > 0) this.#settleLater()
   }
@@ -98,6 +100,14 @@
     this.#options.onChange()
   }
 
+  #remember (gone: readonly ListedEndpoint[], version: number): void {
+    for (const { name } of gone) this.#goneAtVersion.set(name, version)
+    for (const name of this.#goneAtVersion.keys()) {
+      if (this.#goneAtVersion.size <= MOST_GONE) break
+      this.#goneAtVersion.delete(name)
+    }
+  }
+
   /**
    * An endpoint whose entry was written after it had been removed lives: only the endpoint itself writes it.
    *
@@ -124,7 +134,7 @@
       log('endpoints-not-back', { endpoints: gone.map(({ id }) => id) })
       const names = new Set(gone.map(({ name }) => name))
       this.#believe([...this.#known.values()].filter(({ name }) => !names.has(name)), gone)
-      for (const name of names) this.#goneAtVersion.set(name, this.#version)
+      this.#remember(gone, this.#version)
     }, LAPSE_MS + SETTLE_MS)
   }
 
@@ -161,7 +171,8 @@
         address: endpoint.address,
         speed: { ...FIRST_SPEED, batchSlots: engine?.batchSlots ?? endpoint.batchSlots },
         firstMs: engine ? FIRST_TOKEN_MS : FIRST_ANSWER_MS,
-        learnsPace: engine !== undefined
+        // Of every pool: which of them are engines may not be known yet when a daemon starts.
+        learnsPace: true
       }
     }
   }
--- a/daemon/endpoints/endpoint_follower_test.ts
+++ b/daemon/endpoints/endpoint_follower_test.ts
@@ -163,3 +163,17 @@
   expect(usable(table)).toEqual(['good-2', 'good-3', 'good-4'])
   follower.stop()
 })
+
+test('what a pool\'s endpoints are learnt to do does not depend on which was known first, the pool or they', async () => {
+  // Answers of one daemon in five come late until its endpoints are replaced: it read the registry before the configuration, took engines for plain
+  // services, and never learnt how fast they read.
+  const registry = new Registry()
+  registry.set([good(1), good(2)])
+  const { table, follower } = follow(registry)
+  await vi.advanceTimersByTimeAsync(10)
+  const [endpoint] = table.candidates(POOL)
+  for (let i = 0; i < 60; i++) table.learnt(endpoint!.id, { predictedMs: 100, actualMs: 40 + i % 5 * 100, unreadTokens: i % 5 * 4000 })
+  expect(table.pace(POOL)!.msPerToken).toBeCloseTo(0.025, 2)
+  expect(table.candidates(POOL).every((view) => view.pace === table.pace(POOL) && view.rhythm !== undefined)).toBe(true)
+  follower.stop()
+})
--- a/daemon/endpoints/endpoint_table.ts
+++ b/daemon/endpoints/endpoint_table.ts
@@ -274,7 +274,7 @@
     return this.#views.get(id)?.poolRhythm?.pauseMs(steadyNow())
   }
 
-  /** An endpoint that has work gives no word: it gets no more for a while, unless nobody else does. */
+  /** An endpoint that has work gives no word: it gets no more for a while. */
   silent (id: EndpointId): void {
     const view = this.#views.get(id)
     const now = steadyNow()
--- a/endpoints/cloud.ts
+++ b/endpoints/cloud.ts
@@ -21,7 +21,7 @@
     speed: EndpointSpeed
     /** Milliseconds to a first token or plain answer beside waiting and reading, as a first estimate. Default 0. */
     firstMs?: number
-    /** True for an engine that publishes no speeds: they are learnt from its first tokens. Default false. */
+    /** True for an endpoint that publishes no speeds: they are learnt from its first tokens or answers. Default false. */
     learnsPace?: boolean
   }
 }
