Log which endpoints are kept though their entries vanished, why and for how long

Cause: an attempt at an endpoint that has left the registry could not be explained: nothing told whether the news had not arrived, or was held back, or why the hold was in force.

--- a/daemon/endpoints/endpoint_follower.ts
+++ b/daemon/endpoints/endpoint_follower.ts
@@ -80,8 +80,10 @@
     for (const name of this.#refused.keys()) if (!objects.has(this.#options.prefix + name)) this.#refused.delete(name)
     const listed = [...objects.values()].flatMap((object) => this.#decode(object))
     const missing = [...this.#known.values()].filter(({ name }) => !objects.has(this.#options.prefix + name))
+    const before = this.#lapses.held
     const lapsed = this.#lapses.missing(missing, { known: [...this.#known.values()], storeWasAway: !this.#follower.reached, now: steadyNow() })
     const gone = missing.filter((endpoint) => !lapsed.includes(endpoint))
+    this.#tellHeld(before, { lapsed, listed })
     this.#believe([...listed, ...lapsed], gone)
     this.#takeBack(objects)
     this.#remember(gone, version)
@@ -89,6 +91,16 @@
     if (lapsed.length > 0) this.#settleLater()
   }
 
+  /** An attempt at an endpoint whose entry is missing can only be explained by these lines. */
+  #tellHeld (before: readonly ListedEndpoint[], now: { lapsed: readonly ListedEndpoint[], listed: readonly ListedEndpoint[] }): void {
+    const names = new Set(before.map(({ name }) => name))
+    const held = now.lapsed.filter(({ name }) => !names.has(name))
+    const back = now.listed.filter(({ name }) => names.has(name))
+    const { why, untilMs } = this.#lapses.suspicion
+    if (held.length > 0) log('endpoints-held', { endpoints: held.map(({ id }) => id), why, forMs: Math.round(untilMs - steadyNow()) })
+    if (back.length > 0) log('endpoints-back', { endpoints: back.map(({ id }) => id) })
+  }
+
   #believe (listed: readonly ListedEndpoint[], gone: readonly ListedEndpoint[]): void {
     const { table } = this.#options
     this.#known = new Map(listed.map((endpoint) => [endpoint.name, endpoint]))
--- a/daemon/endpoints/lapses.ts
+++ b/daemon/endpoints/lapses.ts
@@ -28,18 +28,29 @@
 export class Lapses {
   readonly #lapsed = new Map<string, ListedEndpoint>()
   #untilMs = -Infinity
+  #why = 'nothing'
 
   /** Takes in which endpoints are missing now, and tells which of them may come back. */
   missing (missing: readonly ListedEndpoint[], change: RegistryChange): ListedEndpoint[] {
     const names = new Set(missing.map(({ name }) => name))
     for (const name of this.#lapsed.keys()) if (!names.has(name)) this.#lapsed.delete(name)
     const staying = missing.filter(({ leaving }) => !leaving)
-    if (change.storeWasAway || isMass(staying, change.known)) this.#untilMs = Math.max(this.#untilMs, change.now + LAPSE_MS)
+    const mass = isMass(staying, change.known)
+    if (change.storeWasAway || mass) {
+      this.#untilMs = Math.max(this.#untilMs, change.now + LAPSE_MS)
+      this.#why = mass ? 'most entries vanished' : 'calls had failed'
+    }
     if (change.now >= this.#untilMs) this.#lapsed.clear()
     else for (const endpoint of staying) this.#lapsed.set(endpoint.name, endpoint)
     return staying.filter(({ name }) => this.#lapsed.has(name))
   }
 
+  /** Those that may come back. */
+  get held (): ListedEndpoint[] { return [...this.#lapsed.values()] }
+
+  /** What was last taken for an outage of the registry, and until when entries may come back, in milliseconds on the steady clock. */
+  get suspicion (): { why: string, untilMs: number } { return { why: this.#why, untilMs: this.#untilMs } }
+
   /** True while some may come back. */
   get pending (): boolean { return this.#lapsed.size > 0 }
 
--- a/daemon/log/events.ts
+++ b/daemon/log/events.ts
@@ -62,6 +62,10 @@
   /** Listed as live long after it was said to leave. */
   'endpoint-taken-back': { endpoint: string }
   'endpoint-refused': { endpoint: string, problems: readonly string[] }
+  /** Their entries vanished and may come back: `why` says what is taken for an outage of the registry, `forMs` how long they have. */
+  'endpoints-held': { endpoints: readonly string[], why: string, forMs: number }
+  /** Held until now, and written anew. */
+  'endpoints-back': { endpoints: readonly string[] }
   /** Their entries vanished with an outage of the registry, and did not come back in time. */
   'endpoints-not-back': { endpoints: readonly string[] }
   /** Left alone after failures in a row. */
