Hold back as lapsed only what an outage of the registry can have taken, for a fixed time

Cause: whether a departure is believed hung on a time window alone. (a) Its end moved on with each change in which most entries were still missing, and all that vanished in it counted as lapsed, also an endpoint that had written itself anew since the outage. (b) The window opened with the first answer after a call that failed; a follower then watched on, so that this answer came only with the next change, up to ten seconds after the store's return, and that change was the departure itself. Mended: `core/registry` decides per entry. An outage is suspected once, its hold has a fixed end, within nine tenths of the time in which a leaving endpoint may get new work; an entry written after the last answer before the outage is believed when it goes; a call that fails counts only if no answer came for as long as entries last. A follower lists anew after any failure, which also tells at once that the store is back (configuration, too). Ruled out: a shorter window alone (an endpoint that leaves within it gets work all the same); counting entries instead of versions.

--- /dev/null
+++ b/core/registry/index.ts
@@ -0,0 +1,1 @@
+export * from './lapsed_entries.ts'
--- a/daemon/endpoints/endpoint_follower.ts
+++ b/daemon/endpoints/endpoint_follower.ts
@@ -2,6 +2,7 @@
 import type { Pool } from '../../core/catalog/index.ts'
 import { InvalidError } from '../../core/config/index.ts'
 import { as, type HostId, type PoolName } from '../../core/ids/index.ts'
+import { LapsedEntries, type EntryState, type LapsedEntriesOptions, type VanishedEntries } from '../../core/registry/index.ts'
 import type { Random } from '../../core/routing/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import type { ListedHost } from '../../endpoints/index.ts'
@@ -9,7 +10,6 @@
 import { log } from '../log/index.ts'
 import type { ListedEndpoint } from './endpoint_listing.ts'
 import { ASSUMED_NOTICE_MS, type EndpointTable } from './endpoint_table.ts'
-import { LAPSE_MS, Lapses } from './lapses.ts'
 
 /** Options of {@linkcode EndpointFollower}. */
 export interface EndpointFollowerOptions {
@@ -18,6 +18,8 @@
   prefix: string
   decode (name: string, value: unknown): ListedEndpoint
   table: EndpointTable
+  /** How entries come and go. */
+  times?: LapsedEntriesOptions
   random: Random
   pool (name: PoolName): Pool | undefined
   /** Called after each change. */
@@ -42,7 +44,7 @@
   readonly #follower: StoreFollower
   /** Endpoints believed in, by name. */
   #known: ReadonlyMap<string, ListedEndpoint> = new Map()
-  readonly #lapses = new Lapses()
+  readonly #lapsed: LapsedEntries
   /** Version of the registry that is believed in. */
   #version = 0
   /** Version of the registry at which endpoints that are gone were missing first, by name. */
@@ -53,6 +55,7 @@
 
   constructor (options: EndpointFollowerOptions) {
     this.#options = options
+    this.#lapsed = new LapsedEntries(options.times)
     this.#follower = new StoreFollower({
       store: options.store,
       prefix: options.prefix,
@@ -78,27 +81,29 @@
 
   #take (objects: ReadonlyMap<string, StoredObject>, version: number): void {
     for (const name of this.#refused.keys()) if (!objects.has(this.#options.prefix + name)) this.#refused.delete(name)
-    const listed = [...objects.values()].flatMap((object) => this.#decode(object))
-    const missing = [...this.#known.values()].filter(({ name }) => !objects.has(this.#options.prefix + name))
-    const before = this.#lapses.held
-    const lapsed = this.#lapses.missing(missing, { known: [...this.#known.values()], storeWasAway: !this.#follower.reached, now: steadyNow() })
-    const gone = missing.filter((endpoint) => !lapsed.includes(endpoint))
-    this.#tellHeld(before, { lapsed, listed })
-    this.#believe([...listed, ...lapsed], gone)
+    const listed = new Map([...objects.values()].flatMap((object) => this.#decode(object)).map((endpoint) => [endpoint.name, endpoint]))
+    const vanished = this.#lapsed.take({ entries: this.#entries(objects, listed), version, afterFailure: !this.#follower.reached, now: steadyNow() })
+    this.#tellHeld(vanished)
+    this.#believe([...listed.values(), ...this.#named(this.#lapsed.held)], this.#named(vanished.gone))
     this.#takeBack(objects)
-    this.#remember(gone, version)
+    this.#remember(vanished.gone, version)
     this.#version = version
-    if (lapsed.length > 0) this.#settleLater()
+    this.#settleLater()
+  }
+
+  #entries (objects: ReadonlyMap<string, StoredObject>, listed: ReadonlyMap<string, ListedEndpoint>): Map<string, EntryState> {
+    return new Map([...objects.values()].map(({ key, version }) => {
+      const name = key.slice(this.#options.prefix.length)
+      const endpoint = listed.get(name)
+      return [name, { version, leaving: endpoint === undefined || endpoint.leaving !== undefined }]
+    }))
   }
 
   /** An attempt at an endpoint whose entry is missing can only be explained by these lines. */
-  #tellHeld (before: readonly ListedEndpoint[], now: { lapsed: readonly ListedEndpoint[], listed: readonly ListedEndpoint[] }): void {
-    const names = new Set(before.map(({ name }) => name))
-    const held = now.lapsed.filter(({ name }) => !names.has(name))
-    const back = now.listed.filter(({ name }) => names.has(name))
-    const { why, untilMs } = this.#lapses.suspicion
-    if (held.length > 0) log('endpoints-held', { endpoints: held.map(({ id }) => id), why, forMs: Math.round(untilMs - steadyNow()) })
-    if (back.length > 0) log('endpoints-back', { endpoints: back.map(({ id }) => id) })
+  #tellHeld ({ held, why, back }: VanishedEntries): void {
+    const untilMs = this.#lapsed.untilMs ?? steadyNow()
+    if (held.length > 0) log('endpoints-held', { endpoints: held, why, forMs: Math.round(untilMs - steadyNow()) })
+    if (back.length > 0) log('endpoints-back', { endpoints: back })
   }
 
   #believe (listed: readonly ListedEndpoint[], gone: readonly ListedEndpoint[]): void {
@@ -112,8 +117,12 @@
     this.#options.onChange()
   }
 
-  #remember (gone: readonly ListedEndpoint[], version: number): void {
-    for (const { name } of gone) this.#goneAtVersion.set(name, version)
+  #named (names: readonly string[]): ListedEndpoint[] {
+    return names.flatMap((name) => this.#known.get(name) ?? [])
+  }
+
+  #remember (gone: readonly string[], version: number): void {
+    for (const name of gone) this.#goneAtVersion.set(name, version)
     for (const name of this.#goneAtVersion.keys()) {
       if (this.#goneAtVersion.size <= MOST_GONE) break
       this.#goneAtVersion.delete(name)
@@ -136,18 +145,21 @@
     }
   }
 
-  /** Entries that did not come back in time are gone. */
+  /** Entries that did not come back in time are gone, unless the registry is away again: then its next answer decides. */
   #settleLater (): void {
-    this.#settleTimer ??= setTimeout(() => {
-      this.#settleTimer = undefined
-      const gone = this.#lapses.overdue(steadyNow())
-      if (this.#lapses.pending) this.#settleLater()
-      if (gone.length === 0) return
-      log('endpoints-not-back', { endpoints: gone.map(({ id }) => id) })
-      const names = new Set(gone.map(({ name }) => name))
-      this.#believe([...this.#known.values()].filter(({ name }) => !names.has(name)), gone)
-      this.#remember(gone, this.#version)
-    }, LAPSE_MS + SETTLE_MS)
+    const { untilMs } = this.#lapsed
+    if (untilMs === undefined) return
+    clearTimeout(this.#settleTimer)
+    this.#settleTimer = setTimeout(() => { if (this.#follower.reached) this.#settle() }, untilMs - steadyNow() + SETTLE_MS)
+  }
+
+  #settle (): void {
+    const names = new Set(this.#lapsed.overdue(steadyNow()))
+    this.#settleLater()
+    if (names.size === 0) return
+    log('endpoints-not-back', { endpoints: [...names] })
+    this.#believe([...this.#known.values()].filter(({ name }) => !names.has(name)), this.#named([...names]))
+    this.#remember([...names], this.#version)
   }
 
   /**
--- a/daemon/exchange/proxy_daemon.ts
+++ b/daemon/exchange/proxy_daemon.ts
@@ -328,12 +328,13 @@
 /** All daemons of a small fleet watch; of a large one these many in each failure domain, and the others hear it from them. */
 const WATCHERS_PER_DOMAIN = 40
 
-function endpointFollower ({ platform, table, random, config, client, dispatcher }: Parts): EndpointFollower {
+function endpointFollower ({ settings, platform, table, random, config, client, dispatcher }: Parts): EndpointFollower {
   return new EndpointFollower({
     store: platform.store,
     prefix: platform.registryPrefix,
     decode: (name, value) => platform.decodeEndpoint(name, value),
     table,
+    times: settings.registry,
     random,
     pool: (name) => config.inForce?.pools.get(name),
     onChange: () => {
--- a/daemon/exchange/proxy_settings.ts
+++ b/daemon/exchange/proxy_settings.ts
@@ -1,6 +1,7 @@
 /** What a daemon that hands requests on is told when it starts. */
 import type { FailureDomain } from '../../core/ids/index.ts'
 import type { QuotaTolerance } from '../../core/quota/index.ts'
+import type { LapsedEntriesOptions } from '../../core/registry/index.ts'
 
 /** Host and port. */
 export interface SocketAddress { host: string, port: number }
@@ -28,5 +29,7 @@
   leaseMs: number
   /** Orders with a lower fencing number than was seen are refused. */
   ordersFenced: boolean
+  /** How endpoints' entries in the registry come and go. */
+  registry: LapsedEntriesOptions
   usage: { windowMs: number, dueMs: number }
 }
--- a/store/store_follower.ts
+++ b/store/store_follower.ts
@@ -37,8 +37,8 @@
 /**
  * Follows the store until it is stopped.
  *
- * A watch that fails tells nothing of what changed meanwhile: the follower goes on from the version it has seen, and where that is forgotten,
- * lists anew. Until then the copy stays as it was; a store that is down takes nothing away.
+ * A call that fails tells nothing of what changed meanwhile: the follower lists anew. Until then the copy stays as it was; a store that is down takes nothing
+ * away. To watch on instead would leave the store for lost until something changes, however long it has answered again, and that change for one of its outage.
  */
 export class StoreFollower {
   readonly #options: StoreFollowerOptions
@@ -125,6 +125,7 @@
   async #failed (err: StoreError): Promise<void> {
     if (this.#reached) this.#options.onReach?.(false, err.message)
     this.#reached = false
+    this.#version = undefined
     const longest = Math.min(LONGEST_RETRY_MS, FIRST_RETRY_MS * 2 ** this.#failures++)
     await delay(longest * (0.5 + this.#options.random() / 2))
   }
