Order departures by the version of the registry that shows them, and tell each of them

Cause: peers' word of a departure was passed over for five seconds after the endpoint's return, whatever it was of; it was ranked by the time at which the endpoint is gone, so that an earlier departure outranked a later one for ever; and a daemon without work at the endpoint forgot it before it told. Mended: `core/registry` keeps departures with the registry's version; word is old where the endpoint's entry was written at a later version, and an entry written later ends a departure, whoever told of it. That replaces the follower's own record of endpoints that are gone. Departures are told before the list is taken in. Ruled out: a shorter span (word takes up to two seconds, and old word comes with the whole table at any time). The span of five seconds is left for word that bears no version (an endpoint's own refusal).

--- a/core/registry/index.ts
+++ b/core/registry/index.ts
@@ -1,1 +1,2 @@
+export * from './departures.ts'
 export * from './lapsed_entries.ts'
--- a/daemon/endpoints/endpoint_follower.ts
+++ b/daemon/endpoints/endpoint_follower.ts
@@ -30,25 +30,24 @@
 const FIRST_READING_TOKENS_PER_S = 50_000
 /** Time between tokens, and what each further stream adds, in milliseconds; no platform publishes it, and no target of today is near it. */
 const FIRST_SPEED = { prefillTokensPerS: FIRST_READING_TOKENS_PER_S, betweenTokensMs: 4, betweenTokensPerStreamMs: 0.1, exportTokensPerS: 0, importTokensPerS: 0 }
-/** Endpoints that are gone and remembered; more than are replaced in a day. */
-const MOST_GONE = 1000
 /** Timers may fire a little early by the clock that ages are measured by, in milliseconds. */
 const SETTLE_MS = 20
 /** Time to a first token beside waiting and reading, and to a plain answer, until answers tell better, in milliseconds. */
 const FIRST_TOKEN_MS = 50
 const FIRST_ANSWER_MS = 20
 
+/** An endpoint, and the version of the registry at which its entry was written. */
+interface KnownEndpoint extends ListedEndpoint { version: number }
+
 /** Follows the registry. */
 export class EndpointFollower {
   readonly #options: EndpointFollowerOptions
   readonly #follower: StoreFollower
   /** Endpoints believed in, by name. */
-  #known: ReadonlyMap<string, ListedEndpoint> = new Map()
+  #known: ReadonlyMap<string, KnownEndpoint> = new Map()
   readonly #lapsed: LapsedEntries
   /** Version of the registry that is believed in. */
   #version = 0
-  /** Version of the registry at which endpoints that are gone were missing first, by name. */
-  readonly #goneAtVersion = new Map<string, number>()
   #settleTimer: NodeJS.Timeout | undefined
   /** The last version of each entry that named no endpoint. */
   readonly #refused = new Map<string, number>()
@@ -84,14 +83,12 @@
     const listed = new Map([...objects.values()].flatMap((object) => this.#decode(object)).map((endpoint) => [endpoint.name, endpoint]))
     const vanished = this.#lapsed.take({ entries: this.#entries(objects, listed), version, afterFailure: !this.#follower.reached, now: steadyNow() })
     this.#tellHeld(vanished)
-    this.#believe([...listed.values(), ...this.#named(this.#lapsed.held)], this.#named(vanished.gone))
-    this.#takeBack(objects)
-    this.#remember(vanished.gone, version)
     this.#version = version
+    this.#believe([...listed.values(), ...this.#named(this.#lapsed.held)], vanished.gone)
     this.#settleLater()
   }
 
-  #entries (objects: ReadonlyMap<string, StoredObject>, listed: ReadonlyMap<string, ListedEndpoint>): Map<string, EntryState> {
+  #entries (objects: ReadonlyMap<string, StoredObject>, listed: ReadonlyMap<string, KnownEndpoint>): Map<string, EntryState> {
     return new Map([...objects.values()].map(({ key, version }) => {
       const name = key.slice(this.#options.prefix.length)
       const endpoint = listed.get(name)
@@ -106,45 +103,25 @@
     if (back.length > 0) log('endpoints-back', { endpoints: back })
   }
 
-  #believe (listed: readonly ListedEndpoint[], gone: readonly ListedEndpoint[]): void {
+  /** Departures are told first: an endpoint that no list names and that has no work here is forgotten, and the other daemons would not hear of it. */
+  #believe (listed: readonly KnownEndpoint[], gone: readonly string[]): void {
     const { table } = this.#options
+    const goneAtMs = steadyNow() + ASSUMED_NOTICE_MS
+    table.departed(this.#named(gone).map(({ id }) => as<HostId>(id)), { goneAtMs, version: this.#version, signal: 'list' })
     this.#known = new Map(listed.map((endpoint) => [endpoint.name, endpoint]))
     table.listed(listed.map((endpoint) => this.#hostOf(endpoint)))
-    for (const { id, leaving } of listed) {
-      if (leaving) table.leaving([as<HostId>(id)], steadyNow() + (leaving.inMs ?? ASSUMED_NOTICE_MS), leaving.inMs === undefined ? 'list' : 'notice')
+    for (const { id, leaving, version } of listed) {
+      if (!leaving) continue
+      const signal = leaving.inMs === undefined ? 'list' : 'notice'
+      table.departed([as<HostId>(id)], { goneAtMs: steadyNow() + (leaving.inMs ?? ASSUMED_NOTICE_MS), version, signal })
     }
-    table.leaving(gone.map(({ id }) => as<HostId>(id)), steadyNow() + ASSUMED_NOTICE_MS, 'list')
     this.#options.onChange()
   }
 
-  #named (names: readonly string[]): ListedEndpoint[] {
+  #named (names: readonly string[]): KnownEndpoint[] {
     return names.flatMap((name) => this.#known.get(name) ?? [])
   }
 
-  #remember (gone: readonly string[], version: number): void {
-    for (const name of gone) this.#goneAtVersion.set(name, version)
-    for (const name of this.#goneAtVersion.keys()) {
-      if (this.#goneAtVersion.size <= MOST_GONE) break
-      this.#goneAtVersion.delete(name)
-    }
-  }
-
-  /**
-   * An endpoint whose entry was written after it had been removed lives: only the endpoint itself writes it.
-   *
-   * Guards against an endpoint that could not reach the registry for a while: its entry lapses and comes back, and without this it gets no work for
-   * half a minute.
-   */
-  #takeBack (objects: ReadonlyMap<string, StoredObject>): void {
-    for (const [name, version] of this.#goneAtVersion) {
-      const object = objects.get(this.#options.prefix + name)
-      if (!object || object.version <= version) continue
-      this.#goneAtVersion.delete(name)
-      const endpoint = this.#known.get(name)
-      if (endpoint && !endpoint.leaving) this.#options.table.returned(as<HostId>(endpoint.id))
-    }
-  }
-
   /** Entries that did not come back in time are gone, unless the registry is away again: then its next answer decides. */
   #settleLater (): void {
     const { untilMs } = this.#lapsed
@@ -158,18 +135,17 @@
     this.#settleLater()
     if (names.size === 0) return
     log('endpoints-not-back', { endpoints: [...names] })
-    this.#believe([...this.#known.values()].filter(({ name }) => !names.has(name)), this.#named([...names]))
-    this.#remember([...names], this.#version)
+    this.#believe([...this.#known.values()].filter(({ name }) => !names.has(name)), [...names])
   }
 
   /**
    * Other programs may write to the registry, too. One entry that makes no sense would hide all the others, for as long as it stands there; it
    * names no endpoint, and the others hold. It is told of once for each of its versions.
    */
-  #decode (object: StoredObject): ListedEndpoint[] {
+  #decode (object: StoredObject): KnownEndpoint[] {
     const name = object.key.slice(this.#options.prefix.length)
     try {
-      return [this.#options.decode(name, JSON.parse(object.value))]
+      return [{ ...this.#options.decode(name, JSON.parse(object.value)), version: object.version }]
     } catch (err) {
       if (!(err instanceof InvalidError) && !(err instanceof SyntaxError)) throw err
       if (this.#refused.get(name) !== object.version) log('endpoint-refused', { endpoint: name, problems: err instanceof InvalidError ? err.problems : [err.message] })
@@ -178,7 +154,7 @@
     }
   }
 
-  #hostOf (endpoint: ListedEndpoint): ListedHost {
+  #hostOf (endpoint: KnownEndpoint): ListedHost {
     const engine = this.#options.pool(endpoint.pool)?.engine
     return {
       hostId: as(endpoint.id),
@@ -187,6 +163,7 @@
       reclaimable: endpoint.reclaimable,
       pricePerHour: 0,
       state: endpoint.leaving ? 'leaving' : 'live',
+      version: endpoint.version,
       endpoint: {
         id: endpoint.id,
         name: endpoint.name,
--- a/daemon/endpoints/endpoint_table.ts
+++ b/daemon/endpoints/endpoint_table.ts
@@ -1,5 +1,6 @@
 /** The endpoints as one daemon sees them, out of every signal that tells of them. */
 import type { DaemonId, EndpointId, HostId, PoolName } from '../../core/ids/index.ts'
+import { Departures, type Departure } from '../../core/registry/index.ts'
 import {
   learnSlowness, noWork, paceOf, POOL_SMOOTHING, ReadingPace, StreamRhythm, subset, unreadBefore,
   type EndpointLoad, type EndpointView, type EndpointWork, type FirstTokenSample, type Hash32, type Lane, type Pace
@@ -13,7 +14,7 @@
 export type LeavingSignal = 'notice' | 'list' | 'refusal' | 'peer'
 
 /** Called when an endpoint is first known to leave, and again when the time left becomes shorter. */
-export type LeavingListener = (leaving: { view: EndpointView, goneAtMs: number, signal: LeavingSignal }[]) => void
+export type LeavingListener = (leaving: Array<Departure & { view: EndpointView, signal: LeavingSignal }>) => void
 
 /** Prompt tokens of one request that an endpoint has to read, and in which lane. */
 export interface SentWork { lane: Lane, tokens: number }
@@ -34,16 +35,14 @@
 const MS_PER_S = 1000
 /** An endpoint that went silent gets no work for this long, in milliseconds; the registry names those that are gone within four times as long. */
 const SILENT_MS = 1000
-/** Longer than news takes from one daemon to all others, in milliseconds. */
-const RUMOUR_MS = 5000
 /** Longer than the list lags, in milliseconds. */
 const TAKE_BACK_MS = 30_000
 
 /** A start of an endpoint: when it was, and when a list last told of it, in milliseconds since the epoch and on the steady clock. */
 interface Start { atMs: number, listedAtMs: number }
 
-/** How long a host that is gone is remembered, in milliseconds. */
-const HOST_FORGOTTEN_MS = 600_000
+/** How long the starts of an endpoint that no list names are remembered, in milliseconds. */
+const START_FORGOTTEN_MS = 600_000
 
 /** Holds a view of each endpoint. Owned by the broker; everybody else sends it signals. */
 export class EndpointTable {
@@ -55,13 +54,7 @@
   readonly #failures = new Map<EndpointId, FailureCount>()
   readonly #subsets = new Map<PoolName, EndpointView[]>()
   readonly #goneAt = new Map<EndpointId, number>()
-  /**
-   * When leaving hosts are gone, kept whether the list shows them or not: a list that lags shows a host again after it was missing, and
-   * as a new one it would get work.
-   */
-  readonly #hostGoneAt = new Map<HostId, number>()
-  /** When hosts that were said to be gone showed that they live. */
-  readonly #returnedAtMs = new Map<HostId, number>()
+  readonly #departures = new Departures()
   /** The newest start known of each endpoint, by its name; kept as long as hosts that are gone, since lists and peers may tell of an older one. */
   readonly #newestStart = new Map<string, Start>()
   #listeners: LeavingListener[] = []
@@ -118,12 +111,14 @@
     const current = hosts.filter((host) => this.#isNewestStart(host))
     const listed = new Set(current.map((host) => host.endpoint.id))
     this.#listed = listed
+    for (const { state, hostId, version } of current) if (state === 'live' && version !== undefined) this.#departures.shown(hostId, { version, now: steadyNow() })
     for (const host of current) if (!this.#views.has(host.endpoint.id)) this.#add(host)
     for (const view of this.all) if (!listed.has(view.id) && view.own.running === 0) this.#drop(view)
     this.#subsets.clear()
     this.#forgetGone()
-    for (const host of current) if (host.state === 'live') this.#takeBack(host.endpoint.id)
-    const leaving = current.filter((host) => host.state === 'leaving' && !this.#goneAt.has(host.endpoint.id))
+    for (const host of current) if (host.state === 'live') this.#takeBack(host)
+    // With a version it comes as a departure, which knows more.
+    const leaving = current.filter((host) => host.state === 'leaving' && host.version === undefined && !this.#goneAt.has(host.endpoint.id))
     this.leaving(leaving.map((host) => host.hostId), steadyNow() + ASSUMED_NOTICE_MS, 'list')
   }
 
@@ -157,19 +152,29 @@
     for (const view of this.startsOf(name)) {
       if (view.id === started) continue
       log('endpoint-restarted', { endpoint: view.id, by: started })
-      this.#markLeaving(view.id, steadyNow())
+      this.#markLeaving(view.id, { goneAtMs: steadyNow() })
       this.#onReplaced(view.id)
     }
   }
 
-  /** Takes in a signal that hosts are leaving. */
+  /** Takes in a signal that hosts are leaving, from anybody but the registry. */
   leaving (hosts: readonly HostId[], goneAtMs: number, signal: LeavingSignal): void {
+    this.#leave(hosts, { goneAtMs, signal })
+  }
+
+  /** Takes in that the registry shows hosts as leaving or gone as of a version, or that a peer says so. */
+  departed (hosts: readonly HostId[], departure: Departure & { version: number, signal: LeavingSignal }): void {
+    this.#leave(hosts, departure)
+  }
+
+  #leave (hosts: readonly HostId[], { goneAtMs, version, signal }: Departure & { signal: LeavingSignal }): void {
     const news: Parameters<LeavingListener>[0] = []
     for (const host of hosts) {
-      if (signal === 'peer' && steadyNow() - (this.#returnedAtMs.get(host) ?? -Infinity) < RUMOUR_MS) continue
+      if (signal === 'peer' && this.#departures.isOld(host, { version, now: steadyNow() })) continue
       const id = this.#byHost.get(host)
-      if (id === undefined) this.#hostGoneAt.set(host, goneAtMs)
-      else if (this.#isNews(id, goneAtMs, signal)) news.push({ view: this.#markLeaving(id, goneAtMs), goneAtMs, signal })
+      if (id === undefined) this.#departures.note(host, { goneAtMs, version })
+      else if (this.#isNews(id, goneAtMs, signal)) news.push({ view: this.#markLeaving(id, { goneAtMs, version }), goneAtMs, version, signal })
+      else this.#departures.note(host, { goneAtMs, version })
     }
     if (news.length === 0) return
     this.#subsets.clear()
@@ -183,11 +188,11 @@
     return (signal === 'notice' || signal === 'peer') && goneAtMs !== known
   }
 
-  #markLeaving (id: EndpointId, goneAtMs: number): EndpointView {
+  #markLeaving (id: EndpointId, departure: Departure): EndpointView {
     const view = this.#views.get(id)!
     view.leavingAtMs ??= steadyNow()
-    this.#goneAt.set(id, goneAtMs)
-    this.#hostGoneAt.set(view.hostId, goneAtMs)
+    this.#goneAt.set(id, departure.goneAtMs)
+    this.#departures.note(view.hostId, departure)
     return view
   }
 
@@ -304,36 +309,22 @@
     return !view || view.leavingAtMs !== undefined
   }
 
-  /** A host that was said to be gone shows that it lives; what peers still tell of the time before counts no more. */
-  returned (host: HostId): void {
-    this.#returnedAtMs.set(host, steadyNow())
-    this.#hostGoneAt.delete(host)
-    const view = this.#views.get(this.#byHost.get(host)!)
-    if (!view || view.leavingAtMs === undefined) return
-    this.#goneAt.delete(view.id)
-    view.leavingAtMs = undefined
-    this.#subsets.clear()
-    log('endpoint-taken-back', { endpoint: view.id })
-  }
-
-  /** A reclaim that was called off, or a refusal that had another cause: the host is still listed live long after its time. */
-  #takeBack (id: EndpointId): void {
+  /** Its entry was written after it left; or, a reclaim called off or a refusal that had another cause, it is still listed as live long after its time. */
+  #takeBack ({ hostId, endpoint: { id } }: ListedHost): void {
     const goneAtMs = this.#goneAt.get(id)
-    if (goneAtMs === undefined || steadyNow() < goneAtMs + TAKE_BACK_MS) return
-    const view = this.#views.get(id)!
+    if (goneAtMs === undefined) return
+    const writtenSince = this.#departures.of(hostId) === undefined
+    if (!writtenSince && steadyNow() < goneAtMs + TAKE_BACK_MS) return
     this.#goneAt.delete(id)
-    this.#hostGoneAt.delete(view.hostId)
-    view.leavingAtMs = undefined
+    this.#departures.returned(hostId, steadyNow())
+    this.#views.get(id)!.leavingAtMs = undefined
     log('endpoint-taken-back', { endpoint: id })
   }
 
   #forgetGone (): void {
     const now = steadyNow()
-    for (const [host, goneAtMs] of this.#hostGoneAt) {
-      if (now > goneAtMs + HOST_FORGOTTEN_MS && !this.#byHost.has(host)) this.#hostGoneAt.delete(host)
-    }
-    for (const [host, atMs] of this.#returnedAtMs) if (now > atMs + RUMOUR_MS) this.#returnedAtMs.delete(host)
-    for (const [name, { listedAtMs }] of this.#newestStart) if (now > listedAtMs + HOST_FORGOTTEN_MS) this.#newestStart.delete(name)
+    this.#departures.forget(now, (host) => this.#byHost.has(host))
+    for (const [name, { listedAtMs }] of this.#newestStart) if (now > listedAtMs + START_FORGOTTEN_MS) this.#newestStart.delete(name)
   }
 
   #add (host: ListedHost): void {
@@ -360,8 +351,8 @@
     })
     this.#byHost.set(host.hostId, endpoint.id)
     log('endpoint-listed', { endpoint: endpoint.id, pool: endpoint.pool, failureDomain: host.failureDomain, reclaimable: host.reclaimable, slots: endpoint.speed.batchSlots })
-    const goneAtMs = this.#hostGoneAt.get(host.hostId)
-    if (goneAtMs !== undefined) this.#markLeaving(endpoint.id, goneAtMs)
+    const departure = this.#departures.of(host.hostId)
+    if (departure) this.#markLeaving(endpoint.id, departure)
   }
 
   #paceOf ({ pool, firstMs = 0, speed }: ListedHost['endpoint']): ReadingPace {
--- a/endpoints/cloud.ts
+++ b/endpoints/cloud.ts
@@ -10,6 +10,8 @@
   reclaimable: boolean
   pricePerHour: number
   state: 'live' | 'leaving'
+  /** Version of the registry at which its entry was written; undefined for a list that has no versions. */
+  version?: number
   endpoint: {
     id: EndpointId
     /** What the platform calls the endpoint, the same at each start. Default: its id, where each start has one of its own. */
