Tell with a request that its endpoint's entry was held in doubt

Cause: `explain` left out the lines that say why an endpoint got work though its entry had vanished; they stand up to 2.5 s before the attempt. They named endpoints by entry, not by start. Ruled out: a longer context for all lines (causes are told from it). Conclusion: the line is told with its reason and its time.

--- a/daemon/endpoints/endpoint_follower.ts
+++ b/daemon/endpoints/endpoint_follower.ts
@@ -82,7 +82,7 @@
     for (const name of this.#refused.keys()) if (!objects.has(this.#options.prefix + name)) this.#refused.delete(name)
     const listed = new Map([...objects.values()].flatMap((object) => this.#decode(object)).map((endpoint) => [endpoint.name, endpoint]))
     const vanished = this.#lapsed.take({ entries: this.#entries(objects, listed), version, afterFailure: !this.#follower.reached, now: steadyNow() })
-    this.#tellHeld(vanished)
+    this.#tellHeld(vanished, listed)
     this.#version = version
     this.#believe([...listed.values(), ...this.#named(this.#lapsed.held)], vanished.gone)
     this.#settleLater()
@@ -97,10 +97,10 @@
   }
 
   /** An attempt at an endpoint whose entry is missing can only be explained by these lines. */
-  #tellHeld ({ held, why, back }: VanishedEntries): void {
+  #tellHeld ({ held, why, back }: VanishedEntries, listed: ReadonlyMap<string, KnownEndpoint>): void {
     const untilMs = this.#lapsed.untilMs ?? steadyNow()
-    if (held.length > 0) log('endpoints-held', { endpoints: held, why, forMs: Math.round(untilMs - steadyNow()) })
-    if (back.length > 0) log('endpoints-back', { endpoints: back })
+    if (held.length > 0) log('endpoints-held', { endpoints: this.#named(held).map(({ id }) => id), why, forMs: Math.round(untilMs - steadyNow()) })
+    if (back.length > 0) log('endpoints-back', { endpoints: back.flatMap((name) => listed.get(name)?.id ?? []) })
   }
 
   /** Departures are told first: an endpoint that no list names and that has no work here is forgotten, and the other daemons would not hear of it. */
@@ -131,11 +131,11 @@
   }
 
   #settle (): void {
-    const names = new Set(this.#lapsed.overdue(steadyNow()))
+    const overdue = this.#lapsed.overdue(steadyNow())
     this.#settleLater()
-    if (names.size === 0) return
-    log('endpoints-not-back', { endpoints: [...names] })
-    this.#believe([...this.#known.values()].filter(({ name }) => !names.has(name)), [...names])
+    if (overdue.length === 0) return
+    log('endpoints-not-back', { endpoints: this.#named(overdue).map(({ id }) => id) })
+    this.#believe([...this.#known.values()].filter(({ name }) => !overdue.includes(name)), overdue)
   }
 
   /**
--- a/daemon/explain/explain_request.ts
+++ b/daemon/explain/explain_request.ts
@@ -20,6 +20,8 @@
 
 /** Lines of a daemon that are told with a request's: from so long before its first line to its last, in milliseconds. */
 const CONTEXT_MS = 1000
+/** The same for entries that vanished from the registry: they are held for up to 2.5 s. */
+const HELD_CONTEXT_MS = 3000
 
 /**
  * Explains a request.
@@ -46,11 +48,15 @@
   const endpoints = new Set(own.flatMap((line) => (line.event === 'attempt-started' ? [line.fields.endpoint] : [])))
   return lines.filter((line): line is DaemonLine => {
     if (line.request !== undefined || !processes.has(line.process)) return false
-    if (line.atMs < first.atMs - CONTEXT_MS || line.atMs > last.atMs) return false
+    if (line.atMs < first.atMs - HELD_CONTEXT_MS || line.atMs > last.atMs) return false
+    if (line.event === 'endpoints-held') return line.fields.endpoints.some((endpoint) => endpoints.has(endpoint))
+    if (line.atMs < first.atMs - CONTEXT_MS) return false
     switch (line.event) {
       case 'endpoint-leaving':
       case 'endpoint-gone':
       case 'endpoint-avoided': return endpoints.has(line.fields.endpoint)
+      case 'endpoints-back':
+      case 'endpoints-not-back': return line.fields.endpoints.some((endpoint) => endpoints.has(endpoint))
       case 'store-lost':
       case 'store-back':
       case 'keeper-silent':
--- a/daemon/explain/explain_request_test.ts
+++ b/daemon/explain/explain_request_test.ts
@@ -41,3 +41,11 @@
   const turned = RECORDED.trim().split('\n').reverse().join('\n')
   expect(readLog(turned).map(({ atMs }) => atMs)).toEqual(lines.map(({ atMs }) => atMs))
 })
+
+test('an attempt at an endpoint whose entry was held in doubt is told with why and for how long', () => {
+  const started = lines.find((line) => line.event === 'attempt-started' && line.request === 'd7ffbc5fd0198a47')!
+  const { endpoint } = started.fields as { endpoint: string }
+  const at = (beforeMs: number, event: string, fields: object) => JSON.stringify({ level: 'info', time: new Date(started.atMs - beforeMs).toISOString(), daemon: started.daemon, process: started.process, event, ...fields })
+  const doubted = readLog(`${at(1900, 'endpoints-held', { endpoints: [endpoint], why: 'most entries vanished', forMs: 1800 })}\n${RECORDED}`)
+  expect(explainRequest(doubted, 'd7ffbc5fd0198a47').steps[0]!.text).toContain('why most entries vanished, forMs 1800')
+})
