Notice connections to the store that carry nothing any more within three seconds

Cause: a watch waits for ten seconds, and hears nothing on a silent connection until 11.5 to 12 s after it began. The listing behind it was then taken for the first answer after an outage, and departures in it held back. A call that failed is an outage for entries only where most of them lapsed: the others show that the registry went on. Ruled out: TCP keep-alive (eleven seconds in Node.js); two seconds for every fleet (87 daemons would make 190 calls a second, each with its price). In a large fleet single daemons are still deaf for up to ten seconds, and depend on the others' word.

--- a/core/registry/lapsed_entries.ts
+++ b/core/registry/lapsed_entries.ts
@@ -58,7 +58,7 @@
  * Guards against an outage of the registry that outlasts entries: on its return all of them are missing, and without this every caller is turned away
  * until they are written anew. A watch that hung all the while tells of no outage, but of most entries at once. What does die meanwhile shows by its silence.
  *
- * Only what the outage itself can have taken is held: the entry was not written since, and the hold begins with the return and ends at a fixed time,
+ * Only what the outage itself can have taken is held: most entries lapsed with it, the entry was not written since, and the hold begins with the return and ends at a fixed time,
  * whatever comes back or goes meanwhile. It never outlasts the time in which a leaving endpoint may get new work.
  */
 export class LapsedEntries {
@@ -109,7 +109,8 @@
 
   #suspect (answer: RegistryAnswer, vanished: number): void {
     const { version, atMs } = this.#answer
-    const wasAway = answer.afterFailure && answer.now - atMs >= RENEWALS_MISSED * (this.#options.renewEveryMs ?? DEFAULT_RENEW_EVERY_MS)
+    const unansweredMs = answer.now - atMs
+    const wasAway = answer.afterFailure && unansweredMs >= RENEWALS_MISSED * (this.#options.renewEveryMs ?? DEFAULT_RENEW_EVERY_MS) && this.#mostLapsed(answer.entries)
     const mass = this.#isMass(vanished)
     if (!wasAway && !mass) return
     const untilMs = answer.now + Math.min(BACK_MS, HELD_PART * (this.#options.leavingMs ?? DEFAULT_LEAVING_MS))
@@ -119,8 +120,17 @@
   }
 
   #isMass (vanished: number): boolean {
-    const staying = [...this.#present.values()].filter(({ leaving }) => !leaving).length
-    return vanished >= LEAST_MASS && vanished >= staying * MASS_PART
+    return vanished >= LEAST_MASS && vanished >= this.#staying.length * MASS_PART
+  }
+
+  /** Outages take most entries or none; where most are as they were, only the connection was lost. */
+  #mostLapsed (entries: RegistryAnswer['entries']): boolean {
+    const lapsed = this.#staying.filter(([name, { version }]) => entries.get(name)?.version !== version)
+    return lapsed.length > this.#staying.length * MASS_PART || this.#staying.length === 0
+  }
+
+  get #staying (): Array<[string, EntryState]> {
+    return [...this.#present].filter(([, { leaving }]) => !leaving)
   }
 
   /** An entry that was written since the outage shows that its endpoint reached the registry: if it goes after that, its endpoint left. */
--- a/core/registry/lapsed_entries_test.ts
+++ b/core/registry/lapsed_entries_test.ts
@@ -63,3 +63,8 @@
   lapsed.take({ entries: new Map(), version: 10, afterFailure: false, now: 9000 })
   expect(lapsed.untilMs).toBe(11_500)
 })
+
+test('where most entries are as they were, only the connection was lost', () => {
+  const lapsed = started()
+  expect(lapsed.take({ entries: entries(NAMES.slice(2), 1), version: 2, afterFailure: true, now: 9000 })).toMatchObject({ held: [], gone: ['a', 'b'] })
+})
--- a/daemon/config/config_follower.ts
+++ b/daemon/config/config_follower.ts
@@ -23,6 +23,8 @@
   metrics: Metrics
   hash: Hash32
   random: () => number
+  /** Longest wait of the next watch, in milliseconds. Default 10,000. */
+  waitMs? (): number
   /** Daemons of one failure domain that watch the store; the others poll it and hear of changes from them. Default 2. */
   watchersPerDomain?: number
 }
@@ -30,7 +32,6 @@
 const FACT = 'config'
 const DEFAULT_WATCHERS_PER_DOMAIN = 2
 const POLL_MS = 60_000
-const WATCH_MS = 10_000
 /** How long the store's last answer counts as knowledge that no newer revision exists, in milliseconds. */
 const SURE_FOR_MS = 150_000
 
@@ -60,7 +61,7 @@
       store: options.store,
       prefix: options.key,
       random: options.random,
-      waitMs: WATCH_MS,
+      ...(options.waitMs && { waitMs: options.waitMs }),
       pauseMs: () => (this.watches ? 0 : POLL_MS * (0.75 + options.random() / 2)),
       onChange: (objects) => this.#read(objects.get(options.key)?.value, 'store'),
       onReach: (reached, why) => {
--- a/daemon/endpoints/endpoint_follower.ts
+++ b/daemon/endpoints/endpoint_follower.ts
@@ -20,6 +20,8 @@
   table: EndpointTable
   /** How entries come and go. */
   times?: LapsedEntriesOptions
+  /** Longest wait of the next watch, in milliseconds. Default 10,000. */
+  waitMs? (): number
   random: Random
   pool (name: PoolName): Pool | undefined
   /** Called after each change. */
@@ -59,6 +61,7 @@
       store: options.store,
       prefix: options.prefix,
       random: options.random,
+      ...(options.waitMs && { waitMs: options.waitMs }),
       onChange: (objects, news) => this.#take(objects, news.version),
       onReach: (reached, why) => {
         if (reached) log('store-back', { what: 'endpoints' })
--- a/daemon/exchange/proxy_daemon.ts
+++ b/daemon/exchange/proxy_daemon.ts
@@ -9,6 +9,7 @@
 import { homeEndpoint, PrefixIndex, TargetRouter, type EndpointView, type Hash32, type Random } from '../../core/routing/index.ts'
 import { delay, steadyNow } from '../../core/time/index.ts'
 import { ExchangeClient } from '../../endpoints/index.ts'
+import { watchWaitMs } from '../../store/index.ts'
 import { ConfigFollower } from '../config/config_follower.ts'
 import { OrderTask } from '../duties/order_task.ts'
 import { UsageTask } from '../duties/usage_task.ts'
@@ -321,6 +322,7 @@
     metrics,
     hash,
     random,
+    waitMs: () => watchWaitMs(membership.working.length, random),
     watchersPerDomain: WATCHERS_PER_DOMAIN
   })
 }
@@ -328,13 +330,14 @@
 /** All daemons of a small fleet watch; of a large one these many in each failure domain, and the others hear it from them. */
 const WATCHERS_PER_DOMAIN = 40
 
-function endpointFollower ({ settings, platform, table, random, config, client, dispatcher }: Parts): EndpointFollower {
+function endpointFollower ({ settings, platform, membership, table, random, config, client, dispatcher }: Parts): EndpointFollower {
   return new EndpointFollower({
     store: platform.store,
     prefix: platform.registryPrefix,
     decode: (name, value) => platform.decodeEndpoint(name, value),
     table,
     times: settings.registry,
+    waitMs: () => watchWaitMs(membership.working.length, random),
     random,
     pool: (name) => config.inForce?.pools.get(name),
     onChange: () => {
--- a/store/store_follower.ts
+++ b/store/store_follower.ts
@@ -10,8 +10,8 @@
   onChange (objects: ReadonlyMap<string, StoredObject>, news: FollowerNews): void
   /** Called when the store stops answering, and when it answers again. */
   onReach? (reached: boolean, why: string): void
-  /** Longest wait of one watch in milliseconds. Default 10,000. */
-  waitMs?: number
+  /** Longest wait in milliseconds, of every watch or of the next one. Default 10,000. */
+  waitMs?: number | (() => number)
   /**
    * Milliseconds to pause before listing again in place of watching; 0 to watch. Each waiting watch counts as a call, so that of many
    * daemons few should watch. Default: always 0.
@@ -31,6 +31,11 @@
 }
 
 const DEFAULT_WAIT_MS = 10_000
+/** A copy in which nothing changes is checked by a listing this often, in milliseconds, or after so many watches. */
+const CHECK_EVERY_MS = 10_000
+const EMPTY_UNCHECKED = 5
+/** A watch may end so much before its time, in milliseconds: clocks differ. */
+const EARLY_MS = 50
 const FIRST_RETRY_MS = 100
 const LONGEST_RETRY_MS = 1000
 
@@ -47,6 +52,7 @@
   #stopped = false
   #reached = true
   #failures = 0
+  #listedAtMs = -Infinity
   /** When the store last answered, on the steady clock. */
   confirmedAtMs = -Infinity
 
@@ -93,11 +99,14 @@
     for (const key of removed) this.#objects.delete(key)
     for (const object of objects) this.#take(object)
     this.#version = version
+    this.#listedAtMs = steadyNow()
     this.#options.onChange(this.#objects, { listed: true, removed, version })
   }
 
   async #watch (after: number): Promise<void> {
-    const waitMs = this.#options.waitMs ?? DEFAULT_WAIT_MS
+    const { waitMs: wait = DEFAULT_WAIT_MS } = this.#options
+    const waitMs = typeof wait === 'function' ? wait() : wait
+    const sentAtMs = steadyNow()
     const { objects, removed, version } = await this.#options.store.changes(this.#options.prefix, { after, waitMs })
     if (this.#stopped) return
     // An event that the store replays is older than the copy, and would undo what came after it.
@@ -105,8 +114,12 @@
     for (const key of removed) this.#objects.delete(key)
     for (const object of objects) this.#take(object)
     if (objects.length + removed.length > 0) this.#options.onChange(this.#objects, { listed: false, removed, version: this.#version })
-    // A change that the watch lost would be missed for ever: an empty answer is checked by a listing.
-    else this.#version = undefined
+    else if (this.#mayHaveLost(steadyNow() - sentAtMs, waitMs)) this.#version = undefined
+  }
+
+  /** A change that a watch lost would be missed for ever: an empty answer that comes early is checked by a listing, and others now and then. */
+  #mayHaveLost (tookMs: number, waitMs: number): boolean {
+    return tookMs < waitMs - EARLY_MS || steadyNow() - this.#listedAtMs >= Math.min(CHECK_EVERY_MS, waitMs * EMPTY_UNCHECKED)
   }
 
   #take (object: StoredObject): void {
