Ping quiet links between daemons, and dial those anew that carry nothing any more

Cause: links were pinged only while a call was open; a silent one stayed until its neighbour was thought gone, eight seconds after it was suspected. Mended: every link on which nothing was heard for a tick is pinged; after two unanswered pings it is closed and dialled anew. Ticks are counted, not time: a daemon that stood still has not read yet what came. Ruled out: one ping (a peer of a third of a core may stand still for a second).

--- a/daemon/peers/peer_links.ts
+++ b/daemon/peers/peer_links.ts
@@ -27,13 +27,27 @@
   metrics: Metrics
 }
 
-interface Link { socket: WebSocket, peer: DaemonId | undefined, address: string | undefined, usedAtMs: number, heardAtMs: number, abort: AbortController }
+interface Link {
+  socket: WebSocket
+  peer: DaemonId | undefined
+  address: string | undefined
+  usedAtMs: number
+  heardAtMs: number
+  /** Ticks in a row in which nothing was heard. */
+  quietTicks: number
+  abort: AbortController
+}
 interface Waiting { resolve (value: unknown): void, reject (err: Error): void, part: ((value: unknown) => void) | undefined, link: Link }
 
 const CONNECT_TIMEOUT_MS = 1500
 const IDLE_CLOSE_MS = 60_000
 const CALL_TIMEOUT_MS = 3000
 const SILENCE_MS = 5000
+/**
+ * Ticks without a word after which a link is given up: it was pinged at the first and the second. Counted in ticks, since a daemon that stood still itself
+ * has not read yet what came meanwhile.
+ */
+const MOST_QUIET_TICKS = 3
 
 /** Owns the sockets to and from other daemons. */
 export class PeerLinks implements Links {
@@ -87,14 +101,19 @@
   }
 
   /**
-   * A parted network closes no connection: a call over it would wait for its whole timeout, minutes for a followed answer, and its caller
-   * with it. Pings on links with open calls make the silence show within seconds.
+   * A parted network closes no connection, and one that carries nothing any more stays open: a call over it would wait for its whole timeout, minutes for a
+   * followed answer, and word for the other daemons would reach nobody. Pings on quiet links make the silence show within seconds; the link is dialled anew.
    */
   #checkSilence (link: Link, now: number): void {
     const waitedFor = [...this.#waiting.values()].some((waiting) => waiting.link === link)
-    if (!waitedFor) return
-    if (now - link.heardAtMs > SILENCE_MS) link.socket.terminate()
-    else link.socket.ping()
+    link.quietTicks++
+    if (link.quietTicks > MOST_QUIET_TICKS || (waitedFor && now - link.heardAtMs > SILENCE_MS)) link.socket.terminate()
+    else if (waitedFor || link.quietTicks > 1) link.socket.ping()
+  }
+
+  #heard (link: Link): void {
+    link.heardAtMs = steadyNow()
+    link.quietTicks = 0
   }
 
   gossip (to: DaemonId, gossip: Gossip): void {
@@ -177,12 +196,12 @@
   #adopt (socket: WebSocket, address: string | undefined, ready?: (link: Link) => void): void {
     const abort = new AbortController()
     setMaxListeners(0, abort.signal)
-    const link: Link = { socket, peer: undefined, address, usedAtMs: steadyNow(), heardAtMs: steadyNow(), abort }
+    const link: Link = { socket, peer: undefined, address, usedAtMs: steadyNow(), heardAtMs: steadyNow(), quietTicks: 0, abort }
     socket.on('error', () => socket.terminate())
     socket.on('close', () => this.#drop(link))
-    socket.on('pong', () => { link.heardAtMs = steadyNow() })
+    socket.on('pong', () => this.#heard(link))
     socket.on('message', (data: Buffer) => {
-      link.heardAtMs = steadyNow()
+      this.#heard(link)
       this.#options.metrics.peerBytes.inc({ direction: 'in' }, data.length)
       this.#options.metrics.peerMessages.inc({ direction: 'in' })
       try {
