--- a/core/ids/ids.ts
+++ b/core/ids/ids.ts
@@ -33,7 +33,7 @@
  * Builds a request id that names its daemon.
  * @param daemon The daemon that holds the answer.
  * @param suffix Text unique within that daemon.
- * @example `requestId(as<DaemonId>('ikeja-1'), 'x7')` gives `ikeja-1~x7`.
+ * @example `requestId(as<DaemonId>('entry-1'), 'x7')` gives `entry-1~x7`.
  */
 export function requestId (daemon: DaemonId, suffix: string): RequestId {
   return as(`${daemon}${SEPARATOR}${suffix}`)
