Follow the store through two daemons that watch it, and through a few of each failure domain in large fleets

Cause: every daemon watched configuration and registry for itself, began each watch anew every 2 to 4 s and at each change, and listed both every ten seconds. Counted on stand-ins with 19 daemons and nothing to do: 15.6 of 21.7 calls a second.

Now newsSources (core/relay) ranks the members: the first two, of two failure domains, watch; in fleets over 34 a few of each domain ask them, and the others ask these. A question waits a quarter of the time for leaving and is given up after half; the asker then asks the next daemon or the store, and is never later than half that time beside the store's own answer. ChangeLog tells each asker just what is newer than its version, so that daemons may go to and fro between sources; a property test of random schedules found that a listing leaves a gap in which keys come and go unseen, now refused.

Ruled out: config's way (a fact by gossip, then a question): a daemon that hears of nothing cannot tell whether there is nothing. One watcher: cut off without a reset it would be deaf for 2.75 s, and all others with it. Longer waits: the same.

--- /dev/null
+++ b/core/relay/index.ts
@@ -0,0 +1,1 @@
+export * from './news_sources.ts'
--- /dev/null
+++ b/core/relay/news_sources_test.ts
@@ -0,0 +1,64 @@
+import { expect, test } from 'vitest'
+import { as, type DaemonId, type FailureDomain } from '../ids/index.ts'
+import type { Member } from '../membership/index.ts'
+import { newsSources } from './news_sources.ts'
+
+/** A hash that scatters like the one in use; any would do. */
+function hash (text: string): number {
+  let value = 2166136261
+  for (const char of text) value = Math.imul(value ^ char.charCodeAt(0), 16777619) >>> 0
+  return Math.imul(value ^ (value >>> 15), 2246822519) >>> 0
+}
+
+function fleet (daemons: number, domains: number): Member[] {
+  return Array.from({ length: daemons }, (_, i) => ({
+    id: as<DaemonId>(`edge-${i}`),
+    incarnation: 1,
+    state: 'up',
+    address: `10.0.0.${i}:1`,
+    failureDomain: as<FailureDomain>(`domain-${i % domains}`),
+    revision: 0,
+    heir: undefined
+  }))
+}
+
+test('two daemons watch the store at every size, and nobody is asked by more than three dozen', () => {
+  // Every daemon watches for itself: each change of one endpoint costs as many calls as there are daemons, and the store's rates or its price bind first.
+  for (const [daemons, domains] of [[1, 1], [2, 1], [9, 3], [24, 5], [87, 4], [195, 5], [300, 5], [420, 8]] as const) {
+    const members = fleet(daemons, domains)
+    const sources = members.map((self) => newsSources(self, members, { hash }))
+    const asked = new Map<DaemonId, number>()
+    for (const [first] of sources) if (first) asked.set(first.id, (asked.get(first.id) ?? 0) + 1)
+    expect(sources.filter((found) => found.length === 0)).toHaveLength(Math.min(2, daemons))
+    expect(Math.max(0, ...asked.values())).toBeLessThanOrEqual(36)
+  }
+})
+
+test('the daemons that watch are of two failure domains', () => {
+  // One domain loses its way to the store: if both watchers stood there, nobody would hear of an endpoint that leaves until each daemon had asked for itself.
+  for (let size = 2; size < 60; size++) {
+    const members = fleet(size, 3)
+    const watchers = members.filter((self) => newsSources(self, members, { hash }).length === 0)
+    expect(new Set(watchers.map(({ failureDomain }) => failureDomain)).size).toBe(2)
+  }
+})
+
+test('in a large fleet daemons ask within their failure domain, and only those asked there ask the watchers', () => {
+  const members = fleet(195, 5)
+  const watchers = members.filter((self) => newsSources(self, members, { hash }).length === 0).map(({ id }) => id)
+  const askers = members.filter((self) => watchers.includes(newsSources(self, members, { hash })[0]?.id as DaemonId))
+  expect(askers.length).toBeLessThanOrEqual(15)
+  for (const self of members) {
+    const [first] = newsSources(self, members, { hash })
+    if (first && !watchers.includes(first.id)) expect(first.failureDomain).toBe(self.failureDomain)
+  }
+})
+
+test('when a daemon that is asked goes, the others find the next one without a word', () => {
+  const members = fleet(40, 2)
+  const [first, second] = newsSources(members[7]!, members, { hash })
+  expect(second).toBeDefined()
+  const left = members.filter(({ id }) => id !== first!.id)
+  const found = newsSources(members[7]!, left, { hash })
+  expect(found.map(({ id }) => id)).not.toContain(first!.id)
+})
--- a/daemon/config/config_follower.ts
+++ b/daemon/config/config_follower.ts
@@ -3,7 +3,7 @@
 import type { DaemonId } from '../../core/ids/index.ts'
 import type { Hash32 } from '../../core/routing/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
-import { StoreFollower, type ObjectStore } from '../../store/index.ts'
+import { StoreFollower, type ObjectSource } from '../../store/index.ts'
 import { log } from '../log/index.ts'
 import type { Metrics } from '../metrics.ts'
 import type { MembershipTask } from '../peers/membership_task.ts'
@@ -14,7 +14,7 @@
 /** Options of {@linkcode ConfigFollower}. */
 export interface ConfigFollowerOptions<C extends Revised> {
   self: DaemonId
-  store: ObjectStore
+  store: ObjectSource
   /** Key of the one object that holds the configuration, such as `config/current`. */
   key: string
   /** Reads the object's value. Throws {@linkcode InvalidError} when it is not a configuration. */
@@ -23,9 +23,9 @@
   metrics: Metrics
   hash: Hash32
   random: () => number
-  /** Longest wait of the next watch, in milliseconds. Default 10,000. */
-  waitMs? (): number
-  /** Daemons of one failure domain that watch the store; the others poll it and hear of changes from them. Default 2. */
+  /** Longest wait of a watch, in milliseconds. Default 10,000. */
+  waitMs?: number
+  /** Daemons of one failure domain that follow `store`; the others list it now and then and hear of changes from them. Default 2. */
   watchersPerDomain?: number
 }
 
@@ -61,7 +61,7 @@
       store: options.store,
       prefix: options.key,
       random: options.random,
-      ...(options.waitMs && { waitMs: options.waitMs }),
+      ...(options.waitMs !== undefined && { waitMs: options.waitMs }),
       pauseMs: () => (this.watches ? 0 : POLL_MS * (0.75 + options.random() / 2)),
       onChange: (objects) => this.#read(objects.get(options.key)?.value, 'store'),
       onReach: (reached, why) => {
--- a/daemon/endpoints/endpoint_follower.ts
+++ b/daemon/endpoints/endpoint_follower.ts
@@ -6,22 +6,22 @@
 import type { Random } from '../../core/routing/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import type { ListedHost } from '../../endpoints/index.ts'
-import { StoreFollower, type ObjectStore, type StoredObject } from '../../store/index.ts'
+import { StoreFollower, type ObjectSource, type StoredObject } from '../../store/index.ts'
 import { log } from '../log/index.ts'
 import type { ListedEndpoint } from './endpoint_listing.ts'
 import { ASSUMED_NOTICE_MS, type EndpointTable } from './endpoint_table.ts'
 
 /** Options of {@linkcode EndpointFollower}. */
 export interface EndpointFollowerOptions {
-  store: ObjectStore
+  store: ObjectSource
   /** Prefix of the registry's keys. */
   prefix: string
   decode (name: string, value: unknown): ListedEndpoint
   table: EndpointTable
   /** How entries come and go. */
   times?: LapsedEntriesOptions
-  /** Longest wait of the next watch, in milliseconds. Default 10,000. */
-  waitMs? (): number
+  /** Longest wait of a watch, in milliseconds. Default 10,000. */
+  waitMs?: number
   random: Random
   pool (name: PoolName): Pool | undefined
   /** Called after each change. */
@@ -61,7 +61,7 @@
       store: options.store,
       prefix: options.prefix,
       random: options.random,
-      ...(options.waitMs && { waitMs: options.waitMs }),
+      ...(options.waitMs !== undefined && { waitMs: options.waitMs }),
       onChange: (objects, news) => this.#take(objects, news.version),
       onReach: (reached, why) => {
         if (reached) log('store-back', { what: 'endpoints' })
--- a/daemon/exchange/proxy_daemon.ts
+++ b/daemon/exchange/proxy_daemon.ts
@@ -9,7 +9,6 @@
 import { homeEndpoint, PrefixIndex, TargetRouter, type EndpointView, type Hash32, type Random } from '../../core/routing/index.ts'
 import { delay, steadyNow } from '../../core/time/index.ts'
 import { ExchangeClient } from '../../endpoints/index.ts'
-import { watchWaitMs } from '../../store/index.ts'
 import { ConfigFollower } from '../config/config_follower.ts'
 import { OrderTask } from '../duties/order_task.ts'
 import { UsageTask } from '../duties/usage_task.ts'
@@ -23,6 +22,7 @@
 import { LoadTask } from '../peers/load_task.ts'
 import { MembershipTask } from '../peers/membership_task.ts'
 import { PeerLinks } from '../peers/peer_links.ts'
+import { StoreRelay } from '../peers/store_relay.ts'
 import { FleetSize } from '../peers/fleet_size.ts'
 import { TallyTask } from '../peers/tally_task.ts'
 import { Dispatcher } from '../request/dispatcher.ts'
@@ -54,6 +54,7 @@
   membership: MembershipTask
   fleet: FleetSize
   tallies: TallyTask
+  relay: StoreRelay
   config: ConfigFollower<Catalog>
   limits: AccountLimits
   table: EndpointTable
@@ -246,6 +247,15 @@
     })).singleton(),
     fleet: asFunction(({ membership }: Parts) => new FleetSize(membership)).singleton(),
     tallies: asFunction(({ self, membership }: Parts) => new TallyTask({ self, hash, membership })).singleton(),
+    relay: asFunction(({ membership, links, metrics }: Parts) => new StoreRelay({
+      store: platform.store,
+      links,
+      self: () => membership.core.self,
+      working: () => membership.working,
+      hash,
+      metrics,
+      newsMs: settings.registry.leavingMs
+    })).singleton(),
     config: asFunction(configFollower).singleton(),
     limits: asFunction(({ self, membership, fleet }: Parts) => new AccountLimits({ self, host: settings.name, hash, tolerance: settings.quota, membership, fleet })).singleton(),
     table: asFunction(({ self }: Parts) => new EndpointTable({ self, hash })).singleton(),
@@ -312,32 +322,29 @@
   return statusOf({ self, open: server.open, revision: inForce?.revision ?? 0, revisionSure: config.sure, classes: [...classes.values()], dispatcher, table, membership, metrics })
 }
 
-function configFollower ({ self, platform, membership, metrics, hash, random }: Parts): ConfigFollower<Catalog> {
+function configFollower ({ self, platform, relay, membership, metrics, hash, random }: Parts): ConfigFollower<Catalog> {
   return new ConfigFollower({
     self,
-    store: platform.store,
+    store: relay.source(platform.configKey),
     key: platform.configKey,
     decode: (value) => platform.decodeCatalog(JSON.parse(value)),
     membership,
     metrics,
     hash,
     random,
-    waitMs: () => watchWaitMs(membership.working.length, random),
-    watchersPerDomain: WATCHERS_PER_DOMAIN
+    waitMs: relay.watchWaitMs,
+    watchersPerDomain: Infinity
   })
 }
 
-/** All daemons of a small fleet watch; of a large one these many in each failure domain, and the others hear it from them. */
-const WATCHERS_PER_DOMAIN = 40
-
-function endpointFollower ({ settings, platform, membership, table, random, config, client, dispatcher }: Parts): EndpointFollower {
+function endpointFollower ({ settings, platform, relay, table, random, config, client, dispatcher }: Parts): EndpointFollower {
   return new EndpointFollower({
-    store: platform.store,
+    store: relay.source(platform.registryPrefix),
     prefix: platform.registryPrefix,
     decode: (name, value) => platform.decodeEndpoint(name, value),
     table,
     times: settings.registry,
-    waitMs: () => watchWaitMs(membership.working.length, random),
+    waitMs: relay.watchWaitMs,
     random,
     pool: (name) => config.inForce?.pools.get(name),
     onChange: () => {
--- a/daemon/exchange/proxy_settings.ts
+++ b/daemon/exchange/proxy_settings.ts
@@ -30,6 +30,6 @@
   /** Orders with a lower fencing number than was seen are refused. */
   ordersFenced: boolean
   /** How endpoints' entries in the registry come and go. */
-  registry: LapsedEntriesOptions
+  registry: Required<LapsedEntriesOptions>
   usage: { windowMs: number, dueMs: number }
 }
--- a/daemon/log/events.ts
+++ b/daemon/log/events.ts
@@ -48,6 +48,8 @@
   'config-not-told': { revision: number, from: string, why: string }
   'store-lost': { what: string, why: string, lastAnswerAgeMs: number | undefined }
   'store-back': { what: string }
+  /** Another daemon could not tell what changed in the store; the next one, or the store itself, is asked. */
+  'relay-failed': { peer: string, prefix: string, why: string }
   'member-changed': { peer: string, state: string }
   'peer-not-linked': { peer: string, why: string }
   'peer-send-failed': { peer: string, why: string }
@@ -93,7 +95,7 @@
 
 /** Events that tell of trouble: written as warnings, and the last to be left out under load. */
 export const TROUBLE: ReadonlySet<LogEvent> = new Set<LogEvent>([
-  'request-refused', 'attempt-failed', 'export-failed', 'settings-refused', 'config-refused', 'config-not-told', 'store-lost',
+  'request-refused', 'attempt-failed', 'export-failed', 'settings-refused', 'config-refused', 'config-not-told', 'store-lost', 'relay-failed',
   'peer-not-linked', 'peer-send-failed', 'peer-message-refused', 'not-registered', 'endpoint-refused', 'endpoint-avoided', 'endpoint-silent', 'keeper-silent', 'lease-call-failed',
   'usage-not-reported', 'order-refused', 'fleet-round-cut', 'answers-lost', 'lines-left-out'
 ])
--- a/daemon/metrics.ts
+++ b/daemon/metrics.ts
@@ -43,6 +43,7 @@
     revision: gauge('config_revision', 'Revision of the configuration in force'),
     revisionSure: gauge('config_revision_sure', '1 while the store or a peer confirmed the revision lately, else 0'),
     members: gauge('members', 'Daemons known, by state', ['state']),
+    newsAge: histogram('store_news_age_ms', 'Age of what another daemon told of the store', { labelNames: ['prefix'], buckets: [50, 200, 500, 1000, 2000, 4000, 6000] }),
     quotaWait: histogram('quota_wait_ms', 'Time to hear whether an account\'s quota has room', { buckets: [1, 5, 20, 100, 500, 1500] }),
     firstToken: histogram('first_token_ms', 'Time to the first token', { labelNames: ['class'], buckets: [10, 50, 100, 250, 500, 1000, 1800, 4000] }),
     wholeAnswer: histogram('whole_answer_ms', 'Time to the whole answer', { labelNames: ['class'], buckets: [50, 250, 1000, 5000, 20_000, 60_000] })
--- /dev/null
+++ b/store/change_log_test.ts
@@ -0,0 +1,84 @@
+import fc from 'fast-check'
+import { expect, test } from 'vitest'
+import { ChangeLog } from './change_log.ts'
+import type { Changes, StoredObject } from './object_store.ts'
+
+const object = (key: string, version: number): StoredObject => ({ key, version, value: `${key} at ${version}` })
+
+test('an asker is told just what came after its version', () => {
+  const log = new ChangeLog()
+  log.listed({ objects: [object('a', 3), object('b', 5)], version: 6 })
+  log.changed({ objects: [object('c', 8)], removed: ['a'], version: 9 })
+  expect(log.since(6)).toEqual({ objects: [object('c', 8)], removed: ['a'], version: 9 })
+  expect(log.since(9)).toEqual({ objects: [], removed: [], version: 9 })
+  expect(log.since(12)).toEqual({ objects: [], removed: [], version: 12 })
+})
+
+test('an asker from before the first listing is told nothing, since removals before it are not known', () => {
+  const log = new ChangeLog()
+  expect(log.since(0)).toBeUndefined()
+  log.listed({ objects: [object('a', 3)], version: 6 })
+  expect(log.since(5)).toBeUndefined()
+})
+
+test('a listing after an outage tells of what went meanwhile', () => {
+  const log = new ChangeLog()
+  log.listed({ objects: [object('a', 1), object('b', 2)], version: 2 })
+  log.listed({ objects: [object('b', 2)], version: 7 })
+  expect(log.since(2)).toEqual({ objects: [], removed: ['a'], version: 7 })
+})
+
+test('of removals that are no longer remembered, no asker is told as if nothing had gone', () => {
+  const log = new ChangeLog({ mostRemoved: 1 })
+  log.listed({ objects: [object('a', 1), object('b', 2)], version: 2 })
+  log.changed({ objects: [], removed: ['a'], version: 3 })
+  log.changed({ objects: [], removed: ['b'], version: 4 })
+  expect(log.since(2)).toBeUndefined()
+  expect(log.since(3)).toEqual({ objects: [], removed: ['b'], version: 4 })
+})
+
+/** A store's whole history: each step writes or removes one key, at the version of its number. */
+interface Step { key: string, removes: boolean }
+
+function changesBetween (steps: readonly Step[], after: number, upTo: number): Changes {
+  const last = new Map(steps.slice(after, upTo).map((step, i) => [step.key, { ...step, version: after + i + 1 }]))
+  return {
+    objects: [...last.values()].filter(({ removes }) => !removes).map(({ key, version }) => object(key, version)),
+    removed: [...last.values()].filter(({ removes }) => removes).map(({ key }) => key),
+    version: upTo
+  }
+}
+
+function stateAt (steps: readonly Step[], version: number): Map<string, number> {
+  const state = new Map<string, number>()
+  steps.slice(0, version).forEach((step, i) => (step.removes ? state.delete(step.key) : state.set(step.key, i + 1)))
+  return state
+}
+
+test('random schedules: followers that go to and fro between the store and daemons that lag end where the store is', () => {
+  const step = fc.record({ key: fc.constantFrom('a', 'b', 'c', 'd'), removes: fc.boolean() })
+  const turn = fc.record({ source: fc.integer({ min: 0, max: 2 }), lag: fc.integer({ min: 0, max: 5 }), lists: fc.boolean() })
+  fc.assert(fc.property(fc.array(step, { maxLength: 40 }), fc.array(turn, { maxLength: 40 }), (steps, turns) => {
+    const relays = [new ChangeLog({ mostRemoved: 2 }), new ChangeLog({ mostRemoved: 2 })]
+    const relayAt = [0, 0]
+    for (const relay of relays) relay.listed({ objects: [], version: 0 })
+    const copy = new Map<string, number>()
+    let at = 0
+    const take = ({ objects, removed, version }: Changes) => {
+      at = Math.max(at, version)
+      for (const key of removed) copy.delete(key)
+      for (const { key, version: written } of objects) if (written > (copy.get(key) ?? 0)) copy.set(key, written)
+    }
+    turns.forEach(({ source, lag, lists }, i) => {
+      const now = Math.floor(steps.length * (i + 1) / turns.length)
+      const which = source % 2
+      const upTo = Math.max(relayAt[which]!, now - lag)
+      if (lists) relays[which]!.listed({ objects: [...stateAt(steps, upTo)].map(([key, version]) => object(key, version)), version: upTo })
+      else relays[which]!.changed(changesBetween(steps, relayAt[which]!, upTo))
+      relayAt[which] = upTo
+      const told = source === 2 ? changesBetween(steps, at, Math.max(at, now)) : relays[which]!.since(at)
+      if (told) take(told)
+      expect([...copy].sort()).toEqual([...stateAt(steps, at)].sort())
+    })
+  }), { numRuns: 500, seed: 7 })
+})
--- a/store/index.ts
+++ b/store/index.ts
@@ -1,6 +1,6 @@
 export * from './budgeted_store.ts'
+export * from './change_log.ts'
 export * from './http_store.ts'
 export * from './object_store.ts'
 export * from './sure_write.ts'
 export * from './store_follower.ts'
-export * from './watch_wait.ts'
--- a/store/object_store.ts
+++ b/store/object_store.ts
@@ -14,26 +14,32 @@
   /** Keys of objects that were removed. */
   removed: string[]
   version: number
+  /** True where whoever told them checks its own copy by listings, so that the asker need not. Default false. */
+  checked?: boolean
 }
 
 /** Objects as they are, and a version from which changes can be watched without missing one. */
 export interface Snapshot { objects: StoredObject[], version: number }
 
+/** Where a copy of some objects comes from, and what changes in them. Both methods can throw {@linkcode StoreError}. */
+export interface ObjectSource {
+  /** Lists all objects of a prefix, and tells from which version to watch on. */
+  snapshot (prefix: string): Promise<Snapshot>
+  /** Waits up to `waitMs` for changes after a version; `history-gone` when they are no longer known. */
+  changes (prefix: string, options: { after: number, waitMs: number }): Promise<Changes>
+}
+
 /** Storage that lasts when daemons do not. Every method can throw {@linkcode StoreError}. */
-export interface ObjectStore {
+export interface ObjectStore extends ObjectSource {
   get (key: string): Promise<StoredObject | undefined>
   /** Lists objects in key order, from after `after`, up to `limit` (1,000 when not given). */
   list (prefix: string, options?: { after?: string, limit?: number }): Promise<StoredObject[]>
-  /** Lists all objects of a prefix, and tells from which version to watch on. */
-  snapshot (prefix: string): Promise<Snapshot>
   /** Creates an object only if it is absent; returns its version. */
   create (key: string, value: string): Promise<number>
   /** Replaces an object only if it is still at `version`; returns the new version. */
   update (key: string, value: string, version: number): Promise<number>
   /** Deletes an object only if it is still at `version`. */
   remove (key: string, version: number): Promise<void>
-  /** Waits up to `waitMs` for changes after a version; `history-gone` when the store no longer knows them. */
-  changes (prefix: string, options: { after: number, waitMs: number }): Promise<Changes>
 }
 
 /** What is certain about a call that failed. */
--- a/store/store_follower.ts
+++ b/store/store_follower.ts
@@ -1,10 +1,10 @@
 /** Keeps a copy of all objects of one prefix, from a listing and the changes behind it. */
 import { delay, steadyNow } from '../core/time/index.ts'
-import { isStoreFailure, StoreError, type ObjectStore, type StoredObject } from './object_store.ts'
+import { isStoreFailure, StoreError, type ObjectSource, type StoredObject } from './object_store.ts'
 
 /** Options of {@linkcode StoreFollower}. */
 export interface StoreFollowerOptions {
-  store: ObjectStore
+  store: ObjectSource
   prefix: string
   /** Called with the whole copy after each change, and after each listing. */
   onChange (objects: ReadonlyMap<string, StoredObject>, news: FollowerNews): void
@@ -107,14 +107,14 @@
     const { waitMs: wait = DEFAULT_WAIT_MS } = this.#options
     const waitMs = typeof wait === 'function' ? wait() : wait
     const sentAtMs = steadyNow()
-    const { objects, removed, version } = await this.#options.store.changes(this.#options.prefix, { after, waitMs })
+    const { objects, removed, version, checked } = await this.#options.store.changes(this.#options.prefix, { after, waitMs })
     if (this.#stopped) return
     // An event that the store replays is older than the copy, and would undo what came after it.
     this.#version = Math.max(after, version)
     for (const key of removed) this.#objects.delete(key)
     for (const object of objects) this.#take(object)
     if (objects.length + removed.length > 0) this.#options.onChange(this.#objects, { listed: false, removed, version: this.#version })
-    else if (this.#mayHaveLost(steadyNow() - sentAtMs, waitMs)) this.#version = undefined
+    else if (checked !== true && this.#mayHaveLost(steadyNow() - sentAtMs, waitMs)) this.#version = undefined
   }
 
   /** A change that a watch lost would be missed for ever: an empty answer that comes early is checked by a listing, and others now and then. */
