Keep compiled what a daemon runs while the build lets it serve, and load less at a start

Now the build lets the built daemon serve beside two others on the stand-in platform (requests, streams, a new configuration, a drain) and keeps what was compiled. A start also loads no schema of the product's own configuration, and no packages that find modules by file names.

Ruled out by native runs: flags of the engine (sparkplug, budgets, single-threaded: no better, and the cache would be refused), a young generation that stays small.

--- a/cli/explain.ts
+++ b/cli/explain.ts
@@ -1,7 +1,7 @@
 /** The command that explains a request from logs. */
 import { readFile } from 'node:fs/promises'
 import { text } from 'node:stream/consumers'
-import { InvalidError } from '../core/config/index.ts'
+import { InvalidError } from '../core/config/validate.ts'
 import { explainRequest, readLog } from '../daemon/explain/index.ts'
 
 /** Options of {@linkcode runExplain}. */
--- a/cli/main.ts
+++ b/cli/main.ts
@@ -1,7 +1,7 @@
 #!/usr/bin/env node
 /** The command line. */
 import cac from 'cac'
-import { InvalidError } from '../core/config/index.ts'
+import { InvalidError } from '../core/config/validate.ts'
 import { flushLog, startLog } from '../daemon/log/index.ts'
 import { OperatorCallError } from './operator_client.ts'
 import { addOperatorCommands } from './operator_commands.ts'
@@ -93,9 +93,11 @@
     if (!found) process.exitCode = EXIT_FAILED
   })
 
-cli.command('compile-ahead', 'Load what a daemon needs and end; the build writes its compiled code')
-  .action(async () => {
-    await import('../platform/index.ts')
+cli.command('compile-ahead', 'Run a daemon on the platform, or only load what one needs without settings; when it ends, the build keeps its compiled code')
+  .option('--settings <file>', 'Settings of the daemon; it serves until SIGTERM')
+  .action(async (options: { settings?: string }) => {
+    if (options.settings) await servePlatformDaemon(options.settings)
+    else await import('../platform/index.ts')
   })
 
 addOperatorCommands(cli, print)
--- a/cli/operator_actions.ts
+++ b/cli/operator_actions.ts
@@ -1,6 +1,7 @@
 /** What the operators' commands do; loaded only when one of them runs. */
 import { configSchema, InvalidError, parseJsonc, type FieldChange } from '../core/config/index.ts'
-import { settingsSchema, readText } from '../daemon/settings.ts'
+import { readText } from '../daemon/read_text.ts'
+import { settingsSchema } from '../daemon/settings.ts'
 import type { AuditRecord } from '../daemon/config/audit.ts'
 import type { InForce } from '../daemon/config/config_task.ts'
 import type { StatusReport } from '../daemon/status.ts'
--- a/cli/settings_kind.ts
+++ b/cli/settings_kind.ts
@@ -1,6 +1,6 @@
 /** Tells the two kinds of settings files apart. */
 import { parse } from 'jsonc-parser'
-import { readText } from '../daemon/settings.ts'
+import { readText } from '../daemon/read_text.ts'
 
 /**
  * True for the settings of a daemon on the platform.
--- a/cli/settings_watch.ts
+++ b/cli/settings_watch.ts
@@ -1,6 +1,6 @@
 /** Reads a settings file again when it changes or the operator says so. */
 import { watchFile } from 'node:fs'
-import { InvalidError } from '../core/config/index.ts'
+import { InvalidError } from '../core/config/validate.ts'
 import { log } from '../daemon/log/index.ts'
 
 /** Between two looks at the file, in milliseconds; file systems of some hosts tell of no change. */
--- a/daemon/config/config_follower.ts
+++ b/daemon/config/config_follower.ts
@@ -1,5 +1,6 @@
 /** Keeps the newest configuration in force on this daemon, from the store and from the other daemons. */
-import { InvalidError, newest } from '../../core/config/index.ts'
+import { newest } from '../../core/config/revision.ts'
+import { InvalidError } from '../../core/config/validate.ts'
 import type { DaemonId } from '../../core/ids/index.ts'
 import type { Hash32 } from '../../core/routing/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
--- a/daemon/endpoints/endpoint_follower.ts
+++ b/daemon/endpoints/endpoint_follower.ts
@@ -1,6 +1,6 @@
 /** Keeps the endpoint table in step with a registry in the store. */
 import type { Pool } from '../../core/catalog/index.ts'
-import { InvalidError } from '../../core/config/index.ts'
+import { InvalidError } from '../../core/config/validate.ts'
 import { as, type HostId, type PoolName } from '../../core/ids/index.ts'
 import { LapsedEntries, type EntryState, type LapsedEntriesOptions, type VanishedEntries } from '../../core/registry/index.ts'
 import type { Random } from '../../core/routing/index.ts'
--- a/daemon/settings.ts
+++ b/daemon/settings.ts
@@ -1,7 +1,7 @@
 /** Settings of one daemon process, from a JSON file with comments. */
-import { readFileSync } from 'node:fs'
 import { z } from 'zod'
-import { InvalidError, parseJsonc } from '../core/config/index.ts'
+import { parseJsonc } from '../core/config/index.ts'
+import { readText } from './read_text.ts'
 
 const PORT = z.number().int().min(0).max(65_535)
 const ADDRESS = z.string().regex(/^(\d{1,3}\.){3}\d{1,3}$/, 'an IP number')
@@ -37,12 +37,3 @@
 export function loadSettings (path: string): Settings {
   return parseJsonc(settingsSchema, readText(path), path)
 }
-
-/** Reads a file, with the daemon's own error when it cannot. */
-export function readText (path: string): string {
-  try {
-    return readFileSync(path, 'utf8')
-  } catch (err) {
-    throw new InvalidError(path, [(err as Error).message])
-  }
-}
--- a/demo/deployments.ts
+++ b/demo/deployments.ts
@@ -1,7 +1,7 @@
 /** Both deployments in small: failure domains, host classes, endpoints and the work that arrives. */
 import { fileURLToPath } from 'node:url'
 import { configSchema, parseJsonc, type Config } from '../core/config/index.ts'
-import { readText } from '../daemon/settings.ts'
+import { readText } from '../daemon/read_text.ts'
 import type { HostClass } from '../standins/index.ts'
 
 /** One kind of request that callers send. */
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -4,11 +4,16 @@
 import { fileURLToPath } from 'node:url'
 import { build } from 'esbuild'
 
+/** The warm-up takes a tenth of this on an idle machine, in milliseconds. */
+const WARM_UP_MS = 120_000
+
 /** A restart loads what a daemon calls and no more: callers wait for it. */
 const slim = {
   name: 'slim',
   setup (bundle) {
     bundle.onResolve({ filter: /^undici$/ }, () => ({ path: fileURLToPath(new URL('undici_core.cjs', import.meta.url)) }))
+    // Without what finds modules by their files' names: packages that nobody calls, loaded at each start.
+    bundle.onResolve({ filter: /^awilix$/ }, () => ({ path: fileURLToPath(new URL('../node_modules/awilix/lib/awilix.browser.mjs', import.meta.url)) }))
     // undici takes an HTTP/2 module without constants for one that is not there; no daemon speaks HTTP/2.
     bundle.onResolve({ filter: /^node:http2$/ }, () => ({ path: 'http2', namespace: 'absent' }))
     bundle.onLoad({ filter: /.*/, namespace: 'absent' }, () => ({ contents: 'module.exports = { constants: {} }' }))
@@ -40,5 +45,9 @@
 
 // A cache made under other flags of the engine is refused, so it is made under those of deploy/system.toml: none, since with any the code of
 // Node.js itself would be compiled anew at each start, 45 ms of it.
-const made = spawnSync(process.execPath, ['target/verbenatiller.cjs', 'compile-ahead'], { stdio: 'inherit' })
-if (made.status !== 0) throw new Error(`Cannot compile ahead: exit status ${made.status}`)
+const warm = spawnSync(process.execPath, ['--import', 'tsx', 'scripts/warm_up.ts'], { stdio: 'inherit', timeout: WARM_UP_MS })
+if (warm.status !== 0) {
+  console.warn('Cannot let the built daemon serve: it keeps only what its start compiles')
+  const made = spawnSync(process.execPath, ['target/verbenatiller.cjs', 'compile-ahead'], { stdio: 'inherit' })
+  if (made.status !== 0) throw new Error(`Cannot compile ahead: exit status ${made.status}`)
+}
