--- a/daemon/peers/store_relay.ts
+++ b/daemon/peers/store_relay.ts
@@ -13,7 +13,7 @@
 export interface StoreRelayOptions {
   store: ObjectSource
   links: Links
-  /** This daemon; undefined until it knows its own address. */
+  /** This daemon's own record. */
   self (): Member
   /** Daemons that take new work, this one included. */
   working (): readonly Member[]
@@ -28,7 +28,10 @@
 /** The answer: changes, and how long ago their source in the store answered last, in milliseconds. */
 interface Answer extends Changes { ageMs: number }
 
-/** Of the time for news, a quarter for a question without news, and another until its silence is taken for a dead link: half is left to ask the store. */
+/**
+ * Part of the time for news that a question waits where there is none; after twice as long without an answer whoever was asked is taken for silent. Half of the
+ * time is left to ask the store.
+ */
 const WAIT_PART = 1 / 4
 /** A daemon that failed to answer is not asked for this long, in milliseconds: links that went silent are dialled anew in four seconds. */
 const PASSED_OVER_MS = 4000
