Leave no daemon behind when a warm-up is ended, and no compiled code of the build before

The test of the build failed once. Cause: the first build after a change of code starts the new daemon beside the old compiled code, which is refused with a line on standard error. Not load: five builds and four tests beside eight busy processes passed, and with old compiled code put there it failed each time. The build removes it first.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,6 +1,6 @@
 // Bundles the command line into target/ and compiles it ahead: a daemon that restarts loads its code in a fraction of the time.
 import { spawnSync } from 'node:child_process'
-import { copyFileSync } from 'node:fs'
+import { copyFileSync, rmSync } from 'node:fs'
 import { fileURLToPath } from 'node:url'
 import { build } from 'esbuild'
 
@@ -42,6 +42,8 @@
   logLevel: 'warning'
 })
 copyFileSync('scripts/launcher.cjs', 'target/verbenatiller.cjs')
+// Of the build before; it would be refused.
+rmSync('target/bundle.cache', { force: true })
 
 // A cache made under other flags of the engine is refused, so it is made under those of deploy/system.toml: none, since with any the code of
 // Node.js itself would be compiled anew at each start, 45 ms of it.
--- a/scripts/warm_up.ts
+++ b/scripts/warm_up.ts
@@ -64,6 +64,9 @@
     bounds: { ...settings.bounds, grace_s: GRACE_S, retry_window_s: settings.bounds.retry_window_s / MS_PER_S, quota_window_s: settings.bounds.quota_window_s / MS_PER_S, report_window_s: settings.bounds.report_window_s / MS_PER_S, usage_late_s: settings.bounds.usage_late_s / MS_PER_S }
   }))
   const child = spawn(process.execPath, ['target/verbenatiller.cjs', 'compile-ahead', '--settings', file], { stdio: ['ignore', 'ignore', 'inherit'] })
+  // Whatever goes wrong here, and where the build ends this for want of time: the daemon would serve on for ever.
+  process.on('exit', () => child.kill('SIGKILL'))
+  process.on('SIGTERM', () => process.exit(1))
   await until(async () => await statusOf(readiness!, '/readyz') === 200)
   return { child, callers: callers! }
 }
