--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -47,7 +47,7 @@
 
 // A cache made under other flags of the engine is refused, so it is made under those of deploy/system.toml: none, since with any the code of
 // Node.js itself would be compiled anew at each start, 45 ms of it.
-const warm = spawnSync(process.execPath, ['--import', 'tsx', 'scripts/warm_up.ts'], { stdio: 'inherit', timeout: WARM_UP_MS })
+const warm = spawnSync(process.execPath, ['--import', 'tsx', 'platform/standins/warm_up.ts'], { stdio: 'inherit', timeout: WARM_UP_MS })
 if (warm.status !== 0) {
   console.warn('Cannot let the built daemon serve: it keeps only what its start compiles')
   const made = spawnSync(process.execPath, ['target/verbenatiller.cjs', 'compile-ahead'], { stdio: 'inherit' })
--- a/scripts/pages.ts
+++ b/scripts/pages.ts
@@ -114,7 +114,7 @@
 
 ## On the platform, by replay
 
-One day of the users' large deployment played at three sizes (\`fleetbench sweep\`, commit ${sweep.commit}); the last column but two carries on how the **busiest** daemon grows, and is not played. 300 machines were not played: they would take
+One day of the users' large deployment played at three sizes (the sweep of their bench, commit ${sweep.commit}); the last column but two carries on how the **busiest** daemon grows, and is not played. 300 machines were not played: they would take
 three quarters of this machine's memory. No scale run of our own stands beside it.
 
 ${table(sweep.days)}
