Say of a request over its account's quota what it costs, what was left and of which class it is

Reviews of an account over its quota are turned away four times as often as its letters, and neither the log nor a counter showed it: request-refused had the account and no more. It has class, cost and room now, over_quota_total counts by class, and explain names cost and room.

--- a/core/quota/quota_keeper.ts
+++ b/core/quota/quota_keeper.ts
@@ -7,8 +7,11 @@
 /** Level of an account's bucket, as a daemon was told it. */
 export type AccountLevel = readonly [account: AccountId, level: number]
 
-/** What a request is told; `unknown` when nobody has chosen the keeper, so that it cannot know whether there is room. */
-export type Grant = { granted: true } | { granted: false, retryAfterMs: number, unknown?: true }
+/**
+ * What a request is told. `room` is what the account had left, in requests or tokens; `unknown` when nobody has chosen the keeper, so that it cannot know
+ * whether there is any.
+ */
+export type Grant = { granted: true } | { granted: false, retryAfterMs: number, room: number, unknown?: true }
 
 /**
  * How long a daemon's choice counts, in milliseconds.
@@ -95,7 +98,8 @@
     const bucket = this.#buckets.get(account)
     if (!bucket) return { granted: true }
     const part = this.part(at.now, at.all)
-    if (bucket.room(at.now, part) < cost) return { granted: false, retryAfterMs: bucket.turnAway(cost), ...(part === 0 && { unknown: true }) }
+    const room = bucket.room(at.now, part)
+    if (room < cost) return { granted: false, retryAfterMs: bucket.turnAway(cost), room, ...(part === 0 && { unknown: true }) }
     bucket.take(cost)
     return { granted: true }
   }
--- a/daemon/exchange/exchange_server.ts
+++ b/daemon/exchange/exchange_server.ts
@@ -107,7 +107,10 @@
       retryAfterMs: refusal.retryAfterMs,
       host: facts?.host,
       path: facts?.target.split('?', 1)[0],
-      account: refusal.account
+      account: refusal.account,
+      class: refusal.cls,
+      cost: refusal.quota?.cost,
+      room: refusal.quota?.room
     })
     // A body that was not read to its end cannot be told from the next request.
     refuse(res, { status: refusal.status, retryAfterMs: refusal.retryAfterMs, why: refusal.message, last: this.#leaving || !req.complete })
--- a/daemon/exchange/intake.ts
+++ b/daemon/exchange/intake.ts
@@ -74,7 +74,7 @@
     if (!this.#options.catalog()) await Promise.race([this.#options.known, delay(WAIT_FOR_CATALOG_MS)])
     const { route, account } = this.admit(req)
     const askedAtMs = steadyNow()
-    const charge = await this.#charge(account, req)
+    const charge = await this.#charge(account, route, req)
     if (account) this.#options.metrics.quotaWait.observe(steadyNow() - askedAtMs)
     const cls = this.#options.catalog()!.urgency.classOf(route, account)
     const pool = chooseShare(route.pools, this.#options.random).pool
@@ -109,11 +109,12 @@
     return task
   }
 
-  async #charge (account: Account | undefined, req: ProxiedRequest): Promise<Charge | undefined> {
+  async #charge (account: Account | undefined, route: Route, req: ProxiedRequest): Promise<Charge | undefined> {
     if (!account) return undefined
     const charge = await this.#options.limits.charge(account.id, req.demand)
     if ('giveBack' in charge) return charge
-    throw new Refusal('the account is over its quota', { status: 429, retryAfterMs: charge.retryAfterMs, account: account.id })
+    this.#options.metrics.overQuota.inc({ class: this.#options.metrics.labelOf(route.cls.name) })
+    throw new Refusal('the account is over its quota', { status: 429, retryAfterMs: charge.retryAfterMs, account: account.id, cls: route.cls.name, quota: charge })
   }
 
   /** A stream begins with its first piece; a plain call began when an endpoint took it, of which its answer is the first word. */
--- a/daemon/exchange/refusal.ts
+++ b/daemon/exchange/refusal.ts
@@ -7,6 +7,10 @@
   retryAfterMs?: number
   /** The client account, where the refusal has to do with it. */
   account?: string
+  /** Class of the request, where its route is known. */
+  cls?: string
+  /** What the request costs of the account's quota, and what was left of it, in the quota's unit. */
+  quota?: { cost: number, room: number }
 }
 
 /** Says why a request is refused. */
@@ -15,11 +19,15 @@
   readonly status: number
   readonly retryAfterMs: number | undefined
   readonly account: string | undefined
+  readonly cls: string | undefined
+  readonly quota: { cost: number, room: number } | undefined
 
   constructor (why: string, options: RefusalOptions) {
     super(`Cannot take request: ${why}`)
     this.status = options.status
     this.retryAfterMs = options.retryAfterMs
     this.account = options.account
+    this.cls = options.cls
+    this.quota = options.quota
   }
 }
--- a/daemon/explain/_cause.ts
+++ b/daemon/explain/_cause.ts
@@ -47,7 +47,7 @@
       const keeper = context.some((line) => line.event === 'keeper-silent' || line.event === 'keeper-chosen')
       return keeper
         ? `over quota: account ${f.account} had no room while the daemon that counts quotas changed`
-        : `over quota: account ${f.account} had used up what it may`
+        : `over quota: account ${f.account} had used up what it may${roomOf(f)}`
     }
     case 503: return 'no configuration: the daemon had just started and the store had not answered'
     case 408: return 'caller: its request did not come whole in time'
@@ -55,6 +55,10 @@
   }
 }
 
+function roomOf ({ cost, room }: RequestEvents['request-refused']): string {
+  return cost === undefined || room === undefined ? '' : ` (${Math.round(room)} left, it costs ${cost})`
+}
+
 function causeOfEnd (f: RequestEvents['request-ended'], evidence: Evidence): string {
   if (f.outcome === 'answered') return causeOfAnswer(f, evidence)
   if (f.why === 'caller left') return `caller left after ${Math.round(f.afterMs)} ms of ${Math.round(f.deadlineMs)}: ${whereTimeWent(f, evidence)}`
--- a/daemon/explain/explain_request_test.ts
+++ b/daemon/explain/explain_request_test.ts
@@ -23,6 +23,11 @@
   expect(causeOf(request)).toBe(cause)
 })
 
+test('a refusal over a quota says what the request costs and what the account had left', () => {
+  const line = { level: 'warn', time: '2026-05-23T10:00:00.000Z', daemon: 'edge-1', process: 'p', event: 'request-refused', request: 'large', revision: 7, status: 429, why: 'over quota', account: 'council', class: 'review', cost: 12_000, room: 4100.6 }
+  expect(explainRequest(readLog(JSON.stringify(line)), 'large').cause).toBe('over quota: account council had used up what it may (4101 left, it costs 12000)')
+})
+
 test('the steps are told in order, with what the daemon believed and for how long', () => {
   const { steps } = explainRequest(lines, '31ea9625f46f67d4')
   expect(steps.find(({ afterMs }) => afterMs === 0)!.text).toMatch(/^refused with 401: .* \(configuration 7, confirmed 3722 ms before\)$/)
--- a/daemon/limits/account_limits.ts
+++ b/daemon/limits/account_limits.ts
@@ -24,8 +24,8 @@
 /** What was granted; given back when the request was not sent to any endpoint. */
 export interface Charge { giveBack (): void }
 
-/** A quota has no room for a request now. */
-export interface OverQuota { retryAfterMs: number }
+/** A quota has no room for a request now: what the request costs, and what was left, in the quota's unit. */
+export interface OverQuota { retryAfterMs: number, cost: number, room: number }
 
 type Ask = readonly [account: AccountId, cost: number]
 interface Heard { levels: AccountLevel[] }
@@ -157,7 +157,7 @@
     for (;;) {
       const { grant, from } = await this.#ask([account, cost])
       if (grant.granted) return { giveBack: () => this.#giveBack([account, cost], from) }
-      if (!grant.unknown || steadyNow() >= untilMs) return { retryAfterMs: grant.retryAfterMs }
+      if (!grant.unknown || steadyNow() >= untilMs) return { retryAfterMs: grant.retryAfterMs, cost, room: grant.room }
       await delay(ASK_AGAIN_MS)
     }
   }
--- a/daemon/log/events.ts
+++ b/daemon/log/events.ts
@@ -17,8 +17,8 @@
 export interface RequestEvents {
   /** A route and an account were found, and its quota had room. */
   'request-taken': ConfigBelief & { account: string, class: string, pool: string, deadlineInMs: number, promptTokens: number, maxTokens: number, fromPiece: number, quotaWaitMs: number }
-  /** Refused before anything ran. */
-  'request-refused': ConfigBelief & { status: number, why: string, retryAfterMs?: number | undefined, host?: string | undefined, path?: string | undefined, account?: string | undefined }
+  /** Refused before anything ran. Over a quota: `cost` of the request and `room` that the account had, in the quota's unit. */
+  'request-refused': ConfigBelief & { status: number, why: string, retryAfterMs?: number | undefined, host?: string | undefined, path?: string | undefined, account?: string | undefined, class?: string | undefined, cost?: number | undefined, room?: number | undefined }
   /** No endpoint has room now; the request waits for one. */
   'request-waits': { pool: string, ahead: number, expectedMs: number, latestStartInMs: number, candidates: number }
   /** Sent to an endpoint. `predictedMs` to the first piece, from `running` requests in `slots`, as others told `othersAgeMs` ago. */
