Grant an account's large requests by the same bar as its small ones

Cause: a request was granted when the bucket held what it costs, so that small ones always came first. Its class: a threshold by size in a queue without places, which starves what is large; looked for elsewhere: the fair queue of the dispatcher has places, the budget for repeats counts requests, engines' slots are the same for all.

Now as much must be there as the largest request of late costs, at most a quarter of the bucket. Why it holds: all requests below that wait for the same level; what a window can grant at most is unchanged, since requests are only granted later than before (the random schedules of quota_test pass as they were). Calls as small as a plain one may take a twentieth of the inflow without that bar.

--- a/core/quota/large_requests_test.ts
+++ b/core/quota/large_requests_test.ts
@@ -4,9 +4,10 @@
 import { as, type AccountId, type DaemonId } from '../ids/index.ts'
 import { QuotaKeeper, type QuotaTolerance } from './index.ts'
 
-// Councils whose account is over its quota get nearly all of their letters and hardly any review. A review costs five letters; each letter that fits takes what has
-// flowed in, and there is never enough for a review. Seen at an account at several times its quota, with reviews of 11,569 tokens and letters of 2,212 in the mean:
-// 420 of 1,022 reviews were turned away and 546 of 5,395 letters, by `request-refused` with "the account is over its quota".
+// Councils whose account is over its quota get nearly all of their letters and hardly any review. A request was granted once the account had what it costs; a
+// review costs five letters, each letter that fitted took what had flowed in, and there was never enough for a review. At an account at several times its quota, with
+// reviews of 11,569 tokens and letters of 2,212 in the mean, 420 of 1,022 reviews were turned away and 546 of 5,395 letters, by `request-refused` with
+// "the account is over its quota".
 
 const ACCOUNT = as<AccountId>('council')
 const TOLERANCE: QuotaTolerance = { windowMs: 8000, overshoot: 0.1, slack: 140_000 }
@@ -62,18 +63,19 @@
   asks.splice(at < 0 ? asks.length : at, 0, ask)
 }
 
-function servedParts (load: Omit<Load, 'seed'>): { reviews: number, all: number } {
-  const sum = { reviews: [0, 0], all: [0, 0] }
+function servedParts (load: Omit<Load, 'seed'>): { reviews: number, plain: number, all: number } {
+  const sum = { reviews: [0, 0], plain: [0, 0], all: [0, 0] }
   for (const seed of SEEDS) {
     const tallies = play({ ...load, seed })
     for (const [kind, { asked, granted }] of tallies) {
-      for (const counts of kind === REVIEW ? [sum.reviews, sum.all] : [sum.all]) {
+      for (const counts of [sum.all, ...(kind === REVIEW ? [sum.reviews] : kind === PLAIN ? [sum.plain] : [])]) {
         counts[0]! += granted
         counts[1]! += asked
       }
     }
   }
-  return { reviews: sum.reviews[0]! / sum.reviews[1]!, all: sum.all[0]! / sum.all[1]! }
+  const partOf = ([granted, asked]: number[]) => granted! / asked!
+  return { reviews: partOf(sum.reviews), plain: partOf(sum.plain), all: partOf(sum.all) }
 }
 
 test('an account over its quota gets its large requests as well as its small ones', () => {
@@ -87,6 +89,10 @@
   expect(reviews).toBeGreaterThan(all * LEAST_PART)
 })
 
+test('calls that cost next to nothing are not turned away for the large requests', () => {
+  for (const timesQuota of [1.3, 2]) expect(servedParts({ perS: 180_000, timesQuota, daemons: DAEMONS }).plain).toBeGreaterThan(0.95)
+})
+
 test('an account within its quota is refused nothing', () => {
   for (const timesQuota of [0.5, 0.8]) {
     for (const perS of [40_000, 180_000]) expect(servedParts({ perS, timesQuota, daemons: DAEMONS }).all).toBe(1)
--- a/core/quota/quota_keeper.ts
+++ b/core/quota/quota_keeper.ts
@@ -99,7 +99,8 @@
     if (!bucket) return { granted: true }
     const part = this.part(at.now, at.all)
     const room = bucket.room(at.now, part)
-    if (room < cost) return { granted: false, retryAfterMs: bucket.turnAway(cost), room, ...(part === 0 && { unknown: true }) }
+    const needed = bucket.needed(cost, this.#quotas.get(account)!.plainTokens)
+    if (room < needed) return { granted: false, retryAfterMs: bucket.turnAway(cost, needed), room, ...(part === 0 && { unknown: true }) }
     bucket.take(cost)
     return { granted: true }
   }
--- a/core/quota/shared_bucket.ts
+++ b/core/quota/shared_bucket.ts
@@ -17,6 +17,12 @@
 const LEAST_PART = 0.1
 /** An account that asks for many times its quota would be told to come back ever later, in milliseconds. */
 const LONGEST_WAIT_MS = 8000
+/** The largest request of an account is forgotten by a factor of e in this time, in milliseconds. */
+const LARGEST_KEPT_MS = 8000
+/** Most of the bucket that must be left for a request: a single huge one would otherwise have all others turned away for seconds. */
+const MOST_LEFT = 0.25
+/** Part of what flows in that negligible requests may take when there is not enough for a large one; a second's worth is kept for them. */
+const NEGLIGIBLE_PART = 0.05
 
 /**
  * Never lets more through, over all who count, than one bucket would.
@@ -34,6 +40,10 @@
   #part = 1
   /** Tokens of those that were turned away, and will come back before this one. */
   #comeBack = 0
+  /** Tokens of the largest request of late. */
+  #largest = 0
+  /** Tokens that negligible requests may take when there is not enough for a large one. */
+  #forNegligible = 0
   #atMs: number
 
   constructor (options: SharedBucketOptions) {
@@ -60,23 +70,44 @@
    */
   room (now: number, part: number): number {
     this.#hear(part)
-    const inflow = this.#perS * Math.max(0, now - this.#atMs) / MS_PER_S
+    const elapsedMs = Math.max(0, now - this.#atMs)
+    const inflow = this.#perS * elapsedMs / MS_PER_S
     this.#atMs = Math.max(this.#atMs, now)
     this.#level = Math.min(this.#capacity * part, this.#level + inflow * part)
     this.#comeBack = Math.max(0, this.#comeBack - inflow * part)
+    this.#largest *= Math.exp(-elapsedMs / LARGEST_KEPT_MS)
+    this.#forNegligible = Math.min(NEGLIGIBLE_PART * this.#perS * part, this.#forNegligible + NEGLIGIBLE_PART * inflow * part)
     this.#aside = Math.min(this.#capacity * (1 - part), this.#aside + inflow * (1 - part))
     return this.#level
   }
 
+  /**
+   * Tells how many tokens must be there for a request: as many for a small one as for the largest of late.
+   *
+   * Small requests would otherwise take what flows in before there is ever enough for a large one, and an account over its quota would get none of those.
+   * @param tokens What the request costs.
+   * @param negligible What requests cost that take next to nothing away from others, in tokens; as long as there are not too many, they need no more than that.
+   */
+  needed (tokens: number, negligible: number): number {
+    if (tokens <= Math.min(negligible, this.#forNegligible)) {
+      this.#forNegligible -= tokens
+      return tokens
+    }
+    this.#largest = Math.max(this.#largest, tokens)
+    return Math.max(tokens, Math.min(this.#largest, this.#capacity * this.#part * MOST_LEFT))
+  }
+
   /**
    * Turns a request away and tells in how many milliseconds there will be room for it.
+   * @param tokens What it costs.
+   * @param needed What must be there for it. Default: as much.
    *
    * Behind those that were turned away before: told only of what is missing now, all of them would come back within milliseconds of each other, and be
    * turned away again.
    */
-  turnAway (tokens: number): number {
+  turnAway (tokens: number, needed = tokens): number {
     const flowPerS = this.#perS * Math.max(this.#part, LEAST_PART)
-    const waitMs = (Math.max(0, tokens - this.#level) + this.#comeBack) * MS_PER_S / flowPerS
+    const waitMs = (Math.max(0, needed - this.#level) + this.#comeBack) * MS_PER_S / flowPerS
     this.#comeBack += tokens
     return Math.min(waitMs, LONGEST_WAIT_MS)
   }
