--- a/core/quota/quota_keeper.ts
+++ b/core/quota/quota_keeper.ts
@@ -99,7 +99,7 @@
     if (!bucket) return { granted: true }
     const part = this.part(at.now, at.all)
     const room = bucket.room(at.now, part)
-    const needed = bucket.needed(cost, this.#quotas.get(account)!.plainTokens)
+    const needed = bucket.needed(cost)
     if (room < needed) return { granted: false, retryAfterMs: bucket.turnAway(cost, needed), room, ...(part === 0 && { unknown: true }) }
     bucket.take(cost)
     return { granted: true }
--- a/core/quota/shared_bucket.ts
+++ b/core/quota/shared_bucket.ts
@@ -18,11 +18,16 @@
 /** An account that asks for many times its quota would be told to come back ever later, in milliseconds. */
 const LONGEST_WAIT_MS = 8000
 /** The largest request of an account is forgotten by a factor of e in this time, in milliseconds. */
-const LARGEST_KEPT_MS = 8000
+const LARGEST_KEPT_MS = 30_000
 /** Most of the bucket that must be left for a request: a single huge one would otherwise have all others turned away for seconds. */
 const MOST_LEFT = 0.25
-/** Part of what flows in that negligible requests may take when there is not enough for a large one; a second's worth is kept for them. */
-const NEGLIGIBLE_PART = 0.05
+/**
+ * Part of what flows in that cheap requests may take when there is not enough for a large one; a second's worth is kept for them. What costs least comes
+ * first as far as that goes, since it serves most callers, and large requests still get what is left.
+ */
+const CHEAP_PART = 0.25
+/** Weight of one request in the mean cost, by which cheap ones are told. */
+const COST_SMOOTHING = 0.02
 
 /**
  * Never lets more through, over all who count, than one bucket would.
@@ -42,8 +47,10 @@
   #comeBack = 0
   /** Tokens of the largest request of late. */
   #largest = 0
-  /** Tokens that negligible requests may take when there is not enough for a large one. */
-  #forNegligible = 0
+  /** Tokens of a request in the mean of late. */
+  #meanCost = 0
+  /** Tokens that cheap requests may take when there is not enough for a large one. */
+  #forCheap = 0
   #atMs: number
 
   constructor (options: SharedBucketOptions) {
@@ -76,24 +83,24 @@
     this.#level = Math.min(this.#capacity * part, this.#level + inflow * part)
     this.#comeBack = Math.max(0, this.#comeBack - inflow * part)
     this.#largest *= Math.exp(-elapsedMs / LARGEST_KEPT_MS)
-    this.#forNegligible = Math.min(NEGLIGIBLE_PART * this.#perS * part, this.#forNegligible + NEGLIGIBLE_PART * inflow * part)
+    this.#forCheap = Math.min(CHEAP_PART * this.#perS * part, this.#forCheap + CHEAP_PART * inflow * part)
     this.#aside = Math.min(this.#capacity * (1 - part), this.#aside + inflow * (1 - part))
     return this.#level
   }
 
   /**
-   * Tells how many tokens must be there for a request: as many for a small one as for the largest of late.
+   * Tells how many tokens must be there for a request: as many for a small one as for the largest of late, but for some of the cheapest.
    *
    * Small requests would otherwise take what flows in before there is ever enough for a large one, and an account over its quota would get none of those.
    * @param tokens What the request costs.
-   * @param negligible What requests cost that take next to nothing away from others, in tokens; as long as there are not too many, they need no more than that.
    */
-  needed (tokens: number, negligible: number): number {
-    if (tokens <= Math.min(negligible, this.#forNegligible)) {
-      this.#forNegligible -= tokens
+  needed (tokens: number): number {
+    this.#largest = Math.max(this.#largest, tokens)
+    this.#meanCost += COST_SMOOTHING * (tokens - this.#meanCost)
+    if (tokens <= Math.min(this.#meanCost, this.#forCheap)) {
+      this.#forCheap -= tokens
       return tokens
     }
-    this.#largest = Math.max(this.#largest, tokens)
     return Math.max(tokens, Math.min(this.#largest, this.#capacity * this.#part * MOST_LEFT))
   }
 
