Look at two endpoints and not at all of them, and let urgent work wait at the endpoint

Cause: each daemon looked at all endpoints and took the best by word that is 100 to 230 ms old, so that all took the same one; and work that waited for a slot in 83 daemons was let go by all at the same word of a free one. Its class: decisions that are right for one daemon and wrong when all make them at once by the same late word.

Now a daemon looks at two endpoints (the one that keeps most of the prompt among them), at two more if neither is in time; urgent work may be sent to wait at an endpoint for a slot, up to twelve a slot count, where the queue is exact; other work uses all slots. Why it holds: what one endpoint is sent in the age of a belief is a few times what the mean one is sent, not all of it.

--- a/core/routing/router.ts
+++ b/core/routing/router.ts
@@ -41,66 +41,58 @@
 export interface TargetRouterOptions {
   /** Seeded random source. */
   random: Random
-  /** Candidates looked at for one request. Default 4. */
+  /** Candidates looked at together. Default 2. */
   choices?: number
+  /** Times that candidates are looked at, as long as none meets the target. Default 2. */
+  rounds?: number
   /** Daemons that use one endpoint. Default: only this one. */
   sharers? (): number
   /** Time that a request to an endpoint takes on the way, both ways, in milliseconds. Default: none. */
   wayMs? (view: EndpointView): number
 }
 
-const DEFAULT_CHOICES = 4
+const DEFAULT_CHOICES = 2
+const DEFAULT_ROUNDS = 2
 const MS_PER_HOUR = 3_600_000
 
 /**
  * Meets the latency target first, then takes the cheapest endpoint that does.
  *
- * Looks at a few random candidates and the one with the longest cached prefix, not at the best of all: load reports lag, and when
- * every daemon sends to the same best endpoint it is overrun before the next report.
+ * Looks at two candidates, the one with the longest cached prefix and random ones, at two more where neither meets the target, and never at the best of all. Load
+ * pattern: many daemons share a few endpoints that are nearly full, and know of each other's work what is tenths of a second old. If each looks at all, all find the
+ * same best one; it is sent several times as many requests as it has batch slots before the first report tells of them, and none for the second after.
  */
 export class TargetRouter implements Router {
   readonly #random: Random
   readonly #choices: number
+  readonly #rounds: number
   readonly #options: TargetRouterOptions
 
   constructor (options: TargetRouterOptions) {
     this.#options = options
     this.#random = options.random
     this.#choices = options.choices ?? DEFAULT_CHOICES
+    this.#rounds = options.rounds ?? DEFAULT_ROUNDS
   }
 
   pick (query: RouteQuery, candidates: readonly EndpointView[], now: number): Route | undefined {
-    const sharers = this.#options.sharers?.() ?? 1
+    const open = candidates.filter((view) => isOpen(view, query, now))
+    const sight = { now, sharers: this.#options.sharers?.() ?? 1 }
     let best: Route | undefined
-    let bestScore = Infinity
-    for (const view of this.#sample(query, candidates, now)) {
-      const route = predict(query, view, { now, sharers })
-      const score = this.#score(query, route)
-      if (best && (best.meetsTarget && !route.meetsTarget)) continue
-      if (!best || (route.meetsTarget && !best.meetsTarget) || score < bestScore) {
-        best = route
-        bestScore = score
-      }
+    for (let looked = 0; looked < open.length; looked++) {
+      const roundOver = looked > 0 && looked % this.#choices === 0
+      if (roundOver && (best!.meetsTarget || looked >= this.#choices * this.#rounds)) break
+      const other = looked === 0 ? longestCached(open, query) : undefined
+      swap(open, looked, other ?? looked + Math.floor(this.#random() * (open.length - looked)))
+      best = this.#better(query, best, predict(query, open[looked]!, sight))
     }
     return best
   }
 
-  #sample (query: RouteQuery, candidates: readonly EndpointView[], now: number): EndpointView[] {
-    const open = candidates.filter((view) => isOpen(view, query, now))
-    if (open.length <= this.#choices) return open
-    const sample: EndpointView[] = []
-    let longest: EndpointView | undefined
-    let longestTokens = 0
-    for (const view of open) {
-      const cached = query.cachedTokens(view.id)
-      if (cached > longestTokens) {
-        longest = view
-        longestTokens = cached
-      }
-    }
-    if (longest) sample.push(longest)
-    while (sample.length < this.#choices) sample.push(open[Math.floor(this.#random() * open.length)]!)
-    return sample
+  #better (query: RouteQuery, best: Route | undefined, route: Route): Route {
+    if (!best) return route
+    if (best.meetsTarget !== route.meetsTarget) return best.meetsTarget ? best : route
+    return this.#score(query, route) < this.#score(query, best) ? route : best
   }
 
   /** Money for the request on this endpoint, or the predicted wait when the target is missed anyway. */
@@ -141,6 +133,25 @@
   }
 }
 
+/** Place of the endpoint that keeps most of the prompt; undefined where none keeps any. */
+function longestCached (open: readonly EndpointView[], query: RouteQuery): number | undefined {
+  let longest: number | undefined
+  let longestTokens = 0
+  open.forEach((view, place) => {
+    const cached = query.cachedTokens(view.id)
+    if (cached <= longestTokens) return
+    longest = place
+    longestTokens = cached
+  })
+  return longest
+}
+
+function swap (views: EndpointView[], a: number, b: number): void {
+  const view = views[a]!
+  views[a] = views[b]!
+  views[b] = view
+}
+
 function isOpen (view: EndpointView, query: RouteQuery, now: number): boolean {
   return view.leavingAtMs === undefined && view.ejectedUntilMs <= now && !query.avoid.includes(view.id)
 }
--- a/daemon/request/dispatcher.ts
+++ b/daemon/request/dispatcher.ts
@@ -40,8 +40,13 @@
   queue?: () => WorkQueue<Placement>
 }
 
-/** Part of an endpoint's batch slots that only urgent work may use. */
-const URGENT_RESERVE = 0.1
+/**
+ * Urgent requests that may wait for a batch slot at an endpoint, beside those that have one.
+ *
+ * There they get the next slot that comes free, before all others. Held back here they would start when word of that slot comes, at the same moment as those of all
+ * other daemons. Endpoints queue a few requests more than they have slots for.
+ */
+const WAIT_AT_ENDPOINT = 12
 const RATE_SMOOTHING = 0.2
 /** Longest wait of fresh work, in first-token targets; see docs/design/limits.md. */
 const QUEUE_TARGETS = 1
@@ -161,8 +166,7 @@
 }
 
 function hasRoom (view: EndpointView, urgent: boolean): boolean {
-  const slots = view.speed.batchSlots * (urgent ? 1 : 1 - URGENT_RESERVE)
-  return runningNow(view) < Math.max(1, slots)
+  return runningNow(view) < view.speed.batchSlots + (urgent ? WAIT_AT_ENDPOINT : 0)
 }
 
 /**
--- a/daemon/request/placing_dispatcher.ts
+++ b/daemon/request/placing_dispatcher.ts
@@ -1,7 +1,7 @@
 /** The dispatcher of a daemon that shares endpoints with many others. */
 import type { FailureDomain } from '../../core/ids/index.ts'
 import { homeEndpoint, PrefixIndex, TargetRouter, type Hash32, type Random } from '../../core/routing/index.ts'
-import { SUBSET_SIZE, type EndpointTable } from '../endpoints/endpoint_table.ts'
+import type { EndpointTable } from '../endpoints/endpoint_table.ts'
 import { Dispatcher } from './dispatcher.ts'
 
 /** Options of {@linkcode placingDispatcher}. */
@@ -26,6 +26,6 @@
     table,
     prefixes: new PrefixIndex({ expiresMs: PREFIX_KEPT_MS }),
     home: (parts, candidates) => homeEndpoint(parts, candidates, hash),
-    router: new TargetRouter({ random, choices: SUBSET_SIZE, sharers, wayMs: (view) => (view.failureDomain === failureDomain ? 0 : FAR_MS) })
+    router: new TargetRouter({ random, sharers, wayMs: (view) => (view.failureDomain === failureDomain ? 0 : FAR_MS) })
   })
 }
