--- a/cli/serve_test.ts
+++ b/cli/serve_test.ts
@@ -3,7 +3,8 @@
 import { tmpdir } from 'node:os'
 import path from 'node:path'
 import { afterEach, expect, test } from 'vitest'
-import { freePorts, Rig, answerWith, until } from '../platform/standins/rig.ts'
+import { freePorts } from '../platform/standins/free_ports.ts'
+import { Rig, answerWith, until } from '../platform/standins/rig.ts'
 
 let rig: Rig | undefined
 let child: ChildProcess | undefined
