--- a/daemon/request/dispatcher.ts
+++ b/daemon/request/dispatcher.ts
@@ -119,7 +119,8 @@
     const cached = this.#cached(placement, candidates, now)
     const withRoom = candidates.filter((view) => hasRoom(view, placement.cls.urgent))
     // Once every endpoint has failed the request, the least bad is tried again; the retry budget bounds how often.
-    const avoid = withRoom.some((view) => !placement.avoid.includes(view.id)) ? placement.avoid : []
+    const failed = this.#failedAt(placement, withRoom)
+    const avoid = failed.length < withRoom.length ? failed : []
     const route = this.#options.router.pick({
       promptTokens: placement.demand.promptTokens + placement.doneTokens,
       expectedTokens: remainingTokens(placement),
@@ -136,6 +137,13 @@
     return true
   }
 
+  /** Endpoints that failed the request; one that started again since is no better bet than before. */
+  #failedAt ({ avoid }: Placement, candidates: readonly EndpointView[]): EndpointId[] {
+    if (avoid.length === 0) return []
+    const names = new Set(avoid.map((id) => this.#options.table.get(id)?.name))
+    return candidates.filter(({ id, name }) => avoid.includes(id) || (name !== undefined && names.has(name))).map(({ id }) => id)
+  }
+
   /** Prompt tokens that endpoints are believed to hold: what this daemon sent there, and at its home what the others did. */
   #cached ({ demand }: Placement, candidates: readonly EndpointView[], now: number): Map<EndpointId, number> {
     const cached = this.#options.prefixes.lookup(demand.parts, now)
--- /dev/null
+++ b/daemon/request/dispatcher_test.ts
@@ -0,0 +1,46 @@
+import { expect, test } from 'vitest'
+import xxhash from 'xxhash-wasm'
+import { as, endpointId, type DaemonId, type EndpointId, type FailureDomain, type HostId, type PoolName } from '../../core/ids/index.ts'
+import { NO_TOKENS } from '../../core/work/index.ts'
+import { sessionConfig } from '../../bench/_session.ts'
+import { classOf } from '../../core/config/index.ts'
+import type { ListedHost } from '../../endpoints/index.ts'
+import { EndpointTable } from '../endpoints/endpoint_table.ts'
+import { seededRandom } from '../seeded_random.ts'
+import { placingDispatcher } from './placing_dispatcher.ts'
+
+const { h32: hash } = await xxhash()
+const POOL = as<PoolName>('desk')
+const DOMAIN = as<FailureDomain>('a')
+const SPEED = { batchSlots: 6, prefillTokensPerS: 1e6, betweenTokensMs: 1, betweenTokensPerStreamMs: 0, exportTokensPerS: 0, importTokensPerS: 0 }
+
+function listed (name: string, startedAtMs: number): ListedHost {
+  const id = endpointId(name, startedAtMs)
+  return { hostId: as<HostId>(id), hostClass: 'any', failureDomain: DOMAIN, reclaimable: false, pricePerHour: 0, state: 'live', endpoint: { id, name, startedAtMs, pool: POOL, address: '', speed: SPEED } }
+}
+
+test('a request that failed at an endpoint goes elsewhere, and not to the same one that has just started again', () => {
+  // A caller waits until its deadline: the endpoint gave no word, crashed and started again, and of two endpoints that were idle the request was sent to that one once more.
+  const placedAt = new Set<EndpointId>()
+  for (let seed = 1; seed <= 20; seed++) {
+    const table = new EndpointTable({ self: as<DaemonId>('d'), hash })
+    table.listed([listed('failed', 1000), listed('other', 1000)])
+    table.listed([listed('failed', 2000), listed('other', 1000)])
+    const dispatcher = placingDispatcher({ table, hash, random: seededRandom(seed), failureDomain: DOMAIN, sharers: () => 1 })
+    dispatcher.place({
+      account: as('account'),
+      cls: classOf(sessionConfig().classes[2]!, false),
+      pool: POOL,
+      demand: NO_TOKENS,
+      doneTokens: 0,
+      acceptedAtMs: performance.now(),
+      deadlineAtMs: performance.now() + 1000,
+      resumed: false,
+      avoid: [endpointId('failed', 1000)],
+      placed: ({ id }) => placedAt.add(id),
+      refused: () => {},
+      waits: () => {}
+    })
+  }
+  expect([...placedAt]).toEqual([endpointId('other', 1000)])
+})
