Tell starts of one endpoint by their ids, which outlive what is known of an endpoint that is gone

A start that ended is forgotten by the table at the next list, so that its name could not be looked up. The id bears the name; isStartOf reads it.

--- a/core/ids/ids.ts
+++ b/core/ids/ids.ts
@@ -50,6 +50,17 @@
   return as(startedAtMs === undefined ? name : `${name}${SEPARATOR}${startedAtMs}`)
 }
 
+/**
+ * Tells whether an id is that of a start of an endpoint.
+ * @param name What the platform calls the endpoint.
+ * @example `isStartOf('i-7', endpointId('i-7', 1700000000000))` is true.
+ */
+export function isStartOf (name: string, id: EndpointId): boolean {
+  if (!id.startsWith(name)) return false
+  const rest = id.slice(name.length)
+  return rest === '' || (rest.startsWith(SEPARATOR) && !Number.isNaN(Number(rest.slice(SEPARATOR.length))))
+}
+
 /**
  * Reads the daemon out of a request id.
  * @returns The daemon, or undefined when the text is no request id.
--- a/daemon/request/dispatcher.ts
+++ b/daemon/request/dispatcher.ts
@@ -1,6 +1,6 @@
 /** Finds an endpoint for each request that asks for one, or lets it wait its turn. */
 import { FairQueue, type Waiting, type WorkQueue } from '../../core/admission/index.ts'
-import type { AccountId, EndpointId, PoolName } from '../../core/ids/index.ts'
+import { isStartOf, type AccountId, type EndpointId, type PoolName } from '../../core/ids/index.ts'
 import { runningNow, type EndpointView, type PrefixIndex, type Route, type Router } from '../../core/routing/index.ts'
 import type { Demand, PromptPart, WorkClass } from '../../core/work/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
@@ -119,7 +119,7 @@
     const cached = this.#cached(placement, candidates, now)
     const withRoom = candidates.filter((view) => hasRoom(view, placement.cls.urgent))
     // Once every endpoint has failed the request, the least bad is tried again; the retry budget bounds how often.
-    const failed = this.#failedAt(placement, withRoom)
+    const failed = failedAt(placement, withRoom)
     const avoid = failed.length < withRoom.length ? failed : []
     const route = this.#options.router.pick({
       promptTokens: placement.demand.promptTokens + placement.doneTokens,
@@ -137,13 +137,6 @@
     return true
   }
 
-  /** Endpoints that failed the request; one that started again since is no better bet than before. */
-  #failedAt ({ avoid }: Placement, candidates: readonly EndpointView[]): EndpointId[] {
-    if (avoid.length === 0) return []
-    const names = new Set(avoid.map((id) => this.#options.table.get(id)?.name))
-    return candidates.filter(({ id, name }) => avoid.includes(id) || (name !== undefined && names.has(name))).map(({ id }) => id)
-  }
-
   /** Prompt tokens that endpoints are believed to hold: what this daemon sent there, and at its home what the others did. */
   #cached ({ demand }: Placement, candidates: readonly EndpointView[], now: number): Map<EndpointId, number> {
     const cached = this.#options.prefixes.lookup(demand.parts, now)
@@ -173,6 +166,11 @@
   }
 }
 
+/** Endpoints that failed the request; one that started again since is no better bet than before. */
+function failedAt ({ avoid }: Placement, candidates: readonly EndpointView[]): EndpointId[] {
+  return candidates.filter((view) => avoid.some((id) => id === view.id || (view.name !== undefined && isStartOf(view.name, id)))).map(({ id }) => id)
+}
+
 function hasRoom (view: EndpointView, urgent: boolean): boolean {
   return runningNow(view) < view.speed.batchSlots + (urgent ? WAIT_AT_ENDPOINT : 0)
 }
