--- a/core/membership/membership.ts
+++ b/core/membership/membership.ts
@@ -62,6 +62,7 @@
 export class Membership {
   readonly #options: MembershipOptions
   readonly #members = new Map<DaemonId, Known>()
+  #version = 0
   readonly #facts = new Map<string, KnownFact>()
   readonly #detectors = new Map<DaemonId, Detector>()
   #successors: DaemonId[] = []
@@ -75,11 +76,13 @@
   constructor (options: MembershipOptions) {
     this.#options = options
     const self: Member = { ...options.self, incarnation: 1, state: 'up', revision: 0, heir: undefined }
-    this.#members.set(self.id, { member: self, sinceMs: options.now })
+    this.#put(self, options.now)
   }
 
   /** This daemon's own record. */
   get self (): Member { return this.#members.get(this.#options.self.id)!.member }
+  /** Grows with each change of any record. */
+  get version (): number { return this.#version }
   /** Every daemon known, those that left included. */
   get members (): Member[] { return [...this.#members.values()].map(({ member }) => member) }
   /** The daemons this one exchanges heartbeats with. */
@@ -94,7 +97,7 @@
   setSelf (change: Partial<Pick<Member, 'state' | 'revision' | 'heir'>>, now: number): MembershipEffect[] {
     this.#ownState = change.state ?? this.#ownState
     const member: Member = { ...this.self, state: this.#ownState, ...change, incarnation: this.self.incarnation + 1 }
-    this.#members.set(member.id, { member, sinceMs: now })
+    this.#put(member, now)
     return [{ type: 'member', member }, ...this.#tell({ members: [member], facts: [] })]
   }
 
@@ -153,12 +156,22 @@
     return this.#options.hash([...members, ...facts].join('|'))
   }
 
+  #put (member: Member, now: number): void {
+    this.#members.set(member.id, { member, sinceMs: now })
+    this.#version++
+  }
+
+  #remove (id: DaemonId): void {
+    this.#members.delete(id)
+    this.#version++
+  }
+
   #learn (member: Member, now: number): boolean {
     const known = this.#members.get(member.id)
     if (!replaces(member, known?.member)) return false
     if (!known && (member.state === 'left' || member.state === 'gone') && member.heir === undefined) return false
     if (mayAnswer(member) !== (known !== undefined && mayAnswer(known.member))) this.#alive++
-    this.#members.set(member.id, { member, sinceMs: now })
+    this.#put(member, now)
     return true
   }
 
@@ -186,14 +199,14 @@
     for (const { member, sinceMs } of this.#members.values()) {
       if (member.state === 'suspect' && now - sinceMs > GONE_AFTER_MS) worse.push({ ...member, state: 'gone' })
     }
-    for (const member of worse) this.#members.set(member.id, { member, sinceMs: now })
+    for (const member of worse) this.#put(member, now)
     if (worse.length === 0) return []
     return [...worse.map((member): MembershipEffect => ({ type: 'member', member })), ...this.#relink(now), ...this.#tell({ members: worse, facts: [] })]
   }
 
   #forgetOld (now: number): void {
     for (const [id, { member, sinceMs }] of this.#members) {
-      if ((member.state === 'left' || member.state === 'gone') && now - sinceMs > FORGET_AFTER_MS) this.#members.delete(id)
+      if ((member.state === 'left' || member.state === 'gone') && now - sinceMs > FORGET_AFTER_MS) this.#remove(id)
     }
     for (const [key, { sinceMs }] of this.#facts) {
       if (key !== 'config' && now - sinceMs > FACT_KEPT_MS) this.#facts.delete(key)
--- a/daemon/exchange/proxy_daemon.ts
+++ b/daemon/exchange/proxy_daemon.ts
@@ -245,7 +245,7 @@
       registeredAs: settings.name
     })).singleton(),
     fleet: asFunction(({ membership }: Parts) => new FleetSize(membership)).singleton(),
-    tallies: asFunction(({ self, membership }: Parts) => new TallyTask({ self, hash, membership })).singleton(),
+    tallies: asFunction(({ self, membership }: Parts) => new TallyTask({ self, membership })).singleton(),
     relay: asFunction(({ membership, links, metrics }: Parts) => new StoreRelay({
       store: platform.store,
       links,
@@ -256,7 +256,7 @@
       newsMs: settings.registry.leavingMs
     })).singleton(),
     config: asFunction(configFollower).singleton(),
-    limits: asFunction(({ self, membership, fleet }: Parts) => new AccountLimits({ self, host: settings.name, hash, tolerance: settings.quota, membership, fleet })).singleton(),
+    limits: asFunction(({ self, membership, fleet }: Parts) => new AccountLimits({ self, host: settings.name, tolerance: settings.quota, membership, fleet })).singleton(),
     table: asFunction(({ self }: Parts) => new EndpointTable({ self, hash })).singleton(),
     registry: asFunction(endpointFollower).singleton(),
     client: asFunction(({ config, fleet }: Parts) => new ExchangeClient({ connectionsTo: (view) => connectionsTo(view, config, fleet) })).singleton(),
--- a/daemon/limits/account_limits.ts
+++ b/daemon/limits/account_limits.ts
@@ -1,9 +1,8 @@
 /** Holds client accounts to their quotas, over all daemons. */
 import type { Account, Quota } from '../../core/catalog/index.ts'
 import type { AccountId, DaemonId } from '../../core/ids/index.ts'
-import { mayAnswer, rankedFor, type Member } from '../../core/membership/index.ts'
+import type { Member } from '../../core/membership/index.ts'
 import { costOf, QuotaKeeper, VOTE_KEPT_MS, VOTE_MS, type AccountLevel, type Grant, type QuotaTolerance, type Vote } from '../../core/quota/index.ts'
-import type { Hash32 } from '../../core/routing/index.ts'
 import { delay, steadyNow } from '../../core/time/index.ts'
 import type { Demand } from '../../core/work/index.ts'
 import { log } from '../log/index.ts'
@@ -15,7 +14,6 @@
   self: DaemonId
   /** Name of this daemon's host; the same after a restart. */
   host: string
-  hash: Hash32
   tolerance: QuotaTolerance
   membership: MembershipTask
   fleet: FleetSize
@@ -47,6 +45,7 @@
 const ASK_AGAIN_MS = 50
 /** Rounds of votes between two attempts to go back to the keeper that all would choose first. */
 const PROBE_EVERY = 4
+const JOB = 'quotas'
 const VOTE = 'quota-vote'
 const PROBE = 'quota-probe'
 const HEARD = 'quota-heard'
@@ -266,9 +265,8 @@
     this.#castVote()
   }
 
-  #ranked (): Member[] {
-    const { membership, hash } = this.#options
-    return rankedFor('quotas', membership.core.members.filter((member) => mayAnswer(member) && member.state !== 'draining'), hash)
+  #ranked (): readonly Member[] {
+    return this.#options.membership.rankedFor(JOB)
   }
 
   #voted (from: DaemonId, vote: Vote): void {
--- a/daemon/peers/fleet_size.ts
+++ b/daemon/peers/fleet_size.ts
@@ -6,6 +6,9 @@
 /** How long a daemon that the others call gone may still be there, in milliseconds: longer than partitions usually last. */
 const COUNTED_MS = 120_000
 
+/** Hosts are counted again after this long, in milliseconds, though no record has changed: those that are gone are forgotten with time. */
+const COUNT_MS = 1000
+
 /** Hosts assumed until another daemon was heard: one that starts cut off would otherwise take itself for the whole fleet. */
 const ASSUMED = 16
 
@@ -18,6 +21,7 @@
 export class FleetSize {
   readonly #membership: MembershipTask
   readonly #seenAtMs = new Map<string, number>()
+  #counted = { version: -1, atMs: -Infinity, hosts: 0 }
 
   constructor (membership: MembershipTask) {
     this.#membership = membership
@@ -25,7 +29,13 @@
 
   /** Hosts now, this one included. */
   get all (): number {
+    const { joined, core: { version } } = this.#membership
     const now = steadyNow()
+    if (version !== this.#counted.version || now - this.#counted.atMs > COUNT_MS) this.#counted = { version, atMs: now, hosts: this.#count(now) }
+    return Math.max(joined ? 1 : ASSUMED, this.#counted.hosts)
+  }
+
+  #count (now: number): number {
     const { members } = this.#membership.core
     const alive = members.filter(mayAnswer)
     for (const { address } of alive) this.#seenAtMs.set(address, now)
@@ -33,6 +43,6 @@
       if (state === 'left' && !alive.some((other) => other.address === address)) this.#seenAtMs.delete(address)
     }
     for (const [address, seenAtMs] of this.#seenAtMs) if (now - seenAtMs > COUNTED_MS) this.#seenAtMs.delete(address)
-    return this.#membership.joined ? Math.max(1, this.#seenAtMs.size) : Math.max(ASSUMED, this.#seenAtMs.size)
+    return this.#seenAtMs.size
   }
 }
--- a/daemon/peers/load_task.ts
+++ b/daemon/peers/load_task.ts
@@ -1,6 +1,5 @@
 /** Tells one daemon what this one runs at each endpoint, and hears from it what the others run. */
 import type { DaemonId } from '../../core/ids/index.ts'
-import { mayAnswer } from '../../core/membership/index.ts'
 import { VOTE_MS } from '../../core/quota/index.ts'
 import { LoadBoard, reportIntervalMs, type EndpointWork } from '../../core/routing/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
@@ -56,7 +55,7 @@
 
   /** A report goes with each vote, and in small fleets some more between it and the next. */
   #voted (): void {
-    const everyMs = reportIntervalMs(this.#options.membership.core.members.filter(mayAnswer).length)
+    const everyMs = reportIntervalMs(this.#options.membership.answering.length)
     this.#report()
     this.#between = []
     for (let ms = everyMs; ms < VOTE_MS; ms += everyMs) this.#between.push(setTimeout(() => this.#report(), ms))
--- a/daemon/peers/membership_task.ts
+++ b/daemon/peers/membership_task.ts
@@ -1,6 +1,6 @@
 /** Runs the core's membership over the links between daemons. */
 import type { DaemonId, FailureDomain } from '../../core/ids/index.ts'
-import { HEARTBEAT_MS, Membership, mayAnswer, takesWork, type Fact, type Gossip, type Member, type MemberState, type MembershipEffect } from '../../core/membership/index.ts'
+import { Derived, HEARTBEAT_MS, Membership, mayAnswer, rankedFor, takesWork, type Fact, type Gossip, type Member, type MemberState, type MembershipEffect } from '../../core/membership/index.ts'
 import type { Hash32 } from '../../core/routing/index.ts'
 import { delay, steadyNow } from '../../core/time/index.ts'
 import { isStoreFailure, StoreError, type ObjectStore } from '../../store/index.ts'
@@ -65,6 +65,9 @@
   /** States that the log has, of daemons that are there: a record may change in other fields. */
   readonly #states = new Map<DaemonId, MemberState>()
   #alone = false
+  readonly #working = new Derived<readonly Member[]>()
+  readonly #answering = new Derived<readonly Member[]>()
+  readonly #ranked = new Map<string, Derived<readonly Member[]>>()
 
   constructor (options: MembershipTaskOptions) {
     this.#options = options
@@ -92,7 +95,20 @@
   get joined (): boolean { return this.#joined || this.#alone }
 
   /** Daemons that take new work, this one included unless it drains. */
-  get working (): Member[] { return this.core.members.filter(takesWork) }
+  get working (): readonly Member[] { return this.#working.get(this.core.version, () => this.core.members.filter(takesWork)) }
+
+  /** Daemons that are there, as far as is known. */
+  get answering (): readonly Member[] { return this.#answering.get(this.core.version, () => this.core.members.filter(mayAnswer)) }
+
+  /** Daemons that can do a job for all, the first choice first. */
+  rankedFor (job: string): readonly Member[] {
+    let ranked = this.#ranked.get(job)
+    if (!ranked) {
+      ranked = new Derived()
+      this.#ranked.set(job, ranked)
+    }
+    return ranked.get(this.core.version, () => rankedFor(job, this.answering.filter((member) => member.state !== 'draining'), this.#options.hash))
+  }
 
   /** Listens, joins and begins to tick. */
   async start (): Promise<void> {
--- a/daemon/peers/tally_task.ts
+++ b/daemon/peers/tally_task.ts
@@ -1,7 +1,6 @@
 /** Tells a few daemons of this one's totals, so that what it counted outlives it. */
 import type { DaemonId } from '../../core/ids/index.ts'
-import { mayAnswer, rankedFor, type Member } from '../../core/membership/index.ts'
-import type { Hash32 } from '../../core/routing/index.ts'
+import type { Member } from '../../core/membership/index.ts'
 import { Tally, type TallyEntry, type TallySheet } from '../../core/tally/index.ts'
 import { SharedClock, steadyNow } from '../../core/time/index.ts'
 import type { MembershipTask } from './membership_task.ts'
@@ -9,7 +8,6 @@
 /** Options of {@linkcode TallyTask}. */
 export interface TallyTaskOptions {
   self: DaemonId
-  hash: Hash32
   membership: MembershipTask
 }
 
@@ -76,7 +74,7 @@
   }
 
   #tellLater (): void {
-    const everyMs = Math.max(TELL_MS, this.#options.membership.core.members.filter(mayAnswer).length * TELL_MS_PER_DAEMON)
+    const everyMs = Math.max(TELL_MS, this.#options.membership.answering.length * TELL_MS_PER_DAEMON)
     this.#timer = setTimeout(() => {
       this.#tell()
       this.#tellLater()
@@ -113,8 +111,7 @@
 
   /** The few daemons that keep everybody's totals, the first choice for work that needs them first. */
   get bookkeepers (): Member[] {
-    const { membership, hash } = this.#options
-    return rankedFor(JOB, membership.core.members.filter((member) => mayAnswer(member) && member.state !== 'draining'), hash).slice(0, BOOKKEEPERS)
+    return this.#options.membership.rankedFor(JOB).slice(0, BOOKKEEPERS)
   }
 
   #wallMs (): number {
