Look for the home of a long shared prompt among all endpoints, not among those that a daemon connects to

Cause: a daemon connects to 24 endpoints of a pool and found the home of a shared part among these, so that daemons agreed on it only where all have the same ones. Its class: what all must agree on was worked out from what each alone has. Looked for elsewhere: keeper, bookkeepers and relays go by the members that all know.

From 2,000 shared tokens on the home is found among all, and is a candidate beside the 24; reading so much takes ten times as long as a connection.

--- a/bench/_batch_engine.ts
+++ b/bench/_batch_engine.ts
@@ -38,6 +38,8 @@
     this.#options = options
   }
 
+  /** Whether it keeps a part of a prompt. */
+  keeps (key: string): boolean { return this.#kept.has(key) }
   /** Requests that run or wait. */
   get open (): number { return this.#running + this.#waiting.length }
 
--- a/bench/_placing.ts
+++ b/bench/_placing.ts
@@ -50,6 +50,8 @@
   noRoom: number
   /** Refused by full engines. */
   turnedAway: number
+  /** Tokens of shared parts that one engine read while another kept them. */
+  readAgain: number
 }
 
 const POOL = as<PoolName>('models')
@@ -87,7 +89,7 @@
   constructor (options: PlacingOptions) {
     this.#options = options
     this.#random = seededRandom(options.seed)
-    this.figures = new Map(options.classes.map(({ name }) => [name, { asked: 0, inTime: 0, late: 0, noRoom: 0, turnedAway: 0 }]))
+    this.figures = new Map(options.classes.map(({ name }) => [name, { asked: 0, inTime: 0, late: 0, noRoom: 0, turnedAway: 0, readAgain: 0 }]))
     const hosts = Array.from({ length: options.engines }, (_, i) => listed(i, options.engine.slots))
     for (const { endpoint } of hosts) this.#engines.set(endpoint.id, new BatchEngine(options.engine))
     this.#daemons = Array.from({ length: options.daemons }, (_, i) => this.#daemon(i, hosts))
@@ -172,6 +174,7 @@
     charge.send(endpoint, { lane: route.lane, tokens: route.uncachedTokens }, route)
     const back = (act: () => void) => setTimeout(act, WAY_MS)
     setTimeout(() => {
+      this.#countReadAgain(req, endpoint)
       const taken = this.#engines.get(endpoint)!.take({
         lane: route.lane,
         parts: req.demand.parts,
@@ -190,6 +193,14 @@
     }, WAY_MS)
   }
 
+  #countReadAgain ({ demand, figures }: PlacedRequest, endpoint: EndpointId): void {
+    if (!figures) return
+    for (const { key, tokens } of demand.parts.slice(0, -1)) {
+      const keptElsewhere = !this.#engines.get(endpoint)!.keeps(key) && [...this.#engines.values()].some((engine) => engine.keeps(key))
+      if (keptElsewhere) figures.readAgain += tokens
+    }
+  }
+
   #turnedAway (daemon: PlacingDaemon, req: PlacedRequest, { endpoint, charge }: { endpoint: EndpointId, charge: EndpointCharge }): void {
     charge.end()
     if (req.attempts + 1 < req.cls.maxAttempts) this.#place(daemon, { ...req, attempts: req.attempts + 1, avoid: [...req.avoid, endpoint] })
--- a/daemon/endpoints/endpoint_table.ts
+++ b/daemon/endpoints/endpoint_table.ts
@@ -53,6 +53,7 @@
   readonly #rhythms = new Map<PoolName, StreamRhythm>()
   readonly #failures = new Map<EndpointId, FailureCount>()
   readonly #subsets = new Map<PoolName, EndpointView[]>()
+  readonly #usable = new Map<PoolName, EndpointView[]>()
   readonly #goneAt = new Map<EndpointId, number>()
   readonly #departures = new Departures()
   /** The newest start known of each endpoint, by its name; kept as long as hosts that are gone, since lists and peers may tell of an older one. */
@@ -83,13 +84,27 @@
   candidates (pool: PoolName): readonly EndpointView[] {
     let chosen = this.#subsets.get(pool)
     if (!chosen) {
-      const usable = this.all.filter((view) => view.pool === pool && view.leavingAtMs === undefined && this.#listed.has(view.id))
-      chosen = subset(this.#options.self, usable, { hash: this.#options.hash, size: this.#options.subsetSize ?? SUBSET_SIZE })
+      chosen = subset(this.#options.self, this.usable(pool), { hash: this.#options.hash, size: this.#options.subsetSize ?? SUBSET_SIZE })
       this.#subsets.set(pool, chosen)
     }
     return chosen
   }
 
+  #forgetChoices (): void {
+    this.#subsets.clear()
+    this.#usable.clear()
+  }
+
+  /** All endpoints of a pool that may get work. */
+  usable (pool: PoolName): readonly EndpointView[] {
+    let usable = this.#usable.get(pool)
+    if (!usable) {
+      usable = this.all.filter((view) => view.pool === pool && view.leavingAtMs === undefined && this.#listed.has(view.id))
+      this.#usable.set(pool, usable)
+    }
+    return usable
+  }
+
   /** Registers a listener. */
   onLeaving (listener: LeavingListener): void {
     this.#listeners.push(listener)
@@ -114,7 +129,7 @@
     for (const { state, hostId, version } of current) if (state === 'live' && version !== undefined) this.#departures.shown(hostId, { version, now: steadyNow() })
     for (const host of current) if (!this.#views.has(host.endpoint.id)) this.#add(host)
     for (const view of this.all) if (!listed.has(view.id) && view.own.running === 0) this.#drop(view)
-    this.#subsets.clear()
+    this.#forgetChoices()
     this.#forgetGone()
     for (const host of current) if (host.state === 'live') this.#takeBack(host)
     // With a version it comes as a departure, which knows more.
@@ -177,7 +192,7 @@
       else this.#departures.note(host, { goneAtMs, version })
     }
     if (news.length === 0) return
-    this.#subsets.clear()
+    this.#forgetChoices()
     for (const listener of this.#listeners) listener(news)
   }
 
--- a/daemon/request/dispatcher.ts
+++ b/daemon/request/dispatcher.ts
@@ -47,6 +47,13 @@
  * other daemons. Endpoints queue a few requests more than they have slots for.
  */
 const WAIT_AT_ENDPOINT = 12
+/**
+ * Shared prompt tokens from which the home of a prompt is looked for among all endpoints, and not among those that this daemon connects to.
+ *
+ * With more endpoints than a daemon connects to, each daemon finds another home among its own, and a part that hundreds of requests share is read at dozens of
+ * endpoints. Reading so many takes an engine ten times as long as a new connection.
+ */
+const WORTH_A_CONNECTION_TOKENS = 2000
 const RATE_SMOOTHING = 0.2
 /** Longest wait of fresh work, in first-token targets; see docs/design/limits.md. */
 const QUEUE_TARGETS = 1
@@ -115,8 +122,7 @@
 
   #start (placement: Placement, pool: PoolState): boolean {
     const now = steadyNow()
-    const candidates = this.#options.table.candidates(placement.pool)
-    const cached = this.#cached(placement, candidates, now)
+    const { candidates, cached } = this.#look(placement, now)
     const withRoom = candidates.filter((view) => hasRoom(view, placement.cls.urgent))
     // Once every endpoint has failed the request, the least bad is tried again; the retry budget bounds how often.
     const failed = failedAt(placement, withRoom)
@@ -137,13 +143,16 @@
     return true
   }
 
-  /** Prompt tokens that endpoints are believed to hold: what this daemon sent there, and at its home what the others did. */
-  #cached ({ demand }: Placement, candidates: readonly EndpointView[], now: number): Map<EndpointId, number> {
-    const cached = this.#options.prefixes.lookup(demand.parts, now)
-    const home = this.#options.home?.(demand.parts, candidates)
-    if (!home) return cached
+  /** Endpoints that may take a request, and prompt tokens that they are believed to hold: what this daemon sent there, and at its home what the others did. */
+  #look ({ demand, pool }: Placement, now: number): { candidates: readonly EndpointView[], cached: Map<EndpointId, number> } {
+    const { table, prefixes } = this.#options
+    const cached = prefixes.lookup(demand.parts, now)
+    const candidates = table.candidates(pool)
     const shared = demand.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0)
-    return cached.set(home.id, Math.max(shared, cached.get(home.id) ?? 0))
+    const home = this.#options.home?.(demand.parts, shared >= WORTH_A_CONNECTION_TOKENS ? table.usable(pool) : candidates)
+    if (!home) return { candidates, cached }
+    cached.set(home.id, Math.max(shared, cached.get(home.id) ?? 0))
+    return { candidates: candidates.includes(home) ? candidates : [...candidates, home], cached }
   }
 
   #pool (name: PoolName): PoolState {
