--- a/core/membership/rank.ts
+++ b/core/membership/rank.ts
@@ -12,9 +12,8 @@
 /**
  * Orders daemons for a job: those on strong hosts first, and by rendezvous hashing among hosts alike.
  *
- * A job for the whole fleet grows with it, and a host of a third of a core serves callers beside: worked out for 195 daemons and 600 requests a second, the one
- * that counts quotas takes 1,300 messages a second and answers each, at 0.1 ms a message a quarter of a core. Hosts count as alike up to a factor of two, so that
- * jobs are spread over them. Daemons that know the same members name the same first one; when it goes, only its own jobs move.
+ * A job for the whole fleet grows with it: in a large one it takes a quarter of a core and more, and a weak host serves callers beside. Hosts count as alike up to a
+ * factor of two, so that jobs are spread over them. Daemons that know the same members name the same first one; when it goes, only its own jobs move.
  * @example `rankedFor('quotas', members, hash)[0]` is the daemon that counts quotas.
  */
 export function rankedFor<T extends Ranked> (job: string, members: readonly T[], hash: Hash32): T[] {
--- a/core/retry/window_budget.ts
+++ b/core/retry/window_budget.ts
@@ -23,7 +23,7 @@
  * Grants retries as long as those of the last window stay below what its fresh work allows.
  *
  * Load pattern: an endpoint with forty streams crashes, and all of them could go on elsewhere at once. A bucket that holds less than a window's worth
- * refuses most of them, though hardly any retry was sent in the seconds before: 15 streams of one crash on a played day.
+ * refuses most of them, though hardly any retry was sent in the seconds before.
  */
 export class WindowBudget implements RepeatBudget {
   readonly #options: WindowBudgetOptions
--- a/core/routing/reading_pace.ts
+++ b/core/routing/reading_pace.ts
@@ -42,8 +42,7 @@
  * Learns a line through first tokens by the work before them, the older ones counting less.
  *
  * Load pattern: engines of another deployment read at half or twice the speed. A fixed guess then finds an endpoint in time that is late behind two
- * prompts, and orders a fleet of half the size. On a played day of such engines 0.84 of what was asked for was earned with what is learnt, 0.64 with the
- * guess.
+ * prompts, and orders a fleet of half the size.
  */
 export class ReadingPace implements Pace {
   #weight = 0
--- a/core/routing/router.ts
+++ b/core/routing/router.ts
@@ -110,8 +110,7 @@
 /**
  * What a request's reading delays others by, as a part of the time that it takes: whoever comes next waits for it, too.
  *
- * It keeps shared parts of prompts where they are read already, as long as the first token is in time there: 9% fewer tokens of them were read again
- * on the same played days (608,000 to 555,000), together with the retries that are counted by window.
+ * It keeps shared parts of prompts where they are read already, as long as the first token is in time there.
  */
 const OTHERS_PART = 1
 
--- a/daemon/duties/order_task.ts
+++ b/daemon/duties/order_task.ts
@@ -39,16 +39,11 @@
 /**
  * Part of what all accounts may ask for that is assumed before the first work is counted.
  *
- * Traffic comes at once, and what it needs beyond the least boots for seconds: with a fifth of the fleet that was provided 2,429 of
- * the first 3,317 requests of a played day of 87 daemons were late, refused or failed. Quotas are all that is known of the work by then.
+ * Traffic comes at once, and what it needs beyond the least boots for seconds, in which most callers would be turned away. Quotas are all that is known of the work by
+ * then.
  */
 const ASSUMED_PART = 0.5
-/**
- * Part of an engine's time that work may take before it comes late: arrivals come in bursts of a second.
- *
- * Planned for 0.6 and 0.35 in place of this and the next, endpoints cost 0.011 of worth more in the mean of ten played days of two deployments, and the
- * same part of what was asked for was earned (0.906 against 0.907). Both were played with small changes beside.
- */
+/** Part of an engine's time that work may take before it comes late: arrivals come in bursts of a second. */
 const MOST_UTILIZATION = 0.7
 /** Part that it takes with comfort: what is left bears the loss of one failure domain of three, or bursts of half as much again. */
 const COMFORTABLE_UTILIZATION = 0.45
--- a/daemon/exchange/proxy_daemon.ts
+++ b/daemon/exchange/proxy_daemon.ts
@@ -329,7 +329,7 @@
     random,
     waitMs: relay.watchWaitMs,
     watchersPerDomain: Infinity,
-    // Operators write to the store and ask no daemon: at 87 daemons seven revisions in ten seconds made 430 records and log lines a daemon.
+    // Operators write to the store and ask no daemon, and each revision would make a record and a log line for every daemon at every other.
     tellsRevision: false
   })
 }
--- a/daemon/request/stall_watch.ts
+++ b/daemon/request/stall_watch.ts
@@ -32,12 +32,7 @@
 /** Times longer that one attempt must be silent where its endpoint still answers others: a lost answer, or one that was put behind others. */
 const ALONE = 2
 
-/**
- * Looks at all open attempts now and then.
- *
- * On a played day with a slow endpoint and two crashes 391 callers waited until they left; with this, the choice by pauses and a fleet of the right size
- * together 30. By itself it was not measured.
- */
+/** Looks at all open attempts now and then: callers of an endpoint that went dark or slow would wait until they leave. */
 export class StallWatch {
   readonly #options: StallWatchOptions
   #timer: NodeJS.Timeout | undefined
