--- a/bench/registry.ts
+++ b/bench/registry.ts
@@ -5,6 +5,7 @@
 import { membershipBench } from './membership.ts'
 import { onceBench } from './once.ts'
 import { overheadBench } from './overhead.ts'
+import { placingBench } from './placing.ts'
 import { reclaimBench } from './reclaim.ts'
 import { routeBench } from './route.ts'
 import { schedulesBench } from './schedules.ts'
@@ -12,4 +13,4 @@
 import { waveBench } from './wave.ts'
 
 /** All benches. */
-export const BENCHES: readonly Bench[] = [costBench, limitsBench, membershipBench, onceBench, overheadBench, reclaimBench, routeBench, schedulesBench, storeBench, waveBench]
+export const BENCHES: readonly Bench[] = [costBench, limitsBench, membershipBench, onceBench, overheadBench, placingBench, reclaimBench, routeBench, schedulesBench, storeBench, waveBench]
