Log why a daemon did not get an announced revision, and how late it came

A daemon learns of a new revision from the store's changes and from a peer's announcement, after which it fetches the revision from that peer once. The logs could not tell these ways apart when a daemon was late: nothing was written when the peer returned its own older revision, or when the sender was not a known member, and `config-in-force` did not show whether the revision had been announced before.

`config-not-told` is now written in these cases too, and both lines carry the time since the first announcement. No decision changes; this comes before the search for the cause of an incident (a confirmed change that was not in force in time).

--- a/daemon/config/config_follower.ts
+++ b/daemon/config/config_follower.ts
@@ -58,6 +58,8 @@
   readonly known = new Promise<void>((resolve) => { this.#resolveKnown = resolve })
   /** The configuration in force in its stored encoding, sent to peers that ask for it. */
   #encoded: string | undefined
+  /** The newest revision that a peer announced, and when it was first announced. */
+  #announced = { revision: 0, atMs: 0 }
 
   constructor (options: ConfigFollowerOptions<C>) {
     this.#options = options
@@ -129,7 +131,7 @@
     const before = this.#inForce?.revision ?? 0
     this.#inForce = config
     this.#encoded = text
-    log('config-in-force', { revision: config.revision, before, from })
+    log('config-in-force', { revision: config.revision, before, from, announcedAgeMs: this.#announcedAgeMs(config.revision) })
     this.#options.metrics.revision.set(config.revision)
     for (const listener of this.#listeners) listener(config)
     this.#resolveKnown()
@@ -160,13 +162,20 @@
   /** Fetches a newer revision from the peer that announced it, which saves a read of the store. */
   async #fetchFromPeer (revision: number, from: DaemonId): Promise<void> {
     if (revision <= (this.#inForce?.revision ?? 0)) return
+    if (revision > this.#announced.revision) this.#announced = { revision, atMs: steadyNow() }
     const { membership } = this.#options
     const peer = membership.core.member(from)
-    if (!peer) return
+    if (!peer) return log('config-not-told', { revision, from, why: 'the peer is not a known member', announcedAgeMs: this.#announcedAgeMs(revision) })
     try {
       this.#handleValue(await membership.links.call(peer, 'config', null) as string | undefined, from)
+      const inForce = this.#inForce?.revision ?? 0
+      if (inForce < revision) log('config-not-told', { revision, from, why: `the peer has not applied it; revision ${inForce} is in force here`, announcedAgeMs: this.#announcedAgeMs(revision) })
     } catch (err) {
-      log('config-not-told', { revision, from, why: (err as Error).message })
+      log('config-not-told', { revision, from, why: (err as Error).message, announcedAgeMs: this.#announcedAgeMs(revision) })
     }
   }
+
+  #announcedAgeMs (revision: number): number | undefined {
+    return this.#announced.revision === revision ? Math.round(steadyNow() - this.#announced.atMs) : undefined
+  }
 }
--- a/daemon/log/events.ts
+++ b/daemon/log/events.ts
@@ -57,10 +57,11 @@
   'daemon-left': { cut: number, heir?: string | undefined }
   'settings-read': { changed: readonly string[], needRestart: readonly string[] }
   'settings-refused': { problems: readonly string[] }
-  'config-in-force': { revision: number, before: number, from: string }
+  /** `announcedAgeMs` is the time since a peer first announced the revision; undefined if none did. */
+  'config-in-force': { revision: number, before: number, from: string, announcedAgeMs?: number | undefined }
   'config-refused': { problems: readonly string[], inForce: number }
-  /** A peer announced a revision, but fetching it from that peer failed. */
-  'config-not-told': { revision: number, from: string, why: string }
+  /** A peer announced a revision, but did not return it. */
+  'config-not-told': { revision: number, from: string, why: string, announcedAgeMs?: number | undefined }
   'store-lost': { what: string, why: string, lastAnswerAgeMs: number | undefined }
   'store-back': { what: string }
   /** A peer could not relay changes of the store; the next peer, or the store itself, is asked instead. */
