Test that an announced revision is in force in time when a step of its way fails

Daemons with the real membership task, store relay and configuration follower, on a stand-in network and store under the paused clock:

--- /dev/null
+++ b/daemon/config/revision_propagation_test.ts
@@ -0,0 +1,200 @@
+import fc from 'fast-check'
+import { afterEach, beforeEach, expect, test, vi } from 'vitest'
+import xxhash from 'xxhash-wasm'
+import { as, type DaemonId } from '../../core/ids/index.ts'
+import { delay } from '../../core/time/index.ts'
+import { StandInNetwork, StandInStore, type StandInLinks } from '../../standins/index.ts'
+import { StoreError, type ObjectStore } from '../../store/index.ts'
+import { createMetrics } from '../metrics.ts'
+import { MembershipTask } from '../peers/membership_task.ts'
+import { StoreRelay } from '../peers/store_relay.ts'
+import { seededRandom } from '../seeded_random.ts'
+import { ConfigFollower } from './config_follower.ts'
+
+const KEY = 'config/main'
+/** Time within which a revision is in force at a daemon that the store serves, in milliseconds. */
+const APPLY_MS = 2000
+/** The same at a daemon that the store refuses while it serves others. */
+const REFUSED_APPLY_MS = 7000
+
+const { h32: hash } = await xxhash()
+
+beforeEach(() => { vi.useFakeTimers() })
+afterEach(async () => {
+  await fleet.stop()
+  vi.useRealTimers()
+})
+
+interface Config { revision: number }
+
+interface Node {
+  id: DaemonId
+  links: StandInLinks
+  membership: MembershipTask
+  follower: ConfigFollower<Config>
+  /** The store refuses each call of this daemon. */
+  refused: boolean
+  /** Time until this daemon handles a call of a peer. */
+  busyMs: number
+}
+
+/** Options of {@linkcode Fleet.start}. */
+interface FleetOptions {
+  /** Number of daemons in a failure domain that watch the store; the others poll it once a minute. Default: all follow it through relays. */
+  watchersPerDomain?: number
+}
+
+/** Daemons that follow the configuration as a running daemon does. */
+class Fleet {
+  readonly store = new StandInStore()
+  readonly network = new StandInNetwork()
+  readonly nodes: Node[] = []
+  #version = 0
+
+  async start (daemons: number, domains: number, options: FleetOptions = {}): Promise<void> {
+    this.#version = await this.store.create(KEY, '{"revision":1}')
+    for (let i = 0; i < daemons; i++) await this.add(`edge-${i}`, `domain-${i % domains}`, options)
+    await vi.advanceTimersByTimeAsync(8000)
+    expect(this.late(1)).toEqual([])
+  }
+
+  async add (name: string, failureDomain: string, { watchersPerDomain }: FleetOptions = {}): Promise<Node> {
+    const id = as<DaemonId>(name)
+    const links = this.network.join(id)
+    const random = seededRandom(hash(name))
+    const metrics = createMetrics()
+    const node = { id, links, refused: false, busyMs: 0 } as Node
+    delayCalls(links, () => node.busyMs)
+    const store = this.#accessOf(node)
+    node.membership = new MembershipTask({ self: id, listen: { host: '', port: 0 }, failureDomain: as(failureDomain), seeds: this.nodes.slice(0, 3).map((other) => `node:${other.id}`), store, links, hash, metrics, random })
+    const { membership } = node
+    const relay = new StoreRelay({ store, links, self: () => membership.core.self, acceptingWork: () => membership.acceptingWork, hash, metrics, propagationMs: APPLY_MS })
+    node.follower = new ConfigFollower<Config>({
+      self: id,
+      store: watchersPerDomain === undefined ? relay.source(KEY) : store,
+      key: KEY,
+      decode: (text) => JSON.parse(text) as Config,
+      membership,
+      metrics,
+      hash,
+      random,
+      waitMs: relay.watchWaitMs,
+      watchersPerDomain: watchersPerDomain ?? Infinity,
+      publishesRevision: false
+    })
+    await membership.start()
+    node.follower.start()
+    this.nodes.push(node)
+    return node
+  }
+
+  async change (revision: number): Promise<void> {
+    this.#version = await this.store.update(KEY, JSON.stringify({ revision }), this.#version)
+  }
+
+  /** Ends a daemon without notice. */
+  async end (node: Node): Promise<void> {
+    this.nodes.splice(this.nodes.indexOf(node), 1)
+    node.follower.stop()
+    await node.membership.stop()
+  }
+
+  async stop (): Promise<void> {
+    for (const node of [...this.nodes]) await this.end(node)
+  }
+
+  /** Daemons among the given ones at which an older revision is in force. */
+  late (revision: number, nodes: readonly Node[] = this.nodes): DaemonId[] {
+    return nodes.filter(({ follower }) => (follower.inForce?.revision ?? 0) < revision).map(({ id }) => id)
+  }
+
+  #accessOf (node: Node): ObjectStore {
+    const { store } = this
+    const guarded = <T>(call: () => Promise<T>): Promise<T> => (node.refused ? Promise.reject(new StoreError('Cannot call: status 503', { failure: 'not-applied' })) : call())
+    return {
+      get: (key) => guarded(() => store.get(key)),
+      list: (prefix, options) => guarded(() => store.list(prefix, options)),
+      snapshot: (prefix) => guarded(() => store.snapshot(prefix)),
+      create: (key, value) => guarded(() => store.create(key, value)),
+      update: (key, value, version) => guarded(() => store.update(key, value, version)),
+      remove: (key, version) => guarded(() => store.remove(key, version)),
+      // A watch that was waiting when the store began to refuse this daemon fails, too.
+      changes: (prefix, options) => guarded(async () => {
+        const changes = await store.changes(prefix, options)
+        return await guarded(async () => changes)
+      })
+    }
+  }
+}
+
+/** Delays the handling of calls from peers, as on a host that is short of processor time. */
+function delayCalls (links: StandInLinks, delayMs: () => number): void {
+  const handle = links.handle.bind(links)
+  links.handle = (method, handler) => handle(method, async (args, context) => {
+    if (delayMs() > 0) await delay(delayMs())
+    return await handler(args, context)
+  })
+}
+
+let fleet: Fleet
+
+async function started (daemons: number, domains: number, options?: FleetOptions): Promise<Fleet> {
+  fleet = new Fleet()
+  await fleet.start(daemons, domains, options)
+  return fleet
+}
+
+test('a revision is in force in time at daemons that the store refuses, although the peer that announced it did not have it yet', async () => {
+  // Guards against a peer that forwards the announcement before it has the revision, and then returns its older one.
+  const { nodes } = await started(30, 3)
+  const [served, ...others] = nodes
+  for (const node of others) node.refused = true
+  served!.busyMs = 300
+  // The watches that are waiting fail, so that each daemon learns that the store refuses it.
+  await vi.advanceTimersByTimeAsync(5000)
+  await fleet.change(2)
+  await vi.advanceTimersByTimeAsync(APPLY_MS)
+  expect(fleet.late(2, [served!])).toEqual([])
+  await vi.advanceTimersByTimeAsync(REFUSED_APPLY_MS - APPLY_MS)
+  expect(fleet.late(2)).toEqual([])
+})
+
+/** Disturbance of one daemon, in effect until its next one. */
+type Fault = 'none' | 'refused' | 'busy' | 'ends-once-announced'
+interface Step { daemon: number, fault: Fault, afterMs: number, changes: boolean }
+
+test('random schedules: a revision is in force in time wherever the store or a peer that has it can be reached', async () => {
+  // Guards against a daemon that misses a revision because one step between it and the store failed once.
+  const step = fc.record({
+    daemon: fc.nat(11),
+    fault: fc.constantFrom<Fault>('none', 'refused', 'busy', 'ends-once-announced'),
+    afterMs: fc.integer({ min: 0, max: 3000 }),
+    changes: fc.boolean()
+  })
+  await fc.assert(fc.asyncProperty(fc.array(step, { minLength: 4, maxLength: 12 }), fc.constantFrom(1, undefined), async (steps: Step[], watchersPerDomain) => {
+    await started(12, 3, watchersPerDomain === undefined ? {} : { watchersPerDomain })
+    // One daemon is never disturbed, so that each revision has a daemon that reads it from the store.
+    const [served] = fleet.nodes
+    let revision = 1
+    for (const { daemon, fault, afterMs, changes } of steps) {
+      const node = fleet.nodes[daemon % fleet.nodes.length]!
+      if (node !== served) {
+        node.refused = fault === 'refused'
+        node.busyMs = fault === 'busy' ? 300 : 0
+        if (fault === 'ends-once-announced' && fleet.nodes.length > 6) {
+          const next = revision + 1
+          node.follower.onChange((config) => { if (config.revision === next) setTimeout(() => { if (fleet.nodes.includes(node)) fleet.end(node) }, 22) })
+        }
+      }
+      await vi.advanceTimersByTimeAsync(afterMs)
+      if (!changes) continue
+      await fleet.change(++revision)
+      await vi.advanceTimersByTimeAsync(APPLY_MS)
+      const inTouch = fleet.nodes.filter((each) => !each.refused)
+      if (watchersPerDomain === undefined) expect(fleet.late(revision, inTouch)).toEqual([])
+      await vi.advanceTimersByTimeAsync(REFUSED_APPLY_MS - APPLY_MS)
+      expect(fleet.late(revision)).toEqual([])
+    }
+    await fleet.stop()
+  }), { numRuns: 40, seed: 44 })
+}, 60_000)
