Fetch an announced revision from one peer after the other until it is in force

Callers saw a confirmed change that was not in force in time at some daemons: requests with revoked credentials or on dropped routes were served there, requests on new routes refused.

Cause: a daemon that received the announcement of a revision fetched it from the sender, once. Announcements are forwarded at once, so the sender often did not have the revision yet and returned its older one; it might also end, be cut off, or not be a known member. Nothing asked again, since an announcement is merged and not delivered twice. Daemons that follow the store got the revision that way; those that the store refused, and all that poll it once a minute, did not.

Now the announcement of a revision starts a task that lasts until the revision is in force. The peer that is asked waits for the revision, if it is being fetched there, and returns nothing if it has no newer one. Another peer is asked after 150 ms, then at intervals that grow to 2 s: neighbors first, then random daemons. A daemon that gets a revision more than a second after its announcement offers it to its neighbors, since at those intervals a lone holder would take a fleet many seconds. A revision that cannot be decoded is not fetched again.

Cost: without a failure none beyond the one fetch as before.

--- a/daemon/config/config_follower.ts
+++ b/daemon/config/config_follower.ts
@@ -8,6 +8,7 @@
 import { log } from '../log/index.ts'
 import type { Metrics } from '../metrics.ts'
 import type { MembershipTask } from '../peers/membership_task.ts'
+import { RevisionExchange } from './revision_exchange.ts'
 
 /** A configuration. Revisions order configurations without relying on clocks. */
 export interface HasRevision { readonly revision: number }
@@ -35,7 +36,6 @@
   publishesRevision?: boolean
 }
 
-const FACT_KEY = 'config'
 const DEFAULT_WATCHERS_PER_DOMAIN = 2
 const POLL_MS = 60_000
 /** Time for which the store's last answer counts as confirmation that no newer revision exists, in milliseconds. */
@@ -51,6 +51,7 @@
 export class ConfigFollower<C extends HasRevision> {
   readonly #options: ConfigFollowerOptions<C>
   readonly #follower: StoreFollower
+  readonly #exchange: RevisionExchange
   readonly #listeners: Array<(config: C) => void> = []
   #inForce: C | undefined
   #resolveKnown: () => void = () => {}
@@ -58,21 +59,26 @@
   readonly known = new Promise<void>((resolve) => { this.#resolveKnown = resolve })
   /** The configuration in force in its stored encoding, sent to peers that ask for it. */
   #encoded: string | undefined
-  /** The newest revision that a peer announced, and when it was first announced. */
-  #announced = { revision: 0, atMs: 0 }
 
   constructor (options: ConfigFollowerOptions<C>) {
     this.#options = options
     const { membership, metrics } = options
-    membership.onFact((fact, from) => { if (fact.key === FACT_KEY) this.#fetchFromPeer(fact.version, from) })
-    membership.links.handle('config', async () => this.#encoded)
+    this.#exchange = new RevisionExchange({
+      membership,
+      random: options.random,
+      inForce: () => this.#inForce && { revision: this.#inForce.revision, text: this.#encoded! },
+      receive: (text, from) => this.#handleValue(text, from)
+    })
     this.#follower = new StoreFollower({
       store: options.store,
       prefix: options.key,
       random: options.random,
       ...(options.waitMs !== undefined && { waitMs: options.waitMs }),
       pauseMs: () => (this.watchesStore ? 0 : POLL_MS * (0.75 + options.random() / 2)),
-      onChange: (objects) => this.#handleValue(objects.get(options.key)?.value, 'store'),
+      onChange: (objects) => {
+        const object = objects.get(options.key)
+        if (object) this.#handleValue(object.value, 'store')
+      },
       onReachabilityChange: (reached, why) => {
         metrics.revisionSure.set(reached ? 1 : 0)
         if (reached) log('store-back', { what: 'config' })
@@ -115,6 +121,7 @@
   /** Stops following the configuration. */
   stop (): void {
     this.#follower.stop()
+    this.#exchange.stop()
   }
 
   /**
@@ -131,17 +138,19 @@
     const before = this.#inForce?.revision ?? 0
     this.#inForce = config
     this.#encoded = text
-    log('config-in-force', { revision: config.revision, before, from, announcedAgeMs: this.#announcedAgeMs(config.revision) })
+    log('config-in-force', { revision: config.revision, before, from, announcedAgeMs: this.#exchange.announcedAgeMs(config.revision) })
     this.#options.metrics.revision.set(config.revision)
     for (const listener of this.#listeners) listener(config)
     this.#resolveKnown()
-    this.#options.membership.publishFact({ key: FACT_KEY, version: config.revision, value: null })
+    this.#exchange.publish()
     if (this.#options.publishesRevision ?? true) this.#options.membership.setSelf({ revision: config.revision })
   }
 
-  #handleValue (text: string | undefined, from: string): void {
-    const config = text === undefined ? undefined : this.#decode(text)
-    if (config) this.#putInForce(text!, config, from)
+  /** Returns false if the configuration cannot be decoded. */
+  #handleValue (text: string, from: string): boolean {
+    const config = this.#decode(text)
+    if (config) this.#putInForce(text, config, from)
+    return config !== undefined
   }
 
   /**
@@ -158,24 +167,4 @@
       return undefined
     }
   }
-
-  /** Fetches a newer revision from the peer that announced it, which saves a read of the store. */
-  async #fetchFromPeer (revision: number, from: DaemonId): Promise<void> {
-    if (revision <= (this.#inForce?.revision ?? 0)) return
-    if (revision > this.#announced.revision) this.#announced = { revision, atMs: steadyNow() }
-    const { membership } = this.#options
-    const peer = membership.core.member(from)
-    if (!peer) return log('config-not-told', { revision, from, why: 'the peer is not a known member', announcedAgeMs: this.#announcedAgeMs(revision) })
-    try {
-      this.#handleValue(await membership.links.call(peer, 'config', null) as string | undefined, from)
-      const inForce = this.#inForce?.revision ?? 0
-      if (inForce < revision) log('config-not-told', { revision, from, why: `the peer has not applied it; revision ${inForce} is in force here`, announcedAgeMs: this.#announcedAgeMs(revision) })
-    } catch (err) {
-      log('config-not-told', { revision, from, why: (err as Error).message, announcedAgeMs: this.#announcedAgeMs(revision) })
-    }
-  }
-
-  #announcedAgeMs (revision: number): number | undefined {
-    return this.#announced.revision === revision ? Math.round(steadyNow() - this.#announced.atMs) : undefined
-  }
 }
--- a/daemon/config/config_follower_test.ts
+++ b/daemon/config/config_follower_test.ts
@@ -9,7 +9,7 @@
 import { ConfigFollower } from './config_follower.ts'
 
 const KEY = 'config/main'
-const membership = { onFact: () => {}, links: { handle: () => {} }, publishFact: () => {}, setSelf: () => {}, acceptingWork: [], core: { self: { failureDomain: 'a' } } } as unknown as MembershipTask
+const membership = { onFact: () => {}, links: { handle: () => {}, onPost: () => {} }, publishFact: () => {}, setSelf: () => {}, acceptingWork: [], core: { self: { failureDomain: 'a' } } } as unknown as MembershipTask
 
 beforeEach(() => { vi.useFakeTimers() })
 afterEach(() => { vi.useRealTimers() })
--- a/daemon/config/revision_propagation_test.ts
+++ b/daemon/config/revision_propagation_test.ts
@@ -99,6 +99,11 @@
     await node.membership.stop()
   }
 
+  /** Cuts a daemon off from all others. */
+  cutOff (node: Node): void {
+    for (const other of this.nodes) if (other !== node) this.network.part(node.id, other.id, true)
+  }
+
   async stop (): Promise<void> {
     for (const node of [...this.nodes]) await this.end(node)
   }
@@ -144,6 +149,28 @@
   return fleet
 }
 
+/** Makes the daemon that first has a revision fail as soon as it has announced it. */
+function failOnceAnnounced (revision: number, fail: (node: Node) => void): void {
+  let failed = false
+  for (const node of fleet.nodes) {
+    node.follower.onChange((config) => {
+      if (failed || config.revision !== revision) return
+      failed = true
+      setTimeout(() => fail(node), 22)
+    })
+  }
+}
+
+test('a revision is in force in time at daemons whose announcing peer ends before they fetched it', async () => {
+  // Guards against an announced revision that is fetched once, from one peer, and never again.
+  await started(9, 3, { watchersPerDomain: 1 })
+  failOnceAnnounced(2, (node) => { fleet.end(node) })
+  for (const node of fleet.nodes) node.busyMs = 10
+  await fleet.change(2)
+  await vi.advanceTimersByTimeAsync(APPLY_MS)
+  expect(fleet.late(2)).toEqual([])
+})
+
 test('a revision is in force in time at daemons that the store refuses, although the peer that announced it did not have it yet', async () => {
   // Guards against a peer that forwards the announcement before it has the revision, and then returns its older one.
   const { nodes } = await started(30, 3)
@@ -159,6 +186,41 @@
   expect(fleet.late(2)).toEqual([])
 })
 
+test('a revision is in force in time at a daemon whose announcing peer is cut off from it', async () => {
+  // Guards against a fetch that waits for a silent peer for longer than the revision may take.
+  await started(9, 3, { watchersPerDomain: 1 })
+  failOnceAnnounced(2, (node) => fleet.cutOff(node))
+  for (const node of fleet.nodes) node.busyMs = 10
+  await fleet.change(2)
+  await vi.advanceTimersByTimeAsync(APPLY_MS)
+  expect(fleet.late(2)).toEqual([])
+})
+
+test('a revision that no peer can return is asked for ever less often, and fetched once a peer has it', async () => {
+  // Guards against a fleet that keeps asking itself for a revision whose holders are gone while the store is down.
+  const { nodes, store } = await started(12, 3)
+  let calls = 0
+  for (const { links } of nodes) {
+    const call = links.call.bind(links)
+    links.call = (to, method, args, options) => {
+      if (method === 'config') calls++
+      return call(to, method, args, options)
+    }
+  }
+  for (const node of nodes) node.refused = true
+  store.disconnectWatches()
+  await vi.advanceTimersByTimeAsync(3000)
+  nodes[0]!.membership.publishFact({ key: 'config', version: 2, value: null })
+  await vi.advanceTimersByTimeAsync(20_000)
+  calls = 0
+  await vi.advanceTimersByTimeAsync(20_000)
+  expect(calls / 20 / nodes.length).toBeLessThanOrEqual(1)
+  await fleet.change(2)
+  nodes[5]!.refused = false
+  await vi.advanceTimersByTimeAsync(REFUSED_APPLY_MS)
+  expect(fleet.late(2)).toEqual([])
+})
+
 /** Disturbance of one daemon, in effect until its next one. */
 type Fault = 'none' | 'refused' | 'busy' | 'ends-once-announced'
 interface Step { daemon: number, fault: Fault, afterMs: number, changes: boolean }
