Bound the time in which silent daemons are asked for changes of the store

Callers could be sent to endpoints that had left, and were served by an old configuration, for longer than the limit for a change to reach every daemon.

Cause: a daemon asks its sources (two watchers of the store, or the relays of its failure domain) one after the other, each for up to half of the limit, and asks the store only then. A suspended host or one without power refuses nothing, so the waits add up: with both watchers silent they take the whole limit, with the seven relays that a domain of a fleet of 420 has, 3.5 times the limit; connecting to a dark host came on top.

Now the sources have half of the limit together, connecting included; the store is asked after that. If the store refuses this daemon, the sources that were not reached in time are asked, so that one silent source does not make a daemon depend on a store that does not serve it.

Evidence: the test suspends all sources of one daemon. Before, 120 daemons in 2 domains: 4000 ms, twice the limit of 2000 ms; now it passes. The case of 9 daemons passed before, too, since none of its requests was waiting. The stand-in network can now silence a daemon: its partitions refuse calls at once, which is why the tests with suspended relays had not seen this.

Cost: while a source is silent, its followers (at most 16) make one watch each at the store every 4 s, as they did after the last source before.

--- a/daemon/peers/store_relay.ts
+++ b/daemon/peers/store_relay.ts
@@ -4,7 +4,7 @@
 import type { Member } from '../../core/membership/index.ts'
 import type { Hash32 } from '../../core/routing/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
-import { ChangeLog, StoreError, type Changes, type ObjectSource, type Snapshot } from '../../store/index.ts'
+import { ChangeLog, isStoreFailure, StoreError, type Changes, type ObjectSource, type Snapshot } from '../../store/index.ts'
 import { log } from '../log/index.ts'
 import type { Metrics } from '../metrics.ts'
 import type { Links } from './links.ts'
@@ -29,10 +29,10 @@
 interface ChangesResponse extends Changes { ageMs: number }
 
 /**
- * Fraction of the propagation limit for which a request waits for changes. After twice as long without a reply the source counts as failed, which leaves
- * half of the limit for asking the store itself.
+ * Fraction of the propagation limit within which a request to other daemons must be answered, which leaves half of the limit for asking the store itself.
+ * A daemon that is asked waits for changes for half of the time that is left.
  */
-const REQUEST_WAIT_FRACTION = 1 / 4
+const REQUEST_TIMEOUT_FRACTION = 1 / 2
 /** How long a daemon that failed to reply is skipped, in milliseconds: silent links are replaced within four seconds. */
 const FAILED_SOURCE_BACKOFF_MS = 4000
 /**
@@ -73,10 +73,18 @@
     return followed
   }
 
-  /** Tries the source daemons in order; undefined when the store itself must be asked. */
+  /**
+   * Tries the source daemons in order; undefined when the store itself must be asked.
+   *
+   * Sources that report a failure cost no time, but one that is silent uses up the time that all of them have together: if each could take as
+   * long, the number of sources would determine when a change arrives.
+   */
   async #fetchChanges (prefix: string, after: number): Promise<ChangesResponse | undefined> {
+    const deadlineMs = steadyNow() + this.#options.propagationMs * REQUEST_TIMEOUT_FRACTION
     for (const daemon of this.#sources()) {
-      const response = await this.#fetchChangesFrom(daemon, prefix, after)
+      const remainingMs = deadlineMs - steadyNow()
+      if (remainingMs <= 0) return undefined
+      const response = await this.#fetchChangesFrom(daemon, { prefix, after, waitMs: remainingMs / 2 }, remainingMs)
       if (response) return response
     }
     return undefined
@@ -88,16 +96,16 @@
     return changeSources(self(), acceptingWork(), { hash }).filter(({ id }) => now - (this.#failedAtMs.get(id) ?? -Infinity) > FAILED_SOURCE_BACKOFF_MS)
   }
 
-  async #fetchChangesFrom (daemon: Member, prefix: string, after: number): Promise<ChangesResponse | undefined> {
-    const { links, propagationMs, metrics } = this.#options
-    const waitMs = propagationMs * REQUEST_WAIT_FRACTION
+  async #fetchChangesFrom (daemon: Member, req: ChangesRequest, timeoutMs: number): Promise<ChangesResponse | undefined> {
+    const { links, metrics } = this.#options
     try {
-      const response = await links.call(daemon, CHANGES_METHOD, { prefix, after, waitMs } satisfies ChangesRequest, { timeoutMs: 2 * waitMs }) as ChangesResponse
-      metrics.storeChangeAge.observe({ prefix }, response.ageMs)
+      // The timeout of a call begins once the daemon is connected.
+      const response = await within(links.call(daemon, CHANGES_METHOD, req, { timeoutMs }), timeoutMs) as ChangesResponse
+      metrics.storeChangeAge.observe({ prefix: req.prefix }, response.ageMs)
       return response
     } catch (err) {
       this.#failedAtMs.set(daemon.id, steadyNow())
-      log('relay-failed', { peer: daemon.id, prefix, why: (err as Error).message })
+      log('relay-failed', { peer: daemon.id, prefix: req.prefix, why: (err as Error).message })
       return undefined
     }
   }
@@ -134,15 +142,28 @@
 
   async changes (_prefix: string, { after, waitMs }: { after: number, waitMs: number }): Promise<Changes> {
     const response = await this.#options.fetchChanges(after)
-    if (response) {
-      this.#log.changed(response)
-      this.#markFresh(response.ageMs)
-      return { ...response, checked: true }
+    if (response) return this.#applyRelayed(response)
+    try {
+      const changes = await this.#options.store.changes(this.#prefix, { after, waitMs })
+      this.#log.changed(changes)
+      this.#markFresh(0)
+      return changes
+    } catch (err) {
+      return await this.#changesDespite(err, after)
     }
-    const changes = await this.#trackFailure(this.#options.store.changes(this.#prefix, { after, waitMs }))
-    this.#log.changed(changes)
-    this.#markFresh(0)
-    return changes
+  }
+
+  /** Asks the daemons that were not reached in time before: the store may refuse this daemon and serve them. */
+  async #changesDespite (err: unknown, after: number): Promise<Changes> {
+    const response = isStoreFailure(err, 'history-gone') ? undefined : await this.#options.fetchChanges(after)
+    if (!response) return await this.#trackFailure(Promise.reject(err))
+    return this.#applyRelayed(response)
+  }
+
+  #applyRelayed (response: ChangesResponse): Changes {
+    this.#log.changed(response)
+    this.#markFresh(response.ageMs)
+    return { ...response, checked: true }
   }
 
   /**
@@ -198,3 +219,11 @@
     })
   }
 }
+
+/** Rejects if a call has not ended in time. */
+function within<T> (call: Promise<T>, timeoutMs: number): Promise<T> {
+  return new Promise((resolve, reject) => {
+    const timer = setTimeout(() => reject(new Error(`Cannot call daemon: no reply within ${Math.round(timeoutMs)} ms`)), timeoutMs)
+    call.then(resolve, reject).finally(() => clearTimeout(timer))
+  })
+}
--- a/daemon/peers/store_relay_test.ts
+++ b/daemon/peers/store_relay_test.ts
@@ -163,6 +163,20 @@
   expect(await fleet.timeUntilKnown([], nodes.filter((node) => !suspended.includes(node)))).toBeLessThanOrEqual(PROPAGATION_MS)
 })
 
+test.each([9, 120])('when all daemons that a daemon may ask are suspended, it learns of a departure in time (%i daemons)', async (daemons) => {
+  // Guards against waiting for one silent daemon after the other: in a large fleet a failure domain has several relays.
+  const { store, network, nodes } = await started(daemons, 2)
+  const follower = nodes.findLast((node) => fleet.sourcesOf(node).length > 1)!
+  const sources = new Set(fleet.sourcesOf(follower).map(({ id }) => id))
+  const suspended = nodes.filter(({ member }) => sources.has(member.id))
+  for (const { member, access } of suspended) {
+    network.silence(member.id, true)
+    access.isUnanswered = true
+  }
+  store.expire([`${PREFIX}a`])
+  expect(await fleet.timeUntilKnown([], nodes.filter((node) => !suspended.includes(node)))).toBeLessThanOrEqual(PROPAGATION_MS)
+})
+
 test('a daemon that reaches no other follows the store itself and returns to asking relays afterwards', async () => {
   const { store, network, nodes } = await started(12, 3)
   const [first] = nodes
--- a/standins/network.ts
+++ b/standins/network.ts
@@ -13,6 +13,7 @@
   readonly latencyMs: number
   readonly #nodes = new Map<string, StandInLinks>()
   readonly #partitions = new Set<string>()
+  readonly #silent = new Set<DaemonId>()
   readonly #calls = new Map<string, Set<() => void>>()
 
   constructor (options: { latencyMs?: number } = {}) {
@@ -36,6 +37,17 @@
     setTimeout(() => calls.forEach((fail) => fail()), LINK_TIMEOUT_MS)
   }
 
+  /** Drops all messages to and from a daemon while its links stay open, as when its host is suspended: calls end with their timeouts. */
+  silence (id: DaemonId, silent: boolean): void {
+    if (silent) this.#silent.add(id)
+    else this.#silent.delete(id)
+  }
+
+  /** Returns whether messages between two daemons arrive. */
+  carries (a: DaemonId, b: DaemonId): boolean {
+    return !this.#silent.has(a) && !this.#silent.has(b)
+  }
+
   /** Tracks a call between two daemons so that it fails when they are partitioned; returns a function that stops tracking. */
   trackCall (a: DaemonId, b: DaemonId, lose: () => void): () => void {
     const key = pairKey(a, b)
@@ -109,7 +121,7 @@
     const copy = structuredClone(gossip)
     this.#afterLatency(() => {
       const peer = this.#network.reach(this.id, address)
-      if (peer && !this.#closed) peer.#receiveGossip(this, copy)
+      if (peer && !this.#closed && this.#network.carries(this.id, peer.id)) peer.#receiveGossip(this, copy)
     })
   }
 
@@ -126,7 +138,7 @@
     const copy = structuredClone(value)
     this.#afterLatency(() => {
       const peer = this.#network.reach(this.id, address)
-      if (peer && !this.#closed && !peer.#closed) peer.#posts.get(topic)?.(copy as never, this.id)
+      if (peer && !this.#closed && !peer.#closed && this.#network.carries(this.id, peer.id)) peer.#posts.get(topic)?.(copy as never, this.id)
     })
     return true
   }
@@ -147,7 +159,7 @@
       const stop = this.#network.trackCall(this.id, peer.id, lost)
       const done = () => { clearTimeout(timer); stop() }
       peer.#closeController.signal.addEventListener('abort', lost, { once: true })
-      const connected = () => !this.#closed && this.#network.reach(this.id, to.address) !== undefined
+      const connected = () => !this.#closed && this.#network.reach(this.id, to.address) !== undefined && this.#network.carries(this.id, peer.id)
       const part = (value: unknown) => { const copy = structuredClone(value); this.#afterLatency(() => { if (connected()) options.part?.(copy) }) }
       const settle = (act: () => void) => this.#afterLatency(() => {
         if (!connected()) return
