Count the wait for a quota or a configuration towards a request's time limit

Callers waited longer than their route's `timeout_ms`, and endpoints were given more time than callers had left: while the quota keeper was being replaced, a request was held for up to 1.5 s, and its time limit began only then. Before the first configuration it was up to 1 s more.

Cause: the deadline was computed when the request's task was created, after these waits, from a duration that counts from the arrival. It was found while looking for reasons why operators see a configured time limit that is not kept; whether it is what was reported is not shown.

Evidence: daemon/exchange/intake_test.ts holds a request for 600 ms for the configuration and 900 ms for its quota; its deadline was 4500 ms after the arrival where the route allows 3000, and 3300 where the caller allows 1800. Both cases pass now.

--- a/daemon/exchange/exchange_server.ts
+++ b/daemon/exchange/exchange_server.ts
@@ -2,6 +2,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import type { CallerLimits } from '../../core/catalog/index.ts'
+import { steadyNow } from '../../core/time/index.ts'
 import { BadRequestError, type ExchangeDialect } from '../../endpoints/index.ts'
 import { logRequest } from '../log/index.ts'
 import { refuse, writeExchange } from './exchange_writer.ts'
@@ -77,6 +78,7 @@
   }
 
   async #serve (req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const arrivedAtMs = steadyNow()
     this.open++
     res.on('close', () => { this.open-- })
     // A response whose headers were sent before draining began carries no `Connection: close`.
@@ -87,7 +89,7 @@
       facts = this.#options.dialect.readRequest(req)
       const body = await readBody(req, this.#limits)
       if (res.destroyed) return
-      const task = await this.#options.intake.accept({ ...facts, body })
+      const task = await this.#options.intake.accept({ ...facts, body }, arrivedAtMs)
       writeExchange(res, task, { closeConnection: () => this.#draining })
       task.post({ type: 'begin' })
     } catch (err) {
--- a/daemon/exchange/intake.ts
+++ b/daemon/exchange/intake.ts
@@ -77,9 +77,10 @@
 
   /**
    * Accepts a request and creates its task.
+   * @param arrivedAtMs When the request arrived, in milliseconds on the steady clock; its time limits count from then. Default: now.
    * @throws {Refusal} If the request is refused; no endpoint has received it.
    */
-  async accept (req: ProxiedRequest): Promise<RequestTask<Buffer>> {
+  async accept (req: ProxiedRequest, arrivedAtMs = steadyNow()): Promise<RequestTask<Buffer>> {
     if (!this.#options.catalog()) await Promise.race([this.#options.known, delay(CATALOG_WAIT_MS)])
     const { route, account } = this.authorize(req)
     const askedAtMs = steadyNow()
@@ -97,7 +98,7 @@
       runner: new ExchangeRunner({ req: { ...req, account: account?.id }, client, dialect }),
       ports: { table, dispatcher, metrics, budget, crashes, quarantine, answers },
       from: req.resumeFrom,
-      deadlineInMs: Math.min(req.deadlineInMs ?? Infinity, cls.latency.deadlineMs)
+      deadlineInMs: Math.max(0, Math.min(req.deadlineInMs ?? Infinity, cls.latency.deadlineMs) - (steadyNow() - arrivedAtMs))
     })
     task.recordDecision('request-taken', {
       ...this.configState,
--- /dev/null
+++ b/daemon/exchange/intake_test.ts
@@ -0,0 +1,52 @@
+import { afterEach, beforeEach, expect, test, vi } from 'vitest'
+import { RouteTable, UrgencyClassifier, type Account, type Route } from '../../core/catalog/index.ts'
+import { as, type PoolName, type RequestId } from '../../core/ids/index.ts'
+import { delay, steadyNow } from '../../core/time/index.ts'
+import { createMetrics } from '../metrics.ts'
+import { Intake, type CatalogIndex, type IntakeOptions } from './intake.ts'
+
+const ROUTE_TIMEOUT_MS = 3000
+const POOL = as<PoolName>('desk')
+
+beforeEach(() => { vi.useFakeTimers() })
+afterEach(() => { vi.useRealTimers() })
+
+function catalog (): CatalogIndex {
+  const cls = { name: as<never>('check'), idempotent: true, streaming: false, resumable: false, cancelOnLeave: true, maxAttempts: 2, priority: 0, urgent: false, latency: { firstTokenMs: 200, betweenTokensMs: undefined, deadlineMs: ROUTE_TIMEOUT_MS }, delivery: 0.999 }
+  const routes: Route[] = [{ host: 'a.example', pathPrefix: '/', cls, pools: [{ pool: POOL, weight: 1 }], anonymous: false }]
+  const account: Account = { id: as('council'), priority: undefined, quota: undefined }
+  return { routes: new RouteTable(routes), urgency: new UrgencyClassifier(routes), accounts: new Map([['key', account]]), pools: new Map() }
+}
+
+/** An intake whose quota keeper takes a while to grant a charge. */
+function intakeWith ({ quotaWaitMs, catalogWaitMs = 0 }: { quotaWaitMs: number, catalogWaitMs?: number }): Intake {
+  const knownAtMs = steadyNow() + catalogWaitMs
+  return new Intake({
+    metrics: createMetrics(),
+    random: () => 0,
+    catalog: () => (steadyNow() >= knownAtMs ? catalog() : undefined),
+    known: delay(catalogWaitMs),
+    limits: { charge: async () => { await delay(quotaWaitMs); return { giveBack: () => {} } } },
+    budgetOf: () => ({ deposit: () => {}, tryWithdraw: () => true }),
+    configState: () => ({ revision: 1, revisionAgeMs: 0 }),
+    table: {},
+    dispatcher: { remove: () => {} },
+    quarantine: { heldForMs: () => undefined }
+  } as unknown as IntakeOptions)
+}
+
+const request = (deadlineInMs: number | undefined) => ({ id: as<RequestId>('r1'), method: 'GET', target: '/check', host: 'a.example', headers: [], credential: 'key', deadlineInMs, demand: undefined, resumeFrom: 0, body: Buffer.alloc(0) })
+
+test.each([
+  { deadlineInMs: undefined, endsAfterMs: ROUTE_TIMEOUT_MS },
+  { deadlineInMs: 1800, endsAfterMs: 1800 }
+])('the time for which a request is held for its quota or a configuration counts towards its time limit', async ({ deadlineInMs, endsAfterMs }) => {
+  // Guards against requests that are answered later than their route allows while the quota keeper is being replaced.
+  const intake = intakeWith({ quotaWaitMs: 900, catalogWaitMs: 600 })
+  const arrivedAtMs = steadyNow()
+  const accepted = intake.accept(request(deadlineInMs))
+  await vi.advanceTimersByTimeAsync(1500)
+  const task = await accepted
+  expect(task.state.traits.deadlineAtMs).toBe(arrivedAtMs + endsAfterMs)
+  task.abandon()
+})
