Read the limit that endpoints name in their answers, and log its changes

Endpoints in need name the requests a second that they take from all daemons together. No code read it: an incident showed an endpoint that had named 1.7 a second and got 25 requests in 4 s where 15 are allowed, and no line of any log spoke of a limit.

`platform/` decodes the value once, into a rate with a unit. Zero, a negative number, anything that is no decimal number and several headers are refused, logged, and change nothing. `endpoint-limit` is logged where a limit begins, changes or ends at a daemon, with a gauge for each pool. Answers overtake each other, so a limit ends only with the answer to a request that was sent after the last answer that named it. Nothing is decided by it yet.

Tests of the new code, of exchange, requests and endpoints pass.

--- /dev/null
+++ b/core/endpoint_limits/index.ts
@@ -0,0 +1,1 @@
+export * from './observed_limits.ts'
--- a/daemon/exchange/_proxy_components.ts
+++ b/daemon/exchange/_proxy_components.ts
@@ -15,6 +15,7 @@
 import { shareDepartures } from '../endpoints/departure_sharing.ts'
 import { LeaseTask } from '../fleet/lease_task.ts'
 import { AccountLimits } from '../limits/account_limits.ts'
+import { EndpointLimits } from '../limits/endpoint_limits.ts'
 import { CpuTimeLog } from '../log/index.ts'
 import { createMetrics, type Metrics } from '../metrics.ts'
 import { LeaseAnnouncer } from '../peers/lease_announcer.ts'
@@ -62,6 +63,7 @@
   relay: StoreRelay
   config: ConfigFollower<Catalog>
   limits: AccountLimits
+  endpointLimits: EndpointLimits
   table: EndpointTable
   registry: EndpointFollower
   client: ExchangeClient
@@ -144,11 +146,12 @@
     crashes: asFunction(({ metrics }: ProxyComponents) => new CrashWatch({ metrics, dial })).singleton(),
     quarantine: asFunction(({ crashes, membership, metrics }: ProxyComponents) => new QuarantineTask({ crashes, membership, metrics })).singleton(),
     archive: asFunction(({ membership, quarantine }: ProxyComponents) => new QuarantineArchive({ store: platform.store, quarantine, maintainsArchive: () => membership.isFirstFor('quarantine') })).singleton(),
+    endpointLimits: asFunction(({ metrics }: ProxyComponents) => new EndpointLimits({ metrics })).singleton(),
     loads: asFunction(({ self, membership, table, limits }: ProxyComponents) => new LoadTask({ self, membership, table, limits })).singleton(),
     rollouts: asFunction(rolloutComponents).singleton(),
     dispatcher: asFunction(({ table, random, fleet, rollouts }: ProxyComponents) => createSharedDispatcher({ table, hash, random, failureDomain: settings.failureDomain, sharers: () => fleet.hostCount, canaries: rollouts?.gate })).singleton(),
     budgetOf: asFunction(retryBudgets).singleton(),
-    intake: asFunction(({ table, dispatcher, metrics, client, crashes, quarantine, hash64, random, limits, usage, orders, budgetOf, config, rollouts }: ProxyComponents) => new Intake({
+    intake: asFunction(({ table, dispatcher, metrics, client, crashes, quarantine, hash64, random, limits, endpointLimits, usage, orders, budgetOf, config, rollouts }: ProxyComponents) => new Intake({
       table,
       dispatcher,
       metrics,
@@ -158,6 +161,7 @@
       hash64,
       random,
       limits,
+      endpointLimits,
       usage,
       orders,
       answers: rollouts?.gate,
--- a/daemon/metrics.ts
+++ b/daemon/metrics.ts
@@ -42,6 +42,7 @@
     peerMessages: counter('peer_messages_total', 'Messages between daemons, several of one moment counted as one', ['direction']),
     unknownPeerMessages: counter('peer_unknown_messages_total', 'Messages of a kind this version does not know'),
     handedOver: counter('handed_over_total', 'Streams handed to another daemon while draining'),
+    limitedEndpoints: gauge('limited_endpoints', 'Endpoints that limit the rate of requests from all daemons', ['pool']),
     open: gauge('open_requests', 'Requests accepted and not finished'),
     queued: gauge('queued_requests', 'Requests that wait for an endpoint'),
     endpoints: gauge('endpoints', 'Endpoints by pool and state', ['pool', 'state']),
--- a/daemon/request/request_task.ts
+++ b/daemon/request/request_task.ts
@@ -279,7 +279,12 @@
   /** Creates the sink that receives the output of an attempt. */
   protected sink (endpoint: EndpointId, attempt: number): AttemptSink<P> {
     let head: AnswerHead | undefined
+    const sentAtMs = steadyNow()
     return {
+      onLimit: (limit) => {
+        const view = this.ports.table.get(endpoint)
+        if (view) this.ports.limits?.answered(view, limit, sentAtMs)
+      },
       onHead: (arrived) => { head = arrived },
       onChunk: (offset, pieces) => {
         const verdict = this.answer.add({ attempt, offset, pieces })
--- a/daemon/request/work.ts
+++ b/daemon/request/work.ts
@@ -4,6 +4,7 @@
 import type { RetryLimiter } from '../../core/retry/index.ts'
 import type { EndpointView } from '../../core/routing/index.ts'
 import type { Demand, WorkClass } from '../../core/work/index.ts'
+import type { AnswerLimit } from '../../endpoints/index.ts'
 import type { EndpointTable } from '../endpoints/endpoint_table.ts'
 import type { Metrics } from '../metrics.ts'
 import type { CrashWatch, QuarantineTask } from '../quarantine/index.ts'
@@ -42,6 +43,14 @@
   quarantine: QuarantineTask
   /** Default: no observer. */
   answers?: AnswerObserver | undefined
+  /** Limits that endpoints name in their answers. Default: they name none. */
+  limits?: RequestLimits | undefined
+}
+
+/** Records requests to endpoints with a limit. */
+export interface RequestLimits {
+  /** Called with what an endpoint's answer says about its limit. `sentAtMs` is when the request was sent, in milliseconds on the steady clock. */
+  answered (view: EndpointView, limit: AnswerLimit, sentAtMs: number): void
 }
 
 /** Reason given for refusing a request whose fingerprint is quarantined. */
--- a/endpoints/attempt.ts
+++ b/endpoints/attempt.ts
@@ -4,6 +4,9 @@
 import type { StartMode } from '../core/request/index.ts'
 import type { EndpointLoad, EndpointView, Lane } from '../core/routing/index.ts'
 
+/** What an answer says about the request rate that its endpoint takes from all daemons together, in requests per second; undefined if it names none. */
+export type AnswerLimit = { perS: number | undefined } | { invalid: string }
+
 /** Receives one attempt's answer. The last call is exactly one of `onEnd` and `onError`. */
 export interface AttemptSink<P> {
   /** Called before the first piece with the status and headers, if the protocol has them. */
@@ -13,6 +16,8 @@
   onEnd (total: number): void
   onError (err: AttemptError): void
   onLoad (load: EndpointLoad): void
+  /** Called with the head of each answer that the endpoint itself gave, also one that it refused or failed with. */
+  onLimit? (limit: AnswerLimit): void
 }
 
 /** What an attempt had produced when it was stopped. */
--- a/endpoints/exchange/exchange_dialect.ts
+++ b/endpoints/exchange/exchange_dialect.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage } from 'node:http'
 import type { AnswerHead, Header } from '../../core/answer/index.ts'
 import type { EndpointView, Lane } from '../../core/routing/index.ts'
+import type { AnswerLimit } from '../attempt.ts'
 import type { AdmittedRequest, ProxiedRequest } from './proxied_request.ts'
 
 /** Values that one attempt adds to the caller's request. */
@@ -25,6 +26,8 @@
   notRun: boolean
   /** True if another endpoint has the address now. */
   otherEndpoint: boolean
+  /** The request rate that the endpoint takes. Default: it names none. */
+  limit?: AnswerLimit | undefined
 }
 
 /** Error for a request that cannot be forwarded as it is. */
