Keep all daemons together within the limits that endpoints name

Callers of an endpoint in need made it worse: it named a limit on the requests that it takes from all daemons, and got as many as before (25 in 4 s where 15 are allowed).

Cause: nothing acted on the limit. It holds for the sum over all daemons, which no daemon knows.

Now a request to such an endpoint needs a permit. The daemon that counts quotas grants them, at the rate of the limit times the part of all daemons that chose it, so that two of them never grant more than one would. A request that prefers an endpoint with a limit asks for a permit, in one message, and goes elsewhere if there is none; the reply says when one can be there, and until then nobody at that daemon asks again. Where all endpoints of a pool have limits, requests wait for a permit if one is expected within their target, those that are urgent and wait longest first, and are refused at once otherwise, with that time as Retry-After. Permits of a pool are interchangeable, used within a second or given back. Limits travel with the load reports, from and to all daemons, again every 2 s, so that none is lost with a message or a keeper. A limit ends with an answer that names none. Prompts with a shared prefix have their home at an endpoint without a limit. The permit is taken where each attempt is sent: first attempts, repeats, resumed streams and calls alike.

--- a/bench/registry.ts
+++ b/bench/registry.ts
@@ -1,6 +1,7 @@
 /** Registry of all benchmarks. */
 import type { Bench } from './bench.ts'
 import { costBench } from './cost.ts'
+import { endpointLimitsBench } from './endpoint_limits.ts'
 import { limitsBench } from './limits.ts'
 import { membershipBench } from './membership.ts'
 import { onceBench } from './once.ts'
@@ -14,4 +15,4 @@
 import { waveBench } from './wave.ts'
 
 /** All benchmarks, in the order in which they are listed. */
-export const BENCHES: readonly Bench[] = [costBench, limitsBench, membershipBench, onceBench, overheadBench, placingBench, reclaimBench, rolloutBench, routeBench, schedulesBench, storeBench, waveBench]
+export const BENCHES: readonly Bench[] = [costBench, endpointLimitsBench, limitsBench, membershipBench, onceBench, overheadBench, placingBench, reclaimBench, rolloutBench, routeBench, schedulesBench, storeBench, waveBench]
--- a/core/admission/fair_queue.ts
+++ b/core/admission/fair_queue.ts
@@ -16,6 +16,8 @@
 /** Queue that determines which request starts next. */
 export interface RequestQueue<T> {
   readonly length: number
+  /** Number of queued requests that are urgent. */
+  readonly urgentLength: number
   push (entry: QueuedRequest<T>): void
   /** Returns the number of queued requests that would start before a new request of this account. */
   ahead (account: AccountId, urgent: boolean): number
@@ -44,6 +46,12 @@
 
   get length (): number { return this.#length }
 
+  get urgentLength (): number {
+    let count = 0
+    for (const { entries } of this.#accountQueues.values()) count += entries.filter(({ urgent }) => urgent).length
+    return count
+  }
+
   push (entry: QueuedRequest<T>): void {
     const queue = this.#queueOf(entry.account)
     if (queue.entries.length === 0) queue.startTag = Math.max(queue.startTag, this.#virtualTime)
@@ -127,6 +135,7 @@
   #entries: QueuedRequest<T>[] = []
 
   get length (): number { return this.#entries.length }
+  get urgentLength (): number { return this.#entries.filter(({ urgent }) => urgent).length }
   push (entry: QueuedRequest<T>): void { this.#entries.push(entry) }
   ahead (): number { return this.#entries.length }
   peek (): QueuedRequest<T> | undefined { return this.#entries[0] }
--- a/core/endpoint_limits/index.ts
+++ b/core/endpoint_limits/index.ts
@@ -1,1 +1,3 @@
 export * from './observed_limits.ts'
+export * from './permit_allocator.ts'
+export * from './permit_stock.ts'
--- a/core/endpoint_limits/observed_limits.ts
+++ b/core/endpoint_limits/observed_limits.ts
@@ -42,11 +42,6 @@
   /** Returns the limit of an endpoint in requests per second; undefined if it has none. */
   perS (endpoint: EndpointId): number | undefined { return this.#newest.get(endpoint)?.perS }
 
-  /** Returns true if an observation adds nothing: the endpoint has no limit and names none. */
-  isUnremarkable (endpoint: EndpointId, perS: number | undefined): boolean {
-    return perS === undefined && this.perS(endpoint) === undefined
-  }
-
   /** Merges an observation and returns the change that it makes; undefined if it makes none. */
   observe (observation: LimitObservation): LimitChange | undefined {
     const { endpoint, perS, atMs } = observation
--- /dev/null
+++ b/core/endpoint_limits/permit_allocator.ts
@@ -0,0 +1,137 @@
+/** Distributes the requests that endpoints with a limit take among all daemons. */
+import type { DaemonId, EndpointId, PoolName } from '../ids/index.ts'
+import type { LimitObservation } from './observed_limits.ts'
+
+/** Permits that a daemon needs for a pool, for urgent and for other requests. */
+export interface PermitRequest {
+  pool: PoolName
+  urgent: number
+  normal: number
+  /** True if the requests wait for permits; otherwise they go elsewhere if there is none now. */
+  waits: boolean
+}
+
+/** Number of requests that a daemon may send to an endpoint. */
+export type PermitGrant = readonly [endpoint: EndpointId, count: number]
+
+/** Estimated time until a new request of the pool gets a permit, in milliseconds, for an urgent and for any other request. */
+export interface PermitWait { pool: PoolName, urgentMs: number, normalMs: number }
+
+/** Options of {@linkcode PermitAllocator.allocate}. */
+export interface AllocateOptions {
+  /** Limits in force. */
+  limits: Iterable<LimitObservation>
+  /** Part of all daemons that this allocator serves, in [0, 1]. Allocators of several groups of daemons together grant no more than one would. */
+  share: number
+  now: number
+  /** Permits that the daemon did not use in time. Default: none. */
+  unused?: readonly PermitGrant[]
+}
+
+/** A daemon that needs permits and did not get all of them. */
+interface WaitingDaemon { urgent: number, normal: number, sinceMs: number, requestedAtMs: number }
+/** Permits of an endpoint that are available now. */
+interface Bucket { pool: PoolName, perS: number, permits: number, filledAtMs: number }
+
+const MS_PER_S = 1000
+/** Permits that accumulate while nobody needs them: a constant number, and the permits of this many seconds. */
+const BASE_CAPACITY = 2
+const CAPACITY_S = 0.5
+/** Age at which a daemon's request expires, in milliseconds: a daemon that still waits requests again several times in this time. */
+const REQUEST_EXPIRY_MS = 1500
+/** Maximum estimate of a wait, in milliseconds. */
+const MAX_WAIT_MS = 8000
+
+/**
+ * Grants permits at the rate of each endpoint's limit, to the daemons that have waited longest; urgent requests come first.
+ *
+ * A pool's permits are interchangeable: a daemon requests permits of a pool and gets those of the endpoints that have most left, so that all of
+ * the limits are used although no daemon knows which endpoint has room.
+ */
+export class PermitAllocator {
+  readonly #buckets = new Map<EndpointId, Bucket>()
+  readonly #waiting = new Map<PoolName, Map<DaemonId, WaitingDaemon>>()
+
+  /** Grants a daemon what it can have of the permits that it needs. What it waits for replaces what it waited for before. */
+  allocate (daemon: DaemonId, requests: readonly PermitRequest[], options: AllocateOptions): { grants: PermitGrant[], waits: PermitWait[] } {
+    this.#refill(options)
+    for (const [endpoint, count] of options.unused ?? []) this.#giveBack(endpoint, count)
+    const grants = new Map<EndpointId, number>()
+    const waits = requests.map((request): PermitWait => {
+      this.#grant(daemon, request, { ...options, grants })
+      return this.#estimateWait(request.pool, options.share)
+    })
+    return { grants: [...grants], waits }
+  }
+
+  #refill ({ limits, share, now }: AllocateOptions): void {
+    const limited = new Set<EndpointId>()
+    for (const { endpoint, pool, perS } of limits) {
+      if (perS === undefined) continue
+      limited.add(endpoint)
+      // A new limit starts without permits, since the endpoint still has the requests that were sent before.
+      const { permits, filledAtMs } = this.#buckets.get(endpoint) ?? { permits: 0, filledAtMs: now }
+      this.#buckets.set(endpoint, { pool, perS, permits: Math.min(capacityOf({ perS }), permits + perS * share * (now - filledAtMs) / MS_PER_S), filledAtMs: now })
+    }
+    for (const endpoint of this.#buckets.keys()) if (!limited.has(endpoint)) this.#buckets.delete(endpoint)
+  }
+
+  #giveBack (endpoint: EndpointId, count: number): void {
+    const bucket = this.#buckets.get(endpoint)
+    if (bucket) bucket.permits = Math.min(capacityOf(bucket), bucket.permits + count)
+  }
+
+  #grant (daemon: DaemonId, { pool, urgent, normal, waits }: PermitRequest, { now, grants }: AllocateOptions & { grants: Map<EndpointId, number> }): void {
+    const waiting = this.#waitingIn(pool, now)
+    const sinceMs = waiting.get(daemon)?.sinceMs ?? now
+    const request: WaitingDaemon = { urgent, normal, sinceMs, requestedAtMs: now }
+    const ahead = [...waiting].filter(([other, entry]) => other !== daemon && precedes(entry, request)).length
+    const available = this.#available(pool).reduce((sum, { permits }) => sum + Math.floor(permits), 0)
+    const granted = Math.max(0, Math.min(urgent + normal, available - ahead))
+    for (let i = 0; i < granted; i++) {
+      const [endpoint, bucket] = this.#fullest(pool)
+      bucket.permits--
+      grants.set(endpoint, (grants.get(endpoint) ?? 0) + 1)
+    }
+    if (!waits) return
+    const left = { urgent: Math.max(0, urgent - granted), normal: Math.max(0, normal - Math.max(0, granted - urgent)) }
+    if (left.urgent + left.normal === 0) waiting.delete(daemon)
+    else waiting.set(daemon, { ...request, ...left, sinceMs: granted > 0 ? now : sinceMs })
+  }
+
+  #waitingIn (pool: PoolName, now: number): Map<DaemonId, WaitingDaemon> {
+    const waiting = this.#waiting.get(pool) ?? new Map<DaemonId, WaitingDaemon>()
+    this.#waiting.set(pool, waiting)
+    for (const [daemon, { requestedAtMs }] of waiting) if (now - requestedAtMs > REQUEST_EXPIRY_MS) waiting.delete(daemon)
+    return waiting
+  }
+
+  #available (pool: PoolName): Bucket[] {
+    return [...this.#buckets.values()].filter((bucket) => bucket.pool === pool)
+  }
+
+  #fullest (pool: PoolName): [EndpointId, Bucket] {
+    return [...this.#buckets].filter(([, bucket]) => bucket.pool === pool).reduce((best, each) => (each[1].permits > best[1].permits ? each : best))
+  }
+
+  /** Divides the permits that are needed before a new one by the rate of all limits of the pool. */
+  #estimateWait (pool: PoolName, share: number): PermitWait {
+    const buckets = this.#available(pool)
+    const ratePerS = buckets.reduce((sum, { perS }) => sum + perS, 0) * share
+    const available = buckets.reduce((sum, { permits }) => sum + permits, 0)
+    const waiting = [...this.#waiting.get(pool)!.values()]
+    const sumOf = (count: (daemon: WaitingDaemon) => number) => waiting.reduce((sum, daemon) => sum + count(daemon), 0)
+    const waitMs = (ahead: number) => (ahead + 1 <= available ? 0 : Math.min(MAX_WAIT_MS, (ahead + 1 - available) * MS_PER_S / ratePerS))
+    return { pool, urgentMs: waitMs(sumOf(({ urgent }) => urgent)), normalMs: waitMs(sumOf(({ urgent, normal }) => urgent + normal)) }
+  }
+}
+
+function capacityOf ({ perS }: Pick<Bucket, 'perS'>): number {
+  return BASE_CAPACITY + CAPACITY_S * perS
+}
+
+/** Returns true if a waiting daemon gets a permit before another. */
+function precedes (a: WaitingDaemon, b: WaitingDaemon): boolean {
+  const [aUrgent, bUrgent] = [a.urgent > 0, b.urgent > 0]
+  return aUrgent === bUrgent ? a.sinceMs < b.sinceMs : aUrgent
+}
--- a/daemon/exchange/_proxy_components.ts
+++ b/daemon/exchange/_proxy_components.ts
@@ -16,6 +16,7 @@
 import { LeaseTask } from '../fleet/lease_task.ts'
 import { AccountLimits } from '../limits/account_limits.ts'
 import { EndpointLimits } from '../limits/endpoint_limits.ts'
+import { EndpointLimitTask } from '../limits/endpoint_limit_task.ts'
 import { CpuTimeLog } from '../log/index.ts'
 import { createMetrics, type Metrics } from '../metrics.ts'
 import { LeaseAnnouncer } from '../peers/lease_announcer.ts'
@@ -64,6 +65,7 @@
   config: ConfigFollower<Catalog>
   limits: AccountLimits
   endpointLimits: EndpointLimits
+  endpointLimitTask: EndpointLimitTask
   table: EndpointTable
   registry: EndpointFollower
   client: ExchangeClient
@@ -146,10 +148,11 @@
     crashes: asFunction(({ metrics }: ProxyComponents) => new CrashWatch({ metrics, dial })).singleton(),
     quarantine: asFunction(({ crashes, membership, metrics }: ProxyComponents) => new QuarantineTask({ crashes, membership, metrics })).singleton(),
     archive: asFunction(({ membership, quarantine }: ProxyComponents) => new QuarantineArchive({ store: platform.store, quarantine, maintainsArchive: () => membership.isFirstFor('quarantine') })).singleton(),
-    endpointLimits: asFunction(({ metrics }: ProxyComponents) => new EndpointLimits({ metrics })).singleton(),
-    loads: asFunction(({ self, membership, table, limits }: ProxyComponents) => new LoadTask({ self, membership, table, limits })).singleton(),
+    endpointLimits: asFunction(({ metrics, table }: ProxyComponents) => new EndpointLimits({ metrics, isListed: (id) => table.get(id) !== undefined })).singleton(),
+    endpointLimitTask: asFunction(({ self, membership, endpointLimits, limits, dispatcher }: ProxyComponents) => new EndpointLimitTask({ self, membership, limits: endpointLimits, accounts: limits, queued: (pool) => dispatcher.queuedByUrgency(pool) })).singleton(),
+    loads: asFunction(({ self, membership, table, limits, endpointLimitTask }: ProxyComponents) => new LoadTask({ self, membership, table, limits, onReport: (from) => endpointLimitTask.sendLimits(from) })).singleton(),
     rollouts: asFunction(rolloutComponents).singleton(),
-    dispatcher: asFunction(({ table, random, fleet, rollouts }: ProxyComponents) => createSharedDispatcher({ table, hash, random, failureDomain: settings.failureDomain, sharers: () => fleet.hostCount, canaries: rollouts?.gate })).singleton(),
+    dispatcher: asFunction(({ table, random, fleet, rollouts, endpointLimits }: ProxyComponents) => createSharedDispatcher({ table, hash, random, failureDomain: settings.failureDomain, sharers: () => fleet.hostCount, canaries: rollouts?.gate, limits: endpointLimits })).singleton(),
     budgetOf: asFunction(retryBudgets).singleton(),
     intake: asFunction(({ table, dispatcher, metrics, client, crashes, quarantine, hash64, random, limits, endpointLimits, usage, orders, budgetOf, config, rollouts }: ProxyComponents) => new Intake({
       table,
@@ -197,6 +200,7 @@
   })
   const components = container.cradle
   shareDepartures(components.table, components.membership)
+  components.endpointLimits.onRoom = () => components.dispatcher.startQueued()
   components.quarantine.onHeld(() => { for (const task of components.intake.open) task.quarantineChanged() })
   components.rollouts?.gate.onVersionEmptied((pool, version) => { for (const task of components.intake.open) task.moveOffVersion(pool, version) })
   components.table.onReplaced((id, { announced }) => {
--- a/daemon/exchange/proxy_daemon.ts
+++ b/daemon/exchange/proxy_daemon.ts
@@ -91,7 +91,7 @@
   }
 
   async #start (): Promise<void> {
-    const { settings, membership, tallies, config, registry, server, readiness, monitor, lease, limits, loads, usage, orders, rollouts, stalls, quarantine, archive, processor } = this.#components
+    const { settings, membership, tallies, config, registry, server, readiness, monitor, lease, limits, endpointLimitTask, loads, usage, orders, rollouts, stalls, quarantine, archive, processor } = this.#components
     const { callers, readiness: check } = settings.listen
     await readiness.listen(check, () => this.ready)
     await server.listen(callers.host, callers.port)
@@ -101,6 +101,7 @@
     rollouts?.follower.start()
     tallies.start()
     limits.start()
+    endpointLimitTask.start()
     loads.start()
     lease.start()
     usage.start()
@@ -146,7 +147,7 @@
   }
 
   #stopTasks (): void {
-    const { config, registry, limits, loads, tallies, rollouts, stalls, quarantine, archive, processor } = this.#components
+    const { config, registry, limits, endpointLimitTask, loads, tallies, rollouts, stalls, quarantine, archive, processor } = this.#components
     rollouts?.gate.stop()
     rollouts?.follower.stop()
     processor.stop()
@@ -156,6 +157,7 @@
     config.stop()
     registry.stop()
     limits.stop()
+    endpointLimitTask.stop()
     loads.stop()
     tallies.stop()
   }
--- a/daemon/limits/account_limits.ts
+++ b/daemon/limits/account_limits.ts
@@ -120,6 +120,12 @@
   /** The daemon chosen as keeper; undefined if this daemon counts itself. */
   get keeper (): DaemonId | undefined { return this.#chosenId }
 
+  /** Part of all daemons for which this one is the keeper, in [0, 1]. */
+  get keeperShare (): number {
+    const { now, all } = this.#keeperInput()
+    return this.#localKeeper.part(now, all)
+  }
+
   /** Calls the listener after each regular vote. What it posts to the keeper is sent together with the vote. */
   onVote (listener: () => void): void {
     this.#onVote = listener
--- a/daemon/log/describe.ts
+++ b/daemon/log/describe.ts
@@ -12,6 +12,7 @@
   'request-refused': (f) => `refused with ${f.status}: ${f.why}${retryHint(f.retryAfterMs)} (${configSuffix(f.revision, f.revisionAgeMs)})`,
   'request-broke': (f) => `the daemon failed: ${f.why}`,
   'request-waits': (f) => `waits: no room at any of ${f.candidates} endpoints of ${f.pool}, ${f.ahead} ahead, ${ms(f.expectedMs)} expected`,
+  'request-diverted': (f) => `no permit for ${f.endpoint}, which takes ${f.perS} requests a second`,
   'request-held': (f) => `held for ${ms(f.forMs)}: endpoints that ran requests like it crashed (fingerprint ${f.fingerprint})`,
   'attempt-started': (f) => {
     const prediction = f.predictedMs === undefined ? '' : `: first piece in ${ms(f.predictedMs)}, ${f.withinTarget ? 'within' : 'over'} target`
--- a/daemon/log/events.ts
+++ b/daemon/log/events.ts
@@ -28,6 +28,8 @@
   'request-waits': { pool: string, ahead: number, expectedMs: number, latestStartInMs: number, candidates: number }
   /** Quarantined, so sent to no endpoint: endpoints that ran requests with the same content crashed. */
   'request-held': { fingerprint: string, forMs: number }
+  /** The preferred endpoint has a limit and no permit was left for it; another one is used, or the request waits. */
+  'request-diverted': { endpoint: string, perS: number | undefined }
   /**
    * Sent to an endpoint. `predictedMs` is the predicted time to the first piece, given `running` requests in `slots`; other daemons' load
    * reports for it are `othersAgeMs` old.
--- a/daemon/metrics.ts
+++ b/daemon/metrics.ts
@@ -43,6 +43,7 @@
     unknownPeerMessages: counter('peer_unknown_messages_total', 'Messages of a kind this version does not know'),
     handedOver: counter('handed_over_total', 'Streams handed to another daemon while draining'),
     limitedEndpoints: gauge('limited_endpoints', 'Endpoints that limit the rate of requests from all daemons', ['pool']),
+    limitedRequests: counter('limited_requests_total', 'Requests to endpoints with a limit: sent with a permit, sent without one, or diverted', ['result']),
     open: gauge('open_requests', 'Requests accepted and not finished'),
     queued: gauge('queued_requests', 'Requests that wait for an endpoint'),
     endpoints: gauge('endpoints', 'Endpoints by pool and state', ['pool', 'state']),
--- a/daemon/peers/load_task.ts
+++ b/daemon/peers/load_task.ts
@@ -14,6 +14,8 @@
   table: EndpointTable
   /** Selects the keeper: the daemon that counts quotas also aggregates load. */
   limits: Pick<AccountLimits, 'keeper' | 'onVote'>
+  /** Called at the keeper with each report, after the reply. */
+  onReport (from: DaemonId): void
 }
 
 /** Interval between reports of an idle daemon, in milliseconds. */
@@ -38,6 +40,7 @@
     links.onPost(REPORT_TOPIC, (loads: EndpointWork[], from) => {
       this.#board.report(from, loads, steadyNow())
       links.post(from, OTHERS_TOPIC, this.#board.loadsOfOthers(from, steadyNow()))
+      options.onReport(from)
     })
     links.onPost(OTHERS_TOPIC, (loads: EndpointWork[]) => this.#applyOthersWork(loads))
   }
--- a/daemon/request/dispatcher.ts
+++ b/daemon/request/dispatcher.ts
@@ -1,7 +1,7 @@
 /** Assigns requests to endpoints and queues those that no endpoint has room for. */
 import { FairQueue, type QueuedRequest, type RequestQueue } from '../../core/admission/index.ts'
 import { isStartOf, type AccountId, type EndpointId, type PoolName } from '../../core/ids/index.ts'
-import { runningNow, type EndpointView, type PrefixIndex, type Route, type Router } from '../../core/routing/index.ts'
+import { runningNow, type EndpointView, type PrefixIndex, type Route, type RouteQuery, type Router } from '../../core/routing/index.ts'
 import type { Demand, PromptPart, WorkClass } from '../../core/work/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import type { EndpointTable } from '../endpoints/endpoint_table.ts'
@@ -24,6 +24,8 @@
   refused (reason: string, retryAfterMs: number): void
   /** Called when the request is queued because no endpoint has room. */
   waits (queue: QueuePosition): void
+  /** Called when the preferred endpoint is not used because of its limit, in requests per second. Default: nobody is told. */
+  diverted? (view: EndpointView, perS: number | undefined): void
 }
 
 /** Position of a request in its pool's queue, and the expected wait. */
@@ -37,6 +39,24 @@
   spent (placement: Placement): void
 }
 
+/** Limits the rate of requests to endpoints that ask for it. */
+export interface EndpointLimiter {
+  /** True if an endpoint has a limit. */
+  isLimited (view: EndpointView): boolean
+  /** Limit of an endpoint in requests per second; undefined if it has none. */
+  perS (view: EndpointView): number | undefined
+  /** True if a request may be sent to an endpoint now. */
+  mayStart (view: EndpointView): boolean
+  /** Asks for permission to send a request of a pool to an endpoint with a limit. Resolves within tenths of a second; undefined if none can be expected. */
+  ask (pool: PoolName, urgent: boolean): Promise<boolean> | undefined
+  /** Called when a request is not sent to an endpoint because of its limit. */
+  diverted (): void
+  /** Called when a request is queued. */
+  queued (): void
+  /** Estimated time until a new request may be sent to an endpoint with a limit, in milliseconds. */
+  waitMs (pool: PoolName, urgent: boolean): number
+}
+
 /** Options of {@linkcode Dispatcher}. */
 export interface DispatcherOptions {
   table: EndpointTable
@@ -46,6 +66,8 @@
   home? (parts: readonly PromptPart[], candidates: readonly EndpointView[]): EndpointView | undefined
   /** Selects requests for canary endpoints. Default: no version is on trial. */
   canaries?: CanaryGate
+  /** Limits the rate of requests to some endpoints. Default: none has a limit. */
+  limits?: EndpointLimiter
   /** Creates the queue of a pool. Default: {@linkcode FairQueue}. */
   queue?: () => RequestQueue<Placement>
 }
@@ -73,12 +95,16 @@
 
 /** Endpoints to choose from, and the number of prompt tokens that each is expected to have cached. */
 interface CandidateSet { candidates: readonly EndpointView[], cached: Map<EndpointId, number> }
+/** Whether a request may ask for a permit before it is placed, and whether it was granted one. */
+interface Permission { mayAsk: boolean, isGranted?: boolean }
 interface PoolState { queue: RequestQueue<Placement>, msPerStart: number, lastStartMs: number }
 
 /** Routes placements to endpoints, with one queue per pool. */
 export class Dispatcher {
   readonly #options: DispatcherOptions
   readonly #pools = new Map<PoolName, PoolState>()
+  /** Requests that have asked whether they may go to an endpoint with a limit. */
+  readonly #asking = new Set<Placement>()
   #sweepTimer: NodeJS.Timeout | undefined
 
   constructor (options: DispatcherOptions) {
@@ -95,13 +121,24 @@
     return this.#pools.get(pool)?.queue.length ?? 0
   }
 
+  /** Numbers of urgent and other requests queued for a pool. */
+  queuedByUrgency (pool: PoolName): { urgent: number, normal: number } {
+    const queue = this.#pools.get(pool)?.queue
+    const urgent = queue?.urgentLength ?? 0
+    return { urgent, normal: (queue?.length ?? 0) - urgent }
+  }
+
   /** Starts a request, queues it, or refuses it at once if it is not expected to start in time. */
   place (placement: Placement): void {
     const pool = this.#poolState(placement.pool)
-    if (pool.queue.length === 0 && this.#start(placement, pool)) return
+    if (pool.queue.length === 0 && (this.#start(placement, pool, { mayAsk: true }) || this.#asking.has(placement))) return
+    this.#queueOrRefuse(placement, pool)
+  }
+
+  #queueOrRefuse (placement: Placement, pool: PoolState): void {
     const { urgent } = placement.cls
     const ahead = pool.queue.ahead(placement.account, urgent)
-    const waitMs = (ahead + 1) * pool.msPerStart
+    const waitMs = Math.max((ahead + 1) * pool.msPerStart, this.#permitWaitMs(placement))
     const startByMs = latestStartMs(placement)
     if (steadyNow() + waitMs > startByMs) {
       placement.refused('no room in time', Math.max(MIN_RETRY_AFTER_MS, waitMs))
@@ -109,9 +146,18 @@
     }
     pool.queue.push({ account: placement.account, tokens: totalTokens(placement), startByMs, urgent, item: placement })
     placement.waits({ ahead, expectedMs: waitMs, latestStartInMs: startByMs - steadyNow(), candidates: this.#options.table.candidates(placement.pool).length })
+    this.#options.limits?.queued()
     this.#scheduleSweep()
   }
 
+  /** Returns the wait for a permit if all endpoints of the pool have a limit; 0 otherwise. */
+  #permitWaitMs ({ pool, cls }: Placement): number {
+    const { table, limits } = this.#options
+    if (!limits) return 0
+    const usable = table.usable(pool)
+    return usable.length > 0 && usable.every((view) => limits.isLimited(view)) ? limits.waitMs(pool, cls.urgent) : 0
+  }
+
   /** Starts queued requests that now have room and refuses those that are too late. Must be called whenever room may have become free. */
   startQueued (): void {
     const now = steadyNow()
@@ -123,6 +169,7 @@
 
   /** Removes a request from the queue, if it is queued. */
   remove (placement: Placement): void {
+    this.#asking.delete(placement)
     for (const pool of this.#pools.values()) {
       const entry = findEntry(pool.queue, placement)
       if (entry) pool.queue.remove(entry)
@@ -130,12 +177,12 @@
   }
 
   #drain (pool: PoolState): void {
-    for (let next = pool.queue.peek(); next && this.#start(next.item, pool); next = pool.queue.peek()) pool.queue.remove(next)
+    for (let next = pool.queue.peek(); next && this.#start(next.item, pool, { mayAsk: false }); next = pool.queue.peek()) pool.queue.remove(next)
   }
 
-  #start (placement: Placement, pool: PoolState): boolean {
+  #start (placement: Placement, pool: PoolState, permission: Permission): boolean {
     const now = steadyNow()
-    return this.#startCanary(placement, now) || this.#startAt(placement, { pool, now, ...this.#candidatesFor(placement, now) })
+    return this.#startCanary(placement, now) || this.#startAt(placement, { pool, now, ...permission, ...this.#candidatesFor(placement, now) })
   }
 
   /** Sends a request to a canary endpoint. Requests that an earlier attempt was made for are excluded. */
@@ -144,17 +191,17 @@
     if (!gate || placement.resumed || placement.avoid.length > 0) return false
     const candidates = gate.canaries(placement)
     if (candidates.length === 0) return false
-    const started = this.#startAt(placement, { pool: undefined, now, candidates, cached: prefixes.lookup(placement.demand.parts, now) })
+    const started = this.#startAt(placement, { pool: undefined, now, mayAsk: false, candidates, cached: prefixes.lookup(placement.demand.parts, now) })
     if (started) gate.spent(placement)
     return started
   }
 
-  #startAt (placement: Placement, { pool, now, candidates, cached }: CandidateSet & { pool: PoolState | undefined, now: number }): boolean {
-    const withRoom = candidates.filter((view) => hasRoom(view, placement.cls.urgent))
+  #startAt (placement: Placement, { pool, now, candidates, cached, mayAsk, isGranted }: CandidateSet & Permission & { pool: PoolState | undefined, now: number }): boolean {
+    const withRoom = this.#preferPermitted(candidates.filter((view) => hasRoom(view, placement.cls.urgent)), isGranted)
     // When every endpoint with room has failed the request before, all of them are candidates again; the retry budget limits how often.
     const failed = failedEndpoints(placement, withRoom)
     const avoid = failed.length < withRoom.length ? failed : []
-    const route = this.#options.router.pick({
+    const query: RouteQuery = {
       promptTokens: placement.demand.promptTokens + placement.doneTokens,
       expectedTokens: remainingTokens(placement),
       firstTokenMs: remainingFirstTokenMs(placement, now),
@@ -162,7 +209,8 @@
       betweenTokensMs: placement.cls.latency.betweenTokensMs,
       avoid,
       cachedTokens: (id) => cached.get(id) ?? 0
-    }, withRoom, now)
+    }
+    const route = this.#pickWithinLimits(placement, query, { candidates: withRoom, now, mayAsk })
     if (!route) return false
     if (pool) updateStartRate(pool, now)
     this.#options.prefixes.record(placement.demand.parts, route.view.id, now)
@@ -170,18 +218,57 @@
     return true
   }
 
+  /** Returns the endpoints with a limit that may get a request, if the request was granted one of their permits; otherwise all of the given ones. */
+  #preferPermitted (views: readonly EndpointView[], isGranted = false): readonly EndpointView[] {
+    const { limits } = this.#options
+    const permitted = isGranted && limits ? views.filter((view) => limits.isLimited(view) && limits.mayStart(view)) : []
+    return permitted.length > 0 ? permitted : views
+  }
+
+  /** Picks an endpoint, or if that one may get no request now because of its limit, the best of those that may. */
+  #pickWithinLimits (placement: Placement, query: RouteQuery, { candidates, now, mayAsk }: { candidates: readonly EndpointView[], now: number, mayAsk: boolean }): Route | undefined {
+    const { router, limits } = this.#options
+    const route = router.pick(query, candidates, now)
+    if (!route || !limits || limits.mayStart(route.view)) return route
+    if (mayAsk && this.#askFirst(placement, route.view, limits)) return undefined
+    if (mayAsk) recordDiversion(placement, route.view, limits)
+    return router.pick(query, candidates.filter((view) => limits.mayStart(view)), now)
+  }
+
+  /** Asks whether the request may go to an endpoint with a limit, and places it once that is known. Returns false if it cannot be expected. */
+  #askFirst (placement: Placement, preferred: EndpointView, limits: EndpointLimiter): boolean {
+    const answer = limits.ask(placement.pool, placement.cls.urgent)
+    if (!answer) return false
+    this.#asking.add(placement)
+    answer.then((isGranted) => {
+      if (!this.#asking.delete(placement)) return
+      if (!isGranted) recordDiversion(placement, preferred, limits)
+      const pool = this.#poolState(placement.pool)
+      if (!this.#start(placement, pool, { mayAsk: false, isGranted })) this.#queueOrRefuse(placement, pool)
+    })
+    return true
+  }
+
   /** Returns the endpoints that may take a request with their expected cached tokens: prefixes sent by this daemon, and at the home those sent by any daemon. */
   #candidatesFor ({ demand, pool }: Placement, now: number): CandidateSet {
     const { table, prefixes } = this.#options
     const cached = prefixes.lookup(demand.parts, now)
     const candidates = table.candidates(pool)
     const shared = demand.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0)
-    const home = this.#options.home?.(demand.parts, shared >= MIN_TOKENS_FOR_CONNECTION ? table.usable(pool) : candidates)
+    const home = this.#options.home?.(demand.parts, this.#withoutLimits(shared >= MIN_TOKENS_FOR_CONNECTION ? table.usable(pool) : candidates))
     if (!home) return { candidates, cached }
     cached.set(home.id, Math.max(shared, cached.get(home.id) ?? 0))
     return { candidates: candidates.includes(home) ? candidates : [...candidates, home], cached }
   }
 
+  /** Endpoints without a limit, or all if each has one: a prefix is cached where all of its requests can go. */
+  #withoutLimits (views: readonly EndpointView[]): readonly EndpointView[] {
+    const { limits } = this.#options
+    if (!limits || !views.some((view) => limits.isLimited(view))) return views
+    const unlimited = views.filter((view) => !limits.isLimited(view))
+    return unlimited.length > 0 ? unlimited : views
+  }
+
   #poolState (name: PoolName): PoolState {
     let pool = this.#pools.get(name)
     if (!pool) {
@@ -207,6 +294,11 @@
   return candidates.filter((view) => avoid.some((id) => id === view.id || (view.name !== undefined && isStartOf(view.name, id)))).map(({ id }) => id)
 }
 
+function recordDiversion (placement: Placement, preferred: EndpointView, limits: EndpointLimiter): void {
+  limits.diverted()
+  placement.diverted?.(preferred, limits.perS(preferred))
+}
+
 function hasRoom (view: EndpointView, urgent: boolean): boolean {
   return runningNow(view) < view.speed.batchSlots + (urgent ? MAX_URGENT_WAITING : 0)
 }
--- a/daemon/request/request_task.ts
+++ b/daemon/request/request_task.ts
@@ -220,7 +220,8 @@
       avoid,
       placed: (view, route) => this.#onPlaced(view, route),
       refused: (reason, retryAfterMs) => this.post({ type: 'refused', reason, retryAfterMs }),
-      waits: (queue) => this.recordDecision('request-waits', { pool: work.pool, ...queue })
+      waits: (queue) => this.recordDecision('request-waits', { pool: work.pool, ...queue }),
+      diverted: (view, perS) => this.recordDecision('request-diverted', { endpoint: view.id, perS })
     }
     this.ports.dispatcher.place(this.#placement)
   }
@@ -267,6 +268,7 @@
       deadlineInMs: this.lifecycle.traits.deadlineAtMs - steadyNow(),
       kvHandle
     }, this.sink(view.id, attempt))
+    this.ports.limits?.started(view)
     this.onAttempt()
     this.listeners.notify()
   }
--- a/daemon/request/shared_dispatcher.ts
+++ b/daemon/request/shared_dispatcher.ts
@@ -2,7 +2,7 @@
 import type { FailureDomain } from '../../core/ids/index.ts'
 import { homeEndpoint, PrefixIndex, TargetRouter, type Hash32, type Random } from '../../core/routing/index.ts'
 import type { EndpointTable } from '../endpoints/endpoint_table.ts'
-import { Dispatcher, type CanaryGate } from './dispatcher.ts'
+import { Dispatcher, type CanaryGate, type EndpointLimiter } from './dispatcher.ts'
 
 /** Options of {@linkcode createSharedDispatcher}. */
 export interface SharedDispatcherOptions {
@@ -15,6 +15,8 @@
   sharers (): number
   /** Selects requests for canary endpoints. Default: no version is on trial. */
   canaries?: CanaryGate | undefined
+  /** Limits the rate of requests to some endpoints. Default: none has a limit. */
+  limits?: EndpointLimiter | undefined
 }
 
 /** Round-trip time between two failure domains of a region, in milliseconds. The router weighs it against queueing time. */
@@ -23,12 +25,13 @@
 const PREFIX_EXPIRES_MS = 15_000
 
 /** Creates a dispatcher that routes by prefix cache, predicted first-token time and distance. */
-export function createSharedDispatcher ({ table, hash, random, failureDomain, sharers, canaries }: SharedDispatcherOptions): Dispatcher {
+export function createSharedDispatcher ({ table, hash, random, failureDomain, sharers, canaries, limits }: SharedDispatcherOptions): Dispatcher {
   return new Dispatcher({
     table,
     prefixes: new PrefixIndex({ expiresMs: PREFIX_EXPIRES_MS }),
     home: (parts, candidates) => homeEndpoint(parts, candidates, hash),
     ...(canaries && { canaries }),
+    ...(limits && { limits }),
     router: new TargetRouter({ random, sharers, roundTripMs: (view) => (view.failureDomain === failureDomain ? 0 : CROSS_DOMAIN_RTT_MS) })
   })
 }
--- a/daemon/request/work.ts
+++ b/daemon/request/work.ts
@@ -49,6 +49,8 @@
 
 /** Records requests to endpoints with a limit. */
 export interface RequestLimits {
+  /** Called when a request is sent to an endpoint. */
+  started (view: EndpointView): void
   /** Called with what an endpoint's answer says about its limit. `sentAtMs` is when the request was sent, in milliseconds on the steady clock. */
   answered (view: EndpointView, limit: AnswerLimit, sentAtMs: number): void
 }
