Send no more requests to an address that another endpoint answers at

Callers' requests were sent to the wrong endpoint again and again: an endpoint had ended, its address belonged to another service, which answers 421, and the registry listed the old one for a while.

Cause: the answer of another endpoint counted as one failure among others, though it proves that the endpoint's process has ended.

Now the endpoint counts as gone from that answer on, at this daemon and, as with other departures, at all others.

--- a/daemon/request/request_task.ts
+++ b/daemon/request/request_task.ts
@@ -346,6 +346,8 @@
     const view = table.get(endpoint)
     if (isEndpointReported(err.point)) table.recordActivity(endpoint)
     if (err.point === 'endpoint-leaving' && view) table.leaving([view.hostId], steadyNow() + ASSUMED_NOTICE_MS, 'refusal')
+    // Another endpoint answered at its address, so its process has ended, although the registry may list it for a while.
+    if (err.point === 'endpoint-gone' && view) table.leaving([view.hostId], steadyNow(), 'refusal')
     // Spends from the budget only if the request could use the retry.
     const repeatable = this.mayRetryElsewhere && canRetry(this.lifecycle, err.point)
     const retryGranted = repeatable && (this.#isFreeRetry(err.point) || this.ports.budget.tryWithdraw(table.isLeavingOrGone(endpoint)))
