--- a/daemon/peers/store_relay.ts
+++ b/daemon/peers/store_relay.ts
@@ -134,10 +134,15 @@
 
   /** Always reads the store: listings follow a start or a failure, when the copies of other daemons are least reliable. */
   async snapshot (): Promise<Snapshot> {
-    const snapshot = await this.#trackFailure(this.#options.store.snapshot(this.#prefix))
-    this.#log.applyListing(snapshot)
-    this.#markFresh(0)
-    return snapshot
+    try {
+      const snapshot = await this.#options.store.snapshot(this.#prefix)
+      this.#log.applyListing(snapshot)
+      this.#markFresh(0)
+      return snapshot
+    } catch (err) {
+      this.#recordFailure(err)
+      throw err
+    }
   }
 
   async changes (_prefix: string, { after, waitMs }: { after: number, waitMs: number }): Promise<Changes> {
@@ -149,15 +154,16 @@
       this.#markFresh(0)
       return changes
     } catch (err) {
-      return await this.#changesDespite(err, after)
+      return await this.#changesAfterFailure(err, after)
     }
   }
 
   /** Asks the daemons that were not reached in time before: the store may refuse this daemon and serve them. */
-  async #changesDespite (err: unknown, after: number): Promise<Changes> {
+  async #changesAfterFailure (err: unknown, after: number): Promise<Changes> {
     const response = isStoreFailure(err, 'history-gone') ? undefined : await this.#options.fetchChanges(after)
-    if (!response) return await this.#trackFailure(Promise.reject(err))
-    return this.#applyRelayed(response)
+    if (response) return this.#applyRelayed(response)
+    this.#recordFailure(err)
+    throw err
   }
 
   #applyRelayed (response: ChangesResponse): Changes {
@@ -183,14 +189,9 @@
     }
   }
 
-  async #trackFailure<T> (call: Promise<T>): Promise<T> {
-    try {
-      return await call
-    } catch (err) {
-      // Daemons that ask this one must ask the store themselves and see an outage: entries that lapse in an outage are treated differently from endpoints that left.
-      if (err instanceof StoreError && err.failure !== 'history-gone') this.#markLost()
-      throw err
-    }
+  /** Daemons that ask this one must ask the store themselves and see an outage: entries that lapse in an outage are treated differently from endpoints that left. */
+  #recordFailure (err: unknown): void {
+    if (err instanceof StoreError && err.failure !== 'history-gone') this.#markLost()
   }
 
   #markLost (): void {
