Use permits at endpoints that a daemon is not connected to

- In a large pool a daemon connects to 24 endpoints only, and a permit of another one expired unused: a request waited although it had a permit.
Endpoints for which a daemon has permits are candidates now.
- A request that was granted a permit of the endpoint where it had failed before went back there (19 of 20).
It no longer prefers such a permit.
- While no daemon had chosen the granting one, callers would be told to come back in 8 s.
The wait is unknown then, and requests wait as before.

The tests of requests, limits, peers and the platform's tests of limits and faults pass.

--- a/core/endpoint_limits/observed_limits.ts
+++ b/core/endpoint_limits/observed_limits.ts
@@ -42,6 +42,12 @@
   /** Returns the limit of an endpoint in requests per second; undefined if it has none. */
   perS (endpoint: EndpointId): number | undefined { return this.#newest.get(endpoint)?.perS }
 
+  /** Returns the pool of an endpoint that has a limit. */
+  poolOf (endpoint: EndpointId): PoolName | undefined {
+    const known = this.#newest.get(endpoint)
+    return known?.perS === undefined ? undefined : known.pool
+  }
+
   /** Merges an observation and returns the change that it makes; undefined if it makes none. */
   observe (observation: LimitObservation): LimitChange | undefined {
     const { endpoint, perS, atMs } = observation
--- a/core/endpoint_limits/permit_allocator.ts
+++ b/core/endpoint_limits/permit_allocator.ts
@@ -121,7 +121,8 @@
     const available = buckets.reduce((sum, { permits }) => sum + permits, 0)
     const waiting = [...this.#waiting.get(pool)!.values()]
     const sumOf = (count: (daemon: WaitingDaemon) => number) => waiting.reduce((sum, daemon) => sum + count(daemon), 0)
-    const waitMs = (ahead: number) => (ahead + 1 <= available ? 0 : Math.min(MAX_WAIT_MS, (ahead + 1 - available) * MS_PER_S / ratePerS))
+    // Without a rate the wait is unknown: the limit or its share has not been learned yet.
+    const waitMs = (ahead: number) => (ahead + 1 <= available || ratePerS === 0 ? 0 : Math.min(MAX_WAIT_MS, (ahead + 1 - available) * MS_PER_S / ratePerS))
     return { pool, urgentMs: waitMs(sumOf(({ urgent }) => urgent)), normalMs: waitMs(sumOf(({ urgent, normal }) => urgent + normal)) }
   }
 }
--- a/core/endpoint_limits/permit_stock.ts
+++ b/core/endpoint_limits/permit_stock.ts
@@ -12,6 +12,9 @@
   /** Numbers of permits that expired unused. */
   readonly #expired = new Map<EndpointId, number>()
 
+  /** Endpoints with permits, which may have expired. */
+  get endpoints (): EndpointId[] { return [...this.#permits.keys()] }
+
   /** Adds permits that were granted now. */
   add (grants: readonly PermitGrant[], now: number): void {
     for (const [endpoint, count] of grants) {
--- a/daemon/limits/endpoint_limits.ts
+++ b/daemon/limits/endpoint_limits.ts
@@ -88,6 +88,12 @@
     return !this.isLimited(view) || this.#permits.count(view.id, steadyNow()) > 0
   }
 
+  /** Returns the endpoints of a pool for which this daemon has permits. */
+  permitted (pool: PoolName): EndpointId[] {
+    const now = steadyNow()
+    return this.#permits.endpoints.filter((id) => this.observed.poolOf(id) === pool && this.#permits.count(id, now) > 0)
+  }
+
   /** Asks for a permit of a pool. Resolves to false if none is granted soon; undefined if none can be expected. */
   ask (pool: PoolName, urgent: boolean): Promise<boolean> | undefined {
     if (this.waitMs(pool, urgent) > 0) return undefined
--- a/daemon/request/dispatcher.ts
+++ b/daemon/request/dispatcher.ts
@@ -24,7 +24,7 @@
   refused (reason: string, retryAfterMs: number): void
   /** Called when the request is queued because no endpoint has room. */
   waits (queue: QueuePosition): void
-  /** Called when the preferred endpoint is not used because of its limit, in requests per second. Default: nobody is told. */
+  /** Called when the preferred endpoint is not used because of its limit, in requests per second. Default: does nothing. */
   diverted? (view: EndpointView, perS: number | undefined): void
 }
 
@@ -47,6 +47,8 @@
   perS (view: EndpointView): number | undefined
   /** True if a request may be sent to an endpoint now. */
   mayStart (view: EndpointView): boolean
+  /** Endpoints of a pool that have a limit and may get a request now. */
+  permitted (pool: PoolName): readonly EndpointId[]
   /** Asks for permission to send a request of a pool to an endpoint with a limit. Resolves within tenths of a second; undefined if none can be expected. */
   ask (pool: PoolName, urgent: boolean): Promise<boolean> | undefined
   /** Called when a request is not sent to an endpoint because of its limit. */
@@ -197,7 +199,7 @@
   }
 
   #startAt (placement: Placement, { pool, now, candidates, cached, mayAsk, isGranted }: CandidateSet & Permission & { pool: PoolState | undefined, now: number }): boolean {
-    const withRoom = this.#preferPermitted(candidates.filter((view) => hasRoom(view, placement.cls.urgent)), isGranted)
+    const withRoom = this.#preferPermitted(placement, candidates.filter((view) => hasRoom(view, placement.cls.urgent)), isGranted)
     // When every endpoint with room has failed the request before, all of them are candidates again; the retry budget limits how often.
     const failed = failedEndpoints(placement, withRoom)
     const avoid = failed.length < withRoom.length ? failed : []
@@ -218,11 +220,12 @@
     return true
   }
 
-  /** Returns the endpoints with a limit that may get a request, if the request was granted one of their permits; otherwise all of the given ones. */
-  #preferPermitted (views: readonly EndpointView[], isGranted = false): readonly EndpointView[] {
-    const { limits } = this.#options
-    const permitted = isGranted && limits ? views.filter((view) => limits.isLimited(view) && limits.mayStart(view)) : []
-    return permitted.length > 0 ? permitted : views
+  /** Returns the endpoints whose permits a request may use, if it was granted one; otherwise all of the given ones. */
+  #preferPermitted (placement: Placement, views: readonly EndpointView[], isGranted = false): readonly EndpointView[] {
+    const permitted = isGranted ? this.#options.limits?.permitted(placement.pool) ?? [] : []
+    const failed = failedEndpoints(placement, views)
+    const preferred = views.filter(({ id }) => permitted.includes(id) && !failed.includes(id))
+    return preferred.length > 0 ? preferred : views
   }
 
   /** Picks an endpoint, or if that one may get no request now because of its limit, the best of those that may. */
@@ -253,7 +256,7 @@
   #candidatesFor ({ demand, pool }: Placement, now: number): CandidateSet {
     const { table, prefixes } = this.#options
     const cached = prefixes.lookup(demand.parts, now)
-    const candidates = table.candidates(pool)
+    const candidates = this.#withPermitted(pool, table.candidates(pool))
     const shared = demand.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0)
     const home = this.#options.home?.(demand.parts, this.#withoutLimits(shared >= MIN_TOKENS_FOR_CONNECTION ? table.usable(pool) : candidates))
     if (!home) return { candidates, cached }
@@ -261,6 +264,14 @@
     return { candidates: candidates.includes(home) ? candidates : [...candidates, home], cached }
   }
 
+  /** Adds the endpoints that this daemon has permits for: they may be others than those that it is connected to. */
+  #withPermitted (pool: PoolName, views: readonly EndpointView[]): readonly EndpointView[] {
+    const { limits, table } = this.#options
+    const permitted = limits?.permitted(pool) ?? []
+    if (permitted.length === 0) return views
+    return [...views, ...table.usable(pool).filter((view) => permitted.includes(view.id) && !views.includes(view))]
+  }
+
   /** Endpoints without a limit, or all if each has one: a prefix is cached where all of its requests can go. */
   #withoutLimits (views: readonly EndpointView[]): readonly EndpointView[] {
     const { limits } = this.#options
--- a/daemon/request/limited_endpoints_test.ts
+++ b/daemon/request/limited_endpoints_test.ts
@@ -32,8 +32,8 @@
   return { hostId: as<HostId>(id), hostClass: 'any', failureDomain: DOMAIN, reclaimable: false, pricePerHour: 0, state: 'live', endpoint: { id, name, startedAtMs: 1000, pool: POOL, address: '', speed } }
 }
 
-function fixture (): Fixture {
-  const table = new EndpointTable({ self: as<DaemonId>('d'), hash })
+function fixture (subsetSize = NAMES.length): Fixture {
+  const table = new EndpointTable({ self: as<DaemonId>('d'), hash, subsetSize })
   table.applyHostList(NAMES.map(listed))
   const limits = new EndpointLimits({ metrics: createMetrics(), isListed: () => true })
   return { table, limits, dispatcher: createSharedDispatcher({ table, hash, random: seededRandom(7), failureDomain: DOMAIN, sharers: () => 1, limits }) }
@@ -132,27 +132,48 @@
   expect(new Set(await placeMany(daemon, 80)).size).toBe(4)
 })
 
-test('a request that is granted a permit uses it, and one that left meanwhile does not start', async () => {
+/** Grants each request that asks a permit of an endpoint. */
+function grantAll ({ limits }: Fixture, name: string): void {
+  limits.onAsk = () => {
+    limits.takeAsks()
+    limits.receive({ grants: [[endpointId(name, 1000), 1]], waits: [{ pool: POOL, urgentMs: 0, normalMs: 0 }], answersAsks: true })
+  }
+}
+
+test('a request uses the permit that it is granted', async () => {
+  const daemon = fixture()
+  limitTo(daemon, NAMES, 2)
+  grantAll(daemon, 'two')
+  expect(new Set(await placeMany(daemon, 20))).toEqual(new Set(['two']))
+})
+
+test('a permit of an endpoint that this daemon is not connected to is used', async () => {
+  // Guards against permits that only expire: a daemon connects to a few endpoints of a large pool.
+  const daemon = fixture(1)
+  limitTo(daemon, NAMES, 2)
+  const [connected] = daemon.table.candidates(POOL)
+  const other = NAMES.find((name) => name !== connected!.name)!
+  grantAll(daemon, other)
+  expect(await place(daemon)).toBe(other)
+})
+
+test('a request does not use a permit of the endpoint where it failed before', async () => {
   const daemon = fixture()
   limitTo(daemon, ['one', 'two', 'three'], 2)
-  let asks = 0
-  daemon.limits.onAsk = () => {
-    asks++
-    daemon.limits.takeAsks()
-    daemon.limits.receive({ grants: [[endpointId('two', 1000), 1]], waits: [{ pool: POOL, urgentMs: 0, normalMs: 0 }], answersAsks: true })
-  }
-  const results = await placeMany(daemon, 20)
-  expect(results.filter((name) => name === 'two')).toHaveLength(asks)
+  grantAll(daemon, 'two')
+  const results = await placeMany(daemon, 20, { avoid: [endpointId('two', 1000)] })
+  expect(results).not.toContain('two')
+})
+
+test('a request whose caller leaves while it asks for a permit is not sent', async () => {
+  const daemon = fixture()
+  limitTo(daemon, NAMES, 2)
   let placedAt: string | undefined
-  let left: Placement | undefined
-  daemon.limits.onAsk = () => {}
-  while (!left) {
-    const placement: Partial<Placement> = { placed: (view) => { placedAt = view.name } }
-    placedAt = undefined
-    daemon.dispatcher.place(left = request(placement))
-    if (placedAt !== undefined) left = undefined
-  }
-  daemon.dispatcher.remove(left)
+  const asking = request({ placed: (view) => { placedAt = view.name } })
+  daemon.dispatcher.place(asking)
+  daemon.dispatcher.remove(asking)
+  daemon.limits.takeAsks()
+  daemon.limits.receive({ grants: [[endpointId('two', 1000), 1]], waits: [{ pool: POOL, urgentMs: 0, normalMs: 0 }], answersAsks: true })
   await vi.advanceTimersByTimeAsync(1000)
   expect(placedAt).toBeUndefined()
 })
