--- a/daemon/limits/endpoint_limit_task_test.ts
+++ b/daemon/limits/endpoint_limit_task_test.ts
@@ -208,11 +208,11 @@
   await started(9, () => 2)
   fleet.limit = 2
   await vi.advanceTimersByTimeAsync(3000)
-  const started9 = await fleet.add('edge-9', 0)
+  const joined = await fleet.add('edge-9', 0)
   await fleet.connect()
   await vi.advanceTimersByTimeAsync(2 * LOAD_REPORT_MS)
-  expect(started9.limits.isLimited(ENDPOINT)).toBe(true)
-  expect(started9.limits.mayStart(ENDPOINT)).toBe(false)
+  expect(joined.limits.isLimited(ENDPOINT)).toBe(true)
+  expect(joined.limits.mayStart(ENDPOINT)).toBe(false)
 })
 
 test('no message is sent while no endpoint names a limit', async () => {
