Dial endpoints at which requests were abandoned, to notice their crashes

Callers saw: a request whose callers disconnect before it crashes its engine was sent to a fourth engine (502 instead of 503).

Cause: a daemon that abandons a request closes its connection, and then only noticed a crash when one of its own later requests was refused by that endpoint within two seconds. Refusals of other daemons do not count there, since they have no request in flight. Class: a fault that is only noticed through unrelated traffic.

Evidence: the test that sends nothing else to the crashed engines failed before with 502 instead of 503 (platform/crashing_request_test.ts), and so did the two in crash_watch_test.ts.

Fix: endpoints with recently abandoned requests are dialled each half second for two seconds, unless they send data or announced that they leave. At most three are dialled in a check, six a second, so a pool that is late as a whole gets no storm of connections: at 420 daemons and 600 endpoints, all late and none sending data, four a second each.

Ruled out: sharing refusals between daemons.

--- a/daemon/quarantine/crash_watch.ts
+++ b/daemon/quarantine/crash_watch.ts
@@ -24,6 +24,12 @@
 const CRASH_DETECTION_MS = 10_000
 /** A request that was abandoned less than this long before its endpoint crashed may have caused the crash, in milliseconds. */
 const RECENTLY_ABANDONED_MS = 2000
+/** Interval between checks of endpoints with recently abandoned requests, in milliseconds. */
+const ABANDONED_CHECK_INTERVAL_MS = 500
+/** An endpoint that sent data within this time is not dialled, in milliseconds. */
+const ACTIVE_MS = ABANDONED_CHECK_INTERVAL_MS / 2
+/** Maximum number of endpoints dialled in one check: when a whole pool is late, many requests are abandoned at once. */
+const MAX_DIALS_PER_CHECK = 3
 
 /** This daemon's attempts that an endpoint did not finish. */
 interface UnfinishedAttempts {
@@ -34,6 +40,8 @@
   abandoned: Map<Fingerprint, number>
   atMs: number
   dialled: boolean
+  /** When this daemon last dialled the endpoint because of abandoned requests, in milliseconds on the steady clock. */
+  checkedAtMs: number
   crashed: boolean
 }
 
@@ -47,6 +55,7 @@
   readonly #options: CrashWatchOptions
   readonly #unfinished = new Map<EndpointId, UnfinishedAttempts>()
   #listener: (crash: Crash) => void = () => {}
+  #checkTimer: NodeJS.Timeout | undefined
 
   constructor (options: CrashWatchOptions) {
     this.#options = options
@@ -57,6 +66,11 @@
     this.#listener = listener
   }
 
+  /** Stops checking endpoints. */
+  stop (): void {
+    clearTimeout(this.#checkTimer)
+  }
+
   /**
    * Records a failed attempt.
    * @param endpoint Its `view` is undefined when the endpoint is no longer listed.
@@ -77,24 +91,46 @@
     unfinished.atMs = steadyNow()
     if (unfinished.dialled) return
     unfinished.dialled = true
-    this.#options.dial(view.address).then((result) => { if (result === 'refused') this.gone(view.id) })
+    this.#dial(view)
   }
 
-  /** Records an attempt that this daemon abandoned before an answer. Its connection is closed, so it cannot show a crash of the endpoint later. */
+  /**
+   * Records an attempt that this daemon abandoned before an answer. Its connection is closed, so it cannot show a crash of the endpoint later; the
+   * endpoint is dialled for a while unless it sends data.
+   */
   abandoned (view: EndpointView, request: Fingerprint): void {
     const unfinished = this.#unfinishedAt(view)
     if (!unfinished) return
     unfinished.abandoned.set(request, steadyNow())
     unfinished.atMs = steadyNow()
+    this.#checkLater()
+  }
+
+  #checkLater (): void {
+    this.#checkTimer ??= setTimeout(() => this.#checkAbandoned(), ABANDONED_CHECK_INTERVAL_MS)
+  }
+
+  #checkAbandoned (): void {
+    this.#checkTimer = undefined
+    const now = steadyNow()
+    const suspects = [...this.#unfinished.values()].filter((each) => !each.crashed && each.view.leavingAtMs === undefined && recentlyAbandoned(each).length > 0)
+    const silent = suspects.filter(({ view }) => now - (view.lastActivityAtMs ?? -Infinity) >= ACTIVE_MS)
+    for (const unfinished of silent.sort((a, b) => a.checkedAtMs - b.checkedAtMs).slice(0, MAX_DIALS_PER_CHECK)) {
+      unfinished.checkedAtMs = now
+      this.#dial(unfinished.view)
+    }
+    if (suspects.length > 0) this.#checkLater()
+  }
+
+  #dial (view: EndpointView): void {
+    this.#options.dial(view.address).then((result) => { if (result === 'refused') this.gone(view.id) })
   }
 
   /** Records that an endpoint's process is gone, as its address shows or another daemon reported. */
   gone (id: EndpointId): void {
     const unfinished = this.#unfinished.get(id)
     if (!unfinished || unfinished.crashed) return
-    const now = steadyNow()
-    const recentlyAbandoned = [...unfinished.abandoned].filter(([, atMs]) => now - atMs < RECENTLY_ABANDONED_MS).map(([request]) => request)
-    const aboard = [...now - unfinished.atMs < CRASH_DETECTION_MS ? unfinished.aboard : [], ...recentlyAbandoned]
+    const aboard = [...steadyNow() - unfinished.atMs < CRASH_DETECTION_MS ? unfinished.aboard : [], ...recentlyAbandoned(unfinished)]
     if (aboard.length === 0) return
     unfinished.crashed = true
     this.#options.metrics.endpointCrashes.inc({ pool: unfinished.view.pool })
@@ -104,7 +140,7 @@
   /** Records the crash of an endpoint that was replaced by a later start without having announced that it leaves. */
   restarted (view: EndpointView): void {
     this.gone(view.id)
-    this.#unfinished.set(view.id, { view, aboard: new Set(), abandoned: new Map(), atMs: steadyNow(), dialled: true, crashed: true })
+    this.#unfinished.set(view.id, { view, aboard: new Set(), abandoned: new Map(), atMs: steadyNow(), dialled: true, checkedAtMs: -Infinity, crashed: true })
   }
 
   #report (view: EndpointView, aboard: Fingerprint[]): void {
@@ -118,10 +154,15 @@
     for (const [id, { atMs }] of this.#unfinished) if (now - atMs > CRASH_DETECTION_MS) this.#unfinished.delete(id)
     const known = this.#unfinished.get(view.id)
     if (known?.crashed || view.leavingAtMs === undefined) {
-      const unfinished = known ?? { view, aboard: new Set(), abandoned: new Map(), atMs: now, dialled: false, crashed: false }
+      const unfinished = known ?? { view, aboard: new Set(), abandoned: new Map(), atMs: now, dialled: false, checkedAtMs: -Infinity, crashed: false }
       this.#unfinished.set(view.id, unfinished)
       return unfinished
     }
     return undefined
   }
 }
+
+function recentlyAbandoned ({ abandoned }: UnfinishedAttempts): Fingerprint[] {
+  const now = steadyNow()
+  return [...abandoned].filter(([, atMs]) => now - atMs < RECENTLY_ABANDONED_MS).map(([request]) => request)
+}
--- a/daemon/quarantine/crash_watch_test.ts
+++ b/daemon/quarantine/crash_watch_test.ts
@@ -1,6 +1,7 @@
 import { afterEach, beforeEach, expect, test, vi } from 'vitest'
 import { as, type EndpointId, type Fingerprint } from '../../core/ids/index.ts'
 import { noWork, type EndpointView } from '../../core/routing/index.ts'
+import { steadyNow } from '../../core/time/index.ts'
 import type { DialResult } from '../../endpoints/index.ts'
 import { createMetrics } from '../metrics.ts'
 import { CrashWatch, type Crash } from './crash_watch.ts'
@@ -75,3 +76,36 @@
   watch.gone(as('never used'))
   expect(crashes).toEqual([{ endpoint: FIRST, aboard: [B] }])
 })
+
+test('an endpoint that refuses connections after a request was abandoned there has crashed, although nothing else is sent to it', async () => {
+  // Guards against crashes that no request is attributed to, because its caller had disconnected and no other request noticed them.
+  const { watch, crashes, dials } = start('refused')
+  watch.abandoned(viewOf(), A)
+  await vi.advanceTimersByTimeAsync(500)
+  expect(crashes).toEqual([{ endpoint: FIRST, aboard: [A] }])
+  await vi.advanceTimersByTimeAsync(10_000)
+  expect(dials).toHaveLength(1)
+})
+
+test('an endpoint is not dialled for an abandoned request while it sends data or after it announced that it leaves', async () => {
+  const { watch, dials } = start('accepted')
+  const [active, leaving] = [viewOf(), viewOf({ id: as<EndpointId>('leaving') })]
+  watch.abandoned(active, A)
+  watch.abandoned(leaving, A)
+  leaving.leavingAtMs = steadyNow()
+  for (let i = 0; i < 20; i++) {
+    active.lastActivityAtMs = steadyNow()
+    await vi.advanceTimersByTimeAsync(100)
+  }
+  expect(dials).toEqual([])
+})
+
+test('abandoned requests cost at most six dials per second, and none two seconds later', async () => {
+  // Guards against a storm of connections to a pool whose requests all reach their deadlines.
+  const { watch, dials } = start('accepted')
+  for (let i = 0; i < 100; i++) watch.abandoned(viewOf({ id: as<EndpointId>(`e${i}`), address: `a${i}` }), A)
+  await vi.advanceTimersByTimeAsync(2000)
+  expect([dials.length, new Set(dials).size]).toEqual([9, 9])
+  await vi.advanceTimersByTimeAsync(10_000)
+  expect(dials).toHaveLength(9)
+})
--- a/daemon/quarantine/quarantine_task.ts
+++ b/daemon/quarantine/quarantine_task.ts
@@ -66,6 +66,7 @@
 
   /** Stops, after sending the reports that are still pending. */
   stop (): void {
+    this.#options.crashes.stop()
     clearInterval(this.#timer)
     clearTimeout(this.#sendTimer)
     this.#sendPending()
--- a/daemon/quarantine/quarantine_task_test.ts
+++ b/daemon/quarantine/quarantine_task_test.ts
@@ -18,7 +18,7 @@
   let crashed: (crash: Crash) => void = () => {}
   const links = { onPost: () => {}, post: (_to: DaemonId, _topic: string, reports: typeof told) => { told.push(...reports.map(({ endpoint, aboard, cleared }) => ({ endpoint, aboard, cleared }))) } }
   const membership = { links, onLink: () => {}, core: { neighbours: [PEER] } } as unknown as MembershipTask
-  const crashes = { onCrash: (listener: typeof crashed) => { crashed = listener }, gone: () => {} } as unknown as CrashWatch
+  const crashes = { onCrash: (listener: typeof crashed) => { crashed = listener }, gone: () => {}, stop: () => {} } as unknown as CrashWatch
   const task = new QuarantineTask({ crashes, membership, metrics: createMetrics() })
   const crash = (endpoint: string) => crashed({ endpoint: as<EndpointId>(endpoint), aboard: [CRASHING.fingerprint()] })
   return { task, told, crash }
