Do not count a daemon's own pauses against the version that is rolled out

Operators saw: a good version rolled back.

Cause: answer times include the time for which the daemon's process was paused or busy. While both versions answer, the old one shows the same slowness; after the switch only the new one answers, and eight late answers within a second are enough to roll it back. Class: a comparison without a control.

Evidence: the test that occupies the process for two seconds after the switch ended rolled back before; a trace of the same schedule gave '8 of 8 answers to check came late, where 8 in 100 may'.

Fix: while a rollout is in progress, a 10 ms timer measures the pauses of the process, and answer times are counted without them. Nothing runs otherwise. A slow version is still found: the time for which an endpoint is waited for with an idle process counts as before.

Not changed: the estimates for routing contain such pauses as well; they compare endpoints with each other, which a pause slows alike.

--- a/daemon/rollout/version_gate.ts
+++ b/daemon/rollout/version_gate.ts
@@ -7,6 +7,7 @@
 import type { Metrics } from '../metrics.ts'
 import type { Links } from '../peers/links.ts'
 import type { TallyTask } from '../peers/tally_task.ts'
+import { ProcessPauses } from './process_pauses.ts'
 import type { RolloutFollower } from './rollout_follower.ts'
 
 /** Options of {@linkcode VersionGate}. */
@@ -44,6 +45,8 @@
   readonly #rules = new Map<PoolName, VersionRule>()
   readonly #grants = new Map<PoolName, { purse: GrantAllowance, order: string, from: DaemonId | undefined }>()
   readonly #timers = new Map<PoolName, NodeJS.Timeout>()
+  /** Measures only while a rollout is in progress. */
+  readonly #pauses = new ProcessPauses()
   #onGrantUsed: (used: GrantUsedMessage) => void = () => {}
   #onVersionEmptied: (pool: PoolName, version: EndpointVersion) => void = () => {}
 
@@ -56,6 +59,7 @@
 
   /** Drops all grants. */
   stop (): void {
+    this.#pauses.stop()
     for (const timer of this.#timers.values()) clearTimeout(timer)
     this.#grants.clear()
   }
@@ -111,9 +115,13 @@
     if (progress) this.#addToTally(requestCountKey(pool, orderId(progress), cls.name))
   }
 
-  /** Counts an answer by the time that its first part took. */
+  /**
+   * Counts an answer by the time that its first part took, without the pauses of this process: once the old version gets no requests, it does not
+   * show them as well, and they would be counted against the new version.
+   */
   answered (view: EndpointView, cls: ClassName, { tookMs, predictedMs }: { tookMs: number, predictedMs: number }): void {
-    this.#count(view, cls, timeBucket(tookMs, predictedMs))
+    const pausedMs = this.#pauses.since(steadyNow() - tookMs)
+    this.#count(view, cls, timeBucket(tookMs - pausedMs, predictedMs))
   }
 
   /** Counts a failure that the endpoint itself reported. */
@@ -175,6 +183,8 @@
     const progress = this.#progress(pool)
     if (progress?.stage === 'completed') this.#stableVersions.set(pool, progress.order.to)
     this.#rules.delete(pool)
+    if ([...this.#options.rollouts.records.keys()].some((each) => this.isRolling(each))) this.#pauses.start()
+    else this.#pauses.stop()
     if (!progress || isFinal(progress)) this.#options.tallies.tally.forget((key) => key.startsWith(answerKeyPrefix(pool)))
     this.#options.table.restrictTo((view) => this.#mayServe(view))
     const { leaves } = this.#ruleOf(pool) ?? {}
