Name the event of a revision that was not fetched after what happened

The event was called config-not-told, while it is logged when a peer that announced a revision does not return it.

--- a/core/endpoint_limits/permit_allocator_test.ts
+++ b/core/endpoint_limits/permit_allocator_test.ts
@@ -83,7 +83,7 @@
 })
 
 test('the wait is unknown while no daemon has chosen the allocator', () => {
-  // Guards against callers that are told to come back in many seconds while the granting daemon is being replaced.
+  // Guards against refusals with a Retry-After of many seconds while the granting daemon is being replaced.
   const { grants, waits } = new PermitAllocator().allocate(daemon(0), need(3), { limits: [limit(A, 2)], share: 0, now: 0 })
   expect([grants, waits]).toEqual([[], [{ pool: POOL, urgentMs: 0, normalMs: 0 }]])
 })
--- a/daemon/config/revision_exchange.ts
+++ b/daemon/config/revision_exchange.ts
@@ -140,7 +140,7 @@
   }
 
   #logMissing (revision: number, from: DaemonId, why: string): void {
-    log('config-not-told', { revision, from, why, announcedAgeMs: this.announcedAgeMs(revision) })
+    log('config-not-fetched', { revision, from, why, announcedAgeMs: this.announcedAgeMs(revision) })
   }
 
   #waitForNewer ({ after, waitMs }: RevisionRequest): Promise<void> {
--- a/daemon/log/events.ts
+++ b/daemon/log/events.ts
@@ -63,7 +63,7 @@
   'config-in-force': { revision: number, before: number, from: string, announcedAgeMs?: number | undefined }
   'config-refused': { problems: readonly string[], inForce: number }
   /** A peer announced a revision, but did not return it. */
-  'config-not-told': { revision: number, from: string, why: string, announcedAgeMs?: number | undefined }
+  'config-not-fetched': { revision: number, from: string, why: string, announcedAgeMs?: number | undefined }
   'store-lost': { what: string, why: string, lastAnswerAgeMs: number | undefined }
   'store-back': { what: string }
   /** A peer could not relay changes of the store; the next peer, or the store itself, is asked instead. */
@@ -137,7 +137,7 @@
 
 /** Events logged as warnings; the rate limit drops routine events before these. */
 export const WARNING_EVENTS: ReadonlySet<LogEvent> = new Set<LogEvent>([
-  'request-refused', 'request-broke', 'request-held', 'attempt-failed', 'export-failed', 'settings-refused', 'config-refused', 'config-not-told', 'store-lost', 'relay-failed',
+  'request-refused', 'request-broke', 'request-held', 'attempt-failed', 'export-failed', 'settings-refused', 'config-refused', 'config-not-fetched', 'store-lost', 'relay-failed',
   'peer-not-linked', 'peer-send-failed', 'peer-message-refused', 'not-registered', 'endpoint-refused', 'endpoint-crashed', 'request-quarantined', 'quarantine-not-stored', 'endpoint-avoided', 'endpoint-silent', 'endpoint-limit-refused', 'keeper-silent', 'lease-call-failed',
   'usage-not-reported', 'order-refused', 'rollout-held', 'rollout-refused', 'rollout-not-written', 'fleet-round-cut', 'answers-lost', 'lines-left-out'
 ])
