--- a/daemon/config/revision_exchange.ts
+++ b/daemon/config/revision_exchange.ts
@@ -1,7 +1,7 @@
 /** Passes configurations between daemons: serves the one in force, and fetches announced revisions until one is in force. */
 import type { DaemonId } from '../../core/ids/index.ts'
 import type { Member } from '../../core/membership/index.ts'
-import { delay, steadyNow } from '../../core/time/index.ts'
+import { delay, steadyNow, Waiters } from '../../core/time/index.ts'
 import { log } from '../log/index.ts'
 import type { MembershipTask } from '../peers/membership_task.ts'
 
@@ -42,7 +42,7 @@
  */
 export class RevisionExchange {
   readonly #options: RevisionExchangeOptions
-  readonly #waiters = new Set<() => void>()
+  readonly #waiters = new Waiters()
   /** The newest revision that a peer announced, and when it was first announced. */
   #announced = { revision: 0, atMs: 0 }
   /** Peers to ask next; refilled when empty. */
@@ -55,7 +55,7 @@
     options.membership.onFact(({ key, version }, from) => { if (key === FACT_KEY) this.#handleAnnouncement(version, from) })
     options.membership.links.handle(METHOD, async (req: RevisionRequest | null) => {
       // Earlier versions of the daemon send no arguments and expect the configuration in force, however old.
-      if (req) await this.#waitForNewer(req)
+      if (req && this.#revision <= req.after) await this.#waiters.wait(req.waitMs)
       return req === null || this.#revision > req.after ? options.inForce()?.text : undefined
     })
     options.membership.links.onPost(AVAILABLE_TOPIC, (revision: number, from) => {
@@ -68,7 +68,7 @@
   publish (): void {
     const { membership } = this.#options
     membership.publishFact({ key: FACT_KEY, version: this.#revision, value: null })
-    for (const wake of [...this.#waiters]) wake()
+    this.#waiters.wakeAll()
     // A revision is announced once; those that could not fetch it then would only ask again at longer and longer intervals.
     if ((this.announcedAgeMs(this.#revision) ?? 0) < OFFER_AFTER_MS) return
     for (const id of membership.core.neighbours) membership.links.post(id, AVAILABLE_TOPIC, this.#revision)
@@ -143,19 +143,6 @@
     log('config-not-fetched', { revision, from, why, announcedAgeMs: this.announcedAgeMs(revision) })
   }
 
-  #waitForNewer ({ after, waitMs }: RevisionRequest): Promise<void> {
-    if (this.#revision > after) return Promise.resolve()
-    return new Promise((resolve) => {
-      const done = () => {
-        clearTimeout(timer)
-        this.#waiters.delete(done)
-        resolve()
-      }
-      const timer = setTimeout(done, waitMs)
-      this.#waiters.add(done)
-    })
-  }
-
   #shuffled (members: readonly Member[]): Member[] {
     return members.map((member) => ({ member, at: this.#options.random() })).sort((a, b) => a.at - b.at).map(({ member }) => member)
   }
--- a/daemon/peers/store_relay.ts
+++ b/daemon/peers/store_relay.ts
@@ -3,7 +3,7 @@
 import type { DaemonId } from '../../core/ids/index.ts'
 import type { Member } from '../../core/membership/index.ts'
 import type { Hash32 } from '../../core/routing/index.ts'
-import { steadyNow } from '../../core/time/index.ts'
+import { steadyNow, Waiters } from '../../core/time/index.ts'
 import { ChangeLog, isStoreFailure, StoreError, type Changes, type ObjectSource, type Snapshot } from '../../store/index.ts'
 import { log } from '../log/index.ts'
 import type { Metrics } from '../metrics.ts'
@@ -123,7 +123,7 @@
   readonly #prefix: string
   readonly #options: FollowedPrefixOptions
   readonly #log = new ChangeLog()
-  readonly #waiters = new Set<() => void>()
+  readonly #waiters = new Waiters()
   /** When the store itself last answered, directly or through other daemons; undefined while the store is unreachable. */
   #freshAtMs: number | undefined
 
@@ -185,7 +185,7 @@
       if (!changes) throw new Error(`Cannot serve changes of ${this.#prefix}: the change log does not reach back to version ${after}`)
       const remainingMs = deadlineMs - steadyNow()
       if (changes.objects.length + changes.removed.length > 0 || remainingMs <= 0) return { ...changes, ageMs }
-      await this.#waitForUpdate(remainingMs)
+      await this.#waiters.wait(remainingMs)
     }
   }
 
@@ -196,28 +196,12 @@
 
   #markLost (): void {
     this.#freshAtMs = undefined
-    this.#wakeWaiters()
+    this.#waiters.wakeAll()
   }
 
   #markFresh (ageMs: number): void {
     this.#freshAtMs = steadyNow() - ageMs
-    this.#wakeWaiters()
-  }
-
-  #wakeWaiters (): void {
-    for (const wake of [...this.#waiters]) wake()
-  }
-
-  #waitForUpdate (timeoutMs: number): Promise<void> {
-    return new Promise((resolve) => {
-      const done = () => {
-        clearTimeout(timer)
-        this.#waiters.delete(done)
-        resolve()
-      }
-      const timer = setTimeout(done, timeoutMs)
-      this.#waiters.add(done)
-    })
+    this.#waiters.wakeAll()
   }
 }
 
--- a/standins/cloud.ts
+++ b/standins/cloud.ts
@@ -1,6 +1,7 @@
 /** Stand-in for the platform's cloud API: host prices, refused starts, reclaim notices and a delayed host list. */
 import { as, type FailureDomain, type HostId, type PoolName } from '../core/ids/index.ts'
 import type { EndpointSpeed } from '../core/routing/index.ts'
+import { Waiters } from '../core/time/index.ts'
 import { CloudError, type Cloud, type CloudOffer, type HostSpec, type ListedHost, type ReclaimNotice } from '../endpoints/index.ts'
 import { StandInEngine } from './engine.ts'
 import type { Ledger } from './ledger.ts'
@@ -39,7 +40,7 @@
   readonly #options: StandInCloudOptions
   readonly #hosts = new Map<HostId, Host>()
   readonly #notices: ReclaimNotice[] = []
-  readonly #waiting = new Set<() => void>()
+  readonly #waiting = new Waiters()
   #hostListHistory: Array<{ atMs: number, hosts: ListedHost[] }> = []
   #serial = 0
 
@@ -63,7 +64,7 @@
 
   async notices (after: number, waitMs: number): Promise<ReclaimNotice[]> {
     const ready = () => this.#notices.filter((notice) => notice.serial > after)
-    if (this.faults.silentNotices || (ready().length === 0 && waitMs > 0)) await this.#waitForNotice(waitMs)
+    if (this.faults.silentNotices || (ready().length === 0 && waitMs > 0)) await this.#waiting.wait(waitMs)
     return this.faults.silentNotices ? [] : ready()
   }
 
@@ -95,7 +96,7 @@
     }
     this.#notices.push({ serial: ++this.#serial, hosts: [...ids], goneAtMs })
     this.#recordHostList()
-    for (const wake of [...this.#waiting]) wake()
+    this.#waiting.wakeAll()
     setTimeout(() => ids.forEach((id) => { this.stop(id) }), noticeMs)
   }
 
@@ -159,16 +160,4 @@
     this.#hostListHistory.push({ atMs: Date.now(), hosts: this.live() })
     this.#hostListHistory = this.#hostListHistory.slice(-50)
   }
-
-  #waitForNotice (ms: number): Promise<void> {
-    return new Promise((resolve) => {
-      const done = () => {
-        clearTimeout(timer)
-        this.#waiting.delete(done)
-        resolve()
-      }
-      const timer = setTimeout(done, ms)
-      this.#waiting.add(done)
-    })
-  }
 }
