--- a/daemon/request/_request_events.ts
+++ b/daemon/request/_request_events.ts
@@ -1,5 +1,7 @@
-/** Builds the log events for the start of an attempt and the end of a request. */
+/** Builds the log events for the start and the failure of an attempt, and for the end of a request. */
 import type { AnswerHead, WholeAnswer } from '../../core/answer/index.ts'
+import type { Fingerprint } from '../../core/ids/index.ts'
+import { isConnectionAborted, type AttemptError } from '../../core/outcome/index.ts'
 import type { StartMode, RequestState } from '../../core/request/index.ts'
 import { runningNow, type EndpointView, type Lane, type Route } from '../../core/routing/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
@@ -29,6 +31,22 @@
   }
 }
 
+/** A failed attempt. `afterMs` is the time since it was sent; `fingerprint` is only called if the connection broke. */
+export interface FailedAttempt extends Pick<RequestEvents['attempt-failed'], 'attempt' | 'endpoint' | 'repeat' | 'afterMs' | 'pieces' | 'endpointLeaving'> {
+  fingerprint (): Fingerprint
+}
+
+/** Builds the `attempt-failed` event. */
+export function attemptFailedEvent (err: AttemptError, { fingerprint, ...failed }: FailedAttempt): RequestEvents['attempt-failed'] {
+  return {
+    ...failed,
+    point: err.point,
+    why: err.message,
+    status: err.answer?.head.status,
+    ...(isConnectionAborted(err.point) && { fingerprint: fingerprint() })
+  }
+}
+
 /** The parts of a finished request that its `request-ended` event reports. */
 interface EndedRequest {
   readonly acceptedAtMs: number
--- a/daemon/request/request_task.ts
+++ b/daemon/request/request_task.ts
@@ -1,7 +1,7 @@
 /** Drives one request: executes the effects of the core's state machine and feeds events back to it. */
 import { AnswerBuffer, type AnswerBufferOptions, type AnswerHead, type WholeAnswer } from '../../core/answer/index.ts'
 import type { EndpointId, EndpointVersion, PoolName, RequestId } from '../../core/ids/index.ts'
-import { AttemptError, isConnectionAborted, isEndpointReported, outcomeAt, reachedEndpoint, type FailurePoint } from '../../core/outcome/index.ts'
+import { AttemptError, isEndpointReported, outcomeAt, reachedEndpoint, type FailurePoint } from '../../core/outcome/index.ts'
 import { canMove, canRetry, newRequest, step, type AttemptProgress, type RequestEffect, type RequestMessage, type RequestState, type StartMode } from '../../core/request/index.ts'
 import type { EndpointView, Route } from '../../core/routing/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
@@ -12,10 +12,11 @@
 import type { Placement } from './dispatcher.ts'
 import { AttemptTracker } from './attempt_tracker.ts'
 import { Listeners, type FinalResult } from './live_answer.ts'
-import { PieceTimes } from './piece_times.ts'
 import { RequestDecisions } from './request_decisions.ts'
-import { attemptStartedEvent, requestEndedEvent } from './_request_events.ts'
-import { QUARANTINED_REASON, type Decision, type RequestPorts, type RequestWork } from './work.ts'
+import { repeatedKeyResult } from './_claim_outcome.ts'
+import { attemptFailedEvent, attemptStartedEvent, requestEndedEvent } from './_request_events.ts'
+import { RequestMeter } from './_request_meter.ts'
+import { QUARANTINED_REASON, requestTraits, type Decision, type RequestPorts, type RequestWork } from './work.ts'
 
 /** Options of {@linkcode RequestTask}. */
 export interface RequestTaskOptions<P> extends AnswerBufferOptions<P> {
@@ -64,7 +65,7 @@
   #placement: Placement | undefined
   readonly #tracker: AttemptTracker
   #route: Route | undefined
-  readonly #pieces = new PieceTimes()
+  readonly #meter: RequestMeter
   #hasBegun = false
 
   constructor (options: RequestTaskOptions<P>) {
@@ -75,17 +76,10 @@
     this.#tracker = new AttemptTracker(ports.table)
     this.#tracker.onFirstAnswer = (endpoint, times) => this.#reportFirstAnswer(endpoint, times)
     this.#runner = runner
+    this.#meter = new RequestMeter(ports.metrics, { cls: work.cls, acceptedAtMs: this.acceptedAtMs })
     this.answer = new AnswerBuffer<P>(options)
     const deadlineInMs = options.deadlineInMs ?? work.cls.latency.deadlineMs
-    this.lifecycle = newRequest({
-      id: work.id,
-      idempotent: work.cls.idempotent,
-      movable: work.cls.streaming && work.cls.resumable,
-      cancelOnLeave: work.cls.cancelOnLeave,
-      claims: work.claim !== undefined,
-      maxAttempts: work.cls.maxAttempts,
-      deadlineAtMs: this.acceptedAtMs + deadlineInMs
-    })
+    this.lifecycle = newRequest(requestTraits(work, this.acceptedAtMs + deadlineInMs))
     this.#deadlineTimer = setTimeout(() => this.post({ type: 'deadline' }), deadlineInMs)
   }
 
@@ -194,9 +188,7 @@
     this.work.claim!().then((result) => {
       this.ports.metrics.claims.inc({ result: result.type })
       if (result.type === 'claimed') return this.post({ type: 'claimed' })
-      this.#finish(result.type === 'repeated'
-        ? { outcome: 'not-run', reason: 'idempotency key was used before', retryAfterMs: undefined, repeats: result.request }
-        : { outcome: 'not-run', reason: 'idempotency key was used before with another body', retryAfterMs: undefined, otherBody: true })
+      this.#finish(repeatedKeyResult(result))
     }, (err: Error) => {
       this.ports.metrics.claims.inc({ result: 'failed' })
       const reason = err instanceof ClaimError ? err.message : 'Cannot claim key: its owner did not answer'
@@ -295,7 +287,7 @@
         if (attempt === this.lifecycle.attempt) this.#tracker.recordPiece()
         this.onPiece()
         this.#markBegun()
-        this.#recordPiece()
+        this.#meter.pieceArrived()
         this.listeners.notify()
       },
       onEnd: (total) => this.#onAttemptEnd(endpoint, attempt, { total, head }),
@@ -319,16 +311,6 @@
     this.onBegun()
   }
 
-  #recordPiece (): void {
-    const now = steadyNow()
-    if (this.#pieces.record(now) !== undefined) return
-    const { metrics } = this.ports
-    const { name, latency } = this.work.cls
-    const firstMs = now - this.acceptedAtMs
-    metrics.firstToken.observe({ class: metrics.labelOf(name) }, firstMs)
-    metrics.firstPieces.inc({ class: metrics.labelOf(name), within_target: firstMs <= latency.firstTokenMs ? 'yes' : 'no' })
-  }
-
   #onAttemptEnd (endpoint: EndpointId, attempt: number, end: { total: number, head: AnswerHead | undefined }): void {
     if (attempt !== this.lifecycle.attempt) return
     this.answer.end(attempt, end.total)
@@ -370,18 +352,15 @@
     const retryGranted = repeat === 'allowed'
     this.failureAnswer = err.answer
     if (outcomeAt(err.point) === 'unknown') this.#markBegun()
-    this.recordDecision('attempt-failed', {
+    this.recordDecision('attempt-failed', attemptFailedEvent(err, {
       attempt,
       endpoint,
-      point: err.point,
-      why: err.message,
-      status: err.answer?.head.status,
+      repeat,
       afterMs: steadyNow() - (this.#tracker.sentAtMs ?? this.acceptedAtMs),
       pieces: this.answer.length,
       endpointLeaving: table.isLeavingOrGone(endpoint),
-      ...(isConnectionAborted(err.point) && { fingerprint: this.work.fingerprint() }),
-      repeat
-    })
+      fingerprint: this.work.fingerprint
+    }))
     if (!retryGranted) metrics.retriesDenied.inc({ class: metrics.labelOf(this.work.cls.name) })
     metrics.failedAttempts.inc({ point: err.point })
     this.#tracker.end()
@@ -411,22 +390,10 @@
     if (final.outcome === 'answered') this.#tracker.read()
     this.#tracker.end()
     this.lifecycle = { ...this.lifecycle, phase: 'done', outcome: final.outcome }
-    this.recordDecision('request-ended', requestEndedEvent(this, { final, pieces: this.#pieces }))
-    this.#recordFinish(final)
+    this.recordDecision('request-ended', requestEndedEvent(this, { final, pieces: this.#meter.pieces }))
+    this.#meter.finished(final)
     this.onFinish()
     this.ports.dispatcher.startQueued()
     this.listeners.notify()
   }
-
-  /**
-   * Counts the result. A repeated idempotency key, which the earlier request answers, is counted as `repeated`: as `not-run` it would look like a
-   * missed target.
-   */
-  #recordFinish (final: FinalResult): void {
-    const { metrics } = this.ports
-    const cls = metrics.labelOf(this.work.cls.name)
-    const repeated = final.repeats !== undefined || final.otherBody === true
-    metrics.requests.inc({ class: cls, outcome: repeated ? 'repeated' : final.outcome })
-    metrics.fullAnswer.observe({ class: cls }, steadyNow() - this.acceptedAtMs)
-  }
 }
--- a/daemon/request/work.ts
+++ b/daemon/request/work.ts
@@ -1,6 +1,7 @@
 /** Describes a request and the parts of the daemon that it uses. */
 import type { AccountId, ClassName, Fingerprint, PoolName, RequestId } from '../../core/ids/index.ts'
 import type { ClaimResult } from '../../core/once/index.ts'
+import type { RequestTraits } from '../../core/request/index.ts'
 import type { RetryLimiter } from '../../core/retry/index.ts'
 import type { EndpointView } from '../../core/routing/index.ts'
 import type { Demand, WorkClass } from '../../core/work/index.ts'
@@ -23,6 +24,22 @@
   fingerprint (): Fingerprint
 }
 
+/**
+ * Returns what the life cycle of a request depends on.
+ * @param deadlineAtMs Deadline in milliseconds on the steady clock.
+ */
+export function requestTraits ({ id, cls, claim }: RequestWork, deadlineAtMs: number): RequestTraits {
+  return {
+    id,
+    idempotent: cls.idempotent,
+    movable: cls.streaming && cls.resumable,
+    cancelOnLeave: cls.cancelOnLeave,
+    claims: claim !== undefined,
+    maxAttempts: cls.maxAttempts,
+    deadlineAtMs
+  }
+}
+
 /** Observes how endpoints answer while a version is being rolled out. */
 export interface AnswerObserver {
   /** Called when a request arrives. */
