Dial the endpoint of an abandoned request once, and only without a connection

Cause: each abandoned request had its endpoint dialled up to three times, also where the daemon had other connections to it.

Fix: an open connection shows that the process runs, since a crash closes it, so only endpoints without one are dialled, once for all requests abandoned there up to then.

Evidence: the test that sends nothing else to the crashed engines passes as written; the bound on dials is stricter, four a second where it was six.

--- a/daemon/exchange/_proxy_components.ts
+++ b/daemon/exchange/_proxy_components.ts
@@ -145,7 +145,7 @@
     table: asFunction(({ self }: ProxyComponents) => new EndpointTable({ self, hash })).singleton(),
     registry: asFunction(endpointFollower).singleton(),
     client: asFunction(({ config, fleet }: ProxyComponents) => new ExchangeClient({ maxConnections: (view) => connectionsTo(view, config, fleet) })).singleton(),
-    crashes: asFunction(({ metrics }: ProxyComponents) => new CrashWatch({ metrics, dial })).singleton(),
+    crashes: asFunction(({ metrics, client }: ProxyComponents) => new CrashWatch({ metrics, dial, isConnected: (view) => client.isConnected(view) })).singleton(),
     quarantine: asFunction(({ crashes, membership, metrics }: ProxyComponents) => new QuarantineTask({ crashes, membership, metrics })).singleton(),
     archive: asFunction(({ membership, quarantine }: ProxyComponents) => new QuarantineArchive({ store: platform.store, quarantine, maintainsArchive: () => membership.isFirstFor('quarantine') })).singleton(),
     endpointLimits: asFunction(({ metrics, table }: ProxyComponents) => new EndpointLimits({ metrics, isListed: (id) => table.get(id) !== undefined })).singleton(),
--- a/daemon/quarantine/crash_watch.ts
+++ b/daemon/quarantine/crash_watch.ts
@@ -18,18 +18,18 @@
   metrics: Metrics
   /** Opens a connection to an endpoint, to check whether its process is running. */
   dial (address: string): Promise<DialResult>
+  /** Returns whether this daemon has an open connection to an endpoint; it would have been closed by a crash. Default: always false. */
+  isConnected?: (view: EndpointView) => boolean
 }
 
 /** Time within which an endpoint that broke off requests must be found to have crashed for them to count as in flight, in milliseconds. */
 const CRASH_DETECTION_MS = 10_000
 /** A request that was abandoned less than this long before its endpoint crashed may have caused the crash, in milliseconds. */
 const RECENTLY_ABANDONED_MS = 2000
-/** Interval between checks of endpoints with recently abandoned requests, in milliseconds. */
-const ABANDONED_CHECK_INTERVAL_MS = 500
-/** An endpoint that sent data within this time is not dialled, in milliseconds. */
-const ACTIVE_MS = ABANDONED_CHECK_INTERVAL_MS / 2
-/** Maximum number of endpoints dialled in one check: when a whole pool is late, many requests are abandoned at once. */
-const MAX_DIALS_PER_CHECK = 3
+/** Time from an abandoned request to the check of its endpoint, in milliseconds; a request that crashes endpoints does so soon after it is sent. */
+const ABANDONED_CHECK_DELAY_MS = 500
+/** Interval between checks, each of one endpoint at most, in milliseconds: when a whole pool is late, many requests are abandoned at once. */
+const CHECK_INTERVAL_MS = 250
 
 /** This daemon's attempts that an endpoint did not finish. */
 interface UnfinishedAttempts {
@@ -40,8 +40,8 @@
   abandoned: Map<Fingerprint, number>
   atMs: number
   dialled: boolean
-  /** When this daemon last dialled the endpoint because of abandoned requests, in milliseconds on the steady clock. */
-  checkedAtMs: number
+  /** Requests abandoned up to this time have been checked, in milliseconds on the steady clock. */
+  checkedToMs: number
   crashed: boolean
 }
 
@@ -96,7 +96,7 @@
 
   /**
    * Records an attempt that this daemon abandoned before an answer. Its connection is closed, so it cannot show a crash of the endpoint later; the
-   * endpoint is dialled for a while unless it sends data.
+   * endpoint is dialled once unless another connection to it is open.
    */
   abandoned (view: EndpointView, request: Fingerprint): void {
     const unfinished = this.#unfinishedAt(view)
@@ -107,19 +107,19 @@
   }
 
   #checkLater (): void {
-    this.#checkTimer ??= setTimeout(() => this.#checkAbandoned(), ABANDONED_CHECK_INTERVAL_MS)
+    this.#checkTimer ??= setTimeout(() => this.#checkAbandoned(), CHECK_INTERVAL_MS)
   }
 
   #checkAbandoned (): void {
     this.#checkTimer = undefined
-    const now = steadyNow()
-    const suspects = [...this.#unfinished.values()].filter((each) => !each.crashed && each.view.leavingAtMs === undefined && recentlyAbandoned(each).length > 0)
-    const silent = suspects.filter(({ view }) => now - (view.lastActivityAtMs ?? -Infinity) >= ACTIVE_MS)
-    for (const unfinished of silent.sort((a, b) => a.checkedAtMs - b.checkedAtMs).slice(0, MAX_DIALS_PER_CHECK)) {
-      unfinished.checkedAtMs = now
-      this.#dial(unfinished.view)
-    }
-    if (suspects.length > 0) this.#checkLater()
+    const toMs = steadyNow() - ABANDONED_CHECK_DELAY_MS
+    const unchecked = [...this.#unfinished.values()].filter((each) => !each.crashed && each.view.leavingAtMs === undefined && uncheckedSinceMs(each) !== undefined)
+    const due = unchecked.filter((each) => uncheckedSinceMs(each)! <= toMs)
+    const silent = due.filter(({ view }) => !this.#options.isConnected?.(view)).sort((a, b) => uncheckedSinceMs(a)! - uncheckedSinceMs(b)!)
+    const [dialled, ...postponed] = silent
+    for (const unfinished of due) if (!postponed.includes(unfinished)) unfinished.checkedToMs = toMs
+    if (dialled) this.#dial(dialled.view)
+    if (unchecked.some((each) => uncheckedSinceMs(each) !== undefined)) this.#checkLater()
   }
 
   #dial (view: EndpointView): void {
@@ -140,7 +140,7 @@
   /** Records the crash of an endpoint that was replaced by a later start without having announced that it leaves. */
   restarted (view: EndpointView): void {
     this.gone(view.id)
-    this.#unfinished.set(view.id, { view, aboard: new Set(), abandoned: new Map(), atMs: steadyNow(), dialled: true, checkedAtMs: -Infinity, crashed: true })
+    this.#unfinished.set(view.id, { view, aboard: new Set(), abandoned: new Map(), atMs: steadyNow(), dialled: true, checkedToMs: -Infinity, crashed: true })
   }
 
   #report (view: EndpointView, aboard: Fingerprint[]): void {
@@ -154,7 +154,7 @@
     for (const [id, { atMs }] of this.#unfinished) if (now - atMs > CRASH_DETECTION_MS) this.#unfinished.delete(id)
     const known = this.#unfinished.get(view.id)
     if (known?.crashed || view.leavingAtMs === undefined) {
-      const unfinished = known ?? { view, aboard: new Set(), abandoned: new Map(), atMs: now, dialled: false, checkedAtMs: -Infinity, crashed: false }
+      const unfinished = known ?? { view, aboard: new Set(), abandoned: new Map(), atMs: now, dialled: false, checkedToMs: -Infinity, crashed: false }
       this.#unfinished.set(view.id, unfinished)
       return unfinished
     }
@@ -166,3 +166,11 @@
   const now = steadyNow()
   return [...abandoned].filter(([, atMs]) => now - atMs < RECENTLY_ABANDONED_MS).map(([request]) => request)
 }
+
+/** When the first request was abandoned for which the endpoint has not been checked; undefined if there is none. */
+function uncheckedSinceMs ({ abandoned, checkedToMs }: UnfinishedAttempts): number | undefined {
+  const fromMs = Math.max(checkedToMs, steadyNow() - RECENTLY_ABANDONED_MS)
+  let firstMs: number | undefined
+  for (const atMs of abandoned.values()) if (atMs > fromMs && atMs < (firstMs ?? Infinity)) firstMs = atMs
+  return firstMs
+}
--- a/endpoints/exchange/exchange_client.ts
+++ b/endpoints/exchange/exchange_client.ts
@@ -26,6 +26,11 @@
     return this.#poolOf(view).available
   }
 
+  /** Returns whether any connection to an endpoint is open. */
+  isConnected (view: EndpointView): boolean {
+    return (this.#pools.get(view.id)?.size ?? 0) > 0
+  }
+
   /** Acquires an idle or new connection; undefined when the maximum number are in use. */
   acquire (view: EndpointView): Connection | undefined {
     return this.#poolOf(view).acquire()
