--- a/daemon/endpoints/endpoint_table.ts
+++ b/daemon/endpoints/endpoint_table.ts
@@ -2,13 +2,14 @@
 import type { DaemonId, EndpointId, EndpointVersion, HostId, PoolName } from '../../core/ids/index.ts'
 import { Departures, NewestStarts, type Departure } from '../../core/registry/index.ts'
 import {
-  updateLatencyFactor, noWork, firstTokenModelOf, POOL_SMOOTHING, FirstTokenEstimator, ChunkIntervalEstimator, subset, unreadBefore,
+  updateLatencyFactor, noWork, firstTokenModelOf, ChunkIntervalEstimator, subset, unreadBefore,
   type EndpointLoad, type EndpointView, type EndpointWork, type FirstTokenSample, type Hash32, type Lane, type FirstTokenModel
 } from '../../core/routing/index.ts'
 import { recordFailure, NO_FAILURES, type FailureCount } from '../../core/retry/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import type { ListedHost } from '../../endpoints/index.ts'
 import { log } from '../log/index.ts'
+import { PoolEstimates } from './_pool_estimates.ts'
 
 /** Source of the information that an endpoint is leaving. Any one is sufficient. */
 export type LeavingSignal = 'notice' | 'list' | 'refusal' | 'peer'
@@ -34,8 +35,6 @@
 export const SUBSET_SIZE = 24
 /** Time left that is assumed when a leaving signal does not state it, in milliseconds: the shortest notice observed. */
 export const ASSUMED_NOTICE_MS = 2000
-
-const MS_PER_S = 1000
 /** How long an unresponsive endpoint gets no work, in milliseconds. The registry reports endpoints that are gone within four times as long. */
 const SILENCE_EJECTION_MS = 1000
 /** A host still listed as live this long after its departure time is used again, in milliseconds; longer than the list lags. */
@@ -46,8 +45,7 @@
   readonly #options: EndpointTableOptions
   readonly #views = new Map<EndpointId, EndpointView>()
   readonly #byHost = new Map<HostId, EndpointId>()
-  readonly #paces = new Map<PoolName, FirstTokenEstimator>()
-  readonly #rhythms = new Map<PoolName, ChunkIntervalEstimator>()
+  readonly #estimates = new PoolEstimates()
   readonly #failures = new Map<EndpointId, FailureCount>()
   readonly #subsets = new Map<PoolName, EndpointView[]>()
   readonly #usable = new Map<PoolName, EndpointView[]>()
@@ -268,7 +266,7 @@
     const view = this.#views.get(id)
     if (!view) return
     view.latencyFactor = updateLatencyFactor(view.latencyFactor, sample)
-    if (sample.unreadTokens !== undefined) this.#paces.get(view.pool)?.learn({ unreadTokens: sample.unreadTokens, firstMs: sample.actualMs })
+    if (sample.unreadTokens !== undefined) this.#estimates.firstToken(view.pool)?.learn({ unreadTokens: sample.unreadTokens, firstMs: sample.actualMs })
   }
 
   /** Updates the estimates of the gap between stream pieces, of an endpoint and its pool. */
@@ -281,7 +279,7 @@
 
   /** Estimate of the time to a first token at a pool's endpoints; undefined while the pool has no endpoint. */
   pace (pool: PoolName): FirstTokenModel | undefined {
-    const learntPace = this.#paces.get(pool)
+    const learntPace = this.#estimates.firstToken(pool)
     if (learntPace) return learntPace
     const view = this.all.find((each) => each.pool === pool)
     return view && firstTokenModelOf(view)
@@ -368,7 +366,7 @@
       reclaimable: host.reclaimable,
       speed: endpoint.speed,
       firstMs: endpoint.firstMs ?? 0,
-      ...(endpoint.learnsPace === true && { firstTokenModel: this.#paceOf(endpoint), chunkInterval: new ChunkIntervalEstimator(), poolChunkInterval: this.#rhythmOf(endpoint.pool) }),
+      ...(endpoint.learnsPace === true && { firstTokenModel: this.#estimates.firstTokenOf(endpoint), chunkInterval: new ChunkIntervalEstimator(), poolChunkInterval: this.#estimates.chunkIntervalOf(endpoint.pool) }),
       latencyFactor: 1,
       others: noWork(),
       own: noWork(),
@@ -383,21 +381,6 @@
     if (departure) this.#markLeaving(endpoint.id, departure)
   }
 
-  #paceOf ({ pool, firstMs = 0, speed }: ListedHost['endpoint']): FirstTokenEstimator {
-    let pace = this.#paces.get(pool)
-    if (!pace) {
-      pace = new FirstTokenEstimator({ prior: { firstMs, msPerToken: MS_PER_S / speed.prefillTokensPerS } })
-      this.#paces.set(pool, pace)
-    }
-    return pace
-  }
-
-  #rhythmOf (pool: PoolName): ChunkIntervalEstimator {
-    const rhythm = this.#rhythms.get(pool) ?? new ChunkIntervalEstimator({ smoothing: POOL_SMOOTHING })
-    this.#rhythms.set(pool, rhythm)
-    return rhythm
-  }
-
   #remove (view: EndpointView): void {
     this.#views.delete(view.id)
     log('endpoint-gone', { endpoint: view.id })
