--- a/daemon/request/dispatcher_test.ts
+++ b/daemon/request/dispatcher_test.ts
@@ -1,17 +1,14 @@
 import { expect, test } from 'vitest'
 import xxhash from 'xxhash-wasm'
-import { as, endpointId, type DaemonId, type EndpointId, type EndpointVersion, type FailureDomain, type HostId, type PoolName } from '../../core/ids/index.ts'
-import { NO_TOKENS } from '../../core/work/index.ts'
-import { sessionConfig } from '../../bench/_session.ts'
-import { toWorkClass } from '../../core/config/index.ts'
+import { as, endpointId, type DaemonId, type EndpointId, type EndpointVersion, type FailureDomain, type HostId } from '../../core/ids/index.ts'
 import type { ListedHost } from '../../endpoints/index.ts'
 import { EndpointTable } from '../endpoints/endpoint_table.ts'
 import { seededRandom } from '../seeded_random.ts'
+import { DESK as POOL, placement } from './_placement_fixture.ts'
 import type { Placement } from './dispatcher.ts'
 import { createSharedDispatcher } from './shared_dispatcher.ts'
 
 const { h32: hash } = await xxhash()
-const POOL = as<PoolName>('desk')
 const DOMAIN = as<FailureDomain>('a')
 const SPEED = { batchSlots: 6, prefillTokensPerS: 1e6, betweenTokensMs: 1, betweenTokensPerStreamMs: 0, exportTokensPerS: 0, importTokensPerS: 0 }
 
@@ -20,24 +17,6 @@
   return { hostId: as<HostId>(id), hostClass: 'any', failureDomain: DOMAIN, reclaimable: false, pricePerHour: 0, state: 'live', endpoint: { id, name, startedAtMs, pool: POOL, address: '', speed: SPEED } }
 }
 
-function placement (change: Partial<Placement>): Placement {
-  return {
-    account: as('account'),
-    cls: toWorkClass(sessionConfig().classes[2]!, false),
-    pool: POOL,
-    demand: NO_TOKENS,
-    doneTokens: 0,
-    acceptedAtMs: performance.now(),
-    deadlineAtMs: performance.now() + 1000,
-    resumed: false,
-    avoid: [],
-    placed: () => {},
-    refused: () => {},
-    waits: () => {},
-    ...change
-  }
-}
-
 test('a request that failed at an endpoint is not retried at the same endpoint after a restart', () => {
   // Guards against retrying a request at an endpoint that crashed while running it and has restarted.
   const placedAt = new Set<EndpointId>()
--- a/daemon/request/limited_endpoints_test.ts
+++ b/daemon/request/limited_endpoints_test.ts
@@ -1,22 +1,19 @@
 import { afterEach, beforeEach, expect, test, vi } from 'vitest'
 import xxhash from 'xxhash-wasm'
-import { as, endpointId, type DaemonId, type FailureDomain, type HostId, type PoolName } from '../../core/ids/index.ts'
-import { NO_TOKENS } from '../../core/work/index.ts'
+import { as, endpointId, type DaemonId, type FailureDomain, type HostId } from '../../core/ids/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
-import { sessionConfig } from '../../bench/_session.ts'
-import { toWorkClass } from '../../core/config/index.ts'
 import type { ListedHost } from '../../endpoints/index.ts'
 import { EndpointTable } from '../endpoints/endpoint_table.ts'
 import { EndpointLimits } from '../limits/endpoint_limits.ts'
 import { createMetrics } from '../metrics.ts'
 import { seededRandom } from '../seeded_random.ts'
+import { DESK as POOL, DESK_CLASS, placement } from './_placement_fixture.ts'
 import type { Dispatcher, Placement } from './dispatcher.ts'
 import { createSharedDispatcher } from './shared_dispatcher.ts'
 
 const { h32: hash } = await xxhash()
-const POOL = as<PoolName>('desk')
 const DOMAIN = as<FailureDomain>('a')
-const CLASS = { ...toWorkClass(sessionConfig().classes[2]!, false), urgent: false, latency: { firstTokenMs: 500, betweenTokensMs: undefined, deadlineMs: 3000 } }
+const CLASS = { ...DESK_CLASS, urgent: false, latency: { firstTokenMs: 500, betweenTokensMs: undefined, deadlineMs: 3000 } }
 /** Time after which a request that asked for a permit goes elsewhere. */
 const ASK_TIMEOUT_MS = 50
 const NAMES = ['one', 'two', 'three', 'four']
@@ -44,21 +41,7 @@
 }
 
 function request (change: Partial<Placement>): Placement {
-  return {
-    account: as('account'),
-    cls: CLASS,
-    pool: POOL,
-    demand: NO_TOKENS,
-    doneTokens: 0,
-    acceptedAtMs: steadyNow(),
-    deadlineAtMs: steadyNow() + 1000,
-    resumed: false,
-    avoid: [],
-    placed: () => {},
-    refused: () => {},
-    waits: () => {},
-    ...change
-  }
+  return placement({ cls: CLASS, ...change })
 }
 
 /** Places a request and returns where it went, or why it did not. Nobody answers when it asks for a permit. */
