Check endpoints of abandoned requests in one pass

Behavior is unchanged: the endpoint whose requests wait longest is looked at first, those with an open connection are passed over, and one is dialled. The tests pass as they were.

--- a/daemon/quarantine/crash_watch.ts
+++ b/daemon/quarantine/crash_watch.ts
@@ -113,13 +113,21 @@
   #checkAbandoned (): void {
     this.#checkTimer = undefined
     const toMs = steadyNow() - ABANDONED_CHECK_DELAY_MS
-    const unchecked = [...this.#unfinished.values()].filter((each) => !each.crashed && each.view.leavingAtMs === undefined && uncheckedSinceMs(each) !== undefined)
-    const due = unchecked.filter((each) => uncheckedSinceMs(each)! <= toMs)
-    const silent = due.filter(({ view }) => !this.#options.isConnected?.(view)).sort((a, b) => uncheckedSinceMs(a)! - uncheckedSinceMs(b)!)
-    const [dialled, ...postponed] = silent
-    for (const unfinished of due) if (!postponed.includes(unfinished)) unfinished.checkedToMs = toMs
-    if (dialled) this.#dial(dialled.view)
-    if (unchecked.some((each) => uncheckedSinceMs(each) !== undefined)) this.#checkLater()
+    for (const unfinished of this.#unchecked()) {
+      if (uncheckedSinceMs(unfinished)! > toMs) break
+      unfinished.checkedToMs = toMs
+      if (this.#options.isConnected?.(unfinished.view)) continue
+      this.#dial(unfinished.view)
+      break
+    }
+    if (this.#unchecked().length > 0) this.#checkLater()
+  }
+
+  /** Endpoints with abandoned requests for which they have not been checked, earliest first. */
+  #unchecked (): UnfinishedAttempts[] {
+    return [...this.#unfinished.values()]
+      .filter((each) => !each.crashed && each.view.leavingAtMs === undefined && uncheckedSinceMs(each) !== undefined)
+      .sort((a, b) => uncheckedSinceMs(a)! - uncheckedSinceMs(b)!)
   }
 
   #dial (view: EndpointView): void {
