Do not time answers for which the daemon was busy or paused

A trace beside 16 busy processes shows a busy event loop without late timers: of an answer's 68 ms, 0 were measured as paused and all were busy. Taking the measured time off does not help either: answers of 40 to 140 ms fall to nothing, and what is left is the ratio of two predictions.

Evidence: the tests of a busy process and of answers that are not timed failed before (there was no such measure, and no such bucket).

Fix: the active time of the event loop counts as unavailable as well, and an answer with more than a third of its time unavailable is not timed.

--- a/core/rollout/answers.ts
+++ b/core/rollout/answers.ts
@@ -2,8 +2,11 @@
 import type { ClassName, EndpointId, EndpointVersion } from '../ids/index.ts'
 import type { Hash32 } from '../routing/index.ts'
 
-/** Ratio of an answer's time to its predicted time, on a logarithmic scale, or a failure reported by the endpoint itself. */
-export type AnswerBucket = number | 'failed'
+/**
+ * Ratio of an answer's time to its predicted time, on a logarithmic scale; `untimed` for an answer whose time depends on the daemon more than on
+ * the endpoint; `failed` for a failure reported by the endpoint itself.
+ */
+export type AnswerBucket = number | 'untimed' | 'failed'
 
 /** Bucket that counts requests, regardless of their outcome. */
 export const REQUEST_COUNT = 'asked'
@@ -11,6 +14,7 @@
 /** Answers of a set of endpoints to one class. */
 export interface AnswerCounts {
   failed: number
+  untimed: number
   /** Answers by time bucket. */
   times: Map<number, number>
 }
@@ -36,7 +40,9 @@
   bucket: AnswerBucket | typeof REQUEST_COUNT
 }
 
-const LOG_STEP = Math.log(1.5)
+/** Ratio between the times of one bucket and the next. */
+const STEP = 1.5
+const LOG_STEP = Math.log(STEP)
 /** The outermost buckets hold all times below about a seventh and above about fifty times the prediction. */
 const MIN_BUCKET = -5
 const MAX_BUCKET = 10
@@ -58,6 +64,25 @@
   return Math.min(MAX_BUCKET, Math.max(MIN_BUCKET, steps))
 }
 
+/** How long an answer took, in milliseconds. */
+export interface AnswerTimes {
+  tookMs: number
+  predictedMs: number
+  /** Part of the time for which the daemon could not read answers, because its process was paused or busy. */
+  unavailableMs: number
+}
+
+/**
+ * Returns the bucket of an answer that did not fail.
+ *
+ * If the daemon was unavailable for so long that the time without it falls short by a whole bucket, the answer is not timed.
+ * @example `answerBucket({ tookMs: 200, predictedMs: 100, unavailableMs: 150 })` returns `untimed`.
+ */
+export function answerBucket ({ tookMs, predictedMs, unavailableMs }: AnswerTimes): AnswerBucket {
+  const isTimed = Math.max(MIN_TIME_MS, tookMs) <= Math.max(MIN_TIME_MS, tookMs - unavailableMs) * STEP
+  return isTimed ? timeBucket(tookMs, predictedMs) : 'untimed'
+}
+
 /** Returns the group of an endpoint. */
 export function endpointGroup (endpoint: EndpointId, hash: Hash32): number {
   return hash(endpoint) % GROUP_COUNT
@@ -86,12 +111,12 @@
 
 /** Returns counts of zero. */
 export function emptyCounts (): AnswerCounts {
-  return { failed: 0, times: new Map() }
+  return { failed: 0, untimed: 0, times: new Map() }
 }
 
 /** Adds answers to counts in place. */
 export function addAnswers (counts: AnswerCounts, bucket: AnswerBucket, count: number): void {
-  if (bucket === 'failed') counts.failed += count
+  if (bucket === 'failed' || bucket === 'untimed') counts[bucket] += count
   else counts.times.set(bucket, (counts.times.get(bucket) ?? 0) + count)
 }
 
@@ -123,7 +148,12 @@
 }
 
 /** Returns the number of answers that are not failures. */
-export function successCount ({ times }: AnswerCounts): number {
+export function successCount (counts: AnswerCounts): number {
+  return counts.untimed + timedCount(counts)
+}
+
+/** Returns the number of answers that are not failures and were timed. */
+export function timedCount ({ times }: AnswerCounts): number {
   let sum = 0
   for (const count of times.values()) sum += count
   return sum
@@ -139,8 +169,9 @@
 /** Returns the sum of several counts. */
 export function sumCounts (all: Iterable<AnswerCounts>): AnswerCounts {
   const sum = emptyCounts()
-  for (const { failed, times } of all) {
+  for (const { failed, untimed, times } of all) {
     sum.failed += failed
+    sum.untimed += untimed
     for (const [bucket, count] of times) addAnswers(sum, bucket, count)
   }
   return sum
@@ -155,5 +186,5 @@
 }
 
 function subtractCounts (now: AnswerCounts, before: AnswerCounts = emptyCounts()): AnswerCounts {
-  return { failed: now.failed - before.failed, times: new Map([...now.times].map(([bucket, count]) => [bucket, count - (before.times.get(bucket) ?? 0)])) }
+  return { failed: now.failed - before.failed, untimed: now.untimed - before.untimed, times: new Map([...now.times].map(([bucket, count]) => [bucket, count - (before.times.get(bucket) ?? 0)])) }
 }
--- a/core/rollout/comparison.ts
+++ b/core/rollout/comparison.ts
@@ -1,6 +1,6 @@
 /** Compares the answers of two versions over the same period. */
 import { as, type ClassName } from '../ids/index.ts'
-import { newAnswerCount, slowerCount, successCount, sumCounts, type AnswerCounts, type Answers, type ClassAnswers } from './answers.ts'
+import { newAnswerCount, slowerCount, successCount, sumCounts, timedCount, type AnswerCounts, type Answers, type ClassAnswers } from './answers.ts'
 import { evidenceAbove, wilsonUpperBound } from './sequential.ts'
 
 /** Aspect in which versions are compared. */
@@ -53,7 +53,7 @@
 const SLOW_FRACTION = 0.1
 /** Tolerated excess of slow answers over the old version: a new version starts with empty caches and other batch sizes. */
 const SLOW_MARGIN = 0.08
-/** Minimum number of the old version's answers to a class for determining its slow threshold. */
+/** Minimum number of the old version's timed answers to a class for determining its slow threshold. */
 const MIN_BASELINE_ANSWERS = 20
 /** Weight of the failure rate over all classes in that of one class, in answers: it stands in for classes with few answers. */
 const PRIOR_WEIGHT = 20
@@ -112,8 +112,8 @@
   const threshold = slowThreshold(old)
   const findings = [buildFinding(cls, 'failures', { groups, allowed: allowedFailureRate(old, pooledRate), badOf: ({ failed }) => failed, countOf: (counts) => successCount(counts) + counts.failed })]
   if (threshold === undefined) return findings
-  const allowed = Math.min(MAX_ALLOWED_RATE, wilsonUpperBound(slowerCount(old, threshold), successCount(old)) + SLOW_MARGIN)
-  return [...findings, buildFinding(cls, 'times', { groups, allowed, badOf: (counts) => slowerCount(counts, threshold), countOf: successCount })]
+  const allowed = Math.min(MAX_ALLOWED_RATE, wilsonUpperBound(slowerCount(old, threshold), timedCount(old)) + SLOW_MARGIN)
+  return [...findings, buildFinding(cls, 'times', { groups, allowed, badOf: (counts) => slowerCount(counts, threshold), countOf: timedCount })]
 }
 
 /** Upper limit of the allowed proportion, so that a version can always be worse. */
@@ -132,9 +132,9 @@
 
 /** Returns the bucket above which at most a tenth of the old version's answers lie. */
 function slowThreshold (old: AnswerCounts): number | undefined {
-  const answered = successCount(old)
-  if (answered < MIN_BASELINE_ANSWERS) return undefined
-  return [...old.times.keys()].sort((a, b) => a - b).find((bucket) => slowerCount(old, bucket) <= answered * SLOW_FRACTION)
+  const timed = timedCount(old)
+  if (timed < MIN_BASELINE_ANSWERS) return undefined
+  return [...old.times.keys()].sort((a, b) => a - b).find((bucket) => slowerCount(old, bucket) <= timed * SLOW_FRACTION)
 }
 
 interface MeasureInput {
--- a/core/rollout/comparison_test.ts
+++ b/core/rollout/comparison_test.ts
@@ -1,7 +1,7 @@
 import { expect, test } from 'vitest'
 import { seededRandom } from '../../daemon/seeded_random.ts'
 import { as, type ClassName } from '../ids/index.ts'
-import { addAnswers, AnswerHistory, timeBucket, classAnswers, compareVersions, groupAnswers, type Answers } from './index.ts'
+import { addAnswers, answerBucket, AnswerHistory, timeBucket, classAnswers, compareVersions, groupAnswers, type Answers } from './index.ts'
 
 interface RequestClass { name: string, failureRate: number }
 interface AddOptions { count: number, share: number, newFailureRate?: (kind: RequestClass, group: number) => number, newSlowRate?: number, random: () => number }
@@ -106,3 +106,23 @@
     }
   }
 })
+
+test('answers that were not timed say nothing about a version being slow, and count as answers that did not fail', () => {
+  // Guards against a good version that is rolled back because the daemons were slow when only it answered.
+  const answers: Answers = new Map()
+  const counts = classAnswers(answers, as<ClassName>('letter'))
+  addAnswers(counts.old, 0, 300)
+  addAnswers(groupAnswers(counts, 0), 'untimed', 100)
+  addAnswers(groupAnswers(counts, 1), 'untimed', 100)
+  expect(compareVersions(answers).verdict).toBe('alike')
+  for (const group of [0, 1]) addAnswers(groupAnswers(counts, group), 'failed', 30)
+  expect(compareVersions(answers)).toMatchObject({ verdict: 'worse', strongest: { measure: 'failures', bad: 60, count: 260 } })
+})
+
+test('an answer is timed unless the daemon was unavailable for a third of its time', () => {
+  const times = { tookMs: 300, predictedMs: 100 }
+  expect(answerBucket({ ...times, unavailableMs: 0 })).toBe(timeBucket(300, 100))
+  expect(answerBucket({ ...times, unavailableMs: 90 })).toBe(timeBucket(300, 100))
+  expect(answerBucket({ ...times, unavailableMs: 110 })).toBe('untimed')
+  expect(answerBucket({ tookMs: 20, predictedMs: 100, unavailableMs: 20 })).toBe(timeBucket(20, 100))
+})
--- a/daemon/exchange/_proxy_components.ts
+++ b/daemon/exchange/_proxy_components.ts
@@ -27,7 +27,7 @@
 import { FleetSize } from '../peers/fleet_size.ts'
 import { TallyTask } from '../peers/tally_task.ts'
 import { CrashWatch, QuarantineArchive, QuarantineTask } from '../quarantine/index.ts'
-import { RolloutFollower, RolloutTask, VersionGate } from '../rollout/index.ts'
+import { ProcessAvailability, RolloutFollower, RolloutTask, VersionGate } from '../rollout/index.ts'
 import type { Dispatcher } from '../request/dispatcher.ts'
 import { createSharedDispatcher } from '../request/shared_dispatcher.ts'
 import { StallWatch } from '../request/stall_watch.ts'
@@ -260,7 +260,7 @@
   if (!exposure) return undefined
   const port = platform.rollouts
   const follower = new RolloutFollower({ store: relay.source(port.prefix), port, membership, random, waitMs: relay.watchWaitMs })
-  const gate = new VersionGate({ table, rollouts: follower, tallies, links, hash, metrics })
+  const gate = new VersionGate({ table, rollouts: follower, tallies, links, hash, metrics, availability: new ProcessAvailability() })
   const task = new RolloutTask({ self, port, rollouts: follower, gate, lease, table, tallies, links, exposure, propagationMs: settings.registry.leavingMs, random })
   return { follower, gate, task }
 }
--- a/daemon/rollout/_simulated_fleet.ts
+++ b/daemon/rollout/_simulated_fleet.ts
@@ -11,7 +11,7 @@
 import { createMetrics } from '../metrics.ts'
 import type { PostHandler } from '../peers/links.ts'
 import { seededRandom } from '../seeded_random.ts'
-import { RolloutTask, VersionGate, type RolloutListener } from './index.ts'
+import { ProcessAvailability, RolloutTask, VersionGate, type RolloutListener } from './index.ts'
 
 const POOL = as<PoolName>('desk')
 const CLASS = as<ClassName>('check')
@@ -156,7 +156,7 @@
       onPost: (topic: string, take: PostHandler) => { handlers.set(topic, take) }
     }
     const tallies = { tally, clock, reportSoon: () => {} }
-    const gate = new VersionGate({ table, rollouts, tallies, links, hash: h32, metrics: createMetrics() })
+    const gate = new VersionGate({ table, rollouts, tallies, links, hash: h32, metrics: createMetrics(), availability: new ProcessAvailability({ busyMs: () => 0 }) })
     const fleet = this
     const lease = { get fencing () { return fleet.leaseHolders.has(i) && !fleet.daemons[i]!.frozen ? 1 : undefined }, fencingInOutage: undefined }
     const task = new RolloutTask({ self: id, port: this.store, rollouts, gate, lease, table, tallies, links, exposure: EXPOSURE_LIMIT, propagationMs: PROPAGATION_MS, random: this.random })
--- a/daemon/rollout/index.ts
+++ b/daemon/rollout/index.ts
@@ -1,3 +1,4 @@
+export * from './process_availability.ts'
 export * from './rollout_follower.ts'
 export * from './rollout_port.ts'
 export * from './rollout_task.ts'
--- a/daemon/rollout/version_gate.ts
+++ b/daemon/rollout/version_gate.ts
@@ -1,13 +1,13 @@
 /** Decides on each daemon which version of a pool's endpoints serves a request, and counts the answers of each version. */
 import type { ClassName, DaemonId, EndpointVersion, PoolName } from '../../core/ids/index.ts'
-import { answerKey, answerKeyPrefix, requestCountKey, timeBucket, GrantAllowance, endpointGroup, isFinal, orderId, currentProgress, versionRule, type AnswerBucket, type Grant, type RolloutProgress, type VersionRule } from '../../core/rollout/index.ts'
+import { answerKey, answerKeyPrefix, requestCountKey, answerBucket, GrantAllowance, endpointGroup, isFinal, orderId, currentProgress, versionRule, type AnswerBucket, type Grant, type RolloutProgress, type VersionRule } from '../../core/rollout/index.ts'
 import type { EndpointView, Hash32 } from '../../core/routing/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import type { EndpointTable } from '../endpoints/endpoint_table.ts'
 import type { Metrics } from '../metrics.ts'
 import type { Links } from '../peers/links.ts'
 import type { TallyTask } from '../peers/tally_task.ts'
-import { ProcessPauses } from './process_pauses.ts'
+import type { ProcessAvailability } from './process_availability.ts'
 import type { RolloutFollower } from './rollout_follower.ts'
 
 /** Options of {@linkcode VersionGate}. */
@@ -18,6 +18,8 @@
   links: Pick<Links, 'post' | 'onPost'>
   hash: Hash32
   metrics: Pick<Metrics, 'rolloutAnswers'>
+  /** Started only while a rollout is in progress. */
+  availability: Pick<ProcessAvailability, 'start' | 'stop' | 'unavailableSince'>
 }
 
 /** Message that gives a daemon a grant. */
@@ -45,8 +47,6 @@
   readonly #rules = new Map<PoolName, VersionRule>()
   readonly #grants = new Map<PoolName, { purse: GrantAllowance, order: string, from: DaemonId | undefined }>()
   readonly #timers = new Map<PoolName, NodeJS.Timeout>()
-  /** Measures only while a rollout is in progress. */
-  readonly #pauses = new ProcessPauses()
   #onGrantUsed: (used: GrantUsedMessage) => void = () => {}
   #onVersionEmptied: (pool: PoolName, version: EndpointVersion) => void = () => {}
 
@@ -59,7 +59,7 @@
 
   /** Drops all grants. */
   stop (): void {
-    this.#pauses.stop()
+    this.#options.availability.stop()
     for (const timer of this.#timers.values()) clearTimeout(timer)
     this.#grants.clear()
   }
@@ -116,12 +116,12 @@
   }
 
   /**
-   * Counts an answer by the time that its first part took, without the pauses of this process: once the old version gets no requests, it does not
-   * show them as well, and they would be counted against the new version.
+   * Counts an answer by the time that its first part took, unless this process was unavailable for much of it: once the old version gets no requests,
+   * its answers do not show that as well, and it would be counted against the new version.
    */
   answered (view: EndpointView, cls: ClassName, { tookMs, predictedMs }: { tookMs: number, predictedMs: number }): void {
-    const pausedMs = this.#pauses.since(steadyNow() - tookMs)
-    this.#count(view, cls, timeBucket(tookMs - pausedMs, predictedMs))
+    const unavailableMs = this.#options.availability.unavailableSince(steadyNow() - tookMs)
+    this.#count(view, cls, answerBucket({ tookMs, predictedMs, unavailableMs }))
   }
 
   /** Counts a failure that the endpoint itself reported. */
@@ -180,11 +180,12 @@
   }
 
   #onChange (pool: PoolName): void {
+    const { rollouts, availability } = this.#options
     const progress = this.#progress(pool)
     if (progress?.stage === 'completed') this.#stableVersions.set(pool, progress.order.to)
     this.#rules.delete(pool)
-    if ([...this.#options.rollouts.records.keys()].some((each) => this.isRolling(each))) this.#pauses.start()
-    else this.#pauses.stop()
+    if ([...rollouts.records.keys()].some((each) => this.isRolling(each))) availability.start()
+    else availability.stop()
     if (!progress || isFinal(progress)) this.#options.tallies.tally.forget((key) => key.startsWith(answerKeyPrefix(pool)))
     this.#options.table.restrictTo((view) => this.#mayServe(view))
     const { leaves } = this.#ruleOf(pool) ?? {}
