Do not call answers within their predicted time slow in a rollout

Operators saw: a good version rolled back under load, answers of 25 ms called late.

Cause: answers are compared by the ratio of their time to the predicted one, and times below 25 ms count as equal, so for short answers the ratio depends on the prediction alone. Where the old version had more running when it was predicted (75 ms and more) than the new one (50 ms), the same time lies a bucket or two higher for the new one. Beside 16 busy processes nearly all timed answers of the old version lay at -3 and of the new one at -2 and -1. Class: a ratio of two estimates taken for a measurement.

Evidence: the test of answers within their predicted time failed before (worse instead of alike).

Fix: the bucket from which answers are slow is never below that of the prediction.

--- a/core/rollout/comparison.ts
+++ b/core/rollout/comparison.ts
@@ -130,11 +130,15 @@
   return Math.min(MAX_ALLOWED_RATE, wilsonUpperBound(failed, successCount(old) + old.failed + PRIOR_WEIGHT) + FAILURE_MARGIN)
 }
 
-/** Returns the bucket above which at most a tenth of the old version's answers lie. */
+/**
+ * Returns the bucket above which at most a tenth of the old version's answers lie. It is never below zero: an answer within its predicted time is
+ * not slow, and among those the buckets differ by the predictions more than by the times.
+ */
 function slowThreshold (old: AnswerCounts): number | undefined {
   const timed = timedCount(old)
   if (timed < MIN_BASELINE_ANSWERS) return undefined
-  return [...old.times.keys()].sort((a, b) => a - b).find((bucket) => slowerCount(old, bucket) <= timed * SLOW_FRACTION)
+  const bucket = [...old.times.keys()].sort((a, b) => a - b).find((bucket) => slowerCount(old, bucket) <= timed * SLOW_FRACTION)
+  return bucket === undefined ? undefined : Math.max(0, bucket)
 }
 
 interface MeasureInput {
--- a/core/rollout/comparison_test.ts
+++ b/core/rollout/comparison_test.ts
@@ -126,3 +126,14 @@
   expect(answerBucket({ ...times, unavailableMs: 110 })).toBe('untimed')
   expect(answerBucket({ tookMs: 20, predictedMs: 100, unavailableMs: 20 })).toBe(timeBucket(20, 100))
 })
+
+test('answers within their predicted time are not slow, however much sooner the old version answered', () => {
+  // Guards against a good version that is rolled back because shorter times were predicted for it.
+  const answers: Answers = new Map()
+  const counts = classAnswers(answers, as<ClassName>('letter'))
+  addAnswers(counts.old, -3, 300)
+  for (const group of [0, 1]) addAnswers(groupAnswers(counts, group), -1, 100)
+  expect(compareVersions(answers).verdict).toBe('alike')
+  for (const group of [0, 1]) addAnswers(groupAnswers(counts, group), 1, 100)
+  expect(compareVersions(answers)).toMatchObject({ verdict: 'worse', strongest: { measure: 'times', bad: 200, count: 400 } })
+})
