Take no request that a leaving daemon cannot finish

Callers saw: a request cut off by a graceful shutdown.

Cause: the drain looked for open requests at the moment at which it stopped listening, and never again. A connection that had been accepted before and brought its first request later was served as usual, while the daemon released its lease and left. Class: a check that is made once for a condition that can change until the end.

Fix: one more poll lets requests in that are on their way, and once none is open all connections are closed in the same turn, so none can come. A caller whose request was not read may repeat it elsewhere.

--- a/daemon/exchange/proxy_daemon.ts
+++ b/daemon/exchange/proxy_daemon.ts
@@ -131,7 +131,10 @@
     const released = lease.release()
     await delay(READINESS_PROPAGATION_MS)
     server.close()
-    while (server.open > 0 && steadyNow() < endsAtMs) await delay(DRAIN_POLL_MS)
+    do await delay(DRAIN_POLL_MS)
+    while (server.open > 0 && steadyNow() < endsAtMs)
+    // A connection that was accepted before may still bring a request, which this daemon could not finish.
+    if (server.open === 0) server.kill()
     await released
     await this.#leave()
     readiness.close()
