--- a/daemon/exchange/_proxy_components.ts
+++ b/daemon/exchange/_proxy_components.ts
@@ -11,6 +11,7 @@
 import { OrderTask } from '../duties/order_task.ts'
 import { UsageTask } from '../duties/usage_task.ts'
 import { EndpointFollower } from '../endpoints/endpoint_follower.ts'
+import { EndpointSignalRecorder } from '../endpoints/endpoint_signal_recorder.ts'
 import { EndpointTable } from '../endpoints/endpoint_table.ts'
 import { shareDepartures } from '../endpoints/departure_sharing.ts'
 import { LeaseTask } from '../fleet/lease_task.ts'
@@ -66,6 +67,7 @@
   limits: AccountLimits
   endpointLimits: EndpointLimits
   endpointLimitTask: EndpointLimitTask
+  signals: EndpointSignalRecorder
   table: EndpointTable
   registry: EndpointFollower
   client: ExchangeClient
@@ -150,11 +152,12 @@
     archive: asFunction(({ membership, quarantine }: ProxyComponents) => new QuarantineArchive({ store: platform.store, quarantine, maintainsArchive: () => membership.isFirstFor('quarantine') })).singleton(),
     endpointLimits: asFunction(({ metrics, table }: ProxyComponents) => new EndpointLimits({ metrics, isListed: (id) => table.get(id) !== undefined })).singleton(),
     endpointLimitTask: asFunction(({ self, membership, endpointLimits, limits, dispatcher }: ProxyComponents) => new EndpointLimitTask({ self, membership, limits: endpointLimits, accounts: limits, queued: (pool) => dispatcher.queuedByUrgency(pool) })).singleton(),
+    signals: asFunction(({ endpointLimits }: ProxyComponents) => new EndpointSignalRecorder({ limits: endpointLimits })).singleton(),
     loads: asFunction(({ self, membership, table, limits, endpointLimitTask }: ProxyComponents) => new LoadTask({ self, membership, table, limits, onReport: (from) => endpointLimitTask.sendLimits(from) })).singleton(),
     rollouts: asFunction(rolloutComponents).singleton(),
     dispatcher: asFunction(({ table, random, fleet, rollouts, endpointLimits }: ProxyComponents) => createSharedDispatcher({ table, hash, random, failureDomain: settings.failureDomain, sharers: () => fleet.hostCount, canaries: rollouts?.gate, limits: endpointLimits })).singleton(),
     budgetOf: asFunction(retryBudgets).singleton(),
-    intake: asFunction(({ table, dispatcher, metrics, client, crashes, quarantine, hash64, random, limits, endpointLimits, usage, orders, budgetOf, config, rollouts }: ProxyComponents) => new Intake({
+    intake: asFunction(({ table, dispatcher, metrics, client, crashes, quarantine, hash64, random, limits, endpointLimits, signals, usage, orders, budgetOf, config, rollouts }: ProxyComponents) => new Intake({
       table,
       dispatcher,
       metrics,
@@ -165,6 +168,7 @@
       random,
       limits,
       endpointLimits,
+      signals,
       usage,
       orders,
       answers: rollouts?.gate,
--- a/daemon/exchange/intake.ts
+++ b/daemon/exchange/intake.ts
@@ -9,7 +9,7 @@
 import { ExchangeRunner, type ExchangeClient, type ExchangeDialect, type ProxiedRequest } from '../../endpoints/index.ts'
 import type { Dispatcher } from '../request/dispatcher.ts'
 import { RequestTask } from '../request/request_task.ts'
-import type { AnswerObserver, RequestLimits } from '../request/work.ts'
+import type { AnswerObserver, RequestLimits, SignalRecorder } from '../request/work.ts'
 import type { EndpointTable } from '../endpoints/endpoint_table.ts'
 import type { ConfigState } from '../log/index.ts'
 import type { Metrics } from '../metrics.ts'
@@ -46,6 +46,8 @@
   limits: AccountLimits
   /** Limits that endpoints name in their answers. */
   endpointLimits: RequestLimits
+  /** Applies what endpoints say about themselves in their answers. */
+  signals: SignalRecorder
   usage: UsageTask
   orders: OrderTask
   /** Observes endpoints' answers for rollouts; undefined if the platform rolls out no versions. */
@@ -90,7 +92,7 @@
     if (account) this.#options.metrics.quotaWait.observe(steadyNow() - askedAtMs)
     const cls = this.#options.catalog()!.urgency.classify(route, account)
     const pool = pickShare(route.pools, this.#options.random).pool
-    const { client, dialect, table, dispatcher, metrics, crashes, quarantine, answers, endpointLimits } = this.#options
+    const { client, dialect, table, dispatcher, metrics, crashes, quarantine, answers, endpointLimits, signals } = this.#options
     const budget = this.#options.budgetOf(pool)
     budget.deposit()
     if (req.demand) this.#options.orders.asked(pool, req.demand.promptTokens)
@@ -98,7 +100,7 @@
     const task = new RequestTask<Buffer>({
       work: { id: req.id, account: account?.id ?? ANONYMOUS, cls, pool, demand: req.demand ?? NO_TOKENS, claim: undefined, fingerprint: this.#fingerprint(req, account) },
       runner: new ExchangeRunner({ req: { ...req, account: account?.id }, client, dialect }),
-      ports: { table, dispatcher, metrics, budget, crashes, quarantine, answers, limits: endpointLimits },
+      ports: { table, dispatcher, metrics, budget, crashes, quarantine, answers, limits: endpointLimits, signals },
       from: req.resumeFrom,
       deadlineInMs: Math.max(0, Math.min(req.deadlineInMs ?? Infinity, cls.latency.deadlineMs) - (steadyNow() - arrivedAtMs))
     })
--- a/daemon/request/request_task.ts
+++ b/daemon/request/request_task.ts
@@ -275,9 +275,9 @@
     let head: AnswerHead | undefined
     const sentAtMs = steadyNow()
     return {
-      onLimit: (limit) => {
+      onSignals: (signals) => {
         const view = this.ports.table.get(endpoint)
-        if (view) this.ports.limits?.answered(view, limit, sentAtMs)
+        if (view) this.ports.signals?.record(view, signals, sentAtMs)
       },
       onHead: (arrived) => { head = arrived },
       onChunk: (offset, pieces) => {
--- a/daemon/request/work.ts
+++ b/daemon/request/work.ts
@@ -5,7 +5,7 @@
 import type { RetryLimiter } from '../../core/retry/index.ts'
 import type { EndpointView } from '../../core/routing/index.ts'
 import type { Demand, WorkClass } from '../../core/work/index.ts'
-import type { AnswerLimit } from '../../endpoints/index.ts'
+import type { EndpointSignals } from '../../endpoints/index.ts'
 import type { EndpointTable } from '../endpoints/endpoint_table.ts'
 import type { Metrics } from '../metrics.ts'
 import type { CrashWatch, QuarantineTask } from '../quarantine/index.ts'
@@ -62,14 +62,20 @@
   answers?: AnswerObserver | undefined
   /** Limits that endpoints name in their answers. Default: they name none. */
   limits?: RequestLimits | undefined
+  /** Applies what endpoints say about themselves in their answers. Default: it is ignored. */
+  signals?: SignalRecorder | undefined
 }
 
 /** Records requests to endpoints with a limit. */
 export interface RequestLimits {
   /** Called when a request is sent to an endpoint. */
   started (view: EndpointView): void
-  /** Called with what an endpoint's answer says about its limit. `sentAtMs` is when the request was sent, in milliseconds on the steady clock. */
-  answered (view: EndpointView, limit: AnswerLimit, sentAtMs: number): void
+}
+
+/** Applies what endpoints say about themselves in their answers. */
+export interface SignalRecorder {
+  /** Called with the signals of one answer. `sentAtMs` is when its request was sent, in milliseconds on the steady clock. */
+  record (view: EndpointView, signals: EndpointSignals, sentAtMs: number): void
 }
 
 /** Reason given for refusing a request whose fingerprint is quarantined. */
--- a/endpoints/attempt.ts
+++ b/endpoints/attempt.ts
@@ -4,8 +4,17 @@
 import type { StartMode } from '../core/request/index.ts'
 import type { EndpointLoad, EndpointView, Lane } from '../core/routing/index.ts'
 
+/** A value in an answer that could not be read, shortened for the log. It changes nothing. */
+export interface InvalidSignal { invalid: string }
+
 /** What an answer says about the request rate that its endpoint takes from all daemons together, in requests per second; undefined if it names none. */
-export type AnswerLimit = { perS: number | undefined } | { invalid: string }
+export type AnswerLimit = { perS: number | undefined } | InvalidSignal
+
+/** What an endpoint says about itself in the head of an answer. */
+export interface EndpointSignals {
+  /** The request rate that the endpoint takes. Default: it names none. */
+  limit?: AnswerLimit | undefined
+}
 
 /** Receives one attempt's answer. The last call is exactly one of `onEnd` and `onError`. */
 export interface AttemptSink<P> {
@@ -17,7 +26,7 @@
   onError (err: AttemptError): void
   onLoad (load: EndpointLoad): void
   /** Called with the head of each answer that the endpoint itself gave, also one that it refused or failed with. */
-  onLimit? (limit: AnswerLimit): void
+  onSignals? (signals: EndpointSignals): void
 }
 
 /** What an attempt had produced when it was stopped. */
--- a/endpoints/exchange/exchange.ts
+++ b/endpoints/exchange/exchange.ts
@@ -85,7 +85,7 @@
     // A late answer to an earlier request, or one from another program, must not reach the caller.
     if (facts.requestId !== this.#options.req.id) return this.#fail('foreign-answer', 'the answer belongs to another request')
     if (facts.otherEndpoint) return this.#fail('endpoint-gone', 'another endpoint has the address')
-    if (facts.genuine || facts.notRun) this.#options.sink.onLimit?.(facts.limit ?? { perS: undefined })
+    if (facts.genuine || facts.notRun) this.#options.sink.onSignals?.(facts)
     if (facts.notRun) return this.#fail('endpoint-said-not-run', `status ${status}`)
     if (!facts.genuine) return this.#fail(status < REDIRECT ? 'foreign-answer' : 'endpoint-error', 'the answer is unsigned or encoded')
     this.#bodyHandling = bodyHandlingOf(head)
--- a/endpoints/exchange/exchange_dialect.ts
+++ b/endpoints/exchange/exchange_dialect.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage } from 'node:http'
 import type { AnswerHead, Header } from '../../core/answer/index.ts'
 import type { EndpointView, Lane } from '../../core/routing/index.ts'
-import type { AnswerLimit } from '../attempt.ts'
+import type { EndpointSignals } from '../attempt.ts'
 import type { AdmittedRequest, ProxiedRequest } from './proxied_request.ts'
 
 /** Values that one attempt adds to the caller's request. */
@@ -16,8 +16,8 @@
   lane: Lane | undefined
 }
 
-/** What the headers of an endpoint's answer say about its attempt. */
-export interface AnswerMetadata {
+/** What the headers of an endpoint's answer say about its attempt and the endpoint. */
+export interface AnswerMetadata extends EndpointSignals {
   /** Id of the request that the answer belongs to. */
   requestId: string | undefined
   /** True if the answer is signed by the endpoint and its body has no content encoding. */
@@ -26,8 +26,6 @@
   notRun: boolean
   /** True if another endpoint has the address now. */
   otherEndpoint: boolean
-  /** The request rate that the endpoint takes. Default: it names none. */
-  limit?: AnswerLimit | undefined
 }
 
 /** Error for a request that cannot be forwarded as it is. */
