Send no more requests to an endpoint that says in an answer that it leaves

What callers saw: requests sent to a daemon up to many seconds after it had passed on an answer in which its endpoint said that it leaves were still sent there; the platform counts them from two seconds on (DRAIN).

Cause: no code read the announcement in answers. A daemon learned of a departure from the registry and from other daemons only. While the store is away the registry does not show it, and the entry of an endpoint that leaves may be written on as ready.

Why this works: the head of each answer that the endpoint itself gave is read before anything else is done with it, also of one that it refused, failed or streams. The table marks the endpoint as leaving, which every way to an endpoint already asks: first attempts, repeats, resumed streams, canaries, homes of prefixes, permits, queued requests. Unlike a refusal or a report of another daemon, which may have had another cause, the announcement holds until the process is replaced, however often its entry is written or for how long it stays listed. It is shared as any departure is, in one fact for each endpoint; at the other daemons it ends after 30 s if the endpoint stays listed, so a wrong report of one daemon is bounded. Only an answer with the id of its request that is signed or says that it was not run counts. Streams under way go on. Values other than 1 change nothing and are logged.

--- a/core/registry/departures.ts
+++ b/core/registry/departures.ts
@@ -7,6 +7,8 @@
   goneAtMs: number
   /** Registry version that shows the departure; undefined if it was reported by another source. */
   version?: number | undefined
+  /** True if the endpoint itself announced it: it then holds until its process is replaced, however often its entry is written. Default: false. */
+  final?: boolean
 }
 
 /** Upper bound of the time that gossip takes to reach all daemons, in milliseconds. */
@@ -31,7 +33,7 @@
   recordLive (host: HostId, { version, now }: { version: number, now: number }): void {
     this.#liveEntryVersions.set(host, Math.max(version, this.#liveEntryVersions.get(host) ?? 0))
     const departure = this.#departures.get(host)
-    if (departure?.version !== undefined && version > departure.version) this.recordReturn(host, now)
+    if (departure?.version !== undefined && departure.final !== true && version > departure.version) this.recordReturn(host, now)
   }
 
   /** Returns whether a peer's report of a departure dates from before the host returned. */
@@ -40,11 +42,11 @@
     return (this.#liveEntryVersions.get(host) ?? -Infinity) > version
   }
 
-  /** Records a departure and keeps the latest registry version reported for it. */
-  record (host: HostId, { goneAtMs, version }: Departure): void {
-    const knownVersion = this.#departures.get(host)?.version
-    const latestVersion = knownVersion === undefined ? version : Math.max(knownVersion, version ?? knownVersion)
-    this.#departures.set(host, { goneAtMs, version: latestVersion })
+  /** Records a departure and keeps the latest registry version reported for it. A final departure stays final. */
+  record (host: HostId, { goneAtMs, version, final }: Departure): void {
+    const known = this.#departures.get(host)
+    const latestVersion = known?.version === undefined ? version : Math.max(known.version, version ?? known.version)
+    this.#departures.set(host, { goneAtMs, version: latestVersion, ...((final === true || known?.final === true) && { final: true }) })
   }
 
   /** Returns the departure of a host; undefined if none is known or the host has returned. */
--- a/daemon/endpoints/departure_sharing_test.ts
+++ b/daemon/endpoints/departure_sharing_test.ts
@@ -129,3 +129,19 @@
   expect(second.usable).toEqual(others)
   for (const daemon of [first, second]) daemon.stop()
 })
+
+test('a departure that an endpoint announced to one daemon is shared, and ends at the others if the endpoint stays listed', async () => {
+  // Guards against a wrong report of one daemon that keeps an endpoint out of use everywhere for good.
+  const parts = { store: new StandInStore(), gossip: new Gossip() }
+  for (const name of NAMES) await write(parts.store, name)
+  const [first, second] = [new Daemon('first', parts), new Daemon('second', parts)]
+  await vi.advanceTimersByTimeAsync(PROPAGATION_MS)
+  first.table.announcedLeaving(first.table.instancesOf('a')[0]!.id)
+  await vi.advanceTimersByTimeAsync(PROPAGATION_MS)
+  expect([first.usable, second.usable]).toEqual([others, others])
+  await vi.advanceTimersByTimeAsync(35_000)
+  await expire(parts.store, 'b')
+  await write(parts.store, 'b')
+  expect([first.usable, second.usable]).toEqual([others, NAMES])
+  for (const daemon of [first, second]) daemon.stop()
+})
--- a/daemon/endpoints/endpoint_table.ts
+++ b/daemon/endpoints/endpoint_table.ts
@@ -12,7 +12,7 @@
 import { PoolEstimates } from './_pool_estimates.ts'
 
 /** Source of the information that an endpoint is leaving. Any one is sufficient. */
-export type LeavingSignal = 'notice' | 'list' | 'refusal' | 'peer'
+export type LeavingSignal = 'notice' | 'list' | 'refusal' | 'peer' | 'answer'
 
 /** Called when endpoints are first known to be leaving, and again when a notice or a peer changes the time left. */
 export type LeavingListener = (leaving: Array<Departure & { view: EndpointView, signal: LeavingSignal }>) => void
@@ -189,18 +189,31 @@
     this.#applyLeaving(hosts, departure)
   }
 
+  /** Marks an endpoint as leaving because it says so in its answers, until its process is replaced. */
+  announcedLeaving (id: EndpointId): void {
+    const view = this.#views.get(id)
+    if (!view || this.#departures.of(view.hostId)?.final === true) return
+    const knownGoneAtMs = this.#goneAt.get(id)
+    const departure = { goneAtMs: knownGoneAtMs ?? steadyNow() + ASSUMED_NOTICE_MS, final: true }
+    if (knownGoneAtMs !== undefined) this.#departures.record(view.hostId, departure)
+    else this.#notifyLeaving([{ view: this.#markLeaving(id, departure), goneAtMs: departure.goneAtMs, signal: 'answer' }])
+  }
+
   #applyLeaving (hosts: readonly HostId[], { goneAtMs, version, signal }: Departure & { signal: LeavingSignal }): void {
-    const news: Parameters<LeavingListener>[0] = []
+    const leaving: Parameters<LeavingListener>[0] = []
     for (const host of hosts) {
       if (signal === 'peer' && this.#departures.isOutdated(host, { version, now: steadyNow() })) continue
       const id = this.#byHost.get(host)
       if (id === undefined) this.#departures.record(host, { goneAtMs, version })
-      else if (this.#addsInformation(id, goneAtMs, signal)) news.push({ view: this.#markLeaving(id, { goneAtMs, version }), goneAtMs, version, signal })
+      else if (this.#addsInformation(id, goneAtMs, signal)) leaving.push({ view: this.#markLeaving(id, { goneAtMs, version }), goneAtMs, version, signal })
       else this.#departures.record(host, { goneAtMs, version })
     }
-    if (news.length === 0) return
+    if (leaving.length > 0) this.#notifyLeaving(leaving)
+  }
+
+  #notifyLeaving (leaving: Parameters<LeavingListener>[0]): void {
     this.#clearSelections()
-    for (const listener of this.#leavingListeners) listener(news)
+    for (const listener of this.#leavingListeners) listener(leaving)
   }
 
   /** Whether a signal adds information. Notices, and peers that relay them, know the departure time; an assumed time never replaces it. */
@@ -333,12 +346,14 @@
 
   /**
    * Uses a leaving endpoint again when its registry entry was written after its departure, or when it is still listed as live long after its departure time: the reclaim was
-   * cancelled, or the refusal had another cause.
+   * cancelled, or the refusal had another cause. An endpoint that announced its departure in an answer is not used again.
    */
   #restoreIfReturned ({ hostId, endpoint: { id } }: ListedHost): void {
     const goneAtMs = this.#goneAt.get(id)
     if (goneAtMs === undefined) return
-    const writtenSince = this.#departures.of(hostId) === undefined
+    const departure = this.#departures.of(hostId)
+    if (departure?.final === true) return
+    const writtenSince = departure === undefined
     if (!writtenSince && steadyNow() < goneAtMs + RESTORE_AFTER_MS) return
     this.#goneAt.delete(id)
     this.#departures.recordReturn(hostId, steadyNow())
--- a/daemon/endpoints/endpoint_table_test.ts
+++ b/daemon/endpoints/endpoint_table_test.ts
@@ -82,3 +82,36 @@
   table.applyHostList([start(1000), other])
   expect(idsOf(table)).toEqual([FIRST, 'i-2'])
 })
+
+test('an endpoint that announced in an answer that it leaves is not used again until its process is replaced', () => {
+  // Guards against new work for a leaving endpoint that is still listed as ready, written anew, or missing for a while and then listed again.
+  const table = tableOf()
+  const listed = (version: number) => ({ ...start(1000), version })
+  table.applyHostList([listed(1), other])
+  table.announcedLeaving(FIRST)
+  for (let version = 2; version < 100; version++) {
+    vi.advanceTimersByTime(1000)
+    table.applyHostList([listed(version), other])
+    expect(idsOf(table)).toEqual(['i-2'])
+  }
+  table.departed([as<HostId>(FIRST)], { goneAtMs: steadyNow(), version: 100, signal: 'list' })
+  table.applyHostList([other])
+  table.applyHostList([listed(101), other])
+  expect(idsOf(table)).toEqual(['i-2'])
+  table.applyHostList([start(2000), other])
+  expect(idsOf(table)).toEqual([SECOND, 'i-2'])
+})
+
+test('an announcement in an answer is passed on once, and holds although the departure was known before', () => {
+  const table = tableOf()
+  const signals: string[] = []
+  table.onLeaving((leaving) => { signals.push(...leaving.map(({ signal }) => signal)) })
+  table.applyHostList([{ ...start(1000), version: 1 }, other])
+  table.departed([as<HostId>(FIRST)], { goneAtMs: steadyNow() + 2000, version: 2, signal: 'peer' })
+  table.announcedLeaving(FIRST)
+  table.announcedLeaving(other.endpoint.id)
+  table.announcedLeaving(other.endpoint.id)
+  table.applyHostList([{ ...start(1000), version: 3 }, other])
+  expect(signals).toEqual(['peer', 'answer'])
+  expect(idsOf(table)).toEqual([])
+})
--- a/daemon/log/events.ts
+++ b/daemon/log/events.ts
@@ -107,6 +107,8 @@
   'endpoint-silent': { endpoint: string, wordAgeMs: number, forMs: number }
   /** An endpoint's limit on the requests from all daemons began, changed or ended; rates are in requests per second. */
   'endpoint-limit': { endpoint: string, pool: string, change: string, perS: number | undefined, before: number | undefined }
+  /** A signal in an answer of the endpoint could not be read, and changes nothing. */
+  'endpoint-signal-refused': { endpoint: string, signal: string, value: string }
   /** An answer names a limit that cannot be read; the one in force stays. */
   'endpoint-limit-refused': { endpoint: string, value: string, inForce: number | undefined }
   'keeper-chosen': { keeper: string, before: string }
@@ -138,6 +140,6 @@
 /** Events logged as warnings; the rate limit drops routine events before these. */
 export const WARNING_EVENTS: ReadonlySet<LogEvent> = new Set<LogEvent>([
   'request-refused', 'request-broke', 'request-held', 'attempt-failed', 'export-failed', 'settings-refused', 'config-refused', 'config-not-fetched', 'store-lost', 'relay-failed',
-  'peer-not-linked', 'peer-send-failed', 'peer-message-refused', 'not-registered', 'endpoint-refused', 'endpoint-crashed', 'request-quarantined', 'quarantine-not-stored', 'endpoint-avoided', 'endpoint-silent', 'endpoint-limit-refused', 'keeper-silent', 'lease-call-failed',
+  'peer-not-linked', 'peer-send-failed', 'peer-message-refused', 'not-registered', 'endpoint-refused', 'endpoint-crashed', 'request-quarantined', 'quarantine-not-stored', 'endpoint-avoided', 'endpoint-silent', 'endpoint-limit-refused', 'endpoint-signal-refused', 'keeper-silent', 'lease-call-failed',
   'usage-not-reported', 'order-refused', 'rollout-held', 'rollout-refused', 'rollout-not-written', 'fleet-round-cut', 'answers-lost', 'lines-left-out'
 ])
--- a/daemon/metrics.ts
+++ b/daemon/metrics.ts
@@ -42,6 +42,7 @@
     peerMessages: counter('peer_messages_total', 'Messages between daemons, several of one moment counted as one', ['direction']),
     unknownPeerMessages: counter('peer_unknown_messages_total', 'Messages of a kind this version does not know'),
     handedOver: counter('handed_over_total', 'Streams handed to another daemon while draining'),
+    endpointSignals: counter('endpoint_signals_total', 'Endpoints that said something about themselves in an answer, by signal; `refused` if it could not be read', ['signal']),
     limitedEndpoints: gauge('limited_endpoints', 'Endpoints that limit the rate of requests from all daemons', ['pool']),
     limitedRequests: counter('limited_requests_total', 'Requests to endpoints with a limit: sent with a permit, sent without one, or diverted', ['result']),
     open: gauge('open_requests', 'Requests accepted and not finished'),
--- a/endpoints/attempt.ts
+++ b/endpoints/attempt.ts
@@ -14,6 +14,8 @@
 export interface EndpointSignals {
   /** The request rate that the endpoint takes. Default: it names none. */
   limit?: AnswerLimit | undefined
+  /** True if the endpoint leaves. Without it the answer says nothing about that: its head may be older than the decision to leave. */
+  leaving?: true | InvalidSignal | undefined
 }
 
 /** Receives one attempt's answer. The last call is exactly one of `onEnd` and `onError`. */
--- a/endpoints/exchange/exchange_test.ts
+++ b/endpoints/exchange/exchange_test.ts
@@ -6,11 +6,11 @@
 import { noWork, type EndpointView } from '../../core/routing/index.ts'
 import { delay } from '../../core/time/index.ts'
 import { RawEndpoint, type RawRequest } from '../../standins/index.ts'
-import type { Attachment, AttemptSink } from '../attempt.ts'
+import type { Attachment, AttemptSink, EndpointSignals } from '../attempt.ts'
 import { ExchangeClient, ExchangeRunner, headerValue, type AdmittedRequest, type ExchangeDialect } from './index.ts'
 
 /** Recorded result of one attempt. */
-interface AttemptResult { head: AnswerHead | undefined, pieces: Array<{ offset: number, text: string }>, total: number | undefined, failed: FailurePoint | undefined, failure: AttemptError | undefined }
+interface AttemptResult { head: AnswerHead | undefined, pieces: Array<{ offset: number, text: string }>, total: number | undefined, failed: FailurePoint | undefined, failure: AttemptError | undefined, signals: EndpointSignals[] }
 
 const openEndpoints: RawEndpoint[] = []
 afterEach(async () => { for (const endpoint of openEndpoints.splice(0)) await endpoint.close() })
@@ -23,7 +23,8 @@
     requestId: headerValue(head, 'id'),
     genuine: headerValue(head, 'signed') !== undefined && headerValue(head, 'content-encoding') === undefined,
     notRun: headerValue(head, 'not-run') !== undefined,
-    otherEndpoint: headerValue(head, 'other') !== undefined
+    otherEndpoint: headerValue(head, 'other') !== undefined,
+    leaving: headerValue(head, 'leaving') === undefined ? undefined : true
   })
 }
 
@@ -50,11 +51,12 @@
 const clientOf = (maxConnections = 4) => new ExchangeClient({ maxConnections: () => maxConnections })
 
 function send (client: ExchangeClient, view: EndpointView, req: AdmittedRequest, from = 0): { ending: Promise<AttemptResult>, attachment: Attachment } {
-  const ending: AttemptResult = { head: undefined, pieces: [], total: undefined, failed: undefined, failure: undefined }
+  const ending: AttemptResult = { head: undefined, pieces: [], total: undefined, failed: undefined, failure: undefined, signals: [] }
   let attachment: Attachment | undefined
   const done = new Promise<AttemptResult>((resolve) => {
     const sink: AttemptSink<Buffer> = {
       onHead: (head) => { ending.head = head },
+      onSignals: ({ leaving }) => { ending.signals.push({ leaving }) },
       onChunk: (offset, pieces) => pieces.forEach((piece, i) => ending.pieces.push({ offset: offset + i, text: piece.toString() })),
       onEnd: (total) => { ending.total = total; resolve(ending) },
       onError: (err) => { ending.failed = err.point; ending.failure = err; resolve(ending) },
@@ -256,3 +258,22 @@
   expect(endings.map(({ failed, total }) => failed ?? total)).toEqual([1, 1, 1, 'before-send', 'before-send'])
   expect(endpoint.connections).toBe(3)
 })
+
+test('what an endpoint says about itself is taken from each answer that it gave, and from no other', async () => {
+  // Guards against a stray or spoilt answer that takes an endpoint out of use.
+  const leaving = 'leaving: 1\r\ncontent-length: 0\r\n\r\n'
+  const answers: Record<string, (req: RawRequest) => string> = {
+    served: (req) => `${answerHead(req)}${leaving}`,
+    refused: (req) => `HTTP/1.1 503 Busy\r\nid: ${idOf(req)}\r\nnot-run: 1\r\n${leaving}`,
+    failed: (req) => `HTTP/1.1 500 Failed\r\nid: ${idOf(req)}\r\nsigned: s\r\n${leaving}`,
+    streamed: (req) => `${answerHead(req, 'content-type: text/event-stream\r\n')}${leaving}`,
+    foreign: () => `HTTP/1.1 200 OK\r\nid: other\r\nsigned: s\r\n${leaving}`,
+    unnamed: () => `HTTP/1.1 200 OK\r\nsigned: s\r\n${leaving}`,
+    unsigned: (req) => `HTTP/1.1 200 OK\r\nid: ${idOf(req)}\r\n${leaving}`,
+    misdirected: (req) => `HTTP/1.1 421 Misdirected\r\nid: ${idOf(req)}\r\nother: e2\r\n${leaving}`
+  }
+  const { view } = await startEndpoint((req) => { req.socket.write(answers[idOf(req)]!(req)) })
+  const said: string[] = []
+  for (const kind of Object.keys(answers)) if ((await sendAndWait(clientOf(), view, requestOf(kind))).signals.some((signals) => signals.leaving === true)) said.push(kind)
+  expect(said).toEqual(['served', 'refused', 'failed', 'streamed'])
+})
