Keep requests from an endpoint until the time to come back that it named

What callers saw: an endpoint that refused a request with 503 and Retry-After got more requests from the same daemon before that time was over than the platform allows (BUDGET), and their callers were refused. The other way round, the only endpoint of a pool that asked for two or four seconds was ejected for 30, and its callers were refused all that time.

Cause: no code read Retry-After of an endpoint. What kept requests away was the ejection after three failures in a row, whose times have nothing to do with what was asked; any success between ends the row, and since an endpoint that refuses at once has no requests running it looks the fastest of all.

Why this works: the time belongs to one endpoint process and one daemon. It is kept apart from ejections, never shortened by a later answer, not ended by a success, and survives a gap in the listing. The router, which every way to an endpoint goes through, passes over endpoints in a back-off; a request whose connection is still being opened is withheld and placed again. Refusals during a back-off are no failures of the endpoint, so no ejection is added. A back-off is extended by up to a tenth, half a second at most, at random: daemons that were refused together do not return together.

Where all endpoints of a pool back off, a request that none takes within its target is refused at once, and queued ones as soon as that is known; callers are told when the first endpoint takes requests again, urgent ones first and the others spread over half a second. A request that can still wait waits.

The product's own interface had parsed the header of its engines and services and never used it; they go the same way now. Back-offs are logged where they begin and end, counted, shown in the status and named by explain.

--- a/cli/operator_actions.ts
+++ b/cli/operator_actions.ts
@@ -110,7 +110,7 @@
   print(`${status.daemon}: ${status.state}, ${status.open} open, ${status.queued} queued`)
   print(`configuration: revision ${status.revision}${status.revisionSure ? '' : ' (a newer one may exist, the store does not answer)'}`)
   print(`daemons: ${Object.entries(status.members).map(([state, count]) => `${count} ${state}`).join(', ')}`)
-  print(`endpoints: ${status.endpoints.live} live, ${status.endpoints.leaving} leaving, ${status.endpoints.ejected} ejected after failures`)
+  print(`endpoints: ${status.endpoints.live} live, ${status.endpoints.leaving} leaving, ${status.endpoints.ejected} ejected after failures, ${status.endpoints.backingOff} that asked for time`)
   for (const pool of status.pools) print(`pool ${pool.name}: ${pool.running} requests in ${pool.slots} slots of ${pool.live} endpoints; ${pool.doing}`)
   for (const { fingerprint, crashed, forMs } of status.quarantined) print(`request ${fingerprint}: quarantined for ${Math.ceil(forMs / MS_PER_MIN)} min, ${crashed.length} endpoints that ran it crashed: ${crashed.join(', ')}`)
   for (const cls of status.classes) {
--- a/core/outcome/outcome.ts
+++ b/core/outcome/outcome.ts
@@ -11,6 +11,7 @@
 /** Stage or reason at which an attempt failed. */
 export type FailurePoint =
   | 'before-send'
+  | 'withheld'
   | 'connect-refused'
   | 'connect-timeout'
   | 'endpoint-said-not-run'
@@ -25,6 +26,7 @@
 
 const OUTCOME_BY_POINT: Record<FailurePoint, Exclude<Outcome, 'answered'>> = {
   'before-send': 'not-run',
+  withheld: 'not-run',
   'connect-refused': 'not-run',
   'connect-timeout': 'not-run',
   'endpoint-said-not-run': 'not-run',
@@ -53,7 +55,7 @@
 
 /** Returns true if the endpoint received, or may have received, part of the request. */
 export function reachedEndpoint (point: FailurePoint): boolean {
-  return point !== 'before-send' && point !== 'connect-refused' && point !== 'connect-timeout'
+  return point !== 'before-send' && point !== 'withheld' && point !== 'connect-refused' && point !== 'connect-timeout'
 }
 
 /** Returns true if the endpoint itself reported the failure, which shows that it is alive. */
@@ -70,15 +72,12 @@
 export class AttemptError extends Error {
   override name = 'AttemptError'
   readonly point: FailurePoint
-  /** Delay in milliseconds that the endpoint asked for before a retry; undefined if it gave none. */
-  readonly retryAfterMs: number | undefined
   /** The endpoint's error response, passed to the caller if no other attempt succeeds. */
   readonly answer: WholeAnswer | undefined
 
-  constructor (what: string, options: { point: FailurePoint, retryAfterMs?: number, answer?: WholeAnswer, cause?: unknown }) {
+  constructor (what: string, options: { point: FailurePoint, answer?: WholeAnswer, cause?: unknown }) {
     super(what, { cause: options.cause })
     this.point = options.point
-    this.retryAfterMs = options.retryAfterMs
     this.answer = options.answer
   }
 
--- a/core/routing/endpoint_view.ts
+++ b/core/routing/endpoint_view.ts
@@ -56,6 +56,8 @@
   leavingAtMs: number | undefined
   /** Not selected before this time, because of failures. */
   ejectedUntilMs: number
+  /** Not selected before this time, because the endpoint asked for it. Default: it did not. */
+  backOffUntilMs?: number
   /** When the endpoint was first listed, in milliseconds on the daemon's clock. Default: long ago. */
   listedAtMs?: number
   /** When the endpoint last sent anything, in milliseconds on the daemon's clock. Default: never. */
@@ -67,6 +69,11 @@
   return view.others.running + view.own.running
 }
 
+/** Returns when an endpoint that is not leaving may get work again, in milliseconds on the daemon's clock; a time in the past if it may now. */
+export function availableAtMs ({ ejectedUntilMs, backOffUntilMs = 0 }: EndpointView): number {
+  return Math.max(ejectedUntilMs, backOffUntilMs)
+}
+
 /** Time after an endpoint is listed until load reports cover the work of other daemons, in milliseconds: about two report intervals. */
 const UNREPORTED_MS = 250
 
--- a/core/routing/router.ts
+++ b/core/routing/router.ts
@@ -1,6 +1,6 @@
 /** Selects an endpoint for one request. */
 import type { EndpointId } from '../ids/index.ts'
-import { meetsIntervalTarget, firstTokenModelOf, predictBetweenTokensMs, predictFirstTokenMs, runningNow, unreadNow, type EndpointView, type PredictionContext } from './endpoint_view.ts'
+import { availableAtMs, meetsIntervalTarget, firstTokenModelOf, predictBetweenTokensMs, predictFirstTokenMs, runningNow, unreadNow, type EndpointView, type PredictionContext } from './endpoint_view.ts'
 import type { Lane } from './work_load.ts'
 
 /** Properties of a request that a router needs. */
@@ -29,7 +29,7 @@
   unreadTokens: number | undefined
 }
 
-/** Selects an endpoint, or none if every candidate is leaving, ejected or to be avoided. */
+/** Selects an endpoint, or none if every candidate is leaving, ejected, backing off or to be avoided. */
 export interface Router {
   pick (query: RouteQuery, candidates: readonly EndpointView[], now: number): Route | undefined
 }
@@ -153,7 +153,7 @@
 }
 
 function isEligible (view: EndpointView, query: RouteQuery, now: number): boolean {
-  return view.leavingAtMs === undefined && view.ejectedUntilMs <= now && !query.avoid.includes(view.id)
+  return view.leavingAtMs === undefined && availableAtMs(view) <= now && !query.avoid.includes(view.id)
 }
 
 /** Predicts the route to an endpoint. A request that can no longer meet its target is moved to the `late` lane, behind those that still can. */
--- a/daemon/daemon.ts
+++ b/daemon/daemon.ts
@@ -17,6 +17,7 @@
 import { Claims } from './once/claims.ts'
 import { ConfigTask } from './config/config_task.ts'
 import { Dispatcher } from './request/dispatcher.ts'
+import { EndpointSignalRecorder } from './endpoints/endpoint_signal_recorder.ts'
 import { EndpointTable, SUBSET_SIZE } from './endpoints/endpoint_table.ts'
 import { FleetLoop } from './fleet/fleet_loop.ts'
 import { HostWatch } from './endpoints/host_watch.ts'
@@ -94,6 +95,7 @@
   dispatcher: Dispatcher
   engine: (view: EndpointView) => ModelEngine
   service: (view: EndpointView) => PlainService
+  signals: EndpointSignalRecorder
   crashes: CrashWatch
   quarantine: QuarantineTask
   archive: QuarantineArchive
@@ -154,6 +156,7 @@
     this.#components.hosts.stop()
     this.#components.archive.stop()
     this.#components.quarantine.stop()
+    this.#components.signals.stop()
     this.#components.fleet.stop()
     this.#components.broker.abandon()
     for (const server of this.#servers) server.closeAllConnections()
@@ -238,7 +241,7 @@
   }
 
   async #leave (heir: Member | undefined): Promise<void> {
-    const { membership, broker, config, hosts, fleet, quarantine, archive } = this.#components
+    const { membership, broker, config, hosts, fleet, signals, quarantine, archive } = this.#components
     broker.releaseFollowers()
     const closing = this.#servers.map(close)
     for (const server of this.#servers) server.closeIdleConnections()
@@ -247,6 +250,7 @@
     config.stop()
     hosts.stop()
     fleet.stop()
+    signals.stop()
     archive.stop()
     quarantine.stop()
     await membership.leave(heir?.id)
@@ -295,11 +299,12 @@
     })).singleton(),
     engine: asFunction(() => options.engine ?? perEndpoint((view) => new HttpEngine({ url: view.address }))).singleton(),
     service: asFunction(() => options.service ?? perEndpoint((view) => new HttpService({ url: view.address }))).singleton(),
+    signals: asFunction(({ table, metrics, random }: DaemonComponents) => new EndpointSignalRecorder({ table, metrics, random })).singleton(),
     crashes: asFunction(({ metrics }: DaemonComponents) => new CrashWatch({ metrics, dial: options.dial ?? dial })).singleton(),
     quarantine: asFunction(({ crashes, membership, metrics }: DaemonComponents) => new QuarantineTask({ crashes, membership, metrics })).singleton(),
     archive: asFunction(({ storeFor, membership, quarantine }: DaemonComponents) => new QuarantineArchive({ store: storeFor('quarantine'), quarantine, maintainsArchive: () => membership.isFirstFor('quarantine') })).singleton(),
-    broker: asFunction(({ self, hash, hash64, settings, config, membership, claims, metrics, table, dispatcher, crashes, quarantine, engine, service }: DaemonComponents) => new Broker({
-      self, hash, hash64, settings, config, membership, claims, metrics, ports: { table, dispatcher, crashes, quarantine }, engine, service
+    broker: asFunction(({ self, hash, hash64, settings, config, membership, claims, metrics, table, dispatcher, signals, crashes, quarantine, engine, service }: DaemonComponents) => new Broker({
+      self, hash, hash64, settings, config, membership, claims, metrics, ports: { table, dispatcher, signals, crashes, quarantine }, engine, service
     })).singleton(),
     reclaimer: asFunction(({ table, prefixes, metrics, engine, broker, config, random, membership }: DaemonComponents) => new Reclaimer({
       table,
@@ -331,6 +336,7 @@
   const reclaimer = container.resolve('reclaimer')
   const broker = container.resolve('broker')
   broker.onStreamTakenOver = () => reclaimer.replan()
+  container.resolve('signals').onRoom = () => container.resolve('dispatcher').startQueued()
   container.resolve('quarantine').onHeld(() => { for (const task of broker.open) task.quarantineChanged() })
   return container.cradle
 }
--- a/daemon/endpoints/departure_sharing.ts
+++ b/daemon/endpoints/departure_sharing.ts
@@ -3,7 +3,8 @@
 import { steadyNow } from '../../core/time/index.ts'
 import { log } from '../log/index.ts'
 import type { MembershipTask } from '../peers/membership_task.ts'
-import type { EndpointTable, LeavingSignal } from './endpoint_table.ts'
+import type { EndpointTable } from './endpoint_table.ts'
+import type { LeavingSignal } from './leaving_signal.ts'
 
 /** Key prefix of departures reported by the registry. The fact's version is the registry's, so a later departure of the same host replaces an earlier one. */
 const DEPARTED_PREFIX = 'departed/'
--- a/daemon/endpoints/endpoint_table.ts
+++ b/daemon/endpoints/endpoint_table.ts
@@ -1,21 +1,19 @@
 /** One daemon's view of the endpoints, combined from every source that reports on them. */
 import type { DaemonId, EndpointId, EndpointVersion, HostId, PoolName } from '../../core/ids/index.ts'
+import type { FailurePoint } from '../../core/outcome/index.ts'
 import { Departures, NewestStarts, type Departure } from '../../core/registry/index.ts'
 import {
-  updateLatencyFactor, noWork, firstTokenModelOf, ChunkIntervalEstimator, subset, unreadBefore,
+  updateLatencyFactor, noWork, firstTokenModelOf, subset, unreadBefore,
   type EndpointLoad, type EndpointView, type EndpointWork, type FirstTokenSample, type Hash32, type Lane, type FirstTokenModel
 } from '../../core/routing/index.ts'
-import { recordFailure, NO_FAILURES, type FailureCount } from '../../core/retry/index.ts'
+import type { BackOffChange } from '../../core/retry/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import type { ListedHost } from '../../endpoints/index.ts'
 import { log } from '../log/index.ts'
 import { PoolEstimates } from './_pool_estimates.ts'
-
-/** Source of the information that an endpoint is leaving. Any one is sufficient. */
-export type LeavingSignal = 'notice' | 'list' | 'refusal' | 'peer' | 'answer'
-
-/** Called when endpoints are first known to be leaving, and again when a notice or a peer changes the time left. */
-export type LeavingListener = (leaving: Array<Departure & { view: EndpointView, signal: LeavingSignal }>) => void
+import { newView } from './_new_view.ts'
+import { remainingBackOffMs, WorkPauses } from './_work_pauses.ts'
+import type { LeavingListener, LeavingSignal } from './leaving_signal.ts'
 
 /** Called with each endpoint whose process was replaced by a later start; `announced` is true when it was known to be leaving. */
 export type ReplacedListener = (id: EndpointId, end: { announced: boolean }) => void
@@ -35,8 +33,6 @@
 export const SUBSET_SIZE = 24
 /** Time left that is assumed when a leaving signal does not state it, in milliseconds: the shortest notice observed. */
 export const ASSUMED_NOTICE_MS = 2000
-/** How long an unresponsive endpoint gets no work, in milliseconds. The registry reports endpoints that are gone within four times as long. */
-const SILENCE_EJECTION_MS = 1000
 /** A host still listed as live this long after its departure time is used again, in milliseconds; longer than the list lags. */
 const RESTORE_AFTER_MS = 30_000
 
@@ -46,7 +42,7 @@
   readonly #views = new Map<EndpointId, EndpointView>()
   readonly #byHost = new Map<HostId, EndpointId>()
   readonly #estimates = new PoolEstimates()
-  readonly #failures = new Map<EndpointId, FailureCount>()
+  readonly #pauses = new WorkPauses()
   readonly #subsets = new Map<PoolName, EndpointView[]>()
   readonly #usable = new Map<PoolName, EndpointView[]>()
   readonly #goneAt = new Map<EndpointId, number>()
@@ -317,25 +313,32 @@
   /** Stops sending work for a while to an endpoint that has requests but sends no data. */
   markSilent (id: EndpointId): void {
     const view = this.#views.get(id)
-    const now = steadyNow()
-    if (!view || view.ejectedUntilMs > now) return
-    view.ejectedUntilMs = now + SILENCE_EJECTION_MS
-    log('endpoint-silent', { endpoint: id, wordAgeMs: Math.round(now - (view.lastActivityAtMs ?? now)), forMs: SILENCE_EJECTION_MS })
+    if (view) this.#pauses.silent(view)
   }
 
   /** Counts an attempt that failed because of the endpoint; repeated failures eject it for a while. */
-  failed (id: EndpointId): void {
+  failed (id: EndpointId, point?: FailurePoint): void {
     const view = this.#views.get(id)
-    if (!view) return
-    const count = recordFailure(this.#failures.get(id) ?? NO_FAILURES, steadyNow())
-    this.#failures.set(id, count)
-    if (count.untilMs > view.ejectedUntilMs) log('endpoint-avoided', { endpoint: id, failures: count.consecutive, forMs: Math.round(count.untilMs - steadyNow()) })
-    view.ejectedUntilMs = count.untilMs
+    if (view) this.#pauses.failed(view, point)
   }
 
   /** Resets an endpoint's failure count after a successful attempt. */
   succeeded (id: EndpointId): void {
-    this.#failures.delete(id)
+    this.#pauses.succeeded(id)
+  }
+
+  /**
+   * Sends no new work to an endpoint until a time that it asked for, in milliseconds on the steady clock.
+   * @returns The change; undefined if the endpoint had asked for as much before.
+   */
+  backOff (id: EndpointId, untilMs: number): BackOffChange | undefined {
+    const view = this.#views.get(id)
+    return view && this.#pauses.backOff(view, untilMs)
+  }
+
+  /** Time until a pool's endpoints may get work, in milliseconds, if none may now since they asked for time; 0 otherwise. */
+  backOffMs (pool: PoolName): number {
+    return remainingBackOffMs(this.candidates(pool))
   }
 
   /** Whether an endpoint is leaving or unknown. Its failures say nothing about the other endpoints, so retries elsewhere don't risk a retry storm. */
@@ -365,31 +368,14 @@
     const now = steadyNow()
     this.#departures.prune(now, (host) => this.#byHost.has(host))
     this.#starts.prune(now)
+    this.#pauses.prune()
   }
 
   #add (host: ListedHost): void {
     const { endpoint } = host
-    this.#views.set(endpoint.id, {
-      id: endpoint.id,
-      ...(endpoint.name !== undefined && { name: endpoint.name }),
-      hostId: host.hostId,
-      pool: endpoint.pool,
-      failureDomain: host.failureDomain,
-      ...(endpoint.version !== undefined && { version: endpoint.version }),
-      address: endpoint.address,
-      pricePerHour: host.pricePerHour,
-      reclaimable: host.reclaimable,
-      speed: endpoint.speed,
-      firstMs: endpoint.firstMs ?? 0,
-      ...(endpoint.learnsPace === true && { firstTokenModel: this.#estimates.firstTokenOf(endpoint), chunkInterval: new ChunkIntervalEstimator(), poolChunkInterval: this.#estimates.chunkIntervalOf(endpoint.pool) }),
-      latencyFactor: 1,
-      others: noWork(),
-      own: noWork(),
-      leavingAtMs: undefined,
-      ejectedUntilMs: 0,
-      lastActivityAtMs: steadyNow(),
-      listedAtMs: steadyNow()
-    })
+    const view = newView(host, this.#estimates)
+    this.#pauses.listed(view)
+    this.#views.set(endpoint.id, view)
     this.#byHost.set(host.hostId, endpoint.id)
     log('endpoint-listed', { endpoint: endpoint.id, pool: endpoint.pool, failureDomain: host.failureDomain, reclaimable: host.reclaimable, slots: endpoint.speed.batchSlots })
     const departure = this.#departures.of(host.hostId)
@@ -400,7 +386,7 @@
     this.#views.delete(view.id)
     log('endpoint-gone', { endpoint: view.id })
     this.#byHost.delete(view.hostId)
-    this.#failures.delete(view.id)
+    this.#pauses.succeeded(view.id)
     this.#goneAt.delete(view.id)
   }
 }
--- a/daemon/endpoints/endpoint_table_test.ts
+++ b/daemon/endpoints/endpoint_table_test.ts
@@ -115,3 +115,40 @@
   expect(signals).toEqual(['peer', 'answer'])
   expect(idsOf(table)).toEqual([])
 })
+
+test('a back-off survives a gap in the listing and a success, and ends with the process', () => {
+  const table = tableOf()
+  table.applyHostList([start(1000), other])
+  const untilMs = steadyNow() + 3000
+  expect(table.backOff(FIRST, untilMs)).toBe('began')
+  table.succeeded(FIRST)
+  table.applyHostList([other])
+  table.applyHostList([start(1000), other])
+  expect(table.get(FIRST)).toMatchObject({ backOffUntilMs: untilMs })
+  table.applyHostList([start(2000), other])
+  expect(table.get(SECOND)).toMatchObject({ backOffUntilMs: 0 })
+})
+
+test('refusals during a back-off are no failures of the endpoint', () => {
+  // Guards against an ejection of up to 30 s of an endpoint that asked for less.
+  const table = tableOf()
+  table.applyHostList([start(1000), other])
+  table.backOff(FIRST, steadyNow() + 1000)
+  for (let i = 0; i < 8; i++) table.failed(FIRST, 'endpoint-said-not-run')
+  expect(table.get(FIRST)).toMatchObject({ ejectedUntilMs: 0 })
+  for (let i = 0; i < 3; i++) table.failed(FIRST, 'reset-after-send')
+  expect(table.get(FIRST)!.ejectedUntilMs).toBeGreaterThan(steadyNow())
+})
+
+test('the time until a pool takes requests is that of the first endpoint, if one asked for time and none takes any now', () => {
+  const table = tableOf()
+  table.applyHostList([start(1000), other])
+  expect(table.backOffMs(POOL)).toBe(0)
+  table.backOff(FIRST, steadyNow() + 3000)
+  expect(table.backOffMs(POOL)).toBe(0)
+  table.backOff(other.endpoint.id, steadyNow() + 2000)
+  expect(table.backOffMs(POOL)).toBeCloseTo(2000)
+  for (let i = 0; i < 4; i++) table.failed(other.endpoint.id)
+  vi.advanceTimersByTime(2500)
+  expect(table.backOffMs(POOL)).toBe(0)
+})
--- a/daemon/endpoints/reclaimer.ts
+++ b/daemon/endpoints/reclaimer.ts
@@ -5,7 +5,7 @@
   type Directive, type ReclaimPlanner, type ReclaimProblem, type Source, type Target, type AffectedStream
 } from '../../core/reclaim/index.ts'
 import type { Config } from '../../core/config/index.ts'
-import { runningNow, type EndpointView, type PrefixIndex } from '../../core/routing/index.ts'
+import { availableAtMs, runningNow, type EndpointView, type PrefixIndex } from '../../core/routing/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import type { ModelEngine } from '../../endpoints/index.ts'
 import type { EndpointTable } from './endpoint_table.ts'
@@ -116,7 +116,7 @@
   #problem (tasks: readonly RequestTask<unknown>[]): ReclaimProblem {
     const now = steadyNow()
     const pools = new Set(tasks.map((task) => task.work.pool))
-    const usable = [...pools].flatMap((pool) => this.#options.table.candidates(pool)).filter((view) => view.ejectedUntilMs <= now)
+    const usable = [...pools].flatMap((pool) => this.#options.table.candidates(pool)).filter((view) => availableAtMs(view) <= now)
     const targets = shareImports(usable.map(targetOf), { sharers: this.#options.sharers(), random: this.#options.random })
     const sources = new Map<EndpointId, Source>()
     for (const task of tasks) sources.set(task.runningAt!, this.#sourceOf(task.runningAt!, now))
--- a/daemon/exchange/_proxy_components.ts
+++ b/daemon/exchange/_proxy_components.ts
@@ -152,7 +152,7 @@
     archive: asFunction(({ membership, quarantine }: ProxyComponents) => new QuarantineArchive({ store: platform.store, quarantine, maintainsArchive: () => membership.isFirstFor('quarantine') })).singleton(),
     endpointLimits: asFunction(({ metrics, table }: ProxyComponents) => new EndpointLimits({ metrics, isListed: (id) => table.get(id) !== undefined })).singleton(),
     endpointLimitTask: asFunction(({ self, membership, endpointLimits, limits, dispatcher }: ProxyComponents) => new EndpointLimitTask({ self, membership, limits: endpointLimits, accounts: limits, queued: (pool) => dispatcher.queuedByUrgency(pool) })).singleton(),
-    signals: asFunction(({ table, endpointLimits, metrics }: ProxyComponents) => new EndpointSignalRecorder({ table, limits: endpointLimits, metrics })).singleton(),
+    signals: asFunction(({ table, endpointLimits, metrics, random }: ProxyComponents) => new EndpointSignalRecorder({ table, limits: endpointLimits, metrics, random })).singleton(),
     loads: asFunction(({ self, membership, table, limits, endpointLimitTask }: ProxyComponents) => new LoadTask({ self, membership, table, limits, onReport: (from) => endpointLimitTask.sendLimits(from) })).singleton(),
     rollouts: asFunction(rolloutComponents).singleton(),
     dispatcher: asFunction(({ table, random, fleet, rollouts, endpointLimits }: ProxyComponents) => createSharedDispatcher({ table, hash, random, failureDomain: settings.failureDomain, sharers: () => fleet.hostCount, canaries: rollouts?.gate, limits: endpointLimits })).singleton(),
@@ -205,6 +205,7 @@
   const components = container.cradle
   shareDepartures(components.table, components.membership)
   components.endpointLimits.onRoom = () => components.dispatcher.startQueued()
+  components.signals.onRoom = () => components.dispatcher.startQueued()
   components.quarantine.onHeld(() => { for (const task of components.intake.open) task.quarantineChanged() })
   components.rollouts?.gate.onVersionEmptied((pool, version) => { for (const task of components.intake.open) task.moveOffVersion(pool, version) })
   components.table.onReplaced((id, { announced }) => {
--- a/daemon/exchange/proxy_daemon.ts
+++ b/daemon/exchange/proxy_daemon.ts
@@ -150,7 +150,7 @@
   }
 
   #stopTasks (): void {
-    const { config, registry, limits, endpointLimitTask, loads, tallies, rollouts, stalls, quarantine, archive, processor } = this.#components
+    const { config, registry, limits, endpointLimitTask, signals, loads, tallies, rollouts, stalls, quarantine, archive, processor } = this.#components
     rollouts?.gate.stop()
     rollouts?.follower.stop()
     processor.stop()
@@ -161,6 +161,7 @@
     registry.stop()
     limits.stop()
     endpointLimitTask.stop()
+    signals.stop()
     loads.stop()
     tallies.stop()
   }
--- a/daemon/explain/_cause.ts
+++ b/daemon/explain/_cause.ts
@@ -1,4 +1,5 @@
 import type { RequestEvents } from '../log/index.ts'
+import { BACK_OFF_REASON } from '../request/dispatcher.ts'
 import type { DaemonLine, LogLine, RequestLine } from './log_lines.ts'
 
 /** Log lines from which a request's outcome is explained. */
@@ -67,6 +68,7 @@
   if (f.why.startsWith('deadline')) return `deadline: ${describeTimeSpent(f, evidence)}`
   const held = last(evidence.requestLines, 'request-held')
   if (held) return `caller: endpoints that ran requests like it crashed; request-quarantined of ${held.fingerprint} names them`
+  if (f.why === BACK_OFF_REASON) return `endpoints asked for time: ${describeBackOffs(evidence)}`
   if (f.why === 'no room in time') return `no room: ${describeQueue(evidence)}`
   const failed = last(evidence.requestLines, 'attempt-failed')
   return failed ? causeOfFailure(failed, evidence) : `${f.outcome}: ${f.why}`
@@ -91,6 +93,7 @@
     case 'endpoint-gone':
     case 'connect-refused':
     case 'connect-timeout': return `endpoint gone: ${f.endpoint} was not there any more${end}`
+    case 'withheld': return `endpoint asked for time: ${f.endpoint} did so before its connection was open${end}`
     case 'before-send': return `no connection to ${f.endpoint} was free${end}`
     default: return `${leaving ? 'reclaim' : 'crash'}: ${f.endpoint} ${leaving ? 'left' : 'broke off'} after ${f.pieces} pieces${end}`
   }
@@ -111,6 +114,12 @@
   return waits ? `it waited behind ${waits.ahead} others for one of ${waits.candidates} endpoints` : 'every endpoint was full and the wait would have been too long'
 }
 
+/** Names the endpoints of the request's pool that had asked for time. */
+function describeBackOffs ({ context }: Evidence): string {
+  const endpoints = new Set(context.flatMap((line) => (line.event === 'endpoint-backs-off' ? [line.fields.endpoint] : [])))
+  return endpoints.size > 0 ? [...endpoints].join(', ') : 'before the log begins'
+}
+
 /** Explains a request without a `request-ended` line: its daemon was killed or hung, or the log is truncated. */
 function causeOfMissingEnd ({ requestLines, lines }: Evidence): string {
   const { daemon, process, atMs } = requestLines.at(-1)!
--- a/daemon/explain/explain_request.ts
+++ b/daemon/explain/explain_request.ts
@@ -46,10 +46,13 @@
   const [first, last] = [requestLines[0]!, requestLines.at(-1)!]
   const processes = new Set(requestLines.map((line) => line.process))
   const endpoints = new Set(requestLines.flatMap((line) => (line.event === 'attempt-started' ? [line.fields.endpoint] : [])))
+  const pools = poolsOf(requestLines)
   const stages = rolloutStages(lines, requestLines)
   return lines.filter((line): line is DaemonLine => {
     if (line.event === 'rollout-stage') return stages.has(line)
     if (line.request !== undefined || !processes.has(line.process)) return false
+    // Explains why the request was not sent to the endpoint, so that no line of the request names it.
+    if (line.event === 'endpoint-backs-off') return pools.has(line.fields.pool) && line.atMs <= last.atMs && line.atMs + line.fields.forMs >= first.atMs
     if (line.atMs < first.atMs - HELD_ENTRIES_CONTEXT_MS || line.atMs > last.atMs) return false
     if (line.event === 'endpoints-held') return line.fields.endpoints.some((endpoint) => endpoints.has(endpoint))
     if (line.atMs < first.atMs - CONTEXT_MS) return false
@@ -75,12 +78,16 @@
 /** Selects the rollout stages that explain a request's version: the stage of its pool when it was sent, and later ones until its end. */
 function rolloutStages (lines: readonly LogLine[], requestLines: readonly RequestLine[]): Set<LogLine> {
   const [first, last] = [requestLines[0]!, requestLines.at(-1)!]
-  const pools = new Set(requestLines.flatMap((line) => (line.event === 'request-taken' ? [line.fields.pool] : [])))
+  const pools = poolsOf(requestLines)
   const known = lines.filter((line) => line.event === 'rollout-stage' && line.process === first.process && pools.has(line.fields.pool) && line.atMs <= last.atMs)
   const before = known.findLast((line) => line.atMs < first.atMs)
   return new Set([...(before ? [before] : []), ...known.filter((line) => line.atMs >= first.atMs)])
 }
 
+function poolsOf (requestLines: readonly RequestLine[]): Set<string> {
+  return new Set(requestLines.flatMap((line) => (line.event === 'request-taken' ? [line.fields.pool] : [])))
+}
+
 function droppedLineEvents (lines: readonly LogLine[]): DaemonLine[] {
   return lines.filter((line): line is DaemonLine => line.event === 'lines-left-out')
 }
--- a/daemon/explain/explain_request_test.ts
+++ b/daemon/explain/explain_request_test.ts
@@ -1,5 +1,6 @@
 import { readFileSync } from 'node:fs'
 import { expect, test } from 'vitest'
+import { BACK_OFF_REASON } from '../request/dispatcher.ts'
 import { explainRequest, readLog } from './index.ts'
 
 /** Recorded log lines of daemons during failures; the causes were checked against what endpoints and callers observed. */
@@ -61,3 +62,17 @@
   expect(cause).toBe('caller: endpoints that ran requests like it crashed; request-quarantined of 00ff names them')
   expect(steps[0]!.text).toContain('held for 3000 ms')
 })
+
+test('a request that is refused since all endpoints asked for time is explained with their names', () => {
+  const line = (at: number, event: string, fields: object) => JSON.stringify({ level: 'info', time: new Date(Date.UTC(2026, 4, 23) + at).toISOString(), daemon: 'edge-1', process: 'p', event, ...fields })
+  const text = [
+    line(0, 'endpoint-backs-off', { endpoint: 'i-over', pool: 'llm', forMs: 1000 }),
+    line(1000, 'endpoint-backs-off', { endpoint: 'i-1', pool: 'llm', forMs: 5000 }),
+    line(1500, 'endpoint-backs-off', { endpoint: 'i-other-pool', pool: 'desk', forMs: 5000 }),
+    line(3000, 'request-taken', { request: 'r', pool: 'llm', account: 'a', class: 'c', deadlineInMs: 1, promptTokens: 0, maxTokens: 0, revision: 1 }),
+    line(3001, 'request-ended', { request: 'r', outcome: 'not-run', why: BACK_OFF_REASON, retryAfterMs: 2999 })
+  ].join('\n')
+  const { cause, steps } = explainRequest(readLog(text), 'r')
+  expect(cause).toBe('endpoints asked for time: i-1')
+  expect(steps.map(({ text }) => text).join()).toContain('to come back in 2999 ms')
+})
--- a/daemon/log/events.ts
+++ b/daemon/log/events.ts
@@ -107,6 +107,10 @@
   'endpoint-silent': { endpoint: string, wordAgeMs: number, forMs: number }
   /** An endpoint's limit on the requests from all daemons began, changed or ended; rates are in requests per second. */
   'endpoint-limit': { endpoint: string, pool: string, change: string, perS: number | undefined, before: number | undefined }
+  /** The endpoint asked for time when it refused a request; it gets no new work from this daemon until then. */
+  'endpoint-backs-off': { endpoint: string, pool: string, forMs: number }
+  /** The time that the endpoint asked for is over. */
+  'endpoint-back-off-ended': { endpoint: string, pool: string }
   /** A signal in an answer of the endpoint could not be read, and changes nothing. */
   'endpoint-signal-refused': { endpoint: string, signal: string, value: string }
   /** An answer names a limit that cannot be read; the one in force stays. */
--- a/daemon/request/dispatcher.ts
+++ b/daemon/request/dispatcher.ts
@@ -1,7 +1,7 @@
 /** Assigns requests to endpoints and queues those that no endpoint has room for. */
 import { FairQueue, type QueuedRequest, type RequestQueue } from '../../core/admission/index.ts'
 import { isStartOf, type AccountId, type EndpointId, type PoolName } from '../../core/ids/index.ts'
-import { runningNow, type EndpointView, type PrefixIndex, type Route, type RouteQuery, type Router } from '../../core/routing/index.ts'
+import { runningNow, type EndpointView, type PrefixIndex, type Random, type Route, type RouteQuery, type Router } from '../../core/routing/index.ts'
 import type { Demand, PromptPart, WorkClass } from '../../core/work/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import type { EndpointTable } from '../endpoints/endpoint_table.ts'
@@ -70,6 +70,8 @@
   canaries?: CanaryGate
   /** Limits the rate of requests to some endpoints. Default: none has a limit. */
   limits?: EndpointLimiter
+  /** Spreads the times at which refused callers return. Default: they are not spread. */
+  random?: Random
   /** Creates the queue of a pool. Default: {@linkcode FairQueue}. */
   queue?: () => RequestQueue<Placement>
 }
@@ -93,7 +95,11 @@
 /** Longest time that a new request may be queued, as a multiple of its first-token target. See docs/design/limits.md. */
 const MAX_WAIT_IN_TARGETS = 1
 const MIN_RETRY_AFTER_MS = 500
+/** Longest time by which callers return after the end of a back-off, in milliseconds. Urgent requests return first. */
+const RETURN_SPREAD_MS = 500
 const SWEEP_MS = 250
+/** Reason for refusing a request while all endpoints that could take it have asked for time. */
+export const BACK_OFF_REASON = 'all endpoints asked for time'
 
 /** Endpoints to choose from, and the number of prompt tokens that each is expected to have cached. */
 interface CandidateSet { candidates: readonly EndpointView[], cached: Map<EndpointId, number> }
@@ -140,18 +146,21 @@
   #queueOrRefuse (placement: Placement, pool: PoolState): void {
     const { urgent } = placement.cls
     const ahead = pool.queue.ahead(placement.account, urgent)
-    const waitMs = Math.max((ahead + 1) * pool.msPerStart, this.#permitWaitMs(placement))
+    const backOffMs = this.#options.table.backOffMs(placement.pool)
+    const waitMs = Math.max((ahead + 1) * pool.msPerStart, this.#permitWaitMs(placement), backOffMs)
     const startByMs = latestStartMs(placement)
-    if (steadyNow() + waitMs > startByMs) {
-      placement.refused('no room in time', Math.max(MIN_RETRY_AFTER_MS, waitMs))
-      return
-    }
+    if (steadyNow() + waitMs > startByMs) return this.#refuse(placement, { waitMs, backOffMs })
     pool.queue.push({ account: placement.account, tokens: totalTokens(placement), startByMs, urgent, item: placement })
     placement.waits({ ahead, expectedMs: waitMs, latestStartInMs: startByMs - steadyNow(), candidates: this.#options.table.candidates(placement.pool).length })
     this.#options.limits?.queued()
     this.#scheduleSweep()
   }
 
+  #refuse (placement: Placement, { waitMs, backOffMs }: { waitMs: number, backOffMs: number }): void {
+    const spreadMs = backOffMs > 0 && !placement.cls.urgent ? RETURN_SPREAD_MS * (this.#options.random?.() ?? 0) : 0
+    placement.refused(backOffMs > 0 ? BACK_OFF_REASON : 'no room in time', Math.max(MIN_RETRY_AFTER_MS, waitMs) + spreadMs)
+  }
+
   /** Returns the wait for a permit if all endpoints of the pool have a limit; 0 otherwise. */
   #permitWaitMs ({ pool, cls }: Placement): number {
     const { table, limits } = this.#options
@@ -163,8 +172,9 @@
   /** Starts queued requests that now have room and refuses those that are too late. Must be called whenever room may have become free. */
   startQueued (): void {
     const now = steadyNow()
-    for (const pool of this.#pools.values()) {
-      for (const late of pool.queue.expire(now)) late.item.refused('no room in time', Math.max(MIN_RETRY_AFTER_MS, pool.msPerStart))
+    for (const [name, pool] of this.#pools) {
+      const backOffMs = this.#options.table.backOffMs(name)
+      for (const late of pool.queue.expire(now + backOffMs)) this.#refuse(late.item, { waitMs: Math.max(pool.msPerStart, backOffMs), backOffMs })
       this.#drain(pool)
     }
   }
--- a/daemon/request/request_task.ts
+++ b/daemon/request/request_task.ts
@@ -1,9 +1,9 @@
 /** Drives one request: executes the effects of the core's state machine and feeds events back to it. */
 import { AnswerBuffer, type AnswerBufferOptions, type AnswerHead, type WholeAnswer } from '../../core/answer/index.ts'
 import type { EndpointId, EndpointVersion, PoolName, RequestId } from '../../core/ids/index.ts'
-import { AttemptError, isEndpointReported, outcomeAt, reachedEndpoint, type FailurePoint } from '../../core/outcome/index.ts'
+import { AttemptError, isEndpointReported, outcomeAt, reachedEndpoint, type FailurePoint, type Outcome } from '../../core/outcome/index.ts'
 import { canMove, canRetry, newRequest, step, type AttemptProgress, type RequestEffect, type RequestMessage, type RequestState, type StartMode } from '../../core/request/index.ts'
-import type { EndpointView, Route } from '../../core/routing/index.ts'
+import { availableAtMs, type EndpointView, type Route } from '../../core/routing/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import type { Attachment, AttemptRunner, AttemptSink } from '../../endpoints/index.ts'
 import { ASSUMED_NOTICE_MS, type SentWork } from '../endpoints/endpoint_table.ts'
@@ -104,7 +104,7 @@
     const { table, budget } = this.ports
     if (endpoint === undefined || !this.mayRetryElsewhere || !canRetry(this.lifecycle, 'timeout-after-send')) return
     const now = steadyNow()
-    const elsewhere = table.candidates(this.work.pool).some((view) => view.id !== endpoint && view.ejectedUntilMs <= now)
+    const elsewhere = table.candidates(this.work.pool).some((view) => view.id !== endpoint && availableAtMs(view) <= now)
     if (!elsewhere || !budget.tryWithdraw(table.isLeavingOrGone(endpoint))) return
     this.attachment?.detach()
     this.ports.crashes.failed({ id: endpoint, view: table.get(endpoint) }, 'timeout-after-send', this.work.fingerprint)
@@ -180,7 +180,7 @@
       case 'place': return this.place(effect.avoid)
       case 'start': return this.#start(effect.endpoint, effect.attempt, effect.mode)
       case 'stop': return this.#stop(effect.endpoint, effect.attempt)
-      case 'finish': return this.#finish({ outcome: effect.outcome, reason: effect.reason, retryAfterMs: effect.retryAfterMs })
+      case 'finish': return this.#finish({ outcome: effect.outcome, reason: effect.reason, retryAfterMs: effect.retryAfterMs ?? this.#backOffMs(effect.outcome) })
     }
   }
 
@@ -275,10 +275,7 @@
     let head: AnswerHead | undefined
     const sentAtMs = steadyNow()
     return {
-      onSignals: (signals) => {
-        const view = this.ports.table.get(endpoint)
-        if (view) this.ports.signals?.record(view, signals, sentAtMs)
-      },
+      onSignals: (signals) => this.ports.signals?.record(endpoint, signals, sentAtMs),
       onHead: (arrived) => { head = arrived },
       onChunk: (offset, pieces) => {
         const verdict = this.answer.add({ attempt, offset, pieces })
@@ -335,10 +332,16 @@
     const retryGranted = repeatable && (this.#isFreeRetry(err.point) || this.ports.budget.tryWithdraw(table.isLeavingOrGone(endpoint)))
     this.ports.crashes.failed({ id: endpoint, view }, err.point, this.work.fingerprint)
     if (view && err.point === 'endpoint-error') this.ports.answers?.failed(view, this.work.cls.name)
-    table.failed(endpoint)
+    table.failed(endpoint, err.point)
     this.#recordFailure(endpoint, err, { attempt, repeat: retryGranted ? 'allowed' : repeatable ? 'over-budget' : 'not-allowed' })
   }
 
+  /** Time after which an endpoint may take the request if it certainly did not run, since all endpoints asked for time; undefined if any may now. */
+  #backOffMs (outcome: Outcome): number | undefined {
+    const backOffMs = outcome === 'not-run' ? this.ports.table.backOffMs(this.work.pool) : 0
+    return backOffMs > 0 ? backOffMs : undefined
+  }
+
   /**
    * Returns whether a retry is free. An attempt that reached no endpoint cost no endpoint any work, so its retry is not charged to the budget. The
    * number of free retries is limited, since a pool that refuses all connections would otherwise be retried forever.
--- a/daemon/request/shared_dispatcher.ts
+++ b/daemon/request/shared_dispatcher.ts
@@ -28,6 +28,7 @@
 export function createSharedDispatcher ({ table, hash, random, failureDomain, sharers, canaries, limits }: SharedDispatcherOptions): Dispatcher {
   return new Dispatcher({
     table,
+    random,
     prefixes: new PrefixIndex({ expiresMs: PREFIX_EXPIRES_MS }),
     home: (parts, candidates) => homeEndpoint(parts, candidates, hash),
     ...(canaries && { canaries }),
--- a/daemon/request/token_runner.ts
+++ b/daemon/request/token_runner.ts
@@ -80,7 +80,7 @@
 
   start (view: EndpointView, spec: AttemptSpec<string>, sink: AttemptSink<string>): Attachment {
     const timeoutMs = Math.max(MIN_CALL_MS, spec.deadlineInMs)
-    this.#service(view).call({ requestId: this.#options.id, input: this.input, timeoutMs }).then((text) => {
+    this.#service(view).call({ requestId: this.#options.id, input: this.input, timeoutMs, onSignals: (signals) => sink.onSignals?.(signals) }).then((text) => {
       sink.onChunk(0, [text])
       sink.onEnd(1)
     }, (err: AttemptError) => sink.onError(err))
--- a/daemon/request/work.ts
+++ b/daemon/request/work.ts
@@ -1,5 +1,5 @@
 /** Describes a request and the parts of the daemon that it uses. */
-import type { AccountId, ClassName, Fingerprint, PoolName, RequestId } from '../../core/ids/index.ts'
+import type { AccountId, ClassName, EndpointId, Fingerprint, PoolName, RequestId } from '../../core/ids/index.ts'
 import type { ClaimResult } from '../../core/once/index.ts'
 import type { RequestTraits } from '../../core/request/index.ts'
 import type { RetryLimiter } from '../../core/retry/index.ts'
@@ -75,7 +75,7 @@
 /** Applies what endpoints say about themselves in their answers. */
 export interface SignalRecorder {
   /** Called with the signals of one answer. `sentAtMs` is when its request was sent, in milliseconds on the steady clock. */
-  record (view: EndpointView, signals: EndpointSignals, sentAtMs: number): void
+  record (endpoint: EndpointId, signals: EndpointSignals, sentAtMs: number): void
 }
 
 /** Reason given for refusing a request whose fingerprint is quarantined. */
--- a/daemon/status.ts
+++ b/daemon/status.ts
@@ -1,7 +1,7 @@
 /** Status report of one daemon, for operators. */
 import type { DaemonId, PoolName } from '../core/ids/index.ts'
 import { currentProgress, type RolloutRecord } from '../core/rollout/index.ts'
-import { runningNow } from '../core/routing/index.ts'
+import { runningNow, type EndpointView } from '../core/routing/index.ts'
 import { steadyNow } from '../core/time/index.ts'
 import type { WorkClass } from '../core/work/index.ts'
 import type { Dispatcher } from './request/dispatcher.ts'
@@ -14,7 +14,7 @@
 export interface ClassStatus { name: string, target: string, met: boolean | undefined, why: string }
 
 /** Endpoints and load of one pool, and how the daemon currently treats them. */
-export interface PoolStatus { name: string, live: number, leaving: number, ejected: number, running: number, slots: number, waiting: number, doing: string }
+export interface PoolStatus { name: string, live: number, leaving: number, ejected: number, backingOff: number, running: number, slots: number, waiting: number, doing: string }
 
 /** One quarantined request. */
 export interface QuarantineStatus { fingerprint: string, crashed: string[], forMs: number }
@@ -32,7 +32,7 @@
   open: number
   queued: number
   members: Record<string, number>
-  endpoints: { live: number, leaving: number, ejected: number }
+  endpoints: { live: number, leaving: number, ejected: number, backingOff: number }
   pools: PoolStatus[]
   classes: ClassStatus[]
   /** Requests that are sent to no endpoint, because endpoints that ran them crashed. */
@@ -78,7 +78,8 @@
     endpoints: {
       live: views.filter((view) => view.leavingAtMs === undefined).length,
       leaving: views.filter((view) => view.leavingAtMs !== undefined).length,
-      ejected: views.filter((view) => view.ejectedUntilMs > now).length
+      ejected: views.filter((view) => view.ejectedUntilMs > now).length,
+      backingOff: views.filter((view) => backsOff(view, now)).length
     },
     pools,
     quarantined: sources.quarantine.held.map(({ request, crashes, untilMs }) => ({ fingerprint: request, crashed: crashes.map(({ endpoint }) => endpoint), forMs: Math.round(untilMs - now) })),
@@ -97,8 +98,9 @@
   metrics.open.set(open)
   metrics.queued.set(dispatcher.queued)
   metrics.endpoints.reset()
-  for (const { name, live, leaving, ejected } of pools) {
-    metrics.endpoints.set({ pool: name, state: 'live' }, live - ejected)
+  for (const { name, live, leaving, ejected, backingOff } of pools) {
+    metrics.endpoints.set({ pool: name, state: 'live' }, live - ejected - backingOff)
+    metrics.endpoints.set({ pool: name, state: 'backing-off' }, backingOff)
     metrics.endpoints.set({ pool: name, state: 'leaving' }, leaving)
     metrics.endpoints.set({ pool: name, state: 'ejected' }, ejected)
   }
@@ -108,12 +110,14 @@
   const now = steadyNow()
   const views = table.all.filter((view) => view.pool === name)
   const staying = views.filter((view) => view.leavingAtMs === undefined)
-  const ejected = staying.filter((view) => view.ejectedUntilMs > now).length
+  const backingOff = staying.filter((view) => backsOff(view, now)).length
+  const ejected = staying.filter((view) => view.ejectedUntilMs > now && !backsOff(view, now)).length
   const leaving = views.length - staying.length
   const waiting = dispatcher.queuedIn(name)
   const doing = [
     ...(waiting > 0 ? [`${waiting} requests wait for room`] : []),
     ...(ejected > 0 ? [`${ejected} endpoints are left alone for a while after failures`] : []),
+    ...(backingOff > 0 ? [`${backingOff} endpoints asked for time and get nothing new until then`] : []),
     ...(leaving > 0 ? [`${leaving} endpoints leave and get nothing new`] : [])
   ]
   return {
@@ -121,6 +125,7 @@
     live: staying.length,
     leaving,
     ejected,
+    backingOff,
     running: staying.reduce((sum, view) => sum + runningNow(view), 0),
     slots: staying.reduce((sum, view) => sum + view.speed.batchSlots, 0),
     waiting,
@@ -128,6 +133,10 @@
   }
 }
 
+function backsOff ({ backOffUntilMs = 0 }: EndpointView, now: number): boolean {
+  return backOffUntilMs > now
+}
+
 async function classStatus (cls: WorkClass, metrics: Metrics): Promise<ClassStatus> {
   const { latency, delivery } = cls
   const first = cls.streaming ? 'first token' : 'answer'
--- a/endpoints/_attempt_errors.ts
+++ b/endpoints/_attempt_errors.ts
@@ -1,5 +1,7 @@
 /** Maps errors of the HTTP client and refused responses to {@linkcode AttemptError}. */
 import { AttemptError, type FailurePoint } from '../core/outcome/index.ts'
+import type { EndpointSignals } from './attempt.ts'
+import { parseRetryAfter } from './retry_after.ts'
 
 const FAILURE_POINT_BY_ERROR_CODE: Record<string, FailurePoint> = {
   ECONNREFUSED: 'connect-refused',
@@ -10,6 +12,8 @@
   UND_ERR_BODY_TIMEOUT: 'timeout-after-send'
 }
 
+const UNAVAILABLE = 503
+
 /** Failure points by value of the `x-outcome` header. Without the header, a refused attempt may have run. */
 const FAILURE_POINT_BY_OUTCOME: Record<string, FailurePoint> = { 'not-run': 'endpoint-said-not-run', leaving: 'endpoint-leaving' }
 
@@ -26,9 +30,10 @@
 /** Creates the error for a refused attempt; the `x-outcome` header tells whether the attempt ran. */
 export function refusalError (operation: string, status: number, headers: Record<string, string | string[] | undefined>): AttemptError {
   const point = FAILURE_POINT_BY_OUTCOME[String(headers['x-outcome'])] ?? 'endpoint-error'
-  const retryAfter = Number(headers['retry-after'])
-  return new AttemptError(`${operation}: status ${status}`, {
-    point,
-    retryAfterMs: Number.isFinite(retryAfter) ? retryAfter * 1000 : undefined
-  })
+  return new AttemptError(`${operation}: status ${status}`, { point })
+}
+
+/** Reads what an endpoint says about itself in a refusal. */
+export function refusalSignals (status: number, headers: Record<string, string | string[] | undefined>): EndpointSignals {
+  return status === UNAVAILABLE ? { backOff: parseRetryAfter([headers['retry-after'] ?? []].flat()) } : {}
 }
--- a/endpoints/attempt.ts
+++ b/endpoints/attempt.ts
@@ -10,12 +10,17 @@
 /** What an answer says about the request rate that its endpoint takes from all daemons together, in requests per second; undefined if it names none. */
 export type AnswerLimit = { perS: number | undefined } | InvalidSignal
 
+/** Time for which an endpoint wants no requests from this daemon, in milliseconds from its answer. */
+export interface BackOff { forMs: number }
+
 /** What an endpoint says about itself in the head of an answer. */
 export interface EndpointSignals {
   /** The request rate that the endpoint takes. Default: it names none. */
   limit?: AnswerLimit | undefined
   /** True if the endpoint leaves. Without it the answer says nothing about that: its head may be older than the decision to leave. */
   leaving?: true | InvalidSignal | undefined
+  /** Time that the endpoint asks for when it refuses a request. Default: none. */
+  backOff?: BackOff | InvalidSignal | undefined
 }
 
 /** Receives one attempt's answer. The last call is exactly one of `onEnd` and `onError`. */
--- a/endpoints/exchange/exchange.ts
+++ b/endpoints/exchange/exchange.ts
@@ -17,6 +17,8 @@
   connection: Connection
   /** Number of events that the caller already has. */
   from: number
+  /** Returns false if the request must not be sent any more. Called when the connection is open. */
+  maySend (): boolean
   /** Returns the connection to its pool once it is ready for another request. */
   release (): void
 }
@@ -75,6 +77,14 @@
   onRequestStart (controller: Dispatcher.DispatchController): void {
     this.#controller = controller
     if (this.#done) controller.abort(new Error('detached'))
+    else if (!this.#options.maySend()) this.#withhold(controller)
+  }
+
+  #withhold (controller: Dispatcher.DispatchController): void {
+    this.#done = true
+    controller.abort(new Error('withheld'))
+    this.#options.connection.close()
+    this.#options.sink.onError(new AttemptError('Cannot send: the endpoint asked for time while the connection was opened', { point: 'withheld' }))
   }
 
   onResponseStart (controller: Dispatcher.DispatchController, status: number): void {
--- a/endpoints/exchange/exchange_test.ts
+++ b/endpoints/exchange/exchange_test.ts
@@ -4,7 +4,7 @@
 import { as } from '../../core/ids/index.ts'
 import { type AttemptError, type FailurePoint } from '../../core/outcome/index.ts'
 import { noWork, type EndpointView } from '../../core/routing/index.ts'
-import { delay } from '../../core/time/index.ts'
+import { delay, steadyNow } from '../../core/time/index.ts'
 import { RawEndpoint, type RawRequest } from '../../standins/index.ts'
 import type { Attachment, AttemptSink, EndpointSignals } from '../attempt.ts'
 import { ExchangeClient, ExchangeRunner, headerValue, type AdmittedRequest, type ExchangeDialect } from './index.ts'
@@ -277,3 +277,13 @@
   for (const kind of Object.keys(answers)) if ((await sendAndWait(clientOf(), view, requestOf(kind))).signals.some((signals) => signals.leaving === true)) said.push(kind)
   expect(said).toEqual(['served', 'refused', 'failed', 'streamed'])
 })
+
+test('a request is not sent if its endpoint asks for time while the connection is opened', async () => {
+  const { endpoint, view } = await startEndpoint((req) => { writeAnswer(req) })
+  const sent = send(clientOf(), view, requestOf('a'))
+  view.backOffUntilMs = steadyNow() + 1000
+  expect(await sent.ending).toMatchObject({ failed: 'withheld', failure: { outcome: 'not-run' } })
+  expect(endpoint.requests).toHaveLength(0)
+  view.backOffUntilMs = steadyNow()
+  expect(await sendAndWait(clientOf(), view, requestOf('b'))).toMatchObject({ total: 1 })
+})
--- a/endpoints/http_engine.ts
+++ b/endpoints/http_engine.ts
@@ -3,7 +3,7 @@
 import { Pool, type Dispatcher } from 'undici'
 import { AttemptError } from '../core/outcome/index.ts'
 import type { EndpointLoad } from '../core/routing/index.ts'
-import { attemptError, refusalError } from './_attempt_errors.ts'
+import { attemptError, refusalError, refusalSignals } from './_attempt_errors.ts'
 import type { Attachment, StopReport } from './attempt.ts'
 import type { EngineOrder, ModelEngine, StreamSink, StreamSpec } from './model_engine.ts'
 
@@ -109,7 +109,9 @@
   }
 
   onResponseStart (_controller: Dispatcher.DispatchController, status: number, headers: Record<string, string | string[] | undefined>): void {
-    if (status !== 200) this.#refusal = refusalError('Cannot start stream', status, headers)
+    if (status === 200) return
+    this.#refusal = refusalError('Cannot start stream', status, headers)
+    if (!this.#done) this.#sink.onSignals?.(refusalSignals(status, headers))
   }
 
   onResponseData (_controller: Dispatcher.DispatchController, chunk: Buffer): void {
--- a/endpoints/http_service.ts
+++ b/endpoints/http_service.ts
@@ -1,6 +1,6 @@
 /** Client of a plain service over HTTP. */
 import { Pool } from 'undici'
-import { attemptError, refusalError } from './_attempt_errors.ts'
+import { attemptError, refusalError, refusalSignals } from './_attempt_errors.ts'
 import type { PlainService, ServiceCall } from './plain_service.ts'
 
 const CONNECT_TIMEOUT_MS = 1000
@@ -24,6 +24,7 @@
         bodyTimeout: call.timeoutMs
       })
       if (res.statusCode !== 200) {
+        call.onSignals?.(refusalSignals(res.statusCode, res.headers))
         await res.body.dump()
         throw refusalError('Cannot call service', res.statusCode, res.headers)
       }
