Count requests that fail together as one fault of their endpoint

What callers saw: one bad moment of an endpoint with eight requests under way kept all work from it for 30 s; where it was the only one of its pool, its callers were refused for that time.

Cause: from the third failure in a row on, each failure doubled the time of the ejection, also those of requests that had been sent before it began and failed within milliseconds.

Evidence: platform/trouble_test.ts, 'an endpoint that failed all of its requests at one moment gets requests again soon', got 503 for 4 s on the code before. It passes now.

Why this works: a request that was sent before the ejection began says nothing that the ejection does not take into account. Requests sent after it count as before, so an endpoint that goes on failing is left alone for as long as ever.

--- a/daemon/endpoints/_work_pauses.ts
+++ b/daemon/endpoints/_work_pauses.ts
@@ -6,6 +6,13 @@
 import { steadyNow } from '../../core/time/index.ts'
 import { log } from '../log/index.ts'
 
+/** An attempt that failed. */
+export interface AttemptFailure {
+  point: FailurePoint
+  /** When it was sent, in milliseconds on the steady clock. */
+  sentAtMs: number
+}
+
 /** How long an unresponsive endpoint gets no work, in milliseconds. The registry reports endpoints that are gone within four times as long. */
 const SILENCE_EJECTION_MS = 1000
 
@@ -26,11 +33,11 @@
    * Counts an attempt that failed because of the endpoint; repeated failures eject it for a while. Refusals during a back-off are not counted: the
    * endpoint has said when it takes requests again, which an ejection would only guess.
    */
-  failed (view: EndpointView, point?: FailurePoint): void {
+  failed (view: EndpointView, { point, sentAtMs }: AttemptFailure): void {
     const now = steadyNow()
     const { backOffUntilMs = 0 } = view
     if (point === 'withheld' || (point === 'endpoint-said-not-run' && backOffUntilMs > now)) return
-    const count = recordFailure(this.#failures.get(view.id) ?? NO_FAILURES, now)
+    const count = recordFailure(this.#failures.get(view.id) ?? NO_FAILURES, { sentAtMs, now })
     this.#failures.set(view.id, count)
     if (count.untilMs <= view.ejectedUntilMs) return
     log('endpoint-avoided', { endpoint: view.id, failures: count.consecutive, forMs: Math.round(count.untilMs - now) })
--- a/daemon/endpoints/endpoint_table.ts
+++ b/daemon/endpoints/endpoint_table.ts
@@ -1,6 +1,5 @@
 /** One daemon's view of the endpoints, combined from every source that reports on them. */
 import type { DaemonId, EndpointId, EndpointVersion, HostId, PoolName } from '../../core/ids/index.ts'
-import type { FailurePoint } from '../../core/outcome/index.ts'
 import { Departures, NewestStarts, type Departure } from '../../core/registry/index.ts'
 import {
   updateLatencyFactor, noWork, firstTokenModelOf, subset, unreadBefore,
@@ -12,7 +11,7 @@
 import { log } from '../log/index.ts'
 import { PoolEstimates } from './_pool_estimates.ts'
 import { newView } from './_new_view.ts'
-import { remainingBackOffMs, WorkPauses } from './_work_pauses.ts'
+import { remainingBackOffMs, WorkPauses, type AttemptFailure } from './_work_pauses.ts'
 import type { LeavingListener, LeavingSignal } from './leaving_signal.ts'
 
 /** Called with each endpoint whose process was replaced by a later start; `announced` is true when it was known to be leaving. */
@@ -317,9 +316,9 @@
   }
 
   /** Counts an attempt that failed because of the endpoint; repeated failures eject it for a while. */
-  failed (id: EndpointId, point?: FailurePoint): void {
+  failed (id: EndpointId, failure: AttemptFailure): void {
     const view = this.#views.get(id)
-    if (view) this.#pauses.failed(view, point)
+    if (view) this.#pauses.failed(view, failure)
   }
 
   /** Resets an endpoint's failure count after a successful attempt. */
--- a/daemon/endpoints/endpoint_table_test.ts
+++ b/daemon/endpoints/endpoint_table_test.ts
@@ -1,5 +1,6 @@
 import { afterEach, beforeEach, expect, test, vi } from 'vitest'
 import { as, endpointId, type DaemonId, type EndpointId, type HostId, type PoolName } from '../../core/ids/index.ts'
+import type { FailurePoint } from '../../core/outcome/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import type { ListedHost } from '../../endpoints/index.ts'
 import { EndpointTable } from './endpoint_table.ts'
@@ -19,6 +20,7 @@
 
 const other: ListedHost = { ...start(1), hostId: as('i-2'), endpoint: { ...start(1).endpoint, id: as<EndpointId>('i-2'), name: 'i-2', address: '10.0.0.2:80' } }
 const tableOf = () => new EndpointTable({ self: as<DaemonId>('d'), hash: (text) => text.length })
+const failureNow = (point: FailurePoint) => ({ point, sentAtMs: steadyNow() })
 const idsOf = (table: EndpointTable) => table.candidates(POOL).map(({ id }) => id).sort()
 
 test('a restarted endpoint does not inherit the state of its previous process', () => {
@@ -27,7 +29,7 @@
   const table = tableOf()
   table.applyHostList([start(1000), other])
   table.started(FIRST, { lane: 'normal', tokens: 500 })
-  for (let i = 0; i < 3; i++) table.failed(FIRST)
+  for (let i = 0; i < 3; i++) table.failed(FIRST, failureNow('reset-after-send'))
   table.recordFirstToken(FIRST, { predictedMs: 10, actualMs: 400 })
   table.leaving([as<HostId>(FIRST)], steadyNow() + 2000, 'notice')
   expect(idsOf(table)).toEqual(['i-2'])
@@ -134,9 +136,9 @@
   const table = tableOf()
   table.applyHostList([start(1000), other])
   table.backOff(FIRST, steadyNow() + 1000)
-  for (let i = 0; i < 8; i++) table.failed(FIRST, 'endpoint-said-not-run')
+  for (let i = 0; i < 8; i++) table.failed(FIRST, failureNow('endpoint-said-not-run'))
   expect(table.get(FIRST)).toMatchObject({ ejectedUntilMs: 0 })
-  for (let i = 0; i < 3; i++) table.failed(FIRST, 'reset-after-send')
+  for (let i = 0; i < 3; i++) table.failed(FIRST, failureNow('reset-after-send'))
   expect(table.get(FIRST)!.ejectedUntilMs).toBeGreaterThan(steadyNow())
 })
 
@@ -148,7 +150,7 @@
   expect(table.backOffMs(POOL)).toBe(0)
   table.backOff(other.endpoint.id, steadyNow() + 2000)
   expect(table.backOffMs(POOL)).toBeCloseTo(2000)
-  for (let i = 0; i < 4; i++) table.failed(other.endpoint.id)
+  for (let i = 0; i < 4; i++) table.failed(other.endpoint.id, failureNow('reset-after-send'))
   vi.advanceTimersByTime(2500)
   expect(table.backOffMs(POOL)).toBe(0)
 })
--- a/daemon/request/request_task.ts
+++ b/daemon/request/request_task.ts
@@ -332,7 +332,7 @@
     const retryGranted = repeatable && (this.#isFreeRetry(err.point) || this.ports.budget.tryWithdraw(table.isLeavingOrGone(endpoint)))
     this.ports.crashes.failed({ id: endpoint, view }, err.point, this.work.fingerprint)
     if (view && err.point === 'endpoint-error') this.ports.answers?.failed(view, this.work.cls.name)
-    table.failed(endpoint, err.point)
+    table.failed(endpoint, { point: err.point, sentAtMs: this.#tracker.sentAtMs ?? steadyNow() })
     this.#recordFailure(endpoint, err, { attempt, repeat: retryGranted ? 'allowed' : repeatable ? 'over-budget' : 'not-allowed' })
   }
 
