Use what is left of a pool when its endpoints ask for time

Endpoints in a back-off are now left out before anything else is compared, and a daemon goes beyond its subset while all of it backs off. Two tests in daemon/request/back_off_test.ts failed before, with 'waits' and a refusal in place of an endpoint.

--- a/core/routing/endpoint_view.ts
+++ b/core/routing/endpoint_view.ts
@@ -74,6 +74,11 @@
   return Math.max(ejectedUntilMs, backOffUntilMs)
 }
 
+/** Returns true if an endpoint wants no requests from this daemon now. */
+export function backsOff ({ backOffUntilMs = 0 }: EndpointView, now: number): boolean {
+  return backOffUntilMs > now
+}
+
 /** Time after an endpoint is listed until load reports cover the work of other daemons, in milliseconds: about two report intervals. */
 const UNREPORTED_MS = 250
 
--- a/daemon/endpoints/_work_pauses.ts
+++ b/daemon/endpoints/_work_pauses.ts
@@ -2,7 +2,7 @@
 import type { EndpointId } from '../../core/ids/index.ts'
 import type { FailurePoint } from '../../core/outcome/index.ts'
 import { BackOffs, NO_FAILURES, recordFailure, type BackOffChange, type FailureCount } from '../../core/retry/index.ts'
-import { availableAtMs, type EndpointView } from '../../core/routing/index.ts'
+import { availableAtMs, backsOff, type EndpointView } from '../../core/routing/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import { log } from '../log/index.ts'
 
@@ -35,8 +35,7 @@
    */
   failed (view: EndpointView, { point, sentAtMs }: AttemptFailure): void {
     const now = steadyNow()
-    const { backOffUntilMs = 0 } = view
-    if (point === 'withheld' || (point === 'endpoint-said-not-run' && backOffUntilMs > now)) return
+    if (point === 'withheld' || (point === 'endpoint-said-not-run' && backsOff(view, now))) return
     const count = recordFailure(this.#failures.get(view.id) ?? NO_FAILURES, { sentAtMs, now })
     this.#failures.set(view.id, count)
     if (count.untilMs <= view.ejectedUntilMs) return
@@ -74,6 +73,6 @@
  */
 export function remainingBackOffMs (views: readonly EndpointView[]): number {
   const now = steadyNow()
-  if (!views.some(({ backOffUntilMs = 0 }) => backOffUntilMs > now)) return 0
+  if (!views.some((view) => backsOff(view, now))) return 0
   return Math.max(0, Math.min(...views.map(availableAtMs)) - now)
 }
--- a/daemon/endpoints/endpoint_table.ts
+++ b/daemon/endpoints/endpoint_table.ts
@@ -337,7 +337,7 @@
 
   /** Time until a pool's endpoints may get work, in milliseconds, if none may now since they asked for time; 0 otherwise. */
   backOffMs (pool: PoolName): number {
-    return remainingBackOffMs(this.candidates(pool))
+    return remainingBackOffMs(this.usable(pool))
   }
 
   /** Whether an endpoint is leaving or unknown. Its failures say nothing about the other endpoints, so retries elsewhere don't risk a retry storm. */
--- a/daemon/request/back_off_test.ts
+++ b/daemon/request/back_off_test.ts
@@ -33,7 +33,12 @@
 }
 
 function daemonWith (...names: string[]): Daemon {
-  const table = new EndpointTable({ self: as<DaemonId>('d'), hash })
+  return connectedTo(names, names.length)
+}
+
+/** A daemon that connects to some of the endpoints only. */
+function connectedTo (names: readonly string[], subsetSize: number): Daemon {
+  const table = new EndpointTable({ self: as<DaemonId>('d'), hash, subsetSize })
   table.applyHostList(names.map((name) => listed(name)))
   const random = seededRandom(7)
   const dispatcher = createSharedDispatcher({ table, hash, random, failureDomain: DOMAIN, sharers: () => 1 })
@@ -79,6 +84,21 @@
   expect(new Set(repeats.map(({ to }) => to))).toEqual(new Set(['two']))
 })
 
+test('a repeat goes to the endpoint that failed the request if all others asked for time', () => {
+  // Guards against a request that waits in the queue for endpoints that do not take it in time.
+  const daemon = daemonWith('one', 'two')
+  askForTime(daemon, 'one', 3000)
+  expect(place(daemon, { avoid: [idOf('two')] })).toEqual({ to: 'two' })
+})
+
+test('when all endpoints that a daemon connects to asked for time, others of the pool take its requests', () => {
+  const names = ['one', 'two', 'three', 'four']
+  const daemon = connectedTo(names, 2)
+  const connected = daemon.table.candidates(POOL).map(({ name }) => name!)
+  for (const name of connected) askForTime(daemon, name, 3000)
+  expect(new Set(placeMany(daemon, 40).map(({ to }) => to))).toEqual(new Set(names.filter((name) => !connected.includes(name))))
+})
+
 test('a request whose prefix is cached at an endpoint that asked for time goes to another one', () => {
   const daemon = daemonWith('one', 'two', 'three')
   const demand = { promptTokens: 5000, maxTokens: 10, expectedTokens: 10, parts: [{ key: 'shared', tokens: 4900 }, { key: 'own', tokens: 100 }] }
--- a/daemon/request/dispatcher.ts
+++ b/daemon/request/dispatcher.ts
@@ -1,7 +1,7 @@
 /** Assigns requests to endpoints and queues those that no endpoint has room for. */
 import { FairQueue, type QueuedRequest, type RequestQueue } from '../../core/admission/index.ts'
 import { isStartOf, type AccountId, type EndpointId, type PoolName } from '../../core/ids/index.ts'
-import { runningNow, type EndpointView, type PrefixIndex, type Random, type Route, type RouteQuery, type Router } from '../../core/routing/index.ts'
+import { backsOff, runningNow, type EndpointView, type PrefixIndex, type Random, type Route, type RouteQuery, type Router } from '../../core/routing/index.ts'
 import type { Demand, PromptPart, WorkClass } from '../../core/work/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import type { EndpointTable } from '../endpoints/endpoint_table.ts'
@@ -209,7 +209,7 @@
   }
 
   #startAt (placement: Placement, { pool, now, candidates, cached, mayAsk, isGranted }: CandidateSet & Permission & { pool: PoolState | undefined, now: number }): boolean {
-    const withRoom = this.#preferPermitted(placement, candidates.filter((view) => hasRoom(view, placement.cls.urgent)), isGranted)
+    const withRoom = this.#preferPermitted(placement, candidates.filter((view) => hasRoom(view, placement.cls.urgent) && !backsOff(view, now)), isGranted)
     // When every endpoint with room has failed the request before, all of them are candidates again; the retry budget limits how often.
     const failed = failedEndpoints(placement, withRoom)
     const avoid = failed.length < withRoom.length ? failed : []
@@ -266,7 +266,8 @@
   #candidatesFor ({ demand, pool }: Placement, now: number): CandidateSet {
     const { table, prefixes } = this.#options
     const cached = prefixes.lookup(demand.parts, now)
-    const candidates = this.#withPermitted(pool, table.candidates(pool))
+    const connected = table.candidates(pool)
+    const candidates = this.#withPermitted(pool, connected.every((view) => backsOff(view, now)) ? table.usable(pool) : connected)
     const shared = demand.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0)
     const home = this.#options.home?.(demand.parts, this.#withoutLimits(shared >= MIN_TOKENS_FOR_CONNECTION ? table.usable(pool) : candidates))
     if (!home) return { candidates, cached }
--- a/daemon/status.ts
+++ b/daemon/status.ts
@@ -1,7 +1,7 @@
 /** Status report of one daemon, for operators. */
 import type { DaemonId, PoolName } from '../core/ids/index.ts'
 import { currentProgress, type RolloutRecord } from '../core/rollout/index.ts'
-import { runningNow, type EndpointView } from '../core/routing/index.ts'
+import { backsOff, runningNow } from '../core/routing/index.ts'
 import { steadyNow } from '../core/time/index.ts'
 import type { WorkClass } from '../core/work/index.ts'
 import type { Dispatcher } from './request/dispatcher.ts'
@@ -133,10 +133,6 @@
   }
 }
 
-function backsOff ({ backOffUntilMs = 0 }: EndpointView, now: number): boolean {
-  return backOffUntilMs > now
-}
-
 async function classStatus (cls: WorkClass, metrics: Metrics): Promise<ClassStatus> {
   const { latency, delivery } = cls
   const first = cls.streaming ? 'first token' : 'answer'
--- a/endpoints/exchange/exchange_runner.ts
+++ b/endpoints/exchange/exchange_runner.ts
@@ -1,5 +1,5 @@
 /** Runs the attempts of one proxied request. */
-import type { EndpointView } from '../../core/routing/index.ts'
+import { backsOff, type EndpointView } from '../../core/routing/index.ts'
 import { AttemptError } from '../../core/outcome/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import type { Attachment, AttemptRunner, AttemptSink, AttemptSpec, StopReport } from '../attempt.ts'
@@ -34,7 +34,7 @@
       return NO_ATTACHMENT
     }
     const headers = dialect.attemptHeaders(req, { view, deadlineInMs: spec.deadlineInMs, resumeFrom: spec.from, lane: req.demand && spec.lane })
-    const exchange = new Exchange({ req, dialect, sink, connection, from: spec.from, maySend: () => (view.backOffUntilMs ?? 0) <= steadyNow(), release: () => client.release(view, connection) })
+    const exchange = new Exchange({ req, dialect, sink, connection, from: spec.from, maySend: () => !backsOff(view, steadyNow()), release: () => client.release(view, connection) })
     exchange.send(headers)
     return exchange
   }
