--- a/core/request/lifecycle.ts
+++ b/core/request/lifecycle.ts
@@ -139,6 +139,17 @@
   return sent < state.traits.maxAttempts && (outcomeAt(point) === 'not-run' || state.traits.idempotent)
 }
 
+/** Number of unreachable endpoints after which further attempts are charged to the retry budget. */
+const MAX_FREE_RETRIES = 3
+
+/**
+ * Returns true if a retry is free. An attempt that reached no endpoint cost no endpoint any work, so its retry is not charged to the budget. The
+ * number of free retries is limited, since a pool that refuses all connections would otherwise be retried forever.
+ */
+export function isFreeRetry (state: RequestState, point: FailurePoint): boolean {
+  return !reachedEndpoint(point) && state.avoid.length < MAX_FREE_RETRIES
+}
+
 /** Returns true if a running stream may continue at another endpoint; the target counts towards `maxAttempts`. */
 export function canMove (state: RequestState): boolean {
   return state.phase === 'running' && state.traits.movable && state.sent + 2 <= state.traits.maxAttempts
--- a/daemon/request/request_task.ts
+++ b/daemon/request/request_task.ts
@@ -1,8 +1,8 @@
 /** Drives one request: executes the effects of the core's state machine and feeds events back to it. */
 import { AnswerBuffer, type AnswerBufferOptions, type AnswerHead, type WholeAnswer } from '../../core/answer/index.ts'
 import type { EndpointId, EndpointVersion, PoolName, RequestId } from '../../core/ids/index.ts'
-import { AttemptError, isEndpointReported, outcomeAt, reachedEndpoint, type FailurePoint, type Outcome } from '../../core/outcome/index.ts'
-import { canMove, canRetry, newRequest, step, type AttemptProgress, type RequestEffect, type RequestMessage, type RequestState, type StartMode } from '../../core/request/index.ts'
+import { AttemptError, isEndpointReported, outcomeAt, type Outcome } from '../../core/outcome/index.ts'
+import { canMove, canRetry, isFreeRetry, newRequest, step, type AttemptProgress, type RequestEffect, type RequestMessage, type RequestState, type StartMode } from '../../core/request/index.ts'
 import { availableAtMs, type EndpointView, type Route } from '../../core/routing/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import type { Attachment, AttemptRunner, AttemptSink } from '../../endpoints/index.ts'
@@ -27,8 +27,6 @@
   deadlineInMs?: number
 }
 
-/** Number of unreachable endpoints after which further attempts are charged to the retry budget. */
-const MAX_FREE_RETRIES = 3
 /** Lowest status code that does not indicate success. */
 const FIRST_REDIRECT_STATUS = 300
 
@@ -329,7 +327,7 @@
     if (err.point === 'endpoint-gone' && view) table.leaving([view.hostId], steadyNow(), 'refusal')
     // Spends from the budget only if the request could use the retry.
     const repeatable = this.mayRetryElsewhere && canRetry(this.lifecycle, err.point)
-    const retryGranted = repeatable && (this.#isFreeRetry(err.point) || this.ports.budget.tryWithdraw(table.isLeavingOrGone(endpoint)))
+    const retryGranted = repeatable && (isFreeRetry(this.lifecycle, err.point) || this.ports.budget.tryWithdraw(table.isLeavingOrGone(endpoint)))
     this.ports.crashes.failed({ id: endpoint, view }, err.point, this.work.fingerprint)
     if (view && err.point === 'endpoint-error') this.ports.answers?.failed(view, this.work.cls.name)
     table.failed(endpoint, { point: err.point, sentAtMs: this.#tracker.sentAtMs ?? steadyNow() })
@@ -342,14 +340,6 @@
     return backOffMs > 0 ? backOffMs : undefined
   }
 
-  /**
-   * Returns whether a retry is free. An attempt that reached no endpoint cost no endpoint any work, so its retry is not charged to the budget. The
-   * number of free retries is limited, since a pool that refuses all connections would otherwise be retried forever.
-   */
-  #isFreeRetry (point: FailurePoint): boolean {
-    return !reachedEndpoint(point) && this.lifecycle.avoid.length < MAX_FREE_RETRIES
-  }
-
   #recordFailure (endpoint: EndpointId, err: AttemptError, { attempt, repeat }: Pick<RequestEvents['attempt-failed'], 'attempt' | 'repeat'>): void {
     const { table, metrics } = this.ports
     const retryGranted = repeat === 'allowed'
