Keep work that ran before in the queue while endpoints ask for time

Found on reading the diff: a stream that was to be resumed was refused, and so cut, as soon as all endpoints of its pool asked for more time than its deadline left, though another endpoint might be listed until then. Work that ran before is only held to its deadline again, as in any full pool; new requests are refused at once as before. The test in daemon/request/back_off_test.ts ('a request that ran before waits during a back-off, until its deadline') failed before with a refusal after a second.

--- a/core/admission/fair_queue.ts
+++ b/core/admission/fair_queue.ts
@@ -26,8 +26,11 @@
   remove (entry: QueuedRequest<T>): void
   /** Returns a request that matches, or undefined if there is none. */
   find (matches: (entry: QueuedRequest<T>) => boolean): QueuedRequest<T> | undefined
-  /** Removes and returns the requests whose latest start time has passed. */
-  expire (now: number): QueuedRequest<T>[]
+  /**
+   * Removes and returns the requests that can no longer start in time.
+   * @param delayMs Time for which a request certainly cannot start. Default: 0 for each.
+   */
+  expire (now: number, delayMs?: (item: T) => number): QueuedRequest<T>[]
 }
 
 /** Requests of one account. The start tag is the virtual time, in tokens, at which its next request starts. */
@@ -97,11 +100,12 @@
     return undefined
   }
 
-  expire (now: number): QueuedRequest<T>[] {
+  expire (now: number, delayMs: (item: T) => number = () => 0): QueuedRequest<T>[] {
     const expired: QueuedRequest<T>[] = []
+    const isLate = ({ startByMs, item }: QueuedRequest<T>) => startByMs <= now + delayMs(item)
     for (const queue of this.#accountQueues.values()) {
-      expired.push(...queue.entries.filter((entry) => entry.startByMs <= now))
-      queue.entries = queue.entries.filter((entry) => entry.startByMs > now)
+      expired.push(...queue.entries.filter(isLate))
+      queue.entries = queue.entries.filter((entry) => !isLate(entry))
     }
     this.#length -= expired.length
     return expired
@@ -142,9 +146,10 @@
   find (matches: (entry: QueuedRequest<T>) => boolean): QueuedRequest<T> | undefined { return this.#entries.find(matches) }
   remove (entry: QueuedRequest<T>): void { this.#entries = this.#entries.filter((other) => other !== entry) }
 
-  expire (now: number): QueuedRequest<T>[] {
-    const expired = this.#entries.filter((entry) => entry.startByMs <= now)
-    this.#entries = this.#entries.filter((entry) => entry.startByMs > now)
+  expire (now: number, delayMs: (item: T) => number = () => 0): QueuedRequest<T>[] {
+    const isLate = ({ startByMs, item }: QueuedRequest<T>) => startByMs <= now + delayMs(item)
+    const expired = this.#entries.filter(isLate)
+    this.#entries = this.#entries.filter((entry) => !isLate(entry))
     return expired
   }
 }
--- a/daemon/request/back_off_test.ts
+++ b/daemon/request/back_off_test.ts
@@ -150,12 +150,20 @@
   expect(result.refused!.retryAfterMs).toBeGreaterThanOrEqual(4000)
 })
 
-test('a request that ran before waits for the end of a back-off, as long as its deadline allows', () => {
+test('a request that ran before waits during a back-off, until its deadline', () => {
+  // Guards against a stream that is cut although another endpoint is listed in time.
   const daemon = daemonWith('one')
   askForTime(daemon, 'one', 2000)
   const result = place(daemon, { resumed: true })
-  vi.advanceTimersByTime(2000 * 1.1)
-  expect(result).toEqual({ waits: true, to: 'one' })
+  vi.advanceTimersByTime(1000)
+  askForTime(daemon, 'one', 60_000)
+  daemon.dispatcher.startQueued()
+  const later = place(daemon, { resumed: true })
+  vi.advanceTimersByTime(1000)
+  expect([result, later]).toEqual([{ waits: true }, { waits: true }])
+  daemon.table.applyHostList([listed('one'), listed('two')])
+  daemon.dispatcher.startQueued()
+  expect([result.to, later.to]).toEqual(['two', 'two'])
 })
 
 test('a later answer does not shorten a back-off, and a later start of the endpoint has none', () => {
--- a/daemon/request/dispatcher.ts
+++ b/daemon/request/dispatcher.ts
@@ -146,7 +146,8 @@
   #queueOrRefuse (placement: Placement, pool: PoolState): void {
     const { urgent } = placement.cls
     const ahead = pool.queue.ahead(placement.account, urgent)
-    const backOffMs = this.#options.table.backOffMs(placement.pool)
+    // Work that ran before is not given up while its deadline allows another endpoint to be listed.
+    const backOffMs = placement.resumed ? 0 : this.#options.table.backOffMs(placement.pool)
     const waitMs = Math.max((ahead + 1) * pool.msPerStart, this.#permitWaitMs(placement), backOffMs)
     const startByMs = latestStartMs(placement)
     if (steadyNow() + waitMs > startByMs) return this.#refuse(placement, { waitMs, backOffMs })
@@ -174,7 +175,8 @@
     const now = steadyNow()
     for (const [name, pool] of this.#pools) {
       const backOffMs = this.#options.table.backOffMs(name)
-      for (const late of pool.queue.expire(now + backOffMs)) this.#refuse(late.item, { waitMs: Math.max(pool.msPerStart, backOffMs), backOffMs })
+      const expired = pool.queue.expire(now, ({ resumed }) => (resumed ? 0 : backOffMs))
+      for (const late of expired) this.#refuse(late.item, { waitMs: Math.max(pool.msPerStart, backOffMs), backOffMs })
       this.#drain(pool)
     }
   }
