Test canaries and permits of endpoints that ask for time

A canary in a back-off gets no requests and its grants are not spent; a permit for an endpoint in a back-off does not keep its request from the others. The second fails without the dispatcher's filter of endpoints in a back-off. No code changed.

--- a/daemon/request/back_off_test.ts
+++ b/daemon/request/back_off_test.ts
@@ -1,15 +1,17 @@
 import { afterEach, beforeEach, expect, test, vi } from 'vitest'
 import xxhash from 'xxhash-wasm'
 import { as, endpointId, type DaemonId, type EndpointId, type FailureDomain, type HostId } from '../../core/ids/index.ts'
+import type { EndpointView } from '../../core/routing/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import type { EndpointSignals, ListedHost } from '../../endpoints/index.ts'
 import { EndpointSignalRecorder } from '../endpoints/endpoint_signal_recorder.ts'
 import { EndpointTable } from '../endpoints/endpoint_table.ts'
+import { EndpointLimits } from '../limits/endpoint_limits.ts'
 import { createMetrics } from '../metrics.ts'
 import { seededRandom } from '../seeded_random.ts'
 import { DESK as POOL, DESK_CLASS, placement } from './_placement_fixture.ts'
 import { BACK_OFF_REASON, type Dispatcher, type Placement } from './dispatcher.ts'
-import { createSharedDispatcher } from './shared_dispatcher.ts'
+import { createSharedDispatcher, type SharedDispatcherOptions } from './shared_dispatcher.ts'
 
 const { h32: hash } = await xxhash()
 const DOMAIN = as<FailureDomain>('a')
@@ -37,11 +39,11 @@
 }
 
 /** A daemon that connects to some of the endpoints only. */
-function connectedTo (names: readonly string[], subsetSize: number): Daemon {
+function connectedTo (names: readonly string[], subsetSize: number, options: Partial<SharedDispatcherOptions> = {}): Daemon {
   const table = new EndpointTable({ self: as<DaemonId>('d'), hash, subsetSize })
   table.applyHostList(names.map((name) => listed(name)))
   const random = seededRandom(7)
-  const dispatcher = createSharedDispatcher({ table, hash, random, failureDomain: DOMAIN, sharers: () => 1 })
+  const dispatcher = createSharedDispatcher({ table, hash, random, failureDomain: DOMAIN, sharers: () => 1, ...options })
   const signals = new EndpointSignalRecorder({ table, metrics: createMetrics(), random })
   signals.onRoom = () => dispatcher.startQueued()
   return { table, dispatcher, signals }
@@ -99,6 +101,31 @@
   expect(new Set(placeMany(daemon, 40).map(({ to }) => to))).toEqual(new Set(names.filter((name) => !connected.includes(name))))
 })
 
+test('a canary that asked for time gets no requests, and its grants are not spent', () => {
+  let spent = 0
+  let canaries: readonly EndpointView[] = []
+  const daemon = connectedTo(['old', 'canary'], 2, { canaries: { canaries: () => canaries, spent: () => { spent++ } } })
+  canaries = [daemon.table.get(idOf('canary'))!]
+  expect([place(daemon).to, spent]).toEqual(['canary', 1])
+  askForTime(daemon, 'canary', 3000)
+  expect(new Set(placeMany(daemon, 10).map(({ to }) => to))).toEqual(new Set(['old']))
+  expect(spent).toBe(1)
+})
+
+test('a permit for an endpoint that asked for time does not keep its request from the others', async () => {
+  const limits = new EndpointLimits({ metrics: createMetrics(), isListed: () => true })
+  const daemon = connectedTo(['limited', 'other'], 2, { limits })
+  limits.answered(daemon.table.get(idOf('limited'))!, { perS: 2 }, steadyNow() + 1)
+  const results = placeMany(daemon, 20)
+  const asked = results.filter(({ to }) => to === undefined)
+  expect(asked.length).toBeGreaterThan(0)
+  limits.takeAsks()
+  askForTime(daemon, 'limited', 3000)
+  limits.receive({ grants: [[idOf('limited'), 20]], waits: [{ pool: POOL, urgentMs: 0, normalMs: 0 }], answersAsks: true })
+  await vi.advanceTimersByTimeAsync(0)
+  expect(new Set(results.map(({ to }) => to))).toEqual(new Set(['other']))
+})
+
 test('a request whose prefix is cached at an endpoint that asked for time goes to another one', () => {
   const daemon = daemonWith('one', 'two', 'three')
   const demand = { promptTokens: 5000, maxTokens: 10, expectedTokens: 10, parts: [{ key: 'shared', tokens: 4900 }, { key: 'own', tokens: 100 }] }
