--- a/daemon/exchange/_proxy_components.ts
+++ b/daemon/exchange/_proxy_components.ts
@@ -47,6 +47,8 @@
   platform: PlatformAdapter
   hash: Hash32
   hash64: Hash64
+  /** Returns the IP address and port to connect to for an endpoint's address. Default: the address itself. */
+  endpointAddress?: ((address: string) => string) | undefined
 }
 
 /** Components of one daemon, keyed by their registration name in the container. */
@@ -107,7 +109,7 @@
 const CONNECTION_FRACTION = 0.8
 
 /** Registers all components and connects their events; each component is built on first access. */
-export function compose ({ settings, platform, hash, hash64 }: ComposeOptions): ProxyComponents {
+export function compose ({ settings, platform, hash, hash64, endpointAddress = (address) => address }: ComposeOptions): ProxyComponents {
   const container = createContainer<ProxyComponents>({ injectionMode: InjectionMode.PROXY })
   container.register({
     settings: asValue(settings),
@@ -146,8 +148,8 @@
     limits: asFunction(({ self, membership, fleet }: ProxyComponents) => new AccountLimits({ self, host: settings.name, tolerance: settings.quota, membership, fleet })).singleton(),
     table: asFunction(({ self }: ProxyComponents) => new EndpointTable({ self, hash })).singleton(),
     registry: asFunction(endpointFollower).singleton(),
-    client: asFunction(({ config, fleet }: ProxyComponents) => new ExchangeClient({ maxConnections: (view) => connectionsTo(view, config, fleet) })).singleton(),
-    crashes: asFunction(({ metrics, client }: ProxyComponents) => new CrashWatch({ metrics, dial, isConnected: (view) => client.isConnected(view) })).singleton(),
+    client: asFunction(({ config, fleet }: ProxyComponents) => new ExchangeClient({ addressOf: endpointAddress, maxConnections: (view) => connectionsTo(view, config, fleet) })).singleton(),
+    crashes: asFunction(({ metrics, client }: ProxyComponents) => new CrashWatch({ metrics, dial: (address) => dial(endpointAddress(address)), isConnected: (view) => client.isConnected(view) })).singleton(),
     quarantine: asFunction(({ crashes, membership, metrics }: ProxyComponents) => new QuarantineTask({ crashes, membership, metrics })).singleton(),
     archive: asFunction(({ membership, quarantine }: ProxyComponents) => new QuarantineArchive({ store: platform.store, quarantine, maintainsArchive: () => membership.isFirstFor('quarantine') })).singleton(),
     endpointLimits: asFunction(({ metrics, table }: ProxyComponents) => new EndpointLimits({ metrics, isListed: (id) => table.get(id) !== undefined })).singleton(),
--- a/daemon/exchange/proxy_daemon.ts
+++ b/daemon/exchange/proxy_daemon.ts
@@ -12,6 +12,8 @@
 export interface ProxyDaemonOptions {
   settings: ProxySettings
   platform: PlatformAdapter
+  /** Returns the IP address and port to connect to for an endpoint's address, where they differ. Default: the address itself. */
+  endpointAddress?: (address: string) => string
 }
 
 /**
--- a/endpoints/exchange/connection_pool.ts
+++ b/endpoints/exchange/connection_pool.ts
@@ -3,8 +3,8 @@
 
 /** Options of {@linkcode ConnectionPool}. */
 export interface ConnectionPoolOptions {
-  /** IP address and port. */
-  address: string
+  /** Returns the IP address and port to connect to; called for each connection. */
+  address (): string
   /** Maximum number of connections open at once. */
   maxConnections: number
   /** Called for each connection that is opened. */
@@ -58,7 +58,7 @@
   }
 
   #open (): Connection {
-    const connection = new Connection(this.#options.address)
+    const connection = new Connection(this.#options.address())
     this.#all.add(connection)
     connection.onClose = () => this.#remove(connection)
     this.#options.onOpen?.()
--- a/endpoints/exchange/exchange_client.ts
+++ b/endpoints/exchange/exchange_client.ts
@@ -8,6 +8,8 @@
 export interface ExchangeClientOptions {
   /** Returns the maximum number of connections that this daemon may have to an endpoint. */
   maxConnections (view: EndpointView): number
+  /** Returns the IP address and port to connect to for an endpoint's address. Default: the address itself. */
+  addressOf?: ((address: string) => string) | undefined
   /** Called for each connection that is opened. */
   onOpen?: (view: EndpointView) => void
 }
@@ -62,7 +64,7 @@
     const maxConnections = this.#options.maxConnections(view)
     let pool = this.#pools.get(view.id)
     if (!pool) {
-      pool = new ConnectionPool({ address: view.address, maxConnections, onOpen: () => this.#options.onOpen?.(view) })
+      pool = new ConnectionPool({ address: () => this.#options.addressOf?.(view.address) ?? view.address, maxConnections, onOpen: () => this.#options.onOpen?.(view) })
       this.#pools.set(view.id, pool)
     }
     pool.limit(maxConnections)
