Count a refused connection as a crash only if other daemons find the endpoint gone

Cause: a refused connection counted as proof that the endpoint's process had ended. It is refused as well where only the links of this daemon are cut.

Evidence: platform/cut_off_crashes_test.ts failed before in all four cases (one, two, all of three daemons; all endpoints but one): the request that ran was quarantined at every daemon. It passes now, and the tests of real crashes still do.

Why this works: three daemons, of different failure domains as far as there are, are asked to connect to the endpoint. It has ended if one of them is refused and reaches another endpoint, and none is accepted. All daemons ask the same three, so a crash costs the fleet a few connections. While nobody reaches any endpoint the question is repeated for two seconds; a process that is replaced without notice is recognised by its later start as before.

--- a/daemon/exchange/_proxy_components.ts
+++ b/daemon/exchange/_proxy_components.ts
@@ -29,7 +29,7 @@
 import { StoreRelay } from '../peers/store_relay.ts'
 import { FleetSize } from '../peers/fleet_size.ts'
 import { TallyTask } from '../peers/tally_task.ts'
-import { CrashWatch, QuarantineArchive, QuarantineTask } from '../quarantine/index.ts'
+import { CrashConfirmer, CrashWatch, QuarantineArchive, QuarantineTask } from '../quarantine/index.ts'
 import { ProcessAvailability, RolloutFollower, RolloutTask, VersionGate } from '../rollout/index.ts'
 import type { Dispatcher } from '../request/dispatcher.ts'
 import { createSharedDispatcher } from '../request/shared_dispatcher.ts'
@@ -75,6 +75,7 @@
   table: EndpointTable
   registry: EndpointFollower
   client: ExchangeClient
+  confirmer: CrashConfirmer
   crashes: CrashWatch
   quarantine: QuarantineTask
   archive: QuarantineArchive
@@ -155,7 +156,8 @@
     table: asFunction(({ self }: ProxyComponents) => new EndpointTable({ self, hash })).singleton(),
     registry: asFunction(endpointFollower).singleton(),
     client: asFunction(({ config, fleet }: ProxyComponents) => new ExchangeClient({ addressOf: endpointAddress, maxConnections: (view) => connectionsTo(view, config, fleet) })).singleton(),
-    crashes: asFunction(({ metrics, client }: ProxyComponents) => new CrashWatch({ metrics, dial: (address) => dial(endpointAddress(address)), isConnected: (view) => client.isConnected(view) })).singleton(),
+    confirmer: asFunction(({ membership, table, paths }: ProxyComponents) => new CrashConfirmer({ membership, table, paths, hash })).singleton(),
+    crashes: asFunction(({ metrics, client, confirmer }: ProxyComponents) => new CrashWatch({ metrics, dial: (address) => dial(endpointAddress(address)), confirm: (view) => confirmer.confirm(view), isConnected: (view) => client.isConnected(view) })).singleton(),
     quarantine: asFunction(({ crashes, membership, metrics }: ProxyComponents) => new QuarantineTask({ crashes, membership, metrics })).singleton(),
     archive: asFunction(({ membership, quarantine }: ProxyComponents) => new QuarantineArchive({ store: platform.store, quarantine, maintainsArchive: () => membership.isFirstFor('quarantine') })).singleton(),
     endpointLimits: asFunction(({ metrics, table }: ProxyComponents) => new EndpointLimits({ metrics, isListed: (id) => table.get(id) !== undefined })).singleton(),
--- a/daemon/quarantine/crash_watch.ts
+++ b/daemon/quarantine/crash_watch.ts
@@ -18,6 +18,8 @@
   metrics: Metrics
   /** Opens a connection to an endpoint, to check whether its process is running. */
   dial (address: string): Promise<DialResult>
+  /** Returns whether an endpoint that refused a connection has ended, and not only the path to it. Default: always true. */
+  confirm?: (view: EndpointView) => Promise<boolean>
   /** Returns whether this daemon has an open connection to an endpoint; it would have been closed by a crash. Default: always false. */
   isConnected?: (view: EndpointView) => boolean
 }
@@ -48,8 +50,8 @@
 /**
  * Distinguishes crashes from lost connections and announced departures.
  *
- * A broken connection alone does not show a crash: networks reset connections, and endpoints drop some. An endpoint that refuses a new connection right afterwards has no
- * running process.
+ * A broken connection alone does not show a crash: networks reset connections, and endpoints drop some. An endpoint that refuses a new connection right afterwards, and
+ * those of other daemons as well, has no running process.
  */
 export class CrashWatch {
   readonly #options: CrashWatchOptions
@@ -77,7 +79,8 @@
    */
   failed (endpoint: { id: EndpointId, view: EndpointView | undefined }, point: FailurePoint, request: () => Fingerprint): void {
     const { id, view } = endpoint
-    if (point === 'connect-refused' || point === 'endpoint-gone') this.gone(id)
+    if (point === 'endpoint-gone') this.gone(id)
+    else if (point === 'connect-refused') this.#refused(id)
     else if (view && isConnectionAborted(point)) this.lost(view, request())
     else if (view && point === 'timeout-after-send') this.abandoned(view, request())
   }
@@ -131,7 +134,15 @@
   }
 
   #dial (view: EndpointView): void {
-    this.#options.dial(view.address).then((result) => { if (result === 'refused') this.gone(view.id) })
+    this.#options.dial(view.address).then((result) => { if (result === 'refused') this.#refused(view.id) })
+  }
+
+  /** Records that an endpoint refused a connection, as it does when its process has ended or when this daemon's links are cut. */
+  #refused (id: EndpointId): void {
+    const unfinished = this.#unfinished.get(id)
+    if (!unfinished || unfinished.crashed) return
+    if (!this.#options.confirm) return this.gone(id)
+    this.#options.confirm(unfinished.view).then((hasEnded) => { if (hasEnded) this.gone(id) })
   }
 
   /** Records that an endpoint's process is gone, as its address shows or another daemon reported. */
