Check a suspected path once, and hold no request for daemons that are known not to help

Requests of a pool that nobody reaches waited again at each inquiry; they wait for the first one only.

--- a/core/paths/path.ts
+++ b/core/paths/path.ts
@@ -28,7 +28,7 @@
 /** The same after a connection was refused or not answered, in milliseconds. */
 const FAILED_CONNECT_INTERVAL_MS = 200
 /** Time between checks of a path that is down, in milliseconds. */
-const RECHECK_INTERVAL_MS = 500
+export const RECHECK_INTERVAL_MS = 500
 /** An endpoint that sent something this long before a check ended is reachable over open connections, in milliseconds. */
 const RECENT_MS = 300
 /** Time for which a path that works again gets one request at a time, in milliseconds. */
--- a/daemon/delegation/delegate_finder.ts
+++ b/daemon/delegation/delegate_finder.ts
@@ -47,7 +47,7 @@
 const REPLACEMENT_MS = 1000
 
 /** A pool that cannot be reached from this daemon. */
-interface CutOffPool { sinceMs: number, wantedAtMs: number, inquiredAtMs: number, inquiring: boolean, delegated: number, isLogged: boolean }
+interface CutOffPool { sinceMs: number, wantedAtMs: number, inquiredAtMs: number, inquiring: boolean, lastInquiryFoundOne: boolean, delegated: number, isLogged: boolean }
 
 /** Asks other daemons for offers while a pool is cut off. */
 export class DelegateFinder {
@@ -83,7 +83,8 @@
     const to = this.#selector.pick(pool, { avoid: avoidDelegates }, now)
     if (to) return { type: 'delegate', to }
     if (!state.inquiring && now - state.inquiredAtMs >= INQUIRY_INTERVAL_MS) this.#inquire(pool, state)
-    return { type: state.inquiring || now - state.sinceMs < REPLACEMENT_MS ? 'wait' : 'none' }
+    const mayFindOne = state.inquiring && state.lastInquiryFoundOne
+    return { type: mayFindOne || now - state.sinceMs < REPLACEMENT_MS ? 'wait' : 'none' }
   }
 
   /** Counts a request that is sent to a delegate. */
@@ -111,7 +112,7 @@
     let state = this.#cutOff.get(pool)
     if (!state) {
       const now = steadyNow()
-      state = { sinceMs: now, wantedAtMs: now, inquiredAtMs: -Infinity, inquiring: false, delegated: 0, isLogged: false }
+      state = { sinceMs: now, wantedAtMs: now, inquiredAtMs: -Infinity, inquiring: false, lastInquiryFoundOne: true, delegated: 0, isLogged: false }
       this.#cutOff.set(pool, state)
     }
     return state
@@ -134,7 +135,9 @@
     }
     state.inquiring = false
     state.inquiredAtMs = steadyNow()
-    if (!state.isLogged) log('pool-cut-off', { pool, delegates: this.#selector.offering(pool, steadyNow()) })
+    const delegates = this.#selector.offering(pool, steadyNow())
+    state.lastInquiryFoundOne = delegates.length > 0
+    if (!state.isLogged) log('pool-cut-off', { pool, delegates })
     state.isLogged = true
     this.#options.onOffers(pool)
   }
--- a/daemon/paths/path_watch.ts
+++ b/daemon/paths/path_watch.ts
@@ -1,6 +1,6 @@
 /** Checks the network paths from this daemon to the endpoints. */
 import type { EndpointId, PoolName } from '../../core/ids/index.ts'
-import { assumeDown, checked, checkStarted, endTrial, heard, isRecheckDue, newPath, suspect, type Path, type PathCheck, type PathEvidence, type PathState } from '../../core/paths/index.ts'
+import { assumeDown, checked, checkStarted, endTrial, heard, isRecheckDue, newPath, RECHECK_INTERVAL_MS, suspect, type Path, type PathCheck, type PathEvidence, type PathState } from '../../core/paths/index.ts'
 import type { AttemptProgress } from '../../core/request/index.ts'
 import type { EndpointView } from '../../core/routing/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
@@ -52,6 +52,8 @@
 export class PathWatch {
   readonly #options: PathWatchOptions
   readonly #paths = new Map<EndpointId, Path>()
+  /** When paths of a pool that are down were last checked again, in milliseconds on the steady clock. */
+  readonly #recheckedAtMs = new Map<PoolName, number>()
   readonly #dialling = new Map<EndpointId, Promise<PathCheck>>()
   #timer: NodeJS.Timeout | undefined
   #tickedAtMs = steadyNow()
@@ -130,7 +132,9 @@
 
   /** Records evidence against the path to an endpoint, and checks the path. */
   suspect (view: EndpointView, evidence: PathEvidence): void {
-    if (this.#update(view, (path, now) => suspect(path, evidence, now)).state === 'checking') this.#checkPool(view)
+    const isChecking = this.stateOf(view.id) === 'checking'
+    const { state } = this.#update(view, (path, now) => suspect(path, evidence, now))
+    if (state === 'checking' && !isChecking) this.#checkPool(view)
   }
 
   /** Checks the open requests for silence, and paths that are down for whether they work again. */
@@ -176,12 +180,21 @@
       else if (path.state === 'trial') this.#update(view, endTrial)
       else if (isRecheckDue(path, now)) due.set(view.pool, [...due.get(view.pool) ?? [], view])
     }
-    for (const views of due.values()) for (const view of views.slice(0, MAX_DIALS)) this.dial(view)
+    for (const [pool, views] of due) {
+      if (now - (this.#recheckedAtMs.get(pool) ?? -Infinity) < RECHECK_INTERVAL_MS) continue
+      this.#recheckedAtMs.set(pool, now)
+      for (const view of this.#sample(views)) this.#redial(view)
+    }
+  }
+
+  async #redial (view: EndpointView): Promise<void> {
+    // Once one endpoint can be reached, the others are tried without delay.
+    if (await this.dial(view) === 'accepted') this.#recheckedAtMs.delete(view.pool)
   }
 
   /** Chooses up to {@linkcode MAX_DIALS} endpoints, those checked longest ago first. */
   #sample (views: readonly EndpointView[]): EndpointView[] {
-    const checkedAtMs = ({ id }: EndpointView) => this.#paths.get(id)?.checkedAtMs ?? -Infinity
+    const checkedAtMs = ({ id }: EndpointView) => Math.max(0, this.#paths.get(id)?.checkedAtMs ?? 0)
     return [...views].sort((a, b) => checkedAtMs(a) - checkedAtMs(b)).slice(0, MAX_DIALS)
   }
 
