Move requests off a cut path only once another daemon reaches the pool, and explain it

An endpoint that is silent for a second and answers no new connections was taken for one behind a cut: requests under way there were given up.

--- a/core/request/lifecycle_test.ts
+++ b/core/request/lifecycle_test.ts
@@ -1,10 +1,12 @@
+import fc from 'fast-check'
 import { expect, test } from 'vitest'
-import { as, type EndpointId, type RequestId } from '../ids/index.ts'
+import { as, type DaemonId, type EndpointId, type RequestId } from '../ids/index.ts'
 import { FAILURE_POINTS, outcomeAt } from '../outcome/index.ts'
 import { newRequest, step, type RequestEffect, type RequestMessage, type RequestState, type RequestTraits } from './index.ts'
 
 const A = as<EndpointId>('a')
 const B = as<EndpointId>('b')
+const D = as<DaemonId>('d')
 const TRAITS: RequestTraits = { id: as<RequestId>('d~1'), idempotent: false, movable: true, cancelOnLeave: false, claims: false, maxAttempts: Infinity, deadlineAtMs: 1000 }
 
 function run (traits: Partial<RequestTraits>, msgs: readonly RequestMessage[], now = 0): { state: RequestState, effects: RequestEffect[] } {
@@ -79,3 +81,51 @@
   expect(run({}, [...RUNNING, { type: 'caller-left' }]).state.phase).toBe('running')
   expect(run({ cancelOnLeave: true }, [...RUNNING, { type: 'caller-left' }]).state.phase).toBe('done')
 })
+
+const DELEGATED: RequestMessage[] = [{ type: 'begin' }, { type: 'delegated', to: D }]
+
+test.each(FAILURE_POINTS)('a non-idempotent request that fails at a delegate at %s is retried only if it certainly did not run', (point) => {
+  const { state, effects } = run({}, [...DELEGATED, { type: 'failed', attempt: 1, point, retryGranted: true }])
+  const certain = outcomeAt(point) === 'not-run'
+  expect(effects.at(-1)).toMatchObject(certain ? { type: 'place' } : { type: 'finish', outcome: 'unknown' })
+  expect([state.mayHaveRun, state.avoidDelegates]).toEqual([!certain, [D]])
+})
+
+test('endpoints that a delegate has sent a request to count towards the most that it may be sent to', () => {
+  // Guards against a delegate that makes all attempts anew.
+  const lost = (reached: number) => run({ idempotent: true, maxAttempts: 3 }, [...DELEGATED, { type: 'failed', attempt: 1, point: 'delegate-lost', retryGranted: true, reached }])
+  expect([lost(2).state, lost(3).state].map(({ phase, sent }) => [phase, sent])).toEqual([['placing', 2], ['done', 3]])
+})
+
+test('a request that a delegate runs is stopped there at its deadline, with the outcome unknown', () => {
+  const { state, effects } = run({}, [...DELEGATED, { type: 'deadline' }])
+  expect(state.outcome).toBe('unknown')
+  expect(effects.at(-2)).toEqual({ type: 'stop', endpoint: undefined, attempt: 1 })
+})
+
+test('no order of events runs a non-idempotent request twice, or sends any to more endpoints than allowed', () => {
+  // Guards against a second execution by way of endpoints and delegates in any mixture.
+  const attempt = fc.integer({ min: 1, max: 4 })
+  const msg = fc.oneof(
+    fc.constantFrom<RequestMessage>({ type: 'placed', endpoint: A }, { type: 'placed', endpoint: B }, { type: 'delegated', to: D }, { type: 'caller-left' }, { type: 'move', endpoint: B, mode: 'prefill' }),
+    fc.record({ type: fc.constant('failed' as const), attempt, point: fc.constantFrom(...FAILURE_POINTS), retryGranted: fc.boolean() }),
+    fc.record({ type: fc.constant('stopped' as const), attempt, confirmed: fc.boolean() }),
+    fc.record({ type: fc.constant('ended' as const), attempt })
+  )
+  fc.assert(fc.property(fc.array(msg, { maxLength: 20 }), fc.boolean(), (msgs, idempotent) => {
+    let state = newRequest({ ...TRAITS, idempotent, movable: false, maxAttempts: 2 })
+    let mayHaveRun = 0
+    for (const each of msgs) {
+      const isRunning = state.phase === 'running'
+      const next = step(state, each, 0)
+      for (const effect of next.effects) {
+        const begins = effect.type === 'start' || effect.type === 'delegate'
+        if (begins && !idempotent) expect(mayHaveRun).toBe(0)
+        if (begins) expect(next.state.sent).toBeLessThan(2)
+      }
+      if (isRunning && each.type === 'failed' && each.attempt === state.attempt && outcomeAt(each.point) === 'unknown') mayHaveRun++
+      if (next.state.outcome === 'not-run') expect(mayHaveRun).toBe(0)
+      state = next.state
+    }
+  }), { seed: 50, numRuns: 3000 })
+})
--- a/daemon/delegation/delegate_finder.ts
+++ b/daemon/delegation/delegate_finder.ts
@@ -17,8 +17,10 @@
   hash: Hash32
   membership: MembershipTask
   paths: PathWatch
-  /** Called when requests of a pool that wait for a delegate may be placed again. */
-  onOffers (pool: PoolName): void
+  /** Called when another daemon offers to run requests of a pool, which has been cut off here for this many milliseconds. */
+  onOffer (pool: PoolName, cutOffMs: number): void
+  /** Called when an inquiry has ended, with or without an offer. */
+  onInquiryEnd (): void
 }
 
 /** A request that needs a way to an endpoint of its pool. */
@@ -33,6 +35,8 @@
 
 /** Interval between inquiries for a pool that is cut off, in milliseconds. */
 const INQUIRY_INTERVAL_MS = 500
+/** Interval between checks whether an inquiry is due, in milliseconds. */
+const RENEW_INTERVAL_MS = 100
 /** Time to wait for an offer, in milliseconds. A daemon that dials endpoints first needs most of it. */
 const OFFER_TIMEOUT_MS = 450
 /** Groups of daemons that are asked one after the other while none offers anything. */
@@ -63,7 +67,7 @@
 
   /** Starts the periodic renewal of offers. */
   start (): void {
-    this.#timer = setInterval(() => this.#renew(), INQUIRY_INTERVAL_MS)
+    this.#timer = setInterval(() => this.#renew(), RENEW_INTERVAL_MS)
   }
 
   /** Stops the periodic renewal of offers. */
@@ -74,7 +78,10 @@
   /** Returns how a request can be sent now, and starts to ask other daemons if that is needed. */
   wayFor ({ pool, idempotent, mayDelegate, avoidDelegates }: UnplacedRequest): RequestWay {
     const reach = this.#options.paths.reach(pool, { idempotent })
-    if (reach === 'reached') return { type: 'direct' }
+    if (reach === 'reached') {
+      if (idempotent) this.#endCutOff(pool)
+      return { type: 'direct' }
+    }
     if (reach === 'checking') return { type: 'wait' }
     if (!mayDelegate) return { type: 'none' }
     const state = this.#cutOffPool(pool)
@@ -82,9 +89,10 @@
     state.wantedAtMs = now
     const to = this.#selector.pick(pool, { avoid: avoidDelegates }, now)
     if (to) return { type: 'delegate', to }
-    if (!state.inquiring && now - state.inquiredAtMs >= INQUIRY_INTERVAL_MS) this.#inquire(pool, state)
+    this.#inquireIfDue(pool, state)
     const mayFindOne = state.inquiring && state.lastInquiryFoundOne
-    return { type: mayFindOne || now - state.sinceMs < REPLACEMENT_MS ? 'wait' : 'none' }
+    const mayRecover = now - state.sinceMs < REPLACEMENT_MS || this.#options.paths.isRecovering(pool)
+    return { type: mayFindOne || mayRecover ? 'wait' : 'none' }
   }
 
   /** Counts a request that is sent to a delegate. */
@@ -102,8 +110,15 @@
 
   /** Must be called when paths of a pool have changed. */
   pathsChanged (pool: PoolName): void {
+    const { paths } = this.#options
+    const reach = paths.reach(pool, { idempotent: true })
+    if (reach === 'reached') this.#endCutOff(pool)
+    else if (reach === 'cut-off' && paths.hasLostRequests(pool)) this.#inquireIfDue(pool, this.#cutOffPool(pool))
+  }
+
+  #endCutOff (pool: PoolName): void {
     const state = this.#cutOff.get(pool)
-    if (!state || this.#options.paths.reach(pool, { idempotent: true }) === 'cut-off') return
+    if (!state) return
     this.#cutOff.delete(pool)
     if (state.isLogged) log('pool-reached', { pool, forMs: Math.round(steadyNow() - state.sinceMs), delegated: state.delegated })
   }
@@ -121,16 +136,20 @@
   #renew (): void {
     const now = steadyNow()
     for (const [pool, state] of this.#cutOff) {
-      if (!state.inquiring && now - state.wantedAtMs < DEMAND_MS) this.#inquire(pool, state)
+      if (now - state.wantedAtMs < DEMAND_MS || this.#options.paths.hasLostRequests(pool)) this.#inquireIfDue(pool, state)
     }
   }
 
+  #inquireIfDue (pool: PoolName, state: CutOffPool): void {
+    if (!state.inquiring && steadyNow() - state.inquiredAtMs >= INQUIRY_INTERVAL_MS) this.#inquire(pool, state)
+  }
+
   /** Asks daemons for offers: those that have made one, and others group by group until one does. */
   async #inquire (pool: PoolName, state: CutOffPool): Promise<void> {
     state.inquiring = true
     for (let round = 0; round < MAX_ROUNDS; round++) {
       const asked = this.#selector.toAsk(pool, this.#options.membership.acceptingWork, steadyNow())
-      await Promise.all(asked.map((member) => this.#ask(pool, member)))
+      await Promise.all(asked.map((member) => this.#ask(pool, member, state)))
       if (asked.length === 0 || this.#selector.offering(pool, steadyNow()).length > 0) break
     }
     state.inquiring = false
@@ -139,14 +158,14 @@
     state.lastInquiryFoundOne = delegates.length > 0
     if (!state.isLogged) log('pool-cut-off', { pool, delegates })
     state.isLogged = true
-    this.#options.onOffers(pool)
+    this.#options.onInquiryEnd()
   }
 
-  async #ask (pool: PoolName, member: Member): Promise<void> {
+  async #ask (pool: PoolName, member: Member, state: CutOffPool): Promise<void> {
     try {
       const offer = await this.#options.membership.links.call(member, OFFER_METHOD, { pool } satisfies OfferQuery, { timeoutMs: OFFER_TIMEOUT_MS }) as DelegateOffer
       this.#selector.recordOffer(pool, member, offer, steadyNow())
-      this.#options.onOffers(pool)
+      if (offer.room > 0) this.#options.onOffer(pool, steadyNow() - state.sinceMs)
     } catch {
       // Also versions of daemons that do not know the method: they are sent no requests.
       this.#selector.recordDecline(pool, member.id, steadyNow())
--- a/daemon/exchange/_proxy_components.ts
+++ b/daemon/exchange/_proxy_components.ts
@@ -178,7 +178,11 @@
       hash,
       membership: cradle.membership,
       paths: cradle.paths,
-      onOffers: () => cradle.dispatcher.startQueued()
+      onOffer: (pool, cutOffMs) => {
+        cradle.paths.moveLostRequests(pool, cutOffMs)
+        cradle.dispatcher.startQueued()
+      },
+      onInquiryEnd: () => cradle.dispatcher.startQueued()
     })).singleton(),
     delegatedRuns: asFunction(({ membership, delegates }: ProxyComponents) => new DelegatedRuns({ membership, finder: delegates })).singleton(),
     delegateServer: asFunction(({ membership, table, paths, client, intake, metrics }: ProxyComponents) => new DelegateServer({ membership, table, paths, client, intake, metrics })).singleton(),
--- a/daemon/explain/_cause.ts
+++ b/daemon/explain/_cause.ts
@@ -1,5 +1,5 @@
 import type { RequestEvents } from '../log/index.ts'
-import { BACK_OFF_REASON } from '../request/dispatcher.ts'
+import { BACK_OFF_REASON, CUT_OFF_REASON } from '../request/dispatcher.ts'
 import type { DaemonLine, LogLine, RequestLine } from './log_lines.ts'
 
 /** Log lines from which a request's outcome is explained. */
@@ -69,7 +69,10 @@
   const held = last(evidence.requestLines, 'request-held')
   if (held) return `caller: endpoints that ran requests like it crashed; request-quarantined of ${held.fingerprint} names them`
   if (f.why === BACK_OFF_REASON) return `endpoints asked for time: ${describeBackOffs(evidence)}`
+  if (f.why === CUT_OFF_REASON) return `cut off: ${describeCutOff(evidence)}`
   if (f.why === 'no room in time') return `no room: ${describeQueue(evidence)}`
+  const delegateFailed = last(evidence.requestLines, 'delegate-failed')
+  if (delegateFailed) return `cut off: ${delegateFailed.to}, which ran it instead, ${delegateFailed.point === 'delegate-lost' ? 'was lost' : 'did not answer it'} after ${delegateFailed.pieces} pieces (${delegateFailed.why})`
   const failed = last(evidence.requestLines, 'attempt-failed')
   return failed ? causeOfFailure(failed, evidence) : `${f.outcome}: ${f.why}`
 }
@@ -78,6 +81,8 @@
   if (f.status !== undefined && f.status >= 500) return `endpoint: it answered ${f.status} itself`
   const failed = last(evidence.requestLines, 'attempt-failed')
   const started = last(evidence.requestLines, 'attempt-started')
+  const delegated = last(evidence.requestLines, 'attempt-delegated')
+  if (delegated) return `answered by way of ${delegated.to}, since no endpoint of ${delegated.pool} could be reached from its own daemon`
   if (failed) return `answered after a repeat: ${causeOfFailure(failed, evidence)}`
   if (started?.withinTarget === false) return `answered, late for want of room: ${started.running} of ${started.slots} places taken at its endpoint`
   return 'answered whole'
@@ -109,6 +114,13 @@
   return `${endpoint} was still writing after ${atEndpointMs} ms (${f.pieces} pieces, longest pause ${Math.round(f.longestPauseMs ?? 0)} ms)`
 }
 
+/** Describes how the request's pool was cut off from its daemon. */
+function describeCutOff ({ context }: Evidence): string {
+  const cutOff = context.findLast((line) => line.event === 'pool-cut-off')
+  if (cutOff?.event !== 'pool-cut-off') return 'no endpoint of its pool could be reached, and no other daemon offered to run it'
+  return `no endpoint of ${cutOff.fields.pool} could be reached, and no other daemon had room (${cutOff.fields.delegates.length} offered some at first)`
+}
+
 function describeQueue ({ requestLines }: Evidence): string {
   const waits = last(requestLines, 'request-waits')
   return waits ? `it waited behind ${waits.ahead} others for one of ${waits.candidates} endpoints` : 'every endpoint was full and the wait would have been too long'
--- a/daemon/explain/explain_request.ts
+++ b/daemon/explain/explain_request.ts
@@ -22,6 +22,8 @@
 const CONTEXT_MS = 1000
 /** The same for entries that vanished from the registry, which are kept for up to 2.5 s. */
 const HELD_ENTRIES_CONTEXT_MS = 3000
+/** Time before a request in which its pool may have been cut off from the daemon, in milliseconds. */
+const CUT_OFF_CONTEXT_MS = 30_000
 
 /**
  * Explains a request.
@@ -53,6 +55,7 @@
     if (line.request !== undefined || !processes.has(line.process)) return false
     // Explains why the request was not sent to the endpoint, so that no line of the request names it.
     if (line.event === 'endpoint-backs-off') return pools.has(line.fields.pool) && line.atMs <= last.atMs && line.atMs + line.fields.forMs >= first.atMs
+    if (line.event === 'pool-cut-off' || line.event === 'pool-reached') return pools.has(line.fields.pool) && line.atMs <= last.atMs && line.atMs >= first.atMs - CUT_OFF_CONTEXT_MS
     if (line.atMs < first.atMs - HELD_ENTRIES_CONTEXT_MS || line.atMs > last.atMs) return false
     if (line.event === 'endpoints-held') return line.fields.endpoints.some((endpoint) => endpoints.has(endpoint))
     if (line.atMs < first.atMs - CONTEXT_MS) return false
--- a/daemon/explain/explain_request_test.ts
+++ b/daemon/explain/explain_request_test.ts
@@ -1,6 +1,6 @@
 import { readFileSync } from 'node:fs'
 import { expect, test } from 'vitest'
-import { BACK_OFF_REASON } from '../request/dispatcher.ts'
+import { BACK_OFF_REASON, CUT_OFF_REASON } from '../request/dispatcher.ts'
 import { explainRequest, readLog } from './index.ts'
 
 /** Recorded log lines of daemons during failures; the causes were checked against what endpoints and callers observed. */
@@ -43,6 +43,19 @@
   expect(readLog(`${mixed}\nnot a line\n${cut}`)).toEqual(lines)
 })
 
+test('a request that another daemon ran is explained with that daemon and the reason', () => {
+  const line = (daemon: string, event: string, fields: object) => JSON.stringify({ level: 'info', time: '2026-05-23T10:00:00.000Z', daemon, process: daemon, event, request: 'r', ...fields })
+  const taken = line('edge-1', 'attempt-delegated', { attempt: 1, to: 'edge-2', pool: 'desk', fromPiece: 0, inFlight: 0, offerAgeMs: 10, endpointAgeMs: 20 })
+  const ran = line('edge-2', 'request-taken-for', { origin: 'edge-1', pool: 'desk', class: 'c', deadlineInMs: 900, fromPiece: 0, maxAttempts: 2 })
+  const ended = (fields: object) => line('edge-1', 'request-ended', { outcome: 'answered', why: 'whole', afterMs: 1, pieces: 1, attempts: 1, deadlineMs: 900, ...fields })
+  const { cause, steps } = explainRequest(readLog([taken, ran, ended({})].join('\n')), 'r')
+  expect(cause).toBe('answered by way of edge-2, since no endpoint of desk could be reached from its own daemon')
+  expect(steps.map(({ text }) => text.replace(/[:;].*/, ''))).toEqual(['attempt 1 by edge-2, since no endpoint of desk can be reached from here', 'taken for edge-1, which cannot reach desk', 'answered'])
+  const lost = line('edge-1', 'delegate-failed', { attempt: 1, to: 'edge-2', point: 'delegate-lost', why: 'connection lost', afterMs: 1, pieces: 0, repeat: 'not-allowed' })
+  expect(explainRequest(readLog([taken, lost, ended({ outcome: 'unknown', why: 'endpoint failed: delegate-lost' })].join('\n')), 'r').cause).toBe('cut off: edge-2, which ran it instead, was lost after 0 pieces (connection lost)')
+  expect(explainRequest(readLog(ended({ outcome: 'not-run', why: CUT_OFF_REASON })), 'r').cause).toMatch(/^cut off: no endpoint of its pool/)
+})
+
 test('lines of several daemons are sorted by time', () => {
   const turned = RECORDED.trim().split('\n').reverse().join('\n')
   expect(readLog(turned).map(({ atMs }) => atMs)).toEqual(lines.map(({ atMs }) => atMs))
--- a/daemon/paths/path_watch.ts
+++ b/daemon/paths/path_watch.ts
@@ -14,7 +14,7 @@
   readonly runningAt: EndpointId | undefined
   /** Progress of the current attempt; undefined while none runs. */
   readonly progress: AttemptProgress | undefined
-  /** Called when the path to the endpoint that runs the current attempt is down. `isFinal` is true once it has been down for so long that no answer is expected. */
+  /** Called when only other daemons reach the endpoint that runs the current attempt. `isFinal` is true once that has been so for so long that no answer is expected. */
   pathLost (options: { isFinal: boolean }): void
 }
 
@@ -45,7 +45,7 @@
 const SILENCE_PREDICTIONS = 2
 /** Endpoints of a pool that are dialled at once. When none of them answers, those that were not dialled are taken to be down as well. */
 const MAX_DIALS = 6
-/** Time that a request may stay at an endpoint whose path is down, in milliseconds: a path that recovers soon still delivers its answer. */
+/** Time that a request that must not be repeated stays at an endpoint of a pool that is cut off, in milliseconds: a path that recovers soon still delivers its answer. */
 const LOST_AFTER_MS = 1000
 
 /** Keeps the state of the path to each endpoint, from connections that fail, silence, and connection attempts of its own. */
@@ -109,6 +109,29 @@
     return latestMs === -Infinity ? undefined : steadyNow() - latestMs
   }
 
+  /** Returns true if an endpoint of a pool that is cut off accepts connections again. */
+  isRecovering (pool: PoolName): boolean {
+    return this.#options.table.candidates(pool).some(({ id }) => this.stateOf(id) === 'trial')
+  }
+
+  /** Returns true if requests of a pool run at endpoints that cannot be reached. */
+  hasLostRequests (pool: PoolName): boolean {
+    return this.#lostRequests(pool).length > 0
+  }
+
+  /**
+   * Moves the requests of a pool that run at endpoints that cannot be reached from here, once it is known that others reach them. Until then they are left alone: a sound endpoint may be
+   * silent for a while.
+   * @param cutOffMs Time since the pool was found to be cut off, in milliseconds.
+   */
+  moveLostRequests (pool: PoolName, cutOffMs: number): void {
+    for (const request of this.#lostRequests(pool)) request.pathLost({ isFinal: cutOffMs >= LOST_AFTER_MS })
+  }
+
+  #lostRequests (pool: PoolName): RequestOnPath[] {
+    return [...this.#options.open()].filter(({ runningAt }) => runningAt !== undefined && this.stateOf(runningAt) === 'down' && this.#options.table.get(runningAt)?.pool === pool)
+  }
+
   /** Dials a few endpoints of a pool to learn whether they can be reached. */
   async probe (pool: PoolName): Promise<void> {
     await Promise.all(this.#sample(this.#options.table.candidates(pool)).map((view) => this.dial(view)))
@@ -150,8 +173,6 @@
     const { runningAt, progress } = request
     const view = runningAt && this.#options.table.get(runningAt)
     if (!view || !progress) return
-    const path = this.#paths.get(view.id)
-    if (path?.state === 'down' && now - path.sinceMs >= LOST_AFTER_MS) return request.pathLost({ isFinal: true })
     const silentSinceMs = Math.max(progress.lastPieceAtMs ?? progress.sentAtMs, this.#resumedAtMs, this.#poolHeardAtMs(view.pool))
     if (now - silentSinceMs >= maxSilenceMs(progress)) this.suspect(view, 'connection-silent')
   }
@@ -219,7 +240,6 @@
     if (after.state === 'down') {
       log('path-down', { endpoint: view.id, pool: view.pool, heardAgeMs: Math.round(after.sinceMs - after.heardAtMs) })
       this.onDown(view)
-      for (const request of [...this.#options.open()]) if (request.runningAt === view.id) request.pathLost({ isFinal: false })
     } else if (before.state === 'down') {
       log('path-up', { endpoint: view.id, pool: view.pool, state: after.state, downMs: Math.round(after.sinceMs - before.sinceMs) })
       table.forgive(view.id)
--- a/daemon/request/stall_watch.ts
+++ b/daemon/request/stall_watch.ts
@@ -66,10 +66,9 @@
     for (const request of [...this.#options.open()]) this.#checkRequest(request, now)
   }
 
-  /** While a path is in doubt or down, silence says nothing about the endpoint. */
+  /** While a path is in doubt, silence says nothing about the endpoint. */
   #isPathInDoubt (endpoint: EndpointId): boolean {
-    const state = this.#options.paths?.stateOf(endpoint)
-    return state === 'checking' || state === 'down'
+    return this.#options.paths?.stateOf(endpoint) === 'checking'
   }
 
   #checkRequest (request: WatchedRequest, now: number): void {
