Keep requests of all daemons within the slots of endpoints that fail when they reject too many

What callers saw: endpoints that say that they fail after more than N rejections a second fell over in turn, and few requests were served.

Cause: no code read that signal. Each daemon found out by itself that an endpoint was full, by a rejection, and each sent on as soon as its own view showed room.

Why this works: requests to such endpoints need a permit, as at endpoints with a rate limit, and from the same daemon. It counts what all daemons have there, from their reports and its own grants that have not arrived yet, and grants no more than the endpoint has slots: the bound does not grow with the number of daemons. While one endpoint of a pool gives the signal, the others count as fragile until they have answered without it, so that one that comes back after a failure is not met by all daemons at once.

--- a/core/endpoint_limits/observed_limits.ts
+++ b/core/endpoint_limits/observed_limits.ts
@@ -42,6 +42,11 @@
   /** Returns the limit of an endpoint in requests per second; undefined if it has none. */
   perS (endpoint: EndpointId): number | undefined { return this.#newest.get(endpoint)?.perS }
 
+  /** Returns true if an endpoint had a limit, or was observed while others had one, and its last answer names none. */
+  hasEnded (endpoint: EndpointId): boolean {
+    return this.#newest.has(endpoint) && this.#newest.get(endpoint)!.perS === undefined
+  }
+
   /** Returns the pool of an endpoint that has a limit. */
   poolOf (endpoint: EndpointId): PoolName | undefined {
     const known = this.#newest.get(endpoint)
--- a/core/endpoint_limits/permit_allocator.ts
+++ b/core/endpoint_limits/permit_allocator.ts
@@ -1,6 +1,7 @@
 /** Distributes the requests that endpoints with a limit take among all daemons. */
 import type { DaemonId, EndpointId, PoolName } from '../ids/index.ts'
 import type { LimitObservation } from './observed_limits.ts'
+import { SlotLedger, type FragileEndpoint, type SlotReport } from './slot_ledger.ts'
 
 /** Permits that a daemon needs for a pool, for urgent and for other requests. */
 export interface PermitRequest {
@@ -26,6 +27,10 @@
   now: number
   /** Permits that the daemon did not use in time. Default: none. */
   unused?: readonly PermitGrant[]
+  /** Endpoints that must not be overrun, whether or not they have a limit. Default: none. */
+  fragile?: readonly FragileEndpoint[]
+  /** What the daemon has at those endpoints. Default: unchanged. */
+  slots?: SlotReport
 }
 
 /** A daemon that needs permits and did not get all of them. */
@@ -49,22 +54,27 @@
  * the limits are used although no daemon knows which endpoint has room.
  */
 export class PermitAllocator {
+  readonly #ledger = new SlotLedger()
+  #lastGrants = 0
   readonly #buckets = new Map<EndpointId, Bucket>()
   readonly #waiting = new Map<PoolName, Map<DaemonId, WaitingDaemon>>()
 
   /** Grants a daemon what it can have of the permits that it needs. What it waits for replaces what it waited for before. */
-  allocate (daemon: DaemonId, requests: readonly PermitRequest[], options: AllocateOptions): { grants: PermitGrant[], waits: PermitWait[] } {
+  allocate (daemon: DaemonId, requests: readonly PermitRequest[], options: AllocateOptions): { grants: PermitGrant[], waits: PermitWait[], number: number } {
     this.#refill(options)
+    if (options.slots) this.#ledger.report(daemon, options.slots, options.now)
+    this.#lastGrants++
     for (const [endpoint, count] of options.unused ?? []) this.#giveBack(endpoint, count)
     const grants = new Map<EndpointId, number>()
     const waits = requests.map((request): PermitWait => {
       this.#grant(daemon, request, { ...options, grants })
-      return this.#estimateWait(request.pool, options.share)
+      return this.#estimateWait(request.pool, options)
     })
-    return { grants: [...grants], waits }
+    return { grants: [...grants], waits, number: this.#lastGrants }
   }
 
-  #refill ({ limits, share, now }: AllocateOptions): void {
+  #refill ({ limits, share, now, fragile = [] }: AllocateOptions): void {
+    this.#ledger.update(fragile, now)
     const limited = new Set<EndpointId>()
     for (const { endpoint, pool, perS } of limits) {
       if (perS === undefined) continue
@@ -73,6 +83,11 @@
       const { permits, filledAtMs } = this.#buckets.get(endpoint) ?? { permits: 0, filledAtMs: now }
       this.#buckets.set(endpoint, { pool, perS, permits: Math.min(capacityOf({ perS }), permits + perS * share * (now - filledAtMs) / MS_PER_S), filledAtMs: now })
     }
+    for (const { endpoint, pool } of fragile) {
+      if (limited.has(endpoint)) continue
+      limited.add(endpoint)
+      this.#buckets.set(endpoint, { pool, perS: Infinity, permits: Infinity, filledAtMs: now })
+    }
     for (const endpoint of this.#buckets.keys()) if (!limited.has(endpoint)) this.#buckets.delete(endpoint)
   }
 
@@ -81,16 +96,17 @@
     if (bucket) bucket.permits = Math.min(capacityOf(bucket), bucket.permits + count)
   }
 
-  #grant (daemon: DaemonId, { pool, urgent, normal, waits }: PermitRequest, { now, grants }: AllocateOptions & { grants: Map<EndpointId, number> }): void {
+  #grant (daemon: DaemonId, { pool, urgent, normal, waits }: PermitRequest, { now, share, grants }: AllocateOptions & { grants: Map<EndpointId, number> }): void {
     const waiting = this.#waitingIn(pool, now)
     const sinceMs = waiting.get(daemon)?.sinceMs ?? now
     const request: WaitingDaemon = { urgent, normal, sinceMs, requestedAtMs: now }
     const ahead = [...waiting].filter(([other, entry]) => other !== daemon && precedes(entry, request)).length
-    const available = this.#available(pool).reduce((sum, { permits }) => sum + Math.floor(permits), 0)
+    const available = this.#available(pool, { share, now }).reduce((sum, [, count]) => sum + count, 0)
     const granted = Math.max(0, Math.min(urgent + normal, available - ahead))
     for (let i = 0; i < granted; i++) {
-      const [endpoint, bucket] = this.#fullest(pool)
-      bucket.permits--
+      const [endpoint] = this.#available(pool, { share, now }).reduce((best, each) => (each[1] > best[1] ? each : best))
+      this.#buckets.get(endpoint)!.permits--
+      this.#ledger.granted(daemon, { endpoint, number: this.#lastGrants, now })
       grants.set(endpoint, (grants.get(endpoint) ?? 0) + 1)
     }
     if (!waits) return
@@ -106,19 +122,16 @@
     return waiting
   }
 
-  #available (pool: PoolName): Bucket[] {
-    return [...this.#buckets.values()].filter((bucket) => bucket.pool === pool)
-  }
-
-  #fullest (pool: PoolName): [EndpointId, Bucket] {
-    return [...this.#buckets].filter(([, bucket]) => bucket.pool === pool).reduce((best, each) => (each[1].permits > best[1].permits ? each : best))
+  /** Endpoints of a pool with the number of requests that may be sent to each now. */
+  #available (pool: PoolName, at: { share: number, now: number }): Array<[EndpointId, number]> {
+    return [...this.#buckets].filter(([, bucket]) => bucket.pool === pool).map(([endpoint, { permits }]) => [endpoint, Math.min(Math.floor(permits), this.#ledger.free(endpoint, at))])
   }
 
   /** Divides the permits that are needed before a new one by the rate of all limits of the pool. */
-  #estimateWait (pool: PoolName, share: number): PermitWait {
-    const buckets = this.#available(pool)
-    const ratePerS = buckets.reduce((sum, { perS }) => sum + perS, 0) * share
-    const available = buckets.reduce((sum, { permits }) => sum + permits, 0)
+  #estimateWait (pool: PoolName, { share, now }: { share: number, now: number }): PermitWait {
+    const buckets = [...this.#buckets].filter(([, bucket]) => bucket.pool === pool)
+    const ratePerS = buckets.reduce((sum, [endpoint, { perS }]) => sum + Math.min(perS * share, this.#ledger.grantsPerS(endpoint, now)), 0)
+    const available = buckets.reduce((sum, [endpoint, { permits }]) => sum + Math.min(permits, this.#ledger.free(endpoint, { share, now })), 0)
     const waiting = [...this.#waiting.get(pool)!.values()]
     const sumOf = (count: (daemon: WaitingDaemon) => number) => waiting.reduce((sum, daemon) => sum + count(daemon), 0)
     // Without a rate the wait is unknown: the limit or its share has not been learned yet.
--- a/core/endpoint_limits/permit_stock.ts
+++ b/core/endpoint_limits/permit_stock.ts
@@ -36,6 +36,11 @@
     return taken !== undefined
   }
 
+  /** Removes all permits of an endpoint. */
+  discard (endpoint: EndpointId): void {
+    this.#permits.delete(endpoint)
+  }
+
   /** Removes the permits that expired unused and returns them, so that other daemons can have them. */
   takeExpired (now: number): PermitGrant[] {
     for (const endpoint of this.#permits.keys()) this.#dropExpired(endpoint, now)
--- a/daemon/endpoints/endpoint_signal_recorder.ts
+++ b/daemon/endpoints/endpoint_signal_recorder.ts
@@ -14,7 +14,7 @@
   metrics: Pick<Metrics, 'endpointSignals'>
   random: Random
   /** Keeps requests within the limits of endpoints. Default: limits are ignored. */
-  limits?: Pick<EndpointLimits, 'answered'>
+  limits?: Pick<EndpointLimits, 'answered' | 'answeredRejections'>
 }
 
 /** Largest part by which a back-off is extended at random, so that daemons which were refused together do not return together. */
@@ -43,11 +43,13 @@
    * Applies the signals of one answer. Those of an endpoint that is no longer listed are ignored.
    * @param sentAtMs When the request was sent, in milliseconds on the steady clock.
    */
-  record (endpoint: EndpointId, { limit, leaving, backOff }: EndpointSignals, sentAtMs: number): void {
+  record (endpoint: EndpointId, { limit, rejections, leaving, backOff }: EndpointSignals, sentAtMs: number): void {
     const { table, limits } = this.#options
     const view = table.get(endpoint)
     if (!view) return
     limits?.answered(view, limit ?? { perS: undefined }, sentAtMs)
+    if (rejections && 'invalid' in rejections) this.#refuse(view, 'rejections', rejections)
+    else limits?.answeredRejections(view, rejections?.perS, sentAtMs)
     if (leaving === true) this.#recordLeaving(view)
     else if (leaving) this.#refuse(view, 'leaving', leaving)
     if (backOff && 'invalid' in backOff) this.#refuse(view, 'back-off', backOff)
--- a/daemon/endpoints/endpoint_table.ts
+++ b/daemon/endpoints/endpoint_table.ts
@@ -54,6 +54,7 @@
   #listedIds: ReadonlySet<EndpointId> = new Set()
   #listedAtMs: number | undefined
   #othersReportedAtMs: number | undefined
+  readonly #endListeners: Array<(view: EndpointView) => void> = []
   readonly #activityListeners: Array<(id: EndpointId) => void> = []
 
   constructor (options: EndpointTableOptions) {
@@ -267,7 +268,14 @@
   /** Records that a request from this daemon has ended. */
   ended (id: EndpointId): void {
     const view = this.#views.get(id)
-    if (view) view.own.running = Math.max(0, view.own.running - 1)
+    if (!view) return
+    view.own.running = Math.max(0, view.own.running - 1)
+    for (const listener of this.#endListeners) listener(view)
+  }
+
+  /** Adds a listener that is called after each request from this daemon that has ended, with its endpoint. */
+  onEnded (listener: (view: EndpointView) => void): void {
+    this.#endListeners.push(listener)
   }
 
   /** Updates the speed estimates of an endpoint and its pool from the time of a first token. */
--- a/daemon/exchange/_proxy_components.ts
+++ b/daemon/exchange/_proxy_components.ts
@@ -160,7 +160,7 @@
     crashes: asFunction(({ metrics, client, confirmer }: ProxyComponents) => new CrashWatch({ metrics, dial: (address) => dial(endpointAddress(address)), confirm: (view) => confirmer.confirm(view), isConnected: (view) => client.isConnected(view) })).singleton(),
     quarantine: asFunction(({ crashes, membership, metrics }: ProxyComponents) => new QuarantineTask({ crashes, membership, metrics })).singleton(),
     archive: asFunction(({ membership, quarantine }: ProxyComponents) => new QuarantineArchive({ store: platform.store, quarantine, maintainsArchive: () => membership.isFirstFor('quarantine') })).singleton(),
-    endpointLimits: asFunction(({ metrics, table }: ProxyComponents) => new EndpointLimits({ metrics, isListed: (id) => table.get(id) !== undefined })).singleton(),
+    endpointLimits: asFunction(({ metrics, table }: ProxyComponents) => new EndpointLimits({ metrics, isListed: (id) => table.get(id) !== undefined, listed: () => table.all })).singleton(),
     endpointLimitTask: asFunction(({ self, membership, endpointLimits, limits, dispatcher }: ProxyComponents) => new EndpointLimitTask({ self, membership, limits: endpointLimits, accounts: limits, queued: (pool) => dispatcher.queuedByUrgency(pool) })).singleton(),
     signals: asFunction(({ table, endpointLimits, metrics, random }: ProxyComponents) => new EndpointSignalRecorder({ table, limits: endpointLimits, metrics, random })).singleton(),
     loads: asFunction(({ self, membership, table, limits, endpointLimitTask }: ProxyComponents) => new LoadTask({ self, membership, table, limits, onReport: (from) => endpointLimitTask.sendLimits(from) })).singleton(),
@@ -253,6 +253,7 @@
   // A connection that was open when the path went down would lose the next request that is written to it.
   components.paths.onDown = (view) => components.client.dropIdle(view.id)
   components.endpointLimits.onRoom = () => components.dispatcher.startQueued()
+  components.table.onEnded((view) => components.endpointLimits.ended(view))
   components.signals.onRoom = () => components.dispatcher.startQueued()
   components.quarantine.onHeld(() => { for (const task of components.intake.open) task.quarantineChanged() })
   components.rollouts?.gate.onVersionEmptied((pool, version) => { for (const task of components.intake.open) task.moveOffVersion(pool, version) })
--- a/daemon/limits/endpoint_limit_task.ts
+++ b/daemon/limits/endpoint_limit_task.ts
@@ -1,5 +1,5 @@
 /** Reports endpoints' limits and the need for permits to the keeper, which grants the permits of all daemons. */
-import { PermitAllocator, type LimitObservation, type PermitGrant, type PermitRequest, type PermitWait } from '../../core/endpoint_limits/index.ts'
+import { PermitAllocator, type LimitObservation, type PermitGrant, type PermitRequest, type PermitWait, type SlotReport } from '../../core/endpoint_limits/index.ts'
 import type { DaemonId, PoolName } from '../../core/ids/index.ts'
 import { reportIntervalMs } from '../../core/routing/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
@@ -21,8 +21,10 @@
 /** An observation as sent to another daemon. It carries an age, since the daemons' clocks differ. */
 type ObservationMessage = Omit<LimitObservation, 'atMs'> & { ageMs: number }
 /** `unused`: permits that expired at the daemon. */
-interface LimitReport { observations: ObservationMessage[], requests: PermitRequest[], unused: PermitGrant[] }
-interface LimitReply { grants: PermitGrant[], waits: PermitWait[], answersAsks: boolean }
+/** `rejections`: rates of rejections that endpoints survive; `slots`: what the daemon has at such endpoints. Versions that do not know them send neither. */
+interface LimitReport { observations: ObservationMessage[], rejections?: ObservationMessage[], requests: PermitRequest[], unused: PermitGrant[], slots?: SlotReport }
+/** `number` identifies the grants, so that the keeper learns which of them have arrived. */
+interface LimitReply { grants: PermitGrant[], waits: PermitWait[], answersAsks: boolean, number: number }
 
 /** Least interval between reports, as a fraction of the interval between load reports. */
 const PROMPT_REPORT_FRACTION = 1 / 4
@@ -32,6 +34,9 @@
 const REPORT_TOPIC = 'limit-report'
 const REPLY_TOPIC = 'limit-reply'
 const LIMITS_TOPIC = 'limits'
+const REJECTIONS_TOPIC = 'rejection-limits'
+/** Least interval between reports of freed slots and rejections, in milliseconds: several of them are reported together. */
+const SLOT_REPORT_INTERVAL_MS = 10
 
 /** Exchanges limits and permits with the keeper. Sends nothing while no endpoint has a limit. */
 export class EndpointLimitTask {
@@ -45,15 +50,19 @@
   #lastReportAtMs = -Infinity
   #lastFullReport = { to: undefined as DaemonId | undefined, atMs: -Infinity }
   #lastHadRequests = false
+  /** Last grants that arrived, and the keeper that made them. */
+  #received = { from: undefined as DaemonId | undefined, number: 0 }
 
   constructor (options: EndpointLimitTaskOptions) {
     this.#options = options
     const { membership: { links }, limits } = options
     links.onPost(REPORT_TOPIC, (report: LimitReport, from) => links.post(from, REPLY_TOPIC, this.#serve(from, report)))
-    links.onPost(REPLY_TOPIC, (reply: LimitReply) => limits.receive(reply))
+    links.onPost(REPLY_TOPIC, (reply: LimitReply, from) => this.#receive(reply, from))
+    links.onPost(REJECTIONS_TOPIC, (observations: ObservationMessage[]) => this.#mergeRejections(observations))
     links.onPost(LIMITS_TOPIC, (observations: ObservationMessage[]) => this.#merge(observations))
     limits.onReportDue = () => this.#scheduleReport(this.#intervalMs * PROMPT_REPORT_FRACTION)
     limits.onAsk = () => this.#scheduleAsk()
+    limits.onSlotsChanged = () => this.#scheduleReport(SLOT_REPORT_INTERVAL_MS)
   }
 
   /** Starts exchanging limits. */
@@ -68,16 +77,19 @@
     clearImmediate(this.#askTimer)
     this.#options.limits.onReportDue = () => {}
     this.#options.limits.onAsk = () => {}
+    this.#options.limits.onSlotsChanged = () => {}
   }
 
   /** Sends a daemon the limits that it may not know. To be called at the keeper with each load report that arrives. */
   sendLimits (to: DaemonId): void {
-    const { limits: { observed }, membership: { links } } = this.#options
+    const { limits: { observed, rejectionLimits }, membership: { links } } = this.#options
     const now = steadyNow()
+    const version = observed.version + rejectionLimits.version
     const sent = this.#sent.get(to) ?? { version: 0, atMs: now }
-    if (sent.version === observed.version && (observed.entries.length === 0 || now - sent.atMs < RESEND_INTERVAL_MS)) return
-    this.#sent.set(to, { version: observed.version, atMs: now })
+    if (sent.version === version && (observed.entries.length + rejectionLimits.entries.length === 0 || now - sent.atMs < RESEND_INTERVAL_MS)) return
+    this.#sent.set(to, { version, atMs: now })
     links.post(to, LIMITS_TOPIC, this.#toMessages(observed.entries))
+    if (rejectionLimits.entries.length > 0) links.post(to, REJECTIONS_TOPIC, this.#toMessages(rejectionLimits.entries))
   }
 
   get #intervalMs (): number { return reportIntervalMs(this.#options.membership.reachable.length) }
@@ -90,7 +102,7 @@
   #scheduleAsk (): void {
     this.#askTimer ??= setImmediate(() => {
       this.#askTimer = undefined
-      this.#send(this.#options.accounts.keeper, { observations: [], requests: this.#options.limits.takeAsks(), unused: [] })
+      this.#send(this.#options.accounts.keeper, { observations: [], requests: this.#options.limits.takeAsks(), unused: [], ...this.#slots() })
     })
   }
 
@@ -99,12 +111,26 @@
     const { limits, accounts: { keeper }, queued } = this.#options
     this.#reportTimer = undefined
     this.#lastReportAtMs = steadyNow()
+    limits.discardUnneeded(queued)
     const requests = limits.permitsWaitedFor(queued)
-    const report: LimitReport = { observations: this.#toMessages(this.#observationsFor(keeper)), requests, unused: limits.takeUnused() }
+    const report: LimitReport = { observations: this.#toMessages(this.#observationsFor(keeper)), requests, unused: limits.takeUnused(), ...this.#slots(), rejections: this.#toMessages(limits.rejectionLimits.entries) }
     const hasRequests = requests.some(({ urgent, normal }) => urgent + normal > 0)
-    if (hasRequests || this.#lastHadRequests || report.observations.length > 0 || report.unused.length > 0) this.#send(keeper, report)
+    const isFragile = limits.fragile.length > 0
+    if (hasRequests || this.#lastHadRequests || report.observations.length > 0 || report.unused.length > 0 || isFragile) this.#send(keeper, report)
     this.#lastHadRequests = hasRequests
-    if (limits.observed.any) this.#scheduleReport(this.#intervalMs)
+    if (limits.observed.any || isFragile) this.#scheduleReport(isFragile && hasRequests ? this.#intervalMs * PROMPT_REPORT_FRACTION : this.#intervalMs)
+  }
+
+  /** What this daemon has at fragile endpoints, if there are any. */
+  #slots (): Pick<LimitReport, 'slots'> {
+    const { limits, accounts: { keeper } } = this.#options
+    if (limits.fragile.length === 0) return {}
+    return { slots: { ...limits.takeSlots(), receivedGrants: this.#received.from === keeper ? this.#received.number : 0 } }
+  }
+
+  #receive (reply: LimitReply, from: DaemonId): void {
+    this.#received = { from, number: reply.number }
+    this.#options.limits.receive(reply)
   }
 
   #observationsFor (keeper: DaemonId | undefined): LimitObservation[] {
@@ -121,7 +147,9 @@
       links.post(keeper, REPORT_TOPIC, report)
       return
     }
-    limits.receive(this.#serve(self, report))
+    const reply = this.#serve(self, report)
+    this.#received = { from: undefined, number: reply.number }
+    limits.receive(reply)
   }
 
   #prune (): void {
@@ -130,10 +158,11 @@
     for (const id of this.#sent.keys()) if (!membership.reachable.some((member) => member.id === id)) this.#sent.delete(id)
   }
 
-  #serve (from: DaemonId, { observations, requests, unused }: LimitReport): LimitReply {
+  #serve (from: DaemonId, { observations, rejections = [], requests, unused, slots }: LimitReport): LimitReply {
     const { limits, accounts } = this.#options
     this.#merge(observations)
-    const granted = this.#allocator.allocate(from, requests, { limits: limits.observed.entries, share: accounts.keeperShare, now: steadyNow(), unused })
+    this.#mergeRejections(rejections)
+    const granted = this.#allocator.allocate(from, requests, { limits: limits.observed.entries, share: accounts.keeperShare, now: steadyNow(), unused, fragile: limits.fragile, ...(slots && { slots }) })
     return { ...granted, answersAsks: requests.some(({ waits }) => !waits) }
   }
 
@@ -145,6 +174,14 @@
     if (changed) this.#scheduleReport(this.#intervalMs)
   }
 
+  #mergeRejections (messages: readonly ObservationMessage[]): void {
+    const { limits } = this.#options
+    const now = steadyNow()
+    let changed = false
+    for (const { ageMs, ...observation } of messages) changed = limits.observeRejections({ ...observation, atMs: now - ageMs }) || changed
+    if (changed) this.#scheduleReport(this.#intervalMs)
+  }
+
   #toMessages (observations: readonly LimitObservation[]): ObservationMessage[] {
     const now = steadyNow()
     return observations.map(({ atMs, ...observation }) => ({ ...observation, ageMs: now - atMs }))
--- a/daemon/limits/endpoint_limits.ts
+++ b/daemon/limits/endpoint_limits.ts
@@ -1,5 +1,5 @@
 /** Keeps this daemon's requests within the limits that endpoints name in their answers. */
-import { ObservedLimits, PermitStock, type LimitObservation, type PermitGrant, type PermitRequest, type PermitWait } from '../../core/endpoint_limits/index.ts'
+import { ObservedLimits, PermitStock, type EndpointCount, type FragileEndpoint, type LimitObservation, type PermitGrant, type PermitRequest, type PermitWait, type SlotReport } from '../../core/endpoint_limits/index.ts'
 import type { EndpointId, PoolName } from '../../core/ids/index.ts'
 import type { EndpointView } from '../../core/routing/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
@@ -15,6 +15,8 @@
   metrics: Metrics
   /** Whether an endpoint is still listed. */
   isListed (endpoint: EndpointId): boolean
+  /** Returns all endpoints that are listed. Default: none, so that no endpoint counts as fragile. */
+  listed?: () => readonly EndpointView[]
 }
 
 type EndpointRef = Pick<EndpointView, 'id' | 'pool'>
@@ -36,12 +38,22 @@
   readonly observed = new ObservedLimits()
   readonly #options: EndpointLimitsOptions
   readonly #permits = new PermitStock()
+  /**
+   * Rejections per second that endpoints survive. While any endpoint of a pool names such a rate, all others of the pool count as fragile as well until they have answered: one that comes
+   * back after a failure must not be met by all daemons at once.
+   */
+  readonly rejectionLimits = new ObservedLimits()
+  readonly #rejected = new Map<EndpointId, number>()
+  /** Least rate of each pool of which an endpoint names one. */
+  readonly #rejectionsPerS = new Map<PoolName, number>()
   /** Observations that were not reported yet. */
   readonly #unreported = new Map<EndpointId, LimitObservation>()
   readonly #asks = new Set<PendingAsk>()
   readonly #waits = new Map<PoolName, PermitWait & { atMs: number }>()
   /** Called when an observation is to be reported, or requests begin to wait for permits. */
   onReportDue: () => void = () => {}
+  /** Called when slots of fragile endpoints have become free, or they have rejected requests. */
+  onSlotsChanged: () => void = () => {}
   /** Called when a request asks for a permit. */
   onAsk: () => void = () => {}
   /** Called when requests that wait may be able to start. */
@@ -75,9 +87,84 @@
     return true
   }
 
+  /**
+   * Records how many rejections per second an endpoint survives, as one of its answers says; undefined if it does not.
+   * @param sentAtMs When the request was sent, in milliseconds on the steady clock.
+   */
+  answeredRejections ({ id, pool }: EndpointRef, perS: number | undefined, sentAtMs: number): void {
+    if (perS === undefined && !this.#rejectionsPerS.has(pool)) return
+    const observation = { endpoint: id, pool, perS, atMs: perS === undefined ? sentAtMs : steadyNow() }
+    if (this.observeRejections(observation)) this.onSlotsChanged()
+  }
+
+  /** Merges an observation of this or another daemon. Returns whether it changed the rate of the endpoint. */
+  observeRejections (observation: LimitObservation): boolean {
+    const { endpoint, pool, perS } = observation
+    const change = this.rejectionLimits.observe(observation)
+    if (!change) return false
+    log('endpoint-fragile', { endpoint, pool, change, rejectionsPerS: perS })
+    this.#updateRejections()
+    if (change === 'ended') this.onRoom()
+    return true
+  }
+
+  #updateRejections (): void {
+    this.#rejectionsPerS.clear()
+    for (const { pool, perS } of this.rejectionLimits.entries) if (perS !== undefined) this.#rejectionsPerS.set(pool, Math.min(perS, this.#rejectionsPerS.get(pool) ?? Infinity))
+  }
+
+  /** True if an endpoint fails when it has to reject too many requests. */
+  isFragile ({ id, pool }: EndpointRef): boolean {
+    return this.#rejectionsPerS.has(pool) && !this.rejectionLimits.hasEnded(id)
+  }
+
+  /** Fragile endpoints, with their slots. */
+  get fragile (): FragileEndpoint[] {
+    if (this.#rejectionsPerS.size === 0) return []
+    return (this.#options.listed?.() ?? []).filter((view) => this.isFragile(view))
+      .map((view) => ({ endpoint: view.id, pool: view.pool, slots: view.speed.batchSlots, maxRejectionsPerS: this.#rejectionsPerS.get(view.pool)! }))
+  }
+
+  /** Records that an endpoint rejected a request, and gives back the permits for it. */
+  rejected (view: EndpointRef): void {
+    if (!this.isFragile(view)) return
+    this.#rejected.set(view.id, (this.#rejected.get(view.id) ?? 0) + 1)
+    this.#permits.discard(view.id)
+    this.onSlotsChanged()
+  }
+
+  /** Records that a request at an endpoint has ended. */
+  ended (view: EndpointRef): void {
+    if (this.isFragile(view)) this.onSlotsChanged()
+  }
+
+  /** Returns what this daemon has at fragile endpoints, and the rejections since the last call. */
+  takeSlots (): Omit<SlotReport, 'receivedGrants'> {
+    const now = steadyNow()
+    const fragile = (this.#options.listed?.() ?? []).filter((view) => this.isFragile(view))
+    const held = fragile.map((view): EndpointCount => [view.id, view.own.running + this.#permits.count(view.id, now)]).filter(([, count]) => count > 0)
+    const rejected = [...this.#rejected]
+    this.#rejected.clear()
+    return { held, rejected }
+  }
+
+  /** Gives back the permits for fragile endpoints of pools in which no request waits. */
+  discardUnneeded (queued: (pool: PoolName) => RequestCounts): void {
+    const asked = new Set([...this.#asks].map(({ pool }) => pool))
+    for (const { endpoint, pool } of this.fragile) {
+      const { urgent, normal } = queued(pool)
+      if (urgent + normal === 0 && !asked.has(pool)) this.#permits.discard(endpoint)
+    }
+  }
+
+  /** Returns true if a permit reserves a slot at an endpoint for this daemon, whatever load is reported there. */
+  hasReservedSlot (view: EndpointRef): boolean {
+    return this.isFragile(view) && this.#permits.count(view.id, steadyNow()) > 0
+  }
+
   /** Returns true if all daemons together must keep to a limit at an endpoint. */
-  isLimited ({ id }: EndpointRef): boolean {
-    return this.observed.perS(id) !== undefined
+  isLimited (view: EndpointRef): boolean {
+    return this.observed.perS(view.id) !== undefined || this.isFragile(view)
   }
 
   /** Returns the limit of an endpoint in requests per second; undefined if it has none. */
@@ -91,7 +178,8 @@
   /** Returns the endpoints of a pool for which this daemon has permits. */
   permitted (pool: PoolName): EndpointId[] {
     const now = steadyNow()
-    return this.#permits.endpoints.filter((id) => this.observed.poolOf(id) === pool && this.#permits.count(id, now) > 0)
+    const fragile = new Set(this.fragile.filter((each) => each.pool === pool).map(({ endpoint }) => endpoint))
+    return this.#permits.endpoints.filter((id) => (this.observed.poolOf(id) === pool || fragile.has(id)) && this.#permits.count(id, now) > 0)
   }
 
   /** Asks for a permit of a pool. Resolves to false if none is granted soon; undefined if none can be expected. */
@@ -128,7 +216,7 @@
 
   /** Records that a request waits until it may be sent to any endpoint of its pool. */
   queued (): void {
-    if (this.observed.any) this.onReportDue()
+    if (this.observed.any || this.#rejectionsPerS.size > 0) this.onReportDue()
   }
 
   /** Estimates the time until a new request gets a permit, in milliseconds; 0 if unknown. */
@@ -191,6 +279,8 @@
   prune (): void {
     const pools = new Set(this.observed.entries.map(({ pool }) => pool))
     this.observed.prune(this.#options.isListed, steadyNow())
+    this.rejectionLimits.prune(this.#options.isListed, steadyNow())
+    this.#updateRejections()
     for (const pool of pools) this.#updateGauge(pool)
   }
 
@@ -200,12 +290,14 @@
   }
 
   get #limitedPools (): Set<PoolName> {
-    return new Set(this.observed.entries.filter(({ perS }) => perS !== undefined).map(({ pool }) => pool))
+    return new Set([...this.observed.entries.filter(({ perS }) => perS !== undefined).map(({ pool }) => pool), ...this.#rejectionsPerS.keys()])
   }
 
   #countPermits (pool: PoolName): number {
     const now = steadyNow()
-    return this.observed.entries.filter((entry) => entry.pool === pool).reduce((sum, { endpoint }) => sum + this.#permits.count(endpoint, now), 0)
+    const limited = this.observed.entries.filter((entry) => entry.pool === pool).map(({ endpoint }) => endpoint)
+    const fragile = this.fragile.filter((entry) => entry.pool === pool).map(({ endpoint }) => endpoint)
+    return [...new Set([...limited, ...fragile])].reduce((sum, endpoint) => sum + this.#permits.count(endpoint, now), 0)
   }
 
   #updateGauge (pool: PoolName): void {
--- a/daemon/log/events.ts
+++ b/daemon/log/events.ts
@@ -125,6 +125,8 @@
   'endpoint-silent': { endpoint: string, wordAgeMs: number, forMs: number }
   /** An endpoint's limit on the requests from all daemons began, changed or ended; rates are in requests per second. */
   'endpoint-limit': { endpoint: string, pool: string, change: string, perS: number | undefined, before: number | undefined }
+  /** The endpoint says that it fails when it has to reject more than `rejectionsPerS` requests a second, of all daemons together; or it does not say so any more. */
+  'endpoint-fragile': { endpoint: string, pool: string, change: string, rejectionsPerS: number | undefined }
   /** The endpoint asked for time when it refused a request; it gets no new work from this daemon until then. */
   'endpoint-backs-off': { endpoint: string, pool: string, forMs: number }
   /** The time that the endpoint asked for is over. */
--- a/daemon/request/dispatcher.ts
+++ b/daemon/request/dispatcher.ts
@@ -52,6 +52,8 @@
   perS (view: EndpointView): number | undefined
   /** True if a request may be sent to an endpoint now. */
   mayStart (view: EndpointView): boolean
+  /** True if a permit reserves a slot at an endpoint for this daemon, whatever load is reported there. */
+  hasReservedSlot (view: EndpointView): boolean
   /** Endpoints of a pool that have a limit and may get a request now. */
   permitted (pool: PoolName): readonly EndpointId[]
   /** Asks for permission to send a request of a pool to an endpoint with a limit. Resolves within tenths of a second; undefined if none can be expected. */
@@ -261,7 +263,7 @@
   }
 
   #startAt (placement: Placement, { pool, now, candidates, cached, mayAsk, isGranted }: CandidateSet & Permission & { pool: PoolState | undefined, now: number }): boolean {
-    const withRoom = this.#preferPermitted(placement, candidates.filter((view) => hasRoom(view, placement.cls.urgent) && !backsOff(view, now) && this.#canSend(view, placement)), isGranted)
+    const withRoom = this.#preferPermitted(placement, candidates.filter((view) => this.#hasRoom(view, placement.cls.urgent) && !backsOff(view, now) && this.#canSend(view, placement)), isGranted)
     // When every endpoint with room has failed the request before, all of them are candidates again; the retry budget limits how often.
     const failed = failedEndpoints(placement, withRoom)
     const avoid = failed.length < withRoom.length ? failed : []
@@ -282,6 +284,10 @@
     return true
   }
 
+  #hasRoom (view: EndpointView, urgent: boolean): boolean {
+    return hasRoom(view, urgent) || this.#options.limits?.hasReservedSlot(view) === true
+  }
+
   #canSend (view: EndpointView, { cls }: Placement): boolean {
     return this.#options.ways?.canSend(view, cls) ?? true
   }
--- a/daemon/request/request_task.ts
+++ b/daemon/request/request_task.ts
@@ -463,6 +463,7 @@
     // Spends from the budget only if the request could use the retry.
     const repeatable = this.mayRetryElsewhere && canRetry(this.lifecycle, err.point)
     const retryGranted = repeatable && (isFreeRetry(this.lifecycle, err.point) || this.ports.budget.tryWithdraw(table.isLeavingOrGone(endpoint)))
+    if (view && err.point === 'endpoint-said-not-run') this.ports.limits?.rejected(view)
     this.ports.crashes.failed({ id: endpoint, view }, err.point, this.work.fingerprint)
     if (view && err.point === 'endpoint-error') this.ports.answers?.failed(view, this.work.cls.name)
     if (view) this.#suspectPath(view, err.point)
--- a/daemon/request/work.ts
+++ b/daemon/request/work.ts
@@ -81,6 +81,8 @@
 export interface RequestLimits {
   /** Called when a request is sent to an endpoint. */
   started (view: EndpointView): void
+  /** Called when an endpoint rejects a request. */
+  rejected (view: EndpointView): void
 }
 
 /** Applies what endpoints say about themselves in their answers. */
--- a/endpoints/attempt.ts
+++ b/endpoints/attempt.ts
@@ -17,6 +17,8 @@
 export interface EndpointSignals {
   /** The request rate that the endpoint takes. Default: it names none. */
   limit?: AnswerLimit | undefined
+  /** Rejections per second, of all daemons together, that the endpoint survives. Default: it names none. */
+  rejections?: { perS: number } | InvalidSignal | undefined
   /** True if the endpoint leaves. Without it the answer says nothing about that: its head may be older than the decision to leave. */
   leaving?: true | InvalidSignal | undefined
   /** Time that the endpoint asks for when it refuses a request. Default: none. */
--- a/standins/raw_endpoint.ts
+++ b/standins/raw_endpoint.ts
@@ -32,8 +32,9 @@
   /** Number of open connections. */
   get connections (): number { return this.#sockets.size }
 
-  async listen (): Promise<string> {
-    await new Promise<void>((resolve) => this.#server.listen(0, '127.0.0.1', resolve))
+  /** Starts listening. `port` is chosen by the system by default. */
+  async listen (port = 0): Promise<string> {
+    await new Promise<void>((resolve) => this.#server.listen(port, '127.0.0.1', resolve))
     this.address = `127.0.0.1:${(this.#server.address() as AddressInfo).port}`
     return this.address
   }
