--- a/daemon/delegation/delegated_runs.ts
+++ b/daemon/delegation/delegated_runs.ts
@@ -5,7 +5,7 @@
 import type { Attachment } from '../../endpoints/index.ts'
 import { PeerError } from '../peers/links.ts'
 import type { MembershipTask } from '../peers/membership_task.ts'
-import type { DelegatedSink } from '../request/request_task.ts'
+import type { DelegatedSink } from '../request/delegated_run.ts'
 import { ALIVE_TOPIC, CANCEL_TOPIC, RUN_METHOD, type CancelMessage, type RunPart, type RunQuery, type RunResult } from './_messages.ts'
 import type { DelegateFinder } from './delegate_finder.ts'
 
--- a/daemon/exchange/_proxy_components.ts
+++ b/daemon/exchange/_proxy_components.ts
@@ -81,7 +81,7 @@
   archive: QuarantineArchive
   loads: LoadTask
   paths: PathWatch
-  delegates: DelegateFinder
+  delegateFinder: DelegateFinder
   delegatedRuns: DelegatedRuns
   delegateServer: DelegateServer
   dispatcher: Dispatcher
@@ -172,7 +172,7 @@
       hasIdleConnection: (view) => cradle.client.hasIdle(view),
       open: () => cradle.intake.open
     })).singleton(),
-    delegates: asFunction((cradle: ProxyComponents) => new DelegateFinder({
+    delegateFinder: asFunction((cradle: ProxyComponents) => new DelegateFinder({
       self: cradle.self,
       failureDomain: settings.failureDomain,
       hash,
@@ -184,9 +184,9 @@
       },
       onInquiryEnd: () => cradle.dispatcher.startQueued()
     })).singleton(),
-    delegatedRuns: asFunction(({ membership, delegates }: ProxyComponents) => new DelegatedRuns({ membership, finder: delegates })).singleton(),
+    delegatedRuns: asFunction(({ membership, delegateFinder }: ProxyComponents) => new DelegatedRuns({ membership, finder: delegateFinder })).singleton(),
     delegateServer: asFunction(({ membership, table, paths, client, intake, metrics }: ProxyComponents) => new DelegateServer({ membership, table, paths, client, intake, metrics })).singleton(),
-    dispatcher: asFunction(({ table, random, fleet, rollouts, endpointLimits, paths, delegates }: ProxyComponents) => createSharedDispatcher({
+    dispatcher: asFunction(({ table, random, fleet, rollouts, endpointLimits, paths, delegateFinder }: ProxyComponents) => createSharedDispatcher({
       table,
       hash,
       random,
@@ -194,7 +194,7 @@
       sharers: () => fleet.hostCount,
       canaries: rollouts?.gate,
       limits: endpointLimits,
-      ways: { canSend: (view, work) => paths.canSend(view, work), wayFor: (req) => delegates.wayFor(req) }
+      ways: { canSend: (view, work) => paths.canSend(view, work), wayFor: (req) => delegateFinder.wayFor(req) }
     })).singleton(),
     budgetOf: asFunction(retryBudgets).singleton(),
     intake: asFunction(({ table, dispatcher, metrics, client, crashes, quarantine, hash64, random, limits, endpointLimits, signals, usage, orders, budgetOf, config, rollouts, paths, delegatedRuns }: ProxyComponents) => new Intake({
@@ -246,8 +246,8 @@
   })
   const components = container.cradle
   shareDepartures(components.table, components.membership)
-  components.paths.onChange = (pools) => {
-    for (const pool of pools) components.delegates.pathsChanged(pool)
+  components.paths.onChange = (pool) => {
+    components.delegateFinder.pathsChanged(pool)
     components.dispatcher.startQueued()
   }
   // A connection that was open when the path went down would lose the next request that is written to it.
--- a/daemon/exchange/proxy_daemon.ts
+++ b/daemon/exchange/proxy_daemon.ts
@@ -93,7 +93,7 @@
   }
 
   async #start (): Promise<void> {
-    const { settings, membership, tallies, config, registry, server, readiness, monitor, lease, limits, endpointLimitTask, loads, usage, orders, rollouts, stalls, quarantine, archive, processor, paths, delegates, delegatedRuns, delegateServer } = this.#components
+    const { settings, membership, tallies, config, registry, server, readiness, monitor, lease, limits, endpointLimitTask, loads, usage, orders, rollouts, stalls, quarantine, archive, processor, paths, delegateFinder, delegatedRuns, delegateServer } = this.#components
     const { callers, readiness: check } = settings.listen
     await readiness.listen(check, () => this.ready)
     await server.listen(callers.host, callers.port)
@@ -111,7 +111,7 @@
     rollouts?.task.start()
     stalls.start()
     paths.start()
-    delegates.start()
+    delegateFinder.start()
     delegatedRuns.start()
     delegateServer.start()
     quarantine.start()
@@ -157,9 +157,9 @@
   }
 
   #stopTasks (): void {
-    const { config, registry, limits, endpointLimitTask, signals, loads, tallies, rollouts, stalls, quarantine, archive, processor, paths, delegates, delegatedRuns, delegateServer } = this.#components
+    const { config, registry, limits, endpointLimitTask, signals, loads, tallies, rollouts, stalls, quarantine, archive, processor, paths, delegateFinder, delegatedRuns, delegateServer } = this.#components
     paths.stop()
-    delegates.stop()
+    delegateFinder.stop()
     delegatedRuns.stop()
     delegateServer.stop()
     rollouts?.gate.stop()
--- a/daemon/limits/endpoint_limits.ts
+++ b/daemon/limits/endpoint_limits.ts
@@ -39,8 +39,8 @@
   readonly #options: EndpointLimitsOptions
   readonly #permits = new PermitStock()
   /**
-   * Rejections per second that endpoints survive. While any endpoint of a pool names such a rate, all others of the pool count as fragile as well until they have answered: one that comes
-   * back after a failure must not be met by all daemons at once.
+   * Rejections per second that endpoints survive. While any endpoint of a pool names such a rate, the others count as fragile as well, unless their own has ended: one that comes back
+   * after a failure must not be met by all daemons at once.
    */
   readonly rejectionLimits = new ObservedLimits()
   readonly #rejected = new Map<EndpointId, number>()
--- a/daemon/paths/path_watch.ts
+++ b/daemon/paths/path_watch.ts
@@ -59,8 +59,8 @@
   #tickedAtMs = steadyNow()
   /** When this process last continued after a pause. */
   #resumedAtMs = -Infinity
-  /** Called when a path becomes usable or is found to be down. */
-  onChange: (pools: ReadonlySet<PoolName>) => void = () => {}
+  /** Called when a path of a pool becomes usable or is found to be down. */
+  onChange: (pool: PoolName) => void = () => {}
   /** Called when a path is found to be down. */
   onDown: (view: EndpointView) => void = () => {}
 
@@ -173,8 +173,9 @@
     const { runningAt, progress } = request
     const view = runningAt && this.#options.table.get(runningAt)
     if (!view || !progress) return
-    const silentSinceMs = Math.max(progress.lastPieceAtMs ?? progress.sentAtMs, this.#resumedAtMs, this.#poolHeardAtMs(view.pool))
-    if (now - silentSinceMs >= maxSilenceMs(progress)) this.suspect(view, 'connection-silent')
+    const maxMs = maxSilenceMs(progress)
+    const isSilent = now - Math.max(progress.lastPieceAtMs ?? progress.sentAtMs, this.#resumedAtMs) >= maxMs
+    if (isSilent && now - this.#poolHeardAtMs(view.pool) >= maxMs) this.suspect(view, 'connection-silent')
   }
 
   #poolHeardAtMs (pool: PoolName): number {
@@ -244,7 +245,7 @@
       log('path-up', { endpoint: view.id, pool: view.pool, state: after.state, downMs: Math.round(after.sinceMs - before.sinceMs) })
       table.forgive(view.id)
     }
-    if (after.state !== 'checking') this.onChange(new Set([view.pool]))
+    if (after.state !== 'checking') this.onChange(view.pool)
   }
 }
 
--- /dev/null
+++ b/daemon/request/delegated_run.ts
@@ -0,0 +1,28 @@
+/** One run of a request at another daemon. */
+import type { AnswerHead } from '../../core/answer/index.ts'
+import type { AttemptError } from '../../core/outcome/index.ts'
+
+/** How a run of a request at another daemon begins. */
+export interface DelegatedSpec {
+  /** Offset after the last piece that the caller has. */
+  from: number
+  /** Milliseconds until the request's deadline. */
+  deadlineInMs: number
+  /** Number of endpoints that the request may still be sent to. */
+  maxAttempts: number
+  /** True if the request may run again when the daemon does not respond. */
+  repeatable: boolean
+}
+
+/** Receives the answer of a request that another daemon runs. The last call is exactly one of `onEnd`, `onRefused` and `onError`. */
+export interface DelegatedSink<P> {
+  /** Called before the first piece. */
+  onHead (head: AnswerHead): void
+  onChunk (offset: number, pieces: readonly P[]): void
+  /** Called at the answer's explicit end. `total` counts the pieces from the start of the whole answer. */
+  onEnd (total: number): void
+  /** Called when the request did not run, and the caller is to come back later. */
+  onRefused (why: string, retryAfterMs: number): void
+  /** Called when the run failed. `reached` is the number of endpoints that the request may have been sent to. */
+  onError (err: AttemptError, reached: number): void
+}
