Let go of a delegated request once it has ended

Seen by reading: each request that a daemon ran for another left a listener at the link between them, and with it its answer, until the link closed.

The test failed before with three listeners after three runs, and finds none now. Adds tests of the part that runs requests of others: the room that it offers, the bound of 64, draining, cancelling, and what it reports.

--- a/daemon/delegation/delegate_server.ts
+++ b/daemon/delegation/delegate_server.ts
@@ -108,8 +108,11 @@
     const origin = this.#originOf(from)
     origin.running++
     origin.requests++
-    signal.addEventListener('abort', () => task.post({ type: 'caller-left' }))
+    const cancel = () => task.post({ type: 'caller-left' })
+    signal.addEventListener('abort', cancel)
     const result = await follow(task, { resumeFrom: query.req.resumeFrom, part })
+    // The link outlives its runs.
+    signal.removeEventListener('abort', cancel)
     this.#tasks.delete(key)
     origin.running--
     return result
--- /dev/null
+++ b/daemon/delegation/delegate_server_test.ts
@@ -0,0 +1,143 @@
+import { getEventListeners } from 'node:events'
+import { afterEach, beforeEach, expect, test, vi } from 'vitest'
+import { AnswerBuffer } from '../../core/answer/index.ts'
+import { as, type DaemonId, type PoolName, type RequestId } from '../../core/ids/index.ts'
+import type { RequestMessage } from '../../core/request/index.ts'
+import { createMetrics } from '../metrics.ts'
+import type { FinalResult } from '../request/live_answer.ts'
+import type { PeerMethod, PostHandler } from '../peers/links.ts'
+import { ALIVE_TOPIC, CANCEL_TOPIC, OFFER_METHOD, RUN_METHOD, type RunPart, type RunQuery, type RunResult } from './_messages.ts'
+import { DelegateServer, type DelegateServerOptions } from './index.ts'
+
+const POOL = as<PoolName>('desk')
+const ORIGIN = as<DaemonId>('origin')
+const QUERY: RunQuery = { run: 1, req: { id: as<RequestId>('r'), method: 'GET', target: '/', host: 'h', headers: [], body: Buffer.alloc(0), demand: undefined, resumeFrom: 0 }, account: undefined, pool: POOL, deadlineInMs: 1000, maxAttempts: 2 }
+
+/** A request that runs until it is given a result. */
+class FakeTask {
+  readonly answer = new AnswerBuffer<Buffer>()
+  readonly received: string[] = []
+  readonly state = { sent: 0 }
+  readonly started = true
+  head: unknown
+  final: FinalResult | undefined
+  failureAnswer: unknown
+  #listener: () => void = () => {}
+
+  subscribe (listener: () => void): () => void {
+    this.#listener = listener
+    return () => { this.#listener = () => {} }
+  }
+
+  post ({ type }: RequestMessage): void { this.received.push(type) }
+
+  finish (final: Partial<FinalResult>): void {
+    this.final = { outcome: 'answered', reason: 'whole', retryAfterMs: undefined, ...final }
+    this.#listener()
+  }
+}
+
+let methods: Map<string, PeerMethod>
+let posts: Map<string, PostHandler>
+let posted: Array<[DaemonId, string]>
+let tasks: FakeTask[]
+let server: DelegateServer
+let link: AbortController
+let room: number
+let reach: 'reached' | 'cut-off'
+let ageMs: number | undefined
+
+beforeEach(() => {
+  vi.useFakeTimers()
+  methods = new Map()
+  posts = new Map()
+  posted = []
+  tasks = []
+  link = new AbortController()
+  room = 100
+  reach = 'reached'
+  ageMs = 10
+  const links = {
+    handle: (method: string, handler: PeerMethod) => methods.set(method, handler),
+    onPost: (topic: string, handler: PostHandler) => posts.set(topic, handler),
+    post: (to: DaemonId, topic: string) => posted.push([to, topic])
+  }
+  server = new DelegateServer({
+    membership: { links },
+    table: { candidates: () => [{ id: 'e', speed: { batchSlots: 1000 }, own: { running: 0 }, others: { running: 0 } }] },
+    paths: { reach: () => reach, heardAgeMs: () => ageMs, probe: async () => {}, stateOf: () => 'open' },
+    client: { available: () => room },
+    metrics: createMetrics(),
+    intake: { acceptDelegated: () => { const task = new FakeTask(); tasks.push(task); return task } }
+  } as unknown as DelegateServerOptions)
+  server.start()
+})
+afterEach(() => {
+  server.stop()
+  vi.useRealTimers()
+})
+
+const offer = async (from = ORIGIN) => await methods.get(OFFER_METHOD)!({ pool: POOL } as never, { from, part: () => {}, signal: link.signal }) as { room: number }
+const run = (number: number, parts: RunPart[] = []) => methods.get(RUN_METHOD)!({ ...QUERY, run: number } as never, { from: ORIGIN, part: (value) => parts.push(value as RunPart), signal: link.signal }) as Promise<RunResult>
+
+test('a run that has ended leaves nothing behind at the link to its origin', async () => {
+  // Guards against memory that grows with each request of another daemon for as long as the link stays open.
+  for (let i = 1; i <= 3; i++) {
+    const result = run(i)
+    await vi.advanceTimersByTimeAsync(1)
+    tasks.at(-1)!.finish({})
+    expect(await result).toEqual({ type: 'answered', total: 0 })
+  }
+  expect([server.open, getEventListeners(link.signal, 'abort').length]).toEqual([0, 0])
+})
+
+test('a run ends when the link to its origin breaks, or its origin cancels it', async () => {
+  run(1)
+  run(2)
+  await vi.advanceTimersByTimeAsync(1)
+  posts.get(CANCEL_TOPIC)!({ run: 2 } as never, ORIGIN)
+  expect(tasks.map(({ received }) => received)).toEqual([['begin'], ['begin', 'caller-left']])
+  link.abort()
+  expect(tasks.map(({ received }) => received.at(-1))).toEqual(['caller-left', 'caller-left'])
+})
+
+test('the room is divided among the daemons that ask, and no more requests run than the bound', async () => {
+  // Guards against a helper that is overrun by the daemons that it helps.
+  expect((await offer()).room).toBe(64)
+  expect((await offer(as<DaemonId>('second'))).room).toBe(32)
+  room = 6
+  expect((await offer()).room).toBe(3)
+  for (let i = 1; i <= 64; i++) run(i)
+  await vi.advanceTimersByTimeAsync(1)
+  expect([server.open, await run(65)]).toEqual([64, { type: 'declined', why: 'it runs 64 requests of other daemons' }])
+})
+
+test('a daemon that drains, is cut off itself, or has not reached the pool lately offers and runs nothing', async () => {
+  ageMs = 5000
+  expect((await offer()).room).toBe(0)
+  ageMs = 10
+  reach = 'cut-off'
+  expect((await run(1)).type).toBe('declined')
+  reach = 'reached'
+  server.startDraining()
+  expect([(await offer()).room, (await run(2)).type]).toEqual([0, 'declined'])
+})
+
+test('an origin learns twice a second that its requests run', async () => {
+  run(1)
+  await vi.advanceTimersByTimeAsync(1100)
+  expect(posted).toEqual([[ORIGIN, ALIVE_TOPIC], [ORIGIN, ALIVE_TOPIC]])
+})
+
+test.each<[Partial<FinalResult>, Partial<RunResult>]>([
+  [{ outcome: 'not-run', reason: 'no room in time', retryAfterMs: 300 }, { type: 'refused', retryAfterMs: 300 }],
+  [{ outcome: 'not-run', reason: 'endpoint failed: connect-refused' }, { type: 'declined' }],
+  [{ outcome: 'not-run', reason: 'no endpoint of the pool can be reached', retryAfterMs: 1000 }, { type: 'declined' }],
+  [{ outcome: 'unknown', reason: 'no endpoint of the pool can be reached' }, { type: 'lost' }],
+  [{ outcome: 'unknown', reason: 'endpoint failed: torn-answer' }, { type: 'failed' }]
+])('the final result %j is reported to the origin as what it means there', async (final, result) => {
+  const reported = run(1)
+  await vi.advanceTimersByTimeAsync(1)
+  tasks[0]!.finish(final)
+  expect(await reported).toMatchObject(result)
+})
