Keep the sums of slots that daemons have, instead of summing up for each grant

Seen by reading: the daemon that grants slots of fragile endpoints summed over all daemons for each endpoint and each grant.

What is granted stays the same, but for a rate of rejections that is no whole number, which granted one request too many in a burst (test added; it failed with 2.5 before).

--- a/core/endpoint_limits/permit_allocator.ts
+++ b/core/endpoint_limits/permit_allocator.ts
@@ -27,7 +27,7 @@
   now: number
   /** Permits that the daemon did not use in time. Default: none. */
   unused?: readonly PermitGrant[]
-  /** Endpoints that must not be overrun, whether or not they have a limit. Default: none. */
+  /** Endpoints that must not be overrun, whether or not they have a limit; another list whenever they change. Default: none. */
   fragile?: readonly FragileEndpoint[]
   /** What the daemon has at those endpoints. Default: unchanged. */
   slots?: SlotReport
@@ -38,6 +38,9 @@
 /** Permits of an endpoint that are available now. */
 interface Bucket { pool: PoolName, perS: number, permits: number, filledAtMs: number }
 
+/** Permits that are left for an endpoint. */
+interface AvailablePermits { endpoint: EndpointId, permits: number }
+
 const MS_PER_S = 1000
 /** Permits that accumulate while nobody needs them: a constant number, and the permits of this many seconds. */
 const BASE_CAPACITY = 2
@@ -56,6 +59,8 @@
 export class PermitAllocator {
   readonly #ledger = new SlotLedger()
   #lastGrants = 0
+  #fragile: readonly FragileEndpoint[] = []
+  readonly #fragileByPool = new Map<PoolName, EndpointId[]>()
   readonly #buckets = new Map<EndpointId, Bucket>()
   readonly #waiting = new Map<PoolName, Map<DaemonId, WaitingDaemon>>()
 
@@ -67,14 +72,13 @@
     for (const [endpoint, count] of options.unused ?? []) this.#giveBack(endpoint, count)
     const grants = new Map<EndpointId, number>()
     const waits = requests.map((request): PermitWait => {
-      this.#grant(daemon, request, { ...options, grants })
-      return this.#estimateWait(request.pool, options)
+      const left = this.#grant(daemon, request, { ...options, grants })
+      return this.#estimateWait(request.pool, { ...options, left })
     })
     return { grants: [...grants], waits, number: this.#lastGrants }
   }
 
   #refill ({ limits, share, now, fragile = [] }: AllocateOptions): void {
-    this.#ledger.update(fragile, now)
     const limited = new Set<EndpointId>()
     for (const { endpoint, pool, perS } of limits) {
       if (perS === undefined) continue
@@ -83,12 +87,15 @@
       const { permits, filledAtMs } = this.#buckets.get(endpoint) ?? { permits: 0, filledAtMs: now }
       this.#buckets.set(endpoint, { pool, perS, permits: Math.min(capacityOf({ perS }), permits + perS * share * (now - filledAtMs) / MS_PER_S), filledAtMs: now })
     }
-    for (const { endpoint, pool } of fragile) {
-      if (limited.has(endpoint)) continue
-      limited.add(endpoint)
-      this.#buckets.set(endpoint, { pool, perS: Infinity, permits: Infinity, filledAtMs: now })
-    }
     for (const endpoint of this.#buckets.keys()) if (!limited.has(endpoint)) this.#buckets.delete(endpoint)
+    if (fragile !== this.#fragile) this.#replaceFragile(fragile, now)
+  }
+
+  #replaceFragile (fragile: readonly FragileEndpoint[], now: number): void {
+    this.#fragile = fragile
+    this.#ledger.update(fragile, now)
+    this.#fragileByPool.clear()
+    for (const { endpoint, pool } of fragile) this.#fragileByPool.set(pool, [...this.#fragileByPool.get(pool) ?? [], endpoint])
   }
 
   #giveBack (endpoint: EndpointId, count: number): void {
@@ -96,23 +103,36 @@
     if (bucket) bucket.permits = Math.min(capacityOf(bucket), bucket.permits + count)
   }
 
-  #grant (daemon: DaemonId, { pool, urgent, normal, waits }: PermitRequest, { now, share, grants }: AllocateOptions & { grants: Map<EndpointId, number> }): void {
+  /** Grants what a request can have, and returns what is left for each endpoint of its pool. */
+  #grant (daemon: DaemonId, { pool, urgent, normal, waits }: PermitRequest, { now, share, grants }: AllocateOptions & { grants: Map<EndpointId, number> }): AvailablePermits[] {
     const waiting = this.#waitingIn(pool, now)
     const sinceMs = waiting.get(daemon)?.sinceMs ?? now
     const request: WaitingDaemon = { urgent, normal, sinceMs, requestedAtMs: now }
     const ahead = [...waiting].filter(([other, entry]) => other !== daemon && precedes(entry, request)).length
-    const available = this.#available(pool, { share, now }).reduce((sum, [, count]) => sum + count, 0)
+    const left = this.#available(pool, { share, now })
+    const available = left.reduce((sum, { permits }) => sum + Math.floor(permits), 0)
     const granted = Math.max(0, Math.min(urgent + normal, available - ahead))
     for (let i = 0; i < granted; i++) {
-      const [endpoint] = this.#available(pool, { share, now }).reduce((best, each) => (each[1] > best[1] ? each : best))
-      this.#buckets.get(endpoint)!.permits--
-      this.#ledger.granted(daemon, { endpoint, number: this.#lastGrants, now })
-      grants.set(endpoint, (grants.get(endpoint) ?? 0) + 1)
+      const fullest = left.reduce((best, each) => (each.permits > best.permits ? each : best))
+      fullest.permits--
+      this.#take(daemon, fullest.endpoint, now)
+      grants.set(fullest.endpoint, (grants.get(fullest.endpoint) ?? 0) + 1)
     }
-    if (!waits) return
+    if (waits) this.#recordWaiting(daemon, { request, granted, waiting })
+    return left
+  }
+
+  #take (daemon: DaemonId, endpoint: EndpointId, now: number): void {
+    const bucket = this.#buckets.get(endpoint)
+    if (bucket) bucket.permits--
+    this.#ledger.granted(daemon, { endpoint, number: this.#lastGrants, now })
+  }
+
+  #recordWaiting (daemon: DaemonId, { request, granted, waiting }: { request: WaitingDaemon, granted: number, waiting: Map<DaemonId, WaitingDaemon> }): void {
+    const { urgent, normal, sinceMs, requestedAtMs } = request
     const left = { urgent: Math.max(0, urgent - granted), normal: Math.max(0, normal - Math.max(0, granted - urgent)) }
     if (left.urgent + left.normal === 0) waiting.delete(daemon)
-    else waiting.set(daemon, { ...request, ...left, sinceMs: granted > 0 ? now : sinceMs })
+    else waiting.set(daemon, { ...request, ...left, sinceMs: granted > 0 ? requestedAtMs : sinceMs })
   }
 
   #waitingIn (pool: PoolName, now: number): Map<DaemonId, WaitingDaemon> {
@@ -122,16 +142,17 @@
     return waiting
   }
 
-  /** Endpoints of a pool with the number of requests that may be sent to each now. */
-  #available (pool: PoolName, at: { share: number, now: number }): Array<[EndpointId, number]> {
-    return [...this.#buckets].filter(([, bucket]) => bucket.pool === pool).map(([endpoint, { permits }]) => [endpoint, Math.min(Math.floor(permits), this.#ledger.free(endpoint, at))])
+  /** Endpoints of a pool with the permits that are left for each. */
+  #available (pool: PoolName, at: { share: number, now: number }): AvailablePermits[] {
+    const limited = [...this.#buckets].filter(([, bucket]) => bucket.pool === pool).map(([endpoint, bucket]) => ({ endpoint, permits: Math.min(bucket.permits, this.#ledger.free(endpoint, at)) }))
+    const fragile = (this.#fragileByPool.get(pool) ?? []).filter((endpoint) => !this.#buckets.has(endpoint)).map((endpoint) => ({ endpoint, permits: this.#ledger.free(endpoint, at) }))
+    return [...limited, ...fragile]
   }
 
   /** Divides the permits that are needed before a new one by the rate of all limits of the pool. */
-  #estimateWait (pool: PoolName, { share, now }: { share: number, now: number }): PermitWait {
-    const buckets = [...this.#buckets].filter(([, bucket]) => bucket.pool === pool)
-    const ratePerS = buckets.reduce((sum, [endpoint, { perS }]) => sum + Math.min(perS * share, this.#ledger.grantsPerS(endpoint, now)), 0)
-    const available = buckets.reduce((sum, [endpoint, { permits }]) => sum + Math.min(permits, this.#ledger.free(endpoint, { share, now })), 0)
+  #estimateWait (pool: PoolName, { share, now, left }: { share: number, now: number, left: readonly AvailablePermits[] }): PermitWait {
+    const ratePerS = left.reduce((sum, { endpoint }) => sum + Math.min((this.#buckets.get(endpoint)?.perS ?? Infinity) * share, this.#ledger.grantsPerS(endpoint, now)), 0)
+    const available = left.reduce((sum, { permits }) => sum + permits, 0)
     const waiting = [...this.#waiting.get(pool)!.values()]
     const sumOf = (count: (daemon: WaitingDaemon) => number) => waiting.reduce((sum, daemon) => sum + count(daemon), 0)
     // Without a rate the wait is unknown: the limit or its share has not been learned yet.
--- a/core/endpoint_limits/slot_ledger.ts
+++ b/core/endpoint_limits/slot_ledger.ts
@@ -24,8 +24,8 @@
   receivedGrants: number
 }
 
-interface Grant { number: number, endpoint: EndpointId, count: number, atMs: number }
-interface Holder { held: Map<EndpointId, number>, grants: Grant[], reportedAtMs: number }
+interface Grant { number: number, endpoint: EndpointId, atMs: number }
+interface Holder { held: readonly EndpointCount[], grants: Grant[], reportedAtMs: number }
 interface Slots {
   fragile: FragileEndpoint
   /** Requests that it gets at once, as learned from rejections. */
@@ -41,6 +41,8 @@
 const HOLDER_TTL_MS = 2000
 /** Time after which a grant that the daemon did not confirm is taken to be lost, in milliseconds. */
 const GRANT_TTL_MS = 1000
+/** Least interval between searches for daemons that are gone and grants that are lost, in milliseconds. */
+const EXPIRY_INTERVAL_MS = 20
 /** Time until the first grants for an endpoint, in milliseconds: all daemons must have reported what they have there. */
 const WARM_UP_MS = 500
 /** Part of the requests at an endpoint that remains its capacity after a rejection. */
@@ -64,6 +66,9 @@
 export class SlotLedger {
   readonly #slots = new Map<EndpointId, Slots>()
   readonly #holders = new Map<DaemonId, Holder>()
+  /** Sums over all daemons. They are kept up to date, since a sum for each question would make the cost grow with the square of the number of daemons. */
+  readonly #totals = new Map<EndpointId, number>()
+  #expiredAtMs = -Infinity
 
   /** Replaces the fragile endpoints. */
   update (endpoints: readonly FragileEndpoint[], now: number): void {
@@ -78,24 +83,22 @@
 
   /** Applies a report of a daemon. Times are in milliseconds on the daemon's clock. */
   report (daemon: DaemonId, { held, rejected, receivedGrants }: SlotReport, now: number): void {
-    const grants = this.#holders.get(daemon)?.grants.filter(({ number, atMs }) => number > receivedGrants && now - atMs < GRANT_TTL_MS) ?? []
-    this.#holders.set(daemon, { held: new Map(held), grants, reportedAtMs: now })
+    const known = this.#holders.get(daemon)
+    const grants = known?.grants.filter(({ number, atMs }) => number > receivedGrants && now - atMs < GRANT_TTL_MS) ?? []
+    if (known) this.#count(known, -1)
+    const holder = { held, grants, reportedAtMs: now }
+    this.#holders.set(daemon, holder)
+    this.#count(holder, 1)
     for (const [endpoint] of rejected) this.#reject(endpoint, now)
   }
 
-  /** Returns true if an endpoint is fragile. */
-  isFragile (endpoint: EndpointId): boolean {
-    return this.#slots.has(endpoint)
-  }
-
   /** Returns the number of further requests that may be sent to an endpoint; unlimited for others than fragile ones. */
   free (endpoint: EndpointId, { share, now }: { share: number, now: number }): number {
     const slots = this.#slots.get(endpoint)
     if (!slots) return Infinity
     if (now < slots.pausedUntilMs) return 0
     this.#raise(slots, now)
-    const recent = slots.grantedAtMs.filter((atMs) => now - atMs < REJECTION_LATENCY_MS).length
-    const unchecked = Math.max(1, slots.fragile.maxRejectionsPerS - 1) - recent
+    const unchecked = Math.max(1, Math.floor(slots.fragile.maxRejectionsPerS) - 1) - countSince(slots.grantedAtMs, now - REJECTION_LATENCY_MS)
     return Math.max(0, Math.min(unchecked, Math.floor(slots.capacity * share) - this.#held(endpoint, now)))
   }
 
@@ -104,30 +107,49 @@
     const slots = this.#slots.get(endpoint)
     if (!slots) return
     slots.grantedAtMs.push(now)
-    const holder: Holder = this.#holders.get(daemon) ?? { held: new Map(), grants: [], reportedAtMs: now }
-    holder.grants.push({ number, endpoint, count: 1, atMs: now })
+    const holder: Holder = this.#holders.get(daemon) ?? { held: [], grants: [], reportedAtMs: now }
+    holder.grants.push({ number, endpoint, atMs: now })
     this.#holders.set(daemon, holder)
+    this.#add(endpoint, 1)
   }
 
   /** Returns the rate of grants for an endpoint in the last second. */
   grantsPerS (endpoint: EndpointId, now: number): number {
     const slots = this.#slots.get(endpoint)
     if (!slots) return Infinity
-    slots.grantedAtMs = slots.grantedAtMs.filter((atMs) => now - atMs < RATE_WINDOW_MS)
+    while (slots.grantedAtMs.length > 0 && now - slots.grantedAtMs[0]! >= RATE_WINDOW_MS) slots.grantedAtMs.shift()
     return slots.grantedAtMs.length
   }
 
   #held (endpoint: EndpointId, now: number): number {
-    let sum = 0
-    for (const [id, { held, grants, reportedAtMs }] of this.#holders) {
-      if (now - reportedAtMs >= HOLDER_TTL_MS) {
-        this.#holders.delete(id)
-        continue
+    if (now - this.#expiredAtMs >= EXPIRY_INTERVAL_MS) this.#expire(now)
+    return this.#totals.get(endpoint) ?? 0
+  }
+
+  #expire (now: number): void {
+    this.#expiredAtMs = now
+    for (const [id, holder] of this.#holders) {
+      const isGone = now - holder.reportedAtMs >= HOLDER_TTL_MS
+      if (!isGone && holder.grants.every(({ atMs }) => now - atMs < GRANT_TTL_MS)) continue
+      this.#count(holder, -1)
+      if (isGone) this.#holders.delete(id)
+      else {
+        holder.grants = holder.grants.filter(({ atMs }) => now - atMs < GRANT_TTL_MS)
+        this.#count(holder, 1)
       }
-      sum += held.get(endpoint) ?? 0
-      for (const grant of grants) if (grant.endpoint === endpoint && now - grant.atMs < GRANT_TTL_MS) sum += grant.count
     }
-    return sum
+  }
+
+  /** Adds what a daemon has to the sums, or removes it. */
+  #count ({ held, grants }: Holder, sign: 1 | -1): void {
+    for (const [endpoint, count] of held) this.#add(endpoint, sign * count)
+    for (const { endpoint } of grants) this.#add(endpoint, sign)
+  }
+
+  #add (endpoint: EndpointId, count: number): void {
+    const total = (this.#totals.get(endpoint) ?? 0) + count
+    if (total === 0) this.#totals.delete(endpoint)
+    else this.#totals.set(endpoint, total)
   }
 
   #reject (endpoint: EndpointId, now: number): void {
@@ -152,3 +174,10 @@
     slots.raisedAtMs = now
   }
 }
+
+/** Returns how many of the times, which are in order, are later than the given one. */
+function countSince (times: readonly number[], sinceMs: number): number {
+  let count = 0
+  while (count < times.length && times[times.length - 1 - count]! > sinceMs) count++
+  return count
+}
--- a/core/endpoint_limits/slot_ledger_test.ts
+++ b/core/endpoint_limits/slot_ledger_test.ts
@@ -62,6 +62,12 @@
   expect([600, 624, 625].map((now) => slots.free(A, { share: 1, now }))).toEqual([0, 0, 2])
 })
 
+test('a rate that is no whole number grants whole requests', () => {
+  const slots = new SlotLedger()
+  slots.update([{ ...FRAGILE, maxRejectionsPerS: 3.5 }], 0)
+  expect(slots.free(A, { share: 1, now: 600 })).toBe(2)
+})
+
 test.each([9, 87, 195, 420])('%i daemons together never have more than the slots at an endpoint, however late they report', (daemons) => {
   // Guards against a bound that grows with the number of daemons.
   const allocator = new PermitAllocator()
--- a/daemon/limits/endpoint_limits.ts
+++ b/daemon/limits/endpoint_limits.ts
@@ -26,6 +26,9 @@
 
 /** Longest time for which an estimate of the wait is used, in milliseconds. */
 const WAIT_ESTIMATE_TTL_MS = 1000
+/** Time for which the list of fragile endpoints is used, in milliseconds; endpoints that are listed meanwhile are missing from it. */
+const FRAGILE_LIST_TTL_MS = 100
+const NO_ENDPOINTS: readonly FragileEndpoint[] = []
 /** Time after which a request that asked for a permit goes elsewhere, in milliseconds: several round trips to the keeper. */
 const ASK_TIMEOUT_MS = 50
 
@@ -44,6 +47,7 @@
    */
   readonly rejectionLimits = new ObservedLimits()
   readonly #rejected = new Map<EndpointId, number>()
+  #fragile: { list: readonly FragileEndpoint[], atMs: number } | undefined
   /** Least rate of each pool of which an endpoint names one. */
   readonly #rejectionsPerS = new Map<PoolName, number>()
   /** Observations that were not reported yet. */
@@ -109,6 +113,7 @@
   }
 
   #updateRejections (): void {
+    this.#fragile = undefined
     this.#rejectionsPerS.clear()
     for (const { pool, perS } of this.rejectionLimits.entries) if (perS !== undefined) this.#rejectionsPerS.set(pool, Math.min(perS, this.#rejectionsPerS.get(pool) ?? Infinity))
   }
@@ -118,11 +123,16 @@
     return this.#rejectionsPerS.has(pool) && !this.rejectionLimits.hasEnded(id)
   }
 
-  /** Fragile endpoints, with their slots. */
-  get fragile (): FragileEndpoint[] {
-    if (this.#rejectionsPerS.size === 0) return []
-    return (this.#options.listed?.() ?? []).filter((view) => this.isFragile(view))
-      .map((view) => ({ endpoint: view.id, pool: view.pool, slots: view.speed.batchSlots, maxRejectionsPerS: this.#rejectionsPerS.get(view.pool)! }))
+  /** Fragile endpoints, with their slots. The list is built anew when the signals of endpoints change, and otherwise now and then. */
+  get fragile (): readonly FragileEndpoint[] {
+    if (this.#rejectionsPerS.size === 0) return NO_ENDPOINTS
+    const now = steadyNow()
+    if (this.#fragile === undefined || now - this.#fragile.atMs >= FRAGILE_LIST_TTL_MS) {
+      const list = (this.#options.listed?.() ?? []).filter((view) => this.isFragile(view))
+        .map((view) => ({ endpoint: view.id, pool: view.pool, slots: view.speed.batchSlots, maxRejectionsPerS: this.#rejectionsPerS.get(view.pool)! }))
+      this.#fragile = { list, atMs: now }
+    }
+    return this.#fragile.list
   }
 
   /** Records that an endpoint rejected a request, and gives back the permits for it. */
