--- a/core/delegation/delegate_selector.ts
+++ b/core/delegation/delegate_selector.ts
@@ -9,8 +9,8 @@
 export interface DelegateOffer {
   /** Requests that it runs for this daemon at once; 0 if it declines. */
   room: number
-  /** Time since it last heard an endpoint of the pool, in milliseconds. */
-  endpointAgeMs: number
+  /** Time since an endpoint of the pool last sent it anything, in milliseconds. */
+  activityAgeMs: number
 }
 
 /** A daemon that was selected, with the knowledge that it was selected by. */
@@ -20,8 +20,8 @@
   inFlight: number
   /** Time since its offer arrived, in milliseconds. */
   offerAgeMs: number
-  /** Time since it last heard an endpoint of the pool, in milliseconds. */
-  endpointAgeMs: number
+  /** Time since an endpoint of the pool last sent it anything, in milliseconds. */
+  activityAgeMs: number
 }
 
 /** Options of {@linkcode DelegateSelector}. */
@@ -109,7 +109,7 @@
       const isBestNear = best !== undefined && this.#isNear(best.offer)
       if (!best || (isNear === isBestNear ? use < best.use : isNear)) best = { id, offer, use }
     }
-    return best && { id: best.id, inFlight: this.inFlight(best.id), offerAgeMs: now - best.offer.atMs, endpointAgeMs: now - best.offer.atMs + best.offer.endpointAgeMs }
+    return best && { id: best.id, inFlight: this.inFlight(best.id), offerAgeMs: now - best.offer.atMs, activityAgeMs: now - best.offer.atMs + best.offer.activityAgeMs }
   }
 
   /** Counts a request that was sent to a daemon. */
--- a/core/delegation/delegate_selector_test.ts
+++ b/core/delegation/delegate_selector_test.ts
@@ -6,7 +6,7 @@
 const { h32 } = await xxhash()
 const hash = (text: string) => h32(text)
 const POOL = as<PoolName>('p')
-const OFFER = { room: 4, endpointAgeMs: 100 }
+const OFFER = { room: 4, activityAgeMs: 100 }
 
 /** Daemons spread over four failure domains. */
 function fleet (size: number): DelegateCandidate[] {
@@ -21,7 +21,7 @@
   const [self, near, far] = [0, 4, 1].map((i) => fleet(8)[i]!) as [DelegateCandidate, DelegateCandidate, DelegateCandidate]
   const selector = selectorOf(self)
   selector.recordOffer(POOL, far, OFFER, 0)
-  selector.recordOffer(POOL, near, { room: 2, endpointAgeMs: 100 }, 0)
+  selector.recordOffer(POOL, near, { room: 2, activityAgeMs: 100 }, 0)
   const picked = Array.from({ length: 7 }, () => {
     const to = selector.pick(POOL, { avoid: [] }, 10)
     if (to) selector.started(to.id)
@@ -29,7 +29,7 @@
   })
   expect(picked).toEqual([near.id, near.id, far.id, far.id, far.id, far.id, undefined])
   selector.ended(near.id)
-  expect(selector.pick(POOL, { avoid: [] }, 10)).toEqual({ id: near.id, inFlight: 1, offerAgeMs: 10, endpointAgeMs: 110 })
+  expect(selector.pick(POOL, { avoid: [] }, 10)).toEqual({ id: near.id, inFlight: 1, offerAgeMs: 10, activityAgeMs: 110 })
   expect(selector.pick(POOL, { avoid: [near.id] }, 10)).toBeUndefined()
 })
 
@@ -54,7 +54,7 @@
   const daemons = fleet(12)
   const selector = selectorOf(daemons[0]!)
   const offering = selector.toAsk(POOL, daemons, 0)
-  for (const each of offering) selector.recordOffer(POOL, each, { room: 1, endpointAgeMs: 0 }, 0)
+  for (const each of offering) selector.recordOffer(POOL, each, { room: 1, activityAgeMs: 0 }, 0)
   expect(selector.toAsk(POOL, daemons, 500)).toEqual(daemons.filter((each) => offering.includes(each)))
   for (const { id } of offering) selector.started(id)
   expect(selector.toAsk(POOL, daemons, 500)).toHaveLength(8)
@@ -78,7 +78,7 @@
     for (const each of origin.selector.toAsk(POOL, daemons, 0)) {
       origin.asked++
       if (isCut(each)) origin.selector.recordDecline(POOL, each.id, 0)
-      else origin.selector.recordOffer(POOL, each, { room: Math.floor(RUNS / originsOf.get(each.id)!.add(origin.selector).size), endpointAgeMs: 0 }, 0)
+      else origin.selector.recordOffer(POOL, each, { room: Math.floor(RUNS / originsOf.get(each.id)!.add(origin.selector).size), activityAgeMs: 0 }, 0)
     }
   }
   for (let i = 0; i < REQUESTS_EACH; i++) {
--- a/core/paths/path.ts
+++ b/core/paths/path.ts
@@ -15,7 +15,7 @@
   /** When the state was entered. */
   readonly sinceMs: number
   /** When the endpoint last sent anything or accepted a connection; `-Infinity` before the first time. */
-  readonly heardAtMs: number
+  readonly activeAtMs: number
   /** When the last check of the path started; `-Infinity` before the first. */
   readonly checkedAtMs: number
 }
@@ -36,12 +36,12 @@
 
 /** Returns the path to an endpoint of which nothing is known. */
 export function newPath (now: number): Path {
-  return { state: 'open', sinceMs: now, heardAtMs: -Infinity, checkedAtMs: -Infinity }
+  return { state: 'open', sinceMs: now, activeAtMs: -Infinity, checkedAtMs: -Infinity }
 }
 
 /** Records that the endpoint sent something. */
-export function heard (path: Path, now: number): Path {
-  const known = { ...path, heardAtMs: now }
+export function recordActivity (path: Path, now: number): Path {
+  const known = { ...path, activeAtMs: now }
   if (path.state === 'trial') return enter(known, 'open', now)
   return path.state === 'down' ? enter(known, 'established-only', now) : known
 }
@@ -50,7 +50,7 @@
 export function suspect (path: Path, evidence: PathEvidence, now: number): Path {
   if (path.state === 'trial') return enter(path, 'down', now)
   const intervalMs = evidence === 'connect-failed' ? FAILED_CONNECT_INTERVAL_MS : CHECK_INTERVAL_MS
-  return path.state === 'open' && now - path.checkedAtMs >= intervalMs ? enter({ ...path, checkedAtMs: now }, 'checking', now) : path
+  return path.state === 'open' && now - path.checkedAtMs >= intervalMs ? startCheck(path, now) : path
 }
 
 /** Returns true if a path that does not fully work is to be checked again. */
@@ -63,10 +63,15 @@
   return { ...path, checkedAtMs: now }
 }
 
+/** Starts a check of a path without evidence against it, together with others of its pool. */
+export function startCheck (path: Path, now: number): Path {
+  return enter({ ...path, checkedAtMs: now }, 'checking', now)
+}
+
 /** Applies the result of a check. */
 export function checked (path: Path, result: PathCheck, now: number): Path {
-  const isWorking = now - path.heardAtMs <= RECENT_MS
-  if (result === 'accepted') return accepted({ ...path, heardAtMs: now }, now)
+  const isWorking = now - path.activeAtMs <= RECENT_MS
+  if (result === 'accepted') return accepted({ ...path, activeAtMs: now }, now)
   // Packets may be lost while the path works.
   if (isWorking && result === 'unanswered') return path.state === 'checking' ? enter(path, 'open', now) : path
   return enter(path, isWorking ? 'established-only' : 'down', now)
@@ -83,7 +88,7 @@
 
 /** Marks a path as down without a check of its own, because all paths that were checked beside it are. */
 export function assumeDown (path: Path, now: number): Path {
-  return now - path.heardAtMs <= RECENT_MS ? path : enter(path, 'down', now)
+  return now - path.activeAtMs <= RECENT_MS ? path : enter(path, 'down', now)
 }
 
 /** Ends a trial whose time is over. */
--- a/core/paths/path_test.ts
+++ b/core/paths/path_test.ts
@@ -1,9 +1,9 @@
 import { expect, test } from 'vitest'
-import { assumeDown, checked, checkStarted, endTrial, heard, isRecheckDue, newPath, suspect, type Path } from './index.ts'
+import { assumeDown, checked, checkStarted, endTrial, recordActivity, isRecheckDue, newPath, suspect, type Path } from './index.ts'
 
 /** Returns a path that is being checked since time 1000. */
-function checkedPath (heardAtMs: number): Path {
-  return suspect(heard(newPath(0), heardAtMs), 'connect-failed', 1000)
+function checkedPath (activeAtMs: number): Path {
+  return suspect(recordActivity(newPath(0), activeAtMs), 'connect-failed', 1000)
 }
 
 test('a path is down once a check fails, and recovers by way of a trial', () => {
@@ -12,7 +12,7 @@
   expect([isRecheckDue(down, 1400), isRecheckDue(down, 1500)]).toEqual([false, true])
   const trial = checked(checkStarted(down, 1500), 'accepted', 1503)
   expect(trial.state).toBe('trial')
-  expect(heard(trial, 1600).state).toBe('open')
+  expect(recordActivity(trial, 1600).state).toBe('open')
   expect([endTrial(trial, 1900).state, endTrial(trial, 2003).state]).toEqual(['trial', 'open'])
 })
 
@@ -34,17 +34,17 @@
   const path = checked(checkedPath(990), 'refused', 1002)
   expect(path.state).toBe('established-only')
   expect(checked(checkStarted(path, 1600), 'refused', 1602).state).toBe('down')
-  expect(checked(heard(path, 1600), 'accepted', 1602).state).toBe('open')
+  expect(checked(recordActivity(path, 1600), 'accepted', 1602).state).toBe('open')
 })
 
-test('a lost packet does not take down a path over which the endpoint was just heard', () => {
+test('a lost packet does not take down a path over which the endpoint has just sent something', () => {
   // Guards against a lossy network being taken for a cut.
   expect(checked(checkedPath(1200), 'unanswered', 1300).state).toBe('open')
 })
 
-test('a path that was not checked is down only if its endpoint was not heard lately', () => {
+test('a path that was not checked is down only if its endpoint has sent nothing lately', () => {
   expect(assumeDown(newPath(0), 1000).state).toBe('down')
-  expect(assumeDown(heard(newPath(0), 900), 1000).state).toBe('open')
+  expect(assumeDown(recordActivity(newPath(0), 900), 1000).state).toBe('open')
 })
 
 test('a path on trial is down again at the first sign of trouble', () => {
--- a/daemon/daemon.ts
+++ b/daemon/daemon.ts
@@ -300,7 +300,7 @@
     engine: asFunction(() => options.engine ?? perEndpoint((view) => new HttpEngine({ url: view.address }))).singleton(),
     service: asFunction(() => options.service ?? perEndpoint((view) => new HttpService({ url: view.address }))).singleton(),
     signals: asFunction(({ table, metrics, random }: DaemonComponents) => new EndpointSignalRecorder({ table, metrics, random })).singleton(),
-    crashes: asFunction(({ metrics }: DaemonComponents) => new CrashWatch({ metrics, dial: options.dial ?? dial })).singleton(),
+    crashes: asFunction(({ metrics }: DaemonComponents) => new CrashWatch({ metrics, dial: ({ address }) => (options.dial ?? dial)(address) })).singleton(),
     quarantine: asFunction(({ crashes, membership, metrics }: DaemonComponents) => new QuarantineTask({ crashes, membership, metrics })).singleton(),
     archive: asFunction(({ storeFor, membership, quarantine }: DaemonComponents) => new QuarantineArchive({ store: storeFor('quarantine'), quarantine, maintainsArchive: () => membership.isFirstFor('quarantine') })).singleton(),
     broker: asFunction(({ self, hash, hash64, settings, config, membership, claims, metrics, table, dispatcher, signals, crashes, quarantine, engine, service }: DaemonComponents) => new Broker({
--- a/daemon/delegation/_messages.ts
+++ b/daemon/delegation/_messages.ts
@@ -7,11 +7,11 @@
 export const OFFER_METHOD = 'delegation-offer'
 /** Runs a request; replies with a {@linkcode RunResult} after any number of {@linkcode RunPart}s. */
 export const RUN_METHOD = 'delegation-run'
-/** Tells that nobody waits for a request any more. */
+/** Cancels a run whose caller has left or that is not needed any more. */
 export const CANCEL_TOPIC = 'delegation-cancel'
 
-/** Tells an origin at intervals that the daemon still runs its requests. */
-export const ALIVE_TOPIC = 'delegation-alive'
+/** Confirms to an origin, at intervals, that its requests still run. */
+export const PROGRESS_TOPIC = 'delegation-progress'
 
 /** Argument of {@linkcode OFFER_METHOD}. */
 export interface OfferQuery { pool: PoolName }
--- a/daemon/delegation/delegate_finder.ts
+++ b/daemon/delegation/delegate_finder.ts
@@ -7,7 +7,7 @@
 import { log } from '../log/index.ts'
 import type { PathWatch } from '../paths/index.ts'
 import type { MembershipTask } from '../peers/membership_task.ts'
-import type { RequestWay } from '../request/dispatcher.ts'
+import type { RequestWay } from '../request/placement.ts'
 import { OFFER_METHOD, type OfferQuery } from './_messages.ts'
 
 /** Options of {@linkcode DelegateFinder}. */
--- a/daemon/delegation/delegate_server.ts
+++ b/daemon/delegation/delegate_server.ts
@@ -12,7 +12,7 @@
 import type { MembershipTask } from '../peers/membership_task.ts'
 import { CUT_OFF_REASON } from '../request/dispatcher.ts'
 import type { RequestTask } from '../request/request_task.ts'
-import { ALIVE_TOPIC, CANCEL_TOPIC, OFFER_METHOD, RUN_METHOD, type CancelMessage, type OfferQuery, type RunPart, type RunQuery, type RunResult } from './_messages.ts'
+import { PROGRESS_TOPIC, CANCEL_TOPIC, OFFER_METHOD, RUN_METHOD, type CancelMessage, type OfferQuery, type RunPart, type RunQuery, type RunResult } from './_messages.ts'
 
 /** Options of {@linkcode DelegateServer}. */
 export interface DelegateServerOptions {
@@ -26,12 +26,12 @@
 
 /** Maximum number of requests of other daemons that run here at once. */
 const MAX_RUNS = 64
-/** Time since an endpoint of a pool was last heard after which a few are dialled before an offer is made, in milliseconds. */
+/** Time since an endpoint of a pool last sent anything after which a few are dialled before an offer is made, in milliseconds. */
 const FRESH_MS = 300
 /** Time for which a daemon that asked for an offer counts among those that share the room, in milliseconds. */
 const ORIGIN_TTL_MS = 1500
 /** Interval at which origins learn that their requests still run, in milliseconds. */
-const ALIVE_INTERVAL_MS = 500
+const PROGRESS_INTERVAL_MS = 500
 
 /** A daemon whose requests run here. */
 interface Origin { askedAtMs: number, running: number, requests: number }
@@ -57,7 +57,7 @@
 
   /** Starts telling origins that their requests still run. */
   start (): void {
-    this.#timer = setInterval(() => this.#updateOrigins(), ALIVE_INTERVAL_MS)
+    this.#timer = setInterval(() => this.#updateOrigins(), PROGRESS_INTERVAL_MS)
   }
 
   /** Stops telling origins that their requests still run. */
@@ -73,14 +73,14 @@
   async #offer (pool: PoolName, from: DaemonId): Promise<DelegateOffer> {
     const { paths } = this.#options
     const isCutOff = paths.reach(pool, { idempotent: true }) === 'cut-off'
-    if ((paths.heardAgeMs(pool) ?? Infinity) > FRESH_MS && !this.#draining && !isCutOff) await paths.probe(pool)
-    const endpointAgeMs = paths.heardAgeMs(pool)
-    if (this.#draining || endpointAgeMs === undefined || endpointAgeMs > FRESH_MS) return { room: 0, endpointAgeMs: endpointAgeMs ?? Infinity }
+    if ((paths.activityAgeMs(pool) ?? Infinity) > FRESH_MS && !this.#draining && !isCutOff) await paths.probe(pool)
+    const activityAgeMs = paths.activityAgeMs(pool)
+    if (this.#draining || activityAgeMs === undefined || activityAgeMs > FRESH_MS) return { room: 0, activityAgeMs: activityAgeMs ?? Infinity }
     const isNew = !this.#origins.has(from)
     this.#originOf(from).askedAtMs = steadyNow()
     const room = Math.max(1, Math.floor(Math.min(MAX_RUNS, this.#roomAt(pool) + this.open) / this.#origins.size))
-    if (isNew) log('delegate-begins', { origin: from, pool, room, heardAgeMs: Math.round(endpointAgeMs) })
-    return { room, endpointAgeMs }
+    if (isNew) log('delegate-begins', { origin: from, pool, room, activityAgeMs: Math.round(activityAgeMs) })
+    return { room, activityAgeMs }
   }
 
   /** Number of requests that the endpoints of a pool take over this daemon's connections now. */
@@ -130,7 +130,7 @@
   #updateOrigins (): void {
     const now = steadyNow()
     for (const [id, { askedAtMs, running, requests }] of this.#origins) {
-      if (running > 0) this.#options.membership.links.post(id, ALIVE_TOPIC, undefined)
+      if (running > 0) this.#options.membership.links.post(id, PROGRESS_TOPIC, undefined)
       if (running > 0 || now - askedAtMs < ORIGIN_TTL_MS) continue
       this.#origins.delete(id)
       log('delegate-ends', { origin: id, requests })
--- a/daemon/delegation/delegate_server_test.ts
+++ b/daemon/delegation/delegate_server_test.ts
@@ -6,7 +6,7 @@
 import { createMetrics } from '../metrics.ts'
 import type { FinalResult } from '../request/live_answer.ts'
 import type { PeerMethod, PostHandler } from '../peers/links.ts'
-import { ALIVE_TOPIC, CANCEL_TOPIC, OFFER_METHOD, RUN_METHOD, type RunPart, type RunQuery, type RunResult } from './_messages.ts'
+import { PROGRESS_TOPIC, CANCEL_TOPIC, OFFER_METHOD, RUN_METHOD, type RunPart, type RunQuery, type RunResult } from './_messages.ts'
 import { DelegateServer, type DelegateServerOptions } from './index.ts'
 
 const POOL = as<PoolName>('desk')
@@ -65,7 +65,7 @@
   server = new DelegateServer({
     membership: { links },
     table: { candidates: () => [{ id: 'e', speed: { batchSlots: 1000 }, own: { running: 0 }, others: { running: 0 } }] },
-    paths: { reach: () => reach, heardAgeMs: () => ageMs, probe: async () => {}, stateOf: () => 'open' },
+    paths: { reach: () => reach, activityAgeMs: () => ageMs, probe: async () => {}, stateOf: () => 'open' },
     client: { available: () => room },
     metrics: createMetrics(),
     intake: { acceptDelegated: () => { const task = new FakeTask(); tasks.push(task); return task } }
@@ -126,7 +126,7 @@
 test('an origin learns twice a second that its requests run', async () => {
   run(1)
   await vi.advanceTimersByTimeAsync(1100)
-  expect(posted).toEqual([[ORIGIN, ALIVE_TOPIC], [ORIGIN, ALIVE_TOPIC]])
+  expect(posted).toEqual([[ORIGIN, PROGRESS_TOPIC], [ORIGIN, PROGRESS_TOPIC]])
 })
 
 test.each<[Partial<FinalResult>, Partial<RunResult>]>([
--- a/daemon/delegation/delegated_runs.ts
+++ b/daemon/delegation/delegated_runs.ts
@@ -6,7 +6,7 @@
 import { PeerError } from '../peers/links.ts'
 import type { MembershipTask } from '../peers/membership_task.ts'
 import type { DelegatedSink } from '../request/delegated_run.ts'
-import { ALIVE_TOPIC, CANCEL_TOPIC, RUN_METHOD, type CancelMessage, type RunPart, type RunQuery, type RunResult } from './_messages.ts'
+import { PROGRESS_TOPIC, CANCEL_TOPIC, RUN_METHOD, type CancelMessage, type RunPart, type RunQuery, type RunResult } from './_messages.ts'
 import type { DelegateFinder } from './delegate_finder.ts'
 
 /** Options of {@linkcode DelegatedRuns}. */
@@ -27,13 +27,13 @@
   to: DaemonId
   repeatable: boolean
   /** When the delegate last sent anything about the run, in milliseconds on the steady clock. */
-  heardAtMs: number
+  activeAtMs: number
   lose (why: string): void
 }
 
 /** Time for which the reply to a run may be later than its deadline, in milliseconds. */
 const REPLY_MARGIN_MS = 500
-/** Silence of a delegate after which its runs are given up, in milliseconds; it tells every 500 ms that it runs them. */
+/** Silence of a delegate after which its runs are given up, in milliseconds; it confirms them every 500 ms. */
 const DELEGATE_SILENCE_MS = 1200
 const CHECK_INTERVAL_MS = 200
 
@@ -41,13 +41,13 @@
 export class DelegatedRuns {
   readonly #options: DelegatedRunsOptions
   readonly #runs = new Map<number, OpenRun>()
-  readonly #aliveAtMs = new Map<DaemonId, number>()
+  readonly #progressAtMs = new Map<DaemonId, number>()
   #lastRun = 0
   #timer: NodeJS.Timeout | undefined
 
   constructor (options: DelegatedRunsOptions) {
     this.#options = options
-    options.membership.links.onPost(ALIVE_TOPIC, (_: unknown, from) => this.#aliveAtMs.set(from, steadyNow()))
+    options.membership.links.onPost(PROGRESS_TOPIC, (_: unknown, from) => this.#progressAtMs.set(from, steadyNow()))
   }
 
   /** Starts the periodic checks of the delegates. */
@@ -79,12 +79,12 @@
       fail('delegate-lost', why)
       cancel()
     }
-    const open: OpenRun = { to, repeatable, heardAtMs: steadyNow(), lose }
+    const open: OpenRun = { to, repeatable, activeAtMs: steadyNow(), lose }
     this.#runs.set(run, open)
     finder.started(query.pool, to)
     const onPart = ({ reached: reachedNow, head, chunk }: RunPart) => {
       if (!this.#runs.has(run)) return
-      open.heardAtMs = steadyNow()
+      open.activeAtMs = steadyNow()
       reached = reachedNow ?? reached
       if (head) sink.onHead(head)
       if (chunk) sink.onChunk(chunk.offset, chunk.pieces.map(toBuffer))
@@ -110,11 +110,11 @@
 
   #check (): void {
     const now = steadyNow()
-    for (const { to, repeatable, heardAtMs, lose } of [...this.#runs.values()]) {
-      const silentMs = now - Math.max(heardAtMs, this.#aliveAtMs.get(to) ?? -Infinity)
+    for (const { to, repeatable, activeAtMs, lose } of [...this.#runs.values()]) {
+      const silentMs = now - Math.max(activeAtMs, this.#progressAtMs.get(to) ?? -Infinity)
       if (repeatable && silentMs >= DELEGATE_SILENCE_MS) lose(`it has sent nothing for ${Math.round(silentMs)} ms`)
     }
-    for (const [id, atMs] of this.#aliveAtMs) if (now - atMs > DELEGATE_SILENCE_MS) this.#aliveAtMs.delete(id)
+    for (const [id, atMs] of this.#progressAtMs) if (now - atMs > DELEGATE_SILENCE_MS) this.#progressAtMs.delete(id)
   }
 }
 
--- a/daemon/delegation/delegated_runs_test.ts
+++ b/daemon/delegation/delegated_runs_test.ts
@@ -4,7 +4,7 @@
 import { StandInNetwork, type StandInLinks } from '../../standins/index.ts'
 import type { MembershipTask } from '../peers/membership_task.ts'
 import type { PathWatch, PoolReach } from '../paths/index.ts'
-import { ALIVE_TOPIC, CANCEL_TOPIC, OFFER_METHOD, RUN_METHOD, type RunQuery, type RunResult } from './_messages.ts'
+import { PROGRESS_TOPIC, CANCEL_TOPIC, OFFER_METHOD, RUN_METHOD, type RunQuery, type RunResult } from './_messages.ts'
 import { DelegatedRuns, DelegateFinder } from './index.ts'
 
 const POOL = as<PoolName>('desk')
@@ -51,7 +51,7 @@
 
 function offers (id: string, room = 4): StandInLinks {
   const links = peers.get(as<DaemonId>(id))!
-  links.handle(OFFER_METHOD, async () => ({ room, endpointAgeMs: 50 }))
+  links.handle(OFFER_METHOD, async () => ({ room, activityAgeMs: 50 }))
   return links
 }
 
@@ -79,7 +79,7 @@
   offers('peer-1')
   expect(way()).toEqual({ type: 'wait' })
   await vi.advanceTimersByTimeAsync(100)
-  expect(way()).toMatchObject({ type: 'delegate', to: { id: 'peer-1', inFlight: 0, endpointAgeMs: expect.any(Number) } })
+  expect(way()).toMatchObject({ type: 'delegate', to: { id: 'peer-1', inFlight: 0, activityAgeMs: expect.any(Number) } })
   reach = 'reached'
   expect(way()).toEqual({ type: 'direct' })
 })
@@ -97,7 +97,7 @@
 
 test('a request that has no way is not held once it is known that nobody can help', async () => {
   await start(2)
-  for (const links of peers.values()) links.handle(OFFER_METHOD, async () => ({ room: 0, endpointAgeMs: Infinity }))
+  for (const links of peers.values()) links.handle(OFFER_METHOD, async () => ({ room: 0, activityAgeMs: Infinity }))
   expect(way()).toEqual({ type: 'wait' })
   await vi.advanceTimersByTimeAsync(1000)
   expect(way()).toEqual({ type: 'none' })
@@ -131,7 +131,7 @@
     await delay(3500)
     return { type: 'answered', total: 1 }
   })
-  const timer = setInterval(() => links.post(origin.id, ALIVE_TOPIC, undefined), 500)
+  const timer = setInterval(() => links.post(origin.id, PROGRESS_TOPIC, undefined), 500)
   const { endings } = run('peer-0', { repeatable: true })
   await vi.advanceTimersByTimeAsync(3600)
   clearInterval(timer)
--- a/daemon/endpoints/_work_pauses.ts
+++ b/daemon/endpoints/_work_pauses.ts
@@ -49,7 +49,7 @@
   }
 
   /** Ends an endpoint's ejection and resets its failure count. */
-  forgive (view: EndpointView): void {
+  endEjection (view: EndpointView): void {
     this.#failures.delete(view.id)
     view.ejectedUntilMs = 0
   }
--- a/daemon/endpoints/endpoint_table.ts
+++ b/daemon/endpoints/endpoint_table.ts
@@ -343,9 +343,9 @@
   }
 
   /** Ends an endpoint's ejection and resets its failure count, because the failures were not its own. */
-  forgive (id: EndpointId): void {
+  endEjection (id: EndpointId): void {
     const view = this.#views.get(id)
-    if (view) this.#pauses.forgive(view)
+    if (view) this.#pauses.endEjection(view)
   }
 
   /**
--- a/daemon/exchange/_proxy_components.ts
+++ b/daemon/exchange/_proxy_components.ts
@@ -157,7 +157,7 @@
     registry: asFunction(endpointFollower).singleton(),
     client: asFunction(({ config, fleet }: ProxyComponents) => new ExchangeClient({ addressOf: endpointAddress, maxConnections: (view) => connectionsTo(view, config, fleet) })).singleton(),
     confirmer: asFunction(({ membership, table, paths }: ProxyComponents) => new CrashConfirmer({ membership, table, paths, hash })).singleton(),
-    crashes: asFunction(({ metrics, client, confirmer }: ProxyComponents) => new CrashWatch({ metrics, dial: (address) => dial(endpointAddress(address)), confirm: (view) => confirmer.confirm(view), isConnected: (view) => client.isConnected(view) })).singleton(),
+    crashes: asFunction(({ metrics, client, confirmer, paths }: ProxyComponents) => new CrashWatch({ metrics, dial: (view) => paths.dial(view), confirm: (view) => confirmer.confirm(view), isConnected: (view) => client.isConnected(view) })).singleton(),
     quarantine: asFunction(({ crashes, membership, metrics }: ProxyComponents) => new QuarantineTask({ crashes, membership, metrics })).singleton(),
     archive: asFunction(({ membership, quarantine }: ProxyComponents) => new QuarantineArchive({ store: platform.store, quarantine, maintainsArchive: () => membership.isFirstFor('quarantine') })).singleton(),
     endpointLimits: asFunction(({ metrics, table }: ProxyComponents) => new EndpointLimits({ metrics, isListed: (id) => table.get(id) !== undefined, listed: () => table.all })).singleton(),
--- a/daemon/explain/explain_request_test.ts
+++ b/daemon/explain/explain_request_test.ts
@@ -45,7 +45,7 @@
 
 test('a request that another daemon ran is explained with that daemon and the reason', () => {
   const line = (daemon: string, event: string, fields: object) => JSON.stringify({ level: 'info', time: '2026-05-23T10:00:00.000Z', daemon, process: daemon, event, request: 'r', ...fields })
-  const taken = line('edge-1', 'attempt-delegated', { attempt: 1, to: 'edge-2', pool: 'desk', fromPiece: 0, inFlight: 0, offerAgeMs: 10, endpointAgeMs: 20 })
+  const taken = line('edge-1', 'attempt-delegated', { attempt: 1, to: 'edge-2', pool: 'desk', fromPiece: 0, inFlight: 0, offerAgeMs: 10, activityAgeMs: 20 })
   const ran = line('edge-2', 'request-taken-for', { origin: 'edge-1', pool: 'desk', class: 'c', deadlineInMs: 900, fromPiece: 0, maxAttempts: 2 })
   const ended = (fields: object) => line('edge-1', 'request-ended', { outcome: 'answered', why: 'whole', afterMs: 1, pieces: 1, attempts: 1, deadlineMs: 900, ...fields })
   const { cause, steps } = explainRequest(readLog([taken, ran, ended({})].join('\n')), 'r')
--- a/daemon/log/events.ts
+++ b/daemon/log/events.ts
@@ -41,7 +41,7 @@
    */
   'attempt-failed': { attempt: number, endpoint: string, point: string, why: string, status?: number | undefined, afterMs: number, pieces: number, endpointLeaving: boolean, fingerprint?: string, repeat: 'allowed' | 'over-budget' | 'not-allowed' }
   /** Sent through another daemon, since no endpoint of its pool can be reached from this one. */
-  'attempt-delegated': { attempt: number, to: string, pool: string, fromPiece: number, inFlight: number, offerAgeMs: number, endpointAgeMs: number }
+  'attempt-delegated': { attempt: number, to: string, pool: string, fromPiece: number, inFlight: number, offerAgeMs: number, activityAgeMs: number }
   /** The daemon that the request was sent to has not answered it: it declined, was lost, or reports a failure. */
   'delegate-failed': { attempt: number, to: string, point: string, why: string, afterMs: number, pieces: number, repeat: 'allowed' | 'over-budget' | 'not-allowed' }
   /** Run for another daemon, which cannot reach the endpoints of the pool. */
@@ -107,8 +107,8 @@
   'request-released': { fingerprint: string, who: string }
   /** The quarantine could not be read from or written to the store; this is retried. */
   'quarantine-not-stored': { why: string }
-  /** The endpoint cannot be reached from this daemon, whatever the reason; it last sent something `heardAgeMs` ago. */
-  'path-down': { endpoint: string, pool: string, heardAgeMs: number }
+  /** The endpoint cannot be reached from this daemon, whatever the reason; it last sent something `activityAgeMs` ago. */
+  'path-down': { endpoint: string, pool: string, activityAgeMs: number }
   /** The endpoint accepts connections again, or sends something over one that was open. */
   'path-up': { endpoint: string, pool: string, state: string, downMs: number }
   /** No endpoint of the pool can be reached from this daemon; its requests go through the daemons in `delegates`. */
@@ -116,7 +116,7 @@
   /** Endpoints of the pool can be reached again. */
   'pool-reached': { pool: string, forMs: number, delegated: number }
   /** This daemon runs requests for `origin`, which cannot reach the endpoints of the pool; it may have `room` at once. */
-  'delegate-begins': { origin: string, pool: string, room: number, heardAgeMs: number }
+  'delegate-begins': { origin: string, pool: string, room: number, activityAgeMs: number }
   /** The last request for the origin has ended, and it has asked for none lately. */
   'delegate-ends': { origin: string, requests: number }
   /** Ejected for a while after consecutive failures. */
--- a/daemon/paths/path_watch.ts
+++ b/daemon/paths/path_watch.ts
@@ -1,6 +1,6 @@
 /** Checks the network paths from this daemon to the endpoints. */
 import type { EndpointId, PoolName } from '../../core/ids/index.ts'
-import { assumeDown, checked, checkStarted, endTrial, heard, isRecheckDue, newPath, RECHECK_INTERVAL_MS, suspect, type Path, type PathCheck, type PathEvidence, type PathState } from '../../core/paths/index.ts'
+import { assumeDown, checked, checkStarted, endTrial, recordActivity, isRecheckDue, newPath, RECHECK_INTERVAL_MS, startCheck, suspect, type Path, type PathCheck, type PathEvidence, type PathState } from '../../core/paths/index.ts'
 import type { AttemptProgress } from '../../core/request/index.ts'
 import type { EndpointView } from '../../core/routing/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
@@ -101,11 +101,11 @@
     return views.some(({ id }) => this.stateOf(id) === 'checking') ? 'checking' : 'cut-off'
   }
 
-  /** Milliseconds since an endpoint of a pool to which requests can be sent was last heard; undefined if there is none, or it never was. */
-  heardAgeMs (pool: PoolName): number | undefined {
+  /** Milliseconds since an endpoint of a pool to which requests can be sent last sent anything or accepted a connection; undefined if there is none, or it never did. */
+  activityAgeMs (pool: PoolName): number | undefined {
     const { table } = this.#options
-    const heardAtMs = table.candidates(pool).filter(({ id }) => this.stateOf(id) === 'open').map(({ id }) => Math.max(this.#paths.get(id)?.heardAtMs ?? -Infinity, table.lastActivityAtMs(id)))
-    const latestMs = Math.max(...heardAtMs)
+    const activeAtMs = table.candidates(pool).filter(({ id }) => this.stateOf(id) === 'open').map(({ id }) => Math.max(this.#paths.get(id)?.activeAtMs ?? -Infinity, table.lastActivityAtMs(id)))
+    const latestMs = Math.max(...activeAtMs)
     return latestMs === -Infinity ? undefined : steadyNow() - latestMs
   }
 
@@ -175,20 +175,20 @@
     if (!view || !progress) return
     const maxMs = maxSilenceMs(progress)
     const isSilent = now - Math.max(progress.lastPieceAtMs ?? progress.sentAtMs, this.#resumedAtMs) >= maxMs
-    if (isSilent && now - this.#poolHeardAtMs(view.pool) >= maxMs) this.suspect(view, 'connection-silent')
+    if (isSilent && now - this.#poolActiveAtMs(view.pool) >= maxMs) this.suspect(view, 'connection-silent')
   }
 
-  #poolHeardAtMs (pool: PoolName): number {
+  #poolActiveAtMs (pool: PoolName): number {
     return Math.max(...this.#options.table.candidates(pool).map(({ id }) => this.#options.table.lastActivityAtMs(id)))
   }
 
-  /** Checks the path to an endpoint, and a few others of its pool if no endpoint of the pool was heard lately. */
+  /** Checks the path to an endpoint, and a few others of its pool if no endpoint of the pool has sent anything lately. */
   #checkPool (view: EndpointView): void {
     const candidates = this.#options.table.candidates(view.pool)
     const isAlone = !candidates.some(({ id }) => id !== view.id && this.stateOf(id) === 'down')
-    const isSilent = steadyNow() - this.#poolHeardAtMs(view.pool) >= MIN_SILENCE_MS
+    const isSilent = steadyNow() - this.#poolActiveAtMs(view.pool) >= MIN_SILENCE_MS
     const others = isSilent || !isAlone ? this.#sample(candidates.filter(({ id }) => id !== view.id && this.stateOf(id) === 'open')).slice(0, MAX_DIALS - 1) : []
-    for (const other of others) this.#update(other, (path, now) => ({ ...path, state: 'checking', sinceMs: now }))
+    for (const other of others) this.#update(other, startCheck)
     Promise.all([view, ...others].map((each) => this.dial(each))).then((results) => {
       if (results.length === MAX_DIALS && !results.includes('accepted')) for (const each of candidates) this.#update(each, assumeDown)
     })
@@ -222,13 +222,13 @@
 
   #onActivity (id: EndpointId): void {
     const state = this.stateOf(id)
-    if (state === 'down' || state === 'trial') this.#update(this.#options.table.get(id)!, heard)
+    if (state === 'down' || state === 'trial') this.#update(this.#options.table.get(id)!, recordActivity)
   }
 
   #update (view: EndpointView, change: (path: Path, now: number) => Path): Path {
     const now = steadyNow()
     const known = this.#paths.get(view.id) ?? newPath(now)
-    const before = { ...known, heardAtMs: Math.max(known.heardAtMs, this.#options.table.lastActivityAtMs(view.id)) }
+    const before = { ...known, activeAtMs: Math.max(known.activeAtMs, this.#options.table.lastActivityAtMs(view.id)) }
     const after = change(before, now)
     this.#paths.set(view.id, after)
     if (after.state !== before.state) this.#onStateChange(view, before, after)
@@ -239,11 +239,11 @@
     const { table, metrics } = this.#options
     metrics.pathsDown.set([...this.#paths.values()].filter(({ state }) => state === 'down').length)
     if (after.state === 'down') {
-      log('path-down', { endpoint: view.id, pool: view.pool, heardAgeMs: Math.round(after.sinceMs - after.heardAtMs) })
+      log('path-down', { endpoint: view.id, pool: view.pool, activityAgeMs: Math.round(after.sinceMs - after.activeAtMs) })
       this.onDown(view)
     } else if (before.state === 'down') {
       log('path-up', { endpoint: view.id, pool: view.pool, state: after.state, downMs: Math.round(after.sinceMs - before.sinceMs) })
-      table.forgive(view.id)
+      table.endEjection(view.id)
     }
     if (after.state !== 'checking') this.onChange(view.pool)
   }
--- a/daemon/paths/path_watch_test.ts
+++ b/daemon/paths/path_watch_test.ts
@@ -108,7 +108,7 @@
   expect(dialled.length).toBeLessThanOrEqual(12)
 })
 
-test('while other endpoints of the pool are heard, silence of one opens no connections', async () => {
+test('while other endpoints of the pool are recordActivity, silence of one opens no connections', async () => {
   start(6)
   addRequest(0)
   for (let ms = 0; ms < 3000; ms += 100) {
--- a/daemon/quarantine/crash_confirmer.ts
+++ b/daemon/quarantine/crash_confirmer.ts
@@ -16,7 +16,7 @@
 }
 
 /** Result of a connection to an endpoint, from another daemon. */
-interface Testimony {
+interface ProbeResult {
   /** True if the endpoint refused the connection. */
   refused: boolean
   /** True if the daemon reaches other endpoints, so that a refusal is not a fault of its own links. */
@@ -24,14 +24,14 @@
 }
 
 /** Daemons that are asked about one endpoint. */
-const WITNESSES = 3
-const TESTIMONY_TIMEOUT_MS = 800
-/** Rounds of questions while no daemon can tell, since none reaches any other endpoint. */
+const PROBER_COUNT = 3
+const PROBE_TIMEOUT_MS = 800
+/** Rounds of questions while no daemon reaches any other endpoint, so that its refusal proves nothing. */
 const MAX_ROUNDS = 4
 const ROUND_INTERVAL_MS = 500
 /** Other endpoints that are dialled to learn whether this daemon reaches any. */
 const DIALLED_OTHERS = 2
-const TESTIMONY_METHOD = 'endpoint-testimony'
+const PROBE_METHOD = 'endpoint-probe'
 
 /**
  * Distinguishes endpoints that ended from links of this daemon that are cut: both refuse connections.
@@ -44,7 +44,7 @@
 
   constructor (options: CrashConfirmerOptions) {
     this.#options = options
-    options.membership.links.handle(TESTIMONY_METHOD, ({ endpoint }: { endpoint: EndpointId }) => this.#testify(endpoint))
+    options.membership.links.handle(PROBE_METHOD, ({ endpoint }: { endpoint: EndpointId }) => this.#probe(endpoint))
   }
 
   /** Returns whether an endpoint that refused a connection of this daemon has ended. */
@@ -66,25 +66,25 @@
     return false
   }
 
-  /** Returns undefined if no daemon can tell. */
+  /** Returns undefined if the answers of the other daemons prove nothing. */
   async #askOnce (view: EndpointView): Promise<boolean | undefined> {
-    const witnesses = this.#witnessesFor(view.id)
-    if (witnesses.length === 0) return await this.#reachesOthers(view.id) || undefined
-    const testimonies = await Promise.all(witnesses.map((witness) => this.#askWitness(witness, view.id)))
-    if (testimonies.some((each) => each?.refused === false)) return false
-    return testimonies.some((each) => each?.refused && each.reachesOthers) || undefined
+    const probers = this.#probersFor(view.id)
+    if (probers.length === 0) return await this.#reachesOthers(view.id) || undefined
+    const results = await Promise.all(probers.map((prober) => this.#askProber(prober, view.id)))
+    if (results.some((each) => each?.refused === false)) return false
+    return results.some((each) => each?.refused && each.reachesOthers) || undefined
   }
 
-  async #askWitness (witness: Member, endpoint: EndpointId): Promise<Testimony | undefined> {
+  async #askProber (prober: Member, endpoint: EndpointId): Promise<ProbeResult | undefined> {
     try {
-      return await this.#options.membership.links.call(witness, TESTIMONY_METHOD, { endpoint }, { timeoutMs: TESTIMONY_TIMEOUT_MS }) as Testimony
+      return await this.#options.membership.links.call(prober, PROBE_METHOD, { endpoint }, { timeoutMs: PROBE_TIMEOUT_MS }) as ProbeResult
     } catch {
       return undefined
     }
   }
 
   /** Chooses daemons of different failure domains, as far as there are. */
-  #witnessesFor (endpoint: EndpointId): Member[] {
+  #probersFor (endpoint: EndpointId): Member[] {
     const { membership, hash } = this.#options
     const ranked = membership.acceptingWork
       .filter(({ id }) => id !== membership.core.self.id)
@@ -93,10 +93,10 @@
       .map(({ member }) => member)
     const domains = new Set<FailureDomain>()
     const firstOfDomain = ranked.filter(({ failureDomain }) => !domains.has(failureDomain) && domains.add(failureDomain))
-    return [...firstOfDomain, ...ranked.filter((member) => !firstOfDomain.includes(member))].slice(0, WITNESSES)
+    return [...firstOfDomain, ...ranked.filter((member) => !firstOfDomain.includes(member))].slice(0, PROBER_COUNT)
   }
 
-  async #testify (endpoint: EndpointId): Promise<Testimony> {
+  async #probe (endpoint: EndpointId): Promise<ProbeResult> {
     const { table, paths } = this.#options
     const view = table.get(endpoint)
     // An endpoint that is not listed any more has left, and its address may be another one's.
--- a/daemon/quarantine/crash_watch.ts
+++ b/daemon/quarantine/crash_watch.ts
@@ -17,7 +17,7 @@
 export interface CrashWatchOptions {
   metrics: Metrics
   /** Opens a connection to an endpoint, to check whether its process is running. */
-  dial (address: string): Promise<DialResult>
+  dial (view: EndpointView): Promise<DialResult>
   /** Returns whether an endpoint that refused a connection has ended, and not only the path to it. Default: always true. */
   confirm?: (view: EndpointView) => Promise<boolean>
   /** Returns whether this daemon has an open connection to an endpoint; it would have been closed by a crash. Default: always false. */
@@ -134,7 +134,7 @@
   }
 
   #dial (view: EndpointView): void {
-    this.#options.dial(view.address).then((result) => { if (result === 'refused') this.#refused(view.id) })
+    this.#options.dial(view).then((result) => { if (result === 'refused') this.#refused(view.id) })
   }
 
   /** Records that an endpoint refused a connection, as it does when its process has ended or when this daemon's links are cut. */
--- a/daemon/quarantine/crash_watch_test.ts
+++ b/daemon/quarantine/crash_watch_test.ts
@@ -20,7 +20,7 @@
 function start (answer: DialResult, isConnected?: (view: EndpointView) => boolean) {
   const crashes: Crash[] = []
   const dials: string[] = []
-  const watch = new CrashWatch({ metrics: createMetrics(), dial: async (address) => { dials.push(address); return answer }, ...(isConnected && { isConnected }) })
+  const watch = new CrashWatch({ metrics: createMetrics(), dial: async ({ address }) => { dials.push(address); return answer }, ...(isConnected && { isConnected }) })
   watch.onCrash((crash) => crashes.push(crash))
   return { watch, crashes, dials }
 }
--- a/daemon/request/_placement_fixture.ts
+++ b/daemon/request/_placement_fixture.ts
@@ -4,7 +4,7 @@
 import { steadyNow } from '../../core/time/index.ts'
 import { NO_TOKENS, type WorkClass } from '../../core/work/index.ts'
 import { sessionConfig } from '../../bench/_session.ts'
-import type { Placement } from './dispatcher.ts'
+import type { Placement } from './placement.ts'
 
 /** Pool of the requests. */
 export const DESK = as<PoolName>('desk')
--- a/daemon/request/back_off_test.ts
+++ b/daemon/request/back_off_test.ts
@@ -10,7 +10,8 @@
 import { createMetrics } from '../metrics.ts'
 import { seededRandom } from '../seeded_random.ts'
 import { DESK as POOL, DESK_CLASS, placement } from './_placement_fixture.ts'
-import { BACK_OFF_REASON, type Dispatcher, type Placement } from './dispatcher.ts'
+import { BACK_OFF_REASON, type Dispatcher } from './dispatcher.ts'
+import type { Placement } from './placement.ts'
 import { createSharedDispatcher, type SharedDispatcherOptions } from './shared_dispatcher.ts'
 
 const { h32: hash } = await xxhash()
--- a/daemon/request/dispatcher_test.ts
+++ b/daemon/request/dispatcher_test.ts
@@ -5,7 +5,7 @@
 import { EndpointTable } from '../endpoints/endpoint_table.ts'
 import { seededRandom } from '../seeded_random.ts'
 import { DESK as POOL, placement } from './_placement_fixture.ts'
-import type { Placement } from './dispatcher.ts'
+import type { Placement } from './placement.ts'
 import { createSharedDispatcher } from './shared_dispatcher.ts'
 
 const { h32: hash } = await xxhash()
--- a/daemon/request/limited_endpoints_test.ts
+++ b/daemon/request/limited_endpoints_test.ts
@@ -8,7 +8,8 @@
 import { createMetrics } from '../metrics.ts'
 import { seededRandom } from '../seeded_random.ts'
 import { DESK as POOL, DESK_CLASS, placement } from './_placement_fixture.ts'
-import type { Dispatcher, Placement } from './dispatcher.ts'
+import type { Dispatcher } from './dispatcher.ts'
+import type { Placement } from './placement.ts'
 import { createSharedDispatcher } from './shared_dispatcher.ts'
 
 const { h32: hash } = await xxhash()
--- /dev/null
+++ b/daemon/request/placement.ts
@@ -0,0 +1,75 @@
+/** A request that needs an endpoint, and what decides where it may be sent. */
+import type { SelectedDelegate } from '../../core/delegation/index.ts'
+import type { AccountId, DaemonId, EndpointId, PoolName } from '../../core/ids/index.ts'
+import type { EndpointView, Route } from '../../core/routing/index.ts'
+import type { Demand, WorkClass } from '../../core/work/index.ts'
+
+/** A request that needs an endpoint. */
+export interface Placement {
+  account: AccountId
+  cls: WorkClass
+  pool: PoolName
+  demand: Demand
+  /** Tokens produced by earlier attempts, which the endpoint must prefill along with the prompt. */
+  doneTokens: number
+  /** When the request was accepted, in milliseconds on the steady clock. */
+  acceptedAtMs: number
+  deadlineAtMs: number
+  /** True if an earlier attempt may have run. Such a request isn't refused for its latency target, which the earlier attempt has met or missed. */
+  resumed: boolean
+  avoid: readonly EndpointId[]
+  placed (view: EndpointView, route: Route): void
+  /** Called when another daemon is to run the request. Default: the request is refused instead. */
+  delegated? (to: SelectedDelegate): void
+  /** Daemons that must not run it. Default: none. */
+  avoidDelegates?: readonly DaemonId[]
+  refused (reason: string, retryAfterMs: number): void
+  /** Called when the request is queued because no endpoint has room. */
+  waits (queue: QueuePosition): void
+  /** Called when the preferred endpoint is not used because of its limit, in requests per second. Default: does nothing. */
+  diverted? (view: EndpointView, perS: number | undefined): void
+}
+
+/** Position of a request in its pool's queue, and the expected wait. */
+export interface QueuePosition { ahead: number, expectedMs: number, latestStartInMs: number, candidates: number }
+
+/** Selects requests that are sent to the canary endpoints of a new version. */
+export interface CanaryGate {
+  /** Returns the canary endpoints that a request may be sent to; none for most requests. */
+  canaries (placement: Placement): readonly EndpointView[]
+  /** Called after a request was sent to a canary endpoint. */
+  spent (placement: Placement): void
+}
+
+/** Limits the rate of requests to endpoints that ask for it. */
+export interface EndpointLimiter {
+  /** True if an endpoint has a limit. */
+  isLimited (view: EndpointView): boolean
+  /** Limit of an endpoint in requests per second; undefined if it has none. */
+  perS (view: EndpointView): number | undefined
+  /** True if a request may be sent to an endpoint now. */
+  mayStart (view: EndpointView): boolean
+  /** True if a permit reserves a slot at an endpoint for this daemon, whatever load is reported there. */
+  hasReservedSlot (view: EndpointView): boolean
+  /** Endpoints of a pool that have a limit and may get a request now. */
+  permitted (pool: PoolName): readonly EndpointId[]
+  /** Asks for permission to send a request of a pool to an endpoint with a limit. Resolves within tenths of a second; undefined if none can be expected. */
+  ask (pool: PoolName, urgent: boolean): Promise<boolean> | undefined
+  /** Called when a request is not sent to an endpoint because of its limit. */
+  diverted (): void
+  /** Called when a request is queued. */
+  queued (): void
+  /** Estimated time until a new request may be sent to an endpoint with a limit, in milliseconds. */
+  waitMs (pool: PoolName, urgent: boolean): number
+}
+
+/** How a request can be sent now. `wait`: that is being found out. */
+export type RequestWay = { type: 'direct' } | { type: 'wait' } | { type: 'none' } | { type: 'delegate', to: SelectedDelegate }
+
+/** Knows which endpoints this daemon can reach, and which daemons run requests for it while it reaches none. */
+export interface RequestWays {
+  /** True if a request may be sent to an endpoint from here. */
+  canSend (view: EndpointView, work: { idempotent: boolean }): boolean
+  /** Returns how a request of a pool can be sent. */
+  wayFor (req: { pool: PoolName, idempotent: boolean, mayDelegate: boolean, avoidDelegates: readonly DaemonId[] }): RequestWay
+}
--- a/daemon/request/request_task.ts
+++ b/daemon/request/request_task.ts
@@ -10,8 +10,9 @@
 import { ASSUMED_NOTICE_MS, type SentWork } from '../endpoints/endpoint_table.ts'
 import type { RequestEvents } from '../log/index.ts'
 import { ClaimError } from '../once/shard_log.ts'
-import type { Placement } from './dispatcher.ts'
+import type { Placement } from './placement.ts'
 import { AttemptTracker } from './attempt_tracker.ts'
+import { DelegatedAttempts } from './_delegated_attempts.ts'
 import type { DelegatedSink, DelegatedSpec } from './delegated_run.ts'
 import { Listeners, type FinalResult } from './live_answer.ts'
 import { RequestDecisions } from './request_decisions.ts'
@@ -63,9 +64,8 @@
   protected attachment: Attachment | undefined
   protected readonly listeners = new Listeners()
   readonly #runner: AttemptRunner<P>
-  readonly #delegate: RequestTaskOptions<P>['delegate']
-  #selectedDelegate: SelectedDelegate | undefined
-  #delegatedAtMs = 0
+  /** Undefined if no other daemon may run the request. */
+  readonly #delegated: DelegatedAttempts<P> | undefined
   readonly #inbox: RequestMessage[] = []
   #handling = false
   readonly #deadlineTimer: NodeJS.Timeout
@@ -83,9 +83,9 @@
     this.#tracker = new AttemptTracker(ports.table)
     this.#tracker.onFirstAnswer = (endpoint, times) => this.#reportFirstAnswer(endpoint, times)
     this.#runner = runner
-    this.#delegate = options.delegate
     this.#meter = new RequestMeter(ports.metrics, { cls: work.cls, acceptedAtMs: this.acceptedAtMs, counted: options.counted ?? true })
     this.answer = new AnswerBuffer<P>(options)
+    this.#delegated = options.delegate && this.#delegatedAttempts(options.delegate)
     const deadlineInMs = options.deadlineInMs ?? work.cls.latency.deadlineMs
     this.lifecycle = newRequest(requestTraits(work, this.acceptedAtMs + deadlineInMs))
     this.#deadlineTimer = setTimeout(() => this.post({ type: 'deadline' }), deadlineInMs)
@@ -204,7 +204,7 @@
       case 'claim': return this.#claim()
       case 'place': return this.place(effect.avoid)
       case 'start': return this.#start(effect.endpoint, effect.attempt, effect.mode)
-      case 'delegate': return this.#startDelegated(effect.to, effect.attempt)
+      case 'delegate': return this.#startDelegated(effect.attempt)
       case 'stop': return effect.endpoint === undefined ? this.#stopDelegated(effect.attempt) : this.#stop(effect.endpoint, effect.attempt)
       case 'finish': return this.#finish({ outcome: effect.outcome, reason: effect.reason, retryAfterMs: effect.retryAfterMs ?? this.#backOffMs(effect.outcome) })
     }
@@ -237,7 +237,7 @@
       resumed: this.lifecycle.mayHaveRun,
       avoid,
       placed: (view, route) => this.#onPlaced(view, route),
-      ...(this.#delegate && { delegated: (to: SelectedDelegate) => this.#onDelegated(to) }),
+      ...(this.#delegated && { delegated: (to: SelectedDelegate) => this.#onDelegated(to) }),
       avoidDelegates: this.lifecycle.avoidDelegates,
       refused: (reason, retryAfterMs) => this.post({ type: 'refused', reason, retryAfterMs }),
       waits: (queue) => this.recordDecision('request-waits', { pool: work.pool, ...queue }),
@@ -271,73 +271,37 @@
 
   #onDelegated (to: SelectedDelegate): void {
     if (this.#refuseIfQuarantined()) return
-    this.#selectedDelegate = to
+    this.#delegated!.selected = to
     this.post({ type: 'delegated', to: to.id })
   }
 
-  #startDelegated (to: DaemonId, attempt: number): void {
-    const { traits, sent } = this.lifecycle
-    const { inFlight, offerAgeMs, endpointAgeMs } = this.#selectedDelegate!
-    this.answer.replaceAttempt(attempt)
-    this.#delegatedAtMs = steadyNow()
-    this.ports.metrics.attempts.inc({ mode: 'delegated' })
-    this.recordDecision('attempt-delegated', { attempt, to, pool: this.work.pool, fromPiece: this.answer.length, inFlight, offerAgeMs, endpointAgeMs })
-    this.attachment = this.#delegate!(to, {
-      from: this.answer.length,
-      deadlineInMs: traits.deadlineAtMs - steadyNow(),
-      maxAttempts: traits.maxAttempts - sent,
-      repeatable: traits.idempotent
-    }, this.#delegatedSink(attempt))
+  #startDelegated (attempt: number): void {
+    this.attachment = this.#delegated!.start(attempt)
     this.listeners.notify()
   }
 
-  #delegatedSink (attempt: number): DelegatedSink<P> {
-    let head: AnswerHead | undefined
-    const { metrics } = this.ports
-    const isCurrent = () => attempt === this.lifecycle.attempt && this.lifecycle.phase === 'running'
-    return {
-      onHead: (arrived) => { head = arrived },
-      onChunk: (offset, pieces) => this.#addChunk({ attempt, offset, pieces }, head),
-      onEnd: (total) => {
-        if (!isCurrent()) return
-        metrics.delegated.inc({ result: 'answered' })
-        this.answer.end(attempt, total)
-        if (!this.answer.whole) return this.#onDelegateError(attempt, new AttemptError('Cannot use answer: it is incomplete', { point: 'torn-answer' }), 1)
+  #delegatedAttempts (delegate: NonNullable<RequestTaskOptions<P>['delegate']>): DelegatedAttempts<P> {
+    return new DelegatedAttempts<P>({
+      work: this.work,
+      ports: this.ports,
+      answer: this.answer,
+      delegate,
+      state: () => this.lifecycle,
+      recordDecision: (event, fields) => this.recordDecision(event, fields),
+      onChunk: (chunk, head) => this.#addChunk(chunk, head),
+      onWhole: (head) => {
         this.#markBegun()
         this.head ??= head
-        this.post({ type: 'ended', attempt })
-      },
-      onRefused: (reason, retryAfterMs) => {
-        if (!isCurrent()) return
-        metrics.delegated.inc({ result: 'refused' })
-        this.post({ type: 'refused', reason, retryAfterMs })
+        this.post({ type: 'ended', attempt: this.lifecycle.attempt })
       },
-      onError: (err, reached) => {
-        if (!isCurrent()) return
-        metrics.delegated.inc({ result: err.point })
-        this.#onDelegateError(attempt, err, reached)
+      onRefused: (reason, retryAfterMs) => this.post({ type: 'refused', reason, retryAfterMs }),
+      onFailed: (err, { reached, retryGranted }) => {
+        this.failureAnswer = err.answer
+        if (outcomeAt(err.point) === 'unknown') this.#markBegun()
+        this.attachment = undefined
+        this.post({ type: 'failed', attempt: this.lifecycle.attempt, point: err.point, retryGranted, reached })
       }
-    }
-  }
-
-  #onDelegateError (attempt: number, err: AttemptError, reached: number): void {
-    const { budget } = this.ports
-    // A delegate that reports a failure has retried the request itself as far as that is allowed.
-    const repeatable = err.point !== 'endpoint-error' && canRetry(this.lifecycle, err.point, reached)
-    const granted = repeatable && (isFreeRetry(this.lifecycle, err.point) || budget.tryWithdraw(false))
-    this.failureAnswer = err.answer
-    if (outcomeAt(err.point) === 'unknown') this.#markBegun()
-    this.recordDecision('delegate-failed', {
-      attempt,
-      to: this.lifecycle.delegate!,
-      point: err.point,
-      why: err.message,
-      afterMs: steadyNow() - this.#delegatedAtMs,
-      pieces: this.answer.length,
-      repeat: granted ? 'allowed' : repeatable ? 'over-budget' : 'not-allowed'
     })
-    this.attachment = undefined
-    this.post({ type: 'failed', attempt, point: err.point, retryGranted: granted, reached })
   }
 
   #stopDelegated (attempt: number): void {
--- a/daemon/request/shared_dispatcher.ts
+++ b/daemon/request/shared_dispatcher.ts
@@ -2,7 +2,8 @@
 import type { FailureDomain } from '../../core/ids/index.ts'
 import { homeEndpoint, PrefixIndex, TargetRouter, type Hash32, type Random } from '../../core/routing/index.ts'
 import type { EndpointTable } from '../endpoints/endpoint_table.ts'
-import { Dispatcher, type CanaryGate, type EndpointLimiter, type RequestWays } from './dispatcher.ts'
+import { Dispatcher } from './dispatcher.ts'
+import type { CanaryGate, EndpointLimiter, RequestWays } from './placement.ts'
 
 /** Options of {@linkcode createSharedDispatcher}. */
 export interface SharedDispatcherOptions {
