--- a/daemon/exchange/intake_test.ts
+++ b/daemon/exchange/intake_test.ts
@@ -1,6 +1,6 @@
 import { afterEach, beforeEach, expect, test, vi } from 'vitest'
 import { RouteTable, UrgencyClassifier, type Account, type Route } from '../../core/catalog/index.ts'
-import { as, type PoolName, type RequestId } from '../../core/ids/index.ts'
+import { as, type AccountId, type DaemonId, type PoolName, type RequestId } from '../../core/ids/index.ts'
 import { delay, steadyNow } from '../../core/time/index.ts'
 import { createMetrics } from '../metrics.ts'
 import { Intake, type CatalogIndex, type IntakeOptions } from './intake.ts'
@@ -50,3 +50,29 @@
   expect(task.state.traits.deadlineAtMs).toBe(arrivedAtMs + endsAfterMs)
   task.abandon()
 })
+
+test('a request that another daemon has admitted is not charged, counted or added to the retry budget here again', async () => {
+  // Guards against quotas, usage and budgets that count a request at its own daemon and at the one that runs it.
+  const counted: string[] = []
+  const count = (what: string) => () => { counted.push(what) }
+  const intake = new Intake({
+    metrics: createMetrics(),
+    random: () => 0,
+    catalog,
+    limits: { charge: count('quota') },
+    usage: { began: count('usage') },
+    orders: { asked: count('demand') },
+    answers: { asked: count('rollout') },
+    budgetOf: () => ({ deposit: count('budget'), tryWithdraw: () => true }),
+    table: {},
+    dispatcher: { remove: () => {} },
+    quarantine: { heldForMs: () => undefined }
+  } as unknown as IntakeOptions)
+  const query = { req: { ...request(1000), account: as<AccountId>('council') }, pool: POOL, deadlineInMs: 400, maxAttempts: 1 }
+  const task = intake.acceptDelegated(query, as<DaemonId>('origin'))!
+  task.onBegun()
+  expect([counted, task.state.traits.maxAttempts, task.state.traits.deadlineAtMs - steadyNow(), [...intake.open]]).toEqual([[], 1, 400, [task]])
+  task.abandon()
+  const refused = [{ ...query, pool: as<PoolName>('other') }, { ...query, req: { ...query.req, account: as<AccountId>('unknown') } }, { ...query, req: { ...query.req, host: 'b.example' } }]
+  expect(refused.map((each) => intake.acceptDelegated(each, as<DaemonId>('origin')))).toEqual([undefined, undefined, undefined])
+})
