--- a/daemon/delegation/delegate_server_test.ts
+++ b/daemon/delegation/delegate_server_test.ts
@@ -11,7 +11,7 @@
 
 const POOL = as<PoolName>('desk')
 const ORIGIN = as<DaemonId>('origin')
-const QUERY: RunQuery = { run: 1, req: { id: as<RequestId>('r'), method: 'GET', target: '/', host: 'h', headers: [], body: Buffer.alloc(0), demand: undefined, resumeFrom: 0 }, account: undefined, pool: POOL, deadlineInMs: 1000, maxAttempts: 2 }
+const QUERY: RunQuery = { run: 1, req: { id: as<RequestId>('r'), method: 'GET', target: '/', host: 'h', headers: [], body: Buffer.alloc(0), demand: undefined, resumeFrom: 0, streamId: undefined }, account: undefined, pool: POOL, deadlineInMs: 1000, maxAttempts: 2 }
 
 /** A request that runs until it is given a result. */
 class FakeTask {
--- a/daemon/delegation/delegated_runs_test.ts
+++ b/daemon/delegation/delegated_runs_test.ts
@@ -10,7 +10,7 @@
 const POOL = as<PoolName>('desk')
 const DOMAIN = as<FailureDomain>('a')
 const DEADLINE_MS = 4000
-const QUERY: Omit<RunQuery, 'run'> = { req: { id: as<RequestId>('r'), method: 'GET', target: '/', host: 'h', headers: [], body: Buffer.alloc(0), demand: undefined, resumeFrom: 0 }, account: undefined, pool: POOL, deadlineInMs: DEADLINE_MS, maxAttempts: 2 }
+const QUERY: Omit<RunQuery, 'run'> = { req: { id: as<RequestId>('r'), method: 'GET', target: '/', host: 'h', headers: [], body: Buffer.alloc(0), demand: undefined, resumeFrom: 0, streamId: undefined }, account: undefined, pool: POOL, deadlineInMs: DEADLINE_MS, maxAttempts: 2 }
 
 beforeEach(() => { vi.useFakeTimers() })
 afterEach(() => {
--- a/daemon/exchange/exchange_server_test.ts
+++ b/daemon/exchange/exchange_server_test.ts
@@ -7,7 +7,7 @@
 import type { Intake } from './intake.ts'
 import { Refusal } from './refusal.ts'
 
-const dialect = { readRequest: (req) => ({ id: as('r'), method: req.method!, target: req.url!, host: '', headers: [], credential: undefined, deadlineInMs: undefined, demand: undefined, resumeFrom: 0 }) } as Partial<ExchangeDialect> as ExchangeDialect
+const dialect = { readRequest: (req) => ({ id: as('r'), method: req.method!, target: req.url!, host: '', headers: [], credential: undefined, deadlineInMs: undefined, demand: undefined, resumeFrom: 0, streamId: undefined }) } as Partial<ExchangeDialect> as ExchangeDialect
 let server: ExchangeServer
 let port: number
 
--- a/daemon/exchange/intake.ts
+++ b/daemon/exchange/intake.ts
@@ -122,6 +122,7 @@
       promptTokens: task.work.demand.promptTokens,
       maxTokens: task.work.demand.maxTokens,
       fromPiece: req.resumeFrom,
+      stream: req.streamId,
       quotaWaitMs: task.acceptedAtMs - askedAtMs
     })
     this.#open.add(task)
--- a/daemon/exchange/intake_test.ts
+++ b/daemon/exchange/intake_test.ts
@@ -35,7 +35,7 @@
   } as unknown as IntakeOptions)
 }
 
-const request = (deadlineInMs: number | undefined) => ({ id: as<RequestId>('r1'), method: 'GET', target: '/check', host: 'a.example', headers: [], credential: 'key', deadlineInMs, demand: undefined, resumeFrom: 0, body: Buffer.alloc(0) })
+const request = (deadlineInMs: number | undefined) => ({ id: as<RequestId>('r1'), method: 'GET', target: '/check', host: 'a.example', headers: [], credential: 'key', deadlineInMs, demand: undefined, resumeFrom: 0, streamId: undefined, body: Buffer.alloc(0) })
 
 test.each([
   { deadlineInMs: undefined, endsAfterMs: ROUTE_TIMEOUT_MS },
--- a/daemon/log/describe.ts
+++ b/daemon/log/describe.ts
@@ -8,7 +8,7 @@
 const retryHint = (retryAfterMs: number | undefined) => (retryAfterMs === undefined ? '' : `; to come back in ${ms(retryAfterMs)}`)
 
 const DESCRIBERS: Describers = {
-  'request-taken': (f) => `taken for ${f.account}: class ${f.class}, pool ${f.pool}, ${f.promptTokens} prompt tokens, ${ms(f.deadlineInMs)} left (${configSuffix(f.revision, f.revisionAgeMs)})`,
+  'request-taken': (f) => `taken for ${f.account}: class ${f.class}, pool ${f.pool}, ${f.promptTokens} prompt tokens, ${ms(f.deadlineInMs)} left${f.fromPiece > 0 ? `, from piece ${f.fromPiece} of the stream that began as ${f.stream ?? 'an unnamed request'}` : ''} (${configSuffix(f.revision, f.revisionAgeMs)})`,
   'request-refused': (f) => `refused with ${f.status}: ${f.why}${retryHint(f.retryAfterMs)} (${configSuffix(f.revision, f.revisionAgeMs)})`,
   'request-broke': (f) => `the daemon failed: ${f.why}`,
   'request-waits': (f) => `waits: no room at any of ${f.candidates} endpoints of ${f.pool}, ${f.ahead} ahead, ${ms(f.expectedMs)} expected`,
--- a/daemon/log/events.ts
+++ b/daemon/log/events.ts
@@ -15,8 +15,8 @@
 
 /** Events about one request. */
 export interface RequestEvents {
-  /** Accepted: route and account were found, and the account's quota allowed the request. */
-  'request-taken': ConfigState & { account: string, class: string, pool: string, deadlineInMs: number, promptTokens: number, maxTokens: number, fromPiece: number, quotaWaitMs: number }
+  /** Accepted: route and account were found, and the account's quota allowed the request. `stream` is the request that brought the first event of the stream that the caller resumes. */
+  'request-taken': ConfigState & { account: string, class: string, pool: string, deadlineInMs: number, promptTokens: number, maxTokens: number, fromPiece: number, stream?: string | undefined, quotaWaitMs: number }
   /**
    * Refused before any endpoint received it. If over quota, `cost` is the request's cost and `room` the account's remaining quota, in the
    * quota's unit.
--- a/endpoints/exchange/exchange_test.ts
+++ b/endpoints/exchange/exchange_test.ts
@@ -45,7 +45,7 @@
 }
 
 function requestOf (id: string, change: Partial<AdmittedRequest> = {}): AdmittedRequest {
-  return { id: as(id), method: 'GET', target: '/x', host: 'a.example', headers: [], body: Buffer.alloc(0), credential: undefined, deadlineInMs: 1000, demand: undefined, resumeFrom: 0, account: undefined, ...change }
+  return { id: as(id), method: 'GET', target: '/x', host: 'a.example', headers: [], body: Buffer.alloc(0), credential: undefined, deadlineInMs: 1000, demand: undefined, resumeFrom: 0, streamId: undefined, account: undefined, ...change }
 }
 
 const clientOf = (maxConnections = 4) => new ExchangeClient({ maxConnections: () => maxConnections })
--- a/endpoints/exchange/proxied_request.ts
+++ b/endpoints/exchange/proxied_request.ts
@@ -21,6 +21,8 @@
   demand: Demand | undefined
   /** Number of events of the stream that the caller already has. */
   resumeFrom: number
+  /** Id of the caller's request that brought the first event of the stream that it resumes; undefined if the caller names none. */
+  streamId: RequestId | undefined
 }
 
 /** A proxied request whose account is known. */
