--- a/core/ids/ids.ts
+++ b/core/ids/ids.ts
@@ -23,6 +23,8 @@
 export type EndpointVersion = Branded<string, 'EndpointVersion'>
 /** A group of endpoints that serve the same work. */
 export type PoolName = Branded<string, 'PoolName'>
+/** Hash that identifies a stream over all tries of its caller. */
+export type StreamKey = Branded<string, 'StreamKey'>
 /** Fingerprint of a request's content, equal for requests of one client account with the same content. */
 export type Fingerprint = Branded<string, 'Fingerprint'>
 
--- a/core/rollout/version_rule.ts
+++ b/core/rollout/version_rule.ts
@@ -8,7 +8,7 @@
   carries: EndpointVersion
   /** Receives granted requests only. */
   canary?: EndpointVersion
-  /** Resumable streams are moved off this version. */
+  /** Resumable streams of which no event was passed on are moved off this version; others continue at the version that began them, whichever carries the work. */
   leaves?: EndpointVersion
 }
 
@@ -37,6 +37,15 @@
   }
 }
 
+/**
+ * Returns the version that was found to be worse: streams that began there do not continue. At any other version they may, whichever carries the work.
+ * @param options.held The same as for {@linkcode versionRule}.
+ */
+export function barredVersion (record: RolloutRecord | undefined, { held }: { held: boolean }): EndpointVersion | undefined {
+  const progress = record && currentProgress(record)
+  return progress && (progress.stage === 'rolled-back' || (held && !isFinal(progress))) ? progress.order.to : undefined
+}
+
 /** Returns the version that the previous order left in service: an order that was replaced before it ended leaves the version it started from. */
 function versionAfterPreviousOrder ({ progress }: RolloutRecord): EndpointVersion | undefined {
   return progress && (progress.stage === 'completed' ? progress.order.to : progress.from)
--- /dev/null
+++ b/core/streams/index.ts
@@ -0,0 +1,5 @@
+export * from './stream_origin.ts'
+export * from './origin_judge.ts'
+export * from './origin_records.ts'
+export * from './pool_versions.ts'
+export * from './record_holders.ts'
--- /dev/null
+++ b/core/streams/origin_judge.ts
@@ -0,0 +1,43 @@
+/** Conclusion about where a stream began, from what several daemons know. */
+import type { DaemonId, PoolName } from '../ids/index.ts'
+import type { SeenVersions } from './pool_versions.ts'
+import type { StreamOrigin } from './stream_origin.ts'
+
+/** What one daemon knows of a stream. */
+export interface OriginTestimony {
+  /** The daemon's record of the stream; undefined if it has none. */
+  record: { origin: StreamOrigin, daemon: DaemonId } | undefined
+  /** Versions that the daemon has seen in the pool within the time for which the stream may have lived. */
+  versions: SeenVersions
+  /** True if it has watched the pool without a gap for all of that time, and still does. */
+  hasWatched: boolean
+}
+
+/** Where a stream began. `unreachable` if too few daemons answered to tell; `unknown` if nobody who answered knows. */
+export type OriginVerdict =
+  | { type: 'recorded', origin: StreamOrigin, daemon: DaemonId }
+  | { type: 'only-version', origin: StreamOrigin }
+  | { type: 'unknown' }
+  | { type: 'unreachable' }
+
+/** Who was asked. */
+export interface Inquiry {
+  /** The pool that serves the stream's requests; undefined if several do. */
+  pool: PoolName | undefined
+  /** Number of other daemons in the fleet, and how many of them answered. */
+  others: number
+  answered: number
+}
+
+/**
+ * Concludes where a stream began. A record is proof. Without one, only a pool that certainly had a single version all the while is: versions that one daemon alone
+ * has seen are no proof while there are others that it cannot ask.
+ */
+export function judgeOrigin (testimonies: readonly OriginTestimony[], { pool, others, answered }: Inquiry): OriginVerdict {
+  const recorded = testimonies.find(({ record }) => record !== undefined)?.record
+  if (recorded) return { type: 'recorded', ...recorded }
+  if (others > 0 && answered === 0) return { type: 'unreachable' }
+  const [version, ...otherVersions] = new Set(testimonies.flatMap(({ versions }) => versions))
+  const isCertain = otherVersions.length === 0 && testimonies.some(({ versions, hasWatched }) => hasWatched && versions.length > 0)
+  return pool !== undefined && isCertain ? { type: 'only-version', origin: { pool, version } } : { type: 'unknown' }
+}
--- /dev/null
+++ b/core/streams/record_holders.ts
@@ -0,0 +1,30 @@
+/** Selection of the daemons that hold the record of a stream. */
+import type { FailureDomain, StreamKey } from '../ids/index.ts'
+import type { Member } from '../membership/index.ts'
+import type { Hash32 } from '../routing/index.ts'
+
+/** Daemons that hold the record of a stream, besides the one that began it. It survives while one of them does. */
+export const HOLDER_COUNT = 3
+/** Daemons from which holders are chosen: each daemon has links to at most this many for its records. */
+export const MAX_HOLDERS = 32
+
+/**
+ * Ranks the daemons that may hold the record of a stream: the best of each failure domain first, then the second of each, and so on.
+ *
+ * The rank depends on the stream and the members alone, so that a daemon that has just started finds the record where others put it, and a member that
+ * joins or leaves changes the rank of few streams.
+ */
+export function rankHolders (key: StreamKey | undefined, members: readonly Member[], { hash }: { hash: Hash32 }): Member[] {
+  const ranked = eligible(members, hash).map((member) => ({ member, rank: hash(`${key ?? ''}/${member.id}`) })).sort((a, b) => b.rank - a.rank)
+  const inDomain = new Map<FailureDomain, number>()
+  return ranked.map(({ member }) => {
+    const round = inDomain.get(member.failureDomain) ?? 0
+    inDomain.set(member.failureDomain, round + 1)
+    return { member, round }
+  }).sort((a, b) => a.round - b.round).map(({ member }) => member)
+}
+
+function eligible (members: readonly Member[], hash: Hash32): readonly Member[] {
+  if (members.length <= MAX_HOLDERS) return members
+  return members.map((member) => ({ member, rank: hash(`stream-records/${member.id}`) })).sort((a, b) => b.rank - a.rank).slice(0, MAX_HOLDERS).map(({ member }) => member)
+}
--- a/daemon/delegation/_messages.ts
+++ b/daemon/delegation/_messages.ts
@@ -1,6 +1,7 @@
 /** Messages between the daemon that took a request and the one that runs it. */
 import type { AnswerHead, WholeAnswer } from '../../core/answer/index.ts'
-import type { AccountId, PoolName } from '../../core/ids/index.ts'
+import type { AccountId, EndpointVersion, PoolName } from '../../core/ids/index.ts'
+import type { StreamOrigin } from '../../core/streams/index.ts'
 import type { ProxiedRequest } from '../../endpoints/index.ts'
 
 /** Asks what a daemon offers for the requests of a pool; replies with a `DelegateOffer`. */
@@ -26,11 +27,15 @@
   deadlineInMs: number
   /** Number of endpoints that the request may still be sent to. */
   maxAttempts: number
+  /** Where the stream began; undefined while its caller has no event of it. */
+  origin?: StreamOrigin | undefined
 }
 
 /** Part of the answer to a run. The first one confirms that the run has begun. */
 export interface RunPart {
   head?: AnswerHead
+  /** Sent along with the head: version of the endpoint that the first piece comes from. */
+  version?: EndpointVersion
   chunk?: { offset: number, pieces: readonly Uint8Array[] }
   /** Number of endpoints that the request was sent to so far. */
   reached?: number
--- a/daemon/delegation/delegated_runs.ts
+++ b/daemon/delegation/delegated_runs.ts
@@ -82,11 +82,11 @@
     const open: OpenRun = { to, repeatable, activeAtMs: steadyNow(), lose }
     this.#runs.set(run, open)
     finder.started(query.pool, to)
-    const onPart = ({ reached: reachedNow, head, chunk }: RunPart) => {
+    const onPart = ({ reached: reachedNow, head, version, chunk }: RunPart) => {
       if (!this.#runs.has(run)) return
       open.activeAtMs = steadyNow()
       reached = reachedNow ?? reached
-      if (head) sink.onHead(head)
+      if (head) sink.onHead(head, { version })
       if (chunk) sink.onChunk(chunk.offset, chunk.pieces.map(toBuffer))
     }
     const onResult = (result: RunResult) => {
--- a/daemon/endpoints/endpoint_follower.ts
+++ b/daemon/endpoints/endpoint_follower.ts
@@ -26,6 +26,8 @@
   pool (name: PoolName): Pool | undefined
   /** Called after each change to the endpoint table. */
   onChange (): void
+  /** Called when the registry stops answering. Default: does nothing. */
+  onLost? (): void
 }
 
 /** Prefill speed that is assumed until first-token times have been measured, in tokens per second: the order of magnitude of a large model on a few accelerators. */
@@ -64,12 +66,16 @@
       ...(options.waitMs !== undefined && { waitMs: options.waitMs }),
       onChange: (objects, news) => this.#onAnswer(objects, news.version),
       onReachabilityChange: (reached, why) => {
-        if (reached) log('store-back', { what: 'endpoints' })
-        else log('store-lost', { what: 'endpoints', why, lastAnswerAgeMs: this.#follower.listed ? steadyNow() - this.#follower.lastAnswerAtMs : undefined })
+        if (reached) return log('store-back', { what: 'endpoints' })
+        log('store-lost', { what: 'endpoints', why, lastAnswerAgeMs: this.#follower.listed ? steadyNow() - this.#follower.lastAnswerAtMs : undefined })
+        options.onLost?.()
       }
     })
   }
 
+  /** Since when no change of the registry can have been missed, in milliseconds on the steady clock; undefined while some may be. */
+  get completeSinceMs (): number | undefined { return this.#follower.completeSinceMs }
+
   /** Starts following the registry. */
   start (): void {
     this.#follower.start()
--- a/daemon/endpoints/endpoint_table.ts
+++ b/daemon/endpoints/endpoint_table.ts
@@ -6,6 +6,7 @@
   type EndpointLoad, type EndpointView, type EndpointWork, type FirstTokenSample, type Hash32, type Lane, type FirstTokenModel
 } from '../../core/routing/index.ts'
 import type { BackOffChange } from '../../core/retry/index.ts'
+import { mayContinueAt, type StreamOrigin } from '../../core/streams/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import type { ListedHost } from '../../endpoints/index.ts'
 import { log } from '../log/index.ts'
@@ -20,6 +21,13 @@
 /** Prompt tokens of one request that an endpoint has to process, and the lane that they queue in. */
 export interface SentWork { lane: Lane, tokens: number }
 
+/** Endpoints that may get a request. */
+export interface EndpointSelection {
+  usable: readonly EndpointView[]
+  /** Those that this daemon connects to. */
+  connected: readonly EndpointView[]
+}
+
 /** Options of {@linkcode EndpointTable}. */
 export interface EndpointTableOptions {
   self: DaemonId
@@ -48,6 +56,9 @@
   readonly #departures = new Departures()
   readonly #starts = new NewestStarts()
   #mayGetWork: (view: EndpointView) => boolean = () => true
+  #mayContinue: (view: EndpointView) => boolean = () => true
+  /** Selections for streams that began at a version, by pool and version. */
+  readonly #continuations = new Map<string, EndpointSelection>()
   #leavingListeners: LeavingListener[] = []
   #onReplaced: ReplacedListener = () => {}
   /** Endpoints in the last host list. */
@@ -76,15 +87,36 @@
   candidates (pool: PoolName): readonly EndpointView[] {
     let chosen = this.#subsets.get(pool)
     if (!chosen) {
-      chosen = subset(this.#options.self, this.usable(pool), { hash: this.#options.hash, size: this.#options.subsetSize ?? SUBSET_SIZE })
+      chosen = this.#subsetOf(this.usable(pool))
       this.#subsets.set(pool, chosen)
     }
     return chosen
   }
 
+  #subsetOf (views: readonly EndpointView[]): EndpointView[] {
+    return subset(this.#options.self, views, { hash: this.#options.hash, size: this.#options.subsetSize ?? SUBSET_SIZE })
+  }
+
+  /**
+   * Returns the endpoints of a pool that a request may be sent to.
+   * @param origin Where the stream began that the request continues; undefined for one of which the caller has no event.
+   */
+  select (pool: PoolName, origin: StreamOrigin | undefined): EndpointSelection {
+    if (!origin) return { usable: this.usable(pool), connected: this.candidates(pool) }
+    const key = `${pool}/${origin.version ?? ''}`
+    let selection = this.#continuations.get(key)
+    if (!selection) {
+      const usable = this.#serving(pool).filter((view) => mayContinueAt(origin, view) && this.#mayContinue(view))
+      selection = { usable, connected: this.#subsetOf(usable) }
+      this.#continuations.set(key, selection)
+    }
+    return selection
+  }
+
   #clearSelections (): void {
     this.#subsets.clear()
     this.#usable.clear()
+    this.#continuations.clear()
   }
 
   /** All endpoints of a pool that may get new work. */
@@ -102,9 +134,13 @@
     return this.#serving(pool).filter((view) => view.version === version)
   }
 
-  /** Limits new work to the endpoints for which the predicate holds; call again whenever its result changes. */
-  restrictTo (mayGetWork: (view: EndpointView) => boolean): void {
+  /**
+   * Limits new work to the endpoints for which the predicate holds; call again whenever its result changes.
+   * @param mayContinue Returns true if streams that began at the version of an endpoint may continue there. Default: all may.
+   */
+  restrictTo (mayGetWork: (view: EndpointView) => boolean, mayContinue: (view: EndpointView) => boolean = () => true): void {
     this.#mayGetWork = mayGetWork
+    this.#mayContinue = mayContinue
     this.#clearSelections()
   }
 
--- a/daemon/exchange/exchange_writer.ts
+++ b/daemon/exchange/exchange_writer.ts
@@ -71,6 +71,7 @@
 /** A response of the daemon's own, for a request that gets no endpoint's answer. */
 export interface DaemonResponse {
   status: number
+  /** Undefined or `Infinity` if the caller is not asked to come back. */
   retryAfterMs: number | undefined
   why: string
   /** Close the connection after this response. */
@@ -81,7 +82,7 @@
 export function refuse (res: ServerResponse, answer: DaemonResponse): void {
   const body = `${answer.why}\n`
   const headers: Header[] = [['Content-Type', 'text/plain; charset=utf-8'], ['Content-Length', String(Buffer.byteLength(body))]]
-  if (answer.retryAfterMs !== undefined) headers.push(['Retry-After', (answer.retryAfterMs / 1000).toFixed(3)])
+  if (Number.isFinite(answer.retryAfterMs)) headers.push(['Retry-After', (answer.retryAfterMs! / 1000).toFixed(3)])
   send(res, answer.status, headers, answer.closeConnection)
   res.end(body)
 }
--- a/daemon/exchange/intake.ts
+++ b/daemon/exchange/intake.ts
@@ -1,6 +1,6 @@
 /** Admission of proxied requests: finds route and account, charges the quota and creates the request's task. */
 import type { Account, Pool, PoolShare, Route, RouteTable, UrgencyClassifier } from '../../core/catalog/index.ts'
-import { as, type AccountId, type DaemonId, type Fingerprint, type PoolName } from '../../core/ids/index.ts'
+import { as, type AccountId, type DaemonId, type Fingerprint, type PoolName, type StreamKey } from '../../core/ids/index.ts'
 import { fingerprintOf, type Hash64 } from '../../core/quarantine/index.ts'
 import type { RetryLimiter } from '../../core/retry/index.ts'
 import type { Random } from '../../core/routing/index.ts'
@@ -19,6 +19,7 @@
 import type { UsageTask } from '../duties/usage_task.ts'
 import type { AccountLimits, Charge } from '../limits/account_limits.ts'
 import { Refusal } from './refusal.ts'
+import type { AdmittedStream, StreamAdmission } from './stream_admission.ts'
 
 /** The catalog in force, indexed for lookup. */
 export interface CatalogIndex {
@@ -55,6 +56,7 @@
   answers: AnswerObserver | undefined
   /** Watches the network paths to the endpoints. */
   paths: PathObserver
+  streams: StreamAdmission
   /** Sends a request to another daemon, which runs it. */
   delegate (to: DaemonId, req: DelegatedRequest, sink: DelegatedSink<Buffer>): Attachment
   /** Revision in force on this daemon and the age of its last confirmation, for the log. */
@@ -82,11 +84,18 @@
 export class Intake {
   readonly #options: IntakeOptions
   readonly #open = new Set<RequestTask<Buffer>>()
+  /** The open request of each stream. */
+  readonly #streams = new Map<StreamKey, RequestTask<Buffer>>()
 
   constructor (options: IntakeOptions) {
     this.#options = options
   }
 
+  /** Ends the run of a stream whose caller resumes it with another request. */
+  streamResumed (key: StreamKey): void {
+    this.#streams.get(key)?.post({ type: 'cancelled' })
+  }
+
   /** Tasks that are not finished. */
   get open (): Iterable<RequestTask<Buffer>> { return this.#open }
 
@@ -98,11 +107,12 @@
   async accept (req: ProxiedRequest, arrivedAtMs = steadyNow()): Promise<RequestTask<Buffer>> {
     if (!this.#options.catalog()) await Promise.race([this.#options.known, delay(CATALOG_WAIT_MS)])
     const { route, account } = this.authorize(req)
+    const stream = await this.#options.streams.admit(req, { route, account })
     const askedAtMs = steadyNow()
     const charge = await this.#charge(account, route, req)
     if (account) this.#options.metrics.quotaWait.observe(steadyNow() - askedAtMs)
     const cls = this.#options.catalog()!.urgency.classify(route, account)
-    const pool = pickShare(route.pools, this.#options.random).pool
+    const pool = stream?.origin?.pool ?? pickShare(route.pools, this.#options.random).pool
     const { answers } = this.#options
     this.#options.budgetOf(pool).deposit()
     if (req.demand) this.#options.orders.asked(pool, req.demand.promptTokens)
@@ -110,6 +120,7 @@
     const admitted = { ...req, account: account?.id }
     const task = new RequestTask<Buffer>({
       ...this.#taskOptions(admitted, { cls, pool }),
+      origin: stream?.origin,
       delegate: (to, spec, sink) => this.#options.delegate(to, { ...spec, req: admitted, pool }, sink),
       deadlineInMs: Math.max(0, Math.min(req.deadlineInMs ?? Infinity, cls.latency.deadlineMs) - (steadyNow() - arrivedAtMs))
     })
@@ -126,8 +137,10 @@
       quotaWaitMs: task.acceptedAtMs - askedAtMs
     })
     this.#open.add(task)
+    if (stream) this.#follow(stream, task)
     task.onFinish = () => {
       this.#open.delete(task)
+      if (stream && this.#streams.get(stream.key) === task) this.#streams.delete(stream.key)
       if (task.final?.outcome === 'not-run') charge?.giveBack()
     }
     if (account) this.#recordUsageOnStart(task, account.id)
@@ -138,7 +151,7 @@
    * Accepts a request that another daemon has admitted and creates its task; its quota and usage are that daemon's.
    * @returns Undefined if the configuration in force here does not serve the request from the pool.
    */
-  acceptDelegated ({ req, pool, deadlineInMs, maxAttempts }: Omit<DelegatedRequest, 'repeatable' | 'from'>, origin: DaemonId): RequestTask<Buffer> | undefined {
+  acceptDelegated ({ req, pool, deadlineInMs, maxAttempts, origin: began }: Omit<DelegatedRequest, 'repeatable' | 'from'>, origin: DaemonId): RequestTask<Buffer> | undefined {
     const catalog = this.#options.catalog()
     const route = catalog?.routes.find(req.host, pathOf(req))
     const account = [...catalog?.accounts.values() ?? []].find(({ id }) => id === req.account)
@@ -146,6 +159,7 @@
     const cls = catalog.urgency.classify(route, account)
     const task = new RequestTask<Buffer>({
       ...this.#taskOptions(req, { cls: { ...cls, maxAttempts: Math.min(cls.maxAttempts, maxAttempts) }, pool }),
+      origin: began,
       deadlineInMs,
       counted: false
     })
@@ -155,6 +169,11 @@
     return task
   }
 
+  #follow (stream: AdmittedStream, task: RequestTask<Buffer>): void {
+    this.#streams.set(stream.key, task)
+    if (task.work.cls.resumable) task.onOrigin = (origin) => this.#options.streams.began(stream, origin)
+  }
+
   #taskOptions (req: AdmittedRequest, { cls, pool }: { cls: Route['cls'], pool: PoolName }) {
     const { client, dialect, table, dispatcher, metrics, crashes, quarantine, answers, endpointLimits, signals, paths } = this.#options
     const ports: RequestPorts = { table, dispatcher, metrics, budget: this.#options.budgetOf(pool), crashes, quarantine, answers, limits: endpointLimits, signals, paths }
--- a/daemon/exchange/intake_test.ts
+++ b/daemon/exchange/intake_test.ts
@@ -30,6 +30,7 @@
     budgetOf: () => ({ deposit: () => {}, tryWithdraw: () => true }),
     configState: () => ({ revision: 1, revisionAgeMs: 0 }),
     table: {},
+    streams: { admit: async () => undefined },
     dispatcher: { remove: () => {} },
     quarantine: { heldForMs: () => undefined }
   } as unknown as IntakeOptions)
--- /dev/null
+++ b/daemon/exchange/stream_admission.ts
@@ -0,0 +1,85 @@
+/** Admission of streams: finds out where a stream that a caller resumes began. */
+import type { Account, PoolShare, Route } from '../../core/catalog/index.ts'
+import { as, type AccountId, type RequestId, type StreamKey } from '../../core/ids/index.ts'
+import { fingerprintOf, type Hash64 } from '../../core/quarantine/index.ts'
+import type { OriginVerdict, StreamOrigin } from '../../core/streams/index.ts'
+import type { ProxiedRequest } from '../../endpoints/index.ts'
+import { logRequest } from '../log/index.ts'
+import type { StreamOrigins } from '../streams/index.ts'
+import { Refusal } from './refusal.ts'
+
+/** Options of {@linkcode StreamAdmission}. */
+export interface StreamAdmissionOptions {
+  origins: Pick<StreamOrigins, 'began' | 'find'>
+  hash64: Hash64
+}
+
+/** The stream that a request belongs to. */
+export interface AdmittedStream {
+  key: StreamKey
+  /** Where it began; undefined while its caller has no event of it. */
+  origin: StreamOrigin | undefined
+  /** Longest time for which the stream may live from now on, in milliseconds. */
+  lifeMs: number
+}
+
+/** `Retry-After` for streams of which no other daemon could be asked where they began, in milliseconds. */
+const RETRY_AFTER_UNREACHABLE_MS = 500
+/** Bounds of the time for which a stream is taken to live, in milliseconds: a caller may wait longer over all of its tries than one of them tells. */
+const MIN_STREAM_LIFE_MS = 30_000
+const MAX_STREAM_LIFE_MS = 600_000
+/** Time for which a stream is taken to live, in deadlines of a request. */
+const STREAM_LIFE_DEADLINES = 2
+/** Part of a stream's key for callers without an account. */
+const NO_ACCOUNT = as<AccountId>('')
+
+/** Tells which stream a request belongs to. */
+export class StreamAdmission {
+  readonly #options: StreamAdmissionOptions
+
+  constructor (options: StreamAdmissionOptions) {
+    this.#options = options
+  }
+
+  /**
+   * Returns the stream that a request belongs to; undefined for a plain call.
+   * @throws {Refusal} If the stream cannot continue, or it cannot be found out where it began. What is not known is not guessed.
+   */
+  async admit (req: Pick<ProxiedRequest, 'id' | 'streamId' | 'resumeFrom' | 'deadlineInMs'>, { route, account }: { route: Route, account: Account | undefined }): Promise<AdmittedStream | undefined> {
+    const { cls, pools } = route
+    if (!cls.streaming) return undefined
+    const lifeMs = Math.min(MAX_STREAM_LIFE_MS, Math.max(MIN_STREAM_LIFE_MS, STREAM_LIFE_DEADLINES * Math.max(cls.latency.deadlineMs, req.deadlineInMs ?? 0)))
+    const ownKey = this.#keyOf(req.id, account)
+    if (req.resumeFrom === 0) return { key: ownKey, origin: undefined, lifeMs }
+    const key = req.streamId === undefined ? undefined : this.#keyOf(req.streamId, account)
+    const { verdict, answered, waitedMs } = await this.#options.origins.find({ key, pool: pools.length === 1 ? pools[0]!.pool : undefined, lifeMs })
+    const origin = 'origin' in verdict ? verdict.origin : undefined
+    logRequest(req.id, 'stream-origin', { stream: req.streamId, result: verdict.type, pool: origin?.pool, version: origin?.version, daemon: verdict.type === 'recorded' ? verdict.daemon : undefined, answered, waitedMs: Math.round(waitedMs) })
+    const problem = origin ? problemOf(origin, pools) : problemOfVerdict(verdict)
+    if (problem) throw new Refusal(problem.why, { status: 503, ...problem, cls: cls.name, ...(account && { account: account.id }) })
+    return { key: key ?? ownKey, origin, lifeMs }
+  }
+
+  /** Records that the first event of a stream is passed on from here. */
+  began ({ key, lifeMs }: AdmittedStream, origin: StreamOrigin): void {
+    this.#options.origins.began(key, origin, lifeMs)
+  }
+
+  /** The account is part of the key, so that an account learns nothing about the streams of another. */
+  #keyOf (id: RequestId, account: Account | undefined): StreamKey {
+    return as<StreamKey>(fingerprintOf([account?.id ?? NO_ACCOUNT, id], this.#options.hash64))
+  }
+}
+
+/** Why a stream is refused, and when its caller should come back; without a time, that is of no use. */
+interface Problem { why: string, retryAfterMs?: number }
+
+function problemOf (origin: StreamOrigin, pools: readonly PoolShare[]): Problem | undefined {
+  return pools.some(({ pool }) => pool === origin.pool) ? undefined : { why: `the stream began at ${origin.pool}, which does not serve its route any more` }
+}
+
+function problemOfVerdict ({ type }: OriginVerdict): Problem {
+  return type === 'unreachable'
+    ? { why: 'no other daemon could be asked at which version the stream began', retryAfterMs: RETRY_AFTER_UNREACHABLE_MS }
+    : { why: 'it is not known at which version the stream began' }
+}
--- a/daemon/peers/links.ts
+++ b/daemon/peers/links.ts
@@ -41,6 +41,8 @@
   gossip (to: DaemonId, gossip: Gossip): void
   /** Connects to a daemon unless a link is open already. */
   connect (to: { id: DaemonId, address: string }): Promise<ConnectResult>
+  /** Returns true if a link to a daemon is open. */
+  isLinked (to: DaemonId): boolean
   /** Sends a one-way message; returns false when there is no link. */
   post (to: DaemonId, topic: string, value: unknown): boolean
   /** Registers the handler for the messages of a topic. */
--- a/daemon/peers/peer_links.ts
+++ b/daemon/peers/peer_links.ts
@@ -140,6 +140,10 @@
     }
   }
 
+  isLinked (to: DaemonId): boolean {
+    return this.#links.has(to)
+  }
+
   post (to: DaemonId, topic: string, value: unknown): boolean {
     const link = this.#links.get(to)
     if (!link) return false
--- a/daemon/request/_delegated_attempts.ts
+++ b/daemon/request/_delegated_attempts.ts
@@ -1,10 +1,11 @@
 /** Attempts of one request that other daemons run. */
 import type { AnswerBuffer, AnswerHead, Chunk } from '../../core/answer/index.ts'
 import type { SelectedDelegate } from '../../core/delegation/index.ts'
-import type { DaemonId } from '../../core/ids/index.ts'
+import type { DaemonId, EndpointVersion } from '../../core/ids/index.ts'
 import { AttemptError } from '../../core/outcome/index.ts'
 import { canRetry, isFreeRetry, type RequestState } from '../../core/request/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
+import type { StreamOrigin } from '../../core/streams/index.ts'
 import type { Attachment } from '../../endpoints/index.ts'
 import type { RequestEvents } from '../log/index.ts'
 import type { DelegatedSink, DelegatedSpec } from './delegated_run.ts'
@@ -19,9 +20,11 @@
   delegate (to: DaemonId, spec: DelegatedSpec, sink: DelegatedSink<P>): Attachment
   /** State of the request. */
   state (): RequestState
+  /** Where the stream began; undefined while its caller has no event of it. */
+  origin (): StreamOrigin | undefined
   recordDecision<E extends keyof RequestEvents> (event: E, fields: RequestEvents[E]): void
-  /** Called with each part of the answer, and its head if that has arrived. */
-  onChunk (chunk: Chunk<P>, head: AnswerHead | undefined): void
+  /** Called with each part of the answer, its head if that has arrived, and the version of the endpoint that it came from. */
+  onChunk (chunk: Chunk<P>, from: { head: AnswerHead | undefined, version: EndpointVersion | undefined }): void
   /** Called when the answer is whole. */
   onWhole (head: AnswerHead | undefined): void
   /** Called when the request did not run, and its caller is to come back later. */
@@ -43,7 +46,7 @@
 
   /** Starts an attempt at the selected daemon. */
   start (attempt: number): Attachment {
-    const { work, ports, answer, delegate, state, recordDecision } = this.#options
+    const { work, ports, answer, delegate, state, origin, recordDecision } = this.#options
     const { traits, sent } = state()
     const { id: to, inFlight, offerAgeMs, activityAgeMs } = this.selected!
     answer.replaceAttempt(attempt)
@@ -54,17 +57,22 @@
       from: answer.length,
       deadlineInMs: traits.deadlineAtMs - steadyNow(),
       maxAttempts: traits.maxAttempts - sent,
-      repeatable: traits.idempotent
+      repeatable: traits.idempotent,
+      origin: origin()
     }, this.#sink(attempt))
   }
 
   #sink (attempt: number): DelegatedSink<P> {
     let head: AnswerHead | undefined
+    let version: EndpointVersion | undefined
     const { ports: { metrics }, answer, state, onChunk, onWhole, onRefused } = this.#options
     const isCurrent = () => attempt === state().attempt && state().phase === 'running'
     return {
-      onHead: (arrived) => { head = arrived },
-      onChunk: (offset, pieces) => onChunk({ attempt, offset, pieces }, head),
+      onHead: (arrived, from) => {
+        head = arrived
+        version = from.version
+      },
+      onChunk: (offset, pieces) => onChunk({ attempt, offset, pieces }, { head, version }),
       onEnd: (total) => {
         if (!isCurrent()) return
         metrics.delegated.inc({ result: 'answered' })
--- a/daemon/request/delegated_run.ts
+++ b/daemon/request/delegated_run.ts
@@ -1,6 +1,8 @@
 /** One run of a request at another daemon. */
 import type { AnswerHead } from '../../core/answer/index.ts'
+import type { EndpointVersion } from '../../core/ids/index.ts'
 import type { AttemptError } from '../../core/outcome/index.ts'
+import type { StreamOrigin } from '../../core/streams/index.ts'
 
 /** How a run of a request at another daemon begins. */
 export interface DelegatedSpec {
@@ -12,12 +14,14 @@
   maxAttempts: number
   /** True if the request may run again when the daemon does not respond. */
   repeatable: boolean
+  /** Where the stream began; undefined while its caller has no event of it. */
+  origin?: StreamOrigin | undefined
 }
 
 /** Receives the answer of a request that another daemon runs. The last call is exactly one of `onEnd`, `onRefused` and `onError`. */
 export interface DelegatedSink<P> {
-  /** Called before the first piece. */
-  onHead (head: AnswerHead): void
+  /** Called before the first piece, with the version of the endpoint that it comes from. */
+  onHead (head: AnswerHead, from: { version: EndpointVersion | undefined }): void
   onChunk (offset: number, pieces: readonly P[]): void
   /** Called at the answer's explicit end. `total` counts the pieces from the start of the whole answer. */
   onEnd (total: number): void
--- a/daemon/request/dispatcher.ts
+++ b/daemon/request/dispatcher.ts
@@ -4,7 +4,8 @@
 import { backsOff, runningNow, type EndpointView, type PrefixIndex, type Random, type Route, type RouteQuery, type Router } from '../../core/routing/index.ts'
 import type { PromptPart } from '../../core/work/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
-import type { EndpointTable } from '../endpoints/endpoint_table.ts'
+import { remainingBackOffMs } from '../endpoints/_work_pauses.ts'
+import type { EndpointSelection, EndpointTable } from '../endpoints/endpoint_table.ts'
 import type { CanaryGate, EndpointLimiter, Placement, RequestWay, RequestWays } from './placement.ts'
 
 /** Options of {@linkcode Dispatcher}. */
@@ -55,16 +56,24 @@
 /** Reason for refusing a request while all endpoints that could take it have asked for time. */
 export const BACK_OFF_REASON = 'all endpoints asked for time'
 
+/** Reason for refusing to continue a stream of whose version no endpoint can take it. */
+export const VERSION_GONE_REASON = 'no endpoint runs the version that began the stream'
+/**
+ * Delay after which callers return whose stream's version has only endpoints that fail, in milliseconds: a crashed endpoint is replaced in about that time. If no endpoint is
+ * listed, it is of no use to return.
+ */
+const VERSION_GONE_RETRY_AFTER_MS = 2000
+
 /** Endpoints to choose from, and the number of prompt tokens that each is expected to have cached. */
 interface CandidateSet { candidates: readonly EndpointView[], cached: Map<EndpointId, number> }
 /** Whether a request may ask for a permit before it is placed, and whether it was granted one. */
 interface Permission { mayAsk: boolean, isGranted?: boolean }
-interface PoolState { queue: RequestQueue<Placement>, msPerStart: number, lastStartMs: number }
+interface PoolState { name: PoolName, queue: RequestQueue<Placement>, msPerStart: number, lastStartMs: number }
 
-/** Routes placements to endpoints, with one queue per pool. */
+/** Routes placements to endpoints, with one queue per pool, and one per version for streams that continue: nothing else waits behind them. */
 export class Dispatcher {
   readonly #options: DispatcherOptions
-  readonly #pools = new Map<PoolName, PoolState>()
+  readonly #pools = new Map<string, PoolState>()
   /** Requests that have asked whether they may go to an endpoint with a limit. */
   readonly #asking = new Set<Placement>()
   #sweepTimer: NodeJS.Timeout | undefined
@@ -80,21 +89,25 @@
 
   /** Number of requests queued for a pool. */
   queuedIn (pool: PoolName): number {
-    return this.#pools.get(pool)?.queue.length ?? 0
+    return this.#queuesOf(pool).reduce((sum, queue) => sum + queue.length, 0)
   }
 
   /** Numbers of urgent and other requests queued for a pool. */
   queuedByUrgency (pool: PoolName): { urgent: number, normal: number } {
-    const queue = this.#pools.get(pool)?.queue
-    const urgent = queue?.urgentLength ?? 0
-    return { urgent, normal: (queue?.length ?? 0) - urgent }
+    const urgent = this.#queuesOf(pool).reduce((sum, queue) => sum + queue.urgentLength, 0)
+    return { urgent, normal: this.queuedIn(pool) - urgent }
+  }
+
+  #queuesOf (pool: PoolName): RequestQueue<Placement>[] {
+    return [...this.#pools.values()].filter(({ name }) => name === pool).map(({ queue }) => queue)
   }
 
   /** Starts a request, queues it, or refuses it at once if it is not expected to start in time. */
   place (placement: Placement): void {
-    const pool = this.#poolState(placement.pool)
+    const pool = this.#poolState(placement)
     const way = this.#wayFor(placement)
     if (way.type !== 'direct') return this.#placeElsewhere(placement, way, pool)
+    if (this.#refuseIfVersionGone(placement)) return
     if (pool.queue.length === 0 && (this.#start(placement, pool, { mayAsk: true }) || this.#asking.has(placement))) return
     this.#queueOrRefuse(placement, pool)
   }
@@ -110,6 +123,24 @@
     else placement.refused(CUT_OFF_REASON, CUT_OFF_RETRY_AFTER_MS + this.#returnSpreadMs(placement))
   }
 
+  /**
+   * Refuses to continue a stream if its pool serves, and no endpoint of its version can take it soon: its caller is not held for a version that may never be back. While no
+   * endpoint of the pool serves, those that are listed next may run any version.
+   */
+  #refuseIfVersionGone (placement: Placement): boolean {
+    const { pool, origin } = placement
+    if (origin?.version === undefined || this.#options.table.usable(pool).every(({ version }) => version === origin.version)) return false
+    const now = steadyNow()
+    const { usable } = this.#endpointsFor(placement)
+    if (usable.some(({ ejectedUntilMs }) => ejectedUntilMs - now < VERSION_GONE_RETRY_AFTER_MS)) return false
+    placement.refused(VERSION_GONE_REASON, usable.length > 0 ? VERSION_GONE_RETRY_AFTER_MS : Infinity)
+    return true
+  }
+
+  #endpointsFor ({ pool, origin }: Placement): EndpointSelection {
+    return this.#options.table.select(pool, origin)
+  }
+
   #returnSpreadMs ({ cls }: Placement): number {
     return cls.urgent ? 0 : RETURN_SPREAD_MS * (this.#options.random?.() ?? 0)
   }
@@ -118,7 +149,7 @@
     const { urgent } = placement.cls
     const ahead = pool.queue.ahead(placement.account, urgent)
     pool.queue.push({ account: placement.account, tokens: totalTokens(placement), startByMs, urgent, item: placement })
-    placement.waits({ ahead, expectedMs, latestStartInMs: startByMs - steadyNow(), candidates: this.#options.table.candidates(placement.pool).length })
+    placement.waits({ ahead, expectedMs, latestStartInMs: startByMs - steadyNow(), candidates: this.#endpointsFor(placement).connected.length })
     this.#options.limits?.queued()
     this.#scheduleSweep()
   }
@@ -127,7 +158,7 @@
     const { urgent } = placement.cls
     const ahead = pool.queue.ahead(placement.account, urgent)
     // Work that ran before is not given up while its deadline allows another endpoint to be listed.
-    const backOffMs = placement.resumed ? 0 : this.#options.table.backOffMs(placement.pool)
+    const backOffMs = placement.resumed ? 0 : remainingBackOffMs(this.#endpointsFor(placement).usable)
     const waitMs = Math.max((ahead + 1) * pool.msPerStart, this.#permitWaitMs(placement), backOffMs)
     const startByMs = latestStartMs(placement)
     if (steadyNow() + waitMs > startByMs) return this.#refuse(placement, { waitMs, backOffMs })
@@ -140,18 +171,19 @@
   }
 
   /** Returns the wait for a permit if all endpoints of the pool have a limit; 0 otherwise. */
-  #permitWaitMs ({ pool, cls }: Placement): number {
-    const { table, limits } = this.#options
+  #permitWaitMs (placement: Placement): number {
+    const { limits } = this.#options
     if (!limits) return 0
-    const usable = table.usable(pool)
+    const { pool, cls } = placement
+    const { usable } = this.#endpointsFor(placement)
     return usable.length > 0 && usable.every((view) => limits.isLimited(view)) ? limits.waitMs(pool, cls.urgent) : 0
   }
 
   /** Starts queued requests that now have room and refuses those that are too late. Must be called whenever room may have become free. */
   startQueued (): void {
     const now = steadyNow()
-    for (const [name, pool] of this.#pools) {
-      const backOffMs = this.#options.table.backOffMs(name)
+    for (const pool of this.#pools.values()) {
+      const backOffMs = this.#options.table.backOffMs(pool.name)
       const expired = pool.queue.expire(now, ({ resumed }) => (resumed ? 0 : backOffMs))
       for (const late of expired) this.#refuse(late.item, { waitMs: Math.max(pool.msPerStart, backOffMs), backOffMs })
       this.#drain(pool)
@@ -169,6 +201,10 @@
 
   #drain (pool: PoolState): void {
     for (let next = pool.queue.peek(); next; next = pool.queue.peek()) {
+      if (this.#refuseIfVersionGone(next.item)) {
+        pool.queue.remove(next)
+        continue
+      }
       const way = this.#wayFor(next.item)
       if (way.type === 'wait' || (way.type === 'direct' && !this.#start(next.item, pool, { mayAsk: false }))) return
       pool.queue.remove(next)
@@ -184,7 +220,7 @@
   /** Sends a request to a canary endpoint. Requests that an earlier attempt was made for are excluded. */
   #startCanary (placement: Placement, now: number): boolean {
     const { canaries: gate, prefixes } = this.#options
-    if (!gate || placement.resumed || placement.avoid.length > 0) return false
+    if (!gate || placement.resumed || placement.origin || placement.avoid.length > 0) return false
     const candidates = gate.canaries(placement)
     if (candidates.length === 0) return false
     const started = this.#startAt(placement, { pool: undefined, now, mayAsk: false, candidates, cached: prefixes.lookup(placement.demand.parts, now) })
@@ -248,31 +284,31 @@
     answer.then((isGranted) => {
       if (!this.#asking.delete(placement)) return
       if (!isGranted) recordDiversion(placement, preferred, limits)
-      const pool = this.#poolState(placement.pool)
+      const pool = this.#poolState(placement)
       if (!this.#start(placement, pool, { mayAsk: false, isGranted })) this.#queueOrRefuse(placement, pool)
     })
     return true
   }
 
   /** Returns the endpoints that may take a request with their expected cached tokens: prefixes sent by this daemon, and at the home those sent by any daemon. */
-  #candidatesFor ({ demand, pool }: Placement, now: number): CandidateSet {
-    const { table, prefixes } = this.#options
+  #candidatesFor (placement: Placement, now: number): CandidateSet {
+    const { prefixes } = this.#options
+    const { demand, pool } = placement
     const cached = prefixes.lookup(demand.parts, now)
-    const connected = table.candidates(pool)
-    const candidates = this.#withPermitted(pool, connected.every((view) => backsOff(view, now)) ? table.usable(pool) : connected)
+    const { usable, connected } = this.#endpointsFor(placement)
+    const candidates = this.#withPermitted(pool, { usable, views: connected.every((view) => backsOff(view, now)) ? usable : connected })
     const shared = demand.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0)
-    const home = this.#options.home?.(demand.parts, this.#withoutLimits(shared >= MIN_TOKENS_FOR_CONNECTION ? table.usable(pool) : candidates))
+    const home = this.#options.home?.(demand.parts, this.#withoutLimits(shared >= MIN_TOKENS_FOR_CONNECTION ? usable : candidates))
     if (!home) return { candidates, cached }
     cached.set(home.id, Math.max(shared, cached.get(home.id) ?? 0))
     return { candidates: candidates.includes(home) ? candidates : [...candidates, home], cached }
   }
 
   /** Adds the endpoints that this daemon has permits for: they may be others than those that it is connected to. */
-  #withPermitted (pool: PoolName, views: readonly EndpointView[]): readonly EndpointView[] {
-    const { limits, table } = this.#options
-    const permitted = limits?.permitted(pool) ?? []
+  #withPermitted (pool: PoolName, { usable, views }: { usable: readonly EndpointView[], views: readonly EndpointView[] }): readonly EndpointView[] {
+    const permitted = this.#options.limits?.permitted(pool) ?? []
     if (permitted.length === 0) return views
-    return [...views, ...table.usable(pool).filter((view) => permitted.includes(view.id) && !views.includes(view))]
+    return [...views, ...usable.filter((view) => permitted.includes(view.id) && !views.includes(view))]
   }
 
   /** Endpoints without a limit, or all if each has one: a prefix is cached where all of its requests can go. */
@@ -283,11 +319,12 @@
     return unlimited.length > 0 ? unlimited : views
   }
 
-  #poolState (name: PoolName): PoolState {
-    let pool = this.#pools.get(name)
+  #poolState ({ pool: name, origin }: Placement): PoolState {
+    const key = origin ? `${name}/${origin.version ?? ''}` : name
+    let pool = this.#pools.get(key)
     if (!pool) {
-      pool = { queue: this.#options.queue?.() ?? new FairQueue(), msPerStart: 0, lastStartMs: steadyNow() }
-      this.#pools.set(name, pool)
+      pool = { name, queue: this.#options.queue?.() ?? new FairQueue(), msPerStart: 0, lastStartMs: steadyNow() }
+      this.#pools.set(key, pool)
     }
     return pool
   }
--- a/daemon/request/placement.ts
+++ b/daemon/request/placement.ts
@@ -2,6 +2,7 @@
 import type { SelectedDelegate } from '../../core/delegation/index.ts'
 import type { AccountId, DaemonId, EndpointId, PoolName } from '../../core/ids/index.ts'
 import type { EndpointView, Route } from '../../core/routing/index.ts'
+import type { StreamOrigin } from '../../core/streams/index.ts'
 import type { Demand, WorkClass } from '../../core/work/index.ts'
 
 /** A request that needs an endpoint. */
@@ -17,12 +18,15 @@
   deadlineAtMs: number
   /** True if an earlier attempt may have run. Such a request isn't refused for its latency target, which the earlier attempt has met or missed. */
   resumed: boolean
+  /** Where the stream began that the request continues. Default: its caller has no event of it. */
+  origin?: StreamOrigin | undefined
   avoid: readonly EndpointId[]
   placed (view: EndpointView, route: Route): void
   /** Called when another daemon is to run the request. Default: the request is refused instead. */
   delegated? (to: SelectedDelegate): void
   /** Daemons that must not run it. Default: none. */
   avoidDelegates?: readonly DaemonId[]
+  /** Called when the request is refused; `retryAfterMs` is `Infinity` if it is of no use to come back. */
   refused (reason: string, retryAfterMs: number): void
   /** Called when the request is queued because no endpoint has room. */
   waits (queue: QueuePosition): void
--- a/daemon/request/token_task.ts
+++ b/daemon/request/token_task.ts
@@ -1,6 +1,7 @@
 /** A request whose answer is a token stream or a single text. Callers can resume the answer, and a draining daemon hands it over. */
 import type { EndpointId, RequestId, AccountId } from '../../core/ids/index.ts'
 import type { EndpointView } from '../../core/routing/index.ts'
+import type { StreamOrigin } from '../../core/streams/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import type { AttemptSink } from '../../endpoints/index.ts'
 import type { LiveAnswer } from './live_answer.ts'
@@ -20,6 +21,8 @@
   endpoint: EndpointId | undefined
   /** Milliseconds until the deadline. */
   deadlineInMs: number
+  /** Where the stream began; undefined while its caller has no token of it. */
+  origin: StreamOrigin | undefined
 }
 
 /** Options of {@linkcode TokenTask}. */
@@ -58,7 +61,8 @@
       tokens: [...this.tokens],
       attempt,
       endpoint,
-      deadlineInMs: traits.deadlineAtMs - steadyNow()
+      deadlineInMs: traits.deadlineAtMs - steadyNow(),
+      origin: this.origin
     }
   }
 
@@ -99,6 +103,7 @@
     this.lifecycle = { ...this.lifecycle, phase: view ? 'running' : 'placing', attempt: handOver.attempt, endpoint: handOver.endpoint, mayHaveRun: true }
     this.answer.replaceAttempt(handOver.attempt)
     this.answer.add({ attempt: handOver.attempt, offset: 0, pieces: handOver.tokens })
+    if (handOver.origin) this.setOrigin(handOver.origin)
     if (!view) {
       this.recordDecision('stream-taken-over', { endpoint: undefined, fromPiece: handOver.tokens.length })
       return this.place([])
--- a/daemon/rollout/version_gate.ts
+++ b/daemon/rollout/version_gate.ts
@@ -1,6 +1,6 @@
 /** Decides on each daemon which version of a pool's endpoints serves a request, and counts the answers of each version. */
 import type { ClassName, DaemonId, EndpointVersion, PoolName } from '../../core/ids/index.ts'
-import { answerKey, answerKeyPrefix, requestCountKey, answerBucket, GrantAllowance, endpointGroup, isFinal, orderId, currentProgress, versionRule, type AnswerBucket, type Grant, type RolloutProgress, type VersionRule } from '../../core/rollout/index.ts'
+import { answerKey, answerKeyPrefix, barredVersion, requestCountKey, answerBucket, GrantAllowance, endpointGroup, isFinal, orderId, currentProgress, versionRule, type AnswerBucket, type Grant, type RolloutProgress, type VersionRule } from '../../core/rollout/index.ts'
 import type { EndpointView, Hash32 } from '../../core/routing/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import type { EndpointTable } from '../endpoints/endpoint_table.ts'
@@ -54,7 +54,7 @@
     this.#options = options
     options.links.onPost(GRANT_TOPIC, ({ pool, grant }: GrantMessage, from) => this.acceptGrant(pool, grant, from))
     options.rollouts.onChange((pool) => this.#onChange(pool))
-    options.table.restrictTo((view) => this.#mayServe(view))
+    this.#restrictTable()
   }
 
   /** Drops all grants. */
@@ -155,6 +155,11 @@
     return record && currentProgress(record)
   }
 
+  #restrictTable (): void {
+    const { table, rollouts } = this.#options
+    table.restrictTo((view) => this.#mayServe(view), ({ pool, version }) => version === undefined || barredVersion(rollouts.records.get(pool), { held: rollouts.isHeld(pool) }) !== version)
+  }
+
   #mayServe ({ pool, version }: EndpointView): boolean {
     return version === undefined || this.#ruleOf(pool)?.carries === version
   }
@@ -187,7 +192,7 @@
     if ([...rollouts.records.keys()].some((each) => this.isRolling(each))) availability.start()
     else availability.stop()
     if (!progress || isFinal(progress)) this.#options.tallies.tally.forget((key) => key.startsWith(answerKeyPrefix(pool)))
-    this.#options.table.restrictTo((view) => this.#mayServe(view))
+    this.#restrictTable()
     const { leaves } = this.#ruleOf(pool) ?? {}
     if (leaves !== undefined) this.#onVersionEmptied(pool, leaves)
   }
--- /dev/null
+++ b/daemon/streams/index.ts
@@ -0,0 +1,1 @@
+export * from './stream_origins.ts'
--- /dev/null
+++ b/daemon/streams/stream_origins.ts
@@ -0,0 +1,204 @@
+/** Records at which version streams began, and finds out where a stream that a caller resumes began. */
+import type { DaemonId, PoolName, StreamKey } from '../../core/ids/index.ts'
+import type { Member } from '../../core/membership/index.ts'
+import type { EndpointView, Hash32 } from '../../core/routing/index.ts'
+import { HOLDER_COUNT, judgeOrigin, OriginRecords, PoolVersions, rankHolders, type OriginRecord, type OriginTestimony, type OriginVerdict, type StreamOrigin } from '../../core/streams/index.ts'
+import { delay, steadyNow } from '../../core/time/index.ts'
+import type { Metrics } from '../metrics.ts'
+import type { MembershipTask } from '../peers/membership_task.ts'
+import { decodeRecords, decodeTestimony, encodeTestimony, FIND_METHOD, RECORDS_TOPIC, RESUMED_TOPIC, type OriginQuery, type OriginReply, type RecordsMessage } from './_messages.ts'
+import { RecordSender, type KeyedRecord } from './_record_sender.ts'
+
+/** Options of {@linkcode StreamOrigins}. */
+export interface StreamOriginsOptions {
+  self: DaemonId
+  membership: Pick<MembershipTask, 'links' | 'acceptingWork' | 'reachable' | 'joined'>
+  /** Returns the number of hosts in the fleet, including those that cannot be reached now. */
+  hostCount (): number
+  hash: Hash32
+  metrics: Pick<Metrics, 'streamOrigins' | 'streamRecords'>
+  /** Returns since when this daemon can have missed no change of the registry, in milliseconds on the steady clock; undefined while it may miss some. */
+  completeSinceMs (): number | undefined
+}
+
+/** A stream that a caller resumes. */
+export interface ResumedStream {
+  /** Undefined if the caller does not name the request that brought the first event. */
+  key: StreamKey | undefined
+  /** The pool that serves the stream's requests; undefined if several do. */
+  pool: PoolName | undefined
+  /** Longest time for which the stream may have lived, in milliseconds. */
+  lifeMs: number
+}
+
+/** Where a stream began, and how that was found out. */
+export interface OriginFinding {
+  verdict: OriginVerdict
+  /** Number of other daemons that answered. */
+  answered: number
+  waitedMs: number
+}
+
+/** Record of a stream that this daemon passes on. */
+interface OwnRecord extends OriginRecord {
+  lifeMs: number
+  isSent: boolean
+}
+
+/** Daemons that are asked at once: twice as many as hold a record, since members may have joined or left in between. */
+const ASKED_AT_ONCE = 2 * HOLDER_COUNT
+/** Time to wait for the answers of one round, in milliseconds. */
+const ANSWER_TIMEOUT_MS = 300
+/** Rounds in which daemons are asked: in the first a record may still be on its way. */
+const MAX_ROUNDS = 3
+const ROUND_INTERVAL_MS = 50
+/** Time that a daemon that has just started has to find others, in milliseconds. */
+const JOIN_WAIT_MS = 1000
+const JOIN_POLL_MS = 20
+
+/**
+ * Knows where streams began.
+ *
+ * The daemon that passes the first event of a stream to its caller records the version, and sends the record to {@linkcode HOLDER_COUNT} others along with that event. It
+ * sends nothing while it is certain that the pool has had one version only for as long as a stream lives: then any daemon that has watched the pool can tell.
+ */
+export class StreamOrigins {
+  readonly #options: StreamOriginsOptions
+  readonly #sender: RecordSender
+  readonly #versions = new PoolVersions()
+  /** Records of streams that this daemon passes on. */
+  readonly #own = new OriginRecords<OwnRecord>()
+  /** Records held for other daemons. */
+  readonly #held = new OriginRecords()
+  /** Value of {@linkcode StreamOriginsOptions.completeSinceMs} when own records were last looked through. */
+  #completeSinceMs: number | undefined
+  /** Called when the caller of a stream of this daemon resumes it with another request. */
+  onResumed: (key: StreamKey) => void = () => {}
+
+  constructor (options: StreamOriginsOptions) {
+    this.#options = options
+    this.#sender = new RecordSender(options)
+    const { links } = options.membership
+    links.onPost(RECORDS_TOPIC, (message: RecordsMessage, from) => {
+      const now = steadyNow()
+      for (const [key, record] of decodeRecords(message, from, now)) this.#held.set(key, record, now)
+    })
+    links.onPost(RESUMED_TOPIC, (key: StreamKey) => this.onResumed(key))
+    links.handle(FIND_METHOD, async (query: OriginQuery): Promise<OriginReply> => encodeTestimony(this.#testify(query)))
+  }
+
+  /** Number of records, own and held for other daemons. */
+  get size (): number { return this.#own.size + this.#held.size }
+
+  /** Must be called with all endpoints after each change to them. */
+  endpointsChanged (views: readonly EndpointView[]): void {
+    const hasNewVersion = this.#versions.record(views, steadyNow())
+    if (hasNewVersion || this.#options.completeSinceMs() !== this.#completeSinceMs) this.#sendUncertain()
+  }
+
+  /** Must be called when the registry stops answering: versions that come from then on are not seen here. */
+  registryLost (): void {
+    this.#sendUncertain()
+  }
+
+  /**
+   * Records the first event that this daemon passes on of a stream that its caller may resume.
+   * @param lifeMs Longest time from now on in which the caller may resume it, in milliseconds.
+   */
+  began (key: StreamKey, origin: StreamOrigin, lifeMs: number): void {
+    const now = steadyNow()
+    if (origin.version === undefined && this.#versions.seen(origin.pool, now - lifeMs).every((version) => version === undefined)) return
+    const isSent = !this.#hasOnlyVersion(origin.pool, lifeMs)
+    const record = { origin, daemon: this.#options.self, expiresAtMs: now + lifeMs, lifeMs, isSent }
+    this.#own.set(key, record, now)
+    if (isSent) this.#sender.send([[key, record]])
+  }
+
+  /** Finds out where a stream began, from this daemon's records or by asking others. */
+  async find (stream: ResumedStream): Promise<OriginFinding> {
+    const startedAtMs = steadyNow()
+    const testimonies = [this.#testify(stream)]
+    const answeredBy = new Set<DaemonId>()
+    let verdict: OriginVerdict = this.#judge(testimonies, stream, answeredBy)
+    let round = 0
+    if (verdict.type !== 'recorded') {
+      await this.#joined(startedAtMs)
+      do {
+        if (round > 0) await delay(ROUND_INTERVAL_MS)
+        await this.#ask(stream, { round, testimonies, answeredBy })
+        verdict = this.#judge(testimonies, stream, answeredBy)
+      } while (verdict.type !== 'recorded' && verdict.type !== 'only-version' && ++round < MAX_ROUNDS)
+    }
+    this.#options.metrics.streamOrigins.inc({ result: verdict.type === 'recorded' && round > 0 ? 'recorded-late' : verdict.type })
+    if (verdict.type === 'recorded') this.#notifyResumed(stream.key!, verdict.daemon)
+    return { verdict, answered: answeredBy.size, waitedMs: steadyNow() - startedAtMs }
+  }
+
+  #judge (testimonies: readonly OriginTestimony[], { pool }: ResumedStream, answeredBy: ReadonlySet<DaemonId>): OriginVerdict {
+    return judgeOrigin(testimonies, { pool, others: this.#options.hostCount() - 1, answered: answeredBy.size })
+  }
+
+  /** The daemon that passes the stream on ends its run: a stream has one at a time. */
+  #notifyResumed (key: StreamKey, daemon: DaemonId): void {
+    if (daemon === this.#options.self) this.onResumed(key)
+    else this.#options.membership.links.post(daemon, RESUMED_TOPIC, key)
+  }
+
+  async #joined (startedAtMs: number): Promise<void> {
+    while (!this.#options.membership.joined && steadyNow() - startedAtMs < JOIN_WAIT_MS) await delay(JOIN_POLL_MS)
+  }
+
+  /** Asks the daemons that probably hold the record, after the first round all that may. Resolves once one of them has it, or all have answered. */
+  async #ask (stream: ResumedStream, { round, testimonies, answeredBy }: { round: number, testimonies: OriginTestimony[], answeredBy: Set<DaemonId> }): Promise<void> {
+    const { self, membership, hash } = this.#options
+    const ranked = rankHolders(stream.key, membership.reachable.filter(({ id }) => id !== self), { hash })
+    const { key, pool, lifeMs } = stream
+    await new Promise<void>((resolve) => {
+      const ask = async (member: Member) => {
+        try {
+          const reply = await membership.links.call(member, FIND_METHOD, { key, pool, lifeMs } satisfies OriginQuery, { timeoutMs: ANSWER_TIMEOUT_MS }) as OriginReply
+          testimonies.push(decodeTestimony(reply))
+          answeredBy.add(member.id)
+          if (reply.record) resolve()
+        } catch { /* an unreachable daemon, or an earlier version that does not know the method: it adds nothing */ }
+      }
+      // A call to a daemon without a link may take longer than its timeout.
+      const timer = setTimeout(resolve, ANSWER_TIMEOUT_MS)
+      Promise.all((round === 0 ? ranked.slice(0, ASKED_AT_ONCE) : ranked).map(ask)).then(() => {
+        clearTimeout(timer)
+        resolve()
+      })
+    })
+  }
+
+  #testify ({ key, pool, lifeMs }: OriginQuery): OriginTestimony {
+    const now = steadyNow()
+    const record = key === undefined ? undefined : this.#own.get(key, now) ?? this.#held.get(key, now)
+    return {
+      record: record && { origin: record.origin, daemon: record.daemon },
+      versions: pool === undefined ? [] : this.#versions.seen(pool, now - lifeMs),
+      hasWatched: this.#hasWatched(lifeMs)
+    }
+  }
+
+  #hasWatched (lifeMs: number): boolean {
+    const sinceMs = this.#options.completeSinceMs()
+    return sinceMs !== undefined && steadyNow() - sinceMs >= lifeMs
+  }
+
+  #hasOnlyVersion (pool: PoolName, lifeMs: number): boolean {
+    return this.#hasWatched(lifeMs) && this.#versions.seen(pool, steadyNow() - lifeMs).length === 1
+  }
+
+  /** Sends own records of pools whose only version is not certain any more. */
+  #sendUncertain (): void {
+    this.#completeSinceMs = this.#options.completeSinceMs()
+    const records: KeyedRecord[] = []
+    for (const [key, record] of this.#own.entries(steadyNow())) {
+      if (record.isSent || this.#hasOnlyVersion(record.origin.pool, record.lifeMs)) continue
+      record.isSent = true
+      records.push([key, record])
+    }
+    if (records.length > 0) this.#sender.send(records)
+  }
+}
--- a/standins/network.ts
+++ b/standins/network.ts
@@ -132,6 +132,11 @@
     return 'linked'
   }
 
+  isLinked (to: DaemonId): boolean {
+    const address = this.#addresses.get(to)
+    return address !== undefined && this.#network.reach(this.id, address) !== undefined
+  }
+
   post (to: DaemonId, topic: string, value: unknown): boolean {
     const address = this.#addresses.get(to)
     if (address === undefined || !this.#network.reach(this.id, address)) return false
--- a/store/store_follower.ts
+++ b/store/store_follower.ts
@@ -54,6 +54,8 @@
   #reachable = true
   #failures = 0
   #listedAtMs = -Infinity
+  /** Since when every change has been seen, on the monotonic clock; undefined while some may be missed. */
+  #completeSinceMs: number | undefined
   /** Time of the store's last answer, on the monotonic clock. */
   lastAnswerAtMs = -Infinity
 
@@ -67,6 +69,9 @@
   /** False from the first failed call until the next answer was applied. */
   get reachable (): boolean { return this.#reachable }
 
+  /** Since when no change can have been missed, in milliseconds on the monotonic clock; undefined before the first listing and while the store does not answer. */
+  get completeSinceMs (): number | undefined { return this.#completeSinceMs }
+
   /** Starts following. */
   start (): void {
     this.#follow()
@@ -86,6 +91,7 @@
         if (pauseMs > 0) await delay(pauseMs)
       } catch (err) {
         if (!(err instanceof StoreError)) throw err
+        this.#completeSinceMs = undefined
         if (isStoreFailure(err, 'history-gone')) this.#version = undefined
         else await this.#handleFailure(err)
       }
@@ -101,6 +107,7 @@
     for (const object of objects) this.#applyObject(object)
     this.#version = version
     this.#listedAtMs = steadyNow()
+    this.#completeSinceMs ??= this.#listedAtMs
     this.#options.onChange(this.#objects, { listed: true, removed, version })
   }
 
