--- /dev/null
+++ b/daemon/streams/stream_origins_test.ts
@@ -0,0 +1,171 @@
+import { afterEach, beforeEach, expect, test, vi } from 'vitest'
+import { as, type DaemonId, type EndpointVersion, type FailureDomain, type PoolName, type StreamKey } from '../../core/ids/index.ts'
+import type { Member } from '../../core/membership/index.ts'
+import type { EndpointView } from '../../core/routing/index.ts'
+import { steadyNow } from '../../core/time/index.ts'
+import { StandInNetwork, type StandInLinks } from '../../standins/index.ts'
+import { createMetrics } from '../metrics.ts'
+import { StreamOrigins } from './index.ts'
+
+const POOL = as<PoolName>('llm')
+const LIFE_MS = 30_000
+const V1 = { pool: POOL, version: as<EndpointVersion>('v1') }
+const V2 = { pool: POOL, version: as<EndpointVersion>('v2') }
+const key = (i: number) => as<StreamKey>(`stream-${i}`)
+const views = (...versions: string[]) => versions.map((version) => ({ pool: POOL, version })) as unknown as EndpointView[]
+
+interface Daemon { origins: StreamOrigins, links: StandInLinks, metrics: ReturnType<typeof createMetrics>, registry: { completeSinceMs: number | undefined } }
+
+let network: StandInNetwork
+let members: Member[]
+let daemons: Daemon[]
+beforeEach(() => {
+  vi.useFakeTimers()
+  network = new StandInNetwork()
+  members = []
+  daemons = []
+})
+afterEach(() => { vi.useRealTimers() })
+
+const hash = (text: string) => [...text].reduce((value, char) => Math.imul(value ^ char.charCodeAt(0), 16777619) >>> 0, 2166136261)
+
+/** Starts daemons that follow the registry from now on and see endpoints of the given versions. */
+async function start (count: number, ...versions: string[]): Promise<void> {
+  for (let i = 0; i < count; i++) {
+    const self = as<DaemonId>(`d${members.length}`)
+    const links = network.join(self)
+    await links.listen()
+    const metrics = createMetrics()
+    const registry: Daemon['registry'] = { completeSinceMs: steadyNow() }
+    const membership = { links, joined: true, get acceptingWork () { return members }, get reachable () { return members } }
+    const origins = new StreamOrigins({ self, membership, hostCount: () => members.length, hash, metrics, completeSinceMs: () => registry.completeSinceMs })
+    members.push({ id: self, address: `node:${self}`, failureDomain: as<FailureDomain>('abc'[i % 3]!), incarnation: 1, state: 'up', revision: 0, heir: undefined })
+    daemons.push({ origins, links, metrics, registry })
+    origins.endpointsChanged(views(...versions))
+  }
+  for (const { links } of daemons) links.keep(members.map(({ address }) => address))
+  await vi.advanceTimersByTimeAsync(20)
+}
+
+async function kill (...which: number[]): Promise<void> {
+  for (const i of which) await daemons[i]!.links.close()
+  await vi.advanceTimersByTimeAsync(20)
+}
+
+/** Finds out where a stream began, at one daemon. */
+async function find (at: number, stream: number | undefined): Promise<object> {
+  const finding = daemons[at]!.origins.find({ key: stream === undefined ? undefined : key(stream), pool: POOL, lifeMs: LIFE_MS })
+  await vi.advanceTimersByTimeAsync(3000)
+  const { verdict } = await finding
+  return verdict
+}
+
+async function sent (at: number): Promise<number> {
+  const { values } = await daemons[at]!.metrics.streamRecords.get()
+  return values.reduce((sum, { value }) => sum + value, 0)
+}
+
+test('a stream is found at any daemon after the one that began it and two others were killed', async () => {
+  await start(9, 'v1', 'v2')
+  for (let i = 0; i < 20; i++) daemons[0]!.origins.began(key(i), V2, LIFE_MS)
+  await vi.advanceTimersByTimeAsync(20)
+  await kill(0, 4, 8)
+  const found = await Promise.all(Array.from({ length: 20 }, (_, i) => find(1 + i % 3, i)))
+  expect(found).toEqual(found.map(() => ({ type: 'recorded', origin: V2, daemon: 'd0' })))
+})
+
+test('while a pool has had one version for long, nothing is sent, and a stream goes on at that version', async () => {
+  // Guards against messages for each stream in the ordinary case.
+  await start(3, 'v1', 'v1')
+  await vi.advanceTimersByTimeAsync(LIFE_MS)
+  daemons[0]!.origins.began(key(1), V1, LIFE_MS)
+  await vi.advanceTimersByTimeAsync(100)
+  expect(await sent(0)).toBe(0)
+  await kill(0)
+  expect(await find(1, 1)).toEqual({ type: 'only-version', origin: V1 })
+  expect(await find(1, undefined)).toEqual({ type: 'only-version', origin: V1 })
+})
+
+test('pools whose endpoints have no version cost nothing', async () => {
+  await start(3)
+  daemons[0]!.origins.began(key(1), { pool: POOL, version: undefined }, LIFE_MS)
+  expect([await sent(0), daemons[0]!.origins.size]).toEqual([0, 0])
+})
+
+test.each<[string, (daemon: Daemon) => void]>([
+  ['another version is listed', ({ origins }) => origins.endpointsChanged(views('v1', 'v2'))],
+  ['the registry stops answering', ({ origins, registry }) => {
+    registry.completeSinceMs = undefined
+    origins.registryLost()
+  }],
+  ['changes of the registry may have been missed', ({ origins, registry }) => {
+    registry.completeSinceMs = steadyNow()
+    origins.endpointsChanged(views('v1'))
+  }]
+])('records that nobody else has are sent when %s', async (_what, happens) => {
+  // Guards against streams that began before the second version came, and are lost with their daemon after it.
+  await start(4, 'v1')
+  await vi.advanceTimersByTimeAsync(LIFE_MS)
+  daemons[0]!.origins.began(key(1), V1, LIFE_MS)
+  happens(daemons[0]!)
+  await vi.advanceTimersByTimeAsync(100)
+  expect(await sent(0)).toBe(3)
+  for (const daemon of daemons.slice(1)) daemon.origins.endpointsChanged(views('v1', 'v2'))
+  await kill(0)
+  expect(await find(1, 1)).toEqual({ type: 'recorded', origin: V1, daemon: 'd0' })
+})
+
+test('a daemon that has just started finds records, and is no witness itself', async () => {
+  await start(3, 'v1')
+  daemons[0]!.origins.began(key(1), V1, LIFE_MS)
+  await start(1, 'v1')
+  expect(await find(3, 1)).toMatchObject({ type: 'recorded' })
+  expect(await find(3, 2)).toEqual({ type: 'unknown' })
+})
+
+test('a daemon that others do not answer guesses nothing, although it has seen one version only', async () => {
+  // Guards against a daemon that is cut off from the others while they learn of another version.
+  await start(3, 'v1')
+  await vi.advanceTimersByTimeAsync(LIFE_MS)
+  for (const other of [1, 2]) network.part(members[0]!.id, members[other]!.id, true)
+  expect(await find(0, 1)).toEqual({ type: 'unreachable' })
+  network.healPartitions()
+})
+
+test('a daemon that has missed a version does not take its pool for one of one version', async () => {
+  await start(3, 'v1')
+  await vi.advanceTimersByTimeAsync(LIFE_MS)
+  daemons[1]!.origins.endpointsChanged(views('v1', 'v2'))
+  expect(await find(0, 1)).toEqual({ type: 'unknown' })
+})
+
+test('a version that left is remembered for as long as its streams may live', async () => {
+  await start(2, 'v1', 'v2')
+  await vi.advanceTimersByTimeAsync(LIFE_MS)
+  for (const { origins } of daemons) origins.endpointsChanged(views('v2'))
+  await vi.advanceTimersByTimeAsync(LIFE_MS - 5000)
+  expect(await find(0, 1)).toEqual({ type: 'unknown' })
+  await vi.advanceTimersByTimeAsync(5000)
+  expect(await find(0, 1)).toEqual({ type: 'only-version', origin: V2 })
+})
+
+test('a record that arrives after the first inquiry is found', async () => {
+  // Guards against callers that are back sooner than a busy daemon reads the record.
+  await start(3, 'v1', 'v2')
+  setTimeout(() => daemons[0]!.origins.began(key(1), V1, LIFE_MS), 30)
+  expect(await find(1, 1)).toMatchObject({ type: 'recorded' })
+  expect((await daemons[1]!.metrics.streamOrigins.get()).values).toMatchObject([{ labels: { result: 'recorded-late' } }])
+})
+
+test('the daemon that passes a stream on learns that its caller resumes it elsewhere', async () => {
+  const resumed: string[] = []
+  await start(4, 'v1', 'v2')
+  for (const [i, { origins }] of daemons.entries()) origins.onResumed = (which) => resumed.push(`${which} at ${i}`)
+  daemons[0]!.origins.began(key(1), V1, LIFE_MS)
+  await vi.advanceTimersByTimeAsync(10)
+  await find(1, 1)
+  daemons[1]!.origins.began(key(1), V1, LIFE_MS)
+  await vi.advanceTimersByTimeAsync(10)
+  await find(1, 1)
+  expect(resumed).toEqual(['stream-1 at 0', 'stream-1 at 1'])
+})
