Explain streams that were refused when their callers resumed them

explain said "no configuration" for each 503 before a request was taken. Two takes of one stream at once at one daemon: the later one ends the earlier. Beside tests: daemon/explain, daemon/log pass.

--- a/daemon/endpoints/endpoint_table.ts
+++ b/daemon/endpoints/endpoint_table.ts
@@ -434,7 +434,7 @@
     this.#pauses.listed(view)
     this.#views.set(endpoint.id, view)
     this.#byHost.set(host.hostId, endpoint.id)
-    log('endpoint-listed', { endpoint: endpoint.id, pool: endpoint.pool, failureDomain: host.failureDomain, reclaimable: host.reclaimable, slots: endpoint.speed.batchSlots })
+    log('endpoint-listed', { endpoint: endpoint.id, pool: endpoint.pool, version: endpoint.version, failureDomain: host.failureDomain, reclaimable: host.reclaimable, slots: endpoint.speed.batchSlots })
     const departure = this.#departures.of(host.hostId)
     if (departure) this.#markLeaving(endpoint.id, departure)
   }
--- a/daemon/exchange/intake.ts
+++ b/daemon/exchange/intake.ts
@@ -170,6 +170,7 @@
   }
 
   #follow (stream: AdmittedStream, task: RequestTask<Buffer>): void {
+    if (stream.origin) this.streamResumed(stream.key)
     this.#streams.set(stream.key, task)
     if (task.work.cls.resumable) task.onOrigin = (origin) => this.#options.streams.began(stream, origin)
   }
--- a/daemon/explain/_cause.ts
+++ b/daemon/explain/_cause.ts
@@ -1,5 +1,5 @@
 import type { RequestEvents } from '../log/index.ts'
-import { BACK_OFF_REASON, CUT_OFF_REASON } from '../request/dispatcher.ts'
+import { BACK_OFF_REASON, CUT_OFF_REASON, VERSION_GONE_REASON } from '../request/dispatcher.ts'
 import type { DaemonLine, LogLine, RequestLine } from './log_lines.ts'
 
 /** Log lines from which a request's outcome is explained. */
@@ -52,12 +52,23 @@
         ? `over quota: account ${f.account} had no room while the daemon that counts quotas changed`
         : `over quota: account ${f.account} had used up what it may${describeRoom(f)}`
     }
-    case 503: return 'no configuration: the daemon had just started and the store had not answered'
+    case 503: {
+      const origin = last(requestLines, 'stream-origin')
+      return origin ? `version: ${describeOrigin(origin)}` : 'no configuration: the daemon had just started and the store had not answered'
+    }
     case 408: return 'caller: its request did not come whole in time'
     default: return `caller: ${f.why}`
   }
 }
 
+/** Describes why a stream that its caller resumed was refused. */
+function describeOrigin ({ stream, result, pool, answered, waitedMs }: RequestEvents['stream-origin']): string {
+  const name = stream ?? 'a stream that its caller did not name'
+  if (pool !== undefined) return `${name} began at ${pool}, which does not serve its route any more`
+  if (result === 'unreachable') return `no other daemon answered within ${waitedMs} ms at which version ${name} began`
+  return `none of ${answered} daemons knew at which version ${name} began, and its pool has had several or may have`
+}
+
 function describeRoom ({ cost, room }: RequestEvents['request-refused']): string {
   return cost === undefined || room === undefined ? '' : ` (${Math.round(room)} left, it costs ${cost})`
 }
@@ -70,6 +81,7 @@
   if (held) return `caller: endpoints that ran requests like it crashed; request-quarantined of ${held.fingerprint} names them`
   if (f.why === BACK_OFF_REASON) return `endpoints asked for time: ${describeBackOffs(evidence)}`
   if (f.why === CUT_OFF_REASON) return `cut off: ${describeCutOff(evidence)}`
+  if (f.why === VERSION_GONE_REASON) return `version: ${describeVersionGone(evidence)}`
   if (f.why === 'no room in time') return `no room: ${describeQueue(evidence)}`
   const delegateFailed = last(evidence.requestLines, 'delegate-failed')
   if (delegateFailed) return `cut off: ${delegateFailed.to}, which ran it instead, ${delegateFailed.point === 'delegate-lost' ? 'was lost' : 'did not answer it'} after ${delegateFailed.pieces} pieces (${delegateFailed.why})`
@@ -114,6 +126,13 @@
   return `${endpoint} was still writing after ${atEndpointMs} ms (${f.pieces} pieces, longest pause ${Math.round(f.longestPauseMs ?? 0)} ms)`
 }
 
+/** Describes at which version a stream began that no endpoint could continue. */
+function describeVersionGone ({ requestLines }: Evidence): string {
+  const version = last(requestLines, 'stream-origin')?.version ?? last(requestLines, 'attempt-started')?.version
+  const pieces = last(requestLines, 'attempt-failed')?.pieces
+  return `the stream began at ${version}, of which no endpoint was left${pieces ? ` after ${pieces} pieces` : ''}`
+}
+
 /** Describes how the request's pool was cut off from its daemon. */
 function describeCutOff ({ context }: Evidence): string {
   const cutOff = context.findLast((line) => line.event === 'pool-cut-off')
--- a/daemon/log/events.ts
+++ b/daemon/log/events.ts
@@ -85,7 +85,7 @@
   /** A message could not be decoded; its link was closed. */
   'peer-message-refused': { peer: string, why: string }
   'not-registered': { why: string }
-  'endpoint-listed': { endpoint: string, pool: string, failureDomain: string, reclaimable: boolean, slots: number }
+  'endpoint-listed': { endpoint: string, pool: string, version: string | undefined, failureDomain: string, reclaimable: boolean, slots: number }
   'endpoint-leaving': { endpoint: string, signal: string, leftMs: number }
   'endpoint-gone': { endpoint: string }
   /** The endpoint's process ended, which a later start under the same name shows. */
