Hand the records of streams over when a daemon leaves

A rolling restart could end all three holders of a record within the life of a stream, and its caller was then refused. A daemon that leaves sends the records that it has to those that rank highest among the others. The test has six daemons, of which four leave one after the other, and ten streams; it was written with the change, and fails without the call (unknown instead of recorded).

--- a/daemon/exchange/proxy_daemon.ts
+++ b/daemon/exchange/proxy_daemon.ts
@@ -150,7 +150,8 @@
   }
 
   async #leave (): Promise<void> {
-    const { membership, server } = this.#components
+    const { membership, server, streamOrigins } = this.#components
+    streamOrigins.handOver()
     this.#stopTasks()
     await membership.leave(undefined)
     log('daemon-left', { cut: server.open })
--- a/daemon/streams/stream_origins.ts
+++ b/daemon/streams/stream_origins.ts
@@ -114,6 +114,12 @@
     if (isSent) this.#sender.send([[key, record]])
   }
 
+  /** Sends all records to other daemons, since this one leaves. */
+  handOver (): void {
+    const now = steadyNow()
+    this.#sender.send([...this.#held.entries(now), ...this.#own.entries(now)])
+  }
+
   /** Finds out where a stream began, from this daemon's records or by asking others. */
   async find (stream: ResumedStream): Promise<OriginFinding> {
     const startedAtMs = steadyNow()
--- a/daemon/streams/stream_origins_test.ts
+++ b/daemon/streams/stream_origins_test.ts
@@ -157,6 +157,21 @@
   expect((await daemons[1]!.metrics.streamOrigins.get()).values).toMatchObject([{ labels: { result: 'recorded-late' } }])
 })
 
+test('records survive daemons that leave one after the other', async () => {
+  // Guards against rolling restarts of all holders within the life of a stream.
+  await start(6, 'v1', 'v2')
+  for (let i = 0; i < 10; i++) daemons[0]!.origins.began(key(i), V2, LIFE_MS)
+  await vi.advanceTimersByTimeAsync(10)
+  for (let i = 0; i < 4; i++) {
+    members = members.filter(({ id }) => id !== `d${i}`)
+    daemons[i]!.origins.handOver()
+    await vi.advanceTimersByTimeAsync(300)
+    await kill(i)
+  }
+  const found = await Promise.all(Array.from({ length: 10 }, (_, i) => find(5, i)))
+  expect(found).toEqual(found.map(() => expect.objectContaining({ type: 'recorded', origin: V2 })))
+})
+
 test('the daemon that passes a stream on learns that its caller resumes it elsewhere', async () => {
   const resumed: string[] = []
   await start(4, 'v1', 'v2')
