--- a/core/streams/origin_judge.ts
+++ b/core/streams/version_judge.ts
@@ -1,12 +1,12 @@
 /** Conclusion about where a stream began, from what several daemons know. */
 import type { DaemonId, PoolName } from '../ids/index.ts'
 import type { SeenVersions } from './pool_versions.ts'
-import type { StreamOrigin } from './stream_origin.ts'
+import type { StreamVersion } from './stream_version.ts'
 
 /** What one daemon knows of a stream. */
-export interface OriginTestimony {
+export interface VersionEvidence {
   /** The daemon's record of the stream; undefined if it has none. */
-  record: { origin: StreamOrigin, daemon: DaemonId } | undefined
+  record: { streamVersion: StreamVersion, daemon: DaemonId } | undefined
   /** Versions that the daemon has seen in the pool within the time for which the stream may have lived. */
   versions: SeenVersions
   /** True if it has watched the pool without a gap for all of that time, and still does. */
@@ -14,9 +14,9 @@
 }
 
 /** Where a stream began. `unreachable` if too few daemons answered to tell; `unknown` if nobody who answered knows. */
-export type OriginVerdict =
-  | { type: 'recorded', origin: StreamOrigin, daemon: DaemonId }
-  | { type: 'only-version', origin: StreamOrigin }
+export type VersionVerdict =
+  | { type: 'recorded', streamVersion: StreamVersion, daemon: DaemonId }
+  | { type: 'only-version', streamVersion: StreamVersion }
   | { type: 'unknown' }
   | { type: 'unreachable' }
 
@@ -33,11 +33,11 @@
  * Concludes where a stream began. A record is proof. Without one, only a pool that certainly had a single version all the while is: versions that one daemon alone
  * has seen are no proof while there are others that it cannot ask.
  */
-export function judgeOrigin (testimonies: readonly OriginTestimony[], { pool, others, answered }: Inquiry): OriginVerdict {
-  const recorded = testimonies.find(({ record }) => record !== undefined)?.record
+export function judgeVersion (evidence: readonly VersionEvidence[], { pool, others, answered }: Inquiry): VersionVerdict {
+  const recorded = evidence.find(({ record }) => record !== undefined)?.record
   if (recorded) return { type: 'recorded', ...recorded }
   if (others > 0 && answered === 0) return { type: 'unreachable' }
-  const [version, ...otherVersions] = new Set(testimonies.flatMap(({ versions }) => versions))
-  const isCertain = otherVersions.length === 0 && testimonies.some(({ versions, hasWatched }) => hasWatched && versions.length > 0)
-  return pool !== undefined && isCertain ? { type: 'only-version', origin: { pool, version } } : { type: 'unknown' }
+  const [version, ...otherVersions] = new Set(evidence.flatMap(({ versions }) => versions))
+  const isCertain = otherVersions.length === 0 && evidence.some(({ versions, hasWatched }) => hasWatched && versions.length > 0)
+  return pool !== undefined && isCertain ? { type: 'only-version', streamVersion: { pool, version } } : { type: 'unknown' }
 }
--- a/core/streams/origin_records.ts
+++ b/core/streams/version_records.ts
@@ -1,27 +1,27 @@
 /** Bounded records of where streams began. */
 import type { DaemonId, StreamKey } from '../ids/index.ts'
-import type { StreamOrigin } from './stream_origin.ts'
+import type { StreamVersion } from './stream_version.ts'
 
 /** Where a stream began, and which daemon last passed it to its caller. */
-export interface OriginRecord {
-  origin: StreamOrigin
+export interface VersionRecord {
+  streamVersion: StreamVersion
   daemon: DaemonId
   /** Time from which on no caller can resume the stream, in milliseconds on the steady clock. */
   expiresAtMs: number
 }
 
 /** Maximum number of records of one daemon, some 4 MB. */
-export const MAX_ORIGIN_RECORDS = 20_000
+export const MAX_VERSION_RECORDS = 20_000
 /** Records examined for expiry whenever one is added, so that removal keeps up with arrival at a constant cost. */
 const EXAMINED_PER_ADDITION = 2
 
 /** Records by stream. When it is full, the oldest record is removed. */
-export class OriginRecords<R extends OriginRecord = OriginRecord> {
+export class VersionRecords<R extends VersionRecord = VersionRecord> {
   readonly #records = new Map<StreamKey, R>()
   readonly #maxRecords: number
 
-  /** @param options.maxRecords Default {@linkcode MAX_ORIGIN_RECORDS}. */
-  constructor ({ maxRecords = MAX_ORIGIN_RECORDS }: { maxRecords?: number } = {}) {
+  /** @param options.maxRecords Default {@linkcode MAX_VERSION_RECORDS}. */
+  constructor ({ maxRecords = MAX_VERSION_RECORDS }: { maxRecords?: number } = {}) {
     this.#maxRecords = maxRecords
   }
 
--- a/daemon/delegation/_messages.ts
+++ b/daemon/delegation/_messages.ts
@@ -1,7 +1,7 @@
 /** Messages between the daemon that took a request and the one that runs it. */
 import type { AnswerHead, WholeAnswer } from '../../core/answer/index.ts'
 import type { AccountId, EndpointVersion, PoolName } from '../../core/ids/index.ts'
-import type { StreamOrigin } from '../../core/streams/index.ts'
+import type { StreamVersion } from '../../core/streams/index.ts'
 import type { ProxiedRequest } from '../../endpoints/index.ts'
 
 /** Asks what a daemon offers for the requests of a pool; replies with a `DelegateOffer`. */
@@ -28,7 +28,7 @@
   /** Number of endpoints that the request may still be sent to. */
   maxAttempts: number
   /** Where the stream began; undefined while its caller has no event of it. */
-  origin?: StreamOrigin | undefined
+  boundTo?: StreamVersion | undefined
 }
 
 /** Part of the answer to a run. The first one confirms that the run has begun. */
--- a/daemon/endpoints/endpoint_table.ts
+++ b/daemon/endpoints/endpoint_table.ts
@@ -6,7 +6,7 @@
   type EndpointLoad, type EndpointView, type EndpointWork, type FirstTokenSample, type Hash32, type Lane, type FirstTokenModel
 } from '../../core/routing/index.ts'
 import type { BackOffChange } from '../../core/retry/index.ts'
-import { mayContinueAt, type StreamOrigin } from '../../core/streams/index.ts'
+import { mayContinueAt, type StreamVersion } from '../../core/streams/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import type { ListedHost } from '../../endpoints/index.ts'
 import { log } from '../log/index.ts'
@@ -99,14 +99,14 @@
 
   /**
    * Returns the endpoints of a pool that a request may be sent to.
-   * @param origin Where the stream began that the request continues; undefined for one of which the caller has no event.
+   * @param boundTo Where the stream began that the request continues; undefined for one of which the caller has no event.
    */
-  select (pool: PoolName, origin: StreamOrigin | undefined): EndpointSelection {
-    if (!origin) return { usable: this.usable(pool), connected: this.candidates(pool) }
-    const key = `${pool}/${origin.version ?? ''}`
+  select (pool: PoolName, boundTo: StreamVersion | undefined): EndpointSelection {
+    if (!boundTo) return { usable: this.usable(pool), connected: this.candidates(pool) }
+    const key = `${pool}/${boundTo.version ?? ''}`
     let selection = this.#continuations.get(key)
     if (!selection) {
-      const usable = this.#serving(pool).filter((view) => mayContinueAt(origin, view) && this.#mayContinue(view))
+      const usable = this.#serving(pool).filter((view) => mayContinueAt(boundTo, view) && this.#mayContinue(view))
       selection = { usable, connected: this.#subsetOf(usable) }
       this.#continuations.set(key, selection)
     }
--- a/daemon/exchange/_proxy_components.ts
+++ b/daemon/exchange/_proxy_components.ts
@@ -34,7 +34,7 @@
 import type { Dispatcher } from '../request/dispatcher.ts'
 import { createSharedDispatcher } from '../request/shared_dispatcher.ts'
 import { StallWatch } from '../request/stall_watch.ts'
-import { StreamOrigins } from '../streams/index.ts'
+import { StreamVersions } from '../streams/index.ts'
 import { seededRandom } from '../seeded_random.ts'
 import { buildStatus, type StatusReport } from '../status.ts'
 import { ExchangeServer } from './exchange_server.ts'
@@ -86,7 +86,7 @@
   delegateFinder: DelegateFinder
   delegatedRuns: DelegatedRuns
   delegateServer: DelegateServer
-  streamOrigins: StreamOrigins
+  streamVersions: StreamVersions
   dispatcher: Dispatcher
   budgetOf: (pool: PoolName) => RetryLimiter
   intake: Intake
@@ -189,7 +189,7 @@
     })).singleton(),
     delegatedRuns: asFunction(({ membership, delegateFinder }: ProxyComponents) => new DelegatedRuns({ membership, finder: delegateFinder })).singleton(),
     delegateServer: asFunction(({ membership, table, paths, client, intake, metrics }: ProxyComponents) => new DelegateServer({ membership, table, paths, client, intake, metrics })).singleton(),
-    streamOrigins: asFunction((cradle: ProxyComponents) => new StreamOrigins({
+    streamVersions: asFunction((cradle: ProxyComponents) => new StreamVersions({
       self: cradle.self,
       membership: cradle.membership,
       hostCount: () => cradle.fleet.hostCount,
@@ -208,7 +208,7 @@
       ways: { canSend: (view, work) => paths.canSend(view, work), wayFor: (req) => delegateFinder.wayFor(req) }
     })).singleton(),
     budgetOf: asFunction(retryBudgets).singleton(),
-    intake: asFunction(({ table, dispatcher, metrics, client, crashes, quarantine, hash64, random, limits, endpointLimits, signals, usage, orders, budgetOf, config, rollouts, paths, delegatedRuns, streamOrigins }: ProxyComponents) => new Intake({
+    intake: asFunction(({ table, dispatcher, metrics, client, crashes, quarantine, hash64, random, limits, endpointLimits, signals, usage, orders, budgetOf, config, rollouts, paths, delegatedRuns, streamVersions }: ProxyComponents) => new Intake({
       table,
       dispatcher,
       metrics,
@@ -225,7 +225,7 @@
       answers: rollouts?.gate,
       budgetOf,
       paths,
-      streams: new StreamAdmission({ origins: streamOrigins, hash64 }),
+      streams: new StreamAdmission({ versions: streamVersions, hash64 }),
       delegate: (to, { repeatable, from, req: { credential, deadlineInMs: _, account, ...req }, ...query }, sink) => delegatedRuns.run(to, { query: { ...query, req: { ...req, resumeFrom: from }, account }, repeatable }, sink),
       dialect: platform.dialect,
       catalog: catalogIndex(config),
@@ -267,7 +267,7 @@
   components.endpointLimits.onRoom = () => components.dispatcher.startQueued()
   components.table.onEnded((view) => components.endpointLimits.ended(view))
   components.signals.onRoom = () => components.dispatcher.startQueued()
-  components.streamOrigins.onResumed = (key) => components.intake.streamResumed(key)
+  components.streamVersions.onResumed = (key) => components.intake.streamResumed(key)
   components.quarantine.onHeld(() => { for (const task of components.intake.open) task.quarantineChanged() })
   components.rollouts?.gate.onVersionEmptied((pool, version) => { for (const task of components.intake.open) task.moveOffVersion(pool, version) })
   components.table.onReplaced((id, { announced }) => {
@@ -305,7 +305,7 @@
   })
 }
 
-function endpointFollower ({ settings, platform, relay, table, random, config, client, dispatcher, streamOrigins }: ProxyComponents): EndpointFollower {
+function endpointFollower ({ settings, platform, relay, table, random, config, client, dispatcher, streamVersions }: ProxyComponents): EndpointFollower {
   return new EndpointFollower({
     store: relay.source(platform.registryPrefix),
     prefix: platform.registryPrefix,
@@ -317,10 +317,10 @@
     pool: (name) => config.inForce?.pools.get(name),
     onChange: () => {
       client.keepOnly(new Set<EndpointId>(table.all.map((view) => view.id)))
-      streamOrigins.endpointsChanged(table.all)
+      streamVersions.endpointsChanged(table.all)
       dispatcher.startQueued()
     },
-    onLost: () => streamOrigins.registryLost()
+    onLost: () => streamVersions.registryLost()
   })
 }
 
--- a/daemon/exchange/intake.ts
+++ b/daemon/exchange/intake.ts
@@ -112,7 +112,7 @@
     const charge = await this.#charge(account, route, req)
     if (account) this.#options.metrics.quotaWait.observe(steadyNow() - askedAtMs)
     const cls = this.#options.catalog()!.urgency.classify(route, account)
-    const pool = stream?.origin?.pool ?? pickShare(route.pools, this.#options.random).pool
+    const pool = stream?.boundTo?.pool ?? pickShare(route.pools, this.#options.random).pool
     const { answers } = this.#options
     this.#options.budgetOf(pool).deposit()
     if (req.demand) this.#options.orders.asked(pool, req.demand.promptTokens)
@@ -120,7 +120,7 @@
     const admitted = { ...req, account: account?.id }
     const task = new RequestTask<Buffer>({
       ...this.#taskOptions(admitted, { cls, pool }),
-      origin: stream?.origin,
+      boundTo: stream?.boundTo,
       delegate: (to, spec, sink) => this.#options.delegate(to, { ...spec, req: admitted, pool }, sink),
       deadlineInMs: Math.max(0, Math.min(req.deadlineInMs ?? Infinity, cls.latency.deadlineMs) - (steadyNow() - arrivedAtMs))
     })
@@ -151,7 +151,7 @@
    * Accepts a request that another daemon has admitted and creates its task; its quota and usage are that daemon's.
    * @returns Undefined if the configuration in force here does not serve the request from the pool.
    */
-  acceptDelegated ({ req, pool, deadlineInMs, maxAttempts, origin: began }: Omit<DelegatedRequest, 'repeatable' | 'from'>, origin: DaemonId): RequestTask<Buffer> | undefined {
+  acceptDelegated ({ req, pool, deadlineInMs, maxAttempts, boundTo }: Omit<DelegatedRequest, 'repeatable' | 'from'>, origin: DaemonId): RequestTask<Buffer> | undefined {
     const catalog = this.#options.catalog()
     const route = catalog?.routes.find(req.host, pathOf(req))
     const account = [...catalog?.accounts.values() ?? []].find(({ id }) => id === req.account)
@@ -159,7 +159,7 @@
     const cls = catalog.urgency.classify(route, account)
     const task = new RequestTask<Buffer>({
       ...this.#taskOptions(req, { cls: { ...cls, maxAttempts: Math.min(cls.maxAttempts, maxAttempts) }, pool }),
-      origin: began,
+      boundTo,
       deadlineInMs,
       counted: false
     })
@@ -170,9 +170,9 @@
   }
 
   #follow (stream: AdmittedStream, task: RequestTask<Buffer>): void {
-    if (stream.origin) this.streamResumed(stream.key)
+    if (stream.boundTo) this.streamResumed(stream.key)
     this.#streams.set(stream.key, task)
-    if (task.work.cls.resumable) task.onOrigin = (origin) => this.#options.streams.began(stream, origin)
+    if (task.work.cls.resumable) task.onBound = (version) => this.#options.streams.began(stream, version)
   }
 
   #taskOptions (req: AdmittedRequest, { cls, pool }: { cls: Route['cls'], pool: PoolName }) {
--- a/daemon/exchange/proxy_daemon.ts
+++ b/daemon/exchange/proxy_daemon.ts
@@ -150,8 +150,8 @@
   }
 
   async #leave (): Promise<void> {
-    const { membership, server, streamOrigins } = this.#components
-    streamOrigins.handOver()
+    const { membership, server, streamVersions } = this.#components
+    streamVersions.handOver()
     this.#stopTasks()
     await membership.leave(undefined)
     log('daemon-left', { cut: server.open })
--- a/daemon/exchange/stream_admission.ts
+++ b/daemon/exchange/stream_admission.ts
@@ -2,15 +2,15 @@
 import type { Account, PoolShare, Route } from '../../core/catalog/index.ts'
 import { as, type AccountId, type RequestId, type StreamKey } from '../../core/ids/index.ts'
 import { fingerprintOf, type Hash64 } from '../../core/quarantine/index.ts'
-import type { OriginVerdict, StreamOrigin } from '../../core/streams/index.ts'
+import type { VersionVerdict, StreamVersion } from '../../core/streams/index.ts'
 import type { ProxiedRequest } from '../../endpoints/index.ts'
 import { logRequest } from '../log/index.ts'
-import type { StreamOrigins } from '../streams/index.ts'
+import type { StreamVersions } from '../streams/index.ts'
 import { Refusal } from './refusal.ts'
 
 /** Options of {@linkcode StreamAdmission}. */
 export interface StreamAdmissionOptions {
-  origins: Pick<StreamOrigins, 'began' | 'find'>
+  versions: Pick<StreamVersions, 'began' | 'find'>
   hash64: Hash64
 }
 
@@ -18,7 +18,7 @@
 export interface AdmittedStream {
   key: StreamKey
   /** Where it began; undefined while its caller has no event of it. */
-  origin: StreamOrigin | undefined
+  boundTo: StreamVersion | undefined
   /** Longest time for which the stream may live from now on, in milliseconds. */
   lifeMs: number
 }
@@ -50,19 +50,19 @@
     if (!cls.streaming) return undefined
     const lifeMs = Math.min(MAX_STREAM_LIFE_MS, Math.max(MIN_STREAM_LIFE_MS, STREAM_LIFE_DEADLINES * Math.max(cls.latency.deadlineMs, req.deadlineInMs ?? 0)))
     const ownKey = this.#keyOf(req.id, account)
-    if (req.resumeFrom === 0) return { key: ownKey, origin: undefined, lifeMs }
+    if (req.resumeFrom === 0) return { key: ownKey, boundTo: undefined, lifeMs }
     const key = req.streamId === undefined ? undefined : this.#keyOf(req.streamId, account)
-    const { verdict, answered, waitedMs } = await this.#options.origins.find({ key, pool: pools.length === 1 ? pools[0]!.pool : undefined, lifeMs })
-    const origin = 'origin' in verdict ? verdict.origin : undefined
-    logRequest(req.id, 'stream-origin', { stream: req.streamId, result: verdict.type, pool: origin?.pool, version: origin?.version, daemon: verdict.type === 'recorded' ? verdict.daemon : undefined, answered, waitedMs: Math.round(waitedMs) })
-    const problem = origin ? problemOf(origin, pools) : problemOfVerdict(verdict)
+    const { verdict, answered, waitedMs } = await this.#options.versions.find({ key, pool: pools.length === 1 ? pools[0]!.pool : undefined, lifeMs })
+    const boundTo = 'streamVersion' in verdict ? verdict.streamVersion : undefined
+    logRequest(req.id, 'stream-version', { stream: req.streamId, result: verdict.type, pool: boundTo?.pool, version: boundTo?.version, daemon: verdict.type === 'recorded' ? verdict.daemon : undefined, answered, waitedMs: Math.round(waitedMs) })
+    const problem = boundTo ? problemOf(boundTo, pools) : problemOfVerdict(verdict)
     if (problem) throw new Refusal(problem.why, { status: 503, ...problem, cls: cls.name, ...(account && { account: account.id }) })
-    return { key: key ?? ownKey, origin, lifeMs }
+    return { key: key ?? ownKey, boundTo, lifeMs }
   }
 
   /** Records that the first event of a stream is passed on from here. */
-  began ({ key, lifeMs }: AdmittedStream, origin: StreamOrigin): void {
-    this.#options.origins.began(key, origin, lifeMs)
+  began ({ key, lifeMs }: AdmittedStream, boundTo: StreamVersion): void {
+    this.#options.versions.began(key, boundTo, lifeMs)
   }
 
   /** The account is part of the key, so that an account learns nothing about the streams of another. */
@@ -74,11 +74,11 @@
 /** Why a stream is refused, and when its caller should come back; without a time, that is of no use. */
 interface Problem { why: string, retryAfterMs?: number }
 
-function problemOf (origin: StreamOrigin, pools: readonly PoolShare[]): Problem | undefined {
-  return pools.some(({ pool }) => pool === origin.pool) ? undefined : { why: `the stream began at ${origin.pool}, which does not serve its route any more` }
+function problemOf (boundTo: StreamVersion, pools: readonly PoolShare[]): Problem | undefined {
+  return pools.some(({ pool }) => pool === boundTo.pool) ? undefined : { why: `the stream began at ${boundTo.pool}, which does not serve its route any more` }
 }
 
-function problemOfVerdict ({ type }: OriginVerdict): Problem {
+function problemOfVerdict ({ type }: VersionVerdict): Problem {
   return type === 'unreachable'
     ? { why: 'no other daemon could be asked at which version the stream began', retryAfterMs: RETRY_AFTER_UNREACHABLE_MS }
     : { why: 'it is not known at which version the stream began' }
--- a/daemon/explain/_cause.ts
+++ b/daemon/explain/_cause.ts
@@ -53,8 +53,8 @@
         : `over quota: account ${f.account} had used up what it may${describeRoom(f)}`
     }
     case 503: {
-      const origin = last(requestLines, 'stream-origin')
-      return origin ? `version: ${describeOrigin(origin)}` : 'no configuration: the daemon had just started and the store had not answered'
+      const found = last(requestLines, 'stream-version')
+      return found ? `version: ${describeStreamVersion(found)}` : 'no configuration: the daemon had just started and the store had not answered'
     }
     case 408: return 'caller: its request did not come whole in time'
     default: return `caller: ${f.why}`
@@ -62,7 +62,7 @@
 }
 
 /** Describes why a stream that its caller resumed was refused. */
-function describeOrigin ({ stream, result, pool, answered, waitedMs }: RequestEvents['stream-origin']): string {
+function describeStreamVersion ({ stream, result, pool, answered, waitedMs }: RequestEvents['stream-version']): string {
   const name = stream ?? 'a stream that its caller did not name'
   if (pool !== undefined) return `${name} began at ${pool}, which does not serve its route any more`
   if (result === 'unreachable') return `no other daemon answered within ${waitedMs} ms at which version ${name} began`
@@ -128,7 +128,7 @@
 
 /** Describes at which version a stream began that no endpoint could continue. */
 function describeVersionGone ({ requestLines }: Evidence): string {
-  const version = last(requestLines, 'stream-origin')?.version ?? last(requestLines, 'attempt-started')?.version
+  const version = last(requestLines, 'stream-version')?.version ?? last(requestLines, 'attempt-started')?.version
   const pieces = last(requestLines, 'attempt-failed')?.pieces
   return `the stream began at ${version}, of which no endpoint was left${pieces ? ` after ${pieces} pieces` : ''}`
 }
--- a/daemon/explain/explain_request_test.ts
+++ b/daemon/explain/explain_request_test.ts
@@ -58,14 +58,14 @@
 
 test('a stream that was refused when its caller resumed it is explained with the version at which it began, or why that is not known', () => {
   const line = (event: string, fields: object) => JSON.stringify({ level: 'info', time: '2026-05-23T10:00:00.000Z', daemon: 'edge-1', process: 'p', event, request: 'r', ...fields })
-  const origin = (fields: object) => line('stream-origin', { stream: 'first', result: 'unknown', answered: 6, waitedMs: 8, ...fields })
+  const found = (fields: object) => line('stream-version', { stream: 'first', result: 'unknown', answered: 6, waitedMs: 8, ...fields })
   const refused = line('request-refused', { revision: 7, status: 503, why: 'it is not known' })
   const ended = line('request-ended', { outcome: 'not-run', why: VERSION_GONE_REASON, afterMs: 1, pieces: 0, attempts: 0, deadlineMs: 900 })
   const causes = [
-    [origin({}), refused],
-    [origin({ result: 'unreachable', answered: 0, waitedMs: 900 }), refused],
-    [origin({ result: 'recorded', pool: 'llm', version: 'v1', daemon: 'edge-2' }), refused],
-    [origin({ result: 'recorded', pool: 'llm', version: 'v1', daemon: 'edge-2' }), ended]
+    [found({}), refused],
+    [found({ result: 'unreachable', answered: 0, waitedMs: 900 }), refused],
+    [found({ result: 'recorded', pool: 'llm', version: 'v1', daemon: 'edge-2' }), refused],
+    [found({ result: 'recorded', pool: 'llm', version: 'v1', daemon: 'edge-2' }), ended]
   ].map((texts) => explainRequest(readLog(texts.join('\n')), 'r').cause)
   expect(causes).toEqual([
     'version: none of 6 daemons knew at which version first began, and its pool has had several or may have',
--- a/daemon/request/_delegated_attempts.ts
+++ b/daemon/request/_delegated_attempts.ts
@@ -5,7 +5,7 @@
 import { AttemptError } from '../../core/outcome/index.ts'
 import { canRetry, isFreeRetry, type RequestState } from '../../core/request/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
-import type { StreamOrigin } from '../../core/streams/index.ts'
+import type { StreamVersion } from '../../core/streams/index.ts'
 import type { Attachment } from '../../endpoints/index.ts'
 import type { RequestEvents } from '../log/index.ts'
 import type { DelegatedSink, DelegatedSpec } from './delegated_run.ts'
@@ -21,7 +21,7 @@
   /** State of the request. */
   state (): RequestState
   /** Where the stream began; undefined while its caller has no event of it. */
-  origin (): StreamOrigin | undefined
+  boundTo (): StreamVersion | undefined
   recordDecision<E extends keyof RequestEvents> (event: E, fields: RequestEvents[E]): void
   /** Called with each part of the answer, its head if that has arrived, and the version of the endpoint that it came from. */
   onChunk (chunk: Chunk<P>, from: { head: AnswerHead | undefined, version: EndpointVersion | undefined }): void
@@ -46,7 +46,7 @@
 
   /** Starts an attempt at the selected daemon. */
   start (attempt: number): Attachment {
-    const { work, ports, answer, delegate, state, origin, recordDecision } = this.#options
+    const { work, ports, answer, delegate, state, boundTo, recordDecision } = this.#options
     const { traits, sent } = state()
     const { id: to, inFlight, offerAgeMs, activityAgeMs } = this.selected!
     answer.replaceAttempt(attempt)
@@ -58,7 +58,7 @@
       deadlineInMs: traits.deadlineAtMs - steadyNow(),
       maxAttempts: traits.maxAttempts - sent,
       repeatable: traits.idempotent,
-      origin: origin()
+      boundTo: boundTo()
     }, this.#sink(attempt))
   }
 
--- a/daemon/request/continued_streams_test.ts
+++ b/daemon/request/continued_streams_test.ts
@@ -41,7 +41,7 @@
 }
 
 const fill = (table: EndpointTable, name: string) => { for (let i = 0; i < FULL; i++) table.started(endpointId(name, 1), { lane: 'urgent', tokens: 0 }) }
-const continues: Partial<Placement> = { origin: V1, resumed: true }
+const continues: Partial<Placement> = { boundTo: V1, resumed: true }
 
 test('a stream continues at an endpoint of its version, also at one that this daemon does not connect to otherwise', () => {
   // Guards against a version whose endpoints are outside the subset.
@@ -103,6 +103,6 @@
 
 test('endpoints without a version are all alike', () => {
   const { dispatcher } = setUp([host('a', undefined), host('b', undefined)])
-  const origin = { pool: POOL, version: undefined }
-  expect(new Set(Array.from({ length: 20 }, () => place(dispatcher, { origin, resumed: true }))).has('')).toBe(false)
+  const boundTo = { pool: POOL, version: undefined }
+  expect(new Set(Array.from({ length: 20 }, () => place(dispatcher, { boundTo, resumed: true }))).has('')).toBe(false)
 })
--- a/daemon/request/delegated_run.ts
+++ b/daemon/request/delegated_run.ts
@@ -2,7 +2,7 @@
 import type { AnswerHead } from '../../core/answer/index.ts'
 import type { EndpointVersion } from '../../core/ids/index.ts'
 import type { AttemptError } from '../../core/outcome/index.ts'
-import type { StreamOrigin } from '../../core/streams/index.ts'
+import type { StreamVersion } from '../../core/streams/index.ts'
 
 /** How a run of a request at another daemon begins. */
 export interface DelegatedSpec {
@@ -15,7 +15,7 @@
   /** True if the request may run again when the daemon does not respond. */
   repeatable: boolean
   /** Where the stream began; undefined while its caller has no event of it. */
-  origin?: StreamOrigin | undefined
+  boundTo?: StreamVersion | undefined
 }
 
 /** Receives the answer of a request that another daemon runs. The last call is exactly one of `onEnd`, `onRefused` and `onError`. */
--- a/daemon/request/dispatcher.ts
+++ b/daemon/request/dispatcher.ts
@@ -128,8 +128,8 @@
    * endpoint of the pool serves, those that are listed next may run any version.
    */
   #refuseIfVersionGone (placement: Placement): boolean {
-    const { pool, origin } = placement
-    if (origin?.version === undefined || this.#options.table.usable(pool).every(({ version }) => version === origin.version)) return false
+    const { pool, boundTo } = placement
+    if (boundTo?.version === undefined || this.#options.table.usable(pool).every(({ version }) => version === boundTo.version)) return false
     const now = steadyNow()
     const { usable } = this.#endpointsFor(placement)
     if (usable.some(({ ejectedUntilMs }) => ejectedUntilMs - now < VERSION_GONE_RETRY_AFTER_MS)) return false
@@ -137,8 +137,8 @@
     return true
   }
 
-  #endpointsFor ({ pool, origin }: Placement): EndpointSelection {
-    return this.#options.table.select(pool, origin)
+  #endpointsFor ({ pool, boundTo }: Placement): EndpointSelection {
+    return this.#options.table.select(pool, boundTo)
   }
 
   #returnSpreadMs ({ cls }: Placement): number {
@@ -220,7 +220,7 @@
   /** Sends a request to a canary endpoint. Requests that an earlier attempt was made for are excluded. */
   #startCanary (placement: Placement, now: number): boolean {
     const { canaries: gate, prefixes } = this.#options
-    if (!gate || placement.resumed || placement.origin || placement.avoid.length > 0) return false
+    if (!gate || placement.resumed || placement.boundTo || placement.avoid.length > 0) return false
     const candidates = gate.canaries(placement)
     if (candidates.length === 0) return false
     const started = this.#startAt(placement, { pool: undefined, now, mayAsk: false, candidates, cached: prefixes.lookup(placement.demand.parts, now) })
@@ -319,8 +319,8 @@
     return unlimited.length > 0 ? unlimited : views
   }
 
-  #poolState ({ pool: name, origin }: Placement): PoolState {
-    const key = origin ? `${name}/${origin.version ?? ''}` : name
+  #poolState ({ pool: name, boundTo }: Placement): PoolState {
+    const key = boundTo ? `${name}/${boundTo.version ?? ''}` : name
     let pool = this.#pools.get(key)
     if (!pool) {
       pool = { name, queue: this.#options.queue?.() ?? new FairQueue(), msPerStart: 0, lastStartMs: steadyNow() }
--- a/daemon/request/placement.ts
+++ b/daemon/request/placement.ts
@@ -2,7 +2,7 @@
 import type { SelectedDelegate } from '../../core/delegation/index.ts'
 import type { AccountId, DaemonId, EndpointId, PoolName } from '../../core/ids/index.ts'
 import type { EndpointView, Route } from '../../core/routing/index.ts'
-import type { StreamOrigin } from '../../core/streams/index.ts'
+import type { StreamVersion } from '../../core/streams/index.ts'
 import type { Demand, WorkClass } from '../../core/work/index.ts'
 
 /** A request that needs an endpoint. */
@@ -19,7 +19,7 @@
   /** True if an earlier attempt may have run. Such a request isn't refused for its latency target, which the earlier attempt has met or missed. */
   resumed: boolean
   /** Where the stream began that the request continues. Default: its caller has no event of it. */
-  origin?: StreamOrigin | undefined
+  boundTo?: StreamVersion | undefined
   avoid: readonly EndpointId[]
   placed (view: EndpointView, route: Route): void
   /** Called when another daemon is to run the request. Default: the request is refused instead. */
--- a/daemon/request/request_task.ts
+++ b/daemon/request/request_task.ts
@@ -5,7 +5,7 @@
 import { canMove, canRetry, isFreeRetry, newRequest, step, type AttemptProgress, type RequestEffect, type RequestMessage, type RequestState, type StartMode } from '../../core/request/index.ts'
 import { availableAtMs, type EndpointView, type Route } from '../../core/routing/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
-import { mayContinueAt, type StreamOrigin } from '../../core/streams/index.ts'
+import { mayContinueAt, type StreamVersion } from '../../core/streams/index.ts'
 import type { SelectedDelegate } from '../../core/delegation/index.ts'
 import type { Attachment, AttemptRunner, AttemptSink } from '../../endpoints/index.ts'
 import { ASSUMED_NOTICE_MS, type SentWork } from '../endpoints/endpoint_table.ts'
@@ -30,7 +30,7 @@
   /** Milliseconds until the deadline. Default: the deadline of the request's class. */
   deadlineInMs?: number
   /** Where the stream began that the request continues. Default: its caller has no event of it. */
-  origin?: StreamOrigin | undefined
+  boundTo?: StreamVersion | undefined
   /** Sends the request to another daemon, which runs it. Default: none may run it. */
   delegate?: (to: DaemonId, spec: DelegatedSpec, sink: DelegatedSink<P>) => Attachment
   /** True if the request is counted in the metrics of requests. Default: true. */
@@ -61,7 +61,7 @@
   /** Called once, on the first sign that an endpoint has begun to work on the request. */
   onBegun: () => void = () => {}
   /** Called once, before the first event of a stream is passed on from here. */
-  onOrigin: (origin: StreamOrigin) => void = () => {}
+  onBound: (boundTo: StreamVersion) => void = () => {}
   /** True while the KV cache is being exported. Migration plans skip the request meanwhile. */
   exporting = false
   protected readonly ports: RequestPorts
@@ -79,8 +79,8 @@
   #route: Route | undefined
   readonly #meter: RequestMeter
   #hasBegun = false
-  #origin: StreamOrigin | undefined
-  #isOriginReported = false
+  #boundTo: StreamVersion | undefined
+  #isBindingReported = false
   /** Version of the endpoint that runs the current attempt. */
   #runningVersion: EndpointVersion | undefined
 
@@ -94,7 +94,7 @@
     this.#runner = runner
     this.#meter = new RequestMeter(ports.metrics, { cls: work.cls, acceptedAtMs: this.acceptedAtMs, counted: options.counted ?? true })
     this.answer = new AnswerBuffer<P>(options)
-    this.#origin = options.origin
+    this.#boundTo = options.boundTo
     this.#delegated = options.delegate && this.#delegatedAttempts(options.delegate)
     const deadlineInMs = options.deadlineInMs ?? work.cls.latency.deadlineMs
     this.lifecycle = newRequest(requestTraits(work, this.acceptedAtMs + deadlineInMs))
@@ -105,7 +105,7 @@
   get state (): RequestState { return this.lifecycle }
   get started (): boolean { return this.lifecycle.attempt > 0 }
   /** Where the stream began; undefined while its caller has no event of it. */
-  get origin (): StreamOrigin | undefined { return this.#origin }
+  get boundTo (): StreamVersion | undefined { return this.#boundTo }
   /** Estimated number of tokens in the stream's KV cache, from the pieces received so far. */
   get kvTokens (): number { return this.work.demand.promptTokens + this.answer.length }
   /** The endpoint that runs the current attempt. */
@@ -124,7 +124,7 @@
     const { table, budget } = this.ports
     if (endpoint === undefined || !this.mayRetryElsewhere || !canRetry(this.lifecycle, 'timeout-after-send')) return
     const now = steadyNow()
-    const elsewhere = table.select(this.work.pool, this.#origin).connected.some((view) => view.id !== endpoint && availableAtMs(view) <= now && (this.ports.paths?.canSend(view, this.work.cls) ?? true))
+    const elsewhere = table.select(this.work.pool, this.#boundTo).connected.some((view) => view.id !== endpoint && availableAtMs(view) <= now && (this.ports.paths?.canSend(view, this.work.cls) ?? true))
     if (!elsewhere || !budget.tryWithdraw(table.isLeavingOrGone(endpoint))) return
     this.attachment?.detach()
     this.ports.crashes.failed({ id: endpoint, view: table.get(endpoint) }, 'timeout-after-send', this.work.fingerprint)
@@ -151,7 +151,7 @@
   /** Moves a resumable stream of which the caller has no event yet to another endpoint, if its current one runs a version that must receive no more work. */
   moveOffVersion (pool: PoolName, version: EndpointVersion): void {
     const view = this.runningAt && this.ports.table.get(this.runningAt)
-    if (view?.pool === pool && view.version === version && !this.#origin && canMove(this.lifecycle)) this.post({ type: 'hold' })
+    if (view?.pool === pool && view.version === version && !this.#boundTo && canMove(this.lifecycle)) this.post({ type: 'hold' })
   }
 
   /** Calls the listener after each change. The caller counts as gone once the last listener is removed. */
@@ -248,7 +248,7 @@
       acceptedAtMs: this.acceptedAtMs,
       deadlineAtMs: this.lifecycle.traits.deadlineAtMs,
       resumed: this.lifecycle.mayHaveRun,
-      origin: this.#origin,
+      boundTo: this.#boundTo,
       avoid,
       placed: (view, route) => this.#onPlaced(view, route),
       ...(this.#delegated && { delegated: (to: SelectedDelegate) => this.#onDelegated(to) }),
@@ -301,7 +301,7 @@
       answer: this.answer,
       delegate,
       state: () => this.lifecycle,
-      origin: () => this.#origin,
+      boundTo: () => this.#boundTo,
       recordDecision: (event, fields) => this.recordDecision(event, fields),
       onChunk: (chunk, { head, version }) => this.#addChunk(chunk, { head, version }),
       onWhole: (head) => {
@@ -329,7 +329,7 @@
     const view = this.ports.table.get(endpoint)
     this.answer.replaceAttempt(attempt)
     if (!view) return this.#onAttemptError(attempt, endpoint, new AttemptError('Cannot start: endpoint is not listed', { point: 'before-send' }))
-    if (!mayContinueAt(this.#origin, view)) return this.#onAttemptError(attempt, endpoint, new AttemptError(`Cannot start: the endpoint runs ${view.version}, the stream began at ${this.#origin!.version}`, { point: 'before-send' }))
+    if (!mayContinueAt(this.#boundTo, view)) return this.#onAttemptError(attempt, endpoint, new AttemptError(`Cannot start: the endpoint runs ${view.version}, the stream began at ${this.#boundTo!.version}`, { point: 'before-send' }))
     this.#runningVersion = view.version
     this.ports.metrics.attempts.inc({ mode })
     const lane = this.#route?.lane ?? (this.work.cls.urgent ? 'urgent' : 'normal')
@@ -378,7 +378,7 @@
     this.ports.metrics.chunks.inc({ verdict })
     if (verdict === 'taken') {
       this.head ??= head
-      this.setOrigin({ pool: this.work.pool, version })
+      this.bindTo({ pool: this.work.pool, version })
     }
     this.onPiece()
     this.#markBegun()
@@ -396,11 +396,11 @@
   }
 
   /** Binds a stream to where its first event came from, before that event is passed on. */
-  protected setOrigin (origin: StreamOrigin): void {
-    if (!this.work.cls.streaming || this.#isOriginReported) return
-    this.#isOriginReported = true
-    this.#origin ??= origin
-    this.onOrigin(this.#origin)
+  protected bindTo (boundTo: StreamVersion): void {
+    if (!this.work.cls.streaming || this.#isBindingReported) return
+    this.#isBindingReported = true
+    this.#boundTo ??= boundTo
+    this.onBound(this.#boundTo)
   }
 
   #markBegun (): void {
@@ -480,7 +480,7 @@
     if (!view || !this.lifecycle.traits.movable) return this.post({ type: 'stopped', attempt, confirmed: false })
     const from = this.answer.length
     this.#runner.stop(view, attempt, from).then((report) => {
-      if (report.stopped && this.answer.add({ attempt, offset: from, pieces: report.pieces }) === 'taken') this.setOrigin({ pool: view.pool, version: view.version })
+      if (report.stopped && this.answer.add({ attempt, offset: from, pieces: report.pieces }) === 'taken') this.bindTo({ pool: view.pool, version: view.version })
       this.post({ type: 'stopped', attempt, confirmed: report.stopped })
     }, () => this.post({ type: 'stopped', attempt, confirmed: false }))
   }
--- a/daemon/request/token_task.ts
+++ b/daemon/request/token_task.ts
@@ -1,7 +1,7 @@
 /** A request whose answer is a token stream or a single text. Callers can resume the answer, and a draining daemon hands it over. */
 import type { EndpointId, RequestId, AccountId } from '../../core/ids/index.ts'
 import type { EndpointView } from '../../core/routing/index.ts'
-import type { StreamOrigin } from '../../core/streams/index.ts'
+import type { StreamVersion } from '../../core/streams/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import type { AttemptSink } from '../../endpoints/index.ts'
 import type { LiveAnswer } from './live_answer.ts'
@@ -22,7 +22,7 @@
   /** Milliseconds until the deadline. */
   deadlineInMs: number
   /** Where the stream began; undefined while its caller has no token of it. */
-  origin: StreamOrigin | undefined
+  boundTo: StreamVersion | undefined
 }
 
 /** Options of {@linkcode TokenTask}. */
@@ -62,7 +62,7 @@
       attempt,
       endpoint,
       deadlineInMs: traits.deadlineAtMs - steadyNow(),
-      origin: this.origin
+      boundTo: this.boundTo
     }
   }
 
@@ -103,7 +103,7 @@
     this.lifecycle = { ...this.lifecycle, phase: view ? 'running' : 'placing', attempt: handOver.attempt, endpoint: handOver.endpoint, mayHaveRun: true }
     this.answer.replaceAttempt(handOver.attempt)
     this.answer.add({ attempt: handOver.attempt, offset: 0, pieces: handOver.tokens })
-    if (handOver.origin) this.setOrigin(handOver.origin)
+    if (handOver.boundTo) this.bindTo(handOver.boundTo)
     if (!view) {
       this.recordDecision('stream-taken-over', { endpoint: undefined, fromPiece: handOver.tokens.length })
       return this.place([])
--- a/daemon/streams/_record_sender.ts
+++ b/daemon/streams/_record_sender.ts
@@ -2,7 +2,7 @@
 import type { DaemonId, StreamKey } from '../../core/ids/index.ts'
 import type { Member } from '../../core/membership/index.ts'
 import type { Hash32 } from '../../core/routing/index.ts'
-import { HOLDER_COUNT, rankHolders, type OriginRecord } from '../../core/streams/index.ts'
+import { HOLDER_COUNT, rankHolders, type VersionRecord } from '../../core/streams/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import type { Metrics } from '../metrics.ts'
 import type { MembershipTask } from '../peers/membership_task.ts'
@@ -17,7 +17,7 @@
 }
 
 /** A stream and its record. */
-export type KeyedRecord = readonly [StreamKey, OriginRecord]
+export type KeyedRecord = readonly [StreamKey, VersionRecord]
 
 /** Sends each record to {@linkcode HOLDER_COUNT} daemons. One that cannot be linked is replaced by the next in rank. */
 export class RecordSender {
--- a/daemon/streams/index.ts
+++ b/daemon/streams/index.ts
@@ -1,1 +1,1 @@
-export * from './stream_origins.ts'
+export * from './stream_versions.ts'
--- a/daemon/streams/stream_origins.ts
+++ b/daemon/streams/stream_versions.ts
@@ -2,21 +2,21 @@
 import type { DaemonId, PoolName, StreamKey } from '../../core/ids/index.ts'
 import type { Member } from '../../core/membership/index.ts'
 import type { EndpointView, Hash32 } from '../../core/routing/index.ts'
-import { HOLDER_COUNT, judgeOrigin, OriginRecords, PoolVersions, rankHolders, type OriginRecord, type OriginTestimony, type OriginVerdict, type StreamOrigin } from '../../core/streams/index.ts'
+import { HOLDER_COUNT, judgeVersion, VersionRecords, PoolVersions, rankHolders, type VersionRecord, type VersionEvidence, type VersionVerdict, type StreamVersion } from '../../core/streams/index.ts'
 import { delay, steadyNow } from '../../core/time/index.ts'
 import type { Metrics } from '../metrics.ts'
 import type { MembershipTask } from '../peers/membership_task.ts'
-import { decodeRecords, decodeTestimony, encodeTestimony, FIND_METHOD, RECORDS_TOPIC, RESUMED_TOPIC, type OriginQuery, type OriginReply, type RecordsMessage } from './_messages.ts'
+import { decodeRecords, decodeEvidence, encodeEvidence, FIND_METHOD, RECORDS_TOPIC, RESUMED_TOPIC, type VersionQuery, type VersionReply, type RecordsMessage } from './_messages.ts'
 import { RecordSender, type KeyedRecord } from './_record_sender.ts'
 
-/** Options of {@linkcode StreamOrigins}. */
-export interface StreamOriginsOptions {
+/** Options of {@linkcode StreamVersions}. */
+export interface StreamVersionsOptions {
   self: DaemonId
   membership: Pick<MembershipTask, 'links' | 'acceptingWork' | 'reachable' | 'joined'>
   /** Returns the number of hosts in the fleet, including those that cannot be reached now. */
   hostCount (): number
   hash: Hash32
-  metrics: Pick<Metrics, 'streamOrigins' | 'streamRecords'>
+  metrics: Pick<Metrics, 'streamVersions' | 'streamRecords'>
   /** Returns since when this daemon can have missed no change of the registry, in milliseconds on the steady clock; undefined while it may miss some. */
   completeSinceMs (): number | undefined
 }
@@ -32,15 +32,15 @@
 }
 
 /** Where a stream began, and how that was found out. */
-export interface OriginFinding {
-  verdict: OriginVerdict
+export interface VersionFinding {
+  verdict: VersionVerdict
   /** Number of other daemons that answered. */
   answered: number
   waitedMs: number
 }
 
 /** Record of a stream that this daemon passes on. */
-interface OwnRecord extends OriginRecord {
+interface OwnRecord extends VersionRecord {
   lifeMs: number
   isSent: boolean
 }
@@ -62,20 +62,20 @@
  * The daemon that passes the first event of a stream to its caller records the version, and sends the record to {@linkcode HOLDER_COUNT} others along with that event. It
  * sends nothing while it is certain that the pool has had one version only for as long as a stream lives: then any daemon that has watched the pool can tell.
  */
-export class StreamOrigins {
-  readonly #options: StreamOriginsOptions
+export class StreamVersions {
+  readonly #options: StreamVersionsOptions
   readonly #sender: RecordSender
   readonly #versions = new PoolVersions()
   /** Records of streams that this daemon passes on. */
-  readonly #own = new OriginRecords<OwnRecord>()
+  readonly #own = new VersionRecords<OwnRecord>()
   /** Records held for other daemons. */
-  readonly #held = new OriginRecords()
-  /** Value of {@linkcode StreamOriginsOptions.completeSinceMs} when own records were last looked through. */
+  readonly #held = new VersionRecords()
+  /** Value of {@linkcode StreamVersionsOptions.completeSinceMs} when own records were last looked through. */
   #completeSinceMs: number | undefined
   /** Called when the caller of a stream of this daemon resumes it with another request. */
   onResumed: (key: StreamKey) => void = () => {}
 
-  constructor (options: StreamOriginsOptions) {
+  constructor (options: StreamVersionsOptions) {
     this.#options = options
     this.#sender = new RecordSender(options)
     const { links } = options.membership
@@ -84,7 +84,7 @@
       for (const [key, record] of decodeRecords(message, from, now)) this.#held.set(key, record, now)
     })
     links.onPost(RESUMED_TOPIC, (key: StreamKey) => this.onResumed(key))
-    links.handle(FIND_METHOD, async (query: OriginQuery): Promise<OriginReply> => encodeTestimony(this.#testify(query)))
+    links.handle(FIND_METHOD, async (query: VersionQuery): Promise<VersionReply> => encodeEvidence(this.#evidenceOf(query)))
   }
 
   /** Number of records, own and held for other daemons. */
@@ -105,11 +105,11 @@
    * Records the first event that this daemon passes on of a stream that its caller may resume.
    * @param lifeMs Longest time from now on in which the caller may resume it, in milliseconds.
    */
-  began (key: StreamKey, origin: StreamOrigin, lifeMs: number): void {
+  began (key: StreamKey, streamVersion: StreamVersion, lifeMs: number): void {
     const now = steadyNow()
-    if (origin.version === undefined && this.#versions.seen(origin.pool, now - lifeMs).every((version) => version === undefined)) return
-    const isSent = !this.#hasOnlyVersion(origin.pool, lifeMs)
-    const record = { origin, daemon: this.#options.self, expiresAtMs: now + lifeMs, lifeMs, isSent }
+    if (streamVersion.version === undefined && this.#versions.seen(streamVersion.pool, now - lifeMs).every((version) => version === undefined)) return
+    const isSent = !this.#hasOnlyVersion(streamVersion.pool, lifeMs)
+    const record = { streamVersion, daemon: this.#options.self, expiresAtMs: now + lifeMs, lifeMs, isSent }
     this.#own.set(key, record, now)
     if (isSent) this.#sender.send([[key, record]])
   }
@@ -121,27 +121,27 @@
   }
 
   /** Finds out where a stream began, from this daemon's records or by asking others. */
-  async find (stream: ResumedStream): Promise<OriginFinding> {
+  async find (stream: ResumedStream): Promise<VersionFinding> {
     const startedAtMs = steadyNow()
-    const testimonies = [this.#testify(stream)]
+    const evidence = [this.#evidenceOf(stream)]
     const answeredBy = new Set<DaemonId>()
-    let verdict: OriginVerdict = this.#judge(testimonies, stream, answeredBy)
+    let verdict: VersionVerdict = this.#judge(evidence, stream, answeredBy)
     let round = 0
     if (verdict.type !== 'recorded') {
       await this.#joined(startedAtMs)
       do {
         if (round > 0) await delay(ROUND_INTERVAL_MS)
-        await this.#ask(stream, { round, testimonies, answeredBy })
-        verdict = this.#judge(testimonies, stream, answeredBy)
+        await this.#ask(stream, { round, evidence, answeredBy })
+        verdict = this.#judge(evidence, stream, answeredBy)
       } while (verdict.type !== 'recorded' && verdict.type !== 'only-version' && ++round < MAX_ROUNDS)
     }
-    this.#options.metrics.streamOrigins.inc({ result: verdict.type === 'recorded' && round > 0 ? 'recorded-late' : verdict.type })
+    this.#options.metrics.streamVersions.inc({ result: verdict.type === 'recorded' && round > 0 ? 'recorded-late' : verdict.type })
     if (verdict.type === 'recorded') this.#notifyResumed(stream.key!, verdict.daemon)
     return { verdict, answered: answeredBy.size, waitedMs: steadyNow() - startedAtMs }
   }
 
-  #judge (testimonies: readonly OriginTestimony[], { pool }: ResumedStream, answeredBy: ReadonlySet<DaemonId>): OriginVerdict {
-    return judgeOrigin(testimonies, { pool, others: this.#options.hostCount() - 1, answered: answeredBy.size })
+  #judge (evidence: readonly VersionEvidence[], { pool }: ResumedStream, answeredBy: ReadonlySet<DaemonId>): VersionVerdict {
+    return judgeVersion(evidence, { pool, others: this.#options.hostCount() - 1, answered: answeredBy.size })
   }
 
   /** The daemon that passes the stream on ends its run: a stream has one at a time. */
@@ -155,15 +155,15 @@
   }
 
   /** Asks the daemons that probably hold the record, after the first round all that may. Resolves once one of them has it, or all have answered. */
-  async #ask (stream: ResumedStream, { round, testimonies, answeredBy }: { round: number, testimonies: OriginTestimony[], answeredBy: Set<DaemonId> }): Promise<void> {
+  async #ask (stream: ResumedStream, { round, evidence, answeredBy }: { round: number, evidence: VersionEvidence[], answeredBy: Set<DaemonId> }): Promise<void> {
     const { self, membership, hash } = this.#options
     const ranked = rankHolders(stream.key, membership.reachable.filter(({ id }) => id !== self), { hash })
     const { key, pool, lifeMs } = stream
     await new Promise<void>((resolve) => {
       const ask = async (member: Member) => {
         try {
-          const reply = await membership.links.call(member, FIND_METHOD, { key, pool, lifeMs } satisfies OriginQuery, { timeoutMs: ANSWER_TIMEOUT_MS }) as OriginReply
-          testimonies.push(decodeTestimony(reply))
+          const reply = await membership.links.call(member, FIND_METHOD, { key, pool, lifeMs } satisfies VersionQuery, { timeoutMs: ANSWER_TIMEOUT_MS }) as VersionReply
+          evidence.push(decodeEvidence(reply))
           answeredBy.add(member.id)
           if (reply.record) resolve()
         } catch { /* an unreachable daemon, or an earlier version that does not know the method: it adds nothing */ }
@@ -177,11 +177,11 @@
     })
   }
 
-  #testify ({ key, pool, lifeMs }: OriginQuery): OriginTestimony {
+  #evidenceOf ({ key, pool, lifeMs }: VersionQuery): VersionEvidence {
     const now = steadyNow()
     const record = key === undefined ? undefined : this.#own.get(key, now) ?? this.#held.get(key, now)
     return {
-      record: record && { origin: record.origin, daemon: record.daemon },
+      record: record && { streamVersion: record.streamVersion, daemon: record.daemon },
       versions: pool === undefined ? [] : this.#versions.seen(pool, now - lifeMs),
       hasWatched: this.#hasWatched(lifeMs)
     }
@@ -201,7 +201,7 @@
     this.#completeSinceMs = this.#options.completeSinceMs()
     const records: KeyedRecord[] = []
     for (const [key, record] of this.#own.entries(steadyNow())) {
-      if (record.isSent || this.#hasOnlyVersion(record.origin.pool, record.lifeMs)) continue
+      if (record.isSent || this.#hasOnlyVersion(record.streamVersion.pool, record.lifeMs)) continue
       record.isSent = true
       records.push([key, record])
     }
--- a/daemon/streams/stream_origins_test.ts
+++ b/daemon/streams/stream_versions_test.ts
@@ -5,7 +5,7 @@
 import { steadyNow } from '../../core/time/index.ts'
 import { StandInNetwork, type StandInLinks } from '../../standins/index.ts'
 import { createMetrics } from '../metrics.ts'
-import { StreamOrigins } from './index.ts'
+import { StreamVersions } from './index.ts'
 
 const POOL = as<PoolName>('llm')
 const LIFE_MS = 30_000
@@ -14,7 +14,7 @@
 const key = (i: number) => as<StreamKey>(`stream-${i}`)
 const views = (...versions: string[]) => versions.map((version) => ({ pool: POOL, version })) as unknown as EndpointView[]
 
-interface Daemon { origins: StreamOrigins, links: StandInLinks, metrics: ReturnType<typeof createMetrics>, registry: { completeSinceMs: number | undefined } }
+interface Daemon { origins: StreamVersions, links: StandInLinks, metrics: ReturnType<typeof createMetrics>, registry: { completeSinceMs: number | undefined } }
 
 let network: StandInNetwork
 let members: Member[]
@@ -38,7 +38,7 @@
     const metrics = createMetrics()
     const registry: Daemon['registry'] = { completeSinceMs: steadyNow() }
     const membership = { links, joined: true, get acceptingWork () { return members }, get reachable () { return members } }
-    const origins = new StreamOrigins({ self, membership, hostCount: () => members.length, hash, metrics, completeSinceMs: () => registry.completeSinceMs })
+    const origins = new StreamVersions({ self, membership, hostCount: () => members.length, hash, metrics, completeSinceMs: () => registry.completeSinceMs })
     members.push({ id: self, address: `node:${self}`, failureDomain: as<FailureDomain>('abc'[i % 3]!), incarnation: 1, state: 'up', revision: 0, heir: undefined })
     daemons.push({ origins, links, metrics, registry })
     origins.endpointsChanged(views(...versions))
@@ -71,7 +71,7 @@
   await vi.advanceTimersByTimeAsync(20)
   await kill(0, 4, 8)
   const found = await Promise.all(Array.from({ length: 20 }, (_, i) => find(1 + i % 3, i)))
-  expect(found).toEqual(found.map(() => ({ type: 'recorded', origin: V2, daemon: 'd0' })))
+  expect(found).toEqual(found.map(() => ({ type: 'recorded', streamVersion: V2, daemon: 'd0' })))
 })
 
 test('while a pool has had one version for long, nothing is sent, and a stream goes on at that version', async () => {
@@ -82,8 +82,8 @@
   await vi.advanceTimersByTimeAsync(100)
   expect(await sent(0)).toBe(0)
   await kill(0)
-  expect(await find(1, 1)).toEqual({ type: 'only-version', origin: V1 })
-  expect(await find(1, undefined)).toEqual({ type: 'only-version', origin: V1 })
+  expect(await find(1, 1)).toEqual({ type: 'only-version', streamVersion: V1 })
+  expect(await find(1, undefined)).toEqual({ type: 'only-version', streamVersion: V1 })
 })
 
 test('pools whose endpoints have no version cost nothing', async () => {
@@ -112,10 +112,10 @@
   expect(await sent(0)).toBe(3)
   for (const daemon of daemons.slice(1)) daemon.origins.endpointsChanged(views('v1', 'v2'))
   await kill(0)
-  expect(await find(1, 1)).toEqual({ type: 'recorded', origin: V1, daemon: 'd0' })
+  expect(await find(1, 1)).toEqual({ type: 'recorded', streamVersion: V1, daemon: 'd0' })
 })
 
-test('a daemon that has just started finds records, and is no witness itself', async () => {
+test('a daemon that has just started finds records, and does not vouch for an only version', async () => {
   await start(3, 'v1')
   daemons[0]!.origins.began(key(1), V1, LIFE_MS)
   await start(1, 'v1')
@@ -146,7 +146,7 @@
   await vi.advanceTimersByTimeAsync(LIFE_MS - 5000)
   expect(await find(0, 1)).toEqual({ type: 'unknown' })
   await vi.advanceTimersByTimeAsync(5000)
-  expect(await find(0, 1)).toEqual({ type: 'only-version', origin: V2 })
+  expect(await find(0, 1)).toEqual({ type: 'only-version', streamVersion: V2 })
 })
 
 test('a record that arrives after the first inquiry is found', async () => {
@@ -154,7 +154,7 @@
   await start(3, 'v1', 'v2')
   setTimeout(() => daemons[0]!.origins.began(key(1), V1, LIFE_MS), 30)
   expect(await find(1, 1)).toMatchObject({ type: 'recorded' })
-  expect((await daemons[1]!.metrics.streamOrigins.get()).values).toMatchObject([{ labels: { result: 'recorded-late' } }])
+  expect((await daemons[1]!.metrics.streamVersions.get()).values).toMatchObject([{ labels: { result: 'recorded-late' } }])
 })
 
 test('records survive daemons that leave one after the other', async () => {
@@ -169,7 +169,7 @@
     await kill(i)
   }
   const found = await Promise.all(Array.from({ length: 10 }, (_, i) => find(5, i)))
-  expect(found).toEqual(found.map(() => expect.objectContaining({ type: 'recorded', origin: V2 })))
+  expect(found).toEqual(found.map(() => expect.objectContaining({ type: 'recorded', streamVersion: V2 })))
 })
 
 test('the daemon that passes a stream on learns that its caller resumes it elsewhere', async () => {
