--- a/daemon/delegation/delegate_server.ts
+++ b/daemon/delegation/delegate_server.ts
@@ -158,7 +158,7 @@
       if (task.started && task.state.sent + 1 > reached && !task.final) message.reached = reached = task.state.sent + 1
       if (!isHeadSent && task.head) {
         message.head = task.head
-        if (task.boundTo?.version !== undefined) message.version = task.boundTo.version
+        if (task.binding.version?.version !== undefined) message.version = task.binding.version.version
         isHeadSent = true
       }
       if (isHeadSent && pieces.length > sentPieces) {
--- /dev/null
+++ b/daemon/endpoints/_endpoint_selections.ts
@@ -0,0 +1,58 @@
+/** Selection of the endpoints of a pool that may get a request. */
+import type { DaemonId, PoolName } from '../../core/ids/index.ts'
+import { subset, type EndpointView, type Hash32 } from '../../core/routing/index.ts'
+import { mayContinueAt, type StreamVersion } from '../../core/streams/index.ts'
+
+/** Endpoints that may get a request. */
+export interface EndpointSelection {
+  usable: readonly EndpointView[]
+  /** Those that this daemon connects to. */
+  connected: readonly EndpointView[]
+}
+
+/** Options of {@linkcode EndpointSelections}. */
+export interface EndpointSelectionsOptions {
+  self: DaemonId
+  hash: Hash32
+  /** Number of endpoints of one pool that this daemon connects to. */
+  subsetSize: number
+  /** Returns the endpoints of a pool that are listed and do not leave. */
+  serving (pool: PoolName): readonly EndpointView[]
+}
+
+/** Selects endpoints, and keeps the selections until they are cleared. */
+export class EndpointSelections {
+  readonly #options: EndpointSelectionsOptions
+  readonly #selections = new Map<string, EndpointSelection>()
+  #mayGetWork: (view: EndpointView) => boolean = () => true
+  #mayContinue: (view: EndpointView) => boolean = () => true
+
+  constructor (options: EndpointSelectionsOptions) {
+    this.#options = options
+  }
+
+  /** Must be called whenever the endpoints that serve have changed. */
+  clear (): void {
+    this.#selections.clear()
+  }
+
+  /** Restricts new work, and where streams may continue; see `EndpointTable.restrictTo`. */
+  restrictTo (mayGetWork: (view: EndpointView) => boolean, mayContinue: (view: EndpointView) => boolean): void {
+    this.#mayGetWork = mayGetWork
+    this.#mayContinue = mayContinue
+    this.clear()
+  }
+
+  /** Selects the endpoints of a pool for a request; `boundTo` is the version that the stream is bound to which it continues. */
+  select (pool: PoolName, boundTo: StreamVersion | undefined): EndpointSelection {
+    const key = boundTo ? `${pool}/${boundTo.version ?? ''}` : pool
+    let selection = this.#selections.get(key)
+    if (!selection) {
+      const { self, hash, subsetSize: size, serving } = this.#options
+      const usable = serving(pool).filter((view) => (boundTo ? mayContinueAt(boundTo, view) && this.#mayContinue(view) : this.#mayGetWork(view)))
+      selection = { usable, connected: subset(self, usable, { hash, size }) }
+      this.#selections.set(key, selection)
+    }
+    return selection
+  }
+}
--- a/daemon/endpoints/endpoint_table.ts
+++ b/daemon/endpoints/endpoint_table.ts
@@ -2,14 +2,15 @@
 import type { DaemonId, EndpointId, EndpointVersion, HostId, PoolName } from '../../core/ids/index.ts'
 import { Departures, NewestStarts, type Departure } from '../../core/registry/index.ts'
 import {
-  updateLatencyFactor, noWork, firstTokenModelOf, subset, unreadBefore,
+  updateLatencyFactor, noWork, firstTokenModelOf, unreadBefore,
   type EndpointLoad, type EndpointView, type EndpointWork, type FirstTokenSample, type Hash32, type Lane, type FirstTokenModel
 } from '../../core/routing/index.ts'
 import type { BackOffChange } from '../../core/retry/index.ts'
-import { mayContinueAt, type StreamVersion } from '../../core/streams/index.ts'
+import type { StreamVersion } from '../../core/streams/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import type { ListedHost } from '../../endpoints/index.ts'
 import { log } from '../log/index.ts'
+import { EndpointSelections, type EndpointSelection } from './_endpoint_selections.ts'
 import { PoolEstimates } from './_pool_estimates.ts'
 import { newView } from './_new_view.ts'
 import { remainingBackOffMs, WorkPauses, type AttemptFailure } from './_work_pauses.ts'
@@ -21,13 +22,6 @@
 /** Prompt tokens of one request that an endpoint has to process, and the lane that they queue in. */
 export interface SentWork { lane: Lane, tokens: number }
 
-/** Endpoints that may get a request. */
-export interface EndpointSelection {
-  usable: readonly EndpointView[]
-  /** Those that this daemon connects to. */
-  connected: readonly EndpointView[]
-}
-
 /** Options of {@linkcode EndpointTable}. */
 export interface EndpointTableOptions {
   self: DaemonId
@@ -45,20 +39,14 @@
 
 /** Holds a view of each endpoint. Owned by the broker; other components only report events to it. */
 export class EndpointTable {
-  readonly #options: EndpointTableOptions
+  readonly #selections: EndpointSelections
   readonly #views = new Map<EndpointId, EndpointView>()
   readonly #byHost = new Map<HostId, EndpointId>()
   readonly #estimates = new PoolEstimates()
   readonly #pauses = new WorkPauses()
-  readonly #subsets = new Map<PoolName, EndpointView[]>()
-  readonly #usable = new Map<PoolName, EndpointView[]>()
   readonly #goneAt = new Map<EndpointId, number>()
   readonly #departures = new Departures()
   readonly #starts = new NewestStarts()
-  #mayGetWork: (view: EndpointView) => boolean = () => true
-  #mayContinue: (view: EndpointView) => boolean = () => true
-  /** Selections for streams that began at a version, by pool and version. */
-  readonly #continuations = new Map<string, EndpointSelection>()
   #leavingListeners: LeavingListener[] = []
   #onReplaced: ReplacedListener = () => {}
   /** Endpoints in the last host list. */
@@ -68,8 +56,8 @@
   readonly #endListeners: Array<(view: EndpointView) => void> = []
   readonly #activityListeners: Array<(id: EndpointId) => void> = []
 
-  constructor (options: EndpointTableOptions) {
-    this.#options = options
+  constructor ({ self, hash, subsetSize = SUBSET_SIZE }: EndpointTableOptions) {
+    this.#selections = new EndpointSelections({ self, hash, subsetSize, serving: (pool) => this.#serving(pool) })
   }
 
   /** All known endpoints. */
@@ -84,50 +72,16 @@
   get (id: EndpointId): EndpointView | undefined { return this.#views.get(id) }
 
   /** The subset of a pool's usable endpoints that this daemon connects to. */
-  candidates (pool: PoolName): readonly EndpointView[] {
-    let chosen = this.#subsets.get(pool)
-    if (!chosen) {
-      chosen = this.#subsetOf(this.usable(pool))
-      this.#subsets.set(pool, chosen)
-    }
-    return chosen
-  }
+  candidates (pool: PoolName): readonly EndpointView[] { return this.select(pool, undefined).connected }
 
-  #subsetOf (views: readonly EndpointView[]): EndpointView[] {
-    return subset(this.#options.self, views, { hash: this.#options.hash, size: this.#options.subsetSize ?? SUBSET_SIZE })
-  }
+  /** All endpoints of a pool that may get new work. */
+  usable (pool: PoolName): readonly EndpointView[] { return this.select(pool, undefined).usable }
 
   /**
    * Returns the endpoints of a pool that a request may be sent to.
-   * @param boundTo Where the stream began that the request continues; undefined for one of which the caller has no event.
+   * @param boundTo Version that the stream is bound to which the request continues; undefined if its caller has no event of it.
    */
-  select (pool: PoolName, boundTo: StreamVersion | undefined): EndpointSelection {
-    if (!boundTo) return { usable: this.usable(pool), connected: this.candidates(pool) }
-    const key = `${pool}/${boundTo.version ?? ''}`
-    let selection = this.#continuations.get(key)
-    if (!selection) {
-      const usable = this.#serving(pool).filter((view) => mayContinueAt(boundTo, view) && this.#mayContinue(view))
-      selection = { usable, connected: this.#subsetOf(usable) }
-      this.#continuations.set(key, selection)
-    }
-    return selection
-  }
-
-  #clearSelections (): void {
-    this.#subsets.clear()
-    this.#usable.clear()
-    this.#continuations.clear()
-  }
-
-  /** All endpoints of a pool that may get new work. */
-  usable (pool: PoolName): readonly EndpointView[] {
-    let usable = this.#usable.get(pool)
-    if (!usable) {
-      usable = this.#serving(pool).filter(this.#mayGetWork)
-      this.#usable.set(pool, usable)
-    }
-    return usable
-  }
+  select (pool: PoolName, boundTo: StreamVersion | undefined): EndpointSelection { return this.#selections.select(pool, boundTo) }
 
   /** Endpoints of a pool that serve and run a version, regardless of {@linkcode EndpointTable.restrictTo}. */
   ofVersion (pool: PoolName, version: EndpointVersion): readonly EndpointView[] {
@@ -139,9 +93,7 @@
    * @param mayContinue Returns true if streams that began at the version of an endpoint may continue there. Default: all may.
    */
   restrictTo (mayGetWork: (view: EndpointView) => boolean, mayContinue: (view: EndpointView) => boolean = () => true): void {
-    this.#mayGetWork = mayGetWork
-    this.#mayContinue = mayContinue
-    this.#clearSelections()
+    this.#selections.restrictTo(mayGetWork, mayContinue)
   }
 
   #serving (pool: PoolName): EndpointView[] {
@@ -171,7 +123,7 @@
     for (const { state, hostId, version } of current) if (state === 'live' && version !== undefined) this.#departures.recordLive(hostId, { version, now: steadyNow() })
     for (const host of current) if (!this.#views.has(host.endpoint.id)) this.#add(host)
     for (const view of this.all) if (!listedIds.has(view.id) && view.own.running === 0) this.#remove(view)
-    this.#clearSelections()
+    this.#selections.clear()
     this.#pruneRecords()
     for (const host of current) if (host.state === 'live') this.#restoreIfReturned(host)
     // Hosts with a registry version are reported through `departed`, which carries the version and the time left.
@@ -245,7 +197,7 @@
   }
 
   #notifyLeaving (leaving: Parameters<LeavingListener>[0]): void {
-    this.#clearSelections()
+    this.#selections.clear()
     for (const listener of this.#leavingListeners) listener(leaving)
   }
 
--- a/daemon/exchange/intake.ts
+++ b/daemon/exchange/intake.ts
@@ -172,7 +172,7 @@
   #follow (stream: AdmittedStream, task: RequestTask<Buffer>): void {
     if (stream.boundTo) this.streamResumed(stream.key)
     this.#streams.set(stream.key, task)
-    if (task.work.cls.resumable) task.onBound = (version) => this.#options.streams.began(stream, version)
+    if (task.work.cls.resumable) task.binding.onBound = (version) => this.#options.streams.began(stream, version)
   }
 
   #taskOptions (req: AdmittedRequest, { cls, pool }: { cls: Route['cls'], pool: PoolName }) {
--- a/daemon/request/dispatcher.ts
+++ b/daemon/request/dispatcher.ts
@@ -5,7 +5,8 @@
 import type { PromptPart } from '../../core/work/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import { remainingBackOffMs } from '../endpoints/_work_pauses.ts'
-import type { EndpointSelection, EndpointTable } from '../endpoints/endpoint_table.ts'
+import type { EndpointSelection } from '../endpoints/_endpoint_selections.ts'
+import type { EndpointTable } from '../endpoints/endpoint_table.ts'
 import type { CanaryGate, EndpointLimiter, Placement, RequestWay, RequestWays } from './placement.ts'
 
 /** Options of {@linkcode Dispatcher}. */
--- a/daemon/request/request_task.ts
+++ b/daemon/request/request_task.ts
@@ -20,6 +20,7 @@
 import { repeatedKeyResult } from './_claim_outcome.ts'
 import { attemptFailedEvent, attemptStartedEvent, requestEndedEvent } from './_request_events.ts'
 import { RequestMeter } from './_request_meter.ts'
+import { StreamBinding } from './_stream_binding.ts'
 import { QUARANTINED_REASON, requestTraits, type Decision, type RequestPorts, type RequestWork } from './work.ts'
 
 /** Options of {@linkcode RequestTask}. */
@@ -60,8 +61,6 @@
   onAttempt: () => void = () => {}
   /** Called once, on the first sign that an endpoint has begun to work on the request. */
   onBegun: () => void = () => {}
-  /** Called once, before the first event of a stream is passed on from here. */
-  onBound: (boundTo: StreamVersion) => void = () => {}
   /** True while the KV cache is being exported. Migration plans skip the request meanwhile. */
   exporting = false
   protected readonly ports: RequestPorts
@@ -79,8 +78,8 @@
   #route: Route | undefined
   readonly #meter: RequestMeter
   #hasBegun = false
-  #boundTo: StreamVersion | undefined
-  #isBindingReported = false
+  /** Binds the stream to the version of its first event. */
+  readonly binding: StreamBinding
   /** Version of the endpoint that runs the current attempt. */
   #runningVersion: EndpointVersion | undefined
 
@@ -94,7 +93,7 @@
     this.#runner = runner
     this.#meter = new RequestMeter(ports.metrics, { cls: work.cls, acceptedAtMs: this.acceptedAtMs, counted: options.counted ?? true })
     this.answer = new AnswerBuffer<P>(options)
-    this.#boundTo = options.boundTo
+    this.binding = new StreamBinding(options.boundTo)
     this.#delegated = options.delegate && this.#delegatedAttempts(options.delegate)
     const deadlineInMs = options.deadlineInMs ?? work.cls.latency.deadlineMs
     this.lifecycle = newRequest(requestTraits(work, this.acceptedAtMs + deadlineInMs))
@@ -104,8 +103,6 @@
   get id (): RequestId { return this.work.id }
   get state (): RequestState { return this.lifecycle }
   get started (): boolean { return this.lifecycle.attempt > 0 }
-  /** Where the stream began; undefined while its caller has no event of it. */
-  get boundTo (): StreamVersion | undefined { return this.#boundTo }
   /** Estimated number of tokens in the stream's KV cache, from the pieces received so far. */
   get kvTokens (): number { return this.work.demand.promptTokens + this.answer.length }
   /** The endpoint that runs the current attempt. */
@@ -124,7 +121,7 @@
     const { table, budget } = this.ports
     if (endpoint === undefined || !this.mayRetryElsewhere || !canRetry(this.lifecycle, 'timeout-after-send')) return
     const now = steadyNow()
-    const elsewhere = table.select(this.work.pool, this.#boundTo).connected.some((view) => view.id !== endpoint && availableAtMs(view) <= now && (this.ports.paths?.canSend(view, this.work.cls) ?? true))
+    const elsewhere = table.select(this.work.pool, this.binding.version).connected.some((view) => view.id !== endpoint && availableAtMs(view) <= now && (this.ports.paths?.canSend(view, this.work.cls) ?? true))
     if (!elsewhere || !budget.tryWithdraw(table.isLeavingOrGone(endpoint))) return
     this.attachment?.detach()
     this.ports.crashes.failed({ id: endpoint, view: table.get(endpoint) }, 'timeout-after-send', this.work.fingerprint)
@@ -151,7 +148,7 @@
   /** Moves a resumable stream of which the caller has no event yet to another endpoint, if its current one runs a version that must receive no more work. */
   moveOffVersion (pool: PoolName, version: EndpointVersion): void {
     const view = this.runningAt && this.ports.table.get(this.runningAt)
-    if (view?.pool === pool && view.version === version && !this.#boundTo && canMove(this.lifecycle)) this.post({ type: 'hold' })
+    if (view?.pool === pool && view.version === version && !this.binding.version && canMove(this.lifecycle)) this.post({ type: 'hold' })
   }
 
   /** Calls the listener after each change. The caller counts as gone once the last listener is removed. */
@@ -248,7 +245,7 @@
       acceptedAtMs: this.acceptedAtMs,
       deadlineAtMs: this.lifecycle.traits.deadlineAtMs,
       resumed: this.lifecycle.mayHaveRun,
-      boundTo: this.#boundTo,
+      boundTo: this.binding.version,
       avoid,
       placed: (view, route) => this.#onPlaced(view, route),
       ...(this.#delegated && { delegated: (to: SelectedDelegate) => this.#onDelegated(to) }),
@@ -301,7 +298,7 @@
       answer: this.answer,
       delegate,
       state: () => this.lifecycle,
-      boundTo: () => this.#boundTo,
+      boundTo: () => this.binding.version,
       recordDecision: (event, fields) => this.recordDecision(event, fields),
       onChunk: (chunk, { head, version }) => this.#addChunk(chunk, { head, version }),
       onWhole: (head) => {
@@ -329,7 +326,7 @@
     const view = this.ports.table.get(endpoint)
     this.answer.replaceAttempt(attempt)
     if (!view) return this.#onAttemptError(attempt, endpoint, new AttemptError('Cannot start: endpoint is not listed', { point: 'before-send' }))
-    if (!mayContinueAt(this.#boundTo, view)) return this.#onAttemptError(attempt, endpoint, new AttemptError(`Cannot start: the endpoint runs ${view.version}, the stream began at ${this.#boundTo!.version}`, { point: 'before-send' }))
+    if (!mayContinueAt(this.binding.version, view)) return this.#onAttemptError(attempt, endpoint, new AttemptError(`Cannot start: the endpoint runs ${view.version}, the stream began at ${this.binding.version!.version}`, { point: 'before-send' }))
     this.#runningVersion = view.version
     this.ports.metrics.attempts.inc({ mode })
     const lane = this.#route?.lane ?? (this.work.cls.urgent ? 'urgent' : 'normal')
@@ -378,7 +375,7 @@
     this.ports.metrics.chunks.inc({ verdict })
     if (verdict === 'taken') {
       this.head ??= head
-      this.bindTo({ pool: this.work.pool, version })
+      this.bindTo(version)
     }
     this.onPiece()
     this.#markBegun()
@@ -395,12 +392,9 @@
     if (view) this.ports.answers?.answered(view, this.work.cls.name, { tookMs, predictedMs: predictedMs / view.latencyFactor })
   }
 
-  /** Binds a stream to where its first event came from, before that event is passed on. */
-  protected bindTo (boundTo: StreamVersion): void {
-    if (!this.work.cls.streaming || this.#isBindingReported) return
-    this.#isBindingReported = true
-    this.#boundTo ??= boundTo
-    this.onBound(this.#boundTo)
+  /** Must be called with the version of the endpoint that an event came from, before the event is passed on. */
+  protected bindTo (version: EndpointVersion | undefined): void {
+    if (this.work.cls.streaming) this.binding.eventArrived({ pool: this.work.pool, version })
   }
 
   #markBegun (): void {
@@ -480,7 +474,7 @@
     if (!view || !this.lifecycle.traits.movable) return this.post({ type: 'stopped', attempt, confirmed: false })
     const from = this.answer.length
     this.#runner.stop(view, attempt, from).then((report) => {
-      if (report.stopped && this.answer.add({ attempt, offset: from, pieces: report.pieces }) === 'taken') this.bindTo({ pool: view.pool, version: view.version })
+      if (report.stopped && this.answer.add({ attempt, offset: from, pieces: report.pieces }) === 'taken') this.bindTo(view.version)
       this.post({ type: 'stopped', attempt, confirmed: report.stopped })
     }, () => this.post({ type: 'stopped', attempt, confirmed: false }))
   }
--- a/daemon/request/token_task.ts
+++ b/daemon/request/token_task.ts
@@ -62,7 +62,7 @@
       attempt,
       endpoint,
       deadlineInMs: traits.deadlineAtMs - steadyNow(),
-      boundTo: this.boundTo
+      boundTo: this.binding.version
     }
   }
 
@@ -103,7 +103,7 @@
     this.lifecycle = { ...this.lifecycle, phase: view ? 'running' : 'placing', attempt: handOver.attempt, endpoint: handOver.endpoint, mayHaveRun: true }
     this.answer.replaceAttempt(handOver.attempt)
     this.answer.add({ attempt: handOver.attempt, offset: 0, pieces: handOver.tokens })
-    if (handOver.boundTo) this.bindTo(handOver.boundTo)
+    if (handOver.boundTo) this.bindTo(handOver.boundTo.version)
     if (!view) {
       this.recordDecision('stream-taken-over', { endpoint: undefined, fromPiece: handOver.tokens.length })
       return this.place([])
