Send records when a version returns that was seen before

A version that left and came back within ten minutes was not taken for a new one, so that records of streams that began in between were not sent, and their callers were refused if their daemon was killed. Found in reading; the line in version_records_test.ts failed before (false instead of true). Keys of selections and queues cannot collide with names of pools any more.

--- a/core/streams/pool_versions.ts
+++ b/core/streams/pool_versions.ts
@@ -15,7 +15,7 @@
 
   /**
    * Records the endpoints that are listed now; versions without an endpoint among them are listed no more.
-   * @returns True if a pool has a version that it did not have before.
+   * @returns True if a pool has a version that was not listed before.
    */
   record (views: readonly Pick<EndpointView, 'pool' | 'version'>[], now: number): boolean {
     let isNew = false
@@ -23,7 +23,8 @@
     for (const { pool, version } of views) {
       let versions = this.#unlistedAtMs.get(pool)
       if (!versions) this.#unlistedAtMs.set(pool, versions = new Map())
-      isNew ||= !versions.has(version)
+      const unlistedAtMs = versions.get(version)
+      isNew ||= !versions.has(version) || (unlistedAtMs !== undefined && unlistedAtMs < now)
       versions.set(version, undefined)
     }
     for (const versions of this.#unlistedAtMs.values()) for (const [version, atMs = now] of versions) if (now - atMs > RETENTION_MS) versions.delete(version)
--- a/core/streams/version_records_test.ts
+++ b/core/streams/version_records_test.ts
@@ -24,6 +24,7 @@
   const versions = new PoolVersions()
   expect(versions.record(views('v1', 'v1'), 0)).toBe(true)
   expect(versions.record(views('v1', 'v2'), 100)).toBe(true)
-  expect(versions.record(views('v2'), 5000)).toBe(false)
+  expect(versions.record(views('v2', 'v2'), 5000)).toBe(false)
   expect([versions.seen(POOL, 4000), versions.seen(POOL, 5001), versions.seen(as<PoolName>('other'), 0)]).toEqual([['v1', 'v2'], ['v2'], []])
+  expect([versions.record(views('v1', 'v2'), 90_000), versions.record(views('v1', 'v2'), 90_000)]).toEqual([true, false])
 })
--- a/daemon/endpoints/_endpoint_selections.ts
+++ b/daemon/endpoints/_endpoint_selections.ts
@@ -45,7 +45,7 @@
 
   /** Selects the endpoints of a pool for a request; `boundTo` is the version that the stream is bound to which it continues. */
   select (pool: PoolName, boundTo: StreamVersion | undefined): EndpointSelection {
-    const key = boundTo ? `${pool}/${boundTo.version ?? ''}` : pool
+    const key = boundTo ? `${pool}\0${boundTo.version ?? ''}` : pool
     let selection = this.#selections.get(key)
     if (!selection) {
       const { self, hash, subsetSize: size, serving } = this.#options
--- a/daemon/request/dispatcher.ts
+++ b/daemon/request/dispatcher.ts
@@ -321,7 +321,7 @@
   }
 
   #poolState ({ pool: name, boundTo }: Placement): PoolState {
-    const key = boundTo ? `${name}/${boundTo.version ?? ''}` : name
+    const key = boundTo ? `${name}\0${boundTo.version ?? ''}` : name
     let pool = this.#pools.get(key)
     if (!pool) {
       pool = { name, queue: this.#options.queue?.() ?? new FairQueue(), msPerStart: 0, lastStartMs: steadyNow() }
