End the run of a stream where it was resumed last, when its caller comes back to the daemon that began it

That daemon's own record still named itself, so that the run at the daemon in between was not ended. It takes note of the daemon that tells it now. The test failed before: two ended runs instead of three.

--- a/daemon/streams/stream_versions.ts
+++ b/daemon/streams/stream_versions.ts
@@ -39,7 +39,7 @@
   waitedMs: number
 }
 
-/** Record of a stream that this daemon passes on. */
+/** Record of a stream that this daemon passes on, or did before another one took it over. */
 interface OwnRecord extends VersionRecord {
   lifeMs: number
   isSent: boolean
@@ -83,7 +83,11 @@
       const now = steadyNow()
       for (const [key, record] of decodeRecords(message, from, now)) this.#held.set(key, record, now)
     })
-    links.onPost(RESUMED_TOPIC, (key: StreamKey) => this.onResumed(key))
+    links.onPost(RESUMED_TOPIC, (key: StreamKey, from) => {
+      const record = this.#own.get(key, steadyNow())
+      if (record) record.daemon = from
+      this.onResumed(key)
+    })
     links.handle(FIND_METHOD, async (query: VersionQuery): Promise<VersionReply> => encodeEvidence(this.#evidenceOf(query)))
   }
 
--- a/daemon/streams/stream_versions_test.ts
+++ b/daemon/streams/stream_versions_test.ts
@@ -182,5 +182,6 @@
   daemons[1]!.origins.began(key(1), V1, LIFE_MS)
   await vi.advanceTimersByTimeAsync(10)
   await find(1, 1)
-  expect(resumed).toEqual(['stream-1 at 0', 'stream-1 at 1'])
+  await find(0, 1)
+  expect(resumed).toEqual(['stream-1 at 0', 'stream-1 at 1', 'stream-1 at 1'])
 })
