--- a/daemon/streams/stream_versions_test.ts
+++ b/daemon/streams/stream_versions_test.ts
@@ -14,7 +14,7 @@
 const key = (i: number) => as<StreamKey>(`stream-${i}`)
 const views = (...versions: string[]) => versions.map((version) => ({ pool: POOL, version })) as unknown as EndpointView[]
 
-interface Daemon { origins: StreamVersions, links: StandInLinks, metrics: ReturnType<typeof createMetrics>, registry: { completeSinceMs: number | undefined } }
+interface Daemon { streams: StreamVersions, links: StandInLinks, metrics: ReturnType<typeof createMetrics>, registry: { completeSinceMs: number | undefined } }
 
 let network: StandInNetwork
 let members: Member[]
@@ -38,10 +38,10 @@
     const metrics = createMetrics()
     const registry: Daemon['registry'] = { completeSinceMs: steadyNow() }
     const membership = { links, joined: true, get acceptingWork () { return members }, get reachable () { return members } }
-    const origins = new StreamVersions({ self, membership, hostCount: () => members.length, hash, metrics, completeSinceMs: () => registry.completeSinceMs })
+    const streams = new StreamVersions({ self, membership, hostCount: () => members.length, hash, metrics, completeSinceMs: () => registry.completeSinceMs })
     members.push({ id: self, address: `node:${self}`, failureDomain: as<FailureDomain>('abc'[i % 3]!), incarnation: 1, state: 'up', revision: 0, heir: undefined })
-    daemons.push({ origins, links, metrics, registry })
-    origins.endpointsChanged(views(...versions))
+    daemons.push({ streams, links, metrics, registry })
+    streams.endpointsChanged(views(...versions))
   }
   for (const { links } of daemons) links.keep(members.map(({ address }) => address))
   await vi.advanceTimersByTimeAsync(20)
@@ -54,7 +54,7 @@
 
 /** Finds out where a stream began, at one daemon. */
 async function find (at: number, stream: number | undefined): Promise<object> {
-  const finding = daemons[at]!.origins.find({ key: stream === undefined ? undefined : key(stream), pool: POOL, lifeMs: LIFE_MS })
+  const finding = daemons[at]!.streams.find({ key: stream === undefined ? undefined : key(stream), pool: POOL, lifeMs: LIFE_MS })
   await vi.advanceTimersByTimeAsync(3000)
   const { verdict } = await finding
   return verdict
@@ -67,7 +67,7 @@
 
 test('a stream is found at any daemon after the one that began it and two others were killed', async () => {
   await start(9, 'v1', 'v2')
-  for (let i = 0; i < 20; i++) daemons[0]!.origins.began(key(i), V2, LIFE_MS)
+  for (let i = 0; i < 20; i++) daemons[0]!.streams.began(key(i), V2, LIFE_MS)
   await vi.advanceTimersByTimeAsync(20)
   await kill(0, 4, 8)
   const found = await Promise.all(Array.from({ length: 20 }, (_, i) => find(1 + i % 3, i)))
@@ -78,7 +78,7 @@
   // Guards against messages for each stream in the ordinary case.
   await start(3, 'v1', 'v1')
   await vi.advanceTimersByTimeAsync(LIFE_MS)
-  daemons[0]!.origins.began(key(1), V1, LIFE_MS)
+  daemons[0]!.streams.began(key(1), V1, LIFE_MS)
   await vi.advanceTimersByTimeAsync(100)
   expect(await sent(0)).toBe(0)
   await kill(0)
@@ -88,36 +88,36 @@
 
 test('pools whose endpoints have no version cost nothing', async () => {
   await start(3)
-  daemons[0]!.origins.began(key(1), { pool: POOL, version: undefined }, LIFE_MS)
-  expect([await sent(0), daemons[0]!.origins.size]).toEqual([0, 0])
+  daemons[0]!.streams.began(key(1), { pool: POOL, version: undefined }, LIFE_MS)
+  expect([await sent(0), daemons[0]!.streams.size]).toEqual([0, 0])
 })
 
 test.each<[string, (daemon: Daemon) => void]>([
-  ['another version is listed', ({ origins }) => origins.endpointsChanged(views('v1', 'v2'))],
-  ['the registry stops answering', ({ origins, registry }) => {
+  ['another version is listed', ({ streams }) => streams.endpointsChanged(views('v1', 'v2'))],
+  ['the registry stops answering', ({ streams, registry }) => {
     registry.completeSinceMs = undefined
-    origins.registryLost()
+    streams.registryLost()
   }],
-  ['changes of the registry may have been missed', ({ origins, registry }) => {
+  ['changes of the registry may have been missed', ({ streams, registry }) => {
     registry.completeSinceMs = steadyNow()
-    origins.endpointsChanged(views('v1'))
+    streams.endpointsChanged(views('v1'))
   }]
 ])('records that nobody else has are sent when %s', async (_what, happens) => {
   // Guards against streams that began before the second version came, and are lost with their daemon after it.
   await start(4, 'v1')
   await vi.advanceTimersByTimeAsync(LIFE_MS)
-  daemons[0]!.origins.began(key(1), V1, LIFE_MS)
+  daemons[0]!.streams.began(key(1), V1, LIFE_MS)
   happens(daemons[0]!)
   await vi.advanceTimersByTimeAsync(100)
   expect(await sent(0)).toBe(3)
-  for (const daemon of daemons.slice(1)) daemon.origins.endpointsChanged(views('v1', 'v2'))
+  for (const daemon of daemons.slice(1)) daemon.streams.endpointsChanged(views('v1', 'v2'))
   await kill(0)
   expect(await find(1, 1)).toEqual({ type: 'recorded', streamVersion: V1, daemon: 'd0' })
 })
 
 test('a daemon that has just started finds records, and does not vouch for an only version', async () => {
   await start(3, 'v1')
-  daemons[0]!.origins.began(key(1), V1, LIFE_MS)
+  daemons[0]!.streams.began(key(1), V1, LIFE_MS)
   await start(1, 'v1')
   expect(await find(3, 1)).toMatchObject({ type: 'recorded' })
   expect(await find(3, 2)).toEqual({ type: 'unknown' })
@@ -135,14 +135,14 @@
 test('a daemon that has missed a version does not take its pool for one of one version', async () => {
   await start(3, 'v1')
   await vi.advanceTimersByTimeAsync(LIFE_MS)
-  daemons[1]!.origins.endpointsChanged(views('v1', 'v2'))
+  daemons[1]!.streams.endpointsChanged(views('v1', 'v2'))
   expect(await find(0, 1)).toEqual({ type: 'unknown' })
 })
 
 test('a version that left is remembered for as long as its streams may live', async () => {
   await start(2, 'v1', 'v2')
   await vi.advanceTimersByTimeAsync(LIFE_MS)
-  for (const { origins } of daemons) origins.endpointsChanged(views('v2'))
+  for (const { streams } of daemons) streams.endpointsChanged(views('v2'))
   await vi.advanceTimersByTimeAsync(LIFE_MS - 5000)
   expect(await find(0, 1)).toEqual({ type: 'unknown' })
   await vi.advanceTimersByTimeAsync(5000)
@@ -152,7 +152,7 @@
 test('a record that arrives after the first inquiry is found', async () => {
   // Guards against callers that are back sooner than a busy daemon reads the record.
   await start(3, 'v1', 'v2')
-  setTimeout(() => daemons[0]!.origins.began(key(1), V1, LIFE_MS), 30)
+  setTimeout(() => daemons[0]!.streams.began(key(1), V1, LIFE_MS), 30)
   expect(await find(1, 1)).toMatchObject({ type: 'recorded' })
   expect((await daemons[1]!.metrics.streamVersions.get()).values).toMatchObject([{ labels: { result: 'recorded-late' } }])
 })
@@ -160,11 +160,11 @@
 test('records survive daemons that leave one after the other', async () => {
   // Guards against rolling restarts of all holders within the life of a stream.
   await start(6, 'v1', 'v2')
-  for (let i = 0; i < 10; i++) daemons[0]!.origins.began(key(i), V2, LIFE_MS)
+  for (let i = 0; i < 10; i++) daemons[0]!.streams.began(key(i), V2, LIFE_MS)
   await vi.advanceTimersByTimeAsync(10)
   for (let i = 0; i < 4; i++) {
     members = members.filter(({ id }) => id !== `d${i}`)
-    daemons[i]!.origins.handOver()
+    daemons[i]!.streams.handOver()
     await vi.advanceTimersByTimeAsync(300)
     await kill(i)
   }
@@ -175,11 +175,11 @@
 test('the daemon that passes a stream on learns that its caller resumes it elsewhere', async () => {
   const resumed: string[] = []
   await start(4, 'v1', 'v2')
-  for (const [i, { origins }] of daemons.entries()) origins.onResumed = (which) => resumed.push(`${which} at ${i}`)
-  daemons[0]!.origins.began(key(1), V1, LIFE_MS)
+  for (const [i, { streams }] of daemons.entries()) streams.onResumed = (which) => resumed.push(`${which} at ${i}`)
+  daemons[0]!.streams.began(key(1), V1, LIFE_MS)
   await vi.advanceTimersByTimeAsync(10)
   await find(1, 1)
-  daemons[1]!.origins.began(key(1), V1, LIFE_MS)
+  daemons[1]!.streams.began(key(1), V1, LIFE_MS)
   await vi.advanceTimersByTimeAsync(10)
   await find(1, 1)
   await find(0, 1)
