--- a/core/streams/record_holders.ts
+++ b/core/streams/record_holders.ts
@@ -5,7 +5,7 @@
 
 /** Daemons that hold the record of a stream, besides the one that began it. It survives while one of them does. */
 export const HOLDER_COUNT = 3
-/** Daemons from which holders are chosen: each daemon has links to at most this many for its records. */
+/** Daemons among which holders are selected: each daemon has links to at most this many for its records. */
 export const MAX_HOLDERS = 32
 
 /**
