--- a/core/work/demand.ts
+++ b/core/work/demand.ts
@@ -18,6 +18,11 @@
   parts: readonly PromptPart[]
 }
 
+/** Returns the keys of the prompt parts that other requests may share: all but the last, which is the request's own. */
+export function sharedParts ({ parts }: Pick<Demand, 'parts'>): string[] {
+  return parts.slice(0, -1).map(({ key }) => key)
+}
+
 /** Demand of a plain call, which uses no tokens. */
 export const NO_TOKENS: Demand = { promptTokens: 0, maxTokens: 0, expectedTokens: 0, parts: [] }
 
--- a/daemon/log/events.ts
+++ b/daemon/log/events.ts
@@ -41,10 +41,10 @@
    */
   'attempt-started': { attempt: number, endpoint: string, version?: string | undefined, mode: string, fromPiece: number, lane: string, predictedMs?: number, withinTarget?: boolean, uncachedTokens?: number, running: number, slots: number, othersAgeMs?: number | undefined, listAgeMs?: number | undefined }
   /**
-   * The attempt gave no complete answer. `point` is the stage it reached, `repeat` whether it is retried; `fingerprint` is present if the
-   * endpoint broke off while it ran the request.
+   * The attempt gave no complete answer. `point` is the stage it reached, `repeat` whether it is retried; `fingerprint` and `parts`, the
+   * prompt parts that other requests may share, are present if the endpoint broke off while it ran the request.
    */
-  'attempt-failed': { attempt: number, endpoint: string, point: string, why: string, status?: number | undefined, afterMs: number, pieces: number, endpointLeaving: boolean, fingerprint?: string, repeat: 'allowed' | 'over-budget' | 'not-allowed' }
+  'attempt-failed': { attempt: number, endpoint: string, point: string, why: string, status?: number | undefined, afterMs: number, pieces: number, endpointLeaving: boolean, fingerprint?: string, parts?: readonly string[], repeat: 'allowed' | 'over-budget' | 'not-allowed' }
   /** Sent through another daemon, since no endpoint of its pool can be reached from this one. */
   'attempt-delegated': { attempt: number, to: string, pool: string, fromPiece: number, inFlight: number, offerAgeMs: number, activityAgeMs: number }
   /** The daemon that the request was sent to has not answered it: it declined, was lost, or reports a failure. */
--- a/daemon/request/_request_events.ts
+++ b/daemon/request/_request_events.ts
@@ -31,19 +31,20 @@
   }
 }
 
-/** A failed attempt. `afterMs` is the time since it was sent; `fingerprint` is only called if the connection broke. */
+/** A failed attempt. `afterMs` is the time since it was sent; `fingerprint` is only called, and `parts` only reported, if the connection broke. */
 export interface FailedAttempt extends Pick<RequestEvents['attempt-failed'], 'attempt' | 'endpoint' | 'repeat' | 'afterMs' | 'pieces' | 'endpointLeaving'> {
   fingerprint (): Fingerprint
+  parts: readonly string[]
 }
 
 /** Builds the `attempt-failed` event. */
-export function attemptFailedEvent (err: AttemptError, { fingerprint, ...failed }: FailedAttempt): RequestEvents['attempt-failed'] {
+export function attemptFailedEvent (err: AttemptError, { fingerprint, parts, ...failed }: FailedAttempt): RequestEvents['attempt-failed'] {
   return {
     ...failed,
     point: err.point,
     why: err.message,
     status: err.answer?.head.status,
-    ...(isConnectionAborted(err.point) && { fingerprint: fingerprint() })
+    ...(isConnectionAborted(err.point) && { fingerprint: fingerprint(), parts })
   }
 }
 
--- a/daemon/request/request_task.ts
+++ b/daemon/request/request_task.ts
@@ -5,6 +5,7 @@
 import { canMove, canRetry, isFreeRetry, newRequest, step, type AttemptProgress, type RequestEffect, type RequestMessage, type RequestState, type StartMode } from '../../core/request/index.ts'
 import { availableAtMs, type EndpointView, type Route } from '../../core/routing/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
+import { sharedParts } from '../../core/work/index.ts'
 import { mayContinueAt, type StreamVersion } from '../../core/streams/index.ts'
 import type { SelectedDelegate } from '../../core/delegation/index.ts'
 import type { Attachment, AttemptRunner, AttemptSink } from '../../endpoints/index.ts'
@@ -457,7 +458,8 @@
       afterMs: steadyNow() - (this.#tracker.sentAtMs ?? this.acceptedAtMs),
       pieces: this.answer.length,
       endpointLeaving: table.isLeavingOrGone(endpoint),
-      fingerprint: this.work.fingerprint
+      fingerprint: this.work.fingerprint,
+      parts: sharedParts(this.work.demand)
     }))
     if (!retryGranted) metrics.retriesDenied.inc({ class: metrics.labelOf(this.work.cls.name) })
     metrics.failedAttempts.inc({ point: err.point })
