--- a/cli/operator_actions.ts
+++ b/cli/operator_actions.ts
@@ -1,5 +1,7 @@
 /** Implementation of the operators' commands; loaded only when one of them runs. */
 import { configSchema, InvalidError, parseJsonc, type FieldChange } from '../core/config/index.ts'
+import { as } from '../core/ids/index.ts'
+import { isPart } from '../core/quarantine/index.ts'
 import { readTextFile } from '../daemon/read_text_file.ts'
 import { settingsSchema } from '../daemon/settings.ts'
 import type { AuditRecord } from '../daemon/config/audit.ts'
@@ -112,7 +114,7 @@
   print(`daemons: ${Object.entries(status.members).map(([state, count]) => `${count} ${state}`).join(', ')}`)
   print(`endpoints: ${status.endpoints.live} live, ${status.endpoints.leaving} leaving, ${status.endpoints.ejected} ejected after failures, ${status.endpoints.backingOff} that asked for time`)
   for (const pool of status.pools) print(`pool ${pool.name}: ${pool.running} requests in ${pool.slots} slots of ${pool.live} endpoints; ${pool.doing}`)
-  for (const { fingerprint, crashed, forMs } of status.quarantined) print(`request ${fingerprint}: quarantined for ${Math.ceil(forMs / MS_PER_MIN)} min, ${crashed.length} endpoints that ran it crashed: ${crashed.join(', ')}`)
+  for (const { fingerprint, crashed, forMs } of status.quarantined) print(`${isPart(as(fingerprint)) ? 'prompt part' : 'request'} ${fingerprint}: quarantined for ${Math.ceil(forMs / MS_PER_MIN)} min, ${crashed.length} endpoints that ran it crashed: ${crashed.join(', ')}`)
   for (const cls of status.classes) {
     const met = cls.met === undefined ? 'not known' : cls.met ? 'met' : 'NOT MET'
     print(`${cls.name}: targets ${met}; wanted ${cls.target}; ${cls.why}`)
--- a/cli/operator_commands.ts
+++ b/cli/operator_commands.ts
@@ -32,7 +32,7 @@
       await runAudit({ ...options, print })
     })
 
-  addCommand('release <fingerprint>', 'Release a quarantined request; status shows its fingerprint')
+  addCommand('release <fingerprint>', 'Release a quarantined request or prompt part; status shows its fingerprint or id')
     .action(async (fingerprint: string, options: TargetOptions) => {
       const { runRelease } = await import('./operator_actions.ts')
       await runRelease(fingerprint, { ...options, print })
--- a/core/ids/ids.ts
+++ b/core/ids/ids.ts
@@ -27,6 +27,10 @@
 export type StreamKey = Branded<string, 'StreamKey'>
 /** Fingerprint of a request's content, equal for requests of one client account with the same content. */
 export type Fingerprint = Branded<string, 'Fingerprint'>
+/** A part of prompts, as one pool runs it. */
+export type PartId = Branded<string, 'PartId'>
+/** What may be the cause of a crash: a request with all of its content, or a part of its prompt. */
+export type Suspect = Fingerprint | PartId
 
 const SEPARATOR = '~'
 
--- a/core/quarantine/spread_test.ts
+++ b/core/quarantine/spread_test.ts
@@ -34,7 +34,7 @@
       this.hops = Math.max(this.hops, hop)
       pending = byDaemon([...pending].flatMap(([from, reports]) => this.#neighbours[from]!.map((to) => {
         this.messageCounts[to]!++
-        return { from: to, reports: this.quarantines[to]!.merge(reports) }
+        return { from: to, reports: this.quarantines[to]!.merge(reports, 0) }
       })))
     }
   }
--- a/core/work/demand.ts
+++ b/core/work/demand.ts
@@ -18,9 +18,13 @@
   parts: readonly PromptPart[]
 }
 
+/** Most parts of one prompt that are looked at, and most characters of a part's key, since callers choose both. */
+const MAX_SHARED_PARTS = 64
+const MAX_KEY_LENGTH = 64
+
 /** Returns the keys of the prompt parts that other requests may share: all but the last, which is the request's own. */
 export function sharedParts ({ parts }: Pick<Demand, 'parts'>): string[] {
-  return parts.slice(0, -1).map(({ key }) => key)
+  return parts.slice(0, -1).slice(0, MAX_SHARED_PARTS).map(({ key }) => key.slice(0, MAX_KEY_LENGTH))
 }
 
 /** Demand of a plain call, which uses no tokens. */
--- a/daemon/exchange/_proxy_components.ts
+++ b/daemon/exchange/_proxy_components.ts
@@ -160,7 +160,7 @@
     registry: asFunction(endpointFollower).singleton(),
     client: asFunction(({ config, fleet }: ProxyComponents) => new ExchangeClient({ addressOf: endpointAddress, maxConnections: (view) => connectionsTo(view, config, fleet) })).singleton(),
     confirmer: asFunction(({ membership, table, paths }: ProxyComponents) => new CrashConfirmer({ membership, table, paths, hash })).singleton(),
-    crashes: asFunction(({ metrics, client, confirmer, paths }: ProxyComponents) => new CrashWatch({ metrics, dial: (view) => paths.dial(view), confirm: (view) => confirmer.confirm(view), isConnected: (view) => client.isConnected(view) })).singleton(),
+    crashes: asFunction(({ metrics, client, confirmer, paths, table }: ProxyComponents) => new CrashWatch({ metrics, poolSize: (pool) => table.usable(pool).length, dial: (view) => paths.dial(view), confirm: (view) => confirmer.confirm(view), isConnected: (view) => client.isConnected(view) })).singleton(),
     quarantine: asFunction(({ crashes, membership, metrics }: ProxyComponents) => new QuarantineTask({ crashes, membership, metrics })).singleton(),
     archive: asFunction(({ membership, quarantine }: ProxyComponents) => new QuarantineArchive({ store: platform.store, quarantine, maintainsArchive: () => membership.isFirstFor('quarantine') })).singleton(),
     endpointLimits: asFunction(({ metrics, table }: ProxyComponents) => new EndpointLimits({ metrics, isListed: (id) => table.get(id) !== undefined, listed: () => table.all })).singleton(),
@@ -208,7 +208,7 @@
       ways: { canSend: (view, work) => paths.canSend(view, work), wayFor: (req) => delegateFinder.wayFor(req) }
     })).singleton(),
     budgetOf: asFunction(retryBudgets).singleton(),
-    intake: asFunction(({ table, dispatcher, metrics, client, crashes, quarantine, hash64, random, limits, endpointLimits, signals, usage, orders, budgetOf, config, rollouts, paths, delegatedRuns, streamVersions }: ProxyComponents) => new Intake({
+    intake: asFunction(({ table, dispatcher, metrics, client, crashes, quarantine, hash64, random, limits, endpointLimits, signals, usage, orders, budgetOf, config, rollouts, paths, delegatedRuns, streamVersions, archive }: ProxyComponents) => new Intake({
       table,
       dispatcher,
       metrics,
@@ -225,6 +225,7 @@
       answers: rollouts?.gate,
       budgetOf,
       paths,
+      restored: () => archive.restored,
       streams: new StreamAdmission({ versions: streamVersions, hash64 }),
       delegate: (to, { repeatable, from, req: { credential, deadlineInMs: _, account, ...req }, ...query }, sink) => delegatedRuns.run(to, { query: { ...query, req: { ...req, resumeFrom: from }, account }, repeatable }, sink),
       dialect: platform.dialect,
--- a/daemon/exchange/intake.ts
+++ b/daemon/exchange/intake.ts
@@ -44,6 +44,8 @@
   catalog (): CatalogIndex | undefined
   /** Resolves once the first configuration is known. */
   known: Promise<void>
+  /** Resolves once the stored quarantine is known, or cannot be read. Default: nothing is stored. */
+  restored?: () => Promise<unknown>
   budgetOf (pool: PoolName): RetryLimiter
   limits: AccountLimits
   /** Limits that endpoints name in their answers. */
@@ -106,6 +108,8 @@
    */
   async accept (req: ProxiedRequest, arrivedAtMs = steadyNow()): Promise<RequestTask<Buffer>> {
     if (!this.#options.catalog()) await Promise.race([this.#options.known, delay(CATALOG_WAIT_MS)])
+    // A daemon that starts must not send what crashed endpoints before.
+    if (req.demand) await this.#options.restored?.()
     const { route, account } = this.authorize(req)
     const stream = await this.#options.streams.admit(req, { route, account })
     const askedAtMs = steadyNow()
--- a/daemon/exchange/intake_test.ts
+++ b/daemon/exchange/intake_test.ts
@@ -32,7 +32,7 @@
     table: {},
     streams: { admit: async () => undefined },
     dispatcher: { remove: () => {} },
-    quarantine: { heldForMs: () => undefined }
+    quarantine: { heldAt: () => undefined }
   } as unknown as IntakeOptions)
 }
 
@@ -67,7 +67,7 @@
     budgetOf: () => ({ deposit: count('budget'), tryWithdraw: () => true }),
     table: {},
     dispatcher: { remove: () => {} },
-    quarantine: { heldForMs: () => undefined }
+    quarantine: { heldAt: () => undefined }
   } as unknown as IntakeOptions)
   const query = { req: { ...request(1000), account: as<AccountId>('council') }, pool: POOL, deadlineInMs: 400, maxAttempts: 1 }
   const task = intake.acceptDelegated(query, as<DaemonId>('origin'))!
--- a/daemon/exchange/monitor_server.ts
+++ b/daemon/exchange/monitor_server.ts
@@ -1,6 +1,6 @@
 /** HTTP server for monitoring and operators, on an address that callers cannot reach. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import { as, type Fingerprint } from '../../core/ids/index.ts'
+import { as, type Fingerprint, type Suspect } from '../../core/ids/index.ts'
 import type { Metrics } from '../metrics.ts'
 import type { QuarantineTask } from '../quarantine/index.ts'
 import type { StatusReport } from '../status.ts'
@@ -13,11 +13,11 @@
   quarantine: Pick<QuarantineTask, 'release'>
 }
 
-const RELEASE_PATH = /^\/quarantine\/([0-9a-f]+)\/release$/
+const RELEASE_PATH = /^\/quarantine\/([^/]+)\/release$/
 
 /**
- * Serves `GET /metrics` in the Prometheus text format and `GET /status` as JSON; `POST /quarantine/FINGERPRINT/release` releases a
- * quarantined request.
+ * Serves `GET /metrics` in the Prometheus text format and `GET /status` as JSON; `POST /quarantine/FINGERPRINT-OR-PART/release` releases
+ * what is quarantined.
  */
 export class MonitorServer {
   readonly #options: MonitorServerOptions
@@ -48,15 +48,15 @@
     } else if (req.url === '/status') {
       res.writeHead(200, { 'content-type': 'application/json' }).end(JSON.stringify(await status()))
     } else if (req.method === 'POST' && RELEASE_PATH.test(req.url ?? '')) {
-      this.#release(as<Fingerprint>(RELEASE_PATH.exec(req.url!)![1]!), req, res)
+      this.#release(as<Fingerprint>(decodeURIComponent(RELEASE_PATH.exec(req.url!)![1]!)), req, res)
     } else {
       res.writeHead(404, { 'content-type': 'text/plain' }).end('Cannot answer: there are /metrics and /status\n')
     }
   }
 
-  #release (request: Fingerprint, req: IncomingMessage, res: ServerResponse): void {
-    const found = this.#options.quarantine.release(request, req.socket.remoteAddress ?? 'unknown')
-    const body = found ? { released: request } : { detail: 'no such request is quarantined' }
+  #release (suspect: Suspect, req: IncomingMessage, res: ServerResponse): void {
+    const found = this.#options.quarantine.release(suspect, req.socket.remoteAddress ?? 'unknown')
+    const body = found ? { released: suspect } : { detail: 'no such request or prompt part is quarantined' }
     res.writeHead(found ? 200 : 404, { 'content-type': 'application/json' }).end(JSON.stringify(body))
   }
 }
--- a/daemon/exchange/proxy_daemon.ts
+++ b/daemon/exchange/proxy_daemon.ts
@@ -95,6 +95,7 @@
   async #start (): Promise<void> {
     const { settings, membership, tallies, config, registry, server, readiness, monitor, lease, limits, endpointLimitTask, loads, usage, orders, rollouts, stalls, quarantine, archive, processor, paths, delegateFinder, delegatedRuns, delegateServer } = this.#components
     const { callers, readiness: check } = settings.listen
+    archive.restore()
     await readiness.listen(check, () => this.ready)
     await server.listen(callers.host, callers.port)
     await membership.start()
--- a/daemon/explain/_cause.ts
+++ b/daemon/explain/_cause.ts
@@ -78,7 +78,7 @@
   if (f.why === 'caller left') return `caller left after ${Math.round(f.afterMs)} ms of ${Math.round(f.deadlineMs)}: ${describeTimeSpent(f, evidence)}`
   if (f.why.startsWith('deadline')) return `deadline: ${describeTimeSpent(f, evidence)}`
   const held = last(evidence.requestLines, 'request-held')
-  if (held) return `caller: endpoints that ran requests like it crashed; request-quarantined of ${held.fingerprint} names them`
+  if (held) return describeHeld(held)
   if (f.why === BACK_OFF_REASON) return `endpoints asked for time: ${describeBackOffs(evidence)}`
   if (f.why === CUT_OFF_REASON) return `cut off: ${describeCutOff(evidence)}`
   if (f.why === VERSION_GONE_REASON) return `version: ${describeVersionGone(evidence)}`
@@ -89,6 +89,11 @@
   return failed ? causeOfFailure(failed, evidence) : `${f.outcome}: ${f.why}`
 }
 
+function describeHeld ({ fingerprint, part }: RequestEvents['request-held']): string {
+  if (part === undefined) return `caller: endpoints that ran requests like it crashed; request-quarantined of ${fingerprint} names them`
+  return `caller: endpoints crashed that ran requests with ${part} in their prompts; part-quarantined of it names them`
+}
+
 function causeOfAnswer (f: RequestEvents['request-ended'], evidence: Evidence): string {
   if (f.status !== undefined && f.status >= 500) return `endpoint: it answered ${f.status} itself`
   const failed = last(evidence.requestLines, 'attempt-failed')
@@ -100,9 +105,16 @@
   return 'answered whole'
 }
 
+const REPEAT_SUFFIXES: Record<RequestEvents['attempt-failed']['repeat'], string> = {
+  allowed: '',
+  'over-budget': '; no repeat was left in the budget',
+  suspected: '; it was not repeated, since endpoints that ran requests with the same prompt parts crashed',
+  'not-allowed': '; it may not be repeated'
+}
+
 function causeOfFailure (f: RequestEvents['attempt-failed'], { context }: Evidence): string {
   const leaving = f.endpointLeaving || context.some((line) => (line.event === 'endpoint-leaving' || line.event === 'endpoint-gone') && line.fields.endpoint === f.endpoint)
-  const end = f.repeat === 'allowed' ? '' : f.repeat === 'over-budget' ? '; no repeat was left in the budget' : '; it may not be repeated'
+  const end = REPEAT_SUFFIXES[f.repeat]
   switch (f.point) {
     case 'endpoint-error': return `endpoint: ${f.endpoint} answered ${f.status ?? 'with a failure'}${end}`
     case 'endpoint-said-not-run': return `endpoint full or leaving: ${f.endpoint} turned it away${end}`
--- a/daemon/log/describe.ts
+++ b/daemon/log/describe.ts
@@ -14,7 +14,7 @@
   'request-broke': (f) => `the daemon failed: ${f.why}`,
   'request-waits': (f) => `waits: no room at any of ${f.candidates} endpoints of ${f.pool}, ${f.ahead} ahead, ${ms(f.expectedMs)} expected`,
   'request-diverted': (f) => `no permit for ${f.endpoint}, which takes ${f.perS} requests a second`,
-  'request-held': (f) => `held for ${ms(f.forMs)}: endpoints that ran requests like it crashed (fingerprint ${f.fingerprint})`,
+  'request-held': (f) => `held for ${ms(f.forMs)}: endpoints that ran requests like it crashed (${f.part === undefined ? `fingerprint ${f.fingerprint}` : f.part})`,
   'attempt-started': (f) => {
     const prediction = f.predictedMs === undefined ? '' : `: first piece in ${ms(f.predictedMs)}, ${f.withinTarget ? 'within' : 'over'} target`
     return `attempt ${f.attempt} on ${f.endpoint}${f.version === undefined ? '' : ` (${f.version})`}, ${f.mode} from piece ${f.fromPiece}${prediction}`
--- a/daemon/log/events.ts
+++ b/daemon/log/events.ts
@@ -31,8 +31,8 @@
   'request-broke': { why: string, stack?: string | undefined }
   /** Queued, because no endpoint has a free slot. */
   'request-waits': { pool: string, ahead: number, expectedMs: number, latestStartInMs: number, candidates: number }
-  /** Quarantined, so sent to no endpoint: endpoints that ran requests with the same content crashed. */
-  'request-held': { fingerprint: string, forMs: number }
+  /** Quarantined, so sent to no endpoint: endpoints that ran requests with the same content, or with the same part of their prompts, crashed; `part` is that part. */
+  'request-held': { fingerprint: string, part?: string | undefined, forMs: number }
   /** The preferred endpoint has a limit and no permit was left for it; another one is used, or the request waits. */
   'request-diverted': { endpoint: string, perS: number | undefined }
   /**
@@ -41,10 +41,10 @@
    */
   'attempt-started': { attempt: number, endpoint: string, version?: string | undefined, mode: string, fromPiece: number, lane: string, predictedMs?: number, withinTarget?: boolean, uncachedTokens?: number, running: number, slots: number, othersAgeMs?: number | undefined, listAgeMs?: number | undefined }
   /**
-   * The attempt gave no complete answer. `point` is the stage it reached, `repeat` whether it is retried; `fingerprint` and `parts`, the
+   * The attempt gave no complete answer. `point` is the stage it reached, `repeat` whether it is retried (`suspected`: it is not, since requests with the same prompt parts were running in several crashes); `fingerprint` and `parts`, the
    * prompt parts that other requests may share, are present if the endpoint broke off while it ran the request.
    */
-  'attempt-failed': { attempt: number, endpoint: string, point: string, why: string, status?: number | undefined, afterMs: number, pieces: number, endpointLeaving: boolean, fingerprint?: string, parts?: readonly string[], repeat: 'allowed' | 'over-budget' | 'not-allowed' }
+  'attempt-failed': { attempt: number, endpoint: string, point: string, why: string, status?: number | undefined, afterMs: number, pieces: number, endpointLeaving: boolean, fingerprint?: string, parts?: readonly string[], repeat: 'allowed' | 'over-budget' | 'suspected' | 'not-allowed' }
   /** Sent through another daemon, since no endpoint of its pool can be reached from this one. */
   'attempt-delegated': { attempt: number, to: string, pool: string, fromPiece: number, inFlight: number, offerAgeMs: number, activityAgeMs: number }
   /** The daemon that the request was sent to has not answered it: it declined, was lost, or reports a failure. */
@@ -106,10 +106,12 @@
   'endpoint-crashed': { endpoint: string, pool: string, aboard: readonly string[] }
   /** Requests with this fingerprint are sent to no endpoint any more: no other request was running in all of these crashes. */
   'request-quarantined': { fingerprint: string, crashes: readonly string[], forMs: number }
-  /** The quarantine ended: the request was served, another request explains the crashes, or the time is over. */
-  'request-let-go': { fingerprint: string }
+  /** Requests with this part in their prompts are sent to no endpoint any more that is not known to survive them: requests with it were running in these crashes, and none was answered since. */
+  'part-quarantined': { part: string, crashes: readonly string[], forMs: number }
+  /** The quarantine of a request or prompt part ended: it was served, another one explains the crashes, or the time is over. */
+  'quarantine-ended': { suspect: string }
   /** An operator ended the quarantine. */
-  'request-released': { fingerprint: string, who: string }
+  'quarantine-released': { suspect: string, who: string }
   /** The quarantine could not be read from or written to the store; this is retried. */
   'quarantine-not-stored': { why: string }
   /** The endpoint cannot be reached from this daemon, whatever the reason; it last sent something `activityAgeMs` ago. */
@@ -169,6 +171,6 @@
 /** Events logged as warnings; the rate limit drops routine events before these. */
 export const WARNING_EVENTS: ReadonlySet<LogEvent> = new Set<LogEvent>([
   'request-refused', 'request-broke', 'request-held', 'attempt-failed', 'export-failed', 'settings-refused', 'config-refused', 'config-not-fetched', 'store-lost', 'relay-failed',
-  'peer-not-linked', 'peer-send-failed', 'peer-message-refused', 'not-registered', 'endpoint-refused', 'endpoint-crashed', 'request-quarantined', 'quarantine-not-stored', 'endpoint-avoided', 'path-down', 'pool-cut-off', 'delegate-failed', 'endpoint-silent', 'endpoint-limit-refused', 'endpoint-signal-refused', 'keeper-silent', 'lease-call-failed',
+  'peer-not-linked', 'peer-send-failed', 'peer-message-refused', 'not-registered', 'endpoint-refused', 'endpoint-crashed', 'request-quarantined', 'part-quarantined', 'quarantine-not-stored', 'endpoint-avoided', 'path-down', 'pool-cut-off', 'delegate-failed', 'endpoint-silent', 'endpoint-limit-refused', 'endpoint-signal-refused', 'keeper-silent', 'lease-call-failed',
   'usage-not-reported', 'order-refused', 'rollout-held', 'rollout-refused', 'rollout-not-written', 'fleet-round-cut', 'answers-lost', 'lines-left-out'
 ])
--- a/daemon/quarantine/crash_watch.ts
+++ b/daemon/quarantine/crash_watch.ts
@@ -1,6 +1,7 @@
 /** Detects endpoint crashes, and which of this daemon's requests were in flight there. */
-import type { EndpointId, Fingerprint } from '../../core/ids/index.ts'
+import type { EndpointId, Fingerprint, PoolName } from '../../core/ids/index.ts'
 import { isConnectionAborted, type FailurePoint } from '../../core/outcome/index.ts'
+import type { CrashedRun, CrashPlace } from '../../core/quarantine/index.ts'
 import type { EndpointView } from '../../core/routing/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import type { DialResult } from '../../endpoints/index.ts'
@@ -11,6 +12,17 @@
 export interface Crash {
   endpoint: EndpointId
   aboard: Fingerprint[]
+  place?: CrashPlace
+  /** Those of the requests whose prompts have parts. Default: none. */
+  runs?: CrashedRun[]
+}
+
+/** A request at an endpoint. */
+export interface WatchedRun {
+  /** Keys of the parts of its prompt that other requests may share. Default: none. */
+  parts?: readonly string[]
+  /** When it was sent, in milliseconds on the steady clock. Default: now. */
+  sentAtMs?: number | undefined
 }
 
 /** Options of {@linkcode CrashWatch}. */
@@ -22,6 +34,8 @@
   confirm?: (view: EndpointView) => Promise<boolean>
   /** Returns whether this daemon has an open connection to an endpoint; it would have been closed by a crash. Default: always false. */
   isConnected?: (view: EndpointView) => boolean
+  /** Returns the number of endpoints of a pool. Default: always 1. */
+  poolSize?: (pool: PoolName) => number
 }
 
 /** Time within which an endpoint that broke off requests must be found to have crashed for them to count as in flight, in milliseconds. */
@@ -40,6 +54,8 @@
   aboard: Set<Fingerprint>
   /** Requests that this daemon abandoned, with the time, in milliseconds on the steady clock. */
   abandoned: Map<Fingerprint, number>
+  /** The requests among both whose prompts have parts. */
+  runs: Map<Fingerprint, CrashedRun>
   atMs: number
   dialled: boolean
   /** Requests abandoned up to this time have been checked, in milliseconds on the steady clock. */
@@ -77,19 +93,20 @@
    * Records a failed attempt.
    * @param endpoint Its `view` is undefined when the endpoint is no longer listed.
    */
-  failed (endpoint: { id: EndpointId, view: EndpointView | undefined }, point: FailurePoint, request: () => Fingerprint): void {
+  failed (endpoint: { id: EndpointId, view: EndpointView | undefined }, point: FailurePoint, { fingerprint, ...run }: WatchedRun & { fingerprint (): Fingerprint }): void {
     const { id, view } = endpoint
     if (point === 'endpoint-gone') this.gone(id)
     else if (point === 'connect-refused') this.#refused(id)
-    else if (view && isConnectionAborted(point)) this.lost(view, request())
-    else if (view && point === 'timeout-after-send') this.abandoned(view, request())
+    else if (view && isConnectionAborted(point)) this.lost(view, fingerprint(), run)
+    else if (view && point === 'timeout-after-send') this.abandoned(view, fingerprint(), run)
   }
 
   /** Records an attempt that the endpoint broke off without an error response, and dials the endpoint to see whether it crashed. */
-  lost (view: EndpointView, request: Fingerprint): void {
+  lost (view: EndpointView, request: Fingerprint, run: WatchedRun = {}): void {
     const unfinished = this.#unfinishedAt(view)
     if (!unfinished) return
-    if (unfinished.crashed) return this.#report(view, [request])
+    addRun(unfinished, request, run)
+    if (unfinished.crashed) return this.#report(unfinished, [request])
     unfinished.aboard.add(request)
     unfinished.atMs = steadyNow()
     if (unfinished.dialled) return
@@ -101,9 +118,10 @@
    * Records an attempt that this daemon abandoned before an answer. Its connection is closed, so it cannot show a crash of the endpoint later; the
    * endpoint is dialled once unless another connection to it is open.
    */
-  abandoned (view: EndpointView, request: Fingerprint): void {
+  abandoned (view: EndpointView, request: Fingerprint, run: WatchedRun = {}): void {
     const unfinished = this.#unfinishedAt(view)
     if (!unfinished) return
+    addRun(unfinished, request, run)
     unfinished.abandoned.set(request, steadyNow())
     unfinished.atMs = steadyNow()
     this.#checkLater()
@@ -153,18 +171,20 @@
     if (aboard.length === 0) return
     unfinished.crashed = true
     this.#options.metrics.endpointCrashes.inc({ pool: unfinished.view.pool })
-    this.#report(unfinished.view, aboard)
+    this.#report(unfinished, aboard)
   }
 
   /** Records the crash of an endpoint that was replaced by a later start without having announced that it leaves. */
   restarted (view: EndpointView): void {
     this.gone(view.id)
-    this.#unfinished.set(view.id, { view, aboard: new Set(), abandoned: new Map(), atMs: steadyNow(), dialled: true, checkedToMs: -Infinity, crashed: true })
+    this.#unfinished.set(view.id, { view, aboard: new Set(), abandoned: new Map(), runs: new Map(), atMs: steadyNow(), dialled: true, checkedToMs: -Infinity, crashed: true })
   }
 
-  #report (view: EndpointView, aboard: Fingerprint[]): void {
+  #report ({ view, runs }: UnfinishedAttempts, aboard: Fingerprint[]): void {
     log('endpoint-crashed', { endpoint: view.id, pool: view.pool, aboard })
-    this.#listener({ endpoint: view.id, aboard })
+    const ended = aboard.flatMap((request) => runs.get(request) ?? [])
+    const place = { pool: view.pool, version: view.version, poolSize: this.#options.poolSize?.(view.pool) ?? 1 }
+    this.#listener({ endpoint: view.id, aboard, ...(ended.length > 0 && { place, runs: ended }) })
   }
 
   /** Unfinished attempts of an endpoint; undefined for one that announced that it leaves, as it may break off unfinished requests without a crash. */
@@ -173,7 +193,7 @@
     for (const [id, { atMs }] of this.#unfinished) if (now - atMs > CRASH_DETECTION_MS) this.#unfinished.delete(id)
     const known = this.#unfinished.get(view.id)
     if (known?.crashed || view.leavingAtMs === undefined) {
-      const unfinished = known ?? { view, aboard: new Set(), abandoned: new Map(), atMs: now, dialled: false, checkedToMs: -Infinity, crashed: false }
+      const unfinished = known ?? { view, aboard: new Set(), abandoned: new Map(), runs: new Map(), atMs: now, dialled: false, checkedToMs: -Infinity, crashed: false }
       this.#unfinished.set(view.id, unfinished)
       return unfinished
     }
@@ -181,6 +201,10 @@
   }
 }
 
+function addRun ({ runs }: UnfinishedAttempts, request: Fingerprint, { parts = [], sentAtMs = steadyNow() }: WatchedRun): void {
+  if (parts.length > 0) runs.set(request, { request, sentAtMs, parts: [...parts] })
+}
+
 function recentlyAbandoned ({ abandoned }: UnfinishedAttempts): Fingerprint[] {
   const now = steadyNow()
   return [...abandoned].filter(([, atMs]) => now - atMs < RECENTLY_ABANDONED_MS).map(([request]) => request)
--- a/daemon/quarantine/quarantine_archive.ts
+++ b/daemon/quarantine/quarantine_archive.ts
@@ -1,7 +1,7 @@
-/** Stores quarantined requests, so that the quarantine outlives all daemons. */
-import { as, type EndpointId, type Fingerprint } from '../../core/ids/index.ts'
-import type { CrashReport, HeldRequest } from '../../core/quarantine/index.ts'
-import { steadyNow } from '../../core/time/index.ts'
+/** Stores what is quarantined, so that the quarantine outlives all daemons. */
+import { as, type EndpointId, type Fingerprint, type Suspect } from '../../core/ids/index.ts'
+import { isPart, type CrashedRun, type CrashPlace, type CrashReport, type HeldSuspect } from '../../core/quarantine/index.ts'
+import { delay, steadyNow } from '../../core/time/index.ts'
 import { isStoreFailure, StoreError, type ObjectStore, type StoredObject } from '../../store/index.ts'
 import { log } from '../log/index.ts'
 import type { QuarantineTask } from './quarantine_task.ts'
@@ -14,12 +14,22 @@
   maintainsArchive (): boolean
 }
 
-/** Stored value of one quarantined request. Times are wall-clock, as a daemon's steady clock means nothing after it has stopped. */
-interface ArchivedRequest { crashes: Array<{ endpoint: EndpointId, atWallMs: number }> }
+/** Stored form of a run with a quarantined part. */
+interface ArchivedRun extends Omit<CrashedRun, 'sentAtMs'> { sentBeforeMs: number }
+
+/** Stored form of one crash. Times are wall-clock, as a daemon's steady clock means nothing after it has stopped. */
+interface ArchivedCrash { endpoint: EndpointId, atWallMs: number, place?: CrashPlace | undefined, runs?: ArchivedRun[] | undefined }
+
+/** Stored value of one quarantined request or prompt part. */
+interface ArchivedSuspect { crashes: ArchivedCrash[] }
 
 const KEY_PREFIX = 'quarantine/'
 /** Interval between synchronizations, in milliseconds. */
 const SYNC_INTERVAL_MS = 1000
+/** Crashes that are stored for each suspect: enough to quarantine it again. */
+const MAX_ARCHIVED_CRASHES = 8
+/** Longest time for which a daemon that starts waits for the stored quarantine, in milliseconds. */
+const RESTORE_TIMEOUT_MS = 1000
 /** Number of rounds skipped after a failed store call. */
 const ROUNDS_SKIPPED_AFTER_FAILURE = 2
 
@@ -27,15 +37,28 @@
 export class QuarantineArchive {
   readonly #options: QuarantineArchiveOptions
   /** Versions of the stored objects; undefined until they have been read. */
-  #stored: Map<Fingerprint, number> | undefined
+  #stored: Map<Suspect, number> | undefined
   #timer: NodeJS.Timeout | undefined
   #isSynchronizing = false
   #roundsToSkip = 0
+  #restored: Promise<unknown> = Promise.resolve()
 
   constructor (options: QuarantineArchiveOptions) {
     this.#options = options
   }
 
+  /** Resolves once this daemon has read the stored quarantine, or could not. */
+  get restored (): Promise<unknown> { return this.#restored }
+
+  /** Reads the stored quarantine, so that this daemon knows it before it takes requests. */
+  restore (): void {
+    const read = this.#read().catch((err: Error) => {
+      if (!(err instanceof StoreError)) throw err
+      log('quarantine-not-stored', { why: err.message })
+    })
+    this.#restored = Promise.race([read, delay(RESTORE_TIMEOUT_MS)])
+  }
+
   /** Starts synchronizing, periodically and whenever the quarantine changes. */
   start (): void {
     this.#timer = setInterval(() => this.synchronize(), SYNC_INTERVAL_MS)
@@ -72,24 +95,24 @@
       return
     }
     this.#stored ??= await this.#read()
-    const held = new Map(quarantine.held.map((each) => [each.request, each]))
-    for (const [request, each] of held) {
-      if (!this.#stored.has(request)) this.#stored.set(request, await store.create(KEY_PREFIX + request, JSON.stringify(toArchived(each))))
+    const held = new Map(quarantine.held.map((each) => [each.suspect, each]))
+    for (const [suspect, each] of held) {
+      if (!this.#stored.has(suspect)) this.#stored.set(suspect, await store.create(KEY_PREFIX + suspect, JSON.stringify(toArchived(each))))
     }
-    for (const [request, version] of this.#stored) {
-      if (held.has(request)) continue
-      await store.remove(KEY_PREFIX + request, version)
-      this.#stored.delete(request)
+    for (const [suspect, version] of this.#stored) {
+      if (held.has(suspect)) continue
+      await store.remove(KEY_PREFIX + suspect, version)
+      this.#stored.delete(suspect)
     }
   }
 
-  async #read (): Promise<Map<Fingerprint, number>> {
-    const stored = new Map<Fingerprint, number>()
+  async #read (): Promise<Map<Suspect, number>> {
+    const stored = new Map<Suspect, number>()
     const reports: CrashReport[] = []
     for (const object of await this.#options.store.list(KEY_PREFIX)) {
-      const request = as<Fingerprint>(object.key.slice(KEY_PREFIX.length))
-      const found = decodeReports(object, request)
-      if (found.length > 0) stored.set(request, object.version)
+      const suspect = as<Fingerprint>(object.key.slice(KEY_PREFIX.length))
+      const found = decodeReports(object, suspect)
+      if (found.length > 0) stored.set(suspect, object.version)
       reports.push(...found)
     }
     this.#options.quarantine.mergeReports(reports)
@@ -97,9 +120,16 @@
   }
 }
 
-function toArchived ({ crashes }: HeldRequest): ArchivedRequest {
+function toArchived ({ evidence }: HeldSuspect): ArchivedSuspect {
   const now = steadyNow()
-  return { crashes: crashes.map(({ endpoint, atMs }) => ({ endpoint, atWallMs: Date.now() - (now - atMs) })) }
+  const crashes = [...evidence].sort((a, b) => b.atMs - a.atMs).slice(0, MAX_ARCHIVED_CRASHES)
+  return {
+    crashes: crashes.map(({ endpoint, atMs, place, runs }) => ({
+      endpoint,
+      atWallMs: Date.now() - (now - atMs),
+      ...(runs && { place, runs: runs.map(({ sentAtMs, ...run }) => ({ ...run, sentBeforeMs: atMs - sentAtMs })) })
+    }))
+  }
 }
 
 function parseJson (value: string): unknown {
@@ -111,14 +141,20 @@
 }
 
 /** Decodes a stored object. Objects written by other programs yield no reports, and are left unchanged. */
-function decodeReports ({ value }: StoredObject, request: Fingerprint): CrashReport[] {
-  const crashes = (parseJson(value) as Partial<ArchivedRequest> | null)?.crashes
+function decodeReports ({ value }: StoredObject, suspect: Suspect): CrashReport[] {
+  const crashes = (parseJson(value) as Partial<ArchivedSuspect> | null)?.crashes
   if (!Array.isArray(crashes)) return []
-  return crashes.filter((crash) => typeof crash?.endpoint === 'string' && Number.isFinite(crash.atWallMs)).map(({ endpoint, atWallMs }) => ({
-    endpoint,
+  return crashes.filter((crash) => typeof crash?.endpoint === 'string' && Number.isFinite(crash.atWallMs)).flatMap((crash) => {
     // The stored time may lie in the future if a wall clock has jumped.
-    atMs: steadyNow() - Math.max(0, Date.now() - atWallMs),
-    aboard: [request],
-    cleared: []
-  }))
+    const atMs = steadyNow() - Math.max(0, Date.now() - crash.atWallMs)
+    const report = { endpoint: crash.endpoint, atMs, cleared: [] }
+    if (!isPart(suspect)) return { ...report, aboard: [suspect] }
+    return isArchivedPartCrash(crash) ? { ...report, aboard: [], place: crash.place, runs: crash.runs.map(({ sentBeforeMs, ...run }) => ({ ...run, sentAtMs: atMs - sentBeforeMs })) } : []
+  })
+}
+
+function isArchivedPartCrash (crash: ArchivedCrash): crash is Required<ArchivedCrash> & { place: CrashPlace, runs: ArchivedRun[] } {
+  const { place, runs } = crash
+  return typeof place?.pool === 'string' && Number.isFinite(place.poolSize) && Array.isArray(runs) &&
+    runs.every((run) => typeof run?.request === 'string' && Number.isFinite(run.sentBeforeMs) && Array.isArray(run.parts) && run.parts.every((key) => typeof key === 'string'))
 }
--- a/daemon/quarantine/quarantine_archive_test.ts
+++ b/daemon/quarantine/quarantine_archive_test.ts
@@ -15,7 +15,7 @@
 function daemonAt (store: StandInStore) {
   const quarantine = new Quarantine()
   const role = { keeps: true }
-  const mergeReports = (reports: readonly CrashReport[]) => { quarantine.merge(reports) }
+  const mergeReports = (reports: readonly CrashReport[]) => { quarantine.merge(reports, steadyNow()) }
   const archive = new QuarantineArchive({ store, quarantine: { get held () { return [...quarantine.held.values()] }, mergeReports, onHeld: () => {} }, maintainsArchive: () => role.keeps })
   const crashThreeEndpoints = () => { for (const endpoint of ['e1', 'e2', 'e3']) quarantine.crashed({ endpoint: as<EndpointId>(endpoint), aboard: [CRASHING] }, steadyNow()) }
   return { quarantine, archive, role, crashThreeEndpoints }
--- a/daemon/quarantine/quarantine_task.ts
+++ b/daemon/quarantine/quarantine_task.ts
@@ -1,6 +1,6 @@
-/** Shares crash reports with the other daemons, and quarantines requests that repeatedly crash endpoints. */
-import type { DaemonId, EndpointId, Fingerprint } from '../../core/ids/index.ts'
-import { Quarantine, type CrashReport, type HeldRequest } from '../../core/quarantine/index.ts'
+/** Shares crash reports with the other daemons, and quarantines requests and prompt parts that repeatedly crash endpoints. */
+import type { DaemonId, EndpointId, EndpointVersion, Fingerprint, Suspect } from '../../core/ids/index.ts'
+import { isPart, Quarantine, type CrashPlace, type CrashReport, type HeldSuspect, type RequestSuspects } from '../../core/quarantine/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import { log } from '../log/index.ts'
 import type { Metrics } from '../metrics.ts'
@@ -14,14 +14,24 @@
   metrics: Metrics
 }
 
-/** A request that can be identified by a fingerprint of its content. */
-export interface Fingerprinted { fingerprint (): Fingerprint }
+/** What quarantines a request, and for how long, in milliseconds. */
+export interface QuarantineStay { suspect: Suspect, forMs: number }
 
 /** Wire form of a crash report. It carries the crash's age, since the daemons' clocks differ. */
-interface CrashMessage { endpoint: EndpointId, ageMs: number, aboard: Fingerprint[], cleared: Fingerprint[] }
+interface CrashMessage {
+  endpoint: EndpointId
+  ageMs: number
+  aboard: Fingerprint[]
+  cleared: Suspect[]
+  place?: CrashPlace | undefined
+  /** For each run its request, the time from when it was sent to the crash, and its parts. */
+  runs?: Array<[request: Fingerprint, sentBeforeMs: number, ...parts: string[]]> | undefined
+}
 
 const REPORTS_TOPIC = 'crashes-reported'
 const EXPIRE_EVERY_MS = 60_000
+/** Interval at which suspects are judged again after a crash, in milliseconds. */
+const UPDATE_EVERY_MS = 250
 /** Delay before reports are sent, in milliseconds, to batch them: when many endpoints crash at once, many daemons have reports of each. */
 const BATCH_DELAY_MS = 100
 
@@ -29,8 +39,9 @@
 export class QuarantineTask {
   readonly #options: QuarantineTaskOptions
   readonly #quarantine = new Quarantine()
-  #lastHeld: ReadonlyMap<Fingerprint, HeldRequest> = new Map()
+  #lastHeld: ReadonlyMap<Suspect, HeldSuspect> = new Map()
   #timer: NodeJS.Timeout | undefined
+  #updateTimer: NodeJS.Timeout | undefined
   #sendTimer: NodeJS.Timeout | undefined
   readonly #heldListeners: Array<() => void> = []
   /** Reports to forward, with the daemon that each came from; undefined for this daemon's own. */
@@ -42,19 +53,19 @@
     crashes.onCrash((crash) => this.#queue(this.#quarantine.crashed(crash, steadyNow())))
     membership.links.onPost(REPORTS_TOPIC, (messages: CrashMessage[], from) => {
       const now = steadyNow()
-      this.#mergeFrom(messages.map(({ ageMs, ...crash }) => ({ ...crash, atMs: now - ageMs })), from)
+      this.#mergeFrom(messages.map((message) => fromMessage(message, now)), from)
     })
     // Reports sent on the previous link may be lost, and a daemon that has just started has none: send everything on each new link.
     membership.onLink((to) => this.#post(to, this.#quarantine.snapshot()))
   }
 
-  /** Adds a listener that is called when requests enter or leave quarantine. */
+  /** Adds a listener that is called when suspects enter or leave quarantine. */
   onHeld (listener: () => void): void {
     this.#heldListeners.push(listener)
   }
 
-  /** Requests that are quarantined now. */
-  get held (): HeldRequest[] { return [...this.#quarantine.held.values()] }
+  /** Requests and prompt parts that are quarantined now. */
+  get held (): HeldSuspect[] { return [...this.#quarantine.held.values()] }
 
   /** Starts the periodic removal of expired records. */
   start (): void {
@@ -68,31 +79,36 @@
   stop (): void {
     this.#options.crashes.stop()
     clearInterval(this.#timer)
+    clearTimeout(this.#updateTimer)
     clearTimeout(this.#sendTimer)
     this.#sendPending()
   }
 
-  /** Remaining quarantine of a request, in milliseconds; undefined when it may be sent. */
-  heldForMs (request: Fingerprinted): number | undefined {
-    if (this.#quarantine.held.size === 0) return undefined
-    const held = this.#quarantine.held.get(request.fingerprint())
-    const leftMs = held ? held.untilMs - steadyNow() : 0
-    return leftMs > 0 ? leftMs : undefined
+  /** Returns what quarantines a request at all of the given endpoints; undefined if it may be sent to one of them. */
+  heldAt (request: RequestSuspects, endpoints: ReadonlyArray<{ version?: EndpointVersion | undefined }>): QuarantineStay | undefined {
+    const held = this.#quarantine.heldSuspect(request, endpoints.map(({ version }) => version))
+    const forMs = held ? held.untilMs - steadyNow() : 0
+    return forMs > 0 ? { suspect: held!.suspect, forMs } : undefined
+  }
+
+  /** Returns whether a request must not be repeated after its endpoint broke it off. */
+  isSuspected (request: RequestSuspects): boolean {
+    return this.#quarantine.isSuspected(request)
   }
 
-  /** Records that an endpoint answered a request, which clears it of past crashes. */
-  answered (request: Fingerprinted): void {
-    this.#queue(this.#quarantine.answered(request.fingerprint(), steadyNow()))
+  /** Records that an endpoint of a version answered a request, which clears it and the parts of its prompt of past crashes. */
+  answered (request: RequestSuspects, version?: EndpointVersion): void {
+    this.#queue(this.#quarantine.answered(request.fingerprint(), steadyNow(), { parts: request.parts, version }))
   }
 
   /**
-   * Releases a request from quarantine on all daemons, for an operator who has fixed the fault that it triggers.
-   * @returns False when the request is not quarantined.
+   * Releases a request or a prompt part from quarantine on all daemons, for an operator who has fixed the fault that it triggers.
+   * @returns False when it is not quarantined.
    */
-  release (request: Fingerprint, who: string): boolean {
-    if (!this.#quarantine.held.has(request)) return false
-    log('request-released', { fingerprint: request, who })
-    this.#queue(this.#quarantine.clear(request))
+  release (suspect: Suspect, who: string): boolean {
+    if (!this.#quarantine.held.has(suspect)) return false
+    log('quarantine-released', { suspect, who })
+    this.#queue(this.#quarantine.release(suspect, steadyNow()))
     return true
   }
 
@@ -103,17 +119,29 @@
 
   #mergeFrom (reports: readonly CrashReport[], from?: DaemonId): void {
     for (const { endpoint, aboard } of reports) if (aboard.length > 0) this.#options.crashes.gone(endpoint)
-    this.#queue(this.#quarantine.merge(reports), from)
+    this.#queue(this.#quarantine.merge(reports, steadyNow()), from)
   }
 
   /** Queues new reports for this daemon's neighbours. Each daemon forwards what is new to it, so that reports reach all daemons within a few hops. */
-  #queue (news: readonly CrashReport[], from?: DaemonId): void {
-    if (news.length === 0) return
+  #queue (reports: readonly CrashReport[], from?: DaemonId): void {
+    if (reports.length === 0) return
     this.#publishHeld()
-    this.#pending.push(...news.map((report) => ({ report, from })))
+    this.#updateLater()
+    this.#pending.push(...reports.map((report) => ({ report, from })))
     this.#sendTimer ??= setTimeout(() => this.#sendPending(), BATCH_DELAY_MS)
   }
 
+  /** Judges again until no decision waits any more for answers that may come. */
+  #updateLater (): void {
+    if (steadyNow() - UPDATE_EVERY_MS > this.#quarantine.settlesAtMs) return
+    this.#updateTimer ??= setTimeout(() => {
+      this.#updateTimer = undefined
+      this.#quarantine.update(steadyNow())
+      this.#publishHeld()
+      this.#updateLater()
+    }, UPDATE_EVERY_MS)
+  }
+
   #sendPending (): void {
     this.#sendTimer = undefined
     const pending = this.#pending
@@ -126,31 +154,49 @@
   #post (to: DaemonId, reports: readonly CrashReport[]): void {
     if (reports.length === 0) return
     const now = steadyNow()
-    const messages = reports.map(({ atMs, ...crash }): CrashMessage => ({ ...crash, ageMs: now - atMs }))
-    this.#options.membership.links.post(to, REPORTS_TOPIC, messages)
+    this.#options.membership.links.post(to, REPORTS_TOPIC, reports.map((report) => toMessage(report, now)))
   }
 
   #publishHeld (): void {
     const { held } = this.#quarantine
-    const news = [...held.keys()].filter((request) => !this.#lastHeld.has(request))
-    const noLongerHeld = [...this.#lastHeld.keys()].filter((request) => !held.has(request))
+    const added = [...held.keys()].filter((suspect) => !this.#lastHeld.has(suspect))
+    const ended = [...this.#lastHeld.keys()].filter((suspect) => !held.has(suspect))
     this.#lastHeld = held
-    if (news.length + noLongerHeld.length === 0) return
-    for (const { request, crashes, untilMs } of news.map((request) => held.get(request)!)) {
-      log('request-quarantined', { fingerprint: request, crashes: crashes.map(({ endpoint }) => endpoint), forMs: Math.round(untilMs - steadyNow()) })
+    if (added.length + ended.length === 0) return
+    for (const { suspect, crashes, untilMs } of added.map((suspect) => held.get(suspect)!)) {
+      const fields = { crashes: crashes.map(({ endpoint }) => endpoint), forMs: Math.round(untilMs - steadyNow()) }
+      if (isPart(suspect)) log('part-quarantined', { part: suspect, ...fields })
+      else log('request-quarantined', { fingerprint: suspect, ...fields })
     }
-    for (const request of noLongerHeld) log('request-let-go', { fingerprint: request })
+    for (const suspect of ended) log('quarantine-ended', { suspect })
     this.#options.metrics.quarantined.set(held.size)
     for (const listener of this.#heldListeners) listener()
   }
 }
 
+function toMessage ({ atMs, runs, ...crash }: CrashReport, now: number): CrashMessage {
+  const wireRuns = runs?.map(({ request, sentAtMs, parts }): [Fingerprint, number, ...string[]] => [request, Math.round(atMs - sentAtMs), ...parts])
+  return { ...crash, ageMs: now - atMs, ...(wireRuns && { runs: wireRuns }) }
+}
+
+function fromMessage ({ ageMs, runs, ...crash }: CrashMessage, now: number): CrashReport {
+  const atMs = now - ageMs
+  return { ...crash, atMs, ...(runs && { runs: runs.map(([request, sentBeforeMs, ...parts]) => ({ request, sentAtMs: atMs - sentBeforeMs, parts })) }) }
+}
+
 /** Merges reports into one for each endpoint. */
 function mergeByEndpoint (reports: readonly CrashReport[]): CrashReport[] {
   const byEndpoint = new Map<EndpointId, CrashReport>()
-  for (const { endpoint, atMs, aboard, cleared } of reports) {
+  for (const { endpoint, atMs, aboard, cleared, place, runs = [] } of reports) {
     const known = byEndpoint.get(endpoint)
-    byEndpoint.set(endpoint, { endpoint, atMs, aboard: [...known?.aboard ?? [], ...aboard], cleared: [...known?.cleared ?? [], ...cleared] })
+    const allRuns = [...known?.runs ?? [], ...runs]
+    byEndpoint.set(endpoint, {
+      endpoint,
+      atMs,
+      aboard: [...known?.aboard ?? [], ...aboard],
+      cleared: [...known?.cleared ?? [], ...cleared],
+      ...(allRuns.length > 0 && { place: known?.place ?? place, runs: allRuns })
+    })
   }
   return [...byEndpoint.values()]
 }
--- a/daemon/quarantine/quarantine_task_test.ts
+++ b/daemon/quarantine/quarantine_task_test.ts
@@ -6,7 +6,7 @@
 import { QuarantineTask } from './quarantine_task.ts'
 
 const PEER = as<DaemonId>('peer')
-const CRASHING = { fingerprint: () => as<Fingerprint>('f') }
+const CRASHING = { fingerprint: () => as<Fingerprint>('f'), parts: [] }
 const HOUR_MS = 3_600_000
 
 beforeEach(() => { vi.useFakeTimers() })
@@ -28,11 +28,11 @@
   const { task, crash } = start()
   for (const endpoint of ['e1', 'e2', 'e3']) crash(endpoint)
   vi.advanceTimersByTime(HOUR_MS - 1)
-  expect(task.heldForMs(CRASHING)).toBeCloseTo(1)
+  expect(task.heldAt(CRASHING, [])?.forMs).toBeCloseTo(1)
   vi.advanceTimersByTime(1)
-  expect(task.heldForMs(CRASHING)).toBeUndefined()
+  expect(task.heldAt(CRASHING, [])?.forMs).toBeUndefined()
   crash('e4')
-  expect(task.heldForMs(CRASHING)).toBeCloseTo(HOUR_MS)
+  expect(task.heldAt(CRASHING, [])?.forMs).toBeCloseTo(HOUR_MS)
 })
 
 test('simultaneous reports are sent together, and pending reports are sent when a daemon stops', () => {
--- a/daemon/request/dispatcher.ts
+++ b/daemon/request/dispatcher.ts
@@ -230,7 +230,7 @@
   }
 
   #startAt (placement: Placement, { pool, now, candidates, cached, mayAsk, isGranted }: CandidateSet & Permission & { pool: PoolState | undefined, now: number }): boolean {
-    const withRoom = this.#preferPermitted(placement, candidates.filter((view) => this.#hasRoom(view, placement.cls.urgent) && !backsOff(view, now) && this.#canSend(view, placement)), isGranted)
+    const withRoom = this.#preferPermitted(placement, candidates.filter((view) => this.#hasRoom(view, placement.cls.urgent) && !backsOff(view, now) && this.#canSend(view, placement) && (placement.accepts?.(view) ?? true)), isGranted)
     // When every endpoint with room has failed the request before, all of them are candidates again; the retry budget limits how often.
     const failed = failedEndpoints(placement, withRoom)
     const avoid = failed.length < withRoom.length ? failed : []
--- a/daemon/request/placement.ts
+++ b/daemon/request/placement.ts
@@ -21,6 +21,8 @@
   /** Where the stream began that the request continues. Default: its caller has no event of it. */
   boundTo?: StreamVersion | undefined
   avoid: readonly EndpointId[]
+  /** Returns whether an endpoint may run the request. Default: each may. */
+  accepts? (view: EndpointView): boolean
   placed (view: EndpointView, route: Route): void
   /** Called when another daemon is to run the request. Default: the request is refused instead. */
   delegated? (to: SelectedDelegate): void
--- a/daemon/request/request_task.ts
+++ b/daemon/request/request_task.ts
@@ -2,6 +2,7 @@
 import { AnswerBuffer, type AnswerBufferOptions, type AnswerHead, type Chunk, type WholeAnswer } from '../../core/answer/index.ts'
 import type { DaemonId, EndpointId, EndpointVersion, PoolName, RequestId } from '../../core/ids/index.ts'
 import { AttemptError, isConnectFailure, isConnectionAborted, isEndpointReported, outcomeAt, type FailurePoint, type Outcome } from '../../core/outcome/index.ts'
+import { isPart } from '../../core/quarantine/index.ts'
 import { canMove, canRetry, isFreeRetry, newRequest, step, type AttemptProgress, type RequestEffect, type RequestMessage, type RequestState, type StartMode } from '../../core/request/index.ts'
 import { availableAtMs, type EndpointView, type Route } from '../../core/routing/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
@@ -12,6 +13,7 @@
 import { ASSUMED_NOTICE_MS, type SentWork } from '../endpoints/endpoint_table.ts'
 import type { RequestEvents } from '../log/index.ts'
 import { ClaimError } from '../once/shard_log.ts'
+import type { QuarantineStay } from '../quarantine/index.ts'
 import type { Placement } from './placement.ts'
 import { AttemptTracker } from './attempt_tracker.ts'
 import { DelegatedAttempts } from './_delegated_attempts.ts'
@@ -22,7 +24,7 @@
 import { attemptFailedEvent, attemptStartedEvent, requestEndedEvent } from './_request_events.ts'
 import { RequestMeter } from './_request_meter.ts'
 import { StreamBinding } from './_stream_binding.ts'
-import { QUARANTINED_REASON, requestTraits, type Decision, type RequestPorts, type RequestWork } from './work.ts'
+import { QUARANTINED_REASON, requestTraits, suspectsOf, type Decision, type RequestPorts, type RequestWork } from './work.ts'
 
 /** Options of {@linkcode RequestTask}. */
 export interface RequestTaskOptions<P> extends AnswerBufferOptions<P> {
@@ -125,7 +127,7 @@
     const elsewhere = table.select(this.work.pool, this.binding.version).connected.some((view) => view.id !== endpoint && availableAtMs(view) <= now && (this.ports.paths?.canSend(view, this.work.cls) ?? true))
     if (!elsewhere || !budget.tryWithdraw(table.isLeavingOrGone(endpoint))) return
     this.attachment?.detach()
-    this.ports.crashes.failed({ id: endpoint, view: table.get(endpoint) }, 'timeout-after-send', this.work.fingerprint)
+    this.ports.crashes.failed({ id: endpoint, view: table.get(endpoint) }, 'timeout-after-send', this.#watchedRun)
     this.#recordFailure(endpoint, new AttemptError('Cannot wait: the attempt went silent', { point: 'timeout-after-send' }), { attempt, repeat: 'allowed' })
   }
 
@@ -142,7 +144,7 @@
     if (!repeatable && !isFinal) return
     const granted = repeatable && (isFreeRetry(this.lifecycle, point) || budget.tryWithdraw(table.isLeavingOrGone(endpoint)))
     this.attachment?.detach()
-    crashes.failed({ id: endpoint, view: table.get(endpoint) }, point, this.work.fingerprint)
+    crashes.failed({ id: endpoint, view: table.get(endpoint) }, point, this.#watchedRun)
     this.#recordFailure(endpoint, new AttemptError('Cannot wait: the endpoint cannot be reached', { point }), { attempt, repeat: granted ? 'allowed' : repeatable ? 'over-budget' : 'not-allowed' })
   }
 
@@ -248,6 +250,7 @@
       resumed: this.lifecycle.mayHaveRun,
       boundTo: this.binding.version,
       avoid,
+      accepts: (view) => this.#heldAt([view]) === undefined,
       placed: (view, route) => this.#onPlaced(view, route),
       ...(this.#delegated && { delegated: (to: SelectedDelegate) => this.#onDelegated(to) }),
       avoidDelegates: this.lifecycle.avoidDelegates,
@@ -261,22 +264,32 @@
   /** Must be called when the set of quarantined requests changes. Ends this request if it is now quarantined and no endpoint has begun to answer it. */
   quarantineChanged (): void {
     const { phase } = this.lifecycle
-    if (phase === 'placing' || (phase === 'running' && this.progress?.lastPieceAtMs === undefined)) this.#refuseIfQuarantined()
+    const view = this.runningAt && this.ports.table.get(this.runningAt)
+    if (phase === 'placing' || (phase === 'running' && this.progress?.lastPieceAtMs === undefined)) this.#refuseIfQuarantined(view && [view])
   }
 
-  #refuseIfQuarantined (): boolean {
-    const { metrics, quarantine } = this.ports
-    const heldForMs = quarantine.heldForMs(this.work)
-    if (heldForMs === undefined) return false
-    metrics.quarantineRefusals.inc({ class: metrics.labelOf(this.work.cls.name) })
-    this.recordDecision('request-held', { fingerprint: this.work.fingerprint(), forMs: Math.round(heldForMs) })
-    this.post({ type: 'quarantined', reason: QUARANTINED_REASON, retryAfterMs: heldForMs })
+  #refuseIfQuarantined (views: readonly EndpointView[] = this.ports.table.usable(this.work.pool)): boolean {
+    const { metrics } = this.ports
+    const held = this.#heldAt(views)
+    if (!held) return false
+    metrics.quarantineRefusals.inc({ class: metrics.labelOf(this.work.cls.name), cause: isPart(held.suspect) ? 'part' : 'request' })
+    this.recordDecision('request-held', { fingerprint: this.work.fingerprint(), part: isPart(held.suspect) ? held.suspect : undefined, forMs: Math.round(held.forMs) })
+    this.post({ type: 'quarantined', reason: QUARANTINED_REASON, retryAfterMs: held.forMs })
     return true
   }
 
+  #heldAt (views: readonly EndpointView[]): QuarantineStay | undefined {
+    return this.ports.quarantine.heldAt(suspectsOf(this.work), views)
+  }
+
+  /** The current attempt, as the watch for crashes records it. */
+  get #watchedRun () {
+    return { fingerprint: this.work.fingerprint, parts: sharedParts(this.work.demand), sentAtMs: this.#tracker.sentAtMs }
+  }
+
   /** Checks the quarantine again, since the request may have been queued since the last check. */
   #onPlaced (view: EndpointView, route: Route): void {
-    if (this.#refuseIfQuarantined()) return
+    if (this.#refuseIfQuarantined([view])) return
     this.#route = route
     this.post({ type: 'placed', endpoint: view.id })
   }
@@ -411,7 +424,7 @@
     this.#markBegun()
     this.head ??= end.head
     this.ports.table.succeeded(endpoint)
-    if (!this.head || this.head.status < FIRST_REDIRECT_STATUS) this.ports.quarantine.answered(this.work)
+    if (!this.head || this.head.status < FIRST_REDIRECT_STATUS) this.ports.quarantine.answered(suspectsOf(this.work), this.#runningVersion)
     this.post({ type: 'ended', attempt })
   }
 
@@ -424,15 +437,16 @@
     // Another endpoint answered at its address, so its process has ended, although the registry may list it for a while.
     if (err.point === 'endpoint-gone' && view) table.leaving([view.hostId], steadyNow(), 'refusal')
     // Spends from the budget only if the request could use the retry.
-    const repeatable = this.mayRetryElsewhere && canRetry(this.lifecycle, err.point)
+    const suspected = isConnectionAborted(err.point) && this.ports.quarantine.isSuspected(suspectsOf(this.work))
+    const repeatable = this.mayRetryElsewhere && !suspected && canRetry(this.lifecycle, err.point)
     const retryGranted = repeatable && (isFreeRetry(this.lifecycle, err.point) || this.ports.budget.tryWithdraw(table.isLeavingOrGone(endpoint)))
     if (view && err.point === 'endpoint-said-not-run') this.ports.limits?.rejected(view)
-    this.ports.crashes.failed({ id: endpoint, view }, err.point, this.work.fingerprint)
+    this.ports.crashes.failed({ id: endpoint, view }, err.point, this.#watchedRun)
     if (view && err.point === 'endpoint-error') this.ports.answers?.failed(view, this.work.cls.name)
     if (view) this.#suspectPath(view, err.point)
     // What a failed connection attempt shows is the path's state, which is checked on its own.
     if (!this.ports.paths || !isConnectFailure(err.point)) table.failed(endpoint, { point: err.point, sentAtMs: this.#tracker.sentAtMs ?? steadyNow() })
-    this.#recordFailure(endpoint, err, { attempt, repeat: retryGranted ? 'allowed' : repeatable ? 'over-budget' : 'not-allowed' })
+    this.#recordFailure(endpoint, err, { attempt, repeat: retryGranted ? 'allowed' : repeatable ? 'over-budget' : suspected ? 'suspected' : 'not-allowed' })
   }
 
   #suspectPath (view: EndpointView, point: FailurePoint): void {
@@ -470,9 +484,10 @@
   #stop (endpoint: EndpointId, attempt: number): void {
     this.attachment?.detach()
     this.attachment = undefined
+    const run = this.#watchedRun
     this.#tracker.end()
     const view = this.ports.table.get(endpoint)
-    if (view) this.ports.crashes.abandoned(view, this.work.fingerprint())
+    if (view) this.ports.crashes.abandoned(view, this.work.fingerprint(), run)
     if (!view || !this.lifecycle.traits.movable) return this.post({ type: 'stopped', attempt, confirmed: false })
     const from = this.answer.length
     this.#runner.stop(view, attempt, from).then((report) => {
--- a/daemon/request/request_task_test.ts
+++ b/daemon/request/request_task_test.ts
@@ -45,7 +45,7 @@
       budget: { deposit: () => {}, tryWithdraw: () => true },
       metrics: createMetrics(),
       crashes: { abandoned: () => {} } as Partial<CrashWatch> as CrashWatch,
-      quarantine: { heldForMs: () => held.forMs } as Partial<QuarantineTask> as QuarantineTask
+      quarantine: { heldAt: () => (held.forMs === undefined ? undefined : { suspect: as('f'), forMs: held.forMs }) } as Partial<QuarantineTask> as QuarantineTask
     }
   })
   task.post({ type: 'begin' })
--- a/daemon/request/work.ts
+++ b/daemon/request/work.ts
@@ -2,10 +2,11 @@
 import type { AccountId, ClassName, EndpointId, Fingerprint, PoolName, RequestId } from '../../core/ids/index.ts'
 import type { ClaimResult } from '../../core/once/index.ts'
 import type { PathEvidence } from '../../core/paths/index.ts'
+import { partId, type RequestSuspects } from '../../core/quarantine/index.ts'
 import type { RequestTraits } from '../../core/request/index.ts'
 import type { RetryLimiter } from '../../core/retry/index.ts'
 import type { EndpointView } from '../../core/routing/index.ts'
-import type { Demand, WorkClass } from '../../core/work/index.ts'
+import { sharedParts, type Demand, type WorkClass } from '../../core/work/index.ts'
 import type { EndpointSignals } from '../../endpoints/index.ts'
 import type { EndpointTable } from '../endpoints/endpoint_table.ts'
 import type { Metrics } from '../metrics.ts'
@@ -41,6 +42,11 @@
   }
 }
 
+/** Returns what the quarantine distinguishes a request by. */
+export function suspectsOf ({ fingerprint, demand, pool }: Pick<RequestWork, 'fingerprint' | 'demand' | 'pool'>): RequestSuspects {
+  return { fingerprint, parts: sharedParts(demand).map((key) => partId(pool, key)) }
+}
+
 /** Observes how endpoints answer while a version is being rolled out. */
 export interface AnswerObserver {
   /** Called when a request arrives. */
@@ -91,7 +97,7 @@
   record (endpoint: EndpointId, signals: EndpointSignals, sentAtMs: number): void
 }
 
-/** Reason given for refusing a request whose fingerprint is quarantined. */
+/** Reason given for refusing a quarantined request. */
 export const QUARANTINED_REASON = 'quarantined: endpoints that ran requests like it crashed'
 
 /** One decision, formatted for `status --explain`. */
--- a/daemon/status.ts
+++ b/daemon/status.ts
@@ -16,7 +16,7 @@
 /** Endpoints and load of one pool, and how the daemon currently treats them. */
 export interface PoolStatus { name: string, live: number, leaving: number, ejected: number, backingOff: number, running: number, slots: number, waiting: number, doing: string }
 
-/** One quarantined request. */
+/** One quarantined request or prompt part; `fingerprint` is the id by which it is released. */
 export interface QuarantineStatus { fingerprint: string, crashed: string[], forMs: number }
 
 /** Progress of one rollout. */
@@ -35,7 +35,7 @@
   endpoints: { live: number, leaving: number, ejected: number, backingOff: number }
   pools: PoolStatus[]
   classes: ClassStatus[]
-  /** Requests that are sent to no endpoint, because endpoints that ran them crashed. */
+  /** Requests and prompt parts that are sent to no endpoint, because endpoints that ran them crashed. */
   quarantined: QuarantineStatus[]
   /** The latest rollout of each pool. */
   rollouts: RolloutStatus[]
@@ -82,7 +82,7 @@
       backingOff: views.filter((view) => backsOff(view, now)).length
     },
     pools,
-    quarantined: sources.quarantine.held.map(({ request, crashes, untilMs }) => ({ fingerprint: request, crashed: crashes.map(({ endpoint }) => endpoint), forMs: Math.round(untilMs - now) })),
+    quarantined: sources.quarantine.held.map(({ suspect, crashes, untilMs }) => ({ fingerprint: suspect, crashed: crashes.map(({ endpoint }) => endpoint), forMs: Math.round(untilMs - now) })),
     rollouts: [...sources.rollouts ?? []].map(rolloutStatus),
     classes: await Promise.all(sources.classes.map((cls) => classStatus(cls, sources.metrics)))
   }
--- a/standins/endpoint_links.ts
+++ b/standins/endpoint_links.ts
@@ -42,6 +42,11 @@
     for (const address of addresses) this.#links.get(address)!.cut(fault)
   }
 
+  /** Refuses new connections to an endpoint from now on, as its address does once its process has ended. */
+  refuse (address: string): void {
+    this.#links.get(address)?.refuse()
+  }
+
   /** Ends all faults. */
   restore (): void {
     for (const link of this.#links.values()) link.restore()
@@ -93,6 +98,10 @@
     }
   }
 
+  refuse (): void {
+    this.#server.close()
+  }
+
   restore (): void {
     if (this.fault === 'hang') for (const socket of this.#sockets) socket.resume()
     this.fault = undefined
