Take the end of an answer without a length for its end only if the endpoint survived it

What callers saw: a stream whose engine crashed between two events looked whole, and so did half of a plain answer, where the answer had neither a length nor chunks. The crash was not noticed, and the answer cleared the request and the parts of its prompt of all crashes before, so that the part was never held.

Cause: such an answer ends with its connection, and a process that ends closes its connections as cleanly as one that is done.

--- a/daemon/exchange/_proxy_components.ts
+++ b/daemon/exchange/_proxy_components.ts
@@ -6,7 +6,7 @@
 import { WindowBudget, type RetryLimiter } from '../../core/retry/index.ts'
 import type { Hash64 } from '../../core/quarantine/index.ts'
 import type { EndpointView, Hash32, Random } from '../../core/routing/index.ts'
-import { dial, ExchangeClient } from '../../endpoints/index.ts'
+import { createEndCheck, dial, ExchangeClient } from '../../endpoints/index.ts'
 import { ConfigFollower } from '../config/config_follower.ts'
 import { OrderTask } from '../duties/order_task.ts'
 import { UsageTask } from '../duties/usage_task.ts'
@@ -225,6 +225,7 @@
       answers: rollouts?.gate,
       budgetOf,
       paths,
+      checkEnd: createEndCheck({ isConnected: (view) => client.isConnected(view), dial: (view) => paths.dial(view) }),
       restored: () => archive.restored,
       streams: new StreamAdmission({ versions: streamVersions, hash64 }),
       delegate: (to, { repeatable, from, req: { credential, deadlineInMs: _, account, ...req }, ...query }, sink) => delegatedRuns.run(to, { query: { ...query, req: { ...req, resumeFrom: from }, account }, repeatable }, sink),
--- a/daemon/exchange/intake.ts
+++ b/daemon/exchange/intake.ts
@@ -6,7 +6,7 @@
 import type { Random } from '../../core/routing/index.ts'
 import { delay, steadyNow } from '../../core/time/index.ts'
 import { NO_TOKENS } from '../../core/work/index.ts'
-import { ExchangeRunner, type AdmittedRequest, type Attachment, type ExchangeClient, type ExchangeDialect, type ProxiedRequest } from '../../endpoints/index.ts'
+import { ExchangeRunner, type AdmittedRequest, type Attachment, type EndCheck, type ExchangeClient, type ExchangeDialect, type ProxiedRequest } from '../../endpoints/index.ts'
 import type { Dispatcher } from '../request/dispatcher.ts'
 import type { DelegatedSink, DelegatedSpec } from '../request/delegated_run.ts'
 import { RequestTask } from '../request/request_task.ts'
@@ -36,6 +36,8 @@
   metrics: Metrics
   client: ExchangeClient
   dialect: ExchangeDialect
+  /** Checks whether an endpoint is still running after it ended a connection with its answer. Default: it is. */
+  checkEnd?: EndCheck
   crashes: CrashWatch
   quarantine: QuarantineTask
   hash64: Hash64
@@ -184,7 +186,7 @@
     const ports: RequestPorts = { table, dispatcher, metrics, budget: this.#options.budgetOf(pool), crashes, quarantine, answers, limits: endpointLimits, signals, paths }
     return {
       work: { id: req.id, account: req.account ?? ANONYMOUS, cls, pool, demand: req.demand ?? NO_TOKENS, claim: undefined, fingerprint: this.#fingerprint(req) },
-      runner: new ExchangeRunner({ req, client, dialect }),
+      runner: new ExchangeRunner({ req, client, dialect, checkEnd: this.#options.checkEnd }),
       ports,
       from: req.resumeFrom
     }
--- a/daemon/request/request_task.ts
+++ b/daemon/request/request_task.ts
@@ -378,7 +378,7 @@
         if (attempt === this.lifecycle.attempt) this.#tracker.recordPiece()
         this.#addChunk({ attempt, offset, pieces }, { head, version: this.#runningVersion })
       },
-      onEnd: (total) => this.#onAttemptEnd(endpoint, attempt, { total, head }),
+      onEnd: (total, { endpointSeen = true } = {}) => this.#onAttemptEnd(endpoint, attempt, { total, head, endpointSeen }),
       onError: (err) => this.#onAttemptError(attempt, endpoint, err),
       onLoad: (load) => this.ports.table.applyLoadReport(endpoint, load)
     }
@@ -417,14 +417,14 @@
     this.onBegun()
   }
 
-  #onAttemptEnd (endpoint: EndpointId, attempt: number, end: { total: number, head: AnswerHead | undefined }): void {
+  #onAttemptEnd (endpoint: EndpointId, attempt: number, end: { total: number, head: AnswerHead | undefined, endpointSeen: boolean }): void {
     if (attempt !== this.lifecycle.attempt) return
     this.answer.end(attempt, end.total)
     if (!this.answer.whole) return this.#onAttemptError(attempt, endpoint, new AttemptError('Cannot use answer: it is incomplete', { point: 'torn-answer' }))
     this.#markBegun()
     this.head ??= end.head
     this.ports.table.succeeded(endpoint)
-    if (!this.head || this.head.status < FIRST_REDIRECT_STATUS) this.ports.quarantine.answered(suspectsOf(this.work), this.#runningVersion)
+    if (end.endpointSeen && (!this.head || this.head.status < FIRST_REDIRECT_STATUS)) this.ports.quarantine.answered(suspectsOf(this.work), this.#runningVersion)
     this.post({ type: 'ended', attempt })
   }
 
--- a/endpoints/attempt.ts
+++ b/endpoints/attempt.ts
@@ -25,13 +25,19 @@
   backOff?: BackOff | InvalidSignal | undefined
 }
 
+/** Options of {@linkcode AttemptSink.onEnd}. */
+export interface AttemptEndOptions {
+  /** False if the endpoint may have ended with its answer, so that the end does not show that it survived the request. Default: true. */
+  endpointSeen?: boolean
+}
+
 /** Receives one attempt's answer. The last call is exactly one of `onEnd` and `onError`. */
 export interface AttemptSink<P> {
   /** Called before the first piece with the status and headers, if the protocol has them. */
   onHead? (head: AnswerHead): void
   onChunk (offset: number, pieces: readonly P[]): void
-  /** Called at the answer's explicit end. `total` counts the pieces from the start of the whole answer. */
-  onEnd (total: number): void
+  /** Called at the answer's end. `total` counts the pieces from the start of the whole answer. */
+  onEnd (total: number, options?: AttemptEndOptions): void
   onError (err: AttemptError): void
   onLoad (load: EndpointLoad): void
   /** Called with the head of each answer that the endpoint itself gave, also one that it refused or failed with. */
--- a/endpoints/exchange/exchange.ts
+++ b/endpoints/exchange/exchange.ts
@@ -3,8 +3,9 @@
 import type { AnswerHead, Header } from '../../core/answer/index.ts'
 import { AttemptError, type FailurePoint } from '../../core/outcome/index.ts'
 import { attemptError } from '../_attempt_errors.ts'
-import type { Attachment, AttemptSink } from '../attempt.ts'
+import type { Attachment, AttemptEndOptions, AttemptSink } from '../attempt.ts'
 import type { Connection } from './connection.ts'
+import type { EndCheckResult } from './end_check.ts'
 import { EventSplitter } from './event_splitter.ts'
 import type { ExchangeDialect } from './exchange_dialect.ts'
 import type { AdmittedRequest } from './proxied_request.ts'
@@ -19,6 +20,8 @@
   from: number
   /** Returns false if the request must not be sent any more. Called when the connection is open. */
   maySend (): boolean
+  /** Checks whether the endpoint is still running after it ended the connection. */
+  checkEnd (): Promise<EndCheckResult>
   /** Returns the connection to its pool once it is ready for another request. */
   release (): void
 }
@@ -114,6 +117,18 @@
   onResponseEnd (): void {
     if (this.#done) return
     if (!this.#isComplete()) return this.#fail('torn-answer', 'the answer broke off')
+    if (isSelfDelimited(this.#head!)) this.#finish({ endpointSeen: true })
+    else this.#finishIfAlive()
+  }
+
+  async #finishIfAlive (): Promise<void> {
+    const result = await this.#options.checkEnd()
+    if (this.#done) return
+    if (result === 'ended') this.#fail('torn-answer', 'the endpoint ended with its answer')
+    else this.#finish({ endpointSeen: result === 'alive' })
+  }
+
+  #finish (end: AttemptEndOptions): void {
     const body = Buffer.concat(this.#chunks)
     this.#done = true
     // Deferred because the client closes a connection that cannot be reused only after this callback.
@@ -124,7 +139,7 @@
       return
     }
     if (this.#bodyHandling === 'whole') this.#forward(body)
-    this.#options.sink.onEnd(this.#offset)
+    this.#options.sink.onEnd(this.#offset, end)
   }
 
   onResponseError (_controller: Dispatcher.DispatchController, err: Error): void {
--- a/endpoints/exchange/exchange_runner.ts
+++ b/endpoints/exchange/exchange_runner.ts
@@ -3,6 +3,7 @@
 import { AttemptError } from '../../core/outcome/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import type { Attachment, AttemptRunner, AttemptSink, AttemptSpec, StopReport } from '../attempt.ts'
+import type { EndCheck } from './end_check.ts'
 import { Exchange } from './exchange.ts'
 import type { ExchangeClient } from './exchange_client.ts'
 import type { ExchangeDialect } from './exchange_dialect.ts'
@@ -13,6 +14,8 @@
   req: AdmittedRequest
   client: ExchangeClient
   dialect: ExchangeDialect
+  /** Checks whether an endpoint is still running after it ended a connection. Default: it is. */
+  checkEnd?: EndCheck | undefined
 }
 
 const NO_ATTACHMENT: Attachment = { detach: () => {} }
@@ -26,7 +29,7 @@
   }
 
   start (view: EndpointView, spec: AttemptSpec<Buffer>, sink: AttemptSink<Buffer>): Attachment {
-    const { req, client, dialect } = this.#options
+    const { req, client, dialect, checkEnd = async () => 'alive' } = this.#options
     const connection = client.acquire(view)
     if (!connection) {
       // Reported asynchronously like every other failure, because the task has not recorded the attempt yet.
@@ -34,7 +37,7 @@
       return NO_ATTACHMENT
     }
     const headers = dialect.attemptHeaders(req, { view, deadlineInMs: spec.deadlineInMs, resumeFrom: spec.from, lane: req.demand && spec.lane })
-    const exchange = new Exchange({ req, dialect, sink, connection, from: spec.from, maySend: () => !backsOff(view, steadyNow()), release: () => client.release(view, connection) })
+    const exchange = new Exchange({ req, dialect, sink, connection, from: spec.from, maySend: () => !backsOff(view, steadyNow()), checkEnd: () => checkEnd(view), release: () => client.release(view, connection) })
     exchange.send(headers)
     return exchange
   }
--- a/endpoints/exchange/index.ts
+++ b/endpoints/exchange/index.ts
@@ -1,5 +1,6 @@
 export * from './connection.ts'
 export * from './connection_pool.ts'
+export * from './end_check.ts'
 export * from './event_splitter.ts'
 export * from './exchange.ts'
 export * from './exchange_client.ts'
