Close connections unread that a daemon cannot read in time

What callers saw: a daemon that is handed most new connections of a region read them all and answered them late. Cause: nothing bounds what it accepts. The runtime takes one connection in each turn, so that the others wait in the port's queue; timers and load do not show it.

Callers' next tries meet other daemons.

--- a/daemon/exchange/_proxy_components.ts
+++ b/daemon/exchange/_proxy_components.ts
@@ -37,6 +37,7 @@
 import { StreamVersions } from '../streams/index.ts'
 import { seededRandom } from '../seeded_random.ts'
 import { buildStatus, type StatusReport } from '../status.ts'
+import { ConnectionGateTask } from './connection_gate_task.ts'
 import { ExchangeServer } from './exchange_server.ts'
 import { Intake, type CatalogIndex } from './intake.ts'
 import { MonitorServer } from './monitor_server.ts'
@@ -92,6 +93,7 @@
   intake: Intake
   stalls: StallWatch
   server: ExchangeServer
+  connectionGate: ConnectionGateTask
   readiness: ReadinessServer
   monitor: MonitorServer
   processor: CpuTimeLog
@@ -236,6 +238,7 @@
     })).singleton(),
     stalls: asFunction(({ table, paths, intake }: ProxyComponents) => new StallWatch({ table, paths, open: () => intake.open })).singleton(),
     server: asFunction(({ intake, metrics }: ProxyComponents) => new ExchangeServer({ intake, metrics, dialect: platform.dialect })).singleton(),
+    connectionGate: asFunction(({ server, metrics }: ProxyComponents) => new ConnectionGateTask({ server, metrics })).singleton(),
     readiness: asFunction(() => new ReadinessServer()).singleton(),
     monitor: asFunction((components: ProxyComponents) => new MonitorServer({ metrics: components.metrics, quarantine: components.quarantine, status: () => proxyStatus(components) })).singleton(),
     processor: asFunction(({ metrics }: ProxyComponents) => new CpuTimeLog(metrics)).singleton(),
--- /dev/null
+++ b/daemon/exchange/connection_gate_task.ts
@@ -0,0 +1,59 @@
+/** Closes a daemon's port for callers to new connections while it is handed more of them than it can read in time. */
+import { ConnectionGate } from '../../core/admission/index.ts'
+import { log } from '../log/index.ts'
+import type { Metrics } from '../metrics.ts'
+import type { ExchangeServer } from './exchange_server.ts'
+
+/** Options of {@linkcode ConnectionGateTask}. */
+export interface ConnectionGateTaskOptions {
+  server: Pick<ExchangeServer, 'acceptConnections' | 'measureAcceptance' | 'connections' | 'open'>
+  metrics: Metrics
+}
+
+const SAMPLE_INTERVAL_MS = 100
+/** Connections within an interval up to which nothing is measured, as long as the gate is open. */
+const FEW_CONNECTIONS = 4
+/** Longest wait that is measured, in milliseconds. */
+const MAX_WAIT_MS = 1000
+
+/** Measures how long new connections wait until they are accepted. Readiness and the links to other daemons have ports of their own, which stay open. */
+export class ConnectionGateTask {
+  readonly #options: ConnectionGateTaskOptions
+  readonly #gate = new ConnectionGate()
+  #connections = 0
+  #timer: NodeJS.Timeout | undefined
+  #stopped = false
+
+  constructor (options: ConnectionGateTaskOptions) {
+    this.#options = options
+    options.metrics.acceptsConnections.set(1)
+  }
+
+  /** Starts measuring. */
+  start (): void {
+    this.#timer = setTimeout(() => this.#measure(), SAMPLE_INTERVAL_MS)
+  }
+
+  /** Stops measuring. */
+  stop (): void {
+    this.#stopped = true
+    clearTimeout(this.#timer)
+  }
+
+  async #measure (): Promise<void> {
+    const { server } = this.#options
+    const arrived = server.connections - this.#connections
+    this.#connections = server.connections
+    if (!this.#gate.isOpen || arrived > FEW_CONNECTIONS) this.#sample(await server.measureAcceptance(MAX_WAIT_MS))
+    if (!this.#stopped) this.start()
+  }
+
+  #sample (waitMs: number): void {
+    const { server, metrics } = this.#options
+    if (this.#stopped || !this.#gate.sample(waitMs)) return
+    const { isOpen } = this.#gate
+    metrics.acceptsConnections.set(isOpen ? 1 : 0)
+    log(isOpen ? 'connections-accepted' : 'connections-refused', { waitMs: Math.round(waitMs), open: server.open })
+    server.acceptConnections(isOpen)
+  }
+}
--- a/daemon/exchange/exchange_server.ts
+++ b/daemon/exchange/exchange_server.ts
@@ -1,6 +1,6 @@
 /** HTTP server for callers whose requests are proxied unchanged. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import type { AddressInfo } from 'node:net'
+import { connect, type AddressInfo, type Socket } from 'node:net'
 import type { CallerLimits } from '../../core/catalog/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import { BadRequestError, type ExchangeDialect } from '../../endpoints/index.ts'
@@ -36,11 +36,17 @@
   readonly #server: Server
   #limits = DEFAULT_LIMITS
   #draining = false
+  #accepting = true
+  /** Connections of this process to its own port, with what is called when they are accepted. */
+  readonly #probes = new Map<Socket, () => void>()
 
   constructor (options: ExchangeServerOptions) {
     this.#options = options
     this.#server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, connectionsCheckingInterval: HEADER_TIMEOUT_CHECK_MS }, (req, res) => { this.#serve(req, res) })
     this.limit(DEFAULT_LIMITS)
+    const [serve] = this.#server.listeners('connection') as [(socket: Socket) => void]
+    this.#server.removeAllListeners('connection')
+    this.#server.on('connection', (socket: Socket) => this.#connected(socket, (accepted) => serve.call(this.#server, accepted)))
   }
 
   /** Number of requests whose response is not finished. */
@@ -60,6 +66,51 @@
     return (this.#server.address() as AddressInfo).port
   }
 
+  /** Accepts new connections, or closes them unread; those that are open stay open. */
+  acceptConnections (isAccepting: boolean): void {
+    this.#accepting = isAccepting
+  }
+
+  /** Number of connections since the start. */
+  connections = 0
+
+  /**
+   * Measures how long a new connection waits until this process accepts it, in milliseconds; 0 if it listens no more.
+   * @param givenUpMs Longest time to wait; returned if it passes.
+   */
+  measureAcceptance (givenUpMs: number): Promise<number> {
+    const startMs = steadyNow()
+    const listening = this.#server.address() as AddressInfo | null
+    if (!listening) return Promise.resolve(0)
+    const { address: host, port } = listening
+    return new Promise((resolve) => {
+      const socket = connect({ host, port })
+      const finish = () => {
+        clearTimeout(timer)
+        socket.destroy()
+        this.#probes.delete(socket)
+        resolve(steadyNow() - startMs)
+      }
+      const timer = setTimeout(finish, givenUpMs)
+      this.#probes.set(socket, finish)
+      socket.on('error', finish)
+    })
+  }
+
+  #connected (socket: Socket, serve: (socket: Socket) => void): void {
+    for (const [probe, accepted] of this.#probes) {
+      if (probe.localPort !== socket.remotePort) continue
+      accepted()
+      socket.destroy()
+      return
+    }
+    this.connections++
+    if (this.#accepting) return serve(socket)
+    this.#options.metrics.connectionsShed.inc()
+    socket.on('error', () => { /* the caller may have gone */ })
+    socket.resetAndDestroy()
+  }
+
   /** Closes each connection after its current or next response. */
   startDraining (): void {
     this.#draining = true
--- a/daemon/exchange/proxy_daemon.ts
+++ b/daemon/exchange/proxy_daemon.ts
@@ -93,11 +93,12 @@
   }
 
   async #start (): Promise<void> {
-    const { settings, membership, tallies, config, registry, server, readiness, monitor, lease, limits, endpointLimitTask, loads, usage, orders, rollouts, stalls, quarantine, archive, processor, paths, delegateFinder, delegatedRuns, delegateServer } = this.#components
+    const { settings, membership, tallies, config, registry, server, readiness, monitor, lease, limits, endpointLimitTask, loads, usage, orders, rollouts, stalls, quarantine, archive, processor, paths, delegateFinder, delegatedRuns, delegateServer, connectionGate } = this.#components
     const { callers, readiness: check } = settings.listen
     archive.restore()
     await readiness.listen(check, () => this.ready)
     await server.listen(callers.host, callers.port)
+    connectionGate.start()
     await membership.start()
     config.start()
     registry.start()
@@ -159,7 +160,8 @@
   }
 
   #stopTasks (): void {
-    const { config, registry, limits, endpointLimitTask, signals, loads, tallies, rollouts, stalls, quarantine, archive, processor, paths, delegateFinder, delegatedRuns, delegateServer } = this.#components
+    const { config, registry, limits, endpointLimitTask, signals, loads, tallies, rollouts, stalls, quarantine, archive, processor, paths, delegateFinder, delegatedRuns, delegateServer, connectionGate } = this.#components
+    connectionGate.stop()
     paths.stop()
     delegateFinder.stop()
     delegatedRuns.stop()
--- a/daemon/log/events.ts
+++ b/daemon/log/events.ts
@@ -79,6 +79,10 @@
   'store-back': { what: string }
   /** A peer could not relay changes of the store; the next peer, or the store itself, is asked instead. */
   'relay-failed': { peer: string, prefix: string, why: string }
+  /** New connections of callers are closed unread: they wait `waitMs` until this process accepts them, so that it would answer late what it reads. */
+  'connections-refused': { waitMs: number, open: number }
+  /** New connections of callers are accepted again. */
+  'connections-accepted': { waitMs: number, open: number }
   'member-changed': { peer: string, state: string }
   'peer-not-linked': { peer: string, why: string }
   'peer-send-failed': { peer: string, why: string }
@@ -171,6 +175,6 @@
 /** Events logged as warnings; the rate limit drops routine events before these. */
 export const WARNING_EVENTS: ReadonlySet<LogEvent> = new Set<LogEvent>([
   'request-refused', 'request-broke', 'request-held', 'attempt-failed', 'export-failed', 'settings-refused', 'config-refused', 'config-not-fetched', 'store-lost', 'relay-failed',
-  'peer-not-linked', 'peer-send-failed', 'peer-message-refused', 'not-registered', 'endpoint-refused', 'endpoint-crashed', 'request-quarantined', 'part-quarantined', 'quarantine-not-stored', 'endpoint-avoided', 'path-down', 'pool-cut-off', 'delegate-failed', 'endpoint-silent', 'endpoint-limit-refused', 'endpoint-signal-refused', 'keeper-silent', 'lease-call-failed',
+  'connections-refused', 'peer-not-linked', 'peer-send-failed', 'peer-message-refused', 'not-registered', 'endpoint-refused', 'endpoint-crashed', 'request-quarantined', 'part-quarantined', 'quarantine-not-stored', 'endpoint-avoided', 'path-down', 'pool-cut-off', 'delegate-failed', 'endpoint-silent', 'endpoint-limit-refused', 'endpoint-signal-refused', 'keeper-silent', 'lease-call-failed',
   'usage-not-reported', 'order-refused', 'rollout-held', 'rollout-refused', 'rollout-not-written', 'fleet-round-cut', 'answers-lost', 'lines-left-out'
 ])
