Ask the watchers of the store again at once after they had nothing to serve

A daemon that asked a watcher before it had listed again got the reply that its state is too old, and skipped it for four seconds as one that is silent; until then it watched the store itself, a second at a time.

Now only a daemon that did not reply is skipped.

--- a/daemon/peers/links.ts
+++ b/daemon/peers/links.ts
@@ -63,9 +63,12 @@
   override name = 'PeerError'
   /** True when the call was never sent. */
   readonly notSent: boolean
+  /** True when the daemon replied that the call failed. */
+  readonly replied: boolean
 
-  constructor (message: string, options: { notSent: boolean, cause?: unknown }) {
+  constructor (message: string, options: { notSent: boolean, replied?: boolean, cause?: unknown }) {
     super(message, { cause: options.cause })
     this.notSent = options.notSent
+    this.replied = options.replied ?? false
   }
 }
--- a/daemon/peers/peer_links.ts
+++ b/daemon/peers/peer_links.ts
@@ -299,7 +299,7 @@
       case 'post': return this.#postHandlers.get(msg.topic)?.(msg.value as never, from)
       case 'part': return this.#pendingCalls.get(msg.call)?.part?.(msg.value)
       case 'reply': return this.#settleCall(msg.call, (pending) => pending.resolve(msg.value))
-      case 'fail': return this.#settleCall(msg.call, (pending) => pending.reject(new PeerError(msg.error, { notSent: false })))
+      case 'fail': return this.#settleCall(msg.call, (pending) => pending.reject(new PeerError(msg.error, { notSent: false, replied: true })))
       default: this.#options.metrics.unknownPeerMessages.inc()
     }
   }
--- a/daemon/peers/store_relay.ts
+++ b/daemon/peers/store_relay.ts
@@ -7,7 +7,7 @@
 import { ChangeLog, isStoreFailure, StoreError, type Changes, type ObjectSource, type Snapshot } from '../../store/index.ts'
 import { log } from '../log/index.ts'
 import type { Metrics } from '../metrics.ts'
-import type { Links } from './links.ts'
+import { PeerError, type Links } from './links.ts'
 
 /** Options of {@linkcode StoreRelay}. */
 export interface StoreRelayOptions {
@@ -33,7 +33,7 @@
  * A daemon that is asked waits for changes for half of the time that is left.
  */
 const REQUEST_TIMEOUT_FRACTION = 1 / 2
-/** How long a daemon that failed to reply is skipped, in milliseconds: silent links are replaced within four seconds. */
+/** How long a daemon that did not reply is skipped, in milliseconds: silent links are replaced within four seconds. */
 const FAILED_SOURCE_BACKOFF_MS = 4000
 /**
  * Fraction of the propagation limit for which a watch on the store waits. A watcher whose watch gets no answer abandons it shortly after that and reports the
@@ -104,7 +104,8 @@
       metrics.storeChangeAge.observe({ prefix: req.prefix }, response.ageMs)
       return response
     } catch (err) {
-      this.#failedAtMs.set(daemon.id, steadyNow())
+      // One that replies has nothing to serve now, as while it has lost the store; asking it again costs no time.
+      if (!(err instanceof PeerError && err.replied)) this.#failedAtMs.set(daemon.id, steadyNow())
       log('relay-failed', { peer: daemon.id, prefix: req.prefix, why: (err as Error).message })
       return undefined
     }
--- a/daemon/peers/store_relay_test.ts
+++ b/daemon/peers/store_relay_test.ts
@@ -204,6 +204,19 @@
   expect(await fleet.timeUntilKnown(['a', 'b'])).toBeLessThanOrEqual(100)
 })
 
+test.each([500, 1500, 2500, 4000])('soon after a store outage of %d ms only the watchers watch it again', async (outageMs) => {
+  // Guards against daemons that skip the watchers for seconds since these had nothing to serve during the outage, and watch the store themselves.
+  const { store } = await started(12, 3)
+  store.faults.down = true
+  store.disconnectWatches()
+  await vi.advanceTimersByTimeAsync(outageMs)
+  store.faults.down = false
+  await vi.advanceTimersByTimeAsync(1500)
+  const { watches } = store.calls
+  await vi.advanceTimersByTimeAsync(2000)
+  expect((store.calls.watches - watches) / 2).toBeLessThanOrEqual(2.5)
+})
+
 /** The fault of one daemon, in effect until the next step for the same daemon. */
 type Fault = 'none' | 'cut-off' | 'unanswered' | 'alone'
 interface Step { daemon: number, fault: Fault, afterMs: number, departs: boolean }
--- a/standins/network.ts
+++ b/standins/network.ts
@@ -176,7 +176,7 @@
         const answer = peer.#methods.get(method)
         if (!connected() || !answer) return
         answer(copy as never, { from: this.id, part, signal: this.#closeController.signal })
-          .then((value) => settle(() => resolve(structuredClone(value))), (err: Error) => settle(() => reject(new PeerError(err.message, { notSent: false }))))
+          .then((value) => settle(() => resolve(structuredClone(value))), (err: Error) => settle(() => reject(new PeerError(err.message, { notSent: false, replied: true }))))
       })
     })
   }
