--- a/core/quarantine/crash_attribution.ts
+++ b/core/quarantine/crash_attribution.ts
@@ -1,7 +1,7 @@
 /** Attributes crashes of endpoints to the requests that cause them (queries of death). */
 import type { EndpointId, Fingerprint } from '../ids/index.ts'
 
-/** Number of crashes that a request must account for before they are attributed to it. */
+/** Number of crashes that a request, or a part of prompts, must account for before they are attributed to it. */
 export const MIN_CRASHES = 3
 /** Number of crashes after which they are attributed to one of several indistinguishable requests. */
 const MIN_CRASHES_IF_AMBIGUOUS = 5
--- a/core/quarantine/part_attribution.ts
+++ b/core/quarantine/part_attribution.ts
@@ -1,8 +1,9 @@
 /** Attributes crashes of endpoints to parts of prompts that the requests that were running there have in common. */
 import type { EndpointId, Fingerprint, PartId, Suspect } from '../ids/index.ts'
+import { MIN_CRASHES } from './crash_attribution.ts'
 import type { RecordedCrash } from './crash_records.ts'
 import type { CrashedRun, CrashPlace } from './crash_report.ts'
-import { isPart, partId } from './part_id.ts'
+import { partId } from './part_id.ts'
 
 /** Options of {@linkcode attributeToParts}. */
 export interface PartAttributionOptions {
@@ -14,8 +15,6 @@
   wasAnswered (part: PartId): boolean
 }
 
-/** Crashes that must be attributed to a part, each of another request, sent after the crash before it. */
-const MIN_CRASHES = 3
 /** Crashes after which they are attributed to one of several parts that may explain them, or to a part that requests were answered with before. */
 const MIN_CRASHES_IF_CONTESTED = 5
 /** Time that answers get to clear the sound ones among several parts that may explain the crashes, in milliseconds from the last crash that it takes. */
@@ -171,8 +170,3 @@
 function selectivity ({ crashes, carriers }: Candidate): number {
   return crashes.length / (carriers / crashes.length) ** 2
 }
-
-/** Returns the suspects that are whole requests. */
-export function requestsAmong (suspects: ReadonlySet<Suspect>): Set<Fingerprint> {
-  return new Set([...suspects].filter((suspect) => !isPart(suspect)) as Fingerprint[])
-}
--- a/core/quarantine/part_id.ts
+++ b/core/quarantine/part_id.ts
@@ -1,5 +1,5 @@
 /** Identifies parts of prompts, to recognise what requests that differ have in common. */
-import { as, type PartId, type PoolName, type Suspect } from '../ids/index.ts'
+import { as, type Fingerprint, type PartId, type PoolName, type Suspect } from '../ids/index.ts'
 
 const PREFIX = 'part-'
 const SEPARATOR = '@'
@@ -16,3 +16,8 @@
 export function isPart (suspect: Suspect): suspect is PartId {
   return suspect.startsWith(PREFIX)
 }
+
+/** Returns the suspects that are whole requests. */
+export function requestsAmong (suspects: ReadonlySet<Suspect>): Set<Fingerprint> {
+  return new Set([...suspects].filter((suspect) => !isPart(suspect)) as Fingerprint[])
+}
--- a/core/quarantine/quarantine.ts
+++ b/core/quarantine/quarantine.ts
@@ -3,8 +3,8 @@
 import { attributeCrashes, MIN_CRASHES } from './crash_attribution.ts'
 import { CrashRecords, type RecordedCrash } from './crash_records.ts'
 import type { CrashedRun, CrashPlace, CrashReport } from './crash_report.ts'
-import { attributeToParts, requestsAmong, SETTLE_MS } from './part_attribution.ts'
-import { isPart, partId } from './part_id.ts'
+import { attributeToParts, SETTLE_MS } from './part_attribution.ts'
+import { isPart, partId, requestsAmong } from './part_id.ts'
 
 /** A quarantined request, or the quarantined part of the prompts of requests. */
 export interface HeldSuspect {
--- a/core/quarantine/spread_test.ts
+++ b/core/quarantine/spread_test.ts
@@ -1,8 +1,9 @@
 import { expect, test } from 'vitest'
 import xxhash from 'xxhash-wasm'
-import { as, type DaemonId, type EndpointId, type Fingerprint } from '../ids/index.ts'
+import { as, type DaemonId, type EndpointId, type Fingerprint, type PoolName } from '../ids/index.ts'
 import { neighbours } from '../membership/index.ts'
 import type { CrashReport } from './crash_report.ts'
+import { partId } from './part_id.ts'
 import { Quarantine } from './quarantine.ts'
 
 const { h32 } = await xxhash()
@@ -59,3 +60,22 @@
   expect(Math.max(...fleet.messageCounts)).toBeLessThanOrEqual(1.5 * mean)
   expect(fleet.hops).toBeLessThanOrEqual(Math.ceil(Math.log2(size)))
 })
+
+test.each([9, 87, 195, 420])('all of %d daemons hold a part that crashed five endpoints, and nothing else, however many requests were running there', (size) => {
+  const fleet = new Fleet(size)
+  const pool = as<PoolName>('llm')
+  const crashes = 5
+  for (let crash = 0; crash < crashes; crash++) {
+    const atMs = crash * 1000
+    const runs = Array.from({ length: Math.min(REQUESTS_PER_CRASH, size) }, (_, i) => ({ at: (crash * 31 + i) % size, request: as<Fingerprint>(`${crash}-${i}`), parts: i === 0 ? ['shared', 'bad'] : ['shared', `doc-${i % 4}`] }))
+    fleet.propagate(runs.map(({ at, request, parts }) => ({ from: at, reports: fleet.quarantines[at]!.crashed({ endpoint: as<EndpointId>(`e${crash}`), aboard: [request], place: { pool, poolSize: 50 }, runs: [{ request, sentAtMs: atMs - 150, parts }] }, atMs) })))
+    // One request with each sound part is answered after the crash, at a daemon that need not have reported it.
+    for (const [i, doc] of ['doc-0', 'doc-1', 'doc-2', 'doc-3'].entries()) {
+      const at = (crash * 7 + i) % size
+      fleet.propagate([{ from: at, reports: fleet.quarantines[at]!.answered(as<Fingerprint>(`sound-${crash}-${i}`), atMs + 500, { parts: [partId(pool, 'shared'), partId(pool, doc)] }) }])
+    }
+  }
+  for (const quarantine of fleet.quarantines) quarantine.update(crashes * 1000 + 1000)
+  expect(fleet.quarantines.every(({ held }) => held.size === 1 && held.has(partId(pool, 'bad')))).toBe(true)
+  expect(fleet.hops).toBeLessThanOrEqual(Math.ceil(Math.log2(size)))
+})
--- a/daemon/exchange/monitor_server.ts
+++ b/daemon/exchange/monitor_server.ts
@@ -48,7 +48,7 @@
     } else if (req.url === '/status') {
       res.writeHead(200, { 'content-type': 'application/json' }).end(JSON.stringify(await status()))
     } else if (req.method === 'POST' && RELEASE_PATH.test(req.url ?? '')) {
-      this.#release(as<Fingerprint>(decodeURIComponent(RELEASE_PATH.exec(req.url!)![1]!)), req, res)
+      this.#release(decodeSuspect(RELEASE_PATH.exec(req.url!)![1]!), req, res)
     } else {
       res.writeHead(404, { 'content-type': 'text/plain' }).end('Cannot answer: there are /metrics and /status\n')
     }
@@ -60,3 +60,12 @@
     res.writeHead(found ? 200 : 404, { 'content-type': 'application/json' }).end(JSON.stringify(body))
   }
 }
+
+/** Returns the suspect that a path names; one that cannot be decoded names none. */
+function decodeSuspect (encoded: string): Suspect {
+  try {
+    return as<Fingerprint>(decodeURIComponent(encoded))
+  } catch {
+    return as<Fingerprint>(encoded)
+  }
+}
--- a/daemon/request/request_task.ts
+++ b/daemon/request/request_task.ts
@@ -2,7 +2,7 @@
 import { AnswerBuffer, type AnswerBufferOptions, type AnswerHead, type Chunk, type WholeAnswer } from '../../core/answer/index.ts'
 import type { DaemonId, EndpointId, EndpointVersion, PoolName, RequestId } from '../../core/ids/index.ts'
 import { AttemptError, isConnectFailure, isConnectionAborted, isEndpointReported, outcomeAt, type FailurePoint, type Outcome } from '../../core/outcome/index.ts'
-import { isPart } from '../../core/quarantine/index.ts'
+import { isPart, type RequestSuspects } from '../../core/quarantine/index.ts'
 import { canMove, canRetry, isFreeRetry, newRequest, step, type AttemptProgress, type RequestEffect, type RequestMessage, type RequestState, type StartMode } from '../../core/request/index.ts'
 import { availableAtMs, type EndpointView, type Route } from '../../core/routing/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
@@ -83,12 +83,15 @@
   #hasBegun = false
   /** Binds the stream to the version of its first event. */
   readonly binding: StreamBinding
+  /** What the quarantine distinguishes the request by. */
+  readonly #suspects: RequestSuspects
   /** Version of the endpoint that runs the current attempt. */
   #runningVersion: EndpointVersion | undefined
 
   constructor (options: RequestTaskOptions<P>) {
     const { work, runner, ports } = options
     this.work = work
+    this.#suspects = suspectsOf(work)
     this.ports = ports
     this.#decisions = new RequestDecisions(work.id)
     this.#tracker = new AttemptTracker(ports.table)
@@ -279,7 +282,7 @@
   }
 
   #heldAt (views: readonly EndpointView[]): QuarantineStay | undefined {
-    return this.ports.quarantine.heldAt(suspectsOf(this.work), views)
+    return this.ports.quarantine.heldAt(this.#suspects, views)
   }
 
   /** The current attempt, as the watch for crashes records it. */
@@ -424,7 +427,7 @@
     this.#markBegun()
     this.head ??= end.head
     this.ports.table.succeeded(endpoint)
-    if (end.endpointSeen && (!this.head || this.head.status < FIRST_REDIRECT_STATUS)) this.ports.quarantine.answered(suspectsOf(this.work), this.#runningVersion)
+    if (end.endpointSeen && (!this.head || this.head.status < FIRST_REDIRECT_STATUS)) this.ports.quarantine.answered(this.#suspects, this.#runningVersion)
     this.post({ type: 'ended', attempt })
   }
 
@@ -437,7 +440,7 @@
     // Another endpoint answered at its address, so its process has ended, although the registry may list it for a while.
     if (err.point === 'endpoint-gone' && view) table.leaving([view.hostId], steadyNow(), 'refusal')
     // Spends from the budget only if the request could use the retry.
-    const suspected = isConnectionAborted(err.point) && this.ports.quarantine.isSuspected(suspectsOf(this.work))
+    const suspected = isConnectionAborted(err.point) && this.ports.quarantine.isSuspected(this.#suspects)
     const repeatable = this.mayRetryElsewhere && !suspected && canRetry(this.lifecycle, err.point)
     const retryGranted = repeatable && (isFreeRetry(this.lifecycle, err.point) || this.ports.budget.tryWithdraw(table.isLeavingOrGone(endpoint)))
     if (view && err.point === 'endpoint-said-not-run') this.ports.limits?.rejected(view)
