--- a/core/quarantine/_drawn_fleet.ts
+++ b/bench/_drawn_fleet.ts
@@ -1,9 +1,7 @@
 /** Draws a fleet with a load, and plays the crashes of its endpoints through the quarantine of one daemon. */
-import { as, type EndpointId, type Fingerprint, type PartId, type PoolName } from '../ids/index.ts'
-import type { Random } from '../routing/index.ts'
-import type { CrashedRun, CrashReport } from './crash_report.ts'
-import { isPart, partId } from './part_id.ts'
-import { Quarantine } from './quarantine.ts'
+import { as, type EndpointId, type Fingerprint, type PartId, type PoolName } from '../core/ids/index.ts'
+import type { Random } from '../core/routing/index.ts'
+import { isPart, partId, Quarantine, type CrashedRun, type CrashReport } from '../core/quarantine/index.ts'
 
 /** Options of {@linkcode playDrawnFleet}. */
 export interface DrawnFleetOptions {
--- a/core/quarantine/drawn_fleets_test.ts
+++ b/core/quarantine/drawn_fleets_test.ts
@@ -1,7 +1,7 @@
 // Guards against a rule that finds bad prompt parts in the cases it was made for, and holds sound ones in others.
 import { expect, test } from 'vitest'
 import { seededRandom } from '../../daemon/seeded_random.ts'
-import { playDrawnFleet } from './_drawn_fleet.ts'
+import { playDrawnFleet } from '../../bench/_drawn_fleet.ts'
 
 /** Requests with a part that may reach endpoints later than 3 s after its fifth crash. */
 const MAX_LATE_BAD = 3
