Close connections only behind a queue of others, and not for one long wait

Cause: one wait of 200 ms closed the gate, which a busy machine or a burst shows as well as a herd. The daemon was slow, but not for connections, and closing them mended nothing.

Now it takes two long waits in a row with ten connections or more accepted meanwhile.

--- a/core/admission/connection_gate.ts
+++ b/core/admission/connection_gate.ts
@@ -1,11 +1,21 @@
 /** Decides whether a daemon takes new connections from callers, by how long they wait to be accepted. */
 
+/** How a new connection was accepted. */
+export interface Acceptance {
+  /** Time that it waited, in milliseconds. */
+  waitMs: number
+  /** Connections that were accepted meanwhile. */
+  ahead: number
+}
+
 /** Wait above which a daemon is handed more connections than it can read in time, in milliseconds. A core that is paused for a part of each tenth of a second stays below. */
 const CLOSE_ABOVE_MS = 200
+/** Least number of connections ahead of one that waits, without which the process is slow for another reason, which closing connections does not mend. */
+const MIN_AHEAD = 10
 /** Wait below which it takes new connections again, in milliseconds. */
 const OPEN_BELOW_MS = 100
-/** Samples in a row that open the gate again. */
-const SAMPLES_TO_OPEN = 2
+/** Samples in a row that close or open the gate: a burst that is read within half a second is served. */
+const SAMPLES = 2
 
 /**
  * A gate for new connections.
@@ -14,23 +24,21 @@
  */
 export class ConnectionGate {
   #isOpen = true
-  #samplesToOpen = 0
+  #samplesAgainst = 0
 
   /** False while new connections are closed unread. */
   get isOpen (): boolean { return this.#isOpen }
 
   /**
-   * Records how long a connection waited until it was accepted, in milliseconds.
+   * Records how a connection was accepted.
    * @returns True if the gate opened or closed.
    */
-  sample (waitMs: number): boolean {
-    if (this.#isOpen) {
-      this.#samplesToOpen = SAMPLES_TO_OPEN
-      this.#isOpen = waitMs <= CLOSE_ABOVE_MS
-      return !this.#isOpen
-    }
-    this.#samplesToOpen = waitMs < OPEN_BELOW_MS ? this.#samplesToOpen - 1 : SAMPLES_TO_OPEN
-    this.#isOpen = this.#samplesToOpen === 0
-    return this.#isOpen
+  sample ({ waitMs, ahead }: Acceptance): boolean {
+    const isAgainst = this.#isOpen ? waitMs > CLOSE_ABOVE_MS && ahead >= MIN_AHEAD : waitMs < OPEN_BELOW_MS
+    this.#samplesAgainst = isAgainst ? this.#samplesAgainst + 1 : 0
+    if (this.#samplesAgainst < SAMPLES) return false
+    this.#samplesAgainst = 0
+    this.#isOpen = !this.#isOpen
+    return true
   }
 }
--- a/daemon/exchange/connection_gate_task.ts
+++ b/daemon/exchange/connection_gate_task.ts
@@ -1,5 +1,5 @@
 /** Closes a daemon's port for callers to new connections while it is handed more of them than it can read in time. */
-import { ConnectionGate } from '../../core/admission/index.ts'
+import { ConnectionGate, type Acceptance } from '../../core/admission/index.ts'
 import { log } from '../log/index.ts'
 import type { Metrics } from '../metrics.ts'
 import type { ExchangeServer } from './exchange_server.ts'
@@ -48,12 +48,12 @@
     if (!this.#stopped) this.start()
   }
 
-  #sample (waitMs: number): void {
+  #sample (accepted: Acceptance): void {
     const { server, metrics } = this.#options
-    if (this.#stopped || !this.#gate.sample(waitMs)) return
+    if (this.#stopped || !this.#gate.sample(accepted)) return
     const { isOpen } = this.#gate
     metrics.acceptsConnections.set(isOpen ? 1 : 0)
-    log(isOpen ? 'connections-accepted' : 'connections-refused', { waitMs: Math.round(waitMs), open: server.open })
+    log(isOpen ? 'connections-accepted' : 'connections-refused', { waitMs: Math.round(accepted.waitMs), open: server.open })
     server.acceptConnections(isOpen)
   }
 }
--- a/daemon/exchange/exchange_server.ts
+++ b/daemon/exchange/exchange_server.ts
@@ -1,6 +1,7 @@
 /** HTTP server for callers whose requests are proxied unchanged. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { connect, type AddressInfo, type Socket } from 'node:net'
+import type { Acceptance } from '../../core/admission/index.ts'
 import type { CallerLimits } from '../../core/catalog/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import { BadRequestError, type ExchangeDialect } from '../../endpoints/index.ts'
@@ -75,13 +76,14 @@
   connections = 0
 
   /**
-   * Measures how long a new connection waits until this process accepts it, in milliseconds; 0 if it listens no more.
-   * @param givenUpMs Longest time to wait; returned if it passes.
+   * Measures how long a new connection waits until this process accepts it; not at all if it listens no more.
+   * @param givenUpMs Longest time to wait, in milliseconds.
    */
-  measureAcceptance (givenUpMs: number): Promise<number> {
+  measureAcceptance (givenUpMs: number): Promise<Acceptance> {
     const startMs = steadyNow()
+    const { connections } = this
     const listening = this.#server.address() as AddressInfo | null
-    if (!listening) return Promise.resolve(0)
+    if (!listening) return Promise.resolve({ waitMs: 0, ahead: 0 })
     const { address: host, port } = listening
     return new Promise((resolve) => {
       const socket = connect({ host, port })
@@ -89,7 +91,7 @@
         clearTimeout(timer)
         socket.destroy()
         this.#probes.delete(socket)
-        resolve(steadyNow() - startMs)
+        resolve({ waitMs: steadyNow() - startMs, ahead: this.connections - connections })
       }
       const timer = setTimeout(finish, givenUpMs)
       this.#probes.set(socket, finish)
