Close the gate for connections before those that are read have waited for as long as callers do

Cause: a sample lasted as long as the connection waited, the next one began 100 ms later, and two in a row were required. From the time the queue begins the gate closed after up to a second, when connections had waited for as long as their callers do.

Now a sample ends at 201 ms, since a longer wait tells nothing more, and the second follows at once; connections ahead count over both, so that a small share of a core counts enough of them.

A caller's connection that has the port number of a probe, at another address, is not taken for the probe any more.

--- a/core/admission/connection_gate.ts
+++ b/core/admission/connection_gate.ts
@@ -10,7 +10,9 @@
 
 /** Wait above which a daemon is handed more connections than it can read in time, in milliseconds. A core that is paused for a part of each tenth of a second stays below. */
 const CLOSE_ABOVE_MS = 200
-/** Least number of connections ahead of one that waits, without which the process is slow for another reason, which closing connections does not mend. */
+/** Wait beyond which a sample tells nothing more, in milliseconds: callers' time passes while it is taken. */
+export const MAX_SAMPLED_WAIT_MS = CLOSE_ABOVE_MS + 1
+/** Least number of connections ahead of those that wait in a row, without which the process is slow for another reason, which closing connections does not mend. */
 const MIN_AHEAD = 10
 /** Wait below which it takes new connections again, in milliseconds. */
 const OPEN_BELOW_MS = 100
@@ -25,6 +27,10 @@
 export class ConnectionGate {
   #isOpen = true
   #samplesAgainst = 0
+  #aheadInRow = 0
+
+  /** True if the last sample is to be followed by another one at once, since two in a row decide. */
+  get isUndecided (): boolean { return this.#samplesAgainst > 0 }
 
   /** False while new connections are closed unread. */
   get isOpen (): boolean { return this.#isOpen }
@@ -34,10 +40,12 @@
    * @returns True if the gate opened or closed.
    */
   sample ({ waitMs, ahead }: Acceptance): boolean {
-    const isAgainst = this.#isOpen ? waitMs > CLOSE_ABOVE_MS && ahead >= MIN_AHEAD : waitMs < OPEN_BELOW_MS
+    const isAgainst = this.#isOpen ? waitMs > CLOSE_ABOVE_MS : waitMs < OPEN_BELOW_MS
     this.#samplesAgainst = isAgainst ? this.#samplesAgainst + 1 : 0
-    if (this.#samplesAgainst < SAMPLES) return false
+    this.#aheadInRow = isAgainst ? this.#aheadInRow + ahead : 0
+    if (this.#samplesAgainst < SAMPLES || (this.#isOpen && this.#aheadInRow < MIN_AHEAD)) return false
     this.#samplesAgainst = 0
+    this.#aheadInRow = 0
     this.#isOpen = !this.#isOpen
     return true
   }
--- a/daemon/exchange/connection_gate_task.ts
+++ b/daemon/exchange/connection_gate_task.ts
@@ -1,5 +1,5 @@
 /** Closes a daemon's port for callers to new connections while it is handed more of them than it can read in time. */
-import { ConnectionGate, type Acceptance } from '../../core/admission/index.ts'
+import { ConnectionGate, MAX_SAMPLED_WAIT_MS, type Acceptance } from '../../core/admission/index.ts'
 import { log } from '../log/index.ts'
 import type { Metrics } from '../metrics.ts'
 import type { ExchangeServer } from './exchange_server.ts'
@@ -11,10 +11,8 @@
 }
 
 const SAMPLE_INTERVAL_MS = 100
-/** Connections within an interval up to which nothing is measured, as long as the gate is open. */
+/** Connections within an interval up to which no sample is taken while the gate is open. */
 const FEW_CONNECTIONS = 4
-/** Longest wait that is measured, in milliseconds. */
-const MAX_WAIT_MS = 1000
 
 /** Measures how long new connections wait until they are accepted. Readiness and the links to other daemons have ports of their own, which stay open. */
 export class ConnectionGateTask {
@@ -31,7 +29,7 @@
 
   /** Starts measuring. */
   start (): void {
-    this.#timer = setTimeout(() => this.#measure(), SAMPLE_INTERVAL_MS)
+    this.#measureIn(SAMPLE_INTERVAL_MS)
   }
 
   /** Stops measuring. */
@@ -40,12 +38,16 @@
     clearTimeout(this.#timer)
   }
 
+  #measureIn (ms: number): void {
+    this.#timer = setTimeout(() => this.#measure(), ms)
+  }
+
   async #measure (): Promise<void> {
     const { server } = this.#options
     const arrived = server.connections - this.#connections
     this.#connections = server.connections
-    if (!this.#gate.isOpen || arrived > FEW_CONNECTIONS) this.#sample(await server.measureAcceptance(MAX_WAIT_MS))
-    if (!this.#stopped) this.start()
+    if (!this.#gate.isOpen || this.#gate.isUndecided || arrived > FEW_CONNECTIONS) this.#sample(await server.measureAcceptance(MAX_SAMPLED_WAIT_MS))
+    if (!this.#stopped) this.#measureIn(this.#gate.isOpen && this.#gate.isUndecided ? 0 : SAMPLE_INTERVAL_MS)
   }
 
   #sample (accepted: Acceptance): void {
--- a/daemon/exchange/exchange_server.ts
+++ b/daemon/exchange/exchange_server.ts
@@ -77,7 +77,7 @@
 
   /**
    * Measures how long a new connection waits until this process accepts it; not at all if it listens no more.
-   * @param givenUpMs Longest time to wait, in milliseconds.
+   * @param givenUpMs Longest time to wait, in milliseconds; what is known by then is returned.
    */
   measureAcceptance (givenUpMs: number): Promise<Acceptance> {
     const startMs = steadyNow()
@@ -87,21 +87,22 @@
     const { address: host, port } = listening
     return new Promise((resolve) => {
       const socket = connect({ host, port })
-      const finish = () => {
+      const report = () => resolve({ waitMs: steadyNow() - startMs, ahead: this.connections - connections })
+      const timer = setTimeout(report, givenUpMs)
+      // A probe that was given up is still accepted later, and must not count as a caller's connection.
+      this.#probes.set(socket, () => {
         clearTimeout(timer)
-        socket.destroy()
         this.#probes.delete(socket)
-        resolve({ waitMs: steadyNow() - startMs, ahead: this.connections - connections })
-      }
-      const timer = setTimeout(finish, givenUpMs)
-      this.#probes.set(socket, finish)
-      socket.on('error', finish)
+        socket.destroy()
+        report()
+      })
+      socket.on('error', () => this.#probes.get(socket)?.())
     })
   }
 
   #connected (socket: Socket, serve: (socket: Socket) => void): void {
     for (const [probe, accepted] of this.#probes) {
-      if (probe.localPort !== socket.remotePort) continue
+      if (probe.localPort !== socket.remotePort || probe.localAddress !== socket.remoteAddress) continue
       accepted()
       socket.destroy()
       return
