Move what a request asks the quarantine into a class of its own, and test how a held part is explained

request_task.ts had grown by what it asks the quarantine; _quarantine_check.ts holds it now. Behaviour stays: the tests of requests, sessions, held parts and crashing requests pass (123). explain names a held part and the line that has its crashes, which no test held before.

--- a/daemon/explain/explain_request_test.ts
+++ b/daemon/explain/explain_request_test.ts
@@ -95,6 +95,13 @@
   expect(steps[0]!.text).toContain('held for 3000 ms')
 })
 
+test('a request with a quarantined prompt part is explained with the part, by which the crashes are found', () => {
+  const line = (event: string, fields: object) => JSON.stringify({ level: 'warn', time: '2026-05-23T10:00:00.000Z', daemon: 'edge-1', process: 'p', event, request: 'another', ...fields })
+  const { cause, steps } = explainRequest(readLog(`${line('request-held', { fingerprint: '00ff', part: 'part-5c1e07a2@llm', forMs: 3000 })}\n${line('request-ended', { outcome: 'not-run', why: 'quarantined' })}`), 'another')
+  expect(cause).toBe('caller: endpoints crashed that ran requests with part-5c1e07a2@llm in their prompts; part-quarantined of it names them')
+  expect(steps[0]!.text).toContain('part-5c1e07a2@llm')
+})
+
 test('a request that is refused since all endpoints asked for time is explained with their names', () => {
   const line = (at: number, event: string, fields: object) => JSON.stringify({ level: 'info', time: new Date(Date.UTC(2026, 4, 23) + at).toISOString(), daemon: 'edge-1', process: 'p', event, ...fields })
   const text = [
--- a/daemon/request/request_task.ts
+++ b/daemon/request/request_task.ts
@@ -2,7 +2,6 @@
 import { AnswerBuffer, type AnswerBufferOptions, type AnswerHead, type Chunk, type WholeAnswer } from '../../core/answer/index.ts'
 import type { DaemonId, EndpointId, EndpointVersion, PoolName, RequestId } from '../../core/ids/index.ts'
 import { AttemptError, isConnectFailure, isConnectionAborted, isEndpointReported, outcomeAt, type FailurePoint, type Outcome } from '../../core/outcome/index.ts'
-import { isPart, type RequestSuspects } from '../../core/quarantine/index.ts'
 import { canMove, canRetry, isFreeRetry, newRequest, step, type AttemptProgress, type RequestEffect, type RequestMessage, type RequestState, type StartMode } from '../../core/request/index.ts'
 import { availableAtMs, type EndpointView, type Route } from '../../core/routing/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
@@ -13,7 +12,6 @@
 import { ASSUMED_NOTICE_MS, type SentWork } from '../endpoints/endpoint_table.ts'
 import type { RequestEvents } from '../log/index.ts'
 import { ClaimError } from '../once/shard_log.ts'
-import type { QuarantineStay } from '../quarantine/index.ts'
 import type { Placement } from './placement.ts'
 import { AttemptTracker } from './attempt_tracker.ts'
 import { DelegatedAttempts } from './_delegated_attempts.ts'
@@ -22,9 +20,10 @@
 import { RequestDecisions } from './request_decisions.ts'
 import { repeatedKeyResult } from './_claim_outcome.ts'
 import { attemptFailedEvent, attemptStartedEvent, requestEndedEvent } from './_request_events.ts'
+import { QuarantineCheck } from './_quarantine_check.ts'
 import { RequestMeter } from './_request_meter.ts'
 import { StreamBinding } from './_stream_binding.ts'
-import { QUARANTINED_REASON, requestTraits, suspectsOf, type Decision, type RequestPorts, type RequestWork } from './work.ts'
+import { QUARANTINED_REASON, requestTraits, type Decision, type RequestPorts, type RequestWork } from './work.ts'
 
 /** Options of {@linkcode RequestTask}. */
 export interface RequestTaskOptions<P> extends AnswerBufferOptions<P> {
@@ -83,15 +82,14 @@
   #hasBegun = false
   /** Binds the stream to the version of its first event. */
   readonly binding: StreamBinding
-  /** What the quarantine distinguishes the request by. */
-  readonly #suspects: RequestSuspects
+  readonly #quarantine: QuarantineCheck
   /** Version of the endpoint that runs the current attempt. */
   #runningVersion: EndpointVersion | undefined
 
   constructor (options: RequestTaskOptions<P>) {
     const { work, runner, ports } = options
     this.work = work
-    this.#suspects = suspectsOf(work)
+    this.#quarantine = new QuarantineCheck(work, ports)
     this.ports = ports
     this.#decisions = new RequestDecisions(work.id)
     this.#tracker = new AttemptTracker(ports.table)
@@ -130,7 +128,7 @@
     const elsewhere = table.select(this.work.pool, this.binding.version).connected.some((view) => view.id !== endpoint && availableAtMs(view) <= now && (this.ports.paths?.canSend(view, this.work.cls) ?? true))
     if (!elsewhere || !budget.tryWithdraw(table.isLeavingOrGone(endpoint))) return
     this.attachment?.detach()
-    this.ports.crashes.failed({ id: endpoint, view: table.get(endpoint) }, 'timeout-after-send', this.#watchedRun)
+    this.ports.crashes.failed({ id: endpoint, view: table.get(endpoint) }, 'timeout-after-send', this.#quarantine.watchedRun(this.#tracker.sentAtMs))
     this.#recordFailure(endpoint, new AttemptError('Cannot wait: the attempt went silent', { point: 'timeout-after-send' }), { attempt, repeat: 'allowed' })
   }
 
@@ -147,7 +145,7 @@
     if (!repeatable && !isFinal) return
     const granted = repeatable && (isFreeRetry(this.lifecycle, point) || budget.tryWithdraw(table.isLeavingOrGone(endpoint)))
     this.attachment?.detach()
-    crashes.failed({ id: endpoint, view: table.get(endpoint) }, point, this.#watchedRun)
+    crashes.failed({ id: endpoint, view: table.get(endpoint) }, point, this.#quarantine.watchedRun(this.#tracker.sentAtMs))
     this.#recordFailure(endpoint, new AttemptError('Cannot wait: the endpoint cannot be reached', { point }), { attempt, repeat: granted ? 'allowed' : repeatable ? 'over-budget' : 'not-allowed' })
   }
 
@@ -253,7 +251,7 @@
       resumed: this.lifecycle.mayHaveRun,
       boundTo: this.binding.version,
       avoid,
-      accepts: (view) => this.#heldAt([view]) === undefined,
+      accepts: (view) => this.#quarantine.heldAt([view]) === undefined,
       placed: (view, route) => this.#onPlaced(view, route),
       ...(this.#delegated && { delegated: (to: SelectedDelegate) => this.#onDelegated(to) }),
       avoidDelegates: this.lifecycle.avoidDelegates,
@@ -271,25 +269,14 @@
     if (phase === 'placing' || (phase === 'running' && this.progress?.lastPieceAtMs === undefined)) this.#refuseIfQuarantined(view && [view])
   }
 
-  #refuseIfQuarantined (views: readonly EndpointView[] = this.ports.table.usable(this.work.pool)): boolean {
-    const { metrics } = this.ports
-    const held = this.#heldAt(views)
+  #refuseIfQuarantined (views?: readonly EndpointView[]): boolean {
+    const held = this.#quarantine.heldAt(views)
     if (!held) return false
-    metrics.quarantineRefusals.inc({ class: metrics.labelOf(this.work.cls.name), cause: isPart(held.suspect) ? 'part' : 'request' })
-    this.recordDecision('request-held', { fingerprint: this.work.fingerprint(), part: isPart(held.suspect) ? held.suspect : undefined, forMs: Math.round(held.forMs) })
+    this.recordDecision('request-held', this.#quarantine.refused(held))
     this.post({ type: 'quarantined', reason: QUARANTINED_REASON, retryAfterMs: held.forMs })
     return true
   }
 
-  #heldAt (views: readonly EndpointView[]): QuarantineStay | undefined {
-    return this.ports.quarantine.heldAt(this.#suspects, views)
-  }
-
-  /** The current attempt, as the watch for crashes records it. */
-  get #watchedRun () {
-    return { fingerprint: this.work.fingerprint, parts: sharedParts(this.work.demand), sentAtMs: this.#tracker.sentAtMs }
-  }
-
   /** Checks the quarantine again, since the request may have been queued since the last check. */
   #onPlaced (view: EndpointView, route: Route): void {
     if (this.#refuseIfQuarantined([view])) return
@@ -427,7 +414,7 @@
     this.#markBegun()
     this.head ??= end.head
     this.ports.table.succeeded(endpoint)
-    if (end.endpointSeen && (!this.head || this.head.status < FIRST_REDIRECT_STATUS)) this.ports.quarantine.answered(this.#suspects, this.#runningVersion)
+    if (end.endpointSeen && (!this.head || this.head.status < FIRST_REDIRECT_STATUS)) this.#quarantine.answered(this.#runningVersion)
     this.post({ type: 'ended', attempt })
   }
 
@@ -440,11 +427,11 @@
     // Another endpoint answered at its address, so its process has ended, although the registry may list it for a while.
     if (err.point === 'endpoint-gone' && view) table.leaving([view.hostId], steadyNow(), 'refusal')
     // Spends from the budget only if the request could use the retry.
-    const suspected = isConnectionAborted(err.point) && this.ports.quarantine.isSuspected(this.#suspects)
+    const suspected = this.#quarantine.forbidsRepeat(err.point)
     const repeatable = this.mayRetryElsewhere && !suspected && canRetry(this.lifecycle, err.point)
     const retryGranted = repeatable && (isFreeRetry(this.lifecycle, err.point) || this.ports.budget.tryWithdraw(table.isLeavingOrGone(endpoint)))
     if (view && err.point === 'endpoint-said-not-run') this.ports.limits?.rejected(view)
-    this.ports.crashes.failed({ id: endpoint, view }, err.point, this.#watchedRun)
+    this.ports.crashes.failed({ id: endpoint, view }, err.point, this.#quarantine.watchedRun(this.#tracker.sentAtMs))
     if (view && err.point === 'endpoint-error') this.ports.answers?.failed(view, this.work.cls.name)
     if (view) this.#suspectPath(view, err.point)
     // What a failed connection attempt shows is the path's state, which is checked on its own.
@@ -487,7 +474,7 @@
   #stop (endpoint: EndpointId, attempt: number): void {
     this.attachment?.detach()
     this.attachment = undefined
-    const run = this.#watchedRun
+    const run = this.#quarantine.watchedRun(this.#tracker.sentAtMs)
     this.#tracker.end()
     const view = this.ports.table.get(endpoint)
     if (view) this.ports.crashes.abandoned(view, this.work.fingerprint(), run)
