Log an object of the configuration that is read and not used

An answer of the store that contains the configuration at a version that is not later than the known one left no trace.

--- a/daemon/config/config_follower.ts
+++ b/daemon/config/config_follower.ts
@@ -79,6 +79,7 @@
         const object = objects.get(options.key)
         if (object) this.#handleValue(object.value, 'store')
       },
+      onOutdated: (object, known) => log('config-outdated', { version: object.version, known: known.version, inForce: this.#inForce?.revision ?? 0 }),
       onReachabilityChange: (reached, why) => {
         metrics.revisionSure.set(reached ? 1 : 0)
         if (reached) log('store-back', { what: 'config' })
--- a/store/store_follower.ts
+++ b/store/store_follower.ts
@@ -10,6 +10,8 @@
   onChange (objects: ReadonlyMap<string, StoredObject>, news: FollowerUpdate): void
   /** Called when the store becomes unreachable and when it answers again. */
   onReachabilityChange? (reached: boolean, why: string): void
+  /** Called with each object of an answer that is not used, since the copy has a later version of it. */
+  onOutdated? (object: StoredObject, known: StoredObject): void
   /** Maximum wait of a watch in milliseconds; a function is called before each watch. Default 10,000. */
   waitMs?: number | (() => number)
   /**
@@ -136,6 +138,7 @@
   #applyObject (object: StoredObject): void {
     const known = this.#objects.get(object.key)
     if (!known || object.version > known.version) this.#objects.set(object.key, object)
+    else if (object.version < known.version) this.#options.onOutdated?.(object, known)
   }
 
   #recordSuccess (): void {
