--- a/core/lease/lease.ts
+++ b/core/lease/lease.ts
@@ -1,5 +1,6 @@
 /** Leases with fencing numbers as a pure state machine. A lease only determines who should work; protection comes from the fencing number. */
 import type { DaemonId } from '../ids/index.ts'
+import { NO_VERSION, type StoreVersion } from '../store_version/index.ts'
 
 /** Record of a lease in the store. */
 export interface LeaseRecord {
@@ -14,8 +15,8 @@
 
 /** A daemon's view of the lease. */
 export interface LeaseState {
-  /** Store version of the record last read, or 0 if there is none. */
-  version: number
+  /** Store version of the record last read, or `NO_VERSION` if there is none. */
+  version: StoreVersion
   record: LeaseRecord | undefined
   /** Time on this daemon's clock at which it first read the current record; for its own record, the time at which it sent it. */
   seenAtMs: number
@@ -25,7 +26,7 @@
 
 /** Next action on the lease. */
 export type LeaseAction =
-  | { type: 'write', record: LeaseRecord, version: number }
+  | { type: 'write', record: LeaseRecord, version: StoreVersion }
   | { type: 'wait', ms: number }
 
 /** Options of {@linkcode nextLeaseAction}. */
@@ -46,7 +47,7 @@
 const TAKE_OVER_AFTER_TTLS = 1.5
 
 /** Initial state, before the store was read. */
-export const NO_LEASE: LeaseState = { version: 0, record: undefined, seenAtMs: 0, lastSent: undefined }
+export const NO_LEASE: LeaseState = { version: NO_VERSION, record: undefined, seenAtMs: 0, lastSent: undefined }
 
 /** Records that a write was sent to the store. */
 export function recordSent (state: LeaseState, record: LeaseRecord, now: number): LeaseState {
@@ -59,8 +60,8 @@
  * The validity of this daemon's own record starts when it was sent, even if the daemon learns late that the write succeeded, since other daemons may
  * have read it long before and count from then. An own record that the daemon does not remember sending gives it no right to act.
  */
-export function recordRead (state: LeaseState, found: { record: LeaseRecord, version: number } | undefined, at: { self: DaemonId, now: number }): LeaseState {
-  if (!found) return { ...state, version: 0, record: undefined, seenAtMs: at.now }
+export function recordRead (state: LeaseState, found: { record: LeaseRecord, version: StoreVersion } | undefined, at: { self: DaemonId, now: number }): LeaseState {
+  if (!found) return { ...state, version: NO_VERSION, record: undefined, seenAtMs: at.now }
   if (found.version === state.version) return state
   const { record, version } = found
   const sentAtMs = record.renewal === state.lastSent?.renewal ? state.lastSent.atMs : -Infinity
--- a/core/lease/lease_test.ts
+++ b/core/lease/lease_test.ts
@@ -1,7 +1,10 @@
 import { expect, test } from 'vitest'
 import { as, type DaemonId } from '../ids/index.ts'
+import { NO_VERSION, revisionOf, storeVersion, type StoreVersion } from '../store_version/index.ts'
 import { currentFencing, nextLeaseAction, NO_LEASE, released, recordRead, recordSent, type LeaseRecord, type LeaseState } from './index.ts'
 
+const v = (revision: number) => storeVersion(0, revision)
+
 const A = as<DaemonId>('a')
 const B = as<DaemonId>('b')
 const TTL_MS = 1000
@@ -9,32 +12,32 @@
 
 test('a renewal is valid from when it was sent, and a holder that stops renewing loses the lease after its time to live', () => {
   const record: LeaseRecord = { holder: A, fencing: 3, ttlMs: TTL_MS, renewal: 'x' }
-  const state = recordRead(recordSent(NO_LEASE, record, 100), { record, version: 1 }, { self: A, now: 700 })
+  const state = recordRead(recordSent(NO_LEASE, record, 100), { record, version: v(1) }, { self: A, now: 700 })
   expect([currentFencing(state, A, 1099), currentFencing(state, A, 1100), currentFencing(state, B, 500)]).toEqual([3, undefined, undefined])
 })
 
 test('an own record that the daemon does not remember sending gives it no right to act', () => {
   // Guards against two holders at once: the response to a renewal was lost, and its sender found the record much later and counted its validity from then.
   const record: LeaseRecord = { holder: A, fencing: 3, ttlMs: TTL_MS, renewal: 'x' }
-  expect(currentFencing(recordRead(NO_LEASE, { record, version: 1 }, { self: A, now: 700 }), A, 700)).toBeUndefined()
+  expect(currentFencing(recordRead(NO_LEASE, { record, version: v(1) }, { self: A, now: 700 }), A, 700)).toBeUndefined()
 })
 
 test('a released lease is acquired at once, with a higher fencing number', () => {
   const record = released({ holder: A, fencing: 3, ttlMs: TTL_MS, renewal: 'x' }, 'y')
-  const state = recordRead(NO_LEASE, { record, version: 7 }, { self: B, now: 100 })
-  expect(nextLeaseAction(state, { self: B, now: 100, ttlMs: TTL_MS, writeId: 'z' })).toMatchObject({ type: 'write', version: 7, record: { holder: B, fencing: 4 } })
+  const state = recordRead(NO_LEASE, { record, version: v(7) }, { self: B, now: 100 })
+  expect(nextLeaseAction(state, { self: B, now: 100, ttlMs: TTL_MS, writeId: 'z' })).toMatchObject({ type: 'write', version: v(7), record: { holder: B, fencing: 4 } })
 })
 
 test('a holder that raises its fencing number writes at once, and other daemons do not', () => {
   const record: LeaseRecord = { holder: A, fencing: 3, ttlMs: TTL_MS, renewal: 'x' }
-  const state = recordRead(recordSent(NO_LEASE, record, 100), { record, version: 1 }, { self: A, now: 100 })
+  const state = recordRead(recordSent(NO_LEASE, record, 100), { record, version: v(1) }, { self: A, now: 100 })
   expect(nextLeaseAction(state, { self: A, now: 100, ttlMs: TTL_MS, writeId: 'z', increaseFencing: true })).toMatchObject({ type: 'write', record: { holder: A, fencing: 4 } })
   expect(nextLeaseAction(state, { self: B, now: 100, ttlMs: TTL_MS, writeId: 'z', increaseFencing: true })).toMatchObject({ type: 'wait' })
 })
 
 /** A write in flight to the store, or its response on the way back. */
-interface Write { actor: number, record: LeaseRecord, version: number, at: 'sent' | 'answered', result: { record: LeaseRecord, version: number } | undefined }
-interface SystemState { nowMs: number, stored: { record: LeaseRecord, version: number } | undefined, actors: LeaseState[], writes: Write[], written: number }
+interface Write { actor: number, record: LeaseRecord, version: StoreVersion, at: 'sent' | 'answered', result: { record: LeaseRecord, version: StoreVersion } | undefined }
+interface SystemState { nowMs: number, stored: { record: LeaseRecord, version: StoreVersion } | undefined, actors: LeaseState[], writes: Write[], written: number }
 
 /** The correct protocol, or one with a deliberate fault that the exploration must detect. */
 type Variant = 'correct' | 'counts from the answer' | 'takes over too early' | 'writes without a condition'
@@ -98,8 +101,8 @@
 
 /** Applies a write to the store and fixes its result, which the writer learns from the response or by reading back. */
 function applyWrite (system: SystemState, write: Write, { others, variant }: { others: Write[], variant: Variant }): SystemState {
-  const holds = variant === 'writes without a condition' || (system.stored?.version ?? 0) === write.version
-  const stored = holds ? { record: write.record, version: (system.stored?.version ?? 0) + 1 } : system.stored
+  const holds = variant === 'writes without a condition' || (system.stored?.version ?? NO_VERSION) === write.version
+  const stored = holds ? { record: write.record, version: v(revisionOf(system.stored?.version ?? NO_VERSION) + 1) } : system.stored
   return { ...system, stored, writes: [...others, { ...write, at: 'answered', result: stored }] }
 }
 
--- a/core/registry/lapsed_entries.ts
+++ b/core/registry/lapsed_entries.ts
@@ -1,9 +1,11 @@
 /** Detects registry entries that expired because the registry was unavailable rather than because their endpoints left. */
 
+import { isLater, NO_VERSION, type StoreVersion } from '../store_version/index.ts'
+
 /** State of one entry in a registry snapshot. */
 export interface EntryState {
   /** Registry version at which the entry was last written. */
-  version: number
+  version: StoreVersion
   /** True if the entry says that its endpoint is leaving, or names no endpoint. Such an entry is not expected to return. */
   leaving: boolean
 }
@@ -12,7 +14,7 @@
 export interface RegistrySnapshot {
   entries: ReadonlyMap<string, EntryState>
   /** Registry version of the snapshot. */
-  version: number
+  version: StoreVersion
   /** True for the first snapshot after a failed call. */
   afterFailure: boolean
   /** Time of the snapshot in milliseconds on the steady clock. */
@@ -69,9 +71,9 @@
   #present: ReadonlyMap<string, EntryState> = new Map()
   /** Held entries and the time until which each is held. */
   readonly #held = new Map<string, number>()
-  #lastSnapshot = { version: 0, atMs: -Infinity }
+  #lastSnapshot = { version: NO_VERSION, atMs: -Infinity }
   /** Last suspected outage. Entries written after `sinceVersion` were not affected by it. */
-  #outage = { why: 'none', sinceVersion: 0, untilMs: -Infinity }
+  #outage = { why: 'none', sinceVersion: NO_VERSION, untilMs: -Infinity }
 
   constructor (options: LapsedEntriesOptions = {}) {
     this.#options = options
@@ -137,6 +139,6 @@
 
   /** An entry written after the outage shows that its endpoint reached the registry. If it is missing later, the endpoint has left. */
   #mayHaveLapsed (entry: EntryState, now: number): boolean {
-    return now < this.#outage.untilMs && entry.version <= this.#outage.sinceVersion
+    return now < this.#outage.untilMs && !isLater(entry.version, this.#outage.sinceVersion)
   }
 }
--- a/core/rollout/rollout.ts
+++ b/core/rollout/rollout.ts
@@ -1,5 +1,6 @@
 /** Types of a rollout, which moves a pool's traffic to endpoints of another version: the operator's order and the rollout's progress. */
 import type { EndpointVersion, PoolName } from '../ids/index.ts'
+import type { StoreVersion } from '../store_version/index.ts'
 
 /** A rollout as ordered by an operator. */
 export interface RolloutOrder {
@@ -41,7 +42,7 @@
 /** An order with the progress stored beside it, which may belong to a previous order. */
 export interface RolloutRecord {
   /** Version of the stored object; a record with a higher version supersedes one with a lower version. */
-  version: number
+  version: StoreVersion
   order: RolloutOrder
   progress: RolloutProgress | undefined
 }
--- a/core/rollout/rollout_machine_test.ts
+++ b/core/rollout/rollout_machine_test.ts
@@ -1,6 +1,7 @@
 import fc from 'fast-check'
 import { expect, test } from 'vitest'
 import { as, type EndpointVersion, type PoolName } from '../ids/index.ts'
+import { storeVersion } from '../store_version/index.ts'
 import { isFinal, nextProgress, versionRule, type Comparison, type RolloutProgress, type RolloutObservation, type RolloutStage } from './index.ts'
 
 const OLD = as<EndpointVersion>('v1')
@@ -105,7 +106,7 @@
 })
 
 test('the version rule follows from the stored record', () => {
-  const record = (stage: RolloutStage | undefined, change: Partial<RolloutProgress['order']> = {}) => ({ version: 1, order, progress: stage && { ...initial, stage, order: { ...order, ...change } } })
+  const record = (stage: RolloutStage | undefined, change: Partial<RolloutProgress['order']> = {}) => ({ version: storeVersion(0, 1), order, progress: stage && { ...initial, stage, order: { ...order, ...change } } })
   const rule = (stage: RolloutStage | undefined, held = false) => versionRule(record(stage), { before: OLD, held })
   expect(versionRule(undefined, { before: OLD, held: false })).toEqual({ carries: OLD })
   // Endpoints of the new version are listed before a decider has started the order.
@@ -122,7 +123,7 @@
 
 test('an order that replaces another starts from the version before it, unless that order completed', () => {
   const third = as<EndpointVersion>('v3')
-  const replaced = (stage: RolloutStage) => versionRule({ version: 2, order: { ...order, to: third }, progress: { ...initial, stage } }, { before: third, held: false })
+  const replaced = (stage: RolloutStage) => versionRule({ version: storeVersion(0, 2), order: { ...order, to: third }, progress: { ...initial, stage } }, { before: third, held: false })
   expect(replaced('switching')).toEqual({ carries: OLD })
   expect(replaced('rolled-back')).toEqual({ carries: OLD })
   expect(replaced('completed')).toEqual({ carries: NEW })
--- /dev/null
+++ b/core/store_version/index.ts
@@ -0,0 +1,1 @@
+export * from './store_version.ts'
--- a/daemon/config/config_follower.ts
+++ b/daemon/config/config_follower.ts
@@ -3,6 +3,7 @@
 import { problemsOf } from '../../core/config/validate.ts'
 import type { DaemonId } from '../../core/ids/index.ts'
 import type { Hash32 } from '../../core/routing/index.ts'
+import { formatVersion } from '../../core/store_version/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import { StoreFollower, type ObjectSource } from '../../store/index.ts'
 import { log } from '../log/index.ts'
@@ -79,7 +80,7 @@
         const object = objects.get(options.key)
         if (object) this.#handleValue(object.value, 'store')
       },
-      onOutdated: (object, known) => log('config-outdated', { version: object.version, known: known.version, inForce: this.#inForce?.revision ?? 0 }),
+      onOutdated: (object, known) => log('config-outdated', { version: formatVersion(object.version), known: formatVersion(known.version), inForce: this.#inForce?.revision ?? 0 }),
       onReachabilityChange: (reached, why) => {
         metrics.revisionSure.set(reached ? 1 : 0)
         if (reached) log('store-back', { what: 'config' })
@@ -139,7 +140,7 @@
     const before = this.#inForce?.revision ?? 0
     this.#inForce = config
     this.#encoded = text
-    log('config-in-force', { revision: config.revision, before, from, announcedAgeMs: this.#exchange.announcedAgeMs(config.revision) })
+    log('config-in-force', { revision: config.revision, before, from, era: this.#options.store.era.current, announcedAgeMs: this.#exchange.announcedAgeMs(config.revision) })
     this.#options.metrics.revision.set(config.revision)
     for (const listener of this.#listeners) listener(config)
     this.#resolveKnown()
--- a/daemon/config/config_follower_test.ts
+++ b/daemon/config/config_follower_test.ts
@@ -1,9 +1,10 @@
 import fc from 'fast-check'
 import { afterEach, beforeEach, expect, test, vi } from 'vitest'
 import { as, type DaemonId } from '../../core/ids/index.ts'
+import { revisionOf, storeVersion, type StoreVersion } from '../../core/store_version/index.ts'
 import { delay } from '../../core/time/index.ts'
 import { StandInStore } from '../../standins/index.ts'
-import { StoreError, type Changes, type ObjectSource, type Snapshot, type StoredObject } from '../../store/index.ts'
+import { EraTracker, StoreError, type Changes, type ObjectSource, type Snapshot, type StoredObject } from '../../store/index.ts'
 import { createMetrics } from '../metrics.ts'
 import type { MembershipTask } from '../peers/membership_task.ts'
 import { ConfigFollower } from './config_follower.ts'
@@ -39,13 +40,14 @@
 
 /** A store whose answers may be stale, empty despite a change, repeated or failed. */
 class FaultyStore implements ObjectSource {
+  readonly era = new EraTracker()
   readonly #written: StoredObject[] = []
   fault: StoreFault = 'none'
   /** Called with each object that an answer contains. */
   onAnswer: (object: StoredObject) => void = () => {}
 
   write (revision: number): void {
-    this.#written.push({ key: KEY, version: this.#written.length + 1, value: JSON.stringify({ revision }) })
+    this.#written.push({ key: KEY, version: storeVersion(0, this.#written.length + 1), value: JSON.stringify({ revision }) })
   }
 
   async snapshot (): Promise<Snapshot> {
@@ -53,14 +55,15 @@
     return this.#at(this.fault === 'stale' ? Math.max(1, this.#written.length - 2) : this.#written.length)
   }
 
-  async changes (_prefix: string, { after }: { after: number }): Promise<Changes> {
+  async changes (_prefix: string, options: { after: StoreVersion }): Promise<Changes> {
     await this.#answerLater()
+    const after = revisionOf(options.after)
     const newest = this.#written.length
-    if (this.fault === 'lost') return { objects: [], removed: [], version: newest }
+    if (this.fault === 'lost') return { objects: [], removed: [], version: storeVersion(0, newest) }
     const from = this.fault === 'replayed' ? Math.max(0, after - 3) : after
     const changes = this.#written.slice(from, this.fault === 'replayed' ? Math.max(from + 1, after - 1) : newest)
     for (const object of changes) this.onAnswer(object)
-    return { objects: changes, removed: [], version: Math.max(after, newest) }
+    return { objects: changes, removed: [], version: storeVersion(0, Math.max(after, newest)) }
   }
 
   async #answerLater (): Promise<void> {
@@ -68,10 +71,10 @@
     if (this.fault === 'failed') throw new StoreError('Cannot read: no answer', { failure: 'unsure' })
   }
 
-  #at (version: number): Snapshot {
-    const object = this.#written[version - 1]
+  #at (revision: number): Snapshot {
+    const object = this.#written[revision - 1]
     if (object) this.onAnswer(object)
-    return { objects: object ? [object] : [], version }
+    return { objects: object ? [object] : [], version: storeVersion(0, revision) }
   }
 }
 
--- a/daemon/config/config_task.ts
+++ b/daemon/config/config_task.ts
@@ -4,6 +4,7 @@
   configSchema, diff, InvalidError, nextRevision, validate,
   type AcceptedConfig, type Config, type FieldChange
 } from '../../core/config/index.ts'
+import { NO_VERSION, type StoreVersion } from '../../core/store_version/index.ts'
 import type { DaemonId } from '../../core/ids/index.ts'
 import type { Hash32 } from '../../core/routing/index.ts'
 import { isStoreFailure, writeAndVerify, type TaggedValue, type ObjectStore, type StoredObject } from '../../store/index.ts'
@@ -111,7 +112,7 @@
     if (options.base !== undefined && options.base !== (current?.revision ?? 0)) throw new ConfigConflictError(current, config)
     const { id, operator } = options
     const next = nextRevision(current, config, { id, operator, atMs: Date.now() })
-    const result = await this.#write(next, { id, version: found?.version ?? 0 })
+    const result = await this.#write(next, { id, version: found?.version ?? NO_VERSION })
     if (!result.applied) {
       if (result.found) this.#follower.adopt(result.found.value, 'store')
       throw new ConfigConflictError(result.data, config)
@@ -120,7 +121,7 @@
     return next
   }
 
-  async #write (next: AcceptedConfig, options: { id: string, version: number }) {
+  async #write (next: AcceptedConfig, options: { id: string, version: StoreVersion }) {
     try {
       return await writeAndVerify(this.#options.store, CONFIG_KEY, { writeId: options.id, data: next, version: options.version })
     } catch (err) {
--- a/daemon/config/revision_propagation_test.ts
+++ b/daemon/config/revision_propagation_test.ts
@@ -2,6 +2,7 @@
 import { afterEach, beforeEach, expect, test, vi } from 'vitest'
 import xxhash from 'xxhash-wasm'
 import { as, type DaemonId } from '../../core/ids/index.ts'
+import { NO_VERSION } from '../../core/store_version/index.ts'
 import { delay } from '../../core/time/index.ts'
 import { StandInNetwork, StandInStore, type StandInLinks } from '../../standins/index.ts'
 import { StoreError, type ObjectStore } from '../../store/index.ts'
@@ -49,7 +50,7 @@
   readonly store = new StandInStore()
   readonly network = new StandInNetwork()
   readonly nodes: Node[] = []
-  #version = 0
+  #version = NO_VERSION
 
   async start (daemons: number, domains: number, options: FleetOptions = {}): Promise<void> {
     this.#version = await this.store.create(KEY, '{"revision":1}')
@@ -117,6 +118,7 @@
     const { store } = this
     const guarded = <T>(call: () => Promise<T>): Promise<T> => (node.refused ? Promise.reject(new StoreError('Cannot call: status 503', { failure: 'not-applied' })) : call())
     return {
+      era: store.era,
       get: (key) => guarded(() => store.get(key)),
       list: (prefix, options) => guarded(() => store.list(prefix, options)),
       snapshot: (prefix) => guarded(() => store.snapshot(prefix)),
--- a/daemon/duties/usage_task.ts
+++ b/daemon/duties/usage_task.ts
@@ -1,6 +1,7 @@
 /** Counts the requests of each client account as they start and reports them per time window. */
 import { randomUUID } from 'node:crypto'
 import type { AccountId } from '../../core/ids/index.ts'
+import { NO_VERSION } from '../../core/store_version/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import { UsageLedger, type WindowCounts } from '../../core/usage/index.ts'
 import { DutyError, type Duties } from '../../endpoints/index.ts'
@@ -113,7 +114,7 @@
     if (from > last) return written
     const missing = this.#ledger.counts(Math.max(from, last - RETAINED_WINDOWS + 1), last)
     const data = [...written, ...missing].slice(-RETAINED_WINDOWS)
-    const result = await writeAndVerify(store, REPORTS_KEY, { writeId: randomUUID(), data, version: found?.version ?? 0 })
+    const result = await writeAndVerify(store, REPORTS_KEY, { writeId: randomUUID(), data, version: found?.version ?? NO_VERSION })
     return result.applied ? data : result.data ?? []
   }
 }
--- a/daemon/duties/usage_task_test.ts
+++ b/daemon/duties/usage_task_test.ts
@@ -1,5 +1,6 @@
 import { expect, test } from 'vitest'
 import { as, type AccountId, type DaemonId } from '../../core/ids/index.ts'
+import type { StoreVersion } from '../../core/store_version/index.ts'
 import { Tally } from '../../core/tally/index.ts'
 import { SharedClock } from '../../core/time/index.ts'
 import type { Duties, UsageReport } from '../../endpoints/index.ts'
@@ -138,10 +139,11 @@
     })
   })
   return {
+    era: inner.era,
     get: (key: string) => call<StoredObject | undefined>(() => inner.get(key), false),
     create: (key: string, value: string) => call(() => inner.create(key, value), true),
-    update: (key: string, value: string, version: number) => call(() => inner.update(key, value, version), true)
-  } as ObjectStore
+    update: (key: string, value: string, version: StoreVersion) => call(() => inner.update(key, value, version), true)
+  } as Partial<ObjectStore> as ObjectStore
 }
 
 async function flushMicrotasks (): Promise<void> {
--- a/daemon/endpoints/departure_sharing.ts
+++ b/daemon/endpoints/departure_sharing.ts
@@ -1,12 +1,13 @@
 /** Gossips leaving hosts to all daemons, whichever noticed them first. */
 import { as, type HostId } from '../../core/ids/index.ts'
+import { fromOrdinal, ordinalOf } from '../../core/store_version/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import { log } from '../log/index.ts'
 import type { MembershipTask } from '../peers/membership_task.ts'
 import type { EndpointTable } from './endpoint_table.ts'
 import type { LeavingSignal } from './leaving_signal.ts'
 
-/** Key prefix of departures reported by the registry. The fact's version is the registry's, so a later departure of the same host replaces an earlier one. */
+/** Key prefix of departures reported by the registry. The fact's version is the ordinal of the registry's, so a later departure of the same host replaces an earlier one. */
 const DEPARTED_PREFIX = 'departed/'
 /** Key prefix of departures known from other signals. */
 const LEAVING_PREFIX = 'leaving/'
@@ -18,7 +19,7 @@
 /** Shares departures between this daemon's endpoint table and those of the other daemons. */
 export function shareDepartures (table: EndpointTable, membership: MembershipTask): void {
   membership.onFact(({ key, version, value }) => {
-    if (key.startsWith(DEPARTED_PREFIX)) table.departed([hostOf(key, DEPARTED_PREFIX)], { goneAtMs: toSteadyClock(value as number), version, signal: 'peer' })
+    if (key.startsWith(DEPARTED_PREFIX)) table.departed([hostOf(key, DEPARTED_PREFIX)], { goneAtMs: toSteadyClock(value as number), version: fromOrdinal(version), signal: 'peer' })
     else if (key.startsWith(LEAVING_PREFIX)) table.leaving([hostOf(key, LEAVING_PREFIX)], toSteadyClock(value as number), 'peer')
   })
   table.onLeaving((leaving) => {
@@ -27,7 +28,7 @@
       log('endpoint-leaving', { endpoint: view.id, signal, leftMs: Math.round(leftMs) })
       if (signal === 'peer') continue
       const goneAtWallMs = Date.now() + leftMs
-      if (version !== undefined) membership.publishFact({ key: DEPARTED_PREFIX + view.hostId, version, value: goneAtWallMs })
+      if (version !== undefined) membership.publishFact({ key: DEPARTED_PREFIX + view.hostId, version: ordinalOf(version), value: goneAtWallMs })
       else membership.publishFact({ key: LEAVING_PREFIX + view.hostId, version: factVersion(signal, goneAtWallMs), value: goneAtWallMs })
     }
   })
--- a/daemon/endpoints/departure_sharing_test.ts
+++ b/daemon/endpoints/departure_sharing_test.ts
@@ -3,7 +3,7 @@
 import type { Fact } from '../../core/membership/index.ts'
 import { decodeEndpoint } from '../../platform/endpoint_decoder.ts'
 import { StandInStore } from '../../standins/index.ts'
-import { StoreError, type ObjectStore } from '../../store/index.ts'
+import { StoreError, type ObjectSource } from '../../store/index.ts'
 import type { FactListener, MembershipTask } from '../peers/membership_task.ts'
 import { EndpointFollower } from './endpoint_follower.ts'
 import { EndpointTable } from './endpoint_table.ts'
@@ -53,11 +53,12 @@
       if (this.isRejected) throw new StoreError('Cannot reach store: rejected', { failure: 'not-applied' })
       return result
     }
-    const own: Pick<ObjectStore, 'snapshot' | 'changes'> = {
+    const own: ObjectSource = {
+      era: store.era,
       snapshot: async (prefix) => await answer(await store.snapshot(prefix)),
       changes: async (prefix, options) => await answer(await store.changes(prefix, options))
     }
-    this.#follower = new EndpointFollower({ store: own as ObjectStore, prefix: 'servers/', decode: decodeEndpoint, table: this.table, random: () => 0.5, pool: () => undefined, onChange: () => {} })
+    this.#follower = new EndpointFollower({ store: own, prefix: 'servers/', decode: decodeEndpoint, table: this.table, random: () => 0.5, pool: () => undefined, onChange: () => {} })
     this.#follower.start()
   }
 
--- a/daemon/endpoints/endpoint_follower.ts
+++ b/daemon/endpoints/endpoint_follower.ts
@@ -4,6 +4,7 @@
 import { as, type HostId, type PoolName } from '../../core/ids/index.ts'
 import { LapsedEntries, type EntryState, type LapsedEntriesOptions, type VanishedEntries } from '../../core/registry/index.ts'
 import type { Random } from '../../core/routing/index.ts'
+import { NO_VERSION, type StoreVersion } from '../../core/store_version/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import type { ListedHost } from '../../endpoints/index.ts'
 import { StoreFollower, type ObjectSource, type StoredObject } from '../../store/index.ts'
@@ -41,7 +42,7 @@
 const INITIAL_RESPONSE_MS = 20
 
 /** An endpoint, and the version of the registry at which its entry was written. */
-interface KnownEndpoint extends ListedEndpoint { entryVersion: number }
+interface KnownEndpoint extends ListedEndpoint { entryVersion: StoreVersion }
 
 /** Follows the registry and applies its entries to the endpoint table. */
 export class EndpointFollower {
@@ -51,10 +52,10 @@
   #applied: ReadonlyMap<string, KnownEndpoint> = new Map()
   readonly #lapsedEntries: LapsedEntries
   /** Version of the registry last applied. */
-  #appliedVersion = 0
+  #appliedVersion = NO_VERSION
   #expiryTimer: NodeJS.Timeout | undefined
   /** Decoded entries by key; `endpoint` is undefined for an entry that could not be decoded. */
-  #decoded = new Map<string, { version: number, endpoint: KnownEndpoint | undefined }>()
+  #decoded = new Map<string, { version: StoreVersion, endpoint: KnownEndpoint | undefined }>()
 
   constructor (options: EndpointFollowerOptions) {
     this.#options = options
@@ -87,7 +88,7 @@
     this.#follower.stop()
   }
 
-  #onAnswer (objects: ReadonlyMap<string, StoredObject>, version: number): void {
+  #onAnswer (objects: ReadonlyMap<string, StoredObject>, version: StoreVersion): void {
     const listed = this.#decodeAll(objects)
     const vanished = this.#lapsedEntries.update({ entries: this.#entryStates(objects, listed), version, afterFailure: !this.#follower.reachable, now: steadyNow() })
     this.#logHeld(vanished, listed)
--- a/daemon/endpoints/endpoint_follower_test.ts
+++ b/daemon/endpoints/endpoint_follower_test.ts
@@ -1,9 +1,10 @@
 import fc from 'fast-check'
 import { afterEach, beforeEach, expect, test, vi } from 'vitest'
 import { as, type DaemonId, type PoolName } from '../../core/ids/index.ts'
+import { isLater, storeVersion, type StoreVersion } from '../../core/store_version/index.ts'
 import { delay, steadyNow } from '../../core/time/index.ts'
 import { decodeEndpoint } from '../../platform/endpoint_decoder.ts'
-import { StoreError, type Changes, type ObjectStore, type Snapshot, type StoredObject } from '../../store/index.ts'
+import { EraTracker, StoreError, type Changes, type ObjectSource, type Snapshot, type StoredObject } from '../../store/index.ts'
 import { EndpointFollower } from './endpoint_follower.ts'
 import { EndpointTable } from './endpoint_table.ts'
 
@@ -15,37 +16,38 @@
 afterEach(() => { vi.useRealTimers() })
 
 /** An in-memory registry whose entries are set by tests; its watch returns the changed entries. */
-class Registry implements Pick<ObjectStore, 'snapshot' | 'changes'> {
+class Registry implements ObjectSource {
+  readonly era = new EraTracker()
   objects: StoredObject[] = []
-  #version = 0
+  #revision = 0
   isDown = false
 
   set (entries: Iterable<[string, string]>): void {
-    this.#version++
-    this.objects = [...entries].map(([name, value]) => ({ key: `servers/${name}`, version: this.#version, value }))
+    this.#revision++
+    this.objects = [...entries].map(([name, value]) => ({ key: `servers/${name}`, version: storeVersion(0, this.#revision), value }))
   }
 
   change (name: string, value: unknown): void {
-    this.#version++
-    this.objects = this.objects.map((object) => (object.key === `servers/${name}` ? { ...object, version: this.#version, value: JSON.stringify(value) } : object))
+    this.#revision++
+    this.objects = this.objects.map((object) => (object.key === `servers/${name}` ? { ...object, version: storeVersion(0, this.#revision), value: JSON.stringify(value) } : object))
   }
 
   async snapshot (): Promise<Snapshot> {
     if (this.isDown) throw new StoreError('Cannot list: no answer', { failure: 'unsure' })
-    return { objects: this.objects, version: this.#version }
+    return { objects: this.objects, version: storeVersion(0, this.#revision) }
   }
 
-  async changes (_prefix: string, { after }: { after: number }): Promise<Changes> {
+  async changes (_prefix: string, { after }: { after: StoreVersion }): Promise<Changes> {
     await delay(100)
     if (this.isDown) throw new StoreError('Cannot watch: no answer', { failure: 'unsure' })
-    const objects = this.objects.filter(({ version }) => version > after)
-    return { objects, removed: [], version: this.#version }
+    const objects = this.objects.filter(({ version }) => isLater(version, after))
+    return { objects, removed: [], version: storeVersion(0, this.#revision) }
   }
 }
 
 function follow (registry: Registry, decode = decodeEndpoint): { table: EndpointTable, follower: EndpointFollower } {
   const table = new EndpointTable({ self: as<DaemonId>('d'), hash: (text) => text.length })
-  const follower = new EndpointFollower({ store: registry as unknown as ObjectStore, prefix: 'servers/', decode, table, random: () => 0.5, pool: () => undefined, onChange: () => {} })
+  const follower = new EndpointFollower({ store: registry, prefix: 'servers/', decode, table, random: () => 0.5, pool: () => undefined, onChange: () => {} })
   follower.start()
   return { table, follower }
 }
--- a/daemon/endpoints/endpoint_table.ts
+++ b/daemon/endpoints/endpoint_table.ts
@@ -6,6 +6,7 @@
   type EndpointLoad, type EndpointView, type EndpointWork, type FirstTokenSample, type Hash32, type Lane, type FirstTokenModel
 } from '../../core/routing/index.ts'
 import type { BackOffChange } from '../../core/retry/index.ts'
+import type { StoreVersion } from '../../core/store_version/index.ts'
 import type { StreamVersion } from '../../core/streams/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import type { ListedHost } from '../../endpoints/index.ts'
@@ -170,7 +171,7 @@
   }
 
   /** Marks hosts as leaving or gone as of a registry version, reported by the registry or a peer. */
-  departed (hosts: readonly HostId[], departure: Departure & { version: number, signal: LeavingSignal }): void {
+  departed (hosts: readonly HostId[], departure: Departure & { version: StoreVersion, signal: LeavingSignal }): void {
     this.#applyLeaving(hosts, departure)
   }
 
--- a/daemon/endpoints/endpoint_table_test.ts
+++ b/daemon/endpoints/endpoint_table_test.ts
@@ -1,6 +1,7 @@
 import { afterEach, beforeEach, expect, test, vi } from 'vitest'
 import { as, endpointId, type DaemonId, type EndpointId, type HostId, type PoolName } from '../../core/ids/index.ts'
 import type { FailurePoint } from '../../core/outcome/index.ts'
+import { storeVersion } from '../../core/store_version/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import type { ListedHost } from '../../endpoints/index.ts'
 import { EndpointTable } from './endpoint_table.ts'
@@ -88,7 +89,7 @@
 test('an endpoint that announced in an answer that it leaves is not used again until its process is replaced', () => {
   // Guards against new work for a leaving endpoint that is still listed as ready, written anew, or missing for a while and then listed again.
   const table = tableOf()
-  const listed = (version: number) => ({ ...start(1000), version })
+  const listed = (revision: number) => ({ ...start(1000), version: storeVersion(0, revision) })
   table.applyHostList([listed(1), other])
   table.announcedLeaving(FIRST)
   for (let version = 2; version < 100; version++) {
@@ -96,7 +97,7 @@
     table.applyHostList([listed(version), other])
     expect(idsOf(table)).toEqual(['i-2'])
   }
-  table.departed([as<HostId>(FIRST)], { goneAtMs: steadyNow(), version: 100, signal: 'list' })
+  table.departed([as<HostId>(FIRST)], { goneAtMs: steadyNow(), version: storeVersion(0, 100), signal: 'list' })
   table.applyHostList([other])
   table.applyHostList([listed(101), other])
   expect(idsOf(table)).toEqual(['i-2'])
@@ -108,12 +109,12 @@
   const table = tableOf()
   const signals: string[] = []
   table.onLeaving((leaving) => { signals.push(...leaving.map(({ signal }) => signal)) })
-  table.applyHostList([{ ...start(1000), version: 1 }, other])
-  table.departed([as<HostId>(FIRST)], { goneAtMs: steadyNow() + 2000, version: 2, signal: 'peer' })
+  table.applyHostList([{ ...start(1000), version: storeVersion(0, 1) }, other])
+  table.departed([as<HostId>(FIRST)], { goneAtMs: steadyNow() + 2000, version: storeVersion(0, 2), signal: 'peer' })
   table.announcedLeaving(FIRST)
   table.announcedLeaving(other.endpoint.id)
   table.announcedLeaving(other.endpoint.id)
-  table.applyHostList([{ ...start(1000), version: 3 }, other])
+  table.applyHostList([{ ...start(1000), version: storeVersion(0, 3) }, other])
   expect(signals).toEqual(['peer', 'answer'])
   expect(idsOf(table)).toEqual([])
 })
--- a/daemon/exchange/_proxy_components.ts
+++ b/daemon/exchange/_proxy_components.ts
@@ -22,6 +22,7 @@
 import { createMetrics, type Metrics } from '../metrics.ts'
 import { DelegatedRuns, DelegateFinder, DelegateServer } from '../delegation/index.ts'
 import { PathWatch } from '../paths/index.ts'
+import { shareStoreEra } from '../peers/era_sharing.ts'
 import { LeaseAnnouncer } from '../peers/lease_announcer.ts'
 import { LoadTask } from '../peers/load_task.ts'
 import { MembershipTask } from '../peers/membership_task.ts'
@@ -263,6 +264,7 @@
   })
   const components = container.cradle
   shareDepartures(components.table, components.membership)
+  shareStoreEra(platform.store.era, { membership: components.membership, metrics: components.metrics })
   components.paths.onChange = (pool) => {
     components.delegateFinder.pathsChanged(pool)
     components.dispatcher.startQueued()
--- a/daemon/fleet/lease_task.ts
+++ b/daemon/fleet/lease_task.ts
@@ -2,12 +2,13 @@
 import { randomUUID } from 'node:crypto'
 import type { DaemonId } from '../../core/ids/index.ts'
 import { currentFencing, nextLeaseAction, NO_LEASE, released, recordRead, recordSent, type LeaseRecord, type LeaseState } from '../../core/lease/index.ts'
+import { isLater, type StoreVersion } from '../../core/store_version/index.ts'
 import { delay, steadyNow } from '../../core/time/index.ts'
 import { StoreError, writeAndVerify, type TaggedValue, type ObjectStore } from '../../store/index.ts'
 import { log } from '../log/index.ts'
 
 /** Sent by the holder to the other contenders after each write of the lease. */
-export interface LeaseAnnouncement { name: string, record: LeaseRecord, version: number }
+export interface LeaseAnnouncement { name: string, record: LeaseRecord, version: StoreVersion }
 
 /** Channel between the daemons that contend for a lease. */
 export interface LeasePeers {
@@ -205,7 +206,7 @@
 
   /** Announcements may arrive late; only versions newer than the one known count. */
   #onAnnouncement ({ name, record, version }: LeaseAnnouncement): void {
-    if (name !== this.#options.name || version <= this.#state.version || this.#stopped || !this.#hasCurrentRecord) return
+    if (name !== this.#options.name || !isLater(version, this.#state.version) || this.#stopped || !this.#hasCurrentRecord) return
     this.#lastAnnouncementAtMs = steadyNow()
     this.#observe({ record, version })
     // The lease was released and can be acquired immediately.
@@ -218,7 +219,7 @@
     this.#observe(found && record ? { record, version: found.version } : undefined)
   }
 
-  async #write (record: LeaseRecord, version: number): Promise<void> {
+  async #write (record: LeaseRecord, version: StoreVersion): Promise<void> {
     this.#state = recordSent(this.#state, record, steadyNow())
     const offsetMs = clockOffsetMs()
     const result = await writeAndVerify(this.#options.store, this.#key, { writeId: record.renewal, data: record, version })
@@ -229,7 +230,7 @@
     this.#options.peers?.announce({ name: this.#options.name, record, version: result.version })
   }
 
-  #observe (found: { record: LeaseRecord, version: number } | undefined): void {
+  #observe (found: { record: LeaseRecord, version: StoreVersion } | undefined): void {
     const { self } = this.#options
     const before = this.#state.record
     this.#state = recordRead(this.#state, found, { self, now: steadyNow() })
--- a/daemon/log/events.ts
+++ b/daemon/log/events.ts
@@ -70,15 +70,17 @@
   'daemon-left': { cut: number, heir?: string | undefined }
   'settings-read': { changed: readonly string[], needRestart: readonly string[] }
   'settings-refused': { problems: readonly string[] }
-  /** `announcedAgeMs` is the time since a peer first announced the revision; undefined if none did. */
-  'config-in-force': { revision: number, before: number, from: string, announcedAgeMs?: number | undefined }
+  /** `announcedAgeMs` is the time since a peer first announced the revision; undefined if none did. `era` is that of the store. */
+  'config-in-force': { revision: number, before: number, from: string, era: number, announcedAgeMs?: number | undefined }
   'config-refused': { problems: readonly string[], inForce: number }
-  /** An answer of the store contained an object that is not used, since one with a later version (`known`) of the store was read before. */
-  'config-outdated': { version: number, known: number, inForce: number }
+  /** An answer of the store contained an object that is not used, since one with a later version (`known`) was read before. Versions are those of the store: its era and revision. */
+  'config-outdated': { version: string, known: string, inForce: number }
   /** A peer announced a revision, but did not return it. */
   'config-not-fetched': { revision: number, from: string, why: string, announcedAgeMs?: number | undefined }
   'store-lost': { what: string, why: string, lastAnswerAgeMs: number | undefined }
   'store-back': { what: string }
+  /** The store has returned to a copy of itself; `from` is the store or the daemon that this one has it from. What was read before is listed again. */
+  'store-returned': { era: number, before: number, from: string }
   /** A peer could not relay changes of the store; the next peer, or the store itself, is asked instead. */
   'relay-failed': { peer: string, prefix: string, why: string }
   /** New connections of callers are closed unread: they wait `waitMs` until this process accepts them, so that it would answer late what it reads. */
@@ -176,7 +178,7 @@
 
 /** Events logged as warnings; the rate limit drops routine events before these. */
 export const WARNING_EVENTS: ReadonlySet<LogEvent> = new Set<LogEvent>([
-  'request-refused', 'request-broke', 'request-held', 'attempt-failed', 'export-failed', 'settings-refused', 'config-refused', 'config-outdated', 'config-not-fetched', 'store-lost', 'relay-failed',
+  'request-refused', 'request-broke', 'request-held', 'attempt-failed', 'export-failed', 'settings-refused', 'config-refused', 'config-outdated', 'config-not-fetched', 'store-lost', 'store-returned', 'relay-failed',
   'connections-refused', 'peer-not-linked', 'peer-send-failed', 'peer-message-refused', 'not-registered', 'endpoint-refused', 'endpoint-crashed', 'request-quarantined', 'part-quarantined', 'quarantine-not-stored', 'endpoint-avoided', 'path-down', 'pool-cut-off', 'delegate-failed', 'endpoint-silent', 'endpoint-limit-refused', 'endpoint-signal-refused', 'keeper-silent', 'lease-call-failed',
   'usage-not-reported', 'order-refused', 'rollout-held', 'rollout-refused', 'rollout-not-written', 'fleet-round-cut', 'answers-lost', 'lines-left-out'
 ])
--- a/daemon/metrics.ts
+++ b/daemon/metrics.ts
@@ -58,6 +58,7 @@
     endpoints: gauge('endpoints', 'Endpoints by pool and state', ['pool', 'state']),
     revision: gauge('config_revision', 'Revision of the configuration in force'),
     revisionSure: gauge('config_revision_sure', '1 while the store or a peer confirmed the revision lately, else 0'),
+    storeReturns: counter('store_returns_total', 'Returns of the store to a copy of itself, by its era'),
     members: gauge('members', 'Daemons known, by state', ['state']),
     storeChangeAge: histogram('store_news_age_ms', 'Age of what another daemon told of the store', { labelNames: ['prefix'], buckets: [50, 200, 500, 1000, 2000, 4000, 6000] }),
     quotaWait: histogram('quota_wait_ms', 'Time to hear whether an account\'s quota has room', { buckets: [1, 5, 20, 100, 500, 1500] }),
--- a/daemon/once/shard_log.ts
+++ b/daemon/once/shard_log.ts
@@ -4,6 +4,7 @@
   EMPTY_HEAD, MERGE_THRESHOLD, SEAL_THRESHOLD, append, dropOld, resolveClaim, merge, mergeable, newestMs, seal,
   type Claim, type ClaimResult, type KeyHash, type Segment, type ShardHead
 } from '../../core/once/index.ts'
+import { NO_VERSION, type StoreVersion } from '../../core/store_version/index.ts'
 import { isStoreFailure, StoreError, writeAndVerify, type TaggedValue, type ObjectStore } from '../../store/index.ts'
 import { delay, steadyNow } from '../../core/time/index.ts'
 
@@ -46,7 +47,7 @@
   readonly #loadedSegments = new Set<string>()
   #garbage: string[] = []
   #head: ShardHead = EMPTY_HEAD
-  #version: number | undefined
+  #version: StoreVersion | undefined
   #pending: Pending[] = []
   #writing = false
   #nextCallAtMs = 0
@@ -121,10 +122,10 @@
   async #readHead (): Promise<void> {
     const found = await this.#store.get(this.#key)
     const marked = found && JSON.parse(found.value) as TaggedValue<ShardHead>
-    await this.#loadHead(marked?.data ?? EMPTY_HEAD, found?.version ?? 0)
+    await this.#loadHead(marked?.data ?? EMPTY_HEAD, found?.version ?? NO_VERSION)
   }
 
-  async #loadHead (head: ShardHead, version: number): Promise<void> {
+  async #loadHead (head: ShardHead, version: StoreVersion): Promise<void> {
     for (const segment of head.segments) await this.#loadSegment(segment)
     for (const claim of head.recent) this.#claims.set(claim.key, claim)
     this.#head = head
@@ -181,7 +182,7 @@
       return true
     }
     this.#garbage = []
-    await this.#loadHead(result.data ?? EMPTY_HEAD, result.found?.version ?? 0)
+    await this.#loadHead(result.data ?? EMPTY_HEAD, result.found?.version ?? NO_VERSION)
     return false
   }
 
--- a/daemon/peers/membership_task.ts
+++ b/daemon/peers/membership_task.ts
@@ -2,6 +2,7 @@
 import type { DaemonId, FailureDomain } from '../../core/ids/index.ts'
 import { VersionedCache, HEARTBEAT_MS, Membership, isPresumedAlive, rankedFor, acceptsWork, type Fact, type Gossip, type Member, type MemberState, type MembershipEffect } from '../../core/membership/index.ts'
 import type { Hash32 } from '../../core/routing/index.ts'
+import { NO_VERSION } from '../../core/store_version/index.ts'
 import { delay, steadyNow } from '../../core/time/index.ts'
 import { isStoreFailure, StoreError, type ObjectStore } from '../../store/index.ts'
 import type { Links } from './links.ts'
@@ -59,7 +60,7 @@
   #timers: NodeJS.Timeout[] = []
   /** Addresses of a few other daemons, used until contact with one of them. */
   seeds: readonly string[]
-  #registeredVersion = 0
+  #registeredVersion = NO_VERSION
   #joined = false
   #ticks = 0
   #successors: readonly Member[] = []
@@ -272,7 +273,7 @@
     const { self, store } = this.#options
     const value = JSON.stringify({ id: self, address: this.core.self.address, atMs: Date.now() } satisfies Registration)
     try {
-      this.#registeredVersion = this.#registeredVersion === 0 ? await store.create(this.#registrationKey, value) : await store.update(this.#registrationKey, value, this.#registeredVersion)
+      this.#registeredVersion = this.#registeredVersion === NO_VERSION ? await store.create(this.#registrationKey, value) : await store.update(this.#registrationKey, value, this.#registeredVersion)
     } catch (err) {
       if (!(err instanceof StoreError)) throw err
       // Only this daemon writes the key: a conflict stems from its own unacknowledged write or from an earlier process.
@@ -288,7 +289,7 @@
       this.#registeredVersion = found ? await store.update(this.#registrationKey, value, found.version) : await store.create(this.#registrationKey, value)
     } catch (err) {
       if (!(err instanceof StoreError)) throw err
-      this.#registeredVersion = 0
+      this.#registeredVersion = NO_VERSION
       this.#scheduleRegistration(err)
     }
   }
--- a/daemon/peers/store_relay.ts
+++ b/daemon/peers/store_relay.ts
@@ -3,8 +3,9 @@
 import type { DaemonId } from '../../core/ids/index.ts'
 import type { Member } from '../../core/membership/index.ts'
 import type { Hash32 } from '../../core/routing/index.ts'
+import { eraOf, formatVersion, NO_VERSION, type StoreVersion } from '../../core/store_version/index.ts'
 import { steadyNow, Waiters } from '../../core/time/index.ts'
-import { ChangeLog, isStoreFailure, StoreError, type Changes, type ObjectSource, type Snapshot } from '../../store/index.ts'
+import { ChangeLog, type EraTracker, isStoreFailure, StoreError, type Changes, type ObjectSource, type Snapshot } from '../../store/index.ts'
 import { log } from '../log/index.ts'
 import type { Metrics } from '../metrics.ts'
 import { PeerError, type Links } from './links.ts'
@@ -23,8 +24,8 @@
   propagationMs: number
 }
 
-/** Long-poll request for the changes of a prefix after a version. */
-interface ChangesRequest { prefix: string, after: number, waitMs: number }
+/** Long-poll request for the changes of a prefix after a version; `era` is the era that the caller knows of. */
+interface ChangesRequest { prefix: string, after: StoreVersion, era: number, waitMs: number }
 /** `ageMs`: time since the store itself last answered, directly or through other daemons, in milliseconds. */
 interface ChangesResponse extends Changes { ageMs: number }
 
@@ -55,7 +56,8 @@
 
   constructor (options: StoreRelayOptions) {
     this.#options = options
-    options.links.handle(CHANGES_METHOD, async ({ prefix, after, waitMs }: ChangesRequest) => {
+    options.links.handle(CHANGES_METHOD, async ({ prefix, after, era, waitMs }: ChangesRequest, { from }) => {
+      if (era !== undefined) options.store.era.learn(era, from)
       const followed = this.#followed.get(prefix)
       if (!followed) throw new Error(`Cannot serve changes of ${prefix}: this daemon does not follow it`)
       return await followed.answer(after, waitMs)
@@ -79,17 +81,24 @@
    * Sources that report a failure cost no time, but one that is silent uses up the time that all of them have together: if each could take as
    * long, the number of sources would determine when a change arrives.
    */
-  async #fetchChanges (prefix: string, after: number): Promise<ChangesResponse | undefined> {
+  async #fetchChanges (prefix: string, after: StoreVersion): Promise<ChangesResponse | undefined> {
     const deadlineMs = steadyNow() + this.#options.propagationMs * REQUEST_TIMEOUT_FRACTION
     for (const daemon of this.#sources()) {
       const remainingMs = deadlineMs - steadyNow()
       if (remainingMs <= 0) return undefined
-      const response = await this.#fetchChangesFrom(daemon, { prefix, after, waitMs: remainingMs / 2 }, remainingMs)
+      const response = await this.#fetchChangesFrom(daemon, { prefix, after, era: this.#options.store.era.current, waitMs: remainingMs / 2 }, remainingMs)
       if (response) return response
     }
     return undefined
   }
 
+  /** Refuses changes that do not continue the caller's version, and state of an older era. */
+  #checkEra ({ version, whole }: Changes, { prefix, after }: ChangesRequest): void {
+    const { era } = this.#options.store
+    era.learn(eraOf(version), 'daemon')
+    if (eraOf(version) < era.current || (whole !== true && eraOf(version) !== eraOf(after))) throw new Error(`Cannot use changes of ${prefix}: version ${formatVersion(version)} does not continue ${formatVersion(after)}`)
+  }
+
   #sources (): Member[] {
     const now = steadyNow()
     const { self, acceptingWork, hash } = this.#options
@@ -101,6 +110,7 @@
     try {
       // The timeout of a call begins once the daemon is connected.
       const response = await within(links.call(daemon, CHANGES_METHOD, req, { timeoutMs }), timeoutMs) as ChangesResponse
+      this.#checkEra(response, req)
       metrics.storeChangeAge.observe({ prefix: req.prefix }, response.ageMs)
       return response
     } catch (err) {
@@ -116,7 +126,7 @@
   store: ObjectSource
   /** State older than this is not served to other daemons, in milliseconds. */
   maxAgeMs: number
-  fetchChanges (after: number): Promise<ChangesResponse | undefined>
+  fetchChanges (after: StoreVersion): Promise<ChangesResponse | undefined>
 }
 
 /** State of one followed prefix. */
@@ -133,7 +143,12 @@
     this.#options = options
   }
 
-  /** Always reads the store: listings follow a start or a failure, when the copies of other daemons are least reliable. */
+  get era (): EraTracker { return this.#options.store.era }
+
+  /**
+   * Reads the store: listings follow a start or a failure, when the copies of other daemons are least reliable. The exception is a daemon whose copy is of an
+   * older era: while the store refuses it, it gets the whole state of the new era from the others.
+   */
   async snapshot (): Promise<Snapshot> {
     try {
       const snapshot = await this.#options.store.snapshot(this.#prefix)
@@ -141,12 +156,15 @@
       this.#markFresh(0)
       return snapshot
     } catch (err) {
+      const { version } = this.#log
+      const response = version !== undefined && eraOf(version) < this.era.current ? await this.#options.fetchChanges(version) : undefined
+      if (response) return this.#applyRelayed(response)
       this.#recordFailure(err)
       throw err
     }
   }
 
-  async changes (_prefix: string, { after, waitMs }: { after: number, waitMs: number }): Promise<Changes> {
+  async changes (_prefix: string, { after, waitMs }: { after: StoreVersion, waitMs: number }): Promise<Changes> {
     const response = await this.#options.fetchChanges(after)
     if (response) return this.#applyRelayed(response)
     try {
@@ -160,7 +178,7 @@
   }
 
   /** Asks the daemons that were not reached in time before: the store may refuse this daemon and serve them. */
-  async #changesAfterFailure (err: unknown, after: number): Promise<Changes> {
+  async #changesAfterFailure (err: unknown, after: StoreVersion): Promise<Changes> {
     const response = isStoreFailure(err, 'history-gone') ? undefined : await this.#options.fetchChanges(after)
     if (response) return this.#applyRelayed(response)
     this.#recordFailure(err)
@@ -168,23 +186,32 @@
   }
 
   #applyRelayed (response: ChangesResponse): Changes {
-    this.#log.changed(response)
+    if (response.whole === true) this.#log.applyListing(response)
+    else this.#log.changed(response)
     this.#markFresh(response.ageMs)
     return { ...response, checked: true }
   }
 
   /**
-   * Serves changes after a version to another daemon, waiting up to `waitMs` for some.
+   * Serves changes after a version to another daemon, waiting up to `waitMs` for some. If the version is of an older era than the copy, all objects are served;
+   * if the copy is of an older era than the known one, it waits for the new one.
    * @throws {Error} When this daemon lost the store, its state is too old, or its change log does not reach back to the version.
    */
-  async answer (after: number, waitMs: number): Promise<ChangesResponse> {
+  async answer (after: StoreVersion, waitMs: number): Promise<ChangesResponse> {
     const deadlineMs = steadyNow() + waitMs
     for (;;) {
       const ageMs = this.#freshAtMs === undefined ? Infinity : steadyNow() - this.#freshAtMs
       if (ageMs > this.#options.maxAgeMs) throw new Error(`Cannot serve changes of ${this.#prefix}: the last answer of the store is too old`)
-      const changes = this.#log.since(after)
-      if (!changes) throw new Error(`Cannot serve changes of ${this.#prefix}: the change log does not reach back to version ${after}`)
       const remainingMs = deadlineMs - steadyNow()
+      const version = this.#log.version ?? NO_VERSION
+      if (eraOf(version) < this.era.current) {
+        if (remainingMs <= 0) throw new Error(`Cannot serve changes of ${this.#prefix}: the copy is of era ${eraOf(version)}, and the store is in era ${this.era.current}`)
+        await this.#waiters.wait(remainingMs)
+        continue
+      }
+      if (eraOf(after) < eraOf(version)) return { ...this.#log.all()!, removed: [], whole: true, ageMs }
+      const changes = this.#log.since(after)
+      if (!changes) throw new Error(`Cannot serve changes of ${this.#prefix}: the change log does not reach back to version ${formatVersion(after)}`)
       if (changes.objects.length + changes.removed.length > 0 || remainingMs <= 0) return { ...changes, ageMs }
       await this.#waiters.wait(remainingMs)
     }
--- a/daemon/peers/store_relay_test.ts
+++ b/daemon/peers/store_relay_test.ts
@@ -4,9 +4,10 @@
 import { as, type DaemonId, type FailureDomain } from '../../core/ids/index.ts'
 import type { Member } from '../../core/membership/index.ts'
 import { changeSources } from '../../core/relay/index.ts'
+import { eraOf, type StoreVersion } from '../../core/store_version/index.ts'
 import { delay, steadyNow } from '../../core/time/index.ts'
 import { StandInNetwork, StandInStore } from '../../standins/index.ts'
-import { StoreError, StoreFollower, type ObjectSource } from '../../store/index.ts'
+import { EraTracker, StoreError, StoreFollower, type ObjectSource } from '../../store/index.ts'
 import { createMetrics } from '../metrics.ts'
 import { StoreRelay } from './store_relay.ts'
 
@@ -23,6 +24,8 @@
 
 /** One daemon's access to the store, which can be cut off or left without answers. */
 class StoreAccess implements ObjectSource {
+  /** What this daemon knows of the store's era. */
+  readonly era = new EraTracker()
   isCutOff = false
   isUnanswered = false
   readonly #store: StandInStore
@@ -33,11 +36,14 @@
 
   async snapshot (prefix: string) {
     if (this.isCutOff) throw new StoreError('Cannot list: cut off', { failure: 'unsure' })
-    return await this.#store.snapshot(prefix)
+    const found = await this.#store.snapshot(prefix)
+    this.era.checkAnswer(eraOf(found.version), `list ${prefix}`)
+    return found
   }
 
-  async changes (prefix: string, options: { after: number, waitMs: number }) {
+  async changes (prefix: string, options: { after: StoreVersion, waitMs: number }) {
     if (this.isCutOff) throw new StoreError('Cannot watch: cut off', { failure: 'unsure' })
+    this.era.checkContinues(options.after, `watch ${prefix}`)
     const givenUpAtMs = steadyNow() + options.waitMs + WATCH_GRACE_MS
     const found = await this.#store.changes(prefix, options)
     if (this.isCutOff) throw new StoreError('Cannot watch: cut off', { failure: 'unsure' })
--- a/daemon/quarantine/quarantine_archive.ts
+++ b/daemon/quarantine/quarantine_archive.ts
@@ -1,6 +1,7 @@
 /** Stores what is quarantined, so that the quarantine outlives all daemons. */
 import { as, type EndpointId, type Fingerprint, type Suspect } from '../../core/ids/index.ts'
 import { isPart, type CrashedRun, type CrashPlace, type CrashReport, type HeldSuspect } from '../../core/quarantine/index.ts'
+import type { StoreVersion } from '../../core/store_version/index.ts'
 import { delay, steadyNow } from '../../core/time/index.ts'
 import { isStoreFailure, StoreError, type ObjectStore, type StoredObject } from '../../store/index.ts'
 import { log } from '../log/index.ts'
@@ -37,7 +38,7 @@
 export class QuarantineArchive {
   readonly #options: QuarantineArchiveOptions
   /** Versions of the stored objects; undefined until they have been read. */
-  #stored: Map<Suspect, number> | undefined
+  #stored: Map<Suspect, StoreVersion> | undefined
   #timer: NodeJS.Timeout | undefined
   #isSynchronizing = false
   #roundsToSkip = 0
@@ -106,8 +107,8 @@
     }
   }
 
-  async #read (): Promise<Map<Suspect, number>> {
-    const stored = new Map<Suspect, number>()
+  async #read (): Promise<Map<Suspect, StoreVersion>> {
+    const stored = new Map<Suspect, StoreVersion>()
     const reports: CrashReport[] = []
     for (const object of await this.#options.store.list(KEY_PREFIX)) {
       const suspect = as<Fingerprint>(object.key.slice(KEY_PREFIX.length))
--- a/daemon/rollout/_simulated_fleet.ts
+++ b/daemon/rollout/_simulated_fleet.ts
@@ -3,6 +3,7 @@
 import { as, type ClassName, type DaemonId, type EndpointId, type EndpointVersion, type FailureDomain, type HostId, type PoolName } from '../../core/ids/index.ts'
 import { currentProgress, isFinal, type RolloutOrder, type RolloutProgress, type RolloutRecord } from '../../core/rollout/index.ts'
 import type { EndpointView, Random } from '../../core/routing/index.ts'
+import { isLater, storeVersion } from '../../core/store_version/index.ts'
 import { Tally } from '../../core/tally/index.ts'
 import { SharedClock, steadyNow } from '../../core/time/index.ts'
 import type { ListedHost } from '../../endpoints/index.ts'
@@ -39,12 +40,12 @@
   readonly verdicts: string[] = []
   /** Writes applied to an order that already had its verdict. */
   contradictions = 0
-  #version = 10
+  #revision = 10
   onWrite: () => void = () => {}
 
   order (to: EndpointVersion, durationMs = DURATION_MS): void {
     const order: RolloutOrder = { pool: POOL, to, durationMs }
-    this.record = { version: ++this.#version, order, progress: this.record?.progress }
+    this.record = { version: storeVersion(0, ++this.#revision), order, progress: this.record?.progress }
     this.onWrite()
   }
 
@@ -72,7 +73,7 @@
     if (this.record?.version !== record.version) return false
     const before = currentProgress(this.record)
     if (before && isFinal(before)) this.contradictions++
-    this.record = { ...this.record, version: ++this.#version, progress }
+    this.record = { ...this.record, version: storeVersion(0, ++this.#revision), progress }
     if (isFinal(progress)) this.verdicts.push(progress.stage)
     this.onWrite()
     return true
@@ -182,7 +183,7 @@
   #deliver (i: number, record: RolloutRecord): void {
     const { records, listeners } = this.daemons[i]!
     const known = records.get(POOL)
-    if (known && known.version >= record.version) return
+    if (known && !isLater(record.version, known.version)) return
     records.set(POOL, record)
     for (const listener of listeners) listener(POOL)
   }
--- a/daemon/rollout/rollout_follower.ts
+++ b/daemon/rollout/rollout_follower.ts
@@ -4,6 +4,7 @@
 import type { Fact } from '../../core/membership/index.ts'
 import { isSameOrder, orderId, currentProgress, type RolloutProgress, type RolloutRecord } from '../../core/rollout/index.ts'
 import type { Random } from '../../core/routing/index.ts'
+import { isLater, ordinalOf, type StoreVersion } from '../../core/store_version/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import { StoreFollower, type ObjectSource, type StoredObject } from '../../store/index.ts'
 import { log } from '../log/index.ts'
@@ -41,7 +42,7 @@
   /** Ids of orders whose new version compared worse during a store outage. */
   readonly #heldOrders = new Set<string>()
   /** Version of each stored object that failed to decode, by key; it is not decoded or logged again. */
-  readonly #undecodable = new Map<string, number>()
+  readonly #undecodable = new Map<string, StoreVersion>()
 
   constructor (options: RolloutFollowerOptions) {
     this.#options = options
@@ -88,7 +89,7 @@
   /** Applies a record that this daemon read or wrote itself, and gossips it to the others. */
   publish (record: RolloutRecord): void {
     this.#apply(record)
-    this.#options.membership.publishFact({ key: RECORD_FACT_PREFIX + record.order.pool, version: record.version, value: record })
+    this.#options.membership.publishFact({ key: RECORD_FACT_PREFIX + record.order.pool, version: ordinalOf(record.version), value: record })
   }
 
   /** Whether a pool's new version compared worse while the verdict could not be stored. */
@@ -121,9 +122,9 @@
   }
 
   /** Ends the rollout of each order that was deleted from the store, at whatever stage: its new version is no longer wanted. */
-  #removeDeleted (objects: ReadonlyMap<string, StoredObject>, version: number): void {
+  #removeDeleted (objects: ReadonlyMap<string, StoredObject>, version: StoreVersion): void {
     for (const [pool, record] of this.#records) {
-      if (record.version > version || objects.has(this.#options.port.prefix + pool)) continue
+      if (isLater(record.version, version) || objects.has(this.#options.port.prefix + pool)) continue
       this.#records.delete(pool)
       log('rollout-stage', { pool, to: record.order.to, from: currentProgress(record)?.from, stage: 'taken-back', why: 'the order is gone', granted: currentProgress(record)?.granted ?? 0 })
       this.#notify(pool)
@@ -148,7 +149,7 @@
   #apply (record: RolloutRecord): void {
     const { pool } = record.order
     const known = this.#records.get(pool)
-    if (known && known.version >= record.version) return
+    if (known && !isLater(record.version, known.version)) return
     this.#records.set(pool, record)
     if (!known || !isSameOrder(known.order, record.order)) this.#orderSeenAtMs.set(pool, steadyNow())
     const progress = currentProgress(record)
--- a/endpoints/cloud.ts
+++ b/endpoints/cloud.ts
@@ -1,6 +1,7 @@
 /** The part of the platform's cloud API that the daemons use: listing, starting and stopping hosts, and reclaim notices. */
 import type { EndpointId, EndpointVersion, FailureDomain, HostId, PoolName } from '../core/ids/index.ts'
 import type { EndpointSpeed } from '../core/routing/index.ts'
+import type { StoreVersion } from '../core/store_version/index.ts'
 
 /** A host and its endpoint as the host list shows them, which lags behind the actual state. */
 export interface ListedHost {
@@ -11,7 +12,7 @@
   pricePerHour: number
   state: 'live' | 'leaving'
   /** Registry version at which the entry was written; undefined for a list without versions. */
-  version?: number
+  version?: StoreVersion
   endpoint: {
     id: EndpointId
     /** The platform's name for the endpoint, which stays the same when it restarts. Default: its id, if each start has its own id. */
--- a/standins/object_api.ts
+++ b/standins/object_api.ts
@@ -1,5 +1,6 @@
 /** HTTP server for the platform's object API. */
 import Router from '@koa/router'
+import { fromOrdinal } from '../core/store_version/index.ts'
 import { isStoreFailure, type ObjectStore } from '../store/index.ts'
 import { createApplication, readText, serve, type RunningServer } from './_serve.ts'
 
@@ -20,16 +21,16 @@
     const value = await readText(ctx.req)
     const key = ctx.params.key!
     const match = ctx.get('if-match')
-    ctx.body = { version: match ? await store.update(key, value, Number(match.replaceAll('"', ''))) : await store.create(key, value) }
+    ctx.body = { version: match ? await store.update(key, value, fromOrdinal(Number(match.replaceAll('"', '')))) : await store.create(key, value) }
   })
   router.delete('/objects/:key', async (ctx) => {
-    const version = Number(ctx.get('if-match').replaceAll('"', ''))
+    const version = fromOrdinal(Number(ctx.get('if-match').replaceAll('"', '')))
     await store.remove(ctx.params.key!, version)
     ctx.body = { version }
   })
   router.get('/changes', async (ctx) => {
     const { prefix, after, waitMs } = ctx.query as Record<string, string>
-    ctx.body = await store.changes(prefix ?? '', { after: Number(after), waitMs: Number(waitMs) })
+    ctx.body = await store.changes(prefix ?? '', { after: fromOrdinal(Number(after)), waitMs: Number(waitMs) })
   })
   const app = createApplication(router, (ctx, err) => {
     const failure = (['conflict', 'not-applied', 'unsure', 'history-gone'] as const).find((kind) => isStoreFailure(err, kind))
--- a/store/budgeted_store.ts
+++ b/store/budgeted_store.ts
@@ -1,5 +1,7 @@
 /** Rate limiting, backoff and call counting for each use of the store. */
 import { delay, steadyNow } from '../core/time/index.ts'
+import type { StoreVersion } from '../core/store_version/index.ts'
+import type { EraTracker } from './era_tracker.ts'
 import { StoreError, type Changes, type ObjectStore, type Snapshot, type StoredObject } from './object_store.ts'
 
 /** Purpose of a call to the store. */
@@ -47,6 +49,8 @@
     this.#tokens = options.budget.burst
   }
 
+  get era (): EraTracker { return this.#inner.era }
+
   get (key: string): Promise<StoredObject | undefined> {
     const inFlight = this.#reads.get(key)
     if (inFlight) return inFlight
@@ -63,19 +67,19 @@
     return this.#call('read', () => this.#inner.snapshot(prefix))
   }
 
-  create (key: string, value: string): Promise<number> {
+  create (key: string, value: string): Promise<StoreVersion> {
     return this.#call('write', () => this.#inner.create(key, value))
   }
 
-  update (key: string, value: string, version: number): Promise<number> {
+  update (key: string, value: string, version: StoreVersion): Promise<StoreVersion> {
     return this.#call('write', () => this.#inner.update(key, value, version))
   }
 
-  remove (key: string, version: number): Promise<void> {
+  remove (key: string, version: StoreVersion): Promise<void> {
     return this.#call('write', () => this.#inner.remove(key, version))
   }
 
-  changes (prefix: string, options: { after: number, waitMs: number }): Promise<Changes> {
+  changes (prefix: string, options: { after: StoreVersion, waitMs: number }): Promise<Changes> {
     return this.#call('watch', () => this.#inner.changes(prefix, options))
   }
 
--- a/store/change_log_test.ts
+++ b/store/change_log_test.ts
@@ -1,40 +1,43 @@
 import fc from 'fast-check'
 import { expect, test } from 'vitest'
+import { revisionOf, storeVersion } from '../core/store_version/index.ts'
 import { ChangeLog } from './change_log.ts'
 import type { Changes, StoredObject } from './object_store.ts'
 
-const object = (key: string, version: number): StoredObject => ({ key, version, value: `${key} at ${version}` })
+const v = (revision: number) => storeVersion(0, revision)
+
+const object = (key: string, revision: number): StoredObject => ({ key, version: v(revision), value: `${key} at ${revision}` })
 
 test('since returns only the changes after the given version', () => {
   const log = new ChangeLog()
-  log.applyListing({ objects: [object('a', 3), object('b', 5)], version: 6 })
-  log.changed({ objects: [object('c', 8)], removed: ['a'], version: 9 })
-  expect(log.since(6)).toEqual({ objects: [object('c', 8)], removed: ['a'], version: 9 })
-  expect(log.since(9)).toEqual({ objects: [], removed: [], version: 9 })
-  expect(log.since(12)).toEqual({ objects: [], removed: [], version: 12 })
+  log.applyListing({ objects: [object('a', 3), object('b', 5)], version: v(6) })
+  log.changed({ objects: [object('c', 8)], removed: ['a'], version: v(9) })
+  expect(log.since(v(6))).toEqual({ objects: [object('c', 8)], removed: ['a'], version: v(9) })
+  expect(log.since(v(9))).toEqual({ objects: [], removed: [], version: v(9) })
+  expect(log.since(v(12))).toEqual({ objects: [], removed: [], version: v(12) })
 })
 
 test('since returns undefined for a version before the first listing, because earlier removals are not known', () => {
   const log = new ChangeLog()
-  expect(log.since(0)).toBeUndefined()
-  log.applyListing({ objects: [object('a', 3)], version: 6 })
-  expect(log.since(5)).toBeUndefined()
+  expect(log.since(v(0))).toBeUndefined()
+  log.applyListing({ objects: [object('a', 3)], version: v(6) })
+  expect(log.since(v(5))).toBeUndefined()
 })
 
 test('a listing after an outage reports the objects removed in the meantime', () => {
   const log = new ChangeLog()
-  log.applyListing({ objects: [object('a', 1), object('b', 2)], version: 2 })
-  log.applyListing({ objects: [object('b', 2)], version: 7 })
-  expect(log.since(2)).toEqual({ objects: [], removed: ['a'], version: 7 })
+  log.applyListing({ objects: [object('a', 1), object('b', 2)], version: v(2) })
+  log.applyListing({ objects: [object('b', 2)], version: v(7) })
+  expect(log.since(v(2))).toEqual({ objects: [], removed: ['a'], version: v(7) })
 })
 
 test('since returns undefined for a version before an evicted removal', () => {
   const log = new ChangeLog({ maxRemovedKeys: 1 })
-  log.applyListing({ objects: [object('a', 1), object('b', 2)], version: 2 })
-  log.changed({ objects: [], removed: ['a'], version: 3 })
-  log.changed({ objects: [], removed: ['b'], version: 4 })
-  expect(log.since(2)).toBeUndefined()
-  expect(log.since(3)).toEqual({ objects: [], removed: ['b'], version: 4 })
+  log.applyListing({ objects: [object('a', 1), object('b', 2)], version: v(2) })
+  log.changed({ objects: [], removed: ['a'], version: v(3) })
+  log.changed({ objects: [], removed: ['b'], version: v(4) })
+  expect(log.since(v(2))).toBeUndefined()
+  expect(log.since(v(3))).toEqual({ objects: [], removed: ['b'], version: v(4) })
 })
 
 /** One step in the history of a store: writes or removes one key. Its position, counted from 1, is the version. */
@@ -45,7 +48,7 @@
   return {
     objects: [...lastSteps.values()].filter(({ removes }) => !removes).map(({ key, version }) => object(key, version)),
     removed: [...lastSteps.values()].filter(({ removes }) => removes).map(({ key }) => key),
-    version: upTo
+    version: v(upTo)
   }
 }
 
@@ -61,22 +64,22 @@
   fc.assert(fc.property(fc.array(step, { maxLength: 40 }), fc.array(turn, { maxLength: 40 }), (steps, turns) => {
     const relays = [new ChangeLog({ maxRemovedKeys: 2 }), new ChangeLog({ maxRemovedKeys: 2 })]
     const relayVersions = [0, 0]
-    for (const relay of relays) relay.applyListing({ objects: [], version: 0 })
+    for (const relay of relays) relay.applyListing({ objects: [], version: v(0) })
     const copy = new Map<string, number>()
     let at = 0
     const applyToCopy = ({ objects, removed, version }: Changes) => {
-      at = Math.max(at, version)
+      at = Math.max(at, revisionOf(version))
       for (const key of removed) copy.delete(key)
-      for (const { key, version: written } of objects) if (written > (copy.get(key) ?? 0)) copy.set(key, written)
+      for (const { key, version: written } of objects) if (revisionOf(written) > (copy.get(key) ?? 0)) copy.set(key, revisionOf(written))
     }
     turns.forEach(({ source, lag, lists }, i) => {
       const now = Math.floor(steps.length * (i + 1) / turns.length)
       const which = source % 2
       const upTo = Math.max(relayVersions[which]!, now - lag)
-      if (lists) relays[which]!.applyListing({ objects: [...stateAt(steps, upTo)].map(([key, version]) => object(key, version)), version: upTo })
+      if (lists) relays[which]!.applyListing({ objects: [...stateAt(steps, upTo)].map(([key, version]) => object(key, version)), version: v(upTo) })
       else relays[which]!.changed(changesBetween(steps, relayVersions[which]!, upTo))
       relayVersions[which] = upTo
-      const answer = source === 2 ? changesBetween(steps, at, Math.max(at, now)) : relays[which]!.since(at)
+      const answer = source === 2 ? changesBetween(steps, at, Math.max(at, now)) : relays[which]!.since(v(at))
       if (answer) applyToCopy(answer)
       expect([...copy].sort()).toEqual([...stateAt(steps, at)].sort())
     })
--- a/store/http_store.ts
+++ b/store/http_store.ts
@@ -1,5 +1,7 @@
 /** Client of the platform's object API over HTTP. */
 import { request, type Dispatcher } from 'undici'
+import { NO_VERSION, ordinalOf, type StoreVersion } from '../core/store_version/index.ts'
+import { EraTracker } from './era_tracker.ts'
 import { StoreError, type Changes, type ObjectStore, type Snapshot, type StoredObject } from './object_store.ts'
 
 /** Options of {@linkcode HttpStore}. */
@@ -12,6 +14,8 @@
 
 /** HTTP client of the object API. Conditional writes use `If-Match` and `If-None-Match`. */
 export class HttpStore implements ObjectStore {
+  /** This API sends no era. */
+  readonly era = new EraTracker()
   readonly #url: string
   readonly #timeoutMs: number
 
@@ -35,33 +39,33 @@
   }
 
   async snapshot (prefix: string): Promise<Snapshot> {
-    return await this.changes(prefix, { after: 0, waitMs: 0 })
+    return await this.changes(prefix, { after: NO_VERSION, waitMs: 0 })
   }
 
-  async create (key: string, value: string): Promise<number> {
+  async create (key: string, value: string): Promise<StoreVersion> {
     return await this.#write('PUT', key, { 'if-none-match': '*' }, value)
   }
 
-  async update (key: string, value: string, version: number): Promise<number> {
-    return await this.#write('PUT', key, { 'if-match': `"${version}"` }, value)
+  async update (key: string, value: string, version: StoreVersion): Promise<StoreVersion> {
+    return await this.#write('PUT', key, { 'if-match': `"${ordinalOf(version)}"` }, value)
   }
 
-  async remove (key: string, version: number): Promise<void> {
-    await this.#write('DELETE', key, { 'if-match': `"${version}"` })
+  async remove (key: string, version: StoreVersion): Promise<void> {
+    await this.#write('DELETE', key, { 'if-match': `"${ordinalOf(version)}"` })
   }
 
-  async changes (prefix: string, options: { after: number, waitMs: number }): Promise<Changes> {
-    const query = new URLSearchParams({ prefix, after: String(options.after), waitMs: String(options.waitMs) })
+  async changes (prefix: string, options: { after: StoreVersion, waitMs: number }): Promise<Changes> {
+    const query = new URLSearchParams({ prefix, after: String(ordinalOf(options.after)), waitMs: String(options.waitMs) })
     return await this.#json(await this.#send('GET', `/changes?${query}`, { waitMs: options.waitMs })) as Changes
   }
 
-  async #write (method: 'PUT' | 'DELETE', key: string, headers: Record<string, string>, value?: string): Promise<number> {
+  async #write (method: 'PUT' | 'DELETE', key: string, headers: Record<string, string>, value?: string): Promise<StoreVersion> {
     const res = await this.#send(method, `/objects/${encodeURIComponent(key)}`, { headers, body: value })
     if (res.statusCode === 412) {
       await res.body.dump()
       throw new StoreError(`Cannot write ${key}: version moved`, { failure: 'conflict' })
     }
-    return (await this.#json(res) as { version: number }).version
+    return (await this.#json(res) as { version: StoreVersion }).version
   }
 
   async #send (method: 'GET' | 'PUT' | 'DELETE', path: string, options: { headers?: Record<string, string>, body?: string, waitMs?: number } = {}) {
--- a/store/http_store_test.ts
+++ b/store/http_store_test.ts
@@ -1,4 +1,5 @@
 import { afterEach, beforeEach, expect, test } from 'vitest'
+import { NO_VERSION } from '../core/store_version/index.ts'
 import { serveObjectApi, StandInStore, type Listening } from '../standins/index.ts'
 import { HttpStore, writeAndVerify, type StoreFailure } from './index.ts'
 
@@ -39,8 +40,8 @@
   standIn.faults.loseAnswers = 1
   expect(await failureOf(store.create('k', 'v'))).toBe('unsure')
   standIn.faults.loseAnswers = 1
-  expect(await writeAndVerify(store, 'sure', { writeId: 'w', data: 1, version: 0 })).toMatchObject({ applied: true })
-  expect(await writeAndVerify(store, 'sure', { writeId: 'other', data: 2, version: 0 })).toMatchObject({ applied: false, data: 1 })
+  expect(await writeAndVerify(store, 'sure', { writeId: 'w', data: 1, version: NO_VERSION })).toMatchObject({ applied: true })
+  expect(await writeAndVerify(store, 'sure', { writeId: 'other', data: 2, version: NO_VERSION })).toMatchObject({ applied: false, data: 1 })
 })
 
 test('a call that times out is unsure, and a refused connection is not-applied', async () => {
--- a/store/store_follower.ts
+++ b/store/store_follower.ts
@@ -1,6 +1,7 @@
 /** Maintains a copy of all objects with one key prefix, from a listing and the changes after it. */
+import { eraOf, formatVersion, isLater, later, type StoreVersion } from '../core/store_version/index.ts'
 import { delay, steadyNow } from '../core/time/index.ts'
-import { isStoreFailure, StoreError, type ObjectSource, type StoredObject } from './object_store.ts'
+import { isStoreFailure, StoreError, type Changes, type ObjectSource, type Snapshot, type StoredObject } from './object_store.ts'
 
 /** Options of {@linkcode StoreFollower}. */
 export interface StoreFollowerOptions {
@@ -29,7 +30,7 @@
   listed: boolean
   removed: readonly string[]
   /** Store version of the copy; later writes have a higher version. */
-  version: number
+  version: StoreVersion
 }
 
 const DEFAULT_WAIT_MS = 10_000
@@ -47,12 +48,21 @@
  * After a failed call, the follower lists the objects again, because changes may have been missed. Until then the copy stays unchanged: an
  * outage of the store removes nothing. Resuming the watch instead would report the store as unreachable until the next change, however long
  * it had been answering again, and would treat that change as one made during the outage.
+ *
+ * When the store has returned to a copy, what was read before is of an older era. A pending watch is abandoned, and the source is asked for the
+ * whole state.
  */
 export class StoreFollower {
   readonly #options: StoreFollowerOptions
   readonly #objects = new Map<string, StoredObject>()
-  #version: number | undefined
+  #version: StoreVersion | undefined
   #stopped = false
+  /** Number of calls so far; the answer to an abandoned call is recognized by it. */
+  #calls = 0
+  /** Number of listings in a row that followed a call whose history was gone. */
+  #restarts = 0
+  /** Ends the current wait when the era rises. */
+  #onEraRise: () => void = () => {}
   #reachable = true
   #failures = 0
   #listedAtMs = -Infinity
@@ -63,6 +73,10 @@
 
   constructor (options: StoreFollowerOptions) {
     this.#options = options
+    options.store.era.onRise(() => {
+      this.#completeSinceMs = undefined
+      this.#onEraRise()
+    })
   }
 
   /** True once the store has answered for the first time. */
@@ -88,21 +102,33 @@
     while (!this.#stopped) {
       try {
         const pauseMs = this.#options.pauseMs?.() ?? 0
-        await (this.#version === undefined || pauseMs > 0 ? this.#list() : this.#watch(this.#version))
-        this.#recordSuccess()
-        if (pauseMs > 0) await delay(pauseMs)
+        if (this.#version === undefined || pauseMs > 0) await this.#list()
+        else await this.#untilEraRises(this.#watch(this.#version))
+        if (pauseMs > 0) await this.#untilEraRises(delay(pauseMs))
       } catch (err) {
         if (!(err instanceof StoreError)) throw err
         this.#completeSinceMs = undefined
-        if (isStoreFailure(err, 'history-gone')) this.#version = undefined
+        if (isStoreFailure(err, 'history-gone')) await this.#restart()
         else await this.#handleFailure(err)
       }
     }
   }
 
+  /** Waits for the end of a wait or a call, or for a new era, in which the answer to the call does not count any more. */
+  #untilEraRises (wait: Promise<void>): Promise<void> {
+    return Promise.race([wait, new Promise<void>((resolve) => { this.#onEraRise = resolve })])
+  }
+
   async #list (): Promise<void> {
-    const { objects, version } = await this.#options.store.snapshot(this.#options.prefix)
+    this.#calls++
+    const { store, prefix } = this.#options
+    const snapshot = await store.snapshot(prefix)
     if (this.#stopped) return
+    if (eraOf(snapshot.version) !== store.era.current) throw new StoreError(`Cannot use the listing of ${prefix}: version ${formatVersion(snapshot.version)} is not of era ${store.era.current}`, { failure: 'history-gone' })
+    this.#applyListing(snapshot)
+  }
+
+  #applyListing ({ objects, version }: Snapshot): void {
     const listed = new Set(objects.map((object) => object.key))
     const removed = [...this.#objects.keys()].filter((key) => !listed.has(key))
     for (const key of removed) this.#objects.delete(key)
@@ -111,20 +137,28 @@
     this.#listedAtMs = steadyNow()
     this.#completeSinceMs ??= this.#listedAtMs
     this.#options.onChange(this.#objects, { listed: true, removed, version })
+    this.#recordSuccess()
   }
 
-  async #watch (after: number): Promise<void> {
-    const { waitMs: wait = DEFAULT_WAIT_MS } = this.#options
+  async #watch (after: StoreVersion): Promise<void> {
+    const call = ++this.#calls
+    const { waitMs: wait = DEFAULT_WAIT_MS, store, prefix } = this.#options
     const waitMs = typeof wait === 'function' ? wait() : wait
     const sentAtMs = steadyNow()
-    const { objects, removed, version, checked } = await this.#options.store.changes(this.#options.prefix, { after, waitMs })
-    if (this.#stopped) return
+    const changes = await store.changes(prefix, { after, waitMs })
+    if (this.#stopped || call !== this.#calls || eraOf(changes.version) !== store.era.current) return
+    if (changes.whole === true) this.#applyListing(changes)
+    else this.#applyChanges(changes, { after, tookMs: steadyNow() - sentAtMs, waitMs })
+  }
+
+  #applyChanges ({ objects, removed, version, checked }: Changes, { after, tookMs, waitMs }: { after: StoreVersion, tookMs: number, waitMs: number }): void {
     // Events replayed by the store are older than the copy and must not undo later changes.
-    this.#version = Math.max(after, version)
+    this.#version = later(after, version)
     for (const key of removed) this.#objects.delete(key)
     for (const object of objects) this.#applyObject(object)
     if (objects.length + removed.length > 0) this.#options.onChange(this.#objects, { listed: false, removed, version: this.#version })
-    else if (checked !== true && this.#mayHaveMissedChanges(steadyNow() - sentAtMs, waitMs)) this.#version = undefined
+    else if (checked !== true && this.#mayHaveMissedChanges(tookMs, waitMs)) this.#version = undefined
+    this.#recordSuccess()
   }
 
   /**
@@ -137,23 +171,34 @@
 
   #applyObject (object: StoredObject): void {
     const known = this.#objects.get(object.key)
-    if (!known || object.version > known.version) this.#objects.set(object.key, object)
-    else if (object.version < known.version) this.#options.onOutdated?.(object, known)
+    if (!known || isLater(object.version, known.version)) this.#objects.set(object.key, object)
+    else if (isLater(known.version, object.version)) this.#options.onOutdated?.(object, known)
   }
 
   #recordSuccess (): void {
     this.lastAnswerAtMs = steadyNow()
     this.#failures = 0
+    this.#restarts = 0
     if (this.#reachable) return
     this.#reachable = true
     this.#options.onReachabilityChange?.(true, 'answers again')
   }
 
+  /** Lists again, at once for the first time: the store may answer every listing with a history that is gone. */
+  async #restart (): Promise<void> {
+    this.#version = undefined
+    if (this.#restarts++ > 0) await this.#pauseBeforeRetry(this.#restarts - 2)
+  }
+
   async #handleFailure (err: StoreError): Promise<void> {
     if (this.#reachable) this.#options.onReachabilityChange?.(false, err.message)
     this.#reachable = false
     this.#version = undefined
-    const maxDelayMs = Math.min(MAX_RETRY_DELAY_MS, INITIAL_RETRY_DELAY_MS * 2 ** this.#failures++)
-    await delay(maxDelayMs * (0.5 + this.#options.random() / 2))
+    await this.#pauseBeforeRetry(this.#failures++)
+  }
+
+  async #pauseBeforeRetry (retries: number): Promise<void> {
+    const maxDelayMs = Math.min(MAX_RETRY_DELAY_MS, INITIAL_RETRY_DELAY_MS * 2 ** retries)
+    await this.#untilEraRises(delay(maxDelayMs * (0.5 + this.#options.random() / 2)))
   }
 }
--- a/store/verified_write.ts
+++ b/store/verified_write.ts
@@ -1,4 +1,5 @@
 /** Conditional writes that are verified by reading back if their answer is lost. */
+import { NO_VERSION, type StoreVersion } from '../core/store_version/index.ts'
 import { isStoreFailure, StoreError, type ObjectStore, type StoredObject } from './object_store.ts'
 
 /** A value tagged with the id of the write that stored it. */
@@ -6,7 +7,7 @@
 
 /** Result of a conditional write. */
 export type WriteResult<T> =
-  | { applied: true, version: number }
+  | { applied: true, version: StoreVersion }
   | { applied: false, found: StoredObject | undefined, data: T | undefined }
 
 /** Options of {@linkcode writeAndVerify}. */
@@ -14,8 +15,8 @@
   /** Unique id of this write. */
   writeId: string
   data: T
-  /** Version that the write replaces; 0 to create the object. */
-  version: number
+  /** Version that the write replaces; `NO_VERSION` to create the object. */
+  version: StoreVersion
 }
 
 /**
@@ -28,7 +29,7 @@
 export async function writeAndVerify<T> (store: ObjectStore, key: string, options: WriteAndVerifyOptions<T>): Promise<WriteResult<T>> {
   const value = JSON.stringify({ writeId: options.writeId, data: options.data } satisfies TaggedValue<T>)
   try {
-    const version = options.version === 0 ? await store.create(key, value) : await store.update(key, value, options.version)
+    const version = options.version === NO_VERSION ? await store.create(key, value) : await store.update(key, value, options.version)
     return { applied: true, version }
   } catch (err) {
     if (isStoreFailure(err, 'not-applied')) throw err
