Hold endpoints that the copy of a returned store lacks

What callers saw: an endpoint that had joined after the copy was taken got no work from the return of the store until it was written again (0 of 150 requests at one of two endpoints).

Cause: an entry that a listing lacks counts as an endpoint that left unless an outage is suspected, and a return of the store was no sign of one.

Entries of leaving endpoints are not held.

--- a/core/registry/lapsed_entries.ts
+++ b/core/registry/lapsed_entries.ts
@@ -1,6 +1,6 @@
 /** Detects registry entries that expired because the registry was unavailable rather than because their endpoints left. */
 
-import { isLater, NO_VERSION, type StoreVersion } from '../store_version/index.ts'
+import { eraOf, isLater, NO_VERSION, type StoreVersion } from '../store_version/index.ts'
 
 /** State of one entry in a registry snapshot. */
 export interface EntryState {
@@ -62,7 +62,8 @@
  * until the endpoints have written their entries again. A watch that hung during the outage reports no failure, but the loss of most entries at once.
  * Endpoints that do die during the hold are detected because they do not respond.
  *
- * Only entries that the outage itself can have removed are held: most entries lapsed in it, and the entry was not written since. The hold starts when the
+ * Only entries that the outage itself can have removed are held: most entries lapsed in it, and the entry was not written since. When the registry has returned
+ * to a copy of itself, that is each entry which the copy lacks, until its endpoint writes it again. The hold starts when the
  * registry returns and ends at a fixed time, whichever entries return or leave in between. It never exceeds the time in which a leaving endpoint may get new work.
  */
 export class LapsedEntries {
@@ -116,11 +117,12 @@
     const sinceLastSnapshotMs = snapshot.now - atMs
     const wasUnavailable = snapshot.afterFailure && sinceLastSnapshotMs >= MIN_MISSED_RENEWALS * (this.#options.renewEveryMs ?? DEFAULT_RENEW_EVERY_MS) && this.#mostLapsed(snapshot.entries)
     const isMassLoss = this.#isMassLoss(missingCount)
-    if (!wasUnavailable && !isMassLoss) return
+    const hasReturned = atMs !== -Infinity && eraOf(snapshot.version) > eraOf(version)
+    if (!wasUnavailable && !isMassLoss && !hasReturned) return
     const untilMs = snapshot.now + Math.min(MAX_HOLD_MS, HOLD_FRACTION * (this.#options.leavingMs ?? DEFAULT_LEAVING_MS))
-    this.#outage = { why: isMassLoss ? 'most entries vanished' : 'calls had failed', sinceVersion: version, untilMs }
-    // Nothing could be written during the outage, so entries held since before it get the same time as the others.
-    if (wasUnavailable) for (const name of this.#held.keys()) this.#held.set(name, untilMs)
+    this.#outage = { why: hasReturned ? 'the store returned to a copy' : isMassLoss ? 'most entries vanished' : 'calls had failed', sinceVersion: version, untilMs }
+    // Nothing could be written during the outage, or what was written is lost, so entries held since before it get the same time as the others.
+    if (wasUnavailable || hasReturned) for (const name of this.#held.keys()) this.#held.set(name, untilMs)
   }
 
   #isMassLoss (missingCount: number): boolean {
--- a/core/registry/lapsed_entries_test.ts
+++ b/core/registry/lapsed_entries_test.ts
@@ -71,3 +71,16 @@
   const lapsed = createWithAllEntries()
   expect(lapsed.update({ entries: entries(NAMES.slice(2), 1), version: v(2), afterFailure: true, now: 9000 })).toMatchObject({ held: [], gone: ['a', 'b'] })
 })
+
+test('entries that the registry lost by returning to a copy are held, and those of leaving endpoints are not', () => {
+  // Guards against callers turned away from endpoints that joined after the copy was taken.
+  const lapsed = createWithAllEntries()
+  const at = (era: number, revision: number) => storeVersion(era, revision)
+  lapsed.update({ entries: new Map([...entries(NAMES, 1), ['g', { version: v(5), leaving: false }], ['h', { version: v(6), leaving: true }]]), version: v(6), afterFailure: false, now: 1000 })
+  const copied = new Map(NAMES.map((name) => [name, { version: at(1, 1), leaving: false }]))
+  expect(lapsed.update({ entries: copied, version: at(1, 4), afterFailure: false, now: 2000 })).toMatchObject({ held: ['g'], gone: ['h'] })
+  expect(lapsed.untilMs).toBe(2000 + HOLD_MS)
+  const written = new Map([...copied, ['g', { version: at(1, 5), leaving: false }]])
+  expect(lapsed.update({ entries: written, version: at(1, 5), afterFailure: false, now: 3000 })).toMatchObject({ restored: ['g'] })
+  expect(lapsed.update({ entries: copied, version: at(1, 6), afterFailure: false, now: 3100 })).toMatchObject({ held: [], gone: ['g'] })
+})
