Give a lease's record the era in which it was written, and number by era

What callers saw: nothing yet. Orders and reports went out with a fencing number that another daemon had used, and two daemons could act as the holder: the number 2 was given twice where the last holder was killed with the store's return to a copy.

Cause: a record of the lease was taken for the last one. Where the copy has none, a released one or one whose time is over, a contender wrote at once while the holder from before was still within its time; and the next number was counted from the record.

Fix: a record names its era, and one of an older era gives nobody a right. The holder from before keeps its hold until its time is over and may claim the lease at once; everybody else waits one and a half times the lease's time from when they learned of the era, also a daemon that starts and finds nothing of this era. A number is made of the era and a count, above all numbers of earlier eras.

--- a/core/lease/lease.ts
+++ b/core/lease/lease.ts
@@ -1,4 +1,9 @@
-/** Leases with fencing numbers as a pure state machine. A lease only determines who should work; protection comes from the fencing number. */
+/**
+ * Leases with fencing numbers as a pure state machine. A lease only determines who should work; protection comes from the fencing number.
+ *
+ * The store may return to a copy of itself that lacks the latest records of the lease. A record therefore names the era in which it was written, and one of an
+ * older era gives nobody a right: its holder may have renewed it since, or another may have acquired the lease.
+ */
 import type { DaemonId } from '../ids/index.ts'
 import { NO_VERSION, type StoreVersion } from '../store_version/index.ts'
 
@@ -11,6 +16,18 @@
   ttlMs: number
   /** Unique to each renewal, so that other daemons see the holder is alive without comparing clocks. */
   renewal: string
+  /** Era of the store in which the record was written. Default: the era in which it is read, for records of a store without eras. */
+  era?: number
+}
+
+/** Time for which a daemon may act as the holder. It does not end when the store loses its record. */
+export interface LeaseHold {
+  holder: DaemonId
+  fencing: number
+  /** Era of the store in which the record was written. */
+  era: number
+  /** On this daemon's clock, in milliseconds. */
+  untilMs: number
 }
 
 /** A daemon's view of the lease. */
@@ -22,6 +39,11 @@
   seenAtMs: number
   /** Last record that this daemon sent, and the time of sending. */
   lastSent: { renewal: string, atMs: number } | undefined
+  /** Era of the store, and when this daemon learned of it. */
+  era: number
+  eraSeenAtMs: number
+  /** This daemon's own hold; undefined if it never had one, or another daemon has the lease. */
+  hold: LeaseHold | undefined
 }
 
 /** Next action on the lease. */
@@ -46,8 +68,24 @@
 /** Age at which another daemon takes over the lease, as a multiple of its time to live; above 1 because clocks may run at different speeds. */
 const TAKE_OVER_AFTER_TTLS = 1.5
 
+/**
+ * Number of fencing numbers in an era, the first of which is its era times this. The numbers of a later era are higher than all that were given before, although
+ * no daemon may remember those.
+ */
+const FENCING_NUMBERS_PER_ERA = 2 ** 24
+
 /** Initial state, before the store was read. */
-export const NO_LEASE: LeaseState = { version: NO_VERSION, record: undefined, seenAtMs: 0, lastSent: undefined }
+export const NO_LEASE: LeaseState = { version: NO_VERSION, record: undefined, seenAtMs: 0, lastSent: undefined, era: 0, eraSeenAtMs: -Infinity, hold: undefined }
+
+/** Records the era of the store. The record read before it is of no use any more. */
+export function recordEra (state: LeaseState, era: number, now: number): LeaseState {
+  return era > state.era ? { ...state, era, eraSeenAtMs: now } : state
+}
+
+/** Returns the record that was last read if it is of the current era, and otherwise undefined. */
+export function currentRecord ({ record, era }: LeaseState): LeaseRecord | undefined {
+  return record && (record.era ?? era) === era ? record : undefined
+}
 
 /** Records that a write was sent to the store. */
 export function recordSent (state: LeaseState, record: LeaseRecord, now: number): LeaseState {
@@ -58,14 +96,18 @@
  * Records what was read from the store. A changed version means that the lease was renewed.
  *
  * The validity of this daemon's own record starts when it was sent, even if the daemon learns late that the write succeeded, since other daemons may
- * have read it long before and count from then. An own record that the daemon does not remember sending gives it no right to act.
+ * have read it long before and count from then. An own record that the daemon does not remember sending gives it no right to act. A record of an older era, or
+ * none in a new one, neither gives this daemon a right nor takes one from it.
  */
 export function recordRead (state: LeaseState, found: { record: LeaseRecord, version: StoreVersion } | undefined, at: { self: DaemonId, now: number }): LeaseState {
-  if (!found) return { ...state, version: NO_VERSION, record: undefined, seenAtMs: at.now }
+  if (!found) return { ...state, version: NO_VERSION, record: undefined, seenAtMs: at.now, hold: state.hold?.era === state.era ? undefined : state.hold }
   if (found.version === state.version) return state
   const { record, version } = found
   const sentAtMs = record.renewal === state.lastSent?.renewal ? state.lastSent.atMs : -Infinity
-  return { ...state, version, record, seenAtMs: record.holder === at.self ? sentAtMs : at.now }
+  const isOwn = record.holder === at.self
+  const next: LeaseState = { ...state, version, record, seenAtMs: isOwn ? sentAtMs : at.now }
+  if (!currentRecord(next)) return next
+  return { ...next, hold: isOwn ? { holder: at.self, fencing: record.fencing, era: state.era, untilMs: sentAtMs + record.ttlMs } : undefined }
 }
 
 /**
@@ -76,14 +118,34 @@
  */
 export function nextLeaseAction (state: LeaseState, options: LeaseOptions): LeaseAction {
   const { self, now, ttlMs, writeId } = options
-  const { record, version, seenAtMs } = state
-  if (!record) return { type: 'write', record: { holder: self, fencing: 1, ttlMs, renewal: writeId }, version }
+  const { version, seenAtMs } = state
+  const record = currentRecord(state)
+  if (!record) return nextActionWithoutRecord(state, options)
   const isHolder = record.holder === self
   const raise = isHolder && options.increaseFencing === true
   const dueAtMs = seenAtMs + record.ttlMs * (isHolder ? RENEW_AFTER_TTLS : TAKE_OVER_AFTER_TTLS)
   if (now < dueAtMs && !raise) return { type: 'wait', ms: dueAtMs - now }
-  const fencing = isHolder && !raise ? record.fencing : record.fencing + 1
-  return { type: 'write', record: { holder: self, fencing, ttlMs, renewal: writeId }, version }
+  const fencing = isHolder && !raise ? record.fencing : nextFencing(state)
+  return { type: 'write', record: { holder: self, fencing, ttlMs, renewal: writeId, ...eraField(state) }, version }
+}
+
+/**
+ * Decides on a lease without a record of the current era. The holder from before the return of the store claims it at once; others wait until the hold of any
+ * holder from before has ended, counted from when they learned of the era.
+ */
+function nextActionWithoutRecord (state: LeaseState, { self, now, ttlMs, writeId }: LeaseOptions): LeaseAction {
+  const { version, record, eraSeenAtMs } = state
+  const dueAtMs = currentFencing(state, self, now) === undefined ? eraSeenAtMs + Math.max(ttlMs, record?.ttlMs ?? 0) * TAKE_OVER_AFTER_TTLS : now
+  if (now < dueAtMs) return { type: 'wait', ms: dueAtMs - now }
+  return { type: 'write', record: { holder: self, fencing: nextFencing(state), ttlMs, renewal: writeId, ...eraField(state) }, version }
+}
+
+function nextFencing ({ record, hold, era }: LeaseState): number {
+  return Math.max(record?.fencing ?? 0, hold?.fencing ?? 0, era * FENCING_NUMBERS_PER_ERA) + 1
+}
+
+function eraField ({ era }: LeaseState): Pick<LeaseRecord, 'era'> {
+  return era === 0 ? {} : { era }
 }
 
 /** Returns the record by which a holder releases the lease; other daemons can then acquire it without waiting. */
@@ -97,6 +159,6 @@
  * This is only a hint. Engines that check fencing numbers have the final decision.
  */
 export function currentFencing (state: LeaseState, self: DaemonId, now: number): number | undefined {
-  const { record, seenAtMs } = state
-  return record?.holder === self && now < seenAtMs + record.ttlMs ? record.fencing : undefined
+  const { hold } = state
+  return hold?.holder === self && now < hold.untilMs ? hold.fencing : undefined
 }
--- a/daemon/fleet/lease_task.ts
+++ b/daemon/fleet/lease_task.ts
@@ -1,8 +1,8 @@
 /** Acquires and renews a lease stored in the object store. */
 import { randomUUID } from 'node:crypto'
 import type { DaemonId } from '../../core/ids/index.ts'
-import { currentFencing, nextLeaseAction, NO_LEASE, released, recordRead, recordSent, type LeaseRecord, type LeaseState } from '../../core/lease/index.ts'
-import { isLater, type StoreVersion } from '../../core/store_version/index.ts'
+import { currentFencing, currentRecord, nextLeaseAction, NO_LEASE, released, recordEra, recordRead, recordSent, type LeaseRecord, type LeaseState } from '../../core/lease/index.ts'
+import { eraOf, isLater, type StoreVersion } from '../../core/store_version/index.ts'
 import { delay, steadyNow } from '../../core/time/index.ts'
 import { StoreError, writeAndVerify, type TaggedValue, type ObjectStore } from '../../store/index.ts'
 import { log } from '../log/index.ts'
@@ -68,6 +68,8 @@
   readonly #options: LeaseTaskOptions
   readonly #key: string
   #state: LeaseState = NO_LEASE
+  /** The last record that was known to be in force. */
+  #lastRecord: LeaseRecord | undefined
   #clockOffsetMs = 0
   /** When this daemon last held a valid fencing number. */
   #lastActiveAtMs = -Infinity
@@ -90,6 +92,10 @@
     this.#options = options
     this.#key = `lease/${options.name}`
     options.peers?.onAnnouncement((announcement) => this.#onAnnouncement(announcement))
+    options.store.era.onRise(() => {
+      this.#hasCurrentRecord = false
+      this.#wake()
+    })
   }
 
   /**
@@ -115,11 +121,10 @@
    * Only for idempotent orders whose receiver rejects them once a successor has issued others.
    */
   get fencingInOutage (): number | undefined {
-    const { record, seenAtMs } = this.#state
-    if (this.#options.fenced !== true || this.#storeFailingSinceMs === undefined || this.#stopped || !record || !this.#isHolder) return undefined
+    const { hold } = this.#state
+    if (this.#options.fenced !== true || this.#storeFailingSinceMs === undefined || this.#stopped || !hold) return undefined
     if (Math.abs(clockOffsetMs() - this.#clockOffsetMs) > MAX_CLOCK_DIVERGENCE_MS) return undefined
-    const expiresAtMs = seenAtMs + record.ttlMs
-    return this.#storeFailingSinceMs <= expiresAtMs && steadyNow() < expiresAtMs + OUTAGE_GRACE_MS ? record.fencing : undefined
+    return this.#storeFailingSinceMs <= hold.untilMs && steadyNow() < hold.untilMs + OUTAGE_GRACE_MS ? hold.fencing : undefined
   }
 
   /** Ends the grace period after a sign of a successor: the outage affects only this daemon. */
@@ -140,7 +145,8 @@
 
   /** Stops and releases the lease, so that a successor does not have to wait for its expiry. */
   async release (): Promise<void> {
-    const { record, version } = this.#state
+    const { version } = this.#state
+    const record = currentRecord(this.#state)
     const held = this.fencing !== undefined
     this.stop()
     if (!held || !record) return
@@ -165,9 +171,10 @@
         await this.#stepDown()
         continue
       }
-      // The lease was never read, or last read before this daemon stopped contending: too old to act on.
+      // The lease was never read, or last read before this daemon stopped contending or the store returned to a copy: too old to act on.
       if (!this.#hasCurrentRecord) await this.#rereadOnFailure(() => this.#read())
       this.#hasCurrentRecord = true
+      this.#recordEra()
       const ttlMs = this.#options.ttlMs ?? DEFAULT_TTL_MS
       const action = nextLeaseAction(this.#state, { self, now: steadyNow(), ttlMs, writeId: randomUUID(), increaseFencing: this.#raiseRequested })
       if (action.type === 'write') await this.#rereadOnFailure(() => this.#write(action.record, action.version))
@@ -182,12 +189,17 @@
   }
 
   get #isHolder (): boolean {
-    return this.#state.record?.holder === this.#options.self
+    return currentRecord(this.#state)?.holder === this.#options.self
+  }
+
+  #recordEra (): void {
+    this.#state = recordEra(this.#state, this.#options.store.era.current, steadyNow())
   }
 
   /** Releases a lease that this daemon should no longer hold, because other daemons now know more of the work. */
   async #stepDown (): Promise<void> {
-    const { record, version } = this.#state
+    const { version } = this.#state
+    const record = currentRecord(this.#state)
     if (this.fencing !== undefined && record) await this.#rereadOnFailure(() => this.#write(released(record, randomUUID()), version))
     this.#hasCurrentRecord = false
     await delay(this.#options.pollIntervalMs ?? DEFAULT_POLL_INTERVAL_MS)
@@ -206,7 +218,9 @@
 
   /** Announcements may arrive late; only versions newer than the one known count. */
   #onAnnouncement ({ name, record, version }: LeaseAnnouncement): void {
-    if (name !== this.#options.name || !isLater(version, this.#state.version) || this.#stopped || !this.#hasCurrentRecord) return
+    if (name !== this.#options.name) return
+    this.#options.store.era.learn(eraOf(version), record.holder)
+    if (!isLater(version, this.#state.version) || this.#stopped || !this.#hasCurrentRecord) return
     this.#lastAnnouncementAtMs = steadyNow()
     this.#observe({ record, version })
     // The lease was released and can be acquired immediately.
@@ -232,10 +246,12 @@
 
   #observe (found: { record: LeaseRecord, version: StoreVersion } | undefined): void {
     const { self } = this.#options
-    const before = this.#state.record
+    this.#recordEra()
     this.#state = recordRead(this.#state, found, { self, now: steadyNow() })
-    const { record } = this.#state
+    const record = currentRecord(this.#state)
+    const before = this.#lastRecord
     if (!record || record.fencing === before?.fencing) return
+    this.#lastRecord = record
     if (record.holder === self && before && before.holder !== self) this.#notBeforeMs = this.#lastActiveAtMs + (this.#options.reacquireDelayMs ?? 0)
     log('lease-changed', { name: this.#options.name, holder: record.holder, fencing: record.fencing })
     if (record.holder === self) this.onChange(record.fencing)
