Write usage reports again that a return of the store has lost, and send none twice

What operators saw: nothing yet. The report of a window could be sent twice with different counts: the store had lost the first one, and a successor counted again.

Cause: the stored reports were taken for all that had been sent, and the holder took what it had stored for stored.

Fix: the holder remembers its reports and writes them again in a new era. A holder that may not know all reports of the era before, since it did not hold the lease until the return, leaves out the windows whose counts had settled when it learned of the era, and says so in the log (usage-left-out).

Evidence: three tests; the first two fail on the code before (a window sent with 3 and then with 2), the third shows that later windows are reported as ever.

--- a/core/lease/lease.ts
+++ b/core/lease/lease.ts
@@ -148,6 +148,11 @@
   return era === 0 ? {} : { era }
 }
 
+/** Returns true while no other daemon can have acquired the lease since this daemon's last hold: others wait longer than a hold lasts. */
+export function isUnsucceeded ({ hold }: LeaseState, { ttlMs, now }: Pick<LeaseOptions, 'ttlMs' | 'now'>): boolean {
+  return hold !== undefined && now < hold.untilMs + (TAKE_OVER_AFTER_TTLS - 1) * ttlMs
+}
+
 /** Returns the record by which a holder releases the lease; other daemons can then acquire it without waiting. */
 export function released (record: LeaseRecord, writeId: string): LeaseRecord {
   return { ...record, ttlMs: 0, renewal: writeId }
--- a/daemon/duties/usage_task.ts
+++ b/daemon/duties/usage_task.ts
@@ -16,7 +16,7 @@
   name: string
   store: ObjectStore
   duties: Duties
-  lease: Pick<LeaseTask, 'fencing'>
+  lease: Pick<LeaseTask, 'fencing' | 'isUnsucceeded'>
   tallies: Pick<TallyTask, 'tally' | 'clock'>
   /** Length of a window in milliseconds. */
   windowMs: number
@@ -24,6 +24,9 @@
   dueMs: number
 }
 
+/** A report as it is stored, with the era of the store in which it was written; without one for a store that never returns to a copy. */
+interface StoredReport extends WindowCounts { era?: number }
+
 const REPORTS_KEY = 'usage/reports'
 const ROUND_INTERVAL_MS = 500
 /** Time after the end of a window for the last counts to arrive, as a fraction of the time until the deadline of its report. */
@@ -36,6 +39,9 @@
  *
  * The report of a window is written to the store once, before it is sent. A successor cannot know whether it was sent and resends the identical
  * report, which the platform ignores. A daemon that cannot write to the store sends nothing.
+ *
+ * When the store has returned to a copy, the holder writes the reports again that it remembers. One that may not know all of them sends no window whose report may
+ * be among the lost ones.
  */
 export class UsageTask {
   readonly #options: UsageTaskOptions
@@ -44,10 +50,21 @@
   #running = false
   /** Last window known to be sent. */
   #lastSentWindow = -Infinity
+  /** The last reports that this daemon has read or written as the holder, and its fencing number then. */
+  #known: { reports: readonly StoredReport[], fencing: number | undefined } = { reports: [], fencing: undefined }
+  /** Whether `#known` has all reports from before the current era of the store. */
+  #knowsAll = false
+  /** Whether known reports may be missing in the store. */
+  #rewrites = false
 
   constructor (options: UsageTaskOptions) {
     this.#options = options
     this.#ledger = new UsageLedger(options.tallies.tally, { windowMs: options.windowMs })
+    options.store.era.onRise(() => {
+      const { fencing, isUnsucceeded } = options.lease
+      this.#knowsAll = isUnsucceeded && this.#known.fencing !== undefined && (fencing === undefined || fencing === this.#known.fencing)
+      this.#rewrites = this.#known.reports.length > 0
+    })
   }
 
   /** Counts a request of the account that started `agoMs` milliseconds ago. */
@@ -88,7 +105,7 @@
   async #reportDue (): Promise<void> {
     const { windowMs, dueMs } = this.#options
     const last = Math.floor((this.#wallMs() - dueMs * SETTLE_FRACTION) / windowMs) - 1
-    if (this.#lastSentWindow >= last) return
+    if (this.#lastSentWindow >= last && !this.#rewrites) return
     const reports = await this.#persistReports(last)
     for (const report of reports) {
       if (report.window <= this.#lastSentWindow) continue
@@ -106,15 +123,45 @@
   }
 
   /** Returns the stored reports up to a window after adding missing ones to the store. */
-  async #persistReports (last: number): Promise<WindowCounts[]> {
-    const { store } = this.#options
+  async #persistReports (last: number): Promise<readonly StoredReport[]> {
+    const { store, lease } = this.#options
+    const { fencing } = lease
     const found = await store.get(REPORTS_KEY)
-    const written = found ? (JSON.parse(found.value) as TaggedValue<WindowCounts[]>).data : []
-    const from = written.length > 0 ? written.at(-1)!.window + 1 : last
-    if (from > last) return written
-    const missing = this.#ledger.counts(Math.max(from, last - RETAINED_WINDOWS + 1), last)
-    const data = [...written, ...missing].slice(-RETAINED_WINDOWS)
+    const era = store.era.current
+    const stored = found ? (JSON.parse(found.value) as TaggedValue<StoredReport[]>).data : []
+    const written = mergeReports(this.#known.reports, stored)
+    const isComplete = era === 0 || this.#knowsAll || stored.at(-1)?.era === era
+    const first = this.#firstToReport(written, { last, isComplete })
+    const missing = this.#ledger.counts(first, last)
+    if (missing.length === 0 && written.length === stored.length) return this.#remember(stored, fencing)
+    const data = [...written, ...missing].slice(-RETAINED_WINDOWS).map((report) => (era === 0 ? report : { ...report, era }))
     const result = await writeAndVerify(store, REPORTS_KEY, { writeId: randomUUID(), data, version: found?.version ?? NO_VERSION })
-    return result.applied ? data : result.data ?? []
+    return this.#remember(result.applied ? data : result.data ?? [], fencing)
+  }
+
+  #remember (reports: readonly StoredReport[], fencing: number | undefined): readonly StoredReport[] {
+    this.#known = { reports, fencing }
+    this.#rewrites = false
+    return reports
   }
+
+  /**
+   * Returns the first window to report. If reports may be lost, it is the first whose counts had not settled when this daemon learned of the era: the report of
+   * an earlier one may have been sent, with other counts.
+   */
+  #firstToReport (written: readonly StoredReport[], { last, isComplete }: { last: number, isComplete: boolean }): number {
+    const { store, windowMs, dueMs } = this.#options
+    const next = Math.max(written.length > 0 ? written.at(-1)!.window + 1 : last, last - RETAINED_WINDOWS + 1)
+    if (isComplete) return next
+    const eraAtWallMs = this.#wallMs() - (steadyNow() - store.era.sinceMs)
+    const first = Math.max(next, Math.ceil((eraAtWallMs - dueMs * SETTLE_FRACTION) / windowMs) - 1)
+    if (first > next && next <= last) log('usage-left-out', { from: next, to: Math.min(first - 1, last), era: store.era.current })
+    return first
+  }
+}
+
+/** Adds remembered reports to the stored ones, which count where both have a window. */
+function mergeReports (known: readonly StoredReport[], stored: readonly StoredReport[]): StoredReport[] {
+  const merged = new Map([...known, ...stored].map((report) => [report.window, report]))
+  return [...merged.values()].sort((a, b) => a.window - b.window).slice(-RETAINED_WINDOWS)
 }
--- a/daemon/duties/usage_task_test.ts
+++ b/daemon/duties/usage_task_test.ts
@@ -2,7 +2,7 @@
 import { as, type AccountId, type DaemonId } from '../../core/ids/index.ts'
 import type { StoreVersion } from '../../core/store_version/index.ts'
 import { Tally } from '../../core/tally/index.ts'
-import { SharedClock } from '../../core/time/index.ts'
+import { delay, SharedClock } from '../../core/time/index.ts'
 import type { Duties, UsageReport } from '../../endpoints/index.ts'
 import { DutyError } from '../../endpoints/index.ts'
 import { StandInStore } from '../../standins/index.ts'
@@ -18,7 +18,7 @@
 function startHolder (name: string, counted: number, ports: { store: ObjectStore, duties: Duties, fencing: () => number | undefined, wallMs?: number }): UsageTask {
   const wallMs = ports.wallMs ?? (WINDOW + 1) * WINDOW_MS + REPORT_DEADLINE_MS / 2
   const tallies = { tally: new Tally(as<DaemonId>(name)), clock: new SharedClock({ wallMs, steadyMs: performance.now() }) }
-  const task = new UsageTask({ name, store: ports.store, duties: ports.duties, lease: { get fencing () { return ports.fencing() } }, tallies, windowMs: WINDOW_MS, dueMs: REPORT_DEADLINE_MS })
+  const task = new UsageTask({ name, store: ports.store, duties: ports.duties, lease: { get fencing () { return ports.fencing() }, get isUnsucceeded () { return ports.fencing() !== undefined } }, tallies, windowMs: WINDOW_MS, dueMs: REPORT_DEADLINE_MS })
   const agoMs = wallMs - WINDOW * WINDOW_MS - 100
   for (let i = 0; i < counted; i++) task.began(COUNCIL, agoMs)
   return task
@@ -79,6 +79,48 @@
   expect(duties.accepted).toEqual([])
 })
 
+test('the holder writes its reports again after the store has returned to a copy without them, and sends none twice', async () => {
+  // Guards against a successor that finds no report of a window and sends other counts for it.
+  const [store, duties] = [new StandInStore(), new FencedReceiver()]
+  await store.create('unrelated', '1')
+  store.takeCopy()
+  const holder = startHolder('a', 3, { store, duties, fencing: () => 1 })
+  await holder.round()
+  store.returnToCopy()
+  await store.get('unrelated')
+  await holder.round()
+  await startHolder('b', 2, { store, duties, fencing: () => 2 }).round()
+  expect(duties.accepted.filter(({ window }) => window === WINDOW).map(({ counts }) => counts)).toEqual([{ council: 3 }, { council: 3 }])
+})
+
+test('a holder that may not know all reports sends no window that may have been reported before the store returned to a copy', async () => {
+  const [store, duties] = [new StandInStore(), new FencedReceiver()]
+  await store.create('unrelated', '1')
+  store.takeCopy()
+  await startHolder('a', 3, { store, duties, fencing: () => 1 }).round()
+  store.returnToCopy()
+  await store.get('unrelated')
+  await startHolder('b', 2, { store, duties, fencing: () => 2 }).round()
+  expect(duties.accepted.map(({ window, counts }) => [window, counts[COUNCIL]])).toEqual([[WINDOW, 3]])
+  const later = startHolder('b', 2, { store, duties, fencing: () => 2, wallMs: (WINDOW + 2) * WINDOW_MS + REPORT_DEADLINE_MS / 2 })
+  await later.round()
+  expect(duties.accepted.map(({ window }) => window)).toEqual([WINDOW])
+})
+
+test('windows whose counts settle after the return of the store are reported as ever', async () => {
+  const [store, duties] = [new StandInStore(), new FencedReceiver()]
+  store.takeCopy()
+  store.returnToCopy()
+  await store.get('unrelated')
+  const wallMs = (WINDOW + 1) * WINDOW_MS + REPORT_DEADLINE_MS / 4 - 50
+  const task = startHolder('b', 2, { store, duties, fencing: () => 2, wallMs })
+  await task.round()
+  expect(duties.accepted).toEqual([])
+  await delay(100)
+  await task.round()
+  expect(duties.accepted.map(({ window, counts }) => [window, counts[COUNCIL]])).toEqual([[WINDOW, 2]])
+})
+
 /** Possible outcomes of a call, chosen by the schedule. */
 const OUTCOMES = ['done', 'lost', 'late', 'refused'] as const
 type Outcome = typeof OUTCOMES[number]
--- a/daemon/fleet/lease_task.ts
+++ b/daemon/fleet/lease_task.ts
@@ -1,7 +1,7 @@
 /** Acquires and renews a lease stored in the object store. */
 import { randomUUID } from 'node:crypto'
 import type { DaemonId } from '../../core/ids/index.ts'
-import { currentFencing, currentRecord, nextLeaseAction, NO_LEASE, released, recordEra, recordRead, recordSent, type LeaseRecord, type LeaseState } from '../../core/lease/index.ts'
+import { currentFencing, currentRecord, isUnsucceeded, nextLeaseAction, NO_LEASE, released, recordEra, recordRead, recordSent, type LeaseRecord, type LeaseState } from '../../core/lease/index.ts'
 import { eraOf, isLater, type StoreVersion } from '../../core/store_version/index.ts'
 import { delay, steadyNow } from '../../core/time/index.ts'
 import { StoreError, writeAndVerify, type TaggedValue, type ObjectStore } from '../../store/index.ts'
@@ -127,6 +127,11 @@
     return this.#storeFailingSinceMs <= hold.untilMs && steadyNow() < hold.untilMs + OUTAGE_GRACE_MS ? hold.fencing : undefined
   }
 
+  /** True while no other daemon can have acquired the lease since this one held it, also after its hold has ended and the store has returned to a copy. */
+  get isUnsucceeded (): boolean {
+    return Math.abs(clockOffsetMs() - this.#clockOffsetMs) <= MAX_CLOCK_DIVERGENCE_MS && isUnsucceeded(this.#state, { ttlMs: this.#options.ttlMs ?? DEFAULT_TTL_MS, now: steadyNow() })
+  }
+
   /** Ends the grace period after a sign of a successor: the outage affects only this daemon. */
   endOutageGrace (): void {
     this.#storeFailingSinceMs = undefined
--- a/daemon/log/events.ts
+++ b/daemon/log/events.ts
@@ -162,6 +162,8 @@
   /** A stage could not be written to the store; it is decided again. */
   'rollout-not-written': { pool: string, stage: string, why: string }
   'usage-reported': { window: number, fencing: number, requests: number }
+  /** Windows are not reported: the store has returned to a copy, and their reports may have been sent before and are lost. */
+  'usage-left-out': { from: number, to: number, era: number }
   'usage-not-reported': { window: number | undefined, why: string }
   'order-given': { pool: string, failureDomain: string, reclaimable: boolean, count: number, fencing: number }
   'order-refused': { pool: string, failureDomain: string, reclaimable: boolean, count: number, fencing: number, failure: string, why: string }
@@ -180,5 +182,5 @@
 export const WARNING_EVENTS: ReadonlySet<LogEvent> = new Set<LogEvent>([
   'request-refused', 'request-broke', 'request-held', 'attempt-failed', 'export-failed', 'settings-refused', 'config-refused', 'config-outdated', 'config-not-fetched', 'store-lost', 'store-returned', 'relay-failed',
   'connections-refused', 'peer-not-linked', 'peer-send-failed', 'peer-message-refused', 'not-registered', 'endpoint-refused', 'endpoint-crashed', 'request-quarantined', 'part-quarantined', 'quarantine-not-stored', 'endpoint-avoided', 'path-down', 'pool-cut-off', 'delegate-failed', 'endpoint-silent', 'endpoint-limit-refused', 'endpoint-signal-refused', 'keeper-silent', 'lease-call-failed',
-  'usage-not-reported', 'order-refused', 'rollout-held', 'rollout-refused', 'rollout-not-written', 'fleet-round-cut', 'answers-lost', 'lines-left-out'
+  'usage-not-reported', 'usage-left-out', 'order-refused', 'rollout-held', 'rollout-refused', 'rollout-not-written', 'fleet-round-cut', 'answers-lost', 'lines-left-out'
 ])
--- a/store/era_tracker.ts
+++ b/store/era_tracker.ts
@@ -1,5 +1,6 @@
 /** Knows the era of the store, which rises when the store returns to an older copy of itself. */
 import { eraOf, formatVersion, type StoreVersion } from '../core/store_version/index.ts'
+import { steadyNow } from '../core/time/index.ts'
 import { StoreError } from './object_store.ts'
 
 /** A rise of the era. */
@@ -23,10 +24,14 @@
   #current = 0
   /** False until an answer or a daemon has named an era, which is then no rise. */
   #known = false
+  #sinceMs = -Infinity
 
   /** The highest known era; 0 before any is known. */
   get current (): number { return this.#current }
 
+  /** When the era was first known here, in milliseconds on the steady clock; `-Infinity` before any is. The store may have been in it for longer. */
+  get sinceMs (): number { return this.#sinceMs }
+
   /** Adds a listener for rises of the era. */
   onRise (listener: EraListener): void {
     this.#listeners.push(listener)
@@ -39,6 +44,7 @@
     this.#known = true
     if (era <= before) return
     this.#current = era
+    this.#sinceMs = steadyNow()
     if (rises) for (const listener of this.#listeners) listener({ era, before, from })
   }
 
