Keep the progress of a roll-out that a return of the store has lost

What operators saw: nothing yet. A verdict, or requests that were granted, could be lost with the store's return to a copy: the order then was in progress again, and its exposure counted from an older grant.

Cause: the record in the store was taken for the last one, and an order that a listing lacks for one that was deleted.

Fix: records of different eras are merged. The furthest progress counts, what other daemons know of it as well, and is marked; the lease holder writes it again. An order that the copy lacks, or in whose place it has an earlier one with progress of its own, is kept for ten seconds, in which its operator writes it again.

--- a/core/rollout/rollout.ts
+++ b/core/rollout/rollout.ts
@@ -45,6 +45,8 @@
   version: StoreVersion
   order: RolloutOrder
   progress: RolloutProgress | undefined
+  /** True if the progress is further than what is stored, since the store has returned to a copy. Default false. */
+  unsaved?: boolean
 }
 
 /** Reports whether the rollout has reached a final stage. */
--- a/daemon/rollout/rollout_follower.ts
+++ b/daemon/rollout/rollout_follower.ts
@@ -2,9 +2,9 @@
 import { problemsOf } from '../../core/config/validate.ts'
 import { as, type PoolName } from '../../core/ids/index.ts'
 import type { Fact } from '../../core/membership/index.ts'
-import { isSameOrder, orderId, currentProgress, type RolloutProgress, type RolloutRecord } from '../../core/rollout/index.ts'
+import { isSameOrder, mergeRecords, orderId, currentProgress, type RolloutProgress, type RolloutRecord } from '../../core/rollout/index.ts'
 import type { Random } from '../../core/routing/index.ts'
-import { isLater, ordinalOf, type StoreVersion } from '../../core/store_version/index.ts'
+import { eraOf, isLater, ordinalOf, type StoreVersion } from '../../core/store_version/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import { StoreFollower, type ObjectSource, type StoredObject } from '../../store/index.ts'
 import { log } from '../log/index.ts'
@@ -24,6 +24,8 @@
 /** Called with the pool whose order, progress or hold has changed. */
 export type RolloutListener = (pool: PoolName) => void
 
+/** Time in which an operator writes an order again that a return of the store has lost, in milliseconds; it is kept until then. */
+const ORDER_KEEP_MS = 10_000
 const RECORD_FACT_PREFIX = 'rollout/'
 const HOLD_FACT_PREFIX = 'rollout-hold/'
 
@@ -31,6 +33,8 @@
  * Follows rollout orders.
  *
  * Progress that the lease holder writes is also gossiped as a fact: it arrives sooner than by the store watch, and reaches daemons that cannot use the store.
+ *
+ * When the store has returned to a copy, what this daemon knows is merged with what the copy has, and marked for the lease holder to write again.
  */
 export class RolloutFollower {
   readonly #options: RolloutFollowerOptions
@@ -43,6 +47,8 @@
   readonly #heldOrders = new Set<string>()
   /** Version of each stored object that failed to decode, by key; it is not decoded or logged again. */
   readonly #undecodable = new Map<string, StoreVersion>()
+  /** Orders that a return of the store has lost: the timers after which they are given up, and the orders that the copy has in their place. */
+  readonly #lostOrders = new Map<PoolName, { timer: NodeJS.Timeout, replacement: RolloutRecord | undefined }>()
 
   constructor (options: RolloutFollowerOptions) {
     this.#options = options
@@ -84,6 +90,7 @@
   /** Stops following the store. */
   stop (): void {
     this.#follower.stop()
+    for (const { timer } of this.#lostOrders.values()) clearTimeout(timer)
   }
 
   /** Applies a record that this daemon read or wrote itself, and gossips it to the others. */
@@ -125,10 +132,33 @@
   #removeDeleted (objects: ReadonlyMap<string, StoredObject>, version: StoreVersion): void {
     for (const [pool, record] of this.#records) {
       if (isLater(record.version, version) || objects.has(this.#options.port.prefix + pool)) continue
-      this.#records.delete(pool)
-      log('rollout-stage', { pool, to: record.order.to, from: currentProgress(record)?.from, stage: 'taken-back', why: 'the order is gone', granted: currentProgress(record)?.granted ?? 0 })
-      this.#notify(pool)
+      if (eraOf(record.version) < eraOf(version)) this.#keepLostOrder(record)
+      else this.#remove(pool, record)
+    }
+  }
+
+  /** Keeps an order that the copy of a returned store lacks, or for which it has an earlier one: its operator writes it again. */
+  #keepLostOrder (lost: RolloutRecord, replacement?: RolloutRecord): void {
+    const { pool } = lost.order
+    const kept = this.#lostOrders.get(pool)
+    if (kept) {
+      kept.replacement = replacement
+      return
     }
+    const timer = setTimeout(() => {
+      const { replacement } = this.#lostOrders.get(pool)!
+      this.#lostOrders.delete(pool)
+      if (this.#records.get(pool)?.version !== lost.version) return
+      this.#remove(pool, lost)
+      if (replacement) this.#apply(replacement)
+    }, ORDER_KEEP_MS)
+    this.#lostOrders.set(pool, { timer, replacement })
+  }
+
+  #remove (pool: PoolName, record: RolloutRecord): void {
+    this.#records.delete(pool)
+    log('rollout-stage', { pool, to: record.order.to, from: currentProgress(record)?.from, stage: 'taken-back', why: 'the order is gone', granted: currentProgress(record)?.granted ?? 0 })
+    this.#notify(pool)
   }
 
   #onFact ({ key, value }: Fact): void {
@@ -146,10 +176,16 @@
     }
   }
 
-  #apply (record: RolloutRecord): void {
-    const { pool } = record.order
+  #apply (found: RolloutRecord): void {
+    const { pool } = found.order
     const known = this.#records.get(pool)
-    if (known && !isLater(record.version, known.version)) return
+    const mustMerge = known !== undefined && (known.unsaved === true || eraOf(found.version) !== eraOf(known.version))
+    if (known && !mustMerge && !isLater(found.version, known.version)) return
+    const record = mustMerge ? mergeRecords(known, found) : found
+    if (record === known) {
+      if (eraOf(found.version) > eraOf(known.version)) this.#keepLostOrder(known, found)
+      return
+    }
     this.#records.set(pool, record)
     if (!known || !isSameOrder(known.order, record.order)) this.#orderSeenAtMs.set(pool, steadyNow())
     const progress = currentProgress(record)
--- a/daemon/rollout/rollout_task.ts
+++ b/daemon/rollout/rollout_task.ts
@@ -130,6 +130,10 @@
       this.#prepare(record)
       return
     }
+    if (record.unsaved === true) {
+      this.#write(record, progress)
+      return
+    }
     if (isFinal(progress)) return
     const state = this.#canaryStateOf(progress)
     const answers = this.#answersOf(progress)
@@ -162,7 +166,8 @@
     const { pool } = record.order
     this.#poolsBeingWritten.add(pool)
     try {
-      rollouts.publish(await port.write(record, progress))
+      const { unsaved: _, ...written } = await port.write(record, progress)
+      rollouts.publish(written)
       return true
     } catch (err) {
       if (!(err instanceof StoreError)) throw err
@@ -300,6 +305,7 @@
 
 function isUnfinished (record: RolloutRecord): boolean {
   const progress = currentProgress(record)
+  if (record.unsaved === true) return true
   return !progress || !isFinal(progress)
 }
 
--- a/daemon/rollout/rollout_task_test.ts
+++ b/daemon/rollout/rollout_task_test.ts
@@ -68,6 +68,24 @@
   expect(fleet.sentToNew).toBe(before)
 })
 
+test('the lease holder writes progress again that the store has lost', async () => {
+  // Guards against granting requests twice, and against a second verdict, after a return of the store to a copy.
+  for (const stage of ['canary', 'rolled-back'] as const) {
+    fleet = new Fleet(3, 1)
+    fleet.order()
+    const { store, daemons } = fleet
+    const lost = { order: store.record!.order, from: OLD, stage, orderedAtMs: Date.now(), stageAtMs: Date.now(), granted: 60, why: 'test' }
+    daemons[0]!.records.set(store.record!.order.pool, { ...store.record!, progress: lost, unsaved: true })
+    fleet.leaseHolders.add(0)
+    for (const listener of daemons[0]!.listeners) listener(store.record!.order.pool)
+    await run(150)
+    expect(store.record!.progress).toEqual(lost)
+    expect(daemons[0]!.records.get(store.record!.order.pool)!.unsaved).toBeUndefined()
+    fleet.stop()
+    vi.clearAllTimers()
+  }
+})
+
 test('a new lease holder resumes in the middle of a stage, however the previous one failed', async () => {
   for (const end of ['dies', 'freezes', 'is partitioned'] as const) {
     fleet = new Fleet(4, 2)
