Store what is quarantined again after a return of the store to a copy

What callers saw: nothing yet. A quarantined request that the store had lost was not stored again, and was lost with the last daemon that remembered it.

Cause: what was written once was remembered as stored.

Fix: in a new era the daemon that maintains the archive reads it again and writes what is missing. What it released since the copy was taken is removed again, and not taken up from the copy.

--- a/daemon/quarantine/quarantine_archive.ts
+++ b/daemon/quarantine/quarantine_archive.ts
@@ -9,7 +9,7 @@
 
 /** Options of {@linkcode QuarantineArchive}. */
 export interface QuarantineArchiveOptions {
-  store: Pick<ObjectStore, 'list' | 'create' | 'remove'>
+  store: Pick<ObjectStore, 'era' | 'list' | 'create' | 'remove'>
   quarantine: Pick<QuarantineTask, 'held' | 'mergeReports' | 'onHeld'>
   /** Whether this daemon is the one that maintains the archive. */
   maintainsArchive (): boolean
@@ -34,11 +34,13 @@
 /** Number of rounds skipped after a failed store call. */
 const ROUNDS_SKIPPED_AFTER_FAILURE = 2
 
-/** Loads the stored quarantine when this daemon becomes responsible for the archive, then writes its changes. */
+/** Loads the stored quarantine when this daemon becomes responsible for the archive, then writes its changes. After a return of the store to a copy, it writes what that lacks. */
 export class QuarantineArchive {
   readonly #options: QuarantineArchiveOptions
   /** Versions of the stored objects; undefined until they have been read. */
   #stored: Map<Suspect, StoreVersion> | undefined
+  /** True if this daemon maintained the archive when the store returned to a copy: what it knows is newer than the copy. */
+  #outranksCopy = false
   #timer: NodeJS.Timeout | undefined
   #isSynchronizing = false
   #roundsToSkip = 0
@@ -46,6 +48,10 @@
 
   constructor (options: QuarantineArchiveOptions) {
     this.#options = options
+    options.store.era.onRise(() => {
+      this.#outranksCopy ||= this.#stored !== undefined
+      this.#stored = undefined
+    })
   }
 
   /** Resolves once this daemon has read the stored quarantine, or could not. */
@@ -93,9 +99,11 @@
     const { maintainsArchive, quarantine, store } = this.#options
     if (!maintainsArchive()) {
       this.#stored = undefined
+      this.#outranksCopy = false
       return
     }
     this.#stored ??= await this.#read()
+    this.#outranksCopy = false
     const held = new Map(quarantine.held.map((each) => [each.suspect, each]))
     for (const [suspect, each] of held) {
       if (!this.#stored.has(suspect)) this.#stored.set(suspect, await store.create(KEY_PREFIX + suspect, JSON.stringify(toArchived(each))))
@@ -116,7 +124,8 @@
       if (found.length > 0) stored.set(suspect, object.version)
       reports.push(...found)
     }
-    this.#options.quarantine.mergeReports(reports)
+    // What the copy has and this daemon does not was released since it was taken.
+    if (!this.#outranksCopy) this.#options.quarantine.mergeReports(reports)
     return stored
   }
 }
--- a/daemon/quarantine/quarantine_archive_test.ts
+++ b/daemon/quarantine/quarantine_archive_test.ts
@@ -96,3 +96,18 @@
   await archive.synchronize()
   expect(await store.get(KEY)).toBeDefined()
 })
+
+test('a request that was released is not quarantined again by the copy to which the store returns', async () => {
+  const store = new StandInStore()
+  const { quarantine, archive, crashThreeEndpoints } = daemonAt(store)
+  crashThreeEndpoints()
+  await archive.synchronize()
+  store.takeCopy()
+  quarantine.answered(CRASHING, steadyNow())
+  await archive.synchronize()
+  store.returnToCopy()
+  await store.create('unrelated', '{}')
+  await archive.synchronize()
+  await archive.synchronize()
+  expect([quarantine.held.size, await store.get(KEY)]).toEqual([0, undefined])
+})
