Register daemons again that a return of the store to a copy has lost

What operators saw: nothing yet. A daemon that had registered after the copy was taken could be found only by daemons that know it, until its next registration up to five minutes later; its next write failed with a conflict first.

Cause: the registration was taken for stored.

Fix: in a new era each daemon reads its registration, within three seconds so that the calls of a large fleet spread, and writes it if it is missing.

Evidence: the test fails on the code before and passes; a second one shows that a registration which the copy has is not written.

--- a/daemon/peers/membership_task.ts
+++ b/daemon/peers/membership_task.ts
@@ -35,6 +35,8 @@
 const REGISTER_RETRY_MS = 3000
 /** Age beyond which a registration is ignored: its daemon is dead. */
 const REGISTRATION_TTL_MS = 3 * REGISTER_INTERVAL_MS
+/** Longest time after a return of the store to a copy until a daemon has verified its registration, in milliseconds; spreads the calls of all daemons. */
+const REGISTRATION_CHECK_MS = 3000
 const JOIN_RETRY_MS = 2000
 /** Addresses dialed at once when joining: a few of them may belong to hosts that no longer exist. */
 const MAX_JOIN_DIALS = 6
@@ -75,6 +77,7 @@
     this.#options = options
     this.seeds = options.seeds
     this.links = options.links
+    options.store.era.onRise(() => { setTimeout(() => { if (this.#timers.length > 0) this.#verifyRegistration() }, REGISTRATION_CHECK_MS * options.random()) })
     this.links.bind({
       onGossip: (from, gossip) => {
         this.#joined = true
@@ -282,6 +285,19 @@
     }
   }
 
+  /** Registers again if the store has lost the registration by returning to a copy. */
+  async #verifyRegistration (): Promise<void> {
+    try {
+      const found = await this.#options.store.get(this.#registrationKey)
+      const registered = found && JSON.parse(found.value) as Registration
+      this.#registeredVersion = found?.version ?? NO_VERSION
+      if (registered?.id !== this.#options.self) await this.#register()
+    } catch (err) {
+      if (!(err instanceof StoreError)) throw err
+      this.#scheduleRegistration(err)
+    }
+  }
+
   async #reregister (value: string): Promise<void> {
     const { store } = this.#options
     try {
--- /dev/null
+++ b/daemon/peers/membership_task_test.ts
@@ -0,0 +1,47 @@
+import { afterEach, beforeEach, expect, test, vi } from 'vitest'
+import { as, type DaemonId } from '../../core/ids/index.ts'
+import { StandInNetwork, StandInStore } from '../../standins/index.ts'
+import { createMetrics } from '../metrics.ts'
+import { MembershipTask } from './membership_task.ts'
+
+const KEY = 'members/edge-0'
+let store: StandInStore
+let task: MembershipTask
+
+beforeEach(() => { vi.useFakeTimers() })
+afterEach(async () => {
+  await task.stop()
+  vi.useRealTimers()
+})
+
+async function start (): Promise<void> {
+  const self = as<DaemonId>('edge-0-1')
+  task = new MembershipTask({ self, listen: { host: '', port: 0 }, failureDomain: as('a'), seeds: [], store, links: new StandInNetwork().join(self), hash: () => 0, metrics: createMetrics(), random: () => 0.5, registrationName: 'edge-0' })
+  await task.start()
+  await vi.advanceTimersByTimeAsync(1000)
+}
+
+test('a daemon registers again if the store has lost its registration by returning to a copy', async () => {
+  // Guards against daemons that no other can find until their next periodic registration, minutes later.
+  store = new StandInStore()
+  store.takeCopy()
+  await start()
+  expect(store.keys()).toEqual([KEY])
+  store.returnToCopy()
+  await store.list('members/')
+  await vi.advanceTimersByTimeAsync(3000)
+  expect(store.keys()).toEqual([KEY])
+})
+
+test('a registration that the copy has is not written again', async () => {
+  store = new StandInStore()
+  await start()
+  store.takeCopy()
+  store.returnToCopy()
+  await store.list('members/')
+  const { writes } = store.calls
+  await vi.advanceTimersByTimeAsync(3000)
+  expect(store.calls.writes).toBe(writes)
+  await task.leave(undefined)
+  expect(store.keys()).toEqual([])
+})
