--- a/daemon/peers/membership_task_test.ts
+++ b/daemon/peers/membership_task_test.ts
@@ -42,6 +42,8 @@
   const { writes } = store.calls
   await vi.advanceTimersByTimeAsync(3000)
   expect(store.calls.writes).toBe(writes)
-  await task.leave(undefined)
+  const left = task.leave(undefined)
+  await vi.advanceTimersByTimeAsync(1000)
+  await left
   expect(store.keys()).toEqual([])
 })
