Test the store's client, change log and relays with returns of the store

Late answers, conditions of an older era, revisions given out again, pages of two eras; relays at 9, 87, 195 and 420 daemons, with and without cut connections, with a store that refuses all but its watchers or returns twice.

--- a/daemon/peers/store_relay_test.ts
+++ b/daemon/peers/store_relay_test.ts
@@ -16,6 +16,8 @@
 const PREFIX = 'servers/'
 /** Grace period after its wait before an unanswered watch fails, as in the platform's client, in milliseconds. */
 const WATCH_GRACE_MS = 750
+/** Time until all daemons know a fact that one of them gossips, in milliseconds. */
+const GOSSIP_MS = 100
 
 beforeEach(() => { vi.useFakeTimers() })
 afterEach(() => { vi.useRealTimers() })
@@ -223,6 +225,47 @@
   expect((store.calls.watches - watches) / 2).toBeLessThanOrEqual(2.5)
 })
 
+/** Changes objects after a copy of the store was taken, and has the store return to it; revisions are given out again up to `reused` more than were lost. */
+async function returnWithout (fleet: Fleet, { reused = 0, cut = true } = {}): Promise<void> {
+  const { store } = fleet
+  store.takeCopy()
+  for (let i = 0; i < 20; i++) await store.create(`unrelated/${i}`, '{}')
+  await fleet.write('lost')
+  expect(await fleet.timeUntilKnown(['a', 'lost'])).toBeLessThanOrEqual(100)
+  store.returnToCopy({ cut })
+  await fleet.write('new')
+  for (let i = 0; i < reused; i++) await store.create(`unrelated/${i}`, '{}')
+}
+
+test.each([[9, 0, true], [9, 40, true], [9, 40, false], [87, 0, true], [87, 40, false], [195, 40, true], [420, 0, true], [420, 40, false]])('after a return of the store, all of %i daemons have its state in time (%i revisions given out again, connections cut: %s)', async (daemons, reused, cut) => {
+  // Guards against objects that are dropped, or missed, since their revisions were known before, and against a listing of the store by each daemon.
+  const { store } = await started(daemons, 3)
+  const { reads, watches } = store.calls
+  await returnWithout(fleet, { reused, cut })
+  expect(await fleet.timeUntilKnown(['a', 'new'])).toBeLessThanOrEqual(PROPAGATION_MS)
+  // Without a lost connection only the watchers call the store; with one, as after an outage, each daemon may call it a few times.
+  expect(store.calls.reads + store.calls.watches - reads - watches).toBeLessThanOrEqual(cut ? 3 * daemons : 20)
+}, 120_000)
+
+test('daemons that the store refuses after its return have its state from the others in time', async () => {
+  const { nodes, watchers } = await started(40, 4)
+  // Daemons gossip the era, which is not part of this fleet.
+  for (const { access } of nodes) access.era.onRise(({ era }) => { for (const other of nodes) setTimeout(() => other.access.era.learn(era, 'gossip'), GOSSIP_MS) })
+  for (const node of nodes) node.access.isCutOff = !watchers.includes(node)
+  await returnWithout(fleet)
+  expect(await fleet.timeUntilKnown(['a', 'new'])).toBeLessThanOrEqual(PROPAGATION_MS)
+})
+
+test('daemons have the state of the store in time although it returns twice, and refuses both watchers the second time', async () => {
+  const { store, nodes, watchers } = await started(40, 4)
+  await returnWithout(fleet)
+  await vi.advanceTimersByTimeAsync(100)
+  for (const { access } of watchers) access.isCutOff = true
+  store.returnToCopy()
+  await fleet.write('third')
+  expect(await fleet.timeUntilKnown(['a', 'third'], nodes.filter((node) => !watchers.includes(node)))).toBeLessThanOrEqual(PROPAGATION_MS)
+})
+
 /** The fault of one daemon, in effect until the next step for the same daemon. */
 type Fault = 'none' | 'cut-off' | 'unanswered' | 'alone'
 interface Step { daemon: number, fault: Fault, afterMs: number, departs: boolean }
--- a/standins/object_store.ts
+++ b/standins/object_store.ts
@@ -115,15 +115,15 @@
     this.#copy = { objects: new Map(this.#objects), removed: new Map(this.#removed), revision: this.#revision }
   }
 
-  /** Goes back to the last copy: what was written since is gone, its revisions are given out again, and the era rises. Closes the connections of pending watches. */
-  returnToCopy (): void {
+  /** Goes back to the last copy: what was written since is gone, its revisions are given out again, and the era rises. Closes the connections of pending watches, unless `cut` is false (default true). */
+  returnToCopy ({ cut = true }: { cut?: boolean } = {}): void {
     if (!this.#copy) throw new Error('Cannot return to a copy: none was taken')
     this.#objects = this.#copy.objects
     this.#removed = this.#copy.removed
     this.#revision = this.#copy.revision
     this.#ownEra++
     this.takeCopy()
-    this.disconnectWatches()
+    if (cut) this.disconnectWatches()
   }
 
   async changes (prefix: string, options: { after: StoreVersion, waitMs: number }): Promise<Changes> {
--- a/store/change_log_test.ts
+++ b/store/change_log_test.ts
@@ -40,6 +40,22 @@
   expect(log.since(v(3))).toEqual({ objects: [], removed: ['b'], version: v(4) })
 })
 
+test('a listing of a later era replaces the log, which then serves all of it to a caller of the older one', () => {
+  // Guards against changes that are missed or dropped since their revisions were given out before.
+  const log = new ChangeLog()
+  log.applyListing({ objects: [object('a', 300), object('b', 400)], version: v(400) })
+  const at = (revision: number) => storeVersion(1, revision)
+  const listing = { objects: [{ key: 'a', version: at(7), value: 'new' }], version: at(9) }
+  log.applyListing(listing)
+  expect([log.since(v(400)), log.since(v(9))]).toEqual([undefined, undefined])
+  expect(log.all()).toEqual(listing)
+  log.changed({ objects: [], removed: ['a'], version: v(401) })
+  log.applyListing({ objects: [], version: v(402) })
+  expect(log.all()).toEqual(listing)
+  log.changed({ objects: [{ key: 'c', version: at(10), value: 'c' }], removed: [], version: at(10) })
+  expect(log.since(at(9))).toMatchObject({ objects: [{ key: 'c' }], removed: [] })
+})
+
 /** One step in the history of a store: writes or removes one key. Its position, counted from 1, is the version. */
 interface Step { key: string, removes: boolean }
 
