Draw returns of the store in the random schedules of the configuration's follower

Steps may lose up to four of the last writes, whose versions are given out again, before the newest is written again.

--- a/daemon/config/config_follower_test.ts
+++ b/daemon/config/config_follower_test.ts
@@ -38,32 +38,43 @@
 
 type StoreFault = 'none' | 'stale' | 'lost' | 'replayed' | 'failed'
 
-/** A store whose answers may be stale, empty despite a change, repeated or failed. */
+/** A store whose answers may be stale, empty despite a change, repeated or failed, and which may return to a copy of itself. */
 class FaultyStore implements ObjectSource {
   readonly era = new EraTracker()
-  readonly #written: StoredObject[] = []
+  readonly #written: Array<{ value: string }> = []
+  #ownEra = 1
   fault: StoreFault = 'none'
   /** Called with each object that an answer contains. */
   onAnswer: (object: StoredObject) => void = () => {}
 
   write (revision: number): void {
-    this.#written.push({ key: KEY, version: storeVersion(0, this.#written.length + 1), value: JSON.stringify({ revision }) })
+    this.#written.push({ value: JSON.stringify({ revision }) })
+  }
+
+  /** Loses the last writes; their versions are given out again in the next era. */
+  returnToCopy (lost: number): void {
+    this.#written.splice(Math.max(1, this.#written.length - lost))
+    this.#ownEra++
   }
 
   async snapshot (): Promise<Snapshot> {
     await this.#answerLater()
+    this.era.checkAnswer(this.#ownEra, 'list')
     return this.#at(this.fault === 'stale' ? Math.max(1, this.#written.length - 2) : this.#written.length)
   }
 
   async changes (_prefix: string, options: { after: StoreVersion }): Promise<Changes> {
     await this.#answerLater()
+    this.era.checkAnswer(this.#ownEra, 'watch')
+    this.era.checkContinues(options.after, 'watch')
     const after = revisionOf(options.after)
     const newest = this.#written.length
-    if (this.fault === 'lost') return { objects: [], removed: [], version: storeVersion(0, newest) }
+    if (this.fault === 'lost') return { objects: [], removed: [], version: storeVersion(this.#ownEra, newest) }
     const from = this.fault === 'replayed' ? Math.max(0, after - 3) : after
-    const changes = this.#written.slice(from, this.fault === 'replayed' ? Math.max(from + 1, after - 1) : newest)
-    for (const object of changes) this.onAnswer(object)
-    return { objects: changes, removed: [], version: storeVersion(0, Math.max(after, newest)) }
+    const to = this.fault === 'replayed' ? Math.max(from + 1, after - 1) : newest
+    const objects = this.#written.slice(from, to).map((_, i) => this.#objectAt(from + i + 1))
+    for (const object of objects) this.onAnswer(object)
+    return { objects, removed: [], version: storeVersion(this.#ownEra, Math.max(after, newest)) }
   }
 
   async #answerLater (): Promise<void> {
@@ -71,18 +82,22 @@
     if (this.fault === 'failed') throw new StoreError('Cannot read: no answer', { failure: 'unsure' })
   }
 
+  #objectAt (revision: number): StoredObject {
+    return { key: KEY, version: storeVersion(this.#ownEra, revision), value: this.#written[revision - 1]!.value }
+  }
+
   #at (revision: number): Snapshot {
-    const object = this.#written[revision - 1]
-    if (object) this.onAnswer(object)
-    return { objects: object ? [object] : [], version: storeVersion(0, revision) }
+    const object = this.#objectAt(revision)
+    this.onAnswer(object)
+    return { objects: [object], version: object.version }
   }
 }
 
 test('the revision in force never decreases, and is the newest once the store answers correctly', async () => {
-  // Guards against stale answers reverting the configuration. `naiveRevision` follows the last answer and does revert, which shows that the
+  // Guards against stale answers reverting the configuration, and against a return of the store to a copy that keeps a newer one out of force. `naiveRevision` follows the last answer and does revert, which shows that the
   // schedules contain such answers.
   const faults: StoreFault[] = ['none', 'stale', 'lost', 'replayed', 'failed']
-  const steps = fc.array(fc.record({ fault: fc.constantFrom(...faults), write: fc.boolean(), forMs: fc.integer({ min: 20, max: 900 }) }), { minLength: 5, maxLength: 25 })
+  const steps = fc.array(fc.record({ fault: fc.constantFrom(...faults), write: fc.boolean(), lost: fc.option(fc.integer({ min: 0, max: 4 }), { freq: 3, nil: undefined }), forMs: fc.integer({ min: 20, max: 900 }) }), { minLength: 5, maxLength: 25 })
   let naiveReverts = 0
   await fc.assert(fc.asyncProperty(steps, async (schedule) => {
     const store = new FaultyStore()
@@ -99,8 +114,12 @@
     const inForce: number[] = []
     follower.onChange(({ revision }) => inForce.push(revision))
     follower.start()
-    for (const { fault, write, forMs } of schedule) {
+    for (const { fault, write, lost, forMs } of schedule) {
       store.fault = fault
+      if (lost !== undefined) {
+        store.returnToCopy(lost)
+        store.write(newest)
+      }
       if (write) store.write(newest += 2)
       await vi.advanceTimersByTimeAsync(forMs)
     }
