--- a/daemon/explain/explain_request.ts
+++ b/daemon/explain/explain_request.ts
@@ -68,6 +68,7 @@
       case 'endpoints-not-back': return line.fields.endpoints.some((endpoint) => endpoints.has(endpoint))
       case 'store-lost':
       case 'store-back':
+      case 'store-returned':
       case 'keeper-silent':
       case 'keeper-chosen':
       case 'config-in-force':
