--- a/core/lease/lease.ts
+++ b/core/lease/lease.ts
@@ -107,7 +107,7 @@
   const isOwn = record.holder === at.self
   const next: LeaseState = { ...state, version, record, seenAtMs: isOwn ? sentAtMs : at.now }
   if (!currentRecord(next)) return next
-  return { ...next, hold: isOwn ? { holder: at.self, fencing: record.fencing, era: state.era, untilMs: sentAtMs + record.ttlMs } : undefined }
+  return { ...next, hold: isOwn && record.ttlMs > 0 ? { holder: at.self, fencing: record.fencing, era: state.era, untilMs: sentAtMs + record.ttlMs } : undefined }
 }
 
 /**
--- a/core/rollout/merge_records.ts
+++ b/core/rollout/merge_records.ts
@@ -8,15 +8,17 @@
 /**
  * Merges two records of a pool that were read in different eras of the store.
  *
- * The order is that of the later record, unless that order has progress of its own and is not the known one: then it was replaced after the copy was taken. The
- * progress is the furthest of both, so that a verdict stays and what was granted stays counted.
+ * The order is that of the later record, unless it is another than the known one and has progress of its own: then the known one replaced it after the copy was
+ * taken. The progress is the furthest of both, so that a verdict stays and what was granted stays counted.
  * @param known The record that this daemon has.
+ * @returns `known` itself if nothing changes.
  */
 export function mergeRecords (known: RolloutRecord, found: RolloutRecord): RolloutRecord {
   const newer = isLater(found.version, known.version) ? found : known
   const older = newer === found ? known : found
   if (newer === found && !isSameOrder(known.order, found.order) && currentProgress(found)) return known
-  const [stored, remembered] = [currentProgress(newer), older.progress && isSameOrder(older.progress.order, newer.order) ? older.progress : undefined]
+  const stored = currentProgress(newer)
+  const remembered = currentProgress({ ...newer, progress: older.progress })
   if (!remembered) return newer
   const progress = stored ? furthest(remembered, stored) : remembered
   return progress === stored ? newer : { ...newer, progress, unsaved: true }
@@ -27,5 +29,5 @@
   if (remembered.orderedAtMs !== stored.orderedAtMs) return remembered.orderedAtMs < stored.orderedAtMs ? remembered : stored
   const ahead = STAGE_RANKS[remembered.stage] - STAGE_RANKS[stored.stage]
   if (ahead !== 0) return ahead > 0 ? remembered : stored
-  return remembered.granted > stored.granted || (remembered.stage !== stored.stage) ? remembered : stored
+  return remembered.granted > stored.granted || remembered.stage !== stored.stage ? remembered : stored
 }
--- a/core/store_version/store_version.ts
+++ b/core/store_version/store_version.ts
@@ -18,10 +18,15 @@
  * @throws {RangeError} When one of the two is negative, not an integer, or too large.
  */
 export function storeVersion (era: number, revision: number): StoreVersion {
-  if (!isWithin(era, MAX_ERA) || !isWithin(revision, REVISIONS_PER_ERA - 1)) throw new RangeError(`Cannot order the store's state: era ${era}, revision ${revision} is out of range`)
+  if (!isEra(era) || !isWithin(revision, REVISIONS_PER_ERA - 1)) throw new RangeError(`Cannot order the store's state: era ${era}, revision ${revision} is out of range`)
   return fromOrdinal(era * REVISIONS_PER_ERA + revision)
 }
 
+/** Returns true for a number that can be an era. */
+export function isEra (era: number): boolean {
+  return isWithin(era, MAX_ERA)
+}
+
 /** The state before the first change; also stands for "no object" in conditional writes. */
 export const NO_VERSION = storeVersion(0, 0)
 
--- a/daemon/duties/usage_task.ts
+++ b/daemon/duties/usage_task.ts
@@ -133,7 +133,7 @@
     const isComplete = era === 0 || this.#knowsAll || stored.at(-1)?.era === era
     const first = this.#firstToReport(written, { last, isComplete })
     const missing = this.#ledger.counts(first, last)
-    if (missing.length === 0 && written.length === stored.length) return this.#remember(stored, fencing)
+    if (missing.length === 0 && written.at(-1)?.window === stored.at(-1)?.window) return this.#remember(stored, fencing)
     const data = [...written, ...missing].slice(-RETAINED_WINDOWS).map((report) => (era === 0 ? report : { ...report, era }))
     const result = await writeAndVerify(store, REPORTS_KEY, { writeId: randomUUID(), data, version: found?.version ?? NO_VERSION })
     return this.#remember(result.applied ? data : result.data ?? [], fencing)
--- a/daemon/duties/usage_task_test.ts
+++ b/daemon/duties/usage_task_test.ts
@@ -93,6 +93,19 @@
   expect(duties.accepted.filter(({ window }) => window === WINDOW).map(({ counts }) => counts)).toEqual([{ council: 3 }, { council: 3 }])
 })
 
+test('reports are written again although the copy has as many as are kept', async () => {
+  const [store, duties] = [new StandInStore(), new FencedReceiver()]
+  const reports = Array.from({ length: 6 }, (_, i) => ({ window: WINDOW - 6 + i, counts: {} }))
+  await store.create('usage/reports', JSON.stringify({ writeId: 'x', data: reports }))
+  store.takeCopy()
+  const holder = startHolder('a', 3, { store, duties, fencing: () => 1 })
+  await holder.round()
+  store.returnToCopy()
+  await store.get('unrelated')
+  await holder.round()
+  expect(JSON.parse((await store.get('usage/reports'))!.value).data.at(-1)).toMatchObject({ window: WINDOW, counts: { council: 3 } })
+})
+
 test('a holder that may not know all reports sends no window that may have been reported before the store returned to a copy', async () => {
   const [store, duties] = [new StandInStore(), new FencedReceiver()]
   await store.create('unrelated', '1')
--- a/daemon/peers/store_relay.ts
+++ b/daemon/peers/store_relay.ts
@@ -93,9 +93,9 @@
   }
 
   /** Refuses changes that do not continue the caller's version, and state of an older era. */
-  #checkEra ({ version, whole }: Changes, { prefix, after }: ChangesRequest): void {
+  #checkEra ({ version, whole }: Changes, { req: { prefix, after }, from }: { req: ChangesRequest, from: DaemonId }): void {
     const { era } = this.#options.store
-    era.learn(eraOf(version), 'daemon')
+    era.learn(eraOf(version), from)
     if (eraOf(version) < era.current || (whole !== true && eraOf(version) !== eraOf(after))) throw new Error(`Cannot use changes of ${prefix}: version ${formatVersion(version)} does not continue ${formatVersion(after)}`)
   }
 
@@ -110,7 +110,7 @@
     try {
       // The timeout of a call begins once the daemon is connected.
       const response = await within(links.call(daemon, CHANGES_METHOD, req, { timeoutMs }), timeoutMs) as ChangesResponse
-      this.#checkEra(response, req)
+      this.#checkEra(response, { req, from: daemon.id })
       metrics.storeChangeAge.observe({ prefix: req.prefix }, response.ageMs)
       return response
     } catch (err) {
--- a/store/change_log.ts
+++ b/store/change_log.ts
@@ -78,7 +78,8 @@
 
   /** Returns all objects of the copy, for a caller whose version is of an older era; undefined before the first listing. */
   all (): Snapshot | undefined {
-    return this.#version && { objects: [...this.#entries.values()].flatMap(({ object }) => object ?? []), version: this.#version }
+    if (this.#version === undefined) return undefined
+    return { objects: [...this.#entries.values()].flatMap(({ object }) => object ?? []), version: this.#version }
   }
 
   #clear (): void {
--- a/store/era_tracker.ts
+++ b/store/era_tracker.ts
@@ -1,5 +1,5 @@
 /** Knows the era of the store, which rises when the store returns to an older copy of itself. */
-import { eraOf, formatVersion, type StoreVersion } from '../core/store_version/index.ts'
+import { eraOf, formatVersion, isEra, type StoreVersion } from '../core/store_version/index.ts'
 import { steadyNow } from '../core/time/index.ts'
 import { StoreError } from './object_store.ts'
 
@@ -37,8 +37,9 @@
     this.#listeners.push(listener)
   }
 
-  /** Records an era that the store or another daemon has named. */
+  /** Records an era that the store or another daemon has named. A value that is no era is ignored. */
   learn (era: number, from: string): void {
+    if (!isEra(era)) return
     const before = this.#current
     const rises = this.#known && era > before
     this.#known = true
--- a/store/era_tracker_test.ts
+++ b/store/era_tracker_test.ts
@@ -20,6 +20,14 @@
   expect(tracker.current).toBe(3)
 })
 
+test('a value that is no era is ignored', () => {
+  // Guards against a daemon that refuses all answers after a malformed one.
+  const tracker = new EraTracker()
+  tracker.learn(1, 'store')
+  for (const era of [NaN, Infinity, 1.5, -1, 1e9]) tracker.learn(era, 'store')
+  expect(tracker.current).toBe(1)
+})
+
 test('a store that begins to send eras has returned from one without', () => {
   const tracker = new EraTracker()
   const rises: EraRise[] = []
