Test configurations after a return of the store over a fleet that gossips

9 and 87 daemons with their own view of the era, and 30 of which the store refuses all but one: in force within the time, whether or not revisions were given out again before a daemon noticed.

--- a/daemon/config/revision_propagation_test.ts
+++ b/daemon/config/revision_propagation_test.ts
@@ -2,11 +2,12 @@
 import { afterEach, beforeEach, expect, test, vi } from 'vitest'
 import xxhash from 'xxhash-wasm'
 import { as, type DaemonId } from '../../core/ids/index.ts'
-import { NO_VERSION } from '../../core/store_version/index.ts'
+import { eraOf, NO_VERSION, revisionOf, storeVersion } from '../../core/store_version/index.ts'
 import { delay } from '../../core/time/index.ts'
 import { StandInNetwork, StandInStore, type StandInLinks } from '../../standins/index.ts'
-import { StoreError, type ObjectStore } from '../../store/index.ts'
+import { EraTracker, StoreError, type ObjectStore } from '../../store/index.ts'
 import { createMetrics } from '../metrics.ts'
+import { shareStoreEra } from '../peers/era_sharing.ts'
 import { MembershipTask } from '../peers/membership_task.ts'
 import { StoreRelay } from '../peers/store_relay.ts'
 import { seededRandom } from '../seeded_random.ts'
@@ -69,6 +70,7 @@
     const store = this.#accessOf(node)
     node.membership = new MembershipTask({ self: id, listen: { host: '', port: 0 }, failureDomain: as(failureDomain), seeds: this.nodes.slice(0, 3).map((other) => `node:${other.id}`), store, links, hash, metrics, random })
     const { membership } = node
+    shareStoreEra(store.era, { membership, metrics })
     const relay = new StoreRelay({ store, links, self: () => membership.core.self, acceptingWork: () => membership.acceptingWork, hash, metrics, propagationMs: APPLY_MS })
     node.follower = new ConfigFollower<Config>({
       self: id,
@@ -93,6 +95,24 @@
     this.#version = await this.store.update(KEY, JSON.stringify({ revision }), this.#version)
   }
 
+  /**
+   * Has the store lose a revision by returning to a copy, the lost one written again, and then the next one. Between the two, as many other objects are written
+   * as were lost, and `reused` more.
+   */
+  async changeAfterReturn (revision: number, { reused = 0 } = {}): Promise<void> {
+    const copied = this.#version
+    this.store.takeCopy()
+    for (let i = 0; i < 50; i++) await this.store.create(`unrelated/${i}`, '{}')
+    await this.change(revision)
+    await vi.advanceTimersByTimeAsync(APPLY_MS)
+    expect(this.late(revision)).toEqual([])
+    this.store.returnToCopy({ cut: reused === 0 })
+    for (let i = 0; i < reused; i++) await this.store.create(`unrelated/${i}`, '{}')
+    this.#version = storeVersion(eraOf(copied) + 1, revisionOf(copied))
+    await this.change(revision)
+    await this.change(revision + 1)
+  }
+
   /** Ends a daemon without notice. */
   async end (node: Node): Promise<void> {
     this.nodes.splice(this.nodes.indexOf(node), 1)
@@ -116,9 +136,15 @@
 
   #accessOf (node: Node): ObjectStore {
     const { store } = this
-    const guarded = <T>(call: () => Promise<T>): Promise<T> => (node.refused ? Promise.reject(new StoreError('Cannot call: status 503', { failure: 'not-applied' })) : call())
+    const era = new EraTracker()
+    const guarded = async <T>(call: () => Promise<T>): Promise<T> => {
+      if (node.refused) throw new StoreError('Cannot call: status 503', { failure: 'not-applied' })
+      const answer = await call()
+      era.checkAnswer(store.era.current, 'call')
+      return answer
+    }
     return {
-      era: store.era,
+      era,
       get: (key) => guarded(() => store.get(key)),
       list: (prefix, options) => guarded(() => store.list(prefix, options)),
       snapshot: (prefix) => guarded(() => store.snapshot(prefix)),
@@ -127,6 +153,7 @@
       remove: (key, version) => guarded(() => store.remove(key, version)),
       // A watch that was waiting when the store began to refuse this daemon fails, too.
       changes: (prefix, options) => guarded(async () => {
+        era.checkContinues(options.after, 'watch')
         const changes = await store.changes(prefix, options)
         return await guarded(async () => changes)
       })
@@ -188,6 +215,25 @@
   expect(fleet.late(2)).toEqual([])
 })
 
+test.each([[9, 0], [9, 100], [87, 100]])('a revision is in force in time at %i daemons after the store has returned to a copy without the one before it (%i revisions given out again)', async (daemons, reused) => {
+  // Guards against a configuration that is dropped since the lost one had a higher revision of the store.
+  await started(daemons, 3)
+  await fleet.changeAfterReturn(2, { reused })
+  await vi.advanceTimersByTimeAsync(APPLY_MS)
+  expect(fleet.late(3)).toEqual([])
+}, 120_000)
+
+test('a revision is in force in time at daemons that the store refuses after its return', async () => {
+  const { nodes } = await started(30, 3)
+  await fleet.changeAfterReturn(2)
+  const [served, ...others] = nodes
+  for (const node of others) node.refused = true
+  await vi.advanceTimersByTimeAsync(APPLY_MS)
+  expect(fleet.late(3, [served!])).toEqual([])
+  await vi.advanceTimersByTimeAsync(REFUSED_APPLY_MS - APPLY_MS)
+  expect(fleet.late(3)).toEqual([])
+})
+
 test('a revision is in force in time at a daemon whose announcing peer is cut off from it', async () => {
   // Guards against a fetch that waits for a silent peer for longer than the revision may take.
   await started(9, 3, { watchersPerDomain: 1 })
