--- a/daemon/explain/_cause.ts
+++ b/daemon/explain/_cause.ts
@@ -17,6 +17,8 @@
 
 /** A revision that arrives within this time after a refusal may have been accepted before it, in milliseconds. */
 const LATE_CONFIG_MS = 5000
+/** A return of the store within this time before a request may have lost its configuration, in milliseconds. */
+export const STORE_RETURN_MS = 30_000
 
 /** Returns the most likely cause of a request's outcome. */
 export function causeOf (evidence: Evidence): string {
@@ -44,7 +46,9 @@
       const newer = lines.find((line) => line.event === 'config-in-force' && line.process === process && line.atMs >= atMs && line.atMs <= atMs + LATE_CONFIG_MS)
       const age = f.revisionAgeMs === undefined ? 'never confirmed' : `confirmed ${Math.round(f.revisionAgeMs)} ms before`
       const later = newer?.event === 'config-in-force' ? `; revision ${newer.fields.revision} came ${newer.atMs - atMs} ms later` : ''
-      return `configuration: revision ${f.revision} (${age}) does not have ${what}${later}`
+      const returned = lines.findLast((line) => line.event === 'store-returned' && line.process === process && line.atMs <= atMs && line.atMs >= atMs - STORE_RETURN_MS)
+      const lost = returned?.event === 'store-returned' ? `; the store had returned to an older copy (era ${returned.fields.era}) ${atMs - returned.atMs} ms before` : ''
+      return `configuration: revision ${f.revision} (${age}) does not have ${what}${later}${lost}`
     }
     case 429: {
       const keeper = context.some((line) => line.event === 'keeper-silent' || line.event === 'keeper-chosen')
--- a/daemon/explain/explain_request.ts
+++ b/daemon/explain/explain_request.ts
@@ -1,6 +1,6 @@
 /** Reconstructs the history of one request from the daemons' logs, with the likely cause of its outcome. */
 import { describeDecision, type RequestEvents } from '../log/index.ts'
-import { causeOf } from './_cause.ts'
+import { causeOf, STORE_RETURN_MS } from './_cause.ts'
 import type { DaemonLine, LogLine, RequestLine } from './log_lines.ts'
 
 /** One step in the history of a request. */
@@ -56,6 +56,7 @@
     // Explains why the request was not sent to the endpoint, so that no line of the request names it.
     if (line.event === 'endpoint-backs-off') return pools.has(line.fields.pool) && line.atMs <= last.atMs && line.atMs + line.fields.forMs >= first.atMs
     if (line.event === 'pool-cut-off' || line.event === 'pool-reached') return pools.has(line.fields.pool) && line.atMs <= last.atMs && line.atMs >= first.atMs - CUT_OFF_CONTEXT_MS
+    if (line.event === 'store-returned') return line.atMs <= last.atMs && line.atMs >= first.atMs - STORE_RETURN_MS
     if (line.atMs < first.atMs - HELD_ENTRIES_CONTEXT_MS || line.atMs > last.atMs) return false
     if (line.event === 'endpoints-held') return line.fields.endpoints.some((endpoint) => endpoints.has(endpoint))
     if (line.atMs < first.atMs - CONTEXT_MS) return false
@@ -68,7 +69,6 @@
       case 'endpoints-not-back': return line.fields.endpoints.some((endpoint) => endpoints.has(endpoint))
       case 'store-lost':
       case 'store-back':
-      case 'store-returned':
       case 'keeper-silent':
       case 'keeper-chosen':
       case 'config-in-force':
--- a/daemon/explain/explain_request_test.ts
+++ b/daemon/explain/explain_request_test.ts
@@ -29,6 +29,15 @@
   expect(explainRequest(readLog(JSON.stringify(line)), 'large').cause).toBe('over quota: account council had used up what it may (4101 left, it costs 12000)')
 })
 
+test('a refusal by an older configuration names a return of the store before it', () => {
+  const line = (second: number, event: string, fields: object) => JSON.stringify({ level: 'info', time: `2026-05-23T10:00:0${second}.000Z`, daemon: 'edge-1', process: 'p', event, ...fields })
+  const returned = line(1, 'store-returned', { era: 2, before: 1, from: 'store' })
+  const refused = line(6, 'request-refused', { request: 'r', revision: 85, revisionAgeMs: 400, status: 404, why: 'no route' })
+  const { cause, steps } = explainRequest(readLog([returned, refused].join('\n')), 'r')
+  expect(cause).toBe('configuration: revision 85 (confirmed 400 ms before) does not have a route for it; the store had returned to an older copy (era 2) 5000 ms before')
+  expect(steps[0]).toMatchObject({ afterMs: -5000, text: '(store-returned: era 2, before 1, from store)' })
+})
+
 test('the steps are in order, with the configuration in force and its age', () => {
   const { steps } = explainRequest(lines, '31ea9625f46f67d4')
   expect(steps.find(({ afterMs }) => afterMs === 0)!.text).toMatch(/^refused with 401: .* \(configuration 7, confirmed 3722 ms before\)$/)
