Do not serve versions of an era to daemons of an earlier release

What callers would have seen: while a fleet is upgraded before a store that has returned, a daemon of the earlier release gets versions of an era from a newer one, takes them for revisions, and ignores what the store itself answers then.

Fix: a request that names no era is refused once the store has one, so that such a daemon asks the store. A test shows both. Wording of comments and pages; the repeated start of two usage tests is a function.

--- a/core/store_version/store_version.ts
+++ b/core/store_version/store_version.ts
@@ -9,7 +9,7 @@
  */
 export type StoreVersion = symbol & { readonly [brand]: 'StoreVersion' }
 
-/** Number of revisions in an era that can be told apart: a store that makes 3,000 changes a second gets there after eleven years. */
+/** Upper bound of the revisions of an era: a store that makes 3,000 changes a second gets there after eleven years. */
 const REVISIONS_PER_ERA = 2 ** 40
 const MAX_ERA = 2 ** 13 - 1
 
--- a/daemon/duties/usage_task_test.ts
+++ b/daemon/duties/usage_task_test.ts
@@ -79,11 +79,17 @@
   expect(duties.accepted).toEqual([])
 })
 
-test('the holder writes its reports again after the store has returned to a copy without them, and sends none twice', async () => {
-  // Guards against a successor that finds no report of a window and sends other counts for it.
-  const [store, duties] = [new StandInStore(), new FencedReceiver()]
+/** Returns a store of which a copy without reports was taken. */
+async function copiedStore (): Promise<[StandInStore, FencedReceiver]> {
+  const store = new StandInStore()
   await store.create('unrelated', '1')
   store.takeCopy()
+  return [store, new FencedReceiver()]
+}
+
+test('the holder writes its reports again after the store has returned to a copy without them, and sends none twice', async () => {
+  // Guards against a successor that finds no report of a window and sends other counts for it.
+  const [store, duties] = await copiedStore()
   const holder = startHolder('a', 3, { store, duties, fencing: () => 1 })
   await holder.round()
   store.returnToCopy()
@@ -107,9 +113,7 @@
 })
 
 test('a holder that may not know all reports sends no window that may have been reported before the store returned to a copy', async () => {
-  const [store, duties] = [new StandInStore(), new FencedReceiver()]
-  await store.create('unrelated', '1')
-  store.takeCopy()
+  const [store, duties] = await copiedStore()
   await startHolder('a', 3, { store, duties, fencing: () => 1 }).round()
   store.returnToCopy()
   await store.get('unrelated')
--- a/daemon/peers/era_sharing.ts
+++ b/daemon/peers/era_sharing.ts
@@ -1,4 +1,4 @@
-/** Tells all daemons of a new era of the store, whichever noticed it first. */
+/** Gossips a new era of the store to all daemons, whichever noticed it first. */
 import type { EraTracker } from '../../store/index.ts'
 import { log } from '../log/index.ts'
 import type { Metrics } from '../metrics.ts'
--- a/daemon/peers/store_relay.ts
+++ b/daemon/peers/store_relay.ts
@@ -24,8 +24,8 @@
   propagationMs: number
 }
 
-/** Long-poll request for the changes of a prefix after a version; `era` is the era that the caller knows of. */
-interface ChangesRequest { prefix: string, after: StoreVersion, era: number, waitMs: number }
+/** Long-poll request for the changes of a prefix after a version; `era` is the era that the caller knows of, undefined for a daemon of an earlier release. */
+interface ChangesRequest { prefix: string, after: StoreVersion, era?: number, waitMs: number }
 /** `ageMs`: time since the store itself last answered, directly or through other daemons, in milliseconds. */
 interface ChangesResponse extends Changes { ageMs: number }
 
@@ -57,6 +57,8 @@
   constructor (options: StoreRelayOptions) {
     this.#options = options
     options.links.handle(CHANGES_METHOD, async ({ prefix, after, era, waitMs }: ChangesRequest, { from }) => {
+      // An earlier release takes the versions of an era for revisions, and would then ignore what it reads from the store itself.
+      if (era === undefined && options.store.era.current > 0) throw new Error(`Cannot serve changes of ${prefix}: the caller does not know eras of the store`)
       if (era !== undefined) options.store.era.learn(era, from)
       const followed = this.#followed.get(prefix)
       if (!followed) throw new Error(`Cannot serve changes of ${prefix}: this daemon does not follow it`)
--- a/daemon/peers/store_relay_test.ts
+++ b/daemon/peers/store_relay_test.ts
@@ -4,7 +4,7 @@
 import { as, type DaemonId, type FailureDomain } from '../../core/ids/index.ts'
 import type { Member } from '../../core/membership/index.ts'
 import { changeSources } from '../../core/relay/index.ts'
-import { eraOf, type StoreVersion } from '../../core/store_version/index.ts'
+import { eraOf, storeVersion, type StoreVersion } from '../../core/store_version/index.ts'
 import { delay, steadyNow } from '../../core/time/index.ts'
 import { StandInNetwork, StandInStore } from '../../standins/index.ts'
 import { EraTracker, StoreError, StoreFollower, type ObjectSource } from '../../store/index.ts'
@@ -247,6 +247,21 @@
   expect(store.calls.reads + store.calls.watches - reads - watches).toBeLessThanOrEqual(cut ? 3 * daemons : 20)
 }, 120_000)
 
+test('a daemon of an earlier release, which names no era, is not served versions of one', async () => {
+  // Guards against a mixed fleet in which such daemons take versions for revisions and ignore what the store itself answers.
+  const { network, watchers } = await started(9, 3)
+  const links = network.join(as<DaemonId>('earlier'))
+  const ask = async () => {
+    const reply = links.call(watchers[0]!.member, 'store-changes', { prefix: PREFIX, after: storeVersion(0, 1), waitMs: 0 }, { timeoutMs: 1000 }).catch((err: Error) => err.message)
+    await vi.advanceTimersByTimeAsync(1000)
+    return await reply
+  }
+  expect(await ask()).toMatchObject({ ageMs: expect.any(Number) })
+  await returnWithout(fleet)
+  expect(await fleet.timeUntilKnown(['a', 'new'])).toBeLessThanOrEqual(PROPAGATION_MS)
+  expect(await ask()).toMatch(/does not know eras/)
+})
+
 test('daemons that the store refuses after its return have its state from the others in time', async () => {
   const { nodes, watchers } = await started(40, 4)
   // Daemons gossip the era, which is not part of this fleet.
--- a/daemon/rollout/rollout_follower_test.ts
+++ b/daemon/rollout/rollout_follower_test.ts
@@ -30,13 +30,13 @@
 
 let store: StandInStore
 let follower: RolloutFollower
-let tell: (fact: Fact) => void
+let receiveFact: (fact: Fact) => void
 
 async function start (stored: Stored): Promise<StoreVersion> {
   store = new StandInStore()
   store.takeCopy()
   const version = await store.create(KEY, JSON.stringify(stored))
-  const membership = { publishFact: () => {}, onFact: (listener: (fact: Fact, from: DaemonId) => void) => { tell = (fact) => listener(fact, as('edge-2')) } }
+  const membership = { publishFact: () => {}, onFact: (listener: (fact: Fact, from: DaemonId) => void) => { receiveFact = (fact) => listener(fact, as('edge-2')) } }
   follower = new RolloutFollower({ store, port: { prefix: 'rollouts/', decode }, membership, random: () => 0.5, waitMs: 1000 })
   follower.start()
   await vi.advanceTimersByTimeAsync(100)
@@ -76,7 +76,7 @@
   store.returnToCopy()
   await vi.advanceTimersByTimeAsync(3000)
   const known: RolloutRecord = { version: storeVersion(0, 9), order: orderTo('v2'), progress: progressOf('v2', 'completed', 90) }
-  tell({ key: `rollout/${POOL}`, version: ordinalOf(known.version), value: known })
+  receiveFact({ key: `rollout/${POOL}`, version: ordinalOf(known.version), value: known })
   expect(record()).toMatchObject({ progress: { stage: 'completed', granted: 90 }, unsaved: true })
   expect(version).not.toBe(record().version)
 })
