--- a/daemon/config/config_task.ts
+++ b/daemon/config/config_task.ts
@@ -4,9 +4,9 @@
   configSchema, diff, InvalidError, nextRevision, validate,
   type AcceptedConfig, type Config, type FieldChange
 } from '../../core/config/index.ts'
-import { NO_VERSION, type StoreVersion } from '../../core/store_version/index.ts'
 import type { DaemonId } from '../../core/ids/index.ts'
 import type { Hash32 } from '../../core/routing/index.ts'
+import { NO_VERSION, type StoreVersion } from '../../core/store_version/index.ts'
 import { isStoreFailure, writeAndVerify, type TaggedValue, type ObjectStore, type StoredObject } from '../../store/index.ts'
 import type { AuditTrail } from './audit.ts'
 import { ConfigFollower } from './config_follower.ts'
--- a/store/budgeted_store.ts
+++ b/store/budgeted_store.ts
@@ -1,6 +1,6 @@
 /** Rate limiting, backoff and call counting for each use of the store. */
-import { delay, steadyNow } from '../core/time/index.ts'
 import type { StoreVersion } from '../core/store_version/index.ts'
+import { delay, steadyNow } from '../core/time/index.ts'
 import type { EraTracker } from './era_tracker.ts'
 import { StoreError, type Changes, type ObjectStore, type Snapshot, type StoredObject } from './object_store.ts'
 
