Add a topology of regions that decisions can ask, and read regions and memory limits from the settings

Cause: regions, contracts and memory limits of the settings were not read, and one constant stood for the distance to any other failure domain. Change: RegionTopology gives domain, region and round trip, with the least observed time between regions; the router asks it. With one region it returns what the constant was. Tests that passed a failure domain to the dispatcher pass a topology with that domain.

--- a/bench/_placing.ts
+++ b/bench/_placing.ts
@@ -3,6 +3,7 @@
 import xxhash from 'xxhash-wasm'
 import { as, type ClassName, type DaemonId, type EndpointId, type FailureDomain, type HostId, type PoolName } from '../core/ids/index.ts'
 import { LoadAggregator, reportIntervalMs, type Hash32, type Random, type Route } from '../core/routing/index.ts'
+import { RegionTopology } from '../core/topology/index.ts'
 import { steadyNow } from '../core/time/index.ts'
 import type { Demand, WorkClass } from '../core/work/index.ts'
 import { EndpointTable } from '../daemon/endpoints/endpoint_table.ts'
@@ -114,7 +115,7 @@
       table,
       hash,
       random: seededRandom(this.#options.seed + i + 1),
-      failureDomain: DOMAINS[i % DOMAINS.length]!,
+      topology: new RegionTopology({ ownDomain: DOMAINS[i % DOMAINS.length]! }),
       sharers: () => this.#options.daemons
     })
     return { id, table, dispatcher }
--- a/core/ids/ids.ts
+++ b/core/ids/ids.ts
@@ -15,6 +15,8 @@
 export type HostId = Branded<string, 'HostId'>
 /** A set of hosts that fail or are reclaimed together. */
 export type FailureDomain = Branded<string, 'FailureDomain'>
+/** A set of failure domains that are close to each other; another region is farther away and may be cut off as a whole. */
+export type Region = Branded<string, 'Region'>
 /** A client account, identified by its credentials. */
 export type AccountId = Branded<string, 'AccountId'>
 /** A class of work. */
--- /dev/null
+++ b/core/topology/index.ts
@@ -0,0 +1,1 @@
+export * from './topology.ts'
--- a/daemon/exchange/_proxy_components.ts
+++ b/daemon/exchange/_proxy_components.ts
@@ -6,6 +6,7 @@
 import { WindowBudget, type RetryLimiter } from '../../core/retry/index.ts'
 import type { Hash64 } from '../../core/quarantine/index.ts'
 import type { EndpointView, Hash32, Random } from '../../core/routing/index.ts'
+import { RegionTopology } from '../../core/topology/index.ts'
 import { createEndCheck, dial, ExchangeClient } from '../../endpoints/index.ts'
 import { ConfigFollower } from '../config/config_follower.ts'
 import { OrderTask } from '../duties/order_task.ts'
@@ -66,6 +67,7 @@
   hash64: Hash64
   random: Random
   metrics: Metrics
+  topology: RegionTopology
   links: PeerLinks
   membership: MembershipTask
   fleet: FleetSize
@@ -132,6 +134,7 @@
     hash64: asValue(hash64),
     random: asFunction(({ self }: ProxyComponents) => seededRandom(hash(self))).singleton(),
     metrics: asFunction(createMetrics).singleton(),
+    topology: asFunction(() => new RegionTopology({ ownDomain: settings.failureDomain, regions: settings.regions })).singleton(),
     links: asFunction(({ self, metrics }: ProxyComponents) => new PeerLinks({ self, secret: settings.peerSecret, metrics })).singleton(),
     membership: asFunction(({ self, links, metrics, random }: ProxyComponents) => new MembershipTask({
       self,
@@ -200,11 +203,11 @@
       metrics: cradle.metrics,
       completeSinceMs: () => cradle.registry.completeSinceMs
     })).singleton(),
-    dispatcher: asFunction(({ table, random, fleet, rollouts, endpointLimits, paths, delegateFinder }: ProxyComponents) => createSharedDispatcher({
+    dispatcher: asFunction(({ table, random, topology, fleet, rollouts, endpointLimits, paths, delegateFinder }: ProxyComponents) => createSharedDispatcher({
       table,
       hash,
       random,
-      failureDomain: settings.failureDomain,
+      topology,
       sharers: () => fleet.hostCount,
       canaries: rollouts?.gate,
       limits: endpointLimits,
--- a/daemon/exchange/proxy_settings.ts
+++ b/daemon/exchange/proxy_settings.ts
@@ -1,5 +1,5 @@
 /** Settings of a proxy daemon. */
-import type { FailureDomain } from '../../core/ids/index.ts'
+import type { FailureDomain, Region } from '../../core/ids/index.ts'
 import type { ExposureLimit } from '../../core/rollout/index.ts'
 import type { QuotaTolerance } from '../../core/quota/index.ts'
 import type { LapsedEntriesOptions } from '../../core/registry/index.ts'
@@ -12,6 +12,10 @@
   /** Unique among the daemons and stable across restarts. */
   name: string
   failureDomain: FailureDomain
+  /** Region of each failure domain; empty if the deployment names none, which counts as one region. */
+  regions: ReadonlyMap<FailureDomain, Region>
+  /** Memory that the process may use, in bytes; undefined if the deployment does not ask for what it holds to be bounded. */
+  memoryLimitBytes?: number | undefined
   /** CPU cores available to this daemon; undefined if the host does not report them. */
   cores?: number | undefined
   /** True during the first start of the whole deployment, when no caller can have sent a request yet. */
--- a/daemon/request/back_off_test.ts
+++ b/daemon/request/back_off_test.ts
@@ -2,6 +2,7 @@
 import xxhash from 'xxhash-wasm'
 import { as, endpointId, type DaemonId, type EndpointId, type FailureDomain, type HostId } from '../../core/ids/index.ts'
 import type { EndpointView } from '../../core/routing/index.ts'
+import { RegionTopology } from '../../core/topology/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import type { EndpointSignals, ListedHost } from '../../endpoints/index.ts'
 import { EndpointSignalRecorder } from '../endpoints/endpoint_signal_recorder.ts'
@@ -44,7 +45,7 @@
   const table = new EndpointTable({ self: as<DaemonId>('d'), hash, subsetSize })
   table.applyHostList(names.map((name) => listed(name)))
   const random = seededRandom(7)
-  const dispatcher = createSharedDispatcher({ table, hash, random, failureDomain: DOMAIN, sharers: () => 1, ...options })
+  const dispatcher = createSharedDispatcher({ table, hash, random, topology: new RegionTopology({ ownDomain: DOMAIN }), sharers: () => 1, ...options })
   const signals = new EndpointSignalRecorder({ table, metrics: createMetrics(), random })
   signals.onRoom = () => dispatcher.startQueued()
   return { table, dispatcher, signals }
--- a/daemon/request/continued_streams_test.ts
+++ b/daemon/request/continued_streams_test.ts
@@ -1,6 +1,7 @@
 import { expect, test } from 'vitest'
 import xxhash from 'xxhash-wasm'
 import { as, endpointId, type DaemonId, type EndpointVersion, type FailureDomain, type HostId } from '../../core/ids/index.ts'
+import { RegionTopology } from '../../core/topology/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import type { ListedHost } from '../../endpoints/index.ts'
 import { EndpointTable } from '../endpoints/endpoint_table.ts'
@@ -25,7 +26,7 @@
 function setUp (hosts: readonly ListedHost[], { subsetSize }: { subsetSize?: number } = {}): { table: EndpointTable, dispatcher: Dispatcher } {
   const table = new EndpointTable({ self: as<DaemonId>('d'), hash, ...(subsetSize !== undefined && { subsetSize }) })
   table.applyHostList(hosts)
-  return { table, dispatcher: createSharedDispatcher({ table, hash, random: seededRandom(1), failureDomain: DOMAIN, sharers: () => 1 }) }
+  return { table, dispatcher: createSharedDispatcher({ table, hash, random: seededRandom(1), topology: new RegionTopology({ ownDomain: DOMAIN }), sharers: () => 1 }) }
 }
 
 /** Places a request and returns where it went: an endpoint's name, `waits`, or why and for how long it was refused. */
--- a/daemon/request/dispatcher_test.ts
+++ b/daemon/request/dispatcher_test.ts
@@ -1,6 +1,7 @@
 import { expect, test } from 'vitest'
 import xxhash from 'xxhash-wasm'
 import { as, endpointId, type DaemonId, type EndpointId, type EndpointVersion, type FailureDomain, type HostId } from '../../core/ids/index.ts'
+import { RegionTopology } from '../../core/topology/index.ts'
 import type { ListedHost } from '../../endpoints/index.ts'
 import { EndpointTable } from '../endpoints/endpoint_table.ts'
 import { seededRandom } from '../seeded_random.ts'
@@ -24,7 +25,7 @@
     const table = new EndpointTable({ self: as<DaemonId>('d'), hash })
     table.applyHostList([listed('failed', 1000), listed('other', 1000)])
     table.applyHostList([listed('failed', 2000), listed('other', 1000)])
-    const dispatcher = createSharedDispatcher({ table, hash, random: seededRandom(seed), failureDomain: DOMAIN, sharers: () => 1 })
+    const dispatcher = createSharedDispatcher({ table, hash, random: seededRandom(seed), topology: new RegionTopology({ ownDomain: DOMAIN }), sharers: () => 1 })
     dispatcher.place(placement({ avoid: [endpointId('failed', 1000)], placed: ({ id }) => placedAt.add(id) }))
   }
   expect([...placedAt]).toEqual([endpointId('other', 1000)])
@@ -41,7 +42,7 @@
   table.restrictTo(({ version }) => version === OLD)
   let spent = 0
   const canaries = { canaries: () => table.ofVersion(POOL, NEW), spent: () => { spent++ } }
-  const dispatcher = createSharedDispatcher({ table, hash, random: seededRandom(1), failureDomain: DOMAIN, sharers: () => 1, canaries })
+  const dispatcher = createSharedDispatcher({ table, hash, random: seededRandom(1), topology: new RegionTopology({ ownDomain: DOMAIN }), sharers: () => 1, canaries })
   const sentTo = (change: Partial<Placement>): string | undefined => {
     let name: string | undefined
     dispatcher.place(placement({ ...change, placed: (view) => { name = view.name } }))
--- a/daemon/request/limited_endpoints_test.ts
+++ b/daemon/request/limited_endpoints_test.ts
@@ -1,6 +1,7 @@
 import { afterEach, beforeEach, expect, test, vi } from 'vitest'
 import xxhash from 'xxhash-wasm'
 import { as, endpointId, type DaemonId, type FailureDomain, type HostId } from '../../core/ids/index.ts'
+import { RegionTopology } from '../../core/topology/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import type { ListedHost } from '../../endpoints/index.ts'
 import { EndpointTable } from '../endpoints/endpoint_table.ts'
@@ -34,7 +35,7 @@
   const table = new EndpointTable({ self: as<DaemonId>('d'), hash, subsetSize })
   table.applyHostList(NAMES.map(listed))
   const limits = new EndpointLimits({ metrics: createMetrics(), isListed: () => true })
-  return { table, limits, dispatcher: createSharedDispatcher({ table, hash, random: seededRandom(7), failureDomain: DOMAIN, sharers: () => 1, limits }) }
+  return { table, limits, dispatcher: createSharedDispatcher({ table, hash, random: seededRandom(7), topology: new RegionTopology({ ownDomain: DOMAIN }), sharers: () => 1, limits }) }
 }
 
 function limitTo ({ limits, table }: Fixture, names: readonly string[], perS: number | undefined): void {
