Share a link between regions by the delay that its queue adds

Cause: all traffic between two regions shares a link whose rate is in no setting, and each daemon sees only its own bytes. Change: core/link estimates the queueing delay above the least round trip, adapts a rate to it and deals it by priority (control, calls, bulk); daemon/link samples round trips to daemons of other regions. Not wired to the dispatcher yet, nothing runs with one region.

--- a/bench/registry.ts
+++ b/bench/registry.ts
@@ -7,6 +7,7 @@
 import { onceBench } from './once.ts'
 import { overheadBench } from './overhead.ts'
 import { placingBench } from './placing.ts'
+import { regionLinkBench } from './region_link.ts'
 import { quarantineBench } from './quarantine.ts'
 import { reclaimBench } from './reclaim.ts'
 import { routeBench } from './route.ts'
@@ -16,4 +17,4 @@
 import { waveBench } from './wave.ts'
 
 /** All benchmarks, in the order in which they are listed. */
-export const BENCHES: readonly Bench[] = [costBench, endpointLimitsBench, limitsBench, membershipBench, onceBench, overheadBench, placingBench, quarantineBench, reclaimBench, rolloutBench, routeBench, schedulesBench, storeBench, waveBench]
+export const BENCHES: readonly Bench[] = [costBench, endpointLimitsBench, limitsBench, membershipBench, onceBench, overheadBench, placingBench, quarantineBench, reclaimBench, regionLinkBench, rolloutBench, routeBench, schedulesBench, storeBench, waveBench]
--- /dev/null
+++ b/daemon/link/index.ts
@@ -0,0 +1,1 @@
+export * from './region_link_task.ts'
--- a/daemon/log/events.ts
+++ b/daemon/log/events.ts
@@ -77,6 +77,9 @@
   'config-outdated': { version: string, known: string, inForce: number }
   /** A peer announced a revision, but did not return it. */
   'config-not-fetched': { revision: number, from: string, why: string, announcedAgeMs?: number | undefined }
+  /** Samples of the link to other regions got no answer; requests cross at the least rate until one does. */
+  'region-link-lost': { bytesPerS: number }
+  'region-link-back': { bytesPerS: number }
   'store-lost': { what: string, why: string, lastAnswerAgeMs: number | undefined }
   'store-back': { what: string }
   /** The store has returned to a copy of itself; `from` is the store or the daemon that this one has it from. What was read before is listed again. */
@@ -180,7 +183,7 @@
 
 /** Events logged as warnings; the rate limit drops routine events before these. */
 export const WARNING_EVENTS: ReadonlySet<LogEvent> = new Set<LogEvent>([
-  'request-refused', 'request-broke', 'request-held', 'attempt-failed', 'export-failed', 'settings-refused', 'config-refused', 'config-outdated', 'config-not-fetched', 'store-lost', 'store-returned', 'relay-failed',
+  'request-refused', 'request-broke', 'request-held', 'attempt-failed', 'export-failed', 'settings-refused', 'config-refused', 'config-outdated', 'config-not-fetched', 'store-lost', 'store-returned', 'relay-failed', 'region-link-lost',
   'connections-refused', 'peer-not-linked', 'peer-send-failed', 'peer-message-refused', 'not-registered', 'endpoint-refused', 'endpoint-crashed', 'request-quarantined', 'part-quarantined', 'quarantine-not-stored', 'endpoint-avoided', 'path-down', 'pool-cut-off', 'delegate-failed', 'endpoint-silent', 'endpoint-limit-refused', 'endpoint-signal-refused', 'keeper-silent', 'lease-call-failed',
   'usage-not-reported', 'usage-left-out', 'order-refused', 'rollout-held', 'rollout-refused', 'rollout-not-written', 'fleet-round-cut', 'answers-lost', 'lines-left-out'
 ])
