Place requests in their own region first, and spill to others what costs least to carry

Cause: endpoints of another region were candidates like those of the own, with the round trip as a tie-break; homes of prompts and the endpoints that a daemon connects to were drawn from all regions.

RegionCrossing decides what may cross; of what waits, the fewest bytes first. Log event request-spilled, counters spilled_requests_total and spilled_bytes_total. With one region no line of this runs but the split of candidates into its own file.

Measured: none of 10,000 requests leaves a region that has one free slot, for 4, 100 and 20 endpoints beside 4, 100 and 300 of the other region. All nine tests of daemon/request/region_routing_test.ts failed on the code before.

--- a/core/routing/router.ts
+++ b/core/routing/router.ts
@@ -27,6 +27,8 @@
   uncachedTokens: number
   /** Uncached tokens plus all tokens prefilled before them; undefined if the request also waits for a batch slot. */
   unreadTokens: number | undefined
+  /** Part of the predicted time that is the round trip to another region, in milliseconds. Default: 0. */
+  crossingMs?: number
 }
 
 /** Selects an endpoint, or none if every candidate is leaving, ejected, backing off or to be avoided. */
@@ -47,8 +49,10 @@
   rounds?: number
   /** Returns the number of daemons that use one endpoint. Default: only this one. */
   sharers? (): number
-  /** Returns the network round-trip time to an endpoint, in milliseconds. Default: 0. */
+  /** Returns the network round-trip time to an endpoint, in milliseconds. Ranks endpoints; it is too short to count against a target. Default: 0. */
   roundTripMs? (view: EndpointView): number
+  /** Returns the time added to the predicted first token of an endpoint in another region, in milliseconds. Default: 0. */
+  crossingMs? (view: EndpointView): number
 }
 
 const DEFAULT_CHOICES = 2
@@ -78,7 +82,7 @@
 
   pick (query: RouteQuery, candidates: readonly EndpointView[], now: number): Route | undefined {
     const eligible = candidates.filter((view) => isEligible(view, query, now))
-    const context = { now, sharers: this.#options.sharers?.() ?? 1 }
+    const context = { now, sharers: this.#options.sharers?.() ?? 1, crossingMs: this.#options.crossingMs }
     let best: Route | undefined
     for (let examined = 0; examined < eligible.length; examined++) {
       const roundOver = examined > 0 && examined % this.#choices === 0
@@ -129,7 +133,7 @@
       if (!isEligible(view, query, now)) continue
       if (!best || runningNow(view) < runningNow(best)) best = view
     }
-    return best && predict(query, best, { now, sharers: 1 })
+    return best && predict(query, best, { now, sharers: 1, crossingMs: undefined })
   }
 }
 
@@ -157,14 +161,17 @@
 }
 
 /** Predicts the route to an endpoint. A request that can no longer meet its target is moved to the `late` lane, behind those that still can. */
-function predict (query: RouteQuery, view: EndpointView, context: PredictionContext): Route {
+function predict (query: RouteQuery, view: EndpointView, context: PredictionContext & Pick<TargetRouterOptions, 'crossingMs'>): Route {
   const lane = query.lane ?? 'late'
   const uncachedTokens = Math.max(0, query.promptTokens - query.cachedTokens(view.id))
-  const firstTokenMs = predictFirstTokenMs(view, uncachedTokens, lane, context)
+  const crossingMs = context.crossingMs?.(view) ?? 0
+  const predictIn = (targetLane: Lane) => predictFirstTokenMs(view, uncachedTokens, targetLane, context) + crossingMs
+  const firstTokenMs = predictIn(lane)
   const meetsTokenInterval = query.betweenTokensMs === undefined || (predictBetweenTokensMs(view) <= query.betweenTokensMs && meetsIntervalTarget(view, query.betweenTokensMs, context.now))
   const hasFreeSlot = runningNow(view) < view.speed.batchSlots
   const meetsTarget = hasFreeSlot && meetsTokenInterval && firstTokenMs <= query.firstTokenMs
   const unreadTokensIn = (targetLane: Lane) => (hasFreeSlot ? unreadNow(view, targetLane) + uncachedTokens : undefined)
-  if (meetsTarget || lane === 'late' || firstTokenMs <= query.firstTokenMs) return { view, firstTokenMs, meetsTarget, lane, uncachedTokens, unreadTokens: unreadTokensIn(lane) }
-  return { view, firstTokenMs: predictFirstTokenMs(view, uncachedTokens, 'late', context), meetsTarget, lane: 'late', uncachedTokens, unreadTokens: unreadTokensIn('late') }
+  const route = { view, firstTokenMs, meetsTarget, lane, uncachedTokens, unreadTokens: unreadTokensIn(lane), ...(crossingMs > 0 && { crossingMs }) }
+  if (meetsTarget || lane === 'late' || firstTokenMs <= query.firstTokenMs) return route
+  return { ...route, firstTokenMs: predictIn('late'), lane: 'late', unreadTokens: unreadTokensIn('late') }
 }
--- a/daemon/endpoints/_endpoint_selections.ts
+++ b/daemon/endpoints/_endpoint_selections.ts
@@ -1,7 +1,8 @@
 /** Selection of the endpoints of a pool that may get a request. */
 import type { DaemonId, PoolName } from '../../core/ids/index.ts'
-import { subset, type EndpointView, type Hash32 } from '../../core/routing/index.ts'
+import { regionalSubset, type EndpointView, type Hash32 } from '../../core/routing/index.ts'
 import { mayContinueAt, type StreamVersion } from '../../core/streams/index.ts'
+import type { Topology } from '../../core/topology/index.ts'
 
 /** Endpoints that may get a request. */
 export interface EndpointSelection {
@@ -10,12 +11,17 @@
   connected: readonly EndpointView[]
 }
 
+/** What a selection asks about regions. */
+export type EndpointTopology = Pick<Topology, 'isLocal' | 'regionOf'>
+
 /** Options of {@linkcode EndpointSelections}. */
 export interface EndpointSelectionsOptions {
   self: DaemonId
   hash: Hash32
   /** Number of endpoints of one pool that this daemon connects to. */
   subsetSize: number
+  /** Region of each endpoint. Default: all are in this daemon's. */
+  topology?: EndpointTopology | undefined
   /** Returns the endpoints of a pool that are listed and do not leave. */
   serving (pool: PoolName): readonly EndpointView[]
 }
@@ -48,9 +54,10 @@
     const key = boundTo ? `${pool}\0${boundTo.version ?? ''}` : pool
     let selection = this.#selections.get(key)
     if (!selection) {
-      const { self, hash, subsetSize: size, serving } = this.#options
+      const { self, hash, subsetSize: size, serving, topology } = this.#options
+      const otherRegionOf = ({ failureDomain }: EndpointView) => (!topology || topology.isLocal(failureDomain) ? undefined : topology.regionOf(failureDomain))
       const usable = serving(pool).filter((view) => (boundTo ? mayContinueAt(boundTo, view) && this.#mayContinue(view) : this.#mayGetWork(view)))
-      selection = { usable, connected: subset(self, usable, { hash, size }) }
+      selection = { usable, connected: regionalSubset(self, usable, { hash, size, otherRegionOf }) }
       this.#selections.set(key, selection)
     }
     return selection
--- a/daemon/endpoints/endpoint_table.ts
+++ b/daemon/endpoints/endpoint_table.ts
@@ -11,7 +11,7 @@
 import { steadyNow } from '../../core/time/index.ts'
 import type { ListedHost } from '../../endpoints/index.ts'
 import { log } from '../log/index.ts'
-import { EndpointSelections, type EndpointSelection } from './_endpoint_selections.ts'
+import { EndpointSelections, type EndpointSelection, type EndpointTopology } from './_endpoint_selections.ts'
 import { PoolEstimates } from './_pool_estimates.ts'
 import { newView } from './_new_view.ts'
 import { remainingBackOffMs, WorkPauses, type AttemptFailure } from './_work_pauses.ts'
@@ -29,6 +29,8 @@
   hash: Hash32
   /** Number of endpoints of one pool that this daemon connects to. Default {@linkcode SUBSET_SIZE}. */
   subsetSize?: number
+  /** Region of each endpoint. Default: all are in this daemon's. */
+  topology?: EndpointTopology
 }
 
 /** Default number of endpoints of one pool that a daemon connects to. */
@@ -57,8 +59,8 @@
   readonly #endListeners: Array<(view: EndpointView) => void> = []
   readonly #activityListeners: Array<(id: EndpointId) => void> = []
 
-  constructor ({ self, hash, subsetSize = SUBSET_SIZE }: EndpointTableOptions) {
-    this.#selections = new EndpointSelections({ self, hash, subsetSize, serving: (pool) => this.#serving(pool) })
+  constructor ({ self, hash, subsetSize = SUBSET_SIZE, topology }: EndpointTableOptions) {
+    this.#selections = new EndpointSelections({ self, hash, subsetSize, topology, serving: (pool) => this.#serving(pool) })
   }
 
   /** All known endpoints. */
--- a/daemon/exchange/_proxy_components.ts
+++ b/daemon/exchange/_proxy_components.ts
@@ -162,7 +162,7 @@
     })).singleton(),
     config: asFunction(configFollower).singleton(),
     limits: asFunction(({ self, membership, fleet }: ProxyComponents) => new AccountLimits({ self, host: settings.name, tolerance: settings.quota, membership, fleet })).singleton(),
-    table: asFunction(({ self }: ProxyComponents) => new EndpointTable({ self, hash })).singleton(),
+    table: asFunction(({ self, topology }: ProxyComponents) => new EndpointTable({ self, hash, topology })).singleton(),
     registry: asFunction(endpointFollower).singleton(),
     client: asFunction(({ config, fleet }: ProxyComponents) => new ExchangeClient({ addressOf: endpointAddress, maxConnections: (view) => connectionsTo(view, config, fleet) })).singleton(),
     confirmer: asFunction(({ membership, table, paths }: ProxyComponents) => new CrashConfirmer({ membership, table, paths, hash })).singleton(),
--- a/daemon/exchange/intake.ts
+++ b/daemon/exchange/intake.ts
@@ -185,7 +185,7 @@
     const { client, dialect, table, dispatcher, metrics, crashes, quarantine, answers, endpointLimits, signals, paths } = this.#options
     const ports: RequestPorts = { table, dispatcher, metrics, budget: this.#options.budgetOf(pool), crashes, quarantine, answers, limits: endpointLimits, signals, paths }
     return {
-      work: { id: req.id, account: req.account ?? ANONYMOUS, cls, pool, demand: req.demand ?? NO_TOKENS, claim: undefined, fingerprint: this.#fingerprint(req) },
+      work: { id: req.id, account: req.account ?? ANONYMOUS, cls, pool, demand: req.demand ?? NO_TOKENS, bytes: req.body.length, claim: undefined, fingerprint: this.#fingerprint(req) },
       runner: new ExchangeRunner({ req, client, dialect, checkEnd: this.#options.checkEnd }),
       ports,
       from: req.resumeFrom
--- a/daemon/log/describe.ts
+++ b/daemon/log/describe.ts
@@ -13,6 +13,7 @@
   'stream-version': (f) => (f.version === undefined && f.pool === undefined ? `at which version it began is ${f.result}, ${f.answered} daemons answered` : `began at ${f.version ?? 'an endpoint without a version'} of ${f.pool} (${f.daemon === undefined ? 'its only version' : `passed on by ${f.daemon}`}, ${f.answered} daemons answered in ${ms(f.waitedMs)})`),
   'request-broke': (f) => `the daemon failed: ${f.why}`,
   'request-waits': (f) => `waits: no room at any of ${f.candidates} endpoints of ${f.pool}, ${f.ahead} ahead, ${ms(f.expectedMs)} expected`,
+  'request-spilled': (f) => `sent to ${f.endpoint} in ${f.region}, ${f.roundTripMs.toFixed(0)} ms away: ${f.why}`,
   'request-diverted': (f) => `no permit for ${f.endpoint}, which takes ${f.perS} requests a second`,
   'request-held': (f) => `held for ${ms(f.forMs)}: endpoints that ran requests like it crashed (${f.part === undefined ? `fingerprint ${f.fingerprint}` : f.part})`,
   'attempt-started': (f) => {
--- a/daemon/metrics.ts
+++ b/daemon/metrics.ts
@@ -51,6 +51,8 @@
     delegatedFor: counter('delegated_for_others_total', 'Requests of other daemons that this one ran, by result', ['result']),
     limitedEndpoints: gauge('limited_endpoints', 'Endpoints that limit the rate of requests from all daemons', ['pool']),
     limitedRequests: counter('limited_requests_total', 'Requests to endpoints with a limit: sent with a permit, sent without one, or diverted', ['result']),
+    spilledRequests: counter('spilled_requests_total', 'Requests sent to endpoints of another region, by region and by why their own was not used', ['region', 'why']),
+    spilledBytes: counter('spilled_bytes_total', 'Bytes of the bodies of these requests', ['region']),
     connectionsShed: counter('connections_shed_total', 'Connections of callers that were closed unread, since this daemon had more work than it could do in time'),
     acceptsConnections: gauge('accepts_connections', '1 while new connections of callers are accepted, 0 while they are closed unread'),
     open: gauge('open_requests', 'Requests accepted and not finished'),
--- a/daemon/request/_request_events.ts
+++ b/daemon/request/_request_events.ts
@@ -7,8 +7,11 @@
 import { steadyNow } from '../../core/time/index.ts'
 import type { EndpointTable } from '../endpoints/endpoint_table.ts'
 import type { RequestEvents } from '../log/index.ts'
+import type { Metrics } from '../metrics.ts'
 import type { FinalResult } from './live_answer.ts'
 import type { PieceTimes } from './piece_times.ts'
+import type { Crossing } from './placement.ts'
+import type { RequestWork } from './work.ts'
 
 /** An attempt that is about to start. `route` holds the router's prediction, if the router chose the endpoint. */
 export interface StartedAttempt { attempt: number, mode: StartMode, lane: Lane, fromPiece: number, route: Route | undefined, table: EndpointTable }
@@ -31,6 +34,16 @@
   }
 }
 
+/** A request that is about to be sent to another region. */
+export interface SpilledRequest { work: Pick<RequestWork, 'bytes'>, crossing: Crossing, metrics: Metrics }
+
+/** Counts a request that is sent to another region and builds the `request-spilled` event. */
+export function spilledEvent (view: EndpointView, { work: { bytes = 0 }, crossing, metrics }: SpilledRequest): RequestEvents['request-spilled'] {
+  metrics.spilledRequests.inc({ region: crossing.region, why: crossing.why })
+  metrics.spilledBytes.inc({ region: crossing.region }, bytes)
+  return { endpoint: view.id, bytes, ...crossing }
+}
+
 /** A failed attempt. `afterMs` is the time since it was sent; `fingerprint` is only called, and `parts` only reported, if the connection broke. */
 export interface FailedAttempt extends Pick<RequestEvents['attempt-failed'], 'attempt' | 'endpoint' | 'repeat' | 'afterMs' | 'pieces' | 'endpointLeaving'> {
   fingerprint (): Fingerprint
--- a/daemon/request/attempt_tracker.ts
+++ b/daemon/request/attempt_tracker.ts
@@ -7,7 +7,7 @@
 import { PieceTimes } from './piece_times.ts'
 
 /** The router's prediction for an attempt. */
-export type Prediction = Pick<Route, 'firstTokenMs' | 'unreadTokens'>
+export type Prediction = Pick<Route, 'firstTokenMs' | 'unreadTokens' | 'crossingMs'>
 
 /** The current attempt, with the work counted for its endpoint. */
 interface SentAttempt extends SentWork {
@@ -53,8 +53,10 @@
     sent.prefilled = true
     this.#table.promptRead(sent.endpoint, sent)
     if (!sent.predicted) return
-    const { firstTokenMs: predictedMs, unreadTokens } = sent.predicted
-    const tookMs = steadyNow() - sent.atMs
+    // The round trip to another region says nothing about the endpoint's speed.
+    const { firstTokenMs, unreadTokens, crossingMs = 0 } = sent.predicted
+    const predictedMs = firstTokenMs - crossingMs
+    const tookMs = Math.max(0, steadyNow() - sent.atMs - crossingMs)
     this.onFirstAnswer(sent.endpoint, { tookMs, predictedMs })
     this.#table.recordFirstToken(sent.endpoint, { predictedMs, actualMs: tookMs, unreadTokens })
   }
--- a/daemon/request/dispatcher.ts
+++ b/daemon/request/dispatcher.ts
@@ -1,13 +1,16 @@
 /** Assigns requests to endpoints and queues those that no endpoint has room for. */
 import { FairQueue, type QueuedRequest, type RequestQueue } from '../../core/admission/index.ts'
-import { isStartOf, type EndpointId, type PoolName } from '../../core/ids/index.ts'
-import { backsOff, runningNow, type EndpointView, type PrefixIndex, type Random, type Route, type RouteQuery, type Router } from '../../core/routing/index.ts'
+import type { PoolName } from '../../core/ids/index.ts'
+import { backsOff, runningNow, type EndpointView, type PrefixIndex, type Random, type RegionalRoute, type Route, type RouteQuery, type Router } from '../../core/routing/index.ts'
 import type { PromptPart } from '../../core/work/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import { remainingBackOffMs } from '../endpoints/_work_pauses.ts'
 import type { EndpointSelection } from '../endpoints/_endpoint_selections.ts'
 import type { EndpointTable } from '../endpoints/endpoint_table.ts'
+import { Candidates, type CandidateSet } from './_candidates.ts'
+import { endpointsToAvoid, failedEndpoints, remainingTokens, routeQuery } from './_route_query.ts'
 import type { CanaryGate, EndpointLimiter, Placement, RequestWay, RequestWays } from './placement.ts'
+import type { RegionRouting } from './region_routing.ts'
 
 /** Options of {@linkcode Dispatcher}. */
 export interface DispatcherOptions {
@@ -22,6 +25,8 @@
   limits?: EndpointLimiter
   /** Finds other ways for requests to endpoints that this daemon cannot reach. Default: all endpoints can be reached. */
   ways?: RequestWays
+  /** Selects between regions. Default: there is one. */
+  regions?: RegionRouting
   /** Spreads the times at which refused callers return. Default: they are not spread. */
   random?: Random
   /** Creates the queue of a pool. Default: {@linkcode FairQueue}. */
@@ -35,13 +40,6 @@
  * of the free slot arrives. Endpoints can queue a few requests more than they have slots.
  */
 const MAX_URGENT_WAITING = 12
-/**
- * Least number of shared prompt tokens for which the home is chosen from all endpoints of the pool, rather than from those that this daemon is connected to.
- *
- * When there are more endpoints than a daemon connects to, daemons that choose from their own connections choose different homes, and a prefix shared by hundreds
- * of requests is prefilled at dozens of endpoints. Prefilling this many tokens takes an engine ten times as long as opening a connection.
- */
-const MIN_TOKENS_FOR_CONNECTION = 2000
 /** Weight of the latest sample in the moving average of the time between starts. */
 const RATE_SMOOTHING = 0.2
 /** Longest time that a new request may be queued, as a multiple of its first-token target. See docs/design/limits.md. */
@@ -65,15 +63,18 @@
  */
 const VERSION_GONE_RETRY_AFTER_MS = 2000
 
-/** Endpoints to choose from, and the number of prompt tokens that each is expected to have cached. */
-interface CandidateSet { candidates: readonly EndpointView[], cached: Map<EndpointId, number> }
 /** Whether a request may ask for a permit before it is placed, and whether it was granted one. */
 interface Permission { mayAsk: boolean, isGranted?: boolean }
+/** `onlyCrossing`: the request is started in another region or not at all, since others wait for its own. */
+interface StartOptions extends Permission { now: number, pool: PoolState | undefined, onlyCrossing?: boolean }
+/** Waiting requests of a pool that are tried in other regions at once. */
+const MAX_SPILL_TRIES = 8
 interface PoolState { name: PoolName, queue: RequestQueue<Placement>, msPerStart: number, lastStartMs: number }
 
 /** Routes placements to endpoints, with one queue per pool, and one per version for streams that continue: nothing else waits behind them. */
 export class Dispatcher {
   readonly #options: DispatcherOptions
+  readonly #candidates: Candidates
   readonly #pools = new Map<string, PoolState>()
   /** Requests that have asked whether they may go to an endpoint with a limit. */
   readonly #asking = new Set<Placement>()
@@ -81,6 +82,7 @@
 
   constructor (options: DispatcherOptions) {
     this.#options = options
+    this.#candidates = new Candidates(options)
   }
 
   /** Number of queued requests. */
@@ -110,6 +112,7 @@
     if (way.type !== 'direct') return this.#placeElsewhere(placement, way, pool)
     if (this.#refuseIfVersionGone(placement)) return
     if (pool.queue.length === 0 && (this.#start(placement, pool, { mayAsk: true }) || this.#asking.has(placement))) return
+    if (pool.queue.length > 0 && this.#startElsewhere(placement, pool)) return
     this.#queueOrRefuse(placement, pool)
   }
 
@@ -207,7 +210,7 @@
         continue
       }
       const way = this.#wayFor(next.item)
-      if (way.type === 'wait' || (way.type === 'direct' && !this.#start(next.item, pool, { mayAsk: false }))) return
+      if (way.type === 'wait' || (way.type === 'direct' && !this.#start(next.item, pool, { mayAsk: false }))) return this.#spill(pool)
       pool.queue.remove(next)
       if (way.type !== 'direct') this.#placeElsewhere(next.item, way, pool)
     }
@@ -215,38 +218,69 @@
 
   #start (placement: Placement, pool: PoolState, permission: Permission): boolean {
     const now = steadyNow()
-    return this.#startCanary(placement, now) || this.#startAt(placement, { pool, now, ...permission, ...this.#candidatesFor(placement, now) })
+    return this.#startCanary(placement, now) || this.#startAt(placement, this.#candidates.find(placement, this.#endpointsFor(placement), now), { pool, now, ...permission })
   }
 
-  /** Sends a request to a canary endpoint. Requests that an earlier attempt was made for are excluded. */
+  /** Sends a request to a canary endpoint, of this region if it has one. Requests that an earlier attempt was made for are excluded. */
   #startCanary (placement: Placement, now: number): boolean {
-    const { canaries: gate, prefixes } = this.#options
+    const { canaries: gate, prefixes, regions } = this.#options
     if (!gate || placement.resumed || placement.boundTo || placement.avoid.length > 0) return false
-    const candidates = gate.canaries(placement)
+    const canaries = gate.canaries(placement)
+    const near = regions ? canaries.filter((view) => regions.isLocal(view)) : canaries
+    const candidates = near.length > 0 || regions?.mayCross(placement) === false ? near : canaries
     if (candidates.length === 0) return false
-    const started = this.#startAt(placement, { pool: undefined, now, mayAsk: false, candidates, cached: prefixes.lookup(placement.demand.parts, now) })
+    const started = this.#startAt(placement, { candidates, cached: prefixes.lookup(placement.demand.parts, now) }, { pool: undefined, now, mayAsk: false })
     if (started) gate.spent(placement)
     return started
   }
 
-  #startAt (placement: Placement, { pool, now, candidates, cached, mayAsk, isGranted }: CandidateSet & Permission & { pool: PoolState | undefined, now: number }): boolean {
-    const withRoom = this.#preferPermitted(placement, candidates.filter((view) => this.#hasRoom(view, placement.cls.urgent) && !backsOff(view, now) && this.#canSend(view, placement) && (placement.accepts?.(view) ?? true)), isGranted)
-    // When every endpoint with room has failed the request before, all of them are candidates again; the retry budget limits how often.
-    const failed = failedEndpoints(placement, withRoom)
-    const avoid = failed.length < withRoom.length ? failed : []
-    const query: RouteQuery = {
-      promptTokens: placement.demand.promptTokens + placement.doneTokens,
-      expectedTokens: remainingTokens(placement),
-      firstTokenMs: remainingFirstTokenMs(placement, now),
-      lane: placement.cls.urgent ? 'urgent' : 'normal',
-      betweenTokensMs: placement.cls.latency.betweenTokensMs,
-      avoid,
-      cachedTokens: (id) => cached.get(id) ?? 0
+  /** Sends a request to another region while others wait for room in this one. */
+  #startElsewhere (placement: Placement, pool: PoolState): boolean {
+    if (!this.#options.regions) return false
+    const now = steadyNow()
+    return this.#startAt(placement, this.#candidates.find(placement, this.#endpointsFor(placement), now), { pool, now, mayAsk: false, onlyCrossing: true })
+  }
+
+  /** Sends waiting requests to other regions, those with the fewest bytes first. */
+  #spill (pool: PoolState): void {
+    if (!this.#options.regions) return
+    const waiting: QueuedRequest<Placement>[] = []
+    pool.queue.find((entry) => waiting.push(entry) === 0)
+    waiting.sort((a, b) => (a.item.bytes ?? 0) - (b.item.bytes ?? 0))
+    let failed = 0
+    for (const entry of waiting) {
+      if (this.#wayFor(entry.item).type === 'direct' && this.#startElsewhere(entry.item, pool)) pool.queue.remove(entry)
+      else if (++failed >= MAX_SPILL_TRIES) return
     }
-    const route = this.#pickWithinLimits(placement, query, { candidates: withRoom, now, mayAsk })
-    if (!route) return false
+  }
+
+  #startAt (placement: Placement, set: CandidateSet, options: StartOptions): boolean {
+    const { pool, now, onlyCrossing = false } = options
+    const { regions } = this.#options
+    const canStart = (view: EndpointView) => this.#hasRoom(view, placement.cls.urgent) && !backsOff(view, now) && this.#canSend(view, placement) && (placement.accepts?.(view) ?? true)
+    const withRoomOf = (views: readonly EndpointView[]) => this.#preferPermitted(placement, views.filter(canStart), options.isGranted)
+    const query = routeQuery(placement, { now, cached: set.cached })
+    let picked: Partial<RegionalRoute> | undefined
+    if (regions && set.regional) {
+      picked = regions.pick(placement, { ...set, regional: set.regional }, {
+        query,
+        now,
+        onlyCrossing,
+        canStart,
+        expectedMs: pool && pool.msPerStart > 0 ? (pool.queue.ahead(placement.account, placement.cls.urgent) + 1) * pool.msPerStart : Infinity,
+        // Once permission was asked for, the answer decides.
+        pick: (regionQuery, views, router) => (this.#asking.has(placement) ? undefined : this.#pickWithinLimits(placement, regionQuery, { ...options, candidates: withRoomOf(views), router }))
+      })
+    } else {
+      const withRoom = withRoomOf(set.candidates)
+      const route = this.#pickWithinLimits(placement, { ...query, avoid: endpointsToAvoid(placement, withRoom) }, { ...options, candidates: withRoom })
+      picked = { route, crossing: route && regions?.isLocal(route.view) === false ? 'canary' : undefined }
+    }
+    if (!picked?.route) return false
+    const { route, crossing } = picked
     if (pool) updateStartRate(pool, now)
     this.#options.prefixes.record(placement.demand.parts, route.view.id, now)
+    if (crossing) regions!.crossed(placement, route.view, crossing)
     placement.placed(route.view, route)
     return true
   }
@@ -268,8 +302,8 @@
   }
 
   /** Picks an endpoint, or if that one may get no request now because of its limit, the best of those that may. */
-  #pickWithinLimits (placement: Placement, query: RouteQuery, { candidates, now, mayAsk }: { candidates: readonly EndpointView[], now: number, mayAsk: boolean }): Route | undefined {
-    const { router, limits } = this.#options
+  #pickWithinLimits (placement: Placement, query: RouteQuery, { candidates, now, mayAsk, router = this.#options.router }: { candidates: readonly EndpointView[], now: number, mayAsk: boolean, router?: Router | undefined }): Route | undefined {
+    const { limits } = this.#options
     const route = router.pick(query, candidates, now)
     if (!route || !limits || limits.mayStart(route.view)) return route
     if (mayAsk && this.#askFirst(placement, route.view, limits)) return undefined
@@ -291,35 +325,6 @@
     return true
   }
 
-  /** Returns the endpoints that may take a request with their expected cached tokens: prefixes sent by this daemon, and at the home those sent by any daemon. */
-  #candidatesFor (placement: Placement, now: number): CandidateSet {
-    const { prefixes } = this.#options
-    const { demand, pool } = placement
-    const cached = prefixes.lookup(demand.parts, now)
-    const { usable, connected } = this.#endpointsFor(placement)
-    const candidates = this.#withPermitted(pool, { usable, views: connected.every((view) => backsOff(view, now)) ? usable : connected })
-    const shared = demand.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0)
-    const home = this.#options.home?.(demand.parts, this.#withoutLimits(shared >= MIN_TOKENS_FOR_CONNECTION ? usable : candidates))
-    if (!home) return { candidates, cached }
-    cached.set(home.id, Math.max(shared, cached.get(home.id) ?? 0))
-    return { candidates: candidates.includes(home) ? candidates : [...candidates, home], cached }
-  }
-
-  /** Adds the endpoints that this daemon has permits for: they may be others than those that it is connected to. */
-  #withPermitted (pool: PoolName, { usable, views }: { usable: readonly EndpointView[], views: readonly EndpointView[] }): readonly EndpointView[] {
-    const permitted = this.#options.limits?.permitted(pool) ?? []
-    if (permitted.length === 0) return views
-    return [...views, ...usable.filter((view) => permitted.includes(view.id) && !views.includes(view))]
-  }
-
-  /** Endpoints without a limit, or all if each has one: a prefix is cached where all of its requests can go. */
-  #withoutLimits (views: readonly EndpointView[]): readonly EndpointView[] {
-    const { limits } = this.#options
-    if (!limits || !views.some((view) => limits.isLimited(view))) return views
-    const unlimited = views.filter((view) => !limits.isLimited(view))
-    return unlimited.length > 0 ? unlimited : views
-  }
-
   #poolState ({ pool: name, boundTo }: Placement): PoolState {
     const key = boundTo ? `${name}\0${boundTo.version ?? ''}` : name
     let pool = this.#pools.get(key)
@@ -341,11 +346,6 @@
   }
 }
 
-/** Returns the endpoints that failed the request before, including those that have restarted since: a restart does not make success more likely. */
-function failedEndpoints ({ avoid }: Placement, candidates: readonly EndpointView[]): EndpointId[] {
-  return candidates.filter((view) => avoid.some((id) => id === view.id || (view.name !== undefined && isStartOf(view.name, id)))).map(({ id }) => id)
-}
-
 function recordDiversion (placement: Placement, preferred: EndpointView, limits: EndpointLimiter): void {
   limits.diverted()
   placement.diverted?.(preferred, limits.perS(preferred))
@@ -369,19 +369,10 @@
   return Math.min(byDeadline, placement.acceptedAtMs + latency.firstTokenMs * MAX_WAIT_IN_TARGETS)
 }
 
-/** Returns what remains of the first-token target, in milliseconds. A resumed stream gets the full target again. */
-function remainingFirstTokenMs ({ cls, acceptedAtMs, resumed }: Placement, now: number): number {
-  return cls.latency.firstTokenMs - (resumed ? 0 : now - acceptedAtMs)
-}
-
 function totalTokens (placement: Placement): number {
   return placement.demand.promptTokens + placement.doneTokens + remainingTokens(placement)
 }
 
-function remainingTokens ({ demand, doneTokens }: Placement): number {
-  return Math.max(0, demand.expectedTokens - doneTokens)
-}
-
 function updateStartRate (pool: PoolState, now: number): void {
   if (pool.queue.length > 0) pool.msPerStart += RATE_SMOOTHING * (now - pool.lastStartMs - pool.msPerStart)
   pool.lastStartMs = now
--- a/daemon/request/placement.ts
+++ b/daemon/request/placement.ts
@@ -1,7 +1,7 @@
 /** A request that needs an endpoint, and what decides where it may be sent. */
 import type { SelectedDelegate } from '../../core/delegation/index.ts'
-import type { AccountId, DaemonId, EndpointId, PoolName } from '../../core/ids/index.ts'
-import type { EndpointView, Route } from '../../core/routing/index.ts'
+import type { AccountId, DaemonId, EndpointId, PoolName, Region } from '../../core/ids/index.ts'
+import type { CrossingReason, EndpointView, Route } from '../../core/routing/index.ts'
 import type { StreamVersion } from '../../core/streams/index.ts'
 import type { Demand, WorkClass } from '../../core/work/index.ts'
 
@@ -11,6 +11,8 @@
   cls: WorkClass
   pool: PoolName
   demand: Demand
+  /** Length of the request's body. Default: 0. */
+  bytes?: number
   /** Tokens produced by earlier attempts, which the endpoint must prefill along with the prompt. */
   doneTokens: number
   /** When the request was accepted, in milliseconds on the steady clock. */
@@ -34,8 +36,13 @@
   waits (queue: QueuePosition): void
   /** Called when the preferred endpoint is not used because of its limit, in requests per second. Default: does nothing. */
   diverted? (view: EndpointView, perS: number | undefined): void
+  /** Called when the request is sent to an endpoint of another region, before `placed`. Default: does nothing. */
+  spilled? (view: EndpointView, crossing: Crossing): void
 }
 
+/** Why a request is sent to another region, and how long a round trip to it takes, in milliseconds. */
+export interface Crossing { region: Region, roundTripMs: number, why: CrossingReason }
+
 /** Position of a request in its pool's queue, and the expected wait. */
 export interface QueuePosition { ahead: number, expectedMs: number, latestStartInMs: number, candidates: number }
 
@@ -69,6 +76,24 @@
   waitMs (pool: PoolName, urgent: boolean): number
 }
 
+/** A request that could be sent to another region. */
+export interface CrossingRequest {
+  /** Length of its body. */
+  bytes: number
+  urgent: boolean
+  /** True if it may be sent again after a failure. */
+  repeatable: boolean
+  /** What serving it is worth, relative to others. Default: 1. */
+  worth?: number
+}
+
+/** Decides which requests may be sent to another region, by what it costs to carry them. */
+export interface RegionCrossing {
+  mayCross (req: CrossingRequest): boolean
+  /** Called with the number of bytes when a request is sent to another region. */
+  crossed (bytes: number): void
+}
+
 /** How a request can be sent now. `wait`: that is being found out. */
 export type RequestWay = { type: 'direct' } | { type: 'wait' } | { type: 'none' } | { type: 'delegate', to: SelectedDelegate }
 
--- /dev/null
+++ b/daemon/request/region_routing.ts
@@ -0,0 +1,78 @@
+/** Routing of requests between regions, for the dispatcher. */
+import { preferOwnRegion, type CrossingReason, type EndpointView, type RegionalRoute, type Route, type RouteQuery, type Router } from '../../core/routing/index.ts'
+import type { Topology } from '../../core/topology/index.ts'
+import type { RegionalCandidates } from './_candidates.ts'
+import { endpointsToAvoid } from './_route_query.ts'
+import type { Placement, RegionCrossing } from './placement.ts'
+
+/** Options of {@linkcode RegionRouting}. */
+export interface RegionRoutingOptions {
+  topology: Pick<Topology, 'isLocal' | 'regionOf' | 'roundTripMs'>
+  /** Compares the endpoints of a region until one meets the target. */
+  thorough: Router
+  /** Decides which requests may be sent to another region. Default: all may. */
+  crossing?: RegionCrossing | undefined
+}
+
+/** Options of {@linkcode RegionRouting.pick}. */
+export interface RegionPickOptions {
+  query: Omit<RouteQuery, 'avoid'>
+  now: number
+  /** Expected time until the own region has room, in milliseconds; `Infinity` if that is unknown. */
+  expectedMs: number
+  /** True if the request is sent to another region or nowhere, since others wait for room in its own. */
+  onlyCrossing: boolean
+  /** Returns whether an endpoint can take the request now. */
+  canStart (view: EndpointView): boolean
+  /** Picks among those of the given endpoints that can. */
+  pick (query: RouteQuery, views: readonly EndpointView[], router?: Router): Route | undefined
+}
+
+/** Selects between the endpoints of the own region and others, and reports requests that leave the region. */
+export class RegionRouting {
+  readonly #options: RegionRoutingOptions
+
+  constructor (options: RegionRoutingOptions) {
+    this.#options = options
+  }
+
+  /** True if an endpoint is in the region of this daemon. */
+  isLocal ({ failureDomain }: EndpointView): boolean {
+    return this.#options.topology.isLocal(failureDomain)
+  }
+
+  /** True if a request may be sent to another region now. */
+  mayCross ({ bytes = 0, cls }: Placement): boolean {
+    return this.#options.crossing?.mayCross({ bytes, urgent: cls.urgent, repeatable: cls.idempotent }) ?? true
+  }
+
+  /** Selects the route of a request; see {@linkcode preferOwnRegion}. */
+  pick (placement: Placement, { candidates, regional: { own, others } }: { candidates: readonly EndpointView[], regional: RegionalCandidates }, options: RegionPickOptions): RegionalRoute | undefined {
+    const { now, expectedMs, onlyCrossing, canStart, pick } = options
+    if (onlyCrossing && !others.some(canStart)) return undefined
+    const query = { ...options.query, avoid: placement.avoid.length === 0 ? [] : endpointsToAvoid(placement, [...own, ...others].filter(canStart)) }
+    const hasOwn = own.length > 0
+    const picked = preferOwnRegion({
+      connected: () => pick(query, candidates),
+      ownRegion: () => pick(query, own, this.#options.thorough),
+      otherRegions: () => (this.mayCross(placement) ? pick(query, others) : undefined)
+    }, {
+      firstTokenMs: query.firstTokenMs,
+      waitMs: hasOwn ? now - placement.acceptedAtMs + expectedMs : Infinity,
+      roundTripMs: ({ view }) => this.#roundTripMs(view)
+    })
+    if (onlyCrossing && !picked?.crossing) return undefined
+    return picked?.crossing === 'no-room' && !hasOwn ? { ...picked, crossing: 'no-endpoint' } : picked
+  }
+
+  /** Must be called when a request is sent to another region. */
+  crossed (placement: Placement, view: EndpointView, why: CrossingReason): void {
+    const { topology, crossing } = this.#options
+    crossing?.crossed(placement.bytes ?? 0)
+    placement.spilled?.(view, { region: topology.regionOf(view.failureDomain)!, roundTripMs: this.#roundTripMs(view), why })
+  }
+
+  #roundTripMs ({ failureDomain }: EndpointView): number {
+    return this.#options.topology.roundTripMs(failureDomain)
+  }
+}
--- /dev/null
+++ b/daemon/request/region_routing_test.ts
@@ -0,0 +1,135 @@
+import xxhash from 'xxhash-wasm'
+import { afterEach, beforeEach, expect, test, vi } from 'vitest'
+import { as, type DaemonId, type EndpointId, type FailureDomain, type HostId, type Region } from '../../core/ids/index.ts'
+import { RegionTopology } from '../../core/topology/index.ts'
+import type { ListedHost } from '../../endpoints/index.ts'
+import { EndpointTable } from '../endpoints/endpoint_table.ts'
+import { seededRandom } from '../seeded_random.ts'
+import { DESK as POOL, DESK_CLASS, placement } from './_placement_fixture.ts'
+import type { Dispatcher } from './dispatcher.ts'
+import type { Crossing, Placement, RegionCrossing } from './placement.ts'
+import { createSharedDispatcher } from './shared_dispatcher.ts'
+
+const { h32: hash } = await xxhash()
+const SLOTS = 6
+const SPEED = { batchSlots: SLOTS, prefillTokensPerS: 1e6, betweenTokensMs: 1, betweenTokensPerStreamMs: 0, exportTokensPerS: 0, importTokensPerS: 0 }
+const regions = new Map([['n1', 'north'], ['n2', 'north'], ['s1', 'south'], ['s2', 'south']].map(([domain, region]) => [as<FailureDomain>(domain!), as<Region>(region!)]))
+
+beforeEach(() => { vi.useFakeTimers() })
+afterEach(() => { vi.useRealTimers() })
+
+/** An endpoint in a failure domain that its name begins with; those in the south are cheaper. */
+function listed (name: string): ListedHost {
+  const failureDomain = as<FailureDomain>(name.split('-')[0]!)
+  return { hostId: as<HostId>(name), hostClass: 'any', failureDomain, reclaimable: false, pricePerHour: name.startsWith('n') ? 9 : 1, state: 'live', endpoint: { id: as<EndpointId>(name), pool: POOL, address: '', speed: SPEED } }
+}
+
+interface Fixture { table: EndpointTable, dispatcher: Dispatcher, crossings: Crossing[], place (change?: Partial<Placement>): string | undefined }
+
+function fixtureOf (names: readonly string[], { self = 'd', crossing, seed = 1 }: { self?: string, crossing?: RegionCrossing, seed?: number } = {}): Fixture {
+  const topology = new RegionTopology({ ownDomain: as<FailureDomain>('n1'), regions })
+  const table = new EndpointTable({ self: as<DaemonId>(self), hash, topology })
+  table.applyHostList(names.map(listed))
+  const dispatcher = createSharedDispatcher({ table, hash, random: seededRandom(seed), topology, crossing, sharers: () => 1 })
+  const crossings: Crossing[] = []
+  return {
+    table,
+    dispatcher,
+    crossings,
+    place (change = {}) {
+      let placedAt: EndpointId | undefined
+      dispatcher.place(placement({
+        spilled: (_view, each) => { crossings.push(each) },
+        placed: ({ id }) => {
+          placedAt = id
+          table.started(id, { lane: 'normal', tokens: 0 })
+        },
+        ...change
+      }))
+      return placedAt
+    }
+  }
+}
+
+const fill = (table: EndpointTable, id: string) => { for (let i = 0; i < 30; i++) table.started(as<EndpointId>(id), { lane: 'normal', tokens: 0 }) }
+const many = (domain: string, count: number) => Array.from({ length: count }, (_, i) => `${domain}-${i}`)
+const NOT_URGENT = { cls: { ...DESK_CLASS, urgent: false } }
+
+test.each([[4, 4], [100, 100], [20, 300]])('none of 10,000 requests leaves its region while that has room: %d endpoints of its own, %d of another', (own, others) => {
+  // Guards against requests at the cheaper endpoints of another region.
+  const { table, place, crossings } = fixtureOf([...many('n1', own / 2), ...many('n2', own / 2), ...many('s1', others)])
+  const running: EndpointId[] = []
+  for (let i = 0; i < 10_000; i++) {
+    running.push(as<EndpointId>(place(NOT_URGENT)!))
+    // All slots of the region but one are in use.
+    if (running.length === own * SLOTS - 1) table.ended(running.splice(i % running.length, 1)[0]!)
+  }
+  expect(running.filter((id) => id.startsWith('s'))).toEqual([])
+  expect(crossings).toEqual([])
+})
+
+test('a request spills if its region has no room, and tells why', () => {
+  const { table, place, crossings } = fixtureOf(['n1-0', 's1-0'])
+  expect(place(NOT_URGENT)).toBe('n1-0')
+  fill(table, 'n1-0')
+  expect(place(NOT_URGENT)).toBe('s1-0')
+  expect(crossings).toEqual([{ region: 'south', roundTripMs: 40, why: 'no-room' }])
+})
+
+test('a request of a pool without endpoints in its region is sent to another at once', () => {
+  const { place, crossings } = fixtureOf(many('s1', 3))
+  expect(place(NOT_URGENT)).toMatch(/^s1/)
+  expect(crossings).toMatchObject([{ why: 'no-endpoint' }])
+})
+
+test('a retry goes to another endpoint of its region before one of another region', () => {
+  const { place } = fixtureOf(['n1-0', 'n1-1', 's1-0', 's1-1'])
+  for (let i = 0; i < 5; i++) expect(place({ ...NOT_URGENT, avoid: [as<EndpointId>('n1-0')] })).toBe('n1-1')
+  expect(place({ ...NOT_URGENT, avoid: [as<EndpointId>('n1-0'), as<EndpointId>('n1-1')] })).toMatch(/^s1/)
+})
+
+test('of the requests that wait, those with the fewest bytes spill first, and what may not cross waits for its region', () => {
+  // Guards against a small request that waits behind a large one that the link has no room for.
+  let left = 0
+  const sent: number[] = []
+  const crossing: RegionCrossing = {
+    mayCross: ({ bytes }) => bytes <= left,
+    crossed: (bytes) => {
+      left -= bytes
+      sent.push(bytes)
+    }
+  }
+  const { table, place, dispatcher } = fixtureOf(['n1-0', 's1-0'], { crossing })
+  fill(table, 'n1-0')
+  const started: number[] = []
+  for (const bytes of [5000, 300, 100, 200]) {
+    place({ ...NOT_URGENT, bytes, placed: () => started.push(bytes) })
+  }
+  expect([started, dispatcher.queued]).toEqual([[], 4])
+  left = 350
+  dispatcher.startQueued()
+  expect([sent, dispatcher.queued]).toEqual([[100, 200], 2])
+  for (let i = 0; i < 30; i++) table.ended(as<EndpointId>('n1-0'))
+  dispatcher.startQueued()
+  expect([started, sent]).toEqual([[100, 200, 5000, 300], [100, 200]])
+})
+
+test('a new request that may cross does not wait behind one that may not', () => {
+  const { table, place, dispatcher } = fixtureOf(['n1-0', 's1-0'], { crossing: { mayCross: ({ bytes }) => bytes < 1000, crossed: () => {} } })
+  fill(table, 'n1-0')
+  expect(place({ ...NOT_URGENT, bytes: 5000 })).toBeUndefined()
+  expect(place({ ...NOT_URGENT, bytes: 10 })).toBe('s1-0')
+  expect(dispatcher.queued).toBe(1)
+})
+
+test('all daemons of a region choose the same home of a shared prompt, in that region', () => {
+  // Guards against a shared part that is read at dozens of endpoints of the region, or for which each request crosses.
+  const demand = (subject: number) => ({ promptTokens: 6000, maxTokens: 10, expectedTokens: 10, parts: [{ key: `shared-${subject}`, tokens: 5500 }, { key: `own-${subject}`, tokens: 500 }] })
+  const names = ['n1', 'n2', 's1', 's2'].flatMap((domain) => many(domain, 40))
+  for (let subject = 0; subject < 20; subject++) {
+    const homes = new Set(Array.from({ length: 12 }, (_, i) => fixtureOf(names, { self: `d${i}`, seed: i + 1 }).place({ ...NOT_URGENT, demand: demand(subject) })))
+    expect([...homes]).toEqual([expect.stringMatching(/^n/)])
+  }
+  const homes = new Set(Array.from({ length: 12 }, (_, i) => fixtureOf([...many('s1', 40), ...many('s2', 40)], { self: `d${i}`, seed: i + 1 }).place({ ...NOT_URGENT, demand: demand(1) })))
+  expect(homes.size).toBe(1)
+})
--- a/daemon/request/request_task.ts
+++ b/daemon/request/request_task.ts
@@ -19,7 +19,7 @@
 import { Listeners, type FinalResult } from './live_answer.ts'
 import { RequestDecisions } from './request_decisions.ts'
 import { repeatedKeyResult } from './_claim_outcome.ts'
-import { attemptFailedEvent, attemptStartedEvent, requestEndedEvent } from './_request_events.ts'
+import { attemptFailedEvent, attemptStartedEvent, requestEndedEvent, spilledEvent } from './_request_events.ts'
 import { QuarantineCheck } from './_quarantine_check.ts'
 import { RequestMeter } from './_request_meter.ts'
 import { StreamBinding } from './_stream_binding.ts'
@@ -245,6 +245,7 @@
       cls: work.cls,
       pool: work.pool,
       demand: work.demand,
+      bytes: work.bytes ?? 0,
       doneTokens: answer.length,
       acceptedAtMs: this.acceptedAtMs,
       deadlineAtMs: this.lifecycle.traits.deadlineAtMs,
@@ -257,7 +258,8 @@
       avoidDelegates: this.lifecycle.avoidDelegates,
       refused: (reason, retryAfterMs) => this.post({ type: 'refused', reason, retryAfterMs }),
       waits: (queue) => this.recordDecision('request-waits', { pool: work.pool, ...queue }),
-      diverted: (view, perS) => this.recordDecision('request-diverted', { endpoint: view.id, perS })
+      diverted: (view, perS) => this.recordDecision('request-diverted', { endpoint: view.id, perS }),
+      spilled: (view, crossing) => this.recordDecision('request-spilled', spilledEvent(view, { work, crossing, metrics: this.ports.metrics }))
     }
     this.ports.dispatcher.place(this.#placement)
   }
--- a/daemon/request/shared_dispatcher.ts
+++ b/daemon/request/shared_dispatcher.ts
@@ -1,9 +1,10 @@
 /** Creates the dispatcher of a daemon that shares its endpoints with other daemons. */
-import { homeEndpoint, PrefixIndex, TargetRouter, type Hash32, type Random } from '../../core/routing/index.ts'
+import { homeEndpoint, PrefixIndex, TargetRouter, type EndpointView, type Hash32, type Random } from '../../core/routing/index.ts'
 import type { Topology } from '../../core/topology/index.ts'
 import type { EndpointTable } from '../endpoints/endpoint_table.ts'
 import { Dispatcher } from './dispatcher.ts'
-import type { CanaryGate, EndpointLimiter, RequestWays } from './placement.ts'
+import type { CanaryGate, EndpointLimiter, RegionCrossing, RequestWays } from './placement.ts'
+import { RegionRouting } from './region_routing.ts'
 
 /** Options of {@linkcode createSharedDispatcher}. */
 export interface SharedDispatcherOptions {
@@ -11,7 +12,9 @@
   hash: Hash32
   random: Random
   /** Distances from this daemon to the endpoints. */
-  topology: Pick<Topology, 'roundTripMs'>
+  topology: Pick<Topology, 'roundTripMs' | 'isLocal' | 'regionOf' | 'hasRegions'>
+  /** Decides which requests may be sent to another region. Default: all may. */
+  crossing?: RegionCrossing | undefined
   /** Returns the number of daemons that share the endpoints, including this one. */
   sharers (): number
   /** Selects requests for canary endpoints. Default: no version is on trial. */
@@ -26,7 +29,15 @@
 const PREFIX_EXPIRES_MS = 15_000
 
 /** Creates a dispatcher that routes by prefix cache, predicted first-token time and distance. */
-export function createSharedDispatcher ({ table, hash, random, topology, sharers, canaries, limits, ways }: SharedDispatcherOptions): Dispatcher {
+export function createSharedDispatcher ({ table, hash, random, topology, crossing, sharers, canaries, limits, ways }: SharedDispatcherOptions): Dispatcher {
+  const isLocal = ({ failureDomain }: EndpointView) => topology.isLocal(failureDomain)
+  const roundTripMs = ({ failureDomain }: EndpointView) => topology.roundTripMs(failureDomain)
+  const routing = {
+    random,
+    sharers,
+    roundTripMs: (view: EndpointView) => (isLocal(view) ? roundTripMs(view) : 0),
+    crossingMs: (view: EndpointView) => (isLocal(view) ? 0 : roundTripMs(view))
+  }
   return new Dispatcher({
     table,
     random,
@@ -35,6 +46,7 @@
     ...(canaries && { canaries }),
     ...(limits && { limits }),
     ...(ways && { ways }),
-    router: new TargetRouter({ random, sharers, roundTripMs: (view) => topology.roundTripMs(view.failureDomain) })
+    ...(topology.hasRegions && { regions: new RegionRouting({ topology, crossing, thorough: new TargetRouter({ ...routing, rounds: Infinity }) }) }),
+    router: new TargetRouter(routing)
   })
 }
--- a/daemon/request/work.ts
+++ b/daemon/request/work.ts
@@ -20,6 +20,8 @@
   cls: WorkClass
   pool: PoolName
   demand: Demand
+  /** Length of the request's body. Default: 0. */
+  bytes?: number
   /** Claims the idempotency key; undefined if the request has none that must be claimed. */
   claim: (() => Promise<ClaimResult>) | undefined
   /** Returns a hash of the request's content. A function, so that it is computed only when needed. */
