Observe round trips between regions, and choose delegates of the own region before others

Cause: the round trip to another region was a constant, and delegates were chosen by failure domain only: a region that is cut off whole asked each of its daemons in turn before one of another region.

Change: with several regions the time to open a connection to an endpoint is a round trip; the least counts, and times too short for another region are ignored, since a proxy on the way may accept connections. Delegates: own failure domain, own region, others; a region whose daemons decline comes last. With one region connections are not timed and the order is the one before.

--- a/core/delegation/delegate_selector.ts
+++ b/core/delegation/delegate_selector.ts
@@ -1,6 +1,7 @@
 /** Selects the daemons that run requests for one that cannot reach the endpoints of a pool. */
 import type { DaemonId, FailureDomain, PoolName } from '../ids/index.ts'
 import type { Hash32 } from '../routing/index.ts'
+import { RegionTopology, type Distance, type Topology } from '../topology/index.ts'
 
 /** Properties of a daemon that determine whether and when it is asked. */
 export interface DelegateCandidate { id: DaemonId, failureDomain: FailureDomain }
@@ -29,6 +30,8 @@
   self: DaemonId
   failureDomain: FailureDomain
   hash: Hash32
+  /** Distances to the failure domains. Default: all are in one region. */
+  topology?: Pick<Topology, 'distanceTo'>
 }
 
 /** Time for which an offer is used, in milliseconds. */
@@ -37,8 +40,10 @@
 const DECLINED_MS = 2000
 /** Daemons with offers that a pool should have. */
 const OFFERS_WANTED = 4
-/** Daemons of the own failure domain that decline before the others of it come last. */
+/** Daemons of the own failure domain, or of the own region, that decline before the others of it come last. */
 const MAX_NEAR_DECLINED = 2
+/** Distances, nearest first. */
+const DISTANCES: readonly Distance[] = ['same-domain', 'same-region', 'other-region']
 /** Least number of daemons asked at once while there is no offer. */
 const MIN_ASKED = 2
 
@@ -49,15 +54,17 @@
  * Keeps the offers of other daemons and selects among them.
  *
  * Each daemon asks others in an order of its own, so that those that are cut off together spread their requests over all others. Daemons of its failure domain come
- * first, since bytes between domains are priced, and alternate with others, since a whole domain may be cut off.
+ * first, since bytes between domains are priced, and alternate with others, since a whole domain may be cut off. Those of other regions come after the others of its region.
  */
 export class DelegateSelector {
   readonly #options: DelegateSelectorOptions
+  readonly #topology: Pick<Topology, 'distanceTo'>
   readonly #pools = new Map<PoolName, PoolOffers>()
   readonly #inFlight = new Map<DaemonId, number>()
 
   constructor (options: DelegateSelectorOptions) {
     this.#options = options
+    this.#topology = options.topology ?? new RegionTopology({ ownDomain: options.failureDomain })
   }
 
   /** Number of requests that a daemon runs for this one. */
@@ -78,9 +85,11 @@
     const isFull = renewed.length > 0 && this.pick(pool, { avoid: [] }, now) === undefined
     const missing = isFull ? OFFERS_WANTED : Math.max(renewed.length === 0 ? MIN_ASKED : 0, OFFERS_WANTED - renewed.length)
     const isDeclined = ({ id }: DelegateCandidate) => now - (declinedAtMs.get(id) ?? -Infinity) < DECLINED_MS
-    const nearDeclined = candidates.filter((candidate) => this.#isNear(candidate) && isDeclined(candidate)).length
-    const isNearCutOff = nearDeclined >= MAX_NEAR_DECLINED && !renewed.some((candidate) => this.#isNear(candidate))
-    const others = this.#ranked(candidates, { nearLast: isNearCutOff }).filter((candidate) => !offering.has(candidate.id) && !isDeclined(candidate))
+    const isCutOff = (distance: Distance) => {
+      const isAt = (candidate: DelegateCandidate) => this.#distanceTo(candidate) === distance
+      return candidates.filter((candidate) => isAt(candidate) && isDeclined(candidate)).length >= MAX_NEAR_DECLINED && !renewed.some(isAt)
+    }
+    const others = this.#ranked(candidates, isCutOff).filter((candidate) => !offering.has(candidate.id) && !isDeclined(candidate))
     return [...renewed, ...others.slice(0, missing)]
   }
 
@@ -99,15 +108,14 @@
     declinedAtMs.set(id, now)
   }
 
-  /** Selects the daemon with the smallest part of its offered room in use, those of this daemon's failure domain first; undefined if none has room. */
+  /** Selects the daemon with the smallest part of its offered room in use, the nearest first; undefined if none has room. */
   pick (pool: PoolName, { avoid }: { avoid: readonly DaemonId[] }, now: number): SelectedDelegate | undefined {
-    let best: { id: DaemonId, offer: RecordedOffer, use: number } | undefined
+    let best: { id: DaemonId, offer: RecordedOffer, use: number, rank: number } | undefined
     for (const [id, offer] of this.#offersOf(pool).offers) {
       const use = this.inFlight(id) / offer.room
       if (now - offer.atMs >= OFFER_TTL_MS || use >= 1 || avoid.includes(id)) continue
-      const isNear = this.#isNear(offer)
-      const isBestNear = best !== undefined && this.#isNear(best.offer)
-      if (!best || (isNear === isBestNear ? use < best.use : isNear)) best = { id, offer, use }
+      const rank = DISTANCES.indexOf(this.#distanceTo(offer))
+      if (!best || (rank === best.rank ? use < best.use : rank < best.rank)) best = { id, offer, use, rank }
     }
     return best && { id: best.id, inFlight: this.inFlight(best.id), offerAgeMs: now - best.offer.atMs, activityAgeMs: now - best.offer.atMs + best.offer.activityAgeMs }
   }
@@ -129,17 +137,17 @@
     this.#pools.delete(pool)
   }
 
-  #isNear ({ failureDomain }: { failureDomain: FailureDomain }): boolean {
-    return failureDomain === this.#options.failureDomain
+  #distanceTo ({ failureDomain }: { failureDomain: FailureDomain }): Distance {
+    return this.#topology.distanceTo(failureDomain)
   }
 
-  /** Candidates in this daemon's order, its own failure domain and the others in turn. */
-  #ranked<T extends DelegateCandidate> (candidates: readonly T[], { nearLast }: { nearLast: boolean }): T[] {
+  /** Candidates in this daemon's order, its own failure domain and the others in turn; of the others those of its region first. Those that seem cut off come last. */
+  #ranked<T extends DelegateCandidate> (candidates: readonly T[], isCutOff: (distance: Distance) => boolean): T[] {
     const { self, hash } = this.#options
     const ranked = candidates.filter(({ id }) => id !== self).map((candidate) => ({ candidate, rank: hash(`${self}/${candidate.id}`) })).sort((a, b) => b.rank - a.rank).map(({ candidate }) => candidate)
-    const near = ranked.filter((candidate) => this.#isNear(candidate))
-    const far = ranked.filter((candidate) => !this.#isNear(candidate))
-    if (nearLast) return [...far, ...near]
+    const [near, region, others] = DISTANCES.map((distance) => ranked.filter((candidate) => this.#distanceTo(candidate) === distance)) as [T[], T[], T[]]
+    const far = others.length > 0 && isCutOff('same-region') ? [...others, ...region] : [...region, ...others]
+    if (isCutOff('same-domain')) return [...far, ...near]
     return Array.from({ length: Math.max(near.length, far.length) }, (_, i) => [near[i], far[i]]).flat().filter((candidate) => candidate !== undefined)
   }
 
--- a/core/delegation/delegate_selector_test.ts
+++ b/core/delegation/delegate_selector_test.ts
@@ -1,6 +1,7 @@
 import { expect, test } from 'vitest'
 import xxhash from 'xxhash-wasm'
-import { as, type DaemonId, type FailureDomain, type PoolName } from '../ids/index.ts'
+import { as, type DaemonId, type FailureDomain, type PoolName, type Region } from '../ids/index.ts'
+import { RegionTopology } from '../topology/index.ts'
 import { DelegateSelector, type DelegateCandidate } from './index.ts'
 
 const { h32 } = await xxhash()
@@ -92,3 +93,35 @@
   expect(Math.max(...load.values())).toBeLessThanOrEqual(Math.min(RUNS, MAX_LOAD_RATIO * share))
   expect(Math.max(...origins.map(({ asked }) => asked))).toBeLessThanOrEqual(12)
 })
+
+/** A selector of the first daemon of the fleet, with the failure domains `z0` and `z1` in its region. */
+function regionalSelector (): DelegateSelector {
+  const regions = new Map(['z0', 'z1', 'z2', 'z3'].map((name, i) => [as<FailureDomain>(name), as<Region>(i < 2 ? 'north' : 'south')]))
+  const { id, failureDomain } = fleet(1)[0]!
+  return new DelegateSelector({ self: id, failureDomain, hash, topology: new RegionTopology({ ownDomain: failureDomain, regions }) })
+}
+
+test('daemons of other regions are selected last', () => {
+  const selector = regionalSelector()
+  const [own, region, other] = [4, 1, 2].map((i) => fleet(8)[i]!) as [DelegateCandidate, DelegateCandidate, DelegateCandidate]
+  for (const from of [other, region, own]) selector.recordOffer(POOL, from, { ...OFFER, room: 1 }, 0)
+  const picked = Array.from({ length: 3 }, () => {
+    const { id } = selector.pick(POOL, { avoid: [] }, 10)!
+    selector.started(id)
+    return id
+  })
+  expect(picked).toEqual([own.id, region.id, other.id])
+})
+
+test('daemons of other regions are asked once those of the own region decline', () => {
+  // Guards against a region that is cut off whole asking each of its many daemons before one that reaches the endpoints.
+  const selector = regionalSelector()
+  const isOther = ({ failureDomain }: DelegateCandidate) => failureDomain === 'z2' || failureDomain === 'z3'
+  const candidates = fleet(400)
+  expect(selector.toAsk(POOL, candidates, 0).filter(isOther)).toEqual([])
+  for (let round = 0; round < 4; round++) {
+    const asked = selector.toAsk(POOL, candidates, round * 100)
+    for (const candidate of asked.filter((each) => !isOther(each))) selector.recordDecline(POOL, candidate.id, round * 100)
+  }
+  expect(selector.toAsk(POOL, candidates, 500).filter(isOther)).not.toEqual([])
+})
--- a/core/topology/topology.ts
+++ b/core/topology/topology.ts
@@ -70,9 +70,12 @@
     }
   }
 
-  /** Records an observed round trip to a failure domain, in milliseconds. Times within the region and invalid ones are ignored. */
+  /**
+   * Records an observed round trip to a failure domain, in milliseconds. Times within the region are ignored, and those too short for another region: something nearer answered, such as a
+   * proxy that accepts connections on the way.
+   */
   recordRoundTrip (domain: FailureDomain, ms: number): void {
-    if (!(ms > 0) || this.isLocal(domain)) return
+    if (!(ms > SAME_REGION_RTT_MS) || this.isLocal(domain)) return
     const region = this.#regions.get(domain)!
     this.#leastMs.set(region, Math.min(ms, this.#leastMs.get(region) ?? Infinity))
   }
--- a/daemon/delegation/delegate_finder.ts
+++ b/daemon/delegation/delegate_finder.ts
@@ -4,6 +4,7 @@
 import type { Member } from '../../core/membership/index.ts'
 import type { Hash32 } from '../../core/routing/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
+import type { Topology } from '../../core/topology/index.ts'
 import { log } from '../log/index.ts'
 import type { PathWatch } from '../paths/index.ts'
 import type { MembershipTask } from '../peers/membership_task.ts'
@@ -15,6 +16,8 @@
   self: DaemonId
   failureDomain: FailureDomain
   hash: Hash32
+  /** Distances to the failure domains. Default: all are in one region. */
+  topology?: Pick<Topology, 'distanceTo'>
   membership: MembershipTask
   paths: PathWatch
   /** Called when another daemon offers to run requests of a pool, which has been cut off here for this many milliseconds. */
--- a/daemon/exchange/_proxy_components.ts
+++ b/daemon/exchange/_proxy_components.ts
@@ -164,7 +164,11 @@
     limits: asFunction(({ self, membership, fleet }: ProxyComponents) => new AccountLimits({ self, host: settings.name, tolerance: settings.quota, membership, fleet })).singleton(),
     table: asFunction(({ self, topology }: ProxyComponents) => new EndpointTable({ self, hash, topology })).singleton(),
     registry: asFunction(endpointFollower).singleton(),
-    client: asFunction(({ config, fleet }: ProxyComponents) => new ExchangeClient({ addressOf: endpointAddress, maxConnections: (view) => connectionsTo(view, config, fleet) })).singleton(),
+    client: asFunction(({ config, fleet, topology }: ProxyComponents) => new ExchangeClient({
+      addressOf: endpointAddress,
+      maxConnections: (view) => connectionsTo(view, config, fleet),
+      ...(topology.hasRegions && { onConnected: ({ failureDomain }, tookMs) => topology.recordRoundTrip(failureDomain, tookMs) })
+    })).singleton(),
     confirmer: asFunction(({ membership, table, paths }: ProxyComponents) => new CrashConfirmer({ membership, table, paths, hash })).singleton(),
     crashes: asFunction(({ metrics, client, confirmer, paths, table }: ProxyComponents) => new CrashWatch({ metrics, poolSize: (pool) => table.usable(pool).length, dial: (view) => paths.dial(view), confirm: (view) => confirmer.confirm(view), isConnected: (view) => client.isConnected(view) })).singleton(),
     quarantine: asFunction(({ crashes, membership, metrics }: ProxyComponents) => new QuarantineTask({ crashes, membership, metrics })).singleton(),
@@ -185,6 +189,7 @@
       self: cradle.self,
       failureDomain: settings.failureDomain,
       hash,
+      topology: cradle.topology,
       membership: cradle.membership,
       paths: cradle.paths,
       onOffer: (pool, cutOffMs) => {
--- a/endpoints/exchange/connection.ts
+++ b/endpoints/exchange/connection.ts
@@ -1,6 +1,7 @@
 /** Connection to an endpoint that carries one request at a time. */
 import type { Socket } from 'node:net'
 import { buildConnector, Client, type Dispatcher } from 'undici'
+import { steadyNow } from '../../core/time/index.ts'
 
 /** Connect timeout in milliseconds. Needed because a host without power does not refuse connections. */
 const CONNECT_TIMEOUT_MS = 1000
@@ -25,7 +26,8 @@
   /** Called once, when the connection is closed. */
   onClose: () => void = () => {}
 
-  constructor (address: string) {
+  /** @param onConnected Called with the time that it took to connect, in milliseconds. Default: does nothing. */
+  constructor (address: string, onConnected?: (tookMs: number) => void) {
     this.#client = new Client(`http://${address}`, {
       pipelining: 1,
       keepAliveTimeout: DEFAULT_IDLE_MS,
@@ -33,10 +35,16 @@
       keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
       headersTimeout: 0,
       bodyTimeout: 0,
-      connect: (options, callback) => connect(options, (...result) => {
-        if (result[1]) this.#trackSocketEnd(result[1])
-        callback(...result)
-      })
+      connect: (options, callback) => {
+        const startedAtMs = steadyNow()
+        connect(options, (...result) => {
+          if (result[1]) {
+            this.#trackSocketEnd(result[1])
+            onConnected?.(steadyNow() - startedAtMs)
+          }
+          callback(...result)
+        })
+      }
     })
     this.#client.on('disconnect', () => this.close())
     this.#client.on('connectionError', () => this.close())
--- a/endpoints/exchange/connection_pool.ts
+++ b/endpoints/exchange/connection_pool.ts
@@ -9,6 +9,8 @@
   maxConnections: number
   /** Called for each connection that is opened. */
   onOpen?: () => void
+  /** Called with the time that a connection took to open, in milliseconds. */
+  onConnected?: ((tookMs: number) => void) | undefined
 }
 
 /** Pool that reuses the most recently used connection first, so that the others can reach their idle timeout and close. */
@@ -65,7 +67,7 @@
   }
 
   #open (): Connection {
-    const connection = new Connection(this.#options.address())
+    const connection = new Connection(this.#options.address(), this.#options.onConnected)
     this.#all.add(connection)
     connection.onClose = () => this.#remove(connection)
     this.#options.onOpen?.()
--- a/endpoints/exchange/exchange_client.ts
+++ b/endpoints/exchange/exchange_client.ts
@@ -12,6 +12,8 @@
   addressOf?: ((address: string) => string) | undefined
   /** Called for each connection that is opened. */
   onOpen?: (view: EndpointView) => void
+  /** Called with the time that a connection to an endpoint took to open, in milliseconds. Default: it is not observed. */
+  onConnected?: ((view: EndpointView, tookMs: number) => void) | undefined
 }
 
 /** Keeps one connection pool for each endpoint. */
@@ -74,7 +76,13 @@
     const maxConnections = this.#options.maxConnections(view)
     let pool = this.#pools.get(view.id)
     if (!pool) {
-      pool = new ConnectionPool({ address: () => this.#options.addressOf?.(view.address) ?? view.address, maxConnections, onOpen: () => this.#options.onOpen?.(view) })
+      const { addressOf, onOpen, onConnected } = this.#options
+      pool = new ConnectionPool({
+        address: () => addressOf?.(view.address) ?? view.address,
+        maxConnections,
+        onOpen: () => onOpen?.(view),
+        ...(onConnected && { onConnected: (tookMs) => onConnected(view, tookMs) })
+      })
       this.#pools.set(view.id, pool)
     }
     pool.limit(maxConnections)
--- a/endpoints/exchange/exchange_test.ts
+++ b/endpoints/exchange/exchange_test.ts
@@ -287,3 +287,15 @@
   view.backOffUntilMs = steadyNow()
   expect(await sendAndWait(clientOf(), view, requestOf('b'))).toMatchObject({ total: 1 })
 })
+
+test('the time that a connection takes to open is reported once for each', async () => {
+  const { endpoint, view } = await startEndpoint((req) => writeAnswer(req))
+  const tookMs: number[] = []
+  const client = new ExchangeClient({ maxConnections: () => 4, onConnected: (to, ms) => { if (to === view) tookMs.push(ms) } })
+  for (const id of ['a', 'b', 'c']) {
+    await sendAndWait(client, view, requestOf(id))
+    await delay(5)
+  }
+  expect(tookMs).toHaveLength(endpoint.connections)
+  expect(tookMs.every((ms) => ms > 0)).toBe(true)
+})
