--- a/bench/_placing.ts
+++ b/bench/_placing.ts
@@ -1,9 +1,9 @@
 /** Simulation of request placement by many daemons that learn of each other's load with a delay: real dispatchers and simulated batch engines under a fake clock. */
 import FakeTimers from '@sinonjs/fake-timers'
 import xxhash from 'xxhash-wasm'
-import { as, type ClassName, type DaemonId, type EndpointId, type FailureDomain, type HostId, type PoolName } from '../core/ids/index.ts'
+import { as, type ClassName, type DaemonId, type EndpointId, type FailureDomain, type HostId, type PoolName, type Region } from '../core/ids/index.ts'
 import { LoadAggregator, reportIntervalMs, type Hash32, type Random, type Route } from '../core/routing/index.ts'
-import { RegionTopology } from '../core/topology/index.ts'
+import { RegionTopology, type Topology } from '../core/topology/index.ts'
 import { steadyNow } from '../core/time/index.ts'
 import type { Demand, WorkClass } from '../core/work/index.ts'
 import { EndpointTable } from '../daemon/endpoints/endpoint_table.ts'
@@ -41,6 +41,16 @@
   spanMs: number
   /** Warm-up period in milliseconds; requests that arrive during it are not counted. */
   warmupMs: number
+  /** Default: one region. */
+  regions?: SimulatedRegions
+}
+
+/** Two regions, with half of the daemons and endpoints in each. */
+export interface SimulatedRegions {
+  /** Shares of the arrivals at the daemons of each region. */
+  shares: readonly [number, number]
+  /** False for a router that knows the round trips and nothing else of regions. */
+  ownFirst: boolean
 }
 
 /** Request outcomes of one class. */
@@ -52,6 +62,9 @@
   refusedByDaemon: number
   /** Rejected by full engines after the last attempt. */
   rejectedByEngine: number
+  /** Attempts, and those sent to another region. */
+  sent: number
+  crossed: number
   /** Shared prompt tokens prefilled on one engine while another engine had them cached. */
   redundantPrefillTokens: number
   /** Relative errors of the predicted time from placement to first token. */
@@ -60,7 +73,11 @@
 
 const POOL = as<PoolName>('models')
 const DOMAINS = ['a', 'b', 'c'].map((name) => as<FailureDomain>(name))
+const REGIONAL_DOMAINS = ['n1', 's1', 'n2', 's2'].map((name) => as<FailureDomain>(name))
+const REGIONS = new Map(REGIONAL_DOMAINS.map((domain) => [domain, as<Region>(domain[0]!)]))
 const ONE_WAY_DELAY_MS = 2
+/** One-way delay between two regions in milliseconds. */
+const REGION_DELAY_MS = 20
 /** Engine speed that daemons assume before the first token has been observed. */
 const SPEED = { batchSlots: 0, prefillTokensPerS: 100_000, betweenTokensMs: 4, betweenTokensPerStreamMs: 0.1, exportTokensPerS: 0, importTokensPerS: 0 }
 const { h32 } = await xxhash()
@@ -79,7 +96,7 @@
   }
 }
 
-interface SimulatedDaemon { id: DaemonId, table: EndpointTable, dispatcher: Dispatcher }
+interface SimulatedDaemon { id: DaemonId, domain: FailureDomain, table: EndpointTable, dispatcher: Dispatcher }
 
 class PlacementSimulation {
   readonly figures: Map<string, ClassResults>
@@ -87,15 +104,21 @@
   readonly #random: Random
   readonly #engines = new Map<EndpointId, BatchEngine>()
   readonly #daemons: SimulatedDaemon[]
+  readonly #domains: readonly FailureDomain[]
+  readonly #domainOf = new Map<EndpointId, FailureDomain>()
   readonly #loadAggregator = new LoadAggregator()
   #requests = 0
 
   constructor (options: PlacementSimulationOptions) {
     this.#options = options
     this.#random = seededRandom(options.seed)
-    this.figures = new Map(options.classes.map(({ name }) => [name, { asked: 0, inTime: 0, late: 0, refusedByDaemon: 0, rejectedByEngine: 0, redundantPrefillTokens: 0, predictionErrors: [] }]))
-    const hosts = Array.from({ length: options.engines }, (_, i) => makeHost(i, options.engine.slots))
-    for (const { endpoint } of hosts) this.#engines.set(endpoint.id, new BatchEngine(options.engine))
+    this.#domains = options.regions ? REGIONAL_DOMAINS : DOMAINS
+    this.figures = new Map(options.classes.map(({ name }) => [name, { asked: 0, inTime: 0, late: 0, refusedByDaemon: 0, rejectedByEngine: 0, sent: 0, crossed: 0, redundantPrefillTokens: 0, predictionErrors: [] }]))
+    const hosts = Array.from({ length: options.engines }, (_, i) => makeHost(i, { slots: options.engine.slots, failureDomain: this.#domains[i % this.#domains.length]! }))
+    for (const { endpoint, failureDomain } of hosts) {
+      this.#engines.set(endpoint.id, new BatchEngine(options.engine))
+      this.#domainOf.set(endpoint.id, failureDomain)
+    }
     this.#daemons = Array.from({ length: options.daemons }, (_, i) => this.#daemon(i, hosts))
   }
 
@@ -109,25 +132,49 @@
 
   #daemon (i: number, hosts: readonly ListedHost[]): SimulatedDaemon {
     const id = as<DaemonId>(`d${i}`)
-    const table = new EndpointTable({ self: id, hash })
+    const domain = this.#domains[i % this.#domains.length]!
+    const topology = this.#topologyOf(domain)
+    const table = new EndpointTable({ self: id, hash, topology })
     table.applyHostList(hosts)
     const dispatcher = createSharedDispatcher({
       table,
       hash,
       random: seededRandom(this.#options.seed + i + 1),
-      topology: new RegionTopology({ ownDomain: DOMAINS[i % DOMAINS.length]! }),
+      topology,
       sharers: () => this.#options.daemons
     })
-    return { id, table, dispatcher }
+    return { id, domain, table, dispatcher }
+  }
+
+  #topologyOf (ownDomain: FailureDomain): Pick<Topology, 'hasRegions' | 'isLocal' | 'regionOf' | 'roundTripMs'> {
+    const { regions } = this.#options
+    if (!regions) return new RegionTopology({ ownDomain })
+    const topology = new RegionTopology({ ownDomain, regions: REGIONS })
+    return regions.ownFirst ? topology : { hasRegions: false, isLocal: () => true, regionOf: () => undefined, roundTripMs: (domain) => topology.roundTripMs(domain) }
+  }
+
+  #crosses ({ domain }: SimulatedDaemon, endpoint: EndpointId): boolean {
+    return REGIONS.get(domain) !== REGIONS.get(this.#domainOf.get(endpoint)!)
+  }
+
+  /** Draws the daemon at which a request arrives. */
+  #drawDaemon (): SimulatedDaemon {
+    const { regions } = this.#options
+    if (!regions) return this.#daemons[Math.floor(this.#random() * this.#daemons.length)]!
+    const isNorth = this.#random() * (regions.shares[0] + regions.shares[1]) < regions.shares[0]
+    const daemons = this.#daemons.filter(({ domain }) => domain.startsWith('n') === isNorth)
+    return daemons[Math.floor(this.#random() * daemons.length)]!
   }
 
-  #report ({ id, table }: SimulatedDaemon): void {
+  /** Reports are merged in the first region. */
+  #report ({ id, domain, table }: SimulatedDaemon): void {
+    const delayMs = ONE_WAY_DELAY_MS + (domain.startsWith('s') ? REGION_DELAY_MS : 0)
     const work = table.ownWork.map(([endpoint, load]) => [endpoint, structuredClone(load)] as const)
     setTimeout(() => {
       this.#loadAggregator.report(id, work, steadyNow())
       const others = this.#loadAggregator.loadsOfOthers(id, steadyNow())
-      setTimeout(() => table.applyOthersWork(others), ONE_WAY_DELAY_MS)
-    }, ONE_WAY_DELAY_MS)
+      setTimeout(() => table.applyOthersWork(others), delayMs)
+    }, delayMs)
   }
 
   #scheduleArrival (cls: SimulatedClass): void {
@@ -141,7 +188,7 @@
     const counted = steadyNow() >= this.#options.warmupMs && steadyNow() < this.#options.spanMs - cls.deadlineMs
     const figures = counted ? this.figures.get(cls.name)! : undefined
     if (figures) figures.asked++
-    const daemon = this.#daemons[Math.floor(this.#random() * this.#daemons.length)]!
+    const daemon = this.#drawDaemon()
     this.#place(daemon, { cls, figures, atMs: steadyNow(), demand: this.#demand(cls), attempts: 0, avoid: [] })
   }
 
@@ -177,7 +224,11 @@
     const placedAtMs = steadyNow()
     const charge = new AttemptTracker(daemon.table)
     charge.recordSent(endpoint, { lane: route.lane, tokens: route.uncachedTokens }, route)
-    const afterDelay = (act: () => void) => setTimeout(act, ONE_WAY_DELAY_MS)
+    const crosses = this.#crosses(daemon, endpoint)
+    if (req.figures) req.figures.sent++
+    if (req.figures && crosses) req.figures.crossed++
+    const delayMs = ONE_WAY_DELAY_MS + (crosses ? REGION_DELAY_MS : 0)
+    const afterDelay = (act: () => void) => setTimeout(act, delayMs)
     setTimeout(() => {
       this.#countRedundantPrefill(req, endpoint)
       const taken = this.#engines.get(endpoint)!.trySubmit({
@@ -196,7 +247,7 @@
         })
       })
       if (!taken) afterDelay(() => this.#handleRejection(daemon, req, { endpoint, charge }))
-    }, ONE_WAY_DELAY_MS)
+    }, delayMs)
   }
 
   #countRedundantPrefill ({ demand, figures }: SimulatedRequest, endpoint: EndpointId): void {
@@ -241,11 +292,11 @@
   }
 }
 
-function makeHost (i: number, slots: number): ListedHost {
+function makeHost (i: number, { slots, failureDomain }: { slots: number, failureDomain: FailureDomain }): ListedHost {
   return {
     hostId: as<HostId>(`h${i}`),
     hostClass: 'any',
-    failureDomain: DOMAINS[i % DOMAINS.length]!,
+    failureDomain,
     reclaimable: false,
     pricePerHour: 0,
     state: 'live',
--- a/bench/registry.ts
+++ b/bench/registry.ts
@@ -9,6 +9,7 @@
 import { placingBench } from './placing.ts'
 import { quarantineBench } from './quarantine.ts'
 import { reclaimBench } from './reclaim.ts'
+import { regionsBench } from './regions.ts'
 import { routeBench } from './route.ts'
 import { rolloutBench } from './rollout.ts'
 import { schedulesBench } from './schedules.ts'
@@ -16,4 +17,4 @@
 import { waveBench } from './wave.ts'
 
 /** All benchmarks, in the order in which they are listed. */
-export const BENCHES: readonly Bench[] = [costBench, endpointLimitsBench, limitsBench, membershipBench, onceBench, overheadBench, placingBench, quarantineBench, reclaimBench, rolloutBench, routeBench, schedulesBench, storeBench, waveBench]
+export const BENCHES: readonly Bench[] = [costBench, endpointLimitsBench, limitsBench, membershipBench, onceBench, overheadBench, placingBench, quarantineBench, reclaimBench, regionsBench, rolloutBench, routeBench, schedulesBench, storeBench, waveBench]
--- a/core/routing/region_preference.ts
+++ b/core/routing/region_preference.ts
@@ -2,7 +2,7 @@
 import type { Route } from './router.ts'
 
 /** Why a request is sent to another region. `canary`: to try a version that only runs there. */
-export type CrossingReason = 'no-endpoint' | 'no-room' | 'late' | 'canary'
+export type CrossingReason = 'no-endpoint' | 'no-room' | 'late' | 'overload' | 'canary'
 
 /** Picks a route among some endpoints; undefined if none of them has room. */
 export interface RegionRoutes {
@@ -22,6 +22,8 @@
   waitMs: number
   /** Returns the round-trip time to the endpoint of a route, in milliseconds. */
   roundTripMs (route: Route): number
+  /** True if the own region as a whole has more work than it can serve, so that its endpoints are likely to be later than predicted. Default false. */
+  overloaded?: boolean
 }
 
 /** A selected route, and why it leads to another region; undefined if it does not. */
@@ -33,6 +35,8 @@
  * @returns Undefined if the request has to wait.
  */
 export function preferOwnRegion ({ connected, ownRegion, otherRegions }: RegionRoutes, options: RegionPreferenceOptions): RegionalRoute | undefined {
+  const spilled = options.overloaded === true ? otherRegions() : undefined
+  if (spilled?.meetsTarget) return { route: spilled, crossing: 'overload' }
   const first = connected()
   if (first?.meetsTarget) return stay(first)
   const own = ownRegion()
--- a/core/routing/regions_test.ts
+++ b/core/routing/regions_test.ts
@@ -1,7 +1,7 @@
 import xxhash from 'xxhash-wasm'
 import { expect, test } from 'vitest'
 import { as, type DaemonId, type EndpointId, type Region } from '../ids/index.ts'
-import { preferOwnRegion, regionalSubset, subset, type RegionRoutes, type Route } from './index.ts'
+import { preferOwnRegion, regionalSubset, spillShare, subset, type RegionRoutes, type Route } from './index.ts'
 
 const { h32 } = await xxhash()
 const hash = (text: string) => h32(text)
@@ -46,18 +46,26 @@
 const route = (firstTokenMs: number, meetsTarget: boolean): Route => ({ view: undefined as never, firstTokenMs, meetsTarget, lane: 'normal', uncachedTokens: 0, unreadTokens: 0 })
 const OPTIONS = { firstTokenMs: 500, waitMs: Infinity, roundTripMs: () => 40 }
 
-test.each<[string, { connected?: Route, ownRegion?: Route, otherRegions?: Route, waitMs?: number }, 'connected' | 'ownRegion' | 'otherRegions' | undefined, string | undefined]>([
+test.each<[string, { connected?: Route, ownRegion?: Route, otherRegions?: Route, waitMs?: number, overloaded?: boolean }, 'connected' | 'ownRegion' | 'otherRegions' | undefined, string | undefined]>([
   ['an endpoint of the own region that meets the target', { connected: route(490, true), otherRegions: route(45, true) }, 'connected', undefined],
   ['one that the daemon is not connected to', { connected: route(900, false), ownRegion: route(490, true), otherRegions: route(45, true) }, 'ownRegion', undefined],
   ['another region where its own is late', { connected: route(900, false), ownRegion: route(700, false), otherRegions: route(450, true) }, 'otherRegions', 'late'],
   ['its own region where both are late', { connected: route(900, false), otherRegions: route(600, false) }, 'connected', undefined],
   ['another region where its own has no free slot', { connected: route(300, false), otherRegions: route(450, true) }, 'otherRegions', 'late'],
   ['another region where its own has no room', { otherRegions: route(600, false) }, 'otherRegions', 'no-room'],
+  ['another region where its own is overloaded', { connected: route(300, true), otherRegions: route(450, true), overloaded: true }, 'otherRegions', 'overload'],
+  ['its own region, overloaded, where the other is late', { connected: route(300, true), otherRegions: route(600, false), overloaded: true }, 'connected', undefined],
   ['no endpoint if it waits for less than the round trip', { otherRegions: route(45, true), waitMs: 30 }, undefined, undefined],
   ['no endpoint if there is none', {}, undefined, undefined]
-])('a request goes to %s', (_where, { waitMs = Infinity, ...routes }, expected, crossing) => {
+])('a request goes to %s', (_where, { waitMs = Infinity, overloaded = false, ...routes }, expected, crossing) => {
   const choices: RegionRoutes = { connected: () => routes.connected, ownRegion: () => routes.ownRegion, otherRegions: () => routes.otherRegions }
-  const picked = preferOwnRegion(choices, { ...OPTIONS, waitMs })
+  const picked = preferOwnRegion(choices, { ...OPTIONS, waitMs, overloaded })
   expect(picked?.route).toBe(expected && routes[expected])
   expect(picked?.crossing).toBe(crossing)
 })
+
+test('a region spills nothing while it has room as a whole, or is hardly busier than the others', () => {
+  for (let own = 0; own <= 1; own += 0.1) expect(spillShare(own, 0)).toBe(0)
+  for (let load = 1; load < 3; load += 0.1) expect(spillShare(load, load - 0.15)).toBe(0)
+  expect([spillShare(1.1, 0.3), spillShare(1.2, 0.3), spillShare(2, 0.3)]).toEqual([expect.closeTo(0.5), 1, 1])
+})
--- a/daemon/request/_candidates.ts
+++ b/daemon/request/_candidates.ts
@@ -12,6 +12,8 @@
   own: readonly EndpointView[]
   /** Those of other regions that this daemon connects to. */
   others: readonly EndpointView[]
+  /** All usable endpoints of other regions. */
+  allOthers: readonly EndpointView[]
 }
 
 /** Endpoints to choose from, and the number of prompt tokens that each is expected to have cached. */
@@ -22,6 +24,8 @@
   regional?: RegionalCandidates
 }
 
+interface SplitSelection { own: EndpointSelection, others: EndpointSelection }
+
 /** Options of {@linkcode Candidates}. */
 export interface CandidatesOptions {
   prefixes: PrefixIndex
@@ -41,22 +45,35 @@
 /** Finds the endpoints that may take a request, with their expected cached tokens: prefixes sent by this daemon, and at the home those sent by any daemon. */
 export class Candidates {
   readonly #options: CandidatesOptions
+  readonly #splits = new WeakMap<EndpointSelection, SplitSelection>()
 
   constructor (options: CandidatesOptions) {
     this.#options = options
   }
 
   /** Returns the candidates for a request among the endpoints that its pool's selection contains. */
-  find ({ demand, pool }: Placement, { usable, connected }: EndpointSelection, now: number): CandidateSet {
+  find ({ demand, pool }: Placement, selection: EndpointSelection, now: number): CandidateSet {
     const { prefixes, regions } = this.#options
     const cached = prefixes.lookup(demand.parts, now)
-    const own = regions ? usable.filter((view) => regions.isLocal(view)) : usable
-    const near = this.#withRest(pool, { usable: own, connected: regions ? connected.filter((view) => regions.isLocal(view)) : connected }, now)
-    if (!regions) return this.#withHome(demand.parts, { candidates: near, usable }, cached)
-    const others = this.#withRest(pool, { usable: usable.filter((view) => !regions.isLocal(view)), connected: connected.filter((view) => !regions.isLocal(view)) }, now)
-    const canServe = own.some((view) => availableAtMs(view) <= now)
-    if (!canServe) return { candidates: near, cached, regional: { own, others: this.#withHome(demand.parts, { candidates: others, usable }, cached).candidates } }
-    return { ...this.#withHome(demand.parts, { candidates: near, usable: own }, cached), regional: { own, others } }
+    if (!regions) return this.#withHome(demand.parts, { candidates: this.#withRest(pool, selection, now), usable: selection.usable }, cached)
+    const split = this.#split(selection, regions)
+    const near = this.#withRest(pool, split.own, now)
+    const others = this.#withRest(pool, split.others, now)
+    const regional = { own: split.own.usable, others, allOthers: split.others.usable }
+    const canServe = regional.own.some((view) => availableAtMs(view) <= now)
+    if (canServe) return { ...this.#withHome(demand.parts, { candidates: near, usable: regional.own }, cached), regional }
+    return { candidates: near, cached, regional: { ...regional, others: this.#withHome(demand.parts, { candidates: others, usable: selection.usable }, cached).candidates } }
+  }
+
+  /** Splits a selection by region, once for each: selections last until the endpoints change. */
+  #split (selection: EndpointSelection, regions: RegionRouting): SplitSelection {
+    let split = this.#splits.get(selection)
+    if (!split) {
+      const keep = (isKept: (view: EndpointView) => boolean) => ({ usable: selection.usable.filter(isKept), connected: selection.connected.filter(isKept) })
+      split = { own: keep((view) => regions.isLocal(view)), others: keep((view) => !regions.isLocal(view)) }
+      this.#splits.set(selection, split)
+    }
+    return split
   }
 
   /** Returns the endpoints that this daemon connects to, or all while those back off, and those that it has permits for. */
--- a/daemon/request/region_routing.ts
+++ b/daemon/request/region_routing.ts
@@ -1,5 +1,5 @@
 /** Routing of requests between regions, for the dispatcher. */
-import { preferOwnRegion, type CrossingReason, type EndpointView, type RegionalRoute, type Route, type RouteQuery, type Router } from '../../core/routing/index.ts'
+import { isFull, meanLoad, preferOwnRegion, spillShare, type CrossingReason, type EndpointView, type Random, type RegionalRoute, type Route, type RouteQuery, type Router } from '../../core/routing/index.ts'
 import type { Topology } from '../../core/topology/index.ts'
 import type { RegionalCandidates } from './_candidates.ts'
 import { endpointsToAvoid } from './_route_query.ts'
@@ -10,6 +10,7 @@
   topology: Pick<Topology, 'isLocal' | 'regionOf' | 'roundTripMs'>
   /** Compares the endpoints of a region until one meets the target. */
   thorough: Router
+  random: Random
   /** Decides which requests may be sent to another region. Default: all may. */
   crossing?: RegionCrossing | undefined
 }
@@ -47,17 +48,21 @@
   }
 
   /** Selects the route of a request; see {@linkcode preferOwnRegion}. */
-  pick (placement: Placement, { candidates, regional: { own, others } }: { candidates: readonly EndpointView[], regional: RegionalCandidates }, options: RegionPickOptions): RegionalRoute | undefined {
+  pick (placement: Placement, { candidates, regional: { own, others, allOthers } }: { candidates: readonly EndpointView[], regional: RegionalCandidates }, options: RegionPickOptions): RegionalRoute | undefined {
     const { now, expectedMs, onlyCrossing, canStart, pick } = options
     if (onlyCrossing && !others.some(canStart)) return undefined
     const query = { ...options.query, avoid: placement.avoid.length === 0 ? [] : endpointsToAvoid(placement, [...own, ...others].filter(canStart)) }
     const hasOwn = own.length > 0
+    const load = meanLoad(own)
+    const share = spillShare(load, meanLoad(allOthers))
     const picked = preferOwnRegion({
       connected: () => pick(query, candidates),
-      ownRegion: () => pick(query, own, this.#options.thorough),
+      // In a full region, an endpoint that seems free would be chosen by all daemons at once.
+      ownRegion: () => (isFull(load) ? undefined : pick(query, own, this.#options.thorough)),
       otherRegions: () => (this.mayCross(placement) ? pick(query, others) : undefined)
     }, {
       firstTokenMs: query.firstTokenMs,
+      overloaded: share > 0 && this.#options.random() < share,
       waitMs: hasOwn ? now - placement.acceptedAtMs + expectedMs : Infinity,
       roundTripMs: ({ view }) => this.#roundTripMs(view)
     })
--- a/daemon/request/region_routing_test.ts
+++ b/daemon/request/region_routing_test.ts
@@ -51,7 +51,7 @@
   }
 }
 
-const fill = (table: EndpointTable, id: string) => { for (let i = 0; i < 30; i++) table.started(as<EndpointId>(id), { lane: 'normal', tokens: 0 }) }
+const fill = (table: EndpointTable, id: string) => { for (let i = 0; i < SLOTS; i++) table.started(as<EndpointId>(id), { lane: 'normal', tokens: 0 }) }
 const many = (domain: string, count: number) => Array.from({ length: count }, (_, i) => `${domain}-${i}`)
 const NOT_URGENT = { cls: { ...DESK_CLASS, urgent: false } }
 
@@ -109,7 +109,7 @@
   left = 350
   dispatcher.startQueued()
   expect([sent, dispatcher.queued]).toEqual([[100, 200], 2])
-  for (let i = 0; i < 30; i++) table.ended(as<EndpointId>('n1-0'))
+  for (let i = 0; i < SLOTS; i++) table.ended(as<EndpointId>('n1-0'))
   dispatcher.startQueued()
   expect([started, sent]).toEqual([[100, 200, 5000, 300], [100, 200]])
 })
--- a/daemon/request/shared_dispatcher.ts
+++ b/daemon/request/shared_dispatcher.ts
@@ -46,7 +46,7 @@
     ...(canaries && { canaries }),
     ...(limits && { limits }),
     ...(ways && { ways }),
-    ...(topology.hasRegions && { regions: new RegionRouting({ topology, crossing, thorough: new TargetRouter({ ...routing, rounds: Infinity }) }) }),
+    ...(topology.hasRegions && { regions: new RegionRouting({ topology, crossing, random, thorough: new TargetRouter({ ...routing, rounds: Infinity }) }) }),
     router: new TargetRouter(routing)
   })
 }
