Order endpoints in the region whose callers need them

Cause: the demand of a pool was counted as one and its endpoints spread over all failure domains, so that callers of a busy region were served across regions.

Change: with several regions daemons count demand by region as well; each region's demand is planned in its own failure domains, and what it cannot have (at its maximum, or where orders are refused) is added to regions that lack nothing. Demand of daemons in no region goes to the first. With one region there is one group of all domains, planned as before; the existing tests of orders are unchanged but for the parameters of their fixture.

Measured: the three new tests of daemon/duties/order_task_test.ts failed on the code before.

--- a/core/fleet/index.ts
+++ b/core/fleet/index.ts
@@ -1,6 +1,7 @@
 export * from './hysteresis.ts'
 export * from './plan_fleet.ts'
 export * from './reclaim_risk.ts'
+export * from './region_shortage.ts'
 export * from './demand.ts'
 export * from './spread_plan.ts'
 export * from './endpoint_demand.ts'
--- a/core/topology/topology.ts
+++ b/core/topology/topology.ts
@@ -10,6 +10,8 @@
   readonly ownDomain: FailureDomain
   /** True if the deployment has several regions. */
   readonly hasRegions: boolean
+  /** Regions that the settings name, in the same order on all daemons. */
+  readonly regions: readonly Region[]
   /** Region of a failure domain; undefined if the settings do not name it. */
   regionOf (domain: FailureDomain): Region | undefined
   /** Returns how far away a failure domain is. */
@@ -49,7 +51,9 @@
     this.#ownRegion = regions.get(ownDomain)
   }
 
-  get hasRegions (): boolean { return new Set(this.#regions.values()).size > 1 }
+  get hasRegions (): boolean { return this.regions.length > 1 }
+
+  get regions (): readonly Region[] { return [...new Set(this.#regions.values())].sort() }
 
   regionOf (domain: FailureDomain): Region | undefined { return this.#regions.get(domain) }
 
--- a/daemon/duties/order_task.ts
+++ b/daemon/duties/order_task.ts
@@ -1,6 +1,6 @@
 /** Scales each pool to its load by ordering endpoints from the platform, on the daemon that holds the lease. */
 import type { Pool, Scaling } from '../../core/catalog/index.ts'
-import { EndpointDemand, SlotDemand, spreadPlan, type DomainFleet, type DomainMix, type EndpointTargets } from '../../core/fleet/index.ts'
+import { EndpointDemand, SlotDemand, spreadPlan, withShortages, type DomainFleet, type DomainMix, type EndpointTargets } from '../../core/fleet/index.ts'
 import { runningNow, type EndpointView } from '../../core/routing/index.ts'
 import type { EndpointVersion, FailureDomain, PoolName } from '../../core/ids/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
@@ -10,6 +10,7 @@
 import { log } from '../log/index.ts'
 import type { Metrics } from '../metrics.ts'
 import type { TallyTask } from '../peers/tally_task.ts'
+import { demandGroups, demandKeys, type DemandGroup, type DemandTopology } from './_demand_groups.ts'
 
 /** Options of {@linkcode OrderTask}. */
 export interface OrderTaskOptions {
@@ -27,6 +28,8 @@
   versions?: PoolVersions | undefined
   /** The whole system starts for the first time: existing endpoints are not taken as a sign of load. Default false. */
   firstStart?: boolean
+  /** Regions, each of which gets the endpoints for its own demand. Default: there is one. */
+  topology?: DemandTopology
 }
 
 /** Versions of the endpoints of a pool. */
@@ -64,11 +67,13 @@
 const MAX_SLOT_UTILIZATION_WHILE_BOOTING = 0.7
 /** Target slot utilization: the headroom covers the loss of one of three failure domains and a burst of a third. */
 const TARGET_SLOT_UTILIZATION = 0.3
-const DEMAND_KEY_PREFIX = 'demand/'
 
 /** Load of a pool in fully utilized engines: by prefill time and by occupied batch slots. */
 interface PoolDemand { prefill: number, slots: number }
 
+/** What one group of failure domains is planned by. */
+interface GroupPlan { group: DemandGroup, fleet: DomainFleet[], wanted: EndpointTargets }
+
 /** The last order of a kind and its result. */
 interface LastOrder {
   count: number
@@ -87,8 +92,9 @@
 export class OrderTask {
   readonly #options: OrderTaskOptions
   readonly #lastOrders = new Map<string, LastOrder>()
-  readonly #demand = new Map<PoolName, EndpointDemand>()
-  readonly #slotDemand = new Map<PoolName, SlotDemand>()
+  /** Demand by the key of its group. */
+  readonly #demand = new Map<string, EndpointDemand>()
+  readonly #slotDemand = new Map<string, SlotDemand>()
   #timer: NodeJS.Timeout | undefined
 
   constructor (options: OrderTaskOptions) {
@@ -97,7 +103,7 @@
 
   /** Records the tokens of a request as demand. */
   asked (pool: PoolName, tokens: number): void {
-    this.#options.tallies.tally.add(DEMAND_KEY_PREFIX + pool, tokens)
+    for (const key of demandKeys(pool, this.#options.topology)) this.#options.tallies.tally.add(key, tokens)
   }
 
   /** Starts periodic reconciliation; orders are sent only while this daemon holds the lease. */
@@ -116,50 +122,71 @@
     if (lease.fencing === undefined && lease.fencingInOutage === undefined) this.#lastOrders.clear()
     for (const pool of pools()) {
       if (!pool.scaling) continue
-      const demand = this.#countDemand(pool.name)
-      if (demand === undefined) continue
-      if (lease.fencing !== undefined) this.#orderPool(pool, pool.scaling, demand)
-      else if (lease.fencingInOutage !== undefined) this.#orderMissing(pool, pool.scaling, demand)
+      const { scaling } = pool
+      const plans = demandGroups(pool.name, scaling, this.#options.topology).map((group) => this.#planOf(group, scaling)).filter((plan) => plan !== undefined)
+      if (lease.fencing !== undefined) this.#orderPool(pool, scaling, plans)
+      else if (lease.fencingInOutage !== undefined) for (const plan of plans) this.#orderMissing(pool, scaling, plan)
     }
   }
 
+  #planOf (group: DemandGroup, scaling: Scaling): GroupPlan | undefined {
+    const demand = this.#countDemand(group)
+    const fleet = group.domains.map((domain) => this.#fleetOf(group.pool, domain))
+    return demand && { group, fleet, wanted: endpointsWanted(demand, fleet) }
+  }
+
   /**
    * Measures the load in engines, on every tally replica.
    *
    * Any replica may take over the lease. If it started measuring only then, it would have to keep all endpoints until the measurement settles, and during a
    * rolling restart every successor would start over.
    */
-  #countDemand (pool: PoolName): PoolDemand | undefined {
+  #countDemand (group: DemandGroup): PoolDemand | undefined {
     const { lease, tallies } = this.#options
     if (!tallies.isReplica && lease.fencing === undefined) {
-      this.#demand.delete(pool)
-      this.#slotDemand.delete(pool)
+      this.#demand.delete(group.key)
+      this.#slotDemand.delete(group.key)
       return undefined
     }
-    const key = DEMAND_KEY_PREFIX + pool
-    const msPerToken = this.#options.table.pace(pool)?.msPerToken
+    const msPerToken = this.#options.table.pace(group.pool)?.msPerToken
     if (msPerToken === undefined) return undefined
-    const counted = { tokens: tallies.tally.sum(key), reporters: tallies.tally.reporterCount(key), msPerToken }
-    const demand = this.#demand.get(pool) ?? this.#initialDemand(pool, counted.tokens)
-    this.#demand.set(pool, demand)
-    if (demand.isBootstrapping(steadyNow())) demand.setInitialEngines(this.#options.allowedTokensPerS() * ASSUMED_QUOTA_FRACTION * msPerToken / MS_PER_S)
-    return { prefill: demand.observe(counted, steadyNow()), slots: this.#countSlots(pool) }
+    const total = (of: (key: string) => number) => group.tallyKeys.reduce((sum, key) => sum + of(key), 0)
+    const counted = { tokens: total((key) => tallies.tally.sum(key)), reporters: total((key) => tallies.tally.reporterCount(key)), msPerToken }
+    const demand = this.#demand.get(group.key) ?? this.#initialDemand(group, counted.tokens)
+    this.#demand.set(group.key, demand)
+    if (demand.isBootstrapping(steadyNow())) demand.setInitialEngines(this.#options.allowedTokensPerS() * group.share * ASSUMED_QUOTA_FRACTION * msPerToken / MS_PER_S)
+    return { prefill: demand.observe(counted, steadyNow()), slots: this.#countSlots(group) }
   }
 
-  #countSlots (pool: PoolName): number {
-    const endpoints = this.#options.table.all.filter((view) => view.pool === pool)
+  #countSlots (group: DemandGroup): number {
+    const endpoints = this.#endpointsOf(group)
     const running = endpoints.reduce((sum, view) => sum + Math.min(runningNow(view), view.speed.batchSlots), 0)
-    const demand = this.#slotDemand.get(pool) ?? new SlotDemand()
-    this.#slotDemand.set(pool, demand)
+    const demand = this.#slotDemand.get(group.key) ?? new SlotDemand()
+    this.#slotDemand.set(group.key, demand)
     return demand.observe({ running, slots: Math.max(...endpoints.map((view) => view.speed.batchSlots)) }, steadyNow())
   }
 
-  #orderPool (pool: Pool, scaling: Scaling, demand: PoolDemand): void {
-    const domains = [...scaling.pricePerS.keys()]
-    const fleet = domains.map((domain) => this.#fleetOf(pool.name, domain))
-    const wanted = endpointsWanted(demand, fleet)
-    this.#retryReclaimable(pool, scaling, { fleet, perDomain: Math.ceil(wanted.withHeadroom / domains.length) })
-    for (const mix of spreadPlan(wanted, scaling, fleet)) this.#orderMix(pool, scaling, this.#keepUntilSettled(pool.name, mix))
+  /** All endpoints of a group, those included that are in none of its pool's failure domains if the pool has one group. */
+  #endpointsOf ({ pool, domains, share }: DemandGroup): EndpointView[] {
+    return this.#options.table.all.filter((view) => view.pool === pool && (share === 1 || domains.includes(view.failureDomain)))
+  }
+
+  #orderPool (pool: Pool, scaling: Scaling, plans: readonly GroupPlan[]): void {
+    const targets = plans.length === 1 ? [plans[0]!.wanted] : withShortages(plans.map((plan) => ({ wanted: plan.wanted, obtainable: this.#obtainable(plan, scaling) })))
+    plans.forEach(({ group, fleet }, i) => {
+      const wanted = targets[i]!
+      this.#retryReclaimable(pool, scaling, { fleet, perDomain: Math.ceil(wanted.withHeadroom / fleet.length) })
+      for (const mix of spreadPlan(wanted, scaling, fleet)) this.#orderMix(pool, scaling, { group, mix: this.#keepUntilSettled(group, mix) })
+    })
+  }
+
+  /** Endpoints that a group of failure domains can have: those planned there, but where orders are refused only those that exist. */
+  #obtainable ({ group: { pool }, fleet, wanted }: GroupPlan, scaling: Scaling): number {
+    return spreadPlan(wanted, scaling, fleet).reduce((sum, { failureDomain, onDemand, reclaimable }) => {
+      const existing = fleet.find((domain) => domain.failureDomain === failureDomain)!
+      const available = (isReclaimable: boolean) => this.#lastOrders.get(orderKey({ pool, failureDomain, reclaimable: isReclaimable }))?.unavailable !== true
+      return sum + (available(true) ? reclaimable : existing.reclaimable) + (available(false) ? onDemand : existing.onDemand)
+    }, 0)
   }
 
   /**
@@ -168,12 +195,12 @@
    * Counts are never lowered, and reclaimable endpoints, which may be refused for lack of capacity, are not ordered: a refusal therefore means that another
    * daemon holds the lease.
    */
-  #orderMissing (pool: Pool, scaling: Scaling, demand: PoolDemand): void {
-    const fleet = [...scaling.pricePerS.keys()].map((domain) => this.#fleetOf(pool.name, domain)).map((domain) => ({ ...domain, reclaimableAvailable: false }))
-    for (const mix of spreadPlan(endpointsWanted(demand, fleet), scaling, fleet)) {
+  #orderMissing (pool: Pool, scaling: Scaling, { group, ...plan }: GroupPlan): void {
+    const fleet = plan.fleet.map((domain) => ({ ...domain, reclaimableAvailable: false }))
+    for (const mix of spreadPlan(plan.wanted, scaling, fleet)) {
       const existing = fleet.find((domain) => domain.failureDomain === mix.failureDomain)!.onDemand
       const order = { pool: pool.name, failureDomain: mix.failureDomain, reclaimable: false, count: mix.onDemand }
-      if (mix.onDemand > existing) this.#orderIfDue(order, { count: existing, bootMs: scaling.bootMs })
+      if (mix.onDemand > existing) this.#orderIfDue(order, { count: existing, bootMs: scaling.bootMs, group })
     }
   }
 
@@ -183,16 +210,16 @@
    * A daemon that takes over the lease during a burst has no measurement yet. Estimating the load from the endpoints left after a reclaim, it would stop
    * endpoints that are needed and order them again shortly after.
    */
-  #keepUntilSettled (pool: PoolName, mix: DomainMix): DomainMix {
-    if (this.#demand.get(pool)!.isSettled(steadyNow())) return mix
-    const existing = this.#fleetOf(pool, mix.failureDomain)
+  #keepUntilSettled (group: DemandGroup, mix: DomainMix): DomainMix {
+    if (this.#demand.get(group.key)!.isSettled(steadyNow())) return mix
+    const existing = this.#fleetOf(group.pool, mix.failureDomain)
     return { ...mix, onDemand: Math.max(mix.onDemand, existing.onDemand), reclaimable: Math.max(mix.reclaimable, existing.reclaimable) }
   }
 
   /** Estimates the initial load from the existing endpoints, leaving ones included: they were ordered for it. */
-  #initialDemand (pool: PoolName, tokens: number): EndpointDemand {
+  #initialDemand (group: DemandGroup, tokens: number): EndpointDemand {
     const idle = this.#options.firstStart === true && tokens === 0
-    const existing = this.#options.table.all.filter((view) => view.pool === pool).length
+    const existing = this.#endpointsOf(group).length
     return new EndpointDemand({ initialEngines: idle ? 0 : existing * TARGET_UTILIZATION, knownIdle: idle, now: steadyNow() })
   }
 
@@ -232,14 +259,14 @@
     return last ? steadyNow() - last.atMs : Infinity
   }
 
-  #orderMix (pool: Pool, scaling: Scaling, mix: DomainMix): void {
+  #orderMix (pool: Pool, scaling: Scaling, { group, mix }: { group: DemandGroup, mix: DomainMix }): void {
     const { failureDomain } = mix
     const fleet = this.#fleetOf(pool.name, failureDomain)
     const all = countByKind(this.#staying(pool.name, failureDomain))
     const order = { pool: pool.name, failureDomain }
     const count = (kind: EndpointKind) => this.#countWithOtherVersions(pool.name, { wanted: mix[kind], active: fleet[kind], all: all[kind], max: scaling.max })
-    if (fleet.reclaimableAvailable) this.#orderIfDue({ ...order, reclaimable: true, count: count('reclaimable') }, { count: all.reclaimable, bootMs: scaling.bootMs })
-    this.#orderIfDue({ ...order, reclaimable: false, count: count('onDemand') }, { count: all.onDemand, bootMs: scaling.bootMs })
+    if (fleet.reclaimableAvailable) this.#orderIfDue({ ...order, reclaimable: true, count: count('reclaimable') }, { count: all.reclaimable, bootMs: scaling.bootMs, group })
+    this.#orderIfDue({ ...order, reclaimable: false, count: count('onDemand') }, { count: all.onDemand, bootMs: scaling.bootMs, group })
   }
 
   /**
@@ -252,7 +279,7 @@
     return this.#options.versions?.isRolling(pool) === true ? Math.max(all, Math.min(count, max)) : count
   }
 
-  #orderIfDue (order: EndpointOrder, current: { count: number, bootMs: number }): void {
+  #orderIfDue (order: EndpointOrder, current: { count: number, bootMs: number, group: DemandGroup }): void {
     if (this.#isDue(order, current)) this.#sendOrder(order)
   }
 
@@ -283,10 +310,10 @@
   }
 
   /** Whether to send an order. An unchanged count is sent again only when it has no effect, because the order was lost or its endpoints were reclaimed. */
-  #isDue (order: EndpointOrder, current: { count: number, bootMs: number }): boolean {
+  #isDue (order: EndpointOrder, current: { count: number, bootMs: number, group: DemandGroup }): boolean {
     const last = this.#lastOrders.get(orderKey(order))
     // At startup the registry fills over several seconds; endpoints that are not listed yet are paid for nevertheless.
-    if (!last) return order.count !== current.count || this.#demand.get(order.pool)?.isKnownIdle(steadyNow()) === true
+    if (!last) return order.count !== current.count || this.#demand.get(current.group.key)?.isKnownIdle(steadyNow()) === true
     const sinceMs = steadyNow() - last.atMs
     if (last.result === 'refused') return order.count !== current.count && sinceMs > REFUSAL_BACKOFF_MS
     if (last.result === 'failed') return sinceMs > FAILURE_RETRY_MS
--- a/daemon/duties/order_task_test.ts
+++ b/daemon/duties/order_task_test.ts
@@ -1,13 +1,14 @@
 import { afterEach, beforeEach, expect, test, vi } from 'vitest'
 import type { Pool } from '../../core/catalog/index.ts'
-import { as, type DaemonId, type EndpointId, type EndpointVersion, type FailureDomain, type HostId, type PoolName } from '../../core/ids/index.ts'
+import { as, type DaemonId, type EndpointId, type EndpointVersion, type FailureDomain, type HostId, type PoolName, type Region } from '../../core/ids/index.ts'
 import { Tally } from '../../core/tally/index.ts'
+import { RegionTopology } from '../../core/topology/index.ts'
 import { DutyError, type EndpointOrder, type ListedHost } from '../../endpoints/index.ts'
 import { EndpointTable } from '../endpoints/endpoint_table.ts'
 import type { LeaseTask } from '../fleet/lease_task.ts'
 import { createMetrics } from '../metrics.ts'
 import type { TallyTask } from '../peers/tally_task.ts'
-import { OrderTask, type PoolVersions } from './order_task.ts'
+import { OrderTask, type OrderTaskOptions } from './order_task.ts'
 
 const POOL = as<PoolName>('llm')
 const DOMAINS = ['a', 'b', 'c'].map((name) => as<FailureDomain>(name))
@@ -62,10 +63,15 @@
     return this.table.all.filter((view) => view.leavingAtMs === undefined && view.reclaimable === reclaimable).length
   }
 
+  /** Number of serving endpoints in each failure domain. */
+  get servingByDomain (): number[] {
+    return DOMAINS.map((domain) => this.table.all.filter((view) => view.leavingAtMs === undefined && view.failureDomain === domain).length)
+  }
+
   /** Number of ordered endpoints, booting or serving: those that are paid for. */
   get orderedCount (): number { return [...this.#ordered.values()].reduce((sum, count) => sum + count, 0) }
 
-  start (options: { firstStart?: boolean, versions?: PoolVersions } = {}): void {
+  start (options: Partial<Pick<OrderTaskOptions, 'firstStart' | 'versions' | 'topology'>> = {}): void {
     task = new OrderTask({
       name: 'd',
       duties: { order: async (order) => this.#order(order), report: async () => {} },
@@ -90,9 +96,9 @@
   }
 
   /** Advances the clock under a constant load, given in engines. */
-  async advance (ms: number, engines: number): Promise<void> {
+  async advance (ms: number, engines: number, tallyKey = `demand/${POOL}`): Promise<void> {
     for (let i = 0; i < ms / 250; i++) {
-      this.tally.add(`demand/${POOL}`, engines * 100_000 / 4)
+      this.tally.add(tallyKey, engines * 100_000 / 4)
       const serving = this.table.all.filter((view) => view.leavingAtMs === undefined)
       const each = Math.min(this.slots, this.running / Math.max(1, serving.length))
       this.table.applyOthersWork(serving.map(({ id }) => [id, { running: each, unread: { urgent: 0, normal: 0, late: 0 } }]))
@@ -342,3 +348,33 @@
   expect(fleet.orders.slice(orders).length).toBeGreaterThan(0)
   expect(fleet.serving(true)).toBeGreaterThan(2 * before)
 })
+
+/** The first two failure domains are in the north. */
+const regions = new Map(DOMAINS.map((domain, i) => [domain, as<Region>(i < 2 ? 'north' : 'south')]))
+
+test('endpoints are ordered in the region that the requests come from', async () => {
+  const fleet = new Fleet(2, 12)
+  fleet.start({ topology: new RegionTopology({ ownDomain: DOMAINS[0]!, regions }) })
+  await fleet.advance(60_000, 6, `region-demand/north/${POOL}`)
+  expect(fleet.servingByDomain).toEqual([7, 7, 2])
+})
+
+test('what a region cannot have is ordered in the other one', async () => {
+  // Guards against callers of a region that wait for endpoints which their own region will not get.
+  const fleet = new Fleet(2, 4)
+  fleet.start({ topology: new RegionTopology({ ownDomain: DOMAINS[0]!, regions }) })
+  await fleet.advance(60_000, 6, `region-demand/north/${POOL}`)
+  expect(fleet.servingByDomain.slice(0, 2)).toEqual([4, 4])
+  expect(fleet.servingByDomain[2]).toBeGreaterThanOrEqual(3)
+})
+
+test('the demand of daemons in no region is served', async () => {
+  const fleet = new Fleet(2, 12)
+  const topology = new RegionTopology({ ownDomain: as<FailureDomain>('unnamed'), regions })
+  fleet.start({ topology })
+  for (let i = 0; i < 240; i++) {
+    task!.asked(POOL, 6 * 100_000 / 4)
+    await vi.advanceTimersByTimeAsync(250)
+  }
+  expect(fleet.servingByDomain).toEqual([7, 7, 2])
+})
