Test homes, connections and trials of versions by region

The home of a shared prompt leaves a region none of whose endpoints can serve; subsets hold four endpoints of another region; canary endpoints of the own region come first. The topology sorts its regions once.

--- a/core/topology/topology.ts
+++ b/core/topology/topology.ts
@@ -41,6 +41,7 @@
  */
 export class RegionTopology implements Topology {
   readonly ownDomain: FailureDomain
+  readonly regions: readonly Region[]
   readonly #regions: ReadonlyMap<FailureDomain, Region>
   readonly #ownRegion: Region | undefined
   readonly #leastMs = new Map<Region, number>()
@@ -48,13 +49,12 @@
   constructor ({ ownDomain, regions = new Map() }: RegionTopologyOptions) {
     this.ownDomain = ownDomain
     this.#regions = regions
+    this.regions = [...new Set(regions.values())].sort()
     this.#ownRegion = regions.get(ownDomain)
   }
 
   get hasRegions (): boolean { return this.regions.length > 1 }
 
-  get regions (): readonly Region[] { return [...new Set(this.#regions.values())].sort() }
-
   regionOf (domain: FailureDomain): Region | undefined { return this.#regions.get(domain) }
 
   /** A domain that the settings do not name counts as near: a wrong guess costs one slow request, and treating it as far would leave its endpoints unused. */
--- a/daemon/request/placement.ts
+++ b/daemon/request/placement.ts
@@ -89,6 +89,7 @@
 
 /** Decides which requests may be sent to another region, by what it costs to carry them. */
 export interface RegionCrossing {
+  /** Returns true if a request may be sent to another region now. May be called several times for a request, and does not say that it will be sent. */
   mayCross (req: CrossingRequest): boolean
   /** Called with the number of bytes when a request is sent to another region. */
   crossed (bytes: number): void
--- a/daemon/request/region_routing_test.ts
+++ b/daemon/request/region_routing_test.ts
@@ -7,7 +7,7 @@
 import { seededRandom } from '../seeded_random.ts'
 import { DESK as POOL, DESK_CLASS, placement } from './_placement_fixture.ts'
 import type { Dispatcher } from './dispatcher.ts'
-import type { Crossing, Placement, RegionCrossing } from './placement.ts'
+import type { CanaryGate, Crossing, Placement, RegionCrossing } from './placement.ts'
 import { createSharedDispatcher } from './shared_dispatcher.ts'
 
 const { h32: hash } = await xxhash()
@@ -26,11 +26,11 @@
 
 interface Fixture { table: EndpointTable, dispatcher: Dispatcher, crossings: Crossing[], place (change?: Partial<Placement>): string | undefined }
 
-function fixtureOf (names: readonly string[], { self = 'd', crossing, seed = 1 }: { self?: string, crossing?: RegionCrossing, seed?: number } = {}): Fixture {
+function fixtureOf (names: readonly string[], { self = 'd', crossing, canaries, seed = 1 }: { self?: string, crossing?: RegionCrossing, canaries?: CanaryGate, seed?: number } = {}): Fixture {
   const topology = new RegionTopology({ ownDomain: as<FailureDomain>('n1'), regions })
   const table = new EndpointTable({ self: as<DaemonId>(self), hash, topology })
   table.applyHostList(names.map(listed))
-  const dispatcher = createSharedDispatcher({ table, hash, random: seededRandom(seed), topology, crossing, sharers: () => 1 })
+  const dispatcher = createSharedDispatcher({ table, hash, random: seededRandom(seed), topology, crossing, canaries, sharers: () => 1 })
   const crossings: Crossing[] = []
   return {
     table,
@@ -133,3 +133,30 @@
   const homes = new Set(Array.from({ length: 12 }, (_, i) => fixtureOf([...many('s1', 40), ...many('s2', 40)], { self: `d${i}`, seed: i + 1 }).place({ ...NOT_URGENT, demand: demand(1) })))
   expect(homes.size).toBe(1)
 })
+
+test('the home of a shared prompt moves to another region while no endpoint of its own can serve', () => {
+  const demand = { promptTokens: 6000, maxTokens: 10, expectedTokens: 10, parts: [{ key: 'shared', tokens: 5500 }, { key: 'own', tokens: 500 }] }
+  const homes = new Set(Array.from({ length: 12 }, (_, i) => {
+    const { table, place } = fixtureOf([...many('n1', 2), ...many('s1', 40)], { self: `d${i}`, seed: i + 1 })
+    for (const id of many('n1', 2)) table.backOff(as<EndpointId>(id), Date.now() + 60_000)
+    return place({ ...NOT_URGENT, demand })
+  }))
+  expect([...homes]).toEqual([expect.stringMatching(/^s1/)])
+})
+
+test('a daemon connects to endpoints of its region, and to a few of the other', () => {
+  const { table } = fixtureOf([...many('n1', 100), ...many('s1', 100)])
+  const connected = table.candidates(POOL)
+  expect([connected.length, connected.filter(({ id }) => id.startsWith('s1')).length]).toEqual([24, 4])
+})
+
+test('requests try a version in their own region, and in another one only if it runs nowhere else', () => {
+  let offered: string[] = []
+  const canaries = { canaries: () => offered.map((id) => fixture.table.get(as<EndpointId>(id))!), spent: () => {} }
+  const fixture: Fixture = fixtureOf(['n1-0', 'n1-1', 's1-0'], { canaries })
+  offered = ['s1-0', 'n1-1']
+  for (let i = 0; i < 3; i++) expect(fixture.place(NOT_URGENT)).toBe('n1-1')
+  offered = ['s1-0']
+  expect(fixture.place(NOT_URGENT)).toBe('s1-0')
+  expect(fixture.crossings).toMatchObject([{ why: 'canary' }])
+})
