Ask whether a waiting request may cross before looking for an endpoint

Cause: while the link has no room, each end of a request looked through the endpoints of both regions for up to eight waiting requests.

Change: what may cross is asked first.

--- a/daemon/request/dispatcher.ts
+++ b/daemon/request/dispatcher.ts
@@ -236,7 +236,7 @@
 
   /** Sends a request to another region while others wait for room in this one. */
   #startElsewhere (placement: Placement, pool: PoolState): boolean {
-    if (!this.#options.regions) return false
+    if (!this.#options.regions?.mayCross(placement)) return false
     const now = steadyNow()
     return this.#startAt(placement, this.#candidates.find(placement, this.#endpointsFor(placement), now), { pool, now, mayAsk: false, onlyCrossing: true })
   }
