Let the region link decide which requests cross

Cause: the dispatcher asks whether a request may be sent to another region, and nothing answered. It samples only with several regions.

--- a/daemon/exchange/_proxy_components.ts
+++ b/daemon/exchange/_proxy_components.ts
@@ -22,6 +22,7 @@
 import { CpuTimeLog } from '../log/index.ts'
 import { createMetrics, type Metrics } from '../metrics.ts'
 import { DelegatedRuns, DelegateFinder, DelegateServer } from '../delegation/index.ts'
+import { RegionLinkTask } from '../link/index.ts'
 import { PathWatch } from '../paths/index.ts'
 import { shareStoreEra } from '../peers/era_sharing.ts'
 import { LeaseAnnouncer } from '../peers/lease_announcer.ts'
@@ -68,6 +69,7 @@
   random: Random
   metrics: Metrics
   topology: RegionTopology
+  regionLink: RegionLinkTask
   links: PeerLinks
   membership: MembershipTask
   fleet: FleetSize
@@ -162,9 +164,13 @@
     })).singleton(),
     config: asFunction(configFollower).singleton(),
     limits: asFunction(({ self, membership, fleet }: ProxyComponents) => new AccountLimits({ self, host: settings.name, tolerance: settings.quota, membership, fleet })).singleton(),
-    table: asFunction(({ self }: ProxyComponents) => new EndpointTable({ self, hash })).singleton(),
+    table: asFunction(({ self, topology }: ProxyComponents) => new EndpointTable({ self, hash, topology })).singleton(),
     registry: asFunction(endpointFollower).singleton(),
-    client: asFunction(({ config, fleet }: ProxyComponents) => new ExchangeClient({ addressOf: endpointAddress, maxConnections: (view) => connectionsTo(view, config, fleet) })).singleton(),
+    client: asFunction(({ config, fleet, topology }: ProxyComponents) => new ExchangeClient({
+      addressOf: endpointAddress,
+      maxConnections: (view) => connectionsTo(view, config, fleet),
+      ...(topology.hasRegions && { onConnected: ({ failureDomain }, tookMs) => topology.recordRoundTrip(failureDomain, tookMs) })
+    })).singleton(),
     confirmer: asFunction(({ membership, table, paths }: ProxyComponents) => new CrashConfirmer({ membership, table, paths, hash })).singleton(),
     crashes: asFunction(({ metrics, client, confirmer, paths, table }: ProxyComponents) => new CrashWatch({ metrics, poolSize: (pool) => table.usable(pool).length, dial: (view) => paths.dial(view), confirm: (view) => confirmer.confirm(view), isConnected: (view) => client.isConnected(view) })).singleton(),
     quarantine: asFunction(({ crashes, membership, metrics }: ProxyComponents) => new QuarantineTask({ crashes, membership, metrics })).singleton(),
@@ -185,6 +191,7 @@
       self: cradle.self,
       failureDomain: settings.failureDomain,
       hash,
+      topology: cradle.topology,
       membership: cradle.membership,
       paths: cradle.paths,
       onOffer: (pool, cutOffMs) => {
@@ -203,11 +210,13 @@
       metrics: cradle.metrics,
       completeSinceMs: () => cradle.registry.completeSinceMs
     })).singleton(),
-    dispatcher: asFunction(({ table, random, topology, fleet, rollouts, endpointLimits, paths, delegateFinder }: ProxyComponents) => createSharedDispatcher({
+    regionLink: asFunction(({ topology, membership, metrics, random }: ProxyComponents) => new RegionLinkTask({ topology, membership, metrics, random })).singleton(),
+    dispatcher: asFunction(({ table, random, topology, regionLink, fleet, rollouts, endpointLimits, paths, delegateFinder }: ProxyComponents) => createSharedDispatcher({
       table,
       hash,
       random,
       topology,
+      crossing: regionLink,
       sharers: () => fleet.hostCount,
       canaries: rollouts?.gate,
       limits: endpointLimits,
@@ -261,8 +270,8 @@
     usage: asFunction(({ lease, tallies }: ProxyComponents) => new UsageTask({
       name: settings.name, store: platform.store, duties: platform.duties, lease, tallies, ...settings.usage
     })).singleton(),
-    orders: asFunction(({ lease, table, tallies, metrics, config, rollouts }: ProxyComponents) => new OrderTask({
-      name: settings.name, duties: platform.duties, lease, table, tallies, metrics, versions: rollouts?.gate, firstStart: settings.firstStart, pools: () => config.inForce?.pools.values() ?? [], allowedTokensPerS: () => totalTokenQuotaPerS(config.inForce?.accounts.values() ?? [])
+    orders: asFunction(({ lease, table, tallies, metrics, config, rollouts, topology }: ProxyComponents) => new OrderTask({
+      name: settings.name, topology, duties: platform.duties, lease, table, tallies, metrics, versions: rollouts?.gate, firstStart: settings.firstStart, pools: () => config.inForce?.pools.values() ?? [], allowedTokensPerS: () => totalTokenQuotaPerS(config.inForce?.accounts.values() ?? [])
     })).singleton()
   })
   const components = container.cradle
--- a/daemon/exchange/proxy_daemon.ts
+++ b/daemon/exchange/proxy_daemon.ts
@@ -93,7 +93,7 @@
   }
 
   async #start (): Promise<void> {
-    const { settings, membership, tallies, config, registry, server, readiness, monitor, lease, limits, endpointLimitTask, loads, usage, orders, rollouts, stalls, quarantine, archive, processor, paths, delegateFinder, delegatedRuns, delegateServer, connectionGate } = this.#components
+    const { settings, membership, tallies, config, registry, server, readiness, monitor, lease, limits, endpointLimitTask, loads, usage, orders, rollouts, stalls, quarantine, archive, processor, paths, regionLink, delegateFinder, delegatedRuns, delegateServer, connectionGate } = this.#components
     const { callers, readiness: check } = settings.listen
     archive.restore()
     await readiness.listen(check, () => this.ready)
@@ -113,6 +113,7 @@
     rollouts?.task.start()
     stalls.start()
     paths.start()
+    regionLink.start()
     delegateFinder.start()
     delegatedRuns.start()
     delegateServer.start()
@@ -160,9 +161,10 @@
   }
 
   #stopTasks (): void {
-    const { config, registry, limits, endpointLimitTask, signals, loads, tallies, rollouts, stalls, quarantine, archive, processor, paths, delegateFinder, delegatedRuns, delegateServer, connectionGate } = this.#components
+    const { config, registry, limits, endpointLimitTask, signals, loads, tallies, rollouts, stalls, quarantine, archive, processor, paths, regionLink, delegateFinder, delegatedRuns, delegateServer, connectionGate } = this.#components
     connectionGate.stop()
     paths.stop()
+    regionLink.stop()
     delegateFinder.stop()
     delegatedRuns.stop()
     delegateServer.stop()
--- a/daemon/link/region_link_task.ts
+++ b/daemon/link/region_link_task.ts
@@ -7,23 +7,16 @@
 import { log } from '../log/index.ts'
 import type { Metrics } from '../metrics.ts'
 import type { Links } from '../peers/links.ts'
+import type { CrossingRequest, RegionCrossing } from '../request/placement.ts'
 
 /** Options of {@linkcode RegionLinkTask}. */
 export interface RegionLinkTaskOptions {
   topology: Pick<RegionTopology, 'hasRegions' | 'isLocal' | 'recordRoundTrip'>
   membership: { readonly links: Pick<Links, 'call' | 'handle' | 'isLinked'>, readonly reachable: readonly Member[] }
-  metrics: Pick<Metrics, 'regionBytes' | 'regionLinkDelay' | 'regionLinkRate'>
+  metrics: Pick<Metrics, 'regionLinkDelay' | 'regionLinkRate'>
   random: Random
 }
 
-/** A request that may be sent to another region. */
-export interface CrossingRequest {
-  /** Size of its body, in bytes. */
-  bytes: number
-  /** True if it precedes others. */
-  urgent: boolean
-}
-
 /** Interval between samples while requests cross, in milliseconds. */
 const BUSY_SAMPLE_INTERVAL_MS = 100
 /** Interval between samples while none cross, in milliseconds; the first request to cross finds a round trip that is known. */
@@ -47,7 +40,7 @@
  * Nobody knows the link's rate or sees more than its own bytes. Each daemon samples the round trip to a daemon of another region and adapts its rate to the delay that the
  * link's queue adds.
  */
-export class RegionLinkTask {
+export class RegionLinkTask implements RegionCrossing {
   readonly #options: RegionLinkTaskOptions
   readonly #delay = new QueueingDelay()
   readonly #rate = new RateController()
@@ -78,19 +71,16 @@
     clearTimeout(this.#timer)
   }
 
-  /** Returns true if a request may be sent to another region now. */
   mayCross (req: CrossingRequest): boolean {
     return this.#budget.mayCross(req.bytes, priorityOf(req), steadyNow())
   }
 
-  /** Must be called with each request that is sent to another region. */
-  crossed (req: CrossingRequest): void {
+  crossed (bytes: number): void {
     const now = steadyNow()
     const wasIdle = now - this.#lastCrossedAtMs > BUSY_AFTER_MS
-    this.#budget.crossed(req.bytes, now)
+    this.#budget.crossed(bytes, now)
     this.#lastCrossedAtMs = now
-    this.#bytesSinceSample += req.bytes
-    this.#options.metrics.regionBytes.inc({ kind: priorityOf(req) }, req.bytes)
+    this.#bytesSinceSample += bytes
     if (wasIdle) this.#schedule()
   }
 
@@ -153,6 +143,6 @@
   }
 }
 
-function priorityOf ({ bytes, urgent }: CrossingRequest): LinkPriority {
-  return bytes <= MAX_CALL_BYTES || urgent ? 'call' : 'bulk'
+function priorityOf ({ bytes }: CrossingRequest): LinkPriority {
+  return bytes <= MAX_CALL_BYTES ? 'call' : 'bulk'
 }
--- a/daemon/link/region_link_task_test.ts
+++ b/daemon/link/region_link_task_test.ts
@@ -7,8 +7,8 @@
 import { seededRandom } from '../seeded_random.ts'
 import { RegionLinkTask } from './region_link_task.ts'
 
-const PROMPT = { bytes: 12_000, urgent: false }
-const CALL = { bytes: 600, urgent: false }
+const PROMPT = { bytes: 12_000, urgent: false, repeatable: false }
+const CALL = { bytes: 600, urgent: false, repeatable: false }
 const NEAR = as<FailureDomain>('n')
 const FAR = as<FailureDomain>('s')
 const REGIONS = new Map([[NEAR, as<Region>('north')], [FAR, as<Region>('south')]])
@@ -42,7 +42,7 @@
   let crossed = 0
   for (let spentMs = 0; spentMs < ms; spentMs += 10) {
     if (task.mayCross(PROMPT)) {
-      task.crossed(PROMPT)
+      task.crossed(PROMPT.bytes)
       crossed++
     }
     await vi.advanceTimersByTimeAsync(10)
