Use all of another region, and judge the own one by endpoints that can serve

Cause: of another region only connected endpoints were candidates; `avoid` counted endpoints that the request may not use; the wait and the load of a region counted endpoints that back off, and starts in other regions; homes in another region were chosen among endpoints of both; a request that may not cross was denied the last room of a full region. Callers saw: `no room in time` while another region was nearly idle, or their own had room for a retry; waits of 50 to 250 ms for a region that could not serve. Change: all endpoints of other regions if no connected one can start the request; loads and waits by available endpoints and own starts; `mayCross` asked once for a pick.

--- a/core/routing/region_load.ts
+++ b/core/routing/region_load.ts
@@ -10,15 +10,16 @@
 /** Difference to the load of other regions from which on nothing is held back. */
 const MAX_DIFFERENCE = 0.5
 
-/** Returns the load of endpoints: the mean fraction of batch slots in use, above 1 if requests wait for slots. 0 without endpoints. */
-export function meanLoad (views: readonly EndpointView[]): number {
+/** Returns the load of endpoints: the mean fraction of batch slots in use, above 1 if requests wait for slots. `Infinity` if none of them counts. */
+export function meanLoad (views: readonly EndpointView[], counts: (view: EndpointView) => boolean): number {
   let running = 0
   let slots = 0
   for (const view of views) {
+    if (!counts(view)) continue
     running += runningNow(view)
     slots += view.speed.batchSlots
   }
-  return slots === 0 ? 0 : running / slots
+  return slots === 0 ? Infinity : running / slots
 }
 
 /** Returns true if a region has no room as a whole. */
--- a/daemon/request/_candidates.ts
+++ b/daemon/request/_candidates.ts
@@ -62,7 +62,7 @@
     const regional = { own: split.own.usable, others, allOthers: split.others.usable }
     const canServe = regional.own.some((view) => availableAtMs(view) <= now)
     if (canServe) return { ...this.#withHome(demand.parts, { candidates: near, usable: regional.own }, cached), regional }
-    return { candidates: near, cached, regional: { ...regional, others: this.#withHome(demand.parts, { candidates: others, usable: selection.usable }, cached).candidates } }
+    return { candidates: near, cached, regional: { ...regional, others: this.#withHome(demand.parts, { candidates: others, usable: split.others.usable }, cached).candidates } }
   }
 
   /** Splits a selection by region, once for each: selections last until the endpoints change. */
--- a/daemon/request/dispatcher.ts
+++ b/daemon/request/dispatcher.ts
@@ -11,6 +11,7 @@
 import { endpointsToAvoid, failedEndpoints, remainingTokens, routeQuery } from './_route_query.ts'
 import type { CanaryGate, EndpointLimiter, Placement, RequestWay, RequestWays } from './placement.ts'
 import type { RegionRouting } from './region_routing.ts'
+import { StartRate } from './_start_rate.ts'
 
 /** Options of {@linkcode Dispatcher}. */
 export interface DispatcherOptions {
@@ -40,8 +41,6 @@
  * of the free slot arrives. Endpoints can queue a few requests more than they have slots.
  */
 const MAX_URGENT_WAITING = 12
-/** Weight of the latest sample in the moving average of the time between starts. */
-const RATE_SMOOTHING = 0.2
 /** Longest time that a new request may be queued, as a multiple of its first-token target. See docs/design/limits.md. */
 const MAX_WAIT_IN_TARGETS = 1
 const MIN_RETRY_AFTER_MS = 500
@@ -69,7 +68,8 @@
 interface StartOptions extends Permission { now: number, pool: PoolState | undefined, onlyCrossing?: boolean }
 /** Waiting requests of a pool that are tried in other regions at once. */
 const MAX_SPILL_TRIES = 8
-interface PoolState { name: PoolName, queue: RequestQueue<Placement>, msPerStart: number, lastStartMs: number }
+/** `ownRate`: of starts in the own region. */
+interface PoolState { name: PoolName, queue: RequestQueue<Placement>, rate: StartRate, ownRate: StartRate }
 
 /** Routes placements to endpoints, with one queue per pool, and one per version for streams that continue: nothing else waits behind them. */
 export class Dispatcher {
@@ -163,7 +163,7 @@
     const ahead = pool.queue.ahead(placement.account, urgent)
     // Work that ran before is not given up while its deadline allows another endpoint to be listed.
     const backOffMs = placement.resumed ? 0 : remainingBackOffMs(this.#endpointsFor(placement).usable)
-    const waitMs = Math.max((ahead + 1) * pool.msPerStart, this.#permitWaitMs(placement), backOffMs)
+    const waitMs = Math.max((ahead + 1) * pool.rate.msPerStart, this.#permitWaitMs(placement), backOffMs)
     const startByMs = latestStartMs(placement)
     if (steadyNow() + waitMs > startByMs) return this.#refuse(placement, { waitMs, backOffMs })
     this.#enqueue(placement, pool, { expectedMs: waitMs, startByMs })
@@ -189,7 +189,7 @@
     for (const pool of this.#pools.values()) {
       const backOffMs = this.#options.table.backOffMs(pool.name)
       const expired = pool.queue.expire(now, ({ resumed }) => (resumed ? 0 : backOffMs))
-      for (const late of expired) this.#refuse(late.item, { waitMs: Math.max(pool.msPerStart, backOffMs), backOffMs })
+      for (const late of expired) this.#refuse(late.item, { waitMs: Math.max(pool.rate.msPerStart, backOffMs), backOffMs })
       this.#drain(pool)
     }
   }
@@ -267,7 +267,8 @@
         now,
         onlyCrossing,
         canStart,
-        expectedMs: pool && pool.msPerStart > 0 ? (pool.queue.ahead(placement.account, placement.cls.urgent) + 1) * pool.msPerStart : Infinity,
+        canReach: (view) => this.#canSend(view, placement),
+        expectedMs: pool && pool.ownRate.msPerStart > 0 ? (pool.queue.ahead(placement.account, placement.cls.urgent) + 1) * pool.ownRate.msPerStart : Infinity,
         // Once permission was asked for, the answer decides.
         pick: (regionQuery, views, router) => (this.#asking.has(placement) ? undefined : this.#pickWithinLimits(placement, regionQuery, { ...options, candidates: withRoomOf(views), router }))
       })
@@ -278,7 +279,9 @@
     }
     if (!picked?.route) return false
     const { route, crossing } = picked
-    if (pool) updateStartRate(pool, now)
+    const isQueued = pool !== undefined && pool.queue.length > 0
+    pool?.rate.started(now, { isQueued })
+    if (!crossing) pool?.ownRate.started(now, { isQueued })
     this.#options.prefixes.record(placement.demand.parts, route.view.id, now)
     if (crossing) regions!.crossed(placement, route.view, crossing)
     placement.placed(route.view, route)
@@ -329,7 +332,7 @@
     const key = boundTo ? `${name}\0${boundTo.version ?? ''}` : name
     let pool = this.#pools.get(key)
     if (!pool) {
-      pool = { name, queue: this.#options.queue?.() ?? new FairQueue(), msPerStart: 0, lastStartMs: steadyNow() }
+      pool = { name, queue: this.#options.queue?.() ?? new FairQueue(), rate: new StartRate(steadyNow()), ownRate: new StartRate(steadyNow()) }
       this.#pools.set(key, pool)
     }
     return pool
@@ -373,11 +376,6 @@
   return placement.demand.promptTokens + placement.doneTokens + remainingTokens(placement)
 }
 
-function updateStartRate (pool: PoolState, now: number): void {
-  if (pool.queue.length > 0) pool.msPerStart += RATE_SMOOTHING * (now - pool.lastStartMs - pool.msPerStart)
-  pool.lastStartMs = now
-}
-
 function findEntry (queue: RequestQueue<Placement>, placement: Placement): QueuedRequest<Placement> | undefined {
   return queue.find((entry) => entry.item === placement)
 }
--- a/daemon/request/region_routing.ts
+++ b/daemon/request/region_routing.ts
@@ -1,5 +1,6 @@
 /** Routing of requests between regions, for the dispatcher. */
-import { isFull, meanLoad, preferOwnRegion, spillShare, type CrossingReason, type EndpointView, type Random, type RegionalRoute, type Route, type RouteQuery, type Router } from '../../core/routing/index.ts'
+import type { EndpointId } from '../../core/ids/index.ts'
+import { availableAtMs, isFull, meanLoad, preferOwnRegion, spillShare, type CrossingReason, type EndpointView, type Random, type RegionalRoute, type Route, type RouteQuery, type Router } from '../../core/routing/index.ts'
 import type { Topology } from '../../core/topology/index.ts'
 import type { RegionalCandidates } from './_candidates.ts'
 import { endpointsToAvoid } from './_route_query.ts'
@@ -25,6 +26,8 @@
   onlyCrossing: boolean
   /** Returns whether an endpoint can take the request now. */
   canStart (view: EndpointView): boolean
+  /** Returns whether an endpoint can be reached. */
+  canReach (view: EndpointView): boolean
   /** Picks among those of the given endpoints that can. */
   pick (query: RouteQuery, views: readonly EndpointView[], router?: Router): Route | undefined
 }
@@ -48,26 +51,42 @@
   }
 
   /** Selects the route of a request; see {@linkcode preferOwnRegion}. */
-  pick (placement: Placement, { candidates, regional: { own, others, allOthers } }: { candidates: readonly EndpointView[], regional: RegionalCandidates }, options: RegionPickOptions): RegionalRoute | undefined {
-    const { now, expectedMs, onlyCrossing, canStart, pick } = options
+  pick (placement: Placement, { candidates, regional: { own, others: near, allOthers } }: { candidates: readonly EndpointView[], regional: RegionalCandidates }, options: RegionPickOptions): RegionalRoute | undefined {
+    const { now, expectedMs, onlyCrossing, canStart, canReach, pick } = options
+    const isReady = (view: EndpointView) => canStart(view) && availableAtMs(view) <= now
+    // A new connection costs less than a refusal.
+    const others = near.some(isReady) ? near : allOthers
     if (onlyCrossing && !others.some(canStart)) return undefined
-    const query = { ...options.query, avoid: placement.avoid.length === 0 ? [] : endpointsToAvoid(placement, [...own, ...others].filter(canStart)) }
-    const hasOwn = own.length > 0
-    const load = meanLoad(own)
-    const share = spillShare(load, meanLoad(allOthers))
-    const picked = preferOwnRegion({
-      connected: () => pick(query, candidates),
-      // In a full region, an endpoint that seems free would be chosen by all daemons at once.
-      ownRegion: () => (isFull(load) ? undefined : pick(query, own, this.#options.thorough)),
-      otherRegions: () => (this.mayCross(placement) ? pick(query, others) : undefined)
-    }, {
-      firstTokenMs: query.firstTokenMs,
+    const mayCross = onlyCrossing || this.mayCross(placement)
+    const counts = (view: EndpointView) => availableAtMs(view) <= now && canReach(view)
+    const load = meanLoad(own, counts)
+    const canServe = load < Infinity
+    const share = canServe && mayCross ? spillShare(load, meanLoad(allOthers, counts)) : 0
+    const preference = {
+      firstTokenMs: options.query.firstTokenMs,
       overloaded: share > 0 && this.#options.random() < share,
-      waitMs: hasOwn ? now - placement.acceptedAtMs + expectedMs : Infinity,
-      roundTripMs: ({ view }) => this.#roundTripMs(view)
-    })
+      waitMs: canServe ? now - placement.acceptedAtMs + expectedMs : Infinity,
+      roundTripMs: ({ view }: Route) => this.#roundTripMs(view)
+    }
+    const pickAvoiding = (avoid: EndpointId[]) => {
+      const query = { ...options.query, avoid }
+      return preferOwnRegion({
+        connected: () => pick(query, candidates),
+        // In a full region, an endpoint that seems free would be chosen by all daemons at once.
+        ownRegion: () => (!isFull(load) ? pick(query, own, this.#options.thorough) : mayCross ? undefined : pick(query, own)),
+        otherRegions: () => (mayCross ? pick(query, others) : undefined)
+      }, preference)
+    }
+    const avoid = this.#toAvoid(placement, [...own, ...(mayCross ? others : [])].filter(canStart))
+    let picked = pickAvoiding(avoid)
+    // Endpoints that seemed a choice for a retry could not be used.
+    if (!picked && avoid.length > 0 && !onlyCrossing) picked = pickAvoiding(this.#toAvoid(placement, own.filter(isReady)))
     if (onlyCrossing && !picked?.crossing) return undefined
-    return picked?.crossing === 'no-room' && !hasOwn ? { ...picked, crossing: 'no-endpoint' } : picked
+    return picked?.crossing === 'no-room' && own.length === 0 ? { ...picked, crossing: 'no-endpoint' } : picked
+  }
+
+  #toAvoid (placement: Placement, withRoom: readonly EndpointView[]): EndpointId[] {
+    return placement.avoid.length === 0 ? [] : endpointsToAvoid(placement, withRoom)
   }
 
   /** Must be called when a request is sent to another region. */
--- a/daemon/request/region_routing_test.ts
+++ b/daemon/request/region_routing_test.ts
@@ -3,7 +3,10 @@
 import { as, type DaemonId, type EndpointId, type FailureDomain, type HostId, type Region } from '../../core/ids/index.ts'
 import { RegionTopology } from '../../core/topology/index.ts'
 import type { ListedHost } from '../../endpoints/index.ts'
+import { steadyNow } from '../../core/time/index.ts'
 import { EndpointTable } from '../endpoints/endpoint_table.ts'
+import { EndpointLimits } from '../limits/endpoint_limits.ts'
+import { createMetrics } from '../metrics.ts'
 import { seededRandom } from '../seeded_random.ts'
 import { DESK as POOL, DESK_CLASS, placement } from './_placement_fixture.ts'
 import type { Dispatcher } from './dispatcher.ts'
@@ -24,16 +27,18 @@
   return { hostId: as<HostId>(name), hostClass: 'any', failureDomain, reclaimable: false, pricePerHour: name.startsWith('n') ? 9 : 1, state: 'live', endpoint: { id: as<EndpointId>(name), pool: POOL, address: '', speed: SPEED } }
 }
 
-interface Fixture { table: EndpointTable, dispatcher: Dispatcher, crossings: Crossing[], place (change?: Partial<Placement>): string | undefined }
+interface Fixture { table: EndpointTable, limits: EndpointLimits, dispatcher: Dispatcher, crossings: Crossing[], place (change?: Partial<Placement>): string | undefined }
 
 function fixtureOf (names: readonly string[], { self = 'd', crossing, canaries, seed = 1 }: { self?: string, crossing?: RegionCrossing, canaries?: CanaryGate, seed?: number } = {}): Fixture {
   const topology = new RegionTopology({ ownDomain: as<FailureDomain>('n1'), regions })
   const table = new EndpointTable({ self: as<DaemonId>(self), hash, topology })
   table.applyHostList(names.map(listed))
-  const dispatcher = createSharedDispatcher({ table, hash, random: seededRandom(seed), topology, crossing, canaries, sharers: () => 1 })
+  const limits = new EndpointLimits({ metrics: createMetrics(), isListed: () => true })
+  const dispatcher = createSharedDispatcher({ table, hash, random: seededRandom(seed), topology, crossing, canaries, limits, sharers: () => 1 })
   const crossings: Crossing[] = []
   return {
     table,
+    limits,
     dispatcher,
     crossings,
     place (change = {}) {
@@ -52,6 +57,7 @@
 }
 
 const fill = (table: EndpointTable, id: string) => { for (let i = 0; i < SLOTS; i++) table.started(as<EndpointId>(id), { lane: 'normal', tokens: 0 }) }
+const backOff = (table: EndpointTable, ids: readonly string[]) => { for (const id of ids) table.backOff(as<EndpointId>(id), steadyNow() + 60_000) }
 const many = (domain: string, count: number) => Array.from({ length: count }, (_, i) => `${domain}-${i}`)
 const NOT_URGENT = { cls: { ...DESK_CLASS, urgent: false } }
 
@@ -160,3 +166,95 @@
   expect(fixture.place(NOT_URGENT)).toBe('s1-0')
   expect(fixture.crossings).toMatchObject([{ why: 'canary' }])
 })
+
+test('endpoints of another region are used beyond those that the daemon connects to', () => {
+  // Guards against refusals while almost all of another region is idle.
+  const { table, place } = fixtureOf([...many('n1', 50), ...many('s1', 50)])
+  const connected = table.candidates(POOL).filter(({ id }) => id.startsWith('s1'))
+  for (const id of many('n1', 50)) fill(table, id)
+  for (const { id } of connected) fill(table, id)
+  expect(place(NOT_URGENT)).toMatch(/^s1/)
+})
+
+test('all endpoints of another region serve while those of the own one back off', () => {
+  const { table, place } = fixtureOf([...many('n1', 50), ...many('s1', 50)])
+  backOff(table, many('n1', 50))
+  const placed = Array.from({ length: 60 }, () => place(NOT_URGENT))
+  expect(placed.filter((id) => id?.startsWith('s1'))).toHaveLength(60)
+})
+
+const NO_CROSSING: RegionCrossing = { mayCross: () => false, crossed: () => {} }
+
+test('a retry that may not cross returns to the endpoint that failed it, if its region has no other', () => {
+  // Guards against refusals because another region has room that the request may not use.
+  const { place } = fixtureOf(['n1-0', 's1-0'], { crossing: NO_CROSSING })
+  expect(place({ ...NOT_URGENT, avoid: [as<EndpointId>('n1-0')] })).toBe('n1-0')
+})
+
+test('a retry returns to the endpoint that failed it while those of the other region are ejected', () => {
+  const { table, place } = fixtureOf(['n1-0', 's1-0'])
+  table.get(as<EndpointId>('s1-0'))!.ejectedUntilMs = steadyNow() + 5000
+  expect(place({ ...NOT_URGENT, avoid: [as<EndpointId>('n1-0')] })).toBe('n1-0')
+})
+
+/** Starts a request every 10 ms, in the own region or, as long as it is full, the other one; then returns where the next is placed. */
+async function nextAfterStarts (at: 'n1-0' | 's1-0', beforeNext: (table: EndpointTable) => void): Promise<string | undefined> {
+  let left = 0
+  const { table, place, dispatcher } = fixtureOf(['n1-0', 's1-0'], { crossing: { mayCross: () => left > 0, crossed: () => { left-- } } })
+  fill(table, 'n1-0')
+  for (let i = 0; i < 20; i++) place(NOT_URGENT)
+  for (let i = 0; i < 20; i++) {
+    await vi.advanceTimersByTimeAsync(10)
+    if (at === 'n1-0') table.ended(as<EndpointId>(at))
+    else left = 1
+    dispatcher.startQueued()
+    if (at === 's1-0') table.ended(as<EndpointId>(at))
+  }
+  expect(dispatcher.queued).toBe(0)
+  beforeNext(table)
+  left = 1
+  return place(NOT_URGENT)
+}
+
+test('a request does not wait for a region whose endpoints back off', async () => {
+  // Guards against waits of tenths of a second for room that will not come.
+  expect(await nextAfterStarts('n1-0', (table) => { backOff(table, ['n1-0']) })).toBe('s1-0')
+})
+
+test('the expected wait for the own region counts only what starts there', async () => {
+  expect(await nextAfterStarts('n1-0', () => {})).toBeUndefined()
+  expect(await nextAfterStarts('s1-0', () => {})).toBe('s1-0')
+})
+
+test('all daemons choose the same home in another region while all endpoints of their own back off', () => {
+  const demand = (subject: number) => ({ promptTokens: 6000, maxTokens: 10, expectedTokens: 10, parts: [{ key: `shared-${subject}`, tokens: 5500 }, { key: 'own', tokens: 500 }] })
+  const daemons = Array.from({ length: 12 }, (_, i) => fixtureOf([...many('n1', 40), ...many('s1', 40)], { self: `d${i}`, seed: i + 1 }))
+  for (const { table } of daemons) backOff(table, many('n1', 40))
+  for (let subject = 0; subject < 20; subject++) {
+    const homes = new Set(daemons.map(({ place }) => place({ ...NOT_URGENT, demand: demand(subject) })))
+    expect([...homes]).toEqual([expect.stringMatching(/^s1/)])
+  }
+})
+
+test('endpoints that back off do not count as free slots of a full region', () => {
+  const { table, place, crossings } = fixtureOf([...many('n1', 10), ...many('n2', 10), ...many('s1', 20)])
+  many('n1', 10).forEach((id, i) => {
+    fill(table, id)
+    if (i < 8) table.started(as<EndpointId>(id), { lane: 'normal', tokens: 0 })
+  })
+  backOff(table, many('n2', 10))
+  for (let i = 0; i < 50; i++) table.ended(as<EndpointId>(place()!))
+  expect(crossings.filter(({ why }) => why === 'overload').length).toBeGreaterThan(15)
+})
+
+test('a request that may not cross finds the last room of its region', () => {
+  const { table, place } = fixtureOf([...many('n1', 60), ...many('s1', 20)], { crossing: NO_CROSSING })
+  const connected = table.candidates(POOL).map(({ id }) => id)
+  const free = many('n1', 60).find((id) => !connected.includes(as<EndpointId>(id)))!
+  for (const id of many('n1', 60)) {
+    if (id === free) continue
+    fill(table, id)
+    table.started(as<EndpointId>(id), { lane: 'normal', tokens: 0 })
+  }
+  expect(place(NOT_URGENT)).toBe(free)
+})
