Ask for permits and weigh waiting requests once between regions

Cause: a request picks up to four times among endpoints of its own and other regions. Each pick recorded a diversion and could ask for a permit, also after an endpoint was found: the request was started there and once more with the answer. A permit of another region was not used if the own one was expected to have room soon. Waiting requests spilled by bytes only, and each was weighed while all endpoints were full. Callers saw: requests that ran twice, and urgent ones that waited behind smaller ones. Change: ask only if nothing was found, and never for an overloaded region; record the diversion after the choice; a granted permit needs no expected wait; urgent requests spill first, and none is weighed while other regions have no room.

--- a/daemon/request/_candidates.ts
+++ b/daemon/request/_candidates.ts
@@ -65,6 +65,12 @@
     return { candidates: near, cached, regional: { ...regional, others: this.#withHome(demand.parts, { candidates: others, usable: split.others.usable }, cached).candidates } }
   }
 
+  /** Returns the usable endpoints of other regions. */
+  otherRegions (selection: EndpointSelection): readonly EndpointView[] {
+    const { regions } = this.#options
+    return regions ? this.#split(selection, regions).others.usable : []
+  }
+
   /** Splits a selection by region, once for each: selections last until the endpoints change. */
   #split (selection: EndpointSelection, regions: RegionRouting): SplitSelection {
     let split = this.#splits.get(selection)
--- a/daemon/request/dispatcher.ts
+++ b/daemon/request/dispatcher.ts
@@ -1,6 +1,6 @@
 /** Assigns requests to endpoints and queues those that no endpoint has room for. */
 import { FairQueue, type QueuedRequest, type RequestQueue } from '../../core/admission/index.ts'
-import type { PoolName } from '../../core/ids/index.ts'
+import type { EndpointId, PoolName } from '../../core/ids/index.ts'
 import { backsOff, runningNow, type EndpointView, type PrefixIndex, type Random, type RegionalRoute, type Route, type RouteQuery, type Router } from '../../core/routing/index.ts'
 import type { PromptPart } from '../../core/work/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
@@ -47,6 +47,8 @@
 /** Longest time by which callers return after the end of a back-off, in milliseconds. Urgent requests return first. */
 const RETURN_SPREAD_MS = 500
 const SWEEP_MS = 250
+/** Waiting requests of a pool that are tried in other regions at once. */
+const MAX_SPILL_TRIES = 8
 /** Delay after which callers return that are refused because no endpoint can be reached, in milliseconds. */
 const CUT_OFF_RETRY_AFTER_MS = 1000
 /** Reason for refusing a request of a pool of which no endpoint can be reached. */
@@ -66,8 +68,8 @@
 interface Permission { mayAsk: boolean, isGranted?: boolean }
 /** `onlyCrossing`: the request is started in another region or not at all, since others wait for its own. */
 interface StartOptions extends Permission { now: number, pool: PoolState | undefined, onlyCrossing?: boolean }
-/** Waiting requests of a pool that are tried in other regions at once. */
-const MAX_SPILL_TRIES = 8
+/** `divert` is called with the endpoint that is not used because of its limit. */
+interface LimitedPick { candidates: readonly EndpointView[], now: number, mayAsk: boolean, router?: Router | undefined, divert (view: EndpointView): void }
 /** `ownRate`: of starts in the own region. */
 interface PoolState { name: PoolName, queue: RequestQueue<Placement>, rate: StartRate, ownRate: StartRate }
 
@@ -238,17 +240,20 @@
   #startElsewhere (placement: Placement, pool: PoolState): boolean {
     if (!this.#options.regions?.mayCross(placement)) return false
     const now = steadyNow()
-    return this.#startAt(placement, this.#candidates.find(placement, this.#endpointsFor(placement), now), { pool, now, mayAsk: false, onlyCrossing: true })
+    const selection = this.#endpointsFor(placement)
+    if (!this.#candidates.otherRegions(selection).some((view) => this.#canStart(view, placement, now))) return false
+    return this.#startAt(placement, this.#candidates.find(placement, selection, now), { pool, now, mayAsk: false, onlyCrossing: true })
   }
 
-  /** Sends waiting requests to other regions, those with the fewest bytes first. */
+  /** Sends waiting requests to other regions, urgent ones and then those with the fewest bytes first. */
   #spill (pool: PoolState): void {
     if (!this.#options.regions) return
     const waiting: QueuedRequest<Placement>[] = []
     pool.queue.find((entry) => waiting.push(entry) === 0)
-    waiting.sort((a, b) => (a.item.bytes ?? 0) - (b.item.bytes ?? 0))
+    waiting.sort((a, b) => Number(b.urgent) - Number(a.urgent) || (a.item.bytes ?? 0) - (b.item.bytes ?? 0))
     let failed = 0
     for (const entry of waiting) {
+      if (findEntry(pool.queue, entry.item) !== entry) continue
       if (this.#wayFor(entry.item).type === 'direct' && this.#startElsewhere(entry.item, pool)) pool.queue.remove(entry)
       else if (++failed >= MAX_SPILL_TRIES) return
     }
@@ -257,8 +262,11 @@
   #startAt (placement: Placement, set: CandidateSet, options: StartOptions): boolean {
     const { pool, now, onlyCrossing = false } = options
     const { regions } = this.#options
-    const canStart = (view: EndpointView) => this.#hasRoom(view, placement.cls.urgent) && !backsOff(view, now) && this.#canSend(view, placement) && (placement.accepts?.(view) ?? true)
-    const withRoomOf = (views: readonly EndpointView[]) => this.#preferPermitted(placement, views.filter(canStart), options.isGranted)
+    const canStart = (view: EndpointView) => this.#canStart(view, placement, now)
+    const permitted = options.isGranted === true ? this.#options.limits?.permitted(placement.pool) ?? [] : []
+    const withRoomOf = (views: readonly EndpointView[]) => preferPermitted(placement, views.filter(canStart), permitted)
+    let diverted: EndpointView | undefined
+    const divert = (view: EndpointView) => { diverted ??= view }
     const query = routeQuery(placement, { now, cached: set.cached })
     let picked: Partial<RegionalRoute> | undefined
     if (regions && set.regional) {
@@ -266,17 +274,19 @@
         query,
         now,
         onlyCrossing,
+        permitted,
         canStart,
         canReach: (view) => this.#canSend(view, placement),
         expectedMs: pool && pool.ownRate.msPerStart > 0 ? (pool.queue.ahead(placement.account, placement.cls.urgent) + 1) * pool.ownRate.msPerStart : Infinity,
         // Once permission was asked for, the answer decides.
-        pick: (regionQuery, views, router) => (this.#asking.has(placement) ? undefined : this.#pickWithinLimits(placement, regionQuery, { ...options, candidates: withRoomOf(views), router }))
+        pick: (regionQuery, views, { router, mayAsk }) => (this.#asking.has(placement) ? undefined : this.#pickWithinLimits(placement, regionQuery, { now, candidates: withRoomOf(views), router, divert, mayAsk: mayAsk && options.mayAsk }))
       })
     } else {
       const withRoom = withRoomOf(set.candidates)
-      const route = this.#pickWithinLimits(placement, { ...query, avoid: endpointsToAvoid(placement, withRoom) }, { ...options, candidates: withRoom })
+      const route = this.#pickWithinLimits(placement, { ...query, avoid: endpointsToAvoid(placement, withRoom) }, { ...options, candidates: withRoom, divert })
       picked = { route, crossing: route && regions?.isLocal(route.view) === false ? 'canary' : undefined }
     }
+    if (diverted && !this.#asking.has(placement)) recordDiversion(placement, diverted, this.#options.limits!)
     if (!picked?.route) return false
     const { route, crossing } = picked
     const isQueued = pool !== undefined && pool.queue.length > 0
@@ -288,29 +298,23 @@
     return true
   }
 
-  #hasRoom (view: EndpointView, urgent: boolean): boolean {
-    return hasRoom(view, urgent) || this.#options.limits?.hasReservedSlot(view) === true
+  /** Returns whether an endpoint can take a request now, limits and failures aside. */
+  #canStart (view: EndpointView, placement: Placement, now: number): boolean {
+    const canTake = hasRoom(view, placement.cls.urgent) || this.#options.limits?.hasReservedSlot(view) === true
+    return canTake && !backsOff(view, now) && this.#canSend(view, placement) && (placement.accepts?.(view) ?? true)
   }
 
   #canSend (view: EndpointView, { cls }: Placement): boolean {
     return this.#options.ways?.canSend(view, cls) ?? true
   }
 
-  /** Returns the endpoints whose permits a request may use, if it was granted one; otherwise all of the given ones. */
-  #preferPermitted (placement: Placement, views: readonly EndpointView[], isGranted = false): readonly EndpointView[] {
-    const permitted = isGranted ? this.#options.limits?.permitted(placement.pool) ?? [] : []
-    const failed = failedEndpoints(placement, views)
-    const preferred = views.filter(({ id }) => permitted.includes(id) && !failed.includes(id))
-    return preferred.length > 0 ? preferred : views
-  }
-
   /** Picks an endpoint, or if that one may get no request now because of its limit, the best of those that may. */
-  #pickWithinLimits (placement: Placement, query: RouteQuery, { candidates, now, mayAsk, router = this.#options.router }: { candidates: readonly EndpointView[], now: number, mayAsk: boolean, router?: Router | undefined }): Route | undefined {
+  #pickWithinLimits (placement: Placement, query: RouteQuery, { candidates, now, mayAsk, divert, router = this.#options.router }: LimitedPick): Route | undefined {
     const { limits } = this.#options
     const route = router.pick(query, candidates, now)
     if (!route || !limits || limits.mayStart(route.view)) return route
     if (mayAsk && this.#askFirst(placement, route.view, limits)) return undefined
-    if (mayAsk) recordDiversion(placement, route.view, limits)
+    if (mayAsk) divert(route.view)
     return router.pick(query, candidates.filter((view) => limits.mayStart(view)), now)
   }
 
@@ -349,6 +353,14 @@
   }
 }
 
+/** Returns those of the given endpoints that a request has a permit for, or all if it has none. */
+function preferPermitted (placement: Placement, views: readonly EndpointView[], permitted: readonly EndpointId[]): readonly EndpointView[] {
+  if (permitted.length === 0) return views
+  const failed = failedEndpoints(placement, views)
+  const preferred = views.filter(({ id }) => permitted.includes(id) && !failed.includes(id))
+  return preferred.length > 0 ? preferred : views
+}
+
 function recordDiversion (placement: Placement, preferred: EndpointView, limits: EndpointLimiter): void {
   limits.diverted()
   placement.diverted?.(preferred, limits.perS(preferred))
--- a/daemon/request/region_routing.ts
+++ b/daemon/request/region_routing.ts
@@ -28,8 +28,10 @@
   canStart (view: EndpointView): boolean
   /** Returns whether an endpoint can be reached. */
   canReach (view: EndpointView): boolean
-  /** Picks among those of the given endpoints that can. */
-  pick (query: RouteQuery, views: readonly EndpointView[], router?: Router): Route | undefined
+  /** Endpoints of which the request was granted permits. */
+  permitted: readonly EndpointId[]
+  /** Picks among those of the given endpoints that can. `mayAsk`: it may ask for a permit instead and return nothing. */
+  pick (query: RouteQuery, views: readonly EndpointView[], options: { mayAsk: boolean, router?: Router }): Route | undefined
 }
 
 /** Selects between the endpoints of the own region and others, and reports requests that leave the region. */
@@ -52,7 +54,7 @@
 
   /** Selects the route of a request; see {@linkcode preferOwnRegion}. */
   pick (placement: Placement, { candidates, regional: { own, others: near, allOthers } }: { candidates: readonly EndpointView[], regional: RegionalCandidates }, options: RegionPickOptions): RegionalRoute | undefined {
-    const { now, expectedMs, onlyCrossing, canStart, canReach, pick } = options
+    const { now, expectedMs, onlyCrossing, canStart, canReach, permitted, pick } = options
     const isReady = (view: EndpointView) => canStart(view) && availableAtMs(view) <= now
     // A new connection costs less than a refusal.
     const others = near.some(isReady) ? near : allOthers
@@ -65,16 +67,25 @@
     const preference = {
       firstTokenMs: options.query.firstTokenMs,
       overloaded: share > 0 && this.#options.random() < share,
-      waitMs: canServe ? now - placement.acceptedAtMs + expectedMs : Infinity,
+      waitMs: canServe && !others.some(({ id }) => permitted.includes(id)) ? now - placement.acceptedAtMs + expectedMs : Infinity,
       roundTripMs: ({ view }: Route) => this.#roundTripMs(view)
     }
     const pickAvoiding = (avoid: EndpointId[]) => {
       const query = { ...options.query, avoid }
+      let isOwnTried = false
+      let near: Route | undefined
+      // A request that asks for a permit is started by the answer: nothing may have been found before.
+      const pickOwn = (views: readonly EndpointView[], router?: Router) => {
+        const route = pick(query, views, { mayAsk: !near, ...(router && { router }) })
+        isOwnTried = true
+        near ??= route
+        return route
+      }
       return preferOwnRegion({
-        connected: () => pick(query, candidates),
+        connected: () => pickOwn(candidates),
         // In a full region, an endpoint that seems free would be chosen by all daemons at once.
-        ownRegion: () => (!isFull(load) ? pick(query, own, this.#options.thorough) : mayCross ? undefined : pick(query, own)),
-        otherRegions: () => (mayCross ? pick(query, others) : undefined)
+        ownRegion: () => (!isFull(load) ? pickOwn(own, this.#options.thorough) : mayCross ? undefined : pickOwn(own)),
+        otherRegions: () => (mayCross ? pick(query, others, { mayAsk: isOwnTried && !near }) : undefined)
       }, preference)
     }
     const avoid = this.#toAvoid(placement, [...own, ...(mayCross ? others : [])].filter(canStart))
--- a/daemon/request/region_routing_test.ts
+++ b/daemon/request/region_routing_test.ts
@@ -8,6 +8,7 @@
 import { EndpointLimits } from '../limits/endpoint_limits.ts'
 import { createMetrics } from '../metrics.ts'
 import { seededRandom } from '../seeded_random.ts'
+import { NO_TOKENS } from '../../core/work/index.ts'
 import { DESK as POOL, DESK_CLASS, placement } from './_placement_fixture.ts'
 import type { Dispatcher } from './dispatcher.ts'
 import type { CanaryGate, Crossing, Placement, RegionCrossing } from './placement.ts'
@@ -258,3 +259,114 @@
   }
   expect(place(NOT_URGENT)).toBe(free)
 })
+
+test('urgent requests that wait spill first', () => {
+  let left = 5000
+  const sent: number[] = []
+  let isOpen = false
+  const { table, place, dispatcher } = fixtureOf(['n1-0', 's1-0'], {
+    crossing: {
+      mayCross: ({ bytes }) => isOpen && bytes <= left,
+      crossed: (bytes) => {
+        left -= bytes
+        sent.push(bytes)
+      }
+    }
+  })
+  for (let i = 0; i < 3; i++) fill(table, 'n1-0')
+  place({ bytes: 9000 })
+  place({ ...NOT_URGENT, bytes: 100 })
+  place({ bytes: 5000 })
+  expect(dispatcher.queued).toBe(3)
+  isOpen = true
+  dispatcher.startQueued()
+  expect(sent).toEqual([5000])
+})
+
+test('while other regions have no room, waiting requests are not weighed', () => {
+  // Guards against time spent on each waiting request while all endpoints are full.
+  let weighed = 0
+  const { table, place, dispatcher } = fixtureOf(['n1-0', 's1-0'])
+  for (const id of ['n1-0', 's1-0']) fill(table, id)
+  for (let i = 0; i < 20; i++) {
+    const demand = {
+      ...NO_TOKENS,
+      get parts () {
+        weighed++
+        return []
+      }
+    }
+    place({ ...NOT_URGENT, demand })
+  }
+  weighed = 0
+  dispatcher.startQueued()
+  expect(weighed).toBeLessThan(4)
+})
+
+/** Limits endpoints to two requests a second, of which none is permitted until one is granted. */
+function limitTo ({ limits, table }: Fixture, names: readonly string[]): void {
+  for (const name of names) limits.answered(table.get(as<EndpointId>(name))!, { perS: 2 }, steadyNow() + 1)
+}
+
+/** Counts the permits asked for, and grants each at an endpoint. */
+function grantAt ({ limits }: Fixture, name: string): { asked: number } {
+  const asks = { asked: 0 }
+  limits.onAsk = () => {
+    asks.asked += limits.takeAsks().length
+    limits.receive({ grants: [[as<EndpointId>(name), 1]], waits: [{ pool: POOL, urgentMs: 0, normalMs: 0 }], answersAsks: true })
+  }
+  return asks
+}
+
+test('a request whose region has only endpoints with limits is diverted once', () => {
+  const fixture = fixtureOf(['n1-0', 'n1-1', 's1-0', 's1-1'])
+  limitTo(fixture, ['n1-0', 'n1-1', 's1-0'])
+  fixture.limits.receive({ grants: [], waits: [{ pool: POOL, urgentMs: 4000, normalMs: 4000 }], answersAsks: false })
+  let diverted = 0
+  expect(fixture.place({ ...NOT_URGENT, diverted: () => { diverted++ } })).toBe('s1-1')
+  expect(diverted).toBe(1)
+})
+
+test('a permit that was granted at an endpoint of another region is used, whatever the expected wait', async () => {
+  // Guards against permits that expire while requests wait for their own region.
+  let left = 0
+  const fixture = fixtureOf(['n1-0', 's1-0'], { crossing: { mayCross: () => left > 0, crossed: () => {} } })
+  const { table, place, dispatcher } = fixture
+  fill(table, 'n1-0')
+  for (let i = 0; i < 20; i++) place(NOT_URGENT)
+  for (let i = 0; i < 20; i++) {
+    await vi.advanceTimersByTimeAsync(10)
+    table.ended(as<EndpointId>('n1-0'))
+    dispatcher.startQueued()
+  }
+  expect(dispatcher.queued).toBe(0)
+  for (let i = 0; i < SLOTS; i++) table.ended(as<EndpointId>('n1-0'))
+  left = 1
+  limitTo(fixture, ['n1-0', 's1-0'])
+  grantAt(fixture, 's1-0')
+  const placed: string[] = []
+  place({ ...NOT_URGENT, placed: ({ id }) => placed.push(id) })
+  await vi.advanceTimersByTimeAsync(0)
+  expect(placed).toEqual(['s1-0'])
+})
+
+test('a request of an overloaded region asks for no permit of another while its own region can serve it in time', () => {
+  const fixture = fixtureOf(['n1-0', 'n1-1', 's1-0'])
+  for (let i = 0; i < 3; i++) fill(fixture.table, 'n1-0')
+  limitTo(fixture, ['s1-0'])
+  const asks = grantAt(fixture, 's1-0')
+  expect(fixture.place()).toBe('n1-1')
+  expect(asks.asked).toBe(0)
+})
+
+test('a request that asks for a permit of another region is not started in its own as well', async () => {
+  // Guards against requests that are sent twice.
+  const fixture = fixtureOf(['n1-0', 's1-0'])
+  fill(fixture.table, 'n1-0')
+  limitTo(fixture, ['s1-0'])
+  grantAt(fixture, 's1-0')
+  const placed: string[] = []
+  fixture.place({ placed: ({ id }) => placed.push(id) })
+  await vi.advanceTimersByTimeAsync(1000)
+  expect(placed).toHaveLength(1)
+})
