--- a/daemon/duties/order_task.ts
+++ b/daemon/duties/order_task.ts
@@ -10,7 +10,9 @@
 import { log } from '../log/index.ts'
 import type { Metrics } from '../metrics.ts'
 import type { TallyTask } from '../peers/tally_task.ts'
-import { demandGroups, demandKeys, type DemandGroup, type DemandTopology } from './_demand_groups.ts'
+import type { Member } from '../../core/membership/index.ts'
+import { AbsentRegions } from './_absent_regions.ts'
+import { countDemand, demandGroups, demandKeys, type DemandGroup, type DemandTopology } from './_demand_groups.ts'
 
 /** Options of {@linkcode OrderTask}. */
 export interface OrderTaskOptions {
@@ -30,6 +32,8 @@
   firstStart?: boolean
   /** Regions, each of which gets the endpoints for its own demand. Default: there is one. */
   topology?: DemandTopology
+  /** Daemons that are known, lost ones included: endpoints of a region are kept while most of its daemons are lost. Default: none is lost. */
+  members? (): Iterable<Pick<Member, 'failureDomain' | 'state'>>
 }
 
 /** Versions of the endpoints of a pool. */
@@ -71,8 +75,8 @@
 /** Load of a pool in fully utilized engines: by prefill time and by occupied batch slots. */
 interface PoolDemand { prefill: number, slots: number }
 
-/** What one group of failure domains is planned by. */
-interface GroupPlan { group: DemandGroup, fleet: DomainFleet[], wanted: EndpointTargets }
+/** What one group of failure domains is planned by. `isAbsent`: by its last known demand, since its daemons are not heard. */
+interface GroupPlan { group: DemandGroup, fleet: DomainFleet[], wanted: EndpointTargets, isAbsent: boolean }
 
 /** The last order of a kind and its result. */
 interface LastOrder {
@@ -95,10 +99,14 @@
   /** Demand by the key of its group. */
   readonly #demand = new Map<string, EndpointDemand>()
   readonly #slotDemand = new Map<string, SlotDemand>()
+  readonly #absentRegions: AbsentRegions
+  /** Last known demand of the groups whose daemons are not heard. */
+  readonly #heldDemand = new Map<string, PoolDemand>()
   #timer: NodeJS.Timeout | undefined
 
   constructor (options: OrderTaskOptions) {
     this.#options = options
+    this.#absentRegions = new AbsentRegions({ topology: options.topology, members: () => options.members?.() ?? [] })
   }
 
   /** Records the tokens of a request as demand. */
@@ -130,9 +138,26 @@
   }
 
   #planOf (group: DemandGroup, scaling: Scaling): GroupPlan | undefined {
-    const demand = this.#countDemand(group)
+    const isAbsent = this.#absentRegions.isAbsent(group, steadyNow())
+    const demand = isAbsent ? this.#holdDemand(group) : this.#countDemand(group)
+    if (!isAbsent) this.#heldDemand.delete(group.key)
     const fleet = group.domains.map((domain) => this.#fleetOf(group.pool, domain))
-    return demand && { group, fleet, wanted: endpointsWanted(demand, fleet) }
+    return demand && { group, fleet, wanted: endpointsWanted(demand, fleet), isAbsent }
+  }
+
+  get #isMeasuring (): boolean {
+    const { lease, tallies } = this.#options
+    return tallies.isReplica || lease.fencing !== undefined
+  }
+
+  /** Returns the last known demand of a group whose daemons are not heard. When they return, it is measured anew: all that they counted meanwhile arrives at once. */
+  #holdDemand (group: DemandGroup): PoolDemand | undefined {
+    if (!this.#isMeasuring) this.#heldDemand.delete(group.key)
+    const held = this.#heldDemand.get(group.key) ?? this.#countDemand(group)
+    if (!held) return undefined
+    this.#heldDemand.set(group.key, held)
+    this.#demand.set(group.key, new EndpointDemand({ initialEngines: held.prefill, now: steadyNow() }))
+    return held
   }
 
   /**
@@ -142,16 +167,15 @@
    * rolling restart every successor would start over.
    */
   #countDemand (group: DemandGroup): PoolDemand | undefined {
-    const { lease, tallies } = this.#options
-    if (!tallies.isReplica && lease.fencing === undefined) {
+    const { tallies } = this.#options
+    if (!this.#isMeasuring) {
       this.#demand.delete(group.key)
       this.#slotDemand.delete(group.key)
       return undefined
     }
     const msPerToken = this.#options.table.pace(group.pool)?.msPerToken
     if (msPerToken === undefined) return undefined
-    const total = (of: (key: string) => number) => group.tallyKeys.reduce((sum, key) => sum + of(key), 0)
-    const counted = { tokens: total((key) => tallies.tally.sum(key)), reporters: total((key) => tallies.tally.reporterCount(key)), msPerToken }
+    const counted = { ...countDemand(group, tallies.tally), msPerToken }
     const demand = this.#demand.get(group.key) ?? this.#initialDemand(group, counted.tokens)
     this.#demand.set(group.key, demand)
     if (demand.isBootstrapping(steadyNow())) demand.setInitialEngines(this.#options.allowedTokensPerS() * group.share * ASSUMED_QUOTA_FRACTION * msPerToken / MS_PER_S)
@@ -167,14 +191,16 @@
   }
 
   /** All endpoints of a group, those included that are in none of its pool's failure domains if the pool has one group. */
-  #endpointsOf ({ pool, domains, share }: DemandGroup): EndpointView[] {
-    return this.#options.table.all.filter((view) => view.pool === pool && (share === 1 || domains.includes(view.failureDomain)))
+  #endpointsOf ({ pool, domains, isWhole }: DemandGroup): EndpointView[] {
+    return this.#options.table.all.filter((view) => view.pool === pool && (isWhole || domains.includes(view.failureDomain)))
   }
 
   #orderPool (pool: Pool, scaling: Scaling, plans: readonly GroupPlan[]): void {
-    const targets = plans.length === 1 ? [plans[0]!.wanted] : withShortages(plans.map((plan) => ({ wanted: plan.wanted, obtainable: this.#obtainable(plan, scaling) })))
-    plans.forEach(({ group, fleet }, i) => {
-      const wanted = targets[i]!
+    const heard = plans.filter(({ isAbsent }) => !isAbsent)
+    const targets = plans.length === 1 ? [] : withShortages(heard.map((plan) => ({ wanted: plan.wanted, obtainable: this.#obtainable(plan, scaling) })))
+    plans.forEach((plan) => {
+      const { group, fleet } = plan
+      const wanted = targets[heard.indexOf(plan)] ?? plan.wanted
       this.#retryReclaimable(pool, scaling, { fleet, perDomain: Math.ceil(wanted.withHeadroom / fleet.length) })
       for (const mix of spreadPlan(wanted, scaling, fleet)) this.#orderMix(pool, scaling, { group, mix: this.#keepUntilSettled(group, mix) })
     })
@@ -205,7 +231,7 @@
   }
 
   /**
-   * Raises the plan to the existing counts until the measured load has settled.
+   * Raises the plan to the existing counts until the measured load has settled, and while the daemons of the group are not heard.
    *
    * A daemon that takes over the lease during a burst has no measurement yet. Estimating the load from the endpoints left after a reclaim, it would stop
    * endpoints that are needed and order them again shortly after.
--- a/daemon/exchange/_proxy_components.ts
+++ b/daemon/exchange/_proxy_components.ts
@@ -266,8 +266,8 @@
     usage: asFunction(({ lease, tallies }: ProxyComponents) => new UsageTask({
       name: settings.name, store: platform.store, duties: platform.duties, lease, tallies, ...settings.usage
     })).singleton(),
-    orders: asFunction(({ lease, table, tallies, metrics, config, rollouts, topology }: ProxyComponents) => new OrderTask({
-      name: settings.name, topology, duties: platform.duties, lease, table, tallies, metrics, versions: rollouts?.gate, firstStart: settings.firstStart, pools: () => config.inForce?.pools.values() ?? [], allowedTokensPerS: () => totalTokenQuotaPerS(config.inForce?.accounts.values() ?? [])
+    orders: asFunction(({ lease, table, tallies, metrics, config, rollouts, topology, membership }: ProxyComponents) => new OrderTask({
+      name: settings.name, topology, members: () => membership.core.members, duties: platform.duties, lease, table, tallies, metrics, versions: rollouts?.gate, firstStart: settings.firstStart, pools: () => config.inForce?.pools.values() ?? [], allowedTokensPerS: () => totalTokenQuotaPerS(config.inForce?.accounts.values() ?? [])
     })).singleton()
   })
   const components = container.cradle
