--- a/daemon/log/events.ts
+++ b/daemon/log/events.ts
@@ -4,6 +4,7 @@
  * Durations are in milliseconds, and prompts and answers in tokens, unless a field says otherwise. An age is the time between the last
  * confirmation of a piece of state and the log line.
  */
+import type { CrossingReason } from '../../core/routing/index.ts'
 
 /** Configuration on which a decision was based. */
 export interface ConfigState {
@@ -34,7 +35,7 @@
   /** Quarantined, so sent to no endpoint: endpoints that ran requests with the same content, or with the same part of their prompts, crashed; `part` is that part. */
   'request-held': { fingerprint: string, part?: string | undefined, forMs: number }
   /** Sent to an endpoint of another region, which takes `roundTripMs` and `bytes` there; `why` its own was not used. */
-  'request-spilled': { endpoint: string, region: string, roundTripMs: number, bytes: number, why: 'no-endpoint' | 'no-room' | 'late' | 'overload' | 'canary' }
+  'request-spilled': { endpoint: string, region: string, roundTripMs: number, bytes: number, why: CrossingReason }
   /** The preferred endpoint has a limit and no permit was left for it; another one is used, or the request waits. */
   'request-diverted': { endpoint: string, perS: number | undefined }
   /**
--- a/daemon/request/region_routing_test.ts
+++ b/daemon/request/region_routing_test.ts
@@ -1,6 +1,6 @@
 import xxhash from 'xxhash-wasm'
 import { afterEach, beforeEach, expect, test, vi } from 'vitest'
-import { as, type DaemonId, type EndpointId, type FailureDomain, type HostId, type Region } from '../../core/ids/index.ts'
+import { as, type DaemonId, type EndpointId, type EndpointVersion, type FailureDomain, type HostId, type Region } from '../../core/ids/index.ts'
 import { RegionTopology } from '../../core/topology/index.ts'
 import type { ListedHost } from '../../endpoints/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
@@ -25,7 +25,7 @@
 /** An endpoint in a failure domain that its name begins with; those in the south are cheaper. */
 function listed (name: string): ListedHost {
   const failureDomain = as<FailureDomain>(name.split('-')[0]!)
-  return { hostId: as<HostId>(name), hostClass: 'any', failureDomain, reclaimable: false, pricePerHour: name.startsWith('n') ? 9 : 1, state: 'live', endpoint: { id: as<EndpointId>(name), pool: POOL, address: '', speed: SPEED } }
+  return { hostId: as<HostId>(name), hostClass: 'any', failureDomain, reclaimable: false, pricePerHour: name.startsWith('n') ? 9 : 1, state: 'live', endpoint: { id: as<EndpointId>(name), pool: POOL, version: as<EndpointVersion>(name.endsWith('old') ? 'old' : 'new'), address: '', speed: SPEED } }
 }
 
 interface Fixture { table: EndpointTable, limits: EndpointLimits, dispatcher: Dispatcher, crossings: Crossing[], place (change?: Partial<Placement>): string | undefined }
@@ -370,3 +370,12 @@
   await vi.advanceTimersByTimeAsync(1000)
   expect(placed).toHaveLength(1)
 })
+
+test('a stream whose version runs in another region only continues there, and nowhere if it may not cross', () => {
+  const names = ['n1-0', 'n1-1', 's1-old', 's1-0']
+  const bound: Partial<Placement> = { ...NOT_URGENT, resumed: true, boundTo: { pool: POOL, version: as<EndpointVersion>('old') } }
+  const { place, crossings } = fixtureOf(names)
+  expect(place(bound)).toBe('s1-old')
+  expect(crossings).toMatchObject([{ why: 'no-endpoint' }])
+  expect(fixtureOf(names, { crossing: NO_CROSSING }).place(bound)).toBeUndefined()
+})
