Offer to run requests of another daemon only after an endpoint has accepted a connection for it

Cause: a daemon offered room for a pool while it had heard an endpoint within 300 ms. In the moment in which all endpoints end that is true of every daemon that has not noticed it yet; the first that does asks the others, is offered room, and sends them requests that they decline in turn.

What callers saw: a detour by a daemon that cannot help before they are refused.

Change: the first offer to a daemon for a pool rests on a connection that an endpoint accepts after the question has come. Renewals rest on what endpoints sent within 300 ms, as before. An offer for one pool no longer counts for another.

Tests: "an endpoint that answered a moment ago and accepts no connections any more is no ground for an offer" and "an offer for one pool is no ground for an offer for another" failed before (room 64 where 0 is expected) and pass. The stand-in paths of that file now answer a probe, as the real ones do.

--- a/daemon/delegation/delegate_server.ts
+++ b/daemon/delegation/delegate_server.ts
@@ -26,15 +26,15 @@
 
 /** Maximum number of requests of other daemons that run here at once. */
 const MAX_RUNS = 64
-/** Time since an endpoint of a pool last sent anything after which a few are dialled before an offer is made, in milliseconds. */
+/** Time since an endpoint of a pool last sent anything after which a few are dialled before an offer is renewed, in milliseconds. */
 const FRESH_MS = 300
 /** Time for which a daemon that asked for an offer counts among those that share the room, in milliseconds. */
 const ORIGIN_TTL_MS = 1500
 /** Interval at which origins learn that their requests still run, in milliseconds. */
 const PROGRESS_INTERVAL_MS = 500
 
-/** A daemon whose requests run here. */
-interface Origin { askedAtMs: number, running: number, requests: number }
+/** A daemon whose requests run here, and the pools for which it was made an offer. */
+interface Origin { askedAtMs: number, running: number, requests: number, pools: Set<PoolName> }
 
 /** Makes offers to other daemons and runs their requests. */
 export class DelegateServer {
@@ -72,12 +72,18 @@
 
   async #offer (pool: PoolName, from: DaemonId): Promise<DelegateOffer> {
     const { paths } = this.#options
+    const askedAtMs = steadyNow()
+    const isNew = this.#origins.get(from)?.pools.has(pool) !== true
     const isCutOff = paths.reach(pool, { idempotent: true }) === 'cut-off'
-    if ((paths.activityAgeMs(pool) ?? Infinity) > FRESH_MS && !this.#draining && !isCutOff) await paths.probe(pool)
+    // What arrived before the origin lost the pool does not show that this daemon still reaches it: the endpoints may have ended for both.
+    const isDue = isNew || (paths.activityAgeMs(pool) ?? Infinity) > FRESH_MS
+    if (isDue && !this.#draining && !isCutOff) await paths.probe(pool)
     const activityAgeMs = paths.activityAgeMs(pool)
-    if (this.#draining || activityAgeMs === undefined || activityAgeMs > FRESH_MS) return { room: 0, activityAgeMs: activityAgeMs ?? Infinity }
-    const isNew = !this.#origins.has(from)
-    this.#originOf(from).askedAtMs = steadyNow()
+    const maxAgeMs = isNew ? steadyNow() - askedAtMs : FRESH_MS
+    if (this.#draining || activityAgeMs === undefined || activityAgeMs > maxAgeMs) return { room: 0, activityAgeMs: activityAgeMs ?? Infinity }
+    const origin = this.#originOf(from)
+    origin.askedAtMs = steadyNow()
+    origin.pools.add(pool)
     const room = Math.max(1, Math.floor(Math.min(MAX_RUNS, this.#roomAt(pool) + this.open) / this.#origins.size))
     if (isNew) log('delegate-begins', { origin: from, pool, room, activityAgeMs: Math.round(activityAgeMs) })
     return { room, activityAgeMs }
@@ -121,7 +127,7 @@
   #originOf (id: DaemonId): Origin {
     let origin = this.#origins.get(id)
     if (!origin) {
-      origin = { askedAtMs: steadyNow(), running: 0, requests: 0 }
+      origin = { askedAtMs: steadyNow(), running: 0, requests: 0, pools: new Set() }
       this.#origins.set(id, origin)
     }
     return origin
--- a/daemon/delegation/delegate_server_test.ts
+++ b/daemon/delegation/delegate_server_test.ts
@@ -46,6 +46,8 @@
 let room: number
 let reach: 'reached' | 'cut-off'
 let ageMs: number | undefined
+/** Whether endpoints accept connections. */
+let accepts: boolean
 
 beforeEach(() => {
   vi.useFakeTimers()
@@ -57,6 +59,7 @@
   room = 100
   reach = 'reached'
   ageMs = 10
+  accepts = true
   const links = {
     handle: (method: string, handler: PeerMethod) => methods.set(method, handler),
     onPost: (topic: string, handler: PostHandler) => posts.set(topic, handler),
@@ -65,7 +68,7 @@
   server = new DelegateServer({
     membership: { links },
     table: { candidates: () => [{ id: 'e', speed: { batchSlots: 1000 }, own: { running: 0 }, others: { running: 0 } }] },
-    paths: { reach: () => reach, activityAgeMs: () => ageMs, probe: async () => {}, stateOf: () => 'open' },
+    paths: { reach: () => reach, activityAgeMs: () => ageMs, probe: async () => { ageMs = accepts ? 0 : undefined }, stateOf: () => 'open' },
     client: { available: () => room },
     metrics: createMetrics(),
     intake: { acceptDelegated: () => { const task = new FakeTask(); tasks.push(task); return task } }
@@ -114,8 +117,10 @@
 
 test('a daemon that drains, is cut off itself, or has not reached the pool lately offers and runs nothing', async () => {
   ageMs = 5000
+  accepts = false
   expect((await offer()).room).toBe(0)
   ageMs = 10
+  accepts = true
   reach = 'cut-off'
   expect((await run(1)).type).toBe('declined')
   reach = 'reached'
@@ -123,6 +128,21 @@
   expect([(await offer()).room, (await run(2)).type]).toEqual([0, 'declined'])
 })
 
+test('an endpoint that answered a moment ago and accepts no connections any more is no ground for an offer', async () => {
+  // Guards against daemons that hand requests to each other in the moment in which the endpoints end, before each of them notices.
+  accepts = false
+  expect((await offer()).room).toBe(0)
+})
+
+test('an offer for one pool is no ground for an offer for another, and is renewed without further connections while the endpoints answer', async () => {
+  expect((await offer()).room).toBe(64)
+  accepts = false
+  ageMs = 10
+  expect((await offer()).room).toBe(64)
+  const other = await methods.get(OFFER_METHOD)!({ pool: 'llm' } as never, { from: ORIGIN, part: () => {}, signal: link.signal }) as { room: number }
+  expect(other.room).toBe(0)
+})
+
 test('an origin learns twice a second that its requests run', async () => {
   run(1)
   await vi.advanceTimersByTimeAsync(1100)
