--- a/bench/_rollout_simulation.ts
+++ b/bench/_rollout_simulation.ts
@@ -2,7 +2,7 @@
 import { Heap } from 'mnemonist'
 import { as, type ClassName, type DaemonId, type EndpointId, type EndpointVersion, type PoolName } from '../core/ids/index.ts'
 import {
-  addAnswers, AnswerHistory, timeBucket, classAnswers, compareVersions, endpointCountFor, GRANT_INTERVAL_MS, GRANT_TTL_MS, GrantLedger, GrantAllowance, groupAnswers, isFinal, nextGrantBatch, nextProgress, distributeGrants,
+  addAnswers, AnswerHistory, timeBucket, classAnswers, compareVersions, endpointCountFor, GRANT_INTERVAL_MS, GRANT_TTL_MS, GrantLedger, GrantAllowance, groupAnswers, isFinal, missingAnswers, nextGrantBatch, nextProgress, distributeGrants, estimateDemand, isDemandKnown,
   type AnswerBucket, type Answers, type ExposureLimit, type RolloutProgress
 } from '../core/rollout/index.ts'
 import type { Random } from '../core/routing/index.ts'
@@ -11,10 +11,15 @@
 /** Fault of the new version. */
 export type VersionFault = 'good' | 'at-once' | 'later' | 'under-load' | 'one-route' | 'slow'
 
+/** Kind of the pool: many engines and requests, or a plain service of few endpoints and requests. */
+export type PoolKind = 'engines' | 'plain'
+
 /** Options of {@linkcode simulateRollout}. */
 export interface RolloutSimulationOptions {
   seed: number
   daemons: number
+  /** Default `engines`. */
+  pool?: PoolKind
   badness: VersionFault
   limit: ExposureLimit
   /** Uses the fixed-share canary instead of the rollout logic of the product. Default false. */
@@ -42,14 +47,45 @@
 const POOL = as<PoolName>('pool')
 const OLD = as<EndpointVersion>('v1')
 const NEW = as<EndpointVersion>('v2')
-const ENDPOINTS = 12
-const CLASSES: readonly SimulatedClass[] = [
-  { name: as('letter'), perS: 300, typicalMs: 110, failureRate: 0.004 },
-  { name: as('check'), perS: 50, typicalMs: 60, failureRate: 0.14 },
-  { name: as('review'), perS: 30, typicalMs: 240, failureRate: 0.002 },
-  { name: as('quiet'), perS: 6, typicalMs: 60, failureRate: 0.004 }
-]
-const FAULTY_CLASS = as<ClassName>('quiet')
+/** A pool that is rolled out; its `one-route` fault is in the last class. */
+interface SimulatedPool {
+  endpoints: number
+  slots: number
+  classes: readonly SimulatedClass[]
+  /** Part of the answers that a slow version delays, and by which factor. */
+  slow: { probability: number, factor: number }
+  /** Number of concurrent requests at one endpoint from which `under-load` faults occur. */
+  overload: number
+  /** Latest start of the new version's endpoints, in milliseconds after the order. */
+  maxStartMs: number
+}
+
+const POOLS: Record<PoolKind, SimulatedPool> = {
+  engines: {
+    endpoints: 12,
+    slots: 12,
+    classes: [
+      { name: as('letter'), perS: 300, typicalMs: 110, failureRate: 0.004 },
+      { name: as('check'), perS: 50, typicalMs: 60, failureRate: 0.14 },
+      { name: as('review'), perS: 30, typicalMs: 240, failureRate: 0.002 },
+      { name: as('quiet'), perS: 6, typicalMs: 60, failureRate: 0.004 }
+    ],
+    slow: { probability: 0.4, factor: 4 },
+    overload: 3,
+    maxStartMs: 0
+  },
+  plain: {
+    endpoints: 3,
+    slots: 6,
+    classes: [
+      { name: as('book'), perS: 12, typicalMs: 43, failureRate: 0.004 },
+      { name: as('view'), perS: 8, typicalMs: 43, failureRate: 0.004 }
+    ],
+    slow: { probability: 1, factor: 8 },
+    overload: 2,
+    maxStartMs: 4000
+  }
+}
 const MIN_DURATION_MS = 8000
 const MAX_DURATION_MS = 30_000
 const EVALUATION_INTERVAL_MS = 100
@@ -57,10 +93,6 @@
 /** Spreads seeds apart: the first numbers of the generator are similar for adjacent seeds. */
 const SEED_SPREAD = 0x9e3779b1
 const FAULT_PROBABILITY = 0.3
-const SLOW_PROBABILITY = 0.4
-const SLOWDOWN_FACTOR = 4
-/** Number of concurrent requests at one endpoint from which `under-load` faults occur. */
-const OVERLOAD_CONCURRENCY = 3
 const LATENCY_SIGMA = 0.5
 
 /** Simulates a rollout until its verdict, or until twice its duration. */
@@ -79,6 +111,8 @@
   readonly #history = new AnswerHistory()
   readonly #grantCounts = new Map<EndpointId, number>()
   readonly #faultStartMs: number
+  readonly #pool: SimulatedPool
+  readonly #newStartMs: number
   #grantLedger = new GrantLedger(0)
   #grantedAtMs = -Infinity
   #progress: RolloutProgress
@@ -93,6 +127,8 @@
     this.#options = options
     this.#random = seededRandom(Math.imul(options.seed, SEED_SPREAD))
     const durationMs = MIN_DURATION_MS + this.#random() * (MAX_DURATION_MS - MIN_DURATION_MS)
+    this.#pool = POOLS[options.pool ?? 'engines']
+    this.#newStartMs = this.#pool.maxStartMs === 0 ? 0 : this.#pool.maxStartMs * this.#random()
     this.#faultStartMs = options.badness === 'later' ? this.#random() * durationMs : 0
     this.#progress = { order: { pool: POOL, to: NEW, durationMs }, from: OLD, stage: 'preparing', orderedAtMs: 0, stageAtMs: 0, granted: 0, why: '' }
     this.#daemons = Array.from({ length: options.daemons }, (_, i) => ({ id: as<DaemonId>(`d${i}`), weight: 0.3 + this.#random(), allowance: new GrantAllowance(), pendingAnswers: [], asked: new Map(), knownProgress: this.#progress, reportScheduled: false }))
@@ -100,7 +136,7 @@
 
   run (): RolloutResult {
     const { durationMs } = this.#progress.order
-    for (const cls of CLASSES) this.#scheduleArrival(cls)
+    for (const cls of this.#pool.classes) this.#scheduleArrival(cls)
     this.#schedule(EVALUATION_INTERVAL_MS, () => this.#evaluate())
     let endedAtMs = 2 * durationMs
     for (let event = this.#events.pop(); event && event.atMs < 2 * durationMs; event = this.#events.pop()) {
@@ -133,7 +169,7 @@
     const canaries = daemon.knownProgress.stage === 'canary' ? daemon.allowance.endpointsFor(ORDER, cls.name, this.#now) : []
     if (canaries.length > 0) daemon.allowance.spend(cls.name)
     const isNew = canaries.length > 0 || ['switching', 'emptying', 'completed'].includes(daemon.knownProgress.stage)
-    const endpoint = canaries.length > 0 ? canaries[Math.floor(this.#random() * canaries.length)]! : endpointAt(isNew ? NEW : OLD, Math.floor(this.#random() * ENDPOINTS))
+    const endpoint = canaries.length > 0 ? canaries[Math.floor(this.#random() * canaries.length)]! : endpointAt(isNew ? NEW : OLD, Math.floor(this.#random() * this.#pool.endpoints))
     this.#startRequest(daemon, cls, { endpoint, isNew })
     this.#scheduleReport(daemon)
   }
@@ -144,7 +180,7 @@
     if (isNew) this.#exposed++
     else this.#runningAtOld++
     const { failed, slow } = this.#drawOutcome(cls, { isNew, running })
-    const tookMs = cls.typicalMs * Math.exp(LATENCY_SIGMA * standardNormal(this.#random)) * (slow ? SLOWDOWN_FACTOR : 1)
+    const tookMs = cls.typicalMs * Math.exp(LATENCY_SIGMA * standardNormal(this.#random)) * (slow ? this.#pool.slow.factor : 1) * Math.max(1, running / this.#pool.slots)
     if (isNew && (failed || slow)) this.#harmed++
     this.#schedule(tookMs, () => {
       this.#running.set(endpoint, this.#running.get(endpoint)! - 1)
@@ -158,8 +194,8 @@
     const fails = this.#random() < cls.failureRate
     if (!isNew) return { failed: fails, slow: false }
     const { badness } = this.#options
-    const slow = badness === 'slow' && this.#random() < SLOW_PROBABILITY
-    const isBad = badness === 'at-once' || (badness === 'later' && this.#now >= this.#faultStartMs) || (badness === 'under-load' && running >= OVERLOAD_CONCURRENCY) || (badness === 'one-route' && cls.name === FAULTY_CLASS)
+    const slow = badness === 'slow' && this.#random() < this.#pool.slow.probability
+    const isBad = badness === 'at-once' || (badness === 'later' && this.#now >= this.#faultStartMs) || (badness === 'under-load' && running >= this.#pool.overload) || (badness === 'one-route' && cls === this.#pool.classes.at(-1))
     return { failed: fails || (isBad && this.#random() < FAULT_PROBABILITY), slow }
   }
 
@@ -188,7 +224,7 @@
       : nextProgress(this.#progress, {
         nowMs: this.#now,
         comparison: compareVersions(this.#answers, this.#history.record(structuredClone(this.#answers), this.#now)),
-        newSlots: ENDPOINTS * 12,
+        newSlots: this.#now < this.#newStartMs ? 0 : this.#pool.endpoints * this.#pool.slots,
         running: sum(this.#running.values()),
         runningAtOld: this.#emptySinceMs !== undefined && this.#now - this.#emptySinceMs > 700 ? 0 : Math.max(1, this.#runningAtOld),
         propagationMs: propagationBoundMs(this.#options.daemons)
@@ -209,16 +245,15 @@
     const seconds = Math.max(1, this.#now / 1000)
     const portion = this.#options.baseline
       ? { requests: Math.floor(FIXED_SHARE * sum(asked.map(({ count }) => count)) / seconds), perEndpoint: 1 }
-      : nextGrantBatch({ requests: sum(asked.map(({ count }) => count)), ageMs: this.#now, granted: this.#grantLedger.granted, endpoints: ENDPOINTS, answers: this.#answers }, this.#options.limit)
+      : nextGrantBatch({ requests: sum(asked.map(({ count }) => count)), ageMs: this.#now, granted: this.#grantLedger.granted, endpoints: this.#pool.endpoints, answers: this.#answers }, this.#options.limit)
     if (!portion) return
-    const grants = distributeGrants(asked.map(({ daemon, cls, count }) => ({ daemon, cls, perS: count / seconds })), { requests: portion.requests, forMs: GRANT_TTL_MS, random: this.#random })
-    const granted = sum([...grants.values()].flat().map(([, count]) => count))
-    if (granted === 0) return
+    const grants = distributeGrants(estimateDemand(asked, { daemons: this.#daemons.map(({ id }) => id), ageMs: this.#now }), { requests: portion.requests, forMs: GRANT_TTL_MS, random: this.#random, ...(!this.#options.baseline && { missing: missingAnswers(this.#answers, asked.map(({ cls }) => cls)), inFull: !isDemandKnown(this.#now) }) })
+    if (grants.size === 0) return
     this.#grantedAtMs = this.#now
-    const endpoints = this.#leastGranted(endpointCountFor(granted, portion))
-    for (const [id, requests] of grants) {
+    const endpoints = this.#leastGranted(endpointCountFor(sum([...grants.values()].map(({ charge }) => charge)), portion))
+    for (const [id, { requests, charge }] of grants) {
       const daemon = this.#daemons.find((each) => each.id === id)!
-      const number = this.#grantLedger.issue(id, sum(requests.map(([, count]) => count)))
+      const number = this.#grantLedger.issue(id, { requests: sum(requests.map(([, count]) => count)), charge })
       this.#schedule(ONE_WAY_DELAY_MS, () => daemon.allowance.start({ order: ORDER, number, requests, endpoints, forMs: GRANT_TTL_MS }, this.#now))
       this.#schedule(ONE_WAY_DELAY_MS + GRANT_TTL_MS, () => {
         const { used } = daemon.allowance.end()!
@@ -228,7 +263,7 @@
   }
 
   #leastGranted (count: number): EndpointId[] {
-    const all = Array.from({ length: ENDPOINTS }, (_, i) => endpointAt(NEW, i))
+    const all = Array.from({ length: this.#pool.endpoints }, (_, i) => endpointAt(NEW, i))
     const chosen = all.sort((a, b) => (this.#grantCounts.get(a) ?? 0) - (this.#grantCounts.get(b) ?? 0)).slice(0, count)
     for (const id of chosen) this.#grantCounts.set(id, (this.#grantCounts.get(id) ?? 0) + 1)
     return chosen
--- a/bench/rollout.ts
+++ b/bench/rollout.ts
@@ -1,8 +1,9 @@
-/** Outcomes of rollouts of good and faulty versions in fleets of 9 to 420 daemons, compared with a fixed-share canary. */
-import { simulateRollout, type VersionFault, type RolloutResult } from './_rollout_simulation.ts'
+/** Outcomes of rollouts of good and faulty versions in fleets of 9 to 420 daemons, on engines and on a plain service, compared with a fixed-share canary. */
+import { simulateRollout, type PoolKind, type VersionFault, type RolloutResult } from './_rollout_simulation.ts'
 import { quantile, round, type Bench, type Figures } from './bench.ts'
 
-const FLEETS = [9, 60, 195, 420]
+const FLEETS = [9, 21, 68, 195, 420]
+const POOLS: readonly PoolKind[] = ['engines', 'plain']
 const KINDS: readonly VersionFault[] = ['good', 'at-once', 'later', 'under-load', 'one-route', 'slow']
 const SEEDS = 200
 const LIMIT = { share: 0.1, slack: 50 }
@@ -10,14 +11,14 @@
 /** `npm run bench -- rollout`. */
 export const rolloutBench: Bench = {
   name: 'rollout',
-  about: 'rollouts of good and faulty versions in fleets of 9 to 420 daemons, compared with a fixed-share canary',
+  about: 'rollouts of good and faulty versions in fleets of 9 to 420 daemons, on engines and on a plain service, compared with a fixed-share canary',
   run ({ seed, count = SEEDS, print }) {
-    const rows = FLEETS.flatMap((daemons) => KINDS.flatMap((badness) => [false, true].map((baseline) => {
-      const results = Array.from({ length: count }, (_, i) => simulateRollout({ seed: seed * 10_000 + i, daemons, badness, limit: LIMIT, baseline }))
-      const row = { daemons, badness, by: baseline ? 'fixed share' : 'product', ...figuresOf(results, badness) }
+    const rows = POOLS.flatMap((pool) => FLEETS.flatMap((daemons) => KINDS.flatMap((badness) => [false, true].map((baseline) => {
+      const results = Array.from({ length: count }, (_, i) => simulateRollout({ seed: seed * 10_000 + i, daemons, pool, badness, limit: LIMIT, baseline }))
+      const row = { pool, daemons, badness, by: baseline ? 'fixed share' : 'product', ...figuresOf(results, badness) }
       print(JSON.stringify(row))
       return row
-    })))
+    }))))
     return { seeds: count, limit: LIMIT, rows }
   }
 }
--- a/core/rollout/comparison.ts
+++ b/core/rollout/comparison.ts
@@ -1,7 +1,7 @@
 /** Compares the answers of two versions over the same period. */
 import { as, type ClassName } from '../ids/index.ts'
 import { newAnswerCount, slowerCount, successCount, sumCounts, timedCount, type AnswerCounts, type Answers, type ClassAnswers } from './answers.ts'
-import { evidenceAbove, wilsonUpperBound } from './sequential.ts'
+import { evidenceAbove, evidenceOfExcess, wilsonUpperBound } from './sequential.ts'
 
 /** Aspect in which versions are compared. */
 export type Measure = 'failures' | 'times'
@@ -17,6 +17,8 @@
   /** Bad answers of the new version, out of `count`. */
   bad: number
   count: number
+  /** Answers of the new version that were not timed, for the times. They are not counted as evidence. */
+  untimed: number
   /** Allowed proportion of bad answers, derived from the old version's answers. */
   allowed: number
 }
@@ -27,12 +29,15 @@
  * - `worse`: the evidence against the new version is sufficient.
  * - `doubtful`: the evidence would be sufficient, but nearly all of it comes from one endpoint group.
  * - `suspect`: there is some evidence.
- * - `unknown`: there is none, but the new version has too few answers for some class.
- * - `alike`: there is none, and every class has enough answers.
+ * - `unknown`: there is little, but the answers to some class do not rule out a gross fault.
+ * - `tentative`: a gross fault is ruled out for every class.
+ * - `alike`: the same, and every class has enough answers to show smaller ones.
  */
 export interface Comparison {
-  verdict: 'worse' | 'doubtful' | 'suspect' | 'unknown' | 'alike'
+  verdict: 'worse' | 'doubtful' | 'suspect' | 'unknown' | 'tentative' | 'alike'
   strongest: Finding | undefined
+  /** Class for which a gross fault is not ruled out; undefined if there is none. */
+  unjudged?: ClassName | undefined
 }
 
 /**
@@ -59,6 +64,12 @@
 const PRIOR_WEIGHT = 20
 /** Answers of the new version to each class before the versions are considered alike. */
 const MIN_ANSWERS_PER_CLASS = 30
+/** Faults that must be ruled out before a version gets all work, as an excess of bad answers over what is allowed. Times of sound versions vary more than failures. */
+const GROSS_EXCESS: Record<Measure, number> = { failures: 0.25, times: 0.4 }
+/** Odds against such a fault at which it is ruled out. */
+const GROSS_EXCESS_ODDS = 5
+/** Fraction of a pool's answers below which a class cannot be judged within a rollout and does not delay it. */
+const RARE_CLASS_FRACTION = 0.01
 /** Odds that the remaining endpoint groups must show against the version if one group does: a faulty endpoint is not a faulty version. */
 const OTHER_GROUPS_ODDS = 20
 
@@ -82,8 +93,42 @@
   if (!strongest) return { verdict: 'unknown', strongest }
   if (strongest.evidence >= threshold) return { verdict: 'doubtful', strongest }
   if (strongest.evidence >= Math.log(SUSPECT_ODDS)) return { verdict: 'suspect', strongest }
-  const hasEnoughAnswers = [...answers.values()].every((counts) => newAnswerCount(counts) >= MIN_ANSWERS_PER_CLASS)
-  return { verdict: hasEnoughAnswers ? 'alike' : 'unknown', strongest }
+  const common = commonClasses(answers)
+  const unjudged = common.find(([cls]) => !isGrossFaultRuledOut(cls, overall))?.[0]
+  if (unjudged !== undefined || common.length === 0) return { verdict: 'unknown', strongest, unjudged }
+  return { verdict: missingAnswers(answers).size === 0 ? 'alike' : 'tentative', strongest }
+}
+
+/** Returns true if a fault that affects many answers to a class would have shown. Without a baseline to compare times with, a slow version would not. */
+function isGrossFaultRuledOut (cls: ClassName, findings: readonly Finding[]): boolean {
+  const ofClass = findings.filter((finding) => finding.cls === cls)
+  return ofClass.length === MEASURE_COUNT && ofClass.every(({ measure, bad, count, allowed, untimed }) => evidenceOfExcess(bad, count + untimed, { allowed, excess: GROSS_EXCESS[measure] }) <= -Math.log(GROSS_EXCESS_ODDS))
+}
+
+/**
+ * Returns how many answers of the new version each class still needs for `alike`, for those that need any.
+ * @param classes Classes with requests. Default: those with answers.
+ */
+export function missingAnswers (answers: Answers, classes: Iterable<ClassName> = answers.keys()): Map<ClassName, number> {
+  const common = new Map(commonClasses(answers))
+  const missing = new Map<ClassName, number>()
+  for (const cls of classes) {
+    const counts = answers.get(cls)
+    const count = counts ? newAnswerCount(counts) : 0
+    if (count < MIN_ANSWERS_PER_CLASS && (!counts || common.has(cls))) missing.set(cls, MIN_ANSWERS_PER_CLASS - count)
+  }
+  return missing
+}
+
+/** Returns all classes but those with so few answers that they cannot be judged. */
+function commonClasses (answers: Answers): Array<[ClassName, ClassAnswers]> {
+  const total = ({ old, new: groups }: ClassAnswers) => answerCount(old) + answerCount(sumCounts(groups.values()))
+  const minTotal = [...answers.values()].reduce((sum, counts) => sum + total(counts), 0) * RARE_CLASS_FRACTION
+  return [...answers].filter(([, counts]) => total(counts) >= minTotal)
+}
+
+function answerCount (counts: AnswerCounts): number {
+  return successCount(counts) + counts.failed
 }
 
 function isWorse ({ evidence, withoutWorstGroup }: Finding, threshold: number): boolean {
@@ -105,7 +150,7 @@
   if (findings.length < 2) return []
   const add = (pick: (finding: Finding) => number) => findings.reduce((sum, each) => sum + pick(each), 0)
   const { measure, allowed } = findings[0]!
-  return [{ cls: ALL_CLASSES, measure, allowed, evidence: add((each) => each.evidence), withoutWorstGroup: add((each) => each.withoutWorstGroup), bad: add((each) => each.bad), count: add((each) => each.count) }]
+  return [{ cls: ALL_CLASSES, measure, allowed, evidence: add((each) => each.evidence), withoutWorstGroup: add((each) => each.withoutWorstGroup), bad: add((each) => each.bad), count: add((each) => each.count), untimed: add((each) => each.untimed) }]
 }
 
 function findingsOfClass (cls: ClassName, { old, new: groups }: ClassAnswers, pooledRate: number): Finding[] {
@@ -153,5 +198,5 @@
   const perGroup = [...groups.values()].filter((counts) => countOf(counts) > 0)
   const total = sumCounts(perGroup)
   const otherGroups = perGroup.sort((a, b) => evidenceOf(b) - evidenceOf(a)).slice(1)
-  return { cls, measure, evidence: evidenceOf(total), withoutWorstGroup: perGroup.length > 1 ? evidenceOf(sumCounts(otherGroups)) : Infinity, bad: badOf(total), count: countOf(total), allowed }
+  return { cls, measure, evidence: evidenceOf(total), withoutWorstGroup: perGroup.length > 1 ? evidenceOf(sumCounts(otherGroups)) : Infinity, bad: badOf(total), count: countOf(total), untimed: measure === 'times' ? sumCounts(groups.values()).untimed : 0, allowed }
 }
--- a/core/rollout/exposure.ts
+++ b/core/rollout/exposure.ts
@@ -1,6 +1,7 @@
 /** Bounds the number of requests that a canary receives, and distributes them among daemons. */
 import type { ClassName, DaemonId, EndpointId } from '../ids/index.ts'
 import type { Random } from '../routing/index.ts'
+import type { DaemonDemand } from './demand.ts'
 
 /** Operator-defined limit on the requests that a bad version may receive. */
 export interface ExposureLimit {
@@ -26,79 +27,127 @@
 /** Requests of one class that a daemon may send to the new version. */
 export type ClassGrant = readonly [cls: ClassName, requests: number]
 
-/** Request rate of a class at a daemon, per second. */
-export interface DaemonDemand {
-  daemon: DaemonId
-  cls: ClassName
-  perS: number
+/** What a daemon is granted. */
+export interface DaemonGrant {
+  requests: ClassGrant[]
+  /** Number of requests that the grant counts as while its use is unknown. */
+  charge: number
 }
 
 /** Options of {@linkcode distributeGrants}. */
 export interface DistributeGrantsOptions {
-  /** Total number of requests to grant. */
+  /** Maximum sum of the charges. */
   requests: number
   /** Lifetime of a grant, in milliseconds. */
   forMs: number
   random: Random
+  /** Answers that each class still needs before the versions can be compared. Default: none. */
+  missing?: ReadonlyMap<ClassName, number>
+  /** Charges each granted request, for as long as the demand may be underestimated. Default false. */
+  inFull?: boolean
 }
 
+/** Fraction of the requests for classes that need no answers, while others do. */
+const ANSWERED_FRACTION = 0.25
 /** Maximum fraction of a class's requests sent to the new version; the rest provides the old version's baseline over the same period. */
 const MAX_CLASS_FRACTION = 0.6
 const MS_PER_S = 1000
 
+/** Grants of one class, as they are distributed. */
+interface ClassShare {
+  cls: ClassName
+  next: Iterator<Candidate, undefined>
+  /** Expected number of requests to be sent, so far and at most. */
+  sent: number
+  target: number
+}
+
+/** A daemon that may be granted its request number `count`, which it gets before the grant expires with the given probability. */
+interface Candidate { daemon: DaemonId, count: number, probability: number }
+
 /**
- * Distributes requests evenly among classes, and within a class among daemons.
+ * Distributes requests so that each class is expected to send as many, first those that still need answers, and within a class among daemons.
  *
  * Distributed in proportion to traffic, most batches would leave out a low-traffic route, and its callers would be the first to notice a version
- * that is bad only there. In a low-traffic class, few of the daemons that hold a grant receive a request before it expires, so more
- * requests are granted than should be sent.
- * @returns Grants by daemon, in total at most `requests`.
+ * that is bad only there. In a low-traffic class, few of the daemons that hold a grant receive a request before it expires, so more requests are
+ * granted than should be sent, and together the grants are charged at what their traffic allows to be sent of them: charged in full, the grants
+ * of a large fleet would leave such a class without answers.
+ * @returns Grants by daemon, with charges that sum up to at most `requests`.
  */
-export function distributeGrants (demand: readonly DaemonDemand[], { requests, forMs, random }: DistributeGrantsOptions): Map<DaemonId, ClassGrant[]> {
-  const classes = [...new Set(demand.map(({ cls }) => cls))].map((cls) => {
+export function distributeGrants (demand: readonly DaemonDemand[], { requests, forMs, random, missing = new Map(), inFull = false }: DistributeGrantsOptions): Map<DaemonId, DaemonGrant> {
+  const shares = [...new Set(demand.map(({ cls }) => cls))].map((cls): ClassShare => {
     const daemons = demand.filter((each) => each.cls === cls && each.perS > 0)
-    return { cls, daemons, expected: daemons.reduce((sum, { perS }) => sum + perS, 0) * forMs / MS_PER_S }
+    const expected = daemons.reduce((sum, { perS }) => sum + perS, 0) * forMs / MS_PER_S
+    return { cls, next: candidatesOf(daemons, { forMs, random }), sent: 0, target: Math.min(missing.get(cls) ?? Infinity, expected * MAX_CLASS_FRACTION) }
   })
-  const grants = new Map<DaemonId, ClassGrant[]>()
-  let remaining = requests
-  // Low-traffic classes come first: most of their grants expire unused and are then available to the other classes.
-  classes.sort((a, b) => a.expected - b.expected).forEach(({ cls, daemons, expected }, i) => {
-    const counts = distributeClass(daemons, { forMs, random, maxRequests: Math.ceil(remaining / (i === classes.length - 1 ? 1 : 2)), targetSent: expected * MAX_CLASS_FRACTION })
-    for (const [daemon, count] of counts) {
-      grants.set(daemon, [...grants.get(daemon) ?? [], [cls, count]])
-      remaining -= count
-    }
-  })
-  return grants
+  const batch = new GrantBatchBuilder(inFull ? (granted) => granted : chargeFor)
+  batch.fill(shares.filter(({ cls }) => missing.has(cls)), requests)
+  batch.fill(shares.filter(({ cls }) => !missing.has(cls)), missing.size === 0 ? requests : Math.min(requests, batch.charge + requests * ANSWERED_FRACTION))
+  return batch.grants()
 }
 
-interface DistributeClassOptions {
-  forMs: number
-  random: Random
-  /** Maximum number of requests to grant. */
-  maxRequests: number
-  /** Expected number of requests to be sent. */
-  targetSent: number
+/** Collects the grants of one batch. */
+class GrantBatchBuilder {
+  readonly #counts = new Map<DaemonId, { counts: Map<ClassName, number>, expectedSent: number }>()
+  readonly #chargeFor: typeof chargeFor
+  #granted = 0
+  #expectedSent = 0
+
+  constructor (charge: typeof chargeFor) {
+    this.#chargeFor = charge
+  }
+
+  /** Number of requests that the grants count as. */
+  get charge (): number { return this.#chargeFor(this.#granted, this.#expectedSent) }
+
+  /** Adds grants to the class with the fewest expected requests, until each has its target or the charge would exceed the maximum. */
+  fill (shares: readonly ClassShare[], maxCharge: number): void {
+    const open = new Set(shares.filter(({ target }) => target > 0))
+    while (open.size > 0) {
+      const share = [...open].reduce((least, each) => (each.sent < least.sent ? each : least))
+      const { value } = share.next.next()
+      if (value && this.#chargeFor(this.#granted + 1, this.#expectedSent + value.probability) > maxCharge) return
+      if (value) this.#add(share, value)
+      if (!value || share.sent >= share.target) open.delete(share)
+    }
+  }
+
+  /** Returns the grants, with the charge divided by the requests that each daemon is expected to send. */
+  grants (): Map<DaemonId, DaemonGrant> {
+    const { charge } = this
+    return new Map([...this.#counts].map(([daemon, { counts, expectedSent }]) => [daemon, { requests: [...counts], charge: charge * expectedSent / this.#expectedSent }]))
+  }
+
+  #add (share: ClassShare, { daemon, count, probability }: Candidate): void {
+    const known = this.#counts.get(daemon) ?? { counts: new Map<ClassName, number>(), expectedSent: 0 }
+    this.#counts.set(daemon, known)
+    known.counts.set(share.cls, count)
+    known.expectedSent += probability
+    share.sent += probability
+    this.#granted++
+    this.#expectedSent += probability
+  }
 }
 
-/** Grants one request per daemon and round until the expected number of sent requests reaches the target. */
-function distributeClass (daemons: readonly DaemonDemand[], { forMs, random, maxRequests, targetSent }: DistributeClassOptions): Map<DaemonId, number> {
-  const counts = new Map<DaemonId, number>()
+/** Yields the daemons in random order, for one request each and round. */
+function * candidatesOf (daemons: readonly DaemonDemand[], { forMs, random }: { forMs: number, random: Random }): Generator<Candidate, undefined> {
   const shuffled = daemons.map((each) => ({ each, place: random() })).sort((a, b) => a.place - b.place).map(({ each }) => each)
-  let granted = 0
-  let expectedSent = 0
-  for (let round = 1; granted < maxRequests && expectedSent < targetSent && shuffled.length > 0; round++) {
+  for (let count = 1; count <= MAX_PER_DAEMON; count++) {
     for (const { daemon, perS } of shuffled) {
-      if (granted >= maxRequests || expectedSent >= targetSent) break
-      const probability = poissonTail(round, perS * forMs / MS_PER_S)
-      if (round > 1 && probability < MIN_PROBABILITY) continue
-      counts.set(daemon, round)
-      granted++
-      expectedSent += probability
+      const probability = poissonTail(count, perS * forMs / MS_PER_S)
+      if (count === 1 || probability >= MIN_PROBABILITY) yield { daemon, count, probability }
     }
-    if (round > MAX_PER_DAEMON) break
   }
-  return counts
+  return undefined
+}
+
+/** Standard deviations and requests above the expected number that are charged; a batch of Poisson arrivals exceeds both once in some ten thousand times. */
+const CHARGE_DEVIATIONS = 4
+const CHARGE_MARGIN = 3
+
+/** Returns how many requests of grants may be sent, given the expected number. */
+function chargeFor (granted: number, expectedSent: number): number {
+  return Math.min(granted, Math.ceil(expectedSent + CHARGE_DEVIATIONS * Math.sqrt(expectedSent) + CHARGE_MARGIN))
 }
 
 /** A daemon is granted a further request only if it receives that many with at least this probability. */
@@ -120,11 +169,11 @@
  * Accounts for granted requests.
  *
  * The unused part of a grant is only released when its daemon reports it: a daemon that crashes or receives the grant late may have used all
- * of it.
+ * that it was charged.
  */
 export class GrantLedger {
   #used: number
-  readonly #outstanding = new Map<DaemonId, Map<number, number>>()
+  readonly #outstanding = new Map<DaemonId, Map<number, { requests: number, charge: number }>>()
   #lastNumber = 0
 
   /** @param granted Requests that previous deciders may have granted, all counted as used. */
@@ -135,26 +184,26 @@
   /** Requests that may have been sent or may still be sent. */
   get granted (): number {
     let sum = this.#used
-    for (const grants of this.#outstanding.values()) for (const requests of grants.values()) sum += requests
+    for (const grants of this.#outstanding.values()) for (const { charge } of grants.values()) sum += charge
     return sum
   }
 
-  /** Records a grant and returns its number. */
-  issue (daemon: DaemonId, requests: number): number {
+  /** Records a grant, which counts as its charge until it is settled, and returns its number. The default charge is all of its requests. */
+  issue (daemon: DaemonId, { requests, charge = requests }: { requests: number, charge?: number }): number {
     const number = ++this.#lastNumber
-    const grants = this.#outstanding.get(daemon) ?? new Map<number, number>()
+    const grants = this.#outstanding.get(daemon) ?? new Map<number, { requests: number, charge: number }>()
     this.#outstanding.set(daemon, grants)
-    grants.set(number, requests)
+    grants.set(number, { requests, charge })
     return number
   }
 
   /** Records how many requests of an ended grant a daemon used; unknown and already settled grants are ignored. */
   settle (daemon: DaemonId, number: number, used: number): void {
     const grants = this.#outstanding.get(daemon)
-    const requests = grants?.get(number)
-    if (requests === undefined) return
+    const grant = grants?.get(number)
+    if (grant === undefined) return
     grants!.delete(number)
-    this.#used += Math.min(requests, Math.max(0, used))
+    this.#used += Math.min(grant.requests, Math.max(0, used))
   }
 }
 
--- a/core/rollout/exposure_test.ts
+++ b/core/rollout/exposure_test.ts
@@ -9,17 +9,52 @@
 const QUIET = as<ClassName>('quiet')
 const FOR_MS = 1000
 const demand: DaemonDemand[] = Array.from({ length: 60 }, (_, i) => [{ daemon: daemon(i), cls: BUSY, perS: 6 }, { daemon: daemon(i), cls: QUIET, perS: 0.1 }]).flat()
-const totalRequests = (grants: ReturnType<typeof distributeGrants>) => [...grants.values()].flat().reduce((sum, [, count]) => sum + count, 0)
+type Grants = ReturnType<typeof distributeGrants>
+const totalCharge = (grants: Grants) => [...grants.values()].reduce((sum, { charge }) => sum + charge, 0)
+const requestsOf = (grants: Grants, cls: ClassName) => [...grants.values()].flatMap(({ requests }) => requests).filter(([name]) => name === cls).reduce((sum, [, count]) => sum + count, 0)
 
-test('grants never exceed the requests available, and a low-traffic class receives its share', () => {
+test('the charges of grants never exceed the requests available, and a low-traffic class receives its share', () => {
   fc.assert(fc.property(fc.integer({ min: 0, max: 500 }), fc.integer(), (requests, seed) => {
     const grants = distributeGrants(demand, { requests, forMs: FOR_MS, random: seededRandom(seed) })
-    expect(totalRequests(grants)).toBeLessThanOrEqual(requests)
-    const quiet = [...grants.values()].flat().filter(([cls]) => cls === QUIET).reduce((sum, [, count]) => sum + count, 0)
+    expect(totalCharge(grants)).toBeLessThanOrEqual(requests + 1e-9)
+    const quiet = requestsOf(grants, QUIET)
     if (requests >= 10) expect(quiet).toBeGreaterThanOrEqual(Math.min(36, Math.floor(requests / 4)))
   }), { seed: 7, numRuns: 200 })
 })
 
+test('daemons of a large fleet together send no more of their grants than they are charged, and a class with little traffic gets answers', () => {
+  // Guards against a bad version that gets more than it may, and against a good one that is rolled back because too few answers show it.
+  const classes = [{ cls: BUSY, perS: 12 }, { cls: QUIET, perS: 8 }]
+  const fleet = Array.from({ length: 420 }, (_, i) => classes.map(({ cls, perS }) => ({ daemon: daemon(i), cls, perS: perS / 420 }))).flat()
+  const random = seededRandom(7)
+  const requests = 45
+  let most = 0
+  let quietSent = 0
+  for (let batch = 0; batch < 5000; batch++) {
+    const grants = distributeGrants(fleet, { requests, forMs: FOR_MS, random })
+    expect(totalCharge(grants)).toBeLessThanOrEqual(requests + 1e-9)
+    let sent = 0
+    for (const { requests } of grants.values()) {
+      for (const [cls, count] of requests) {
+        const arrived = poisson(classes.find((each) => each.cls === cls)!.perS / 420 * FOR_MS / 1000, random)
+        sent += Math.min(count, arrived)
+        if (cls === QUIET) quietSent += Math.min(count, arrived)
+      }
+    }
+    most = Math.max(most, sent - totalCharge(grants))
+  }
+  expect(most).toBeLessThanOrEqual(0)
+  expect(quietSent / 5000).toBeGreaterThan(3)
+})
+
+/** Draws the number of events of a Poisson process with the given mean. */
+function poisson (mean: number, random: () => number): number {
+  let product = random()
+  let count = 0
+  for (; product > Math.exp(-mean); product *= random()) count++
+  return count
+}
+
 test('the exposure limit only counts requests already received', () => {
   const limit = { share: 0.1, slack: 50 }
   expect(exposureAllowed(0, limit)).toBeLessThanOrEqual(limit.slack)
@@ -41,7 +76,7 @@
     for (const { type, daemon: i, count } of actions) {
       now += 100
       const holder = holders[i]!
-      if (type === 'give') inFlight[i]!.push({ number: ledger.issue(daemon(i), count), count })
+      if (type === 'give') inFlight[i]!.push({ number: ledger.issue(daemon(i), { requests: count }), count })
       const received = type === 'hear' ? inFlight[i]!.shift() : undefined
       if (received) {
         const previous = holder.start({ order: 'o', number: received.number, requests: [[BUSY, received.count]], endpoints: [as<EndpointId>('e')], forMs: FOR_MS }, now)
--- a/core/rollout/index.ts
+++ b/core/rollout/index.ts
@@ -1,6 +1,7 @@
 export * from './answer_history.ts'
 export * from './answers.ts'
 export * from './comparison.ts'
+export * from './demand.ts'
 export * from './exposure.ts'
 export * from './grant_batch.ts'
 export * from './merge_records.ts'
--- a/core/rollout/rollout_machine.ts
+++ b/core/rollout/rollout_machine.ts
@@ -30,6 +30,8 @@
 const MIN_COMPLETION_FRACTION = 0.75
 /** Time before the deadline reserved for requests on the old version to finish and for another decider to take over from a failed one, in milliseconds. */
 const DEADLINE_RESERVE_MS = 2500
+/** The same for a version whose answers were too few at that moment, in milliseconds: the time for the verdict alone. */
+const LAST_RESERVE_MS = 1000
 /** Minimum time under full load before completion, in milliseconds. */
 const MIN_FULL_LOAD_MS = 1000
 /** Minimum ratio of the new version's batch slots to running requests; a switch below it would leave callers without capacity. */
@@ -54,17 +56,25 @@
       return elapsed >= 1 ? enter('rolled-back', 'no endpoint of the new version came') : undefined
     case 'canary':
       if (elapsed >= switchWindow.latest && hasEvidenceAgainst(observed.comparison)) return enter('rolled-back', describeWorse(observed.comparison))
+      if (elapsed >= switchWindow.last && observed.comparison.verdict === 'unknown') return enter('rolled-back', describeUnknown(observed.comparison))
       return canSwitch(elapsed, observed, switchWindow) ? { ...enter('switching', describeNotWorse(observed.comparison)), switchedAtMs: observed.nowMs } : undefined
     case 'switching':
-      if (canComplete(progress, observed, elapsed)) return enter('completed', describeNotWorse(observed.comparison))
+      if (canComplete(progress, observed, elapsed)) return conclude(progress, observed)
       return elapsed >= Math.max(MIN_EMPTYING_FRACTION, emptyingFrom(progress, observed)) ? enter('emptying', 'streams still run at the old version') : undefined
-    case 'emptying': return canComplete(progress, observed, elapsed) ? enter('completed', describeNotWorse(observed.comparison)) : undefined
+    case 'emptying': return canComplete(progress, observed, elapsed) ? conclude(progress, observed) : undefined
   }
 }
 
+/** Returns the verdict on a version that has carried all work. With evidence against it, the old endpoints must not be stopped. */
+function conclude (progress: RolloutProgress, { nowMs, comparison }: RolloutObservation): RolloutProgress {
+  return hasEvidenceAgainst(comparison)
+    ? { ...progress, stage: 'rolled-back', stageAtMs: nowMs, why: describeWorse(comparison) }
+    : { ...progress, stage: 'completed', stageAtMs: nowMs, why: describeNotWorse(comparison) }
+}
+
 function canSwitch (elapsed: number, { comparison, newSlots, running }: RolloutObservation, { from, latest }: SwitchWindow): boolean {
   if (newSlots < running * MIN_SLOTS_PER_RUNNING_REQUEST || newSlots === 0) return false
-  return elapsed >= latest || (elapsed >= from && comparison.verdict === 'alike')
+  return comparison.verdict === 'alike' ? elapsed >= from : comparison.verdict === 'tentative' && elapsed >= latest
 }
 
 /** Returns true if a version that is not found worse must not get all work at the last moment: the switch sends it more than it may get if it is bad. */
@@ -74,15 +84,16 @@
 
 /**
  * Bounds of the switch, as fractions of the order's time limit. At `latest` an undecided comparison is resolved: any evidence against the version
- * rolls it back, a lack of answers does not.
+ * rolls it back, and one without any is switched to with fewer answers. At `last` a version that cannot be compared is rolled back: what it would get
+ * after the switch, until it could be found worse, is not bounded.
  */
-interface SwitchWindow { from: number, latest: number }
+interface SwitchWindow { from: number, latest: number, last: number }
 
 /** Places the switch late, but early enough for it to reach every daemon before the deadline. */
 function switchWindowOf ({ order: { durationMs } }: RolloutProgress, { propagationMs }: RolloutObservation): SwitchWindow {
   const fractionBefore = (ms: number) => Math.max(0, durationMs - propagationMs - ms) / durationMs
   const latest = fractionBefore(DEADLINE_RESERVE_MS)
-  return { from: Math.min(latest, Math.max(MIN_SWITCH_FRACTION, fractionBefore(2 * DEADLINE_RESERVE_MS))), latest }
+  return { from: Math.min(latest, Math.max(MIN_SWITCH_FRACTION, fractionBefore(2 * DEADLINE_RESERVE_MS))), latest, last: fractionBefore(LAST_RESERVE_MS) }
 }
 
 function emptyingFrom ({ order: { durationMs } }: RolloutProgress, { propagationMs }: RolloutObservation): number {
@@ -101,6 +112,10 @@
   return `${bad} of ${count} answers to ${cls} ${outcome}, where ${Math.round(allowed * 100)} in 100 may`
 }
 
+function describeUnknown ({ unjudged }: Comparison): string {
+  return unjudged === undefined ? 'too few answers to compare the versions' : `too few answers to ${unjudged} to compare the versions`
+}
+
 function describeNotWorse ({ strongest }: Comparison): string {
   if (!strongest) return 'nothing was seen against the new version'
   const { cls, measure, bad, count, allowed } = strongest
--- a/core/rollout/rollout_machine_test.ts
+++ b/core/rollout/rollout_machine_test.ts
@@ -62,8 +62,24 @@
   }
 })
 
-test('a version with too few answers still completes', () => {
-  expect(simulate(() => ({ comparison: comparisonOf('unknown') })).at(-1)!.stage).toBe('completed')
+test('a version that cannot be compared is rolled back in time, and never gets all work', () => {
+  // Guards against all work for a version of which nothing is known: what it gets until it could be found worse is not bounded.
+  for (const durationMs of [3000, 6000, DURATION_MS]) {
+    let progress: RolloutProgress = { ...initial, order: { ...order, durationMs } }
+    const stages: RolloutStage[] = []
+    for (let nowMs = 0; nowMs <= durationMs; nowMs += 100) {
+      const next = nextProgress(progress, { ...healthy, nowMs, comparison: comparisonOf('unknown') })
+      if (next) stages.push((progress = next).stage)
+    }
+    expect(stages).toEqual(['canary', 'rolled-back'])
+  }
+})
+
+test('a version with few answers, and none against it, completes, also if they come at the last moment', () => {
+  for (const fromMs of [0, 7500]) {
+    const stages = simulate((nowMs, stage) => ({ comparison: comparisonOf(nowMs < fromMs ? 'unknown' : 'tentative'), runningAtOld: stage === 'canary' ? 1 : 0 }))
+    expect(stages.map(({ stage }) => stage).filter((stage) => stage !== 'emptying')).toEqual(['canary', 'switching', 'completed'])
+  }
 })
 
 test('a version without endpoints receives no requests and is rolled back at the deadline', () => {
@@ -83,7 +99,7 @@
 test('a final stage is never left, regardless of later observations', () => {
   const observation = fc.record({
     nowMs: fc.integer({ min: 0, max: 60_000 }),
-    comparison: fc.constantFrom(...(['worse', 'doubtful', 'suspect', 'unknown', 'alike'] as const).map(comparisonOf)),
+    comparison: fc.constantFrom(...(['worse', 'doubtful', 'suspect', 'unknown', 'tentative', 'alike'] as const).map(comparisonOf)),
     newSlots: fc.integer({ min: 0, max: 200 }),
     running: fc.integer({ min: 0, max: 200 }),
     runningAtOld: fc.option(fc.integer({ min: 0, max: 5 }), { nil: undefined }),
--- a/core/rollout/sequential.ts
+++ b/core/rollout/sequential.ts
@@ -26,6 +26,18 @@
   return largest + Math.log(logRatios.reduce((sum, log) => sum + Math.exp(log - largest), 0) / GRID_POINTS)
 }
 
+/**
+ * Returns the evidence for a given excess of events: the logarithm of the likelihood ratio between the allowed proportion plus the excess, and the allowed
+ * one. It is far below 0 once there are enough observations to rule the excess out.
+ * @param events Number of events among `count` observations.
+ * @param allowed Allowed proportion of events, in (0, 1).
+ * @example `evidenceOfExcess(0, 20, { allowed: 0.05, excess: 0.25 })` is below -6.
+ */
+export function evidenceOfExcess (events: number, count: number, { allowed, excess }: { allowed: number, excess: number }): number {
+  const p = Math.min((1 + allowed) / 2, allowed + excess)
+  return events * Math.log(p / allowed) + (count - events) * (Math.log1p(-p) - Math.log1p(-allowed))
+}
+
 /** Standard normal quantile of the one-sided 90% confidence bound: one sample in ten lies beyond it. */
 const Z_90 = 1.28
 
--- a/core/rollout/sequential_test.ts
+++ b/core/rollout/sequential_test.ts
@@ -1,5 +1,5 @@
 import { expect, test } from 'vitest'
-import { evidenceAbove, wilsonUpperBound } from './index.ts'
+import { evidenceAbove, evidenceOfExcess, wilsonUpperBound } from './index.ts'
 
 test('evidence grows with events above the allowed proportion and falls with events below it', () => {
   expect(evidenceAbove(10, 20, 0.05)).toBeGreaterThan(15)
@@ -33,3 +33,11 @@
   expect(wilsonUpperBound(0, 100)).toBeLessThan(0.02)
   expect(wilsonUpperBound(50, 100)).toBeGreaterThan(0.5)
 })
+
+test('an excess is ruled out by enough observations without it, and never by none', () => {
+  const options = { allowed: 0.04, excess: 0.25 }
+  expect(evidenceOfExcess(0, 0, options)).toBe(0)
+  expect(evidenceOfExcess(0, 12, options)).toBeLessThan(-Math.log(10))
+  expect(evidenceOfExcess(2, 12, options)).toBeGreaterThan(0)
+  expect(evidenceOfExcess(12, 12, { allowed: 0.95, excess: 0.25 })).toBeGreaterThan(0)
+})
--- a/daemon/exchange/_proxy_components.ts
+++ b/daemon/exchange/_proxy_components.ts
@@ -340,7 +340,7 @@
   const port = platform.rollouts
   const follower = new RolloutFollower({ store: relay.source(port.prefix), port, membership, random, waitMs: relay.watchWaitMs })
   const gate = new VersionGate({ table, rollouts: follower, tallies, links, hash, metrics, availability: new ProcessAvailability() })
-  const task = new RolloutTask({ self, port, rollouts: follower, gate, lease, table, tallies, links, exposure, propagationMs: settings.registry.leavingMs, random })
+  const task = new RolloutTask({ self, port, rollouts: follower, gate, lease, table, tallies, links, daemons: () => membership.acceptingWork.map(({ id }) => id), exposure, propagationMs: settings.registry.leavingMs, random })
   return { follower, gate, task }
 }
 
--- a/daemon/rollout/_simulated_fleet.ts
+++ b/daemon/rollout/_simulated_fleet.ts
@@ -15,7 +15,6 @@
 import { ProcessAvailability, RolloutTask, VersionGate, type RolloutListener } from './index.ts'
 
 const POOL = as<PoolName>('desk')
-const CLASS = as<ClassName>('check')
 /** Version that serves the pool before an order. */
 export const OLD = as<EndpointVersion>('v1')
 /** Version that orders name. */
@@ -26,7 +25,6 @@
 export const PROPAGATION_MS = 2000
 /** Time limit of an order, in milliseconds. */
 export const DURATION_MS = 12_000
-const REQUEST_EVERY_MS = 8
 const ANSWER_MS = 40
 const GOSSIP_EVERY_MS = 200
 const { h32 } = await xxhash()
@@ -94,6 +92,17 @@
   task: RolloutTask
 }
 
+/** Options of {@linkcode Fleet}. */
+export interface FleetOptions {
+  seed: number
+  /** Interval between requests, in milliseconds. Default 8. */
+  requestEveryMs?: number
+  /** Request classes, which get requests in turn. Default: one. */
+  classes?: readonly string[]
+  /** Endpoints of each version. Default 4. */
+  endpoints?: number
+}
+
 /** Daemons with real version gates and rollout tasks; links, the store and endpoints are simulated. */
 export class Fleet {
   readonly store = new OrderStore()
@@ -102,19 +111,25 @@
   readonly leaseHolders = new Set<number>()
   readonly random: Random
   failureRate = 0
+  /** How many times as long the new version takes to answer. */
+  slowdown = 1
   requests = 0
   granted = 0
   /** Requests sent to the new version, with a grant or without. */
   sentToNew = 0
   running = new Map<EndpointVersion, number>([[OLD, 0], [NEW, 0]])
   completedWhileRunning = 0
+  readonly #classes: readonly ClassName[]
+  readonly #endpoints: number
   #requestsAtOrder = 0
 
-  constructor (daemons: number, seed: number) {
+  constructor (daemons: number, { seed, requestEveryMs = 8, classes = ['check'], endpoints = 4 }: FleetOptions) {
     this.random = seededRandom(Math.imul(seed, 0x9e3779b1))
+    this.#classes = classes.map((name) => as<ClassName>(name))
+    this.#endpoints = endpoints
     for (let i = 0; i < daemons; i++) this.daemons.push(this.#daemon(i))
     this.store.onWrite = () => this.#propagate()
-    setInterval(() => this.#sendRequest(), REQUEST_EVERY_MS)
+    setInterval(() => this.#sendRequest(), requestEveryMs)
     setInterval(() => this.#gossip(), GOSSIP_EVERY_MS)
   }
 
@@ -127,6 +142,11 @@
   get asked (): number { return this.requests - this.#requestsAtOrder }
   get stage (): string | undefined { return this.store.record && currentProgress(this.store.record)?.stage }
 
+  /** Starts or ends the endpoints of the new version. */
+  listNewEndpoints (isListed: boolean): void {
+    for (const { table } of this.daemons) table.applyHostList([...hosts(OLD, this.#endpoints), ...(isListed ? hosts(NEW, this.#endpoints) : [])])
+  }
+
   stop (): void {
     for (const { task, gate } of this.daemons) {
       task.stop()
@@ -137,7 +157,7 @@
   #daemon (i: number): FleetDaemon {
     const id = as<DaemonId>(`d${i}`)
     const table = new EndpointTable({ self: id, hash: h32 })
-    table.applyHostList([...hosts(OLD), ...hosts(NEW)])
+    table.applyHostList([...hosts(OLD, this.#endpoints), ...hosts(NEW, this.#endpoints)])
     table.applyOthersWork([])
     const handlers = new Map<string, PostHandler>()
     const tally = new Tally(id)
@@ -160,7 +180,7 @@
     const gate = new VersionGate({ table, rollouts, tallies, links, hash: h32, metrics: createMetrics(), availability: new ProcessAvailability({ busyMs: () => 0 }) })
     const fleet = this
     const lease = { get fencing () { return fleet.leaseHolders.has(i) && !fleet.daemons[i]!.frozen ? 1 : undefined }, fencingInOutage: undefined }
-    const task = new RolloutTask({ self: id, port: this.store, rollouts, gate, lease, table, tallies, links, exposure: EXPOSURE_LIMIT, propagationMs: PROPAGATION_MS, random: this.random })
+    const task = new RolloutTask({ self: id, port: this.store, rollouts, gate, lease, table, tallies, links, daemons: () => fleet.daemons.map((each) => each.id), exposure: EXPOSURE_LIMIT, propagationMs: PROPAGATION_MS, random: this.random })
     task.start()
     return { id, partitioned: false, frozen: false, records, listeners, handlers, tally, table, gate, task }
   }
@@ -205,7 +225,8 @@
   }
 
   #loadOf (version: EndpointVersion, table: EndpointTable): Array<readonly [EndpointId, EndpointView['others']]> {
-    const view = table.all.find((each) => each.version === version)!
+    const view = table.all.find((each) => each.version === version)
+    if (!view) return []
     return [[view.id, { running: this.running.get(version)!, unread: { urgent: 0, normal: 0, late: 0 } }]]
   }
 
@@ -213,7 +234,8 @@
     const daemon = this.daemons[Math.floor(this.random() * this.daemons.length)]!
     if (daemon.frozen) return
     this.requests++
-    const work = { pool: POOL, cls: { name: CLASS } }
+    const name = this.#classes[this.requests % this.#classes.length]!
+    const work = { pool: POOL, cls: { name } }
     daemon.gate.asked(work)
     const canary = daemon.gate.canaries(work)[0]
     if (canary) {
@@ -224,16 +246,17 @@
     if (version === NEW) this.sentToNew++
     const view = canary ?? pick(daemon.table.ofVersion(POOL, version), this.random)
     this.running.set(version, this.running.get(version)! + 1)
+    const tookMs = ANSWER_MS * (0.5 + this.random()) * (version === NEW ? this.slowdown : 1)
     setTimeout(() => {
       this.running.set(version, this.running.get(version)! - 1)
-      if (version === NEW && this.random() < this.failureRate) daemon.gate.failed(view, CLASS)
-      else daemon.gate.answered(view, CLASS, { tookMs: ANSWER_MS * (0.5 + this.random()), predictedMs: ANSWER_MS })
-    }, ANSWER_MS)
+      if (version === NEW && this.random() < this.failureRate) daemon.gate.failed(view, name)
+      else daemon.gate.answered(view, name, { tookMs, predictedMs: ANSWER_MS })
+    }, tookMs)
   }
 }
 
-function hosts (version: EndpointVersion): ListedHost[] {
-  return Array.from({ length: 4 }, (_, i) => ({
+function hosts (version: EndpointVersion, count: number): ListedHost[] {
+  return Array.from({ length: count }, (_, i) => ({
     hostId: as<HostId>(`${version}-${i}`),
     hostClass: 'any',
     failureDomain: as<FailureDomain>('a'),
--- a/daemon/rollout/rollout_task.ts
+++ b/daemon/rollout/rollout_task.ts
@@ -1,8 +1,8 @@
 /** Moves rollouts through their stages, on the daemon that holds the lease. */
 import { as, type DaemonId, type EndpointId, type EndpointVersion, type PoolName } from '../../core/ids/index.ts'
 import {
-  addAnswers, AnswerHistory, answerKeyPrefix, REQUEST_COUNT, classAnswers, compareVersions, endpointCountFor, GRANT_INTERVAL_MS, GRANT_TTL_MS, GrantLedger, groupAnswers, isFinal, nextGrantBatch, nextProgress, orderId, currentProgress, parseAnswerKey, distributeGrants,
-  type AnswerKey, type ClassGrant, type Answers, type Comparison, type DaemonDemand, type ExposureLimit, type RolloutProgress, type RolloutRecord
+  addAnswers, AnswerHistory, answerKeyPrefix, REQUEST_COUNT, classAnswers, compareVersions, endpointCountFor, GRANT_INTERVAL_MS, GRANT_TTL_MS, GrantLedger, groupAnswers, isFinal, missingAnswers, nextGrantBatch, nextProgress, orderId, currentProgress, parseAnswerKey, distributeGrants, estimateDemand, isDemandKnown,
+  type AnswerKey, type Answers, type Comparison, type DaemonDemand, type ExposureLimit, type RolloutProgress, type RolloutRecord
 } from '../../core/rollout/index.ts'
 import { runningNow, type Random } from '../../core/routing/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
@@ -26,6 +26,8 @@
   table: EndpointTable
   tallies: Pick<TallyTask, 'tally' | 'clock'>
   links: Pick<Links, 'post' | 'onPost'>
+  /** Returns the daemons that take requests. */
+  daemons (): readonly DaemonId[]
   exposure: ExposureLimit
   /** Time within which every daemon learns of a change, in milliseconds. */
   propagationMs: number
@@ -56,7 +58,6 @@
 /** A pool that lists no endpoint for this long has none, in milliseconds; the first endpoint list arrives sooner. */
 const NO_ENDPOINTS_GRACE_MS = 2000
 const NO_VERSION = as<EndpointVersion>('')
-const MS_PER_S = 1000
 
 /**
  * Decides on rollouts for the whole fleet.
@@ -137,9 +138,10 @@
     if (isFinal(progress)) return
     const state = this.#canaryStateOf(progress)
     const answers = this.#answersOf(progress)
+    const comparison = this.#compare(progress, answers)
     const next = nextProgress(progress, {
       nowMs: this.#nowMs(),
-      comparison: this.#compare(progress, answers),
+      comparison,
       newSlots: this.#slotsOf(progress.order.pool, progress.order.to),
       running: this.#runningInPool(progress.order.pool),
       runningAtOld: this.#runningAtOldVersion(progress, state),
@@ -219,17 +221,17 @@
     const endpoints = this.#options.table.ofVersion(pool, to).map(({ id }) => id)
     const { demand, requests } = this.#demandOf(progress)
     const portion = nextGrantBatch({ requests, ageMs: this.#ageMs(progress), granted: state.ledger.granted, endpoints: endpoints.length, answers }, this.#options.exposure)
-    const grants = portion && distributeGrants(demand, { requests: portion.requests, forMs: GRANT_TTL_MS, random: this.#options.random })
-    const sum = grants ? totalRequests(grants) : 0
-    if (sum === 0) return
-    if (state.ledger.granted + sum > state.persistedGrants) {
-      this.#persistGrants(record, { progress, state, granted: state.ledger.granted + sum + GRANT_WRITE_AHEAD })
+    const grants = portion && distributeGrants(demand, { requests: portion.requests, forMs: GRANT_TTL_MS, random: this.#options.random, missing: missingAnswers(answers, demand.map(({ cls }) => cls)), inFull: !isDemandKnown(this.#ageMs(progress)) })
+    if (!grants || grants.size === 0) return
+    const charge = Math.ceil(sumOf(grants.values(), (grant) => grant.charge))
+    if (state.ledger.granted + charge > state.persistedGrants) {
+      this.#persistGrants(record, { progress, state, granted: Math.ceil(state.ledger.granted) + charge + GRANT_WRITE_AHEAD })
       return
     }
     state.lastGrantAtMs = now
-    const chosen = leastChosen(state.timesChosen, endpoints, endpointCountFor(sum, portion!))
-    for (const [daemon, requests] of grants!) {
-      const number = state.ledger.issue(daemon, totalRequests([[daemon, requests]]))
+    const chosen = leastChosen(state.timesChosen, endpoints, endpointCountFor(charge, portion!))
+    for (const [daemon, { requests, charge }] of grants) {
+      const number = state.ledger.issue(daemon, { requests: sumOf(requests, ([, count]) => count), charge })
       this.#sendGrant(daemon, { pool, grant: { order: state.order, number, requests, endpoints: chosen, forMs: GRANT_TTL_MS } })
     }
   }
@@ -242,10 +244,9 @@
 
   /** Request rate of each daemon and class since the order, and the number of requests in all. */
   #demandOf (progress: RolloutProgress): { demand: DaemonDemand[], requests: number } {
-    const seconds = Math.max(1, this.#ageMs(progress) / MS_PER_S)
     const asked = [...this.#countsOf(progress)].filter(({ key }) => key.bucket === REQUEST_COUNT)
     return {
-      demand: asked.map(({ daemon, key, count }) => ({ daemon, cls: key.cls, perS: count / seconds })),
+      demand: estimateDemand(asked.map(({ daemon, key, count }) => ({ daemon, cls: key.cls, count })), { daemons: this.#options.daemons(), ageMs: this.#ageMs(progress) }),
       requests: asked.reduce((sum, { count }) => sum + count, 0)
     }
   }
@@ -297,9 +298,9 @@
   }
 }
 
-function totalRequests (grants: Iterable<readonly [DaemonId, readonly ClassGrant[]]>): number {
+function sumOf<T> (items: Iterable<T>, valueOf: (item: T) => number): number {
   let sum = 0
-  for (const [, counts] of grants) for (const [, requests] of counts) sum += requests
+  for (const item of items) sum += valueOf(item)
   return sum
 }
 
--- a/daemon/rollout/rollout_task_test.ts
+++ b/daemon/rollout/rollout_task_test.ts
@@ -18,14 +18,14 @@
 }
 
 test('a version without a rollout order gets no requests', async () => {
-  fleet = new Fleet(3, 1)
+  fleet = new Fleet(3, { seed: 1 })
   fleet.leaseHolders.add(0)
   await run(5000)
   expect(fleet.sentToNew).toBe(0)
 })
 
 test('a good version is completed by the deadline, and all daemons use it', async () => {
-  fleet = new Fleet(3, 1)
+  fleet = new Fleet(3, { seed: 1 })
   fleet.leaseHolders.add(0)
   await run(1000)
   fleet.order()
@@ -38,7 +38,7 @@
 
 test('a bad version stays within its exposure limit until it is rolled back, and gets no requests afterwards', async () => {
   for (const seed of [1, 2, 3]) {
-    fleet = new Fleet(3, seed)
+    fleet = new Fleet(3, { seed })
     fleet.failureRate = 0.3
     fleet.leaseHolders.add(0)
     fleet.order()
@@ -53,8 +53,47 @@
   }
 })
 
+test.each([['at once', 0], ['late', 3000]])('a slow version of a pool with few requests, whose endpoints come %s, stays within its exposure limit', async (_, startsAfterMs) => {
+  // Guards against all work for a version of which too few answers came to compare it.
+  for (const durationMs of [5000, 10_000, 16_000]) {
+    for (const seed of [1, 2, 3]) {
+      fleet = new Fleet(9, { seed, requestEveryMs: 50, classes: ['book', 'view'], endpoints: 3 })
+      fleet.slowdown = 8
+      fleet.leaseHolders.add(0)
+      fleet.listNewEndpoints(false)
+      await run(1000)
+      fleet.order(NEW, durationMs)
+      await run(startsAfterMs)
+      fleet.listNewEndpoints(true)
+      await run(durationMs - startsAfterMs)
+      expect(fleet.sentToNew).toBeLessThanOrEqual(EXPOSURE_LIMIT.slack + EXPOSURE_LIMIT.share * fleet.asked)
+      expect(fleet.stage).toBe('rolled-back')
+      fleet.stop()
+      vi.clearAllTimers()
+    }
+  }
+})
+
+test.each([['at once', 0], ['late', 3000]])('a good version of a pool with few requests, whose endpoints come %s, is completed by the deadline', async (_, startsAfterMs) => {
+  for (const durationMs of [10_000, 16_000]) {
+    for (const seed of [1, 2, 3]) {
+      fleet = new Fleet(9, { seed, requestEveryMs: 50, classes: ['book', 'view'], endpoints: 3 })
+      fleet.leaseHolders.add(0)
+      fleet.listNewEndpoints(false)
+      await run(1000)
+      fleet.order(NEW, durationMs)
+      await run(startsAfterMs)
+      fleet.listNewEndpoints(true)
+      await run(durationMs - startsAfterMs)
+      expect(fleet.stage).toBe('completed')
+      fleet.stop()
+      vi.clearAllTimers()
+    }
+  }
+})
+
 test('a partitioned daemon stops sending requests to the canary version', async () => {
-  fleet = new Fleet(3, 1)
+  fleet = new Fleet(3, { seed: 1 })
   fleet.leaseHolders.add(0)
   fleet.order()
   await run(3500)
@@ -71,7 +110,7 @@
 test('the lease holder writes progress again that the store has lost', async () => {
   // Guards against granting requests twice, and against a second verdict, after a return of the store to a copy.
   for (const stage of ['canary', 'rolled-back'] as const) {
-    fleet = new Fleet(3, 1)
+    fleet = new Fleet(3, { seed: 1 })
     fleet.order()
     const { store, daemons } = fleet
     const lost = { order: store.record!.order, from: OLD, stage, orderedAtMs: Date.now(), stageAtMs: Date.now(), granted: 60, why: 'test' }
@@ -88,7 +127,7 @@
 
 test('a new lease holder resumes in the middle of a stage, however the previous one failed', async () => {
   for (const end of ['dies', 'freezes', 'is partitioned'] as const) {
-    fleet = new Fleet(4, 2)
+    fleet = new Fleet(4, { seed: 2 })
     fleet.leaseHolders.add(0)
     fleet.order()
     await run(3000)
@@ -107,7 +146,7 @@
 })
 
 test('an order replaces an unfinished one, and an order repeated after its end starts again', async () => {
-  fleet = new Fleet(3, 4)
+  fleet = new Fleet(3, { seed: 4 })
   fleet.leaseHolders.add(0)
   fleet.failureRate = 0.4
   fleet.order()
@@ -125,7 +164,7 @@
 })
 
 test('an order for a version without endpoints is rolled back at its deadline', async () => {
-  fleet = new Fleet(3, 1)
+  fleet = new Fleet(3, { seed: 1 })
   fleet.leaseHolders.add(0)
   fleet.order(as<EndpointVersion>('v9'), 5000)
   await run(4500)
@@ -146,7 +185,7 @@
   })
   await fc.assert(fc.asyncProperty(fc.array(fault, { maxLength: 8 }), fc.boolean(), fc.integer({ min: 1, max: 1e6 }), async (faults, isBad, seed) => {
     vi.clearAllTimers()
-    fleet = new Fleet(4, seed)
+    fleet = new Fleet(4, { seed })
     fleet.failureRate = isBad ? 0.3 : 0
     fleet.leaseHolders.add(0)
     for (const each of faults) setTimeout(() => injectFault(fleet, each), each.atMs)
--- a/daemon/rollout/version_gate.ts
+++ b/daemon/rollout/version_gate.ts
@@ -116,11 +116,13 @@
   }
 
   /**
-   * Counts an answer by the time that its first part took, unless this process was unavailable for much of it: once the old version gets no requests,
-   * its answers do not show that as well, and it would be counted against the new version.
+   * Counts an answer by the time that its first part took. An answer of the new version for much of whose time this process was unavailable is not timed:
+   * once the old version gets no requests, its answers do not show that as well. Those of the old version always are: what this process adds to them only
+   * makes the comparison milder, and on a busy host there may be no others to compare with.
    */
   answered (view: EndpointView, cls: ClassName, { tookMs, predictedMs }: { tookMs: number, predictedMs: number }): void {
-    const unavailableMs = this.#options.availability.unavailableSince(steadyNow() - tookMs)
+    const isOld = view.version === this.#progress(view.pool)?.from
+    const unavailableMs = isOld ? 0 : this.#options.availability.unavailableSince(steadyNow() - tookMs)
     this.#count(view, cls, answerBucket({ tookMs, predictedMs, unavailableMs }))
   }
 
