Hold a version that is found worse before its verdict is stored

Cause: work went back to the old version once the verdict was written, and a slow store delays that; only while the store was known to be away was the version held.

What callers saw: a bad version goes on carrying all work for as long as the store takes to answer.

Change: the decider holds the version by a fact, and writes the verdict then.

--- a/daemon/rollout/_simulated_fleet.ts
+++ b/daemon/rollout/_simulated_fleet.ts
@@ -1,7 +1,7 @@
 /** A fleet of daemons with simulated links, store and endpoints, for the tests of rollouts. */
 import xxhash from 'xxhash-wasm'
 import { as, type ClassName, type DaemonId, type EndpointId, type EndpointVersion, type FailureDomain, type HostId, type PoolName } from '../../core/ids/index.ts'
-import { currentProgress, isFinal, type RolloutOrder, type RolloutProgress, type RolloutRecord } from '../../core/rollout/index.ts'
+import { currentProgress, isFinal, orderId, type RolloutOrder, type RolloutProgress, type RolloutRecord } from '../../core/rollout/index.ts'
 import type { EndpointView, Random } from '../../core/routing/index.ts'
 import { isLater, storeVersion } from '../../core/store_version/index.ts'
 import { Tally } from '../../core/tally/index.ts'
@@ -85,6 +85,8 @@
   frozen: boolean
   records: Map<PoolName, RolloutRecord>
   listeners: RolloutListener[]
+  /** Orders whose new version was found worse. */
+  held: Set<string>
   handlers: Map<string, PostHandler>
   tally: Tally
   table: EndpointTable
@@ -167,8 +169,8 @@
     const rollouts = {
       records,
       onChange: (listener: RolloutListener) => { listeners.push(listener) },
-      isHeld: () => false,
-      hold: () => {},
+      isHeld: () => this.#isHeld(i),
+      hold: (progress: RolloutProgress) => this.#hold(i, orderId(progress)),
       orderSeenAtMs: () => steadyNow(),
       publish: (record: RolloutRecord) => this.#deliver(i, record)
     }
@@ -182,7 +184,7 @@
     const lease = { get fencing () { return fleet.leaseHolders.has(i) && !fleet.daemons[i]!.frozen ? 1 : undefined }, fencingInOutage: undefined }
     const task = new RolloutTask({ self: id, port: this.store, rollouts, gate, lease, table, tallies, links, daemons: () => fleet.daemons.map((each) => each.id), exposure: EXPOSURE_LIMIT, propagationMs: PROPAGATION_MS, random: this.random })
     task.start()
-    return { id, partitioned: false, frozen: false, records, listeners, handlers, tally, table, gate, task }
+    return { id, partitioned: false, frozen: false, records, listeners, held: new Set(), handlers, tally, table, gate, task }
   }
 
   #post (from: number, to: DaemonId, { topic, value }: { topic: string, value: unknown }): boolean {
@@ -200,6 +202,23 @@
     this.daemons.forEach((daemon, i) => { if (!daemon.partitioned) setTimeout(() => this.#deliver(i, record), this.random() * PROPAGATION_MS * 0.9) })
   }
 
+  #isHeld (i: number): boolean {
+    const { records, held } = this.daemons[i]!
+    const record = records.get(POOL)
+    const progress = record && currentProgress(record)
+    return progress !== undefined && held.has(orderId(progress))
+  }
+
+  /** Holds an order at a daemon, and at the others once they learn of it. */
+  #hold (from: number, order: string): void {
+    if (this.daemons[from]!.held.has(order)) return
+    this.daemons.forEach(({ held, listeners }, i) => setTimeout(() => {
+      held.add(order)
+      for (const listener of listeners) listener(POOL)
+    }, i === from ? 0 : GOSSIP_EVERY_MS))
+    this.daemons[from]!.held.add(order)
+  }
+
   #deliver (i: number, record: RolloutRecord): void {
     const { records, listeners } = this.daemons[i]!
     const known = records.get(POOL)
--- a/daemon/rollout/rollout_task.ts
+++ b/daemon/rollout/rollout_task.ts
@@ -147,6 +147,8 @@
       runningAtOld: this.#runningAtOldVersion(progress, state),
       propagationMs: this.#options.propagationMs
     })
+    // The verdict takes effect before it is stored: the store may be slow.
+    if (next && comparison.verdict === 'worse') this.#options.rollouts.hold(progress)
     if (next) this.#write(record, next)
     else if (progress.stage === 'canary') this.#issueGrants(record, { progress, state, answers })
   }
--- a/daemon/rollout/rollout_task_test.ts
+++ b/daemon/rollout/rollout_task_test.ts
@@ -92,6 +92,23 @@
   }
 })
 
+test('a version that turns bad after the switch gets no more requests although the store is slow', async () => {
+  // Guards against a bad version that carries all work for as long as its verdict cannot be stored.
+  fleet = new Fleet(3, { seed: 1 })
+  fleet.leaseHolders.add(0)
+  await run(1000)
+  fleet.order(NEW, 20_000)
+  while (fleet.stage !== 'switching') await run(100)
+  await run(PROPAGATION_MS)
+  fleet.failureRate = 0.5
+  fleet.store.writesToDelay = Infinity
+  await run(1500)
+  const before = fleet.sentToNew
+  await run(1000)
+  expect(fleet.sentToNew).toBe(before)
+  expect(fleet.store.verdicts).toEqual([])
+})
+
 test('a partitioned daemon stops sending requests to the canary version', async () => {
   fleet = new Fleet(3, { seed: 1 })
   fleet.leaseHolders.add(0)
