Report ready only with the newest configuration that other daemons have

What callers saw: a daemon that starts while the store has an older configuration than its peers was ready with that one, and refused routes of the newer one for a moment.

Cause: ready asked for any configuration in force, and the store's came first.

Change: a daemon that starts is ready once two others (or the only one) have sent it all that they know, and the newest announced revision is in force. It waits 500 ms for contact and 1 s for both at most, and not at all when no other daemon is known. When it joins, an address that is both a seed and registered is dialled once.

Two tests with the paused clock for the bounds and one for contact, of members that did not exist before.

--- a/daemon/config/config_follower.ts
+++ b/daemon/config/config_follower.ts
@@ -39,6 +39,10 @@
 
 const DEFAULT_WATCHERS_PER_DOMAIN = 2
 const POLL_MS = 60_000
+/** Time for which a daemon that starts waits to hear what its peers have, in milliseconds. Contact takes less where peers answer, and the balancer checks once a second. */
+const CONTACT_WAIT_MS = 500
+/** The same, and to fetch a newer revision that they have. */
+const FETCH_WAIT_MS = 1000
 /** Time for which the store's last answer counts as confirmation that no newer revision exists, in milliseconds. */
 const CONFIRMATION_TTL_MS = 150_000
 
@@ -58,6 +62,7 @@
   #resolveKnown: () => void = () => {}
   /** Resolves once a configuration is in force. */
   readonly known = new Promise<void>((resolve) => { this.#resolveKnown = resolve })
+  #startedAtMs = Infinity
   /** The configuration in force in its stored encoding, sent to peers that ask for it. */
   #encoded: string | undefined
 
@@ -101,6 +106,17 @@
   /** True if the store has recently confirmed that no newer revision exists. */
   get sure (): boolean { return steadyNow() - this.#follower.lastAnswerAtMs < CONFIRMATION_TTL_MS }
 
+  /**
+   * True once the configuration in force is the newest that a reachable daemon has, or this daemon has waited for it since its start. The store may have
+   * an older one after a return to a copy.
+   */
+  get settled (): boolean {
+    const waitedMs = steadyNow() - this.#startedAtMs
+    if (this.#inForce === undefined || waitedMs < 0) return false
+    if (waitedMs >= FETCH_WAIT_MS) return true
+    return !this.#exchange.isMissing && (this.#options.membership.introduced || waitedMs >= CONTACT_WAIT_MS)
+  }
+
   /** True if this daemon is one of the few in its failure domain that watch the store. */
   get watchesStore (): boolean {
     const { self, hash, membership } = this.#options
@@ -117,6 +133,7 @@
 
   /** Starts following the configuration. */
   start (): void {
+    this.#startedAtMs = steadyNow()
     this.#follower.start()
   }
 
--- a/daemon/config/config_follower_test.ts
+++ b/daemon/config/config_follower_test.ts
@@ -131,3 +131,44 @@
   }), { seed: 33, numRuns: 150 })
   expect(naiveReverts).toBeGreaterThan(0)
 })
+
+/** Starts a follower whose store has revision 1, and whose peer answers a call after the given time, or never. */
+async function startBeside (peer: { introduced: boolean, answersAfterMs?: number }) {
+  const store = new StandInStore()
+  await store.create(KEY, '{"revision":1}')
+  let announce: (fact: { key: string, version: number }, from: string) => void = () => {}
+  const call = () => (peer.answersAfterMs === undefined ? new Promise(() => {}) : delay(peer.answersAfterMs).then(() => '{"revision":3}'))
+  const beside = { ...membership, introduced: peer.introduced, onFact: (listener: typeof announce) => { announce = listener }, links: { ...membership.links, call }, reachable: [], core: { ...membership.core, neighbours: [], member: (id: string) => ({ id }) } } as unknown as MembershipTask
+  const follower = new ConfigFollower({ self: as<DaemonId>('d'), store, key: KEY, decode, membership: beside, metrics: createMetrics(), hash: () => 0, random: () => 0.5 })
+  follower.start()
+  return { follower, announce: () => announce({ key: 'config', version: 3 }, 'peer') }
+}
+
+test('a daemon whose peers have a newer revision than the store settles once that is in force', async () => {
+  // Guards against a daemon that starts beside a store that returned to a copy, and refuses or serves what the newer revision does not.
+  const { follower, announce } = await startBeside({ introduced: true, answersAfterMs: 200 })
+  announce()
+  await vi.advanceTimersByTimeAsync(190)
+  expect([follower.inForce, follower.settled]).toEqual([{ revision: 1 }, false])
+  await vi.advanceTimersByTimeAsync(20)
+  expect([follower.inForce, follower.settled]).toEqual([{ revision: 3 }, true])
+  follower.stop()
+})
+
+test('a daemon without peers settles with the first configuration, and one whose peers are silent a moment later', async () => {
+  // Guards against daemons that do not start because others are away.
+  const alone = await startBeside({ introduced: true })
+  const unheard = await startBeside({ introduced: false })
+  const silent = await startBeside({ introduced: true })
+  silent.announce()
+  const settled = () => [alone, unheard, silent].map(({ follower }) => follower.settled)
+  await vi.advanceTimersByTimeAsync(100)
+  expect(settled()).toEqual([true, false, false])
+  await vi.advanceTimersByTimeAsync(400)
+  expect(settled()).toEqual([true, true, false])
+  await vi.advanceTimersByTimeAsync(500)
+  expect(settled()).toEqual([true, true, true])
+  silent.announce()
+  expect(silent.follower.settled).toBe(true)
+  for (const { follower } of [alone, unheard, silent]) follower.stop()
+})
--- a/daemon/config/revision_exchange.ts
+++ b/daemon/config/revision_exchange.ts
@@ -84,9 +84,10 @@
     this.#stopped = true
   }
 
-  get #revision (): number { return this.#options.inForce()?.revision ?? 0 }
+  /** True while a peer has announced a revision that is not in force yet. */
+  get isMissing (): boolean { return !this.#stopped && this.#announced.revision > this.#revision }
 
-  get #isMissing (): boolean { return !this.#stopped && this.#announced.revision > this.#revision }
+  get #revision (): number { return this.#options.inForce()?.revision ?? 0 }
 
   #handleAnnouncement (revision: number, from: DaemonId): void {
     if (revision <= Math.max(this.#revision, this.#announced.revision)) return
@@ -100,13 +101,13 @@
     if (this.#retrying) return
     this.#retrying = true
     let { revision } = this.#announced
-    for (let retryMs = INITIAL_RETRY_MS; this.#isMissing; retryMs = Math.min(MAX_RETRY_MS, retryMs * RETRY_GROWTH)) {
+    for (let retryMs = INITIAL_RETRY_MS; this.isMissing; retryMs = Math.min(MAX_RETRY_MS, retryMs * RETRY_GROWTH)) {
       await delay(retryMs * (0.75 + this.#options.random() / 2))
       if (revision !== this.#announced.revision) {
         revision = this.#announced.revision
         retryMs = INITIAL_RETRY_MS
       }
-      const peer = this.#isMissing ? this.#nextPeer() : undefined
+      const peer = this.isMissing ? this.#nextPeer() : undefined
       // While this daemon waits to ask the next peer, the last one replies as soon as it has the revision.
       if (peer) this.#fetchFrom(peer, retryMs)
     }
--- a/daemon/exchange/proxy_daemon.ts
+++ b/daemon/exchange/proxy_daemon.ts
@@ -52,7 +52,7 @@
 
   get id (): DaemonId { return this.#components.self }
   /** True while the balancer should route callers to this daemon. */
-  get ready (): boolean { return this.#draining === undefined && this.#components.config.inForce !== undefined && this.#components.table.all.length > 0 }
+  get ready (): boolean { return this.#draining === undefined && this.#components.config.settled && this.#components.table.all.length > 0 }
   /** Number of endpoints that are not leaving. */
   get endpoints (): number { return this.#components.table.all.filter((view) => view.leavingAtMs === undefined).length }
   /** The daemon that counts account quotas for this one. */
--- a/daemon/peers/membership_task.ts
+++ b/daemon/peers/membership_task.ts
@@ -38,6 +38,8 @@
 /** Longest time after a return of the store to a copy until a daemon has verified its registration, in milliseconds; spreads the calls of all daemons. */
 const REGISTRATION_CHECK_MS = 3000
 const JOIN_RETRY_MS = 2000
+/** Daemons that a daemon that starts hears from before it counts as introduced. */
+const INTRODUCTIONS = 2
 /** Addresses dialed at once when joining: a few of them may belong to hosts that no longer exist. */
 const MAX_JOIN_DIALS = 6
 /** Time for the departure message to be sent before the links close, in milliseconds. */
@@ -64,6 +66,10 @@
   seeds: readonly string[]
   #registeredVersion = NO_VERSION
   #joined = false
+  /** The first daemons that sent all that they know. */
+  readonly #introducedBy = new Set<DaemonId>()
+  /** Number of addresses of other daemons at which contact was sought. */
+  #peersSought = Infinity
   #ticks = 0
   #successors: readonly Member[] = []
   /** Last logged state of each live daemon: records also change in fields that are not logged. */
@@ -81,6 +87,7 @@
     this.links.bind({
       onGossip: (from, gossip) => {
         this.#joined = true
+        if (gossip.whole !== undefined && this.#introducedBy.size < INTRODUCTIONS) this.#introducedBy.add(from)
         this.#applyEffects(this.core.receive(from, gossip, steadyNow()))
       },
       onLink: (to) => {
@@ -102,6 +109,12 @@
   /** True after contact with another daemon, or when no other daemon is known. Before that, the others cannot find the answers held here. */
   get joined (): boolean { return this.#joined || this.#noPeersKnown }
 
+  /**
+   * True once this daemon has heard from others what they know, or no other daemon is known. The first contact may be a daemon that starts at the same
+   * time and knows nothing yet, so two are heard where there are as many.
+   */
+  get introduced (): boolean { return this.#noPeersKnown || this.#introducedBy.size >= Math.min(INTRODUCTIONS, this.#peersSought) }
+
   /** Daemons that accept new work, including this one unless it is draining. */
   get acceptingWork (): readonly Member[] { return this.#working.get(this.core.version, () => this.core.members.filter(acceptsWork)) }
 
@@ -252,10 +265,11 @@
 
   /** Finds other daemons through the seeds and the store; during a store outage, through the seeds alone. */
   async #join (): Promise<void> {
-    const addresses = [...this.seeds, ...await this.#registeredAddresses()]
+    const addresses = new Set([...this.seeds, ...await this.#registeredAddresses()])
     const own = this.core.self.address
-    const others = addresses.filter((address) => address !== own)
+    const others = [...addresses].filter((address) => address !== own)
     this.#noPeersKnown = others.length === 0
+    this.#peersSought = others.length
     shuffle(others, this.#options.random)
     this.links.keep(others.slice(0, MAX_JOIN_DIALS))
     setTimeout(() => { if (!this.#joined && this.#timers.length > 0) this.#join() }, JOIN_RETRY_MS)
--- a/daemon/peers/membership_task_test.ts
+++ b/daemon/peers/membership_task_test.ts
@@ -47,3 +47,25 @@
   await left
   expect(store.keys()).toEqual([])
 })
+
+test('a daemon counts as introduced once it has heard all that two others know, or the only other one', async () => {
+  // Guards against a daemon that takes a configuration for the newest because another that has just started knows no newer one.
+  const network = new StandInNetwork()
+  const tasks: MembershipTask[] = []
+  const join = async (name: string, seeds: readonly string[]) => {
+    const self = as<DaemonId>(name)
+    task = new MembershipTask({ self, listen: { host: '', port: 0 }, failureDomain: as('a'), seeds, store: new StandInStore(), links: network.join(self), hash: () => 0, metrics: createMetrics(), random: () => 0.5 })
+    tasks.push(task)
+    await task.start()
+    await vi.advanceTimersByTimeAsync(100)
+    return task
+  }
+  const first = await join('first', ['node:second', 'node:third'])
+  const alone = await join('alone', [])
+  expect([first.introduced, alone.introduced]).toEqual([false, true])
+  const second = await join('second', ['node:first'])
+  expect([first.introduced, second.introduced]).toEqual([false, true])
+  const third = await join('third', ['node:first', 'node:second'])
+  expect([first.introduced, third.introduced]).toEqual([true, true])
+  for (const each of tasks) await each.stop()
+})
