Replace watchers that lost the store by standbys

Cause: when both watchers had lost the store, every daemon that asked them watched the store itself, for each prefix and again after each wait. A refused daemon that was told so once stayed in its listing loop until the store served it, and a refused watcher heard of no change at all. Callers saw no failure; each such call is paid.

Change: four standbys, ranked after the watchers and taken from the failure domains in turn, replace them one after the other. A standby answers only while it watches the store itself, so that nobody asks in a circle. Daemons that the store refuses, watchers included, hear of changes from the one that watches. Only if no standby has the store does everybody ask it and see the outage, as before. A failing source is logged once.

The stand-in network removes the listener of a call that has ended: adding one took longer with each call.

--- a/core/relay/change_sources.ts
+++ b/core/relay/change_sources.ts
@@ -14,11 +14,58 @@
 const WATCHER_COUNT = 2
 /** Minimum number of relays in a failure domain: daemons that ask the watchers on behalf of the others there. */
 const MIN_RELAYS = 2
+/**
+ * Number of daemons that replace watchers that lost the store. If the store refuses a third of the daemons at random, it refuses all four in one case of 81,
+ * and then each daemon asks it itself.
+ */
+const STANDBY_COUNT = 4
 /** Target for the maximum number of daemons that ask the same one. Some hosts have only a third of a core and also serve callers. */
 const MAX_FOLLOWERS = 16
 
+/** A daemon to ask for changes of the store. */
+export interface ChangeSource {
+  member: Member
+  /** True if it may answer only while it watches the store itself. Standbys would otherwise ask in a circle. */
+  direct: boolean
+  /** True if its changes may be passed on to other daemons. */
+  passedOn: boolean
+}
+
+/** How a daemon gets the changes of the store. */
+export interface SourcePlan {
+  /** Watchers watch the store. Standbys do while no watcher has it, one after the other. The rest ask these. */
+  role: 'watcher' | 'standby' | 'follower'
+  /** Daemons to ask before the store, in order. */
+  beforeStore: ChangeSource[]
+  /** Daemons to ask after the store did not serve this daemon, in order. */
+  afterStore: ChangeSource[]
+}
+
+/**
+ * Returns whom a daemon asks for changes of the store, and when.
+ *
+ * While no watcher has the store, the first standby that has it watches it: each asks the ones before it first. What a watcher or standby hears from the ones
+ * after it, it does not pass on, since these ask it first.
+ * @param self This daemon.
+ * @param working Daemons that accept new work, including this one.
+ */
+export function sourcePlan (self: Member, working: readonly Member[], options: ChangeSourcesOptions): SourcePlan {
+  const roles = selectRoles(working, options)
+  const { watchers, standbys } = roles
+  const asked = (members: readonly Member[], how: Omit<ChangeSource, 'member'>) => members.filter(({ id }) => id !== self.id).map((member) => ({ member, ...how }))
+  if (includesId(watchers, self.id)) return { role: 'watcher', beforeStore: [], afterStore: asked([...watchers, ...standbys], { direct: true, passedOn: false }) }
+  const position = standbys.findIndex(({ id }) => id === self.id)
+  const earlier = position < 0 ? standbys : standbys.slice(0, position)
+  const beforeStore = [
+    ...asked(primarySources(self, roles, options), { direct: false, passedOn: true }),
+    ...asked(earlier, { direct: true, passedOn: true })
+  ]
+  if (position < 0) return { role: 'follower', beforeStore, afterStore: beforeStore }
+  return { role: 'standby', beforeStore, afterStore: [...beforeStore, ...asked(standbys.slice(position + 1), { direct: true, passedOn: false })] }
+}
+
 /**
- * Returns the daemons that this one may ask for changes of the store, in order of preference.
+ * Returns the daemons that this one asks first for changes of the store, in order of preference.
  *
  * If every daemon watched the store, its load would grow with the fleet: 420 daemons would make 420 calls for each change of one endpoint's entry. Only two
  * daemons watch it. In small fleets the others ask these two; in large fleets a few relays of each failure domain ask them and the rest ask the relays, so that
@@ -31,13 +78,37 @@
  * @example `changeSources(self, working, { hash })[0] ?? 'the store'`
  */
 export function changeSources (self: Member, working: readonly Member[], options: ChangeSourcesOptions): Member[] {
-  const ranked = rankedFor(WATCH_JOB, working, options.hash)
-  const watchers = selectWatchers(ranked)
+  return primarySources(self, selectRoles(working, options), options)
+}
+
+interface Roles { ranked: Member[], watchers: Member[], standbys: Member[] }
+
+function primarySources (self: Member, { ranked, watchers, standbys }: Roles, { hash }: ChangeSourcesOptions): Member[] {
   if (includesId(watchers, self.id)) return []
   const followers = ranked.filter((member) => member.failureDomain === self.failureDomain && !includesId(watchers, member.id))
   const relays = followers.slice(0, Math.max(MIN_RELAYS, Math.ceil(followers.length / MAX_FOLLOWERS)))
-  const asksWatchersDirectly = working.length <= WATCHER_COUNT * (MAX_FOLLOWERS + 1) || relays.length === 0 || includesId(relays, self.id)
-  return rotate(asksWatchersDirectly ? watchers : relays, options.hash(self.id))
+  const asksWatchersDirectly = ranked.length <= WATCHER_COUNT * (MAX_FOLLOWERS + 1) || relays.length === 0 || includesId(relays, self.id) || includesId(standbys, self.id)
+  return rotate(asksWatchersDirectly ? watchers : relays, hash(self.id))
+}
+
+function selectRoles (working: readonly Member[], { hash }: ChangeSourcesOptions): Roles {
+  const ranked = rankedFor(WATCH_JOB, working, hash)
+  const watchers = selectWatchers(ranked)
+  return { ranked, watchers, standbys: selectStandbys(ranked.filter(({ id }) => !includesId(watchers, id))) }
+}
+
+/** Takes one daemon of each failure domain in turn: the store may refuse a whole domain. */
+function selectStandbys (ranked: readonly Member[]): Member[] {
+  const selected: Member[] = []
+  const timesTaken = new Map<string, number>()
+  while (selected.length < Math.min(STANDBY_COUNT, ranked.length)) {
+    const left = ranked.filter(({ id }) => !includesId(selected, id))
+    const times = ({ failureDomain }: Member) => timesTaken.get(failureDomain) ?? 0
+    const next = left.reduce((best, member) => (times(member) < times(best) ? member : best))
+    timesTaken.set(next.failureDomain, times(next) + 1)
+    selected.push(next)
+  }
+  return selected
 }
 
 /**
--- a/daemon/peers/store_relay.ts
+++ b/daemon/peers/store_relay.ts
@@ -1,13 +1,14 @@
 /** Follows the store through other daemons: requests changes from a few of them and serves changes to others, which saves watches on the store. */
-import { changeSources } from '../../core/relay/index.ts'
+import { sourcePlan, type ChangeSource, type SourcePlan } from '../../core/relay/index.ts'
 import type { DaemonId } from '../../core/ids/index.ts'
 import type { Member } from '../../core/membership/index.ts'
 import type { Hash32 } from '../../core/routing/index.ts'
-import { eraOf, formatVersion, NO_VERSION, type StoreVersion } from '../../core/store_version/index.ts'
-import { steadyNow, Waiters } from '../../core/time/index.ts'
-import { ChangeLog, type EraTracker, isStoreFailure, StoreError, type Changes, type ObjectSource, type Snapshot } from '../../store/index.ts'
+import { eraOf, formatVersion, type StoreVersion } from '../../core/store_version/index.ts'
+import { steadyNow } from '../../core/time/index.ts'
+import type { Changes, ObjectSource } from '../../store/index.ts'
 import { log } from '../log/index.ts'
 import type { Metrics } from '../metrics.ts'
+import { FollowedPrefix, type ChangesResponse, type RelayedChanges } from './_followed_prefix.ts'
 import { PeerError, type Links } from './links.ts'
 
 /** Options of {@linkcode StoreRelay}. */
@@ -16,7 +17,7 @@
   links: Links
   /** This daemon's own record. */
   self (): Member
-  /** Daemons that accept new work, including this one. */
+  /** Daemons that accept new work, including this one; the same list until it changes. */
   acceptingWork (): readonly Member[]
   hash: Hash32
   metrics: Metrics
@@ -24,10 +25,11 @@
   propagationMs: number
 }
 
-/** Long-poll request for the changes of a prefix after a version; `era` is the era that the caller knows of, undefined for a daemon of an earlier release. */
-interface ChangesRequest { prefix: string, after: StoreVersion, era?: number, waitMs: number }
-/** `ageMs`: time since the store itself last answered, directly or through other daemons, in milliseconds. */
-interface ChangesResponse extends Changes { ageMs: number }
+/**
+ * Long-poll request for the changes of a prefix after a version. `era` is the era that the caller knows of, undefined for a daemon of an earlier release; with
+ * `direct`, only a daemon that watches the store itself answers.
+ */
+interface ChangesRequest { prefix: string, after: StoreVersion, era?: number, waitMs: number, direct?: boolean }
 
 /**
  * Fraction of the propagation limit within which a request to other daemons must be answered, which leaves half of the limit for asking the store itself.
@@ -46,6 +48,13 @@
  * state means that daemons ask each other in a cycle or have lost the store without noticing.
  */
 const MAX_AGE_FACTOR = 3 / 2
+/** Maximum age of what a daemon serves that was asked since it watches the store itself, as a fraction of the propagation limit: the wait of a watch and a margin. */
+const MAX_DIRECT_AGE_FRACTION = 5 / 8
+/**
+ * Fraction of the propagation limit for which standbys are tried together, beyond the time for the others. The loss of both watchers may become
+ * known only when little of the limit is left, and the store is asked after them.
+ */
+const STANDBY_FRACTION = 1 / 16
 const CHANGES_METHOD = 'store-changes'
 
 /** Exchanges store changes with other daemons; one instance serves all prefixes that a daemon follows. */
@@ -53,16 +62,21 @@
   readonly #options: StoreRelayOptions
   readonly #followed = new Map<string, FollowedPrefix>()
   readonly #failedAtMs = new Map<DaemonId, number>()
+  /** The daemon that last answered for a prefix since it watches the store. */
+  readonly #directSources = new Map<string, DaemonId>()
+  /** Sources whose last call failed, by prefix, so that each failure is logged once. */
+  readonly #failing = new Set<string>()
+  #planned: { working: readonly Member[], plan: SourcePlan } | undefined
 
   constructor (options: StoreRelayOptions) {
     this.#options = options
-    options.links.handle(CHANGES_METHOD, async ({ prefix, after, era, waitMs }: ChangesRequest, { from }) => {
+    options.links.handle(CHANGES_METHOD, async ({ prefix, after, era, waitMs, direct }: ChangesRequest, { from }) => {
       // An earlier release takes the versions of an era for revisions, and would then ignore what it reads from the store itself.
       if (era === undefined && options.store.era.current > 0) throw new Error(`Cannot serve changes of ${prefix}: the caller does not know eras of the store`)
       if (era !== undefined) options.store.era.learn(era, from)
       const followed = this.#followed.get(prefix)
       if (!followed) throw new Error(`Cannot serve changes of ${prefix}: this daemon does not follow it`)
-      return await followed.answer(after, waitMs)
+      return await (direct === true ? followed.answerDirect(after, waitMs) : followed.answer(after, waitMs))
     })
   }
 
@@ -72,7 +86,15 @@
   /** Returns a source for the objects of a prefix and starts serving the prefix to other daemons. */
   source (prefix: string): ObjectSource {
     const { store, propagationMs } = this.#options
-    const followed = new FollowedPrefix(prefix, { store, maxAgeMs: propagationMs * MAX_AGE_FACTOR, fetchChanges: (after) => this.#fetchChanges(prefix, after) })
+    const followed = new FollowedPrefix(prefix, {
+      store,
+      maxAgeMs: propagationMs * MAX_AGE_FACTOR,
+      maxDirectAgeMs: propagationMs * MAX_DIRECT_AGE_FRACTION,
+      takeoverMs: propagationMs * STANDBY_FRACTION / 2,
+      storeRetryMs: propagationMs * WATCH_WAIT_FRACTION,
+      plan: () => this.#plan(),
+      fetchChanges: (after, sources) => this.#fetchChanges({ prefix, after }, sources)
+    })
     this.#followed.set(prefix, followed)
     return followed
   }
@@ -81,15 +103,25 @@
    * Tries the source daemons in order; undefined when the store itself must be asked.
    *
    * Sources that report a failure cost no time, but one that is silent uses up the time that all of them have together: if each could take as
-   * long, the number of sources would determine when a change arrives.
+   * long, the number of sources would determine when a change arrives. A standby is asked briefly first: only after it has answered
+   * is it worth a long wait.
    */
-  async #fetchChanges (prefix: string, after: StoreVersion): Promise<ChangesResponse | undefined> {
-    const deadlineMs = steadyNow() + this.#options.propagationMs * REQUEST_TIMEOUT_FRACTION
-    for (const daemon of this.#sources()) {
-      const remainingMs = deadlineMs - steadyNow()
-      if (remainingMs <= 0) return undefined
-      const response = await this.#fetchChangesFrom(daemon, { prefix, after, era: this.#options.store.era.current, waitMs: remainingMs / 2 }, remainingMs)
-      if (response) return response
+  async #fetchChanges ({ prefix, after }: { prefix: string, after: StoreVersion }, sources: readonly ChangeSource[]): Promise<RelayedChanges | undefined> {
+    const { propagationMs, store } = this.#options
+    const deadlineMs = steadyNow() + propagationMs * REQUEST_TIMEOUT_FRACTION
+    let standbysMs = propagationMs * STANDBY_FRACTION
+    for (const { member, direct, passedOn } of sources) {
+      if (this.#isSkipped(member)) continue
+      const startMs = steadyNow()
+      const isTried = direct && (this.#directSources.get(prefix) !== member.id || startMs >= deadlineMs)
+      const remainingMs = isTried ? standbysMs : deadlineMs - startMs
+      if (remainingMs <= 0) continue
+      const response = await this.#fetchChangesFrom(member, { prefix, after, era: store.era.current, waitMs: remainingMs / 2, ...(direct && { direct }) }, remainingMs)
+      if (isTried) standbysMs -= steadyNow() - startMs
+      if (!response) continue
+      if (direct) this.#directSources.set(prefix, member.id)
+      else this.#directSources.delete(prefix)
+      return { response, passedOn }
     }
     return undefined
   }
@@ -101,10 +133,16 @@
     if (eraOf(version) < era.current || (whole !== true && eraOf(version) !== eraOf(after))) throw new Error(`Cannot use changes of ${prefix}: version ${formatVersion(version)} does not continue ${formatVersion(after)}`)
   }
 
-  #sources (): Member[] {
-    const now = steadyNow()
+  /** Computed once for each change of the members: ranking hundreds of them for each call would be the dearest part of it. */
+  #plan (): SourcePlan {
     const { self, acceptingWork, hash } = this.#options
-    return changeSources(self(), acceptingWork(), { hash }).filter(({ id }) => now - (this.#failedAtMs.get(id) ?? -Infinity) > FAILED_SOURCE_BACKOFF_MS)
+    const working = acceptingWork()
+    if (this.#planned?.working !== working) this.#planned = { working, plan: sourcePlan(self(), working, { hash }) }
+    return this.#planned.plan
+  }
+
+  #isSkipped ({ id }: Member): boolean {
+    return steadyNow() - (this.#failedAtMs.get(id) ?? -Infinity) <= FAILED_SOURCE_BACKOFF_MS
   }
 
   async #fetchChangesFrom (daemon: Member, req: ChangesRequest, timeoutMs: number): Promise<ChangesResponse | undefined> {
@@ -113,125 +151,21 @@
       // The timeout of a call begins once the daemon is connected.
       const response = await within(links.call(daemon, CHANGES_METHOD, req, { timeoutMs }), timeoutMs) as ChangesResponse
       this.#checkEra(response, { req, from: daemon.id })
+      this.#failing.delete(`${daemon.id} ${req.prefix}`)
       metrics.storeChangeAge.observe({ prefix: req.prefix }, response.ageMs)
       return response
     } catch (err) {
       // One that replies has nothing to serve now, as while it has lost the store; asking it again costs no time.
       if (!(err instanceof PeerError && err.replied)) this.#failedAtMs.set(daemon.id, steadyNow())
-      log('relay-failed', { peer: daemon.id, prefix: req.prefix, why: (err as Error).message })
+      this.#logFailure(daemon.id, { prefix: req.prefix, why: (err as Error).message })
       return undefined
     }
   }
-}
-
-interface FollowedPrefixOptions {
-  store: ObjectSource
-  /** State older than this is not served to other daemons, in milliseconds. */
-  maxAgeMs: number
-  fetchChanges (after: StoreVersion): Promise<ChangesResponse | undefined>
-}
-
-/** State of one followed prefix. */
-class FollowedPrefix implements ObjectSource {
-  readonly #prefix: string
-  readonly #options: FollowedPrefixOptions
-  readonly #log = new ChangeLog()
-  readonly #waiters = new Waiters()
-  /** When the store itself last answered, directly or through other daemons; undefined while the store is unreachable. */
-  #freshAtMs: number | undefined
-
-  constructor (prefix: string, options: FollowedPrefixOptions) {
-    this.#prefix = prefix
-    this.#options = options
-  }
-
-  get era (): EraTracker { return this.#options.store.era }
-
-  /**
-   * Reads the store: listings follow a start or a failure, when the copies of other daemons are least reliable. The exception is a daemon whose copy is of an
-   * older era: while the store refuses it, it gets the whole state of the new era from the others.
-   */
-  async snapshot (): Promise<Snapshot> {
-    try {
-      const snapshot = await this.#options.store.snapshot(this.#prefix)
-      this.#log.applyListing(snapshot)
-      this.#markFresh(0)
-      return snapshot
-    } catch (err) {
-      const { version } = this.#log
-      const response = version !== undefined && eraOf(version) < this.era.current ? await this.#options.fetchChanges(version) : undefined
-      if (response) return this.#applyRelayed(response)
-      this.#recordFailure(err)
-      throw err
-    }
-  }
-
-  async changes (_prefix: string, { after, waitMs }: { after: StoreVersion, waitMs: number }): Promise<Changes> {
-    const response = await this.#options.fetchChanges(after)
-    if (response) return this.#applyRelayed(response)
-    try {
-      const changes = await this.#options.store.changes(this.#prefix, { after, waitMs })
-      this.#log.changed(changes)
-      this.#markFresh(0)
-      return changes
-    } catch (err) {
-      return await this.#changesAfterFailure(err, after)
-    }
-  }
-
-  /** Asks the daemons that were not reached in time before: the store may refuse this daemon and serve them. */
-  async #changesAfterFailure (err: unknown, after: StoreVersion): Promise<Changes> {
-    const response = isStoreFailure(err, 'history-gone') ? undefined : await this.#options.fetchChanges(after)
-    if (response) return this.#applyRelayed(response)
-    this.#recordFailure(err)
-    throw err
-  }
-
-  #applyRelayed (response: ChangesResponse): Changes {
-    if (response.whole === true) this.#log.applyListing(response)
-    else this.#log.changed(response)
-    this.#markFresh(response.ageMs)
-    return { ...response, checked: true }
-  }
-
-  /**
-   * Serves changes after a version to another daemon, waiting up to `waitMs` for some. If the version is of an older era than the copy, all objects are served;
-   * if the copy is of an older era than the known one, it waits for the new one.
-   * @throws {Error} When this daemon lost the store, its state is too old, or its change log does not reach back to the version.
-   */
-  async answer (after: StoreVersion, waitMs: number): Promise<ChangesResponse> {
-    const deadlineMs = steadyNow() + waitMs
-    for (;;) {
-      const ageMs = this.#freshAtMs === undefined ? Infinity : steadyNow() - this.#freshAtMs
-      if (ageMs > this.#options.maxAgeMs) throw new Error(`Cannot serve changes of ${this.#prefix}: the last answer of the store is too old`)
-      const remainingMs = deadlineMs - steadyNow()
-      const version = this.#log.version ?? NO_VERSION
-      if (eraOf(version) < this.era.current) {
-        if (remainingMs <= 0) throw new Error(`Cannot serve changes of ${this.#prefix}: the copy is of era ${eraOf(version)}, and the store is in era ${this.era.current}`)
-        await this.#waiters.wait(remainingMs)
-        continue
-      }
-      if (eraOf(after) < eraOf(version)) return { ...this.#log.all()!, removed: [], whole: true, ageMs }
-      const changes = this.#log.since(after)
-      if (!changes) throw new Error(`Cannot serve changes of ${this.#prefix}: the change log does not reach back to version ${formatVersion(after)}`)
-      if (changes.objects.length + changes.removed.length > 0 || remainingMs <= 0) return { ...changes, ageMs }
-      await this.#waiters.wait(remainingMs)
-    }
-  }
-
-  /** Daemons that ask this one must ask the store themselves and see an outage: entries that lapse in an outage are treated differently from endpoints that left. */
-  #recordFailure (err: unknown): void {
-    if (err instanceof StoreError && err.failure !== 'history-gone') this.#markLost()
-  }
-
-  #markLost (): void {
-    this.#freshAtMs = undefined
-    this.#waiters.wakeAll()
-  }
 
-  #markFresh (ageMs: number): void {
-    this.#freshAtMs = steadyNow() - ageMs
-    this.#waiters.wakeAll()
+  #logFailure (peer: DaemonId, { prefix, why }: { prefix: string, why: string }): void {
+    const failing = `${peer} ${prefix}`
+    if (!this.#failing.has(failing)) log('relay-failed', { peer, prefix, why })
+    this.#failing.add(failing)
   }
 }
 
--- a/daemon/peers/store_relay_test.ts
+++ b/daemon/peers/store_relay_test.ts
@@ -16,6 +16,11 @@
 const PREFIX = 'servers/'
 /** Grace period after its wait before an unanswered watch fails, as in the platform's client, in milliseconds. */
 const WATCH_GRACE_MS = 750
+/**
+ * Calls in 9 s by the two watchers and their four standbys: each one call for each wait of half the propagation limit, one more for each of the three
+ * changes, and two listings.
+ */
+const MAX_CALLS_IN_REFUSAL = 6 * (9 + 3 + 2)
 /** Time until all daemons know a fact that one of them gossips, in milliseconds. */
 const GOSSIP_MS = 100
 
@@ -30,6 +35,8 @@
   readonly era = new EraTracker()
   isCutOff = false
   isUnanswered = false
+  /** Calls of this daemon, with those that were refused. */
+  calls = 0
   readonly #store: StandInStore
 
   constructor (store: StandInStore) {
@@ -37,6 +44,7 @@
   }
 
   async snapshot (prefix: string) {
+    this.calls++
     if (this.isCutOff) throw new StoreError('Cannot list: cut off', { failure: 'unsure' })
     const found = await this.#store.snapshot(prefix)
     this.era.checkAnswer(eraOf(found.version), `list ${prefix}`)
@@ -44,6 +52,7 @@
   }
 
   async changes (prefix: string, options: { after: StoreVersion, waitMs: number }) {
+    this.calls++
     if (this.isCutOff) throw new StoreError('Cannot watch: cut off', { failure: 'unsure' })
     this.era.checkContinues(options.after, `watch ${prefix}`)
     const givenUpAtMs = steadyNow() + options.waitMs + WATCH_GRACE_MS
@@ -72,7 +81,7 @@
       const links = this.network.join(member.id)
       await links.listen()
       const access = new StoreAccess(this.store)
-      const relay = new StoreRelay({ store: access, links, self: () => member, acceptingWork: () => members.filter(({ state }) => state === 'up'), hash, metrics: createMetrics(), propagationMs: PROPAGATION_MS })
+      const relay = new StoreRelay({ store: access, links, self: () => member, acceptingWork: () => members, hash, metrics: createMetrics(), propagationMs: PROPAGATION_MS })
       const follower = new StoreFollower({ store: relay.source(PREFIX), prefix: PREFIX, random: () => 0.5, waitMs: relay.watchWaitMs, onChange: (objects) => { node.keys = new Set(objects.keys()) } })
       const node: Node = { member, access, keys: new Set(), follower }
       follower.start()
@@ -90,11 +99,11 @@
   }
 
   /** Milliseconds until all the nodes know exactly these names. */
-  async timeUntilKnown (names: readonly string[], nodes = this.nodes): Promise<number> {
+  async timeUntilKnown (names: readonly string[], nodes = this.nodes, giveUpAtMs = steadyNow() + 20_000): Promise<number> {
     const startMs = steadyNow()
     const wanted = names.map((name) => PREFIX + name).sort().join()
     while (nodes.some(({ keys }) => [...keys].sort().join() !== wanted)) {
-      if (steadyNow() - startMs > 20_000) return Infinity
+      if (steadyNow() >= giveUpAtMs) return Infinity
       await vi.advanceTimersByTimeAsync(10)
     }
     return steadyNow() - startMs
@@ -105,6 +114,9 @@
     return changeSources(node.member, this.nodes.map(({ member }) => member), { hash })
   }
 
+  /** Calls of all daemons to the store, with those that were refused. */
+  get calls (): number { return this.nodes.reduce((sum, { access }) => sum + access.calls, 0) }
+
   /** Daemons that watch the store themselves. */
   get watchers (): Node[] {
     return this.nodes.filter((node) => this.sourcesOf(node).length === 0)
@@ -225,6 +237,33 @@
   expect((store.calls.watches - watches) / 2).toBeLessThanOrEqual(2.5)
 })
 
+/** How a refusal of a third of the daemons is spread: over all failure domains, or over one of three. */
+type Spread = 'all domains' | 'one domain'
+
+test.each<[Spread, number]>([['all domains', 68], ['one domain', 68], ['all domains', 195], ['one domain', 420]])('while the store refuses a third of the daemons, both watchers among them, the others do not call it one by one (%s, %i daemons)', async (spread, daemons) => {
+  // Guards against every daemon that finds both watchers without the store watching it itself: calls are paid, and grow with the fleet.
+  const { nodes, watchers } = await started(daemons, spread === 'one domain' ? 3 : 4)
+  const isRefused = ({ member }: Node, i: number) => spread === 'one domain' ? member.failureDomain === 'domain-0' : i % 3 === 0
+  for (const [i, node] of nodes.entries()) node.access.isCutOff = watchers.includes(node) || isRefused(node, i)
+  const before = fleet.calls
+  const startMs = steadyNow()
+  const names = ['a']
+  const arrivalsMs: number[] = []
+  for (let change = 1; change <= 3; change++) {
+    names.push(`change-${change}`)
+    await fleet.write(names.at(-1)!)
+    arrivalsMs.push(await fleet.timeUntilKnown(names, nodes, startMs + change * 3000))
+    await vi.advanceTimersByTimeAsync(startMs + change * 3000 - steadyNow())
+  }
+  expect(Math.max(...arrivalsMs)).toBeLessThanOrEqual(PROPAGATION_MS)
+  expect(fleet.calls - before).toBeLessThanOrEqual(MAX_CALLS_IN_REFUSAL)
+  for (const { access } of nodes) access.isCutOff = false
+  await vi.advanceTimersByTimeAsync(3000)
+  const returned = fleet.calls
+  await vi.advanceTimersByTimeAsync(5000)
+  expect((fleet.calls - returned) / 5).toBeLessThanOrEqual(3)
+}, 120_000)
+
 /** Changes objects after a copy of the store was taken, and has the store return to it; revisions are given out again up to `reused` more than were lost. */
 async function returnWithout (fleet: Fleet, { reused = 0, cut = true } = {}): Promise<void> {
   const { store } = fleet
--- a/standins/network.ts
+++ b/standins/network.ts
@@ -162,7 +162,11 @@
       const timer = setTimeout(() => { done(); reject(new PeerError('Cannot ask daemon: no answer', { notSent: false })) }, options.timeoutMs ?? CALL_TIMEOUT_MS)
       const lost = () => { done(); reject(new PeerError('Cannot ask daemon: connection lost', { notSent: false })) }
       const stop = this.#network.trackCall(this.id, peer.id, lost)
-      const done = () => { clearTimeout(timer); stop() }
+      const done = () => {
+        clearTimeout(timer)
+        stop()
+        peer.#closeController.signal.removeEventListener('abort', lost)
+      }
       peer.#closeController.signal.addEventListener('abort', lost, { once: true })
       const connected = () => !this.#closed && this.#network.reach(this.id, to.address) !== undefined && this.#network.carries(this.id, peer.id)
       const part = (value: unknown) => { const copy = structuredClone(value); this.#afterLatency(() => { if (connected()) options.part?.(copy) }) }
