Choose watchers of the store in each region

Cause: watchers and relays were ranked over all daemons, so that daemons of one region asked those of the other across the link.

Change: each region has two watchers, standbys and relays of its own, by the topology. If the store serves none of these, the watchers of the region ask those of the other, and the rest of the region waits for that before it says that the store is lost. One region: as before.

--- a/core/relay/change_sources.ts
+++ b/core/relay/change_sources.ts
@@ -1,16 +1,19 @@
 /** Selects the daemons from which a daemon gets changes of the store. */
-import type { DaemonId } from '../ids/index.ts'
+import type { DaemonId, Region } from '../ids/index.ts'
 import { rankedFor, type Member } from '../membership/index.ts'
 import type { Hash32 } from '../routing/index.ts'
+import type { Topology } from '../topology/index.ts'
 
 /** Options of {@linkcode changeSources}. */
 export interface ChangeSourcesOptions {
   hash: Hash32
+  /** Regions as seen by the daemon that asks. Default: all daemons are in one region. */
+  topology?: Pick<Topology, 'isLocal' | 'regionOf'>
 }
 
 /** Key for ranking the daemons that watch the store. */
 const WATCH_JOB = 'store-watch'
-/** Number of daemons that watch the store directly. One continues while the other is cut off; more would cost more calls, which the store counts. */
+/** Number of daemons of a region that watch the store directly. One continues while the other is cut off; more would cost more calls, which the store counts. */
 const WATCHER_COUNT = 2
 /** Minimum number of relays in a failure domain: daemons that ask the watchers on behalf of the others there. */
 const MIN_RELAYS = 2
@@ -29,6 +32,8 @@
   direct: boolean
   /** True if its changes may be passed on to other daemons. */
   passedOn: boolean
+  /** True if it is in another region. */
+  far: boolean
 }
 
 /** How a daemon gets the changes of the store. */
@@ -46,14 +51,20 @@
  *
  * While no watcher has the store, the first standby that has it watches it: each asks the ones before it first. What a watcher or standby hears from the ones
  * after it, it does not pass on, since these ask it first.
+ *
+ * Each region has its own watchers and standbys, so that a change crosses to a region without the store once for each watcher. Only the watchers of a region
+ * without access to the store ask those of another one.
  * @param self This daemon.
  * @param working Daemons that accept new work, including this one.
  */
 export function sourcePlan (self: Member, working: readonly Member[], options: ChangeSourcesOptions): SourcePlan {
   const roles = selectRoles(working, options)
   const { watchers, standbys } = roles
-  const asked = (members: readonly Member[], how: Omit<ChangeSource, 'member'>) => members.filter(({ id }) => id !== self.id).map((member) => ({ member, ...how }))
-  if (includesId(watchers, self.id)) return { role: 'watcher', beforeStore: [], afterStore: asked([...watchers, ...standbys], { direct: true, passedOn: false }) }
+  const asked = (members: readonly Member[], how: Pick<ChangeSource, 'direct' | 'passedOn'>) => members.filter(({ id }) => id !== self.id).map((member) => ({ member, ...how, far: false }))
+  if (includesId(watchers, self.id)) {
+    const farWatchers = rotate(watchersElsewhere(working, options), options.hash(self.id)).map((member) => ({ member, direct: true, passedOn: true, far: true }))
+    return { role: 'watcher', beforeStore: [], afterStore: [...asked([...watchers, ...standbys], { direct: true, passedOn: false }), ...farWatchers] }
+  }
   const position = standbys.findIndex(({ id }) => id === self.id)
   const earlier = position < 0 ? standbys : standbys.slice(0, position)
   const beforeStore = [
@@ -68,7 +79,7 @@
  * Returns the daemons that this one asks first for changes of the store, in order of preference.
  *
  * If every daemon watched the store, its load would grow with the fleet: 420 daemons would make 420 calls for each change of one endpoint's entry. Only two
- * daemons watch it. In small fleets the others ask these two; in large fleets a few relays of each failure domain ask them and the rest ask the relays, so that
+ * daemons of a region watch it. In small fleets the others ask these two; in large fleets a few relays of each failure domain ask them and the rest ask the relays, so that
  * no daemon is asked by more than two or three dozen others.
  *
  * Every daemon computes this from the members that it knows. If two daemons know different members, one more daemon watches or asks, and no change is lost.
@@ -91,12 +102,24 @@
   return rotate(asksWatchersDirectly ? watchers : relays, hash(self.id))
 }
 
-function selectRoles (working: readonly Member[], { hash }: ChangeSourcesOptions): Roles {
-  const ranked = rankedFor(WATCH_JOB, working, hash)
+function selectRoles (working: readonly Member[], { hash, topology }: ChangeSourcesOptions): Roles {
+  const ranked = rankedFor(WATCH_JOB, topology ? working.filter(({ failureDomain }) => topology.isLocal(failureDomain)) : working, hash)
   const watchers = selectWatchers(ranked)
   return { ranked, watchers, standbys: selectStandbys(ranked.filter(({ id }) => !includesId(watchers, id))) }
 }
 
+/** Watchers of the other regions. */
+function watchersElsewhere (working: readonly Member[], { hash, topology }: ChangeSourcesOptions): Member[] {
+  if (!topology) return []
+  const byRegion = new Map<Region | undefined, Member[]>()
+  for (const member of working) {
+    if (topology.isLocal(member.failureDomain)) continue
+    const region = topology.regionOf(member.failureDomain)
+    byRegion.set(region, [...byRegion.get(region) ?? [], member])
+  }
+  return [...byRegion.values()].flatMap((members) => selectWatchers(rankedFor(WATCH_JOB, members, hash)))
+}
+
 /** Takes one daemon of each failure domain in turn: the store may refuse a whole domain. */
 function selectStandbys (ranked: readonly Member[]): Member[] {
   const selected: Member[] = []
--- a/core/relay/change_sources_test.ts
+++ b/core/relay/change_sources_test.ts
@@ -1,8 +1,9 @@
 import { expect, test } from 'vitest'
 import xxhash from 'xxhash-wasm'
-import { as, type DaemonId, type FailureDomain } from '../ids/index.ts'
+import { as, type DaemonId, type FailureDomain, type Region } from '../ids/index.ts'
 import type { Member } from '../membership/index.ts'
-import { changeSources } from './change_sources.ts'
+import { RegionTopology } from '../topology/index.ts'
+import { changeSources, sourcePlan } from './change_sources.ts'
 
 const { h32: hash } = await xxhash()
 
@@ -60,3 +61,29 @@
   const found = changeSources(members[7]!, left, { hash })
   expect(found.map(({ id }) => id)).not.toContain(first!.id)
 })
+
+test('standbys are the daemons ranked next, of different failure domains, and each asks the ones before it', () => {
+  const members = fleet(40, 5)
+  const plans = members.map((self) => ({ self, plan: sourcePlan(self, members, { hash }) }))
+  const standbys = plans.filter(({ plan }) => plan.role === 'standby')
+  expect(new Set(standbys.map(({ self }) => self.failureDomain)).size).toBe(4)
+  expect(standbys.map(({ plan }) => plan.beforeStore.length).sort()).toEqual([2, 3, 4, 5])
+  for (const { self, plan } of plans) for (const { member, direct } of plan.beforeStore) if (member.failureDomain !== self.failureDomain && !direct) expect(plans.find((other) => other.self === member)!.plan.role).toBe('watcher')
+})
+
+test.each([9, 67, 195, 420])('with two regions, each has watchers of its own and only these ask another region (%i daemons)', (daemons) => {
+  // Guards against each change crossing the link between regions once for each daemon or relay.
+  const members = fleet(daemons, 4)
+  const regions = new Map([0, 1, 2, 3].map((i) => [as<FailureDomain>(`domain-${i}`), as<Region>(i < 2 ? 'north' : 'south')]))
+  const plans = members.map((self) => {
+    const topology = new RegionTopology({ ownDomain: self.failureDomain, regions })
+    const plan = sourcePlan(self, members, { hash, topology })
+    return { self, plan, farSources: [...plan.beforeStore, ...plan.afterStore].filter(({ member }) => !topology.isLocal(member.failureDomain)) }
+  })
+  const watchers = plans.filter(({ plan }) => plan.role === 'watcher')
+  expect(watchers.map(({ self }) => self.failureDomain).sort()).toEqual(['domain-0', 'domain-1', 'domain-2', 'domain-3'])
+  for (const { plan, farSources } of plans) {
+    expect(farSources.every(({ far, direct }) => far && direct)).toBe(true)
+    expect(farSources.length).toBe(plan.role === 'watcher' ? 2 : 0)
+  }
+})
--- a/daemon/exchange/_proxy_components.ts
+++ b/daemon/exchange/_proxy_components.ts
@@ -151,12 +151,13 @@
     })).singleton(),
     fleet: asFunction(({ membership }: ProxyComponents) => new FleetSize(membership)).singleton(),
     tallies: asFunction(({ self, membership }: ProxyComponents) => new TallyTask({ self, membership })).singleton(),
-    relay: asFunction(({ membership, links, metrics }: ProxyComponents) => new StoreRelay({
+    relay: asFunction(({ membership, links, topology, metrics }: ProxyComponents) => new StoreRelay({
       store: platform.store,
       links,
       self: () => membership.core.self,
       acceptingWork: () => membership.acceptingWork,
       hash,
+      topology,
       metrics,
       propagationMs: settings.registry.leavingMs
     })).singleton(),
--- a/daemon/peers/_followed_prefix.ts
+++ b/daemon/peers/_followed_prefix.ts
@@ -1,7 +1,7 @@
 /** One followed prefix of the store: gets its changes from other daemons or the store, and serves them to others. */
 import type { ChangeSource, SourcePlan } from '../../core/relay/index.ts'
 import { eraOf, formatVersion, NO_VERSION, type StoreVersion } from '../../core/store_version/index.ts'
-import { steadyNow, Waiters } from '../../core/time/index.ts'
+import { delay, steadyNow, Waiters } from '../../core/time/index.ts'
 import { ChangeLog, type EraTracker, isStoreFailure, StoreError, type Changes, type ObjectSource, type Snapshot } from '../../store/index.ts'
 
 /** `ageMs`: time since the store itself last answered, directly or through other daemons, in milliseconds. */
@@ -24,6 +24,8 @@
   takeoverMs: number
   /** How long a watcher or standby that the store did not serve relies on others before it asks the store again, in milliseconds. */
   storeRetryMs: number
+  /** How long the watchers of this region may take to reach those of another one, in milliseconds; 0 if there is only one region. */
+  farTakeoverMs: number
   plan (): SourcePlan
   /** Asks other daemons; undefined if none has changes to serve. */
   fetchChanges (after: StoreVersion, sources: readonly ChangeSource[]): Promise<RelayedChanges | undefined>
@@ -88,18 +90,26 @@
   get #isStoreFailing (): boolean { return steadyNow() - this.#storeFailedAtMs < this.#options.storeRetryMs }
 
   /**
-   * Asks the daemons that were not reached in time before: the store may refuse this daemon and serve them. A watcher or standby first tells the daemons that
-   * ask it, since one of those takes over.
+   * Asks the daemons that were not reached in time before: the store may refuse this daemon and serve them. A watcher or standby that just lost it first tells
+   * the daemons that ask it, since one of those takes over.
    */
   async #fetchAfterFailure (after: StoreVersion, err: unknown): Promise<RelayedChanges | undefined> {
     const { role, afterStore } = this.#options.plan()
     if (isOutage(err)) this.#storeFailedAtMs = steadyNow()
-    if (role !== 'follower') this.#recordFailure(err)
-    const relayed = await this.#options.fetchChanges(after, afterStore)
+    if (role !== 'follower' && this.#directAtMs !== undefined) this.#recordFailure(err)
+    const relayed = await this.#options.fetchChanges(after, afterStore) ?? await this.#fetchAfterFarTakeover(after, role)
     if (!relayed) this.#recordFailure(err)
     return relayed
   }
 
+  /** The watchers of this region turn to those of another one only when none here has the store. */
+  async #fetchAfterFarTakeover (after: StoreVersion, role: SourcePlan['role']): Promise<RelayedChanges | undefined> {
+    const { farTakeoverMs, plan, fetchChanges } = this.#options
+    if (farTakeoverMs === 0 || role === 'watcher') return undefined
+    await delay(farTakeoverMs)
+    return await fetchChanges(after, plan().afterStore)
+  }
+
   #applyRelayed ({ response, passedOn }: RelayedChanges): Changes {
     if (response.whole === true) this.#log.applyListing(response)
     else this.#log.changed(response)
@@ -117,7 +127,7 @@
   async answerDirect (after: StoreVersion, waitMs: number): Promise<ChangesResponse> {
     const deadlineMs = steadyNow() + waitMs
     const takeoverUntilMs = steadyNow() + Math.min(waitMs, this.#options.takeoverMs)
-    while (!this.#isDirect && this.#freshAtMs !== undefined && steadyNow() < takeoverUntilMs) await this.#waiters.wait(takeoverUntilMs - steadyNow())
+    while (!this.#isDirect && this.#freshAtMs !== undefined && !this.#isStoreFailing && steadyNow() < takeoverUntilMs) await this.#waiters.wait(takeoverUntilMs - steadyNow())
     return await this.#answer(after, deadlineMs, () => this.#checkDirect())
   }
 
--- a/daemon/peers/store_relay.ts
+++ b/daemon/peers/store_relay.ts
@@ -5,6 +5,7 @@
 import type { Hash32 } from '../../core/routing/index.ts'
 import { eraOf, formatVersion, type StoreVersion } from '../../core/store_version/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
+import type { Topology } from '../../core/topology/index.ts'
 import type { Changes, ObjectSource } from '../../store/index.ts'
 import { log } from '../log/index.ts'
 import type { Metrics } from '../metrics.ts'
@@ -20,6 +21,8 @@
   /** Daemons that accept new work, including this one; the same list until it changes. */
   acceptingWork (): readonly Member[]
   hash: Hash32
+  /** Regions as seen by this daemon. Default: all daemons are in one region. */
+  topology?: Pick<Topology, 'isLocal' | 'regionOf' | 'hasRegions'>
   metrics: Metrics
   /** Time limit for a change to reach every daemon, in milliseconds: an endpoint that left may get new work for this long. */
   propagationMs: number
@@ -55,6 +58,11 @@
  * known only when little of the limit is left, and the store is asked after them.
  */
 const STANDBY_FRACTION = 1 / 16
+/**
+ * Fraction of the propagation limit for which the watchers of another region are tried together, twice the round trip of 40 ms at the least. They are asked only
+ * after the store failed, so that it delays no change that this daemon could have read itself.
+ */
+const FAR_FRACTION = 1 / 8
 const CHANGES_METHOD = 'store-changes'
 
 /** Exchanges store changes with other daemons; one instance serves all prefixes that a daemon follows. */
@@ -92,6 +100,7 @@
       maxDirectAgeMs: propagationMs * MAX_DIRECT_AGE_FRACTION,
       takeoverMs: propagationMs * STANDBY_FRACTION / 2,
       storeRetryMs: propagationMs * WATCH_WAIT_FRACTION,
+      farTakeoverMs: this.#options.topology?.hasRegions === true ? propagationMs * (STANDBY_FRACTION + FAR_FRACTION) : 0,
       plan: () => this.#plan(),
       fetchChanges: (after, sources) => this.#fetchChanges({ prefix, after }, sources)
     })
@@ -109,15 +118,19 @@
   async #fetchChanges ({ prefix, after }: { prefix: string, after: StoreVersion }, sources: readonly ChangeSource[]): Promise<RelayedChanges | undefined> {
     const { propagationMs, store } = this.#options
     const deadlineMs = steadyNow() + propagationMs * REQUEST_TIMEOUT_FRACTION
-    let standbysMs = propagationMs * STANDBY_FRACTION
-    for (const { member, direct, passedOn } of sources) {
+    const triedMs = { near: propagationMs * STANDBY_FRACTION, far: propagationMs * FAR_FRACTION }
+    const current = this.#directSources.get(prefix)
+    // One that watches the store and is followed already goes before others that would first have to take over.
+    const ordered = [...sources.filter(({ direct }) => !direct), ...sources.filter(({ direct, member }) => direct && member.id === current), ...sources.filter(({ direct, member }) => direct && member.id !== current)]
+    for (const { member, direct, passedOn, far } of ordered) {
       if (this.#isSkipped(member)) continue
       const startMs = steadyNow()
-      const isTried = direct && (this.#directSources.get(prefix) !== member.id || startMs >= deadlineMs)
-      const remainingMs = isTried ? standbysMs : deadlineMs - startMs
+      const isTried = direct && (current !== member.id || startMs >= deadlineMs)
+      const distance = far ? 'far' : 'near'
+      const remainingMs = isTried ? triedMs[distance] : deadlineMs - startMs
       if (remainingMs <= 0) continue
       const response = await this.#fetchChangesFrom(member, { prefix, after, era: store.era.current, waitMs: remainingMs / 2, ...(direct && { direct }) }, remainingMs)
-      if (isTried) standbysMs -= steadyNow() - startMs
+      if (isTried) triedMs[distance] -= steadyNow() - startMs
       if (!response) continue
       if (direct) this.#directSources.set(prefix, member.id)
       else this.#directSources.delete(prefix)
@@ -135,9 +148,9 @@
 
   /** Computed once for each change of the members: ranking hundreds of them for each call would be the dearest part of it. */
   #plan (): SourcePlan {
-    const { self, acceptingWork, hash } = this.#options
+    const { self, acceptingWork, hash, topology } = this.#options
     const working = acceptingWork()
-    if (this.#planned?.working !== working) this.#planned = { working, plan: sourcePlan(self(), working, { hash }) }
+    if (this.#planned?.working !== working) this.#planned = { working, plan: sourcePlan(self(), working, { hash, ...(topology && { topology }) }) }
     return this.#planned.plan
   }
 
--- a/standins/network.ts
+++ b/standins/network.ts
@@ -10,14 +10,17 @@
 
 /** Network that connects the daemons of one session. */
 export class StandInNetwork {
-  readonly latencyMs: number
+  /** Latency of a message between two daemons, in milliseconds. */
+  readonly latencyMs: (from: DaemonId, to: DaemonId) => number
+  /** Called with each message that is sent. */
+  onMessage: (from: DaemonId, to: DaemonId) => void = () => {}
   readonly #nodes = new Map<string, StandInLinks>()
   readonly #partitions = new Set<string>()
   readonly #silent = new Set<DaemonId>()
   readonly #calls = new Map<string, Set<() => void>>()
 
-  constructor (options: { latencyMs?: number } = {}) {
-    this.latencyMs = options.latencyMs ?? 1
+  constructor ({ latencyMs = 1 }: { latencyMs?: number | ((from: DaemonId, to: DaemonId) => number) } = {}) {
+    this.latencyMs = typeof latencyMs === 'number' ? () => latencyMs : latencyMs
   }
 
   /** Creates the links of one daemon. */
@@ -119,7 +122,7 @@
     const address = this.#addresses.get(to)
     if (address === undefined) return
     const copy = structuredClone(gossip)
-    this.#afterLatency(() => {
+    this.#afterLatency(this.id, to, () => {
       const peer = this.#network.reach(this.id, address)
       if (peer && !this.#closed && this.#network.carries(this.id, peer.id)) peer.#receiveGossip(this, copy)
     })
@@ -141,7 +144,7 @@
     const address = this.#addresses.get(to)
     if (address === undefined || !this.#network.reach(this.id, address)) return false
     const copy = structuredClone(value)
-    this.#afterLatency(() => {
+    this.#afterLatency(this.id, to, () => {
       const peer = this.#network.reach(this.id, address)
       if (peer && !this.#closed && !peer.#closed && this.#network.carries(this.id, peer.id)) peer.#posts.get(topic)?.(copy as never, this.id)
     })
@@ -169,14 +172,14 @@
       }
       peer.#closeController.signal.addEventListener('abort', lost, { once: true })
       const connected = () => !this.#closed && this.#network.reach(this.id, to.address) !== undefined && this.#network.carries(this.id, peer.id)
-      const part = (value: unknown) => { const copy = structuredClone(value); this.#afterLatency(() => { if (connected()) options.part?.(copy) }) }
-      const settle = (act: () => void) => this.#afterLatency(() => {
+      const part = (value: unknown) => { const copy = structuredClone(value); this.#afterLatency(peer.id, this.id, () => { if (connected()) options.part?.(copy) }) }
+      const settle = (act: () => void) => this.#afterLatency(peer.id, this.id, () => {
         if (!connected()) return
         done()
         act()
       })
       const copy = structuredClone(args)
-      this.#afterLatency(() => {
+      this.#afterLatency(this.id, peer.id, () => {
         const answer = peer.#methods.get(method)
         if (!connected() || !answer) return
         answer(copy as never, { from: this.id, part, signal: this.#closeController.signal })
@@ -195,7 +198,7 @@
     this.#linked.add(address)
     this.#addresses.set(peer.id, address)
     peer.#addresses.set(this.id, this.#address)
-    this.#afterLatency(() => {
+    this.#afterLatency(this.id, peer.id, () => {
       this.#events.onLink(peer.id)
       peer.#events.onLink(this.id)
     })
@@ -207,8 +210,9 @@
     this.#events.onGossip(from.id, gossip)
   }
 
-  #afterLatency (act: () => void): void {
-    setTimeout(act, this.#network.latencyMs)
+  #afterLatency (from: DaemonId, to: DaemonId, act: () => void): void {
+    this.#network.onMessage(from, to)
+    setTimeout(act, this.#network.latencyMs(from, to))
   }
 }
 
