Wait longer for permits of a far keeper, and count bytes between regions

Cause: a request for a permit gave up after 50 ms, of which the round trip to a keeper in another region takes 40; and nothing showed what daemons of two regions say to each other.

Change: the round trip to a far keeper is added to the wait. peer_far_bytes_total counts the bytes between daemons of different regions, as part of peer_bytes_total. One region: as before.

--- a/daemon/exchange/_proxy_components.ts
+++ b/daemon/exchange/_proxy_components.ts
@@ -135,7 +135,12 @@
     random: asFunction(({ self }: ProxyComponents) => seededRandom(hash(self))).singleton(),
     metrics: asFunction(createMetrics).singleton(),
     topology: asFunction(() => new RegionTopology({ ownDomain: settings.failureDomain, regions: settings.regions })).singleton(),
-    links: asFunction(({ self, metrics }: ProxyComponents) => new PeerLinks({ self, secret: settings.peerSecret, metrics })).singleton(),
+    links: asFunction((cradle: ProxyComponents) => new PeerLinks({
+      self: cradle.self,
+      secret: settings.peerSecret,
+      metrics: cradle.metrics,
+      ...(cradle.topology.hasRegions && { isFar: (peer: DaemonId) => isInOtherRegion(peer, cradle) })
+    })).singleton(),
     membership: asFunction(({ self, links, topology, metrics, random }: ProxyComponents) => new MembershipTask({
       self,
       listen: settings.listen.peers,
@@ -171,7 +176,7 @@
     crashes: asFunction(({ metrics, client, confirmer, paths, table }: ProxyComponents) => new CrashWatch({ metrics, poolSize: (pool) => table.usable(pool).length, dial: (view) => paths.dial(view), confirm: (view) => confirmer.confirm(view), isConnected: (view) => client.isConnected(view) })).singleton(),
     quarantine: asFunction(({ crashes, membership, metrics }: ProxyComponents) => new QuarantineTask({ crashes, membership, metrics })).singleton(),
     archive: asFunction(({ membership, quarantine }: ProxyComponents) => new QuarantineArchive({ store: platform.store, quarantine, maintainsArchive: () => membership.isFirstFor('quarantine') })).singleton(),
-    endpointLimits: asFunction(({ metrics, table }: ProxyComponents) => new EndpointLimits({ metrics, isListed: (id) => table.get(id) !== undefined, listed: () => table.all })).singleton(),
+    endpointLimits: asFunction(({ metrics, table, limits }: ProxyComponents) => new EndpointLimits({ metrics, farKeeperMs: () => limits.farKeeperMs, isListed: (id) => table.get(id) !== undefined, listed: () => table.all })).singleton(),
     endpointLimitTask: asFunction(({ self, membership, endpointLimits, limits, dispatcher }: ProxyComponents) => new EndpointLimitTask({ self, membership, limits: endpointLimits, accounts: limits, queued: (pool) => dispatcher.queuedByUrgency(pool) })).singleton(),
     signals: asFunction(({ table, endpointLimits, metrics, random }: ProxyComponents) => new EndpointSignalRecorder({ table, limits: endpointLimits, metrics, random })).singleton(),
     loads: asFunction(({ self, membership, table, limits, endpointLimitTask }: ProxyComponents) => new LoadTask({ self, membership, table, limits, onReport: (from) => endpointLimitTask.sendLimits(from) })).singleton(),
@@ -293,6 +298,11 @@
   return components
 }
 
+function isInOtherRegion (peer: DaemonId, { membership, topology }: ProxyComponents): boolean {
+  const member = membership.core.member(peer)
+  return member !== undefined && !topology.isLocal(member.failureDomain)
+}
+
 function proxyStatus ({ self, server, config, dispatcher, table, membership, metrics, quarantine, rollouts }: ProxyComponents): Promise<StatusReport> {
   const inForce = config.inForce
   const classes = new Map(inForce?.routes.map(({ cls }) => [cls.name, cls]))
--- a/daemon/limits/account_limits.ts
+++ b/daemon/limits/account_limits.ts
@@ -130,6 +130,12 @@
   /** The daemon chosen as keeper; undefined if this daemon counts itself. */
   get keeper (): DaemonId | undefined { return this.#chosenId }
 
+  /** Round trip to the keeper if it is in another region, in milliseconds; 0 otherwise. */
+  get farKeeperMs (): number {
+    const keeper = this.#chosenId === undefined ? undefined : this.#options.membership.core.member(this.#chosenId)
+    return keeper ? this.#farMs(keeper) : 0
+  }
+
   /** Part of all daemons for which this one is the keeper, in [0, 1]. */
   get keeperShare (): number {
     const { now, all } = this.#keeperInput()
@@ -196,7 +202,7 @@
   async #ask (ask: QuotaRequest): Promise<{ grant: QuotaDecision, from: DaemonId | undefined }> {
     const keeper = this.#chosenId
     if (keeper === undefined) return { grant: this.#askLocal(ask), from: undefined }
-    if (!this.#isFar(keeper)) return await this.#queueAsk(ask)
+    if (this.farKeeperMs === 0) return await this.#queueAsk(ask)
     const [account, cost] = ask
     const now = steadyNow()
     const isCovered = this.#stock.take(account, cost, now)
@@ -225,9 +231,9 @@
     return result
   }
 
-  #isFar (keeper: DaemonId): boolean {
-    const member = this.#options.membership.core.member(keeper)
-    return member !== undefined && this.#options.topology?.isLocal(member.failureDomain) === false
+  #farMs ({ failureDomain }: Member): number {
+    const { topology } = this.#options
+    return topology === undefined || topology.isLocal(failureDomain) ? 0 : topology.roundTripMs(failureDomain)
   }
 
   /** Answers a daemon's request for quota. What is drawn ahead counts as granted from now on. */
@@ -255,10 +261,8 @@
 
   /** Asks the keeper. If it doesn't answer in time, its grants are lost from the quota if it made any, and the caller decides by this daemon's own share. */
   async #callKeeper (keeper: Member, asks: QuotaRequest[]): Promise<QuotaReply[] | undefined> {
-    const { membership, topology } = this.#options
-    const farMs = topology && !topology.isLocal(keeper.failureDomain) ? FAR_ROUND_TRIPS * topology.roundTripMs(keeper.failureDomain) : 0
     try {
-      return await membership.links.call(keeper, ASK, asks, { timeoutMs: ASK_TIMEOUT_MS + farMs }) as QuotaReply[]
+      return await this.#options.membership.links.call(keeper, ASK, asks, { timeoutMs: ASK_TIMEOUT_MS + FAR_ROUND_TRIPS * this.#farMs(keeper) }) as QuotaReply[]
     } catch (err) {
       log('keeper-silent', { keeper: keeper.id, requests: asks.length, why: (err as Error).message })
       this.#connect(keeper)
--- a/daemon/limits/endpoint_limit_task_test.ts
+++ b/daemon/limits/endpoint_limit_task_test.ts
@@ -238,3 +238,15 @@
   limits.answered(ENDPOINT, { perS: 2 }, 0)
   expect(limits.isLimited({ id: as<EndpointId>('later-start'), pool: POOL })).toBe(false)
 })
+
+test('a request waits for a permit of a keeper in another region for a round trip longer', async () => {
+  // Guards against requests that go elsewhere just before each permit arrives.
+  fleet = new Fleet()
+  const limits = new EndpointLimits({ metrics: createMetrics(), isListed: () => true, farKeeperMs: () => 40 })
+  let granted: boolean | undefined
+  limits.ask(POOL, false)!.then((result) => { granted = result })
+  await vi.advanceTimersByTimeAsync(85)
+  expect(granted).toBeUndefined()
+  await vi.advanceTimersByTimeAsync(10)
+  expect(granted).toBe(false)
+})
--- a/daemon/limits/endpoint_limits.ts
+++ b/daemon/limits/endpoint_limits.ts
@@ -17,6 +17,8 @@
   isListed (endpoint: EndpointId): boolean
   /** Returns all endpoints that are listed. Default: none, so that no endpoint counts as fragile. */
   listed?: () => readonly EndpointView[]
+  /** Round trip to the keeper if it is in another region, in milliseconds. Default 0. */
+  farKeeperMs?: () => number
 }
 
 type EndpointRef = Pick<EndpointView, 'id' | 'pool'>
@@ -29,7 +31,7 @@
 /** Time for which the list of fragile endpoints is used, in milliseconds; endpoints that are listed meanwhile are missing from it. */
 const FRAGILE_LIST_TTL_MS = 100
 const NO_ENDPOINTS: readonly FragileEndpoint[] = []
-/** Time after which a request that asked for a permit goes elsewhere, in milliseconds: several round trips to the keeper. */
+/** Time after which a request that asked for a permit goes elsewhere, in milliseconds: several round trips to a keeper in the region; a longer one is added. */
 const ASK_TIMEOUT_MS = 50
 
 /**
@@ -196,7 +198,7 @@
   ask (pool: PoolName, urgent: boolean): Promise<boolean> | undefined {
     if (this.waitMs(pool, urgent) > 0) return undefined
     return new Promise((resolve) => {
-      const timer = setTimeout(() => ask.resolve(false), ASK_TIMEOUT_MS)
+      const timer = setTimeout(() => ask.resolve(false), ASK_TIMEOUT_MS + (this.#options.farKeeperMs?.() ?? 0))
       const ask: PendingAsk = {
         pool,
         urgent,
--- a/daemon/metrics.ts
+++ b/daemon/metrics.ts
@@ -39,6 +39,7 @@
     orders: counter('orders_total', 'Orders for endpoints by result', ['result']),
     rolloutAnswers: counter('rollout_answers_total', 'Answers while a version was rolled out, by version; `failed` where an endpoint said so itself', ['pool', 'version', 'failed']),
     peerBytes: counter('peer_bytes_total', 'Bytes between daemons', ['direction']),
+    farPeerBytes: counter('peer_far_bytes_total', 'Bytes between daemons of different regions, which peer_bytes_total contains', ['direction']),
     peerMessages: counter('peer_messages_total', 'Messages between daemons, several of one moment counted as one', ['direction']),
     unknownPeerMessages: counter('peer_unknown_messages_total', 'Messages of a kind this version does not know'),
     handedOver: counter('handed_over_total', 'Streams handed to another daemon while draining'),
--- a/daemon/peers/peer_links.ts
+++ b/daemon/peers/peer_links.ts
@@ -26,6 +26,8 @@
   self: DaemonId
   secret: string
   metrics: Metrics
+  /** Whether a daemon is in another region. Default: none is. */
+  isFar? (peer: DaemonId): boolean
 }
 
 interface Link {
@@ -223,8 +225,7 @@
     socket.on('pong', () => this.#recordActivity(link))
     socket.on('message', (data: Buffer) => {
       this.#recordActivity(link)
-      this.#options.metrics.peerBytes.inc({ direction: 'in' }, data.length)
-      this.#options.metrics.peerMessages.inc({ direction: 'in' })
+      this.#countMessage(link, 'in', data.length)
       try {
         const unpacked = this.#packr.unpack(data) as PeerMessage | PeerMessage[]
         if (Array.isArray(unpacked)) unpacked.forEach((msg) => this.#dispatch(link, msg))
@@ -339,8 +340,14 @@
   #write (link: Link, msg: PeerMessage | PeerMessage[]): void {
     if (link.socket.readyState !== WebSocket.OPEN) return
     const data = this.#packr.pack(msg)
-    this.#options.metrics.peerBytes.inc({ direction: 'out' }, data.length)
-    this.#options.metrics.peerMessages.inc({ direction: 'out' })
+    this.#countMessage(link, 'out', data.length)
     link.socket.send(data, (err) => { if (err) log('peer-send-failed', { peer: link.peer ?? 'unidentified', why: err.message }) })
   }
+
+  #countMessage ({ peer }: Link, direction: 'in' | 'out', bytes: number): void {
+    const { metrics, isFar } = this.#options
+    metrics.peerBytes.inc({ direction }, bytes)
+    metrics.peerMessages.inc({ direction })
+    if (peer !== undefined && isFar?.(peer) === true) metrics.farPeerBytes.inc({ direction }, bytes)
+  }
 }
