Let a retry wait if another region could take it

Cause: a retry returned to the endpoint that failed it also where another region had room, but the own one was expected to have some sooner. Change: it returns only if the other region gave no endpoint. Its test failed before.

--- a/daemon/request/region_routing.ts
+++ b/daemon/request/region_routing.ts
@@ -70,6 +70,7 @@
       waitMs: canServe && !others.some(({ id }) => permitted.includes(id)) ? now - placement.acceptedAtMs + expectedMs : Infinity,
       roundTripMs: ({ view }: Route) => this.#roundTripMs(view)
     }
+    let far: Route | undefined
     const pickAvoiding = (avoid: EndpointId[]) => {
       const query = { ...options.query, avoid }
       let isOwnTried = false
@@ -85,13 +86,16 @@
         connected: () => pickOwn(candidates),
         // In a full region, an endpoint that seems free would be chosen by all daemons at once.
         ownRegion: () => (!isFull(load) ? pickOwn(own, this.#options.thorough) : mayCross ? undefined : pickOwn(own)),
-        otherRegions: () => (mayCross ? pick(query, others, { mayAsk: isOwnTried && !near }) : undefined)
+        otherRegions: () => {
+          far = mayCross ? pick(query, others, { mayAsk: isOwnTried && !near }) : undefined
+          return far
+        }
       }, preference)
     }
     const avoid = this.#toAvoid(placement, [...own, ...(mayCross ? others : [])].filter(canStart))
     let picked = pickAvoiding(avoid)
     // Endpoints that seemed a choice for a retry could not be used.
-    if (!picked && avoid.length > 0 && !onlyCrossing) picked = pickAvoiding(this.#toAvoid(placement, own.filter(isReady)))
+    if (!picked && !far && avoid.length > 0 && !onlyCrossing) picked = pickAvoiding(this.#toAvoid(placement, own.filter(isReady)))
     if (onlyCrossing && !picked?.crossing) return undefined
     return picked?.crossing === 'no-room' && own.length === 0 ? { ...picked, crossing: 'no-endpoint' } : picked
   }
--- a/daemon/request/region_routing_test.ts
+++ b/daemon/request/region_routing_test.ts
@@ -199,7 +199,7 @@
 })
 
 /** Starts a request every 10 ms, in the own region or, as long as it is full, the other one; then returns where the next is placed. */
-async function nextAfterStarts (at: 'n1-0' | 's1-0', beforeNext: (table: EndpointTable) => void): Promise<string | undefined> {
+async function nextAfterStarts (at: 'n1-0' | 's1-0', beforeNext: (table: EndpointTable) => void, change: Partial<Placement> = {}): Promise<string | undefined> {
   let left = 0
   const { table, place, dispatcher } = fixtureOf(['n1-0', 's1-0'], { crossing: { mayCross: () => left > 0, crossed: () => { left-- } } })
   fill(table, 'n1-0')
@@ -214,7 +214,7 @@
   expect(dispatcher.queued).toBe(0)
   beforeNext(table)
   left = 1
-  return place(NOT_URGENT)
+  return place({ ...NOT_URGENT, ...change })
 }
 
 test('a request does not wait for a region whose endpoints back off', async () => {
@@ -222,6 +222,10 @@
   expect(await nextAfterStarts('n1-0', (table) => { backOff(table, ['n1-0']) })).toBe('s1-0')
 })
 
+test('a retry waits for its region rather than return to the endpoint that failed it, if another region could take it', async () => {
+  expect(await nextAfterStarts('n1-0', (table) => { table.ended(as<EndpointId>('n1-0')) }, { avoid: [as<EndpointId>('n1-0')] })).toBeUndefined()
+})
+
 test('the expected wait for the own region counts only what starts there', async () => {
   expect(await nextAfterStarts('n1-0', () => {})).toBeUndefined()
   expect(await nextAfterStarts('s1-0', () => {})).toBe('s1-0')
