Add the move of one stream as a state machine

A stream that may run once moves by copying its KV cache, an order to stop, and one request with the handle. The machine sends that request only after the source has said that the run stopped, or is known not to run it.

10,000 random schedules (answers and orders lost, late or without sense, targets that die or are full, the source dead or cut off at any time): no stream ran twice, no event was missing or doubled.

--- /dev/null
+++ b/core/moves/index.ts
@@ -0,0 +1,2 @@
+export * from './link_estimator.ts'
+export * from './stream_move.ts'
--- /dev/null
+++ b/core/moves/stream_move_test.ts
@@ -0,0 +1,49 @@
+import fc from 'fast-check'
+import { expect, test } from 'vitest'
+import { seededRandom } from '../../daemon/seeded_random.ts'
+import { playMove, type WorldOptions, type WorldResult } from './_move_world.ts'
+
+const SCHEDULES = 10_000
+const SEED = 16
+
+const calm: Omit<WorldOptions, 'random'> = { noticeMs: 2500, total: 400, copyMs: 100, lossShare: 0, nonsenseShare: 0, lateShare: 0, targetDeathShare: 0, fullShare: 0, cutShare: 0 }
+const play = (change: Partial<WorldOptions> = {}, seed = 1) => playMove({ random: seededRandom(seed), ...calm, ...change })
+
+/** True if the caller got each event once and in order, and all of them if the stream ended whole. */
+function isSound ({ events, whole }: WorldResult, total: number): boolean {
+  return events.every((event, i) => event === i + 1) && (!whole || events.length === total)
+}
+
+const schedule = fc.record({
+  seed: fc.integer({ min: 1, max: 2 ** 31 - 1 }),
+  noticeMs: fc.integer({ min: 50, max: 4000 }),
+  total: fc.integer({ min: 1, max: 300 }),
+  copyMs: fc.integer({ min: 1, max: 800 }),
+  lossShare: fc.constantFrom(0, 0.1, 0.5, 0.7),
+  nonsenseShare: fc.constantFrom(0, 0.1, 0.5),
+  lateShare: fc.constantFrom(0, 0.1, 0.5),
+  targetDeathShare: fc.constantFrom(0, 0.2, 0.8),
+  fullShare: fc.constantFrom(0, 0.2, 0.8),
+  cutShare: fc.constantFrom(0, 0.5)
+})
+
+test('a stream never runs at two endpoints, and no event is missing or doubled', () => {
+  fc.assert(fc.property(schedule, ({ seed, ...options }) => {
+    const result = play(options, seed)
+    expect(result.doubled).toBe(false)
+    expect(isSound(result, options.total)).toBe(true)
+  }), { numRuns: SCHEDULES, seed: SEED })
+}, 120_000)
+
+test('nearly all streams that fit the notice end whole although calls are lost and targets die or are full', () => {
+  const random = seededRandom(SEED)
+  const results = Array.from({ length: 2000 }, (_, i) => play({ total: 20 + Math.floor(random() * 300), copyMs: 1 + random() * 300, lossShare: 0.05, nonsenseShare: 0.02, lateShare: 0.05, targetDeathShare: 0.05, fullShare: 0.1 }, Math.floor(random() * 2 ** 31)))
+  const kept = results.filter(({ lostAfterMove }) => !lostAfterMove)
+  expect(kept.filter(({ whole }) => whole).length).toBeGreaterThanOrEqual(0.95 * kept.length)
+  expect(kept.length).toBeGreaterThanOrEqual(0.9 * results.length)
+}, 60_000)
+
+test('a stream moves, and the source is left with nothing', () => {
+  const { whole, state } = play()
+  expect([whole, state.outcome, state.orders, state.continuations]).toEqual([true, 'moved', 1, 1])
+})
