Move streams that may run once off endpoints that leave

A stream that cannot be resumed was lost with its endpoint when it had more to do than the notice allowed; its caller saw an answer that breaks off.

Until the source has said that the run stopped, or is known to be gone, it goes on nowhere. An import is the same run: it uses up no attempt and nothing of the retry budget; what cannot be resumed never begins anew once it has run, whatever the target's refusal says.

--- a/core/moves/stream_move.ts
+++ b/core/moves/stream_move.ts
@@ -33,6 +33,8 @@
   readonly alternatives: readonly EndpointId[]
   /** A copy that was made while the run went on; it may be used only once the run is known to have stopped. */
   readonly prepared: { readonly target: EndpointId, readonly handle: KvHandle } | undefined
+  /** False once the stream may have ended whole, so that a run must not go on from the prepared copy. */
+  readonly canUsePrepared: boolean
   /** Set once the source has confirmed that the run has stopped. */
   readonly stopped: { readonly handle: KvHandle, readonly events: number } | undefined
   /** True if the last copy is complete at the target. */
@@ -71,8 +73,8 @@
   | { type: 'answer', result: OrderResult }
   /** Events of the source's stream were passed on; `position` is their number from the start of the stream. */
   | { type: 'passed-on', position: number }
-  /** The source's stream was closed without its end. */
-  | { type: 'closed' }
+  /** The source's stream was closed without its end. `mayBeWhole`: it has no length, so that this may have been its end. Default: false. */
+  | { type: 'closed', mayBeWhole?: boolean }
   /** The stream ended whole, or its request ended otherwise. */
   | { type: 'ended', whole: boolean }
   /** `stopped` is true only if the source certainly does not run the stream any more. */
@@ -123,7 +125,7 @@
 /** Returns the state of a move that has not begun. */
 export function newMove ({ source, targets, position }: NewMoveOptions): MoveState {
   const [target, ...alternatives] = targets
-  return { phase: 'preparing', source, target: target!, alternatives, prepared: undefined, stopped: undefined, copied: false, copies: 0, orders: 0, continuations: 0, closed: false, position, at: undefined, outcome: undefined }
+  return { phase: 'preparing', source, target: target!, alternatives, prepared: undefined, canUsePrepared: true, stopped: undefined, copied: false, copies: 0, orders: 0, continuations: 0, closed: false, position, at: undefined, outcome: undefined }
 }
 
 /** Returns true if the end of the source's connection may be due to an order to stop, so that it must not count as the end of the stream. */
@@ -143,7 +145,7 @@
     case 'begin': return prepare(state)
     case 'answer': return state.phase === 'preparing' ? prepared(state, msg.result) : ordered(state, msg.result)
     case 'passed-on': return passedOn(state, msg.position)
-    case 'closed': return closed(state)
+    case 'closed': return closed(state, msg.mayBeWhole)
     case 'ended': return finish(state, msg.whole ? 'ended-at-source' : 'cancelled')
     case 'checked': return checked(state, msg.stopped)
     case 'timer': return timer(state)
@@ -212,8 +214,8 @@
   return state.phase === 'draining' && next.position >= next.stopped!.events ? continueStream(next) : unchanged(next)
 }
 
-function closed (state: MoveState): MoveStep {
-  const next = { ...state, closed: true }
+function closed (state: MoveState, mayBeWhole = false): MoveStep {
+  const next = { ...state, closed: true, canUsePrepared: state.canUsePrepared && !mayBeWhole }
   switch (state.phase) {
     case 'preparing':
     case 'repeating': return finish(next, 'given-up')
@@ -225,7 +227,7 @@
 }
 
 function check (state: MoveState): MoveStep {
-  return state.prepared ? { state: { ...state, phase: 'checking' }, effects: [{ type: 'check' }] } : finish(state, 'given-up')
+  return state.prepared && state.canUsePrepared ? { state: { ...state, phase: 'checking' }, effects: [{ type: 'check' }] } : finish(state, 'given-up')
 }
 
 function checked (state: MoveState, stopped: boolean): MoveStep {
--- a/core/reclaim/joint_planner.ts
+++ b/core/reclaim/joint_planner.ts
@@ -50,7 +50,7 @@
       unplaced.delete(stream)
       placements.push(placement)
     }
-    for (const stream of sortByDeadline(unplaced)) placements.push(placeGreedily(stream, 'prefill', targets, capacity, problem) ?? holdPlacement(stream, problem))
+    for (const stream of sortByDeadline(unplaced)) placements.push(placeWithoutExport(stream, targets, capacity, problem))
     if (placements.length <= MAX_STREAMS_TO_IMPROVE) improvePlan(placements, capacity, problem, this.#maxEvaluations)
     return [...finishing.map((stream): Directive => ({ stream: stream.id, action: 'finish' })), ...placements.map(({ directive }) => directive)]
   }
@@ -129,6 +129,11 @@
   return best
 }
 
+function placeWithoutExport (stream: AffectedStream, targets: readonly Target[], capacity: CapacityTracker, problem: ReclaimProblem): Placement {
+  const resumed = stream.lossTokens === undefined ? placeGreedily(stream, 'prefill', targets, capacity, problem) : undefined
+  return resumed ?? holdPlacement(stream, problem)
+}
+
 function holdPlacement (stream: AffectedStream, problem: ReclaimProblem): Placement {
   const directive: Directive = { stream: stream.id, action: 'hold' }
   return { stream, directive, price: directivePrice(stream, directive, problem) }
--- a/core/reclaim/problem.ts
+++ b/core/reclaim/problem.ts
@@ -13,6 +13,8 @@
   deadlineInMs: number
   /** False for a plain-service call, which is never moved. */
   movable: boolean
+  /** Price of losing the stream, in recomputed tokens, if it may not be recomputed: it finishes, is imported, or is lost. Default: it may be. */
+  lossTokens?: number
   /** Prompt tokens in each target's prefix cache. */
   cachedTokens: ReadonlyMap<EndpointId, number>
 }
@@ -115,6 +117,7 @@
 /** Returns the total price of a directive: recomputation, the rest of the run, and the penalty for a missed deadline. */
 export function directivePrice (stream: AffectedStream, directive: Directive, problem: ReclaimProblem): number {
   if (directive.action === 'finish') return 0
+  if (directive.action !== 'import' && stream.lossTokens !== undefined) return stream.lossTokens * problem.weights.recomputedToken
   if (directive.action === 'hold') return holdPrice(stream, problem)
   const target = problem.targets.get(directive.target)!
   const recomputedTokens = directive.action === 'prefill' ? prefillTokens(stream, target) : 0
@@ -177,7 +180,7 @@
     totals.feasible &&= stream.movable
     if (directive.action === 'hold') {
       totals.held++
-      totals.recomputedTokens += stream.kvTokens
+      totals.recomputedTokens += stream.lossTokens === undefined ? stream.kvTokens : 0
       continue
     }
     const target = problem.targets.get(directive.target)!
--- a/core/reclaim/reclaim_test.ts
+++ b/core/reclaim/reclaim_test.ts
@@ -120,3 +120,16 @@
   expect(totals.joint).toBeLessThanOrEqual(totals.optimum * 1.1)
   expect(totals.joint).toBeLessThan(totals.prefillOnly)
 })
+
+test('streams that would be lost are exported first, and are never resumed by prefill', () => {
+  const streams = [stream('lost', { kvTokens: 1500, lossTokens: 5000 }), stream('resumable', { kvTokens: 1500 }), stream('too-large', { kvTokens: 90_000, lossTokens: 100_000 })]
+  const plan = new JointPlanner().plan(problemOf(streams, [source('s')], [target('t')]))
+  expect(actions(plan)).toEqual({ lost: 'import', resumable: 'prefill', 'too-large': 'hold' })
+})
+
+test('of streams that would be lost, those with the most value for their time on the link are exported', () => {
+  const streams = Array.from({ length: 4 }, (_, i) => stream(`cheap-${i}`, { kvTokens: 1500, lossTokens: 2000 }))
+  const worthy = [stream('worthy-1', { kvTokens: 900, lossTokens: 6000 }), stream('worthy-2', { kvTokens: 900, lossTokens: 6000 })]
+  const plan = new JointPlanner().plan(problemOf([...streams, ...worthy], [source('s')], [target('t', { freeSlots: 8 })]))
+  expect(plan.filter(({ action }) => action === 'import').map(({ stream }) => stream).sort()).toEqual(['worthy-1', 'worthy-2'])
+})
--- a/core/request/lifecycle.ts
+++ b/core/request/lifecycle.ts
@@ -152,7 +152,9 @@
  */
 export function canRetry (state: RequestState, point: FailurePoint, reached = reachedEndpoint(point) ? 1 : 0): boolean {
   const sent = state.sent + reached
-  return sent < state.traits.maxAttempts && (outcomeAt(point) === 'not-run' || state.traits.idempotent)
+  // The run of a stream that cannot be resumed goes on with its KV cache or not at all.
+  const isOver = state.mayHaveRun && !state.traits.movable
+  return sent < state.traits.maxAttempts && ((outcomeAt(point) === 'not-run' && !isOver) || state.traits.idempotent)
 }
 
 /** Number of unreachable endpoints after which further attempts are charged to the retry budget. */
@@ -172,10 +174,12 @@
 }
 
 function move (state: RequestState, msg: Extract<RequestMessage, { type: 'move' }>): Step {
-  if (state.phase !== 'running' || !state.traits.movable || state.endpoint === undefined) return unchanged(state)
+  const isImport = msg.mode === 'import'
+  if (state.phase !== 'running' || !(state.traits.movable || isImport) || state.endpoint === undefined) return unchanged(state)
   const stop: RequestEffect = { type: 'stop', endpoint: state.endpoint, attempt: state.attempt }
-  const moved: RequestState = { ...state, sent: state.sent + 1, mayHaveRun: true, avoid: [...state.avoid, state.endpoint] }
-  if (state.traits.idempotent || msg.mode === 'import') {
+  // An import is the same run: it uses up no attempt.
+  const moved: RequestState = { ...state, sent: state.sent + (isImport ? 0 : 1), mayHaveRun: true, avoid: [...state.avoid, state.endpoint] }
+  if (state.traits.idempotent || isImport) {
     const started = start({ ...moved, phase: 'placing' }, msg.endpoint, msg.mode)
     return { state: started.state, effects: [stop, ...started.effects] }
   }
--- a/core/request/lifecycle_test.ts
+++ b/core/request/lifecycle_test.ts
@@ -59,6 +59,21 @@
   expect(step(moved.state, { type: 'ended', attempt: 2 }, 0).state.outcome).toBe('answered')
 })
 
+test('a stream that cannot be resumed moves with its KV cache only, which uses up no attempt', () => {
+  const traits = { movable: false, maxAttempts: 2 }
+  const { state } = run(traits, RUNNING)
+  expect(step(state, { type: 'move', endpoint: B, mode: 'prefill' }, 0).effects).toEqual([])
+  const moved = step(state, { type: 'move', endpoint: B, mode: 'import' }, 0)
+  expect(moved.effects).toEqual([{ type: 'stop', endpoint: A, attempt: 1 }, { type: 'start', endpoint: B, attempt: 2, mode: 'import' }])
+  expect(moved.state).toMatchObject({ sent: 0, mayHaveRun: true })
+})
+
+test.each(FAILURE_POINTS)('a stream that cannot be resumed does not begin anew when its move fails at %s', (point) => {
+  // Guards against a second run: that the target did not run it says nothing of the source, which did.
+  const { state } = run({ movable: false }, [...RUNNING, { type: 'move', endpoint: B, mode: 'import' }, { type: 'failed', attempt: 2, point, retryGranted: true }])
+  expect([state.phase, state.outcome]).toEqual(['done', 'unknown'])
+})
+
 test('a plain-service call is never moved', () => {
   const { state } = run({ movable: false }, [...RUNNING, { type: 'move', endpoint: B, mode: 'prefill' }, { type: 'hold' }])
   expect(state).toMatchObject({ phase: 'running', endpoint: A })
--- a/daemon/endpoints/reclaimer.ts
+++ b/daemon/endpoints/reclaimer.ts
@@ -2,15 +2,16 @@
 import type { EndpointId } from '../../core/ids/index.ts'
 import {
   JointPlanner, NOTICE_MARGIN_MS, reclaimWeights, shareImports,
-  type Directive, type ReclaimPlanner, type ReclaimProblem, type Source, type Target, type AffectedStream
+  type Directive, type ReclaimPlanner, type ReclaimProblem, type Source, type AffectedStream
 } from '../../core/reclaim/index.ts'
 import type { Config } from '../../core/config/index.ts'
-import { availableAtMs, runningNow, type EndpointView, type PrefixIndex } from '../../core/routing/index.ts'
+import { availableAtMs, type EndpointView, type PrefixIndex } from '../../core/routing/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import type { ModelEngine } from '../../endpoints/index.ts'
 import type { EndpointTable } from './endpoint_table.ts'
 import type { Metrics } from '../metrics.ts'
 import type { RequestTask } from '../request/request_task.ts'
+import { sourceOf, targetOf } from './reclaim_problem.ts'
 
 /** Options of {@linkcode Reclaimer}. */
 export interface ReclaimerOptions {
@@ -28,8 +29,6 @@
   planner?: ReclaimPlanner
 }
 
-/** KV-cache capacity that is assumed per free batch slot, in tokens. */
-const KV_TOKENS_PER_SLOT = 16_384
 /** Delay before planning, in milliseconds, so that the notices of one reclaim wave, which arrive in several messages, are planned together. */
 const BATCH_DELAY_MS = 20
 
@@ -117,9 +116,9 @@
     const now = steadyNow()
     const pools = new Set(tasks.map((task) => task.work.pool))
     const usable = [...pools].flatMap((pool) => this.#options.table.candidates(pool)).filter((view) => availableAtMs(view) <= now)
-    const targets = shareImports(usable.map(targetOf), { sharers: this.#options.sharers(), random: this.#options.random })
+    const targets = shareImports(usable.map((view) => targetOf(view)), { sharers: this.#options.sharers(), random: this.#options.random })
     const sources = new Map<EndpointId, Source>()
-    for (const task of tasks) sources.set(task.runningAt!, this.#sourceOf(task.runningAt!, now))
+    for (const task of tasks) sources.set(task.runningAt!, sourceOf(this.#options.table.get(task.runningAt!)!, { noticeMs: this.#options.table.goneAtMs(task.runningAt!)! - now, roundingDraw: this.#options.random() }))
     const streams = tasks.map((task): AffectedStream => ({
       id: task.id,
       source: task.runningAt!,
@@ -131,35 +130,4 @@
     }))
     return { streams, sources, targets, weights: reclaimWeights(this.#options.wantsLeast(), targets.values()) }
   }
-
-  /** Describes a leaving endpoint. Other daemons plan for it independently, so each uses the share of the endpoint that its own streams take up. */
-  #sourceOf (id: EndpointId, now: number): Source {
-    const view = this.#options.table.get(id)!
-    const share = Math.min(1, view.own.running / Math.max(1, runningNow(view)))
-    const { speed } = view
-    return {
-      id,
-      noticeMs: this.#options.table.goneAtMs(id)! - now,
-      exportTokensPerS: speed.exportTokensPerS,
-      share,
-      roundingDraw: this.#options.random(),
-      betweenTokensMs: speed.betweenTokensMs + speed.betweenTokensPerStreamMs * runningNow(view)
-    }
-  }
-}
-
-function targetOf (view: EndpointView): Target {
-  const { speed } = view
-  const freeSlots = Math.max(0, speed.batchSlots - runningNow(view))
-  return {
-    id: view.id,
-    freeSlots,
-    freeKvTokens: freeSlots * KV_TOKENS_PER_SLOT,
-    importTokensPerS: speed.importTokensPerS,
-    importShare: 1,
-    prefillTokensPerS: speed.prefillTokensPerS,
-    betweenTokensMs: speed.betweenTokensMs + speed.betweenTokensPerStreamMs * (runningNow(view) + 1),
-    batchSlots: speed.batchSlots,
-    pricePerHour: view.pricePerHour
-  }
 }
--- a/daemon/exchange/_proxy_components.ts
+++ b/daemon/exchange/_proxy_components.ts
@@ -22,6 +22,7 @@
 import { CpuTimeLog } from '../log/index.ts'
 import { createMetrics, type Metrics } from '../metrics.ts'
 import { DelegatedRuns, DelegateFinder, DelegateServer } from '../delegation/index.ts'
+import { MoveDirector } from '../moves/index.ts'
 import { PathWatch } from '../paths/index.ts'
 import { shareStoreEra } from '../peers/era_sharing.ts'
 import { LeaseAnnouncer } from '../peers/lease_announcer.ts'
@@ -95,6 +96,7 @@
   budgetOf: (pool: PoolName) => RetryLimiter
   intake: Intake
   stalls: StallWatch
+  moves: MoveDirector
   server: ExchangeServer
   connectionGate: ConnectionGateTask
   readiness: ReadinessServer
@@ -241,6 +243,17 @@
       configState: () => ({ revision: config.inForce?.revision ?? 0, revisionAgeMs: config.confirmedAgeMs })
     })).singleton(),
     stalls: asFunction(({ table, paths, intake }: ProxyComponents) => new StallWatch({ table, paths, open: () => intake.open })).singleton(),
+    moves: asFunction((cradle: ProxyComponents) => new MoveDirector({
+      table: cradle.table,
+      topology: cradle.topology,
+      metrics: cradle.metrics,
+      random: cradle.random,
+      paths: cradle.paths,
+      port: platform.kvMover({ addressOf: endpointAddress }),
+      open: () => cradle.intake.open,
+      engineOf: (pool) => cradle.config.inForce?.pools.get(pool)?.engine,
+      daemons: () => cradle.fleet.hostCount
+    })).singleton(),
     server: asFunction(({ intake, metrics }: ProxyComponents) => new ExchangeServer({ intake, metrics, dialect: platform.dialect })).singleton(),
     connectionGate: asFunction(({ server, metrics }: ProxyComponents) => new ConnectionGateTask({ server, metrics })).singleton(),
     readiness: asFunction(() => new ReadinessServer()).singleton(),
--- a/daemon/exchange/platform_adapter.ts
+++ b/daemon/exchange/platform_adapter.ts
@@ -1,6 +1,6 @@
 /** Interface between the proxy daemon and a platform. An adapter translates formats and protocols; it makes no decisions. */
 import type { Catalog } from '../../core/catalog/index.ts'
-import type { Duties, ExchangeDialect } from '../../endpoints/index.ts'
+import type { Duties, ExchangeDialect, KvMover } from '../../endpoints/index.ts'
 import type { ObjectStore } from '../../store/index.ts'
 import type { RolloutPort } from '../rollout/index.ts'
 import type { ListedEndpoint } from '../endpoints/endpoint_listing.ts'
@@ -14,6 +14,8 @@
   configKey: string
   /** Prefix of the keys under which endpoints register themselves. */
   registryPrefix: string
+  /** Creates the client through which KV caches move; `addressOf` returns the IP address and port to connect to for an endpoint's address. */
+  kvMover (options: { addressOf (address: string): string }): KvMover
   /** Reads rollout orders and records their progress. */
   rollouts: RolloutPort
   /** Throws {@linkcode InvalidError} if the value is not a valid configuration. */
--- a/daemon/exchange/proxy_daemon.ts
+++ b/daemon/exchange/proxy_daemon.ts
@@ -93,7 +93,7 @@
   }
 
   async #start (): Promise<void> {
-    const { settings, membership, tallies, config, registry, server, readiness, monitor, lease, limits, endpointLimitTask, loads, usage, orders, rollouts, stalls, quarantine, archive, processor, paths, delegateFinder, delegatedRuns, delegateServer, connectionGate } = this.#components
+    const { settings, membership, tallies, config, registry, server, readiness, monitor, lease, limits, endpointLimitTask, loads, usage, orders, rollouts, stalls, quarantine, archive, processor, paths, delegateFinder, delegatedRuns, delegateServer, connectionGate, moves } = this.#components
     const { callers, readiness: check } = settings.listen
     archive.restore()
     await readiness.listen(check, () => this.ready)
@@ -112,6 +112,7 @@
     orders.start()
     rollouts?.task.start()
     stalls.start()
+    moves.start()
     paths.start()
     delegateFinder.start()
     delegatedRuns.start()
@@ -160,7 +161,8 @@
   }
 
   #stopTasks (): void {
-    const { config, registry, limits, endpointLimitTask, signals, loads, tallies, rollouts, stalls, quarantine, archive, processor, paths, delegateFinder, delegatedRuns, delegateServer, connectionGate } = this.#components
+    const { config, registry, limits, endpointLimitTask, signals, loads, tallies, rollouts, stalls, quarantine, archive, processor, paths, delegateFinder, delegatedRuns, delegateServer, connectionGate, moves } = this.#components
+    moves.stop()
     connectionGate.stop()
     paths.stop()
     delegateFinder.stop()
--- a/daemon/log/describe.ts
+++ b/daemon/log/describe.ts
@@ -24,6 +24,7 @@
   'delegate-failed': (f) => `attempt ${f.attempt} by ${f.to} failed: ${f.point}, repeat ${f.repeat}`,
   'request-taken-for': (f) => `taken for ${f.origin}, which cannot reach ${f.pool}: ${ms(f.deadlineInMs)} left, from piece ${f.fromPiece}, ${f.maxAttempts} endpoints at most`,
   'stream-moved': (f) => `reclaim of ${f.endpoint}: ${f.action}${f.target === undefined ? '' : ` at ${f.target}`}`,
+  'stream-move-ended': (f) => `move from ${f.endpoint} to ${f.target}: ${f.outcome} after ${ms(f.tookMs)}, ${f.kvTokens} tokens, ${f.orders} orders to stop${f.why === undefined ? '' : ` (${f.why})`}`,
   'export-failed': (f) => `export of the KV cache at ${f.endpoint} failed, planning again`,
   'stream-taken-over': (f) => `taken over at token ${f.fromPiece}${f.endpoint === undefined ? ', waiting for room' : ` on ${f.endpoint}`}`,
   'request-ended': (f) => `${f.outcome}: ${f.why}${retryHint(f.retryAfterMs)}`
--- a/daemon/log/events.ts
+++ b/daemon/log/events.ts
@@ -53,6 +53,8 @@
   'request-taken-for': { origin: string, pool: string, class: string, deadlineInMs: number, fromPiece: number, maxAttempts: number }
   /** What the reclaim planner decided for a stream on a leaving endpoint. */
   'stream-moved': { endpoint: string, action: string, target?: string | undefined }
+  /** The move of a stream to another endpoint is over. `why` is the last reason for which an order was not carried out, if there was one. */
+  'stream-move-ended': { endpoint: string, target: string, outcome: string, tookMs: number, kvTokens: number, orders: number, why?: string | undefined }
   /** A KV cache could not be exported; its streams are planned again. */
   'export-failed': { endpoint: string, why: string }
   /** This daemon continues a stream of another daemon. */
--- /dev/null
+++ b/daemon/moves/index.ts
@@ -0,0 +1,2 @@
+export * from './move_director.ts'
+export * from './stream_mover.ts'
--- a/daemon/request/request_task.ts
+++ b/daemon/request/request_task.ts
@@ -1,7 +1,7 @@
 /** Drives one request: executes the effects of the core's state machine and feeds events back to it. */
 import { AnswerBuffer, type AnswerBufferOptions, type AnswerHead, type Chunk, type WholeAnswer } from '../../core/answer/index.ts'
 import type { DaemonId, EndpointId, EndpointVersion, PoolName, RequestId } from '../../core/ids/index.ts'
-import { AttemptError, isConnectFailure, isConnectionAborted, isEndpointReported, outcomeAt, type FailurePoint, type Outcome } from '../../core/outcome/index.ts'
+import { AttemptError, outcomeAt, type FailurePoint, type Outcome } from '../../core/outcome/index.ts'
 import { canMove, canRetry, isFreeRetry, newRequest, step, type AttemptProgress, type RequestEffect, type RequestMessage, type RequestState, type StartMode } from '../../core/request/index.ts'
 import { availableAtMs, type EndpointView, type Route } from '../../core/routing/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
@@ -9,7 +9,7 @@
 import { mayContinueAt, type StreamVersion } from '../../core/streams/index.ts'
 import type { SelectedDelegate } from '../../core/delegation/index.ts'
 import type { Attachment, AttemptRunner, AttemptSink } from '../../endpoints/index.ts'
-import { ASSUMED_NOTICE_MS, type SentWork } from '../endpoints/endpoint_table.ts'
+import type { SentWork } from '../endpoints/endpoint_table.ts'
 import type { RequestEvents } from '../log/index.ts'
 import { ClaimError } from '../once/shard_log.ts'
 import type { Placement } from './placement.ts'
@@ -17,7 +17,9 @@
 import { DelegatedAttempts } from './_delegated_attempts.ts'
 import type { DelegatedSink, DelegatedSpec } from './delegated_run.ts'
 import { Listeners, type FinalResult } from './live_answer.ts'
+import type { MoveObserver } from './move_observer.ts'
 import { RequestDecisions } from './request_decisions.ts'
+import { recordDeparture, recordFailedAttempt } from './_attempt_failure.ts'
 import { repeatedKeyResult } from './_claim_outcome.ts'
 import { attemptFailedEvent, attemptStartedEvent, requestEndedEvent } from './_request_events.ts'
 import { QuarantineCheck } from './_quarantine_check.ts'
@@ -63,6 +65,8 @@
   onAttempt: () => void = () => {}
   /** Called once, on the first sign that an endpoint has begun to work on the request. */
   onBegun: () => void = () => {}
+  /** Follows the request while its stream moves; undefined while it does not. */
+  mover: MoveObserver | undefined
   /** True while the KV cache is being exported. Migration plans skip the request meanwhile. */
   exporting = false
   protected readonly ports: RequestPorts
@@ -149,6 +153,9 @@
     this.#recordFailure(endpoint, new AttemptError('Cannot wait: the endpoint cannot be reached', { point }), { attempt, repeat: granted ? 'allowed' : repeatable ? 'over-budget' : 'not-allowed' })
   }
 
+  /** Returns false if the quarantine keeps the request from an endpoint. */
+  accepts (view: EndpointView): boolean { return this.#quarantine.heldAt([view]) === undefined }
+
   /** Moves a resumable stream of which the caller has no event yet to another endpoint, if its current one runs a version that must receive no more work. */
   moveOffVersion (pool: PoolName, version: EndpointVersion): void {
     const view = this.runningAt && this.ports.table.get(this.runningAt)
@@ -251,7 +258,7 @@
       resumed: this.lifecycle.mayHaveRun,
       boundTo: this.binding.version,
       avoid,
-      accepts: (view) => this.#quarantine.heldAt([view]) === undefined,
+      accepts: (view) => this.accepts(view),
       placed: (view, route) => this.#onPlaced(view, route),
       ...(this.#delegated && { delegated: (to: SelectedDelegate) => this.#onDelegated(to) }),
       avoidDelegates: this.lifecycle.avoidDelegates,
@@ -328,6 +335,7 @@
 
   #start (endpoint: EndpointId, attempt: number, mode: StartMode): void {
     const view = this.ports.table.get(endpoint)
+    if (mode !== 'import') this.mover?.ended()
     this.answer.replaceAttempt(attempt)
     if (!view) return this.#onAttemptError(attempt, endpoint, new AttemptError('Cannot start: endpoint is not listed', { point: 'before-send' }))
     if (!mayContinueAt(this.binding.version, view)) return this.#onAttemptError(attempt, endpoint, new AttemptError(`Cannot start: the endpoint runs ${view.version}, the stream began at ${this.binding.version!.version}`, { point: 'before-send' }))
@@ -368,7 +376,7 @@
         if (attempt === this.lifecycle.attempt) this.#tracker.recordPiece()
         this.#addChunk({ attempt, offset, pieces }, { head, version: this.#runningVersion })
       },
-      onEnd: (total, { endpointSeen = true } = {}) => this.#onAttemptEnd(endpoint, attempt, { total, head, endpointSeen }),
+      onEnd: (total, { endpointSeen = true, explicit = true } = {}) => this.#onAttemptEnd(endpoint, attempt, { total, head, endpointSeen, explicit }),
       onError: (err) => this.#onAttemptError(attempt, endpoint, err),
       onLoad: (load) => this.ports.table.applyLoadReport(endpoint, load)
     }
@@ -380,6 +388,7 @@
     if (verdict === 'taken') {
       this.head ??= head
       this.bindTo(version)
+      this.mover?.passedOn(this.answer.length)
     }
     this.onPiece()
     this.#markBegun()
@@ -407,10 +416,12 @@
     this.onBegun()
   }
 
-  #onAttemptEnd (endpoint: EndpointId, attempt: number, end: { total: number, head: AnswerHead | undefined, endpointSeen: boolean }): void {
+  #onAttemptEnd (endpoint: EndpointId, attempt: number, end: { total: number, head: AnswerHead | undefined, endpointSeen: boolean, explicit: boolean }): void {
     if (attempt !== this.lifecycle.attempt) return
+    const fail = () => this.#onAttemptError(attempt, endpoint, new AttemptError('Cannot use answer: it is incomplete', { point: 'torn-answer' }))
+    if (!end.explicit && this.mover?.holdsClose(fail)) return
     this.answer.end(attempt, end.total)
-    if (!this.answer.whole) return this.#onAttemptError(attempt, endpoint, new AttemptError('Cannot use answer: it is incomplete', { point: 'torn-answer' }))
+    if (!this.answer.whole) return fail()
     this.#markBegun()
     this.head ??= end.head
     this.ports.table.succeeded(endpoint)
@@ -420,30 +431,18 @@
 
   #onAttemptError (attempt: number, endpoint: EndpointId, err: AttemptError): void {
     if (attempt !== this.lifecycle.attempt || this.lifecycle.phase !== 'running') return
+    if (this.mover?.holds(err, () => this.#onAttemptError(attempt, endpoint, err))) return
     const { table } = this.ports
     const view = table.get(endpoint)
-    if (isEndpointReported(err.point)) table.recordActivity(endpoint)
-    if (err.point === 'endpoint-leaving' && view) table.leaving([view.hostId], steadyNow() + ASSUMED_NOTICE_MS, 'refusal')
-    // Another endpoint answered at its address, so its process has ended, although the registry may list it for a while.
-    if (err.point === 'endpoint-gone' && view) table.leaving([view.hostId], steadyNow(), 'refusal')
+    recordDeparture(table, { endpoint, view, point: err.point })
     // Spends from the budget only if the request could use the retry.
     const suspected = this.#quarantine.forbidsRepeat(err.point)
     const repeatable = this.mayRetryElsewhere && !suspected && canRetry(this.lifecycle, err.point)
     const retryGranted = repeatable && (isFreeRetry(this.lifecycle, err.point) || this.ports.budget.tryWithdraw(table.isLeavingOrGone(endpoint)))
-    if (view && err.point === 'endpoint-said-not-run') this.ports.limits?.rejected(view)
-    this.ports.crashes.failed({ id: endpoint, view }, err.point, this.#quarantine.watchedRun(this.#tracker.sentAtMs))
-    if (view && err.point === 'endpoint-error') this.ports.answers?.failed(view, this.work.cls.name)
-    if (view) this.#suspectPath(view, err.point)
-    // What a failed connection attempt shows is the path's state, which is checked on its own.
-    if (!this.ports.paths || !isConnectFailure(err.point)) table.failed(endpoint, { point: err.point, sentAtMs: this.#tracker.sentAtMs ?? steadyNow() })
+    recordFailedAttempt(this.ports, { endpoint, view, point: err.point, cls: this.work.cls.name, sentAtMs: this.#tracker.sentAtMs, run: this.#quarantine.watchedRun(this.#tracker.sentAtMs) })
     this.#recordFailure(endpoint, err, { attempt, repeat: retryGranted ? 'allowed' : repeatable ? 'over-budget' : suspected ? 'suspected' : 'not-allowed' })
   }
 
-  #suspectPath (view: EndpointView, point: FailurePoint): void {
-    if (isConnectFailure(point)) this.ports.paths?.suspect(view, 'connect-failed')
-    else if (isConnectionAborted(point)) this.ports.paths?.suspect(view, 'connection-silent')
-  }
-
   /** Time after which an endpoint may take the request if it certainly did not run, since all endpoints asked for time; undefined if any may now. */
   #backOffMs (outcome: Outcome): number | undefined {
     const backOffMs = outcome === 'not-run' ? this.ports.table.backOffMs(this.work.pool) : 0
@@ -477,7 +476,8 @@
     const run = this.#quarantine.watchedRun(this.#tracker.sentAtMs)
     this.#tracker.end()
     const view = this.ports.table.get(endpoint)
-    if (view) this.ports.crashes.abandoned(view, this.work.fingerprint(), run)
+    // A run that moves has stopped, so that it can cause no crash.
+    if (view && !this.mover) this.ports.crashes.abandoned(view, this.work.fingerprint(), run)
     if (!view || !this.lifecycle.traits.movable) return this.post({ type: 'stopped', attempt, confirmed: false })
     const from = this.answer.length
     this.#runner.stop(view, attempt, from).then((report) => {
@@ -497,6 +497,7 @@
     this.lifecycle = { ...this.lifecycle, phase: 'done', outcome: final.outcome }
     this.recordDecision('request-ended', requestEndedEvent(this, { final, pieces: this.#meter.pieces }))
     this.#meter.finished(final)
+    this.mover?.ended(final.outcome === 'answered')
     this.onFinish()
     this.ports.dispatcher.startQueued()
     this.listeners.notify()
--- a/endpoints/attempt.ts
+++ b/endpoints/attempt.ts
@@ -29,6 +29,8 @@
 export interface AttemptEndOptions {
   /** False if the endpoint may have ended with its answer, so that the end does not show that it survived the request. Default: true. */
   endpointSeen?: boolean
+  /** False if the answer ended with its connection and nothing marked its end. Default: true. */
+  explicit?: boolean
 }
 
 /** Receives one attempt's answer. The last call is exactly one of `onEnd` and `onError`. */
--- a/endpoints/exchange/exchange.ts
+++ b/endpoints/exchange/exchange.ts
@@ -125,7 +125,7 @@
     const result = await this.#options.checkEnd()
     if (this.#done) return
     if (result === 'ended') this.#fail('torn-answer', 'the endpoint ended with its answer')
-    else this.#finish({ endpointSeen: result === 'alive' })
+    else this.#finish({ endpointSeen: result === 'alive', explicit: false })
   }
 
   #finish (end: AttemptEndOptions): void {
--- a/endpoints/exchange/exchange_dialect.ts
+++ b/endpoints/exchange/exchange_dialect.ts
@@ -14,6 +14,8 @@
   resumeFrom: number
   /** Priority lane of the request at the endpoint; undefined for a plain call. */
   lane: Lane | undefined
+  /** KV cache to continue from; undefined for a run that begins with this attempt. */
+  kvHandle?: string | undefined
 }
 
 /** What the headers of an endpoint's answer say about its attempt and the endpoint. */
--- a/endpoints/exchange/exchange_runner.ts
+++ b/endpoints/exchange/exchange_runner.ts
@@ -36,7 +36,7 @@
       queueMicrotask(() => sink.onError(new AttemptError('Cannot send: no connection is free', { point: 'before-send' })))
       return NO_ATTACHMENT
     }
-    const headers = dialect.attemptHeaders(req, { view, deadlineInMs: spec.deadlineInMs, resumeFrom: spec.from, lane: req.demand && spec.lane })
+    const headers = dialect.attemptHeaders(req, { view, deadlineInMs: spec.deadlineInMs, resumeFrom: spec.from, lane: req.demand && spec.lane, kvHandle: spec.kvHandle })
     const exchange = new Exchange({ req, dialect, sink, connection, from: spec.from, maySend: () => !backsOff(view, steadyNow()), checkEnd: () => checkEnd(view), release: () => client.release(view, connection) })
     exchange.send(headers)
     return exchange
