--- a/bench/registry.ts
+++ b/bench/registry.ts
@@ -4,6 +4,7 @@
 import { endpointLimitsBench } from './endpoint_limits.ts'
 import { limitsBench } from './limits.ts'
 import { membershipBench } from './membership.ts'
+import { movesBench } from './moves.ts'
 import { onceBench } from './once.ts'
 import { overheadBench } from './overhead.ts'
 import { placingBench } from './placing.ts'
@@ -16,4 +17,4 @@
 import { waveBench } from './wave.ts'
 
 /** All benchmarks, in the order in which they are listed. */
-export const BENCHES: readonly Bench[] = [costBench, endpointLimitsBench, limitsBench, membershipBench, onceBench, overheadBench, placingBench, quarantineBench, reclaimBench, rolloutBench, routeBench, schedulesBench, storeBench, waveBench]
+export const BENCHES: readonly Bench[] = [costBench, endpointLimitsBench, limitsBench, membershipBench, movesBench, onceBench, overheadBench, placingBench, quarantineBench, reclaimBench, rolloutBench, routeBench, schedulesBench, storeBench, waveBench]
--- a/core/moves/link_estimator.ts
+++ b/core/moves/link_estimator.ts
@@ -11,9 +11,11 @@
 /** Copies between failure domains take this many times as long. */
 export const BETWEEN_DOMAINS_FACTOR = 2
 /** Rate assumed before the first copy, in bytes per millisecond. */
-const INITIAL_BYTES_PER_MS = 1_000_000
+const INITIAL_BYTES_PER_MS = 5_000_000
 /** Copies below this size show the time to set them up instead of the rate. */
 const MIN_SAMPLE_BYTES = 1_000_000
+/** Factor by which the estimate must rise for more streams to be worth planning. */
+const NOTABLE_RISE = 1.2
 /** Weight of a copy that was slower than the estimate. */
 const SLOWER_WEIGHT = 0.2
 
@@ -24,11 +26,16 @@
 export class LinkEstimator {
   #bytesPerMs = INITIAL_BYTES_PER_MS
 
-  /** Adds a completed copy. Copies that are too small or took no time are ignored. */
-  learn ({ bytes, tookMs, betweenDomains }: CompletedCopy): void {
-    if (!(tookMs > 0) || bytes < MIN_SAMPLE_BYTES) return
+  /**
+   * Adds a completed copy. Copies that are too small or took no time are ignored.
+   * @returns True if the estimate has risen so far that more streams may fit a notice.
+   */
+  learn ({ bytes, tookMs, betweenDomains }: CompletedCopy): boolean {
+    if (!(tookMs > 0) || bytes < MIN_SAMPLE_BYTES) return false
+    const before = this.#bytesPerMs
     const bytesPerMs = bytes / tookMs * (betweenDomains ? BETWEEN_DOMAINS_FACTOR : 1)
     this.#bytesPerMs = bytesPerMs > this.#bytesPerMs ? bytesPerMs : this.#bytesPerMs + SLOWER_WEIGHT * (bytesPerMs - this.#bytesPerMs)
+    return this.#bytesPerMs > before * NOTABLE_RISE
   }
 
   /** Returns the rate of a copy, in bytes per second. */
--- a/daemon/moves/move_director.ts
+++ b/daemon/moves/move_director.ts
@@ -210,7 +210,9 @@
       port,
       table,
       metrics,
-      onCopied: ({ target, tookMs }) => link.learn({ bytes, tookMs, betweenDomains: target.failureDomain !== source.failureDomain }),
+      onCopied: ({ target, tookMs }) => {
+        if (link.learn({ bytes, tookMs, betweenDomains: target.failureDomain !== source.failureDomain })) this.#planIn(BATCH_DELAY_MS)
+      },
       onEnded: () => { departure.copyingMs -= copyMs }
     }).start()
   }
