--- a/bench/_moving_fleet.ts
+++ b/bench/_moving_fleet.ts
@@ -72,6 +72,9 @@
   readonly #runs = new Map<RequestId, Run>()
   /** Events that stopped runs had made. */
   readonly #stopped = new Map<RequestId, number>()
+  /** Streams whose cache is being copied, and the events that a copy at a target has, by stream and target. */
+  readonly #copying = new Set<RequestId>()
+  readonly #copied = new Map<string, number>()
   readonly #tables: EndpointTable[] = []
   readonly #cls = { ...toWorkClass(sessionConfig().classes[1]!, true), idempotent: false, resumable: false, streaming: true, maxAttempts: 1 }
   readonly #result: ReclaimSimulationResult = { streams: 0, whole: 0, moved: 0, doubled: 0, bytesMoved: 0, recomputedTokens: 0, lostTokens: 0 }
@@ -219,19 +222,25 @@
     const run = this.#runs.get(id)
     if (source.isGone) return { type: 'gone' }
     if (!run && !this.#stopped.has(id)) return { type: 'no-run' }
+    if (this.#copying.has(id)) return { type: 'busy' }
     if (target.taken >= SLOTS) return { type: 'refused', why: 'no room' }
     const { promptTokens } = this.#streams.get(id)!
     if (isLast && run) {
       this.#stopped.set(id, run.made)
       this.#tear(run)
     }
-    const bytes = (isLast ? TOKENS_PER_EVENT : promptTokens + (run?.made ?? 0) * TOKENS_PER_EVENT) * KV_BYTES_PER_TOKEN
-    this.#result.bytesMoved += bytes
+    const key = `${id} ${target.id}`
+    const events = this.#stopped.get(id) ?? run!.made
+    const bytes = (this.#copied.has(key) ? (events - this.#copied.get(key)!) * TOKENS_PER_EVENT : promptTokens + events * TOKENS_PER_EVENT) * KV_BYTES_PER_TOKEN
     const fromMs = Math.max(steadyNow(), source.linkFreeAtMs, target.linkFreeAtMs)
     const endMs = fromMs + SETUP_MS + 2 * bytes * 1000 / this.#options.linkBytesPerS
     source.linkFreeAtMs = target.linkFreeAtMs = endMs
+    this.#copying.add(id)
     await delay(endMs - steadyNow())
+    this.#copying.delete(id)
     if (source.isGone) return { type: 'gone' }
-    return { type: 'done', handle: `${source.id}/${id}`, events: this.#stopped.get(id) ?? run?.made ?? 0 }
+    this.#copied.set(key, events)
+    this.#result.bytesMoved += bytes
+    return { type: 'done', handle: `${source.id}/${id}`, events: this.#stopped.get(id) ?? run?.made ?? events }
   }
 }
--- a/core/moves/link_estimator.ts
+++ b/core/moves/link_estimator.ts
@@ -11,7 +11,7 @@
 /** Copies between failure domains take this many times as long. */
 export const BETWEEN_DOMAINS_FACTOR = 2
 /** Rate assumed before the first copy, in bytes per millisecond. */
-const INITIAL_BYTES_PER_MS = 5_000_000
+const INITIAL_BYTES_PER_MS = 10_000_000
 /** Copies below this size show the time to set them up instead of the rate. */
 const MIN_SAMPLE_BYTES = 1_000_000
 /** Factor by which the estimate must rise for more streams to be worth planning. */
