--- a/core/moves/_move_world.ts
+++ b/core/moves/_move_world.ts
@@ -103,7 +103,7 @@
 
   get #latencyMs (): number {
     const { random, lateShare } = this.#options
-    return CALL_MS + (random() < lateShare ? random() * 600 : 0)
+    return CALL_MS + (lateShare > 0 && random() < lateShare ? random() * 600 : 0)
   }
 
   #die (id: EndpointId): void {
--- a/core/moves/stream_move_test.ts
+++ b/core/moves/stream_move_test.ts
@@ -5,6 +5,8 @@
 
 const SCHEDULES = 10_000
 const SEED = 16
+/** Number of choices of a schedule of which all combinations are played. */
+const CHOICES = 15
 
 const calm: Omit<WorldOptions, 'random'> = { noticeMs: 2500, total: 400, copyMs: 100, lossShare: 0, nonsenseShare: 0, lateShare: 0, targetDeathShare: 0, fullShare: 0, cutShare: 0 }
 const play = (change: Partial<WorldOptions> = {}, seed = 1) => playMove({ random: seededRandom(seed), ...calm, ...change })
@@ -35,6 +37,20 @@
   }), { numRuns: SCHEDULES, seed: SEED })
 }, 120_000)
 
+test.each<[string, Partial<WorldOptions>]>([
+  ['losses, refusals, deaths and cuts', { noticeMs: 1500, total: 60, copyMs: 20 }],
+  ['these and late messages, in a short stream', { noticeMs: 700, total: 4, copyMs: 20, lateShare: 0.5 }]
+])('no combination of the first choices breaks the rules: %s', (_what, change) => {
+  const faults = { lossShare: 0.5, nonsenseShare: 0.5, targetDeathShare: 0.5, fullShare: 0.5, cutShare: 0.5, ...change }
+  for (let choices = 0; choices < 2 ** CHOICES; choices++) {
+    // The world discards its first draw.
+    let drawn = -1
+    const random = () => (drawn++ < 0 || drawn > CHOICES || ((choices >> (drawn - 1)) & 1) === 0 ? 0.99 : 0)
+    const result = playMove({ random, ...calm, ...faults })
+    if (result.doubled || !isSound(result, faults.total ?? calm.total)) expect({ choices, result }).toBeUndefined()
+  }
+}, 120_000)
+
 test('nearly all streams that fit the notice end whole although calls are lost and targets die or are full', () => {
   const random = seededRandom(SEED)
   const results = Array.from({ length: 2000 }, (_, i) => play({ total: 20 + Math.floor(random() * 300), copyMs: 1 + random() * 300, lossShare: 0.05, nonsenseShare: 0.02, lateShare: 0.05, targetDeathShare: 0.05, fullShare: 0.1 }, Math.floor(random() * 2 ** 31)))
