Send no request with a handle to a source long after its leaving was known

Cause: a run that had stopped went on at its source however long ago the source's leaving was known, and targets were not checked again during a move. Change: the state machine is told which endpoints must get no more requests (after three quarters of the time that the registry's settings allow), goes on at targets only, and gives up without one. A run that only one target can take is not stopped then. Callers saw nothing; the endpoint got a request after it should get none.

--- a/core/moves/_move_world.ts
+++ b/core/moves/_move_world.ts
@@ -16,6 +16,8 @@
   random: Random
   /** Time until the source dies, in milliseconds. */
   noticeMs: number
+  /** Time from which the source must get no request, in milliseconds. Default: it may always. */
+  barredAfterMs?: number
   /** Number of events of the whole stream. */
   total: number
   copyMs: number
@@ -221,6 +223,8 @@
   }
 
   #continue ({ at, handle, from }: Extract<MoveEffect, { type: 'continue' }>): void {
+    const { barredAfterMs = Infinity } = this.#options
+    if (at === SOURCE && this.#now > barredAfterMs) return this.#post({ type: 'barred' })
     const connection = this.#connection = ++this.#connections
     this.#failureHeld = false
     this.#at(this.#latencyMs, () => {
--- a/core/moves/stream_move.ts
+++ b/core/moves/stream_move.ts
@@ -43,6 +43,8 @@
   readonly copies: number
   /** Number of orders to stop since the stream last gave a sign of life. */
   readonly orders: number
+  /** Endpoints that must get no more requests. */
+  readonly barred: readonly EndpointId[]
   /** Number of requests sent with the handle. */
   readonly continuations: number
   /** True once the source's stream was closed without its end. */
@@ -82,6 +84,8 @@
   | { type: 'timer' }
   /** The endpoint began to answer the request with the handle. */
   | { type: 'continued' }
+  /** The order to stop, or the request with the handle, was not sent, since the endpoint to go on at must get no more requests. */
+  | { type: 'barred' }
   /** The request with the handle certainly did not run. */
   | { type: 'not-continued' }
   /** The request with the handle failed and may have run. */
@@ -125,7 +129,7 @@
 /** Returns the state of a move that has not begun. */
 export function newMove ({ source, targets, position }: NewMoveOptions): MoveState {
   const [target, ...alternatives] = targets
-  return { phase: 'preparing', source, target: target!, alternatives, prepared: undefined, canUsePrepared: true, stopped: undefined, copied: false, copies: 0, orders: 0, continuations: 0, closed: false, position, at: undefined, outcome: undefined }
+  return { phase: 'preparing', source, target: target!, alternatives, prepared: undefined, canUsePrepared: true, stopped: undefined, copied: false, copies: 0, orders: 0, barred: [], continuations: 0, closed: false, position, at: undefined, outcome: undefined }
 }
 
 /** Returns true if the end of the source's connection may be due to an order to stop, so that it must not count as the end of the stream. */
@@ -150,6 +154,7 @@
     case 'checked': return checked(state, msg.stopped)
     case 'timer': return timer(state)
     case 'continued': return state.phase === 'continuing' ? finish(state, state.at === state.source ? 'continued-at-source' : 'moved', { keep: true }) : unchanged(state)
+    case 'barred': return barred(state)
     case 'not-continued': return notContinued(state)
     case 'lost-continuation': return state.phase === 'continuing' ? finish(state, 'given-up', { keep: true }) : unchanged(state)
   }
@@ -203,8 +208,8 @@
 }
 
 function continueStream (state: MoveState): MoveStep {
-  const { stopped, prepared, source, target, copied, position } = state
-  const at = !stopped ? prepared!.target : copied ? target : source
+  const { stopped, prepared, position } = state
+  const at = placeOf(state)
   const handle = stopped ? stopped.handle : prepared!.handle
   return { state: { ...state, phase: 'continuing', at, continuations: state.continuations + 1 }, effects: [{ type: 'continue', at, handle, from: position }] }
 }
@@ -244,10 +249,28 @@
 /** The handle was not used, so it is the source's still: the stream continues at the source, or at the copy when that was tried last. */
 function notContinued (state: MoveState): MoveStep {
   if (state.phase !== 'continuing') return unchanged(state)
-  if (state.continuations >= MAX_CONTINUATIONS) return finish(state, 'given-up')
+  return state.continuations >= MAX_CONTINUATIONS ? finish(state, 'given-up') : elsewhere(state)
+}
+
+function barred (state: MoveState): MoveStep {
+  // The order to stop was not sent, so the run goes on.
+  if (state.phase === 'committing') return state.stopped ? stoppedWithoutCopy(state) : finish({ ...state, orders: 0 }, 'not-moved')
+  if (state.phase !== 'continuing') return unchanged(state)
+  return elsewhere({ ...state, barred: [...state.barred, state.at!], continuations: state.continuations - 1 })
+}
+
+/** After a place did not take the stream: another target, then the source, then the last copy again. */
+function elsewhere (state: MoveState): MoveStep {
   const [target, ...alternatives] = state.alternatives
   if (state.stopped && target !== undefined && state.orders < MAX_ORDERS) return commit({ ...state, target, alternatives, copied: false })
-  return { state: { ...state, phase: 'retrying', copied: false }, effects: [{ type: 'wait', ms: REPEAT_CONTINUATION_MS }] }
+  const next = { ...state, copied: state.copied && state.barred.includes(state.source) }
+  if (state.barred.includes(placeOf(next))) return finish(state, 'given-up')
+  return { state: { ...next, phase: 'retrying' }, effects: [{ type: 'wait', ms: REPEAT_CONTINUATION_MS }] }
+}
+
+function placeOf ({ stopped, prepared, copied, target, source }: MoveState): EndpointId {
+  if (!stopped) return prepared!.target
+  return copied ? target : source
 }
 
 /** Ends the move and frees its copies, unless `keep` is set because one is in use. */
--- a/core/moves/stream_move_test.ts
+++ b/core/moves/stream_move_test.ts
@@ -19,6 +19,7 @@
 const schedule = fc.record({
   seed: fc.integer({ min: 1, max: 2 ** 31 - 1 }),
   noticeMs: fc.integer({ min: 50, max: 4000 }),
+  barredAfterMs: fc.constantFrom(0, 500, Infinity),
   total: fc.integer({ min: 1, max: 300 }),
   copyMs: fc.integer({ min: 1, max: 800 }),
   lossShare: fc.constantFrom(0, 0.1, 0.5, 0.7),
@@ -63,3 +64,10 @@
   const { whole, state } = play()
   expect([whole, state.outcome, state.orders, state.continuations]).toEqual([true, 'moved', 1, 1])
 })
+
+test('a run that has stopped goes on at a target although its copies were refused before, while the source must get no request', () => {
+  const random = seededRandom(SEED)
+  const results = Array.from({ length: 300 }, () => play({ barredAfterMs: 0, fullShare: 0.2, total: 200 }, Math.floor(random() * 2 ** 31)))
+  expect(results.every(({ state: { outcome } }) => outcome === 'moved' || outcome === 'given-up' || outcome === 'not-moved')).toBe(true)
+  expect(results.filter(({ whole }) => whole).length).toBeGreaterThanOrEqual(0.9 * results.length)
+})
--- a/daemon/moves/move_director.ts
+++ b/daemon/moves/move_director.ts
@@ -26,6 +26,8 @@
   open (): Iterable<RequestTask<Buffer>>
   /** Engines of a pool; undefined for a pool of plain services and while no configuration is known. */
   engineOf (pool: PoolName): EngineCapacity | undefined
+  /** Time for which an endpoint may be sent requests once its leaving is known, in milliseconds. */
+  leavingMs: number
   /** Number of daemons. */
   daemons (): number
   /** Default: {@linkcode JointPlanner}. */
@@ -49,6 +51,9 @@
 /** Endpoints that move KV caches belong to pools of at most this many connected endpoints; see `SUBSET_SIZE`. */
 const CONNECTED_ENDPOINTS = 24
 
+/** Fraction of `leavingMs` in which streams go on at an endpoint that leaves. The rest covers the time until this daemon knew, and requests in transit. */
+const RECEIVES_FRACTION = 0.75
+
 /** An endpoint that leaves, as far as it concerns the plans. */
 interface DepartingSource {
   /** Drawn once, so that later plans do not export more than the first would. */
@@ -179,6 +184,11 @@
       topology.regionOf(view.failureDomain) === region && availableAtMs(view) <= now && runningNow(view) < view.speed.batchSlots && paths.canSend(view, { idempotent: false }))
   }
 
+  #mayReceive (id: EndpointId): boolean {
+    const view = this.#options.table.get(id)
+    return view !== undefined && (view.leavingAtMs === undefined || steadyNow() < view.leavingAtMs + RECEIVES_FRACTION * this.#options.leavingMs)
+  }
+
   #linkOf (pool: PoolName): LinkEstimator {
     let link = this.#links.get(pool)
     if (!link) this.#links.set(pool, link = new LinkEstimator())
@@ -209,6 +219,7 @@
       limitMs: Math.max(MIN_ORDER_LIMIT_MS, Math.min(noticeMs - NOTICE_MARGIN_MS, MIN_ORDER_LIMIT_MS + 2 * copyMs * Math.max(1, runningNow(source)))),
       port,
       table,
+      mayReceive: (id) => this.#mayReceive(id),
       metrics,
       onCopied: ({ target, tookMs }) => {
         if (link.learn({ bytes, tookMs, betweenDomains: target.failureDomain !== source.failureDomain })) this.#planIn(BATCH_DELAY_MS)
--- a/daemon/moves/move_director_test.ts
+++ b/daemon/moves/move_director_test.ts
@@ -2,7 +2,7 @@
 import { as, type EndpointId, type EndpointVersion, type FailureDomain, type Fingerprint, type Region, type RequestId } from '../../core/ids/index.ts'
 import { toWorkClass } from '../../core/config/index.ts'
 import type { Route } from '../../core/routing/index.ts'
-import { steadyNow } from '../../core/time/index.ts'
+import { delay, steadyNow } from '../../core/time/index.ts'
 import { RegionTopology } from '../../core/topology/index.ts'
 import { sessionConfig } from '../../bench/_session.ts'
 import type { AttemptSink, KvMover, KvOrder, KvOrderResult, ListedHost } from '../../endpoints/index.ts'
@@ -17,6 +17,7 @@
 const POOL = as<never>('llm')
 const SOURCE = as<EndpointId>('source')
 const NOTICE_MS = 2500
+const LEAVING_MS = 2000
 const SPEED = { batchSlots: 4, prefillTokensPerS: 1000, betweenTokensMs: 25, betweenTokensPerStreamMs: 0, exportTokensPerS: 1000, importTokensPerS: 1000 }
 const ENGINE = { batchSlots: 4, kvTokens: 100_000, kvBytesPerToken: 1000, handleMs: 5000, movesKv: true, backsUpKv: false }
 const REGIONS = new Map([['a', 'north'], ['b', 'north'], ['c', 'south']].map(([name, region]) => [as<FailureDomain>(name!), as<Region>(region!)]))
@@ -35,11 +36,12 @@
   /** Endpoints that the quarantine keeps the requests from. */
   held?: readonly string[]
   /** Answers to orders. Default: done. */
-  answer?: (order: KvOrder, type: 'prepare' | 'commit') => KvOrderResult
+  answer?: (order: KvOrder, type: 'prepare' | 'commit') => KvOrderResult | Promise<KvOrderResult>
+  noticeMs?: number
 }
 
 /** Streams at the source, and a port that records the orders. */
-function setUp ({ hosts = [host('near', 'b')], resumable = false, engine = {}, held = [], answer = () => ({ type: 'done', handle: 'h', events: 2 }) }: SetUpOptions = {}) {
+function setUp ({ hosts = [host('near', 'b')], resumable = false, engine = {}, held = [], answer = () => ({ type: 'done', handle: 'h', events: 2 }), noticeMs = NOTICE_MS }: SetUpOptions = {}) {
   const orders: string[] = []
   const starts: string[] = []
   const sinks: Array<AttemptSink<Buffer>> = []
@@ -61,6 +63,7 @@
     paths: { canSend: () => true },
     open: () => tasks.filter((task) => !task.final),
     engineOf: () => ({ ...ENGINE, ...engine }),
+    leavingMs: LEAVING_MS,
     daemons: () => 1
   })
   director.start()
@@ -93,8 +96,8 @@
     sinks.at(-1)!.onChunk(0, [Buffer.from('1'), Buffer.from('2')])
     return task
   }
-  const leave = async (observedMs = NOTICE_MS) => {
-    table.leaving([as(SOURCE)], steadyNow() + NOTICE_MS, 'notice')
+  const leave = async (observedMs = noticeMs) => {
+    table.leaving([as(SOURCE)], steadyNow() + noticeMs, 'notice')
     await vi.advanceTimersByTimeAsync(observedMs)
   }
   return { orders, starts, sinks, table, metrics, begin, leave }
@@ -168,3 +171,50 @@
   await leave(100)
   expect(orders).toHaveLength(1)
 })
+
+test('a request with the handle does not go to the source long after its leaving was known', async () => {
+  const { orders, starts, begin, leave } = setUp({
+    noticeMs: 10_000,
+    hosts: [host('near', 'b'), host('other', 'b')],
+    answer: async (_order, type) => {
+      if (type === 'commit') return { type: 'refused', handle: 'h', events: 2 }
+      await delay(LEAVING_MS + 1000)
+      return { type: 'done', handle: 'p', events: 2 }
+    }
+  })
+  const task = begin('r1')
+  await leave()
+  expect(orders).toEqual(['prepare r1 near', 'commit r1 near', 'commit r1 other'])
+  expect(starts).toEqual(['fresh r1 source from 0'])
+  expect(task.mover).toBeUndefined()
+})
+
+test('a run that only one target can take is not stopped once its source could not take it back', async () => {
+  const { orders, begin, leave } = setUp({
+    noticeMs: 10_000,
+    answer: async () => {
+      await delay(LEAVING_MS + 1000)
+      return { type: 'done', handle: 'p', events: 2 }
+    }
+  })
+  const task = begin('r1')
+  await leave(LEAVING_MS + 1100)
+  expect([orders, task.mover]).toEqual([['prepare r1 near'], undefined])
+})
+
+test('a stream does not go on at a target whose leaving has been known for long', async () => {
+  const { starts, table, begin, leave } = setUp({
+    noticeMs: 10_000,
+    hosts: [host('near', 'b'), host('other', 'b')],
+    answer: async ({ target }, type) => {
+      if (type === 'commit' && target.id === 'near') {
+        table.leaving([as('near')], steadyNow() + NOTICE_MS, 'notice')
+        await delay(LEAVING_MS)
+      }
+      return { type: 'done', handle: `${type} ${target.id}`, events: 2 }
+    }
+  })
+  begin('r1')
+  await leave()
+  expect(starts).toEqual(['fresh r1 source from 0', 'import r1 other from 2'])
+})
--- a/daemon/moves/stream_mover.ts
+++ b/daemon/moves/stream_mover.ts
@@ -26,6 +26,8 @@
   limitMs: number
   port: KvMover
   table: Pick<EndpointTable, 'get'>
+  /** True if an endpoint may still be sent requests: it does not leave, or not for long. */
+  mayReceive (endpoint: EndpointId): boolean
   metrics: Pick<Metrics, 'streamMoves' | 'kvBytesMoved' | 'kvOrders'>
   /** Called with each copy of the whole cache that was completed. */
   onCopied (copy: MoverCopy): void
@@ -115,8 +117,11 @@
 
   #execute (effect: MoveEffect): void {
     switch (effect.type) {
-      case 'prepare':
-      case 'commit': {
+      case 'commit':
+        if (!this.#mayStop()) return this.#post({ type: 'barred' })
+        this.#order(effect.type, effect.target)
+        return
+      case 'prepare': {
         this.#order(effect.type, effect.target)
         return
       }
@@ -134,11 +139,18 @@
     }
   }
 
+  /** A run that only one target can take is stopped only while its source could take it back. */
+  #mayStop (): boolean {
+    const { source, mayReceive } = this.#options
+    const { orders, stopped, alternatives } = this.#state
+    return stopped !== undefined || orders > 1 || alternatives.length > 0 || mayReceive(source.id)
+  }
+
   async #order (order: 'prepare' | 'commit', targetId: EndpointId): Promise<void> {
     const { task, source, port, metrics, limitMs, table, kvTokens, bytesPerToken } = this.#options
     const target = table.get(targetId)
     const sentAtMs = steadyNow()
-    const result: KvOrderResult = target ? await port[order]({ source, id: task.id, target, limitMs }) : { type: 'refused', why: 'the target is no longer listed' }
+    const result: KvOrderResult = target && target.leavingAtMs === undefined ? await port[order]({ source, id: task.id, target, limitMs }) : { type: 'refused', why: 'the target leaves or is no longer listed' }
     metrics.kvOrders.inc({ order, answer: result.type })
     if (result.why !== undefined) this.#why = result.why
     if (order === 'prepare' && result.type === 'done') {
@@ -168,6 +180,10 @@
 
   #continue ({ at, handle }: Extract<MoveEffect, { type: 'continue' }>): void {
     const { task } = this.#options
+    if (!this.#options.mayReceive(at)) {
+      this.#why = 'the endpoint leaves'
+      return this.#post({ type: 'barred' })
+    }
     this.#fail = undefined
     task.kvHandle = handle
     task.post({ type: 'move', endpoint: at, mode: 'import' })
