Charge continuations of moved streams to the retry budget

Cause: up to six requests with the handle were sent outside the budget, although arrivals that an endpoint rejects count. Change: the first order to stop takes one arrival from the budget, without which the stream finishes in place, and each send after a refusal takes one more, two at most.

--- a/bench/_moving_fleet.ts
+++ b/bench/_moving_fleet.ts
@@ -122,6 +122,7 @@
       paths: { canSend: () => true },
       open: () => [...this.#streams.values()].filter((stream) => this.#daemonOf(stream.id) === i && !stream.task.final).map(({ task }) => task),
       engineOf: () => ({ ...ENGINE, movesKv: this.#options.moves }),
+      budgetOf: () => ({ tryWithdraw: () => true }),
       leavingMs: 2000,
       daemons: () => this.#options.daemons
     })
--- a/core/moves/_move_world.ts
+++ b/core/moves/_move_world.ts
@@ -18,6 +18,8 @@
   noticeMs: number
   /** Time from which the source must get no request, in milliseconds. Default: it may always. */
   barredAfterMs?: number
+  /** Probability that the retry budget does not allow an arrival. Default: 0. */
+  deniedShare?: number
   /** Number of events of the whole stream. */
   total: number
   copyMs: number
@@ -174,7 +176,7 @@
   #execute (effect: MoveEffect): void {
     switch (effect.type) {
       case 'prepare': return this.#order(effect.target, false)
-      case 'commit': return this.#order(effect.target, true)
+      case 'commit': return this.#isDenied() ? this.#post({ type: 'over-budget' }) : this.#order(effect.target, true)
       case 'wait': return this.#at(effect.ms, () => this.#post({ type: 'timer' }))
       case 'check': return this.#at(this.#latencyMs, () => this.#post({ type: 'checked', stopped: this.#dead.has(SOURCE) || !this.#runs.has(SOURCE) }))
       case 'continue': return this.#continue(effect)
@@ -183,6 +185,11 @@
     }
   }
 
+  #isDenied (): boolean {
+    const { deniedShare = 0, random } = this.#options
+    return this.#state.orders === 1 && !this.#state.closed && deniedShare > 0 && random() < deniedShare
+  }
+
   /** Sends an order, which may be lost or carried out after its answer was given up. */
   #order (target: EndpointId, isLast: boolean): void {
     const { random, lossShare, nonsenseShare } = this.#options
@@ -222,9 +229,10 @@
     })
   }
 
-  #continue ({ at, handle, from }: Extract<MoveEffect, { type: 'continue' }>): void {
-    const { barredAfterMs = Infinity } = this.#options
+  #continue ({ at, handle, from, isRepeat }: Extract<MoveEffect, { type: 'continue' }>): void {
+    const { barredAfterMs = Infinity, deniedShare = 0, random } = this.#options
     if (at === SOURCE && this.#now > barredAfterMs) return this.#post({ type: 'barred' })
+    if (isRepeat && deniedShare > 0 && random() < deniedShare) return this.#post({ type: 'over-budget' })
     const connection = this.#connection = ++this.#connections
     this.#failureHeld = false
     this.#at(this.#latencyMs, () => {
@@ -233,7 +241,7 @@
         return this.#at(this.#latencyMs, () => {
           if (connection !== this.#connection) return
           this.#failureHeld = true
-          this.#post({ type: 'not-continued' })
+          this.#post({ type: 'not-continued', reached: !this.#dead.has(at) })
         })
       }
       this.#copies.delete(handle)
--- a/core/moves/stream_move.ts
+++ b/core/moves/stream_move.ts
@@ -47,6 +47,8 @@
   readonly barred: readonly EndpointId[]
   /** Number of requests sent with the handle. */
   readonly continuations: number
+  /** Number of those that reached an endpoint, which refused them. */
+  readonly refusals: number
   /** True once the source's stream was closed without its end. */
   readonly closed: boolean
   /** Number of events of the stream that the caller has. */
@@ -86,8 +88,10 @@
   | { type: 'continued' }
   /** The order to stop, or the request with the handle, was not sent, since the endpoint to go on at must get no more requests. */
   | { type: 'barred' }
-  /** The request with the handle certainly did not run. */
-  | { type: 'not-continued' }
+  /** The order to stop, or the request with the handle, was not sent, since the retry budget does not allow another arrival. */
+  | { type: 'over-budget' }
+  /** The request with the handle certainly did not run. `reached`: it arrived at an endpoint, which refused it. */
+  | { type: 'not-continued', reached: boolean }
   /** The request with the handle failed and may have run. */
   | { type: 'lost-continuation' }
 
@@ -97,8 +101,8 @@
   | { type: 'commit', target: EndpointId }
   /** Ask the source whether it still runs the stream, and answer with `checked`. */
   | { type: 'check' }
-  /** Send the request with the handle and the number of the caller's last event. */
-  | { type: 'continue', at: EndpointId, handle: KvHandle, from: number }
+  /** Send the request with the handle and the number of the caller's last event. `isRepeat`: one reached an endpoint before, so that the retry budget is asked. */
+  | { type: 'continue', at: EndpointId, handle: KvHandle, from: number, isRepeat: boolean }
   | { type: 'wait', ms: number }
   | { type: 'release', handle: KvHandle }
   /** The move is over; if the source's stream was closed, its failure now counts. */
@@ -116,6 +120,8 @@
 const MAX_COPIES = 3
 const MAX_ORDERS = 4
 const MAX_CONTINUATIONS = 6
+/** Requests with the handle that may be refused by endpoints: the first, and two repeats. */
+const MAX_REFUSALS = 3
 
 /** Options of {@linkcode newMove}. */
 export interface NewMoveOptions {
@@ -129,7 +135,7 @@
 /** Returns the state of a move that has not begun. */
 export function newMove ({ source, targets, position }: NewMoveOptions): MoveState {
   const [target, ...alternatives] = targets
-  return { phase: 'preparing', source, target: target!, alternatives, prepared: undefined, canUsePrepared: true, stopped: undefined, copied: false, copies: 0, orders: 0, barred: [], continuations: 0, closed: false, position, at: undefined, outcome: undefined }
+  return { phase: 'preparing', source, target: target!, alternatives, prepared: undefined, canUsePrepared: true, stopped: undefined, copied: false, copies: 0, orders: 0, barred: [], continuations: 0, refusals: 0, closed: false, position, at: undefined, outcome: undefined }
 }
 
 /** Returns true if the end of the source's connection may be due to an order to stop, so that it must not count as the end of the stream. */
@@ -155,7 +161,8 @@
     case 'timer': return timer(state)
     case 'continued': return state.phase === 'continuing' ? finish(state, state.at === state.source ? 'continued-at-source' : 'moved', { keep: true }) : unchanged(state)
     case 'barred': return barred(state)
-    case 'not-continued': return notContinued(state)
+    case 'over-budget': return overBudget(state)
+    case 'not-continued': return notContinued(state, msg.reached)
     case 'lost-continuation': return state.phase === 'continuing' ? finish(state, 'given-up', { keep: true }) : unchanged(state)
   }
 }
@@ -211,7 +218,7 @@
   const { stopped, prepared, position } = state
   const at = placeOf(state)
   const handle = stopped ? stopped.handle : prepared!.handle
-  return { state: { ...state, phase: 'continuing', at, continuations: state.continuations + 1 }, effects: [{ type: 'continue', at, handle, from: position }] }
+  return { state: { ...state, phase: 'continuing', at, continuations: state.continuations + 1 }, effects: [{ type: 'continue', at, handle, from: position, isRepeat: state.refusals > 0 }] }
 }
 
 function passedOn (state: MoveState, position: number): MoveStep {
@@ -247,9 +254,10 @@
 }
 
 /** The handle was not used, so it is the source's still: the stream continues at the source, or at the copy when that was tried last. */
-function notContinued (state: MoveState): MoveStep {
+function notContinued (state: MoveState, reached: boolean): MoveStep {
   if (state.phase !== 'continuing') return unchanged(state)
-  return state.continuations >= MAX_CONTINUATIONS ? finish(state, 'given-up') : elsewhere(state)
+  const next = { ...state, refusals: state.refusals + (reached ? 1 : 0) }
+  return next.continuations >= MAX_CONTINUATIONS || next.refusals >= MAX_REFUSALS ? finish(next, 'given-up') : elsewhere(next)
 }
 
 function barred (state: MoveState): MoveStep {
@@ -259,6 +267,12 @@
   return elsewhere({ ...state, barred: [...state.barred, state.at!], continuations: state.continuations - 1 })
 }
 
+function overBudget (state: MoveState): MoveStep {
+  // The order to stop was not sent, so the run goes on.
+  if (state.phase === 'committing' && !state.stopped) return finish({ ...state, orders: 0 }, 'not-moved')
+  return state.phase === 'continuing' ? finish(state, 'given-up') : unchanged(state)
+}
+
 /** After a place did not take the stream: another target, then the source, then the last copy again. */
 function elsewhere (state: MoveState): MoveStep {
   const [target, ...alternatives] = state.alternatives
--- a/core/moves/stream_move_test.ts
+++ b/core/moves/stream_move_test.ts
@@ -19,6 +19,7 @@
 const schedule = fc.record({
   seed: fc.integer({ min: 1, max: 2 ** 31 - 1 }),
   noticeMs: fc.integer({ min: 50, max: 4000 }),
+  deniedShare: fc.constantFrom(0, 0, 0.3),
   barredAfterMs: fc.constantFrom(0, 500, Infinity),
   total: fc.integer({ min: 1, max: 300 }),
   copyMs: fc.integer({ min: 1, max: 800 }),
--- a/daemon/exchange/_proxy_components.ts
+++ b/daemon/exchange/_proxy_components.ts
@@ -252,6 +252,7 @@
       port: platform.kvMover({ addressOf: endpointAddress }),
       open: () => cradle.intake.open,
       engineOf: (pool) => cradle.config.inForce?.pools.get(pool)?.engine,
+      budgetOf: cradle.budgetOf,
       leavingMs: settings.registry.leavingMs,
       daemons: () => cradle.fleet.hostCount
     })).singleton(),
--- a/daemon/moves/move_director.ts
+++ b/daemon/moves/move_director.ts
@@ -3,6 +3,7 @@
 import type { EndpointId, PoolName } from '../../core/ids/index.ts'
 import { LinkEstimator } from '../../core/moves/index.ts'
 import { JointPlanner, NOTICE_MARGIN_MS, type ReclaimPlanner } from '../../core/reclaim/index.ts'
+import type { RetryLimiter } from '../../core/retry/index.ts'
 import { availableAtMs, runningNow, type EndpointView, type Random } from '../../core/routing/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import type { Topology } from '../../core/topology/index.ts'
@@ -22,6 +23,7 @@
   port: KvMover
   random: Random
   paths: Pick<PathObserver, 'canSend'>
+  budgetOf (pool: PoolName): Pick<RetryLimiter, 'tryWithdraw'>
   /** Requests in progress on this daemon. */
   open (): Iterable<RequestTask<Buffer>>
   /** Engines of a pool; undefined for a pool of plain services and while no configuration is known. */
@@ -219,6 +221,7 @@
       limitMs: Math.max(MIN_ORDER_LIMIT_MS, Math.min(noticeMs - NOTICE_MARGIN_MS, MIN_ORDER_LIMIT_MS + 2 * copyMs * Math.max(1, runningNow(source)))),
       port,
       table,
+      budget: this.#options.budgetOf(source.pool),
       mayReceive: (id) => this.#mayReceive(id),
       metrics,
       onCopied: ({ target, tookMs }) => {
--- a/daemon/moves/move_director_test.ts
+++ b/daemon/moves/move_director_test.ts
@@ -3,6 +3,7 @@
 import { toWorkClass } from '../../core/config/index.ts'
 import type { Route } from '../../core/routing/index.ts'
 import { delay, steadyNow } from '../../core/time/index.ts'
+import { AttemptError } from '../../core/outcome/index.ts'
 import { RegionTopology } from '../../core/topology/index.ts'
 import { sessionConfig } from '../../bench/_session.ts'
 import type { AttemptSink, KvMover, KvOrder, KvOrderResult, ListedHost } from '../../endpoints/index.ts'
@@ -38,10 +39,13 @@
   /** Answers to orders. Default: done. */
   answer?: (order: KvOrder, type: 'prepare' | 'commit') => KvOrderResult | Promise<KvOrderResult>
   noticeMs?: number
+  /** Arrivals that the retry budget allows. */
+  budget?: number
 }
 
 /** Streams at the source, and a port that records the orders. */
-function setUp ({ hosts = [host('near', 'b')], resumable = false, engine = {}, held = [], answer = () => ({ type: 'done', handle: 'h', events: 2 }), noticeMs = NOTICE_MS }: SetUpOptions = {}) {
+function setUp ({ hosts = [host('near', 'b')], resumable = false, engine = {}, held = [], answer = () => ({ type: 'done', handle: 'h', events: 2 }), noticeMs = NOTICE_MS, budget = 10 }: SetUpOptions = {}) {
+  let withdrawals = 0
   const orders: string[] = []
   const starts: string[] = []
   const sinks: Array<AttemptSink<Buffer>> = []
@@ -63,6 +67,7 @@
     paths: { canSend: () => true },
     open: () => tasks.filter((task) => !task.final),
     engineOf: () => ({ ...ENGINE, ...engine }),
+    budgetOf: () => ({ tryWithdraw: () => ++withdrawals <= budget }),
     leavingMs: LEAVING_MS,
     daemons: () => 1
   })
@@ -100,7 +105,7 @@
     table.leaving([as(SOURCE)], steadyNow() + noticeMs, 'notice')
     await vi.advanceTimersByTimeAsync(observedMs)
   }
-  return { orders, starts, sinks, table, metrics, begin, leave }
+  return { withdrawn: () => withdrawals, orders, starts, sinks, table, metrics, begin, leave }
 }
 
 test('a stream that may run once moves', async () => {
@@ -218,3 +223,28 @@
   await leave()
   expect(starts).toEqual(['fresh r1 source from 0', 'import r1 other from 2'])
 })
+
+/** Refuses the requests with a handle that were started, until none is left to refuse. */
+async function refuseContinuations (sinks: ReadonlyArray<AttemptSink<Buffer>>): Promise<void> {
+  for (let next = 1; next < sinks.length; next++) {
+    sinks[next]!.onError(new AttemptError('refused', { point: 'endpoint-said-not-run' }))
+    await vi.advanceTimersByTimeAsync(100)
+  }
+}
+
+test('a run that the retry budget allows no other arrival of is not stopped', async () => {
+  const { orders, begin, leave } = setUp({ budget: 0 })
+  begin('r1')
+  await leave(200)
+  expect(orders).toEqual(['prepare r1 near'])
+})
+
+test.each([[1, 1], [2, 2], [10, 3]])('with a retry budget of %d arrivals, a stream that is refused everywhere is sent %d times', async (budget, sends) => {
+  const { starts, sinks, withdrawn, begin, leave } = setUp({ budget, hosts: ['near', 'other', 'third'].map((name) => host(name, 'b')) })
+  const task = begin('r1')
+  await leave(200)
+  await refuseContinuations(sinks)
+  expect(starts.slice(1)).toHaveLength(sends)
+  expect(task.final).toMatchObject({ outcome: 'unknown' })
+  expect(withdrawn()).toBe(Math.min(budget + 1, 3))
+})
--- a/daemon/moves/stream_mover.ts
+++ b/daemon/moves/stream_mover.ts
@@ -1,7 +1,8 @@
 /** Moves one running stream to another endpoint: executes the effects of the core's state machine. */
 import type { EndpointId } from '../../core/ids/index.ts'
 import { mayBeStopped, newMove, stepMove, type MoveEffect, type MoveMessage, type MoveOutcome, type MoveState } from '../../core/moves/index.ts'
-import { isConnectionAborted, outcomeAt, type AttemptError } from '../../core/outcome/index.ts'
+import { isConnectionAborted, outcomeAt, reachedEndpoint, type AttemptError } from '../../core/outcome/index.ts'
+import type { RetryLimiter } from '../../core/retry/index.ts'
 import type { EndpointView } from '../../core/routing/index.ts'
 import { delay, steadyNow } from '../../core/time/index.ts'
 import type { KvMover, KvOrderResult } from '../../endpoints/index.ts'
@@ -25,7 +26,8 @@
   /** Time limit of an order, in milliseconds. */
   limitMs: number
   port: KvMover
-  table: Pick<EndpointTable, 'get'>
+  table: Pick<EndpointTable, 'get' | 'isLeavingOrGone'>
+  budget: Pick<RetryLimiter, 'tryWithdraw'>
   /** True if an endpoint may still be sent requests: it does not leave, or not for long. */
   mayReceive (endpoint: EndpointId): boolean
   metrics: Pick<Metrics, 'streamMoves' | 'kvBytesMoved' | 'kvOrders'>
@@ -49,6 +51,8 @@
   #state: MoveState
   #fail: (() => void) | undefined
   #why: string | undefined
+  /** True once the retry budget has allowed the first request with the handle. */
+  #isPaidFor = false
 
   constructor (options: StreamMoverOptions) {
     this.#options = options
@@ -85,7 +89,7 @@
       return false
     }
     this.#fail = fail
-    this.#post({ type: 'not-continued' })
+    this.#post({ type: 'not-continued', reached: reachedEndpoint(err.point) })
     return true
   }
 
@@ -119,6 +123,8 @@
     switch (effect.type) {
       case 'commit':
         if (!this.#mayStop()) return this.#post({ type: 'barred' })
+        if (!this.#isPaidFor && !this.#withdraw()) return this.#post({ type: 'over-budget' })
+        this.#isPaidFor = true
         this.#order(effect.type, effect.target)
         return
       case 'prepare': {
@@ -139,6 +145,13 @@
     }
   }
 
+  #withdraw (): boolean {
+    const { budget, source, table } = this.#options
+    const granted = budget.tryWithdraw(table.isLeavingOrGone(source.id))
+    if (!granted) this.#why = 'over the retry budget'
+    return granted
+  }
+
   /** A run that only one target can take is stopped only while its source could take it back. */
   #mayStop (): boolean {
     const { source, mayReceive } = this.#options
@@ -178,12 +191,13 @@
     this.#timers.add(timer)
   }
 
-  #continue ({ at, handle }: Extract<MoveEffect, { type: 'continue' }>): void {
+  #continue ({ at, handle, isRepeat }: Extract<MoveEffect, { type: 'continue' }>): void {
     const { task } = this.#options
     if (!this.#options.mayReceive(at)) {
       this.#why = 'the endpoint leaves'
       return this.#post({ type: 'barred' })
     }
+    if (isRepeat && !this.#withdraw()) return this.#post({ type: 'over-budget' })
     this.#fail = undefined
     task.kvHandle = handle
     task.post({ type: 'move', endpoint: at, mode: 'import' })
