Order again while another order for a stopped run is under way

Cause: busy counted as one of four orders, and the world of the tests knew how long a copy takes. Change: busy is waited out and does not count; the world's time limit is fixed, and a repeated copy sends only what is new. Callers lost streams that had stopped.

--- a/core/moves/_move_world.ts
+++ b/core/moves/_move_world.ts
@@ -8,8 +8,8 @@
 export const TARGETS = [as<EndpointId>('t1'), as<EndpointId>('t2')] as const
 const EVENT_MS = 20
 const CALL_MS = 5
-/** Time beyond twice that of a copy after which the answer to an order counts as lost, in milliseconds. */
-const ORDER_SLACK_MS = 200
+/** Time after which the answer to an order counts as lost, in milliseconds. It knows nothing of the time that a copy takes. */
+const ORDER_LIMIT_MS = 300
 
 /** What befalls a schedule. */
 export interface WorldOptions {
@@ -66,6 +66,8 @@
   readonly #copies = new Map<KvHandle, { at: ReadonlySet<EndpointId>, final: boolean }>()
   #memory: { events: number } | undefined
   #busy = false
+  /** Targets that have a copy, so that only what is new is sent to them. */
+  readonly #sentTo = new Set<EndpointId>()
   #now = 0
   #seq = 0
   #handleCount = 0
@@ -199,7 +201,7 @@
       answered = true
       this.#post({ type: 'answer', result })
     }
-    this.#at(2 * this.#options.copyMs + ORDER_SLACK_MS, () => answer({ type: 'lost' }))
+    this.#at(ORDER_LIMIT_MS, () => answer({ type: 'lost' }))
     if (random() < lossShare) return
     this.#at(this.#latencyMs, () => this.#carryOut(target, isLast, (result) => {
       if (random() < lossShare) return
@@ -218,12 +220,13 @@
       this.#at(this.#latencyMs + EVENT_MS, () => this.#onBroken(run.connection))
     }
     this.#busy = true
-    this.#at(this.#options.copyMs, () => {
+    this.#at(this.#sentTo.has(target) ? CALL_MS : this.#options.copyMs, () => {
       this.#busy = false
       if (this.#dead.has(SOURCE)) return
       const events = this.#memory?.events ?? (this.#runs.get(SOURCE)?.next ?? 1) - 1
       const handle = `h${++this.#handleCount}`
       const reached = !this.#dead.has(target) && this.#options.random() >= this.#options.fullShare
+      if (reached) this.#sentTo.add(target)
       if (reached || isLast) this.#copies.set(handle, { at: new Set([...(reached ? [target] : []), ...(isLast ? [SOURCE] : [])]), final: isLast })
       answer(reached ? { type: 'done', handle, events } : { type: 'refused', ...(isLast && { handle, events }) })
     })
--- a/core/moves/stream_move.ts
+++ b/core/moves/stream_move.ts
@@ -11,6 +11,7 @@
  * - `repeating`: no usable answer to the order to copy came; it is repeated after a while.
  * - `committing`: the run was ordered to stop; whether it has is not known until the answer.
  * - `unsure`: the answer was lost or says nothing; the order is repeated after a while.
+ * - `busy`: another order for the run is under way; the order is repeated after a while.
  * - `watching`: repeating the order did not help; the stream is read on at the source.
  * - `checking`: the stream broke off, and the source is asked whether it still runs.
  * - `draining`: the run has stopped; its last events are still arriving.
@@ -18,7 +19,7 @@
  * - `retrying`: that request was refused, and is sent again after a while.
  * - `ended`: final.
  */
-export type MovePhase = 'preparing' | 'repeating' | 'committing' | 'unsure' | 'watching' | 'checking' | 'draining' | 'continuing' | 'retrying' | 'ended'
+export type MovePhase = 'preparing' | 'repeating' | 'committing' | 'unsure' | 'busy' | 'watching' | 'checking' | 'draining' | 'continuing' | 'retrying' | 'ended'
 
 /** How a move ended: the stream runs elsewhere, it runs or ended at its source, or it may have been lost. */
 export type MoveOutcome = 'moved' | 'continued-at-source' | 'not-moved' | 'ended-at-source' | 'given-up' | 'cancelled'
@@ -41,7 +42,7 @@
   readonly copied: boolean
   /** Number of orders to copy while the run goes on. */
   readonly copies: number
-  /** Number of orders to stop since the stream last gave a sign of life. */
+  /** Number of orders to stop since the stream last gave a sign of life, without those that were answered with `busy`. */
   readonly orders: number
   /** Endpoints that must get no more requests. */
   readonly barred: readonly EndpointId[]
@@ -65,6 +66,7 @@
   /** The target cannot be reached or has no room. With a handle, an order to stop was carried out. */
   | { type: 'refused', handle?: KvHandle | undefined, events?: number | undefined }
   | { type: 'no-run' }
+  /** An order for the run is under way, so that this one was not carried out. */
   | { type: 'busy' }
   /** No process has the source's address, or another one has it. */
   | { type: 'gone' }
@@ -178,8 +180,9 @@
   if (result.type === 'done') return commit({ ...state, prepared: { target: state.target, handle: result.handle } })
   const [target, ...alternatives] = state.alternatives
   if (result.type === 'refused' && target !== undefined) return prepare({ ...state, target, alternatives })
-  if ((result.type !== 'lost' && result.type !== 'busy') || state.copies >= MAX_COPIES) return finish(state, 'not-moved')
-  return { state: { ...state, phase: 'repeating' }, effects: [{ type: 'wait', ms: REPEAT_ORDER_MS }] }
+  const copies = result.type === 'busy' ? state.copies - 1 : state.copies
+  if ((result.type !== 'lost' && result.type !== 'busy') || copies >= MAX_COPIES) return finish(state, 'not-moved')
+  return { state: { ...state, phase: 'repeating', copies }, effects: [{ type: 'wait', ms: REPEAT_ORDER_MS }] }
 }
 
 function prepare (state: MoveState): MoveStep {
@@ -192,6 +195,8 @@
 
 function ordered (state: MoveState, result: OrderResult): MoveStep {
   if (state.phase !== 'committing') return unchanged(state)
+  // The answer to the order that is under way is still to be had, so this one does not count.
+  if (result.type === 'busy') return { state: { ...state, phase: 'busy' }, effects: [{ type: 'wait', ms: REPEAT_ORDER_MS }] }
   if (result.type === 'done') return drain({ ...state, stopped: { handle: result.handle, events: result.events }, copied: true })
   if (result.type === 'refused' && result.handle !== undefined) return stoppedWithoutCopy({ ...state, stopped: { handle: result.handle, events: result.events ?? state.stopped?.events ?? state.position }, copied: false })
   // A run that is known to have stopped stays so, whatever the answer to a later order was.
@@ -250,6 +255,7 @@
 function timer (state: MoveState): MoveStep {
   if (state.phase === 'repeating') return prepare(state)
   if (state.phase === 'unsure') return commit(state)
+  if (state.phase === 'busy') return commit({ ...state, orders: state.orders - 1 })
   return state.phase === 'draining' || state.phase === 'retrying' ? continueStream(state) : unchanged(state)
 }
 
--- a/core/moves/stream_move_test.ts
+++ b/core/moves/stream_move_test.ts
@@ -72,3 +72,12 @@
   expect(results.every(({ state: { outcome } }) => outcome === 'moved' || outcome === 'given-up' || outcome === 'not-moved')).toBe(true)
   expect(results.filter(({ whole }) => whole).length).toBeGreaterThanOrEqual(0.9 * results.length)
 })
+
+test('a run that has stopped is not lost while its copy takes longer than the answers to its orders are waited for', () => {
+  // Guards against orders that are used up by the answer that another one is under way.
+  const target = play({ copyMs: 700 })
+  expect([target.whole, target.state.outcome]).toEqual([true, 'moved'])
+  const random = seededRandom(SEED)
+  const refused = Array.from({ length: 300 }, () => play({ copyMs: 700, noticeMs: 6000, total: 380, fullShare: 0.4 }, Math.floor(random() * 2 ** 31)))
+  expect(refused.filter(({ state: { outcome } }) => outcome === undefined || outcome === 'given-up')).toEqual([])
+})
