Free the copies of targets that were not used

Cause: only the last handles were kept, and nothing was freed once a stream had moved. Change: all handles that answers name are kept with their targets, and all but the one in use are freed, at the target if the source has ended. The world's cut no longer drops a connection that was opened in its course.

--- a/core/moves/_move_world.ts
+++ b/core/moves/_move_world.ts
@@ -46,6 +46,8 @@
   doubled: boolean
   /** True if an endpoint died while the stream ran there after its move. */
   lostAfterMove: boolean
+  /** Handles that answers named whose copies were neither used nor freed. */
+  left: KvHandle[]
   state: MoveState
 }
 
@@ -100,7 +102,7 @@
       next.run()
       if (this.#runs.size > 1) this.#result.doubled = true
     }
-    return { ...this.#result, state: this.#state }
+    return { ...this.#result, left: this.#state.handles.map(({ handle }) => handle).filter((handle) => this.#copies.has(handle)), state: this.#state }
   }
 
   #at (inMs: number, run: () => void): void {
@@ -123,7 +125,7 @@
   #cut (): void {
     if (this.#connection !== 1) return
     this.#onBroken(1)
-    this.#connection = 0
+    if (this.#connection === 1) this.#connection = 0
   }
 
   #begin (run: Run): void {
--- a/core/moves/stream_move.ts
+++ b/core/moves/stream_move.ts
@@ -24,6 +24,9 @@
 /** How a move ended: the stream runs elsewhere, it runs or ended at its source, or it may have been lost. */
 export type MoveOutcome = 'moved' | 'continued-at-source' | 'not-moved' | 'ended-at-source' | 'given-up' | 'cancelled'
 
+/** A handle, and the target of the order whose answer named it. */
+export interface NamedHandle { readonly handle: KvHandle, readonly target: EndpointId }
+
 /** State of one move. */
 export interface MoveState {
   readonly phase: MovePhase
@@ -38,6 +41,8 @@
   readonly canUsePrepared: boolean
   /** Set once the source has confirmed that the run has stopped. */
   readonly stopped: { readonly handle: KvHandle, readonly events: number } | undefined
+  /** All handles that answers named, with the target of their order. */
+  readonly handles: readonly NamedHandle[]
   /** True if the last copy is complete at the target. */
   readonly copied: boolean
   /** Number of orders to copy while the run goes on. */
@@ -106,7 +111,8 @@
   /** Send the request with the handle and the number of the caller's last event. `isRepeat`: one reached an endpoint before, so that the retry budget is asked. */
   | { type: 'continue', at: EndpointId, handle: KvHandle, from: number, isRepeat: boolean }
   | { type: 'wait', ms: number }
-  | { type: 'release', handle: KvHandle }
+  /** Free a copy at the source, and at the target if the source cannot. */
+  | { type: 'release', handle: KvHandle, target: EndpointId }
   /** The move is over; if the source's stream was closed, its failure now counts. */
   | { type: 'finish', outcome: MoveOutcome }
 
@@ -137,7 +143,7 @@
 /** Returns the state of a move that has not begun. */
 export function newMove ({ source, targets, position }: NewMoveOptions): MoveState {
   const [target, ...alternatives] = targets
-  return { phase: 'preparing', source, target: target!, alternatives, prepared: undefined, canUsePrepared: true, stopped: undefined, copied: false, copies: 0, orders: 0, barred: [], continuations: 0, refusals: 0, closed: false, position, at: undefined, outcome: undefined }
+  return { phase: 'preparing', source, target: target!, alternatives, prepared: undefined, canUsePrepared: true, stopped: undefined, handles: [], copied: false, copies: 0, orders: 0, barred: [], continuations: 0, refusals: 0, closed: false, position, at: undefined, outcome: undefined }
 }
 
 /** Returns true if the end of the source's connection may be due to an order to stop, so that it must not count as the end of the stream. */
@@ -155,7 +161,7 @@
   if (state.phase === 'ended') return lateAnswer(state, msg)
   switch (msg.type) {
     case 'begin': return prepare(state)
-    case 'answer': return state.phase === 'preparing' ? prepared(state, msg.result) : ordered(state, msg.result)
+    case 'answer': return answered(withHandle(state, msg.result), msg.result)
     case 'passed-on': return passedOn(state, msg.position)
     case 'closed': return closed(state, msg.mayBeWhole)
     case 'ended': return finish(state, msg.whole ? 'ended-at-source' : 'cancelled')
@@ -171,8 +177,19 @@
 
 /** What an order that was still open when the move ended has made is freed. */
 function lateAnswer (state: MoveState, msg: MoveMessage): MoveStep {
-  const handle = msg.type === 'answer' && 'handle' in msg.result ? msg.result.handle : undefined
-  return { state, effects: handle === undefined ? [] : [{ type: 'release', handle }] }
+  if (msg.type !== 'answer') return unchanged(state)
+  const next = withHandle(state, msg.result)
+  return { state: next, effects: next.handles.slice(state.handles.length).map((each): MoveEffect => ({ type: 'release', ...each })) }
+}
+
+function withHandle (state: MoveState, result: OrderResult): MoveState {
+  const handle = 'handle' in result ? result.handle : undefined
+  if (handle === undefined || state.handles.some((each) => each.handle === handle)) return state
+  return { ...state, handles: [...state.handles, { handle, target: state.target }] }
+}
+
+function answered (state: MoveState, result: OrderResult): MoveStep {
+  return state.phase === 'preparing' ? prepared(state, result) : ordered(state, result)
 }
 
 /** A lost copy is ordered again, since an order to copy does not change the run. */
@@ -293,10 +310,11 @@
   return copied ? target : source
 }
 
-/** Ends the move and frees its copies, unless `keep` is set because one is in use. */
+/** Ends the move and frees its copies, except the one in use if `keep` is set. */
 function finish (state: MoveState, outcome: MoveOutcome, { keep = false } = {}): MoveStep {
-  const handles = keep ? [] : new Set([state.prepared?.handle, state.stopped?.handle].filter((handle) => handle !== undefined))
-  return { state: { ...state, phase: 'ended', outcome }, effects: [...[...handles].map((handle): MoveEffect => ({ type: 'release', handle })), { type: 'finish', outcome }] }
+  const used = keep ? (state.stopped ?? state.prepared)?.handle : undefined
+  const unused = state.handles.filter(({ handle }) => handle !== used)
+  return { state: { ...state, phase: 'ended', outcome }, effects: [...unused.map((each): MoveEffect => ({ type: 'release', ...each })), { type: 'finish', outcome }] }
 }
 
 function unchanged (state: MoveState): MoveStep {
--- a/core/moves/stream_move_test.ts
+++ b/core/moves/stream_move_test.ts
@@ -36,6 +36,7 @@
     const result = play(options, seed)
     expect(result.doubled).toBe(false)
     expect(isSound(result, options.total)).toBe(true)
+    expect(result.left).toEqual([])
   }), { numRuns: SCHEDULES, seed: SEED })
 }, 120_000)
 
@@ -49,7 +50,7 @@
     let drawn = -1
     const random = () => (drawn++ < 0 || drawn > CHOICES || ((choices >> (drawn - 1)) & 1) === 0 ? 0.99 : 0)
     const result = playMove({ random, ...calm, ...faults })
-    if (result.doubled || !isSound(result, faults.total ?? calm.total)) expect({ choices, result }).toBeUndefined()
+    if (result.doubled || result.left.length > 0 || !isSound(result, faults.total ?? calm.total)) expect({ choices, result }).toBeUndefined()
   }
 }, 120_000)
 
@@ -62,8 +63,8 @@
 }, 60_000)
 
 test('a stream moves, and the source is left with nothing', () => {
-  const { whole, state } = play()
-  expect([whole, state.outcome, state.orders, state.continuations]).toEqual([true, 'moved', 1, 1])
+  const { whole, left, state } = play()
+  expect([whole, left, state.outcome, state.orders, state.continuations]).toEqual([true, [], 'moved', 1, 1])
 })
 
 test('a run that has stopped goes on at a target although its copies were refused before, while the source must get no request', () => {
--- a/daemon/moves/stream_mover.ts
+++ b/daemon/moves/stream_mover.ts
@@ -138,7 +138,8 @@
       case 'wait': return this.#wait(effect.ms)
       case 'continue': return this.#continue(effect)
       case 'release': {
-        this.#options.port.release(this.#options.source, effect.handle)
+        const { port, source, table } = this.#options
+        port.release({ source, handle: effect.handle, target: table.get(effect.target) })
         return
       }
       case 'finish': return this.#finish(effect.outcome)
--- a/endpoints/kv_mover.ts
+++ b/endpoints/kv_mover.ts
@@ -12,6 +12,14 @@
   limitMs: number
 }
 
+/** A copy that is not used. */
+export interface KvCopy {
+  source: EndpointView
+  handle: KvHandle
+  /** Target of the copy; undefined if it is no longer listed. */
+  target: EndpointView | undefined
+}
+
 /** Answer to an order, with the reason if it was not carried out or is not known to be. */
 export type KvOrderResult = OrderResult & { why?: string }
 
@@ -32,8 +40,8 @@
   prepare (order: KvOrder): Promise<KvOrderResult>
   /** Stops a run and copies what is missing. */
   commit (order: KvOrder): Promise<KvOrderResult>
-  /** Frees the copy that a handle names, at both ends. */
-  release (source: EndpointView, handle: KvHandle): Promise<void>
+  /** Frees the copy that a handle names: at both ends, or only at the target if the source does not answer. */
+  release (copy: KvCopy): Promise<void>
   /** Returns the runs of an endpoint as of a few hundred milliseconds ago. */
   runs (source: EndpointView, limitMs: number): Promise<RunsReport>
 }
