Plan again after a move that stopped nothing, and limit each order by the notice left

Cause: plans end once no stream without a mover is left, so that one whose move took longer was not planned again; one time limit held for all orders of a move. Callers lost such streams. Change: a move that ends as not-moved brings another plan; the limit is computed as an order is sent, and one after a copy has only the rest to send. Result: the two new tests fail before and pass now.

--- a/daemon/moves/move_director.ts
+++ b/daemon/moves/move_director.ts
@@ -98,7 +98,10 @@
   #planIn (ms: number): void {
     if (this.#isStopped) return
     clearTimeout(this.#planTimer)
-    this.#planTimer = setTimeout(() => { this.#plan() }, ms)
+    this.#planTimer = setTimeout(() => {
+      this.#planTimer = undefined
+      this.#plan()
+    }, ms)
   }
 
   #movingEngine (pool: PoolName): EngineCapacity | undefined {
@@ -207,7 +210,6 @@
     const kvTokens = kvTokensOf(run)
     const bytes = kvTokens * engine.kvBytesPerToken
     const copyMs = bytes * 1000 / link.bytesPerS(ordered.some((view) => view.failureDomain !== source.failureDomain))
-    const noticeMs = goneAtMs - steadyNow()
     const departure = this.#departureOf(source.id)
     departure.copyingMs += copyMs
     this.#begun.set(task, { source: source.id, count: this.#movesBegun(task, source.id) + 1 })
@@ -217,8 +219,12 @@
       targets: ordered,
       kvTokens,
       bytesPerToken: engine.kvBytesPerToken,
-      // Copies of all streams at the source may be queued before this one.
-      limitMs: Math.max(MIN_ORDER_LIMIT_MS, Math.min(noticeMs - NOTICE_MARGIN_MS, MIN_ORDER_LIMIT_MS + 2 * copyMs * Math.max(1, runningNow(source)))),
+      limitMs: ({ hasCopy }) => {
+        // Copies of all streams at the source may be queued before this one.
+        const expectedMs = hasCopy ? 0 : 2 * copyMs * Math.max(1, runningNow(source))
+        const noticeMs = (table.goneAtMs(source.id) ?? goneAtMs) - steadyNow()
+        return Math.max(MIN_ORDER_LIMIT_MS, Math.min(noticeMs - NOTICE_MARGIN_MS, MIN_ORDER_LIMIT_MS + expectedMs))
+      },
       port,
       table,
       budget: this.#options.budgetOf(source.pool),
@@ -227,7 +233,10 @@
       onCopied: ({ target, tookMs }) => {
         if (link.learn({ bytes, tookMs, betweenDomains: target.failureDomain !== source.failureDomain })) this.#planIn(BATCH_DELAY_MS)
       },
-      onEnded: () => { departure.copyingMs -= copyMs }
+      onEnded: (outcome) => {
+        departure.copyingMs -= copyMs
+        if (outcome === 'not-moved' && !this.#planTimer) this.#planIn(PLAN_INTERVAL_MS)
+      }
     }).start()
   }
 }
--- a/daemon/moves/move_director_test.ts
+++ b/daemon/moves/move_director_test.ts
@@ -47,6 +47,7 @@
 function setUp ({ hosts = [host('near', 'b')], resumable = false, engine = {}, held = [], answer = () => ({ type: 'done', handle: 'h', events: 2 }), noticeMs = NOTICE_MS, budget = 10 }: SetUpOptions = {}) {
   let withdrawals = 0
   const orders: string[] = []
+  const limits: number[] = []
   const starts: string[] = []
   const sinks: Array<AttemptSink<Buffer>> = []
   const tasks: Array<RequestTask<Buffer>> = []
@@ -55,6 +56,7 @@
   const metrics = createMetrics()
   const order = (type: 'prepare' | 'commit') => async (each: KvOrder) => {
     orders.push(`${type} ${each.id} ${each.target.id}`)
+    limits.push(each.limitMs)
     return answer(each, type)
   }
   const port: KvMover = { prepare: order('prepare'), commit: order('commit'), release: async () => {}, runs: async () => 'unknown' }
@@ -105,7 +107,7 @@
     table.leaving([as(SOURCE)], steadyNow() + noticeMs, 'notice')
     await vi.advanceTimersByTimeAsync(observedMs)
   }
-  return { withdrawn: () => withdrawals, orders, starts, sinks, table, metrics, begin, leave }
+  return { withdrawn: () => withdrawals, orders, limits, starts, sinks, table, metrics, begin, leave }
 }
 
 test('a stream that may run once moves', async () => {
@@ -248,3 +250,35 @@
   expect(task.final).toMatchObject({ outcome: 'unknown' })
   expect(withdrawn()).toBe(Math.min(budget + 1, 3))
 })
+
+test('a stream whose move took longer than the interval of plans and did not stop it is planned again', async () => {
+  let tries = 0
+  const { orders, starts, begin, leave } = setUp({
+    noticeMs: 5000,
+    answer: async () => {
+      if (++tries > 1) return { type: 'done', handle: 'h', events: 2 }
+      await delay(700)
+      return { type: 'refused' }
+    }
+  })
+  begin('r1')
+  await leave()
+  expect(orders).toEqual(['prepare r1 near', 'prepare r1 near', 'commit r1 near'])
+  expect(starts.at(-1)).toBe('import r1 near from 2')
+})
+
+test('the time limit of an order follows the notice that is left when it is sent, and what is left to copy', async () => {
+  const { limits, table, begin, leave } = setUp({
+    noticeMs: 5000,
+    engine: { kvBytesPerToken: 5_000_000 },
+    answer: async (_order, type) => {
+      if (type === 'prepare') table.leaving([as(SOURCE)], steadyNow() + 1000, 'notice')
+      return { type: type === 'prepare' && limits.length === 1 ? 'lost' : 'done', handle: 'h', events: 2 }
+    }
+  })
+  begin('r1')
+  await leave(1000)
+  expect(limits[0]).toBeGreaterThan(1000)
+  expect(limits[1]).toBeLessThan(1000)
+  expect(limits[2]).toBe(300)
+})
--- a/daemon/moves/stream_mover.ts
+++ b/daemon/moves/stream_mover.ts
@@ -23,8 +23,8 @@
   /** Estimated size of the KV cache. */
   kvTokens: number
   bytesPerToken: number
-  /** Time limit of an order, in milliseconds. */
-  limitMs: number
+  /** Returns the time limit of an order that is sent now, in milliseconds. `hasCopy`: the target has a copy already, so that only the rest is copied. */
+  limitMs (options: { hasCopy: boolean }): number
   port: KvMover
   table: Pick<EndpointTable, 'get' | 'isLeavingOrGone'>
   budget: Pick<RetryLimiter, 'tryWithdraw'>
@@ -164,7 +164,7 @@
     const { task, source, port, metrics, limitMs, table, kvTokens, bytesPerToken } = this.#options
     const target = table.get(targetId)
     const sentAtMs = steadyNow()
-    const result: KvOrderResult = target && target.leavingAtMs === undefined ? await port[order]({ source, id: task.id, target, limitMs }) : { type: 'refused', why: 'the target leaves or is no longer listed' }
+    const result: KvOrderResult = target && target.leavingAtMs === undefined ? await port[order]({ source, id: task.id, target, limitMs: limitMs({ hasCopy: this.#state.prepared?.target === targetId }) }) : { type: 'refused', why: 'the target leaves or is no longer listed' }
     metrics.kvOrders.inc({ order, answer: result.type })
     if (result.why !== undefined) this.#why = result.why
     if (order === 'prepare' && result.type === 'done') {
