Count the import of a stream that can be resumed as an attempt again

Cause: imports used up no attempt in either face. Change: only those of streams that cannot be resumed use up none. Result: the new test fails before (0 attempts) and passes now.

--- a/core/request/lifecycle.ts
+++ b/core/request/lifecycle.ts
@@ -177,8 +177,8 @@
   const isImport = msg.mode === 'import'
   if (state.phase !== 'running' || !(state.traits.movable || isImport) || state.endpoint === undefined) return unchanged(state)
   const stop: RequestEffect = { type: 'stop', endpoint: state.endpoint, attempt: state.attempt }
-  // An import is the same run: it uses up no attempt.
-  const moved: RequestState = { ...state, sent: state.sent + (isImport ? 0 : 1), mayHaveRun: true, avoid: [...state.avoid, state.endpoint] }
+  // The import of a stream that cannot be resumed is the same run: it uses up no attempt.
+  const moved: RequestState = { ...state, sent: state.sent + (isImport && !state.traits.movable ? 0 : 1), mayHaveRun: true, avoid: [...state.avoid, state.endpoint] }
   if (state.traits.idempotent || isImport) {
     const started = start({ ...moved, phase: 'placing' }, msg.endpoint, msg.mode)
     return { state: started.state, effects: [stop, ...started.effects] }
--- a/core/request/lifecycle_test.ts
+++ b/core/request/lifecycle_test.ts
@@ -68,6 +68,11 @@
   expect(moved.state).toMatchObject({ sent: 0, mayHaveRun: true })
 })
 
+test('an import of a stream that can be resumed uses up an attempt', () => {
+  const { state } = run({ movable: true }, RUNNING)
+  expect(step(state, { type: 'move', endpoint: B, mode: 'import' }, 0).state.sent).toBe(1)
+})
+
 test.each(FAILURE_POINTS)('a stream that cannot be resumed does not begin anew when its move fails at %s', (point) => {
   // Guards against a second run: that the target did not run it says nothing of the source, which did.
   const { state } = run({ movable: false }, [...RUNNING, { type: 'move', endpoint: B, mode: 'import' }, { type: 'failed', attempt: 2, point, retryGranted: true }])
