Ask a source that closed a stream only once its report is current

Cause: a refused connection alone counted as proof that the run had ended. The test of an answer without a length now has a report that lists no run, and fails if the prepared copy may be used.

--- a/daemon/moves/move_director_test.ts
+++ b/daemon/moves/move_director_test.ts
@@ -6,7 +6,7 @@
 import { AttemptError } from '../../core/outcome/index.ts'
 import { RegionTopology } from '../../core/topology/index.ts'
 import { sessionConfig } from '../../bench/_session.ts'
-import type { AttemptSink, KvMover, KvOrder, KvOrderResult, ListedHost } from '../../endpoints/index.ts'
+import type { AttemptSink, KvMover, KvOrder, KvOrderResult, ListedHost, RunsReport } from '../../endpoints/index.ts'
 import { EndpointTable } from '../endpoints/endpoint_table.ts'
 import { createMetrics } from '../metrics.ts'
 import type { CrashWatch, QuarantineTask } from '../quarantine/index.ts'
@@ -39,12 +39,14 @@
   /** Answers to orders. Default: done. */
   answer?: (order: KvOrder, type: 'prepare' | 'commit') => KvOrderResult | Promise<KvOrderResult>
   noticeMs?: number
+  /** What the source reports. Default: unknown. */
+  runsReport?: () => RunsReport
   /** Arrivals that the retry budget allows. */
   budget?: number
 }
 
 /** Streams at the source, and a port that records the orders. */
-function setUp ({ hosts = [host('near', 'b')], resumable = false, engine = {}, held = [], answer = () => ({ type: 'done', handle: 'h', events: 2 }), noticeMs = NOTICE_MS, budget = 10 }: SetUpOptions = {}) {
+function setUp ({ hosts = [host('near', 'b')], resumable = false, engine = {}, held = [], answer = () => ({ type: 'done', handle: 'h', events: 2 }), noticeMs = NOTICE_MS, budget = 10, runsReport = () => 'unknown' }: SetUpOptions = {}) {
   let withdrawals = 0
   const orders: string[] = []
   const limits: number[] = []
@@ -59,7 +61,7 @@
     limits.push(each.limitMs)
     return answer(each, type)
   }
-  const port: KvMover = { prepare: order('prepare'), commit: order('commit'), release: async () => {}, runs: async () => 'unknown' }
+  const port: KvMover = { prepare: order('prepare'), commit: order('commit'), release: async () => {}, runs: async () => runsReport() }
   const director = new MoveDirector({
     table,
     metrics,
@@ -163,12 +165,13 @@
 
 test('an answer without a length that an order to stop may have cut off does not count as whole', async () => {
   // Guards against an answer that ends early and looks complete.
-  const { sinks, begin, leave } = setUp({ answer: (_order, type) => (type === 'prepare' ? { type: 'done', handle: 'p', events: 2 } : { type: 'lost' }) })
+  const { starts, sinks, begin, leave } = setUp({ runsReport: () => new Map(), answer: (_order, type) => (type === 'prepare' ? { type: 'done', handle: 'p', events: 2 } : { type: 'lost' }) })
   const task = begin('r1')
   await leave(1000)
   sinks[0]!.onEnd(2, { explicit: false })
   await vi.advanceTimersByTimeAsync(5000)
   expect(task.final).toMatchObject({ outcome: 'unknown' })
+  expect(starts).toEqual(['fresh r1 source from 0'])
 })
 
 test('the moves of one plan do not exceed the slots of a target', async () => {
@@ -282,3 +285,15 @@
   expect(limits[1]).toBeLessThan(1000)
   expect(limits[2]).toBe(300)
 })
+
+test('a source that refuses a connection is taken to have ended only some time after the end of the stream', async () => {
+  // Guards against two runs when a port is closed before the run has ended.
+  const { starts, sinks, begin, leave } = setUp({ runsReport: () => 'gone', answer: (_order, type) => (type === 'prepare' ? { type: 'done', handle: 'p', events: 2 } : { type: 'gone' }) })
+  begin('r1')
+  await leave(100)
+  sinks[0]!.onError(new AttemptError('closed', { point: 'torn-answer' }))
+  await vi.advanceTimersByTimeAsync(500)
+  expect(starts).toEqual(['fresh r1 source from 0'])
+  await vi.advanceTimersByTimeAsync(500)
+  expect(starts.at(-1)).toBe('import r1 near from 2')
+})
--- a/daemon/moves/stream_mover.ts
+++ b/daemon/moves/stream_mover.ts
@@ -177,8 +177,7 @@
   /** Asks the source for a report that is from after the end of its stream. */
   async #check (): Promise<void> {
     const { port, source, task } = this.#options
-    const early = await port.runs(source, REPORT_LIMIT_MS)
-    if (early === 'gone') return this.#post({ type: 'checked', stopped: true })
+    // Also a refused connection shows only with time that the process has ended.
     await delay(REPORT_AGE_MS)
     const runs = await port.runs(source, REPORT_LIMIT_MS)
     this.#post({ type: 'checked', stopped: runs === 'gone' || (runs !== 'unknown' && !runs.has(task.id)) })
