Record what a refused continuation shows of its endpoint

Cause: the failure of a request with the handle was held and forgotten, so that departures, limits and back-off of the endpoint were not known. Change: they are recorded at once, and not again if the failure counts in the end. Result: the new test fails before and passes now.

--- a/daemon/moves/move_director_test.ts
+++ b/daemon/moves/move_director_test.ts
@@ -50,6 +50,7 @@
   let withdrawals = 0
   const orders: string[] = []
   const limits: number[] = []
+  const failures: string[] = []
   const starts: string[] = []
   const sinks: Array<AttemptSink<Buffer>> = []
   const tasks: Array<RequestTask<Buffer>> = []
@@ -95,7 +96,7 @@
         metrics,
         dispatcher: { place: (each: Placement) => { placement = each }, remove: () => {}, startQueued: () => {} } as Partial<Dispatcher> as Dispatcher,
         budget: { deposit: () => {}, tryWithdraw: () => true },
-        crashes: { abandoned: () => {}, failed: () => {} } as Partial<CrashWatch> as CrashWatch,
+        crashes: { abandoned: () => {}, failed: ({ id }: { id: EndpointId }, point: string) => { failures.push(`${id} ${point}`) } } as Partial<CrashWatch> as CrashWatch,
         quarantine: { answered: () => {}, isSuspected: () => false, heldAt: (_suspects: unknown, views: ReadonlyArray<{ id: string }>) => (views.every((view) => held.includes(view.id)) ? { suspect: as('f'), forMs: 1 } : undefined) } as Partial<QuarantineTask> as QuarantineTask
       }
     })
@@ -109,7 +110,7 @@
     table.leaving([as(SOURCE)], steadyNow() + noticeMs, 'notice')
     await vi.advanceTimersByTimeAsync(observedMs)
   }
-  return { withdrawn: () => withdrawals, orders, limits, starts, sinks, table, metrics, begin, leave }
+  return { withdrawn: () => withdrawals, orders, limits, failures, starts, sinks, table, metrics, begin, leave }
 }
 
 test('a stream that may run once moves', async () => {
@@ -230,8 +231,8 @@
 })
 
 /** Refuses the requests with a handle that were started, until none is left to refuse. */
-async function refuseContinuations (sinks: ReadonlyArray<AttemptSink<Buffer>>): Promise<void> {
-  for (let next = 1; next < sinks.length; next++) {
+async function refuseContinuations (sinks: ReadonlyArray<AttemptSink<Buffer>>, first = 1): Promise<void> {
+  for (let next = first; next < sinks.length; next++) {
     sinks[next]!.onError(new AttemptError('refused', { point: 'endpoint-said-not-run' }))
     await vi.advanceTimersByTimeAsync(100)
   }
@@ -297,3 +298,14 @@
   await vi.advanceTimersByTimeAsync(500)
   expect(starts.at(-1)).toBe('import r1 near from 2')
 })
+
+test('a target that refuses a continuation because it leaves is known to leave, and what it shows is recorded once', async () => {
+  const { failures, sinks, table, begin, leave } = setUp()
+  begin('r1')
+  await leave(200)
+  sinks[1]!.onError(new AttemptError('refused', { point: 'endpoint-leaving' }))
+  expect(table.isLeavingOrGone(as('near'))).toBe(true)
+  await vi.advanceTimersByTimeAsync(100)
+  await refuseContinuations(sinks, 2)
+  expect(failures.filter((each) => each.startsWith('near'))).toEqual(['near endpoint-leaving'])
+})
--- a/daemon/moves/stream_mover.ts
+++ b/daemon/moves/stream_mover.ts
@@ -71,8 +71,8 @@
     this.#post(this.#state.phase === 'continuing' ? { type: 'continued' } : { type: 'passed-on', position })
   }
 
-  holds (err: AttemptError, fail: () => void): boolean {
-    if (this.#state.phase === 'continuing') return this.#holdsContinuation(err, fail)
+  holds (err: AttemptError, { fail, record }: Parameters<MoveObserver['holds']>[1]): boolean {
+    if (this.#state.phase === 'continuing') return this.#holdsContinuation(err, { fail, record })
     if (!mayBeStopped(this.#state) || !isConnectionAborted(err.point)) {
       this.ended()
       return false
@@ -82,12 +82,13 @@
     return true
   }
 
-  #holdsContinuation (err: AttemptError, fail: () => void): boolean {
+  #holdsContinuation (err: AttemptError, { fail, record }: Parameters<MoveObserver['holds']>[1]): boolean {
     this.#why = err.message
     if (outcomeAt(err.point) !== 'not-run') {
       this.#post({ type: 'lost-continuation' })
       return false
     }
+    record()
     this.#fail = fail
     this.#post({ type: 'not-continued', reached: reachedEndpoint(err.point) })
     return true
--- a/daemon/request/_attempt_failure.ts
+++ b/daemon/request/_attempt_failure.ts
@@ -1,6 +1,6 @@
 /** Tells the daemon's other components what a failed attempt shows of its endpoint. */
 import type { ClassName, EndpointId } from '../../core/ids/index.ts'
-import { isConnectFailure, isConnectionAborted, isEndpointReported, type FailurePoint } from '../../core/outcome/index.ts'
+import { isConnectFailure, isConnectionAborted, isEndpointReported, type AttemptError, type FailurePoint } from '../../core/outcome/index.ts'
 import type { EndpointView } from '../../core/routing/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import { ASSUMED_NOTICE_MS, type EndpointTable } from '../endpoints/endpoint_table.ts'
@@ -18,14 +18,20 @@
 
 /** A failed attempt of a request. */
 export interface FailedAttemptRecord extends FailedAt {
+  /** Recorded once only: the failure of a move may count after it was recorded. */
+  err: AttemptError
   cls: ClassName
   /** When the attempt was sent, in milliseconds on the steady clock; undefined if it was not. */
   sentAtMs: number | undefined
   run: Parameters<RequestPorts['crashes']['failed']>[2]
 }
 
+const recorded = new WeakSet<AttemptError>()
+
 /** Passes a failure on to limits, crash attribution, rollouts, path checks and the endpoint's failure count. */
-export function recordFailedAttempt (ports: RequestPorts, { endpoint, view, point, cls, sentAtMs, run }: FailedAttemptRecord): void {
+export function recordFailedAttempt (ports: RequestPorts, { endpoint, view, point, err, cls, sentAtMs, run }: FailedAttemptRecord): void {
+  if (recorded.has(err)) return
+  recorded.add(err)
   const { table, limits, crashes, answers, paths } = ports
   if (view && point === 'endpoint-said-not-run') limits?.rejected(view)
   crashes.failed({ id: endpoint, view }, point, run)
@@ -35,3 +41,9 @@
   // What a failed connection attempt shows is the path's state, which is checked on its own.
   if (!paths || !isConnectFailure(point)) table.failed(endpoint, { point, sentAtMs: sentAtMs ?? steadyNow() })
 }
+
+/** Records what a failed attempt shows while its request goes on as part of a move. */
+export function recordHeld (ports: RequestPorts, failed: FailedAttemptRecord): void {
+  recordDeparture(ports.table, failed)
+  recordFailedAttempt(ports, failed)
+}
--- a/daemon/request/request_task.ts
+++ b/daemon/request/request_task.ts
@@ -19,7 +19,7 @@
 import { Listeners, type FinalResult } from './live_answer.ts'
 import type { MoveObserver } from './move_observer.ts'
 import { RequestDecisions } from './request_decisions.ts'
-import { recordDeparture, recordFailedAttempt } from './_attempt_failure.ts'
+import { recordDeparture, recordFailedAttempt, recordHeld } from './_attempt_failure.ts'
 import { repeatedKeyResult } from './_claim_outcome.ts'
 import { attemptFailedEvent, attemptStartedEvent, requestEndedEvent } from './_request_events.ts'
 import { QuarantineCheck } from './_quarantine_check.ts'
@@ -431,15 +431,15 @@
 
   #onAttemptError (attempt: number, endpoint: EndpointId, err: AttemptError): void {
     if (attempt !== this.lifecycle.attempt || this.lifecycle.phase !== 'running') return
-    if (this.mover?.holds(err, () => this.#onAttemptError(attempt, endpoint, err))) return
     const { table } = this.ports
-    const view = table.get(endpoint)
-    recordDeparture(table, { endpoint, view, point: err.point })
+    const failed = { endpoint, view: table.get(endpoint), point: err.point, err, cls: this.work.cls.name, sentAtMs: this.#tracker.sentAtMs, run: this.#quarantine.watchedRun(this.#tracker.sentAtMs) }
+    if (this.mover?.holds(err, { fail: () => this.#onAttemptError(attempt, endpoint, err), record: () => recordHeld(this.ports, failed) })) return
+    recordDeparture(table, failed)
     // Spends from the budget only if the request could use the retry.
     const suspected = this.#quarantine.forbidsRepeat(err.point)
     const repeatable = this.mayRetryElsewhere && !suspected && canRetry(this.lifecycle, err.point)
     const retryGranted = repeatable && (isFreeRetry(this.lifecycle, err.point) || this.ports.budget.tryWithdraw(table.isLeavingOrGone(endpoint)))
-    recordFailedAttempt(this.ports, { endpoint, view, point: err.point, cls: this.work.cls.name, sentAtMs: this.#tracker.sentAtMs, run: this.#quarantine.watchedRun(this.#tracker.sentAtMs) })
+    recordFailedAttempt(this.ports, failed)
     this.#recordFailure(endpoint, err, { attempt, repeat: retryGranted ? 'allowed' : repeatable ? 'over-budget' : suspected ? 'suspected' : 'not-allowed' })
   }
 
