Prefer targets of the source's failure domain, and plan with the rate of each target

Cause: one rate held for all targets, and the domain played no part in their order. Change: the planner gets the rate of each target by its domain, and targets of the source's domain come first. Result: the new test fails before and passes now.

--- a/daemon/moves/_run_problem.ts
+++ b/daemon/moves/_run_problem.ts
@@ -48,8 +48,9 @@
 /** States the problem for the planner. */
 export function runProblem ({ runs, targets, engine, link, sharers, random, departureOf, eventIntervalMs }: RunProblemOptions): ReclaimProblem {
   const now = steadyNow()
-  const betweenDomains = runs.some(({ source }) => targets.every((target) => target.failureDomain !== source.failureDomain))
-  const tokensPerS = link.bytesPerS(betweenDomains) / engine.kvBytesPerToken
+  const domains = new Set(runs.map(({ source }) => source.failureDomain))
+  const isNear = ({ failureDomain }: EndpointView) => domains.has(failureDomain)
+  const tokensPerS = (betweenDomains: boolean) => link.bytesPerS(betweenDomains) / engine.kvBytesPerToken
   const tokensPerEvent = meanTokensPerEvent(runs)
   const sources = new Map(runs.map(({ source, goneAtMs }) => {
     const intervalMs = eventIntervalMs(source.id)
@@ -58,15 +59,17 @@
       noticeMs: goneAtMs - now,
       busyMs: copyingMs,
       roundingDraw,
-      exportTokensPerS: tokensPerS,
+      exportTokensPerS: tokensPerS(targets.every(({ failureDomain }) => failureDomain !== source.failureDomain)),
       ...(intervalMs !== undefined && { betweenTokensMs: intervalMs / tokensPerEvent })
     })]
   }))
+  // Among targets of one price the planner takes the first.
+  const ordered = [...targets.filter(isNear), ...targets.filter((view) => !isNear(view))]
   const kvTokensPerSlot = engine.kvTokens / engine.batchSlots
   return {
     streams: runs.map((run) => affectedStream(run, { now, tokensPerEvent })),
     sources,
-    targets: shareImports(targets.map((view) => targetOf(view, { kvTokensPerSlot, importTokensPerS: tokensPerS })), { sharers, random }),
+    targets: shareImports(ordered.map((view) => targetOf(view, { kvTokensPerSlot, importTokensPerS: tokensPerS(!isNear(view)) })), { sharers, random }),
     weights: WEIGHTS
   }
 }
--- a/daemon/moves/move_director.ts
+++ b/daemon/moves/move_director.ts
@@ -204,12 +204,13 @@
     const { table, metrics, port } = this.#options
     const { task, source, goneAtMs } = run
     const accepting = targets.filter((view) => task.accepts(view))
-    const others = accepting.filter(({ id }) => id !== first).sort((a, b) => runningNow(a) - runningNow(b))
+    const isFar = (view: EndpointView) => Number(view.failureDomain !== source.failureDomain)
+    const others = accepting.filter(({ id }) => id !== first).sort((a, b) => isFar(a) - isFar(b) || runningNow(a) - runningNow(b))
     const ordered = [...accepting.filter(({ id }) => id === first), ...others].slice(0, MAX_TARGETS)
     if (ordered.length === 0) return
     const kvTokens = kvTokensOf(run)
     const bytes = kvTokens * engine.kvBytesPerToken
-    const copyMs = bytes * 1000 / link.bytesPerS(ordered.some((view) => view.failureDomain !== source.failureDomain))
+    const copyMs = bytes * 1000 / link.bytesPerS(ordered.some((view) => isFar(view) === 1))
     const departure = this.#departureOf(source.id)
     departure.copyingMs += copyMs
     this.#begun.set(task, { source: source.id, count: this.#movesBegun(task, source.id) + 1 })
--- a/daemon/moves/move_director_test.ts
+++ b/daemon/moves/move_director_test.ts
@@ -309,3 +309,10 @@
   await refuseContinuations(sinks, 2)
   expect(failures.filter((each) => each.startsWith('near'))).toEqual(['near endpoint-leaving'])
 })
+
+test('targets of the failure domain of the source are chosen first', async () => {
+  const { orders, begin, leave } = setUp({ hosts: [host('far-1', 'b'), host('far-2', 'b'), host('near-1', 'a'), host('near-2', 'a')], answer: () => ({ type: 'refused' }) })
+  begin('r1')
+  await leave(100)
+  expect(orders.slice(0, 2).sort()).toEqual(['prepare r1 near-1', 'prepare r1 near-2'])
+})
