--- a/core/moves/_move_world.ts
+++ b/core/moves/_move_world.ts
@@ -2,7 +2,7 @@
 import type { EndpointId } from '../ids/index.ts'
 import { as } from '../ids/index.ts'
 import type { Random } from '../routing/index.ts'
-import { newMove, stepMove, type KvHandle, type MoveEffect, type MoveMessage, type MoveState, type OrderResult } from './stream_move.ts'
+import { mayBeStopped, newMove, stepMove, type KvHandle, type MoveEffect, type MoveMessage, type MoveState, type OrderResult } from './stream_move.ts'
 
 export const SOURCE = as<EndpointId>('source')
 export const TARGETS = [as<EndpointId>('t1'), as<EndpointId>('t2')] as const
@@ -11,6 +11,9 @@
 /** Time after which the answer to an order counts as lost, in milliseconds. It knows nothing of the time that a copy takes. */
 const ORDER_LIMIT_MS = 300
 
+/** Age of a report, in milliseconds. */
+const REPORT_AGE_MS = 300
+
 /** What befalls a schedule. */
 export interface WorldOptions {
   random: Random
@@ -20,6 +23,8 @@
   barredAfterMs?: number
   /** Probability that the retry budget does not allow an arrival. Default: 0. */
   deniedShare?: number
+  /** True if nothing marks the end of the source's answer. Default: false. */
+  unmarked?: boolean
   /** Number of events of the whole stream. */
   total: number
   copyMs: number
@@ -77,6 +82,8 @@
   #connection = 1
   #connections = 1
   #failureHeld = false
+  /** True once the stream ended whole with an end that nothing marked. */
+  #sawEnd = false
   readonly #result = { events: [] as number[], whole: false, doubled: false, lostAfterMove: false }
   #ended = false
   #state: MoveState
@@ -129,7 +136,7 @@
   }
 
   #begin (run: Run): void {
-    if (this.#runs.has(run.at)) this.#result.doubled = true
+    if (this.#runs.has(run.at) || this.#sawEnd) this.#result.doubled = true
     this.#runs.set(run.at, run)
     let lastMs = 0
     const make = () => {
@@ -157,6 +164,10 @@
 
   #onWhole (connection: number): void {
     if (connection !== this.#connection || this.#ended) return
+    if (connection === 1 && this.#options.unmarked && mayBeStopped(this.#state)) {
+      this.#sawEnd = true
+      return this.#onBroken(connection)
+    }
     this.#ended = true
     this.#result.whole = true
     if (connection > 1) this.#post({ type: 'continued' })
@@ -167,7 +178,7 @@
     if (connection !== this.#connection || this.#ended) return
     this.#failureHeld = true
     if (connection > 1) this.#post({ type: 'lost-continuation' })
-    else this.#post({ type: 'closed' })
+    else this.#post({ type: 'closed', mayBeWhole: this.#options.unmarked ?? false })
     if (this.#state.phase === 'ended') this.#ended = true
   }
 
@@ -182,13 +193,20 @@
       case 'prepare': return this.#order(effect.target, false)
       case 'commit': return this.#isDenied() ? this.#post({ type: 'over-budget' }) : this.#order(effect.target, true)
       case 'wait': return this.#at(effect.ms, () => this.#post({ type: 'timer' }))
-      case 'check': return this.#at(this.#latencyMs, () => this.#post({ type: 'checked', stopped: this.#dead.has(SOURCE) || !this.#runs.has(SOURCE) }))
+      case 'check': return this.#at(REPORT_AGE_MS, () => this.#check())
       case 'continue': return this.#continue(effect)
       case 'release': this.#copies.delete(effect.handle); return
       case 'finish': if (effect.outcome === 'given-up' && this.#failureHeld) this.#ended = true
     }
   }
 
+  /** Answers with what was so some time ago, or not at all. */
+  #check (): void {
+    const { random, lossShare } = this.#options
+    const stopped = this.#dead.has(SOURCE) || !this.#runs.has(SOURCE)
+    this.#at(REPORT_AGE_MS + this.#latencyMs, () => this.#post({ type: 'checked', stopped: stopped && random() >= lossShare }))
+  }
+
   #isDenied (): boolean {
     const { deniedShare = 0, random } = this.#options
     return this.#state.orders === 1 && !this.#state.closed && deniedShare > 0 && random() < deniedShare
--- a/core/moves/stream_move_test.ts
+++ b/core/moves/stream_move_test.ts
@@ -19,6 +19,7 @@
 const schedule = fc.record({
   seed: fc.integer({ min: 1, max: 2 ** 31 - 1 }),
   noticeMs: fc.integer({ min: 50, max: 4000 }),
+  unmarked: fc.boolean(),
   deniedShare: fc.constantFrom(0, 0, 0.3),
   barredAfterMs: fc.constantFrom(0, 500, Infinity),
   total: fc.integer({ min: 1, max: 300 }),
@@ -42,6 +43,7 @@
 
 test.each<[string, Partial<WorldOptions>]>([
   ['losses, refusals, deaths and cuts', { noticeMs: 1500, total: 60, copyMs: 20 }],
+  ['these, and an end that nothing marks', { noticeMs: 1500, total: 12, copyMs: 20, unmarked: true }],
   ['these and late messages, in a short stream', { noticeMs: 700, total: 4, copyMs: 20, lateShare: 0.5 }]
 ])('no combination of the first choices breaks the rules: %s', (_what, change) => {
   const faults = { lossShare: 0.5, nonsenseShare: 0.5, targetDeathShare: 0.5, fullShare: 0.5, cutShare: 0.5, ...change }
