--- a/daemon/moves/move_director.ts
+++ b/daemon/moves/move_director.ts
@@ -129,6 +129,7 @@
 
   async #plan (): Promise<void> {
     await this.#askSources(new Set(this.#affected().map(({ source }) => source)))
+    if (this.#isStopped) return
     const affected = this.#affected()
     const groups = new Map<string, AffectedRun[]>()
     for (const run of affected) {
