Bound the memory that all daemons' requests hold at an engine

Cause: requests were counted by slots only; no daemon knew how many tokens the others had sent, and engines crash when the requests that they hold exceed their memory.

Change: a load carries the tokens that its requests may take (heldTokens, optional on the wire). While less than half of an endpoint's memory is held, each daemon sends a bounded number of requests unasked; beyond that the keeper of the load reports grants tokens, so that the bound holds by construction. Requests larger than an engine's memory are refused at once. Only with boundsEngineMemory in the settings, and for pools whose engines name their memory. A daemon's work counts moved out of EndpointTable.

Not built: lowering what is believed of an engine's memory after a crash.

--- a/bench/_batch_engine.ts
+++ b/bench/_batch_engine.ts
@@ -13,6 +13,8 @@
   /** Interval between two pieces on an idle engine, and the increase per running request, in milliseconds. */
   pieceMs: number
   pieceMsPerRequest: number
+  /** Memory in tokens; an engine that gets more crashes and comes back empty. Default: unlimited. */
+  memoryTokens?: number
 }
 
 /** A request submitted to an engine. */
@@ -21,6 +23,10 @@
   parts: readonly PromptPart[]
   promptTokens: number
   pieces: number
+  /** Tokens of memory that the request holds until its end. Default: 0. */
+  heldTokens?: number
+  /** Called when the engine crashes. Default: does nothing. */
+  onLost? (): void
   onFirstPiece (): void
   onEnd (): void
 }
@@ -31,8 +37,14 @@
   readonly #cachedParts = new Set<string>()
   readonly #slotQueue: EngineJob[] = []
   readonly #prefillQueue: EngineJob[] = []
+  readonly #open = new Set<EngineJob>()
   #running = 0
   #prefilling = false
+  /** Number of crashes. */
+  crashes = 0
+  /** Tokens held now, and at most. */
+  heldTokens = 0
+  peakHeldTokens = 0
 
   constructor (options: BatchEngineOptions) {
     this.#options = options
@@ -46,11 +58,28 @@
   /** Accepts a request, or returns false without running any of it if the engine is full. */
   trySubmit (job: EngineJob): boolean {
     if (this.open >= this.#options.slots + this.#options.queue) return false
+    this.#open.add(job)
+    this.heldTokens += job.heldTokens ?? 0
+    this.peakHeldTokens = Math.max(this.peakHeldTokens, this.heldTokens)
+    if (this.heldTokens > (this.#options.memoryTokens ?? Infinity)) {
+      this.#crash()
+      return true
+    }
     this.#slotQueue.push(job)
     this.#admit()
     return true
   }
 
+  #crash (): void {
+    const lost = [...this.#open]
+    this.crashes++
+    this.heldTokens = this.#running = 0
+    this.#prefilling = false
+    this.#open.clear()
+    this.#slotQueue.length = this.#prefillQueue.length = 0
+    for (const job of lost) job.onLost?.()
+  }
+
   #admit (): void {
     while (this.#running < this.#options.slots && this.#slotQueue.length > 0) {
       this.#running++
@@ -64,6 +93,7 @@
     this.#prefilling = true
     const job = removeMostUrgent(this.#prefillQueue)
     setTimeout(() => {
+      if (!this.#open.has(job)) return
       this.#prefilling = false
       for (const { key } of job.parts) this.#cachedParts.add(key)
       setTimeout(() => this.#decode(job), this.#options.firstMs)
@@ -72,9 +102,12 @@
   }
 
   #decode (job: EngineJob): void {
+    if (!this.#open.has(job)) return
     job.onFirstPiece()
     const { pieceMs, pieceMsPerRequest } = this.#options
     setTimeout(() => {
+      if (!this.#open.delete(job)) return
+      this.heldTokens -= job.heldTokens ?? 0
       this.#running--
       job.onEnd()
       this.#admit()
--- a/bench/_placing.ts
+++ b/bench/_placing.ts
@@ -5,7 +5,7 @@
 import { LoadAggregator, reportIntervalMs, type Hash32, type Random, type Route } from '../core/routing/index.ts'
 import { RegionTopology } from '../core/topology/index.ts'
 import { steadyNow } from '../core/time/index.ts'
-import type { Demand, WorkClass } from '../core/work/index.ts'
+import { maxHeldTokens, type Demand, type WorkClass } from '../core/work/index.ts'
 import { EndpointTable } from '../daemon/endpoints/endpoint_table.ts'
 import type { Dispatcher } from '../daemon/request/dispatcher.ts'
 import type { Placement } from '../daemon/request/placement.ts'
@@ -14,6 +14,7 @@
 import { seededRandom } from '../daemon/seeded_random.ts'
 import type { ListedHost } from '../endpoints/index.ts'
 import { BatchEngine, type BatchEngineOptions } from './_batch_engine.ts'
+import { SimulatedMemory, type MemoryBound } from './_engine_memory.ts'
 
 /** Traffic of one work class. */
 export interface SimulatedClass {
@@ -41,8 +42,15 @@
   spanMs: number
   /** Warm-up period in milliseconds; requests that arrive during it are not counted. */
   warmupMs: number
+  /** How the daemons bound what the engines hold. Default: not at all. */
+  memory?: MemoryBound
+  /** Called every {@linkcode SAMPLE_MS} after the warm-up. Default: does nothing. */
+  sample? (engines: readonly BatchEngine[]): void
 }
 
+/** Interval of samples of the engines, in milliseconds. */
+export const SAMPLE_MS = 50
+
 /** Request outcomes of one class. */
 export interface ClassResults {
   asked: number
@@ -73,6 +81,7 @@
     const play = new PlacementSimulation(options)
     play.start()
     clock.tick(options.spanMs)
+    play.memory?.finish()
     return play.figures
   } finally {
     clock.uninstall()
@@ -88,6 +97,8 @@
   readonly #engines = new Map<EndpointId, BatchEngine>()
   readonly #daemons: SimulatedDaemon[]
   readonly #loadAggregator = new LoadAggregator()
+  /** What bounds the memory of the engines. */
+  readonly memory: SimulatedMemory | undefined
   #requests = 0
 
   constructor (options: PlacementSimulationOptions) {
@@ -96,6 +107,7 @@
     this.figures = new Map(options.classes.map(({ name }) => [name, { asked: 0, inTime: 0, late: 0, refusedByDaemon: 0, rejectedByEngine: 0, redundantPrefillTokens: 0, predictionErrors: [] }]))
     const hosts = Array.from({ length: options.engines }, (_, i) => makeHost(i, options.engine.slots))
     for (const { endpoint } of hosts) this.#engines.set(endpoint.id, new BatchEngine(options.engine))
+    this.memory = options.memory && new SimulatedMemory({ ...options.memory, daemons: options.daemons, oneWayDelayMs: ONE_WAY_DELAY_MS, random: this.#random })
     this.#daemons = Array.from({ length: options.daemons }, (_, i) => this.#daemon(i, hosts))
   }
 
@@ -105,23 +117,29 @@
       setTimeout(() => setInterval(() => this.#report(daemon), reportMs), this.#random() * reportMs)
     }
     for (const cls of this.#options.classes) this.#scheduleArrival(cls)
+    const { sample, warmupMs } = this.#options
+    if (sample) setTimeout(() => setInterval(() => sample([...this.#engines.values()]), SAMPLE_MS), warmupMs)
   }
 
   #daemon (i: number, hosts: readonly ListedHost[]): SimulatedDaemon {
     const id = as<DaemonId>(`d${i}`)
-    const table = new EndpointTable({ self: id, hash })
+    const table = new EndpointTable({ self: id, hash, countsMemory: this.memory !== undefined })
     table.applyHostList(hosts)
+    const memory = this.memory?.daemon(id, table)
     const dispatcher = createSharedDispatcher({
       table,
       hash,
       random: seededRandom(this.#options.seed + i + 1),
       topology: new RegionTopology({ ownDomain: DOMAINS[i % DOMAINS.length]! }),
-      sharers: () => this.#options.daemons
+      sharers: () => this.#options.daemons,
+      memory
     })
+    if (memory) memory.onRoom = () => dispatcher.startQueued()
     return { id, table, dispatcher }
   }
 
   #report ({ id, table }: SimulatedDaemon): void {
+    if (this.memory) return this.memory.report(id, table)
     const work = table.ownWork.map(([endpoint, load]) => [endpoint, structuredClone(load)] as const)
     setTimeout(() => {
       this.#loadAggregator.report(id, work, steadyNow())
@@ -176,12 +194,15 @@
   #send (daemon: SimulatedDaemon, req: SimulatedRequest, { endpoint, route }: { endpoint: EndpointId, route: Route }): void {
     const placedAtMs = steadyNow()
     const charge = new AttemptTracker(daemon.table)
-    charge.recordSent(endpoint, { lane: route.lane, tokens: route.uncachedTokens }, route)
+    const heldTokens = maxHeldTokens(req.demand)
+    charge.recordSent(endpoint, { lane: route.lane, tokens: route.uncachedTokens, heldTokens }, route)
     const afterDelay = (act: () => void) => setTimeout(act, ONE_WAY_DELAY_MS)
     setTimeout(() => {
       this.#countRedundantPrefill(req, endpoint)
       const taken = this.#engines.get(endpoint)!.trySubmit({
         lane: route.lane,
+        heldTokens,
+        onLost: () => afterDelay(() => this.#handleRejection(daemon, req, { endpoint, charge })),
         parts: req.demand.parts,
         promptTokens: req.demand.promptTokens,
         pieces: Math.max(1, Math.round(req.cls.pieces * Math.exp(standardNormal(this.#random) * PIECES_SIGMA))),
--- a/bench/registry.ts
+++ b/bench/registry.ts
@@ -2,6 +2,7 @@
 import type { Bench } from './bench.ts'
 import { costBench } from './cost.ts'
 import { endpointLimitsBench } from './endpoint_limits.ts'
+import { engineMemoryBench } from './engine_memory.ts'
 import { limitsBench } from './limits.ts'
 import { membershipBench } from './membership.ts'
 import { onceBench } from './once.ts'
@@ -16,4 +17,4 @@
 import { waveBench } from './wave.ts'
 
 /** All benchmarks, in the order in which they are listed. */
-export const BENCHES: readonly Bench[] = [costBench, endpointLimitsBench, limitsBench, membershipBench, onceBench, overheadBench, placingBench, quarantineBench, reclaimBench, rolloutBench, routeBench, schedulesBench, storeBench, waveBench]
+export const BENCHES: readonly Bench[] = [costBench, endpointLimitsBench, engineMemoryBench, limitsBench, membershipBench, onceBench, overheadBench, placingBench, quarantineBench, reclaimBench, rolloutBench, routeBench, schedulesBench, storeBench, waveBench]
--- /dev/null
+++ b/core/engine_memory/index.ts
@@ -0,0 +1,3 @@
+export * from './memory_ledger.ts'
+export * from './memory_stock.ts'
+export * from './open_allowance.ts'
--- a/core/routing/load_aggregator.ts
+++ b/core/routing/load_aggregator.ts
@@ -77,6 +77,6 @@
   }
 }
 
-function isEmpty ({ running, unread }: WorkLoad): boolean {
-  return running === 0 && LANES.every((lane) => unread[lane] === 0)
+function isEmpty ({ running, unread, heldTokens = 0 }: WorkLoad): boolean {
+  return running === 0 && heldTokens === 0 && LANES.every((lane) => unread[lane] === 0)
 }
--- a/core/routing/load_aggregator_test.ts
+++ b/core/routing/load_aggregator_test.ts
@@ -46,3 +46,14 @@
   board.report(daemon(1), [[endpoint(1), busy]], 0)
   expect(board.loadsOfOthers(daemon(2), 0)).toEqual([[endpoint(1), busy]])
 })
+
+test('held tokens are summed; reports of a release that does not count them add none', () => {
+  const board = new LoadAggregator()
+  board.report(daemon(1), [[endpoint(0), { ...noWork(), running: 1, heldTokens: 700 }]], 0)
+  board.report(daemon(2), [[endpoint(0), { ...noWork(), running: 1 }]], 0)
+  board.report(daemon(3), [[endpoint(0), { ...noWork(), heldTokens: 50 }]], 0)
+  expect(board.loadsOfOthers(daemon(0), 0)).toEqual([[endpoint(0), { ...noWork(), running: 2, heldTokens: 750 }]])
+  board.report(daemon(1), [], 0)
+  board.report(daemon(3), [], 0)
+  expect(board.loadsOfOthers(daemon(0), 0)).toEqual([[endpoint(0), { ...noWork(), running: 1 }]])
+})
--- a/core/routing/work_load.ts
+++ b/core/routing/work_load.ts
@@ -15,6 +15,8 @@
   running: number
   /** Prompt tokens that are not prefilled yet, by lane. */
   unread: Record<Lane, number>
+  /** Tokens of memory that the requests may take, prompts and longest answers, those promised and not sent included. Default: 0, or not counted. */
+  heldTokens?: number
 }
 
 /** Returns an empty load. */
@@ -26,9 +28,17 @@
 export function addWork (sum: WorkLoad, more: WorkLoad, sign: 1 | -1 = 1): WorkLoad {
   sum.running = Math.max(0, sum.running + sign * more.running)
   for (const lane of LANES) sum.unread[lane] = Math.max(0, sum.unread[lane] + sign * more.unread[lane])
+  if (more.heldTokens !== undefined) addHeldTokens(sum, sign * more.heldTokens)
   return sum
 }
 
+/** Adds tokens to those that a load holds, in place; a negative number removes them. Loads that hold none do not carry the field. */
+export function addHeldTokens (load: WorkLoad, tokens: number): void {
+  const held = Math.max(0, (load.heldTokens ?? 0) + tokens)
+  if (held > 0) load.heldTokens = held
+  else delete load.heldTokens
+}
+
 /** Returns the number of tokens that are prefilled before those of a new request in a lane. */
 export function unreadBefore (load: WorkLoad, lane: Lane): number {
   let tokens = 0
--- a/core/work/demand.ts
+++ b/core/work/demand.ts
@@ -18,6 +18,11 @@
   parts: readonly PromptPart[]
 }
 
+/** Returns the number of tokens of memory that a request may take at an endpoint, at most. */
+export function maxHeldTokens ({ promptTokens, maxTokens }: Pick<Demand, 'promptTokens' | 'maxTokens'>): number {
+  return promptTokens + maxTokens
+}
+
 /** Most parts of one prompt that are looked at, and most characters of a part's key, since callers choose both. */
 const MAX_SHARED_PARTS = 64
 const MAX_KEY_LENGTH = 64
--- a/daemon/endpoints/endpoint_table.ts
+++ b/daemon/endpoints/endpoint_table.ts
@@ -2,8 +2,8 @@
 import type { DaemonId, EndpointId, EndpointVersion, HostId, PoolName } from '../../core/ids/index.ts'
 import { Departures, NewestStarts, type Departure } from '../../core/registry/index.ts'
 import {
-  updateLatencyFactor, noWork, firstTokenModelOf, unreadBefore,
-  type EndpointLoad, type EndpointView, type EndpointWork, type FirstTokenSample, type Hash32, type Lane, type FirstTokenModel
+  updateLatencyFactor, firstTokenModelOf,
+  type EndpointLoad, type EndpointView, type EndpointWork, type FirstTokenSample, type Hash32, type FirstTokenModel
 } from '../../core/routing/index.ts'
 import type { BackOffChange } from '../../core/retry/index.ts'
 import type { StoreVersion } from '../../core/store_version/index.ts'
@@ -14,14 +14,14 @@
 import { EndpointSelections, type EndpointSelection } from './_endpoint_selections.ts'
 import { PoolEstimates } from './_pool_estimates.ts'
 import { newView } from './_new_view.ts'
+import { WorkCounts, type EndListener, type SentWork, type StartListener } from './_work_counts.ts'
 import { remainingBackOffMs, WorkPauses, type AttemptFailure } from './_work_pauses.ts'
 import type { LeavingListener, LeavingSignal } from './leaving_signal.ts'
 
 /** Called with each endpoint whose process was replaced by a later start; `announced` is true when it was known to be leaving. */
 export type ReplacedListener = (id: EndpointId, end: { announced: boolean }) => void
 
-/** Prompt tokens of one request that an endpoint has to process, and the lane that they queue in. */
-export interface SentWork { lane: Lane, tokens: number }
+export type { SentWork } from './_work_counts.ts'
 
 /** Options of {@linkcode EndpointTable}. */
 export interface EndpointTableOptions {
@@ -29,6 +29,8 @@
   hash: Hash32
   /** Number of endpoints of one pool that this daemon connects to. Default {@linkcode SUBSET_SIZE}. */
   subsetSize?: number
+  /** Whether the memory that requests hold is counted. Default: it is not. */
+  countsMemory?: boolean
 }
 
 /** Default number of endpoints of one pool that a daemon connects to. */
@@ -45,6 +47,7 @@
   readonly #byHost = new Map<HostId, EndpointId>()
   readonly #estimates = new PoolEstimates()
   readonly #pauses = new WorkPauses()
+  readonly #counts: WorkCounts
   readonly #goneAt = new Map<EndpointId, number>()
   readonly #departures = new Departures()
   readonly #starts = new NewestStarts()
@@ -54,10 +57,10 @@
   #listedIds: ReadonlySet<EndpointId> = new Set()
   #listedAtMs: number | undefined
   #othersReportedAtMs: number | undefined
-  readonly #endListeners: Array<(view: EndpointView) => void> = []
   readonly #activityListeners: Array<(id: EndpointId) => void> = []
 
-  constructor ({ self, hash, subsetSize = SUBSET_SIZE }: EndpointTableOptions) {
+  constructor ({ self, hash, subsetSize = SUBSET_SIZE, countsMemory = false }: EndpointTableOptions) {
+    this.#counts = new WorkCounts({ countsMemory })
     this.#selections = new EndpointSelections({ self, hash, subsetSize, serving: (pool) => this.#serving(pool) })
   }
 
@@ -222,17 +225,13 @@
     const view = this.#views.get(id)
     if (!view) return
     this.#othersReportedAtMs = steadyNow()
-    view.others = {
-      running: Math.max(0, load.running - view.own.running),
-      unread: { urgent: 0, normal: Math.max(0, load.queuedTokens - unreadBefore(view.own, 'late')), late: 0 }
-    }
+    this.#counts.applyLoadReport(view, load)
   }
 
   /** Applies the load that the other daemons put on each endpoint; endpoints that are not mentioned have none. */
   applyOthersWork (loads: readonly EndpointWork[]): void {
     this.#othersReportedAtMs = steadyNow()
-    const byEndpoint = new Map(loads)
-    for (const view of this.#views.values()) view.others = byEndpoint.get(view.id) ?? noWork()
+    this.#counts.applyOthers(this.#views.values(), loads)
   }
 
   /** This daemon's load on each endpoint where it has any. */
@@ -243,29 +242,26 @@
   /** Counts a request that this daemon sent, before any load report includes it. */
   started (id: EndpointId, work: SentWork): void {
     const view = this.#views.get(id)
-    if (!view) return
-    view.own.running++
-    view.own.unread[work.lane] += work.tokens
+    if (view) this.#counts.started(view, work)
   }
 
   /** Records that an endpoint has processed the prompt of a request from this daemon. */
   promptRead (id: EndpointId, work: SentWork): void {
     const view = this.#views.get(id)
-    if (view) view.own.unread[work.lane] = Math.max(0, view.own.unread[work.lane] - work.tokens)
+    if (view) this.#counts.promptRead(view, work)
   }
 
   /** Records that a request from this daemon has ended. */
-  ended (id: EndpointId): void {
+  ended (id: EndpointId, { heldTokens = 0 }: Pick<SentWork, 'heldTokens'> = {}): void {
     const view = this.#views.get(id)
-    if (!view) return
-    view.own.running = Math.max(0, view.own.running - 1)
-    for (const listener of this.#endListeners) listener(view)
+    if (view) this.#counts.ended(view, heldTokens)
   }
 
+  /** Adds a listener that is called after each request that this daemon sent. */
+  onStarted (listener: StartListener): void { this.#counts.onStarted(listener) }
+
   /** Adds a listener that is called after each request from this daemon that has ended, with its endpoint. */
-  onEnded (listener: (view: EndpointView) => void): void {
-    this.#endListeners.push(listener)
-  }
+  onEnded (listener: EndListener): void { this.#counts.onEnded(listener) }
 
   /** Updates the speed estimates of an endpoint and its pool from the time of a first token. */
   recordFirstToken (id: EndpointId, sample: FirstTokenSample): void {
--- a/daemon/exchange/_proxy_components.ts
+++ b/daemon/exchange/_proxy_components.ts
@@ -39,6 +39,7 @@
 import { StreamVersions } from '../streams/index.ts'
 import { seededRandom } from '../seeded_random.ts'
 import { buildStatus, type StatusReport } from '../status.ts'
+import { engineMemoryComponents, type EngineMemoryComponents } from './_engine_memory.ts'
 import { ConnectionGateTask } from './connection_gate_task.ts'
 import { ExchangeServer } from './exchange_server.ts'
 import { Intake, type CatalogIndex } from './intake.ts'
@@ -77,6 +78,8 @@
   limits: AccountLimits
   endpointLimits: EndpointLimits
   endpointLimitTask: EndpointLimitTask
+  /** Undefined if the settings do not ask for the memory of engines to be bounded. */
+  engineMemory: EngineMemoryComponents | undefined
   signals: EndpointSignalRecorder
   table: EndpointTable
   registry: EndpointFollower
@@ -162,7 +165,8 @@
     })).singleton(),
     config: asFunction(configFollower).singleton(),
     limits: asFunction(({ self, membership, fleet }: ProxyComponents) => new AccountLimits({ self, host: settings.name, tolerance: settings.quota, membership, fleet })).singleton(),
-    table: asFunction(({ self }: ProxyComponents) => new EndpointTable({ self, hash })).singleton(),
+    table: asFunction(({ self }: ProxyComponents) => new EndpointTable({ self, hash, countsMemory: settings.boundsEngineMemory === true })).singleton(),
+    engineMemory: asFunction(engineMemoryComponents).singleton(),
     registry: asFunction(endpointFollower).singleton(),
     client: asFunction(({ config, fleet }: ProxyComponents) => new ExchangeClient({ addressOf: endpointAddress, maxConnections: (view) => connectionsTo(view, config, fleet) })).singleton(),
     confirmer: asFunction(({ membership, table, paths }: ProxyComponents) => new CrashConfirmer({ membership, table, paths, hash })).singleton(),
@@ -172,7 +176,17 @@
     endpointLimits: asFunction(({ metrics, table }: ProxyComponents) => new EndpointLimits({ metrics, isListed: (id) => table.get(id) !== undefined, listed: () => table.all })).singleton(),
     endpointLimitTask: asFunction(({ self, membership, endpointLimits, limits, dispatcher }: ProxyComponents) => new EndpointLimitTask({ self, membership, limits: endpointLimits, accounts: limits, queued: (pool) => dispatcher.queuedByUrgency(pool) })).singleton(),
     signals: asFunction(({ table, endpointLimits, metrics, random }: ProxyComponents) => new EndpointSignalRecorder({ table, limits: endpointLimits, metrics, random })).singleton(),
-    loads: asFunction(({ self, membership, table, limits, endpointLimitTask }: ProxyComponents) => new LoadTask({ self, membership, table, limits, onReport: (from) => endpointLimitTask.sendLimits(from) })).singleton(),
+    loads: asFunction(({ self, membership, table, limits, endpointLimitTask, engineMemory }: ProxyComponents) => new LoadTask({
+      self,
+      membership,
+      table,
+      limits,
+      memory: engineMemory?.task,
+      onReport: (from, loads) => {
+        endpointLimitTask.sendLimits(from)
+        engineMemory?.task.reported(from, loads)
+      }
+    })).singleton(),
     rollouts: asFunction(rolloutComponents).singleton(),
     paths: asFunction((cradle: ProxyComponents) => new PathWatch({
       table: cradle.table,
@@ -203,7 +217,7 @@
       metrics: cradle.metrics,
       completeSinceMs: () => cradle.registry.completeSinceMs
     })).singleton(),
-    dispatcher: asFunction(({ table, random, topology, fleet, rollouts, endpointLimits, paths, delegateFinder }: ProxyComponents) => createSharedDispatcher({
+    dispatcher: asFunction(({ table, random, topology, fleet, rollouts, endpointLimits, engineMemory, paths, delegateFinder }: ProxyComponents) => createSharedDispatcher({
       table,
       hash,
       random,
@@ -211,6 +225,7 @@
       sharers: () => fleet.hostCount,
       canaries: rollouts?.gate,
       limits: endpointLimits,
+      memory: engineMemory?.memory,
       ways: { canSend: (view, work) => paths.canSend(view, work), wayFor: (req) => delegateFinder.wayFor(req) }
     })).singleton(),
     budgetOf: asFunction(retryBudgets).singleton(),
@@ -275,6 +290,7 @@
   // A connection that was open when the path went down would lose the next request that is written to it.
   components.paths.onDown = (view) => components.client.dropIdle(view.id)
   components.endpointLimits.onRoom = () => components.dispatcher.startQueued()
+  if (components.engineMemory) components.engineMemory.memory.onRoom = () => components.dispatcher.startQueued()
   components.table.onEnded((view) => components.endpointLimits.ended(view))
   components.signals.onRoom = () => components.dispatcher.startQueued()
   components.streamVersions.onResumed = (key) => components.intake.streamResumed(key)
--- a/daemon/exchange/proxy_daemon.ts
+++ b/daemon/exchange/proxy_daemon.ts
@@ -160,7 +160,7 @@
   }
 
   #stopTasks (): void {
-    const { config, registry, limits, endpointLimitTask, signals, loads, tallies, rollouts, stalls, quarantine, archive, processor, paths, delegateFinder, delegatedRuns, delegateServer, connectionGate } = this.#components
+    const { config, registry, limits, endpointLimitTask, engineMemory, signals, loads, tallies, rollouts, stalls, quarantine, archive, processor, paths, delegateFinder, delegatedRuns, delegateServer, connectionGate } = this.#components
     connectionGate.stop()
     paths.stop()
     delegateFinder.stop()
@@ -176,6 +176,7 @@
     registry.stop()
     limits.stop()
     endpointLimitTask.stop()
+    engineMemory?.task.stop()
     signals.stop()
     loads.stop()
     tallies.stop()
--- a/daemon/exchange/proxy_settings.ts
+++ b/daemon/exchange/proxy_settings.ts
@@ -16,6 +16,8 @@
   regions: ReadonlyMap<FailureDomain, Region>
   /** Memory that the process may use, in bytes; undefined if the deployment does not ask for what it holds to be bounded. */
   memoryLimitBytes?: number | undefined
+  /** True if the requests that all daemons have at an engine must stay within its memory, where the configuration names it. Default: false. */
+  boundsEngineMemory?: boolean | undefined
   /** CPU cores available to this daemon; undefined if the host does not report them. */
   cores?: number | undefined
   /** True during the first start of the whole deployment, when no caller can have sent a request yet. */
--- a/daemon/log/events.ts
+++ b/daemon/log/events.ts
@@ -146,6 +146,10 @@
   'endpoint-backs-off': { endpoint: string, pool: string, forMs: number }
   /** The time that the endpoint asked for is over. */
   'endpoint-back-off-ended': { endpoint: string, pool: string }
+  /** The endpoint has no memory left for a request, by what all daemons hold there; it gets requests again as memory is granted. */
+  'endpoint-memory-full': { endpoint: string, pool: string, heldTokens: number, capacityTokens: number }
+  /** Half of the endpoint's memory is free again. */
+  'endpoint-memory-free': { endpoint: string, pool: string, heldTokens: number, capacityTokens: number }
   /** A signal in an answer of the endpoint could not be read, and changes nothing. */
   'endpoint-signal-refused': { endpoint: string, signal: string, value: string }
   /** An answer names a limit that cannot be read; the one in force stays. */
--- a/daemon/peers/load_task.ts
+++ b/daemon/peers/load_task.ts
@@ -15,13 +15,27 @@
   /** Selects the keeper: the daemon that counts quotas also aggregates load. */
   limits: Pick<AccountLimits, 'keeper' | 'onVote'>
   /** Called at the keeper with each report, after the reply. */
-  onReport (from: DaemonId): void
+  onReport (from: DaemonId, loads: readonly EndpointWork[]): void
+  /** Takes part in the reports for the memory of endpoints. Default: it is not bounded. */
+  memory?: LoadMemory | undefined
+}
+
+/** What bounding the memory of endpoints adds to load reports. */
+export interface LoadMemory {
+  /** Called right before each report to the keeper. */
+  beforeReport (): void
+  /** Adds memory that was granted to this daemon to its load. */
+  withGrants (loads: readonly EndpointWork[]): EndpointWork[]
+  /** Called with the load of the other daemons, the keeper that sent it, and the time until all know of a request that a daemon sends, in milliseconds. */
+  applyOthers (loads: readonly EndpointWork[], source: { from: DaemonId | undefined, visibleAfterMs: number }): void
 }
 
 /** Interval between reports of an idle daemon, in milliseconds. */
 const IDLE_REPORT_INTERVAL_MS = 600
 /** Load of other daemons older than this is discarded, in milliseconds. */
 const OTHERS_WORK_TTL_MS = 1500
+/** Number of reports whose answers are waited for; more than are sent until the load of the others is discarded. */
+const MAX_UNANSWERED = 16
 const REPORT_TOPIC = 'load-report'
 const OTHERS_TOPIC = 'load-others'
 
@@ -33,6 +47,8 @@
   #lastReportAtMs = -Infinity
   #lastReportHadWork = false
   #othersReceivedAtMs = -Infinity
+  /** Reports that were not answered yet: times in milliseconds, and the keeper that they were sent to. */
+  #unanswered = { keeper: undefined as DaemonId | undefined, sentAtMs: [] as number[] }
 
   constructor (options: LoadTaskOptions) {
     this.#options = options
@@ -40,9 +56,9 @@
     links.onPost(REPORT_TOPIC, (loads: EndpointWork[], from) => {
       this.#board.report(from, loads, steadyNow())
       links.post(from, OTHERS_TOPIC, this.#board.loadsOfOthers(from, steadyNow()))
-      options.onReport(from)
+      options.onReport(from, loads)
     })
-    links.onPost(OTHERS_TOPIC, (loads: EndpointWork[]) => this.#applyOthersWork(loads))
+    links.onPost(OTHERS_TOPIC, (loads: EndpointWork[], from) => this.#applyOthersWork(loads, from))
   }
 
   /** Starts reporting. */
@@ -58,30 +74,45 @@
 
   /** Reports together with each keeper vote; small fleets also report between votes. */
   #onVote (): void {
-    const everyMs = reportIntervalMs(this.#options.membership.reachable.length)
+    const everyMs = this.#intervalMs
     this.#report()
     this.#reportTimers = []
     for (let ms = everyMs; ms < VOTE_INTERVAL_MS; ms += everyMs) this.#reportTimers.push(setTimeout(() => this.#report(), ms))
   }
 
+  get #intervalMs (): number { return reportIntervalMs(this.#options.membership.reachable.length) }
+
   #report (): void {
-    const { self, membership, table, limits } = this.#options
+    const { self, membership, table, limits, memory, onReport } = this.#options
     const now = steadyNow()
-    const work = table.ownWork
+    const work = memory?.withGrants(table.ownWork) ?? table.ownWork
     const keeper = limits.keeper
     if (keeper === undefined) {
       this.#board.report(self, work, now)
-      return this.#applyOthersWork(this.#board.loadsOfOthers(self, now))
+      this.#applyOthersWork(this.#board.loadsOfOthers(self, now), undefined)
+      if (!memory) return
+      memory.beforeReport()
+      return onReport(self, work)
     }
     if (now - this.#othersReceivedAtMs > OTHERS_WORK_TTL_MS) table.applyOthersWork([])
     if (work.length === 0 && !this.#lastReportHadWork && now - this.#lastReportAtMs < IDLE_REPORT_INTERVAL_MS) return
     this.#lastReportAtMs = now
     this.#lastReportHadWork = work.length > 0
-    membership.links.post(keeper, REPORT_TOPIC, work)
+    memory?.beforeReport()
+    if (membership.links.post(keeper, REPORT_TOPIC, work) && memory) this.#recordSent(keeper, now)
   }
 
-  #applyOthersWork (loads: readonly EndpointWork[]): void {
-    this.#othersReceivedAtMs = steadyNow()
+  #recordSent (keeper: DaemonId, now: number): void {
+    if (this.#unanswered.keeper !== keeper) this.#unanswered = { keeper, sentAtMs: [] }
+    this.#unanswered.sentAtMs.push(now)
+    if (this.#unanswered.sentAtMs.length > MAX_UNANSWERED) this.#unanswered.sentAtMs.shift()
+  }
+
+  #applyOthersWork (loads: readonly EndpointWork[], from: DaemonId | undefined): void {
+    const now = steadyNow()
+    this.#othersReceivedAtMs = now
     this.#options.table.applyOthersWork(loads)
+    const sentAtMs = from === this.#unanswered.keeper ? this.#unanswered.sentAtMs.shift() ?? now : now
+    this.#options.memory?.applyOthers(loads, { from, visibleAfterMs: 2 * (this.#intervalMs + now - sentAtMs) })
   }
 }
--- a/daemon/request/attempt_tracker.ts
+++ b/daemon/request/attempt_tracker.ts
@@ -75,6 +75,6 @@
     if (!sent) return
     this.#sent = undefined
     if (!sent.prefilled) this.#table.promptRead(sent.endpoint, sent)
-    this.#table.ended(sent.endpoint)
+    this.#table.ended(sent.endpoint, sent)
   }
 }
--- a/daemon/request/dispatcher.ts
+++ b/daemon/request/dispatcher.ts
@@ -2,12 +2,12 @@
 import { FairQueue, type QueuedRequest, type RequestQueue } from '../../core/admission/index.ts'
 import { isStartOf, type EndpointId, type PoolName } from '../../core/ids/index.ts'
 import { backsOff, runningNow, type EndpointView, type PrefixIndex, type Random, type Route, type RouteQuery, type Router } from '../../core/routing/index.ts'
-import type { PromptPart } from '../../core/work/index.ts'
+import { maxHeldTokens, type PromptPart } from '../../core/work/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import { remainingBackOffMs } from '../endpoints/_work_pauses.ts'
 import type { EndpointSelection } from '../endpoints/_endpoint_selections.ts'
 import type { EndpointTable } from '../endpoints/endpoint_table.ts'
-import type { CanaryGate, EndpointLimiter, Placement, RequestWay, RequestWays } from './placement.ts'
+import type { CanaryGate, EndpointLimiter, EndpointMemory, Placement, RequestWay, RequestWays } from './placement.ts'
 
 /** Options of {@linkcode Dispatcher}. */
 export interface DispatcherOptions {
@@ -20,6 +20,8 @@
   canaries?: CanaryGate
   /** Limits the rate of requests to some endpoints. Default: none has a limit. */
   limits?: EndpointLimiter
+  /** Keeps requests within the memory of endpoints. Default: it is not bounded. */
+  memory?: EndpointMemory
   /** Finds other ways for requests to endpoints that this daemon cannot reach. Default: all endpoints can be reached. */
   ways?: RequestWays
   /** Spreads the times at which refused callers return. Default: they are not spread. */
@@ -56,7 +58,8 @@
 export const CUT_OFF_REASON = 'no endpoint of the pool can be reached'
 /** Reason for refusing a request while all endpoints that could take it have asked for time. */
 export const BACK_OFF_REASON = 'all endpoints asked for time'
-
+/** Reason for refusing a request that no endpoint of its pool could run. */
+export const TOO_LARGE_REASON = 'larger than the memory of any endpoint'
 /** Reason for refusing to continue a stream of whose version no endpoint can take it. */
 export const VERSION_GONE_REASON = 'no endpoint runs the version that began the stream'
 /**
@@ -105,6 +108,7 @@
 
   /** Starts a request, queues it, or refuses it at once if it is not expected to start in time. */
   place (placement: Placement): void {
+    if (this.#options.memory?.isTooLarge(placement.pool, maxHeldTokens(placement.demand))) return placement.refused(TOO_LARGE_REASON, Infinity)
     const pool = this.#poolState(placement)
     const way = this.#wayFor(placement)
     if (way.type !== 'direct') return this.#placeElsewhere(placement, way, pool)
@@ -149,6 +153,8 @@
   #enqueue (placement: Placement, pool: PoolState, { expectedMs, startByMs }: { expectedMs: number, startByMs: number }): void {
     const { urgent } = placement.cls
     const ahead = pool.queue.ahead(placement.account, urgent)
+    // Requests that wait for a grant start soon, however long ago the last one did.
+    if (this.#options.memory && pool.queue.length === 0) pool.lastStartMs = steadyNow()
     pool.queue.push({ account: placement.account, tokens: totalTokens(placement), startByMs, urgent, item: placement })
     placement.waits({ ahead, expectedMs, latestStartInMs: startByMs - steadyNow(), candidates: this.#endpointsFor(placement).connected.length })
     this.#options.limits?.queued()
@@ -230,7 +236,7 @@
   }
 
   #startAt (placement: Placement, { pool, now, candidates, cached, mayAsk, isGranted }: CandidateSet & Permission & { pool: PoolState | undefined, now: number }): boolean {
-    const withRoom = this.#preferPermitted(placement, candidates.filter((view) => this.#hasRoom(view, placement.cls.urgent) && !backsOff(view, now) && this.#canSend(view, placement) && (placement.accepts?.(view) ?? true)), isGranted)
+    const withRoom = this.#preferPermitted(placement, candidates.filter((view) => !backsOff(view, now) && this.#canSend(view, placement) && (placement.accepts?.(view) ?? true) && this.#hasRoom(view, placement)), isGranted)
     // When every endpoint with room has failed the request before, all of them are candidates again; the retry budget limits how often.
     const failed = failedEndpoints(placement, withRoom)
     const avoid = failed.length < withRoom.length ? failed : []
@@ -251,8 +257,9 @@
     return true
   }
 
-  #hasRoom (view: EndpointView, urgent: boolean): boolean {
-    return hasRoom(view, urgent) || this.#options.limits?.hasReservedSlot(view) === true
+  /** Memory is looked at last, as what is missing is asked for. */
+  #hasRoom (view: EndpointView, { cls, demand }: Placement): boolean {
+    return (hasRoom(view, cls.urgent) || this.#options.limits?.hasReservedSlot(view) === true) && (this.#options.memory?.hasRoom(view, maxHeldTokens(demand)) ?? true)
   }
 
   #canSend (view: EndpointView, { cls }: Placement): boolean {
--- a/daemon/request/placement.ts
+++ b/daemon/request/placement.ts
@@ -79,3 +79,11 @@
   /** Returns how a request of a pool can be sent. */
   wayFor (req: { pool: PoolName, idempotent: boolean, mayDelegate: boolean, avoidDelegates: readonly DaemonId[] }): RequestWay
 }
+
+/** Keeps requests within the memory of endpoints. */
+export interface EndpointMemory {
+  /** True if a request that holds a number of tokens may be sent to an endpoint now. If not, memory for it may be asked for. */
+  hasRoom (view: EndpointView, tokens: number): boolean
+  /** True if a request exceeds what any endpoint of its pool can hold. */
+  isTooLarge (pool: PoolName, tokens: number): boolean
+}
--- a/daemon/request/request_task.ts
+++ b/daemon/request/request_task.ts
@@ -5,7 +5,7 @@
 import { canMove, canRetry, isFreeRetry, newRequest, step, type AttemptProgress, type RequestEffect, type RequestMessage, type RequestState, type StartMode } from '../../core/request/index.ts'
 import { availableAtMs, type EndpointView, type Route } from '../../core/routing/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
-import { sharedParts } from '../../core/work/index.ts'
+import { maxHeldTokens, sharedParts } from '../../core/work/index.ts'
 import { mayContinueAt, type StreamVersion } from '../../core/streams/index.ts'
 import type { SelectedDelegate } from '../../core/delegation/index.ts'
 import type { Attachment, AttemptRunner, AttemptSink } from '../../endpoints/index.ts'
@@ -190,7 +190,7 @@
   /** Accounts for an attempt that another daemon started. */
   protected trackTakenOver (view: EndpointView): void {
     this.#runningVersion = view.version
-    this.#trackSent(view, { lane: 'normal', tokens: 0 })
+    this.#trackSent(view, { lane: 'normal', tokens: 0, heldTokens: maxHeldTokens(this.work.demand) })
   }
 
   /** Stops all activity for the request, because this daemon no longer owns it. */
@@ -335,7 +335,7 @@
     this.ports.metrics.attempts.inc({ mode })
     const lane = this.#route?.lane ?? (this.work.cls.urgent ? 'urgent' : 'normal')
     this.recordDecision('attempt-started', attemptStartedEvent(view, { attempt, mode, lane, fromPiece: this.answer.length, route: this.#route, table: this.ports.table }))
-    this.#trackSent(view, { lane, tokens: mode === 'import' ? 0 : this.#route?.uncachedTokens ?? this.kvTokens })
+    this.#trackSent(view, { lane, tokens: mode === 'import' ? 0 : this.#route?.uncachedTokens ?? this.kvTokens, heldTokens: maxHeldTokens(this.work.demand) })
     const kvHandle = mode === 'import' ? this.kvHandle : undefined
     this.kvHandle = undefined
     this.attachment = this.#runner.start(view, {
--- a/daemon/request/shared_dispatcher.ts
+++ b/daemon/request/shared_dispatcher.ts
@@ -3,7 +3,7 @@
 import type { Topology } from '../../core/topology/index.ts'
 import type { EndpointTable } from '../endpoints/endpoint_table.ts'
 import { Dispatcher } from './dispatcher.ts'
-import type { CanaryGate, EndpointLimiter, RequestWays } from './placement.ts'
+import type { CanaryGate, EndpointLimiter, EndpointMemory, RequestWays } from './placement.ts'
 
 /** Options of {@linkcode createSharedDispatcher}. */
 export interface SharedDispatcherOptions {
@@ -18,6 +18,8 @@
   canaries?: CanaryGate | undefined
   /** Limits the rate of requests to some endpoints. Default: none has a limit. */
   limits?: EndpointLimiter | undefined
+  /** Keeps requests within the memory of endpoints. Default: it is not bounded. */
+  memory?: EndpointMemory | undefined
   /** Finds other ways for requests to endpoints that this daemon cannot reach. Default: all endpoints can be reached. */
   ways?: RequestWays | undefined
 }
@@ -26,7 +28,7 @@
 const PREFIX_EXPIRES_MS = 15_000
 
 /** Creates a dispatcher that routes by prefix cache, predicted first-token time and distance. */
-export function createSharedDispatcher ({ table, hash, random, topology, sharers, canaries, limits, ways }: SharedDispatcherOptions): Dispatcher {
+export function createSharedDispatcher ({ table, hash, random, topology, sharers, canaries, limits, memory, ways }: SharedDispatcherOptions): Dispatcher {
   return new Dispatcher({
     table,
     random,
@@ -34,6 +36,7 @@
     home: (parts, candidates) => homeEndpoint(parts, candidates, hash),
     ...(canaries && { canaries }),
     ...(limits && { limits }),
+    ...(memory && { memory }),
     ...(ways && { ways }),
     router: new TargetRouter({ random, sharers, roundTripMs: (view) => topology.roundTripMs(view.failureDomain) })
   })
