--- a/bench/registry.ts
+++ b/bench/registry.ts
@@ -2,6 +2,7 @@
 import type { Bench } from './bench.ts'
 import { costBench } from './cost.ts'
 import { endpointLimitsBench } from './endpoint_limits.ts'
+import { engineMemoryBench } from './engine_memory.ts'
 import { limitsBench } from './limits.ts'
 import { membershipBench } from './membership.ts'
 import { movesBench } from './moves.ts'
@@ -20,4 +21,4 @@
 import { waveBench } from './wave.ts'
 
 /** All benchmarks, in the order in which they are listed. */
-export const BENCHES: readonly Bench[] = [costBench, endpointLimitsBench, limitsBench, membershipBench, movesBench, onceBench, overheadBench, placingBench, processorBench, quarantineBench, reclaimBench, regionLinkBench, regionsBench, rolloutBench, routeBench, schedulesBench, storeBench, waveBench]
+export const BENCHES: readonly Bench[] = [costBench, endpointLimitsBench, engineMemoryBench, limitsBench, membershipBench, movesBench, onceBench, overheadBench, placingBench, processorBench, quarantineBench, reclaimBench, regionLinkBench, regionsBench, rolloutBench, routeBench, schedulesBench, storeBench, waveBench]
--- a/daemon/exchange/_proxy_components.ts
+++ b/daemon/exchange/_proxy_components.ts
@@ -41,6 +41,7 @@
 import { StreamVersions } from '../streams/index.ts'
 import { seededRandom } from '../seeded_random.ts'
 import { buildStatus, type StatusReport } from '../status.ts'
+import { engineMemoryComponents, type EngineMemoryComponents } from './_engine_memory.ts'
 import { ConnectionGateTask } from './connection_gate_task.ts'
 import { ExchangeServer } from './exchange_server.ts'
 import { Intake, type CatalogIndex } from './intake.ts'
@@ -80,6 +81,8 @@
   limits: AccountLimits
   endpointLimits: EndpointLimits
   endpointLimitTask: EndpointLimitTask
+  /** Undefined if the settings do not ask for the memory of engines to be bounded. */
+  engineMemory: EngineMemoryComponents | undefined
   signals: EndpointSignalRecorder
   table: EndpointTable
   registry: EndpointFollower
@@ -173,7 +176,8 @@
     })).singleton(),
     config: asFunction(configFollower).singleton(),
     limits: asFunction(({ self, membership, fleet, topology }: ProxyComponents) => new AccountLimits({ self, topology, host: settings.name, tolerance: settings.quota, membership, fleet })).singleton(),
-    table: asFunction(({ self, topology }: ProxyComponents) => new EndpointTable({ self, hash, topology })).singleton(),
+    table: asFunction(({ self, topology }: ProxyComponents) => new EndpointTable({ self, hash, topology, countsMemory: settings.boundsEngineMemory === true })).singleton(),
+    engineMemory: asFunction(engineMemoryComponents).singleton(),
     registry: asFunction(endpointFollower).singleton(),
     client: asFunction(({ config, fleet, topology }: ProxyComponents) => new ExchangeClient({
       addressOf: endpointAddress,
@@ -187,7 +191,17 @@
     endpointLimits: asFunction(({ metrics, table, limits }: ProxyComponents) => new EndpointLimits({ metrics, farKeeperMs: () => limits.farKeeperMs, isListed: (id) => table.get(id) !== undefined, listed: () => table.all })).singleton(),
     endpointLimitTask: asFunction(({ self, membership, endpointLimits, limits, dispatcher }: ProxyComponents) => new EndpointLimitTask({ self, membership, limits: endpointLimits, accounts: limits, queued: (pool) => dispatcher.queuedByUrgency(pool) })).singleton(),
     signals: asFunction(({ table, endpointLimits, metrics, random }: ProxyComponents) => new EndpointSignalRecorder({ table, limits: endpointLimits, metrics, random })).singleton(),
-    loads: asFunction(({ self, membership, table, limits, endpointLimitTask }: ProxyComponents) => new LoadTask({ self, membership, table, limits, onReport: (from) => endpointLimitTask.sendLimits(from) })).singleton(),
+    loads: asFunction(({ self, membership, table, limits, endpointLimitTask, engineMemory }: ProxyComponents) => new LoadTask({
+      self,
+      membership,
+      table,
+      limits,
+      memory: engineMemory?.task,
+      onReport: (from, loads) => {
+        endpointLimitTask.sendLimits(from)
+        engineMemory?.task.reported(from, loads)
+      }
+    })).singleton(),
     rollouts: asFunction(rolloutComponents).singleton(),
     paths: asFunction((cradle: ProxyComponents) => new PathWatch({
       table: cradle.table,
@@ -220,7 +234,7 @@
       completeSinceMs: () => cradle.registry.completeSinceMs
     })).singleton(),
     regionLink: asFunction(({ topology, membership, metrics, random }: ProxyComponents) => new RegionLinkTask({ topology, membership, metrics, random })).singleton(),
-    dispatcher: asFunction(({ table, random, topology, regionLink, fleet, rollouts, endpointLimits, paths, delegateFinder }: ProxyComponents) => createSharedDispatcher({
+    dispatcher: asFunction(({ table, random, topology, regionLink, fleet, rollouts, endpointLimits, engineMemory, paths, delegateFinder }: ProxyComponents) => createSharedDispatcher({
       table,
       hash,
       random,
@@ -229,6 +243,7 @@
       sharers: () => fleet.hostCount,
       canaries: rollouts?.gate,
       limits: endpointLimits,
+      memory: engineMemory?.memory,
       ways: { canSend: (view, work) => paths.canSend(view, work), wayFor: (req) => delegateFinder.wayFor(req) }
     })).singleton(),
     budgetOf: asFunction(retryBudgets).singleton(),
@@ -306,6 +321,7 @@
   // A connection that was open when the path went down would lose the next request that is written to it.
   components.paths.onDown = (view) => components.client.dropIdle(view.id)
   components.endpointLimits.onRoom = () => components.dispatcher.startQueued()
+  if (components.engineMemory) components.engineMemory.memory.onRoom = () => components.dispatcher.startQueued()
   components.table.onEnded((view) => components.endpointLimits.ended(view))
   components.signals.onRoom = () => components.dispatcher.startQueued()
   components.streamVersions.onResumed = (key) => components.intake.streamResumed(key)
--- a/daemon/exchange/proxy_daemon.ts
+++ b/daemon/exchange/proxy_daemon.ts
@@ -162,7 +162,7 @@
   }
 
   #stopTasks (): void {
-    const { config, registry, limits, endpointLimitTask, signals, loads, tallies, rollouts, stalls, quarantine, archive, processor, paths, regionLink, delegateFinder, delegatedRuns, delegateServer, connectionGate, moves } = this.#components
+    const { config, registry, limits, endpointLimitTask, engineMemory, signals, loads, tallies, rollouts, stalls, quarantine, archive, processor, paths, regionLink, delegateFinder, delegatedRuns, delegateServer, connectionGate, moves } = this.#components
     moves.stop()
     connectionGate.stop()
     paths.stop()
@@ -180,6 +180,7 @@
     registry.stop()
     limits.stop()
     endpointLimitTask.stop()
+    engineMemory?.task.stop()
     signals.stop()
     loads.stop()
     tallies.stop()
--- a/daemon/request/_start_rate.ts
+++ b/daemon/request/_start_rate.ts
@@ -18,4 +18,9 @@
     if (isQueued) this.msPerStart += RATE_SMOOTHING * (now - this.#lastStartMs - this.msPerStart)
     this.#lastStartMs = now
   }
+
+  /** Forgets the last start, so that the time before now does not count towards the next one. */
+  restart (now: number): void {
+    this.#lastStartMs = now
+  }
 }
--- a/daemon/request/dispatcher.ts
+++ b/daemon/request/dispatcher.ts
@@ -2,14 +2,14 @@
 import { FairQueue, type QueuedRequest, type RequestQueue } from '../../core/admission/index.ts'
 import type { EndpointId, PoolName } from '../../core/ids/index.ts'
 import { backsOff, runningNow, type EndpointView, type PrefixIndex, type Random, type RegionalRoute, type Route, type RouteQuery, type Router } from '../../core/routing/index.ts'
-import type { PromptPart } from '../../core/work/index.ts'
+import { maxHeldTokens, type PromptPart } from '../../core/work/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import { remainingBackOffMs } from '../endpoints/_work_pauses.ts'
 import type { EndpointSelection } from '../endpoints/_endpoint_selections.ts'
 import type { EndpointTable } from '../endpoints/endpoint_table.ts'
 import { Candidates, type CandidateSet } from './_candidates.ts'
 import { endpointsToAvoid, failedEndpoints, remainingTokens, routeQuery } from './_route_query.ts'
-import type { CanaryGate, EndpointLimiter, Placement, RequestWay, RequestWays } from './placement.ts'
+import type { CanaryGate, EndpointLimiter, EndpointMemory, Placement, RequestWay, RequestWays } from './placement.ts'
 import type { RegionRouting } from './region_routing.ts'
 import { StartRate } from './_start_rate.ts'
 
@@ -24,6 +24,8 @@
   canaries?: CanaryGate
   /** Limits the rate of requests to some endpoints. Default: none has a limit. */
   limits?: EndpointLimiter
+  /** Keeps requests within the memory of endpoints. Default: it is not bounded. */
+  memory?: EndpointMemory
   /** Finds other ways for requests to endpoints that this daemon cannot reach. Default: all endpoints can be reached. */
   ways?: RequestWays
   /** Selects between regions. Default: there is one. */
@@ -55,7 +57,8 @@
 export const CUT_OFF_REASON = 'no endpoint of the pool can be reached'
 /** Reason for refusing a request while all endpoints that could take it have asked for time. */
 export const BACK_OFF_REASON = 'all endpoints asked for time'
-
+/** Reason for refusing a request that no endpoint of its pool could run. */
+export const TOO_LARGE_REASON = 'larger than the memory of any endpoint'
 /** Reason for refusing to continue a stream of whose version no endpoint can take it. */
 export const VERSION_GONE_REASON = 'no endpoint runs the version that began the stream'
 /**
@@ -109,6 +112,7 @@
 
   /** Starts a request, queues it, or refuses it at once if it is not expected to start in time. */
   place (placement: Placement): void {
+    if (this.#options.memory?.isTooLarge(placement.pool, maxHeldTokens(placement.demand))) return placement.refused(TOO_LARGE_REASON, Infinity)
     const pool = this.#poolState(placement)
     const way = this.#wayFor(placement)
     if (way.type !== 'direct') return this.#placeElsewhere(placement, way, pool)
@@ -154,6 +158,8 @@
   #enqueue (placement: Placement, pool: PoolState, { expectedMs, startByMs }: { expectedMs: number, startByMs: number }): void {
     const { urgent } = placement.cls
     const ahead = pool.queue.ahead(placement.account, urgent)
+    // Requests that wait for a grant start soon, however long ago the last one did.
+    if (this.#options.memory && pool.queue.length === 0) for (const rate of [pool.rate, pool.ownRate]) rate.restart(steadyNow())
     pool.queue.push({ account: placement.account, tokens: totalTokens(placement), startByMs, urgent, item: placement })
     placement.waits({ ahead, expectedMs, latestStartInMs: startByMs - steadyNow(), candidates: this.#endpointsFor(placement).connected.length })
     this.#options.limits?.queued()
@@ -298,10 +304,10 @@
     return true
   }
 
-  /** Returns whether an endpoint can take a request now, limits and failures aside. */
+  /** Returns whether an endpoint can take a request now, limits and failures aside. Memory is looked at last, as what is missing is asked for. */
   #canStart (view: EndpointView, placement: Placement, now: number): boolean {
     const canTake = hasRoom(view, placement.cls.urgent) || this.#options.limits?.hasReservedSlot(view) === true
-    return canTake && !backsOff(view, now) && this.#canSend(view, placement) && (placement.accepts?.(view) ?? true)
+    return canTake && !backsOff(view, now) && this.#canSend(view, placement) && (placement.accepts?.(view) ?? true) && (this.#options.memory?.hasRoom(view, maxHeldTokens(placement.demand)) ?? true)
   }
 
   #canSend (view: EndpointView, { cls }: Placement): boolean {
--- a/daemon/request/shared_dispatcher.ts
+++ b/daemon/request/shared_dispatcher.ts
@@ -3,7 +3,7 @@
 import type { Topology } from '../../core/topology/index.ts'
 import type { EndpointTable } from '../endpoints/endpoint_table.ts'
 import { Dispatcher } from './dispatcher.ts'
-import type { CanaryGate, EndpointLimiter, RegionCrossing, RequestWays } from './placement.ts'
+import type { CanaryGate, EndpointLimiter, EndpointMemory, RegionCrossing, RequestWays } from './placement.ts'
 import { RegionRouting } from './region_routing.ts'
 
 /** Options of {@linkcode createSharedDispatcher}. */
@@ -21,6 +21,8 @@
   canaries?: CanaryGate | undefined
   /** Limits the rate of requests to some endpoints. Default: none has a limit. */
   limits?: EndpointLimiter | undefined
+  /** Keeps requests within the memory of endpoints. Default: it is not bounded. */
+  memory?: EndpointMemory | undefined
   /** Finds other ways for requests to endpoints that this daemon cannot reach. Default: all endpoints can be reached. */
   ways?: RequestWays | undefined
 }
@@ -29,7 +31,7 @@
 const PREFIX_EXPIRES_MS = 15_000
 
 /** Creates a dispatcher that routes by prefix cache, predicted first-token time and distance. */
-export function createSharedDispatcher ({ table, hash, random, topology, crossing, sharers, canaries, limits, ways }: SharedDispatcherOptions): Dispatcher {
+export function createSharedDispatcher ({ table, hash, random, topology, crossing, sharers, canaries, limits, memory, ways }: SharedDispatcherOptions): Dispatcher {
   const isLocal = ({ failureDomain }: EndpointView) => topology.isLocal(failureDomain)
   const roundTripMs = ({ failureDomain }: EndpointView) => topology.roundTripMs(failureDomain)
   const routing = {
@@ -45,6 +47,7 @@
     home: (parts, candidates) => homeEndpoint(parts, candidates, hash),
     ...(canaries && { canaries }),
     ...(limits && { limits }),
+    ...(memory && { memory }),
     ...(ways && { ways }),
     ...(topology.hasRegions && { regions: new RegionRouting({ topology, crossing, random, thorough: new TargetRouter({ ...routing, rounds: Infinity }) }) }),
     router: new TargetRouter(routing)
