Refuse at once what cannot be in time while a pool has too little room

Cause: daemons went by free batch slots, and engines have free slots while prompts wait for seconds. Change: core/scarcity judges new streams by the mean wait over all endpoints of the pool, their target, size, account and time spent; RoomGate feeds it, and load reports carry one entry for a pool (urgent tokens a second, prefill time per token). Refusals are logged (request-no-room) and counted (turned_away_total). Requests also start at endpoints that the daemon is not connected to before they wait for a slot or are refused.

The placement simulation replays it: callers may give up, come back once, belong to accounts and return together; endpoints may be lost for a while.

--- a/bench/_batch_engine.ts
+++ b/bench/_batch_engine.ts
@@ -21,6 +21,8 @@
   parts: readonly PromptPart[]
   promptTokens: number
   pieces: number
+  /** Returns false once the caller has given up; the prompt is not prefilled then. Default: it never does. */
+  isWanted? (): boolean
   onFirstPiece (): void
   onEnd (): void
 }
@@ -33,6 +35,7 @@
   readonly #prefillQueue: EngineJob[] = []
   #running = 0
   #prefilling = false
+  #prefillingJobs: readonly EngineJob[] = []
 
   constructor (options: BatchEngineOptions) {
     this.#options = options
@@ -43,6 +46,11 @@
   /** Number of requests running or waiting for a slot. */
   get open (): number { return this.#running + this.#slotQueue.length }
 
+  /** Prompt tokens that wait to be prefilled, those of the prompt under way included in full. */
+  get unreadTokens (): number {
+    return [...this.#slotQueue, ...this.#prefillQueue, ...this.#prefillingJobs].reduce((sum, job) => sum + this.#uncachedTokens(job), 0)
+  }
+
   /** Accepts a request, or returns false without running any of it if the engine is full. */
   trySubmit (job: EngineJob): boolean {
     if (this.open >= this.#options.slots + this.#options.queue) return false
@@ -63,14 +71,25 @@
     if (this.#prefilling || this.#prefillQueue.length === 0) return
     this.#prefilling = true
     const job = removeMostUrgent(this.#prefillQueue)
+    if (job.isWanted?.() === false) return this.#drop(job)
+    this.#prefillingJobs = [job]
     setTimeout(() => {
       this.#prefilling = false
+      this.#prefillingJobs = []
       for (const { key } of job.parts) this.#cachedParts.add(key)
       setTimeout(() => this.#decode(job), this.#options.firstMs)
       this.#prefillNext()
     }, this.#uncachedTokens(job) / this.#options.readTokensPerMs)
   }
 
+  #drop (job: EngineJob): void {
+    this.#prefilling = false
+    this.#running--
+    job.onEnd()
+    this.#admit()
+    this.#prefillNext()
+  }
+
   #decode (job: EngineJob): void {
     job.onFirstPiece()
     const { pieceMs, pieceMsPerRequest } = this.#options
--- a/bench/_placing.ts
+++ b/bench/_placing.ts
@@ -1,35 +1,23 @@
 /** Simulation of request placement by many daemons that learn of each other's load with a delay: real dispatchers and simulated batch engines under a fake clock. */
 import FakeTimers from '@sinonjs/fake-timers'
 import xxhash from 'xxhash-wasm'
-import { as, type ClassName, type DaemonId, type EndpointId, type FailureDomain, type HostId, type PoolName } from '../core/ids/index.ts'
+import { as, type AccountId, type ClassName, type DaemonId, type EndpointId, type FailureDomain, type HostId, type PoolName } from '../core/ids/index.ts'
 import { LoadAggregator, reportIntervalMs, type Hash32, type Random, type Route } from '../core/routing/index.ts'
 import { RegionTopology } from '../core/topology/index.ts'
 import { steadyNow } from '../core/time/index.ts'
 import type { Demand, WorkClass } from '../core/work/index.ts'
 import { EndpointTable } from '../daemon/endpoints/endpoint_table.ts'
-import type { Dispatcher } from '../daemon/request/dispatcher.ts'
+import type { Dispatcher, DispatcherOptions } from '../daemon/request/dispatcher.ts'
 import type { Placement } from '../daemon/request/placement.ts'
 import { AttemptTracker } from '../daemon/request/attempt_tracker.ts'
+import { RoomGate } from '../daemon/request/room_gate.ts'
 import { createSharedDispatcher } from '../daemon/request/shared_dispatcher.ts'
 import { seededRandom } from '../daemon/seeded_random.ts'
 import type { ListedHost } from '../endpoints/index.ts'
+import { countFirstToken, noResults, recordAsked, recordRefusal, type ClassResults, type SimulatedClass, type SimulatedRequest } from './_placing_results.ts'
 import { BatchEngine, type BatchEngineOptions } from './_batch_engine.ts'
 
-/** Traffic of one work class. */
-export interface SimulatedClass {
-  name: string
-  perS: number
-  urgent: boolean
-  /** Mean number of prompt tokens unique to a request; drawn from a log-normal distribution, so some requests have several times as many. */
-  uniqueTokens: number
-  /** Number of prompt tokens shared by all requests about one subject, and the number of subjects. */
-  sharedTokens: number
-  subjects: number
-  pieces: number
-  firstTokenMs: number
-  deadlineMs: number
-  maxAttempts: number
-}
+export type { ClassResults, SimulatedClass } from './_placing_results.ts'
 
 /** Options of {@linkcode simulatePlacement}. */
 export interface PlacementSimulationOptions {
@@ -41,21 +29,24 @@
   spanMs: number
   /** Warm-up period in milliseconds; requests that arrive during it are not counted. */
   warmupMs: number
+  /** Requests that arrive later are not counted. Default: one deadline before the end. */
+  countUntilMs?: number
+  /** Changes of the dispatchers, e.g. another queue. Default: none. */
+  dispatcher?: Partial<Pick<DispatcherOptions, 'queue'>> & { gate?: boolean }
+  /** Behaviour of the callers. Default: one account, whose callers wait for the answer past the deadline, and do not come back. */
+  callers?: CallerOptions
+  /** Interval in which every second endpoint is not listed and accepts nothing. Default: none. */
+  lossMs?: readonly [from: number, to: number]
 }
 
-/** Request outcomes of one class. */
-export interface ClassResults {
-  asked: number
-  inTime: number
-  late: number
-  /** Refused by the daemon because no capacity became available in time. */
-  refusedByDaemon: number
-  /** Rejected by full engines after the last attempt. */
-  rejectedByEngine: number
-  /** Shared prompt tokens prefilled on one engine while another engine had them cached. */
-  redundantPrefillTokens: number
-  /** Relative errors of the predicted time from placement to first token. */
-  predictionErrors: number[]
+/** Behaviour of simulated callers, who give up at the deadline. */
+export interface CallerOptions {
+  /** Relative traffic of each client account. */
+  accounts: readonly number[]
+  /** Factor of the arrival rate at a time in milliseconds. Default: 1. */
+  timesAt? (ms: number): number
+  /** Interval whose requests all arrive within {@linkcode RETURN_MS} of its end. Default: none. */
+  outageMs?: readonly [from: number, to: number]
 }
 
 const POOL = as<PoolName>('models')
@@ -79,7 +70,7 @@
   }
 }
 
-interface SimulatedDaemon { id: DaemonId, table: EndpointTable, dispatcher: Dispatcher }
+interface SimulatedDaemon { id: DaemonId, table: EndpointTable, dispatcher: Dispatcher, gate: RoomGate | undefined }
 
 class PlacementSimulation {
   readonly figures: Map<string, ClassResults>
@@ -88,15 +79,18 @@
   readonly #engines = new Map<EndpointId, BatchEngine>()
   readonly #daemons: SimulatedDaemon[]
   readonly #loadAggregator = new LoadAggregator()
+  readonly #hosts: readonly ListedHost[]
+  #listed: ReadonlySet<EndpointId>
   #requests = 0
 
   constructor (options: PlacementSimulationOptions) {
     this.#options = options
     this.#random = seededRandom(options.seed)
-    this.figures = new Map(options.classes.map(({ name }) => [name, { asked: 0, inTime: 0, late: 0, refusedByDaemon: 0, rejectedByEngine: 0, redundantPrefillTokens: 0, predictionErrors: [] }]))
-    const hosts = Array.from({ length: options.engines }, (_, i) => makeHost(i, options.engine.slots))
-    for (const { endpoint } of hosts) this.#engines.set(endpoint.id, new BatchEngine(options.engine))
-    this.#daemons = Array.from({ length: options.daemons }, (_, i) => this.#daemon(i, hosts))
+    this.figures = new Map(options.classes.map(({ name }) => [name, noResults()]))
+    this.#hosts = Array.from({ length: options.engines }, (_, i) => makeHost(i, options.engine.slots))
+    this.#listed = new Set(this.#hosts.map(({ endpoint }) => endpoint.id))
+    for (const { endpoint } of this.#hosts) this.#engines.set(endpoint.id, new BatchEngine(options.engine))
+    this.#daemons = Array.from({ length: options.daemons }, (_, i) => this.#daemon(i, this.#hosts))
   }
 
   start (): void {
@@ -104,29 +98,49 @@
     for (const daemon of this.#daemons) {
       setTimeout(() => setInterval(() => this.#report(daemon), reportMs), this.#random() * reportMs)
     }
-    for (const cls of this.#options.classes) this.#scheduleArrival(cls)
+    for (const cls of this.#options.classes) this.#options.callers ? this.#scheduleArrivals(cls, 0) : this.#scheduleArrival(cls)
+    const { lossMs } = this.#options
+    if (!lossMs) return
+    const [from, to] = lossMs
+    setTimeout(() => this.#list(this.#hosts.filter((_, i) => i % 2 === 0)), from)
+    setTimeout(() => this.#list(this.#hosts), to)
+  }
+
+  #list (hosts: readonly ListedHost[]): void {
+    this.#listed = new Set(hosts.map(({ endpoint }) => endpoint.id))
+    for (const { table, dispatcher } of this.#daemons) {
+      table.applyHostList(hosts)
+      dispatcher.startQueued()
+    }
   }
 
   #daemon (i: number, hosts: readonly ListedHost[]): SimulatedDaemon {
     const id = as<DaemonId>(`d${i}`)
     const table = new EndpointTable({ self: id, hash })
     table.applyHostList(hosts)
+    const { queue, gate: hasGate = false } = this.#options.dispatcher ?? {}
+    const gate = hasGate ? new RoomGate({ table, random: seededRandom(this.#options.seed * 1000 + i) }) : undefined
     const dispatcher = createSharedDispatcher({
       table,
       hash,
       random: seededRandom(this.#options.seed + i + 1),
       topology: new RegionTopology({ ownDomain: DOMAINS[i % DOMAINS.length]! }),
-      sharers: () => this.#options.daemons
+      sharers: () => this.#options.daemons,
+      ...(queue && { queue }),
+      ...(gate && { gate })
     })
-    return { id, table, dispatcher }
+    return { id, table, dispatcher, gate }
   }
 
-  #report ({ id, table }: SimulatedDaemon): void {
-    const work = table.ownWork.map(([endpoint, load]) => [endpoint, structuredClone(load)] as const)
+  #report ({ id, table, gate }: SimulatedDaemon): void {
+    const work = [...table.ownWork, ...gate?.reports ?? []].map(([endpoint, load]) => [endpoint, structuredClone(load)] as const)
     setTimeout(() => {
       this.#loadAggregator.report(id, work, steadyNow())
       const others = this.#loadAggregator.loadsOfOthers(id, steadyNow())
-      setTimeout(() => table.applyOthersWork(others), ONE_WAY_DELAY_MS)
+      setTimeout(() => {
+        table.applyOthersWork(others)
+        gate?.applyOthersWork(others)
+      }, ONE_WAY_DELAY_MS)
     }, ONE_WAY_DELAY_MS)
   }
 
@@ -134,15 +148,44 @@
     setTimeout(() => {
       this.#handleArrival(cls)
       this.#scheduleArrival(cls)
-    }, -Math.log(1 - this.#random()) * 1000 / cls.perS)
+    }, this.#gapMs(cls))
+  }
+
+  /** Schedules arrivals of which several may share a millisecond, the resolution of the fake clock. */
+  #scheduleArrivals (cls: SimulatedClass, atMs: number): void {
+    setTimeout(() => {
+      let nextMs = atMs
+      for (; nextMs <= steadyNow(); nextMs += this.#gapMs(cls)) this.#handleArrival(cls)
+      this.#scheduleArrivals(cls, nextMs)
+    }, Math.ceil(atMs - steadyNow()))
+  }
+
+  #gapMs (cls: SimulatedClass): number {
+    const times = this.#options.callers?.timesAt?.(steadyNow()) ?? 1
+    return -Math.log(1 - this.#random()) * 1000 / (cls.perS * times)
   }
 
   #handleArrival (cls: SimulatedClass): void {
-    const counted = steadyNow() >= this.#options.warmupMs && steadyNow() < this.#options.spanMs - cls.deadlineMs
-    const figures = counted ? this.figures.get(cls.name)! : undefined
-    if (figures) figures.asked++
+    const counted = steadyNow() >= this.#options.warmupMs && steadyNow() < (this.#options.countUntilMs ?? this.#options.spanMs - cls.deadlineMs)
+    const [from, to] = this.#options.callers?.outageMs ?? [0, 0]
+    const delayMs = steadyNow() >= from && steadyNow() < to ? to - steadyNow() + this.#random() * RETURN_MS : 0
+    if (delayMs > 0) setTimeout(() => this.#ask(cls, counted), delayMs)
+    else this.#ask(cls, counted)
+  }
+
+  #ask (cls: SimulatedClass, counted: boolean): void {
     const daemon = this.#daemons[Math.floor(this.#random() * this.#daemons.length)]!
-    this.#place(daemon, { cls, figures, atMs: steadyNow(), demand: this.#demand(cls), attempts: 0, avoid: [] })
+    const demand = this.#demand(cls)
+    const req: SimulatedRequest = { cls, figures: counted ? this.figures.get(cls.name)! : undefined, account: this.#drawAccount(), atMs: steadyNow(), demand, attempts: 0, avoid: [] }
+    recordAsked(req)
+    this.#place(daemon, req)
+  }
+
+  #drawAccount (): AccountId {
+    const shares = this.#options.callers?.accounts
+    if (!shares) return as('account')
+    let left = this.#random() * shares.reduce((sum, share) => sum + share, 0)
+    return as(`account-${shares.findIndex((share) => (left -= share) < 0)}`)
   }
 
   #demand (cls: SimulatedClass): Demand {
@@ -157,17 +200,17 @@
   #place (daemon: SimulatedDaemon, req: SimulatedRequest): void {
     const { cls, atMs, demand, avoid } = req
     const placement: Placement = {
-      account: as('account'),
+      account: req.account,
       cls: workClassOf(cls),
       pool: POOL,
       demand,
       doneTokens: 0,
-      acceptedAtMs: atMs,
+      acceptedAtMs: req.againAtMs ?? atMs,
       deadlineAtMs: atMs + cls.deadlineMs,
       resumed: false,
       avoid,
       placed: ({ id }, route) => this.#send(daemon, req, { endpoint: id, route }),
-      refused: () => { if (req.figures) req.figures.refusedByDaemon++ },
+      refused: (_reason, retryAfterMs) => this.#handleRefusal(daemon, req, retryAfterMs),
       waits: () => {}
     }
     daemon.dispatcher.place(placement)
@@ -180,7 +223,8 @@
     const afterDelay = (act: () => void) => setTimeout(act, ONE_WAY_DELAY_MS)
     setTimeout(() => {
       this.#countRedundantPrefill(req, endpoint)
-      const taken = this.#engines.get(endpoint)!.trySubmit({
+      const taken = this.#listed.has(endpoint) && this.#engines.get(endpoint)!.trySubmit({
+        isWanted: () => !this.#options.callers || steadyNow() < req.atMs + req.cls.deadlineMs,
         lane: route.lane,
         parts: req.demand.parts,
         promptTokens: req.demand.promptTokens,
@@ -199,6 +243,25 @@
     }, ONE_WAY_DELAY_MS)
   }
 
+  /** Counts a refusal, and comes back once if the time given for it is within the deadline. */
+  #handleRefusal (daemon: SimulatedDaemon, req: SimulatedRequest, retryAfterMs: number): void {
+    const { cls, atMs, figures } = req
+    recordRefusal(req, { withRoom: this.#hasRoom() })
+    const comesBack = this.#options.callers && req.againAtMs === undefined && steadyNow() + retryAfterMs < atMs + cls.deadlineMs
+    if (!comesBack) {
+      if (figures) figures.refusedByDaemon++
+      return
+    }
+    const againAtMs = steadyNow() + retryAfterMs
+    setTimeout(() => this.#place(daemon, { ...req, againAtMs }), retryAfterMs)
+  }
+
+  /** True if an engine of the pool has half of its slots free and nothing to prefill. */
+  #hasRoom (): boolean {
+    const { slots } = this.#options.engine
+    return [...this.#engines].some(([id, engine]) => this.#listed.has(id) && engine.open < slots / 2 && engine.unreadTokens === 0)
+  }
+
   #countRedundantPrefill ({ demand, figures }: SimulatedRequest, endpoint: EndpointId): void {
     if (!figures) return
     for (const { key, tokens } of demand.parts.slice(0, -1)) {
@@ -215,17 +278,11 @@
   }
 }
 
-interface SimulatedRequest { cls: SimulatedClass, figures: ClassResults | undefined, atMs: number, demand: Demand, attempts: number, avoid: readonly EndpointId[] }
-
+/** Time within which all callers come back after an outage, in milliseconds. */
+const RETURN_MS = 200
 const PIECE_TOKENS = 9
 const PIECES_SIGMA = 0.4
 
-function countFirstToken ({ cls, figures, atMs }: SimulatedRequest): void {
-  if (!figures) return
-  if (steadyNow() - atMs <= cls.firstTokenMs) figures.inTime++
-  else figures.late++
-}
-
 function workClassOf ({ name, urgent, maxAttempts, firstTokenMs, deadlineMs }: SimulatedClass): WorkClass {
   return {
     name: as<ClassName>(name),
--- a/bench/registry.ts
+++ b/bench/registry.ts
@@ -11,9 +11,10 @@
 import { reclaimBench } from './reclaim.ts'
 import { routeBench } from './route.ts'
 import { rolloutBench } from './rollout.ts'
+import { scarcityBench } from './scarcity.ts'
 import { schedulesBench } from './schedules.ts'
 import { storeBench } from './store.ts'
 import { waveBench } from './wave.ts'
 
 /** All benchmarks, in the order in which they are listed. */
-export const BENCHES: readonly Bench[] = [costBench, endpointLimitsBench, limitsBench, membershipBench, onceBench, overheadBench, placingBench, quarantineBench, reclaimBench, rolloutBench, routeBench, schedulesBench, storeBench, waveBench]
+export const BENCHES: readonly Bench[] = [costBench, endpointLimitsBench, limitsBench, membershipBench, onceBench, overheadBench, placingBench, quarantineBench, reclaimBench, rolloutBench, routeBench, scarcityBench, schedulesBench, storeBench, waveBench]
--- a/daemon/endpoints/endpoint_table.ts
+++ b/daemon/endpoints/endpoint_table.ts
@@ -54,6 +54,7 @@
   #listedIds: ReadonlySet<EndpointId> = new Set()
   #listedAtMs: number | undefined
   #othersReportedAtMs: number | undefined
+  readonly #startListeners: Array<(view: EndpointView, work: SentWork) => void> = []
   readonly #endListeners: Array<(view: EndpointView) => void> = []
   readonly #activityListeners: Array<(id: EndpointId) => void> = []
 
@@ -246,6 +247,12 @@
     if (!view) return
     view.own.running++
     view.own.unread[work.lane] += work.tokens
+    for (const listener of this.#startListeners) listener(view, work)
+  }
+
+  /** Adds a listener that is called with each request that this daemon sends, and its endpoint. */
+  onStarted (listener: (view: EndpointView, work: SentWork) => void): void {
+    this.#startListeners.push(listener)
   }
 
   /** Records that an endpoint has processed the prompt of a request from this daemon. */
--- a/daemon/exchange/_proxy_components.ts
+++ b/daemon/exchange/_proxy_components.ts
@@ -25,6 +25,7 @@
 import { PathWatch } from '../paths/index.ts'
 import { shareStoreEra } from '../peers/era_sharing.ts'
 import { LeaseAnnouncer } from '../peers/lease_announcer.ts'
+import { RoomGate } from '../request/room_gate.ts'
 import { LoadTask } from '../peers/load_task.ts'
 import { MembershipTask } from '../peers/membership_task.ts'
 import { PeerLinks } from '../peers/peer_links.ts'
@@ -86,6 +87,7 @@
   quarantine: QuarantineTask
   archive: QuarantineArchive
   loads: LoadTask
+  roomGate: RoomGate
   paths: PathWatch
   delegateFinder: DelegateFinder
   delegatedRuns: DelegatedRuns
@@ -172,7 +174,7 @@
     endpointLimits: asFunction(({ metrics, table }: ProxyComponents) => new EndpointLimits({ metrics, isListed: (id) => table.get(id) !== undefined, listed: () => table.all })).singleton(),
     endpointLimitTask: asFunction(({ self, membership, endpointLimits, limits, dispatcher }: ProxyComponents) => new EndpointLimitTask({ self, membership, limits: endpointLimits, accounts: limits, queued: (pool) => dispatcher.queuedByUrgency(pool) })).singleton(),
     signals: asFunction(({ table, endpointLimits, metrics, random }: ProxyComponents) => new EndpointSignalRecorder({ table, limits: endpointLimits, metrics, random })).singleton(),
-    loads: asFunction(({ self, membership, table, limits, endpointLimitTask }: ProxyComponents) => new LoadTask({ self, membership, table, limits, onReport: (from) => endpointLimitTask.sendLimits(from) })).singleton(),
+    loads: asFunction(({ self, membership, table, limits, endpointLimitTask, roomGate }: ProxyComponents) => new LoadTask({ self, membership, table, limits, pools: roomGate, onReport: (from) => endpointLimitTask.sendLimits(from) })).singleton(),
     rollouts: asFunction(rolloutComponents).singleton(),
     paths: asFunction((cradle: ProxyComponents) => new PathWatch({
       table: cradle.table,
@@ -203,7 +205,8 @@
       metrics: cradle.metrics,
       completeSinceMs: () => cradle.registry.completeSinceMs
     })).singleton(),
-    dispatcher: asFunction(({ table, random, topology, fleet, rollouts, endpointLimits, paths, delegateFinder }: ProxyComponents) => createSharedDispatcher({
+    roomGate: asFunction(({ table, random }: ProxyComponents) => new RoomGate({ table, random })).singleton(),
+    dispatcher: asFunction(({ table, random, topology, fleet, rollouts, endpointLimits, paths, delegateFinder, roomGate }: ProxyComponents) => createSharedDispatcher({
       table,
       hash,
       random,
@@ -211,6 +214,7 @@
       sharers: () => fleet.hostCount,
       canaries: rollouts?.gate,
       limits: endpointLimits,
+      gate: roomGate,
       ways: { canSend: (view, work) => paths.canSend(view, work), wayFor: (req) => delegateFinder.wayFor(req) }
     })).singleton(),
     budgetOf: asFunction(retryBudgets).singleton(),
--- a/daemon/explain/_cause.ts
+++ b/daemon/explain/_cause.ts
@@ -157,6 +157,8 @@
 }
 
 function describeQueue ({ requestLines }: Evidence): string {
+  const noRoom = last(requestLines, 'request-no-room')
+  if (noRoom) return `what waits at the endpoints of ${noRoom.pool} takes ${Math.round(noRoom.waitMs)} ms, longer than the ${Math.round(noRoom.allowedMs)} ms that would be in time`
   const waits = last(requestLines, 'request-waits')
   return waits ? `it waited behind ${waits.ahead} others for one of ${waits.candidates} endpoints` : 'every endpoint was full and the wait would have been too long'
 }
--- a/daemon/log/describe.ts
+++ b/daemon/log/describe.ts
@@ -12,6 +12,7 @@
   'request-refused': (f) => `refused with ${f.status}: ${f.why}${retryHint(f.retryAfterMs)} (${configSuffix(f.revision, f.revisionAgeMs)})`,
   'stream-version': (f) => (f.version === undefined && f.pool === undefined ? `at which version it began is ${f.result}, ${f.answered} daemons answered` : `began at ${f.version ?? 'an endpoint without a version'} of ${f.pool} (${f.daemon === undefined ? 'its only version' : `passed on by ${f.daemon}`}, ${f.answered} daemons answered in ${ms(f.waitedMs)})`),
   'request-broke': (f) => `the daemon failed: ${f.why}`,
+  'request-no-room': (f) => `no room in ${f.pool}: a wait of ${ms(f.waitMs)}, allowed ${ms(f.allowedMs)}${retryHint(f.retryAfterMs)}`,
   'request-waits': (f) => `waits: no room at any of ${f.candidates} endpoints of ${f.pool}, ${f.ahead} ahead, ${ms(f.expectedMs)} expected`,
   'request-diverted': (f) => `no permit for ${f.endpoint}, which takes ${f.perS} requests a second`,
   'request-held': (f) => `held for ${ms(f.forMs)}: endpoints that ran requests like it crashed (${f.part === undefined ? `fingerprint ${f.fingerprint}` : f.part})`,
--- a/daemon/log/events.ts
+++ b/daemon/log/events.ts
@@ -30,6 +30,8 @@
   /** An internal error of the daemon; the caller gets a 500. */
   'request-broke': { why: string, stack?: string | undefined }
   /** Queued, because no endpoint has a free slot. */
+  /** Refused at once: what waits at the endpoints would take `waitMs` to prefill before it, and `allowedMs` is what a request like it is allowed now. */
+  'request-no-room': { pool: string, waitMs: number, allowedMs: number, retryAfterMs: number }
   'request-waits': { pool: string, ahead: number, expectedMs: number, latestStartInMs: number, candidates: number }
   /** Quarantined, so sent to no endpoint: endpoints that ran requests with the same content, or with the same part of their prompts, crashed; `part` is that part. */
   'request-held': { fingerprint: string, part?: string | undefined, forMs: number }
--- a/daemon/metrics.ts
+++ b/daemon/metrics.ts
@@ -24,6 +24,7 @@
     requests: counter('requests_total', 'Requests by class and outcome', ['class', 'outcome']),
     refused: counter('refused_total', 'Requests refused before anything ran, by status', ['status']),
     overQuota: counter('over_quota_total', 'Requests refused over their account\'s quota, by class', ['class']),
+    turnedAway: counter('turned_away_total', 'Requests that no endpoint could take, by class and reason', ['class', 'reason']),
     attempts: counter('attempts_total', 'Attempts at endpoints by how they began', ['mode']),
     failedAttempts: counter('attempts_failed_total', 'Attempts that gave no whole answer, by how far they came', ['point']),
     firstPieces: counter('first_pieces_total', 'First tokens and plain answers, by whether they came within their target', ['class', 'within_target']),
--- a/daemon/peers/load_task.ts
+++ b/daemon/peers/load_task.ts
@@ -14,6 +14,8 @@
   table: EndpointTable
   /** Selects the keeper: the daemon that counts quotas also aggregates load. */
   limits: Pick<AccountLimits, 'keeper' | 'onVote'>
+  /** Adds what is reported of whole pools, as entries among those of the endpoints. Default: nothing. */
+  pools?: { readonly reports: readonly EndpointWork[], applyOthersWork (loads: readonly EndpointWork[]): void }
   /** Called at the keeper with each report, after the reply. */
   onReport (from: DaemonId): void
 }
@@ -65,15 +67,15 @@
   }
 
   #report (): void {
-    const { self, membership, table, limits } = this.#options
+    const { self, membership, table, limits, pools } = this.#options
     const now = steadyNow()
-    const work = table.ownWork
+    const work = [...table.ownWork, ...pools?.reports ?? []]
     const keeper = limits.keeper
     if (keeper === undefined) {
       this.#board.report(self, work, now)
       return this.#applyOthersWork(this.#board.loadsOfOthers(self, now))
     }
-    if (now - this.#othersReceivedAtMs > OTHERS_WORK_TTL_MS) table.applyOthersWork([])
+    if (now - this.#othersReceivedAtMs > OTHERS_WORK_TTL_MS) this.#setOthersWork([])
     if (work.length === 0 && !this.#lastReportHadWork && now - this.#lastReportAtMs < IDLE_REPORT_INTERVAL_MS) return
     this.#lastReportAtMs = now
     this.#lastReportHadWork = work.length > 0
@@ -82,6 +84,11 @@
 
   #applyOthersWork (loads: readonly EndpointWork[]): void {
     this.#othersReceivedAtMs = steadyNow()
+    this.#setOthersWork(loads)
+  }
+
+  #setOthersWork (loads: readonly EndpointWork[]): void {
     this.#options.table.applyOthersWork(loads)
+    this.#options.pools?.applyOthersWork(loads)
   }
 }
--- a/daemon/request/dispatcher.ts
+++ b/daemon/request/dispatcher.ts
@@ -1,5 +1,5 @@
 /** Assigns requests to endpoints and queues those that no endpoint has room for. */
-import { FairQueue, type QueuedRequest, type RequestQueue } from '../../core/admission/index.ts'
+import { FairQueue, type RequestQueue } from '../../core/admission/index.ts'
 import { isStartOf, type EndpointId, type PoolName } from '../../core/ids/index.ts'
 import { backsOff, runningNow, type EndpointView, type PrefixIndex, type Random, type Route, type RouteQuery, type Router } from '../../core/routing/index.ts'
 import type { PromptPart } from '../../core/work/index.ts'
@@ -7,6 +7,8 @@
 import { remainingBackOffMs } from '../endpoints/_work_pauses.ts'
 import type { EndpointSelection } from '../endpoints/_endpoint_selections.ts'
 import type { EndpointTable } from '../endpoints/endpoint_table.ts'
+import { findEntry, latestStartMs, remainingFirstTokenMs, remainingTokens, totalTokens, updateStartRate, type PoolState } from './_waiting.ts'
+import type { RoomGate } from './room_gate.ts'
 import type { CanaryGate, EndpointLimiter, Placement, RequestWay, RequestWays } from './placement.ts'
 
 /** Options of {@linkcode Dispatcher}. */
@@ -22,6 +24,8 @@
   limits?: EndpointLimiter
   /** Finds other ways for requests to endpoints that this daemon cannot reach. Default: all endpoints can be reached. */
   ways?: RequestWays
+  /** Refuses requests while there is too little room for all. Default: none is refused for the prompts that wait at the endpoints. */
+  gate?: RoomGate
   /** Spreads the times at which refused callers return. Default: they are not spread. */
   random?: Random
   /** Creates the queue of a pool. Default: {@linkcode FairQueue}. */
@@ -42,10 +46,6 @@
  * of requests is prefilled at dozens of endpoints. Prefilling this many tokens takes an engine ten times as long as opening a connection.
  */
 const MIN_TOKENS_FOR_CONNECTION = 2000
-/** Weight of the latest sample in the moving average of the time between starts. */
-const RATE_SMOOTHING = 0.2
-/** Longest time that a new request may be queued, as a multiple of its first-token target. See docs/design/limits.md. */
-const MAX_WAIT_IN_TARGETS = 1
 const MIN_RETRY_AFTER_MS = 500
 /** Longest time by which callers return after the end of a back-off, in milliseconds. Urgent requests return first. */
 const RETURN_SPREAD_MS = 500
@@ -54,6 +54,8 @@
 const CUT_OFF_RETRY_AFTER_MS = 1000
 /** Reason for refusing a request of a pool of which no endpoint can be reached. */
 export const CUT_OFF_REASON = 'no endpoint of the pool can be reached'
+/** Reason for refusing a request that no endpoint can begin in time. */
+export const NO_ROOM_REASON = 'no room in time'
 /** Reason for refusing a request while all endpoints that could take it have asked for time. */
 export const BACK_OFF_REASON = 'all endpoints asked for time'
 
@@ -69,7 +71,6 @@
 interface CandidateSet { candidates: readonly EndpointView[], cached: Map<EndpointId, number> }
 /** Whether a request may ask for a permit before it is placed, and whether it was granted one. */
 interface Permission { mayAsk: boolean, isGranted?: boolean }
-interface PoolState { name: PoolName, queue: RequestQueue<Placement>, msPerStart: number, lastStartMs: number }
 
 /** Routes placements to endpoints, with one queue per pool, and one per version for streams that continue: nothing else waits behind them. */
 export class Dispatcher {
@@ -108,7 +109,7 @@
     const pool = this.#poolState(placement)
     const way = this.#wayFor(placement)
     if (way.type !== 'direct') return this.#placeElsewhere(placement, way, pool)
-    if (this.#refuseIfVersionGone(placement)) return
+    if (this.#refuseIfVersionGone(placement) || this.#refuseForWantOfRoom(placement)) return
     if (pool.queue.length === 0 && (this.#start(placement, pool, { mayAsk: true }) || this.#asking.has(placement))) return
     this.#queueOrRefuse(placement, pool)
   }
@@ -138,6 +139,21 @@
     return true
   }
 
+  #refuseForWantOfRoom (placement: Placement): boolean {
+    const verdict = this.#options.gate?.judge(placement, () => this.#uncachedTokens(placement))
+    if (verdict?.type !== 'refuse') return false
+    const { waitMs, allowedMs, retryAfterMs } = verdict
+    placement.noRoom?.({ waitMs, allowedMs, retryAfterMs })
+    placement.refused(NO_ROOM_REASON, retryAfterMs)
+    return true
+  }
+
+  /** Returns the prompt tokens that are not cached at the endpoint that has most of them. */
+  #uncachedTokens (placement: Placement): number {
+    const { cached } = this.#candidatesFor(placement, steadyNow())
+    return Math.max(0, placement.demand.promptTokens - Math.max(0, ...cached.values()))
+  }
+
   #endpointsFor ({ pool, boundTo }: Placement): EndpointSelection {
     return this.#options.table.select(pool, boundTo)
   }
@@ -168,7 +184,7 @@
 
   #refuse (placement: Placement, { waitMs, backOffMs }: { waitMs: number, backOffMs: number }): void {
     const spreadMs = backOffMs > 0 ? this.#returnSpreadMs(placement) : 0
-    placement.refused(backOffMs > 0 ? BACK_OFF_REASON : 'no room in time', Math.max(MIN_RETRY_AFTER_MS, waitMs) + spreadMs)
+    placement.refused(backOffMs > 0 ? BACK_OFF_REASON : NO_ROOM_REASON, Math.max(MIN_RETRY_AFTER_MS, waitMs) + spreadMs)
   }
 
   /** Returns the wait for a permit if all endpoints of the pool have a limit; 0 otherwise. */
@@ -215,7 +231,16 @@
 
   #start (placement: Placement, pool: PoolState, permission: Permission): boolean {
     const now = steadyNow()
-    return this.#startCanary(placement, now) || this.#startAt(placement, { pool, now, ...permission, ...this.#candidatesFor(placement, now) })
+    if (this.#startCanary(placement, now)) return true
+    const set = this.#candidatesFor(placement, now)
+    return this.#startAt(placement, { pool, now, ...permission, ...set }) || this.#startAtOthers(placement, pool, set)
+  }
+
+  /** Starts a request at an endpoint that this daemon is not connected to, if none of its own has room: a new connection costs less than a refusal. */
+  #startAtOthers (placement: Placement, pool: PoolState, { candidates, cached }: CandidateSet): boolean {
+    if (this.#asking.has(placement)) return false
+    const others = this.#endpointsFor(placement).usable.filter((view) => !candidates.includes(view))
+    return others.length > 0 && this.#startAt(placement, { pool, now: steadyNow(), mayAsk: false, candidates: others, cached })
   }
 
   /** Sends a request to a canary endpoint. Requests that an earlier attempt was made for are excluded. */
@@ -354,39 +379,3 @@
 function hasRoom (view: EndpointView, urgent: boolean): boolean {
   return runningNow(view) < view.speed.batchSlots + (urgent ? MAX_URGENT_WAITING : 0)
 }
-
-/**
- * Returns the time until which a request may be queued, in milliseconds on the steady clock.
- *
- * A new request waits only while it can still meet its first-token target. Queueing up to the deadline would not answer more requests and would
- * make all of them late.
- */
-function latestStartMs (placement: Placement): number {
-  const { latency } = placement.cls
-  const runMs = latency.betweenTokensMs === undefined ? 0 : remainingTokens(placement) * latency.betweenTokensMs / 2
-  const byDeadline = placement.deadlineAtMs - Math.min(runMs, latency.deadlineMs / 2)
-  if (placement.resumed) return byDeadline
-  return Math.min(byDeadline, placement.acceptedAtMs + latency.firstTokenMs * MAX_WAIT_IN_TARGETS)
-}
-
-/** Returns what remains of the first-token target, in milliseconds. A resumed stream gets the full target again. */
-function remainingFirstTokenMs ({ cls, acceptedAtMs, resumed }: Placement, now: number): number {
-  return cls.latency.firstTokenMs - (resumed ? 0 : now - acceptedAtMs)
-}
-
-function totalTokens (placement: Placement): number {
-  return placement.demand.promptTokens + placement.doneTokens + remainingTokens(placement)
-}
-
-function remainingTokens ({ demand, doneTokens }: Placement): number {
-  return Math.max(0, demand.expectedTokens - doneTokens)
-}
-
-function updateStartRate (pool: PoolState, now: number): void {
-  if (pool.queue.length > 0) pool.msPerStart += RATE_SMOOTHING * (now - pool.lastStartMs - pool.msPerStart)
-  pool.lastStartMs = now
-}
-
-function findEntry (queue: RequestQueue<Placement>, placement: Placement): QueuedRequest<Placement> | undefined {
-  return queue.find((entry) => entry.item === placement)
-}
--- a/daemon/request/dispatcher_test.ts
+++ b/daemon/request/dispatcher_test.ts
@@ -54,3 +54,18 @@
   for (let i = 0; i < 50; i++) table.started(endpointId('new', 1000), { lane: 'urgent', tokens: 0 })
   expect([sentTo({}), spent]).toEqual(['old', 1])
 })
+
+test('while the endpoints that a daemon is connected to are full, requests start at others of the pool', () => {
+  // Guards against refusals for want of room while endpoints beyond the daemon's own connections are idle.
+  const ENDPOINTS = 30
+  const table = new EndpointTable({ self: as<DaemonId>('d'), hash })
+  table.applyHostList(Array.from({ length: ENDPOINTS }, (_, i) => listed(`e${i}`, 1000)))
+  const connected = table.candidates(POOL).map(({ id }) => id)
+  expect(connected.length).toBeLessThan(ENDPOINTS)
+  for (const id of connected) for (let i = 0; i < 50; i++) table.started(id, { lane: 'urgent', tokens: 0 })
+  const dispatcher = createSharedDispatcher({ table, hash, random: seededRandom(1), topology: new RegionTopology({ ownDomain: DOMAIN }), sharers: () => 1 })
+  const placedAt: EndpointId[] = []
+  for (let i = 0; i < 6; i++) dispatcher.place(placement({ placed: ({ id }) => { placedAt.push(id) } }))
+  expect(placedAt).toHaveLength(6)
+  expect(placedAt.filter((id) => connected.includes(id))).toEqual([])
+})
--- a/daemon/request/placement.ts
+++ b/daemon/request/placement.ts
@@ -30,12 +30,17 @@
   avoidDelegates?: readonly DaemonId[]
   /** Called when the request is refused; `retryAfterMs` is `Infinity` if it is of no use to come back. */
   refused (reason: string, retryAfterMs: number): void
+  /** Called before the request is refused since prompts that wait at the endpoints would make it late. Default: does nothing. */
+  noRoom? (wait: RoomWait): void
   /** Called when the request is queued because no endpoint has room. */
   waits (queue: QueuePosition): void
   /** Called when the preferred endpoint is not used because of its limit, in requests per second. Default: does nothing. */
   diverted? (view: EndpointView, perS: number | undefined): void
 }
 
+/** Predicted wait for prefill and the longest that is accepted now, in milliseconds, and when the caller may return; `Infinity` if that is of no use. */
+export interface RoomWait { waitMs: number, allowedMs: number, retryAfterMs: number }
+
 /** Position of a request in its pool's queue, and the expected wait. */
 export interface QueuePosition { ahead: number, expectedMs: number, latestStartInMs: number, candidates: number }
 
--- a/daemon/request/request_task.ts
+++ b/daemon/request/request_task.ts
@@ -255,7 +255,8 @@
       placed: (view, route) => this.#onPlaced(view, route),
       ...(this.#delegated && { delegated: (to: SelectedDelegate) => this.#onDelegated(to) }),
       avoidDelegates: this.lifecycle.avoidDelegates,
-      refused: (reason, retryAfterMs) => this.post({ type: 'refused', reason, retryAfterMs }),
+      refused: (reason, retryAfterMs) => this.#onRefused(reason, retryAfterMs),
+      noRoom: (wait) => this.recordDecision('request-no-room', { pool: work.pool, ...wait }),
       waits: (queue) => this.recordDecision('request-waits', { pool: work.pool, ...queue }),
       diverted: (view, perS) => this.recordDecision('request-diverted', { endpoint: view.id, perS })
     }
@@ -284,6 +285,12 @@
     this.post({ type: 'placed', endpoint: view.id })
   }
 
+  #onRefused (reason: string, retryAfterMs: number): void {
+    const { metrics } = this.ports
+    metrics.turnedAway.inc({ class: metrics.labelOf(this.work.cls.name), reason })
+    this.post({ type: 'refused', reason, retryAfterMs })
+  }
+
   #onDelegated (to: SelectedDelegate): void {
     if (this.#refuseIfQuarantined()) return
     this.#delegated!.selected = to
--- a/daemon/request/shared_dispatcher.ts
+++ b/daemon/request/shared_dispatcher.ts
@@ -1,9 +1,11 @@
 /** Creates the dispatcher of a daemon that shares its endpoints with other daemons. */
+import type { RequestQueue } from '../../core/admission/index.ts'
 import { homeEndpoint, PrefixIndex, TargetRouter, type Hash32, type Random } from '../../core/routing/index.ts'
 import type { Topology } from '../../core/topology/index.ts'
 import type { EndpointTable } from '../endpoints/endpoint_table.ts'
 import { Dispatcher } from './dispatcher.ts'
-import type { CanaryGate, EndpointLimiter, RequestWays } from './placement.ts'
+import type { RoomGate } from './room_gate.ts'
+import type { CanaryGate, EndpointLimiter, Placement, RequestWays } from './placement.ts'
 
 /** Options of {@linkcode createSharedDispatcher}. */
 export interface SharedDispatcherOptions {
@@ -20,13 +22,17 @@
   limits?: EndpointLimiter | undefined
   /** Finds other ways for requests to endpoints that this daemon cannot reach. Default: all endpoints can be reached. */
   ways?: RequestWays | undefined
+  /** Refuses requests while there is too little room for all. Default: none. */
+  gate?: RoomGate | undefined
+  /** Creates the queue of a pool. Default: that of {@linkcode Dispatcher}. */
+  queue?: (() => RequestQueue<Placement>) | undefined
 }
 
 /** Time after which an unused prompt prefix has probably been evicted from an endpoint's cache, in milliseconds. */
 const PREFIX_EXPIRES_MS = 15_000
 
 /** Creates a dispatcher that routes by prefix cache, predicted first-token time and distance. */
-export function createSharedDispatcher ({ table, hash, random, topology, sharers, canaries, limits, ways }: SharedDispatcherOptions): Dispatcher {
+export function createSharedDispatcher ({ table, hash, random, topology, sharers, canaries, limits, ways, gate, queue }: SharedDispatcherOptions): Dispatcher {
   return new Dispatcher({
     table,
     random,
@@ -35,6 +41,8 @@
     ...(canaries && { canaries }),
     ...(limits && { limits }),
     ...(ways && { ways }),
+    ...(gate && { gate }),
+    ...(queue && { queue }),
     router: new TargetRouter({ random, sharers, roundTripMs: (view) => topology.roundTripMs(view.failureDomain) })
   })
 }
