--- a/bench/_placing.ts
+++ b/bench/_placing.ts
@@ -1,9 +1,9 @@
 /** Simulation of request placement by many daemons that learn of each other's load with a delay: real dispatchers and simulated batch engines under a fake clock. */
 import FakeTimers from '@sinonjs/fake-timers'
 import xxhash from 'xxhash-wasm'
-import { as, type AccountId, type ClassName, type DaemonId, type EndpointId, type FailureDomain, type HostId, type PoolName } from '../core/ids/index.ts'
+import { as, type AccountId, type ClassName, type DaemonId, type EndpointId, type FailureDomain, type HostId, type PoolName, type Region } from '../core/ids/index.ts'
 import { LoadAggregator, reportIntervalMs, type Hash32, type Random, type Route } from '../core/routing/index.ts'
-import { RegionTopology } from '../core/topology/index.ts'
+import { RegionTopology, type Topology } from '../core/topology/index.ts'
 import { steadyNow } from '../core/time/index.ts'
 import type { Demand, WorkClass } from '../core/work/index.ts'
 import { EndpointTable } from '../daemon/endpoints/endpoint_table.ts'
@@ -37,6 +37,8 @@
   callers?: CallerOptions
   /** Interval in which every second endpoint is not listed and accepts nothing. Default: none. */
   lossMs?: readonly [from: number, to: number]
+  /** Default: one region. */
+  regions?: SimulatedRegions
 }
 
 /** Behaviour of simulated callers, who give up at the deadline. */
@@ -49,9 +51,21 @@
   outageMs?: readonly [from: number, to: number]
 }
 
+/** Two regions, with half of the daemons and endpoints in each. */
+export interface SimulatedRegions {
+  /** Shares of the arrivals at the daemons of each region. */
+  shares: readonly [number, number]
+  /** False for a router that knows the round trips and nothing else of regions. */
+  ownFirst: boolean
+}
+
 const POOL = as<PoolName>('models')
 const DOMAINS = ['a', 'b', 'c'].map((name) => as<FailureDomain>(name))
+const REGIONAL_DOMAINS = ['n1', 's1', 'n2', 's2'].map((name) => as<FailureDomain>(name))
+const REGIONS = new Map(REGIONAL_DOMAINS.map((domain) => [domain, as<Region>(domain[0]!)]))
 const ONE_WAY_DELAY_MS = 2
+/** One-way delay between two regions in milliseconds. */
+const REGION_DELAY_MS = 20
 /** Engine speed that daemons assume before the first token has been observed. */
 const SPEED = { batchSlots: 0, prefillTokensPerS: 100_000, betweenTokensMs: 4, betweenTokensPerStreamMs: 0.1, exportTokensPerS: 0, importTokensPerS: 0 }
 const { h32 } = await xxhash()
@@ -70,7 +84,7 @@
   }
 }
 
-interface SimulatedDaemon { id: DaemonId, table: EndpointTable, dispatcher: Dispatcher, gate: RoomGate | undefined }
+interface SimulatedDaemon { id: DaemonId, domain: FailureDomain, table: EndpointTable, dispatcher: Dispatcher, gate: RoomGate | undefined }
 
 class PlacementSimulation {
   readonly figures: Map<string, ClassResults>
@@ -78,6 +92,8 @@
   readonly #random: Random
   readonly #engines = new Map<EndpointId, BatchEngine>()
   readonly #daemons: SimulatedDaemon[]
+  readonly #domains: readonly FailureDomain[]
+  readonly #domainOf = new Map<EndpointId, FailureDomain>()
   readonly #loadAggregator = new LoadAggregator()
   readonly #hosts: readonly ListedHost[]
   #listed: ReadonlySet<EndpointId>
@@ -86,10 +102,14 @@
   constructor (options: PlacementSimulationOptions) {
     this.#options = options
     this.#random = seededRandom(options.seed)
+    this.#domains = options.regions ? REGIONAL_DOMAINS : DOMAINS
     this.figures = new Map(options.classes.map(({ name }) => [name, noResults()]))
-    this.#hosts = Array.from({ length: options.engines }, (_, i) => makeHost(i, options.engine.slots))
+    this.#hosts = Array.from({ length: options.engines }, (_, i) => makeHost(i, { slots: options.engine.slots, failureDomain: this.#domains[i % this.#domains.length]! }))
     this.#listed = new Set(this.#hosts.map(({ endpoint }) => endpoint.id))
-    for (const { endpoint } of this.#hosts) this.#engines.set(endpoint.id, new BatchEngine(options.engine))
+    for (const { endpoint, failureDomain } of this.#hosts) {
+      this.#engines.set(endpoint.id, new BatchEngine(options.engine))
+      this.#domainOf.set(endpoint.id, failureDomain)
+    }
     this.#daemons = Array.from({ length: options.daemons }, (_, i) => this.#daemon(i, this.#hosts))
   }
 
@@ -116,23 +136,47 @@
 
   #daemon (i: number, hosts: readonly ListedHost[]): SimulatedDaemon {
     const id = as<DaemonId>(`d${i}`)
-    const table = new EndpointTable({ self: id, hash })
+    const domain = this.#domains[i % this.#domains.length]!
+    const topology = this.#topologyOf(domain)
+    const table = new EndpointTable({ self: id, hash, topology })
     table.applyHostList(hosts)
     const { queue, gate: hasGate = false } = this.#options.dispatcher ?? {}
-    const gate = hasGate ? new RoomGate({ table, random: seededRandom(this.#options.seed * 1000 + i) }) : undefined
+    const gate = hasGate ? new RoomGate({ table, topology, random: seededRandom(this.#options.seed * 1000 + i) }) : undefined
     const dispatcher = createSharedDispatcher({
       table,
       hash,
       random: seededRandom(this.#options.seed + i + 1),
-      topology: new RegionTopology({ ownDomain: DOMAINS[i % DOMAINS.length]! }),
+      topology,
       sharers: () => this.#options.daemons,
       ...(queue && { queue }),
       ...(gate && { gate })
     })
-    return { id, table, dispatcher, gate }
+    return { id, domain, table, dispatcher, gate }
+  }
+
+  #topologyOf (ownDomain: FailureDomain): Pick<Topology, 'hasRegions' | 'isLocal' | 'regionOf' | 'roundTripMs'> {
+    const { regions } = this.#options
+    if (!regions) return new RegionTopology({ ownDomain })
+    const topology = new RegionTopology({ ownDomain, regions: REGIONS })
+    return regions.ownFirst ? topology : { hasRegions: false, isLocal: () => true, regionOf: () => undefined, roundTripMs: (domain) => topology.roundTripMs(domain) }
+  }
+
+  #crosses ({ domain }: SimulatedDaemon, endpoint: EndpointId): boolean {
+    return REGIONS.get(domain) !== REGIONS.get(this.#domainOf.get(endpoint)!)
+  }
+
+  /** Draws the daemon at which a request arrives. */
+  #drawDaemon (): SimulatedDaemon {
+    const { regions } = this.#options
+    if (!regions) return this.#daemons[Math.floor(this.#random() * this.#daemons.length)]!
+    const isNorth = this.#random() * (regions.shares[0] + regions.shares[1]) < regions.shares[0]
+    const daemons = this.#daemons.filter(({ domain }) => domain.startsWith('n') === isNorth)
+    return daemons[Math.floor(this.#random() * daemons.length)]!
   }
 
-  #report ({ id, table, gate }: SimulatedDaemon): void {
+  /** Reports are merged in the first region. */
+  #report ({ id, domain, table, gate }: SimulatedDaemon): void {
+    const delayMs = ONE_WAY_DELAY_MS + (domain.startsWith('s') ? REGION_DELAY_MS : 0)
     const work = [...table.ownWork, ...gate?.reports ?? []].map(([endpoint, load]) => [endpoint, structuredClone(load)] as const)
     setTimeout(() => {
       this.#loadAggregator.report(id, work, steadyNow())
@@ -140,8 +184,8 @@
       setTimeout(() => {
         table.applyOthersWork(others)
         gate?.applyOthersWork(others)
-      }, ONE_WAY_DELAY_MS)
-    }, ONE_WAY_DELAY_MS)
+      }, delayMs)
+    }, delayMs)
   }
 
   #scheduleArrival (cls: SimulatedClass): void {
@@ -174,7 +218,7 @@
   }
 
   #ask (cls: SimulatedClass, counted: boolean): void {
-    const daemon = this.#daemons[Math.floor(this.#random() * this.#daemons.length)]!
+    const daemon = this.#drawDaemon()
     const demand = this.#demand(cls)
     const req: SimulatedRequest = { cls, figures: counted ? this.figures.get(cls.name)! : undefined, account: this.#drawAccount(), atMs: steadyNow(), demand, attempts: 0, avoid: [] }
     recordAsked(req)
@@ -220,7 +264,11 @@
     const placedAtMs = steadyNow()
     const charge = new AttemptTracker(daemon.table)
     charge.recordSent(endpoint, { lane: route.lane, tokens: route.uncachedTokens }, route)
-    const afterDelay = (act: () => void) => setTimeout(act, ONE_WAY_DELAY_MS)
+    const crosses = this.#crosses(daemon, endpoint)
+    if (req.figures) req.figures.sent++
+    if (req.figures && crosses) req.figures.crossed++
+    const delayMs = ONE_WAY_DELAY_MS + (crosses ? REGION_DELAY_MS : 0)
+    const afterDelay = (act: () => void) => setTimeout(act, delayMs)
     setTimeout(() => {
       this.#countRedundantPrefill(req, endpoint)
       const taken = this.#listed.has(endpoint) && this.#engines.get(endpoint)!.trySubmit({
@@ -240,7 +288,7 @@
         })
       })
       if (!taken) afterDelay(() => this.#handleRejection(daemon, req, { endpoint, charge }))
-    }, ONE_WAY_DELAY_MS)
+    }, delayMs)
   }
 
   /** Counts a refusal, and comes back once if the time given for it is within the deadline. */
@@ -298,11 +346,11 @@
   }
 }
 
-function makeHost (i: number, slots: number): ListedHost {
+function makeHost (i: number, { slots, failureDomain }: { slots: number, failureDomain: FailureDomain }): ListedHost {
   return {
     hostId: as<HostId>(`h${i}`),
     hostClass: 'any',
-    failureDomain: DOMAINS[i % DOMAINS.length]!,
+    failureDomain,
     reclaimable: false,
     pricePerHour: 0,
     state: 'live',
--- a/bench/_placing_results.ts
+++ b/bench/_placing_results.ts
@@ -41,6 +41,9 @@
   large: { asked: number, inTime: number }
   /** Rejected by full engines after the last attempt. */
   rejectedByEngine: number
+  /** Attempts, and those sent to another region. */
+  sent: number
+  crossed: number
   /** Shared prompt tokens prefilled on one engine while another engine had them cached. */
   redundantPrefillTokens: number
   /** Relative errors of the predicted time from placement to first token. */
@@ -78,6 +81,8 @@
     heldThenRefused: 0,
     refusedWithRoom: 0,
     rejectedByEngine: 0,
+    sent: 0,
+    crossed: 0,
     worthAsked: 0,
     worthServed: 0,
     byAccount: new Map(),
--- a/core/topology/topology.ts
+++ b/core/topology/topology.ts
@@ -10,6 +10,8 @@
   readonly ownDomain: FailureDomain
   /** True if the deployment has several regions. */
   readonly hasRegions: boolean
+  /** Regions that the settings name, in the same order on all daemons. */
+  readonly regions: readonly Region[]
   /** Region of a failure domain; undefined if the settings do not name it. */
   regionOf (domain: FailureDomain): Region | undefined
   /** Returns how far away a failure domain is. */
@@ -39,6 +41,7 @@
  */
 export class RegionTopology implements Topology {
   readonly ownDomain: FailureDomain
+  readonly regions: readonly Region[]
   readonly #regions: ReadonlyMap<FailureDomain, Region>
   readonly #ownRegion: Region | undefined
   readonly #leastMs = new Map<Region, number>()
@@ -46,10 +49,11 @@
   constructor ({ ownDomain, regions = new Map() }: RegionTopologyOptions) {
     this.ownDomain = ownDomain
     this.#regions = regions
+    this.regions = [...new Set(regions.values())].sort()
     this.#ownRegion = regions.get(ownDomain)
   }
 
-  get hasRegions (): boolean { return new Set(this.#regions.values()).size > 1 }
+  get hasRegions (): boolean { return this.regions.length > 1 }
 
   regionOf (domain: FailureDomain): Region | undefined { return this.#regions.get(domain) }
 
@@ -70,9 +74,12 @@
     }
   }
 
-  /** Records an observed round trip to a failure domain, in milliseconds. Times within the region and invalid ones are ignored. */
+  /**
+   * Records an observed round trip to a failure domain, in milliseconds. Times within the region are ignored, and those too short for another region: something nearer answered, such as a
+   * proxy that accepts connections on the way.
+   */
   recordRoundTrip (domain: FailureDomain, ms: number): void {
-    if (!(ms > 0) || this.isLocal(domain)) return
+    if (!(ms > SAME_REGION_RTT_MS) || this.isLocal(domain)) return
     const region = this.#regions.get(domain)!
     this.#leastMs.set(region, Math.min(ms, this.#leastMs.get(region) ?? Infinity))
   }
--- a/daemon/exchange/_proxy_components.ts
+++ b/daemon/exchange/_proxy_components.ts
@@ -22,6 +22,7 @@
 import { CpuTimeLog } from '../log/index.ts'
 import { createMetrics, type Metrics } from '../metrics.ts'
 import { DelegatedRuns, DelegateFinder, DelegateServer } from '../delegation/index.ts'
+import { RegionLinkTask } from '../link/index.ts'
 import { PathWatch } from '../paths/index.ts'
 import { shareStoreEra } from '../peers/era_sharing.ts'
 import { LeaseAnnouncer } from '../peers/lease_announcer.ts'
@@ -69,6 +70,7 @@
   random: Random
   metrics: Metrics
   topology: RegionTopology
+  regionLink: RegionLinkTask
   links: PeerLinks
   membership: MembershipTask
   fleet: FleetSize
@@ -164,9 +166,13 @@
     })).singleton(),
     config: asFunction(configFollower).singleton(),
     limits: asFunction(({ self, membership, fleet }: ProxyComponents) => new AccountLimits({ self, host: settings.name, tolerance: settings.quota, membership, fleet })).singleton(),
-    table: asFunction(({ self }: ProxyComponents) => new EndpointTable({ self, hash })).singleton(),
+    table: asFunction(({ self, topology }: ProxyComponents) => new EndpointTable({ self, hash, topology })).singleton(),
     registry: asFunction(endpointFollower).singleton(),
-    client: asFunction(({ config, fleet }: ProxyComponents) => new ExchangeClient({ addressOf: endpointAddress, maxConnections: (view) => connectionsTo(view, config, fleet) })).singleton(),
+    client: asFunction(({ config, fleet, topology }: ProxyComponents) => new ExchangeClient({
+      addressOf: endpointAddress,
+      maxConnections: (view) => connectionsTo(view, config, fleet),
+      ...(topology.hasRegions && { onConnected: ({ failureDomain }, tookMs) => topology.recordRoundTrip(failureDomain, tookMs) })
+    })).singleton(),
     confirmer: asFunction(({ membership, table, paths }: ProxyComponents) => new CrashConfirmer({ membership, table, paths, hash })).singleton(),
     crashes: asFunction(({ metrics, client, confirmer, paths, table }: ProxyComponents) => new CrashWatch({ metrics, poolSize: (pool) => table.usable(pool).length, dial: (view) => paths.dial(view), confirm: (view) => confirmer.confirm(view), isConnected: (view) => client.isConnected(view) })).singleton(),
     quarantine: asFunction(({ crashes, membership, metrics }: ProxyComponents) => new QuarantineTask({ crashes, membership, metrics })).singleton(),
@@ -187,6 +193,7 @@
       self: cradle.self,
       failureDomain: settings.failureDomain,
       hash,
+      topology: cradle.topology,
       membership: cradle.membership,
       paths: cradle.paths,
       onOffer: (pool, cutOffMs) => {
@@ -205,12 +212,14 @@
       metrics: cradle.metrics,
       completeSinceMs: () => cradle.registry.completeSinceMs
     })).singleton(),
-    roomGate: asFunction(({ table, random }: ProxyComponents) => new RoomGate({ table, random })).singleton(),
-    dispatcher: asFunction(({ table, random, topology, fleet, rollouts, endpointLimits, paths, delegateFinder, roomGate }: ProxyComponents) => createSharedDispatcher({
+    regionLink: asFunction(({ topology, membership, metrics, random }: ProxyComponents) => new RegionLinkTask({ topology, membership, metrics, random })).singleton(),
+    roomGate: asFunction(({ table, random, topology, regionLink }: ProxyComponents) => new RoomGate({ table, random, topology, crossing: regionLink })).singleton(),
+    dispatcher: asFunction(({ table, random, topology, regionLink, fleet, rollouts, endpointLimits, paths, delegateFinder, roomGate }: ProxyComponents) => createSharedDispatcher({
       table,
       hash,
       random,
       topology,
+      crossing: regionLink,
       sharers: () => fleet.hostCount,
       canaries: rollouts?.gate,
       limits: endpointLimits,
@@ -265,8 +274,8 @@
     usage: asFunction(({ lease, tallies }: ProxyComponents) => new UsageTask({
       name: settings.name, store: platform.store, duties: platform.duties, lease, tallies, ...settings.usage
     })).singleton(),
-    orders: asFunction(({ lease, table, tallies, metrics, config, rollouts }: ProxyComponents) => new OrderTask({
-      name: settings.name, duties: platform.duties, lease, table, tallies, metrics, versions: rollouts?.gate, firstStart: settings.firstStart, pools: () => config.inForce?.pools.values() ?? [], allowedTokensPerS: () => totalTokenQuotaPerS(config.inForce?.accounts.values() ?? [])
+    orders: asFunction(({ lease, table, tallies, metrics, config, rollouts, topology, membership }: ProxyComponents) => new OrderTask({
+      name: settings.name, topology, members: () => membership.core.members, duties: platform.duties, lease, table, tallies, metrics, versions: rollouts?.gate, firstStart: settings.firstStart, pools: () => config.inForce?.pools.values() ?? [], allowedTokensPerS: () => totalTokenQuotaPerS(config.inForce?.accounts.values() ?? [])
     })).singleton()
   })
   const components = container.cradle
@@ -344,7 +353,7 @@
   const port = platform.rollouts
   const follower = new RolloutFollower({ store: relay.source(port.prefix), port, membership, random, waitMs: relay.watchWaitMs })
   const gate = new VersionGate({ table, rollouts: follower, tallies, links, hash, metrics, availability: new ProcessAvailability() })
-  const task = new RolloutTask({ self, port, rollouts: follower, gate, lease, table, tallies, links, exposure, propagationMs: settings.registry.leavingMs, random })
+  const task = new RolloutTask({ self, port, rollouts: follower, gate, lease, table, tallies, links, daemons: () => membership.acceptingWork.map(({ id }) => id), exposure, propagationMs: settings.registry.leavingMs, random })
   return { follower, gate, task }
 }
 
--- a/daemon/log/describe.ts
+++ b/daemon/log/describe.ts
@@ -14,6 +14,7 @@
   'request-broke': (f) => `the daemon failed: ${f.why}`,
   'request-no-room': (f) => `no room in ${f.pool}: a wait of ${ms(f.waitMs)}, allowed ${ms(f.allowedMs)}${retryHint(f.retryAfterMs)}`,
   'request-waits': (f) => `waits: no room at any of ${f.candidates} endpoints of ${f.pool}, ${f.ahead} ahead, ${ms(f.expectedMs)} expected`,
+  'request-spilled': (f) => `sent to ${f.endpoint} in ${f.region}, ${f.roundTripMs.toFixed(0)} ms away: ${f.why}`,
   'request-diverted': (f) => `no permit for ${f.endpoint}, which takes ${f.perS} requests a second`,
   'request-held': (f) => `held for ${ms(f.forMs)}: endpoints that ran requests like it crashed (${f.part === undefined ? `fingerprint ${f.fingerprint}` : f.part})`,
   'attempt-started': (f) => {
--- a/daemon/request/_waiting.ts
+++ b/daemon/request/_waiting.ts
@@ -1,16 +1,29 @@
-/** How long requests may wait for an endpoint, and how fast those of a pool start. */
+/** Whether requests have to wait for an endpoint, and how long they may. */
 import type { QueuedRequest, RequestQueue } from '../../core/admission/index.ts'
 import type { PoolName } from '../../core/ids/index.ts'
+import { runningNow, type EndpointView } from '../../core/routing/index.ts'
+import { remainingTokens } from './_route_query.ts'
+import type { StartRate } from './_start_rate.ts'
 import type { Placement } from './placement.ts'
 
-/** Requests of a pool that wait for an endpoint, and the mean time between their starts. */
-export interface PoolState { name: PoolName, queue: RequestQueue<Placement>, msPerStart: number, lastStartMs: number }
+/** Requests of a pool that wait for an endpoint, and the rate of starts. `ownRate`: of those in the own region. */
+export interface PoolState { name: PoolName, queue: RequestQueue<Placement>, rate: StartRate, ownRate: StartRate }
 
-/** Weight of the latest sample in the moving average of the time between starts. */
-const RATE_SMOOTHING = 0.2
+/**
+ * Urgent requests that may queue at an endpoint in excess of its batch slots.
+ *
+ * The endpoint gives them the next free slot ahead of all other requests. If they were queued here instead, every daemon would send its own at the moment the news
+ * of the free slot arrives. Endpoints can queue a few requests more than they have slots.
+ */
+const MAX_URGENT_WAITING = 12
 /** Longest time that a new request may be queued, as a multiple of its first-token target. See docs/design/limits.md. */
 const MAX_WAIT_IN_TARGETS = 1
 
+/** Returns whether an endpoint has room for another request. */
+export function hasRoom (view: EndpointView, urgent: boolean): boolean {
+  return runningNow(view) < view.speed.batchSlots + (urgent ? MAX_URGENT_WAITING : 0)
+}
+
 /**
  * Returns the time until which a request may be queued, in milliseconds on the steady clock.
  *
@@ -25,27 +38,11 @@
   return Math.min(byDeadline, placement.acceptedAtMs + latency.firstTokenMs * MAX_WAIT_IN_TARGETS)
 }
 
-/** Returns what remains of the first-token target, in milliseconds. A resumed stream gets the full target again. */
-export function remainingFirstTokenMs ({ cls, acceptedAtMs, resumed }: Placement, now: number): number {
-  return cls.latency.firstTokenMs - (resumed ? 0 : now - acceptedAtMs)
-}
-
 /** Returns the tokens of a request, read and written. */
 export function totalTokens (placement: Placement): number {
   return placement.demand.promptTokens + placement.doneTokens + remainingTokens(placement)
 }
 
-/** Returns the tokens that a request is expected to write yet. */
-export function remainingTokens ({ demand, doneTokens }: Placement): number {
-  return Math.max(0, demand.expectedTokens - doneTokens)
-}
-
-/** Updates the time between starts when a request of a pool starts. */
-export function updateStartRate (pool: PoolState, now: number): void {
-  if (pool.queue.length > 0) pool.msPerStart += RATE_SMOOTHING * (now - pool.lastStartMs - pool.msPerStart)
-  pool.lastStartMs = now
-}
-
 /** Returns the queue entry of a request, if it is queued. */
 export function findEntry (queue: RequestQueue<Placement>, placement: Placement): QueuedRequest<Placement> | undefined {
   return queue.find((entry) => entry.item === placement)
--- a/daemon/request/dispatcher.ts
+++ b/daemon/request/dispatcher.ts
@@ -1,15 +1,19 @@
 /** Assigns requests to endpoints and queues those that no endpoint has room for. */
-import { FairQueue, type RequestQueue } from '../../core/admission/index.ts'
-import { isStartOf, type EndpointId, type PoolName } from '../../core/ids/index.ts'
-import { backsOff, runningNow, type EndpointView, type PrefixIndex, type Random, type Route, type RouteQuery, type Router } from '../../core/routing/index.ts'
+import { FairQueue, type QueuedRequest, type RequestQueue } from '../../core/admission/index.ts'
+import type { EndpointId, PoolName } from '../../core/ids/index.ts'
+import { backsOff, type EndpointView, type PrefixIndex, type Random, type RegionalRoute, type Route, type RouteQuery, type Router } from '../../core/routing/index.ts'
 import type { PromptPart } from '../../core/work/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import { remainingBackOffMs } from '../endpoints/_work_pauses.ts'
 import type { EndpointSelection } from '../endpoints/_endpoint_selections.ts'
 import type { EndpointTable } from '../endpoints/endpoint_table.ts'
-import { findEntry, latestStartMs, remainingFirstTokenMs, remainingTokens, totalTokens, updateStartRate, type PoolState } from './_waiting.ts'
-import type { RoomGate } from './room_gate.ts'
+import { Candidates, type CandidateSet } from './_candidates.ts'
+import { endpointsToAvoid, failedEndpoints, routeQuery } from './_route_query.ts'
+import { findEntry, hasRoom, latestStartMs, totalTokens, type PoolState } from './_waiting.ts'
 import type { CanaryGate, EndpointLimiter, Placement, RequestWay, RequestWays } from './placement.ts'
+import type { RegionRouting } from './region_routing.ts'
+import type { RoomGate } from './room_gate.ts'
+import { StartRate } from './_start_rate.ts'
 
 /** Options of {@linkcode Dispatcher}. */
 export interface DispatcherOptions {
@@ -26,30 +30,20 @@
   ways?: RequestWays
   /** Refuses requests while there is too little room for all. Default: none is refused for the prompts that wait at the endpoints. */
   gate?: RoomGate
+  /** Selects between regions. Default: there is one. */
+  regions?: RegionRouting
   /** Spreads the times at which refused callers return. Default: they are not spread. */
   random?: Random
   /** Creates the queue of a pool. Default: {@linkcode FairQueue}. */
   queue?: () => RequestQueue<Placement>
 }
 
-/**
- * Urgent requests that may queue at an endpoint in excess of its batch slots.
- *
- * The endpoint gives them the next free slot ahead of all other requests. If they were queued here instead, every daemon would send its own at the moment the news
- * of the free slot arrives. Endpoints can queue a few requests more than they have slots.
- */
-const MAX_URGENT_WAITING = 12
-/**
- * Least number of shared prompt tokens for which the home is chosen from all endpoints of the pool, rather than from those that this daemon is connected to.
- *
- * When there are more endpoints than a daemon connects to, daemons that choose from their own connections choose different homes, and a prefix shared by hundreds
- * of requests is prefilled at dozens of endpoints. Prefilling this many tokens takes an engine ten times as long as opening a connection.
- */
-const MIN_TOKENS_FOR_CONNECTION = 2000
 const MIN_RETRY_AFTER_MS = 500
 /** Longest time by which callers return after the end of a back-off, in milliseconds. Urgent requests return first. */
 const RETURN_SPREAD_MS = 500
 const SWEEP_MS = 250
+/** Waiting requests of a pool that are tried in other regions at once. */
+const MAX_SPILL_TRIES = 8
 /** Delay after which callers return that are refused because no endpoint can be reached, in milliseconds. */
 const CUT_OFF_RETRY_AFTER_MS = 1000
 /** Reason for refusing a request of a pool of which no endpoint can be reached. */
@@ -67,14 +61,17 @@
  */
 const VERSION_GONE_RETRY_AFTER_MS = 2000
 
-/** Endpoints to choose from, and the number of prompt tokens that each is expected to have cached. */
-interface CandidateSet { candidates: readonly EndpointView[], cached: Map<EndpointId, number> }
 /** Whether a request may ask for a permit before it is placed, and whether it was granted one. */
 interface Permission { mayAsk: boolean, isGranted?: boolean }
+/** `onlyCrossing`: the request is started in another region or not at all, since others wait for its own. */
+interface StartOptions extends Permission { now: number, pool: PoolState | undefined, onlyCrossing?: boolean }
+/** `divert` is called with the endpoint that is not used because of its limit. */
+interface LimitedPick { candidates: readonly EndpointView[], now: number, mayAsk: boolean, router?: Router | undefined, divert (view: EndpointView): void }
 
 /** Routes placements to endpoints, with one queue per pool, and one per version for streams that continue: nothing else waits behind them. */
 export class Dispatcher {
   readonly #options: DispatcherOptions
+  readonly #candidates: Candidates
   readonly #pools = new Map<string, PoolState>()
   /** Requests that have asked whether they may go to an endpoint with a limit. */
   readonly #asking = new Set<Placement>()
@@ -82,6 +79,7 @@
 
   constructor (options: DispatcherOptions) {
     this.#options = options
+    this.#candidates = new Candidates(options)
   }
 
   /** Number of queued requests. */
@@ -111,6 +109,7 @@
     if (way.type !== 'direct') return this.#placeElsewhere(placement, way, pool)
     if (this.#refuseIfVersionGone(placement) || this.#refuseForWantOfRoom(placement)) return
     if (pool.queue.length === 0 && (this.#start(placement, pool, { mayAsk: true }) || this.#asking.has(placement))) return
+    if (pool.queue.length > 0 && this.#startElsewhere(placement, pool)) return
     this.#queueOrRefuse(placement, pool)
   }
 
@@ -150,7 +149,7 @@
 
   /** Returns the prompt tokens that are not cached at the endpoint that has most of them. */
   #uncachedTokens (placement: Placement): number {
-    const { cached } = this.#candidatesFor(placement, steadyNow())
+    const { cached } = this.#candidates.find(placement, this.#endpointsFor(placement), steadyNow())
     return Math.max(0, placement.demand.promptTokens - Math.max(0, ...cached.values()))
   }
 
@@ -176,7 +175,7 @@
     const ahead = pool.queue.ahead(placement.account, urgent)
     // Work that ran before is not given up while its deadline allows another endpoint to be listed.
     const backOffMs = placement.resumed ? 0 : remainingBackOffMs(this.#endpointsFor(placement).usable)
-    const waitMs = Math.max((ahead + 1) * pool.msPerStart, this.#permitWaitMs(placement), backOffMs)
+    const waitMs = Math.max((ahead + 1) * pool.rate.msPerStart, this.#permitWaitMs(placement), backOffMs)
     const startByMs = latestStartMs(placement)
     if (steadyNow() + waitMs > startByMs) return this.#refuse(placement, { waitMs, backOffMs })
     this.#enqueue(placement, pool, { expectedMs: waitMs, startByMs })
@@ -202,7 +201,7 @@
     for (const pool of this.#pools.values()) {
       const backOffMs = this.#options.table.backOffMs(pool.name)
       const expired = pool.queue.expire(now, ({ resumed }) => (resumed ? 0 : backOffMs))
-      for (const late of expired) this.#refuse(late.item, { waitMs: Math.max(pool.msPerStart, backOffMs), backOffMs })
+      for (const late of expired) this.#refuse(late.item, { waitMs: Math.max(pool.rate.msPerStart, backOffMs), backOffMs })
       this.#drain(pool)
     }
   }
@@ -223,7 +222,7 @@
         continue
       }
       const way = this.#wayFor(next.item)
-      if (way.type === 'wait' || (way.type === 'direct' && !this.#start(next.item, pool, { mayAsk: false }))) return
+      if (way.type === 'wait' || (way.type === 'direct' && !this.#start(next.item, pool, { mayAsk: false }))) return this.#spill(pool)
       pool.queue.remove(next)
       if (way.type !== 'direct') this.#placeElsewhere(next.item, way, pool)
     }
@@ -232,73 +231,113 @@
   #start (placement: Placement, pool: PoolState, permission: Permission): boolean {
     const now = steadyNow()
     if (this.#startCanary(placement, now)) return true
-    const set = this.#candidatesFor(placement, now)
-    return this.#startAt(placement, { pool, now, ...permission, ...set }) || this.#startAtOthers(placement, pool, set)
+    const set = this.#candidates.find(placement, this.#endpointsFor(placement), now)
+    return this.#startAt(placement, set, { pool, now, ...permission }) || this.#startAtOthers(placement, pool, set)
   }
 
-  /** Starts a request at an endpoint that this daemon is not connected to, if none of its own has room: a new connection costs less than a refusal. */
-  #startAtOthers (placement: Placement, pool: PoolState, { candidates, cached }: CandidateSet): boolean {
+  /**
+   * Starts a request at an endpoint that this daemon is not connected to, if none of its own has room: a new connection costs less than a refusal. With several regions, those of the own one
+   * are tried; all that the request may use of others have been.
+   */
+  #startAtOthers (placement: Placement, pool: PoolState, { candidates, cached, regional }: CandidateSet): boolean {
     if (this.#asking.has(placement)) return false
-    const others = this.#endpointsFor(placement).usable.filter((view) => !candidates.includes(view))
-    return others.length > 0 && this.#startAt(placement, { pool, now: steadyNow(), mayAsk: false, candidates: others, cached })
+    const usable = regional?.own ?? this.#endpointsFor(placement).usable
+    const others = usable.filter((view) => !candidates.includes(view))
+    return others.length > 0 && this.#startAt(placement, { candidates: others, cached }, { pool, now: steadyNow(), mayAsk: false })
   }
 
-  /** Sends a request to a canary endpoint. Requests that an earlier attempt was made for are excluded. */
+  /** Sends a request to a canary endpoint, of this region if it has one. Requests that an earlier attempt was made for are excluded. */
   #startCanary (placement: Placement, now: number): boolean {
-    const { canaries: gate, prefixes } = this.#options
+    const { canaries: gate, prefixes, regions } = this.#options
     if (!gate || placement.resumed || placement.boundTo || placement.avoid.length > 0) return false
-    const candidates = gate.canaries(placement)
+    const canaries = gate.canaries(placement)
+    const near = regions ? canaries.filter((view) => regions.isLocal(view)) : canaries
+    const candidates = near.length > 0 || regions?.mayCross(placement) === false ? near : canaries
     if (candidates.length === 0) return false
-    const started = this.#startAt(placement, { pool: undefined, now, mayAsk: false, candidates, cached: prefixes.lookup(placement.demand.parts, now) })
+    const started = this.#startAt(placement, { candidates, cached: prefixes.lookup(placement.demand.parts, now) }, { pool: undefined, now, mayAsk: false })
     if (started) gate.spent(placement)
     return started
   }
 
-  #startAt (placement: Placement, { pool, now, candidates, cached, mayAsk, isGranted }: CandidateSet & Permission & { pool: PoolState | undefined, now: number }): boolean {
-    const withRoom = this.#preferPermitted(placement, candidates.filter((view) => this.#hasRoom(view, placement.cls.urgent) && !backsOff(view, now) && this.#canSend(view, placement) && (placement.accepts?.(view) ?? true)), isGranted)
-    // When every endpoint with room has failed the request before, all of them are candidates again; the retry budget limits how often.
-    const failed = failedEndpoints(placement, withRoom)
-    const avoid = failed.length < withRoom.length ? failed : []
-    const query: RouteQuery = {
-      promptTokens: placement.demand.promptTokens + placement.doneTokens,
-      expectedTokens: remainingTokens(placement),
-      firstTokenMs: remainingFirstTokenMs(placement, now),
-      lane: placement.cls.urgent ? 'urgent' : 'normal',
-      betweenTokensMs: placement.cls.latency.betweenTokensMs,
-      avoid,
-      cachedTokens: (id) => cached.get(id) ?? 0
+  /** Sends a request to another region while others wait for room in this one. */
+  #startElsewhere (placement: Placement, pool: PoolState): boolean {
+    if (!this.#options.regions?.mayCross(placement)) return false
+    const now = steadyNow()
+    const selection = this.#endpointsFor(placement)
+    if (!this.#candidates.otherRegions(selection).some((view) => this.#canStart(view, placement, now))) return false
+    return this.#startAt(placement, this.#candidates.find(placement, selection, now), { pool, now, mayAsk: false, onlyCrossing: true })
+  }
+
+  /** Sends waiting requests to other regions, urgent ones and then those with the fewest bytes first. */
+  #spill (pool: PoolState): void {
+    if (!this.#options.regions) return
+    const waiting: QueuedRequest<Placement>[] = []
+    pool.queue.find((entry) => waiting.push(entry) === 0)
+    waiting.sort((a, b) => Number(b.urgent) - Number(a.urgent) || (a.item.bytes ?? 0) - (b.item.bytes ?? 0))
+    let failed = 0
+    for (const entry of waiting) {
+      if (findEntry(pool.queue, entry.item) !== entry) continue
+      if (this.#wayFor(entry.item).type === 'direct' && this.#startElsewhere(entry.item, pool)) pool.queue.remove(entry)
+      else if (++failed >= MAX_SPILL_TRIES) return
+    }
+  }
+
+  #startAt (placement: Placement, set: CandidateSet, options: StartOptions): boolean {
+    const { pool, now, onlyCrossing = false } = options
+    const { regions } = this.#options
+    const canStart = (view: EndpointView) => this.#canStart(view, placement, now)
+    const permitted = options.isGranted === true ? this.#options.limits?.permitted(placement.pool) ?? [] : []
+    const withRoomOf = (views: readonly EndpointView[]) => preferPermitted(placement, views.filter(canStart), permitted)
+    let diverted: EndpointView | undefined
+    const divert = (view: EndpointView) => { diverted ??= view }
+    const query = routeQuery(placement, { now, cached: set.cached })
+    let picked: Partial<RegionalRoute> | undefined
+    if (regions && set.regional) {
+      picked = regions.pick(placement, { ...set, regional: set.regional }, {
+        query,
+        now,
+        onlyCrossing,
+        permitted,
+        canStart,
+        canReach: (view) => this.#canSend(view, placement),
+        expectedMs: pool && pool.ownRate.msPerStart > 0 ? (pool.queue.ahead(placement.account, placement.cls.urgent) + 1) * pool.ownRate.msPerStart : Infinity,
+        // Once permission was asked for, the answer decides.
+        pick: (regionQuery, views, { router, mayAsk }) => (this.#asking.has(placement) ? undefined : this.#pickWithinLimits(placement, regionQuery, { now, candidates: withRoomOf(views), router, divert, mayAsk: mayAsk && options.mayAsk }))
+      })
+    } else {
+      const withRoom = withRoomOf(set.candidates)
+      const route = this.#pickWithinLimits(placement, { ...query, avoid: endpointsToAvoid(placement, withRoom) }, { ...options, candidates: withRoom, divert })
+      picked = { route, crossing: route && regions?.isLocal(route.view) === false ? 'canary' : undefined }
     }
-    const route = this.#pickWithinLimits(placement, query, { candidates: withRoom, now, mayAsk })
-    if (!route) return false
-    if (pool) updateStartRate(pool, now)
+    if (diverted && !this.#asking.has(placement)) recordDiversion(placement, diverted, this.#options.limits!)
+    if (!picked?.route) return false
+    const { route, crossing } = picked
+    const isQueued = pool !== undefined && pool.queue.length > 0
+    pool?.rate.started(now, { isQueued })
+    if (!crossing) pool?.ownRate.started(now, { isQueued })
     this.#options.prefixes.record(placement.demand.parts, route.view.id, now)
+    if (crossing) regions!.crossed(placement, route.view, crossing)
     placement.placed(route.view, route)
     return true
   }
 
-  #hasRoom (view: EndpointView, urgent: boolean): boolean {
-    return hasRoom(view, urgent) || this.#options.limits?.hasReservedSlot(view) === true
+  /** Returns whether an endpoint can take a request now, limits and failures aside. */
+  #canStart (view: EndpointView, placement: Placement, now: number): boolean {
+    const canTake = hasRoom(view, placement.cls.urgent) || this.#options.limits?.hasReservedSlot(view) === true
+    return canTake && !backsOff(view, now) && this.#canSend(view, placement) && (placement.accepts?.(view) ?? true)
   }
 
   #canSend (view: EndpointView, { cls }: Placement): boolean {
     return this.#options.ways?.canSend(view, cls) ?? true
   }
 
-  /** Returns the endpoints whose permits a request may use, if it was granted one; otherwise all of the given ones. */
-  #preferPermitted (placement: Placement, views: readonly EndpointView[], isGranted = false): readonly EndpointView[] {
-    const permitted = isGranted ? this.#options.limits?.permitted(placement.pool) ?? [] : []
-    const failed = failedEndpoints(placement, views)
-    const preferred = views.filter(({ id }) => permitted.includes(id) && !failed.includes(id))
-    return preferred.length > 0 ? preferred : views
-  }
-
   /** Picks an endpoint, or if that one may get no request now because of its limit, the best of those that may. */
-  #pickWithinLimits (placement: Placement, query: RouteQuery, { candidates, now, mayAsk }: { candidates: readonly EndpointView[], now: number, mayAsk: boolean }): Route | undefined {
-    const { router, limits } = this.#options
+  #pickWithinLimits (placement: Placement, query: RouteQuery, { candidates, now, mayAsk, divert, router = this.#options.router }: LimitedPick): Route | undefined {
+    const { limits } = this.#options
     const route = router.pick(query, candidates, now)
     if (!route || !limits || limits.mayStart(route.view)) return route
     if (mayAsk && this.#askFirst(placement, route.view, limits)) return undefined
-    if (mayAsk) recordDiversion(placement, route.view, limits)
+    if (mayAsk) divert(route.view)
     return router.pick(query, candidates.filter((view) => limits.mayStart(view)), now)
   }
 
@@ -316,40 +355,11 @@
     return true
   }
 
-  /** Returns the endpoints that may take a request with their expected cached tokens: prefixes sent by this daemon, and at the home those sent by any daemon. */
-  #candidatesFor (placement: Placement, now: number): CandidateSet {
-    const { prefixes } = this.#options
-    const { demand, pool } = placement
-    const cached = prefixes.lookup(demand.parts, now)
-    const { usable, connected } = this.#endpointsFor(placement)
-    const candidates = this.#withPermitted(pool, { usable, views: connected.every((view) => backsOff(view, now)) ? usable : connected })
-    const shared = demand.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0)
-    const home = this.#options.home?.(demand.parts, this.#withoutLimits(shared >= MIN_TOKENS_FOR_CONNECTION ? usable : candidates))
-    if (!home) return { candidates, cached }
-    cached.set(home.id, Math.max(shared, cached.get(home.id) ?? 0))
-    return { candidates: candidates.includes(home) ? candidates : [...candidates, home], cached }
-  }
-
-  /** Adds the endpoints that this daemon has permits for: they may be others than those that it is connected to. */
-  #withPermitted (pool: PoolName, { usable, views }: { usable: readonly EndpointView[], views: readonly EndpointView[] }): readonly EndpointView[] {
-    const permitted = this.#options.limits?.permitted(pool) ?? []
-    if (permitted.length === 0) return views
-    return [...views, ...usable.filter((view) => permitted.includes(view.id) && !views.includes(view))]
-  }
-
-  /** Endpoints without a limit, or all if each has one: a prefix is cached where all of its requests can go. */
-  #withoutLimits (views: readonly EndpointView[]): readonly EndpointView[] {
-    const { limits } = this.#options
-    if (!limits || !views.some((view) => limits.isLimited(view))) return views
-    const unlimited = views.filter((view) => !limits.isLimited(view))
-    return unlimited.length > 0 ? unlimited : views
-  }
-
   #poolState ({ pool: name, boundTo }: Placement): PoolState {
     const key = boundTo ? `${name}\0${boundTo.version ?? ''}` : name
     let pool = this.#pools.get(key)
     if (!pool) {
-      pool = { name, queue: this.#options.queue?.() ?? new FairQueue(), msPerStart: 0, lastStartMs: steadyNow() }
+      pool = { name, queue: this.#options.queue?.() ?? new FairQueue(), rate: new StartRate(steadyNow()), ownRate: new StartRate(steadyNow()) }
       this.#pools.set(key, pool)
     }
     return pool
@@ -366,16 +376,15 @@
   }
 }
 
-/** Returns the endpoints that failed the request before, including those that have restarted since: a restart does not make success more likely. */
-function failedEndpoints ({ avoid }: Placement, candidates: readonly EndpointView[]): EndpointId[] {
-  return candidates.filter((view) => avoid.some((id) => id === view.id || (view.name !== undefined && isStartOf(view.name, id)))).map(({ id }) => id)
+/** Returns those of the given endpoints that a request has a permit for, or all if it has none. */
+function preferPermitted (placement: Placement, views: readonly EndpointView[], permitted: readonly EndpointId[]): readonly EndpointView[] {
+  if (permitted.length === 0) return views
+  const failed = failedEndpoints(placement, views)
+  const preferred = views.filter(({ id }) => permitted.includes(id) && !failed.includes(id))
+  return preferred.length > 0 ? preferred : views
 }
 
 function recordDiversion (placement: Placement, preferred: EndpointView, limits: EndpointLimiter): void {
   limits.diverted()
   placement.diverted?.(preferred, limits.perS(preferred))
 }
-
-function hasRoom (view: EndpointView, urgent: boolean): boolean {
-  return runningNow(view) < view.speed.batchSlots + (urgent ? MAX_URGENT_WAITING : 0)
-}
--- a/daemon/request/room_gate.ts
+++ b/daemon/request/room_gate.ts
@@ -1,20 +1,28 @@
 /** Refuses requests that cannot be in time while a pool has too little room. */
-import { as, type ClassName, type EndpointId, type PoolName } from '../../core/ids/index.ts'
+import { as, type ClassName, type EndpointId, type PoolName, type Region } from '../../core/ids/index.ts'
 import { availableAtMs, noWork, unreadNow, type EndpointView, type EndpointWork, type FirstTokenModel, type Random } from '../../core/routing/index.ts'
 import { AccountShares, judgeRoom, PressureWatch, WorkRate, type RoomVerdict } from '../../core/scarcity/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
+import type { Topology } from '../../core/topology/index.ts'
 import type { EndpointTable } from '../endpoints/endpoint_table.ts'
-import type { Placement } from './placement.ts'
+import { crossingRequest } from './_route_query.ts'
+import type { Placement, RegionCrossing } from './placement.ts'
 
 /** Options of {@linkcode RoomGate}. */
 export interface RoomGateOptions {
   table: EndpointTable
   random: Random
+  /** Distances from this daemon to the endpoints. Default: there is one region. */
+  topology?: Pick<Topology, 'hasRegions' | 'isLocal' | 'regionOf' | 'roundTripMs'>
+  /** Decides which requests may be sent to another region. Default: all may. */
+  crossing?: RegionCrossing
 }
 
 /** What the gate knows of one pool. */
 interface PoolRoom {
   pressure: PressureWatch
+  /** The pressure on requests that may be sent to another region. */
+  crossingPressure: PressureWatch
   accounts: AccountShares
   /** Urgent prompt tokens sent by this daemon. */
   urgentSent: WorkRate
@@ -24,6 +32,9 @@
   meanTokens: Map<ClassName, number>
 }
 
+/** Endpoints of one region, and the round trip to another one in milliseconds; 0 for the own one. */
+interface RegionViews { views: EndpointView[], roundTripMs: number }
+
 /** Weight of the latest prompt in the mean length of its class. */
 const MEAN_SMOOTHING = 0.02
 /**
@@ -58,11 +69,17 @@
     const model = this.#options.table.pace(pool)
     const views = this.#options.table.usable(pool).filter((view) => view.firstTokenModel && availableAtMs(view) <= now)
     if (!isNewStream(placement) || !model || views.length === 0) return { type: 'run' }
+    const mayCross = this.#mayCross(placement)
+    const regions = this.#byRegion(views, { mayCross })
+    if (regions.length === 0) return { type: 'run' }
     const room = this.#roomOf(pool)
     const sizeRatio = demand.promptTokens / updateMean(room, cls.name, demand.promptTokens)
     const msPerToken = meanMsPerToken(model, room)
-    const waitMs = meanWaitMs(views, { msPerToken, urgent: cls.urgent })
-    if (!room.pressure.observe(waitMs / cls.latency.firstTokenMs, now)) return this.#accept(placement, room)
+    const waitMs = Math.min(...regions.map((region) => region.roundTripMs + meanWaitMs(region.views, { msPerToken, urgent: cls.urgent })))
+    const pressure = mayCross ? room.crossingPressure : room.pressure
+    if (!pressure.observe(waitMs / cls.latency.firstTokenMs, now)) return this.#accept(placement, room)
+    // The reports of urgent work sum up all regions, so that it is set against the endpoints of all.
+    const urgentShare = (room.urgentSent.perMs(now) + room.others.urgentPerMs) * msPerToken / views.length
     const verdict = judgeRoom({
       urgent: cls.urgent,
       targetMs: cls.latency.firstTokenMs,
@@ -71,7 +88,7 @@
       ownMs: model.firstMs + uncachedTokens() * msPerToken,
       sizeRatio,
       accountRatio: room.accounts.ofMean(account, now)
-    }, { waitMs, urgentShare: (room.urgentSent.perMs(now) + room.others.urgentPerMs) * msPerToken / views.length }, this.#options.random())
+    }, { waitMs, urgentShare }, this.#options.random())
     return verdict.type === 'run' ? this.#accept(placement, room) : verdict
   }
 
@@ -98,6 +115,27 @@
     }
   }
 
+  #mayCross (placement: Placement): boolean {
+    const { topology, crossing } = this.#options
+    return topology?.hasRegions === true && (crossing?.mayCross(crossingRequest(placement)) ?? true)
+  }
+
+  /** Returns the endpoints of each region that a request may use: what waits in one region keeps no request from another that has room. */
+  #byRegion (views: EndpointView[], { mayCross }: { mayCross: boolean }): RegionViews[] {
+    const { topology } = this.#options
+    if (!topology?.hasRegions) return [{ views, roundTripMs: 0 }]
+    const regions = new Map<Region | undefined, RegionViews>()
+    for (const view of views) {
+      const isLocal = topology.isLocal(view.failureDomain)
+      if (!isLocal && !mayCross) continue
+      const key = isLocal ? undefined : topology.regionOf(view.failureDomain)
+      const region = regions.get(key)
+      if (region) region.views.push(view)
+      else regions.set(key, { views: [view], roundTripMs: isLocal ? 0 : topology.roundTripMs(view.failureDomain) })
+    }
+    return [...regions.values()]
+  }
+
   #accept ({ account, demand }: Placement, room: PoolRoom): RoomVerdict {
     room.accounts.add(account, demand.promptTokens, steadyNow())
     return { type: 'run' }
@@ -106,7 +144,7 @@
   #roomOf (pool: PoolName): PoolRoom {
     let room = this.#pools.get(pool)
     if (!room) {
-      room = { pressure: new PressureWatch(), accounts: new AccountShares(), urgentSent: new WorkRate(), others: NO_OTHERS, meanTokens: new Map() }
+      room = { pressure: new PressureWatch(), crossingPressure: new PressureWatch(), accounts: new AccountShares(), urgentSent: new WorkRate(), others: NO_OTHERS, meanTokens: new Map() }
       this.#pools.set(pool, room)
     }
     return room
@@ -118,7 +156,7 @@
   return cls.streaming && demand.promptTokens > 0 && !resumed && boundTo === undefined && avoid.length === 0
 }
 
-/** Averages over all endpoints: single reports are older than the time in which a backlog changes, and daemons that trust them all choose the same endpoint. */
+/** Averages over all endpoints of a region: single reports are older than the time in which a backlog changes, and daemons that trust them all choose the same endpoint. */
 function meanWaitMs (views: readonly EndpointView[], { msPerToken, urgent }: { msPerToken: number, urgent: boolean }): number {
   const tokens = views.reduce((sum, view) => sum + unreadNow(view, urgent ? 'urgent' : 'normal'), 0)
   return tokens * msPerToken / views.length
--- a/daemon/request/room_gate_test.ts
+++ b/daemon/request/room_gate_test.ts
@@ -1,12 +1,13 @@
 import FakeTimers, { type Clock } from '@sinonjs/fake-timers'
 import { afterEach, beforeEach, expect, test } from 'vitest'
 import { toWorkClass } from '../../core/config/index.ts'
-import { as, type DaemonId, type EndpointId, type FailureDomain, type HostId } from '../../core/ids/index.ts'
+import { as, type DaemonId, type EndpointId, type FailureDomain, type HostId, type Region } from '../../core/ids/index.ts'
 import { LoadAggregator, noWork } from '../../core/routing/index.ts'
 import { sessionConfig } from '../../bench/_session.ts'
 import type { ListedHost } from '../../endpoints/index.ts'
 import { EndpointTable } from '../endpoints/endpoint_table.ts'
 import { steadyNow } from '../../core/time/index.ts'
+import { RegionTopology } from '../../core/topology/index.ts'
 import { DESK as POOL, placement } from './_placement_fixture.ts'
 import type { Placement } from './placement.ts'
 import { RoomGate } from './room_gate.ts'
@@ -70,3 +71,27 @@
   first.gate.applyOthersWork([[entry![0], { ...noWork(), running: 1, unread: { urgent: 45_000, normal: Math.round(1e6 / 60), late: 0 } }]])
   expect(verdictOn(relaxed)).toBe('refuse')
 })
+
+test('a request is refused for what waits in the regions that it may use, and not while one of them has room', () => {
+  // Guards against refusals for the pressure of the own region while another has room, and for that of a region that the request may not be sent to.
+  const domains = ['n', 's'].map((name) => as<FailureDomain>(name))
+  const regions = new Map(domains.map((domain) => [domain, as<Region>(`region-${domain}`)]))
+  const topology = new RegionTopology({ ownDomain: domains[0]!, regions })
+  const table = new EndpointTable({ self: as<DaemonId>('d'), hash: (text) => text.length, topology })
+  table.applyHostList(domains.map((failureDomain) => ({ hostId: as<HostId>(failureDomain), hostClass: 'any', failureDomain, reclaimable: false, pricePerHour: 0, state: 'live', endpoint: { id: as<EndpointId>(failureDomain), pool: POOL, address: '', firstMs: 20, learnsPace: true, speed: SPEED } })))
+  const gate = new RoomGate({ table, random: () => 0.5, topology, crossing: { mayCross: ({ bytes }) => bytes < 1000, crossed: () => {} } })
+  const verdicts = () => [10, 5000].map((bytes) => gate.judge(stream({ bytes }), () => PROMPT_TOKENS).type)
+  const settled = () => {
+    verdicts()
+    clock.tick(200)
+    return verdicts()
+  }
+  const send = (id: string) => { for (let i = 0; i < 20; i++) table.started(as<EndpointId>(id), { lane: 'urgent', tokens: PROMPT_TOKENS }) }
+  const read = (id: string) => { for (let i = 0; i < 20; i++) table.promptRead(as<EndpointId>(id), { lane: 'urgent', tokens: PROMPT_TOKENS }) }
+  send('n')
+  expect(settled()).toEqual(['run', 'refuse'])
+  send('s')
+  expect(settled()).toEqual(['refuse', 'refuse'])
+  read('n')
+  expect(settled()).toEqual(['run', 'run'])
+})
