--- a/bench/_placing.ts
+++ b/bench/_placing.ts
@@ -1,36 +1,24 @@
 /** Simulation of request placement by many daemons that learn of each other's load with a delay: real dispatchers and simulated batch engines under a fake clock. */
 import FakeTimers from '@sinonjs/fake-timers'
 import xxhash from 'xxhash-wasm'
-import { as, type ClassName, type DaemonId, type EndpointId, type FailureDomain, type HostId, type PoolName, type Region } from '../core/ids/index.ts'
+import { as, type AccountId, type ClassName, type DaemonId, type EndpointId, type FailureDomain, type HostId, type PoolName, type Region } from '../core/ids/index.ts'
 import { LoadAggregator, reportIntervalMs, type Hash32, type Random, type Route } from '../core/routing/index.ts'
 import { RegionTopology, type Topology } from '../core/topology/index.ts'
 import { steadyNow } from '../core/time/index.ts'
 import { maxHeldTokens, type Demand, type WorkClass } from '../core/work/index.ts'
 import { EndpointTable } from '../daemon/endpoints/endpoint_table.ts'
-import type { Dispatcher } from '../daemon/request/dispatcher.ts'
+import type { Dispatcher, DispatcherOptions } from '../daemon/request/dispatcher.ts'
 import type { Placement } from '../daemon/request/placement.ts'
 import { AttemptTracker } from '../daemon/request/attempt_tracker.ts'
+import { RoomGate } from '../daemon/request/room_gate.ts'
 import { createSharedDispatcher } from '../daemon/request/shared_dispatcher.ts'
 import { seededRandom } from '../daemon/seeded_random.ts'
 import type { ListedHost } from '../endpoints/index.ts'
+import { countFirstToken, noResults, recordAsked, recordRefusal, type ClassResults, type SimulatedClass, type SimulatedRequest } from './_placing_results.ts'
 import { BatchEngine, type BatchEngineOptions } from './_batch_engine.ts'
 import { SimulatedMemory, type MemoryBound } from './_engine_memory.ts'
 
-/** Traffic of one work class. */
-export interface SimulatedClass {
-  name: string
-  perS: number
-  urgent: boolean
-  /** Mean number of prompt tokens unique to a request; drawn from a log-normal distribution, so some requests have several times as many. */
-  uniqueTokens: number
-  /** Number of prompt tokens shared by all requests about one subject, and the number of subjects. */
-  sharedTokens: number
-  subjects: number
-  pieces: number
-  firstTokenMs: number
-  deadlineMs: number
-  maxAttempts: number
-}
+export type { ClassResults, SimulatedClass } from './_placing_results.ts'
 
 /** Options of {@linkcode simulatePlacement}. */
 export interface PlacementSimulationOptions {
@@ -46,10 +34,28 @@
   memory?: MemoryBound
   /** Called every {@linkcode SAMPLE_MS} after the warm-up. Default: does nothing. */
   sample? (engines: readonly BatchEngine[]): void
+  /** Requests that arrive later are not counted. Default: one deadline before the end. */
+  countUntilMs?: number
+  /** Changes of the dispatchers, e.g. another queue. Default: none. */
+  dispatcher?: Partial<Pick<DispatcherOptions, 'queue'>> & { gate?: boolean }
+  /** Behaviour of the callers. Default: one account, whose callers wait for the answer past the deadline, and do not come back. */
+  callers?: CallerOptions
+  /** Interval in which every second endpoint is not listed and accepts nothing. Default: none. */
+  lossMs?: readonly [from: number, to: number]
   /** Default: one region. */
   regions?: SimulatedRegions
 }
 
+/** Behaviour of simulated callers, who give up at the deadline. */
+export interface CallerOptions {
+  /** Relative traffic of each client account. */
+  accounts: readonly number[]
+  /** Factor of the arrival rate at a time in milliseconds. Default: 1. */
+  timesAt? (ms: number): number
+  /** Interval whose requests all arrive within {@linkcode RETURN_MS} of its end. Default: none. */
+  outageMs?: readonly [from: number, to: number]
+}
+
 /** Two regions, with half of the daemons and endpoints in each. */
 export interface SimulatedRegions {
   /** Shares of the arrivals at the daemons of each region. */
@@ -61,24 +67,6 @@
 /** Interval of samples of the engines, in milliseconds. */
 export const SAMPLE_MS = 50
 
-/** Request outcomes of one class. */
-export interface ClassResults {
-  asked: number
-  inTime: number
-  late: number
-  /** Refused by the daemon because no capacity became available in time. */
-  refusedByDaemon: number
-  /** Rejected by full engines after the last attempt. */
-  rejectedByEngine: number
-  /** Attempts, and those sent to another region. */
-  sent: number
-  crossed: number
-  /** Shared prompt tokens prefilled on one engine while another engine had them cached. */
-  redundantPrefillTokens: number
-  /** Relative errors of the predicted time from placement to first token. */
-  predictionErrors: number[]
-}
-
 const POOL = as<PoolName>('models')
 const DOMAINS = ['a', 'b', 'c'].map((name) => as<FailureDomain>(name))
 const REGIONAL_DOMAINS = ['n1', 's1', 'n2', 's2'].map((name) => as<FailureDomain>(name))
@@ -105,7 +93,7 @@
   }
 }
 
-interface SimulatedDaemon { id: DaemonId, domain: FailureDomain, table: EndpointTable, dispatcher: Dispatcher }
+interface SimulatedDaemon { id: DaemonId, domain: FailureDomain, table: EndpointTable, dispatcher: Dispatcher, gate: RoomGate | undefined }
 
 class PlacementSimulation {
   readonly figures: Map<string, ClassResults>
@@ -118,20 +106,23 @@
   readonly #loadAggregator = new LoadAggregator()
   /** What bounds the memory of the engines. */
   readonly memory: SimulatedMemory | undefined
+  readonly #hosts: readonly ListedHost[]
+  #listed: ReadonlySet<EndpointId>
   #requests = 0
 
   constructor (options: PlacementSimulationOptions) {
     this.#options = options
     this.#random = seededRandom(options.seed)
     this.#domains = options.regions ? REGIONAL_DOMAINS : DOMAINS
-    this.figures = new Map(options.classes.map(({ name }) => [name, { asked: 0, inTime: 0, late: 0, refusedByDaemon: 0, rejectedByEngine: 0, sent: 0, crossed: 0, redundantPrefillTokens: 0, predictionErrors: [] }]))
-    const hosts = Array.from({ length: options.engines }, (_, i) => makeHost(i, { slots: options.engine.slots, failureDomain: this.#domains[i % this.#domains.length]! }))
-    for (const { endpoint, failureDomain } of hosts) {
+    this.figures = new Map(options.classes.map(({ name }) => [name, noResults()]))
+    this.#hosts = Array.from({ length: options.engines }, (_, i) => makeHost(i, { slots: options.engine.slots, failureDomain: this.#domains[i % this.#domains.length]! }))
+    this.#listed = new Set(this.#hosts.map(({ endpoint }) => endpoint.id))
+    for (const { endpoint, failureDomain } of this.#hosts) {
       this.#engines.set(endpoint.id, new BatchEngine(options.engine))
       this.#domainOf.set(endpoint.id, failureDomain)
     }
     this.memory = options.memory && new SimulatedMemory({ ...options.memory, daemons: options.daemons, oneWayDelayMs: ONE_WAY_DELAY_MS, random: this.#random })
-    this.#daemons = Array.from({ length: options.daemons }, (_, i) => this.#daemon(i, hosts))
+    this.#daemons = Array.from({ length: options.daemons }, (_, i) => this.#daemon(i, this.#hosts))
   }
 
   start (): void {
@@ -139,9 +130,21 @@
     for (const daemon of this.#daemons) {
       setTimeout(() => setInterval(() => this.#report(daemon), reportMs), this.#random() * reportMs)
     }
-    for (const cls of this.#options.classes) this.#scheduleArrival(cls)
-    const { sample, warmupMs } = this.#options
+    for (const cls of this.#options.classes) this.#options.callers ? this.#scheduleArrivals(cls, 0) : this.#scheduleArrival(cls)
+    const { sample, warmupMs, lossMs } = this.#options
     if (sample) setTimeout(() => setInterval(() => sample([...this.#engines.values()]), SAMPLE_MS), warmupMs)
+    if (!lossMs) return
+    const [from, to] = lossMs
+    setTimeout(() => this.#list(this.#hosts.filter((_, i) => i % 2 === 0)), from)
+    setTimeout(() => this.#list(this.#hosts), to)
+  }
+
+  #list (hosts: readonly ListedHost[]): void {
+    this.#listed = new Set(hosts.map(({ endpoint }) => endpoint.id))
+    for (const { table, dispatcher } of this.#daemons) {
+      table.applyHostList(hosts)
+      dispatcher.startQueued()
+    }
   }
 
   #daemon (i: number, hosts: readonly ListedHost[]): SimulatedDaemon {
@@ -151,16 +154,20 @@
     const table = new EndpointTable({ self: id, hash, topology, countsMemory: this.memory !== undefined })
     table.applyHostList(hosts)
     const memory = this.memory?.daemon(id, table)
+    const { queue, gate: hasGate = false } = this.#options.dispatcher ?? {}
+    const gate = hasGate ? new RoomGate({ table, topology, random: seededRandom(this.#options.seed * 1000 + i) }) : undefined
     const dispatcher = createSharedDispatcher({
       table,
       hash,
       random: seededRandom(this.#options.seed + i + 1),
       topology,
       sharers: () => this.#options.daemons,
-      memory
+      memory,
+      ...(queue && { queue }),
+      ...(gate && { gate })
     })
     if (memory) memory.onRoom = () => dispatcher.startQueued()
-    return { id, domain, table, dispatcher }
+    return { id, domain, table, dispatcher, gate }
   }
 
   #topologyOf (ownDomain: FailureDomain): Pick<Topology, 'hasRegions' | 'isLocal' | 'regionOf' | 'roundTripMs'> {
@@ -184,14 +191,17 @@
   }
 
   /** Reports are merged in the first region. */
-  #report ({ id, domain, table }: SimulatedDaemon): void {
+  #report ({ id, domain, table, gate }: SimulatedDaemon): void {
     if (this.memory) return this.memory.report(id, table)
     const delayMs = ONE_WAY_DELAY_MS + (domain.startsWith('s') ? REGION_DELAY_MS : 0)
-    const work = table.ownWork.map(([endpoint, load]) => [endpoint, structuredClone(load)] as const)
+    const work = [...table.ownWork, ...gate?.reports ?? []].map(([endpoint, load]) => [endpoint, structuredClone(load)] as const)
     setTimeout(() => {
       this.#loadAggregator.report(id, work, steadyNow())
       const others = this.#loadAggregator.loadsOfOthers(id, steadyNow())
-      setTimeout(() => table.applyOthersWork(others), delayMs)
+      setTimeout(() => {
+        table.applyOthersWork(others)
+        gate?.applyOthersWork(others)
+      }, delayMs)
     }, delayMs)
   }
 
@@ -199,15 +209,44 @@
     setTimeout(() => {
       this.#handleArrival(cls)
       this.#scheduleArrival(cls)
-    }, -Math.log(1 - this.#random()) * 1000 / cls.perS)
+    }, this.#gapMs(cls))
+  }
+
+  /** Schedules arrivals of which several may share a millisecond, the resolution of the fake clock. */
+  #scheduleArrivals (cls: SimulatedClass, atMs: number): void {
+    setTimeout(() => {
+      let nextMs = atMs
+      for (; nextMs <= steadyNow(); nextMs += this.#gapMs(cls)) this.#handleArrival(cls)
+      this.#scheduleArrivals(cls, nextMs)
+    }, Math.ceil(atMs - steadyNow()))
+  }
+
+  #gapMs (cls: SimulatedClass): number {
+    const times = this.#options.callers?.timesAt?.(steadyNow()) ?? 1
+    return -Math.log(1 - this.#random()) * 1000 / (cls.perS * times)
   }
 
   #handleArrival (cls: SimulatedClass): void {
-    const counted = steadyNow() >= this.#options.warmupMs && steadyNow() < this.#options.spanMs - cls.deadlineMs
-    const figures = counted ? this.figures.get(cls.name)! : undefined
-    if (figures) figures.asked++
+    const counted = steadyNow() >= this.#options.warmupMs && steadyNow() < (this.#options.countUntilMs ?? this.#options.spanMs - cls.deadlineMs)
+    const [from, to] = this.#options.callers?.outageMs ?? [0, 0]
+    const delayMs = steadyNow() >= from && steadyNow() < to ? to - steadyNow() + this.#random() * RETURN_MS : 0
+    if (delayMs > 0) setTimeout(() => this.#ask(cls, counted), delayMs)
+    else this.#ask(cls, counted)
+  }
+
+  #ask (cls: SimulatedClass, counted: boolean): void {
     const daemon = this.#drawDaemon()
-    this.#place(daemon, { cls, figures, atMs: steadyNow(), demand: this.#demand(cls), attempts: 0, avoid: [] })
+    const demand = this.#demand(cls)
+    const req: SimulatedRequest = { cls, figures: counted ? this.figures.get(cls.name)! : undefined, account: this.#drawAccount(), atMs: steadyNow(), demand, attempts: 0, avoid: [] }
+    recordAsked(req)
+    this.#place(daemon, req)
+  }
+
+  #drawAccount (): AccountId {
+    const shares = this.#options.callers?.accounts
+    if (!shares) return as('account')
+    let left = this.#random() * shares.reduce((sum, share) => sum + share, 0)
+    return as(`account-${shares.findIndex((share) => (left -= share) < 0)}`)
   }
 
   #demand (cls: SimulatedClass): Demand {
@@ -222,17 +261,17 @@
   #place (daemon: SimulatedDaemon, req: SimulatedRequest): void {
     const { cls, atMs, demand, avoid } = req
     const placement: Placement = {
-      account: as('account'),
+      account: req.account,
       cls: workClassOf(cls),
       pool: POOL,
       demand,
       doneTokens: 0,
-      acceptedAtMs: atMs,
+      acceptedAtMs: req.againAtMs ?? atMs,
       deadlineAtMs: atMs + cls.deadlineMs,
       resumed: false,
       avoid,
       placed: ({ id }, route) => this.#send(daemon, req, { endpoint: id, route }),
-      refused: () => { if (req.figures) req.figures.refusedByDaemon++ },
+      refused: (_reason, retryAfterMs) => this.#handleRefusal(daemon, req, retryAfterMs),
       waits: () => {}
     }
     daemon.dispatcher.place(placement)
@@ -250,7 +289,8 @@
     const afterDelay = (act: () => void) => setTimeout(act, delayMs)
     setTimeout(() => {
       this.#countRedundantPrefill(req, endpoint)
-      const taken = this.#engines.get(endpoint)!.trySubmit({
+      const taken = this.#listed.has(endpoint) && this.#engines.get(endpoint)!.trySubmit({
+        isWanted: () => !this.#options.callers || steadyNow() < req.atMs + req.cls.deadlineMs,
         lane: route.lane,
         heldTokens,
         onLost: () => afterDelay(() => this.#handleRejection(daemon, req, { endpoint, charge })),
@@ -271,6 +311,25 @@
     }, delayMs)
   }
 
+  /** Counts a refusal, and comes back once if the time given for it is within the deadline. */
+  #handleRefusal (daemon: SimulatedDaemon, req: SimulatedRequest, retryAfterMs: number): void {
+    const { cls, atMs, figures } = req
+    recordRefusal(req, { withRoom: this.#hasRoom() })
+    const comesBack = this.#options.callers && req.againAtMs === undefined && steadyNow() + retryAfterMs < atMs + cls.deadlineMs
+    if (!comesBack) {
+      if (figures) figures.refusedByDaemon++
+      return
+    }
+    const againAtMs = steadyNow() + retryAfterMs
+    setTimeout(() => this.#place(daemon, { ...req, againAtMs }), retryAfterMs)
+  }
+
+  /** True if an engine of the pool has half of its slots free and nothing to prefill. */
+  #hasRoom (): boolean {
+    const { slots } = this.#options.engine
+    return [...this.#engines].some(([id, engine]) => this.#listed.has(id) && engine.open < slots / 2 && engine.unreadTokens === 0)
+  }
+
   #countRedundantPrefill ({ demand, figures }: SimulatedRequest, endpoint: EndpointId): void {
     if (!figures) return
     for (const { key, tokens } of demand.parts.slice(0, -1)) {
@@ -287,17 +346,11 @@
   }
 }
 
-interface SimulatedRequest { cls: SimulatedClass, figures: ClassResults | undefined, atMs: number, demand: Demand, attempts: number, avoid: readonly EndpointId[] }
-
+/** Time within which all callers come back after an outage, in milliseconds. */
+const RETURN_MS = 200
 const PIECE_TOKENS = 9
 const PIECES_SIGMA = 0.4
 
-function countFirstToken ({ cls, figures, atMs }: SimulatedRequest): void {
-  if (!figures) return
-  if (steadyNow() - atMs <= cls.firstTokenMs) figures.inTime++
-  else figures.late++
-}
-
 function workClassOf ({ name, urgent, maxAttempts, firstTokenMs, deadlineMs }: SimulatedClass): WorkClass {
   return {
     name: as<ClassName>(name),
--- a/bench/registry.ts
+++ b/bench/registry.ts
@@ -16,9 +16,10 @@
 import { regionsBench } from './regions.ts'
 import { rolloutBench } from './rollout.ts'
 import { routeBench } from './route.ts'
+import { scarcityBench } from './scarcity.ts'
 import { schedulesBench } from './schedules.ts'
 import { storeBench } from './store.ts'
 import { waveBench } from './wave.ts'
 
 /** All benchmarks, in the order in which they are listed. */
-export const BENCHES: readonly Bench[] = [costBench, endpointLimitsBench, engineMemoryBench, limitsBench, membershipBench, movesBench, onceBench, overheadBench, placingBench, processorBench, quarantineBench, reclaimBench, regionLinkBench, regionsBench, rolloutBench, routeBench, schedulesBench, storeBench, waveBench]
+export const BENCHES: readonly Bench[] = [costBench, endpointLimitsBench, engineMemoryBench, limitsBench, membershipBench, movesBench, onceBench, overheadBench, placingBench, processorBench, quarantineBench, reclaimBench, regionLinkBench, regionsBench, rolloutBench, routeBench, scarcityBench, schedulesBench, storeBench, waveBench]
--- a/daemon/exchange/_proxy_components.ts
+++ b/daemon/exchange/_proxy_components.ts
@@ -27,6 +27,7 @@
 import { PathWatch } from '../paths/index.ts'
 import { shareStoreEra } from '../peers/era_sharing.ts'
 import { LeaseAnnouncer } from '../peers/lease_announcer.ts'
+import { RoomGate } from '../request/room_gate.ts'
 import { LoadTask } from '../peers/load_task.ts'
 import { MembershipTask } from '../peers/membership_task.ts'
 import { PeerLinks } from '../peers/peer_links.ts'
@@ -92,6 +93,7 @@
   quarantine: QuarantineTask
   archive: QuarantineArchive
   loads: LoadTask
+  roomGate: RoomGate
   paths: PathWatch
   delegateFinder: DelegateFinder
   delegatedRuns: DelegatedRuns
@@ -191,11 +193,12 @@
     endpointLimits: asFunction(({ metrics, table, limits }: ProxyComponents) => new EndpointLimits({ metrics, farKeeperMs: () => limits.farKeeperMs, isListed: (id) => table.get(id) !== undefined, listed: () => table.all })).singleton(),
     endpointLimitTask: asFunction(({ self, membership, endpointLimits, limits, dispatcher }: ProxyComponents) => new EndpointLimitTask({ self, membership, limits: endpointLimits, accounts: limits, queued: (pool) => dispatcher.queuedByUrgency(pool) })).singleton(),
     signals: asFunction(({ table, endpointLimits, metrics, random }: ProxyComponents) => new EndpointSignalRecorder({ table, limits: endpointLimits, metrics, random })).singleton(),
-    loads: asFunction(({ self, membership, table, limits, endpointLimitTask, engineMemory }: ProxyComponents) => new LoadTask({
+    loads: asFunction(({ self, membership, table, limits, endpointLimitTask, engineMemory, roomGate }: ProxyComponents) => new LoadTask({
       self,
       membership,
       table,
       limits,
+      pools: roomGate,
       memory: engineMemory?.task,
       onReport: (from, loads) => {
         endpointLimitTask.sendLimits(from)
@@ -234,7 +237,8 @@
       completeSinceMs: () => cradle.registry.completeSinceMs
     })).singleton(),
     regionLink: asFunction(({ topology, membership, metrics, random }: ProxyComponents) => new RegionLinkTask({ topology, membership, metrics, random })).singleton(),
-    dispatcher: asFunction(({ table, random, topology, regionLink, fleet, rollouts, endpointLimits, engineMemory, paths, delegateFinder }: ProxyComponents) => createSharedDispatcher({
+    roomGate: asFunction(({ table, random, topology, regionLink }: ProxyComponents) => new RoomGate({ table, random, topology, crossing: regionLink })).singleton(),
+    dispatcher: asFunction(({ table, random, topology, regionLink, fleet, rollouts, endpointLimits, engineMemory, paths, delegateFinder, roomGate }: ProxyComponents) => createSharedDispatcher({
       table,
       hash,
       random,
@@ -244,6 +248,7 @@
       canaries: rollouts?.gate,
       limits: endpointLimits,
       memory: engineMemory?.memory,
+      gate: roomGate,
       ways: { canSend: (view, work) => paths.canSend(view, work), wayFor: (req) => delegateFinder.wayFor(req) }
     })).singleton(),
     budgetOf: asFunction(retryBudgets).singleton(),
--- a/daemon/peers/load_task.ts
+++ b/daemon/peers/load_task.ts
@@ -14,6 +14,8 @@
   table: EndpointTable
   /** Selects the keeper: the daemon that counts quotas also aggregates load. */
   limits: Pick<AccountLimits, 'keeper' | 'onVote'>
+  /** Adds what is reported of whole pools, as entries among those of the endpoints. Default: nothing. */
+  pools?: { readonly reports: readonly EndpointWork[], applyOthersWork (loads: readonly EndpointWork[]): void }
   /** Called at the keeper with each report, after the reply. */
   onReport (from: DaemonId, loads: readonly EndpointWork[]): void
   /** Takes part in the reports for the memory of endpoints. Default: it is not bounded. */
@@ -83,9 +85,9 @@
   get #intervalMs (): number { return reportIntervalMs(this.#options.membership.reachable.length) }
 
   #report (): void {
-    const { self, membership, table, limits, memory, onReport } = this.#options
+    const { self, membership, table, limits, memory, pools, onReport } = this.#options
     const now = steadyNow()
-    const work = memory?.withGrants(table.ownWork) ?? table.ownWork
+    const work = [...memory?.withGrants(table.ownWork) ?? table.ownWork, ...pools?.reports ?? []]
     const keeper = limits.keeper
     if (keeper === undefined) {
       this.#board.report(self, work, now)
@@ -94,7 +96,7 @@
       memory.beforeReport()
       return onReport(self, work)
     }
-    if (now - this.#othersReceivedAtMs > OTHERS_WORK_TTL_MS) table.applyOthersWork([])
+    if (now - this.#othersReceivedAtMs > OTHERS_WORK_TTL_MS) this.#setOthersWork([])
     if (work.length === 0 && !this.#lastReportHadWork && now - this.#lastReportAtMs < IDLE_REPORT_INTERVAL_MS) return
     this.#lastReportAtMs = now
     this.#lastReportHadWork = work.length > 0
@@ -111,8 +113,13 @@
   #applyOthersWork (loads: readonly EndpointWork[], from: DaemonId | undefined): void {
     const now = steadyNow()
     this.#othersReceivedAtMs = now
-    this.#options.table.applyOthersWork(loads)
+    this.#setOthersWork(loads)
     const sentAtMs = from === this.#unanswered.keeper ? this.#unanswered.sentAtMs.shift() ?? now : now
     this.#options.memory?.applyOthers(loads, { from, visibleAfterMs: 2 * (this.#intervalMs + now - sentAtMs) })
   }
+
+  #setOthersWork (loads: readonly EndpointWork[]): void {
+    this.#options.table.applyOthersWork(loads)
+    this.#options.pools?.applyOthersWork(loads)
+  }
 }
--- a/daemon/request/_route_query.ts
+++ b/daemon/request/_route_query.ts
@@ -1,7 +1,7 @@
-/** What the router needs to know of a placement. */
+/** What the router and the region link need to know of a placement. */
 import { isStartOf, type EndpointId } from '../../core/ids/index.ts'
 import type { EndpointView, RouteQuery } from '../../core/routing/index.ts'
-import type { Placement } from './placement.ts'
+import type { CrossingRequest, Placement } from './placement.ts'
 
 /** Returns the query of a placement, without the endpoints to avoid. */
 export function routeQuery (placement: Placement, { now, cached }: { now: number, cached: ReadonlyMap<EndpointId, number> }): Omit<RouteQuery, 'avoid'> {
@@ -15,6 +15,11 @@
   }
 }
 
+/** Returns what decides whether a placement may be sent to another region. */
+export function crossingRequest ({ bytes = 0, cls }: Placement): CrossingRequest {
+  return { bytes, urgent: cls.urgent, repeatable: cls.idempotent }
+}
+
 /** Returns the number of tokens that the request is expected to produce yet. */
 export function remainingTokens ({ demand, doneTokens }: Placement): number {
   return Math.max(0, demand.expectedTokens - doneTokens)
--- a/daemon/request/dispatcher.ts
+++ b/daemon/request/dispatcher.ts
@@ -1,16 +1,18 @@
 /** Assigns requests to endpoints and queues those that no endpoint has room for. */
 import { FairQueue, type QueuedRequest, type RequestQueue } from '../../core/admission/index.ts'
 import type { EndpointId, PoolName } from '../../core/ids/index.ts'
-import { backsOff, runningNow, type EndpointView, type PrefixIndex, type Random, type RegionalRoute, type Route, type RouteQuery, type Router } from '../../core/routing/index.ts'
+import { backsOff, type EndpointView, type PrefixIndex, type Random, type RegionalRoute, type Route, type RouteQuery, type Router } from '../../core/routing/index.ts'
 import { maxHeldTokens, type PromptPart } from '../../core/work/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import { remainingBackOffMs } from '../endpoints/_work_pauses.ts'
 import type { EndpointSelection } from '../endpoints/_endpoint_selections.ts'
 import type { EndpointTable } from '../endpoints/endpoint_table.ts'
 import { Candidates, type CandidateSet } from './_candidates.ts'
-import { endpointsToAvoid, failedEndpoints, remainingTokens, routeQuery } from './_route_query.ts'
+import { endpointsToAvoid, failedEndpoints, routeQuery } from './_route_query.ts'
+import { findEntry, hasRoom, latestStartMs, totalTokens, type PoolState } from './_waiting.ts'
 import type { CanaryGate, EndpointLimiter, EndpointMemory, Placement, RequestWay, RequestWays } from './placement.ts'
 import type { RegionRouting } from './region_routing.ts'
+import type { RoomGate } from './room_gate.ts'
 import { StartRate } from './_start_rate.ts'
 
 /** Options of {@linkcode Dispatcher}. */
@@ -28,6 +30,8 @@
   memory?: EndpointMemory
   /** Finds other ways for requests to endpoints that this daemon cannot reach. Default: all endpoints can be reached. */
   ways?: RequestWays
+  /** Refuses requests while there is too little room for all. Default: none is refused for the prompts that wait at the endpoints. */
+  gate?: RoomGate
   /** Selects between regions. Default: there is one. */
   regions?: RegionRouting
   /** Spreads the times at which refused callers return. Default: they are not spread. */
@@ -36,15 +40,6 @@
   queue?: () => RequestQueue<Placement>
 }
 
-/**
- * Urgent requests that may queue at an endpoint in excess of its batch slots.
- *
- * The endpoint gives them the next free slot ahead of all other requests. If they were queued here instead, every daemon would send its own at the moment the news
- * of the free slot arrives. Endpoints can queue a few requests more than they have slots.
- */
-const MAX_URGENT_WAITING = 12
-/** Longest time that a new request may be queued, as a multiple of its first-token target. See docs/design/limits.md. */
-const MAX_WAIT_IN_TARGETS = 1
 const MIN_RETRY_AFTER_MS = 500
 /** Longest time by which callers return after the end of a back-off, in milliseconds. Urgent requests return first. */
 const RETURN_SPREAD_MS = 500
@@ -55,6 +50,8 @@
 const CUT_OFF_RETRY_AFTER_MS = 1000
 /** Reason for refusing a request of a pool of which no endpoint can be reached. */
 export const CUT_OFF_REASON = 'no endpoint of the pool can be reached'
+/** Reason for refusing a request that no endpoint can begin in time. */
+export const NO_ROOM_REASON = 'no room in time'
 /** Reason for refusing a request while all endpoints that could take it have asked for time. */
 export const BACK_OFF_REASON = 'all endpoints asked for time'
 /** Reason for refusing a request that no endpoint of its pool could run. */
@@ -73,8 +70,6 @@
 interface StartOptions extends Permission { now: number, pool: PoolState | undefined, onlyCrossing?: boolean }
 /** `divert` is called with the endpoint that is not used because of its limit. */
 interface LimitedPick { candidates: readonly EndpointView[], now: number, mayAsk: boolean, router?: Router | undefined, divert (view: EndpointView): void }
-/** `ownRate`: of starts in the own region. */
-interface PoolState { name: PoolName, queue: RequestQueue<Placement>, rate: StartRate, ownRate: StartRate }
 
 /** Routes placements to endpoints, with one queue per pool, and one per version for streams that continue: nothing else waits behind them. */
 export class Dispatcher {
@@ -116,7 +111,7 @@
     const pool = this.#poolState(placement)
     const way = this.#wayFor(placement)
     if (way.type !== 'direct') return this.#placeElsewhere(placement, way, pool)
-    if (this.#refuseIfVersionGone(placement)) return
+    if (this.#refuseIfVersionGone(placement) || this.#refuseForWantOfRoom(placement)) return
     if (pool.queue.length === 0 && (this.#start(placement, pool, { mayAsk: true }) || this.#asking.has(placement))) return
     if (pool.queue.length > 0 && this.#startElsewhere(placement, pool)) return
     this.#queueOrRefuse(placement, pool)
@@ -147,6 +142,21 @@
     return true
   }
 
+  #refuseForWantOfRoom (placement: Placement): boolean {
+    const verdict = this.#options.gate?.judge(placement, () => this.#uncachedTokens(placement))
+    if (verdict?.type !== 'refuse') return false
+    const { waitMs, allowedMs, retryAfterMs } = verdict
+    placement.noRoom?.({ waitMs, allowedMs, retryAfterMs })
+    placement.refused(NO_ROOM_REASON, retryAfterMs)
+    return true
+  }
+
+  /** Returns the prompt tokens that are not cached at the endpoint that has most of them. */
+  #uncachedTokens (placement: Placement): number {
+    const { cached } = this.#candidates.find(placement, this.#endpointsFor(placement), steadyNow())
+    return Math.max(0, placement.demand.promptTokens - Math.max(0, ...cached.values()))
+  }
+
   #endpointsFor ({ pool, boundTo }: Placement): EndpointSelection {
     return this.#options.table.select(pool, boundTo)
   }
@@ -179,7 +189,7 @@
 
   #refuse (placement: Placement, { waitMs, backOffMs }: { waitMs: number, backOffMs: number }): void {
     const spreadMs = backOffMs > 0 ? this.#returnSpreadMs(placement) : 0
-    placement.refused(backOffMs > 0 ? BACK_OFF_REASON : 'no room in time', Math.max(MIN_RETRY_AFTER_MS, waitMs) + spreadMs)
+    placement.refused(backOffMs > 0 ? BACK_OFF_REASON : NO_ROOM_REASON, Math.max(MIN_RETRY_AFTER_MS, waitMs) + spreadMs)
   }
 
   /** Returns the wait for a permit if all endpoints of the pool have a limit; 0 otherwise. */
@@ -226,7 +236,20 @@
 
   #start (placement: Placement, pool: PoolState, permission: Permission): boolean {
     const now = steadyNow()
-    return this.#startCanary(placement, now) || this.#startAt(placement, this.#candidates.find(placement, this.#endpointsFor(placement), now), { pool, now, ...permission })
+    if (this.#startCanary(placement, now)) return true
+    const set = this.#candidates.find(placement, this.#endpointsFor(placement), now)
+    return this.#startAt(placement, set, { pool, now, ...permission }) || this.#startAtOthers(placement, pool, set)
+  }
+
+  /**
+   * Starts a request at an endpoint that this daemon is not connected to, if none of its own has room: a new connection costs less than a refusal. With several regions, those of the own one
+   * are tried; all that the request may use of others have been.
+   */
+  #startAtOthers (placement: Placement, pool: PoolState, { candidates, cached, regional }: CandidateSet): boolean {
+    if (this.#asking.has(placement)) return false
+    const usable = regional?.own ?? this.#endpointsFor(placement).usable
+    const others = usable.filter((view) => !candidates.includes(view))
+    return others.length > 0 && this.#startAt(placement, { candidates: others, cached }, { pool, now: steadyNow(), mayAsk: false })
   }
 
   /** Sends a request to a canary endpoint, of this region if it has one. Requests that an earlier attempt was made for are excluded. */
@@ -371,29 +394,3 @@
   limits.diverted()
   placement.diverted?.(preferred, limits.perS(preferred))
 }
-
-function hasRoom (view: EndpointView, urgent: boolean): boolean {
-  return runningNow(view) < view.speed.batchSlots + (urgent ? MAX_URGENT_WAITING : 0)
-}
-
-/**
- * Returns the time until which a request may be queued, in milliseconds on the steady clock.
- *
- * A new request waits only while it can still meet its first-token target. Queueing up to the deadline would not answer more requests and would
- * make all of them late.
- */
-function latestStartMs (placement: Placement): number {
-  const { latency } = placement.cls
-  const runMs = latency.betweenTokensMs === undefined ? 0 : remainingTokens(placement) * latency.betweenTokensMs / 2
-  const byDeadline = placement.deadlineAtMs - Math.min(runMs, latency.deadlineMs / 2)
-  if (placement.resumed) return byDeadline
-  return Math.min(byDeadline, placement.acceptedAtMs + latency.firstTokenMs * MAX_WAIT_IN_TARGETS)
-}
-
-function totalTokens (placement: Placement): number {
-  return placement.demand.promptTokens + placement.doneTokens + remainingTokens(placement)
-}
-
-function findEntry (queue: RequestQueue<Placement>, placement: Placement): QueuedRequest<Placement> | undefined {
-  return queue.find((entry) => entry.item === placement)
-}
--- a/daemon/request/region_routing.ts
+++ b/daemon/request/region_routing.ts
@@ -3,7 +3,7 @@
 import { availableAtMs, isFull, meanLoad, preferOwnRegion, spillShare, type CrossingReason, type EndpointView, type Random, type RegionalRoute, type Route, type RouteQuery, type Router } from '../../core/routing/index.ts'
 import type { Topology } from '../../core/topology/index.ts'
 import type { RegionalCandidates } from './_candidates.ts'
-import { endpointsToAvoid } from './_route_query.ts'
+import { crossingRequest, endpointsToAvoid } from './_route_query.ts'
 import type { Placement, RegionCrossing } from './placement.ts'
 
 /** Options of {@linkcode RegionRouting}. */
@@ -48,8 +48,8 @@
   }
 
   /** True if a request may be sent to another region now. */
-  mayCross ({ bytes = 0, cls }: Placement): boolean {
-    return this.#options.crossing?.mayCross({ bytes, urgent: cls.urgent, repeatable: cls.idempotent }) ?? true
+  mayCross (placement: Placement): boolean {
+    return this.#options.crossing?.mayCross(crossingRequest(placement)) ?? true
   }
 
   /** Selects the route of a request; see {@linkcode preferOwnRegion}. */
