--- a/core/topology/topology.ts
+++ b/core/topology/topology.ts
@@ -45,12 +45,15 @@
   readonly #regions: ReadonlyMap<FailureDomain, Region>
   readonly #ownRegion: Region | undefined
   readonly #leastMs = new Map<Region, number>()
+  readonly #regionOrder: readonly Region[]
 
   constructor ({ ownDomain, regions = new Map() }: RegionTopologyOptions) {
     this.ownDomain = ownDomain
     this.#regions = regions
     this.regions = [...new Set(regions.values())].sort()
     this.#ownRegion = regions.get(ownDomain)
+    const domainsIn = (region: Region) => [...regions.values()].filter((other) => other === region).length
+    this.#regionOrder = [...new Set(regions.values())].sort((a, b) => domainsIn(b) - domainsIn(a) || (a < b ? -1 : 1))
   }
 
   get hasRegions (): boolean { return this.regions.length > 1 }
@@ -74,6 +77,15 @@
     }
   }
 
+  /**
+   * Returns the position of a failure domain's region in an order that depends on the settings alone: the region with most failure domains first, then by name.
+   * 0 for all if there is one region.
+   */
+  regionRank (domain: FailureDomain): number {
+    const region = this.#regions.get(domain)
+    return region === undefined ? 0 : this.#regionOrder.indexOf(region)
+  }
+
   /**
    * Records an observed round trip to a failure domain, in milliseconds. Times within the region are ignored, and those too short for another region: something nearer answered, such as a
    * proxy that accepts connections on the way.
