--- a/daemon/request/dispatcher.ts
+++ b/daemon/request/dispatcher.ts
@@ -237,12 +237,13 @@
 
   /**
    * Starts a request at an endpoint that this daemon is not connected to, if none of its own has room: a new connection costs less than a refusal. With several regions, those of the own one
-   * are tried; all that the request may use of others have been.
+   * that have not failed the request are tried; all that it may use of others have been.
    */
   #startAtOthers (placement: Placement, pool: PoolState, { candidates, cached, regional }: CandidateSet): boolean {
     if (this.#asking.has(placement)) return false
     const usable = regional?.own ?? this.#endpointsFor(placement).usable
-    const others = usable.filter((view) => !candidates.includes(view))
+    const tried = regional ? failedEndpoints(placement, usable) : []
+    const others = usable.filter((view) => !candidates.includes(view) && !tried.includes(view.id))
     return others.length > 0 && this.#startAt(placement, { candidates: others, cached }, { pool, now: steadyNow(), mayAsk: false })
   }
 
