Add an account of held bytes with an order of eviction, and a bench of slow readers

Cause: nothing counts what a daemon holds for callers that do not read. Change: core/memory has the account, the window of an answer and the order of eviction; nothing uses them yet. The bench slow-readers runs a daemon as a process beside 200 callers that read nothing, 200 that read 1 KB/s and 40 uploads to endpoints that read slowly.

--- a/bench/registry.ts
+++ b/bench/registry.ts
@@ -12,8 +12,9 @@
 import { routeBench } from './route.ts'
 import { rolloutBench } from './rollout.ts'
 import { schedulesBench } from './schedules.ts'
+import { slowReadersBench } from './slow_readers.ts'
 import { storeBench } from './store.ts'
 import { waveBench } from './wave.ts'
 
 /** All benchmarks, in the order in which they are listed. */
-export const BENCHES: readonly Bench[] = [costBench, endpointLimitsBench, limitsBench, membershipBench, onceBench, overheadBench, placingBench, quarantineBench, reclaimBench, rolloutBench, routeBench, schedulesBench, storeBench, waveBench]
+export const BENCHES: readonly Bench[] = [costBench, endpointLimitsBench, limitsBench, membershipBench, onceBench, overheadBench, placingBench, quarantineBench, reclaimBench, rolloutBench, routeBench, schedulesBench, slowReadersBench, storeBench, waveBench]
--- /dev/null
+++ b/core/memory/index.ts
@@ -0,0 +1,3 @@
+export * from './answer_window.ts'
+export * from './eviction.ts'
+export * from './memory_account.ts'
--- /dev/null
+++ b/core/memory/memory_account.ts
@@ -0,0 +1,118 @@
+/** Account of the bytes that one process holds for others, by what they are for. */
+
+/** What bytes are held for: a body that is being read, one that waits to be sent, one that is being sent, an answer that its caller has not taken, or a connection. */
+export type MemoryKind = 'request-body' | 'queued' | 'sending' | 'answer' | 'connection'
+
+/** All kinds of {@linkcode MemoryKind}. */
+export const MEMORY_KINDS: readonly MemoryKind[] = ['request-body', 'queued', 'sending', 'answer', 'connection']
+
+/** `high` from the high mark on until the sum is below the low mark; `full` while it is at the limit or over. */
+export type MemoryLevel = 'normal' | 'high' | 'full'
+
+/** Options of {@linkcode MemoryAccount}. */
+export interface MemoryAccountOptions {
+  /** Bytes that may be held. Default: not bounded. */
+  limitBytes?: number | undefined
+  /** Called when the level changes. */
+  onLevel?: (level: MemoryLevel, before: MemoryLevel) => void
+}
+
+/** Fraction of the limit from which on entries are ended and bodies wait. */
+const HIGH_MARK = 0.75
+/** Fraction of the limit below which that stops; answers' windows shrink towards it. */
+const LOW_MARK = 0.5
+
+/** Bytes of one owner. It changes them as it takes and gives back memory, and closes the entry at the end. */
+export class MemoryEntry {
+  readonly #change: (kind: MemoryKind, bytes: number) => void
+  #kind: MemoryKind
+  #bytes: number
+  #closed = false
+
+  /** @param change Adds bytes of a kind to the account. */
+  constructor (kind: MemoryKind, bytes: number, change: (kind: MemoryKind, bytes: number) => void) {
+    this.#kind = kind
+    this.#bytes = bytes
+    this.#change = change
+    change(kind, bytes)
+  }
+
+  get kind (): MemoryKind { return this.#kind }
+  get bytes (): number { return this.#bytes }
+
+  /** Sets the number of bytes held; ignored once the entry is closed. */
+  set (bytes: number): void {
+    if (this.#closed || bytes === this.#bytes) return
+    const grown = bytes - this.#bytes
+    this.#bytes = bytes
+    this.#change(this.#kind, grown)
+  }
+
+  /** Counts the bytes as another kind from now on. */
+  move (kind: MemoryKind): void {
+    if (this.#closed || kind === this.#kind) return
+    this.#change(this.#kind, -this.#bytes)
+    this.#kind = kind
+    this.#change(kind, this.#bytes)
+  }
+
+  /** Gives all bytes back; later changes are ignored. */
+  close (): void {
+    this.set(0)
+    this.#closed = true
+  }
+}
+
+/** Sum of all entries, against a limit. */
+export class MemoryAccount {
+  readonly limitBytes: number
+  readonly #held: Record<MemoryKind, number> = { 'request-body': 0, queued: 0, sending: 0, answer: 0, connection: 0 }
+  readonly #onLevel: MemoryAccountOptions['onLevel']
+  #sum = 0
+  #level: MemoryLevel = 'normal'
+  /** Called after bytes were given back. */
+  onRoom: () => void = () => {}
+
+  constructor ({ limitBytes = Infinity, onLevel }: MemoryAccountOptions = {}) {
+    this.limitBytes = limitBytes
+    this.#onLevel = onLevel
+  }
+
+  get heldBytes (): number { return this.#sum }
+  get level (): MemoryLevel { return this.#level }
+  get isBounded (): boolean { return this.limitBytes !== Infinity }
+  get highMarkBytes (): number { return this.limitBytes * HIGH_MARK }
+  get lowMarkBytes (): number { return this.limitBytes * LOW_MARK }
+
+  /** Bytes held of one kind. */
+  bytesOf (kind: MemoryKind): number {
+    return this.#held[kind]
+  }
+
+  /** Returns true if as many more bytes stay within the high mark. */
+  hasRoomFor (bytes: number): boolean {
+    return this.#sum + bytes <= this.highMarkBytes
+  }
+
+  /** Opens an entry. The owner must ask {@linkcode MemoryAccount.hasRoomFor} before it takes what it can do without. */
+  open (kind: MemoryKind, bytes = 0): MemoryEntry {
+    return new MemoryEntry(kind, bytes, this.#change)
+  }
+
+  readonly #change = (kind: MemoryKind, bytes: number): void => {
+    this.#held[kind] += bytes
+    this.#sum += bytes
+    if (!this.isBounded) return
+    const level = this.#levelNow()
+    const before = this.#level
+    this.#level = level
+    if (level !== before) this.#onLevel?.(level, before)
+    if (bytes < 0) this.onRoom()
+  }
+
+  #levelNow (): MemoryLevel {
+    if (this.#sum >= this.limitBytes) return 'full'
+    if (this.#sum >= this.highMarkBytes) return 'high'
+    return this.#level !== 'normal' && this.#sum > this.lowMarkBytes ? 'high' : 'normal'
+  }
+}
--- /dev/null
+++ b/core/memory/memory_account_test.ts
@@ -0,0 +1,88 @@
+import fc from 'fast-check'
+import { expect, test } from 'vitest'
+import { answerWindowBytes, MAX_WINDOW_BYTES, MEMORY_KINDS, MemoryAccount, MIN_WINDOW_BYTES, type MemoryEntry, type MemoryKind, type MemoryLevel } from './index.ts'
+
+const SEED = 62
+const LIMIT_BYTES = 1000
+
+type Step = { type: 'open', kind: MemoryKind, bytes: number } | { type: 'grow' | 'shrink', at: number, bytes: number } | { type: 'move', at: number, kind: MemoryKind } | { type: 'close', at: number }
+
+const kinds = fc.constantFrom(...MEMORY_KINDS)
+const steps: fc.Arbitrary<Step[]> = fc.array(fc.oneof(
+  fc.record({ type: fc.constant('open' as const), kind: kinds, bytes: fc.nat(300) }),
+  fc.record({ type: fc.constantFrom('grow' as const, 'shrink' as const), at: fc.nat(30), bytes: fc.nat(300) }),
+  fc.record({ type: fc.constant('move' as const), at: fc.nat(30), kind: kinds }),
+  fc.record({ type: fc.constant('close' as const), at: fc.nat(30) })
+), { maxLength: 120 })
+
+/** Owners that take nothing for which there is no room. */
+function play (account: MemoryAccount, entries: MemoryEntry[], step: Step): void {
+  if (step.type === 'open') {
+    if (account.hasRoomFor(step.bytes)) entries.push(account.open(step.kind, step.bytes))
+    return
+  }
+  const entry = entries[step.at % Math.max(1, entries.length)]
+  if (!entry) return
+  if (step.type === 'grow') {
+    if (account.hasRoomFor(step.bytes)) entry.set(entry.bytes + step.bytes)
+  } else if (step.type === 'shrink') entry.set(Math.max(0, entry.bytes - step.bytes))
+  else if (step.type === 'move') entry.move(step.kind)
+  else entry.close()
+}
+
+test('the sum is what the entries hold and never over the limit, whatever their owners do in which order', () => {
+  fc.assert(fc.property(steps, (schedule) => {
+    const levels: MemoryLevel[] = ['normal']
+    const account = new MemoryAccount({ limitBytes: LIMIT_BYTES, onLevel: (level, before) => { expect(before).toBe(levels.at(-1)); levels.push(level) } })
+    const entries: MemoryEntry[] = []
+    for (const step of schedule) {
+      play(account, entries, step)
+      const held = (kind?: MemoryKind) => entries.filter((each) => kind === undefined || each.kind === kind).reduce((sum, { bytes }) => sum + bytes, 0)
+      expect(account.heldBytes).toBe(held())
+      for (const kind of MEMORY_KINDS) expect(account.bytesOf(kind)).toBe(held(kind))
+      expect(account.heldBytes).toBeLessThanOrEqual(LIMIT_BYTES)
+      expect(account.level).toBe(levels.at(-1))
+      if (account.heldBytes >= account.highMarkBytes) expect(account.level).not.toBe('normal')
+      if (account.heldBytes <= account.lowMarkBytes) expect(account.level).toBe('normal')
+    }
+    for (const entry of entries) entry.close()
+    expect([account.heldBytes, account.level]).toEqual([0, 'normal'])
+  }), { seed: SEED, numRuns: 500 })
+})
+
+test('an entry that was closed changes nothing any more', () => {
+  const account = new MemoryAccount({ limitBytes: LIMIT_BYTES })
+  const entry = account.open('answer', 400)
+  entry.close()
+  entry.set(300)
+  entry.move('queued')
+  entry.close()
+  expect([account.heldBytes, account.bytesOf('queued')]).toEqual([0, 0])
+})
+
+test('between the marks the level stays what it was', () => {
+  const account = new MemoryAccount({ limitBytes: LIMIT_BYTES })
+  const entry = account.open('answer')
+  const levelAt = (bytes: number) => { entry.set(bytes); return account.level }
+  expect([600, 750, 600, 1000, 600, 500, 600].map(levelAt)).toEqual(['normal', 'high', 'high', 'full', 'high', 'normal', 'normal'])
+})
+
+test('owners hear of room, and an account without a limit has always room', () => {
+  const account = new MemoryAccount({ limitBytes: LIMIT_BYTES })
+  let heard = 0
+  account.onRoom = () => { heard++ }
+  const entry = account.open('queued', 700)
+  expect([account.hasRoomFor(100), heard]).toEqual([false, 0])
+  entry.set(100)
+  expect([account.hasRoomFor(100), heard]).toEqual([true, 1])
+  const unbounded = new MemoryAccount()
+  unbounded.open('answer', 1e12)
+  expect([unbounded.hasRoomFor(1e12), unbounded.level]).toEqual([true, 'normal'])
+})
+
+test('the window shrinks as the account fills, within its bounds', () => {
+  const MB = 2 ** 20
+  const windowAt = (heldBytes: number) => answerWindowBytes({ heldBytes, lowMarkBytes: 20 * MB })
+  expect([0, 10 * MB, 20 * MB, 40 * MB].map(windowAt)).toEqual([20 * MB / 32, 10 * MB / 32, MIN_WINDOW_BYTES, MIN_WINDOW_BYTES])
+  expect(answerWindowBytes(new MemoryAccount())).toBe(MAX_WINDOW_BYTES)
+})
