--- a/bench/slow_readers.ts
+++ b/bench/slow_readers.ts
@@ -13,6 +13,8 @@
 const BYTES_PER_S = 1024
 /** Time between the end of a slow caller's connection and its next request, in milliseconds. */
 const AGAIN_MS = 1000
+/** Time between the starts of two slow callers, in milliseconds. */
+const SPACING_MS = 5
 
 /** `npm run bench -- slow-readers`. */
 export const slowReadersBench: Bench = {
@@ -36,7 +38,7 @@
     const alone = await rig.soundLoad({ seconds, perS: SOUND_PER_S })
     const restMb = rig.memoryMb().peak
     const ends = startSlowCallers(rig)
-    await delay(1000)
+    await delay(3 * CALLERS * SPACING_MS)
     const beside = await rig.soundLoad({ seconds, perS: SOUND_PER_S })
     const { now, peak } = rig.exited ? { now: NaN, peak: NaN } : rig.memoryMb()
     ends.stopped = true
@@ -65,7 +67,8 @@
       setTimeout(() => start(options), AGAIN_MS)
     })
   }
-  for (let i = 0; i < 2 * CALLERS; i++) start({ path: i % BODY_EVERY === 0 ? '/order/1' : '/bulk/1', bytesPerS: i < CALLERS ? 0 : BYTES_PER_S, bodyBytes: i % BODY_EVERY === 0 ? BULK_BYTES : 0 })
-  for (let i = 0; i < UPLOADS; i++) start({ path: '/upload/1', bytesPerS: BYTES_PER_S, bodyBytes: BULK_BYTES })
+  const startAt = (i: number, options: Parameters<SlowReaders['slowCaller']>[0]) => setTimeout(() => start(options), i * SPACING_MS)
+  for (let i = 0; i < 2 * CALLERS; i++) startAt(i, { path: i % BODY_EVERY === 0 ? '/order/1' : '/bulk/1', bytesPerS: i < CALLERS ? 0 : BYTES_PER_S, bodyBytes: i % BODY_EVERY === 0 ? BULK_BYTES : 0 })
+  for (let i = 0; i < UPLOADS; i++) startAt(2 * CALLERS + i, { path: '/upload/1', bytesPerS: BYTES_PER_S, bodyBytes: BULK_BYTES })
   return ends
 }
--- a/core/answer/answer_buffer.ts
+++ b/core/answer/answer_buffer.ts
@@ -38,7 +38,9 @@
 export class AnswerBuffer<P = string> {
   readonly #from: number
   readonly #options: AnswerBufferOptions<P>
-  readonly #pieces: P[] = []
+  #pieces: P[] = []
+  /** Number of pieces that were taken out. */
+  #taken = 0
   readonly #outOfOrder = new Map<number, readonly P[]>()
   #outOfOrderPieces = 0
   #attempt = 0
@@ -51,15 +53,24 @@
 
   /** Position of the first piece. */
   get from (): number { return this.#from }
-  /** Contiguous pieces from position {@linkcode AnswerBuffer.from} on. */
+  /** Contiguous pieces from position {@linkcode AnswerBuffer.from} on, without those that were taken out. */
   get pieces (): readonly P[] { return this.#pieces }
   /** Position after the last contiguous piece. */
-  get length (): number { return this.#from + this.#pieces.length }
+  get length (): number { return this.#from + this.#taken + this.#pieces.length }
   /** Number of the attempt whose chunks are accepted. */
   get attempt (): number { return this.#attempt }
   /** True once the end of the answer is known and every piece before it was received. */
   get whole (): boolean { return this.#total !== undefined && this.#total === this.length }
 
+  /** Takes the contiguous pieces out: their number still counts, and a chunk that overlaps them is a conflict, since they cannot be compared any more. */
+  take (): readonly P[] {
+    const pieces = this.#pieces
+    if (pieces.length === 0) return pieces
+    this.#pieces = []
+    this.#taken += pieces.length
+    return pieces
+  }
+
   /** Accepts only chunks of a later attempt from now on; pieces that were already delivered are kept. */
   replaceAttempt (attempt: number): void {
     if (attempt <= this.#attempt) return
@@ -90,7 +101,8 @@
     const shared = Math.min(overlap, chunk.pieces.length)
     for (let i = 0; i < shared; i++) {
       const index = chunk.offset + i - this.#from
-      if (index >= 0 && !this.#isEqual(this.#pieces[index]!, chunk.pieces[i]!)) return false
+      if (index < 0) continue
+      if (index < this.#taken || !this.#isEqual(this.#pieces[index - this.#taken]!, chunk.pieces[i]!)) return false
     }
     return true
   }
--- a/core/memory/memory_account.ts
+++ b/core/memory/memory_account.ts
@@ -1,12 +1,14 @@
 /** Account of the bytes that one process holds for others, by what they are for. */
 
+import { SMALL_ENTRY_BYTES } from './eviction.ts'
+
 /** What bytes are held for: a body that is being read, one that waits to be sent, one that is being sent, an answer that its caller has not taken, or a connection. */
 export type MemoryKind = 'request-body' | 'queued' | 'sending' | 'answer' | 'connection'
 
 /** All kinds of {@linkcode MemoryKind}. */
 export const MEMORY_KINDS: readonly MemoryKind[] = ['request-body', 'queued', 'sending', 'answer', 'connection']
 
-/** `high` from the high mark on until the sum is below the low mark; `full` while it is at the limit or over. */
+/** `high` from the high mark on until the sum is back at the low mark; `full` from the limit on until it is below the high mark. */
 export type MemoryLevel = 'normal' | 'high' | 'full'
 
 /** Options of {@linkcode MemoryAccount}. */
@@ -89,9 +91,9 @@
     return this.#held[kind]
   }
 
-  /** Returns true if as many more bytes stay within the high mark. */
+  /** Returns true if as many more bytes stay within the high mark, or within the limit if they are few. */
   hasRoomFor (bytes: number): boolean {
-    return this.#sum + bytes <= this.highMarkBytes
+    return this.#sum + bytes <= (bytes < SMALL_ENTRY_BYTES ? this.limitBytes : this.highMarkBytes)
   }
 
   /** Opens an entry. The owner must ask {@linkcode MemoryAccount.hasRoomFor} before it takes what it can do without. */
@@ -112,7 +114,7 @@
 
   #levelNow (): MemoryLevel {
     if (this.#sum >= this.limitBytes) return 'full'
-    if (this.#sum >= this.highMarkBytes) return 'high'
+    if (this.#sum >= this.highMarkBytes) return this.#level === 'full' ? 'full' : 'high'
     return this.#level !== 'normal' && this.#sum > this.lowMarkBytes ? 'high' : 'normal'
   }
 }
--- a/core/memory/memory_account_test.ts
+++ b/core/memory/memory_account_test.ts
@@ -1,16 +1,17 @@
 import fc from 'fast-check'
 import { expect, test } from 'vitest'
-import { answerWindowBytes, MAX_WINDOW_BYTES, MEMORY_KINDS, MemoryAccount, MIN_WINDOW_BYTES, type MemoryEntry, type MemoryKind, type MemoryLevel } from './index.ts'
+import { answerWindowBytes, MAX_WINDOW_BYTES, MEMORY_KINDS, MemoryAccount, MIN_WINDOW_BYTES, SMALL_ENTRY_BYTES, type MemoryEntry, type MemoryKind, type MemoryLevel } from './index.ts'
 
 const SEED = 62
-const LIMIT_BYTES = 1000
+const LIMIT_BYTES = 1000 * SMALL_ENTRY_BYTES
 
 type Step = { type: 'open', kind: MemoryKind, bytes: number } | { type: 'grow' | 'shrink', at: number, bytes: number } | { type: 'move', at: number, kind: MemoryKind } | { type: 'close', at: number }
 
+const sizes = fc.nat(300 * SMALL_ENTRY_BYTES)
 const kinds = fc.constantFrom(...MEMORY_KINDS)
 const steps: fc.Arbitrary<Step[]> = fc.array(fc.oneof(
-  fc.record({ type: fc.constant('open' as const), kind: kinds, bytes: fc.nat(300) }),
-  fc.record({ type: fc.constantFrom('grow' as const, 'shrink' as const), at: fc.nat(30), bytes: fc.nat(300) }),
+  fc.record({ type: fc.constant('open' as const), kind: kinds, bytes: sizes }),
+  fc.record({ type: fc.constantFrom('grow' as const, 'shrink' as const), at: fc.nat(30), bytes: sizes }),
   fc.record({ type: fc.constant('move' as const), at: fc.nat(30), kind: kinds }),
   fc.record({ type: fc.constant('close' as const), at: fc.nat(30) })
 ), { maxLength: 120 })
@@ -52,7 +53,7 @@
 
 test('an entry that was closed changes nothing any more', () => {
   const account = new MemoryAccount({ limitBytes: LIMIT_BYTES })
-  const entry = account.open('answer', 400)
+  const entry = account.open('answer', 400 * SMALL_ENTRY_BYTES)
   entry.close()
   entry.set(300)
   entry.move('queued')
@@ -63,18 +64,19 @@
 test('between the marks the level stays what it was', () => {
   const account = new MemoryAccount({ limitBytes: LIMIT_BYTES })
   const entry = account.open('answer')
-  const levelAt = (bytes: number) => { entry.set(bytes); return account.level }
-  expect([600, 750, 600, 1000, 600, 500, 600].map(levelAt)).toEqual(['normal', 'high', 'high', 'full', 'high', 'normal', 'normal'])
+  const levelAt = (bytes: number) => { entry.set(bytes * SMALL_ENTRY_BYTES); return account.level }
+  expect([600, 750, 600, 1000, 800, 600, 500, 600].map(levelAt)).toEqual(['normal', 'high', 'high', 'full', 'full', 'high', 'normal', 'normal'])
 })
 
-test('owners hear of room, and an account without a limit has always room', () => {
+test('owners hear of room, which small entries find up to the limit, and an account without a limit has always room', () => {
   const account = new MemoryAccount({ limitBytes: LIMIT_BYTES })
   let heard = 0
   account.onRoom = () => { heard++ }
-  const entry = account.open('queued', 700)
-  expect([account.hasRoomFor(100), heard]).toEqual([false, 0])
-  entry.set(100)
-  expect([account.hasRoomFor(100), heard]).toEqual([true, 1])
+  const body = 100 * SMALL_ENTRY_BYTES
+  const entry = account.open('queued', 700 * SMALL_ENTRY_BYTES)
+  expect([account.hasRoomFor(body), account.hasRoomFor(SMALL_ENTRY_BYTES - 1), heard]).toEqual([false, true, 0])
+  entry.set(body)
+  expect([account.hasRoomFor(body), heard]).toEqual([true, 1])
   const unbounded = new MemoryAccount()
   unbounded.open('answer', 1e12)
   expect([unbounded.hasRoomFor(1e12), unbounded.level]).toEqual([true, 'normal'])
--- a/daemon/delegation/_messages.ts
+++ b/daemon/delegation/_messages.ts
@@ -11,6 +11,8 @@
 /** Cancels a run whose caller has left or that is not needed any more. */
 export const CANCEL_TOPIC = 'delegation-cancel'
 
+/** Pauses or resumes the answer of a run. */
+export const FLOW_TOPIC = 'delegation-flow'
 /** Confirms to an origin, at intervals, that its requests still run. */
 export const PROGRESS_TOPIC = 'delegation-progress'
 
@@ -53,5 +55,8 @@
   | { type: 'refused', why: string, retryAfterMs: number }
   | { type: 'failed' | 'lost', why: string, reached: number, answer?: WholeAnswer | undefined }
 
+/** Argument of {@linkcode FLOW_TOPIC}. */
+export interface FlowMessage { run: number, paused: boolean }
+
 /** Argument of {@linkcode CANCEL_TOPIC}. */
 export interface CancelMessage { run: number }
--- a/daemon/delegation/delegate_server.ts
+++ b/daemon/delegation/delegate_server.ts
@@ -12,7 +12,7 @@
 import type { MembershipTask } from '../peers/membership_task.ts'
 import { CUT_OFF_REASON } from '../request/dispatcher.ts'
 import type { RequestTask } from '../request/request_task.ts'
-import { PROGRESS_TOPIC, CANCEL_TOPIC, OFFER_METHOD, RUN_METHOD, type CancelMessage, type OfferQuery, type RunPart, type RunQuery, type RunResult } from './_messages.ts'
+import { PROGRESS_TOPIC, CANCEL_TOPIC, FLOW_TOPIC, OFFER_METHOD, RUN_METHOD, type CancelMessage, type FlowMessage, type OfferQuery, type RunPart, type RunQuery, type RunResult } from './_messages.ts'
 
 /** Options of {@linkcode DelegateServer}. */
 export interface DelegateServerOptions {
@@ -50,6 +50,11 @@
     links.handle(OFFER_METHOD, ({ pool }: OfferQuery, { from }) => this.#offer(pool, from))
     links.handle(RUN_METHOD, (query: RunQuery, { from, part, signal }) => this.#run(query, { from, part, signal }))
     links.onPost(CANCEL_TOPIC, ({ run }: CancelMessage, from) => this.#tasks.get(runKey(from, run))?.post({ type: 'caller-left' }))
+    links.onPost(FLOW_TOPIC, ({ run, paused }: FlowMessage, from) => {
+      const flow = this.#tasks.get(runKey(from, run))?.flow
+      if (paused) flow?.pause()
+      else flow?.resume()
+    })
   }
 
   /** Number of requests of other daemons that run here. */
@@ -153,7 +158,6 @@
   let reached = 0
   return new Promise((resolve) => {
     const onChange = () => {
-      const { pieces } = task.answer
       const message: RunPart = {}
       if (task.started && task.state.sent + 1 > reached && !task.final) message.reached = reached = task.state.sent + 1
       if (!isHeadSent && task.head) {
@@ -161,9 +165,10 @@
         if (task.binding.version?.version !== undefined) message.version = task.binding.version.version
         isHeadSent = true
       }
-      if (isHeadSent && pieces.length > sentPieces) {
-        message.chunk = { offset: resumeFrom + sentPieces, pieces: pieces.slice(sentPieces) }
-        sentPieces = pieces.length
+      const pieces = isHeadSent ? task.answer.take() : []
+      if (pieces.length > 0) {
+        message.chunk = { offset: resumeFrom + sentPieces, pieces }
+        sentPieces += pieces.length
       }
       if (Object.keys(message).length > 0) part(message)
       if (!task.final) return
--- a/daemon/delegation/delegated_runs.ts
+++ b/daemon/delegation/delegated_runs.ts
@@ -6,7 +6,7 @@
 import { PeerError } from '../peers/links.ts'
 import type { MembershipTask } from '../peers/membership_task.ts'
 import type { DelegatedSink } from '../request/delegated_run.ts'
-import { PROGRESS_TOPIC, CANCEL_TOPIC, RUN_METHOD, type CancelMessage, type RunPart, type RunQuery, type RunResult } from './_messages.ts'
+import { PROGRESS_TOPIC, CANCEL_TOPIC, FLOW_TOPIC, RUN_METHOD, type CancelMessage, type FlowMessage, type RunPart, type RunQuery, type RunResult } from './_messages.ts'
 import type { DelegateFinder } from './delegate_finder.ts'
 
 /** Options of {@linkcode DelegatedRuns}. */
@@ -105,7 +105,8 @@
       links.call(member, RUN_METHOD, { ...query, run } satisfies RunQuery, { timeoutMs: query.deadlineInMs + REPLY_MARGIN_MS, part: onPart as (value: unknown) => void })
         .then((result) => onResult(result as RunResult), (err: Error) => fail(err instanceof PeerError && err.notSent ? 'delegate-declined' : 'delegate-lost', err.message, { cause: err }))
     } else queueMicrotask(() => fail('delegate-declined', 'it is not known any more'))
-    return { detach: () => { if (close(false)) cancel() } }
+    const setFlow = (paused: boolean) => { if (this.#runs.has(run)) links.post(to, FLOW_TOPIC, { run, paused } satisfies FlowMessage) }
+    return { detach: () => { if (close(false)) cancel() }, pause: () => setFlow(true), resume: () => setFlow(false) }
   }
 
   #check (): void {
--- a/daemon/exchange/_proxy_components.ts
+++ b/daemon/exchange/_proxy_components.ts
@@ -21,6 +21,7 @@
 import { EndpointLimitTask } from '../limits/endpoint_limit_task.ts'
 import { CpuTimeLog } from '../log/index.ts'
 import { createMetrics, type Metrics } from '../metrics.ts'
+import { MemoryGuard } from '../memory/index.ts'
 import { DelegatedRuns, DelegateFinder, DelegateServer } from '../delegation/index.ts'
 import { PathWatch } from '../paths/index.ts'
 import { shareStoreEra } from '../peers/era_sharing.ts'
@@ -67,6 +68,7 @@
   hash64: Hash64
   random: Random
   metrics: Metrics
+  memory: MemoryGuard
   topology: RegionTopology
   links: PeerLinks
   membership: MembershipTask
@@ -134,6 +136,7 @@
     hash64: asValue(hash64),
     random: asFunction(({ self }: ProxyComponents) => seededRandom(hash(self))).singleton(),
     metrics: asFunction(createMetrics).singleton(),
+    memory: asFunction(({ metrics }: ProxyComponents) => new MemoryGuard({ metrics, limitBytes: settings.memoryLimitBytes })).singleton(),
     topology: asFunction(() => new RegionTopology({ ownDomain: settings.failureDomain, regions: settings.regions })).singleton(),
     links: asFunction(({ self, metrics }: ProxyComponents) => new PeerLinks({ self, secret: settings.peerSecret, metrics })).singleton(),
     membership: asFunction(({ self, links, metrics, random }: ProxyComponents) => new MembershipTask({
@@ -164,7 +167,7 @@
     limits: asFunction(({ self, membership, fleet }: ProxyComponents) => new AccountLimits({ self, host: settings.name, tolerance: settings.quota, membership, fleet })).singleton(),
     table: asFunction(({ self }: ProxyComponents) => new EndpointTable({ self, hash })).singleton(),
     registry: asFunction(endpointFollower).singleton(),
-    client: asFunction(({ config, fleet }: ProxyComponents) => new ExchangeClient({ addressOf: endpointAddress, maxConnections: (view) => connectionsTo(view, config, fleet) })).singleton(),
+    client: asFunction(({ config, fleet, memory }: ProxyComponents) => new ExchangeClient({ addressOf: endpointAddress, maxConnections: (view) => connectionsTo(view, config, fleet), onOpen: () => memory.connectionOpened('endpoint'), onClose: () => memory.connectionClosed('endpoint') })).singleton(),
     confirmer: asFunction(({ membership, table, paths }: ProxyComponents) => new CrashConfirmer({ membership, table, paths, hash })).singleton(),
     crashes: asFunction(({ metrics, client, confirmer, paths, table }: ProxyComponents) => new CrashWatch({ metrics, poolSize: (pool) => table.usable(pool).length, dial: (view) => paths.dial(view), confirm: (view) => confirmer.confirm(view), isConnected: (view) => client.isConnected(view) })).singleton(),
     quarantine: asFunction(({ crashes, membership, metrics }: ProxyComponents) => new QuarantineTask({ crashes, membership, metrics })).singleton(),
@@ -214,7 +217,8 @@
       ways: { canSend: (view, work) => paths.canSend(view, work), wayFor: (req) => delegateFinder.wayFor(req) }
     })).singleton(),
     budgetOf: asFunction(retryBudgets).singleton(),
-    intake: asFunction(({ table, dispatcher, metrics, client, crashes, quarantine, hash64, random, limits, endpointLimits, signals, usage, orders, budgetOf, config, rollouts, paths, delegatedRuns, streamVersions, archive }: ProxyComponents) => new Intake({
+    intake: asFunction(({ memory, table, dispatcher, metrics, client, crashes, quarantine, hash64, random, limits, endpointLimits, signals, usage, orders, budgetOf, config, rollouts, paths, delegatedRuns, streamVersions, archive }: ProxyComponents) => new Intake({
+      memory: memory.account,
       table,
       dispatcher,
       metrics,
@@ -241,7 +245,7 @@
       configState: () => ({ revision: config.inForce?.revision ?? 0, revisionAgeMs: config.confirmedAgeMs })
     })).singleton(),
     stalls: asFunction(({ table, paths, intake }: ProxyComponents) => new StallWatch({ table, paths, open: () => intake.open })).singleton(),
-    server: asFunction(({ intake, metrics }: ProxyComponents) => new ExchangeServer({ intake, metrics, dialect: platform.dialect })).singleton(),
+    server: asFunction(({ intake, metrics, memory }: ProxyComponents) => new ExchangeServer({ intake, metrics, guard: memory, dialect: platform.dialect })).singleton(),
     connectionGate: asFunction(({ server, metrics }: ProxyComponents) => new ConnectionGateTask({ server, metrics })).singleton(),
     readiness: asFunction(() => new ReadinessServer()).singleton(),
     monitor: asFunction((components: ProxyComponents) => new MonitorServer({ metrics: components.metrics, quarantine: components.quarantine, status: () => proxyStatus(components) })).singleton(),
@@ -291,7 +295,8 @@
   return components
 }
 
-function proxyStatus ({ self, server, config, dispatcher, table, membership, metrics, quarantine, rollouts }: ProxyComponents): Promise<StatusReport> {
+function proxyStatus ({ self, server, config, dispatcher, table, membership, metrics, memory, quarantine, rollouts }: ProxyComponents): Promise<StatusReport> {
+  memory.report()
   const inForce = config.inForce
   const classes = new Map(inForce?.routes.map(({ cls }) => [cls.name, cls]))
   return buildStatus({ self, open: server.open, revision: inForce?.revision ?? 0, revisionSure: config.sure, classes: [...classes.values()], dispatcher, table, membership, metrics, quarantine, rollouts: rollouts?.follower.records.values() })
--- /dev/null
+++ b/daemon/exchange/body_reader.ts
@@ -0,0 +1,139 @@
+/** Reads the bodies of callers' requests into memory, as far as there is room for them. */
+import type { IncomingMessage } from 'node:http'
+import type { CallerLimits } from '../../core/catalog/index.ts'
+import type { MemoryAccount, MemoryEntry } from '../../core/memory/index.ts'
+import { Refusal } from './refusal.ts'
+
+/** A body that was read. */
+export interface RequestBody {
+  bytes: Buffer
+  /** Counts the bytes until the request needs them no more; undefined if there are none. */
+  entry: MemoryEntry | undefined
+}
+
+/** Options of {@linkcode BodyReader.read}. */
+export interface ReadBodyOptions {
+  limits: CallerLimits
+  /** Milliseconds that the caller waits. Default: as long as needed. */
+  deadlineInMs?: number | undefined
+}
+
+/** A body that waits for room. */
+interface WaitingBody { bytes: number, admit (entry: MemoryEntry): void }
+
+const NO_BYTES = Buffer.alloc(0)
+/** Longest time for which a body waits for room before it is read, in milliseconds; a fraction of its deadline if that is shorter. */
+const MAX_WAIT_MS = 1000
+const WAIT_FRACTION = 1 / 8
+/** `Retry-After` for requests whose bodies have no room, in milliseconds. */
+const RETRY_AFTER_MS = 1000
+/** Room that a body of unknown length asks for at a time, in bytes: what one read may bring. */
+const STEP_BYTES = 64 * 1024
+
+/**
+ * Reads bodies. A body of known length has room for all of it before its first byte is read, so that bodies that were begun can always be finished;
+ * until then its connection is not read.
+ */
+export class BodyReader {
+  readonly #account: MemoryAccount
+  readonly #waiting: WaitingBody[] = []
+
+  constructor (account: MemoryAccount) {
+    this.#account = account
+    account.onRoom = () => this.#admitWaiting()
+  }
+
+  /**
+   * Reads the whole body.
+   * @throws {Refusal} If the body is too large, does not come, or finds no room.
+   */
+  async read (req: IncomingMessage, { limits, deadlineInMs }: ReadBodyOptions): Promise<RequestBody> {
+    const { 'content-length': announced, 'transfer-encoding': encoding } = req.headers
+    if (announced === undefined && encoding === undefined) return { bytes: await readAll(req, { limits, entry: undefined }), entry: undefined }
+    const length = announced === undefined ? undefined : Number(announced)
+    const isBounded = this.#account.isBounded
+    if (isBounded && length !== undefined && length > limits.bodyBytes) throw tooLarge(limits)
+    const room = length ?? STEP_BYTES
+    const entry = isBounded ? await this.#roomFor(req, room, { waitMs: Math.min(MAX_WAIT_MS, (deadlineInMs ?? Infinity) * WAIT_FRACTION) }) : this.#account.open('request-body')
+    try {
+      const bytes = await readAll(req, { limits, entry, length: isBounded ? length : undefined, hasRoom: () => !isBounded || this.#account.hasRoomFor(STEP_BYTES) })
+      entry.set(bytes.length)
+      entry.move('queued')
+      return { bytes, entry }
+    } catch (err) {
+      entry.close()
+      throw err
+    }
+  }
+
+  async #roomFor (req: IncomingMessage, bytes: number, { waitMs }: { waitMs: number }): Promise<MemoryEntry> {
+    if (this.#waiting.length === 0 && this.#account.hasRoomFor(bytes)) return this.#account.open('request-body', bytes)
+    if (this.#account.level === 'full') throw noRoom(bytes)
+    return await new Promise((resolve, reject) => {
+      const settle = (result: () => void) => {
+        clearTimeout(timer)
+        req.off('close', leave)
+        const at = this.#waiting.indexOf(waiting)
+        if (at >= 0) this.#waiting.splice(at, 1)
+        result()
+      }
+      const leave = () => settle(() => reject(new Error('the caller left')))
+      const waiting: WaitingBody = { bytes, admit: (entry) => settle(() => resolve(entry)) }
+      const timer = setTimeout(() => settle(() => reject(noRoom(bytes))), waitMs)
+      req.on('close', leave)
+      this.#waiting.push(waiting)
+    })
+  }
+
+  #admitWaiting (): void {
+    for (let first = this.#waiting[0]; first && this.#account.hasRoomFor(first.bytes); first = this.#waiting[0]) first.admit(this.#account.open('request-body', first.bytes))
+  }
+}
+
+function noRoom (bytes: number): Refusal {
+  return new Refusal(`no room for a body of ${bytes} bytes`, { status: 503, retryAfterMs: RETRY_AFTER_MS })
+}
+
+function tooLarge ({ bodyBytes }: CallerLimits): Refusal {
+  return new Refusal(`the body is over ${bodyBytes} bytes`, { status: 413 })
+}
+
+interface ReadAllOptions {
+  limits: CallerLimits
+  entry: MemoryEntry | undefined
+  /** Known length, for which the entry has room. Default: the entry grows with the body. */
+  length?: number | undefined
+  /** Returns false if a body of unknown length must be refused. Default: it is always read on. */
+  hasRoom?: () => boolean
+}
+
+/** Reads the whole body. The idle timeout keeps a stalled caller from holding its connection and a partial body in memory forever. */
+async function readAll (req: IncomingMessage, { limits, entry, length: known, hasRoom = () => true }: ReadAllOptions): Promise<Buffer> {
+  const parts: Buffer[] = []
+  // Copied at once, so that the body is not held twice when it is whole.
+  const whole = known === undefined ? undefined : Buffer.allocUnsafeSlow(known)
+  let length = 0
+  return await new Promise((resolve, reject) => {
+    const idleTimer = setTimeout(() => reject(new Refusal('the body did not come', { status: 408 })), limits.idleMs)
+    const take = (part: Buffer) => {
+      if (whole) part.copy(whole, length - part.length)
+      else {
+        if (!hasRoom()) return reject(noRoom(length))
+        parts.push(part)
+        entry?.set(length)
+      }
+    }
+    req.on('data', (part: Buffer) => {
+      idleTimer.refresh()
+      length += part.length
+      if (length <= limits.bodyBytes) take(part)
+      else reject(tooLarge(limits))
+    })
+    req.on('end', () => resolve(whole ?? (parts.length === 0 ? NO_BYTES : Buffer.concat(parts))))
+    req.on('error', reject)
+    req.on('close', () => {
+      clearTimeout(idleTimer)
+      reject(new Error('the caller left'))
+    })
+  })
+}
--- a/daemon/exchange/exchange_server.ts
+++ b/daemon/exchange/exchange_server.ts
@@ -6,8 +6,10 @@
 import { steadyNow } from '../../core/time/index.ts'
 import { BadRequestError, type ExchangeDialect } from '../../endpoints/index.ts'
 import { logRequest } from '../log/index.ts'
-import { refuse, writeExchange } from './exchange_writer.ts'
+import { MemoryGuard } from '../memory/index.ts'
 import type { Metrics } from '../metrics.ts'
+import { BodyReader } from './body_reader.ts'
+import { refuse, writeExchange } from './exchange_writer.ts'
 import type { Intake } from './intake.ts'
 import { Refusal } from './refusal.ts'
 
@@ -16,6 +18,8 @@
   intake: Intake
   dialect: ExchangeDialect
   metrics: Metrics
+  /** Counts and bounds what is held for callers. Default: what is held is not bounded. */
+  guard?: MemoryGuard
 }
 
 /** A request's method, target and headers, without its body. */
@@ -35,6 +39,8 @@
 export class ExchangeServer {
   readonly #options: ExchangeServerOptions
   readonly #server: Server
+  readonly #guard: MemoryGuard
+  readonly #bodies: BodyReader
   #limits = DEFAULT_LIMITS
   #draining = false
   #accepting = true
@@ -43,6 +49,8 @@
 
   constructor (options: ExchangeServerOptions) {
     this.#options = options
+    this.#guard = options.guard ?? new MemoryGuard(options)
+    this.#bodies = new BodyReader(this.#guard.account)
     this.#server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, connectionsCheckingInterval: HEADER_TIMEOUT_CHECK_MS }, (req, res) => { this.#serve(req, res) })
     this.limit(DEFAULT_LIMITS)
     const [serve] = this.#server.listeners('connection') as [(socket: Socket) => void]
@@ -108,7 +116,11 @@
       return
     }
     this.connections++
-    if (this.#accepting) return serve(socket)
+    if (this.#accepting) {
+      this.#guard.connectionOpened('caller')
+      socket.once('close', () => this.#guard.connectionClosed('caller'))
+      return serve(socket)
+    }
     this.#options.metrics.connectionsShed.inc()
     socket.on('error', () => { /* the caller may have gone */ })
     socket.resetAndDestroy()
@@ -141,10 +153,11 @@
     try {
       checkHeaders(req, this.#limits.headerBytes)
       facts = this.#options.dialect.readRequest(req)
-      const body = await readBody(req, this.#limits)
-      if (res.destroyed) return
+      const { bytes: body, entry } = await this.#bodies.read(req, { limits: this.#limits, deadlineInMs: facts.deadlineInMs })
+      res.on('close', () => entry?.close())
+      if (res.destroyed) return entry?.close()
       const task = await this.#options.intake.accept({ ...facts, body }, arrivedAtMs)
-      writeExchange(res, task, { closeConnection: () => this.#draining })
+      writeExchange(res, task, { guard: this.#guard, body: entry, closeConnection: () => this.#draining })
       task.post({ type: 'begin' })
     } catch (err) {
       this.#refuse(req, res, { err, facts })
@@ -188,21 +201,3 @@
   const bytes = req.rawHeaders.reduce((sum, part) => sum + part.length + HEADER_SEPARATOR_BYTES, 0)
   if (bytes > limit) throw new Refusal(`the headers are over ${limit} bytes`, { status: 431 })
 }
-
-/** Reads the whole body. The idle timeout keeps a stalled caller from holding its connection and a partial body in memory forever. */
-async function readBody (req: IncomingMessage, limits: CallerLimits): Promise<Buffer> {
-  const parts: Buffer[] = []
-  let length = 0
-  return await new Promise((resolve, reject) => {
-    const idleTimer = setTimeout(() => reject(new Refusal('the body did not come', { status: 408 })), limits.idleMs)
-    req.on('data', (part: Buffer) => {
-      idleTimer.refresh()
-      length += part.length
-      if (length <= limits.bodyBytes) parts.push(part)
-      else reject(new Refusal(`the body is over ${limits.bodyBytes} bytes`, { status: 413 }))
-    })
-    req.on('end', () => resolve(Buffer.concat(parts)))
-    req.on('error', reject)
-    req.on('close', () => clearTimeout(idleTimer))
-  })
-}
--- a/daemon/exchange/exchange_writer.ts
+++ b/daemon/exchange/exchange_writer.ts
@@ -1,8 +1,11 @@
 /** Streams a proxied answer to its caller. */
 import type { ServerResponse } from 'node:http'
 import type { AnswerHead, Header } from '../../core/answer/index.ts'
+import type { MemoryEntry } from '../../core/memory/index.ts'
+import type { MemoryGuard } from '../memory/index.ts'
 import type { FinalResult } from '../request/live_answer.ts'
 import type { RequestTask } from '../request/request_task.ts'
+import { AnswerSender } from './answer_sender.ts'
 
 const BAD_GATEWAY = 502
 const UNAVAILABLE = 503
@@ -19,21 +22,26 @@
 export interface WriteExchangeOptions {
   /** Returns true if the caller's connection is to close after this response. */
   closeConnection (): boolean
+  guard: MemoryGuard
+  /** Counts the request's body, which the task holds until its final result. Default: it is not counted. */
+  body?: MemoryEntry | undefined
 }
 
 /**
- * Writes a task's answer until its final result.
+ * Writes a task's answer until its final result, as fast as its caller takes it. The pieces are taken out of the task's answer.
  *
  * A truncated answer never looks complete: if an answer that has begun fails, its connection is destroyed without the end of the message.
  */
 export function writeExchange (res: ServerResponse, task: RequestTask<Buffer>, options: WriteExchangeOptions): void {
-  let written = 0
+  const { guard, body } = options
+  const sender = new AnswerSender(res, task, guard)
   const follow = () => {
+    if (task.final) body?.close()
+    else body?.move(task.state.phase === 'running' ? 'sending' : 'queued')
     if (res.destroyed) return
-    const pieces = task.answer.pieces
-    if (!res.headersSent && task.head) writeHead(res, task.head, { whole: task.final ? totalBytes(pieces) : undefined, closeConnection: options.closeConnection() })
-    if (res.headersSent) for (; written < pieces.length; written++) res.write(pieces[written])
-    if (task.final) writeEnd(res, task, { final: task.final, closeConnection: options.closeConnection() })
+    if (!res.headersSent && task.head) writeHead(res, task.head, { whole: task.final ? totalBytes(task.answer.pieces) : undefined, closeConnection: options.closeConnection() })
+    if (res.headersSent) for (const piece of task.answer.take()) sender.push(piece)
+    if (task.final) writeEnd(res, task, { final: task.final, sender, closeConnection: options.closeConnection() })
   }
   const stop = task.subscribe(follow)
   res.on('close', stop)
@@ -49,9 +57,9 @@
   send(res, head.status, headers, options.closeConnection)
 }
 
-function writeEnd (res: ServerResponse, task: RequestTask<Buffer>, options: { final: FinalResult, closeConnection: boolean }): void {
+function writeEnd (res: ServerResponse, task: RequestTask<Buffer>, options: { final: FinalResult, sender: AnswerSender, closeConnection: boolean }): void {
   if (options.final.outcome === 'answered') {
-    res.end()
+    options.sender.end()
   } else if (res.headersSent) {
     res.destroy()
   } else if (options.final.outcome === 'unknown' && task.failureAnswer) {
--- a/daemon/exchange/intake.ts
+++ b/daemon/exchange/intake.ts
@@ -2,6 +2,7 @@
 import type { Account, Pool, PoolShare, Route, RouteTable, UrgencyClassifier } from '../../core/catalog/index.ts'
 import { as, type AccountId, type DaemonId, type Fingerprint, type PoolName, type StreamKey } from '../../core/ids/index.ts'
 import { fingerprintOf, type Hash64 } from '../../core/quarantine/index.ts'
+import type { MemoryAccount } from '../../core/memory/index.ts'
 import type { RetryLimiter } from '../../core/retry/index.ts'
 import type { Random } from '../../core/routing/index.ts'
 import { delay, steadyNow } from '../../core/time/index.ts'
@@ -36,6 +37,8 @@
   metrics: Metrics
   client: ExchangeClient
   dialect: ExchangeDialect
+  /** Counts what is buffered of answers. Default: it is not counted. */
+  memory?: MemoryAccount
   /** Checks whether an endpoint is still running after it ended a connection with its answer. Default: it is. */
   checkEnd?: EndCheck
   crashes: CrashWatch
@@ -186,7 +189,7 @@
     const ports: RequestPorts = { table, dispatcher, metrics, budget: this.#options.budgetOf(pool), crashes, quarantine, answers, limits: endpointLimits, signals, paths }
     return {
       work: { id: req.id, account: req.account ?? ANONYMOUS, cls, pool, demand: req.demand ?? NO_TOKENS, claim: undefined, fingerprint: this.#fingerprint(req) },
-      runner: new ExchangeRunner({ req, client, dialect, checkEnd: this.#options.checkEnd }),
+      runner: new ExchangeRunner({ req, client, dialect, memory: this.#options.memory, checkEnd: this.#options.checkEnd }),
       ports,
       from: req.resumeFrom
     }
--- a/daemon/exchange/proxy_daemon.ts
+++ b/daemon/exchange/proxy_daemon.ts
@@ -93,12 +93,13 @@
   }
 
   async #start (): Promise<void> {
-    const { settings, membership, tallies, config, registry, server, readiness, monitor, lease, limits, endpointLimitTask, loads, usage, orders, rollouts, stalls, quarantine, archive, processor, paths, delegateFinder, delegatedRuns, delegateServer, connectionGate } = this.#components
+    const { settings, membership, tallies, config, registry, server, readiness, monitor, lease, limits, endpointLimitTask, loads, usage, orders, rollouts, stalls, quarantine, archive, processor, paths, delegateFinder, delegatedRuns, delegateServer, connectionGate, memory } = this.#components
     const { callers, readiness: check } = settings.listen
     archive.restore()
     await readiness.listen(check, () => this.ready)
     await server.listen(callers.host, callers.port)
     connectionGate.start()
+    memory.start()
     await membership.start()
     config.start()
     registry.start()
@@ -160,8 +161,9 @@
   }
 
   #stopTasks (): void {
-    const { config, registry, limits, endpointLimitTask, signals, loads, tallies, rollouts, stalls, quarantine, archive, processor, paths, delegateFinder, delegatedRuns, delegateServer, connectionGate } = this.#components
+    const { config, registry, limits, endpointLimitTask, signals, loads, tallies, rollouts, stalls, quarantine, archive, processor, paths, delegateFinder, delegatedRuns, delegateServer, connectionGate, memory } = this.#components
     connectionGate.stop()
+    memory.stop()
     paths.stop()
     delegateFinder.stop()
     delegatedRuns.stop()
--- a/daemon/log/events.ts
+++ b/daemon/log/events.ts
@@ -57,6 +57,8 @@
   'export-failed': { endpoint: string, why: string }
   /** This daemon continues a stream of another daemon. */
   'stream-taken-over': { endpoint?: string | undefined, fromPiece: number }
+  /** Broken off: the caller had not taken `bytes` of the answer and had taken nothing for `unreadMs`; `why` is `unread`, or `memory` if that was short. `heldBytes` is what is held for all. */
+  'answer-evicted': { why: string, bytes: number, unreadMs: number, heldBytes: number }
   /** The final result. */
   'request-ended': { outcome: string, why: string, status?: number | undefined, retryAfterMs?: number | undefined, afterMs: number, firstPieceMs?: number | undefined, longestPauseMs?: number | undefined, pieces: number, attempts: number, deadlineMs: number }
 }
@@ -83,6 +85,8 @@
   'store-returned': { era: number, before: number, from: string }
   /** A peer could not relay changes of the store; the next peer, or the store itself, is asked instead. */
   'relay-failed': { peer: string, prefix: string, why: string }
+  /** What is held for callers and endpoints has crossed a mark: `high` ends answers that nobody reads and lets bodies wait, `full` refuses them. */
+  'memory-level': { level: string, before: string, heldBytes: number, limitBytes: number }
   /** New connections of callers are closed unread: they wait `waitMs` until this process accepts them, so that it would answer late what it reads. */
   'connections-refused': { waitMs: number, open: number }
   /** New connections of callers are accepted again. */
@@ -180,7 +184,7 @@
 
 /** Events logged as warnings; the rate limit drops routine events before these. */
 export const WARNING_EVENTS: ReadonlySet<LogEvent> = new Set<LogEvent>([
-  'request-refused', 'request-broke', 'request-held', 'attempt-failed', 'export-failed', 'settings-refused', 'config-refused', 'config-outdated', 'config-not-fetched', 'store-lost', 'store-returned', 'relay-failed',
+  'request-refused', 'request-broke', 'request-held', 'answer-evicted', 'memory-level', 'attempt-failed', 'export-failed', 'settings-refused', 'config-refused', 'config-outdated', 'config-not-fetched', 'store-lost', 'store-returned', 'relay-failed',
   'connections-refused', 'peer-not-linked', 'peer-send-failed', 'peer-message-refused', 'not-registered', 'endpoint-refused', 'endpoint-crashed', 'request-quarantined', 'part-quarantined', 'quarantine-not-stored', 'endpoint-avoided', 'path-down', 'pool-cut-off', 'delegate-failed', 'endpoint-silent', 'endpoint-limit-refused', 'endpoint-signal-refused', 'keeper-silent', 'lease-call-failed',
   'usage-not-reported', 'usage-left-out', 'order-refused', 'rollout-held', 'rollout-refused', 'rollout-not-written', 'fleet-round-cut', 'answers-lost', 'lines-left-out'
 ])
--- /dev/null
+++ b/daemon/memory/index.ts
@@ -0,0 +1,2 @@
+export * from './account_limit.ts'
+export * from './memory_guard.ts'
--- /dev/null
+++ b/daemon/memory/memory_guard.ts
@@ -0,0 +1,128 @@
+/** Keeps what this process holds for callers and endpoints within its memory. */
+import { MEMORY_KINDS, MemoryAccount, selectEvictions, type MemoryEntry } from '../../core/memory/index.ts'
+import { steadyNow } from '../../core/time/index.ts'
+import { log } from '../log/index.ts'
+import type { Metrics } from '../metrics.ts'
+import { accountLimitBytes } from './account_limit.ts'
+
+/** Why an answer was ended: its caller took nothing for a while, or memory was short. */
+export type EvictionReason = 'unread' | 'memory'
+
+/** An answer of which the caller has not taken everything. */
+export interface HeldAnswer {
+  /** Bytes that the caller has not taken. */
+  readonly heldBytes: number
+  /** When the caller last took anything, in milliseconds on the steady clock. */
+  readonly takenAtMs: number
+  /** True while reading from the endpoint pauses. */
+  readonly paused: boolean
+  /** True if the request may be sent again, or its stream resumed. */
+  readonly repeatable: boolean
+  /** Looks at how much the caller has taken since the last call. */
+  observe (now: number): void
+  /** Breaks the answer off; it must not look complete. */
+  evict (why: EvictionReason, now: number): void
+}
+
+/** Options of {@linkcode MemoryGuard}. */
+export interface MemoryGuardOptions {
+  metrics: Metrics
+  /** Memory that the process may use, in bytes. Default: not bounded. */
+  limitBytes?: number | undefined
+}
+
+const CHECK_INTERVAL_MS = 250
+/**
+ * Time for which a paused answer's caller may take nothing, in milliseconds: shorter than endpoints bear an unread answer, whose slot it
+ * blocks. The longer one applies without a memory limit.
+ */
+const MAX_UNREAD_MS = { bounded: 3000, unbounded: 10_000 }
+/** Time without progress from which on an answer may be ended when memory is short, in milliseconds. */
+const EVICTABLE_UNREAD_MS = 1000
+/** Memory of a caller's connection, and of one to an endpoint, in bytes; what the runtime and its streams keep for each. */
+const CONNECTION_BYTES = { caller: 8 * 1024, endpoint: 16 * 1024 }
+
+/** Owns the account, and ends answers that nobody reads. */
+export class MemoryGuard {
+  readonly account: MemoryAccount
+  readonly #metrics: Metrics
+  readonly #answers = new Set<HeldAnswer>()
+  readonly #connections: MemoryEntry
+  #timer: NodeJS.Timeout | undefined
+
+  constructor ({ metrics, limitBytes }: MemoryGuardOptions) {
+    this.#metrics = metrics
+    this.account = new MemoryAccount({
+      limitBytes: limitBytes === undefined ? undefined : accountLimitBytes(limitBytes),
+      onLevel: (level, before) => log('memory-level', { level, before, heldBytes: this.account.heldBytes, limitBytes: this.account.limitBytes })
+    })
+    this.#connections = this.account.open('connection')
+  }
+
+  /** Starts the periodic checks. */
+  start (): void {
+    this.#timer = setInterval(() => this.check(), CHECK_INTERVAL_MS)
+  }
+
+  /** Stops the periodic checks. */
+  stop (): void {
+    clearInterval(this.#timer)
+  }
+
+  /** Counts a connection that was opened. */
+  connectionOpened (side: keyof typeof CONNECTION_BYTES): void {
+    this.#connections.set(this.#connections.bytes + CONNECTION_BYTES[side])
+  }
+
+  /** Counts a connection that was closed. */
+  connectionClosed (side: keyof typeof CONNECTION_BYTES): void {
+    this.#connections.set(this.#connections.bytes - CONNECTION_BYTES[side])
+  }
+
+  /** Checks an answer until it is released. */
+  watch (answer: HeldAnswer): void {
+    this.#answers.add(answer)
+  }
+
+  /** Checks an answer no more. */
+  release (answer: HeldAnswer): void {
+    this.#answers.delete(answer)
+  }
+
+  /** Number of answers that pause. */
+  get paused (): number {
+    let count = 0
+    for (const { paused } of this.#answers) if (paused) count++
+    return count
+  }
+
+  /** Sets the gauges. */
+  report (): void {
+    for (const kind of MEMORY_KINDS) this.#metrics.heldBytes.set({ kind }, this.account.bytesOf(kind))
+    this.#metrics.pausedAnswers.set(this.paused)
+  }
+
+  /** Checks all watched answers once. */
+  check (): void {
+    if (this.#answers.size === 0) return
+    const now = steadyNow()
+    const maxUnreadMs = this.account.isBounded ? MAX_UNREAD_MS.bounded : MAX_UNREAD_MS.unbounded
+    for (const answer of [...this.#answers]) {
+      answer.observe(now)
+      if (answer.paused && now - answer.takenAtMs >= maxUnreadMs) this.#evict(answer, 'unread', now)
+    }
+    if (this.account.level !== 'normal') this.#makeRoom(now)
+  }
+
+  #makeRoom (now: number): void {
+    const candidates = [...this.#answers].map((answer) => ({ type: 'answer' as const, bytes: answer.heldBytes, takenAtMs: answer.takenAtMs, repeatable: answer.repeatable, answer }))
+    const { heldBytes, lowMarkBytes } = this.account
+    for (const { answer } of selectEvictions(candidates, { excessBytes: heldBytes - lowMarkBytes, now, unreadMs: EVICTABLE_UNREAD_MS })) this.#evict(answer, 'memory', now)
+  }
+
+  #evict (answer: HeldAnswer, why: EvictionReason, now: number): void {
+    this.#metrics.evictions.inc({ kind: 'answer', why })
+    this.release(answer)
+    answer.evict(why, now)
+  }
+}
--- a/daemon/request/attempt_tracker.ts
+++ b/daemon/request/attempt_tracker.ts
@@ -59,14 +59,15 @@
     this.#table.recordFirstToken(sent.endpoint, { predictedMs, actualMs: tookMs, unreadTokens })
   }
 
-  /** Records that a piece of the stream arrived. */
-  recordPiece (): void {
+  /** Records that a piece of the stream arrived. A pause that began before `readingSinceMs` is not the endpoint's. */
+  recordPiece (readingSinceMs = -Infinity): void {
     this.read()
     const sent = this.#sent
     if (!sent) return
     this.#table.recordActivity(sent.endpoint)
+    const { lastAtMs } = sent.pieces
     const pauseMs = sent.pieces.record(steadyNow())
-    if (pauseMs !== undefined) this.#table.recordChunkInterval(sent.endpoint, pauseMs)
+    if (pauseMs !== undefined && lastAtMs! >= readingSinceMs) this.#table.recordChunkInterval(sent.endpoint, pauseMs)
   }
 
   /** Records that the endpoint no longer works on the request. */
--- a/daemon/request/request_task.ts
+++ b/daemon/request/request_task.ts
@@ -16,6 +16,7 @@
 import { AttemptTracker } from './attempt_tracker.ts'
 import { DelegatedAttempts } from './_delegated_attempts.ts'
 import type { DelegatedSink, DelegatedSpec } from './delegated_run.ts'
+import { AnswerFlow } from './_answer_flow.ts'
 import { Listeners, type FinalResult } from './live_answer.ts'
 import { RequestDecisions } from './request_decisions.ts'
 import { repeatedKeyResult } from './_claim_outcome.ts'
@@ -54,6 +55,8 @@
   /** The last error response sent by an endpoint. */
   failureAnswer: WholeAnswer | undefined
   final: FinalResult | undefined
+  /** Pauses the answer while its caller does not take it. */
+  readonly flow = new AnswerFlow(() => this.attachment)
   movedAway = false
   /** Set before a migration whose KV cache is already at the target. */
   kvHandle: string | undefined
@@ -292,6 +295,7 @@
 
   #startDelegated (attempt: number): void {
     this.attachment = this.#delegated!.start(attempt)
+    this.flow.started()
     this.listeners.notify()
   }
 
@@ -347,6 +351,7 @@
       deadlineInMs: this.lifecycle.traits.deadlineAtMs - steadyNow(),
       kvHandle
     }, this.sink(view.id, attempt))
+    this.flow.started()
     this.ports.limits?.started(view)
     this.onAttempt()
     this.listeners.notify()
@@ -365,7 +370,7 @@
       onSignals: (signals) => this.ports.signals?.record(endpoint, signals, sentAtMs),
       onHead: (arrived) => { head = arrived },
       onChunk: (offset, pieces) => {
-        if (attempt === this.lifecycle.attempt) this.#tracker.recordPiece()
+        if (attempt === this.lifecycle.attempt) this.#tracker.recordPiece(this.flow.readingSinceMs)
         this.#addChunk({ attempt, offset, pieces }, { head, version: this.#runningVersion })
       },
       onEnd: (total, { endpointSeen = true } = {}) => this.#onAttemptEnd(endpoint, attempt, { total, head, endpointSeen }),
@@ -435,7 +440,7 @@
     if (view && err.point === 'endpoint-error') this.ports.answers?.failed(view, this.work.cls.name)
     if (view) this.#suspectPath(view, err.point)
     // What a failed connection attempt shows is the path's state, which is checked on its own.
-    if (!this.ports.paths || !isConnectFailure(err.point)) table.failed(endpoint, { point: err.point, sentAtMs: this.#tracker.sentAtMs ?? steadyNow() })
+    if ((!this.ports.paths || !isConnectFailure(err.point)) && !this.flow.pausedLately) table.failed(endpoint, { point: err.point, sentAtMs: this.#tracker.sentAtMs ?? steadyNow() })
     this.#recordFailure(endpoint, err, { attempt, repeat: retryGranted ? 'allowed' : repeatable ? 'over-budget' : suspected ? 'suspected' : 'not-allowed' })
   }
 
--- a/daemon/request/stall_watch.ts
+++ b/daemon/request/stall_watch.ts
@@ -11,6 +11,8 @@
   readonly runningAt: EndpointId | undefined
   /** Progress of the current attempt; undefined while none runs. */
   readonly progress: AttemptProgress | undefined
+  /** State of reading the answer; silence before `readingSinceMs` is not the endpoint's. Default: it is always read. */
+  readonly flow?: { readonly readingSinceMs: number }
   /** Abandons the attempt and retries it at another endpoint, if that is allowed. */
   handleStall (): void
 }
@@ -77,7 +79,7 @@
     if (endpoint === undefined || !progress) return
     const lastActiveMs = progress.lastPieceAtMs ?? progress.sentAtMs
     const maxSilenceMs = overdueAtMs(progress, { typicalIntervalMs: table.typicalIntervalMs(endpoint) }) - lastActiveMs
-    const silentSinceMs = Math.max(lastActiveMs, this.#resumedAtMs)
+    const silentSinceMs = Math.max(lastActiveMs, this.#resumedAtMs, request.flow?.readingSinceMs ?? -Infinity)
     if (now < silentSinceMs + maxSilenceMs || this.#isPathInDoubt(endpoint)) return
     if (now - Math.max(table.lastActivityAtMs(endpoint), this.#resumedAtMs) >= maxSilenceMs) {
       table.markSilent(endpoint)
--- a/endpoints/attempt.ts
+++ b/endpoints/attempt.ts
@@ -57,6 +57,10 @@
   detach (): void
   /** False while the connection for the attempt is being opened, so that no byte of it can have reached the endpoint. Default: true. */
   readonly sent?: boolean
+  /** Reads no more of the answer until {@linkcode Attachment.resume}; what has arrived may still be passed on. Default: cannot be paused. */
+  pause? (): void
+  /** Reads on, after this call has returned. */
+  resume? (): void
 }
 
 /** How one attempt begins. */
--- a/endpoints/exchange/connection_pool.ts
+++ b/endpoints/exchange/connection_pool.ts
@@ -9,6 +9,8 @@
   maxConnections: number
   /** Called for each connection that is opened. */
   onOpen?: () => void
+  /** Called for each connection that is closed. */
+  onClose?: () => void
 }
 
 /** Pool that reuses the most recently used connection first, so that the others can reach their idle timeout and close. */
@@ -74,6 +76,7 @@
 
   #remove (connection: Connection): void {
     this.#all.delete(connection)
+    this.#options.onClose?.()
     const index = this.#idle.indexOf(connection)
     if (index >= 0) this.#idle.splice(index, 1)
   }
--- a/endpoints/exchange/exchange.ts
+++ b/endpoints/exchange/exchange.ts
@@ -1,6 +1,7 @@
 /** One request on one connection. Reads the endpoint's answer and reports exactly how it ended. */
 import type { Dispatcher } from 'undici'
 import type { AnswerHead, Header } from '../../core/answer/index.ts'
+import { answerWindowBytes, SMALL_ENTRY_BYTES, type MemoryAccount, type MemoryEntry } from '../../core/memory/index.ts'
 import { AttemptError, type FailurePoint } from '../../core/outcome/index.ts'
 import { attemptError } from '../_attempt_errors.ts'
 import type { Attachment, AttemptEndOptions, AttemptSink } from '../attempt.ts'
@@ -16,6 +17,8 @@
   dialect: ExchangeDialect
   sink: AttemptSink<Buffer>
   connection: Connection
+  /** Counts the bytes that are buffered. Default: they are not counted. */
+  memory?: MemoryAccount | undefined
   /** Number of events that the caller already has. */
   from: number
   /** Returns false if the request must not be sent any more. Called when the connection is open. */
@@ -27,7 +30,7 @@
 }
 
 /**
- * Maximum size of a plain answer that is buffered until it is complete.
+ * Maximum size, in bytes, of a plain answer that is buffered until it is complete.
  *
  * As long as nothing was forwarded, the request of a truncated answer can be retried. Larger answers are forwarded as they arrive to limit
  * memory use.
@@ -52,6 +55,9 @@
   #bufferedBytes = 0
   #offset: number
   #done = false
+  #paused = false
+  /** Opened once the buffered bytes are worth counting. */
+  #entry: MemoryEntry | undefined
 
   constructor (options: ExchangeOptions) {
     this.#options = options
@@ -76,18 +82,35 @@
   /** Closes the connection, which tells the endpoint that nobody waits for the answer any more. */
   detach (): void {
     if (this.#done) return
-    this.#done = true
+    this.#endAttempt()
     this.#options.connection.close()
   }
 
+  pause (): void {
+    this.#paused = true
+    this.#controller?.pause()
+  }
+
+  /** Deferred because the client's parser cannot be resumed from within the callbacks of any connection. */
+  resume (): void {
+    this.#paused = false
+    setImmediate(() => { if (!this.#paused && !this.#done) this.#controller?.resume() })
+  }
+
+  #endAttempt (): void {
+    this.#done = true
+    this.#entry?.close()
+  }
+
   onRequestStart (controller: Dispatcher.DispatchController): void {
     this.#controller = controller
     if (this.#done) controller.abort(new Error('detached'))
     else if (!this.#options.maySend()) this.#withhold(controller)
+    else if (this.#paused) controller.pause()
   }
 
   #withhold (controller: Dispatcher.DispatchController): void {
-    this.#done = true
+    this.#endAttempt()
     controller.abort(new Error('withheld'))
     this.#options.connection.close()
     this.#options.sink.onError(new AttemptError('Cannot send: the endpoint asked for time while the connection was opened', { point: 'withheld' }))
@@ -130,7 +153,7 @@
 
   #finish (end: AttemptEndOptions): void {
     const body = Buffer.concat(this.#chunks)
-    this.#done = true
+    this.#endAttempt()
     // Deferred because the client closes a connection that cannot be reused only after this callback.
     setImmediate(() => this.#options.release())
     if (this.#bodyHandling === 'failure') {
@@ -144,7 +167,7 @@
 
   onResponseError (_controller: Dispatcher.DispatchController, err: Error): void {
     if (this.#done) return
-    this.#done = true
+    this.#endAttempt()
     this.#options.connection.close()
     const sent = this.#controller !== undefined
     const point: FailurePoint | undefined = this.#head ? 'torn-answer' : undefined
@@ -157,18 +180,30 @@
       this.#options.sink.onChunk(offset, [event.bytes])
       this.#offset = offset + 1
     }
+    this.#count(this.#events.pendingBytes)
   }
 
   #buffer (chunk: Buffer): void {
     this.#chunks.push(chunk)
     this.#bufferedBytes += chunk.length
-    if (this.#bufferedBytes <= MAX_BUFFERED_BYTES || this.#bodyHandling !== 'whole') return
+    if (this.#bufferedBytes <= this.#maxBufferedBytes || this.#bodyHandling !== 'whole') return this.#count(this.#bufferedBytes)
     const bytes = Buffer.concat(this.#chunks)
     this.#chunks.length = 0
     this.#bufferedBytes = 0
+    this.#count(0)
     this.#forward(bytes)
   }
 
+  get #maxBufferedBytes (): number {
+    const { memory } = this.#options
+    return memory ? Math.min(MAX_BUFFERED_BYTES, answerWindowBytes(memory)) : MAX_BUFFERED_BYTES
+  }
+
+  #count (bytes: number): void {
+    if (this.#entry) this.#entry.set(bytes)
+    else if (bytes >= SMALL_ENTRY_BYTES) this.#entry = this.#options.memory?.open('answer', bytes)
+  }
+
   #forward (bytes: Buffer): void {
     this.#options.sink.onHead?.(this.#head!)
     if (bytes.length === 0) return
@@ -183,7 +218,7 @@
   }
 
   #fail (point: FailurePoint, reason: string): void {
-    this.#done = true
+    this.#endAttempt()
     this.#options.connection.close()
     this.#options.sink.onError(new AttemptError(`Cannot use answer: ${reason}`, { point }))
   }
--- a/endpoints/exchange/exchange_client.ts
+++ b/endpoints/exchange/exchange_client.ts
@@ -12,6 +12,8 @@
   addressOf?: ((address: string) => string) | undefined
   /** Called for each connection that is opened. */
   onOpen?: (view: EndpointView) => void
+  /** Called for each connection that is closed. */
+  onClose?: () => void
 }
 
 /** Keeps one connection pool for each endpoint. */
@@ -74,7 +76,7 @@
     const maxConnections = this.#options.maxConnections(view)
     let pool = this.#pools.get(view.id)
     if (!pool) {
-      pool = new ConnectionPool({ address: () => this.#options.addressOf?.(view.address) ?? view.address, maxConnections, onOpen: () => this.#options.onOpen?.(view) })
+      pool = new ConnectionPool({ address: () => this.#options.addressOf?.(view.address) ?? view.address, maxConnections, onOpen: () => this.#options.onOpen?.(view), onClose: () => this.#options.onClose?.() })
       this.#pools.set(view.id, pool)
     }
     pool.limit(maxConnections)
--- a/endpoints/exchange/exchange_runner.ts
+++ b/endpoints/exchange/exchange_runner.ts
@@ -1,5 +1,6 @@
 /** Runs the attempts of one proxied request. */
 import { backsOff, type EndpointView } from '../../core/routing/index.ts'
+import type { MemoryAccount } from '../../core/memory/index.ts'
 import { AttemptError } from '../../core/outcome/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import type { Attachment, AttemptRunner, AttemptSink, AttemptSpec, StopReport } from '../attempt.ts'
@@ -16,6 +17,8 @@
   dialect: ExchangeDialect
   /** Checks whether an endpoint is still running after it ended a connection. Default: it is. */
   checkEnd?: EndCheck | undefined
+  /** Counts the bytes that are buffered. Default: they are not counted. */
+  memory?: MemoryAccount | undefined
 }
 
 const NO_ATTACHMENT: Attachment = { detach: () => {} }
@@ -29,7 +32,7 @@
   }
 
   start (view: EndpointView, spec: AttemptSpec<Buffer>, sink: AttemptSink<Buffer>): Attachment {
-    const { req, client, dialect, checkEnd = async () => 'alive' } = this.#options
+    const { req, client, dialect, memory, checkEnd = async () => 'alive' } = this.#options
     const connection = client.acquire(view)
     if (!connection) {
       // Reported asynchronously like every other failure, because the task has not recorded the attempt yet.
@@ -37,7 +40,7 @@
       return NO_ATTACHMENT
     }
     const headers = dialect.attemptHeaders(req, { view, deadlineInMs: spec.deadlineInMs, resumeFrom: spec.from, lane: req.demand && spec.lane })
-    const exchange = new Exchange({ req, dialect, sink, connection, from: spec.from, maySend: () => !backsOff(view, steadyNow()), checkEnd: () => checkEnd(view), release: () => client.release(view, connection) })
+    const exchange = new Exchange({ req, dialect, sink, connection, memory, from: spec.from, maySend: () => !backsOff(view, steadyNow()), checkEnd: () => checkEnd(view), release: () => client.release(view, connection) })
     exchange.send(headers)
     return exchange
   }
