Keep the sum of held bytes when they are passed on, and let small bodies pass large ones that wait

Cause: an entry that moved to another kind left the sum for a moment, so that a waiting body was admitted in its place; a small body waited behind large ones. Change: moving leaves the sum as it is; small bodies are admitted while there is room. Tests of bodies, of pauses in an exchange and through a delegate, of the guard, and of silence during a pause.

--- a/core/answer/answer_buffer_test.ts
+++ b/core/answer/answer_buffer_test.ts
@@ -57,3 +57,17 @@
   expect(buffer.add({ attempt: 1, offset: 9000, pieces: answer(4000) })).toBe('overflow')
   expect(buffer.pieces).toEqual(['a'])
 })
+
+test('pieces that were taken out still count, and a chunk that overlaps them is a conflict', () => {
+  // Guards against answers that are kept whole until their last byte, and against pieces that appear twice since what they repeat was let go.
+  const buffer = new AnswerBuffer({ from: 3 })
+  buffer.replaceAttempt(1)
+  buffer.add({ attempt: 1, offset: 3, pieces: ['a', 'b'] })
+  expect([buffer.take(), buffer.take(), buffer.pieces, buffer.length]).toEqual([['a', 'b'], [], [], 5])
+  expect(buffer.add({ attempt: 1, offset: 4, pieces: ['b', 'c'] })).toBe('conflict')
+  expect(buffer.add({ attempt: 1, offset: 6, pieces: ['d'] })).toBe('held')
+  expect(buffer.add({ attempt: 1, offset: 5, pieces: ['c'] })).toBe('taken')
+  expect([buffer.take(), buffer.length]).toEqual([['c', 'd'], 7])
+  buffer.end(1, 7)
+  expect(buffer.whole).toBe(true)
+})
--- a/core/memory/memory_account.ts
+++ b/core/memory/memory_account.ts
@@ -24,19 +24,26 @@
 /** Fraction of the limit below which that stops; answers' windows shrink towards it. */
 const LOW_MARK = 0.5
 
+/** What an entry tells its account. */
+interface EntrySink {
+  /** Adds bytes of a kind. */
+  change (kind: MemoryKind, bytes: number): void
+  /** Counts bytes as another kind; the sum stays. */
+  move (bytes: number, from: MemoryKind, to: MemoryKind): void
+}
+
 /** Bytes of one owner. It changes them as it takes and gives back memory, and closes the entry at the end. */
 export class MemoryEntry {
-  readonly #change: (kind: MemoryKind, bytes: number) => void
+  readonly #sink: EntrySink
   #kind: MemoryKind
   #bytes: number
   #closed = false
 
-  /** @param change Adds bytes of a kind to the account. */
-  constructor (kind: MemoryKind, bytes: number, change: (kind: MemoryKind, bytes: number) => void) {
+  constructor (kind: MemoryKind, bytes: number, sink: EntrySink) {
     this.#kind = kind
     this.#bytes = bytes
-    this.#change = change
-    change(kind, bytes)
+    this.#sink = sink
+    sink.change(kind, bytes)
   }
 
   get kind (): MemoryKind { return this.#kind }
@@ -47,15 +54,14 @@
     if (this.#closed || bytes === this.#bytes) return
     const grown = bytes - this.#bytes
     this.#bytes = bytes
-    this.#change(this.#kind, grown)
+    this.#sink.change(this.#kind, grown)
   }
 
   /** Counts the bytes as another kind from now on. */
   move (kind: MemoryKind): void {
     if (this.#closed || kind === this.#kind) return
-    this.#change(this.#kind, -this.#bytes)
+    this.#sink.move(this.#bytes, this.#kind, kind)
     this.#kind = kind
-    this.#change(kind, this.#bytes)
   }
 
   /** Gives all bytes back; later changes are ignored. */
@@ -98,10 +104,18 @@
 
   /** Opens an entry. The owner must ask {@linkcode MemoryAccount.hasRoomFor} before it takes what it can do without. */
   open (kind: MemoryKind, bytes = 0): MemoryEntry {
-    return new MemoryEntry(kind, bytes, this.#change)
+    return new MemoryEntry(kind, bytes, this.#sink)
+  }
+
+  readonly #sink: EntrySink = {
+    change: (kind, bytes) => this.#change(kind, bytes),
+    move: (bytes, from, to) => {
+      this.#held[from] -= bytes
+      this.#held[to] += bytes
+    }
   }
 
-  readonly #change = (kind: MemoryKind, bytes: number): void => {
+  #change (kind: MemoryKind, bytes: number): void {
     this.#held[kind] += bytes
     this.#sum += bytes
     if (!this.isBounded) return
--- a/core/memory/memory_account_test.ts
+++ b/core/memory/memory_account_test.ts
@@ -51,6 +51,15 @@
   }), { seed: SEED, numRuns: 500 })
 })
 
+test('bytes that are counted as another kind make no room meanwhile', () => {
+  // Guards against a body that is admitted in the place of one that is only passed on.
+  const account = new MemoryAccount({ limitBytes: LIMIT_BYTES })
+  const entry = account.open('request-body', 700 * SMALL_ENTRY_BYTES)
+  account.onRoom = () => expect.unreachable()
+  entry.move('queued')
+  expect([account.heldBytes, account.bytesOf('request-body'), account.bytesOf('queued')]).toEqual([entry.bytes, 0, entry.bytes])
+})
+
 test('an entry that was closed changes nothing any more', () => {
   const account = new MemoryAccount({ limitBytes: LIMIT_BYTES })
   const entry = account.open('answer', 400 * SMALL_ENTRY_BYTES)
--- a/daemon/delegation/delegate_server_test.ts
+++ b/daemon/delegation/delegate_server_test.ts
@@ -6,7 +6,7 @@
 import { createMetrics } from '../metrics.ts'
 import type { FinalResult } from '../request/live_answer.ts'
 import type { PeerMethod, PostHandler } from '../peers/links.ts'
-import { PROGRESS_TOPIC, CANCEL_TOPIC, OFFER_METHOD, RUN_METHOD, type RunPart, type RunQuery, type RunResult } from './_messages.ts'
+import { PROGRESS_TOPIC, CANCEL_TOPIC, FLOW_TOPIC, OFFER_METHOD, RUN_METHOD, type RunPart, type RunQuery, type RunResult } from './_messages.ts'
 import { DelegateServer, type DelegateServerOptions } from './index.ts'
 
 const POOL = as<PoolName>('desk')
@@ -19,6 +19,8 @@
   readonly received: string[] = []
   readonly state = { sent: 0 }
   readonly started = true
+  readonly binding = { version: undefined }
+  readonly flow = { pause: () => { this.received.push('pause') }, resume: () => { this.received.push('resume') } }
   head: unknown
   final: FinalResult | undefined
   failureAnswer: unknown
@@ -29,6 +31,8 @@
     return () => { this.#listener = () => {} }
   }
 
+  change (): void { this.#listener() }
+
   post ({ type }: RequestMessage): void { this.received.push(type) }
 
   finish (final: Partial<FinalResult>): void {
@@ -101,6 +105,31 @@
   expect(tasks.map(({ received }) => received.at(-1))).toEqual(['caller-left', 'caller-left'])
 })
 
+test('an origin whose caller does not take the answer pauses it', async () => {
+  // Guards against an origin that holds whole answers of runs, since its delegate reads them as fast as it can.
+  run(1)
+  await vi.advanceTimersByTimeAsync(1)
+  const flow = posts.get(FLOW_TOPIC)!
+  for (const paused of [true, false]) flow({ run: 1, paused } as never, ORIGIN)
+  flow({ run: 1, paused: true } as never, as<DaemonId>('second'))
+  flow({ run: 2, paused: true } as never, ORIGIN)
+  expect(tasks[0]!.received).toEqual(['begin', 'pause', 'resume'])
+})
+
+test('a delegate lets go of the parts that it has sent', async () => {
+  const parts: RunPart[] = []
+  run(1, parts)
+  await vi.advanceTimersByTimeAsync(1)
+  const task = tasks[0]!
+  task.head = {}
+  for (const [offset, text] of ['a', 'b'].entries()) {
+    task.answer.add({ attempt: 0, offset, pieces: [Buffer.from(text)] })
+    task.change()
+    expect(task.answer.pieces).toEqual([])
+  }
+  expect(parts.flatMap(({ chunk }) => chunk ? [[chunk.offset, chunk.pieces.map(String).join()]] : [])).toEqual([[0, 'a'], [1, 'b']])
+})
+
 test('the room is divided among the daemons that ask, and no more requests run than the bound', async () => {
   // Guards against a helper that is overrun by the daemons that it helps.
   expect((await offer()).room).toBe(64)
--- a/daemon/delegation/delegated_runs_test.ts
+++ b/daemon/delegation/delegated_runs_test.ts
@@ -4,7 +4,7 @@
 import { StandInNetwork, type StandInLinks } from '../../standins/index.ts'
 import type { MembershipTask } from '../peers/membership_task.ts'
 import type { PathWatch, PoolReach } from '../paths/index.ts'
-import { PROGRESS_TOPIC, CANCEL_TOPIC, OFFER_METHOD, RUN_METHOD, type RunQuery, type RunResult } from './_messages.ts'
+import { PROGRESS_TOPIC, CANCEL_TOPIC, FLOW_TOPIC, OFFER_METHOD, RUN_METHOD, type RunQuery, type RunResult } from './_messages.ts'
 import { DelegatedRuns, DelegateFinder } from './index.ts'
 
 const POOL = as<PoolName>('desk')
@@ -95,6 +95,21 @@
   expect(received).toEqual([])
 })
 
+test('a run whose caller does not take its answer is paused at its delegate, until it ends', async () => {
+  await start(1)
+  const seen: unknown[] = []
+  const peer = offers('peer-0')
+  peer.handle(RUN_METHOD, async () => await new Promise(() => {}))
+  peer.onPost(FLOW_TOPIC, (message: unknown) => { seen.push(message) })
+  const { attachment } = run('peer-0', { repeatable: false })
+  attachment.pause!()
+  attachment.resume!()
+  attachment.detach()
+  attachment.pause!()
+  await vi.advanceTimersByTimeAsync(50)
+  expect(seen).toEqual([{ run: 1, paused: true }, { run: 1, paused: false }])
+})
+
 test('a request that has no way is not held once it is known that nobody can help', async () => {
   await start(2)
   for (const links of peers.values()) links.handle(OFFER_METHOD, async () => ({ room: 0, activityAgeMs: Infinity }))
--- a/daemon/exchange/body_reader.ts
+++ b/daemon/exchange/body_reader.ts
@@ -1,7 +1,7 @@
 /** Reads the bodies of callers' requests into memory, as far as there is room for them. */
 import type { IncomingMessage } from 'node:http'
 import type { CallerLimits } from '../../core/catalog/index.ts'
-import type { MemoryAccount, MemoryEntry } from '../../core/memory/index.ts'
+import { SMALL_ENTRY_BYTES, type MemoryAccount, type MemoryEntry } from '../../core/memory/index.ts'
 import { Refusal } from './refusal.ts'
 
 /** A body that was read. */
@@ -67,7 +67,8 @@
   }
 
   async #roomFor (req: IncomingMessage, bytes: number, { waitMs }: { waitMs: number }): Promise<MemoryEntry> {
-    if (this.#waiting.length === 0 && this.#account.hasRoomFor(bytes)) return this.#account.open('request-body', bytes)
+    // Small bodies do not wait behind large ones.
+    if ((bytes < SMALL_ENTRY_BYTES || this.#waiting.length === 0) && this.#account.hasRoomFor(bytes)) return this.#account.open('request-body', bytes)
     if (this.#account.level === 'full') throw noRoom(bytes)
     return await new Promise((resolve, reject) => {
       const settle = (result: () => void) => {
--- a/daemon/request/stall_watch_test.ts
+++ b/daemon/request/stall_watch_test.ts
@@ -108,3 +108,21 @@
   expect([one.moves, two.moves]).toEqual([0, 0])
   watch.stop()
 })
+
+test('a stream whose caller does not take it is not silent while it pauses, nor just after', () => {
+  // Guards against endpoints that are avoided, and streams that are run again, since a caller reads slowly.
+  const paused = Object.assign(new Stream(SILENT), { flow: { readingSinceMs: -Infinity } })
+  const { watch, piece, usable } = start(paused)
+  for (let i = 0; i < 10; i++) {
+    piece(paused)
+    vi.advanceTimersByTime(100)
+  }
+  paused.flow.readingSinceMs = Infinity
+  vi.advanceTimersByTime(5000)
+  paused.flow.readingSinceMs = steadyNow()
+  vi.advanceTimersByTime(100)
+  expect([paused.moves, usable()]).toEqual([0, [SILENT, OTHER]])
+  vi.advanceTimersByTime(2000)
+  expect(paused.moves).toBeGreaterThan(0)
+  watch.stop()
+})
--- a/endpoints/exchange/exchange_test.ts
+++ b/endpoints/exchange/exchange_test.ts
@@ -2,6 +2,7 @@
 import { afterEach, expect, test } from 'vitest'
 import type { AnswerHead } from '../../core/answer/index.ts'
 import { as } from '../../core/ids/index.ts'
+import { MemoryAccount } from '../../core/memory/index.ts'
 import { type AttemptError, type FailurePoint } from '../../core/outcome/index.ts'
 import { noWork, type EndpointView } from '../../core/routing/index.ts'
 import { delay, steadyNow } from '../../core/time/index.ts'
@@ -287,3 +288,55 @@
   view.backOffUntilMs = steadyNow()
   expect(await sendAndWait(clientOf(), view, requestOf('b'))).toMatchObject({ total: 1 })
 })
+
+test.each(['before its first byte', 'in its middle'])('an answer that is paused %s is not read, and whole after it is resumed', async (when) => {
+  // Guards against a daemon that reads whole answers for callers that do not take them.
+  const body = Buffer.alloc(24 * 2 ** 20, 'x')
+  let socket: RawRequest['socket'] | undefined
+  const { view } = await startEndpoint((req) => {
+    socket = req.socket
+    req.socket.write(`${answerHead(req)}content-length: ${body.length}\r\n\r\n`)
+    req.socket.write(body)
+  })
+  const ending = { bytes: 0, total: undefined as number | undefined }
+  const sink: AttemptSink<Buffer> = {
+    onChunk: (_offset, pieces) => {
+      if (ending.bytes === 0 && when === 'in its middle') attachment.pause!()
+      for (const { length } of pieces) ending.bytes += length
+    },
+    onEnd: (total) => { ending.total = total },
+    onError: () => {},
+    onLoad: () => {}
+  }
+  const attachment = new ExchangeRunner({ req: requestOf('slow'), client: clientOf(), dialect: DIALECT }).start(view, { attempt: 1, mode: 'fresh', lane: 'normal', done: [], from: 0, deadlineInMs: 1000, kvHandle: undefined }, sink)
+  if (when === 'before its first byte') attachment.pause!()
+  await delay(300)
+  expect(ending.bytes).toBeLessThan(2 ** 20)
+  expect(socket!.writableLength).toBeGreaterThan(0)
+  // Paused and resumed in one turn: only the last call counts.
+  attachment.resume!()
+  attachment.pause!()
+  await delay(50)
+  expect(ending.total).toBeUndefined()
+  attachment.resume!()
+  for (let waitedMs = 0; ending.total === undefined && waitedMs < 5000; waitedMs += 10) await delay(10)
+  expect(ending.bytes).toBe(body.length)
+})
+
+test('buffered bytes are counted until the answer is passed on or fails', async () => {
+  const account = new MemoryAccount()
+  const { view } = await startEndpoint((req) => {
+    req.socket.write(`${answerHead(req)}content-length: 40000\r\n\r\n${'x'.repeat(30_000)}`)
+    setTimeout(() => (idOf(req) === 'whole' ? req.socket.write('x'.repeat(10_000)) : req.socket.destroy()), 50)
+  })
+  for (const id of ['whole', 'torn']) {
+    const ending = new Promise<void>((resolve) => {
+      const sink: AttemptSink<Buffer> = { onChunk: () => {}, onEnd: () => resolve(), onError: () => resolve(), onLoad: () => {} }
+      new ExchangeRunner({ req: requestOf(id), client: clientOf(), dialect: DIALECT, memory: account }).start(view, { attempt: 1, mode: 'fresh', lane: 'normal', done: [], from: 0, deadlineInMs: 1000, kvHandle: undefined }, sink)
+    })
+    await delay(30)
+    expect(account.bytesOf('answer')).toBe(30_000)
+    await ending
+    expect(account.heldBytes).toBe(0)
+  }
+})
