--- a/daemon/exchange/answer_sender.ts
+++ b/daemon/exchange/answer_sender.ts
@@ -36,6 +36,9 @@
 
   get heldBytes (): number { return this.#queuedBytes + this.#res.writableLength }
 
+  /** Writes to a destroyed response call back at once, before it is closed. */
+  get #gone (): boolean { return this.#closed || this.#res.destroyed }
+
   get repeatable (): boolean {
     const { state, work } = this.#task
     return state.traits.idempotent || work.cls.resumable
@@ -43,7 +46,7 @@
 
   /** Sends bytes. */
   push (bytes: Buffer): void {
-    if (this.#closed) return
+    if (this.#gone) return
     if (this.heldBytes === 0) this.takenAtMs = steadyNow()
     this.#queue.push(bytes)
     this.#queuedBytes += bytes.length
@@ -86,7 +89,7 @@
   }
 
   readonly #onTaken = (): void => {
-    if (this.#closed) return
+    if (this.#gone) return
     this.takenAtMs = steadyNow()
     if (this.#queue.length > 0) this.#flush()
     else if (this.#entry) this.#account()
--- a/daemon/explain/_cause.ts
+++ b/daemon/explain/_cause.ts
@@ -1,4 +1,5 @@
 import type { RequestEvents } from '../log/index.ts'
+import { NO_BODY_ROOM_REASON } from '../exchange/body_reader.ts'
 import { BACK_OFF_REASON, CUT_OFF_REASON, VERSION_GONE_REASON } from '../request/dispatcher.ts'
 import type { DaemonLine, LogLine, RequestLine } from './log_lines.ts'
 
@@ -58,6 +59,7 @@
     }
     case 503: {
       const found = last(requestLines, 'stream-version')
+      if (f.why.includes(NO_BODY_ROOM_REASON)) return `memory: ${f.why}`
       return found ? `version: ${describeStreamVersion(found)}` : 'no configuration: the daemon had just started and the store had not answered'
     }
     case 408: return 'caller: its request did not come whole in time'
@@ -79,6 +81,8 @@
 
 function causeOfEnd (f: RequestEvents['request-ended'], evidence: Evidence): string {
   if (f.outcome === 'answered') return causeOfAnswer(f, evidence)
+  const evicted = last(evidence.requestLines, 'answer-evicted')
+  if (evicted) return `caller: it took nothing for ${evicted.unreadMs} ms, and its answer was broken off${evicted.why === 'memory' ? ' since memory was short' : ''}`
   if (f.why === 'caller left') return `caller left after ${Math.round(f.afterMs)} ms of ${Math.round(f.deadlineMs)}: ${describeTimeSpent(f, evidence)}`
   if (f.why.startsWith('deadline')) return `deadline: ${describeTimeSpent(f, evidence)}`
   const held = last(evidence.requestLines, 'request-held')
