Pause the reading of an endpoint's socket, not the HTTP client's parser

Cause: an answer that closes its connection (no length, Connection: close, HTTP/1.0) and whose connection ended or was reset in a pause met an assertion of the HTTP client, thrown from a socket event: the daemon crashed, and all of its callers were cut off. Change: a connection that pauses hands nothing to the client, whatever the framing; the client's parser is never paused. A pause takes effect once the head has come.

--- a/endpoints/exchange/connection.ts
+++ b/endpoints/exchange/connection.ts
@@ -16,6 +16,8 @@
 /** A connection, and whether its socket was ended or reset. */
 export class Connection {
   readonly #client: Client
+  #socket: Socket | undefined
+  #paused = false
   /** True if the endpoint ended the connection without a reset. */
   endedCleanly = false
   /** True once the connection accepts no further requests. */
@@ -34,7 +36,7 @@
       headersTimeout: 0,
       bodyTimeout: 0,
       connect: (options, callback) => connect(options, (...result) => {
-        if (result[1]) this.#trackSocketEnd(result[1])
+        if (result[1]) this.#track(result[1])
         callback(...result)
       })
     })
@@ -48,6 +50,18 @@
     this.#client.dispatch(options, handler)
   }
 
+  /** Stops reading; what the system's buffers cannot take stays at the endpoint. */
+  pause (): void {
+    this.#paused = true
+  }
+
+  /** Reads on. Must not be called from within the callbacks of any handler. */
+  resume (): void {
+    if (!this.#paused) return
+    this.#paused = false
+    if (!this.#socket?.destroyed) this.#socket?.emit('readable')
+  }
+
   /** Closes the connection immediately and aborts a request in progress. */
   close (): void {
     if (this.closed) return
@@ -56,6 +70,14 @@
     this.onClose()
   }
 
+  #track (socket: Socket): void {
+    this.#socket = socket
+    this.#trackSocketEnd(socket)
+    // The client's own pause is not used: it throws from a socket event if the connection of an answer that closes it ends in a pause.
+    const read = socket.read.bind(socket)
+    socket.read = (size) => (this.#paused ? null : read(size))
+  }
+
   /**
    * Records whether the connection was ended or reset. The HTTP client treats a reset as the end of an answer without a length; only the
    * socket distinguishes the two.
--- a/endpoints/exchange/exchange.ts
+++ b/endpoints/exchange/exchange.ts
@@ -86,15 +86,16 @@
     this.#options.connection.close()
   }
 
+  /** Takes effect once the head has come. */
   pause (): void {
     this.#paused = true
-    this.#controller?.pause()
+    if (this.#head && !this.#done) this.#options.connection.pause()
   }
 
   /** Deferred because the client's parser cannot be resumed from within the callbacks of any connection. */
   resume (): void {
     this.#paused = false
-    setImmediate(() => { if (!this.#paused && !this.#done) this.#controller?.resume() })
+    setImmediate(() => { if (!this.#paused && !this.#done) this.#options.connection.resume() })
   }
 
   #endAttempt (): void {
@@ -106,7 +107,6 @@
     this.#controller = controller
     if (this.#done) controller.abort(new Error('detached'))
     else if (!this.#options.maySend()) this.#withhold(controller)
-    else if (this.#paused) controller.pause()
   }
 
   #withhold (controller: Dispatcher.DispatchController): void {
@@ -120,6 +120,7 @@
     if (this.#done || status < SUCCESS) return
     const head = { status, headers: parseRawHeaders(controller.rawHeaders) }
     this.#head = head
+    if (this.#paused) this.#options.connection.pause()
     const facts = this.#options.dialect.readAnswer(head)
     // A late answer to an earlier request, or one from another program, must not reach the caller.
     if (facts.requestId !== this.#options.req.id) return this.#fail('foreign-answer', 'the answer belongs to another request')
--- a/endpoints/exchange/exchange_test.ts
+++ b/endpoints/exchange/exchange_test.ts
@@ -323,6 +323,45 @@
   expect(ending.bytes).toBe(body.length)
 })
 
+const CLOSES = 'connection: close\r\n'
+const LENGTH = 'content-length: 5000000\r\n'
+test.each(['reset', 'end'].flatMap((how) => [
+  { how, framing: 'no length', head: CLOSES, whole: how === 'end' },
+  { how, framing: 'a length and close', head: `${CLOSES}${LENGTH}`, whole: false },
+  { how, framing: 'a length', head: LENGTH, whole: false },
+  { how, framing: 'a length in HTTP/1.0', head: LENGTH, version: '1.0', whole: false }
+]))('an answer with $framing whose connection meets its $how in a pause fails, or ends if it is whole', async ({ how, head, version = '1.1', whole }) => {
+  // Guards against a daemon that crashes on an assertion of its HTTP client.
+  const first = Buffer.alloc(300_000, 'x')
+  const more = Buffer.alloc(1000, 'x')
+  const sockets: Socket[] = []
+  const { view } = await startEndpoint((req) => {
+    sockets.push(req.socket)
+    req.socket.write(answerHead(req, `${head}\r\n`).replace('HTTP/1.1', `HTTP/${version}`))
+    req.socket.write(first)
+  })
+  const ending = { bytes: 0, total: undefined as number | undefined, failed: undefined as FailurePoint | undefined }
+  const sink: AttemptSink<Buffer> = {
+    onChunk: (_offset, pieces) => { for (const { length } of pieces) ending.bytes += length },
+    onEnd: (total) => { ending.total = total },
+    onError: ({ point }) => { ending.failed = point },
+    onLoad: () => {}
+  }
+  const attachment = new ExchangeRunner({ req: requestOf('slow'), client: clientOf(), dialect: DIALECT }).start(view, { attempt: 1, mode: 'fresh', lane: 'normal', done: [], from: 0, deadlineInMs: 1000, kvHandle: undefined }, sink)
+  const until = async (isTrue: () => boolean) => { for (let waitedMs = 0; !isTrue() && waitedMs < 5000; waitedMs += 5) await delay(5) }
+  await until(() => ending.bytes === first.length)
+  attachment.pause!()
+  sockets[0]!.write(more)
+  await delay(50)
+  if (how === 'reset') sockets[0]!.resetAndDestroy()
+  else sockets[0]!.end()
+  await delay(50)
+  attachment.resume!()
+  await until(() => ending.total !== undefined || ending.failed !== undefined)
+  expect([ending.failed, ending.total !== undefined]).toEqual(whole ? [undefined, true] : ['torn-answer', false])
+  if (whole) expect(ending.bytes).toBe(first.length + more.length)
+})
+
 test('buffered bytes are counted until the answer is passed on or fails', async () => {
   const account = new MemoryAccount()
   const { view } = await startEndpoint((req) => {
