End answers only above the high mark, and after 5 s without visible progress

Cause: an answer was ended when its caller had visibly taken nothing for 3 s; the system takes bytes in large steps, so that this met callers that read 100 to 300 KB/s, whose progress shows every 5 to 11 s. Change: a pause alone ends nothing, since it holds only a window. Above the high mark answers end down to the low mark: after 5 s without visible progress, and after 1 s at the limit. The reason is gone from the log line and the metric, since one is left.

--- a/core/memory/eviction.ts
+++ b/core/memory/eviction.ts
@@ -1,21 +1,7 @@
-/** Which entries end, and in which order, when more is held than may be. */
-
-/** An entry that may be ended. */
-export type EvictionCandidate = UnsentBody | UnreadAnswer
-
-/** Body of a request that has not been sent to an endpoint. */
-export interface UnsentBody {
-  type: 'body'
-  bytes: number
-  /** Milliseconds on the steady clock. */
-  deadlineAtMs: number
-  /** Time that the rest of the request takes at least, in milliseconds. */
-  neededMs: number
-}
+/** Which answers end, and in which order, when more is held than may be. */
 
 /** Answer whose caller takes nothing. */
 export interface UnreadAnswer {
-  type: 'answer'
   bytes: number
   /** When the caller last took anything, in milliseconds on the steady clock. */
   takenAtMs: number
@@ -37,28 +23,18 @@
 export const SMALL_ENTRY_BYTES = 16 * 1024
 
 /**
- * Returns the entries to end, in order, until the excess is given back or none is left that may be ended.
+ * Returns the answers to end, in order, until the excess is given back or none is left that may be ended.
  *
- * First bodies that cannot meet their deadline, largest first; then answers that can be repeated or resumed; then other answers; those unread for longest first.
- * Entries that are small, bodies that can meet their deadline, and answers that are being read are kept.
+ * First those that can be repeated or resumed, then the others; those unread for longest first. Answers that are small or being read are kept.
  */
-export function selectEvictions<T extends EvictionCandidate> (candidates: Iterable<T>, { excessBytes, now, unreadMs }: EvictionOptions): T[] {
-  const evictable = [...candidates].filter((each) => each.bytes >= SMALL_ENTRY_BYTES && (each.type === 'body' ? now + each.neededMs > each.deadlineAtMs : now - each.takenAtMs >= unreadMs))
+export function selectEvictions<T extends UnreadAnswer> (candidates: Iterable<T>, { excessBytes, now, unreadMs }: EvictionOptions): T[] {
+  const evictable = [...candidates].filter(({ bytes, takenAtMs }) => bytes >= SMALL_ENTRY_BYTES && now - takenAtMs >= unreadMs)
   const selected: T[] = []
   let excess = excessBytes
-  for (const each of evictable.sort((a, b) => rankOf(a) - rankOf(b) || orderInRank(a, b))) {
+  for (const each of evictable.sort((a, b) => Number(b.repeatable) - Number(a.repeatable) || a.takenAtMs - b.takenAtMs)) {
     if (excess <= 0) break
     selected.push(each)
     excess -= each.bytes
   }
   return selected
 }
-
-function rankOf (each: EvictionCandidate): number {
-  if (each.type === 'body') return 0
-  return each.repeatable ? 1 : 2
-}
-
-function orderInRank (a: EvictionCandidate, b: EvictionCandidate): number {
-  return a.type === 'answer' && b.type === 'answer' ? a.takenAtMs - b.takenAtMs : b.bytes - a.bytes
-}
--- a/daemon/explain/_cause.ts
+++ b/daemon/explain/_cause.ts
@@ -82,7 +82,7 @@
 function causeOfEnd (f: RequestEvents['request-ended'], evidence: Evidence): string {
   if (f.outcome === 'answered') return causeOfAnswer(f, evidence)
   const evicted = last(evidence.requestLines, 'answer-evicted')
-  if (evicted) return `caller: it took nothing for ${evicted.unreadMs} ms, and its answer was broken off${evicted.why === 'memory' ? ' since memory was short' : ''}`
+  if (evicted) return `caller: it took nothing for ${evicted.unreadMs} ms, and its answer was broken off since memory was short`
   if (f.why === 'caller left') return `caller left after ${Math.round(f.afterMs)} ms of ${Math.round(f.deadlineMs)}: ${describeTimeSpent(f, evidence)}`
   if (f.why.startsWith('deadline')) return `deadline: ${describeTimeSpent(f, evidence)}`
   const held = last(evidence.requestLines, 'request-held')
--- a/daemon/log/describe.ts
+++ b/daemon/log/describe.ts
@@ -26,7 +26,7 @@
   'stream-moved': (f) => `reclaim of ${f.endpoint}: ${f.action}${f.target === undefined ? '' : ` at ${f.target}`}`,
   'export-failed': (f) => `export of the KV cache at ${f.endpoint} failed, planning again`,
   'stream-taken-over': (f) => `taken over at token ${f.fromPiece}${f.endpoint === undefined ? ', waiting for room' : ` on ${f.endpoint}`}`,
-  'answer-evicted': (f) => `broken off (${f.why}): its caller took nothing for ${ms(f.unreadMs)} and left ${f.bytes} bytes`,
+  'answer-evicted': (f) => `broken off, memory was short: its caller took nothing for ${ms(f.unreadMs)} and left ${f.bytes} bytes`,
   'request-ended': (f) => `${f.outcome}: ${f.why}${retryHint(f.retryAfterMs)}`
 }
 
--- a/daemon/log/events.ts
+++ b/daemon/log/events.ts
@@ -57,8 +57,8 @@
   'export-failed': { endpoint: string, why: string }
   /** This daemon continues a stream of another daemon. */
   'stream-taken-over': { endpoint?: string | undefined, fromPiece: number }
-  /** Broken off: the caller had not taken `bytes` of the answer and had taken nothing for `unreadMs`; `why` is `unread`, or `memory` if that was short. `heldBytes` is what is held for all. */
-  'answer-evicted': { why: string, bytes: number, unreadMs: number, heldBytes: number }
+  /** Broken off since memory was short: the caller had not taken `bytes` of the answer and had visibly taken nothing for `unreadMs`. `heldBytes` is what is held for all. */
+  'answer-evicted': { bytes: number, unreadMs: number, heldBytes: number }
   /** The final result. */
   'request-ended': { outcome: string, why: string, status?: number | undefined, retryAfterMs?: number | undefined, afterMs: number, firstPieceMs?: number | undefined, longestPauseMs?: number | undefined, pieces: number, attempts: number, deadlineMs: number }
 }
--- a/daemon/memory/memory_guard.ts
+++ b/daemon/memory/memory_guard.ts
@@ -5,9 +5,6 @@
 import type { Metrics } from '../metrics.ts'
 import { accountLimitBytes } from './account_limit.ts'
 
-/** Why an answer was ended: its caller took nothing for a while, or memory was short. */
-export type EvictionReason = 'unread' | 'memory'
-
 /** An answer of which the caller has not taken everything. */
 export interface HeldAnswer {
   /** Bytes that the caller has not taken. */
@@ -21,7 +18,7 @@
   /** Looks at how much the caller has taken since the last call. */
   observe (now: number): void
   /** Breaks the answer off; it must not look complete. */
-  evict (why: EvictionReason, now: number): void
+  evict (now: number): void
 }
 
 /** Options of {@linkcode MemoryGuard}. */
@@ -33,12 +30,10 @@
 
 const CHECK_INTERVAL_MS = 250
 /**
- * Time for which a paused answer's caller may take nothing, in milliseconds: shorter than endpoints bear an unread answer, whose slot it
- * blocks. The longer one applies without a memory limit.
+ * Time without visible progress from which on an answer may be ended above the high mark, in milliseconds. The system takes bytes of a caller that
+ * reads slowly in large steps, so that its progress shows only every few seconds.
  */
-const MAX_UNREAD_MS = { bounded: 3000, unbounded: 10_000 }
-/** Time without progress from which on an answer may be ended when memory is short, in milliseconds. */
-const EVICTABLE_UNREAD_MS = 1000
+const EVICTABLE_UNREAD_MS = { high: 5000, full: 1000 }
 /** Memory of a caller's connection, and of one to an endpoint, in bytes; what the runtime and its streams keep for each. */
 const CONNECTION_BYTES = { caller: 8 * 1024, endpoint: 16 * 1024 }
 
@@ -106,23 +101,18 @@
   check (): void {
     if (this.#answers.size === 0) return
     const now = steadyNow()
-    const maxUnreadMs = this.account.isBounded ? MAX_UNREAD_MS.bounded : MAX_UNREAD_MS.unbounded
-    for (const answer of [...this.#answers]) {
-      answer.observe(now)
-      if (answer.paused && now - answer.takenAtMs >= maxUnreadMs) this.#evict(answer, 'unread', now)
-    }
-    if (this.account.level !== 'normal') this.#makeRoom(now)
+    for (const answer of this.#answers) answer.observe(now)
+    const { level, heldBytes, highMarkBytes } = this.account
+    if (level !== 'normal' && heldBytes >= highMarkBytes) this.#makeRoom(EVICTABLE_UNREAD_MS[level], now)
   }
 
-  #makeRoom (now: number): void {
-    const candidates = [...this.#answers].map((answer) => ({ type: 'answer' as const, bytes: answer.heldBytes, takenAtMs: answer.takenAtMs, repeatable: answer.repeatable, answer }))
+  #makeRoom (unreadMs: number, now: number): void {
+    const candidates = [...this.#answers].map((answer) => ({ bytes: answer.heldBytes, takenAtMs: answer.takenAtMs, repeatable: answer.repeatable, answer }))
     const { heldBytes, lowMarkBytes } = this.account
-    for (const { answer } of selectEvictions(candidates, { excessBytes: heldBytes - lowMarkBytes, now, unreadMs: EVICTABLE_UNREAD_MS })) this.#evict(answer, 'memory', now)
-  }
-
-  #evict (answer: HeldAnswer, why: EvictionReason, now: number): void {
-    this.#metrics.evictions.inc({ kind: 'answer', why })
-    this.release(answer)
-    answer.evict(why, now)
+    for (const { answer } of selectEvictions(candidates, { excessBytes: heldBytes - lowMarkBytes, now, unreadMs })) {
+      this.#metrics.evictions.inc({ kind: 'answer' })
+      this.release(answer)
+      answer.evict(now)
+    }
   }
 }
--- a/daemon/metrics.ts
+++ b/daemon/metrics.ts
@@ -55,7 +55,7 @@
     acceptsConnections: gauge('accepts_connections', '1 while new connections of callers are accepted, 0 while they are closed unread'),
     heldBytes: gauge('held_bytes', 'Bytes held for callers and endpoints, by what they are for', ['kind']),
     pausedAnswers: gauge('paused_answers', 'Answers that are not read from their endpoint, since their caller has not taken what was read'),
-    evictions: counter('evictions_total', 'What was ended since it was held for too long or memory was short, by kind and reason', ['kind', 'why']),
+    evictions: counter('evictions_total', 'What was ended since memory was short, by kind', ['kind']),
     open: gauge('open_requests', 'Requests accepted and not finished'),
     queued: gauge('queued_requests', 'Requests that wait for an endpoint'),
     endpoints: gauge('endpoints', 'Endpoints by pool and state', ['pool', 'state']),
