Reset broken-off answers, and pause none where no memory limit is in force

Cause: a broken-off answer ended its connection without a reset, which completes an answer to an HTTP/1.0 caller: it got a truncated answer that looked whole. Without a limit answers paused too, so that they ended by their deadlines since their callers read slowly. A failed write was taken for progress. Change: an eviction resets the connection, and any broken-off answer that of an HTTP/1.0 caller; others end as before. Without a limit pieces are written at once and kept in the answer. The callback of a failed write does nothing. Result: the two tests of HTTP/1.0 callers saw an end where a reset is due without the change; they pass with it.

--- a/daemon/exchange/answer_sender.ts
+++ b/daemon/exchange/answer_sender.ts
@@ -3,7 +3,7 @@
 import type { Socket } from 'node:net'
 import { answerWindowBytes, MIN_WINDOW_BYTES, SMALL_ENTRY_BYTES, type MemoryEntry } from '../../core/memory/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
-import type { EvictionReason, HeldAnswer, MemoryGuard } from '../memory/index.ts'
+import type { HeldAnswer, MemoryGuard } from '../memory/index.ts'
 import type { RequestTask } from '../request/request_task.ts'
 
 /** Largest number of bytes handed to the connection before it has taken them; the rest waits, so that progress can be seen. */
@@ -11,7 +11,7 @@
 /** What is read of an answer beyond its pause, in bytes: one read of the system, of which the parser has taken a part. */
 const READ_AHEAD_BYTES = 64 * 1024
 
-/** Writes the bytes of one answer; pauses its source while a window of them waits. */
+/** Writes the bytes of one answer; pauses its source while a window of them waits. Without a memory limit bytes are written at once, and nothing pauses. */
 export class AnswerSender implements HeldAnswer {
   readonly #res: ServerResponse
   readonly #task: RequestTask<Buffer>
@@ -47,6 +47,10 @@
   /** Sends bytes. */
   push (bytes: Buffer): void {
     if (this.#gone) return
+    if (!this.#guard.account.isBounded) {
+      this.#res.write(bytes)
+      return
+    }
     if (this.heldBytes === 0) this.takenAtMs = steadyNow()
     this.#queue.push(bytes)
     this.#queuedBytes += bytes.length
@@ -56,7 +60,8 @@
   /** Ends the response once everything was handed over. */
   end (): void {
     this.#ended = true
-    this.#flush()
+    if (this.#guard.account.isBounded) this.#flush()
+    else this.#res.end()
   }
 
   observe (now: number): void {
@@ -67,9 +72,21 @@
     this.#unsentBytes = unsentBytes
   }
 
-  evict (why: EvictionReason, now: number): void {
+  evict (now: number): void {
     const { account } = this.#guard
-    this.#task.recordDecision('answer-evicted', { why, bytes: this.heldBytes, unreadMs: Math.round(now - this.takenAtMs), heldBytes: account.heldBytes })
+    this.#task.recordDecision('answer-evicted', { bytes: this.heldBytes, unreadMs: Math.round(now - this.takenAtMs), heldBytes: account.heldBytes })
+    this.#reset()
+  }
+
+  /** Ends the connection before the answer is whole. */
+  breakOff (): void {
+    if (this.#res.req.httpVersion === '1.0') this.#reset()
+    else this.#res.destroy()
+  }
+
+  /** An end without a reset completes an answer to an HTTP/1.0 caller, and leaves what the system holds for the caller in its memory. */
+  #reset (): void {
+    this.#res.socket?.resetAndDestroy()
     this.#res.destroy()
   }
 
@@ -88,8 +105,8 @@
     this.#res.write(bytes, this.#onTaken)
   }
 
-  readonly #onTaken = (): void => {
-    if (this.#gone) return
+  readonly #onTaken = (err?: Error | null): void => {
+    if (err || this.#gone) return
     this.takenAtMs = steadyNow()
     if (this.#queue.length > 0) this.#flush()
     else if (this.#entry) this.#account()
--- a/daemon/exchange/answer_sender_test.ts
+++ b/daemon/exchange/answer_sender_test.ts
@@ -1,5 +1,5 @@
 import { createServer, request, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import type { AddressInfo } from 'node:net'
+import { connect, type AddressInfo } from 'node:net'
 import { afterEach, beforeEach, expect, test } from 'vitest'
 import { delay } from '../../core/time/index.ts'
 import { MemoryGuard } from '../memory/index.ts'
@@ -20,7 +20,7 @@
 let got: IncomingMessage
 
 beforeEach(async () => {
-  guard = new MemoryGuard({ metrics: createMetrics() })
+  guard = new MemoryGuard({ metrics: createMetrics(), limitBytes: 602 * MB })
   calls = []
   const task = {
     flow: { pause: () => calls.push('pause'), resume: () => calls.push('resume') },
@@ -76,7 +76,7 @@
   // Guards against writes to a destroyed response, whose callbacks would write again without an end.
   await fill()
   const ended = new Promise((resolve) => got.on('close', resolve))
-  sender.evict('unread', 0)
+  sender.evict(0)
   sender.push(PIECE)
   got.resume()
   await ended
@@ -84,3 +84,20 @@
   sender.push(PIECE)
   expect([calls, got.complete, guard.account.heldBytes, guard.paused]).toEqual([['pause', 'answer-evicted'], false, 0, 0])
 })
+
+test.each(['evict', 'breakOff'] as const)('an answer that is broken off (%s) resets the connection of an HTTP/1.0 caller', async (how) => {
+  // Guards against a truncated answer that looks complete, since it ends with its connection.
+  const socket = connect((server.address() as AddressInfo).port, '127.0.0.1')
+  const ended = new Promise<string>((resolve) => {
+    socket.once('end', () => resolve('end'))
+    socket.once('error', (err: NodeJS.ErrnoException) => resolve(err.code!))
+  })
+  const earlier = sender
+  socket.write('GET / HTTP/1.0\r\n\r\n')
+  await new Promise((resolve) => socket.once('data', resolve))
+  expect(sender).not.toBe(earlier)
+  sender.push(PIECE)
+  if (how === 'evict') sender.evict(0)
+  else sender.breakOff()
+  expect(await ended).toBe('ECONNRESET')
+})
--- a/daemon/exchange/exchange_writer.ts
+++ b/daemon/exchange/exchange_writer.ts
@@ -28,19 +28,26 @@
 }
 
 /**
- * Writes a task's answer until its final result, as fast as its caller takes it. The pieces are taken out of the task's answer.
+ * Writes a task's answer until its final result, as fast as its caller takes it. With a memory limit the pieces are taken out of the task's answer.
  *
  * A truncated answer never looks complete: if an answer that has begun fails, its connection is destroyed without the end of the message.
  */
 export function writeExchange (res: ServerResponse, task: RequestTask<Buffer>, options: WriteExchangeOptions): void {
   const { guard, body } = options
   const sender = new AnswerSender(res, task, guard)
+  let written = 0
+  const unsent = () => (guard.account.isBounded ? task.answer.take() : task.answer.pieces.slice(written))
   const follow = () => {
     if (task.final) body?.close()
     else body?.move(task.state.phase === 'running' ? 'sending' : 'queued')
     if (res.destroyed) return
     if (!res.headersSent && task.head) writeHead(res, task.head, { whole: task.final ? totalBytes(task.answer.pieces) : undefined, closeConnection: options.closeConnection() })
-    if (res.headersSent) for (const piece of task.answer.take()) sender.push(piece)
+    if (res.headersSent) {
+      for (const piece of unsent()) {
+        sender.push(piece)
+        written++
+      }
+    }
     if (task.final) writeEnd(res, task, { final: task.final, sender, closeConnection: options.closeConnection() })
   }
   const stop = task.subscribe(follow)
@@ -61,7 +68,7 @@
   if (options.final.outcome === 'answered') {
     options.sender.end()
   } else if (res.headersSent) {
-    res.destroy()
+    options.sender.breakOff()
   } else if (options.final.outcome === 'unknown' && task.failureAnswer) {
     writeHead(res, task.failureAnswer.head, { whole: task.failureAnswer.body.length, closeConnection: options.closeConnection })
     res.end(task.failureAnswer.body)
--- a/endpoints/exchange/exchange_test.ts
+++ b/endpoints/exchange/exchange_test.ts
@@ -325,7 +325,7 @@
 
 const CLOSES = 'connection: close\r\n'
 const LENGTH = 'content-length: 5000000\r\n'
-test.each(['reset', 'end'].flatMap((how) => [
+test.each(['reset', 'end'].flatMap((how): Array<{ how: string, framing: string, head: string, version?: string, whole: boolean }> => [
   { how, framing: 'no length', head: CLOSES, whole: how === 'end' },
   { how, framing: 'a length and close', head: `${CLOSES}${LENGTH}`, whole: false },
   { how, framing: 'a length', head: LENGTH, whole: false },
