Refuse bodies that fit only alone, and count connections apart

Cause: a body over the high mark waited at the head for a room that never came, and those behind it were refused while nothing was held; one that stopped waiting let nobody in; one of unknown length was read on after its refusal. Idle connections, counted as four to eight times what they take, alone held a daemon at its high mark. Change: a body over the high mark is admitted alone or refused at once; small bodies pass the head; the end of a wait admits the next; a refused body is read no more. A connection counts the 2 KB that were measured, and connections do not count against the marks, room and windows.

--- a/core/memory/answer_window.ts
+++ b/core/memory/answer_window.ts
@@ -9,6 +9,6 @@
 const ROOM_FRACTION = 1 / 32
 
 /** Returns the window of an answer in bytes: a fraction of the room that is left below the low mark. */
-export function answerWindowBytes ({ heldBytes, lowMarkBytes }: Pick<MemoryAccount, 'heldBytes' | 'lowMarkBytes'>): number {
-  return Math.min(MAX_WINDOW_BYTES, Math.max(MIN_WINDOW_BYTES, Math.floor((lowMarkBytes - heldBytes) * ROOM_FRACTION)))
+export function answerWindowBytes ({ yieldingBytes, lowMarkBytes }: Pick<MemoryAccount, 'yieldingBytes' | 'lowMarkBytes'>): number {
+  return Math.min(MAX_WINDOW_BYTES, Math.max(MIN_WINDOW_BYTES, Math.floor((lowMarkBytes - yieldingBytes) * ROOM_FRACTION)))
 }
--- a/core/memory/memory_account.ts
+++ b/core/memory/memory_account.ts
@@ -57,8 +57,8 @@
     this.#sink.change(this.#kind, grown)
   }
 
-  /** Counts the bytes as another kind from now on. */
-  move (kind: MemoryKind): void {
+  /** Counts the bytes as another kind from now on; connections stay what they are. */
+  move (kind: Exclude<MemoryKind, 'connection'>): void {
     if (this.#closed || kind === this.#kind) return
     this.#sink.move(this.#bytes, this.#kind, kind)
     this.#kind = kind
@@ -87,6 +87,8 @@
   }
 
   get heldBytes (): number { return this.#sum }
+  /** Bytes held without those of connections: what bodies and answers take and can give back. Marks and room are about these. */
+  get yieldingBytes (): number { return this.#sum - this.#held.connection }
   get level (): MemoryLevel { return this.#level }
   get isBounded (): boolean { return this.limitBytes !== Infinity }
   get highMarkBytes (): number { return this.limitBytes * HIGH_MARK }
@@ -99,7 +101,7 @@
 
   /** Returns true if as many more bytes stay within the high mark, or within the limit if they are few. */
   hasRoomFor (bytes: number): boolean {
-    return this.#sum + bytes <= (bytes < SMALL_ENTRY_BYTES ? this.limitBytes : this.highMarkBytes)
+    return this.yieldingBytes + bytes <= (bytes < SMALL_ENTRY_BYTES ? this.limitBytes : this.highMarkBytes)
   }
 
   /** Opens an entry. The owner must ask {@linkcode MemoryAccount.hasRoomFor} before it takes what it can do without. */
@@ -127,8 +129,9 @@
   }
 
   #levelNow (): MemoryLevel {
-    if (this.#sum >= this.limitBytes) return 'full'
-    if (this.#sum >= this.highMarkBytes) return this.#level === 'full' ? 'full' : 'high'
-    return this.#level !== 'normal' && this.#sum > this.lowMarkBytes ? 'high' : 'normal'
+    const bytes = this.yieldingBytes
+    if (bytes >= this.limitBytes) return 'full'
+    if (bytes >= this.highMarkBytes) return this.#level === 'full' ? 'full' : 'high'
+    return this.#level !== 'normal' && bytes > this.lowMarkBytes ? 'high' : 'normal'
   }
 }
--- a/daemon/exchange/_proxy_components.ts
+++ b/daemon/exchange/_proxy_components.ts
@@ -167,7 +167,7 @@
     limits: asFunction(({ self, membership, fleet }: ProxyComponents) => new AccountLimits({ self, host: settings.name, tolerance: settings.quota, membership, fleet })).singleton(),
     table: asFunction(({ self }: ProxyComponents) => new EndpointTable({ self, hash })).singleton(),
     registry: asFunction(endpointFollower).singleton(),
-    client: asFunction(({ config, fleet, memory }: ProxyComponents) => new ExchangeClient({ addressOf: endpointAddress, maxConnections: (view) => connectionsTo(view, config, fleet), onOpen: () => memory.connectionOpened('endpoint'), onClose: () => memory.connectionClosed('endpoint') })).singleton(),
+    client: asFunction(({ config, fleet, memory }: ProxyComponents) => new ExchangeClient({ addressOf: endpointAddress, maxConnections: (view) => connectionsTo(view, config, fleet), onOpen: () => memory.connectionOpened(), onClose: () => memory.connectionClosed() })).singleton(),
     confirmer: asFunction(({ membership, table, paths }: ProxyComponents) => new CrashConfirmer({ membership, table, paths, hash })).singleton(),
     crashes: asFunction(({ metrics, client, confirmer, paths, table }: ProxyComponents) => new CrashWatch({ metrics, poolSize: (pool) => table.usable(pool).length, dial: (view) => paths.dial(view), confirm: (view) => confirmer.confirm(view), isConnected: (view) => client.isConnected(view) })).singleton(),
     quarantine: asFunction(({ crashes, membership, metrics }: ProxyComponents) => new QuarantineTask({ crashes, membership, metrics })).singleton(),
--- a/daemon/exchange/body_reader.ts
+++ b/daemon/exchange/body_reader.ts
@@ -70,8 +70,9 @@
 
   async #roomFor (req: IncomingMessage, bytes: number, { waitMs }: { waitMs: number }): Promise<MemoryEntry> {
     // Small bodies do not wait behind large ones.
-    if ((bytes < SMALL_ENTRY_BYTES || this.#waiting.length === 0) && this.#account.hasRoomFor(bytes)) return this.#account.open('request-body', bytes)
-    if (this.#account.level === 'full') throw noRoom(bytes)
+    if ((bytes < SMALL_ENTRY_BYTES || this.#waiting.length === 0) && this.#fits(bytes)) return this.#account.open('request-body', bytes)
+    // One that never fits beside others would keep those behind it waiting.
+    if (this.#account.level === 'full' || bytes > this.#account.highMarkBytes) throw noRoom(bytes)
     return await new Promise((resolve, reject) => {
       const settle = (result: () => void) => {
         clearTimeout(timer)
@@ -79,6 +80,8 @@
         const at = this.#waiting.indexOf(waiting)
         if (at >= 0) this.#waiting.splice(at, 1)
         result()
+        // The one behind it may fit.
+        this.#admitWaiting()
       }
       const leave = () => settle(() => reject(new Error('the caller left')))
       const waiting: WaitingBody = { bytes, admit: (entry) => settle(() => resolve(entry)) }
@@ -88,8 +91,15 @@
     })
   }
 
+  /** Returns true if a body has room; one over the high mark has it only alone. */
+  #fits (bytes: number): boolean {
+    return this.#account.hasRoomFor(bytes) || this.#account.yieldingBytes === 0
+  }
+
+  /** Admits the first one that waits, and small ones behind it. */
   #admitWaiting (): void {
-    for (let first = this.#waiting[0]; first && this.#account.hasRoomFor(first.bytes); first = this.#waiting[0]) first.admit(this.#account.open('request-body', first.bytes))
+    const next = this.#waiting.find(({ bytes }, i) => (i === 0 || bytes < SMALL_ENTRY_BYTES) && this.#fits(bytes))
+    next?.admit(this.#account.open('request-body', next.bytes))
   }
 }
 
@@ -118,20 +128,26 @@
   let length = 0
   return await new Promise((resolve, reject) => {
     const idleTimer = setTimeout(() => reject(new Refusal('the body did not come', { status: 408 })), limits.idleMs)
+    const refuse = (why: Refusal) => {
+      req.off('data', onData)
+      parts.length = 0
+      reject(why)
+    }
     const take = (part: Buffer) => {
       if (whole) part.copy(whole, length - part.length)
       else {
-        if (!hasRoom()) return reject(noRoom(length))
+        if (!hasRoom()) return refuse(noRoom(length))
         parts.push(part)
         entry?.set(length)
       }
     }
-    req.on('data', (part: Buffer) => {
+    const onData = (part: Buffer) => {
       idleTimer.refresh()
       length += part.length
       if (length <= limits.bodyBytes) take(part)
       else reject(tooLarge(limits))
-    })
+    }
+    req.on('data', onData)
     req.on('end', () => resolve(whole ?? (parts.length === 0 ? NO_BYTES : Buffer.concat(parts))))
     req.on('error', reject)
     req.on('close', () => {
--- a/daemon/exchange/exchange_server.ts
+++ b/daemon/exchange/exchange_server.ts
@@ -117,8 +117,8 @@
     }
     this.connections++
     if (this.#accepting) {
-      this.#guard.connectionOpened('caller')
-      socket.once('close', () => this.#guard.connectionClosed('caller'))
+      this.#guard.connectionOpened()
+      socket.once('close', () => this.#guard.connectionClosed())
       return serve(socket)
     }
     this.#options.metrics.connectionsShed.inc()
--- a/daemon/memory/memory_guard.ts
+++ b/daemon/memory/memory_guard.ts
@@ -34,8 +34,8 @@
  * reads slowly in large steps, so that its progress shows only every few seconds.
  */
 const EVICTABLE_UNREAD_MS = { high: 5000, full: 1000 }
-/** Memory of a caller's connection, and of one to an endpoint, in bytes; what the runtime and its streams keep for each. */
-const CONNECTION_BYTES = { caller: 8 * 1024, endpoint: 16 * 1024 }
+/** Memory of an idle connection in bytes: what the runtime and its streams keep for it. */
+const CONNECTION_BYTES = 2 * 1024
 
 /** Owns the account, and ends answers that nobody reads. */
 export class MemoryGuard {
@@ -65,13 +65,13 @@
   }
 
   /** Counts a connection that was opened. */
-  connectionOpened (side: keyof typeof CONNECTION_BYTES): void {
-    this.#connections.set(this.#connections.bytes + CONNECTION_BYTES[side])
+  connectionOpened (): void {
+    this.#connections.set(this.#connections.bytes + CONNECTION_BYTES)
   }
 
   /** Counts a connection that was closed. */
-  connectionClosed (side: keyof typeof CONNECTION_BYTES): void {
-    this.#connections.set(this.#connections.bytes - CONNECTION_BYTES[side])
+  connectionClosed (): void {
+    this.#connections.set(this.#connections.bytes - CONNECTION_BYTES)
   }
 
   /** Checks an answer until it is released. */
@@ -102,14 +102,14 @@
     if (this.#answers.size === 0) return
     const now = steadyNow()
     for (const answer of this.#answers) answer.observe(now)
-    const { level, heldBytes, highMarkBytes } = this.account
-    if (level !== 'normal' && heldBytes >= highMarkBytes) this.#makeRoom(EVICTABLE_UNREAD_MS[level], now)
+    const { level, yieldingBytes, highMarkBytes } = this.account
+    if (level !== 'normal' && yieldingBytes >= highMarkBytes) this.#makeRoom(EVICTABLE_UNREAD_MS[level], now)
   }
 
   #makeRoom (unreadMs: number, now: number): void {
     const candidates = [...this.#answers].map((answer) => ({ bytes: answer.heldBytes, takenAtMs: answer.takenAtMs, repeatable: answer.repeatable, answer }))
-    const { heldBytes, lowMarkBytes } = this.account
-    for (const { answer } of selectEvictions(candidates, { excessBytes: heldBytes - lowMarkBytes, now, unreadMs })) {
+    const { yieldingBytes, lowMarkBytes } = this.account
+    for (const { answer } of selectEvictions(candidates, { excessBytes: yieldingBytes - lowMarkBytes, now, unreadMs })) {
       this.#metrics.evictions.inc({ kind: 'answer' })
       this.release(answer)
       answer.evict(now)
