Forgive breaks in a pause everywhere, and nothing else

Cause: an answer that broke off in a pause was not counted in the endpoint table, but in the crash watch and as a sign of a lost path; an error response in a pause was not counted in the table either. Change: one condition, an aborted connection while or shortly after the answer paused, for all three.

--- a/daemon/request/request_task.ts
+++ b/daemon/request/request_task.ts
@@ -436,14 +436,20 @@
     const repeatable = this.mayRetryElsewhere && !suspected && canRetry(this.lifecycle, err.point)
     const retryGranted = repeatable && (isFreeRetry(this.lifecycle, err.point) || this.ports.budget.tryWithdraw(table.isLeavingOrGone(endpoint)))
     if (view && err.point === 'endpoint-said-not-run') this.ports.limits?.rejected(view)
-    this.ports.crashes.failed({ id: endpoint, view }, err.point, this.#quarantine.watchedRun(this.#tracker.sentAtMs))
     if (view && err.point === 'endpoint-error') this.ports.answers?.failed(view, this.work.cls.name)
-    if (view) this.#suspectPath(view, err.point)
-    // What a failed connection attempt shows is the path's state, which is checked on its own.
-    if ((!this.ports.paths || !isConnectFailure(err.point)) && !this.flow.pausedLately) table.failed(endpoint, { point: err.point, sentAtMs: this.#tracker.sentAtMs ?? steadyNow() })
+    // An endpoint cuts off an answer that nobody reads.
+    if (!isConnectionAborted(err.point) || !this.flow.pausedLately) this.#blame({ id: endpoint, view }, err.point)
     this.#recordFailure(endpoint, err, { attempt, repeat: retryGranted ? 'allowed' : repeatable ? 'over-budget' : suspected ? 'suspected' : 'not-allowed' })
   }
 
+  #blame ({ id, view }: { id: EndpointId, view: EndpointView | undefined }, point: FailurePoint): void {
+    const { table, crashes, paths } = this.ports
+    crashes.failed({ id, view }, point, this.#quarantine.watchedRun(this.#tracker.sentAtMs))
+    if (view) this.#suspectPath(view, point)
+    // What a failed connection attempt shows is the path's state, which is checked on its own.
+    if (!paths || !isConnectFailure(point)) table.failed(id, { point, sentAtMs: this.#tracker.sentAtMs ?? steadyNow() })
+  }
+
   #suspectPath (view: EndpointView, point: FailurePoint): void {
     if (isConnectFailure(point)) this.ports.paths?.suspect(view, 'connect-failed')
     else if (isConnectionAborted(point)) this.ports.paths?.suspect(view, 'connection-silent')
--- a/daemon/request/request_task_test.ts
+++ b/daemon/request/request_task_test.ts
@@ -4,9 +4,11 @@
 import { noWork, type EndpointView, type Route } from '../../core/routing/index.ts'
 import { NO_TOKENS } from '../../core/work/index.ts'
 import { sessionConfig } from '../../bench/_session.ts'
+import { AttemptError, type FailurePoint } from '../../core/outcome/index.ts'
 import type { AttemptSink } from '../../endpoints/index.ts'
 import { EndpointTable } from '../endpoints/endpoint_table.ts'
 import { createMetrics } from '../metrics.ts'
+import type { PathWatch } from '../paths/index.ts'
 import type { CrashWatch, QuarantineTask } from '../quarantine/index.ts'
 import type { Dispatcher } from './dispatcher.ts'
 import type { Placement } from './placement.ts'
@@ -27,9 +29,11 @@
   const placements: Placement[] = []
   const sinks: Array<AttemptSink<string>> = []
   const stopped: EndpointId[] = []
+  const blamed: string[] = []
   const held = { forMs: undefined as number | undefined }
   const table = new EndpointTable({ self: as('d'), hash: (text) => text.length })
   table.applyHostList([{ hostId: VIEW.hostId, hostClass: 'any', failureDomain: VIEW.failureDomain, reclaimable: false, pricePerHour: 0, state: 'live', endpoint: { id: E1, pool: VIEW.pool, address: '', speed } }])
+  vi.spyOn(table, 'failed').mockImplementation(() => { blamed.push('table') })
   const task = new RequestTask<string>({
     work: { id: as('r'), account: as('a'), cls: toWorkClass(sessionConfig().classes[1]!, true), pool: VIEW.pool, demand: NO_TOKENS, claim: undefined, fingerprint: () => as<Fingerprint>('f') },
     runner: {
@@ -44,12 +48,13 @@
       dispatcher: { place: (placement: Placement) => { placements.push(placement) }, remove: () => {}, startQueued: () => {} } as Partial<Dispatcher> as Dispatcher,
       budget: { deposit: () => {}, tryWithdraw: () => true },
       metrics: createMetrics(),
-      crashes: { abandoned: () => {} } as Partial<CrashWatch> as CrashWatch,
-      quarantine: { heldAt: () => (held.forMs === undefined ? undefined : { suspect: as('f'), forMs: held.forMs }) } as Partial<QuarantineTask> as QuarantineTask
+      crashes: { abandoned: () => {}, failed: () => { blamed.push('crashes') } } as Partial<CrashWatch> as CrashWatch,
+      paths: { canSend: () => true, suspect: () => { blamed.push('path') } } as Partial<PathWatch> as PathWatch,
+      quarantine: { isSuspected: () => false, heldAt: () => (held.forMs === undefined ? undefined : { suspect: as('f'), forMs: held.forMs }) } as Partial<QuarantineTask> as QuarantineTask
     }
   })
   task.post({ type: 'begin' })
-  return { task, placements, sinks, stopped, held }
+  return { task, placements, sinks, stopped, held, blamed }
 }
 
 test('a request that is quarantined while queued is not sent to an endpoint', () => {
@@ -79,3 +84,18 @@
   task.quarantineChanged()
   expect(task.final).toBeUndefined()
 })
+
+test.each<{ point: FailurePoint, paused: boolean, blames: string[] }>([
+  { point: 'torn-answer', paused: true, blames: [] },
+  { point: 'reset-after-send', paused: true, blames: [] },
+  { point: 'torn-answer', paused: false, blames: ['crashes', 'path', 'table'] },
+  { point: 'connect-refused', paused: true, blames: ['crashes', 'path'] },
+  { point: 'endpoint-error', paused: true, blames: ['crashes', 'table'] }
+])('a failed attempt ($point, paused: $paused) counts against $blames', ({ point, paused, blames }) => {
+  // Guards against endpoints that are taken out of use since their callers do not read.
+  const { task, placements, sinks, blamed } = createRequest()
+  placements[0]!.placed(VIEW, ROUTE)
+  if (paused) task.flow.pause()
+  sinks[0]!.onError(new AttemptError('Cannot read answer', { point }))
+  expect(blamed).toEqual(blames)
+})
