Start a daemon under any memory limit that its process itself fits in

Cause: under 140 MB a daemon refused to start where the limit is in force. Change: it refuses under 112 MB, what the process takes without anything held, and holds the least account above.

--- a/daemon/memory/account_limit.ts
+++ b/daemon/memory/account_limit.ts
@@ -12,8 +12,8 @@
 /** Least number of bytes to be held with which a daemon can serve: a few bodies and the connections of its callers. */
 const MIN_HELD_BYTES = 12 * MB
 
-/** Least memory limit with which a daemon can start, in bytes. */
-export const MIN_LIMIT_BYTES = PROCESS_BYTES / PEAK_FRACTION
+/** Least memory limit with which a daemon starts, in bytes: what the process takes while it holds nothing. */
+export const MIN_LIMIT_BYTES = PROCESS_BYTES
 
 /** Returns the bytes that may be held under a memory limit of the process, both in bytes. */
 export function accountLimitBytes (limitBytes: number): number {
