Send a pause again that found no link to its delegate

Cause: a pause while the link to the delegate was being dialled was lost; the delegate sent the whole answer. Change: it is sent with the first part that arrives. Result: the new test failed before.

--- a/daemon/delegation/_messages.ts
+++ b/daemon/delegation/_messages.ts
@@ -13,6 +13,7 @@
 
 /** Pauses or resumes the answer of a run. */
 export const FLOW_TOPIC = 'delegation-flow'
+
 /** Confirms to an origin, at intervals, that its requests still run. */
 export const PROGRESS_TOPIC = 'delegation-progress'
 
--- a/daemon/delegation/delegated_runs.ts
+++ b/daemon/delegation/delegated_runs.ts
@@ -79,6 +79,13 @@
       fail('delegate-lost', why)
       cancel()
     }
+    const flow = { paused: false, unsent: false }
+    // Without a link nothing is sent; the first part that arrives shows that there is one.
+    const setFlow = (paused: boolean) => {
+      if (!this.#runs.has(run)) return
+      flow.paused = paused
+      flow.unsent = !links.post(to, FLOW_TOPIC, { run, paused } satisfies FlowMessage)
+    }
     const open: OpenRun = { to, repeatable, activeAtMs: steadyNow(), lose }
     this.#runs.set(run, open)
     finder.started(query.pool, to)
@@ -88,6 +95,7 @@
       reached = reachedNow ?? reached
       if (head) sink.onHead(head, { version })
       if (chunk) sink.onChunk(chunk.offset, chunk.pieces.map(toBuffer))
+      if (flow.unsent) setFlow(flow.paused)
     }
     const onResult = (result: RunResult) => {
       if (result.type === 'answered') {
@@ -105,7 +113,6 @@
       links.call(member, RUN_METHOD, { ...query, run } satisfies RunQuery, { timeoutMs: query.deadlineInMs + REPLY_MARGIN_MS, part: onPart as (value: unknown) => void })
         .then((result) => onResult(result as RunResult), (err: Error) => fail(err instanceof PeerError && err.notSent ? 'delegate-declined' : 'delegate-lost', err.message, { cause: err }))
     } else queueMicrotask(() => fail('delegate-declined', 'it is not known any more'))
-    const setFlow = (paused: boolean) => { if (this.#runs.has(run)) links.post(to, FLOW_TOPIC, { run, paused } satisfies FlowMessage) }
     return { detach: () => { if (close(false)) cancel() }, pause: () => setFlow(true), resume: () => setFlow(false) }
   }
 
--- a/daemon/delegation/delegated_runs_test.ts
+++ b/daemon/delegation/delegated_runs_test.ts
@@ -110,6 +110,25 @@
   expect(seen).toEqual([{ run: 1, paused: true }, { run: 1, paused: false }])
 })
 
+test('a pause that finds no link is sent with the first part that arrives', async () => {
+  await start(1)
+  const seen: unknown[] = []
+  const peer = offers('peer-0')
+  peer.handle(RUN_METHOD, async (_args, { part }) => {
+    await delay(100)
+    part?.({ chunk: { offset: 0, pieces: [Buffer.from('x')] } })
+    return await new Promise(() => {})
+  })
+  peer.onPost(FLOW_TOPIC, (message: unknown) => { seen.push(message) })
+  const { attachment } = run('peer-0', { repeatable: false })
+  vi.spyOn(origin, 'post').mockReturnValueOnce(false)
+  attachment.pause!()
+  await vi.advanceTimersByTimeAsync(50)
+  expect(seen).toEqual([])
+  await vi.advanceTimersByTimeAsync(150)
+  expect(seen).toEqual([{ run: 1, paused: true }])
+})
+
 test('a request that has no way is not held once it is known that nobody can help', async () => {
   await start(2)
   for (const links of peers.values()) links.handle(OFFER_METHOD, async () => ({ room: 0, activityAgeMs: Infinity }))
