Name a refused body's size in its log line, for explain

Cause: the explanation of a refusal imported from the exchange and matched a part of its message. Change: the line has `bodyBytes`, by which the cause is told. The test's line has it too.

--- a/daemon/exchange/body_reader.ts
+++ b/daemon/exchange/body_reader.ts
@@ -21,8 +21,6 @@
 /** A body that waits for room. */
 interface WaitingBody { bytes: number, admit (entry: MemoryEntry): void }
 
-/** Why a body was refused for which there is no room. */
-export const NO_BODY_ROOM_REASON = 'no room for a body'
 const NO_BYTES = Buffer.alloc(0)
 /** Longest time for which a body waits for room before it is read, in milliseconds; a fraction of its deadline if that is shorter. */
 const MAX_WAIT_MS = 1000
@@ -104,7 +102,7 @@
 }
 
 function noRoom (bytes: number): Refusal {
-  return new Refusal(`${NO_BODY_ROOM_REASON} of ${bytes} bytes`, { status: 503, retryAfterMs: RETRY_AFTER_MS })
+  return new Refusal(`no room for a body of ${bytes} bytes`, { status: 503, retryAfterMs: RETRY_AFTER_MS, bodyBytes: bytes })
 }
 
 function tooLarge ({ bodyBytes }: CallerLimits): Refusal {
--- a/daemon/exchange/exchange_server.ts
+++ b/daemon/exchange/exchange_server.ts
@@ -180,7 +180,8 @@
       account: refusal.account,
       class: refusal.cls,
       cost: refusal.quota?.cost,
-      room: refusal.quota?.room
+      room: refusal.quota?.room,
+      bodyBytes: refusal.bodyBytes
     })
     // The unread rest of a body could not be told apart from the next request on the connection.
     refuse(res, { status: refusal.status, retryAfterMs: refusal.retryAfterMs, why: refusal.message, closeConnection: this.#draining || !req.complete })
--- a/daemon/exchange/refusal.ts
+++ b/daemon/exchange/refusal.ts
@@ -11,6 +11,8 @@
   cls?: string
   /** Cost of the request and what was left of the account's quota, in the quota's unit. */
   quota?: { cost: number, room: number }
+  /** Bytes of the body for which there was no room. */
+  bodyBytes?: number
 }
 
 /** Thrown when a request is refused; carries the response's status and the details for the log. */
@@ -21,6 +23,7 @@
   readonly account: string | undefined
   readonly cls: string | undefined
   readonly quota: { cost: number, room: number } | undefined
+  readonly bodyBytes: number | undefined
 
   constructor (why: string, options: RefusalOptions) {
     super(`Cannot take request: ${why}`)
@@ -29,5 +32,6 @@
     this.account = options.account
     this.cls = options.cls
     this.quota = options.quota
+    this.bodyBytes = options.bodyBytes
   }
 }
--- a/daemon/explain/_cause.ts
+++ b/daemon/explain/_cause.ts
@@ -1,5 +1,4 @@
 import type { RequestEvents } from '../log/index.ts'
-import { NO_BODY_ROOM_REASON } from '../exchange/body_reader.ts'
 import { BACK_OFF_REASON, CUT_OFF_REASON, VERSION_GONE_REASON } from '../request/dispatcher.ts'
 import type { DaemonLine, LogLine, RequestLine } from './log_lines.ts'
 
@@ -59,7 +58,7 @@
     }
     case 503: {
       const found = last(requestLines, 'stream-version')
-      if (f.why.includes(NO_BODY_ROOM_REASON)) return `memory: ${f.why}`
+      if (f.bodyBytes !== undefined) return `memory: ${f.why}`
       return found ? `version: ${describeStreamVersion(found)}` : 'no configuration: the daemon had just started and the store had not answered'
     }
     case 408: return 'caller: its request did not come whole in time'
--- a/daemon/explain/explain_request_test.ts
+++ b/daemon/explain/explain_request_test.ts
@@ -126,7 +126,7 @@
 })
 
 test.each([
-  ['request-refused', { revision: 1, status: 503, why: 'Cannot take request: no room for a body of 4194304 bytes' }, 'memory: Cannot take request: no room for a body of 4194304 bytes'],
+  ['request-refused', { revision: 1, status: 503, why: 'Cannot take request: no room for a body of 4194304 bytes', bodyBytes: 4194304 }, 'memory: Cannot take request: no room for a body of 4194304 bytes'],
   ['answer-evicted', { bytes: 40_000, unreadMs: 1010, heldBytes: 80_000 }, 'caller: it took nothing for 1010 ms, and its answer was broken off since memory was short']
 ])('%s %j is explained by what was held', (event, fields, cause) => {
   const line = (name: string, more: object) => JSON.stringify({ level: 'info', time: '2026-05-23T10:00:00.000Z', daemon: 'edge-1', process: 'p', event: name, request: 'r', ...more })
--- a/daemon/log/events.ts
+++ b/daemon/log/events.ts
@@ -19,9 +19,9 @@
   'request-taken': ConfigState & { account: string, class: string, pool: string, deadlineInMs: number, promptTokens: number, maxTokens: number, fromPiece: number, stream?: string | undefined, quotaWaitMs: number }
   /**
    * Refused before any endpoint received it. If over quota, `cost` is the request's cost and `room` the account's remaining quota, in the
-   * quota's unit.
+   * quota's unit; `bodyBytes` is set if there was no room for a body.
    */
-  'request-refused': ConfigState & { status: number, why: string, retryAfterMs?: number | undefined, host?: string | undefined, path?: string | undefined, account?: string | undefined, class?: string | undefined, cost?: number | undefined, room?: number | undefined }
+  'request-refused': ConfigState & { status: number, why: string, retryAfterMs?: number | undefined, host?: string | undefined, path?: string | undefined, account?: string | undefined, class?: string | undefined, cost?: number | undefined, room?: number | undefined, bodyBytes?: number | undefined }
   /**
    * A caller resumes a stream. `result` is how it was found out where the stream began: by a record, of which `daemon` passed the stream on last; because its pool had
    * only one version; or not at all.
