--- a/daemon/exchange/_proxy_components.ts
+++ b/daemon/exchange/_proxy_components.ts
@@ -21,6 +21,7 @@
 import { EndpointLimitTask } from '../limits/endpoint_limit_task.ts'
 import { CpuTimeLog } from '../log/index.ts'
 import { createMetrics, type Metrics } from '../metrics.ts'
+import { MemoryGuard } from '../memory/index.ts'
 import { DelegatedRuns, DelegateFinder, DelegateServer } from '../delegation/index.ts'
 import { RegionLinkTask } from '../link/index.ts'
 import { MoveDirector } from '../moves/index.ts'
@@ -71,6 +72,7 @@
   hash64: Hash64
   random: Random
   metrics: Metrics
+  memory: MemoryGuard
   topology: RegionTopology
   regionLink: RegionLinkTask
   links: PeerLinks
@@ -143,6 +145,7 @@
     hash64: asValue(hash64),
     random: asFunction(({ self }: ProxyComponents) => seededRandom(hash(self))).singleton(),
     metrics: asFunction(createMetrics).singleton(),
+    memory: asFunction(({ metrics }: ProxyComponents) => new MemoryGuard({ metrics, limitBytes: settings.memoryLimitBytes })).singleton(),
     topology: asFunction(() => new RegionTopology({ ownDomain: settings.failureDomain, regions: settings.regions })).singleton(),
     links: asFunction((cradle: ProxyComponents) => new PeerLinks({
       self: cradle.self,
@@ -181,9 +184,11 @@
     table: asFunction(({ self, topology }: ProxyComponents) => new EndpointTable({ self, hash, topology, countsMemory: settings.boundsEngineMemory === true })).singleton(),
     engineMemory: asFunction(engineMemoryComponents).singleton(),
     registry: asFunction(endpointFollower).singleton(),
-    client: asFunction(({ config, fleet, topology }: ProxyComponents) => new ExchangeClient({
+    client: asFunction(({ config, fleet, topology, memory }: ProxyComponents) => new ExchangeClient({
       addressOf: endpointAddress,
       maxConnections: (view) => connectionsTo(view, config, fleet),
+      onOpen: () => memory.connectionOpened(),
+      onClose: () => memory.connectionClosed(),
       ...(topology.hasRegions && { onConnected: ({ failureDomain }, tookMs) => topology.recordRoundTrip(failureDomain, tookMs) })
     })).singleton(),
     confirmer: asFunction(({ membership, table, paths }: ProxyComponents) => new CrashConfirmer({ membership, table, paths, hash })).singleton(),
@@ -247,7 +252,8 @@
       ways: { canSend: (view, work) => paths.canSend(view, work), wayFor: (req) => delegateFinder.wayFor(req) }
     })).singleton(),
     budgetOf: asFunction(retryBudgets).singleton(),
-    intake: asFunction(({ table, dispatcher, metrics, client, crashes, quarantine, hash64, random, limits, endpointLimits, signals, usage, orders, budgetOf, config, rollouts, paths, delegatedRuns, streamVersions, archive }: ProxyComponents) => new Intake({
+    intake: asFunction(({ memory, table, dispatcher, metrics, client, crashes, quarantine, hash64, random, limits, endpointLimits, signals, usage, orders, budgetOf, config, rollouts, paths, delegatedRuns, streamVersions, archive }: ProxyComponents) => new Intake({
+      memory: memory.account,
       table,
       dispatcher,
       metrics,
@@ -287,7 +293,7 @@
       leavingMs: settings.registry.leavingMs,
       daemons: () => cradle.fleet.hostCount
     })).singleton(),
-    server: asFunction(({ intake, metrics }: ProxyComponents) => new ExchangeServer({ intake, metrics, dialect: platform.dialect })).singleton(),
+    server: asFunction(({ intake, metrics, memory }: ProxyComponents) => new ExchangeServer({ intake, metrics, guard: memory, dialect: platform.dialect })).singleton(),
     connectionGate: asFunction(({ server, metrics }: ProxyComponents) => new ConnectionGateTask({ server, metrics })).singleton(),
     readiness: asFunction(() => new ReadinessServer()).singleton(),
     monitor: asFunction((components: ProxyComponents) => new MonitorServer({ metrics: components.metrics, quarantine: components.quarantine, status: () => proxyStatus(components) })).singleton(),
@@ -343,7 +349,8 @@
   return member !== undefined && !topology.isLocal(member.failureDomain)
 }
 
-function proxyStatus ({ self, server, config, dispatcher, table, membership, metrics, quarantine, rollouts }: ProxyComponents): Promise<StatusReport> {
+function proxyStatus ({ self, server, config, dispatcher, table, membership, metrics, memory, quarantine, rollouts }: ProxyComponents): Promise<StatusReport> {
+  memory.report()
   const inForce = config.inForce
   const classes = new Map(inForce?.routes.map(({ cls }) => [cls.name, cls]))
   return buildStatus({ self, open: server.open, revision: inForce?.revision ?? 0, revisionSure: config.sure, classes: [...classes.values()], dispatcher, table, membership, metrics, quarantine, rollouts: rollouts?.follower.records.values() })
--- a/daemon/exchange/proxy_daemon.ts
+++ b/daemon/exchange/proxy_daemon.ts
@@ -93,12 +93,13 @@
   }
 
   async #start (): Promise<void> {
-    const { settings, membership, tallies, config, registry, server, readiness, monitor, lease, limits, endpointLimitTask, loads, usage, orders, rollouts, stalls, quarantine, archive, processor, paths, regionLink, delegateFinder, delegatedRuns, delegateServer, connectionGate, moves } = this.#components
+    const { settings, membership, tallies, config, registry, server, readiness, monitor, lease, limits, endpointLimitTask, loads, usage, orders, rollouts, stalls, quarantine, archive, processor, paths, regionLink, delegateFinder, delegatedRuns, delegateServer, connectionGate, moves, memory } = this.#components
     const { callers, readiness: check } = settings.listen
     archive.restore()
     await readiness.listen(check, () => this.ready)
     await server.listen(callers.host, callers.port)
     connectionGate.start()
+    memory.start()
     await membership.start()
     config.start()
     registry.start()
@@ -162,9 +163,10 @@
   }
 
   #stopTasks (): void {
-    const { config, registry, limits, endpointLimitTask, engineMemory, signals, loads, tallies, rollouts, stalls, quarantine, archive, processor, paths, regionLink, delegateFinder, delegatedRuns, delegateServer, connectionGate, moves } = this.#components
+    const { config, registry, limits, endpointLimitTask, engineMemory, signals, loads, tallies, rollouts, stalls, quarantine, archive, processor, paths, regionLink, delegateFinder, delegatedRuns, delegateServer, connectionGate, moves, memory } = this.#components
     moves.stop()
     connectionGate.stop()
+    memory.stop()
     paths.stop()
     regionLink.stop()
     delegateFinder.stop()
--- a/daemon/request/_attempt_failure.ts
+++ b/daemon/request/_attempt_failure.ts
@@ -24,18 +24,21 @@
   /** When the attempt was sent, in milliseconds on the steady clock; undefined if it was not. */
   sentAtMs: number | undefined
   run: Parameters<RequestPorts['crashes']['failed']>[2]
+  /** True if the answer was not read for a while: an endpoint cuts off an answer that nobody reads. */
+  wasPaused: boolean
 }
 
 const recorded = new WeakSet<AttemptError>()
 
 /** Passes a failure on to limits, crash attribution, rollouts, path checks and the endpoint's failure count. */
-export function recordFailedAttempt (ports: RequestPorts, { endpoint, view, point, err, cls, sentAtMs, run }: FailedAttemptRecord): void {
+export function recordFailedAttempt (ports: RequestPorts, { endpoint, view, point, err, cls, sentAtMs, run, wasPaused }: FailedAttemptRecord): void {
   if (recorded.has(err)) return
   recorded.add(err)
   const { table, limits, crashes, answers, paths } = ports
   if (view && point === 'endpoint-said-not-run') limits?.rejected(view)
-  crashes.failed({ id: endpoint, view }, point, run)
   if (view && point === 'endpoint-error') answers?.failed(view, cls)
+  if (wasPaused && isConnectionAborted(point)) return
+  crashes.failed({ id: endpoint, view }, point, run)
   if (view && isConnectFailure(point)) paths?.suspect(view, 'connect-failed')
   else if (view && isConnectionAborted(point)) paths?.suspect(view, 'connection-silent')
   // What a failed connection attempt shows is the path's state, which is checked on its own.
--- a/daemon/request/request_task.ts
+++ b/daemon/request/request_task.ts
@@ -16,6 +16,7 @@
 import { AttemptTracker } from './attempt_tracker.ts'
 import { DelegatedAttempts } from './_delegated_attempts.ts'
 import type { DelegatedSink, DelegatedSpec } from './delegated_run.ts'
+import { AnswerFlow } from './_answer_flow.ts'
 import { Listeners, type FinalResult } from './live_answer.ts'
 import type { MoveObserver } from './move_observer.ts'
 import { RequestDecisions } from './request_decisions.ts'
@@ -56,6 +57,8 @@
   /** The last error response sent by an endpoint. */
   failureAnswer: WholeAnswer | undefined
   final: FinalResult | undefined
+  /** Pauses the answer while its caller does not take it. */
+  readonly flow = new AnswerFlow(() => this.attachment)
   movedAway = false
   /** Set before a migration whose KV cache is already at the target. */
   kvHandle: string | undefined
@@ -308,6 +311,7 @@
 
   #startDelegated (attempt: number): void {
     this.attachment = this.#delegated!.start(attempt)
+    this.flow.started()
     this.listeners.notify()
   }
 
@@ -364,6 +368,7 @@
       deadlineInMs: this.lifecycle.traits.deadlineAtMs - steadyNow(),
       kvHandle
     }, this.sink(view.id, attempt))
+    this.flow.started()
     this.ports.limits?.started(view)
     this.onAttempt()
     this.listeners.notify()
@@ -382,7 +387,7 @@
       onSignals: (signals) => this.ports.signals?.record(endpoint, signals, sentAtMs),
       onHead: (arrived) => { head = arrived },
       onChunk: (offset, pieces) => {
-        if (attempt === this.lifecycle.attempt) this.#tracker.recordPiece()
+        if (attempt === this.lifecycle.attempt) this.#tracker.recordPiece(this.flow.readingSinceMs)
         this.#addChunk({ attempt, offset, pieces }, { head, version: this.#runningVersion })
       },
       onEnd: (total, { endpointSeen = true, explicit = true } = {}) => this.#onAttemptEnd(endpoint, attempt, { total, head, endpointSeen, explicit }),
@@ -441,7 +446,7 @@
   #onAttemptError (attempt: number, endpoint: EndpointId, err: AttemptError): void {
     if (attempt !== this.lifecycle.attempt || this.lifecycle.phase !== 'running') return
     const { table } = this.ports
-    const failed = { endpoint, view: table.get(endpoint), point: err.point, err, cls: this.work.cls.name, sentAtMs: this.#tracker.sentAtMs, run: this.#quarantine.watchedRun(this.#tracker.sentAtMs) }
+    const failed = { endpoint, view: table.get(endpoint), point: err.point, err, cls: this.work.cls.name, sentAtMs: this.#tracker.sentAtMs, run: this.#quarantine.watchedRun(this.#tracker.sentAtMs), wasPaused: this.flow.pausedLately }
     if (this.mover?.holds(err, { fail: () => this.#onAttemptError(attempt, endpoint, err), record: () => recordHeld(this.ports, failed) })) return
     recordDeparture(table, failed)
     // Spends from the budget only if the request could use the retry.
--- a/endpoints/exchange/connection_pool.ts
+++ b/endpoints/exchange/connection_pool.ts
@@ -11,6 +11,8 @@
   onOpen?: () => void
   /** Called with the time that a connection took to open, in milliseconds. */
   onConnected?: ((tookMs: number) => void) | undefined
+  /** Called for each connection that is closed. */
+  onClose?: () => void
 }
 
 /** Pool that reuses the most recently used connection first, so that the others can reach their idle timeout and close. */
@@ -76,6 +78,7 @@
 
   #remove (connection: Connection): void {
     this.#all.delete(connection)
+    this.#options.onClose?.()
     const index = this.#idle.indexOf(connection)
     if (index >= 0) this.#idle.splice(index, 1)
   }
--- a/endpoints/exchange/exchange_client.ts
+++ b/endpoints/exchange/exchange_client.ts
@@ -14,6 +14,8 @@
   onOpen?: (view: EndpointView) => void
   /** Called with the time that a connection to an endpoint took to open, in milliseconds. Default: it is not observed. */
   onConnected?: ((view: EndpointView, tookMs: number) => void) | undefined
+  /** Called for each connection that is closed. */
+  onClose?: () => void
 }
 
 /** Keeps one connection pool for each endpoint. */
@@ -76,11 +78,12 @@
     const maxConnections = this.#options.maxConnections(view)
     let pool = this.#pools.get(view.id)
     if (!pool) {
-      const { addressOf, onOpen, onConnected } = this.#options
+      const { addressOf, onOpen, onClose, onConnected } = this.#options
       pool = new ConnectionPool({
         address: () => addressOf?.(view.address) ?? view.address,
         maxConnections,
         onOpen: () => onOpen?.(view),
+        onClose: () => onClose?.(),
         ...(onConnected && { onConnected: (tookMs) => onConnected(view, tookMs) })
       })
       this.#pools.set(view.id, pool)
