Never give back quota that was drawn ahead

A daemon gave back its expired stock with its next vote, and the keeper granted it again beside a full burst: windows above the hard limit after a pause. What is not used is lost now, also at a change of keeper. Use counts once it is granted, not at each retry, and a request without cost starts no draw: it left the account without stock.

--- a/core/quota/quota_stock.ts
+++ b/core/quota/quota_stock.ts
@@ -7,9 +7,6 @@
   lifetimeMs: number
 }
 
-/** Amount of an account's quota, in requests or tokens. */
-export type StockedQuota = readonly [account: AccountId, amount: number]
-
 interface Draw { amount: number, untilMs: number }
 interface AccountStock { draws: Draw[], recentUse: number, atMs: number, isDrawing: boolean }
 
@@ -20,8 +17,7 @@
  * Stock of quota by account.
  *
  * The keeper counts what is drawn as granted. All daemons together may run in a window what the keeper granted in it and in one lifetime before: the excess is
- * at most the quota's rate times the lifetime, however many daemons draw. A daemon that is cut off, paused or killed loses its stock, at most what it used in a
- * lifetime.
+ * at most the quota's rate times the lifetime, however many daemons draw. What a daemon does not use is lost, at most what it used in a lifetime.
  */
 export class QuotaStock {
   readonly #options: QuotaStockOptions
@@ -34,7 +30,6 @@
   /** Charges a cost to the stock; false if it does not suffice. */
   take (account: AccountId, cost: number, now: number): boolean {
     const stock = this.#refresh(account, now)
-    stock.recentUse += cost
     const valid = stock.draws.filter(({ untilMs }) => untilMs > now)
     if (valid.reduce((sum, { amount }) => sum + amount, 0) < cost) return false
     let rest = cost
@@ -43,16 +38,27 @@
       draw.amount -= taken
       rest -= taken
     }
+    stock.recentUse += cost
     return true
   }
 
-  /** Starts a draw: returns the amount to ask for, 0 if the stock suffices or a draw is under way. {@linkcode QuotaStock.endDraw} has to follow. */
-  startDraw (account: AccountId, now: number): number {
+  /** Counts a cost that the keeper granted for a request; what is granted is drawn ahead for the next ones. */
+  countGrant (account: AccountId, cost: number, now: number): void {
+    this.#refresh(account, now).recentUse += cost
+  }
+
+  /**
+   * Starts a draw: returns the amount to ask for, 0 if the stock suffices or a draw is under way. {@linkcode QuotaStock.endDraw} has to follow if it is above 0.
+   * @param asked Cost that is asked for beside it, which counts as used.
+   */
+  startDraw (account: AccountId, asked: number, now: number): number {
     const stock = this.#refresh(account, now)
+    const use = stock.recentUse + asked
     const left = stock.draws.reduce((sum, { amount, untilMs }) => sum + (untilMs > now ? amount : 0), 0)
-    if (stock.isDrawing || left > stock.recentUse * REFILL_FRACTION) return 0
+    const amount = Math.ceil(use - left)
+    if (stock.isDrawing || left > use * REFILL_FRACTION || !(amount > 0)) return 0
     stock.isDrawing = true
-    return Math.max(0, Math.ceil(stock.recentUse - left))
+    return amount
   }
 
   /**
@@ -65,24 +71,14 @@
     if (amount > 0) stock.draws.push({ amount, untilMs: askedAtMs + this.#options.lifetimeMs })
   }
 
-  /** Removes what may not be used any more and returns it, to be given back to the keeper. */
-  removeExpired (now: number): StockedQuota[] {
-    return this.#remove(({ untilMs }) => untilMs <= now)
+  /** Removes what may not be used any more. It is lost: given back, it would let the keeper grant above a window's limit what it granted in an earlier one. */
+  removeExpired (now: number): void {
+    for (const stock of this.#accounts.values()) stock.draws = stock.draws.filter(({ untilMs }) => untilMs > now)
   }
 
-  /** Removes everything and returns it. */
-  clear (): StockedQuota[] {
-    const removed = this.#remove(() => true)
+  /** Removes everything; it is lost, as what expires is. */
+  clear (): void {
     this.#accounts.clear()
-    return removed
-  }
-
-  #remove (isRemoved: (draw: Draw) => boolean): StockedQuota[] {
-    return [...this.#accounts].flatMap(([account, stock]) => {
-      const amount = stock.draws.filter(isRemoved).reduce((sum, draw) => sum + draw.amount, 0)
-      stock.draws = stock.draws.filter((draw) => !isRemoved(draw))
-      return amount > 0 ? [[account, amount] as const] : []
-    })
   }
 
   #refresh (account: AccountId, now: number): AccountStock {
--- a/daemon/limits/account_limits.ts
+++ b/daemon/limits/account_limits.ts
@@ -2,7 +2,7 @@
 import type { Account, Quota } from '../../core/catalog/index.ts'
 import type { AccountId, DaemonId } from '../../core/ids/index.ts'
 import type { Member } from '../../core/membership/index.ts'
-import { requestCost, KEEPER_TIMEOUT_MS, KeeperSelector, QuotaKeeper, QuotaStock, stockLifetimeMs, VOTE_TTL_MS, VOTE_INTERVAL_MS, type AccountLevel, type QuotaDecision, type QuotaTolerance, type StockedQuota, type Vote } from '../../core/quota/index.ts'
+import { requestCost, KEEPER_TIMEOUT_MS, KeeperSelector, QuotaKeeper, QuotaStock, stockLifetimeMs, VOTE_TTL_MS, VOTE_INTERVAL_MS, type AccountLevel, type QuotaDecision, type QuotaTolerance, type Vote } from '../../core/quota/index.ts'
 import { delay, steadyNow } from '../../core/time/index.ts'
 import type { Topology } from '../../core/topology/index.ts'
 import type { Demand } from '../../core/work/index.ts'
@@ -156,7 +156,7 @@
 
   /** Changes the tolerance. A lower one applies at once. */
   tolerate (tolerance: QuotaTolerance): void {
-    this.#dropStock(this.#chosenId)
+    this.#stock.clear()
     this.#stock = new QuotaStock({ lifetimeMs: stockLifetimeMs(tolerance) })
     this.#localKeeper.setTolerance(tolerance, steadyNow())
   }
@@ -175,7 +175,7 @@
     clearInterval(this.#interval)
     clearTimeout(this.#voteTimer)
     this.#interval = undefined
-    this.#dropStock(this.#chosenId)
+    this.#stock.clear()
     if (this.#chosenId !== undefined) this.#options.membership.links.post(this.#chosenId, WITHDRAWAL, ++this.#sequence)
   }
 
@@ -206,12 +206,14 @@
     const [account, cost] = ask
     const now = steadyNow()
     const isCovered = this.#stock.take(account, cost, now)
-    const ahead = this.#stock.startDraw(account, now)
+    const ahead = this.#stock.startDraw(account, isCovered ? 0 : cost, now)
     if (isCovered) {
       if (ahead > 0) this.#draw([account, 0, ahead], keeper)
       return { grant: { granted: true }, from: keeper }
     }
-    return ahead > 0 ? await this.#draw([account, cost, ahead], keeper) : await this.#queueAsk(ask)
+    const result = ahead > 0 ? await this.#draw([account, cost, ahead], keeper) : await this.#queueAsk(ask)
+    if (result.grant.granted && result.from === keeper) this.#stock.countGrant(account, cost, now)
+    return result
   }
 
   #queueAsk (ask: QuotaRequest): Promise<{ grant: QuotaReply, from: DaemonId | undefined }> {
@@ -219,16 +221,19 @@
     return new Promise((resolve) => this.#pendingAsks.push({ ask, decide: (grant, from) => resolve({ grant, from }) }))
   }
 
-  /** Asks for a grant and draws ahead. What another keeper than the present one granted is not used. */
+  /** Asks for a grant and draws ahead. What another keeper than the present one granted is not used, and lost from the quota. */
   async #draw (ask: QuotaRequest, keeper: DaemonId): Promise<{ grant: QuotaReply, from: DaemonId | undefined }> {
     const [account] = ask
+    const stock = this.#stock
     const askedAtMs = steadyNow()
-    const result = await this.#queueAsk(ask)
-    const ahead = result.grant.ahead ?? 0
-    const isUsable = result.from === keeper && this.#chosenId === keeper
-    this.#stock.endDraw(account, isUsable ? ahead : 0, askedAtMs)
-    if (!isUsable && ahead > 0) this.#giveBack([account, ahead], result.from)
-    return result
+    let usable = 0
+    try {
+      const result = await this.#queueAsk(ask)
+      if (result.from === keeper && this.#chosenId === keeper && stock === this.#stock) usable = result.grant.ahead ?? 0
+      return result
+    } finally {
+      stock.endDraw(account, usable, askedAtMs)
+    }
   }
 
   #farMs ({ failureDomain }: Member): number {
@@ -243,14 +248,6 @@
     return decision.granted && ahead > 0 ? { ...decision, ahead: this.#localKeeper.drawAhead(account, ahead, this.#keeperInput()) } : decision
   }
 
-  #dropStock (keeper: DaemonId | undefined): void {
-    for (const drawn of this.#stock.clear()) this.#giveBackDrawn(drawn, keeper)
-  }
-
-  #giveBackDrawn (drawn: StockedQuota, keeper: DaemonId | undefined): void {
-    if (keeper !== undefined) this.#giveBack(drawn, keeper)
-  }
-
   async #sendAsks (): Promise<void> {
     const asks = this.#pendingAsks
     this.#pendingAsks = []
@@ -274,8 +271,8 @@
     return this.#localKeeper.tryAcquire(account, cost, this.#keeperInput())
   }
 
-  #giveBack (ask: StockedQuota, from: DaemonId | undefined): void {
-    if (from === undefined) this.#localKeeper.refund(...ask)
+  #giveBack (ask: QuotaRequest, from: DaemonId | undefined): void {
+    if (from === undefined) this.#localKeeper.refund(ask[0], ask[1])
     else this.#options.membership.links.post(from, REFUND, ask)
   }
 
@@ -286,7 +283,7 @@
   #vote (): void {
     const { self } = this.#options
     this.#chooseKeeper()
-    for (const drawn of this.#stock.removeExpired(steadyNow())) this.#giveBackDrawn(drawn, this.#chosenId)
+    this.#stock.removeExpired(steadyNow())
     const ranked = this.#ranked()
     const chosen = this.#chosenId ?? self
     if (this.#voteRounds++ % VOTES_PER_PROBE === 0) {
@@ -312,7 +309,7 @@
     const next = first === self ? undefined : first
     if (next === this.#chosenId) return
     log('keeper-chosen', { keeper: next ?? self, before: this.#chosenId ?? self })
-    this.#dropStock(this.#chosenId)
+    this.#stock.clear()
     this.#withdrawFrom(this.#chosenId)
     this.#chosenId = next
     this.#inheritedLevels = this.#levels
