Drop the stock of an account whose quota changed

A daemon charged requests to quota that it had drawn before a new configuration, even in another unit. Its test failed without the drop (charged after 0 ms instead of a round trip). Idle accounts are forgotten.

--- a/core/quota/quota_stock.ts
+++ b/core/quota/quota_stock.ts
@@ -12,6 +12,8 @@
 
 /** Stock below this fraction of the recent use is drawn again. */
 const REFILL_FRACTION = 0.5
+/** Number of lifetimes after which an account without requests is forgotten; of its use, less than a thousandth is left then. */
+const IDLE_LIFETIMES = 7
 
 /**
  * Stock of quota by account.
@@ -66,14 +68,23 @@
    * @param askedAtMs Time at which the keeper was asked, in milliseconds on the steady clock.
    */
   endDraw (account: AccountId, amount: number, askedAtMs: number): void {
-    const stock = this.#refresh(account, askedAtMs)
+    const stock = this.#accounts.get(account)
+    if (!stock?.isDrawing) return
     stock.isDrawing = false
     if (amount > 0) stock.draws.push({ amount, untilMs: askedAtMs + this.#options.lifetimeMs })
   }
 
-  /** Removes what may not be used any more. It is lost: given back, it would let the keeper grant above a window's limit what it granted in an earlier one. */
+  /** Removes what may not be used any more, and idle accounts. It is lost: given back, it would let the keeper grant above a window's limit what it granted in an earlier one. */
   removeExpired (now: number): void {
-    for (const stock of this.#accounts.values()) stock.draws = stock.draws.filter(({ untilMs }) => untilMs > now)
+    for (const [account, stock] of this.#accounts) {
+      stock.draws = stock.draws.filter(({ untilMs }) => untilMs > now)
+      if (stock.draws.length === 0 && !stock.isDrawing && now - stock.atMs > IDLE_LIFETIMES * this.#options.lifetimeMs) this.#accounts.delete(account)
+    }
+  }
+
+  /** Removes what was drawn for an account, and its use. A draw that is under way adds nothing. */
+  remove (account: AccountId): void {
+    this.#accounts.delete(account)
   }
 
   /** Removes everything; it is lost, as what expires is. */
--- a/core/quota/quota_stock_test.ts
+++ b/core/quota/quota_stock_test.ts
@@ -47,3 +47,16 @@
   expect(stock.startDraw(ACCOUNT, 0, 0)).toBe(0)
   expect(stock.startDraw(ACCOUNT, 10, 0)).toBe(10)
 })
+
+test('what was drawn for an account whose quota changed is lost, with a draw that is under way', () => {
+  // Guards against a request that is charged in tokens to a stock of requests.
+  const stock = new QuotaStock({ lifetimeMs: 200 })
+  expect(stock.startDraw(ACCOUNT, 10, 0)).toBe(10)
+  stock.remove(ACCOUNT)
+  stock.endDraw(ACCOUNT, 10, 0)
+  expect(stock.take(ACCOUNT, 1, 1)).toBe(false)
+  expect(stock.startDraw(ACCOUNT, 10, 1)).toBe(10)
+  stock.endDraw(ACCOUNT, 10, 1)
+  stock.remove(ACCOUNT)
+  expect(stock.take(ACCOUNT, 1, 2)).toBe(false)
+})
--- a/daemon/limits/account_limits.ts
+++ b/daemon/limits/account_limits.ts
@@ -1,4 +1,5 @@
 /** Enforces the quotas of client accounts across all daemons. */
+import { isDeepStrictEqual } from 'node:util'
 import type { Account, Quota } from '../../core/catalog/index.ts'
 import type { AccountId, DaemonId } from '../../core/ids/index.ts'
 import type { Member } from '../../core/membership/index.ts'
@@ -149,8 +150,10 @@
 
   /** Applies the quotas of a configuration. */
   apply (accounts: Iterable<Account>): void {
+    const before = new Map(this.#quotas)
     this.#quotas.clear()
     for (const { id, quota } of accounts) if (quota) this.#quotas.set(id, quota)
+    for (const [id, quota] of before) if (!isDeepStrictEqual(quota, this.#quotas.get(id))) this.#stock.remove(id)
     this.#localKeeper.apply(this.#quotas, steadyNow())
   }
 
--- a/daemon/limits/account_limits_regions_test.ts
+++ b/daemon/limits/account_limits_regions_test.ts
@@ -94,3 +94,20 @@
   const tolerated = (10 * 8 + 10) * 1.1
   expect(waits.filter((ms) => ms !== undefined).length).toBeLessThanOrEqual(tolerated)
 })
+
+test('what a daemon drew ahead is lost when its configuration changes the quota', async () => {
+  // Guards against requests that are charged to a stock in another unit.
+  await start(1000)
+  const far = nodes.find(({ domain }) => domain === 'd')!
+  await charge(far, { perS: 20, forMs: 200 })
+  const charged = async () => {
+    const sentAtMs = steadyNow()
+    const result = far.limits.charge(ACCOUNT, undefined).then(() => steadyNow() - sentAtMs)
+    await vi.advanceTimersByTimeAsync(60)
+    return await result
+  }
+  await charged()
+  expect(await charged()).toBe(0)
+  far.limits.apply([{ id: ACCOUNT, quota: { unit: 'requests', perS: 900, burst: 1000, plainTokens: 0 } } as Account])
+  expect(await charged()).toBeGreaterThanOrEqual(ROUND_TRIP_MS)
+})
