Ask standbys after a refused listing only for daemons that others depend on

In an outage of the store every daemon asked all its relays and all standbys at each attempt. The new test failed before at both sizes.

--- a/core/relay/change_sources.ts
+++ b/core/relay/change_sources.ts
@@ -44,6 +44,8 @@
   beforeStore: ChangeSource[]
   /** Daemons to ask after the store did not serve this daemon, in order. */
   afterStore: ChangeSource[]
+  /** Daemons to ask after the store did not list its objects for this daemon, in order. In an outage each daemon asks them at each attempt. */
+  afterListing: ChangeSource[]
 }
 
 /**
@@ -63,16 +65,19 @@
   const asked = (members: readonly Member[], how: Pick<ChangeSource, 'direct' | 'passedOn'>) => members.filter(({ id }) => id !== self.id).map((member) => ({ member, ...how, far: false }))
   if (includesId(watchers, self.id)) {
     const farWatchers = rotate(watchersElsewhere(working, options), options.hash(self.id)).map((member) => ({ member, direct: true, passedOn: true, far: true }))
-    return { role: 'watcher', beforeStore: [], afterStore: [...asked([...watchers, ...standbys], { direct: true, passedOn: false }), ...farWatchers] }
+    const afterStore = [...asked([...watchers, ...standbys], { direct: true, passedOn: false }), ...farWatchers]
+    return { role: 'watcher', beforeStore: [], afterStore, afterListing: afterStore }
   }
   const position = standbys.findIndex(({ id }) => id === self.id)
   const earlier = position < 0 ? standbys : standbys.slice(0, position)
-  const beforeStore = [
-    ...asked(primarySources(self, roles, options), { direct: false, passedOn: true }),
-    ...asked(earlier, { direct: true, passedOn: true })
-  ]
-  if (position < 0) return { role: 'follower', beforeStore, afterStore: beforeStore }
-  return { role: 'standby', beforeStore, afterStore: [...beforeStore, ...asked(standbys.slice(position + 1), { direct: true, passedOn: false })] }
+  const primary = asked(primarySources(self, roles, options), { direct: false, passedOn: true })
+  const beforeStore = [...primary, ...asked(earlier, { direct: true, passedOn: true })]
+  if (position < 0) {
+    const asksRelays = primary.some(({ member }) => !includesId(watchers, member.id))
+    return { role: 'follower', beforeStore, afterStore: beforeStore, afterListing: asksRelays ? primary.slice(0, MIN_RELAYS) : beforeStore }
+  }
+  const afterStore = [...beforeStore, ...asked(standbys.slice(position + 1), { direct: true, passedOn: false })]
+  return { role: 'standby', beforeStore, afterStore, afterListing: afterStore }
 }
 
 /**
--- a/daemon/peers/_followed_prefix.ts
+++ b/daemon/peers/_followed_prefix.ts
@@ -62,7 +62,7 @@
       return snapshot
     } catch (err) {
       const { version } = this.#log
-      const relayed = version !== undefined && (isOutage(err) || eraOf(version) < this.era.current) ? await this.#fetchAfterFailure(version, err) : undefined
+      const relayed = version !== undefined && (isOutage(err) || eraOf(version) < this.era.current) ? await this.#fetchAfterFailure(version, { err, sources: this.#options.plan().afterListing }) : undefined
       if (!relayed) throw err
       this.#applyRelayed(relayed)
       return this.#log.all()!
@@ -81,7 +81,7 @@
       this.#markDirect()
       return takesOver ? { ...changes, checked: true } : changes
     } catch (err) {
-      const fallback = isStoreFailure(err, 'history-gone') ? undefined : await this.#fetchAfterFailure(after, err)
+      const fallback = isStoreFailure(err, 'history-gone') ? undefined : await this.#fetchAfterFailure(after, { err, sources: plan().afterStore })
       if (!fallback) throw err
       return this.#applyRelayed(fallback)
     }
@@ -93,21 +93,21 @@
    * Asks the daemons that were not reached in time before: the store may refuse this daemon and serve them. A watcher or standby that just lost it first tells
    * the daemons that ask it, since one of those takes over.
    */
-  async #fetchAfterFailure (after: StoreVersion, err: unknown): Promise<RelayedChanges | undefined> {
-    const { role, afterStore } = this.#options.plan()
+  async #fetchAfterFailure (after: StoreVersion, { err, sources }: { err: unknown, sources: readonly ChangeSource[] }): Promise<RelayedChanges | undefined> {
+    const { role } = this.#options.plan()
     if (isOutage(err)) this.#storeFailedAtMs = steadyNow()
     if (role !== 'follower' && this.#directAtMs !== undefined) this.#recordFailure(err)
-    const relayed = await this.#options.fetchChanges(after, afterStore) ?? await this.#fetchAfterFarTakeover(after, role)
+    const relayed = await this.#options.fetchChanges(after, sources) ?? await this.#fetchAfterFarTakeover(after, { role, sources })
     if (!relayed) this.#recordFailure(err)
     return relayed
   }
 
   /** The watchers of this region turn to those of another one only when none here has the store. */
-  async #fetchAfterFarTakeover (after: StoreVersion, role: SourcePlan['role']): Promise<RelayedChanges | undefined> {
-    const { farTakeoverMs, plan, fetchChanges } = this.#options
+  async #fetchAfterFarTakeover (after: StoreVersion, { role, sources }: { role: SourcePlan['role'], sources: readonly ChangeSource[] }): Promise<RelayedChanges | undefined> {
+    const { farTakeoverMs, fetchChanges } = this.#options
     if (farTakeoverMs === 0 || role === 'watcher') return undefined
     await delay(farTakeoverMs)
-    return await fetchChanges(after, plan().afterStore)
+    return await fetchChanges(after, sources)
   }
 
   #applyRelayed ({ response, passedOn }: RelayedChanges): Changes {
--- a/daemon/peers/store_relay_test.ts
+++ b/daemon/peers/store_relay_test.ts
@@ -114,6 +114,18 @@
   expect(await fleet.timeUntilKnown(['a', 'b'])).toBeLessThanOrEqual(100)
 })
 
+test.each([[68, 4], [195, 4]])('in an outage of the store no daemon receives more than 80 messages a second for a prefix (%i daemons)', async (daemons, domains) => {
+  // Guards against all daemons that ask all standbys at each attempt while none has anything to serve.
+  const { store, network, nodes } = await started(daemons, domains)
+  store.faults.down = true
+  store.disconnectWatches()
+  await vi.advanceTimersByTimeAsync(2000)
+  const received = new Map(nodes.map(({ member }) => [member.id, 0]))
+  network.onMessage = (_from, to) => { received.set(to, received.get(to)! + 1) }
+  await vi.advanceTimersByTimeAsync(10_000)
+  expect(Math.max(...received.values()) / 10).toBeLessThanOrEqual(80)
+})
+
 test.each([500, 1500, 2500, 4000])('soon after a store outage of %d ms only the watchers watch it again', async (outageMs) => {
   // Guards against daemons that skip the watchers for seconds since these had nothing to serve during the outage, and watch the store themselves.
   const { store } = await started(12, 3)
