--- a/core/membership/overlay.ts
+++ b/core/membership/overlay.ts
@@ -19,6 +19,8 @@
 const RINGS_OVER_ALL = 1
 /** Number of links between regions over which news is passed on. */
 const NEWS_LINKS = 4
+/** Number of these between each two regions that have so many, which come first. */
+const NEWS_LINKS_PER_PAIR = 2
 
 /**
  * Returns the neighbours of a daemon on all rings.
@@ -50,7 +52,14 @@
   if (!regionOf) return new Set()
   const ring = members.map((id) => ({ id, position: hash(`${rings - 1}/${id}`) })).sort((a, b) => a.position - b.position).map(({ id }) => id)
   const crossing = ring.map((id, i): [DaemonId, DaemonId] => [id, ring[(i + 1) % ring.length]!]).filter(([from, to]) => regionOf(from) !== regionOf(to))
-  const chosen = crossing.map((ends) => ({ ends, rank: hash(ends.join('/')) })).sort((a, b) => b.rank - a.rank).slice(0, NEWS_LINKS).map(({ ends }) => ends)
+  const ranked = crossing.map((ends) => ({ ends, regions: ends.map((id) => String(regionOf(id))).sort().join('/'), rank: hash(ends.join('/')) })).sort((a, b) => b.rank - a.rank)
+  const linksOfPair = new Map<string, number>()
+  const firstOfPairs = ranked.filter(({ regions }) => {
+    const links = (linksOfPair.get(regions) ?? 0) + 1
+    linksOfPair.set(regions, links)
+    return links <= NEWS_LINKS_PER_PAIR
+  })
+  const chosen = [...new Set([...firstOfPairs, ...ranked.slice(0, NEWS_LINKS)])].slice(0, Math.max(NEWS_LINKS, firstOfPairs.length)).map(({ ends }) => ends)
   return new Set(chosen.filter((ends) => ends.includes(self)).flat().filter((id) => id !== self))
 }
 
