--- a/core/scarcity/pressure_watch.ts
+++ b/core/scarcity/pressure_watch.ts
@@ -1,12 +1,7 @@
 /** Tells lasting overload from a burst. */
 
-/** Options of {@linkcode PressureWatch}. */
-export interface PressureWatchOptions {
-  /** Mean wait above which endpoints count as overloaded, as a multiple of the first-token target. Default 0.4. */
-  overloadWaitInTargets?: number
-}
-
-const DEFAULT_OVERLOAD_WAIT_IN_TARGETS = 0.4
+/** Mean wait above which endpoints count as overloaded, as a multiple of the first-token target. */
+const OVERLOAD_WAIT_IN_TARGETS = 0.4
 /** Time for which the wait must have been so long, in milliseconds: about one load report. */
 const MIN_OVERLOAD_MS = 100
 /** Time since the last long wait after which the overload is over, in milliseconds. Refusals keep waits short while the load lasts. */
@@ -19,17 +14,12 @@
  * that they leave stays unused.
  */
 export class PressureWatch {
-  readonly #overloadWaitInTargets: number
   #sinceMs: number | undefined
   #lastMs = -Infinity
 
-  constructor ({ overloadWaitInTargets = DEFAULT_OVERLOAD_WAIT_IN_TARGETS }: PressureWatchOptions = {}) {
-    this.#overloadWaitInTargets = overloadWaitInTargets
-  }
-
   /** Records the mean wait that a request meets, as a multiple of its first-token target, and returns true while the pool is overloaded. */
   observe (waitInTargets: number, now: number): boolean {
-    if (waitInTargets > this.#overloadWaitInTargets) {
+    if (waitInTargets > OVERLOAD_WAIT_IN_TARGETS) {
       this.#sinceMs ??= now
       this.#lastMs = now
     } else if (now - this.#lastMs > END_AFTER_MS) {
--- a/daemon/exchange/_proxy_components.ts
+++ b/daemon/exchange/_proxy_components.ts
@@ -95,7 +95,7 @@
   quarantine: QuarantineTask
   archive: QuarantineArchive
   loads: LoadTask
-  roomGate: RoomGate
+  roomGate: RoomGate | undefined
   paths: PathWatch
   delegateFinder: DelegateFinder
   delegatedRuns: DelegatedRuns
@@ -203,7 +203,7 @@
       membership,
       table,
       limits,
-      pools: roomGate,
+      ...(roomGate && { pools: roomGate }),
       memory: engineMemory?.task,
       onReport: (from, loads) => {
         endpointLimitTask.sendLimits(from)
@@ -237,7 +237,7 @@
       self: cradle.self, membership: cradle.membership, hostCount: () => cradle.fleet.hostCount, hash, metrics: cradle.metrics, completeSinceMs: () => cradle.registry.completeSinceMs
     })).singleton(),
     regionLink: asFunction(({ topology, membership, metrics, random }: ProxyComponents) => new RegionLinkTask({ topology, membership, metrics, random })).singleton(),
-    roomGate: asFunction(({ table, random, topology, regionLink }: ProxyComponents) => new RoomGate({ table, random, topology, crossing: regionLink })).singleton(),
+    roomGate: asFunction(({ table, random, topology, regionLink }: ProxyComponents) => (settings.refusesLateStreams === true ? new RoomGate({ table, random, topology, crossing: regionLink }) : undefined)).singleton(),
     dispatcher: asFunction(({ table, random, topology, regionLink, fleet, rollouts, endpointLimits, engineMemory, paths, delegateFinder, roomGate }: ProxyComponents) => createSharedDispatcher({
       table,
       hash,
--- a/daemon/exchange/proxy_settings.ts
+++ b/daemon/exchange/proxy_settings.ts
@@ -18,6 +18,8 @@
   memoryLimitBytes?: number | undefined
   /** True if the requests that all daemons have at an engine must stay within its memory, where the configuration names it. Default: false. */
   boundsEngineMemory?: boolean | undefined
+  /** Whether new streams that cannot be in time are refused while prompts wait at the endpoints. Default: they are not. */
+  refusesLateStreams?: boolean | undefined
   /** CPU cores available to this daemon; undefined if the host does not report them. */
   cores?: number | undefined
   /** True during the first start of the whole deployment, when no caller can have sent a request yet. */
--- a/daemon/request/room_gate.ts
+++ b/daemon/request/room_gate.ts
@@ -18,14 +18,11 @@
   crossing?: RegionCrossing
 }
 
-/** Pressure on urgent and on other requests. */
-interface Pressure { urgent: PressureWatch, normal: PressureWatch }
-
 /** What the gate knows of one pool. */
 interface PoolRoom {
-  pressure: Pressure
+  pressure: PressureWatch
   /** The pressure on requests that may be sent to another region. */
-  crossingPressure: Pressure
+  crossingPressure: PressureWatch
   accounts: AccountShares
   /** Urgent prompt tokens sent by this daemon. */
   urgentSent: WorkRate
@@ -38,11 +35,6 @@
 /** Endpoints of one region, and the round trip to another one in milliseconds; 0 for the own one. */
 interface RegionViews { views: EndpointView[], roundTripMs: number }
 
-/**
- * Mean wait above which urgent requests are refused as well, as a multiple of their target. Engines prefill them before all others, so that refusing them gives room to nothing that is worth
- * more, unless they are late by their own number.
- */
-const URGENT_OVERLOAD_WAIT_IN_TARGETS = 1
 /** Weight of the latest prompt in the mean length of its class. */
 const MEAN_SMOOTHING = 0.02
 /**
@@ -85,7 +77,7 @@
     const msPerToken = meanMsPerToken(model, room)
     const waitMs = Math.min(...regions.map((region) => region.roundTripMs + meanWaitMs(region.views, { msPerToken, urgent: cls.urgent })))
     const pressure = mayCross ? room.crossingPressure : room.pressure
-    if (!pressure[cls.urgent ? 'urgent' : 'normal'].observe(waitMs / cls.latency.firstTokenMs, now)) return this.#accept(placement, room)
+    if (!pressure.observe(waitMs / cls.latency.firstTokenMs, now)) return this.#accept(placement, room)
     // The reports of urgent work sum up all regions, so that it is set against the endpoints of all.
     const urgentShare = (room.urgentSent.perMs(now) + room.others.urgentPerMs) * msPerToken / views.length
     const verdict = judgeRoom({
@@ -152,7 +144,7 @@
   #roomOf (pool: PoolName): PoolRoom {
     let room = this.#pools.get(pool)
     if (!room) {
-      room = { pressure: newPressure(), crossingPressure: newPressure(), accounts: new AccountShares(), urgentSent: new WorkRate(), others: NO_OTHERS, meanTokens: new Map() }
+      room = { pressure: new PressureWatch(), crossingPressure: new PressureWatch(), accounts: new AccountShares(), urgentSent: new WorkRate(), others: NO_OTHERS, meanTokens: new Map() }
       this.#pools.set(pool, room)
     }
     return room
@@ -181,7 +173,3 @@
   meanTokens.set(cls, mean)
   return mean
 }
-
-function newPressure (): Pressure {
-  return { urgent: new PressureWatch({ overloadWaitInTargets: URGENT_OVERLOAD_WAIT_IN_TARGETS }), normal: new PressureWatch() }
-}
