--- a/bench/processor.ts
+++ b/bench/processor.ts
@@ -5,6 +5,7 @@
 import { join } from 'node:path'
 import { delay } from '../core/time/index.ts'
 import type { RawRequest } from '../standins/index.ts'
+import { callerHeaders } from '../platform/standins/caller_headers.ts'
 import { freePorts } from '../platform/standins/free_ports.ts'
 import { firstConfig, genuineHeaders, respondWith, Rig, sseEvents, waitUntil } from '../platform/standins/rig.ts'
 import { round, type Bench, type Figures } from './bench.ts'
@@ -119,7 +120,7 @@
 
 function call (port: number, path: string, agent: Agent): Promise<number | undefined> {
   const id = ++requestCount
-  return status({ port, path, agent, method: 'POST', headers: { host: 'a.example', 'verbenatiller-request-id': `p${id}`, 'verbenatiller-deadline-ms': '5000', 'verbenatiller-key': 'key-of-council', 'verbenatiller-token-count': '2000,200', 'verbenatiller-prompt-prefix': `5c1e07a2:800,${id.toString(16)}:1200` } })
+  return status({ port, path, agent, method: 'POST', headers: callerHeaders(`p${id}`, { deadlineMs: 5000, subject: id }) })
 }
 
 function status (options: { port: number, path: string, agent?: Agent, method?: string, headers?: Record<string, string> }): Promise<number | undefined> {
--- a/core/engine_memory/memory_ledger.ts
+++ b/core/engine_memory/memory_ledger.ts
@@ -42,14 +42,14 @@
 /**
  * Keeps what each daemon holds, from its reports and the grants that it has not confirmed yet. Times are in milliseconds on the daemon's clock.
  *
- * While the load of an endpoint that daemons were told lately was low enough for sends without a grant, the memory for these is not granted.
+ * While the load of an endpoint that was last sent to daemons was low enough for sends without a grant, the memory for these is not granted.
  */
 export class MemoryLedger {
   readonly #options: MemoryLedgerOptions
   readonly #holders = new Map<DaemonId, Holder>()
   /** Sums over all daemons, grants included. */
   readonly #totals = new Map<EndpointId, number>()
-  /** Sums over the load reports, as daemons are told. */
+  /** Sums over the load reports, as they are sent to daemons. */
   readonly #reported = new Map<EndpointId, number>()
   readonly #lows = new Map<EndpointId, Low>()
   readonly #waiting = new Map<DaemonId, Waiting>()
@@ -70,7 +70,7 @@
 
   /** Replaces what a daemon holds by its load report, which includes its unused grants. */
   report (daemon: DaemonId, loads: readonly EndpointWork[], now: number): void {
-    const holder = this.#heard(daemon, now)
+    const holder = this.#recordReport(daemon, now)
     const held = new Map<EndpointId, number>()
     for (const [endpoint, { heldTokens = 0 }] of loads) if (heldTokens > 0) held.set(endpoint, heldTokens)
     for (const endpoint of new Set([...holder.held.keys(), ...held.keys()])) {
@@ -84,7 +84,7 @@
 
   /** Replaces what a daemon holds at some endpoints, with its grants up to a number. */
   update (daemon: DaemonId, { held, received }: { held: readonly EndpointTokens[], received: number }, now: number): void {
-    const holder = this.#heard(daemon, now)
+    const holder = this.#recordReport(daemon, now)
     for (const [endpoint, tokens] of held) {
       const change = tokens - (holder.held.get(endpoint) ?? 0)
       this.#add(endpoint, change)
@@ -175,7 +175,7 @@
     return { daemon, endpoint, tokens, number }
   }
 
-  #heard (daemon: DaemonId, now: number): Holder {
+  #recordReport (daemon: DaemonId, now: number): Holder {
     if (now - this.#lastReportAtMs > PAUSE_MS) this.#servingSinceMs = now
     this.#lastReportAtMs = now
     const holder = this.#holderOf(daemon, now)
@@ -220,7 +220,7 @@
 
   #addReported (endpoint: EndpointId, tokens: number, now: number): void {
     if (tokens === 0) return
-    // The sum that is replaced was told until now.
+    // The sum that is replaced was sent until now.
     this.#lowOf(endpoint, now)
     addTo(this.#reported, endpoint, tokens)
     const sum = this.#reported.get(endpoint) ?? 0
@@ -229,7 +229,7 @@
     if (sum === 0 && this.#totals.get(endpoint) === undefined) this.#lows.delete(endpoint)
   }
 
-  /** Least sums that daemons were told in the last one to two windows. */
+  /** Least sums that were sent to daemons in the last one to two windows. */
   #lowOf (endpoint: EndpointId, now: number): Low {
     const sum = this.#reported.get(endpoint) ?? 0
     let low = this.#lows.get(endpoint)
--- a/core/engine_memory/memory_ledger_test.ts
+++ b/core/engine_memory/memory_ledger_test.ts
@@ -101,7 +101,7 @@
 })
 
 test('nothing is granted until all daemons had time to report to a new keeper', () => {
-  // Guards against a new keeper that takes endpoints for empty whose load it has not been told.
+  // Guards against a new keeper that takes endpoints for empty whose load was not reported to it.
   const ledger = new MemoryLedger({ capacityOf: () => CAPACITY })
   ledger.report(daemonId(0), [], 0)
   ask(ledger, { by: 0, tokens: 10_000, now: 0 })
@@ -135,7 +135,7 @@
   expect(ledger.allocate({ share: 0.62, now })).toHaveLength(1)
 })
 
-test('while the load that daemons were told is low, the memory that they may use without a grant is not granted', () => {
+test('while the load that was sent to daemons is low, the memory that they may use without a grant is not granted', () => {
   // Guards against grants for memory that requests take which are not reported yet.
   const ledger = warmLedger({ heldTokens: 0 })
   const now = 2 * WARM_UP_MS
--- a/core/membership/membership.ts
+++ b/core/membership/membership.ts
@@ -3,7 +3,7 @@
 import type { Hash32 } from '../routing/subset.ts'
 import { TimeoutDetector, type FailureDetector } from './detector.ts'
 import { isPresumedAlive, supersedes, type Member, type MemberState } from './member.ts'
-import { neighbours, newsLinks } from './overlay.ts'
+import { neighbours, updateLinks } from './overlay.ts'
 
 /** Key-value entry that is gossiped to all daemons; the highest version of a key wins. */
 export interface Fact {
@@ -77,8 +77,8 @@
   readonly #detectors = new Map<DaemonId, FailureDetector>()
   #successors: DaemonId[] = []
   #predecessors: DaemonId[] = []
-  /** Neighbours in other regions that get news from this daemon. */
-  #newsLinks: ReadonlySet<DaemonId> = new Set()
+  /** Neighbours in other regions to which this daemon forwards updates. */
+  #updateLinks: ReadonlySet<DaemonId> = new Set()
   #ticks = 0
   /** Incremented whenever a member becomes alive or stops being so; only then can the neighbours change. */
   #livenessVersion = 0
@@ -257,7 +257,7 @@
     const { hash, regionOf } = this.#options
     const options = { hash, ...(regionOf && { regionOf: (id: DaemonId) => this.#regionOf(id) }) }
     const next = neighbours(this.self.id, alive, options)
-    this.#newsLinks = newsLinks(this.self.id, alive, options)
+    this.#updateLinks = updateLinks(this.self.id, alive, options)
     const unchanged = next.successors.join() === this.#successors.join() && next.predecessors.join() === this.#predecessors.join()
     if (unchanged) return []
     this.#successors = next.successors
@@ -300,12 +300,12 @@
 
   /**
    * Sends facts to all neighbours and member records to the successors only. Each new configuration changes every record, and sent to all
-   * neighbours each record would cross each link twice. Of the neighbours in other regions, only those on the few links for news get any. A record that is lost is repaired by the next digest.
+   * neighbours each record would cross each link twice. Of the neighbours in other regions, only those on the few update links get any. A record that is lost is repaired by the next digest.
    */
   #sendToNeighbours (gossip: Gossip, except?: DaemonId): MembershipEffect[] {
     const { facts, members } = gossip
-    return this.neighbours.filter((id) => id !== except && (this.#newsLinks.has(id) || !this.#isFar(id))).flatMap((to): MembershipEffect[] => {
-      const records = this.#successors.includes(to) || this.#newsLinks.has(to) ? members : []
+    return this.neighbours.filter((id) => id !== except && (this.#updateLinks.has(id) || !this.#isFar(id))).flatMap((to): MembershipEffect[] => {
+      const records = this.#successors.includes(to) || this.#updateLinks.has(to) ? members : []
       return facts.length + records.length === 0 ? [] : [{ type: 'send', to, gossip: { members: records, facts } }]
     })
   }
--- a/core/membership/overlay.ts
+++ b/core/membership/overlay.ts
@@ -17,10 +17,10 @@
 const DEFAULT_RINGS = 3
 /** Number of rings that run over all regions; the others are laid within each. */
 const RINGS_OVER_ALL = 1
-/** Number of links between regions over which news is passed on. */
-const NEWS_LINKS = 4
+/** Number of links between regions over which updates are forwarded. */
+const UPDATE_LINKS = 4
 /** Number of these between each two regions that have so many, which come first. */
-const NEWS_LINKS_PER_PAIR = 2
+const UPDATE_LINKS_PER_PAIR = 2
 
 /**
  * Returns the neighbours of a daemon on all rings.
@@ -45,10 +45,10 @@
 }
 
 /**
- * Returns the neighbours in other regions to which a daemon passes on news. All daemons that know the same members agree on these few links, so that news
+ * Returns the neighbours in other regions to which a daemon forwards updates. All daemons that know the same members agree on these few links, so that an update
  * crosses a bounded number of times; what is lost on them is repaired by the digests on the others.
  */
-export function newsLinks (self: DaemonId, members: readonly DaemonId[], { hash, rings = DEFAULT_RINGS, regionOf }: OverlayOptions): Set<DaemonId> {
+export function updateLinks (self: DaemonId, members: readonly DaemonId[], { hash, rings = DEFAULT_RINGS, regionOf }: OverlayOptions): Set<DaemonId> {
   if (!regionOf) return new Set()
   const ring = members.map((id) => ({ id, position: hash(`${rings - 1}/${id}`) })).sort((a, b) => a.position - b.position).map(({ id }) => id)
   const crossing = ring.map((id, i): [DaemonId, DaemonId] => [id, ring[(i + 1) % ring.length]!]).filter(([from, to]) => regionOf(from) !== regionOf(to))
@@ -57,9 +57,9 @@
   const firstOfPairs = ranked.filter(({ regions }) => {
     const links = (linksOfPair.get(regions) ?? 0) + 1
     linksOfPair.set(regions, links)
-    return links <= NEWS_LINKS_PER_PAIR
+    return links <= UPDATE_LINKS_PER_PAIR
   })
-  const chosen = [...new Set([...firstOfPairs, ...ranked.slice(0, NEWS_LINKS)])].slice(0, Math.max(NEWS_LINKS, firstOfPairs.length)).map(({ ends }) => ends)
+  const chosen = [...new Set([...firstOfPairs, ...ranked.slice(0, UPDATE_LINKS)])].slice(0, Math.max(UPDATE_LINKS, firstOfPairs.length)).map(({ ends }) => ends)
   return new Set(chosen.filter((ends) => ends.includes(self)).flat().filter((id) => id !== self))
 }
 
--- a/core/membership/overlay_regions_test.ts
+++ b/core/membership/overlay_regions_test.ts
@@ -1,7 +1,7 @@
 import { expect, test } from 'vitest'
 import xxhash from 'xxhash-wasm'
 import { as, type DaemonId, type FailureDomain, type Region } from '../ids/index.ts'
-import { GONE_AFTER_MS, HEARTBEAT_MS, Membership, neighbours, newsLinks, SUSPECT_AFTER_MS, type MembershipEffect } from './index.ts'
+import { GONE_AFTER_MS, HEARTBEAT_MS, Membership, neighbours, updateLinks, SUSPECT_AFTER_MS, type MembershipEffect } from './index.ts'
 
 const { h32 } = await xxhash()
 const hash = (text: string) => h32(text)
@@ -126,12 +126,12 @@
   for (const node of nodes.values()) expect(node.members.filter(({ state }) => state === 'up')).toHaveLength(nodes.size)
 })
 
-test('links for news connect three regions', () => {
+test('update links connect three regions', () => {
   // Guards against a region that hears of changes by digests alone.
   const regionOf = (id: DaemonId) => as<Region>(id[0]!)
   for (let run = 0; run < 200; run++) {
     const members = Array.from({ length: 30 }, (_, i) => as<DaemonId>(`${'abc'[i % 3]}-${run}-${i}`))
-    const linked = new Set(members.flatMap((id) => [...newsLinks(id, members, { hash, regionOf })].map((other) => [id[0], other[0]].join('/'))))
+    const linked = new Set(members.flatMap((id) => [...updateLinks(id, members, { hash, regionOf })].map((other) => [id[0], other[0]].join('/'))))
     expect([...linked].sort()).toEqual(['a/b', 'a/c', 'b/a', 'b/c', 'c/a', 'c/b'])
   }
 })
--- a/core/memory/memory_account_test.ts
+++ b/core/memory/memory_account_test.ts
@@ -82,13 +82,13 @@
 
 test('owners hear of room, which small entries find up to the limit, and an account without a limit has always room', () => {
   const account = new MemoryAccount({ limitBytes: LIMIT_BYTES })
-  let heard = 0
-  account.onRoom = () => { heard++ }
+  let calls = 0
+  account.onRoom = () => { calls++ }
   const body = 100 * SMALL_ENTRY_BYTES
   const entry = account.open('queued', 700 * SMALL_ENTRY_BYTES)
-  expect([account.hasRoomFor(body), account.hasRoomFor(SMALL_ENTRY_BYTES - 1), heard]).toEqual([false, true, 0])
+  expect([account.hasRoomFor(body), account.hasRoomFor(SMALL_ENTRY_BYTES - 1), calls]).toEqual([false, true, 0])
   entry.set(body)
-  expect([account.hasRoomFor(body), heard]).toEqual([true, 1])
+  expect([account.hasRoomFor(body), calls]).toEqual([true, 1])
   const unbounded = new MemoryAccount()
   unbounded.open('answer', 1e12)
   expect([unbounded.hasRoomFor(1e12), unbounded.level]).toEqual([true, 'normal'])
--- a/core/scarcity/scarcity_test.ts
+++ b/core/scarcity/scarcity_test.ts
@@ -25,7 +25,7 @@
   }), { seed: SEED, numRuns: 500 })
 })
 
-test('a refused caller returns while its request can still be served, or is told that it is of no use', () => {
+test('a refused caller returns while its request can still be served, or gets no time to come back', () => {
   fc.assert(fc.property(requests, fc.double({ min: 0, max: 0.999, noNaN: true }), (req, random) => {
     const verdict = judgeRoom(req, { waitMs: 10_000, urgentShare: 0.5 }, random)
     if (verdict.type === 'run') return
--- a/daemon/duties/_absent_regions.ts
+++ b/daemon/duties/_absent_regions.ts
@@ -1,4 +1,4 @@
-/** Knows from which regions most daemons are not heard. */
+/** Knows from which regions most daemons are out of contact. */
 import type { Region } from '../../core/ids/index.ts'
 import type { Member } from '../../core/membership/index.ts'
 import type { DemandGroup, DemandTopology } from './_demand_groups.ts'
--- a/daemon/duties/order_task.ts
+++ b/daemon/duties/order_task.ts
@@ -75,7 +75,7 @@
 /** Load of a pool in fully utilized engines: by prefill time and by occupied batch slots. */
 interface PoolDemand { prefill: number, slots: number }
 
-/** What one group of failure domains is planned by. `isAbsent`: by its last known demand, since its daemons are not heard. */
+/** What one group of failure domains is planned by. `isAbsent`: by its last known demand, since its daemons are out of contact. */
 interface GroupPlan { group: DemandGroup, fleet: DomainFleet[], wanted: EndpointTargets, isAbsent: boolean }
 
 /** The last order of a kind and its result. */
@@ -100,7 +100,7 @@
   readonly #demand = new Map<string, EndpointDemand>()
   readonly #slotDemand = new Map<string, SlotDemand>()
   readonly #absentRegions: AbsentRegions
-  /** Last known demand of the groups whose daemons are not heard. */
+  /** Last known demand of the groups whose daemons are out of contact. */
   readonly #heldDemand = new Map<string, PoolDemand>()
   #timer: NodeJS.Timeout | undefined
 
@@ -150,7 +150,7 @@
     return tallies.isReplica || lease.fencing !== undefined
   }
 
-  /** Returns the last known demand of a group whose daemons are not heard. When they return, it is measured anew: all that they counted meanwhile arrives at once. */
+  /** Returns the last known demand of a group whose daemons are out of contact. When they return, demand is counted anew: all that they counted meanwhile arrives at once. */
   #holdDemand (group: DemandGroup): PoolDemand | undefined {
     if (!this.#isMeasuring) this.#heldDemand.delete(group.key)
     const held = this.#heldDemand.get(group.key) ?? this.#countDemand(group)
@@ -196,11 +196,11 @@
   }
 
   #orderPool (pool: Pool, scaling: Scaling, plans: readonly GroupPlan[]): void {
-    const heard = plans.filter(({ isAbsent }) => !isAbsent)
-    const targets = plans.length === 1 ? [] : withShortages(heard.map((plan) => ({ wanted: plan.wanted, obtainable: this.#obtainable(plan, scaling) })))
+    const present = plans.filter(({ isAbsent }) => !isAbsent)
+    const targets = plans.length === 1 ? [] : withShortages(present.map((plan) => ({ wanted: plan.wanted, obtainable: this.#obtainable(plan, scaling) })))
     plans.forEach((plan) => {
       const { group, fleet } = plan
-      const wanted = targets[heard.indexOf(plan)] ?? plan.wanted
+      const wanted = targets[present.indexOf(plan)] ?? plan.wanted
       this.#retryReclaimable(pool, scaling, { fleet, perDomain: Math.ceil(wanted.withHeadroom / fleet.length) })
       for (const mix of spreadPlan(wanted, scaling, fleet)) this.#orderMix(pool, scaling, { group, mix: this.#keepUntilSettled(group, mix) })
     })
@@ -231,7 +231,7 @@
   }
 
   /**
-   * Raises the plan to the existing counts until the measured load has settled, and while the daemons of the group are not heard.
+   * Raises the plan to the existing counts until the measured load has settled, and while the daemons of the group are out of contact.
    *
    * A daemon that takes over the lease during a burst has no measurement yet. Estimating the load from the endpoints left after a reclaim, it would stop
    * endpoints that are needed and order them again shortly after.
--- a/daemon/limits/engine_memory_test.ts
+++ b/daemon/limits/engine_memory_test.ts
@@ -144,7 +144,7 @@
   expect(memory.hasRoom(view, 1000)).toBe(true)
 })
 
-test('a request that is larger than an engine\'s memory is refused at once, and its caller is not told to come back', () => {
+test('a request that is larger than an engine\'s memory is refused at once, and its caller is given no time to come back', () => {
   const table = tableOf(as('d1'))
   const memory = new EngineMemory({ table, metrics: createMetrics(), random: () => 0, memoryOf: () => MEMORY, sharers: () => 2 })
   const dispatcher = createSharedDispatcher({ table, hash, random: seededRandom(1), topology: new RegionTopology({ ownDomain: DOMAIN }), sharers: () => 2, memory })
--- a/daemon/peers/membership_task.ts
+++ b/daemon/peers/membership_task.ts
@@ -113,8 +113,8 @@
   get joined (): boolean { return this.#joined || this.#noPeersKnown }
 
   /**
-   * True once this daemon has heard from others what they know, or no other daemon is known. The first contact may be a daemon that starts at the same
-   * time and knows nothing yet, so two are heard where there are as many.
+   * True once this daemon has the member tables of others, or no other daemon is known. The first contact may be a daemon that starts at the same
+   * time and knows nothing yet, so two tables are needed where there are as many daemons.
    */
   get introduced (): boolean { return this.#noPeersKnown || this.#introducedBy.size >= Math.min(INTRODUCTIONS, this.#peersSought) }
 
--- a/daemon/peers/membership_task_test.ts
+++ b/daemon/peers/membership_task_test.ts
@@ -48,7 +48,7 @@
   expect(store.keys()).toEqual([])
 })
 
-test('a daemon counts as introduced once it has heard all that two others know, or the only other one', async () => {
+test('a daemon counts as introduced once it has the member tables of two others, or of the only other one', async () => {
   // Guards against a daemon that takes a configuration for the newest because another that has just started knows no newer one.
   const network = new StandInNetwork()
   const tasks: MembershipTask[] = []
