--- a/core/membership/membership.ts
+++ b/core/membership/membership.ts
@@ -222,7 +222,7 @@
 
   /**
    * Returns records that suspect the rest of a region which is cut off: most of its daemons are suspected, and this daemon hears none of it. A few of its daemons
-   * have no neighbour in this region and would be found only after the others are gone. If they are heard elsewhere, they refute it.
+   * have no neighbour in this region and would be found only after the others are gone. Those that other daemons still reach refute it.
    */
   #unheardInLostRegions (now: number): Member[] {
     if (!this.#options.regionOf) return []
--- a/daemon/request/_waiting.ts
+++ b/daemon/request/_waiting.ts
@@ -12,7 +12,7 @@
 /**
  * Urgent requests that may queue at an endpoint in excess of its batch slots.
  *
- * The endpoint gives them the next free slot ahead of all other requests. If they were queued here instead, every daemon would send its own at the moment the news
+ * The endpoint gives them the next free slot ahead of all other requests. If they were queued here instead, every daemon would send its own at the moment the update
  * of the free slot arrives. Endpoints can queue a few requests more than they have slots.
  */
 const MAX_URGENT_WAITING = 12
