--- a/review/standins/deployment.mjs
+++ b/review/standins/deployment.mjs
@@ -6,6 +6,7 @@
 import { tmpdir } from 'node:os'
 import path from 'node:path'
 import { fileURLToPath } from 'node:url'
+import { openLink } from './link.mjs'
 import { startStore } from './store.mjs'
 
 const ROOT = fileURLToPath(new URL('../..', import.meta.url))
@@ -97,8 +98,8 @@
   }
 
   /** Starts a server as a process of its own and keeps its entry in the store, as the server would. */
-  async startServer (service, id, { bodyBytes, chunkBytes, chunkMs, workMs }) {
-    const child = spawn(process.execPath, [path.join(ROOT, 'review/standins/server.mjs'), JSON.stringify({ id, bodyBytes, chunkBytes, chunkMs, workMs })], { stdio: ['ignore', 'inherit', 'inherit', 'ipc'] })
+  async startServer (service, id, { bodyBytes, chunkBytes, chunkMs, workMs, unframed, linked = false }) {
+    const child = spawn(process.execPath, [path.join(ROOT, 'review/standins/server.mjs'), JSON.stringify({ id, bodyBytes, chunkBytes, chunkMs, workMs, unframed })], { stdio: ['ignore', 'inherit', 'inherit', 'ipc'] })
     this.#children.push(child)
     const server = { id, child, address: undefined, running: new Set(), up: true }
     child.on('message', (message) => {
@@ -114,9 +115,15 @@
     })
     child.on('exit', (code, signal) => {
       server.up = false
+      server.link?.refuse()
       this.note(`server ${id} ended: ${code ?? signal}`)
     })
     await waitUntil(() => server.address !== undefined, `server ${id} did not listen`)
+    if (linked) {
+      server.link = await openLink(server.address)
+      server.address = server.link.address
+      this.#links.push(server.link)
+    }
     let sequence = 0
     const beat = () => {
       if (server.up) this.store.put('servers', id, { service, address: server.address, zone: 'a', version: 'v1', slots: 6, state: 'ready', warmup_left_ms: 0, sequence: ++sequence })
@@ -128,6 +135,7 @@
   }
 
   #beats = []
+  #links = []
 
   async ready () {
     for (const { readiness, name } of this.daemons) {
@@ -151,6 +159,7 @@
       child.once('exit', resolve)
       child.kill('SIGKILL')
     })))
+    for (const link of this.#links) link.close()
     this.store?.close()
     rmSync(this.#folder, { recursive: true, force: true })
   }
@@ -175,15 +184,30 @@
   })
 }
 
-/** Splits the bytes of a connection into its first answer, framed by Content-Length, and what follows that. */
+/** Splits the bytes of a connection into its first answer, framed by Content-Length or in chunks, and what follows that. */
 function parse (bytes) {
   const at = bytes.indexOf('\r\n\r\n')
   if (at < 0) return { status: undefined, headers: {}, body: Buffer.alloc(0), rest: bytes, complete: false }
   const [line, ...fields] = bytes.subarray(0, at).toString('latin1').split('\r\n')
   const headers = Object.fromEntries(fields.map((field) => [field.slice(0, field.indexOf(':')).toLowerCase(), field.slice(field.indexOf(':') + 1).trim()]))
   const all = bytes.subarray(at + 4)
+  const status = Number(line.split(' ')[1])
+  if (headers['transfer-encoding'] === 'chunked') return { status, headers, ...parseChunks(all) }
   const length = Number(headers['content-length'])
-  return { status: Number(line.split(' ')[1]), headers, body: all.subarray(0, length), rest: all.subarray(length), complete: all.length >= length }
+  return { status, headers, body: all.subarray(0, length), rest: all.subarray(length), complete: all.length >= length }
+}
+
+function parseChunks (bytes) {
+  const parts = []
+  for (let at = 0; ;) {
+    const end = bytes.indexOf('\r\n', at)
+    const length = end < 0 ? NaN : parseInt(bytes.subarray(at, end).toString('latin1'), 16)
+    const next = end + 2 + length + 2
+    if (!(next <= bytes.length)) return { body: Buffer.concat(parts), rest: Buffer.alloc(0), complete: false }
+    if (length === 0) return { body: Buffer.concat(parts), rest: bytes.subarray(next), complete: true }
+    parts.push(bytes.subarray(end + 2, end + 2 + length))
+    at = next
+  }
 }
 
 /** Runs a case and exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. */
