--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -6,9 +6,9 @@
 const CLIENTS = 24
 const BODY_BYTES = 800
 const KEY = '3d3zji9n73hh2b9wu3fe'
-/** An answer is written in two halves, 400 ms apart; the server is killed between them. */
-const HALF_MS = 400
-const KILL_AFTER_MS = 150
+/** An answer is written in two halves, 800 ms apart; the server is killed between them. */
+const HALF_MS = 800
+const KILL_AFTER_MS = 300
 
 const route = (name, type) => ({ name: `r-${name}`, hostname: HOST, path_prefix: `/${name}/`, route_type: type, timeout_ms: 3000, target_latency_ms: 800, priority: 2, service: 'results-desk', max_attempts: 1, anonymous: false })
 const config = {
@@ -38,7 +38,9 @@
   const asked = ask('unframed', 'POST')
   await waitUntil(() => deployment.runs.length > before, 'no request began to run', 3000)
   await delay(KILL_AFTER_MS)
-  const victim = deployment.servers.reduce((a, b) => (b.running.size > a.running.size ? b : a))
+  // One of those to which the daemon has a connection that went silent.
+  const candidates = deployment.servers.filter(({ link }) => !isTroubled || process.env.ONLY === 'kill' || link.silent.length > 0)
+  const victim = candidates.reduce((a, b) => (b.running.size > a.running.size ? b : a))
   if (victim.running.size === 0) throw new Error('no server was at work when one was to be killed')
   if (isTroubled) {
     deployment.note(`server ${victim.id} is killed while it answers ${[...victim.running].join(', ')}; ${victim.link.silent.length} of the daemon's connections to it are silent`)
--- a/review/standins/deployment.mjs
+++ b/review/standins/deployment.mjs
@@ -1,6 +1,6 @@
 /** A small deployment: the platform's store, daemons and servers as processes, and clients. All of it is on loopback addresses. */
 import { spawn } from 'node:child_process'
-import { appendFileSync, mkdtempSync, openSync, rmSync, writeFileSync } from 'node:fs'
+import { appendFileSync, closeSync, mkdtempSync, openSync, rmSync, writeFileSync } from 'node:fs'
 import { request } from 'node:http'
 import { connect, createServer } from 'node:net'
 import { tmpdir } from 'node:os'
@@ -59,8 +59,8 @@
     appendFileSync(this.#record, `${((performance.now() - this.#startedAtMs) / 1000).toFixed(3).padStart(8)} s  ${line}\n`)
   }
 
-  async start ({ daemons, config }) {
-    this.store = await startStore()
+  async start ({ daemons, config, bounds = {}, store = {} }) {
+    this.store = await startStore(store)
     this.store.put('config', 'main', config)
     const ports = await freePorts(daemons * 4)
     const at = (port) => `127.0.0.1:${port}`
@@ -83,29 +83,37 @@
         store: this.store.address,
         duties: this.store.address,
         heartbeatMs: 1200,
-        bounds: BOUNDS
+        bounds: { ...BOUNDS, ...bounds }
       }
       const file = path.join(this.#folder, `${name}.json`)
       writeFileSync(file, JSON.stringify(settings))
-      const log = openSync(path.join(this.#folder, `${name}.txt`), 'a')
-      const child = spawn(process.execPath, ['target/verbenatiller.cjs', 'serve'], { cwd: ROOT, env: { PATH: process.env.PATH, HOME: process.env.HOME, VERBENATILLER_SETTINGS: file }, stdio: ['ignore', log, log] })
-      const daemon = { name, callers, readiness, child }
-      child.on('exit', (code, signal) => this.note(`daemon ${name} ended: ${code ?? signal}`))
-      this.#children.push(child)
+      const daemon = { name, callers, readiness, file, child: undefined }
       this.daemons.push(daemon)
-      this.note(`daemon ${name} started`)
+      this.startDaemon(daemon)
     }
   }
 
+  /** Starts a daemon's process, as the deploy file does. */
+  startDaemon (daemon) {
+    const { name, file } = daemon
+    const log = openSync(path.join(this.#folder, `${name}.txt`), 'a')
+    const child = spawn(process.execPath, ['target/verbenatiller.cjs', 'serve'], { cwd: ROOT, env: { PATH: process.env.PATH, HOME: process.env.HOME, VERBENATILLER_SETTINGS: file }, stdio: ['ignore', log, log] })
+    closeSync(log)
+    child.on('exit', (code, signal) => this.note(`daemon ${name} ended: ${code ?? signal}`))
+    this.#children.push(child)
+    daemon.child = child
+    this.note(`daemon ${name} started`)
+  }
+
   /** Starts a server as a process of its own and keeps its entry in the store, as the server would. */
-  async startServer (service, id, { bodyBytes, chunkBytes, chunkMs, workMs, unframed, linked = false }) {
-    const child = spawn(process.execPath, [path.join(ROOT, 'review/standins/server.mjs'), JSON.stringify({ id, bodyBytes, chunkBytes, chunkMs, workMs, unframed })], { stdio: ['ignore', 'inherit', 'inherit', 'ipc'] })
+  async startServer (service, id, { program = 'server.mjs', linked = false, ...options }) {
+    const child = spawn(process.execPath, [path.join(ROOT, 'review/standins', program), JSON.stringify({ id, ...options })], { stdio: ['ignore', 'inherit', 'inherit', 'ipc'] })
     this.#children.push(child)
     const server = { id, child, address: undefined, running: new Set(), up: true }
     child.on('message', (message) => {
       if (message.type === 'listening') server.address = `127.0.0.1:${message.port}`
       else if (message.type === 'runs') {
-        this.runs.push({ ...message, server: id })
+        this.runs.push({ ...message, server: id, atMs: performance.now() })
         server.running.add(message.request)
         this.note(`server ${id} runs ${message.request}: ${message.line}, tenant ${message.tenant ?? 'none'}`)
       } else if (message.type === 'answered') {
@@ -166,7 +174,7 @@
 }
 
 /** Sends one request on a connection of its own, and returns all bytes that came back until `ms` after the request or the end of the connection. */
-export function send (port, { id, method = 'GET', target, key, deadlineMs, ms }) {
+export function send (port, { id, method = 'GET', target, key, deadlineMs, ms, headers = '' }) {
   return new Promise((resolve) => {
     const parts = []
     const socket = connect(port, '127.0.0.1')
@@ -180,7 +188,7 @@
     socket.on('end', () => finish('closed'))
     socket.on('error', (err) => finish(err.code))
     const body = method === 'POST' ? 'Content-Length: 0\r\n' : ''
-    socket.write(`${method} ${target} HTTP/1.1\r\nHost: ${HOST}\r\nVerbenatiller-Request-Id: ${id}\r\nVerbenatiller-Deadline-Ms: ${deadlineMs}\r\nVerbenatiller-Key: ${key}\r\n${body}\r\n`)
+    socket.write(`${method} ${target} HTTP/1.1\r\nHost: ${HOST}\r\nVerbenatiller-Request-Id: ${id}\r\nVerbenatiller-Deadline-Ms: ${deadlineMs}\r\nVerbenatiller-Key: ${key}\r\n${headers}${body}\r\n`)
   })
 }
 
--- a/review/standins/store.mjs
+++ b/review/standins/store.mjs
@@ -3,8 +3,12 @@
 
 const HISTORY_LENGTH = 10_000
 
-/** Starts the store on a free port. */
-export async function startStore () {
+/**
+ * Starts the store on a free port.
+ * @param options.losesAnswer Returns true for a write that is done and not answered; nothing more comes on its connection.
+ * @param options.onDuty Called with each call to the platform's API for duties.
+ */
+export async function startStore ({ losesAnswer = () => false, onDuty = () => {} } = {}) {
   const kinds = new Map()
   const history = []
   const watchers = new Set()
@@ -37,7 +41,8 @@
     changed(kind, object, true)
     return object
   }
-  const answer = (res, status, body) => { res.writeHead(status, { 'content-type': 'application/json' }).end(JSON.stringify(body)) }
+  const silenced = new WeakSet()
+  const answer = (res, status, body) => { if (!silenced.has(res.socket)) res.writeHead(status, { 'content-type': 'application/json' }).end(JSON.stringify(body)) }
 
   const list = (res, kind, after) => {
     const names = [...ofKind(kind).keys()].filter((name) => name > after).sort()
@@ -78,7 +83,11 @@
     const url = new URL(req.url, 'http://store')
     const [, root, kind, name, part] = url.pathname.split('/').map(decodeURIComponent)
     const query = url.searchParams
-    if (root !== 'objects') return answer(res, 200, {})
+    if (root !== 'objects') {
+      onDuty({ duty: root, holder: req.headers['verbenatiller-duty-holder'], token: Number(req.headers['verbenatiller-fencing-token']), body })
+      return answer(res, 200, {})
+    }
+    if (req.method !== 'GET' && losesAnswer({ kind, name: name ?? body.metadata?.name, spec: body.spec })) silenced.add(res.socket)
     if (req.method !== 'GET') return update(res, req.method, { kind, name, part, body, query })
     if (query.has('watch')) return watch(res, kind, { after: Number(query.get('watch')), waitMs: Number(query.get('wait_ms')) })
     if (name === undefined) return list(res, kind, query.get('after') ?? '')
