--- a/review/standins/deployment.mjs
+++ b/review/standins/deployment.mjs
@@ -6,7 +6,6 @@
 import { tmpdir } from 'node:os'
 import path from 'node:path'
 import { fileURLToPath } from 'node:url'
-import { openLink } from './link.mjs'
 import { startStore } from './store.mjs'
 
 const ROOT = fileURLToPath(new URL('../..', import.meta.url))
@@ -17,6 +16,8 @@
 /** Limits of the configurations. */
 export const LIMITS = { max_header_bytes: 16384, max_body_bytes: 4194304, header_timeout_ms: 3000, idle_timeout_ms: 15000 }
 
+const MAX_CASE_MS = 105_000
+
 export const delay = (ms) => new Promise((resolve) => setTimeout(resolve, ms))
 
 /** Waits until a condition holds; throws when it does not in time. */
@@ -106,8 +107,8 @@
   }
 
   /** Starts a server as a process of its own and keeps its entry in the store, as the server would. */
-  async startServer (service, id, { program = 'server.mjs', linked = false, ...options }) {
-    const child = spawn(process.execPath, [path.join(ROOT, 'review/standins', program), JSON.stringify({ id, ...options })], { stdio: ['ignore', 'inherit', 'inherit', 'ipc'] })
+  async startServer (service, id, options) {
+    const child = spawn(process.execPath, [path.join(ROOT, 'review/standins/server.mjs'), JSON.stringify({ id, ...options })], { stdio: ['ignore', 'inherit', 'inherit', 'ipc'] })
     this.#children.push(child)
     const server = { id, child, address: undefined, running: new Set(), up: true }
     child.on('message', (message) => {
@@ -123,15 +124,9 @@
     })
     child.on('exit', (code, signal) => {
       server.up = false
-      server.link?.refuse()
       this.note(`server ${id} ended: ${code ?? signal}`)
     })
     await waitUntil(() => server.address !== undefined, `server ${id} did not listen`)
-    if (linked) {
-      server.link = await openLink(server.address)
-      server.address = server.link.address
-      this.#links.push(server.link)
-    }
     let sequence = 0
     const beat = () => {
       if (server.up) this.store.put('servers', id, { service, address: server.address, zone: 'a', version: 'v1', slots: 6, state: 'ready', warmup_left_ms: 0, sequence: ++sequence })
@@ -143,7 +138,6 @@
   }
 
   #beats = []
-  #links = []
 
   async ready () {
     for (const { readiness, name } of this.daemons) {
@@ -167,14 +161,13 @@
       child.once('exit', resolve)
       child.kill('SIGKILL')
     })))
-    for (const link of this.#links) link.close()
     this.store?.close()
     rmSync(this.#folder, { recursive: true, force: true })
   }
 }
 
 /** Sends one request on a connection of its own, and returns all bytes that came back until `ms` after the request or the end of the connection. */
-export function send (port, { id, method = 'GET', target, key, deadlineMs, ms, headers = '' }) {
+export function send (port, { id, method = 'GET', target, key, deadlineMs, ms }) {
   return new Promise((resolve) => {
     const parts = []
     const socket = connect(port, '127.0.0.1')
@@ -188,7 +181,7 @@
     socket.on('end', () => finish('closed'))
     socket.on('error', (err) => finish(err.code))
     const body = method === 'POST' ? 'Content-Length: 0\r\n' : ''
-    socket.write(`${method} ${target} HTTP/1.1\r\nHost: ${HOST}\r\nVerbenatiller-Request-Id: ${id}\r\nVerbenatiller-Deadline-Ms: ${deadlineMs}\r\nVerbenatiller-Key: ${key}\r\n${headers}${body}\r\n`)
+    socket.write(`${method} ${target} HTTP/1.1\r\nHost: ${HOST}\r\nVerbenatiller-Request-Id: ${id}\r\nVerbenatiller-Deadline-Ms: ${deadlineMs}\r\nVerbenatiller-Key: ${key}\r\n${body}\r\n`)
   })
 }
 
@@ -223,8 +216,13 @@
   const deployment = new Deployment(recordFile)
   const isTroubled = process.env.TROUBLE !== '0'
   let status = 2
+  // A case that takes too long, or is told to stop, ends what it has started.
+  const stopped = new Promise((resolve, reject) => {
+    process.on('SIGTERM', () => reject(new Error('told to stop')))
+    setTimeout(() => reject(new Error('it took too long')), MAX_CASE_MS)
+  })
   try {
-    const problems = await play(deployment, isTroubled)
+    const problems = await Promise.race([play(deployment, isTroubled), stopped])
     for (const problem of problems) deployment.note(`BROKEN ${problem}`)
     status = problems.length > 0 ? 1 : 0
   } catch (err) {
--- a/review/standins/server.mjs
+++ b/review/standins/server.mjs
@@ -1,7 +1,7 @@
 /** Stand-in for a server of a plain service: sound, and alive until it is killed. Reports what it runs to its parent process. */
 import { createServer } from 'node:http'
 
-const { id, bodyBytes = 800, chunkBytes = bodyBytes, chunkMs = 0, workMs = 15, unframed = false } = JSON.parse(process.argv[2])
+const { id, bodyBytes = 800, chunkBytes = bodyBytes, chunkMs = 0, workMs = 15 } = JSON.parse(process.argv[2])
 const delay = (ms) => new Promise((resolve) => setTimeout(resolve, ms))
 
 /** The body of a request at this server: lines that name both. */
@@ -21,10 +21,7 @@
   process.send({ type: 'runs', request, line: `${req.method} ${req.url}`, tenant: req.headers['verbenatiller-tenant'] })
   await delay(workMs)
   const body = bodyOf(request)
-  // An answer without a length ends with its connection.
-  const isUnframed = unframed && req.url.startsWith('/unframed/')
-  if (isUnframed) res.useChunkedEncodingByDefault = false
-  res.writeHead(200, { ...own, 'Verbenatiller-Server-Stamp': `stamp.${id}.${request}`, ...(isUnframed ? { Connection: 'close' } : { 'Content-Length': body.length }) })
+  res.writeHead(200, { ...own, 'Verbenatiller-Server-Stamp': `stamp.${id}.${request}`, 'Content-Length': body.length })
   for (let at = 0; at < body.length && !res.destroyed; at += chunkBytes) {
     res.write(body.subarray(at, at + chunkBytes))
     if (chunkMs > 0) await delay(chunkMs)
