End the hold of a lease when its release is sent, not when it is answered

Where the platform does not check fencing numbers, two daemons acted as the holder.

Cause: a release was a write like a renewal. The hold stayed valid until the store answered it, and only the record that was read back ended it. If the answer is lost, the release is in force for as long as the call waits (2 s), while its sender is still told that it may act. The round of reports under way asks before each call, and was allowed. A step-down took the same way, without a signal. The other hypothesis, a fencing number that the round had kept from before, is ruled out: the round asks anew for each call, and the test of the lease alone shows the number 1 after the release.

Change: `recordReleaseSent` ends the hold with the sending. A renewal that was sent before gives no right when its answer comes late, since it is not the last record sent. A stopped lease task gives no number. A release that fails because a renewal or an acquisition came before it is sent again; before, the lease was left to expire. `lease-release-sent` logs the moment from which a daemon does not act.

Evidence: `a daemon may not act from the moment at which it sends its release` failed with [1, undefined, true]; `a renewal that is answered after the release ...` and `a daemon that stops while it acquires ...` failed too.

--- a/core/lease/lease.ts
+++ b/core/lease/lease.ts
@@ -92,6 +92,14 @@
   return { ...state, lastSent: { renewal: record.renewal, atMs: now } }
 }
 
+/**
+ * Records that a release was sent to the store. It may be in force at once, so that the hold ends here and not with the answer. Renewals that were sent before it
+ * give no right any more: they are not the last record that was sent.
+ */
+export function recordReleaseSent (state: LeaseState, record: LeaseRecord, now: number): LeaseState {
+  return { ...recordSent(state, record, now), hold: undefined }
+}
+
 /**
  * Records what was read from the store. A changed version means that the lease was renewed.
  *
--- a/core/lease/lease_test.ts
+++ b/core/lease/lease_test.ts
@@ -1,7 +1,7 @@
 import { expect, test } from 'vitest'
 import { as, type DaemonId } from '../ids/index.ts'
 import { NO_VERSION, revisionOf, storeVersion, type StoreVersion } from '../store_version/index.ts'
-import { currentFencing, nextLeaseAction, NO_LEASE, released, recordEra, recordRead, recordSent, type LeaseRecord, type LeaseState } from './index.ts'
+import { currentFencing, isUnsucceeded, nextLeaseAction, NO_LEASE, released, recordEra, recordRead, recordReleaseSent, recordSent, type LeaseRecord, type LeaseState } from './index.ts'
 
 const v = (revision: number) => storeVersion(0, revision)
 
@@ -61,12 +61,23 @@
   expect(numberIn(2)).toBeGreaterThan(numberIn(1) + 1e6)
 })
 
+test('from the sending of a release its holder may not act, and renewals that it sent before give it no right', () => {
+  // Guards against two holders: the release is in force, and its answer or that of a renewal is still on the way.
+  const record: LeaseRecord = { holder: A, fencing: 3, ttlMs: TTL_MS, renewal: 'x' }
+  const held = recordRead(recordSent(NO_LEASE, record, 100), { record, version: v(1) }, { self: A, now: 100 })
+  const renewal = { ...record, renewal: 'y' }
+  const giving = recordReleaseSent(recordSent(held, renewal, 400), released(record, 'z'), 500)
+  const late = recordRead(giving, { record: renewal, version: v(2) }, { self: A, now: 600 })
+  expect([giving, late].map((state) => currentFencing(state, A, 600))).toEqual([undefined, undefined])
+  expect([giving, late].map((state) => isUnsucceeded(state, { ttlMs: TTL_MS, now: 600 }))).toEqual([false, false])
+})
+
 /** A write in flight to the store, or its response on the way back. */
 interface Write { actor: number, record: LeaseRecord, version: StoreVersion, at: 'sent' | 'answered', result: { record: LeaseRecord, version: StoreVersion } | undefined }
 interface SystemState { nowMs: number, stored: { record: LeaseRecord, version: StoreVersion } | undefined, actors: LeaseState[], writes: Write[], written: number }
 
 /** The correct protocol, or one with a deliberate fault that the exploration must detect. */
-type Variant = 'correct' | 'counts from the answer' | 'takes over too early' | 'writes without a condition'
+type Variant = 'correct' | 'counts from the answer' | 'takes over too early' | 'writes without a condition' | 'holds until its release is answered'
 
 const ACTORS = [A, B]
 const DEPTH = 11
@@ -107,6 +118,8 @@
     yield withActor(system, i, recordRead(system.actors[i]!, system.stored, { self: ACTORS[i]!, now: system.nowMs }))
     const write = startWrite(system, i, variant)
     if (write) yield { ...withActor(system, i, recordSent(system.actors[i]!, write.record, system.nowMs)), writes: [...system.writes, write], written: system.written + 1 }
+    const release = startRelease(system, i)
+    if (release) yield { ...withActor(system, i, releasing(system.actors[i]!, release.record, { nowMs: system.nowMs, variant })), writes: [...system.writes, release], written: system.written + 1 }
   }
   for (const write of system.writes) {
     const others = system.writes.filter((other) => other !== write)
@@ -125,6 +138,17 @@
   return { actor: i, record: action.record, version: action.version, at: 'sent', result: undefined }
 }
 
+/** A release may be sent while a renewal is in flight. */
+function startRelease (system: SystemState, i: number): Write | undefined {
+  const state = system.actors[i]!
+  if (system.written >= MAX_WRITES || currentFencing(state, ACTORS[i]!, system.nowMs) === undefined) return undefined
+  return { actor: i, record: released(state.record!, `${i}.${system.written}`), version: state.version, at: 'sent', result: undefined }
+}
+
+function releasing (state: LeaseState, record: LeaseRecord, { nowMs, variant }: { nowMs: number, variant: Variant }): LeaseState {
+  return variant === 'holds until its release is answered' ? recordSent(state, record, nowMs) : recordReleaseSent(state, record, nowMs)
+}
+
 /** Applies a write to the store and fixes its result, which the writer learns from the response or by reading back. */
 function applyWrite (system: SystemState, write: Write, { others, variant }: { others: Write[], variant: Variant }): SystemState {
   const holds = variant === 'writes without a condition' || (system.stored?.version ?? NO_VERSION) === write.version
@@ -152,7 +176,7 @@
   expect([doubleHolders, duplicateNumbers]).toEqual([0, 0])
 }, 60_000)
 
-test.each<Variant>(['counts from the answer', 'takes over too early'])('the exploration detects the fault of a lease that %s', (variant) => {
+test.each<Variant>(['counts from the answer', 'takes over too early', 'holds until its release is answered'])('the exploration detects the fault of a lease that %s', (variant) => {
   expect(explore(variant).doubleHolders).toBeGreaterThan(0)
 }, 60_000)
 
--- a/daemon/fleet/lease_task.ts
+++ b/daemon/fleet/lease_task.ts
@@ -1,7 +1,7 @@
 /** Acquires and renews a lease stored in the object store. */
 import { randomUUID } from 'node:crypto'
 import type { DaemonId } from '../../core/ids/index.ts'
-import { currentFencing, currentRecord, isUnsucceeded, nextLeaseAction, NO_LEASE, released, recordEra, recordRead, recordSent, type LeaseRecord, type LeaseState } from '../../core/lease/index.ts'
+import { currentFencing, currentRecord, isUnsucceeded, nextLeaseAction, NO_LEASE, released, recordEra, recordRead, recordReleaseSent, recordSent, type LeaseRecord, type LeaseState } from '../../core/lease/index.ts'
 import { eraOf, isLater, type StoreVersion } from '../../core/store_version/index.ts'
 import { delay, steadyNow } from '../../core/time/index.ts'
 import { StoreError, writeAndVerify, type TaggedValue, type ObjectStore } from '../../store/index.ts'
@@ -83,6 +83,8 @@
   #lastAnnouncementAtMs = -Infinity
   #wake: () => void = () => {}
   #stopped = false
+  /** Resolves when the loop has ended, and with it its last store call. */
+  #ended: Promise<void> = Promise.resolve()
   /** When store calls started to fail; undefined while they succeed. */
   #storeFailingSinceMs: number | undefined
   /** Called with the fencing number when this daemon becomes the holder or its number changes, and with undefined when it loses the lease. */
@@ -106,9 +108,12 @@
    *
    * If a lease moves back and forth, two daemons would act alternately, each on a view from before the other's actions. A daemon that regains the
    * lease therefore waits first.
+   *
+   * Ask immediately before each action: the answer may change whenever the event loop runs.
    */
   get fencing (): number | undefined {
     const now = steadyNow()
+    if (this.#stopped) return undefined
     if (Math.abs(clockOffsetMs() - this.#clockOffsetMs) > MAX_CLOCK_DIVERGENCE_MS || now < this.#notBeforeMs) return undefined
     const fencing = currentFencing(this.#state, this.#options.self, now)
     if (fencing !== undefined) this.#lastActiveAtMs = now
@@ -139,28 +144,25 @@
 
   /** Starts acquiring and renewing the lease. */
   start (): void {
-    this.#run()
+    this.#ended = this.#run()
   }
 
-  /** Stops; a held lease expires. */
+  /** Stops; this daemon may not act any more, and a held lease expires. */
   stop (): void {
     this.#stopped = true
     this.#wake()
   }
 
-  /** Stops and releases the lease, so that a successor does not have to wait for its expiry. */
+  /**
+   * Stops and releases the lease, so that a successor does not have to wait for its expiry. This daemon may not act from the call on.
+   *
+   * A renewal or an acquisition that was in flight may be applied before the release and make it fail; the lease is then released again.
+   */
   async release (): Promise<void> {
-    const { version } = this.#state
-    const record = currentRecord(this.#state)
-    const held = this.fencing !== undefined
     this.stop()
-    if (!held || !record) return
-    try {
-      await this.#write(released(record, randomUUID()), version)
-    } catch (err) {
-      if (!(err instanceof StoreError)) throw err
-      log('lease-call-failed', { name: this.#options.name, why: err.message })
-    }
+    await this.#releaseIfHeld()
+    await this.#ended
+    await this.#releaseIfHeld()
   }
 
   /** Requests a higher fencing number, so that orders in flight with the current one are rejected. */
@@ -182,7 +184,7 @@
       this.#recordEra()
       const ttlMs = this.#options.ttlMs ?? DEFAULT_TTL_MS
       const action = nextLeaseAction(this.#state, { self, now: steadyNow(), ttlMs, writeId: randomUUID(), increaseFencing: this.#raiseRequested })
-      if (action.type === 'write') await this.#rereadOnFailure(() => this.#write(action.record, action.version))
+      if (action.type === 'write') await this.#rereadOnFailure(() => this.#renew(action.record, action.version))
       else await this.#waitAndRead(action.ms)
     }
   }
@@ -203,13 +205,31 @@
 
   /** Releases a lease that this daemon should no longer hold, because other daemons now know more of the work. */
   async #stepDown (): Promise<void> {
-    const { version } = this.#state
-    const record = currentRecord(this.#state)
-    if (this.fencing !== undefined && record) await this.#rereadOnFailure(() => this.#write(released(record, randomUUID()), version))
+    await this.#rereadOnFailure(() => this.#writeRelease())
     this.#hasCurrentRecord = false
     await delay(this.#options.pollIntervalMs ?? DEFAULT_POLL_INTERVAL_MS)
   }
 
+  async #releaseIfHeld (): Promise<void> {
+    try {
+      await this.#writeRelease()
+    } catch (err) {
+      if (!(err instanceof StoreError)) throw err
+      log('lease-call-failed', { name: this.#options.name, why: err.message })
+    }
+  }
+
+  /** Writes the release of a lease that this daemon holds by the last record that it knows. The hold ends with the sending, since a successor may act from then on. */
+  async #writeRelease (): Promise<void> {
+    const { version } = this.#state
+    const record = currentRecord(this.#state)
+    if (!record || record.holder !== this.#options.self || record.ttlMs === 0) return
+    const release = released(record, randomUUID())
+    this.#state = recordReleaseSent(this.#state, release, steadyNow())
+    log('lease-release-sent', { name: this.#options.name, fencing: release.fencing })
+    await this.#write(release, version)
+  }
+
   /** Waits; contenders then read the record to see whether it was renewed. The holder already knows it. */
   async #waitAndRead (ms: number): Promise<void> {
     const woken = new Promise<void>((resolve) => { this.#wake = resolve })
@@ -238,8 +258,12 @@
     this.#observe(found && record ? { record, version: found.version } : undefined)
   }
 
-  async #write (record: LeaseRecord, version: StoreVersion): Promise<void> {
+  async #renew (record: LeaseRecord, version: StoreVersion): Promise<void> {
     this.#state = recordSent(this.#state, record, steadyNow())
+    await this.#write(record, version)
+  }
+
+  async #write (record: LeaseRecord, version: StoreVersion): Promise<void> {
     const offsetMs = clockOffsetMs()
     const result = await writeAndVerify(this.#options.store, this.#key, { writeId: record.renewal, data: record, version })
     if (!result.applied) return this.#observe(result.found && result.data ? { record: result.data, version: result.found.version } : undefined)
@@ -272,6 +296,7 @@
       if (!(err instanceof StoreError)) throw err
       this.#storeFailingSinceMs ??= steadyNow()
       log('lease-call-failed', { name: this.#options.name, why: err.message })
+      if (this.#stopped) return
       await delay(this.#options.retryMs ?? DEFAULT_RETRY_MS)
       await this.#read().catch((retryErr) => { if (!(retryErr instanceof StoreError)) throw retryErr })
     }
--- a/daemon/fleet/lease_task_test.ts
+++ b/daemon/fleet/lease_task_test.ts
@@ -1,7 +1,7 @@
 import { afterEach, beforeEach, expect, test, vi } from 'vitest'
 import { as, type DaemonId, type EndpointId } from '../../core/ids/index.ts'
 import { Ledger, StandInEngine, StandInStore } from '../../standins/index.ts'
-import { LeaseTask, type LeasePeers, type LeaseAnnouncement } from './lease_task.ts'
+import { LeaseTask, type LeasePeers, type LeaseAnnouncement, type LeaseTaskOptions } from './lease_task.ts'
 import { EngineReconciler, type DesiredState } from './engine_reconciler.ts'
 
 const TTL_MS = 10_000
@@ -13,7 +13,7 @@
   vi.useRealTimers()
 })
 
-function lease (store: StandInStore, name: string, options: { fenced?: boolean, reacquireDelayMs?: number, contends?: () => boolean, peers?: LeasePeers } = {}): LeaseTask {
+function lease (store: StandInStore, name: string, options: Partial<LeaseTaskOptions> = {}): LeaseTask {
   const task = new LeaseTask({ self: as<DaemonId>(name), store, name: 'fleet', ttlMs: TTL_MS, ...options })
   tasks.push(task)
   task.start()
@@ -99,6 +99,73 @@
   expect(b.fencing).toBe(2)
 })
 
+test('a daemon may not act from the moment at which it sends its release, although the store does not answer', async () => {
+  // Guards against two daemons that act as the holder: the release is in force, and its sender waits for an answer that is lost.
+  const store = new StandInStore()
+  const a = lease(store, 'a')
+  await advance(100)
+  store.stopAnswering()
+  const released = a.release()
+  expect([a.fencing, a.fencingInOutage, a.isUnsucceeded]).toEqual([undefined, undefined, false])
+  store.faults.loseAnswers = 1
+  store.resumeAnswering()
+  await advance(100)
+  await released
+  expect([a.fencing, a.isUnsucceeded]).toEqual([undefined, false])
+})
+
+test('a daemon that steps down may not act from the moment at which it sends its release', async () => {
+  // Guards against two holders after a hand-over: a daemon that should no longer contend has released the lease and not learned so yet.
+  const store = new StandInStore()
+  let contends = true
+  const a = lease(store, 'a', { contends: () => contends })
+  await advance(100)
+  store.stopAnswering()
+  contends = false
+  await advance(TTL_MS / 2)
+  expect([a.fencing, a.isUnsucceeded]).toEqual([undefined, false])
+  contends = true
+  store.resumeAnswering()
+  await advance(TTL_MS)
+  expect(a.fencing).toBe(1)
+})
+
+test('a renewal that is answered after the release gives no right to act, and the lease is free at once', async () => {
+  // Guards against a hold that returns with a late answer, and against a release that is lost because a renewal came before it.
+  const store = new StandInStore()
+  const a = lease(store, 'a')
+  await advance(100)
+  const b = lease(store, 'b', { pollIntervalMs: 500 })
+  await advance(TTL_MS / 3 - 200)
+  store.stopAnswering()
+  await advance(200)
+  const released = a.release()
+  store.resumeAnswering()
+  await advance(0)
+  expect(a.fencing).toBeUndefined()
+  await advance(1000)
+  await released
+  expect([a.fencing, b.fencing]).toEqual([undefined, 2])
+})
+
+test('a daemon that stops while it acquires the lease releases it', async () => {
+  // Guards against a lease that a process holds which is gone: nobody orders endpoints until it expires.
+  const store = new StandInStore()
+  store.stopAnswering()
+  const a = lease(store, 'a')
+  await advance(100)
+  store.resumeAnswering()
+  store.faults.slowMs = 100
+  await advance(50)
+  const released = a.release()
+  await advance(1000)
+  await released
+  store.faults.slowMs = 0
+  const b = lease(store, 'b')
+  await advance(100)
+  expect([a.fencing, b.fencing]).toEqual([undefined, 2])
+})
+
 test('a renewal that was applied but not acknowledged keeps the lease and its fencing number', async () => {
   const store = new StandInStore()
   const a = lease(store, 'a')
--- a/daemon/log/events.ts
+++ b/daemon/log/events.ts
@@ -171,6 +171,8 @@
   'keeper-chosen': { keeper: string, before: string }
   'keeper-silent': { keeper: string, requests: number, why: string }
   'lease-changed': { name: string, holder: string, fencing: number }
+  /** The release of the lease was sent; from here on this daemon does not act as its holder, whether or not the store answers. */
+  'lease-release-sent': { name: string, fencing: number }
   'lease-call-failed': { name: string, why: string }
   /** A rollout has entered a stage; up to `granted` requests may have gone to the new version before the switch. */
   'rollout-stage': { pool: string, from: string | undefined, to: string, stage: string, why: string, granted: number }
