Release a lease only after the calls made in its name have ended

A report or order that is sent just before a release, and is held up by a slow connection, arrives after those of the successor. Where the platform does not check fencing numbers, it is carried out.

Cause: the right to act was read as a number once, before the call. A call that was given up without an answer may arrive later still.

Change: `LeaseTask.act` asks immediately before, aborts the call when the hold ends, and lets releases and step-downs wait for it; no call begins meanwhile. After a call of unknown outcome the lease is left to expire (`lease-left-to-expire`). Orders and reports go through it. A round of reports that read the store while the lease ended does not write its reports. The fencing number is raised only where the receiver compares numbers: elsewhere an unanswered order with the old number looked like one of a former holder. A shutdown waits for the release no longer than its grace period.

Tests that used a bare `fencing` property as the lease now use `StandInLease`; their assertions are unchanged.

--- a/core/lease/lease.ts
+++ b/core/lease/lease.ts
@@ -97,7 +97,17 @@
  * give no right any more: they are not the last record that was sent.
  */
 export function recordReleaseSent (state: LeaseState, record: LeaseRecord, now: number): LeaseState {
-  return { ...recordSent(state, record, now), hold: undefined }
+  return endHold(recordSent(state, record, now))
+}
+
+/** Ends this daemon's hold; another daemon may have acquired the lease, or may do so now. */
+export function endHold (state: LeaseState): LeaseState {
+  return { ...state, hold: undefined }
+}
+
+/** Returns how long after its last renewal a lease can be acquired by another daemon, in milliseconds. */
+export function expiryMs (ttlMs: number): number {
+  return ttlMs * TAKE_OVER_AFTER_TTLS
 }
 
 /**
--- a/daemon/duties/_order_fixture.ts
+++ b/daemon/duties/_order_fixture.ts
@@ -5,7 +5,7 @@
 import { Tally } from '../../core/tally/index.ts'
 import { DutyError, type EndpointOrder, type ListedHost } from '../../endpoints/index.ts'
 import { EndpointTable } from '../endpoints/endpoint_table.ts'
-import type { LeaseTask } from '../fleet/lease_task.ts'
+import { StandInLease } from '../fleet/_stand_in_lease.ts'
 import { createMetrics } from '../metrics.ts'
 import type { TallyTask } from '../peers/tally_task.ts'
 import { OrderTask, type OrderTaskOptions } from './order_task.ts'
@@ -32,7 +32,7 @@
   readonly table = new EndpointTable({ self: SELF, hash: (text) => text.length })
   readonly tally = new Tally(SELF)
   readonly orders: EndpointOrder[] = []
-  readonly lease = { fencing: 1 as number | undefined, fencingInOutage: undefined as number | undefined, raiseFencing: () => {}, endOutageGrace: () => { this.lease.fencingInOutage = undefined } }
+  readonly lease = new StandInLease(() => 1)
   /** Failure domains without available reclaimable endpoints. */
   readonly exhausted = new Set<FailureDomain>()
   /** Total token rate that the quotas of all accounts allow, in tokens per second. */
@@ -78,7 +78,7 @@
     task = new OrderTask({
       name: 'd',
       duties: { order: async (order) => this.#order(order), report: async () => {} },
-      lease: this.lease as unknown as LeaseTask,
+      lease: this.lease,
       table: this.table,
       tallies: { tally: this.tally, isReplica: true } as unknown as TallyTask,
       metrics: createMetrics(),
--- a/daemon/duties/order_task.ts
+++ b/daemon/duties/order_task.ts
@@ -6,7 +6,7 @@
 import { steadyNow } from '../../core/time/index.ts'
 import { DutyError, type Duties, type EndpointOrder } from '../../endpoints/index.ts'
 import type { EndpointTable } from '../endpoints/endpoint_table.ts'
-import type { LeaseTask } from '../fleet/lease_task.ts'
+import { LeaseError, type LeaseTask } from '../fleet/lease_task.ts'
 import { log } from '../log/index.ts'
 import type { Metrics } from '../metrics.ts'
 import type { TallyTask } from '../peers/tally_task.ts'
@@ -19,7 +19,7 @@
   /** Name of this daemon as the platform knows it. */
   name: string
   duties: Duties
-  lease: LeaseTask
+  lease: Pick<LeaseTask, 'act' | 'fencing' | 'fencingInOutage' | 'raiseFencing' | 'endOutageGrace'>
   table: EndpointTable
   tallies: TallyTask
   metrics: Metrics
@@ -310,25 +310,28 @@
   }
 
   async #sendOrder (order: EndpointOrder): Promise<void> {
-    const { lease } = this.#options
+    const { duties, lease, metrics, name } = this.#options
     const outage = lease.fencing === undefined
-    const fencing = lease.fencing ?? lease.fencingInOutage
-    if (fencing === undefined) return
     const previous = this.#lastOrders.get(orderKey(order))
     const sent: LastOrder = { count: order.count, atMs: steadyNow(), result: previous?.result ?? 'given', unavailable: previous?.unavailable ?? false }
-    this.#lastOrders.set(orderKey(order), sent)
+    let fencing: number | undefined
     try {
-      await this.#options.duties.order(order, { name: this.#options.name, fencing })
+      await lease.act(async (right) => {
+        fencing = right.fencing
+        this.#lastOrders.set(orderKey(order), sent)
+        await duties.order(order, { name, ...right })
+      }, { inOutage: true })
       sent.result = 'given'
       sent.unavailable = false
-      this.#options.metrics.orders.inc({ result: 'given' })
-      log('order-given', { ...order, fencing })
+      metrics.orders.inc({ result: 'given' })
+      log('order-given', { ...order, fencing: fencing! })
     } catch (err) {
+      if (err instanceof LeaseError) return
       if (!(err instanceof DutyError)) throw err
       sent.result = err.failure === 'refused' ? 'refused' : 'failed'
       if (err.failure === 'refused') sent.unavailable = true
-      this.#options.metrics.orders.inc({ result: err.failure })
-      log('order-refused', { ...order, fencing, failure: err.failure, why: err.message })
+      metrics.orders.inc({ result: err.failure })
+      log('order-refused', { ...order, fencing: fencing!, failure: err.failure, why: err.message })
       if (outage && err.failure === 'refused') lease.endOutageGrace()
       // The order may still be executed after newer ones; a higher fencing number makes the platform reject it.
       if (err.failure === 'unsure') lease.raiseFencing()
--- a/daemon/duties/usage_task.ts
+++ b/daemon/duties/usage_task.ts
@@ -6,7 +6,7 @@
 import { UsageLedger, type WindowCounts } from '../../core/usage/index.ts'
 import { DutyError, type Duties } from '../../endpoints/index.ts'
 import { StoreError, writeAndVerify, type TaggedValue, type ObjectStore } from '../../store/index.ts'
-import type { LeaseTask } from '../fleet/lease_task.ts'
+import { LeaseError, type LeaseTask } from '../fleet/lease_task.ts'
 import { log } from '../log/index.ts'
 import type { TallyTask } from '../peers/tally_task.ts'
 
@@ -16,7 +16,7 @@
   name: string
   store: ObjectStore
   duties: Duties
-  lease: Pick<LeaseTask, 'fencing' | 'isUnsucceeded'>
+  lease: Pick<LeaseTask, 'act' | 'fencing' | 'isUnsucceeded'>
   tallies: Pick<TallyTask, 'tally' | 'clock'>
   /** Length of a window in milliseconds. */
   windowMs: number
@@ -90,7 +90,7 @@
     try {
       await this.#reportDue()
     } catch (err) {
-      if (!(err instanceof StoreError) && !(err instanceof DutyError)) throw err
+      if (!(err instanceof StoreError) && !(err instanceof DutyError) && !(err instanceof LeaseError)) throw err
       log('usage-not-reported', { window: undefined, why: err.message })
     } finally {
       this.#running = false
@@ -115,10 +115,11 @@
   }
 
   async #send (report: WindowCounts): Promise<void> {
-    // Checked before each call: the lease may have expired while the store was written.
-    const { fencing } = this.#options.lease
-    if (fencing === undefined) throw new DutyError('Cannot report usage: the lease expired', { failure: 'not-done' })
-    await this.#options.duties.report(report, { name: this.#options.name, fencing })
+    const { duties, lease, name } = this.#options
+    const fencing = await lease.act(async (right) => {
+      await duties.report(report, { name, ...right })
+      return right.fencing
+    })
     log('usage-reported', { window: report.window, fencing, requests: Object.values(report.counts).reduce((sum, count) => sum + count, 0) })
   }
 
@@ -135,6 +136,7 @@
     const missing = this.#ledger.counts(first, last)
     if (missing.length === 0 && written.at(-1)?.window === stored.at(-1)?.window) return this.#remember(stored, fencing)
     const data = [...written, ...missing].slice(-RETAINED_WINDOWS).map((report) => (era === 0 ? report : { ...report, era }))
+    if (fencing === undefined || lease.fencing !== fencing) throw new LeaseError('Cannot write usage reports: the lease ended while they were read')
     const result = await writeAndVerify(store, REPORTS_KEY, { writeId: randomUUID(), data, version: found?.version ?? NO_VERSION })
     return this.#remember(result.applied ? data : result.data ?? [], fencing)
   }
--- a/daemon/duties/usage_task_test.ts
+++ b/daemon/duties/usage_task_test.ts
@@ -7,6 +7,7 @@
 import { DutyError } from '../../endpoints/index.ts'
 import { StandInStore } from '../../standins/index.ts'
 import { StoreError, type ObjectStore, type StoredObject } from '../../store/index.ts'
+import { StandInLease } from '../fleet/_stand_in_lease.ts'
 import { UsageTask } from './usage_task.ts'
 
 const WINDOW_MS = 5000
@@ -18,7 +19,7 @@
 function startHolder (name: string, counted: number, ports: { store: ObjectStore, duties: Duties, fencing: () => number | undefined, wallMs?: number }): UsageTask {
   const wallMs = ports.wallMs ?? (WINDOW + 1) * WINDOW_MS + REPORT_DEADLINE_MS / 2
   const tallies = { tally: new Tally(as<DaemonId>(name)), clock: new SharedClock({ wallMs, steadyMs: performance.now() }) }
-  const task = new UsageTask({ name, store: ports.store, duties: ports.duties, lease: { get fencing () { return ports.fencing() }, get isUnsucceeded () { return ports.fencing() !== undefined } }, tallies, windowMs: WINDOW_MS, dueMs: REPORT_DEADLINE_MS })
+  const task = new UsageTask({ name, store: ports.store, duties: ports.duties, lease: new StandInLease(ports.fencing), tallies, windowMs: WINDOW_MS, dueMs: REPORT_DEADLINE_MS })
   const agoMs = wallMs - WINDOW * WINDOW_MS - 100
   for (let i = 0; i < counted; i++) task.began(COUNCIL, agoMs)
   return task
@@ -79,6 +80,18 @@
   expect(duties.accepted).toEqual([])
 })
 
+test('a round that reads the store while the lease ends writes no reports', async () => {
+  // Guards against counts of a daemon that has lost the others: its successor would have to send them.
+  const [store, duties] = [new StandInStore(), new FencedReceiver()]
+  let fencing: number | undefined = 1
+  store.stopAnswering()
+  const round = startHolder('a', 3, { store, duties, fencing: () => fencing }).round()
+  fencing = undefined
+  store.resumeAnswering()
+  await round
+  expect([store.calls.writes, duties.accepted]).toEqual([0, []])
+})
+
 /** Returns a store of which a copy without reports was taken. */
 async function copiedStore (): Promise<[StandInStore, FencedReceiver]> {
   const store = new StandInStore()
--- a/daemon/exchange/proxy_daemon.ts
+++ b/daemon/exchange/proxy_daemon.ts
@@ -147,7 +147,8 @@
     while (server.open + delegateServer.open > 0 && steadyNow() < endsAtMs)
     // A connection that was accepted before may still bring a request, which this daemon could not finish.
     if (server.open === 0) server.kill()
-    await released
+    // Actions that the release waits for, or the store, may take longer than the grace period; this daemon does not act as the holder meanwhile.
+    await Promise.race([released, delay(Math.max(0, endsAtMs - steadyNow()))])
     await this.#leave()
     readiness.close()
     monitor.close()
--- a/daemon/fleet/lease_task.ts
+++ b/daemon/fleet/lease_task.ts
@@ -1,11 +1,12 @@
 /** Acquires and renews a lease stored in the object store. */
 import { randomUUID } from 'node:crypto'
 import type { DaemonId } from '../../core/ids/index.ts'
-import { currentFencing, currentRecord, isUnsucceeded, nextLeaseAction, NO_LEASE, released, recordEra, recordRead, recordReleaseSent, recordSent, type LeaseRecord, type LeaseState } from '../../core/lease/index.ts'
+import { currentFencing, currentRecord, endHold, expiryMs, isUnsucceeded, nextLeaseAction, NO_LEASE, released, recordEra, recordRead, recordReleaseSent, recordSent, type LeaseRecord, type LeaseState } from '../../core/lease/index.ts'
 import { eraOf, isLater, type StoreVersion } from '../../core/store_version/index.ts'
 import { delay, steadyNow } from '../../core/time/index.ts'
 import { StoreError, writeAndVerify, type TaggedValue, type ObjectStore } from '../../store/index.ts'
 import { log } from '../log/index.ts'
+import { LeaseActions } from './_lease_actions.ts'
 
 /** Sent by the holder to the other contenders after each write of the lease. */
 export interface LeaseAnnouncement { name: string, record: LeaseRecord, version: StoreVersion }
@@ -18,6 +19,18 @@
   onAnnouncement (listener: (announcement: LeaseAnnouncement) => void): void
 }
 
+/** The right to perform one action in the name of the lease. */
+export interface LeaseRight {
+  fencing: number
+  /** Aborts when the right ends before the action does. */
+  signal: AbortSignal
+}
+
+/** Error of an action that was not begun, because this daemon may not act as the holder of the lease. */
+export class LeaseError extends Error {
+  override name = 'LeaseError'
+}
+
 /** Options of {@linkcode LeaseTask}. */
 export interface LeaseTaskOptions {
   self: DaemonId
@@ -83,6 +96,11 @@
   #lastAnnouncementAtMs = -Infinity
   #wake: () => void = () => {}
   #stopped = false
+  /** True while the lease is about to be released: actions under way end, and none begins. */
+  #isYielding = false
+  readonly #actions = new LeaseActions()
+  /** End of the last hold, also of one that was given up, on the steady clock in milliseconds. */
+  #heldUntilMs = -Infinity
   /** Resolves when the loop has ended, and with it its last store call. */
   #ended: Promise<void> = Promise.resolve()
   /** When store calls started to fail; undefined while they succeed. */
@@ -109,11 +127,11 @@
    * If a lease moves back and forth, two daemons would act alternately, each on a view from before the other's actions. A daemon that regains the
    * lease therefore waits first.
    *
-   * Ask immediately before each action: the answer may change whenever the event loop runs.
+   * The answer may change whenever the event loop runs: what takes time and cannot be undone is done with {@linkcode LeaseTask.act}.
    */
   get fencing (): number | undefined {
     const now = steadyNow()
-    if (this.#stopped) return undefined
+    if (this.#stopped || this.#isYielding) return undefined
     if (Math.abs(clockOffsetMs() - this.#clockOffsetMs) > MAX_CLOCK_DIVERGENCE_MS || now < this.#notBeforeMs) return undefined
     const fencing = currentFencing(this.#state, this.#options.self, now)
     if (fencing !== undefined) this.#lastActiveAtMs = now
@@ -127,7 +145,7 @@
    */
   get fencingInOutage (): number | undefined {
     const { hold } = this.#state
-    if (this.#options.fenced !== true || this.#storeFailingSinceMs === undefined || this.#stopped || !hold) return undefined
+    if (this.#options.fenced !== true || this.#storeFailingSinceMs === undefined || this.#stopped || this.#isYielding || !hold) return undefined
     if (Math.abs(clockOffsetMs() - this.#clockOffsetMs) > MAX_CLOCK_DIVERGENCE_MS) return undefined
     return this.#storeFailingSinceMs <= hold.untilMs && steadyNow() < hold.untilMs + OUTAGE_GRACE_MS ? hold.fencing : undefined
   }
@@ -137,6 +155,19 @@
     return Math.abs(clockOffsetMs() - this.#clockOffsetMs) <= MAX_CLOCK_DIVERGENCE_MS && isUnsucceeded(this.#state, { ttlMs: this.#options.ttlMs ?? DEFAULT_TTL_MS, now: steadyNow() })
   }
 
+  /**
+   * Performs an action in the name of the lease. The right to act is checked immediately before; the action is aborted when the right ends; and a release is sent
+   * only after the action has ended, so that what it sends does not arrive after the orders of a successor.
+   * @param options.inOutage Whether the fencing number for urgent orders during a store outage suffices. Default false.
+   * @throws {LeaseError} If this daemon may not act now; and what the action throws.
+   */
+  async act<T> (action: (right: LeaseRight) => Promise<T>, { inOutage = false }: { inOutage?: boolean } = {}): Promise<T> {
+    const fencing = this.fencing ?? (inOutage ? this.fencingInOutage : undefined)
+    if (fencing === undefined) throw new LeaseError(`Cannot act as the holder of the lease ${this.#options.name}: this daemon does not hold it`)
+    const endsAtMs = () => this.#heldUntilMs + (inOutage && this.fencingInOutage !== undefined ? OUTAGE_GRACE_MS : 0)
+    return await this.#actions.run((signal) => action({ fencing, signal }), { endsAtMs })
+  }
+
   /** Ends the grace period after a sign of a successor: the outage affects only this daemon. */
   endOutageGrace (): void {
     this.#storeFailingSinceMs = undefined
@@ -156,17 +187,25 @@
   /**
    * Stops and releases the lease, so that a successor does not have to wait for its expiry. This daemon may not act from the call on.
    *
-   * A renewal or an acquisition that was in flight may be applied before the release and make it fail; the lease is then released again.
+   * Actions under way end first. After one whose outcome is unknown the lease is left to expire, since what was sent may still arrive. A renewal or an acquisition
+   * that was in flight may be applied before the release and make it fail; the lease is then released again.
    */
   async release (): Promise<void> {
     this.stop()
+    if (this.#actions.size > 0) await this.#actions.settled()
     await this.#releaseIfHeld()
     await this.#ended
     await this.#releaseIfHeld()
   }
 
-  /** Requests a higher fencing number, so that orders in flight with the current one are rejected. */
+  /**
+   * Requests a higher fencing number, so that orders in flight with the current one are rejected.
+   *
+   * Does nothing if the receiver does not compare the numbers: it would execute the order all the same, and the lower number after the higher one would look like
+   * an order of a former holder.
+   */
   raiseFencing (): void {
+    if (this.#options.fenced !== true) return
     this.#raiseRequested = true
     this.#wake()
   }
@@ -205,7 +244,10 @@
 
   /** Releases a lease that this daemon should no longer hold, because other daemons now know more of the work. */
   async #stepDown (): Promise<void> {
+    this.#isYielding = true
+    if (this.#actions.size > 0) await this.#actions.settled()
     await this.#rereadOnFailure(() => this.#writeRelease())
+    this.#isYielding = false
     this.#hasCurrentRecord = false
     await delay(this.#options.pollIntervalMs ?? DEFAULT_POLL_INTERVAL_MS)
   }
@@ -224,6 +266,12 @@
     const { version } = this.#state
     const record = currentRecord(this.#state)
     if (!record || record.holder !== this.#options.self || record.ttlMs === 0) return
+    const sinceUnsureMs = steadyNow() - this.#actions.lastUnsureAtMs
+    if (sinceUnsureMs < expiryMs(record.ttlMs)) {
+      this.#state = endHold(this.#state)
+      log('lease-left-to-expire', { name: this.#options.name, fencing: record.fencing, sinceUnsureMs })
+      return
+    }
     const release = released(record, randomUUID())
     this.#state = recordReleaseSent(this.#state, release, steadyNow())
     log('lease-release-sent', { name: this.#options.name, fencing: release.fencing })
@@ -277,6 +325,7 @@
     const { self } = this.#options
     this.#recordEra()
     this.#state = recordRead(this.#state, found, { self, now: steadyNow() })
+    if (this.#state.hold) this.#heldUntilMs = Math.max(this.#heldUntilMs, this.#state.hold.untilMs)
     const record = currentRecord(this.#state)
     const before = this.#lastRecord
     if (!record || record.fencing === before?.fencing) return
@@ -284,7 +333,10 @@
     if (record.holder === self && before && before.holder !== self) this.#notBeforeMs = this.#lastActiveAtMs + (this.#options.reacquireDelayMs ?? 0)
     log('lease-changed', { name: this.#options.name, holder: record.holder, fencing: record.fencing })
     if (record.holder === self) this.onChange(record.fencing)
-    else if (before?.holder === self) this.onChange(undefined)
+    else if (before?.holder === self) {
+      this.#actions.abort()
+      this.onChange(undefined)
+    }
   }
 
   /** After a failed store call, the outcome of which may be unknown, the record is read again before it is used. */
--- a/daemon/fleet/lease_task_test.ts
+++ b/daemon/fleet/lease_task_test.ts
@@ -1,7 +1,8 @@
 import { afterEach, beforeEach, expect, test, vi } from 'vitest'
 import { as, type DaemonId, type EndpointId } from '../../core/ids/index.ts'
+import { DutyError } from '../../endpoints/index.ts'
 import { Ledger, StandInEngine, StandInStore } from '../../standins/index.ts'
-import { LeaseTask, type LeasePeers, type LeaseAnnouncement, type LeaseTaskOptions } from './lease_task.ts'
+import { LeaseError, LeaseTask, type LeasePeers, type LeaseAnnouncement, type LeaseRight, type LeaseTaskOptions } from './lease_task.ts'
 import { EngineReconciler, type DesiredState } from './engine_reconciler.ts'
 
 const TTL_MS = 10_000
@@ -166,6 +167,94 @@
   expect([a.fencing, b.fencing]).toEqual([undefined, 2])
 })
 
+/** An action that ends when the test says so. */
+function pendingAction () {
+  const state = { aborted: false, finish: () => {}, fail: (_err: Error) => {} }
+  const action = ({ signal }: LeaseRight) => new Promise<void>((resolve, reject) => {
+    signal.addEventListener('abort', () => { state.aborted = true })
+    state.finish = resolve
+    state.fail = reject
+  })
+  return { state, action }
+}
+
+test('a release is sent only after the actions under way have ended, and none begins meanwhile', async () => {
+  // Guards against an order that arrives after those of the successor: it was sent before the release, and a slow link held it up.
+  const store = new StandInStore()
+  const a = lease(store, 'a')
+  await advance(100)
+  const b = lease(store, 'b', { pollIntervalMs: 100 })
+  await advance(100)
+  const { state, action } = pendingAction()
+  const acted = a.act(action)
+  const released = a.release()
+  await expect(a.act(async () => {})).rejects.toThrow(LeaseError)
+  await advance(1000)
+  expect(b.fencing).toBeUndefined()
+  state.finish()
+  await acted
+  await advance(200)
+  await released
+  expect([b.fencing, state.aborted]).toEqual([2, false])
+})
+
+test('a daemon that steps down waits for its actions before it releases the lease', async () => {
+  const store = new StandInStore()
+  let contends = true
+  const a = lease(store, 'a', { contends: () => contends, pollIntervalMs: 100 })
+  await advance(100)
+  const b = lease(store, 'b', { pollIntervalMs: 100 })
+  const { state, action } = pendingAction()
+  const acted = a.act(action)
+  contends = false
+  await advance(4000)
+  expect([a.fencing, b.fencing]).toEqual([undefined, undefined])
+  state.finish()
+  await acted
+  await advance(300)
+  expect([a.fencing, b.fencing]).toEqual([undefined, 2])
+})
+
+test('after an action whose outcome is unknown the lease is left to expire', async () => {
+  // Guards against the same with a call that was given up without an answer: it may still arrive.
+  const store = new StandInStore()
+  const a = lease(store, 'a')
+  await advance(100)
+  const b = lease(store, 'b', { pollIntervalMs: 100 })
+  await advance(100)
+  await a.act(async () => { throw new DutyError('Cannot call: no answer', { failure: 'unsure' }) }).catch(() => {})
+  await a.release()
+  await advance(TTL_MS)
+  expect([a.fencing, b.fencing]).toEqual([undefined, undefined])
+  await advance(TTL_MS)
+  expect([a.fencing, b.fencing]).toEqual([undefined, 2])
+})
+
+test('an action is aborted when the lease expires, and not while it is renewed', async () => {
+  // Guards against a call that waits for a connection and is sent after the lease has expired.
+  const store = new StandInStore()
+  const a = lease(store, 'a')
+  await advance(100)
+  const { state, action } = pendingAction()
+  const acted = a.act(action)
+  await advance(TTL_MS * 3)
+  expect(state.aborted).toBe(false)
+  store.faults.down = true
+  await advance(TTL_MS)
+  expect([state.aborted, a.fencing]).toEqual([true, undefined])
+  state.finish()
+  await acted
+})
+
+test('the fencing number is raised only where the receiver compares numbers', async () => {
+  // Guards against an unanswered order that arrives after one with a higher number, as if from a former holder.
+  const [plain, fenced] = [lease(new StandInStore(), 'a'), lease(new StandInStore(), 'b', { fenced: true })]
+  await advance(100)
+  for (const task of [plain, fenced]) task.raiseFencing()
+  await advance(100)
+  expect([plain.fencing, fenced.fencing]).toEqual([1, 2])
+})
+
 test('a renewal that was applied but not acknowledged keeps the lease and its fencing number', async () => {
   const store = new StandInStore()
   const a = lease(store, 'a')
--- a/daemon/log/events.ts
+++ b/daemon/log/events.ts
@@ -173,6 +173,8 @@
   'lease-changed': { name: string, holder: string, fencing: number }
   /** The release of the lease was sent; from here on this daemon does not act as its holder, whether or not the store answers. */
   'lease-release-sent': { name: string, fencing: number }
+  /** The lease is not released, since an action whose outcome is unknown ended `sinceUnsureMs` ago and may still take effect. */
+  'lease-left-to-expire': { name: string, fencing: number, sinceUnsureMs: number }
   'lease-call-failed': { name: string, why: string }
   /** A rollout has entered a stage; up to `granted` requests may have gone to the new version before the switch. */
   'rollout-stage': { pool: string, from: string | undefined, to: string, stage: string, why: string, granted: number }
--- a/endpoints/duties.ts
+++ b/endpoints/duties.ts
@@ -6,6 +6,8 @@
   name: string
   /** Increases whenever the holder changes. An order with a lower number than one already seen is refused. */
   fencing: number
+  /** Aborts when the daemon may not act as the holder any more: a call that was not sent yet must not be. Default: never. */
+  signal?: AbortSignal
 }
 
 /** Desired number of endpoints of one kind for a pool in a failure domain. States a target, not a change. */
