Ask for the lease before each step of a round of the fleet task

A daemon that lost the lease of a pool in the middle of a round went on to start up to four hosts, to drain hosts and to stop them, beside its successor: hosts paid for twice, or hosts stopped that the successor counts on.

Cause: `holdsLease` was asked once, at the begin of a round of many calls to the cloud.

Change: starts and stops go through `LeaseTask.act`, and draining asks first; the round ends with the lease (`fleet-round-cut`).

Evidence: `a round under way when the lease ends ...` failed before: 4 hosts started where 1 was allowed. The fixture passes `StandInLease` in place of the callback; other assertions are unchanged.

--- a/daemon/fleet/fleet_loop.ts
+++ b/daemon/fleet/fleet_loop.ts
@@ -75,7 +75,7 @@
       const lease = new LeaseTask({ self, store, name: `fleet-${pool}` })
       lease.start()
       const config = (): Config | undefined => this.#options.config.inForce?.config
-      managed = { lease, task: new FleetTask({ self, pool, cloud, audit, config, engine, announceLeaving, holdsLease: () => lease.fencing !== undefined }) }
+      managed = { lease, task: new FleetTask({ self, pool, cloud, audit, config, engine, announceLeaving, lease }) }
       this.#pools.set(pool, managed)
     }
     return managed
--- a/daemon/fleet/fleet_task.ts
+++ b/daemon/fleet/fleet_task.ts
@@ -9,6 +9,7 @@
 import { CloudError, type Cloud, type CloudOffer, type ListedHost, type ModelEngine } from '../../endpoints/index.ts'
 import type { AuditTrail } from '../config/audit.ts'
 import { log } from '../log/index.ts'
+import { LeaseError, type LeaseTask } from './lease_task.ts'
 
 /** Options of {@linkcode FleetTask}. */
 export interface FleetTaskOptions {
@@ -18,8 +19,8 @@
   audit: Pick<AuditTrail, 'write'>
   config (): Config | undefined
   engine (view: Pick<EndpointView, 'id' | 'address'>): Pick<ModelEngine, 'load'>
-  /** True while this daemon holds the pool's lease. */
-  holdsLease (): boolean
+  /** Lease of the pool. */
+  lease: Pick<LeaseTask, 'act' | 'fencing'>
   /** Announces to all daemons that a host will leave at `goneAtMs` of the steady clock. */
   announceLeaving (host: HostId, goneAtMs: number): void
   /** Default: {@linkcode MixPlanner}. */
@@ -42,7 +43,7 @@
 
 /**
  * Reconcile loop of one pool. Each round compares the hosts that the cloud lists with the plan, so that an interrupted round or a new lease
- * holder continues from the actual state.
+ * holder continues from the actual state. A round takes several calls: it ends with the lease, which each step asks for.
  */
 export class FleetTask {
   readonly #options: FleetTaskOptions
@@ -67,7 +68,7 @@
   /** Runs one round; does nothing without the lease. */
   async reconcile (): Promise<ReconcileResult> {
     const round: ReconcileResult = { needed: 0, started: 0, refused: 0, draining: 0, stopped: 0 }
-    if (!this.#options.holdsLease()) return round
+    if (this.#options.lease.fencing === undefined) return round
     try {
       const offers = await this.#options.cloud.offers()
       const hosts = (await this.#options.cloud.hosts()).filter((host) => host.endpoint.pool === this.#options.pool)
@@ -78,7 +79,7 @@
       await this.#drainSurplus(wanted, live, round)
       await this.#stopDrained(hosts, round)
     } catch (err) {
-      if (!(err instanceof CloudError)) throw err
+      if (!(err instanceof CloudError) && !(err instanceof LeaseError)) throw err
       log('fleet-round-cut', { pool: this.#options.pool, why: err.message })
     }
     return round
@@ -137,7 +138,7 @@
     const { failureDomain, reclaimable } = offer
     const { hostClass } = offers.find((each) => each.failureDomain === failureDomain && each.reclaimable === reclaimable)!
     try {
-      const hostId = await this.#options.cloud.start({ hostClass, failureDomain, pool: this.#options.pool, reclaimable })
+      const hostId = await this.#options.lease.act(() => this.#options.cloud.start({ hostClass, failureDomain, pool: this.#options.pool, reclaimable }))
       round.started++
       this.#booting.set(hostId, { offer, sinceMs: steadyNow() })
       this.#recordStep('start', { hostId, failureDomain, reclaimable })
@@ -153,7 +154,7 @@
 
   /** Drains surplus hosts, but none while hosts are booting or were refused: a series of reclaims would otherwise leave fewer hosts than before. */
   async #drainSurplus (wanted: readonly Holding[], live: readonly ListedHost[], round: ReconcileResult): Promise<void> {
-    if (this.#booting.size + round.refused > 0) return
+    if (this.#booting.size + round.refused > 0 || this.#options.lease.fencing === undefined) return
     const staying = [...live]
     for (const host of live) {
       const wantedCount = wanted.find(({ offer }) => matchesOffer(host, offer))?.count ?? 0
@@ -171,7 +172,7 @@
     for (const [hostId, sinceMs] of this.#drainStartedAtMs) {
       const host = hosts.find((each) => each.hostId === hostId)
       if (host && await this.#countRunningStreams([host]) > 0 && steadyNow() < sinceMs + DRAIN_TIMEOUT_MS) continue
-      if (host) await this.#options.cloud.stop(hostId)
+      if (host) await this.#options.lease.act(() => this.#options.cloud.stop(hostId))
       this.#drainStartedAtMs.delete(hostId)
       round.stopped++
       this.#recordStep('stop', { hostId })
--- a/daemon/fleet/fleet_task_test.ts
+++ b/daemon/fleet/fleet_task_test.ts
@@ -4,6 +4,7 @@
 import { Ledger, StandInCloud, type StandInEngine } from '../../standins/index.ts'
 import type { AuditRecord } from '../config/audit.ts'
 import { FleetTask } from './fleet_task.ts'
+import { StandInLease } from './_stand_in_lease.ts'
 
 const POOL = as<PoolName>('models')
 const SPEED = { batchSlots: 8, prefillTokensPerS: 1e6, betweenTokensMs: 20, betweenTokensPerStreamMs: 5, exportTokensPerS: 1, importTokensPerS: 1 }
@@ -24,7 +25,7 @@
     audit: { write: async (record) => { records.push(record) } },
     config: sessionConfig,
     engine: ({ address }) => cloud.at(address) as StandInEngine,
-    holdsLease: () => state.holds,
+    lease: new StandInLease(() => (state.holds ? 1 : undefined)),
     announceLeaving: (host) => { leaving.push(host) }
   })
   return { cloud, task, records, leaving, state }
@@ -100,6 +101,38 @@
   expect(records).toHaveLength(0)
 })
 
+test('a round under way when the lease ends starts, drains and stops no more hosts', async () => {
+  // Guards against hosts that are paid for twice, and against stopping those of the successor: a round waits for the cloud while the lease moves on.
+  const starting = await fleet(3)
+  startStreams(starting.cloud, 40)
+  const start = starting.cloud.start.bind(starting.cloud)
+  starting.cloud.start = async (wanted) => {
+    const id = await start(wanted)
+    starting.state.holds = false
+    return id
+  }
+  expect(await starting.task.reconcile()).toMatchObject({ started: 1 })
+  expect(starting.cloud.live()).toHaveLength(4)
+
+  const draining = await fleet(9)
+  const hosts = draining.cloud.hosts.bind(draining.cloud)
+  draining.cloud.hosts = async () => {
+    draining.state.holds = false
+    return await hosts()
+  }
+  expect(await draining.task.reconcile()).toMatchObject({ draining: 0 })
+  expect(draining.leaving).toEqual([])
+
+  const stopping = await fleet(9)
+  const stop = stopping.cloud.stop.bind(stopping.cloud)
+  stopping.cloud.stop = async (host) => {
+    await stop(host)
+    stopping.state.holds = false
+  }
+  await stopping.task.reconcile()
+  expect(stopping.cloud.live()).toHaveLength(8)
+})
+
 test('three daemons that manage the fleet replace reclaimed hosts once, not three times', async () => {
   // The same with real leases: all three contend, a failure domain is reclaimed, and only one of them may start the replacements.
   vi.useRealTimers()
