Let a process that has just started wait before it succeeds another holder

A host whose process holds the lease and is killed comes back within a second. If the successor acts and releases the lease shortly after, the new process acquires it at once: two hosts act in the order A, B, A within `lease_ms`, each on a view from before the other's orders.

Cause: the wait of a daemon that regains the lease counts from its own last action, which a new process does not know.

Change: a process counts as having acted when it starts. An acquisition without a holder before it is not delayed, and after a crash of all daemons the lease takes as long to expire.

Evidence: `a process that has just started waits ...` failed before: fencing number 2 after 1.2 s of the 15 s. `a daemon that regains the lease waits ...` now begins later than the wait after its start (1 s before); all its assertions stand.

--- a/daemon/fleet/lease_task.ts
+++ b/daemon/fleet/lease_task.ts
@@ -84,8 +84,8 @@
   /** The last record that was known to be in force. */
   #lastRecord: LeaseRecord | undefined
   #clockOffsetMs = 0
-  /** When this daemon last held a valid fencing number. */
-  #lastActiveAtMs = -Infinity
+  /** When this daemon last held a valid fencing number. At the start, the process before this one on the same host may just have held one. */
+  #lastActiveAtMs = steadyNow()
   /** Earliest time to act after the lease was regained from another holder. */
   #notBeforeMs = -Infinity
   #raiseRequested = false
--- a/daemon/fleet/lease_task_test.ts
+++ b/daemon/fleet/lease_task_test.ts
@@ -315,7 +315,7 @@
   const apartMs = 60_000
   let turn = 'a'
   const [a, b] = ['a', 'b'].map((name) => lease(store, name, { reacquireDelayMs: apartMs, contends: () => turn === name })) as [LeaseTask, LeaseTask]
-  await advance(1000)
+  await advance(apartMs)
   expect([a.fencing, b.fencing]).toEqual([1, undefined])
   turn = 'b'
   await advance(20_000)
@@ -327,6 +327,22 @@
   expect([a.fencing, b.fencing]).toEqual([3, undefined])
 })
 
+test('a process that has just started waits before it acts as the successor of another daemon', async () => {
+  // Guards against two hosts that act alternately: the process before this one held the lease until it was killed, and this one knows nothing of it.
+  const store = new StandInStore()
+  const apartMs = TTL_MS * 1.5
+  const b = lease(store, 'b', { reacquireDelayMs: apartMs })
+  await advance(100)
+  expect(b.fencing).toBe(1)
+  const started = lease(store, 'a2', { reacquireDelayMs: apartMs, pollIntervalMs: 100 })
+  await advance(1000)
+  await b.release()
+  await advance(200)
+  expect([b.fencing, started.fencing]).toEqual([undefined, undefined])
+  await advance(apartMs)
+  expect(started.fencing).toBe(2)
+})
+
 test('an engine that checks fencing numbers rejects the order of a holder that was paused', async () => {
   // Guards against answers from an outdated model: the holder is paused, its lease expires and a successor loads the new model; then the first
   // resumes and sends its pending order with an older fencing number.
