End attempts whose endpoint sends bytes that are no answer without end

Eight of twelve forms kept an attempt until its deadline (20 s in the test): empty lines before a head, a reason phrase, interim answers, the extension and the size of a chunk, the body of a failure, and events that do not end. The last three grew in memory as long as bytes came, and an event in chunks of four bytes took time with the square of its size. Heads of garbage, endless headers and trailers ended before: the HTTP client bounds them.

Cause: only headers were bounded. All else was read for as long as it came; bodies of failures are buffered to be passed on, and events until their empty line.

Change: a connection counts what it receives without bytes of a body, and ends the attempt, or an idle connection, above 64 KiB. Bodies of failures and unfinished events are bounded by 256 KiB. The splitter of events no longer copies what it has for each chunk. The failure is `foreign-answer` (`endpoint-error` for a failure), so that the endpoint is judged by it as for any other bytes that are no answer, and is not taken for one that crashed.

--- a/endpoints/exchange/connection.ts
+++ b/endpoints/exchange/connection.ts
@@ -12,6 +12,12 @@
 /** Maximum idle timeout in milliseconds, whatever the endpoint allows. */
 const MAX_IDLE_MS = 60_000
 
+/**
+ * Maximum number of bytes that an endpoint may send without any of a body, in bytes: heads, interim answers, chunk sizes and trailers. The HTTP client bounds
+ * headers only, and reads everything else for as long as it comes.
+ */
+const MAX_FRAMING_BYTES = 64 * 1024
+
 const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS })
 
 /** A connection, and whether its socket was ended or reset. */
@@ -25,6 +31,10 @@
   closed = false
   /** Number of requests sent on this connection. */
   used = 0
+  /** Called when the endpoint has sent more bytes than a head or the framing of a body can have. Default: the connection is closed. */
+  onOverrun: () => void = () => this.close()
+  /** Bytes received since the last bytes of a body. */
+  #framingBytes = 0
   /** Called once, when the connection is closed. */
   onClose: () => void = () => {}
 
@@ -55,9 +65,15 @@
   /** Sends a request. The handler receives its response or error. */
   dispatch (options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): void {
     this.used++
+    this.#framingBytes = 0
     this.#client.dispatch(options, handler)
   }
 
+  /** Records that bytes of a body were received. */
+  bodyReceived (): void {
+    this.#framingBytes = 0
+  }
+
   /** Stops reading; what the system's buffers cannot take stays at the endpoint. */
   pause (): void {
     this.#paused = true
@@ -83,7 +99,17 @@
     this.#trackSocketEnd(socket)
     // The client's own pause is not used: it throws from a socket event if the connection of an answer that closes it ends in a pause.
     const read = socket.read.bind(socket)
-    socket.read = (size) => (this.#paused ? null : read(size))
+    socket.read = (size) => {
+      if (this.#paused) return null
+      // What was read before has been parsed by now.
+      if (this.#framingBytes > MAX_FRAMING_BYTES) {
+        this.onOverrun()
+        return null
+      }
+      const bytes: Buffer | null = read(size)
+      this.#framingBytes += bytes?.length ?? 0
+      return bytes
+    }
   }
 
   /**
--- a/endpoints/exchange/event_splitter.ts
+++ b/endpoints/exchange/event_splitter.ts
@@ -9,27 +9,50 @@
 
 const NEWLINE = 0x0A
 const CARRIAGE_RETURN = 0x0D
+/** Number of bytes before the last one of the longest empty line, a line break included. */
+const TAIL_BYTES = 2
 const ID_LINE = /^id: ?(\d{1,15})\r?$/m
 
-/** Buffers bytes until an event is complete. */
+/** Buffers bytes until an event is complete. Takes time in proportion to the bytes, however small the chunks are. */
 export class EventSplitter {
-  #remainder: Buffer = Buffer.alloc(0)
+  /** The chunks of the incomplete event. */
+  #pending: Buffer[] = []
+  #pendingBytes = 0
+  /** The last bytes of the incomplete event, in which the empty line that ends it may begin. */
+  #tail: Buffer = Buffer.alloc(0)
 
   /** Number of buffered bytes of an incomplete event. */
-  get pendingBytes (): number { return this.#remainder.length }
+  get pendingBytes (): number { return this.#pendingBytes }
 
   /** Adds bytes and returns the events that they complete. */
   push (chunk: Buffer): RawEvent[] {
-    const bytes = this.#remainder.length === 0 ? chunk : Buffer.concat([this.#remainder, chunk])
     const events: RawEvent[] = []
-    let from = 0
-    for (let end = findEventEnd(bytes, from); end > 0; end = findEventEnd(bytes, from)) {
-      events.push(parseEvent(bytes.subarray(from, end)))
-      from = end
+    const first = this.#tail.length === 0 ? chunk : Buffer.concat([this.#tail, chunk])
+    let from = findEventEnd(first, 0) - this.#tail.length
+    if (from > 0) {
+      events.push(parseEvent(Buffer.concat([...this.#pending, chunk.subarray(0, from)])))
+      this.#clear()
+      for (let end = findEventEnd(chunk, from); end > 0; end = findEventEnd(chunk, from)) {
+        events.push(parseEvent(chunk.subarray(from, end)))
+        from = end
+      }
     }
-    this.#remainder = bytes.subarray(from)
+    this.#keep(chunk.subarray(Math.max(0, from)))
     return events
   }
+
+  #clear (): void {
+    this.#pending = []
+    this.#pendingBytes = 0
+    this.#tail = Buffer.alloc(0)
+  }
+
+  #keep (rest: Buffer): void {
+    if (rest.length === 0) return
+    this.#pending.push(rest)
+    this.#pendingBytes += rest.length
+    this.#tail = rest.length >= TAIL_BYTES ? rest.subarray(-TAIL_BYTES) : Buffer.concat([this.#tail, rest]).subarray(-TAIL_BYTES)
+  }
 }
 
 /** Returns the offset after the empty line that ends an event; 0 if the event is incomplete. */
--- a/endpoints/exchange/exchange.ts
+++ b/endpoints/exchange/exchange.ts
@@ -36,6 +36,8 @@
  * memory use.
  */
 const MAX_BUFFERED_BYTES = 256 * 1024
+/** Maximum size of the body of a failure, which is buffered to be passed on if no other attempt succeeds, and of an unfinished event, in bytes. */
+const MAX_UNFINISHED_BYTES = 256 * 1024
 const SUCCESS = 200
 const REDIRECT = 300
 const SERVER_ERROR = 500
@@ -70,6 +72,7 @@
   /** Sends the request with the headers of this attempt. */
   send (headers: readonly Header[]): void {
     const { req, connection } = this.#options
+    connection.onOverrun = () => { if (!this.#done) this.#fail('foreign-answer', 'the endpoint sends bytes that are no answer') }
     connection.dispatch({
       method: req.method as Dispatcher.HttpMethod,
       path: req.target,
@@ -134,6 +137,7 @@
 
   onResponseData (_controller: Dispatcher.DispatchController, chunk: Buffer): void {
     if (this.#done) return
+    this.#options.connection.bodyReceived()
     if (this.#bodyHandling === 'events') this.#forwardEvents(chunk)
     else this.#buffer(chunk)
   }
@@ -181,12 +185,14 @@
       this.#options.sink.onChunk(offset, [event.bytes])
       this.#offset = offset + 1
     }
-    this.#count(this.#events.pendingBytes)
+    if (this.#events.pendingBytes > MAX_UNFINISHED_BYTES) this.#fail('foreign-answer', `an event is over ${MAX_UNFINISHED_BYTES} bytes`)
+    else this.#count(this.#events.pendingBytes)
   }
 
   #buffer (chunk: Buffer): void {
     this.#chunks.push(chunk)
     this.#bufferedBytes += chunk.length
+    if (this.#bodyHandling === 'failure' && this.#bufferedBytes > MAX_UNFINISHED_BYTES) return this.#fail('endpoint-error', `status ${this.#head!.status} with a body of over ${MAX_UNFINISHED_BYTES} bytes`)
     if (this.#bufferedBytes <= this.#maxBufferedBytes || this.#bodyHandling !== 'whole') return this.#count(this.#bufferedBytes)
     const bytes = Buffer.concat(this.#chunks)
     this.#chunks.length = 0
