Let no second attempt complete an answer that only the first can

The request was idempotent and the answer over 256 KiB (32 KiB where memory is short); its first endpoint was killed in the middle.

Cause: `canRetry` knew whether a request may run again, not whether what the caller has can be continued. Positions of events hold over all runs; the pieces of another body belong to one run, and were continued by position all the same.

Change: once a piece of a body that is no event stream is passed on, the request is bound to its attempt: no retry, move or hold. It covers resets, early ends, silence and lost paths at this daemon and at a delegate. The other way round, an answer without events no longer completes events of an earlier attempt: a 404 without a body ended half a stream as if it were whole.

--- a/core/answer/answer_head.ts
+++ b/core/answer/answer_head.ts
@@ -9,6 +9,18 @@
   headers: readonly Header[]
 }
 
+/** Lowest status code that does not indicate success. */
+const FIRST_REDIRECT_STATUS = 300
+
+/**
+ * Returns true if the body is a series of events. Their positions hold over all runs of a request, so that another run can continue the answer; the pieces of any
+ * other body belong to one run.
+ */
+export function isEventStream ({ status, headers }: AnswerHead): boolean {
+  if (status >= FIRST_REDIRECT_STATUS) return false
+  return headers.find(([name]) => name.toLowerCase() === 'content-type')?.[1].startsWith('text/event-stream') ?? false
+}
+
 /** Complete answer of an endpoint. */
 export interface WholeAnswer {
   head: AnswerHead
--- a/core/request/lifecycle.ts
+++ b/core/request/lifecycle.ts
@@ -35,6 +35,8 @@
   readonly delegate: DaemonId | undefined
   /** True once an attempt may have run; the outcome can then no longer be `not-run`. */
   readonly mayHaveRun: boolean
+  /** True once part of an answer was passed on that only the attempt which began it can complete. */
+  readonly isBound: boolean
   /** Endpoints of earlier attempts, which placement should avoid. */
   readonly avoid: readonly EndpointId[]
   /** Daemons that declined the request or were lost while they ran it; they are not asked again. */
@@ -52,6 +54,7 @@
   | { type: 'placed', endpoint: EndpointId }
   | { type: 'delegated', to: DaemonId }
   | { type: 'refused', reason: string, retryAfterMs?: number }
+  | { type: 'bound' }
   | { type: 'ended', attempt: number }
   /** `reached` is the number of endpoints that a delegate reported to have sent the request to. Default: as the point implies. */
   | { type: 'failed', attempt: number, point: FailurePoint, retryGranted: boolean, reached?: number }
@@ -78,7 +81,7 @@
 
 /** Returns the initial state of an accepted request. */
 export function newRequest (traits: RequestTraits): RequestState {
-  return { traits, phase: 'placing', attempt: 0, sent: 0, endpoint: undefined, delegate: undefined, mayHaveRun: false, avoid: [], avoidDelegates: [], next: undefined, outcome: undefined }
+  return { traits, phase: 'placing', attempt: 0, sent: 0, endpoint: undefined, delegate: undefined, mayHaveRun: false, isBound: false, avoid: [], avoidDelegates: [], next: undefined, outcome: undefined }
 }
 
 /**
@@ -96,6 +99,7 @@
     case 'placed': return start(state, msg.endpoint, 'fresh')
     case 'delegated': return delegate(state, msg.to)
     case 'refused': return finish(state, failureOutcome(state), msg.reason, msg.retryAfterMs)
+    case 'bound': return { state: { ...state, isBound: true }, effects: [] }
     case 'ended': return msg.attempt === state.attempt ? finish(state, 'answered', 'whole') : unchanged(state)
     case 'failed': return failed(state, msg, now)
     case 'move': return move(state, msg)
@@ -148,13 +152,14 @@
 /**
  * Returns true if a request whose running attempt failed may be retried at another endpoint, subject to the retry budget.
  *
- * A non-idempotent request is retried only if the failed attempt certainly did not run; otherwise it could be executed twice.
+ * A non-idempotent request is retried only if the failed attempt certainly did not run; otherwise it could be executed twice. A request whose caller has part of an
+ * answer that no other attempt can complete is not retried at all.
  */
 export function canRetry (state: RequestState, point: FailurePoint, reached = reachedEndpoint(point) ? 1 : 0): boolean {
   const sent = state.sent + reached
   // The run of a stream that cannot be resumed goes on with its KV cache or not at all.
   const isOver = state.mayHaveRun && !state.traits.movable
-  return sent < state.traits.maxAttempts && ((outcomeAt(point) === 'not-run' && !isOver) || state.traits.idempotent)
+  return !state.isBound && sent < state.traits.maxAttempts && ((outcomeAt(point) === 'not-run' && !isOver) || state.traits.idempotent)
 }
 
 /** Number of unreachable endpoints after which further attempts are charged to the retry budget. */
@@ -170,12 +175,12 @@
 
 /** Returns true if a running stream may continue at another endpoint; the target counts towards `maxAttempts`. */
 export function canMove (state: RequestState): boolean {
-  return state.phase === 'running' && state.traits.movable && state.sent + 2 <= state.traits.maxAttempts
+  return state.phase === 'running' && state.traits.movable && !state.isBound && state.sent + 2 <= state.traits.maxAttempts
 }
 
 function move (state: RequestState, msg: Extract<RequestMessage, { type: 'move' }>): Step {
   const isImport = msg.mode === 'import'
-  if (state.phase !== 'running' || !(state.traits.movable || isImport) || state.endpoint === undefined) return unchanged(state)
+  if (state.phase !== 'running' || state.isBound || !(state.traits.movable || isImport) || state.endpoint === undefined) return unchanged(state)
   const stop: RequestEffect = { type: 'stop', endpoint: state.endpoint, attempt: state.attempt }
   // The import of a stream that cannot be resumed is the same run: it uses up no attempt.
   const moved: RequestState = { ...state, sent: state.sent + (isImport && !state.traits.movable ? 0 : 1), mayHaveRun: true, avoid: [...state.avoid, state.endpoint] }
@@ -188,7 +193,7 @@
 }
 
 function hold (state: RequestState): Step {
-  if (state.phase !== 'running' || !state.traits.movable || state.endpoint === undefined) return unchanged(state)
+  if (state.phase !== 'running' || state.isBound || !state.traits.movable || state.endpoint === undefined) return unchanged(state)
   const stop: RequestEffect = { type: 'stop', endpoint: state.endpoint, attempt: state.attempt }
   return { state: { ...state, phase: 'stopping', sent: state.sent + 1, mayHaveRun: true, avoid: [...state.avoid, state.endpoint], next: undefined }, effects: [stop] }
 }
--- a/core/request/lifecycle_test.ts
+++ b/core/request/lifecycle_test.ts
@@ -123,6 +123,18 @@
   expect(effects.at(-2)).toEqual({ type: 'stop', endpoint: undefined, attempt: 1 })
 })
 
+test('a request whose caller has part of an answer that no other attempt can complete is not retried, moved or held', () => {
+  // Guards against an answer that is joined from two runs.
+  const traits = { idempotent: true, maxAttempts: 3 }
+  const failure: RequestMessage = { type: 'failed', attempt: 1, point: 'torn-answer', retryGranted: true }
+  expect(run(traits, [...RUNNING, failure]).effects.at(-1)).toMatchObject({ type: 'place' })
+  expect(run(traits, [...RUNNING, { type: 'bound' }, failure]).effects.at(-1)).toMatchObject({ type: 'finish', outcome: 'unknown' })
+  for (const msg of [{ type: 'move', endpoint: B, mode: 'prefill' }, { type: 'move', endpoint: B, mode: 'import' }, { type: 'hold' }] satisfies RequestMessage[]) {
+    expect(run(traits, [...RUNNING, { type: 'bound' }, msg]).state.phase).toBe('running')
+    expect(run(traits, [...RUNNING, msg]).effects).toContainEqual({ type: 'stop', endpoint: A, attempt: 1 })
+  }
+})
+
 test('no order of events runs a non-idempotent request twice, or sends any to more endpoints than allowed', () => {
   // Guards against a second execution by way of endpoints and delegates in any mixture.
   const attempt = fc.integer({ min: 1, max: 4 })
--- a/daemon/request/_delegated_attempts.ts
+++ b/daemon/request/_delegated_attempts.ts
@@ -22,6 +22,8 @@
   state (): RequestState
   /** Where the stream began; undefined while its caller has no event of it. */
   boundTo (): StreamVersion | undefined
+  /** Returns false for an answer that cannot complete what the caller has of an earlier attempt. */
+  mayComplete (attempt: number, head: AnswerHead | undefined): boolean
   recordDecision<E extends keyof RequestEvents> (event: E, fields: RequestEvents[E]): void
   /** Called with each part of the answer, its head if that has arrived, and the version of the endpoint that it came from. */
   onChunk (chunk: Chunk<P>, from: { head: AnswerHead | undefined, version: EndpointVersion | undefined }): void
@@ -65,19 +67,19 @@
   #sink (attempt: number): DelegatedSink<P> {
     let head: AnswerHead | undefined
     let version: EndpointVersion | undefined
-    const { ports: { metrics }, answer, state, onChunk, onWhole, onRefused } = this.#options
+    const { ports: { metrics }, answer, state, mayComplete, onChunk, onWhole, onRefused } = this.#options
     const isCurrent = () => attempt === state().attempt && state().phase === 'running'
     return {
       onHead: (arrived, from) => {
         head = arrived
         version = from.version
       },
-      onChunk: (offset, pieces) => onChunk({ attempt, offset, pieces }, { head, version }),
+      onChunk: (offset, pieces) => { if (mayComplete(attempt, head)) onChunk({ attempt, offset, pieces }, { head, version }) },
       onEnd: (total) => {
         if (!isCurrent()) return
         metrics.delegated.inc({ result: 'answered' })
         answer.end(attempt, total)
-        if (answer.whole) onWhole(head)
+        if (answer.whole && mayComplete(attempt, head)) onWhole(head)
         else this.#fail(attempt, new AttemptError('Cannot use answer: it is incomplete', { point: 'torn-answer' }), 1)
       },
       onRefused: (reason, retryAfterMs) => {
--- a/daemon/request/request_task.ts
+++ b/daemon/request/request_task.ts
@@ -1,5 +1,5 @@
 /** Drives one request: executes the effects of the core's state machine and feeds events back to it. */
-import { AnswerBuffer, type AnswerBufferOptions, type AnswerHead, type Chunk, type WholeAnswer } from '../../core/answer/index.ts'
+import { AnswerBuffer, isEventStream, type AnswerBufferOptions, type AnswerHead, type Chunk, type WholeAnswer } from '../../core/answer/index.ts'
 import type { DaemonId, EndpointId, EndpointVersion, PoolName, RequestId } from '../../core/ids/index.ts'
 import { AttemptError, outcomeAt, type FailurePoint, type Outcome } from '../../core/outcome/index.ts'
 import { canMove, canRetry, isFreeRetry, newRequest, step, type AttemptProgress, type RequestEffect, type RequestMessage, type RequestState, type StartMode } from '../../core/request/index.ts'
@@ -54,6 +54,8 @@
   readonly #decisions: RequestDecisions
   /** Status and headers from the attempt that delivered the first piece, if the protocol has them. */
   head: AnswerHead | undefined
+  /** Attempt that delivered the last piece. */
+  #lastPieceAttempt = 0
   /** The last error response sent by an endpoint. */
   failureAnswer: WholeAnswer | undefined
   final: FinalResult | undefined
@@ -324,6 +326,7 @@
       state: () => this.lifecycle,
       boundTo: () => this.binding.version,
       recordDecision: (event, fields) => this.recordDecision(event, fields),
+      mayComplete: (attempt, head) => this.#mayComplete(attempt, head),
       onChunk: (chunk, { head, version }) => this.#addChunk(chunk, { head, version }),
       onWhole: (head) => {
         this.#markBegun()
@@ -387,6 +390,7 @@
       onSignals: (signals) => this.ports.signals?.record(endpoint, signals, sentAtMs),
       onHead: (arrived) => { head = arrived },
       onChunk: (offset, pieces) => {
+        if (!this.#mayComplete(attempt, head)) return this.#rejectAnswer(attempt, endpoint)
         if (attempt === this.lifecycle.attempt) this.#tracker.recordPiece(this.flow.readingSinceMs)
         this.#addChunk({ attempt, offset, pieces }, { head, version: this.#runningVersion })
       },
@@ -396,11 +400,24 @@
     }
   }
 
+  /** Returns false for an answer without events if the caller has pieces of an earlier attempt, and the answer would be appended to them. */
+  #mayComplete (attempt: number, head: AnswerHead | undefined): boolean {
+    const isAppended = this.answer.length > this.answer.from && attempt !== this.#lastPieceAttempt
+    return !isAppended || head === undefined || isEventStream(head)
+  }
+
+  #rejectAnswer (attempt: number, endpoint: EndpointId): void {
+    this.attachment?.detach()
+    this.#onAttemptError(attempt, endpoint, new AttemptError('Cannot use answer: it does not continue the events that were passed on', { point: 'foreign-answer' }))
+  }
+
   #addChunk (chunk: Chunk<P>, { head, version }: { head: AnswerHead | undefined, version: EndpointVersion | undefined }): void {
     const verdict = this.answer.add(chunk)
     this.ports.metrics.chunks.inc({ verdict })
     if (verdict === 'taken') {
       this.head ??= head
+      this.#lastPieceAttempt = chunk.attempt
+      if (head && !isEventStream(head) && !this.lifecycle.isBound) this.post({ type: 'bound' })
       this.bindTo(version)
       this.mover?.passedOn(this.answer.length)
     }
@@ -433,6 +450,7 @@
   #onAttemptEnd (endpoint: EndpointId, attempt: number, end: { total: number, head: AnswerHead | undefined, endpointSeen: boolean, explicit: boolean }): void {
     if (attempt !== this.lifecycle.attempt) return
     const fail = () => this.#onAttemptError(attempt, endpoint, new AttemptError('Cannot use answer: it is incomplete', { point: 'torn-answer' }))
+    if (!this.#mayComplete(attempt, end.head)) return this.#rejectAnswer(attempt, endpoint)
     if (!end.explicit && this.mover?.holdsClose(fail)) return
     this.answer.end(attempt, end.total)
     if (!this.answer.whole) return fail()
--- a/endpoints/exchange/exchange.ts
+++ b/endpoints/exchange/exchange.ts
@@ -1,6 +1,6 @@
 /** One request on one connection. Reads the endpoint's answer and reports exactly how it ended. */
 import type { Dispatcher } from 'undici'
-import type { AnswerHead, Header } from '../../core/answer/index.ts'
+import { isEventStream, type AnswerHead, type Header } from '../../core/answer/index.ts'
 import { answerWindowBytes, SMALL_ENTRY_BYTES, type MemoryAccount, type MemoryEntry } from '../../core/memory/index.ts'
 import { AttemptError, type FailurePoint } from '../../core/outcome/index.ts'
 import { attemptError } from '../_attempt_errors.ts'
@@ -233,7 +233,7 @@
 
 function bodyHandlingOf (head: AnswerHead): BodyHandling {
   if (head.status >= SERVER_ERROR) return 'failure'
-  return head.status < REDIRECT && headerValue(head, 'content-type')?.startsWith('text/event-stream') ? 'events' : 'whole'
+  return isEventStream(head) ? 'events' : 'whole'
 }
 
 function isSelfDelimited (head: AnswerHead): boolean {
