Dial further addresses while a starting daemon has not been introduced

Cause, as far as shown: a daemon that starts dials six addresses at random out of the seeds and the registrations, which include those of ended daemons. If it meets none that runs, or only one that starts as well, it counts as joined and tries no further ones; after half a second it goes by the configuration of the store, which may be older.

Change: up to three further rounds of six addresses, 120 ms apart, until it has been introduced. A start beside running daemons dials no more than before.

Evidence: `a daemon that starts beside many ended ones ...` failed before.

--- a/daemon/peers/membership_task.ts
+++ b/daemon/peers/membership_task.ts
@@ -45,6 +45,9 @@
 const INTRODUCTIONS = 2
 /** Addresses dialed at once when joining: a few of them may belong to hosts that no longer exist. */
 const MAX_JOIN_DIALS = 6
+/** Time after which further addresses are dialed, in milliseconds, and how often: within the time for which a daemon waits to be introduced. */
+const JOIN_ROUND_MS = 120
+const MAX_JOIN_ROUNDS = 4
 /** Time for the departure message to be sent before the links close, in milliseconds. */
 const LEAVE_FLUSH_MS = 300
 /** Ticks between probes of a daemon that was declared dead. */
@@ -276,10 +279,20 @@
     this.#noPeersKnown = others.length === 0
     this.#peersSought = others.length
     shuffle(others, this.#options.random)
-    this.links.keep(others.slice(0, MAX_JOIN_DIALS))
+    this.#dialUntilIntroduced(others)
     setTimeout(() => { if (!this.#joined && this.#timers.length > 0) this.#join() }, JOIN_RETRY_MS)
   }
 
+  /** Tries further addresses while none, or too few, of those before have answered: they may belong to daemons that have ended. */
+  async #dialUntilIntroduced (addresses: readonly string[]): Promise<void> {
+    for (let round = 0; round < MAX_JOIN_ROUNDS && round * MAX_JOIN_DIALS < addresses.length; round++) {
+      if (round > 0 && (this.introduced || this.#timers.length === 0)) return
+      const dialed = addresses.slice(round * MAX_JOIN_DIALS, (round + 1) * MAX_JOIN_DIALS)
+      this.links.keep([...this.#successors.map(({ address }) => address), ...dialed])
+      await delay(JOIN_ROUND_MS)
+    }
+  }
+
   async #registeredAddresses (): Promise<string[]> {
     try {
       const found = await this.#options.store.list('members/')
--- a/daemon/peers/membership_task_test.ts
+++ b/daemon/peers/membership_task_test.ts
@@ -69,3 +69,25 @@
   expect([first.introduced, third.introduced]).toEqual([true, true])
   for (const each of tasks) await each.stop()
 })
+
+test('a daemon that starts beside many ended ones finds those that run before it stops waiting for them', async () => {
+  // Guards against a daemon that serves an older configuration, because all addresses that it tried first were those of ended daemons.
+  const network = new StandInNetwork()
+  const shared = new StandInStore()
+  const tasks: MembershipTask[] = []
+  const join = async (name: string, random: () => number) => {
+    const self = as<DaemonId>(name)
+    const joined = new MembershipTask({ self, listen: { host: '', port: 0 }, failureDomain: as('a'), seeds: [], store: shared, links: network.join(self), hash: () => 0, metrics: createMetrics(), random })
+    tasks.push(joined)
+    await joined.start()
+    await vi.advanceTimersByTimeAsync(100)
+    return joined
+  }
+  for (let i = 0; i < 8; i++) await shared.create(`members/ended-${i}`, JSON.stringify({ id: `ended-${i}`, address: `node:ended-${i}`, atMs: Date.now() }))
+  for (const name of ['running-1', 'running-2']) await join(name, () => 0)
+  // The addresses are tried in the order in which the store lists them.
+  task = await join('starting', () => 0.999)
+  await vi.advanceTimersByTimeAsync(300)
+  expect(task.introduced).toBe(true)
+  for (const each of tasks) await each.stop()
+})
