Close an idle connection on which bytes come without end

Cause: after an answer the connection still told its old exchange of an overrun, which ignored it, so that an idle connection stopped reading and was used again. Change: it is closed. Evidence: `an idle connection on which an endpoint sends empty lines ...` failed before. Beside it: a lease that is left to expire is logged once, and two comments say what they mean.

--- a/daemon/fleet/_lease_actions.ts
+++ b/daemon/fleet/_lease_actions.ts
@@ -22,7 +22,7 @@
   /** Starts an action at once and aborts its signal when the right to act ends. */
   async run<T> (action: (signal: AbortSignal) => Promise<T>, options: RunOptions): Promise<T> {
     const controller = new AbortController()
-    const { promise: ended, resolve: end } = withResolver()
+    const { promise: ended, resolve: end } = createDeferred()
     const stopWatching = abortAtEnd(controller, options)
     this.#running.set(ended, controller)
     try {
@@ -48,7 +48,7 @@
   }
 }
 
-function withResolver (): { promise: Promise<void>, resolve: () => void } {
+function createDeferred (): { promise: Promise<void>, resolve: () => void } {
   let resolve: () => void = () => {}
   const promise = new Promise<void>((_resolve) => { resolve = _resolve })
   return { promise, resolve }
--- a/daemon/fleet/lease_task.ts
+++ b/daemon/fleet/lease_task.ts
@@ -268,6 +268,7 @@
     if (!record || record.holder !== this.#options.self || record.ttlMs === 0) return
     const sinceUnsureMs = steadyNow() - this.#actions.lastUnsureAtMs
     if (sinceUnsureMs < expiryMs(record.ttlMs)) {
+      if (!this.#state.hold) return
       this.#state = endHold(this.#state)
       log('lease-left-to-expire', { name: this.#options.name, fencing: record.fencing, sinceUnsureMs })
       return
--- a/endpoints/exchange/connection.ts
+++ b/endpoints/exchange/connection.ts
@@ -13,8 +13,8 @@
 const MAX_IDLE_MS = 60_000
 
 /**
- * Maximum number of bytes that an endpoint may send without any of a body, in bytes: heads, interim answers, chunk sizes and trailers. The HTTP client bounds
- * headers only, and reads everything else for as long as it comes.
+ * Maximum number of bytes that an endpoint may send without any of a body: heads, interim answers, chunk sizes and trailers. The HTTP client bounds headers
+ * only, and reads everything else for as long as it comes.
  */
 const MAX_FRAMING_BYTES = 64 * 1024
 
--- a/endpoints/exchange/event_splitter.ts
+++ b/endpoints/exchange/event_splitter.ts
@@ -9,7 +9,7 @@
 
 const NEWLINE = 0x0A
 const CARRIAGE_RETURN = 0x0D
-/** Number of bytes before the last one of the longest empty line, a line break included. */
+/** Length of the longest end of an event, a line break and an empty line with a carriage return, without its last byte. */
 const TAIL_BYTES = 2
 const ID_LINE = /^id: ?(\d{1,15})\r?$/m
 
--- a/endpoints/exchange/exchange.ts
+++ b/endpoints/exchange/exchange.ts
@@ -72,7 +72,10 @@
   /** Sends the request with the headers of this attempt. */
   send (headers: readonly Header[]): void {
     const { req, connection } = this.#options
-    connection.onOverrun = () => { if (!this.#done) this.#fail('foreign-answer', 'the endpoint sends bytes that are no answer') }
+    connection.onOverrun = () => {
+      if (this.#done) connection.close()
+      else this.#fail('foreign-answer', 'the endpoint sends bytes that are no answer')
+    }
     connection.dispatch({
       method: req.method as Dispatcher.HttpMethod,
       path: req.target,
--- a/endpoints/exchange/exchange_test.ts
+++ b/endpoints/exchange/exchange_test.ts
@@ -1,5 +1,5 @@
 import { createServer, type AddressInfo, type Socket } from 'node:net'
-import { afterEach, expect, test } from 'vitest'
+import { afterEach, expect, test, vi } from 'vitest'
 import type { AnswerHead } from '../../core/answer/index.ts'
 import { as } from '../../core/ids/index.ts'
 import { MemoryAccount } from '../../core/memory/index.ts'
@@ -180,6 +180,19 @@
   expect(endpoint.requests).toHaveLength(3)
 })
 
+test('an idle connection on which an endpoint sends empty lines without end is closed', async () => {
+  // Guards against bytes that are read for as long as they come although they belong to no answer.
+  const { endpoint, view } = await startEndpoint((req) => {
+    writeAnswer(req)
+    const more = () => { while (!req.socket.destroyed && req.socket.write('\r\n'.repeat(8192))) { /* until the system's buffers are full */ } }
+    req.socket.on('drain', more)
+    setTimeout(more, 10)
+  })
+  const client = clientOf()
+  expect(await sendAndWait(client, view, requestOf('a'))).toMatchObject({ total: 1 })
+  await vi.waitFor(() => expect([endpoint.connections, client.isConnected(view)]).toEqual([0, false]), { timeout: 3000 })
+})
+
 test('an endpoint that answers before it has read a long body gets the rest of that body and nothing else', async () => {
   // Guards against request smuggling: the endpoint answers early and keeps the connection, and reads the next caller's request as the rest of
   // the first body.
