Start a backup beside a silent attempt instead of closing it first

Cause: StallWatch took a request off a silent endpoint as soon as another one seemed usable, by closing the connection of the running attempt. The other endpoint was silent as well, refused the request, or had no room, and the request waited in the queue without an attempt, until latestStartMs refused it. An attempt that works was given up for one that was not certain.

Change: the request's state machine knows a backup. handleStall starts one only at an endpoint that can take the request now (Dispatcher.startNow: no queue, no refusal), never at one that had it before, out of the retry budget and the attempts of the route as before. The silent attempt stays open. The first of the two to send a part of its answer goes on and the other one is closed at once, so that an answer is passed on from one run at a time; if one fails, the other goes on. Deadline, caller and quarantine end both. Logged as backup-adopted and backup-stopped.

--- a/core/request/lifecycle.ts
+++ b/core/request/lifecycle.ts
@@ -23,11 +23,19 @@
 /** Phase of a request; `done` is final. */
 export type Phase = 'claiming' | 'placing' | 'running' | 'stopping' | 'done'
 
+/** An attempt beside the current one. */
+export interface BackupAttempt { endpoint: EndpointId, attempt: number }
+
 /** State of one request. */
 export interface RequestState {
   readonly traits: RequestTraits
   readonly phase: Phase
+  /** Number of the attempt whose answer is passed on. */
   readonly attempt: number
+  /** Highest number of any attempt. */
+  readonly lastAttempt: number
+  /** Attempt that was started while the current one is silent; the first of both to answer is passed on. */
+  readonly backup: BackupAttempt | undefined
   /** Number of attempts that reached, or may have reached, an endpoint. */
   readonly sent: number
   readonly endpoint: EndpointId | undefined
@@ -55,6 +63,10 @@
   | { type: 'delegated', to: DaemonId }
   | { type: 'refused', reason: string, retryAfterMs?: number }
   | { type: 'bound' }
+  /** The current attempt is silent, and an endpoint can take the request now. */
+  | { type: 'backup', endpoint: EndpointId }
+  /** An attempt has sent part of its answer. Needed only while there is a backup. */
+  | { type: 'answering', attempt: number }
   | { type: 'ended', attempt: number }
   /** `reached` is the number of endpoints that a delegate reported to have sent the request to. Default: as the point implies. */
   | { type: 'failed', attempt: number, point: FailurePoint, retryGranted: boolean, reached?: number }
@@ -72,6 +84,10 @@
   | { type: 'place', avoid: readonly EndpointId[] }
   | { type: 'start', endpoint: EndpointId, attempt: number, mode: StartMode }
   | { type: 'delegate', to: DaemonId, attempt: number }
+  | { type: 'start-backup', endpoint: EndpointId, attempt: number }
+  /** The backup becomes the current attempt. The previous one has failed, or a `stop` follows. */
+  | { type: 'adopt-backup', attempt: number }
+  | { type: 'stop-backup', endpoint: EndpointId, attempt: number }
   /** `endpoint` is undefined if a delegate runs the attempt. */
   | { type: 'stop', endpoint: EndpointId | undefined, attempt: number }
   | { type: 'finish', outcome: Outcome, reason: string, retryAfterMs: number | undefined }
@@ -81,7 +97,7 @@
 
 /** Returns the initial state of an accepted request. */
 export function newRequest (traits: RequestTraits): RequestState {
-  return { traits, phase: 'placing', attempt: 0, sent: 0, endpoint: undefined, delegate: undefined, mayHaveRun: false, isBound: false, avoid: [], avoidDelegates: [], next: undefined, outcome: undefined }
+  return { traits, phase: 'placing', attempt: 0, lastAttempt: 0, backup: undefined, sent: 0, endpoint: undefined, delegate: undefined, mayHaveRun: false, isBound: false, avoid: [], avoidDelegates: [], next: undefined, outcome: undefined }
 }
 
 /**
@@ -100,6 +116,8 @@
     case 'delegated': return delegate(state, msg.to)
     case 'refused': return finish(state, failureOutcome(state), msg.reason, msg.retryAfterMs)
     case 'bound': return { state: { ...state, isBound: true }, effects: [] }
+    case 'backup': return startBackup(state, msg.endpoint)
+    case 'answering': return answering(state, msg.attempt)
     case 'ended': return msg.attempt === state.attempt ? finish(state, 'answered', 'whole') : unchanged(state)
     case 'failed': return failed(state, msg, now)
     case 'move': return move(state, msg)
@@ -124,24 +142,63 @@
 
 function start (state: RequestState, endpoint: EndpointId, mode: StartMode): Step {
   if (state.phase === 'running') return unchanged(state)
-  const attempt = state.attempt + 1
-  const next: RequestState = { ...state, phase: 'running', attempt, endpoint, next: undefined }
+  const attempt = state.lastAttempt + 1
+  const next: RequestState = { ...state, phase: 'running', attempt, lastAttempt: attempt, endpoint, next: undefined }
   return { state: next, effects: [{ type: 'start', endpoint, attempt, mode: state.mayHaveRun && mode === 'fresh' ? 'prefill' : mode }] }
 }
 
 function delegate (state: RequestState, to: DaemonId): Step {
   if (state.phase !== 'placing') return unchanged(state)
-  const attempt = state.attempt + 1
-  return { state: { ...state, phase: 'running', attempt, endpoint: undefined, delegate: to }, effects: [{ type: 'delegate', to, attempt }] }
+  const attempt = state.lastAttempt + 1
+  return { state: { ...state, phase: 'running', attempt, lastAttempt: attempt, endpoint: undefined, delegate: to }, effects: [{ type: 'delegate', to, attempt }] }
+}
+
+/** Returns true if a silent attempt may get a backup, subject to the retry budget. */
+export function mayStartBackup (state: RequestState): boolean {
+  return state.phase === 'running' && state.endpoint !== undefined && state.backup === undefined && canRetry(state, 'timeout-after-send')
+}
+
+function startBackup (state: RequestState, endpoint: EndpointId): Step {
+  if (!mayStartBackup(state) || endpoint === state.endpoint) return unchanged(state)
+  const attempt = state.lastAttempt + 1
+  return { state: { ...state, lastAttempt: attempt, backup: { endpoint, attempt } }, effects: [{ type: 'start-backup', endpoint, attempt }] }
+}
+
+/** The first attempt to answer goes on, and the other one is stopped: an answer is passed on from one at a time. */
+function answering (state: RequestState, attempt: number): Step {
+  const { backup } = state
+  if (!backup || state.phase !== 'running') return unchanged(state)
+  if (attempt === state.attempt) return dropBackup(state, { reached: 1, mayHaveRun: true })
+  if (attempt !== backup.attempt) return unchanged(state)
+  const stop: RequestEffect = { type: 'stop', endpoint: state.endpoint, attempt: state.attempt }
+  const adopted = adoptBackup({ ...state, sent: state.sent + 1, mayHaveRun: true }, backup)
+  return { state: adopted.state, effects: [stop, ...adopted.effects] }
+}
+
+function adoptBackup (state: RequestState, { endpoint, attempt }: BackupAttempt): Step {
+  return { state: { ...state, attempt, endpoint, avoid: [...state.avoid, state.endpoint!], backup: undefined }, effects: [{ type: 'adopt-backup', attempt }] }
+}
+
+/** `reached` is the number of endpoints that the backup reached, or may have reached. */
+function dropBackup (state: RequestState, { reached, mayHaveRun }: { reached: number, mayHaveRun: boolean }): Step {
+  const { backup } = state
+  if (!backup) return unchanged(state)
+  const { endpoint, attempt } = backup
+  return { state: { ...state, backup: undefined, sent: state.sent + reached, mayHaveRun: state.mayHaveRun || mayHaveRun, avoid: [...state.avoid, endpoint] }, effects: [{ type: 'stop-backup', endpoint, attempt }] }
 }
 
 function failed (state: RequestState, msg: Extract<RequestMessage, { type: 'failed' }>, now: number): Step {
-  if (msg.attempt !== state.attempt || state.phase !== 'running') return unchanged(state)
+  if (state.phase !== 'running') return unchanged(state)
+  const reached = msg.reached ?? (reachedEndpoint(msg.point) ? 1 : 0)
   const certainlyNotRun = outcomeAt(msg.point) === 'not-run'
+  if (msg.attempt === state.backup?.attempt) return { state: dropBackup(state, { reached, mayHaveRun: !certainlyNotRun }).state, effects: [] }
+  if (msg.attempt !== state.attempt) return unchanged(state)
+  const mayHaveRun = state.mayHaveRun || !certainlyNotRun
+  if (state.backup) return adoptBackup({ ...state, sent: state.sent + reached, mayHaveRun }, state.backup)
   const updated: RequestState = {
     ...state,
-    sent: state.sent + (msg.reached ?? (reachedEndpoint(msg.point) ? 1 : 0)),
-    mayHaveRun: state.mayHaveRun || !certainlyNotRun,
+    sent: state.sent + reached,
+    mayHaveRun,
     avoid: state.endpoint === undefined ? state.avoid : [...state.avoid, state.endpoint],
     avoidDelegates: state.delegate === undefined ? state.avoidDelegates : [...state.avoidDelegates, state.delegate]
   }
@@ -180,7 +237,7 @@
 
 function move (state: RequestState, msg: Extract<RequestMessage, { type: 'move' }>): Step {
   const isImport = msg.mode === 'import'
-  if (state.phase !== 'running' || state.isBound || !(state.traits.movable || isImport) || state.endpoint === undefined) return unchanged(state)
+  if (state.phase !== 'running' || state.backup || state.isBound || !(state.traits.movable || isImport) || state.endpoint === undefined) return unchanged(state)
   const stop: RequestEffect = { type: 'stop', endpoint: state.endpoint, attempt: state.attempt }
   // The import of a stream that cannot be resumed is the same run: it uses up no attempt.
   const moved: RequestState = { ...state, sent: state.sent + (isImport && !state.traits.movable ? 0 : 1), mayHaveRun: true, avoid: [...state.avoid, state.endpoint] }
@@ -194,6 +251,7 @@
 
 function hold (state: RequestState): Step {
   if (state.phase !== 'running' || state.isBound || !state.traits.movable || state.endpoint === undefined) return unchanged(state)
+  if (state.backup) return withoutBackup(state, hold)
   const stop: RequestEffect = { type: 'stop', endpoint: state.endpoint, attempt: state.attempt }
   return { state: { ...state, phase: 'stopping', sent: state.sent + 1, mayHaveRun: true, avoid: [...state.avoid, state.endpoint], next: undefined }, effects: [stop] }
 }
@@ -205,7 +263,15 @@
   return start(state, state.next.endpoint, state.next.mode)
 }
 
+/** Drops the backup, and then takes a step. */
+function withoutBackup (state: RequestState, next: (state: RequestState) => Step): Step {
+  const dropped = dropBackup(state, { reached: 1, mayHaveRun: true })
+  const { state: after, effects } = next(dropped.state)
+  return { state: after, effects: [...dropped.effects, ...effects] }
+}
+
 function abort (state: RequestState, reason: string, retryAfterMs?: number): Step {
+  if (state.backup) return withoutBackup(state, (dropped) => abort(dropped, reason, retryAfterMs))
   const running = state.phase === 'running'
   const stop: RequestEffect[] = running ? [{ type: 'stop', endpoint: state.endpoint, attempt: state.attempt }] : []
   const end = finish({ ...state, mayHaveRun: state.mayHaveRun || running }, failureOutcome({ ...state, mayHaveRun: state.mayHaveRun || running }), reason, retryAfterMs)
@@ -213,6 +279,7 @@
 }
 
 function finish (state: RequestState, outcome: Outcome, reason: string, retryAfterMs?: number): Step {
+  if (state.backup) return withoutBackup(state, (dropped) => finish(dropped, outcome, reason, retryAfterMs))
   return { state: { ...state, phase: 'done', outcome }, effects: [{ type: 'finish', outcome, reason, retryAfterMs }] }
 }
 
--- a/core/request/lifecycle_test.ts
+++ b/core/request/lifecycle_test.ts
@@ -161,3 +161,77 @@
     }
   }), { seed: 50, numRuns: 3000 })
 })
+
+const WITH_BACKUP: RequestMessage[] = [...RUNNING, { type: 'backup', endpoint: B }]
+const BACKED_UP = { idempotent: true, maxAttempts: 2 }
+
+test('a silent attempt goes on until its backup answers', () => {
+  // Guards against an attempt that is given up for one that its endpoint may not take.
+  const started = run(BACKED_UP, WITH_BACKUP)
+  expect(started.effects.at(-1)).toEqual({ type: 'start-backup', endpoint: B, attempt: 2 })
+  expect(started.state).toMatchObject({ phase: 'running', attempt: 1, endpoint: A })
+  const answered = step(started.state, { type: 'answering', attempt: 2 }, 0)
+  expect(answered.effects).toEqual([{ type: 'stop', endpoint: A, attempt: 1 }, { type: 'adopt-backup', attempt: 2 }])
+  expect(answered.state).toMatchObject({ phase: 'running', attempt: 2, endpoint: B, backup: undefined, sent: 1 })
+})
+
+test('a backup is stopped once the attempt before it goes on', () => {
+  const { state, effects } = run(BACKED_UP, [...WITH_BACKUP, { type: 'answering', attempt: 1 }])
+  expect(effects.at(-1)).toEqual({ type: 'stop-backup', endpoint: B, attempt: 2 })
+  expect(state).toMatchObject({ phase: 'running', attempt: 1, endpoint: A, backup: undefined, sent: 1 })
+  expect(step(state, { type: 'backup', endpoint: B }, 0).effects).toEqual([])
+})
+
+test.each(FAILURE_POINTS)('a request goes on with the attempt that is left when the other one fails at %s', (point) => {
+  const backupFailed = run(BACKED_UP, [...WITH_BACKUP, { type: 'failed', attempt: 2, point, retryGranted: false }])
+  expect(backupFailed.state).toMatchObject({ phase: 'running', attempt: 1, endpoint: A, mayHaveRun: outcomeAt(point) === 'unknown' })
+  const currentFailed = run(BACKED_UP, [...WITH_BACKUP, { type: 'failed', attempt: 1, point, retryGranted: true }])
+  expect(currentFailed.effects.at(-1)).toEqual({ type: 'adopt-backup', attempt: 2 })
+  expect(currentFailed.state).toMatchObject({ phase: 'running', attempt: 2, endpoint: B, mayHaveRun: outcomeAt(point) === 'unknown' })
+})
+
+test.each<[string, Partial<RequestTraits>, RequestMessage[]]>([
+  ['a request that may run once', { idempotent: false }, RUNNING],
+  ['a request without attempts left', { maxAttempts: 1 }, RUNNING],
+  ['a request that is bound to its attempt', {}, [...RUNNING, { type: 'bound' }]],
+  ['a request that waits', {}, [{ type: 'begin' }]],
+  ['a request at a delegate', {}, DELEGATED]
+])('%s gets no backup', (_case, traits, msgs) => {
+  const { state } = run({ ...BACKED_UP, ...traits }, msgs)
+  expect(step(state, { type: 'backup', endpoint: B }, 0).effects).toEqual([])
+})
+
+test('whatever happens to an attempt and its backup, one of them answers, none is left running, and none is one too many', () => {
+  // Guards against attempts that run on unseen, and against more of them than the route allows.
+  const MAX_ATTEMPTS = 3
+  const C = as<EndpointId>('c')
+  const attempt = fc.integer({ min: 1, max: 4 })
+  const msg = fc.oneof(
+    fc.constantFrom<RequestMessage>({ type: 'placed', endpoint: A }, { type: 'backup', endpoint: B }, { type: 'backup', endpoint: C }, { type: 'bound' }, { type: 'hold' }, { type: 'caller-left' }, { type: 'deadline' }, { type: 'move', endpoint: C, mode: 'prefill' }),
+    fc.record({ type: fc.constant('failed' as const), attempt, point: fc.constantFrom(...FAILURE_POINTS), retryGranted: fc.boolean() }),
+    fc.record({ type: fc.constant('stopped' as const), attempt, confirmed: fc.boolean() }),
+    fc.record({ type: fc.constant('answering' as const), attempt }),
+    fc.record({ type: fc.constant('ended' as const), attempt })
+  )
+  fc.assert(fc.property(fc.array(msg, { maxLength: 25 }), (msgs) => {
+    let state = newRequest({ ...TRAITS, idempotent: true, maxAttempts: MAX_ATTEMPTS, cancelOnLeave: true })
+    const running = new Set<number>()
+    let finished = 0
+    for (const each of msgs) {
+      const before = state
+      const next = step(state, each, 0)
+      state = next.state
+      const ends = (each.type === 'failed' && each.attempt === before.backup?.attempt) || ((each.type === 'failed' || each.type === 'ended') && each.attempt === before.attempt)
+      if (ends && before.phase === 'running') running.delete(each.attempt)
+      for (const effect of next.effects) {
+        if (effect.type === 'start' || effect.type === 'start-backup') running.add(effect.attempt)
+        if (effect.type === 'stop' || effect.type === 'stop-backup') running.delete(effect.attempt)
+        if (effect.type === 'finish') finished++
+      }
+      const expected = state.phase === 'running' ? [state.attempt, ...state.backup ? [state.backup.attempt] : []] : []
+      expect([...running].sort()).toEqual(expected.sort())
+      expect(state.sent + running.size).toBeLessThanOrEqual(MAX_ATTEMPTS)
+    }
+    expect(finished).toBe(state.phase === 'done' ? 1 : 0)
+  }), { seed: 72, numRuns: 5000 })
+})
--- a/daemon/explain/_cause.ts
+++ b/daemon/explain/_cause.ts
@@ -116,7 +116,8 @@
   allowed: '',
   'over-budget': '; no repeat was left in the budget',
   suspected: '; it was not repeated, since endpoints that ran requests with the same prompt parts crashed',
-  'not-allowed': '; it may not be repeated'
+  'not-allowed': '; it may not be repeated',
+  'current-goes-on': '; the attempt before it went on'
 }
 
 function causeOfFailure (f: RequestEvents['attempt-failed'], { context }: Evidence): string {
--- a/daemon/log/describe.ts
+++ b/daemon/log/describe.ts
@@ -22,6 +22,8 @@
     return `attempt ${f.attempt} on ${f.endpoint}${f.version === undefined ? '' : ` (${f.version})`}, ${f.mode} from piece ${f.fromPiece}${prediction}`
   },
   'attempt-failed': (f) => `attempt ${f.attempt} on ${f.endpoint} failed: ${f.point}, repeat ${f.repeat}`,
+  'backup-adopted': (f) => `attempt ${f.attempt} on ${f.endpoint} takes the place of the one before from piece ${f.pieces}, after ${ms(f.afterMs)}`,
+  'backup-stopped': (f) => `attempt ${f.attempt} on ${f.endpoint} stopped after ${ms(f.afterMs)}: the one before goes on, or the request has ended`,
   'attempt-delegated': (f) => `attempt ${f.attempt} by ${f.to}, since no endpoint of ${f.pool} can be reached from here; from piece ${f.fromPiece}, ${f.inFlight} others there, offer ${ms(f.offerAgeMs)} old`,
   'delegate-failed': (f) => `attempt ${f.attempt} by ${f.to} failed: ${f.point}, repeat ${f.repeat}`,
   'request-taken-for': (f) => `taken for ${f.origin}, which cannot reach ${f.pool}: ${ms(f.deadlineInMs)} left, from piece ${f.fromPiece}, ${f.maxAttempts} endpoints at most`,
--- a/daemon/log/events.ts
+++ b/daemon/log/events.ts
@@ -46,10 +46,14 @@
    */
   'attempt-started': { attempt: number, endpoint: string, version?: string | undefined, mode: string, fromPiece: number, lane: string, predictedMs?: number, withinTarget?: boolean, uncachedTokens?: number, running: number, slots: number, othersAgeMs?: number | undefined, listAgeMs?: number | undefined }
   /**
-   * The attempt gave no complete answer. `point` is the stage it reached, `repeat` whether it is retried (`suspected`: it is not, since requests with the same prompt parts were running in several crashes); `fingerprint` and `parts`, the
+   * The attempt gave no complete answer. `point` is the stage it reached, `repeat` whether it is retried (`suspected`: it is not, since requests with the same prompt parts were running in several crashes; `current-goes-on`: it was the backup of an attempt that goes on); `fingerprint` and `parts`, the
    * prompt parts that other requests may share, are present if the endpoint broke off while it ran the request.
    */
-  'attempt-failed': { attempt: number, endpoint: string, point: string, why: string, status?: number | undefined, afterMs: number, pieces: number, endpointLeaving: boolean, fingerprint?: string, parts?: readonly string[], repeat: 'allowed' | 'over-budget' | 'suspected' | 'not-allowed' }
+  'attempt-failed': { attempt: number, endpoint: string, point: string, why: string, status?: number | undefined, afterMs: number, pieces: number, endpointLeaving: boolean, fingerprint?: string, parts?: readonly string[], repeat: 'allowed' | 'over-budget' | 'suspected' | 'not-allowed' | 'current-goes-on' }
+  /** The backup of a silent attempt takes its place, since it answered first or that attempt failed. */
+  'backup-adopted': { attempt: number, endpoint: string, afterMs: number, pieces: number }
+  /** The backup of a silent attempt was stopped, since that attempt goes on after all or its request has ended. */
+  'backup-stopped': { attempt: number, endpoint: string, afterMs: number, pieces: number }
   /** Sent through another daemon, since no endpoint of its pool can be reached from this one. */
   'attempt-delegated': { attempt: number, to: string, pool: string, fromPiece: number, inFlight: number, offerAgeMs: number, activityAgeMs: number }
   /** The daemon that the request was sent to has not answered it: it declined, was lost, or reports a failure. */
--- a/daemon/request/dispatcher.ts
+++ b/daemon/request/dispatcher.ts
@@ -1,7 +1,7 @@
 /** Assigns requests to endpoints and queues those that no endpoint has room for. */
 import { FairQueue, type QueuedRequest, type RequestQueue } from '../../core/admission/index.ts'
 import type { EndpointId, PoolName } from '../../core/ids/index.ts'
-import { backsOff, type EndpointView, type PrefixIndex, type Random, type RegionalRoute, type Route, type RouteQuery, type Router } from '../../core/routing/index.ts'
+import { availableAtMs, backsOff, type EndpointView, type PrefixIndex, type Random, type RegionalRoute, type Route, type RouteQuery, type Router } from '../../core/routing/index.ts'
 import { maxHeldTokens, type PromptPart } from '../../core/work/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import { remainingBackOffMs } from '../endpoints/_work_pauses.ts'
@@ -117,6 +117,20 @@
     this.#queueOrRefuse(placement, pool)
   }
 
+  /** Returns true if an endpoint or another daemon can take a request now, ahead of none that waits. */
+  canStartNow (placement: Placement): boolean {
+    const way = this.#wayFor(placement)
+    if (way.type !== 'direct' || this.#poolState(placement).queue.length > 0) return way.type === 'delegate'
+    const now = steadyNow()
+    return this.#endpointsFor(placement).usable.some((view) => availableAtMs(view) <= now && !placement.avoid.includes(view.id) && this.#canStart(view, placement, now))
+  }
+
+  /** Sends a request to an endpoint that can take it now; it is neither queued nor refused. Returns false if there is none. */
+  startNow (placement: Placement): boolean {
+    const pool = this.#poolState(placement)
+    return this.#wayFor(placement).type === 'direct' && pool.queue.length === 0 && this.#start(placement, pool, { mayAsk: false })
+  }
+
   #wayFor ({ pool, cls, delegated, avoidDelegates = [] }: Placement): RequestWay {
     return this.#options.ways?.wayFor({ pool, idempotent: cls.idempotent, mayDelegate: delegated !== undefined, avoidDelegates }) ?? { type: 'direct' }
   }
--- a/daemon/request/request_task.ts
+++ b/daemon/request/request_task.ts
@@ -2,8 +2,8 @@
 import { AnswerBuffer, isEventStream, type AnswerBufferOptions, type AnswerHead, type Chunk, type WholeAnswer } from '../../core/answer/index.ts'
 import type { DaemonId, EndpointId, EndpointVersion, PoolName, RequestId } from '../../core/ids/index.ts'
 import { AttemptError, outcomeAt, type FailurePoint, type Outcome } from '../../core/outcome/index.ts'
-import { canMove, canRetry, isFreeRetry, newRequest, step, type AttemptProgress, type RequestEffect, type RequestMessage, type RequestState, type StartMode } from '../../core/request/index.ts'
-import { availableAtMs, type EndpointView, type Route } from '../../core/routing/index.ts'
+import { canMove, canRetry, isFreeRetry, mayStartBackup, newRequest, step, type AttemptProgress, type RequestEffect, type RequestMessage, type RequestState, type StartMode } from '../../core/request/index.ts'
+import { type EndpointView, type Route } from '../../core/routing/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import { maxHeldTokens, sharedParts } from '../../core/work/index.ts'
 import { mayContinueAt, type StreamVersion } from '../../core/streams/index.ts'
@@ -14,6 +14,7 @@
 import { ClaimError } from '../once/shard_log.ts'
 import type { Placement } from './placement.ts'
 import { AttemptTracker } from './attempt_tracker.ts'
+import { backupSink, type BackupAttempt } from './_backup_attempt.ts'
 import { DelegatedAttempts } from './_delegated_attempts.ts'
 import type { DelegatedSink, DelegatedSpec } from './delegated_run.ts'
 import { AnswerFlow } from './_answer_flow.ts'
@@ -85,7 +86,9 @@
   #handling = false
   readonly #deadlineTimer: NodeJS.Timeout
   #placement: Placement | undefined
-  readonly #tracker: AttemptTracker
+  #tracker: AttemptTracker
+  /** Attempt that was started while the current one is silent. */
+  #backup: BackupAttempt | undefined
   #route: Route | undefined
   readonly #meter: RequestMeter
   #hasBegun = false
@@ -101,8 +104,7 @@
     this.#quarantine = new QuarantineCheck(work, ports)
     this.ports = ports
     this.#decisions = new RequestDecisions(work.id)
-    this.#tracker = new AttemptTracker(ports.table)
-    this.#tracker.onFirstAnswer = (endpoint, times) => this.#reportFirstAnswer(endpoint, times)
+    this.#tracker = this.#newTracker()
     this.#runner = runner
     this.#meter = new RequestMeter(ports.metrics, { cls: work.cls, acceptedAtMs: this.acceptedAtMs, counted: options.counted ?? true })
     this.answer = new AnswerBuffer<P>(options)
@@ -125,20 +127,17 @@
   get progress (): AttemptProgress | undefined { return this.lifecycle.phase === 'running' ? this.#tracker.progress : undefined }
 
   /**
-   * Handles a running attempt that has gone silent: retries it at another endpoint, or keeps waiting if a retry isn't allowed or no other endpoint is usable.
+   * Handles a running attempt that has gone silent: starts a backup at another endpoint that can take it now, if a retry is allowed.
    *
-   * A non-idempotent request keeps waiting, since silence does not prove that it isn't running, and its answer may still arrive.
+   * The silent attempt goes on until the backup answers. Its endpoint may be sound, and the other one silent as well or without room after all. A non-idempotent request gets no
+   * backup, since silence does not prove that it isn't running.
    */
   handleStall (): void {
-    const { attempt, endpoint } = this.lifecycle
-    const { table, budget } = this.ports
-    if (endpoint === undefined || !this.mayRetryElsewhere || !canRetry(this.lifecycle, 'timeout-after-send')) return
-    const now = steadyNow()
-    const elsewhere = table.select(this.work.pool, this.binding.version).connected.some((view) => view.id !== endpoint && availableAtMs(view) <= now && (this.ports.paths?.canSend(view, this.work.cls) ?? true))
-    if (!elsewhere || !budget.tryWithdraw(table.isLeavingOrGone(endpoint))) return
-    this.attachment?.detach()
-    this.ports.crashes.failed({ id: endpoint, view: table.get(endpoint) }, 'timeout-after-send', this.#quarantine.watchedRun(this.#tracker.sentAtMs))
-    this.#recordFailure(endpoint, new AttemptError('Cannot wait: the attempt went silent', { point: 'timeout-after-send' }), { attempt, repeat: 'allowed' })
+    const { endpoint } = this.lifecycle
+    const { table, budget, dispatcher } = this.ports
+    if (!this.mayRetryElsewhere || !mayStartBackup(this.lifecycle)) return
+    const placement = this.#backupPlacement(endpoint!)
+    if (dispatcher.canStartNow(placement) && budget.tryWithdraw(table.isLeavingOrGone(endpoint!))) dispatcher.startNow(placement)
   }
 
   /**
@@ -152,7 +151,7 @@
     const point: FailurePoint = this.attachment?.sent === false ? 'connect-timeout' : 'timeout-after-send'
     const repeatable = this.mayRetryElsewhere && canRetry(this.lifecycle, point)
     if (!repeatable && !isFinal) return
-    const granted = repeatable && (isFreeRetry(this.lifecycle, point) || budget.tryWithdraw(table.isLeavingOrGone(endpoint)))
+    const granted = repeatable && (this.lifecycle.backup !== undefined || isFreeRetry(this.lifecycle, point) || budget.tryWithdraw(table.isLeavingOrGone(endpoint)))
     this.attachment?.detach()
     crashes.failed({ id: endpoint, view: table.get(endpoint) }, point, this.#quarantine.watchedRun(this.#tracker.sentAtMs))
     this.#recordFailure(endpoint, new AttemptError('Cannot wait: the endpoint cannot be reached', { point }), { attempt, repeat: granted ? 'allowed' : repeatable ? 'over-budget' : 'not-allowed' })
@@ -196,6 +195,7 @@
   /** Stops at once and notifies nobody. */
   abandon (): void {
     this.attachment?.detach()
+    this.#backup?.attachment.detach()
     this.deactivate()
   }
 
@@ -208,6 +208,7 @@
   /** Stops all activity for the request, because this daemon no longer owns it. */
   protected deactivate (): void {
     this.#tracker.end()
+    this.#backup?.tracker.end()
     clearTimeout(this.#deadlineTimer)
     if (this.#placement) this.ports.dispatcher.remove(this.#placement)
     this.lifecycle = { ...this.lifecycle, phase: 'done' }
@@ -231,6 +232,9 @@
       case 'place': return this.place(effect.avoid)
       case 'start': return this.#start(effect.endpoint, effect.attempt, effect.mode)
       case 'delegate': return this.#startDelegated(effect.attempt)
+      case 'start-backup': return this.#startBackup(effect.endpoint, effect.attempt)
+      case 'adopt-backup': return this.#adoptBackup(effect.attempt)
+      case 'stop-backup': return this.#stopBackup(effect.attempt)
       case 'stop': return effect.endpoint === undefined ? this.#stopDelegated(effect.attempt) : this.#stop(effect.endpoint, effect.attempt)
       case 'finish': return this.#finish({ outcome: effect.outcome, reason: effect.reason, retryAfterMs: effect.retryAfterMs ?? this.#backOffMs(effect.outcome) })
     }
@@ -250,9 +254,14 @@
 
   /** Asks the dispatcher for an endpoint, unless the request is quarantined. */
   protected place (avoid: readonly EndpointId[]): void {
-    const { work, answer } = this
     if (this.#refuseIfQuarantined()) return
-    this.#placement = {
+    this.#placement = this.#placementOf(avoid)
+    this.ports.dispatcher.place(this.#placement)
+  }
+
+  #placementOf (avoid: readonly EndpointId[]): Placement {
+    const { work, answer } = this
+    return {
       account: work.account,
       cls: work.cls,
       pool: work.pool,
@@ -274,7 +283,20 @@
       diverted: (view, perS) => this.recordDecision('request-diverted', { endpoint: view.id, perS }),
       spilled: (view, crossing) => this.recordDecision('request-spilled', spilledEvent(view, { work, crossing, metrics: this.ports.metrics }))
     }
-    this.ports.dispatcher.place(this.#placement)
+  }
+
+  /** A backup is sent from here, and never to an endpoint that the request was sent to before. */
+  #backupPlacement (silent: EndpointId): Placement {
+    const { delegated: _, ...placement } = this.#placementOf([...this.lifecycle.avoid, silent])
+    return {
+      ...placement,
+      resumed: true,
+      accepts: (view) => !placement.avoid.includes(view.id) && this.accepts(view),
+      placed: (view, route) => {
+        this.#route = route
+        this.post({ type: 'backup', endpoint: view.id })
+      }
+    }
   }
 
   /** Must be called when the set of quarantined requests changes. Ends this request if it is now quarantined and no endpoint has begun to answer it. */
@@ -356,13 +378,21 @@
     if (!view) return this.#onAttemptError(attempt, endpoint, new AttemptError('Cannot start: endpoint is not listed', { point: 'before-send' }))
     if (!mayContinueAt(this.binding.version, view)) return this.#onAttemptError(attempt, endpoint, new AttemptError(`Cannot start: the endpoint runs ${view.version}, the stream began at ${this.binding.version!.version}`, { point: 'before-send' }))
     this.#runningVersion = view.version
+    this.attachment = this.#send(view, { attempt, mode, tracker: this.#tracker, sink: this.sink(view.id, attempt) })
+    this.flow.started()
+    this.listeners.notify()
+  }
+
+  /** Sends an attempt to an endpoint. */
+  #send (view: EndpointView, { attempt, mode, tracker, sink }: { attempt: number, mode: StartMode, tracker: AttemptTracker, sink: AttemptSink<P> }): Attachment {
+    const route = this.#route
     this.ports.metrics.attempts.inc({ mode })
-    const lane = this.#route?.lane ?? (this.work.cls.urgent ? 'urgent' : 'normal')
-    this.recordDecision('attempt-started', attemptStartedEvent(view, { attempt, mode, lane, fromPiece: this.answer.length, route: this.#route, table: this.ports.table }))
-    this.#trackSent(view, { lane, tokens: mode === 'import' ? 0 : this.#route?.uncachedTokens ?? this.kvTokens, heldTokens: maxHeldTokens(this.work.demand) })
+    const lane = route?.lane ?? (this.work.cls.urgent ? 'urgent' : 'normal')
+    this.recordDecision('attempt-started', attemptStartedEvent(view, { attempt, mode, lane, fromPiece: this.answer.length, route, table: this.ports.table }))
+    this.#trackSent(view, { lane, tokens: mode === 'import' ? 0 : route?.uncachedTokens ?? this.kvTokens, heldTokens: maxHeldTokens(this.work.demand) }, tracker)
     const kvHandle = mode === 'import' ? this.kvHandle : undefined
     this.kvHandle = undefined
-    this.attachment = this.#runner.start(view, {
+    const attachment = this.#runner.start(view, {
       attempt,
       mode,
       lane,
@@ -370,15 +400,70 @@
       from: this.answer.length,
       deadlineInMs: this.lifecycle.traits.deadlineAtMs - steadyNow(),
       kvHandle
-    }, this.sink(view.id, attempt))
-    this.flow.started()
+    }, sink)
     this.ports.limits?.started(view)
     this.onAttempt()
+    return attachment
+  }
+
+  #startBackup (endpoint: EndpointId, attempt: number): void {
+    const view = this.ports.table.get(endpoint)!
+    const tracker = this.#newTracker()
+    const sink = backupSink(this.sink(endpoint, attempt), () => this.lifecycle.backup?.attempt === attempt, {
+      mayAnswer: (head) => this.#mayComplete(attempt, head),
+      onAnswer: () => this.post({ type: 'answering', attempt }),
+      onError: (err) => this.#onBackupError(attempt, err)
+    })
+    const attachment = this.#send(view, { attempt, mode: 'prefill', tracker, sink })
+    this.#backup = { view, tracker, attachment }
+  }
+
+  #adoptBackup (attempt: number): void {
+    const { view, tracker, attachment } = this.#backup!
+    this.#backup = undefined
+    this.#tracker.end()
+    this.#tracker = tracker
+    this.attachment = attachment
+    this.#runningVersion = view.version
+    this.answer.replaceAttempt(attempt)
+    this.recordDecision('backup-adopted', { attempt, endpoint: view.id, afterMs: steadyNow() - (tracker.sentAtMs ?? this.acceptedAtMs), pieces: this.answer.length })
+    this.flow.started()
     this.listeners.notify()
   }
 
-  #trackSent (view: EndpointView, work: SentWork): void {
-    this.#tracker.recordSent(view.id, work, this.#route)
+  #stopBackup (attempt: number): void {
+    const backup = this.#backup
+    if (!backup) return
+    const { view, tracker, attachment } = backup
+    this.#backup = undefined
+    attachment.detach()
+    this.ports.crashes.abandoned(view, this.work.fingerprint(), this.#quarantine.watchedRun(tracker.sentAtMs))
+    this.recordDecision('backup-stopped', { attempt, endpoint: view.id, afterMs: steadyNow() - (tracker.sentAtMs ?? this.acceptedAtMs), pieces: this.answer.length })
+    tracker.end()
+  }
+
+  /** The current attempt goes on, so that its request has not failed. */
+  #onBackupError (attempt: number, err: AttemptError): void {
+    const { view, tracker, attachment } = this.#backup!
+    this.#backup = undefined
+    attachment.detach()
+    const { sentAtMs } = tracker
+    const failed = { endpoint: view.id, view, point: err.point, err, cls: this.work.cls.name, sentAtMs, run: this.#quarantine.watchedRun(sentAtMs), wasPaused: false }
+    recordDeparture(this.ports.table, failed)
+    recordFailedAttempt(this.ports, failed)
+    this.#logFailure(view.id, err, { attempt, repeat: 'current-goes-on', sentAtMs })
+    tracker.end()
+    this.post({ type: 'failed', attempt, point: err.point, retryGranted: false })
+  }
+
+  #newTracker (): AttemptTracker {
+    const tracker = new AttemptTracker(this.ports.table)
+    tracker.onFirstAnswer = (endpoint, times) => this.#reportFirstAnswer(endpoint, times)
+    return tracker
+  }
+
+  #trackSent (view: EndpointView, work: SentWork, tracker = this.#tracker): void {
+    tracker.recordSent(view.id, work, this.#route)
     this.#route = undefined
   }
 
@@ -391,7 +476,10 @@
       onHead: (arrived) => { head = arrived },
       onChunk: (offset, pieces) => {
         if (!this.#mayComplete(attempt, head)) return this.#rejectAnswer(attempt, endpoint)
-        if (attempt === this.lifecycle.attempt) this.#tracker.recordPiece(this.flow.readingSinceMs)
+        if (attempt === this.lifecycle.attempt) {
+          this.#tracker.recordPiece(this.flow.readingSinceMs)
+          if (this.lifecycle.backup) this.post({ type: 'answering', attempt })
+        }
         this.#addChunk({ attempt, offset, pieces }, { head, version: this.#runningVersion })
       },
       onEnd: (total, { endpointSeen = true, explicit = true } = {}) => this.#onAttemptEnd(endpoint, attempt, { total, head, endpointSeen, explicit }),
@@ -470,7 +558,7 @@
     // Spends from the budget only if the request could use the retry.
     const suspected = this.#quarantine.forbidsRepeat(err.point)
     const repeatable = this.mayRetryElsewhere && !suspected && canRetry(this.lifecycle, err.point)
-    const retryGranted = repeatable && (isFreeRetry(this.lifecycle, err.point) || this.ports.budget.tryWithdraw(table.isLeavingOrGone(endpoint)))
+    const retryGranted = repeatable && (this.lifecycle.backup !== undefined || isFreeRetry(this.lifecycle, err.point) || this.ports.budget.tryWithdraw(table.isLeavingOrGone(endpoint)))
     recordFailedAttempt(this.ports, failed)
     this.#recordFailure(endpoint, err, { attempt, repeat: retryGranted ? 'allowed' : repeatable ? 'over-budget' : suspected ? 'suspected' : 'not-allowed' })
   }
@@ -482,24 +570,28 @@
   }
 
   #recordFailure (endpoint: EndpointId, err: AttemptError, { attempt, repeat }: Pick<RequestEvents['attempt-failed'], 'attempt' | 'repeat'>): void {
-    const { table, metrics } = this.ports
+    const { metrics } = this.ports
     const retryGranted = repeat === 'allowed'
     this.failureAnswer = err.answer
+    this.#logFailure(endpoint, err, { attempt, repeat, sentAtMs: this.#tracker.sentAtMs })
+    if (!retryGranted) metrics.retriesDenied.inc({ class: metrics.labelOf(this.work.cls.name) })
+    this.#tracker.end()
+    this.post({ type: 'failed', attempt, point: err.point, retryGranted })
+  }
+
+  #logFailure (endpoint: EndpointId, err: AttemptError, { attempt, repeat, sentAtMs }: Pick<RequestEvents['attempt-failed'], 'attempt' | 'repeat'> & { sentAtMs: number | undefined }): void {
     if (outcomeAt(err.point) === 'unknown') this.#markBegun()
     this.recordDecision('attempt-failed', attemptFailedEvent(err, {
       attempt,
       endpoint,
       repeat,
-      afterMs: steadyNow() - (this.#tracker.sentAtMs ?? this.acceptedAtMs),
+      afterMs: steadyNow() - (sentAtMs ?? this.acceptedAtMs),
       pieces: this.answer.length,
-      endpointLeaving: table.isLeavingOrGone(endpoint),
+      endpointLeaving: this.ports.table.isLeavingOrGone(endpoint),
       fingerprint: this.work.fingerprint,
       parts: sharedParts(this.work.demand)
     }))
-    if (!retryGranted) metrics.retriesDenied.inc({ class: metrics.labelOf(this.work.cls.name) })
-    metrics.failedAttempts.inc({ point: err.point })
-    this.#tracker.end()
-    this.post({ type: 'failed', attempt, point: err.point, retryGranted })
+    this.ports.metrics.failedAttempts.inc({ point: err.point })
   }
 
   #stop (endpoint: EndpointId, attempt: number): void {
@@ -526,6 +618,7 @@
     if (this.#placement) this.ports.dispatcher.remove(this.#placement)
     if (final.outcome === 'answered') this.#tracker.read()
     this.#tracker.end()
+    this.#backup?.tracker.end()
     this.lifecycle = { ...this.lifecycle, phase: 'done', outcome: final.outcome }
     this.recordDecision('request-ended', requestEndedEvent(this, { final, pieces: this.#meter.pieces }))
     this.#meter.finished(final)
