Give up attempts on lost paths and emptied versions only for one that can start

What callers could see: a request whose path is in doubt, or a stream without events at a version that gets no more work, was taken off its endpoint and then waited in the queue, up to being refused there, while its endpoint would have answered.

Change: pathLost (while the path may recover) and moveOffVersion ask Dispatcher.canStartNow first. A path that is lost for good still ends its attempt.

--- a/daemon/request/request_task.ts
+++ b/daemon/request/request_task.ts
@@ -150,7 +150,8 @@
     if (endpoint === undefined || this.lifecycle.phase !== 'running') return
     const point: FailurePoint = this.attachment?.sent === false ? 'connect-timeout' : 'timeout-after-send'
     const repeatable = this.mayRetryElsewhere && canRetry(this.lifecycle, point)
-    if (!repeatable && !isFinal) return
+    // The path may recover: an attempt is given up early only for one that starts at once.
+    if (!isFinal && !(repeatable && this.ports.dispatcher.canStartNow(this.#placementOf([...this.lifecycle.avoid, endpoint])))) return
     const granted = repeatable && (this.lifecycle.backup !== undefined || isFreeRetry(this.lifecycle, point) || budget.tryWithdraw(table.isLeavingOrGone(endpoint)))
     this.attachment?.detach()
     crashes.failed({ id: endpoint, view: table.get(endpoint) }, point, this.#quarantine.watchedRun(this.#tracker.sentAtMs))
@@ -160,10 +161,11 @@
   /** Returns false if the quarantine keeps the request from an endpoint. */
   accepts (view: EndpointView): boolean { return this.#quarantine.heldAt([view]) === undefined }
 
-  /** Moves a resumable stream of which the caller has no event yet to another endpoint, if its current one runs a version that must receive no more work. */
+  /** Moves a resumable stream of which the caller has no event yet to another endpoint that can take it now, if its current one runs a version that must receive no more work. */
   moveOffVersion (pool: PoolName, version: EndpointVersion): void {
     const view = this.runningAt && this.ports.table.get(this.runningAt)
-    if (view?.pool === pool && view.version === version && !this.binding.version && canMove(this.lifecycle)) this.post({ type: 'hold' })
+    const isAffected = view?.pool === pool && view.version === version && !this.binding.version
+    if (isAffected && canMove(this.lifecycle) && this.ports.dispatcher.canStartNow(this.#placementOf([...this.lifecycle.avoid, view.id]))) this.post({ type: 'hold' })
   }
 
   /** Calls the listener after each change. The caller counts as gone once the last listener is removed. */
--- a/daemon/request/request_task_test.ts
+++ b/daemon/request/request_task_test.ts
@@ -1,8 +1,8 @@
 import { afterEach, beforeEach, expect, test, vi } from 'vitest'
-import { as, type EndpointId, type Fingerprint } from '../../core/ids/index.ts'
+import { as, type EndpointId, type EndpointVersion, type Fingerprint } from '../../core/ids/index.ts'
 import { toWorkClass } from '../../core/config/index.ts'
 import { noWork, type EndpointView, type Route } from '../../core/routing/index.ts'
-import { NO_TOKENS } from '../../core/work/index.ts'
+import { NO_TOKENS, type WorkClass } from '../../core/work/index.ts'
 import { sessionConfig } from '../../bench/_session.ts'
 import { AttemptError, type FailurePoint } from '../../core/outcome/index.ts'
 import type { AttemptSink } from '../../endpoints/index.ts'
@@ -16,6 +16,7 @@
 import { QUARANTINED_REASON } from './work.ts'
 
 const E1 = as<EndpointId>('e1')
+const V1 = as<EndpointVersion>('v1')
 const HELD_MS = 5000
 const speed = { batchSlots: 8, prefillTokensPerS: 1, betweenTokensMs: 1, betweenTokensPerStreamMs: 0, exportTokensPerS: 0, importTokensPerS: 0 }
 const VIEW: EndpointView = { id: E1, hostId: as('h'), pool: as('models'), failureDomain: as('d'), address: '', pricePerHour: 0, reclaimable: false, speed, firstMs: 0, latencyFactor: 1, others: noWork(), own: noWork(), leavingAtMs: undefined, ejectedUntilMs: 0 }
@@ -25,17 +26,18 @@
 afterEach(() => { vi.useRealTimers() })
 
 /** Creates a request with a simulated dispatcher and endpoint. */
-function createRequest () {
+function createRequest (cls: Partial<WorkClass> = {}) {
   const placements: Placement[] = []
   const sinks: Array<AttemptSink<string>> = []
   const stopped: EndpointId[] = []
   const blamed: string[] = []
   const held = { forMs: undefined as number | undefined }
+  const elsewhere = { hasRoom: true }
   const table = new EndpointTable({ self: as('d'), hash: (text) => text.length })
-  table.applyHostList([{ hostId: VIEW.hostId, hostClass: 'any', failureDomain: VIEW.failureDomain, reclaimable: false, pricePerHour: 0, state: 'live', endpoint: { id: E1, pool: VIEW.pool, address: '', speed } }])
+  table.applyHostList([{ hostId: VIEW.hostId, hostClass: 'any', failureDomain: VIEW.failureDomain, reclaimable: false, pricePerHour: 0, state: 'live', endpoint: { id: E1, pool: VIEW.pool, version: V1, address: '', speed } }])
   vi.spyOn(table, 'failed').mockImplementation(() => { blamed.push('table') })
   const task = new RequestTask<string>({
-    work: { id: as('r'), account: as('a'), cls: toWorkClass(sessionConfig().classes[1]!, true), pool: VIEW.pool, demand: NO_TOKENS, claim: undefined, fingerprint: () => as<Fingerprint>('f') },
+    work: { id: as('r'), account: as('a'), cls: { ...toWorkClass(sessionConfig().classes[1]!, true), ...cls }, pool: VIEW.pool, demand: NO_TOKENS, claim: undefined, fingerprint: () => as<Fingerprint>('f') },
     runner: {
       start: (_view, _spec, sink) => {
         sinks.push(sink)
@@ -45,7 +47,7 @@
     },
     ports: {
       table,
-      dispatcher: { place: (placement: Placement) => { placements.push(placement) }, remove: () => {}, startQueued: () => {} } as Partial<Dispatcher> as Dispatcher,
+      dispatcher: { place: (placement: Placement) => { placements.push(placement) }, remove: () => {}, startQueued: () => {}, canStartNow: () => elsewhere.hasRoom } as Partial<Dispatcher> as Dispatcher,
       budget: { deposit: () => {}, tryWithdraw: () => true },
       metrics: createMetrics(),
       crashes: { abandoned: () => {}, failed: () => { blamed.push('crashes') } } as Partial<CrashWatch> as CrashWatch,
@@ -54,7 +56,7 @@
     }
   })
   task.post({ type: 'begin' })
-  return { task, placements, sinks, stopped, held, blamed }
+  return { task, placements, sinks, stopped, held, blamed, elsewhere }
 }
 
 test('a request that is quarantined while queued is not sent to an endpoint', () => {
@@ -99,3 +101,29 @@
   sinks[0]!.onError(new AttemptError('Cannot read answer', { point }))
   expect(blamed).toEqual(blames)
 })
+
+test.each([
+  ['whose path is lost', (task: RequestTask<string>) => task.pathLost({ isFinal: false })],
+  ['at a version that must receive no more work', (task: RequestTask<string>) => task.moveOffVersion(VIEW.pool, V1)]
+])('an attempt %s is given up only once another endpoint can take its request', async (_case, affect) => {
+  // Guards against requests that wait without an attempt although theirs would have been answered.
+  const { task, placements, sinks, stopped, elsewhere } = createRequest({ idempotent: true, streaming: true, resumable: true, maxAttempts: 3 })
+  placements[0]!.placed(VIEW, ROUTE)
+  elsewhere.hasRoom = false
+  affect(task)
+  await vi.advanceTimersByTimeAsync(0)
+  expect([placements.length, stopped]).toEqual([1, []])
+  elsewhere.hasRoom = true
+  affect(task)
+  await vi.advanceTimersByTimeAsync(0)
+  expect([placements.length, stopped]).toEqual([2, [E1]])
+  expect(sinks).toHaveLength(1)
+})
+
+test('a path that is lost for good ends its attempt whether or not another endpoint can take its request', () => {
+  const { task, placements, elsewhere } = createRequest({ idempotent: true, maxAttempts: 3 })
+  placements[0]!.placed(VIEW, ROUTE)
+  elsewhere.hasRoom = false
+  task.pathLost({ isFinal: true })
+  expect(placements).toHaveLength(2)
+})
