Wait for a silent delegate until its request can be sent another way

What callers could see: a request that another daemon runs was taken off it after 1.2 s without a sign, and waited in the queue if nothing else could take it, while the delegate went on with it. Found by looking for the cause of the streams that were cut off while their endpoints were silent; not seen with daemons as processes.

Change: the check of the delegates asks mayRepeatNow each time: the request may be retried, and an endpoint or another delegate can take it now.

With a delegate that is given up regardless, the new case ends at 1,200 ms where it has to wait.

--- a/daemon/delegation/delegated_runs.ts
+++ b/daemon/delegation/delegated_runs.ts
@@ -18,14 +18,14 @@
 /** Options of one run. */
 export interface DelegatedRunOptions {
   query: Omit<RunQuery, 'run'>
-  /** True if the request may run again elsewhere when its delegate does not respond; otherwise its answer is waited for. */
-  repeatable: boolean
+  /** Returns true if the request may run again elsewhere when its delegate does not respond, and can be sent there now; otherwise its answer is waited for. */
+  mayRepeatNow (): boolean
 }
 
 /** A run that has no result yet. */
 interface OpenRun {
   to: DaemonId
-  repeatable: boolean
+  mayRepeatNow (): boolean
   /** When the delegate last sent anything about the run, in milliseconds on the steady clock. */
   activeAtMs: number
   lose (why: string): void
@@ -61,7 +61,7 @@
   }
 
   /** Sends a request to a daemon. */
-  run (to: DaemonId, { query, repeatable }: DelegatedRunOptions, sink: DelegatedSink<Buffer>): Attachment {
+  run (to: DaemonId, { query, mayRepeatNow }: DelegatedRunOptions, sink: DelegatedSink<Buffer>): Attachment {
     const { membership: { links, core }, finder } = this.#options
     const run = ++this.#lastRun
     let reached = 0
@@ -86,7 +86,7 @@
       flow.paused = paused
       flow.unsent = !links.post(to, FLOW_TOPIC, { run, paused } satisfies FlowMessage)
     }
-    const open: OpenRun = { to, repeatable, activeAtMs: steadyNow(), lose }
+    const open: OpenRun = { to, mayRepeatNow, activeAtMs: steadyNow(), lose }
     this.#runs.set(run, open)
     finder.started(query.pool, to)
     const onPart = ({ reached: reachedNow, head, version, chunk }: RunPart) => {
@@ -118,9 +118,9 @@
 
   #check (): void {
     const now = steadyNow()
-    for (const { to, repeatable, activeAtMs, lose } of [...this.#runs.values()]) {
+    for (const { to, mayRepeatNow, activeAtMs, lose } of [...this.#runs.values()]) {
       const silentMs = now - Math.max(activeAtMs, this.#progressAtMs.get(to) ?? -Infinity)
-      if (repeatable && silentMs >= DELEGATE_SILENCE_MS) lose(`it has sent nothing for ${Math.round(silentMs)} ms`)
+      if (silentMs >= DELEGATE_SILENCE_MS && mayRepeatNow()) lose(`it has sent nothing for ${Math.round(silentMs)} ms`)
     }
     for (const [id, atMs] of this.#progressAtMs) if (now - atMs > DELEGATE_SILENCE_MS) this.#progressAtMs.delete(id)
   }
--- a/daemon/delegation/delegated_runs_test.ts
+++ b/daemon/delegation/delegated_runs_test.ts
@@ -60,11 +60,11 @@
 interface Ending { atMs: number, point?: string, total?: number, refused?: string, reached?: number }
 
 /** Runs a request at a daemon and records how it ends, in milliseconds from its start. */
-function run (id: string, { repeatable }: { repeatable: boolean }) {
+function run (id: string, { repeatable }: { repeatable: boolean | (() => boolean) }) {
   const startedAtMs = steadyNow()
   const endings: Ending[] = []
   const end = (ending: Omit<Ending, 'atMs'>) => { endings.push({ atMs: steadyNow() - startedAtMs, ...ending }) }
-  const attachment = runs.run(as<DaemonId>(id), { query: QUERY, repeatable }, {
+  const attachment = runs.run(as<DaemonId>(id), { query: QUERY, mayRepeatNow: typeof repeatable === 'function' ? repeatable : () => repeatable }, {
     onHead: () => {},
     onChunk: () => {},
     onEnd: (total) => end({ total }),
@@ -158,6 +158,22 @@
   expect(unsafe.endings).toEqual([])
 })
 
+test('a run at a daemon that freezes is waited for until its request can be sent another way', async () => {
+  // Guards against requests that wait without a run although their delegate goes on.
+  await start(1)
+  const frozen = offers('peer-0')
+  frozen.handle(RUN_METHOD, async () => await new Promise(() => {}))
+  let hasOtherWay = false
+  const { endings } = run('peer-0', { repeatable: () => hasOtherWay })
+  network.silence(frozen.id, true)
+  await vi.advanceTimersByTimeAsync(1600)
+  expect(endings).toEqual([])
+  hasOtherWay = true
+  await vi.advanceTimersByTimeAsync(200)
+  network.silence(frozen.id, false)
+  expect(endings).toEqual([{ atMs: expect.any(Number), point: 'delegate-lost', reached: 1 }])
+})
+
 test('a run at a daemon that confirms it goes on for as long as the endpoint takes', async () => {
   await start(1)
   const links = offers('peer-0')
--- a/daemon/exchange/_proxy_components.ts
+++ b/daemon/exchange/_proxy_components.ts
@@ -263,7 +263,7 @@
       checkEnd: createEndCheck({ isConnected: (view) => client.isConnected(view), dial: (view) => paths.dial(view) }),
       restored: () => archive.restored,
       streams: new StreamAdmission({ versions: streamVersions, hash64 }),
-      delegate: (to, { repeatable, from, req: { credential, deadlineInMs: _, account, ...req }, ...query }, sink) => delegatedRuns.run(to, { query: { ...query, req: { ...req, resumeFrom: from }, account }, repeatable }, sink),
+      delegate: (to, { mayRepeatNow, from, req: { credential, deadlineInMs: _, account, ...req }, ...query }, sink) => delegatedRuns.run(to, { query: { ...query, req: { ...req, resumeFrom: from }, account }, mayRepeatNow }, sink),
       dialect: platform.dialect,
       catalog: catalogIndex(config),
       known: config.known,
--- a/daemon/exchange/intake.ts
+++ b/daemon/exchange/intake.ts
@@ -165,7 +165,7 @@
    * Accepts a request that another daemon has admitted and creates its task; its quota and usage are that daemon's.
    * @returns Undefined if the configuration in force here does not serve the request from the pool.
    */
-  acceptDelegated ({ req, pool, deadlineInMs, maxAttempts, boundTo }: Omit<DelegatedRequest, 'repeatable' | 'from'>, origin: DaemonId): RequestTask<Buffer> | undefined {
+  acceptDelegated ({ req, pool, deadlineInMs, maxAttempts, boundTo }: Omit<DelegatedRequest, 'mayRepeatNow' | 'from'>, origin: DaemonId): RequestTask<Buffer> | undefined {
     const catalog = this.#options.catalog()
     const route = catalog?.routes.find(req.host, pathOf(req))
     const account = req.account === undefined ? undefined : catalog?.accounts?.byId.get(req.account)
--- a/daemon/request/_delegated_attempts.ts
+++ b/daemon/request/_delegated_attempts.ts
@@ -22,6 +22,8 @@
   state (): RequestState
   /** Where the stream began; undefined while its caller has no event of it. */
   boundTo (): StreamVersion | undefined
+  /** Returns true if the request may run again without a delegate, and can be sent another way now. */
+  mayRepeatNow (delegate: DaemonId): boolean
   /** Returns false for an answer that cannot complete what the caller has of an earlier attempt. */
   mayComplete (attempt: number, head: AnswerHead | undefined): boolean
   recordDecision<E extends keyof RequestEvents> (event: E, fields: RequestEvents[E]): void
@@ -59,7 +61,7 @@
       from: answer.length,
       deadlineInMs: traits.deadlineAtMs - steadyNow(),
       maxAttempts: traits.maxAttempts - sent,
-      repeatable: traits.idempotent,
+      mayRepeatNow: () => this.#options.mayRepeatNow(to),
       boundTo: boundTo()
     }, this.#sink(attempt))
   }
--- a/daemon/request/delegated_run.ts
+++ b/daemon/request/delegated_run.ts
@@ -12,8 +12,8 @@
   deadlineInMs: number
   /** Number of endpoints that the request may still be sent to. */
   maxAttempts: number
-  /** True if the request may run again when the daemon does not respond. */
-  repeatable: boolean
+  /** Returns true if the request may run again when the daemon does not respond, and can be sent another way now. */
+  mayRepeatNow (): boolean
   /** Where the stream began; undefined while its caller has no event of it. */
   boundTo?: StreamVersion | undefined
 }
--- a/daemon/request/request_task.ts
+++ b/daemon/request/request_task.ts
@@ -350,6 +350,10 @@
       state: () => this.lifecycle,
       boundTo: () => this.binding.version,
       recordDecision: (event, fields) => this.recordDecision(event, fields),
+      mayRepeatNow: (to) => {
+        const { avoid, avoidDelegates } = this.lifecycle
+        return canRetry(this.lifecycle, 'delegate-lost') && this.ports.dispatcher.canStartNow({ ...this.#placementOf(avoid), avoidDelegates: [...avoidDelegates, to] })
+      },
       mayComplete: (attempt, head) => this.#mayComplete(attempt, head),
       onChunk: (chunk, { head, version }) => this.#addChunk(chunk, { head, version }),
       onWhole: (head) => {
