Count a backup wherever an attempt counts

What callers could see: a stream with two attempts was sent to three endpoints when its version was emptied while a backup ran; in the product's own interface a stream that was taken over from another daemon numbered its next attempt 1 again, so that its events were dropped until the deadline.

Cause: the number of the next attempt was a field of its own, which the hand-over did not set, and canMove counted the current attempt only.

Change: the next number follows from the attempt and the last backup; canMove counts both; a stream that is to leave its endpoint goes on with its backup if it has one.

Measured: npx vitest run core/request: the two new cases fail on the commit before (third endpoint; attempt 1 or 2 used again), all pass.

--- a/core/request/lifecycle.ts
+++ b/core/request/lifecycle.ts
@@ -32,8 +32,8 @@
   readonly phase: Phase
   /** Number of the attempt whose answer is passed on. */
   readonly attempt: number
-  /** Highest number of any attempt. */
-  readonly lastAttempt: number
+  /** Number of the last backup that was started; 0 if there was none. */
+  readonly lastBackup: number
   /** Attempt that was started while the current one is silent; the first of both to answer is passed on. */
   readonly backup: BackupAttempt | undefined
   /** Number of attempts that reached, or may have reached, an endpoint. */
@@ -65,7 +65,7 @@
   | { type: 'bound' }
   /** The current attempt is silent, and an endpoint can take the request now. */
   | { type: 'backup', endpoint: EndpointId }
-  /** An attempt has sent part of its answer. Needed only while there is a backup. */
+  /** An attempt has sent part of its answer, or is the likelier one to. Needed only while there is a backup. */
   | { type: 'answering', attempt: number }
   | { type: 'ended', attempt: number }
   /** `reached` is the number of endpoints that a delegate reported to have sent the request to. Default: as the point implies. */
@@ -97,7 +97,7 @@
 
 /** Returns the initial state of an accepted request. */
 export function newRequest (traits: RequestTraits): RequestState {
-  return { traits, phase: 'placing', attempt: 0, lastAttempt: 0, backup: undefined, sent: 0, endpoint: undefined, delegate: undefined, mayHaveRun: false, isBound: false, avoid: [], avoidDelegates: [], next: undefined, outcome: undefined }
+  return { traits, phase: 'placing', attempt: 0, lastBackup: 0, backup: undefined, sent: 0, endpoint: undefined, delegate: undefined, mayHaveRun: false, isBound: false, avoid: [], avoidDelegates: [], next: undefined, outcome: undefined }
 }
 
 /**
@@ -140,17 +140,22 @@
   return { state: { ...state, phase: 'placing', endpoint: undefined, delegate: undefined, next: undefined }, effects: [{ type: 'place', avoid: state.avoid }] }
 }
 
+/** Attempts and their backups are numbered together. */
+function nextAttempt ({ attempt, lastBackup }: RequestState): number {
+  return Math.max(attempt, lastBackup) + 1
+}
+
 function start (state: RequestState, endpoint: EndpointId, mode: StartMode): Step {
   if (state.phase === 'running') return unchanged(state)
-  const attempt = state.lastAttempt + 1
-  const next: RequestState = { ...state, phase: 'running', attempt, lastAttempt: attempt, endpoint, next: undefined }
+  const attempt = nextAttempt(state)
+  const next: RequestState = { ...state, phase: 'running', attempt, endpoint, next: undefined }
   return { state: next, effects: [{ type: 'start', endpoint, attempt, mode: state.mayHaveRun && mode === 'fresh' ? 'prefill' : mode }] }
 }
 
 function delegate (state: RequestState, to: DaemonId): Step {
   if (state.phase !== 'placing') return unchanged(state)
-  const attempt = state.lastAttempt + 1
-  return { state: { ...state, phase: 'running', attempt, lastAttempt: attempt, endpoint: undefined, delegate: to }, effects: [{ type: 'delegate', to, attempt }] }
+  const attempt = nextAttempt(state)
+  return { state: { ...state, phase: 'running', attempt, endpoint: undefined, delegate: to }, effects: [{ type: 'delegate', to, attempt }] }
 }
 
 /** Returns true if a silent attempt may get a backup, subject to the retry budget. */
@@ -160,8 +165,8 @@
 
 function startBackup (state: RequestState, endpoint: EndpointId): Step {
   if (!mayStartBackup(state) || endpoint === state.endpoint) return unchanged(state)
-  const attempt = state.lastAttempt + 1
-  return { state: { ...state, lastAttempt: attempt, backup: { endpoint, attempt } }, effects: [{ type: 'start-backup', endpoint, attempt }] }
+  const attempt = nextAttempt(state)
+  return { state: { ...state, lastBackup: attempt, backup: { endpoint, attempt } }, effects: [{ type: 'start-backup', endpoint, attempt }] }
 }
 
 /** The first attempt to answer goes on, and the other one is stopped: an answer is passed on from one at a time. */
@@ -230,9 +235,10 @@
   return !reachedEndpoint(point) && state.avoid.length + state.avoidDelegates.length < MAX_FREE_RETRIES
 }
 
-/** Returns true if a running stream may continue at another endpoint; the target counts towards `maxAttempts`. */
+/** Returns true if a running stream may continue at another endpoint; the target counts towards `maxAttempts`, as do the current endpoint and that of a backup. */
 export function canMove (state: RequestState): boolean {
-  return state.phase === 'running' && state.traits.movable && !state.isBound && state.sent + 2 <= state.traits.maxAttempts
+  const sent = state.sent + (state.backup ? 2 : 1)
+  return state.phase === 'running' && state.traits.movable && !state.isBound && sent + 1 <= state.traits.maxAttempts
 }
 
 function move (state: RequestState, msg: Extract<RequestMessage, { type: 'move' }>): Step {
@@ -251,7 +257,7 @@
 
 function hold (state: RequestState): Step {
   if (state.phase !== 'running' || state.isBound || !state.traits.movable || state.endpoint === undefined) return unchanged(state)
-  if (state.backup) return withoutBackup(state, hold)
+  if (state.backup) return answering(state, state.backup.attempt)
   const stop: RequestEffect = { type: 'stop', endpoint: state.endpoint, attempt: state.attempt }
   return { state: { ...state, phase: 'stopping', sent: state.sent + 1, mayHaveRun: true, avoid: [...state.avoid, state.endpoint], next: undefined }, effects: [stop] }
 }
--- a/core/request/lifecycle_test.ts
+++ b/core/request/lifecycle_test.ts
@@ -2,7 +2,7 @@
 import { expect, test } from 'vitest'
 import { as, type DaemonId, type EndpointId, type RequestId } from '../ids/index.ts'
 import { FAILURE_POINTS, outcomeAt } from '../outcome/index.ts'
-import { newRequest, step, type RequestEffect, type RequestMessage, type RequestState, type RequestTraits } from './index.ts'
+import { canMove, newRequest, step, type RequestEffect, type RequestMessage, type RequestState, type RequestTraits } from './index.ts'
 
 const A = as<EndpointId>('a')
 const B = as<EndpointId>('b')
@@ -190,6 +190,21 @@
   expect(currentFailed.state).toMatchObject({ phase: 'running', attempt: 2, endpoint: B, mayHaveRun: outcomeAt(point) === 'unknown' })
 })
 
+test('an endpoint that runs a backup counts when a stream is to move', () => {
+  // Guards against a stream that is sent to more endpoints than its route allows.
+  const { state } = run(BACKED_UP, RUNNING)
+  expect([canMove(state), canMove(step(state, { type: 'backup', endpoint: B }, 0).state)]).toEqual([true, false])
+  expect(canMove(run({ ...BACKED_UP, maxAttempts: 3 }, WITH_BACKUP).state)).toBe(true)
+})
+
+test('the number of a backup is not used again, whichever attempt goes on', () => {
+  // Guards against pieces of a backup that was stopped, which are taken for those of a later attempt.
+  const dropped = run({ ...BACKED_UP, maxAttempts: 3 }, [...WITH_BACKUP, { type: 'answering', attempt: 1 }, { type: 'failed', attempt: 1, point: 'torn-answer', retryGranted: true }, { type: 'placed', endpoint: B }])
+  expect(dropped.effects.at(-1)).toMatchObject({ type: 'start', attempt: 3 })
+  const takenOver: RequestState = { ...run(BACKED_UP, RUNNING).state, attempt: 4 }
+  expect(step(takenOver, { type: 'backup', endpoint: B }, 0).effects).toEqual([{ type: 'start-backup', endpoint: B, attempt: 5 }])
+})
+
 test.each<[string, Partial<RequestTraits>, RequestMessage[]]>([
   ['a request that may run once', { idempotent: false }, RUNNING],
   ['a request without attempts left', { maxAttempts: 1 }, RUNNING],
