Report the endpoint of a backup to the daemon that a request runs for

What callers could see: a request that ran at a delegate was sent to one endpoint more than its route allows, if the delegate was lost while a backup ran there. Found by the review; read, not shown by a run.

Cause: the delegate reports the attempts that have failed and the current one.

Change: a backup counts, and its start is reported.

Measured: npx vitest run daemon/delegation platform/delegated_requests_test.ts pass; no test of this case.

--- a/daemon/delegation/delegate_server.ts
+++ b/daemon/delegation/delegate_server.ts
@@ -165,7 +165,8 @@
   return new Promise((resolve) => {
     const onChange = () => {
       const message: RunPart = {}
-      if (task.started && task.state.sent + 1 > reached && !task.final) message.reached = reached = task.state.sent + 1
+      const sent = task.state.sent + (task.state.backup ? 2 : 1)
+      if (task.started && sent > reached && !task.final) message.reached = reached = sent
       if (!isHeadSent && task.head) {
         message.head = task.head
         if (task.binding.version?.version !== undefined) message.version = task.binding.version.version
