Give an attempt up only for a retry that is paid for and sent

What callers could see: with an empty retry budget a request whose path was in doubt, or whose delegate was silent, was failed after 0.5 to 1.2 s although it would have been answered; while other endpoints had limits, or were in another region, each check of a silent stream spent a retry without one, ten a second, so that the budget was missing for others.

Cause: whether a retry is possible, whether it is paid for and whether it is sent were three questions, asked at different times with different answers.

Change: canStartNow regards limits and regions; the budget is asked once an endpoint was selected (Placement.mayStart); a path that may recover, or a silent delegate, ends an attempt only if the retry is paid for. A backup that is silent itself is replaced while the route allows it.

--- a/daemon/request/_delegated_attempts.ts
+++ b/daemon/request/_delegated_attempts.ts
@@ -22,8 +22,8 @@
   state (): RequestState
   /** Where the stream began; undefined while its caller has no event of it. */
   boundTo (): StreamVersion | undefined
-  /** Returns true if the request may run again without a delegate, and can be sent another way now. */
-  mayRepeatNow (delegate: DaemonId): boolean
+  /** Returns true if the request can be sent another way than to a delegate now. */
+  canStartWithout (delegate: DaemonId): boolean
   /** Returns false for an answer that cannot complete what the caller has of an earlier attempt. */
   mayComplete (attempt: number, head: AnswerHead | undefined): boolean
   recordDecision<E extends keyof RequestEvents> (event: E, fields: RequestEvents[E]): void
@@ -41,6 +41,8 @@
 export class DelegatedAttempts<P> {
   readonly #options: DelegatedAttemptsOptions<P>
   #sentAtMs = 0
+  /** True once the retry budget has allowed the next attempt. */
+  #isPaidFor = false
   /** The daemon that the next attempt goes to. */
   selected: SelectedDelegate | undefined
 
@@ -61,11 +63,18 @@
       from: answer.length,
       deadlineInMs: traits.deadlineAtMs - steadyNow(),
       maxAttempts: traits.maxAttempts - sent,
-      mayRepeatNow: () => this.#options.mayRepeatNow(to),
+      mayRepeatNow: () => this.#mayRepeatNow(to),
       boundTo: boundTo()
     }, this.#sink(attempt))
   }
 
+  /** The retry is paid for here, so that a run is not given up for one that the budget does not allow. */
+  #mayRepeatNow (delegate: DaemonId): boolean {
+    const { state, canStartWithout, ports } = this.#options
+    this.#isPaidFor ||= canRetry(state(), 'delegate-lost') && canStartWithout(delegate) && ports.budget.tryWithdraw(false)
+    return this.#isPaidFor
+  }
+
   #sink (attempt: number): DelegatedSink<P> {
     let head: AnswerHead | undefined
     let version: EndpointVersion | undefined
@@ -101,7 +110,8 @@
     const { ports: { budget }, answer, state, recordDecision, onFailed } = this.#options
     // A delegate that reports a failure has retried the request itself as far as that is allowed.
     const repeatable = err.point !== 'endpoint-error' && canRetry(state(), err.point, reached)
-    const retryGranted = repeatable && (isFreeRetry(state(), err.point) || budget.tryWithdraw(false))
+    const retryGranted = repeatable && (this.#isPaidFor || isFreeRetry(state(), err.point) || budget.tryWithdraw(false))
+    this.#isPaidFor = false
     recordDecision('delegate-failed', {
       attempt,
       to: state().delegate!,
--- a/daemon/request/dispatcher.ts
+++ b/daemon/request/dispatcher.ts
@@ -122,7 +122,9 @@
     const way = this.#wayFor(placement)
     if (way.type !== 'direct' || this.#poolState(placement).queue.length > 0) return way.type === 'delegate'
     const now = steadyNow()
-    return this.#endpointsFor(placement).usable.some((view) => availableAtMs(view) <= now && !placement.avoid.includes(view.id) && this.#canStart(view, placement, now))
+    const { limits, regions } = this.#options
+    const mayCross = !regions || regions.mayCross(placement)
+    return this.#endpointsFor(placement).usable.some((view) => availableAtMs(view) <= now && !placement.avoid.includes(view.id) && (mayCross || regions.isLocal(view)) && limits?.mayStart(view) !== false && this.#canStart(view, placement, now))
   }
 
   /** Sends a request to an endpoint that can take it now; it is neither queued nor refused. Returns false if there is none. */
@@ -331,7 +333,7 @@
       picked = { route, crossing: route && regions?.isLocal(route.view) === false ? 'canary' : undefined }
     }
     if (diverted && !this.#asking.has(placement)) recordDiversion(placement, diverted, this.#options.limits!)
-    if (!picked?.route) return false
+    if (!picked?.route || placement.mayStart?.() === false) return false
     const { route, crossing } = picked
     const isQueued = pool !== undefined && pool.queue.length > 0
     pool?.rate.started(now, { isQueued })
--- a/daemon/request/placement.ts
+++ b/daemon/request/placement.ts
@@ -25,6 +25,8 @@
   avoid: readonly EndpointId[]
   /** Returns whether an endpoint may run the request. Default: each may. */
   accepts? (view: EndpointView): boolean
+  /** Returns whether the request may be sent, asked once an endpoint was selected. Default: it may. */
+  mayStart? (): boolean
   placed (view: EndpointView, route: Route): void
   /** Called when another daemon is to run the request. Default: the request is refused instead. */
   delegated? (to: SelectedDelegate): void
--- a/daemon/request/request_task.ts
+++ b/daemon/request/request_task.ts
@@ -2,7 +2,7 @@
 import { AnswerBuffer, isEventStream, type AnswerBufferOptions, type AnswerHead, type Chunk, type WholeAnswer } from '../../core/answer/index.ts'
 import type { DaemonId, EndpointId, EndpointVersion, PoolName, RequestId } from '../../core/ids/index.ts'
 import { AttemptError, outcomeAt, type FailurePoint, type Outcome } from '../../core/outcome/index.ts'
-import { canMove, canRetry, isFreeRetry, mayStartBackup, newRequest, step, type AttemptProgress, type RequestEffect, type RequestMessage, type RequestState, type StartMode } from '../../core/request/index.ts'
+import { canMove, canRetry, isFreeRetry, mayStartBackup, newRequest, overdueAtMs, step, type AttemptProgress, type RequestEffect, type RequestMessage, type RequestState, type StartMode } from '../../core/request/index.ts'
 import { type EndpointView, type Route } from '../../core/routing/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import { maxHeldTokens, sharedParts } from '../../core/work/index.ts'
@@ -46,6 +46,8 @@
 
 /** Lowest status code that does not indicate success. */
 const FIRST_REDIRECT_STATUS = 300
+/** Time for which an endpoint that works may have a request while another one has it, in milliseconds. */
+const BACKUP_OVERLAP_MS = 250
 
 /** One request. Owns its answer, its deadline timer and its connection to an endpoint. */
 export class RequestTask<P = string> {
@@ -133,11 +135,36 @@
    * backup, since silence does not prove that it isn't running.
    */
   handleStall (): void {
+    const { dispatcher } = this.ports
+    if (this.#isBackupLikelier()) return this.post({ type: 'answering', attempt: this.lifecycle.backup!.attempt })
+    if (!this.mayRetryElsewhere || !this.#mayStartBackup()) return
+    const placement = this.#backupPlacement()
+    if (!dispatcher.canStartNow(placement)) return
+    if (this.#backup) this.#onBackupError(this.lifecycle.backup!.attempt, new AttemptError('Cannot wait: the backup went silent', { point: 'timeout-after-send' }))
+    dispatcher.startNow(placement)
+  }
+
+  /**
+   * Returns true if a backup is to take the place of the silent attempt before it answers: one of the two endpoints works, so that either that of the backup has not refused the request and
+   * works on it, or only this attempt is silent. Two endpoints must not work on a request for long.
+   */
+  #isBackupLikelier (): boolean {
     const { endpoint } = this.lifecycle
-    const { table, budget, dispatcher } = this.ports
-    if (!this.mayRetryElsewhere || !mayStartBackup(this.lifecycle)) return
-    const placement = this.#backupPlacement(endpoint!)
-    if (dispatcher.canStartNow(placement) && budget.tryWithdraw(table.isLeavingOrGone(endpoint!))) dispatcher.startNow(placement)
+    const sentAtMs = this.#backup?.tracker.sentAtMs
+    if (!this.#backup || sentAtMs === undefined || steadyNow() - sentAtMs < BACKUP_OVERLAP_MS) return false
+    const { table } = this.ports
+    const silentSinceMs = this.progress?.lastPieceAtMs ?? this.#tracker.sentAtMs ?? Infinity
+    return table.lastActivityAtMs(this.#backup.view.id) > sentAtMs || table.lastActivityAtMs(endpoint!) > silentSinceMs
+  }
+
+  /** A backup that is silent itself is replaced while the route allows another attempt. */
+  #mayStartBackup (): boolean {
+    const { lifecycle } = this
+    const backup = this.#backup
+    if (!backup) return mayStartBackup(lifecycle)
+    const { progress } = backup.tracker
+    const isOverdue = progress !== undefined && steadyNow() >= overdueAtMs(progress, { typicalIntervalMs: this.ports.table.typicalIntervalMs(backup.view.id) })
+    return isOverdue && mayStartBackup({ ...lifecycle, backup: undefined, sent: lifecycle.sent + 1 })
   }
 
   /**
@@ -151,8 +178,9 @@
     const point: FailurePoint = this.attachment?.sent === false ? 'connect-timeout' : 'timeout-after-send'
     const repeatable = this.mayRetryElsewhere && canRetry(this.lifecycle, point)
     // The path may recover: an attempt is given up early only for one that starts at once.
-    if (!isFinal && !(repeatable && this.ports.dispatcher.canStartNow(this.#placementOf([...this.lifecycle.avoid, endpoint])))) return
+    if (!isFinal && !(repeatable && (this.lifecycle.backup !== undefined || this.ports.dispatcher.canStartNow(this.#placementOf([...this.lifecycle.avoid, endpoint]))))) return
     const granted = repeatable && (this.lifecycle.backup !== undefined || isFreeRetry(this.lifecycle, point) || budget.tryWithdraw(table.isLeavingOrGone(endpoint)))
+    if (!isFinal && !granted) return
     this.attachment?.detach()
     crashes.failed({ id: endpoint, view: table.get(endpoint) }, point, this.#quarantine.watchedRun(this.#tracker.sentAtMs))
     this.#recordFailure(endpoint, new AttemptError('Cannot wait: the endpoint cannot be reached', { point }), { attempt, repeat: granted ? 'allowed' : repeatable ? 'over-budget' : 'not-allowed' })
@@ -211,6 +239,8 @@
   protected deactivate (): void {
     this.#tracker.end()
     this.#backup?.tracker.end()
+    this.#backup?.attachment.detach()
+    this.#backup = undefined
     clearTimeout(this.#deadlineTimer)
     if (this.#placement) this.ports.dispatcher.remove(this.#placement)
     this.lifecycle = { ...this.lifecycle, phase: 'done' }
@@ -288,12 +318,14 @@
   }
 
   /** A backup is sent from here, and never to an endpoint that the request was sent to before. */
-  #backupPlacement (silent: EndpointId): Placement {
-    const { delegated: _, ...placement } = this.#placementOf([...this.lifecycle.avoid, silent])
+  #backupPlacement (): Placement {
+    const { endpoint, backup, avoid } = this.lifecycle
+    const { delegated: _, ...placement } = this.#placementOf([...avoid, endpoint!, ...backup ? [backup.endpoint] : []])
     return {
       ...placement,
       resumed: true,
       accepts: (view) => !placement.avoid.includes(view.id) && this.accepts(view),
+      mayStart: () => this.ports.budget.tryWithdraw(this.ports.table.isLeavingOrGone(endpoint!)),
       placed: (view, route) => {
         this.#route = route
         this.post({ type: 'backup', endpoint: view.id })
@@ -350,10 +382,7 @@
       state: () => this.lifecycle,
       boundTo: () => this.binding.version,
       recordDecision: (event, fields) => this.recordDecision(event, fields),
-      mayRepeatNow: (to) => {
-        const { avoid, avoidDelegates } = this.lifecycle
-        return canRetry(this.lifecycle, 'delegate-lost') && this.ports.dispatcher.canStartNow({ ...this.#placementOf(avoid), avoidDelegates: [...avoidDelegates, to] })
-      },
+      canStartWithout: (delegate) => this.ports.dispatcher.canStartNow({ ...this.#placementOf(this.lifecycle.avoid), avoidDelegates: [...this.lifecycle.avoidDelegates, delegate] }),
       mayComplete: (attempt, head) => this.#mayComplete(attempt, head),
       onChunk: (chunk, { head, version }) => this.#addChunk(chunk, { head, version }),
       onWhole: (head) => {
@@ -422,6 +451,7 @@
     })
     const attachment = this.#send(view, { attempt, mode: 'prefill', tracker, sink })
     this.#backup = { view, tracker, attachment }
+    this.listeners.notify()
   }
 
   #adoptBackup (attempt: number): void {
@@ -446,6 +476,7 @@
     this.ports.crashes.abandoned(view, this.work.fingerprint(), this.#quarantine.watchedRun(tracker.sentAtMs))
     this.recordDecision('backup-stopped', { attempt, endpoint: view.id, afterMs: steadyNow() - (tracker.sentAtMs ?? this.acceptedAtMs), pieces: this.answer.length })
     tracker.end()
+    if (this.lifecycle.traits.movable) this.#runner.stop(view, attempt, this.answer.length).catch(() => { /* the endpoint ends a run that nobody reads */ })
   }
 
   /** The current attempt goes on, so that its request has not failed. */
--- a/daemon/request/request_task_test.ts
+++ b/daemon/request/request_task_test.ts
@@ -4,6 +4,7 @@
 import { noWork, type EndpointView, type Route } from '../../core/routing/index.ts'
 import { NO_TOKENS, type WorkClass } from '../../core/work/index.ts'
 import { sessionConfig } from '../../bench/_session.ts'
+import type { Header } from '../../core/answer/index.ts'
 import { AttemptError, type FailurePoint } from '../../core/outcome/index.ts'
 import type { AttemptSink } from '../../endpoints/index.ts'
 import { EndpointTable } from '../endpoints/endpoint_table.ts'
@@ -20,6 +21,8 @@
 const HELD_MS = 5000
 const speed = { batchSlots: 8, prefillTokensPerS: 1, betweenTokensMs: 1, betweenTokensPerStreamMs: 0, exportTokensPerS: 0, importTokensPerS: 0 }
 const VIEW: EndpointView = { id: E1, hostId: as('h'), pool: as('models'), failureDomain: as('d'), address: '', pricePerHour: 0, reclaimable: false, speed, firstMs: 0, latencyFactor: 1, others: noWork(), own: noWork(), leavingAtMs: undefined, ejectedUntilMs: 0 }
+const E2 = as<EndpointId>('e2')
+const E2_VIEW: EndpointView = { ...VIEW, id: E2, hostId: as('h2') }
 const ROUTE: Route = { view: VIEW, firstTokenMs: 10, meetsTarget: true, uncachedTokens: 0, unreadTokens: 0, lane: 'normal' }
 
 beforeEach(() => { vi.useFakeTimers() })
@@ -32,31 +35,42 @@
   const stopped: EndpointId[] = []
   const blamed: string[] = []
   const held = { forMs: undefined as number | undefined }
-  const elsewhere = { hasRoom: true }
+  const elsewhere = { hasRoom: true, starts: true, isPaid: true }
+  const withdrawn: boolean[] = []
   const table = new EndpointTable({ self: as('d'), hash: (text) => text.length })
-  table.applyHostList([{ hostId: VIEW.hostId, hostClass: 'any', failureDomain: VIEW.failureDomain, reclaimable: false, pricePerHour: 0, state: 'live', endpoint: { id: E1, pool: VIEW.pool, version: V1, address: '', speed } }])
+  table.applyHostList([VIEW, E2_VIEW].map(({ id, hostId }) => ({ hostId, hostClass: 'any', failureDomain: VIEW.failureDomain, reclaimable: false, pricePerHour: 0, state: 'live', endpoint: { id, pool: VIEW.pool, version: V1, address: '', speed } })))
   vi.spyOn(table, 'failed').mockImplementation(() => { blamed.push('table') })
   const task = new RequestTask<string>({
     work: { id: as('r'), account: as('a'), cls: { ...toWorkClass(sessionConfig().classes[1]!, true), ...cls }, pool: VIEW.pool, demand: NO_TOKENS, claim: undefined, fingerprint: () => as<Fingerprint>('f') },
     runner: {
-      start: (_view, _spec, sink) => {
+      start: (view, _spec, sink) => {
         sinks.push(sink)
-        return { detach: () => { stopped.push(E1) } }
+        return { detach: () => { stopped.push(view.id) } }
       },
       stop: async () => ({ stopped: true, pieces: [] })
     },
     ports: {
       table,
-      dispatcher: { place: (placement: Placement) => { placements.push(placement) }, remove: () => {}, startQueued: () => {}, canStartNow: () => elsewhere.hasRoom } as Partial<Dispatcher> as Dispatcher,
-      budget: { deposit: () => {}, tryWithdraw: () => true },
+      dispatcher: {
+        place: (placement: Placement) => { placements.push(placement) },
+        remove: () => {},
+        startQueued: () => {},
+        canStartNow: () => elsewhere.hasRoom,
+        startNow: (placement: Placement) => {
+          if (!elsewhere.starts || placement.mayStart?.() === false) return false
+          placement.placed(E2_VIEW, ROUTE)
+          return true
+        }
+      } as Partial<Dispatcher> as Dispatcher,
+      budget: { deposit: () => {}, tryWithdraw: (endpointGone) => elsewhere.isPaid && withdrawn.push(endpointGone) > 0 },
       metrics: createMetrics(),
       crashes: { abandoned: () => {}, failed: () => { blamed.push('crashes') } } as Partial<CrashWatch> as CrashWatch,
       paths: { canSend: () => true, suspect: () => { blamed.push('path') } } as Partial<PathWatch> as PathWatch,
-      quarantine: { isSuspected: () => false, heldAt: () => (held.forMs === undefined ? undefined : { suspect: as('f'), forMs: held.forMs }) } as Partial<QuarantineTask> as QuarantineTask
+      quarantine: { answered: () => {}, isSuspected: () => false, heldAt: () => (held.forMs === undefined ? undefined : { suspect: as('f'), forMs: held.forMs }) } as Partial<QuarantineTask> as QuarantineTask
     }
   })
   task.post({ type: 'begin' })
-  return { task, placements, sinks, stopped, held, blamed, elsewhere }
+  return { task, table, placements, sinks, stopped, held, blamed, elsewhere, withdrawn }
 }
 
 test('a request that is quarantined while queued is not sent to an endpoint', () => {
@@ -127,3 +141,124 @@
   task.pathLost({ isFinal: true })
   expect(placements).toHaveLength(2)
 })
+
+const RESUMABLE = { idempotent: true, streaming: true, resumable: true, maxAttempts: 2 }
+const EVENTS = { status: 200, headers: [['content-type', 'text/event-stream']] as Header[] }
+
+/** A stream with two events whose endpoint is silent, and which has a backup at another one. */
+function withBackup (cls: Partial<WorkClass> = {}) {
+  const request = createRequest({ ...RESUMABLE, ...cls })
+  request.placements[0]!.placed(VIEW, ROUTE)
+  const [current] = request.sinks
+  current!.onHead!(EVENTS)
+  current!.onChunk(0, ['one', 'two'])
+  request.task.handleStall()
+  return { ...request, current: current!, backup: request.sinks[1]! }
+}
+
+test('the events of a backup follow those that the caller has, and the silent attempt is stopped', () => {
+  const { task, stopped, current, backup } = withBackup()
+  backup.onHead!(EVENTS)
+  expect(stopped).toEqual([])
+  backup.onChunk(2, ['three'])
+  expect(stopped).toEqual([E1])
+  current.onChunk(2, ['late'])
+  backup.onChunk(3, ['four'])
+  backup.onEnd(4)
+  expect([task.answer.pieces, task.final?.outcome]).toEqual([['one', 'two', 'three', 'four'], 'answered'])
+})
+
+test('a silent attempt that goes on stops its backup, of which nothing is passed on', () => {
+  // Guards against events of two runs in one answer.
+  const { task, stopped, current, backup } = withBackup()
+  current.onChunk(2, ['three'])
+  expect(stopped).toEqual([E2])
+  backup.onChunk(2, ['other'])
+  backup.onEnd(3)
+  expect(task.final).toBeUndefined()
+  current.onEnd(3)
+  expect([task.answer.pieces, task.final?.outcome]).toEqual([['one', 'two', 'three'], 'answered'])
+})
+
+test('an answer that does not continue the events of its caller ends the backup only', () => {
+  const { task, current, backup } = withBackup()
+  backup.onHead!({ status: 404, headers: [] })
+  backup.onEnd(2)
+  expect(task.final).toBeUndefined()
+  current.onChunk(2, ['three'])
+  current.onEnd(3)
+  expect([task.answer.pieces, task.final?.outcome]).toEqual([['one', 'two', 'three'], 'answered'])
+})
+
+test('a request goes on with its backup when the silent attempt fails, and the other way round', () => {
+  const first = withBackup()
+  first.current.onError(new AttemptError('Cannot read answer', { point: 'torn-answer' }))
+  expect(first.task.final).toBeUndefined()
+  first.backup.onHead!(EVENTS)
+  first.backup.onChunk(2, ['three'])
+  first.backup.onEnd(3)
+  expect([first.task.answer.pieces, first.task.final?.outcome]).toEqual([['one', 'two', 'three'], 'answered'])
+  const second = withBackup()
+  second.backup.onError(new AttemptError('Cannot send request', { point: 'endpoint-said-not-run' }))
+  second.current.onEnd(2)
+  expect(second.task.final?.outcome).toBe('answered')
+})
+
+test('the end of a request ends its attempt and its backup', () => {
+  // Guards against endpoints that go on with a request that nobody waits for.
+  const { task, stopped } = withBackup({ cancelOnLeave: true })
+  task.post({ type: 'deadline' })
+  expect(stopped.toSorted()).toEqual([E1, E2])
+  expect(task.final?.outcome).toBe('unknown')
+})
+
+test('the retry budget is spent only for a backup that is sent', () => {
+  // Guards against a budget that silent attempts empty without a retry.
+  const { task, placements, elsewhere, withdrawn, sinks } = createRequest(RESUMABLE)
+  placements[0]!.placed(VIEW, ROUTE)
+  elsewhere.starts = false
+  for (let i = 0; i < 5; i++) task.handleStall()
+  expect([withdrawn.length, sinks.length]).toEqual([0, 1])
+  elsewhere.starts = true
+  for (let i = 0; i < 5; i++) task.handleStall()
+  expect([withdrawn.length, sinks.length]).toEqual([1, 2])
+})
+
+test('a backup that is silent as well is replaced while the route allows another attempt', () => {
+  // Guards against a request that waits for two silent endpoints while others could take it.
+  for (const [maxAttempts, attempts] of [[2, 2], [3, 3]] as const) {
+    const { task, sinks, stopped } = withBackup({ maxAttempts })
+    task.handleStall()
+    expect(sinks).toHaveLength(2)
+    vi.advanceTimersByTime(10_000)
+    task.handleStall()
+    expect([sinks.length, stopped.length]).toEqual([attempts, attempts - 2])
+  }
+})
+
+test.each([
+  ['the endpoint of the backup', E2, [E1]],
+  ['the endpoint of the silent attempt', E1, [E1]],
+  ['neither endpoint', undefined, []]
+])('a backup takes the place of a silent attempt before it answers once %s sends something else', (_case, active, stoppedThen) => {
+  // Guards against two endpoints that work on one request for long.
+  const { task, table, stopped } = withBackup()
+  vi.advanceTimersByTime(100)
+  if (active) table.recordActivity(active)
+  task.handleStall()
+  expect(stopped).toEqual([])
+  vi.advanceTimersByTime(200)
+  task.handleStall()
+  expect(stopped).toEqual(stoppedThen)
+})
+
+test('a path that may recover ends no attempt for which the retry budget has nothing left', () => {
+  // Guards against requests that are failed although their path recovers.
+  const { task, placements, elsewhere, stopped } = createRequest(RESUMABLE)
+  placements[0]!.placed(VIEW, ROUTE)
+  elsewhere.isPaid = false
+  task.pathLost({ isFinal: false })
+  expect([stopped, task.final]).toEqual([[], undefined])
+  task.pathLost({ isFinal: true })
+  expect(task.final?.outcome).toBe('unknown')
+})
