Log how answers end, what of them is not passed on, and that a stream was resumed elsewhere

Cause: an event that is lost, an end that nothing marks and a stream that its caller resumed look the same in the log, so that the reported streams out of order could not be told apart. Change: request-ended names what marked the end of the answer (framing), the blocks without an id, the chunks that were dropped and why, and those that came after a gap, where there are any. stream-resumed names the daemon at which a caller resumed a stream, with the last piece passed on. A delegate counts what it reads in its own line; that of the daemon that asked it counts what the delegate sent.

--- a/core/answer/answer_head.ts
+++ b/core/answer/answer_head.ts
@@ -11,6 +11,7 @@
 
 /** Lowest status code that does not indicate success. */
 const FIRST_REDIRECT_STATUS = 300
+const NO_CONTENT = 204
 
 /**
  * Returns true if the body is a series of events. Their positions hold over all runs of a request, so that another run can continue the answer; the pieces of any
@@ -21,6 +22,16 @@
   return headers.find(([name]) => name.toLowerCase() === 'content-type')?.[1].startsWith('text/event-stream') ?? false
 }
 
+/** What marks the end of an answer's body: its length, the last of its chunks, or nothing but the end of its connection. */
+export type Framing = 'length' | 'chunks' | 'connection'
+
+/** Returns what marks the end of an answer's body. */
+export function framingOf ({ status, headers }: AnswerHead): Framing {
+  const has = (header: string) => headers.some(([name]) => name.toLowerCase() === header)
+  if (has('transfer-encoding')) return 'chunks'
+  return status === NO_CONTENT || has('content-length') ? 'length' : 'connection'
+}
+
 /** Complete answer of an endpoint. */
 export interface WholeAnswer {
   head: AnswerHead
--- a/daemon/exchange/intake.ts
+++ b/daemon/exchange/intake.ts
@@ -99,9 +99,12 @@
     this.#options = options
   }
 
-  /** Ends the run of a stream whose caller resumes it with another request. */
-  streamResumed (key: StreamKey): void {
-    this.#streams.get(key)?.post({ type: 'cancelled' })
+  /** Ends the run of a stream whose caller resumes it with another request, which `by` took; without a value this daemon. */
+  streamResumed (key: StreamKey, by?: DaemonId): void {
+    const task = this.#streams.get(key)
+    if (!task) return
+    task.recordDecision('stream-resumed', { by, pieces: task.answer.length, attempt: task.state.attempt })
+    task.post({ type: 'cancelled' })
   }
 
   /** Tasks that are not finished. */
--- a/daemon/log/describe.ts
+++ b/daemon/log/describe.ts
@@ -30,7 +30,13 @@
   'export-failed': (f) => `export of the KV cache at ${f.endpoint} failed, planning again`,
   'stream-taken-over': (f) => `taken over at token ${f.fromPiece}${f.endpoint === undefined ? ', waiting for room' : ` on ${f.endpoint}`}`,
   'answer-evicted': (f) => `broken off, memory was short: its caller took nothing for ${ms(f.unreadMs)} and left ${f.bytes} bytes`,
-  'request-ended': (f) => `${f.outcome}: ${f.why}${retryHint(f.retryAfterMs)}`
+  'stream-resumed': (f) => `resumed by its caller at ${f.by ?? 'this daemon'}, ended after piece ${f.pieces} in attempt ${f.attempt}`,
+  'request-ended': (f) => `${f.outcome}: ${f.why}${retryHint(f.retryAfterMs)}${describeParts(f)}`
+}
+
+function describeParts ({ framing, withoutId, dropped, held }: RequestEvents['request-ended']): string {
+  const counts = [...Object.entries(dropped ?? {}), ['held behind a gap', held], ['without an id', withoutId]].filter(([, count]) => count !== undefined).map(([what, count]) => `, ${count} ${what}`)
+  return `${framing === 'connection' ? ', ended by its connection alone' : ''}${counts.join('')}`
 }
 
 /** Returns a one-line description of a request event. */
--- a/daemon/log/events.ts
+++ b/daemon/log/events.ts
@@ -4,6 +4,7 @@
  * Durations are in milliseconds, and prompts and answers in tokens, unless a field says otherwise. An age is the time between the last
  * confirmation of a piece of state and the log line.
  */
+import type { AddResult, Framing } from '../../core/answer/index.ts'
 import type { CrossingReason } from '../../core/routing/index.ts'
 
 /** Configuration on which a decision was based. */
@@ -66,8 +67,13 @@
   'stream-taken-over': { endpoint?: string | undefined, fromPiece: number }
   /** Broken off since memory was short: the caller had not taken `bytes` of the answer and had visibly taken nothing for `unreadMs`. `heldBytes` is what is held for all. */
   'answer-evicted': { bytes: number, unreadMs: number, heldBytes: number }
-  /** The final result. */
-  'request-ended': { outcome: string, why: string, status?: number | undefined, retryAfterMs?: number | undefined, afterMs: number, firstPieceMs?: number | undefined, longestPauseMs?: number | undefined, pieces: number, attempts: number, deadlineMs: number }
+  /** Ended, since its caller resumes the stream with another request, which `by` took; undefined for this daemon. */
+  'stream-resumed': { by: string | undefined, pieces: number, attempt: number }
+  /**
+   * The final result. `framing` is what marked the end of an answer that is whole; `withoutId` the number of blocks of an event stream that had no id; `dropped` the number of chunks that were not
+   * passed on, by reason; `held` that of chunks that came after a gap.
+   */
+  'request-ended': { outcome: string, why: string, status?: number | undefined, retryAfterMs?: number | undefined, afterMs: number, firstPieceMs?: number | undefined, longestPauseMs?: number | undefined, pieces: number, attempts: number, deadlineMs: number, framing?: Framing | undefined, withoutId?: number | undefined, dropped?: Partial<Record<AddResult, number>> | undefined, held?: number | undefined }
 }
 
 /** Events about the daemon itself and the state it keeps of the system. */
--- a/daemon/request/_request_events.ts
+++ b/daemon/request/_request_events.ts
@@ -8,6 +8,7 @@
 import type { EndpointTable } from '../endpoints/endpoint_table.ts'
 import type { RequestEvents } from '../log/index.ts'
 import type { Metrics } from '../metrics.ts'
+import type { AnswerParts } from './_answer_record.ts'
 import type { FinalResult } from './live_answer.ts'
 import type { PieceTimes } from './piece_times.ts'
 import type { Crossing } from './placement.ts'
@@ -71,7 +72,7 @@
 }
 
 /** Builds the `request-ended` event: the outcome and the timing of the answer's pieces. */
-export function requestEndedEvent (req: EndedRequest, { final, pieces }: { final: FinalResult, pieces: PieceTimes }): RequestEvents['request-ended'] {
+export function requestEndedEvent (req: EndedRequest, { final, pieces, parts }: { final: FinalResult, pieces: PieceTimes, parts: AnswerParts }): RequestEvents['request-ended'] {
   return {
     outcome: final.outcome,
     why: final.reason,
@@ -82,6 +83,7 @@
     longestPauseMs: pieces.longestPauseMs,
     pieces: req.answer.length,
     attempts: req.state.attempt,
-    deadlineMs: req.state.traits.deadlineAtMs - req.acceptedAtMs
+    deadlineMs: req.state.traits.deadlineAtMs - req.acceptedAtMs,
+    ...parts
   }
 }
--- a/daemon/request/request_task.ts
+++ b/daemon/request/request_task.ts
@@ -16,6 +16,7 @@
 import { AttemptTracker } from './attempt_tracker.ts'
 import { DelegatedAttempts } from './_delegated_attempts.ts'
 import type { DelegatedSink, DelegatedSpec } from './delegated_run.ts'
+import { AnswerRecord } from './_answer_record.ts'
 import { AnswerFlow } from './_answer_flow.ts'
 import { Listeners, type FinalResult } from './live_answer.ts'
 import type { MoveObserver } from './move_observer.ts'
@@ -88,6 +89,7 @@
   readonly #tracker: AttemptTracker
   #route: Route | undefined
   readonly #meter: RequestMeter
+  readonly #record = new AnswerRecord()
   #hasBegun = false
   /** Binds the stream to the version of its first event. */
   readonly binding: StreamBinding
@@ -330,6 +332,7 @@
       onChunk: (chunk, { head, version }) => this.#addChunk(chunk, { head, version }),
       onWhole: (head) => {
         this.#markBegun()
+        this.#record.ended(head)
         this.head ??= head
         this.post({ type: 'ended', attempt: this.lifecycle.attempt })
       },
@@ -389,6 +392,7 @@
     return {
       onSignals: (signals) => this.ports.signals?.record(endpoint, signals, sentAtMs),
       onHead: (arrived) => { head = arrived },
+      onWithoutId: () => this.#record.withoutId(),
       onChunk: (offset, pieces) => {
         if (!this.#mayComplete(attempt, head)) return this.#rejectAnswer(attempt, endpoint)
         if (attempt === this.lifecycle.attempt) this.#tracker.recordPiece(this.flow.readingSinceMs)
@@ -414,6 +418,7 @@
   #addChunk (chunk: Chunk<P>, { head, version }: { head: AnswerHead | undefined, version: EndpointVersion | undefined }): void {
     const verdict = this.answer.add(chunk)
     this.ports.metrics.chunks.inc({ verdict })
+    this.#record.added(verdict)
     if (verdict === 'taken') {
       this.head ??= head
       this.#lastPieceAttempt = chunk.attempt
@@ -455,6 +460,7 @@
     this.answer.end(attempt, end.total)
     if (!this.answer.whole) return fail()
     this.#markBegun()
+    this.#record.ended(end.head)
     this.head ??= end.head
     this.ports.table.succeeded(endpoint)
     if (end.endpointSeen && (!this.head || this.head.status < FIRST_REDIRECT_STATUS)) this.#quarantine.answered(this.#runningVersion)
@@ -527,7 +533,7 @@
     if (final.outcome === 'answered') this.#tracker.read()
     this.#tracker.end()
     this.lifecycle = { ...this.lifecycle, phase: 'done', outcome: final.outcome }
-    this.recordDecision('request-ended', requestEndedEvent(this, { final, pieces: this.#meter.pieces }))
+    this.recordDecision('request-ended', requestEndedEvent(this, { final, pieces: this.#meter.pieces, parts: this.#record.parts }))
     this.#meter.finished(final)
     this.mover?.ended(final.outcome === 'answered')
     this.onFinish()
--- a/daemon/streams/stream_versions.ts
+++ b/daemon/streams/stream_versions.ts
@@ -72,8 +72,8 @@
   readonly #held = new VersionRecords()
   /** Value of {@linkcode StreamVersionsOptions.completeSinceMs} when own records were last looked through. */
   #completeSinceMs: number | undefined
-  /** Called when the caller of a stream of this daemon resumes it with another request. */
-  onResumed: (key: StreamKey) => void = () => {}
+  /** Called when the caller of a stream of this daemon resumes it with another request, with the daemon that took that one. */
+  onResumed: (key: StreamKey, by: DaemonId) => void = () => {}
 
   constructor (options: StreamVersionsOptions) {
     this.#options = options
@@ -86,7 +86,7 @@
     links.onPost(RESUMED_TOPIC, (key: StreamKey, from) => {
       const record = this.#own.get(key, steadyNow())
       if (record) record.daemon = from
-      this.onResumed(key)
+      this.onResumed(key, from)
     })
     links.handle(FIND_METHOD, async (query: VersionQuery): Promise<VersionReply> => encodeEvidence(this.#evidenceOf(query)))
   }
@@ -150,7 +150,7 @@
 
   /** The daemon that passes the stream on ends its run: a stream has one at a time. */
   #notifyResumed (key: StreamKey, daemon: DaemonId): void {
-    if (daemon === this.#options.self) this.onResumed(key)
+    if (daemon === this.#options.self) this.onResumed(key, daemon)
     else this.#options.membership.links.post(daemon, RESUMED_TOPIC, key)
   }
 
--- a/endpoints/attempt.ts
+++ b/endpoints/attempt.ts
@@ -38,6 +38,8 @@
   /** Called before the first piece with the status and headers, if the protocol has them. */
   onHead? (head: AnswerHead): void
   onChunk (offset: number, pieces: readonly P[]): void
+  /** Called for each block of an event stream that has no id, before it is passed on. */
+  onWithoutId? (): void
   /** Called at the answer's end. `total` counts the pieces from the start of the whole answer. */
   onEnd (total: number, options?: AttemptEndOptions): void
   onError (err: AttemptError): void
--- a/endpoints/exchange/exchange.ts
+++ b/endpoints/exchange/exchange.ts
@@ -1,6 +1,6 @@
 /** One request on one connection. Reads the endpoint's answer and reports exactly how it ended. */
 import type { Dispatcher } from 'undici'
-import { isEventStream, type AnswerHead, type Header } from '../../core/answer/index.ts'
+import { framingOf, isEventStream, type AnswerHead, type Header } from '../../core/answer/index.ts'
 import { answerWindowBytes, SMALL_ENTRY_BYTES, type MemoryAccount, type MemoryEntry } from '../../core/memory/index.ts'
 import { AttemptError, type FailurePoint } from '../../core/outcome/index.ts'
 import { attemptError } from '../_attempt_errors.ts'
@@ -41,7 +41,6 @@
 const SUCCESS = 200
 const REDIRECT = 300
 const SERVER_ERROR = 500
-const NO_CONTENT = 204
 
 /** How the body of an answer is handled. */
 type BodyHandling = 'events' | 'whole' | 'failure' | 'nothing'
@@ -184,6 +183,7 @@
 
   #forwardEvents (chunk: Buffer): void {
     for (const event of this.#events.push(chunk)) {
+      if (event.id === undefined) this.#options.sink.onWithoutId?.()
       const offset = event.id === undefined ? this.#offset : event.id - 1
       this.#options.sink.onChunk(offset, [event.bytes])
       this.#offset = offset + 1
@@ -240,7 +240,7 @@
 }
 
 function isSelfDelimited (head: AnswerHead): boolean {
-  return head.status === NO_CONTENT || headerValue(head, 'content-length') !== undefined || headerValue(head, 'transfer-encoding') !== undefined
+  return framingOf(head) !== 'connection'
 }
 
 /** Returns the first value of a header. Header names are compared without regard to case; `name` must be in lower case. */
