Read the positions of events from their ids, and pass blocks without an id on with the next event

Cause: positions were counted where a block had no id, so that a comment, a retry time or an event without an id took the position of the next event, which was dropped as a conflict; after a break the next run began too late. Callers got streams without these events that ended as whole. Change: EventPositions gives an event the position of its id. A block without one goes with the event after it, so that a run elsewhere, which goes on after an event, repeats and omits nothing. What follows the last event is passed on with the end of an answer that is whole without it. Events are counted only in streams whose events have no ids; if ids begin after that, the attempt fails, since the position is taken. Such blocks no longer count as a piece: they are no first event and no progress of the stream, but activity of the endpoint.

--- a/daemon/request/request_task.ts
+++ b/daemon/request/request_task.ts
@@ -392,13 +392,16 @@
     return {
       onSignals: (signals) => this.ports.signals?.record(endpoint, signals, sentAtMs),
       onHead: (arrived) => { head = arrived },
-      onWithoutId: () => this.#record.withoutId(),
+      onWithoutId: () => {
+        this.#record.withoutId()
+        this.ports.table.recordActivity(endpoint)
+      },
       onChunk: (offset, pieces) => {
         if (!this.#mayComplete(attempt, head)) return this.#rejectAnswer(attempt, endpoint)
         if (attempt === this.lifecycle.attempt) this.#tracker.recordPiece(this.flow.readingSinceMs)
         this.#addChunk({ attempt, offset, pieces }, { head, version: this.#runningVersion })
       },
-      onEnd: (total, { endpointSeen = true, explicit = true } = {}) => this.#onAttemptEnd(endpoint, attempt, { total, head, endpointSeen, explicit }),
+      onEnd: (total, { endpointSeen = true, explicit = true, rest } = {}) => this.#onAttemptEnd(endpoint, attempt, { total, head, endpointSeen, explicit, rest }),
       onError: (err) => this.#onAttemptError(attempt, endpoint, err),
       onLoad: (load) => this.ports.table.applyLoadReport(endpoint, load)
     }
@@ -432,6 +435,13 @@
     this.listeners.notify()
   }
 
+  /** Adds what follows the last event of an answer that is whole without it. */
+  #addRest (attempt: number, rest: P, head: AnswerHead | undefined): void {
+    const offset = this.answer.length
+    this.#addChunk({ attempt, offset, pieces: [rest] }, { head, version: this.#runningVersion })
+    this.answer.end(attempt, offset + 1)
+  }
+
   /**
    * Reports the first answer. The prediction excludes the endpoint's learnt slowness, which would hide a version that is slow at all of its
    * endpoints.
@@ -452,13 +462,14 @@
     this.onBegun()
   }
 
-  #onAttemptEnd (endpoint: EndpointId, attempt: number, end: { total: number, head: AnswerHead | undefined, endpointSeen: boolean, explicit: boolean }): void {
+  #onAttemptEnd (endpoint: EndpointId, attempt: number, end: { total: number, head: AnswerHead | undefined, endpointSeen: boolean, explicit: boolean, rest: P | undefined }): void {
     if (attempt !== this.lifecycle.attempt) return
     const fail = () => this.#onAttemptError(attempt, endpoint, new AttemptError('Cannot use answer: it is incomplete', { point: 'torn-answer' }))
     if (!this.#mayComplete(attempt, end.head)) return this.#rejectAnswer(attempt, endpoint)
     if (!end.explicit && this.mover?.holdsClose(fail)) return
     this.answer.end(attempt, end.total)
     if (!this.answer.whole) return fail()
+    if (end.rest !== undefined) this.#addRest(attempt, end.rest, end.head)
     this.#markBegun()
     this.#record.ended(end.head)
     this.head ??= end.head
--- a/endpoints/attempt.ts
+++ b/endpoints/attempt.ts
@@ -26,11 +26,13 @@
 }
 
 /** Options of {@linkcode AttemptSink.onEnd}. */
-export interface AttemptEndOptions {
+export interface AttemptEndOptions<P = string> {
   /** False if the endpoint may have ended with its answer, so that the end does not show that it survived the request. Default: true. */
   endpointSeen?: boolean
   /** False if the answer ended with its connection and nothing marked its end. Default: true. */
   explicit?: boolean
+  /** What follows the last event of a stream and has no position. Default: nothing. */
+  rest?: P
 }
 
 /** Receives one attempt's answer. The last call is exactly one of `onEnd` and `onError`. */
@@ -38,10 +40,10 @@
   /** Called before the first piece with the status and headers, if the protocol has them. */
   onHead? (head: AnswerHead): void
   onChunk (offset: number, pieces: readonly P[]): void
-  /** Called for each block of an event stream that has no id, before it is passed on. */
+  /** Called for each block of an event stream that has no id when it arrives. */
   onWithoutId? (): void
   /** Called at the answer's end. `total` counts the pieces from the start of the whole answer. */
-  onEnd (total: number, options?: AttemptEndOptions): void
+  onEnd (total: number, options?: AttemptEndOptions<P>): void
   onError (err: AttemptError): void
   onLoad (load: EndpointLoad): void
   /** Called with the head of each answer that the endpoint itself gave, also one that it refused or failed with. */
--- a/endpoints/exchange/event_splitter.ts
+++ b/endpoints/exchange/event_splitter.ts
@@ -5,6 +5,8 @@
   bytes: Buffer
   /** Id of the event if it is a number. */
   id: number | undefined
+  /** False for a block that has neither an id nor data, such as a comment. */
+  isEvent: boolean
 }
 
 const NEWLINE = 0x0A
@@ -12,6 +14,7 @@
 /** Length of the longest end of an event, a line break and an empty line with a carriage return, without its last byte. */
 const TAIL_BYTES = 2
 const ID_LINE = /^id: ?(\d{1,15})\r?$/m
+const DATA_LINE = /^data(:|\r?$)/m
 
 /** Buffers bytes until an event is complete. Takes time in proportion to the bytes, however small the chunks are. */
 export class EventSplitter {
@@ -65,6 +68,7 @@
 }
 
 function parseEvent (bytes: Buffer): RawEvent {
-  const id = ID_LINE.exec(bytes.toString('latin1'))?.[1]
-  return { bytes, id: id === undefined ? undefined : Number(id) }
+  const text = bytes.toString('latin1')
+  const id = ID_LINE.exec(text)?.[1]
+  return id === undefined ? { bytes, id, isEvent: DATA_LINE.test(text) } : { bytes, id: Number(id), isEvent: true }
 }
--- a/endpoints/exchange/exchange.ts
+++ b/endpoints/exchange/exchange.ts
@@ -7,6 +7,7 @@
 import type { Attachment, AttemptEndOptions, AttemptSink } from '../attempt.ts'
 import type { Connection } from './connection.ts'
 import type { EndCheckResult } from './end_check.ts'
+import { EventPositions } from './event_positions.ts'
 import { EventSplitter } from './event_splitter.ts'
 import type { ExchangeDialect } from './exchange_dialect.ts'
 import type { AdmittedRequest } from './proxied_request.ts'
@@ -21,6 +22,10 @@
   memory?: MemoryAccount | undefined
   /** Number of events that the caller already has. */
   from: number
+  /** True if the events of the stream are known to have ids. */
+  haveIds: boolean
+  /** Called when an event with an id has arrived. */
+  onIds (): void
   /** Returns false if the request must not be sent any more. Called when the connection is open. */
   maySend (): boolean
   /** Checks whether the endpoint is still running after it ended the connection. */
@@ -54,6 +59,8 @@
   #head: AnswerHead | undefined
   #bodyHandling: BodyHandling = 'nothing'
   #bufferedBytes = 0
+  readonly #positions: EventPositions
+  /** Position after the last part of a body without events. */
   #offset: number
   #done = false
   #paused = false
@@ -62,6 +69,7 @@
 
   constructor (options: ExchangeOptions) {
     this.#options = options
+    this.#positions = new EventPositions(options)
     this.#offset = options.from
   }
 
@@ -158,7 +166,7 @@
     else this.#finish({ endpointSeen: result === 'alive', explicit: false })
   }
 
-  #finish (end: AttemptEndOptions): void {
+  #finish (end: AttemptEndOptions<Buffer>): void {
     const body = Buffer.concat(this.#chunks)
     this.#endAttempt()
     // Deferred because the client closes a connection that cannot be reused only after this callback.
@@ -169,7 +177,8 @@
       return
     }
     if (this.#bodyHandling === 'whole') this.#forward(body)
-    this.#options.sink.onEnd(this.#offset, end)
+    const rest = this.#positions.takeRest()
+    this.#options.sink.onEnd(this.#bodyHandling === 'events' ? this.#positions.next : this.#offset, rest ? { ...end, rest } : end)
   }
 
   onResponseError (_controller: Dispatcher.DispatchController, err: Error): void {
@@ -184,12 +193,14 @@
   #forwardEvents (chunk: Buffer): void {
     for (const event of this.#events.push(chunk)) {
       if (event.id === undefined) this.#options.sink.onWithoutId?.()
-      const offset = event.id === undefined ? this.#offset : event.id - 1
-      this.#options.sink.onChunk(offset, [event.bytes])
-      this.#offset = offset + 1
+      const placed = this.#positions.place(event)
+      if (placed === 'misplaced') return this.#fail('foreign-answer', `the event with id ${event.id} follows events without an id`)
+      if (event.id !== undefined) this.#options.onIds()
+      if (placed) this.#options.sink.onChunk(placed.offset, [placed.bytes])
     }
-    if (this.#events.pendingBytes > MAX_UNFINISHED_BYTES) this.#fail('foreign-answer', `an event is over ${MAX_UNFINISHED_BYTES} bytes`)
-    else this.#count(this.#events.pendingBytes)
+    const heldBytes = this.#events.pendingBytes + this.#positions.waitingBytes
+    if (heldBytes > MAX_UNFINISHED_BYTES) this.#fail('foreign-answer', `an event is over ${MAX_UNFINISHED_BYTES} bytes`)
+    else this.#count(heldBytes)
   }
 
   #buffer (chunk: Buffer): void {
--- a/endpoints/exchange/exchange_runner.ts
+++ b/endpoints/exchange/exchange_runner.ts
@@ -26,9 +26,12 @@
 /** Forwards a caller's request to endpoints and returns their answers, bytes unchanged. */
 export class ExchangeRunner implements AttemptRunner<Buffer> {
   readonly #options: ExchangeRunnerOptions
+  /** True once an event of the stream is known to have an id, which a caller that resumes the stream has. */
+  #haveIds: boolean
 
   constructor (options: ExchangeRunnerOptions) {
     this.#options = options
+    this.#haveIds = options.req.resumeFrom > 0
   }
 
   start (view: EndpointView, spec: AttemptSpec<Buffer>, sink: AttemptSink<Buffer>): Attachment {
@@ -40,7 +43,7 @@
       return NO_ATTACHMENT
     }
     const headers = dialect.attemptHeaders(req, { view, deadlineInMs: spec.deadlineInMs, resumeFrom: spec.from, lane: req.demand && spec.lane, kvHandle: spec.kvHandle })
-    const exchange = new Exchange({ req, dialect, sink, connection, memory, from: spec.from, maySend: () => !backsOff(view, steadyNow()), checkEnd: () => checkEnd(view), release: () => client.release(view, connection) })
+    const exchange = new Exchange({ req, dialect, sink, connection, memory, from: spec.from, haveIds: this.#haveIds, onIds: () => { this.#haveIds = true }, maySend: () => !backsOff(view, steadyNow()), checkEnd: () => checkEnd(view), release: () => client.release(view, connection) })
     exchange.send(headers)
     return exchange
   }
--- a/endpoints/exchange/exchange_test.ts
+++ b/endpoints/exchange/exchange_test.ts
@@ -252,6 +252,15 @@
   expect(await sendAndWait(clientOf(), view, requestOf('a'))).toMatchObject({ failed: 'torn-answer', pieces: [{ offset: 0 }] })
 })
 
+test('an endpoint that sends comments without end in place of an event is given up', async () => {
+  // Guards against memory that grows with blocks that wait for an event.
+  const { view } = await startEndpoint((req) => {
+    req.socket.write(answerHead(req, 'content-type: text/event-stream\r\n\r\n'))
+    for (let i = 0; i < 300; i++) req.socket.write(`: ${'x'.repeat(1000)}\n\n`)
+  })
+  expect(await sendAndWait(clientOf(), view, requestOf('a'))).toMatchObject({ failed: 'foreign-answer', pieces: [] })
+})
+
 test('detaching from an attempt closes its connection immediately', async () => {
   // Guards against an engine that keeps working for seconds on a request whose caller has disconnected.
   let closedAtMs = 0
