Show two ways in which half a stream of a killed endpoint looks whole

Cause 1: the check of an end that nothing marks waits 20 ms by a timer, which runs before the event loop reads what has arrived in a pause of this process: the other connections of a killed endpoint still look open. Cause 2: a connection counts as open from the request for which it is opened, so that any request sent to an endpoint in the moment in which it is killed makes it look alive. Callers saw: a stream without a length ended as complete after the events that had arrived.

--- /dev/null
+++ b/endpoints/exchange/end_check_test.ts
@@ -0,0 +1,90 @@
+import type { Socket } from 'node:net'
+import { expect, test } from 'vitest'
+import { as } from '../../core/ids/index.ts'
+import { noWork, type EndpointView } from '../../core/routing/index.ts'
+import { delay } from '../../core/time/index.ts'
+import type { FailurePoint } from '../../core/outcome/index.ts'
+import { RawEndpoint } from '../../standins/index.ts'
+import { UnansweredAddress } from '../../standins/unanswered_address.ts'
+import { dial } from '../dial.ts'
+import { createEndCheck, ExchangeClient, ExchangeRunner, headerValue, type AdmittedRequest, type EndCheck, type ExchangeDialect } from './index.ts'
+
+const DIALECT: ExchangeDialect = {
+  readRequest () { throw new Error('not used here') },
+  attemptHeaders: (req) => [['host', 'a.example'], ['id', req.id]],
+  readAnswer: (head) => ({ requestId: headerValue(head, 'id'), genuine: true, notRun: false, otherEndpoint: false })
+}
+
+function viewOf (address: string): EndpointView {
+  const speed = { batchSlots: 8, prefillTokensPerS: 1, betweenTokensMs: 1, betweenTokensPerStreamMs: 0, exportTokensPerS: 0, importTokensPerS: 0 }
+  return { id: as('e'), hostId: as('h'), pool: as('p'), failureDomain: as('d'), address, pricePerHour: 0, reclaimable: false, speed, firstMs: 0, latencyFactor: 1, others: noWork(), own: noWork(), leavingAtMs: undefined, ejectedUntilMs: 0 }
+}
+
+function requestOf (id: string): AdmittedRequest {
+  return { id: as(id), method: 'GET', target: '/x', host: 'a.example', headers: [], body: Buffer.alloc(0), credential: undefined, deadlineInMs: 1000, demand: undefined, resumeFrom: 0, streamId: undefined, account: undefined }
+}
+
+/** Result of a stream without a length: the number of its events and how it ended. */
+interface StreamResult { events: number, ended: 'whole' | FailurePoint | undefined }
+
+function read (id: string, { client, view, checkEnd }: { client: ExchangeClient, view: EndpointView, checkEnd: EndCheck }): StreamResult {
+  const result: StreamResult = { events: 0, ended: undefined }
+  new ExchangeRunner({ req: requestOf(id), client, dialect: DIALECT, checkEnd }).start(view, { attempt: 1, mode: 'fresh', lane: 'normal', done: [], from: 0, deadlineInMs: 1000, kvHandle: undefined }, {
+    onChunk: () => { result.events++ },
+    onEnd: () => { result.ended = 'whole' },
+    onError: ({ point }) => { result.ended = point },
+    onLoad: () => {}
+  })
+  return result
+}
+
+async function until (isTrue: () => boolean): Promise<void> {
+  for (let waitedMs = 0; !isTrue() && waitedMs < 5000; waitedMs += 5) await delay(5)
+}
+
+/** Starts an endpoint that begins streams without a length. */
+async function startStreams (): Promise<{ endpoint: RawEndpoint, view: EndpointView, sockets: Map<string, Socket> }> {
+  const sockets = new Map<string, Socket>()
+  const endpoint = new RawEndpoint(({ head, socket }) => {
+    const id = /^id: (.*)$/im.exec(head)![1]!
+    sockets.set(id, socket)
+    socket.write(`HTTP/1.1 200 OK\r\nid: ${id}\r\ncontent-type: text/event-stream\r\n\r\nid: 1\ndata: a\n\n`)
+  })
+  return { endpoint, view: viewOf(await endpoint.listen()), sockets }
+}
+
+test('half a stream does not look whole because this process is late to read that the other connections ended', async () => {
+  // Guards against a process without processor time that takes the connections of a killed endpoint for open.
+  const { endpoint, view, sockets } = await startStreams()
+  const client = new ExchangeClient({ maxConnections: () => 4 })
+  const check = createEndCheck({ isConnected: (view) => client.isConnected(view), dial: ({ address }) => dial(address) })
+  const checkEnd: EndCheck = async (view) => {
+    const result = check(view)
+    endpoint.close()
+    for (const untilMs = performance.now() + 60; performance.now() < untilMs;) { /* no processor time */ }
+    return await result
+  }
+  const streams = ['a', 'b'].map((id) => read(id, { client, view, checkEnd }))
+  await until(() => streams.every(({ events }) => events === 1))
+  sockets.get('a')!.end()
+  await until(() => streams.every(({ ended }) => ended !== undefined))
+  expect(streams.map(({ ended }) => ended)).toEqual(['torn-answer', 'torn-answer'])
+})
+
+test('half a stream does not look whole because another connection to its endpoint is being opened', async () => {
+  // Guards against requests that are sent to an endpoint in the moment in which it is killed.
+  const { endpoint, view, sockets } = await startStreams()
+  const unanswered = await UnansweredAddress.open()
+  let addressOf = (address: string) => address
+  const client = new ExchangeClient({ maxConnections: () => 4, addressOf: (address) => addressOf(address) })
+  const checkEnd = createEndCheck({ isConnected: (view) => client.isConnected(view), dial: ({ address }) => dial(address) })
+  const first = read('a', { client, view, checkEnd })
+  await until(() => first.events === 1)
+  addressOf = () => unanswered.address
+  read('b', { client, view, checkEnd })
+  sockets.get('a')!.end()
+  await endpoint.close()
+  await until(() => first.ended !== undefined)
+  expect(first.ended).toBe('torn-answer')
+  await unanswered.close()
+})
