Take only an open connection as a sign that an endpoint is alive

Cause: a connection counted as open from the request for which it is opened, so that an endpoint that was killed looked alive while another request was being sent to it. Callers saw: a stream without a length whose endpoint was killed ended as complete after the events that had arrived. Change: Connection knows whether it was opened and has not ended; only that counts, also in CrashWatch. A connection whose end was read no longer counts until it is closed.

--- a/endpoints/exchange/connection.ts
+++ b/endpoints/exchange/connection.ts
@@ -27,6 +27,8 @@
   #paused = false
   /** True if the endpoint ended the connection without a reset. */
   endedCleanly = false
+  /** True from when the connection was opened until it is known to have ended. */
+  open = false
   /** True once the connection accepts no further requests. */
   closed = false
   /** Number of requests sent on this connection. */
@@ -90,12 +92,14 @@
   close (): void {
     if (this.closed) return
     this.closed = true
+    this.open = false
     this.#client.destroy().catch(() => { /* the connection is closed in any case */ })
     this.onClose()
   }
 
   #track (socket: Socket): void {
     this.#socket = socket
+    this.open = true
     this.#trackSocketEnd(socket)
     // The client's own pause is not used: it throws from a socket event if the connection of an answer that closes it ends in a pause.
     const read = socket.read.bind(socket)
@@ -120,7 +124,13 @@
    * end. A socket that was reset no longer has a remote address; one that ended normally still has it.
    */
   #trackSocketEnd (socket: Socket): void {
-    socket.prependListener('end', () => { this.endedCleanly = socket.remoteAddress !== undefined })
-    socket.prependListener('error', () => { this.endedCleanly = false })
+    socket.prependListener('end', () => {
+      this.open = false
+      this.endedCleanly = socket.remoteAddress !== undefined
+    })
+    socket.prependListener('error', () => {
+      this.open = false
+      this.endedCleanly = false
+    })
   }
 }
--- a/endpoints/exchange/connection_pool.ts
+++ b/endpoints/exchange/connection_pool.ts
@@ -27,8 +27,8 @@
     this.#maxConnections = options.maxConnections
   }
 
-  /** Number of open connections. */
-  get size (): number { return this.#all.size }
+  /** True if a connection is open, and not only being opened. */
+  get isConnected (): boolean { return [...this.#all].some(({ open }) => open) }
   /** Number of open connections that carry no request. */
   get idle (): number { return this.#idle.length }
   /** Number of connections that can be acquired now. */
--- a/endpoints/exchange/exchange_client.ts
+++ b/endpoints/exchange/exchange_client.ts
@@ -44,7 +44,7 @@
 
   /** Returns whether any connection to an endpoint is open. */
   isConnected (view: EndpointView): boolean {
-    return (this.#pools.get(view.id)?.size ?? 0) > 0
+    return this.#pools.get(view.id)?.isConnected ?? false
   }
 
   /** Acquires an idle or new connection; undefined when the maximum number are in use. */
