--- a/daemon/request/request_task.ts
+++ b/daemon/request/request_task.ts
@@ -17,6 +17,7 @@
 import { backupSink, type BackupAttempt } from './_backup_attempt.ts'
 import { DelegatedAttempts } from './_delegated_attempts.ts'
 import type { DelegatedSink, DelegatedSpec } from './delegated_run.ts'
+import { AnswerRecord } from './_answer_record.ts'
 import { AnswerFlow } from './_answer_flow.ts'
 import { Listeners, type FinalResult } from './live_answer.ts'
 import type { MoveObserver } from './move_observer.ts'
@@ -93,6 +94,7 @@
   #backup: BackupAttempt | undefined
   #route: Route | undefined
   readonly #meter: RequestMeter
+  readonly #record = new AnswerRecord()
   #hasBegun = false
   /** Binds the stream to the version of its first event. */
   readonly binding: StreamBinding
@@ -387,6 +389,7 @@
       onChunk: (chunk, { head, version }) => this.#addChunk(chunk, { head, version }),
       onWhole: (head) => {
         this.#markBegun()
+        this.#record.ended(head)
         this.head ??= head
         this.post({ type: 'ended', attempt: this.lifecycle.attempt })
       },
@@ -511,6 +514,10 @@
     return {
       onSignals: (signals) => this.ports.signals?.record(endpoint, signals, sentAtMs),
       onHead: (arrived) => { head = arrived },
+      onWithoutId: () => {
+        this.#record.withoutId()
+        this.ports.table.recordActivity(endpoint)
+      },
       onChunk: (offset, pieces) => {
         if (!this.#mayComplete(attempt, head)) return this.#rejectAnswer(attempt, endpoint)
         if (attempt === this.lifecycle.attempt) {
@@ -519,7 +526,7 @@
         }
         this.#addChunk({ attempt, offset, pieces }, { head, version: this.#runningVersion })
       },
-      onEnd: (total, { endpointSeen = true, explicit = true } = {}) => this.#onAttemptEnd(endpoint, attempt, { total, head, endpointSeen, explicit }),
+      onEnd: (total, { endpointSeen = true, explicit = true, rest } = {}) => this.#onAttemptEnd(endpoint, attempt, { total, head, endpointSeen, explicit, rest }),
       onError: (err) => this.#onAttemptError(attempt, endpoint, err),
       onLoad: (load) => this.ports.table.applyLoadReport(endpoint, load)
     }
@@ -539,6 +546,7 @@
   #addChunk (chunk: Chunk<P>, { head, version }: { head: AnswerHead | undefined, version: EndpointVersion | undefined }): void {
     const verdict = this.answer.add(chunk)
     this.ports.metrics.chunks.inc({ verdict })
+    this.#record.added(verdict)
     if (verdict === 'taken') {
       this.head ??= head
       this.#lastPieceAttempt = chunk.attempt
@@ -552,6 +560,13 @@
     this.listeners.notify()
   }
 
+  /** Adds what follows the last event of an answer that is whole without it. */
+  #addRest (attempt: number, rest: P, head: AnswerHead | undefined): void {
+    const offset = this.answer.length
+    this.#addChunk({ attempt, offset, pieces: [rest] }, { head, version: this.#runningVersion })
+    this.answer.end(attempt, offset + 1)
+  }
+
   /**
    * Reports the first answer. The prediction excludes the endpoint's learnt slowness, which would hide a version that is slow at all of its
    * endpoints.
@@ -572,14 +587,16 @@
     this.onBegun()
   }
 
-  #onAttemptEnd (endpoint: EndpointId, attempt: number, end: { total: number, head: AnswerHead | undefined, endpointSeen: boolean, explicit: boolean }): void {
+  #onAttemptEnd (endpoint: EndpointId, attempt: number, end: { total: number, head: AnswerHead | undefined, endpointSeen: boolean, explicit: boolean, rest: P | undefined }): void {
     if (attempt !== this.lifecycle.attempt) return
     const fail = () => this.#onAttemptError(attempt, endpoint, new AttemptError('Cannot use answer: it is incomplete', { point: 'torn-answer' }))
     if (!this.#mayComplete(attempt, end.head)) return this.#rejectAnswer(attempt, endpoint)
     if (!end.explicit && this.mover?.holdsClose(fail)) return
     this.answer.end(attempt, end.total)
     if (!this.answer.whole) return fail()
+    if (end.rest !== undefined) this.#addRest(attempt, end.rest, end.head)
     this.#markBegun()
+    this.#record.ended(end.head)
     this.head ??= end.head
     this.ports.table.succeeded(endpoint)
     if (end.endpointSeen && (!this.head || this.head.status < FIRST_REDIRECT_STATUS)) this.#quarantine.answered(this.#runningVersion)
@@ -657,7 +674,7 @@
     this.#tracker.end()
     this.#backup?.tracker.end()
     this.lifecycle = { ...this.lifecycle, phase: 'done', outcome: final.outcome }
-    this.recordDecision('request-ended', requestEndedEvent(this, { final, pieces: this.#meter.pieces }))
+    this.recordDecision('request-ended', requestEndedEvent(this, { final, pieces: this.#meter.pieces, parts: this.#record.parts }))
     this.#meter.finished(final)
     this.mover?.ended(final.outcome === 'answered')
     this.onFinish()
