Log what a drain cuts, request by request

Cause: of a daemon that ends, the log has only how many requests it cut. Change: request-read-draining for each request that is read, connection-closed- draining for an answer that is not whole when its connection closes (by which side, phase, endpoint, pieces, bytes not sent), request-cut for each request that is open when the process ends; daemon-left has the counts. The log is flushed before the exit, as before.

--- a/daemon/exchange/exchange_server.ts
+++ b/daemon/exchange/exchange_server.ts
@@ -11,6 +11,7 @@
 import { BodyReader } from './body_reader.ts'
 import { refuse, writeExchange } from './exchange_writer.ts'
 import type { Intake } from './intake.ts'
+import { OpenExchanges, type DrainCounts } from './open_exchanges.ts'
 import { Refusal } from './refusal.ts'
 
 /** Options of {@linkcode ExchangeServer}. */
@@ -44,7 +45,7 @@
   readonly #guard: MemoryGuard
   readonly #bodies: BodyReader
   #limits = DEFAULT_LIMITS
-  #draining = false
+  readonly #exchanges = new OpenExchanges()
   #accepting = true
   /** Connections of this process to its own port, with what is called when they are accepted. */
   readonly #probes = new Map<Socket, () => void>()
@@ -61,7 +62,9 @@
   }
 
   /** Number of requests whose response is not finished. */
-  open = 0
+  get open (): number { return this.#exchanges.size }
+  /** Counts of requests since the drain began. */
+  get drained (): DrainCounts { return this.#exchanges.counts }
 
   /** Replaces the limits; open connections use the new ones from their next request on. */
   limit (limits: CallerLimits): void {
@@ -131,7 +134,12 @@
 
   /** Closes each connection after its current or next response. */
   startDraining (): void {
-    this.#draining = true
+    this.#exchanges.startDraining()
+  }
+
+  /** Logs each request that is still open when the process ends. */
+  logCut (): void {
+    this.#exchanges.logCut()
   }
 
   /** Stops accepting connections and closes idle ones. */
@@ -147,20 +155,20 @@
   }
 
   async #serve (req: IncomingMessage, res: ServerResponse): Promise<void> {
-    const arrivedAtMs = steadyNow()
-    this.open++
-    res.on('close', () => { this.open-- })
+    const exchange = this.#exchanges.add(req, res)
     // A response whose headers were sent before draining began carries no `Connection: close`.
-    res.on('finish', () => { if (this.#draining) req.socket.end() })
+    res.on('finish', () => { if (this.#exchanges.draining) this.#exchanges.endConnection(exchange.socket) })
     let facts: RequestHead | undefined
     try {
       checkHeaders(req, this.#limits.headerBytes)
       facts = this.#options.dialect.readRequest(req)
+      this.#exchanges.understood(exchange, facts)
       const { bytes: body, entry } = await this.#bodies.read(req, { limits: this.#limits, deadlineInMs: facts.deadlineInMs })
       res.on('close', () => entry?.close())
       if (res.destroyed) return entry?.close()
-      const task = await this.#options.intake.accept({ ...facts, body }, arrivedAtMs)
-      writeExchange(res, task, { guard: this.#guard, body: entry, closeConnection: () => this.#draining })
+      const task = await this.#options.intake.accept({ ...facts, body }, exchange.arrivedAtMs)
+      exchange.task = task
+      writeExchange(res, task, { guard: this.#guard, body: entry, closeConnection: () => this.#exchanges.draining })
       task.post({ type: 'begin' })
     } catch (err) {
       this.#refuse(req, res, { err, facts })
@@ -187,7 +195,7 @@
       bodyBytes: refusal.bodyBytes
     })
     // The unread rest of a body could not be told apart from the next request on the connection.
-    refuse(res, { status: refusal.status, retryAfterMs: refusal.retryAfterMs, why: refusal.message, closeConnection: this.#draining || !req.complete })
+    refuse(res, { status: refusal.status, retryAfterMs: refusal.retryAfterMs, why: refusal.message, closeConnection: this.#exchanges.draining || !req.complete })
   }
 
   /**
--- a/daemon/exchange/proxy_daemon.ts
+++ b/daemon/exchange/proxy_daemon.ts
@@ -160,7 +160,8 @@
     streamVersions.handOver()
     this.#stopTasks()
     await membership.leave(undefined)
-    log('daemon-left', { cut: server.open })
+    server.logCut()
+    log('daemon-left', { cut: server.open, ...server.drained })
   }
 
   #stopTasks (): void {
--- a/daemon/log/describe.ts
+++ b/daemon/log/describe.ts
@@ -1,5 +1,5 @@
 /** Human-readable descriptions of the decisions about a request. */
-import type { RequestEvents } from './events.ts'
+import type { CutExchange, RequestEvents } from './events.ts'
 
 type Describers = { [E in keyof RequestEvents]: (fields: RequestEvents[E]) => string }
 
@@ -7,6 +7,8 @@
 const configSuffix = (revision: number, ageMs: number | undefined) => `configuration ${revision}${ageMs === undefined ? ', never confirmed' : `, confirmed ${ms(ageMs)} before`}`
 const retryHint = (retryAfterMs: number | undefined) => (retryAfterMs === undefined || !Number.isFinite(retryAfterMs) ? '' : `; to come back in ${ms(retryAfterMs)}`)
 
+const cutSuffix = (f: CutExchange) => `${ms(f.sinceMs)} after the drain began: ${f.phase}${f.endpoint === undefined ? '' : ` at ${f.endpoint}`}, ${f.pieces} pieces, ${f.unsentBytes} bytes not sent`
+
 const DESCRIBERS: Describers = {
   'request-taken': (f) => `taken for ${f.account}: class ${f.class}, pool ${f.pool}, ${f.promptTokens} prompt tokens, ${ms(f.deadlineInMs)} left${f.fromPiece > 0 ? `, from piece ${f.fromPiece} of the stream that began as ${f.stream ?? 'an unnamed request'}` : ''} (${configSuffix(f.revision, f.revisionAgeMs)})`,
   'request-refused': (f) => `refused with ${f.status}: ${f.why}${retryHint(f.retryAfterMs)} (${configSuffix(f.revision, f.revisionAgeMs)})`,
@@ -30,6 +32,9 @@
   'export-failed': (f) => `export of the KV cache at ${f.endpoint} failed, planning again`,
   'stream-taken-over': (f) => `taken over at token ${f.fromPiece}${f.endpoint === undefined ? ', waiting for room' : ` on ${f.endpoint}`}`,
   'answer-evicted': (f) => `broken off, memory was short: its caller took nothing for ${ms(f.unreadMs)} and left ${f.bytes} bytes`,
+  'request-read-draining': (f) => `read ${ms(f.sinceMs)} after the drain began`,
+  'connection-closed-draining': (f) => `connection closed by the ${f.by} ${cutSuffix(f)}`,
+  'request-cut': (f) => `cut by the end of the process ${cutSuffix(f)}`,
   'request-ended': (f) => `${f.outcome}: ${f.why}${retryHint(f.retryAfterMs)}`
 }
 
--- a/daemon/log/events.ts
+++ b/daemon/log/events.ts
@@ -14,6 +14,16 @@
   revisionAgeMs: number | undefined
 }
 
+/** A request whose answer was not whole when its connection or the process ended. */
+export interface CutExchange {
+  phase: string
+  endpoint: string | undefined
+  pieces: number
+  afterMs: number
+  sinceMs: number
+  unsentBytes: number
+}
+
 /** Events about one request. */
 export interface RequestEvents {
   /** Accepted: route and account were found, and the account's quota allowed the request. `stream` is the request that brought the first event of the stream that the caller resumes. */
@@ -66,6 +76,15 @@
   'stream-taken-over': { endpoint?: string | undefined, fromPiece: number }
   /** Broken off since memory was short: the caller had not taken `bytes` of the answer and had visibly taken nothing for `unreadMs`. `heldBytes` is what is held for all. */
   'answer-evicted': { bytes: number, unreadMs: number, heldBytes: number }
+  /** Read from a caller `sinceMs` after this daemon began to drain. */
+  'request-read-draining': { sinceMs: number, deadlineInMs?: number | undefined }
+  /**
+   * The connection was closed before its answer was whole and handed to the system, `sinceMs` after this daemon began to drain; `by` is the side that closed or ended it first. `phase` is that
+   * of the request: `reading` and `admission` come before the others, `sending` after them. `unsentBytes` is what was not yet handed to the system.
+   */
+  'connection-closed-draining': CutExchange & { by: 'caller' | 'daemon' }
+  /** Still open when this daemon ends its process, `sinceMs` after it began to drain. */
+  'request-cut': CutExchange
   /** The final result. */
   'request-ended': { outcome: string, why: string, status?: number | undefined, retryAfterMs?: number | undefined, afterMs: number, firstPieceMs?: number | undefined, longestPauseMs?: number | undefined, pieces: number, attempts: number, deadlineMs: number }
 }
@@ -76,7 +95,8 @@
   /** CPU time of the whole process, and the work done in the same interval; messages are those between daemons. */
   'processor-time': { usedMs: number, spanMs: number, requests: number, attempts: number, pieces: number, messagesIn: number, messagesOut: number, memoryMb: number }
   'daemon-draining': { who: string, open: number }
-  'daemon-left': { cut: number, heir?: string | undefined }
+  /** `cut` is the number of requests that are still open; the other counts are of those since the drain began: read, and not answered whole because this daemon closed their connection. */
+  'daemon-left': { cut: number, heir?: string | undefined, read?: number, closed?: number, sinceMs?: number }
   'settings-read': { changed: readonly string[], needRestart: readonly string[] }
   'settings-refused': { problems: readonly string[] }
   /** `announcedAgeMs` is the time since a peer first announced the revision; undefined if none did. `era` is that of the store. */
@@ -202,7 +222,7 @@
 
 /** Events logged as warnings; the rate limit drops routine events before these. */
 export const WARNING_EVENTS: ReadonlySet<LogEvent> = new Set<LogEvent>([
-  'request-refused', 'request-broke', 'request-held', 'answer-evicted', 'memory-level', 'attempt-failed', 'export-failed', 'settings-refused', 'config-refused', 'config-outdated', 'config-not-fetched', 'store-lost', 'store-returned', 'relay-failed', 'region-link-lost',
+  'request-refused', 'request-broke', 'connection-closed-draining', 'request-cut', 'request-held', 'answer-evicted', 'memory-level', 'attempt-failed', 'export-failed', 'settings-refused', 'config-refused', 'config-outdated', 'config-not-fetched', 'store-lost', 'store-returned', 'relay-failed', 'region-link-lost',
   'connections-refused', 'peer-not-linked', 'peer-send-failed', 'peer-message-refused', 'not-registered', 'endpoint-refused', 'endpoint-crashed', 'request-quarantined', 'part-quarantined', 'quarantine-not-stored', 'endpoint-avoided', 'path-down', 'pool-cut-off', 'delegate-failed', 'endpoint-silent', 'endpoint-limit-refused', 'endpoint-signal-refused', 'keeper-silent', 'lease-call-failed',
   'usage-not-reported', 'usage-left-out', 'order-refused', 'rollout-held', 'rollout-refused', 'rollout-not-written', 'fleet-round-cut', 'answers-lost', 'lines-left-out'
 ])
