Drop requests that come on a connection which this daemon has ended

Cause: after the answer of a request whose head was sent before the drain, the daemon ends its side of the connection. The caller may send its next request before it sees that. It was read, passed on to an endpoint and run, and its answer could not be written: the caller had a closed connection. The same for a request that was taken behind another one on its connection and still ran when that one ended. Change: a connection ends after the answer to the newest request on it; from the moment at which that answer's head says so, or the connection is ended, further requests on it are dropped before anything is done with them, and logged.

--- a/daemon/exchange/exchange_server.ts
+++ b/daemon/exchange/exchange_server.ts
@@ -11,7 +11,7 @@
 import { BodyReader } from './body_reader.ts'
 import { refuse, writeExchange } from './exchange_writer.ts'
 import type { Intake } from './intake.ts'
-import { OpenExchanges, type DrainCounts } from './open_exchanges.ts'
+import { OpenExchanges, type DrainCounts, type Exchange } from './open_exchanges.ts'
 import { Refusal } from './refusal.ts'
 
 /** Options of {@linkcode ExchangeServer}. */
@@ -156,8 +156,7 @@
 
   async #serve (req: IncomingMessage, res: ServerResponse): Promise<void> {
     const exchange = this.#exchanges.add(req, res)
-    // A response whose headers were sent before draining began carries no `Connection: close`.
-    res.on('finish', () => { if (this.#exchanges.draining) this.#exchanges.endConnection(exchange.socket) })
+    if (!exchange) return this.#exchanges.drop(req, this.#idOf(req))
     let facts: RequestHead | undefined
     try {
       checkHeaders(req, this.#limits.headerBytes)
@@ -168,17 +167,26 @@
       if (res.destroyed) return entry?.close()
       const task = await this.#options.intake.accept({ ...facts, body }, exchange.arrivedAtMs)
       exchange.task = task
-      writeExchange(res, task, { guard: this.#guard, body: entry, closeConnection: () => this.#exchanges.draining })
+      writeExchange(res, task, { guard: this.#guard, body: entry, closeConnection: () => this.#exchanges.endsAfter(exchange) })
       task.post({ type: 'begin' })
     } catch (err) {
-      this.#refuse(req, res, { err, facts })
+      this.#refuse(exchange, { err, facts })
     }
   }
 
-  #refuse (req: IncomingMessage, res: ServerResponse, { err, facts }: { err: unknown, facts: RequestHead | undefined }): void {
+  #idOf (req: IncomingMessage): string {
+    try {
+      return this.#options.dialect.readRequest(req).id
+    } catch {
+      return 'unknown'
+    }
+  }
+
+  #refuse (exchange: Exchange, { err, facts }: { err: unknown, facts: RequestHead | undefined }): void {
+    const { req, res } = exchange
     // The caller disconnected while sending its body, so no response can reach it.
     if (res.destroyed || req.errored) return
-    if (!(err instanceof Refusal) && !(err instanceof BadRequestError)) return this.#failRequest(res, err as Error, facts)
+    if (!(err instanceof Refusal) && !(err instanceof BadRequestError)) return this.#failRequest(exchange, err as Error, facts)
     const refusal = err instanceof Refusal ? err : new Refusal(err.message, { status: 400 })
     this.#options.metrics.refused.inc({ status: String(refusal.status) })
     logRequest(facts?.id ?? 'unknown', 'request-refused', {
@@ -195,17 +203,18 @@
       bodyBytes: refusal.bodyBytes
     })
     // The unread rest of a body could not be told apart from the next request on the connection.
-    refuse(res, { status: refusal.status, retryAfterMs: refusal.retryAfterMs, why: refusal.message, closeConnection: this.#exchanges.draining || !req.complete })
+    refuse(res, { status: refusal.status, retryAfterMs: refusal.retryAfterMs, why: refusal.message, closeConnection: this.#exchanges.endsAfter(exchange, { required: this.#exchanges.draining || !req.complete }) })
   }
 
   /**
    * Answers 500 after an internal error. Rethrown, the error would end this process, and then each daemon to which the caller resends the
    * request.
    */
-  #failRequest (res: ServerResponse, err: Error, facts: RequestHead | undefined): void {
+  #failRequest (exchange: Exchange, err: Error, facts: RequestHead | undefined): void {
     logRequest(facts?.id ?? 'unknown', 'request-broke', { why: err.message, stack: err.stack })
+    const { res } = exchange
     if (res.headersSent) res.destroy()
-    else refuse(res, { status: INTERNAL_ERROR, retryAfterMs: undefined, why: 'Cannot take request: the daemon failed', closeConnection: true })
+    else refuse(res, { status: INTERNAL_ERROR, retryAfterMs: undefined, why: 'Cannot take request: the daemon failed', closeConnection: this.#exchanges.endsAfter(exchange, { required: true }) })
   }
 }
 
--- a/daemon/exchange/open_exchanges.ts
+++ b/daemon/exchange/open_exchanges.ts
@@ -1,4 +1,4 @@
-/** The requests that callers have sent and that are not answered yet. */
+/** The requests that callers have sent and that are not answered yet, by connection. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import { steadyNow } from '../../core/time/index.ts'
@@ -20,11 +20,13 @@
 /** Counts of requests since a drain began. */
 export interface DrainCounts { read: number, closed: number, sinceMs: number }
 
+/** `ending` is set once the connection ends after an answer that is being sent or was sent. */
+interface Connection { newest: Exchange | undefined, ending: boolean }
+
 /** Keeps the requests that are open, and reports what a drain does to them. */
 export class OpenExchanges {
   readonly #open = new Set<Exchange>()
-  /** Connections that this daemon has ended. */
-  readonly #ended = new WeakSet<Socket>()
+  readonly #connections = new WeakMap<Socket, Connection>()
   readonly #counts = { read: 0, closed: 0 }
   #drainingSinceMs: number | undefined
 
@@ -40,11 +42,16 @@
     this.#drainingSinceMs = steadyNow()
   }
 
-  /** Must be called for each request whose head was read. */
-  add (req: IncomingMessage, res: ServerResponse): Exchange {
+  /** Must be called for each request whose head was read. Returns undefined if its connection ends before it could be answered. */
+  add (req: IncomingMessage, res: ServerResponse): Exchange | undefined {
+    const connection = this.#connectionOf(req.socket)
+    if (connection.ending) return undefined
     const exchange: Exchange = { req, res, socket: req.socket, arrivedAtMs: steadyNow() }
+    connection.newest = exchange
     this.#open.add(exchange)
     res.on('close', () => this.#closed(exchange))
+    // A response whose headers were sent before draining began carries no `Connection: close`.
+    res.on('finish', () => { if (this.draining && connection.newest === exchange) this.#end(exchange.socket) })
     return exchange
   }
 
@@ -56,10 +63,21 @@
     logRequest(id, 'request-read-draining', { sinceMs: this.#sinceMs, deadlineInMs })
   }
 
-  /** Ends a connection once what was written is sent; what is still received is read. */
-  endConnection (socket: Socket): void {
-    this.#ended.add(socket)
-    socket.end()
+  /**
+   * Returns true if the connection is to end after the answer to this request, whose headers are written now; requests that come on it later are dropped. Those that came
+   * before are answered.
+   */
+  endsAfter (exchange: Exchange, { required = this.draining }: { required?: boolean } = {}): boolean {
+    const connection = this.#connectionOf(exchange.socket)
+    const ends = required && connection.newest === exchange
+    connection.ending ||= ends
+    return ends
+  }
+
+  /** Closes the connection of a request that {@linkcode OpenExchanges.add} has not taken, unless an answer is still being sent on it. */
+  drop (req: IncomingMessage, id: string): void {
+    logRequest(id, 'request-dropped', { sinceMs: this.#sinceMs })
+    if (!this.#connectionOf(req.socket).newest) req.socket.destroy()
   }
 
   /** Logs each request that is still open. */
@@ -67,11 +85,25 @@
     for (const exchange of this.#open) logRequest(exchange.id ?? 'unknown', 'request-cut', this.#describe(exchange))
   }
 
+  #connectionOf (socket: Socket): Connection {
+    let connection = this.#connections.get(socket)
+    if (!connection) this.#connections.set(socket, connection = { newest: undefined, ending: false })
+    return connection
+  }
+
+  /** The connection is still read, since a close with bytes unread would reset it and lose what the caller has not received yet. */
+  #end (socket: Socket): void {
+    this.#connectionOf(socket).ending = true
+    socket.end()
+  }
+
   #closed (exchange: Exchange): void {
     this.#open.delete(exchange)
     const { res, socket } = exchange
+    const connection = this.#connectionOf(socket)
+    if (connection.newest === exchange) connection.newest = undefined
     if (!this.draining || res.writableFinished) return
-    const by = !this.#ended.has(socket) && (socket.readableEnded || socket.errored) ? 'caller' : 'daemon'
+    const by = !connection.ending && (socket.readableEnded || socket.errored) ? 'caller' : 'daemon'
     if (by === 'daemon') this.#counts.closed++
     logRequest(exchange.id ?? 'unknown', 'connection-closed-draining', { ...this.#describe(exchange), by })
   }
--- a/daemon/log/describe.ts
+++ b/daemon/log/describe.ts
@@ -34,6 +34,7 @@
   'answer-evicted': (f) => `broken off, memory was short: its caller took nothing for ${ms(f.unreadMs)} and left ${f.bytes} bytes`,
   'request-read-draining': (f) => `read ${ms(f.sinceMs)} after the drain began`,
   'connection-closed-draining': (f) => `connection closed by the ${f.by} ${cutSuffix(f)}`,
+  'request-dropped': (f) => `dropped: its connection was ending ${ms(f.sinceMs)} after the drain began`,
   'request-cut': (f) => `cut by the end of the process ${cutSuffix(f)}`,
   'request-ended': (f) => `${f.outcome}: ${f.why}${retryHint(f.retryAfterMs)}`
 }
--- a/daemon/log/events.ts
+++ b/daemon/log/events.ts
@@ -83,6 +83,8 @@
    * of the request: `reading` and `admission` come before the others, `sending` after them. `unsentBytes` is what was not yet handed to the system.
    */
   'connection-closed-draining': CutExchange & { by: 'caller' | 'daemon' }
+  /** Read on a connection that this daemon was ending, so neither answered nor sent to an endpoint. */
+  'request-dropped': { sinceMs: number }
   /** Still open when this daemon ends its process, `sinceMs` after it began to drain. */
   'request-cut': CutExchange
   /** The final result. */
