Close only connections whose answers are sent when a drain stops listening

Cause: the runtime's close() destroys connections that it takes for idle, and takes those for idle whose answer was ended, sent or not: 2.6 s after SIGTERM a caller that reads late lost the rest of an answer that was whole here. Change: the drain closes the listening socket alone and then the connections whose requests are all answered and handed to the system. Header timeouts stay in force for the connections that are left.

--- a/daemon/exchange/exchange_server.ts
+++ b/daemon/exchange/exchange_server.ts
@@ -1,6 +1,6 @@
 /** HTTP server for callers whose requests are proxied unchanged. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import { connect, type AddressInfo, type Socket } from 'node:net'
+import { connect, Server as NetServer, type AddressInfo, type Socket } from 'node:net'
 import type { Acceptance } from '../../core/admission/index.ts'
 import type { CallerLimits } from '../../core/catalog/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
@@ -142,10 +142,11 @@
     this.#exchanges.logCut()
   }
 
-  /** Stops accepting connections and closes idle ones. */
+  /** Stops accepting connections and closes idle ones; those without a first request stay until the header timeout. */
   close (): void {
-    this.#server.close()
-    this.#server.closeIdleConnections()
+    // The HTTP server's own method also closes connections whose answer has ended but is not sent yet, and checks header timeouts no more.
+    NetServer.prototype.close.call(this.#server)
+    this.#exchanges.closeIdle()
   }
 
   /** Closes all connections at once. */
--- a/daemon/exchange/open_exchanges.ts
+++ b/daemon/exchange/open_exchanges.ts
@@ -20,13 +20,14 @@
 /** Counts of requests since a drain began. */
 export interface DrainCounts { read: number, closed: number, sinceMs: number }
 
-/** `ending` is set once the connection ends after an answer that is being sent or was sent. */
-interface Connection { newest: Exchange | undefined, ending: boolean }
+/** Requests of a connection that are open, in their order; `ending` is set once the connection ends after the answer to the last of them, or of those that were open. */
+interface Connection { open: Exchange[], ending: boolean }
 
 /** Keeps the requests that are open, and reports what a drain does to them. */
 export class OpenExchanges {
   readonly #open = new Set<Exchange>()
-  readonly #connections = new WeakMap<Socket, Connection>()
+  /** Connections on which a request has come. */
+  readonly #connections = new Map<Socket, Connection>()
   readonly #counts = { read: 0, closed: 0 }
   #drainingSinceMs: number | undefined
 
@@ -47,11 +48,11 @@
     const connection = this.#connectionOf(req.socket)
     if (connection.ending) return undefined
     const exchange: Exchange = { req, res, socket: req.socket, arrivedAtMs: steadyNow() }
-    connection.newest = exchange
+    connection.open.push(exchange)
     this.#open.add(exchange)
-    res.on('close', () => this.#closed(exchange))
+    res.on('close', () => this.#closed(exchange, connection))
     // A response whose headers were sent before draining began carries no `Connection: close`.
-    res.on('finish', () => { if (this.draining && connection.newest === exchange) this.#end(exchange.socket) })
+    res.on('finish', () => { if (this.draining && connection.open.at(-1) === exchange) this.#end(exchange.socket) })
     return exchange
   }
 
@@ -69,7 +70,7 @@
    */
   endsAfter (exchange: Exchange, { required = this.draining }: { required?: boolean } = {}): boolean {
     const connection = this.#connectionOf(exchange.socket)
-    const ends = required && connection.newest === exchange
+    const ends = required && connection.open.at(-1) === exchange
     connection.ending ||= ends
     return ends
   }
@@ -77,7 +78,12 @@
   /** Closes the connection of a request that {@linkcode OpenExchanges.add} has not taken, unless an answer is still being sent on it. */
   drop (req: IncomingMessage, id: string): void {
     logRequest(id, 'request-dropped', { sinceMs: this.#sinceMs })
-    if (!this.#connectionOf(req.socket).newest) req.socket.destroy()
+    if (this.#connectionOf(req.socket).open.length === 0) req.socket.destroy()
+  }
+
+  /** Closes the connections whose requests are all answered. */
+  closeIdle (): void {
+    for (const [socket, { open }] of this.#connections) if (open.length === 0) socket.destroy()
   }
 
   /** Logs each request that is still open. */
@@ -86,8 +92,15 @@
   }
 
   #connectionOf (socket: Socket): Connection {
-    let connection = this.#connections.get(socket)
-    if (!connection) this.#connections.set(socket, connection = { newest: undefined, ending: false })
+    const known = this.#connections.get(socket)
+    if (known) return known
+    const connection: Connection = { open: [], ending: false }
+    this.#connections.set(socket, connection)
+    socket.once('close', () => {
+      this.#connections.delete(socket)
+      // Responses that wait for another one on their connection get no event of their own.
+      for (const exchange of [...connection.open]) this.#closed(exchange, connection)
+    })
     return connection
   }
 
@@ -97,11 +110,10 @@
     socket.end()
   }
 
-  #closed (exchange: Exchange): void {
-    this.#open.delete(exchange)
+  #closed (exchange: Exchange, connection: Connection): void {
+    if (!this.#open.delete(exchange)) return
     const { res, socket } = exchange
-    const connection = this.#connectionOf(socket)
-    if (connection.newest === exchange) connection.newest = undefined
+    connection.open = connection.open.filter((other) => other !== exchange)
     if (!this.draining || res.writableFinished) return
     const by = !connection.ending && (socket.readableEnded || socket.errored) ? 'caller' : 'daemon'
     if (by === 'daemon') this.#counts.closed++
