Refuse what waits in a daemon when its grace period ends

Cause: at the end of a drain nothing answered requests that no endpoint had: those that wait for an endpoint, are being admitted or are not whole. Their connections were closed by the end of the process, which promises nothing, so that an unsafe call may not be repeated. Change: before the daemon leaves, each of them is answered 503 with Retry-After and Connection: close; a request that is admitted after that is given up unsent and its quota given back.

--- a/daemon/exchange/exchange_server.ts
+++ b/daemon/exchange/exchange_server.ts
@@ -27,6 +27,10 @@
 type RequestHead = ReturnType<ExchangeDialect['readRequest']>
 
 const INTERNAL_ERROR = 500
+/** Reason for refusing a request that a daemon which leaves cannot finish. */
+const LEAVING_REASON = 'this daemon leaves'
+/** `Retry-After` for such a request, in milliseconds: other daemons can take it at once. */
+const RETRY_AFTER_LEAVING_MS = 50
 /** Shortest time limit of a connection, in milliseconds. */
 const MIN_TIMEOUT_MS = 1
 /** Limits in force until a configuration is loaded. */
@@ -137,6 +141,18 @@
     this.#exchanges.startDraining()
   }
 
+  /** Refuses the requests that are not sent to an endpoint yet; each of them has not run and will not. */
+  refuseWaiting (): void {
+    for (const exchange of this.#exchanges.all) {
+      const { task, res, id } = exchange
+      if (task) {
+        if (task.state.phase === 'claiming' || task.state.phase === 'placing') task.post({ type: 'refused', reason: LEAVING_REASON, retryAfterMs: RETRY_AFTER_LEAVING_MS })
+      } else if (!res.writableEnded) {
+        this.#refuse(exchange, { err: new Refusal(LEAVING_REASON, { status: 503, retryAfterMs: RETRY_AFTER_LEAVING_MS }), id })
+      }
+    }
+  }
+
   /** Logs each request that is still open when the process ends. */
   logCut (): void {
     this.#exchanges.logCut()
@@ -165,13 +181,14 @@
       this.#exchanges.understood(exchange, facts)
       const { bytes: body, entry } = await this.#bodies.read(req, { limits: this.#limits, deadlineInMs: facts.deadlineInMs })
       res.on('close', () => entry?.close())
-      if (res.destroyed) return entry?.close()
+      if (res.destroyed || res.writableEnded) return entry?.close()
       const task = await this.#options.intake.accept({ ...facts, body }, exchange.arrivedAtMs)
       exchange.task = task
+      if (res.writableEnded) return task.post({ type: 'cancelled' })
       writeExchange(res, task, { guard: this.#guard, body: entry, closeConnection: () => this.#exchanges.endsAfter(exchange) })
       task.post({ type: 'begin' })
     } catch (err) {
-      this.#refuse(exchange, { err, facts })
+      this.#refuse(exchange, { err, facts, id: facts?.id })
     }
   }
 
@@ -183,14 +200,14 @@
     }
   }
 
-  #refuse (exchange: Exchange, { err, facts }: { err: unknown, facts: RequestHead | undefined }): void {
+  #refuse (exchange: Exchange, { err, facts, id = 'unknown' }: { err: unknown, facts?: RequestHead | undefined, id?: string | undefined }): void {
     const { req, res } = exchange
-    // The caller disconnected while sending its body, so no response can reach it.
-    if (res.destroyed || req.errored) return
+    // The caller disconnected while sending its body, so no response can reach it; or the request was refused before.
+    if (res.destroyed || res.writableEnded || req.errored) return
     if (!(err instanceof Refusal) && !(err instanceof BadRequestError)) return this.#failRequest(exchange, err as Error, facts)
     const refusal = err instanceof Refusal ? err : new Refusal(err.message, { status: 400 })
     this.#options.metrics.refused.inc({ status: String(refusal.status) })
-    logRequest(facts?.id ?? 'unknown', 'request-refused', {
+    logRequest(id, 'request-refused', {
       ...this.#options.intake.configState,
       status: refusal.status,
       why: refusal.message,
--- a/daemon/exchange/open_exchanges.ts
+++ b/daemon/exchange/open_exchanges.ts
@@ -86,6 +86,9 @@
     for (const [socket, { open }] of this.#connections) if (open.length === 0) socket.destroy()
   }
 
+  /** Requests that are open. */
+  get all (): Exchange[] { return [...this.#open] }
+
   /** Logs each request that is still open. */
   logCut (): void {
     for (const exchange of this.#open) logRequest(exchange.id ?? 'unknown', 'request-cut', this.#describe(exchange))
