Take no request while draining that is not expected to end in time

Cause: while it drains, a daemon took each request that came on an accepted connection. One that takes longer than what is left of the grace period was begun and cut at its end; one that runs once is lost by that. Change: a request is taken if its deadline lies before the end, or if nine in ten answers of its class (last 50) took no longer than what is left. Without known times it is taken while the balancer sends callers, not later.

--- a/daemon/exchange/exchange_server.ts
+++ b/daemon/exchange/exchange_server.ts
@@ -12,7 +12,7 @@
 import { refuse, writeExchange } from './exchange_writer.ts'
 import type { Intake } from './intake.ts'
 import { OpenExchanges, type DrainCounts, type Exchange } from './open_exchanges.ts'
-import { Refusal } from './refusal.ts'
+import { LEAVING_REASON, Refusal, RETRY_AFTER_LEAVING_MS } from './refusal.ts'
 
 /** Options of {@linkcode ExchangeServer}. */
 export interface ExchangeServerOptions {
@@ -27,10 +27,6 @@
 type RequestHead = ReturnType<ExchangeDialect['readRequest']>
 
 const INTERNAL_ERROR = 500
-/** Reason for refusing a request that a daemon which leaves cannot finish. */
-const LEAVING_REASON = 'this daemon leaves'
-/** `Retry-After` for such a request, in milliseconds: other daemons can take it at once. */
-const RETRY_AFTER_LEAVING_MS = 50
 /** Shortest time limit of a connection, in milliseconds. */
 const MIN_TIMEOUT_MS = 1
 /** Limits in force until a configuration is loaded. */
--- a/daemon/exchange/intake.ts
+++ b/daemon/exchange/intake.ts
@@ -1,4 +1,5 @@
 /** Admission of proxied requests: finds route and account, charges the quota and creates the request's task. */
+import { DrainAdmission, type DrainTimes } from '../../core/admission/index.ts'
 import type { Account, Accounts, Pool, PoolShare, Route, RouteTable, UrgencyClassifier } from '../../core/catalog/index.ts'
 import { as, type AccountId, type DaemonId, type Fingerprint, type PoolName, type StreamKey } from '../../core/ids/index.ts'
 import { fingerprintOf, type Hash64 } from '../../core/quarantine/index.ts'
@@ -19,7 +20,7 @@
 import type { OrderTask } from '../duties/order_task.ts'
 import type { UsageTask } from '../duties/usage_task.ts'
 import type { AccountLimits, Charge } from '../limits/account_limits.ts'
-import { Refusal } from './refusal.ts'
+import { LEAVING_REASON, Refusal, RETRY_AFTER_LEAVING_MS } from './refusal.ts'
 import type { AdmittedStream, StreamAdmission } from './stream_admission.ts'
 
 /** The catalog in force, indexed for lookup. */
@@ -94,6 +95,7 @@
   readonly #open = new Set<RequestTask<Buffer>>()
   /** The open request of each stream. */
   readonly #streams = new Map<StreamKey, RequestTask<Buffer>>()
+  readonly #drain = new DrainAdmission()
 
   constructor (options: IntakeOptions) {
     this.#options = options
@@ -104,6 +106,11 @@
     this.#streams.get(key)?.post({ type: 'cancelled' })
   }
 
+  /** Refuses from now on what is not expected to end in time. */
+  startDraining (times: DrainTimes): void {
+    this.#drain.startDraining(times)
+  }
+
   /** Tasks that are not finished. */
   get open (): Iterable<RequestTask<Buffer>> { return this.#open }
 
@@ -117,6 +124,7 @@
     // A daemon that starts must not send what crashed endpoints before.
     if (req.demand) await this.#options.restored?.()
     const admission = this.authorize(req)
+    this.#refuseIfLeaving(req, admission, arrivedAtMs)
     const catalog = this.#options.catalog()
     const stream = await this.#options.streams.admit(req, admission)
     // The account may have been removed meanwhile, and with it its quota.
@@ -136,7 +144,7 @@
       ...this.#taskOptions(admitted, { cls, pool }),
       boundTo: stream?.boundTo,
       delegate: (to, spec, sink) => this.#options.delegate(to, { ...spec, req: admitted, pool }, sink),
-      deadlineInMs: Math.max(0, Math.min(req.deadlineInMs ?? Infinity, cls.latency.deadlineMs) - (steadyNow() - arrivedAtMs))
+      deadlineInMs: Math.max(0, timeLimitMs(req, cls) - (steadyNow() - arrivedAtMs))
     })
     task.recordDecision('request-taken', {
       ...this.configState,
@@ -156,6 +164,7 @@
       this.#open.delete(task)
       if (stream && this.#streams.get(stream.key) === task) this.#streams.delete(stream.key)
       if (task.final?.outcome === 'not-run') charge?.giveBack()
+      if (task.final?.outcome === 'answered') this.#drain.answered(cls.name, steadyNow() - arrivedAtMs)
     }
     if (account) this.#recordUsageOnStart(task, account.id)
     return task
@@ -184,6 +193,12 @@
     return task
   }
 
+  #refuseIfLeaving (req: ProxiedRequest, { route: { cls }, account }: { route: Route, account: Account | undefined }, arrivedAtMs: number): void {
+    const now = steadyNow()
+    const deadlineInMs = timeLimitMs(req, cls) - (now - arrivedAtMs)
+    if (!this.#drain.admits(cls.name, { deadlineInMs, now })) throw new Refusal(LEAVING_REASON, { status: 503, retryAfterMs: RETRY_AFTER_LEAVING_MS, cls: cls.name, ...(account && { account: account.id }) })
+  }
+
   #follow (stream: AdmittedStream, task: RequestTask<Buffer>): void {
     if (stream.boundTo) this.streamResumed(stream.key)
     this.#streams.set(stream.key, task)
@@ -245,6 +260,11 @@
   return accounts !== undefined && !anonymous
 }
 
+/** Time that a request has from its arrival, in milliseconds. */
+function timeLimitMs (req: Pick<ProxiedRequest, 'deadlineInMs'>, { latency }: Route['cls']): number {
+  return Math.min(req.deadlineInMs ?? Infinity, latency.deadlineMs)
+}
+
 function pathOf ({ target }: Pick<ProxiedRequest, 'target'>): string {
   return target.split('?', 1)[0]!
 }
--- a/daemon/exchange/proxy_daemon.ts
+++ b/daemon/exchange/proxy_daemon.ts
@@ -131,11 +131,12 @@
    * while; then accepts no new connections; then waits for open requests until the grace period ends.
    */
   async #drain (): Promise<void> {
-    const { settings, server, readiness, monitor, lease, usage, orders, rollouts, membership, delegateServer } = this.#components
+    const { settings, server, intake, readiness, monitor, lease, usage, orders, rollouts, membership, delegateServer } = this.#components
     const endsAtMs = steadyNow() + settings.graceMs - LEAVE_RESERVE_MS
     log('daemon-draining', { who: 'signal', open: server.open })
     membership.setSelf({ state: 'draining' })
     server.startDraining()
+    intake.startDraining({ listensUntilMs: steadyNow() + READINESS_PROPAGATION_MS, endsAtMs })
     delegateServer.startDraining()
     usage.stop()
     orders.stop()
--- a/daemon/exchange/refusal.ts
+++ b/daemon/exchange/refusal.ts
@@ -1,5 +1,10 @@
 /** Errors for requests that are refused before any endpoint receives them. */
 
+/** Reason for refusing a request that a daemon which leaves cannot finish. */
+export const LEAVING_REASON = 'this daemon leaves'
+/** `Retry-After` for such a request, in milliseconds: other daemons can take it at once. */
+export const RETRY_AFTER_LEAVING_MS = 50
+
 /** Options of {@linkcode Refusal}. */
 export interface RefusalOptions {
   status: 400 | 401 | 404 | 408 | 413 | 429 | 431 | 503
