Leave within the grace period whether or not the store answers

Cause: leaving waited for the store for up to 1.5 s where 0.5 s were left; the process was killed before it logged what it cut. Change: leaving is not waited for in the last 150 ms of the grace period, which are for the log and the exit.

--- a/daemon/exchange/proxy_daemon.ts
+++ b/daemon/exchange/proxy_daemon.ts
@@ -23,6 +23,8 @@
 const READINESS_PROPAGATION_MS = 2600
 /** Time reserved at the end of the grace period for leaving the membership, in milliseconds. */
 const LEAVE_RESERVE_MS = 500
+/** Time reserved after that for writing the log, in milliseconds. */
+const EXIT_RESERVE_MS = 150
 const DRAIN_POLL_MS = 20
 /** Settings that can change without a restart, because they are read at each use or applied by {@linkcode ProxyDaemon.reconfigure}. */
 const RELOADABLE_SETTINGS: ReadonlySet<keyof ProxySettings> = new Set(['seeds', 'graceMs', 'quota', 'repeats'] as const)
@@ -151,17 +153,18 @@
     if (server.open === 0) server.kill()
     // Actions that the release waits for, or the store, may take longer than the grace period; this daemon does not act as the holder meanwhile.
     await Promise.race([released, delay(Math.max(0, endsAtMs - steadyNow()))])
-    await this.#leave()
+    await this.#leave(endsAtMs + LEAVE_RESERVE_MS - EXIT_RESERVE_MS)
     readiness.close()
     monitor.close()
     this.#resolveLeft()
   }
 
-  async #leave (): Promise<void> {
+  /** Leaves the membership; not waited for beyond `untilMs`, since the store may not answer. */
+  async #leave (untilMs: number): Promise<void> {
     const { membership, server, streamVersions } = this.#components
     streamVersions.handOver()
     this.#stopTasks()
-    await membership.leave(undefined)
+    await Promise.race([membership.leave(undefined), delay(Math.max(0, untilMs - steadyNow()))])
     server.logCut()
     log('daemon-left', { cut: server.open, ...server.drained })
   }
