--- a/daemon/exchange/exchange_server.ts
+++ b/daemon/exchange/exchange_server.ts
@@ -1,6 +1,6 @@
 /** HTTP server for callers whose requests are proxied unchanged. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import { connect, type AddressInfo, type Socket } from 'node:net'
+import { connect, Server as NetServer, type AddressInfo, type Socket } from 'node:net'
 import type { Acceptance } from '../../core/admission/index.ts'
 import type { CallerLimits } from '../../core/catalog/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
@@ -11,7 +11,8 @@
 import { BodyReader } from './body_reader.ts'
 import { refuse, writeExchange } from './exchange_writer.ts'
 import type { Intake } from './intake.ts'
-import { Refusal } from './refusal.ts'
+import { OpenExchanges, type DrainCounts, type Exchange } from './open_exchanges.ts'
+import { LEAVING_REASON, Refusal, RETRY_AFTER_LEAVING_MS } from './refusal.ts'
 
 /** Options of {@linkcode ExchangeServer}. */
 export interface ExchangeServerOptions {
@@ -44,7 +45,7 @@
   readonly #guard: MemoryGuard
   readonly #bodies: BodyReader
   #limits = DEFAULT_LIMITS
-  #draining = false
+  readonly #exchanges = new OpenExchanges()
   #accepting = true
   /** Connections of this process to its own port, with what is called when they are accepted. */
   readonly #probes = new Map<Socket, () => void>()
@@ -61,7 +62,9 @@
   }
 
   /** Number of requests whose response is not finished. */
-  open = 0
+  get open (): number { return this.#exchanges.size }
+  /** Counts of requests since the drain began. */
+  get drained (): DrainCounts { return this.#exchanges.counts }
 
   /** Replaces the limits; open connections use the new ones from their next request on. */
   limit (limits: CallerLimits): void {
@@ -131,13 +134,31 @@
 
   /** Closes each connection after its current or next response. */
   startDraining (): void {
-    this.#draining = true
+    this.#exchanges.startDraining()
   }
 
-  /** Stops accepting connections and closes idle ones. */
+  /** Refuses the requests that are not sent to an endpoint yet; each of them has not run and will not. */
+  refuseWaiting (): void {
+    for (const exchange of this.#exchanges.all) {
+      const { task, res, id } = exchange
+      if (task) {
+        if (task.state.phase === 'claiming' || task.state.phase === 'placing') task.post({ type: 'refused', reason: LEAVING_REASON, retryAfterMs: RETRY_AFTER_LEAVING_MS })
+      } else if (!res.writableEnded) {
+        this.#refuse(exchange, { err: new Refusal(LEAVING_REASON, { status: 503, retryAfterMs: RETRY_AFTER_LEAVING_MS }), id })
+      }
+    }
+  }
+
+  /** Logs each request that is still open when the process ends. */
+  logCut (): void {
+    this.#exchanges.logCut()
+  }
+
+  /** Stops accepting connections and closes idle ones; those without a first request stay until the header timeout. */
   close (): void {
-    this.#server.close()
-    this.#server.closeIdleConnections()
+    // The HTTP server's own method also closes connections whose answer has ended but is not sent yet, and checks header timeouts no more.
+    NetServer.prototype.close.call(this.#server)
+    this.#exchanges.closeIdle()
   }
 
   /** Closes all connections at once. */
@@ -147,33 +168,42 @@
   }
 
   async #serve (req: IncomingMessage, res: ServerResponse): Promise<void> {
-    const arrivedAtMs = steadyNow()
-    this.open++
-    res.on('close', () => { this.open-- })
-    // A response whose headers were sent before draining began carries no `Connection: close`.
-    res.on('finish', () => { if (this.#draining) req.socket.end() })
+    const exchange = this.#exchanges.add(req, res)
+    if (!exchange) return this.#exchanges.drop(req, this.#idOf(req))
     let facts: RequestHead | undefined
     try {
       checkHeaders(req, this.#limits.headerBytes)
       facts = this.#options.dialect.readRequest(req)
+      this.#exchanges.understood(exchange, facts)
       const { bytes: body, entry } = await this.#bodies.read(req, { limits: this.#limits, deadlineInMs: facts.deadlineInMs })
       res.on('close', () => entry?.close())
-      if (res.destroyed) return entry?.close()
-      const task = await this.#options.intake.accept({ ...facts, body }, arrivedAtMs)
-      writeExchange(res, task, { guard: this.#guard, body: entry, closeConnection: () => this.#draining })
+      if (res.destroyed || res.writableEnded) return entry?.close()
+      const task = await this.#options.intake.accept({ ...facts, body }, exchange.arrivedAtMs)
+      exchange.task = task
+      if (res.writableEnded) return task.post({ type: 'cancelled' })
+      writeExchange(res, task, { guard: this.#guard, body: entry, closeConnection: () => this.#exchanges.endsAfter(exchange) })
       task.post({ type: 'begin' })
     } catch (err) {
-      this.#refuse(req, res, { err, facts })
+      this.#refuse(exchange, { err, facts, id: facts?.id })
+    }
+  }
+
+  #idOf (req: IncomingMessage): string {
+    try {
+      return this.#options.dialect.readRequest(req).id
+    } catch {
+      return 'unknown'
     }
   }
 
-  #refuse (req: IncomingMessage, res: ServerResponse, { err, facts }: { err: unknown, facts: RequestHead | undefined }): void {
-    // The caller disconnected while sending its body, so no response can reach it.
-    if (res.destroyed || req.errored) return
-    if (!(err instanceof Refusal) && !(err instanceof BadRequestError)) return this.#failRequest(res, err as Error, facts)
+  #refuse (exchange: Exchange, { err, facts, id = 'unknown' }: { err: unknown, facts?: RequestHead | undefined, id?: string | undefined }): void {
+    const { req, res } = exchange
+    // The caller disconnected while sending its body, so no response can reach it; or the request was refused before.
+    if (res.destroyed || res.writableEnded || req.errored) return
+    if (!(err instanceof Refusal) && !(err instanceof BadRequestError)) return this.#failRequest(exchange, err as Error, facts)
     const refusal = err instanceof Refusal ? err : new Refusal(err.message, { status: 400 })
     this.#options.metrics.refused.inc({ status: String(refusal.status) })
-    logRequest(facts?.id ?? 'unknown', 'request-refused', {
+    logRequest(id, 'request-refused', {
       ...this.#options.intake.configState,
       status: refusal.status,
       why: refusal.message,
@@ -187,17 +217,18 @@
       bodyBytes: refusal.bodyBytes
     })
     // The unread rest of a body could not be told apart from the next request on the connection.
-    refuse(res, { status: refusal.status, retryAfterMs: refusal.retryAfterMs, why: refusal.message, closeConnection: this.#draining || !req.complete })
+    refuse(res, { status: refusal.status, retryAfterMs: refusal.retryAfterMs, why: refusal.message, closeConnection: this.#exchanges.endsAfter(exchange, { required: this.#exchanges.draining || !req.complete }) })
   }
 
   /**
    * Answers 500 after an internal error. Rethrown, the error would end this process, and then each daemon to which the caller resends the
    * request.
    */
-  #failRequest (res: ServerResponse, err: Error, facts: RequestHead | undefined): void {
+  #failRequest (exchange: Exchange, err: Error, facts: RequestHead | undefined): void {
     logRequest(facts?.id ?? 'unknown', 'request-broke', { why: err.message, stack: err.stack })
+    const { res } = exchange
     if (res.headersSent) res.destroy()
-    else refuse(res, { status: INTERNAL_ERROR, retryAfterMs: undefined, why: 'Cannot take request: the daemon failed', closeConnection: true })
+    else refuse(res, { status: INTERNAL_ERROR, retryAfterMs: undefined, why: 'Cannot take request: the daemon failed', closeConnection: this.#exchanges.endsAfter(exchange, { required: true }) })
   }
 }
 
--- /dev/null
+++ b/daemon/exchange/open_exchanges.ts
@@ -0,0 +1,136 @@
+/** The requests that callers have sent and that are not answered yet, by connection. */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
+import { steadyNow } from '../../core/time/index.ts'
+import { logRequest, type CutExchange } from '../log/index.ts'
+import type { RequestTask } from '../request/request_task.ts'
+
+/** A request that was read, and the response to it. */
+export interface Exchange {
+  readonly req: IncomingMessage
+  readonly res: ServerResponse
+  readonly socket: Socket
+  readonly arrivedAtMs: number
+  /** Undefined until its head is understood. */
+  id?: string
+  /** Undefined until it is accepted. */
+  task?: RequestTask<Buffer>
+}
+
+/** Counts of requests since a drain began. */
+export interface DrainCounts { read: number, closed: number, sinceMs: number }
+
+/** Requests of a connection that are open, in their order; `ending` is set once the connection ends after the answer to the last of them, or of those that were open. */
+interface Connection { open: Exchange[], ending: boolean }
+
+/** Keeps the requests that are open, and reports what a drain does to them. */
+export class OpenExchanges {
+  readonly #open = new Set<Exchange>()
+  /** Connections on which a request has come. */
+  readonly #connections = new Map<Socket, Connection>()
+  readonly #counts = { read: 0, closed: 0 }
+  #drainingSinceMs: number | undefined
+
+  /** Number of requests whose response is not finished. */
+  get size (): number { return this.#open.size }
+  get draining (): boolean { return this.#drainingSinceMs !== undefined }
+  get counts (): DrainCounts { return { ...this.#counts, sinceMs: this.#sinceMs } }
+
+  get #sinceMs (): number { return Math.round(steadyNow() - (this.#drainingSinceMs ?? steadyNow())) }
+
+  /** Must be called once, when the drain begins. */
+  startDraining (): void {
+    this.#drainingSinceMs = steadyNow()
+  }
+
+  /** Must be called for each request whose head was read. Returns undefined if its connection ends before it could be answered. */
+  add (req: IncomingMessage, res: ServerResponse): Exchange | undefined {
+    const connection = this.#connectionOf(req.socket)
+    if (connection.ending) return undefined
+    const exchange: Exchange = { req, res, socket: req.socket, arrivedAtMs: steadyNow() }
+    connection.open.push(exchange)
+    this.#open.add(exchange)
+    res.on('close', () => this.#closed(exchange, connection))
+    // A response whose headers were sent before draining began carries no `Connection: close`.
+    res.on('finish', () => { if (this.draining && connection.open.at(-1) === exchange) this.#end(exchange.socket) })
+    return exchange
+  }
+
+  /** Must be called once the head of a request is understood. */
+  understood (exchange: Exchange, { id, deadlineInMs }: { id: string, deadlineInMs: number | undefined }): void {
+    exchange.id = id
+    if (!this.draining) return
+    this.#counts.read++
+    logRequest(id, 'request-read-draining', { sinceMs: this.#sinceMs, deadlineInMs })
+  }
+
+  /**
+   * Returns true if the connection is to end after the answer to this request, whose headers are written now; requests that come on it later are dropped. Those that came
+   * before are answered.
+   */
+  endsAfter (exchange: Exchange, { required = this.draining }: { required?: boolean } = {}): boolean {
+    const connection = this.#connectionOf(exchange.socket)
+    const ends = required && connection.open.at(-1) === exchange
+    connection.ending ||= ends
+    return ends
+  }
+
+  /** Closes the connection of a request that {@linkcode OpenExchanges.add} has not taken, unless an answer is still being sent on it. */
+  drop (req: IncomingMessage, id: string): void {
+    logRequest(id, 'request-dropped', { sinceMs: this.#sinceMs })
+    if (this.#connectionOf(req.socket).open.length === 0) req.socket.destroy()
+  }
+
+  /** Closes the connections whose requests are all answered. */
+  closeIdle (): void {
+    for (const [socket, { open }] of this.#connections) if (open.length === 0) socket.destroy()
+  }
+
+  /** Requests that are open. */
+  get all (): Exchange[] { return [...this.#open] }
+
+  /** Logs each request that is still open. */
+  logCut (): void {
+    for (const exchange of this.#open) logRequest(exchange.id ?? 'unknown', 'request-cut', this.#describe(exchange))
+  }
+
+  #connectionOf (socket: Socket): Connection {
+    const known = this.#connections.get(socket)
+    if (known) return known
+    const connection: Connection = { open: [], ending: false }
+    this.#connections.set(socket, connection)
+    socket.once('close', () => {
+      this.#connections.delete(socket)
+      // Responses that wait for another one on their connection get no event of their own.
+      for (const exchange of [...connection.open]) this.#closed(exchange, connection)
+    })
+    return connection
+  }
+
+  /** The connection is still read, since a close with bytes unread would reset it and lose what the caller has not received yet. */
+  #end (socket: Socket): void {
+    this.#connectionOf(socket).ending = true
+    socket.end()
+  }
+
+  #closed (exchange: Exchange, connection: Connection): void {
+    if (!this.#open.delete(exchange)) return
+    const { res, socket } = exchange
+    connection.open = connection.open.filter((other) => other !== exchange)
+    if (!this.draining || res.writableFinished) return
+    const by = !connection.ending && (socket.readableEnded || socket.errored) ? 'caller' : 'daemon'
+    if (by === 'daemon') this.#counts.closed++
+    logRequest(exchange.id ?? 'unknown', 'connection-closed-draining', { ...this.#describe(exchange), by })
+  }
+
+  #describe ({ id, task, arrivedAtMs, res }: Exchange): CutExchange {
+    return {
+      phase: task ? (task.final ? 'sending' : task.state.phase) : id === undefined ? 'reading' : 'admission',
+      endpoint: task?.runningAt,
+      pieces: task?.answer.length ?? 0,
+      afterMs: Math.round(steadyNow() - arrivedAtMs),
+      sinceMs: this.#sinceMs,
+      unsentBytes: res.writableLength
+    }
+  }
+}
--- a/daemon/exchange/proxy_daemon.ts
+++ b/daemon/exchange/proxy_daemon.ts
@@ -23,6 +23,8 @@
 const READINESS_PROPAGATION_MS = 2600
 /** Time reserved at the end of the grace period for leaving the membership, in milliseconds. */
 const LEAVE_RESERVE_MS = 500
+/** Time reserved after that for writing the log, in milliseconds. */
+const EXIT_RESERVE_MS = 150
 const DRAIN_POLL_MS = 20
 /** Settings that can change without a restart, because they are read at each use or applied by {@linkcode ProxyDaemon.reconfigure}. */
 const RELOADABLE_SETTINGS: ReadonlySet<keyof ProxySettings> = new Set(['seeds', 'graceMs', 'quota', 'repeats'] as const)
@@ -131,11 +133,12 @@
    * while; then accepts no new connections; then waits for open requests until the grace period ends.
    */
   async #drain (): Promise<void> {
-    const { settings, server, readiness, monitor, lease, usage, orders, rollouts, membership, delegateServer } = this.#components
+    const { settings, server, intake, readiness, monitor, lease, usage, orders, rollouts, membership, delegateServer } = this.#components
     const endsAtMs = steadyNow() + settings.graceMs - LEAVE_RESERVE_MS
     log('daemon-draining', { who: 'signal', open: server.open })
     membership.setSelf({ state: 'draining' })
     server.startDraining()
+    intake.startDraining({ listensUntilMs: steadyNow() + READINESS_PROPAGATION_MS, endsAtMs })
     delegateServer.startDraining()
     usage.stop()
     orders.stop()
@@ -145,22 +148,25 @@
     server.close()
     do await delay(DRAIN_POLL_MS)
     while (server.open + delegateServer.open > 0 && steadyNow() < endsAtMs)
+    server.refuseWaiting()
     // A connection that was accepted before may still bring a request, which this daemon could not finish.
     if (server.open === 0) server.kill()
     // Actions that the release waits for, or the store, may take longer than the grace period; this daemon does not act as the holder meanwhile.
     await Promise.race([released, delay(Math.max(0, endsAtMs - steadyNow()))])
-    await this.#leave()
+    await this.#leave(endsAtMs + LEAVE_RESERVE_MS - EXIT_RESERVE_MS)
     readiness.close()
     monitor.close()
     this.#resolveLeft()
   }
 
-  async #leave (): Promise<void> {
+  /** Leaves the membership; not waited for beyond `untilMs`, since the store may not answer. */
+  async #leave (untilMs: number): Promise<void> {
     const { membership, server, streamVersions } = this.#components
     streamVersions.handOver()
     this.#stopTasks()
-    await membership.leave(undefined)
-    log('daemon-left', { cut: server.open })
+    await Promise.race([membership.leave(undefined), delay(Math.max(0, untilMs - steadyNow()))])
+    server.logCut()
+    log('daemon-left', { cut: server.open, ...server.drained })
   }
 
   #stopTasks (): void {
