Let a silent request wait for another endpoint beside its attempt

What callers could see: while requests waited for room in a pool, a request at an endpoint that never answers got no other one, until its deadline.

Cause: every check of a silent request looked through all endpoints, and gave up while anybody waited.

Change: Dispatcher.startOnceRoom keeps the request beside its attempt and starts it when an endpoint has room, ahead of the queue, eight at a time; it is withdrawn when the attempt goes on, fails or ends. Where an attempt would be given up (canStartNow), only the endpoints that this daemon connects to are looked at. The property test draws max_attempts from 1 to 3 and asks canMove before a move, as callers do.

--- a/core/request/lifecycle_test.ts
+++ b/core/request/lifecycle_test.ts
@@ -218,7 +218,6 @@
 
 test('whatever happens to an attempt and its backup, one of them answers, none is left running, and none is one too many', () => {
   // Guards against attempts that run on unseen, and against more of them than the route allows.
-  const MAX_ATTEMPTS = 3
   const C = as<EndpointId>('c')
   const attempt = fc.integer({ min: 1, max: 4 })
   const msg = fc.oneof(
@@ -228,12 +227,13 @@
     fc.record({ type: fc.constant('answering' as const), attempt }),
     fc.record({ type: fc.constant('ended' as const), attempt })
   )
-  fc.assert(fc.property(fc.array(msg, { maxLength: 25 }), (msgs) => {
-    let state = newRequest({ ...TRAITS, idempotent: true, maxAttempts: MAX_ATTEMPTS, cancelOnLeave: true })
+  fc.assert(fc.property(fc.array(msg, { maxLength: 25 }), fc.integer({ min: 1, max: 3 }), (msgs, maxAttempts) => {
+    let state = newRequest({ ...TRAITS, idempotent: true, maxAttempts, cancelOnLeave: true })
     const running = new Set<number>()
     let finished = 0
     for (const each of msgs) {
       const before = state
+      if ((each.type === 'hold' || each.type === 'move') && !canMove(state)) continue
       const next = step(state, each, 0)
       state = next.state
       const ends = (each.type === 'failed' && each.attempt === before.backup?.attempt) || ((each.type === 'failed' || each.type === 'ended') && each.attempt === before.attempt)
@@ -245,7 +245,7 @@
       }
       const expected = state.phase === 'running' ? [state.attempt, ...state.backup ? [state.backup.attempt] : []] : []
       expect([...running].sort()).toEqual(expected.sort())
-      expect(state.sent + running.size).toBeLessThanOrEqual(MAX_ATTEMPTS)
+      expect(state.sent + running.size).toBeLessThanOrEqual(maxAttempts)
     }
     expect(finished).toBe(state.phase === 'done' ? 1 : 0)
   }), { seed: 72, numRuns: 5000 })
--- a/daemon/request/dispatcher.ts
+++ b/daemon/request/dispatcher.ts
@@ -46,6 +46,8 @@
 const SWEEP_MS = 250
 /** Waiting requests of a pool that are tried in other regions at once. */
 const MAX_SPILL_TRIES = 8
+/** Requests with silent attempts that are tried at once. */
+const MAX_STALLED_TRIES = 8
 /** Delay after which callers return that are refused because no endpoint can be reached, in milliseconds. */
 const CUT_OFF_RETRY_AFTER_MS = 1000
 /** Reason for refusing a request of a pool of which no endpoint can be reached. */
@@ -78,6 +80,8 @@
   readonly #pools = new Map<string, PoolState>()
   /** Requests that have asked whether they may go to an endpoint with a limit. */
   readonly #asking = new Set<Placement>()
+  /** Requests that have a silent attempt and start another one once an endpoint can take them. */
+  readonly #stalled = new Set<Placement>()
   #sweepTimer: NodeJS.Timeout | undefined
 
   constructor (options: DispatcherOptions) {
@@ -124,13 +128,26 @@
     const now = steadyNow()
     const { limits, regions } = this.#options
     const mayCross = !regions || regions.mayCross(placement)
-    return this.#endpointsFor(placement).usable.some((view) => availableAtMs(view) <= now && !placement.avoid.includes(view.id) && (mayCross || regions.isLocal(view)) && limits?.mayStart(view) !== false && this.#canStart(view, placement, now))
+    return this.#endpointsFor(placement).connected.some((view) => availableAtMs(view) <= now && !placement.avoid.includes(view.id) && (mayCross || regions.isLocal(view)) && limits?.mayStart(view) !== false && this.#canStart(view, placement, now))
   }
 
-  /** Sends a request to an endpoint that can take it now; it is neither queued nor refused. Returns false if there is none. */
-  startNow (placement: Placement): boolean {
-    const pool = this.#poolState(placement)
-    return this.#wayFor(placement).type === 'direct' && pool.queue.length === 0 && this.#start(placement, pool, { mayAsk: false })
+  /** Sends a request to an endpoint once one can take it, ahead of those that wait: it has an attempt whose endpoint is silent. It is not refused; {@linkcode Dispatcher.remove} ends it. */
+  startOnceRoom (placement: Placement): void {
+    if (this.#startDirect(placement)) return
+    this.#stalled.add(placement)
+    this.#scheduleSweep()
+  }
+
+  #startDirect (placement: Placement): boolean {
+    return this.#wayFor(placement).type === 'direct' && this.#start(placement, this.#poolState(placement), { mayAsk: false })
+  }
+
+  /** Tries a few of the requests whose endpoints are silent, others the next time. */
+  #startStalled (): void {
+    for (const placement of [...this.#stalled].slice(0, MAX_STALLED_TRIES)) {
+      this.#stalled.delete(placement)
+      if (!this.#startDirect(placement)) this.#stalled.add(placement)
+    }
   }
 
   #wayFor ({ pool, cls, delegated, avoidDelegates = [] }: Placement): RequestWay {
@@ -220,6 +237,7 @@
   /** Starts queued requests that now have room and refuses those that are too late. Must be called whenever room may have become free. */
   startQueued (): void {
     const now = steadyNow()
+    this.#startStalled()
     for (const pool of this.#pools.values()) {
       const backOffMs = this.#options.table.backOffMs(pool.name)
       const expired = pool.queue.expire(now, ({ resumed }) => (resumed ? 0 : backOffMs))
@@ -231,6 +249,7 @@
   /** Removes a request from the queue, if it is queued. */
   remove (placement: Placement): void {
     this.#asking.delete(placement)
+    this.#stalled.delete(placement)
     for (const pool of this.#pools.values()) {
       const entry = findEntry(pool.queue, placement)
       if (entry) pool.queue.remove(entry)
@@ -394,7 +413,7 @@
     this.#sweepTimer = setTimeout(() => {
       this.#sweepTimer = undefined
       this.startQueued()
-      if (this.queued > 0) this.#scheduleSweep()
+      if (this.queued + this.#stalled.size > 0) this.#scheduleSweep()
     }, SWEEP_MS)
   }
 }
--- a/daemon/request/dispatcher_test.ts
+++ b/daemon/request/dispatcher_test.ts
@@ -5,7 +5,7 @@
 import type { ListedHost } from '../../endpoints/index.ts'
 import { EndpointTable } from '../endpoints/endpoint_table.ts'
 import { seededRandom } from '../seeded_random.ts'
-import { DESK as POOL, placement } from './_placement_fixture.ts'
+import { DESK as POOL, DESK_CLASS, placement } from './_placement_fixture.ts'
 import type { Placement } from './placement.ts'
 import { createSharedDispatcher } from './shared_dispatcher.ts'
 
@@ -69,3 +69,47 @@
   expect(placedAt).toHaveLength(6)
   expect(placedAt.filter((id) => connected.includes(id))).toEqual([])
 })
+
+test('a request whose endpoint is silent starts at the next endpoint that can take it, ahead of those that wait, and not where it was', () => {
+  // Guards against requests at an endpoint that does not answer, which get no other one while the pool is full.
+  const table = new EndpointTable({ self: as<DaemonId>('d'), hash })
+  table.applyHostList([listed('silent', 1000), listed('other', 1000)])
+  const [SILENT, OTHER] = [endpointId('silent', 1000), endpointId('other', 1000)]
+  const dispatcher = createSharedDispatcher({ table, hash, random: seededRandom(1), topology: new RegionTopology({ ownDomain: DOMAIN }), sharers: () => 1 })
+  for (const id of [SILENT, OTHER]) for (let i = 0; i < SPEED.batchSlots; i++) table.started(id, { lane: 'normal', tokens: 0 })
+  const placedAt: string[] = []
+  const cls = { ...DESK_CLASS, urgent: false }
+  dispatcher.place(placement({ cls, resumed: true, placed: ({ id }) => placedAt.push(`waiting at ${id}`) }))
+  const stalled = placement({ cls, resumed: true, avoid: [SILENT], accepts: ({ id }) => id !== SILENT, placed: ({ id }) => placedAt.push(`stalled at ${id}`) })
+  dispatcher.startOnceRoom(stalled)
+  const removed = placement({ cls, resumed: true, placed: ({ id }) => placedAt.push(`removed at ${id}`) })
+  dispatcher.startOnceRoom(removed)
+  dispatcher.remove(removed)
+  expect(placedAt).toEqual([])
+  table.ended(SILENT)
+  dispatcher.startQueued()
+  expect(placedAt).toEqual([`waiting at ${SILENT}`])
+  table.ended(OTHER)
+  dispatcher.startQueued()
+  expect(placedAt).toEqual([`waiting at ${SILENT}`, `stalled at ${OTHER}`])
+})
+
+test('a request starts now only where it may be sent: with a permit, and if the budget allows it', () => {
+  // Guards against an attempt that is given up for one that is then queued or refused.
+  const table = new EndpointTable({ self: as<DaemonId>('d'), hash })
+  table.applyHostList([listed('one', 1000)])
+  let hasPermit = false
+  const limits = { isLimited: () => true, perS: () => 1, mayStart: () => hasPermit, hasReservedSlot: () => false, permitted: () => [], ask: () => undefined, diverted: () => {}, queued: () => {}, waitMs: () => 0 }
+  const dispatcher = createSharedDispatcher({ table, hash, random: seededRandom(1), topology: new RegionTopology({ ownDomain: DOMAIN }), sharers: () => 1, limits })
+  let placed = 0
+  const request = (mayStart: boolean) => placement({ mayStart: () => mayStart, placed: () => { placed++ } })
+  expect(dispatcher.canStartNow(request(true))).toBe(false)
+  dispatcher.startOnceRoom(request(true))
+  expect(placed).toBe(0)
+  hasPermit = true
+  expect(dispatcher.canStartNow(request(true))).toBe(true)
+  dispatcher.startOnceRoom(request(false))
+  expect(placed).toBe(0)
+  dispatcher.startQueued()
+  expect(placed).toBe(1)
+})
--- a/daemon/request/request_task.ts
+++ b/daemon/request/request_task.ts
@@ -92,6 +92,8 @@
   #tracker: AttemptTracker
   /** Attempt that was started while the current one is silent. */
   #backup: BackupAttempt | undefined
+  /** Set while a backup waits for an endpoint that can take it. */
+  #backupPlacement: Placement | undefined
   #route: Route | undefined
   readonly #meter: RequestMeter
   readonly #record = new AnswerRecord()
@@ -137,13 +139,16 @@
    * backup, since silence does not prove that it isn't running.
    */
   handleStall (): void {
-    const { dispatcher } = this.ports
     if (this.#isBackupLikelier()) return this.post({ type: 'answering', attempt: this.lifecycle.backup!.attempt })
-    if (!this.mayRetryElsewhere || !this.#mayStartBackup()) return
-    const placement = this.#backupPlacement()
-    if (!dispatcher.canStartNow(placement)) return
-    if (this.#backup) this.#onBackupError(this.lifecycle.backup!.attempt, new AttemptError('Cannot wait: the backup went silent', { point: 'timeout-after-send' }))
-    dispatcher.startNow(placement)
+    if (this.#backupPlacement || !this.mayRetryElsewhere || !this.#mayStartBackup()) return
+    this.#backupPlacement = this.#placementOfBackup()
+    this.ports.dispatcher.startOnceRoom(this.#backupPlacement)
+  }
+
+  /** Must be called once the current attempt goes on or has ended. */
+  #withdrawBackup (): void {
+    if (this.#backupPlacement) this.ports.dispatcher.remove(this.#backupPlacement)
+    this.#backupPlacement = undefined
   }
 
   /**
@@ -245,6 +250,7 @@
     this.#backup = undefined
     clearTimeout(this.#deadlineTimer)
     if (this.#placement) this.ports.dispatcher.remove(this.#placement)
+    this.#withdrawBackup()
     this.lifecycle = { ...this.lifecycle, phase: 'done' }
   }
 
@@ -288,6 +294,7 @@
 
   /** Asks the dispatcher for an endpoint, unless the request is quarantined. */
   protected place (avoid: readonly EndpointId[]): void {
+    this.#withdrawBackup()
     if (this.#refuseIfQuarantined()) return
     this.#placement = this.#placementOf(avoid)
     this.ports.dispatcher.place(this.#placement)
@@ -320,7 +327,7 @@
   }
 
   /** A backup is sent from here, and never to an endpoint that the request was sent to before. */
-  #backupPlacement (): Placement {
+  #placementOfBackup (): Placement {
     const { endpoint, backup, avoid } = this.lifecycle
     const { delegated: _, ...placement } = this.#placementOf([...avoid, endpoint!, ...backup ? [backup.endpoint] : []])
     return {
@@ -329,6 +336,8 @@
       accepts: (view) => !placement.avoid.includes(view.id) && this.accepts(view),
       mayStart: () => this.ports.budget.tryWithdraw(this.ports.table.isLeavingOrGone(endpoint!)),
       placed: (view, route) => {
+        this.#backupPlacement = undefined
+        if (this.#backup) this.#onBackupError(this.lifecycle.backup!.attempt, new AttemptError('Cannot wait: the backup went silent', { point: 'timeout-after-send' }))
         this.#route = route
         this.post({ type: 'backup', endpoint: view.id })
       }
@@ -522,6 +531,7 @@
         if (!this.#mayComplete(attempt, head)) return this.#rejectAnswer(attempt, endpoint)
         if (attempt === this.lifecycle.attempt) {
           this.#tracker.recordPiece(this.flow.readingSinceMs)
+          this.#withdrawBackup()
           if (this.lifecycle.backup) this.post({ type: 'answering', attempt })
         }
         this.#addChunk({ attempt, offset, pieces }, { head, version: this.#runningVersion })
@@ -670,6 +680,7 @@
     this.final = final
     this.attachment = undefined
     if (this.#placement) this.ports.dispatcher.remove(this.#placement)
+    this.#withdrawBackup()
     if (final.outcome === 'answered') this.#tracker.read()
     this.#tracker.end()
     this.#backup?.tracker.end()
--- a/daemon/request/request_task_test.ts
+++ b/daemon/request/request_task_test.ts
@@ -35,7 +35,7 @@
   const stopped: EndpointId[] = []
   const blamed: string[] = []
   const held = { forMs: undefined as number | undefined }
-  const elsewhere = { hasRoom: true, starts: true, isPaid: true }
+  const elsewhere = { hasRoom: true, starts: true, isPaid: true, start: () => {} }
   const withdrawn: boolean[] = []
   const table = new EndpointTable({ self: as('d'), hash: (text) => text.length })
   table.applyHostList([VIEW, E2_VIEW].map(({ id, hostId }) => ({ hostId, hostClass: 'any', failureDomain: VIEW.failureDomain, reclaimable: false, pricePerHour: 0, state: 'live', endpoint: { id, pool: VIEW.pool, version: V1, address: '', speed } })))
@@ -53,13 +53,12 @@
       table,
       dispatcher: {
         place: (placement: Placement) => { placements.push(placement) },
-        remove: () => {},
+        remove: () => { elsewhere.start = () => {} },
         startQueued: () => {},
         canStartNow: () => elsewhere.hasRoom,
-        startNow: (placement: Placement) => {
-          if (!elsewhere.starts || placement.mayStart?.() === false) return false
-          placement.placed(E2_VIEW, ROUTE)
-          return true
+        startOnceRoom: (placement: Placement) => {
+          elsewhere.start = () => { if (placement.mayStart?.() !== false) placement.placed(E2_VIEW, ROUTE) }
+          if (elsewhere.starts) elsewhere.start()
         }
       } as Partial<Dispatcher> as Dispatcher,
       budget: { deposit: () => {}, tryWithdraw: (endpointGone) => elsewhere.isPaid && withdrawn.push(endpointGone) > 0 },
@@ -219,11 +218,26 @@
   elsewhere.starts = false
   for (let i = 0; i < 5; i++) task.handleStall()
   expect([withdrawn.length, sinks.length]).toEqual([0, 1])
-  elsewhere.starts = true
+  elsewhere.start()
   for (let i = 0; i < 5; i++) task.handleStall()
   expect([withdrawn.length, sinks.length]).toEqual([1, 2])
 })
 
+test.each([
+  ['goes on', (sink: AttemptSink<string>) => sink.onChunk(0, ['one'])],
+  ['fails', (sink: AttemptSink<string>) => sink.onError(new AttemptError('Cannot read answer', { point: 'torn-answer' }))],
+  ['ends', (sink: AttemptSink<string>) => sink.onEnd(0)]
+])('a backup that waits for room is withdrawn when the silent attempt %s', (_case, happens) => {
+  // Guards against a request that is sent once more although nothing waits for it.
+  const { task, placements, elsewhere, sinks } = createRequest(RESUMABLE)
+  placements[0]!.placed(VIEW, ROUTE)
+  elsewhere.starts = false
+  task.handleStall()
+  happens(sinks[0]!)
+  elsewhere.start()
+  expect(sinks).toHaveLength(1)
+})
+
 test('a backup that is silent as well is replaced while the route allows another attempt', () => {
   // Guards against a request that waits for two silent endpoints while others could take it.
   for (const [maxAttempts, attempts] of [[2, 2], [3, 3]] as const) {
