Read pending ends of connections before an endpoint is taken for alive

Cause: the check of an end that nothing marks waits 20 ms by a timer. After a pause of the process (event loop blocked, no processor time) timers run before the event loop reads what has arrived, so that the other connections of a killed endpoint still looked open. Callers saw: a stream without a length whose endpoint was killed ended as complete after the events that had arrived.

--- a/endpoints/exchange/end_check.ts
+++ b/endpoints/exchange/end_check.ts
@@ -1,4 +1,5 @@
 /** Distinguishes the end of an answer without a length from the end of the endpoint that wrote it. */
+import { setImmediate } from 'node:timers/promises'
 import type { EndpointView } from '../../core/routing/index.ts'
 import { delay } from '../../core/time/index.ts'
 import type { DialResult } from '../dial.ts'
@@ -29,6 +30,8 @@
 export function createEndCheck ({ isConnected, dial }: EndCheckOptions): EndCheck {
   return async (view) => {
     await delay(CLOSE_TIME_MS)
+    // After a pause of this process its timers run before it reads which connections have ended meanwhile.
+    await setImmediate()
     return isConnected(view) ? 'alive' : RESULTS[await dial(view)]
   }
 }
