Keep connections open after answers that did not say they are the last

Cause: while it drains, a daemon ended a connection after an answer whose head was sent before. Its caller cannot know that, sends its next request, and gets a closed connection; that request is dropped unrun now, but still fails. Change: the connection stays, as idle ones did, and its next answer says that it is the last. After listening ends, when few requests come, only those whose deadline ends them in time are taken; the others get 503 and go elsewhere at once.

--- a/core/admission/drain_admission.ts
+++ b/core/admission/drain_admission.ts
@@ -37,15 +37,14 @@
   }
 
   /**
-   * Returns true if a request is expected to end in time: at its deadline, or as nine in ten of its class do. Where that is not known, it is taken while the balancer sends
-   * callers, and not later: few come then, and each may go to another daemon.
+   * Returns true if a request ends in time: at its deadline, or, while the balancer sends callers, if nine in ten of its class do so or that is not known. Few come later, and a
+   * run that is cut costs its caller more than another daemon does.
    */
   admits (cls: string, { deadlineInMs, now }: { deadlineInMs: number, now: number }): boolean {
     if (!this.#times) return true
     const leftMs = this.#times.endsAtMs - now
     if (deadlineInMs <= leftMs) return true
-    const slowMs = this.#slowMs(cls)
-    return slowMs === undefined ? now < this.#times.listensUntilMs : slowMs <= leftMs
+    return now < this.#times.listensUntilMs && (this.#slowMs(cls) ?? 0) <= leftMs
   }
 
   #slowMs (cls: string): number | undefined {
--- a/daemon/exchange/exchange_server.ts
+++ b/daemon/exchange/exchange_server.ts
@@ -132,7 +132,7 @@
     socket.resetAndDestroy()
   }
 
-  /** Closes each connection after its current or next response. */
+  /** Closes each connection after its next response, which says so; a caller cannot know when one ends whose headers were sent before. */
   startDraining (): void {
     this.#exchanges.startDraining()
   }
--- a/daemon/exchange/exchange_writer.ts
+++ b/daemon/exchange/exchange_writer.ts
@@ -20,7 +20,7 @@
 
 /** Options of {@linkcode writeExchange}. */
 export interface WriteExchangeOptions {
-  /** Returns true if the caller's connection is to close after this response. */
+  /** Returns true if the caller's connection is to close after this response; called once, when its headers are written. */
   closeConnection (): boolean
   guard: MemoryGuard
   /** Counts the request's body, which the task holds until its final result. Default: it is not counted. */
@@ -48,7 +48,7 @@
         written++
       }
     }
-    if (task.final) writeEnd(res, task, { final: task.final, sender, closeConnection: options.closeConnection() })
+    if (task.final) writeEnd(res, task, { final: task.final, sender, closeConnection: () => options.closeConnection() })
   }
   const stop = task.subscribe(follow)
   res.on('close', stop)
@@ -64,17 +64,17 @@
   send(res, head.status, headers, options.closeConnection)
 }
 
-function writeEnd (res: ServerResponse, task: RequestTask<Buffer>, options: { final: FinalResult, sender: AnswerSender, closeConnection: boolean }): void {
+function writeEnd (res: ServerResponse, task: RequestTask<Buffer>, options: { final: FinalResult, sender: AnswerSender, closeConnection (): boolean }): void {
   if (options.final.outcome === 'answered') {
     options.sender.end()
   } else if (res.headersSent) {
     options.sender.breakOff()
   } else if (options.final.outcome === 'unknown' && task.failureAnswer) {
-    writeHead(res, task.failureAnswer.head, { whole: task.failureAnswer.body.length, closeConnection: options.closeConnection })
+    writeHead(res, task.failureAnswer.head, { whole: task.failureAnswer.body.length, closeConnection: options.closeConnection() })
     res.end(task.failureAnswer.body)
   } else {
     const notRun = options.final.outcome === 'not-run'
-    refuse(res, { status: statusFor(options.final), retryAfterMs: options.final.retryAfterMs ?? (notRun ? RETRY_AFTER_NOT_RUN_MS : undefined), why: options.final.reason, closeConnection: options.closeConnection })
+    refuse(res, { status: statusFor(options.final), retryAfterMs: options.final.retryAfterMs ?? (notRun ? RETRY_AFTER_NOT_RUN_MS : undefined), why: options.final.reason, closeConnection: options.closeConnection() })
   }
 }
 
--- a/daemon/exchange/open_exchanges.ts
+++ b/daemon/exchange/open_exchanges.ts
@@ -20,7 +20,7 @@
 /** Counts of requests since a drain began. */
 export interface DrainCounts { read: number, closed: number, sinceMs: number }
 
-/** Requests of a connection that are open, in their order; `ending` is set once the connection ends after the answer to the last of them, or of those that were open. */
+/** Requests of a connection that are open, in their order; `ending` is set once an answer says that it is the last one on the connection. */
 interface Connection { open: Exchange[], ending: boolean }
 
 /** Keeps the requests that are open, and reports what a drain does to them. */
@@ -51,8 +51,6 @@
     connection.open.push(exchange)
     this.#open.add(exchange)
     res.on('close', () => this.#closed(exchange, connection))
-    // A response whose headers were sent before draining began carries no `Connection: close`.
-    res.on('finish', () => { if (this.draining && connection.open.at(-1) === exchange) this.#end(exchange.socket) })
     return exchange
   }
 
@@ -107,12 +105,6 @@
     return connection
   }
 
-  /** The connection is still read, since a close with bytes unread would reset it and lose what the caller has not received yet. */
-  #end (socket: Socket): void {
-    this.#connectionOf(socket).ending = true
-    socket.end()
-  }
-
   #closed (exchange: Exchange, connection: Connection): void {
     if (!this.#open.delete(exchange)) return
     const { res, socket } = exchange
