Bound what a delegate has sent of an answer and its origin has not received

Cause: the origin pauses a delegated answer with a message, and until that arrives the delegate handed the link whatever its endpoint sent, without bound: what is on the link, in its queue and in the system's buffers comes to the origin after the pause. How much that is depends on how late the two daemons read.

Now the origin confirms what it has received with every 64 KB, and the delegate pauses its run while 256 KB are not confirmed. A confirmation that found no link is sent again by the periodic check. An answer under 64 KB costs no message. Origins of earlier versions do not announce confirmations and their answers are not held back; delegates of earlier versions ignore them. It costs at most 256 KB in a round trip for one answer. Ruled out: pausing by the queue of the link alone, which leaves the system's buffers (6 MB and more on loopback) uncounted.

Its test, on the paused clock with ordered messages, failed before: the delegate was never paused ("expected [ 'begin' ] to deeply equal [ 'begin', 'pause' ]"), and the origin confirmed nothing.

--- a/daemon/delegation/_messages.ts
+++ b/daemon/delegation/_messages.ts
@@ -13,6 +13,8 @@
 
 /** Pauses or resumes the answer of a run. */
 export const FLOW_TOPIC = 'delegation-flow'
+/** Confirms how much of the answer of a run the origin has received. */
+export const RECEIVED_TOPIC = 'delegation-received'
 
 /** Confirms to an origin, at intervals, that its requests still run. */
 export const PROGRESS_TOPIC = 'delegation-progress'
@@ -32,6 +34,8 @@
   maxAttempts: number
   /** Where the stream began; undefined while its caller has no event of it. */
   boundTo?: StreamVersion | undefined
+  /** True if the origin confirms what it has received; daemons of earlier versions do not. */
+  confirms?: boolean
 }
 
 /** Part of the answer to a run. The first one confirms that the run has begun. */
@@ -59,5 +63,8 @@
 /** Argument of {@linkcode FLOW_TOPIC}. */
 export interface FlowMessage { run: number, paused: boolean }
 
+/** Argument of {@linkcode RECEIVED_TOPIC}: all bytes of the answer since the start of the run. */
+export interface ReceivedMessage { run: number, bytes: number }
+
 /** Argument of {@linkcode CANCEL_TOPIC}. */
 export interface CancelMessage { run: number }
--- a/daemon/delegation/delegate_server.ts
+++ b/daemon/delegation/delegate_server.ts
@@ -12,7 +12,8 @@
 import type { MembershipTask } from '../peers/membership_task.ts'
 import { CUT_OFF_REASON } from '../request/dispatcher.ts'
 import type { RequestTask } from '../request/request_task.ts'
-import { PROGRESS_TOPIC, CANCEL_TOPIC, FLOW_TOPIC, OFFER_METHOD, RUN_METHOD, type CancelMessage, type FlowMessage, type OfferQuery, type RunPart, type RunQuery, type RunResult } from './_messages.ts'
+import { PROGRESS_TOPIC, CANCEL_TOPIC, FLOW_TOPIC, OFFER_METHOD, RECEIVED_TOPIC, RUN_METHOD, type CancelMessage, type FlowMessage, type OfferQuery, type ReceivedMessage, type RunPart, type RunQuery, type RunResult } from './_messages.ts'
+import { RunFlow } from './_run_flow.ts'
 
 /** Options of {@linkcode DelegateServer}. */
 export interface DelegateServerOptions {
@@ -36,11 +37,14 @@
 /** A daemon whose requests run here, and the pools for which it was made an offer. */
 interface Origin { askedAtMs: number, running: number, requests: number, pools: Set<PoolName> }
 
+/** A request of another daemon that runs here. */
+interface Run { task: RequestTask<Buffer>, flow: RunFlow }
+
 /** Makes offers to other daemons and runs their requests. */
 export class DelegateServer {
   readonly #options: DelegateServerOptions
   readonly #origins = new Map<DaemonId, Origin>()
-  readonly #tasks = new Map<string, RequestTask<Buffer>>()
+  readonly #runs = new Map<string, Run>()
   #draining = false
   #timer: NodeJS.Timeout | undefined
 
@@ -49,16 +53,13 @@
     const { links } = options.membership
     links.handle(OFFER_METHOD, ({ pool }: OfferQuery, { from }) => this.#offer(pool, from))
     links.handle(RUN_METHOD, (query: RunQuery, { from, part, signal }) => this.#run(query, { from, part, signal }))
-    links.onPost(CANCEL_TOPIC, ({ run }: CancelMessage, from) => this.#tasks.get(runKey(from, run))?.post({ type: 'caller-left' }))
-    links.onPost(FLOW_TOPIC, ({ run, paused }: FlowMessage, from) => {
-      const flow = this.#tasks.get(runKey(from, run))?.flow
-      if (paused) flow?.pause()
-      else flow?.resume()
-    })
+    links.onPost(CANCEL_TOPIC, ({ run }: CancelMessage, from) => this.#runs.get(runKey(from, run))?.task.post({ type: 'caller-left' }))
+    links.onPost(FLOW_TOPIC, ({ run, paused }: FlowMessage, from) => this.#runs.get(runKey(from, run))?.flow.setPaused(paused))
+    links.onPost(RECEIVED_TOPIC, ({ run, bytes }: ReceivedMessage, from) => this.#runs.get(runKey(from, run))?.flow.received(bytes))
   }
 
   /** Number of requests of other daemons that run here. */
-  get open (): number { return this.#tasks.size }
+  get open (): number { return this.#runs.size }
 
   /** Starts telling origins that their requests still run. */
   start (): void {
@@ -115,16 +116,17 @@
     if (this.#options.paths.reach(query.pool, { idempotent: true }) === 'cut-off') return { type: 'declined', why: CUT_OFF_REASON }
     const task = this.#options.intake.acceptDelegated({ ...query, req: toAdmitted(query) }, from)
     if (!task) return { type: 'declined', why: 'its configuration does not serve the request from that pool' }
-    this.#tasks.set(key, task)
+    const flow = new RunFlow(task.flow, { confirms: query.confirms === true })
+    this.#runs.set(key, { task, flow })
     const origin = this.#originOf(from)
     origin.running++
     origin.requests++
     const cancel = () => task.post({ type: 'caller-left' })
     signal.addEventListener('abort', cancel)
-    const result = await follow(task, { resumeFrom: query.req.resumeFrom, part })
+    const result = await follow({ task, flow }, { resumeFrom: query.req.resumeFrom, part })
     // The link outlives its runs.
     signal.removeEventListener('abort', cancel)
-    this.#tasks.delete(key)
+    this.#runs.delete(key)
     origin.running--
     return result
   }
@@ -158,7 +160,7 @@
 }
 
 /** Sends a task's answer to the origin as it grows, and returns its result. */
-function follow (task: RequestTask<Buffer>, { resumeFrom, part }: { resumeFrom: number, part: (value: RunPart) => void }): Promise<RunResult> {
+function follow ({ task, flow }: Run, { resumeFrom, part }: { resumeFrom: number, part: (value: RunPart) => void }): Promise<RunResult> {
   let sentPieces = 0
   let isHeadSent = false
   let reached = 0
@@ -177,6 +179,7 @@
         sentPieces += pieces.length
       }
       if (Object.keys(message).length > 0) part(message)
+      if (pieces.length > 0) flow.sent(byteCount(pieces))
       if (!task.final) return
       unsubscribe()
       resolve(resultOf(task, reached))
@@ -188,6 +191,10 @@
   })
 }
 
+function byteCount (pieces: readonly Uint8Array[]): number {
+  return pieces.reduce((sum, { length }) => sum + length, 0)
+}
+
 function resultOf (task: RequestTask<Buffer>, reached: number): RunResult {
   const { outcome, reason, retryAfterMs } = task.final!
   if (outcome === 'answered') return { type: 'answered', total: task.answer.length }
--- a/daemon/delegation/delegate_server_test.ts
+++ b/daemon/delegation/delegate_server_test.ts
@@ -6,7 +6,8 @@
 import { createMetrics } from '../metrics.ts'
 import type { FinalResult } from '../request/live_answer.ts'
 import type { PeerMethod, PostHandler } from '../peers/links.ts'
-import { PROGRESS_TOPIC, CANCEL_TOPIC, FLOW_TOPIC, OFFER_METHOD, RUN_METHOD, type RunPart, type RunQuery, type RunResult } from './_messages.ts'
+import { PROGRESS_TOPIC, CANCEL_TOPIC, FLOW_TOPIC, OFFER_METHOD, RECEIVED_TOPIC, RUN_METHOD, type RunPart, type RunQuery, type RunResult } from './_messages.ts'
+import { WINDOW_BYTES } from './_run_flow.ts'
 import { DelegateServer, type DelegateServerOptions } from './index.ts'
 
 const POOL = as<PoolName>('desk')
@@ -190,3 +191,40 @@
   tasks[0]!.finish(final)
   expect(await reported).toMatchObject(result)
 })
+
+test('no more than a window of an answer is on its way to an origin that confirms what it receives', async () => {
+  // Guards against a delegate that hands a whole answer to a link whose origin is slow to read it, or to pause it.
+  methods.get(RUN_METHOD)!({ ...QUERY, confirms: true } as never, { from: ORIGIN, part: () => {}, signal: link.signal })
+  await vi.advanceTimersByTimeAsync(1)
+  const task = tasks[0]!
+  task.head = {}
+  const send = (bytes: number) => {
+    task.answer.add({ attempt: 0, offset: task.answer.length, pieces: [Buffer.alloc(bytes)] })
+    task.change()
+  }
+  const receive = (bytes: number, from = ORIGIN) => posts.get(RECEIVED_TOPIC)!({ run: 1, bytes } as never, from)
+  const pause = (paused: boolean) => posts.get(FLOW_TOPIC)!({ run: 1, paused } as never, ORIGIN)
+  send(WINDOW_BYTES - 1)
+  expect(task.received).toEqual(['begin'])
+  send(1)
+  expect(task.received).toEqual(['begin', 'pause'])
+  receive(1, as<DaemonId>('second'))
+  pause(true)
+  receive(1)
+  expect(task.received).toEqual(['begin', 'pause'])
+  pause(false)
+  expect(task.received).toEqual(['begin', 'pause', 'resume'])
+  send(1)
+  receive(0)
+  expect(task.received).toEqual(['begin', 'pause', 'resume', 'pause'])
+})
+
+test('the answer to an origin of an earlier version, which confirms nothing, is not held back', async () => {
+  run(1)
+  await vi.advanceTimersByTimeAsync(1)
+  const task = tasks[0]!
+  task.head = {}
+  task.answer.add({ attempt: 0, offset: 0, pieces: [Buffer.alloc(2 * WINDOW_BYTES)] })
+  task.change()
+  expect(task.received).toEqual(['begin'])
+})
--- a/daemon/delegation/delegated_runs.ts
+++ b/daemon/delegation/delegated_runs.ts
@@ -6,7 +6,8 @@
 import { PeerError } from '../peers/links.ts'
 import type { MembershipTask } from '../peers/membership_task.ts'
 import type { DelegatedSink } from '../request/delegated_run.ts'
-import { PROGRESS_TOPIC, CANCEL_TOPIC, FLOW_TOPIC, RUN_METHOD, type CancelMessage, type FlowMessage, type RunPart, type RunQuery, type RunResult } from './_messages.ts'
+import { PROGRESS_TOPIC, CANCEL_TOPIC, FLOW_TOPIC, RECEIVED_TOPIC, RUN_METHOD, type CancelMessage, type FlowMessage, type ReceivedMessage, type RunPart, type RunQuery, type RunResult } from './_messages.ts'
+import { WINDOW_BYTES } from './_run_flow.ts'
 import type { DelegateFinder } from './delegate_finder.ts'
 
 /** Options of {@linkcode DelegatedRuns}. */
@@ -17,7 +18,7 @@
 
 /** Options of one run. */
 export interface DelegatedRunOptions {
-  query: Omit<RunQuery, 'run'>
+  query: Omit<RunQuery, 'run' | 'confirms'>
   /** True if the request may run again elsewhere when its delegate does not respond; otherwise its answer is waited for. */
   repeatable: boolean
 }
@@ -29,6 +30,8 @@
   /** When the delegate last sent anything about the run, in milliseconds on the steady clock. */
   activeAtMs: number
   lose (why: string): void
+  /** Confirms what was received of the answer once that is enough, or was not sent before. */
+  confirm (): void
 }
 
 /** Time for which the reply to a run may be later than its deadline, in milliseconds. */
@@ -36,6 +39,8 @@
 /** Silence of a delegate after which its runs are given up, in milliseconds; it confirms them every 500 ms. */
 const DELEGATE_SILENCE_MS = 1200
 const CHECK_INTERVAL_MS = 200
+/** Bytes of an answer after which they are confirmed: the delegate has some of its window left when the confirmation arrives. */
+const CONFIRM_BYTES = WINDOW_BYTES / 4
 
 /** Runs requests at other daemons. */
 export class DelegatedRuns {
@@ -86,7 +91,12 @@
       flow.paused = paused
       flow.unsent = !links.post(to, FLOW_TOPIC, { run, paused } satisfies FlowMessage)
     }
-    const open: OpenRun = { to, repeatable, activeAtMs: steadyNow(), lose }
+    const bytes = { received: 0, confirmed: 0 }
+    const confirm = () => {
+      if (bytes.received - bytes.confirmed < CONFIRM_BYTES) return
+      if (links.post(to, RECEIVED_TOPIC, { run, bytes: bytes.received } satisfies ReceivedMessage)) bytes.confirmed = bytes.received
+    }
+    const open: OpenRun = { to, repeatable, activeAtMs: steadyNow(), lose, confirm }
     this.#runs.set(run, open)
     finder.started(query.pool, to)
     const onPart = ({ reached: reachedNow, head, version, chunk }: RunPart) => {
@@ -94,7 +104,11 @@
       open.activeAtMs = steadyNow()
       reached = reachedNow ?? reached
       if (head) sink.onHead(head, { version })
-      if (chunk) sink.onChunk(chunk.offset, chunk.pieces.map(toBuffer))
+      if (chunk) {
+        bytes.received += chunk.pieces.reduce((sum, { length }) => sum + length, 0)
+        sink.onChunk(chunk.offset, chunk.pieces.map(toBuffer))
+        confirm()
+      }
       if (flow.unsent) setFlow(flow.paused)
     }
     const onResult = (result: RunResult) => {
@@ -110,7 +124,7 @@
     }
     const member = core.member(to)
     if (member) {
-      links.call(member, RUN_METHOD, { ...query, run } satisfies RunQuery, { timeoutMs: query.deadlineInMs + REPLY_MARGIN_MS, part: onPart as (value: unknown) => void })
+      links.call(member, RUN_METHOD, { ...query, run, confirms: true } satisfies RunQuery, { timeoutMs: query.deadlineInMs + REPLY_MARGIN_MS, part: onPart as (value: unknown) => void })
         .then((result) => onResult(result as RunResult), (err: Error) => fail(err instanceof PeerError && err.notSent ? 'delegate-declined' : 'delegate-lost', err.message, { cause: err }))
     } else queueMicrotask(() => fail('delegate-declined', 'it is not known any more'))
     return { detach: () => { if (close(false)) cancel() }, pause: () => setFlow(true), resume: () => setFlow(false) }
@@ -118,7 +132,8 @@
 
   #check (): void {
     const now = steadyNow()
-    for (const { to, repeatable, activeAtMs, lose } of [...this.#runs.values()]) {
+    for (const { to, repeatable, activeAtMs, lose, confirm } of [...this.#runs.values()]) {
+      confirm()
       const silentMs = now - Math.max(activeAtMs, this.#progressAtMs.get(to) ?? -Infinity)
       if (repeatable && silentMs >= DELEGATE_SILENCE_MS) lose(`it has sent nothing for ${Math.round(silentMs)} ms`)
     }
--- a/daemon/delegation/delegated_runs_test.ts
+++ b/daemon/delegation/delegated_runs_test.ts
@@ -4,7 +4,8 @@
 import { StandInNetwork, type StandInLinks } from '../../standins/index.ts'
 import type { MembershipTask } from '../peers/membership_task.ts'
 import type { PathWatch, PoolReach } from '../paths/index.ts'
-import { PROGRESS_TOPIC, CANCEL_TOPIC, FLOW_TOPIC, OFFER_METHOD, RUN_METHOD, type RunQuery, type RunResult } from './_messages.ts'
+import { PROGRESS_TOPIC, CANCEL_TOPIC, FLOW_TOPIC, OFFER_METHOD, RECEIVED_TOPIC, RUN_METHOD, type RunQuery, type RunResult } from './_messages.ts'
+import { WINDOW_BYTES } from './_run_flow.ts'
 import { DelegatedRuns, DelegateFinder } from './index.ts'
 
 const POOL = as<PoolName>('desk')
@@ -129,6 +130,25 @@
   expect(seen).toEqual([{ run: 1, paused: true }])
 })
 
+test('an origin confirms what it has received of an answer, also where there was no link at first', async () => {
+  // Guards against a delegate that waits until the deadline for a confirmation.
+  await start(1)
+  const seen: unknown[] = []
+  const peer = offers('peer-0')
+  peer.handle(RUN_METHOD, async ({ confirms }: RunQuery, { part }) => {
+    seen.push(confirms)
+    for (let offset = 0; offset < 2; offset++) part?.({ chunk: { offset, pieces: [Buffer.alloc(WINDOW_BYTES / 2)] } })
+    return await new Promise(() => {})
+  })
+  peer.onPost(RECEIVED_TOPIC, (message: unknown) => { seen.push(message) })
+  vi.spyOn(origin, 'post').mockReturnValueOnce(false).mockReturnValueOnce(false)
+  run('peer-0', { repeatable: false })
+  await vi.advanceTimersByTimeAsync(50)
+  expect(seen).toEqual([true])
+  await vi.advanceTimersByTimeAsync(400)
+  expect(seen).toEqual([true, { run: 1, bytes: WINDOW_BYTES }])
+})
+
 test('a request that has no way is not held once it is known that nobody can help', async () => {
   await start(2)
   for (const links of peers.values()) links.handle(OFFER_METHOD, async () => ({ room: 0, activityAgeMs: Infinity }))
