Take blocks that are no events for a sign that the attempt goes on

Cause: blocks without an id count as activity of the endpoint, but not of the attempt.

Change: they move the time from which the attempt is silent, and withdraw or stop its backup. A run that goes on after events counts no block without an id as one, also if this daemon has not seen ids (the first events came from a delegate).

--- a/daemon/request/attempt_tracker.ts
+++ b/daemon/request/attempt_tracker.ts
@@ -18,6 +18,8 @@
   /** True once the endpoint has processed the prompt. */
   prefilled: boolean
   pieces: PieceTimes
+  /** When the endpoint last sent something that is no piece of the answer, in milliseconds on the steady clock; `-Infinity` if it never did. */
+  otherBytesAtMs: number
 }
 
 /** Keeps the endpoint table's counters correct across the attempts of one request. */
@@ -34,16 +36,18 @@
   /** When the current attempt was sent, in milliseconds on the steady clock; undefined if there is none. */
   get sentAtMs (): number | undefined { return this.#sent?.atMs }
 
-  /** Progress of the current attempt; undefined if there is none. */
+  /** Progress of the current attempt, of which whatever its endpoint sends is a sign; undefined if there is none. */
   get progress (): AttemptProgress | undefined {
     const sent = this.#sent
-    return sent && { sentAtMs: sent.atMs, predictedMs: sent.predicted?.firstTokenMs, lastPieceAtMs: sent.pieces.lastAtMs, longestPauseMs: sent.pieces.longestPauseMs }
+    if (!sent) return undefined
+    const { atMs, predicted, pieces: { lastAtMs, longestPauseMs }, otherBytesAtMs } = sent
+    return { sentAtMs: Math.max(atMs, otherBytesAtMs), predictedMs: predicted?.firstTokenMs, lastPieceAtMs: lastAtMs === undefined ? undefined : Math.max(lastAtMs, otherBytesAtMs), longestPauseMs }
   }
 
   /** Records that an attempt was sent. */
   recordSent (endpoint: EndpointId, work: SentWork, predicted: Prediction | undefined): void {
     this.#table.started(endpoint, work)
-    this.#sent = { ...work, endpoint, atMs: steadyNow(), predicted, prefilled: false, pieces: new PieceTimes() }
+    this.#sent = { ...work, endpoint, atMs: steadyNow(), predicted, prefilled: false, pieces: new PieceTimes(), otherBytesAtMs: -Infinity }
   }
 
   /** Records that the endpoint has processed the prompt, so that its tokens no longer count as queued there. */
@@ -72,6 +76,14 @@
     if (pauseMs !== undefined && lastAtMs! >= readingSinceMs) this.#table.recordChunkInterval(sent.endpoint, pauseMs)
   }
 
+  /** Records that the endpoint has sent something that is no piece of the answer, such as a comment. */
+  recordOtherBytes (): void {
+    const sent = this.#sent
+    if (!sent) return
+    sent.otherBytesAtMs = steadyNow()
+    this.#table.recordActivity(sent.endpoint)
+  }
+
   /** Records that the endpoint no longer works on the request. */
   end (): void {
     const sent = this.#sent
--- a/daemon/request/request_task.ts
+++ b/daemon/request/request_task.ts
@@ -145,6 +145,11 @@
     this.ports.dispatcher.startOnceRoom(this.#backupPlacement)
   }
 
+  #currentGoesOn (): void {
+    this.#withdrawBackup()
+    if (this.lifecycle.backup) this.post({ type: 'answering', attempt: this.lifecycle.attempt })
+  }
+
   /** Must be called once the current attempt goes on or has ended. */
   #withdrawBackup (): void {
     if (this.#backupPlacement) this.ports.dispatcher.remove(this.#backupPlacement)
@@ -525,14 +530,16 @@
       onHead: (arrived) => { head = arrived },
       onWithoutId: () => {
         this.#record.withoutId()
-        this.ports.table.recordActivity(endpoint)
+        if (attempt === this.lifecycle.attempt) {
+          this.#tracker.recordOtherBytes()
+          this.#currentGoesOn()
+        } else this.ports.table.recordActivity(endpoint)
       },
       onChunk: (offset, pieces) => {
         if (!this.#mayComplete(attempt, head)) return this.#rejectAnswer(attempt, endpoint)
         if (attempt === this.lifecycle.attempt) {
           this.#tracker.recordPiece(this.flow.readingSinceMs)
-          this.#withdrawBackup()
-          if (this.lifecycle.backup) this.post({ type: 'answering', attempt })
+          this.#currentGoesOn()
         }
         this.#addChunk({ attempt, offset, pieces }, { head, version: this.#runningVersion })
       },
--- a/daemon/request/request_task_test.ts
+++ b/daemon/request/request_task_test.ts
@@ -2,6 +2,7 @@
 import { as, type EndpointId, type EndpointVersion, type Fingerprint } from '../../core/ids/index.ts'
 import { toWorkClass } from '../../core/config/index.ts'
 import { noWork, type EndpointView, type Route } from '../../core/routing/index.ts'
+import { steadyNow } from '../../core/time/index.ts'
 import { NO_TOKENS, type WorkClass } from '../../core/work/index.ts'
 import { sessionConfig } from '../../bench/_session.ts'
 import type { Header } from '../../core/answer/index.ts'
@@ -276,3 +277,16 @@
   task.pathLost({ isFinal: true })
   expect(task.final?.outcome).toBe('unknown')
 })
+
+test('an attempt whose endpoint sends blocks that are no events is not silent', () => {
+  // Guards against a second endpoint that works on a request whose own endpoint keeps the connection alive.
+  const { task, stopped, current, backup } = withBackup()
+  current.onWithoutId!()
+  expect(stopped).toEqual([E2])
+  const before = steadyNow()
+  vi.advanceTimersByTime(2000)
+  current.onWithoutId!()
+  expect(task.progress!.lastPieceAtMs! - before).toBe(2000)
+  backup.onChunk(2, ['other'])
+  expect(task.answer.length).toBe(2)
+})
--- a/endpoints/exchange/exchange_runner.ts
+++ b/endpoints/exchange/exchange_runner.ts
@@ -43,7 +43,7 @@
       return NO_ATTACHMENT
     }
     const headers = dialect.attemptHeaders(req, { view, deadlineInMs: spec.deadlineInMs, resumeFrom: spec.from, lane: req.demand && spec.lane, kvHandle: spec.kvHandle })
-    const exchange = new Exchange({ req, dialect, sink, connection, memory, from: spec.from, haveIds: this.#haveIds, onIds: () => { this.#haveIds = true }, maySend: () => !backsOff(view, steadyNow()), checkEnd: () => checkEnd(view), release: () => client.release(view, connection) })
+    const exchange = new Exchange({ req, dialect, sink, connection, memory, from: spec.from, haveIds: this.#haveIds || spec.from > 0, onIds: () => { this.#haveIds = true }, maySend: () => !backsOff(view, steadyNow()), checkEnd: () => checkEnd(view), release: () => client.release(view, connection) })
     exchange.send(headers)
     return exchange
   }
