--- a/cli/main.ts
+++ b/cli/main.ts
@@ -90,9 +90,10 @@
   .option('--seed <number>', 'Seed of all random choices', { default: 1 })
   .option('--minutes <number>', 'Minutes during which faults are injected', { default: 1 })
   .option('--daemons <number>', 'Number of daemons', { default: 4 })
-  .action(async (options: { seed: number, minutes: number, daemons: number }) => {
+  .option('--faults <names>', 'Names of the only faults to inject, separated by commas')
+  .action(async (options: { seed: number, minutes: number, daemons: number, faults?: string }) => {
     const { runSoak } = await import('../platform/soak/index.ts')
-    const report = await runSoak({ ...options, print })
+    const report = await runSoak({ ...options, faults: options.faults?.split(','), print })
     print(JSON.stringify(report))
     process.exit(report.broken.length === 0 ? 0 : EXIT_FAILED)
   })
