Show that calls are lost when their link between daemons is replaced

A daemon that had been restarted was dialed by one with a higher id; when its successors changed it dialed back, and both ends keep the link of the lower id and terminate the other with the calls on it.

--- a/daemon/peers/peer_links_test.ts
+++ b/daemon/peers/peer_links_test.ts
@@ -111,6 +111,31 @@
   expect(links.length).toBeLessThanOrEqual(4)
 })
 
+test('a call goes on while its link is replaced by the one that both ends keep', async () => {
+  // Guards against running calls that are lost when the other daemon, with the lower id, dials the caller.
+  const [a, b] = [await start('a'), await start('b')]
+  const parts: unknown[] = []
+  let finish = () => {}
+  a.links.handle('stream', async (_args: null, { part, signal }) => {
+    part('first')
+    await new Promise<void>((resolve, reject) => {
+      finish = resolve
+      signal.addEventListener('abort', () => reject(new Error('aborted')))
+    })
+    part('second')
+    return 'done'
+  })
+  const result = b.links.call(a, 'stream', null, { part: (value) => parts.push(value) }).catch((err: Error) => err.message)
+  await expect.poll(() => parts).toEqual(['first'])
+  const relinked = new Promise<void>((resolve) => b.links.bind({ onGossip () {}, onLink: () => resolve() }))
+  a.links.keep([b.address])
+  await relinked
+  await new Promise((resolve) => setTimeout(resolve, 50))
+  finish()
+  expect(await result).toBe('done')
+  expect(parts).toEqual(['first', 'second'])
+})
+
 test('a pending call over a dead link fails within seconds', async () => {
   // Guards against a caller that waits forever for an answer streamed through another daemon: a network partition closes no connection.
   const a = await start('a')
