Keep a replaced link between daemons open until the calls on it have ended

Cause: of two links between the same daemons one is kept, and the other was terminated at once with the calls on it, so that a delegated stream was cut though both daemons and its endpoint were sound. Change: calls begin on the new link only; the replaced one is watched for silence as before and closed once no call of either end is on it, a second after it was replaced at the earliest (the peer may have sent a call before it knew of the other link).

--- a/daemon/peers/peer_links.ts
+++ b/daemon/peers/peer_links.ts
@@ -42,11 +42,17 @@
   takesBatches: boolean
   /** Messages queued in this turn of the event loop. */
   sendQueue: PeerMessage[]
+  /** Calls of the peer that are being answered. */
+  answering: number
+  /** When another link to the peer took its place. */
+  replacedAtMs: number | undefined
 }
 interface PendingCall { resolve (value: unknown): void, reject (err: Error): void, part: ((value: unknown) => void) | undefined, link: Link }
 
 const CONNECT_TIMEOUT_MS = 1500
 const IDLE_TIMEOUT_MS = 60_000
+/** Time for which a replaced link stays open without calls, in milliseconds: the peer may have sent one before it knew of the other link. */
+const REPLACED_IDLE_MS = 1000
 const CALL_TIMEOUT_MS = 3000
 /** Silence after which a link with a pending call is terminated, in milliseconds. */
 const CALL_SILENCE_TIMEOUT_MS = 5000
@@ -61,6 +67,8 @@
   readonly #options: PeerLinksOptions
   readonly #packr = new Packr({ useRecords: true })
   readonly #links = new Map<DaemonId, Link>()
+  /** Replaced links, which stay open until the calls on them have ended. */
+  readonly #replaced = new Set<Link>()
   /** The daemon that answered at each dialed address. */
   readonly #peerByAddress = new Map<string, DaemonId>()
   readonly #dialing = new Map<string, Promise<Link>>()
@@ -105,6 +113,10 @@
       const kept = link.address === undefined || this.#keptAddresses.has(link.address)
       if (!kept && now - link.lastUsedAtMs > IDLE_TIMEOUT_MS) link.socket.close()
     }
+    for (const link of this.#replaced) {
+      this.#checkSilence(link, now)
+      if (link.answering === 0 && !this.#hasPendingCall(link) && now - link.replacedAtMs! > REPLACED_IDLE_MS) link.socket.close()
+    }
   }
 
   /**
@@ -114,12 +126,16 @@
    * would be lost. Pings on silent links expose a dead one within seconds; it is terminated and dialed again.
    */
   #checkSilence (link: Link, now: number): void {
-    const hasPendingCall = [...this.#pendingCalls.values()].some((pending) => pending.link === link)
+    const hasPendingCall = this.#hasPendingCall(link)
     link.silentTicks++
     if (link.silentTicks > MAX_SILENT_TICKS || (hasPendingCall && now - link.lastReceivedAtMs > CALL_SILENCE_TIMEOUT_MS)) link.socket.terminate()
     else if (hasPendingCall || link.silentTicks > 1) link.socket.ping()
   }
 
+  #hasPendingCall (link: Link): boolean {
+    return [...this.#pendingCalls.values()].some((pending) => pending.link === link)
+  }
+
   #recordActivity (link: Link): void {
     link.lastReceivedAtMs = steadyNow()
     link.silentTicks = 0
@@ -159,7 +175,7 @@
   }
 
   reset (to: DaemonId): void {
-    this.#links.get(to)?.socket.terminate()
+    for (const link of [...this.#links.values(), ...this.#replaced]) if (link.peer === to) link.socket.terminate()
   }
 
   async call (to: { id: DaemonId, address: string }, method: string, args: unknown, options: CallOptions = {}): Promise<unknown> {
@@ -185,7 +201,7 @@
 
   async close (): Promise<void> {
     this.#closed = true
-    for (const link of this.#links.values()) link.socket.terminate()
+    for (const link of [...this.#links.values(), ...this.#replaced]) link.socket.terminate()
     for (const socket of this.#server?.clients ?? []) socket.terminate()
     await new Promise<void>((resolve) => (this.#server ? this.#server.close(() => resolve()) : resolve()))
   }
@@ -219,7 +235,7 @@
   #attach (socket: WebSocket, address: string | undefined, ready?: (link: Link) => void): void {
     const abort = new AbortController()
     setMaxListeners(0, abort.signal)
-    const link: Link = { socket, peer: undefined, address, lastUsedAtMs: steadyNow(), lastReceivedAtMs: steadyNow(), silentTicks: 0, abort, takesBatches: false, sendQueue: [] }
+    const link: Link = { socket, peer: undefined, address, lastUsedAtMs: steadyNow(), lastReceivedAtMs: steadyNow(), silentTicks: 0, abort, takesBatches: false, sendQueue: [], answering: 0, replacedAtMs: undefined }
     socket.on('error', () => socket.terminate())
     socket.on('close', () => this.#onClose(link))
     socket.on('pong', () => this.#recordActivity(link))
@@ -268,11 +284,17 @@
       return
     }
     this.#links.set(msg.id, link)
-    other?.socket.terminate()
+    if (other) this.#replace(other)
     ready?.(link)
     this.#events.onLink(msg.id)
   }
 
+  /** Keeps a link open for the calls on it: to terminate it would cut off delegated requests. */
+  #replace (link: Link): void {
+    link.replacedAtMs = steadyNow()
+    this.#replaced.add(link)
+  }
+
   /**
    * Of two links between the same daemons, both ends keep the one dialed by the daemon with the lower id.
    *
@@ -286,6 +308,7 @@
 
   #onClose (link: Link): void {
     link.abort.abort()
+    this.#replaced.delete(link)
     if (link.peer !== undefined && this.#links.get(link.peer) === link) this.#links.delete(link.peer)
     for (const [call, pending] of this.#pendingCalls) {
       if (pending.link === link) this.#settleCall(call, () => pending.reject(new PeerError('Cannot call daemon: connection lost', { notSent: false })))
@@ -309,12 +332,15 @@
     const { call } = msg
     const method = this.#methods.get(msg.method)
     if (!method) return this.#send(link, { kind: 'fail', call, error: `Cannot call: unknown method ${msg.method}` })
+    link.answering++
     try {
       const part = (value: unknown) => this.#send(link, { kind: 'part', call, value })
       const value = await method(msg.args as never, { from, part, signal: link.abort.signal })
       this.#send(link, { kind: 'reply', call, value })
     } catch (err) {
       this.#send(link, { kind: 'fail', call, error: (err as Error).message })
+    } finally {
+      link.answering--
     }
   }
 
--- a/daemon/peers/peer_links_test.ts
+++ b/daemon/peers/peer_links_test.ts
@@ -116,7 +116,9 @@
   const [a, b] = [await start('a'), await start('b')]
   const parts: unknown[] = []
   let finish = () => {}
+  let replaced: AbortSignal | undefined
   a.links.handle('stream', async (_args: null, { part, signal }) => {
+    replaced = signal
     part('first')
     await new Promise<void>((resolve, reject) => {
       finish = resolve
@@ -134,6 +136,10 @@
   finish()
   expect(await result).toBe('done')
   expect(parts).toEqual(['first', 'second'])
+  b.links.maintain(steadyNow() + 2000)
+  await expect.poll(() => replaced?.aborted).toBe(true)
+  a.links.handle('ping', async () => 'pong')
+  expect(await b.links.call(a, 'ping', null)).toBe('pong')
 })
 
 test('a pending call over a dead link fails within seconds', async () => {
