--- a/endpoints/exchange/exchange.ts
+++ b/endpoints/exchange/exchange.ts
@@ -1,12 +1,13 @@
 /** One request on one connection. Reads the endpoint's answer and reports exactly how it ended. */
 import type { Dispatcher } from 'undici'
-import { isEventStream, type AnswerHead, type Header } from '../../core/answer/index.ts'
+import { framingOf, isEventStream, type AnswerHead, type Header } from '../../core/answer/index.ts'
 import { answerWindowBytes, SMALL_ENTRY_BYTES, type MemoryAccount, type MemoryEntry } from '../../core/memory/index.ts'
 import { AttemptError, type FailurePoint } from '../../core/outcome/index.ts'
 import { attemptError } from '../_attempt_errors.ts'
 import type { Attachment, AttemptEndOptions, AttemptSink } from '../attempt.ts'
 import type { Connection } from './connection.ts'
 import type { EndCheckResult } from './end_check.ts'
+import { EventPositions } from './event_positions.ts'
 import { EventSplitter } from './event_splitter.ts'
 import type { ExchangeDialect } from './exchange_dialect.ts'
 import type { AdmittedRequest } from './proxied_request.ts'
@@ -21,6 +22,10 @@
   memory?: MemoryAccount | undefined
   /** Number of events that the caller already has. */
   from: number
+  /** True if the events of the stream are known to have ids. */
+  haveIds: boolean
+  /** Called when an event with an id has arrived. */
+  onIds (): void
   /** Returns false if the request must not be sent any more. Called when the connection is open. */
   maySend (): boolean
   /** Checks whether the endpoint is still running after it ended the connection. */
@@ -41,7 +46,6 @@
 const SUCCESS = 200
 const REDIRECT = 300
 const SERVER_ERROR = 500
-const NO_CONTENT = 204
 
 /** How the body of an answer is handled. */
 type BodyHandling = 'events' | 'whole' | 'failure' | 'nothing'
@@ -55,6 +59,8 @@
   #head: AnswerHead | undefined
   #bodyHandling: BodyHandling = 'nothing'
   #bufferedBytes = 0
+  readonly #positions: EventPositions
+  /** Position after the last part of a body without events. */
   #offset: number
   #done = false
   #paused = false
@@ -63,6 +69,7 @@
 
   constructor (options: ExchangeOptions) {
     this.#options = options
+    this.#positions = new EventPositions(options)
     this.#offset = options.from
   }
 
@@ -159,7 +166,7 @@
     else this.#finish({ endpointSeen: result === 'alive', explicit: false })
   }
 
-  #finish (end: AttemptEndOptions): void {
+  #finish (end: AttemptEndOptions<Buffer>): void {
     const body = Buffer.concat(this.#chunks)
     this.#endAttempt()
     // Deferred because the client closes a connection that cannot be reused only after this callback.
@@ -170,7 +177,8 @@
       return
     }
     if (this.#bodyHandling === 'whole') this.#forward(body)
-    this.#options.sink.onEnd(this.#offset, end)
+    const rest = this.#positions.takeRest()
+    this.#options.sink.onEnd(this.#bodyHandling === 'events' ? this.#positions.next : this.#offset, rest ? { ...end, rest } : end)
   }
 
   onResponseError (_controller: Dispatcher.DispatchController, err: Error): void {
@@ -184,12 +192,15 @@
 
   #forwardEvents (chunk: Buffer): void {
     for (const event of this.#events.push(chunk)) {
-      const offset = event.id === undefined ? this.#offset : event.id - 1
-      this.#options.sink.onChunk(offset, [event.bytes])
-      this.#offset = offset + 1
+      if (event.id === undefined) this.#options.sink.onWithoutId?.()
+      const placed = this.#positions.place(event)
+      if (placed === 'misplaced') return this.#fail('foreign-answer', `the event with id ${event.id} follows events without an id`)
+      if (event.id !== undefined) this.#options.onIds()
+      if (placed) this.#options.sink.onChunk(placed.offset, [placed.bytes])
     }
-    if (this.#events.pendingBytes > MAX_UNFINISHED_BYTES) this.#fail('foreign-answer', `an event is over ${MAX_UNFINISHED_BYTES} bytes`)
-    else this.#count(this.#events.pendingBytes)
+    const heldBytes = this.#events.pendingBytes + this.#positions.waitingBytes
+    if (heldBytes > MAX_UNFINISHED_BYTES) this.#fail('foreign-answer', `an event is over ${MAX_UNFINISHED_BYTES} bytes`)
+    else this.#count(heldBytes)
   }
 
   #buffer (chunk: Buffer): void {
@@ -240,7 +251,7 @@
 }
 
 function isSelfDelimited (head: AnswerHead): boolean {
-  return head.status === NO_CONTENT || headerValue(head, 'content-length') !== undefined || headerValue(head, 'transfer-encoding') !== undefined
+  return framingOf(head) !== 'connection'
 }
 
 /** Returns the first value of a header. Header names are compared without regard to case; `name` must be in lower case. */
