Decline requests of other daemons that wait when this one leaves

What callers could see: a call that may run once, which waited for an endpoint at a daemon that runs requests of others, failed with 502 as if it may have run, when that daemon left at the end of its grace period. Found by the review; read, not shown by a run.

Cause: what waits is refused at the end of the drain for the daemon's own callers only; for the others the link ended.

Change: DelegateServer.declineWaiting, at the same point: the origin learns that they have not run.

Measured: npx vitest run daemon/delegation platform/sigterm_test.ts platform/drain_test.ts pass; the new case needs the new method, so that it was not run on the code before.

--- a/daemon/delegation/delegate_server.ts
+++ b/daemon/delegation/delegate_server.ts
@@ -6,6 +6,7 @@
 import type { AdmittedRequest, ExchangeClient } from '../../endpoints/index.ts'
 import type { EndpointTable } from '../endpoints/endpoint_table.ts'
 import type { Intake } from '../exchange/intake.ts'
+import { LEAVING_REASON } from '../exchange/refusal.ts'
 import { log } from '../log/index.ts'
 import type { Metrics } from '../metrics.ts'
 import type { PathWatch } from '../paths/index.ts'
@@ -76,6 +77,11 @@
     this.#draining = true
   }
 
+  /** Declines the requests that wait for an endpoint: they have not run, and their origins can send them elsewhere. */
+  declineWaiting (): void {
+    for (const { task } of [...this.#runs.values()]) if (task.state.phase === 'placing') task.post({ type: 'refused', reason: LEAVING_REASON })
+  }
+
   async #offer (pool: PoolName, from: DaemonId): Promise<DelegateOffer> {
     const { paths } = this.#options
     const askedAtMs = steadyNow()
--- a/daemon/delegation/delegate_server_test.ts
+++ b/daemon/delegation/delegate_server_test.ts
@@ -18,7 +18,7 @@
 class FakeTask {
   readonly answer = new AnswerBuffer<Buffer>()
   readonly received: string[] = []
-  readonly state = { sent: 0 }
+  readonly state = { sent: 0, phase: 'running' }
   readonly started = true
   readonly binding = { version: undefined }
   readonly flow = { pause: () => { this.received.push('pause') }, resume: () => { this.received.push('resume') } }
@@ -34,7 +34,10 @@
 
   change (): void { this.#listener() }
 
-  post ({ type }: RequestMessage): void { this.received.push(type) }
+  post (msg: RequestMessage): void {
+    this.received.push(msg.type)
+    if (msg.type === 'refused') this.finish({ outcome: 'not-run', reason: msg.reason, retryAfterMs: msg.retryAfterMs })
+  }
 
   finish (final: Partial<FinalResult>): void {
     this.final = { outcome: 'answered', reason: 'whole', retryAfterMs: undefined, ...final }
@@ -99,6 +102,16 @@
   expect([server.open, getEventListeners(link.signal, 'abort').length]).toEqual([0, 0])
 })
 
+test('a daemon that leaves declines what waits here for an endpoint, and nothing that runs', async () => {
+  // Guards against requests that fail as if they may have run although they never did.
+  const results = [run(1), run(2)]
+  await vi.advanceTimersByTimeAsync(1)
+  tasks[0]!.state.phase = 'placing'
+  server.declineWaiting()
+  expect(await results[0]).toMatchObject({ type: 'declined' })
+  expect(tasks.map(({ received }) => received)).toEqual([['begin', 'refused'], ['begin']])
+})
+
 test('a run ends when the link to its origin breaks, or its origin cancels it', async () => {
   run(1)
   run(2)
--- a/daemon/exchange/proxy_daemon.ts
+++ b/daemon/exchange/proxy_daemon.ts
@@ -149,6 +149,7 @@
     do await delay(DRAIN_POLL_MS)
     while (server.open + delegateServer.open > 0 && steadyNow() < endsAtMs)
     server.refuseWaiting()
+    delegateServer.declineWaiting()
     // A connection that was accepted before may still bring a request, which this daemon could not finish.
     if (server.open === 0) server.kill()
     // Actions that the release waits for, or the store, may take longer than the grace period; this daemon does not act as the holder meanwhile.
