Move the backups of a request into a class of their own

Change: Backups finds the endpoint, keeps the running backup and judges its answer; the request keeps what concerns both attempts. No change of behaviour.

--- a/daemon/request/request_task.ts
+++ b/daemon/request/request_task.ts
@@ -2,7 +2,7 @@
 import { AnswerBuffer, isEventStream, type AnswerBufferOptions, type AnswerHead, type Chunk, type WholeAnswer } from '../../core/answer/index.ts'
 import type { DaemonId, EndpointId, EndpointVersion, PoolName, RequestId } from '../../core/ids/index.ts'
 import { AttemptError, outcomeAt, type FailurePoint, type Outcome } from '../../core/outcome/index.ts'
-import { canMove, canRetry, isFreeRetry, mayStartBackup, newRequest, overdueAtMs, step, type AttemptProgress, type RequestEffect, type RequestMessage, type RequestState, type StartMode } from '../../core/request/index.ts'
+import { canMove, canRetry, isFreeRetry, newRequest, step, type AttemptProgress, type RequestEffect, type RequestMessage, type RequestState, type StartMode } from '../../core/request/index.ts'
 import { type EndpointView, type Route } from '../../core/routing/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import { maxHeldTokens, sharedParts } from '../../core/work/index.ts'
@@ -14,7 +14,7 @@
 import { ClaimError } from '../once/shard_log.ts'
 import type { Placement } from './placement.ts'
 import { AttemptTracker } from './attempt_tracker.ts'
-import { backupSink, type BackupAttempt } from './_backup_attempt.ts'
+import { Backups, type BackupSpec } from './_backups.ts'
 import { DelegatedAttempts } from './_delegated_attempts.ts'
 import type { DelegatedSink, DelegatedSpec } from './delegated_run.ts'
 import { AnswerRecord } from './_answer_record.ts'
@@ -47,8 +47,6 @@
 
 /** Lowest status code that does not indicate success. */
 const FIRST_REDIRECT_STATUS = 300
-/** Time for which an endpoint that works may have a request while another one has it, in milliseconds. */
-const BACKUP_OVERLAP_MS = 250
 
 /** One request. Owns its answer, its deadline timer and its connection to an endpoint. */
 export class RequestTask<P = string> {
@@ -90,10 +88,7 @@
   readonly #deadlineTimer: NodeJS.Timeout
   #placement: Placement | undefined
   #tracker: AttemptTracker
-  /** Attempt that was started while the current one is silent. */
-  #backup: BackupAttempt | undefined
-  /** Set while a backup waits for an endpoint that can take it. */
-  #backupPlacement: Placement | undefined
+  readonly #backups: Backups<P>
   #route: Route | undefined
   readonly #meter: RequestMeter
   readonly #record = new AnswerRecord()
@@ -111,6 +106,7 @@
     this.ports = ports
     this.#decisions = new RequestDecisions(work.id)
     this.#tracker = this.#newTracker()
+    this.#backups = this.#createBackups()
     this.#runner = runner
     this.#meter = new RequestMeter(ports.metrics, { cls: work.cls, acceptedAtMs: this.acceptedAtMs, counted: options.counted ?? true })
     this.answer = new AnswerBuffer<P>(options)
@@ -133,51 +129,10 @@
   get progress (): AttemptProgress | undefined { return this.lifecycle.phase === 'running' ? this.#tracker.progress : undefined }
 
   /**
-   * Handles a running attempt that has gone silent: starts a backup at another endpoint that can take it now, if a retry is allowed.
-   *
-   * The silent attempt goes on until the backup answers. Its endpoint may be sound, and the other one silent as well or without room after all. A non-idempotent request gets no
-   * backup, since silence does not prove that it isn't running.
+   * Handles a running attempt that has gone silent: starts a backup at another endpoint, if a retry is allowed. A non-idempotent request gets none, since silence does not prove that it
+   * isn't running.
    */
-  handleStall (): void {
-    if (this.#isBackupLikelier()) return this.post({ type: 'answering', attempt: this.lifecycle.backup!.attempt })
-    if (this.#backupPlacement || !this.mayRetryElsewhere || !this.#mayStartBackup()) return
-    this.#backupPlacement = this.#placementOfBackup()
-    this.ports.dispatcher.startOnceRoom(this.#backupPlacement)
-  }
-
-  #currentGoesOn (): void {
-    this.#withdrawBackup()
-    if (this.lifecycle.backup) this.post({ type: 'answering', attempt: this.lifecycle.attempt })
-  }
-
-  /** Must be called once the current attempt goes on or has ended. */
-  #withdrawBackup (): void {
-    if (this.#backupPlacement) this.ports.dispatcher.remove(this.#backupPlacement)
-    this.#backupPlacement = undefined
-  }
-
-  /**
-   * Returns true if a backup is to take the place of the silent attempt before it answers: one of the two endpoints works, so that either that of the backup has not refused the request and
-   * works on it, or only this attempt is silent. Two endpoints must not work on a request for long.
-   */
-  #isBackupLikelier (): boolean {
-    const { endpoint } = this.lifecycle
-    const sentAtMs = this.#backup?.tracker.sentAtMs
-    if (!this.#backup || sentAtMs === undefined || steadyNow() - sentAtMs < BACKUP_OVERLAP_MS) return false
-    const { table } = this.ports
-    const silentSinceMs = this.progress?.lastPieceAtMs ?? this.#tracker.sentAtMs ?? Infinity
-    return table.lastActivityAtMs(this.#backup.view.id) > sentAtMs || table.lastActivityAtMs(endpoint!) > silentSinceMs
-  }
-
-  /** A backup that is silent itself is replaced while the route allows another attempt. */
-  #mayStartBackup (): boolean {
-    const { lifecycle } = this
-    const backup = this.#backup
-    if (!backup) return mayStartBackup(lifecycle)
-    const { progress } = backup.tracker
-    const isOverdue = progress !== undefined && steadyNow() >= overdueAtMs(progress, { typicalIntervalMs: this.ports.table.typicalIntervalMs(backup.view.id) })
-    return isOverdue && mayStartBackup({ ...lifecycle, backup: undefined, sent: lifecycle.sent + 1 })
-  }
+  handleStall (): void { this.#backups.handleStall({ mayRetry: this.mayRetryElsewhere }) }
 
   /**
    * Handles an attempt whose endpoint cannot be reached any more: retries it another way if that is allowed. Otherwise its answer is waited for until `isFinal` is set, since the path
@@ -237,7 +192,6 @@
   /** Stops at once and notifies nobody. */
   abandon (): void {
     this.attachment?.detach()
-    this.#backup?.attachment.detach()
     this.deactivate()
   }
 
@@ -250,12 +204,9 @@
   /** Stops all activity for the request, because this daemon no longer owns it. */
   protected deactivate (): void {
     this.#tracker.end()
-    this.#backup?.tracker.end()
-    this.#backup?.attachment.detach()
-    this.#backup = undefined
+    this.#backups.end()
     clearTimeout(this.#deadlineTimer)
     if (this.#placement) this.ports.dispatcher.remove(this.#placement)
-    this.#withdrawBackup()
     this.lifecycle = { ...this.lifecycle, phase: 'done' }
   }
 
@@ -299,7 +250,7 @@
 
   /** Asks the dispatcher for an endpoint, unless the request is quarantined. */
   protected place (avoid: readonly EndpointId[]): void {
-    this.#withdrawBackup()
+    this.#backups.withdraw()
     if (this.#refuseIfQuarantined()) return
     this.#placement = this.#placementOf(avoid)
     this.ports.dispatcher.place(this.#placement)
@@ -331,24 +282,6 @@
     }
   }
 
-  /** A backup is sent from here, and never to an endpoint that the request was sent to before. */
-  #placementOfBackup (): Placement {
-    const { endpoint, backup, avoid } = this.lifecycle
-    const { delegated: _, ...placement } = this.#placementOf([...avoid, endpoint!, ...backup ? [backup.endpoint] : []])
-    return {
-      ...placement,
-      resumed: true,
-      accepts: (view) => !placement.avoid.includes(view.id) && this.accepts(view),
-      mayStart: () => this.ports.budget.tryWithdraw(this.ports.table.isLeavingOrGone(endpoint!)),
-      placed: (view, route) => {
-        this.#backupPlacement = undefined
-        if (this.#backup) this.#onBackupError(this.lifecycle.backup!.attempt, new AttemptError('Cannot wait: the backup went silent', { point: 'timeout-after-send' }))
-        this.#route = route
-        this.post({ type: 'backup', endpoint: view.id })
-      }
-    }
-  }
-
   /** Must be called when the set of quarantined requests changes. Ends this request if it is now quarantined and no endpoint has begun to answer it. */
   quarantineChanged (): void {
     const { phase } = this.lifecycle
@@ -430,18 +363,17 @@
     if (!view) return this.#onAttemptError(attempt, endpoint, new AttemptError('Cannot start: endpoint is not listed', { point: 'before-send' }))
     if (!mayContinueAt(this.binding.version, view)) return this.#onAttemptError(attempt, endpoint, new AttemptError(`Cannot start: the endpoint runs ${view.version}, the stream began at ${this.binding.version!.version}`, { point: 'before-send' }))
     this.#runningVersion = view.version
-    this.attachment = this.#send(view, { attempt, mode, tracker: this.#tracker, sink: this.sink(view.id, attempt) })
+    this.attachment = this.#send(view, { attempt, mode, route: this.#takeRoute(), tracker: this.#tracker, sink: this.sink(view.id, attempt) })
     this.flow.started()
     this.listeners.notify()
   }
 
   /** Sends an attempt to an endpoint. */
-  #send (view: EndpointView, { attempt, mode, tracker, sink }: { attempt: number, mode: StartMode, tracker: AttemptTracker, sink: AttemptSink<P> }): Attachment {
-    const route = this.#route
+  #send (view: EndpointView, { attempt, mode, route, tracker, sink }: BackupSpec<P> & { mode: StartMode }): Attachment {
     this.ports.metrics.attempts.inc({ mode })
     const lane = route?.lane ?? (this.work.cls.urgent ? 'urgent' : 'normal')
     this.recordDecision('attempt-started', attemptStartedEvent(view, { attempt, mode, lane, fromPiece: this.answer.length, route, table: this.ports.table }))
-    this.#trackSent(view, { lane, tokens: mode === 'import' ? 0 : route?.uncachedTokens ?? this.kvTokens, heldTokens: maxHeldTokens(this.work.demand) }, tracker)
+    this.#trackSent(view, { lane, tokens: mode === 'import' ? 0 : route?.uncachedTokens ?? this.kvTokens, heldTokens: maxHeldTokens(this.work.demand) }, { route, tracker })
     const kvHandle = mode === 'import' ? this.kvHandle : undefined
     this.kvHandle = undefined
     const attachment = this.#runner.start(view, {
@@ -459,55 +391,43 @@
   }
 
   #startBackup (endpoint: EndpointId, attempt: number): void {
-    const view = this.ports.table.get(endpoint)!
-    const tracker = this.#newTracker()
-    const sink = backupSink(this.sink(endpoint, attempt), () => this.lifecycle.backup?.attempt === attempt, {
-      mayAnswer: (head) => this.#mayComplete(attempt, head),
-      onAnswer: () => this.post({ type: 'answering', attempt }),
-      onError: (err) => this.#onBackupError(attempt, err)
-    })
-    const attachment = this.#send(view, { attempt, mode: 'prefill', tracker, sink })
-    this.#backup = { view, tracker, attachment }
+    this.#backups.start(endpoint, attempt)
     this.listeners.notify()
   }
 
   #adoptBackup (attempt: number): void {
-    const { view, tracker, attachment } = this.#backup!
-    this.#backup = undefined
+    const { view, tracker, attachment } = this.#backups.adopt(attempt)
     this.#tracker.end()
     this.#tracker = tracker
     this.attachment = attachment
     this.#runningVersion = view.version
     this.answer.replaceAttempt(attempt)
-    this.recordDecision('backup-adopted', { attempt, endpoint: view.id, afterMs: steadyNow() - (tracker.sentAtMs ?? this.acceptedAtMs), pieces: this.answer.length })
     this.flow.started()
     this.listeners.notify()
   }
 
   #stopBackup (attempt: number): void {
-    const backup = this.#backup
-    if (!backup) return
-    const { view, tracker, attachment } = backup
-    this.#backup = undefined
-    attachment.detach()
-    this.ports.crashes.abandoned(view, this.work.fingerprint(), this.#quarantine.watchedRun(tracker.sentAtMs))
-    this.recordDecision('backup-stopped', { attempt, endpoint: view.id, afterMs: steadyNow() - (tracker.sentAtMs ?? this.acceptedAtMs), pieces: this.answer.length })
-    tracker.end()
-    if (this.lifecycle.traits.movable) this.#runner.stop(view, attempt, this.answer.length).catch(() => { /* the endpoint ends a run that nobody reads */ })
-  }
-
-  /** The current attempt goes on, so that its request has not failed. */
-  #onBackupError (attempt: number, err: AttemptError): void {
-    const { view, tracker, attachment } = this.#backup!
-    this.#backup = undefined
-    attachment.detach()
-    const { sentAtMs } = tracker
-    const failed = { endpoint: view.id, view, point: err.point, err, cls: this.work.cls.name, sentAtMs, run: this.#quarantine.watchedRun(sentAtMs), wasPaused: false }
-    recordDeparture(this.ports.table, failed)
-    recordFailedAttempt(this.ports, failed)
-    this.#logFailure(view.id, err, { attempt, repeat: 'current-goes-on', sentAtMs })
-    tracker.end()
-    this.post({ type: 'failed', attempt, point: err.point, retryGranted: false })
+    const view = this.#backups.stop(attempt)
+    if (view && this.lifecycle.traits.movable) this.#runner.stop(view, attempt, this.answer.length).catch(() => { /* the endpoint ends a run that nobody reads */ })
+  }
+
+  #createBackups (): Backups<P> {
+    return new Backups<P>({
+      work: this.work,
+      ports: this.ports,
+      quarantine: this.#quarantine,
+      state: () => this.lifecycle,
+      progress: () => this.progress,
+      placement: (avoid) => this.#placementOf(avoid),
+      newTracker: () => this.#newTracker(),
+      sink: (endpoint, attempt) => this.sink(endpoint, attempt),
+      send: (view, spec) => this.#send(view, { ...spec, mode: 'prefill' }),
+      mayComplete: (attempt, head) => this.#mayComplete(attempt, head),
+      post: (msg) => this.post(msg),
+      recordDecision: (event, fields) => this.recordDecision(event, fields),
+      logFailure: (endpoint, err, failure) => this.#logFailure(endpoint, err, failure),
+      pieces: () => this.answer.length
+    })
   }
 
   #newTracker (): AttemptTracker {
@@ -516,9 +436,14 @@
     return tracker
   }
 
-  #trackSent (view: EndpointView, work: SentWork, tracker = this.#tracker): void {
-    tracker.recordSent(view.id, work, this.#route)
+  #trackSent (view: EndpointView, work: SentWork, { route, tracker }: Pick<BackupSpec<P>, 'route' | 'tracker'> = { route: this.#takeRoute(), tracker: this.#tracker }): void {
+    tracker.recordSent(view.id, work, route)
+  }
+
+  #takeRoute (): Route | undefined {
+    const route = this.#route
     this.#route = undefined
+    return route
   }
 
   /** Creates the sink that receives the output of an attempt. */
@@ -532,14 +457,14 @@
         this.#record.withoutId()
         if (attempt === this.lifecycle.attempt) {
           this.#tracker.recordOtherBytes()
-          this.#currentGoesOn()
+          this.#backups.currentGoesOn()
         } else this.ports.table.recordActivity(endpoint)
       },
       onChunk: (offset, pieces) => {
         if (!this.#mayComplete(attempt, head)) return this.#rejectAnswer(attempt, endpoint)
         if (attempt === this.lifecycle.attempt) {
           this.#tracker.recordPiece(this.flow.readingSinceMs)
-          this.#currentGoesOn()
+          this.#backups.currentGoesOn()
         }
         this.#addChunk({ attempt, offset, pieces }, { head, version: this.#runningVersion })
       },
@@ -687,10 +612,9 @@
     this.final = final
     this.attachment = undefined
     if (this.#placement) this.ports.dispatcher.remove(this.#placement)
-    this.#withdrawBackup()
+    this.#backups.end()
     if (final.outcome === 'answered') this.#tracker.read()
     this.#tracker.end()
-    this.#backup?.tracker.end()
     this.lifecycle = { ...this.lifecycle, phase: 'done', outcome: final.outcome }
     this.recordDecision('request-ended', requestEndedEvent(this, { final, pieces: this.#meter.pieces, parts: this.#record.parts }))
     this.#meter.finished(final)
