--- a/core/admission/drain_admission.ts
+++ b/core/admission/drain_admission.ts
@@ -8,7 +8,7 @@
   endsAtMs: number
 }
 
-/** Answers of a class whose times are kept: enough for nine in ten to be told from all. */
+/** Answers of a class whose times are kept: enough to tell nine in ten from all. */
 const KEPT = 50
 /** Answers of a class from which on its time counts as known. */
 const MIN_KNOWN = 5
