Break an answer off whose endpoint cannot be reached after its end

What callers could see (ORDER): half a stream without a length that looks whole, if the host of its endpoint goes with the endpoint, so that nothing answers a connection.

Cause: an end check without a result counted as an end of the answer; only a refused connection did not.

Change: only an accepted connection ends such an answer as whole. A stream that may be resumed goes on elsewhere, a plain answer that was not passed on is retried if it may be, others are broken off. `endpointSeen` had one value left and is gone.

--- a/daemon/request/request_task.ts
+++ b/daemon/request/request_task.ts
@@ -468,7 +468,7 @@
         }
         this.#addChunk({ attempt, offset, pieces }, { head, version: this.#runningVersion })
       },
-      onEnd: (total, { endpointSeen = true, explicit = true, rest } = {}) => this.#onAttemptEnd(endpoint, attempt, { total, head, endpointSeen, explicit, rest }),
+      onEnd: (total, { explicit = true, rest } = {}) => this.#onAttemptEnd(endpoint, attempt, { total, head, explicit, rest }),
       onError: (err) => this.#onAttemptError(attempt, endpoint, err),
       onLoad: (load) => this.ports.table.applyLoadReport(endpoint, load)
     }
@@ -529,7 +529,7 @@
     this.onBegun()
   }
 
-  #onAttemptEnd (endpoint: EndpointId, attempt: number, end: { total: number, head: AnswerHead | undefined, endpointSeen: boolean, explicit: boolean, rest: P | undefined }): void {
+  #onAttemptEnd (endpoint: EndpointId, attempt: number, end: { total: number, head: AnswerHead | undefined, explicit: boolean, rest: P | undefined }): void {
     if (attempt !== this.lifecycle.attempt) return
     const fail = () => this.#onAttemptError(attempt, endpoint, new AttemptError('Cannot use answer: it is incomplete', { point: 'torn-answer' }))
     if (!this.#mayComplete(attempt, end.head)) return this.#rejectAnswer(attempt, endpoint)
@@ -541,7 +541,7 @@
     this.#record.ended(end.head)
     this.head ??= end.head
     this.ports.table.succeeded(endpoint)
-    if (end.endpointSeen && (!this.head || this.head.status < FIRST_REDIRECT_STATUS)) this.#quarantine.answered(this.#runningVersion)
+    if (!this.head || this.head.status < FIRST_REDIRECT_STATUS) this.#quarantine.answered(this.#runningVersion)
     this.post({ type: 'ended', attempt })
   }
 
--- a/endpoints/attempt.ts
+++ b/endpoints/attempt.ts
@@ -27,8 +27,6 @@
 
 /** Options of {@linkcode AttemptSink.onEnd}. */
 export interface AttemptEndOptions<P = string> {
-  /** False if the endpoint may have ended with its answer, so that the end does not show that it survived the request. Default: true. */
-  endpointSeen?: boolean
   /** False if the answer ended with its connection and nothing marked its end. Default: true. */
   explicit?: boolean
   /** What follows the last event of a stream and has no position. Default: nothing. */
--- a/endpoints/exchange/end_check_test.ts
+++ b/endpoints/exchange/end_check_test.ts
@@ -104,3 +104,18 @@
   await until(() => first.ended !== undefined)
   expect(first.ended).toBe('torn-answer')
 })
+
+test('half a stream does not look whole because its endpoint cannot be reached any more', async () => {
+  // Guards against an endpoint whose host goes with it: that nothing answers does not show that the answer had ended.
+  const { endpoint, view, sockets } = await startStreams()
+  const unanswered = await UnansweredAddress.open()
+  const client = new ExchangeClient({ maxConnections: () => 4 })
+  const checkEnd = createEndCheck({ dial: () => dial(unanswered.address, { timeoutMs: 200 }) })
+  const first = read('a', { client, view, checkEnd })
+  await until(() => first.events === 1)
+  sockets.get('a')!.end()
+  await endpoint.close()
+  await until(() => first.ended !== undefined)
+  expect(first.ended).toBe('torn-answer')
+  await unanswered.close()
+})
--- a/endpoints/exchange/exchange.ts
+++ b/endpoints/exchange/exchange.ts
@@ -155,15 +155,15 @@
   onResponseEnd (): void {
     if (this.#done) return
     if (!this.#isComplete()) return this.#fail('torn-answer', 'the answer broke off')
-    if (isSelfDelimited(this.#head!)) this.#finish({ endpointSeen: true })
+    if (isSelfDelimited(this.#head!)) this.#finish({})
     else this.#finishIfAlive()
   }
 
   async #finishIfAlive (): Promise<void> {
     const result = await this.#options.checkEnd()
     if (this.#done) return
-    if (result === 'ended') this.#fail('torn-answer', 'the endpoint ended with its answer')
-    else this.#finish({ endpointSeen: result === 'alive', explicit: false })
+    if (result === 'alive') this.#finish({ explicit: false })
+    else this.#fail('torn-answer', result === 'ended' ? 'the endpoint ended with its answer' : 'the endpoint does not accept connections after its end')
   }
 
   #finish (end: AttemptEndOptions<Buffer>): void {
