Read a connection again whose answer ended while it was not read

What callers could see (LOST): a request that runs at its endpoint and is never answered by it, but with 504 at its deadline, on a route that may run once as well; an idle connection of which nobody reads that its endpoint ended it.

Cause: an answer pauses its connection while its caller, or the daemon that it runs for, does not take more. If the last bytes of the answer were read in the same turn, the answer had ended when its caller went on, so that nothing resumed the connection; it went back to the pool and took the next request, of whose answer nothing was read.

Change: a connection that is released is read again.

--- a/endpoints/exchange/end_check_test.ts
+++ b/endpoints/exchange/end_check_test.ts
@@ -28,10 +28,13 @@
 /** Result of a stream without a length: the number of its events and how it ended. */
 interface StreamResult { events: number, ended: 'whole' | FailurePoint | undefined, attachment: Attachment }
 
-function read (id: string, { client, view, checkEnd }: { client: ExchangeClient, view: EndpointView, checkEnd: EndCheck }): StreamResult {
+function read (id: string, { client, view, checkEnd }: { client: ExchangeClient, view: EndpointView, checkEnd: EndCheck }, onEvent = () => {}): StreamResult {
   const result: StreamResult = { events: 0, ended: undefined, attachment: { detach: () => {} } }
   result.attachment = new ExchangeRunner({ req: requestOf(id), client, dialect: DIALECT, checkEnd }).start(view, { attempt: 1, mode: 'fresh', lane: 'normal', done: [], from: 0, deadlineInMs: 1000, kvHandle: undefined }, {
-    onChunk: () => { result.events++ },
+    onChunk: () => {
+      result.events++
+      onEvent()
+    },
     onEnd: () => { result.ended = 'whole' },
     onError: ({ point }) => { result.ended = point },
     onLoad: () => {}
@@ -119,3 +122,23 @@
   expect(first.ended).toBe('torn-answer')
   await unanswered.close()
 })
+
+test('a connection whose answer ended while it was not read is read again for the next request', async () => {
+  // Guards against requests that run and whose answers are never read, since the answer before paused with its last bytes.
+  const endpoint = new RawEndpoint(({ head, socket }) => {
+    const event = 'id: 1\ndata: a\n\n'
+    socket.write(`HTTP/1.1 200 OK\r\nid: ${/^id: (.*)$/im.exec(head)![1]!}\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n${event.length.toString(16)}\r\n${event}\r\n0\r\n\r\n`)
+  })
+  const view = viewOf(await endpoint.listen())
+  const client = new ExchangeClient({ maxConnections: () => 4 })
+  const checkEnd: EndCheck = async () => 'alive'
+  const first = read('a', { client, view, checkEnd }, () => first.attachment.pause!())
+  await until(() => first.ended !== undefined)
+  first.attachment.resume!()
+  await delay(50)
+  const second = read('b', { client, view, checkEnd })
+  await until(() => endpoint.requests.length === 2)
+  await delay(300)
+  expect([first.ended, second.ended, endpoint.connections]).toEqual(['whole', 'whole', 1])
+  await endpoint.close()
+})
--- a/endpoints/exchange/exchange.ts
+++ b/endpoints/exchange/exchange.ts
@@ -170,7 +170,11 @@
     const body = Buffer.concat(this.#chunks)
     this.#endAttempt()
     // Deferred because the client closes a connection that cannot be reused only after this callback.
-    setImmediate(() => this.#options.release())
+    setImmediate(() => {
+      // The next answer, and the end of an idle connection, must be read although this answer ended in a pause.
+      this.#options.connection.resume()
+      this.#options.release()
+    })
     if (this.#bodyHandling === 'failure') {
       const status = this.#head!.status
       this.#options.sink.onError(new AttemptError(`Cannot use answer: status ${status}`, { point: 'endpoint-error', answer: { head: this.#head!, body } }))
