Report a run that its delegate leaves between two attempts as lost

What callers could see (LOST): a stream that runs at another daemon is cut off when that daemon leaves, although its origin could go on with it.

Cause: since a leaving delegate declines the runs that wait for an endpoint. One that had run before was reported as failed, which its origin takes for the answer of an endpoint and never repeats.

Change: the reason of the leaving daemon means lost, like that of one that is cut off.

--- a/daemon/delegation/delegate_server.ts
+++ b/daemon/delegation/delegate_server.ts
@@ -205,6 +205,8 @@
 function resultOf (task: RequestTask<Buffer>, reached: number): RunResult {
   const { outcome, reason, retryAfterMs } = task.final!
   if (outcome === 'answered') return { type: 'answered', total: task.answer.length }
-  if (outcome === 'unknown') return { type: reason === CUT_OFF_REASON ? 'lost' : 'failed', why: reason, reached, answer: task.failureAnswer }
+  // The run ends with this daemon, not at an endpoint: its origin may go on with it elsewhere.
+  const isLost = reason === CUT_OFF_REASON || reason === LEAVING_REASON
+  if (outcome === 'unknown') return { type: isLost ? 'lost' : 'failed', why: reason, reached, answer: task.failureAnswer }
   return reason !== CUT_OFF_REASON && retryAfterMs !== undefined ? { type: 'refused', why: reason, retryAfterMs } : { type: 'declined', why: reason }
 }
--- a/daemon/delegation/delegate_server_test.ts
+++ b/daemon/delegation/delegate_server_test.ts
@@ -241,3 +241,14 @@
   task.change()
   expect(task.received).toEqual(['begin'])
 })
+
+test('a run that waits for another endpoint when its delegate leaves is lost, so that its origin may go on with it', async () => {
+  // Guards against streams that are cut off although their origin could send them elsewhere: it takes a failure for final.
+  const result = run(1)
+  await vi.advanceTimersByTimeAsync(1)
+  const task = tasks[0]!
+  task.state.phase = 'placing'
+  task.post = (msg) => { if (msg.type === 'refused') task.finish({ outcome: 'unknown', reason: msg.reason, retryAfterMs: undefined }) }
+  server.declineWaiting()
+  expect(await result).toMatchObject({ type: 'lost' })
+})
