Keep the calls on a link that gives way to another one when both daemons dial

What callers could see: 502, a refused quota, or a request that runs here and not elsewhere, when a call between two daemons failed in the moment in which both dialed each other.

Cause: of two links between daemons, the one that gives way stays open until its calls have ended only if it was there first. The one that is introduced last was terminated at once, with the calls that the other end had begun on it. Found by the review by somebody who had not seen the work.

Change: it stays open in the same way.

--- a/daemon/peers/peer_links.ts
+++ b/daemon/peers/peer_links.ts
@@ -279,7 +279,7 @@
     if (link.address !== undefined) this.#peerByAddress.set(link.address, msg.id)
     const other = this.#links.get(msg.id)
     if (other && !this.#isPreferred(link)) {
-      link.socket.terminate()
+      this.#replace(link)
       ready?.(other)
       return
     }
--- a/daemon/peers/peer_links_test.ts
+++ b/daemon/peers/peer_links_test.ts
@@ -142,6 +142,18 @@
   expect(await b.links.call(a, 'ping', null)).toBe('pong')
 })
 
+test('calls are answered while both daemons dial each other', async () => {
+  // Guards against a call on a link that the other daemon closes at once, since it already has the one that both ends keep.
+  const results: string[] = []
+  for (let round = 0; round < 20; round++) {
+    const [a, b] = [await start('a'), await start('b')]
+    a.links.handle('ping', async () => 'pong')
+    a.links.keep([b.address])
+    results.push(await b.links.call(a, 'ping', null).catch((err: Error) => err.message) as string)
+  }
+  expect(results.filter((result) => result !== 'pong')).toEqual([])
+})
+
 test('a pending call over a dead link fails within seconds', async () => {
   // Guards against a caller that waits forever for an answer streamed through another daemon: a network partition closes no connection.
   const a = await start('a')
