Keep a silent attempt until its backup answers

What callers saw: a stream whose endpoint was silent for 1.2 s and went on was broken off at its route's timeout with 64 or 65 of 100 events, as in what was reported; a request failed that another endpoint refused, although the path to its own was in doubt only.

Cause: since the backup took the place of the silent attempt 250 ms after it was sent if either endpoint had sent a byte for any other request, or if the path was in doubt. Neither shows that the endpoint of the backup works on this request: it waited there, or its connection was not open.

Change: the first of both to answer goes on, and nothing else decides. Two endpoints may have a request for longer than before; only one can send events of it, since the other one is stopped with the first bytes.

--- a/daemon/request/_backups.ts
+++ b/daemon/request/_backups.ts
@@ -2,7 +2,7 @@
 import type { AnswerHead } from '../../core/answer/index.ts'
 import type { EndpointId } from '../../core/ids/index.ts'
 import { AttemptError } from '../../core/outcome/index.ts'
-import { mayStartBackup, overdueAtMs, type AttemptProgress, type RequestMessage, type RequestState } from '../../core/request/index.ts'
+import { mayStartBackup, overdueAtMs, type RequestMessage, type RequestState } from '../../core/request/index.ts'
 import type { EndpointView, Route } from '../../core/routing/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import type { Attachment, AttemptSink } from '../../endpoints/index.ts'
@@ -30,8 +30,6 @@
   quarantine: QuarantineCheck
   /** State of the request. */
   state (): RequestState
-  /** Progress of the current attempt; undefined while none runs. */
-  progress (): AttemptProgress | undefined
   /** Returns a placement of the request that avoids some endpoints. */
   placement (avoid: readonly EndpointId[]): Placement
   newTracker (): AttemptTracker
@@ -48,13 +46,11 @@
   pieces (): number
 }
 
-/** Time for which an endpoint that works may have a request while another one has it, in milliseconds. */
-const OVERLAP_MS = 250
-
 /**
  * Finds an endpoint for the backup of one request, and keeps the backup until it is stopped, fails or takes the place of the silent attempt.
  *
- * The silent attempt is not given up before: its endpoint may be sound, and the other one silent as well or without room after all.
+ * Neither is given up before the other one answers: the endpoint of the silent attempt may be sound, and that of the backup silent as well, or let it wait. What
+ * an endpoint sends for other requests shows nothing of this one.
  */
 export class Backups<P> {
   readonly #options: BackupsOptions<P>
@@ -70,11 +66,9 @@
 
   /** Must be called repeatedly while the current attempt is silent. `mayRetry`: the request may be sent to another endpoint. */
   handleStall ({ mayRetry }: { mayRetry: boolean }): void {
-    const { state, post, ports } = this.#options
-    if (this.#isLikelier()) return post({ type: 'answering', attempt: state().backup!.attempt })
     if (this.#waiting || !mayRetry || !this.#mayStart()) return
     this.#waiting = this.#placement()
-    ports.dispatcher.startOnceRoom(this.#waiting)
+    this.#options.ports.dispatcher.startOnceRoom(this.#waiting)
   }
 
   /** Must be called when the current attempt sends anything. */
@@ -132,18 +126,6 @@
     this.#running = undefined
   }
 
-  /**
-   * Returns true if the backup is to take the place of the silent attempt before it answers: one of the two endpoints works, so that either that of the backup has not refused the request
-   * and works on it, or only this attempt is silent. Two endpoints must not work on a request for long.
-   */
-  #isLikelier (): boolean {
-    if (!this.#running || ageOf(this.#running) < OVERLAP_MS) return false
-    const { ports: { table }, state, progress } = this.#options
-    const current = progress()
-    const silentSinceMs = current?.lastPieceAtMs ?? current?.sentAtMs ?? Infinity
-    return table.lastActivityAtMs(this.#running.view.id) > this.#running.tracker.sentAtMs! || table.lastActivityAtMs(state().endpoint!) > silentSinceMs
-  }
-
   /** A backup that is silent itself is replaced while the route allows another attempt. */
   #mayStart (): boolean {
     const { state, ports } = this.#options
--- a/daemon/request/request_task.ts
+++ b/daemon/request/request_task.ts
@@ -144,8 +144,8 @@
     if (endpoint === undefined || this.lifecycle.phase !== 'running') return
     const point: FailurePoint = this.attachment?.sent === false ? 'connect-timeout' : 'timeout-after-send'
     const repeatable = this.mayRetryElsewhere && canRetry(this.lifecycle, point)
-    // The path may recover: an attempt is given up early only for one that starts at once.
-    if (!isFinal && !(repeatable && (this.lifecycle.backup !== undefined || this.ports.dispatcher.canStartNow(this.#placementOf([...this.lifecycle.avoid, endpoint]))))) return
+    // The path may recover: an attempt is given up early only for one that starts at once, and not for a backup that has not answered.
+    if (!isFinal && (this.lifecycle.backup !== undefined || !(repeatable && this.ports.dispatcher.canStartNow(this.#placementOf([...this.lifecycle.avoid, endpoint]))))) return
     const granted = repeatable && (this.lifecycle.backup !== undefined || isFreeRetry(this.lifecycle, point) || budget.tryWithdraw(table.isLeavingOrGone(endpoint)))
     if (!isFinal && !granted) return
     this.attachment?.detach()
@@ -417,7 +417,6 @@
       ports: this.ports,
       quarantine: this.#quarantine,
       state: () => this.lifecycle,
-      progress: () => this.progress,
       placement: (avoid) => this.#placementOf(avoid),
       newTracker: () => this.#newTracker(),
       sink: (endpoint, attempt) => this.sink(endpoint, attempt),
