Start a backup for a stream at an emptied version instead of stopping it

What callers could see: streams of which they had no event waited without an attempt, until they were refused, after a version was emptied; others stayed at the version, since they were asked once only.

Cause: all streams of the version were asked in one loop whether another endpoint had room; nothing was reserved, and the places were taken only after the runs were reported to be stopped. The retry budget was not asked.

Change: such a stream gets a backup, as one whose endpoint is silent: once an endpoint can take it, out of the same budget and attempts, and the first of both to answer goes on. `Backups.request` serves both.

--- a/daemon/request/_backups.ts
+++ b/daemon/request/_backups.ts
@@ -64,8 +64,8 @@
     this.#options = options
   }
 
-  /** Must be called repeatedly while the current attempt is silent. `mayRetry`: the request may be sent to another endpoint. */
-  handleStall ({ mayRetry }: { mayRetry: boolean }): void {
+  /** Starts a backup once an endpoint can take it. Must be called repeatedly while the current attempt is silent. `mayRetry`: the request may be sent to another endpoint. */
+  request ({ mayRetry }: { mayRetry: boolean }): void {
     if (this.#waiting || !mayRetry || !this.#mayStart()) return
     this.#waiting = this.#placement()
     this.#options.ports.dispatcher.startOnceRoom(this.#waiting)
--- a/daemon/request/request_task.ts
+++ b/daemon/request/request_task.ts
@@ -132,7 +132,7 @@
    * Handles a running attempt that has gone silent: starts a backup at another endpoint, if a retry is allowed. A non-idempotent request gets none, since silence does not prove that it
    * isn't running.
    */
-  handleStall (): void { this.#backups.handleStall({ mayRetry: this.mayRetryElsewhere }) }
+  handleStall (): void { this.#backups.request({ mayRetry: this.mayRetryElsewhere }) }
 
   /**
    * Handles an attempt whose endpoint cannot be reached any more: retries it another way if that is allowed. Otherwise its answer is waited for until `isFinal` is set, since the path
@@ -156,11 +156,11 @@
   /** Returns false if the quarantine keeps the request from an endpoint. */
   accepts (view: EndpointView): boolean { return this.#quarantine.heldAt([view]) === undefined }
 
-  /** Moves a resumable stream of which the caller has no event yet to another endpoint that can take it now, if its current one runs a version that must receive no more work. */
+  /** Sends a resumable stream of which the caller has no event yet to another endpoint as well, if its current one runs a version that must receive no more work. The first of both to answer goes on. */
   moveOffVersion (pool: PoolName, version: EndpointVersion): void {
     const view = this.runningAt && this.ports.table.get(this.runningAt)
     const isAffected = view?.pool === pool && view.version === version && !this.binding.version
-    if (isAffected && canMove(this.lifecycle) && this.ports.dispatcher.canStartNow(this.#placementOf([...this.lifecycle.avoid, view.id]))) this.post({ type: 'hold' })
+    if (isAffected && canMove(this.lifecycle)) this.#backups.request({ mayRetry: this.mayRetryElsewhere })
   }
 
   /** Calls the listener after each change. The caller counts as gone once the last listener is removed. */
