Leave in shares of the grace period, so that a busy process is not killed while it exits

Callers and operators could lose last bytes and log lines: with a silent endpoint the process exited at 7.82 to 7.96 s of 8, and SIGKILL comes at 8. Cause: requests were waited for until 0.5 s before the end; of these 0.3 s are the flush of the farewell to other daemons, 0.02 s a poll, and up to 0.2 s the last flush of the log. Change: open requests are waited for until 7/8 of the grace period (7.0 s), the membership is left by 15/16 (7.5 s). A cut at 7.0 s lies in the last sixth, from 6.67 s on. Cost: a run that ends between 7.3 and 7.8 s after SIGTERM is now cut. Test: npx vitest run platform/sigterm_test.ts -t 'well before'; before: 7821 and 7868 ms where less than 7667 is asked (grace less a quarter of its last sixth); after: passes, as do the other 7 tests of the file.

--- a/daemon/exchange/proxy_daemon.ts
+++ b/daemon/exchange/proxy_daemon.ts
@@ -21,10 +21,10 @@
  * removes a daemon after two failed checks; a connection opened just before may carry its request a moment later.
  */
 const READINESS_PROPAGATION_MS = 2600
-/** Time reserved at the end of the grace period for leaving the membership, in milliseconds. */
-const LEAVE_RESERVE_MS = 500
-/** Time reserved after that for writing the log, in milliseconds. */
-const EXIT_RESERVE_MS = 150
+/** Part of the grace period reserved at its end, after the wait for open requests. */
+const END_SHARE = 1 / 8
+/** Part of the grace period that is left when the daemon has left the membership; a busy process exits late. */
+const EXIT_SHARE = 1 / 16
 const DRAIN_POLL_MS = 20
 /** Settings that can change without a restart, because they are read at each use or applied by {@linkcode ProxyDaemon.reconfigure}. */
 const RELOADABLE_SETTINGS: ReadonlySet<keyof ProxySettings> = new Set(['seeds', 'graceMs', 'quota', 'repeats'] as const)
@@ -134,7 +134,9 @@
    */
   async #drain (): Promise<void> {
     const { settings, server, intake, readiness, monitor, lease, usage, orders, rollouts, membership, delegateServer } = this.#components
-    const endsAtMs = steadyNow() + settings.graceMs - LEAVE_RESERVE_MS
+    const sinceMs = steadyNow()
+    const endsAtMs = sinceMs + settings.graceMs * (1 - END_SHARE)
+    const leftByMs = sinceMs + settings.graceMs * (1 - EXIT_SHARE)
     log('daemon-draining', { who: 'signal', open: server.open })
     membership.setSelf({ state: 'draining' })
     server.startDraining()
@@ -154,7 +156,7 @@
     if (server.open === 0) server.kill()
     // Actions that the release waits for, or the store, may take longer than the grace period; this daemon does not act as the holder meanwhile.
     await Promise.race([released, delay(Math.max(0, endsAtMs - steadyNow()))])
-    await this.#leave(endsAtMs + LEAVE_RESERVE_MS - EXIT_RESERVE_MS)
+    await this.#leave(leftByMs)
     readiness.close()
     monitor.close()
     this.#resolveLeft()
