Answer a request that runs when the daemon ends, instead of closing its connection

A caller whose request was at a silent endpoint when the grace period ended had its connection closed without a byte. Cause: only requests that had not run were answered, since 503 promises that they have not; the others were left to the end of the process. Change: once the daemon has left the membership, each request whose answer has not begun is ended with 504, which promises nothing, and what was written is handed to the system before the process exits. What comes to wait again, since links to other daemons were closed, is refused. A new log line, request-given-up, has the status; daemon-left counts them. Test: npx vitest run platform/sigterm_test.ts -t 'said nothing'; before: '' received where a 504 is asked; after: passes.

--- a/core/request/lifecycle.ts
+++ b/core/request/lifecycle.ts
@@ -77,6 +77,8 @@
   | { type: 'deadline' }
   | { type: 'caller-left' }
   | { type: 'cancelled' }
+  /** Nothing more can be done for the request, although an attempt may still run. */
+  | { type: 'given-up', reason: string }
 
 /** Action that the daemon has to carry out. */
 export type RequestEffect =
@@ -126,6 +128,7 @@
     case 'quarantined': return abort(state, msg.reason, msg.retryAfterMs)
     case 'deadline': return abort(state, 'deadline passed')
     case 'cancelled': return abort(state, 'cancelled by the caller')
+    case 'given-up': return abort(state, msg.reason)
     case 'caller-left': return state.traits.cancelOnLeave ? abort(state, 'caller left') : unchanged(state)
   }
 }
--- a/daemon/exchange/exchange_server.ts
+++ b/daemon/exchange/exchange_server.ts
@@ -149,6 +149,17 @@
     }
   }
 
+  /** Answers the requests that run and whose answers have not begun. They may have run, which the status says; the others can only be broken off. */
+  giveUpRunning (): void {
+    for (const exchange of this.#exchanges.all) {
+      const { task, res } = exchange
+      if (task && !task.final && !res.headersSent) this.#exchanges.giveUp(exchange, () => task.post({ type: 'given-up', reason: LEAVING_REASON }))
+    }
+  }
+
+  /** True while an answer that has ended is not handed to the system. */
+  get isSending (): boolean { return this.#exchanges.isSending }
+
   /** Logs each request that is still open when the process ends. */
   logCut (): void {
     this.#exchanges.logCut()
--- a/daemon/exchange/exchange_writer.ts
+++ b/daemon/exchange/exchange_writer.ts
@@ -6,6 +6,7 @@
 import type { FinalResult } from '../request/live_answer.ts'
 import type { RequestTask } from '../request/request_task.ts'
 import { AnswerSender } from './answer_sender.ts'
+import { LEAVING_REASON } from './refusal.ts'
 
 const BAD_GATEWAY = 502
 const UNAVAILABLE = 503
@@ -80,7 +81,7 @@
 
 function statusFor (final: FinalResult): number {
   if (final.outcome === 'not-run') return UNAVAILABLE
-  return final.reason.startsWith('deadline') ? GATEWAY_TIMEOUT : BAD_GATEWAY
+  return final.reason.startsWith('deadline') || final.reason === LEAVING_REASON ? GATEWAY_TIMEOUT : BAD_GATEWAY
 }
 
 /** A response of the daemon's own, for a request that gets no endpoint's answer. */
--- a/daemon/exchange/open_exchanges.ts
+++ b/daemon/exchange/open_exchanges.ts
@@ -18,7 +18,7 @@
 }
 
 /** Counts of requests since a drain began. */
-export interface DrainCounts { read: number, closed: number, sinceMs: number }
+export interface DrainCounts { read: number, closed: number, givenUp: number, sinceMs: number }
 
 /** Requests of a connection that are open, in their order; `ending` is set once an answer says that it is the last one on the connection. */
 interface Connection { open: Exchange[], ending: boolean }
@@ -28,7 +28,7 @@
   readonly #open = new Set<Exchange>()
   /** Connections on which a request has come. */
   readonly #connections = new Map<Socket, Connection>()
-  readonly #counts = { read: 0, closed: 0 }
+  readonly #counts = { read: 0, closed: 0, givenUp: 0 }
   #drainingSinceMs: number | undefined
 
   /** Number of requests whose response is not finished. */
@@ -84,6 +84,17 @@
     for (const [socket, { open }] of this.#connections) if (open.length === 0) socket.destroy()
   }
 
+  /** Ends a request by calling `answer`, and logs what its caller is told in place of an endpoint's answer. */
+  giveUp (exchange: Exchange, answer: () => void): void {
+    const cut = this.#describe(exchange)
+    answer()
+    this.#counts.givenUp++
+    logRequest(exchange.id ?? 'unknown', 'request-given-up', { ...cut, status: exchange.res.statusCode })
+  }
+
+  /** True while an answer that has ended is not handed to the system. */
+  get isSending (): boolean { return this.all.some(({ res }) => res.writableEnded && !res.writableFinished) }
+
   /** Requests that are open. */
   get all (): Exchange[] { return [...this.#open] }
 
--- a/daemon/exchange/proxy_daemon.ts
+++ b/daemon/exchange/proxy_daemon.ts
@@ -162,12 +162,17 @@
     this.#resolveLeft()
   }
 
-  /** Leaves the membership; not waited for beyond `untilMs`, since the store may not answer. */
+  /** Leaves the membership and answers what can still be answered; neither is waited for beyond `untilMs`, since the store or a caller may be silent. */
   async #leave (untilMs: number): Promise<void> {
     const { membership, server, streamVersions } = this.#components
     streamVersions.handOver()
     this.#stopTasks()
     await Promise.race([membership.leave(undefined), delay(Math.max(0, untilMs - steadyNow()))])
+    // Attempts that ran by other daemons may have failed as the links were closed, and wait again.
+    server.refuseWaiting()
+    server.giveUpRunning()
+    do await delay(DRAIN_POLL_MS)
+    while (server.isSending && steadyNow() < untilMs)
     server.logCut()
     log('daemon-left', { cut: server.open, ...server.drained })
   }
--- a/daemon/log/describe.ts
+++ b/daemon/log/describe.ts
@@ -37,6 +37,7 @@
   'request-read-draining': (f) => `read ${ms(f.sinceMs)} after the drain began`,
   'connection-closed-draining': (f) => `connection closed by the ${f.by} ${cutSuffix(f)}`,
   'request-dropped': (f) => `dropped: its connection was ending ${ms(f.sinceMs)} after the drain began`,
+  'request-given-up': (f) => `answered ${f.status} by this daemon, which leaves, ${cutSuffix(f)}`,
   'request-cut': (f) => `cut by the end of the process ${cutSuffix(f)}`,
   'stream-resumed': (f) => `resumed by its caller at ${f.by ?? 'this daemon'}, ended after piece ${f.pieces} in attempt ${f.attempt}`,
   'request-ended': (f) => `${f.outcome}: ${f.why}${retryHint(f.retryAfterMs)}${describeParts(f)}`
--- a/daemon/log/events.ts
+++ b/daemon/log/events.ts
@@ -90,6 +90,8 @@
   'connection-closed-draining': CutExchange & { by: 'caller' | 'daemon' }
   /** Read on a connection that this daemon was ending, so neither answered nor sent to an endpoint. */
   'request-dropped': { sinceMs: number }
+  /** Answered by this daemon with `status`, since it ends its process and nothing of an endpoint's answer has come. */
+  'request-given-up': CutExchange & { status: number }
   /** Still open when this daemon ends its process, `sinceMs` after it began to drain. */
   'request-cut': CutExchange
   /** Ended, since its caller resumes the stream with another request, which `by` took; undefined for this daemon. */
@@ -107,8 +109,8 @@
   /** CPU time of the whole process, and the work done in the same interval; messages are those between daemons. */
   'processor-time': { usedMs: number, spanMs: number, requests: number, attempts: number, pieces: number, messagesIn: number, messagesOut: number, memoryMb: number }
   'daemon-draining': { who: string, open: number }
-  /** `cut` is the number of requests that are still open; the other counts are of those since the drain began: read, and not answered whole because this daemon closed their connection. */
-  'daemon-left': { cut: number, heir?: string | undefined, read?: number, closed?: number, sinceMs?: number }
+  /** `cut` is the number of requests that are still open; the other counts are of those since the drain began: read, not answered whole because this daemon closed their connection, and answered by it since nothing had come of an answer. */
+  'daemon-left': { cut: number, heir?: string | undefined, read?: number, closed?: number, givenUp?: number, sinceMs?: number }
   'settings-read': { changed: readonly string[], needRestart: readonly string[] }
   'settings-refused': { problems: readonly string[] }
   /** `announcedAgeMs` is the time since a peer first announced the revision; undefined if none did. `era` is that of the store. */
@@ -234,7 +236,7 @@
 
 /** Events logged as warnings; the rate limit drops routine events before these. */
 export const WARNING_EVENTS: ReadonlySet<LogEvent> = new Set<LogEvent>([
-  'request-refused', 'request-broke', 'connection-closed-draining', 'request-cut', 'request-held', 'answer-evicted', 'memory-level', 'attempt-failed', 'export-failed', 'settings-refused', 'config-refused', 'config-outdated', 'config-not-fetched', 'store-lost', 'store-returned', 'relay-failed', 'region-link-lost',
+  'request-refused', 'request-broke', 'connection-closed-draining', 'request-cut', 'request-given-up', 'request-held', 'answer-evicted', 'memory-level', 'attempt-failed', 'export-failed', 'settings-refused', 'config-refused', 'config-outdated', 'config-not-fetched', 'store-lost', 'store-returned', 'relay-failed', 'region-link-lost',
   'connections-refused', 'peer-not-linked', 'peer-send-failed', 'peer-message-refused', 'not-registered', 'endpoint-refused', 'endpoint-crashed', 'request-quarantined', 'part-quarantined', 'quarantine-not-stored', 'endpoint-avoided', 'path-down', 'pool-cut-off', 'delegate-failed', 'endpoint-silent', 'endpoint-limit-refused', 'endpoint-signal-refused', 'keeper-silent', 'lease-call-failed',
   'usage-not-reported', 'usage-left-out', 'order-refused', 'rollout-held', 'rollout-refused', 'rollout-not-written', 'fleet-round-cut', 'answers-lost', 'lines-left-out'
 ])
