Handle SIGTERM before the first connection is accepted

A caller that connected as soon as the daemon listened, and whose daemon got SIGTERM at that moment, had its connection closed without an answer. Cause: the handlers were installed after the start had resolved, milliseconds after listening had begun; until then the signal ends the process. Change: the handlers are installed when the start begins, and drain once it has ended. A signal that comes before, while the code is loaded, still ends the process at once: no connection is accepted then.

--- a/cli/main.ts
+++ b/cli/main.ts
@@ -27,26 +27,33 @@
   const { loadPlatformSettings, toProxySettings, servePlatform } = await import('../platform/index.ts')
   const { watchSettings } = await import('./settings_watch.ts')
   const settings = loadPlatformSettings(path)
-  const serving = servePlatform(settings)
-  startLog({ daemon: settings.name, after: serving })
-  const daemon = await serving
+  const starting = servePlatform(settings)
+  drainOnSignal(starting)
+  startLog({ daemon: settings.name, after: starting })
+  const daemon = await starting
   watchSettings(path, { reload: () => daemon.reconfigure(toProxySettings(loadPlatformSettings(path))), reloadOnStart: hangupReceived() })
-  await drainOnSignal(daemon)
+  await exitOnceLeft(daemon)
 }
 
 async function serveDaemon (path: string): Promise<void> {
   const { Daemon, loadSettings } = await import('../daemon/index.ts')
   const settings = loadSettings(path)
   await startLog({ daemon: settings.name })
-  const daemon = await Daemon.start({ settings })
+  const starting = Daemon.start({ settings })
+  drainOnSignal(starting)
+  const daemon = await starting
   print(JSON.stringify({ daemon: daemon.id, ...daemon.addresses }))
-  await drainOnSignal(daemon)
+  await exitOnceLeft(daemon)
 }
 
-async function drainOnSignal (daemon: { drain (): Promise<void>, readonly left: Promise<void> }): Promise<void> {
-  const drain = () => { daemon.drain() }
+/** Drains a daemon on a signal. Must be called before the daemon listens, since a signal without a handler ends the process and cuts off its callers. */
+function drainOnSignal (starting: Promise<{ drain (): Promise<void> }>): void {
+  const drain = () => { starting.then((daemon) => daemon.drain(), () => { /* the start has failed, which ends the process */ }) }
   process.on('SIGTERM', drain)
   process.on('SIGINT', drain)
+}
+
+async function exitOnceLeft (daemon: { readonly left: Promise<void> }): Promise<void> {
   await daemon.left
   await flushLog()
   process.exit(0)
