Close no connection as idle on which the product's own interface still sends

A caller that read a large answer late had its connection closed while its daemon drained: 3.9 of 33.5 MB arrived. Cause: the HTTP server takes a connection for idle once its answer has ended, whether or not it is sent; its own close does the same. Change: what the exchange server knew of the responses on each connection is a component of its own, which both servers use to close idle connections and to stop listening. Test: npx vitest run daemon/api/unsent_answer_test.ts; before: 3919872 bytes where more than are asked; after: passes.

--- a/daemon/daemon.ts
+++ b/daemon/daemon.ts
@@ -17,6 +17,7 @@
 import { Claims } from './once/claims.ts'
 import { ConfigTask } from './config/config_task.ts'
 import { Dispatcher } from './request/dispatcher.ts'
+import { OpenResponses, stopListening } from './exchange/open_responses.ts'
 import { EndpointSignalRecorder } from './endpoints/endpoint_signal_recorder.ts'
 import { EndpointTable, SUBSET_SIZE } from './endpoints/endpoint_table.ts'
 import { FleetLoop } from './fleet/fleet_loop.ts'
@@ -109,6 +110,7 @@
 export class Daemon {
   readonly #components: DaemonComponents
   readonly #servers: Server[] = []
+  readonly #responses = new OpenResponses()
   #addresses: DaemonAddresses | undefined
   #draining: Promise<void> | undefined
 
@@ -204,7 +206,11 @@
 
   async #listen (app: Koa, port: number): Promise<string> {
     const { address } = this.#components.settings
-    const server = createServer({ keepAliveTimeout: 30_000 }, app.callback())
+    const serve = app.callback()
+    const server = createServer({ keepAliveTimeout: 30_000 }, (req, res) => {
+      this.#responses.add(res)
+      return serve(req, res)
+    })
     this.#servers.push(server)
     await new Promise<void>((resolve, reject) => server.once('error', reject).listen(port, address, resolve))
     return `http://${address}:${(server.address() as AddressInfo).port}`
@@ -222,7 +228,7 @@
     audit.write({ kind: 'drain', id: randomUUID(), who, atMs: Date.now(), what: { daemon: this.id } })
     await delay(Math.min(READINESS_PROPAGATION_MS, settings.drainMs / 4))
     broker.refuseNew()
-    for (const server of this.#servers) server.closeIdleConnections()
+    this.#responses.closeIdle()
     await this.#waitForOpenRequests(endsAtMs - Math.min(HANDOVER_RESERVE_MS, settings.drainMs / 2))
     const { heir } = broker
     if (heir) await this.#handOverTo(heir, endsAtMs)
@@ -243,8 +249,8 @@
   async #leave (heir: Member | undefined): Promise<void> {
     const { membership, broker, config, hosts, fleet, signals, quarantine, archive } = this.#components
     broker.releaseFollowers()
-    const closing = this.#servers.map(close)
-    for (const server of this.#servers) server.closeIdleConnections()
+    const closing = this.#servers.map(stopListening)
+    this.#responses.closeIdle()
     await Promise.race([Promise.all(closing), delay(READINESS_PROPAGATION_MS)])
     for (const server of this.#servers) server.closeAllConnections()
     config.stop()
--- a/daemon/exchange/exchange_server.ts
+++ b/daemon/exchange/exchange_server.ts
@@ -1,6 +1,6 @@
 /** HTTP server for callers whose requests are proxied unchanged. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import { connect, Server as NetServer, type AddressInfo, type Socket } from 'node:net'
+import { connect, type AddressInfo, type Socket } from 'node:net'
 import type { Acceptance } from '../../core/admission/index.ts'
 import type { CallerLimits } from '../../core/catalog/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
@@ -12,6 +12,7 @@
 import { refuse, writeExchange } from './exchange_writer.ts'
 import type { Intake } from './intake.ts'
 import { OpenExchanges, type DrainCounts, type Exchange } from './open_exchanges.ts'
+import { stopListening } from './open_responses.ts'
 import { LEAVING_REASON, Refusal, RETRY_AFTER_LEAVING_MS } from './refusal.ts'
 
 /** Options of {@linkcode ExchangeServer}. */
@@ -167,8 +168,7 @@
 
   /** Stops accepting connections and closes idle ones; those without a first request stay until the header timeout. */
   close (): void {
-    // The HTTP server's own method also closes connections whose answer has ended but is not sent yet, and checks header timeouts no more.
-    NetServer.prototype.close.call(this.#server)
+    stopListening(this.#server)
     this.#exchanges.closeIdle()
   }
 
--- a/daemon/exchange/open_exchanges.ts
+++ b/daemon/exchange/open_exchanges.ts
@@ -4,6 +4,7 @@
 import { steadyNow } from '../../core/time/index.ts'
 import { logRequest, type CutExchange } from '../log/index.ts'
 import type { RequestTask } from '../request/request_task.ts'
+import { OpenResponses } from './open_responses.ts'
 
 /** A request that was read, and the response to it. */
 export interface Exchange {
@@ -28,6 +29,7 @@
   readonly #open = new Set<Exchange>()
   /** Connections on which a request has come. */
   readonly #connections = new Map<Socket, Connection>()
+  readonly #responses = new OpenResponses()
   readonly #counts = { read: 0, closed: 0, givenUp: 0 }
   #drainingSinceMs: number | undefined
 
@@ -50,6 +52,7 @@
     const exchange: Exchange = { req, res, socket: req.socket, arrivedAtMs: steadyNow() }
     connection.open.push(exchange)
     this.#open.add(exchange)
+    this.#responses.add(res)
     res.on('close', () => this.#closed(exchange, connection))
     return exchange
   }
@@ -81,7 +84,7 @@
 
   /** Closes the connections whose requests are all answered. */
   closeIdle (): void {
-    for (const [socket, { open }] of this.#connections) if (open.length === 0) socket.destroy()
+    this.#responses.closeIdle()
   }
 
   /** Ends a request by calling `answer`, and logs what its caller is told in place of an endpoint's answer. */
