Test that a request which is given up ends at once with the right outcome

A direct test, and one more message in the random orders with backups, which now also show that no attempt is left running.

--- a/core/request/lifecycle_test.ts
+++ b/core/request/lifecycle_test.ts
@@ -97,6 +97,12 @@
   expect(running.effects.at(-2)).toEqual({ type: 'stop', endpoint: A, attempt: 1 })
 })
 
+test('a request that is given up ends at once, and certainly has not run only if nothing was sent', () => {
+  const givenUp: RequestMessage = { type: 'given-up', reason: 'leaves' }
+  expect(run({}, [{ type: 'begin' }, givenUp, { type: 'placed', endpoint: A }]).state.outcome).toBe('not-run')
+  expect(run({}, [...RUNNING, givenUp]).effects.slice(-2)).toEqual([{ type: 'stop', endpoint: A, attempt: 1 }, expect.objectContaining({ type: 'finish', outcome: 'unknown', reason: 'leaves' })])
+})
+
 test('a request stops when its caller disconnects only if its class has cancelOnLeave', () => {
   expect(run({}, [...RUNNING, { type: 'caller-left' }]).state.phase).toBe('running')
   expect(run({ cancelOnLeave: true }, [...RUNNING, { type: 'caller-left' }]).state.phase).toBe('done')
@@ -221,7 +227,7 @@
   const C = as<EndpointId>('c')
   const attempt = fc.integer({ min: 1, max: 4 })
   const msg = fc.oneof(
-    fc.constantFrom<RequestMessage>({ type: 'placed', endpoint: A }, { type: 'backup', endpoint: B }, { type: 'backup', endpoint: C }, { type: 'bound' }, { type: 'hold' }, { type: 'caller-left' }, { type: 'deadline' }, { type: 'move', endpoint: C, mode: 'prefill' }),
+    fc.constantFrom<RequestMessage>({ type: 'placed', endpoint: A }, { type: 'backup', endpoint: B }, { type: 'backup', endpoint: C }, { type: 'bound' }, { type: 'hold' }, { type: 'caller-left' }, { type: 'deadline' }, { type: 'given-up', reason: 'leaves' }, { type: 'move', endpoint: C, mode: 'prefill' }),
     fc.record({ type: fc.constant('failed' as const), attempt, point: fc.constantFrom(...FAILURE_POINTS), retryGranted: fc.boolean() }),
     fc.record({ type: fc.constant('stopped' as const), attempt, confirmed: fc.boolean() }),
     fc.record({ type: fc.constant('answering' as const), attempt }),
