--- a/daemon/exchange/exchange_server.ts
+++ b/daemon/exchange/exchange_server.ts
@@ -1,6 +1,6 @@
 /** HTTP server for callers whose requests are proxied unchanged. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import { connect, Server as NetServer, type AddressInfo, type Socket } from 'node:net'
+import { connect, type AddressInfo, type Socket } from 'node:net'
 import type { Acceptance } from '../../core/admission/index.ts'
 import type { CallerLimits } from '../../core/catalog/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
@@ -12,6 +12,7 @@
 import { refuse, writeExchange } from './exchange_writer.ts'
 import type { Intake } from './intake.ts'
 import { OpenExchanges, type DrainCounts, type Exchange } from './open_exchanges.ts'
+import { stopListening } from './open_responses.ts'
 import { LEAVING_REASON, Refusal, RETRY_AFTER_LEAVING_MS } from './refusal.ts'
 
 /** Options of {@linkcode ExchangeServer}. */
@@ -149,6 +150,17 @@
     }
   }
 
+  /** Answers the requests that run and whose answers have not begun. They may have run, which the status says; the others can only be broken off. */
+  giveUpRunning (): void {
+    for (const exchange of this.#exchanges.all) {
+      const { task, res } = exchange
+      if (task && !task.final && !res.headersSent) this.#exchanges.giveUp(exchange, () => task.post({ type: 'given-up', reason: LEAVING_REASON }))
+    }
+  }
+
+  /** True while an answer that has ended is not handed to the system. */
+  get isSending (): boolean { return this.#exchanges.isSending }
+
   /** Logs each request that is still open when the process ends. */
   logCut (): void {
     this.#exchanges.logCut()
@@ -156,8 +168,7 @@
 
   /** Stops accepting connections and closes idle ones; those without a first request stay until the header timeout. */
   close (): void {
-    // The HTTP server's own method also closes connections whose answer has ended but is not sent yet, and checks header timeouts no more.
-    NetServer.prototype.close.call(this.#server)
+    stopListening(this.#server)
     this.#exchanges.closeIdle()
   }
 
--- a/daemon/exchange/open_exchanges.ts
+++ b/daemon/exchange/open_exchanges.ts
@@ -4,6 +4,7 @@
 import { steadyNow } from '../../core/time/index.ts'
 import { logRequest, type CutExchange } from '../log/index.ts'
 import type { RequestTask } from '../request/request_task.ts'
+import { OpenResponses } from './open_responses.ts'
 
 /** A request that was read, and the response to it. */
 export interface Exchange {
@@ -18,7 +19,7 @@
 }
 
 /** Counts of requests since a drain began. */
-export interface DrainCounts { read: number, closed: number, sinceMs: number }
+export interface DrainCounts { read: number, closed: number, givenUp: number, sinceMs: number }
 
 /** Requests of a connection that are open, in their order; `ending` is set once an answer says that it is the last one on the connection. */
 interface Connection { open: Exchange[], ending: boolean }
@@ -28,7 +29,8 @@
   readonly #open = new Set<Exchange>()
   /** Connections on which a request has come. */
   readonly #connections = new Map<Socket, Connection>()
-  readonly #counts = { read: 0, closed: 0 }
+  readonly #responses = new OpenResponses()
+  readonly #counts = { read: 0, closed: 0, givenUp: 0 }
   #drainingSinceMs: number | undefined
 
   /** Number of requests whose response is not finished. */
@@ -50,6 +52,7 @@
     const exchange: Exchange = { req, res, socket: req.socket, arrivedAtMs: steadyNow() }
     connection.open.push(exchange)
     this.#open.add(exchange)
+    this.#responses.add(res)
     res.on('close', () => this.#closed(exchange, connection))
     return exchange
   }
@@ -81,9 +84,20 @@
 
   /** Closes the connections whose requests are all answered. */
   closeIdle (): void {
-    for (const [socket, { open }] of this.#connections) if (open.length === 0) socket.destroy()
+    this.#responses.closeIdle()
   }
 
+  /** Ends a request by calling `answer`, and logs what its caller is told in place of an endpoint's answer. */
+  giveUp (exchange: Exchange, answer: () => void): void {
+    const cut = this.#describe(exchange)
+    answer()
+    this.#counts.givenUp++
+    logRequest(exchange.id ?? 'unknown', 'request-given-up', { ...cut, status: exchange.res.statusCode })
+  }
+
+  /** True while an answer that has ended is not handed to the system. */
+  get isSending (): boolean { return this.all.some(({ res }) => res.writableEnded && !res.writableFinished) }
+
   /** Requests that are open. */
   get all (): Exchange[] { return [...this.#open] }
 
