Keep the error on a connection whose head failed, so that a drain still counts its end as the caller's

As the runtime did before: OpenExchanges tells the ends of callers from the daemon's by the socket's error. npx vitest run daemon/exchange/exchange_server_test.ts: 6 of 6 pass.

--- a/daemon/exchange/_head_errors.ts
+++ b/daemon/exchange/_head_errors.ts
@@ -38,10 +38,11 @@
 }
 
 /** Answers a connection on which no request can be read, unless an answer is being sent on it, and closes it. Returns the status; undefined if its caller has left. */
-export function refuseHead ({ code = '' }: NodeJS.ErrnoException, socket: Socket, isAnswering: boolean): number | undefined {
+export function refuseHead (err: NodeJS.ErrnoException, socket: Socket, isAnswering: boolean): number | undefined {
+  const { code = '' } = err
   const [status, text] = STATUS_BY_CODE[code] ?? [BAD_REQUEST, 'Bad Request']
   const isRefused = (code === TIMEOUT_CODE || code.startsWith(PARSER_CODES)) && socket.writable && !isAnswering
   if (isRefused) socket.write(`HTTP/1.1 ${status} ${text}\r\nConnection: close\r\n\r\n`)
-  socket.destroy()
+  socket.destroy(err)
   return isRefused && code !== END_CODE ? status : undefined
 }
