End the earlier run of a resumed stream with the first attempt of the new one

What callers saw: a stream that was being received broke off when its caller resumed it elsewhere and that request was refused (429, 503). Cause: the daemon that finds out where a stream began told the one that passes it on at once, before route, quota and room were known; something that works was let go before its replacement held. At one daemon the earlier run ended before the new one had room. Change: the earlier run ends once the first attempt of the new one was sent, at an endpoint or to a delegate.

--- a/daemon/exchange/intake.ts
+++ b/daemon/exchange/intake.ts
@@ -93,20 +93,17 @@
 export class Intake {
   readonly #options: IntakeOptions
   readonly #open = new Set<RequestTask<Buffer>>()
-  /** The open request of each stream. */
-  readonly #streams = new Map<StreamKey, RequestTask<Buffer>>()
+  /** The open requests of each stream, in the order in which they came. */
+  readonly #streams = new Map<StreamKey, ReadonlyArray<RequestTask<Buffer>>>()
   readonly #drain = new DrainAdmission()
 
   constructor (options: IntakeOptions) {
     this.#options = options
   }
 
-  /** Ends the run of a stream whose caller resumes it with another request, which `by` took; without a value this daemon. */
-  streamResumed (key: StreamKey, by?: DaemonId): void {
-    const task = this.#streams.get(key)
-    if (!task) return
-    task.recordDecision('stream-resumed', { by, pieces: task.answer.length, attempt: task.state.attempt })
-    task.post({ type: 'cancelled' })
+  /** Ends the runs of a stream whose caller resumes it with another request, which runs at `by`. */
+  streamResumed (key: StreamKey, by: DaemonId): void {
+    for (const task of this.#streams.get(key) ?? []) endResumed(task, by)
   }
 
   /** Refuses from now on what is not expected to end in time. */
@@ -165,7 +162,7 @@
     if (stream) this.#follow(stream, task)
     task.onFinish = () => {
       this.#open.delete(task)
-      if (stream && this.#streams.get(stream.key) === task) this.#streams.delete(stream.key)
+      if (stream) this.#unfollow(stream, task)
       if (task.final?.outcome === 'not-run') charge?.giveBack()
       if (task.final?.outcome === 'answered') this.#drain.answered(cls.name, steadyNow() - arrivedAtMs)
     }
@@ -203,11 +200,26 @@
   }
 
   #follow (stream: AdmittedStream, task: RequestTask<Buffer>): void {
-    if (stream.boundTo) this.streamResumed(stream.key)
-    this.#streams.set(stream.key, task)
+    this.#streams.set(stream.key, [...this.#streams.get(stream.key) ?? [], task])
+    // Earlier runs of the stream go on until this one has a place: it may be refused, or wait.
+    if (stream.boundTo) task.onAttempt = () => queueMicrotask(() => this.#endEarlier(stream, task))
     if (task.work.cls.resumable) task.binding.onBound = (version) => this.#options.streams.began(stream, version)
   }
 
+  #unfollow ({ key }: AdmittedStream, task: RequestTask<Buffer>): void {
+    const others = this.#streams.get(key)?.filter((each) => each !== task) ?? []
+    if (others.length > 0) this.#streams.set(key, others)
+    else this.#streams.delete(key)
+  }
+
+  /** Ends the runs of a stream that came before the given one, which has its first attempt. */
+  #endEarlier (stream: AdmittedStream, task: RequestTask<Buffer>): void {
+    task.onAttempt = () => {}
+    const tasks = this.#streams.get(stream.key) ?? []
+    for (const earlier of tasks.slice(0, Math.max(0, tasks.indexOf(task)))) endResumed(earlier)
+    this.#options.streams.resumed(stream)
+  }
+
   #taskOptions (req: AdmittedRequest, { cls, pool }: { cls: Route['cls'], pool: PoolName }) {
     const { client, dialect, table, dispatcher, metrics, crashes, quarantine, answers, endpointLimits, signals, paths } = this.#options
     const ports: RequestPorts = { table, dispatcher, metrics, budget: this.#options.budgetOf(pool), crashes, quarantine, answers, limits: endpointLimits, signals, paths }
@@ -258,6 +270,12 @@
   }
 }
 
+/** Ends a run of a stream that another request goes on with, at `by` or, without a value, here. */
+function endResumed (task: RequestTask<Buffer>, by?: DaemonId): void {
+  task.recordDecision('stream-resumed', { by, pieces: task.answer.length, attempt: task.state.attempt })
+  task.post({ type: 'cancelled' })
+}
+
 /** A configuration that names accounts protects its routes even while none of them has a credential. */
 function needsAccount ({ accounts }: CatalogIndex, { anonymous }: Route): boolean {
   return accounts !== undefined && !anonymous
--- a/daemon/exchange/stream_admission.ts
+++ b/daemon/exchange/stream_admission.ts
@@ -1,6 +1,6 @@
 /** Admission of streams: finds out where a stream that a caller resumes began. */
 import type { Account, PoolShare, Route } from '../../core/catalog/index.ts'
-import { as, type AccountId, type RequestId, type StreamKey } from '../../core/ids/index.ts'
+import { as, type AccountId, type DaemonId, type RequestId, type StreamKey } from '../../core/ids/index.ts'
 import { fingerprintOf, type Hash64 } from '../../core/quarantine/index.ts'
 import type { VersionVerdict, StreamVersion } from '../../core/streams/index.ts'
 import type { ProxiedRequest } from '../../endpoints/index.ts'
@@ -10,7 +10,7 @@
 
 /** Options of {@linkcode StreamAdmission}. */
 export interface StreamAdmissionOptions {
-  versions: Pick<StreamVersions, 'began' | 'find'>
+  versions: Pick<StreamVersions, 'began' | 'find' | 'resumed'>
   hash64: Hash64
 }
 
@@ -19,6 +19,8 @@
   key: StreamKey
   /** Where it began; undefined while its caller has no event of it. */
   boundTo: StreamVersion | undefined
+  /** The daemon that passes it on, or did, if its caller resumes it and that daemon is known. */
+  daemon: DaemonId | undefined
   /** Longest time for which the stream may live from now on, in milliseconds. */
   lifeMs: number
 }
@@ -50,14 +52,15 @@
     if (!cls.streaming) return undefined
     const lifeMs = Math.min(MAX_STREAM_LIFE_MS, Math.max(MIN_STREAM_LIFE_MS, STREAM_LIFE_DEADLINES * Math.max(cls.latency.deadlineMs, req.deadlineInMs ?? 0)))
     const ownKey = this.#keyOf(req.id, account)
-    if (req.resumeFrom === 0) return { key: ownKey, boundTo: undefined, lifeMs }
+    if (req.resumeFrom === 0) return { key: ownKey, boundTo: undefined, daemon: undefined, lifeMs }
     const key = req.streamId === undefined ? undefined : this.#keyOf(req.streamId, account)
     const { verdict, answered, waitedMs } = await this.#options.versions.find({ key, pool: pools.length === 1 ? pools[0]!.pool : undefined, lifeMs })
     const boundTo = 'streamVersion' in verdict ? verdict.streamVersion : undefined
-    logRequest(req.id, 'stream-version', { stream: req.streamId, result: verdict.type, pool: boundTo?.pool, version: boundTo?.version, daemon: verdict.type === 'recorded' ? verdict.daemon : undefined, answered, waitedMs: Math.round(waitedMs) })
+    const daemon = verdict.type === 'recorded' ? verdict.daemon : undefined
+    logRequest(req.id, 'stream-version', { stream: req.streamId, result: verdict.type, pool: boundTo?.pool, version: boundTo?.version, daemon, answered, waitedMs: Math.round(waitedMs) })
     const problem = boundTo ? problemOf(boundTo, pools) : problemOfVerdict(verdict)
     if (problem) throw new Refusal(problem.why, { status: 503, ...problem, cls: cls.name, ...(account && { account: account.id }) })
-    return { key: key ?? ownKey, boundTo, lifeMs }
+    return { key: key ?? ownKey, boundTo, daemon, lifeMs }
   }
 
   /** Records that the first event of a stream is passed on from here. */
@@ -65,6 +68,11 @@
     this.#options.versions.began(key, boundTo, lifeMs)
   }
 
+  /** Ends the run of a stream at the daemon that passed it on: the request that resumes it has its first attempt. */
+  resumed ({ key, daemon }: AdmittedStream): void {
+    if (daemon !== undefined) this.#options.versions.resumed(key, daemon)
+  }
+
   /** The account is part of the key, so that an account learns nothing about the streams of another. */
   #keyOf (id: RequestId, account: Account | undefined): StreamKey {
     return as<StreamKey>(fingerprintOf([account?.id ?? NO_ACCOUNT, id], this.#options.hash64))
--- a/daemon/request/request_task.ts
+++ b/daemon/request/request_task.ts
@@ -318,6 +318,7 @@
 
   #startDelegated (attempt: number): void {
     this.attachment = this.#delegated!.start(attempt)
+    this.onAttempt()
     this.flow.started()
     this.listeners.notify()
   }
--- a/daemon/streams/stream_versions.ts
+++ b/daemon/streams/stream_versions.ts
@@ -72,7 +72,7 @@
   readonly #held = new VersionRecords()
   /** Value of {@linkcode StreamVersionsOptions.completeSinceMs} when own records were last looked through. */
   #completeSinceMs: number | undefined
-  /** Called when the caller of a stream of this daemon resumes it with another request, with the daemon that took that one. */
+  /** Called when the caller of a stream of this daemon resumes it with another request, with the daemon that runs that one. */
   onResumed: (key: StreamKey, by: DaemonId) => void = () => {}
 
   constructor (options: StreamVersionsOptions) {
@@ -140,18 +140,16 @@
       } while (verdict.type !== 'recorded' && verdict.type !== 'only-version' && ++round < MAX_ROUNDS)
     }
     this.#options.metrics.streamVersions.inc({ result: verdict.type === 'recorded' && round > 0 ? 'recorded-late' : verdict.type })
-    if (verdict.type === 'recorded') this.#notifyResumed(stream.key!, verdict.daemon)
     return { verdict, answered: answeredBy.size, waitedMs: steadyNow() - startedAtMs }
   }
 
-  #judge (evidence: readonly VersionEvidence[], { pool }: ResumedStream, answeredBy: ReadonlySet<DaemonId>): VersionVerdict {
-    return judgeVersion(evidence, { pool, others: this.#options.hostCount() - 1, answered: answeredBy.size })
+  /** Must be called when the request that resumes a stream has a place here. The daemon that passed the stream on ends its run: a stream has one at a time. */
+  resumed (key: StreamKey, daemon: DaemonId): void {
+    if (daemon !== this.#options.self) this.#options.membership.links.post(daemon, RESUMED_TOPIC, key)
   }
 
-  /** The daemon that passes the stream on ends its run: a stream has one at a time. */
-  #notifyResumed (key: StreamKey, daemon: DaemonId): void {
-    if (daemon === this.#options.self) this.onResumed(key, daemon)
-    else this.#options.membership.links.post(daemon, RESUMED_TOPIC, key)
+  #judge (evidence: readonly VersionEvidence[], { pool }: ResumedStream, answeredBy: ReadonlySet<DaemonId>): VersionVerdict {
+    return judgeVersion(evidence, { pool, others: this.#options.hostCount() - 1, answered: answeredBy.size })
   }
 
   async #joined (startedAtMs: number): Promise<void> {
