Let late news of a resumed stream end no newer run, and link to the daemon that needs it

What callers see: a stream that its caller takes up at B and then again at A breaks off at A if B's news of the first try reaches A after the second one (a link between daemons that stalls); and a run whose daemon has no link to B goes on for nobody. Read, not seen in a run with processes. Cause: the news named the stream only, and was posted without a link. Change: it names the number of events that the caller had, which only grows from try to try, and ends the runs that began before that. A daemon without a link is connected to first. Daemons of earlier versions pass over the new form, and their runs end when their callers leave.

--- a/daemon/exchange/_proxy_components.ts
+++ b/daemon/exchange/_proxy_components.ts
@@ -320,7 +320,7 @@
   if (components.engineMemory) components.engineMemory.memory.onRoom = () => components.dispatcher.startQueued()
   components.table.onEnded((view) => components.endpointLimits.ended(view))
   components.signals.onRoom = () => components.dispatcher.startQueued()
-  components.streamVersions.onResumed = (key, by) => components.intake.streamResumed(key, by)
+  components.streamVersions.onResumed = (key, resumption) => components.intake.streamResumed(key, resumption)
   components.quarantine.onHeld(() => { for (const task of components.intake.open) task.quarantineChanged() })
   components.rollouts?.gate.onVersionEmptied((pool, version) => { for (const task of components.intake.open) task.moveOffVersion(pool, version) })
   components.table.onReplaced((id, { announced }) => {
--- a/daemon/exchange/intake.ts
+++ b/daemon/exchange/intake.ts
@@ -20,6 +20,7 @@
 import type { OrderTask } from '../duties/order_task.ts'
 import type { UsageTask } from '../duties/usage_task.ts'
 import type { AccountLimits, Charge } from '../limits/account_limits.ts'
+import type { Resumption } from '../streams/index.ts'
 import { LEAVING_REASON, Refusal, RETRY_AFTER_LEAVING_MS } from './refusal.ts'
 import type { AdmittedStream, StreamAdmission } from './stream_admission.ts'
 
@@ -101,9 +102,15 @@
     this.#options = options
   }
 
-  /** Ends the runs of a stream whose caller resumes it with another request, which runs at `by`. */
-  streamResumed (key: StreamKey, by: DaemonId): void {
-    for (const task of this.#streams.get(key) ?? []) endResumed(task, by)
+  /**
+   * Ends the runs of a stream whose caller resumes it at another daemon. One that began where the caller was then, or behind that, may be newer: the news of it may be late.
+   * @returns False if there is one that may be newer.
+   */
+  streamResumed (key: StreamKey, { by, from }: Resumption): boolean {
+    const tasks = this.#streams.get(key) ?? []
+    const earlier = tasks.filter(({ answer }) => answer.from < from)
+    for (const task of earlier) endResumed(task, by)
+    return earlier.length === tasks.length
   }
 
   /** Refuses from now on what is not expected to end in time. */
@@ -217,7 +224,7 @@
     task.onAttempt = () => {}
     const tasks = this.#streams.get(stream.key) ?? []
     for (const earlier of tasks.slice(0, Math.max(0, tasks.indexOf(task)))) endResumed(earlier)
-    this.#options.streams.resumed(stream)
+    this.#options.streams.resumed(stream, task.answer.from)
   }
 
   #taskOptions (req: AdmittedRequest, { cls, pool }: { cls: Route['cls'], pool: PoolName }) {
--- a/daemon/exchange/intake_test.ts
+++ b/daemon/exchange/intake_test.ts
@@ -1,9 +1,10 @@
 import { afterEach, beforeEach, expect, test, vi } from 'vitest'
 import { RouteTable, UrgencyClassifier, type Account, type Route } from '../../core/catalog/index.ts'
-import { as, type AccountId, type DaemonId, type PoolName, type RequestId } from '../../core/ids/index.ts'
+import { as, type AccountId, type DaemonId, type PoolName, type RequestId, type StreamKey } from '../../core/ids/index.ts'
 import { delay, steadyNow } from '../../core/time/index.ts'
 import { createMetrics } from '../metrics.ts'
 import { Intake, type CatalogIndex, type IntakeOptions } from './intake.ts'
+import type { AdmittedStream } from './stream_admission.ts'
 
 const ROUTE_TIMEOUT_MS = 3000
 const POOL = as<PoolName>('desk')
@@ -19,7 +20,7 @@
 }
 
 /** An intake whose quota keeper takes a while to grant a charge. */
-function intakeWith ({ quotaWaitMs, catalogWaitMs = 0 }: { quotaWaitMs: number, catalogWaitMs?: number }): Intake {
+function intakeWith ({ quotaWaitMs, catalogWaitMs = 0, stream }: { quotaWaitMs: number, catalogWaitMs?: number, stream?: AdmittedStream }): Intake {
   const knownAtMs = steadyNow() + catalogWaitMs
   return new Intake({
     metrics: createMetrics(),
@@ -29,9 +30,9 @@
     limits: { charge: async () => { await delay(quotaWaitMs); return { giveBack: () => {} } } },
     budgetOf: () => ({ deposit: () => {}, tryWithdraw: () => true }),
     configState: () => ({ revision: 1, revisionAgeMs: 0 }),
-    table: {},
-    streams: { admit: async () => undefined },
-    dispatcher: { remove: () => {} },
+    table: { backOffMs: () => 0 },
+    streams: { admit: async () => stream },
+    dispatcher: { remove: () => {}, startQueued: () => {} },
     quarantine: { heldAt: () => undefined }
   } as unknown as IntakeOptions)
 }
@@ -52,6 +53,22 @@
   task.abandon()
 })
 
+test('late news that a stream was resumed elsewhere ends no newer run of it', async () => {
+  // Guards against a caller that is back at this daemon sooner than the news of its try at another one.
+  const stream = { key: as<StreamKey>('stream'), boundTo: { pool: POOL, version: undefined }, daemon: undefined, lifeMs: 30_000 }
+  const intake = intakeWith({ quotaWaitMs: 0, stream })
+  const accept = async (id: string, resumeFrom: number) => {
+    const accepted = intake.accept({ ...request(undefined), id: as<RequestId>(id), resumeFrom })
+    await vi.advanceTimersByTimeAsync(1)
+    return await accepted
+  }
+  const [first, third] = [await accept('first', 0), await accept('third', 5)]
+  expect(intake.streamResumed(stream.key, { by: as<DaemonId>('other'), from: 5 })).toBe(false)
+  expect([first.final?.outcome, third.final]).toEqual(['not-run', undefined])
+  expect(intake.streamResumed(stream.key, { by: as<DaemonId>('other'), from: 6 })).toBe(true)
+  expect(third.final?.outcome).toBe('not-run')
+})
+
 test('a request that another daemon has admitted is not charged, counted or added to the retry budget here again', async () => {
   // Guards against quotas, usage and budgets that count a request at its own daemon and at the one that runs it.
   const counted: string[] = []
--- a/daemon/exchange/stream_admission.ts
+++ b/daemon/exchange/stream_admission.ts
@@ -68,9 +68,9 @@
     this.#options.versions.began(key, boundTo, lifeMs)
   }
 
-  /** Ends the run of a stream at the daemon that passed it on: the request that resumes it has its first attempt. */
-  resumed ({ key, daemon }: AdmittedStream): void {
-    if (daemon !== undefined) this.#options.versions.resumed(key, daemon)
+  /** Ends the run of a stream at the daemon that passed it on: the request that resumes it after `from` events has its first attempt. */
+  resumed ({ key, daemon }: AdmittedStream, from: number): void {
+    if (daemon !== undefined) this.#options.versions.resumed(key, { daemon, from })
   }
 
   /** The account is part of the key, so that an account learns nothing about the streams of another. */
--- a/daemon/streams/_messages.ts
+++ b/daemon/streams/_messages.ts
@@ -4,8 +4,10 @@
 
 /** Sends records to a daemon that holds them; no reply. */
 export const RECORDS_TOPIC = 'stream-versions'
-/** Tells the daemon that passes a stream on that its caller resumes it elsewhere; the value is the stream's key. */
+/** Tells the daemon that passes a stream on that its caller resumes it elsewhere; the value is a {@linkcode ResumedMessage}. */
 export const RESUMED_TOPIC = 'stream-resumed'
+/** The stream, and the number of events that its caller had when it resumed it. */
+export type ResumedMessage = [key: StreamKey, from: number]
 /** Asks a daemon what it knows of a stream. */
 export const FIND_METHOD = 'stream-version'
 
--- a/daemon/streams/stream_versions.ts
+++ b/daemon/streams/stream_versions.ts
@@ -6,7 +6,7 @@
 import { delay, steadyNow } from '../../core/time/index.ts'
 import type { Metrics } from '../metrics.ts'
 import type { MembershipTask } from '../peers/membership_task.ts'
-import { decodeRecords, decodeEvidence, encodeEvidence, FIND_METHOD, RECORDS_TOPIC, RESUMED_TOPIC, type VersionQuery, type VersionReply, type RecordsMessage } from './_messages.ts'
+import { decodeRecords, decodeEvidence, encodeEvidence, FIND_METHOD, RECORDS_TOPIC, RESUMED_TOPIC, type VersionQuery, type VersionReply, type RecordsMessage, type ResumedMessage } from './_messages.ts'
 import { RecordSender, type KeyedRecord } from './_record_sender.ts'
 
 /** Options of {@linkcode StreamVersions}. */
@@ -31,6 +31,14 @@
   lifeMs: number
 }
 
+/** A stream that was resumed with another request. */
+export interface Resumption {
+  /** The daemon that runs the request. */
+  by: DaemonId
+  /** Number of events that the caller had. */
+  from: number
+}
+
 /** Where a stream began, and how that was found out. */
 export interface VersionFinding {
   verdict: VersionVerdict
@@ -72,8 +80,8 @@
   readonly #held = new VersionRecords()
   /** Value of {@linkcode StreamVersionsOptions.completeSinceMs} when own records were last looked through. */
   #completeSinceMs: number | undefined
-  /** Called when the caller of a stream of this daemon resumes it with another request, with the daemon that runs that one. */
-  onResumed: (key: StreamKey, by: DaemonId) => void = () => {}
+  /** Called when the caller of a stream of this daemon resumes it with another request elsewhere. Returns false if this daemon has a request that is not older. */
+  onResumed: (key: StreamKey, resumption: Resumption) => boolean = () => true
 
   constructor (options: StreamVersionsOptions) {
     this.#options = options
@@ -83,10 +91,10 @@
       const now = steadyNow()
       for (const [key, record] of decodeRecords(message, from, now)) this.#held.set(key, record, now)
     })
-    links.onPost(RESUMED_TOPIC, (key: StreamKey, from) => {
+    links.onPost(RESUMED_TOPIC, ([key, from]: ResumedMessage, by) => {
+      const isOver = this.onResumed(key, { by, from })
       const record = this.#own.get(key, steadyNow())
-      if (record) record.daemon = from
-      this.onResumed(key, from)
+      if (isOver && record) record.daemon = by
     })
     links.handle(FIND_METHOD, async (query: VersionQuery): Promise<VersionReply> => encodeEvidence(this.#evidenceOf(query)))
   }
@@ -143,9 +151,16 @@
     return { verdict, answered: answeredBy.size, waitedMs: steadyNow() - startedAtMs }
   }
 
-  /** Must be called when the request that resumes a stream has a place here. The daemon that passed the stream on ends its run: a stream has one at a time. */
-  resumed (key: StreamKey, daemon: DaemonId): void {
-    if (daemon !== this.#options.self) this.#options.membership.links.post(daemon, RESUMED_TOPIC, key)
+  /**
+   * Must be called when the request that resumes a stream has a place here. The daemon that passed the stream on ends its run: a stream has one at a time.
+   * @param options.from Number of events that the caller had.
+   */
+  async resumed (key: StreamKey, { daemon, from }: { daemon: DaemonId, from: number }): Promise<void> {
+    const { self, membership: { links, reachable } } = this.#options
+    if (daemon === self) return
+    const member = reachable.find(({ id }) => id === daemon)
+    const isLinked = links.isLinked(daemon) || (member !== undefined && await links.connect(member) === 'linked')
+    if (isLinked) links.post(daemon, RESUMED_TOPIC, [key, from] satisfies ResumedMessage)
   }
 
   #judge (evidence: readonly VersionEvidence[], { pool }: ResumedStream, answeredBy: ReadonlySet<DaemonId>): VersionVerdict {
--- a/daemon/streams/stream_versions_test.ts
+++ b/daemon/streams/stream_versions_test.ts
@@ -29,20 +29,25 @@
 
 const hash = (text: string) => [...text].reduce((value, char) => Math.imul(value ^ char.charCodeAt(0), 16777619) >>> 0, 2166136261)
 
-/** Starts daemons that follow the registry from now on and see endpoints of the given versions. */
+/** Starts a daemon without links that follows the registry from now on and sees endpoints of the given versions. */
+async function join (...versions: string[]): Promise<Daemon> {
+  const self = as<DaemonId>(`d${members.length}`)
+  const links = network.join(self)
+  await links.listen()
+  const metrics = createMetrics()
+  const registry: Daemon['registry'] = { completeSinceMs: steadyNow() }
+  const membership = { links, joined: true, get acceptingWork () { return members }, get reachable () { return members } }
+  const streams = new StreamVersions({ self, membership, hostCount: () => members.length, hash, metrics, completeSinceMs: () => registry.completeSinceMs })
+  members.push({ id: self, address: `node:${self}`, failureDomain: as<FailureDomain>('abc'[members.length % 3]!), incarnation: 1, state: 'up', revision: 0, heir: undefined })
+  const daemon = { streams, links, metrics, registry }
+  daemons.push(daemon)
+  streams.endpointsChanged(views(...versions))
+  return daemon
+}
+
+/** Starts daemons with links to each other, as {@linkcode join} does. */
 async function start (count: number, ...versions: string[]): Promise<void> {
-  for (let i = 0; i < count; i++) {
-    const self = as<DaemonId>(`d${members.length}`)
-    const links = network.join(self)
-    await links.listen()
-    const metrics = createMetrics()
-    const registry: Daemon['registry'] = { completeSinceMs: steadyNow() }
-    const membership = { links, joined: true, get acceptingWork () { return members }, get reachable () { return members } }
-    const streams = new StreamVersions({ self, membership, hostCount: () => members.length, hash, metrics, completeSinceMs: () => registry.completeSinceMs })
-    members.push({ id: self, address: `node:${self}`, failureDomain: as<FailureDomain>('abc'[i % 3]!), incarnation: 1, state: 'up', revision: 0, heir: undefined })
-    daemons.push({ streams, links, metrics, registry })
-    streams.endpointsChanged(views(...versions))
-  }
+  for (let i = 0; i < count; i++) await join(...versions)
   for (const { links } of daemons) links.keep(members.map(({ address }) => address))
   await vi.advanceTimersByTimeAsync(20)
 }
@@ -176,11 +181,11 @@
   // Guards against a run that is ended for an inquiry whose request is refused.
   const resumed: string[] = []
   await start(4, 'v1', 'v2')
-  for (const [i, { streams }] of daemons.entries()) streams.onResumed = (which, by) => resumed.push(`${which} at ${i} by ${by}`)
+  for (const [i, { streams }] of daemons.entries()) streams.onResumed = (which, { by }) => resumed.push(`${which} at ${i} by ${by}`) > 0
   const resume = async (at: number) => {
     const { daemon } = await find(at, 1) as { daemon: DaemonId }
     const before = resumed.length
-    daemons[at]!.streams.resumed(key(1), daemon)
+    daemons[at]!.streams.resumed(key(1), { daemon, from: 1 })
     await vi.advanceTimersByTimeAsync(10)
     return [before, daemon]
   }
@@ -193,3 +198,24 @@
   expect(await resume(0)).toEqual([1, 'd1'])
   expect(resumed).toEqual(['stream-1 at 0 by d1', 'stream-1 at 1 by d0'])
 })
+
+test('a daemon without a link to the one that passes a stream on tells it that the stream was resumed', async () => {
+  const resumed: object[] = []
+  await start(2, 'v1', 'v2')
+  daemons[0]!.streams.onResumed = (which, resumption) => resumed.push({ which, ...resumption }) > 0
+  daemons[0]!.streams.began(key(1), V1, LIFE_MS)
+  const { links, streams } = await join('v1', 'v2')
+  expect(links.isLinked(members[0]!.id)).toBe(false)
+  await streams.resumed(key(1), { daemon: members[0]!.id, from: 3 })
+  await vi.advanceTimersByTimeAsync(20)
+  expect(resumed).toEqual([{ which: 'stream-1', by: 'd2', from: 3 }])
+})
+
+test('a daemon with a newer run of a stream stays the one that passes it on', async () => {
+  await start(2, 'v1', 'v2')
+  daemons[0]!.streams.began(key(1), V1, LIFE_MS)
+  daemons[0]!.streams.onResumed = () => false
+  await daemons[1]!.streams.resumed(key(1), { daemon: members[0]!.id, from: 3 })
+  await vi.advanceTimersByTimeAsync(10)
+  expect(await find(0, 1)).toMatchObject({ daemon: 'd0' })
+})
