--- a/daemon/exchange/intake.ts
+++ b/daemon/exchange/intake.ts
@@ -20,6 +20,7 @@
 import type { OrderTask } from '../duties/order_task.ts'
 import type { UsageTask } from '../duties/usage_task.ts'
 import type { AccountLimits, Charge } from '../limits/account_limits.ts'
+import type { Resumption } from '../streams/index.ts'
 import { LEAVING_REASON, Refusal, RETRY_AFTER_LEAVING_MS } from './refusal.ts'
 import type { AdmittedStream, StreamAdmission } from './stream_admission.ts'
 
@@ -93,20 +94,23 @@
 export class Intake {
   readonly #options: IntakeOptions
   readonly #open = new Set<RequestTask<Buffer>>()
-  /** The open request of each stream. */
-  readonly #streams = new Map<StreamKey, RequestTask<Buffer>>()
+  /** The open requests of each stream, in the order in which they came. */
+  readonly #streams = new Map<StreamKey, ReadonlyArray<RequestTask<Buffer>>>()
   readonly #drain = new DrainAdmission()
 
   constructor (options: IntakeOptions) {
     this.#options = options
   }
 
-  /** Ends the run of a stream whose caller resumes it with another request, which `by` took; without a value this daemon. */
-  streamResumed (key: StreamKey, by?: DaemonId): void {
-    const task = this.#streams.get(key)
-    if (!task) return
-    task.recordDecision('stream-resumed', { by, pieces: task.answer.length, attempt: task.state.attempt })
-    task.post({ type: 'cancelled' })
+  /**
+   * Ends the runs of a stream whose caller resumes it at another daemon. One that began where the caller was then, or behind that, may be newer: the news of it may be late.
+   * @returns False if there is one that may be newer.
+   */
+  streamResumed (key: StreamKey, { by, from }: Resumption): boolean {
+    const tasks = this.#streams.get(key) ?? []
+    const earlier = tasks.filter(({ answer }) => answer.from < from)
+    for (const task of earlier) endResumed(task, by)
+    return earlier.length === tasks.length
   }
 
   /** Refuses from now on what is not expected to end in time. */
@@ -165,7 +169,7 @@
     if (stream) this.#follow(stream, task)
     task.onFinish = () => {
       this.#open.delete(task)
-      if (stream && this.#streams.get(stream.key) === task) this.#streams.delete(stream.key)
+      if (stream) this.#unfollow(stream, task)
       if (task.final?.outcome === 'not-run') charge?.giveBack()
       if (task.final?.outcome === 'answered') this.#drain.answered(cls.name, steadyNow() - arrivedAtMs)
     }
@@ -203,11 +207,26 @@
   }
 
   #follow (stream: AdmittedStream, task: RequestTask<Buffer>): void {
-    if (stream.boundTo) this.streamResumed(stream.key)
-    this.#streams.set(stream.key, task)
+    this.#streams.set(stream.key, [...this.#streams.get(stream.key) ?? [], task])
+    // Earlier runs of the stream go on until this one has a place: it may be refused, or wait.
+    if (stream.boundTo) task.onAttempt = () => queueMicrotask(() => this.#endEarlier(stream, task))
     if (task.work.cls.resumable) task.binding.onBound = (version) => this.#options.streams.began(stream, version)
   }
 
+  #unfollow ({ key }: AdmittedStream, task: RequestTask<Buffer>): void {
+    const others = this.#streams.get(key)?.filter((each) => each !== task) ?? []
+    if (others.length > 0) this.#streams.set(key, others)
+    else this.#streams.delete(key)
+  }
+
+  /** Ends the runs of a stream that came before the given one, which has its first attempt. */
+  #endEarlier (stream: AdmittedStream, task: RequestTask<Buffer>): void {
+    task.onAttempt = () => {}
+    const tasks = this.#streams.get(stream.key) ?? []
+    for (const earlier of tasks.slice(0, Math.max(0, tasks.indexOf(task)))) endResumed(earlier)
+    this.#options.streams.resumed(stream, task.answer.from)
+  }
+
   #taskOptions (req: AdmittedRequest, { cls, pool }: { cls: Route['cls'], pool: PoolName }) {
     const { client, dialect, table, dispatcher, metrics, crashes, quarantine, answers, endpointLimits, signals, paths } = this.#options
     const ports: RequestPorts = { table, dispatcher, metrics, budget: this.#options.budgetOf(pool), crashes, quarantine, answers, limits: endpointLimits, signals, paths }
@@ -258,6 +277,12 @@
   }
 }
 
+/** Ends a run of a stream that another request goes on with, at `by` or, without a value, here. */
+function endResumed (task: RequestTask<Buffer>, by?: DaemonId): void {
+  task.recordDecision('stream-resumed', { by, pieces: task.answer.length, attempt: task.state.attempt })
+  task.post({ type: 'cancelled' })
+}
+
 /** A configuration that names accounts protects its routes even while none of them has a credential. */
 function needsAccount ({ accounts }: CatalogIndex, { anonymous }: Route): boolean {
   return accounts !== undefined && !anonymous
