--- a/daemon/request/request_task.ts
+++ b/daemon/request/request_task.ts
@@ -132,7 +132,7 @@
    * Handles a running attempt that has gone silent: starts a backup at another endpoint, if a retry is allowed. A non-idempotent request gets none, since silence does not prove that it
    * isn't running.
    */
-  handleStall (): void { this.#backups.handleStall({ mayRetry: this.mayRetryElsewhere }) }
+  handleStall (): void { this.#backups.request({ mayRetry: this.mayRetryElsewhere }) }
 
   /**
    * Handles an attempt whose endpoint cannot be reached any more: retries it another way if that is allowed. Otherwise its answer is waited for until `isFinal` is set, since the path
@@ -144,8 +144,8 @@
     if (endpoint === undefined || this.lifecycle.phase !== 'running') return
     const point: FailurePoint = this.attachment?.sent === false ? 'connect-timeout' : 'timeout-after-send'
     const repeatable = this.mayRetryElsewhere && canRetry(this.lifecycle, point)
-    // The path may recover: an attempt is given up early only for one that starts at once.
-    if (!isFinal && !(repeatable && (this.lifecycle.backup !== undefined || this.ports.dispatcher.canStartNow(this.#placementOf([...this.lifecycle.avoid, endpoint]))))) return
+    // The path may recover: an attempt is given up early only for one that starts at once, and not for a backup that has not answered.
+    if (!isFinal && (this.lifecycle.backup !== undefined || !(repeatable && this.ports.dispatcher.canStartNow(this.#placementOf([...this.lifecycle.avoid, endpoint]))))) return
     const granted = repeatable && (this.lifecycle.backup !== undefined || isFreeRetry(this.lifecycle, point) || budget.tryWithdraw(table.isLeavingOrGone(endpoint)))
     if (!isFinal && !granted) return
     this.attachment?.detach()
@@ -156,11 +156,11 @@
   /** Returns false if the quarantine keeps the request from an endpoint. */
   accepts (view: EndpointView): boolean { return this.#quarantine.heldAt([view]) === undefined }
 
-  /** Moves a resumable stream of which the caller has no event yet to another endpoint that can take it now, if its current one runs a version that must receive no more work. */
+  /** Sends a resumable stream of which the caller has no event yet to another endpoint as well, if its current one runs a version that must receive no more work. The first of both to answer goes on. */
   moveOffVersion (pool: PoolName, version: EndpointVersion): void {
     const view = this.runningAt && this.ports.table.get(this.runningAt)
     const isAffected = view?.pool === pool && view.version === version && !this.binding.version
-    if (isAffected && canMove(this.lifecycle) && this.ports.dispatcher.canStartNow(this.#placementOf([...this.lifecycle.avoid, view.id]))) this.post({ type: 'hold' })
+    if (isAffected && canMove(this.lifecycle)) this.#backups.request({ mayRetry: this.mayRetryElsewhere })
   }
 
   /** Calls the listener after each change. The caller counts as gone once the last listener is removed. */
@@ -417,7 +417,6 @@
       ports: this.ports,
       quarantine: this.#quarantine,
       state: () => this.lifecycle,
-      progress: () => this.progress,
       placement: (avoid) => this.#placementOf(avoid),
       newTracker: () => this.#newTracker(),
       sink: (endpoint, attempt) => this.sink(endpoint, attempt),
@@ -468,7 +467,7 @@
         }
         this.#addChunk({ attempt, offset, pieces }, { head, version: this.#runningVersion })
       },
-      onEnd: (total, { endpointSeen = true, explicit = true, rest } = {}) => this.#onAttemptEnd(endpoint, attempt, { total, head, endpointSeen, explicit, rest }),
+      onEnd: (total, { explicit = true, rest } = {}) => this.#onAttemptEnd(endpoint, attempt, { total, head, explicit, rest }),
       onError: (err) => this.#onAttemptError(attempt, endpoint, err),
       onLoad: (load) => this.ports.table.applyLoadReport(endpoint, load)
     }
@@ -529,7 +528,7 @@
     this.onBegun()
   }
 
-  #onAttemptEnd (endpoint: EndpointId, attempt: number, end: { total: number, head: AnswerHead | undefined, endpointSeen: boolean, explicit: boolean, rest: P | undefined }): void {
+  #onAttemptEnd (endpoint: EndpointId, attempt: number, end: { total: number, head: AnswerHead | undefined, explicit: boolean, rest: P | undefined }): void {
     if (attempt !== this.lifecycle.attempt) return
     const fail = () => this.#onAttemptError(attempt, endpoint, new AttemptError('Cannot use answer: it is incomplete', { point: 'torn-answer' }))
     if (!this.#mayComplete(attempt, end.head)) return this.#rejectAnswer(attempt, endpoint)
@@ -541,7 +540,7 @@
     this.#record.ended(end.head)
     this.head ??= end.head
     this.ports.table.succeeded(endpoint)
-    if (end.endpointSeen && (!this.head || this.head.status < FIRST_REDIRECT_STATUS)) this.#quarantine.answered(this.#runningVersion)
+    if (!this.head || this.head.status < FIRST_REDIRECT_STATUS) this.#quarantine.answered(this.#runningVersion)
     this.post({ type: 'ended', attempt })
   }
 
--- a/endpoints/exchange/end_check_test.ts
+++ b/endpoints/exchange/end_check_test.ts
@@ -6,6 +6,7 @@
 import type { FailurePoint } from '../../core/outcome/index.ts'
 import { RawEndpoint } from '../../standins/index.ts'
 import { UnansweredAddress } from '../../standins/unanswered_address.ts'
+import type { Attachment } from '../attempt.ts'
 import { dial } from '../dial.ts'
 import { createEndCheck, ExchangeClient, ExchangeRunner, headerValue, type AdmittedRequest, type EndCheck, type ExchangeDialect } from './index.ts'
 
@@ -25,12 +26,15 @@
 }
 
 /** Result of a stream without a length: the number of its events and how it ended. */
-interface StreamResult { events: number, ended: 'whole' | FailurePoint | undefined }
+interface StreamResult { events: number, ended: 'whole' | FailurePoint | undefined, attachment: Attachment }
 
-function read (id: string, { client, view, checkEnd }: { client: ExchangeClient, view: EndpointView, checkEnd: EndCheck }): StreamResult {
-  const result: StreamResult = { events: 0, ended: undefined }
-  new ExchangeRunner({ req: requestOf(id), client, dialect: DIALECT, checkEnd }).start(view, { attempt: 1, mode: 'fresh', lane: 'normal', done: [], from: 0, deadlineInMs: 1000, kvHandle: undefined }, {
-    onChunk: () => { result.events++ },
+function read (id: string, { client, view, checkEnd }: { client: ExchangeClient, view: EndpointView, checkEnd: EndCheck }, onEvent = () => {}): StreamResult {
+  const result: StreamResult = { events: 0, ended: undefined, attachment: { detach: () => {} } }
+  result.attachment = new ExchangeRunner({ req: requestOf(id), client, dialect: DIALECT, checkEnd }).start(view, { attempt: 1, mode: 'fresh', lane: 'normal', done: [], from: 0, deadlineInMs: 1000, kvHandle: undefined }, {
+    onChunk: () => {
+      result.events++
+      onEvent()
+    },
     onEnd: () => { result.ended = 'whole' },
     onError: ({ point }) => { result.ended = point },
     onLoad: () => {}
@@ -57,7 +61,7 @@
   // Guards against a process without processor time that takes the connections of a killed endpoint for open.
   const { endpoint, view, sockets } = await startStreams()
   const client = new ExchangeClient({ maxConnections: () => 4 })
-  const check = createEndCheck({ isConnected: (view) => client.isConnected(view), dial: ({ address }) => dial(address) })
+  const check = createEndCheck({ dial: ({ address }) => dial(address) })
   const checkEnd: EndCheck = async (view) => {
     const result = check(view)
     endpoint.close()
@@ -77,7 +81,7 @@
   const unanswered = await UnansweredAddress.open()
   let addressOf = (address: string) => address
   const client = new ExchangeClient({ maxConnections: () => 4, addressOf: (address) => addressOf(address) })
-  const checkEnd = createEndCheck({ isConnected: (view) => client.isConnected(view), dial: ({ address }) => dial(address) })
+  const checkEnd = createEndCheck({ dial: ({ address }) => dial(address) })
   const first = read('a', { client, view, checkEnd })
   await until(() => first.events === 1)
   addressOf = () => unanswered.address
@@ -88,3 +92,53 @@
   expect(first.ended).toBe('torn-answer')
   await unanswered.close()
 })
+
+test('half a stream does not look whole because an answer that is not read comes from the same endpoint', async () => {
+  // Guards against a killed endpoint that counts as alive while the answer of a slow caller pauses: the end of its connection is not read.
+  const { endpoint, view, sockets } = await startStreams()
+  const client = new ExchangeClient({ maxConnections: () => 4 })
+  const checkEnd = createEndCheck({ dial: ({ address }) => dial(address) })
+  const first = read('a', { client, view, checkEnd })
+  const slow = read('b', { client, view, checkEnd })
+  await until(() => first.events === 1 && slow.events === 1)
+  slow.attachment.pause!()
+  sockets.get('a')!.end()
+  await endpoint.close()
+  await until(() => first.ended !== undefined)
+  expect(first.ended).toBe('torn-answer')
+})
+
+test('half a stream does not look whole because its endpoint cannot be reached any more', async () => {
+  // Guards against an endpoint whose host goes with it: that nothing answers does not show that the answer had ended.
+  const { endpoint, view, sockets } = await startStreams()
+  const unanswered = await UnansweredAddress.open()
+  const client = new ExchangeClient({ maxConnections: () => 4 })
+  const checkEnd = createEndCheck({ dial: () => dial(unanswered.address, { timeoutMs: 200 }) })
+  const first = read('a', { client, view, checkEnd })
+  await until(() => first.events === 1)
+  sockets.get('a')!.end()
+  await endpoint.close()
+  await until(() => first.ended !== undefined)
+  expect(first.ended).toBe('torn-answer')
+  await unanswered.close()
+})
+
+test('a connection whose answer ended while it was not read is read again for the next request', async () => {
+  // Guards against requests that run and whose answers are never read, since the answer before paused with its last bytes.
+  const endpoint = new RawEndpoint(({ head, socket }) => {
+    const event = 'id: 1\ndata: a\n\n'
+    socket.write(`HTTP/1.1 200 OK\r\nid: ${/^id: (.*)$/im.exec(head)![1]!}\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n${event.length.toString(16)}\r\n${event}\r\n0\r\n\r\n`)
+  })
+  const view = viewOf(await endpoint.listen())
+  const client = new ExchangeClient({ maxConnections: () => 4 })
+  const checkEnd: EndCheck = async () => 'alive'
+  const first = read('a', { client, view, checkEnd }, () => first.attachment.pause!())
+  await until(() => first.ended !== undefined)
+  first.attachment.resume!()
+  await delay(50)
+  const second = read('b', { client, view, checkEnd })
+  await until(() => endpoint.requests.length === 2)
+  await delay(300)
+  expect([first.ended, second.ended, endpoint.connections]).toEqual(['whole', 'whole', 1])
+  await endpoint.close()
+})
--- a/endpoints/exchange/exchange.ts
+++ b/endpoints/exchange/exchange.ts
@@ -155,22 +155,26 @@
   onResponseEnd (): void {
     if (this.#done) return
     if (!this.#isComplete()) return this.#fail('torn-answer', 'the answer broke off')
-    if (isSelfDelimited(this.#head!)) this.#finish({ endpointSeen: true })
+    if (isSelfDelimited(this.#head!)) this.#finish({})
     else this.#finishIfAlive()
   }
 
   async #finishIfAlive (): Promise<void> {
     const result = await this.#options.checkEnd()
     if (this.#done) return
-    if (result === 'ended') this.#fail('torn-answer', 'the endpoint ended with its answer')
-    else this.#finish({ endpointSeen: result === 'alive', explicit: false })
+    if (result === 'alive') this.#finish({ explicit: false })
+    else this.#fail('torn-answer', result === 'ended' ? 'the endpoint ended with its answer' : 'the endpoint does not accept connections after its end')
   }
 
   #finish (end: AttemptEndOptions<Buffer>): void {
     const body = Buffer.concat(this.#chunks)
     this.#endAttempt()
     // Deferred because the client closes a connection that cannot be reused only after this callback.
-    setImmediate(() => this.#options.release())
+    setImmediate(() => {
+      // The next answer, and the end of an idle connection, must be read although this answer ended in a pause.
+      this.#options.connection.resume()
+      this.#options.release()
+    })
     if (this.#bodyHandling === 'failure') {
       const status = this.#head!.status
       this.#options.sink.onError(new AttemptError(`Cannot use answer: status ${status}`, { point: 'endpoint-error', answer: { head: this.#head!, body } }))
