Keep no answered request for as long as its connection is open

Cause: since the callback for the close of a connection shared its scope with the response, and kept the first response of each connection, with the body of its request, until the connection was closed.

Change: the callback is made where the response is not known.

--- a/daemon/exchange/open_responses.ts
+++ b/daemon/exchange/open_responses.ts
@@ -8,17 +8,20 @@
 
   /** Must be called for each request. */
   add (res: ServerResponse): void {
-    const socket = res.req.socket
-    let open = this.#bySocket.get(socket)
-    if (!open) {
-      open = new Set()
-      this.#bySocket.set(socket, open)
-      socket.once('close', () => this.#bySocket.delete(socket))
-    }
+    const { socket } = res.req
+    const open = this.#bySocket.get(socket) ?? this.#track(socket)
     open.add(res)
     res.once('close', () => open.delete(res))
   }
 
+  /** Apart from {@linkcode OpenResponses.add}, since its callback would keep the first response of the connection, and the body of its request, until that is closed. */
+  #track (socket: Socket): Set<ServerResponse> {
+    const open = new Set<ServerResponse>()
+    this.#bySocket.set(socket, open)
+    socket.once('close', () => this.#bySocket.delete(socket))
+    return open
+  }
+
   /** Closes the connections whose responses are all sent; those without a first request stay. */
   closeIdle (): void {
     for (const [socket, open] of this.#bySocket) if (open.size === 0) socket.destroy()
