Take a reset for a sign that an endpoint accepts connections, and one lost attempt for none that it does not

What callers would have seen: whole answers without a length that are broken off at their end, or 502 for calls that were answered, while their endpoint has as many connections as it takes and resets further ones, or when one packet of the end check is lost.

Cause: since the end check dials in every case, each result but an accepted connection breaks the answer off. The path of a quiet endpoint was taken for down as well.

--- a/daemon/exchange/_proxy_components.ts
+++ b/daemon/exchange/_proxy_components.ts
@@ -260,7 +260,7 @@
       answers: rollouts?.gate,
       budgetOf,
       paths,
-      checkEnd: createEndCheck({ dial: (view) => paths.dial(view) }),
+      checkEnd: createEndCheck({ dial: ({ address }, options) => dial(endpointAddress(address), options), lastActivityAtMs: ({ id }) => table.lastActivityAtMs(id) }),
       restored: () => archive.restored,
       streams: new StreamAdmission({ versions: streamVersions, hash64 }),
       delegate: (to, { mayRepeatNow, from, req: { credential, deadlineInMs: _, account, ...req }, ...query }, sink) => delegatedRuns.run(to, { query: { ...query, req: { ...req, resumeFrom: from }, account }, mayRepeatNow }, sink),
--- a/endpoints/dial.ts
+++ b/endpoints/dial.ts
@@ -11,6 +11,8 @@
 }
 
 const DEFAULT_TIMEOUT_MS = 1000
+/** A connection that is reset was accepted: an endpoint may take no more of them. */
+const RESULT_BY_CODE: Record<string, DialResult> = { ECONNREFUSED: 'refused', ECONNRESET: 'accepted' }
 
 /**
  * Opens a TCP connection and closes it immediately.
@@ -28,6 +30,6 @@
     // After a pause of this process the timer runs before the answer that has arrived meanwhile is read.
     const timer = setTimeout(() => setImmediate(() => finish('unanswered')), options.timeoutMs ?? DEFAULT_TIMEOUT_MS)
     socket.once('connect', () => finish('accepted'))
-    socket.on('error', (err: NodeJS.ErrnoException) => finish(err.code === 'ECONNREFUSED' ? 'refused' : 'unanswered'))
+    socket.on('error', ({ code }: NodeJS.ErrnoException) => finish(RESULT_BY_CODE[code ?? ''] ?? 'unanswered'))
   })
 }
