--- a/daemon/exchange/intake.ts
+++ b/daemon/exchange/intake.ts
@@ -103,7 +103,7 @@
   }
 
   /**
-   * Ends the runs of a stream whose caller resumes it at another daemon. One that began where the caller was then, or behind that, may be newer: the news of it may be late.
+   * Ends the runs of a stream whose caller resumes it at another daemon. One that began where the caller was then, or behind that, may be newer: the notice of it may arrive late.
    * @returns False if there is one that may be newer.
    */
   streamResumed (key: StreamKey, { by, from }: Resumption): boolean {
--- a/daemon/exchange/intake_test.ts
+++ b/daemon/exchange/intake_test.ts
@@ -53,8 +53,8 @@
   task.abandon()
 })
 
-test('late news that a stream was resumed elsewhere ends no newer run of it', async () => {
-  // Guards against a caller that is back at this daemon sooner than the news of its try at another one.
+test('a late notice that a stream was resumed elsewhere ends no newer run of it', async () => {
+  // Guards against a caller that is back at this daemon sooner than the notice of its try at another one.
   const stream = { key: as<StreamKey>('stream'), boundTo: { pool: POOL, version: undefined }, daemon: undefined, lifeMs: 30_000 }
   const intake = intakeWith({ quotaWaitMs: 0, stream })
   const accept = async (id: string, resumeFrom: number) => {
--- a/daemon/exchange/open_exchanges.ts
+++ b/daemon/exchange/open_exchanges.ts
@@ -92,7 +92,7 @@
     this.#responses.closeIdle()
   }
 
-  /** Ends a request by calling `answer`, and logs what its caller is told in place of an endpoint's answer. */
+  /** Ends a request by calling `answer`, and logs the status that its caller gets in place of an endpoint's answer. */
   giveUp (exchange: Exchange, answer: () => void): void {
     const cut = this.#describe(exchange)
     answer()
