Count and log why it is not known at which version a stream began

A refused take-up named only its verdict (unknown, unreachable). After all daemons were killed the log could not tell apart: no record anywhere in a pool that had several versions, one version that nobody has watched for long enough, a daemon that has not joined, and daemons that do not answer. stream-version gets the cause, and unknown_streams_total counts it. A version without endpoints is told apart already: its refusal names it, and it is in turned_away_total. No change of what is decided.

--- /dev/null
+++ b/core/streams/unknown_cause.ts
@@ -0,0 +1,18 @@
+/** Why it could not be found out where a stream began. */
+import type { VersionEvidence, VersionVerdict } from './version_judge.ts'
+
+/**
+ * Why a stream cannot go on. `unnamed`: its caller does not name it, and its pool is not certain to have one version; `not-joined`: this daemon has no contact with others yet;
+ * `no-answer`: no other daemon answered; `several-versions`: there is no record, and the pool has had several versions; `not-watched`: there is no record, and no daemon that answered
+ * has watched the pool for long enough.
+ */
+export type UnknownCause = 'unnamed' | 'not-joined' | 'no-answer' | 'several-versions' | 'not-watched'
+
+/** Returns why a verdict does not say where a stream began; undefined if it does. */
+export function causeOfUnknown (verdict: VersionVerdict, evidence: readonly VersionEvidence[], { isNamed, isJoined }: { isNamed: boolean, isJoined: boolean }): UnknownCause | undefined {
+  if ('streamVersion' in verdict) return undefined
+  if (!isJoined) return 'not-joined'
+  if (verdict.type === 'unreachable') return 'no-answer'
+  if (!isNamed) return 'unnamed'
+  return new Set(evidence.flatMap(({ versions }) => versions)).size > 1 ? 'several-versions' : 'not-watched'
+}
--- a/daemon/exchange/stream_admission.ts
+++ b/daemon/exchange/stream_admission.ts
@@ -54,10 +54,10 @@
     const ownKey = this.#keyOf(req.id, account)
     if (req.resumeFrom === 0) return { key: ownKey, boundTo: undefined, daemon: undefined, lifeMs }
     const key = req.streamId === undefined ? undefined : this.#keyOf(req.streamId, account)
-    const { verdict, answered, waitedMs } = await this.#options.versions.find({ key, pool: pools.length === 1 ? pools[0]!.pool : undefined, lifeMs })
+    const { verdict, cause, answered, waitedMs } = await this.#options.versions.find({ key, pool: pools.length === 1 ? pools[0]!.pool : undefined, lifeMs })
     const boundTo = 'streamVersion' in verdict ? verdict.streamVersion : undefined
     const daemon = verdict.type === 'recorded' ? verdict.daemon : undefined
-    logRequest(req.id, 'stream-version', { stream: req.streamId, result: verdict.type, pool: boundTo?.pool, version: boundTo?.version, daemon, answered, waitedMs: Math.round(waitedMs) })
+    logRequest(req.id, 'stream-version', { stream: req.streamId, result: verdict.type, cause, pool: boundTo?.pool, version: boundTo?.version, daemon, answered, waitedMs: Math.round(waitedMs) })
     const problem = boundTo ? problemOf(boundTo, pools) : problemOfVerdict(verdict)
     if (problem) throw new Refusal(problem.why, { status: 503, ...problem, cls: cls.name, ...(account && { account: account.id }) })
     return { key: key ?? ownKey, boundTo, daemon, lifeMs }
--- a/daemon/log/describe.ts
+++ b/daemon/log/describe.ts
@@ -12,7 +12,7 @@
 const DESCRIBERS: Describers = {
   'request-taken': (f) => `taken for ${f.account}: class ${f.class}, pool ${f.pool}, ${f.promptTokens} prompt tokens, ${ms(f.deadlineInMs)} left${f.fromPiece > 0 ? `, from piece ${f.fromPiece} of the stream that began as ${f.stream ?? 'an unnamed request'}` : ''} (${configSuffix(f.revision, f.revisionAgeMs)})`,
   'request-refused': (f) => `refused with ${f.status}: ${f.why}${retryHint(f.retryAfterMs)} (${configSuffix(f.revision, f.revisionAgeMs)})`,
-  'stream-version': (f) => (f.version === undefined && f.pool === undefined ? `at which version it began is ${f.result}, ${f.answered} daemons answered` : `began at ${f.version ?? 'an endpoint without a version'} of ${f.pool} (${f.daemon === undefined ? 'its only version' : `passed on by ${f.daemon}`}, ${f.answered} daemons answered in ${ms(f.waitedMs)})`),
+  'stream-version': (f) => (f.version === undefined && f.pool === undefined ? `at which version it began is ${f.result}${f.cause === undefined ? '' : ` (${f.cause})`}, ${f.answered} daemons answered` : `began at ${f.version ?? 'an endpoint without a version'} of ${f.pool} (${f.daemon === undefined ? 'its only version' : `passed on by ${f.daemon}`}, ${f.answered} daemons answered in ${ms(f.waitedMs)})`),
   'request-broke': (f) => `the daemon failed: ${f.why}`,
   'request-no-room': (f) => `no room in ${f.pool}: a wait of ${ms(f.waitMs)}, allowed ${ms(f.allowedMs)}${retryHint(f.retryAfterMs)}`,
   'request-waits': (f) => `waits: no room at any of ${f.candidates} endpoints of ${f.pool}, ${f.ahead} ahead, ${ms(f.expectedMs)} expected`,
--- a/daemon/log/events.ts
+++ b/daemon/log/events.ts
@@ -36,9 +36,9 @@
   'request-refused': ConfigState & { status: number, why: string, retryAfterMs?: number | undefined, host?: string | undefined, path?: string | undefined, account?: string | undefined, class?: string | undefined, cost?: number | undefined, room?: number | undefined, bodyBytes?: number | undefined }
   /**
    * A caller resumes a stream. `result` is how it was found out where the stream began: by a record, of which `daemon` passed the stream on last; because its pool had
-   * only one version; or not at all.
+   * only one version; or not at all, for `cause`.
    */
-  'stream-version': { stream: string | undefined, result: string, pool: string | undefined, version: string | undefined, daemon: string | undefined, answered: number, waitedMs: number }
+  'stream-version': { stream: string | undefined, result: string, cause?: string | undefined, pool: string | undefined, version: string | undefined, daemon: string | undefined, answered: number, waitedMs: number }
   /** An internal error of the daemon; the caller gets a 500. */
   'request-broke': { why: string, stack?: string | undefined }
   /** Queued, because no endpoint has a free slot. */
--- a/daemon/streams/stream_versions.ts
+++ b/daemon/streams/stream_versions.ts
@@ -2,7 +2,7 @@
 import type { DaemonId, PoolName, StreamKey } from '../../core/ids/index.ts'
 import type { Member } from '../../core/membership/index.ts'
 import type { EndpointView, Hash32 } from '../../core/routing/index.ts'
-import { HOLDER_COUNT, judgeVersion, VersionRecords, PoolVersions, rankHolders, type VersionRecord, type VersionEvidence, type VersionVerdict, type StreamVersion } from '../../core/streams/index.ts'
+import { causeOfUnknown, HOLDER_COUNT, judgeVersion, VersionRecords, PoolVersions, rankHolders, type VersionRecord, type VersionEvidence, type VersionVerdict, type StreamVersion, type UnknownCause } from '../../core/streams/index.ts'
 import { delay, steadyNow } from '../../core/time/index.ts'
 import type { Metrics } from '../metrics.ts'
 import type { MembershipTask } from '../peers/membership_task.ts'
@@ -16,7 +16,7 @@
   /** Returns the number of hosts in the fleet, including those that cannot be reached now. */
   hostCount (): number
   hash: Hash32
-  metrics: Pick<Metrics, 'streamVersions' | 'streamRecords'>
+  metrics: Pick<Metrics, 'streamVersions' | 'streamRecords' | 'unknownStreams'>
   /** Returns since when this daemon can have missed no change of the registry, in milliseconds on the steady clock; undefined while it may miss some. */
   completeSinceMs (): number | undefined
 }
@@ -42,6 +42,8 @@
 /** Where a stream began, and how that was found out. */
 export interface VersionFinding {
   verdict: VersionVerdict
+  /** Why that is not known; undefined if it is. */
+  cause: UnknownCause | undefined
   /** Number of other daemons that answered. */
   answered: number
   waitedMs: number
@@ -148,7 +150,9 @@
       } while (verdict.type !== 'recorded' && verdict.type !== 'only-version' && ++round < MAX_ROUNDS)
     }
     this.#options.metrics.streamVersions.inc({ result: verdict.type === 'recorded' && round > 0 ? 'recorded-late' : verdict.type })
-    return { verdict, answered: answeredBy.size, waitedMs: steadyNow() - startedAtMs }
+    const cause = causeOfUnknown(verdict, evidence, { isNamed: stream.key !== undefined, isJoined: this.#options.membership.joined })
+    if (cause) this.#options.metrics.unknownStreams.inc({ cause })
+    return { verdict, cause, answered: answeredBy.size, waitedMs: steadyNow() - startedAtMs }
   }
 
   /**
