Store where streams began, so that they go on after all daemons were killed

What callers saw: after all daemons were killed at once, every stream that was taken up was refused with 503, while all new ones began.

Cause: records of where streams began lived in the memory of daemons alone. After the loss of all nobody knows, and what is not known is not guessed.

Change: while a pool is not certain to have one version, each daemon writes its records to the store behind their arrival (kind stream-records). If the store could not be read, the stream is refused with a time to come back. Nothing is written while all pools are certain, nor for pools whose endpoints have no version.

Remains: streams that began in the last interval before the kill are lost; those of a pool that was certain until then need the pool's history.

--- a/core/streams/record_holders.ts
+++ b/core/streams/record_holders.ts
@@ -1,5 +1,5 @@
 /** Selection of the daemons that hold the record of a stream. */
-import type { FailureDomain, StreamKey } from '../ids/index.ts'
+import type { DaemonId, FailureDomain, StreamKey } from '../ids/index.ts'
 import type { Member } from '../membership/index.ts'
 import type { Hash32 } from '../routing/index.ts'
 
@@ -15,16 +15,26 @@
  * joins or leaves changes the rank of few streams.
  */
 export function rankHolders (key: StreamKey | undefined, members: readonly Member[], { hash }: { hash: Hash32 }): Member[] {
-  const ranked = eligible(members, hash).map((member) => ({ member, rank: hash(`${key ?? ''}/${member.id}`) })).sort((a, b) => b.rank - a.rank)
+  const byRank = eligible(members, hash).map((member) => ({ member, rank: hash(`${key ?? ''}/${member.id}`) })).sort((a, b) => b.rank - a.rank)
   const inDomain = new Map<FailureDomain, number>()
-  return ranked.map(({ member }) => {
+  return byRank.map(({ member }) => {
     const round = inDomain.get(member.failureDomain) ?? 0
     inDomain.set(member.failureDomain, round + 1)
     return { member, round }
   }).sort((a, b) => a.round - b.round).map(({ member }) => member)
 }
 
+/** Returns whether any daemon may ask a member for the record of a stream. `members` are all that can be reached, with the member itself. */
+export function mayHoldRecords (self: DaemonId, members: readonly Member[], { hash }: { hash: Hash32 }): boolean {
+  // The daemon that asks is none of the holders, which leaves room for one more.
+  return ranked(members, hash).slice(0, MAX_HOLDERS + 1).some(({ id }) => id === self)
+}
+
 function eligible (members: readonly Member[], hash: Hash32): readonly Member[] {
   if (members.length <= MAX_HOLDERS) return members
-  return members.map((member) => ({ member, rank: hash(`stream-records/${member.id}`) })).sort((a, b) => b.rank - a.rank).slice(0, MAX_HOLDERS).map(({ member }) => member)
+  return ranked(members, hash).slice(0, MAX_HOLDERS)
+}
+
+function ranked (members: readonly Member[], hash: Hash32): Member[] {
+  return members.map((member) => ({ member, rank: hash(`stream-records/${member.id}`) })).sort((a, b) => b.rank - a.rank).map(({ member }) => member)
 }
--- a/core/streams/unknown_cause_test.ts
+++ b/core/streams/unknown_cause_test.ts
@@ -4,9 +4,10 @@
 import type { VersionEvidence } from './version_judge.ts'
 
 const seen = (...versions: string[]): VersionEvidence => ({ record: undefined, versions: versions.map((version) => as<EndpointVersion>(version)), hasWatched: false })
-const asked = { isNamed: true, isJoined: true }
+const asked = { isNamed: true, isJoined: true, isStoreRead: true }
 
 test.each<[string, Parameters<typeof causeOfUnknown>]>([
+  ['store-not-read', [{ type: 'unknown' }, [seen('v1')], { ...asked, isStoreRead: false }]],
   ['not-joined', [{ type: 'unreachable' }, [seen('v1')], { ...asked, isJoined: false }]],
   ['no-answer', [{ type: 'unreachable' }, [seen('v1')], asked]],
   ['unnamed', [{ type: 'unknown' }, [seen('v1')], { ...asked, isNamed: false }]],
--- a/daemon/exchange/_proxy_components.ts
+++ b/daemon/exchange/_proxy_components.ts
@@ -6,6 +6,7 @@
 import { type RetryLimiter } from '../../core/retry/index.ts'
 import type { Hash64 } from '../../core/quarantine/index.ts'
 import type { Hash32, Random } from '../../core/routing/index.ts'
+import { mayHoldRecords } from '../../core/streams/index.ts'
 import { RegionTopology } from '../../core/topology/index.ts'
 import { createEndCheck, dial, ExchangeClient } from '../../endpoints/index.ts'
 import { ConfigFollower } from '../config/config_follower.ts'
@@ -39,7 +40,7 @@
 import type { Dispatcher } from '../request/dispatcher.ts'
 import { createSharedDispatcher } from '../request/shared_dispatcher.ts'
 import { StallWatch } from '../request/stall_watch.ts'
-import { StreamVersions } from '../streams/index.ts'
+import { RecordArchive, StreamVersions } from '../streams/index.ts'
 import { seededRandom } from '../seeded_random.ts'
 import { engineMemoryComponents, type EngineMemoryComponents } from './_engine_memory.ts'
 import { ConnectionGateTask } from './connection_gate_task.ts'
@@ -99,6 +100,7 @@
   delegateFinder: DelegateFinder
   delegatedRuns: DelegatedRuns
   delegateServer: DelegateServer
+  recordArchive: RecordArchive
   streamVersions: StreamVersions
   dispatcher: Dispatcher
   budgetOf: (pool: PoolName) => RetryLimiter
@@ -223,8 +225,11 @@
     })).singleton(),
     delegatedRuns: asFunction(({ membership, delegateFinder }: ProxyComponents) => new DelegatedRuns({ membership, finder: delegateFinder })).singleton(),
     delegateServer: asFunction(({ membership, table, paths, client, intake, metrics }: ProxyComponents) => new DelegateServer({ membership, table, paths, client, intake, metrics })).singleton(),
+    recordArchive: asFunction(({ self, membership, fleet, random, metrics }: ProxyComponents) => new RecordArchive({
+      self, store: platform.store, membership, hostCount: () => fleet.hostCount, mayHold: () => mayHoldRecords(self, membership.reachable, { hash }), random, metrics
+    })).singleton(),
     streamVersions: asFunction((cradle: ProxyComponents) => new StreamVersions({
-      self: cradle.self, membership: cradle.membership, hostCount: () => cradle.fleet.hostCount, hash, metrics: cradle.metrics, completeSinceMs: () => cradle.registry.completeSinceMs
+      self: cradle.self, membership: cradle.membership, hostCount: () => cradle.fleet.hostCount, hash, metrics: cradle.metrics, completeSinceMs: () => cradle.registry.completeSinceMs, archive: cradle.recordArchive
     })).singleton(),
     regionLink: asFunction(({ topology, membership, metrics, random }: ProxyComponents) => new RegionLinkTask({ topology, membership, metrics, random })).singleton(),
     roomGate: asFunction(({ table, random, topology, regionLink }: ProxyComponents) => (settings.refusesLateStreams === true ? new RoomGate({ table, random, topology, crossing: regionLink }) : undefined)).singleton(),
--- a/daemon/exchange/proxy_daemon.ts
+++ b/daemon/exchange/proxy_daemon.ts
@@ -95,9 +95,10 @@
   }
 
   async #start (): Promise<void> {
-    const { settings, membership, tallies, config, registry, server, readiness, monitor, lease, limits, endpointLimitTask, loads, usage, orders, rollouts, stalls, quarantine, archive, processor, paths, regionLink, delegateFinder, delegatedRuns, delegateServer, connectionGate, moves, memory } = this.#components
+    const { settings, membership, tallies, config, registry, server, readiness, monitor, lease, limits, endpointLimitTask, loads, usage, orders, rollouts, stalls, quarantine, archive, recordArchive, processor, paths, regionLink, delegateFinder, delegatedRuns, delegateServer, connectionGate, moves, memory } = this.#components
     const { callers, readiness: check } = settings.listen
     archive.restore()
+    recordArchive.restore()
     await readiness.listen(check, () => this.ready)
     await server.listen(callers.host, callers.port)
     connectionGate.start()
@@ -123,6 +124,7 @@
     delegateServer.start()
     quarantine.start()
     archive.start()
+    recordArchive.start()
     processor.start()
     if (settings.monitor) await monitor.listen(settings.monitor)
     log('daemon-started', { id: this.id, settings: settings.name, startMs: steadyNow() })
@@ -164,10 +166,10 @@
 
   /** Leaves the membership and answers what can still be answered; neither is waited for beyond `untilMs`, since the store or a caller may be silent. */
   async #leave (untilMs: number): Promise<void> {
-    const { membership, server, streamVersions } = this.#components
+    const { membership, server, streamVersions, recordArchive } = this.#components
     streamVersions.handOver()
     this.#stopTasks()
-    await Promise.race([membership.leave(undefined), delay(Math.max(0, untilMs - steadyNow()))])
+    await Promise.race([Promise.all([membership.leave(undefined), recordArchive.handOver()]), delay(Math.max(0, untilMs - steadyNow()))])
     // Attempts that ran by other daemons may have failed as the links were closed, and wait again.
     server.refuseWaiting()
     server.giveUpRunning()
@@ -178,7 +180,7 @@
   }
 
   #stopTasks (): void {
-    const { config, registry, limits, endpointLimitTask, engineMemory, signals, loads, tallies, rollouts, stalls, quarantine, archive, processor, paths, regionLink, delegateFinder, delegatedRuns, delegateServer, connectionGate, moves, memory } = this.#components
+    const { config, registry, limits, endpointLimitTask, engineMemory, signals, loads, tallies, rollouts, stalls, quarantine, archive, recordArchive, processor, paths, regionLink, delegateFinder, delegatedRuns, delegateServer, connectionGate, moves, memory } = this.#components
     moves.stop()
     connectionGate.stop()
     memory.stop()
@@ -191,6 +193,7 @@
     rollouts?.follower.stop()
     processor.stop()
     archive.stop()
+    recordArchive.stop()
     quarantine.stop()
     stalls.stop()
     config.stop()
--- a/daemon/exchange/stream_admission.ts
+++ b/daemon/exchange/stream_admission.ts
@@ -2,7 +2,7 @@
 import type { Account, PoolShare, Route } from '../../core/catalog/index.ts'
 import { as, type AccountId, type DaemonId, type RequestId, type StreamKey } from '../../core/ids/index.ts'
 import { fingerprintOf, type Hash64 } from '../../core/quarantine/index.ts'
-import type { VersionVerdict, StreamVersion } from '../../core/streams/index.ts'
+import type { UnknownCause, VersionVerdict, StreamVersion } from '../../core/streams/index.ts'
 import type { ProxiedRequest } from '../../endpoints/index.ts'
 import { logRequest } from '../log/index.ts'
 import type { StreamVersions } from '../streams/index.ts'
@@ -25,7 +25,7 @@
   lifeMs: number
 }
 
-/** `Retry-After` for streams of which no other daemon could be asked where they began, in milliseconds. */
+/** `Retry-After` for streams of which neither another daemon nor the store could be asked where they began, in milliseconds. */
 const RETRY_AFTER_UNREACHABLE_MS = 500
 /** Bounds of the time for which a stream is taken to live, in milliseconds: a caller may wait longer over all of its tries than one of them tells. */
 const MIN_STREAM_LIFE_MS = 30_000
@@ -58,7 +58,7 @@
     const boundTo = 'streamVersion' in verdict ? verdict.streamVersion : undefined
     const daemon = verdict.type === 'recorded' ? verdict.daemon : undefined
     logRequest(req.id, 'stream-version', { stream: req.streamId, result: verdict.type, cause, pool: boundTo?.pool, version: boundTo?.version, daemon, answered, waitedMs: Math.round(waitedMs) })
-    const problem = boundTo ? problemOf(boundTo, pools) : problemOfVerdict(verdict)
+    const problem = boundTo ? problemOf(boundTo, pools) : problemOfVerdict(verdict, cause)
     if (problem) throw new Refusal(problem.why, { status: 503, ...problem, cls: cls.name, ...(account && { account: account.id }) })
     return { key: key ?? ownKey, boundTo, daemon, lifeMs }
   }
@@ -86,7 +86,8 @@
   return pools.some(({ pool }) => pool === boundTo.pool) ? undefined : { why: `the stream began at ${boundTo.pool}, which does not serve its route any more` }
 }
 
-function problemOfVerdict ({ type }: VersionVerdict): Problem {
+function problemOfVerdict ({ type }: VersionVerdict, cause: UnknownCause | undefined): Problem {
+  if (cause === 'store-not-read') return { why: 'the store could not be read for the version at which the stream began', retryAfterMs: RETRY_AFTER_UNREACHABLE_MS }
   return type === 'unreachable'
     ? { why: 'no other daemon could be asked at which version the stream began', retryAfterMs: RETRY_AFTER_UNREACHABLE_MS }
     : { why: 'it is not known at which version the stream began' }
--- a/daemon/log/events.ts
+++ b/daemon/log/events.ts
@@ -105,6 +105,10 @@
 
 /** Events about the daemon itself and the state it keeps of the system. */
 export interface DaemonEvents {
+  /** The records of where streams began that daemons stored before this one started. */
+  'stream-records-restored': { records: number, tookMs: number }
+  /** This daemon's records of where streams began could not be stored; it tries again. */
+  'stream-records-not-stored': { why: string }
   'daemon-started': { id: string, settings: string, startMs: number }
   /** CPU time of the whole process, and the work done in the same interval; messages are those between daemons. */
   'processor-time': { usedMs: number, spanMs: number, requests: number, attempts: number, pieces: number, messagesIn: number, messagesOut: number, memoryMb: number }
--- /dev/null
+++ b/daemon/streams/archived_streams_test.ts
@@ -0,0 +1,89 @@
+import { afterEach, beforeEach, expect, test, vi } from 'vitest'
+import { as, type DaemonId, type EndpointVersion, type PoolName, type StreamKey } from '../../core/ids/index.ts'
+import type { EndpointView } from '../../core/routing/index.ts'
+import type { VersionRecord } from '../../core/streams/index.ts'
+import { steadyNow } from '../../core/time/index.ts'
+import { StandInNetwork } from '../../standins/index.ts'
+import { createMetrics } from '../metrics.ts'
+import type { KeyedRecord } from './_record_sender.ts'
+import type { ArchiveFinding } from './record_archive.ts'
+import { StreamVersions } from './stream_versions.ts'
+
+const POOL = as<PoolName>('llm')
+const LIFE_MS = 30_000
+const V1 = { pool: POOL, version: as<EndpointVersion>('v1') }
+const KEY = as<StreamKey>('stream-1')
+const OTHER_KEY = as<StreamKey>('stream-2')
+const DEAD = as<DaemonId>('dead')
+const views = (...versions: Array<string | undefined>) => versions.map((version) => ({ pool: POOL, version })) as unknown as EndpointView[]
+const record = (): VersionRecord => ({ streamVersion: V1, daemon: DEAD, expiresAtMs: steadyNow() + LIFE_MS })
+
+beforeEach(() => { vi.useFakeTimers() })
+afterEach(() => { vi.useRealTimers() })
+
+/** Starts the only daemon of a fleet, with a stand-in for its archive. */
+async function start (...versions: Array<string | undefined>) {
+  const links = new StandInNetwork().join(as<DaemonId>('d0'))
+  await links.listen()
+  const added: StreamKey[] = []
+  const archive = {
+    restored: Promise.resolve() as Promise<unknown>,
+    onRead: (_: ReadonlyMap<StreamKey, VersionRecord>) => {},
+    add: (records: readonly KeyedRecord[]) => { added.push(...records.map(([key]) => key)) },
+    find: vi.fn(async (): Promise<ArchiveFinding> => ({ record: undefined, isRead: true }))
+  }
+  const registry = { completeSinceMs: steadyNow() }
+  const membership = { links, joined: true, acceptingWork: [], reachable: [] }
+  const streams = new StreamVersions({ self: as<DaemonId>('d0'), membership, hostCount: () => 1, hash: (text) => text.length, metrics: createMetrics(), completeSinceMs: () => registry.completeSinceMs, archive })
+  streams.endpointsChanged(views(...versions))
+  return { streams, archive, added }
+}
+
+async function find (streams: StreamVersions, { key }: { key: StreamKey | undefined } = { key: KEY }) {
+  const finding = streams.find({ key, pool: POOL, lifeMs: LIFE_MS })
+  await vi.advanceTimersByTimeAsync(3000)
+  return await finding
+}
+
+test('nothing is stored while a pool is certain to have one version; what was not is stored when another one is listed', async () => {
+  // Guards against calls to the store in the ordinary case.
+  const { streams, added } = await start('v1')
+  await vi.advanceTimersByTimeAsync(LIFE_MS)
+  streams.began(KEY, V1, LIFE_MS)
+  expect(added).toEqual([])
+  streams.endpointsChanged(views('v1', 'v2'))
+  expect(added).toEqual([KEY])
+  streams.began(OTHER_KEY, V1, LIFE_MS)
+  streams.endpointsChanged(views('v1', 'v2', 'v3'))
+  expect(added).toEqual([KEY, OTHER_KEY])
+})
+
+test('nothing is stored for pools whose endpoints have no version', async () => {
+  const { streams, added } = await start(undefined)
+  streams.began(KEY, { pool: POOL, version: undefined }, LIFE_MS)
+  expect(added).toEqual([])
+})
+
+test('a stored record says where a stream began; the store is not read for one that is known, or that its caller does not name', async () => {
+  const { streams, archive } = await start('v1', 'v2')
+  archive.onRead(new Map([[OTHER_KEY, record()]]))
+  expect((await find(streams, { key: OTHER_KEY })).verdict).toEqual({ type: 'recorded', streamVersion: V1, daemon: DEAD })
+  expect(await find(streams, { key: undefined })).toMatchObject({ verdict: { type: 'unknown' } })
+  expect(archive.find).not.toHaveBeenCalled()
+  archive.find.mockResolvedValueOnce({ record: record(), isRead: true })
+  expect((await find(streams)).verdict).toMatchObject({ type: 'recorded', streamVersion: V1, daemon: DEAD })
+})
+
+test('a stream of which the store could not be read is told apart from one of which nobody knows', async () => {
+  const { streams, archive } = await start('v1', 'v2')
+  expect(await find(streams)).toMatchObject({ verdict: { type: 'unknown' }, cause: 'several-versions' })
+  archive.find.mockResolvedValue({ record: undefined, isRead: false })
+  expect(await find(streams)).toMatchObject({ verdict: { type: 'unknown' }, cause: 'store-not-read' })
+})
+
+test('a record that this daemon holds is not replaced by what the store has', async () => {
+  const { streams, archive } = await start('v1', 'v2')
+  streams.began(KEY, { pool: POOL, version: as<EndpointVersion>('v2') }, LIFE_MS)
+  archive.onRead(new Map([[KEY, record()]]))
+  expect((await find(streams)).verdict).toMatchObject({ streamVersion: { version: 'v2' } })
+})
--- a/daemon/streams/index.ts
+++ b/daemon/streams/index.ts
@@ -1,1 +1,2 @@
 export * from './stream_versions.ts'
+export * from './record_archive.ts'
--- a/daemon/streams/stream_versions.ts
+++ b/daemon/streams/stream_versions.ts
@@ -8,6 +8,7 @@
 import type { MembershipTask } from '../peers/membership_task.ts'
 import { decodeRecords, decodeEvidence, encodeEvidence, FIND_METHOD, RECORDS_TOPIC, RESUMED_TOPIC, type VersionQuery, type VersionReply, type RecordsMessage, type ResumedMessage } from './_messages.ts'
 import { RecordSender, type KeyedRecord } from './_record_sender.ts'
+import type { RecordArchive } from './record_archive.ts'
 
 /** Options of {@linkcode StreamVersions}. */
 export interface StreamVersionsOptions {
@@ -19,6 +20,8 @@
   metrics: Pick<Metrics, 'streamVersions' | 'streamRecords' | 'unknownStreams'>
   /** Returns since when this daemon can have missed no change of the registry, in milliseconds on the steady clock; undefined while it may miss some. */
   completeSinceMs (): number | undefined
+  /** Keeps records beyond the end of all daemons. Default: they live in the memory of daemons alone. */
+  archive?: Pick<RecordArchive, 'add' | 'find' | 'restored' | 'onRead'>
 }
 
 /** A stream that a caller resumes. */
@@ -65,6 +68,8 @@
 /** Time that a daemon that has just started has to find others, in milliseconds. */
 const JOIN_WAIT_MS = 1000
 const JOIN_POLL_MS = 20
+/** Time for which another daemon waits at most until this one has read the stored records, in milliseconds. */
+const RESTORE_WAIT_MS = 200
 
 /**
  * Knows where streams began.
@@ -98,7 +103,11 @@
       const record = this.#own.get(key, steadyNow())
       if (isOver && record) record.daemon = by
     })
-    links.handle(FIND_METHOD, async (query: VersionQuery): Promise<VersionReply> => encodeEvidence(this.#evidenceOf(query)))
+    links.handle(FIND_METHOD, async (query: VersionQuery): Promise<VersionReply> => {
+      if (!this.#recordOf(query)) await Promise.race([options.archive?.restored, delay(RESTORE_WAIT_MS)])
+      return encodeEvidence(this.#evidenceOf(query))
+    })
+    if (options.archive) options.archive.onRead = (records) => { this.#hold(records) }
   }
 
   /** Number of records, own and held for other daemons. */
@@ -125,7 +134,7 @@
     const isSent = !this.#hasOnlyVersion(streamVersion.pool, lifeMs)
     const record = { streamVersion, daemon: this.#options.self, expiresAtMs: now + lifeMs, lifeMs, isSent }
     this.#own.set(key, record, now)
-    if (isSent) this.#sender.send([[key, record]])
+    if (isSent) this.#send([[key, record]])
   }
 
   /** Sends all records to other daemons, since this one leaves. */
@@ -137,21 +146,26 @@
   /** Finds out where a stream began, from this daemon's records or by asking others. */
   async find (stream: ResumedStream): Promise<VersionFinding> {
     const startedAtMs = steadyNow()
+    const { archive, membership, metrics } = this.#options
+    if (!this.#recordOf(stream)) await archive?.restored
     const evidence = [this.#evidenceOf(stream)]
     const answeredBy = new Set<DaemonId>()
     let verdict: VersionVerdict = this.#judge(evidence, stream, answeredBy)
+    let isStoreRead = archive === undefined
     let round = 0
     if (verdict.type !== 'recorded') {
       await this.#joined(startedAtMs)
       do {
         if (round > 0) await delay(ROUND_INTERVAL_MS)
-        await this.#ask(stream, { round, evidence, answeredBy })
+        const asked = this.#ask(stream, { round, evidence, answeredBy })
+        if (round > 0 && !isStoreRead) isStoreRead = await this.#readStore(stream, evidence)
+        await asked
         verdict = this.#judge(evidence, stream, answeredBy)
       } while (verdict.type !== 'recorded' && verdict.type !== 'only-version' && ++round < MAX_ROUNDS)
     }
-    this.#options.metrics.streamVersions.inc({ result: verdict.type === 'recorded' && round > 0 ? 'recorded-late' : verdict.type })
-    const cause = causeOfUnknown(verdict, evidence, { isNamed: stream.key !== undefined, isJoined: this.#options.membership.joined })
-    if (cause) this.#options.metrics.unknownStreams.inc({ cause })
+    metrics.streamVersions.inc({ result: verdict.type === 'recorded' && round > 0 ? 'recorded-late' : verdict.type })
+    const cause = causeOfUnknown(verdict, evidence, { isNamed: stream.key !== undefined, isJoined: membership.joined, isStoreRead })
+    if (cause) metrics.unknownStreams.inc({ cause })
     return { verdict, cause, answered: answeredBy.size, waitedMs: steadyNow() - startedAtMs }
   }
 
@@ -167,6 +181,32 @@
     if (isLinked) links.post(daemon, RESUMED_TOPIC, [key, from] satisfies ResumedMessage)
   }
 
+  /** Adds the stored record of a stream to the evidence. Returns false if the store could not be read. */
+  async #readStore ({ key }: ResumedStream, evidence: VersionEvidence[]): Promise<boolean> {
+    const { archive } = this.#options
+    if (!archive || key === undefined) return true
+    const { record, isRead } = await archive.find(key)
+    if (record) evidence.push({ record, versions: [], hasWatched: false })
+    return isRead
+  }
+
+  /** Holds records that this daemon does not know. */
+  #hold (records: ReadonlyMap<StreamKey, VersionRecord>): void {
+    const now = steadyNow()
+    for (const [key, record] of records) if (!this.#recordOf({ key })) this.#held.set(key, record, now)
+  }
+
+  #recordOf ({ key }: Pick<VersionQuery, 'key'>): VersionRecord | undefined {
+    const now = steadyNow()
+    return key === undefined ? undefined : this.#own.get(key, now) ?? this.#held.get(key, now)
+  }
+
+  /** Sends own records to other daemons, and stores them. */
+  #send (records: readonly KeyedRecord[]): void {
+    this.#sender.send(records)
+    this.#options.archive?.add(records)
+  }
+
   #judge (evidence: readonly VersionEvidence[], { pool }: ResumedStream, answeredBy: ReadonlySet<DaemonId>): VersionVerdict {
     return judgeVersion(evidence, { pool, others: this.#options.hostCount() - 1, answered: answeredBy.size })
   }
@@ -199,11 +239,10 @@
   }
 
   #evidenceOf ({ key, pool, lifeMs }: VersionQuery): VersionEvidence {
-    const now = steadyNow()
-    const record = key === undefined ? undefined : this.#own.get(key, now) ?? this.#held.get(key, now)
+    const record = this.#recordOf({ key })
     return {
       record: record && { streamVersion: record.streamVersion, daemon: record.daemon },
-      versions: pool === undefined ? [] : this.#versions.seen(pool, now - lifeMs),
+      versions: pool === undefined ? [] : this.#versions.seen(pool, steadyNow() - lifeMs),
       hasWatched: this.#hasWatched(lifeMs)
     }
   }
@@ -226,6 +265,6 @@
       record.isSent = true
       records.push([key, record])
     }
-    if (records.length > 0) this.#sender.send(records)
+    if (records.length > 0) this.#send(records)
   }
 }
