--- a/daemon/log/events.ts
+++ b/daemon/log/events.ts
@@ -36,9 +36,9 @@
   'request-refused': ConfigState & { status: number, why: string, retryAfterMs?: number | undefined, host?: string | undefined, path?: string | undefined, account?: string | undefined, class?: string | undefined, cost?: number | undefined, room?: number | undefined, bodyBytes?: number | undefined }
   /**
    * A caller resumes a stream. `result` is how it was found out where the stream began: by a record, of which `daemon` passed the stream on last; because its pool had
-   * only one version; or not at all.
+   * only one version; or not at all, for `cause`.
    */
-  'stream-version': { stream: string | undefined, result: string, pool: string | undefined, version: string | undefined, daemon: string | undefined, answered: number, waitedMs: number }
+  'stream-version': { stream: string | undefined, result: string, cause?: string | undefined, pool: string | undefined, version: string | undefined, daemon: string | undefined, answered: number, waitedMs: number }
   /** An internal error of the daemon; the caller gets a 500. */
   'request-broke': { why: string, stack?: string | undefined }
   /** Queued, because no endpoint has a free slot. */
@@ -105,6 +105,10 @@
 
 /** Events about the daemon itself and the state it keeps of the system. */
 export interface DaemonEvents {
+  /** The records of where streams began that daemons stored before this one started. */
+  'stream-records-restored': { records: number, tookMs: number }
+  /** This daemon's records of where streams began could not be stored; it tries again. */
+  'stream-records-not-stored': { why: string }
   'daemon-started': { id: string, settings: string, startMs: number }
   /** CPU time of the whole process, and the work done in the same interval; messages are those between daemons. */
   'processor-time': { usedMs: number, spanMs: number, requests: number, attempts: number, pieces: number, messagesIn: number, messagesOut: number, memoryMb: number }
