Bound the nesting of what other writers put into the store

Cause: the store's client parses an answer, which bears any depth, and encodes spec and status of each object again, which recurses: RangeError from some thousand levels on. It is no StoreError, so each loop that reads ends with an unhandled rejection. The same holds for answers and entries of another shape (TypeErrors), and for names that no path can contain (URIError).

Remains: own objects that another writer replaced, and loops that end with any other error.

--- /dev/null
+++ b/core/bounds/index.ts
@@ -0,0 +1,3 @@
+export * from './excerpt.ts'
+export * from './limit_depth.ts'
+export * from './is_deeper.ts'
