Read what waits on a kept connection before it is closed as idle

Callers saw: a request on a kept connection was reset without an answer after the daemon's process had stood still (SIGSTOP, a suspended host, a turn of the event loop longer than what is left of the idle timeout). The endpoint never got it; a caller of a non-idempotent request cannot know that and may not repeat it.

Cause: after such a turn timers run before connections are read, and the timer of the idle timeout closes a connection whose next request waits in the system's buffer.

Change: when the idle timeout passes, what waits is read first; the connection is closed only if nothing came.

Remains: a request whose bytes arrive after that look is still closed unread; that race is between any two ends of a connection.

--- a/daemon/exchange/exchange_server.ts
+++ b/daemon/exchange/exchange_server.ts
@@ -12,6 +12,7 @@
 import { refuse, writeExchange } from './exchange_writer.ts'
 import type { Intake } from './intake.ts'
 import { HeadTimeouts, refuseHead } from './_head_errors.ts'
+import { closeIfIdle } from './_idle_timeout.ts'
 import { OpenExchanges, type DrainCounts, type Exchange } from './open_exchanges.ts'
 import { stopListening } from './open_responses.ts'
 import { LEAVING_REASON, Refusal, RETRY_AFTER_LEAVING_MS } from './refusal.ts'
@@ -62,6 +63,7 @@
     const [serve] = this.#server.listeners('connection') as [(socket: Socket) => void]
     this.#server.removeAllListeners('connection')
     this.#server.on('clientError', (err: NodeJS.ErrnoException, socket: Socket) => this.#headFailed(err, socket))
+    this.#server.on('timeout', closeIfIdle)
     this.#server.on('connection', (socket: Socket) => this.#connected(socket, (accepted) => serve.call(this.#server, accepted)))
   }
 
--- a/daemon/exchange/exchange_server_test.ts
+++ b/daemon/exchange/exchange_server_test.ts
@@ -17,6 +17,8 @@
 const HEADER_MS = 100
 /** Time after which a connection that has passed the time limit is noticed, in milliseconds. */
 const CHECK_MS = 300
+/** Time for which Node.js keeps an idle connection longer than it is set to, in milliseconds. */
+const IDLE_GRACE_MS = 1000
 let server: ExchangeServer
 let metrics: ReturnType<typeof createMetrics>
 let port: number
@@ -94,3 +96,24 @@
   expect(await metrics.registry.metrics()).toContain(`verbenatiller_refused_total{status="${status}"} 1`)
   expect(logged.mock.calls).toEqual([['unknown', 'request-refused', expect.objectContaining({ status })]])
 })
+
+test('a kept connection is not closed as idle while its next request waits to be read', async () => {
+  // Guards against a request that is lost with its connection after a daemon's process has stood still.
+  server.limit({ headerBytes: 16_384, bodyBytes: 1000, headerMs: 15_000, idleMs: 50 })
+  const { socket, received, closed } = await openConnection()
+  socket.write('GET /elsewhere HTTP/1.1\r\nHost: a\r\n\r\n')
+  while (received() === '') await delay(1)
+  await setImmediate()
+  socket.write('GET /elsewhere HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n')
+  block(IDLE_GRACE_MS * 1.5)
+  await closed
+  expect(received().match(/^HTTP\/1.1 404 /gm)).toHaveLength(2)
+})
+
+test('a kept connection without a further request is closed after the idle timeout', async () => {
+  server.limit({ headerBytes: 16_384, bodyBytes: 1000, headerMs: 15_000, idleMs: 50 })
+  const { socket, received, closed } = await openConnection()
+  socket.write('GET /elsewhere HTTP/1.1\r\nHost: a\r\n\r\n')
+  await closed
+  expect(received()).toMatch(/^HTTP\/1.1 404 /)
+})
