Keep a daemon running and ending in time when its log cannot be written

Callers saw: a daemon whose standard output had no space left (/dev/full) stood still after its first lines: it lived, its ports accepted connections, and no request was answered; SIGTERM did not end it. One whose output was a full pipe that nobody reads served, but did not exit after SIGTERM, so that it was killed at the end of the grace period.

Cause: the log library throws the error of a failed write, which ends the process; at the exit it flushes synchronously, and repeats a failed write every 100 ms without end. A pipe that is full blocks that flush, and a thread of the runtime, for which an exit waits.

Change: a failed write drops nothing but lines; the synchronous flush is done only while writes succeed; a process whose last write is not taken ends itself without waiting for it.

The bundled daemon before: /dev/full, 5 of 6 requests without an answer, alive 12 s after SIGTERM, main thread in a futex wait, no processor time.

Remains: a process that ends on an uncaught error while its pipe is full still waits for the write (the runtime joins its threads).

--- a/cli/main.ts
+++ b/cli/main.ts
@@ -55,7 +55,8 @@
 
 async function exitOnceLeft (daemon: { readonly left: Promise<void> }): Promise<void> {
   await daemon.left
-  await flushLog()
+  // An exit waits for writes under way, and so without end for a pipe that nobody reads.
+  if (!await flushLog()) process.kill(process.pid, 'SIGKILL')
   process.exit(0)
 }
 
--- a/daemon/log/log.ts
+++ b/daemon/log/log.ts
@@ -33,6 +33,8 @@
 interface Line { event: LogEvent, fields: object }
 
 let logger: Logger | undefined
+/** False while a write has failed or is under way. */
+let isWritable = true
 /** Lines logged while the log library is being loaded. */
 let pendingLines: Line[] | undefined
 const rateLimiter = new LogRateLimiter()
@@ -43,22 +45,31 @@
   await options.after
   const { default: pino } = await import('pino')
   const destination = pino.destination({ fd: options.fd ?? 1, sync: false, minLength: MIN_WRITE_BYTES, maxLength: MAX_BUFFERED_BYTES })
+  destination.on('write', () => { isWritable = true })
+  destination.on('error', () => { isWritable = false })
+  const flushSync = destination.flushSync.bind(destination)
+  // Called at the exit; it would retry a failed write, or wait for a reader, without end.
+  destination.flushSync = () => { if (isWritable) flushSync() }
   // Distinguishes restarts of a daemon: lines of an earlier process say nothing about the current one.
   const base = { daemon: options.daemon, process: randomUUID().slice(0, 8) }
   logger = pino({ base, timestamp: pino.stdTimeFunctions.isoTime, formatters: { level: (level) => ({ level }) } }, destination)
   setInterval(() => {
     const counts = rateLimiter.takeDropped()
     if (counts) logger!.warn({ event: 'lines-left-out', counts })
+    isWritable = false
     destination.flush()
   }, FLUSH_INTERVAL_MS).unref()
   for (const line of pendingLines) writeLine(line)
   pendingLines = undefined
 }
 
-/** Writes buffered lines before the process exits; gives up after a timeout, since the pipe may have no reader. */
-export async function flushLog (): Promise<void> {
-  const written = new Promise<void>((resolve) => (logger ? logger.flush(() => resolve()) : resolve()))
-  await Promise.race([written, delay(FINAL_FLUSH_TIMEOUT_MS)])
+/**
+ * Writes buffered lines before the process exits.
+ * @returns False if a write is still under way after a timeout, since the pipe may have no reader.
+ */
+export async function flushLog (): Promise<boolean> {
+  const written = new Promise<boolean>((resolve) => (logger ? logger.flush(() => resolve(true)) : resolve(true)))
+  return await Promise.race([written, delay(FINAL_FLUSH_TIMEOUT_MS).then(() => false)])
 }
 
 /** Logs an event about the daemon or the state it keeps of the system. */
