Wait for ports that are still in use at the start

Operators saw: a daemon whose port for callers, readiness checks, other daemons or monitoring was in use for a moment ended with status 1. Where the port for monitoring was the one, the process had already taken callers' requests, which ended with it.

Cause: each listen call was made once, and its error ended the start; the port for monitoring was opened last, and counted like the others.

Remains: SIGTERM during the wait takes effect only when the start has ended; no caller is connected by then.

--- a/daemon/exchange/proxy_daemon.ts
+++ b/daemon/exchange/proxy_daemon.ts
@@ -4,6 +4,7 @@
 import type { DaemonId } from '../../core/ids/index.ts'
 import { delay, steadyNow } from '../../core/time/index.ts'
 import { log } from '../log/index.ts'
+import { whenPortIsFree } from './_port_wait.ts'
 import { compose, type ProxyComponents } from './_proxy_components.ts'
 import type { PlatformAdapter } from './platform_adapter.ts'
 import type { ProxySettings } from './proxy_settings.ts'
@@ -42,8 +43,8 @@
   }
 
   /**
-   * Starts a daemon and resolves once it listens.
-   * @throws {Error} If a port is in use.
+   * Starts a daemon and resolves once it listens for callers; ports that are in use are waited for.
+   * @throws {Error} If it cannot listen, or a port is still in use after about a minute.
    */
   static async start (options: ProxyDaemonOptions): Promise<ProxyDaemon> {
     const { h32, h64Raw } = await xxhash()
@@ -95,14 +96,15 @@
   }
 
   async #start (): Promise<void> {
-    const { settings, membership, tallies, config, registry, server, readiness, monitor, lease, limits, endpointLimitTask, loads, usage, orders, rollouts, stalls, quarantine, archive, processor, paths, regionLink, delegateFinder, delegatedRuns, delegateServer, connectionGate, moves, memory } = this.#components
+    const { settings, membership, tallies, config, registry, server, readiness, lease, limits, endpointLimitTask, loads, usage, orders, rollouts, stalls, quarantine, archive, processor, paths, regionLink, delegateFinder, delegatedRuns, delegateServer, connectionGate, moves, memory } = this.#components
     const { callers, readiness: check } = settings.listen
     archive.restore()
-    await readiness.listen(check, () => this.ready)
-    await server.listen(callers.host, callers.port)
+    await whenPortIsFree(() => readiness.listen(check, () => this.ready))
+    await whenPortIsFree(() => membership.start())
+    // The last of the ports, since a daemon that waits for one cannot be drained.
+    await whenPortIsFree(() => server.listen(callers.host, callers.port))
     connectionGate.start()
     memory.start()
-    await membership.start()
     config.start()
     registry.start()
     rollouts?.follower.start()
@@ -124,10 +126,17 @@
     quarantine.start()
     archive.start()
     processor.start()
-    if (settings.monitor) await monitor.listen(settings.monitor)
+    this.#listenForMonitoring()
     log('daemon-started', { id: this.id, settings: settings.name, startMs: steadyNow() })
   }
 
+  /** Callers are served without monitoring as well. */
+  #listenForMonitoring (): void {
+    const { settings, monitor } = this.#components
+    const { monitor: address } = settings
+    if (address) whenPortIsFree(() => monitor.listen(address)).catch((err: Error) => log('monitor-not-served', { why: err.message }))
+  }
+
   /**
    * Shuts down gracefully. First reports not ready and closes each connection after its response, since the balancer keeps sending for a
    * while; then accepts no new connections; then waits for open requests until the grace period ends.
--- a/daemon/log/events.ts
+++ b/daemon/log/events.ts
@@ -113,6 +113,8 @@
   'daemon-left': { cut: number, heir?: string | undefined, read?: number, closed?: number, givenUp?: number, sinceMs?: number }
   'settings-read': { changed: readonly string[], needRestart: readonly string[] }
   'settings-refused': { problems: readonly string[] }
+  'port-in-use': { why: string }
+  'monitor-not-served': { why: string }
   /** `announcedAgeMs` is the time since a peer first announced the revision; undefined if none did. `era` is that of the store. */
   'config-in-force': { revision: number, before: number, from: string, era: number, announcedAgeMs?: number | undefined }
   'config-refused': { problems: readonly string[], inForce: number }
@@ -236,7 +238,7 @@
 
 /** Events logged as warnings; the rate limit drops routine events before these. */
 export const WARNING_EVENTS: ReadonlySet<LogEvent> = new Set<LogEvent>([
-  'request-refused', 'request-broke', 'connection-closed-draining', 'request-cut', 'request-given-up', 'request-held', 'answer-evicted', 'memory-level', 'attempt-failed', 'export-failed', 'settings-refused', 'config-refused', 'config-outdated', 'config-not-fetched', 'store-lost', 'store-returned', 'relay-failed', 'region-link-lost',
+  'request-refused', 'request-broke', 'connection-closed-draining', 'request-cut', 'request-given-up', 'request-held', 'answer-evicted', 'memory-level', 'attempt-failed', 'export-failed', 'settings-refused', 'port-in-use', 'monitor-not-served', 'config-refused', 'config-outdated', 'config-not-fetched', 'store-lost', 'store-returned', 'relay-failed', 'region-link-lost',
   'connections-refused', 'peer-not-linked', 'peer-send-failed', 'peer-message-refused', 'not-registered', 'endpoint-refused', 'endpoint-crashed', 'request-quarantined', 'part-quarantined', 'quarantine-not-stored', 'endpoint-avoided', 'path-down', 'pool-cut-off', 'delegate-failed', 'endpoint-silent', 'endpoint-limit-refused', 'endpoint-signal-refused', 'keeper-silent', 'lease-call-failed',
   'usage-not-reported', 'usage-left-out', 'order-refused', 'rollout-held', 'rollout-refused', 'rollout-not-written', 'fleet-round-cut', 'answers-lost', 'lines-left-out'
 ])
