Read settings again while their file is being written

Operators saw: a daemon that started while its settings file was missing, empty or half written ended with status 1 or 2; one that ran ended with a RangeError when the file was replaced by one that is nested too deep to be parsed. The file is rewritten at each start and change.

Cause: the file was read once at the start; half a file could even pass for settings of the other kind. While a daemon runs, only the errors of the validation were refused, and any other one ended the process.

Remains: a change between the read and the first look at the file's time is noticed with the next change or a SIGHUP, as before.

--- a/cli/main.ts
+++ b/cli/main.ts
@@ -6,6 +6,7 @@
 import { flushLog, startLog } from '../daemon/log/index.ts'
 import { OperatorCallError } from './operator_client.ts'
 import { addOperatorCommands } from './operator_commands.ts'
+import { readOnceWritten } from './_settings_file.ts'
 
 const EXIT_FAILED = 1
 const EXIT_INVALID = 2
@@ -19,14 +20,14 @@
     const path = options.settings ?? process.env.VERBENATILLER_SETTINGS
     if (!path) throw new InvalidError('command line', ['--settings: expected a file, found nothing'])
     const { isPlatformSettings } = await import('./settings_kind.ts')
-    if (isPlatformSettings(path)) await servePlatformDaemon(path)
+    if (await readOnceWritten(() => isPlatformSettings(path))) await servePlatformDaemon(path)
     else await serveDaemon(path)
   })
 
 async function servePlatformDaemon (path: string): Promise<void> {
   const { loadPlatformSettings, toProxySettings, servePlatform } = await import('../platform/index.ts')
   const { watchSettings } = await import('./settings_watch.ts')
-  const settings = loadPlatformSettings(path)
+  const settings = await readOnceWritten(() => loadPlatformSettings(path))
   const starting = servePlatform(settings)
   drainOnSignal(starting)
   startLog({ daemon: settings.name, after: starting })
@@ -37,7 +38,7 @@
 
 async function serveDaemon (path: string): Promise<void> {
   const { Daemon, loadSettings } = await import('../daemon/index.ts')
-  const settings = loadSettings(path)
+  const settings = await readOnceWritten(() => loadSettings(path))
   await startLog({ daemon: settings.name })
   const starting = Daemon.start({ settings })
   drainOnSignal(starting)
--- a/cli/settings_kind.ts
+++ b/cli/settings_kind.ts
@@ -1,12 +1,14 @@
 /** Distinguishes the two kinds of settings files. */
-import { parse } from 'jsonc-parser'
+import { z } from 'zod'
+import { parseJsonc } from '../core/config/validate.ts'
 import { readTextFile } from '../daemon/read_text_file.ts'
 
+const kindSchema = z.object({ adapter: z.unknown().optional() })
+
 /**
  * Returns true for the settings of a platform daemon.
- * @throws {InvalidError} If the file cannot be read.
+ * @throws {InvalidError} If the file cannot be read or does not contain an object.
  */
 export function isPlatformSettings (path: string): boolean {
-  const settings: unknown = parse(readTextFile(path))
-  return typeof settings === 'object' && settings !== null && 'adapter' in settings && settings.adapter === 'platform'
+  return parseJsonc(kindSchema, readTextFile(path), path).adapter === 'platform'
 }
--- a/cli/settings_watch.ts
+++ b/cli/settings_watch.ts
@@ -1,6 +1,6 @@
 /** Reloads a settings file when it changes or on SIGHUP. */
 import { watchFile } from 'node:fs'
-import { InvalidError } from '../core/config/validate.ts'
+import { problemsOf } from '../core/config/validate.ts'
 import { log } from '../daemon/log/index.ts'
 
 /** Interval in milliseconds at which the file is polled, because the file systems of some hosts do not report changes. */
@@ -15,16 +15,15 @@
 }
 
 /**
- * Reloads the settings on SIGHUP, which would otherwise terminate the process, and when the file's modification time changes. Invalid settings
- * are logged and change nothing.
+ * Reloads the settings on SIGHUP, which would otherwise terminate the process, and when the file's modification time changes. Settings that cannot
+ * be read are logged and change nothing.
  */
 export function watchSettings (path: string, { reload, reloadOnStart = false }: WatchSettingsOptions): void {
   const reloadAndLog = () => {
     try {
       log('settings-read', reload())
     } catch (err) {
-      if (!(err instanceof InvalidError)) throw err
-      log('settings-refused', { problems: err.problems })
+      log('settings-refused', { problems: problemsOf(err) })
     }
   }
   process.on('SIGHUP', reloadAndLog)
