Log on what evidence it is judged where a stream began

Callers reported streams joined from two versions at a daemon out of step. The log named the verdict and the number of daemons that answered; it did not show whether the daemon, or one that answered it, took its list of endpoints for complete while it was old. `stream-version` now has `beliefs`: for this daemon and each that replied whether it had a record, the versions seen, whether it says that it watched without a gap, and for how long the registry has not answered it.

--- a/core/streams/version_judge.ts
+++ b/core/streams/version_judge.ts
@@ -11,6 +11,8 @@
   versions: SeenVersions
   /** True if it has watched the pool without a gap for all of that time, and still does. */
   hasWatched: boolean
+  /** Time since the registry last answered it, in milliseconds; undefined if it never did, or the daemon is of a release that does not report it. */
+  registryAgeMs?: number | undefined
 }
 
 /** Where a stream began. `unreachable` if too few daemons answered to tell; `unknown` if nobody who answered knows. */
--- a/daemon/endpoints/endpoint_follower.ts
+++ b/daemon/endpoints/endpoint_follower.ts
@@ -77,6 +77,9 @@
   /** Since when no change of the registry can have been missed, in milliseconds on the steady clock; undefined while some may be. */
   get completeSinceMs (): number | undefined { return this.#follower.completeSinceMs }
 
+  /** Time since the registry last answered, in milliseconds; undefined before its first answer. */
+  get ageMs (): number | undefined { return this.#follower.listed ? steadyNow() - this.#follower.lastAnswerAtMs : undefined }
+
   /** Starts following the registry. */
   start (): void {
     this.#follower.start()
--- a/daemon/exchange/_proxy_components.ts
+++ b/daemon/exchange/_proxy_components.ts
@@ -224,7 +224,7 @@
     delegatedRuns: asFunction(({ membership, delegateFinder }: ProxyComponents) => new DelegatedRuns({ membership, finder: delegateFinder })).singleton(),
     delegateServer: asFunction(({ membership, table, paths, client, intake, metrics }: ProxyComponents) => new DelegateServer({ membership, table, paths, client, intake, metrics })).singleton(),
     streamVersions: asFunction((cradle: ProxyComponents) => new StreamVersions({
-      self: cradle.self, membership: cradle.membership, hostCount: () => cradle.fleet.hostCount, hash, metrics: cradle.metrics, completeSinceMs: () => cradle.registry.completeSinceMs
+      self: cradle.self, membership: cradle.membership, hostCount: () => cradle.fleet.hostCount, hash, metrics: cradle.metrics, completeSinceMs: () => cradle.registry.completeSinceMs, registryAgeMs: () => cradle.registry.ageMs
     })).singleton(),
     regionLink: asFunction(({ topology, membership, metrics, random }: ProxyComponents) => new RegionLinkTask({ topology, membership, metrics, random })).singleton(),
     roomGate: asFunction(({ table, random, topology, regionLink }: ProxyComponents) => (settings.refusesLateStreams === true ? new RoomGate({ table, random, topology, crossing: regionLink }) : undefined)).singleton(),
--- a/daemon/exchange/stream_admission.ts
+++ b/daemon/exchange/stream_admission.ts
@@ -2,7 +2,7 @@
 import type { Account, PoolShare, Route } from '../../core/catalog/index.ts'
 import { as, type AccountId, type DaemonId, type RequestId, type StreamKey } from '../../core/ids/index.ts'
 import { fingerprintOf, type Hash64 } from '../../core/quarantine/index.ts'
-import type { VersionVerdict, StreamVersion } from '../../core/streams/index.ts'
+import type { VersionEvidence, VersionVerdict, StreamVersion } from '../../core/streams/index.ts'
 import type { ProxiedRequest } from '../../endpoints/index.ts'
 import { logRequest } from '../log/index.ts'
 import type { StreamVersions } from '../streams/index.ts'
@@ -54,10 +54,10 @@
     const ownKey = this.#keyOf(req.id, account)
     if (req.resumeFrom === 0) return { key: ownKey, boundTo: undefined, daemon: undefined, lifeMs }
     const key = req.streamId === undefined ? undefined : this.#keyOf(req.streamId, account)
-    const { verdict, answered, waitedMs } = await this.#options.versions.find({ key, pool: pools.length === 1 ? pools[0]!.pool : undefined, lifeMs })
+    const { verdict, answered, evidence, waitedMs } = await this.#options.versions.find({ key, pool: pools.length === 1 ? pools[0]!.pool : undefined, lifeMs })
     const boundTo = 'streamVersion' in verdict ? verdict.streamVersion : undefined
     const daemon = verdict.type === 'recorded' ? verdict.daemon : undefined
-    logRequest(req.id, 'stream-version', { stream: req.streamId, result: verdict.type, pool: boundTo?.pool, version: boundTo?.version, daemon, answered, waitedMs: Math.round(waitedMs) })
+    logRequest(req.id, 'stream-version', { stream: req.streamId, result: verdict.type, pool: boundTo?.pool, version: boundTo?.version, daemon, answered, beliefs: evidence.map(describe), waitedMs: Math.round(waitedMs) })
     const problem = boundTo ? problemOf(boundTo, pools) : problemOfVerdict(verdict)
     if (problem) throw new Refusal(problem.why, { status: 503, ...problem, cls: cls.name, ...(account && { account: account.id }) })
     return { key: key ?? ownKey, boundTo, daemon, lifeMs }
@@ -82,6 +82,11 @@
 /** Why a stream is refused, and when its caller should come back; without a time, that is of no use. */
 interface Problem { why: string, retryAfterMs?: number }
 
+/** Describes in a log line what one daemon knew: how it tells a pool of one version, and how old that is. */
+function describe ({ record, versions, hasWatched, registryAgeMs }: VersionEvidence): object {
+  return { recorded: record !== undefined, versions: versions.map((version) => version ?? null), watched: hasWatched, registryAgeMs: registryAgeMs === undefined ? undefined : Math.round(registryAgeMs) }
+}
+
 function problemOf (boundTo: StreamVersion, pools: readonly PoolShare[]): Problem | undefined {
   return pools.some(({ pool }) => pool === boundTo.pool) ? undefined : { why: `the stream began at ${boundTo.pool}, which does not serve its route any more` }
 }
--- a/daemon/log/events.ts
+++ b/daemon/log/events.ts
@@ -38,7 +38,7 @@
    * A caller resumes a stream. `result` is how it was found out where the stream began: by a record, of which `daemon` passed the stream on last; because its pool had
    * only one version; or not at all.
    */
-  'stream-version': { stream: string | undefined, result: string, pool: string | undefined, version: string | undefined, daemon: string | undefined, answered: number, waitedMs: number }
+  'stream-version': { stream: string | undefined, result: string, pool: string | undefined, version: string | undefined, daemon: string | undefined, answered: number, waitedMs: number, beliefs: object[] }
   /** An internal error of the daemon; the caller gets a 500. */
   'request-broke': { why: string, stack?: string | undefined }
   /** Queued, because no endpoint has a free slot. */
--- a/daemon/streams/_messages.ts
+++ b/daemon/streams/_messages.ts
@@ -26,6 +26,7 @@
   record?: { streamVersion: EncodedVersion, daemon: DaemonId }
   versions: Array<EndpointVersion | null>
   hasWatched: boolean
+  registryAgeMs?: number
 }
 
 type EncodedVersion = [pool: PoolName, version: EndpointVersion | null]
@@ -49,19 +50,21 @@
   return records
 }
 
-export function encodeEvidence ({ record, versions, hasWatched }: VersionEvidence): VersionReply {
+export function encodeEvidence ({ record, versions, hasWatched, registryAgeMs }: VersionEvidence): VersionReply {
   return {
     ...(record && { record: { streamVersion: encodeVersion(record.streamVersion), daemon: record.daemon } }),
     versions: versions.map((version) => version ?? null),
-    hasWatched
+    hasWatched,
+    ...(registryAgeMs !== undefined && { registryAgeMs: Math.round(registryAgeMs) })
   }
 }
 
-export function decodeEvidence ({ record, versions, hasWatched }: VersionReply): VersionEvidence {
+export function decodeEvidence ({ record, versions, hasWatched, registryAgeMs }: VersionReply): VersionEvidence {
   return {
     record: record && { streamVersion: decodeVersion(record.streamVersion), daemon: record.daemon },
     versions: versions.map((version) => version ?? undefined),
-    hasWatched
+    hasWatched,
+    registryAgeMs
   }
 }
 
--- a/daemon/streams/stream_versions.ts
+++ b/daemon/streams/stream_versions.ts
@@ -19,6 +19,8 @@
   metrics: Pick<Metrics, 'streamVersions' | 'streamRecords'>
   /** Returns since when this daemon can have missed no change of the registry, in milliseconds on the steady clock; undefined while it may miss some. */
   completeSinceMs (): number | undefined
+  /** Returns the time since the registry last answered, in milliseconds; undefined if it never did. */
+  registryAgeMs (): number | undefined
 }
 
 /** A stream that a caller resumes. */
@@ -44,6 +46,8 @@
   verdict: VersionVerdict
   /** Number of other daemons that answered. */
   answered: number
+  /** What the verdict rests on: what this daemon knew, then what each of the others replied. */
+  evidence: readonly VersionEvidence[]
   waitedMs: number
 }
 
@@ -148,7 +152,7 @@
       } while (verdict.type !== 'recorded' && verdict.type !== 'only-version' && ++round < MAX_ROUNDS)
     }
     this.#options.metrics.streamVersions.inc({ result: verdict.type === 'recorded' && round > 0 ? 'recorded-late' : verdict.type })
-    return { verdict, answered: answeredBy.size, waitedMs: steadyNow() - startedAtMs }
+    return { verdict, answered: answeredBy.size, evidence, waitedMs: steadyNow() - startedAtMs }
   }
 
   /**
@@ -200,7 +204,8 @@
     return {
       record: record && { streamVersion: record.streamVersion, daemon: record.daemon },
       versions: pool === undefined ? [] : this.#versions.seen(pool, now - lifeMs),
-      hasWatched: this.#hasWatched(lifeMs)
+      hasWatched: this.#hasWatched(lifeMs),
+      registryAgeMs: this.#options.registryAgeMs()
     }
   }
 
--- a/daemon/streams/stream_versions_test.ts
+++ b/daemon/streams/stream_versions_test.ts
@@ -37,7 +37,7 @@
   const metrics = createMetrics()
   const registry: Daemon['registry'] = { completeSinceMs: steadyNow() }
   const membership = { links, joined: true, get acceptingWork () { return members }, get reachable () { return members } }
-  const streams = new StreamVersions({ self, membership, hostCount: () => members.length, hash, metrics, completeSinceMs: () => registry.completeSinceMs })
+  const streams = new StreamVersions({ self, membership, hostCount: () => members.length, hash, metrics, completeSinceMs: () => registry.completeSinceMs, registryAgeMs: () => 0 })
   members.push({ id: self, address: `node:${self}`, failureDomain: as<FailureDomain>('abc'[members.length % 3]!), incarnation: 1, state: 'up', revision: 0, heir: undefined })
   const daemon = { streams, links, metrics, registry }
   daemons.push(daemon)
