Show streams joined from two versions at daemons out of step

Five daemon processes with real sockets watch a pool of one version for 31 s; outgoing connections of two of them to the store and to the others, and of the others to them, hang (_hung_links.ts); endpoints of another version join, streams begin at the others, break off after four events and are taken up at the two.

--- a/daemon/streams/stream_versions_test.ts
+++ b/daemon/streams/stream_versions_test.ts
@@ -137,6 +137,28 @@
   network.healPartitions()
 })
 
+test('two daemons that are out of step together do not vouch for each other', async () => {
+  // Guards against silence that counts as certainty.
+  await start(5, 'v1')
+  await vi.advanceTimersByTimeAsync(LIFE_MS)
+  for (const out of [3, 4]) for (const other of [0, 1, 2]) network.part(members[out]!.id, members[other]!.id, true)
+  for (const { streams } of daemons.slice(0, 3)) streams.endpointsChanged(views('v1', 'v2'))
+  daemons[0]!.streams.began(key(1), V2, LIFE_MS)
+  expect(await find(3, 1)).not.toMatchObject({ type: 'only-version' })
+  network.healPartitions()
+  expect(await find(3, 1)).toMatchObject({ type: 'recorded', streamVersion: V2 })
+})
+
+test('daemons whose list is behind do not take it for the pool as it is', async () => {
+  // Guards against a list that is complete up to a moment before the stream began.
+  await start(3, 'v1')
+  await vi.advanceTimersByTimeAsync(LIFE_MS)
+  daemons[0]!.streams.endpointsChanged(views('v1', 'v2'))
+  daemons[0]!.streams.began(key(1), V2, LIFE_MS)
+  await kill(0)
+  expect(await find(2, 2)).not.toMatchObject({ type: 'only-version' })
+})
+
 test('a daemon that has missed a version does not take its pool for one of one version', async () => {
   await start(3, 'v1')
   await vi.advanceTimersByTimeAsync(LIFE_MS)
