Judge a pool of one version by a read of the store that follows the take-up

Callers saw streams joined from two versions: the first part from one, the rest from another, in an answer with status 200.

Cause: a daemon took a pool for one of a single version if everybody who answered had seen one and one of them had "watched without a gap". That belief ended with a failed watch only, up to its wait and 750 ms (and the time in which other daemons are asked) after the last answer, and any other daemon in the same state served as the witness.

Now the store holds which versions of a pool may have begun streams that still live (kind pool-versions, one object a pool), and endpoints of a version get no new work before the store holds it (PoolHistory). A stream without a record goes on if a read of the store that began after its take-up arrived shows one version, of the present era, and nobody who answers has seen another one; if this daemon's store does not answer, three of those asked read it. No watch, no clock and no witness counts, so it holds for a daemon that was cut off, stood still or follows a relay that is behind. A version without endpoints stays for 660 s, watched without a gap; an era that follows another one begins with an unknown version. While no daemon can write, endpoints are used after one second all the same: streams that begin there are protected by records only. A daemon is ready once new work may begin at the versions that it saw first.

Tests changed: the cases of version_judge_test.ts and stream_versions_test.ts that took watching for 30 s as the proof take the store's answer instead.

--- a/core/streams/version_judge.ts
+++ b/core/streams/version_judge.ts
@@ -1,5 +1,6 @@
 /** Conclusion about where a stream began, from what several daemons know. */
 import type { DaemonId, PoolName } from '../ids/index.ts'
+import type { PoolConfirmation } from './pool_history.ts'
 import type { SeenVersions } from './pool_versions.ts'
 import type { StreamVersion } from './stream_version.ts'
 
@@ -9,13 +10,13 @@
   record: { streamVersion: StreamVersion, daemon: DaemonId } | undefined
   /** Versions that the daemon has seen in the pool within the time for which the stream may have lived. */
   versions: SeenVersions
-  /** True if it has watched the pool without a gap for all of that time, and still does. */
-  hasWatched: boolean
+  /** What a read of the store showed of the pool that began after the stream was resumed; undefined without one. */
+  confirmation?: PoolConfirmation | undefined
   /** Time since the registry last answered it, in milliseconds; undefined if it never did, or the daemon is of a release that does not report it. */
   registryAgeMs?: number | undefined
 }
 
-/** Where a stream began. `unreachable` if too few daemons answered to tell; `unknown` if nobody who answered knows. */
+/** Where a stream began. `unreachable` if too few answered to tell, daemons or the store; `unknown` if nobody who answered knows. */
 export type VersionVerdict =
   | { type: 'recorded', streamVersion: StreamVersion, daemon: DaemonId }
   | { type: 'only-version', streamVersion: StreamVersion }
@@ -32,14 +33,18 @@
 }
 
 /**
- * Concludes where a stream began. A record is proof. Without one, only a pool that certainly had a single version all the while is: versions that one daemon alone
- * has seen are no proof while there are others that it cannot ask.
+ * Concludes where a stream began. A record is proof. So is a pool of which the store showed, after the stream was resumed, that it has had one version only for as long as a stream lives: no stream
+ * begins at a version that the store does not hold. What daemons have seen only speaks against that, since any of them may have missed something.
  */
 export function judgeVersion (evidence: readonly VersionEvidence[], { pool, others, answered }: Inquiry): VersionVerdict {
   const recorded = evidence.find(({ record }) => record !== undefined)?.record
   if (recorded) return { type: 'recorded', ...recorded }
-  if (others > 0 && answered === 0) return { type: 'unreachable' }
-  const [version, ...otherVersions] = new Set(evidence.flatMap(({ versions }) => versions))
-  const isCertain = otherVersions.length === 0 && evidence.some(({ versions, hasWatched }) => hasWatched && versions.length > 0)
-  return pool !== undefined && isCertain ? { type: 'only-version', streamVersion: { pool, version } } : { type: 'unknown' }
+  const confirmations = evidence.flatMap(({ confirmation }) => confirmation ?? [])
+  const only = confirmations.every(({ isOnly }) => isOnly) ? confirmations[0] : undefined
+  if (pool !== undefined && only?.isOnly === true) {
+    const seen = new Set([only.version, ...evidence.flatMap(({ versions }) => versions), ...confirmations.flatMap((each) => (each.isOnly ? [each.version] : []))])
+    return seen.size === 1 ? { type: 'only-version', streamVersion: { pool, version: only.version } } : { type: 'unknown' }
+  }
+  const isUnanswered = (others > 0 && answered === 0) || (pool !== undefined && confirmations.length === 0)
+  return { type: isUnanswered ? 'unreachable' : 'unknown' }
 }
--- a/daemon/endpoints/_endpoint_selections.ts
+++ b/daemon/endpoints/_endpoint_selections.ts
@@ -33,6 +33,8 @@
   #mayGetWork: (view: EndpointView) => boolean = () => true
   #mayContinue: (view: EndpointView) => boolean = () => true
 
+  #mayBegin: (view: EndpointView) => boolean = () => true
+
   constructor (options: EndpointSelectionsOptions) {
     this.#options = options
   }
@@ -49,6 +51,17 @@
     this.clear()
   }
 
+  /** Restricts work that may begin anywhere; see `EndpointTable.restrictBegin`. */
+  restrictBegin (mayBegin: (view: EndpointView) => boolean): void {
+    this.#mayBegin = mayBegin
+    this.clear()
+  }
+
+  /** Returns true if work that may begin anywhere may begin at an endpoint. */
+  mayBegin (view: EndpointView): boolean {
+    return this.#mayBegin(view)
+  }
+
   /** Selects the endpoints of a pool for a request; `boundTo` is the version that the stream is bound to which it continues. */
   select (pool: PoolName, boundTo: StreamVersion | undefined): EndpointSelection {
     const key = boundTo ? `${pool}\0${boundTo.version ?? ''}` : pool
@@ -56,7 +69,7 @@
     if (!selection) {
       const { self, hash, subsetSize: size, serving, topology } = this.#options
       const otherRegionOf = ({ failureDomain }: EndpointView) => (!topology || topology.isLocal(failureDomain) ? undefined : topology.regionOf(failureDomain))
-      const usable = serving(pool).filter((view) => (boundTo ? mayContinueAt(boundTo, view) && this.#mayContinue(view) : this.#mayGetWork(view)))
+      const usable = serving(pool).filter((view) => (boundTo ? mayContinueAt(boundTo, view) && this.#mayContinue(view) : this.#mayGetWork(view) && this.#mayBegin(view)))
       selection = { usable, connected: regionalSubset(self, usable, { hash, size, otherRegionOf }) }
       this.#selections.set(key, selection)
     }
--- a/daemon/endpoints/endpoint_table.ts
+++ b/daemon/endpoints/endpoint_table.ts
@@ -102,6 +102,14 @@
     this.#selections.restrictTo(mayGetWork, mayContinue)
   }
 
+  /** Limits work that may begin anywhere to the endpoints for which the predicate holds, in addition to {@linkcode EndpointTable.restrictTo}; call again whenever its result changes. */
+  restrictBegin (mayBegin: (view: EndpointView) => boolean): void {
+    this.#selections.restrictBegin(mayBegin)
+  }
+
+  /** Returns true if work that may begin anywhere may begin at an endpoint, regardless of {@linkcode EndpointTable.restrictTo}. */
+  mayBegin (view: EndpointView): boolean { return this.#selections.mayBegin(view) }
+
   #serving (pool: PoolName): EndpointView[] {
     return this.all.filter((view) => view.pool === pool && view.leavingAtMs === undefined && this.#listedIds.has(view.id))
   }
--- a/daemon/exchange/_component_factories.ts
+++ b/daemon/exchange/_component_factories.ts
@@ -55,7 +55,7 @@
 }
 
 /** Builds the follower of the registry. */
-export function endpointFollower ({ settings, platform, relay, table, random, config, client, dispatcher, streamVersions }: ProxyComponents): EndpointFollower {
+export function endpointFollower ({ settings, platform, relay, table, random, config, client, dispatcher, poolHistory, streamVersions }: ProxyComponents): EndpointFollower {
   return new EndpointFollower({
     store: relay.source(platform.registryPrefix),
     prefix: platform.registryPrefix,
@@ -67,10 +67,11 @@
     pool: (name) => config.inForce?.pools.get(name),
     onChange: () => {
       client.keepOnly(new Set<EndpointId>(table.all.map((view) => view.id)))
+      poolHistory.endpointsChanged(table.all)
       streamVersions.endpointsChanged(table.all)
       dispatcher.startQueued()
     },
-    onLost: () => streamVersions.registryLost()
+    onLost: () => streamVersions.certaintyLost()
   })
 }
 
--- a/daemon/exchange/_proxy_components.ts
+++ b/daemon/exchange/_proxy_components.ts
@@ -5,7 +5,7 @@
 import { as, type DaemonId, type PoolName } from '../../core/ids/index.ts'
 import { type RetryLimiter } from '../../core/retry/index.ts'
 import type { Hash64 } from '../../core/quarantine/index.ts'
-import type { Hash32, Random } from '../../core/routing/index.ts'
+import type { EndpointView, Hash32, Random } from '../../core/routing/index.ts'
 import { RegionTopology } from '../../core/topology/index.ts'
 import { createEndCheck, dial, ExchangeClient } from '../../endpoints/index.ts'
 import { ConfigFollower } from '../config/config_follower.ts'
@@ -39,7 +39,7 @@
 import type { Dispatcher } from '../request/dispatcher.ts'
 import { createSharedDispatcher } from '../request/shared_dispatcher.ts'
 import { StallWatch } from '../request/stall_watch.ts'
-import { StreamVersions } from '../streams/index.ts'
+import { PoolHistory, StreamVersions } from '../streams/index.ts'
 import { seededRandom } from '../seeded_random.ts'
 import { engineMemoryComponents, type EngineMemoryComponents } from './_engine_memory.ts'
 import { ConnectionGateTask } from './connection_gate_task.ts'
@@ -99,6 +99,7 @@
   delegateFinder: DelegateFinder
   delegatedRuns: DelegatedRuns
   delegateServer: DelegateServer
+  poolHistory: PoolHistory
   streamVersions: StreamVersions
   dispatcher: Dispatcher
   budgetOf: (pool: PoolName) => RetryLimiter
@@ -223,8 +224,17 @@
     })).singleton(),
     delegatedRuns: asFunction(({ membership, delegateFinder }: ProxyComponents) => new DelegatedRuns({ membership, finder: delegateFinder })).singleton(),
     delegateServer: asFunction(({ membership, table, paths, client, intake, metrics }: ProxyComponents) => new DelegateServer({ membership, table, paths, client, intake, metrics })).singleton(),
+    poolHistory: asFunction((cradle: ProxyComponents) => new PoolHistory({
+      self: cradle.self,
+      store: platform.store,
+      membership: cradle.membership,
+      random: cradle.random,
+      metrics: cradle.metrics,
+      completeSinceMs: () => cradle.registry.completeSinceMs,
+      registryAgeMs: () => cradle.registry.ageMs
+    })).singleton(),
     streamVersions: asFunction((cradle: ProxyComponents) => new StreamVersions({
-      self: cradle.self, membership: cradle.membership, hostCount: () => cradle.fleet.hostCount, hash, metrics: cradle.metrics, completeSinceMs: () => cradle.registry.completeSinceMs, registryAgeMs: () => cradle.registry.ageMs
+      self: cradle.self, membership: cradle.membership, hostCount: () => cradle.fleet.hostCount, hash, metrics: cradle.metrics, history: cradle.poolHistory, registryAgeMs: () => cradle.registry.ageMs
     })).singleton(),
     regionLink: asFunction(({ topology, membership, metrics, random }: ProxyComponents) => new RegionLinkTask({ topology, membership, metrics, random })).singleton(),
     roomGate: asFunction(({ table, random, topology, regionLink }: ProxyComponents) => (settings.refusesLateStreams === true ? new RoomGate({ table, random, topology, crossing: regionLink }) : undefined)).singleton(),
@@ -320,6 +330,13 @@
   if (components.engineMemory) components.engineMemory.memory.onRoom = () => components.dispatcher.startQueued()
   components.table.onEnded((view) => components.endpointLimits.ended(view))
   components.signals.onRoom = () => components.dispatcher.startQueued()
+  const mayBegin = (view: EndpointView) => components.poolHistory.mayBegin(view)
+  components.table.restrictBegin(mayBegin)
+  components.poolHistory.onAllowed = () => {
+    components.table.restrictBegin(mayBegin)
+    components.dispatcher.startQueued()
+  }
+  components.poolHistory.onUncertain = () => components.streamVersions.certaintyLost()
   components.streamVersions.onResumed = (key, resumption) => components.intake.streamResumed(key, resumption)
   components.quarantine.onHeld(() => { for (const task of components.intake.open) task.quarantineChanged() })
   components.rollouts?.gate.onVersionEmptied((pool, version) => { for (const task of components.intake.open) task.moveOffVersion(pool, version) })
--- a/daemon/exchange/proxy_daemon.ts
+++ b/daemon/exchange/proxy_daemon.ts
@@ -54,7 +54,7 @@
 
   get id (): DaemonId { return this.#components.self }
   /** True while the balancer should route callers to this daemon. */
-  get ready (): boolean { return this.#draining === undefined && this.#components.config.settled && this.#components.table.all.length > 0 }
+  get ready (): boolean { return this.#draining === undefined && this.#components.config.settled && this.#components.poolHistory.settled && this.#components.table.all.length > 0 }
   /** Number of endpoints that are not leaving. */
   get endpoints (): number { return this.#components.table.all.filter((view) => view.leavingAtMs === undefined).length }
   /** The daemon that counts account quotas for this one. */
@@ -95,7 +95,7 @@
   }
 
   async #start (): Promise<void> {
-    const { settings, membership, tallies, config, registry, server, readiness, monitor, lease, limits, endpointLimitTask, loads, usage, orders, rollouts, stalls, quarantine, archive, processor, paths, regionLink, delegateFinder, delegatedRuns, delegateServer, connectionGate, moves, memory } = this.#components
+    const { settings, membership, tallies, config, poolHistory, registry, server, readiness, monitor, lease, limits, endpointLimitTask, loads, usage, orders, rollouts, stalls, quarantine, archive, processor, paths, regionLink, delegateFinder, delegatedRuns, delegateServer, connectionGate, moves, memory } = this.#components
     const { callers, readiness: check } = settings.listen
     archive.restore()
     await readiness.listen(check, () => this.ready)
@@ -104,6 +104,7 @@
     memory.start()
     await membership.start()
     config.start()
+    poolHistory.start()
     registry.start()
     rollouts?.follower.start()
     tallies.start()
@@ -178,7 +179,7 @@
   }
 
   #stopTasks (): void {
-    const { config, registry, limits, endpointLimitTask, engineMemory, signals, loads, tallies, rollouts, stalls, quarantine, archive, processor, paths, regionLink, delegateFinder, delegatedRuns, delegateServer, connectionGate, moves, memory } = this.#components
+    const { config, poolHistory, registry, limits, endpointLimitTask, engineMemory, signals, loads, tallies, rollouts, stalls, quarantine, archive, processor, paths, regionLink, delegateFinder, delegatedRuns, delegateServer, connectionGate, moves, memory } = this.#components
     moves.stop()
     connectionGate.stop()
     memory.stop()
@@ -194,6 +195,7 @@
     quarantine.stop()
     stalls.stop()
     config.stop()
+    poolHistory.stop()
     registry.stop()
     limits.stop()
     endpointLimitTask.stop()
--- a/daemon/exchange/stream_admission.ts
+++ b/daemon/exchange/stream_admission.ts
@@ -25,7 +25,7 @@
   lifeMs: number
 }
 
-/** `Retry-After` for streams of which no other daemon could be asked where they began, in milliseconds. */
+/** `Retry-After` for streams of which neither other daemons nor the store could be asked where they began, in milliseconds. */
 const RETRY_AFTER_UNREACHABLE_MS = 500
 /** Bounds of the time for which a stream is taken to live, in milliseconds: a caller may wait longer over all of its tries than one of them tells. */
 const MIN_STREAM_LIFE_MS = 30_000
@@ -82,9 +82,9 @@
 /** Why a stream is refused, and when its caller should come back; without a time, that is of no use. */
 interface Problem { why: string, retryAfterMs?: number }
 
-/** Describes in a log line what one daemon knew: how it tells a pool of one version, and how old that is. */
-function describe ({ record, versions, hasWatched, registryAgeMs }: VersionEvidence): object {
-  return { recorded: record !== undefined, versions: versions.map((version) => version ?? null), watched: hasWatched, registryAgeMs: registryAgeMs === undefined ? undefined : Math.round(registryAgeMs) }
+/** Describes in a log line what one daemon knew, how old its list of endpoints was, and what it read from the store. */
+function describe ({ record, versions, confirmation, registryAgeMs }: VersionEvidence): object {
+  return { recorded: record !== undefined, versions: versions.map((version) => version ?? null), confirmed: confirmation && (confirmation.isOnly ? [confirmation.version ?? null] : 'several'), registryAgeMs: registryAgeMs === undefined ? undefined : Math.round(registryAgeMs) }
 }
 
 function problemOf (boundTo: StreamVersion, pools: readonly PoolShare[]): Problem | undefined {
@@ -93,6 +93,6 @@
 
 function problemOfVerdict ({ type }: VersionVerdict): Problem {
   return type === 'unreachable'
-    ? { why: 'no other daemon could be asked at which version the stream began', retryAfterMs: RETRY_AFTER_UNREACHABLE_MS }
+    ? { why: 'too few daemons answered at which version the stream began, and the store did not', retryAfterMs: RETRY_AFTER_UNREACHABLE_MS }
     : { why: 'it is not known at which version the stream began' }
 }
--- a/daemon/log/events.ts
+++ b/daemon/log/events.ts
@@ -170,6 +170,8 @@
   'quarantine-released': { suspect: string, who: string }
   /** The quarantine could not be read from or written to the store; this is retried. */
   'quarantine-not-stored': { why: string }
+  /** Endpoints of a version get work although the store does not hold it as one of its pool. */
+  'pool-version-unrecorded': { pool: string, version: string | undefined }
   /** The endpoint cannot be reached from this daemon, whatever the reason; it last sent something `activityAgeMs` ago. */
   'path-down': { endpoint: string, pool: string, activityAgeMs: number }
   /** The endpoint accepts connections again, or sends something over one that was open. */
@@ -237,6 +239,6 @@
 /** Events logged as warnings; the rate limit drops routine events before these. */
 export const WARNING_EVENTS: ReadonlySet<LogEvent> = new Set<LogEvent>([
   'request-refused', 'request-broke', 'connection-closed-draining', 'request-cut', 'request-given-up', 'request-held', 'answer-evicted', 'memory-level', 'attempt-failed', 'export-failed', 'settings-refused', 'config-refused', 'config-outdated', 'config-not-fetched', 'store-lost', 'store-returned', 'relay-failed', 'region-link-lost',
-  'connections-refused', 'peer-not-linked', 'peer-send-failed', 'peer-message-refused', 'not-registered', 'endpoint-refused', 'endpoint-crashed', 'request-quarantined', 'part-quarantined', 'quarantine-not-stored', 'endpoint-avoided', 'path-down', 'pool-cut-off', 'delegate-failed', 'endpoint-silent', 'endpoint-limit-refused', 'endpoint-signal-refused', 'keeper-silent', 'lease-call-failed',
+  'connections-refused', 'peer-not-linked', 'peer-send-failed', 'peer-message-refused', 'not-registered', 'endpoint-refused', 'endpoint-crashed', 'request-quarantined', 'part-quarantined', 'quarantine-not-stored', 'pool-version-unrecorded', 'endpoint-avoided', 'path-down', 'pool-cut-off', 'delegate-failed', 'endpoint-silent', 'endpoint-limit-refused', 'endpoint-signal-refused', 'keeper-silent', 'lease-call-failed',
   'usage-not-reported', 'usage-left-out', 'order-refused', 'rollout-held', 'rollout-refused', 'rollout-not-written', 'fleet-round-cut', 'answers-lost', 'lines-left-out'
 ])
--- a/daemon/metrics.ts
+++ b/daemon/metrics.ts
@@ -52,6 +52,7 @@
     pathsDown: gauge('paths_down', 'Endpoints that this daemon cannot reach'),
     streamVersions: counter('stream_versions_total', 'Streams that callers resumed, by how it was found out at which version they began; `recorded-late` if not at the first inquiry', ['result']),
     streamRecords: counter('stream_records_total', 'Records of where streams began, by whether they were sent to another daemon', ['result']),
+    poolHistory: counter('pool_history_total', 'Calls to the store on the versions of pools, by result; `unrecorded` for versions that were used before the store held them', ['result']),
     delegated: counter('delegated_total', 'Requests sent through another daemon since no endpoint of their pool could be reached, by result', ['result']),
     delegatedFor: counter('delegated_for_others_total', 'Requests of other daemons that this one ran, by result', ['result']),
     limitedEndpoints: gauge('limited_endpoints', 'Endpoints that limit the rate of requests from all daemons', ['pool']),
--- a/daemon/rollout/version_gate.ts
+++ b/daemon/rollout/version_gate.ts
@@ -101,7 +101,7 @@
     const progress = held && this.#progress(pool)
     if (!progress || progress.stage !== 'canary') return []
     const granted = held.purse.endpointsFor(orderId(progress), cls.name, steadyNow())
-    return granted.length === 0 ? [] : this.#options.table.ofVersion(pool, progress.order.to).filter(({ id }) => granted.includes(id))
+    return granted.length === 0 ? [] : this.#options.table.ofVersion(pool, progress.order.to).filter((view) => granted.includes(view.id) && this.#options.table.mayBegin(view))
   }
 
   /** Counts a request that was sent to a canary endpoint against the grant. */
--- a/daemon/streams/_messages.ts
+++ b/daemon/streams/_messages.ts
@@ -16,6 +16,8 @@
   key: StreamKey | undefined
   pool: PoolName | undefined
   lifeMs: number
+  /** Also asks what a read of the store shows of the pool that begins once the query has arrived. Default false. */
+  confirm?: boolean
 }
 
 /** Pool, version, and the key and remaining life of each stream in milliseconds: without field names, since most messages hold one stream. */
@@ -25,7 +27,9 @@
 export interface VersionReply {
   record?: { streamVersion: EncodedVersion, daemon: DaemonId }
   versions: Array<EndpointVersion | null>
-  hasWatched: boolean
+  /** Read by daemons of earlier releases, which take true for a proof. */
+  hasWatched: false
+  confirmation?: { isOnly: true, version: EndpointVersion | null } | { isOnly: false }
   registryAgeMs?: number
 }
 
@@ -50,20 +54,21 @@
   return records
 }
 
-export function encodeEvidence ({ record, versions, hasWatched, registryAgeMs }: VersionEvidence): VersionReply {
+export function encodeEvidence ({ record, versions, confirmation, registryAgeMs }: VersionEvidence): VersionReply {
   return {
     ...(record && { record: { streamVersion: encodeVersion(record.streamVersion), daemon: record.daemon } }),
     versions: versions.map((version) => version ?? null),
-    hasWatched,
+    hasWatched: false,
+    ...(confirmation && { confirmation: confirmation.isOnly ? { isOnly: true, version: confirmation.version ?? null } : { isOnly: false } }),
     ...(registryAgeMs !== undefined && { registryAgeMs: Math.round(registryAgeMs) })
   }
 }
 
-export function decodeEvidence ({ record, versions, hasWatched, registryAgeMs }: VersionReply): VersionEvidence {
+export function decodeEvidence ({ record, versions, confirmation, registryAgeMs }: VersionReply): VersionEvidence {
   return {
     record: record && { streamVersion: decodeVersion(record.streamVersion), daemon: record.daemon },
     versions: versions.map((version) => version ?? undefined),
-    hasWatched,
+    confirmation: confirmation?.isOnly === true ? { isOnly: true, version: confirmation.version ?? undefined } : confirmation,
     registryAgeMs
   }
 }
--- a/daemon/streams/stream_versions.ts
+++ b/daemon/streams/stream_versions.ts
@@ -8,6 +8,7 @@
 import type { MembershipTask } from '../peers/membership_task.ts'
 import { decodeRecords, decodeEvidence, encodeEvidence, FIND_METHOD, RECORDS_TOPIC, RESUMED_TOPIC, type VersionQuery, type VersionReply, type RecordsMessage, type ResumedMessage } from './_messages.ts'
 import { RecordSender, type KeyedRecord } from './_record_sender.ts'
+import type { PoolHistory } from './pool_history.ts'
 
 /** Options of {@linkcode StreamVersions}. */
 export interface StreamVersionsOptions {
@@ -17,8 +18,7 @@
   hostCount (): number
   hash: Hash32
   metrics: Pick<Metrics, 'streamVersions' | 'streamRecords'>
-  /** Returns since when this daemon can have missed no change of the registry, in milliseconds on the steady clock; undefined while it may miss some. */
-  completeSinceMs (): number | undefined
+  history: Pick<PoolHistory, 'confirm' | 'isCertain'>
   /** Returns the time since the registry last answered, in milliseconds; undefined if it never did. */
   registryAgeMs (): number | undefined
 }
@@ -64,6 +64,12 @@
 /** Rounds in which daemons are asked: in the first a record may still be on its way. */
 const MAX_ROUNDS = 3
 const ROUND_INTERVAL_MS = 50
+/** Daemons of a round that are asked to read the store, if this one cannot. */
+const READERS_ASKED = 3
+/** Time in which a daemon that is asked reads the store, in milliseconds. */
+const ASKED_READ_MS = 250
+/** Time to wait for the answers of a round in which daemons read the store, in milliseconds. */
+const READ_ANSWER_TIMEOUT_MS = 450
 /** Time that a daemon that has just started has to find others, in milliseconds. */
 const JOIN_WAIT_MS = 1000
 const JOIN_POLL_MS = 20
@@ -72,7 +78,7 @@
  * Knows where streams began.
  *
  * The daemon that passes the first event of a stream to its caller records the version, and sends the record to {@linkcode HOLDER_COUNT} others along with that event. It
- * sends nothing while it is certain that the pool has had one version only for as long as a stream lives: then any daemon that has watched the pool can tell.
+ * sends nothing while it is certain that the pool has had one version only for as long as a stream lives: then any daemon that can read the store can tell.
  */
 export class StreamVersions {
   readonly #options: StreamVersionsOptions
@@ -82,8 +88,6 @@
   readonly #own = new VersionRecords<OwnRecord>()
   /** Records held for other daemons. */
   readonly #held = new VersionRecords()
-  /** Value of {@linkcode StreamVersionsOptions.completeSinceMs} when own records were last looked through. */
-  #completeSinceMs: number | undefined
   /** Called when the caller of a stream of this daemon resumes it with another request elsewhere. Returns false if this daemon has a request that is not older. */
   onResumed: (key: StreamKey, resumption: Resumption) => boolean = () => true
 
@@ -100,7 +104,7 @@
       const record = this.#own.get(key, steadyNow())
       if (isOver && record) record.daemon = by
     })
-    links.handle(FIND_METHOD, async (query: VersionQuery): Promise<VersionReply> => encodeEvidence(this.#evidenceOf(query)))
+    links.handle(FIND_METHOD, async (query: VersionQuery): Promise<VersionReply> => encodeEvidence(await this.#answer(query)))
   }
 
   /** Number of records, own and held for other daemons. */
@@ -108,12 +112,11 @@
 
   /** Must be called with all endpoints after each change to them. */
   endpointsChanged (views: readonly EndpointView[]): void {
-    const hasNewVersion = this.#versions.record(views, steadyNow())
-    if (hasNewVersion || this.#options.completeSinceMs() !== this.#completeSinceMs) this.#sendUncertain()
+    if (this.#versions.record(views, steadyNow())) this.#sendUncertain()
   }
 
-  /** Must be called when the registry stops answering: versions that come from then on are not seen here. */
-  registryLost (): void {
+  /** Must be called when a pool is not certain any more, as when the registry stops answering: versions that come from then on are not seen here. */
+  certaintyLost (): void {
     this.#sendUncertain()
   }
 
@@ -140,14 +143,17 @@
   async find (stream: ResumedStream): Promise<VersionFinding> {
     const startedAtMs = steadyNow()
     const evidence = [this.#evidenceOf(stream)]
+    const { pool } = stream
     const answeredBy = new Set<DaemonId>()
     let verdict: VersionVerdict = this.#judge(evidence, stream, answeredBy)
     let round = 0
     if (verdict.type !== 'recorded') {
+      const confirmed = pool === undefined ? undefined : this.#options.history.confirm(pool)
       await this.#joined(startedAtMs)
       do {
         if (round > 0) await delay(ROUND_INTERVAL_MS)
-        await this.#ask(stream, { round, evidence, answeredBy })
+        const [confirmation] = await Promise.all([round === 0 ? confirmed : undefined, this.#ask(stream, { round, evidence, answeredBy })])
+        if (confirmation) evidence[0]!.confirmation = confirmation
         verdict = this.#judge(evidence, stream, answeredBy)
       } while (verdict.type !== 'recorded' && verdict.type !== 'only-version' && ++round < MAX_ROUNDS)
     }
@@ -180,47 +186,51 @@
     const { self, membership, hash } = this.#options
     const ranked = rankHolders(stream.key, membership.reachable.filter(({ id }) => id !== self), { hash })
     const { key, pool, lifeMs } = stream
+    const asked = round === 0 ? ranked.slice(0, ASKED_AT_ONCE) : ranked
+    const lacksRead = round > 0 && pool !== undefined && evidence.every(({ confirmation }) => confirmation === undefined)
+    const readers = new Set(lacksRead ? ranked.slice((round - 1) * READERS_ASKED, round * READERS_ASKED) : [])
+    const timeoutMs = lacksRead ? READ_ANSWER_TIMEOUT_MS : ANSWER_TIMEOUT_MS
     await new Promise<void>((resolve) => {
       const ask = async (member: Member) => {
         try {
-          const reply = await membership.links.call(member, FIND_METHOD, { key, pool, lifeMs } satisfies VersionQuery, { timeoutMs: ANSWER_TIMEOUT_MS }) as VersionReply
+          const reply = await membership.links.call(member, FIND_METHOD, { key, pool, lifeMs, ...(readers.has(member) && { confirm: true }) } satisfies VersionQuery, { timeoutMs }) as VersionReply
           evidence.push(decodeEvidence(reply))
           answeredBy.add(member.id)
           if (reply.record) resolve()
         } catch { /* an unreachable daemon, or an earlier version that does not know the method: it adds nothing */ }
       }
       // A call to a daemon without a link may take longer than its timeout.
-      const timer = setTimeout(resolve, ANSWER_TIMEOUT_MS)
-      Promise.all((round === 0 ? ranked.slice(0, ASKED_AT_ONCE) : ranked).map(ask)).then(() => {
+      const timer = setTimeout(resolve, timeoutMs)
+      Promise.all(asked.map(ask)).then(() => {
         clearTimeout(timer)
         resolve()
       })
     })
   }
 
+  async #answer (query: VersionQuery): Promise<VersionEvidence> {
+    const evidence = this.#evidenceOf(query)
+    if (evidence.record || query.pool === undefined || query.confirm !== true) return evidence
+    const confirmation = await this.#options.history.confirm(query.pool, { timeoutMs: ASKED_READ_MS })
+    return { ...this.#evidenceOf(query), confirmation }
+  }
+
   #evidenceOf ({ key, pool, lifeMs }: VersionQuery): VersionEvidence {
     const now = steadyNow()
     const record = key === undefined ? undefined : this.#own.get(key, now) ?? this.#held.get(key, now)
     return {
       record: record && { streamVersion: record.streamVersion, daemon: record.daemon },
       versions: pool === undefined ? [] : this.#versions.seen(pool, now - lifeMs),
-      hasWatched: this.#hasWatched(lifeMs),
       registryAgeMs: this.#options.registryAgeMs()
     }
   }
 
-  #hasWatched (lifeMs: number): boolean {
-    const sinceMs = this.#options.completeSinceMs()
-    return sinceMs !== undefined && steadyNow() - sinceMs >= lifeMs
-  }
-
   #hasOnlyVersion (pool: PoolName, lifeMs: number): boolean {
-    return this.#hasWatched(lifeMs) && this.#versions.seen(pool, steadyNow() - lifeMs).length === 1
+    return this.#options.history.isCertain(pool) && this.#versions.seen(pool, steadyNow() - lifeMs).length === 1
   }
 
   /** Sends own records of pools whose only version is not certain any more. */
   #sendUncertain (): void {
-    this.#completeSinceMs = this.#options.completeSinceMs()
     const records: KeyedRecord[] = []
     for (const [key, record] of this.#own.entries(steadyNow())) {
       if (record.isSent || this.#hasOnlyVersion(record.streamVersion.pool, record.lifeMs)) continue
--- a/daemon/streams/stream_versions_test.ts
+++ b/daemon/streams/stream_versions_test.ts
@@ -2,30 +2,50 @@
 import { as, type DaemonId, type EndpointVersion, type FailureDomain, type PoolName, type StreamKey } from '../../core/ids/index.ts'
 import type { Member } from '../../core/membership/index.ts'
 import type { EndpointView } from '../../core/routing/index.ts'
-import { steadyNow } from '../../core/time/index.ts'
-import { StandInNetwork, type StandInLinks } from '../../standins/index.ts'
+import { delay, steadyNow } from '../../core/time/index.ts'
+import { StoreError, type ObjectStore } from '../../store/index.ts'
+import { StandInNetwork, StandInStore, type StandInLinks } from '../../standins/index.ts'
 import { createMetrics } from '../metrics.ts'
-import { StreamVersions } from './index.ts'
+import { PoolHistory, StreamVersions } from './index.ts'
+import { RETIREMENT_MS } from './_version_retirement.ts'
 
 const POOL = as<PoolName>('llm')
 const LIFE_MS = 30_000
+const STORE_TIMEOUT_MS = 1500
+/** Time in which a version is written ahead, in milliseconds. */
+const WRITTEN_MS = 200
 const V1 = { pool: POOL, version: as<EndpointVersion>('v1') }
 const V2 = { pool: POOL, version: as<EndpointVersion>('v2') }
 const key = (i: number) => as<StreamKey>(`stream-${i}`)
 const views = (...versions: string[]) => versions.map((version) => ({ pool: POOL, version })) as unknown as EndpointView[]
 
-interface Daemon { streams: StreamVersions, links: StandInLinks, metrics: ReturnType<typeof createMetrics>, registry: { completeSinceMs: number | undefined } }
+interface Daemon {
+  streams: StreamVersions
+  history: PoolHistory
+  links: StandInLinks
+  metrics: ReturnType<typeof createMetrics>
+  registry: { completeSinceMs: number | undefined, ageMs: number }
+  /** Calls of this daemon to the store hang. */
+  hangs: boolean
+  /** Must be called with the endpoints that the daemon sees. */
+  see (...versions: string[]): void
+}
 
 let network: StandInNetwork
+let store: StandInStore
 let members: Member[]
 let daemons: Daemon[]
 beforeEach(() => {
   vi.useFakeTimers()
   network = new StandInNetwork()
+  store = new StandInStore()
   members = []
   daemons = []
 })
-afterEach(() => { vi.useRealTimers() })
+afterEach(() => {
+  for (const { history } of daemons) history.stop()
+  vi.useRealTimers()
+})
 
 const hash = (text: string) => [...text].reduce((value, char) => Math.imul(value ^ char.charCodeAt(0), 16777619) >>> 0, 2166136261)
 
@@ -35,21 +55,44 @@
   const links = network.join(self)
   await links.listen()
   const metrics = createMetrics()
-  const registry: Daemon['registry'] = { completeSinceMs: steadyNow() }
-  const membership = { links, joined: true, get acceptingWork () { return members }, get reachable () { return members } }
-  const streams = new StreamVersions({ self, membership, hostCount: () => members.length, hash, metrics, completeSinceMs: () => registry.completeSinceMs, registryAgeMs: () => 0 })
+  const registry: Daemon['registry'] = { completeSinceMs: steadyNow(), ageMs: 0 }
+  const membership = { links, joined: true, get acceptingWork () { return members }, get reachable () { return members }, rankedFor: () => members }
+  const beliefs = { completeSinceMs: () => registry.completeSinceMs, registryAgeMs: () => registry.ageMs }
+  const history = new PoolHistory({ self, store: storeOf(() => daemon.hangs), membership, random: () => 0.5, metrics, ...beliefs })
+  const streams = new StreamVersions({ self, membership, hostCount: () => members.length, hash, metrics, history, ...beliefs })
+  history.onUncertain = () => streams.certaintyLost()
+  const see = (...seen: string[]) => {
+    history.endpointsChanged(views(...seen))
+    streams.endpointsChanged(views(...seen))
+  }
   members.push({ id: self, address: `node:${self}`, failureDomain: as<FailureDomain>('abc'[members.length % 3]!), incarnation: 1, state: 'up', revision: 0, heir: undefined })
-  const daemon = { streams, links, metrics, registry }
+  const daemon: Daemon = { streams, history, links, metrics, registry, hangs: false, see }
   daemons.push(daemon)
-  streams.endpointsChanged(views(...versions))
+  history.start()
+  see(...versions)
   return daemon
 }
 
+/** The store as one daemon reaches it. */
+function storeOf (hangs: () => boolean): Pick<ObjectStore, 'era' | 'snapshot' | 'create' | 'update'> {
+  const reach = async <T>(call: () => Promise<T>) => {
+    if (!hangs()) return await call()
+    await delay(STORE_TIMEOUT_MS)
+    throw new StoreError('Cannot reach the store: no answer', { failure: 'unsure' })
+  }
+  return {
+    era: store.era,
+    snapshot: (prefix) => reach(() => store.snapshot(prefix)),
+    create: (at, value) => reach(() => store.create(at, value)),
+    update: (at, value, version) => reach(() => store.update(at, value, version))
+  }
+}
+
 /** Starts daemons with links to each other, as {@linkcode join} does. */
 async function start (count: number, ...versions: string[]): Promise<void> {
   for (let i = 0; i < count; i++) await join(...versions)
   for (const { links } of daemons) links.keep(members.map(({ address }) => address))
-  await vi.advanceTimersByTimeAsync(20)
+  await vi.advanceTimersByTimeAsync(WRITTEN_MS)
 }
 
 async function kill (...which: number[]): Promise<void> {
@@ -98,51 +141,85 @@
 })
 
 test.each<[string, (daemon: Daemon) => void]>([
-  ['another version is listed', ({ streams }) => streams.endpointsChanged(views('v1', 'v2'))],
+  ['another version is listed', ({ see }) => see('v1', 'v2')],
   ['the registry stops answering', ({ streams, registry }) => {
     registry.completeSinceMs = undefined
-    streams.registryLost()
+    streams.certaintyLost()
   }],
-  ['changes of the registry may have been missed', ({ streams, registry }) => {
-    registry.completeSinceMs = steadyNow()
-    streams.endpointsChanged(views('v1'))
-  }]
+  ['the registry has not answered for long', ({ registry }) => { registry.ageMs = 5000 }]
 ])('records that nobody else has are sent when %s', async (_what, happens) => {
   // Guards against streams that began before the second version came, and are lost with their daemon after it.
   await start(4, 'v1')
   await vi.advanceTimersByTimeAsync(LIFE_MS)
   daemons[0]!.streams.began(key(1), V1, LIFE_MS)
   happens(daemons[0]!)
-  await vi.advanceTimersByTimeAsync(100)
+  await vi.advanceTimersByTimeAsync(600)
   expect(await sent(0)).toBe(3)
-  for (const daemon of daemons.slice(1)) daemon.streams.endpointsChanged(views('v1', 'v2'))
+  for (const { see } of daemons.slice(1)) see('v1', 'v2')
   await kill(0)
   expect(await find(1, 1)).toEqual({ type: 'recorded', streamVersion: V1, daemon: 'd0' })
 })
 
-test('a daemon that has just started finds records, and does not vouch for an only version', async () => {
-  await start(3, 'v1')
+test('a daemon that has just started finds records, and vouches for nothing that the store does not show it', async () => {
+  await start(3, 'v1', 'v2')
   daemons[0]!.streams.began(key(1), V1, LIFE_MS)
   await start(1, 'v1')
   expect(await find(3, 1)).toMatchObject({ type: 'recorded' })
   expect(await find(3, 2)).toEqual({ type: 'unknown' })
 })
 
+test('after all daemons were killed, one that has just started knows that a pool has had one version', async () => {
+  // Guards against refusing every stream for as long as one lives.
+  await start(3, 'v1')
+  daemons[0]!.streams.began(key(1), V1, LIFE_MS)
+  await kill(0, 1, 2)
+  members = []
+  await join('v1')
+  expect(await find(3, 1)).toEqual({ type: 'only-version', streamVersion: V1 })
+})
+
+test('a daemon that starts after a second version was listed does not take a pool for one of the version that it sees', async () => {
+  // Guards against versions that left while all daemons were dead.
+  await start(3, 'v1', 'v2')
+  await kill(0, 1, 2)
+  members = []
+  await join('v1')
+  await vi.advanceTimersByTimeAsync(LIFE_MS)
+  expect(await find(3, 1)).toEqual({ type: 'unknown' })
+})
+
 test('a daemon that others do not answer guesses nothing, although it has seen one version only', async () => {
   // Guards against a daemon that is cut off from the others while they learn of another version.
   await start(3, 'v1')
   await vi.advanceTimersByTimeAsync(LIFE_MS)
   for (const other of [1, 2]) network.part(members[0]!.id, members[other]!.id, true)
+  daemons[0]!.hangs = true
+  expect(await find(0, 1)).toEqual({ type: 'unreachable' })
+  daemons[0]!.hangs = false
+  expect(await find(0, 1)).toEqual({ type: 'only-version', streamVersion: V1 })
+  for (const { see } of daemons.slice(1)) see('v1', 'v2')
+  await vi.advanceTimersByTimeAsync(WRITTEN_MS)
   expect(await find(0, 1)).toEqual({ type: 'unreachable' })
   network.healPartitions()
 })
 
+test('a daemon that the store does not answer has another one read it', async () => {
+  await start(4, 'v1')
+  await kill(0)
+  daemons[1]!.hangs = true
+  expect(await find(1, 1)).toEqual({ type: 'only-version', streamVersion: V1 })
+  daemons[2]!.hangs = daemons[3]!.hangs = true
+  expect(await find(1, 2)).toEqual({ type: 'unreachable' })
+})
+
 test('two daemons that are out of step together do not vouch for each other', async () => {
   // Guards against silence that counts as certainty.
   await start(5, 'v1')
   await vi.advanceTimersByTimeAsync(LIFE_MS)
   for (const out of [3, 4]) for (const other of [0, 1, 2]) network.part(members[out]!.id, members[other]!.id, true)
-  for (const { streams } of daemons.slice(0, 3)) streams.endpointsChanged(views('v1', 'v2'))
+  for (const out of [3, 4]) daemons[out]!.hangs = true
+  for (const { see } of daemons.slice(0, 3)) see('v1', 'v2')
+  await vi.advanceTimersByTimeAsync(WRITTEN_MS)
   daemons[0]!.streams.began(key(1), V2, LIFE_MS)
   expect(await find(3, 1)).not.toMatchObject({ type: 'only-version' })
   network.healPartitions()
@@ -153,7 +230,8 @@
   // Guards against a list that is complete up to a moment before the stream began.
   await start(3, 'v1')
   await vi.advanceTimersByTimeAsync(LIFE_MS)
-  daemons[0]!.streams.endpointsChanged(views('v1', 'v2'))
+  daemons[0]!.see('v1', 'v2')
+  await vi.advanceTimersByTimeAsync(WRITTEN_MS)
   daemons[0]!.streams.began(key(1), V2, LIFE_MS)
   await kill(0)
   expect(await find(2, 2)).not.toMatchObject({ type: 'only-version' })
@@ -162,17 +240,19 @@
 test('a daemon that has missed a version does not take its pool for one of one version', async () => {
   await start(3, 'v1')
   await vi.advanceTimersByTimeAsync(LIFE_MS)
-  daemons[1]!.streams.endpointsChanged(views('v1', 'v2'))
+  daemons[1]!.see('v1', 'v2')
+  await vi.advanceTimersByTimeAsync(WRITTEN_MS)
   expect(await find(0, 1)).toEqual({ type: 'unknown' })
 })
 
 test('a version that left is remembered for as long as its streams may live', async () => {
   await start(2, 'v1', 'v2')
   await vi.advanceTimersByTimeAsync(LIFE_MS)
-  for (const { streams } of daemons) streams.endpointsChanged(views('v2'))
-  await vi.advanceTimersByTimeAsync(LIFE_MS - 5000)
+  for (const { see } of daemons) see('v2')
+  await vi.advanceTimersByTimeAsync(RETIREMENT_MS)
   expect(await find(0, 1)).toEqual({ type: 'unknown' })
-  await vi.advanceTimersByTimeAsync(5000)
+  // The version is marked some seconds after it has left, and each daemon reads the store again within half a minute or so.
+  await vi.advanceTimersByTimeAsync(60_000)
   expect(await find(0, 1)).toEqual({ type: 'only-version', streamVersion: V2 })
 })
 
