--- a/daemon/exchange/_proxy_components.ts
+++ b/daemon/exchange/_proxy_components.ts
@@ -5,7 +5,7 @@
 import { as, type DaemonId, type PoolName } from '../../core/ids/index.ts'
 import { type RetryLimiter } from '../../core/retry/index.ts'
 import type { Hash64 } from '../../core/quarantine/index.ts'
-import type { Hash32, Random } from '../../core/routing/index.ts'
+import type { EndpointView, Hash32, Random } from '../../core/routing/index.ts'
 import { mayHoldRecords } from '../../core/streams/index.ts'
 import { RegionTopology } from '../../core/topology/index.ts'
 import { createEndCheck, dial, ExchangeClient } from '../../endpoints/index.ts'
@@ -40,7 +40,7 @@
 import type { Dispatcher } from '../request/dispatcher.ts'
 import { createSharedDispatcher } from '../request/shared_dispatcher.ts'
 import { StallWatch } from '../request/stall_watch.ts'
-import { RecordArchive, StreamVersions } from '../streams/index.ts'
+import { PoolHistory, RecordArchive, StreamVersions } from '../streams/index.ts'
 import { seededRandom } from '../seeded_random.ts'
 import { engineMemoryComponents, type EngineMemoryComponents } from './_engine_memory.ts'
 import { ConnectionGateTask } from './connection_gate_task.ts'
@@ -101,6 +101,7 @@
   delegatedRuns: DelegatedRuns
   delegateServer: DelegateServer
   recordArchive: RecordArchive
+  poolHistory: PoolHistory
   streamVersions: StreamVersions
   dispatcher: Dispatcher
   budgetOf: (pool: PoolName) => RetryLimiter
@@ -228,8 +229,24 @@
     recordArchive: asFunction(({ self, membership, fleet, random, metrics }: ProxyComponents) => new RecordArchive({
       self, store: platform.store, membership, hostCount: () => fleet.hostCount, mayHold: () => mayHoldRecords(self, membership.reachable, { hash }), random, metrics
     })).singleton(),
+    poolHistory: asFunction((cradle: ProxyComponents) => new PoolHistory({
+      self: cradle.self,
+      store: platform.store,
+      membership: cradle.membership,
+      random: cradle.random,
+      metrics: cradle.metrics,
+      completeSinceMs: () => cradle.registry.completeSinceMs,
+      registryAgeMs: () => cradle.registry.ageMs
+    })).singleton(),
     streamVersions: asFunction((cradle: ProxyComponents) => new StreamVersions({
-      self: cradle.self, membership: cradle.membership, hostCount: () => cradle.fleet.hostCount, hash, metrics: cradle.metrics, completeSinceMs: () => cradle.registry.completeSinceMs, archive: cradle.recordArchive
+      self: cradle.self,
+      membership: cradle.membership,
+      hostCount: () => cradle.fleet.hostCount,
+      hash,
+      metrics: cradle.metrics,
+      history: cradle.poolHistory,
+      archive: cradle.recordArchive,
+      registryAgeMs: () => cradle.registry.ageMs
     })).singleton(),
     regionLink: asFunction(({ topology, membership, metrics, random }: ProxyComponents) => new RegionLinkTask({ topology, membership, metrics, random })).singleton(),
     roomGate: asFunction(({ table, random, topology, regionLink }: ProxyComponents) => (settings.refusesLateStreams === true ? new RoomGate({ table, random, topology, crossing: regionLink }) : undefined)).singleton(),
@@ -325,6 +342,13 @@
   if (components.engineMemory) components.engineMemory.memory.onRoom = () => components.dispatcher.startQueued()
   components.table.onEnded((view) => components.endpointLimits.ended(view))
   components.signals.onRoom = () => components.dispatcher.startQueued()
+  const mayBegin = (view: EndpointView) => components.poolHistory.mayBegin(view)
+  components.table.restrictBegin(mayBegin)
+  components.poolHistory.onAllowed = () => {
+    components.table.restrictBegin(mayBegin)
+    components.dispatcher.startQueued()
+  }
+  components.poolHistory.onUncertain = () => components.streamVersions.certaintyLost()
   components.streamVersions.onResumed = (key, resumption) => components.intake.streamResumed(key, resumption)
   components.quarantine.onHeld(() => { for (const task of components.intake.open) task.quarantineChanged() })
   components.rollouts?.gate.onVersionEmptied((pool, version) => { for (const task of components.intake.open) task.moveOffVersion(pool, version) })
--- a/daemon/exchange/stream_admission.ts
+++ b/daemon/exchange/stream_admission.ts
@@ -2,7 +2,7 @@
 import type { Account, PoolShare, Route } from '../../core/catalog/index.ts'
 import { as, type AccountId, type DaemonId, type RequestId, type StreamKey } from '../../core/ids/index.ts'
 import { fingerprintOf, type Hash64 } from '../../core/quarantine/index.ts'
-import type { UnknownCause, VersionVerdict, StreamVersion } from '../../core/streams/index.ts'
+import type { UnknownCause, VersionEvidence, VersionVerdict, StreamVersion } from '../../core/streams/index.ts'
 import type { ProxiedRequest } from '../../endpoints/index.ts'
 import { logRequest } from '../log/index.ts'
 import type { StreamVersions } from '../streams/index.ts'
@@ -25,7 +25,7 @@
   lifeMs: number
 }
 
-/** `Retry-After` for streams of which neither another daemon nor the store could be asked where they began, in milliseconds. */
+/** `Retry-After` for streams of which neither other daemons nor the store could be asked where they began, in milliseconds. */
 const RETRY_AFTER_UNREACHABLE_MS = 500
 /** Bounds of the time for which a stream is taken to live, in milliseconds: a caller may wait longer over all of its tries than one of them tells. */
 const MIN_STREAM_LIFE_MS = 30_000
@@ -54,10 +54,10 @@
     const ownKey = this.#keyOf(req.id, account)
     if (req.resumeFrom === 0) return { key: ownKey, boundTo: undefined, daemon: undefined, lifeMs }
     const key = req.streamId === undefined ? undefined : this.#keyOf(req.streamId, account)
-    const { verdict, cause, answered, waitedMs } = await this.#options.versions.find({ key, pool: pools.length === 1 ? pools[0]!.pool : undefined, lifeMs })
+    const { verdict, cause, answered, evidence, waitedMs } = await this.#options.versions.find({ key, pool: pools.length === 1 ? pools[0]!.pool : undefined, lifeMs })
     const boundTo = 'streamVersion' in verdict ? verdict.streamVersion : undefined
     const daemon = verdict.type === 'recorded' ? verdict.daemon : undefined
-    logRequest(req.id, 'stream-version', { stream: req.streamId, result: verdict.type, cause, pool: boundTo?.pool, version: boundTo?.version, daemon, answered, waitedMs: Math.round(waitedMs) })
+    logRequest(req.id, 'stream-version', { stream: req.streamId, result: verdict.type, cause, pool: boundTo?.pool, version: boundTo?.version, daemon, answered, beliefs: evidence.map(describe), waitedMs: Math.round(waitedMs) })
     const problem = boundTo ? problemOf(boundTo, pools) : problemOfVerdict(verdict, cause)
     if (problem) throw new Refusal(problem.why, { status: 503, ...problem, cls: cls.name, ...(account && { account: account.id }) })
     return { key: key ?? ownKey, boundTo, daemon, lifeMs }
@@ -82,6 +82,11 @@
 /** Why a stream is refused, and when its caller should come back; without a time, that is of no use. */
 interface Problem { why: string, retryAfterMs?: number }
 
+/** Describes in a log line what one daemon knew, how old its list of endpoints was, and what it read from the store. */
+function describe ({ record, versions, confirmation, registryAgeMs }: VersionEvidence): object {
+  return { recorded: record !== undefined, versions: versions.map((version) => version ?? null), confirmed: confirmation && (confirmation.isOnly ? [confirmation.version ?? null] : 'several'), registryAgeMs: registryAgeMs === undefined ? undefined : Math.round(registryAgeMs) }
+}
+
 function problemOf (boundTo: StreamVersion, pools: readonly PoolShare[]): Problem | undefined {
   return pools.some(({ pool }) => pool === boundTo.pool) ? undefined : { why: `the stream began at ${boundTo.pool}, which does not serve its route any more` }
 }
@@ -89,6 +94,6 @@
 function problemOfVerdict ({ type }: VersionVerdict, cause: UnknownCause | undefined): Problem {
   if (cause === 'store-not-read') return { why: 'the store could not be read for the version at which the stream began', retryAfterMs: RETRY_AFTER_UNREACHABLE_MS }
   return type === 'unreachable'
-    ? { why: 'no other daemon could be asked at which version the stream began', retryAfterMs: RETRY_AFTER_UNREACHABLE_MS }
+    ? { why: 'too few daemons answered at which version the stream began, and the store did not', retryAfterMs: RETRY_AFTER_UNREACHABLE_MS }
     : { why: 'it is not known at which version the stream began' }
 }
--- a/daemon/streams/archived_streams_test.ts
+++ b/daemon/streams/archived_streams_test.ts
@@ -32,9 +32,9 @@
     add: (records: readonly KeyedRecord[]) => { added.push(...records.map(([key]) => key)) },
     find: vi.fn(async (): Promise<ArchiveFinding> => ({ record: undefined, isRead: true }))
   }
-  const registry = { completeSinceMs: steadyNow() }
+  const history = { confirm: async () => ({ isOnly: false as const }), isCertain: () => versions.length === 1 }
   const membership = { links, joined: true, acceptingWork: [], reachable: [] }
-  const streams = new StreamVersions({ self: as<DaemonId>('d0'), membership, hostCount: () => 1, hash: (text) => text.length, metrics: createMetrics(), completeSinceMs: () => registry.completeSinceMs, archive })
+  const streams = new StreamVersions({ self: as<DaemonId>('d0'), membership, hostCount: () => 1, hash: (text) => text.length, metrics: createMetrics(), history, registryAgeMs: () => 0, archive })
   streams.endpointsChanged(views(...versions))
   return { streams, archive, added }
 }
--- a/daemon/streams/index.ts
+++ b/daemon/streams/index.ts
@@ -1,2 +1,3 @@
+export * from './pool_history.ts'
 export * from './stream_versions.ts'
 export * from './record_archive.ts'
--- a/daemon/streams/stream_versions.ts
+++ b/daemon/streams/stream_versions.ts
@@ -8,6 +8,7 @@
 import type { MembershipTask } from '../peers/membership_task.ts'
 import { decodeRecords, decodeEvidence, encodeEvidence, FIND_METHOD, RECORDS_TOPIC, RESUMED_TOPIC, type VersionQuery, type VersionReply, type RecordsMessage, type ResumedMessage } from './_messages.ts'
 import { RecordSender, type KeyedRecord } from './_record_sender.ts'
+import type { PoolHistory } from './pool_history.ts'
 import type { RecordArchive } from './record_archive.ts'
 
 /** Options of {@linkcode StreamVersions}. */
@@ -18,8 +19,9 @@
   hostCount (): number
   hash: Hash32
   metrics: Pick<Metrics, 'streamVersions' | 'streamRecords' | 'unknownStreams'>
-  /** Returns since when this daemon can have missed no change of the registry, in milliseconds on the steady clock; undefined while it may miss some. */
-  completeSinceMs (): number | undefined
+  history: Pick<PoolHistory, 'confirm' | 'isCertain'>
+  /** Returns the time since the registry last answered, in milliseconds; undefined if it never did. */
+  registryAgeMs (): number | undefined
   /** Keeps records beyond the end of all daemons. Default: they live in the memory of daemons alone. */
   archive?: Pick<RecordArchive, 'add' | 'find' | 'restored' | 'onRead'>
 }
@@ -49,6 +51,8 @@
   cause: UnknownCause | undefined
   /** Number of other daemons that answered. */
   answered: number
+  /** What the verdict rests on: what this daemon knew, then what each of the others replied. */
+  evidence: readonly VersionEvidence[]
   waitedMs: number
 }
 
@@ -65,6 +69,12 @@
 /** Rounds in which daemons are asked: in the first a record may still be on its way. */
 const MAX_ROUNDS = 3
 const ROUND_INTERVAL_MS = 50
+/** Daemons of a round that are asked to read the store, if this one cannot. */
+const READERS_ASKED = 3
+/** Time in which a daemon that is asked reads the store, in milliseconds. */
+const ASKED_READ_MS = 250
+/** Time to wait for the answers of a round in which daemons read the store, in milliseconds. */
+const READ_ANSWER_TIMEOUT_MS = 450
 /** Time that a daemon that has just started has to find others, in milliseconds. */
 const JOIN_WAIT_MS = 1000
 const JOIN_POLL_MS = 20
@@ -75,7 +85,7 @@
  * Knows where streams began.
  *
  * The daemon that passes the first event of a stream to its caller records the version, and sends the record to {@linkcode HOLDER_COUNT} others along with that event. It
- * sends nothing while it is certain that the pool has had one version only for as long as a stream lives: then any daemon that has watched the pool can tell.
+ * sends nothing while it is certain that the pool has had one version only for as long as a stream lives: then any daemon that can read the store can tell.
  */
 export class StreamVersions {
   readonly #options: StreamVersionsOptions
@@ -85,8 +95,6 @@
   readonly #own = new VersionRecords<OwnRecord>()
   /** Records held for other daemons. */
   readonly #held = new VersionRecords()
-  /** Value of {@linkcode StreamVersionsOptions.completeSinceMs} when own records were last looked through. */
-  #completeSinceMs: number | undefined
   /** Called when the caller of a stream of this daemon resumes it with another request elsewhere. Returns false if this daemon has a request that is not older. */
   onResumed: (key: StreamKey, resumption: Resumption) => boolean = () => true
 
@@ -103,10 +111,7 @@
       const record = this.#own.get(key, steadyNow())
       if (isOver && record) record.daemon = by
     })
-    links.handle(FIND_METHOD, async (query: VersionQuery): Promise<VersionReply> => {
-      if (!this.#recordOf(query)) await Promise.race([options.archive?.restored, delay(RESTORE_WAIT_MS)])
-      return encodeEvidence(this.#evidenceOf(query))
-    })
+    links.handle(FIND_METHOD, async (query: VersionQuery): Promise<VersionReply> => encodeEvidence(await this.#answer(query)))
     if (options.archive) options.archive.onRead = (records) => { this.#hold(records) }
   }
 
@@ -115,12 +120,11 @@
 
   /** Must be called with all endpoints after each change to them. */
   endpointsChanged (views: readonly EndpointView[]): void {
-    const hasNewVersion = this.#versions.record(views, steadyNow())
-    if (hasNewVersion || this.#options.completeSinceMs() !== this.#completeSinceMs) this.#sendUncertain()
+    if (this.#versions.record(views, steadyNow())) this.#sendUncertain()
   }
 
-  /** Must be called when the registry stops answering: versions that come from then on are not seen here. */
-  registryLost (): void {
+  /** Must be called when a pool is not certain any more, as when the registry stops answering: versions that come from then on are not seen here. */
+  certaintyLost (): void {
     this.#sendUncertain()
   }
 
@@ -149,24 +153,30 @@
     const { archive, membership, metrics } = this.#options
     if (!this.#recordOf(stream)) await archive?.restored
     const evidence = [this.#evidenceOf(stream)]
+    const { pool } = stream
     const answeredBy = new Set<DaemonId>()
     let verdict: VersionVerdict = this.#judge(evidence, stream, answeredBy)
     let isStoreRead = archive === undefined
     let round = 0
     if (verdict.type !== 'recorded') {
+      const confirmed = pool === undefined ? undefined : this.#options.history.confirm(pool)
       await this.#joined(startedAtMs)
       do {
         if (round > 0) await delay(ROUND_INTERVAL_MS)
-        const asked = this.#ask(stream, { round, evidence, answeredBy })
-        if (round > 0 && !isStoreRead) isStoreRead = await this.#readStore(stream, evidence)
-        await asked
+        const [confirmation, isRead] = await Promise.all([
+          round === 0 ? confirmed : undefined,
+          round > 0 && !isStoreRead ? this.#readStore(stream, evidence) : isStoreRead,
+          this.#ask(stream, { round, evidence, answeredBy })
+        ])
+        isStoreRead = isRead
+        if (confirmation) evidence[0]!.confirmation = confirmation
         verdict = this.#judge(evidence, stream, answeredBy)
       } while (verdict.type !== 'recorded' && verdict.type !== 'only-version' && ++round < MAX_ROUNDS)
     }
     metrics.streamVersions.inc({ result: verdict.type === 'recorded' && round > 0 ? 'recorded-late' : verdict.type })
     const cause = causeOfUnknown(verdict, evidence, { isNamed: stream.key !== undefined, isJoined: membership.joined, isStoreRead })
     if (cause) metrics.unknownStreams.inc({ cause })
-    return { verdict, cause, answered: answeredBy.size, waitedMs: steadyNow() - startedAtMs }
+    return { verdict, cause, answered: answeredBy.size, evidence, waitedMs: steadyNow() - startedAtMs }
   }
 
   /**
@@ -186,7 +196,7 @@
     const { archive } = this.#options
     if (!archive || key === undefined) return true
     const { record, isRead } = await archive.find(key)
-    if (record) evidence.push({ record, versions: [], hasWatched: false })
+    if (record) evidence.push({ record, versions: [] })
     return isRead
   }
 
@@ -220,45 +230,51 @@
     const { self, membership, hash } = this.#options
     const ranked = rankHolders(stream.key, membership.reachable.filter(({ id }) => id !== self), { hash })
     const { key, pool, lifeMs } = stream
+    const asked = round === 0 ? ranked.slice(0, ASKED_AT_ONCE) : ranked
+    const lacksRead = round > 0 && pool !== undefined && evidence.every(({ confirmation }) => confirmation === undefined)
+    const readers = new Set(lacksRead ? ranked.slice((round - 1) * READERS_ASKED, round * READERS_ASKED) : [])
+    const timeoutMs = lacksRead ? READ_ANSWER_TIMEOUT_MS : ANSWER_TIMEOUT_MS
     await new Promise<void>((resolve) => {
       const ask = async (member: Member) => {
         try {
-          const reply = await membership.links.call(member, FIND_METHOD, { key, pool, lifeMs } satisfies VersionQuery, { timeoutMs: ANSWER_TIMEOUT_MS }) as VersionReply
+          const reply = await membership.links.call(member, FIND_METHOD, { key, pool, lifeMs, ...(readers.has(member) && { confirm: true }) } satisfies VersionQuery, { timeoutMs }) as VersionReply
           evidence.push(decodeEvidence(reply))
           answeredBy.add(member.id)
           if (reply.record) resolve()
         } catch { /* an unreachable daemon, or an earlier version that does not know the method: it adds nothing */ }
       }
       // A call to a daemon without a link may take longer than its timeout.
-      const timer = setTimeout(resolve, ANSWER_TIMEOUT_MS)
-      Promise.all((round === 0 ? ranked.slice(0, ASKED_AT_ONCE) : ranked).map(ask)).then(() => {
+      const timer = setTimeout(resolve, timeoutMs)
+      Promise.all(asked.map(ask)).then(() => {
         clearTimeout(timer)
         resolve()
       })
     })
   }
 
+  async #answer (query: VersionQuery): Promise<VersionEvidence> {
+    if (!this.#recordOf(query)) await Promise.race([this.#options.archive?.restored, delay(RESTORE_WAIT_MS)])
+    const evidence = this.#evidenceOf(query)
+    if (evidence.record || query.pool === undefined || query.confirm !== true) return evidence
+    const confirmation = await this.#options.history.confirm(query.pool, { timeoutMs: ASKED_READ_MS })
+    return { ...this.#evidenceOf(query), confirmation }
+  }
+
   #evidenceOf ({ key, pool, lifeMs }: VersionQuery): VersionEvidence {
     const record = this.#recordOf({ key })
     return {
       record: record && { streamVersion: record.streamVersion, daemon: record.daemon },
       versions: pool === undefined ? [] : this.#versions.seen(pool, steadyNow() - lifeMs),
-      hasWatched: this.#hasWatched(lifeMs)
+      registryAgeMs: this.#options.registryAgeMs()
     }
   }
 
-  #hasWatched (lifeMs: number): boolean {
-    const sinceMs = this.#options.completeSinceMs()
-    return sinceMs !== undefined && steadyNow() - sinceMs >= lifeMs
-  }
-
   #hasOnlyVersion (pool: PoolName, lifeMs: number): boolean {
-    return this.#hasWatched(lifeMs) && this.#versions.seen(pool, steadyNow() - lifeMs).length === 1
+    return this.#options.history.isCertain(pool) && this.#versions.seen(pool, steadyNow() - lifeMs).length === 1
   }
 
   /** Sends own records of pools whose only version is not certain any more. */
   #sendUncertain (): void {
-    this.#completeSinceMs = this.#options.completeSinceMs()
     const records: KeyedRecord[] = []
     for (const [key, record] of this.#own.entries(steadyNow())) {
       if (record.isSent || this.#hasOnlyVersion(record.streamVersion.pool, record.lifeMs)) continue
