Store records of streams after 50 ms in place of 200 in small fleets

Callers whose streams began within the last interval before all daemons were killed are refused. With up to ten hosts the interval may be 50 ms within the same bound of 200 writes a second for the fleet (180 at nine); streams that come evenly cause as many writes as before, one each.

--- a/daemon/streams/_record_writer.ts
+++ b/daemon/streams/_record_writer.ts
@@ -22,13 +22,13 @@
   metrics: Pick<Metrics, 'storeCalls' | 'streamRecords'>
 }
 
-/** Shortest interval between two calls of a daemon, and the interval for each host, in milliseconds: all daemons together stay below half of the store's write rate. */
-const MIN_INTERVAL_MS = 200
+/** Shortest interval between two writes of a daemon, and the interval for each host, in milliseconds: all daemons together stay below half of the store's write rate. */
+const MIN_INTERVAL_MS = 50
 const INTERVAL_PER_HOST_MS = 5
 const FIRST_BACK_OFF_MS = 250
 const MAX_BACK_OFF_MS = 5000
 
-/** Returns the least interval between two calls of one daemon to the archive, in milliseconds. */
+/** Returns the least interval between two writes of one daemon, in milliseconds. */
 export function archiveIntervalMs (hostCount: number): number {
   return Math.max(MIN_INTERVAL_MS, INTERVAL_PER_HOST_MS * hostCount)
 }
--- a/daemon/streams/record_archive.ts
+++ b/daemon/streams/record_archive.ts
@@ -42,6 +42,8 @@
 const JOIN_POLL_MS = 20
 const FIRST_BACK_OFF_MS = 100
 const MAX_BACK_OFF_MS = 2000
+/** Shortest interval between two listings of a daemon, in milliseconds. */
+const MIN_LIST_INTERVAL_MS = 200
 /** Longest wait of a caller for a listing, in milliseconds. */
 const FIND_TIMEOUT_MS = 300
 /** Interval at which objects whose records have expired are removed, in milliseconds. */
@@ -99,7 +101,7 @@
 
   /** Reads the store for the record of a stream. Callers share a listing, and one that comes too soon after the last does without. */
   async find (key: StreamKey): Promise<ArchiveFinding> {
-    const dueInMs = this.#listedAtMs + archiveIntervalMs(this.#options.hostCount()) - steadyNow()
+    const dueInMs = this.#listedAtMs + Math.max(MIN_LIST_INTERVAL_MS, archiveIntervalMs(this.#options.hostCount())) - steadyNow()
     if (!this.#listing && dueInMs > 0) {
       if (dueInMs > FIND_TIMEOUT_MS) return { record: undefined, isRead: this.#isLastListed }
       await delay(dueInMs)
