Bound the streams that are read from one stored object

An odd entry of a megabyte with short keys made 250,000 records of one object in memory; now 20,000, as many as a daemon keeps. npx vitest run core/streams/archived_records_test.ts: the new test got 250,000 before; all pass now.

--- a/core/streams/archived_records.ts
+++ b/core/streams/archived_records.ts
@@ -1,6 +1,6 @@
 /** Stored form of records of where streams began. */
 import { as, type DaemonId, type EndpointVersion, type PoolName, type StreamKey } from '../ids/index.ts'
-import type { VersionRecord } from './version_records.ts'
+import { MAX_VERSION_RECORDS, type VersionRecord } from './version_records.ts'
 
 /** Streams of one pool, version and daemon: the longest of their remaining lives in milliseconds, and their keys separated by spaces. */
 type ArchivedStreams = [pool: PoolName, version: EndpointVersion | null, daemon: DaemonId, lifeMs: number, keys: string]
@@ -44,7 +44,7 @@
   return { value: JSON.stringify({ streams }), count }
 }
 
-/** Decodes a stored value. The lives of records count from `now`, whenever they were stored. What other programs wrote is skipped. */
+/** Decodes a stored value. The lives of records count from `now`, whenever they were stored. What other programs wrote is skipped, as is all beyond {@linkcode MAX_VERSION_RECORDS} records. */
 export function decodeArchive (value: string, now: number): Map<StreamKey, VersionRecord> {
   const records = new Map<StreamKey, VersionRecord>()
   const streams = (parseJson(value) as { streams?: unknown } | null)?.streams
@@ -53,7 +53,10 @@
     if (!isArchived(group)) continue
     const [pool, version, daemon, lifeMs, keys] = group
     const record = { streamVersion: { pool, version: version ?? undefined }, daemon, expiresAtMs: now + Math.min(lifeMs, MAX_LIFE_MS) }
-    for (const key of keys.split(' ')) if (key.length > 0 && key.length <= MAX_KEY_LENGTH) records.set(as<StreamKey>(key), record)
+    for (const key of keys.split(' ')) {
+      if (records.size >= MAX_VERSION_RECORDS) return records
+      if (key.length > 0 && key.length <= MAX_KEY_LENGTH) records.set(as<StreamKey>(key), record)
+    }
   }
   return records
 }
--- a/core/streams/archived_records_test.ts
+++ b/core/streams/archived_records_test.ts
@@ -51,3 +51,9 @@
   const merged = mergeArchives([new Map([[key(1), record('v1', 5000)], [key(2), record('v1', 5000)]]), new Map([[key(1), record('v2', 5000)], [key(2), record('v1', 9000, 'd2')]]), new Map([[key(1), record('v1', 5000)]])])
   expect([...merged.keys()]).toEqual([key(2)])
 })
+
+test('an entry with more streams than a daemon has costs no more than they would', () => {
+  // Guards against memory that an odd entry of another program takes.
+  const keys = Array.from({ length: 250_000 }, (_, i) => i.toString(36)).join(' ')
+  expect(decodeArchive(JSON.stringify({ streams: [['llm', 'v1', 'd1', 1000, keys]] }), 0).size).toBe(20_000)
+})
