--- a/cli/main.ts
+++ b/cli/main.ts
@@ -9,6 +9,7 @@
 
 const EXIT_FAILED = 1
 const EXIT_INVALID = 2
+const MS_PER_S = 1000
 const print = (line: string) => { process.stdout.write(`${line}\n`) }
 
 const cli = cac('verbenatiller')
@@ -98,9 +99,10 @@
   .option('--minutes <number>', 'Minutes during which faults are injected', { default: 1 })
   .option('--daemons <number>', 'Number of daemons', { default: 4 })
   .option('--faults <names>', 'Names of the only faults to inject, separated by commas')
-  .action(async (options: { seed: number, minutes: number, daemons: number, faults?: string }) => {
+  .option('--calm-s <seconds>', 'Seconds without faults before some daemons are put out of step', { default: 0 })
+  .action(async ({ calmS, ...options }: { seed: number, minutes: number, daemons: number, faults?: string, calmS: number }) => {
     const { runSoak } = await import('../platform/soak/index.ts')
-    const report = await runSoak({ ...options, faults: options.faults?.split(','), print })
+    const report = await runSoak({ ...options, calmMs: calmS * MS_PER_S, faults: options.faults?.split(','), print })
     print(JSON.stringify(report))
     process.exit(report.broken.length === 0 ? 0 : EXIT_FAILED)
   })
