Let followers of the store go on after unexpected errors

What callers saw: a list of servers or a configuration that is not followed any more, or a process that ends, once anything but a store failure occurs while an answer is read or applied.

Cause: StoreFollower ended with every error that is no StoreError, and nobody starts it again.

Change: such an error counts as a failed answer: it is reported, the copy is not marked as complete, the store counts as not answering, and the objects are listed again after the same growing pause as after a failed call. Errors that no code expects are counted (verbenatiller_task_errors_total) and logged with a bounded text (task-failed). Test runs still fail at each of them: a setup file rejects with what is reported, so that programming errors stay visible.

--- a/daemon/config/config_follower.ts
+++ b/daemon/config/config_follower.ts
@@ -7,6 +7,7 @@
 import { steadyNow } from '../../core/time/index.ts'
 import { StoreFollower, type ObjectSource } from '../../store/index.ts'
 import { log } from '../log/index.ts'
+import { reportTaskError } from '../tasks/index.ts'
 import type { Metrics } from '../metrics.ts'
 import type { MembershipTask } from '../peers/membership_task.ts'
 import { RevisionExchange } from './revision_exchange.ts'
@@ -86,6 +87,7 @@
         if (object) this.#handleValue(object.value, 'store')
       },
       onOutdated: (object, known) => log('config-outdated', { version: formatVersion(object.version), known: formatVersion(known.version), inForce: this.#inForce?.revision ?? 0 }),
+      onError: (err) => reportTaskError('follow-config', err),
       onReachabilityChange: (reached, why) => {
         metrics.revisionSure.set(reached ? 1 : 0)
         if (reached) log('store-back', { what: 'config' })
--- a/daemon/endpoints/endpoint_follower.ts
+++ b/daemon/endpoints/endpoint_follower.ts
@@ -9,6 +9,7 @@
 import type { ListedHost } from '../../endpoints/index.ts'
 import { StoreFollower, type ObjectSource, type StoredObject } from '../../store/index.ts'
 import { log } from '../log/index.ts'
+import { reportTaskError } from '../tasks/index.ts'
 import type { ListedEndpoint } from './endpoint_listing.ts'
 import { ASSUMED_NOTICE_MS, type EndpointTable } from './endpoint_table.ts'
 
@@ -66,6 +67,7 @@
       random: options.random,
       ...(options.waitMs !== undefined && { waitMs: options.waitMs }),
       onChange: (objects, news) => this.#onAnswer(objects, news.version),
+      onError: (err) => reportTaskError('follow-endpoints', err),
       onReachabilityChange: (reached, why) => {
         if (reached) return log('store-back', { what: 'endpoints' })
         log('store-lost', { what: 'endpoints', why, lastAnswerAgeMs: this.#follower.listed ? steadyNow() - this.#follower.lastAnswerAtMs : undefined })
--- a/daemon/log/events.ts
+++ b/daemon/log/events.ts
@@ -135,6 +135,8 @@
   'connections-refused': { waitMs: number, open: number }
   /** New connections of callers are accepted again. */
   'connections-accepted': { waitMs: number, open: number }
+  /** An error that no code expects has ended a step of a task, which goes on with its next step. */
+  'task-failed': { task: string, why: string, stack: string | undefined }
   'member-changed': { peer: string, state: string }
   'peer-not-linked': { peer: string, why: string }
   'peer-send-failed': { peer: string, why: string }
@@ -238,5 +240,5 @@
 export const WARNING_EVENTS: ReadonlySet<LogEvent> = new Set<LogEvent>([
   'request-refused', 'request-broke', 'connection-closed-draining', 'request-cut', 'request-given-up', 'request-held', 'answer-evicted', 'memory-level', 'attempt-failed', 'export-failed', 'settings-refused', 'config-refused', 'config-outdated', 'config-not-fetched', 'store-lost', 'store-returned', 'relay-failed', 'region-link-lost',
   'connections-refused', 'peer-not-linked', 'peer-send-failed', 'peer-message-refused', 'not-registered', 'endpoint-refused', 'endpoint-crashed', 'request-quarantined', 'part-quarantined', 'quarantine-not-stored', 'endpoint-avoided', 'path-down', 'pool-cut-off', 'delegate-failed', 'endpoint-silent', 'endpoint-limit-refused', 'endpoint-signal-refused', 'keeper-silent', 'lease-call-failed',
-  'usage-not-reported', 'usage-left-out', 'order-refused', 'rollout-held', 'rollout-refused', 'rollout-not-written', 'fleet-round-cut', 'answers-lost', 'lines-left-out'
+  'usage-not-reported', 'usage-left-out', 'order-refused', 'rollout-held', 'rollout-refused', 'rollout-not-written', 'fleet-round-cut', 'answers-lost', 'lines-left-out', 'task-failed'
 ])
--- a/daemon/metrics.ts
+++ b/daemon/metrics.ts
@@ -1,5 +1,6 @@
 /** Prometheus metrics of one daemon. */
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+import { taskErrors } from './tasks/index.ts'
 
 /** Maximum number of classes with their own label: a configuration may name thousands, and each label costs memory in every histogram. */
 const MAX_CLASS_LABELS = 50
@@ -12,6 +13,7 @@
   const gauge = <L extends string>(name: string, help: string, labelNames: L[] = []) => new Gauge({ name: `verbenatiller_${name}`, help, labelNames, registers })
   const histogram = <L extends string>(name: string, help: string, { labelNames = [], buckets }: { labelNames?: L[], buckets: number[] }) => new Histogram({ name: `verbenatiller_${name}`, help, labelNames, buckets, registers })
   const labelledClasses = new Set<string>()
+  registers[0]!.registerMetric(taskErrors)
   return {
     registry: registers[0]!,
     /** Returns the label of a class; classes beyond the first {@linkcode MAX_CLASS_LABELS} share the label `other`. */
--- a/daemon/peers/_relay_fleet.ts
+++ b/daemon/peers/_relay_fleet.ts
@@ -89,7 +89,7 @@
       const access = new StoreAccess(this.store)
       const topology = new RegionTopology({ ownDomain: member.failureDomain, regions: regionOf })
       const relay = new StoreRelay({ store: access, links, topology, self: () => member, acceptingWork: () => members, hash: this.#hash, metrics: createMetrics(), propagationMs: PROPAGATION_MS })
-      const follower = new StoreFollower({ store: relay.source(PREFIX), prefix: PREFIX, random: () => 0.5, waitMs: relay.watchWaitMs, onChange: (objects) => { node.keys = new Set(objects.keys()) } })
+      const follower = new StoreFollower({ onError: (err) => { throw err }, store: relay.source(PREFIX), prefix: PREFIX, random: () => 0.5, waitMs: relay.watchWaitMs, onChange: (objects) => { node.keys = new Set(objects.keys()) } })
       const node: Node = { member, access, keys: new Set(), follower, topology }
       follower.start()
       this.nodes.push(node)
--- a/daemon/rollout/rollout_follower.ts
+++ b/daemon/rollout/rollout_follower.ts
@@ -8,6 +8,7 @@
 import { steadyNow } from '../../core/time/index.ts'
 import { StoreFollower, type ObjectSource, type StoredObject } from '../../store/index.ts'
 import { log } from '../log/index.ts'
+import { reportTaskError } from '../tasks/index.ts'
 import type { MembershipTask } from '../peers/membership_task.ts'
 import type { RolloutPort } from './rollout_port.ts'
 
@@ -62,6 +63,7 @@
         for (const object of objects.values()) this.#decode(object)
         this.#removeDeleted(objects, version)
       },
+      onError: (err) => reportTaskError('follow-rollouts', err),
       onReachabilityChange: (reached, why) => {
         if (reached) log('store-back', { what: 'rollouts' })
         else log('store-lost', { what: 'rollouts', why, lastAnswerAgeMs: undefined })
--- /dev/null
+++ b/daemon/tasks/index.ts
@@ -0,0 +1,2 @@
+export * from './guarded.ts'
+export * from './task_errors.ts'
--- a/store/store_follower.ts
+++ b/store/store_follower.ts
@@ -11,6 +11,11 @@
   onChange (objects: ReadonlyMap<string, StoredObject>, news: FollowerUpdate): void
   /** Called when the store becomes unreachable and when it answers again. */
   onReachabilityChange? (reached: boolean, why: string): void
+  /**
+   * Called with an error that is not one of the store, such as one that `onChange` threw. The answer does not count as applied, and the objects are listed again
+   * after a pause. What this callback throws ends the follower.
+   */
+  onError (err: unknown): void
   /** Called with each object of an answer that is not used, since the copy has a later version of it. */
   onOutdated? (object: StoredObject, known: StoredObject): void
   /** Maximum wait of a watch in milliseconds; a function is called before each watch. Default 10,000. */
@@ -49,6 +54,9 @@
  * outage of the store removes nothing. Resuming the watch instead would report the store as unreachable until the next change, however long
  * it had been answering again, and would treat that change as one made during the outage.
  *
+ * An answer that cannot be applied, since a consumer of the copy failed, counts as a failed call: an error that ended the follower would leave its copy unchanged for
+ * as long as the process runs.
+ *
  * When the store has returned to a copy, what was read before is of an older era. A pending watch is abandoned, and the source is asked for the
  * whole state.
  */
@@ -106,10 +114,10 @@
         else await this.#untilEraRises(this.#watch(this.#version))
         if (pauseMs > 0) await this.#untilEraRises(delay(pauseMs))
       } catch (err) {
-        if (!(err instanceof StoreError)) throw err
         this.#completeSinceMs = undefined
+        if (!(err instanceof StoreError)) this.#options.onError(err)
         if (isStoreFailure(err, 'history-gone')) await this.#restart()
-        else await this.#handleFailure(err)
+        else await this.#handleFailure(err as Error)
       }
     }
   }
@@ -190,7 +198,7 @@
     if (this.#restarts++ > 0) await this.#pauseBeforeRetry(this.#restarts - 2)
   }
 
-  async #handleFailure (err: StoreError): Promise<void> {
+  async #handleFailure (err: Error): Promise<void> {
     if (this.#reachable) this.#options.onReachabilityChange?.(false, err.message)
     this.#reachable = false
     this.#version = undefined
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -9,6 +9,7 @@
     include: ['**/*_test.ts'],
     exclude: ['node_modules', 'dist'],
     testTimeout: 60_000,
+    setupFiles: ['scripts/fail_on_task_errors.ts'],
     ...(red.length > 0 && { testNamePattern: allBut(red) })
   }
 })
