Report errors of timers and of steps that nobody awaits

Cause: the callbacks of all intervals and of the tasks' timers ran bare, and steps were begun without anybody to await them: each error was an uncaught exception or an unhandled rejection, which ends the process.

Change: these callbacks run through guarded(), which counts and logs the error and costs that step; chains set their next timer in a finally block; the archive's first read never rejects, since each request awaits it. Requests' own timers and those that only settle a promise are as before.

--- a/daemon/delegation/delegate_finder.ts
+++ b/daemon/delegation/delegate_finder.ts
@@ -10,6 +10,7 @@
 import type { MembershipTask } from '../peers/membership_task.ts'
 import type { RequestWay } from '../request/placement.ts'
 import { OFFER_METHOD, type OfferQuery } from './_messages.ts'
+import { guarded } from '../tasks/index.ts'
 
 /** Options of {@linkcode DelegateFinder}. */
 export interface DelegateFinderOptions {
@@ -70,7 +71,7 @@
 
   /** Starts the periodic renewal of offers. */
   start (): void {
-    this.#timer = setInterval(() => this.#renew(), RENEW_INTERVAL_MS)
+    this.#timer = setInterval(guarded('delegate-finder', () => this.#renew()), RENEW_INTERVAL_MS)
   }
 
   /** Stops the periodic renewal of offers. */
--- a/daemon/delegation/delegate_server.ts
+++ b/daemon/delegation/delegate_server.ts
@@ -15,6 +15,7 @@
 import type { RequestTask } from '../request/request_task.ts'
 import { PROGRESS_TOPIC, CANCEL_TOPIC, FLOW_TOPIC, OFFER_METHOD, RECEIVED_TOPIC, RUN_METHOD, type CancelMessage, type FlowMessage, type OfferQuery, type ReceivedMessage, type RunPart, type RunQuery, type RunResult } from './_messages.ts'
 import { RunFlow } from './_run_flow.ts'
+import { guarded } from '../tasks/index.ts'
 
 /** Options of {@linkcode DelegateServer}. */
 export interface DelegateServerOptions {
@@ -64,7 +65,7 @@
 
   /** Starts telling origins that their requests still run. */
   start (): void {
-    this.#timer = setInterval(() => this.#updateOrigins(), PROGRESS_INTERVAL_MS)
+    this.#timer = setInterval(guarded('delegate-server', () => this.#updateOrigins()), PROGRESS_INTERVAL_MS)
   }
 
   /** Stops telling origins that their requests still run. */
--- a/daemon/delegation/delegated_runs.ts
+++ b/daemon/delegation/delegated_runs.ts
@@ -9,6 +9,7 @@
 import { PROGRESS_TOPIC, CANCEL_TOPIC, FLOW_TOPIC, RECEIVED_TOPIC, RUN_METHOD, type CancelMessage, type FlowMessage, type ReceivedMessage, type RunPart, type RunQuery, type RunResult } from './_messages.ts'
 import { WINDOW_BYTES } from './_run_flow.ts'
 import type { DelegateFinder } from './delegate_finder.ts'
+import { guarded } from '../tasks/index.ts'
 
 /** Options of {@linkcode DelegatedRuns}. */
 export interface DelegatedRunsOptions {
@@ -57,7 +58,7 @@
 
   /** Starts the periodic checks of the delegates. */
   start (): void {
-    this.#timer = setInterval(() => this.#check(), CHECK_INTERVAL_MS)
+    this.#timer = setInterval(guarded('delegated-runs', () => this.#check()), CHECK_INTERVAL_MS)
   }
 
   /** Stops the periodic checks of the delegates. */
--- a/daemon/duties/order_task.ts
+++ b/daemon/duties/order_task.ts
@@ -13,6 +13,7 @@
 import type { Member } from '../../core/membership/index.ts'
 import { AbsentRegions } from './_absent_regions.ts'
 import { countDemand, demandGroups, demandKeys, type DemandGroup, type DemandTopology } from './_demand_groups.ts'
+import { guarded } from '../tasks/index.ts'
 
 /** Options of {@linkcode OrderTask}. */
 export interface OrderTaskOptions {
@@ -116,7 +117,7 @@
 
   /** Starts periodic reconciliation; orders are sent only while this daemon holds the lease. */
   start (): void {
-    this.#timer = setInterval(() => this.#reconcile(), RECONCILE_INTERVAL_MS)
+    this.#timer = setInterval(guarded('order-task', () => this.#reconcile()), RECONCILE_INTERVAL_MS)
   }
 
   /** Stops reconciliation. */
@@ -306,7 +307,7 @@
   }
 
   #orderIfDue (order: EndpointOrder, current: { count: number, bootMs: number, group: DemandGroup }): void {
-    if (this.#isDue(order, current)) this.#sendOrder(order)
+    if (this.#isDue(order, current)) guarded('order-task', () => this.#sendOrder(order))()
   }
 
   async #sendOrder (order: EndpointOrder): Promise<void> {
--- a/daemon/endpoints/endpoint_follower.ts
+++ b/daemon/endpoints/endpoint_follower.ts
@@ -9,7 +9,7 @@
 import type { ListedHost } from '../../endpoints/index.ts'
 import { StoreFollower, type ObjectSource, type StoredObject } from '../../store/index.ts'
 import { log } from '../log/index.ts'
-import { reportTaskError } from '../tasks/index.ts'
+import { guarded, reportTaskError } from '../tasks/index.ts'
 import type { ListedEndpoint } from './endpoint_listing.ts'
 import { ASSUMED_NOTICE_MS, type EndpointTable } from './endpoint_table.ts'
 
@@ -148,7 +148,7 @@
     const { untilMs } = this.#lapsedEntries
     if (untilMs === undefined) return
     clearTimeout(this.#expiryTimer)
-    this.#expiryTimer = setTimeout(() => { if (this.#follower.reachable) this.#expireHeld() }, untilMs - steadyNow() + TIMER_MARGIN_MS)
+    this.#expiryTimer = setTimeout(guarded('endpoint-follower', () => { if (this.#follower.reachable) this.#expireHeld() }), untilMs - steadyNow() + TIMER_MARGIN_MS)
   }
 
   #expireHeld (): void {
--- a/daemon/endpoints/endpoint_signal_recorder.ts
+++ b/daemon/endpoints/endpoint_signal_recorder.ts
@@ -7,6 +7,7 @@
 import { log } from '../log/index.ts'
 import type { Metrics } from '../metrics.ts'
 import type { EndpointTable } from './endpoint_table.ts'
+import { guarded } from '../tasks/index.ts'
 
 /** Options of {@linkcode EndpointSignalRecorder}. */
 export interface EndpointSignalRecorderOptions {
@@ -79,7 +80,7 @@
     if (!view) return
     const leftMs = (view.backOffUntilMs ?? 0) - steadyNow()
     if (leftMs > 0) {
-      this.#timers.set(id, setTimeout(() => this.#waitForEnd(id), Math.ceil(leftMs)))
+      this.#timers.set(id, setTimeout(guarded('endpoint-signal-recorder', () => this.#waitForEnd(id)), Math.ceil(leftMs)))
       return
     }
     log('endpoint-back-off-ended', { endpoint: id, pool: view.pool })
--- a/daemon/endpoints/host_watch.ts
+++ b/daemon/endpoints/host_watch.ts
@@ -4,6 +4,7 @@
 import { shareDepartures } from './departure_sharing.ts'
 import type { MembershipTask } from '../peers/membership_task.ts'
 import { delay, steadyNow } from '../../core/time/index.ts'
+import { guarded, reportTaskError } from '../tasks/index.ts'
 
 /** Options of {@linkcode HostWatch}. */
 export interface HostWatchOptions {
@@ -39,8 +40,8 @@
   /** Reads the list once, then follows the list and the notices in the background. */
   async start (): Promise<void> {
     await this.#refresh()
-    this.#followList()
-    this.#followNotices()
+    guarded('host-watch', () => this.#followList())()
+    guarded('host-watch', () => this.#followNotices())()
   }
 
   /** Stops following. */
@@ -54,7 +55,7 @@
       // A leaving host that one daemon sees is shared with all, so the more daemons there are, the less often each needs to read.
       const periods = Math.max(1, this.#options.membership.acceptingWork.length / FULL_RATE_DAEMONS)
       await delay(everyMs * periods * (0.75 + this.#options.random() / 2))
-      await this.#refresh()
+      await this.#refresh().catch((err: unknown) => reportTaskError('host-watch', err))
     }
   }
 
@@ -98,7 +99,7 @@
           this.#options.table.leaving(notice.hosts, steadyNow() + notice.goneAtMs - Date.now(), 'notice')
         }
       } catch (err) {
-        if (!(err instanceof CloudError)) throw err
+        if (!(err instanceof CloudError)) reportTaskError('host-watch', err)
         await delay(RETRY_MS * (1 + this.#options.random()))
       }
     }
--- a/daemon/endpoints/reclaimer.ts
+++ b/daemon/endpoints/reclaimer.ts
@@ -12,6 +12,7 @@
 import type { Metrics } from '../metrics.ts'
 import type { RequestTask } from '../request/request_task.ts'
 import { sourceOf, targetOf } from './reclaim_problem.ts'
+import { guarded } from '../tasks/index.ts'
 
 /** Options of {@linkcode Reclaimer}. */
 export interface ReclaimerOptions {
@@ -47,16 +48,16 @@
 
   /** Plans again for all streams on leaving endpoints; called when an endpoint leaves, its time left changes, streams were taken over or an export fails. */
   replan (): void {
-    this.#planTimer ??= setTimeout(() => {
+    this.#planTimer ??= setTimeout(guarded('reclaimer', () => {
       this.#planTimer = undefined
       this.#plan()
-    }, BATCH_DELAY_MS)
+    }), BATCH_DELAY_MS)
   }
 
   #onLeaving (endpoint: EndpointId, goneAtMs: number): void {
     clearTimeout(this.#holdTimers.get(endpoint))
     const holdInMs = Math.max(0, goneAtMs - steadyNow() - NOTICE_MARGIN_MS)
-    this.#holdTimers.set(endpoint, setTimeout(() => this.#holdRemaining(endpoint), holdInMs))
+    this.#holdTimers.set(endpoint, setTimeout(guarded('reclaimer', () => this.#holdRemaining(endpoint)), holdInMs))
     this.replan()
   }
 
--- a/daemon/exchange/connection_gate_task.ts
+++ b/daemon/exchange/connection_gate_task.ts
@@ -3,6 +3,7 @@
 import { log } from '../log/index.ts'
 import type { Metrics } from '../metrics.ts'
 import type { ExchangeServer } from './exchange_server.ts'
+import { guarded } from '../tasks/index.ts'
 
 /** Options of {@linkcode ConnectionGateTask}. */
 export interface ConnectionGateTaskOptions {
@@ -39,15 +40,20 @@
   }
 
   #measureIn (ms: number): void {
-    this.#timer = setTimeout(() => this.#measure(), ms)
+    this.#timer = setTimeout(guarded('connection-gate-task', () => this.#measure()), ms)
   }
 
   async #measure (): Promise<void> {
     const { server } = this.#options
     const arrived = server.connections - this.#connections
     this.#connections = server.connections
-    if (!this.#gate.isOpen || this.#gate.isUndecided || arrived > FEW_CONNECTIONS) this.#sample(await server.measureAcceptance(MAX_SAMPLED_WAIT_MS))
-    if (!this.#stopped) this.#measureIn(this.#gate.isOpen && this.#gate.isUndecided ? 0 : SAMPLE_INTERVAL_MS)
+    let nextMs = SAMPLE_INTERVAL_MS
+    try {
+      if (!this.#gate.isOpen || this.#gate.isUndecided || arrived > FEW_CONNECTIONS) this.#sample(await server.measureAcceptance(MAX_SAMPLED_WAIT_MS))
+      if (this.#gate.isOpen && this.#gate.isUndecided) nextMs = 0
+    } finally {
+      if (!this.#stopped) this.#measureIn(nextMs)
+    }
   }
 
   #sample (accepted: Acceptance): void {
--- a/daemon/fleet/fleet_loop.ts
+++ b/daemon/fleet/fleet_loop.ts
@@ -10,6 +10,7 @@
 import { FleetTask } from './fleet_task.ts'
 import { LeaseTask } from './lease_task.ts'
 import type { MembershipTask } from '../peers/membership_task.ts'
+import { guarded } from '../tasks/index.ts'
 
 /** Options of {@linkcode FleetLoop}. */
 export interface FleetLoopOptions {
@@ -47,7 +48,7 @@
 
   /** Starts periodic reconciliation. */
   start (): void {
-    this.#timer = setInterval(() => this.#reconcileAll(), RECONCILE_INTERVAL_MS)
+    this.#timer = setInterval(guarded('fleet-loop', () => this.#reconcileAll()), RECONCILE_INTERVAL_MS)
   }
 
   /** Stops reconciliation; held leases expire. */
@@ -58,7 +59,7 @@
 
   #reconcileAll (): void {
     for (const pool of this.#options.config.inForce?.config.pools ?? []) {
-      if (pool.kind === 'model' && this.#contends(pool.name)) this.#managedPool(as(pool.name)).task.reconcile()
+      if (pool.kind === 'model' && this.#contends(pool.name)) guarded('fleet-task', () => this.#managedPool(as(pool.name)).task.reconcile())()
     }
   }
 
--- a/daemon/limits/account_limits.ts
+++ b/daemon/limits/account_limits.ts
@@ -10,6 +10,7 @@
 import { log } from '../log/index.ts'
 import type { FleetSize } from '../peers/fleet_size.ts'
 import type { MembershipTask } from '../peers/membership_task.ts'
+import { guarded } from '../tasks/index.ts'
 
 /** Options of {@linkcode AccountLimits}. */
 export interface AccountLimitsOptions {
@@ -122,10 +123,10 @@
 
   /** Schedules an early vote. While daemons discover each other, requests wait for the votes that follow. */
   #scheduleVote (): void {
-    this.#voteTimer ??= setTimeout(() => {
+    this.#voteTimer ??= setTimeout(guarded('account-limits', () => {
       this.#voteTimer = undefined
       this.#vote()
-    }, VOTE_DELAY_MS)
+    }), VOTE_DELAY_MS)
   }
 
   /** The daemon chosen as keeper; undefined if this daemon counts itself. */
@@ -166,10 +167,10 @@
 
   /** Starts voting. */
   start (): void {
-    this.#interval = setInterval(() => {
+    this.#interval = setInterval(guarded('account-limits', () => {
       this.#vote()
       this.#onVote()
-    }, VOTE_INTERVAL_MS)
+    }), VOTE_INTERVAL_MS)
     this.#vote()
   }
 
@@ -220,7 +221,7 @@
   }
 
   #queueAsk (ask: QuotaRequest): Promise<{ grant: QuotaReply, from: DaemonId | undefined }> {
-    if (this.#pendingAsks.length === 0) setImmediate(() => this.#sendAsks())
+    if (this.#pendingAsks.length === 0) setImmediate(guarded('account-limits', () => this.#sendAsks()))
     return new Promise((resolve) => this.#pendingAsks.push({ ask, decide: (grant, from) => resolve({ grant, from }) }))
   }
 
--- a/daemon/limits/endpoint_limit_task.ts
+++ b/daemon/limits/endpoint_limit_task.ts
@@ -6,6 +6,7 @@
 import type { MembershipTask } from '../peers/membership_task.ts'
 import type { AccountLimits } from './account_limits.ts'
 import type { EndpointLimits, RequestCounts } from './endpoint_limits.ts'
+import { guarded } from '../tasks/index.ts'
 
 /** Options of {@linkcode EndpointLimitTask}. */
 export interface EndpointLimitTaskOptions {
@@ -67,7 +68,7 @@
 
   /** Starts exchanging limits. */
   start (): void {
-    this.#pruneTimer = setInterval(() => this.#prune(), PRUNE_INTERVAL_MS)
+    this.#pruneTimer = setInterval(guarded('endpoint-limit-task', () => this.#prune()), PRUNE_INTERVAL_MS)
   }
 
   /** Stops exchanging limits. */
@@ -95,15 +96,15 @@
   get #intervalMs (): number { return reportIntervalMs(this.#options.membership.reachable.length) }
 
   #scheduleReport (spacingMs: number): void {
-    this.#reportTimer ??= setTimeout(() => this.#report(), Math.max(0, this.#lastReportAtMs + spacingMs - steadyNow()))
+    this.#reportTimer ??= setTimeout(guarded('endpoint-limit-task', () => this.#report()), Math.max(0, this.#lastReportAtMs + spacingMs - steadyNow()))
   }
 
   /** Sends the asks of one turn of the event loop together. */
   #scheduleAsk (): void {
-    this.#askTimer ??= setImmediate(() => {
+    this.#askTimer ??= setImmediate(guarded('endpoint-limit-task', () => {
       this.#askTimer = undefined
       this.#send(this.#options.accounts.keeper, { observations: [], requests: this.#options.limits.takeAsks(), unused: [], ...this.#slots() })
-    })
+    }))
   }
 
   /** Reports regularly while limits are in force. A request that is no longer needed is replaced by an empty one. */
--- a/daemon/limits/engine_memory_task.ts
+++ b/daemon/limits/engine_memory_task.ts
@@ -7,6 +7,7 @@
 import type { LoadMemory } from '../peers/load_task.ts'
 import type { AccountLimits } from './account_limits.ts'
 import type { EngineMemory } from './engine_memory.ts'
+import { guarded } from '../tasks/index.ts'
 
 /** Options of {@linkcode EngineMemoryTask}. */
 export interface EngineMemoryTaskOptions {
@@ -61,7 +62,7 @@
     })
     links.onPost(MEMORY_TOPIC, (message: MemoryMessage, from) => this.#serve(from, message))
     links.onPost(GRANTS_TOPIC, (message: GrantMessage, from) => this.#receive(message, from))
-    memory.onDue = () => { this.#sendTimer ??= setTimeout(() => this.#send(), BATCH_MS) }
+    memory.onDue = () => { this.#sendTimer ??= setTimeout(guarded('engine-memory-task', () => this.#send()), BATCH_MS) }
     memory.onKept = () => this.#giveUpLater()
   }
 
@@ -121,7 +122,7 @@
   }
 
   #allocateSoon (): void {
-    if (this.#ledger.waiting > 0) this.#allocateTimer ??= setTimeout(() => this.#allocate(), ALLOCATE_MS)
+    if (this.#ledger.waiting > 0) this.#allocateTimer ??= setTimeout(guarded('engine-memory-task', () => this.#allocate()), ALLOCATE_MS)
   }
 
   #allocate (): void {
@@ -149,10 +150,10 @@
   }
 
   #giveUpLater (): void {
-    this.#giveUpTimer ??= setTimeout(() => {
+    this.#giveUpTimer ??= setTimeout(guarded('engine-memory-task', () => {
       this.#giveUpTimer = undefined
       if (this.#options.memory.giveUp()) this.#send()
       if (this.#options.memory.hasUnused) this.#giveUpLater()
-    }, GIVE_UP_INTERVAL_MS)
+    }), GIVE_UP_INTERVAL_MS)
   }
 }
--- a/daemon/link/region_link_task.ts
+++ b/daemon/link/region_link_task.ts
@@ -8,6 +8,7 @@
 import type { Metrics } from '../metrics.ts'
 import type { Links } from '../peers/links.ts'
 import type { CrossingRequest, RegionCrossing } from '../request/placement.ts'
+import { guarded } from '../tasks/index.ts'
 
 /** Options of {@linkcode RegionLinkTask}. */
 export interface RegionLinkTaskOptions {
@@ -90,10 +91,10 @@
     const isBusy = steadyNow() - this.#lastCrossedAtMs <= BUSY_AFTER_MS
     // Daemons that start together would otherwise sample together, and see the queue of their own samples.
     const spread = 0.5 + this.#options.random()
-    this.#timer = setTimeout(() => {
+    this.#timer = setTimeout(guarded('region-link-task', () => {
       this.#schedule()
       this.#sample()
-    }, spread * (isBusy ? BUSY_SAMPLE_INTERVAL_MS : IDLE_SAMPLE_INTERVAL_MS))
+    }), spread * (isBusy ? BUSY_SAMPLE_INTERVAL_MS : IDLE_SAMPLE_INTERVAL_MS))
   }
 
   async #sample (): Promise<void> {
--- a/daemon/log/cpu_time_log.ts
+++ b/daemon/log/cpu_time_log.ts
@@ -3,6 +3,7 @@
 import type { Metrics } from '../metrics.ts'
 import type { DaemonEvents } from './events.ts'
 import { log } from './log.ts'
+import { guarded } from '../tasks/index.ts'
 
 const LOG_INTERVAL_MS = 10_000
 const US_PER_MS = 1000
@@ -23,7 +24,7 @@
 
   /** Writes the first line and starts the timer. */
   start (): void {
-    this.#timer = setInterval(() => this.write(), LOG_INTERVAL_MS)
+    this.#timer = setInterval(guarded('cpu-time-log', () => this.write()), LOG_INTERVAL_MS)
     this.write()
   }
 
--- a/daemon/memory/memory_guard.ts
+++ b/daemon/memory/memory_guard.ts
@@ -4,6 +4,7 @@
 import { log } from '../log/index.ts'
 import type { Metrics } from '../metrics.ts'
 import { accountLimitBytes } from './account_limit.ts'
+import { guarded } from '../tasks/index.ts'
 
 /** An answer of which the caller has not taken everything. */
 export interface HeldAnswer {
@@ -56,7 +57,7 @@
 
   /** Starts the periodic checks. */
   start (): void {
-    this.#timer = setInterval(() => this.check(), CHECK_INTERVAL_MS)
+    this.#timer = setInterval(guarded('memory-guard', () => this.check()), CHECK_INTERVAL_MS)
   }
 
   /** Stops the periodic checks. */
--- a/daemon/moves/move_director.ts
+++ b/daemon/moves/move_director.ts
@@ -14,6 +14,7 @@
 import type { PathObserver } from '../request/work.ts'
 import { kvTokensOf, runProblem, type AffectedRun } from './_run_problem.ts'
 import { StreamMover } from './stream_mover.ts'
+import { guarded } from '../tasks/index.ts'
 
 /** Options of {@linkcode MoveDirector}. */
 export interface MoveDirectorOptions {
@@ -98,10 +99,10 @@
   #planIn (ms: number): void {
     if (this.#isStopped) return
     clearTimeout(this.#planTimer)
-    this.#planTimer = setTimeout(() => {
+    this.#planTimer = setTimeout(guarded('move-director', () => {
       this.#planTimer = undefined
       this.#plan()
-    }, ms)
+    }), ms)
   }
 
   #movingEngine (pool: PoolName): EngineCapacity | undefined {
--- a/daemon/moves/stream_mover.ts
+++ b/daemon/moves/stream_mover.ts
@@ -10,6 +10,7 @@
 import type { Metrics } from '../metrics.ts'
 import type { MoveObserver } from '../request/move_observer.ts'
 import type { RequestTask } from '../request/request_task.ts'
+import { guarded } from '../tasks/index.ts'
 
 /** A copy that an endpoint has completed. */
 export interface MoverCopy { target: EndpointView, tookMs: number }
@@ -185,10 +186,10 @@
   }
 
   #wait (ms: number): void {
-    const timer = setTimeout(() => {
+    const timer = setTimeout(guarded('stream-mover', () => {
       this.#timers.delete(timer)
       this.#post({ type: 'timer' })
-    }, ms)
+    }), ms)
     this.#timers.add(timer)
   }
 
--- a/daemon/paths/path_watch.ts
+++ b/daemon/paths/path_watch.ts
@@ -7,6 +7,7 @@
 import type { EndpointTable } from '../endpoints/endpoint_table.ts'
 import { log } from '../log/index.ts'
 import type { Metrics } from '../metrics.ts'
+import { guarded } from '../tasks/index.ts'
 
 /** A request whose endpoint is watched. */
 export interface RequestOnPath {
@@ -71,7 +72,7 @@
 
   /** Starts the periodic checks. */
   start (): void {
-    this.#timer = setInterval(() => this.check(), CHECK_INTERVAL_MS)
+    this.#timer = setInterval(guarded('path-watch', () => this.check()), CHECK_INTERVAL_MS)
   }
 
   /** Stops the periodic checks. */
@@ -205,7 +206,7 @@
     for (const [pool, views] of due) {
       if (now - (this.#recheckedAtMs.get(pool) ?? -Infinity) < RECHECK_INTERVAL_MS) continue
       this.#recheckedAtMs.set(pool, now)
-      for (const view of this.#sample(views)) this.#redial(view)
+      for (const view of this.#sample(views)) guarded('path-watch', () => this.#redial(view))()
     }
   }
 
--- a/daemon/peers/load_task.ts
+++ b/daemon/peers/load_task.ts
@@ -6,6 +6,7 @@
 import type { EndpointTable } from '../endpoints/endpoint_table.ts'
 import type { AccountLimits } from '../limits/account_limits.ts'
 import type { MembershipTask } from './membership_task.ts'
+import { guarded } from '../tasks/index.ts'
 
 /** Options of {@linkcode LoadTask}. */
 export interface LoadTaskOptions {
@@ -79,7 +80,7 @@
     const everyMs = this.#intervalMs
     this.#report()
     this.#reportTimers = []
-    for (let ms = everyMs; ms < VOTE_INTERVAL_MS; ms += everyMs) this.#reportTimers.push(setTimeout(() => this.#report(), ms))
+    for (let ms = everyMs; ms < VOTE_INTERVAL_MS; ms += everyMs) this.#reportTimers.push(setTimeout(guarded('load-task', () => this.#report()), ms))
   }
 
   get #intervalMs (): number { return reportIntervalMs(this.#options.membership.reachable.length) }
--- a/daemon/peers/peer_links.ts
+++ b/daemon/peers/peer_links.ts
@@ -9,6 +9,7 @@
 import { PeerError, type CallOptions, type ConnectResult, type LinkEvents, type Links, type PeerMethod, type PostHandler } from './links.ts'
 import { log } from '../log/index.ts'
 import type { Metrics } from '../metrics.ts'
+import { guarded } from '../tasks/index.ts'
 
 /** Messages between daemons. Unknown kinds are counted and ignored, so that newer versions may add some. */
 type PeerMessage =
@@ -353,7 +354,7 @@
 
   /** Batches the messages of one event loop turn into a single frame: the fixed cost of packing, writing and waking up equals many short messages. */
   #send (link: Link, msg: PeerMessage): void {
-    if (link.sendQueue.push(msg) === 1) setImmediate(() => this.#flush(link))
+    if (link.sendQueue.push(msg) === 1) setImmediate(guarded('peer-links', () => this.#flush(link)))
   }
 
   #flush (link: Link): void {
--- a/daemon/peers/tally_task.ts
+++ b/daemon/peers/tally_task.ts
@@ -4,6 +4,7 @@
 import { Tally, type TallyEntry, type TallySheet } from '../../core/tally/index.ts'
 import { SharedClock, steadyNow } from '../../core/time/index.ts'
 import type { MembershipTask } from './membership_task.ts'
+import { guarded } from '../tasks/index.ts'
 
 /** Options of {@linkcode TallyTask}. */
 export interface TallyTaskOptions {
@@ -94,12 +95,15 @@
 
   #reportAfter (ms: number): void {
     clearTimeout(this.#timer)
-    this.#timer = setTimeout(() => {
+    this.#timer = setTimeout(guarded('tally-task', () => {
       this.#promptReportScheduled = false
       this.#lastReportAtMs = steadyNow()
-      this.#report()
-      this.#scheduleReport()
-    }, ms)
+      try {
+        this.#report()
+      } finally {
+        this.#scheduleReport()
+      }
+    }), ms)
   }
 
   #report (): void {
--- a/daemon/quarantine/crash_watch.ts
+++ b/daemon/quarantine/crash_watch.ts
@@ -7,6 +7,7 @@
 import type { DialResult } from '../../endpoints/index.ts'
 import { log } from '../log/index.ts'
 import type { Metrics } from '../metrics.ts'
+import { guarded } from '../tasks/index.ts'
 
 /** Requests that were in flight at an endpoint when it crashed. */
 export interface Crash {
@@ -128,7 +129,7 @@
   }
 
   #checkLater (): void {
-    this.#checkTimer ??= setTimeout(() => this.#checkAbandoned(), CHECK_INTERVAL_MS)
+    this.#checkTimer ??= setTimeout(guarded('crash-watch', () => this.#checkAbandoned()), CHECK_INTERVAL_MS)
   }
 
   #checkAbandoned (): void {
@@ -152,7 +153,7 @@
   }
 
   #dial (view: EndpointView): void {
-    this.#options.dial(view).then((result) => { if (result === 'refused') this.#refused(view.id) })
+    guarded('crash-watch', async () => { if (await this.#options.dial(view) === 'refused') this.#refused(view.id) })()
   }
 
   /** Records that an endpoint refused a connection, as it does when its process has ended or when this daemon's links are cut. */
@@ -160,7 +161,7 @@
     const unfinished = this.#unfinished.get(id)
     if (!unfinished || unfinished.crashed) return
     if (!this.#options.confirm) return this.gone(id)
-    this.#options.confirm(unfinished.view).then((hasEnded) => { if (hasEnded) this.gone(id) })
+    guarded('crash-watch', async () => { if (await this.#options.confirm!(unfinished.view)) this.gone(id) })()
   }
 
   /** Records that an endpoint's process is gone, as its address shows or another daemon reported. */
--- a/daemon/quarantine/quarantine_archive.ts
+++ b/daemon/quarantine/quarantine_archive.ts
@@ -6,6 +6,7 @@
 import { isStoreFailure, StoreError, type ObjectStore, type StoredObject } from '../../store/index.ts'
 import { log } from '../log/index.ts'
 import type { QuarantineTask } from './quarantine_task.ts'
+import { guarded, reportTaskError } from '../tasks/index.ts'
 
 /** Options of {@linkcode QuarantineArchive}. */
 export interface QuarantineArchiveOptions {
@@ -60,16 +61,16 @@
   /** Reads the stored quarantine, so that this daemon knows it before it takes requests. */
   restore (): void {
     const read = this.#read().catch((err: Error) => {
-      if (!(err instanceof StoreError)) throw err
-      log('quarantine-not-stored', { why: err.message })
+      if (err instanceof StoreError) log('quarantine-not-stored', { why: err.message })
+      else reportTaskError('quarantine-archive', err)
     })
     this.#restored = Promise.race([read, delay(RESTORE_TIMEOUT_MS)])
   }
 
   /** Starts synchronizing, periodically and whenever the quarantine changes. */
   start (): void {
-    this.#timer = setInterval(() => this.synchronize(), SYNC_INTERVAL_MS)
-    this.#options.quarantine.onHeld(() => this.synchronize())
+    this.#timer = setInterval(guarded('quarantine-archive', () => this.synchronize()), SYNC_INTERVAL_MS)
+    this.#options.quarantine.onHeld(guarded('quarantine-archive', () => this.synchronize()))
   }
 
   /** Stops synchronizing. */
--- a/daemon/quarantine/quarantine_task.ts
+++ b/daemon/quarantine/quarantine_task.ts
@@ -6,6 +6,7 @@
 import type { Metrics } from '../metrics.ts'
 import type { MembershipTask } from '../peers/membership_task.ts'
 import type { CrashWatch } from './crash_watch.ts'
+import { guarded } from '../tasks/index.ts'
 
 /** Options of {@linkcode QuarantineTask}. */
 export interface QuarantineTaskOptions {
@@ -69,10 +70,10 @@
 
   /** Starts the periodic removal of expired records. */
   start (): void {
-    this.#timer = setInterval(() => {
+    this.#timer = setInterval(guarded('quarantine-task', () => {
       this.#quarantine.prune(steadyNow())
       this.#publishHeld()
-    }, EXPIRE_EVERY_MS)
+    }), EXPIRE_EVERY_MS)
   }
 
   /** Stops, after sending the reports that are still pending. */
@@ -128,18 +129,18 @@
     this.#publishHeld()
     this.#updateLater()
     this.#pending.push(...reports.map((report) => ({ report, from })))
-    this.#sendTimer ??= setTimeout(() => this.#sendPending(), BATCH_DELAY_MS)
+    this.#sendTimer ??= setTimeout(guarded('quarantine-task', () => this.#sendPending()), BATCH_DELAY_MS)
   }
 
   /** Judges again until no decision waits any more for answers that may come. */
   #updateLater (): void {
     if (steadyNow() - UPDATE_EVERY_MS > this.#quarantine.settlesAtMs) return
-    this.#updateTimer ??= setTimeout(() => {
+    this.#updateTimer ??= setTimeout(guarded('quarantine-task', () => {
       this.#updateTimer = undefined
       this.#quarantine.update(steadyNow())
       this.#publishHeld()
       this.#updateLater()
-    }, UPDATE_EVERY_MS)
+    }), UPDATE_EVERY_MS)
   }
 
   #sendPending (): void {
--- a/daemon/request/dispatcher.ts
+++ b/daemon/request/dispatcher.ts
@@ -14,6 +14,7 @@
 import type { RegionRouting } from './region_routing.ts'
 import type { RoomGate } from './room_gate.ts'
 import { StartRate } from './_start_rate.ts'
+import { guarded } from '../tasks/index.ts'
 
 /** Options of {@linkcode Dispatcher}. */
 export interface DispatcherOptions {
@@ -410,11 +411,14 @@
   /** Polls the queues, since no event signals that a deadline has passed or an ejection has ended. */
   #scheduleSweep (): void {
     if (this.#sweepTimer !== undefined) return
-    this.#sweepTimer = setTimeout(() => {
+    this.#sweepTimer = setTimeout(guarded('dispatcher', () => {
       this.#sweepTimer = undefined
-      this.startQueued()
-      if (this.queued + this.#stalled.size > 0) this.#scheduleSweep()
-    }, SWEEP_MS)
+      try {
+        this.startQueued()
+      } finally {
+        if (this.queued + this.#stalled.size > 0) this.#scheduleSweep()
+      }
+    }), SWEEP_MS)
   }
 }
 
--- a/daemon/request/stall_watch.ts
+++ b/daemon/request/stall_watch.ts
@@ -4,6 +4,7 @@
 import { overdueAtMs, type AttemptProgress } from '../../core/request/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import type { EndpointTable } from '../endpoints/endpoint_table.ts'
+import { guarded } from '../tasks/index.ts'
 
 /** A request whose current attempt is checked for silence. */
 export interface WatchedRequest {
@@ -52,7 +53,7 @@
 
   /** Starts the periodic checks. */
   start (): void {
-    this.#timer = setInterval(() => this.check(), CHECK_INTERVAL_MS)
+    this.#timer = setInterval(guarded('stall-watch', () => this.check()), CHECK_INTERVAL_MS)
   }
 
   /** Stops the periodic checks. */
--- a/daemon/request/standby.ts
+++ b/daemon/request/standby.ts
@@ -5,6 +5,7 @@
 import { steadyNow } from '../../core/time/index.ts'
 import type { MembershipTask } from '../peers/membership_task.ts'
 import type { HandOver } from './token_task.ts'
+import { guarded } from '../tasks/index.ts'
 
 /** Options of {@linkcode Standby}. */
 export interface StandbyOptions {
@@ -113,13 +114,13 @@
 
   /** Batches changes that occur close together into one update. */
   #scheduleFlush (): void {
-    this.#flushTimer ??= setTimeout(() => {
+    this.#flushTimer ??= setTimeout(guarded('standby', () => {
       this.#flushTimer = undefined
       const update: StandbyUpdate = { up: [...this.#changed.values()], down: this.#endedIds, whole: false }
       this.#changed = new Map()
       this.#endedIds = []
       this.#sendUpdate(this.#memberById(this.#heir), update)
-    }, FLUSH_DELAY_MS)
+    }), FLUSH_DELAY_MS)
   }
 
   #memberById (id: DaemonId | undefined): Member | undefined {
--- a/daemon/rollout/process_availability.ts
+++ b/daemon/rollout/process_availability.ts
@@ -1,5 +1,6 @@
 /** Measures how long this process was paused, or busy with other work than reading answers. */
 import { steadyNow } from '../../core/time/index.ts'
+import { guarded } from '../tasks/index.ts'
 
 /** A pause, in milliseconds on the steady clock. */
 interface Pause { fromMs: number, toMs: number }
@@ -39,7 +40,7 @@
     if (this.#timer) return
     this.#nextTickAtMs = steadyNow() + TICK_INTERVAL_MS
     this.#samples = [{ atMs: steadyNow(), busyMs: this.#busyMs() }]
-    this.#timer = setInterval(() => this.#tick(), TICK_INTERVAL_MS)
+    this.#timer = setInterval(guarded('process-availability', () => this.#tick()), TICK_INTERVAL_MS)
   }
 
   /** Stops measuring and forgets all measurements. */
--- a/daemon/rollout/rollout_follower.ts
+++ b/daemon/rollout/rollout_follower.ts
@@ -8,7 +8,7 @@
 import { steadyNow } from '../../core/time/index.ts'
 import { StoreFollower, type ObjectSource, type StoredObject } from '../../store/index.ts'
 import { log } from '../log/index.ts'
-import { reportTaskError } from '../tasks/index.ts'
+import { guarded, reportTaskError } from '../tasks/index.ts'
 import type { MembershipTask } from '../peers/membership_task.ts'
 import type { RolloutPort } from './rollout_port.ts'
 
@@ -147,13 +147,13 @@
       kept.replacement = replacement
       return
     }
-    const timer = setTimeout(() => {
+    const timer = setTimeout(guarded('rollout-follower', () => {
       const { replacement } = this.#lostOrders.get(pool)!
       this.#lostOrders.delete(pool)
       if (this.#records.get(pool)?.version !== lost.version) return
       this.#remove(pool, lost)
       if (replacement) this.#apply(replacement)
-    }, ORDER_KEEP_MS)
+    }), ORDER_KEEP_MS)
     this.#lostOrders.set(pool, { timer, replacement })
   }
 
--- a/daemon/rollout/rollout_task.ts
+++ b/daemon/rollout/rollout_task.ts
@@ -15,6 +15,7 @@
 import type { RolloutFollower } from './rollout_follower.ts'
 import type { RolloutPort } from './rollout_port.ts'
 import { GRANT_TOPIC, GRANT_USED_TOPIC, type GrantMessage, type GrantUsedMessage, type VersionGate } from './version_gate.ts'
+import { guarded } from '../tasks/index.ts'
 
 /** Options of {@linkcode RolloutTask}. */
 export interface RolloutTaskOptions {
@@ -93,7 +94,7 @@
 
   #updateTimer (): void {
     const hasUnfinished = !this.#stopped && [...this.#options.rollouts.records.values()].some(isUnfinished)
-    if (hasUnfinished) this.#timer ??= setInterval(() => this.runRound(), ROUND_INTERVAL_MS)
+    if (hasUnfinished) this.#timer ??= setInterval(guarded('rollout-task', () => this.runRound()), ROUND_INTERVAL_MS)
     else this.#stopTimer()
   }
 
@@ -108,7 +109,7 @@
   runRound (): void {
     const { lease, rollouts } = this.#options
     if (lease.fencing !== undefined) {
-      for (const record of rollouts.records.values()) if (!this.#poolsBeingWritten.has(record.order.pool)) this.#advance(record)
+      for (const record of rollouts.records.values()) if (!this.#poolsBeingWritten.has(record.order.pool)) guarded('rollout-task', () => this.#advance(record))()
     } else if (lease.fencingInOutage !== undefined) {
       for (const record of rollouts.records.values()) this.#holdIfWorse(record)
     } else {
@@ -128,11 +129,11 @@
   #advance (record: RolloutRecord): void {
     const progress = currentProgress(record)
     if (!progress) {
-      this.#prepare(record)
+      guarded('rollout-task', () => this.#prepare(record))()
       return
     }
     if (record.unsaved === true) {
-      this.#write(record, progress)
+      guarded('rollout-task', () => this.#write(record, progress))()
       return
     }
     if (isFinal(progress)) return
@@ -149,7 +150,7 @@
     })
     // The verdict takes effect before it is stored: the store may be slow.
     if (next && comparison.verdict === 'worse') this.#options.rollouts.hold(progress)
-    if (next) this.#write(record, next)
+    if (next) guarded('rollout-task', () => this.#write(record, next))()
     else if (progress.stage === 'canary') this.#issueGrants(record, { progress, state, answers })
   }
 
@@ -227,7 +228,7 @@
     if (!grants || grants.size === 0) return
     const charge = Math.ceil(sumOf(grants.values(), (grant) => grant.charge))
     if (state.ledger.granted + charge > state.persistedGrants) {
-      this.#persistGrants(record, { progress, state, granted: Math.ceil(state.ledger.granted) + charge + GRANT_WRITE_AHEAD })
+      guarded('rollout-task', () => this.#persistGrants(record, { progress, state, granted: Math.ceil(state.ledger.granted) + charge + GRANT_WRITE_AHEAD }))()
       return
     }
     state.lastGrantAtMs = now
--- a/daemon/rollout/version_gate.ts
+++ b/daemon/rollout/version_gate.ts
@@ -9,6 +9,7 @@
 import type { TallyTask } from '../peers/tally_task.ts'
 import type { ProcessAvailability } from './process_availability.ts'
 import type { RolloutFollower } from './rollout_follower.ts'
+import { guarded } from '../tasks/index.ts'
 
 /** Options of {@linkcode VersionGate}. */
 export interface VersionGateOptions {
@@ -82,7 +83,7 @@
     if (known && before) this.#reportUsed({ pool, order: known.order, ...before }, known.from)
     this.#grants.set(pool, { purse, order: grant.order, from })
     clearTimeout(this.#timers.get(pool))
-    this.#timers.set(pool, setTimeout(() => this.#endGrant(pool), grant.forMs))
+    this.#timers.set(pool, setTimeout(guarded('version-gate', () => this.#endGrant(pool)), grant.forMs))
   }
 
   /** Version that serves a pool; undefined when its endpoints do not report one. */
