Bound errors and log lines that contain what another program wrote

Cause: the error of an invalid value contained the value as JSON, whatever its depth and length: RangeError in place of an InvalidError for one that is nested deeply, and lines of megabytes for a long one, one for each invalid item. A file that is nested too deeply made its parser fail with a RangeError.

--- a/core/config/validate.ts
+++ b/core/config/validate.ts
@@ -1,6 +1,10 @@
 /** Validation of settings and configuration, with one message for each invalid field. */
 import { parse, printParseErrorCode, type ParseError } from 'jsonc-parser'
 import type { z } from 'zod'
+import { excerpt, shorten } from '../bounds/index.ts'
+
+/** Problems of a value that are named; there may be as many as it has fields. */
+const MAX_PROBLEMS = 100
 
 /** Settings or configuration are invalid; `problems` contains one message for each invalid field. */
 export class InvalidError extends Error {
@@ -8,7 +12,7 @@
   readonly problems: readonly string[]
 
   constructor (what: string, problems: readonly string[]) {
-    super(`Cannot use ${what}: ${problems.join('; ')}`)
+    super(`Cannot use ${shorten(what)}: ${problems.join('; ')}`)
     this.problems = problems
   }
 }
@@ -26,7 +30,7 @@
 export function validate<S extends z.ZodType> (schema: S, value: unknown, what = 'value'): z.infer<S> {
   const result = schema.safeParse(value)
   if (result.success) return result.data
-  throw new InvalidError(what, result.error.issues.map((issue) => formatIssue(issue, value)))
+  throw new InvalidError(what, formatIssues(result.error.issues, value))
 }
 
 /**
@@ -35,18 +39,32 @@
  */
 export function parseJsonc<S extends z.ZodType> (schema: S, text: string, what = 'file'): z.infer<S> {
   const errors: ParseError[] = []
-  const value = parse(text, errors, { allowTrailingComma: true })
+  const value = parseText(text, { errors, what })
   if (errors.length > 0) {
     throw new InvalidError(what, errors.map((err) => `line ${lineNumberAt(text, err.offset)}: ${printParseErrorCode(err.error)}`))
   }
   return validate(schema, value, what)
 }
 
+/** The parser recurses, so it fails for a text that is nested more deeply than the stack bears. */
+function parseText (text: string, { errors, what }: { errors: ParseError[], what: string }): unknown {
+  try {
+    return parse(text, errors, { allowTrailingComma: true })
+  } catch (err) {
+    throw new InvalidError(what, [`cannot be parsed: ${(err as Error).message}`])
+  }
+}
+
+function formatIssues (issues: readonly z.core.$ZodIssue[], root: unknown): string[] {
+  const problems = issues.slice(0, MAX_PROBLEMS).map((issue) => formatIssue(issue, root))
+  return issues.length > MAX_PROBLEMS ? [...problems, `and ${issues.length - MAX_PROBLEMS} more`] : problems
+}
+
 function formatIssue (issue: z.core.$ZodIssue, root: unknown): string {
-  const path = issue.path.map(String).join('.') || '(top)'
+  const path = shorten(issue.path.map(String).join('.')) || '(top)'
   if (issue.code === 'custom') return `${path}: ${issue.message}`
-  if (issue.code === 'unrecognized_keys') return issue.keys.map((key) => `${[...issue.path, key].join('.')}: expected no such field`).join('; ')
-  const found = JSON.stringify(issue.path.reduce<unknown>((at, key) => (at as Record<PropertyKey, unknown> | undefined)?.[key], root))
+  if (issue.code === 'unrecognized_keys') return issue.keys.slice(0, MAX_PROBLEMS).map((key) => `${shorten([...issue.path, key].join('.'))}: expected no such field`).join('; ')
+  const found = excerpt(issue.path.reduce<unknown>((at, key) => (at as Record<PropertyKey, unknown> | undefined)?.[key], root))
   return `${path}: ${issue.message}, found ${found ?? 'nothing'}`
 }
 
--- a/daemon/log/log.ts
+++ b/daemon/log/log.ts
@@ -2,6 +2,7 @@
 import { randomUUID } from 'node:crypto'
 import type { Logger } from 'pino'
 import { delay, steadyNow } from '../../core/time/index.ts'
+import { boundFields } from './bound_fields.ts'
 import { WARNING_EVENTS, type DaemonEvents, type LogEvent, type RequestEvents } from './events.ts'
 import { LogRateLimiter } from './log_rate_limiter.ts'
 
@@ -75,8 +76,9 @@
 function write (event: LogEvent, fields: object): void {
   if (!logger && !pendingLines) return
   if (!rateLimiter.tryAcquire(event, { warning: WARNING_EVENTS.has(event), now: steadyNow() })) return
-  if (pendingLines) pendingLines.push({ event, fields })
-  else writeLine({ event, fields })
+  const line = { event, fields: boundFields(fields) }
+  if (pendingLines) pendingLines.push(line)
+  else writeLine(line)
 }
 
 function writeLine ({ event, fields }: Line): void {
