--- a/daemon/streams/pool_history.ts
+++ b/daemon/streams/pool_history.ts
@@ -75,6 +75,7 @@
   #copiedAtMs = -Infinity
   /** Listed versions by pool, as the registry shows them. */
   #listed: ReadonlyMap<PoolName, ReadonlySet<HistoryVersion>> = new Map()
+  #listedKeys: ReadonlySet<string> = new Set()
   /** Versions at which work may begin. The value is false for one that the store may not hold. */
   readonly #allowed = new Map<string, boolean>()
   /** Versions that are being written. */
@@ -122,8 +123,9 @@
     const listed = new Map<PoolName, Set<HistoryVersion>>()
     for (const { pool, version } of views) listed.set(pool, (listed.get(pool) ?? new Set()).add(version))
     this.#listed = listed
+    this.#listedKeys = new Set([...listed].flatMap(([pool, versions]) => [...versions].map((version) => keyOf(pool, version))))
     // One that is listed again must be written again: it may be retiring by then.
-    for (const key of this.#allowed.keys()) if (!this.#isListedKey(key)) this.#allowed.delete(key)
+    for (const key of this.#allowed.keys()) if (!this.#listedKeys.has(key)) this.#allowed.delete(key)
     this.#recordListed()
   }
 
@@ -167,10 +169,6 @@
     this.#copiedAtMs = steadyNow()
   }
 
-  #isListedKey (key: string): boolean {
-    return [...this.#listed].some(([pool, versions]) => [...versions].some((version) => keyOf(pool, version) === key))
-  }
-
   #mayBeginIn (pool: PoolName): boolean {
     return [...this.#listed.get(pool) ?? []].some((version) => this.#allowed.has(keyOf(pool, version)))
   }
@@ -196,7 +194,7 @@
   #allow (key: string, isRecorded: boolean): void {
     const isNew = !this.#allowed.has(key)
     this.#allowed.set(key, isRecorded)
-    this.#settled ||= [...this.#listed].every(([pool, versions]) => [...versions].every((version) => this.#allowed.has(keyOf(pool, version))))
+    this.#settled ||= [...this.#listedKeys].every((each) => this.#allowed.has(each))
     if (isNew) this.onAllowed()
   }
 
@@ -206,7 +204,7 @@
     this.#pending.add(key)
     const startedAtMs = steadyNow()
     const limit = setInterval(() => {
-      if (this.#allowed.has(key) || !this.#isListedKey(key) || (this.#mayBeginIn(pool) && steadyNow() - startedAtMs < MAX_WITHHELD_BESIDE_MS)) return
+      if (this.#allowed.has(key) || !this.#listedKeys.has(key) || (this.#mayBeginIn(pool) && steadyNow() - startedAtMs < MAX_WITHHELD_BESIDE_MS)) return
       log('pool-version-unrecorded', { pool, version })
       this.#options.metrics.poolHistory.inc({ result: 'unrecorded' })
       this.#allow(key, false)
@@ -216,7 +214,7 @@
     clearInterval(limit)
     clearTimeout(asking)
     this.#pending.delete(key)
-    if (isDone && this.#isListedKey(key)) this.#allow(key, true)
+    if (isDone && this.#listedKeys.has(key)) this.#allow(key, true)
   }
 
   /** Reads and writes until the store holds the version, or it is listed no more. The first daemon in rank writes at once, the others read later and write if it has not. */
@@ -318,7 +316,7 @@
 }
 
 function keyOf (pool: PoolName, version: HistoryVersion): string {
-  return JSON.stringify([pool, version])
+  return version === undefined ? pool : `${pool}\0${version}`
 }
 
 function ignoreStoreError (err: unknown): undefined {
