--- a/daemon/streams/stream_versions_test.ts
+++ b/daemon/streams/stream_versions_test.ts
@@ -226,6 +226,24 @@
   expect(await find(3, 1)).toMatchObject({ type: 'recorded', streamVersion: V2 })
 })
 
+test.each<[string, object]>([
+  ['the store answers again', { type: 'unreachable' }],
+  ['the links to the others work again', { type: 'recorded', streamVersion: V2 }]
+])('a daemon that is out of step with the others goes on at no other version once %s', async (what, verdict) => {
+  // Guards against a list that is complete again by half of its sources.
+  await start(3, 'v1')
+  await vi.advanceTimersByTimeAsync(LIFE_MS)
+  for (const other of [0, 1]) network.part(members[2]!.id, members[other]!.id, true)
+  daemons[2]!.hangs = true
+  for (const { see } of daemons.slice(0, 2)) see('v1', 'v2')
+  await vi.advanceTimersByTimeAsync(WRITTEN_MS)
+  daemons[0]!.streams.began(key(1), V2, LIFE_MS)
+  expect(await find(2, 1)).toEqual({ type: 'unreachable' })
+  if (what.startsWith('the store')) daemons[2]!.hangs = false
+  else network.healPartitions()
+  expect(await find(2, 1)).toMatchObject(verdict)
+})
+
 test('daemons whose list is behind do not take it for the pool as it is', async () => {
   // Guards against a list that is complete up to a moment before the stream began.
   await start(3, 'v1')
