--- a/daemon/streams/pool_history.ts
+++ b/daemon/streams/pool_history.ts
@@ -40,8 +40,9 @@
 const PEERS_ASKED = 3
 /** Time in which the store is expected to hold a new version, before other daemons are asked, in milliseconds. */
 const ASK_PEERS_AFTER_MS = 300
-/** Longest time for which endpoints of a new version get no new work, in milliseconds. */
+/** Longest time for which endpoints of a new version get no new work, in milliseconds: while new work may begin at none of the pool, and while it may at others. */
 const MAX_WITHHELD_MS = 1000
+const MAX_WITHHELD_BESIDE_MS = 10_000
 /** Pause after a failed call to the store, in milliseconds: the first, and the longest. */
 const RETRY_MS = 100
 const MAX_RETRY_MS = 5000
@@ -55,12 +56,15 @@
 const TICK_MS = 500
 /** Age of the copy after which a pool of several versions is read again, in milliseconds. */
 const REFRESH_MS = 30_000
+/** Age of the copy up to which it shows that the store holds a version, in milliseconds. */
+const FRESH_COPY_MS = 1000
 
 /**
  * Writes versions ahead: an endpoint gets no new work before the store holds its version as one of its pool, so that a read of the store tells of each stream that began before the read whether
  * the pool has had one version only.
  *
- * If the store does not take a version in time, its endpoints are used all the same. Until it has, a stream that began there is found by its records alone.
+ * If the store does not take a version in time, its endpoints are used all the same, sooner if no others of the pool may get new work. Until it has, a stream that began there is found by its records
+ * alone.
  */
 export class PoolHistory {
   readonly #options: PoolHistoryOptions
@@ -71,6 +75,7 @@
   #copiedAtMs = -Infinity
   /** Listed versions by pool, as the registry shows them. */
   #listed: ReadonlyMap<PoolName, ReadonlySet<HistoryVersion>> = new Map()
+  #listedKeys: ReadonlySet<string> = new Set()
   /** Versions at which work may begin. The value is false for one that the store may not hold. */
   readonly #allowed = new Map<string, boolean>()
   /** Versions that are being written. */
@@ -118,8 +123,9 @@
     const listed = new Map<PoolName, Set<HistoryVersion>>()
     for (const { pool, version } of views) listed.set(pool, (listed.get(pool) ?? new Set()).add(version))
     this.#listed = listed
+    this.#listedKeys = new Set([...listed].flatMap(([pool, versions]) => [...versions].map((version) => keyOf(pool, version))))
     // One that is listed again must be written again: it may be retiring by then.
-    for (const key of this.#allowed.keys()) if (!this.#isListedKey(key)) this.#allowed.delete(key)
+    for (const key of this.#allowed.keys()) if (!this.#listedKeys.has(key)) this.#allowed.delete(key)
     this.#recordListed()
   }
 
@@ -163,8 +169,8 @@
     this.#copiedAtMs = steadyNow()
   }
 
-  #isListedKey (key: string): boolean {
-    return [...this.#listed].some(([pool, versions]) => [...versions].some((version) => keyOf(pool, version) === key))
+  #mayBeginIn (pool: PoolName): boolean {
+    return [...this.#listed.get(pool) ?? []].some((version) => this.#allowed.has(keyOf(pool, version)))
   }
 
   #recordListed (): void {
@@ -172,12 +178,15 @@
       for (const version of versions) {
         const key = keyOf(pool, version)
         if (this.#pending.has(key)) continue
-        if (!this.#isInCopy(pool, version)) this.#record(pool, version)
-        else if (this.#allowed.get(key) !== true) this.#allow(key, true)
+        if (this.#allowed.get(key) !== true && this.#isFresh && this.#isInCopy(pool, version)) this.#allow(key, true)
+        else if (this.#allowed.get(key) !== true || !this.#isInCopy(pool, version)) this.#record(pool, version)
       }
     }
   }
 
+  /** A version that is listed again may have been removed since an older copy. */
+  get #isFresh (): boolean { return steadyNow() - this.#copiedAtMs < FRESH_COPY_MS }
+
   #isInCopy (pool: PoolName, version: HistoryVersion): boolean {
     return this.#copy !== undefined && isListed(this.#copy.pools.get(pool)?.record, { version, era: this.#copy.era })
   }
@@ -185,7 +194,7 @@
   #allow (key: string, isRecorded: boolean): void {
     const isNew = !this.#allowed.has(key)
     this.#allowed.set(key, isRecorded)
-    this.#settled ||= [...this.#listed].every(([pool, versions]) => [...versions].every((version) => this.#allowed.has(keyOf(pool, version))))
+    this.#settled ||= [...this.#listedKeys].every((each) => this.#allowed.has(each))
     if (isNew) this.onAllowed()
   }
 
@@ -193,18 +202,19 @@
   async #record (pool: PoolName, version: HistoryVersion): Promise<void> {
     const key = keyOf(pool, version)
     this.#pending.add(key)
-    const limit = setTimeout(() => {
-      if (this.#allowed.has(key)) return
+    const startedAtMs = steadyNow()
+    const limit = setInterval(() => {
+      if (this.#allowed.has(key) || !this.#listedKeys.has(key) || (this.#mayBeginIn(pool) && steadyNow() - startedAtMs < MAX_WITHHELD_BESIDE_MS)) return
       log('pool-version-unrecorded', { pool, version })
       this.#options.metrics.poolHistory.inc({ result: 'unrecorded' })
       this.#allow(key, false)
     }, MAX_WITHHELD_MS)
     const asking = setTimeout(async () => { if (await this.#isRecordedByPeers(pool, version)) this.#allow(key, true) }, ASK_PEERS_AFTER_MS)
     const isDone = await this.#write(pool, version)
-    clearTimeout(limit)
+    clearInterval(limit)
     clearTimeout(asking)
     this.#pending.delete(key)
-    if (isDone && this.#isListedKey(key)) this.#allow(key, true)
+    if (isDone && this.#listedKeys.has(key)) this.#allow(key, true)
   }
 
   /** Reads and writes until the store holds the version, or it is listed no more. The first daemon in rank writes at once, the others read later and write if it has not. */
@@ -259,9 +269,9 @@
   }
 
   async #isRecorded (pool: PoolName, version: HistoryVersion): Promise<boolean> {
-    if (this.#isInCopy(pool, version)) return true
+    if (this.#isFresh && this.#isInCopy(pool, version)) return true
     await Promise.race([this.#reader.read().catch(ignoreStoreError), delay(PEER_TIMEOUT_MS / 2)])
-    return this.#isInCopy(pool, version)
+    return this.#isFresh && this.#isInCopy(pool, version)
   }
 
   async #isRecordedByPeers (pool: PoolName, version: HistoryVersion): Promise<boolean> {
@@ -306,7 +316,7 @@
 }
 
 function keyOf (pool: PoolName, version: HistoryVersion): string {
-  return JSON.stringify([pool, version])
+  return version === undefined ? pool : `${pool}\0${version}`
 }
 
 function ignoreStoreError (err: unknown): undefined {
