Accept and read what waits before a daemon stops listening

Callers saw: near the end of a drain, connections that were open but not accepted yet, and requests on kept connections that were not read yet, were reset without an answer (LOST, the process alive).

Cause: the drain closed the listening socket, and idle connections, from a timer. Timers run before connections are accepted and read, and the runtime accepts one connection in a turn of the event loop, so that more of them wait while callers reconnect: each answer of a daemon that drains closes its connection.

Change: before it stops listening, the daemon lets turns pass until one accepted nothing, for up to 200 ms; before it closes the connections at the end of the drain, what has arrived is read.

Evidence: two new tests failed before (npx vitest run daemon/exchange/exchange_server_test.ts -t 'stops listening': ECONNRESET in place of 404) and pass now; the test of 20 connections was added after the change.

--- a/daemon/exchange/exchange_server.ts
+++ b/daemon/exchange/exchange_server.ts
@@ -1,6 +1,7 @@
 /** HTTP server for callers whose requests are proxied unchanged. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { connect, type AddressInfo, type Socket } from 'node:net'
+import { setImmediate } from 'node:timers/promises'
 import type { Acceptance } from '../../core/admission/index.ts'
 import type { CallerLimits } from '../../core/catalog/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
@@ -30,6 +31,8 @@
 type RequestHead = ReturnType<ExchangeDialect['readRequest']>
 
 const INTERNAL_ERROR = 500
+/** Longest time for which connections that wait are accepted before listening ends, in milliseconds. */
+const ACCEPT_WAITING_MS = 200
 /** Shortest time limit of a connection, in milliseconds. */
 const MIN_TIMEOUT_MS = 1
 /** Limits in force until a configuration is loaded. */
@@ -51,6 +54,8 @@
   readonly #headTimeouts = new HeadTimeouts()
   readonly #exchanges = new OpenExchanges()
   #accepting = true
+  /** Number of connections that were accepted, probes included. */
+  #accepted = 0
   /** Connections of this process to its own port, with what is called when they are accepted. */
   readonly #probes = new Map<Socket, () => void>()
 
@@ -121,6 +126,7 @@
   }
 
   #connected (socket: Socket, serve: (socket: Socket) => void): void {
+    this.#accepted++
     for (const [probe, accepted] of this.#probes) {
       if (probe.localPort !== socket.remotePort || probe.localAddress !== socket.remoteAddress) continue
       accepted()
@@ -181,12 +187,23 @@
     this.#exchanges.logCut()
   }
 
-  /** Stops accepting connections and closes idle ones; those without a first request stay until the header timeout. */
-  close (): void {
+  /** Stops accepting connections and closes idle ones; those without a first request stay until the header timeout. What has arrived by then is read first. */
+  async close (): Promise<void> {
+    await this.#acceptWaiting()
     stopListening(this.#server)
     this.#exchanges.closeIdle()
   }
 
+  /** Waits until no connection waits to be accepted: a turn of the event loop accepts one, and those that wait when listening ends are reset. */
+  async #acceptWaiting (): Promise<void> {
+    const untilMs = steadyNow() + ACCEPT_WAITING_MS
+    let accepted: number
+    do {
+      accepted = this.#accepted
+      await setImmediate()
+    } while (this.#accepted > accepted && steadyNow() < untilMs)
+  }
+
   /** Closes all connections at once. */
   kill (): void {
     this.#server.close()
--- a/daemon/exchange/exchange_server_test.ts
+++ b/daemon/exchange/exchange_server_test.ts
@@ -134,3 +134,36 @@
   await closed
   expect(received()).toMatch(/^HTTP\/1.1 404 /)
 })
+
+test.each([
+  ['a new connection', ''],
+  ['a kept connection', 'GET /elsewhere HTTP/1.1\r\nHost: a\r\n\r\n']
+])('a request that waits to be read on %s while a daemon stops listening is answered', async (_what, earlier) => {
+  // Guards against requests that are lost with their connections when a daemon drains.
+  let socket: Socket
+  let received = () => ''
+  if (earlier) {
+    ({ socket, received } = await openConnection())
+    socket.write(earlier)
+    while (received() === '') await delay(1)
+    await setImmediate()
+  } else {
+    socket = connect(port, '127.0.0.1')
+    let text = ''
+    socket.on('data', (part) => { text += String(part) })
+    received = () => text
+  }
+  const ended = new Promise<string>((resolve) => socket.on('error', (err) => resolve(err.message)).on('close', () => resolve('closed')))
+  socket.write('GET /last HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n')
+  await server.close()
+  expect(await ended).toBe('closed')
+  expect(received().match(/^HTTP\/1.1 404 /gm)).toHaveLength(earlier ? 2 : 1)
+})
+
+test('all connections that wait to be accepted while a daemon stops listening are answered', async () => {
+  const answers = Array.from({ length: 20 }, () => ask('/elsewhere').catch((err: NodeJS.ErrnoException) => err.code))
+  // The connections are opened by the next turn of the event loop.
+  await setImmediate()
+  await server.close()
+  expect(await Promise.all(answers)).toEqual(answers.map(() => 404))
+})
--- a/daemon/exchange/proxy_daemon.ts
+++ b/daemon/exchange/proxy_daemon.ts
@@ -1,4 +1,5 @@
 /** A daemon that proxies callers' requests to endpoints: start, drain and stop. */
+import { setImmediate } from 'node:timers/promises'
 import { isDeepStrictEqual } from 'node:util'
 import xxhash from 'xxhash-wasm'
 import type { DaemonId } from '../../core/ids/index.ts'
@@ -156,12 +157,13 @@
     rollouts?.task.stop()
     const released = lease.release()
     await delay(READINESS_PROPAGATION_MS)
-    server.close()
+    await server.close()
     do await delay(DRAIN_POLL_MS)
     while (server.open + delegateServer.open > 0 && steadyNow() < endsAtMs)
     server.refuseWaiting()
     delegateServer.declineWaiting()
     // A connection that was accepted before may still bring a request, which this daemon could not finish.
+    await setImmediate()
     if (server.open === 0) server.kill()
     // Actions that the release waits for, or the store, may take longer than the grace period; this daemon does not act as the holder meanwhile.
     await Promise.race([released, delay(Math.max(0, endsAtMs - steadyNow()))])
