--- a/daemon/exchange/proxy_daemon.ts
+++ b/daemon/exchange/proxy_daemon.ts
@@ -1,4 +1,5 @@
 /** A daemon that proxies callers' requests to endpoints: start, drain and stop. */
+import { setImmediate } from 'node:timers/promises'
 import { isDeepStrictEqual } from 'node:util'
 import xxhash from 'xxhash-wasm'
 import type { DaemonId } from '../../core/ids/index.ts'
@@ -145,12 +146,13 @@
    * while; then accepts no new connections; then waits for open requests until the grace period ends.
    */
   async #drain (): Promise<void> {
-    const { settings, server, intake, readiness, monitor, lease, usage, orders, rollouts, membership, delegateServer } = this.#components
+    const { settings, server, intake, readiness, monitor, lease, usage, orders, rollouts, membership, delegateServer, connectionGate } = this.#components
     const sinceMs = steadyNow()
     const endsAtMs = sinceMs + settings.graceMs * (1 - END_SHARE)
     const leftByMs = sinceMs + settings.graceMs * (1 - EXIT_SHARE)
     log('daemon-draining', { who: 'signal', open: server.open })
     membership.setSelf({ state: 'draining' })
+    connectionGate.stop()
     server.startDraining()
     intake.startDraining({ listensUntilMs: steadyNow() + READINESS_PROPAGATION_MS, endsAtMs })
     delegateServer.startDraining()
@@ -159,12 +161,13 @@
     rollouts?.task.stop()
     const released = lease.release()
     await delay(READINESS_PROPAGATION_MS)
-    server.close()
+    await server.close()
     do await delay(DRAIN_POLL_MS)
     while (server.open + delegateServer.open > 0 && steadyNow() < endsAtMs)
     server.refuseWaiting()
     delegateServer.declineWaiting()
     // A connection that was accepted before may still bring a request, which this daemon could not finish.
+    await setImmediate()
     if (server.open === 0) server.kill()
     // Actions that the release waits for, or the store, may take longer than the grace period; this daemon does not act as the holder meanwhile.
     await Promise.race([released, delay(Math.max(0, endsAtMs - steadyNow()))])
