Record a stream that a delegate began at a version which its origin does not see

A daemon that was certain of a pool's only version kept the record of a stream to itself also where a delegate had begun the stream at another version, which the origin had not seen yet. With the origin killed then, the stream was refused, or judged by the other version where the store did not hold it. The record now stays here only if the stream began at the only version.

--- a/daemon/streams/stream_versions.ts
+++ b/daemon/streams/stream_versions.ts
@@ -127,7 +127,7 @@
   began (key: StreamKey, streamVersion: StreamVersion, lifeMs: number): void {
     const now = steadyNow()
     if (streamVersion.version === undefined && this.#versions.seen(streamVersion.pool, now - lifeMs).every((version) => version === undefined)) return
-    const isSent = !this.#hasOnlyVersion(streamVersion.pool, lifeMs)
+    const isSent = !this.#isOnlyVersion(streamVersion, lifeMs)
     const record = { streamVersion, daemon: this.#options.self, expiresAtMs: now + lifeMs, lifeMs, isSent }
     this.#own.set(key, record, now)
     if (isSent) this.#sender.send([[key, record]])
@@ -225,15 +225,17 @@
     }
   }
 
-  #hasOnlyVersion (pool: PoolName, lifeMs: number): boolean {
-    return this.#options.history.isCertain(pool) && this.#versions.seen(pool, steadyNow() - lifeMs).length === 1
+  /** A delegate may see a version that this daemon does not. */
+  #isOnlyVersion ({ pool, version }: StreamVersion, lifeMs: number): boolean {
+    const seen = this.#versions.seen(pool, steadyNow() - lifeMs)
+    return this.#options.history.isCertain(pool) && seen.length === 1 && seen[0] === version
   }
 
   /** Sends own records of pools whose only version is not certain any more. */
   #sendUncertain (): void {
     const records: KeyedRecord[] = []
     for (const [key, record] of this.#own.entries(steadyNow())) {
-      if (record.isSent || this.#hasOnlyVersion(record.streamVersion.pool, record.lifeMs)) continue
+      if (record.isSent || this.#isOnlyVersion(record.streamVersion, record.lifeMs)) continue
       record.isSent = true
       records.push([key, record])
     }
--- a/daemon/streams/stream_versions_test.ts
+++ b/daemon/streams/stream_versions_test.ts
@@ -226,6 +226,15 @@
   expect(await find(3, 1)).toMatchObject({ type: 'recorded', streamVersion: V2 })
 })
 
+test('a stream that a delegate began at a version which this daemon does not see is recorded at others', async () => {
+  // Guards against a stream that is lost with its daemon since its pool is taken for one of another version.
+  await start(3, 'v1')
+  daemons[0]!.streams.began(key(1), V2, LIFE_MS)
+  await vi.advanceTimersByTimeAsync(100)
+  await kill(0)
+  expect(await find(1, 1)).toMatchObject({ type: 'recorded', streamVersion: V2 })
+})
+
 test.each<[string, object]>([
   ['the store answers again', { type: 'unreachable' }],
   ['the links to the others work again', { type: 'recorded', streamVersion: V2 }]
