Close no new connections unread while a daemon drains

Callers saw: within 60 to 200 ms of SIGTERM, 72 to 126 connections of 60 callers were reset unread by one daemon, which had work for 20 to 30 requests.

Cause: a drain ends each connection with its next answer, so that all callers that kept theirs open new ones, at this daemon while the balancer still knows it as ready. The runtime accepts one connection in a turn of the event loop; on a machine with other work they wait over 200 ms, which the gate for too many connections takes for a herd, and closes them unread ('connections-refused', waitMs 207 to 220).

Change: a daemon that drains accepts all new connections, and answers them, with 503 if they come too late.

Evidence: two new tests failed before (npx vitest run daemon/exchange/exchange_server_test.ts -t 'drains answers': ECONNRESET in place of 404) and pass now.

The gate itself is as sensitive as before while a daemon does not drain.

--- a/daemon/exchange/exchange_server.ts
+++ b/daemon/exchange/exchange_server.ts
@@ -92,9 +92,9 @@
     return (this.#server.address() as AddressInfo).port
   }
 
-  /** Accepts new connections, or closes them unread; those that are open stay open. */
+  /** Accepts new connections, or closes them unread; those that are open stay open. A draining daemon accepts all, since it closes connections itself, whose callers open others. */
   acceptConnections (isAccepting: boolean): void {
-    this.#accepting = isAccepting
+    this.#accepting = isAccepting || this.#exchanges.draining
   }
 
   /** Number of connections since the start. */
@@ -157,6 +157,7 @@
   /** Closes each connection after its next response, which says so; a caller cannot know when one ends whose headers were sent before. */
   startDraining (): void {
     this.#exchanges.startDraining()
+    this.acceptConnections(true)
   }
 
   /** Refuses the requests that are not sent to an endpoint yet; each of them has not run and will not. */
--- a/daemon/exchange/exchange_server_test.ts
+++ b/daemon/exchange/exchange_server_test.ts
@@ -167,3 +167,11 @@
   await server.close()
   expect(await Promise.all(answers)).toEqual(answers.map(() => 404))
 })
+
+test.each(['before', 'after'])('a daemon that drains answers new connections, also if the gate closed %s the drain began', async (when) => {
+  // Guards against callers that are reset when a drain closes their kept connections and all of them open new ones.
+  if (when === 'before') server.acceptConnections(false)
+  server.startDraining()
+  if (when === 'after') server.acceptConnections(false)
+  expect(await ask('/elsewhere').catch((err: NodeJS.ErrnoException) => err.code)).toBe(404)
+})
--- a/daemon/exchange/proxy_daemon.ts
+++ b/daemon/exchange/proxy_daemon.ts
@@ -143,12 +143,13 @@
    * while; then accepts no new connections; then waits for open requests until the grace period ends.
    */
   async #drain (): Promise<void> {
-    const { settings, server, intake, readiness, monitor, lease, usage, orders, rollouts, membership, delegateServer } = this.#components
+    const { settings, server, intake, readiness, monitor, lease, usage, orders, rollouts, membership, delegateServer, connectionGate } = this.#components
     const sinceMs = steadyNow()
     const endsAtMs = sinceMs + settings.graceMs * (1 - END_SHARE)
     const leftByMs = sinceMs + settings.graceMs * (1 - EXIT_SHARE)
     log('daemon-draining', { who: 'signal', open: server.open })
     membership.setSelf({ state: 'draining' })
+    connectionGate.stop()
     server.startDraining()
     intake.startDraining({ listensUntilMs: steadyNow() + READINESS_PROPAGATION_MS, endsAtMs })
     delegateServer.startDraining()
