Refuse messages between daemons that are nested too deeply

Cause: a message of some thousand levels was handed to the handlers. What they keep, such as facts, is packed again for others in a timer's callback, which recurses. A relayed reply of another form failed while it was applied.

Change: a message of more than 64 levels ends its link, as any malformed one; a message that cannot be packed is logged and left out; a reply with changes of the store is checked before it is applied, and its sender then counts as failing.

Evidence: daemon/peers/peer_messages_test.ts: with peer_links.ts before, 4 of 7 depths (65 to 2,000) reached the handlers and left the link open; deeper ones ended it.

No crash by a message was seen; that packing fails where unpacking did not is only suspected. Handlers were not fuzzed each with its own messages.

--- a/core/bounds/is_deeper.ts
+++ b/core/bounds/is_deeper.ts
@@ -23,5 +23,5 @@
 function childrenOf (value: object): unknown[] {
   if (value instanceof Map) return [...value].flat()
   if (value instanceof Set || Array.isArray(value)) return [...value]
-  return Object.getOwnPropertyNames(value).map((name) => (value as Record<string, unknown>)[name])
+  return value instanceof Error ? Object.getOwnPropertyNames(value).map((name) => (value as unknown as Record<string, unknown>)[name]) : Object.values(value)
 }
--- a/daemon/peers/peer_links.ts
+++ b/daemon/peers/peer_links.ts
@@ -5,6 +5,7 @@
 import type { AddressInfo } from 'node:net'
 import type { DaemonId } from '../../core/ids/index.ts'
 import type { Gossip } from '../../core/membership/index.ts'
+import { isDeeperThan, shorten } from '../../core/bounds/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import { PeerError, type CallOptions, type ConnectResult, type LinkEvents, type Links, type PeerMethod, type PostHandler } from './links.ts'
 import { log } from '../log/index.ts'
@@ -245,6 +246,8 @@
       this.#countMessage(link, 'in', data.length)
       try {
         const unpacked = this.#packr.unpack(data) as PeerMessage | PeerMessage[]
+        // What handlers keep is packed again for others, which recurses.
+        if (isDeeperThan(unpacked)) throw new RangeError('message is nested too deeply')
         if (Array.isArray(unpacked)) unpacked.forEach((msg) => this.#dispatch(link, msg))
         else this.#dispatch(link, unpacked, ready)
       } catch (err) {
@@ -366,11 +369,22 @@
 
   #write (link: Link, msg: PeerMessage | PeerMessage[]): void {
     if (link.socket.readyState !== WebSocket.OPEN) return
-    const data = this.#packr.pack(msg)
+    const data = this.#pack(link, msg)
+    if (data === undefined) return
     this.#countMessage(link, 'out', data.length)
     link.socket.send(data, (err) => { if (err) log('peer-send-failed', { peer: link.peer ?? 'unidentified', why: err.message }) })
   }
 
+  /** Returns undefined for a message that cannot be packed; its receiver gets none. */
+  #pack (link: Link, msg: PeerMessage | PeerMessage[]): Buffer | undefined {
+    try {
+      return this.#packr.pack(msg)
+    } catch (err) {
+      log('peer-send-failed', { peer: link.peer ?? 'unidentified', why: shorten((err as Error).message) })
+      return undefined
+    }
+  }
+
   #countMessage ({ peer }: Link, direction: 'in' | 'out', bytes: number): void {
     const { metrics, isFar } = this.#options
     metrics.peerBytes.inc({ direction }, bytes)
--- a/daemon/peers/store_relay.ts
+++ b/daemon/peers/store_relay.ts
@@ -6,7 +6,7 @@
 import { eraOf, formatVersion, type StoreVersion } from '../../core/store_version/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import type { Topology } from '../../core/topology/index.ts'
-import type { Changes, ObjectSource } from '../../store/index.ts'
+import type { Changes, ObjectSource, StoredObject } from '../../store/index.ts'
 import { log } from '../log/index.ts'
 import type { Metrics } from '../metrics.ts'
 import { FollowedPrefix, type ChangesResponse, type RelayedChanges } from './_followed_prefix.ts'
@@ -162,7 +162,8 @@
     const { links, metrics } = this.#options
     try {
       // The timeout of a call begins once the daemon is connected.
-      const response = await within(links.call(daemon, CHANGES_METHOD, req, { timeoutMs }), timeoutMs) as ChangesResponse
+      const response = await within(links.call(daemon, CHANGES_METHOD, req, { timeoutMs }), timeoutMs)
+      if (!isChangesResponse(response)) throw new Error('Cannot use changes: the reply has another form')
       this.#checkEra(response, { req, from: daemon.id })
       this.#failing.delete(`${daemon.id} ${req.prefix}`)
       metrics.storeChangeAge.observe({ prefix: req.prefix }, response.ageMs)
@@ -182,6 +183,20 @@
   }
 }
 
+/** Checks a reply before it is applied: an error while it is applied would count as one of the store. */
+function isChangesResponse (value: unknown): value is ChangesResponse {
+  const { objects, removed, version, ageMs } = (value ?? {}) as Partial<ChangesResponse>
+  return Array.isArray(objects) && objects.every(isObject) && Array.isArray(removed) && removed.every((key) => typeof key === 'string') && isOrdinal(version) && Number.isFinite(ageMs)
+}
+
+function isObject (object: Partial<StoredObject> | null): object is StoredObject {
+  return typeof object?.key === 'string' && typeof object.value === 'string' && isOrdinal(object.version) && (object.status === undefined || typeof object.status === 'string')
+}
+
+function isOrdinal (version: unknown): boolean {
+  return Number.isSafeInteger(version) && (version as number) >= 0
+}
+
 /** Rejects if a call has not ended in time. */
 function within<T> (call: Promise<T>, timeoutMs: number): Promise<T> {
   return new Promise((resolve, reject) => {
