Withhold a version that the store does not hold as long as others of its pool may get work

Callers would see: a stream joined from two versions. While the store answers reads and refuses writes, a new version was used after ten seconds beside others; when it had left and all daemons had ended, a fresh daemon took the pool for one of the other version. Beside it: a new version was withheld for ten seconds although all others of its pool were leaving; a late answer of another daemon allowed a version that was listed no more; an unexpected error of the store ended the loops of the history, unhandled; readiness waited for every version in place of one for each pool.

Change: a version is used unwritten only if no endpoint that stays may get new work in its pool; the loops go on after unexpected errors, which are reported. The test of an outage asked that a version beside a usable one is used after ten seconds: it now asks that it is not.

Remains: a version that is used unwritten since no other is there, while all daemons are killed before the store takes a write.

--- a/daemon/streams/pool_history.ts
+++ b/daemon/streams/pool_history.ts
@@ -5,6 +5,7 @@
 import { delay, steadyNow } from '../../core/time/index.ts'
 import { isStoreFailure, StoreError, type ObjectStore } from '../../store/index.ts'
 import { log } from '../log/index.ts'
+import { guarded, reportTaskError } from '../tasks/index.ts'
 import type { Metrics } from '../metrics.ts'
 import type { MembershipTask } from '../peers/membership_task.ts'
 import { HISTORY_PREFIX, HistoryReader, type HistorySnapshot } from './_history_reader.ts'
@@ -40,9 +41,8 @@
 const PEERS_ASKED = 3
 /** Time in which the store is expected to hold a new version, before other daemons are asked, in milliseconds. */
 const ASK_PEERS_AFTER_MS = 300
-/** Longest time for which endpoints of a new version get no new work, in milliseconds: while new work may begin at none of the pool, and while it may at others. */
+/** Longest time for which endpoints of a new version get no new work while it may begin at none of the pool, in milliseconds. */
 const MAX_WITHHELD_MS = 1000
-const MAX_WITHHELD_BESIDE_MS = 10_000
 /** Pause after a failed call to the store, in milliseconds: the first, and the longest. */
 const RETRY_MS = 100
 const MAX_RETRY_MS = 5000
@@ -63,8 +63,8 @@
  * Writes versions ahead: an endpoint gets no new work before the store holds its version as one of its pool, so that a read of the store tells of each stream that began before the read whether
  * the pool has had one version only.
  *
- * If the store does not take a version in time, its endpoints are used all the same, sooner if no others of the pool may get new work. Until it has, a stream that began there is found by its records
- * alone.
+ * If the store does not take a version in time and no other endpoint of the pool may get new work, its endpoints are used all the same. Until the store has it, a stream that began there is found by
+ * its records alone.
  */
 export class PoolHistory {
   readonly #options: PoolHistoryOptions
@@ -76,6 +76,8 @@
   /** Listed versions by pool, as the registry shows them. */
   #listed: ReadonlyMap<PoolName, ReadonlySet<HistoryVersion>> = new Map()
   #listedKeys: ReadonlySet<string> = new Set()
+  /** Listed versions with an endpoint that does not leave. */
+  #stayingKeys: ReadonlySet<string> = new Set()
   /** Versions at which work may begin. The value is false for one that the store may not hold. */
   readonly #allowed = new Map<string, boolean>()
   /** Versions that are being written. */
@@ -109,7 +111,7 @@
   /** Reads the store and begins to follow what the pools' versions do. */
   start (): void {
     this.#refreshCopy()
-    this.#timer = setInterval(() => this.#tick(), TICK_MS)
+    this.#timer = setInterval(guarded('pool-history', () => this.#tick()), TICK_MS)
   }
 
   /** Stops reading and writing. */
@@ -119,17 +121,18 @@
   }
 
   /** Must be called with all endpoints after each change to them. */
-  endpointsChanged (views: readonly Pick<EndpointView, 'pool' | 'version'>[]): void {
+  endpointsChanged (views: ReadonlyArray<Pick<EndpointView, 'pool' | 'version'> & Partial<Pick<EndpointView, 'leavingAtMs'>>>): void {
     const listed = new Map<PoolName, Set<HistoryVersion>>()
     for (const { pool, version } of views) listed.set(pool, (listed.get(pool) ?? new Set()).add(version))
     this.#listed = listed
     this.#listedKeys = new Set([...listed].flatMap(([pool, versions]) => [...versions].map((version) => keyOf(pool, version))))
+    this.#stayingKeys = new Set(views.filter(({ leavingAtMs }) => leavingAtMs === undefined).map(({ pool, version }) => keyOf(pool, version)))
     // One that is listed again must be written again: it may be retiring by then.
     for (const key of this.#allowed.keys()) if (!this.#listedKeys.has(key)) this.#allowed.delete(key)
     this.#recordListed()
   }
 
-  /** True once new work could begin at endpoints of all versions that were listed. */
+  /** True once new work could begin in all pools that were listed. */
   get settled (): boolean { return this.#settled }
 
   /** Returns true if new work may begin at an endpoint. */
@@ -151,7 +154,7 @@
   async confirm (pool: PoolName, { timeoutMs = CONFIRM_TIMEOUT_MS }: { timeoutMs?: number } = {}): Promise<PoolConfirmation | undefined> {
     // Versions stay for minutes after they have left, so that a copy with several need not be read again.
     if (this.#copy && steadyNow() - this.#copiedAtMs < REFRESH_MS && !this.#confirmationIn(this.#copy, pool).isOnly) return { isOnly: false }
-    const read = this.#reader.read().then((snapshot) => this.#confirmationIn(snapshot, pool), ignoreStoreError)
+    const read = this.#reader.read().then((snapshot) => this.#confirmationIn(snapshot, pool), reportUnexpected)
     return await Promise.race([read, delay(timeoutMs).then(() => undefined)])
   }
 
@@ -169,8 +172,9 @@
     this.#copiedAtMs = steadyNow()
   }
 
+  /** Returns true if new work may begin at a version of a pool, and not all of its endpoints leave. */
   #mayBeginIn (pool: PoolName): boolean {
-    return [...this.#listed.get(pool) ?? []].some((version) => this.#allowed.has(keyOf(pool, version)))
+    return [...this.#listed.get(pool) ?? []].some((version) => this.#allowed.has(keyOf(pool, version)) && this.#stayingKeys.has(keyOf(pool, version)))
   }
 
   #recordListed (): void {
@@ -194,7 +198,7 @@
   #allow (key: string, isRecorded: boolean): void {
     const isNew = !this.#allowed.has(key)
     this.#allowed.set(key, isRecorded)
-    this.#settled ||= [...this.#listedKeys].every((each) => this.#allowed.has(each))
+    this.#settled ||= [...this.#listed].every(([pool, versions]) => [...versions].some((version) => this.#allowed.has(keyOf(pool, version))))
     if (isNew) this.onAllowed()
   }
 
@@ -202,14 +206,14 @@
   async #record (pool: PoolName, version: HistoryVersion): Promise<void> {
     const key = keyOf(pool, version)
     this.#pending.add(key)
-    const startedAtMs = steadyNow()
     const limit = setInterval(() => {
-      if (this.#allowed.has(key) || !this.#listedKeys.has(key) || (this.#mayBeginIn(pool) && steadyNow() - startedAtMs < MAX_WITHHELD_BESIDE_MS)) return
+      if (this.#allowed.has(key) || !this.#listedKeys.has(key) || this.#mayBeginIn(pool)) return
       log('pool-version-unrecorded', { pool, version })
       this.#options.metrics.poolHistory.inc({ result: 'unrecorded' })
       this.#allow(key, false)
     }, MAX_WITHHELD_MS)
-    const asking = setTimeout(async () => { if (await this.#isRecordedByPeers(pool, version)) this.#allow(key, true) }, ASK_PEERS_AFTER_MS)
+    const ask = guarded('pool-history', async () => { if (await this.#isRecordedByPeers(pool, version) && this.#listedKeys.has(key)) this.#allow(key, true) })
+    const asking = setTimeout(ask, ASK_PEERS_AFTER_MS)
     const isDone = await this.#write(pool, version)
     clearInterval(limit)
     clearTimeout(asking)
@@ -231,7 +235,7 @@
         else if (await this.#update(pool)) return true
         failures = 0
       } catch (err) {
-        if (!(err instanceof StoreError)) throw err
+        reportUnexpected(err)
         await delay(Math.min(MAX_RETRY_MS, RETRY_MS * 2 ** failures++) * (0.5 + this.#options.random() / 2))
       }
     }
@@ -270,7 +274,7 @@
 
   async #isRecorded (pool: PoolName, version: HistoryVersion): Promise<boolean> {
     if (this.#isFresh && this.#isInCopy(pool, version)) return true
-    await Promise.race([this.#reader.read().catch(ignoreStoreError), delay(PEER_TIMEOUT_MS / 2)])
+    await Promise.race([this.#reader.read().catch(reportUnexpected), delay(PEER_TIMEOUT_MS / 2)])
     return this.#isFresh && this.#isInCopy(pool, version)
   }
 
@@ -294,7 +298,7 @@
   }
 
   #refreshCopy (): void {
-    this.#refresh ??= this.#reader.read().then(() => this.#recordListed(), ignoreStoreError).finally(() => { this.#refresh = undefined })
+    this.#refresh ??= this.#reader.read().then(() => this.#recordListed()).catch(reportUnexpected).finally(() => { this.#refresh = undefined })
   }
 
   /** The first daemon in rank marks versions without an endpoint, and removes them when no stream of them can live any more. */
@@ -308,7 +312,7 @@
       try {
         if (!await this.#update(pool, change)) this.#refreshCopy()
       } catch (err) {
-        if (!(err instanceof StoreError)) throw err
+        reportUnexpected(err)
         this.#refreshCopy()
       }
     }
@@ -319,8 +323,9 @@
   return version === undefined ? pool : `${pool}\0${version}`
 }
 
-function ignoreStoreError (err: unknown): undefined {
-  if (!(err instanceof StoreError)) throw err
+/** Errors of the store are part of its calls' results; others are reported, and the call counts as one without an answer. */
+function reportUnexpected (err: unknown): undefined {
+  if (!(err instanceof StoreError)) reportTaskError('pool-history', err)
 }
 
 /** Counts a call to the store by its result. */
--- a/daemon/streams/pool_history_test.ts
+++ b/daemon/streams/pool_history_test.ts
@@ -2,7 +2,9 @@
 import { as, type DaemonId, type EndpointVersion, type FailureDomain, type PoolName } from '../../core/ids/index.ts'
 import type { Member } from '../../core/membership/index.ts'
 import { delay, steadyNow } from '../../core/time/index.ts'
+import { expectedErrors } from '../../scripts/fail_on_task_errors.ts'
 import { StandInNetwork, StandInStore } from '../../standins/index.ts'
+import { StoreError } from '../../store/index.ts'
 import { createMetrics } from '../metrics.ts'
 import { HISTORY_PREFIX } from './_history_reader.ts'
 import { RETIREMENT_MS } from './_version_retirement.ts'
@@ -146,8 +148,8 @@
   history.endpointsChanged(views(V1, V2))
   await pass(MAX_WITHHELD_MS)
   expect(mayBegin(history, V1, V2)).toEqual([false, true])
-  await pass(10 * MAX_WITHHELD_MS)
-  expect(mayBegin(history, V1, V2)).toEqual([true, true])
+  await pass(30 * MAX_WITHHELD_MS)
+  expect(mayBegin(history, V1, V2)).toEqual([false, true])
   store.faults.down = false
   await pass(10_000)
   expect([(await stored()).versions, await confirm(history)]).toEqual([{ 'version=v1': 'listed', 'version=v2': 'listed' }, SEVERAL])
@@ -237,3 +239,53 @@
   await pass(1000)
   expect([history.isCertain(POOL), lost]).toEqual([false, 1])
 })
+
+test('no work begins at a version that the store refuses to hold while others of the pool may get it', async () => {
+  // Guards against a stream of a version that was never written, after which a daemon takes the pool for one of another version.
+  let refuses = false
+  const refused = async () => { throw new StoreError('Cannot write: 429', { failure: 'not-applied' }) }
+  const writes = { snapshot: (prefix: string) => store.snapshot(prefix), create: (...args: Parameters<StandInStore['create']>) => (refuses ? refused() : store.create(...args)), update: (...args: Parameters<StandInStore['update']>) => (refuses ? refused() : store.update(...args)) }
+  const history = await start({ reads: writes })
+  history.endpointsChanged(views(V1))
+  await pass(500)
+  refuses = true
+  history.endpointsChanged(views(V1, V2))
+  await pass(60_000)
+  expect([mayBegin(history, V1, V2), await confirm(history)]).toEqual([[true, false], ONLY_V1])
+})
+
+test('a new version is used in a bounded time while all others of its pool leave and the store is away', async () => {
+  // Guards against endpoints that get no work although no others may.
+  const history = await start()
+  history.endpointsChanged(views(V1))
+  await pass(500)
+  store.faults.down = true
+  history.endpointsChanged([{ ...views(V1)[0]!, leavingAtMs: steadyNow() }, ...views(V2)])
+  await pass(2 * MAX_WITHHELD_MS)
+  expect(mayBegin(history, V2)).toEqual([true])
+})
+
+test('an answer of another daemon that arrives when a version is not listed any more does not allow it later', async () => {
+  // Guards against work at a version that may have been removed from the history meanwhile.
+  const silent = { snapshot: () => new Promise<never>(() => {}), create: () => new Promise<never>(() => {}), update: () => new Promise<never>(() => {}) }
+  const cutOff = await start({ reads: silent })
+  await start()
+  for (const each of histories) each.endpointsChanged(views(V1, V2))
+  await pass(299)
+  cutOff.endpointsChanged(views(V1))
+  await pass(400)
+  cutOff.endpointsChanged(views(V1, V2))
+  expect(mayBegin(cutOff, V2)).toEqual([false])
+})
+
+test('an unexpected error of the store ends no loop of the history', async () => {
+  // Guards against versions that are never written again, and against the end of the process.
+  expectedErrors.set('pool-history', [])
+  let failures = 2
+  const faulty = { snapshot: async (prefix: string) => (failures-- > 0 ? await Promise.reject(new TypeError('unexpected')) : await store.snapshot(prefix)), create: (...args: Parameters<StandInStore['create']>) => store.create(...args), update: (...args: Parameters<StandInStore['update']>) => store.update(...args) }
+  const history = await start({ reads: faulty })
+  history.endpointsChanged(views(V1))
+  await pass(5000)
+  expect([expectedErrors.get('pool-history')!.length > 0, mayBegin(history, V1), history.isCertain(POOL)]).toEqual([true, [true], true])
+  expectedErrors.delete('pool-history')
+})
