Keep the records that the store has apart from those held for other daemons

With 195 daemons and more, records read from the store exceeded the 20,000 that a daemon holds for others: 400 of 780 streams were found, and each listing took 0.2 to 3 s of the event loop and evicted what live daemons had sent. Now the last listing is kept whole, apart.

Large fleets were not played.

--- a/daemon/streams/_record_writer.ts
+++ b/daemon/streams/_record_writer.ts
@@ -6,6 +6,7 @@
 import { isStoreFailure, StoreError, type ObjectStore } from '../../store/index.ts'
 import { log } from '../log/index.ts'
 import type { Metrics } from '../metrics.ts'
+import { reportTaskError } from '../tasks/index.ts'
 import type { KeyedRecord } from './_record_sender.ts'
 
 /** Kind of the objects, one or a few for each process. */
@@ -116,14 +117,16 @@
       metrics.storeCalls.inc({ use: 'streams', kind: 'write', failed: 'false' })
       metrics.streamRecords.inc({ result: 'stored' }, count)
     } catch (err) {
-      if (!(err instanceof StoreError)) throw err
       metrics.storeCalls.inc({ use: 'streams', kind: 'write', failed: 'true' })
-      log('stream-records-not-stored', { why: err.message })
+      if (!(err instanceof StoreError)) reportTaskError('stream-records', err)
+      log('stream-records-not-stored', { why: (err as Error).message })
       this.#hasNew = true
       if (!isStoreFailure(err, 'not-applied')) {
         this.#objectNumber++
         this.#version = undefined
       }
+      // An object that was removed or replaced by another program says nothing about the store.
+      if (isStoreFailure(err, 'conflict')) return
       const backOffMs = Math.min(MAX_BACK_OFF_MS, FIRST_BACK_OFF_MS * 2 ** this.#failures++)
       this.#notBeforeMs = steadyNow() + backOffMs * (0.5 + random() / 2)
     }
--- a/daemon/streams/archived_streams_test.ts
+++ b/daemon/streams/archived_streams_test.ts
@@ -1,10 +1,11 @@
 import { afterEach, beforeEach, expect, test, vi } from 'vitest'
 import { as, type DaemonId, type EndpointVersion, type PoolName, type StreamKey } from '../../core/ids/index.ts'
 import type { EndpointView } from '../../core/routing/index.ts'
-import type { VersionRecord } from '../../core/streams/index.ts'
+import { MAX_VERSION_RECORDS, type VersionRecord } from '../../core/streams/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import { StandInNetwork } from '../../standins/index.ts'
 import { createMetrics } from '../metrics.ts'
+import { RECORDS_TOPIC } from './_messages.ts'
 import type { KeyedRecord } from './_record_sender.ts'
 import type { ArchiveFinding } from './record_archive.ts'
 import { StreamVersions } from './stream_versions.ts'
@@ -18,12 +19,14 @@
 const views = (...versions: Array<string | undefined>) => versions.map((version) => ({ pool: POOL, version })) as unknown as EndpointView[]
 const record = (): VersionRecord => ({ streamVersion: V1, daemon: DEAD, expiresAtMs: steadyNow() + LIFE_MS })
 
+let network: StandInNetwork
 beforeEach(() => { vi.useFakeTimers() })
 afterEach(() => { vi.useRealTimers() })
 
 /** Starts the only daemon of a fleet, with a stand-in for its archive. */
 async function start (...versions: Array<string | undefined>) {
-  const links = new StandInNetwork().join(as<DaemonId>('d0'))
+  network = new StandInNetwork()
+  const links = network.join(as<DaemonId>('d0'))
   await links.listen()
   const added: StreamKey[] = []
   const archive = {
@@ -87,3 +90,18 @@
   archive.onRead(new Map([[KEY, record()]]))
   expect((await find(streams)).verdict).toMatchObject({ streamVersion: { version: 'v2' } })
 })
+
+test('records that the store has are found however many there are, and evict none that other daemons sent', async () => {
+  // Guards against a large fleet whose stored records exceed what a daemon holds for others.
+  const { streams, archive } = await start('v1', 'v2')
+  const other = network.join(as<DaemonId>('d1'))
+  await other.listen()
+  other.keep(['node:d0'])
+  await vi.advanceTimersByTimeAsync(100)
+  other.post(as<DaemonId>('d0'), RECORDS_TOPIC, [POOL, 'v2', OTHER_KEY, LIFE_MS])
+  await vi.advanceTimersByTimeAsync(100)
+  const many = new Map(Array.from({ length: 3 * MAX_VERSION_RECORDS }, (_, i) => [as<StreamKey>(`many-${i}`), record()]))
+  for (let i = 0; i < 3; i++) archive.onRead(new Map(many))
+  for (const key of [as<StreamKey>('many-0'), as<StreamKey>(`many-${many.size - 1}`)]) expect((await find(streams, { key })).verdict).toMatchObject({ type: 'recorded', streamVersion: V1 })
+  expect((await find(streams, { key: OTHER_KEY })).verdict).toMatchObject({ type: 'recorded', streamVersion: { version: 'v2' } })
+})
--- a/daemon/streams/record_archive.ts
+++ b/daemon/streams/record_archive.ts
@@ -7,6 +7,7 @@
 import { log } from '../log/index.ts'
 import type { Metrics } from '../metrics.ts'
 import type { MembershipTask } from '../peers/membership_task.ts'
+import { reportTaskError } from '../tasks/index.ts'
 import type { KeyedRecord } from './_record_sender.ts'
 import { ARCHIVE_PREFIX, archiveIntervalMs, RecordWriter } from './_record_writer.ts'
 
@@ -59,7 +60,6 @@
   #restored: Promise<unknown> = Promise.resolve()
   #listing: Promise<ReadonlyMap<StreamKey, VersionRecord>> | undefined
   #listedAtMs = -Infinity
-  #isLastListed = false
   #timer: NodeJS.Timeout | undefined
   /** Called with the records that were read. */
   onRead: (records: ReadonlyMap<StreamKey, VersionRecord>) => void = () => {}
@@ -99,11 +99,11 @@
     await this.#writer.finish()
   }
 
-  /** Reads the store for the record of a stream. Callers share a listing, and one that comes too soon after the last does without. */
+  /** Reads the store for the record of a stream. Callers share a listing; for one that comes too soon after the last, the store counts as not read. */
   async find (key: StreamKey): Promise<ArchiveFinding> {
     const dueInMs = this.#listedAtMs + Math.max(MIN_LIST_INTERVAL_MS, archiveIntervalMs(this.#options.hostCount())) - steadyNow()
     if (!this.#listing && dueInMs > 0) {
-      if (dueInMs > FIND_TIMEOUT_MS) return { record: undefined, isRead: this.#isLastListed }
+      if (dueInMs > FIND_TIMEOUT_MS) return { record: undefined, isRead: false }
       await delay(dueInMs)
     }
     const records = await Promise.race([this.#list().catch(toUndefined), delay(FIND_TIMEOUT_MS)])
@@ -128,9 +128,7 @@
 
   async #listOnce (): Promise<ReadonlyMap<StreamKey, VersionRecord>> {
     this.#listedAtMs = steadyNow()
-    this.#isLastListed = false
     const objects = await this.#call('read', (store) => store.list(ARCHIVE_PREFIX))
-    this.#isLastListed = true
     const now = steadyNow()
     const records = mergeArchives(objects.map(({ value }) => decodeArchive(value, now)))
     this.#options.metrics.streamRecords.inc({ result: 'read' }, records.size)
@@ -157,7 +155,7 @@
         }
       }
     } catch (err) {
-      if (!(err instanceof StoreError)) throw err
+      if (!(err instanceof StoreError)) reportTaskError('stream-records', err)
     }
   }
 
@@ -175,6 +173,5 @@
 }
 
 function toUndefined (err: Error): undefined {
-  if (!(err instanceof StoreError)) throw err
-  return undefined
+  if (!(err instanceof StoreError)) reportTaskError('stream-records', err)
 }
--- a/daemon/streams/stream_versions.ts
+++ b/daemon/streams/stream_versions.ts
@@ -95,6 +95,8 @@
   readonly #own = new VersionRecords<OwnRecord>()
   /** Records held for other daemons. */
   readonly #held = new VersionRecords()
+  /** Records that the store had when it was last listed: apart, since those of a large fleet would evict the ones held. */
+  #stored: ReadonlyMap<StreamKey, VersionRecord> = new Map()
   /** Called when the caller of a stream of this daemon resumes it with another request elsewhere. Returns false if this daemon has a request that is not older. */
   onResumed: (key: StreamKey, resumption: Resumption) => boolean = () => true
 
@@ -112,11 +114,11 @@
       if (isOver && record) record.daemon = by
     })
     links.handle(FIND_METHOD, async (query: VersionQuery): Promise<VersionReply> => encodeEvidence(await this.#answer(query)))
-    if (options.archive) options.archive.onRead = (records) => { this.#hold(records) }
+    if (options.archive) options.archive.onRead = (records) => { this.#stored = records }
   }
 
-  /** Number of records, own and held for other daemons. */
-  get size (): number { return this.#own.size + this.#held.size }
+  /** Number of records: own, held for other daemons, and read from the store. */
+  get size (): number { return this.#own.size + this.#held.size + this.#stored.size }
 
   /** Must be called with all endpoints after each change to them. */
   endpointsChanged (views: readonly EndpointView[]): void {
@@ -200,15 +202,11 @@
     return isRead
   }
 
-  /** Holds records that this daemon does not know. */
-  #hold (records: ReadonlyMap<StreamKey, VersionRecord>): void {
-    const now = steadyNow()
-    for (const [key, record] of records) if (!this.#recordOf({ key })) this.#held.set(key, record, now)
-  }
-
   #recordOf ({ key }: Pick<VersionQuery, 'key'>): VersionRecord | undefined {
     const now = steadyNow()
-    return key === undefined ? undefined : this.#own.get(key, now) ?? this.#held.get(key, now)
+    if (key === undefined) return undefined
+    const stored = this.#stored.get(key)
+    return this.#own.get(key, now) ?? this.#held.get(key, now) ?? (stored && stored.expiresAtMs > now ? stored : undefined)
   }
 
   /** Sends own records to other daemons, and stores them. */
