Leave out member records and facts of odd types, one by one

Callers saw: with one member record whose number of cores is a large integer (msgpack decodes it as a bigint), from any program with the secret of the daemons, each daemon stopped following servers, configuration and roll-outs and choosing a quota keeper, and passed the record on to all others. An entry that is null ended the link and took the sound entries beside it along.

Cause: gossip was used as it was decoded. Records and facts were kept before anything read them, so that each later reader threw, at each step.

The forms of records and facts, and of the values of facts that this version reads, are checked where messages arrive, before they are kept. Entries are left out one by one, counted (verbenatiller_peer_refused_total) and logged, and the link stays open: a daemon that passes a table on, such as one of an earlier version, did not write its entries. Facts of unknown keys and unknown fields are passed on as before.

--- a/daemon/log/events.ts
+++ b/daemon/log/events.ts
@@ -148,6 +148,8 @@
   'peer-send-failed': { peer: string, why: string }
   /** A message could not be decoded; its link was closed. */
   'peer-message-refused': { peer: string, why: string }
+  /** Messages of a kind, or entries of gossip, have another form and were left out; the link stays open. */
+  'peer-values-refused': { peer: string, kind: string, values: number }
   'not-registered': { why: string }
   'endpoint-listed': { endpoint: string, pool: string, version: string | undefined, failureDomain: string, reclaimable: boolean, slots: number }
   'endpoint-leaving': { endpoint: string, signal: string, leftMs: number }
@@ -247,6 +249,6 @@
 /** Events logged as warnings; the rate limit drops routine events before these. */
 export const WARNING_EVENTS: ReadonlySet<LogEvent> = new Set<LogEvent>([
   'request-refused', 'request-broke', 'connection-closed-draining', 'request-cut', 'request-given-up', 'request-held', 'answer-evicted', 'memory-level', 'attempt-failed', 'export-failed', 'settings-refused', 'port-in-use', 'monitor-not-served', 'config-refused', 'config-outdated', 'config-not-fetched', 'store-lost', 'store-returned', 'relay-failed', 'region-link-lost',
-  'connections-refused', 'peer-not-linked', 'peer-send-failed', 'peer-message-refused', 'not-registered', 'endpoint-refused', 'endpoint-crashed', 'request-quarantined', 'part-quarantined', 'quarantine-not-stored', 'pool-version-unrecorded', 'endpoint-avoided', 'path-down', 'pool-cut-off', 'delegate-failed', 'endpoint-silent', 'endpoint-limit-refused', 'endpoint-signal-refused', 'keeper-silent', 'lease-call-failed',
+  'connections-refused', 'peer-not-linked', 'peer-send-failed', 'peer-message-refused', 'peer-values-refused', 'not-registered', 'endpoint-refused', 'endpoint-crashed', 'request-quarantined', 'part-quarantined', 'quarantine-not-stored', 'pool-version-unrecorded', 'endpoint-avoided', 'path-down', 'pool-cut-off', 'delegate-failed', 'endpoint-silent', 'endpoint-limit-refused', 'endpoint-signal-refused', 'keeper-silent', 'lease-call-failed',
   'usage-not-reported', 'usage-left-out', 'order-refused', 'rollout-held', 'rollout-refused', 'rollout-not-written', 'fleet-round-cut', 'answers-lost', 'lines-left-out', 'task-failed'
 ])
--- a/daemon/metrics.ts
+++ b/daemon/metrics.ts
@@ -48,6 +48,7 @@
     farPeerBytes: counter('peer_far_bytes_total', 'Bytes between daemons of different regions, which peer_bytes_total contains', ['direction']),
     peerMessages: counter('peer_messages_total', 'Messages between daemons, several of one moment counted as one', ['direction']),
     unknownPeerMessages: counter('peer_unknown_messages_total', 'Messages of a kind this version does not know'),
+    refusedPeerMessages: counter('peer_refused_total', 'Messages of other daemons, and entries of their gossip, that were refused because of their form'),
     handedOver: counter('handed_over_total', 'Streams handed to another daemon while draining'),
     endpointSignals: counter('endpoint_signals_total', 'Endpoints that said something about themselves in an answer, by signal; `refused` if it could not be read', ['signal']),
     pathChecks: counter('path_checks_total', 'Connections opened to learn whether an endpoint can be reached, by result', ['result']),
--- a/daemon/peers/peer_links.ts
+++ b/daemon/peers/peer_links.ts
@@ -7,6 +7,7 @@
 import type { Gossip } from '../../core/membership/index.ts'
 import { isDeeperThan, shorten } from '../../core/bounds/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
+import { decodeGossip } from './_gossip_forms.ts'
 import { PeerError, type CallOptions, type ConnectResult, type LinkEvents, type Links, type PeerMethod, type PostHandler } from './links.ts'
 import { log } from '../log/index.ts'
 import type { Metrics } from '../metrics.ts'
@@ -322,7 +323,7 @@
   #receive (link: Link, from: DaemonId, msg: PeerMessage): void {
     link.lastUsedAtMs = steadyNow()
     switch (msg.kind) {
-      case 'gossip': return this.#events.onGossip(from, msg.gossip)
+      case 'gossip': return this.#onGossip(from, msg.gossip)
       case 'call': { this.#answer(link, from, msg); return }
       case 'post': return this.#postHandlers.get(msg.topic)?.(msg.value as never, from)
       case 'part': return this.#pendingCalls.get(msg.call)?.part?.(msg.value)
@@ -332,6 +333,17 @@
     }
   }
 
+  #onGossip (from: DaemonId, value: unknown): void {
+    const { gossip, refused } = decodeGossip(value)
+    if (refused > 0) this.#refuse(from, 'gossip', refused)
+    this.#events.onGossip(from, gossip)
+  }
+
+  #refuse (peer: DaemonId, kind: string, values: number): void {
+    this.#options.metrics.refusedPeerMessages.inc(values)
+    log('peer-values-refused', { peer, kind: shorten(kind), values })
+  }
+
   async #answer (link: Link, from: DaemonId, msg: Extract<PeerMessage, { kind: 'call' }>): Promise<void> {
     const { call } = msg
     const method = this.#methods.get(msg.method)
