Record each stream of a route that is split over several pools

Callers saw: after a kill of all daemons, or of the one that passed their stream on, every stream of a route that is split over several pools was refused with 503, although endpoints of its pool and version served and new streams began.

Cause: a daemon keeps a record to itself while the stream's pool is certain to have one version, since the history of the pool tells where the stream began. The daemon that the caller comes back to does not know the pool if the route has several, and asks for no history: only a record could tell, and it was in the memory of the dead daemon alone.

The admission tells whether the route is split; such a stream's record is sent to its holders and stored whatever its pool's history says, also where endpoints publish no version. `began` takes options in place of a third argument; tests that call it are adapted, and ask for the same.

--- a/daemon/exchange/stream_admission.ts
+++ b/daemon/exchange/stream_admission.ts
@@ -23,6 +23,8 @@
   daemon: DaemonId | undefined
   /** Longest time for which the stream may live from now on, in milliseconds. */
   lifeMs: number
+  /** True if several pools serve the stream's requests. */
+  isSplit: boolean
 }
 
 /** `Retry-After` for streams of which neither other daemons nor the store could be asked where they began, in milliseconds. */
@@ -51,21 +53,22 @@
     const { cls, pools } = route
     if (!cls.streaming) return undefined
     const lifeMs = Math.min(MAX_STREAM_LIFE_MS, Math.max(MIN_STREAM_LIFE_MS, STREAM_LIFE_DEADLINES * Math.max(cls.latency.deadlineMs, req.deadlineInMs ?? 0)))
+    const isSplit = pools.length > 1
     const ownKey = this.#keyOf(req.id, account)
-    if (req.resumeFrom === 0) return { key: ownKey, boundTo: undefined, daemon: undefined, lifeMs }
+    if (req.resumeFrom === 0) return { key: ownKey, boundTo: undefined, daemon: undefined, lifeMs, isSplit }
     const key = req.streamId === undefined ? undefined : this.#keyOf(req.streamId, account)
-    const { verdict, cause, answered, evidence, waitedMs } = await this.#options.versions.find({ key, pool: pools.length === 1 ? pools[0]!.pool : undefined, lifeMs })
+    const { verdict, cause, answered, evidence, waitedMs } = await this.#options.versions.find({ key, pool: isSplit ? undefined : pools[0]?.pool, lifeMs })
     const boundTo = 'streamVersion' in verdict ? verdict.streamVersion : undefined
     const daemon = verdict.type === 'recorded' ? verdict.daemon : undefined
     logRequest(req.id, 'stream-version', { stream: req.streamId, result: verdict.type, cause, pool: boundTo?.pool, version: boundTo?.version, daemon, answered, beliefs: evidence.map(describe), waitedMs: Math.round(waitedMs) })
     const problem = boundTo ? problemOf(boundTo, pools) : problemOfVerdict(verdict, cause)
     if (problem) throw new Refusal(problem.why, { status: 503, ...problem, cls: cls.name, ...(account && { account: account.id }) })
-    return { key: key ?? ownKey, boundTo, daemon, lifeMs }
+    return { key: key ?? ownKey, boundTo, daemon, lifeMs, isSplit }
   }
 
   /** Records that the first event of a stream is passed on from here. */
-  began ({ key, lifeMs }: AdmittedStream, boundTo: StreamVersion): void {
-    this.#options.versions.began(key, boundTo, lifeMs)
+  began ({ key, lifeMs, isSplit }: AdmittedStream, boundTo: StreamVersion): void {
+    this.#options.versions.began(key, boundTo, { lifeMs, isSplit })
   }
 
   /** Ends the run of a stream at the daemon that passed it on: the request that resumes it after `from` events has its first attempt. */
--- a/daemon/streams/archived_streams_test.ts
+++ b/daemon/streams/archived_streams_test.ts
@@ -52,18 +52,18 @@
   // Guards against calls to the store in the ordinary case.
   const { streams, added } = await start('v1')
   await vi.advanceTimersByTimeAsync(LIFE_MS)
-  streams.began(KEY, V1, LIFE_MS)
+  streams.began(KEY, V1, { lifeMs: LIFE_MS })
   expect(added).toEqual([])
   streams.endpointsChanged(views('v1', 'v2'))
   expect(added).toEqual([KEY])
-  streams.began(OTHER_KEY, V1, LIFE_MS)
+  streams.began(OTHER_KEY, V1, { lifeMs: LIFE_MS })
   streams.endpointsChanged(views('v1', 'v2', 'v3'))
   expect(added).toEqual([KEY, OTHER_KEY])
 })
 
 test('nothing is stored for pools whose endpoints have no version', async () => {
   const { streams, added } = await start(undefined)
-  streams.began(KEY, { pool: POOL, version: undefined }, LIFE_MS)
+  streams.began(KEY, { pool: POOL, version: undefined }, { lifeMs: LIFE_MS })
   expect(added).toEqual([])
 })
 
@@ -86,7 +86,7 @@
 
 test('a record that this daemon holds is not replaced by what the store has', async () => {
   const { streams, archive } = await start('v1', 'v2')
-  streams.began(KEY, { pool: POOL, version: as<EndpointVersion>('v2') }, LIFE_MS)
+  streams.began(KEY, { pool: POOL, version: as<EndpointVersion>('v2') }, { lifeMs: LIFE_MS })
   archive.onRead(new Map([[KEY, record()]]))
   expect((await find(streams)).verdict).toMatchObject({ streamVersion: { version: 'v2' } })
 })
--- a/daemon/streams/stream_versions.ts
+++ b/daemon/streams/stream_versions.ts
@@ -56,6 +56,14 @@
   waitedMs: number
 }
 
+/** Options of {@linkcode StreamVersions.began}. */
+export interface BegunStream {
+  /** Longest time from now on in which the caller may resume the stream, in milliseconds. */
+  lifeMs: number
+  /** True if several pools serve the stream's requests, so that what is known of one pool does not tell where the stream began. Default false. */
+  isSplit?: boolean
+}
+
 /** Record of a stream that this daemon passes on, or did before another one took it over. */
 interface OwnRecord extends VersionRecord {
   lifeMs: number
@@ -85,7 +93,7 @@
  * Knows where streams began.
  *
  * The daemon that passes the first event of a stream to its caller records the version, and sends the record to {@linkcode HOLDER_COUNT} others along with that event. It
- * sends nothing while it is certain that the pool has had one version only for as long as a stream lives: then any daemon that can read the store can tell.
+ * sends nothing while it is certain that the pool has had one version only for as long as a stream lives, and no other pool serves the stream's requests: then any daemon that can read the store can tell.
  */
 export class StreamVersions {
   readonly #options: StreamVersionsOptions
@@ -130,14 +138,11 @@
     this.#sendUncertain()
   }
 
-  /**
-   * Records the first event that this daemon passes on of a stream that its caller may resume.
-   * @param lifeMs Longest time from now on in which the caller may resume it, in milliseconds.
-   */
-  began (key: StreamKey, streamVersion: StreamVersion, lifeMs: number): void {
+  /** Records the first event that this daemon passes on of a stream that its caller may resume. */
+  began (key: StreamKey, streamVersion: StreamVersion, { lifeMs, isSplit = false }: BegunStream): void {
     const now = steadyNow()
-    if (streamVersion.version === undefined && this.#versions.seen(streamVersion.pool, now - lifeMs).every((version) => version === undefined)) return
-    const isSent = !this.#isOnlyVersion(streamVersion, lifeMs)
+    if (!isSplit && streamVersion.version === undefined && this.#versions.seen(streamVersion.pool, now - lifeMs).every((version) => version === undefined)) return
+    const isSent = isSplit || !this.#isOnlyVersion(streamVersion, lifeMs)
     const record = { streamVersion, daemon: this.#options.self, expiresAtMs: now + lifeMs, lifeMs, isSent }
     this.#own.set(key, record, now)
     if (isSent) this.#send([[key, record]])
--- a/daemon/streams/stream_versions_test.ts
+++ b/daemon/streams/stream_versions_test.ts
@@ -115,7 +115,7 @@
 
 test('a stream is found at any daemon after the one that began it and two others were killed', async () => {
   await start(9, 'v1', 'v2')
-  for (let i = 0; i < 20; i++) daemons[0]!.streams.began(key(i), V2, LIFE_MS)
+  for (let i = 0; i < 20; i++) daemons[0]!.streams.began(key(i), V2, { lifeMs: LIFE_MS })
   await vi.advanceTimersByTimeAsync(20)
   await kill(0, 4, 8)
   const found = await Promise.all(Array.from({ length: 20 }, (_, i) => find(1 + i % 3, i)))
@@ -126,7 +126,7 @@
   // Guards against messages for each stream in the ordinary case.
   await start(3, 'v1', 'v1')
   await vi.advanceTimersByTimeAsync(LIFE_MS)
-  daemons[0]!.streams.began(key(1), V1, LIFE_MS)
+  daemons[0]!.streams.began(key(1), V1, { lifeMs: LIFE_MS })
   await vi.advanceTimersByTimeAsync(100)
   expect(await sent(0)).toBe(0)
   await kill(0)
@@ -136,7 +136,7 @@
 
 test('pools whose endpoints have no version cost nothing', async () => {
   await start(3)
-  daemons[0]!.streams.began(key(1), { pool: POOL, version: undefined }, LIFE_MS)
+  daemons[0]!.streams.began(key(1), { pool: POOL, version: undefined }, { lifeMs: LIFE_MS })
   expect([await sent(0), daemons[0]!.streams.size]).toEqual([0, 0])
 })
 
@@ -151,7 +151,7 @@
   // Guards against streams that began before the second version came, and are lost with their daemon after it.
   await start(4, 'v1')
   await vi.advanceTimersByTimeAsync(LIFE_MS)
-  daemons[0]!.streams.began(key(1), V1, LIFE_MS)
+  daemons[0]!.streams.began(key(1), V1, { lifeMs: LIFE_MS })
   happens(daemons[0]!)
   await vi.advanceTimersByTimeAsync(600)
   expect(await sent(0)).toBe(3)
@@ -162,7 +162,7 @@
 
 test('a daemon that has just started finds records, and vouches for nothing that the store does not show it', async () => {
   await start(3, 'v1', 'v2')
-  daemons[0]!.streams.began(key(1), V1, LIFE_MS)
+  daemons[0]!.streams.began(key(1), V1, { lifeMs: LIFE_MS })
   await start(1, 'v1')
   expect(await find(3, 1)).toMatchObject({ type: 'recorded' })
   expect(await find(3, 2)).toEqual({ type: 'unknown' })
@@ -171,7 +171,7 @@
 test('after all daemons were killed, one that has just started knows that a pool has had one version', async () => {
   // Guards against refusing every stream for as long as one lives.
   await start(3, 'v1')
-  daemons[0]!.streams.began(key(1), V1, LIFE_MS)
+  daemons[0]!.streams.began(key(1), V1, { lifeMs: LIFE_MS })
   await kill(0, 1, 2)
   members = []
   await join('v1')
@@ -220,7 +220,7 @@
   for (const out of [3, 4]) daemons[out]!.hangs = true
   for (const { see } of daemons.slice(0, 3)) see('v1', 'v2')
   await vi.advanceTimersByTimeAsync(WRITTEN_MS)
-  daemons[0]!.streams.began(key(1), V2, LIFE_MS)
+  daemons[0]!.streams.began(key(1), V2, { lifeMs: LIFE_MS })
   expect(await find(3, 1)).not.toMatchObject({ type: 'only-version' })
   network.healPartitions()
   expect(await find(3, 1)).toMatchObject({ type: 'recorded', streamVersion: V2 })
@@ -229,7 +229,7 @@
 test('a stream that a delegate began at a version which this daemon does not see is recorded at others', async () => {
   // Guards against a stream that is lost with its daemon since its pool is taken for one of another version.
   await start(3, 'v1')
-  daemons[0]!.streams.began(key(1), V2, LIFE_MS)
+  daemons[0]!.streams.began(key(1), V2, { lifeMs: LIFE_MS })
   await vi.advanceTimersByTimeAsync(100)
   await kill(0)
   expect(await find(1, 1)).toMatchObject({ type: 'recorded', streamVersion: V2 })
@@ -246,7 +246,7 @@
   daemons[2]!.hangs = true
   for (const { see } of daemons.slice(0, 2)) see('v1', 'v2')
   await vi.advanceTimersByTimeAsync(WRITTEN_MS)
-  daemons[0]!.streams.began(key(1), V2, LIFE_MS)
+  daemons[0]!.streams.began(key(1), V2, { lifeMs: LIFE_MS })
   expect(await find(2, 1)).toEqual({ type: 'unreachable' })
   if (what.startsWith('the store')) daemons[2]!.hangs = false
   else network.healPartitions()
@@ -259,7 +259,7 @@
   await vi.advanceTimersByTimeAsync(LIFE_MS)
   daemons[0]!.see('v1', 'v2')
   await vi.advanceTimersByTimeAsync(WRITTEN_MS)
-  daemons[0]!.streams.began(key(1), V2, LIFE_MS)
+  daemons[0]!.streams.began(key(1), V2, { lifeMs: LIFE_MS })
   await kill(0)
   expect(await find(2, 2)).not.toMatchObject({ type: 'only-version' })
 })
@@ -286,7 +286,7 @@
 test('a record that arrives after the first inquiry is found', async () => {
   // Guards against callers that are back sooner than a busy daemon reads the record.
   await start(3, 'v1', 'v2')
-  setTimeout(() => daemons[0]!.streams.began(key(1), V1, LIFE_MS), 30)
+  setTimeout(() => daemons[0]!.streams.began(key(1), V1, { lifeMs: LIFE_MS }), 30)
   expect(await find(1, 1)).toMatchObject({ type: 'recorded' })
   expect((await daemons[1]!.metrics.streamVersions.get()).values).toMatchObject([{ labels: { result: 'recorded-late' } }])
 })
@@ -294,7 +294,7 @@
 test('records survive daemons that leave one after the other', async () => {
   // Guards against rolling restarts of all holders within the life of a stream.
   await start(6, 'v1', 'v2')
-  for (let i = 0; i < 10; i++) daemons[0]!.streams.began(key(i), V2, LIFE_MS)
+  for (let i = 0; i < 10; i++) daemons[0]!.streams.began(key(i), V2, { lifeMs: LIFE_MS })
   await vi.advanceTimersByTimeAsync(10)
   for (let i = 0; i < 4; i++) {
     members = members.filter(({ id }) => id !== `d${i}`)
@@ -318,10 +318,10 @@
     await vi.advanceTimersByTimeAsync(10)
     return [before, daemon]
   }
-  daemons[0]!.streams.began(key(1), V1, LIFE_MS)
+  daemons[0]!.streams.began(key(1), V1, { lifeMs: LIFE_MS })
   await vi.advanceTimersByTimeAsync(10)
   expect(await resume(1)).toEqual([0, 'd0'])
-  daemons[1]!.streams.began(key(1), V1, LIFE_MS)
+  daemons[1]!.streams.began(key(1), V1, { lifeMs: LIFE_MS })
   await vi.advanceTimersByTimeAsync(10)
   expect(await resume(1)).toEqual([1, 'd1'])
   expect(await resume(0)).toEqual([1, 'd1'])
@@ -332,7 +332,7 @@
   const resumed: object[] = []
   await start(2, 'v1', 'v2')
   daemons[0]!.streams.onResumed = (which, resumption) => resumed.push({ which, ...resumption }) > 0
-  daemons[0]!.streams.began(key(1), V1, LIFE_MS)
+  daemons[0]!.streams.began(key(1), V1, { lifeMs: LIFE_MS })
   const { links, streams } = await join('v1', 'v2')
   expect(links.isLinked(members[0]!.id)).toBe(false)
   await streams.resumed(key(1), { daemon: members[0]!.id, from: 3 })
@@ -342,7 +342,7 @@
 
 test('a daemon with a newer run of a stream stays the one that passes it on', async () => {
   await start(2, 'v1', 'v2')
-  daemons[0]!.streams.began(key(1), V1, LIFE_MS)
+  daemons[0]!.streams.began(key(1), V1, { lifeMs: LIFE_MS })
   daemons[0]!.streams.onResumed = () => false
   await daemons[1]!.streams.resumed(key(1), { daemon: members[0]!.id, from: 3 })
   await vi.advanceTimersByTimeAsync(10)
--- a/daemon/streams/version_schedules_test.ts
+++ b/daemon/streams/version_schedules_test.ts
@@ -139,7 +139,7 @@
     if (usable.length === 0) return
     const version = usable[Math.floor(this.random() * usable.length)]!.version!
     const key = as<StreamKey>(`s${this.begun.length}`)
-    daemon.streams.began(key, { pool, version }, LIFE_MS)
+    daemon.streams.began(key, { pool, version }, { lifeMs: LIFE_MS })
     this.begun.push({ key, pool, version, atMs: steadyNow() })
   }
 
