Wait for the table of a second daemon once one was heard, as the design says

Callers saw: 404 for a route, or 401 for a key, of the configuration in force, from a daemon that was ready too early beside a store that had returned to an older copy.

Cause: a daemon that starts was ready after CONTACT_WAIT_MS (500 ms), also if it had heard one of several others by then. If that one had started at the same time, it knew no newer configuration either. docs/design/store_returns.md says 500 ms for the first table and a second for both.

Change: CONTACT_WAIT_MS ends the wait only for a daemon that has heard nobody; one that has heard somebody waits for the second table, up to FETCH_WAIT_MS. The other way, counting only the time in which the process runs, was weighed: it helps only where the process that starts is the busy one, and makes a start without peers on a throttled host longer.

--- a/daemon/config/config_follower.ts
+++ b/daemon/config/config_follower.ts
@@ -40,9 +40,9 @@
 
 const DEFAULT_WATCHERS_PER_DOMAIN = 2
 const POLL_MS = 60_000
-/** Time for which a daemon that starts waits to hear what its peers have, in milliseconds. Contact takes less where peers answer, and the balancer checks once a second. */
+/** Time for which a daemon that starts waits to hear from a peer, in milliseconds. Contact takes less where peers answer, and the balancer checks once a second. */
 const CONTACT_WAIT_MS = 500
-/** The same, and to fetch a newer revision that they have. */
+/** The same, until it knows all that its peers have and has fetched a newer revision. */
 const FETCH_WAIT_MS = 1000
 /** Time for which the store's last answer counts as confirmation that no newer revision exists, in milliseconds. */
 const CONFIRMATION_TTL_MS = 150_000
@@ -110,13 +110,15 @@
 
   /**
    * True once the configuration in force is the newest that a reachable daemon has, or this daemon has waited for it since its start. The store may have
-   * an older one after a return to a copy.
+   * an older one after a return to a copy, and the first peer that is heard may have started at the same time and know no newer one.
    */
   get settled (): boolean {
     const waitedMs = steadyNow() - this.#startedAtMs
     if (this.#inForce === undefined || waitedMs < 0) return false
     if (waitedMs >= FETCH_WAIT_MS) return true
-    return !this.#exchange.isMissing && (this.#options.membership.introduced || waitedMs >= CONTACT_WAIT_MS)
+    if (this.#exchange.isMissing) return false
+    const { introduced, joined } = this.#options.membership
+    return introduced || (!joined && waitedMs >= CONTACT_WAIT_MS)
   }
 
   /** True if this daemon is one of the few in its failure domain that watch the store. */
--- a/daemon/config/config_follower_test.ts
+++ b/daemon/config/config_follower_test.ts
@@ -133,12 +133,12 @@
 })
 
 /** Starts a follower whose store has revision 1, and whose peer answers a call after the given time, or never. */
-async function startBeside (peer: { introduced: boolean, answersAfterMs?: number }) {
+async function startBeside (peer: { introduced: boolean, joined?: boolean, answersAfterMs?: number }) {
   const store = new StandInStore()
   await store.create(KEY, '{"revision":1}')
   let announce: (fact: { key: string, version: number }, from: string) => void = () => {}
   const call = () => (peer.answersAfterMs === undefined ? new Promise(() => {}) : delay(peer.answersAfterMs).then(() => '{"revision":3}'))
-  const beside = { ...membership, introduced: peer.introduced, onFact: (listener: typeof announce) => { announce = listener }, links: { ...membership.links, call }, reachable: [], core: { ...membership.core, neighbours: [], member: (id: string) => ({ id }) } } as unknown as MembershipTask
+  const beside = { ...membership, introduced: peer.introduced, joined: peer.joined ?? peer.introduced, onFact: (listener: typeof announce) => { announce = listener }, links: { ...membership.links, call }, reachable: [], core: { ...membership.core, neighbours: [], member: (id: string) => ({ id }) } } as unknown as MembershipTask
   const follower = new ConfigFollower({ self: as<DaemonId>('d'), store, key: KEY, decode, membership: beside, metrics: createMetrics(), hash: () => 0, random: () => 0.5 })
   follower.start()
   return { follower, announce: () => announce({ key: 'config', version: 3 }, 'peer') }
@@ -172,3 +172,13 @@
   expect(silent.follower.settled).toBe(true)
   for (const { follower } of [alone, unheard, silent]) follower.stop()
 })
+
+test('a daemon that has heard one of several others waits for the table of a second one, a second at most', async () => {
+  // Guards against a daemon that serves an older revision of the store, since the only daemon that it has heard started at the same time.
+  const { follower } = await startBeside({ introduced: false, joined: true })
+  await vi.advanceTimersByTimeAsync(990)
+  expect([follower.inForce, follower.settled]).toEqual([{ revision: 1 }, false])
+  await vi.advanceTimersByTimeAsync(20)
+  expect(follower.settled).toBe(true)
+  follower.stop()
+})
