Read what waits of a body before its caller counts as late

Callers saw: 408 for a request whose body had come, after the daemon's process had stood still or had a turn of the event loop longer than what was left of the idle timeout.

Cause: after such a turn timers run before connections are read, and the timer of a body that does not come rejected it while its rest waited in the system's buffer.

Change: when the idle timeout of a body passes, what waits is read first; it is refused only if nothing came.

Evidence: the new test failed before with 408 in place of 404 (npx vitest run daemon/exchange/exchange_server_test.ts, 3 of 3 runs); with daemon/exchange/body_reader_test.ts 25 of 25 pass in 3 of 3 runs after, load about 33. A second test, that a body which does not come is still answered 408, passed before and after.

--- a/daemon/exchange/body_reader.ts
+++ b/daemon/exchange/body_reader.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage } from 'node:http'
 import type { CallerLimits } from '../../core/catalog/index.ts'
 import { SMALL_ENTRY_BYTES, type MemoryAccount, type MemoryEntry } from '../../core/memory/index.ts'
+import { confirmIdle } from './_idle_timeout.ts'
 import { Refusal } from './refusal.ts'
 
 /** A body that was read. */
@@ -125,7 +126,8 @@
   const whole = known === undefined ? undefined : Buffer.allocUnsafeSlow(known)
   let length = 0
   return await new Promise((resolve, reject) => {
-    const idleTimer = setTimeout(() => reject(new Refusal('the body did not come', { status: 408 })), limits.idleMs)
+    // What waited while the process stood still begins the timeout anew.
+    const idleTimer = setTimeout(() => confirmIdle(() => length, () => reject(new Refusal('the body did not come', { status: 408 }))), limits.idleMs)
     const refuse = (why: Refusal) => {
       req.off('data', onData)
       parts.length = 0
--- a/daemon/exchange/exchange_server_test.ts
+++ b/daemon/exchange/exchange_server_test.ts
@@ -127,6 +127,27 @@
   expect(received().match(/^HTTP\/1.1 404 /gm)).toHaveLength(2)
 })
 
+test('a caller is not late with the rest of a body while the daemon reads nothing', async () => {
+  // Guards against a daemon that answers 408 after its process has stood still, although the body has come.
+  server.limit({ headerBytes: 16_384, bodyBytes: 1000, headerMs: 15_000, idleMs: 50 })
+  const { socket, received, closed } = await openConnection()
+  socket.write('POST /elsewhere HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 10\r\n\r\n12345')
+  await delay(25)
+  await setImmediate()
+  socket.write('67890')
+  block(100)
+  await closed
+  expect(received()).toMatch(/^HTTP\/1.1 404 /)
+})
+
+test('a caller that does not send the rest of a body is answered 408 after the idle timeout', async () => {
+  server.limit({ headerBytes: 16_384, bodyBytes: 1000, headerMs: 15_000, idleMs: 50 })
+  const { socket, received, closed } = await openConnection()
+  socket.write('POST /elsewhere HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\n12345')
+  await closed
+  expect(received()).toMatch(/^HTTP\/1.1 408 /)
+})
+
 test('a kept connection without a further request is closed after the idle timeout', async () => {
   server.limit({ headerBytes: 16_384, bodyBytes: 1000, headerMs: 15_000, idleMs: 50 })
   const { socket, received, closed } = await openConnection()
