Keep in the store which pools a route's streams may have begun in

Callers saw: streams that were taken up again after all daemons were killed, while a configuration moved their route to another service, went on at that service: events of two runs joined. All of them did.

Cause: without a record, a stream goes on at its pool's only version. That belief is about the pool that serves the route now. The stream began in another pool, which had one version as well, so that its daemon kept the record to itself and died with it. What the belief cannot see, that the route led elsewhere, was taken as not there.

The pools of each route whose streams may be resumed are kept in the store like the versions of a pool, read with the same call and retired after the same time. A take-up without a record needs, from one read that begins after it, one version of the pool and one pool of every stored route that matches its request: also a route that was added within another one, or removed. A daemon that is not certain of that sends and stores its records, and those that it has when the configuration changes. Requests do not wait for the write: a stream that begins before it has a record. Confirmations of daemons that do not know of this count only against a pool; such daemons retire nothing that is listed under a route, as they list no version for it (by reading). Routes do not make a daemon ready.

--- a/daemon/exchange/_proxy_components.ts
+++ b/daemon/exchange/_proxy_components.ts
@@ -359,6 +359,7 @@
   components.config.onChange((catalog) => {
     components.limits.apply(catalog.accounts?.byId.values() ?? [])
     components.server.limit(catalog.limits)
+    components.poolHistory.routesChanged(catalog.routes)
   })
   return components
 }
--- a/daemon/exchange/intake_test.ts
+++ b/daemon/exchange/intake_test.ts
@@ -55,7 +55,7 @@
 
 test('a late notice that a stream was resumed elsewhere ends no newer run of it', async () => {
   // Guards against a caller that is back at this daemon sooner than the notice of its try at another one.
-  const stream = { key: as<StreamKey>('stream'), boundTo: { pool: POOL, version: undefined }, daemon: undefined, lifeMs: 30_000, isSplit: false }
+  const stream = { key: as<StreamKey>('stream'), boundTo: { pool: POOL, version: undefined }, daemon: undefined, lifeMs: 30_000, isSplit: false, origin: { host: 'a.example', path: '/' } }
   const intake = intakeWith({ quotaWaitMs: 0, stream })
   const accept = async (id: string, resumeFrom: number) => {
     const accepted = intake.accept({ ...request(undefined), id: as<RequestId>(id), resumeFrom })
--- a/daemon/exchange/stream_admission.ts
+++ b/daemon/exchange/stream_admission.ts
@@ -2,7 +2,7 @@
 import type { Account, PoolShare, Route } from '../../core/catalog/index.ts'
 import { as, type AccountId, type DaemonId, type RequestId, type StreamKey } from '../../core/ids/index.ts'
 import { fingerprintOf, type Hash64 } from '../../core/quarantine/index.ts'
-import type { UnknownCause, VersionEvidence, VersionVerdict, StreamVersion } from '../../core/streams/index.ts'
+import type { RequestOrigin, UnknownCause, VersionEvidence, VersionVerdict, StreamVersion } from '../../core/streams/index.ts'
 import type { ProxiedRequest } from '../../endpoints/index.ts'
 import { logRequest } from '../log/index.ts'
 import type { StreamVersions } from '../streams/index.ts'
@@ -25,6 +25,8 @@
   lifeMs: number
   /** True if several pools serve the stream's requests. */
   isSplit: boolean
+  /** Where its requests come in. */
+  origin: RequestOrigin
 }
 
 /** `Retry-After` for streams of which neither other daemons nor the store could be asked where they began, in milliseconds. */
@@ -34,6 +36,8 @@
 const MAX_STREAM_LIFE_MS = 600_000
 /** Time for which a stream is taken to live, in deadlines of a request. */
 const STREAM_LIFE_DEADLINES = 2
+/** Length of a path up to which other daemons are told of it: longer than any route's prefix. */
+const MAX_PATH_LENGTH = 1024
 /** Part of a stream's key for callers without an account. */
 const NO_ACCOUNT = as<AccountId>('')
 
@@ -49,26 +53,27 @@
    * Returns the stream that a request belongs to; undefined for a plain call.
    * @throws {Refusal} If the stream cannot continue, or it cannot be found out where it began. What is not known is not guessed.
    */
-  async admit (req: Pick<ProxiedRequest, 'id' | 'streamId' | 'resumeFrom' | 'deadlineInMs'>, { route, account }: { route: Route, account: Account | undefined }): Promise<AdmittedStream | undefined> {
+  async admit (req: Pick<ProxiedRequest, 'id' | 'target' | 'streamId' | 'resumeFrom' | 'deadlineInMs'>, { route, account }: { route: Route, account: Account | undefined }): Promise<AdmittedStream | undefined> {
     const { cls, pools } = route
     if (!cls.streaming) return undefined
     const lifeMs = Math.min(MAX_STREAM_LIFE_MS, Math.max(MIN_STREAM_LIFE_MS, STREAM_LIFE_DEADLINES * Math.max(cls.latency.deadlineMs, req.deadlineInMs ?? 0)))
     const isSplit = pools.length > 1
+    const origin = { host: route.host.toLowerCase(), path: req.target.split('?', 1)[0]!.slice(0, MAX_PATH_LENGTH) }
     const ownKey = this.#keyOf(req.id, account)
-    if (req.resumeFrom === 0) return { key: ownKey, boundTo: undefined, daemon: undefined, lifeMs, isSplit }
+    if (req.resumeFrom === 0) return { key: ownKey, boundTo: undefined, daemon: undefined, lifeMs, isSplit, origin }
     const key = req.streamId === undefined ? undefined : this.#keyOf(req.streamId, account)
-    const { verdict, cause, answered, evidence, waitedMs } = await this.#options.versions.find({ key, pool: isSplit ? undefined : pools[0]?.pool, lifeMs })
+    const { verdict, cause, answered, evidence, waitedMs } = await this.#options.versions.find({ key, pool: isSplit ? undefined : pools[0]?.pool, origin, lifeMs })
     const boundTo = 'streamVersion' in verdict ? verdict.streamVersion : undefined
     const daemon = verdict.type === 'recorded' ? verdict.daemon : undefined
     logRequest(req.id, 'stream-version', { stream: req.streamId, result: verdict.type, cause, pool: boundTo?.pool, version: boundTo?.version, daemon, answered, beliefs: evidence.map(describe), waitedMs: Math.round(waitedMs) })
     const problem = boundTo ? problemOf(boundTo, pools) : problemOfVerdict(verdict, cause)
     if (problem) throw new Refusal(problem.why, { status: 503, ...problem, cls: cls.name, ...(account && { account: account.id }) })
-    return { key: key ?? ownKey, boundTo, daemon, lifeMs, isSplit }
+    return { key: key ?? ownKey, boundTo, daemon, lifeMs, isSplit, origin }
   }
 
   /** Records that the first event of a stream is passed on from here. */
-  began ({ key, lifeMs, isSplit }: AdmittedStream, boundTo: StreamVersion): void {
-    this.#options.versions.began(key, boundTo, { lifeMs, isSplit })
+  began ({ key, lifeMs, isSplit, origin }: AdmittedStream, boundTo: StreamVersion): void {
+    this.#options.versions.began(key, boundTo, { lifeMs, isSplit, origin })
   }
 
   /** Ends the run of a stream at the daemon that passed it on: the request that resumes it after `from` events has its first attempt. */
--- a/daemon/streams/_messages.ts
+++ b/daemon/streams/_messages.ts
@@ -1,6 +1,6 @@
 /** Messages between daemons about where streams began. */
 import type { DaemonId, EndpointVersion, PoolName, StreamKey } from '../../core/ids/index.ts'
-import type { VersionRecord, VersionEvidence, StreamVersion } from '../../core/streams/index.ts'
+import type { RequestOrigin, VersionRecord, VersionEvidence, StreamVersion } from '../../core/streams/index.ts'
 
 /** Sends records to a daemon that holds them; no reply. */
 export const RECORDS_TOPIC = 'stream-versions'
@@ -18,6 +18,8 @@
   lifeMs: number
   /** Also asks what a read of the store shows of the pool that begins once the query has arrived. Default false. */
   confirm?: boolean
+  /** Also asks whether that read shows the pool as the only one of this origin. Default: it does not matter. */
+  origin?: RequestOrigin | undefined
 }
 
 /** Pool, version, and the key and remaining life of each stream in milliseconds: without field names, since most messages hold one stream. */
@@ -27,6 +29,8 @@
 export interface VersionReply {
   record?: { streamVersion: EncodedVersion, daemon: DaemonId }
   versions: Array<EndpointVersion | null>
+  /** True if the confirmation takes the query's origin into account, which daemons of earlier releases do not. */
+  ofOrigin?: true
   /** Read by daemons of earlier releases, which take true for a proof. */
   hasWatched: false
   confirmation?: { isOnly: true, version: EndpointVersion | null } | { isOnly: false }
@@ -64,7 +68,8 @@
   }
 }
 
-export function decodeEvidence ({ record, versions, confirmation, registryAgeMs }: VersionReply): VersionEvidence {
+export function decodeEvidence ({ record, versions, confirmation: replied, ofOrigin, registryAgeMs }: VersionReply, { origin }: Pick<VersionQuery, 'origin'> = {}): VersionEvidence {
+  const confirmation = replied?.isOnly === true && origin !== undefined && ofOrigin !== true ? undefined : replied
   return {
     record: record && { streamVersion: decodeVersion(record.streamVersion), daemon: record.daemon },
     versions: versions.map((version) => version ?? undefined),
--- a/daemon/streams/pool_history.ts
+++ b/daemon/streams/pool_history.ts
@@ -1,7 +1,8 @@
 /** Keeps in the store which versions of a pool's endpoints may have begun streams that still live. */
-import type { DaemonId, EndpointVersion, PoolName } from '../../core/ids/index.ts'
+import type { Route } from '../../core/catalog/index.ts'
+import { as, type DaemonId, type EndpointVersion, type PoolName } from '../../core/ids/index.ts'
 import type { EndpointView } from '../../core/routing/index.ts'
-import { changedHistory, confirmationOf, encodeHistory, isListed, type HistoryVersion, type PoolConfirmation } from '../../core/streams/index.ts'
+import { changedHistory, confirmationOf, encodeHistory, isListed, isOnlyPool, isRouteKey, matchesRoute, routeKeyOf, type HistoryVersion, type PoolConfirmation, type RequestOrigin } from '../../core/streams/index.ts'
 import { delay, steadyNow } from '../../core/time/index.ts'
 import { isStoreFailure, StoreError, type ObjectStore } from '../../store/index.ts'
 import { log } from '../log/index.ts'
@@ -25,6 +26,9 @@
   registryAgeMs (): number | undefined
 }
 
+/** A version at which work of a pool may begin, or a pool in which streams of a route may. */
+type ListedVersion = Pick<EndpointView, 'pool' | 'version'> & Partial<Pick<EndpointView, 'leavingAtMs'>>
+
 /** Query of {@linkcode RECORDED_METHOD}. */
 interface RecordedQuery { pool: PoolName, version: EndpointVersion | null }
 
@@ -65,6 +69,8 @@
  *
  * If the store does not take a version in time and no other endpoint of the pool may get new work, its endpoints are used all the same. Until the store has it, a stream that began there is found by
  * its records alone.
+ *
+ * The pools of each route whose streams may be resumed are kept in the same way, since a pool tells nothing of streams that began before their route was moved to it.
  */
 export class PoolHistory {
   readonly #options: PoolHistoryOptions
@@ -73,7 +79,10 @@
   /** What the store last showed; undefined before its first answer and after a return to a copy. */
   #copy: HistorySnapshot | undefined
   #copiedAtMs = -Infinity
-  /** Listed versions by pool, as the registry shows them. */
+  #views: readonly ListedVersion[] = []
+  /** Pools of the routes whose streams may be resumed. */
+  #routePools: readonly ListedVersion[] = []
+  /** Listed versions by pool, as the registry shows them, and listed pools by route. */
   #listed: ReadonlyMap<PoolName, ReadonlySet<HistoryVersion>> = new Map()
   #listedKeys: ReadonlySet<string> = new Set()
   /** Listed versions with an endpoint that does not leave. */
@@ -121,7 +130,21 @@
   }
 
   /** Must be called with all endpoints after each change to them. */
-  endpointsChanged (views: ReadonlyArray<Pick<EndpointView, 'pool' | 'version'> & Partial<Pick<EndpointView, 'leavingAtMs'>>>): void {
+  endpointsChanged (views: readonly ListedVersion[]): void {
+    this.#views = views
+    this.#relist()
+  }
+
+  /** Must be called with all routes after each change to them. */
+  routesChanged (routes: ReadonlyArray<Pick<Route, 'host' | 'pathPrefix' | 'pools'> & { cls: Pick<Route['cls'], 'resumable'> }>): void {
+    this.#routePools = routes.filter(({ cls }) => cls.resumable).flatMap((route) =>
+      route.pools.filter(({ weight }) => weight > 0).map(({ pool }) => ({ pool: routeKeyOf(route), version: as<EndpointVersion>(pool) })))
+    this.#relist()
+    this.#checkCertain()
+  }
+
+  #relist (): void {
+    const views = [...this.#views, ...this.#routePools]
     const listed = new Map<PoolName, Set<HistoryVersion>>()
     for (const { pool, version } of views) listed.set(pool, (listed.get(pool) ?? new Set()).add(version))
     this.#listed = listed
@@ -140,21 +163,26 @@
     return this.#allowed.has(keyOf(pool, version))
   }
 
-  /** Returns true if all streams of a pool that live began at one version, by what this daemon last saw of the store and the registry. */
-  isCertain (pool: PoolName): boolean {
+  /**
+   * Returns true if all streams of a pool that live began at one version, by what this daemon last saw of the store and the registry.
+   * @param origin Also asks whether all streams of this origin began in the pool. Default: it does not matter.
+   */
+  isCertain (pool: PoolName, origin?: RequestOrigin): boolean {
+    if (origin && [...this.#listed].some(([key, pools]) => matchesRoute(key, origin) && !(pools.size === 1 && pools.has(as<EndpointVersion>(pool)) && this.isCertain(key)))) return false
     const listed = this.#listed.get(pool) ?? new Set()
-    const confirmation = this.#confirmationIn(this.#copy, pool)
+    const confirmation = this.#confirmationIn(this.#copy, pool, origin)
     return confirmation.isOnly && this.#isInTouch && [...listed].every((version) => version === confirmation.version && this.#allowed.get(keyOf(pool, version)) === true)
   }
 
   /**
    * Reads the store to tell whether all streams of a pool that live now began at one version.
+   * @param options.origin Also asks whether all streams of this origin began in the pool. Default: it does not matter.
    * @returns Undefined if the store does not answer in time.
    */
-  async confirm (pool: PoolName, { timeoutMs = CONFIRM_TIMEOUT_MS }: { timeoutMs?: number } = {}): Promise<PoolConfirmation | undefined> {
+  async confirm (pool: PoolName, { timeoutMs = CONFIRM_TIMEOUT_MS, origin }: { timeoutMs?: number, origin?: RequestOrigin | undefined } = {}): Promise<PoolConfirmation | undefined> {
     // Versions stay for minutes after they have left, so that a copy with several need not be read again.
-    if (this.#copy && steadyNow() - this.#copiedAtMs < REFRESH_MS && !this.#confirmationIn(this.#copy, pool).isOnly) return { isOnly: false }
-    const read = this.#reader.read().then((snapshot) => this.#confirmationIn(snapshot, pool), reportUnexpected)
+    if (this.#copy && steadyNow() - this.#copiedAtMs < REFRESH_MS && !this.#confirmationIn(this.#copy, pool, origin).isOnly) return { isOnly: false }
+    const read = this.#reader.read().then((snapshot) => this.#confirmationIn(snapshot, pool, origin), reportUnexpected)
     return await Promise.race([read, delay(timeoutMs).then(() => undefined)])
   }
 
@@ -162,8 +190,9 @@
     return this.#options.completeSinceMs() !== undefined && (this.#options.registryAgeMs() ?? Infinity) <= MAX_REGISTRY_AGE_MS
   }
 
-  #confirmationIn (snapshot: HistorySnapshot | undefined, pool: PoolName): PoolConfirmation {
-    return snapshot ? confirmationOf(snapshot.pools.get(pool)?.record, snapshot.era) : { isOnly: false }
+  #confirmationIn (snapshot: HistorySnapshot | undefined, pool: PoolName, origin?: RequestOrigin): PoolConfirmation {
+    if (!snapshot || (origin && !isOnlyPool(snapshot.pools, { pool, origin, era: snapshot.era }))) return { isOnly: false }
+    return confirmationOf(snapshot.pools.get(pool)?.record, snapshot.era)
   }
 
   #setCopy (snapshot: HistorySnapshot): void {
@@ -198,7 +227,8 @@
   #allow (key: string, isRecorded: boolean): void {
     const isNew = !this.#allowed.has(key)
     this.#allowed.set(key, isRecorded)
-    this.#settled ||= [...this.#listed].every(([pool, versions]) => [...versions].some((version) => this.#allowed.has(keyOf(pool, version))))
+    const pools = [...this.#listed].filter(([pool]) => !isRouteKey(pool))
+    this.#settled ||= pools.length > 0 && pools.every(([pool, versions]) => [...versions].some((version) => this.#allowed.has(keyOf(pool, version))))
     if (isNew) this.onAllowed()
   }
 
@@ -288,11 +318,16 @@
     return await Promise.any(replies).catch(() => false)
   }
 
-  #tick (): void {
+  #checkCertain (): Set<PoolName> {
     const certain = new Set([...this.#listed.keys()].filter((pool) => this.isCertain(pool)))
     const hasLostOne = [...this.#wasCertain].some((pool) => !certain.has(pool))
     this.#wasCertain = certain
     if (hasLostOne) this.onUncertain()
+    return certain
+  }
+
+  #tick (): void {
+    const certain = this.#checkCertain()
     if (certain.size < this.#listed.size && steadyNow() - this.#copiedAtMs > REFRESH_MS * (0.5 + this.#options.random())) this.#refreshCopy()
     this.#retire()
   }
--- a/daemon/streams/stream_versions.ts
+++ b/daemon/streams/stream_versions.ts
@@ -2,7 +2,7 @@
 import type { DaemonId, PoolName, StreamKey } from '../../core/ids/index.ts'
 import type { Member } from '../../core/membership/index.ts'
 import type { EndpointView, Hash32 } from '../../core/routing/index.ts'
-import { causeOfUnknown, HOLDER_COUNT, judgeVersion, VersionRecords, PoolVersions, rankHolders, type VersionRecord, type VersionEvidence, type VersionVerdict, type StreamVersion, type UnknownCause } from '../../core/streams/index.ts'
+import { causeOfUnknown, HOLDER_COUNT, judgeVersion, VersionRecords, PoolVersions, rankHolders, type VersionRecord, type VersionEvidence, type VersionVerdict, type StreamVersion, type UnknownCause, type RequestOrigin } from '../../core/streams/index.ts'
 import { delay, steadyNow } from '../../core/time/index.ts'
 import type { Metrics } from '../metrics.ts'
 import type { MembershipTask } from '../peers/membership_task.ts'
@@ -32,6 +32,8 @@
   key: StreamKey | undefined
   /** The pool that serves the stream's requests; undefined if several do. */
   pool: PoolName | undefined
+  /** Where its requests come in. Default: all requests that the pool serves came to it ever since. */
+  origin?: RequestOrigin
   /** Longest time for which the stream may have lived, in milliseconds. */
   lifeMs: number
 }
@@ -62,11 +64,14 @@
   lifeMs: number
   /** True if several pools serve the stream's requests, so that what is known of one pool does not tell where the stream began. Default false. */
   isSplit?: boolean
+  /** Where its requests come in. Default: all requests that the pool serves came to it ever since. */
+  origin?: RequestOrigin
 }
 
 /** Record of a stream that this daemon passes on, or did before another one took it over. */
 interface OwnRecord extends VersionRecord {
   lifeMs: number
+  origin: RequestOrigin | undefined
   isSent: boolean
 }
 
@@ -121,7 +126,7 @@
       const record = this.#own.get(key, steadyNow())
       if (isOver && record) record.daemon = by
     })
-    links.handle(FIND_METHOD, async (query: VersionQuery): Promise<VersionReply> => encodeEvidence(await this.#answer(query)))
+    links.handle(FIND_METHOD, async (query: VersionQuery): Promise<VersionReply> => ({ ...encodeEvidence(await this.#answer(query)), ...(query.origin && { ofOrigin: true }) }))
     if (options.archive) options.archive.onRead = (records) => { this.#stored = records }
   }
 
@@ -139,11 +144,12 @@
   }
 
   /** Records the first event that this daemon passes on of a stream that its caller may resume. */
-  began (key: StreamKey, streamVersion: StreamVersion, { lifeMs, isSplit = false }: BegunStream): void {
+  began (key: StreamKey, streamVersion: StreamVersion, { lifeMs, isSplit = false, origin }: BegunStream): void {
     const now = steadyNow()
-    if (!isSplit && streamVersion.version === undefined && this.#versions.seen(streamVersion.pool, now - lifeMs).every((version) => version === undefined)) return
-    const isSent = isSplit || !this.#isOnlyVersion(streamVersion, lifeMs)
-    const record = { streamVersion, daemon: this.#options.self, expiresAtMs: now + lifeMs, lifeMs, isSent }
+    const mayBeElsewhere = isSplit || (origin !== undefined && !this.#options.history.isCertain(streamVersion.pool, origin))
+    if (!mayBeElsewhere && streamVersion.version === undefined && this.#versions.seen(streamVersion.pool, now - lifeMs).every((version) => version === undefined)) return
+    const isSent = mayBeElsewhere || !this.#isOnlyVersion(streamVersion, { lifeMs, origin })
+    const record = { streamVersion, daemon: this.#options.self, expiresAtMs: now + lifeMs, lifeMs, origin, isSent }
     this.#own.set(key, record, now)
     if (isSent) this.#send([[key, record]])
   }
@@ -166,7 +172,7 @@
     let isStoreRead = archive === undefined
     let round = 0
     if (verdict.type !== 'recorded') {
-      const confirmed = pool === undefined ? undefined : this.#options.history.confirm(pool)
+      const confirmed = pool === undefined ? undefined : this.#options.history.confirm(pool, { origin: stream.origin })
       await this.#joined(startedAtMs)
       do {
         if (round > 0) await delay(ROUND_INTERVAL_MS)
@@ -232,7 +238,7 @@
   async #ask (stream: ResumedStream, { round, evidence, answeredBy }: { round: number, evidence: VersionEvidence[], answeredBy: Set<DaemonId> }): Promise<void> {
     const { self, membership, hash } = this.#options
     const ranked = rankHolders(stream.key, membership.reachable.filter(({ id }) => id !== self), { hash })
-    const { key, pool, lifeMs } = stream
+    const { key, pool, origin, lifeMs } = stream
     const asked = round === 0 ? ranked.slice(0, ASKED_AT_ONCE) : ranked
     const lacksRead = round > 0 && pool !== undefined && evidence.every(({ confirmation }) => confirmation === undefined)
     const readers = new Set(lacksRead ? ranked.slice((round - 1) * READERS_ASKED, round * READERS_ASKED) : [])
@@ -240,8 +246,8 @@
     await new Promise<void>((resolve) => {
       const ask = async (member: Member) => {
         try {
-          const reply = await membership.links.call(member, FIND_METHOD, { key, pool, lifeMs, ...(readers.has(member) && { confirm: true }) } satisfies VersionQuery, { timeoutMs }) as VersionReply
-          evidence.push(decodeEvidence(reply))
+          const reply = await membership.links.call(member, FIND_METHOD, { key, pool, lifeMs, ...(readers.has(member) && { confirm: true, origin }) } satisfies VersionQuery, { timeoutMs }) as VersionReply
+          evidence.push(decodeEvidence(reply, { origin }))
           answeredBy.add(member.id)
           if (reply.record) resolve()
         } catch { /* an unreachable daemon, or an earlier version that does not know the method: it adds nothing */ }
@@ -259,7 +265,7 @@
     if (!this.#recordOf(query)) await Promise.race([this.#options.archive?.restored, delay(RESTORE_WAIT_MS)])
     const evidence = this.#evidenceOf(query)
     if (evidence.record || query.pool === undefined || query.confirm !== true) return evidence
-    const confirmation = await this.#options.history.confirm(query.pool, { timeoutMs: ASKED_READ_MS })
+    const confirmation = await this.#options.history.confirm(query.pool, { timeoutMs: ASKED_READ_MS, origin: query.origin })
     return { ...this.#evidenceOf(query), confirmation }
   }
 
@@ -273,16 +279,16 @@
   }
 
   /** A delegate may see a version that this daemon does not. */
-  #isOnlyVersion ({ pool, version }: StreamVersion, lifeMs: number): boolean {
+  #isOnlyVersion ({ pool, version }: StreamVersion, { lifeMs, origin }: Pick<OwnRecord, 'lifeMs' | 'origin'>): boolean {
     const seen = this.#versions.seen(pool, steadyNow() - lifeMs)
-    return this.#options.history.isCertain(pool) && seen.length === 1 && seen[0] === version
+    return this.#options.history.isCertain(pool, origin) && seen.length === 1 && seen[0] === version
   }
 
   /** Sends own records of pools whose only version is not certain any more. */
   #sendUncertain (): void {
     const records: KeyedRecord[] = []
     for (const [key, record] of this.#own.entries(steadyNow())) {
-      if (record.isSent || this.#isOnlyVersion(record.streamVersion, record.lifeMs)) continue
+      if (record.isSent || this.#isOnlyVersion(record.streamVersion, record)) continue
       record.isSent = true
       records.push([key, record])
     }
