Count only time in which the process works as a queue of too many connections

Cause: the gate measures by the clock how long a connection to its own port waits. Rows that closed the gate used 92 to 206 ms in 0.5 to 1.3 s; others on the host, and stops, took the rest. Ten connections were accepted meanwhile, as those of a few callers are who come back at once.

Now a sample has the processor time of the process as well. The gate closes only once the row of long waits has used 400 ms of it: as before on a core of its own, later on a share of one. Until connections are accepted in time while the gate is open, two long waits close it again, since a herd on a small share would be read late each time.

--- a/core/admission/connection_gate.ts
+++ b/core/admission/connection_gate.ts
@@ -1,9 +1,11 @@
-/** Decides whether a daemon takes new connections from callers, by how long they wait to be accepted. */
+/** Decides whether a daemon takes new connections from callers, by how long they wait to be accepted while the process itself works. */
 
 /** How a new connection was accepted. */
 export interface Acceptance {
   /** Time that it waited, in milliseconds. */
   waitMs: number
+  /** Processor time that the process used meanwhile, in milliseconds. */
+  ranMs: number
   /** Connections that were accepted meanwhile. */
   ahead: number
 }
@@ -18,6 +20,8 @@
 const OPEN_BELOW_MS = 100
 /** Samples in a row that close or open the gate: a burst that is read within half a second is served. */
 const SAMPLES = 2
+/** Least processor time that the process uses while connections wait in a row, in milliseconds. What others on the host take delays connections as well, and closing them does not mend it. */
+const MIN_RAN_MS = SAMPLES * CLOSE_ABOVE_MS
 
 /**
  * A gate for new connections.
@@ -28,6 +32,9 @@
   #isOpen = true
   #samplesAgainst = 0
   #aheadInRow = 0
+  #ranInRowMs = 0
+  /** True from when the gate closes until connections are accepted in time while it is open. */
+  #isHerd = false
 
   /** True if the last sample is to be followed by another one at once, since two in a row decide. */
   get isUndecided (): boolean { return this.#samplesAgainst > 0 }
@@ -39,14 +46,26 @@
    * Records how a connection was accepted.
    * @returns True if the gate opened or closed.
    */
-  sample ({ waitMs, ahead }: Acceptance): boolean {
+  sample ({ waitMs, ranMs, ahead }: Acceptance): boolean {
     const isAgainst = this.#isOpen ? waitMs > CLOSE_ABOVE_MS : waitMs < OPEN_BELOW_MS
-    this.#samplesAgainst = isAgainst ? this.#samplesAgainst + 1 : 0
-    this.#aheadInRow = isAgainst ? this.#aheadInRow + ahead : 0
-    if (this.#samplesAgainst < SAMPLES || (this.#isOpen && this.#aheadInRow < MIN_AHEAD)) return false
-    this.#samplesAgainst = 0
-    this.#aheadInRow = 0
+    if (this.#isOpen && waitMs < OPEN_BELOW_MS) this.#isHerd = false
+    if (!isAgainst) this.#startRow()
+    else {
+      this.#samplesAgainst++
+      this.#aheadInRow += ahead
+      // Other threads of the process use processor time as well.
+      this.#ranInRowMs += Math.min(ranMs, waitMs)
+    }
+    if (this.#samplesAgainst < SAMPLES || (this.#isOpen && (this.#aheadInRow < MIN_AHEAD || (!this.#isHerd && this.#ranInRowMs < MIN_RAN_MS)))) return false
+    this.#startRow()
     this.#isOpen = !this.#isOpen
+    this.#isHerd = true
     return true
   }
+
+  #startRow (): void {
+    this.#samplesAgainst = 0
+    this.#aheadInRow = 0
+    this.#ranInRowMs = 0
+  }
 }
--- a/daemon/exchange/connection_gate_task.ts
+++ b/daemon/exchange/connection_gate_task.ts
@@ -61,7 +61,7 @@
     if (this.#stopped || !this.#gate.sample(accepted)) return
     const { isOpen } = this.#gate
     metrics.acceptsConnections.set(isOpen ? 1 : 0)
-    log(isOpen ? 'connections-accepted' : 'connections-refused', { waitMs: Math.round(accepted.waitMs), open: server.open })
+    log(isOpen ? 'connections-accepted' : 'connections-refused', { waitMs: Math.round(accepted.waitMs), ranMs: Math.round(accepted.ranMs), open: server.open })
     server.acceptConnections(isOpen)
   }
 }
--- a/daemon/exchange/exchange_server.ts
+++ b/daemon/exchange/exchange_server.ts
@@ -33,6 +33,7 @@
 const INTERNAL_ERROR = 500
 /** Longest time for which connections that wait are accepted before listening ends, in milliseconds. */
 const ACCEPT_WAITING_MS = 200
+const US_PER_MS = 1000
 /** Shortest time limit of a connection, in milliseconds. */
 const MIN_TIMEOUT_MS = 1
 /** Limits in force until a configuration is loaded. */
@@ -107,12 +108,13 @@
   measureAcceptance (givenUpMs: number): Promise<Acceptance> {
     const startMs = steadyNow()
     const { connections } = this
+    const usedMs = processorTimeMs()
     const listening = this.#server.address() as AddressInfo | null
-    if (!listening) return Promise.resolve({ waitMs: 0, ahead: 0 })
+    if (!listening) return Promise.resolve({ waitMs: 0, ranMs: 0, ahead: 0 })
     const { address: host, port } = listening
     return new Promise((resolve) => {
       const socket = connect({ host, port })
-      const report = () => resolve({ waitMs: steadyNow() - startMs, ahead: this.connections - connections })
+      const report = () => resolve({ waitMs: steadyNow() - startMs, ranMs: processorTimeMs() - usedMs, ahead: this.connections - connections })
       const timer = setTimeout(report, givenUpMs)
       // A probe that was given up is still accepted later, and must not count as a caller's connection.
       this.#probes.set(socket, () => {
@@ -283,6 +285,11 @@
   }
 }
 
+function processorTimeMs (): number {
+  const { user, system } = process.cpuUsage()
+  return (user + system) / US_PER_MS
+}
+
 function checkHeaders (req: IncomingMessage, limit: number): void {
   const bytes = req.rawHeaders.reduce((sum, part) => sum + part.length + HEADER_SEPARATOR_BYTES, 0)
   if (bytes > limit) throw new Refusal(`the headers are over ${limit} bytes`, { status: 431 })
