Write a leaving daemon's records again when the store refuses them

Callers would see: their streams are refused after all daemons left together, as the store answered 429 or 503 to the last write of records of one of them: that write was tried once.

Cause: where streams began decides whether they go on, and is in the memory of daemons until it is written. The writer retries while the daemon runs; its last write, after the timers are stopped, did not.

The last write is tried again for two seconds, and not beyond the part of the grace period that is left; it waits beside the leaving of the membership, as before. Not shown with sockets: a store that refuses while all daemons drain.

--- a/daemon/exchange/proxy_daemon.ts
+++ b/daemon/exchange/proxy_daemon.ts
@@ -28,6 +28,8 @@
 /** Part of the grace period that is left when the daemon has left the membership; a busy process exits late. */
 const EXIT_SHARE = 1 / 12
 const DRAIN_POLL_MS = 20
+/** Time in which the last write of stream records is tried again when the store refuses it, in milliseconds. */
+const HAND_OVER_MS = 2000
 /** Settings that can change without a restart, because they are read at each use or applied by {@linkcode ProxyDaemon.reconfigure}. */
 const RELOADABLE_SETTINGS: ReadonlySet<keyof ProxySettings> = new Set(['seeds', 'graceMs', 'quota', 'repeats'] as const)
 
@@ -182,7 +184,7 @@
     const { membership, server, streamVersions, recordArchive } = this.#components
     streamVersions.handOver()
     this.#stopTasks()
-    await Promise.race([Promise.all([membership.leave(undefined), recordArchive.handOver()]), delay(Math.max(0, untilMs - steadyNow()))])
+    await Promise.race([Promise.all([membership.leave(undefined), recordArchive.handOver(Math.min(untilMs, steadyNow() + HAND_OVER_MS))]), delay(Math.max(0, untilMs - steadyNow()))])
     // Attempts that ran by other daemons may have failed as the links were closed, and wait again.
     server.refuseWaiting()
     server.giveUpRunning()
--- a/daemon/streams/_record_writer.ts
+++ b/daemon/streams/_record_writer.ts
@@ -2,7 +2,7 @@
 import type { DaemonId } from '../../core/ids/index.ts'
 import type { StoreVersion } from '../../core/store_version/index.ts'
 import { encodeArchive, VersionRecords } from '../../core/streams/index.ts'
-import { steadyNow } from '../../core/time/index.ts'
+import { delay, steadyNow } from '../../core/time/index.ts'
 import { isStoreFailure, StoreError, type ObjectStore } from '../../store/index.ts'
 import { log } from '../log/index.ts'
 import type { Metrics } from '../metrics.ts'
@@ -27,6 +27,8 @@
 const MIN_INTERVAL_MS = 50
 const INTERVAL_PER_HOST_MS = 5
 const FIRST_BACK_OFF_MS = 250
+/** Least pause before a last write is tried again, in milliseconds. */
+const RETRY_MS = 50
 const MAX_BACK_OFF_MS = 5000
 
 /** Returns the least interval between two writes of one daemon, in milliseconds. */
@@ -77,11 +79,16 @@
     clearTimeout(this.#timer)
   }
 
-  /** Writes what has not been written yet, and stops. */
-  async finish (): Promise<void> {
+  /** Writes what has not been written yet, and stops. A write that fails is tried again until `untilMs` on the steady clock. */
+  async finish (untilMs: number): Promise<void> {
     this.stop()
     await this.#writing
-    if (this.#hasNew) await this.#write()
+    while (this.#hasNew) {
+      await this.#write()
+      const backOffMs = Math.max(RETRY_MS, this.#notBeforeMs - steadyNow())
+      if (!this.#hasNew || steadyNow() + backOffMs > untilMs) return
+      await delay(backOffMs)
+    }
   }
 
   #schedule (): void {
--- a/daemon/streams/record_archive.ts
+++ b/daemon/streams/record_archive.ts
@@ -94,9 +94,12 @@
     this.#writer.add(records)
   }
 
-  /** Writes what has not been written yet, since this daemon leaves. */
-  async handOver (): Promise<void> {
-    await this.#writer.finish()
+  /**
+   * Writes what has not been written yet, since this daemon leaves.
+   * @param untilMs Until when a write that fails is tried again, in milliseconds on the steady clock. Default: it is not.
+   */
+  async handOver (untilMs = steadyNow()): Promise<void> {
+    await this.#writer.finish(untilMs)
   }
 
   /** Reads the store for the record of a stream. Callers share a listing; for one that comes too soon after the last, the store counts as not read. */
--- a/daemon/streams/record_archive_test.ts
+++ b/daemon/streams/record_archive_test.ts
@@ -144,6 +144,26 @@
   expect((await find(start('d2'), 2)).version).toBe('v1')
 })
 
+test('a daemon that leaves while the store refuses calls writes its records once it takes them, and gives up when it is late', async () => {
+  // Guards against a last write that is tried once, while all daemons leave together and the store refuses what is beyond its rate.
+  const daemon = start('d1')
+  store.faults.down = true
+  add(daemon, 1)
+  const left = daemon.archive.handOver(steadyNow() + 1500)
+  await vi.advanceTimersByTimeAsync(400)
+  store.faults.down = false
+  await vi.advanceTimersByTimeAsync(1500)
+  await left
+  expect(await find(start('d2'), 1)).toEqual({ version: 'v1', isRead: true })
+  const late = start('d3')
+  store.faults.down = true
+  add(late, 2)
+  let hasEnded = false
+  late.archive.handOver(steadyNow() + 1500).then(() => { hasEnded = true })
+  await vi.advanceTimersByTimeAsync(1500)
+  expect(hasEnded).toBe(true)
+})
+
 test('a record that is stored after the start is found by a listing that callers share', async () => {
   // Guards against a listing for each caller whose stream nobody knows.
   const [first, second] = [start('d1'), start('d2')]
