Store records in the drawn schedules of versions

The schedules killed all daemons, and their daemons had no archive: after a kill of all, only the history of a pool could let a stream go on, and stored records were tested in no schedule. Each daemon has its archive now, with the same cuts and silences of the store.

--- a/daemon/streams/version_schedules_test.ts
+++ b/daemon/streams/version_schedules_test.ts
@@ -7,7 +7,7 @@
 import { StoreError, type ObjectStore } from '../../store/index.ts'
 import { createMetrics } from '../metrics.ts'
 import { seededRandom } from '../seeded_random.ts'
-import { PoolHistory, StreamVersions } from './index.ts'
+import { PoolHistory, RecordArchive, StreamVersions } from './index.ts'
 
 /** Each pool gets one release: one that has had several versions is certain again only after minutes. */
 const POOLS = Array.from({ length: 120 }, (_, i) => as<PoolName>(`llm-${i}`))
@@ -27,7 +27,7 @@
 
 const hash = (text: string) => [...text].reduce((value, char) => Math.imul(value ^ char.charCodeAt(0), 16777619) >>> 0, 2166136261)
 
-interface Daemon { id: DaemonId, streams: StreamVersions, history: PoolHistory, links: StandInLinks, views: EndpointView[], cutStore: boolean, cutLinks: boolean, answeredAtMs: number }
+interface Daemon { id: DaemonId, streams: StreamVersions, history: PoolHistory, archive: RecordArchive, links: StandInLinks, views: EndpointView[], cutStore: boolean, cutLinks: boolean, answeredAtMs: number }
 
 /** Daemons that are cut off, killed, and behind with the registry, while versions come and go. */
 class World {
@@ -60,17 +60,19 @@
     // The worst that a registry may do: it never notices that it has missed something.
     const beliefs = { completeSinceMs: () => startedAtMs, registryAgeMs: () => 0 }
     daemon.history = new PoolHistory({ self: id, store: this.#storeOf(daemon), membership, random: this.random, metrics, ...beliefs })
-    daemon.streams = new StreamVersions({ self: id, membership, hostCount: () => DAEMONS, hash, metrics, history: daemon.history, ...beliefs })
+    daemon.archive = new RecordArchive({ self: id, store: this.#storeOf(daemon), membership: { joined: true, isFirstFor: () => false }, hostCount: () => DAEMONS, mayHold: () => true, random: this.random, metrics })
+    daemon.streams = new StreamVersions({ self: id, membership, hostCount: () => DAEMONS, hash, metrics, history: daemon.history, archive: daemon.archive, ...beliefs })
     daemon.history.onUncertain = () => daemon.streams.certaintyLost()
     this.members = [...this.members, { id, address: `node:${id}`, failureDomain: as<FailureDomain>('abc'[this.members.length % 3]!), incarnation: 1, state: 'up', revision: 0, heir: undefined }]
     this.daemons.push(daemon)
     for (const other of this.daemons) if (other.cutLinks) this.network.part(id, other.id, true)
     daemon.history.start()
+    daemon.archive.restore()
     this.#learn(daemon)
     for (const { links: each } of this.daemons) each.keep(this.members.map(({ address }) => address))
   }
 
-  #storeOf (daemon: Daemon): Pick<ObjectStore, 'era' | 'snapshot' | 'create' | 'update'> {
+  #storeOf (daemon: Daemon): Pick<ObjectStore, 'era' | 'snapshot' | 'list' | 'create' | 'update' | 'remove'> {
     const reach = async <T>(call: () => Promise<T>) => {
       await delay(1 + 20 * this.random())
       if (!daemon.cutStore && !this.storeHangs) {
@@ -81,7 +83,7 @@
       await delay(STORE_TIMEOUT_MS)
       throw new StoreError('Cannot reach the store: no answer', { failure: 'unsure' })
     }
-    return { era: this.store.era, snapshot: (prefix) => reach(() => this.store.snapshot(prefix)), create: (key, value) => reach(() => this.store.create(key, value)), update: (...args) => reach(() => this.store.update(...args)) }
+    return { era: this.store.era, snapshot: (prefix) => reach(() => this.store.snapshot(prefix)), list: (prefix) => reach(() => this.store.list(prefix)), remove: (...args) => reach(() => this.store.remove(...args)), create: (key, value) => reach(() => this.store.create(key, value)), update: (...args) => reach(() => this.store.update(...args)) }
   }
 
   /** A daemon that has the store, or another one that has it, learns of the endpoints after some time. */
@@ -103,6 +105,7 @@
     this.daemons.splice(this.daemons.indexOf(daemon), 1)
     this.members = this.members.filter(({ id }) => id !== daemon.id)
     daemon.history.stop()
+    daemon.archive.stop()
     await daemon.links.close()
   }
 
@@ -167,7 +170,10 @@
     }
     await vi.advanceTimersByTimeAsync(5000)
     await Promise.all(takeUps)
-    for (const { history } of this.daemons) history.stop()
+    for (const { history, archive } of this.daemons) {
+      history.stop()
+      archive.stop()
+    }
   }
 }
 
