--- a/daemon/exchange/connection_gate_process_test.ts
+++ b/daemon/exchange/connection_gate_process_test.ts
@@ -10,6 +10,8 @@
 /** Requests after each of which the process stops. */
 const STOP_AFTER = 6
 const STOPPED_MS = 260
+/** Longest time in which the process starts, in milliseconds: its sources are compiled. */
+const START_MS = 60_000
 
 let child: ChildProcess
 let port: number
@@ -18,7 +20,7 @@
   child = fork('daemon/exchange/_gated_server_process.ts', [String(WORK_MS), String(STOP_AFTER)], { execArgv: ['--import', 'tsx'], stdio: ['ignore', 'pipe', 'inherit', 'ipc'] });
   [port] = await once(child, 'message') as [number]
   for (let i = 0; i < 10; i++) await ask('/')
-})
+}, START_MS)
 afterEach(async () => {
   child.kill('SIGKILL')
   await once(child, 'exit')
