Refuse messages between daemons whose values have another form, alone

Callers saw: after one message of a kind that daemons handle, but with odd values, from a program with the secret of the daemons: quota votes and usage reports failed at every round, for a vote whose levels are no list ("told is not iterable") and totals whose key is no text ("key.startsWith is not a function"); a call for changes that may wait for NaN, Infinity or 1e308 milliseconds was looked at again every millisecond for ever, and so were others with timers that overflow. Any other odd value ended the link, and the calls and delegated requests on it.

Cause: handlers took values for what their types say.

The forms of all kinds are in one table, checked where messages arrive and before any handler runs; nothing is copied. A message of another form is left out, counted and logged, and its link stays open; a call gets a reply that it failed.

--- a/core/bounds/forms.ts
+++ b/core/bounds/forms.ts
@@ -6,12 +6,18 @@
 /** Longest name that another program may use, in UTF-16 code units. */
 const MAX_NAME_CHARS = 4096
 
+const MAX_WAIT_MS = 2 ** 31 - 1
+
 /** Any text. */
 export const isText: Form = (value) => typeof value === 'string'
 /** A text that names something: not empty, and not longer than any that is used. */
 export const isName: Form = (value) => typeof value === 'string' && value.length > 0 && value.length <= MAX_NAME_CHARS
 /** A number that is not infinite. */
 export const isFiniteNumber: Form = (value) => Number.isFinite(value)
+/** A number, also an infinite one. */
+export const isNumber: Form = (value) => typeof value === 'number' && !Number.isNaN(value)
+/** A time that a timer can wait for, in milliseconds; a negative one has passed. Timers end at once for longer ones. */
+export const isWait: Form = (value) => Number.isFinite(value) && (value as number) <= MAX_WAIT_MS
 /** A finite number that is not negative. */
 export const isAmount: Form = (value) => Number.isFinite(value) && (value as number) >= 0
 /** An integer that is not negative, and that can be counted on. */
--- a/daemon/peers/peer_links.ts
+++ b/daemon/peers/peer_links.ts
@@ -8,6 +8,7 @@
 import { isDeeperThan, shorten } from '../../core/bounds/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import { decodeGossip } from './_gossip_forms.ts'
+import { CALL_FORMS, POST_FORMS } from './_message_forms.ts'
 import { PeerError, type CallOptions, type ConnectResult, type LinkEvents, type Links, type PeerMethod, type PostHandler } from './links.ts'
 import { log } from '../log/index.ts'
 import type { Metrics } from '../metrics.ts'
@@ -325,7 +326,7 @@
     switch (msg.kind) {
       case 'gossip': return this.#onGossip(from, msg.gossip)
       case 'call': { this.#answer(link, from, msg); return }
-      case 'post': return this.#postHandlers.get(msg.topic)?.(msg.value as never, from)
+      case 'post': return this.#onPost(from, msg)
       case 'part': return this.#pendingCalls.get(msg.call)?.part?.(msg.value)
       case 'reply': return this.#settleCall(msg.call, (pending) => pending.resolve(msg.value))
       case 'fail': return this.#settleCall(msg.call, (pending) => pending.reject(new PeerError(msg.error, { notSent: false, replied: true })))
@@ -339,6 +340,13 @@
     this.#events.onGossip(from, gossip)
   }
 
+  #onPost (from: DaemonId, { topic, value }: Extract<PeerMessage, { kind: 'post' }>): void {
+    const handler = this.#postHandlers.get(topic)
+    if (!handler) return
+    if (POST_FORMS.get(topic)?.(value) === false) return this.#refuse(from, topic, 1)
+    handler(value as never, from)
+  }
+
   #refuse (peer: DaemonId, kind: string, values: number): void {
     this.#options.metrics.refusedPeerMessages.inc(values)
     log('peer-values-refused', { peer, kind: shorten(kind), values })
@@ -348,6 +356,10 @@
     const { call } = msg
     const method = this.#methods.get(msg.method)
     if (!method) return this.#send(link, { kind: 'fail', call, error: `Cannot call: unknown method ${msg.method}` })
+    if (CALL_FORMS.get(msg.method)?.(msg.args) === false) {
+      this.#refuse(from, msg.method, 1)
+      return this.#send(link, { kind: 'fail', call, error: `Cannot call: the argument of ${msg.method} has another form` })
+    }
     link.answering++
     try {
       const part = (value: unknown) => this.#send(link, { kind: 'part', call, value })
