--- a/daemon/peers/_message_forms.ts
+++ b/daemon/peers/_message_forms.ts
@@ -91,7 +91,7 @@
   ['delegation-offer', objectOf({ pool: isName })],
   ['delegation-run', objectOf({ run: isCount, req: isProxiedRequest, account: optional(isName), pool: isName, deadlineInMs: isWait, maxAttempts: isAmount, boundTo: optional(isStreamVersion), confirms: optional(isFlag) })],
   ['endpoint-probe', objectOf({ endpoint: isName })],
-  ['stream-version', objectOf({ key: optional(isName), pool: optional(isName), lifeMs: isAmount, confirm: optional(isFlag) })],
+  ['stream-version', objectOf({ key: optional(isName), pool: optional(isName), lifeMs: isAmount, confirm: optional(isFlag), origin: optional(objectOf({ host: isText, path: isText })) })],
   ['pool-version-recorded', objectOf({ pool: isName, version: (value) => value === undefined || value === null || isText(value) })],
   ['hosts', isAnything]
 ])
