--- a/daemon/exchange/exchange_server.ts
+++ b/daemon/exchange/exchange_server.ts
@@ -17,7 +17,6 @@
 import { OpenExchanges, type DrainCounts, type Exchange } from './open_exchanges.ts'
 import { stopListening } from './open_responses.ts'
 import { LEAVING_REASON, Refusal, RETRY_AFTER_LEAVING_MS } from './refusal.ts'
-import { shedConnection } from './shed_connection.ts'
 
 /** Options of {@linkcode ExchangeServer}. */
 export interface ExchangeServerOptions {
@@ -94,7 +93,7 @@
     return (this.#server.address() as AddressInfo).port
   }
 
-  /** Accepts new connections, or refuses their first requests unparsed; those that are open stay open. A draining daemon accepts all, since it closes connections itself, whose callers open others. */
+  /** Accepts new connections, or closes them unread; those that are open stay open. A draining daemon accepts all, since it closes connections itself, whose callers open others. */
   acceptConnections (isAccepting: boolean): void {
     this.#accepting = isAccepting || this.#exchanges.draining
   }
@@ -137,11 +136,14 @@
       return
     }
     this.connections++
-    this.#guard.connectionOpened()
-    socket.once('close', () => this.#guard.connectionClosed())
-    if (this.#accepting) return serve(socket)
+    if (this.#accepting) {
+      this.#guard.connectionOpened()
+      socket.once('close', () => this.#guard.connectionClosed())
+      return serve(socket)
+    }
     this.#options.metrics.connectionsShed.inc()
-    shedConnection(socket, this.#limits.headerMs)
+    socket.on('error', () => { /* the caller may have gone */ })
+    socket.resetAndDestroy()
   }
 
   /** Answers what is no request, and callers that do not send the head of theirs in time. */
--- a/daemon/log/events.ts
+++ b/daemon/log/events.ts
@@ -137,7 +137,7 @@
   'relay-failed': { peer: string, prefix: string, why: string }
   /** What is held for callers and endpoints has crossed a mark: `high` ends answers that nobody reads and lets bodies wait, `full` refuses them. */
   'memory-level': { level: string, before: string, heldBytes: number, limitBytes: number }
-  /** Requests on new connections of callers are refused unread: connections wait `waitMs` until this process accepts them, in which it runs for `ranMs`, so that it would answer late what it reads. */
+  /** New connections of callers are closed unread: they wait `waitMs` until this process accepts them, in which it runs for `ranMs`, so that it would answer late what it reads. */
   'connections-refused': { waitMs: number, ranMs: number, open: number }
   /** New connections of callers are accepted again. */
   'connections-accepted': { waitMs: number, open: number }
