--- a/core/streams/route_history.ts
+++ b/core/streams/route_history.ts
@@ -11,6 +11,9 @@
 }
 
 const ROUTE_PREFIX = 'route.'
+/** Names that are kept decoded, since each stream is compared with all routes. */
+const MAX_DECODED = 10_000
+const decoded = new Map<PoolName, string>()
 
 /** Returns the name under which the pools of a route are kept. Encoded, since names are part of paths. */
 export function routeKeyOf ({ host, pathPrefix }: { host: string, pathPrefix: string }): PoolName {
@@ -24,7 +27,7 @@
 
 /** Returns true if requests of an origin belong to a route, or would if no route had a longer prefix. */
 export function matchesRoute (key: PoolName, { host, path }: RequestOrigin): boolean {
-  return isRouteKey(key) && `${host}${path}`.startsWith(Buffer.from(key.slice(ROUTE_PREFIX.length), 'base64url').toString())
+  return isRouteKey(key) && (host + path).startsWith(decode(key))
 }
 
 /** Returns true if the stored histories show that all streams of an origin that still live began in one pool. A route that was added or removed meanwhile counts with the shorter and longer ones. */
@@ -35,3 +38,14 @@
     return confirmation.isOnly && confirmation.version === as(pool)
   })
 }
+
+/** Returns the host name and path prefix of a route's name. */
+function decode (key: PoolName): string {
+  let text = decoded.get(key)
+  if (text === undefined) {
+    text = Buffer.from(key.slice(ROUTE_PREFIX.length), 'base64url').toString()
+    if (decoded.size >= MAX_DECODED) decoded.clear()
+    decoded.set(key, text)
+  }
+  return text
+}
