--- a/daemon/peers/peer_links.ts
+++ b/daemon/peers/peer_links.ts
@@ -9,22 +9,12 @@
 import { steadyNow } from '../../core/time/index.ts'
 import { decodeGossip } from './_gossip_forms.ts'
 import { CALL_FORMS, POST_FORMS } from './_message_forms.ts'
+import type { Link, PeerMessage, PendingCall } from './_peer_link.ts'
 import { PeerError, type CallOptions, type ConnectResult, type LinkEvents, type Links, type PeerMethod, type PostHandler } from './links.ts'
 import { log } from '../log/index.ts'
 import type { Metrics } from '../metrics.ts'
 import { guarded } from '../tasks/index.ts'
 
-/** Messages between daemons. Unknown kinds are counted and ignored, so that newer versions may add some. */
-type PeerMessage =
-  /** `takesBatches`: the sender accepts frames with a list of messages. Versions that do not announce it reject such frames as malformed. */
-  | { kind: 'hello', id: DaemonId, secret: string, takesBatches?: true }
-  | { kind: 'gossip', gossip: Gossip }
-  | { kind: 'call', call: number, method: string, args: unknown }
-  | { kind: 'part', call: number, value: unknown }
-  | { kind: 'reply', call: number, value: unknown }
-  | { kind: 'fail', call: number, error: string }
-  | { kind: 'post', topic: string, value: unknown }
-
 /** Options of {@linkcode PeerLinks}. */
 export interface PeerLinksOptions {
   self: DaemonId
@@ -34,25 +24,6 @@
   isFar? (peer: DaemonId): boolean
 }
 
-interface Link {
-  socket: WebSocket
-  peer: DaemonId | undefined
-  address: string | undefined
-  lastUsedAtMs: number
-  lastReceivedAtMs: number
-  /** Consecutive ticks without received data. */
-  silentTicks: number
-  abort: AbortController
-  takesBatches: boolean
-  /** Messages queued in this turn of the event loop. */
-  sendQueue: PeerMessage[]
-  /** Calls of the peer that are being answered. */
-  answering: number
-  /** When another link to the peer took its place. */
-  replacedAtMs: number | undefined
-}
-interface PendingCall { resolve (value: unknown): void, reject (err: Error): void, part: ((value: unknown) => void) | undefined, link: Link }
-
 const CONNECT_TIMEOUT_MS = 1500
 const IDLE_TIMEOUT_MS = 60_000
 /** Time for which a replaced link stays open without calls, in milliseconds: the peer may have sent one before it knew of the other link. */
