--- a/daemon/config/config_follower.ts
+++ b/daemon/config/config_follower.ts
@@ -40,7 +40,7 @@
 
 const DEFAULT_WATCHERS_PER_DOMAIN = 2
 const POLL_MS = 60_000
-/** Time for which a daemon that starts waits to hear from a peer, in milliseconds. Contact takes less where peers answer, and the balancer checks once a second. */
+/** Time for which a daemon that starts waits for contact with a peer, in milliseconds. Contact takes less where peers answer, and the balancer checks once a second. */
 const CONTACT_WAIT_MS = 500
 /** The same, until it knows all that its peers have and has fetched a newer revision. */
 const FETCH_WAIT_MS = 1000
@@ -110,7 +110,7 @@
 
   /**
    * True once the configuration in force is the newest that a reachable daemon has, or this daemon has waited for it since its start. The store may have
-   * an older one after a return to a copy, and the first peer that is heard may have started at the same time and know no newer one.
+   * an older one after a return to a copy, and the first peer that answers may have started at the same time and have no newer one.
    */
   get settled (): boolean {
     const waitedMs = steadyNow() - this.#startedAtMs
--- a/daemon/config/config_follower_test.ts
+++ b/daemon/config/config_follower_test.ts
@@ -173,8 +173,8 @@
   for (const { follower } of [alone, unheard, silent]) follower.stop()
 })
 
-test('a daemon that has heard one of several others waits for the table of a second one, a second at most', async () => {
-  // Guards against a daemon that serves an older revision of the store, since the only daemon that it has heard started at the same time.
+test('a daemon that has contact with one of several others waits for the table of a second one, a second at most', async () => {
+  // Guards against a daemon that serves an older revision of the store, since the only daemon that it has contact with started at the same time.
   const { follower } = await startBeside({ introduced: false, joined: true })
   await vi.advanceTimersByTimeAsync(990)
   expect([follower.inForce, follower.settled]).toEqual([{ revision: 1 }, false])
--- a/daemon/exchange/stream_admission.ts
+++ b/daemon/exchange/stream_admission.ts
@@ -36,7 +36,7 @@
 const MAX_STREAM_LIFE_MS = 600_000
 /** Time for which a stream is taken to live, in deadlines of a request. */
 const STREAM_LIFE_DEADLINES = 2
-/** Length of a path up to which other daemons are told of it: longer than any route's prefix. */
+/** Length up to which a path is sent to other daemons: longer than any route's prefix. */
 const MAX_PATH_LENGTH = 1024
 /** Part of a stream's key for callers without an account. */
 const NO_ACCOUNT = as<AccountId>('')
--- a/daemon/streams/archived_streams_test.ts
+++ b/daemon/streams/archived_streams_test.ts
@@ -77,7 +77,7 @@
   expect((await find(streams)).verdict).toMatchObject({ type: 'recorded', streamVersion: V1, daemon: DEAD })
 })
 
-test('a stream of which the store could not be read is told apart from one of which nobody knows', async () => {
+test('a stream of which the store could not be read is distinguished from one of which no daemon has a record', async () => {
   const { streams, archive } = await start('v1', 'v2')
   expect(await find(streams)).toMatchObject({ verdict: { type: 'unknown' }, cause: 'several-versions' })
   archive.find.mockResolvedValue({ record: undefined, isRead: false })
--- a/daemon/streams/pool_history.ts
+++ b/daemon/streams/pool_history.ts
@@ -70,7 +70,7 @@
  * If the store does not take a version in time and no other endpoint of the pool may get new work, its endpoints are used all the same. Until the store has it, a stream that began there is found by
  * its records alone.
  *
- * The pools of each route whose streams may be resumed are kept in the same way, since a pool tells nothing of streams that began before their route was moved to it.
+ * The pools of each route whose streams may be resumed are kept in the same way, since the versions of a pool say nothing about streams that began before their route was moved to it.
  */
 export class PoolHistory {
   readonly #options: PoolHistoryOptions
