Reset connections whose request was withdrawn before it was answered

What callers saw: requests ran at endpoints after their callers had left (GONE).

Cause: an attempt that is given up destroys its socket, which is an orderly end. What the system has not delivered, since a partition holds it, is delivered later; the endpoint sees a whole request, with a deadline that counts from its arrival. The platform loses held bytes only if their sender resets.

Change: the sockets to endpoints reset their connection if nothing was received since bytes were last sent on it, and end it otherwise. An endpoint that has begun to answer has the request, and an end is repeated until it arrives, where a reset is sent once. Connections without a request end as before.

A reset costs nothing in calm: it replaces the end of a connection that was closed in any case.

--- a/endpoints/exchange/connection.ts
+++ b/endpoints/exchange/connection.ts
@@ -2,6 +2,7 @@
 import type { Socket } from 'node:net'
 import { buildConnector, Client, type Dispatcher } from 'undici'
 import { steadyNow } from '../../core/time/index.ts'
+import { resetUnanswered } from '../reset_unanswered.ts'
 
 /** Connect timeout in milliseconds. Needed because a host without power does not refuse connections. */
 const CONNECT_TIMEOUT_MS = 1000
@@ -88,7 +89,7 @@
     if (!this.#socket?.destroyed) this.#socket?.emit('readable')
   }
 
-  /** Closes the connection immediately and aborts a request in progress. */
+  /** Closes the connection immediately and withdraws a request in progress, of which bytes may not have arrived. */
   close (): void {
     if (this.closed) return
     this.closed = true
@@ -101,6 +102,7 @@
     this.#socket = socket
     this.open = true
     this.#trackSocketEnd(socket)
+    resetUnanswered(socket)
     // The client's own pause is not used: it throws from a socket event if the connection of an answer that closes it ends in a pause.
     const read = socket.read.bind(socket)
     socket.read = (size) => {
