Read the ends of callers' connections before late requests are sent on

What callers saw: requests were sent on after their callers had left (GONE), while no link was cut: after a process had stood still, and while it accepted a backlog of connections after a restart.

Cause: a request is sent in the turn of the event loop that reads it. The end of its connection, which has arrived as well, is read in the next turn at the earliest, since a read that brings data does not report the end behind it; and the daemon acted on it some turns later still, when the connection was closed in both directions. A body that waits for room keeps its connection unread, with the same effect.

Change: where what is read may be old, the loop polls once more before anything is sent. Old may be: the first request of a connection, which may have waited to be accepted; what is read when the loop has not polled for 150 ms; a request that was read over more than 150 ms. The same holds for requests that are sent from a queue, and for connections to endpoints that open in such a turn. The end of a caller's connection in one direction ends its requests at once. An attempt that is given up before it is sent gives its connection back.

Weighed: counting the time without a poll against the deadline. Not done: how long a request has waited is not known, and callers that are still connected wait; the whole pause would refuse those that sent last.

In calm, kept connections take the same path as before, and a new connection one empty turn more.

--- a/core/time/poll_watch.ts
+++ b/core/time/poll_watch.ts
@@ -2,6 +2,8 @@
 import { steadyNow } from './steady_now.ts'
 
 const CHECK_INTERVAL_MS = 100
+/** Age from which on what is read counts as late, in milliseconds. */
+const LATE_MS = 150
 
 /**
  * Bounds the age of what was read last: while a process is stopped, or within a long turn of its event loop, bytes and ends of connections wait in the system's queues, and one poll reads them in any order.
@@ -28,6 +30,18 @@
     clearInterval(this.#timer)
   }
 
+  /** True if what is read now may have waited for long; so may the ends of connections that are read after it. */
+  get isLate (): boolean { return this.unreadMs > LATE_MS }
+
+  /** Returns true if something that has been read in parts for `ms` milliseconds may have been followed by the end of its connection since. */
+  isLateAfter (ms: number): boolean { return this.isLate || ms > LATE_MS }
+
+  /** Calls back once the loop has polled again, so that all that has arrived by now was read. */
+  afterPoll (callback: () => void): void {
+    // The first one runs after the poll that is under way.
+    setImmediate(setImmediate, callback)
+  }
+
   /** Longest time for which something that is read now can have waited unread on an open connection, in milliseconds. */
   get unreadMs (): number { return steadyNow() - this.#polledAtMs }
 }
--- a/daemon/exchange/_proxy_components.ts
+++ b/daemon/exchange/_proxy_components.ts
@@ -180,7 +180,8 @@
     table: asFunction(({ self, topology }: ProxyComponents) => new EndpointTable({ self, hash, topology, countsMemory: settings.boundsEngineMemory === true })).singleton(),
     engineMemory: asFunction(engineMemoryComponents).singleton(),
     registry: asFunction(endpointFollower).singleton(),
-    client: asFunction(({ config, fleet, topology, memory }: ProxyComponents) => new ExchangeClient({
+    client: asFunction(({ config, fleet, topology, memory, poll }: ProxyComponents) => new ExchangeClient({
+      poll,
       addressOf: endpointAddress,
       maxConnections: (view) => connectionsTo(view, config, fleet),
       onOpen: () => memory.connectionOpened(),
@@ -267,8 +268,9 @@
       ways: { canSend: (view, work) => paths.canSend(view, work), wayFor: (req) => delegateFinder.wayFor(req) }
     })).singleton(),
     budgetOf: asFunction(retryBudgets).singleton(),
-    intake: asFunction(({ memory, table, dispatcher, metrics, client, crashes, quarantine, hash64, random, limits, endpointLimits, signals, usage, orders, budgetOf, config, rollouts, paths, delegatedRuns, streamVersions, archive }: ProxyComponents) => new Intake({
+    intake: asFunction(({ memory, poll, table, dispatcher, metrics, client, crashes, quarantine, hash64, random, limits, endpointLimits, signals, usage, orders, budgetOf, config, rollouts, paths, delegatedRuns, streamVersions, archive }: ProxyComponents) => new Intake({
       memory: memory.account,
+      poll,
       table,
       dispatcher,
       metrics,
--- a/daemon/exchange/exchange_server.ts
+++ b/daemon/exchange/exchange_server.ts
@@ -56,6 +56,7 @@
   #limits = DEFAULT_LIMITS
   readonly #headTimeouts = new HeadTimeouts()
   readonly #exchanges: OpenExchanges
+  readonly #poll: PollWatch
   #accepting = true
   /** Number of connections that were accepted, probes included. */
   #accepted = 0
@@ -65,7 +66,8 @@
   constructor (options: ExchangeServerOptions) {
     this.#options = options
     this.#guard = options.guard ?? new MemoryGuard(options)
-    this.#exchanges = new OpenExchanges({ metrics: options.metrics, poll: options.poll ?? new PollWatch() })
+    this.#poll = options.poll ?? new PollWatch()
+    this.#exchanges = new OpenExchanges({ metrics: options.metrics, poll: this.#poll })
     this.#bodies = new BodyReader(this.#guard.account)
     this.#server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, connectionsCheckingInterval: HEADER_TIMEOUT_CHECK_MS }, (req, res) => { this.#serve(req, res) })
     this.limit(DEFAULT_LIMITS)
@@ -227,10 +229,11 @@
       this.#exchanges.understood(exchange, facts)
       const { bytes: body, entry } = await this.#bodies.read(req, { limits: this.#limits, deadlineInMs: facts.deadlineInMs })
       res.on('close', () => entry?.close())
-      if (res.destroyed || res.writableEnded) return entry?.close()
+      await this.#readOn(exchange)
+      if (res.destroyed || res.writableEnded || exchange.hasLeft) return entry?.close()
       const task = await this.#options.intake.accept({ ...facts, body }, exchange.arrivedAtMs)
       exchange.task = task
-      if (res.writableEnded) return task.post({ type: 'cancelled' })
+      if (res.writableEnded || exchange.hasLeft) return task.post({ type: 'cancelled' })
       writeExchange(res, task, { guard: this.#guard, body: entry, closeConnection: () => this.#exchanges.endsAfter(exchange), onError: (err) => this.#failAnswer(exchange, err) })
       task.post({ type: 'begin' })
     } catch (err) {
@@ -238,6 +241,12 @@
     }
   }
 
+  /** Waits until the end of a request's connection was read, if that may have arrived together with the request. */
+  async #readOn ({ nth, arrivedAtMs }: Exchange): Promise<void> {
+    // A new connection may have waited to be accepted.
+    if (nth === 1 || this.#poll.isLateAfter(steadyNow() - arrivedAtMs)) await new Promise<void>((resolve) => this.#poll.afterPoll(resolve))
+  }
+
   #idOf (req: IncomingMessage): string {
     try {
       return this.#options.dialect.readRequest(req).id
--- a/daemon/exchange/intake.ts
+++ b/daemon/exchange/intake.ts
@@ -6,7 +6,7 @@
 import type { MemoryAccount } from '../../core/memory/index.ts'
 import type { RetryLimiter } from '../../core/retry/index.ts'
 import type { Random } from '../../core/routing/index.ts'
-import { delay, steadyNow } from '../../core/time/index.ts'
+import { delay, steadyNow, type PollWatch } from '../../core/time/index.ts'
 import { NO_TOKENS } from '../../core/work/index.ts'
 import { ExchangeRunner, type AdmittedRequest, type Attachment, type EndCheck, type ExchangeClient, type ExchangeDialect, type ProxiedRequest } from '../../endpoints/index.ts'
 import type { Dispatcher } from '../request/dispatcher.ts'
@@ -42,6 +42,8 @@
   dialect: ExchangeDialect
   /** Counts what is buffered of answers. Default: it is not counted. */
   memory?: MemoryAccount
+  /** Tells whether callers may have left unnoticed. Default: they never have. */
+  poll?: PollWatch
   /** Checks whether an endpoint is still running after it ended a connection with its answer. Default: it is. */
   checkEnd?: EndCheck
   crashes: CrashWatch
@@ -232,7 +234,7 @@
     const ports: RequestPorts = { table, dispatcher, metrics, budget: this.#options.budgetOf(pool), crashes, quarantine, answers, limits: endpointLimits, signals, paths }
     return {
       work: { id: req.id, account: req.account ?? ANONYMOUS, cls, pool, demand: req.demand ?? NO_TOKENS, bytes: req.body.length, claim: undefined, fingerprint: this.#fingerprint(req) },
-      runner: new ExchangeRunner({ req, client, dialect, memory: this.#options.memory, checkEnd: this.#options.checkEnd }),
+      runner: new ExchangeRunner({ req, client, dialect, memory: this.#options.memory, poll: this.#options.poll, checkEnd: this.#options.checkEnd }),
       ports,
       from: req.resumeFrom
     }
--- a/daemon/exchange/open_exchanges.ts
+++ b/daemon/exchange/open_exchanges.ts
@@ -21,6 +21,8 @@
   id?: string
   /** Undefined until it is accepted. */
   task?: RequestTask<Buffer>
+  /** True once its caller has closed the connection. */
+  hasLeft?: boolean
 }
 
 /** Counts of requests since a drain began. */
@@ -134,6 +136,7 @@
     if (known) return known
     const connection: Connection = { open: [], ending: false, requests: 0 }
     this.#connections.set(socket, connection)
+    socket.once('end', () => { for (const exchange of connection.open) if (!exchange.res.writableFinished) this.#callerLeft(exchange) })
     socket.once('close', () => {
       this.#connections.delete(socket)
       // Responses that wait for another one on their connection get no event of their own.
@@ -148,16 +151,21 @@
     connection.open = connection.open.filter((other) => other !== exchange)
     if (res.writableFinished) return
     const by = !connection.ending && (socket.readableEnded || socket.errored) ? 'caller' : 'daemon'
-    if (by === 'caller') this.#recordLeft(exchange)
+    if (by === 'caller') this.#callerLeft(exchange)
     if (!this.draining) return
     if (by === 'daemon') this.#counts.closed++
     logRequest(exchange.id ?? 'unknown', 'connection-closed-draining', { ...this.#describe(exchange), by })
   }
 
-  #recordLeft ({ id, task, arrivedAtMs, unreadMs, nth }: Exchange): void {
+  /** Ends a request whose caller has left, once its connection has ended in one direction: it is closed some turns of the event loop later. */
+  #callerLeft (exchange: Exchange): void {
+    if (exchange.hasLeft) return
+    exchange.hasLeft = true
+    const { id, task, arrivedAtMs, unreadMs, nth } = exchange
     const phase = phaseOf({ id, task })
     this.#options.metrics.callersLeft.inc({ phase })
     logRequest(id ?? 'unknown', 'caller-left', { phase, endpoint: task?.runningAt, afterMs: Math.round(steadyNow() - arrivedAtMs), unreadMs: Math.round(unreadMs), nth, sentForMs: task?.sentForMs })
+    task?.post({ type: 'caller-left' })
   }
 
   #describe ({ id, task, arrivedAtMs, res }: Exchange): CutExchange {
--- a/endpoints/exchange/connection.ts
+++ b/endpoints/exchange/connection.ts
@@ -1,7 +1,7 @@
 /** Connection to an endpoint that carries one request at a time. */
 import type { Socket } from 'node:net'
 import { buildConnector, Client, type Dispatcher } from 'undici'
-import { steadyNow } from '../../core/time/index.ts'
+import { steadyNow, type PollWatch } from '../../core/time/index.ts'
 import { resetUnanswered } from '../reset_unanswered.ts'
 
 /** Connect timeout in milliseconds. Needed because a host without power does not refuse connections. */
@@ -21,6 +21,16 @@
 
 const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS })
 
+/** Options of {@linkcode Connection}. */
+export interface ConnectionOptions {
+  /** Called with the time that it took to connect, in milliseconds. Default: does nothing. */
+  onConnected?: ((tookMs: number) => void) | undefined
+  /** Tells whether callers may have left unnoticed while the connection was opened. Default: they never have. */
+  poll?: PollWatch | undefined
+}
+
+type Connected = Parameters<buildConnector.Callback>
+
 /** A connection, and whether its socket was ended or reset. */
 export class Connection {
   readonly #client: Client
@@ -41,8 +51,7 @@
   /** Called once, when the connection is closed. */
   onClose: () => void = () => {}
 
-  /** @param onConnected Called with the time that it took to connect, in milliseconds. Default: does nothing. */
-  constructor (address: string, onConnected?: (tookMs: number) => void) {
+  constructor (address: string, { onConnected, poll }: ConnectionOptions = {}) {
     this.#client = new Client(`http://${address}`, {
       pipelining: 1,
       keepAliveTimeout: DEFAULT_IDLE_MS,
@@ -57,7 +66,8 @@
             this.#track(result[1])
             onConnected?.(steadyNow() - startedAtMs)
           }
-          callback(...result)
+          if (poll?.isLate) poll.afterPoll(() => callback(...stillOpen(result)))
+          else callback(...result)
         })
       }
     })
@@ -136,3 +146,8 @@
     })
   }
 }
+
+/** Returns an error in place of a connection that has ended since it was opened. */
+function stillOpen (result: Connected): Connected {
+  return result[1]?.destroyed ? [new Error('the connection ended as soon as it was open'), null] : result
+}
--- a/endpoints/exchange/connection_pool.ts
+++ b/endpoints/exchange/connection_pool.ts
@@ -1,4 +1,5 @@
 /** Connection pool of one endpoint. */
+import type { PollWatch } from '../../core/time/index.ts'
 import { Connection } from './connection.ts'
 
 /** Options of {@linkcode ConnectionPool}. */
@@ -13,6 +14,8 @@
   onConnected?: ((tookMs: number) => void) | undefined
   /** Called for each connection that is closed. */
   onClose?: () => void
+  /** Tells whether callers may have left unnoticed while a connection was opened. Default: they never have. */
+  poll?: PollWatch | undefined
 }
 
 /** Pool that reuses the most recently used connection first, so that the others can reach their idle timeout and close. */
@@ -69,7 +72,7 @@
   }
 
   #open (): Connection {
-    const connection = new Connection(this.#options.address(), this.#options.onConnected)
+    const connection = new Connection(this.#options.address(), this.#options)
     this.#all.add(connection)
     connection.onClose = () => this.#remove(connection)
     this.#options.onOpen?.()
--- a/endpoints/exchange/exchange.ts
+++ b/endpoints/exchange/exchange.ts
@@ -3,6 +3,7 @@
 import { framingOf, isEventStream, type AnswerHead, type Header } from '../../core/answer/index.ts'
 import { answerWindowBytes, SMALL_ENTRY_BYTES, type MemoryAccount, type MemoryEntry } from '../../core/memory/index.ts'
 import { AttemptError, type FailurePoint } from '../../core/outcome/index.ts'
+import type { PollWatch } from '../../core/time/index.ts'
 import { attemptError } from '../_attempt_errors.ts'
 import type { Attachment, AttemptEndOptions, AttemptSink } from '../attempt.ts'
 import type { Connection } from './connection.ts'
@@ -18,6 +19,8 @@
   dialect: ExchangeDialect
   sink: AttemptSink<Buffer>
   connection: Connection
+  /** Tells whether callers may have left unnoticed. Default: they never have. */
+  poll?: PollWatch | undefined
   /** Counts the bytes that are buffered. Default: they are not counted. */
   memory?: MemoryAccount | undefined
   /** Number of events that the caller already has. */
@@ -56,6 +59,7 @@
   readonly #events = new EventSplitter()
   readonly #chunks: Buffer[] = []
   #controller: Dispatcher.DispatchController | undefined
+  #isDispatched = false
   #head: AnswerHead | undefined
   #bodyHandling: BodyHandling = 'nothing'
   #bufferedBytes = 0
@@ -76,9 +80,16 @@
   /** False while the connection is being opened. */
   get sent (): boolean { return this.#controller !== undefined }
 
-  /** Sends the request with the headers of this attempt. */
+  /** Sends the request with the headers of this attempt; not before the ends of all connections were read that arrived before now. */
   send (headers: readonly Header[]): void {
+    const { poll } = this.#options
+    if (poll?.isLate) poll.afterPoll(() => { if (!this.#done) this.#dispatch(headers) })
+    else this.#dispatch(headers)
+  }
+
+  #dispatch (headers: readonly Header[]): void {
     const { req, connection } = this.#options
+    this.#isDispatched = true
     connection.onOverrun = () => {
       if (this.#done) connection.close()
       else this.#fail('foreign-answer', 'the endpoint sends bytes that are no answer')
@@ -96,7 +107,8 @@
   detach (): void {
     if (this.#done) return
     this.#endAttempt()
-    this.#options.connection.close()
+    if (this.#isDispatched) this.#options.connection.close()
+    else this.#options.release()
   }
 
   /** Takes effect once the head has come. */
--- a/endpoints/exchange/exchange_client.ts
+++ b/endpoints/exchange/exchange_client.ts
@@ -1,6 +1,7 @@
 /** Connection pools of one daemon for all endpoints that it proxies to. */
 import type { EndpointId } from '../../core/ids/index.ts'
 import type { EndpointView } from '../../core/routing/index.ts'
+import type { PollWatch } from '../../core/time/index.ts'
 import { ConnectionPool } from './connection_pool.ts'
 import type { Connection } from './connection.ts'
 
@@ -16,6 +17,8 @@
   onConnected?: ((view: EndpointView, tookMs: number) => void) | undefined
   /** Called for each connection that is closed. */
   onClose?: () => void
+  /** Tells whether callers may have left unnoticed while a connection was opened. Default: they never have. */
+  poll?: PollWatch | undefined
 }
 
 /** Keeps one connection pool for each endpoint. */
@@ -78,10 +81,11 @@
     const maxConnections = this.#options.maxConnections(view)
     let pool = this.#pools.get(view.id)
     if (!pool) {
-      const { addressOf, onOpen, onClose, onConnected } = this.#options
+      const { addressOf, onOpen, onClose, onConnected, poll } = this.#options
       pool = new ConnectionPool({
         address: () => addressOf?.(view.address) ?? view.address,
         maxConnections,
+        poll,
         onOpen: () => onOpen?.(view),
         onClose: () => onClose?.(),
         ...(onConnected && { onConnected: (tookMs) => onConnected(view, tookMs) })
--- a/endpoints/exchange/exchange_runner.ts
+++ b/endpoints/exchange/exchange_runner.ts
@@ -2,7 +2,7 @@
 import { backsOff, type EndpointView } from '../../core/routing/index.ts'
 import type { MemoryAccount } from '../../core/memory/index.ts'
 import { AttemptError } from '../../core/outcome/index.ts'
-import { steadyNow } from '../../core/time/index.ts'
+import { steadyNow, type PollWatch } from '../../core/time/index.ts'
 import type { Attachment, AttemptRunner, AttemptSink, AttemptSpec, StopReport } from '../attempt.ts'
 import type { EndCheck } from './end_check.ts'
 import { Exchange } from './exchange.ts'
@@ -19,6 +19,8 @@
   checkEnd?: EndCheck | undefined
   /** Counts the bytes that are buffered. Default: they are not counted. */
   memory?: MemoryAccount | undefined
+  /** Tells whether callers may have left unnoticed. Default: they never have. */
+  poll?: PollWatch | undefined
 }
 
 const NO_ATTACHMENT: Attachment = { detach: () => {} }
@@ -35,7 +37,7 @@
   }
 
   start (view: EndpointView, spec: AttemptSpec<Buffer>, sink: AttemptSink<Buffer>): Attachment {
-    const { req, client, dialect, memory, checkEnd = async () => 'alive' } = this.#options
+    const { req, client, dialect, memory, poll, checkEnd = async () => 'alive' } = this.#options
     const connection = client.acquire(view)
     if (!connection) {
       // Reported asynchronously like every other failure, because the task has not recorded the attempt yet.
@@ -43,7 +45,7 @@
       return NO_ATTACHMENT
     }
     const headers = dialect.attemptHeaders(req, { view, deadlineInMs: spec.deadlineInMs, resumeFrom: spec.from, lane: req.demand && spec.lane, kvHandle: spec.kvHandle })
-    const exchange = new Exchange({ req, dialect, sink, connection, memory, from: spec.from, haveIds: this.#haveIds || spec.from > 0, onIds: () => { this.#haveIds = true }, maySend: () => !backsOff(view, steadyNow()), checkEnd: () => checkEnd(view), release: () => client.release(view, connection) })
+    const exchange = new Exchange({ req, dialect, sink, connection, memory, poll, from: spec.from, haveIds: this.#haveIds || spec.from > 0, onIds: () => { this.#haveIds = true }, maySend: () => !backsOff(view, steadyNow()), checkEnd: () => checkEnd(view), release: () => client.release(view, connection) })
     exchange.send(headers)
     return exchange
   }
--- a/endpoints/exchange/exchange_test.ts
+++ b/endpoints/exchange/exchange_test.ts
@@ -5,7 +5,7 @@
 import { MemoryAccount } from '../../core/memory/index.ts'
 import { type AttemptError, type FailurePoint } from '../../core/outcome/index.ts'
 import { noWork, type EndpointView } from '../../core/routing/index.ts'
-import { delay, steadyNow } from '../../core/time/index.ts'
+import { delay, PollWatch, steadyNow } from '../../core/time/index.ts'
 import { RawEndpoint, type RawRequest } from '../../standins/index.ts'
 import type { Attachment, AttemptSink, EndpointSignals } from '../attempt.ts'
 import { ExchangeClient, ExchangeRunner, headerValue, type AdmittedRequest, type ExchangeDialect } from './index.ts'
@@ -413,3 +413,20 @@
     expect(account.heldBytes).toBe(0)
   }
 })
+
+test('an attempt that is given up while connections are read again is not sent, and leaves its connection to others', async () => {
+  const { endpoint, view } = await startEndpoint(writeAnswer)
+  const client = clientOf(1)
+  await sendAndWait(client, view, requestOf('first'))
+  // It was never started, so that everything counts as read late.
+  const poll = new PollWatch()
+  const sink = { onChunk () {}, onEnd () {}, onError () {}, onLoad () {} }
+  await delay(200)
+  const start = (id: string) => new ExchangeRunner({ req: requestOf(id), client, dialect: DIALECT, poll }).start(view, { attempt: 1, mode: 'fresh', lane: 'normal', done: [], from: 0, deadlineInMs: 1000, kvHandle: undefined }, sink)
+  const attachment = start('left')
+  expect(attachment.sent).toBe(false)
+  attachment.detach()
+  start('stays')
+  await vi.waitUntil(() => endpoint.requests.length === 2)
+  expect(endpoint.requests.map((req) => [idOf(req), req.nth])).toEqual([['first', 1], ['stays', 2]])
+})
