--- a/endpoints/exchange/connection.ts
+++ b/endpoints/exchange/connection.ts
@@ -1,8 +1,8 @@
 /** Connection to an endpoint that carries one request at a time. */
 import type { Socket } from 'node:net'
-import { buildConnector, Client, type Dispatcher } from 'undici'
+import { Client, type buildConnector, type Dispatcher } from 'undici'
 import { steadyNow, type PollWatch } from '../../core/time/index.ts'
-import { resetUnanswered } from '../reset_unanswered.ts'
+import { resettingConnector } from '../resetting_connector.ts'
 
 /** Connect timeout in milliseconds. Needed because a host without power does not refuse connections. */
 const CONNECT_TIMEOUT_MS = 1000
@@ -19,7 +19,7 @@
  */
 const MAX_FRAMING_BYTES = 64 * 1024
 
-const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS })
+const connect = resettingConnector({ timeout: CONNECT_TIMEOUT_MS })
 
 /** Options of {@linkcode Connection}. */
 export interface ConnectionOptions {
@@ -112,7 +112,6 @@
     this.#socket = socket
     this.open = true
     this.#trackSocketEnd(socket)
-    resetUnanswered(socket)
     // The client's own pause is not used: it throws from a socket event if the connection of an answer that closes it ends in a pause.
     const read = socket.read.bind(socket)
     socket.read = (size) => {
--- a/endpoints/http_engine.ts
+++ b/endpoints/http_engine.ts
@@ -6,6 +6,7 @@
 import { attemptError, refusalError, refusalSignals } from './_attempt_errors.ts'
 import type { Attachment, StopReport } from './attempt.ts'
 import type { EngineOrder, ModelEngine, StreamSink, StreamSpec } from './model_engine.ts'
+import { resettingConnector } from './resetting_connector.ts'
 
 /** Options of {@linkcode HttpEngine}. */
 export interface HttpEngineOptions {
@@ -26,7 +27,7 @@
   readonly #idleTimeoutMs: number
 
   constructor (options: HttpEngineOptions) {
-    this.#pool = new Pool(options.url, { connections: options.connections ?? 64, connect: { timeout: CONNECT_TIMEOUT_MS }, pipelining: 1 })
+    this.#pool = new Pool(options.url, { connections: options.connections ?? 64, connect: resettingConnector({ timeout: CONNECT_TIMEOUT_MS }), pipelining: 1 })
     this.#idleTimeoutMs = options.idleTimeoutMs ?? 10_000
   }
 
--- a/endpoints/http_service.ts
+++ b/endpoints/http_service.ts
@@ -2,6 +2,7 @@
 import { Pool } from 'undici'
 import { attemptError, refusalError, refusalSignals } from './_attempt_errors.ts'
 import type { PlainService, ServiceCall } from './plain_service.ts'
+import { resettingConnector } from './resetting_connector.ts'
 
 const CONNECT_TIMEOUT_MS = 1000
 
@@ -10,7 +11,7 @@
   readonly #pool: Pool
 
   constructor (options: { url: string, connections?: number }) {
-    this.#pool = new Pool(options.url, { connections: options.connections ?? 16, connect: { timeout: CONNECT_TIMEOUT_MS } })
+    this.#pool = new Pool(options.url, { connections: options.connections ?? 16, connect: resettingConnector({ timeout: CONNECT_TIMEOUT_MS }) })
   }
 
   async call (call: ServiceCall): Promise<string> {
