Begin a delegated run only while its origin still wants it

What callers saw: nothing that was reported. Found by looking for the class of GONE elsewhere: a request that another daemon runs.

Cause: a link between daemons that holds bytes delivers the request and its cancellation together, seconds later. The delegate begins the request, with the whole deadline that it names, before it reads the cancellation behind it.

Change: the delegate reports that it has the request, as before, and begins when the origin answers with delegation-start; an origin that has cancelled the run does not. A reset of the link would drop the calls and streams of others on it. Origins of earlier versions do not ask for that, and their requests begin at once. Costs one round trip between the two daemons for each delegated request.

--- a/daemon/delegation/_messages.ts
+++ b/daemon/delegation/_messages.ts
@@ -8,6 +8,8 @@
 export const OFFER_METHOD = 'delegation-offer'
 /** Runs a request; replies with a {@linkcode RunResult} after any number of {@linkcode RunPart}s. */
 export const RUN_METHOD = 'delegation-run'
+/** Lets a run begin whose first part the origin has received; without it, a run that a link held would begin after its caller has left. */
+export const START_TOPIC = 'delegation-start'
 /** Cancels a run whose caller has left or that is not needed any more. */
 export const CANCEL_TOPIC = 'delegation-cancel'
 
@@ -36,6 +38,8 @@
   boundTo?: StreamVersion | undefined
   /** True if the origin confirms what it has received; daemons of earlier versions do not. */
   confirms?: boolean
+  /** True if the run must not begin before the origin says so; daemons of earlier versions never do. */
+  awaitsStart?: boolean
 }
 
 /** Part of the answer to a run. The first one confirms that the run has begun. */
@@ -66,5 +70,8 @@
 /** Argument of {@linkcode RECEIVED_TOPIC}: all bytes of the answer since the start of the run. */
 export interface ReceivedMessage { run: number, bytes: number }
 
+/** Argument of {@linkcode START_TOPIC}. */
+export interface StartMessage { run: number }
+
 /** Argument of {@linkcode CANCEL_TOPIC}. */
 export interface CancelMessage { run: number }
--- a/daemon/delegation/delegate_server.ts
+++ b/daemon/delegation/delegate_server.ts
@@ -13,7 +13,7 @@
 import type { MembershipTask } from '../peers/membership_task.ts'
 import { CUT_OFF_REASON } from '../request/dispatcher.ts'
 import type { RequestTask } from '../request/request_task.ts'
-import { PROGRESS_TOPIC, CANCEL_TOPIC, FLOW_TOPIC, OFFER_METHOD, RECEIVED_TOPIC, RUN_METHOD, type CancelMessage, type FlowMessage, type OfferQuery, type ReceivedMessage, type RunPart, type RunQuery, type RunResult } from './_messages.ts'
+import { PROGRESS_TOPIC, CANCEL_TOPIC, FLOW_TOPIC, OFFER_METHOD, RECEIVED_TOPIC, RUN_METHOD, START_TOPIC, type CancelMessage, type FlowMessage, type OfferQuery, type ReceivedMessage, type RunPart, type RunQuery, type RunResult, type StartMessage } from './_messages.ts'
 import { RunFlow } from './_run_flow.ts'
 import { guarded } from '../tasks/index.ts'
 
@@ -55,6 +55,7 @@
     const { links } = options.membership
     links.handle(OFFER_METHOD, ({ pool }: OfferQuery, { from }) => this.#offer(pool, from))
     links.handle(RUN_METHOD, (query: RunQuery, { from, part, signal }) => this.#run(query, { from, part, signal }))
+    links.onPost(START_TOPIC, ({ run }: StartMessage, from) => this.#runs.get(runKey(from, run))?.task.post({ type: 'begin' }))
     links.onPost(CANCEL_TOPIC, ({ run }: CancelMessage, from) => this.#runs.get(runKey(from, run))?.task.post({ type: 'caller-left' }))
     links.onPost(FLOW_TOPIC, ({ run, paused }: FlowMessage, from) => this.#runs.get(runKey(from, run))?.flow.setPaused(paused))
     links.onPost(RECEIVED_TOPIC, ({ run, bytes }: ReceivedMessage, from) => this.#runs.get(runKey(from, run))?.flow.received(bytes))
@@ -130,7 +131,7 @@
     origin.requests++
     const cancel = () => task.post({ type: 'caller-left' })
     signal.addEventListener('abort', cancel)
-    const result = await follow({ task, flow }, { resumeFrom: query.req.resumeFrom, part })
+    const result = await follow({ task, flow }, { resumeFrom: query.req.resumeFrom, awaitsStart: query.awaitsStart === true, part })
     // The link outlives its runs.
     signal.removeEventListener('abort', cancel)
     this.#runs.delete(key)
@@ -167,7 +168,7 @@
 }
 
 /** Sends a task's answer to the origin as it grows, and returns its result. */
-function follow ({ task, flow }: Run, { resumeFrom, part }: { resumeFrom: number, part: (value: RunPart) => void }): Promise<RunResult> {
+function follow ({ task, flow }: Run, { resumeFrom, awaitsStart, part }: { resumeFrom: number, awaitsStart: boolean, part: (value: RunPart) => void }): Promise<RunResult> {
   let sentPieces = 0
   let isHeadSent = false
   let reached = 0
@@ -194,7 +195,7 @@
     }
     const unsubscribe = task.subscribe(onChange)
     part({ reached })
-    task.post({ type: 'begin' })
+    if (!awaitsStart) task.post({ type: 'begin' })
     onChange()
   })
 }
--- a/daemon/delegation/delegated_runs.ts
+++ b/daemon/delegation/delegated_runs.ts
@@ -6,7 +6,7 @@
 import { PeerError } from '../peers/links.ts'
 import type { MembershipTask } from '../peers/membership_task.ts'
 import type { DelegatedSink } from '../request/delegated_run.ts'
-import { PROGRESS_TOPIC, CANCEL_TOPIC, FLOW_TOPIC, RECEIVED_TOPIC, RUN_METHOD, type CancelMessage, type FlowMessage, type ReceivedMessage, type RunPart, type RunQuery, type RunResult } from './_messages.ts'
+import { PROGRESS_TOPIC, CANCEL_TOPIC, FLOW_TOPIC, RECEIVED_TOPIC, RUN_METHOD, START_TOPIC, type CancelMessage, type FlowMessage, type ReceivedMessage, type RunPart, type RunQuery, type RunResult, type StartMessage } from './_messages.ts'
 import { WINDOW_BYTES } from './_run_flow.ts'
 import type { DelegateFinder } from './delegate_finder.ts'
 import { guarded } from '../tasks/index.ts'
@@ -19,7 +19,7 @@
 
 /** Options of one run. */
 export interface DelegatedRunOptions {
-  query: Omit<RunQuery, 'run' | 'confirms'>
+  query: Omit<RunQuery, 'run' | 'confirms' | 'awaitsStart'>
   /** Returns true if the request may run again elsewhere when its delegate does not respond, and can be sent there now; otherwise its answer is waited for. */
   mayRepeatNow (): boolean
 }
@@ -97,12 +97,14 @@
       if (bytes.received - bytes.confirmed < CONFIRM_BYTES) return
       if (links.post(to, RECEIVED_TOPIC, { run, bytes: bytes.received } satisfies ReceivedMessage)) bytes.confirmed = bytes.received
     }
+    let isStarted = false
     const open: OpenRun = { to, mayRepeatNow, activeAtMs: steadyNow(), lose, confirm }
     this.#runs.set(run, open)
     finder.started(query.pool, to)
     const onPart = ({ reached: reachedNow, head, version, chunk }: RunPart) => {
       if (!this.#runs.has(run)) return
       open.activeAtMs = steadyNow()
+      if (!isStarted) isStarted = links.post(to, START_TOPIC, { run } satisfies StartMessage)
       reached = reachedNow ?? reached
       if (head) sink.onHead(head, { version })
       if (chunk) {
@@ -125,7 +127,7 @@
     }
     const member = core.member(to)
     if (member) {
-      links.call(member, RUN_METHOD, { ...query, run, confirms: true } satisfies RunQuery, { timeoutMs: query.deadlineInMs + REPLY_MARGIN_MS, part: onPart as (value: unknown) => void })
+      links.call(member, RUN_METHOD, { ...query, run, confirms: true, awaitsStart: true } satisfies RunQuery, { timeoutMs: query.deadlineInMs + REPLY_MARGIN_MS, part: onPart as (value: unknown) => void })
         .then((result) => onResult(result as RunResult), (err: Error) => fail(err instanceof PeerError && err.notSent ? 'delegate-declined' : 'delegate-lost', err.message, { cause: err }))
     } else queueMicrotask(() => fail('delegate-declined', 'it is not known any more'))
     return { detach: () => { if (close(false)) cancel() }, pause: () => setFlow(true), resume: () => setFlow(false) }
--- a/daemon/delegation/delegated_runs_test.ts
+++ b/daemon/delegation/delegated_runs_test.ts
@@ -141,7 +141,9 @@
     return await new Promise(() => {})
   })
   peer.onPost(RECEIVED_TOPIC, (message: unknown) => { seen.push(message) })
-  vi.spyOn(origin, 'post').mockReturnValueOnce(false).mockReturnValueOnce(false)
+  let lost = 2
+  const post = origin.post.bind(origin)
+  vi.spyOn(origin, 'post').mockImplementation((to, topic, value) => (topic === RECEIVED_TOPIC && lost-- > 0 ? false : post(to, topic, value)))
   run('peer-0', { repeatable: false })
   await vi.advanceTimersByTimeAsync(50)
   expect(seen).toEqual([true])
