Copy chunks of bodies into blocks, and count the memory that is taken

What operators saw: 24 connections with bodies in chunks of one byte ended a process, which ran out of memory; the requests of all other callers ended with it.

Cause: each chunk of a body was kept as a buffer of its own, some hundred bytes whatever it holds, and the account counted its payload. Class: memory is counted by what peers say it is, not by what the process keeps.

A body that is refused lets go of what was read at once, and what still comes of it is dropped.

--- a/daemon/exchange/body_reader.ts
+++ b/daemon/exchange/body_reader.ts
@@ -1,7 +1,7 @@
 /** Reads the bodies of callers' requests into memory, as far as there is room for them. */
 import type { IncomingMessage } from 'node:http'
 import type { CallerLimits } from '../../core/catalog/index.ts'
-import { SMALL_ENTRY_BYTES, type MemoryAccount, type MemoryEntry } from '../../core/memory/index.ts'
+import { ByteCollector, SMALL_ENTRY_BYTES, type MemoryAccount, type MemoryEntry } from '../../core/memory/index.ts'
 import { confirmIdle } from './_idle_timeout.ts'
 import { Refusal } from './refusal.ts'
 
@@ -22,7 +22,6 @@
 /** A body that waits for room. */
 interface WaitingBody { bytes: number, admit (entry: MemoryEntry): void }
 
-const NO_BYTES = Buffer.alloc(0)
 /** Longest time for which a body waits for room before it is read, in milliseconds; a fraction of its deadline if that is shorter. */
 const MAX_WAIT_MS = 1000
 const WAIT_FRACTION = 1 / 8
@@ -121,37 +120,31 @@
 
 /** Reads the whole body. The idle timeout keeps a stalled caller from holding its connection and a partial body in memory forever. */
 async function readAll (req: IncomingMessage, { limits, entry, length: known, hasRoom = () => true }: ReadAllOptions): Promise<Buffer> {
-  const parts: Buffer[] = []
-  // Copied at once, so that the body is not held twice when it is whole.
-  const whole = known === undefined ? undefined : Buffer.allocUnsafeSlow(known)
-  let length = 0
+  const bytes = new ByteCollector({ expectedBytes: known })
   return await new Promise((resolve, reject) => {
     // What waited while the process stood still begins the timeout anew.
-    const idleTimer = setTimeout(() => confirmIdle(() => length, () => reject(new Refusal('the body did not come', { status: 408 }))), limits.idleMs)
+    const idleTimer = setTimeout(() => confirmIdle(() => bytes.length, () => refuse(new Refusal('the body did not come', { status: 408 }))), limits.idleMs)
     const refuse = (why: Refusal) => {
+      clearTimeout(idleTimer)
       req.off('data', onData)
-      parts.length = 0
+      bytes.clear()
+      // What still comes of the body is dropped.
+      req.resume()
       reject(why)
     }
-    const take = (part: Buffer) => {
-      if (whole) part.copy(whole, length - part.length)
-      else {
-        if (!hasRoom()) return refuse(noRoom(length))
-        parts.push(part)
-        entry?.set(length)
-      }
-    }
     const onData = (part: Buffer) => {
       idleTimer.refresh()
-      length += part.length
-      if (length <= limits.bodyBytes) take(part)
-      else reject(tooLarge(limits))
+      if (bytes.length + part.length > limits.bodyBytes) return refuse(tooLarge(limits))
+      if (bytes.needsMemoryFor(part) && !hasRoom()) return refuse(noRoom(bytes.length + part.length))
+      bytes.push(part)
+      entry?.set(bytes.heldBytes)
     }
     req.on('data', onData)
-    req.on('end', () => resolve(whole ?? (parts.length === 0 ? NO_BYTES : Buffer.concat(parts))))
+    req.on('end', () => resolve(bytes.take()))
     req.on('error', reject)
     req.on('close', () => {
       clearTimeout(idleTimer)
+      bytes.clear()
       reject(new Error('the caller left'))
     })
   })
