End bodies that do not come within the time of their request

What operators saw: bodies that trickle hold all room: each ordinary body of 1 MB beside them got 503.

Cause: a body had an idle timeout only, which each byte begins anew. Class: room is lent without a time.

Change: a body must come within the time of its request, from its caller or its route, and within 60 s where neither names one; then it is refused with 408, and its room comes back. A body whose end waits to be read has come in time.

--- a/daemon/exchange/body_reader.ts
+++ b/daemon/exchange/body_reader.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage } from 'node:http'
 import type { CallerLimits } from '../../core/catalog/index.ts'
 import { ByteCollector, SMALL_ENTRY_BYTES, type MemoryAccount, type MemoryEntry } from '../../core/memory/index.ts'
+import { steadyNow } from '../../core/time/index.ts'
 import { confirmIdle } from './_idle_timeout.ts'
 import { Refusal } from './refusal.ts'
 
@@ -15,10 +16,13 @@
 /** Options of {@linkcode BodyReader.read}. */
 export interface ReadBodyOptions {
   limits: CallerLimits
-  /** Milliseconds that the caller waits. Default: as long as needed. */
+  /** Milliseconds that the request has from now on, within which its body must come. Default {@linkcode MAX_BODY_MS}. */
   deadlineInMs?: number | undefined
 }
 
+/** Longest time in which a body must come, in milliseconds. */
+export const MAX_BODY_MS = 60_000
+
 /** A body that waits for room. */
 interface WaitingBody { bytes: number, admit (entry: MemoryEntry): void }
 
@@ -49,14 +53,15 @@
    */
   async read (req: IncomingMessage, { limits, deadlineInMs }: ReadBodyOptions): Promise<RequestBody> {
     const { 'content-length': announced, 'transfer-encoding': encoding } = req.headers
-    if (announced === undefined && encoding === undefined) return { bytes: await readAll(req, { limits, entry: undefined }), entry: undefined }
+    const endsAtMs = steadyNow() + Math.min(deadlineInMs ?? MAX_BODY_MS, MAX_BODY_MS)
+    if (announced === undefined && encoding === undefined) return { bytes: await readAll(req, { limits, endsAtMs, entry: undefined }), entry: undefined }
     const length = announced === undefined ? undefined : Number(announced)
     const isBounded = this.#account.isBounded
     if (isBounded && length !== undefined && length > limits.bodyBytes) throw tooLarge(limits)
     const room = length ?? STEP_BYTES
     const entry = isBounded ? await this.#roomFor(req, room, { waitMs: Math.min(MAX_WAIT_MS, (deadlineInMs ?? Infinity) * WAIT_FRACTION) }) : this.#account.open('request-body')
     try {
-      const bytes = await readAll(req, { limits, entry, length: isBounded ? length : undefined, hasRoom: () => !isBounded || this.#account.hasRoomFor(STEP_BYTES) })
+      const bytes = await readAll(req, { limits, endsAtMs, entry, length: isBounded ? length : undefined, hasRoom: () => !isBounded || this.#account.hasRoomFor(STEP_BYTES) })
       entry.set(bytes.length)
       entry.move('queued')
       return { bytes, entry }
@@ -111,6 +116,8 @@
 
 interface ReadAllOptions {
   limits: CallerLimits
+  /** When the body must have come, in milliseconds on the steady clock. */
+  endsAtMs: number
   entry: MemoryEntry | undefined
   /** Known length, for which the entry has room. Default: the entry grows with the body. */
   length?: number | undefined
@@ -118,14 +125,20 @@
   hasRoom?: () => boolean
 }
 
-/** Reads the whole body. The idle timeout keeps a stalled caller from holding its connection and a partial body in memory forever. */
-async function readAll (req: IncomingMessage, { limits, entry, length: known, hasRoom = () => true }: ReadAllOptions): Promise<Buffer> {
+/** Reads the whole body. Its time limit ends with that of its request; the idle timeout ends a stalled one sooner. */
+async function readAll (req: IncomingMessage, { limits, endsAtMs, entry, length: known, hasRoom = () => true }: ReadAllOptions): Promise<Buffer> {
   const bytes = new ByteCollector({ expectedBytes: known })
   return await new Promise((resolve, reject) => {
     // What waited while the process stood still begins the timeout anew.
     const idleTimer = setTimeout(() => confirmIdle(() => bytes.length, () => refuse(new Refusal('the body did not come', { status: 408 }))), limits.idleMs)
-    const refuse = (why: Refusal) => {
+    // A body whose end waits to be read has come in time.
+    const endTimer = setTimeout(() => setImmediate(setImmediate, () => refuse(new Refusal('the body did not come within the time of its request', { status: 408 }))), Math.max(0, endsAtMs - steadyNow()))
+    const stop = () => {
       clearTimeout(idleTimer)
+      clearTimeout(endTimer)
+    }
+    const refuse = (why: Refusal) => {
+      stop()
       req.off('data', onData)
       bytes.clear()
       // What still comes of the body is dropped.
@@ -140,10 +153,13 @@
       entry?.set(bytes.heldBytes)
     }
     req.on('data', onData)
-    req.on('end', () => resolve(bytes.take()))
+    req.on('end', () => {
+      stop()
+      resolve(bytes.take())
+    })
     req.on('error', reject)
     req.on('close', () => {
-      clearTimeout(idleTimer)
+      stop()
       bytes.clear()
       reject(new Error('the caller left'))
     })
--- a/daemon/exchange/exchange_server.ts
+++ b/daemon/exchange/exchange_server.ts
@@ -23,6 +23,8 @@
   intake: Intake
   dialect: ExchangeDialect
   metrics: Metrics
+  /** Returns the longest time that a request may take, in milliseconds; undefined if it is not known. Default: it never is. */
+  timeLimitMs? (req: RequestHead): number | undefined
   /** Counts and bounds what is held for callers. Default: what is held is not bounded. */
   guard?: MemoryGuard
   /** Tells how long connections were not read. Default: one that is never started, so that everything counts as read late. */
@@ -227,7 +229,7 @@
       checkHeaders(req, this.#limits.headerBytes)
       facts = this.#options.dialect.readRequest(req)
       this.#exchanges.understood(exchange, facts)
-      const { bytes: body, entry } = await this.#bodies.read(req, { limits: this.#limits, deadlineInMs: facts.deadlineInMs })
+      const { bytes: body, entry } = await this.#bodies.read(req, { limits: this.#limits, deadlineInMs: this.#options.timeLimitMs?.(facts) ?? facts.deadlineInMs })
       res.on('close', () => entry?.close())
       await this.#readOn(exchange)
       if (res.destroyed || res.writableEnded || exchange.hasLeft) return entry?.close()
--- a/daemon/exchange/intake.ts
+++ b/daemon/exchange/intake.ts
@@ -202,6 +202,12 @@
     return task
   }
 
+  /** Returns the longest time that a request may take, in milliseconds; undefined if neither its caller nor the configuration names one. */
+  timeLimitMs (req: Pick<ProxiedRequest, 'deadlineInMs' | 'host' | 'target'>): number | undefined {
+    const route = this.#options.catalog()?.routes.find(req.host, pathOf(req))
+    return route ? timeLimitMs(req, route.cls) : req.deadlineInMs
+  }
+
   #refuseIfLeaving (req: ProxiedRequest, { route: { cls }, account }: { route: Route, account: Account | undefined }, arrivedAtMs: number): void {
     const now = steadyNow()
     const deadlineInMs = timeLimitMs(req, cls) - (now - arrivedAtMs)
