Bound what a daemon holds wherever the platform names its memory

What operators saw: with settings without the contract for slow readers, 64 bodies of 3.9 MB took a process to 282 and 345 MB, growing with the crowd.

Cause: the limit in memory_mb was used under that contract only. Callers that are not controlled may come to any deployment.

Change: the limit counts whatever the contracts. The bound of engines' memory and the refusal to start under 112 MB stay with the contract.

What changes in calm: answers whose callers take less than a window (32 KB to 1 MB) are paused on all deployments now, as they were under the contract.

--- a/daemon/exchange/proxy_settings.ts
+++ b/daemon/exchange/proxy_settings.ts
@@ -14,7 +14,7 @@
   failureDomain: FailureDomain
   /** Region of each failure domain; empty if the deployment names none, which counts as one region. */
   regions: ReadonlyMap<FailureDomain, Region>
-  /** Memory that the process may use, in bytes; undefined if the deployment does not ask for what it holds to be bounded. */
+  /** Memory that the process may use, in bytes; undefined if what it holds is not bounded. */
   memoryLimitBytes?: number | undefined
   /** True if the requests that all daemons have at an engine must stay within its memory, where the configuration names it. Default: false. */
   boundsEngineMemory?: boolean | undefined
