Copy what endpoints send in small chunks into blocks

What callers saw: nothing yet. The class of the bodies in small chunks, on the other side: an endpoint that sends a byte a chunk.

Cause: chunks of a plain answer, of a failure and of an unfinished event, and blocks without an id, were kept one by one and counted by their payload.

Change: they are collected in blocks, whose memory is counted.

--- a/endpoints/exchange/event_positions.ts
+++ b/endpoints/exchange/event_positions.ts
@@ -1,4 +1,5 @@
 /** Reads the positions of a stream's events from their ids. */
+import { ByteCollector } from '../../core/memory/index.ts'
 import type { RawEvent } from './event_splitter.ts'
 
 /** Options of {@linkcode EventPositions}. */
@@ -23,8 +24,7 @@
   #haveIds: boolean
   /** Number of events that were counted. */
   #counted = 0
-  #waiting: Buffer[] = []
-  #waitingBytes = 0
+  readonly #waiting = new ByteCollector()
 
   constructor ({ from, haveIds = false }: EventPositionsOptions) {
     this.#next = from
@@ -34,13 +34,14 @@
   /** Position after the last event. */
   get next (): number { return this.#next }
   /** Number of bytes of blocks that wait for the event that they go with. */
-  get waitingBytes (): number { return this.#waitingBytes }
+  get waitingBytes (): number { return this.#waiting.length }
+  /** Number of bytes of memory that these take. */
+  get heldBytes (): number { return this.#waiting.heldBytes }
 
   /** Returns an event with its position and the blocks before it; undefined for a block that waits, `misplaced` for an event whose position was given to one that was counted. */
   place (event: RawEvent): PlacedEvent | 'misplaced' | undefined {
     if (event.id === undefined && (this.#haveIds || !event.isEvent)) {
       this.#waiting.push(event.bytes)
-      this.#waitingBytes += event.bytes.length
       return undefined
     }
     const offset = event.id === undefined ? this.#next : event.id - 1
@@ -59,9 +60,7 @@
 
   #withWaiting (bytes: Buffer): Buffer {
     if (this.#waiting.length === 0) return bytes
-    const all = Buffer.concat([...this.#waiting, bytes])
-    this.#waiting = []
-    this.#waitingBytes = 0
-    return all
+    this.#waiting.push(bytes)
+    return this.#waiting.take()
   }
 }
--- a/endpoints/exchange/event_splitter.ts
+++ b/endpoints/exchange/event_splitter.ts
@@ -1,5 +1,7 @@
 /** Splits a stream of server-sent events into complete events without changing their bytes. */
 
+import { ByteCollector } from '../../core/memory/index.ts'
+
 /** One event as received, including the empty line that ends it. */
 export interface RawEvent {
   bytes: Buffer
@@ -9,6 +11,7 @@
   isEvent: boolean
 }
 
+const NO_BYTES = Buffer.alloc(0)
 const NEWLINE = 0x0A
 const CARRIAGE_RETURN = 0x0D
 /** Length of the longest end of an event, a line break and an empty line with a carriage return, without its last byte. */
@@ -18,14 +21,15 @@
 
 /** Buffers bytes until an event is complete. Takes time in proportion to the bytes, however small the chunks are. */
 export class EventSplitter {
-  /** The chunks of the incomplete event. */
-  #pending: Buffer[] = []
-  #pendingBytes = 0
+  /** The incomplete event. */
+  readonly #pending = new ByteCollector()
   /** The last bytes of the incomplete event, in which the empty line that ends it may begin. */
-  #tail: Buffer = Buffer.alloc(0)
+  #tail: Buffer = NO_BYTES
 
   /** Number of buffered bytes of an incomplete event. */
-  get pendingBytes (): number { return this.#pendingBytes }
+  get pendingBytes (): number { return this.#pending.length }
+  /** Number of bytes of memory that an incomplete event takes. */
+  get heldBytes (): number { return this.#pending.heldBytes }
 
   /** Adds bytes and returns the events that they complete. */
   push (chunk: Buffer): RawEvent[] {
@@ -33,8 +37,8 @@
     const first = this.#tail.length === 0 ? chunk : Buffer.concat([this.#tail, chunk])
     let from = findEventEnd(first, 0) - this.#tail.length
     if (from > 0) {
-      events.push(parseEvent(Buffer.concat([...this.#pending, chunk.subarray(0, from)])))
-      this.#clear()
+      events.push(parseEvent(this.#completed(chunk.subarray(0, from))))
+      this.#tail = NO_BYTES
       for (let end = findEventEnd(chunk, from); end > 0; end = findEventEnd(chunk, from)) {
         events.push(parseEvent(chunk.subarray(from, end)))
         from = end
@@ -44,16 +48,15 @@
     return events
   }
 
-  #clear (): void {
-    this.#pending = []
-    this.#pendingBytes = 0
-    this.#tail = Buffer.alloc(0)
+  #completed (rest: Buffer): Buffer {
+    if (this.#pending.length === 0) return Buffer.from(rest)
+    this.#pending.push(rest)
+    return this.#pending.take()
   }
 
   #keep (rest: Buffer): void {
     if (rest.length === 0) return
     this.#pending.push(rest)
-    this.#pendingBytes += rest.length
     this.#tail = rest.length >= TAIL_BYTES ? rest.subarray(-TAIL_BYTES) : Buffer.concat([this.#tail, rest]).subarray(-TAIL_BYTES)
   }
 }
--- a/endpoints/exchange/exchange.ts
+++ b/endpoints/exchange/exchange.ts
@@ -1,7 +1,7 @@
 /** One request on one connection. Reads the endpoint's answer and reports exactly how it ended. */
 import type { Dispatcher } from 'undici'
 import { framingOf, isEventStream, type AnswerHead, type Header } from '../../core/answer/index.ts'
-import { answerWindowBytes, SMALL_ENTRY_BYTES, type MemoryAccount, type MemoryEntry } from '../../core/memory/index.ts'
+import { answerWindowBytes, ByteCollector, SMALL_ENTRY_BYTES, type MemoryAccount, type MemoryEntry } from '../../core/memory/index.ts'
 import { AttemptError, type FailurePoint } from '../../core/outcome/index.ts'
 import type { PollWatch } from '../../core/time/index.ts'
 import { attemptError } from '../_attempt_errors.ts'
@@ -57,12 +57,11 @@
 export class Exchange implements Dispatcher.DispatchHandler, Attachment {
   readonly #options: ExchangeOptions
   readonly #events = new EventSplitter()
-  readonly #chunks: Buffer[] = []
+  readonly #body = new ByteCollector()
   #controller: Dispatcher.DispatchController | undefined
   #isDispatched = false
   #head: AnswerHead | undefined
   #bodyHandling: BodyHandling = 'nothing'
-  #bufferedBytes = 0
   readonly #positions: EventPositions
   /** Position after the last part of a body without events. */
   #offset: number
@@ -125,6 +124,7 @@
 
   #endAttempt (): void {
     this.#done = true
+    this.#body.clear()
     this.#entry?.close()
   }
 
@@ -179,7 +179,7 @@
   }
 
   #finish (end: AttemptEndOptions<Buffer>): void {
-    const body = Buffer.concat(this.#chunks)
+    const body = this.#body.take()
     this.#endAttempt()
     // Deferred because the client closes a connection that cannot be reused only after this callback.
     setImmediate(() => {
@@ -214,19 +214,15 @@
       if (event.id !== undefined) this.#options.onIds()
       if (placed) this.#options.sink.onChunk(placed.offset, [placed.bytes])
     }
-    const heldBytes = this.#events.pendingBytes + this.#positions.waitingBytes
-    if (heldBytes > MAX_UNFINISHED_BYTES) this.#fail('foreign-answer', `an event is over ${MAX_UNFINISHED_BYTES} bytes`)
-    else this.#count(heldBytes)
+    if (this.#events.pendingBytes + this.#positions.waitingBytes > MAX_UNFINISHED_BYTES) this.#fail('foreign-answer', `an event is over ${MAX_UNFINISHED_BYTES} bytes`)
+    else this.#count(this.#events.heldBytes + this.#positions.heldBytes)
   }
 
   #buffer (chunk: Buffer): void {
-    this.#chunks.push(chunk)
-    this.#bufferedBytes += chunk.length
-    if (this.#bodyHandling === 'failure' && this.#bufferedBytes > MAX_UNFINISHED_BYTES) return this.#fail('endpoint-error', `status ${this.#head!.status} with a body of over ${MAX_UNFINISHED_BYTES} bytes`)
-    if (this.#bufferedBytes <= this.#maxBufferedBytes || this.#bodyHandling !== 'whole') return this.#count(this.#bufferedBytes)
-    const bytes = Buffer.concat(this.#chunks)
-    this.#chunks.length = 0
-    this.#bufferedBytes = 0
+    this.#body.push(chunk)
+    if (this.#bodyHandling === 'failure' && this.#body.length > MAX_UNFINISHED_BYTES) return this.#fail('endpoint-error', `status ${this.#head!.status} with a body of over ${MAX_UNFINISHED_BYTES} bytes`)
+    if (this.#body.length <= this.#maxBufferedBytes || this.#bodyHandling !== 'whole') return this.#count(this.#body.heldBytes)
+    const bytes = this.#body.take()
     this.#count(0)
     this.#forward(bytes)
   }
