Limit callers' connections by the descriptors of the process

What callers saw: nothing yet; nobody had tried connections at the limit of descriptors.

Cause: a daemon accepted connections until it had no descriptor left, not even for connections to endpoints and the store.

The check of how long connections wait to be accepted knows its own ones that were closed so.

--- a/daemon/exchange/_proxy_components.ts
+++ b/daemon/exchange/_proxy_components.ts
@@ -310,7 +310,7 @@
       leavingMs: settings.registry.leavingMs,
       daemons: () => cradle.fleet.hostCount
     })).singleton(),
-    server: asFunction(({ intake, metrics, memory, poll }: ProxyComponents) => new ExchangeServer({ intake, metrics, poll, timeLimitMs: (req) => intake.timeLimitMs(req), guard: memory, dialect: platform.dialect })).singleton(),
+    server: asFunction(({ intake, metrics, memory, poll }: ProxyComponents) => new ExchangeServer({ intake, metrics, poll, maxConnections: settings.maxCallers, timeLimitMs: (req) => intake.timeLimitMs(req), guard: memory, dialect: platform.dialect })).singleton(),
     connectionGate: asFunction(({ server, metrics }: ProxyComponents) => new ConnectionGateTask({ server, metrics })).singleton(),
     readiness: asFunction(() => new ReadinessServer()).singleton(),
     monitor: asFunction((components: ProxyComponents) => new MonitorServer({ metrics: components.metrics, quarantine: components.quarantine, status: () => proxyStatus(components) })).singleton(),
--- a/daemon/exchange/exchange_server.ts
+++ b/daemon/exchange/exchange_server.ts
@@ -1,6 +1,6 @@
 /** HTTP server for callers whose requests are proxied unchanged. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import { connect, type AddressInfo, type Socket } from 'node:net'
+import { connect, type AddressInfo, type DropArgument, type Socket } from 'node:net'
 import { setImmediate } from 'node:timers/promises'
 import type { Acceptance } from '../../core/admission/index.ts'
 import type { CallerLimits } from '../../core/catalog/index.ts'
@@ -25,6 +25,8 @@
   metrics: Metrics
   /** Returns the longest time that a request may take, in milliseconds; undefined if it is not known. Default: it never is. */
   timeLimitMs? (req: RequestHead): number | undefined
+  /** Largest number of connections at once; further ones are closed unread. Default: not limited. */
+  maxConnections?: number | undefined
   /** Counts and bounds what is held for callers. Default: what is held is not bounded. */
   guard?: MemoryGuard
   /** Tells how long connections were not read. Default: one that is never started, so that everything counts as read late. */
@@ -77,6 +79,8 @@
     this.#server.removeAllListeners('connection')
     this.#server.on('clientError', (err: NodeJS.ErrnoException, socket: Socket) => this.#headFailed(err, socket))
     this.#server.on('timeout', closeIfIdle)
+    if (options.maxConnections !== undefined) this.#server.maxConnections = options.maxConnections
+    this.#server.on('drop', (connection) => this.#dropped(connection))
     this.#server.on('connection', (socket: Socket) => this.#connected(socket, (accepted) => serve.call(this.#server, accepted)))
   }
 
@@ -153,6 +157,12 @@
     socket.resetAndDestroy()
   }
 
+  /** Counts a connection that was closed since there are too many. */
+  #dropped (connection: DropArgument | undefined): void {
+    for (const [probe, accepted] of this.#probes) if (probe.localPort === connection?.remotePort && probe.localAddress === connection?.remoteAddress) return accepted()
+    this.#options.metrics.connectionsShed.inc()
+  }
+
   /** Answers what is no request, and callers that do not send the head of theirs in time. */
   #headFailed (err: NodeJS.ErrnoException, socket: Socket): void {
     this.#headTimeouts.confirm(err, socket, () => {
--- a/daemon/exchange/proxy_settings.ts
+++ b/daemon/exchange/proxy_settings.ts
@@ -16,6 +16,8 @@
   regions: ReadonlyMap<FailureDomain, Region>
   /** Memory that the process may use, in bytes; undefined if what it holds is not bounded. */
   memoryLimitBytes?: number | undefined
+  /** Largest number of callers' connections at once; further ones are closed unread. Default: not limited. */
+  maxCallers?: number | undefined
   /** True if the requests that all daemons have at an engine must stay within its memory, where the configuration names it. Default: false. */
   boundsEngineMemory?: boolean | undefined
   /** Whether new streams that cannot be in time are refused while prompts wait at the endpoints. Default: they are not. */
