--- a/core/time/poll_watch.ts
+++ b/core/time/poll_watch.ts
@@ -33,7 +33,7 @@
   /** True if what is read now may have waited for long; so may the ends of connections that are read after it. */
   get isLate (): boolean { return this.unreadMs > LATE_MS }
 
-  /** Returns true if something that has been read in parts for `ms` milliseconds may have been followed by the end of its connection since. */
+  /** Returns true if the end of a connection may have arrived, unread, behind something that took `ms` milliseconds to read. */
   isLateAfter (ms: number): boolean { return this.isLate || ms > LATE_MS }
 
   /** Calls back once the loop has polled again, so that all that has arrived by now was read. */
--- a/daemon/exchange/body_reader.ts
+++ b/daemon/exchange/body_reader.ts
@@ -16,12 +16,12 @@
 /** Options of {@linkcode BodyReader.read}. */
 export interface ReadBodyOptions {
   limits: CallerLimits
-  /** Milliseconds that the request has from now on, within which its body must come. Default {@linkcode MAX_BODY_MS}. */
+  /** Milliseconds that the request has from now on, within which its body must come. Default 60,000. */
   deadlineInMs?: number | undefined
 }
 
 /** Longest time in which a body must come, in milliseconds. */
-export const MAX_BODY_MS = 60_000
+const MAX_BODY_MS = 60_000
 
 /** A body that waits for room. */
 interface WaitingBody { bytes: number, admit (entry: MemoryEntry): void }
