Send the message that begins a delegated run again until the run has begun

Cause: the message may be lost with a link, while the delegate goes on to report progress over another one; the run then waits until its deadline.

--- a/daemon/delegation/delegate_server.ts
+++ b/daemon/delegation/delegate_server.ts
@@ -40,7 +40,7 @@
 interface Origin { askedAtMs: number, running: number, requests: number, pools: Set<PoolName> }
 
 /** A request of another daemon that runs here. */
-interface Run { task: RequestTask<Buffer>, flow: RunFlow }
+interface Run { task: RequestTask<Buffer>, flow: RunFlow, hasBegun: boolean }
 
 /** Makes offers to other daemons and runs their requests. */
 export class DelegateServer {
@@ -55,7 +55,7 @@
     const { links } = options.membership
     links.handle(OFFER_METHOD, ({ pool }: OfferQuery, { from }) => this.#offer(pool, from))
     links.handle(RUN_METHOD, (query: RunQuery, { from, part, signal }) => this.#run(query, { from, part, signal }))
-    links.onPost(START_TOPIC, ({ run }: StartMessage, from) => this.#runs.get(runKey(from, run))?.task.post({ type: 'begin' }))
+    links.onPost(START_TOPIC, ({ run }: StartMessage, from) => begin(this.#runs.get(runKey(from, run))))
     links.onPost(CANCEL_TOPIC, ({ run }: CancelMessage, from) => this.#runs.get(runKey(from, run))?.task.post({ type: 'caller-left' }))
     links.onPost(FLOW_TOPIC, ({ run, paused }: FlowMessage, from) => this.#runs.get(runKey(from, run))?.flow.setPaused(paused))
     links.onPost(RECEIVED_TOPIC, ({ run, bytes }: ReceivedMessage, from) => this.#runs.get(runKey(from, run))?.flow.received(bytes))
@@ -125,13 +125,14 @@
     const task = this.#options.intake.acceptDelegated({ ...query, req: toAdmitted(query) }, from)
     if (!task) return { type: 'declined', why: 'its configuration does not serve the request from that pool' }
     const flow = new RunFlow(task.flow, { confirms: query.confirms === true })
-    this.#runs.set(key, { task, flow })
+    const run: Run = { task, flow, hasBegun: false }
+    this.#runs.set(key, run)
     const origin = this.#originOf(from)
     origin.running++
     origin.requests++
     const cancel = () => task.post({ type: 'caller-left' })
     signal.addEventListener('abort', cancel)
-    const result = await follow({ task, flow }, { resumeFrom: query.req.resumeFrom, awaitsStart: query.awaitsStart === true, part })
+    const result = await follow(run, { resumeFrom: query.req.resumeFrom, awaitsStart: query.awaitsStart === true, part })
     // The link outlives its runs.
     signal.removeEventListener('abort', cancel)
     this.#runs.delete(key)
@@ -168,7 +169,8 @@
 }
 
 /** Sends a task's answer to the origin as it grows, and returns its result. */
-function follow ({ task, flow }: Run, { resumeFrom, awaitsStart, part }: { resumeFrom: number, awaitsStart: boolean, part: (value: RunPart) => void }): Promise<RunResult> {
+function follow (run: Run, { resumeFrom, awaitsStart, part }: { resumeFrom: number, awaitsStart: boolean, part: (value: RunPart) => void }): Promise<RunResult> {
+  const { task, flow } = run
   let sentPieces = 0
   let isHeadSent = false
   let reached = 0
@@ -195,11 +197,18 @@
     }
     const unsubscribe = task.subscribe(onChange)
     part({ reached })
-    if (!awaitsStart) task.post({ type: 'begin' })
+    if (!awaitsStart) begin(run)
     onChange()
   })
 }
 
+/** Begins a run once, however often its origin says so. */
+function begin (run: Run | undefined): void {
+  if (!run || run.hasBegun) return
+  run.hasBegun = true
+  run.task.post({ type: 'begin' })
+}
+
 function byteCount (pieces: readonly Uint8Array[]): number {
   return pieces.reduce((sum, { length }) => sum + length, 0)
 }
--- a/daemon/delegation/delegated_runs.ts
+++ b/daemon/delegation/delegated_runs.ts
@@ -31,6 +31,8 @@
   /** When the delegate last sent anything about the run, in milliseconds on the steady clock. */
   activeAtMs: number
   lose (why: string): void
+  /** Lets the run begin, again as long as it is not known that it has: the message may be lost with a link. */
+  start (): void
   /** Confirms what was received of the answer once that is enough, or was not sent before. */
   confirm (): void
 }
@@ -97,15 +99,19 @@
       if (bytes.received - bytes.confirmed < CONFIRM_BYTES) return
       if (links.post(to, RECEIVED_TOPIC, { run, bytes: bytes.received } satisfies ReceivedMessage)) bytes.confirmed = bytes.received
     }
-    let isStarted = false
-    const open: OpenRun = { to, mayRepeatNow, activeAtMs: steadyNow(), lose, confirm }
+    let isAccepted = false
+    const start = () => { if (isAccepted && reached === 0) links.post(to, START_TOPIC, { run } satisfies StartMessage) }
+    const open: OpenRun = { to, mayRepeatNow, activeAtMs: steadyNow(), lose, start, confirm }
     this.#runs.set(run, open)
     finder.started(query.pool, to)
     const onPart = ({ reached: reachedNow, head, version, chunk }: RunPart) => {
       if (!this.#runs.has(run)) return
       open.activeAtMs = steadyNow()
-      if (!isStarted) isStarted = links.post(to, START_TOPIC, { run } satisfies StartMessage)
       reached = reachedNow ?? reached
+      if (!isAccepted) {
+        isAccepted = true
+        start()
+      }
       if (head) sink.onHead(head, { version })
       if (chunk) {
         bytes.received += chunk.pieces.reduce((sum, { length }) => sum + length, 0)
@@ -135,7 +141,8 @@
 
   #check (): void {
     const now = steadyNow()
-    for (const { to, mayRepeatNow, activeAtMs, lose, confirm } of [...this.#runs.values()]) {
+    for (const { to, mayRepeatNow, activeAtMs, lose, start, confirm } of [...this.#runs.values()]) {
+      start()
       confirm()
       const silentMs = now - Math.max(activeAtMs, this.#progressAtMs.get(to) ?? -Infinity)
       if (silentMs >= DELEGATE_SILENCE_MS && mayRepeatNow()) lose(`it has sent nothing for ${Math.round(silentMs)} ms`)
--- a/daemon/delegation/withdrawn_runs_test.ts
+++ b/daemon/delegation/withdrawn_runs_test.ts
@@ -8,7 +8,7 @@
 import { createMetrics } from '../metrics.ts'
 import { PeerLinks } from '../peers/peer_links.ts'
 import type { FinalResult } from '../request/live_answer.ts'
-import { RUN_METHOD, type RunQuery } from './_messages.ts'
+import { RUN_METHOD, START_TOPIC, type RunQuery } from './_messages.ts'
 import { DelegatedRuns, DelegateServer, type DelegatedRunsOptions, type DelegateServerOptions } from './index.ts'
 
 const POOL = as<PoolName>('desk')
@@ -18,10 +18,11 @@
 
 /** A request that ends when it begins, or when its caller leaves. */
 class FakeTask {
+  static endsAtOnce = true
   readonly answer = new AnswerBuffer<Buffer>()
   readonly received: string[] = []
   readonly state = { sent: 0, phase: 'placing' }
-  readonly started = true
+  get started (): boolean { return this.received.includes('begin') }
   readonly binding = { version: undefined }
   readonly flow = { pause () {}, resume () {} }
   final: FinalResult | undefined
@@ -34,7 +35,7 @@
 
   post ({ type }: RequestMessage): void {
     this.received.push(type)
-    if (this.final) return
+    if (this.final || !FakeTask.endsAtOnce) return
     this.final = { outcome: type === 'begin' ? 'answered' : 'not-run', reason: type, retryAfterMs: undefined }
     this.#listener()
   }
@@ -68,6 +69,7 @@
 })
 afterEach(async () => {
   server.stop()
+  vi.restoreAllMocks()
   await origin.close()
   await delegate.close()
   await links.close()
@@ -91,6 +93,21 @@
   expect(tasks.map(({ received }) => received[0])).toEqual(['begin', 'caller-left', 'begin'])
 })
 
+test('a run begins once, although the message that lets it begin is lost at first and sent again', async () => {
+  // Guards against delegated requests that wait until their deadline since one message was lost with a link.
+  const post = origin.post.bind(origin)
+  let lost = 1
+  vi.spyOn(origin, 'post').mockImplementation((to, topic, value) => topic === START_TOPIC && lost-- > 0 ? true : post(to, topic, value))
+  runs.start()
+  FakeTask.endsAtOnce = false
+  run()
+  await vi.waitUntil(() => tasks[0]?.received.includes('begin'))
+  await delay(500)
+  runs.stop()
+  FakeTask.endsAtOnce = true
+  expect(tasks[0]!.received).toEqual(['begin'])
+})
+
 test('a run of an origin that does not say when it may begin begins at once', async () => {
   // Guards against daemons of earlier versions whose requests no other daemon runs.
   expect(await origin.call(member, RUN_METHOD, { ...QUERY, run: 1, confirms: true })).toMatchObject({ type: 'answered' })
