Send what follows a delegated run to the daemon that took it

Cause: a call reaches whatever daemon listens at the address now; the messages that follow it, to begin, cancel, pause and confirm a run, went to the daemon that was asked, by its id, which is gone. Since a run waits for the message to begin, it waited until its deadline. A cancellation was lost in the same way before.

Change: a part of a streamed reply names the daemon that sends it, and what follows a run goes there.

--- a/daemon/delegation/delegated_runs.ts
+++ b/daemon/delegation/delegated_runs.ts
@@ -3,7 +3,7 @@
 import { AttemptError, type FailurePoint } from '../../core/outcome/index.ts'
 import { steadyNow } from '../../core/time/index.ts'
 import type { Attachment } from '../../endpoints/index.ts'
-import { PeerError } from '../peers/links.ts'
+import { PeerError, type CallOptions } from '../peers/links.ts'
 import type { MembershipTask } from '../peers/membership_task.ts'
 import type { DelegatedSink } from '../request/delegated_run.ts'
 import { PROGRESS_TOPIC, CANCEL_TOPIC, FLOW_TOPIC, RECEIVED_TOPIC, RUN_METHOD, START_TOPIC, type CancelMessage, type FlowMessage, type ReceivedMessage, type RunPart, type RunQuery, type RunResult, type StartMessage } from './_messages.ts'
@@ -78,7 +78,9 @@
       finder.ended(query.pool, to, { failed })
       return true
     }
-    const cancel = () => links.post(to, CANCEL_TOPIC, { run } satisfies CancelMessage)
+    // Another daemon may have started at the address.
+    let peer = to
+    const cancel = () => links.post(peer, CANCEL_TOPIC, { run } satisfies CancelMessage)
     const fail = (point: FailurePoint, why: string, options: { answer?: AttemptError['answer'], cause?: unknown } = {}) => {
       const isNotRun = point === 'delegate-declined'
       if (close(point !== 'endpoint-error')) sink.onError(new AttemptError(`Cannot use delegate ${to}: ${why}`, { point, ...options }), isNotRun ? 0 : Math.max(1, reached))
@@ -92,19 +94,20 @@
     const setFlow = (paused: boolean) => {
       if (!this.#runs.has(run)) return
       flow.paused = paused
-      flow.unsent = !links.post(to, FLOW_TOPIC, { run, paused } satisfies FlowMessage)
+      flow.unsent = !links.post(peer, FLOW_TOPIC, { run, paused } satisfies FlowMessage)
     }
     const bytes = { received: 0, confirmed: 0 }
     const confirm = () => {
       if (bytes.received - bytes.confirmed < CONFIRM_BYTES) return
-      if (links.post(to, RECEIVED_TOPIC, { run, bytes: bytes.received } satisfies ReceivedMessage)) bytes.confirmed = bytes.received
+      if (links.post(peer, RECEIVED_TOPIC, { run, bytes: bytes.received } satisfies ReceivedMessage)) bytes.confirmed = bytes.received
     }
     let isAccepted = false
-    const start = () => { if (isAccepted && reached === 0) links.post(to, START_TOPIC, { run } satisfies StartMessage) }
+    const start = () => { if (isAccepted && reached === 0) links.post(peer, START_TOPIC, { run } satisfies StartMessage) }
     const open: OpenRun = { to, mayRepeatNow, activeAtMs: steadyNow(), lose, start, confirm }
     this.#runs.set(run, open)
     finder.started(query.pool, to)
-    const onPart = ({ reached: reachedNow, head, version, chunk }: RunPart) => {
+    const onPart = ({ reached: reachedNow, head, version, chunk }: RunPart, from: DaemonId) => {
+      peer = from
       if (!this.#runs.has(run)) return
       open.activeAtMs = steadyNow()
       reached = reachedNow ?? reached
@@ -133,7 +136,7 @@
     }
     const member = core.member(to)
     if (member) {
-      links.call(member, RUN_METHOD, { ...query, run, confirms: true, awaitsStart: true } satisfies RunQuery, { timeoutMs: query.deadlineInMs + REPLY_MARGIN_MS, part: onPart as (value: unknown) => void })
+      links.call(member, RUN_METHOD, { ...query, run, confirms: true, awaitsStart: true } satisfies RunQuery, { timeoutMs: query.deadlineInMs + REPLY_MARGIN_MS, part: onPart as CallOptions['part'] })
         .then((result) => onResult(result as RunResult), (err: Error) => fail(err instanceof PeerError && err.notSent ? 'delegate-declined' : 'delegate-lost', err.message, { cause: err }))
     } else queueMicrotask(() => fail('delegate-declined', 'it is not known any more'))
     return { detach: () => { if (close(false)) cancel() }, pause: () => setFlow(true), resume: () => setFlow(false) }
--- a/daemon/delegation/withdrawn_runs_test.ts
+++ b/daemon/delegation/withdrawn_runs_test.ts
@@ -108,6 +108,12 @@
   expect(tasks[0]!.received).toEqual(['begin'])
 })
 
+test('a run begins at a daemon that has started at the address of the one that was asked', async () => {
+  // Guards against delegated requests that wait until their deadline since what follows them is sent to a daemon that is gone.
+  runs.run(as<DaemonId>('gone'), { query: QUERY, mayRepeatNow: () => false }, { onHead () {}, onChunk () {}, onEnd () {}, onRefused () {}, onError () {} })
+  await vi.waitUntil(() => tasks[0]?.received.includes('begin'))
+})
+
 test('a run of an origin that does not say when it may begin begins at once', async () => {
   // Guards against daemons of earlier versions whose requests no other daemon runs.
   expect(await origin.call(member, RUN_METHOD, { ...QUERY, run: 1, confirms: true })).toMatchObject({ type: 'answered' })
--- a/daemon/peers/_peer_link.ts
+++ b/daemon/peers/_peer_link.ts
@@ -2,6 +2,7 @@
 import type { WebSocket } from 'ws'
 import type { DaemonId } from '../../core/ids/index.ts'
 import type { Gossip } from '../../core/membership/index.ts'
+import type { CallOptions } from './links.ts'
 
 /** Messages between daemons. Unknown kinds are counted and ignored, so that newer versions may add some. */
 export type PeerMessage =
@@ -34,4 +35,4 @@
 }
 
 /** A call whose reply has not arrived. */
-export interface PendingCall { resolve (value: unknown): void, reject (err: Error): void, part: ((value: unknown) => void) | undefined, link: Link }
+export interface PendingCall { resolve (value: unknown): void, reject (err: Error): void, part: CallOptions['part'], link: Link }
--- a/daemon/peers/links.ts
+++ b/daemon/peers/links.ts
@@ -12,8 +12,8 @@
 export interface CallOptions {
   /** Time to wait for the reply, in milliseconds. Default 3,000. */
   timeoutMs?: number
-  /** Receives the partial results of a streamed reply. */
-  part?: (value: unknown) => void
+  /** Receives the partial results of a streamed reply, with the daemon that answers: another one than was called may have its address now. */
+  part?: (value: unknown, from: DaemonId) => void
 }
 
 /** Result of a connection attempt; `gone` when nothing listens at the daemon's address or a different daemon does. */
--- a/daemon/peers/peer_links.ts
+++ b/daemon/peers/peer_links.ts
@@ -298,7 +298,7 @@
       case 'gossip': return this.#onGossip(from, msg.gossip)
       case 'call': { this.#answer(link, from, msg); return }
       case 'post': return this.#onPost(from, msg)
-      case 'part': return this.#pendingCalls.get(msg.call)?.part?.(msg.value)
+      case 'part': return this.#pendingCalls.get(msg.call)?.part?.(msg.value, from)
       case 'reply': return this.#settleCall(msg.call, (pending) => pending.resolve(msg.value))
       case 'fail': return this.#settleCall(msg.call, (pending) => pending.reject(new PeerError(msg.error, { notSent: false, replied: true })))
       default: this.#options.metrics.unknownPeerMessages.inc()
--- a/standins/network.ts
+++ b/standins/network.ts
@@ -172,7 +172,7 @@
       }
       peer.#closeController.signal.addEventListener('abort', lost, { once: true })
       const connected = () => !this.#closed && this.#network.reach(this.id, to.address) !== undefined && this.#network.carries(this.id, peer.id)
-      const part = (value: unknown) => { const copy = structuredClone(value); this.#afterLatency(peer.id, this.id, () => { if (connected()) options.part?.(copy) }) }
+      const part = (value: unknown) => { const copy = structuredClone(value); this.#afterLatency(peer.id, this.id, () => { if (connected()) options.part?.(copy, peer.id) }) }
       const settle = (act: () => void) => this.#afterLatency(peer.id, this.id, () => {
         if (!connected()) return
         done()
