--- a/review/standins-2/answers.mjs
+++ b/review/standins-2/answers.mjs
@@ -4,6 +4,10 @@
 export const EVENTS = 8
 const EVENT_INTERVAL_MS = 100
 const CALL_MS = 20
+/** A grey server fails 9 of 20 requests (0.45). */
+const GREY_CYCLE = 20
+const GREY_FAILURES = 9
+let greyCalls = 0
 
 /** Ids of the events of a stream by the number of each: from 1, from 0, or by the tokens that were generated so far. */
 const NUMBERINGS = { 'from-1': (i) => i, 'from-0': (i) => i - 1, 'by-tokens': (i) => 5 * i }
@@ -12,17 +16,21 @@
 export const feedEvent = (server, i) => `data: ${server} entry ${i}\n\n`
 
 /** An event of a model server. Each server writes a text of its own, and so of another length. */
-export const textEvent = (server, i) => `id: ${i}\ndata: ${'word '.repeat(1 + (numberOf(server) + i) % 5)}${i}\n\n`
+export const textEvent = (server, i) => `id: ${i}\ndata: ${'word '.repeat(wordsOf(server))}${i}\n\n`
 
-function numberOf (server) {
-  return [...server].reduce((sum, char) => sum + char.charCodeAt(0), 0)
+/** Words of an event: two numbers in the server's id tell its place and its start. */
+function wordsOf (server) {
+  const [place, start] = server.match(/\d+/g).map(Number)
+  return 1 + 2 * place + start % 2
 }
 
 export const ANSWERS = {
-  /** A plain call. */
-  call (req, { headOf, onWhole }) {
+  /** A plain call. A grey server runs each request to its end, and answers part of them with a failure of its own. */
+  call (req, { headOf, isGrey, onWhole }) {
+    const fails = isGrey && ++greyCalls % GREY_CYCLE < GREY_FAILURES
+    const [status, body] = fails ? [503, 'the database is away'] : [200, 'ok']
     setTimeout(() => {
-      req.socket.write(`${headOf(req, 200)}Content-Length: 2\r\n\r\nok`)
+      req.socket.write(`${headOf(req, status)}Content-Length: ${body.length}\r\n\r\n${body}`)
       onWhole()
     }, CALL_MS)
   },
--- a/review/standins-2/server_process.mjs
+++ b/review/standins-2/server_process.mjs
@@ -1,10 +1,12 @@
 /**
  * A server as a process of its own. Its argument names it, its service, its manner of answering and the store, in JSON.
  *
- * It prints a line for each request that it begins to run and each answer that it has written whole.
+ * It prints a line for each request that it begins to run and each answer that it has written whole. A line on its standard input, "grey" or "sound", tells
+ * whether it fails part of its requests.
  */
 import { request } from 'node:http'
 import { createServer } from 'node:net'
+import { createInterface } from 'node:readline'
 import { ANSWERS } from './answers.mjs'
 import { MessageReader } from './messages.mjs'
 
@@ -13,6 +15,7 @@
 const { id, service, zone, slots, manner, store } = options
 const born = Date.now()
 let sequence = 0
+let isGrey = false
 
 const server = createServer((socket) => {
   socket.on('error', () => {})
@@ -29,7 +32,7 @@
   if (target === '/healthz') return write(req, 200, '')
   if (target === '/report') return write(req, 200, JSON.stringify({ stage: 'both', models: [{ name: 'm', version: 1, adapters: [] }], busy: false, sequence, born, queued: 0, active: 0, kv_used: 0, kv_total: 100_000, handles: 0, state: 'ready', runs: [] }))
   tell({ event: 'runs', request: requestId, lastEventId: headers['last-event-id'] })
-  ANSWERS[manner](req, { headOf, onWhole: () => tell({ event: 'wrote all', request: requestId }) })
+  ANSWERS[manner](req, { headOf, isGrey, onWhole: () => tell({ event: 'wrote all', request: requestId }) })
 }
 
 /** Status line and the headers that each answer bears. */
@@ -60,6 +63,8 @@
   })
 }
 
+createInterface({ input: process.stdin }).on('line', (line) => { isGrey = line === 'grey' })
+
 server.listen(0, '127.0.0.1', async () => {
   await writeEntry('POST', '/objects/servers')
   setInterval(() => writeEntry('PUT', `/objects/servers/${id}`), HEARTBEAT_MS)
--- a/review/standins-2/servers.mjs
+++ b/review/standins-2/servers.mjs
@@ -28,7 +28,7 @@
   async start () {
     this.#starts++
     const { id, service, manner, zone, slots, store } = this
-    const child = spawn('node', [PROGRAM, JSON.stringify({ id, service, manner, zone, slots, store: store.address })], { stdio: ['ignore', 'pipe', 'inherit'] })
+    const child = spawn('node', [PROGRAM, JSON.stringify({ id, service, manner, zone, slots, store: store.address })], { stdio: ['pipe', 'pipe', 'inherit'] })
     this.child = child
     await new Promise((resolve) => {
       createInterface({ input: child.stdout }).on('line', (line) => {
@@ -40,6 +40,11 @@
     })
   }
 
+  /** Lets the process fail part of its requests, or none. */
+  setGrey (isGrey) {
+    this.child.stdin.write(isGrey ? 'grey\n' : 'sound\n')
+  }
+
   /** Ends the process as a crash does. */
   async crash () {
     const { id } = this
