--- a/review/standins-2/answers.mjs
+++ b/review/standins-2/answers.mjs
@@ -48,7 +48,14 @@
     writeEach(req.socket, events, onWhole)
   },
 
-  /** A model server whose stream comes in chunks. Its path says how the ids of its events increase. */
+  /** A plain service that writes its feed at once, with its length. Its path says whether a blank line stands behind the last entry as well. */
+  list (req, { headOf, onWhole }) {
+    const body = numbers(1).map((i) => `data: entry ${i}`).join('\n\n') + (req.target.endsWith('/open-end') ? '' : '\n\n')
+    req.socket.write(`${headOf(req, 200, 'Content-Type: text/event-stream\r\n')}Content-Length: ${body.length}\r\n\r\n${body}`)
+    onWhole()
+  },
+
+  /** A model server whose stream, or a plain service whose feed, comes in chunks. Its path says how the ids of its events increase. */
   numbered (req, { headOf, onWhole }) {
     const idOf = NUMBERINGS[req.target.split('/').at(-1)]
     const after = Number(req.headers['last-event-id'] ?? -Infinity)
--- a/review/standins-2/servers.mjs
+++ b/review/standins-2/servers.mjs
@@ -121,6 +121,7 @@
     routes: routes.map((route) => ({ hostname: 'a.example', timeout_ms: 3000, target_latency_ms: 200, priority: 1, max_attempts: 2, anonymous: false, ...route })),
     services: [
       { name: 'renewal-app', health_path: '/healthz', max_connections: 110 },
+      { name: 'renewal-list', health_path: '/healthz', max_connections: 110 },
       { name: 'model-pool', health_path: '/healthz', max_connections: 300, engine: { slots: 48, kv_capacity_tokens: 601_161, kv_bytes: 18_432, handle_s: 5, moves: true, backups: true } }
     ],
     limits: { max_header_bytes: 16_384, max_body_bytes: 1_000_000, header_timeout_ms: 3000, idle_timeout_ms: 15_000 },
