Pass on no status that promises more about the run than is known

What callers saw: requests that may run once were answered 503, 429 or 408 after an endpoint had run them.

Cause: the life cycle knows what is certain about the run, but the writer asked it only for answers of the daemon's own. An endpoint's failure, and a 408 or 429, which was a whole answer, were handed on whatever their status says. Ruled out: that the daemon takes the answer for a refusal. Its lines have outcome unknown and status 503 for each such request, and callers got the endpoint's signature.

Change: core/outcome/caller_status.ts knows which status says what. An endpoint's status is passed on unless it is a promise that the outcome does not bear out, for a request that may run once; the daemon's own statuses are a table by outcome whose types keep a promise out of `unknown`. The writer asks for each head, also of answers that a delegate brings. The caller gets 502, without the endpoint's signature, Retry-After or other headers. answer-replaced and answers_replaced_total tell of it, and explain names the endpoint's status.

What failures teach about endpoints is unchanged.

The fake task of exchange_server_test has traits now, which the writer reads.

--- a/core/outcome/index.ts
+++ b/core/outcome/index.ts
@@ -1,1 +1,2 @@
+export * from './caller_status.ts'
 export * from './outcome.ts'
--- a/daemon/exchange/exchange_server.ts
+++ b/daemon/exchange/exchange_server.ts
@@ -246,7 +246,7 @@
       const task = await this.#options.intake.accept({ ...facts, body }, exchange.arrivedAtMs)
       exchange.task = task
       if (res.writableEnded || exchange.hasLeft) return task.post({ type: 'cancelled' })
-      writeExchange(res, task, { guard: this.#guard, body: entry, closeConnection: () => this.#exchanges.endsAfter(exchange), onError: (err) => this.#failAnswer(exchange, err) })
+      writeExchange(res, task, { guard: this.#guard, metrics: this.#options.metrics, body: entry, closeConnection: () => this.#exchanges.endsAfter(exchange), onError: (err) => this.#failAnswer(exchange, err) })
       task.post({ type: 'begin' })
     } catch (err) {
       this.#refuse(exchange, { err, facts, id: facts?.id })
--- a/daemon/exchange/exchange_server_test.ts
+++ b/daemon/exchange/exchange_server_test.ts
@@ -38,7 +38,7 @@
 /** Returns a request whose answer cannot be written, which shows only when it arrives. */
 function unwritableTask (): unknown {
   let listener = () => {}
-  const task = { head: undefined as unknown, answer: { pieces: [] }, state: { phase: 'running' }, subscribe: (added: () => void) => { listener = added; return () => {} }, post: () => {} }
+  const task = { head: undefined as unknown, answer: { pieces: [] }, state: { phase: 'running', traits: { idempotent: true } }, subscribe: (added: () => void) => { listener = added; return () => {} }, post: () => {} }
   setTimeout(() => {
     task.head = { status: 200, headers: [['X', '\u0001']] }
     listener()
--- a/daemon/exchange/exchange_writer.ts
+++ b/daemon/exchange/exchange_writer.ts
@@ -2,15 +2,14 @@
 import type { ServerResponse } from 'node:http'
 import type { AnswerHead, Header } from '../../core/answer/index.ts'
 import type { MemoryEntry } from '../../core/memory/index.ts'
+import { mayPassOn, ownStatus, type EndCause } from '../../core/outcome/index.ts'
 import type { MemoryGuard } from '../memory/index.ts'
+import type { Metrics } from '../metrics.ts'
 import type { FinalResult } from '../request/live_answer.ts'
 import type { RequestTask } from '../request/request_task.ts'
 import { AnswerSender } from './answer_sender.ts'
 import { LEAVING_REASON } from './refusal.ts'
 
-const BAD_GATEWAY = 502
-const UNAVAILABLE = 503
-const GATEWAY_TIMEOUT = 504
 /**
  * `Retry-After` for a request that every endpoint tried has refused, in milliseconds: about the time that their running requests take to
  * finish.
@@ -26,6 +25,7 @@
   /** Called if the answer cannot be written. */
   onError (err: Error): void
   guard: MemoryGuard
+  metrics: Metrics
   /** Counts the request's body, which the task holds until its final result. Default: it is not counted. */
   body?: MemoryEntry | undefined
 }
@@ -33,10 +33,11 @@
 /**
  * Writes a task's answer until its final result, as fast as its caller takes it. With a memory limit the pieces are taken out of the task's answer.
  *
- * A truncated answer never looks complete: if an answer that has begun fails, its connection is destroyed without the end of the message.
+ * A truncated answer never looks complete: if an answer that has begun fails, its connection is destroyed without the end of the message. An answer whose status would
+ * promise that a request has not run, although it may have, is replaced by one of the daemon's own.
  */
 export function writeExchange (res: ServerResponse, task: RequestTask<Buffer>, options: WriteExchangeOptions): void {
-  const { guard, body } = options
+  const { guard, metrics, body } = options
   const sender = new AnswerSender(res, task, guard)
   let written = 0
   const unsent = () => (guard.account.isBounded ? task.answer.take() : task.answer.pieces.slice(written))
@@ -44,14 +45,19 @@
     if (task.final) body?.close()
     else body?.move(task.state.phase === 'running' ? 'sending' : 'queued')
     if (res.destroyed) return
-    if (!res.headersSent && task.head) writeHead(res, task.head, { whole: task.final ? totalBytes(task.answer.pieces) : undefined, closeConnection: options.closeConnection() })
+    if (!res.headersSent && task.head) {
+      if (canPassOn(task, task.head)) writeHead(res, task.head, { whole: task.final ? totalBytes(task.answer.pieces) : undefined, closeConnection: options.closeConnection() })
+      else replaceAnswer(res, task, task.head, { metrics, closeConnection: options.closeConnection() })
+    }
+    // The rest of an answer that was replaced reaches nobody.
+    if (res.writableEnded) return
     if (res.headersSent) {
       for (const piece of unsent()) {
         sender.push(piece)
         written++
       }
     }
-    if (task.final) writeEnd(res, task, { final: task.final, sender, closeConnection: () => options.closeConnection() })
+    if (task.final) writeEnd(res, task, { final: task.final, sender, metrics, closeConnection: () => options.closeConnection() })
   }
   const followSafely = () => {
     try {
@@ -74,23 +80,40 @@
   send(res, head.status, headers, options.closeConnection)
 }
 
-function writeEnd (res: ServerResponse, task: RequestTask<Buffer>, options: { final: FinalResult, sender: AnswerSender, closeConnection (): boolean }): void {
-  if (options.final.outcome === 'answered') {
+function writeEnd (res: ServerResponse, task: RequestTask<Buffer>, options: { final: FinalResult, sender: AnswerSender, metrics: Metrics, closeConnection (): boolean }): void {
+  const { final, metrics } = options
+  const failure = task.failureAnswer
+  if (final.outcome === 'answered') {
     options.sender.end()
   } else if (res.headersSent) {
     options.sender.breakOff()
-  } else if (options.final.outcome === 'unknown' && task.failureAnswer) {
-    writeHead(res, task.failureAnswer.head, { whole: task.failureAnswer.body.length, closeConnection: options.closeConnection() })
-    res.end(task.failureAnswer.body)
+  } else if (final.outcome === 'unknown' && failure && !canPassOn(task, failure.head)) {
+    replaceAnswer(res, task, failure.head, { metrics, closeConnection: options.closeConnection() })
+  } else if (final.outcome === 'unknown' && failure) {
+    writeHead(res, failure.head, { whole: failure.body.length, closeConnection: options.closeConnection() })
+    res.end(failure.body)
   } else {
-    const notRun = options.final.outcome === 'not-run'
-    refuse(res, { status: statusFor(options.final), retryAfterMs: options.final.retryAfterMs ?? (notRun ? RETRY_AFTER_NOT_RUN_MS : undefined), why: options.final.reason, closeConnection: options.closeConnection() })
+    const notRun = final.outcome === 'not-run'
+    refuse(res, { status: ownStatus(final.outcome, causeOf(final)), retryAfterMs: final.retryAfterMs ?? (notRun ? RETRY_AFTER_NOT_RUN_MS : undefined), why: final.reason, closeConnection: options.closeConnection() })
   }
 }
 
-function statusFor (final: FinalResult): number {
-  if (final.outcome === 'not-run') return UNAVAILABLE
-  return final.reason.startsWith('deadline') || final.reason === LEAVING_REASON ? GATEWAY_TIMEOUT : BAD_GATEWAY
+function canPassOn ({ final, state }: RequestTask<Buffer>, { status }: AnswerHead): boolean {
+  // While the endpoint still writes its answer, it has not refused the request.
+  return mayPassOn(status, { outcome: final?.outcome ?? 'unknown', mayRunAgain: state.traits.idempotent })
+}
+
+/** Answers in place of an endpoint whose status would tell the caller that its request has not run. */
+function replaceAnswer (res: ServerResponse, task: RequestTask<Buffer>, { status }: AnswerHead, { metrics, closeConnection }: { metrics: Metrics, closeConnection: boolean }): void {
+  const by = ownStatus('unknown', 'failed')
+  task.recordDecision('answer-replaced', { status, by })
+  metrics.answersReplaced.inc({ status: String(status) })
+  refuse(res, { status: by, retryAfterMs: undefined, why: `the endpoint answered with status ${status} and did not say that it has not run the request`, closeConnection })
+}
+
+function causeOf ({ reason }: FinalResult): EndCause {
+  if (reason === LEAVING_REASON) return 'leaving'
+  return reason.startsWith('deadline') ? 'out-of-time' : 'failed'
 }
 
 /** A response of the daemon's own, for a request that gets no endpoint's answer. */
--- a/daemon/explain/_cause.ts
+++ b/daemon/explain/_cause.ts
@@ -79,6 +79,8 @@
 }
 
 function causeOfEnd (f: RequestEvents['request-ended'], evidence: Evidence): string {
+  const replaced = last(evidence.requestLines, 'answer-replaced')
+  if (replaced) return `endpoint: it answered ${replaced.status} and did not say that it has not run the request, so that the caller got ${replaced.by}`
   if (f.outcome === 'answered') return causeOfAnswer(f, evidence)
   const evicted = last(evidence.requestLines, 'answer-evicted')
   if (evicted) return `caller: it took nothing for ${evicted.unreadMs} ms, and its answer was broken off since memory was short`
--- a/daemon/explain/explain_request_test.ts
+++ b/daemon/explain/explain_request_test.ts
@@ -133,3 +133,11 @@
   const ended = line('request-ended', { outcome: 'unknown', why: 'caller left', afterMs: 4000, pieces: 1, attempts: 1, deadlineMs: 9000 })
   expect(explainRequest(readLog([line(event, fields), ...(event === 'answer-evicted' ? [ended] : [])].join('\n')), 'r').cause).toBe(cause)
 })
+
+test.each(['answered', 'unknown'])('an answer that was replaced, of a request whose outcome is %s, is explained with its status', (outcome) => {
+  const line = (name: string, more: object) => JSON.stringify({ level: 'info', time: '2026-05-23T10:00:00.000Z', daemon: 'edge-1', process: 'p', event: name, request: 'r', ...more })
+  const text = [line('request-ended', { outcome, why: 'whole', status: 503, afterMs: 40, pieces: 1, attempts: 1, deadlineMs: 1000 }), line('answer-replaced', { status: 503, by: 502 })].join('\n')
+  const { cause, steps } = explainRequest(readLog(text), 'r')
+  expect(cause).toBe('endpoint: it answered 503 and did not say that it has not run the request, so that the caller got 502')
+  expect(steps.at(-1)!.text).toContain('answered 502 by this daemon')
+})
--- a/daemon/log/events.ts
+++ b/daemon/log/events.ts
@@ -79,6 +79,8 @@
   'export-failed': { endpoint: string, why: string }
   /** This daemon continues a stream of another daemon. */
   'stream-taken-over': { endpoint?: string | undefined, fromPiece: number }
+  /** The endpoint's answer had a `status` that would have told the caller that its request did not run, although it may have; the caller got `by`. */
+  'answer-replaced': { status: number, by: number }
   /** Broken off since memory was short: the caller had not taken `bytes` of the answer and had visibly taken nothing for `unreadMs`. `heldBytes` is what is held for all. */
   'answer-evicted': { bytes: number, unreadMs: number, heldBytes: number }
   /** Read from a caller `sinceMs` after this daemon began to drain. */
@@ -252,7 +254,7 @@
 
 /** Events logged as warnings; the rate limit drops routine events before these. */
 export const WARNING_EVENTS: ReadonlySet<LogEvent> = new Set<LogEvent>([
-  'request-refused', 'request-broke', 'connection-closed-draining', 'request-cut', 'request-given-up', 'request-held', 'answer-evicted', 'memory-level', 'attempt-failed', 'export-failed', 'settings-refused', 'port-in-use', 'monitor-not-served', 'config-refused', 'config-outdated', 'config-not-fetched', 'store-lost', 'store-returned', 'relay-failed', 'region-link-lost',
+  'request-refused', 'request-broke', 'connection-closed-draining', 'request-cut', 'request-given-up', 'request-held', 'answer-replaced', 'answer-evicted', 'memory-level', 'attempt-failed', 'export-failed', 'settings-refused', 'port-in-use', 'monitor-not-served', 'config-refused', 'config-outdated', 'config-not-fetched', 'store-lost', 'store-returned', 'relay-failed', 'region-link-lost',
   'connections-refused', 'peer-not-linked', 'peer-send-failed', 'peer-message-refused', 'peer-values-refused', 'not-registered', 'endpoint-refused', 'endpoint-crashed', 'request-quarantined', 'part-quarantined', 'quarantine-not-stored', 'pool-version-unrecorded', 'endpoint-avoided', 'path-down', 'pool-cut-off', 'delegate-failed', 'endpoint-silent', 'endpoint-limit-refused', 'endpoint-signal-refused', 'keeper-silent', 'lease-call-failed',
   'usage-not-reported', 'usage-left-out', 'order-refused', 'rollout-held', 'rollout-refused', 'rollout-not-written', 'fleet-round-cut', 'answers-lost', 'lines-left-out', 'task-failed'
 ])
