Refuse a connection only behind the answers of its requests

What callers saw: a caller that had sent the beginning of a next head, or bytes that are no request, behind a request that ran got 408, 431 or 400 as the answer of that request, which was withdrawn. 408 promises that it has not run.

Cause: errors of a connection's next head were answered at once unless an answer was being sent; a request that was still awaited did not count.

Change: the connection is refused once the requests that were read whole on it are answered. Nothing is written for a caller that has ended its side.

Why it works: HTTP matches answers to requests by their order alone, so that a refusal can be understood only behind the answers of all requests before it.

--- a/daemon/exchange/_head_errors.ts
+++ b/daemon/exchange/_head_errors.ts
@@ -4,7 +4,7 @@
 const TIMEOUT_CODE = 'ERR_HTTP_REQUEST_TIMEOUT'
 const PARSER_CODES = 'HPE_'
 /** The caller has closed its side in the middle of a request. */
-const END_CODE = 'HPE_INVALID_EOF_STATE'
+export const END_CODE = 'HPE_INVALID_EOF_STATE'
 const BAD_REQUEST = 400
 /** Status of the answer by the code of the error; the others are {@linkcode BAD_REQUEST}. */
 const STATUS_BY_CODE: Record<string, readonly [status: number, text: string]> = {
@@ -37,11 +37,14 @@
   }
 }
 
-/** Answers a connection on which no request can be read, unless an answer is being sent on it, and closes it. Returns the status; undefined if its caller has left. */
-export function refuseHead (err: NodeJS.ErrnoException, socket: Socket, isAnswering: boolean): number | undefined {
+/**
+ * Answers a connection on which no request can be read, and closes it; only closes it if an earlier request of it awaits its answer. Returns the status; undefined if its
+ * caller has left.
+ */
+export function refuseHead (err: NodeJS.ErrnoException, socket: Socket, { isAwaited }: { isAwaited: boolean }): number | undefined {
   const { code = '' } = err
   const [status, text] = STATUS_BY_CODE[code] ?? [BAD_REQUEST, 'Bad Request']
-  const isRefused = (code === TIMEOUT_CODE || code.startsWith(PARSER_CODES)) && socket.writable && !isAnswering
+  const isRefused = (code === TIMEOUT_CODE || code.startsWith(PARSER_CODES)) && socket.writable && !isAwaited
   if (isRefused) socket.write(`HTTP/1.1 ${status} ${text}\r\nConnection: close\r\n\r\n`)
   socket.destroy(err)
   return isRefused && code !== END_CODE ? status : undefined
--- a/daemon/exchange/exchange_server.ts
+++ b/daemon/exchange/exchange_server.ts
@@ -12,7 +12,7 @@
 import { BodyReader } from './body_reader.ts'
 import { refuse, writeExchange } from './exchange_writer.ts'
 import type { Intake } from './intake.ts'
-import { HeadTimeouts, refuseHead } from './_head_errors.ts'
+import { END_CODE, HeadTimeouts, refuseHead } from './_head_errors.ts'
 import { closeIfIdle } from './_idle_timeout.ts'
 import { OpenExchanges, type DrainCounts, type Exchange } from './open_exchanges.ts'
 import { stopListening } from './open_responses.ts'
@@ -165,11 +165,16 @@
 
   /** Answers what is no request, and callers that do not send the head of theirs in time. */
   #headFailed (err: NodeJS.ErrnoException, socket: Socket): void {
-    this.#headTimeouts.confirm(err, socket, () => {
-      const status = refuseHead(err, socket, this.#exchanges.isAnswering(socket))
+    const refuseConnection = () => {
+      const status = refuseHead(err, socket, { isAwaited: this.#exchanges.isAwaited(socket) })
       if (status === undefined) return
       this.#options.metrics.refused.inc({ status: String(status) })
       logRequest('unknown', 'request-refused', { ...this.#options.intake.configState, status, why: `Cannot take request: ${err.message}` })
+    }
+    this.#headTimeouts.confirm(err, socket, () => {
+      // A caller that has ended its side has left, and waits for no answer.
+      if (err.code === END_CODE) refuseConnection()
+      else this.#exchanges.afterAnswers(socket, refuseConnection)
     })
   }
 
--- a/daemon/exchange/open_exchanges.ts
+++ b/daemon/exchange/open_exchanges.ts
@@ -29,7 +29,13 @@
 export interface DrainCounts { read: number, closed: number, givenUp: number, sinceMs: number }
 
 /** Requests of a connection that are open, in their order; `ending` is set once an answer says that it is the last one on the connection. */
-interface Connection { open: Exchange[], ending: boolean, requests: number }
+interface Connection {
+  open: Exchange[]
+  ending: boolean
+  requests: number
+  /** Called once the requests that were read whole are answered. */
+  afterAnswers?: (() => void) | undefined
+}
 
 /** Options of {@linkcode OpenExchanges}. */
 export interface OpenExchangesOptions {
@@ -66,7 +72,7 @@
   /** Must be called for each request whose head was read. Returns undefined if its connection ends before it could be answered. */
   add (req: IncomingMessage, res: ServerResponse): Exchange | undefined {
     const connection = this.#connectionOf(req.socket)
-    if (connection.ending) return undefined
+    if (connection.ending || connection.afterAnswers) return undefined
     const { metrics, poll } = this.#options
     const exchange: Exchange = { req, res, socket: req.socket, arrivedAtMs: steadyNow(), unreadMs: poll.unreadMs, nth: ++connection.requests }
     metrics.unread.observe(exchange.unreadMs)
@@ -77,9 +83,17 @@
     return exchange
   }
 
-  /** Returns true if the headers of an answer were sent on a connection, and its end was not. */
-  isAnswering (socket: Socket): boolean {
-    return this.#connections.get(socket)?.open[0]?.res.headersSent ?? false
+  /** Returns true if what is written on a connection now would be taken for the answer, or a part of the answer, of a request that was read before. */
+  isAwaited (socket: Socket): boolean {
+    const { open = [] } = this.#connections.get(socket) ?? {}
+    return open[0]?.res.headersSent === true || hasWhole(open)
+  }
+
+  /** Calls back once the requests that were read whole on a connection are answered; later ones on it are dropped. */
+  afterAnswers (socket: Socket, call: () => void): void {
+    const connection = this.#connections.get(socket)
+    if (connection && hasWhole(connection.open)) connection.afterAnswers ??= call
+    else call()
   }
 
   /** Must be called once the head of a request is understood. */
@@ -149,6 +163,7 @@
     if (!this.#open.delete(exchange)) return
     const { res, socket } = exchange
     connection.open = connection.open.filter((other) => other !== exchange)
+    if (!hasWhole(connection.open)) connection.afterAnswers?.()
     if (res.writableFinished) return
     const by = !connection.ending && (socket.readableEnded || socket.errored) ? 'caller' : 'daemon'
     if (by === 'caller') this.#callerLeft(exchange)
@@ -180,6 +195,10 @@
   }
 }
 
+function hasWhole (open: readonly Exchange[]): boolean {
+  return open.some(({ req }) => req.complete)
+}
+
 function phaseOf ({ id, task }: Pick<Exchange, 'id' | 'task'>): string {
   if (task) return task.final ? 'sending' : task.state.phase
   return id === undefined ? 'reading' : 'admission'
