Name no time to come back where a request that may run once may have run

What callers saw: a request that may run once, and was quarantined while it ran, was answered 502 with a Retry-After, which reads as leave to send it again. Both interfaces did so.

Cause: the life cycle passed the time to come back on with every outcome.

Change: it does so for requests that certainly have not run, or may run again.

Test: lifecycle_test, "ends without a time to come back", and the random orders of exchange_writer_test failed before and pass; core/request, daemon/request and daemon/api pass (239 tests together).

--- a/core/request/lifecycle.ts
+++ b/core/request/lifecycle.ts
@@ -289,7 +289,9 @@
 
 function finish (state: RequestState, outcome: Outcome, reason: string, retryAfterMs?: number): Step {
   if (state.backup) return withoutBackup(state, (dropped) => finish(dropped, outcome, reason, retryAfterMs))
-  return { state: { ...state, phase: 'done', outcome }, effects: [{ type: 'finish', outcome, reason, retryAfterMs }] }
+  // A time to come back reads as leave to send the request again.
+  const mayComeBack = outcome === 'not-run' || state.traits.idempotent
+  return { state: { ...state, phase: 'done', outcome }, effects: [{ type: 'finish', outcome, reason, retryAfterMs: mayComeBack ? retryAfterMs : undefined }] }
 }
 
 /** Outcome of a request that was not answered. A claim that may have been stored does not matter here, since a claim is not a run. */
--- a/core/request/lifecycle_test.ts
+++ b/core/request/lifecycle_test.ts
@@ -103,6 +103,18 @@
   expect(run({}, [...RUNNING, givenUp]).effects.slice(-2)).toEqual([{ type: 'stop', endpoint: A, attempt: 1 }, expect.objectContaining({ type: 'finish', outcome: 'unknown', reason: 'leaves' })])
 })
 
+test('a request that may have run, and may run only once, ends without a time to come back', () => {
+  // Guards against callers that take the time for leave to send it again.
+  const held: RequestMessage = { type: 'quarantined', reason: 'held', retryAfterMs: 5000 }
+  const endOf = (idempotent: boolean, msgs: readonly RequestMessage[]) => run({ idempotent }, [{ type: 'begin' }, ...msgs, held]).effects.at(-1)
+  const placed: RequestMessage = { type: 'placed', endpoint: A }
+  expect([endOf(false, [placed]), endOf(true, [placed]), endOf(false, [])]).toMatchObject([
+    { type: 'finish', outcome: 'unknown', retryAfterMs: undefined },
+    { type: 'finish', outcome: 'unknown', retryAfterMs: 5000 },
+    { type: 'finish', outcome: 'not-run', retryAfterMs: 5000 }
+  ])
+})
+
 test('a request stops when its caller disconnects only if its class has cancelOnLeave', () => {
   expect(run({}, [...RUNNING, { type: 'caller-left' }]).state.phase).toBe('running')
   expect(run({ cancelOnLeave: true }, [...RUNNING, { type: 'caller-left' }]).state.phase).toBe('done')
--- a/daemon/exchange/exchange_writer_test.ts
+++ b/daemon/exchange/exchange_writer_test.ts
@@ -149,6 +149,7 @@
     const mayHaveRun = attempts.some((attempt) => attempt.mayHaveRun)
     expect([res.headersSent, exchange.task.final !== undefined]).toEqual([true, true])
     if (isNotRunPromise(res.statusCode)) expect(mayHaveRun).toBe(false)
+    if (exchange.task.final!.outcome === 'unknown') expect(exchange.headersOf()).not.toContain('retry-after')
     if (isNotRunPromise(res.statusCode)) ends.promised++
     if (mayHaveRun) ends.mayHaveRun++
   }), { seed: 84, numRuns: 3000 })
