Pass no answer on whose status HTTP does not have

What callers saw: an endpoint that answered with status 600 or 999 had it handed on, signed. HTTP has statuses up to 599, and a caller's parser may refuse others.

Cause: the parser takes three digits from 100 on, and what was above 499 counted as a failure of the endpoint's own.

Change: such an answer is none of the endpoint's; the caller gets 502, or the answer of another endpoint where the request may run again.

--- a/daemon/peers/peer_links_test.ts
+++ b/daemon/peers/peer_links_test.ts
@@ -48,6 +48,16 @@
   await expect(a.links.call(b, 'anything', null)).rejects.toThrow('Cannot connect')
 })
 
+test.each(['000', '099', '20', '600', '200'])('a daemon that is answered with status %s in place of a link has sent nothing', async (status) => {
+  // Guards against calls that count as sent, or as answered, because a stray program answers at a daemon's address.
+  const a = await start('a')
+  const server = createServer((socket) => { socket.on('data', () => socket.end(`HTTP/1.1 ${status} Odd\r\nContent-Length: 0\r\n\r\n`)) })
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+  cleanups.push({ close: () => { server.close() } })
+  const address = `127.0.0.1:${(server.address() as AddressInfo).port}`
+  await expect(a.links.call({ id: as<DaemonId>('b'), address }, 'anything', null)).rejects.toMatchObject({ name: 'PeerError', notSent: true })
+})
+
 test('a message of an unknown kind is counted and ignored', async () => {
   // Guards against a rolling update in which newer daemons send kinds that older ones do not know and the older ones fail on them.
   const a = await start('a')
--- a/endpoints/exchange/exchange.ts
+++ b/endpoints/exchange/exchange.ts
@@ -49,6 +49,8 @@
 const SUCCESS = 200
 const REDIRECT = 300
 const SERVER_ERROR = 500
+/** Highest status of HTTP. Parsers accept any three digits from 100 on. */
+const MAX_STATUS = 599
 
 /** How the body of an answer is handled. */
 type BodyHandling = 'events' | 'whole' | 'failure' | 'nothing'
@@ -152,6 +154,7 @@
     if (facts.otherEndpoint) return this.#fail('endpoint-gone', 'another endpoint has the address')
     if (facts.genuine || facts.notRun) this.#options.sink.onSignals?.(facts)
     if (facts.notRun) return this.#fail('endpoint-said-not-run', `status ${status}`)
+    if (status > MAX_STATUS) return this.#fail('foreign-answer', `${status} is no status`)
     if (!facts.genuine) return this.#fail(status < REDIRECT ? 'foreign-answer' : 'endpoint-error', 'the answer is unsigned or encoded')
     this.#bodyHandling = bodyHandlingOf(head)
     if (this.#bodyHandling === 'events') this.#options.sink.onHead?.(head)
