Take no success for whole that ends before its request was written

What callers saw: an endpoint answered an upload of 6 MB at once with a 200 that had no length, wrote a part, ended the connection and reset it 4 ms later, while the upload was still being written. The caller got that part as a whole answer.

Cause: an end in order counts as the end of an answer without a length. The HTTP client lets go of the connection there, so that a reset behind it is not seen.

Change: a success that ends while bytes of its request are still to be written is broken off: retried where the request may run again, otherwise 502 or cut. Failures, which are often known from the head alone, are passed on as before.

Checked, and no fault: reset at once, after 20 ms, by closing with bytes unread, and in the turn of the end: 0 of 32 looked whole, before and after.

--- a/endpoints/exchange/connection.ts
+++ b/endpoints/exchange/connection.ts
@@ -38,6 +38,8 @@
   #paused = false
   /** True if the endpoint ended the connection without a reset. */
   endedCleanly = false
+  /** True if the endpoint ended the connection before the bytes of the request were all handed to the system. */
+  endedEarly = false
   /** True from when the connection was opened until it is known to have ended. */
   open = false
   /** True once the connection accepts no further requests. */
@@ -138,6 +140,7 @@
     socket.prependListener('end', () => {
       this.open = false
       this.endedCleanly = socket.remoteAddress !== undefined
+      this.endedEarly = socket.writableLength > 0
     })
     socket.prependListener('error', () => {
       this.open = false
--- a/endpoints/exchange/exchange.ts
+++ b/endpoints/exchange/exchange.ts
@@ -247,10 +247,15 @@
     this.#offset++
   }
 
-  /** An answer without a length ends with its connection; it may be truncated if the connection was reset. */
+  /**
+   * An answer without a length ends with its connection; it may be truncated if the connection was reset. A success that ends while its request is still being written counts as
+   * truncated too: a reset may follow, and be lost. A failure may well be answered before the request was read.
+   */
   #isComplete (): boolean {
     if (this.#events.pendingBytes > 0) return false
-    return isSelfDelimited(this.#head!) || this.#options.connection.endedCleanly
+    if (isSelfDelimited(this.#head!)) return true
+    const { endedCleanly, endedEarly } = this.#options.connection
+    return endedCleanly && !(endedEarly && this.#head!.status < REDIRECT)
   }
 
   #fail (point: FailurePoint, reason: string): void {
