Let nobody but a delegate refuse a request that runs

What callers saw: nothing; no component refuses a request that runs at an endpoint today. Found when the random orders of events were extended by refusals.

Cause: the life cycle ended a request with `not-run` on any refusal, also while an endpoint ran it, and on a claim that failed later than it was asked for. It relied on the phase checks of all who post these messages.

Change: a refusal while an endpoint has the request ends it as one that may have run; a failed claim counts while the request waits for it. The product's own interface takes its statuses from the same table as the platform's.

Test: lifecycle_test, "no order of events", with refusals and failed claims, failed before and passes; core/request, daemon/api, daemon/request pass.

--- a/core/request/lifecycle.ts
+++ b/core/request/lifecycle.ts
@@ -113,10 +113,10 @@
   switch (msg.type) {
     case 'begin': return begin(state)
     case 'claimed': return place(state, now)
-    case 'claim-failed': return finish(state, msg.outcome, msg.reason, msg.retryAfterMs)
+    case 'claim-failed': return state.phase === 'claiming' ? finish(state, msg.outcome, msg.reason, msg.retryAfterMs) : unchanged(state)
     case 'placed': return start(state, msg.endpoint, 'fresh')
     case 'delegated': return delegate(state, msg.to)
-    case 'refused': return finish(state, failureOutcome(state), msg.reason, msg.retryAfterMs)
+    case 'refused': return refused(state, msg)
     case 'bound': return { state: { ...state, isBound: true }, effects: [] }
     case 'backup': return startBackup(state, msg.endpoint)
     case 'answering': return answering(state, msg.attempt)
@@ -133,6 +133,12 @@
   }
 }
 
+/** Only a delegate can refuse what runs: it says that it has not begun the request. */
+function refused (state: RequestState, { reason, retryAfterMs }: Extract<RequestMessage, { type: 'refused' }>): Step {
+  if (state.phase === 'running' && state.endpoint !== undefined) return abort(state, reason, retryAfterMs)
+  return finish(state, failureOutcome(state), reason, retryAfterMs)
+}
+
 function begin (state: RequestState): Step {
   if (!state.traits.claims) return { state, effects: [{ type: 'place', avoid: state.avoid }] }
   return { state: { ...state, phase: 'claiming' }, effects: [{ type: 'claim' }] }
--- a/daemon/api/problem.ts
+++ b/daemon/api/problem.ts
@@ -1,6 +1,6 @@
 /** Problem details (RFC 9457) that include the request's outcome. */
 import type { ServerResponse } from 'node:http'
-import type { Outcome } from '../../core/outcome/index.ts'
+import { ownStatus, type Outcome } from '../../core/outcome/index.ts'
 import type { RequestId } from '../../core/ids/index.ts'
 import type { FinalResult } from '../request/live_answer.ts'
 
@@ -24,7 +24,7 @@
   if (final.otherBody) return { status: 422, title: 'Idempotency key used before', detail: final.reason, outcome: 'not-run', request }
   const outcome = final.outcome === 'not-run' ? 'not-run' : 'unknown'
   const title = outcome === 'not-run' ? 'Request was not run' : 'Request may have been run'
-  return { status: outcome === 'not-run' ? 503 : 502, title, detail: final.reason, outcome, request, retryAfterMs: final.retryAfterMs }
+  return { status: ownStatus(outcome, 'failed'), title, detail: final.reason, outcome, request, retryAfterMs: final.retryAfterMs }
 }
 
 /** Serializes a problem as a JSON document. */
