--- a/core/outcome/caller_status_test.ts
+++ b/core/outcome/caller_status_test.ts
@@ -1,5 +1,5 @@
 import { expect, test } from 'vitest'
-import { isNotRunPromise, mayPassOn, ownStatus, type EndCause, type Outcome } from './index.ts'
+import { isNotRunStatus, mayPassOn, ownStatus, type EndCause, type Outcome } from './index.ts'
 
 const OUTCOMES: Outcome[] = ['answered', 'not-run', 'unknown']
 const CAUSES: EndCause[] = ['failed', 'out-of-time', 'leaving']
@@ -16,5 +16,5 @@
 })
 
 test('answers of the daemon\'s own promise that a request has not run exactly if that is certain', () => {
-  for (const cause of CAUSES) expect([isNotRunPromise(ownStatus('not-run', cause)), isNotRunPromise(ownStatus('unknown', cause))]).toEqual([true, false])
+  for (const cause of CAUSES) expect([isNotRunStatus(ownStatus('not-run', cause)), isNotRunStatus(ownStatus('unknown', cause))]).toEqual([true, false])
 })
--- a/daemon/exchange/_head_errors.ts
+++ b/daemon/exchange/_head_errors.ts
@@ -3,8 +3,8 @@
 
 const TIMEOUT_CODE = 'ERR_HTTP_REQUEST_TIMEOUT'
 const PARSER_CODES = 'HPE_'
-/** The caller has closed its side in the middle of a request. */
-export const END_CODE = 'HPE_INVALID_EOF_STATE'
+/** Code of the error of a caller that has closed its side in the middle of a request. */
+export const CALLER_ENDED_CODE = 'HPE_INVALID_EOF_STATE'
 const BAD_REQUEST = 400
 /** Status of the answer by the code of the error; the others are {@linkcode BAD_REQUEST}. */
 const STATUS_BY_CODE: Record<string, readonly [status: number, text: string]> = {
@@ -47,5 +47,5 @@
   const isRefused = (code === TIMEOUT_CODE || code.startsWith(PARSER_CODES)) && socket.writable && !isAwaited
   if (isRefused) socket.write(`HTTP/1.1 ${status} ${text}\r\nConnection: close\r\n\r\n`)
   socket.destroy(err)
-  return isRefused && code !== END_CODE ? status : undefined
+  return isRefused && code !== CALLER_ENDED_CODE ? status : undefined
 }
--- a/daemon/exchange/exchange_server.ts
+++ b/daemon/exchange/exchange_server.ts
@@ -12,7 +12,7 @@
 import { BodyReader } from './body_reader.ts'
 import { refuse, writeExchange } from './exchange_writer.ts'
 import type { Intake } from './intake.ts'
-import { END_CODE, HeadTimeouts, refuseHead } from './_head_errors.ts'
+import { CALLER_ENDED_CODE, HeadTimeouts, refuseHead } from './_head_errors.ts'
 import { closeIfIdle } from './_idle_timeout.ts'
 import { OpenExchanges, type DrainCounts, type Exchange } from './open_exchanges.ts'
 import { stopListening } from './open_responses.ts'
@@ -173,7 +173,7 @@
     }
     this.#headTimeouts.confirm(err, socket, () => {
       // A caller that has ended its side has left, and waits for no answer.
-      if (err.code === END_CODE) refuseConnection()
+      if (err.code === CALLER_ENDED_CODE) refuseConnection()
       else this.#exchanges.afterAnswers(socket, refuseConnection)
     })
   }
--- a/daemon/exchange/exchange_writer.ts
+++ b/daemon/exchange/exchange_writer.ts
@@ -34,7 +34,7 @@
  * Writes a task's answer until its final result, as fast as its caller takes it. With a memory limit the pieces are taken out of the task's answer.
  *
  * A truncated answer never looks complete: if an answer that has begun fails, its connection is destroyed without the end of the message. An answer whose status would
- * promise that a request has not run, although it may have, is replaced by one of the daemon's own.
+ * guarantee that a request has not run, although it may have, is replaced by one of the daemon's own.
  */
 export function writeExchange (res: ServerResponse, task: RequestTask<Buffer>, options: WriteExchangeOptions): void {
   const { guard, metrics, body } = options
@@ -99,7 +99,7 @@
 }
 
 function canPassOn ({ final, state }: RequestTask<Buffer>, { status }: AnswerHead): boolean {
-  // While the endpoint still writes its answer, it has not refused the request.
+  // An endpoint that is still writing its answer has not refused the request.
   return mayPassOn(status, { outcome: final?.outcome ?? 'unknown', mayRunAgain: state.traits.idempotent })
 }
 
--- a/daemon/exchange/exchange_writer_test.ts
+++ b/daemon/exchange/exchange_writer_test.ts
@@ -6,7 +6,7 @@
 import type { AnswerHead } from '../../core/answer/index.ts'
 import { toWorkClass } from '../../core/config/index.ts'
 import { as, type EndpointId, type EndpointVersion, type Fingerprint } from '../../core/ids/index.ts'
-import { AttemptError, FAILURE_POINTS, isNotRunPromise, outcomeAt, type FailurePoint } from '../../core/outcome/index.ts'
+import { AttemptError, FAILURE_POINTS, isNotRunStatus, outcomeAt, type FailurePoint } from '../../core/outcome/index.ts'
 import { noWork, type EndpointView, type Route } from '../../core/routing/index.ts'
 import { NO_TOKENS } from '../../core/work/index.ts'
 import type { AttemptSink } from '../../endpoints/index.ts'
@@ -148,9 +148,9 @@
     const { res, attempts } = exchange
     const mayHaveRun = attempts.some((attempt) => attempt.mayHaveRun)
     expect([res.headersSent, exchange.task.final !== undefined]).toEqual([true, true])
-    if (isNotRunPromise(res.statusCode)) expect(mayHaveRun).toBe(false)
+    if (isNotRunStatus(res.statusCode)) expect(mayHaveRun).toBe(false)
     if (exchange.task.final!.outcome === 'unknown') expect(exchange.headersOf()).not.toContain('retry-after')
-    if (isNotRunPromise(res.statusCode)) ends.promised++
+    if (isNotRunStatus(res.statusCode)) ends.promised++
     if (mayHaveRun) ends.mayHaveRun++
   }), { seed: 84, numRuns: 3000 })
   expect(Math.min(ends.promised, ends.mayHaveRun)).toBeGreaterThan(300)
