Take the result of a claim only while the request waits for it

What callers saw: nothing; each claim has one result today. Found when the diff was read again: a failed claim was guarded, a successful one was not.

Cause: the life cycle placed a request on any result of a claim, also while an attempt ran, which could have started a second one.

Change: both results count in the phase that waits for them. Two comments name what they guard against in the field's terms.

Test: lifecycle_test, "no order of events", with results of claims at any time, failed before and passes.

--- a/core/request/lifecycle.ts
+++ b/core/request/lifecycle.ts
@@ -112,7 +112,8 @@
   if (state.phase === 'done') return { state, effects: [] }
   switch (msg.type) {
     case 'begin': return begin(state)
-    case 'claimed': return place(state, now)
+    // The result of a claim that the request does not wait for must not start or end anything.
+    case 'claimed': return state.phase === 'claiming' ? place(state, now) : unchanged(state)
     case 'claim-failed': return state.phase === 'claiming' ? finish(state, msg.outcome, msg.reason, msg.retryAfterMs) : unchanged(state)
     case 'placed': return start(state, msg.endpoint, 'fresh')
     case 'delegated': return delegate(state, msg.to)
@@ -133,7 +134,7 @@
   }
 }
 
-/** Only a delegate can refuse what runs: it says that it has not begun the request. */
+/** A refusal by a delegate means that it has not begun the request; any other one, while an endpoint has the request, says nothing about the run. */
 function refused (state: RequestState, { reason, retryAfterMs }: Extract<RequestMessage, { type: 'refused' }>): Step {
   if (state.phase === 'running' && state.endpoint !== undefined) return abort(state, reason, retryAfterMs)
   return finish(state, failureOutcome(state), reason, retryAfterMs)
@@ -295,7 +296,7 @@
 
 function finish (state: RequestState, outcome: Outcome, reason: string, retryAfterMs?: number): Step {
   if (state.backup) return withoutBackup(state, (dropped) => finish(dropped, outcome, reason, retryAfterMs))
-  // A time to come back reads as leave to send the request again.
+  // Callers take a time to come back for permission to send the request again.
   const mayComeBack = outcome === 'not-run' || state.traits.idempotent
   return { state: { ...state, phase: 'done', outcome }, effects: [{ type: 'finish', outcome, reason, retryAfterMs: mayComeBack ? retryAfterMs : undefined }] }
 }
--- a/core/request/lifecycle_test.ts
+++ b/core/request/lifecycle_test.ts
@@ -104,7 +104,7 @@
 })
 
 test('a request that may have run, and may run only once, ends without a time to come back', () => {
-  // Guards against callers that take the time for leave to send it again.
+  // Guards against callers that take the time for permission to send it again.
   const held: RequestMessage = { type: 'quarantined', reason: 'held', retryAfterMs: 5000 }
   const endOf = (idempotent: boolean, msgs: readonly RequestMessage[]) => run({ idempotent }, [{ type: 'begin' }, ...msgs, held]).effects.at(-1)
   const placed: RequestMessage = { type: 'placed', endpoint: A }
@@ -157,7 +157,7 @@
   // Guards against a second execution by way of endpoints and delegates in any mixture.
   const attempt = fc.integer({ min: 1, max: 4 })
   const msg = fc.oneof(
-    fc.constantFrom<RequestMessage>({ type: 'placed', endpoint: A }, { type: 'placed', endpoint: B }, { type: 'delegated', to: D }, { type: 'caller-left' }, { type: 'move', endpoint: B, mode: 'prefill' }, { type: 'refused', reason: 'no room', retryAfterMs: 500 }, { type: 'claim-failed', outcome: 'not-run', reason: 'store down' }),
+    fc.constantFrom<RequestMessage>({ type: 'placed', endpoint: A }, { type: 'placed', endpoint: B }, { type: 'delegated', to: D }, { type: 'caller-left' }, { type: 'move', endpoint: B, mode: 'prefill' }, { type: 'refused', reason: 'no room', retryAfterMs: 500 }, { type: 'claimed' }, { type: 'claim-failed', outcome: 'not-run', reason: 'store down' }),
     fc.record({ type: fc.constant('failed' as const), attempt, point: fc.constantFrom(...FAILURE_POINTS), retryGranted: fc.boolean() }),
     fc.record({ type: fc.constant('stopped' as const), attempt, confirmed: fc.boolean() }),
     fc.record({ type: fc.constant('ended' as const), attempt })
@@ -174,9 +174,9 @@
         if (begins) expect(next.state.sent).toBeLessThan(2)
       }
       if (isRunning && each.type === 'failed' && each.attempt === state.attempt && outcomeAt(each.point) === 'unknown') mayHaveRun++
-      // A delegate refuses what has not run; nobody else can refuse what an endpoint has.
+      // Only the refusal of a delegate is certain.
       if (isRunning && each.type === 'refused' && state.endpoint !== undefined) mayHaveRun++
-      if (isRunning && each.type === 'claim-failed') expect(next.state).toBe(state)
+      if (isRunning && (each.type === 'claimed' || each.type === 'claim-failed')) expect(next.state).toBe(state)
       if (next.state.outcome === 'not-run') expect(mayHaveRun).toBe(0)
       state = next.state
     }
