Write heads of endpoints in one place, and reword what tells of replaced answers

Cause: the writer asked in two places whether a head may be passed on, and looked through the open requests of a connection at each end of a request, although that matters only where the connection is to be refused.

Change: passOnHead writes the head or replaces the answer; the search comes second. Names and comments of tests, a log line and a metric's help use the field's terms. Behaviour and assertions are unchanged.

--- a/daemon/exchange/exchange_writer.ts
+++ b/daemon/exchange/exchange_writer.ts
@@ -45,11 +45,8 @@
     if (task.final) body?.close()
     else body?.move(task.state.phase === 'running' ? 'sending' : 'queued')
     if (res.destroyed) return
-    if (!res.headersSent && task.head) {
-      if (canPassOn(task, task.head)) writeHead(res, task.head, { whole: task.final ? totalBytes(task.answer.pieces) : undefined, closeConnection: options.closeConnection() })
-      else replaceAnswer(res, task, task.head, { metrics, closeConnection: options.closeConnection() })
-    }
-    // The rest of an answer that was replaced reaches nobody.
+    if (!res.headersSent && task.head) passOnHead(res, task, task.head, { whole: task.final ? totalBytes(task.answer.pieces) : undefined, metrics, closeConnection: options.closeConnection() })
+    // The rest of an answer that was replaced is not written.
     if (res.writableEnded) return
     if (res.headersSent) {
       for (const piece of unsent()) {
@@ -73,7 +70,18 @@
   else followSafely()
 }
 
-function writeHead (res: ServerResponse, head: AnswerHead, options: { whole: number | undefined, closeConnection: boolean }): void {
+/** Options of {@linkcode passOnHead}; `whole` is the length of the body, if it is known. */
+interface PassOnHeadOptions { whole: number | undefined, metrics: Metrics, closeConnection: boolean }
+
+/** Writes the head of an endpoint's answer; if its status says more about the run than is known, writes a whole answer of the daemon's own in its place. */
+function passOnHead (res: ServerResponse, task: RequestTask<Buffer>, head: AnswerHead, options: PassOnHeadOptions): void {
+  const { final, state } = task
+  // An endpoint that is still writing its answer has not refused the request.
+  if (mayPassOn(head.status, { outcome: final?.outcome ?? 'unknown', mayRunAgain: state.traits.idempotent })) writeHead(res, head, options)
+  else replaceAnswer(res, task, head, options)
+}
+
+function writeHead (res: ServerResponse, head: AnswerHead, options: Omit<PassOnHeadOptions, 'metrics'>): void {
   const headers = head.headers.filter(([name]) => !HOP_BY_HOP.has(name.toLowerCase()))
   const isFramed = hasNoBody(head.status, res.req.method!) || headers.some(([name]) => name.toLowerCase() === 'content-length')
   if (!isFramed && options.whole !== undefined) headers.push(['Content-Length', String(options.whole)])
@@ -87,24 +95,17 @@
     options.sender.end()
   } else if (res.headersSent) {
     options.sender.breakOff()
-  } else if (final.outcome === 'unknown' && failure && !canPassOn(task, failure.head)) {
-    replaceAnswer(res, task, failure.head, { metrics, closeConnection: options.closeConnection() })
   } else if (final.outcome === 'unknown' && failure) {
-    writeHead(res, failure.head, { whole: failure.body.length, closeConnection: options.closeConnection() })
-    res.end(failure.body)
+    passOnHead(res, task, failure.head, { whole: failure.body.length, metrics, closeConnection: options.closeConnection() })
+    if (!res.writableEnded) res.end(failure.body)
   } else {
     const notRun = final.outcome === 'not-run'
     refuse(res, { status: ownStatus(final.outcome, causeOf(final)), retryAfterMs: final.retryAfterMs ?? (notRun ? RETRY_AFTER_NOT_RUN_MS : undefined), why: final.reason, closeConnection: options.closeConnection() })
   }
 }
 
-function canPassOn ({ final, state }: RequestTask<Buffer>, { status }: AnswerHead): boolean {
-  // An endpoint that is still writing its answer has not refused the request.
-  return mayPassOn(status, { outcome: final?.outcome ?? 'unknown', mayRunAgain: state.traits.idempotent })
-}
-
-/** Answers in place of an endpoint whose status would tell the caller that its request has not run. */
-function replaceAnswer (res: ServerResponse, task: RequestTask<Buffer>, { status }: AnswerHead, { metrics, closeConnection }: { metrics: Metrics, closeConnection: boolean }): void {
+/** Answers in place of an endpoint whose status guarantees what is not known. */
+function replaceAnswer (res: ServerResponse, task: RequestTask<Buffer>, { status }: AnswerHead, { metrics, closeConnection }: PassOnHeadOptions): void {
   const by = ownStatus('unknown', 'failed')
   task.recordDecision('answer-replaced', { status, by })
   metrics.answersReplaced.inc({ status: String(status) })
--- a/daemon/exchange/exchange_writer_test.ts
+++ b/daemon/exchange/exchange_writer_test.ts
@@ -115,12 +115,12 @@
   attempt.delegated.onRefused('no room in time', 200)
 }
 
-const arrival = fc.constantFrom(200, 301, 400, 408, 421, 429, 500, 503, 504)
+const anyStatus = fc.constantFrom(200, 301, 400, 408, 421, 429, 500, 503, 504)
 const action: fc.Arbitrary<Action> = fc.oneof(
   { weight: 4, arbitrary: fc.constantFrom<Action>(...VIEWS.map((view): Action => ({ takePlacement }) => takePlacement()?.placed(view, routeTo(view)))) },
   { weight: 2, arbitrary: fc.constant<Action>(({ takePlacement }) => takePlacement()?.delegated?.({ id: as('other'), inFlight: 0, offerAgeMs: 0, activityAgeMs: 0 })) },
-  { weight: 4, arbitrary: fc.tuple(fc.constantFrom(...FAILURE_POINTS), arrival).map(([point, status]) => fails(point, status)) },
-  { weight: 3, arbitrary: fc.tuple(arrival, fc.constantFrom<'end' | 'go-on'>('end', 'go-on')).map(([status, then]) => answers(status, then)) },
+  { weight: 4, arbitrary: fc.tuple(fc.constantFrom(...FAILURE_POINTS), anyStatus).map(([point, status]) => fails(point, status)) },
+  { weight: 3, arbitrary: fc.tuple(anyStatus, fc.constantFrom<'end' | 'go-on'>('end', 'go-on')).map(([status, then]) => answers(status, then)) },
   fc.constantFrom<Action>(
     refusedByDelegate,
     ({ takePlacement }) => takePlacement()?.refused('no room in time', 200),
--- a/daemon/exchange/open_exchanges.ts
+++ b/daemon/exchange/open_exchanges.ts
@@ -163,7 +163,7 @@
     if (!this.#open.delete(exchange)) return
     const { res, socket } = exchange
     connection.open = connection.open.filter((other) => other !== exchange)
-    if (!hasWhole(connection.open)) connection.afterAnswers?.()
+    if (connection.afterAnswers && !hasWhole(connection.open)) connection.afterAnswers()
     if (res.writableFinished) return
     const by = !connection.ending && (socket.readableEnded || socket.errored) ? 'caller' : 'daemon'
     if (by === 'caller') this.#callerLeft(exchange)
--- a/daemon/log/describe.ts
+++ b/daemon/log/describe.ts
@@ -33,7 +33,7 @@
   'stream-move-ended': (f) => `move from ${f.endpoint} to ${f.target}: ${f.outcome} after ${ms(f.tookMs)}, ${f.kvTokens} tokens, ${f.orders} orders to stop${f.why === undefined ? '' : ` (${f.why})`}`,
   'export-failed': (f) => `export of the KV cache at ${f.endpoint} failed, planning again`,
   'stream-taken-over': (f) => `taken over at token ${f.fromPiece}${f.endpoint === undefined ? ', waiting for room' : ` on ${f.endpoint}`}`,
-  'answer-replaced': (f) => `answered ${f.by} by this daemon: the endpoint's ${f.status} would say that the request did not run`,
+  'answer-replaced': (f) => `answered ${f.by} by this daemon: the endpoint's ${f.status} guarantees that the request has not run, which is not known`,
   'answer-evicted': (f) => `broken off, memory was short: its caller took nothing for ${ms(f.unreadMs)} and left ${f.bytes} bytes`,
   'request-read-draining': (f) => `read ${ms(f.sinceMs)} after the drain began`,
   'connection-closed-draining': (f) => `connection closed by the ${f.by} ${cutSuffix(f)}`,
--- a/daemon/log/events.ts
+++ b/daemon/log/events.ts
@@ -79,7 +79,7 @@
   'export-failed': { endpoint: string, why: string }
   /** This daemon continues a stream of another daemon. */
   'stream-taken-over': { endpoint?: string | undefined, fromPiece: number }
-  /** The endpoint's answer had a `status` that would have told the caller that its request did not run, although it may have; the caller got `by`. */
+  /** The endpoint's answer had a `status` that guarantees that the request has not run, although it may have; the caller got `by`. */
   'answer-replaced': { status: number, by: number }
   /** Broken off since memory was short: the caller had not taken `bytes` of the answer and had visibly taken nothing for `unreadMs`. `heldBytes` is what is held for all. */
   'answer-evicted': { bytes: number, unreadMs: number, heldBytes: number }
--- a/daemon/metrics.ts
+++ b/daemon/metrics.ts
@@ -33,7 +33,7 @@
     endpointCrashes: counter('endpoint_crashes_total', 'Endpoints that crashed while they had requests of this daemon', ['pool']),
     quarantined: gauge('quarantined_requests', 'Requests and prompt parts that are sent to no endpoint, since endpoints that ran them crashed'),
     quarantineRefusals: counter('held_total', 'Requests that were sent to no endpoint, since requests like them, or with the same prompt part, crashed those that ran them', ['class', 'cause']),
-    answersReplaced: counter('answers_replaced_total', 'Answers of endpoints whose status would have told the caller that its request did not run, replaced by one of this daemon, by that status', ['status']),
+    answersReplaced: counter('answers_replaced_total', 'Answers of endpoints whose status guarantees that the request has not run although it may have, replaced by one of this daemon, by that status', ['status']),
     chunks: counter('chunks_total', 'Chunks from endpoints by what became of them', ['verdict']),
     moves: counter('moves_total', 'Streams on leaving endpoints by what was decided', ['action']),
     streamMoves: counter('stream_moves_total', 'Moves of running streams by KV cache, by how they ended', ['outcome']),
